Add design, message definitions and project scaffolding

Cause: the repository is empty; the parts need a common base before they can be written side by side. Ruled out: a SQL wire protocol towards callers, because no maintained library serves one on trio; strict validation of whole schemas, because it refuses mappings in place of data classes. Conclusion: the parts can be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint demo bench ci
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 jackdawpost jackdawpost_standin bench
+	$(BIN)/mypy
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+ci: test lint
--- /dev/null
+++ b/jackdawpost/core/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes of all messages between processes."""
--- /dev/null
+++ b/jackdawpost/core/published.py
@@ -0,0 +1,178 @@
+"""Published state as proxies hold it: typed views and a keyed store."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from jackdawpost.core.messages.control import StateUpdate
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupView:
+    """Database group: its settings, current term and primary.
+
+    Parameters
+    ----------
+    databases : int
+        Number of databases that the group should have.
+    write_copies : int
+        Databases that must hold a write before it is acknowledged.
+    replica_wait_ms : int
+        Time that a read may wait on a replica, in milliseconds.
+    term : int
+        Current term; 0 before the first primary.
+    primary : str, optional
+        Upstream that leads in `term`; None while there is none.
+    """
+
+    name: str
+    databases: int
+    write_copies: int
+    replica_wait_ms: int
+    term: int = 0
+    primary: str | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamView:
+    """A joined upstream and how to reach it."""
+
+    name: str
+    group: str
+    data_id: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    connections: int
+    leaving: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class RuleView:
+    """Routing rule: the groups behind a route and its allowance."""
+
+    name: str
+    groups: list[str]
+    allowance: str | None = None
+    read_only: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class AllowanceView:
+    """Named staleness allowance, in milliseconds."""
+
+    name: str
+    max_age_ms: int
+
+
+@dataclass(slots=True, kw_only=True)
+class LimitView:
+    """Limits of one group.
+
+    Parameters
+    ----------
+    queue_length : int
+        Requests that may wait in each proxy.
+    max_deadline_ms : int
+        Longest deadline that a request may state, in milliseconds.
+    retry_ratio : float
+        Retries allowed for each request, 0 to 1.
+    """
+
+    name: str
+    group: str
+    queue_length: int
+    max_deadline_ms: int
+    retry_ratio: float
+
+
+@dataclass(slots=True, kw_only=True)
+class MemberView:
+    """A joined proxy or upstream."""
+
+    name: str
+    member_id: str
+    role: str
+    host: str
+    port: int
+    state: str
+
+
+View = (
+    GroupView
+    | UpstreamView
+    | RuleView
+    | AllowanceView
+    | LimitView
+    | MemberView
+)
+
+VIEW_TYPES: Mapping[str, type[Any]] = {
+    'group': GroupView,
+    'upstream': UpstreamView,
+    'rule': RuleView,
+    'allowance': AllowanceView,
+    'limit': LimitView,
+    'member': MemberView,
+}
+
+
+@dataclass(slots=True)
+class PublishedState:
+    """Objects in force at one version."""
+
+    version: int = 0
+    groups: dict[str, GroupView] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamView] = field(default_factory=dict)
+    rules: dict[str, RuleView] = field(default_factory=dict)
+    allowances: dict[str, AllowanceView] = field(default_factory=dict)
+    limits: dict[str, LimitView] = field(default_factory=dict)
+    members: dict[str, MemberView] = field(default_factory=dict)
+
+    def table(self, object_type: str) -> dict[str, Any]:
+        """Return the objects of one type by name."""
+        tables: dict[str, dict[str, Any]] = {
+            'group': self.groups,
+            'upstream': self.upstreams,
+            'rule': self.rules,
+            'allowance': self.allowances,
+            'limit': self.limits,
+            'member': self.members,
+        }
+        return tables[object_type]
+
+
+def apply_update(state: PublishedState, update: StateUpdate) -> bool:
+    """Apply an update of the published state in place.
+
+    Parameters
+    ----------
+    state : PublishedState
+        State to change.
+    update : StateUpdate
+        Update received from the control leader.
+
+    Returns
+    -------
+    bool
+        False if the update does not follow the version in force, so that a
+        full one is needed; the state is then unchanged.
+    """
+    if not update.full and update.from_version > state.version:
+        return False
+    if update.version < state.version:
+        return True
+    if update.full:
+        for object_type in VIEW_TYPES:
+            state.table(object_type).clear()
+    for key in update.removals:
+        state.table(key.type).pop(key.name, None)
+    for item in update.upserts:
+        view = VIEW_TYPES[item.type](**item.body)
+        state.table(item.type)[item.name] = view
+    state.version = update.version
+    return True
--- /dev/null
+++ b/jackdawpost/settings/loader.py
@@ -0,0 +1,62 @@
+"""Reads settings files: JSON with comments, checked by a model."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TypeVar
+
+import jsonc
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import ValidationError
+
+from jackdawpost.core.errors import ConfigError
+
+ModelT = TypeVar('ModelT', bound=BaseModel)
+
+
+class SettingsModel(BaseModel):
+    """Base of all settings models: immutable, without unknown keys."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+
+def load_settings(path: str | Path, model: type[ModelT]) -> ModelT:
+    """Read and validate a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        File in JSON with comments.
+    model : type
+        Settings model to validate against.
+
+    Returns
+    -------
+    BaseModel
+        The validated settings.
+
+    Raises
+    ------
+    ConfigError
+        The file cannot be read or parsed, or a value is invalid; the error
+        names file, key, value and what is valid.
+    """
+    name = str(path)
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigError(name, '', str(exc), 'a readable file') from exc
+    try:
+        value = jsonc.loads(text)
+    except ValueError as exc:
+        raise ConfigError(
+            name, '', str(exc), 'valid is JSON, comments allowed'
+        ) from exc
+    try:
+        return model.model_validate_json(json.dumps(value))
+    except ValidationError as exc:
+        first = exc.errors(include_url=False)[0]
+        key = '.'.join(str(part) for part in first['loc'])
+        raise ConfigError(name, key, first.get('input'), first['msg']) from exc
--- /dev/null
+++ b/jackdawpost/settings/models.py
@@ -0,0 +1,147 @@
+"""Settings of the programs."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from typing import Annotated
+from typing import Literal
+
+from pydantic import AfterValidator
+from pydantic import Field
+from pydantic import model_validator
+
+from jackdawpost.settings.loader import SettingsModel
+
+MIN_LEASE_TO_RENEWAL = 3
+
+
+def _check_ip(value: str) -> str:
+    ip_address(value)
+    return value
+
+
+Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
+Host = Annotated[str, AfterValidator(_check_ip)]
+Port = Annotated[int, Field(ge=1, le=65_535)]
+Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+
+
+class Address(SettingsModel):
+    """IP address and port of a process."""
+
+    host: Host
+    port: Port
+
+
+class Peer(Address):
+    """A named control process."""
+
+    name: Name
+
+
+class TlsSettings(SettingsModel):
+    """Certificates of this process, PEM files.
+
+    The certificate's common name is ``ROLE.NAME``, for example
+    ``proxy.proxy-1``; the authority signs the certificates of all roles.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class ProcessSettings(SettingsModel):
+    """What every daemon needs to know."""
+
+    name: Name
+    data_centre: str = Field(min_length=1)
+    listen: Address
+    tls: TlsSettings | None = None
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+    seed: int = Field(
+        default=0, ge=0, description='Seed of jitter and random choices.'
+    )
+
+
+class ProxySettings(ProcessSettings):
+    """Settings of ``jackdawpost-proxy``."""
+
+    control: list[Peer] = Field(min_length=1, max_length=7)
+    proxy_id: Name = Field(
+        description='Identity of this proxy, kept over restarts.'
+    )
+    replica_choice: Literal[
+        'random', 'round_robin', 'two_choices', 'least_outstanding'
+    ] = 'two_choices'
+    probe_interval_ms: Milliseconds = 100
+    probe_timeout_ms: Milliseconds = 300
+    report_interval_ms: Milliseconds = 400
+    upstream_open_timeout_ms: Milliseconds = 1_000
+    drain_serve_ms: Milliseconds = Field(
+        default=1_000,
+        description='Time for which a draining proxy serves new requests.',
+    )
+    drain_limit_ms: Milliseconds = Field(
+        default=30_000,
+        description='Time after which open transactions are rolled back.',
+    )
+    max_callers: int = Field(default=10_000, ge=1)
+    max_in_flight_per_caller: int = Field(default=64, ge=1)
+    idle_txn_ms: Milliseconds = Field(
+        default=10_000,
+        description='Longest pause between statements of a transaction.',
+    )
+
+
+class ControlSettings(ProcessSettings):
+    """Settings of ``jackdawpost-control``."""
+
+    peers: list[Peer] = Field(min_length=1, max_length=7)
+    data_dir: str = Field(min_length=1)
+    lease_ms: Milliseconds = 1_500
+    report_interval_ms: Milliseconds = 400
+    clock_margin: float = Field(
+        default=0.02,
+        ge=0,
+        le=0.5,
+        description='Largest difference in clock rate, as a fraction.',
+    )
+    heartbeat_ms: Milliseconds = 50
+    election_min_ms: Milliseconds = 300
+    election_max_ms: Milliseconds = 600
+    snapshot_entries: int = Field(
+        default=5_000, ge=10, description='Log length that is compacted.'
+    )
+    member_expiry_ms: Milliseconds = 30_000
+    refused_ms: Milliseconds = 200
+    silent_ms: Milliseconds = 800
+    max_statement_ms: Milliseconds = 60_000
+
+    @model_validator(mode='after')
+    def _check_relations(self) -> ControlSettings:
+        if self.name not in {peer.name for peer in self.peers}:
+            raise ValueError(f'peers must include this process, {self.name!r}')
+        if len(self.peers) % 2 == 0:
+            raise ValueError('peers must be 1, 3, 5 or 7 processes')
+        if self.lease_ms < MIN_LEASE_TO_RENEWAL * self.report_interval_ms:
+            raise ValueError(
+                f'lease_ms must be at least {MIN_LEASE_TO_RENEWAL} times '
+                'report_interval_ms'
+            )
+        if self.election_min_ms < 4 * self.heartbeat_ms:
+            raise ValueError(
+                'election_min_ms must be at least 4 times heartbeat_ms'
+            )
+        if self.election_max_ms <= self.election_min_ms:
+            raise ValueError('election_max_ms must exceed election_min_ms')
+        return self
+
+
+class CtlSettings(SettingsModel):
+    """Settings of ``jackdawpost-ctl``."""
+
+    control: list[Peer] = Field(min_length=1, max_length=7)
+    operator: Name
+    tls: TlsSettings | None = None
+    timeout_ms: Milliseconds = 5_000
