--- /dev/null
+++ b/jackdawpost/core/admission.py
@@ -0,0 +1,169 @@
+"""Bounded queue of requests with deadlines and priorities."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+WRITE = 0
+FRESH_READ = 1
+STALE_READ = 2
+PRIORITIES = (WRITE, FRESH_READ, STALE_READ)
+
+MIN_RETRY_AFTER_MS = 20
+MAX_RETRY_AFTER_MS = 2_000
+# A request that would start this late in its deadline has no time left to
+# run; queueing it would only push others past theirs.
+USABLE_DEADLINE_SHARE = 0.8
+_RATE_WEIGHT = 0.05
+
+
+class Queued(Protocol):
+    """What the queue needs to know about a request.
+
+    Attributes
+    ----------
+    priority : int
+        `WRITE`, `FRESH_READ` or `STALE_READ`.
+    due_ms : float
+        Deadline, in milliseconds.
+    queued : bool
+        Kept by the queue: the request waits in it.
+    """
+
+    priority: int
+    due_ms: float
+    queued: bool
+
+
+Q = TypeVar('Q', bound=Queued)
+
+
+class AdmissionQueue(Generic[Q]):
+    """Requests of one group that wait to be sent.
+
+    Parameters
+    ----------
+    limit : int
+        Requests that may wait.
+    """
+
+    __slots__ = ('limit', '_lanes', '_counts', '_pop_ms', '_interval_ms')
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._lanes: tuple[deque[Q], ...] = tuple(deque() for _ in PRIORITIES)
+        self._counts = [0 for _ in PRIORITIES]
+        self._pop_ms = -math.inf
+        self._interval_ms = 0.0
+
+    def __len__(self) -> int:
+        return sum(self._counts)
+
+    def count(self, priority: int) -> int:
+        """Return how many requests of one priority wait."""
+        return self._counts[priority]
+
+    def rejects(self, item: Q, now_ms: float) -> int | None:
+        """Tell whether a new request has to be rejected.
+
+        Returns
+        -------
+        int or None
+            None to accept it, else the earliest useful time for another
+            attempt, in milliseconds.
+        """
+        waiting = self._counts[0] + self._counts[1] + self._counts[2]
+        if not waiting:
+            return None
+        wait_ms = self._expected_wait_ms(item.priority)
+        usable_ms = (item.due_ms - now_ms) * USABLE_DEADLINE_SHARE
+        if waiting < self.limit and wait_ms <= usable_ms:
+            return None
+        bounded = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return int(bounded)
+
+    def displace(self, priority: int) -> Q | None:
+        """Remove the newest request of a lower priority, if any.
+
+        Lets a write enter a full queue in place of a read.
+        """
+        for lower in range(STALE_READ, priority, -1):
+            lane = self._lanes[lower]
+            while lane:
+                item = lane.pop()
+                if item.queued and item.priority == lower:
+                    self.remove(item)
+                    return item
+        return None
+
+    def push(self, item: Q, first: bool = False) -> None:
+        """Add a request; `first` puts it ahead of its priority."""
+        item.queued = True
+        self._counts[item.priority] += 1
+        lane = self._lanes[item.priority]
+        if first:
+            lane.appendleft(item)
+        else:
+            lane.append(item)
+
+    def peek(self, priority: int) -> Q | None:
+        """Return the first request of a priority, leaving it there."""
+        if not self._counts[priority]:
+            self._lanes[priority].clear()
+            return None
+        lane = self._lanes[priority]
+        while lane:
+            item = lane[0]
+            if item.queued and item.priority == priority:
+                return item
+            lane.popleft()
+        return None
+
+    def pop(self, priority: int, now_ms: float) -> Q | None:
+        """Take the first request of a priority out of the queue."""
+        item = self.peek(priority)
+        if item is None:
+            return None
+        self._lanes[priority].popleft()
+        item.queued = False
+        self._counts[priority] -= 1
+        self._note_pop(now_ms)
+        return item
+
+    def remove(self, item: Q) -> None:
+        """Take any request out of the queue, such as an expired one."""
+        if item.queued:
+            item.queued = False
+            self._counts[item.priority] -= 1
+
+    def drain_items(self) -> list[Q]:
+        """Take all requests out of the queue."""
+        items = [i for lane in self._lanes for i in lane if i.queued]
+        for item in items:
+            self.remove(item)
+        for lane in self._lanes:
+            lane.clear()
+        return items
+
+    def forget_rate(self) -> None:
+        """Drop the estimated rate, as after a pause without primary."""
+        self._interval_ms = 0.0
+        self._pop_ms = -math.inf
+
+    def _note_pop(self, now_ms: float) -> None:
+        if len(self):
+            gap_ms = now_ms - self._pop_ms
+            if gap_ms < MAX_RETRY_AFTER_MS:
+                change = gap_ms - self._interval_ms
+                self._interval_ms += _RATE_WEIGHT * change
+            self._pop_ms = now_ms
+        else:
+            self._pop_ms = -math.inf
+
+    def _expected_wait_ms(self, priority: int) -> float:
+        ahead = sum(self._counts[: priority + 1])
+        return ahead * self._interval_ms
--- /dev/null
+++ b/jackdawpost/core/freshness.py
@@ -0,0 +1,123 @@
+"""Upper bound on the age of what a replica shows."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from bisect import bisect_right
+
+from jackdawpost.core.positions import LogPosition
+
+MAX_SAMPLES = 512
+
+
+class FreshnessTracker:
+    """Samples of the primary's position, each with its sent time.
+
+    A sample (sent time, position) means that a replica which has applied
+    the position shows everything committed up to the sent time. Leaving
+    out samples is safe: ages are then overestimated.
+
+    Parameters
+    ----------
+    term : int
+        Current term of the group; samples of other terms do not count.
+    """
+
+    __slots__ = ('term', '_sent', '_positions')
+
+    def __init__(self, term: int = 0) -> None:
+        self.term = term
+        self._sent: list[float] = []
+        self._positions: list[LogPosition] = []
+
+    def __len__(self) -> int:
+        return len(self._sent)
+
+    def reset(self, term: int) -> None:
+        """Forget all samples and start on another term."""
+        self.term = term
+        self._sent.clear()
+        self._positions.clear()
+
+    def note_sample(
+        self, sent_ms: float, term: int, position: LogPosition
+    ) -> bool:
+        """Add the primary's answer to a probe.
+
+        Parameters
+        ----------
+        sent_ms : float
+            When the probe was sent, in milliseconds.
+        term : int
+            Term in which the primary answered.
+        position : LogPosition
+            Position of the primary.
+
+        Returns
+        -------
+        bool
+            False if the sample does not count: another term, or older
+            than the newest sample.
+        """
+        if term != self.term:
+            return False
+        if self._sent and sent_ms <= self._sent[-1]:
+            return False
+        if self._positions and position < self._positions[-1]:
+            return False
+        if self._positions and position == self._positions[-1]:
+            self._sent[-1] = sent_ms
+            return True
+        self._sent.append(sent_ms)
+        self._positions.append(position)
+        if len(self._sent) > MAX_SAMPLES:
+            self._thin_out()
+        return True
+
+    def age_ms(self, applied: LogPosition, now_ms: float) -> float | None:
+        """Return the bound on the age of data at `applied`.
+
+        Parameters
+        ----------
+        applied : LogPosition
+            Position applied by the replica in the current term.
+        now_ms : float
+            Present time, in milliseconds.
+
+        Returns
+        -------
+        float or None
+            Age in milliseconds, never below zero; None if unknown, which
+            callers must treat as too old.
+        """
+        at = bisect_right(self._positions, applied) - 1
+        if at < 0:
+            return None
+        return max(0.0, now_ms - self._sent[at])
+
+    def required_position(
+        self, max_age_ms: float, now_ms: float
+    ) -> LogPosition | None:
+        """Return what a replica must have applied for an accepted age.
+
+        Parameters
+        ----------
+        max_age_ms : float
+            Accepted age, in milliseconds.
+        now_ms : float
+            Present time, in milliseconds.
+
+        Returns
+        -------
+        LogPosition or None
+            None if no sample is young enough.
+        """
+        at = bisect_left(self._sent, now_ms - max_age_ms)
+        if at == len(self._sent):
+            return None
+        return self._positions[at]
+
+    def _thin_out(self) -> None:
+        half = len(self._sent) // 2
+        del self._sent[1:half:2]
+        del self._positions[1:half:2]
--- /dev/null
+++ b/jackdawpost/core/lease_holder.py
@@ -0,0 +1,124 @@
+"""Leases as the proxy holds them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from jackdawpost.core.messages.control import GroupLease
+
+# The control leader waits 2% longer than the duration it granted. The proxy
+# counts 2% less, so that both clock rates may be wrong by 2% at once.
+CLOCK_MARGIN = 0.02
+MAX_OPEN_REPORTS = 64
+
+
+class LeaseHolder:
+    """Leases of one proxy, with validity counted from sent reports."""
+
+    __slots__ = (
+        '_sent',
+        '_last_seq',
+        '_until',
+        '_revoked',
+        '_pending',
+        'grant_until_ms',
+        'config_until_ms',
+    )
+
+    def __init__(self) -> None:
+        self._sent: dict[int, float] = {}
+        self._last_seq = 0
+        self._until: dict[str, tuple[int, float]] = {}
+        self._revoked: dict[str, int] = {}
+        self._pending: tuple[int, float] | None = None
+        self.grant_until_ms = -math.inf
+        self.config_until_ms = -math.inf
+
+    @property
+    def last_seq(self) -> int:
+        """Seq of the newest report that was answered."""
+        return self._last_seq
+
+    def note_report(self, seq: int, now_ms: float) -> None:
+        """Remember when the report `seq` was sent."""
+        self._sent[seq] = now_ms
+        if len(self._sent) > MAX_OPEN_REPORTS:
+            del self._sent[next(iter(self._sent))]
+
+    def apply_grant(
+        self,
+        seq: int,
+        leases: Iterable[GroupLease],
+        duration_ms: float,
+        leader_version: int,
+        own_version: int,
+    ) -> bool:
+        """Count a grant from when its report was sent.
+
+        Parameters
+        ----------
+        seq : int
+            Report that the grant answers.
+        leases : iterable of GroupLease
+            Groups and terms granted.
+        duration_ms : float
+            Validity, in milliseconds.
+        leader_version : int
+            Published version at the leader.
+        own_version : int
+            Published version in force here; a lower one leaves the
+            configuration unconfirmed until `note_version` catches up.
+
+        Returns
+        -------
+        bool
+            False if the grant is ignored: it answers an unknown report or
+            one older than the last answered.
+        """
+        sent_ms = self._sent.get(seq)
+        if sent_ms is None or seq <= self._last_seq:
+            return False
+        self._last_seq = seq
+        self._sent = {s: at for s, at in self._sent.items() if s > seq}
+        until = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
+        self.grant_until_ms = until
+        self._until = {
+            lease.group: (lease.term, until)
+            for lease in leases
+            if lease.term > self._revoked.get(lease.group, -1)
+        }
+        self._pending = (leader_version, until)
+        self.note_version(own_version)
+        return True
+
+    def note_version(self, own_version: int) -> None:
+        """Confirm the configuration if the leader's version is in force."""
+        if self._pending is None or own_version < self._pending[0]:
+            return
+        self.config_until_ms = max(self.config_until_ms, self._pending[1])
+
+    def withdraw(self) -> None:
+        """Give up every lease, as this proxy is no member."""
+        self._until.clear()
+        self.config_until_ms = -math.inf
+
+    def revoke(self, group: str, term: int) -> None:
+        """Give up the leases of a group up to and including `term`."""
+        self._revoked[group] = max(term, self._revoked.get(group, -1))
+        held = self._until.get(group)
+        if held is not None and held[0] <= term:
+            del self._until[group]
+
+    def is_valid(self, group: str, term: int, now_ms: float) -> bool:
+        """Tell whether writes of `group` may be acknowledged in `term`."""
+        held = self._until.get(group)
+        return held is not None and held[0] == term and now_ms < held[1]
+
+    def dump(self) -> dict[str, object]:
+        """Return the leases as plain data."""
+        return {
+            'leases': {g: list(held) for g, held in self._until.items()},
+            'revoked': dict(self._revoked),
+            'last_seq': self._last_seq,
+        }
--- /dev/null
+++ b/jackdawpost/core/permit_holder.py
@@ -0,0 +1,121 @@
+"""Slot permits as the proxy holds them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+IDLE_RETURN_MS = 5.0
+
+
+@dataclass(slots=True)
+class PermitAccount:
+    """Permits of one upstream.
+
+    Parameters
+    ----------
+    held : int
+        Permits lent to this proxy.
+    in_use : int
+        Those among `held` that a frame or transaction occupies.
+    recalled : int
+        Permits to give back as soon as they are unused.
+    stated : int
+        Demand last stated to the control leader.
+    low_water : int
+        Fewest idle permits since the last check for idle ones.
+    """
+
+    held: int = 0
+    in_use: int = 0
+    recalled: int = 0
+    stated: int = 0
+    low_water: int = 0
+
+    @property
+    def idle(self) -> int:
+        """Permits that a frame may take now."""
+        return self.held - self.in_use
+
+
+class PermitHolder:
+    """Permits of one proxy by upstream.
+
+    The functions return how many permits to give back to the control
+    leader now.
+    """
+
+    __slots__ = ('accounts',)
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, PermitAccount] = {}
+
+    def account(self, upstream: str) -> PermitAccount:
+        """Return the account of an upstream."""
+        found = self.accounts.get(upstream)
+        if found is None:
+            found = self.accounts[upstream] = PermitAccount()
+        return found
+
+    def add_granted(self, upstream: str, count: int) -> None:
+        """Add permits lent by the control leader."""
+        account = self.account(upstream)
+        account.held += count
+        account.low_water = account.idle
+
+    def try_take(self, upstream: str) -> bool:
+        """Occupy one idle permit; False if there is none."""
+        account = self.account(upstream)
+        idle = account.held - account.in_use
+        if idle <= 0:
+            return False
+        account.in_use += 1
+        if idle - 1 < account.low_water:
+            account.low_water = idle - 1
+        return True
+
+    def release(self, upstream: str) -> int:
+        """End the use of one permit."""
+        account = self.account(upstream)
+        if account.in_use <= 0:
+            raise ValueError(f'no permit of {upstream!r} is in use')
+        account.in_use -= 1
+        return self._pay_recall(account) if account.recalled else 0
+
+    def recall(self, upstream: str, count: int) -> int:
+        """Give back idle permits now and others once unused."""
+        account = self.account(upstream)
+        account.recalled = min(account.held, account.recalled + count)
+        return self._pay_recall(account)
+
+    def take_idle(self, upstream: str) -> int:
+        """Give back the permits idle ever since the last call."""
+        account = self.account(upstream)
+        count = max(0, min(account.low_water, account.idle))
+        account.held -= count
+        account.recalled = min(account.recalled, account.held)
+        account.low_water = account.idle
+        return count
+
+    def void(self) -> None:
+        """Drop idle permits; those in use end with their statement."""
+        for account in self.accounts.values():
+            account.held = account.in_use
+            account.recalled = account.in_use
+            account.stated = 0
+            account.low_water = 0
+
+    def forget_demand(self) -> None:
+        """State demand anew, as the control leader changed."""
+        for account in self.accounts.values():
+            account.stated = 0
+
+    def holdings(self) -> dict[str, int]:
+        """Return permits held by upstream, for a report."""
+        return {n: a.held for n, a in self.accounts.items() if a.held}
+
+    def _pay_recall(self, account: PermitAccount) -> int:
+        count = min(account.recalled, account.idle)
+        account.held -= count
+        account.recalled -= count
+        account.low_water = min(account.low_water, account.idle)
+        return count
--- /dev/null
+++ b/jackdawpost/core/proxy_answers.py
@@ -0,0 +1,362 @@
+"""Ends of requests: answers, losses, expiry and confirmed copies."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import Literal
+
+from jackdawpost.core.admission import FRESH_READ
+from jackdawpost.core.admission import STALE_READ
+from jackdawpost.core.admission import WRITE
+from jackdawpost.core.errors import TokenError
+from jackdawpost.core.messages.caller import Answer
+from jackdawpost.core.messages.caller import AnswerError
+from jackdawpost.core.messages.caller import Commit
+from jackdawpost.core.messages.caller import Outcome
+from jackdawpost.core.messages.caller import Rollback
+from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import holds_lease
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Request
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_state import Transaction
+from jackdawpost.core.retry import backoff_ms
+from jackdawpost.core.tokens import encode_token
+from jackdawpost.core.tokens import merge_position
+
+Source = Literal['primary', 'replica']
+
+CONFIRMED_ALL = LogPosition(1 << 62, 0)
+CONFIRMED_NONE = LogPosition(-1, 0)
+
+MESSAGES = {
+    'deadline': 'the deadline passed before an answer was complete',
+    'connection_lost': 'the connection to the upstream was lost',
+    'lease_lost': 'the right to acknowledge for the primary was lost',
+    'not_durable': 'run, but its copies were not confirmed in time',
+    'no_primary': 'the group has no primary',
+    'control_unreachable': 'this proxy has lost contact with control',
+    'not_joined': 'this proxy is not a member',
+    'draining': 'this proxy is draining; use another one',
+    'transaction_lost': 'the transaction was rolled back',
+}
+
+
+def finish(state: ProxyState, req: Request, answer: Answer) -> None:
+    """Answer a request and forget it."""
+    if req.phase == 'over':
+        return
+    if req.queued:
+        state.groups[req.group].queue.remove(req)
+    req.phase = 'over'
+    state.requests.pop(req.serial, None)
+    caller = state.callers.get(req.caller)
+    if caller is None:
+        return
+    del caller.requests[req.message.id]
+    send(state, req.caller, answer)
+
+
+def finish_error(
+    state: ProxyState,
+    req: Request,
+    outcome: Outcome,
+    code: str,
+    message: str = '',
+    retry_after_ms: int | None = None,
+) -> None:
+    """Answer a request with an error.
+
+    ``'not_run'`` becomes ``'unknown'`` if an earlier attempt may have taken
+    effect, so that callers must not rely on a refusal of a later one.
+    """
+    text = message or MESSAGES.get(code, code)
+    if outcome == 'not_run' and req.sent_term >= 0:
+        outcome = 'unknown'
+        if code not in ('deadline', 'not_durable'):
+            text = f'an earlier attempt may have run; last refusal: {text}'
+            code = 'connection_lost'
+    error = AnswerError(code=code, message=text, retry_after_ms=retry_after_ms)
+    answer = Answer(id=req.message.id, outcome=outcome, error=error)
+    finish(state, req, answer)
+
+
+def finish_done(
+    state: ProxyState,
+    req: Request,
+    executed: Executed,
+    source: Source | None = None,
+    age_ms: int | None = None,
+) -> None:
+    """Answer a request with its complete result."""
+    message = req.message
+    session = None
+    is_write = isinstance(message, Commit) or (
+        isinstance(message, Statement)
+        and message.access == 'write'
+        and message.txn is None
+    )
+    if is_write and executed.position is not None:
+        try:
+            token = merge_position(
+                req.token, req.group, executed.position, state.groups
+            )
+        except TokenError:
+            # Room was checked on admission; only a group added meanwhile
+            # gets here. Without its token the write must not be answered.
+            req.sent_term = max(req.sent_term, req.term)
+            finish_error(state, req, 'not_run', 'not_durable')
+            return
+        session = encode_token(token)
+    answer = Answer(
+        id=message.id,
+        outcome='done',
+        columns=executed.columns,
+        rows=executed.rows,
+        row_count=executed.row_count,
+        session=session,
+        source=source,
+        age_ms=age_ms,
+        duplicate=executed.duplicate,
+    )
+    finish(state, req, answer)
+
+
+def enqueue(state: ProxyState, req: Request, first: bool = False) -> None:
+    """Put a request into the queue of its group."""
+    group = state.groups.get(req.group)
+    if group is None:
+        finish_error(state, req, 'not_run', 'unknown_route', 'group removed')
+        return
+    req.phase = 'queued'
+    group.queue.push(req, first)
+    state.dirty.add(req.group)
+
+
+def delay(state: ProxyState, req: Request) -> None:
+    """Queue a request again after a pause that grows with attempts."""
+    req.phase = 'delayed'
+    due_ms = state.now_ms + backoff_ms(req.attempts, state.rng)
+    schedule(state, due_ms, 'requeue', req)
+
+
+def requeue_delayed(state: ProxyState, req: Request) -> None:
+    """Queue a request whose pause is over."""
+    if req.phase == 'delayed':
+        enqueue(state, req, first=True)
+
+
+def lose_attempt(state: ProxyState, req: Request, code: str) -> None:
+    """Handle an attempt whose effect is unknown.
+
+    It is made again only if that is harmless (a read, an idempotent write,
+    or one with a request key) and deadline and retry budget allow it.
+    """
+    if req.txn is not None:
+        _lose_in_transaction(state, req, code)
+        return
+    req.sent_term = max(req.sent_term, req.term)
+    group = state.groups.get(req.group)
+    if req.caller not in state.callers or group is None:
+        finish_error(state, req, 'unknown', code)
+        return
+    if not _is_repeatable(req) or req.due_ms <= state.now_ms:
+        finish_error(state, req, 'unknown', code)
+        return
+    if not group.budget.try_spend():
+        count(state, 'retry_budget_exhausted')
+        finish_error(state, req, 'unknown', code)
+        return
+    count(state, 'retries')
+    if req.attempts > 1:
+        delay(state, req)
+    else:
+        enqueue(state, req, first=True)
+
+
+def _lose_in_transaction(state: ProxyState, req: Request, code: str) -> None:
+    # Only a commit that may have been read leaves doubt: anything else is
+    # rolled back by the upstream once the connection has ended.
+    if isinstance(req.message, Commit):
+        finish_error(state, req, 'unknown', code)
+    elif isinstance(req.message, Rollback):
+        finish(state, req, Answer(id=req.message.id, outcome='done'))
+    elif code == 'lease_lost':
+        finish_error(state, req, 'unknown', code)
+    else:
+        finish_error(state, req, 'not_run', 'transaction_lost')
+
+
+def lose_transaction(state: ProxyState, txn: Transaction) -> None:
+    """Note that a transaction has been rolled back by its upstream.
+
+    The caller's handle stays known, so that later statements are told of
+    the loss and never run outside the transaction.
+    """
+    if txn.state == 'lost':
+        return
+    txn.state = 'lost'
+    state.txns.pop(txn.handle, None)
+    pending = txn.pending
+    txn.pending = []
+    for req in pending:
+        finish_error(state, req, 'not_run', 'transaction_lost')
+
+
+def _is_repeatable(req: Request) -> bool:
+    message = req.message
+    if not isinstance(message, Statement) or message.txn is not None:
+        return False
+    if message.access == 'read' or message.idempotent:
+        return True
+    return message.request_key is not None
+
+
+def refuse_attempt(
+    state: ProxyState, req: Request, executed: Executed, current: bool
+) -> None:
+    """Answer a request that its upstream refused for good.
+
+    Parameters
+    ----------
+    current : bool
+        The refusal comes from the current primary under a valid lease. In
+        a higher term than that of every earlier attempt, it has looked for
+        the request key in a history that those can no longer enter.
+    """
+    code: str = executed.code or 'malformed'
+    keyed = getattr(req.message, 'request_key', None) is not None
+    if (
+        code == 'statement_failed'
+        and keyed
+        and current
+        and req.sent_term < req.term
+    ):
+        req.sent_term = -1
+    if code == 'timeout':
+        code = 'deadline'
+    elif code == 'history_lost':
+        code = 'session_history_lost'
+    finish_error(state, req, 'not_run', code, executed.message or '')
+
+
+def redirect_read(state: ProxyState, req: Request, ran: bool) -> None:
+    """Send a read that a replica could not serve to the primary.
+
+    Parameters
+    ----------
+    ran : bool
+        The replica ran it, but the result was too old.
+    """
+    if ran:
+        req.sent_term = max(req.sent_term, req.term)
+    req.priority = FRESH_READ
+    enqueue(state, req, first=True)
+
+
+def settle_done(
+    state: ProxyState,
+    group: Group,
+    req: Request,
+    executed: Executed,
+    upstream_name: str,
+) -> None:
+    """Judge a result that an upstream reports as done."""
+    same_term = executed.term is None or executed.term == req.term
+    if req.priority == STALE_READ:
+        _settle_replica_read(state, group, req, executed, same_term)
+        return
+    if not same_term or not holds_lease(state, group, req.term):
+        lose_attempt(state, req, 'lease_lost')
+        return
+    if req.priority == WRITE:
+        hold_until_copied(state, group, req, executed)
+    else:
+        finish_done(state, req, executed, 'primary', 0)
+
+
+def _settle_replica_read(
+    state: ProxyState,
+    group: Group,
+    req: Request,
+    executed: Executed,
+    same_term: bool,
+) -> None:
+    age_ms = None
+    current = same_term and req.term == group.view.term
+    if current and executed.position is not None:
+        age_ms = group.freshness.age_ms(executed.position, state.now_ms)
+    if age_ms is None or age_ms > (req.max_age_ms or 0):
+        count(state, 'reads_too_old')
+        redirect_read(state, req, ran=True)
+        return
+    count(state, 'replica_reads')
+    finish_done(state, req, executed, 'replica', math.ceil(age_ms))
+
+
+def hold_until_copied(
+    state: ProxyState, group: Group, req: Request, executed: Executed
+) -> None:
+    """Answer a write once enough databases hold it."""
+    req.result = executed
+    req.phase = 'durable'
+    position = executed.position
+    if position is None:
+        # Without a position no copy can be confirmed.
+        finish_error(state, req, 'unknown', 'not_durable')
+        return
+    if position <= confirmed_position(state, group):
+        finish_done(state, req, executed)
+        return
+    waiting = group.undurable
+    while waiting and waiting[0][2].phase != 'durable':
+        heapq.heappop(waiting)
+    heapq.heappush(waiting, (position, req.serial, req))
+
+
+def confirmed_position(state: ProxyState, group: Group) -> LogPosition:
+    """Return the last position that enough databases hold."""
+    replicas_needed = group.view.write_copies - 1
+    if replicas_needed <= 0:
+        return CONFIRMED_ALL
+    received = [
+        up.received
+        for up in group.upstreams
+        if up.term == group.view.term and up.name != group.view.primary
+    ]
+    if len(received) < replicas_needed:
+        return CONFIRMED_NONE
+    received.sort(reverse=True)
+    return received[replicas_needed - 1]
+
+
+def answer_copied(state: ProxyState, group: Group) -> None:
+    """Answer the writes that enough databases hold now."""
+    waiting = group.undurable
+    if not waiting:
+        return
+    confirmed = confirmed_position(state, group)
+    while waiting and waiting[0][0] <= confirmed:
+        req = waiting[0][2]
+        if req.phase != 'durable' or req.result is None:
+            heapq.heappop(waiting)
+            continue
+        if not holds_lease(state, group, req.term):
+            return
+        heapq.heappop(waiting)
+        finish_done(state, req, req.result)
+
+
+def lose_undurable(state: ProxyState, group: Group) -> None:
+    """Handle the writes whose term ended before they were confirmed."""
+    waiting = [entry[2] for entry in group.undurable]
+    group.undurable.clear()
+    for req in waiting:
+        if req.phase == 'durable':
+            lose_attempt(state, req, 'lease_lost')
--- /dev/null
+++ b/jackdawpost/core/proxy_callers.py
@@ -0,0 +1,319 @@
+"""Callers: connections, validation of requests, admission."""
+
+from __future__ import annotations
+
+import zlib
+
+from jackdawpost.core.admission import FRESH_READ
+from jackdawpost.core.admission import STALE_READ
+from jackdawpost.core.admission import WRITE
+from jackdawpost.core.errors import TokenError
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.events import FrameRejected
+from jackdawpost.core.messages.caller import Answer
+from jackdawpost.core.messages.caller import AnswerError
+from jackdawpost.core.messages.caller import Begin
+from jackdawpost.core.messages.caller import CallerRequest
+from jackdawpost.core.messages.caller import Commit
+from jackdawpost.core.messages.caller import GoingAway
+from jackdawpost.core.messages.caller import MAX_DEADLINE_MS
+from jackdawpost.core.messages.caller import Rollback
+from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.proxy_answers import finish_error
+from jackdawpost.core.proxy_answers import MESSAGES
+from jackdawpost.core.proxy_state import Caller
+from jackdawpost.core.proxy_state import close
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import new_serial
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Request
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_transactions import add_to_transaction
+from jackdawpost.core.proxy_transactions import roll_back
+from jackdawpost.core.published import RuleView
+from jackdawpost.core.tokens import decode_token
+from jackdawpost.core.tokens import EMPTY_TOKEN
+from jackdawpost.core.tokens import has_room
+from jackdawpost.core.tokens import SessionToken
+
+BUSY_RETRY_MS = 50
+
+
+class _Refusal(Exception):
+    """A request that is not run, with the code for its caller."""
+
+    def __init__(
+        self, code: str, message: str = '', retry_after_ms: int | None = None
+    ) -> None:
+        super().__init__(code)
+        self.code = code
+        self.message = message or MESSAGES.get(code, code)
+        self.retry_after_ms = retry_after_ms
+
+
+def on_caller_opened(state: ProxyState, event: ConnOpened) -> None:
+    """Accept a caller, or close it above the limit."""
+    if len(state.callers) >= state.cfg.max_callers:
+        count(state, 'callers_refused')
+        close(state, event.conn, 'too many callers')
+        return
+    state.callers[event.conn] = Caller(event.conn)
+    if state.drain_ms is not None:
+        send(state, event.conn, GoingAway(serve_ms=serve_left_ms(state)))
+
+
+def serve_left_ms(state: ProxyState) -> int:
+    """Return how long a draining proxy still serves new requests."""
+    if state.drain_ms is None:
+        return state.cfg.drain_serve_ms
+    until = state.drain_ms + state.cfg.drain_serve_ms
+    return max(0, int(until - state.now_ms))
+
+
+def on_caller_closed(state: ProxyState, conn: int) -> None:
+    """Forget a caller's requests and roll back its transactions.
+
+    Statements that run on an upstream end there; nobody gets the answer.
+    """
+    caller = state.callers.pop(conn)
+    for req in caller.requests.values():
+        if req.queued:
+            state.groups[req.group].queue.remove(req)
+        req.phase = 'over'
+        state.requests.pop(req.serial, None)
+    for txn in list(caller.txns.values()):
+        roll_back(state, txn, 'the caller has gone')
+
+
+def on_caller_frame_rejected(
+    state: ProxyState, caller: Caller, event: FrameRejected
+) -> None:
+    """Answer a frame that could not be decoded."""
+    request_id = event.request_id
+    if request_id in caller.requests:
+        # Its own answer is still owed; a second one would be taken for it.
+        request_id = 0
+    _refuse(state, caller, request_id, _Refusal('malformed', event.detail))
+
+
+def on_caller_request(
+    state: ProxyState, caller: Caller, message: CallerRequest
+) -> None:
+    """Take in one request, or refuse it."""
+    try:
+        if message.id in caller.requests:
+            raise _Refusal(
+                'duplicate_id', f'id {message.id} is already in flight'
+            )
+        if len(caller.requests) >= state.cfg.max_in_flight_per_caller:
+            raise _Refusal(
+                'overloaded',
+                'too many requests in flight on this connection',
+                BUSY_RETRY_MS,
+            )
+        if not 1 <= message.deadline_ms <= MAX_DEADLINE_MS:
+            raise _Refusal(
+                'malformed',
+                f'deadline_ms {message.deadline_ms}: valid are 1 to '
+                f'{MAX_DEADLINE_MS}',
+            )
+        if isinstance(message, Begin) or message.txn is None:
+            _admit(state, caller, message)
+        else:
+            _admit_in_transaction(state, caller, message, message.txn)
+    except _Refusal as refusal:
+        _refuse(state, caller, message.id, refusal)
+
+
+def _refuse(
+    state: ProxyState, caller: Caller, request_id: int, refusal: _Refusal
+) -> None:
+    count(state, f'rejected_{refusal.code}')
+    error = AnswerError(
+        code=refusal.code,
+        message=refusal.message,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+    answer = Answer(id=request_id, outcome='not_run', error=error)
+    send(state, caller.conn, answer)
+
+
+def _admit_in_transaction(
+    state: ProxyState,
+    caller: Caller,
+    message: Statement | Commit | Rollback,
+    handle: int,
+) -> None:
+    # Looked up among this caller's handles only: the handle of another
+    # caller is as unknown as one that never existed.
+    txn = caller.txns.get(handle)
+    if txn is None:
+        raise _Refusal(
+            'unknown_transaction', f'transaction {handle} is not open here'
+        )
+    if txn.state == 'lost':
+        if not isinstance(message, Statement):
+            del caller.txns[handle]
+        raise _Refusal('transaction_lost')
+    req = _new_request(state, caller, message, txn.group, WRITE)
+    _register(state, caller, req)
+    add_to_transaction(state, txn, req)
+
+
+def _admit(state: ProxyState, caller: Caller, message: CallerRequest) -> None:
+    if isinstance(message, (Commit, Rollback)):
+        raise _Refusal('unknown_transaction')
+    _check_serving(state)
+    rule = state.published.rules.get(message.route)
+    if rule is None or not rule.groups:
+        raise _Refusal('unknown_route', f'no route {message.route!r}')
+    group = _pick_group(state, rule, message.key)
+    if message.deadline_ms > group.max_deadline_ms:
+        raise _Refusal(
+            'malformed',
+            f'deadline_ms {message.deadline_ms}: the limit of group '
+            f'{group.name!r} is {group.max_deadline_ms}',
+        )
+    token = _read_token(message.session)
+    max_age_ms = None
+    priority = WRITE
+    if isinstance(message, Statement) and message.access == 'read':
+        max_age_ms = _accepted_age(state, rule, message)
+        priority = STALE_READ if max_age_ms else FRESH_READ
+    else:
+        _check_write(state, rule, message, group, token)
+    req = _new_request(state, caller, message, group.name, priority)
+    req.token = token
+    req.after = token.position(group.name)
+    req.max_age_ms = max_age_ms
+    group.budget.note_request()
+    _enqueue_new(state, group, req)
+
+
+def _check_serving(state: ProxyState) -> None:
+    if state.drain_ms is not None and not serve_left_ms(state):
+        raise _Refusal('draining')
+    if state.member_state and state.member_state != 'joined':
+        raise _Refusal('not_joined', retry_after_ms=BUSY_RETRY_MS)
+    if state.now_ms >= state.leases.config_until_ms:
+        raise _Refusal('control_unreachable', retry_after_ms=BUSY_RETRY_MS)
+
+
+def _pick_group(state: ProxyState, rule: RuleView, key: str | None) -> Group:
+    at = 0
+    if key is not None:
+        at = zlib.crc32(key.encode()) % len(rule.groups)
+    group = state.groups.get(rule.groups[at])
+    if group is None:
+        raise _Refusal(
+            'unknown_route', f'group {rule.groups[at]!r} is not in force'
+        )
+    return group
+
+
+def _read_token(text: str | None) -> SessionToken:
+    if text is None:
+        return EMPTY_TOKEN
+    try:
+        return decode_token(text)
+    except TokenError as exc:
+        raise _Refusal('invalid_token', str(exc)) from exc
+
+
+def _accepted_age(
+    state: ProxyState, rule: RuleView, message: Statement
+) -> int | None:
+    if message.max_age_ms is not None:
+        if message.allowance is not None:
+            raise _Refusal(
+                'malformed', 'max_age_ms and allowance exclude each other'
+            )
+        if message.max_age_ms < 0:
+            raise _Refusal(
+                'malformed',
+                f'max_age_ms {message.max_age_ms}: valid are 0 and above',
+            )
+        return message.max_age_ms
+    name = message.allowance or rule.allowance
+    if name is None:
+        return None
+    allowance = state.published.allowances.get(name)
+    if allowance is None:
+        raise _Refusal('unknown_allowance', f'no allowance {name!r}')
+    return allowance.max_age_ms
+
+
+def _check_write(
+    state: ProxyState,
+    rule: RuleView,
+    message: Statement | Begin,
+    group: Group,
+    token: SessionToken,
+) -> None:
+    if rule.read_only:
+        raise _Refusal(
+            'read_only_route', f'route {rule.name!r} takes no writes'
+        )
+    if isinstance(message, Statement):
+        if not message.idempotent and not message.request_key:
+            raise _Refusal(
+                'request_key_missing',
+                'a write that is not idempotent needs a request_key',
+            )
+    if not has_room(token, group.name, state.groups):
+        raise _Refusal(
+            'invalid_token',
+            f'the token has no room for another group, {group.name!r}',
+        )
+
+
+def _new_request(
+    state: ProxyState,
+    caller: Caller,
+    message: CallerRequest,
+    group: str,
+    priority: int,
+) -> Request:
+    return Request(
+        new_serial(state),
+        caller.conn,
+        message,
+        group,
+        priority,
+        state.now_ms + message.deadline_ms,
+        state.now_ms,
+    )
+
+
+def _register(state: ProxyState, caller: Caller, req: Request) -> None:
+    caller.requests[req.message.id] = req
+    state.requests[req.serial] = req
+    schedule(state, req.due_ms, 'request', req.serial)
+
+
+def _enqueue_new(state: ProxyState, group: Group, req: Request) -> None:
+    queue = group.queue
+    retry_after_ms = queue.rejects(req, state.now_ms)
+    if retry_after_ms is not None:
+        displaced = None
+        if len(queue) >= queue.limit:
+            displaced = queue.displace(req.priority)
+        if displaced is None:
+            raise _Refusal(
+                'overloaded',
+                f'group {group.name!r} has too many requests waiting',
+                retry_after_ms,
+            )
+        finish_error(
+            state,
+            displaced,
+            'not_run',
+            'overloaded',
+            f'group {group.name!r} has too many requests waiting',
+            retry_after_ms,
+        )
+    _register(state, state.callers[req.caller], req)
+    queue.push(req)
+    state.dirty.add(group.name)
--- /dev/null
+++ b/jackdawpost/core/proxy_conns.py
@@ -0,0 +1,321 @@
+"""Statement connections to upstreams: opening, frames, loss."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import Any
+
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.messages.caller import Begin
+from jackdawpost.core.messages.control import PermitDemand
+from jackdawpost.core.messages.control import PermitReturn
+from jackdawpost.core.permit_holder import IDLE_RETURN_MS
+from jackdawpost.core.proxy_answers import finish_error
+from jackdawpost.core.proxy_answers import lose_attempt
+from jackdawpost.core.proxy_answers import lose_transaction
+from jackdawpost.core.proxy_state import close
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import new_conn
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Request
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.proxy_state import UpstreamConn
+from jackdawpost.core.retry import backoff_ms
+from jackdawpost.core.retry import slow_start_limit
+
+MAX_OPENING = 2
+RESERVED_CONNECTIONS = 2
+MAX_BATCH = 8
+SILENT_MARGIN_MS = 500
+# An attempt that can be made again gets less than the whole deadline, so
+# that a silent connection is found while there is time for another one.
+RETRY_ROOM_MS = 750
+MIN_DEADLINE_FOR_RETRY_MS = 1_500
+
+
+def connection_limit(state: ProxyState, up: Upstream) -> int:
+    """Return how many statement connections this proxy may open."""
+    proxies = state.proxies
+    spare = up.view.connections - RESERVED_CONNECTIONS - proxies
+    return max(1, spare // proxies)
+
+
+def capacity(state: ProxyState, up: Upstream) -> int:
+    """Return how many frames can be sent to an upstream now."""
+    if up.paused_until_ms > state.now_ms:
+        return 0
+    account = state.permits.account(up.name)
+    free = min(len(up.idle), account.held - account.in_use)
+    if up.returned_ms > -math.inf:
+        since_ms = state.now_ms - up.returned_ms
+        limit = slow_start_limit(up.view.slots, since_ms)
+        free = min(free, limit - up.outstanding)
+    return max(0, free)
+
+
+def request_capacity(state: ProxyState, up: Upstream, waiting: int) -> None:
+    """Ask for the permits and connections that waiting requests need."""
+    account = state.permits.account(up.name)
+    most = min(up.view.slots, connection_limit(state, up))
+    wanted = min(most, account.in_use + waiting)
+    if wanted > account.stated and state.leader:
+        account.stated = wanted
+        demand = PermitDemand(upstream=up.name, wanted=wanted)
+        send(state, state.leader, demand)
+    busy = len(up.conns) - len(up.idle) - up.opening
+    missing = min(most, busy + waiting) - len(up.conns)
+    for _ in range(min(missing, MAX_OPENING - up.opening)):
+        _open_conn(state, up)
+
+
+def _open_conn(state: ProxyState, up: Upstream) -> None:
+    if state.now_ms < up.next_open_ms:
+        schedule(state, up.next_open_ms, 'pump', up.view.group)
+        return
+    conn_id = new_conn(state)
+    up.opening += 1
+    up.conns.add(conn_id)
+    state.conns[conn_id] = UpstreamConn(conn_id, up.name)
+    state.out.append(
+        Connect(
+            conn=conn_id,
+            peer=up.name,
+            host=up.view.host,
+            port=up.view.port,
+            purpose='statements',
+            timeout_ms=state.cfg.upstream_open_timeout_ms,
+        )
+    )
+
+
+def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
+    """Take a statement connection into use."""
+    conn = state.conns.get(event.conn)
+    if conn is None:
+        close(state, event.conn, 'not wanted any more')
+        return
+    up = state.upstreams[conn.upstream]
+    if event.data_id != up.view.data_id:
+        _note_open_failure(state, up)
+        drop_conn(state, conn, 'other data than published')
+        return
+    conn.opened = True
+    up.opening -= 1
+    up.open_failures = 0
+    up.idle.append(conn.conn)
+    state.dirty.add(up.view.group)
+
+
+def on_conn_closed(state: ProxyState, event: ConnClosed) -> None:
+    """Handle the end of a statement connection."""
+    conn = state.conns.get(event.conn)
+    if conn is None:
+        return
+    up = state.upstreams[conn.upstream]
+    if not conn.opened:
+        _note_open_failure(state, up)
+    _forget_conn(state, conn, 'connection_lost')
+
+
+def _note_open_failure(state: ProxyState, up: Upstream) -> None:
+    up.open_failures += 1
+    pause = backoff_ms(up.open_failures, state.rng)
+    up.next_open_ms = state.now_ms + pause
+    schedule(state, up.next_open_ms, 'pump', up.view.group)
+
+
+def start_frame(
+    state: ProxyState,
+    conn: UpstreamConn,
+    requests: Sequence[Request],
+    messages: Sequence[Any],
+    timeout_ms: float,
+) -> None:
+    """Send one frame and watch for its answers.
+
+    Parameters
+    ----------
+    requests : sequence of Request
+        Requests of the frame, their `exec_id` and `term` already set.
+    messages : sequence
+        One message for each request.
+    timeout_ms : float
+        Longest timeout stated in the messages, in milliseconds.
+    """
+    up = state.upstreams[conn.upstream]
+    up.outstanding += 1
+    conn.in_frame = True
+    for req in requests:
+        req.phase = 'running'
+        req.upstream_conn = conn.conn
+        req.attempts += 1
+        conn.running[req.exec_id] = req
+    for message in messages:
+        send(state, conn.conn, message)
+    watch_frame(state, conn, timeout_ms)
+
+
+def watch_frame(
+    state: ProxyState, conn: UpstreamConn, timeout_ms: float
+) -> None:
+    """Call a connection silent if no answer comes in time."""
+    conn.deadline_ms = state.now_ms + timeout_ms + SILENT_MARGIN_MS
+    if conn.deadline_ms < conn.watch_due_ms:
+        conn.watch_due_ms = conn.deadline_ms
+        schedule(state, conn.deadline_ms, 'frame', conn.conn)
+
+
+def check_frame(state: ProxyState, conn_id: int) -> None:
+    """Drop a connection whose answer is overdue."""
+    conn = state.conns.get(conn_id)
+    if conn is None or conn.watch_due_ms > state.now_ms:
+        return
+    conn.watch_due_ms = math.inf
+    if not conn.running:
+        return
+    if conn.deadline_ms > state.now_ms:
+        conn.watch_due_ms = conn.deadline_ms
+        schedule(state, conn.deadline_ms, 'frame', conn_id)
+        return
+    count(state, 'silent_connections')
+    drop_conn(state, conn, 'silent')
+
+
+def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
+    """Return how long an attempt may run."""
+    left = req.due_ms - state.now_ms
+    if left >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
+        if not isinstance(req.message, Begin):
+            left -= RETRY_ROOM_MS
+    return max(1, int(left))
+
+
+def take_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
+    """Take a free connection together with a permit."""
+    if not up.idle or not state.permits.try_take(up.name):
+        return None
+    conn = state.conns[up.idle.pop()]
+    conn.owns_permit = True
+    return conn
+
+
+def end_frame(state: ProxyState, conn: UpstreamConn) -> None:
+    """Free a connection whose frame is complete."""
+    if conn.running:
+        return
+    conn.deadline_ms = math.inf
+    up = state.upstreams[conn.upstream]
+    _leave_frame(up, conn)
+    if conn.condemned:
+        drop_conn(state, conn, 'a request was abandoned on it')
+        return
+    if conn.txn is None:
+        release_permit(state, conn)
+        up.idle.append(conn.conn)
+    state.dirty.add(up.view.group)
+
+
+def _leave_frame(up: Upstream, conn: UpstreamConn) -> None:
+    if conn.in_frame:
+        conn.in_frame = False
+        up.outstanding -= 1
+
+
+def release_permit(state: ProxyState, conn: UpstreamConn) -> None:
+    """End the use of a connection's permit."""
+    if not conn.owns_permit:
+        return
+    conn.owns_permit = False
+    up = state.upstreams[conn.upstream]
+    back = state.permits.release(up.name)
+    return_permits(state, up.name, back)
+    watch_idle_permits(state, up)
+
+
+def return_permits(state: ProxyState, name: str, number: int) -> None:
+    """Give permits back to the control leader."""
+    if number and state.leader:
+        message = PermitReturn(upstream=name, count=number)
+        send(state, state.leader, message)
+
+
+def watch_idle_permits(state: ProxyState, up: Upstream) -> None:
+    """Check soon whether permits stay idle."""
+    if not up.permit_check:
+        up.permit_check = True
+        schedule(state, state.now_ms + IDLE_RETURN_MS, 'permits', up.name)
+
+
+def check_idle_permits(state: ProxyState, name: str) -> None:
+    """Give back permits that were idle since the last check."""
+    up = state.upstreams.get(name)
+    if up is None:
+        return
+    up.permit_check = False
+    account = state.permits.account(name)
+    if up.opening:
+        # They are about to be used by requests that wait for a connection.
+        watch_idle_permits(state, up)
+        return
+    back = state.permits.take_idle(name)
+    if back:
+        return_permits(state, name, back)
+        account.stated = account.held
+        if state.leader:
+            demand = PermitDemand(upstream=name, wanted=account.held)
+            send(state, state.leader, demand)
+    if account.idle > 0:
+        watch_idle_permits(state, up)
+
+
+def abandon(state: ProxyState, req: Request, code: str) -> None:
+    """Answer a running request without its result.
+
+    Its connection takes no other work: a late answer must never meet a
+    request of somebody else.
+    """
+    conn = state.conns.get(req.upstream_conn)
+    finish_error(state, req, 'unknown', code)
+    if conn is None or conn.running.get(req.exec_id) is not req:
+        return
+    del conn.running[req.exec_id]
+    conn.condemned = True
+    if conn.txn is not None or not conn.running:
+        drop_conn(state, conn, 'a request was abandoned on it')
+
+
+def drop_conn(
+    state: ProxyState,
+    conn: UpstreamConn,
+    reason: str,
+    code: str = 'connection_lost',
+) -> None:
+    """Close a statement connection and handle what ran on it."""
+    close(state, conn.conn, reason, abort=True)
+    _forget_conn(state, conn, code)
+
+
+def _forget_conn(state: ProxyState, conn: UpstreamConn, code: str) -> None:
+    up = state.upstreams[conn.upstream]
+    del state.conns[conn.conn]
+    up.conns.discard(conn.conn)
+    if not conn.opened:
+        up.opening -= 1
+    if conn.conn in up.idle:
+        up.idle.remove(conn.conn)
+    running = list(conn.running.values())
+    conn.running.clear()
+    _leave_frame(up, conn)
+    release_permit(state, conn)
+    for req in running:
+        if req.phase == 'running':
+            lose_attempt(state, req, code)
+    if conn.txn is not None:
+        lose_transaction(state, conn.txn)
+        conn.txn = None
+    state.dirty.add(up.view.group)
--- /dev/null
+++ b/jackdawpost/core/proxy_control.py
@@ -0,0 +1,337 @@
+"""Links to control: reports, leases, permits, approvals."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.messages.control import Approval as ApprovalMessage
+from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import LeaseRevoke
+from jackdawpost.core.messages.control import LeaseRevoked
+from jackdawpost.core.messages.control import NotLeader
+from jackdawpost.core.messages.control import PermitGrant
+from jackdawpost.core.messages.control import PermitRecall
+from jackdawpost.core.messages.control import PermitReturn
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.proxy_answers import finish_error
+from jackdawpost.core.proxy_answers import lose_undurable
+from jackdawpost.core.proxy_conns import return_permits
+from jackdawpost.core.proxy_conns import watch_idle_permits
+from jackdawpost.core.proxy_state import Approval
+from jackdawpost.core.proxy_state import close
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import log
+from jackdawpost.core.proxy_state import new_conn
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+
+LEADER_SEARCH_MS = 100
+APPROVAL_RETRY_MS = 500
+MAX_APPROVAL_ATTEMPTS = 60
+
+
+def on_control_opened(state: ProxyState, event: ConnOpened) -> None:
+    """Introduce this proxy to a control process."""
+    state.controls[event.conn] = event.peer
+    if not state.leader:
+        send_report(state)
+
+
+def on_control_closed(state: ProxyState, conn: int) -> None:
+    """Look for another leader if this was its connection."""
+    del state.controls[conn]
+    if conn == state.leader:
+        _lose_leader(state)
+
+
+def _lose_leader(state: ProxyState) -> None:
+    count(state, 'leader_lost')
+    state.leader = 0
+    state.permits.forget_demand()
+    send_report(state)
+    schedule_report(state)
+
+
+def send_report(state: ProxyState) -> None:
+    """Report to the leader, or to all control processes if unknown."""
+    targets = [state.leader] if state.leader else list(state.controls)
+    if not targets:
+        return
+    state.report_seq += 1
+    state.leases.note_report(state.report_seq, state.now_ms)
+    cfg = state.cfg
+    report = ProxyReport(
+        proxy=cfg.name,
+        proxy_id=cfg.proxy_id,
+        incarnation=cfg.incarnation,
+        seq=state.report_seq,
+        host=cfg.host,
+        port=cfg.port,
+        data_centre=cfg.data_centre,
+        version=state.published.version,
+        draining=state.drain_ms is not None,
+        holdings=state.permits.holdings(),
+        evidence={
+            up.name: up.evidence  # type: ignore[misc]
+            for up in state.upstreams.values()
+            if up.evidence
+        },
+    )
+    for conn in targets:
+        send(state, conn, report)
+
+
+def on_report_due(state: ProxyState, subject: object) -> None:
+    """Send the regular report; leave a leader that stopped answering."""
+    if state.now_ms < state.report_due_ms:
+        return
+    unanswered = state.report_seq > state.leases.last_seq
+    if state.leader and unanswered:
+        log(state, 'warning', 'leader_silent', seq=state.report_seq)
+        _lose_leader(state)
+    else:
+        send_report(state)
+        schedule_report(state)
+
+
+def schedule_report(state: ProxyState) -> None:
+    """Schedule the next regular report."""
+    pause = float(state.cfg.report_interval_ms)
+    if not state.leader:
+        pause = LEADER_SEARCH_MS * (0.5 + state.rng.random() / 2)
+    state.report_due_ms = state.now_ms + pause
+    schedule(state, state.report_due_ms, 'report')
+
+
+def on_not_leader(state: ProxyState, conn: int, message: NotLeader) -> None:
+    """Follow a control process to the leader that it knows."""
+    if conn != state.leader:
+        # Without a known leader all control processes are asked anyway.
+        return
+    count(state, 'leader_moved')
+    state.leader = 0
+    state.permits.forget_demand()
+    if any(name == message.leader for name in state.controls.values()):
+        send_report(state)
+    schedule_report(state)
+
+
+def on_lease_grant(state: ProxyState, conn: int, message: LeaseGrant) -> None:
+    """Renew leases and permits from the leader's answer."""
+    joined = message.member_state == 'joined'
+    if not state.leases.apply_grant(
+        message.seq,
+        message.leases if joined else [],
+        message.duration_ms,
+        message.version,
+        state.published.version,
+    ):
+        count(state, 'grants_ignored')
+        return
+    if conn != state.leader:
+        state.leader = conn
+        state.permits.forget_demand()
+    state.member_state = message.member_state
+    if not joined:
+        state.leases.withdraw()
+    watch_validity(state)
+    mark_waiting_groups(state)
+
+
+def mark_waiting_groups(state: ProxyState) -> None:
+    """Look again at all groups with requests waiting."""
+    for group in state.groups.values():
+        if len(group.queue):
+            state.dirty.add(group.name)
+
+
+def watch_validity(state: ProxyState) -> None:
+    """Act when what the leader granted runs out."""
+    ends = [
+        end
+        for end in (state.leases.config_until_ms, state.leases.grant_until_ms)
+        if end > state.now_ms
+    ]
+    due_ms = min(ends, default=math.inf)
+    if due_ms < state.validity_due_ms:
+        state.validity_due_ms = due_ms
+        schedule(state, due_ms, 'validity')
+
+
+def check_validity(state: ProxyState, subject: object) -> None:
+    """Refuse what waits once control was out of reach for too long."""
+    state.validity_due_ms = math.inf
+    if state.now_ms >= state.leases.grant_until_ms:
+        state.permits.void()
+    if state.now_ms >= state.leases.config_until_ms:
+        refuse_waiting(state)
+    watch_validity(state)
+
+
+def refuse_waiting(state: ProxyState) -> None:
+    """Answer all queued requests that control is out of reach."""
+    for group in state.groups.values():
+        for req in group.queue.drain_items():
+            finish_error(state, req, 'not_run', 'control_unreachable')
+
+
+def on_lease_revoke(
+    state: ProxyState, conn: int, message: LeaseRevoke
+) -> None:
+    """Give up a group's lease and say so at once."""
+    state.leases.revoke(message.group, message.term)
+    reply = LeaseRevoked(group=message.group, term=message.term)
+    send(state, conn, reply)
+    group = state.groups.get(message.group)
+    if group is not None and group.view.term <= message.term:
+        lose_undurable(state, group)
+
+
+def on_permit_grant(
+    state: ProxyState, conn: int, message: PermitGrant
+) -> None:
+    """Take over permits, or give back those that are not wanted."""
+    up = state.upstreams.get(message.upstream)
+    expired = state.now_ms >= state.leases.grant_until_ms
+    if up is None or expired or conn != state.leader:
+        back = PermitReturn(upstream=message.upstream, count=message.count)
+        send(state, conn, back)
+        return
+    state.permits.add_granted(up.name, message.count)
+    watch_idle_permits(state, up)
+    state.dirty.add(up.view.group)
+
+
+def on_permit_recall(
+    state: ProxyState, conn: int, message: PermitRecall
+) -> None:
+    """Give back permits now or once their statement ends."""
+    if conn != state.leader:
+        return
+    back = state.permits.recall(message.upstream, message.count)
+    return_permits(state, message.upstream, back)
+
+
+def on_approval_request(
+    state: ProxyState, conn: int, message: ApprovalRequest
+) -> None:
+    """Examine a newcomer.
+
+    An upstream must be reachable and hold the announced data. A proxy is
+    never connected to by other proxies; its name and address must not
+    belong to another member.
+    """
+    earlier = state.approvals.get(message.newcomer_id)
+    if earlier is not None and earlier.conn:
+        return
+    approval = Approval(
+        newcomer=message.newcomer,
+        newcomer_id=message.newcomer_id,
+        host=message.host,
+        port=message.port,
+        role=message.role,
+    )
+    if message.role == 'proxy':
+        _approve_proxy(state, approval)
+        return
+    state.approvals[message.newcomer_id] = approval
+    _try_newcomer(state, approval)
+
+
+def _approve_proxy(state: ProxyState, approval: Approval) -> None:
+    for member in state.published.members.values():
+        same_id = member.member_id == approval.newcomer_id
+        same_address = (
+            member.role == 'proxy'
+            and (member.host, member.port) == (approval.host, approval.port)
+            and member.state == 'joined'
+        )
+        same_name = member.name == approval.newcomer
+        if not same_id and (same_address or same_name):
+            log(
+                state,
+                'warning',
+                'approval_refused',
+                newcomer=approval.newcomer,
+                member=member.name,
+            )
+            return
+    _approve(state, approval, 'name and address are not in use by others')
+
+
+def _try_newcomer(state: ProxyState, approval: Approval) -> None:
+    approval.attempts += 1
+    approval.conn = new_conn(state)
+    state.approval_conns[approval.conn] = approval.newcomer_id
+    state.out.append(
+        Connect(
+            conn=approval.conn,
+            peer=approval.newcomer,
+            host=approval.host,
+            port=approval.port,
+            purpose='monitor',
+            timeout_ms=state.cfg.upstream_open_timeout_ms,
+        )
+    )
+
+
+def on_approval_conn_opened(state: ProxyState, event: ConnOpened) -> None:
+    """Approve a newcomer that could be reached."""
+    newcomer_id = state.approval_conns.pop(event.conn)
+    close(state, event.conn, 'newcomer checked')
+    approval = state.approvals[newcomer_id]
+    approval.conn = 0
+    if event.data_id == newcomer_id and event.peer == approval.newcomer:
+        del state.approvals[newcomer_id]
+        _approve(state, approval, 'monitor connection opened; same data_id')
+        return
+    log(
+        state,
+        'warning',
+        'approval_refused',
+        newcomer=approval.newcomer,
+        found=event.peer,
+        data_id=event.data_id,
+    )
+    _retry_newcomer(state, approval)
+
+
+def on_approval_conn_closed(state: ProxyState, conn: int) -> None:
+    """Try a newcomer again later."""
+    approval = state.approvals[state.approval_conns.pop(conn)]
+    approval.conn = 0
+    _retry_newcomer(state, approval)
+
+
+def _retry_newcomer(state: ProxyState, approval: Approval) -> None:
+    if approval.attempts >= MAX_APPROVAL_ATTEMPTS:
+        del state.approvals[approval.newcomer_id]
+        return
+    due_ms = state.now_ms + APPROVAL_RETRY_MS
+    schedule(state, due_ms, 'approval', approval.newcomer_id)
+
+
+def retry_approval(state: ProxyState, newcomer_id: str) -> None:
+    """Connect to a newcomer once more."""
+    approval = state.approvals.get(newcomer_id)
+    if approval is not None and not approval.conn:
+        _try_newcomer(state, approval)
+
+
+def _approve(state: ProxyState, approval: Approval, checked: str) -> None:
+    message = ApprovalMessage(
+        member=state.cfg.name,
+        member_id=state.cfg.proxy_id,
+        newcomer=approval.newcomer,
+        newcomer_id=approval.newcomer_id,
+        checked=checked,
+        version=state.published.version,
+    )
+    targets: list[Any] = [state.leader] if state.leader else []
+    for conn in targets or list(state.controls):
+        send(state, conn, message)
--- /dev/null
+++ b/jackdawpost/core/proxy_drain.py
@@ -0,0 +1,49 @@
+"""Graceful shutdown of a proxy."""
+
+from __future__ import annotations
+
+from jackdawpost.core.effects import Stop
+from jackdawpost.core.messages.caller import GoingAway
+from jackdawpost.core.proxy_callers import serve_left_ms
+from jackdawpost.core.proxy_conns import return_permits
+from jackdawpost.core.proxy_control import send_report
+from jackdawpost.core.proxy_state import log
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_transactions import roll_back
+
+
+def on_drain_requested(state: ProxyState) -> None:
+    """Tell all callers to go elsewhere and serve for a while longer."""
+    if state.drain_ms is not None:
+        return
+    state.drain_ms = state.now_ms
+    log(state, 'info', 'draining', callers=len(state.callers))
+    serve_ms = serve_left_ms(state)
+    for conn in state.callers:
+        send(state, conn, GoingAway(serve_ms=serve_ms))
+    send_report(state)
+    schedule(state, state.now_ms + state.cfg.drain_serve_ms, 'drain_served')
+    schedule(state, state.now_ms + state.cfg.drain_limit_ms, 'drain_limit')
+
+
+def roll_back_all(state: ProxyState, subject: object) -> None:
+    """Roll back transactions that outlast the drain limit."""
+    for txn in list(state.txns.values()):
+        roll_back(state, txn, 'drain limit')
+
+
+def stop_when_drained(state: ProxyState) -> None:
+    """Stop once every request and transaction has ended."""
+    if state.drain_ms is None or state.stopped:
+        return
+    if state.requests or state.txns or serve_left_ms(state):
+        return
+    state.stopped = True
+    for name in state.permits.holdings():
+        account = state.permits.account(name)
+        return_permits(state, name, account.idle)
+        account.held -= account.idle
+    log(state, 'info', 'drained')
+    state.out.append(Stop())
--- /dev/null
+++ b/jackdawpost/core/proxy_monitors.py
@@ -0,0 +1,199 @@
+"""Monitor connections: probes, progress, evidence of failures."""
+
+from __future__ import annotations
+
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.messages.upstream import Probe
+from jackdawpost.core.messages.upstream import Probed
+from jackdawpost.core.messages.upstream import Progress
+from jackdawpost.core.proxy_answers import answer_copied
+from jackdawpost.core.proxy_control import send_report
+from jackdawpost.core.proxy_state import close
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import holds_lease
+from jackdawpost.core.proxy_state import log
+from jackdawpost.core.proxy_state import new_conn
+from jackdawpost.core.proxy_state import new_serial
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.retry import backoff_ms
+
+# One failure may be the connection's own; a second connection tells.
+FAILURES_FOR_EVIDENCE = 2
+
+
+def open_monitor(state: ProxyState, up: Upstream) -> None:
+    """Open a monitor connection in place of any earlier one."""
+    if up.monitor:
+        state.monitors.pop(up.monitor, None)
+        close(state, up.monitor, 'replaced', abort=True)
+    up.monitor = new_conn(state)
+    up.monitor_open = False
+    up.probes.clear()
+    state.monitors[up.monitor] = up.name
+    state.out.append(
+        Connect(
+            conn=up.monitor,
+            peer=up.name,
+            host=up.view.host,
+            port=up.view.port,
+            purpose='monitor',
+            timeout_ms=state.cfg.probe_timeout_ms,
+        )
+    )
+
+
+def on_monitor_opened(state: ProxyState, event: ConnOpened) -> None:
+    """Start probing on a new monitor connection."""
+    up = _watched(state, event.conn)
+    if up is None:
+        close(state, event.conn, 'not wanted any more')
+        return
+    if event.data_id != up.view.data_id:
+        log(state, 'warning', 'other_data', upstream=up.name)
+        _fail_monitor(state, up, 'refused')
+        return
+    up.monitor_open = True
+    _probe(state, up)
+
+
+def on_monitor_closed(state: ProxyState, event: ConnClosed) -> None:
+    """Reconnect, or report the upstream once that fails as well."""
+    up = _watched(state, event.conn)
+    if up is None:
+        return
+    state.monitors.pop(event.conn)
+    up.monitor = 0
+    evidence = 'silent' if event.reason == 'timeout' else 'refused'
+    _fail_monitor(state, up, evidence)
+
+
+def _watched(state: ProxyState, conn: int) -> Upstream | None:
+    name = state.monitors.get(conn)
+    return None if name is None else state.upstreams.get(name)
+
+
+def _fail_monitor(state: ProxyState, up: Upstream, evidence: str) -> None:
+    up.failures += 1
+    up.monitor_open = False
+    if up.failures >= FAILURES_FOR_EVIDENCE:
+        set_evidence(state, up, evidence)
+        if up.monitor:
+            state.monitors.pop(up.monitor)
+            close(state, up.monitor, 'failed', abort=True)
+            up.monitor = 0
+        pause = state.cfg.probe_interval_ms / 2
+        pause += backoff_ms(1, state.rng)
+        schedule(state, state.now_ms + pause, 'monitor', up.name)
+    else:
+        open_monitor(state, up)
+
+
+def reopen_monitor(state: ProxyState, name: str) -> None:
+    """Open a monitor connection again after a pause."""
+    up = state.upstreams.get(name)
+    if up is not None and not up.monitor:
+        open_monitor(state, up)
+
+
+def on_probe_due(state: ProxyState, name: str) -> None:
+    """Send the next probe, or give up a silent connection."""
+    up = state.upstreams.get(name)
+    if up is None:
+        return
+    schedule(state, state.now_ms + state.cfg.probe_interval_ms, 'probe', name)
+    if not up.monitor_open:
+        return
+    oldest = next(iter(up.probes.values()), state.now_ms)
+    if state.now_ms - oldest < state.cfg.probe_timeout_ms:
+        _probe(state, up)
+        return
+    count(state, 'monitor_silent')
+    _fail_monitor(state, up, 'silent')
+
+
+def _probe(state: ProxyState, up: Upstream) -> None:
+    probe_id = new_serial(state)
+    up.probes[probe_id] = state.now_ms
+    send(state, up.monitor, Probe(id=probe_id))
+
+
+def on_monitor_message(
+    state: ProxyState, conn: int, message: Probed | Progress
+) -> None:
+    """Take over what an upstream reports of itself."""
+    up = _watched(state, conn)
+    if up is None or not up.monitor_open:
+        return
+    group = state.groups.get(up.view.group)
+    sent_ms = None
+    if isinstance(message, Probed):
+        sent_ms = up.probes.pop(message.id, None)
+        if sent_ms is None:
+            return
+        _forget_earlier_probes(up, message.id)
+        up.failures = 0
+        set_evidence(state, up, 'up')
+    up.term = message.term
+    up.leads = message.leads
+    up.received = message.received
+    up.applied = message.applied
+    _note_leaving(state, up, message.leaving)
+    if group is None:
+        return
+    if up.name != group.view.primary:
+        _note_lag(state, group, up)
+        answer_copied(state, group)
+    elif sent_ms is not None and message.leads:
+        _note_sample(state, group, up, sent_ms)
+    if len(group.queue):
+        state.dirty.add(group.name)
+
+
+def _forget_earlier_probes(up: Upstream, probe_id: int) -> None:
+    # Probes are answered in order, so earlier ones get no answer any more.
+    for earlier in [i for i in up.probes if i < probe_id]:
+        del up.probes[earlier]
+
+
+def _note_sample(
+    state: ProxyState, group: Group, up: Upstream, sent_ms: float
+) -> None:
+    # A primary that has been replaced still answers; the lease shows that
+    # no other one could commit before this answer arrived.
+    if holds_lease(state, group, up.term):
+        position = max(up.received, up.applied)
+        group.freshness.note_sample(sent_ms, up.term, position)
+
+
+def _note_lag(state: ProxyState, group: Group, up: Upstream) -> None:
+    if up.term != group.view.term:
+        return
+    age_ms = group.freshness.age_ms(up.applied, state.now_ms)
+    if age_ms is not None:
+        # Between two samples the age overstates the lag by up to a probe
+        # interval.
+        up.lag_ms = max(0.0, age_ms - state.cfg.probe_interval_ms)
+
+
+def _note_leaving(state: ProxyState, up: Upstream, leaving: bool) -> None:
+    up.reported_leaving = leaving
+    up.leaving = leaving or up.view.leaving
+
+
+def set_evidence(state: ProxyState, up: Upstream, evidence: str) -> None:
+    """Note a finding about an upstream; a change is reported at once."""
+    if up.evidence == evidence:
+        return
+    log(state, 'info', 'evidence', upstream=up.name, evidence=evidence)
+    if evidence == 'up' and up.was_down:
+        up.returned_ms = state.now_ms
+    up.was_down = evidence != 'up'
+    up.evidence = evidence
+    state.dirty.add(up.view.group)
+    send_report(state)
--- /dev/null
+++ b/jackdawpost/core/proxy_published.py
@@ -0,0 +1,187 @@
+"""Takes published state into force: groups, upstreams, terms."""
+
+from __future__ import annotations
+
+from jackdawpost.core.admission import AdmissionQueue
+from jackdawpost.core.freshness import FreshnessTracker
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.proxy_answers import finish_error
+from jackdawpost.core.proxy_answers import lose_undurable
+from jackdawpost.core.proxy_conns import drop_conn
+from jackdawpost.core.proxy_control import send_report
+from jackdawpost.core.proxy_control import watch_validity
+from jackdawpost.core.proxy_monitors import open_monitor
+from jackdawpost.core.proxy_state import close
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import log
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.published import apply_update
+from jackdawpost.core.published import GroupView
+from jackdawpost.core.published import LimitView
+from jackdawpost.core.published import UpstreamView
+from jackdawpost.core.retry import RetryBudget
+
+DEFAULT_QUEUE_LENGTH = 1_000
+DEFAULT_RETRY_RATIO = 0.1
+DEFAULT_MAX_DEADLINE_MS = 60_000
+# Spreads the connections that all proxies open to a new primary at once.
+OPEN_JITTER_MS = 20.0
+
+
+def on_state_update(state: ProxyState, message: StateUpdate) -> None:
+    """Apply an update and act on what it changes.
+
+    The version in force is reported at once, after an update that does not
+    follow it as well, so that the leader sends what is missing.
+    """
+    before = state.published.version
+    if not apply_update(state.published, message):
+        log(
+            state,
+            'warning',
+            'update_gap',
+            version=before,
+            from_version=message.from_version,
+        )
+        send_report(state)
+        return
+    if state.published.version == before and not message.full:
+        return
+    state.proxies = max(
+        1,
+        sum(
+            member.role == 'proxy' and member.state in ('joined', 'leaving')
+            for member in state.published.members.values()
+        ),
+    )
+    _refresh_groups(state)
+    _refresh_upstreams(state)
+    _refresh_members(state)
+    state.leases.note_version(state.published.version)
+    watch_validity(state)
+    send_report(state)
+
+
+def _refresh_groups(state: ProxyState) -> None:
+    limits = {limit.group: limit for limit in state.published.limits.values()}
+    for name in [n for n in state.groups if n not in state.published.groups]:
+        group = state.groups.pop(name)
+        lose_undurable(state, group)
+        for req in group.queue.drain_items():
+            finish_error(
+                state, req, 'not_run', 'unknown_route', 'group removed'
+            )
+    for name, view in state.published.groups.items():
+        known = state.groups.get(name)
+        if known is None:
+            known = _new_group(view)
+            state.groups[name] = known
+        _apply_limit(known, limits.get(name))
+        old = known.view
+        known.view = view
+        if (old.term, old.primary) != (view.term, view.primary):
+            _on_new_term(state, known, old)
+        state.dirty.add(name)
+
+
+def _new_group(view: GroupView) -> Group:
+    return Group(
+        name=view.name,
+        view=view,
+        queue=AdmissionQueue(DEFAULT_QUEUE_LENGTH),
+        budget=RetryBudget(DEFAULT_RETRY_RATIO),
+        freshness=FreshnessTracker(view.term),
+    )
+
+
+def _apply_limit(group: Group, limit: LimitView | None) -> None:
+    if limit is None:
+        group.queue.limit = DEFAULT_QUEUE_LENGTH
+        group.budget.ratio = DEFAULT_RETRY_RATIO
+        group.max_deadline_ms = DEFAULT_MAX_DEADLINE_MS
+        return
+    group.queue.limit = limit.queue_length
+    group.budget.ratio = limit.retry_ratio
+    group.max_deadline_ms = limit.max_deadline_ms
+
+
+def _on_new_term(state: ProxyState, group: Group, old: GroupView) -> None:
+    log(
+        state,
+        'info',
+        'new_term',
+        group=group.name,
+        term=group.view.term,
+        primary=group.view.primary,
+    )
+    if group.view.term != old.term:
+        group.freshness.reset(group.view.term)
+        group.queue.forget_rate()
+        lose_undurable(state, group)
+        _drop_frames_of_earlier_terms(state, group)
+    jitter = state.rng.random() * OPEN_JITTER_MS
+    for up in group.upstreams:
+        if up.name == group.view.primary:
+            up.returned_ms = float('-inf')
+            up.next_open_ms = max(up.next_open_ms, state.now_ms + jitter)
+
+
+def _drop_frames_of_earlier_terms(state: ProxyState, group: Group) -> None:
+    # Their answers could not be used; without waiting for them the requests
+    # are made again at the new primary.
+    for conn in list(state.conns.values()):
+        up = state.upstreams[conn.upstream]
+        if up.view.group != group.name:
+            continue
+        busy = any(r.term < group.view.term for r in conn.running.values())
+        if busy or conn.txn is not None:
+            drop_conn(state, conn, 'term ended', 'lease_lost')
+
+
+def _refresh_upstreams(state: ProxyState) -> None:
+    views = state.published.upstreams
+    for up in list(state.upstreams.values()):
+        if not _is_same(up.view, views.get(up.name)):
+            _remove_upstream(state, up)
+    for group in state.groups.values():
+        group.upstreams.clear()
+    for name, view in views.items():
+        known = state.upstreams.get(name)
+        if known is None:
+            known = Upstream(name, view)
+            state.upstreams[name] = known
+            open_monitor(state, known)
+            due_ms = state.now_ms + state.cfg.probe_interval_ms
+            schedule(state, due_ms, 'probe', name)
+        known.view = view
+        known.leaving = view.leaving or known.reported_leaving
+        if view.group in state.groups:
+            state.groups[view.group].upstreams.append(known)
+
+
+def _is_same(old: UpstreamView, new: UpstreamView | None) -> bool:
+    return new is not None and (
+        old.data_id,
+        old.host,
+        old.port,
+        old.group,
+    ) == (new.data_id, new.host, new.port, new.group)
+
+
+def _remove_upstream(state: ProxyState, up: Upstream) -> None:
+    if up.monitor:
+        state.monitors.pop(up.monitor, None)
+        close(state, up.monitor, 'upstream removed', abort=True)
+    for conn_id in list(up.conns):
+        drop_conn(state, state.conns[conn_id], 'upstream removed')
+    del state.upstreams[up.name]
+    state.permits.accounts.pop(up.name, None)
+
+
+def _refresh_members(state: ProxyState) -> None:
+    joined = {member.member_id for member in state.published.members.values()}
+    for newcomer_id in [i for i in state.approvals if i in joined]:
+        if not state.approvals[newcomer_id].conn:
+            del state.approvals[newcomer_id]
--- /dev/null
+++ b/jackdawpost/core/tokens.py
@@ -0,0 +1,182 @@
+"""Session tokens: the positions that a session's reads must include."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+import zlib
+from collections.abc import Container
+from dataclasses import dataclass
+
+from jackdawpost.core.errors import TokenError
+from jackdawpost.core.positions import LogPosition
+
+MAX_ENTRIES = 16
+MAX_TOKEN_CHARS = 2_048
+TOKEN_VERSION = 1
+
+_HEADER = struct.Struct('>BB')
+_POSITION = struct.Struct('>QQ')
+_CRC = struct.Struct('>I')
+_MAX_GROUP_BYTES = 63
+
+
+@dataclass(frozen=True, slots=True)
+class SessionToken:
+    """Positions written by a session, least recently written group first.
+
+    Parameters
+    ----------
+    entries : tuple of (str, LogPosition)
+        One entry for each group, at most 16.
+    """
+
+    entries: tuple[tuple[str, LogPosition], ...] = ()
+
+    def position(self, group: str) -> LogPosition | None:
+        """Return the position that reads of `group` must include."""
+        for name, position in self.entries:
+            if name == group:
+                return position
+        return None
+
+
+EMPTY_TOKEN = SessionToken()
+
+
+def encode_token(token: SessionToken) -> str:
+    """Encode a token as base64 text for URLs."""
+    parts = [_HEADER.pack(TOKEN_VERSION, len(token.entries))]
+    for group, position in token.entries:
+        name = group.encode()
+        parts.append(bytes((len(name),)))
+        parts.append(name)
+        parts.append(_POSITION.pack(position[0], position[1]))
+    body = b''.join(parts)
+    raw = body + _CRC.pack(zlib.crc32(body))
+    return base64.urlsafe_b64encode(raw).rstrip(b'=').decode()
+
+
+def decode_token(text: str) -> SessionToken:
+    """Decode the text of a token.
+
+    Raises
+    ------
+    TokenError
+        The text is malformed, truncated, or fails its checksum.
+    """
+    raw = _decode_base64(text)
+    if len(raw) < _HEADER.size + _CRC.size:
+        raise TokenError(f'token of {len(raw)} bytes is truncated')
+    body = raw[: -_CRC.size]
+    (checksum,) = _CRC.unpack(raw[-_CRC.size :])
+    if checksum != zlib.crc32(body):
+        raise TokenError('token fails its checksum')
+    version, count = _HEADER.unpack_from(body)
+    if version != TOKEN_VERSION:
+        raise TokenError(f'token version {version}: valid is {TOKEN_VERSION}')
+    if count > MAX_ENTRIES:
+        raise TokenError(
+            f'token with {count} entries: valid are up to {MAX_ENTRIES}'
+        )
+    return _decode_entries(body, count)
+
+
+def has_room(token: SessionToken, group: str, known: Container[str]) -> bool:
+    """Tell whether a write of `group` can be added to a token.
+
+    Parameters
+    ----------
+    token : SessionToken
+        Token before the write.
+    group : str
+        Group that is about to be written.
+    known : container of str
+        Names of the groups in force.
+    """
+    if len(token.entries) < MAX_ENTRIES:
+        return True
+    return any(name == group or name not in known for name, _ in token.entries)
+
+
+def merge_position(
+    token: SessionToken,
+    group: str,
+    position: LogPosition,
+    known: Container[str],
+) -> SessionToken:
+    """Add the position of a write to a token.
+
+    An entry is dropped only for a group that is no longer in force: no
+    read can reach its rows, while dropping any other entry would break
+    read-your-writes.
+
+    Parameters
+    ----------
+    token : SessionToken
+        Token before the write.
+    group : str
+        Group that was written.
+    position : LogPosition
+        Position of the write; ignored if the token has a later one.
+    known : container of str
+        Names of the groups in force.
+
+    Raises
+    ------
+    TokenError
+        All entries are in use by other groups in force.
+    """
+    kept = [entry for entry in token.entries if entry[0] != group]
+    earlier = token.position(group)
+    if earlier is not None and earlier > position:
+        position = earlier
+    if len(kept) >= MAX_ENTRIES:
+        drop = next((e for e in kept if e[0] not in known), None)
+        if drop is None:
+            raise TokenError(
+                f'token already holds {MAX_ENTRIES} groups in force'
+            )
+        kept.remove(drop)
+    kept.append((group, position))
+    return SessionToken(tuple(kept))
+
+
+def _decode_base64(text: str) -> bytes:
+    if len(text) > MAX_TOKEN_CHARS:
+        raise TokenError(
+            f'token of {len(text)} characters: valid are up to '
+            f'{MAX_TOKEN_CHARS}'
+        )
+    padded = text + '=' * (-len(text) % 4)
+    try:
+        raw = base64.b64decode(padded, altchars=b'-_', validate=True)
+    except (binascii.Error, ValueError) as exc:
+        raise TokenError(f'token is not base64 text: {exc}') from exc
+    if base64.urlsafe_b64encode(raw).rstrip(b'=').decode() != text:
+        raise TokenError('token is not in its shortest base64 form')
+    return raw
+
+
+def _decode_entries(body: bytes, count: int) -> SessionToken:
+    offset = _HEADER.size
+    entries = []
+    seen = set()
+    try:
+        for _ in range(count):
+            size = body[offset]
+            offset += 1
+            group = body[offset : offset + size].decode()
+            offset += size
+            term, index = _POSITION.unpack_from(body, offset)
+            offset += _POSITION.size
+            if not 1 <= size <= _MAX_GROUP_BYTES or group in seen:
+                raise TokenError(f'token has a bad group name {group!r}')
+            seen.add(group)
+            entries.append((group, LogPosition(term, index)))
+    except (IndexError, struct.error, UnicodeDecodeError) as exc:
+        raise TokenError(f'token entries are malformed: {exc}') from exc
+    if offset != len(body):
+        raise TokenError(f'token has {len(body) - offset} surplus bytes')
+    return SessionToken(tuple(entries))
--- /dev/null
+++ b/jackdawpost/testing/fake_proxy_world.py
@@ -0,0 +1,374 @@
+"""Control, upstreams and callers around a proxy's reducer, for tests."""
+
+from __future__ import annotations
+
+from collections import deque
+from random import Random
+from typing import Any
+
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.effects import Send
+from jackdawpost.core.effects import SetTimer
+from jackdawpost.core.effects import Stop
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.events import Event
+from jackdawpost.core.events import Received
+from jackdawpost.core.events import TimerFired
+from jackdawpost.core.messages.caller import Answer
+from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.messages.control import GroupLease
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import PermitDemand
+from jackdawpost.core.messages.control import PermitGrant
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import PublishedObject
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.messages.upstream import Probe
+from jackdawpost.core.messages.upstream import Probed
+from jackdawpost.core.messages.upstream import Progress
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_reducer import new_proxy
+from jackdawpost.core.proxy_reducer import ProxyConfig
+from jackdawpost.core.proxy_reducer import reduce_proxy
+
+GROUP = 'spares'
+ROUTE = 'orders'
+DATABASES = ('db-1', 'db-2', 'db-3')
+CONTROL_CONN = 1
+LEASE_MS = 1_500
+
+
+class FakeUpstream:
+    """What a database of the group reports of itself."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.term = 1
+        self.leads = name == DATABASES[0]
+        self.position = LogPosition(1, 10)
+        self.leaving = False
+        self.reachable = 'yes'
+        self.answers_probes = True
+
+
+class ProxyWorld:
+    """A proxy among fakes that answer at once unless told otherwise.
+
+    Parameters
+    ----------
+    overrides : dict
+        Fields of `ProxyConfig` and of the published group that differ.
+
+    Attributes
+    ----------
+    work : list of (int, message)
+        Statements sent to upstreams, by connection, not yet answered.
+    answers : dict of int to list
+        Messages received by each caller.
+    control_sent : list
+        Messages received by control, in order.
+    """
+
+    def __init__(self, write_copies: int = 2, **overrides: Any) -> None:
+        cfg = ProxyConfig(
+            name='proxy-1',
+            proxy_id='proxy-id-1',
+            incarnation='inc-1',
+            host='127.0.0.1',
+            port=7000,
+            data_centre='rey',
+            **overrides,
+        )
+        self.now_ms = 1_000.0
+        self.upstreams = {name: FakeUpstream(name) for name in DATABASES}
+        self.conn_names: dict[int, str] = {}
+        self.purposes: dict[int, str] = {}
+        self.work: list[tuple[int, Any]] = []
+        self.answers: dict[int, list[Any]] = {}
+        self.control_sent: list[Any] = []
+        self.closed: list[int] = []
+        self.timers: dict[str, float] = {}
+        self.stopped = False
+        self.control_answers = True
+        self.lends = True
+        self.lent: dict[str, int] = {}
+        self.term = 1
+        self.version = 0
+        self.write_copies = write_copies
+        self._events: deque[Event] = deque()
+        self._next_caller = 100
+        self.state, effects = new_proxy(cfg, Random(1), self.now_ms)
+        self._perform(effects)
+
+    def start(self) -> None:
+        """Join, publish one group of three databases, and warm up."""
+        self.open_control(CONTROL_CONN)
+        self.publish()
+        self.advance(250)
+        self.control_sent.clear()
+
+    def open_control(self, conn: int) -> None:
+        """Open a link to a control process."""
+        self.feed(
+            ConnOpened(
+                now_ms=self.now_ms, conn=conn, link='proxy', peer=f'c{conn}'
+            )
+        )
+
+    def publish(self, primary: str | None = 'db-1', **upstream: Any) -> None:
+        """Publish the whole state with `term` and a primary."""
+        self.version += 1
+        group = {
+            'name': GROUP,
+            'databases': 3,
+            'write_copies': self.write_copies,
+            'replica_wait_ms': 50,
+            'term': self.term,
+            'primary': primary,
+        }
+        items = [
+            PublishedObject(type='group', name=GROUP, body=group),
+            _rule(ROUTE),
+            _rule('reports', read_only=True, allowance='relaxed'),
+            PublishedObject(
+                type='allowance',
+                name='relaxed',
+                body={'name': 'relaxed', 'max_age_ms': 500},
+            ),
+        ]
+        for at, name in enumerate(DATABASES):
+            body = {
+                'name': name,
+                'group': GROUP,
+                'data_id': f'data-{name}',
+                'host': '127.0.0.1',
+                'port': 7100 + at,
+                'data_centre': 'rey',
+                'slots': 3,
+                'connections': 20,
+                **upstream,
+            }
+            items.append(
+                PublishedObject(type='upstream', name=name, body=body)
+            )
+        self.from_control(
+            StateUpdate(
+                from_version=0, version=self.version, upserts=items, full=True
+            )
+        )
+
+    def promote(self, name: str, publish: bool = True) -> None:
+        """Make another database primary of the next term."""
+        self.term += 1
+        for up in self.upstreams.values():
+            up.leads = up.name == name
+            up.term = self.term
+        if publish:
+            self.publish(primary=name)
+
+    def from_control(self, message: Any, conn: int = CONTROL_CONN) -> None:
+        """Deliver a message of a control process."""
+        self.feed(Received(now_ms=self.now_ms, conn=conn, messages=[message]))
+
+    def caller(self) -> int:
+        """Connect a caller."""
+        self._next_caller += 1
+        conn = self._next_caller
+        self.answers[conn] = []
+        self.feed(ConnOpened(now_ms=self.now_ms, conn=conn, link='caller'))
+        return conn
+
+    def ask(self, conn: int, *messages: Any) -> None:
+        """Send requests of a caller in one frame."""
+        self.feed(
+            Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
+        )
+
+    def write(self, conn: int, request_id: int = 1, **fields: Any) -> None:
+        """Send a write with a request key."""
+        fields.setdefault('request_key', f'key-{request_id}')
+        self.ask(conn, _statement(request_id, 'write', **fields))
+
+    def read(self, conn: int, request_id: int = 1, **fields: Any) -> None:
+        """Send a read."""
+        self.ask(conn, _statement(request_id, 'read', **fields))
+
+    def answer(self, conn: int) -> Answer:
+        """Return the only message that a caller received, and forget it."""
+        messages = self.answers[conn]
+        assert len(messages) == 1, messages
+        return messages.pop()
+
+    def take(self) -> tuple[int, Any]:
+        """Return the only statement that an upstream got."""
+        assert len(self.work) == 1, self.work
+        return self.work.pop()
+
+    def reply(self, conn: int, message: Any, **fields: Any) -> None:
+        """Answer a statement as its upstream."""
+        fields.setdefault('status', 'done')
+        fields.setdefault('term', self.term)
+        executed = Executed(id=message.id, **fields)
+        self.feed(Received(now_ms=self.now_ms, conn=conn, messages=[executed]))
+
+    def refuse(self, conn: int, message: Any, code: str) -> None:
+        """Refuse a statement as its upstream."""
+        self.reply(conn, message, status='not_run', code=code)
+
+    def move(self, position: LogPosition, *names: str) -> None:
+        """Let databases hold a position and report it."""
+        for name in names or DATABASES:
+            self.upstreams[name].position = position
+            for conn, owner in list(self.conn_names.items()):
+                if owner == name and self.purposes[conn] == 'monitor':
+                    self.feed(
+                        Received(
+                            now_ms=self.now_ms,
+                            conn=conn,
+                            messages=[self._report(name, Progress)],
+                        )
+                    )
+
+    def cut(self, conn: int, reason: Any = 'closed') -> None:
+        """End a connection from the other side."""
+        self.conn_names.pop(conn, None)
+        self.feed(ConnClosed(now_ms=self.now_ms, conn=conn, reason=reason))
+
+    def fail(self, name: str, reachable: str = 'refused') -> None:
+        """Make an upstream refuse or swallow everything."""
+        up = self.upstreams[name]
+        up.reachable = reachable
+        up.answers_probes = False
+        if reachable == 'refused':
+            for conn in [c for c, n in self.conn_names.items() if n == name]:
+                self.cut(conn)
+
+    def advance(self, duration_ms: float) -> None:
+        """Let time pass and fire what is due on the way."""
+        end_ms = self.now_ms + duration_ms
+        while self.timers:
+            key, due_ms = min(self.timers.items(), key=lambda item: item[1])
+            if due_ms > end_ms:
+                break
+            del self.timers[key]
+            self.now_ms = max(self.now_ms, due_ms)
+            self.feed(TimerFired(now_ms=self.now_ms, key=key))
+        self.now_ms = end_ms
+
+    def freeze(self, duration_ms: float) -> None:
+        """Let time pass without any event, as in a frozen process."""
+        self.now_ms += duration_ms
+
+    def feed(self, event: Event) -> None:
+        """Deliver an event and perform what follows from it."""
+        self._events.append(event)
+        if len(self._events) > 1:
+            return
+        while self._events:
+            effects = reduce_proxy(self.state, self._events[0])
+            self._perform(effects)
+            self._events.popleft()
+
+    def conn_of(self, name: str, purpose: str = 'statements') -> int:
+        """Return an open connection to an upstream."""
+        for conn, owner in self.conn_names.items():
+            if owner == name and self.purposes[conn] == purpose:
+                return conn
+        raise LookupError(f'no {purpose} connection to {name!r}')
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SetTimer):
+                self.timers[effect.key] = effect.due_ms
+            elif isinstance(effect, Connect):
+                self._connect(effect)
+            elif isinstance(effect, Close):
+                self.closed.append(effect.conn)
+                self.conn_names.pop(effect.conn, None)
+            elif isinstance(effect, Stop):
+                self.stopped = True
+            elif isinstance(effect, Send):
+                for message in effect.messages:
+                    self._deliver(effect.conn, message)
+
+    def _connect(self, effect: Connect) -> None:
+        self.purposes[effect.conn] = effect.purpose
+        up = self.upstreams.get(effect.peer)
+        if up is None or up.reachable == 'refused':
+            self._events.append(
+                ConnClosed(
+                    now_ms=self.now_ms, conn=effect.conn, reason='refused'
+                )
+            )
+        elif up.reachable == 'yes':
+            self.conn_names[effect.conn] = up.name
+            self._events.append(
+                ConnOpened(
+                    now_ms=self.now_ms,
+                    conn=effect.conn,
+                    link='upstream',
+                    peer=up.name,
+                    purpose=effect.purpose,
+                    data_id=f'data-{up.name}',
+                )
+            )
+
+    def _deliver(self, conn: int, message: Any) -> None:
+        if conn in self.answers:
+            self.answers[conn].append(message)
+        elif conn > 0:
+            self.control_sent.append(message)
+            self._as_control(conn, message)
+        elif isinstance(message, Probe):
+            name = self.conn_names.get(conn)
+            if name and self.upstreams[name].answers_probes:
+                probed = self._report(name, Probed, id=message.id)
+                self._later(conn, probed)
+        elif conn in self.conn_names:
+            self.work.append((conn, message))
+
+    def _later(self, conn: int, message: Any) -> None:
+        event = Received(now_ms=self.now_ms, conn=conn, messages=[message])
+        self._events.append(event)
+
+    def _report(self, name: str, kind: Any, **fields: Any) -> Any:
+        up = self.upstreams[name]
+        return kind(
+            term=up.term,
+            leads=up.leads,
+            received=up.position,
+            applied=up.position,
+            leaving=up.leaving,
+            **fields,
+        )
+
+    def _as_control(self, conn: int, message: Any) -> None:
+        if isinstance(message, ProxyReport) and self.control_answers:
+            grant = LeaseGrant(
+                seq=message.seq,
+                leases=[GroupLease(group=GROUP, term=self.term)],
+                duration_ms=LEASE_MS,
+                version=self.version,
+            )
+            self._later(conn, grant)
+        elif isinstance(message, PermitDemand) and self.lends:
+            held = self.state.permits.account(message.upstream).held
+            if message.wanted > held:
+                more = message.wanted - held
+                grant_more = PermitGrant(upstream=message.upstream, count=more)
+                self._later(conn, grant_more)
+
+
+def _statement(request_id: int, access: Any, **fields: Any) -> Statement:
+    fields.setdefault('route', ROUTE)
+    fields.setdefault('sql', 'select 1')
+    return Statement(id=request_id, access=access, **fields)
+
+
+def _rule(name: str, **fields: Any) -> PublishedObject:
+    body = {'name': name, 'groups': [GROUP], **fields}
+    return PublishedObject(type='rule', name=name, body=body)
