--- /dev/null
+++ b/jackdawpost/wire/server.py
@@ -0,0 +1,196 @@
+"""WebSocket server with plain HTTP pages on the same port."""
+
+from __future__ import annotations
+
+import json
+import logging
+import ssl
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import trio
+from websockets.http11 import Request
+from websockets.server import ServerProtocol
+
+from jackdawpost.wire.codec import MAX_FRAME_BYTES
+from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost.wire.tls import read_peer_name
+
+LOG = logging.getLogger(__name__)
+
+HANDSHAKE_TIMEOUT_S = 5.0
+LISTEN_BACKLOG = 1_024
+
+
+@dataclass(slots=True)
+class HttpReply:
+    """Reply to a plain HTTP request."""
+
+    status: int
+    body: str
+    content_type: str = 'application/json'
+
+
+def reply_json(value: Any, status: int = HTTPStatus.OK) -> HttpReply:
+    """Return a reply with `value` as JSON."""
+    return HttpReply(status, json.dumps(value, default=str, indent=1) + '\n')
+
+
+Handler = Callable[[FrameStream, str], Awaitable[None]]
+Page = Callable[[], HttpReply]
+
+
+@dataclass(slots=True)
+class Endpoints:
+    """What a server offers.
+
+    Parameters
+    ----------
+    handlers : mapping of str to callable
+        For each WebSocket path, a coroutine function that gets the stream
+        and the peer's certificate name, empty without TLS. The stream is
+        closed when it returns.
+    pages : mapping of str to callable
+        For each plain HTTP path, a function that returns the reply.
+    max_connections : int
+        Connections beyond this are closed at once.
+    """
+
+    handlers: Mapping[str, Handler]
+    pages: Mapping[str, Page]
+    max_connections: int = 20_000
+    open_connections: int = 0
+
+
+async def serve_endpoints(
+    host: str,
+    port: int,
+    endpoints: Endpoints,
+    tls: ssl.SSLContext | None = None,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled.
+
+    Parameters
+    ----------
+    host : str
+        IP address to listen on.
+    port : int
+        TCP port; 0 takes a free one. The port in use is reported through
+        `task_status`.
+    endpoints : Endpoints
+        Paths served.
+    tls : ssl.SSLContext, optional
+        Context with this process's certificate.
+    """
+    listeners = await trio.open_tcp_listeners(
+        port, host=host, backlog=LISTEN_BACKLOG
+    )
+    bound_port = listeners[0].socket.getsockname()[1]
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await _serve_connection(stream, endpoints, tls)
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(trio.serve_listeners, handle, listeners)
+        task_status.started(bound_port)
+
+
+async def _serve_connection(
+    socket_stream: trio.SocketStream,
+    endpoints: Endpoints,
+    tls: ssl.SSLContext | None,
+) -> None:
+    if endpoints.open_connections >= endpoints.max_connections:
+        await trio.aclose_forcefully(socket_stream)
+        return
+    endpoints.open_connections += 1
+    try:
+        await _handle_transport(socket_stream, endpoints, tls)
+    except (
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+        trio.TooSlowError,
+        ssl.SSLError,
+        LinkClosedError,
+    ) as exc:
+        LOG.debug('connection ended', extra={'detail': str(exc)})
+    finally:
+        endpoints.open_connections -= 1
+        await trio.aclose_forcefully(socket_stream)
+
+
+async def _handle_transport(
+    socket_stream: trio.SocketStream,
+    endpoints: Endpoints,
+    tls: ssl.SSLContext | None,
+) -> None:
+    stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
+    stream = socket_stream
+    peer = ''
+    with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+        if tls is not None:
+            stream = trio.SSLStream(socket_stream, tls, server_side=True)
+            await stream.do_handshake()
+            peer = read_peer_name(stream)
+        protocol = ServerProtocol(max_size=MAX_FRAME_BYTES, extensions=[])
+        request = await _read_request(stream, protocol)
+        if request is None:
+            return
+        handler = endpoints.handlers.get(request.path)
+        if handler is None:
+            await _answer_page(stream, protocol, request, endpoints)
+            return
+        response = protocol.accept(request)
+        protocol.send_response(response)
+        await stream.send_all(b''.join(protocol.data_to_send()))
+        if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
+            return
+    frames = FrameStream(stream, protocol)
+    del request, response
+    try:
+        await handler(frames, peer)
+    finally:
+        await frames.aclose()
+
+
+async def _read_request(
+    stream: trio.abc.Stream, protocol: ServerProtocol
+) -> Request | None:
+    while True:
+        for event in protocol.events_received():
+            if isinstance(event, Request):
+                return event
+        if protocol.handshake_exc is not None:
+            return None
+        data = await stream.receive_some(4_096)
+        if not data:
+            return None
+        protocol.receive_data(data)
+
+
+async def _answer_page(
+    stream: trio.abc.Stream,
+    protocol: ServerProtocol,
+    request: Request,
+    endpoints: Endpoints,
+) -> None:
+    page = endpoints.pages.get(request.path)
+    if page is None:
+        known = sorted([*endpoints.pages, *endpoints.handlers])
+        reply = reply_json(
+            {'error': f'path {request.path!r} is not served', 'paths': known},
+            HTTPStatus.NOT_FOUND,
+        )
+    else:
+        reply = page()
+    response = protocol.reject(reply.status, reply.body)
+    del response.headers['Content-Type']
+    response.headers['Content-Type'] = f'{reply.content_type}; charset=utf-8'
+    protocol.send_response(response)
+    await stream.send_all(b''.join(protocol.data_to_send()))
