--- a/jackdawpost/client/__init__.py
+++ b/jackdawpost/client/__init__.py
@@ -0,0 +1,19 @@
+"""Embeddable client for callers."""
+
+from __future__ import annotations
+
+from jackdawpost.client.link import ProxyAddress
+from jackdawpost.client.session import new_request_key
+from jackdawpost.client.session import open_session
+from jackdawpost.client.session import Result
+from jackdawpost.client.session import Session
+from jackdawpost.client.session import Transaction
+
+__all__ = [
+    'ProxyAddress',
+    'Result',
+    'Session',
+    'Transaction',
+    'new_request_key',
+    'open_session',
+]
