--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,292 @@
+"""Starts and stops the processes of one deployment on loopback.
+
+Only experiments and tests use this; no program of the product starts
+another one.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import Any
+from urllib.error import URLError
+from urllib.request import urlopen
+
+from bench.deployments import Deployment
+from jackdawpost.client import ProxyAddress
+
+LOOPBACK = '127.0.0.1'
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.02
+MODULES = {
+    'control': 'jackdawpost.cli.control',
+    'proxy': 'jackdawpost.cli.proxy',
+    'database': 'jackdawpost_standin.cli',
+}
+
+
+@dataclass(slots=True)
+class Program:
+    """One process and where it listens."""
+
+    name: str
+    role: str
+    port: int
+    config: Path
+    process: subprocess.Popen[bytes] | None = None
+    arguments: list[str] = field(default_factory=list)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and not ended."""
+        return self.process is not None and self.process.poll() is None
+
+
+class Cluster:
+    """Processes of one deployment with their settings in a folder.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Sizes and names.
+    folder : Path
+        Folder for settings, data and logs.
+    database_settings : dict, optional
+        Settings of the stand-in databases, for example ``service_ms``.
+    proxy_settings, control_settings : dict, optional
+        Settings of the proxies and the control processes.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        folder: Path,
+        *,
+        database_settings: dict[str, Any] | None = None,
+        proxy_settings: dict[str, Any] | None = None,
+        control_settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.deployment = deployment
+        self.folder = folder
+        self.programs: dict[str, Program] = {}
+        self._control_peers = self._reserve_control()
+        for number in range(deployment.control):
+            self._add_control(number, control_settings or {})
+        for number in range(deployment.proxies):
+            self._add_proxy(number, proxy_settings or {})
+        for group in deployment.group_names():
+            for number in range(deployment.databases_per_group):
+                self._add_database(group, number, database_settings or {})
+        self.ctl_config = self._write_ctl_config()
+
+    def names(self, role: str) -> list[str]:
+        """Return the names of the programs of one role."""
+        return [p.name for p in self.programs.values() if p.role == role]
+
+    def proxy_addresses(self) -> list[ProxyAddress]:
+        """Return the addresses of all proxies."""
+        return [
+            ProxyAddress(LOOPBACK, self.programs[name].port)
+            for name in self.names('proxy')
+        ]
+
+    def start_all(self) -> None:
+        """Start every program."""
+        for name in self.programs:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start one program; its logs are appended to ``NAME.log``."""
+        program = self.programs[name]
+        command = [
+            sys.executable,
+            '-m',
+            MODULES[program.role],
+            '--config',
+            str(program.config),
+            *program.arguments,
+        ]
+        with (self.folder / f'{name}.log').open('ab') as log:
+            program.process = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def kill(self, name: str) -> None:
+        """Kill a program without warning."""
+        self._signal(name, signal.SIGKILL)
+        process = self.programs[name].process
+        if process is not None:
+            process.wait()
+
+    def terminate(self, name: str) -> int:
+        """Stop a program gracefully and return its exit code."""
+        self._signal(name, signal.SIGTERM)
+        process = self.programs[name].process
+        return process.wait(STOP_TIMEOUT_S * 4) if process else 0
+
+    def freeze(self, name: str) -> None:
+        """Stop a program from running without ending it."""
+        self._signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen program go on."""
+        self._signal(name, signal.SIGCONT)
+
+    def stop_all(self) -> None:
+        """End everything that was started."""
+        running = [p for p in self.programs.values() if p.running]
+        for program in running:
+            self._signal(program.name, signal.SIGCONT)
+            self._signal(program.name, signal.SIGKILL)
+        for program in running:
+            if program.process is not None:
+                program.process.wait()
+
+    def read_page(self, name: str, path: str) -> tuple[int, Any]:
+        """Return status and JSON of a plain HTTP page; 0 if unreachable."""
+        url = f'http://{LOOPBACK}:{self.programs[name].port}{path}'
+        try:
+            with urlopen(url, timeout=5) as reply:
+                return reply.status, json.loads(reply.read())
+        except URLError as exc:
+            return getattr(exc, 'code', 0) or 0, None
+        except OSError:
+            return 0, None
+
+    def wait_healthy(self, names: list[str]) -> None:
+        """Wait until ``/healthz`` of each program answers 200."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for name in names:
+            while self.read_page(name, '/healthz')[0] != 200:
+                self._check_waiting(name, deadline)
+                time.sleep(POLL_S)
+
+    def run_ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run ``jackdawpost-ctl`` and return what it printed."""
+        command = [
+            sys.executable,
+            '-m',
+            'jackdawpost.cli.ctl',
+            '--config',
+            str(self.ctl_config),
+            *arguments,
+        ]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=60, check=False
+        )
+
+    def _check_waiting(self, name: str, deadline: float) -> None:
+        if not self.programs[name].running:
+            raise RuntimeError(f'{name} ended: {self._log_tail(name)}')
+        if time.monotonic() > deadline:
+            raise RuntimeError(
+                f'{name} not healthy after {START_TIMEOUT_S:.0f} s: '
+                f'{self._log_tail(name)}'
+            )
+
+    def _log_tail(self, name: str) -> str:
+        text = (self.folder / f'{name}.log').read_text(errors='replace')
+        return text[-2_000:]
+
+    def _signal(self, name: str, number: int) -> None:
+        program = self.programs[name]
+        if program.running and program.process is not None:
+            program.process.send_signal(number)
+
+    def _reserve_control(self) -> list[dict[str, Any]]:
+        return [
+            {'name': f'control-{n}', 'host': LOOPBACK, 'port': take_port()}
+            for n in range(self.deployment.control)
+        ]
+
+    def _add_control(self, number: int, extra: dict[str, Any]) -> None:
+        name = f'control-{number}'
+        port = self._control_peers[number]['port']
+        settings = {
+            'peers': self._control_peers,
+            'data_dir': str(self.folder / name),
+            'seed': number,
+            **extra,
+        }
+        self._add('control', name, port, number, settings)
+
+    def _add_proxy(self, number: int, extra: dict[str, Any]) -> None:
+        name = f'proxy-{number}'
+        settings = {
+            'control': self._control_peers,
+            'proxy_id': f'id-{name}',
+            'seed': number,
+            **extra,
+        }
+        self._add('proxy', name, take_port(), number, settings)
+
+    def _add_database(
+        self, group: str, number: int, extra: dict[str, Any]
+    ) -> None:
+        deployment = self.deployment
+        name = f'{group}-db-{number}'
+        settings = {
+            'group': group,
+            'control': self._control_peers,
+            'slots': deployment.slots,
+            'connections': deployment.connections,
+            'opening_ms': deployment.opening_ms,
+            'latency_ms': deployment.latency_ms,
+            'data_dir': str(self.folder / name),
+            **extra,
+        }
+        self._add('database', name, take_port(), number, settings)
+
+    def _add(
+        self,
+        role: str,
+        name: str,
+        port: int,
+        number: int,
+        settings: dict[str, Any],
+    ) -> None:
+        centres = self.deployment.data_centres
+        common = {
+            'name': name,
+            'data_centre': centres[number % len(centres)],
+            'listen': {'host': LOOPBACK, 'port': port},
+        }
+        config = self.folder / f'{name}.json'
+        config.write_text(json.dumps({**common, **settings}, indent=1))
+        self.programs[name] = Program(name, role, port, config)
+
+    def _write_ctl_config(self) -> Path:
+        config = self.folder / 'ctl.json'
+        settings = {'control': self._control_peers, 'operator': 'bench'}
+        config.write_text(json.dumps(settings, indent=1))
+        return config
+
+
+def take_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+@contextmanager
+def run_cluster(deployment: Deployment, **options: Any) -> Iterator[Cluster]:
+    """Start a deployment in a temporary folder and stop it afterwards."""
+    with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
+        cluster = Cluster(deployment, Path(folder), **options)
+        try:
+            cluster.start_all()
+            yield cluster
+        finally:
+            cluster.stop_all()
