--- /dev/null
+++ b/bench/proxy_reducer_cost.py
@@ -0,0 +1,85 @@
+"""Cost of the proxy's reducer per statement, without any transport.
+
+Run ``python -m bench.proxy_reducer_cost [STATEMENTS] [CALLERS]``.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.events import Event
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.testing.fake_proxy_world import ProxyWorld
+
+POSITION = LogPosition(1, 10)
+IN_FLIGHT = 4
+KINDS: dict[str, dict[str, Any]] = {
+    'write': {'access': 'write'},
+    'fresh read': {'access': 'read'},
+    'stale read': {'access': 'read', 'max_age_ms': 5_000},
+}
+
+
+class Stopwatch:
+    """Adds up the time spent in the reducer, control traffic included."""
+
+    def __init__(self) -> None:
+        self.spent_s = 0.0
+
+    def reduce(self, state: ProxyState, event: Event) -> list[Effect]:
+        """Apply an event and count its time."""
+        started = time.perf_counter()
+        effects = reduce_proxy(state, event)
+        self.spent_s += time.perf_counter() - started
+        return effects
+
+
+def measure(
+    name: str, statements: int, world: ProxyWorld, callers: list[int]
+) -> None:
+    """Print the processor time of one kind of statement.
+
+    Each millisecond the next few callers send one statement each, and the
+    upstream answers until nothing is left.
+    """
+    fields = dict(KINDS[name])
+    ask = world.write if fields.pop('access') == 'write' else world.read
+    watch = Stopwatch()
+    world.reduce = watch.reduce
+    answered = 0
+    for at in range(statements):
+        conn = callers[at % len(callers)]
+        ask(conn, at + 1, **fields)
+        if at % IN_FLIGHT != IN_FLIGHT - 1:
+            continue
+        while world.work:
+            upstream_conn, message = world.work.pop(0)
+            world.reply(upstream_conn, message, position=POSITION)
+        world.advance(1)
+    for messages in world.answers.values():
+        answered += sum(m.outcome == 'done' for m in messages)
+        messages.clear()
+    print(
+        f'{name}: {watch.spent_s / statements * 1e6:.1f} us per statement, '
+        f'{answered} of {statements} done'
+    )
+
+
+def main() -> None:
+    """Measure writes, fresh reads and stale reads."""
+    statements = int(sys.argv[1]) if len(sys.argv) > 1 else 20_000
+    count = int(sys.argv[2]) if len(sys.argv) > 2 else 5_300
+    world = ProxyWorld()
+    world.start()
+    callers = [world.caller() for _ in range(count)]
+    for name in KINDS:
+        measure(name, statements, world, callers)
+
+
+if __name__ == '__main__':
+    main()
--- a/jackdawpost/core/permit_holder.py
+++ b/jackdawpost/core/permit_holder.py
@@ -34,14 +34,15 @@
     @property
     def idle(self) -> int:
         """Permits that a frame may take now."""
-        return self.held - self.in_use
+        return max(0, self.held - self.in_use - self.recalled)
 
 
 class PermitHolder:
     """Permits of one proxy by upstream.
 
-    The functions return how many permits to give back to the control
-    leader now.
+    A permit counts as held until the control leader is told of its return,
+    so that both sides always agree on the number. Returns wait while there
+    is no leader to tell.
     """
 
     __slots__ = ('accounts',)
@@ -65,7 +66,7 @@
     def try_take(self, upstream: str) -> bool:
         """Occupy one idle permit; False if there is none."""
         account = self.account(upstream)
-        idle = account.held - account.in_use
+        idle = account.held - account.in_use - account.recalled
         if idle <= 0:
             return False
         account.in_use += 1
@@ -73,34 +74,39 @@
             account.low_water = idle - 1
         return True
 
-    def release(self, upstream: str) -> int:
+    def release(self, upstream: str) -> None:
         """End the use of one permit."""
         account = self.account(upstream)
         if account.in_use <= 0:
             raise ValueError(f'no permit of {upstream!r} is in use')
         account.in_use -= 1
-        return self._pay_recall(account) if account.recalled else 0
 
-    def recall(self, upstream: str, count: int) -> int:
-        """Give back idle permits now and others once unused."""
+    def recall(self, upstream: str, count: int) -> None:
+        """Owe permits to the control leader, in use or not."""
         account = self.account(upstream)
         account.recalled = min(account.held, account.recalled + count)
-        return self._pay_recall(account)
+        account.low_water = min(account.low_water, account.idle)
+
+    def take_owed(self, upstream: str) -> int:
+        """Give back owed permits that are not in use; return how many."""
+        account = self.account(upstream)
+        count = min(account.recalled, account.held - account.in_use)
+        account.held -= count
+        account.recalled -= count
+        return count
 
     def take_idle(self, upstream: str) -> int:
-        """Give back the permits idle ever since the last call."""
+        """Give back permits idle since the last call; return how many."""
         account = self.account(upstream)
         count = max(0, min(account.low_water, account.idle))
         account.held -= count
-        account.recalled = min(account.recalled, account.held)
         account.low_water = account.idle
         return count
 
     def void(self) -> None:
-        """Drop idle permits; those in use end with their statement."""
+        """Use no permit any more: their validity has ended."""
         for account in self.accounts.values():
-            account.held = account.in_use
-            account.recalled = account.in_use
+            account.recalled = account.held
             account.stated = 0
             account.low_water = 0
 
@@ -112,10 +118,3 @@
     def holdings(self) -> dict[str, int]:
         """Return permits held by upstream, for a report."""
         return {n: a.held for n, a in self.accounts.items() if a.held}
-
-    def _pay_recall(self, account: PermitAccount) -> int:
-        count = min(account.recalled, account.idle)
-        account.held -= count
-        account.recalled -= count
-        account.low_water = min(account.low_water, account.idle)
-        return count
--- a/jackdawpost/core/proxy_answers.py
+++ b/jackdawpost/core/proxy_answers.py
@@ -134,6 +134,9 @@
     if group is None:
         finish_error(state, req, 'not_run', 'unknown_route', 'group removed')
         return
+    if state.now_ms >= state.leases.config_until_ms:
+        finish_error(state, req, 'not_run', 'control_unreachable')
+        return
     req.phase = 'queued'
     group.queue.push(req, first)
     state.dirty.add(req.group)
@@ -166,7 +169,9 @@
     if req.caller not in state.callers or group is None:
         finish_error(state, req, 'unknown', code)
         return
-    if not _is_repeatable(req) or req.due_ms <= state.now_ms:
+    out_of_time = req.due_ms <= state.now_ms
+    alone = state.now_ms >= state.leases.config_until_ms
+    if out_of_time or alone or not _is_repeatable(req):
         finish_error(state, req, 'unknown', code)
         return
     if not group.budget.try_spend():
--- a/jackdawpost/core/proxy_callers.py
+++ b/jackdawpost/core/proxy_callers.py
@@ -39,6 +39,7 @@
 from jackdawpost.core.tokens import SessionToken
 
 BUSY_RETRY_MS = 50
+MAX_REQUEST_KEY_CHARS = 128
 
 
 class _Refusal(Exception):
@@ -257,7 +258,14 @@
             'read_only_route', f'route {rule.name!r} takes no writes'
         )
     if isinstance(message, Statement):
-        if not message.idempotent and not message.request_key:
+        key = message.request_key
+        if key is not None and not 1 <= len(key) <= MAX_REQUEST_KEY_CHARS:
+            raise _Refusal(
+                'malformed',
+                f'request_key of {len(key)} characters: valid are 1 to '
+                f'{MAX_REQUEST_KEY_CHARS}',
+            )
+        if not message.idempotent and key is None:
             raise _Refusal(
                 'request_key_missing',
                 'a write that is not idempotent needs a request_key',
--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -50,7 +50,7 @@
     if up.paused_until_ms > state.now_ms:
         return 0
     account = state.permits.account(up.name)
-    free = min(len(up.idle), account.held - account.in_use)
+    free = min(len(up.idle), account.idle)
     if up.returned_ms > -math.inf:
         since_ms = state.now_ms - up.returned_ms
         limit = slow_start_limit(up.view.slots, since_ms)
@@ -232,14 +232,20 @@
         return
     conn.owns_permit = False
     up = state.upstreams[conn.upstream]
-    back = state.permits.release(up.name)
-    return_permits(state, up.name, back)
+    state.permits.release(up.name)
+    return_owed(state, up.name)
     watch_idle_permits(state, up)
 
 
+def return_owed(state: ProxyState, name: str) -> None:
+    """Give recalled permits back once they are not in use."""
+    if state.leader and state.permits.account(name).recalled:
+        return_permits(state, name, state.permits.take_owed(name))
+
+
 def return_permits(state: ProxyState, name: str, number: int) -> None:
-    """Give permits back to the control leader."""
-    if number and state.leader:
+    """Tell the control leader of permits given back."""
+    if number:
         message = PermitReturn(upstream=name, count=number)
         send(state, state.leader, message)
 
@@ -258,17 +264,17 @@
         return
     up.permit_check = False
     account = state.permits.account(name)
-    if up.opening:
-        # They are about to be used by requests that wait for a connection.
+    if up.opening or not state.leader:
+        # They are about to be used by requests that wait for a connection,
+        # or there is no leader to be told.
         watch_idle_permits(state, up)
         return
     back = state.permits.take_idle(name)
     if back:
         return_permits(state, name, back)
         account.stated = account.held
-        if state.leader:
-            demand = PermitDemand(upstream=name, wanted=account.held)
-            send(state, state.leader, demand)
+        demand = PermitDemand(upstream=name, wanted=account.held)
+        send(state, state.leader, demand)
     if account.idle > 0:
         watch_idle_permits(state, up)
 
--- a/jackdawpost/core/proxy_control.py
+++ b/jackdawpost/core/proxy_control.py
@@ -19,7 +19,7 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.proxy_answers import finish_error
 from jackdawpost.core.proxy_answers import lose_undurable
-from jackdawpost.core.proxy_conns import return_permits
+from jackdawpost.core.proxy_conns import return_owed
 from jackdawpost.core.proxy_conns import watch_idle_permits
 from jackdawpost.core.proxy_state import Approval
 from jackdawpost.core.proxy_state import close
@@ -136,6 +136,8 @@
     if conn != state.leader:
         state.leader = conn
         state.permits.forget_demand()
+    for name in state.permits.accounts:
+        return_owed(state, name)
     state.member_state = message.member_state
     if not joined:
         state.leases.withdraw()
@@ -213,8 +215,8 @@
     """Give back permits now or once their statement ends."""
     if conn != state.leader:
         return
-    back = state.permits.recall(message.upstream, message.count)
-    return_permits(state, message.upstream, back)
+    state.permits.recall(message.upstream, message.count)
+    return_owed(state, message.upstream)
 
 
 def on_approval_request(
--- a/jackdawpost/core/proxy_drain.py
+++ b/jackdawpost/core/proxy_drain.py
@@ -5,7 +5,7 @@
 from jackdawpost.core.effects import Stop
 from jackdawpost.core.messages.caller import GoingAway
 from jackdawpost.core.proxy_callers import serve_left_ms
-from jackdawpost.core.proxy_conns import return_permits
+from jackdawpost.core.proxy_conns import return_owed
 from jackdawpost.core.proxy_control import send_report
 from jackdawpost.core.proxy_state import log
 from jackdawpost.core.proxy_state import ProxyState
@@ -42,8 +42,7 @@
         return
     state.stopped = True
     for name in state.permits.holdings():
-        account = state.permits.account(name)
-        return_permits(state, name, account.idle)
-        account.held -= account.idle
+        state.permits.recall(name, state.permits.account(name).held)
+        return_owed(state, name)
     log(state, 'info', 'drained')
     state.out.append(Stop())
--- a/jackdawpost/core/proxy_published.py
+++ b/jackdawpost/core/proxy_published.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jackdawpost.core.admission import AdmissionQueue
+from jackdawpost.core.admission import STALE_READ
 from jackdawpost.core.freshness import FreshnessTracker
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.proxy_answers import finish_error
@@ -135,7 +136,10 @@
         up = state.upstreams[conn.upstream]
         if up.view.group != group.name:
             continue
-        busy = any(r.term < group.view.term for r in conn.running.values())
+        busy = any(
+            req.term < group.view.term and req.priority != STALE_READ
+            for req in conn.running.values()
+        )
         if busy or conn.txn is not None:
             drop_conn(state, conn, 'term ended', 'lease_lost')
 
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -136,27 +136,35 @@
             return
         group.turn += 1
         chosen = choose(free, state.rng, group.turn)
-        _send_to_replica(state, group, chosen, free)
+        _send_to_replica(state, group, chosen, free, fresh_after)
 
 
 def _send_to_replica(
-    state: ProxyState, group: Group, up: Upstream, free: list[Upstream]
+    state: ProxyState,
+    group: Group,
+    up: Upstream,
+    free: list[Upstream],
+    fresh_after: LogPosition | None,
 ) -> None:
     queue = group.queue
+    waiting = queue.count(STALE_READ)
+    size = 1
+    if waiting > 1:
+        frames = sum(capacity(state, other) for other in free)
+        size = _batch_size(waiting, frames)
     conn = take_conn(state, up)
     if conn is None:
         raise RuntimeError(f'{up.name!r} has capacity but no connection')
-    frames = sum(capacity(state, other) for other in free) + 1
-    size = _batch_size(queue.count(STALE_READ), frames)
     batch: list[Request] = []
     messages = []
     while len(batch) < size:
         req = queue.peek(STALE_READ)
         if req is None:
             break
-        fresh_after = _fresh_after(state, group, req)
-        if batch and up not in _servers(state, group, req, fresh_after):
-            break
+        if batch:
+            fresh_after = _fresh_after(state, group, req)
+            if up not in _servers(state, group, req, fresh_after):
+                break
         queue.pop(STALE_READ, state.now_ms)
         batch.append(req)
         messages.append(_to_execute(state, group, req, False, fresh_after))
@@ -182,10 +190,11 @@
 ) -> list[Upstream]:
     if fresh_after is None:
         return []
+    primary = group.view.primary
     replicas = [
         up
         for up in group.upstreams
-        if up.name != group.view.primary
+        if up.name != primary
         and (req.avoided is None or up.name not in req.avoided)
     ]
     max_lag_ms = -1.0
--- a/jackdawpost/core/proxy_transactions.py
+++ b/jackdawpost/core/proxy_transactions.py
@@ -37,7 +37,8 @@
 
 MAX_LOST_HANDLES = 64
 # Refusals after which the upstream's transaction is still open.
-KEEPING_CODES = frozenset({'statement_failed', 'malformed', 'timeout'})
+KEEPING_CODES = frozenset({'statement_failed', 'timeout'})
+FINAL_BEGIN_CODES = KEEPING_CODES | {'malformed', 'history_lost'}
 
 
 def send_begin(
@@ -128,10 +129,12 @@
     if executed.status == 'done':
         finish_done(state, req, executed, 'primary', 0)
     else:
-        refuse_attempt(state, req, executed, True)
         if executed.code not in KEEPING_CODES:
+            text = executed.message or ''
+            finish_error(state, req, 'not_run', 'transaction_lost', text)
             drop_conn(state, conn, 'refused in a transaction')
             return
+        refuse_attempt(state, req, executed, True)
     end_frame(state, conn)
     _go_on(state, txn)
 
@@ -194,7 +197,7 @@
 def _refuse_begin(state: ProxyState, req: Request, executed: Executed) -> None:
     if req.phase != 'running':
         return
-    if executed.code in KEEPING_CODES or executed.code == 'history_lost':
+    if executed.code in FINAL_BEGIN_CODES:
         refuse_attempt(state, req, executed, True)
     else:
         delay(state, req)
--- a/jackdawpost/core/retry.py
+++ b/jackdawpost/core/retry.py
@@ -6,7 +6,9 @@
 
 BACKOFF_BASE_MS = 5.0
 BACKOFF_MAX_MS = 200.0
-BUDGET_RESERVE = 20.0
+# Covers the writes of one proxy that wait for their copies when a primary
+# fails: 100 ms at 2,000 statements/s.
+BUDGET_RESERVE = 200.0
 SLOW_START_MS = 2_000.0
 SLOW_START_SHARE = 0.1
 
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/fake_proxy_world.py
@@ -40,6 +40,7 @@
 DATABASES = ('db-1', 'db-2', 'db-3')
 CONTROL_CONN = 1
 LEASE_MS = 1_500
+OPENING = 'opening:'
 
 
 class FakeUpstream:
@@ -71,6 +72,8 @@
         Messages received by each caller.
     control_sent : list
         Messages received by control, in order.
+    reduce : callable
+        The reducer; replaced to measure it.
     """
 
     def __init__(self, write_copies: int = 2, **overrides: Any) -> None:
@@ -83,6 +86,7 @@
             data_centre='rey',
             **overrides,
         )
+        self.reduce = reduce_proxy
         self.now_ms = 1_000.0
         self.upstreams = {name: FakeUpstream(name) for name in DATABASES}
         self.conn_names: dict[int, str] = {}
@@ -93,6 +97,7 @@
         self.closed: list[int] = []
         self.timers: dict[str, float] = {}
         self.stopped = False
+        self.control = CONTROL_CONN
         self.control_answers = True
         self.lends = True
         self.lent: dict[str, int] = {}
@@ -113,6 +118,7 @@
 
     def open_control(self, conn: int) -> None:
         """Open a link to a control process."""
+        self.control = conn
         self.feed(
             ConnOpened(
                 now_ms=self.now_ms, conn=conn, link='proxy', peer=f'c{conn}'
@@ -170,9 +176,12 @@
         if publish:
             self.publish(primary=name)
 
-    def from_control(self, message: Any, conn: int = CONTROL_CONN) -> None:
-        """Deliver a message of a control process."""
-        self.feed(Received(now_ms=self.now_ms, conn=conn, messages=[message]))
+    def from_control(self, message: Any, conn: int = 0) -> None:
+        """Deliver a message of a control process, by default the last."""
+        sender = conn or self.control
+        self.feed(
+            Received(now_ms=self.now_ms, conn=sender, messages=[message])
+        )
 
     def caller(self) -> int:
         """Connect a caller."""
@@ -256,7 +265,10 @@
                 break
             del self.timers[key]
             self.now_ms = max(self.now_ms, due_ms)
-            self.feed(TimerFired(now_ms=self.now_ms, key=key))
+            if key.startswith(OPENING):
+                self.cut(int(key.removeprefix(OPENING)), 'timeout')
+            else:
+                self.feed(TimerFired(now_ms=self.now_ms, key=key))
         self.now_ms = end_ms
 
     def freeze(self, duration_ms: float) -> None:
@@ -269,7 +281,7 @@
         if len(self._events) > 1:
             return
         while self._events:
-            effects = reduce_proxy(self.state, self._events[0])
+            effects = self.reduce(self.state, self._events[0])
             self._perform(effects)
             self._events.popleft()
 
@@ -304,7 +316,10 @@
                     now_ms=self.now_ms, conn=effect.conn, reason='refused'
                 )
             )
-        elif up.reachable == 'yes':
+        elif up.reachable == 'silent':
+            key = f'{OPENING}{effect.conn}'
+            self.timers[key] = self.now_ms + effect.timeout_ms
+        else:
             self.conn_names[effect.conn] = up.name
             self._events.append(
                 ConnOpened(
