--- a/jackdawpost/core/freshness.py
+++ b/jackdawpost/core/freshness.py
@@ -117,6 +117,23 @@
             return None
         return self._positions[at]
 
+    def reached_ms(self, position: LogPosition) -> float | None:
+        """Return by when the primary had reached a position.
+
+        Parameters
+        ----------
+        position : LogPosition
+            Position to look for.
+
+        Returns
+        -------
+        float or None
+            Sent time of the first sample at or after it, in milliseconds;
+            None if no sample has got there.
+        """
+        at = bisect_left(self._positions, position)
+        return self._sent[at] if at < len(self._sent) else None
+
     def _thin_out(self) -> None:
         half = len(self._sent) // 2
         del self._sent[1:half:2]
--- a/jackdawpost/core/lease_holder.py
+++ b/jackdawpost/core/lease_holder.py
@@ -77,9 +77,10 @@
             one older than the last answered.
         """
         sent_ms = self._sent.get(seq)
-        if sent_ms is None or seq <= self._last_seq:
+        if sent_ms is None:
             return False
         self._last_seq = seq
+        # Older reports can no longer be answered: their grants are void.
         self._sent = {s: at for s, at in self._sent.items() if s > seq}
         until = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
         self.grant_until_ms = until
--- a/jackdawpost/core/proxy_answers.py
+++ b/jackdawpost/core/proxy_answers.py
@@ -12,6 +12,7 @@
 from jackdawpost.core.errors import TokenError
 from jackdawpost.core.messages.caller import Answer
 from jackdawpost.core.messages.caller import AnswerError
+from jackdawpost.core.messages.caller import Begin
 from jackdawpost.core.messages.caller import Commit
 from jackdawpost.core.messages.caller import Outcome
 from jackdawpost.core.messages.caller import Rollback
@@ -21,6 +22,7 @@
 from jackdawpost.core.proxy_state import count
 from jackdawpost.core.proxy_state import Group
 from jackdawpost.core.proxy_state import holds_lease
+from jackdawpost.core.proxy_state import observe
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import Request
 from jackdawpost.core.proxy_state import schedule
@@ -32,6 +34,12 @@
 
 Source = Literal['primary', 'replica']
 
+_DURATIONS = {
+    'done': 'request_done_ms',
+    'not_run': 'request_not_run_ms',
+    'unknown': 'request_unknown_ms',
+}
+
 CONFIRMED_ALL = LogPosition(1 << 62, 0)
 CONFIRMED_NONE = LogPosition(-1, 0)
 
@@ -59,6 +67,7 @@
     caller = state.callers.get(req.caller)
     if caller is None:
         return
+    observe(state, _DURATIONS[answer.outcome], state.now_ms - req.arrived_ms)
     del caller.requests[req.message.id]
     send(state, req.caller, answer)
 
@@ -164,7 +173,8 @@
     if req.txn is not None:
         _lose_in_transaction(state, req, code)
         return
-    req.sent_term = max(req.sent_term, req.term)
+    if not isinstance(req.message, Begin):
+        req.sent_term = max(req.sent_term, req.term)
     group = state.groups.get(req.group)
     if req.caller not in state.callers or group is None:
         finish_error(state, req, 'unknown', code)
@@ -216,6 +226,9 @@
 
 def _is_repeatable(req: Request) -> bool:
     message = req.message
+    if isinstance(message, Begin):
+        # A transaction that nobody knows of is rolled back.
+        return True
     if not isinstance(message, Statement) or message.txn is not None:
         return False
     if message.access == 'read' or message.idempotent:
@@ -283,6 +296,8 @@
     if req.priority == WRITE:
         hold_until_copied(state, group, req, executed)
     else:
+        if req.max_age_ms:
+            count(state, 'aged_reads_on_primary')
         finish_done(state, req, executed, 'primary', 0)
 
 
--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -22,6 +22,7 @@
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import Request
 from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import schedule_pump
 from jackdawpost.core.proxy_state import send
 from jackdawpost.core.proxy_state import Upstream
 from jackdawpost.core.proxy_state import UpstreamConn
@@ -75,7 +76,7 @@
 
 def _open_conn(state: ProxyState, up: Upstream) -> None:
     if state.now_ms < up.next_open_ms:
-        schedule(state, up.next_open_ms, 'pump', up.view.group)
+        schedule_pump(state, up.view.group, up.next_open_ms)
         return
     conn_id = new_conn(state)
     up.opening += 1
@@ -93,6 +94,13 @@
     )
 
 
+def close_surplus(state: ProxyState, up: Upstream) -> None:
+    """Close idle connections above the limit, as proxies have joined."""
+    limit = connection_limit(state, up)
+    while len(up.conns) > limit and up.idle:
+        drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
+
+
 def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
     """Take a statement connection into use."""
     conn = state.conns.get(event.conn)
@@ -126,7 +134,7 @@
     up.open_failures += 1
     pause = backoff_ms(up.open_failures, state.rng)
     up.next_open_ms = state.now_ms + pause
-    schedule(state, up.next_open_ms, 'pump', up.view.group)
+    schedule_pump(state, up.view.group, up.next_open_ms)
 
 
 def start_frame(
--- a/jackdawpost/core/proxy_published.py
+++ b/jackdawpost/core/proxy_published.py
@@ -8,6 +8,7 @@
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.proxy_answers import finish_error
 from jackdawpost.core.proxy_answers import lose_undurable
+from jackdawpost.core.proxy_conns import close_surplus
 from jackdawpost.core.proxy_conns import drop_conn
 from jackdawpost.core.proxy_control import send_report
 from jackdawpost.core.proxy_control import watch_validity
@@ -48,7 +49,7 @@
         )
         send_report(state)
         return
-    if state.published.version == before and not message.full:
+    if state.published.version == before:
         return
     state.proxies = max(
         1,
@@ -161,6 +162,7 @@
             schedule(state, due_ms, 'probe', name)
         known.view = view
         known.leaving = view.leaving or known.reported_leaving
+        close_surplus(state, known)
         if view.group in state.groups:
             state.groups[view.group].upstreams.append(known)
 
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -32,7 +32,7 @@
 from jackdawpost.core.proxy_state import new_serial
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import schedule_pump
 from jackdawpost.core.proxy_state import Upstream
 from jackdawpost.core.proxy_state import UpstreamConn
 from jackdawpost.core.proxy_transactions import on_txn_executed
@@ -197,15 +197,26 @@
         if up.name != primary
         and (req.avoided is None or up.name not in req.avoided)
     ]
-    max_lag_ms = -1.0
-    if group.view.replica_wait_ms:
-        max_lag_ms = (req.max_age_ms or 0) - AGE_MARGIN_MS
+    max_lag_ms = _longest_lag_to_wait_for(state, group, req, fresh_after)
     ready, soon = split_by_freshness(
         replicas, group.view.term, req.after, fresh_after, max_lag_ms
     )
     return ready or soon
 
 
+def _longest_lag_to_wait_for(
+    state: ProxyState, group: Group, req: Request, fresh_after: LogPosition
+) -> float:
+    """Return the lag up to which a replica gets there in `wait_ms`."""
+    wait_ms = group.view.replica_wait_ms
+    if not wait_ms:
+        return -1.0
+    needed = max(req.after or ZERO_POSITION, fresh_after)
+    reached_ms = group.freshness.reached_ms(needed)
+    since_ms = 0.0 if reached_ms is None else state.now_ms - reached_ms
+    return min((req.max_age_ms or 0) - AGE_MARGIN_MS, since_ms + wait_ms)
+
+
 def _to_execute(
     state: ProxyState,
     group: Group,
@@ -303,7 +314,7 @@
 def pause_upstream(state: ProxyState, up: Upstream) -> None:
     """Send nothing to an upstream for a moment."""
     up.paused_until_ms = state.now_ms + PAUSE_MS
-    schedule(state, up.paused_until_ms, 'pump', up.view.group)
+    schedule_pump(state, up.view.group, up.paused_until_ms)
 
 
 def expire(state: ProxyState, serial: int) -> None:
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy_state.py
@@ -15,6 +15,7 @@
 from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import LogLine
+from jackdawpost.core.effects import ObserveMetric
 from jackdawpost.core.effects import Send
 from jackdawpost.core.freshness import FreshnessTracker
 from jackdawpost.core.lease_holder import LeaseHolder
@@ -323,6 +324,11 @@
     state.out.append(CountMetric(name=name, by=by))
 
 
+def observe(state: ProxyState, name: str, value_ms: float) -> None:
+    """Record a duration in a histogram."""
+    state.out.append(ObserveMetric(name=name, value_ms=value_ms))
+
+
 def log(state: ProxyState, level: Any, event: str, **fields: Any) -> None:
     """Write one structured log line."""
     state.out.append(LogLine(level=level, event=event, fields=fields))
@@ -336,6 +342,15 @@
     heapq.heappush(state.agenda, (due_ms, state.agenda_seq, action, subject))
 
 
+def schedule_pump(state: ProxyState, name: str, due_ms: float) -> None:
+    """Look again at a group's queue at a time."""
+    group = state.groups.get(name)
+    if group is None or state.now_ms < group.pump_due_ms <= due_ms:
+        return
+    group.pump_due_ms = due_ms
+    schedule(state, due_ms, 'pump', name)
+
+
 def new_conn(state: ProxyState) -> int:
     """Return the id of a connection that is about to be opened."""
     state.last_conn -= 1
--- a/jackdawpost/tests/core/test_proxy_control.py
+++ b/jackdawpost/tests/core/test_proxy_control.py
@@ -267,6 +267,20 @@
     assert txn_conn in world.closed and world.stopped
 
 
+def test_draining_proxy_waits_for_a_request_in_flight(
+    world: ProxyWorld,
+) -> None:
+    conn = world.caller()
+    world.read(conn, deadline_ms=5_000)
+    up_conn, message = world.take()
+    drain(world)
+    world.advance(2_000)
+    assert not world.stopped
+    world.reply(up_conn, message)
+    assert world.answers[conn][-1].outcome == 'done'
+    assert world.stopped
+
+
 def test_drained_proxy_serves_until_the_end_of_its_window(
     world: ProxyWorld,
 ) -> None:
--- a/jackdawpost/tests/core/test_proxy_failover.py
+++ b/jackdawpost/tests/core/test_proxy_failover.py
@@ -28,8 +28,9 @@
 
 def test_one_lost_connection_is_no_evidence(world: ProxyWorld) -> None:
     world.cut(world.conn_of('db-1', 'monitor'))
-    world.advance(100)
-    assert evidence(world).get('db-1', 'up') == 'up'
+    world.advance(500)
+    reports = [m for m in world.control_sent if m.kind == 'proxy_report']
+    assert {m.evidence['db-1'] for m in reports} == {'up'}
 
 
 def test_silent_connection_with_a_working_second_is_no_evidence(
--- a/jackdawpost/tests/core/test_proxy_parts.py
+++ b/jackdawpost/tests/core/test_proxy_parts.py
@@ -32,6 +32,8 @@
     tracker = FreshnessTracker(1)
     assert tracker.age_ms(at(5), 100) is None
     tracker.note_sample(100, 1, at(6))
+    assert tracker.reached_ms(at(5)) == 100
+    assert tracker.reached_ms(at(7)) is None
     assert tracker.age_ms(at(5), 150) is None
     assert tracker.age_ms(at(6), 150) == 50
 
--- a/jackdawpost/tests/core/test_proxy_requests.py
+++ b/jackdawpost/tests/core/test_proxy_requests.py
@@ -109,6 +109,42 @@
     assert error(world.answer(conn)) == ('not_run', 'control_unreachable')
 
 
+def test_nothing_is_sent_without_a_lease(world: ProxyWorld) -> None:
+    conn = world.caller()
+    world.from_control(LeaseRevoke(group=GROUP, term=1))
+    world.write(conn, 1)
+    world.read(conn, 2)
+    assert not world.work
+
+
+def test_copies_that_arrive_after_the_lease_acknowledge_nothing(
+    world: ProxyWorld,
+) -> None:
+    conn = world.caller()
+    world.write(conn, deadline_ms=5_000)
+    up_conn, message = world.take()
+    world.reply(up_conn, message, position=NEXT)
+    world.control_answers = False
+    world.advance(1_500)
+    world.move(NEXT)
+    assert not world.answers[conn]
+    world.advance(3_500)
+    assert error(world.answer(conn)) == ('unknown', 'not_durable')
+
+
+def test_write_without_key_is_not_made_again_after_a_loss(
+    world: ProxyWorld,
+) -> None:
+    conn = world.caller()
+    world.write(conn)
+    up_conn, _ = world.take()
+    (req,) = world.state.requests.values()
+    req.message.request_key = None
+    world.cut(up_conn)
+    assert error(world.answer(conn)) == ('unknown', 'connection_lost')
+    assert not world.work
+
+
 def test_write_is_unknown_until_enough_databases_hold_it(
     world: ProxyWorld,
 ) -> None:
--- a/jackdawpost/tests/core/test_proxy_transactions.py
+++ b/jackdawpost/tests/core/test_proxy_transactions.py
@@ -169,6 +169,17 @@
     assert not world.state.txns
 
 
+def test_begin_lost_with_its_connection_is_made_again(
+    world: ProxyWorld,
+) -> None:
+    conn = world.caller()
+    world.ask(conn, Begin(id=1, route=ROUTE))
+    world.cut(world.take()[0])
+    up_conn, message = world.take()
+    world.reply(up_conn, message)
+    assert world.answer(conn).txn
+
+
 def test_failed_statement_keeps_the_transaction_open(
     world: ProxyWorld,
 ) -> None:
