Judge a silent control leader by the age of its oldest report

Cause: reading the control side's ledger showed that it answers only the newest of several reports. A report sent just before the regular one, as after a change of evidence, made the proxy take a healthy leader for silent. After a failover all reads with an accepted age went to the new primary until the next probe.

Ruled out: answering every report (the control side merges them on purpose, one confirmation of leadership for all).

Change: the leader counts as silent once a report stays unanswered for a whole report interval; demand for permits is restated with each regular report; primary and replicas are probed at the first lease of a new term, and reads with an accepted age wait up to 150 ms for these answers; one agenda entry watches an idle transaction instead of one per statement.

Seen without the change, in the trial copy: test_reads_with_accepted_age_wait_for_a_sample_of_the_new_term "AssertionError: []"; test_demand_dropped_by_control_is_stated_again "assert [1] == [1, 1]"; test_abandoned_transaction_is_rolled_back[idle] "assert -5 in [-4]".

--- a/jackdawpost/core/lease_holder.py
+++ b/jackdawpost/core/lease_holder.py
@@ -18,7 +18,6 @@
 
     __slots__ = (
         '_sent',
-        '_last_seq',
         '_until',
         '_revoked',
         '_pending',
@@ -28,17 +27,15 @@
 
     def __init__(self) -> None:
         self._sent: dict[int, float] = {}
-        self._last_seq = 0
         self._until: dict[str, tuple[int, float]] = {}
         self._revoked: dict[str, int] = {}
         self._pending: tuple[int, float] | None = None
         self.grant_until_ms = -math.inf
         self.config_until_ms = -math.inf
 
-    @property
-    def last_seq(self) -> int:
-        """Seq of the newest report that was answered."""
-        return self._last_seq
+    def oldest_open_ms(self) -> float | None:
+        """Return when the oldest unanswered report was sent, if any."""
+        return next(iter(self._sent.values()), None)
 
     def note_report(self, seq: int, now_ms: float) -> None:
         """Remember when the report `seq` was sent."""
@@ -79,7 +76,6 @@
         sent_ms = self._sent.get(seq)
         if sent_ms is None:
             return False
-        self._last_seq = seq
         # Older reports can no longer be answered: their grants are void.
         self._sent = {s: at for s, at in self._sent.items() if s > seq}
         until = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
@@ -121,5 +117,5 @@
         return {
             'leases': {g: list(held) for g, held in self._until.items()},
             'revoked': dict(self._revoked),
-            'last_seq': self._last_seq,
+            'open_reports': len(self._sent),
         }
--- a/jackdawpost/core/proxy_callers.py
+++ b/jackdawpost/core/proxy_callers.py
@@ -84,7 +84,7 @@
             state.groups[req.group].queue.remove(req)
         req.phase = 'over'
         state.requests.pop(req.serial, None)
-    for txn in list(caller.txns.values()):
+    for txn in [t for t in caller.txns.values() if t.state == 'open']:
         roll_back(state, txn, 'the caller has gone')
 
 
--- a/jackdawpost/core/proxy_control.py
+++ b/jackdawpost/core/proxy_control.py
@@ -90,11 +90,17 @@
     """Send the regular report; leave a leader that stopped answering."""
     if state.now_ms < state.report_due_ms:
         return
-    unanswered = state.report_seq > state.leases.last_seq
-    if state.leader and unanswered:
+    oldest_ms = state.leases.oldest_open_ms()
+    limit_ms = state.cfg.report_interval_ms
+    silent = oldest_ms is not None and state.now_ms - oldest_ms >= limit_ms
+    if state.leader and silent:
         log(state, 'warning', 'leader_silent', seq=state.report_seq)
         _lose_leader(state)
     else:
+        # Restated in case control dropped a demand, as for an upstream that
+        # it did not know yet.
+        state.permits.forget_demand()
+        mark_waiting_groups(state)
         send_report(state)
         schedule_report(state)
 
@@ -143,6 +149,10 @@
         state.leases.withdraw()
     watch_validity(state)
     mark_waiting_groups(state)
+    for group in state.groups.values():
+        if not len(group.freshness):
+            for up in group.upstreams:
+                schedule(state, state.now_ms, 'sample', up.name)
 
 
 def mark_waiting_groups(state: ProxyState) -> None:
--- a/jackdawpost/core/proxy_monitors.py
+++ b/jackdawpost/core/proxy_monitors.py
@@ -117,6 +117,13 @@
     _fail_monitor(state, up, 'silent')
 
 
+def probe_for_sample(state: ProxyState, name: str) -> None:
+    """Probe at once in a new term, so that replicas soon serve again."""
+    up = state.upstreams.get(name)
+    if up is not None and up.monitor_open:
+        _probe(state, up)
+
+
 def _probe(state: ProxyState, up: Upstream) -> None:
     probe_id = new_serial(state)
     up.probes[probe_id] = state.now_ms
--- a/jackdawpost/core/proxy_published.py
+++ b/jackdawpost/core/proxy_published.py
@@ -30,6 +30,7 @@
 DEFAULT_MAX_DEADLINE_MS = 60_000
 # Spreads the connections that all proxies open to a new primary at once.
 OPEN_JITTER_MS = 20.0
+FIRST_SAMPLE_MS = 150.0
 
 
 def on_state_update(state: ProxyState, message: StateUpdate) -> None:
@@ -120,6 +121,7 @@
     )
     if group.view.term != old.term:
         group.freshness.reset(group.view.term)
+        group.hold_until_ms = state.now_ms + FIRST_SAMPLE_MS
         group.queue.forget_rate()
         lose_undurable(state, group)
         _drop_frames_of_earlier_terms(state, group)
--- a/jackdawpost/core/proxy_reducer.py
+++ b/jackdawpost/core/proxy_reducer.py
@@ -59,6 +59,7 @@
 from jackdawpost.core.proxy_monitors import on_monitor_message
 from jackdawpost.core.proxy_monitors import on_monitor_opened
 from jackdawpost.core.proxy_monitors import on_probe_due
+from jackdawpost.core.proxy_monitors import probe_for_sample
 from jackdawpost.core.proxy_monitors import reopen_monitor
 from jackdawpost.core.proxy_published import on_state_update
 from jackdawpost.core.proxy_requests import expire
@@ -207,6 +208,7 @@
     'pump': _pump_again,
     'probe': on_probe_due,
     'monitor': reopen_monitor,
+    'sample': probe_for_sample,
     'report': on_report_due,
     'validity': check_validity,
     'approval': retry_approval,
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -113,6 +113,9 @@
 
 
 def _pump_replicas(state: ProxyState, group: Group) -> None:
+    if state.now_ms < group.hold_until_ms and not _knows_replicas(group):
+        schedule_pump(state, group.name, group.hold_until_ms)
+        return
     queue = group.queue
     choose = CHOOSERS[state.cfg.replica_choice]
     while True:
@@ -139,6 +142,15 @@
         _send_to_replica(state, group, chosen, free, fresh_after)
 
 
+def _knows_replicas(group: Group) -> bool:
+    """Tell whether sample and replicas of the current term are known."""
+    term = group.view.term
+    return len(group.freshness) > 0 and any(
+        up.term == term and up.name != group.view.primary
+        for up in group.upstreams
+    )
+
+
 def _send_to_replica(
     state: ProxyState,
     group: Group,
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy_state.py
@@ -139,6 +139,8 @@
         ``'open'`` or ``'lost'``.
     busy : Request, optional
         Statement that runs now.
+    is_watched : bool
+        A check for an idle transaction is on the agenda.
     """
 
     handle: int
@@ -151,6 +153,7 @@
     busy: Request | None = None
     pending: list[Request] = field(default_factory=list)
     idle_due_ms: float = math.inf
+    is_watched: bool = False
 
 
 @dataclass(slots=True)
@@ -233,7 +236,14 @@
 
 @dataclass(slots=True)
 class Group:
-    """A database group in force and its work."""
+    """A database group in force and its work.
+
+    Parameters
+    ----------
+    hold_until_ms : float
+        Until then reads with an accepted age wait for the first reports of
+        a new term, instead of all going to the new primary.
+    """
 
     name: str
     view: GroupView
@@ -247,6 +257,7 @@
     )
     turn: int = 0
     pump_due_ms: float = math.inf
+    hold_until_ms: float = -math.inf
 
 
 @dataclass(slots=True)
--- a/jackdawpost/core/proxy_transactions.py
+++ b/jackdawpost/core/proxy_transactions.py
@@ -146,7 +146,13 @@
         _send_in_transaction(state, txn, txn.pending.pop(0))
         return
     txn.idle_due_ms = state.now_ms + state.cfg.idle_txn_ms
-    schedule(state, txn.idle_due_ms, 'txn_idle', txn.handle)
+    _watch_idle(state, txn)
+
+
+def _watch_idle(state: ProxyState, txn: Transaction) -> None:
+    if not txn.is_watched:
+        txn.is_watched = True
+        schedule(state, txn.idle_due_ms, 'txn_idle', txn.handle)
 
 
 def _on_begun(
@@ -254,5 +260,10 @@
 def check_idle_transaction(state: ProxyState, handle: int) -> None:
     """Roll back a transaction whose caller paused for too long."""
     txn = state.txns.get(handle)
-    if txn is not None and txn.idle_due_ms <= state.now_ms:
+    if txn is None:
+        return
+    txn.is_watched = False
+    if txn.idle_due_ms <= state.now_ms:
         roll_back(state, txn, 'idle transaction')
+    elif txn.idle_due_ms < math.inf:
+        _watch_idle(state, txn)
--- a/jackdawpost/tests/core/test_proxy_control.py
+++ b/jackdawpost/tests/core/test_proxy_control.py
@@ -79,6 +79,28 @@
     assert is_healthy(world.state)
 
 
+def test_report_just_before_the_next_is_no_sign_of_silence(
+    world: ProxyWorld,
+) -> None:
+    world.advance(world.state.report_due_ms - world.now_ms - 1)
+    world.control_answers = False
+    world.fail('db-3')
+    before = len(sent(world, 'proxy_report'))
+    world.advance(2)
+    assert len(sent(world, 'proxy_report')) == before + 1
+    assert world.state.leader == 1
+
+
+def test_demand_dropped_by_control_is_stated_again(
+    world: ProxyWorld,
+) -> None:
+    world.lends = False
+    world.write(world.caller(), deadline_ms=2_000)
+    world.advance(450)
+    demands = sent(world, 'permit_demand')
+    assert [m.wanted for m in demands] == [1, 1]
+
+
 def test_not_leader_sends_the_proxy_to_the_named_one(
     world: ProxyWorld,
 ) -> None:
--- a/jackdawpost/tests/core/test_proxy_failover.py
+++ b/jackdawpost/tests/core/test_proxy_failover.py
@@ -133,6 +133,20 @@
     assert error(answer) == ('not_run', 'statement_failed')
 
 
+def test_reads_with_accepted_age_wait_for_a_sample_of_the_new_term(
+    world: ProxyWorld,
+) -> None:
+    conn = world.caller()
+    world.control_answers = False
+    world.promote('db-2')
+    world.read(conn, max_age_ms=500)
+    assert not world.work
+    world.control_answers = True
+    world.publish(primary='db-2')
+    world.advance(5)
+    assert world.conn_names[world.take()[0]] != 'db-2'
+
+
 def test_transaction_ends_with_its_term(world: ProxyWorld) -> None:
     conn = world.caller()
     world.ask(conn, Begin(id=1, route=ROUTE))
--- a/jackdawpost/tests/core/test_proxy_transactions.py
+++ b/jackdawpost/tests/core/test_proxy_transactions.py
@@ -150,6 +150,14 @@
         world.advance(9_999)
         assert up_conn not in world.closed
         world.advance(1)
+        handle, up_conn = begin(world, conn)
+        world.advance(6_000)
+        run(world, conn, handle, 1)
+        world.reply(up_conn, world.take()[1])
+        assert world.answer(conn).outcome == 'done'
+        world.advance(9_999)
+        assert up_conn not in world.closed
+        world.advance(1)
     else:
         run(world, conn, handle, 1)
         world.advance(2_000)
