Add daemons' runtime, replay, demo and benchmark programs

Ruled out: recording in the command line, because a trace must name the incarnation and start time that the state was created with.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -22,7 +22,10 @@
 from urllib.error import URLError
 from urllib.request import urlopen
 
+import jsonc
+
 from bench.deployments import Deployment
+from bench.settings import write_settings
 from jackdawpost.client import ProxyAddress
 
 LOOPBACK = '127.0.0.1'
@@ -54,41 +57,48 @@
 
 
 class Cluster:
-    """Processes of one deployment with their settings in a folder.
+    """Processes of one deployment.
 
     Parameters
     ----------
     deployment : Deployment
         Sizes and names.
     folder : Path
-        Folder for settings, data and logs.
-    database_settings : dict, optional
-        Settings of the stand-in databases, for example ``service_ms``.
-    proxy_settings, control_settings : dict, optional
-        Settings of the proxies and the control processes.
+        Folder for the logs.
+    programs : dict of str to Program
+        Programs with their settings files.
+    ctl_config : Path
+        Settings of ``jackdawpost-ctl``.
     """
 
     def __init__(
         self,
         deployment: Deployment,
         folder: Path,
-        *,
-        database_settings: dict[str, Any] | None = None,
-        proxy_settings: dict[str, Any] | None = None,
-        control_settings: dict[str, Any] | None = None,
+        programs: dict[str, Program],
+        ctl_config: Path,
     ) -> None:
         self.deployment = deployment
         self.folder = folder
-        self.programs: dict[str, Program] = {}
-        self._control_peers = self._reserve_control()
-        for number in range(deployment.control):
-            self._add_control(number, control_settings or {})
-        for number in range(deployment.proxies):
-            self._add_proxy(number, proxy_settings or {})
-        for group in deployment.group_names():
-            for number in range(deployment.databases_per_group):
-                self._add_database(group, number, database_settings or {})
-        self.ctl_config = self._write_ctl_config()
+        self.programs = programs
+        self.ctl_config = ctl_config
+
+    @classmethod
+    def load(
+        cls, deployment: Deployment, settings: Path, folder: Path
+    ) -> Cluster:
+        """Return a cluster with the settings files of a folder."""
+        programs = {}
+        for config in sorted(settings.glob('*.json')):
+            if config.stem in ('ctl', 'changes'):
+                continue
+            value = jsonc.loads(config.read_text())
+            name = value['name']
+            role = _role_of(value)
+            programs[name] = Program(
+                name, role, value['listen']['port'], config
+            )
+        return cls(deployment, folder, programs, settings / 'ctl.json')
 
     def names(self, role: str) -> list[str]:
         """Return the names of the programs of one role."""
@@ -204,73 +214,11 @@
         if program.running and program.process is not None:
             program.process.send_signal(number)
 
-    def _reserve_control(self) -> list[dict[str, Any]]:
-        return [
-            {'name': f'control-{n}', 'host': LOOPBACK, 'port': take_port()}
-            for n in range(self.deployment.control)
-        ]
 
-    def _add_control(self, number: int, extra: dict[str, Any]) -> None:
-        name = f'control-{number}'
-        port = self._control_peers[number]['port']
-        settings = {
-            'peers': self._control_peers,
-            'data_dir': str(self.folder / name),
-            'seed': number,
-            **extra,
-        }
-        self._add('control', name, port, number, settings)
-
-    def _add_proxy(self, number: int, extra: dict[str, Any]) -> None:
-        name = f'proxy-{number}'
-        settings = {
-            'control': self._control_peers,
-            'proxy_id': f'id-{name}',
-            'seed': number,
-            **extra,
-        }
-        self._add('proxy', name, take_port(), number, settings)
-
-    def _add_database(
-        self, group: str, number: int, extra: dict[str, Any]
-    ) -> None:
-        deployment = self.deployment
-        name = f'{group}-db-{number}'
-        settings = {
-            'group': group,
-            'control': self._control_peers,
-            'slots': deployment.slots,
-            'connections': deployment.connections,
-            'opening_ms': deployment.opening_ms,
-            'latency_ms': deployment.latency_ms,
-            'data_dir': str(self.folder / name),
-            **extra,
-        }
-        self._add('database', name, take_port(), number, settings)
-
-    def _add(
-        self,
-        role: str,
-        name: str,
-        port: int,
-        number: int,
-        settings: dict[str, Any],
-    ) -> None:
-        centres = self.deployment.data_centres
-        common = {
-            'name': name,
-            'data_centre': centres[number % len(centres)],
-            'listen': {'host': LOOPBACK, 'port': port},
-        }
-        config = self.folder / f'{name}.json'
-        config.write_text(json.dumps({**common, **settings}, indent=1))
-        self.programs[name] = Program(name, role, port, config)
-
-    def _write_ctl_config(self) -> Path:
-        config = self.folder / 'ctl.json'
-        settings = {'control': self._control_peers, 'operator': 'bench'}
-        config.write_text(json.dumps(settings, indent=1))
-        return config
+def _role_of(settings: dict[str, Any]) -> str:
+    if 'peers' in settings:
+        return 'control'
+    return 'database' if 'group' in settings else 'proxy'
 
 
 def take_port() -> int:
@@ -284,7 +232,9 @@
 def run_cluster(deployment: Deployment, **options: Any) -> Iterator[Cluster]:
     """Start a deployment in a temporary folder and stop it afterwards."""
     with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
-        cluster = Cluster(deployment, Path(folder), **options)
+        path = Path(folder)
+        write_settings(deployment, path, take_port, path, **options)
+        cluster = Cluster.load(deployment, path, path)
         try:
             cluster.start_all()
             yield cluster
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,134 @@
+"""The demo: the whole system on loopback, a short load, a killed primary.
+
+Starts the processes of ``examples/handfang`` in the foreground, applies its
+change set, sends a mixed load, kills one primary half way, prints a table
+and stops everything. Exits with 1 if any promise was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from bench.cluster import Cluster
+from bench.deployments import DEPLOYMENTS
+from bench.deployments import HANDFANG
+from bench.failover import find_primaries
+from bench.failover import measure_write_gap
+from bench.failover import read_stored_rows
+from bench.load import create_tables
+from bench.load import HANDFANG_MIX
+from bench.load import LoadGenerator
+from bench.load import LoadPlan
+from bench.load import LoadResult
+from jackdawpost.testing.history import check_history
+from jackdawpost.testing.history import Violation
+
+RUN_FOLDER = Path('run')
+RATE_PER_S = 120.0
+LOAD_S = 8.0
+KILL_AFTER_S = 3.0
+SETTLE_TIMEOUT_S = 30.0
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the demo and return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog='python -m bench.demo',
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--deployment', choices=sorted(DEPLOYMENTS), default=HANDFANG.name
+    )
+    args = parser.parse_args(argv)
+    deployment = DEPLOYMENTS[args.deployment]
+    examples = Path('examples') / deployment.name
+    folder = RUN_FOLDER / deployment.name
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    cluster = Cluster.load(deployment, examples, folder)
+    try:
+        return _run(cluster, examples / 'changes.json')
+    finally:
+        cluster.stop_all()
+
+
+def _run(cluster: Cluster, changes: Path) -> int:
+    print(f'starting {len(cluster.programs)} processes')
+    cluster.start_all()
+    prepare(cluster, changes)
+    result, killed, gap_ms, violations = trio.run(_load_and_kill, cluster)
+    _print_summary(result, killed, gap_ms, violations)
+    return 1 if violations else 0
+
+
+def prepare(cluster: Cluster, changes: Path) -> None:
+    """Wait for control, apply the change set, wait until all can serve."""
+    cluster.wait_healthy(cluster.names('control'))
+    applied = cluster.run_ctl('apply', str(changes), '--base-revision', '0')
+    print(applied.stdout.strip() or applied.stderr.strip())
+    if applied.returncode != 0:
+        raise SystemExit(f'change set refused: {applied.stderr}')
+    cluster.wait_healthy(cluster.names('proxy'))
+    deadline = time.monotonic() + SETTLE_TIMEOUT_S
+    groups = cluster.deployment.group_names()
+    while set(find_primaries(cluster)) != set(groups):
+        if time.monotonic() > deadline:
+            raise SystemExit(f'no primary in each of {groups}')
+        time.sleep(0.05)
+
+
+async def _load_and_kill(
+    cluster: Cluster,
+) -> tuple[LoadResult, str, float, list[Violation]]:
+    groups = cluster.deployment.group_names()
+    addresses = cluster.proxy_addresses()
+    await create_tables(addresses, groups)
+    load = LoadGenerator(
+        LoadPlan(addresses, groups, HANDFANG_MIX, RATE_PER_S, LOAD_S)
+    )
+    killed = find_primaries(cluster)[groups[0]]
+    killed_at_ms = 0.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(load.run)
+        await trio.sleep(KILL_AFTER_S)
+        killed_at_ms = trio.current_time() * 1_000
+        await trio.to_thread.run_sync(cluster.kill, killed)
+        print(f'killed primary {killed}')
+    stored = await read_stored_rows(cluster)
+    violations = check_history(load.result.history, stored)
+    gap_ms = measure_write_gap(load.result.history, groups[0], killed_at_ms)
+    return load.result, killed, gap_ms, violations
+
+
+def _print_summary(
+    result: LoadResult,
+    killed: str,
+    gap_ms: float,
+    violations: list[Violation],
+) -> None:
+    summary = result.summary()
+    rows: list[tuple[str, Any]] = [
+        *summary['outcomes'].items(),
+        ('replica share of reads with an age', summary['replica_share']),
+        (f'failover gap after killing {killed}', f'{gap_ms:.0f} ms'),
+        ('violations', len(violations)),
+    ]
+    width = max(len(str(name)) for name, _ in rows)
+    print()
+    for name, value in rows:
+        print(f'{name:<{width}}  {value}')
+    for violation in violations[:20]:
+        print(f'VIOLATION {violation.rule}: {violation.detail}')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/failover.py
@@ -0,0 +1,91 @@
+"""What a failover experiment reads from the databases and the history."""
+
+from __future__ import annotations
+
+import trio
+
+from bench.cluster import Cluster
+from bench.cluster import LOOPBACK
+from jackdawpost.core.messages.upstream import Execute
+from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.messages.upstream import Open
+from jackdawpost.core.messages.upstream import Opened
+from jackdawpost.testing.history import History
+from jackdawpost.testing.history import StoredRow
+from jackdawpost.wire.codec import encode_cbor
+from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.link import open_link
+
+SELECT_ROWS = 'select request_key, session, seq, part, parts from ledger'
+PAGE_ROWS = 2_000
+READ_TIMEOUT_MS = 20_000
+
+_CODEC = FrameCodec(Opened, Executed)
+
+
+def find_primaries(cluster: Cluster) -> dict[str, str]:
+    """Return the primary of each group that has one, as proxies see it."""
+    for name in cluster.names('proxy'):
+        status, dump = cluster.read_page(name, '/dump')
+        if status == 200:
+            groups = dump['published']['groups']
+            return {
+                group: view['primary']
+                for group, view in groups.items()
+                if view['primary']
+            }
+    return {}
+
+
+async def read_stored_rows(cluster: Cluster) -> dict[str, list[StoredRow]]:
+    """Read the ledger of each group from its primary, past the proxies."""
+    primaries = await trio.to_thread.run_sync(find_primaries, cluster)
+    return {
+        group: await _read_ledger(cluster, name)
+        for group, name in primaries.items()
+    }
+
+
+async def _read_ledger(cluster: Cluster, name: str) -> list[StoredRow]:
+    rows: list[StoredRow] = []
+    port = cluster.programs[name].port
+    async with open_link(LOOPBACK, port, '/v1/upstream') as link:
+        link.post(encode_cbor([Open(peer='checker', purpose='statements')]))
+        opened = _CODEC.decode(await link.receive())[0]
+        if not isinstance(opened, Opened):
+            raise RuntimeError(f'{name}: {opened}')
+        while True:
+            message = Execute(
+                id=1 + len(rows),
+                sql=f'{SELECT_ROWS} order by id limit ? offset ?',
+                params=[PAGE_ROWS, len(rows)],
+                access='read',
+                term=0,
+                must_lead=False,
+                timeout_ms=READ_TIMEOUT_MS,
+            )
+            link.post(encode_cbor([message]))
+            reply = _CODEC.decode(await link.receive())[0]
+            if reply.status != 'done':
+                raise RuntimeError(f'{name}: {reply.code}: {reply.message}')
+            rows += [StoredRow(*row) for row in reply.rows or []]
+            if len(reply.rows or []) < PAGE_ROWS:
+                return rows
+
+
+def measure_write_gap(
+    history: History, group: str, failed_at_ms: float
+) -> float:
+    """Return the time without a finished write after a failure, in ms.
+
+    The gap runs from the failure to the end of the first write of the
+    group that was acknowledged after having been started after it.
+    """
+    ends = [
+        write.ended_ms
+        for write in history.writes
+        if write.group == group
+        and write.outcome == 'done'
+        and write.started_ms > failed_at_ms
+    ]
+    return min(ends) - failed_at_ms if ends else float('inf')
--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -4,12 +4,16 @@
 
 import argparse
 import sys
+from collections.abc import Callable
 from typing import TypeVar
 
 from pydantic import BaseModel
 
 from jackdawpost.core.errors import ConfigError
+from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.runtime.logs import configure_logging
 from jackdawpost.settings.loader import load_settings
+from jackdawpost.settings.models import ProcessSettings
 from jackdawpost.version import __version__
 
 EXIT_DONE = 0
@@ -17,6 +21,7 @@
 EXIT_USAGE = 2
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
+DaemonT = TypeVar('DaemonT', bound=ProcessSettings)
 
 
 def build_parser(
@@ -63,3 +68,28 @@
         print(f'{args.config}: settings are valid')
         raise SystemExit(EXIT_DONE)
     return cfg
+
+
+def run_daemon(
+    settings: DaemonT,
+    record_path: str | None,
+    start: Callable[[DaemonT, str | None], int],
+) -> int:
+    """Set up logs, run a daemon until it stops, and return its exit code."""
+    log = configure_logging(settings.name, settings.log_level)
+    try:
+        return start(settings, record_path)
+    except* (JackdawpostError, OSError) as group:
+        for exc in _flatten(group):
+            log.error('cannot run', extra={'detail': str(exc)})
+    return EXIT_FAILED
+
+
+def _flatten(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+    found: list[Exception] = []
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            found += _flatten(exc)
+        else:
+            found.append(exc)
+    return found
--- /dev/null
+++ b/jackdawpost/runtime/control_shell.py
@@ -0,0 +1,253 @@
+"""Runs a control process: links, pages and durable storage."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import trio
+
+from jackdawpost.core.consensus_records import RestoredState
+from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.control_reducer import dump_control
+from jackdawpost.core.control_reducer import is_healthy
+from jackdawpost.core.control_reducer import new_control
+from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.effects import Persist
+from jackdawpost.core.errors import StorageError
+from jackdawpost.core.events import Link
+from jackdawpost.core.events import Persisted
+from jackdawpost.core.events import PersistFailed
+from jackdawpost.core.messages import consensus
+from jackdawpost.core.messages import control
+from jackdawpost.core.messages import operator
+from jackdawpost.core.messages import upstream
+from jackdawpost.core.messages.peer import Hello
+from jackdawpost.runtime.pages import build_pages
+from jackdawpost.runtime.process import build_contexts
+from jackdawpost.runtime.process import raise_file_limit
+from jackdawpost.runtime.recorder import build_recorder
+from jackdawpost.runtime.recorder import TraceHeader
+from jackdawpost.runtime.shell import LinkTarget
+from jackdawpost.runtime.shell import ReducerShell
+from jackdawpost.runtime.timers import read_now_ms
+from jackdawpost.settings.models import ControlSettings
+from jackdawpost.storage.durable_store import DurableStore
+from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.codec import FrameError
+from jackdawpost.wire.server import Endpoints
+from jackdawpost.wire.server import serve_endpoints
+from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost.wire.tls import peer_has_role
+
+PEER_PATH = '/v1/peer'
+HELLO_TIMEOUT_S = 2.0
+
+CODECS = {
+    'peer': FrameCodec(*consensus.MESSAGE_TYPES),
+    'proxy': FrameCodec(
+        control.ProxyReport,
+        control.LeaseRevoked,
+        control.PermitDemand,
+        control.PermitReturn,
+        control.Approval,
+    ),
+    'announce': FrameCodec(control.Announce, control.Approval),
+    'operator': FrameCodec(*operator.REQUEST_TYPES),
+    'upstream': FrameCodec(
+        upstream.Opened, upstream.Sealed, upstream.AdminDone, upstream.Probed
+    ),
+}
+HELLO_CODEC = FrameCodec(Hello)
+
+# Role that the certificate on each kind of accepted link must have.
+ROLES = {
+    'proxy': 'proxy',
+    'announce': 'upstream',
+    'peer': 'control',
+    'operator': 'operator',
+}
+
+
+class DurableWriter:
+    """Carries out `Persist` effects in order, in a worker thread.
+
+    Parameters
+    ----------
+    store : DurableStore
+        Open data folder.
+    """
+
+    def __init__(self, store: DurableStore) -> None:
+        self._store = store
+        self._send, self._receive = trio.open_memory_channel[Persist](1 << 16)
+        self.shell: ReducerShell | None = None
+
+    def enqueue(self, effect: Persist) -> None:
+        """Write after everything enqueued before."""
+        self._send.send_nowait(effect)
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        async for effect in self._receive:
+            error = await trio.to_thread.run_sync(self._write, effect)
+            if self.shell is not None:
+                self.shell.dispatch(_describe_write(effect.token, error))
+
+    def _write(self, effect: Persist) -> str | None:
+        try:
+            self._store.write(effect)
+        except (StorageError, OSError) as exc:
+            return str(exc)
+        return None
+
+
+def _describe_write(
+    token: int, error: str | None
+) -> Persisted | PersistFailed:
+    now_ms = read_now_ms()
+    if error is None:
+        return Persisted(now_ms=now_ms, token=token)
+    return PersistFailed(now_ms=now_ms, token=token, detail=error)
+
+
+async def run_control(
+    settings: ControlSettings, record_path: str | None = None
+) -> int:
+    """Run a control process until it is stopped.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Validated settings.
+    record_path : str, optional
+        File for a trace of all events.
+
+    Returns
+    -------
+    int
+        Exit code.
+
+    Raises
+    ------
+    StorageError
+        The data folder is in use, damaged or cannot be read.
+    """
+    log = logging.getLogger('jackdawpost')
+    raise_file_limit()
+    server_tls, client_tls = build_contexts(settings.tls, log)
+    store = DurableStore.open(settings.data_dir)
+    writer = DurableWriter(store)
+    cfg = ControlConfig.from_settings(settings)
+    rng = random.Random(settings.seed)
+    header = TraceHeader(
+        role='control',
+        settings=settings.model_dump(mode='json'),
+        now_ms=read_now_ms(),
+        restored=store.restored != RestoredState(),
+    )
+    state, effects = new_control(cfg, rng, store.restored, header.now_ms)
+    shell = ReducerShell(
+        settings.name,
+        state,
+        reduce_control,
+        CODECS,
+        tls=client_tls,
+        record=build_recorder(record_path, header),
+        performers={Persist: writer.enqueue},
+    )
+    writer.shell = shell
+    endpoints = Endpoints(
+        _build_handlers(shell, settings, log),
+        build_pages(shell, is_healthy, dump_control),
+    )
+    tasks = [
+        partial(shell.maintain_link, target) for target in _targets(settings)
+    ]
+    log.info('control starts', extra={'port': settings.listen.port})
+    return await shell.run(
+        effects,
+        partial(
+            serve_endpoints,
+            settings.listen.host,
+            settings.listen.port,
+            endpoints,
+            server_tls,
+        ),
+        writer.run,
+        shell.watch_signals,
+        *tasks,
+    )
+
+
+def _build_handlers(
+    shell: ReducerShell, settings: ControlSettings, log: logging.Logger
+) -> dict[str, Callable[[FrameStream, str], Awaitable[None]]]:
+    def accept(link: Link) -> Callable[[FrameStream, str], Awaitable[None]]:
+        async def serve(stream: FrameStream, peer: str) -> None:
+            if not _role_is_valid(settings, peer, ROLES[link]):
+                log.warning(
+                    'peer refused: certificate has the wrong role',
+                    extra={'peer': peer, 'valid': ROLES[link]},
+                )
+                return
+            await shell.serve_link(link, stream, peer)
+
+        return serve
+
+    async def serve_peer(stream: FrameStream, peer: str) -> None:
+        name = await _read_hello(stream)
+        known = {item.name for item in settings.peers}
+        if name not in known or not (
+            settings.tls is None or peer_has_role(peer, 'control', name)
+        ):
+            log.warning('peer refused', extra={'peer': name or peer})
+            return
+        await shell.serve_link('peer', stream, name)
+
+    return {
+        '/v1/proxy': accept('proxy'),
+        '/v1/announce': accept('announce'),
+        '/v1/operator': accept('operator'),
+        PEER_PATH: serve_peer,
+    }
+
+
+def _role_is_valid(settings: ControlSettings, peer: str, role: str) -> bool:
+    return settings.tls is None or peer.startswith(f'{role}.')
+
+
+async def _read_hello(stream: FrameStream) -> str:
+    try:
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            message: Any = HELLO_CODEC.decode(await stream.receive())[0]
+    except (FrameError, LinkClosedError, trio.TooSlowError):
+        return ''
+    return str(message.name)
+
+
+def _targets(settings: ControlSettings) -> list[LinkTarget]:
+    # One link serves both directions; the process whose name sorts first
+    # opens it.
+    return [
+        LinkTarget(
+            'peer',
+            peer.name,
+            peer.host,
+            peer.port,
+            PEER_PATH,
+            hello=Hello(name=settings.name),
+        )
+        for peer in settings.peers
+        if settings.name < peer.name
+    ]
+
+
+def start_control(settings: ControlSettings, record_path: str | None) -> int:
+    """Run a control process in a trio loop of its own."""
+    return trio.run(run_control, settings, record_path)
--- /dev/null
+++ b/jackdawpost/runtime/pages.py
@@ -0,0 +1,44 @@
+"""Plain HTTP pages that every daemon serves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+from jackdawpost.runtime.shell import ReducerShell
+from jackdawpost.wire.server import HttpReply
+from jackdawpost.wire.server import Page
+from jackdawpost.wire.server import reply_json
+
+
+def build_pages(
+    shell: ReducerShell,
+    is_healthy: Callable[[Any], bool],
+    dump: Callable[[Any], dict[str, Any]],
+) -> Mapping[str, Page]:
+    """Return ``/healthz``, ``/metrics`` and ``/dump``.
+
+    Parameters
+    ----------
+    shell : ReducerShell
+        Running process.
+    is_healthy : callable
+        Tells from the state whether the process is fit to serve.
+    dump : callable
+        Returns the state as plain data.
+    """
+
+    def healthz() -> HttpReply:
+        healthy = is_healthy(shell.state)
+        status = HTTPStatus.OK if healthy else HTTPStatus.SERVICE_UNAVAILABLE
+        return reply_json({'name': shell.name, 'healthy': healthy}, status)
+
+    def metrics() -> HttpReply:
+        return reply_json(shell.metrics.snapshot())
+
+    def dump_state() -> HttpReply:
+        return reply_json(dump(shell.state))
+
+    return {'/healthz': healthz, '/metrics': metrics, '/dump': dump_state}
--- /dev/null
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -0,0 +1,129 @@
+"""Runs a proxy: the links and pages around its reducer."""
+
+from __future__ import annotations
+
+import logging
+import random
+import uuid
+from functools import partial
+
+import trio
+
+from jackdawpost.core.messages import caller
+from jackdawpost.core.messages import control
+from jackdawpost.core.messages import upstream
+from jackdawpost.core.proxy_reducer import dump_proxy
+from jackdawpost.core.proxy_reducer import is_healthy
+from jackdawpost.core.proxy_reducer import new_proxy
+from jackdawpost.core.proxy_reducer import ProxyConfig
+from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.runtime.pages import build_pages
+from jackdawpost.runtime.process import build_contexts
+from jackdawpost.runtime.process import raise_file_limit
+from jackdawpost.runtime.recorder import build_recorder
+from jackdawpost.runtime.recorder import TraceHeader
+from jackdawpost.runtime.shell import LinkTarget
+from jackdawpost.runtime.shell import ReducerShell
+from jackdawpost.runtime.timers import read_now_ms
+from jackdawpost.settings.models import ProxySettings
+from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.server import Endpoints
+from jackdawpost.wire.server import serve_endpoints
+from jackdawpost.wire.stream import FrameStream
+
+SESSION_PATH = '/v1/session'
+PROXY_PATH = '/v1/proxy'
+
+CODECS = {
+    'caller': FrameCodec(
+        caller.Statement, caller.Begin, caller.Commit, caller.Rollback
+    ),
+    'upstream': FrameCodec(
+        upstream.Opened, upstream.Executed, upstream.Probed, upstream.Progress
+    ),
+    'proxy': FrameCodec(
+        control.NotLeader,
+        control.LeaseGrant,
+        control.LeaseRevoke,
+        control.StateUpdate,
+        control.PermitGrant,
+        control.PermitRecall,
+        control.ApprovalRequest,
+    ),
+}
+
+
+async def run_proxy(
+    settings: ProxySettings, record_path: str | None = None
+) -> int:
+    """Run a proxy until it is stopped.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Validated settings.
+    record_path : str, optional
+        File for a trace of all events.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    log = logging.getLogger('jackdawpost')
+    raise_file_limit()
+    server_tls, client_tls = build_contexts(settings.tls, log)
+    header = TraceHeader(
+        role='proxy',
+        settings=settings.model_dump(mode='json'),
+        incarnation=uuid.uuid4().hex,
+        now_ms=read_now_ms(),
+    )
+    cfg = ProxyConfig.from_settings(settings, header.incarnation)
+    rng = random.Random(settings.seed)
+    state, effects = new_proxy(cfg, rng, header.now_ms)
+    shell = ReducerShell(
+        settings.name,
+        state,
+        reduce_proxy,
+        CODECS,
+        tls=client_tls,
+        record=build_recorder(record_path, header),
+    )
+
+    async def serve_caller(stream: FrameStream, peer: str) -> None:
+        await shell.serve_link('caller', stream, peer)
+
+    endpoints = Endpoints(
+        {SESSION_PATH: serve_caller},
+        build_pages(shell, is_healthy, dump_proxy),
+        max_connections=settings.max_callers,
+    )
+    tasks = [
+        partial(shell.maintain_link, target) for target in _targets(settings)
+    ]
+    log.info('proxy starts', extra={'port': settings.listen.port})
+    return await shell.run(
+        effects,
+        partial(
+            serve_endpoints,
+            settings.listen.host,
+            settings.listen.port,
+            endpoints,
+            server_tls,
+        ),
+        shell.watch_signals,
+        *tasks,
+    )
+
+
+def _targets(settings: ProxySettings) -> list[LinkTarget]:
+    return [
+        LinkTarget('proxy', peer.name, peer.host, peer.port, PROXY_PATH)
+        for peer in settings.control
+    ]
+
+
+def start_proxy(settings: ProxySettings, record_path: str | None) -> int:
+    """Run a proxy in a trio loop of its own and return its exit code."""
+    return trio.run(run_proxy, settings, record_path)
--- a/jackdawpost/runtime/recorder.py
+++ b/jackdawpost/runtime/recorder.py
@@ -4,33 +4,63 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 from typing import Any
 
 from jackdawpost.core.events import Event
+from jackdawpost.runtime.shell import ignore_event
 from jackdawpost.wire.codec import encode_json
 
 TRACE_FORMAT = 1
 
 
-def open_recorder(
-    path: str | Path, role: str, settings: dict[str, Any]
-) -> Callable[[Event], None]:
-    """Start a trace and return the function that adds an event to it.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TraceHeader:
+    """First line of a trace: what the state was created from.
 
     Parameters
     ----------
-    path : str or Path
-        Trace file; replaced if it exists.
     role : str
         ``'proxy'`` or ``'control'``.
     settings : dict
-        Settings of the process, needed for a replay.
+        Settings of the process.
+    incarnation : str
+        Identity of the process.
+    now_ms : float
+        Time at which the state was created, in milliseconds.
+    restored : bool
+        The process started with durable state, which the trace does not
+        hold; such a trace cannot be replayed.
+    """
+
+    role: str
+    settings: dict[str, Any]
+    incarnation: str = ''
+    now_ms: float = 0.0
+    restored: bool = False
+    format: int = field(default=TRACE_FORMAT)
+
+
+def build_recorder(
+    path: str | Path | None, header: TraceHeader
+) -> Callable[[Event], None]:
+    """Start a trace and return the function that adds an event to it.
+
+    Parameters
+    ----------
+    path : str or Path, optional
+        Trace file, replaced if it exists; None records nothing.
+    header : TraceHeader
+        First line of the trace.
     """
+    if path is None:
+        return ignore_event
     # Line buffering keeps the trace whole up to the last event on a crash.
     trace = open(path, 'w', encoding='utf-8', buffering=1)  # noqa: SIM115
-    header = {'format': TRACE_FORMAT, 'role': role, 'settings': settings}
-    trace.write(json.dumps(header, sort_keys=True) + '\n')
+    trace.write(json.dumps(asdict(header), sort_keys=True) + '\n')
 
     def record(event: Event) -> None:
         trace.write(encode_json([event]) + '\n')
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -77,9 +77,10 @@
                 f'frame with {len(items)} messages: valid are 1 to '
                 f'{MAX_MESSAGES_PER_FRAME}'
             )
-        return [self._validate(item) for item in items]
+        return [self.validate(item) for item in items]
 
-    def _validate(self, item: Any) -> Any:
+    def validate(self, item: Any) -> Any:
+        """Validate one message that is already plain data."""
         if not isinstance(item, dict):
             raise FrameError(
                 f'{type(item).__name__} in place of a message object'
