--- a/jackdawpost_standin/__init__.py
+++ b/jackdawpost_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for one database of a replicated group."""
