--- /dev/null
+++ b/jackdawpost_standin/peer_link.py
@@ -0,0 +1,138 @@
+"""A connection with simulated latency and faults."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import trio
+from websockets.exceptions import InvalidState
+
+from jackdawpost.runtime.timers import MS_PER_SECOND
+from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost_standin.faults import Faults
+
+
+class PeerLink:
+    """Sends and receives frames of one peer.
+
+    Parameters
+    ----------
+    stream : FrameStream
+        Open connection.
+    faults : Faults
+        Switches that may drop or delay the traffic.
+    nursery : trio.Nursery
+        Runs the tasks that delay frames; ends with the connection.
+    peer : str
+        Name of the peer, empty until it is known.
+    latency_ms : float
+        One-way latency, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        stream: FrameStream,
+        faults: Faults,
+        nursery: trio.Nursery,
+        peer: str = '',
+        latency_ms: float = 0.0,
+    ) -> None:
+        self.peer = peer
+        self.purpose = ''
+        self.silent = False
+        self._stream = stream
+        self._faults = faults
+        self._nursery = nursery
+        self._latency_ms = latency_ms
+        self._outgoing: deque[tuple[float, bytes | str]] = deque()
+        self._sending = False
+        self._incoming: (
+            trio.MemoryReceiveChannel[tuple[float, bytes | str]] | None
+        ) = None
+
+    def set_latency(self, latency_ms: float) -> None:
+        """Set the latency once the peer is known."""
+        self._latency_ms = latency_ms
+
+    async def receive(self) -> bytes | str:
+        """Return the next frame that the faults let through.
+
+        Raises
+        ------
+        LinkClosedError
+            The connection has ended.
+        """
+        while True:
+            frame = await self._receive_delayed()
+            if not self._is_blocked():
+                return frame
+            self._faults.dropped_frames += 1
+
+    def post(self, frame: bytes | str, delay_ms: float = 0.0) -> None:
+        """Send a frame after the latency and a further delay."""
+        delay_ms += self._latency_ms
+        if delay_ms <= 0 and not self._outgoing:
+            self._deliver(frame)
+            return
+        due_s = trio.current_time() + delay_ms / MS_PER_SECOND
+        self._outgoing.append((due_s, frame))
+        if not self._sending:
+            self._sending = True
+            self._nursery.start_soon(self._send_delayed)
+
+    async def aclose(self, reason: str = '') -> None:
+        """Close the connection."""
+        await self._stream.aclose(reason)
+
+    async def abort(self) -> None:
+        """Close the connection at once."""
+        await self._stream.abort()
+
+    def _is_blocked(self) -> bool:
+        return self.silent or self._faults.blocks(self.peer)
+
+    def _deliver(self, frame: bytes | str) -> None:
+        if self._is_blocked():
+            self._faults.dropped_frames += 1
+            return
+        try:
+            self._stream.post(frame)
+        except InvalidState:
+            # The peer has begun to close; receive() reports the end.
+            self._faults.dropped_frames += 1
+
+    async def _send_delayed(self) -> None:
+        while self._outgoing:
+            due_s, frame = self._outgoing[0]
+            await trio.sleep_until(due_s)
+            self._deliver(frame)
+            self._outgoing.popleft()
+        self._sending = False
+
+    async def _receive_delayed(self) -> bytes | str:
+        if self._latency_ms <= 0:
+            return await self._stream.receive()
+        if self._incoming is None:
+            send, self._incoming = trio.open_memory_channel[
+                tuple[float, bytes | str]
+            ](float('inf'))
+            self._nursery.start_soon(self._read_all, send)
+        try:
+            due_s, frame = await self._incoming.receive()
+        except trio.EndOfChannel as exc:
+            raise LinkClosedError('connection closed') from exc
+        await trio.sleep_until(due_s)
+        return frame
+
+    async def _read_all(
+        self, send: trio.MemorySendChannel[tuple[float, bytes | str]]
+    ) -> None:
+        with send:
+            while True:
+                try:
+                    frame = await self._stream.receive()
+                except LinkClosedError:
+                    return
+                due_s = trio.current_time() + self._latency_ms / MS_PER_SECOND
+                send.send_nowait((due_s, frame))
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -269,6 +269,8 @@
 
     def _apply_one(self, copy: SqliteCopy, record: Record) -> None:
         try:
+            if not record.statements:
+                return
             if len(record.statements) == 1:
                 copy.run(*record.statements[0])
                 return
@@ -342,4 +344,3 @@
         if self._executing is None:
             raise StatementError('this database does not lead')
         return self._executing
-
--- /dev/null
+++ b/jackdawpost_standin/upstream_server.py
@@ -0,0 +1,295 @@
+"""Serves the path ``/v1/upstream``: statements, monitor and admin."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from typing import Any
+from typing import cast
+
+import trio
+
+from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.messages.upstream import AdminDone
+from jackdawpost.core.messages.upstream import Execute
+from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.messages.upstream import Follow
+from jackdawpost.core.messages.upstream import Open
+from jackdawpost.core.messages.upstream import Opened
+from jackdawpost.core.messages.upstream import Probe
+from jackdawpost.core.messages.upstream import Probed
+from jackdawpost.core.messages.upstream import Promote
+from jackdawpost.core.messages.upstream import Seal
+from jackdawpost.core.messages.upstream import Sealed
+from jackdawpost.core.messages.upstream import TxnBegin
+from jackdawpost.core.messages.upstream import TxnCommit
+from jackdawpost.core.messages.upstream import TxnRollback
+from jackdawpost.runtime.timers import MS_PER_SECOND
+from jackdawpost.wire.codec import encode_cbor
+from jackdawpost.wire.codec import encode_json
+from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.codec import FrameError
+from jackdawpost.wire.codec import MAX_FRAME_BYTES
+from jackdawpost_standin.database import Database
+from jackdawpost_standin.database import RoleError
+from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.limits import Limit
+from jackdawpost_standin.peer_link import PeerLink
+from jackdawpost_standin.session import Request
+from jackdawpost_standin.session import Session
+from jackdawpost_standin.session import Workload
+from jackdawpost_standin.settings import StandinSettings
+
+LOG = logging.getLogger(__name__)
+
+# Least time between two reports on a monitor connection.
+PROGRESS_INTERVAL_S = 0.005
+
+_OPEN_CODEC = FrameCodec(Open)
+_CODECS = {
+    'statements': FrameCodec(Execute, TxnBegin, TxnCommit, TxnRollback),
+    'monitor': FrameCodec(Probe),
+    'admin': FrameCodec(Probe, Seal, Promote, Follow),
+}
+
+
+class UpstreamServer:
+    """Serves connections of proxies and control processes.
+
+    Parameters
+    ----------
+    cfg : StandinSettings
+        Limits and delays.
+    database : Database
+        The database served.
+    work : Workload
+        Statements of all connections.
+    faults : Faults
+        Switches for traffic and answers.
+    """
+
+    def __init__(
+        self,
+        cfg: StandinSettings,
+        database: Database,
+        work: Workload,
+        faults: Faults,
+        incarnation: str,
+    ) -> None:
+        self.connections = Limit(cfg.connections)
+        self.links: set[PeerLink] = set()
+        self.incarnation = incarnation
+        self._cfg = cfg
+        self._db = database
+        self._work = work
+        self._faults = faults
+
+    async def serve(self, link: PeerLink, certificate: str) -> None:
+        """Serve one connection until it ends."""
+        if not self.connections.take():
+            LOG.info('connection refused: limit reached')
+            await link.abort()
+            return
+        self.links.add(link)
+        try:
+            await self._open_and_serve(link, certificate)
+        finally:
+            self.links.discard(link)
+            self.connections.release()
+
+    async def _open_and_serve(self, link: PeerLink, certificate: str) -> None:
+        frame = await link.receive()
+        req = cast(Open, _OPEN_CODEC.decode(frame)[0])
+        _check_certificate(certificate, req.peer)
+        link.peer = req.peer
+        link.purpose = req.purpose
+        latency_ms = self._cfg.peer_latency_ms.get(
+            req.peer, self._cfg.latency_ms
+        )
+        link.set_latency(latency_ms)
+        # The open frame itself arrived without latency.
+        opening_ms = self._cfg.opening_ms + latency_ms
+        await trio.sleep(opening_ms / MS_PER_SECOND)
+        opened = Opened(
+            name=self._db.name,
+            data_id=self._db.role.data_id,
+            incarnation=self.incarnation,
+        )
+        link.post(_encode([opened], frame))
+        if req.purpose == 'statements':
+            await self._serve_statements(link)
+        elif req.purpose == 'monitor':
+            await self._serve_monitor(link, frame)
+        else:
+            await self._serve_admin(link)
+
+    # Statements
+
+    async def _serve_statements(self, link: PeerLink) -> None:
+        session = Session(self._work)
+        try:
+            while True:
+                frame = await link.receive()
+                await self._run_frame(link, session, frame)
+        finally:
+            session.close()
+
+    async def _run_frame(
+        self, link: PeerLink, session: Session, frame: bytes | str
+    ) -> None:
+        try:
+            requests = _CODECS['statements'].decode(frame)
+        except FrameError as exc:
+            self._post_answers(link, [_malformed(exc)], frame)
+            raise
+        answers = session.run_now(requests)
+        if answers is not None:
+            self._post_answers(link, answers, frame)
+            return
+        await self._run_waiting(link, session, requests, frame)
+
+    async def _run_waiting(
+        self,
+        link: PeerLink,
+        session: Session,
+        requests: list[Request],
+        frame: bytes | str,
+    ) -> None:
+        if not session.take_slot():
+            self._post_answers(link, session.refuse_slot(requests), frame)
+            return
+        try:
+            for req in requests:
+                answer = await session.run(req)
+                self._post_answers(link, [answer], frame)
+        finally:
+            session.end_frame()
+
+    def _post_answers(
+        self, link: PeerLink, answers: list[Executed], frame: bytes | str
+    ) -> None:
+        delay_ms = self._faults.draw_answer_delay_ms()
+        data = _encode(answers, frame)
+        if len(data) <= MAX_FRAME_BYTES:
+            link.post(data, delay_ms)
+            return
+        for answer in answers:
+            link.post(_encode([answer], frame), delay_ms)
+
+    # Monitor
+
+    async def _serve_monitor(self, link: PeerLink, first: bytes | str) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._push_progress, link, first)
+            try:
+                while True:
+                    frame = await link.receive()
+                    for req in _CODECS['monitor'].decode(frame):
+                        link.post(_encode([self._probe(req)], frame))
+            except ProtocolError as exc:
+                LOG.debug('monitor ended', extra={'detail': str(exc)})
+            nursery.cancel_scope.cancel()
+
+    async def _push_progress(self, link: PeerLink, first: bytes | str) -> None:
+        last = None
+        while True:
+            version = self._db.changed.version
+            progress = self._db.progress()
+            if progress != last:
+                link.post(_encode([progress], first))
+                last = progress
+                await trio.sleep(PROGRESS_INTERVAL_S)
+            await self._db.changed.wait_beyond(version)
+
+    def _probe(self, req: Probe) -> Probed:
+        return Probed(
+            id=req.id,
+            term=self._db.role.term,
+            leads=self._db.role.leads,
+            received=self._db.received,
+            applied=self._db.applied,
+            leaving=self._db.leaving,
+        )
+
+    # Administration
+
+    async def _serve_admin(self, link: PeerLink) -> None:
+        while True:
+            frame = await link.receive()
+            for req in _CODECS['admin'].decode(frame):
+                answer = await self._administer(req)
+                link.post(_encode([answer], frame))
+
+    async def _administer(self, req: Any) -> Any:
+        if isinstance(req, Probe):
+            return self._probe(req)
+        if isinstance(req, Seal):
+            return self._seal(req)
+        ok, message = True, ''
+        try:
+            if isinstance(req, Promote):
+                await self._db.promote(req.term)
+            else:
+                self._db.follow(req.term, req.primary, req.host, req.port)
+        except RoleError as exc:
+            ok, message = False, str(exc)
+            LOG.info(f'{req.kind} refused', extra={'detail': message})
+        return AdminDone(
+            id=req.id, ok=ok, term=self._db.role.term, message=message
+        )
+
+    def _seal(self, req: Seal) -> Sealed:
+        ok = True
+        try:
+            self._db.seal(req.term)
+        except RoleError as exc:
+            ok = False
+            LOG.info('seal refused', extra={'detail': str(exc)})
+        return Sealed(
+            id=req.id,
+            ok=ok,
+            term=self._db.role.term,
+            data_id=self._db.role.data_id,
+            received=self._db.received,
+            history=self._db.history(),
+        )
+
+    # Faults
+
+    def silence(self, peer: str, purpose: str, count: int) -> int:
+        """Silence matching connections; return their number."""
+        matching = [
+            link
+            for link in self.links
+            if peer in ('*', link.peer)
+            and purpose in ('*', link.purpose)
+            and not link.silent
+        ]
+        for link in matching[: count or None]:
+            link.silent = True
+        return len(matching[: count or None])
+
+    async def abort_all(self) -> int:
+        """Close all connections at once; return their number."""
+        links = list(self.links)
+        for link in links:
+            await link.abort()
+        return len(links)
+
+
+def _check_certificate(certificate: str, peer: str) -> None:
+    if certificate and certificate.partition('.')[2] != peer:
+        raise FrameError(f'certificate {certificate!r} is not of {peer!r}')
+
+
+def _malformed(exc: FrameError) -> Executed:
+    return Executed(
+        id=exc.request_id, status='not_run', code='malformed', message=str(exc)
+    )
+
+
+def _encode(messages: Sequence[Any], frame: bytes | str) -> bytes | str:
+    """Encode an answer in the format of the frame it answers."""
+    if isinstance(frame, str):
+        return encode_json(list(messages))
+    return encode_cbor(list(messages))
