--- a/jackdawpost/storage/__init__.py
+++ b/jackdawpost/storage/__init__.py
@@ -0,0 +1,7 @@
+"""Durable state of a control process."""
+
+from __future__ import annotations
+
+from jackdawpost.storage.durable_store import DurableStore
+
+__all__ = ['DurableStore']
--- /dev/null
+++ b/jackdawpost/storage/durable_store.py
@@ -0,0 +1,413 @@
+"""Durable state of a consensus group member in one data folder.
+
+The folder holds ``lock``, ``node_id``, one log file ``log-SEQUENCE`` and
+the snapshot that it names, ``snapshot-SEQUENCE``. The first record of a log
+file holds the whole state apart from the snapshot, each later one the
+content of one write, so that a write takes effect as a whole or not at all.
+A write with a snapshot starts a new log file; the old files are removed
+once the new ones are synced.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import secrets
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import cbor2
+
+from jackdawpost.core.consensus_records import decode_entry
+from jackdawpost.core.consensus_records import decode_snapshot
+from jackdawpost.core.consensus_state import RestoredState
+from jackdawpost.core.effects import Persist
+from jackdawpost.core.errors import FolderLockedError
+from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.errors import StorageCorruptError
+from jackdawpost.core.errors import StorageError
+from jackdawpost.storage.files import FileLayer
+from jackdawpost.storage.records import encode_record
+from jackdawpost.storage.records import FILE_HEADER
+from jackdawpost.storage.records import read_records
+
+_LOG_PREFIX = 'log-'
+_SNAPSHOT_PREFIX = 'snapshot-'
+_TEMPORARY_SUFFIX = '.tmp'
+
+
+@dataclass(slots=True)
+class _Content:
+    """What the log file holds."""
+
+    hard_state: bytes | None = None
+    snapshot_name: str | None = None
+    snapshot_index: int = 0
+    entries: list[bytes] = field(default_factory=list)
+
+    @property
+    def last_index(self) -> int:
+        return self.snapshot_index + len(self.entries)
+
+
+class DurableStore:
+    """Data folder of one process; open it with `DurableStore.open`.
+
+    Attributes
+    ----------
+    restored : RestoredState
+        What the folder held when it was opened.
+    """
+
+    restored: RestoredState
+
+    def __init__(self, data_dir: str, files: FileLayer) -> None:
+        self._dir = data_dir
+        self._files = files
+        self._lock_fd = -1
+        self._log_fd = -1
+        self._log_length = 0
+        self._sequence = 0
+        self._content = _Content()
+        # Undoes a failed write; kept until it succeeds.
+        self._leftover: list[str] = []
+        self._is_log_dirty = False
+
+    @classmethod
+    def open(
+        cls, data_dir: str, files: FileLayer | None = None
+    ) -> DurableStore:
+        """Lock a folder, creating it at first use, and load it.
+
+        Parameters
+        ----------
+        data_dir : str
+            Folder of this process alone.
+        files : FileLayer, optional
+            File operations; those of the operating system by default.
+
+        Raises
+        ------
+        FolderLockedError
+            Another process uses the folder.
+        StorageCorruptError
+            A record other than a torn last one is damaged.
+        StorageError
+            The folder cannot be read or written, or part of it is missing.
+        """
+        store = cls(data_dir, files or FileLayer())
+        try:
+            store._open()
+        except OSError as exc:
+            store.close()
+            raise StorageError(f'{data_dir}: {exc}') from exc
+        except BaseException:
+            store.close()
+            raise
+        return store
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        for fd in (self._log_fd, self._lock_fd):
+            if fd >= 0:
+                os.close(fd)
+        self._log_fd = -1
+        self._lock_fd = -1
+
+    def write(self, effect: Persist) -> None:
+        """Write and sync; takes effect as a whole or not at all.
+
+        Raises
+        ------
+        StorageError
+            Nothing was written; a later write may succeed.
+        """
+        if self._log_fd < 0:
+            raise StorageError(f'{self._dir}: the store is closed')
+        try:
+            self._undo_failed_write()
+            if effect.snapshot is not None:
+                self._write_new_log(effect, effect.snapshot)
+            else:
+                self._append(effect)
+        except OSError as exc:
+            self._try_undo()
+            raise StorageError(f'{self._dir}: {exc}') from exc
+
+    # -- opening ------------------------------------------------------------
+
+    def _open(self) -> None:
+        if not os.path.isdir(self._dir):
+            os.makedirs(self._dir, mode=0o700, exist_ok=True)
+            parent = os.path.dirname(os.path.abspath(self._dir))
+            self._files.sync_folder(parent)
+        self._lock()
+        names = os.listdir(self._dir)
+        sequences = _sequences(names)
+        if sequences:
+            self._sequence = sequences[-1]
+            self._load()
+        elif 'node_id' in names:
+            # The node id is written after the first log file.
+            raise StorageError(f'{self._path("node_id")}: log file is missing')
+        else:
+            self._create_log()
+        node_id = self._load_node_id()
+        self._remove_unused(names)
+        self.restored = self._restore(node_id)
+
+    def _lock(self) -> None:
+        path = self._path('lock')
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        self._lock_fd = os.open(path, flags, 0o600)
+        try:
+            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as exc:
+            raise FolderLockedError(
+                f'{self._dir}: used by another process'
+            ) from exc
+
+    def _load(self) -> None:
+        path = self._log_path(self._sequence)
+        content = _read_file(path)
+        payloads, length = read_records(path, content, may_be_torn=True)
+        if not payloads:
+            raise StorageCorruptError(path, len(FILE_HEADER), 'no record')
+        for payload in payloads:
+            self._replay(path, payload)
+        self._log_fd = self._files.open(path)
+        self._log_length = length
+        if length < len(content):
+            self._files.truncate(self._log_fd, length)
+        # What a crashed process wrote may be read without being durable.
+        self._files.sync(self._log_fd)
+        self._files.sync_folder(self._dir)
+
+    def _replay(self, path: str, payload: bytes) -> None:
+        try:
+            hard_state, truncate_from, entries, snapshot = cbor2.loads(payload)
+            if snapshot is not None:
+                name, index = snapshot
+                self._content.snapshot_name = name
+                self._content.snapshot_index = index
+            _apply(self._content, hard_state, truncate_from, entries)
+        except (ValueError, TypeError, ProtocolError, StorageError) as exc:
+            raise StorageError(f'{path}: {exc}') from exc
+
+    def _load_node_id(self) -> str:
+        path = self._path('node_id')
+        try:
+            node_id = _read_file(path).decode('ascii').strip()
+        except FileNotFoundError:
+            if self._content.hard_state is not None:
+                raise StorageError(f'{path}: missing') from None
+            node_id = secrets.token_hex(8)
+            self._create(path, node_id.encode('ascii'))
+        if not node_id:
+            raise StorageCorruptError(path, 0, 'empty node id')
+        return node_id
+
+    def _restore(self, node_id: str) -> RestoredState:
+        content = self._content
+        snapshot = None
+        if content.snapshot_name is not None:
+            path = self._path(content.snapshot_name)
+            try:
+                raw = _read_file(path)
+            except FileNotFoundError as exc:
+                raise StorageError(f'{path}: missing') from exc
+            payloads, _ = read_records(path, raw, may_be_torn=False)
+            if len(payloads) != 1:
+                raise StorageCorruptError(path, 0, 'no snapshot record')
+            snapshot = payloads[0]
+        return RestoredState(
+            hard_state=content.hard_state,
+            snapshot=snapshot,
+            entries=list(content.entries),
+            node_id=node_id,
+        )
+
+    def _remove_unused(self, names: list[str]) -> None:
+        used = {
+            os.path.basename(self._log_path(self._sequence)),
+            self._content.snapshot_name,
+        }
+        prefixes = (_LOG_PREFIX, _SNAPSHOT_PREFIX)
+        for name in names:
+            is_ours = name.startswith(prefixes)
+            if name.endswith(_TEMPORARY_SUFFIX) or is_ours:
+                if name not in used:
+                    self._files.unlink(self._path(name))
+
+    # -- writing ------------------------------------------------------------
+
+    def _append(self, effect: Persist) -> None:
+        planned = self._plan(effect)
+        record = encode_record(
+            cbor2.dumps(
+                [
+                    effect.hard_state,
+                    effect.truncate_from,
+                    effect.entries,
+                    None,
+                ]
+            )
+        )
+        self._is_log_dirty = True
+        self._files.write(self._log_fd, self._log_length, record)
+        self._files.sync(self._log_fd)
+        self._is_log_dirty = False
+        self._log_length += len(record)
+        self._content = planned
+
+    def _write_new_log(self, effect: Persist, snapshot: bytes) -> None:
+        planned = self._plan(effect)
+        sequence = self._sequence + 1
+        snapshot_name = f'{_SNAPSHOT_PREFIX}{sequence:016d}'
+        log_path = self._log_path(sequence)
+        self._leftover = [log_path, self._path(snapshot_name)]
+        framed = FILE_HEADER + encode_record(snapshot)
+        self._create(self._path(snapshot_name), framed)
+        planned.snapshot_name = snapshot_name
+        content = _encode_log(planned)
+        self._create(log_path, content)
+        log_fd = self._files.open(log_path)
+        self._leftover = []
+        os.close(self._log_fd)
+        self._log_fd = log_fd
+        self._log_length = len(content)
+        old_names = [
+            os.path.basename(self._log_path(self._sequence)),
+            self._content.snapshot_name,
+        ]
+        self._sequence = sequence
+        self._content = planned
+        self._remove_old(old_names)
+
+    def _plan(self, effect: Persist) -> _Content:
+        old = self._content
+        planned = _Content(
+            hard_state=old.hard_state,
+            snapshot_name=old.snapshot_name,
+            snapshot_index=old.snapshot_index,
+            entries=old.entries,
+        )
+        try:
+            if effect.snapshot is not None:
+                index = decode_snapshot(effect.snapshot).index
+                if index < old.snapshot_index:
+                    raise StorageError(
+                        f'{self._dir}: snapshot at {index}: valid are '
+                        f'{old.snapshot_index} or later'
+                    )
+                planned.entries = old.entries[index - old.snapshot_index :]
+                planned.snapshot_index = index
+            else:
+                planned.entries = list(old.entries)
+            _apply(
+                planned,
+                effect.hard_state,
+                effect.truncate_from,
+                effect.entries,
+            )
+        except ProtocolError as exc:
+            raise StorageError(f'{self._dir}: {exc}') from exc
+        return planned
+
+    def _create_log(self) -> None:
+        content = _encode_log(self._content)
+        path = self._log_path(self._sequence)
+        self._create(path, content)
+        self._log_fd = self._files.open(path)
+        self._log_length = len(content)
+
+    def _create(self, path: str, content: bytes) -> None:
+        temporary = path + _TEMPORARY_SUFFIX
+        fd = self._files.create(temporary)
+        try:
+            self._files.write(fd, 0, content)
+            self._files.sync(fd)
+        finally:
+            os.close(fd)
+        self._files.rename(temporary, path)
+        self._files.sync_folder(self._dir)
+
+    def _remove_old(self, names: list[str | None]) -> None:
+        for name in names:
+            if name is None:
+                continue
+            try:
+                self._files.unlink(self._path(name))
+            except OSError:
+                # Removed at the next start; the new log file counts.
+                pass
+
+    def _try_undo(self) -> None:
+        try:
+            self._undo_failed_write()
+        except OSError:
+            # Tried again before the next write, which fails until then.
+            pass
+
+    def _undo_failed_write(self) -> None:
+        if self._leftover:
+            for path in self._leftover:
+                self._files.unlink(path)
+                self._files.unlink(path + _TEMPORARY_SUFFIX)
+            self._files.sync_folder(self._dir)
+            self._leftover = []
+        if self._is_log_dirty:
+            self._files.truncate(self._log_fd, self._log_length)
+            self._files.sync(self._log_fd)
+            self._is_log_dirty = False
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._dir, name)
+
+    def _log_path(self, sequence: int) -> str:
+        return self._path(f'{_LOG_PREFIX}{sequence:016d}')
+
+
+def _apply(
+    content: _Content,
+    hard_state: bytes | None,
+    truncate_from: int | None,
+    entries: list[bytes],
+) -> None:
+    if hard_state is not None:
+        content.hard_state = hard_state
+    if truncate_from is not None:
+        keep = max(0, truncate_from - content.snapshot_index - 1)
+        del content.entries[keep:]
+    for raw in entries:
+        index = decode_entry(raw).index
+        if index != content.last_index + 1:
+            raise StorageError(
+                f'entry {index}: valid is {content.last_index + 1}'
+            )
+        content.entries.append(raw)
+
+
+def _encode_log(content: _Content) -> bytes:
+    snapshot: list[Any] | None = None
+    if content.snapshot_name is not None:
+        snapshot = [content.snapshot_name, content.snapshot_index]
+    payload = cbor2.dumps(
+        [content.hard_state, None, content.entries, snapshot]
+    )
+    return FILE_HEADER + encode_record(payload)
+
+
+def _sequences(names: list[str]) -> list[int]:
+    found = []
+    for name in names:
+        digits = name.removeprefix(_LOG_PREFIX)
+        if name.startswith(_LOG_PREFIX) and digits.isdigit():
+            found.append(int(digits))
+    return sorted(found)
+
+
+def _read_file(path: str) -> bytes:
+    with open(path, 'rb') as file:
+        return file.read()
