Add the replicated state machine of the control processes

Cause: configuration, membership and promotion steps need one deterministic owner before the control program can be written.

--- /dev/null
+++ b/jackdawpost/core/change_sets.py
@@ -0,0 +1,254 @@
+"""Change sets: validated as a whole, answered once by change id."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+import cbor2
+
+from jackdawpost.core.commands import ApplyChangeSet
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ChangeAnswer
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import GroupState
+from jackdawpost.core.control_state import HistoryEntry
+from jackdawpost.core.control_state import KeptAnswer
+from jackdawpost.core.control_state import MAX_CHANGE_ANSWERS
+from jackdawpost.core.control_state import MAX_HISTORY
+from jackdawpost.core.database_sets import enter_new_groups
+from jackdawpost.core.messages.operator import Fault
+from jackdawpost.core.messages.operator import Operation
+from jackdawpost.core.object_checks import Candidate
+from jackdawpost.core.object_checks import check_objects
+from jackdawpost.core.objects import is_valid_name
+from jackdawpost.core.objects import NAME_RULE
+from jackdawpost.core.objects import object_body
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.objects import OBJECT_TYPES
+from jackdawpost.core.objects import parse_object
+from jackdawpost.core.publication import all_keys
+from jackdawpost.core.publication import publish_changes
+
+MAX_OPERATIONS = 1_000
+MAX_ID_LENGTH = 128
+
+
+def apply_change_set(
+    machine: ControlMachine, command: ApplyChangeSet
+) -> Applied:
+    """Accept or reject a change set, or repeat its first answer."""
+    fingerprint = _fingerprint(command.operations)
+    kept = machine.answers.get(command.change_id)
+    if kept is not None:
+        return Applied(answer=_repeat_answer(machine, command, kept))
+    candidate, faults = _evaluate(machine, command)
+    if faults:
+        answer = ChangeAnswer(
+            change_id=command.change_id,
+            accepted=False,
+            revision=machine.revision,
+            faults=faults,
+        )
+        _keep_answer(machine, fingerprint, answer)
+        return Applied(answer=answer)
+    changed = _put_in_force(machine, command, candidate)
+    answer = ChangeAnswer(
+        change_id=command.change_id, accepted=True, revision=machine.revision
+    )
+    _keep_answer(machine, fingerprint, answer)
+    return Applied(answer=answer, changed=changed)
+
+
+def check_change_set(
+    machine: ControlMachine, command: ApplyChangeSet
+) -> ChangeAnswer:
+    """Validate a change set without applying it or keeping an answer."""
+    _, faults = _evaluate(machine, command)
+    return ChangeAnswer(
+        change_id=command.change_id,
+        accepted=not faults,
+        revision=machine.revision,
+        faults=faults,
+    )
+
+
+def apply_operations(
+    machine: ControlMachine, operations: list[Operation]
+) -> tuple[Candidate, list[Fault]]:
+    """Apply operations to a copy of the objects and check the whole result.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to read; it is not changed.
+    operations : list of Operation
+        Operations of one change set.
+
+    Returns
+    -------
+    tuple
+        The resulting objects and every fault; they may only be put in force
+        if there is none.
+    """
+    candidate = Candidate(objects=machine.objects.copy())
+    faults = []
+    if not 1 <= len(operations) <= MAX_OPERATIONS:
+        message = f'{len(operations)}: valid are 1 to {MAX_OPERATIONS}'
+        faults.append(Fault(object='', field='operations', message=message))
+    for operation in operations[:MAX_OPERATIONS]:
+        faults.extend(_apply_operation(candidate, operation))
+    faults.extend(check_objects(machine, candidate))
+    return candidate, faults
+
+
+def _evaluate(
+    machine: ControlMachine, command: ApplyChangeSet
+) -> tuple[Candidate, list[Fault]]:
+    if command.base_revision != machine.revision:
+        fault = _describe_stale_base(machine, command.base_revision)
+        return Candidate(objects=machine.objects), [fault]
+    faults = _check_texts(command)
+    candidate, more_faults = apply_operations(machine, command.operations)
+    return candidate, faults + more_faults
+
+
+def _describe_stale_base(machine: ControlMachine, base: int) -> Fault:
+    message = f'{base}: the current revision is {machine.revision}'
+    if base < machine.revision and machine.history:
+        winner = next(
+            (e for e in machine.history if e.revision == base + 1),
+            machine.history[-1],
+        )
+        message += (
+            f'; change {winner.change_id!r} of {winner.operator!r} made '
+            f'revision {winner.revision}'
+        )
+    return Fault(object='', field='base_revision', message=message)
+
+
+def _check_texts(command: ApplyChangeSet) -> list[Fault]:
+    faults = []
+    for field in ('change_id', 'operator'):
+        value = getattr(command, field)
+        if not 1 <= len(value) <= MAX_ID_LENGTH:
+            message = (
+                f'{len(value)} characters: valid are 1 to {MAX_ID_LENGTH}'
+            )
+            faults.append(Fault(object='', field=field, message=message))
+    return faults
+
+
+def _apply_operation(
+    candidate: Candidate, operation: Operation
+) -> list[Fault]:
+    key = object_key(operation.type, operation.name)
+    if operation.type not in OBJECT_TYPES:
+        message = (
+            f'{operation.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
+        )
+        return [Fault(object=key, field='type', message=message)]
+    if not is_valid_name(operation.name):
+        message = f'{operation.name!r:.80}: valid are {NAME_RULE}'
+        return [Fault(object=key, field='name', message=message)]
+    if key in candidate.touched:
+        message = 'named by more than one operation'
+        return [Fault(object=key, field='', message=message)]
+    candidate.touched.add(key)
+    return _change_object(candidate, operation, key)
+
+
+def _change_object(
+    candidate: Candidate, operation: Operation, key: str
+) -> list[Fault]:
+    table = candidate.objects.table(operation.type)
+    current = table.get(operation.name)
+    if operation.action == 'create' and current is not None:
+        return [Fault(object=key, field='', message='exists already')]
+    if operation.action != 'create' and current is None:
+        return [Fault(object=key, field='', message='does not exist')]
+    if operation.action == 'delete':
+        del table[operation.name]
+        candidate.deleted.add(key)
+        if operation.body:
+            message = 'valid is an empty body for delete'
+            return [Fault(object=key, field='body', message=message)]
+        return []
+    body = {} if current is None else object_body(current)
+    body.update(operation.body)
+    # A null resets a field, so that its default applies.
+    body = {name: value for name, value in body.items() if value is not None}
+    item, faults = parse_object(operation.type, operation.name, body)
+    if item is None:
+        candidate.broken.add(key)
+        table.pop(operation.name, None)
+    else:
+        table[operation.name] = item
+    return faults
+
+
+def _put_in_force(
+    machine: ControlMachine, command: ApplyChangeSet, candidate: Candidate
+) -> bool:
+    machine.objects = candidate.objects
+    machine.revision += 1
+    _match_group_states(machine)
+    machine.history.append(
+        HistoryEntry(
+            revision=machine.revision,
+            change_id=command.change_id,
+            operator=command.operator,
+            summary=[
+                f'{item.action} {object_key(item.type, item.name)}'
+                for item in command.operations
+            ],
+        )
+    )
+    del machine.history[:-MAX_HISTORY]
+    return publish_changes(machine, all_keys(machine))
+
+
+def _match_group_states(machine: ControlMachine) -> None:
+    wanted = machine.objects.groups
+    for name in [name for name in machine.groups if name not in wanted]:
+        machine.retired_groups[name] = machine.groups.pop(name)
+    for name in sorted(wanted):
+        if name not in machine.groups:
+            machine.groups[name] = machine.retired_groups.pop(
+                name, GroupState()
+            )
+    for name in sorted(machine.members):
+        enter_new_groups(machine, machine.members[name])
+
+
+def _repeat_answer(
+    machine: ControlMachine, command: ApplyChangeSet, kept: KeptAnswer
+) -> ChangeAnswer:
+    if kept.fingerprint == _fingerprint(command.operations):
+        return dataclasses.replace(kept.answer, duplicate=True)
+    outcome = 'accepted' if kept.answer.accepted else 'rejected'
+    message = (
+        f'{command.change_id!r}: used before for other operations, {outcome} '
+        f'at revision {kept.answer.revision}; valid is a new id'
+    )
+    return ChangeAnswer(
+        change_id=command.change_id,
+        accepted=False,
+        revision=machine.revision,
+        faults=[Fault(object='', field='change_id', message=message)],
+    )
+
+
+def _keep_answer(
+    machine: ControlMachine, fingerprint: bytes, answer: ChangeAnswer
+) -> None:
+    machine.answers[answer.change_id] = KeptAnswer(
+        fingerprint=fingerprint, answer=answer
+    )
+    while len(machine.answers) > MAX_CHANGE_ANSWERS:
+        del machine.answers[next(iter(machine.answers))]
+
+
+def _fingerprint(operations: list[Operation]) -> bytes:
+    plain = [dataclasses.asdict(operation) for operation in operations]
+    return hashlib.sha256(cbor2.dumps(plain, canonical=True)).digest()
--- /dev/null
+++ b/jackdawpost/core/control_machine.py
@@ -0,0 +1,114 @@
+"""Replicated state machine of the control processes.
+
+Deterministic: the same commands in the same order give equal states and
+equal snapshots in every process.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from jackdawpost.core.change_sets import apply_change_set
+from jackdawpost.core.commands import Command
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.database_sets import admit_database
+from jackdawpost.core.errors import StorageError
+from jackdawpost.core.membership import announce_member
+from jackdawpost.core.membership import approve_member
+from jackdawpost.core.membership import mark_leaving
+from jackdawpost.core.membership import remove_member
+from jackdawpost.core.promotion_steps import abandon_promotion
+from jackdawpost.core.promotion_steps import choose_primary
+from jackdawpost.core.promotion_steps import finish_promotion
+from jackdawpost.core.promotion_steps import start_promotion
+from jackdawpost.core.publication import update_since
+
+__all__ = [
+    'Applied',
+    'ControlMachine',
+    'apply_command',
+    'decode_snapshot',
+    'encode_snapshot',
+    'new_machine',
+    'update_since',
+]
+
+SNAPSHOT_FORMAT = 1
+
+_APPLY: dict[str, Callable[[ControlMachine, Any], Applied]] = {
+    'apply_change_set': apply_change_set,
+    'announce_member': announce_member,
+    'approve_member': approve_member,
+    'remove_member': remove_member,
+    'mark_leaving': mark_leaving,
+    'start_promotion': start_promotion,
+    'choose_primary': choose_primary,
+    'finish_promotion': finish_promotion,
+    'abandon_promotion': abandon_promotion,
+    'admit_database': admit_database,
+}
+
+_MACHINE_ADAPTER = TypeAdapter(ControlMachine)
+
+
+def new_machine() -> ControlMachine:
+    """Return the state before the first command."""
+    return ControlMachine()
+
+
+def apply_command(
+    machine: ControlMachine, index: int, command: Command
+) -> Applied:
+    """Apply one committed command in place.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to change.
+    index : int
+        Log index of the command.
+    command : Command
+        Decoded command. It is not kept or changed.
+
+    Returns
+    -------
+    Applied
+        Answer, whether the published state changed, and who joined.
+    """
+    machine.applied_index = index
+    return _APPLY[command.kind](machine, command)
+
+
+def encode_snapshot(machine: ControlMachine) -> bytes:
+    """Encode the whole state; equal states give equal bytes."""
+    # Not canonical CBOR: that would sort the mappings whose order decides
+    # which answers and tombstones are dropped first.
+    return cbor2.dumps([SNAPSHOT_FORMAT, dataclasses.asdict(machine)])
+
+
+def decode_snapshot(data: bytes) -> ControlMachine:
+    """Restore the state from a snapshot.
+
+    Raises
+    ------
+    StorageError
+        The bytes are no snapshot of this format.
+    """
+    try:
+        format_number, value = cbor2.loads(data)
+        if format_number != SNAPSHOT_FORMAT:
+            raise ValueError(
+                f'format {format_number!r}: valid is {SNAPSHOT_FORMAT}'
+            )
+        return _MACHINE_ADAPTER.validate_python(value)
+    except (ValueError, TypeError, cbor2.CBORError, ValidationError) as exc:
+        raise StorageError(
+            f'snapshot of {len(data)} bytes cannot be read: {exc}'
+        ) from exc
--- /dev/null
+++ b/jackdawpost/core/database_sets.py
@@ -0,0 +1,110 @@
+"""Databases that count for the durability of a group."""
+
+from __future__ import annotations
+
+from jackdawpost.core.commands import AdmitDatabase
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import GroupState
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.control_state import Refused
+
+
+def is_joined_upstream(
+    machine: ControlMachine, group: str, name: str, data_id: str
+) -> bool:
+    """Tell whether this identity is a joined upstream of the group."""
+    member = machine.members.get(name)
+    return (
+        member is not None
+        and member.role == 'upstream'
+        and member.group == group
+        and member.member_id == data_id
+    )
+
+
+def enter_new_groups(machine: ControlMachine, member: Member) -> None:
+    """Count a joined upstream at once while its group is at term 0.
+
+    No write can have been acknowledged before the first term, so that there
+    is nothing to catch up with.
+    """
+    group = machine.groups.get(member.group)
+    if member.role == 'upstream' and group is not None and group.term == 0:
+        group.database_set[member.name] = member.member_id
+
+
+def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
+    """Count an upstream that has caught up.
+
+    It takes the place of an older data identity under the same name.
+    """
+    refusal = _check_admission(machine, command)
+    if refusal is not None:
+        return Applied(answer=refusal)
+    group = machine.groups[command.group]
+    group.database_set[command.name] = command.data_id
+    return Applied()
+
+
+def refuse_leaving_sets(
+    machine: ControlMachine, name: str, data_id: str
+) -> Refused | None:
+    """Return why an operator may not remove a database now, or None."""
+    for group_name in sorted(machine.groups):
+        group = machine.groups[group_name]
+        promotion = group.promotion
+        if promotion is not None and (promotion.chosen, promotion.data_id) == (
+            name,
+            data_id,
+        ):
+            return Refused(
+                code='promotion_running',
+                message=f'{name!r} is being promoted in {group_name!r}',
+            )
+        if (group.primary, group.primary_id) == (name, data_id):
+            return Refused(
+                code='is_primary',
+                message=f'{name!r} is the primary of {group_name!r}: promote '
+                'another database first',
+            )
+    return None
+
+
+def leave_sets(machine: ControlMachine, name: str, data_id: str) -> bool:
+    """Stop counting a database; return True if it was counted."""
+    found = False
+    for group in machine.groups.values():
+        if group.database_set.get(name) == data_id:
+            del group.database_set[name]
+            found = True
+    return found
+
+
+def _check_admission(
+    machine: ControlMachine, command: AdmitDatabase
+) -> Refused | None:
+    group: GroupState | None = machine.groups.get(command.group)
+    if group is None:
+        return Refused(
+            code='unknown_group', message=f'no group {command.group!r}'
+        )
+    if not is_joined_upstream(
+        machine, command.group, command.name, command.data_id
+    ):
+        return Refused(
+            code='not_joined',
+            message=f'{command.name!r} with data {command.data_id!r} is no '
+            f'joined upstream of {command.group!r}',
+        )
+    if group.database_set.get(command.name) == command.data_id:
+        return Refused(
+            code='already_done', message=f'{command.name!r} is admitted'
+        )
+    if group.promotion is not None:
+        # The promotion has counted the set as it was when it started.
+        return Refused(
+            code='promotion_running',
+            message=f'{command.group!r} is being promoted',
+        )
+    return None
--- /dev/null
+++ b/jackdawpost/core/membership.py
@@ -0,0 +1,218 @@
+"""Membership: announced, approvals, joined, leaving, left.
+
+All functions run while a command of the replicated log is applied, so that
+the set of members that must approve is the one at that place in the log.
+"""
+
+from __future__ import annotations
+
+from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.commands import ApproveMember
+from jackdawpost.core.commands import MarkLeaving
+from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import GivenApproval
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.control_state import Newcomer
+from jackdawpost.core.control_state import Refused
+from jackdawpost.core.database_sets import enter_new_groups
+from jackdawpost.core.database_sets import leave_sets
+from jackdawpost.core.database_sets import refuse_leaving_sets
+from jackdawpost.core.publication import member_keys
+from jackdawpost.core.publication import publish_changes
+
+
+def announce_member(
+    machine: ControlMachine, command: AnnounceMember
+) -> Applied:
+    """Record a newcomer, or the new figures of a known identity."""
+    refusal = _check_announcement(machine, command)
+    if refusal is not None:
+        return Applied(answer=refusal)
+    member = machine.members.get(command.name)
+    if member is not None and member.member_id == command.member_id:
+        return _update_member(machine, member, command)
+    newcomer = machine.newcomers.get(command.name)
+    if newcomer is None or newcomer.member.member_id != command.member_id:
+        machine.newcomers.pop(command.name, None)
+        machine.newcomers[command.name] = Newcomer(member=_build(command))
+    else:
+        newcomer.member = _build(command)
+    return _join_approved(machine)
+
+
+def approve_member(machine: ControlMachine, command: ApproveMember) -> Applied:
+    """Record an approval; the last missing one joins the newcomer."""
+    member = machine.members.get(command.member)
+    if member is None or member.member_id != command.member_id:
+        return _refuse_unknown(command.member, command.member_id)
+    newcomer = machine.newcomers.get(command.newcomer)
+    if newcomer is None or newcomer.member.member_id != command.newcomer_id:
+        return _refuse_unknown(command.newcomer, command.newcomer_id)
+    newcomer.approvals[command.member] = GivenApproval(
+        member_id=command.member_id,
+        checked=command.checked,
+        version=command.version,
+    )
+    return _join_approved(machine)
+
+
+def mark_leaving(machine: ControlMachine, command: MarkLeaving) -> Applied:
+    """Record that a member starts to leave or stays after all."""
+    member = machine.members.get(command.name)
+    if member is None or member.member_id != command.member_id:
+        return _refuse_unknown(command.name, command.member_id)
+    member.leaving = command.leaving
+    return Applied(changed=publish_changes(machine, member_keys(command.name)))
+
+
+def remove_member(machine: ControlMachine, command: RemoveMember) -> Applied:
+    """Remove a member or newcomer and join those that waited only for it.
+
+    An operator's removal also gives up the database's place in its group's
+    set, even if its membership has expired before.
+    """
+    name = command.name
+    found = False
+    if command.reason == 'operator':
+        refusal = refuse_leaving_sets(machine, name, command.member_id)
+        if refusal is not None:
+            return Applied(answer=refusal)
+        found = leave_sets(machine, name, command.member_id)
+    newcomer = machine.newcomers.get(name)
+    if newcomer is not None and newcomer.member.member_id == command.member_id:
+        del machine.newcomers[name]
+        found = True
+    member = machine.members.get(name)
+    if member is not None and member.member_id == command.member_id:
+        _drop_member(machine, name)
+        found = True
+    if not found:
+        return _refuse_unknown(name, command.member_id)
+    return _join_approved(machine, _affected_keys(machine, name, member))
+
+
+def missing_approvals(machine: ControlMachine, newcomer: str) -> list[str]:
+    """Return the members whose approval a newcomer still needs.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to read.
+    newcomer : str
+        Name of an announced instance.
+
+    Returns
+    -------
+    list of str
+        Names of members, sorted; empty if nothing is missing. An older
+        identity of the newcomer's own name is among them: it must be
+        removed before the name can be used again.
+    """
+    approvals = machine.newcomers[newcomer].approvals
+    missing = []
+    for name in sorted(machine.members):
+        given = approvals.get(name)
+        if given is None or given.member_id != machine.members[name].member_id:
+            missing.append(name)
+    return missing
+
+
+def _check_announcement(
+    machine: ControlMachine, command: AnnounceMember
+) -> Refused | None:
+    if not command.name or not command.member_id:
+        return Refused(
+            code='malformed', message='name and member_id must not be empty'
+        )
+    if (command.role == 'upstream') != bool(command.group):
+        return Refused(
+            code='malformed',
+            message=f'role {command.role!r} with group {command.group!r}: '
+            'an upstream names its group, a proxy does not',
+        )
+    settings = machine.objects.upstreams.get(command.name)
+    if command.role == 'upstream' and settings and settings.group:
+        if settings.group != command.group:
+            return Refused(
+                code='wrong_group',
+                message=f'group {command.group!r}: operators expect '
+                f'{command.name!r} in {settings.group!r}',
+            )
+    member = machine.members.get(command.name)
+    if member is None or member.member_id != command.member_id:
+        return None
+    if (member.role, member.group) != (command.role, command.group):
+        return Refused(
+            code='wrong_group',
+            message=f'{command.name!r} is a member with role {member.role!r} '
+            f'and group {member.group!r}; it must be removed first',
+        )
+    return None
+
+
+def _update_member(
+    machine: ControlMachine, member: Member, command: AnnounceMember
+) -> Applied:
+    replacement = _build(command)
+    replacement.leaving = member.leaving
+    machine.members[command.name] = replacement
+    return Applied(changed=publish_changes(machine, member_keys(command.name)))
+
+
+def _build(command: AnnounceMember) -> Member:
+    return Member(
+        role=command.role,
+        name=command.name,
+        member_id=command.member_id,
+        host=command.host,
+        port=command.port,
+        data_centre=command.data_centre,
+        group=command.group,
+        slots=command.slots,
+        connections=command.connections,
+    )
+
+
+def _drop_member(machine: ControlMachine, name: str) -> None:
+    del machine.members[name]
+    for newcomer in machine.newcomers.values():
+        newcomer.approvals.pop(name, None)
+
+
+def _affected_keys(
+    machine: ControlMachine, name: str, member: Member | None
+) -> list[str]:
+    keys = member_keys(name)
+    if member is not None and member.group in machine.groups:
+        keys.append(f'group/{member.group}')
+    return keys
+
+
+def _join_approved(
+    machine: ControlMachine, keys: list[str] | None = None
+) -> Applied:
+    # Each join adds a member that the remaining newcomers need as well, so
+    # the newcomers are checked one after another against the grown set.
+    changed_keys = list(keys or [])
+    joined = []
+    for name in list(machine.newcomers):
+        if missing_approvals(machine, name):
+            continue
+        member = machine.newcomers.pop(name).member
+        machine.members[name] = member
+        enter_new_groups(machine, member)
+        changed_keys.extend(_affected_keys(machine, name, member))
+        joined.append(name)
+    changed = publish_changes(machine, changed_keys)
+    return Applied(changed=changed, joined=joined)
+
+
+def _refuse_unknown(name: str, member_id: str) -> Applied:
+    return Applied(
+        answer=Refused(
+            code='unknown_member',
+            message=f'{name!r} with identity {member_id!r} is not known',
+        )
+    )
--- a/jackdawpost/core/messages/operator.py
+++ b/jackdawpost/core/messages/operator.py
@@ -5,8 +5,12 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
+from typing import ClassVar
 from typing import Literal
 
+from pydantic import ConfigDict
+from pydantic import JsonValue
+
 Action = Literal['create', 'amend', 'delete']
 Topic = Literal['status', 'get', 'history', 'dump', 'members', 'diff']
 AnswerStatus = Literal['accepted', 'rejected', 'done', 'refused']
@@ -25,13 +29,18 @@
         ``'group'``, ``'upstream'``, ``'rule'``, ``'allowance'`` or
         ``'limit'``.
     body : dict
-        Fields of the object; empty for ``'delete'``.
+        Fields of the object; empty for ``'delete'``. Only JSON values:
+        others, such as CBOR tags, may not survive the replicated log.
     """
 
+    # Without this a misspelt "body" of a nested operation is ignored and an
+    # amend without effect is accepted.
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra='forbid')
+
     action: Action
     type: str
     name: str
-    body: dict[str, Any] = field(default_factory=dict)
+    body: dict[str, JsonValue] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/jackdawpost/core/object_checks.py
@@ -0,0 +1,252 @@
+"""Checks of a whole resulting set of objects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.messages.operator import Fault
+from jackdawpost.core.objects import AllowanceObject
+from jackdawpost.core.objects import LimitObject
+from jackdawpost.core.objects import NamedObject
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.objects import ObjectSet
+from jackdawpost.core.objects import RuleObject
+from jackdawpost.core.objects import UpstreamObject
+
+
+@dataclass(slots=True, kw_only=True)
+class Candidate:
+    """Result of the operations of a change set, not yet in force.
+
+    Parameters
+    ----------
+    touched : set of str
+        ``TYPE/NAME`` of every object that an operation names.
+    broken : set of str
+        Objects whose own fields are faulty. References to them are not
+        reported as missing, which would hide the real fault.
+    deleted : set of str
+        Objects that the change set deletes.
+    """
+
+    objects: ObjectSet
+    touched: set[str] = field(default_factory=set)
+    broken: set[str] = field(default_factory=set)
+    deleted: set[str] = field(default_factory=set)
+
+
+def check_objects(
+    machine: ControlMachine, candidate: Candidate
+) -> list[Fault]:
+    """Return every fault of the resulting set, in a fixed order."""
+    faults = _check_references(candidate)
+    faults.extend(_check_cycles(candidate))
+    faults.extend(_check_rules_and_limits(candidate))
+    faults.extend(_check_groups(machine, candidate))
+    faults.extend(_check_upstreams(machine, candidate))
+    faults.extend(_check_deleted_groups(machine, candidate))
+    return faults
+
+
+def _list_references(item: NamedObject) -> Iterator[tuple[str, str]]:
+    if isinstance(item, RuleObject):
+        for place, name in enumerate(item.groups):
+            yield f'groups.{place}', object_key('group', name)
+        if item.allowance is not None:
+            yield 'allowance', object_key('allowance', item.allowance)
+    elif isinstance(item, AllowanceObject):
+        if item.fallback is not None:
+            yield 'fallback', object_key('allowance', item.fallback)
+    elif isinstance(item, (LimitObject, UpstreamObject)):
+        if item.group is not None:
+            yield 'group', object_key('group', item.group)
+
+
+def _check_references(candidate: Candidate) -> list[Fault]:
+    faults = []
+    users: dict[str, list[str]] = {}
+    for object_type, name, item in candidate.objects.items():
+        key = object_key(object_type, name)
+        for place, target in _list_references(item):
+            if _exists(candidate, target):
+                continue
+            if target in candidate.deleted:
+                users.setdefault(target, []).append(f'{key} ({place})')
+                continue
+            faults.append(
+                Fault(object=key, field=place, message=f'no {target} exists')
+            )
+    for target in sorted(users):
+        message = f'still used by {", ".join(users[target])}'
+        faults.append(Fault(object=target, field='', message=message))
+    return faults
+
+
+def _exists(candidate: Candidate, key: str) -> bool:
+    object_type, _, name = key.partition('/')
+    return key in candidate.broken or name in candidate.objects.table(
+        object_type
+    )
+
+
+def _check_cycles(candidate: Candidate) -> list[Fault]:
+    faults = []
+    for name in sorted(candidate.objects.allowances):
+        path = _follow_fallbacks(candidate.objects, name)
+        if len(path) > 1 and path[-1] == name:
+            faults.append(
+                Fault(
+                    object=object_key('allowance', name),
+                    field='fallback',
+                    message=f'cycle: {" -> ".join(path)}',
+                )
+            )
+    return faults
+
+
+def _follow_fallbacks(objects: ObjectSet, name: str) -> list[str]:
+    path = [name]
+    while True:
+        allowance = objects.allowances.get(path[-1])
+        if allowance is None or allowance.fallback is None:
+            return path
+        seen = allowance.fallback in path
+        path.append(allowance.fallback)
+        if seen:
+            return path
+
+
+def _check_rules_and_limits(candidate: Candidate) -> list[Fault]:
+    faults = []
+    for name in sorted(candidate.objects.rules):
+        groups = candidate.objects.rules[name].groups
+        for group in sorted({g for g in groups if groups.count(g) > 1}):
+            faults.append(
+                Fault(
+                    object=object_key('rule', name),
+                    field='groups',
+                    message=f'group {group!r} is listed more than once',
+                )
+            )
+    limit_of: dict[str, str] = {}
+    for name in sorted(candidate.objects.limits):
+        group = candidate.objects.limits[name].group
+        other = limit_of.setdefault(group, name)
+        if other != name:
+            faults.append(
+                Fault(
+                    object=object_key('limit', name),
+                    field='group',
+                    message=f'group {group!r} has limit {other!r} already',
+                )
+            )
+    return faults
+
+
+def _check_groups(
+    machine: ControlMachine, candidate: Candidate
+) -> list[Fault]:
+    faults = []
+    for name in sorted(candidate.objects.groups):
+        group = candidate.objects.groups[name]
+        key = object_key('group', name)
+        if group.write_copies > group.databases:
+            faults.append(
+                Fault(
+                    object=key,
+                    field='write_copies',
+                    message=f'{group.write_copies}: valid is 1 to the '
+                    f"group's databases, {group.databases}",
+                )
+            )
+        drained = _find_all_drained(machine, candidate, name)
+        if drained:
+            faults.append(
+                Fault(
+                    object=key,
+                    field='',
+                    message='no possible primary: all its upstreams are '
+                    f'drained ({", ".join(drained)})',
+                )
+            )
+    return faults
+
+
+def _find_all_drained(
+    machine: ControlMachine, candidate: Candidate, group: str
+) -> list[str]:
+    # Membership changes by itself, so that a set accepted earlier may have no
+    # undrained upstream by now. Only a change set that touches the group's
+    # upstreams is held responsible for it.
+    members = _joined_upstreams(machine, group)
+    names = [member.name for member in members]
+    keys = {object_key('upstream', name) for name in names}
+    if not keys & candidate.touched:
+        return []
+    for name in names:
+        settings = candidate.objects.upstreams.get(name)
+        if settings is None or not settings.drained:
+            return []
+    return names
+
+
+def _joined_upstreams(machine: ControlMachine, group: str) -> list[Member]:
+    return [
+        machine.members[name]
+        for name in sorted(machine.members)
+        if machine.members[name].role == 'upstream'
+        and machine.members[name].group == group
+    ]
+
+
+def _check_upstreams(
+    machine: ControlMachine, candidate: Candidate
+) -> list[Fault]:
+    faults = []
+    for name in sorted(candidate.objects.upstreams):
+        key = object_key('upstream', name)
+        if key not in candidate.touched:
+            continue
+        expected = candidate.objects.upstreams[name].group
+        for member in _known_instances(machine, name):
+            if member.role != 'upstream':
+                message = f'{name!r} is the name of a {member.role}'
+                faults.append(Fault(object=key, field='', message=message))
+            elif expected is not None and member.group != expected:
+                message = f'{expected!r}: it announces {member.group!r}'
+                faults.append(
+                    Fault(object=key, field='group', message=message)
+                )
+    return faults
+
+
+def _known_instances(machine: ControlMachine, name: str) -> list[Member]:
+    found = []
+    if name in machine.members:
+        found.append(machine.members[name])
+    if name in machine.newcomers:
+        found.append(machine.newcomers[name].member)
+    return found
+
+
+def _check_deleted_groups(
+    machine: ControlMachine, candidate: Candidate
+) -> list[Fault]:
+    faults = []
+    for key in sorted(candidate.deleted):
+        object_type, _, name = key.partition('/')
+        if object_type != 'group':
+            continue
+        members = _joined_upstreams(machine, name)
+        if members:
+            names = ', '.join(member.name for member in members)
+            message = f'still used by joined upstreams: {names}'
+            faults.append(Fault(object=key, field='', message=message))
+        if machine.groups[name].promotion is not None:
+            message = 'a promotion is running'
+            faults.append(Fault(object=key, field='', message=message))
+    return faults
--- /dev/null
+++ b/jackdawpost/core/promotion_steps.py
@@ -0,0 +1,154 @@
+"""Replicated steps of a promotion: started, chosen, finished, abandoned.
+
+Commands that do not fit the current step are refused without effect, so that
+repeated commands and those of a former leader are harmless.
+"""
+
+from __future__ import annotations
+
+from jackdawpost.core.commands import AbandonPromotion
+from jackdawpost.core.commands import ChoosePrimary
+from jackdawpost.core.commands import FinishPromotion
+from jackdawpost.core.commands import StartPromotion
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import GroupState
+from jackdawpost.core.control_state import Promotion
+from jackdawpost.core.control_state import Refused
+from jackdawpost.core.database_sets import is_joined_upstream
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.publication import publish_changes
+
+
+def start_promotion(
+    machine: ControlMachine, command: StartPromotion
+) -> Applied:
+    """Begin a promotion; the group has no published primary meanwhile."""
+    group = machine.groups.get(command.group)
+    if group is None:
+        return _refuse('unknown_group', f'no group {command.group!r}')
+    if group.promotion is not None:
+        return _refuse(
+            'promotion_running',
+            f'{command.group!r} is being promoted to term '
+            f'{group.promotion.to_term}',
+        )
+    if command.from_term != group.term:
+        return _refuse(
+            'stale_term',
+            f'from_term {command.from_term}: {command.group!r} is in term '
+            f'{group.term}',
+        )
+    if command.to_term <= group.last_term:
+        return _refuse(
+            'stale_term',
+            f'to_term {command.to_term}: valid is above {group.last_term}, '
+            'the highest term used so far',
+        )
+    group.last_term = command.to_term
+    group.promotion = Promotion(
+        step='started',
+        from_term=command.from_term,
+        to_term=command.to_term,
+        reason=command.reason,
+        accept_loss=command.accept_loss,
+    )
+    return _publish_group(machine, command.group)
+
+
+def choose_primary(machine: ControlMachine, command: ChoosePrimary) -> Applied:
+    """Record the upstream that is going to lead."""
+    found = _find_step(machine, command.group, command.to_term)
+    if isinstance(found, Applied):
+        return found
+    group, promotion = found
+    if promotion.step != 'started':
+        return _refuse('wrong_step', f'{promotion.chosen!r} is chosen already')
+    name, data_id = command.upstream, command.data_id
+    if not is_joined_upstream(machine, command.group, name, data_id):
+        return _refuse_not_joined(command.group, name, data_id)
+    counted = group.database_set.get(name) == data_id
+    if not counted and not promotion.accept_loss:
+        return _refuse(
+            'not_in_set',
+            f'{name!r} with data {data_id!r} is not in the database set of '
+            f'{command.group!r}',
+        )
+    promotion.step = 'chosen'
+    promotion.chosen = name
+    promotion.data_id = data_id
+    promotion.position = LogPosition(*command.position)
+    return Applied()
+
+
+def finish_promotion(
+    machine: ControlMachine, command: FinishPromotion
+) -> Applied:
+    """Publish the chosen upstream as the primary in the new term."""
+    found = _find_step(machine, command.group, command.to_term)
+    if isinstance(found, Applied):
+        return found
+    group, promotion = found
+    if promotion.step != 'chosen' or promotion.chosen is None:
+        return _refuse('wrong_step', 'no upstream is chosen yet')
+    name, data_id = promotion.chosen, promotion.data_id
+    if not is_joined_upstream(machine, command.group, name, data_id):
+        return _refuse_not_joined(command.group, name, data_id)
+    group.term = promotion.to_term
+    group.primary = name
+    group.primary_id = data_id
+    group.database_set[name] = data_id
+    group.promotion = None
+    return _publish_group(machine, command.group)
+
+
+def abandon_promotion(
+    machine: ControlMachine, command: AbandonPromotion
+) -> Applied:
+    """Give up a promotion.
+
+    Before the choice the old primary is published again. After it the group
+    has no primary until the next promotion, since the chosen upstream may
+    already lead.
+    """
+    found = _find_step(machine, command.group, command.to_term)
+    if isinstance(found, Applied):
+        return found
+    group, promotion = found
+    if promotion.step == 'chosen':
+        group.primary = None
+        group.primary_id = ''
+    group.promotion = None
+    return _publish_group(machine, command.group)
+
+
+def _find_step(
+    machine: ControlMachine, group_name: str, to_term: int
+) -> tuple[GroupState, Promotion] | Applied:
+    group = machine.groups.get(group_name)
+    if group is None:
+        return _refuse('unknown_group', f'no group {group_name!r}')
+    if group.promotion is None:
+        return _refuse('no_promotion', f'{group_name!r} is not being promoted')
+    if group.promotion.to_term != to_term:
+        return _refuse(
+            'stale_term',
+            f'to_term {to_term}: {group_name!r} is being promoted to term '
+            f'{group.promotion.to_term}',
+        )
+    return group, group.promotion
+
+
+def _publish_group(machine: ControlMachine, name: str) -> Applied:
+    return Applied(changed=publish_changes(machine, [f'group/{name}']))
+
+
+def _refuse(code: str, message: str) -> Applied:
+    return Applied(answer=Refused(code=code, message=message))
+
+
+def _refuse_not_joined(group: str, name: str, data_id: str) -> Applied:
+    return _refuse(
+        'not_joined',
+        f'{name!r} with data {data_id!r} is no joined upstream of {group!r}',
+    )
--- /dev/null
+++ b/jackdawpost/core/publication.py
@@ -0,0 +1,193 @@
+"""Published part of the control state, its versions and deltas."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import MAX_TOMBSTONES
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.control_state import PublishedEntry
+from jackdawpost.core.messages.control import ObjectKey
+from jackdawpost.core.messages.control import PublishedObject
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.objects import resolve_max_age_ms
+
+
+def publish_changes(machine: ControlMachine, keys: Iterable[str]) -> bool:
+    """Compare objects with what is published and publish the differences.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to change.
+    keys : iterable of str
+        ``TYPE/NAME`` of all objects that may have changed.
+
+    Returns
+    -------
+    bool
+        True if the published state changed; its version then rose by one.
+    """
+    changes = {}
+    for key in sorted(set(keys)):
+        body = _build_body(machine, key)
+        entry = machine.published.get(key)
+        if body != (entry.body if entry else None):
+            changes[key] = body
+    if not changes:
+        return False
+    machine.version += 1
+    for key, body in changes.items():
+        _record(machine, key, body)
+    _trim_tombstones(machine)
+    return True
+
+
+def all_keys(machine: ControlMachine) -> set[str]:
+    """Return the keys of all objects that are or should be published."""
+    keys = set(machine.published)
+    for object_type, name, _ in machine.objects.items():
+        keys.add(object_key(object_type, name))
+    for name in machine.members:
+        keys.update(member_keys(name))
+    return keys
+
+
+def member_keys(name: str) -> list[str]:
+    """Return the keys under which a member is published."""
+    return [object_key('member', name), object_key('upstream', name)]
+
+
+def update_since(machine: ControlMachine, version: int) -> StateUpdate:
+    """Return what changed in the published state after `version`.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to read.
+    version : int
+        Version that the receiver has in force; 0 for none.
+
+    Returns
+    -------
+    StateUpdate
+        A delta, or the full state if `version` is older than the kept
+        removals or unknown to this state.
+    """
+    full = version < machine.delta_floor or version > machine.version
+    since = 0 if full else version
+    upserts = []
+    for key in reversed(machine.published):
+        entry = machine.published[key]
+        if entry.version <= since:
+            break
+        upserts.append(_build_upsert(key, entry))
+    removals = []
+    for key in reversed(machine.tombstones):
+        if full or machine.tombstones[key] <= since:
+            break
+        removals.append(ObjectKey(**_split_key(key)))
+    return StateUpdate(
+        from_version=since,
+        version=machine.version,
+        upserts=upserts[::-1],
+        removals=removals[::-1],
+        full=full,
+    )
+
+
+def _record(
+    machine: ControlMachine, key: str, body: dict[str, Any] | None
+) -> None:
+    machine.published.pop(key, None)
+    machine.tombstones.pop(key, None)
+    if body is None:
+        machine.tombstones[key] = machine.version
+    else:
+        machine.published[key] = PublishedEntry(
+            version=machine.version, body=body
+        )
+
+
+def _trim_tombstones(machine: ControlMachine) -> None:
+    while len(machine.tombstones) > MAX_TOMBSTONES:
+        oldest = next(iter(machine.tombstones))
+        machine.delta_floor = machine.tombstones.pop(oldest)
+
+
+def _build_upsert(key: str, entry: PublishedEntry) -> PublishedObject:
+    return PublishedObject(**_split_key(key), body=dict(entry.body))
+
+
+def _split_key(key: str) -> dict[str, str]:
+    object_type, _, name = key.partition('/')
+    return {'type': object_type, 'name': name}
+
+
+def _build_body(machine: ControlMachine, key: str) -> dict[str, Any] | None:
+    object_type, _, name = key.partition('/')
+    if object_type == 'member':
+        return _build_member(machine.members.get(name))
+    if object_type == 'upstream':
+        return _build_upstream(machine, machine.members.get(name))
+    item = machine.objects.table(object_type).get(name)
+    if item is None:
+        return None
+    if object_type == 'group':
+        return _build_group(machine, name)
+    if object_type == 'allowance':
+        age_ms = resolve_max_age_ms(machine.objects, name)
+        return {'name': name, 'max_age_ms': age_ms}
+    return dataclasses.asdict(item)
+
+
+def _build_group(machine: ControlMachine, name: str) -> dict[str, Any]:
+    group = machine.groups[name]
+    body = dataclasses.asdict(machine.objects.groups[name])
+    body['term'] = group.term
+    body['primary'] = None
+    member = machine.members.get(group.primary or '')
+    if (
+        group.promotion is None
+        and member is not None
+        and member.member_id == group.primary_id
+    ):
+        body['primary'] = group.primary
+    return body
+
+
+def _build_member(member: Member | None) -> dict[str, Any] | None:
+    if member is None:
+        return None
+    return {
+        'name': member.name,
+        'member_id': member.member_id,
+        'role': member.role,
+        'host': member.host,
+        'port': member.port,
+        'state': 'leaving' if member.leaving else 'joined',
+    }
+
+
+def _build_upstream(
+    machine: ControlMachine, member: Member | None
+) -> dict[str, Any] | None:
+    if member is None or member.role != 'upstream':
+        return None
+    settings = machine.objects.upstreams.get(member.name)
+    drained = settings is not None and settings.drained
+    return {
+        'name': member.name,
+        'group': member.group,
+        'data_id': member.member_id,
+        'host': member.host,
+        'port': member.port,
+        'data_centre': member.data_centre,
+        'slots': member.slots,
+        'connections': member.connections,
+        'leaving': member.leaving or drained,
+    }
