Add answers to operators' queries and requests

Cause: the control program needs pure functions between operator messages and the replicated state. Ruled out: an operator's approval in a member's place, because a newcomer joins only when every member has approved it. Change: answer_query, builders of commands from requests, dry run; faults of one object no longer hide its missing references. Conclusion: the control program only has to add what the leader knows.

--- a/jackdawpost/core/change_sets.py
+++ b/jackdawpost/core/change_sets.py
@@ -32,16 +32,18 @@
 
 MAX_OPERATIONS = 1_000
 MAX_ID_LENGTH = 128
+# Bounds the history: 1,000 entries of 1,000 operations would not fit a frame.
+MAX_SUMMARY_LINES = 50
 
 
 def apply_change_set(
     machine: ControlMachine, command: ApplyChangeSet
 ) -> Applied:
     """Accept or reject a change set, or repeat its first answer."""
-    fingerprint = _fingerprint(command.operations)
-    kept = machine.answers.get(command.change_id)
+    kept = repeat_kept_answer(machine, command.change_id, command.operations)
     if kept is not None:
-        return Applied(answer=_repeat_answer(machine, command, kept))
+        return Applied(answer=kept)
+    fingerprint = _fingerprint(command.operations)
     candidate, faults = _evaluate(machine, command)
     if faults:
         answer = ChangeAnswer(
@@ -73,6 +75,38 @@
     )
 
 
+def repeat_kept_answer(
+    machine: ControlMachine, change_id: str, operations: list[Operation]
+) -> ChangeAnswer | None:
+    """Return the first answer under a change id, or None.
+
+    Only the operations are compared: a resend may name a later base revision,
+    since the first attempt may have made it.
+
+    Returns
+    -------
+    ChangeAnswer, optional
+        The kept answer marked as duplicate, or a reject if the id was used
+        for other operations.
+    """
+    kept = machine.answers.get(change_id)
+    if kept is None:
+        return None
+    if kept.fingerprint == _fingerprint(operations):
+        return dataclasses.replace(kept.answer, duplicate=True)
+    outcome = 'accepted' if kept.answer.accepted else 'rejected'
+    message = (
+        f'{change_id!r}: used before for other operations, {outcome} '
+        f'at revision {kept.answer.revision}; valid is a new id'
+    )
+    return ChangeAnswer(
+        change_id=change_id,
+        accepted=False,
+        revision=machine.revision,
+        faults=[Fault(object='', field='change_id', message=message)],
+    )
+
+
 def apply_operations(
     machine: ControlMachine, operations: list[Operation]
 ) -> tuple[Candidate, list[Fault]]:
@@ -179,8 +213,9 @@
     # A null resets a field, so that its default applies.
     body = {name: value for name, value in body.items() if value is not None}
     item, faults = parse_object(operation.type, operation.name, body)
-    if item is None:
+    if faults:
         candidate.broken.add(key)
+    if item is None:
         table.pop(operation.name, None)
     else:
         table[operation.name] = item
@@ -198,16 +233,23 @@
             revision=machine.revision,
             change_id=command.change_id,
             operator=command.operator,
-            summary=[
-                f'{item.action} {object_key(item.type, item.name)}'
-                for item in command.operations
-            ],
+            summary=_summarize(command.operations),
         )
     )
     del machine.history[:-MAX_HISTORY]
     return publish_changes(machine, all_keys(machine))
 
 
+def _summarize(operations: list[Operation]) -> list[str]:
+    lines = [
+        f'{item.action} {object_key(item.type, item.name)}'
+        for item in operations[:MAX_SUMMARY_LINES]
+    ]
+    if len(operations) > MAX_SUMMARY_LINES:
+        lines.append(f'{len(operations) - MAX_SUMMARY_LINES} more')
+    return lines
+
+
 def _match_group_states(machine: ControlMachine) -> None:
     wanted = machine.objects.groups
     for name in [name for name in machine.groups if name not in wanted]:
@@ -221,24 +263,6 @@
         enter_new_groups(machine, machine.members[name])
 
 
-def _repeat_answer(
-    machine: ControlMachine, command: ApplyChangeSet, kept: KeptAnswer
-) -> ChangeAnswer:
-    if kept.fingerprint == _fingerprint(command.operations):
-        return dataclasses.replace(kept.answer, duplicate=True)
-    outcome = 'accepted' if kept.answer.accepted else 'rejected'
-    message = (
-        f'{command.change_id!r}: used before for other operations, {outcome} '
-        f'at revision {kept.answer.revision}; valid is a new id'
-    )
-    return ChangeAnswer(
-        change_id=command.change_id,
-        accepted=False,
-        revision=machine.revision,
-        faults=[Fault(object='', field='change_id', message=message)],
-    )
-
-
 def _keep_answer(
     machine: ControlMachine, fingerprint: bytes, answer: ChangeAnswer
 ) -> None:
--- a/jackdawpost/core/objects.py
+++ b/jackdawpost/core/objects.py
@@ -212,6 +212,11 @@
     return _NAME.fullmatch(name) is not None
 
 
+def field_names(object_type: str) -> list[str]:
+    """Return the fields of a type, the name first."""
+    return [item.name for item in dataclasses.fields(_OBJECTS[object_type])]
+
+
 def object_body(item: NamedObject) -> dict[str, Any]:
     """Return the fields of an object without its name."""
     body = dataclasses.asdict(item)
@@ -236,15 +241,23 @@
     Returns
     -------
     tuple
-        The object and no faults, or None and every fault of its fields.
+        The object, and every fault of its fields. With faults, the object is
+        what the valid fields give, for finding further faults, or None.
     """
     model_type = _BODIES[object_type]
+    faults: list[Fault] = []
     try:
         model = model_type.model_validate(body)
     except ValidationError as exc:
         valid = ', '.join(model_type.model_fields)
-        return None, _list_faults(object_key(object_type, name), exc, valid)
-    return _OBJECTS[object_type](name=name, **model.model_dump()), []
+        faults = _list_faults(object_key(object_type, name), exc, valid)
+        bad_fields = {fault.field.partition('.')[0] for fault in faults}
+        rest = {k: v for k, v in body.items() if k not in bad_fields}
+        try:
+            model = model_type.model_validate(rest)
+        except ValidationError:
+            return None, faults
+    return _OBJECTS[object_type](name=name, **model.model_dump()), faults
 
 
 def resolve_max_age_ms(objects: ObjectSet, name: str) -> int:
--- /dev/null
+++ b/jackdawpost/core/operator_queries.py
@@ -0,0 +1,323 @@
+"""Answers to operators' queries that the replicated state can give alone."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from jackdawpost.core.change_sets import apply_operations
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.control_state import promotion_quorum
+from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.messages.operator import OperatorAnswer
+from jackdawpost.core.messages.operator import Query
+from jackdawpost.core.messages.operator import Table
+from jackdawpost.core.objects import field_names
+from jackdawpost.core.objects import object_body
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.objects import OBJECT_TYPES
+from jackdawpost.core.objects import ObjectSet
+
+
+def answer_query(
+    machine: ControlMachine,
+    query: Query,
+    in_force: Mapping[str, int] | None = None,
+) -> OperatorAnswer:
+    """Answer a query.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        State to read.
+    query : Query
+        Validated query.
+    in_force : mapping of str to int, optional
+        Published version in force by name of the proxy, as reported to the
+        leader.
+
+    Returns
+    -------
+    OperatorAnswer
+        ``'done'`` with tables, ``'refused'`` for an unknown type or name, or
+        ``'rejected'`` for a diff whose change set has faults.
+    """
+    answer = OperatorAnswer(
+        id=query.id,
+        status='done',
+        revision=machine.revision,
+        version=machine.version,
+    )
+    if query.what == 'status':
+        answer.tables = _build_status(machine, in_force or {})
+    elif query.what == 'members':
+        answer.tables = list_members(machine)
+    elif query.what == 'history':
+        answer.tables = [_list_history(machine)]
+    elif query.what == 'dump':
+        answer.data = _dump(machine)
+    elif query.what == 'get':
+        _fill_get(machine, query, answer)
+    else:
+        _fill_diff(machine, query, answer)
+    return answer
+
+
+def list_members(machine: ControlMachine) -> list[Table]:
+    """Return the members, and the newcomers with their missing approvals."""
+    return [
+        Table(
+            name='members',
+            columns=[
+                'name',
+                'role',
+                'state',
+                'member_id',
+                'group',
+                'address',
+                'data_centre',
+            ],
+            rows=[
+                _member_row(machine.members[name])
+                for name in sorted(machine.members)
+            ],
+        ),
+        Table(
+            name='newcomers',
+            columns=['name', 'role', 'member_id', 'address', 'missing'],
+            rows=[
+                [
+                    name,
+                    newcomer.member.role,
+                    newcomer.member.member_id,
+                    _address(newcomer.member),
+                    ', '.join(missing_approvals(machine, name)),
+                ]
+                for name, newcomer in machine.newcomers.items()
+            ],
+        ),
+    ]
+
+
+def _member_row(member: Member) -> list[Any]:
+    return [
+        member.name,
+        member.role,
+        'leaving' if member.leaving else 'joined',
+        member.member_id,
+        member.group,
+        _address(member),
+        member.data_centre,
+    ]
+
+
+def _address(member: Member) -> str:
+    host = f'[{member.host}]' if ':' in member.host else member.host
+    return f'{host}:{member.port}'
+
+
+def _build_status(
+    machine: ControlMachine, in_force: Mapping[str, int]
+) -> list[Table]:
+    proxies = [
+        name
+        for name in sorted(machine.members)
+        if machine.members[name].role == 'proxy'
+    ]
+    return [
+        Table(
+            name='groups',
+            columns=[
+                'group',
+                'term',
+                'primary',
+                'promotion',
+                'database_set',
+                'answers_needed',
+            ],
+            rows=[
+                _group_row(machine, name) for name in sorted(machine.groups)
+            ],
+        ),
+        Table(
+            name='proxies',
+            columns=['proxy', 'version', 'behind'],
+            rows=[
+                _proxy_row(machine, name, in_force.get(name))
+                for name in proxies
+            ],
+        ),
+        list_members(machine)[1],
+    ]
+
+
+def _group_row(machine: ControlMachine, name: str) -> list[Any]:
+    group = machine.groups[name]
+    promotion = None
+    if group.promotion is not None:
+        promotion = f'{group.promotion.step} to term {group.promotion.to_term}'
+    entry = machine.published[object_key('group', name)]
+    return [
+        name,
+        group.term,
+        entry.body['primary'],
+        promotion,
+        ', '.join(sorted(group.database_set)),
+        promotion_quorum(machine, name),
+    ]
+
+
+def _proxy_row(
+    machine: ControlMachine, name: str, version: int | None
+) -> list[Any]:
+    behind = None if version is None else machine.version - version
+    return [name, version, behind]
+
+
+def _list_history(machine: ControlMachine) -> Table:
+    return Table(
+        name='history',
+        columns=['revision', 'change_id', 'operator', 'operations'],
+        rows=[
+            [
+                entry.revision,
+                entry.change_id,
+                entry.operator,
+                '; '.join(entry.summary),
+            ]
+            for entry in reversed(machine.history)
+        ],
+    )
+
+
+def _dump(machine: ControlMachine) -> dict[str, Any]:
+    # Kept answers and tombstones are left out: they can exceed a frame and
+    # only serve resends and deltas.
+    data = {
+        item.name: _plain(getattr(machine, item.name))
+        for item in dataclasses.fields(machine)
+        if item.name not in ('answers', 'published', 'tombstones')
+    }
+    data['kept_answers'] = len(machine.answers)
+    data['kept_tombstones'] = len(machine.tombstones)
+    return data
+
+
+def _plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return dataclasses.asdict(value)
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_plain(item) for item in value]
+    return value
+
+
+def _fill_get(
+    machine: ControlMachine, query: Query, answer: OperatorAnswer
+) -> None:
+    if query.type and query.type not in OBJECT_TYPES:
+        _refuse(
+            answer, f'type {query.type!r}: valid are {", ".join(OBJECT_TYPES)}'
+        )
+        return
+    types = [query.type] if query.type else OBJECT_TYPES
+    answer.tables = [
+        _list_objects(machine, item, query.name) for item in types
+    ]
+    if query.name and not any(table.rows for table in answer.tables):
+        _refuse(answer, f'no {object_key(query.type or "object", query.name)}')
+
+
+def _refuse(answer: OperatorAnswer, message: str) -> None:
+    answer.status = 'refused'
+    answer.message = message
+    answer.tables = []
+
+
+def _list_objects(
+    machine: ControlMachine, object_type: str, only: str
+) -> Table:
+    objects = machine.objects.table(object_type)
+    if object_type == 'upstream':
+        return _list_upstreams(machine, only)
+    columns = field_names(object_type)
+    return Table(
+        name=object_type,
+        columns=columns,
+        rows=[
+            [getattr(objects[name], column) for column in columns]
+            for name in sorted(objects)
+            if only in ('', name)
+        ],
+    )
+
+
+def _list_upstreams(machine: ControlMachine, only: str) -> Table:
+    settings = machine.objects.upstreams
+    announced = _announced_upstreams(machine)
+    rows: list[list[Any]] = []
+    for name in sorted({*settings, *announced}):
+        if only not in ('', name):
+            continue
+        item = settings.get(name)
+        state, group = announced.get(name, ('absent', None))
+        rows.append(
+            [
+                name,
+                item.group if item else None,
+                item.drained if item else False,
+                state,
+                group,
+            ]
+        )
+    return Table(
+        name='upstream',
+        columns=['name', 'group', 'drained', 'state', 'announced_group'],
+        rows=rows,
+    )
+
+
+def _announced_upstreams(
+    machine: ControlMachine,
+) -> dict[str, tuple[str, str]]:
+    found = {
+        name: ('announced', newcomer.member.group)
+        for name, newcomer in machine.newcomers.items()
+        if newcomer.member.role == 'upstream'
+    }
+    for name, member in machine.members.items():
+        if member.role == 'upstream':
+            state = 'leaving' if member.leaving else 'joined'
+            found[name] = (state, member.group)
+    return found
+
+
+def _fill_diff(
+    machine: ControlMachine, query: Query, answer: OperatorAnswer
+) -> None:
+    candidate, answer.faults = apply_operations(machine, query.operations)
+    answer.tables = [_compare(machine.objects, candidate.objects)]
+    if answer.faults:
+        answer.status = 'rejected'
+
+
+def _compare(before: ObjectSet, after: ObjectSet) -> Table:
+    rows: list[list[Any]] = []
+    for object_type in OBJECT_TYPES:
+        old, new = before.table(object_type), after.table(object_type)
+        for name in sorted({*old, *new}):
+            old_body = object_body(old[name]) if name in old else {}
+            new_body = object_body(new[name]) if name in new else {}
+            for field in new_body or old_body:
+                now, then = old_body.get(field), new_body.get(field)
+                if now != then:
+                    key = object_key(object_type, name)
+                    rows.append([key, field, now, then])
+    return Table(
+        name='diff',
+        columns=['object', 'field', 'in_force', 'wanted'],
+        rows=rows,
+    )
--- /dev/null
+++ b/jackdawpost/core/operator_requests.py
@@ -0,0 +1,182 @@
+"""Turns operators' requests into commands, and results into answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jackdawpost.core.change_sets import check_change_set
+from jackdawpost.core.change_sets import repeat_kept_answer
+from jackdawpost.core.commands import ApplyChangeSet
+from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.commands import StartPromotion
+from jackdawpost.core.control_state import ChangeAnswer
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import Refused
+from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.messages.operator import Action
+from jackdawpost.core.messages.operator import AnswerStatus
+from jackdawpost.core.messages.operator import Apply
+from jackdawpost.core.messages.operator import Approve
+from jackdawpost.core.messages.operator import Drain
+from jackdawpost.core.messages.operator import Members
+from jackdawpost.core.messages.operator import Operation
+from jackdawpost.core.messages.operator import OperatorAnswer
+from jackdawpost.core.messages.operator import PromoteGroup
+from jackdawpost.core.messages.operator import Table
+
+_DRAIN_ACTIONS: tuple[Action, ...] = ('create', 'amend')
+
+
+def build_change(
+    machine: ControlMachine, request: Apply
+) -> ApplyChangeSet | OperatorAnswer:
+    """Return the command to propose, or the answer to a dry run."""
+    command = ApplyChangeSet(
+        change_id=request.change_id,
+        base_revision=request.base_revision,
+        operations=request.operations,
+        operator=request.operator,
+    )
+    if request.dry_run:
+        answer = check_change_set(machine, command)
+        return answer_change(machine, request.id, answer)
+    return command
+
+
+def build_drain(
+    machine: ControlMachine, request: Drain
+) -> ApplyChangeSet | OperatorAnswer:
+    """Return the change set that drains an upstream, or an answer.
+
+    A resend gets the first answer here: the upstream's settings may exist by
+    now, so that the operation would differ from the first one.
+    """
+    member = machine.members.get(request.name)
+    settings = machine.objects.upstreams.get(request.name)
+    variants = [
+        Operation(
+            action=action,
+            type='upstream',
+            name=request.name,
+            body={'drained': request.drained},
+        )
+        for action in _DRAIN_ACTIONS
+    ]
+    for variant in variants:
+        kept = repeat_kept_answer(machine, request.change_id, [variant])
+        if kept is not None and kept.duplicate:
+            return answer_change(machine, request.id, kept)
+    if settings is None and (member is None or member.role != 'upstream'):
+        return answer_refusal(
+            machine, request.id, f'{request.name!r} is no joined upstream'
+        )
+    return ApplyChangeSet(
+        change_id=request.change_id,
+        base_revision=machine.revision,
+        operations=variants[:1] if settings is None else variants[1:],
+        operator=request.operator,
+    )
+
+
+def build_removal(
+    machine: ControlMachine, request: Members
+) -> RemoveMember | OperatorAnswer:
+    """Return the command that removes a member."""
+    if not request.member_id:
+        return answer_refusal(
+            machine,
+            request.id,
+            f'member_id is empty: valid is the identity of {request.name!r}',
+        )
+    return RemoveMember(
+        name=request.name, member_id=request.member_id, reason='operator'
+    )
+
+
+def build_promotion(
+    machine: ControlMachine, request: PromoteGroup
+) -> StartPromotion | OperatorAnswer:
+    """Return the command that starts a promotion."""
+    group = machine.groups.get(request.group)
+    if group is None:
+        return answer_refusal(
+            machine, request.id, f'no group {request.group!r}'
+        )
+    return StartPromotion(
+        group=request.group,
+        from_term=request.from_term,
+        to_term=group.last_term + 1,
+        reason=f'operator {request.operator}',
+        accept_loss=request.accept_loss,
+    )
+
+
+def answer_approve(
+    machine: ControlMachine, request: Approve
+) -> OperatorAnswer:
+    """Answer with the members whose approval is missing.
+
+    The leader asks these again; an operator cannot approve in their place.
+    """
+    if request.name in machine.members:
+        return _answer(
+            machine, request.id, 'done', f'{request.name!r} has joined'
+        )
+    if request.name not in machine.newcomers:
+        return answer_refusal(
+            machine, request.id, f'{request.name!r} is not announced'
+        )
+    answer = _answer(machine, request.id, 'done', 'asked again')
+    answer.tables = [
+        Table(
+            name='missing',
+            columns=['member'],
+            rows=[[name] for name in missing_approvals(machine, request.name)],
+        )
+    ]
+    return answer
+
+
+def answer_change(
+    machine: ControlMachine, request_id: int, change: ChangeAnswer
+) -> OperatorAnswer:
+    """Turn the machine's answer to a change set into a message."""
+    status: AnswerStatus = 'accepted' if change.accepted else 'rejected'
+    answer = _answer(machine, request_id, status, '')
+    answer.revision = change.revision
+    answer.faults = [dataclasses.replace(fault) for fault in change.faults]
+    answer.duplicate = change.duplicate
+    return answer
+
+
+def answer_command(
+    machine: ControlMachine, request_id: int, refused: Refused | None
+) -> OperatorAnswer:
+    """Answer for a removal or the start of a promotion."""
+    if refused is None:
+        return _answer(machine, request_id, 'done', '')
+    return answer_refusal(
+        machine, request_id, f'{refused.code}: {refused.message}'
+    )
+
+
+def answer_refusal(
+    machine: ControlMachine, request_id: int, message: str
+) -> OperatorAnswer:
+    """Return a refusal with its reason."""
+    return _answer(machine, request_id, 'refused', message)
+
+
+def _answer(
+    machine: ControlMachine,
+    request_id: int,
+    status: AnswerStatus,
+    message: str,
+) -> OperatorAnswer:
+    return OperatorAnswer(
+        id=request_id,
+        status=status,
+        revision=machine.revision,
+        version=machine.version,
+        message=message,
+    )
