--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -20,9 +20,19 @@
 
 
 def build_parser(
-    program: str, description: str, example: str
+    program: str,
+    description: str,
+    example: str,
+    config_required: bool = True,
 ) -> argparse.ArgumentParser:
-    """Return a parser with ``--version``, ``--config`` and ``--check``."""
+    """Return a parser with ``--version``, ``--config`` and ``--check``.
+
+    Parameters
+    ----------
+    config_required : bool
+        False if subcommands accept ``--config`` as well; the program then
+        checks by itself that it was given.
+    """
     parser = argparse.ArgumentParser(
         prog=program,
         description=description,
@@ -33,7 +43,10 @@
         '--version', action='version', version=f'{program} {__version__}'
     )
     parser.add_argument(
-        '--config', metavar='FILE', required=True, help='settings file'
+        '--config',
+        metavar='FILE',
+        required=config_required,
+        help='settings file',
     )
     parser.add_argument(
         '--check',
--- /dev/null
+++ b/jackdawpost/cli/tables.py
@@ -0,0 +1,61 @@
+"""Tables for people."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jackdawpost.core.messages.operator import Fault
+from jackdawpost.core.messages.operator import Table
+
+COLUMN_GAP = '  '
+NO_VALUE = '-'
+
+
+def format_table(table: Table) -> str:
+    """Return a table as aligned text, with its name and column names.
+
+    Parameters
+    ----------
+    table : Table
+        Columns and rows of plain values.
+
+    Returns
+    -------
+    str
+        Lines without trailing blanks; one line if there are no rows.
+    """
+    if not table.rows:
+        return f'{table.name}: none'
+    lines = [[str(column) for column in table.columns]]
+    lines.extend([_format_cell(cell) for cell in row] for row in table.rows)
+    widths = [
+        max(len(line[place]) for line in lines)
+        for place in range(len(table.columns))
+    ]
+    text = [f'{table.name}:']
+    for line in lines:
+        cells = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        text.append(COLUMN_GAP.join(cells).rstrip())
+    return '\n'.join(text)
+
+
+def list_faults(faults: list[Fault]) -> Table:
+    """Return the faults of a change set as a table."""
+    return Table(
+        name='faults',
+        columns=['object', 'field', 'fault'],
+        rows=[[item.object, item.field, item.message] for item in faults],
+    )
+
+
+def _format_cell(value: Any) -> str:
+    if value is None or value == '':
+        return NO_VALUE
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, list):
+        return ', '.join(str(item) for item in value) or NO_VALUE
+    # Control characters in announced names would garble the terminal.
+    return ''.join(c if c.isprintable() else '?' for c in str(value))
--- a/jackdawpost/core/operator_queries.py
+++ b/jackdawpost/core/operator_queries.py
@@ -10,6 +10,7 @@
 from jackdawpost.core.control_state import ControlMachine
 from jackdawpost.core.control_state import Member
 from jackdawpost.core.control_state import promotion_quorum
+from jackdawpost.core.database_sets import is_joined_upstream
 from jackdawpost.core.membership import missing_approvals
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import Query
@@ -66,7 +67,14 @@
 
 
 def list_members(machine: ControlMachine) -> list[Table]:
-    """Return the members, and the newcomers with their missing approvals."""
+    """Return the members, newcomers and absent databases.
+
+    Returns
+    -------
+    list of Table
+        ``members``; ``newcomers`` with their missing approvals; ``absent``,
+        the identities that count in a database set without being members.
+    """
     return [
         Table(
             name='members',
@@ -98,6 +106,22 @@
                 for name, newcomer in machine.newcomers.items()
             ],
         ),
+        Table(
+            name='absent',
+            columns=['name', 'member_id', 'group'],
+            rows=_absent_rows(machine),
+        ),
+    ]
+
+
+def _absent_rows(machine: ControlMachine) -> list[list[Any]]:
+    return [
+        [name, data_id, group_name]
+        for group_name in sorted(machine.groups)
+        for name, data_id in sorted(
+            machine.groups[group_name].database_set.items()
+        )
+        if not is_joined_upstream(machine, group_name, name, data_id)
     ]
 
 
@@ -149,7 +173,7 @@
                 for name in proxies
             ],
         ),
-        list_members(machine)[1],
+        *list_members(machine)[1:],
     ]
 
 
