--- /dev/null
+++ b/jackdawpost/core/promotion.py
@@ -0,0 +1,599 @@
+"""Promotion driver: replaces primaries step by step on the control leader.
+
+The committed steps are in the replicated state; the driver keeps only what
+the present leader has heard and can be built anew at each of them. It is
+level-triggered: `next_command` and `admin_wants` look at the facts of a
+group and return what is missing for its next step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Literal
+
+from jackdawpost.core.commands import AbandonPromotion
+from jackdawpost.core.commands import AdmitDatabase
+from jackdawpost.core.commands import ChoosePrimary
+from jackdawpost.core.commands import FinishPromotion
+from jackdawpost.core.commands import StartPromotion
+from jackdawpost.core.positions import LogPosition
+
+CHOICE_GRACE_MS = 200.0  # for further replicas where waiting costs little
+LEAVING_PAUSE_MS = 1_000.0  # between promotions for a primary that leaves
+RETRY_MS = 100.0  # after a command that the state machine refused
+
+GroupCommand = (
+    StartPromotion
+    | ChoosePrimary
+    | FinishPromotion
+    | AbandonPromotion
+    | AdmitDatabase
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class Database:
+    """A joined upstream as it last announced itself.
+
+    Parameters
+    ----------
+    session : int
+        Announcing connection; a new one calls for a new `follow`.
+    connected : bool
+        The announcing connection is open.
+    """
+
+    name: str
+    data_id: str
+    host: str
+    port: int
+    term: int
+    leads: bool
+    received: LogPosition
+    leaving: bool
+    session: int
+    connected: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class OpenPromotion:
+    """Promotion under way as committed; `upstream` is the choice."""
+
+    from_term: int
+    to_term: int
+    accept_loss: bool = False
+    upstream: str | None = None
+    data_id: str | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupFacts:
+    """What the leader knows about a group now.
+
+    Parameters
+    ----------
+    size : int
+        Databases that the group should have.
+    needed : int
+        Databases of the set that must be heard, so that at least one of
+        them holds each acknowledged write.
+    databases : dict of str to Database
+        Joined upstreams of the group that have announced themselves.
+    lease_holders : dict of str to float
+        Proxies that may acknowledge writes of the replaced term.
+    failed : str
+        Why the primary must be replaced, empty if it need not be.
+    """
+
+    name: str
+    size: int
+    needed: int
+    term: int
+    last_term: int
+    primary: str | None
+    database_set: Mapping[str, str]
+    promotion: OpenPromotion | None
+    databases: Mapping[str, Database]
+    lease_holders: Mapping[str, float]
+    failed: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AdminWant:
+    """Admin request that an upstream has to answer."""
+
+    group: str
+    upstream: str
+    action: Literal['seal', 'promote', 'follow']
+    term: int
+    host: str
+    port: int
+    primary: str = ''
+    primary_host: str = ''
+    primary_port: int = 0
+    session: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Heard:
+    """What a sealed database holds."""
+
+    data_id: str
+    received: LogPosition
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupDrive:
+    """Progress of one group under this leader.
+
+    Parameters
+    ----------
+    highest_term : int
+        Highest term seen anywhere; a new promotion starts above it.
+    busy : bool
+        A command of this group is in the log and not yet applied.
+    restart : str
+        Reason to start another promotion, empty if there is none.
+    retry_at_ms : float
+        Earliest time of the next command after a refused one.
+    heard_term : int
+        Promotion that `heard` and the following fields belong to.
+    enough_since_ms : float, optional
+        Time since which enough databases have been heard.
+    chosen_since_ms : float, optional
+        Time since which the chosen database has been asked to lead.
+    outdated : bool
+        A database knows a term above that of the promotion.
+    finished_ms : float, optional
+        Time of the last promotion that this leader finished.
+    targets : dict
+        Name, data and term to the position that a database outside the set
+        must reach to be admitted.
+    """
+
+    highest_term: int = 0
+    busy: bool = False
+    restart: str = ''
+    retry_at_ms: float = 0.0
+    accept_loss: bool = False
+    heard_term: int = 0
+    heard: dict[str, Heard] = field(default_factory=dict)
+    enough_since_ms: float | None = None
+    chosen_since_ms: float | None = None
+    promoted: bool = False
+    outdated: bool = False
+    finished_ms: float | None = None
+    followed: set[AdminWant] = field(default_factory=set)
+    targets: dict[tuple[str, str, int], LogPosition] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class PromotionDriver:
+    """Promotions of all groups.
+
+    Parameters
+    ----------
+    refused_ms, silent_ms : float
+        Time after which a chosen database that refuses connections or does
+        not answer is given up.
+    """
+
+    refused_ms: float
+    silent_ms: float
+    groups: dict[str, GroupDrive] = field(default_factory=dict)
+
+
+def drive_of(driver: PromotionDriver, group: str) -> GroupDrive:
+    """Return the progress of a group, creating it if need be."""
+    return driver.groups.setdefault(group, GroupDrive())
+
+
+def next_command(
+    driver: PromotionDriver, now_ms: float, facts: GroupFacts
+) -> GroupCommand | None:
+    """Return the command that takes a group one step on, if it is due.
+
+    Nothing is returned while an earlier command of the group is in the log
+    and not applied; the caller sets ``busy`` once it has proposed.
+    """
+    drive = drive_of(driver, facts.name)
+    _learn_terms(drive, facts)
+    if drive.busy or now_ms < drive.retry_at_ms:
+        return None
+    promotion = facts.promotion
+    if promotion is None:
+        return _start(drive, now_ms, facts) or _admit(drive, facts)
+    _enter(drive, promotion)
+    if _must_abandon(driver, drive, now_ms, promotion, facts):
+        drive.restart = drive.restart or 'promotion given up'
+        return AbandonPromotion(
+            group=facts.name, to_term=promotion.to_term, reason=drive.restart
+        )
+    if promotion.upstream is None:
+        return _choose(drive, now_ms, promotion, facts)
+    if drive.promoted:
+        drive.finished_ms = now_ms
+        return FinishPromotion(group=facts.name, to_term=promotion.to_term)
+    return None
+
+
+def _learn_terms(drive: GroupDrive, facts: GroupFacts) -> None:
+    terms = [database.term for database in facts.databases.values()]
+    drive.highest_term = max(
+        [drive.highest_term, facts.last_term, facts.term, *terms]
+    )
+
+
+def _enter(drive: GroupDrive, promotion: OpenPromotion) -> None:
+    """Forget what belongs to an earlier promotion."""
+    drive.highest_term = max(drive.highest_term, promotion.to_term)
+    if drive.heard_term == promotion.to_term:
+        return
+    drive.heard_term = promotion.to_term
+    drive.heard = {}
+    drive.enough_since_ms = None
+    drive.chosen_since_ms = None
+    drive.promoted = False
+    drive.outdated = False
+    drive.restart = ''
+    drive.accept_loss = promotion.accept_loss
+
+
+def _start(
+    drive: GroupDrive, now_ms: float, facts: GroupFacts
+) -> StartPromotion | None:
+    if not drive.restart:
+        drive.accept_loss = False
+    reason = _start_reason(drive, now_ms, facts)
+    if not reason:
+        return None
+    return StartPromotion(
+        group=facts.name,
+        from_term=facts.term,
+        to_term=drive.highest_term + 1,
+        reason=reason,
+        accept_loss=drive.accept_loss,
+    )
+
+
+def _start_reason(drive: GroupDrive, now_ms: float, facts: GroupFacts) -> str:
+    if facts.primary is None:
+        if facts.term:
+            return 'no primary'
+        return 'first primary' if _may_begin(drive, facts) else ''
+    if drive.restart or facts.failed:
+        return drive.restart or facts.failed
+    primary = facts.databases.get(facts.primary)
+    if primary is None:
+        return ''
+    if primary.leaving and _has_successor(facts):
+        return '' if _is_paused(drive, now_ms) else 'primary leaving'
+    return 'primary sealed' if primary.term > facts.term else ''
+
+
+def _may_begin(drive: GroupDrive, facts: GroupFacts) -> bool:
+    """Tell whether enough databases are there for the first primary.
+
+    A second attempt, after a choice that failed, waits for no more
+    databases than must be heard.
+    """
+    present = [d for d in facts.databases.values() if d.connected]
+    if drive.accept_loss:
+        return bool(present)
+    return len(present) >= (facts.needed if facts.last_term else facts.size)
+
+
+def _is_paused(drive: GroupDrive, now_ms: float) -> bool:
+    """Tell whether a leaving primary was chosen again a moment ago.
+
+    That happens if only it holds every write; the pause lets another
+    database catch up.
+    """
+    if drive.finished_ms is None:
+        return False
+    return now_ms < drive.finished_ms + LEAVING_PAUSE_MS
+
+
+def _has_successor(facts: GroupFacts) -> bool:
+    return any(
+        not database.leaving and is_counted(facts, database)
+        for database in facts.databases.values()
+    )
+
+
+def is_counted(facts: GroupFacts, database: Database) -> bool:
+    """Tell whether a database holds the data of the group's set."""
+    return facts.database_set.get(database.name) == database.data_id
+
+
+def request_promotion(
+    driver: PromotionDriver, group: str, reason: str, accept_loss: bool
+) -> None:
+    """Start a promotion on an operator's request, or let one go on.
+
+    With `accept_loss` a promotion that has heard too few databases is given
+    up and started again with that permission.
+    """
+    drive = drive_of(driver, group)
+    drive.restart = reason
+    drive.accept_loss = drive.accept_loss or accept_loss
+
+
+def _must_abandon(
+    driver: PromotionDriver,
+    drive: GroupDrive,
+    now_ms: float,
+    promotion: OpenPromotion,
+    facts: GroupFacts,
+) -> bool:
+    if drive.outdated:
+        return True
+    if promotion.upstream is None:
+        return drive.accept_loss and not promotion.accept_loss
+    database = facts.databases.get(promotion.upstream)
+    if database is not None and database.data_id != promotion.data_id:
+        return True
+    if database is not None:
+        if database.leads and database.term == promotion.to_term:
+            drive.promoted = True
+        if drive.promoted:
+            return False
+    if drive.chosen_since_ms is None:
+        drive.chosen_since_ms = now_ms
+    return now_ms >= drive.chosen_since_ms + driver.silent_ms
+
+
+def _choose(
+    drive: GroupDrive,
+    now_ms: float,
+    promotion: OpenPromotion,
+    facts: GroupFacts,
+) -> ChoosePrimary | None:
+    if facts.lease_holders:
+        return None
+    heard = counted_heard(drive, facts)
+    if len(heard) < (1 if promotion.accept_loss else facts.needed):
+        return None
+    if drive.enough_since_ms is None:
+        drive.enough_since_ms = now_ms
+    others = {n: h for n, h in heard.items() if not _is_avoided(n, facts)}
+    if _should_wait(drive, now_ms, promotion, facts, others):
+        return None
+    name = _best(others if len(others) >= facts.needed else heard, facts)
+    return ChoosePrimary(
+        group=facts.name,
+        to_term=promotion.to_term,
+        upstream=name,
+        data_id=heard[name].data_id,
+        position=heard[name].received,
+    )
+
+
+def counted_heard(drive: GroupDrive, facts: GroupFacts) -> dict[str, Heard]:
+    """Return the sealed databases whose data counts for the choice."""
+    counted = {}
+    for name, heard in drive.heard.items():
+        database = facts.databases.get(name)
+        if database is not None and database.data_id != heard.data_id:
+            continue
+        if facts.database_set.get(name) == heard.data_id:
+            counted[name] = heard
+    return counted
+
+
+def _is_avoided(name: str, facts: GroupFacts) -> bool:
+    """Tell whether a database is to be replaced rather than chosen."""
+    database = facts.databases.get(name)
+    return name == facts.primary or database is None or database.leaving
+
+
+def _should_wait(
+    drive: GroupDrive,
+    now_ms: float,
+    promotion: OpenPromotion,
+    facts: GroupFacts,
+    others: Mapping[str, Heard],
+) -> bool:
+    """Wait a little for further databases that may hold more.
+
+    A dead primary is never worth it: the databases needed for the choice
+    already include every acknowledged write.
+    """
+    primary = facts.databases.get(facts.primary or '')
+    leaving = primary is not None and primary.leaving and not facts.failed
+    if not leaving and not promotion.accept_loss:
+        return False
+    missing = [
+        name
+        for name, database in facts.databases.items()
+        if name not in others
+        and database.connected
+        and is_counted(facts, database)
+        and not _is_avoided(name, facts)
+    ]
+    since_ms = drive.enough_since_ms or now_ms
+    return bool(missing) and now_ms < since_ms + CHOICE_GRACE_MS
+
+
+def _best(candidates: Mapping[str, Heard], facts: GroupFacts) -> str:
+    return max(
+        sorted(candidates),
+        key=lambda name: (
+            candidates[name].received,
+            not _is_avoided(name, facts),
+        ),
+    )
+
+
+def _admit(drive: GroupDrive, facts: GroupFacts) -> AdmitDatabase | None:
+    primary = facts.databases.get(facts.primary or '')
+    if primary is None or not primary.leads or primary.term != facts.term:
+        return None
+    for name, database in sorted(facts.databases.items()):
+        if is_counted(facts, database) or name == facts.primary:
+            continue
+        key = (name, database.data_id, facts.term)
+        target = drive.targets.setdefault(key, primary.received)
+        if database.term == facts.term and database.received >= target:
+            return AdmitDatabase(
+                group=facts.name, name=name, data_id=database.data_id
+            )
+    return None
+
+
+def admin_wants(
+    driver: PromotionDriver, facts: GroupFacts
+) -> dict[str, AdminWant]:
+    """Return the admin request that each upstream of a group owes now."""
+    drive = drive_of(driver, facts.name)
+    promotion = facts.promotion
+    if promotion is None:
+        return _follow_wants(drive, facts)
+    _enter(drive, promotion)
+    if promotion.upstream is None:
+        return {
+            name: _want(facts, database, 'seal', promotion.to_term)
+            for name, database in facts.databases.items()
+            if name not in drive.heard
+            or drive.heard[name].data_id != database.data_id
+        }
+    database = facts.databases.get(promotion.upstream)
+    if database is None or drive.promoted:
+        return {}
+    want = _want(facts, database, 'promote', promotion.to_term)
+    return {database.name: want}
+
+
+def _want(
+    facts: GroupFacts,
+    database: Database,
+    action: Literal['seal', 'promote'],
+    term: int,
+) -> AdminWant:
+    return AdminWant(
+        group=facts.name,
+        upstream=database.name,
+        action=action,
+        term=term,
+        host=database.host,
+        port=database.port,
+    )
+
+
+def _follow_wants(
+    drive: GroupDrive, facts: GroupFacts
+) -> dict[str, AdminWant]:
+    primary = facts.databases.get(facts.primary or '')
+    if primary is None:
+        return {}
+    wants = {}
+    if primary.term == facts.term and not primary.leads:
+        if is_counted(facts, primary):
+            wants[primary.name] = _want(facts, primary, 'promote', facts.term)
+    for name, database in facts.databases.items():
+        if name == primary.name or database.term > facts.term:
+            continue
+        want = AdminWant(
+            group=facts.name,
+            upstream=name,
+            action='follow',
+            term=facts.term,
+            host=database.host,
+            port=database.port,
+            primary=primary.name,
+            primary_host=primary.host,
+            primary_port=primary.port,
+            session=database.session,
+        )
+        behind = database.term < facts.term or database.leads
+        if behind or want not in drive.followed:
+            wants[name] = want
+    return wants
+
+
+def note_sealed(
+    driver: PromotionDriver,
+    facts: GroupFacts,
+    want: AdminWant,
+    ok: bool,
+    term: int,
+    heard: Heard,
+) -> None:
+    """Take the answer to a seal request."""
+    drive = drive_of(driver, facts.name)
+    drive.highest_term = max(drive.highest_term, term)
+    if drive.heard_term != want.term:
+        return
+    if ok:
+        drive.heard[want.upstream] = heard
+    elif term > want.term:
+        drive.outdated = True
+
+
+def note_admin_done(
+    driver: PromotionDriver,
+    facts: GroupFacts,
+    want: AdminWant,
+    ok: bool,
+    term: int,
+) -> None:
+    """Take the answer to a promote or follow request."""
+    drive = drive_of(driver, facts.name)
+    drive.highest_term = max(drive.highest_term, term)
+    if want.action == 'follow':
+        if ok:
+            drive.followed = {
+                done
+                for done in drive.followed
+                if done.upstream != want.upstream
+            }
+            drive.followed.add(want)
+        return
+    if drive.heard_term != want.term or facts.promotion is None:
+        return
+    if ok:
+        drive.promoted = True
+    elif term > want.term:
+        drive.outdated = True
+
+
+def note_refused(
+    driver: PromotionDriver, now_ms: float, facts: GroupFacts, want: AdminWant
+) -> None:
+    """Note that a chosen database refuses connections.
+
+    A refusal says more than silence, so the time after which the database
+    is given up becomes `refused_ms`.
+    """
+    drive = drive_of(driver, facts.name)
+    if want.action != 'promote' or drive.chosen_since_ms is None:
+        return
+    earliest = now_ms + driver.refused_ms - driver.silent_ms
+    drive.chosen_since_ms = min(drive.chosen_since_ms, earliest)
+
+
+def missing_databases(driver: PromotionDriver, facts: GroupFacts) -> list[str]:
+    """Return the databases that a blocked promotion has not heard."""
+    if facts.promotion is None or facts.promotion.upstream is not None:
+        return []
+    heard = counted_heard(drive_of(driver, facts.name), facts)
+    return sorted(set(facts.database_set) - set(heard))
+
+
+def next_promotion_due_ms(
+    driver: PromotionDriver, now_ms: float, facts: GroupFacts
+) -> float | None:
+    """Return when `next_command` may be due without another input."""
+    drive = drive_of(driver, facts.name)
+    dues = [drive.retry_at_ms, *facts.lease_holders.values()]
+    if drive.finished_ms is not None:
+        dues.append(drive.finished_ms + LEAVING_PAUSE_MS)
+    if drive.enough_since_ms is not None:
+        dues.append(drive.enough_since_ms + CHOICE_GRACE_MS)
+    if drive.chosen_since_ms is not None:
+        dues.append(drive.chosen_since_ms + driver.silent_ms)
+    return min((due for due in dues if due > now_ms), default=None)
