--- /dev/null
+++ b/jackdawpost/core/control_admin.py
@@ -0,0 +1,236 @@
+"""Admin connections of the control leader to upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Literal
+
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.effects import Send
+from jackdawpost.core.messages.upstream import Follow
+from jackdawpost.core.messages.upstream import Promote
+from jackdawpost.core.messages.upstream import Seal
+from jackdawpost.core.promotion import AdminWant
+
+ADMIN_OPEN_MS = 500
+ADMIN_ANSWER_MS = 400.0
+ADMIN_RETRY_MS = 100.0
+
+
+@dataclass(slots=True, kw_only=True)
+class AdminLink:
+    """Admin connection to one upstream and the request that it owes.
+
+    Parameters
+    ----------
+    conn : int, optional
+        Connection that is open or being opened.
+    request_id : int, optional
+        Request in flight.
+    answer_due_ms : float
+        Time at which the request in flight is given up.
+    retry_at_ms : float
+        Earliest time of the next attempt.
+    """
+
+    want: AdminWant
+    conn: int | None = None
+    is_open: bool = False
+    request_id: int | None = None
+    answer_due_ms: float = 0.0
+    retry_at_ms: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class AdminLinks:
+    """Admin connections to all upstreams that owe a request.
+
+    Parameters
+    ----------
+    next_conn : int
+        Id of the next connection; falls, as ids are negative.
+    """
+
+    next_conn: int
+    next_request: int = 1
+    links: dict[str, AdminLink] = field(default_factory=dict)
+    conns: dict[int, str] = field(default_factory=dict)
+
+
+def reconcile(
+    admin: AdminLinks,
+    now_ms: float,
+    group: str,
+    wants: Mapping[str, AdminWant],
+) -> list[Effect]:
+    """Send, retry or drop requests until they are as wanted.
+
+    Parameters
+    ----------
+    group : str
+        Group that `wants` speaks for; others keep their requests.
+    wants : mapping of str to AdminWant
+        Request that each upstream of the group owes now.
+    """
+    effects: list[Effect] = []
+    names = {n for n, k in admin.links.items() if k.want.group == group}
+    for name in sorted(names | set(wants)):
+        want = wants.get(name)
+        link = admin.links.get(name)
+        if link is not None and (want is None or _moved(link, want)):
+            effects += _drop(admin, name)
+            link = None
+        if want is None:
+            continue
+        if link is None:
+            link = AdminLink(want=want)
+            admin.links[name] = link
+        effects += _advance(admin, now_ms, link, want)
+    return effects
+
+
+def _moved(link: AdminLink, want: AdminWant) -> bool:
+    return (link.want.host, link.want.port) != (want.host, want.port)
+
+
+def _drop(admin: AdminLinks, name: str) -> list[Effect]:
+    link = admin.links.pop(name)
+    if link.conn is None:
+        return []
+    admin.conns.pop(link.conn, None)
+    return [Close(conn=link.conn, reason='done')]
+
+
+def _advance(
+    admin: AdminLinks, now_ms: float, link: AdminLink, want: AdminWant
+) -> list[Effect]:
+    if link.request_id is not None and now_ms >= link.answer_due_ms:
+        effects = _abort(admin, now_ms, link)
+        return effects + _advance(admin, now_ms, link, want)
+    if link.conn is None:
+        link.want = want
+        if now_ms < link.retry_at_ms:
+            return []
+        return [_connect(admin, link)]
+    if not link.is_open or (link.request_id and link.want == want):
+        return []
+    if now_ms < link.retry_at_ms and link.want == want:
+        return []
+    link.want = want
+    link.request_id = admin.next_request
+    link.answer_due_ms = now_ms + ADMIN_ANSWER_MS
+    admin.next_request += 1
+    return [Send(conn=link.conn, messages=[_request(link.request_id, want)])]
+
+
+def _abort(admin: AdminLinks, now_ms: float, link: AdminLink) -> list[Effect]:
+    assert link.conn is not None
+    admin.conns.pop(link.conn, None)
+    effect = Close(conn=link.conn, reason='no answer', abort=True)
+    _reset(link, now_ms)
+    return [effect]
+
+
+def _reset(link: AdminLink, now_ms: float) -> None:
+    link.conn = None
+    link.is_open = False
+    link.request_id = None
+    link.retry_at_ms = now_ms + ADMIN_RETRY_MS
+
+
+def _connect(admin: AdminLinks, link: AdminLink) -> Connect:
+    link.conn = admin.next_conn
+    admin.next_conn -= 1
+    admin.conns[link.conn] = link.want.upstream
+    return Connect(
+        conn=link.conn,
+        peer=link.want.upstream,
+        host=link.want.host,
+        port=link.want.port,
+        purpose='admin',
+        timeout_ms=ADMIN_OPEN_MS,
+    )
+
+
+def _request(request_id: int, want: AdminWant) -> Seal | Promote | Follow:
+    if want.action == 'seal':
+        return Seal(id=request_id, term=want.term)
+    if want.action == 'promote':
+        return Promote(id=request_id, term=want.term)
+    return Follow(
+        id=request_id,
+        term=want.term,
+        primary=want.primary,
+        host=want.primary_host,
+        port=want.primary_port,
+    )
+
+
+def note_opened(admin: AdminLinks, conn: int) -> bool:
+    """Note that a connection is open; False if it is not an admin one."""
+    name = admin.conns.get(conn)
+    if name is None:
+        return False
+    admin.links[name].is_open = True
+    return True
+
+
+def note_closed(
+    admin: AdminLinks,
+    now_ms: float,
+    conn: int,
+    reason: Literal['closed', 'refused', 'timeout', 'malformed'],
+) -> AdminWant | None:
+    """Note that a connection ended.
+
+    Returns
+    -------
+    AdminWant or None
+        Request that the upstream refused a connection for.
+    """
+    name = admin.conns.pop(conn, None)
+    if name is None:
+        return None
+    link = admin.links[name]
+    _reset(link, now_ms)
+    return link.want if reason == 'refused' else None
+
+
+def note_answer(
+    admin: AdminLinks, now_ms: float, conn: int, request_id: int
+) -> AdminWant | None:
+    """Return the request that an answer belongs to; None for a stale one."""
+    name = admin.conns.get(conn)
+    if name is None:
+        return None
+    link = admin.links[name]
+    if link.request_id != request_id:
+        return None
+    link.request_id = None
+    link.retry_at_ms = now_ms + ADMIN_RETRY_MS
+    return link.want
+
+
+def next_admin_due_ms(admin: AdminLinks, now_ms: float) -> float | None:
+    """Return when a request is to be retried or given up."""
+    dues = []
+    for link in admin.links.values():
+        if link.request_id is not None:
+            dues.append(link.answer_due_ms)
+        elif link.conn is None or link.is_open:
+            dues.append(link.retry_at_ms)
+    return min((due for due in dues if due > now_ms), default=None)
+
+
+def close_all(admin: AdminLinks) -> list[Effect]:
+    """Close every connection, as the process leads no more."""
+    effects: list[Effect] = [
+        Close(conn=conn, reason='not leader') for conn in admin.conns
+    ]
+    admin.conns.clear()
+    admin.links.clear()
+    return effects
--- /dev/null
+++ b/jackdawpost/core/control_leadership.py
@@ -0,0 +1,195 @@
+"""Start, end and sweeps of the services that only the leader runs."""
+
+from __future__ import annotations
+
+from jackdawpost.core import control_admin
+from jackdawpost.core import failure_detector
+from jackdawpost.core import lease_ledger
+from jackdawpost.core import permit_ledger
+from jackdawpost.core import promotion
+from jackdawpost.core.commands import Command
+from jackdawpost.core.control_admin import AdminLinks
+from jackdawpost.core.control_members import ask_approvals
+from jackdawpost.core.control_members import expire_members
+from jackdawpost.core.control_members import finish_removals
+from jackdawpost.core.control_members import forget_asked
+from jackdawpost.core.control_members import removal_due_ms
+from jackdawpost.core.control_operators import answer_applied
+from jackdawpost.core.control_operators import release_operators
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import is_member
+from jackdawpost.core.control_process import LeaderState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_proxies import drop_left_proxies
+from jackdawpost.core.control_proxies import move_permits
+from jackdawpost.core.control_proxies import push_updates
+from jackdawpost.core.control_proxies import refresh_slots
+from jackdawpost.core.control_proxies import serve_report
+from jackdawpost.core.control_proxies import start_confirmation
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import Refused
+from jackdawpost.core.control_upstreams import advance_groups
+from jackdawpost.core.control_upstreams import wake_groups
+
+MEMBER_COMMANDS = (
+    'announce_member',
+    'approve_member',
+    'remove_member',
+    'mark_leaving',
+    'apply_change_set',
+)
+
+
+def begin_leadership(state: ControlState, term: int) -> None:
+    """Build the leader services anew.
+
+    Proxies may hold leases and permits of earlier leaders, so every joined
+    one counts as a holder until it has reported or a full lease has passed.
+    """
+    cfg = state.cfg
+    proxies = {
+        name
+        for name, member in state.machine.members.items()
+        if member.role == 'proxy'
+    }
+    leases = lease_ledger.LeaseLedger(
+        duration_ms=cfg.lease_ms,
+        clock_margin=cfg.clock_margin,
+        elected_ms=state.now_ms,
+        assumed=set(proxies),
+    )
+    leader = LeaderState(
+        term=term,
+        elected_ms=state.now_ms,
+        leases=leases,
+        permits=permit_ledger.PermitLedger(
+            ready_ms=lease_ledger.assumed_until_ms(leases),
+            unheard=set(proxies),
+        ),
+        detector=failure_detector.FailureDetector(
+            refused_ms=cfg.refused_ms,
+            silent_ms=cfg.silent_ms,
+            live_ms=cfg.lease_ms,
+        ),
+        driver=promotion.PromotionDriver(
+            refused_ms=cfg.refused_ms, silent_ms=cfg.silent_ms
+        ),
+        admin=AdminLinks(next_conn=state.next_conn),
+    )
+    leader.dirty_groups.update(state.machine.groups)
+    state.leader = leader
+    refresh_slots(state, leader)
+    log(state, 'info', 'leadership_won', term=term)
+
+
+def end_leadership(state: ControlState, term: int) -> None:
+    """Drop the leader services; nothing of them outlives the term."""
+    leader = state.leader
+    if leader is None:
+        return
+    release_operators(state, leader)
+    state.outbox += control_admin.close_all(leader.admin)
+    state.next_conn = leader.admin.next_conn
+    state.leader = None
+    for link in state.links.values():
+        link.is_served = False
+        link.sent_version = None
+        link.asked = set()
+        link.revoked = set()
+    log(state, 'info', 'leadership_lost', term=term)
+
+
+def after_apply(
+    state: ControlState,
+    leader: LeaderState,
+    index: int,
+    command: Command,
+    applied: Applied,
+) -> None:
+    """Act on an applied command as the leader."""
+    for key, proposed in list(leader.proposed.items()):
+        if proposed <= index:
+            del leader.proposed[key]
+    answer_applied(state, leader, index, command, applied)
+    _after_group_command(state, leader, command, applied)
+    if command.kind in MEMBER_COMMANDS:
+        _after_member_command(state, leader, command, applied)
+    if applied.changed:
+        push_updates(state)
+
+
+def _after_group_command(
+    state: ControlState, leader: LeaderState, command: Command, done: Applied
+) -> None:
+    group = getattr(command, 'group', '')
+    if group in state.machine.groups:
+        leader.dirty_groups.add(group)
+    if command.kind in MEMBER_COMMANDS or group not in state.machine.groups:
+        return
+    drive = promotion.drive_of(leader.driver, group)
+    if isinstance(done.answer, Refused):
+        drive.retry_at_ms = state.now_ms + promotion.RETRY_MS
+        log(
+            state,
+            'warning',
+            'command_refused',
+            command=command.kind,
+            group=group,
+            code=done.answer.code,
+        )
+    elif command.kind == 'finish_promotion':
+        primary = state.machine.groups[group].primary
+        if primary is not None:
+            failure_detector.watch(leader.detector, primary, state.now_ms)
+
+
+def _after_member_command(
+    state: ControlState, leader: LeaderState, command: Command, done: Applied
+) -> None:
+    if command.kind == 'remove_member':
+        key = (command.name, command.member_id)
+        leader.removing.pop(key, None)
+        leader.removal_reasons.pop(key, None)
+        leader.heard_ms.pop(key, None)
+        leader.announce_at_ms.pop(key, None)
+        forget_asked(state, key)
+        if not is_member(state, *key):
+            state.upstreams.pop(key, None)
+        drop_left_proxies(state, leader)
+    refresh_slots(state, leader)
+    leader.dirty_groups.update(state.machine.groups)
+    for name in done.joined:
+        link = state.links.get(state.proxies.get(name, 0))
+        if link is not None and is_member(state, link.name, link.member_id):
+            serve_report(state, leader, link)
+    ask_approvals(state)
+
+
+def run_services(
+    state: ControlState, leader: LeaderState, is_tick: bool
+) -> None:
+    """Do what an event, or passing time, has made due."""
+    if is_tick:
+        lease_ledger.forget_expired(leader.leases, state.now_ms)
+        expire_members(state)
+        wake_groups(state, leader)
+    if leader.removing:
+        finish_removals(state)
+    start_confirmation(state, leader)
+    advance_groups(state, leader)
+    move_permits(state, leader, is_tick)
+
+
+def next_service_due_ms(
+    state: ControlState, leader: LeaderState
+) -> float | None:
+    """Return when `run_services` is due without another event."""
+    dues = [
+        leader.expiry_check_ms,
+        permit_ledger.next_permit_due_ms(leader.permits, state.now_ms),
+        control_admin.next_admin_due_ms(leader.admin, state.now_ms),
+        *leader.group_due_ms.values(),
+        *(removal_due_ms(state, leader, key) for key in leader.removing),
+    ]
+    later = [due for due in dues if due is not None and due > state.now_ms]
+    return min(later, default=None)
--- /dev/null
+++ b/jackdawpost/core/control_members.py
@@ -0,0 +1,242 @@
+"""Membership as the leader drives it: newcomers, approvals, expiry."""
+
+from __future__ import annotations
+
+from jackdawpost.core import lease_ledger
+from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.commands import ApproveMember
+from jackdawpost.core.commands import MarkLeaving
+from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import LeaderState
+from jackdawpost.core.control_process import LinkState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_process import MemberKey
+from jackdawpost.core.control_process import propose
+from jackdawpost.core.control_process import refuse
+from jackdawpost.core.control_process import send
+from jackdawpost.core.control_process import Waiting
+from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.messages.control import Approval
+from jackdawpost.core.messages.control import ApprovalRequest
+
+ANNOUNCE_PAUSE_MS = 1_000.0  # bounds the log if the command is refused
+
+
+def note_member(state: ControlState, command: AnnounceMember) -> None:
+    """Take what a member or newcomer says of itself.
+
+    The command is proposed only if the replicated state differs from it.
+    """
+    leader = state.leader
+    if leader is None:
+        return
+    key = (command.name, command.member_id)
+    leader.heard_ms[key] = state.now_ms
+    if key in leader.removing or _is_known(state, command):
+        return
+    if state.now_ms < leader.announce_at_ms.get(key, 0):
+        return
+    name = f'announce/{command.name}/{command.member_id}'
+    if propose(state, name, command) is not None:
+        leader.announce_at_ms[key] = state.now_ms + ANNOUNCE_PAUSE_MS
+
+
+def _is_known(state: ControlState, command: AnnounceMember) -> bool:
+    member = state.machine.members.get(command.name)
+    if member is None or member.member_id != command.member_id:
+        newcomer = state.machine.newcomers.get(command.name)
+        if newcomer is None:
+            return False
+        member = newcomer.member
+    said = (
+        command.role,
+        command.member_id,
+        command.host,
+        command.port,
+        command.data_centre,
+        command.group,
+        command.slots,
+        command.connections,
+    )
+    return said == (
+        member.role,
+        member.member_id,
+        member.host,
+        member.port,
+        member.data_centre,
+        member.group,
+        member.slots,
+        member.connections,
+    )
+
+
+def note_leaving(state: ControlState, key: MemberKey, leaving: bool) -> None:
+    """Record that a member drains or has come back."""
+    member = state.machine.members.get(key[0])
+    if member is None or member.member_id != key[1]:
+        return
+    if member.leaving != leaving:
+        propose(
+            state,
+            f'leaving/{key[0]}',
+            MarkLeaving(name=key[0], member_id=key[1], leaving=leaving),
+        )
+
+
+def take_approval(
+    state: ControlState, link: LinkState, approval: Approval
+) -> None:
+    """Propose a member's approval of a newcomer.
+
+    An approval counts only from the member that it names, on that member's
+    own connection.
+    """
+    if (approval.member, approval.member_id) != (link.name, link.member_id):
+        refuse(state, link, f'approval in the name of {approval.member!r}')
+        return
+    newcomer = state.machine.newcomers.get(approval.newcomer)
+    if newcomer is None or newcomer.member.member_id != approval.newcomer_id:
+        return
+    propose(
+        state,
+        f'approve/{approval.member}/{approval.newcomer}'
+        f'/{approval.newcomer_id}',
+        ApproveMember(
+            member=approval.member,
+            member_id=approval.member_id,
+            newcomer=approval.newcomer,
+            newcomer_id=approval.newcomer_id,
+            checked=approval.checked,
+            version=approval.version,
+        ),
+    )
+
+
+def ask_approvals(state: ControlState) -> None:
+    """Ask connected members for the approvals that are missing.
+
+    Each connection is asked once for each newcomer identity.
+    """
+    if state.leader is None:
+        return
+    for name, newcomer in list(state.machine.newcomers.items()):
+        request = ApprovalRequest(
+            newcomer=name,
+            newcomer_id=newcomer.member.member_id,
+            host=newcomer.member.host,
+            port=newcomer.member.port,
+            role=newcomer.member.role,
+        )
+        key = (name, newcomer.member.member_id)
+        for member in missing_approvals(state.machine, name):
+            link = _link_of(state, member)
+            if link is not None and key not in link.asked:
+                link.asked.add(key)
+                send(state, link.conn, request)
+
+
+def _link_of(state: ControlState, name: str) -> LinkState | None:
+    """Return the connection of a member, if it has one."""
+    member = state.machine.members[name]
+    if member.role == 'proxy':
+        link = state.links.get(state.proxies.get(name, 0))
+    else:
+        announced = state.upstreams.get((name, member.member_id))
+        link = state.links.get(announced.conn) if announced else None
+    if link is None or link.member_id != member.member_id:
+        return None
+    return link
+
+
+def ask_again(state: ControlState, newcomer: str) -> None:
+    """Ask every member whose approval of a newcomer is missing again."""
+    for link in state.links.values():
+        link.asked = {key for key in link.asked if key[0] != newcomer}
+    ask_approvals(state)
+
+
+def forget_asked(state: ControlState, key: MemberKey) -> None:
+    """Ask anew if this identity announces itself again."""
+    for link in state.links.values():
+        link.asked.discard(key)
+
+
+def expire_members(state: ControlState) -> None:
+    """Remove members and newcomers that have been silent for too long."""
+    leader = state.leader
+    if leader is None or state.now_ms < leader.expiry_check_ms:
+        return
+    dues = []
+    for key in _identities(state):
+        heard_ms = leader.heard_ms.get(key, leader.elected_ms)
+        due_ms = heard_ms + state.cfg.member_expiry_ms
+        if state.now_ms < due_ms:
+            dues.append(due_ms)
+            continue
+        if key not in leader.removing:
+            log(state, 'warning', 'member_expired', member=key[0])
+            begin_removal(state, key, 'expired', None)
+    soonest = min(dues, default=state.now_ms + state.cfg.member_expiry_ms)
+    leader.expiry_check_ms = max(soonest, state.now_ms + 1)
+
+
+def _identities(state: ControlState) -> list[MemberKey]:
+    known = [(m.name, m.member_id) for m in state.machine.members.values()]
+    return known + [
+        (newcomer.member.name, newcomer.member.member_id)
+        for newcomer in state.machine.newcomers.values()
+    ]
+
+
+def begin_removal(
+    state: ControlState, key: MemberKey, reason: str, waiting: Waiting | None
+) -> None:
+    """Remove a member once it can hold no lease any more.
+
+    A later leader does not know removed members, so it could not wait for
+    their leases before a promotion.
+    """
+    leader = state.leader
+    assert leader is not None
+    operators = leader.removing.setdefault(key, [])
+    if waiting is not None:
+        operators.append(waiting)
+    if reason == 'operator' or key not in leader.removal_reasons:
+        leader.removal_reasons[key] = reason
+    finish_removals(state)
+
+
+def finish_removals(state: ControlState) -> None:
+    """Propose the removals whose leases have ended."""
+    leader = state.leader
+    if leader is None:
+        return
+    for key, operators in list(leader.removing.items()):
+        if removal_due_ms(state, leader, key) > state.now_ms:
+            continue
+        reason = leader.removal_reasons[key]
+        index = propose(
+            state,
+            f'remove/{key[0]}/{key[1]}',
+            RemoveMember(
+                name=key[0],
+                member_id=key[1],
+                reason='operator' if reason == 'operator' else 'expired',
+            ),
+        )
+        if index is not None:
+            leader.answers.setdefault(index, []).extend(operators)
+            operators.clear()
+
+
+def removal_due_ms(
+    state: ControlState, leader: LeaderState, key: MemberKey
+) -> float:
+    """Return when a member that is to be removed holds no lease."""
+    member = state.machine.members.get(key[0])
+    if member is None or member.member_id != key[1]:
+        return state.now_ms
+    if member.role != 'proxy':
+        return state.now_ms
+    return lease_ledger.lease_end_ms(leader.leases, state.now_ms, key[0])
--- /dev/null
+++ b/jackdawpost/core/control_process.py
@@ -0,0 +1,306 @@
+"""State of a control process and the helpers that its handlers share."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import Literal
+from typing import TYPE_CHECKING
+
+from jackdawpost.core import consensus
+from jackdawpost.core.commands import Command
+from jackdawpost.core.commands import encode_command
+from jackdawpost.core.control_admin import AdminLinks
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import CountMetric
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.effects import LogLine
+from jackdawpost.core.effects import Send
+from jackdawpost.core.events import Link
+from jackdawpost.core.failure_detector import FailureDetector
+from jackdawpost.core.lease_ledger import LeaseLedger
+from jackdawpost.core.messages.control import Announce
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.permit_ledger import PermitLedger
+from jackdawpost.core.promotion import PromotionDriver
+
+if TYPE_CHECKING:
+    from jackdawpost.settings.models import ControlSettings
+
+MemberKey = tuple[str, str]
+"""Name and identity of a member or newcomer."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ControlConfig:
+    """Settings of a control process that its decisions depend on.
+
+    Parameters
+    ----------
+    peers : list of str
+        Names of all control processes, this one included.
+    lease_ms : float
+        Validity of a lease.
+    clock_margin : float
+        Largest difference in clock rate, as a fraction.
+    snapshot_entries : int
+        Applied entries after which the log is compacted.
+    member_expiry_ms : float
+        Time after which a silent member is removed.
+    refused_ms, silent_ms : float
+        Time for which a primary must be reported refused or silent.
+    max_statement_ms : float
+        Longest run time of a statement.
+    """
+
+    name: str
+    peers: list[str]
+    lease_ms: float = 1_500
+    clock_margin: float = 0.02
+    heartbeat_ms: float = 50
+    election_min_ms: float = 300
+    election_max_ms: float = 600
+    snapshot_entries: int = 5_000
+    member_expiry_ms: float = 30_000
+    refused_ms: float = 200
+    silent_ms: float = 800
+    max_statement_ms: float = 60_000
+
+
+def config_from_settings(settings: ControlSettings) -> ControlConfig:
+    """Return the part of the settings that the reducer needs."""
+    return ControlConfig(
+        name=settings.name,
+        peers=[peer.name for peer in settings.peers],
+        lease_ms=settings.lease_ms,
+        clock_margin=settings.clock_margin,
+        heartbeat_ms=settings.heartbeat_ms,
+        election_min_ms=settings.election_min_ms,
+        election_max_ms=settings.election_max_ms,
+        snapshot_entries=settings.snapshot_entries,
+        member_expiry_ms=settings.member_expiry_ms,
+        refused_ms=settings.refused_ms,
+        silent_ms=settings.silent_ms,
+        max_statement_ms=settings.max_statement_ms,
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class LinkState:
+    """An accepted connection, or one to a peer.
+
+    Parameters
+    ----------
+    peer : str
+        Name that the transport vouches for; empty if it does not.
+    name, member_id : str
+        Member or newcomer that the other end says it is, once it has.
+    """
+
+    conn: int
+    link: Link
+    peer: str
+    name: str = ''
+    member_id: str = ''
+    report: ProxyReport | None = None
+    is_served: bool = False
+    sent_version: int | None = None
+    sent_ms: float = 0.0
+    asked: set[MemberKey] = field(default_factory=set)
+    revoked: set[tuple[str, int]] = field(default_factory=set)
+
+
+@dataclass(slots=True, kw_only=True)
+class Announced:
+    """Latest announcement of one upstream identity."""
+
+    announce: Announce
+    conn: int
+    heard_ms: float
+    connected: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class Waiting:
+    """Operator request whose answer depends on a log entry."""
+
+    conn: int
+    request_id: int
+
+
+@dataclass(slots=True, kw_only=True)
+class LeaderState:
+    """Services that only the leader runs, built anew at each election.
+
+    Parameters
+    ----------
+    proposed : dict of str to int
+        What has been proposed and not applied, with the log index.
+    heard_ms : dict
+        When each member or newcomer was last heard.
+    answers : dict of int to list of Waiting
+        Operators to answer once the entry is applied.
+    queries : dict
+        Connection and query by token of the confirmation they wait for.
+    removing : dict
+        Members that get no more leases, with the operators to answer, until
+        their lease has ended and the removal is proposed.
+    removal_reasons : dict
+        Why each of them is removed.
+    in_force : dict of str to int
+        Published version in force on each proxy.
+    announce_at_ms : dict
+        Earliest time of another announcement of an identity.
+    expiry_check_ms : float
+        Next time to look for silent members.
+    group_due_ms : dict of str to float
+        Next time to look at each group.
+    dirty_groups : set of str
+        Groups whose promotion has to be looked at.
+    dirty_permits : set of str
+        Upstreams whose permits have to be looked at.
+    suspects : set of str
+        Groups with evidence against their primary.
+    """
+
+    term: int
+    elected_ms: float
+    leases: LeaseLedger
+    permits: PermitLedger
+    detector: FailureDetector
+    driver: PromotionDriver
+    admin: AdminLinks
+    proposed: dict[str, int] = field(default_factory=dict)
+    heard_ms: dict[MemberKey, float] = field(default_factory=dict)
+    answers: dict[int, list[Waiting]] = field(default_factory=dict)
+    queries: dict[int, tuple[int, Any]] = field(default_factory=dict)
+    next_query_token: int = -1
+    promotes: dict[str, list[Waiting]] = field(default_factory=dict)
+    removing: dict[MemberKey, list[Waiting]] = field(default_factory=dict)
+    removal_reasons: dict[MemberKey, str] = field(default_factory=dict)
+    in_force: dict[str, int] = field(default_factory=dict)
+    announce_at_ms: dict[MemberKey, float] = field(default_factory=dict)
+    expiry_check_ms: float = 0.0
+    group_due_ms: dict[str, float] = field(default_factory=dict)
+    dirty_groups: set[str] = field(default_factory=set)
+    dirty_permits: set[str] = field(default_factory=set)
+    suspects: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, kw_only=True)
+class ControlState:
+    """Whole state of a control process.
+
+    Parameters
+    ----------
+    queue : deque
+        Consensus effects that have not been carried out; they keep their
+        order, which the order of writes depends on.
+    outbox : list of Effect
+        Effects of the event in progress.
+    """
+
+    cfg: ControlConfig
+    consensus: consensus.ConsensusState
+    machine: ControlMachine
+    now_ms: float
+    links: dict[int, LinkState] = field(default_factory=dict)
+    peers: dict[str, int] = field(default_factory=dict)
+    proxies: dict[str, int] = field(default_factory=dict)
+    upstreams: dict[MemberKey, Announced] = field(default_factory=dict)
+    leader: LeaderState | None = None
+    told_leader: str | None = None
+    next_conn: int = -1
+    timer_ms: float | None = None
+    draining: bool = False
+    drain_due_ms: float = 0.0
+    stopped: bool = False
+    storage_failed: bool = False
+    applied_since_snapshot: int = 0
+    queue: deque[Any] = field(default_factory=deque)
+    outbox: list[Effect] = field(default_factory=list)
+
+
+def send(state: ControlState, conn: int, *messages: Any) -> None:
+    """Send messages as one frame."""
+    state.outbox.append(Send(conn=conn, messages=list(messages)))
+
+
+def log(
+    state: ControlState,
+    level: Literal['debug', 'info', 'warning', 'error'],
+    event: str,
+    **fields: Any,
+) -> None:
+    """Write a log line."""
+    state.outbox.append(LogLine(level=level, event=event, fields=fields))
+
+
+def count(state: ControlState, name: str) -> None:
+    """Count an occurrence."""
+    state.outbox.append(CountMetric(name=name))
+
+
+def refuse(state: ControlState, link: LinkState, reason: str) -> None:
+    """Log a message that breaks the protocol and close its connection."""
+    log(
+        state,
+        'warning',
+        'message_refused',
+        conn=link.conn,
+        link=link.link,
+        peer=link.peer or link.name,
+        reason=reason,
+    )
+    count(state, 'messages_refused')
+    state.outbox.append(Close(conn=link.conn, reason=reason))
+
+
+def propose(state: ControlState, key: str, command: Command) -> int | None:
+    """Propose a command unless one with the same key is in the log.
+
+    Parameters
+    ----------
+    key : str
+        Names what the command is about; empty allows any number.
+
+    Returns
+    -------
+    int or None
+        Index of the log entry; None if nothing was proposed.
+    """
+    leader = state.leader
+    if leader is None or (key and key in leader.proposed):
+        return None
+    index, effects = consensus.propose(
+        state.consensus, state.now_ms, encode_command(command)
+    )
+    state.queue.extend(effects)
+    if index is not None and key:
+        leader.proposed[key] = index
+    return index
+
+
+def is_member(state: ControlState, name: str, member_id: str) -> bool:
+    """Tell whether this identity has joined and not left."""
+    member = state.machine.members.get(name)
+    return member is not None and member.member_id == member_id
+
+
+def member_state(state: ControlState, name: str, member_id: str) -> str:
+    """Return the membership state of an identity as it is told."""
+    member = state.machine.members.get(name)
+    if member is None or member.member_id != member_id:
+        return 'announced'
+    return 'leaving' if member.leaving else 'joined'
+
+
+def is_leaving(state: ControlState, name: str) -> bool:
+    """Tell whether an upstream leaves or is drained by operators."""
+    member = state.machine.members.get(name)
+    settings = state.machine.objects.upstreams.get(name)
+    drained = settings is not None and settings.drained
+    return drained or (member is not None and member.leaving)
--- /dev/null
+++ b/jackdawpost/core/control_proxies.py
@@ -0,0 +1,351 @@
+"""Links from proxies: reports, published state, leases and permits."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jackdawpost.core import consensus
+from jackdawpost.core import failure_detector
+from jackdawpost.core import lease_ledger
+from jackdawpost.core import permit_ledger
+from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.control_machine import update_since
+from jackdawpost.core.control_members import ask_approvals
+from jackdawpost.core.control_members import note_leaving
+from jackdawpost.core.control_members import note_member
+from jackdawpost.core.control_members import take_approval
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import is_leaving
+from jackdawpost.core.control_process import is_member
+from jackdawpost.core.control_process import LeaderState
+from jackdawpost.core.control_process import LinkState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_process import member_state
+from jackdawpost.core.control_process import refuse
+from jackdawpost.core.control_process import send
+from jackdawpost.core.effects import Close
+from jackdawpost.core.messages.control import Approval
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import LeaseRevoke
+from jackdawpost.core.messages.control import LeaseRevoked
+from jackdawpost.core.messages.control import NotLeader
+from jackdawpost.core.messages.control import PermitDemand
+from jackdawpost.core.messages.control import PermitGrant
+from jackdawpost.core.messages.control import PermitRecall
+from jackdawpost.core.messages.control import PermitReturn
+from jackdawpost.core.messages.control import ProxyReport
+
+UPDATE_RESEND_MS = 2_000.0  # longer than a report that crosses an update
+
+
+def receive_from_proxy(
+    state: ControlState, link: LinkState, message: Any
+) -> None:
+    """Handle one message of a proxy."""
+    if isinstance(message, ProxyReport):
+        _take_report(state, link, message)
+        return
+    if link.report is None:
+        refuse(state, link, f'{message.kind} before the first report')
+        return
+    if state.leader is None:
+        return
+    if not is_member(state, link.name, link.member_id):
+        log(state, 'info', 'not_joined', proxy=link.name, kind=message.kind)
+        return
+    _take_member_message(state, state.leader, link, message)
+
+
+def _take_member_message(
+    state: ControlState, leader: LeaderState, link: LinkState, message: Any
+) -> None:
+    assert link.report is not None
+    if isinstance(message, Approval):
+        take_approval(state, link, message)
+    elif not link.is_served:
+        return
+    elif isinstance(message, LeaseRevoked):
+        lease_ledger.note_revoked(
+            leader.leases,
+            link.name,
+            link.report.incarnation,
+            message.group,
+            message.term,
+        )
+        leader.dirty_groups.add(message.group)
+    elif isinstance(message, PermitDemand):
+        permit_ledger.note_demand(
+            leader.permits,
+            state.now_ms,
+            link.name,
+            message.upstream,
+            message.wanted,
+        )
+        leader.dirty_permits.add(message.upstream)
+    elif isinstance(message, PermitReturn):
+        permit_ledger.note_return(
+            leader.permits,
+            state.now_ms,
+            link.name,
+            message.upstream,
+            message.count,
+        )
+        leader.dirty_permits.add(message.upstream)
+    else:
+        refuse(state, link, f'{message.kind} is no message of a proxy')
+
+
+def _take_report(
+    state: ControlState, link: LinkState, report: ProxyReport
+) -> None:
+    if not _identify(state, link, report):
+        return
+    link.report = report
+    if state.leader is None:
+        send(state, link.conn, NotLeader(leader=state.consensus.leader))
+        return
+    note_member(state, _announcement(report))
+    if not is_member(state, link.name, link.member_id):
+        _send_member_state(state, link)
+        return
+    note_leaving(state, (link.name, link.member_id), report.draining)
+    serve_report(state, state.leader, link)
+
+
+def _identify(
+    state: ControlState, link: LinkState, report: ProxyReport
+) -> bool:
+    """Bind a connection to the proxy that reports on it."""
+    if link.peer and report.proxy != link.peer:
+        refuse(state, link, f'report of {report.proxy!r} by another peer')
+        return False
+    before = link.report
+    identity = (report.proxy, report.proxy_id, report.incarnation)
+    if before is not None:
+        if identity != (before.proxy, before.proxy_id, before.incarnation):
+            refuse(state, link, 'identity changed on an open connection')
+            return False
+        return True
+    link.name = report.proxy
+    link.member_id = report.proxy_id
+    older = state.links.get(state.proxies.get(report.proxy, 0))
+    if older is not None:
+        is_other = older.member_id != link.member_id
+        if is_other and is_member(state, older.name, older.member_id):
+            return True  # a newcomer must not displace a member's link
+        state.outbox.append(Close(conn=older.conn, reason='superseded'))
+    state.proxies[report.proxy] = link.conn
+    return True
+
+
+def _announcement(report: ProxyReport) -> AnnounceMember:
+    return AnnounceMember(
+        role='proxy',
+        name=report.proxy,
+        member_id=report.proxy_id,
+        host=report.host,
+        port=report.port,
+        data_centre=report.data_centre,
+    )
+
+
+def _send_member_state(state: ControlState, link: LinkState) -> None:
+    """Tell an instance that has not joined so, and nothing else."""
+    assert link.report is not None
+    grant = LeaseGrant(
+        seq=link.report.seq,
+        leases=[],
+        duration_ms=0,
+        version=0,
+        member_state=member_state(state, link.name, link.member_id),
+    )
+    send(state, link.conn, grant)
+
+
+def serve_report(
+    state: ControlState, leader: LeaderState, link: LinkState
+) -> None:
+    """Take the latest report of a joined proxy."""
+    report = link.report
+    if report is None or state.proxies.get(link.name) != link.conn:
+        return
+    leader.in_force[link.name] = report.version
+    if not link.is_served:
+        _begin_service(state, leader, link, report)
+    push_update(state, link)
+    failure_detector.note_evidence(
+        leader.detector, state.now_ms, link.name, report.evidence
+    )
+    _note_suspects(state, leader, report)
+    lease_ledger.note_report(
+        leader.leases,
+        state.now_ms,
+        link.name,
+        report.incarnation,
+        link.conn,
+        report.seq,
+    )
+
+
+def _begin_service(
+    state: ControlState,
+    leader: LeaderState,
+    link: LinkState,
+    report: ProxyReport,
+) -> None:
+    link.is_served = True
+    known = leader.permits.incarnations.get(link.name)
+    if known is not None and known != report.incarnation:
+        lose_permits(state, leader, link.name)
+    permit_ledger.note_connected(
+        leader.permits, link.name, report.incarnation, report.holdings
+    )
+    leader.dirty_permits.update(leader.permits.upstreams)
+    for name, group in state.machine.groups.items():
+        if group.promotion is not None:
+            leader.dirty_groups.add(name)
+    ask_approvals(state)
+
+
+def lose_permits(state: ControlState, leader: LeaderState, proxy: str) -> None:
+    """Keep back the permits of a process until it cannot use them."""
+    end_ms = lease_ledger.lease_end_ms(leader.leases, state.now_ms, proxy)
+    permit_ledger.note_lost(
+        leader.permits, proxy, end_ms + state.cfg.max_statement_ms
+    )
+
+
+def _note_suspects(
+    state: ControlState, leader: LeaderState, report: ProxyReport
+) -> None:
+    """Look again at groups whose primary somebody cannot reach."""
+    for upstream, evidence in report.evidence.items():
+        member = state.machine.members.get(upstream)
+        if evidence != 'up' and member is not None and member.group:
+            leader.suspects.add(member.group)
+    leader.dirty_groups |= leader.suspects
+
+
+def push_update(state: ControlState, link: LinkState) -> None:
+    """Send a joined proxy the published changes that it lacks."""
+    report = link.report
+    if not link.is_served or report is None:
+        return
+    base = link.sent_version
+    is_late = state.now_ms > link.sent_ms + UPDATE_RESEND_MS
+    if base is None or (report.version < base and is_late):
+        base = report.version
+    if base >= state.machine.version:
+        link.sent_version = base
+        return
+    send(state, link.conn, update_since(state.machine, base))
+    link.sent_version = state.machine.version
+    link.sent_ms = state.now_ms
+
+
+def push_updates(state: ControlState) -> None:
+    """Send the published changes to every joined proxy."""
+    for conn in state.proxies.values():
+        push_update(state, state.links[conn])
+
+
+def start_confirmation(state: ControlState, leader: LeaderState) -> None:
+    """Have leadership confirmed for the reports that wait for leases."""
+    token = lease_ledger.start_confirmation(leader.leases)
+    if token is not None:
+        state.queue.extend(
+            consensus.confirm_leadership(state.consensus, state.now_ms, token)
+        )
+
+
+def grant_leases(state: ControlState, leader: LeaderState, token: int) -> None:
+    """Answer the reports that a confirmation of leadership was for."""
+    terms = {
+        name: group.term
+        for name, group in state.machine.groups.items()
+        if group.promotion is None and group.primary is not None
+    }
+    for report in lease_ledger.confirmed(leader.leases, token):
+        link = state.links.get(report.conn)
+        if link is None or not link.is_served:
+            continue
+        if (link.name, link.member_id) in leader.removing:
+            continue
+        push_update(state, link)
+        leases = lease_ledger.record_grant(leader.leases, report, terms)
+        grant = LeaseGrant(
+            seq=report.seq,
+            leases=leases,
+            duration_ms=int(state.cfg.lease_ms),
+            version=state.machine.version,
+            member_state=member_state(state, link.name, link.member_id),
+        )
+        send(state, link.conn, grant)
+    start_confirmation(state, leader)
+
+
+def revoke_leases(
+    state: ControlState, leader: LeaderState, group: str, term: int
+) -> None:
+    """Withdraw the leases of a group, once on each connection."""
+    lease_ledger.revoke(leader.leases, group, term)
+    for conn in state.proxies.values():
+        link = state.links[conn]
+        if link.is_served and (group, term) not in link.revoked:
+            link.revoked.add((group, term))
+            send(state, conn, LeaseRevoke(group=group, term=term))
+
+
+def move_permits(
+    state: ControlState, leader: LeaderState, is_tick: bool
+) -> None:
+    """Lend and recall permits where something has changed."""
+    upstreams = None if is_tick else leader.dirty_permits
+    decisions = permit_ledger.decide_permits(
+        leader.permits, state.now_ms, upstreams
+    )
+    leader.dirty_permits = set()
+    for decision in decisions:
+        conn = state.proxies.get(decision.proxy)
+        if conn is None:
+            continue
+        kind = PermitGrant if decision.action == 'grant' else PermitRecall
+        send(
+            state, conn, kind(upstream=decision.upstream, count=decision.count)
+        )
+
+
+def refresh_slots(state: ControlState, leader: LeaderState) -> None:
+    """Take the slots of the joined upstreams; leaving ones lend nothing."""
+    slots = {
+        name: 0 if is_leaving(state, name) else member.slots
+        for name, member in state.machine.members.items()
+        if member.role == 'upstream'
+    }
+    permit_ledger.set_slots(leader.permits, slots)
+    leader.dirty_permits.update(slots)
+
+
+def stop_service(state: ControlState, link: LinkState) -> None:
+    """Treat the proxy of a link as lost or no longer joined."""
+    if state.proxies.get(link.name) == link.conn and state.leader is not None:
+        if link.is_served:
+            lose_permits(state, state.leader, link.name)
+    link.is_served = False
+    link.sent_version = None
+
+
+def proxy_closed(state: ControlState, link: LinkState) -> None:
+    """Forget a connection of a proxy."""
+    stop_service(state, link)
+    if state.proxies.get(link.name) == link.conn:
+        del state.proxies[link.name]
+
+
+def drop_left_proxies(state: ControlState, leader: LeaderState) -> None:
+    """Stop serving proxies that are no members any more."""
+    for link in state.links.values():
+        if link.is_served and not is_member(state, link.name, link.member_id):
+            stop_service(state, link)
+            failure_detector.forget_proxy(leader.detector, link.name)
+            leader.in_force.pop(link.name, None)
--- /dev/null
+++ b/jackdawpost/core/control_reducer.py
@@ -0,0 +1,411 @@
+"""Reducer of a control process: every event in, effects out.
+
+The reducer owns the order: consensus effects are carried out as they come,
+then the services of the leader run, then the timer is set.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import Any
+
+from jackdawpost.core import consensus
+from jackdawpost.core.commands import decode_command
+from jackdawpost.core.control_leadership import after_apply
+from jackdawpost.core.control_leadership import begin_leadership
+from jackdawpost.core.control_leadership import end_leadership
+from jackdawpost.core.control_leadership import next_service_due_ms
+from jackdawpost.core.control_leadership import run_services
+from jackdawpost.core.control_machine import apply_command
+from jackdawpost.core.control_machine import decode_snapshot
+from jackdawpost.core.control_machine import encode_snapshot
+from jackdawpost.core.control_machine import new_machine
+from jackdawpost.core.control_operators import answer_confirmed_query
+from jackdawpost.core.control_operators import receive_from_operator
+from jackdawpost.core.control_process import config_from_settings
+from jackdawpost.core.control_process import ControlConfig
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import LinkState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_process import member_state
+from jackdawpost.core.control_process import refuse
+from jackdawpost.core.control_process import send
+from jackdawpost.core.control_proxies import grant_leases
+from jackdawpost.core.control_proxies import proxy_closed
+from jackdawpost.core.control_proxies import receive_from_proxy
+from jackdawpost.core.control_upstreams import admin_closed
+from jackdawpost.core.control_upstreams import admin_opened
+from jackdawpost.core.control_upstreams import receive_admin
+from jackdawpost.core.control_upstreams import receive_from_upstream
+from jackdawpost.core.control_upstreams import upstream_closed
+from jackdawpost.core.effects import CancelTimer
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.effects import Persist
+from jackdawpost.core.effects import SetTimer
+from jackdawpost.core.effects import Stop
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.events import DrainRequested
+from jackdawpost.core.events import Event
+from jackdawpost.core.events import FrameRejected
+from jackdawpost.core.events import Persisted
+from jackdawpost.core.events import PersistFailed
+from jackdawpost.core.events import Received
+from jackdawpost.core.events import TimerFired
+from jackdawpost.core.messages.consensus import ConsensusMessage
+from jackdawpost.core.messages.control import AnnounceAck
+from jackdawpost.core.messages.control import NotLeader
+
+__all__ = [
+    'config_from_settings',
+    'ControlConfig',
+    'ControlState',
+    'dump_control',
+    'is_healthy',
+    'new_control',
+    'reduce_control',
+]
+
+TICK_KEY = 'control'
+HAND_OVER_MS = 1_500.0  # for the transfer of leadership before a stop
+
+
+def new_control(
+    cfg: ControlConfig,
+    rng: random.Random,
+    restored: consensus.RestoredState,
+    now_ms: float,
+) -> tuple[ControlState, list[Effect]]:
+    """Return the state of a starting process and its first effects.
+
+    Parameters
+    ----------
+    cfg : ControlConfig
+        Settings.
+    rng : random.Random
+        Source of election timeouts.
+    restored : RestoredState
+        What storage holds: hard state, snapshot and log.
+    now_ms : float
+        Present time in milliseconds.
+    """
+    core = consensus.new_consensus(
+        consensus.ConsensusConfig(
+            name=cfg.name,
+            voters=list(cfg.peers),
+            heartbeat_ms=cfg.heartbeat_ms,
+            election_min_ms=cfg.election_min_ms,
+            election_max_ms=cfg.election_max_ms,
+        ),
+        rng,
+        restored,
+        now_ms,
+    )
+    state = ControlState(
+        cfg=cfg, consensus=core, machine=new_machine(), now_ms=now_ms
+    )
+    state.queue.extend(consensus.tick(core, now_ms))
+    return state, _finish(state, is_tick=True)
+
+
+def reduce_control(state: ControlState, event: Event) -> list[Effect]:
+    """Handle one event: change the state in place and return effects."""
+    state.now_ms = max(state.now_ms, event.now_ms)
+    if state.stopped:
+        return []
+    is_tick = isinstance(event, TimerFired)
+    if is_tick:
+        state.timer_ms = None
+        state.queue.extend(consensus.tick(state.consensus, state.now_ms))
+    elif isinstance(event, ConnOpened):
+        _on_opened(state, event)
+    elif isinstance(event, ConnClosed):
+        _on_closed(state, event)
+    elif isinstance(event, Received):
+        _on_received(state, event)
+    elif isinstance(event, FrameRejected):
+        _on_rejected(state, event)
+    elif isinstance(event, DrainRequested):
+        _on_drain(state)
+    else:
+        _on_storage(state, event)
+    return _finish(state, is_tick)
+
+
+def _on_opened(state: ControlState, event: ConnOpened) -> None:
+    leader = state.leader
+    if event.link == 'upstream':
+        if leader is None or not admin_opened(state, leader, event.conn):
+            state.outbox.append(Close(conn=event.conn, reason='not needed'))
+        return
+    link = LinkState(conn=event.conn, link=event.link, peer=event.peer)
+    state.links[event.conn] = link
+    if event.link != 'peer':
+        return
+    known = {*state.cfg.peers, *state.consensus.voters}
+    if event.peer not in known - {state.cfg.name}:
+        refuse(state, link, f'{event.peer!r} is no control process')
+        del state.links[event.conn]
+        return
+    state.peers[event.peer] = event.conn
+
+
+def _on_closed(state: ControlState, event: ConnClosed) -> None:
+    leader = state.leader
+    if leader is not None and event.conn in leader.admin.conns:
+        admin_closed(state, leader, event.conn, event.reason)
+        return
+    link = state.links.get(event.conn)
+    if link is None:
+        return
+    if link.link == 'proxy':
+        proxy_closed(state, link)
+    elif link.link == 'announce':
+        upstream_closed(state, link)
+    del state.links[event.conn]
+    if state.peers.get(link.peer) == event.conn:
+        del state.peers[link.peer]
+        for other in state.links.values():
+            if other.link == 'peer' and other.peer == link.peer:
+                state.peers[link.peer] = other.conn
+
+
+def _on_received(state: ControlState, event: Received) -> None:
+    for message in event.messages:
+        leader = state.leader
+        if leader is not None and event.conn in leader.admin.conns:
+            receive_admin(state, leader, event.conn, message)
+            continue
+        link = state.links.get(event.conn)
+        if link is None:
+            return
+        _receive(state, link, message)
+        _run_queue(state)
+
+
+def _receive(state: ControlState, link: LinkState, message: Any) -> None:
+    if link.link == 'peer':
+        if not isinstance(message, ConsensusMessage):
+            refuse(state, link, f'{message.kind} is no message of a peer')
+            return
+        effects = consensus.receive(
+            state.consensus, state.now_ms, link.peer, message
+        )
+        state.queue.extend(effects)
+    elif link.link == 'proxy':
+        receive_from_proxy(state, link, message)
+    elif link.link == 'announce':
+        receive_from_upstream(state, link, message)
+    elif link.link == 'operator':
+        receive_from_operator(state, link, message)
+    else:
+        refuse(state, link, f'nothing is expected on a {link.link} link')
+
+
+def _on_rejected(state: ControlState, event: FrameRejected) -> None:
+    link = state.links.get(event.conn)
+    if link is not None:
+        refuse(state, link, event.detail)
+    else:
+        log(state, 'warning', 'frame_rejected', detail=event.detail)
+
+
+def _on_drain(state: ControlState) -> None:
+    if state.draining:
+        return
+    state.draining = True
+    state.drain_due_ms = state.now_ms + HAND_OVER_MS
+    log(state, 'info', 'draining', leads=state.leader is not None)
+    effects = consensus.transfer_leadership(
+        state.consensus, state.now_ms, None
+    )
+    state.queue.extend(effects)
+
+
+def _on_storage(state: ControlState, event: Event) -> None:
+    if isinstance(event, Persisted):
+        state.storage_failed = False
+        effects = consensus.persisted(
+            state.consensus, state.now_ms, event.token
+        )
+        state.queue.extend(effects)
+    elif isinstance(event, PersistFailed):
+        state.storage_failed = True
+        log(state, 'error', 'persist_failed', detail=event.detail)
+        effects = consensus.persist_failed(
+            state.consensus, state.now_ms, event.token
+        )
+        state.queue.extend(effects)
+
+
+def _finish(state: ControlState, is_tick: bool) -> list[Effect]:
+    """Carry out what the event caused and return all effects."""
+    _run_queue(state)
+    if state.leader is not None:
+        run_services(state, state.leader, is_tick)
+        _run_queue(state)
+    _tell_leader(state)
+    _stop_when_drained(state)
+    _set_timer(state)
+    effects = state.outbox
+    state.outbox = []
+    return effects
+
+
+def _run_queue(state: ControlState) -> None:
+    while state.queue:
+        _run_effect(state, state.queue.popleft())
+
+
+def _run_effect(state: ControlState, effect: Any) -> None:
+    if isinstance(effect, consensus.SendToPeer):
+        conn = state.peers.get(effect.peer)
+        if conn is not None:
+            send(state, conn, effect.message)
+    elif isinstance(effect, consensus.WriteDurably):
+        state.outbox.append(
+            Persist(
+                token=effect.token,
+                hard_state=effect.hard_state,
+                truncate_from=effect.truncate_from,
+                entries=effect.entries,
+                snapshot=effect.snapshot,
+            )
+        )
+    elif isinstance(effect, consensus.ApplyEntry):
+        _apply(state, effect)
+    elif isinstance(effect, consensus.InstallSnapshot):
+        state.machine = decode_snapshot(effect.snapshot)
+        state.applied_since_snapshot = 0
+    elif isinstance(effect, consensus.LeadershipWon):
+        begin_leadership(state, effect.term)
+    elif isinstance(effect, consensus.LeadershipLost):
+        end_leadership(state, effect.term)
+    elif isinstance(effect, consensus.LeadershipConfirmed):
+        _on_confirmed(state, effect.token)
+
+
+def _on_confirmed(state: ControlState, token: int) -> None:
+    if state.leader is None:
+        return
+    if token < 0:
+        answer_confirmed_query(state, state.leader, token)
+    else:
+        grant_leases(state, state.leader, token)
+
+
+def _apply(state: ControlState, entry: consensus.ApplyEntry) -> None:
+    if entry.command is not None:
+        command = decode_command(entry.command)
+        applied = apply_command(state.machine, entry.index, command)
+        if state.leader is not None:
+            after_apply(state, state.leader, entry.index, command, applied)
+    state.applied_since_snapshot += 1
+    if state.applied_since_snapshot >= state.cfg.snapshot_entries:
+        state.applied_since_snapshot = 0
+        effects = consensus.compact(
+            state.consensus,
+            state.now_ms,
+            entry.index,
+            encode_snapshot(state.machine),
+        )
+        state.queue.extend(effects)
+
+
+def _tell_leader(state: ControlState) -> None:
+    """Tell connected proxies and upstreams of another leader."""
+    known = state.consensus.leader
+    if known == state.told_leader:
+        return
+    state.told_leader = known
+    for link in state.links.values():
+        if link.link == 'proxy' and link.name and known != state.cfg.name:
+            send(state, link.conn, NotLeader(leader=known))
+        elif link.link == 'announce' and link.name:
+            told = member_state(state, link.name, link.member_id)
+            send(state, link.conn, AnnounceAck(state=told, leader=known))
+
+
+def _stop_when_drained(state: ControlState) -> None:
+    if not state.draining or state.stopped:
+        return
+    is_alone = state.consensus.voters == [state.cfg.name]
+    leads = state.consensus.role == 'leader' and not is_alone
+    if leads and state.now_ms < state.drain_due_ms:
+        return
+    if state.leader is not None:
+        end_leadership(state, state.leader.term)
+    state.stopped = True
+    state.outbox.append(Stop())
+
+
+def _set_timer(state: ControlState) -> None:
+    if state.stopped:
+        state.outbox.append(CancelTimer(key=TICK_KEY))
+        return
+    dues = [consensus.next_due_ms(state.consensus)]
+    if state.leader is not None:
+        due_ms = next_service_due_ms(state, state.leader)
+        dues += [due_ms] if due_ms is not None else []
+    if state.draining:
+        dues.append(state.drain_due_ms)
+    soonest = max(min(dues), state.now_ms)
+    if soonest != state.timer_ms:
+        state.timer_ms = soonest
+        state.outbox.append(SetTimer(key=TICK_KEY, due_ms=soonest))
+
+
+def is_healthy(state: ControlState) -> bool:
+    """Tell whether the process takes part and knows a leader."""
+    knows_leader = state.consensus.leader is not None
+    return knows_leader and not state.draining and not state.storage_failed
+
+
+def dump_control(state: ControlState) -> dict[str, Any]:
+    """Return the whole state as plain data."""
+    core = state.consensus
+    return {
+        'name': state.cfg.name,
+        'now_ms': state.now_ms,
+        'healthy': is_healthy(state),
+        'draining': state.draining,
+        'storage_failed': state.storage_failed,
+        'consensus': {
+            'role': core.role,
+            'leader': core.leader,
+            'term': core.term,
+            'commit_index': core.commit_index,
+            'applied_index': core.applied_index,
+            'voters': list(core.voters),
+        },
+        'machine': _plain(state.machine),
+        'links': _plain(state.links),
+        'peers': _plain(state.peers),
+        'upstreams': _plain(list(state.upstreams.values())),
+        'leader': _plain(state.leader),
+    }
+
+
+def _plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {
+            item.name: _plain(getattr(value, item.name))
+            for item in dataclasses.fields(value)
+        }
+    if isinstance(value, dict):
+        return {_plain_key(k): _plain(item) for k, item in value.items()}
+    if isinstance(value, set | frozenset):
+        return sorted((_plain(item) for item in value), key=repr)
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    if isinstance(value, bytes):
+        return value.hex()
+    return value
+
+
+def _plain_key(key: Any) -> str:
+    if isinstance(key, tuple):
+        return '/'.join(str(part) for part in key)
+    return str(key)
--- /dev/null
+++ b/jackdawpost/core/control_upstreams.py
@@ -0,0 +1,341 @@
+"""Links from announcing upstreams, and the promotions of their groups."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jackdawpost.core import control_admin
+from jackdawpost.core import failure_detector
+from jackdawpost.core import lease_ledger
+from jackdawpost.core import promotion
+from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.control_members import ask_approvals
+from jackdawpost.core.control_members import note_leaving
+from jackdawpost.core.control_members import note_member
+from jackdawpost.core.control_members import take_approval
+from jackdawpost.core.control_process import Announced
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import is_leaving
+from jackdawpost.core.control_process import is_member
+from jackdawpost.core.control_process import LeaderState
+from jackdawpost.core.control_process import LinkState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_process import member_state
+from jackdawpost.core.control_process import propose
+from jackdawpost.core.control_process import refuse
+from jackdawpost.core.control_process import send
+from jackdawpost.core.control_proxies import revoke_leases
+from jackdawpost.core.control_state import GroupState
+from jackdawpost.core.control_state import promotion_quorum
+from jackdawpost.core.messages.control import Announce
+from jackdawpost.core.messages.control import AnnounceAck
+from jackdawpost.core.messages.control import Approval
+from jackdawpost.core.messages.upstream import AdminDone
+from jackdawpost.core.messages.upstream import Sealed
+from jackdawpost.core.positions import LogPosition
+
+
+def receive_from_upstream(
+    state: ControlState, link: LinkState, message: Any
+) -> None:
+    """Handle one message on an announcing connection."""
+    if isinstance(message, Announce):
+        _take_announce(state, link, message)
+    elif not link.name:
+        refuse(state, link, f'{message.kind} before the first announcement')
+    elif isinstance(message, Approval):
+        if state.leader is not None:
+            take_approval(state, link, message)
+    else:
+        refuse(state, link, f'{message.kind} is no message of an upstream')
+
+
+def _take_announce(
+    state: ControlState, link: LinkState, announce: Announce
+) -> None:
+    if link.peer and announce.name != link.peer:
+        refuse(state, link, f'announcement of {announce.name!r} by another')
+        return
+    key = (announce.name, announce.data_id)
+    if link.name and (link.name, link.member_id) != key:
+        refuse(state, link, 'identity changed on an open connection')
+        return
+    is_new = not link.name
+    link.name, link.member_id = key
+    state.upstreams[key] = Announced(
+        announce=announce, conn=link.conn, heard_ms=state.now_ms
+    )
+    ack = AnnounceAck(
+        state=member_state(state, *key), leader=state.consensus.leader
+    )
+    send(state, link.conn, ack)
+    if state.leader is None:
+        return
+    note_member(state, _announcement(announce))
+    if is_member(state, *key):
+        note_leaving(state, key, announce.leaving)
+        state.leader.dirty_groups.add(announce.group)
+    if is_new:
+        ask_approvals(state)
+
+
+def _announcement(announce: Announce) -> AnnounceMember:
+    return AnnounceMember(
+        role='upstream',
+        name=announce.name,
+        member_id=announce.data_id,
+        host=announce.host,
+        port=announce.port,
+        data_centre=announce.data_centre,
+        group=announce.group,
+        slots=announce.slots,
+        connections=announce.connections,
+    )
+
+
+def upstream_closed(state: ControlState, link: LinkState) -> None:
+    """Note that an announcing connection has ended.
+
+    A joined upstream's last announcement is kept, so that a promotion can
+    still try to reach it.
+    """
+    key = (link.name, link.member_id)
+    announced = state.upstreams.get(key)
+    if announced is None or announced.conn != link.conn:
+        return
+    announced.connected = False
+    if not is_member(state, *key):
+        del state.upstreams[key]
+
+
+def group_facts(
+    state: ControlState, leader: LeaderState, name: str
+) -> promotion.GroupFacts | None:
+    """Return what is known about a group; None if it does not exist."""
+    group = state.machine.groups.get(name)
+    settings = state.machine.objects.groups.get(name)
+    if group is None or settings is None:
+        return None
+    open_promotion = None
+    if group.promotion is not None:
+        open_promotion = promotion.OpenPromotion(
+            from_term=group.promotion.from_term,
+            to_term=group.promotion.to_term,
+            accept_loss=group.promotion.accept_loss,
+            upstream=group.promotion.chosen,
+            data_id=group.promotion.data_id,
+        )
+    return promotion.GroupFacts(
+        name=name,
+        size=settings.databases,
+        needed=max(1, promotion_quorum(state.machine, name)),
+        term=group.term,
+        last_term=group.last_term,
+        primary=group.primary,
+        database_set=group.database_set,
+        promotion=open_promotion,
+        databases=_databases(state, name),
+        lease_holders=_lease_holders(state, leader, name, group),
+        failed=_failure(state, leader, group),
+    )
+
+
+def _databases(
+    state: ControlState, group: str
+) -> dict[str, promotion.Database]:
+    found = {}
+    for name, member in state.machine.members.items():
+        if member.role != 'upstream' or member.group != group:
+            continue
+        announced = state.upstreams.get((name, member.member_id))
+        if announced is None:
+            continue
+        announce = announced.announce
+        found[name] = promotion.Database(
+            name=name,
+            data_id=announce.data_id,
+            host=announce.host,
+            port=announce.port,
+            term=announce.term,
+            leads=announce.leads,
+            received=LogPosition(*announce.received),
+            leaving=announce.leaving or is_leaving(state, name),
+            session=announced.conn,
+            connected=announced.connected,
+        )
+    return found
+
+
+def _lease_holders(
+    state: ControlState, leader: LeaderState, name: str, group: GroupState
+) -> dict[str, float]:
+    if group.promotion is None or group.promotion.chosen is not None:
+        return {}
+    return lease_ledger.holders(
+        leader.leases, state.now_ms, name, group.promotion.from_term
+    )
+
+
+def _failure(
+    state: ControlState, leader: LeaderState, group: GroupState
+) -> str:
+    """Return why a primary must be replaced, empty if it need not be."""
+    if group.primary is None:
+        return ''
+    failed_ms = failure_detector.failed_at_ms(
+        leader.detector, state.now_ms, group.primary
+    )
+    if failed_ms is not None and failed_ms <= state.now_ms:
+        return 'primary failed'
+    if _is_wiped(state, leader, group):
+        return 'primary lost its data'
+    return ''
+
+
+def _is_wiped(
+    state: ControlState, leader: LeaderState, group: GroupState
+) -> bool:
+    """Tell whether the primary came back without its data.
+
+    The old identity must have been silent, so that an instance that only
+    claims the name cannot cause a promotion.
+    """
+    assert group.primary is not None
+    key = (group.primary, group.primary_id)
+    heard_ms = leader.heard_ms.get(key, leader.elected_ms)
+    if state.now_ms < heard_ms + state.cfg.silent_ms:
+        return False
+    return any(
+        name == group.primary and data_id != group.primary_id
+        for name, data_id in state.upstreams
+    )
+
+
+def advance_groups(state: ControlState, leader: LeaderState) -> None:
+    """Take every group that has changed one step on."""
+    dirty = leader.dirty_groups
+    leader.dirty_groups = set()
+    for name in sorted(dirty):
+        _advance_group(state, leader, name)
+
+
+def _advance_group(
+    state: ControlState, leader: LeaderState, name: str
+) -> None:
+    facts = group_facts(state, leader, name)
+    if facts is None:
+        leader.driver.groups.pop(name, None)
+        leader.group_due_ms.pop(name, None)
+        return
+    if facts.promotion is not None and facts.promotion.from_term > 0:
+        revoke_leases(state, leader, name, facts.promotion.from_term)
+    key = f'group/{name}'
+    drive = promotion.drive_of(leader.driver, name)
+    drive.busy = key in leader.proposed
+    command = promotion.next_command(leader.driver, state.now_ms, facts)
+    if command is not None:
+        drive.busy = propose(state, key, command) is not None
+        log(state, 'info', command.kind, **_log_fields(command))
+    wants = promotion.admin_wants(leader.driver, facts)
+    state.outbox += control_admin.reconcile(
+        leader.admin, state.now_ms, name, wants
+    )
+    _set_group_due(state, leader, facts)
+
+
+def _log_fields(command: promotion.GroupCommand) -> dict[str, Any]:
+    names = ('group', 'to_term', 'upstream', 'name', 'reason')
+    return {n: getattr(command, n) for n in names if hasattr(command, n)}
+
+
+def _set_group_due(
+    state: ControlState, leader: LeaderState, facts: promotion.GroupFacts
+) -> None:
+    dues = [
+        promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
+    ]
+    primary = facts.primary
+    if primary is not None and failure_detector.has_objection(
+        leader.detector, state.now_ms, primary
+    ):
+        leader.suspects.add(facts.name)
+        dues += [
+            failure_detector.failed_at_ms(
+                leader.detector, state.now_ms, primary
+            ),
+            failure_detector.next_expiry_ms(leader.detector, state.now_ms),
+        ]
+    else:
+        leader.suspects.discard(facts.name)
+    later = [due for due in dues if due is not None and due > state.now_ms]
+    if later:
+        leader.group_due_ms[facts.name] = min(later)
+    else:
+        leader.group_due_ms.pop(facts.name, None)
+
+
+def wake_groups(state: ControlState, leader: LeaderState) -> None:
+    """Mark the groups whose time has come."""
+    for name, due_ms in leader.group_due_ms.items():
+        if due_ms <= state.now_ms:
+            leader.dirty_groups.add(name)
+    for link in leader.admin.links.values():
+        leader.dirty_groups.add(link.want.group)
+
+
+def admin_opened(state: ControlState, leader: LeaderState, conn: int) -> bool:
+    """Handle the opening of an admin connection; False if it is none."""
+    if not control_admin.note_opened(leader.admin, conn):
+        return False
+    upstream = leader.admin.conns[conn]
+    leader.dirty_groups.add(leader.admin.links[upstream].want.group)
+    return True
+
+
+def admin_closed(
+    state: ControlState, leader: LeaderState, conn: int, reason: Any
+) -> None:
+    """Handle the end of an admin connection."""
+    want = control_admin.note_closed(leader.admin, state.now_ms, conn, reason)
+    if want is None:
+        return
+    facts = group_facts(state, leader, want.group)
+    if facts is not None:
+        promotion.note_refused(leader.driver, state.now_ms, facts, want)
+        leader.dirty_groups.add(want.group)
+
+
+def receive_admin(
+    state: ControlState, leader: LeaderState, conn: int, message: Any
+) -> None:
+    """Handle an upstream's answer to an admin request."""
+    if not isinstance(message, Sealed | AdminDone):
+        return
+    want = control_admin.note_answer(
+        leader.admin, state.now_ms, conn, message.id
+    )
+    facts = group_facts(state, leader, want.group) if want else None
+    if want is None or facts is None:
+        return
+    if isinstance(message, Sealed):
+        heard = promotion.Heard(
+            data_id=message.data_id, received=LogPosition(*message.received)
+        )
+        promotion.note_sealed(
+            leader.driver, facts, want, message.ok, message.term, heard
+        )
+    else:
+        promotion.note_admin_done(
+            leader.driver, facts, want, message.ok, message.term
+        )
+    if not message.ok:
+        log(
+            state,
+            'warning',
+            'admin_request_refused',
+            upstream=want.upstream,
+            action=want.action,
+            term=want.term,
+            upstream_term=message.term,
+        )
+    leader.dirty_groups.add(want.group)
--- /dev/null
+++ b/jackdawpost/tests/core/control_fakes.py
@@ -0,0 +1,415 @@
+"""Fakes around the control reducer: peers, proxies and upstreams.
+
+Messages take one millisecond and writes are durable at once, so that tests
+control time through `Group.run` alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import Any
+
+from jackdawpost.core.consensus import RestoredState
+from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.control_reducer import ControlState
+from jackdawpost.core.control_reducer import new_control
+from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.effects import CancelTimer
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.effects import Persist
+from jackdawpost.core.effects import Send
+from jackdawpost.core.effects import SetTimer
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.events import Persisted
+from jackdawpost.core.events import Received
+from jackdawpost.core.events import TimerFired
+from jackdawpost.core.messages.control import Announce
+from jackdawpost.core.messages.control import Approval
+from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import LeaseRevoke
+from jackdawpost.core.messages.control import LeaseRevoked
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.operator import Apply
+from jackdawpost.core.messages.operator import Operation
+from jackdawpost.core.messages.upstream import AdminDone
+from jackdawpost.core.messages.upstream import Follow
+from jackdawpost.core.messages.upstream import Promote
+from jackdawpost.core.messages.upstream import Seal
+from jackdawpost.core.messages.upstream import Sealed
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.published import apply_update
+from jackdawpost.core.published import PublishedState
+
+
+class FakeProxy:
+    """Proxy that reports, approves and answers revocations."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.incarnation = f'{name}-1'
+        self.seq = 0
+        self.is_up = True
+        self.approves = True
+        self.answers_revocations = True
+        self.evidence: dict[str, str] = {}
+        self.holdings: dict[str, int] = {}
+        self.published = PublishedState()
+        self.received: list[Any] = []
+        self.lease_until: dict[tuple[str, int], float] = {}
+        self.sent_ms: dict[int, float] = {}
+        self.revoked: dict[str, int] = {}
+
+    def report(self, now_ms: float) -> ProxyReport:
+        self.seq += 1
+        self.sent_ms[self.seq] = now_ms
+        return ProxyReport(
+            proxy=self.name,
+            proxy_id=f'id-{self.name}',
+            incarnation=self.incarnation,
+            seq=self.seq,
+            host='127.0.0.1',
+            port=1,
+            data_centre='dc',
+            version=self.published.version,
+            holdings=dict(self.holdings),
+            evidence=dict(self.evidence),
+        )
+
+    def answer(self, message: Any) -> list[Any]:
+        self.received.append(message)
+        if isinstance(message, StateUpdate):
+            apply_update(self.published, message)
+        elif isinstance(message, LeaseGrant):
+            until = self.sent_ms[message.seq] + message.duration_ms
+            for lease in message.leases:
+                if lease.term > self.revoked.get(lease.group, 0):
+                    self.lease_until[(lease.group, lease.term)] = until
+        elif isinstance(message, LeaseRevoke) and self.answers_revocations:
+            self.revoked[message.group] = message.term
+            for key in list(self.lease_until):
+                if key[0] == message.group and key[1] <= message.term:
+                    del self.lease_until[key]
+            return [LeaseRevoked(group=message.group, term=message.term)]
+        elif isinstance(message, ApprovalRequest) and self.approves:
+            return [approve(self.name, f'id-{self.name}', message)]
+        return []
+
+    def holds(self, now_ms: float, group: str, term: int) -> bool:
+        return now_ms < self.lease_until.get((group, term), 0)
+
+
+class FakeUpstream:
+    """Database that announces itself and obeys admin requests."""
+
+    def __init__(self, name: str, group: str = 'g') -> None:
+        self.name = name
+        self.group = group
+        self.data_id = f'data-{name}'
+        self.is_up = True
+        self.is_silent = False
+        self.promotes = True
+        self.term = 0
+        self.leads = False
+        self.leaving = False
+        self.received = LogPosition(0, 0)
+        self.primary = ''
+        self.admin: list[Any] = []
+
+    def announce(self) -> Announce:
+        return Announce(
+            name=self.name,
+            group=self.group,
+            data_id=self.data_id,
+            host='127.0.0.1',
+            port=2,
+            data_centre='dc',
+            slots=3,
+            connections=20,
+            term=self.term,
+            leads=self.leads,
+            received=self.received,
+            leaving=self.leaving,
+        )
+
+    def answer(self, message: Any) -> list[Any]:
+        if isinstance(message, ApprovalRequest):
+            return [approve(self.name, self.data_id, message)]
+        if not isinstance(message, Seal | Promote | Follow):
+            return []
+        self.admin.append(message)
+        ok = message.term >= self.term
+        if ok:
+            self.leads = self.leads and message.term == self.term
+            self.term = message.term
+        if isinstance(message, Seal):
+            return [
+                Sealed(
+                    id=message.id,
+                    ok=ok,
+                    term=self.term,
+                    data_id=self.data_id,
+                    received=self.received,
+                )
+            ]
+        if isinstance(message, Promote):
+            ok = ok and self.promotes
+            self.leads = self.leads or ok
+        elif ok:
+            self.primary = message.primary
+        return [AdminDone(id=message.id, ok=ok, term=self.term)]
+
+
+def approve(name: str, identity: str, request: ApprovalRequest) -> Approval:
+    return Approval(
+        member=name,
+        member_id=identity,
+        newcomer=request.newcomer,
+        newcomer_id=request.newcomer_id,
+        checked='reached',
+    )
+
+
+class Group:
+    """Control processes with proxies, upstreams and one operator."""
+
+    def __init__(self, names: list[str], seed: int = 1) -> None:
+        self.now = 1_000.0
+        self.order = itertools.count()
+        self.conns = itertools.count(1)
+        self.events: list[Any] = []
+        self.controls: dict[str, ControlState] = {}
+        self.ends: dict[tuple[str, int], tuple[str, Any, int]] = {}
+        self.timers: dict[tuple[str, str], float] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.fakes: dict[str, Any] = {}
+        self.links: dict[tuple[str, str], int] = {}
+        self.answers: list[Any] = []
+        self.stopped: set[str] = set()
+        self.logs: list[Any] = []
+        for number, name in enumerate(names):
+            cfg = ControlConfig(name=name, peers=names)
+            rng = random.Random(seed * 100 + number)
+            state, effects = new_control(cfg, rng, RestoredState(), self.now)
+            self.controls[name] = state
+            self.perform(name, effects)
+        for left, right in itertools.combinations(names, 2):
+            one, two = next(self.conns), next(self.conns)
+            self.ends[(left, one)] = ('control', right, two)
+            self.ends[(right, two)] = ('control', left, one)
+            for own, other, conn in ((left, right, one), (right, left, two)):
+                self.feed(
+                    own,
+                    ConnOpened(
+                        now_ms=self.now, conn=conn, link='peer', peer=other
+                    ),
+                )
+
+    def later(self, delay_ms: float, action: Any) -> None:
+        due = self.now + delay_ms
+        heapq.heappush(self.events, (due, next(self.order), action))
+
+    def feed(self, name: str, event: Any) -> None:
+        if name not in self.stopped:
+            self.perform(name, reduce_control(self.controls[name], event))
+
+    def perform(self, name: str, effects: list[Any]) -> None:
+        for effect in effects:
+            if isinstance(effect, Persist):
+                done = Persisted(now_ms=self.now, token=effect.token)
+                self.later(0.1, lambda e=done: self.feed_now(name, e))
+            elif isinstance(effect, SetTimer):
+                self.timers[(name, effect.key)] = effect.due_ms
+                self.later(
+                    effect.due_ms - self.now,
+                    lambda e=effect: self.fire(name, e),
+                )
+            elif isinstance(effect, CancelTimer):
+                self.timers.pop((name, effect.key), None)
+            elif isinstance(effect, Send):
+                self.carry(name, effect)
+            elif isinstance(effect, Connect):
+                self.later(1, lambda e=effect: self.open_admin(name, e))
+            elif isinstance(effect, Close):
+                self.ends.pop((name, effect.conn), None)
+            else:
+                self.logs.append((self.now, name, effect))
+
+    def feed_now(self, name: str, event: Any) -> None:
+        event.now_ms = self.now
+        self.feed(name, event)
+
+    def fire(self, name: str, effect: SetTimer) -> None:
+        if self.timers.get((name, effect.key)) == effect.due_ms:
+            del self.timers[(name, effect.key)]
+            self.feed(name, TimerFired(now_ms=self.now, key=effect.key))
+
+    def carry(self, name: str, effect: Send) -> None:
+        end = self.ends.get((name, effect.conn))
+        if end is None:
+            return
+        kind, other, conn = end
+        if kind == 'operator':
+            self.answers += effect.messages
+        elif kind == 'control':
+            if frozenset((name, other)) not in self.cut:
+                self.later(
+                    1, lambda: self.receive(other, conn, effect.messages)
+                )
+        elif other.is_up and frozenset((name, other.name)) not in self.cut:
+            self.later(1, lambda: self.reach(name, effect, other))
+
+    def receive(self, name: str, conn: int, messages: list[Any]) -> None:
+        event = Received(now_ms=self.now, conn=conn, messages=messages)
+        self.feed(name, event)
+
+    def reach(self, name: str, effect: Send, other: Any) -> None:
+        if not other.is_up or getattr(other, 'is_silent', False):
+            return
+        replies = []
+        for message in effect.messages:
+            replies += other.answer(message)
+        if replies and frozenset((name, other.name)) not in self.cut:
+            self.later(1, lambda: self.receive(name, effect.conn, replies))
+
+    def open_admin(self, name: str, effect: Connect) -> None:
+        upstream = self.fakes[effect.peer]
+        if not upstream.is_up or frozenset((name, effect.peer)) in self.cut:
+            closed = ConnClosed(
+                now_ms=self.now, conn=effect.conn, reason='refused'
+            )
+            self.feed(name, closed)
+            return
+        self.ends[(name, effect.conn)] = ('upstream', upstream, 0)
+        opened = ConnOpened(
+            now_ms=self.now,
+            conn=effect.conn,
+            link='upstream',
+            peer=effect.peer,
+            purpose='admin',
+            data_id=upstream.data_id,
+        )
+        self.feed(name, opened)
+
+    def add(self, fake: Any, every_ms: float = 100) -> Any:
+        """Connect a fake to all processes and let it report regularly."""
+        self.fakes[fake.name] = fake
+        for name in self.controls:
+            self.connect(fake, name)
+        self.speak(fake, every_ms)
+        return fake
+
+    def connect(self, fake: Any, name: str) -> None:
+        link = 'proxy' if isinstance(fake, FakeProxy) else 'announce'
+        conn = next(self.conns)
+        self.ends[(name, conn)] = (link, fake, 0)
+        self.links[(fake.name, name)] = conn
+        opened = ConnOpened(now_ms=self.now, conn=conn, link=link)
+        self.feed(name, opened)
+
+    def disconnect(self, fake: Any, name: str) -> None:
+        conn = self.links.pop((fake.name, name), 0)
+        self.ends.pop((name, conn), None)
+        self.feed(name, ConnClosed(now_ms=self.now, conn=conn))
+
+    def speak(self, fake: Any, every_ms: float) -> None:
+        if fake.is_up and not getattr(fake, 'is_silent', False):
+            for name in self.controls:
+                self.speak_to(fake, name)
+        self.later(every_ms, lambda: self.speak(fake, every_ms))
+
+    def speak_to(self, fake: Any, name: str) -> None:
+        conn = self.links.get((fake.name, name))
+        if conn is None or frozenset((name, fake.name)) in self.cut:
+            return
+        if isinstance(fake, FakeProxy):
+            message = fake.report(self.now)
+        else:
+            message = fake.announce()
+        self.later(1, lambda: self.receive(name, conn, [message]))
+
+    def kill(self, fake: Any) -> None:
+        fake.is_up = False
+        for name in self.controls:
+            self.disconnect(fake, name)
+
+    def run(self, for_ms: float, until: Any = None) -> bool:
+        """Pass time; stop early once `until` holds."""
+        end = self.now + for_ms
+        while self.events and self.events[0][0] <= end:
+            due, _, action = heapq.heappop(self.events)
+            self.now = max(self.now, due)
+            action()
+            if until is not None and until():
+                return True
+        self.now = end
+        return until is None
+
+    def leader(self) -> ControlState | None:
+        for name, state in self.controls.items():
+            if state.leader is not None and name not in self.stopped:
+                return state
+        return None
+
+    def isolate(self, name: str) -> None:
+        """Cut a control process off from everything."""
+        for other in (*self.controls, *self.fakes):
+            self.cut.add(frozenset((name, other)))
+
+    def ask(self, message: Any) -> None:
+        """Send an operator's message to the leader."""
+        leader = self.leader()
+        assert leader is not None
+        conn = next(self.conns)
+        name = leader.cfg.name
+        self.ends[(name, conn)] = ('operator', None, 0)
+        self.feed(
+            name, ConnOpened(now_ms=self.now, conn=conn, link='operator')
+        )
+        self.receive(name, conn, [message])
+
+
+def start(
+    controls: int = 1, proxies: int = 2, upstreams: int = 3, seed: int = 1
+) -> Group:
+    """Return a group whose first primary is published everywhere."""
+    group = Group([f'c{n}' for n in range(1, controls + 1)], seed)
+    assert group.run(3_000, lambda: group.leader() is not None)
+    create = Operation(
+        action='create',
+        type='group',
+        name='g',
+        body={'databases': upstreams, 'write_copies': 2},
+    )
+    group.ask(
+        Apply(
+            id=1,
+            change_id='first',
+            base_revision=0,
+            operations=[create],
+            operator='test',
+        )
+    )
+    for number in range(1, proxies + 1):
+        group.add(FakeProxy(f'p{number}'))
+        group.run(20)
+    for number in range(1, upstreams + 1):
+        group.add(FakeUpstream(f'u{number}'))
+        group.run(20)
+    assert group.run(5_000, lambda: has_leases(group, proxies))
+    return group
+
+
+def has_leases(group: Group, proxies: int) -> bool:
+    """Tell whether every proxy holds a lease of the current term."""
+    leader = group.leader()
+    if leader is None or 'g' not in leader.machine.groups:
+        return False
+    term = leader.machine.groups['g'].term
+    fakes = [f for f in group.fakes.values() if isinstance(f, FakeProxy)]
+    return len([f for f in fakes if f.holds(group.now, 'g', term)]) == proxies
