Admit, demand, pause and silence handling of the control leader

A database outside the set could be admitted on a position heard before it joined; a demand sent before the join was lost; a process that had slept counted every member as silent; a proxy connection that went silent without closing kept its permits for ever; a refused connection still had the rest of its frame handled. Ruled out: admission by the position in the same announcement round, because an announcement may be older than the join. Change: the target of an admission is heard after the join; demands are kept with the connection; a pause moves the time from which silence counts; silent proxies are given up after their lease; promotion split into facts, choice and driver.

--- /dev/null
+++ b/jackdawpost/core/control_dump.py
@@ -0,0 +1,62 @@
+"""Health and dump of a control process."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from jackdawpost.core.control_process import ControlState
+
+
+def is_healthy(state: ControlState) -> bool:
+    """Tell whether the process takes part and knows a leader."""
+    knows_leader = state.consensus.leader is not None
+    return knows_leader and not state.draining and not state.storage_failed
+
+
+def dump_control(state: ControlState) -> dict[str, Any]:
+    """Return the whole state as plain data."""
+    core = state.consensus
+    return {
+        'name': state.cfg.name,
+        'now_ms': state.now_ms,
+        'healthy': is_healthy(state),
+        'draining': state.draining,
+        'storage_failed': state.storage_failed,
+        'consensus': {
+            'role': core.role,
+            'leader': core.leader,
+            'term': core.term,
+            'commit_index': core.commit_index,
+            'applied_index': core.applied_index,
+            'voters': list(core.voters),
+        },
+        'machine': _plain(state.machine),
+        'links': _plain(state.links),
+        'peers': _plain(state.peers),
+        'upstreams': _plain(list(state.upstreams.values())),
+        'leader': _plain(state.leader),
+    }
+
+
+def _plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {
+            item.name: _plain(getattr(value, item.name))
+            for item in dataclasses.fields(value)
+        }
+    if isinstance(value, dict):
+        return {_plain_key(k): _plain(item) for k, item in value.items()}
+    if isinstance(value, set | frozenset):
+        return sorted((_plain(item) for item in value), key=repr)
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    if isinstance(value, bytes):
+        return value.hex()
+    return value
+
+
+def _plain_key(key: Any) -> str:
+    if isinstance(key, tuple):
+        return '/'.join(str(part) for part in key)
+    return str(key)
--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -20,6 +20,7 @@
 from jackdawpost.core.control_process import is_member
 from jackdawpost.core.control_process import LeaderState
 from jackdawpost.core.control_process import log
+from jackdawpost.core.control_proxies import close_silent_proxies
 from jackdawpost.core.control_proxies import drop_left_proxies
 from jackdawpost.core.control_proxies import move_permits
 from jackdawpost.core.control_proxies import push_updates
@@ -30,7 +31,10 @@
 from jackdawpost.core.control_state import Refused
 from jackdawpost.core.control_upstreams import advance_groups
 from jackdawpost.core.control_upstreams import wake_groups
+from jackdawpost.core.promotion_facts import drive_of
+from jackdawpost.core.promotion_facts import PromotionDriver
 
+LONG_PAUSE_MS = 1_000.0  # ticks come at least with every heartbeat
 MEMBER_COMMANDS = (
     'announce_member',
     'approve_member',
@@ -71,10 +75,12 @@
             silent_ms=cfg.silent_ms,
             live_ms=cfg.lease_ms,
         ),
-        driver=promotion.PromotionDriver(
+        driver=PromotionDriver(
             refused_ms=cfg.refused_ms, silent_ms=cfg.silent_ms
         ),
         admin=AdminLinks(next_conn=state.next_conn),
+        heard_floor_ms=state.now_ms,
+        ticked_ms=state.now_ms,
     )
     leader.dirty_groups.update(state.machine.groups)
     state.leader = leader
@@ -126,7 +132,7 @@
         leader.dirty_groups.add(group)
     if command.kind in MEMBER_COMMANDS or group not in state.machine.groups:
         return
-    drive = promotion.drive_of(leader.driver, group)
+    drive = drive_of(leader.driver, group)
     if isinstance(done.answer, Refused):
         drive.retry_at_ms = state.now_ms + promotion.RETRY_MS
         log(
@@ -170,6 +176,8 @@
 ) -> None:
     """Do what an event, or passing time, has made due."""
     if is_tick:
+        _note_pause(state, leader)
+        close_silent_proxies(state, leader)
         lease_ledger.forget_expired(leader.leases, state.now_ms)
         expire_members(state)
         wake_groups(state, leader)
@@ -180,13 +188,22 @@
     move_permits(state, leader, is_tick)
 
 
+def _note_pause(state: ControlState, leader: LeaderState) -> None:
+    """Count nobody as silent for the time in which this process slept."""
+    if state.now_ms > leader.ticked_ms + LONG_PAUSE_MS:
+        leader.heard_floor_ms = state.now_ms
+        for link in state.links.values():
+            link.heard_ms = state.now_ms
+    leader.ticked_ms = state.now_ms
+
+
 def next_service_due_ms(
     state: ControlState, leader: LeaderState
 ) -> float | None:
     """Return when `run_services` is due without another event."""
     dues = [
         leader.expiry_check_ms,
-        permit_ledger.next_permit_due_ms(leader.permits, state.now_ms),
+        leader.permit_due_ms,
         control_admin.next_admin_due_ms(leader.admin, state.now_ms),
         *leader.group_due_ms.values(),
         *(removal_due_ms(state, leader, key) for key in leader.removing),
--- a/jackdawpost/core/control_members.py
+++ b/jackdawpost/core/control_members.py
@@ -169,7 +169,7 @@
         return
     dues = []
     for key in _identities(state):
-        heard_ms = leader.heard_ms.get(key, leader.elected_ms)
+        heard_ms = max(leader.heard_ms.get(key, 0), leader.heard_floor_ms)
         due_ms = heard_ms + state.cfg.member_expiry_ms
         if state.now_ms < due_ms:
             dues.append(due_ms)
--- a/jackdawpost/core/control_operators.py
+++ b/jackdawpost/core/control_operators.py
@@ -38,6 +38,7 @@
 from jackdawpost.core.operator_requests import build_drain
 from jackdawpost.core.operator_requests import build_promotion
 from jackdawpost.core.operator_requests import build_removal
+from jackdawpost.core.promotion_choice import missing_databases
 
 
 def receive_from_operator(
@@ -128,7 +129,7 @@
         facts = group_facts(state, leader, name)
         if facts is None or facts.promotion is None:
             continue
-        missing = promotion.missing_databases(leader.driver, facts)
+        missing = missing_databases(leader.driver, facts)
         rows.append(
             [
                 name,
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -96,19 +96,28 @@
     ----------
     peer : str
         Name that the transport vouches for; empty if it does not.
+    heard_ms : float
+        Time of the last message.
+    is_refused : bool
+        The connection broke the protocol; nothing more is taken from it.
     name, member_id : str
         Member or newcomer that the other end says it is, once it has.
+    demands : dict of str to int
+        Latest permit demand of a proxy for each upstream.
     """
 
     conn: int
     link: Link
     peer: str
+    heard_ms: float
+    is_refused: bool = False
     name: str = ''
     member_id: str = ''
     report: ProxyReport | None = None
     is_served: bool = False
     sent_version: int | None = None
     sent_ms: float = 0.0
+    demands: dict[str, int] = field(default_factory=dict)
     asked: set[MemberKey] = field(default_factory=set)
     revoked: set[tuple[str, int]] = field(default_factory=set)
 
@@ -156,6 +165,13 @@
         Earliest time of another announcement of an identity.
     expiry_check_ms : float
         Next time to look for silent members.
+    heard_floor_ms : float
+        Members count as heard at this time: the election, or the end of a
+        pause of this process in which it could hear nobody.
+    ticked_ms : float
+        Time of the last tick.
+    permit_due_ms : float, optional
+        Next time to look at all permits.
     group_due_ms : dict of str to float
         Next time to look at each group.
     dirty_groups : set of str
@@ -184,6 +200,9 @@
     in_force: dict[str, int] = field(default_factory=dict)
     announce_at_ms: dict[MemberKey, float] = field(default_factory=dict)
     expiry_check_ms: float = 0.0
+    heard_floor_ms: float = 0.0
+    ticked_ms: float = 0.0
+    permit_due_ms: float | None = None
     group_due_ms: dict[str, float] = field(default_factory=dict)
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
@@ -246,6 +265,7 @@
 
 def refuse(state: ControlState, link: LinkState, reason: str) -> None:
     """Log a message that breaks the protocol and close its connection."""
+    link.is_refused = True
     log(
         state,
         'warning',
--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -48,6 +48,9 @@
     if link.report is None:
         refuse(state, link, f'{message.kind} before the first report')
         return
+    if isinstance(message, PermitDemand):
+        # Kept, as a proxy that joins later states its demand only once.
+        link.demands[message.upstream] = message.wanted
     if state.leader is None:
         return
     if not is_member(state, link.name, link.member_id):
@@ -200,6 +203,10 @@
     permit_ledger.note_connected(
         leader.permits, link.name, report.incarnation, report.holdings
     )
+    for upstream, wanted in link.demands.items():
+        permit_ledger.note_demand(
+            leader.permits, state.now_ms, link.name, upstream, wanted
+        )
     leader.dirty_permits.update(leader.permits.upstreams)
     for name, group in state.machine.groups.items():
         if group.promotion is not None:
@@ -300,6 +307,8 @@
     state: ControlState, leader: LeaderState, is_tick: bool
 ) -> None:
     """Lend and recall permits where something has changed."""
+    if not is_tick and not leader.dirty_permits:
+        return
     upstreams = None if is_tick else leader.dirty_permits
     decisions = permit_ledger.decide_permits(
         leader.permits, state.now_ms, upstreams
@@ -313,6 +322,9 @@
         send(
             state, conn, kind(upstream=decision.upstream, count=decision.count)
         )
+    leader.permit_due_ms = permit_ledger.next_permit_due_ms(
+        leader.permits, state.now_ms
+    )
 
 
 def refresh_slots(state: ControlState, leader: LeaderState) -> None:
@@ -342,6 +354,22 @@
         del state.proxies[link.name]
 
 
+def close_silent_proxies(state: ControlState, leader: LeaderState) -> None:
+    """Give up connections on which a proxy has stopped to report.
+
+    A connection can go silent for good without being closed; the proxy's
+    lease has run out by then.
+    """
+    limit_ms = lease_ledger.hold_ms(leader.leases)
+    for link in list(state.links.values()):
+        if not link.is_served or state.now_ms < link.heard_ms + limit_ms:
+            continue
+        log(state, 'warning', 'proxy_silent', proxy=link.name)
+        proxy_closed(state, link)
+        del state.links[link.conn]
+        state.outbox.append(Close(conn=link.conn, reason='silent', abort=True))
+
+
 def drop_left_proxies(state: ControlState, leader: LeaderState) -> None:
     """Stop serving proxies that are no members any more."""
     for link in state.links.values():
--- a/jackdawpost/core/control_reducer.py
+++ b/jackdawpost/core/control_reducer.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from typing import Any
 
 from jackdawpost.core import consensus
 from jackdawpost.core.commands import decode_command
+from jackdawpost.core.control_dump import dump_control
+from jackdawpost.core.control_dump import is_healthy
 from jackdawpost.core.control_leadership import after_apply
 from jackdawpost.core.control_leadership import begin_leadership
 from jackdawpost.core.control_leadership import end_leadership
@@ -36,6 +37,7 @@
 from jackdawpost.core.control_proxies import receive_from_proxy
 from jackdawpost.core.control_upstreams import admin_closed
 from jackdawpost.core.control_upstreams import admin_opened
+from jackdawpost.core.control_upstreams import mark_silent_upstreams
 from jackdawpost.core.control_upstreams import receive_admin
 from jackdawpost.core.control_upstreams import receive_from_upstream
 from jackdawpost.core.control_upstreams import upstream_closed
@@ -57,6 +59,7 @@
 from jackdawpost.core.messages.consensus import ConsensusMessage
 from jackdawpost.core.messages.control import AnnounceAck
 from jackdawpost.core.messages.control import NotLeader
+from jackdawpost.core.operator_requests import answer_refusal
 
 __all__ = [
     'config_from_settings',
@@ -118,6 +121,7 @@
     is_tick = isinstance(event, TimerFired)
     if is_tick:
         state.timer_ms = None
+        mark_silent_upstreams(state)
         state.queue.extend(consensus.tick(state.consensus, state.now_ms))
     elif isinstance(event, ConnOpened):
         _on_opened(state, event)
@@ -140,7 +144,12 @@
         if leader is None or not admin_opened(state, leader, event.conn):
             state.outbox.append(Close(conn=event.conn, reason='not needed'))
         return
-    link = LinkState(conn=event.conn, link=event.link, peer=event.peer)
+    link = LinkState(
+        conn=event.conn,
+        link=event.link,
+        peer=event.peer,
+        heard_ms=state.now_ms,
+    )
     state.links[event.conn] = link
     if event.link != 'peer':
         return
@@ -179,8 +188,9 @@
             receive_admin(state, leader, event.conn, message)
             continue
         link = state.links.get(event.conn)
-        if link is None:
+        if link is None or link.is_refused:
             return
+        link.heard_ms = state.now_ms
         _receive(state, link, message)
         _run_queue(state)
 
@@ -206,10 +216,13 @@
 
 def _on_rejected(state: ControlState, event: FrameRejected) -> None:
     link = state.links.get(event.conn)
-    if link is not None:
-        refuse(state, link, event.detail)
-    else:
+    if link is None:
         log(state, 'warning', 'frame_rejected', detail=event.detail)
+        return
+    if link.link == 'operator':
+        answer = answer_refusal(state.machine, event.request_id, event.detail)
+        send(state, event.conn, answer)
+    refuse(state, link, event.detail)
 
 
 def _on_drain(state: ControlState) -> None:
@@ -355,57 +368,3 @@
     if soonest != state.timer_ms:
         state.timer_ms = soonest
         state.outbox.append(SetTimer(key=TICK_KEY, due_ms=soonest))
-
-
-def is_healthy(state: ControlState) -> bool:
-    """Tell whether the process takes part and knows a leader."""
-    knows_leader = state.consensus.leader is not None
-    return knows_leader and not state.draining and not state.storage_failed
-
-
-def dump_control(state: ControlState) -> dict[str, Any]:
-    """Return the whole state as plain data."""
-    core = state.consensus
-    return {
-        'name': state.cfg.name,
-        'now_ms': state.now_ms,
-        'healthy': is_healthy(state),
-        'draining': state.draining,
-        'storage_failed': state.storage_failed,
-        'consensus': {
-            'role': core.role,
-            'leader': core.leader,
-            'term': core.term,
-            'commit_index': core.commit_index,
-            'applied_index': core.applied_index,
-            'voters': list(core.voters),
-        },
-        'machine': _plain(state.machine),
-        'links': _plain(state.links),
-        'peers': _plain(state.peers),
-        'upstreams': _plain(list(state.upstreams.values())),
-        'leader': _plain(state.leader),
-    }
-
-
-def _plain(value: Any) -> Any:
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        return {
-            item.name: _plain(getattr(value, item.name))
-            for item in dataclasses.fields(value)
-        }
-    if isinstance(value, dict):
-        return {_plain_key(k): _plain(item) for k, item in value.items()}
-    if isinstance(value, set | frozenset):
-        return sorted((_plain(item) for item in value), key=repr)
-    if isinstance(value, list | tuple):
-        return [_plain(item) for item in value]
-    if isinstance(value, bytes):
-        return value.hex()
-    return value
-
-
-def _plain_key(key: Any) -> str:
-    if isinstance(key, tuple):
-        return '/'.join(str(part) for part in key)
-    return str(key)
--- a/jackdawpost/core/control_upstreams.py
+++ b/jackdawpost/core/control_upstreams.py
@@ -33,6 +33,13 @@
 from jackdawpost.core.messages.upstream import AdminDone
 from jackdawpost.core.messages.upstream import Sealed
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.promotion_facts import Database
+from jackdawpost.core.promotion_facts import drive_of
+from jackdawpost.core.promotion_facts import GroupFacts
+from jackdawpost.core.promotion_facts import Heard
+from jackdawpost.core.promotion_facts import OpenPromotion
+
+ANNOUNCE_SILENCE_MS = 1_000.0  # five announcements
 
 
 def receive_from_upstream(
@@ -108,9 +115,17 @@
         del state.upstreams[key]
 
 
+def mark_silent_upstreams(state: ControlState) -> None:
+    """Treat upstreams that stopped to announce themselves as disconnected."""
+    limit_ms = state.now_ms - ANNOUNCE_SILENCE_MS
+    for announced in state.upstreams.values():
+        if announced.heard_ms < limit_ms:
+            announced.connected = False
+
+
 def group_facts(
     state: ControlState, leader: LeaderState, name: str
-) -> promotion.GroupFacts | None:
+) -> GroupFacts | None:
     """Return what is known about a group; None if it does not exist."""
     group = state.machine.groups.get(name)
     settings = state.machine.objects.groups.get(name)
@@ -118,14 +133,14 @@
         return None
     open_promotion = None
     if group.promotion is not None:
-        open_promotion = promotion.OpenPromotion(
+        open_promotion = OpenPromotion(
             from_term=group.promotion.from_term,
             to_term=group.promotion.to_term,
             accept_loss=group.promotion.accept_loss,
             upstream=group.promotion.chosen,
             data_id=group.promotion.data_id,
         )
-    return promotion.GroupFacts(
+    return GroupFacts(
         name=name,
         size=settings.databases,
         needed=max(1, promotion_quorum(state.machine, name)),
@@ -140,9 +155,7 @@
     )
 
 
-def _databases(
-    state: ControlState, group: str
-) -> dict[str, promotion.Database]:
+def _databases(state: ControlState, group: str) -> dict[str, Database]:
     found = {}
     for name, member in state.machine.members.items():
         if member.role != 'upstream' or member.group != group:
@@ -151,7 +164,7 @@
         if announced is None:
             continue
         announce = announced.announce
-        found[name] = promotion.Database(
+        found[name] = Database(
             name=name,
             data_id=announce.data_id,
             host=announce.host,
@@ -161,6 +174,7 @@
             received=LogPosition(*announce.received),
             leaving=announce.leaving or is_leaving(state, name),
             session=announced.conn,
+            heard_ms=announced.heard_ms,
             connected=announced.connected,
         )
     return found
@@ -202,7 +216,7 @@
     """
     assert group.primary is not None
     key = (group.primary, group.primary_id)
-    heard_ms = leader.heard_ms.get(key, leader.elected_ms)
+    heard_ms = max(leader.heard_ms.get(key, 0), leader.heard_floor_ms)
     if state.now_ms < heard_ms + state.cfg.silent_ms:
         return False
     return any(
@@ -226,11 +240,14 @@
     if facts is None:
         leader.driver.groups.pop(name, None)
         leader.group_due_ms.pop(name, None)
+        state.outbox += control_admin.reconcile(
+            leader.admin, state.now_ms, name, {}
+        )
         return
     if facts.promotion is not None and facts.promotion.from_term > 0:
         revoke_leases(state, leader, name, facts.promotion.from_term)
     key = f'group/{name}'
-    drive = promotion.drive_of(leader.driver, name)
+    drive = drive_of(leader.driver, name)
     drive.busy = key in leader.proposed
     command = promotion.next_command(leader.driver, state.now_ms, facts)
     if command is not None:
@@ -249,7 +266,7 @@
 
 
 def _set_group_due(
-    state: ControlState, leader: LeaderState, facts: promotion.GroupFacts
+    state: ControlState, leader: LeaderState, facts: GroupFacts
 ) -> None:
     dues = [
         promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
@@ -318,7 +335,7 @@
     if want is None or facts is None:
         return
     if isinstance(message, Sealed):
-        heard = promotion.Heard(
+        heard = Heard(
             data_id=message.data_id, received=LogPosition(*message.received)
         )
         promotion.note_sealed(
--- a/jackdawpost/core/promotion.py
+++ b/jackdawpost/core/promotion.py
@@ -8,9 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 from typing import Literal
 
 from jackdawpost.core.commands import AbandonPromotion
@@ -18,9 +15,18 @@
 from jackdawpost.core.commands import ChoosePrimary
 from jackdawpost.core.commands import FinishPromotion
 from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.promotion_choice import CHOICE_GRACE_MS
+from jackdawpost.core.promotion_choice import choose_database
+from jackdawpost.core.promotion_facts import AdminWant
+from jackdawpost.core.promotion_facts import Database
+from jackdawpost.core.promotion_facts import drive_of
+from jackdawpost.core.promotion_facts import GroupDrive
+from jackdawpost.core.promotion_facts import GroupFacts
+from jackdawpost.core.promotion_facts import Heard
+from jackdawpost.core.promotion_facts import is_counted
+from jackdawpost.core.promotion_facts import OpenPromotion
+from jackdawpost.core.promotion_facts import PromotionDriver
 
-CHOICE_GRACE_MS = 200.0  # for further replicas where waiting costs little
 LEAVING_PAUSE_MS = 1_000.0  # between promotions for a primary that leaves
 RETRY_MS = 100.0  # after a command that the state machine refused
 
@@ -33,165 +39,6 @@
 )
 
 
-@dataclass(slots=True, kw_only=True)
-class Database:
-    """A joined upstream as it last announced itself.
-
-    Parameters
-    ----------
-    session : int
-        Announcing connection; a new one calls for a new `follow`.
-    connected : bool
-        The announcing connection is open.
-    """
-
-    name: str
-    data_id: str
-    host: str
-    port: int
-    term: int
-    leads: bool
-    received: LogPosition
-    leaving: bool
-    session: int
-    connected: bool = True
-
-
-@dataclass(slots=True, kw_only=True)
-class OpenPromotion:
-    """Promotion under way as committed; `upstream` is the choice."""
-
-    from_term: int
-    to_term: int
-    accept_loss: bool = False
-    upstream: str | None = None
-    data_id: str | None = None
-
-
-@dataclass(slots=True, kw_only=True)
-class GroupFacts:
-    """What the leader knows about a group now.
-
-    Parameters
-    ----------
-    size : int
-        Databases that the group should have.
-    needed : int
-        Databases of the set that must be heard, so that at least one of
-        them holds each acknowledged write.
-    databases : dict of str to Database
-        Joined upstreams of the group that have announced themselves.
-    lease_holders : dict of str to float
-        Proxies that may acknowledge writes of the replaced term.
-    failed : str
-        Why the primary must be replaced, empty if it need not be.
-    """
-
-    name: str
-    size: int
-    needed: int
-    term: int
-    last_term: int
-    primary: str | None
-    database_set: Mapping[str, str]
-    promotion: OpenPromotion | None
-    databases: Mapping[str, Database]
-    lease_holders: Mapping[str, float]
-    failed: str
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AdminWant:
-    """Admin request that an upstream has to answer."""
-
-    group: str
-    upstream: str
-    action: Literal['seal', 'promote', 'follow']
-    term: int
-    host: str
-    port: int
-    primary: str = ''
-    primary_host: str = ''
-    primary_port: int = 0
-    session: int = 0
-
-
-@dataclass(slots=True, kw_only=True)
-class Heard:
-    """What a sealed database holds."""
-
-    data_id: str
-    received: LogPosition
-
-
-@dataclass(slots=True, kw_only=True)
-class GroupDrive:
-    """Progress of one group under this leader.
-
-    Parameters
-    ----------
-    highest_term : int
-        Highest term seen anywhere; a new promotion starts above it.
-    busy : bool
-        A command of this group is in the log and not yet applied.
-    restart : str
-        Reason to start another promotion, empty if there is none.
-    retry_at_ms : float
-        Earliest time of the next command after a refused one.
-    heard_term : int
-        Promotion that `heard` and the following fields belong to.
-    enough_since_ms : float, optional
-        Time since which enough databases have been heard.
-    chosen_since_ms : float, optional
-        Time since which the chosen database has been asked to lead.
-    outdated : bool
-        A database knows a term above that of the promotion.
-    finished_ms : float, optional
-        Time of the last promotion that this leader finished.
-    targets : dict
-        Name, data and term to the position that a database outside the set
-        must reach to be admitted.
-    """
-
-    highest_term: int = 0
-    busy: bool = False
-    restart: str = ''
-    retry_at_ms: float = 0.0
-    accept_loss: bool = False
-    heard_term: int = 0
-    heard: dict[str, Heard] = field(default_factory=dict)
-    enough_since_ms: float | None = None
-    chosen_since_ms: float | None = None
-    promoted: bool = False
-    outdated: bool = False
-    finished_ms: float | None = None
-    followed: set[AdminWant] = field(default_factory=set)
-    targets: dict[tuple[str, str, int], LogPosition] = field(
-        default_factory=dict
-    )
-
-
-@dataclass(slots=True, kw_only=True)
-class PromotionDriver:
-    """Promotions of all groups.
-
-    Parameters
-    ----------
-    refused_ms, silent_ms : float
-        Time after which a chosen database that refuses connections or does
-        not answer is given up.
-    """
-
-    refused_ms: float
-    silent_ms: float
-    groups: dict[str, GroupDrive] = field(default_factory=dict)
-
-
-def drive_of(driver: PromotionDriver, group: str) -> GroupDrive:
-    """Return the progress of a group, creating it if need be."""
-    return driver.groups.setdefault(group, GroupDrive())
-
-
 def next_command(
     driver: PromotionDriver, now_ms: float, facts: GroupFacts
 ) -> GroupCommand | None:
@@ -206,7 +53,7 @@
         return None
     promotion = facts.promotion
     if promotion is None:
-        return _start(drive, now_ms, facts) or _admit(drive, facts)
+        return _start(drive, now_ms, facts) or _admit(drive, now_ms, facts)
     _enter(drive, promotion)
     if _must_abandon(driver, drive, now_ms, promotion, facts):
         drive.restart = drive.restart or 'promotion given up'
@@ -214,7 +61,7 @@
             group=facts.name, to_term=promotion.to_term, reason=drive.restart
         )
     if promotion.upstream is None:
-        return _choose(drive, now_ms, promotion, facts)
+        return choose_database(drive, now_ms, promotion, facts)
     if drive.promoted:
         drive.finished_ms = now_ms
         return FinishPromotion(group=facts.name, to_term=promotion.to_term)
@@ -267,12 +114,22 @@
         return 'first primary' if _may_begin(drive, facts) else ''
     if drive.restart or facts.failed:
         return drive.restart or facts.failed
+    if _is_sealed(facts):
+        return 'sealed by a promotion that was given up'
     primary = facts.databases.get(facts.primary)
     if primary is None:
         return ''
     if primary.leaving and _has_successor(facts):
         return '' if _is_paused(drive, now_ms) else 'primary leaving'
-    return 'primary sealed' if primary.term > facts.term else ''
+    return ''
+
+
+def _is_sealed(facts: GroupFacts) -> bool:
+    """Tell whether a counted database refuses the present term."""
+    return any(
+        database.term > facts.term and is_counted(facts, database)
+        for database in facts.databases.values()
+    )
 
 
 def _may_begin(drive: GroupDrive, facts: GroupFacts) -> bool:
@@ -305,11 +162,6 @@
     )
 
 
-def is_counted(facts: GroupFacts, database: Database) -> bool:
-    """Tell whether a database holds the data of the group's set."""
-    return facts.database_set.get(database.name) == database.data_id
-
-
 def request_promotion(
     driver: PromotionDriver, group: str, reason: str, accept_loss: bool
 ) -> None:
@@ -347,89 +199,14 @@
     return now_ms >= drive.chosen_since_ms + driver.silent_ms
 
 
-def _choose(
-    drive: GroupDrive,
-    now_ms: float,
-    promotion: OpenPromotion,
-    facts: GroupFacts,
-) -> ChoosePrimary | None:
-    if facts.lease_holders:
-        return None
-    heard = counted_heard(drive, facts)
-    if len(heard) < (1 if promotion.accept_loss else facts.needed):
-        return None
-    if drive.enough_since_ms is None:
-        drive.enough_since_ms = now_ms
-    others = {n: h for n, h in heard.items() if not _is_avoided(n, facts)}
-    if _should_wait(drive, now_ms, promotion, facts, others):
-        return None
-    name = _best(others if len(others) >= facts.needed else heard, facts)
-    return ChoosePrimary(
-        group=facts.name,
-        to_term=promotion.to_term,
-        upstream=name,
-        data_id=heard[name].data_id,
-        position=heard[name].received,
-    )
-
-
-def counted_heard(drive: GroupDrive, facts: GroupFacts) -> dict[str, Heard]:
-    """Return the sealed databases whose data counts for the choice."""
-    counted = {}
-    for name, heard in drive.heard.items():
-        database = facts.databases.get(name)
-        if database is not None and database.data_id != heard.data_id:
-            continue
-        if facts.database_set.get(name) == heard.data_id:
-            counted[name] = heard
-    return counted
-
-
-def _is_avoided(name: str, facts: GroupFacts) -> bool:
-    """Tell whether a database is to be replaced rather than chosen."""
-    database = facts.databases.get(name)
-    return name == facts.primary or database is None or database.leaving
-
-
-def _should_wait(
-    drive: GroupDrive,
-    now_ms: float,
-    promotion: OpenPromotion,
-    facts: GroupFacts,
-    others: Mapping[str, Heard],
-) -> bool:
-    """Wait a little for further databases that may hold more.
+def _admit(
+    drive: GroupDrive, now_ms: float, facts: GroupFacts
+) -> AdmitDatabase | None:
+    """Admit a database that has reached a position of the primary.
 
-    A dead primary is never worth it: the databases needed for the choice
-    already include every acknowledged write.
+    A position heard before the database joined proves nothing: a wiped
+    database may have held writes that were acknowledged after it.
     """
-    primary = facts.databases.get(facts.primary or '')
-    leaving = primary is not None and primary.leaving and not facts.failed
-    if not leaving and not promotion.accept_loss:
-        return False
-    missing = [
-        name
-        for name, database in facts.databases.items()
-        if name not in others
-        and database.connected
-        and is_counted(facts, database)
-        and not _is_avoided(name, facts)
-    ]
-    since_ms = drive.enough_since_ms or now_ms
-    return bool(missing) and now_ms < since_ms + CHOICE_GRACE_MS
-
-
-def _best(candidates: Mapping[str, Heard], facts: GroupFacts) -> str:
-    return max(
-        sorted(candidates),
-        key=lambda name: (
-            candidates[name].received,
-            not _is_avoided(name, facts),
-        ),
-    )
-
-
-def _admit(drive: GroupDrive, facts: GroupFacts) -> AdmitDatabase | None:
     primary = facts.databases.get(facts.primary or '')
     if primary is None or not primary.leads or primary.term != facts.term:
         return None
@@ -437,8 +214,12 @@
         if is_counted(facts, database) or name == facts.primary:
             continue
         key = (name, database.data_id, facts.term)
-        target = drive.targets.setdefault(key, primary.received)
-        if database.term == facts.term and database.received >= target:
+        if primary.heard_ms > drive.joined_ms.setdefault(key, now_ms):
+            drive.targets.setdefault(key, primary.received)
+        target = drive.targets.get(key)
+        if target is None or database.term != facts.term:
+            continue
+        if database.received >= target:
             return AdmitDatabase(
                 group=facts.name, name=name, data_id=database.data_id
             )
@@ -576,14 +357,6 @@
     drive.chosen_since_ms = min(drive.chosen_since_ms, earliest)
 
 
-def missing_databases(driver: PromotionDriver, facts: GroupFacts) -> list[str]:
-    """Return the databases that a blocked promotion has not heard."""
-    if facts.promotion is None or facts.promotion.upstream is not None:
-        return []
-    heard = counted_heard(drive_of(driver, facts.name), facts)
-    return sorted(set(facts.database_set) - set(heard))
-
-
 def next_promotion_due_ms(
     driver: PromotionDriver, now_ms: float, facts: GroupFacts
 ) -> float | None:
