Join the parts: the whole path runs as separate processes

Ruled out: reading the databases through the proxies for the verdict, because a fault of the proxies could hide itself.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -95,7 +95,7 @@
     load = LoadGenerator(
         LoadPlan(addresses, groups, HANDFANG_MIX, RATE_PER_S, LOAD_S)
     )
-    killed = find_primaries(cluster)[groups[0]]
+    killed = find_primaries(cluster)[groups[0]].name
     killed_at_ms = 0.0
     async with trio.open_nursery() as nursery:
         nursery.start_soon(load.run)
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import trio
 
 from bench.cluster import Cluster
@@ -23,15 +25,22 @@
 _CODEC = FrameCodec(Opened, Executed)
 
 
-def find_primaries(cluster: Cluster) -> dict[str, str]:
+class Primary(NamedTuple):
+    """Primary of a group and its term."""
+
+    name: str
+    term: int
+
+
+def find_primaries(cluster: Cluster) -> dict[str, Primary]:
     """Return the primary of each group that has one, as proxies see it."""
     for name in cluster.names('proxy'):
         status, dump = cluster.read_page(name, '/dump')
         if status == 200:
-            groups = dump['published']['groups']
+            views = [item['view'] for item in dump['groups'].values()]
             return {
-                group: view['primary']
-                for group, view in groups.items()
+                view['name']: Primary(view['primary'], view['term'])
+                for view in views
                 if view['primary']
             }
     return {}
@@ -41,12 +50,13 @@
     """Read the ledger of each group from its primary, past the proxies."""
     primaries = await trio.to_thread.run_sync(find_primaries, cluster)
     return {
-        group: await _read_ledger(cluster, name)
-        for group, name in primaries.items()
+        group: await _read_ledger(cluster, primary)
+        for group, primary in primaries.items()
     }
 
 
-async def _read_ledger(cluster: Cluster, name: str) -> list[StoredRow]:
+async def _read_ledger(cluster: Cluster, primary: Primary) -> list[StoredRow]:
+    name = primary.name
     rows: list[StoredRow] = []
     port = cluster.programs[name].port
     async with open_link(LOOPBACK, port, '/v1/upstream') as link:
@@ -60,7 +70,7 @@
                 sql=f'{SELECT_ROWS} order by id limit ? offset ?',
                 params=[PAGE_ROWS, len(rows)],
                 access='read',
-                term=0,
+                term=primary.term,
                 must_lead=False,
                 timeout_ms=READ_TIMEOUT_MS,
             )
--- a/bench/load.py
+++ b/bench/load.py
@@ -30,6 +30,7 @@
 
 MS_PER_SECOND = 1_000
 US_PER_MS = 1_000
+TABLE_SETTLE_S = 1.5
 
 CREATE_TABLE = (
     'create table if not exists ledger (id integer primary key, '
@@ -140,6 +141,8 @@
         for group in groups:
             for sql in (CREATE_TABLE, CREATE_INDEX):
                 await session.write(group, sql, deadline_ms=20_000)
+    # Reads that accept an age may otherwise miss the new tables.
+    await trio.sleep(TABLE_SETTLE_S)
 
 
 class LoadGenerator:
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Any
+from typing import get_args
 
 import trio
 
-from jackdawpost.core.consensus_records import RestoredState
-from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.consensus import RestoredState
+from jackdawpost.core.control_reducer import config_from_settings
 from jackdawpost.core.control_reducer import dump_control
 from jackdawpost.core.control_reducer import is_healthy
 from jackdawpost.core.control_reducer import new_control
@@ -49,7 +50,7 @@
 HELLO_TIMEOUT_S = 2.0
 
 CODECS = {
-    'peer': FrameCodec(*consensus.MESSAGE_TYPES),
+    'peer': FrameCodec(*get_args(consensus.ConsensusMessage)),
     'proxy': FrameCodec(
         control.ProxyReport,
         control.LeaseRevoked,
@@ -58,7 +59,7 @@
         control.Approval,
     ),
     'announce': FrameCodec(control.Announce, control.Approval),
-    'operator': FrameCodec(*operator.REQUEST_TYPES),
+    'operator': FrameCodec(*get_args(operator.OperatorRequest)),
     'upstream': FrameCodec(
         upstream.Opened, upstream.Sealed, upstream.AdminDone, upstream.Probed
     ),
@@ -143,7 +144,7 @@
     server_tls, client_tls = build_contexts(settings.tls, log)
     store = DurableStore.open(settings.data_dir)
     writer = DurableWriter(store)
-    cfg = ControlConfig.from_settings(settings)
+    cfg = config_from_settings(settings)
     rng = random.Random(settings.seed)
     header = TraceHeader(
         role='control',
--- a/jackdawpost/testing/traces.py
+++ b/jackdawpost/testing/traces.py
@@ -15,8 +15,8 @@
 from pydantic import ConfigDict
 from pydantic import ValidationError
 
-from jackdawpost.core.consensus_records import RestoredState
-from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.consensus import RestoredState
+from jackdawpost.core.control_reducer import config_from_settings
 from jackdawpost.core.control_reducer import new_control
 from jackdawpost.core.control_reducer import reduce_control
 from jackdawpost.core.effects import Effect
@@ -207,7 +207,7 @@
     header: TraceHeader,
 ) -> tuple[Callable[[Event], list[Effect]], list[Effect]]:
     settings = ControlSettings.model_validate(header.settings)
-    cfg = ControlConfig.from_settings(settings)
+    cfg = config_from_settings(settings)
     rng = random.Random(settings.seed)
     state, effects = new_control(cfg, rng, RestoredState(), header.now_ms)
     return lambda event: reduce_control(state, event), effects
