Measure failover gaps and the throughput of one proxy

Cause: the targets for the gap and for one core were unmeasured. Ruled out: measuring the proxy with callers in the same process, because they would share its core. Change: bench.run with the experiments failover and throughput. Seen: after several kills writes of one group run into their deadline although a primary leads; the leader's ledger keeps one permit that the proxy no longer holds.

--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,90 @@
+"""Runs one experiment on real processes and writes its figures.
+
+Example: ``python -m bench.run failover --runs 20 --output failover.json``
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections.abc import Callable
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from bench.cluster import run_cluster
+from bench.demo import prepare
+from bench.deployments import Deployment
+from bench.deployments import DEPLOYMENTS
+from bench.experiment_failover import run_failover
+from bench.experiment_throughput import run_throughput
+
+Experiment = Callable[[Deployment, argparse.Namespace], dict[str, Any]]
+
+CHANGES = 'changes.json'
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run an experiment, print its figures, and return 0."""
+    parser = argparse.ArgumentParser(
+        prog='python -m bench.run',
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument('experiment', choices=sorted(EXPERIMENTS))
+    parser.add_argument(
+        '--deployment', choices=sorted(DEPLOYMENTS), default='handfang'
+    )
+    parser.add_argument('--runs', type=int, default=20)
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--output', type=Path, help='JSON file to write')
+    parser.add_argument(
+        '--proxy-setting',
+        action='append',
+        default=[],
+        metavar='KEY=VALUE',
+        help='setting of the proxies, JSON value',
+    )
+    args = parser.parse_args(argv)
+    deployment = DEPLOYMENTS[args.deployment]
+    figures = EXPERIMENTS[args.experiment](deployment, args)
+    text = json.dumps(figures, indent=2)
+    print(text)
+    if args.output is not None:
+        args.output.write_text(text + '\n')
+    return 0
+
+
+def parse_settings(items: list[str]) -> dict[str, Any]:
+    """Return ``KEY=VALUE`` arguments as settings."""
+    settings = {}
+    for item in items:
+        key, _, value = item.partition('=')
+        settings[key] = json.loads(value)
+    return settings
+
+
+def _failover(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    changes = Path('examples') / deployment.name / CHANGES
+    with run_cluster(
+        deployment,
+        database_settings={'service_ms': 5, 'apply_lag_ms': 50},
+        proxy_settings=parse_settings(args.proxy_setting),
+    ) as cluster:
+        prepare(cluster, changes)
+        return trio.run(run_failover, cluster, args.runs)
+
+
+EXPERIMENTS: dict[str, Experiment] = {
+    'failover': _failover,
+    'throughput': run_throughput,
+}
+
+
+if __name__ == '__main__':
+    sys.exit(main())
