Add the experiments for replica share and overload

Cause: the share of reads on replicas and the goodput beyond capacity were unmeasured. Ruled out: several load processes, since their histories would need merging. Change: bench/experiment_share.py.

--- /dev/null
+++ b/bench/experiment_share.py
@@ -0,0 +1,119 @@
+"""Share of reads on replicas, and load beyond the slot capacity."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from bench.cluster import Cluster
+from bench.cluster import run_cluster
+from bench.demo import prepare
+from bench.deployments import Deployment
+from bench.failover import read_stored_rows
+from bench.load import CORDILLERA_MIX
+from bench.load import create_tables
+from bench.load import HANDFANG_MIX
+from bench.load import LoadGenerator
+from bench.load import LoadPlan
+from bench.load import LoadResult
+from jackdawpost.testing.history import check_history
+
+SERVICE_MS = 20.0
+LAG_MS = 200.0
+SESSIONS = 240
+MS_PER_SECOND = 1_000
+MIXES = {'handfang': HANDFANG_MIX, 'cordillera': CORDILLERA_MIX}
+
+
+def slot_capacity(deployment: Deployment) -> float:
+    """Return the statements a second that all slots can serve."""
+    databases = deployment.groups * deployment.databases_per_group
+    return databases * deployment.slots * MS_PER_SECOND / SERVICE_MS
+
+
+def run_share(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    """Run the deployment's mix at 60% of the slot capacity."""
+    return _run_loads(deployment, args, [0.6])
+
+
+def run_overload(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    """Run the mix at rising load up to twice the slot capacity."""
+    return _run_loads(deployment, args, [0.5, 0.75, 1.0, 2.0])
+
+
+def _run_loads(
+    deployment: Deployment, args: argparse.Namespace, levels: list[float]
+) -> dict[str, Any]:
+    changes = Path('examples') / deployment.name / 'changes.json'
+    with run_cluster(
+        deployment,
+        database_settings={'service_ms': SERVICE_MS, 'apply_lag_ms': LAG_MS},
+        proxy_settings=args.proxy_settings,
+    ) as cluster:
+        prepare(cluster, changes)
+        return trio.run(_run_levels, cluster, args, levels)
+
+
+async def _run_levels(
+    cluster: Cluster, args: argparse.Namespace, levels: list[float]
+) -> dict[str, Any]:
+    deployment = cluster.deployment
+    groups = deployment.group_names()
+    addresses = cluster.proxy_addresses()
+    await create_tables(addresses, groups)
+    capacity = slot_capacity(deployment)
+    results: list[LoadResult] = []
+    figures: dict[str, Any] = {'capacity_per_s': capacity}
+    for number, level in enumerate(levels):
+        plan = LoadPlan(
+            addresses,
+            groups,
+            MIXES[deployment.name],
+            capacity * level,
+            args.seconds,
+            sessions=int(SESSIONS * max(1.0, 4 * (level - 0.5))),
+            prefix=f'level{number}-',
+            seed=number,
+        )
+        result = await LoadGenerator(plan).run()
+        results.append(result)
+        figures[f'load {level:g}'] = _describe(result, args.seconds)
+    stored = await read_stored_rows(cluster)
+    history = results[0].history
+    for result in results[1:]:
+        history.writes += result.history.writes
+        history.reads += result.history.reads
+    violations = check_history(history, stored)
+    figures['violations'] = [f'{v.rule}: {v.detail}' for v in violations]
+    figures['databases'] = _read_limits(cluster)
+    return figures
+
+
+def _describe(result: LoadResult, seconds: float) -> dict[str, Any]:
+    done = sum(
+        count
+        for name, count in result.outcomes.items()
+        if name.endswith(':done')
+    )
+    return {'goodput_per_s': round(done / seconds, 1), **result.summary()}
+
+
+def _read_limits(cluster: Cluster) -> dict[str, Any]:
+    """Return the counters of broken limits, summed over the databases."""
+    totals: dict[str, Any] = {}
+    for name in cluster.names('database'):
+        status, metrics = cluster.read_page(name, '/metrics')
+        if status == 200:
+            for key, value in metrics['counters'].items():
+                if key.startswith('max_'):
+                    totals[key] = max(totals.get(key, 0), value)
+                else:
+                    totals[key] = totals.get(key, 0) + value
+    return totals
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,8 @@
 from bench.deployments import Deployment
 from bench.deployments import DEPLOYMENTS
 from bench.experiment_failover import run_failover
+from bench.experiment_share import run_overload
+from bench.experiment_share import run_share
 from bench.experiment_throughput import run_throughput
 
 Experiment = Callable[[Deployment, argparse.Namespace], dict[str, Any]]
@@ -49,6 +51,7 @@
         help='setting of the proxies, JSON value',
     )
     args = parser.parse_args(argv)
+    args.proxy_settings = parse_settings(args.proxy_setting)
     deployment = DEPLOYMENTS[args.deployment]
     figures = EXPERIMENTS[args.experiment](deployment, args)
     text = json.dumps(figures, indent=2)
@@ -74,7 +77,7 @@
     with run_cluster(
         deployment,
         database_settings={'service_ms': 5, 'apply_lag_ms': 50},
-        proxy_settings=parse_settings(args.proxy_setting),
+        proxy_settings=args.proxy_settings,
     ) as cluster:
         prepare(cluster, changes)
         return trio.run(run_failover, cluster, args.runs)
@@ -82,6 +85,8 @@
 
 EXPERIMENTS: dict[str, Experiment] = {
     'failover': _failover,
+    'overload': run_overload,
+    'share': run_share,
     'throughput': run_throughput,
 }
 
