--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -22,6 +22,7 @@
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import Request
 from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import schedule_pump
 from jackdawpost.core.proxy_state import send
 from jackdawpost.core.proxy_state import Upstream
 from jackdawpost.core.proxy_state import UpstreamConn
@@ -50,7 +51,7 @@
     if up.paused_until_ms > state.now_ms:
         return 0
     account = state.permits.account(up.name)
-    free = min(len(up.idle), account.held - account.in_use)
+    free = min(len(up.idle), account.idle)
     if up.returned_ms > -math.inf:
         since_ms = state.now_ms - up.returned_ms
         limit = slow_start_limit(up.view.slots, since_ms)
@@ -75,7 +76,7 @@
 
 def _open_conn(state: ProxyState, up: Upstream) -> None:
     if state.now_ms < up.next_open_ms:
-        schedule(state, up.next_open_ms, 'pump', up.view.group)
+        schedule_pump(state, up.view.group, up.next_open_ms)
         return
     conn_id = new_conn(state)
     up.opening += 1
@@ -93,6 +94,13 @@
     )
 
 
+def close_surplus(state: ProxyState, up: Upstream) -> None:
+    """Close idle connections above the limit, as proxies have joined."""
+    limit = connection_limit(state, up)
+    while len(up.conns) > limit and up.idle:
+        drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
+
+
 def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
     """Take a statement connection into use."""
     conn = state.conns.get(event.conn)
@@ -126,7 +134,7 @@
     up.open_failures += 1
     pause = backoff_ms(up.open_failures, state.rng)
     up.next_open_ms = state.now_ms + pause
-    schedule(state, up.next_open_ms, 'pump', up.view.group)
+    schedule_pump(state, up.view.group, up.next_open_ms)
 
 
 def start_frame(
@@ -232,14 +240,20 @@
         return
     conn.owns_permit = False
     up = state.upstreams[conn.upstream]
-    back = state.permits.release(up.name)
-    return_permits(state, up.name, back)
+    state.permits.release(up.name)
+    return_owed(state, up.name)
     watch_idle_permits(state, up)
 
 
+def return_owed(state: ProxyState, name: str) -> None:
+    """Give recalled permits back once they are not in use."""
+    if state.leader and state.permits.account(name).recalled:
+        return_permits(state, name, state.permits.take_owed(name))
+
+
 def return_permits(state: ProxyState, name: str, number: int) -> None:
-    """Give permits back to the control leader."""
-    if number and state.leader:
+    """Tell the control leader of permits given back."""
+    if number:
         message = PermitReturn(upstream=name, count=number)
         send(state, state.leader, message)
 
@@ -258,17 +272,17 @@
         return
     up.permit_check = False
     account = state.permits.account(name)
-    if up.opening:
-        # They are about to be used by requests that wait for a connection.
+    if up.opening or not state.leader:
+        # They are about to be used by requests that wait for a connection,
+        # or there is no leader to be told.
         watch_idle_permits(state, up)
         return
     back = state.permits.take_idle(name)
     if back:
         return_permits(state, name, back)
         account.stated = account.held
-        if state.leader:
-            demand = PermitDemand(upstream=name, wanted=account.held)
-            send(state, state.leader, demand)
+        demand = PermitDemand(upstream=name, wanted=account.held)
+        send(state, state.leader, demand)
     if account.idle > 0:
         watch_idle_permits(state, up)
 
--- a/jackdawpost/core/proxy_published.py
+++ b/jackdawpost/core/proxy_published.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from jackdawpost.core.admission import AdmissionQueue
+from jackdawpost.core.admission import STALE_READ
 from jackdawpost.core.freshness import FreshnessTracker
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.proxy_answers import finish_error
 from jackdawpost.core.proxy_answers import lose_undurable
+from jackdawpost.core.proxy_conns import close_surplus
 from jackdawpost.core.proxy_conns import drop_conn
 from jackdawpost.core.proxy_control import send_report
 from jackdawpost.core.proxy_control import watch_validity
@@ -47,7 +49,7 @@
         )
         send_report(state)
         return
-    if state.published.version == before and not message.full:
+    if state.published.version == before:
         return
     state.proxies = max(
         1,
@@ -135,7 +137,10 @@
         up = state.upstreams[conn.upstream]
         if up.view.group != group.name:
             continue
-        busy = any(r.term < group.view.term for r in conn.running.values())
+        busy = any(
+            req.term < group.view.term and req.priority != STALE_READ
+            for req in conn.running.values()
+        )
         if busy or conn.txn is not None:
             drop_conn(state, conn, 'term ended', 'lease_lost')
 
@@ -157,6 +162,7 @@
             schedule(state, due_ms, 'probe', name)
         known.view = view
         known.leaving = view.leaving or known.reported_leaving
+        close_surplus(state, known)
         if view.group in state.groups:
             state.groups[view.group].upstreams.append(known)
 
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -32,7 +32,7 @@
 from jackdawpost.core.proxy_state import new_serial
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule
+from jackdawpost.core.proxy_state import schedule_pump
 from jackdawpost.core.proxy_state import Upstream
 from jackdawpost.core.proxy_state import UpstreamConn
 from jackdawpost.core.proxy_transactions import on_txn_executed
@@ -136,27 +136,35 @@
             return
         group.turn += 1
         chosen = choose(free, state.rng, group.turn)
-        _send_to_replica(state, group, chosen, free)
+        _send_to_replica(state, group, chosen, free, fresh_after)
 
 
 def _send_to_replica(
-    state: ProxyState, group: Group, up: Upstream, free: list[Upstream]
+    state: ProxyState,
+    group: Group,
+    up: Upstream,
+    free: list[Upstream],
+    fresh_after: LogPosition | None,
 ) -> None:
     queue = group.queue
+    waiting = queue.count(STALE_READ)
+    size = 1
+    if waiting > 1:
+        frames = sum(capacity(state, other) for other in free)
+        size = _batch_size(waiting, frames)
     conn = take_conn(state, up)
     if conn is None:
         raise RuntimeError(f'{up.name!r} has capacity but no connection')
-    frames = sum(capacity(state, other) for other in free) + 1
-    size = _batch_size(queue.count(STALE_READ), frames)
     batch: list[Request] = []
     messages = []
     while len(batch) < size:
         req = queue.peek(STALE_READ)
         if req is None:
             break
-        fresh_after = _fresh_after(state, group, req)
-        if batch and up not in _servers(state, group, req, fresh_after):
-            break
+        if batch:
+            fresh_after = _fresh_after(state, group, req)
+            if up not in _servers(state, group, req, fresh_after):
+                break
         queue.pop(STALE_READ, state.now_ms)
         batch.append(req)
         messages.append(_to_execute(state, group, req, False, fresh_after))
@@ -182,21 +190,33 @@
 ) -> list[Upstream]:
     if fresh_after is None:
         return []
+    primary = group.view.primary
     replicas = [
         up
         for up in group.upstreams
-        if up.name != group.view.primary
+        if up.name != primary
         and (req.avoided is None or up.name not in req.avoided)
     ]
-    max_lag_ms = -1.0
-    if group.view.replica_wait_ms:
-        max_lag_ms = (req.max_age_ms or 0) - AGE_MARGIN_MS
+    max_lag_ms = _longest_lag_to_wait_for(state, group, req, fresh_after)
     ready, soon = split_by_freshness(
         replicas, group.view.term, req.after, fresh_after, max_lag_ms
     )
     return ready or soon
 
 
+def _longest_lag_to_wait_for(
+    state: ProxyState, group: Group, req: Request, fresh_after: LogPosition
+) -> float:
+    """Return the lag up to which a replica gets there in `wait_ms`."""
+    wait_ms = group.view.replica_wait_ms
+    if not wait_ms:
+        return -1.0
+    needed = max(req.after or ZERO_POSITION, fresh_after)
+    reached_ms = group.freshness.reached_ms(needed)
+    since_ms = 0.0 if reached_ms is None else state.now_ms - reached_ms
+    return min((req.max_age_ms or 0) - AGE_MARGIN_MS, since_ms + wait_ms)
+
+
 def _to_execute(
     state: ProxyState,
     group: Group,
@@ -294,7 +314,7 @@
 def pause_upstream(state: ProxyState, up: Upstream) -> None:
     """Send nothing to an upstream for a moment."""
     up.paused_until_ms = state.now_ms + PAUSE_MS
-    schedule(state, up.paused_until_ms, 'pump', up.view.group)
+    schedule_pump(state, up.view.group, up.paused_until_ms)
 
 
 def expire(state: ProxyState, serial: int) -> None:
