Batch answers of waiting-free frames and check parameters and results

Cause: reads with wait_ms took the slow path and got one frame each; a parameter or key that CBOR cannot encode would have failed replication. Change: frames that need no wait run at once; parameter types, result sizes and request keys are checked before anything is written.

--- a/jackdawpost_standin/database.py
+++ b/jackdawpost_standin/database.py
@@ -11,6 +11,7 @@
 
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.core.messages.upstream import Progress
+from jackdawpost.core.messages.upstream import RefusalCode
 from jackdawpost.core.positions import history_contains
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import TermEnd
@@ -225,13 +226,14 @@
         self, records: Sequence[Record], apply_at_s: float
     ) -> None:
         """Add records of the primary, to be applied at a later time."""
-        for record in records:
-            self.log.append(record)
-            self._folder.append(record)
-        if records:
+        try:
+            for record in records:
+                self.log.append(record)
+                self._folder.append(record)
+        finally:
             self._folder.flush()
             self.apply_due.append((apply_at_s, self.received.index))
-        self.changed.notify()
+            self.changed.notify()
 
     def discard_after(self, last_index: int) -> int:
         """Discard the records after `last_index`; return their number."""
@@ -289,7 +291,7 @@
 
     # Positions
 
-    def locate(self, after: LogPosition) -> str | None:
+    def locate(self, after: LogPosition) -> RefusalCode | None:
         """Return None if a session position is applied, else a code."""
         if history_contains(self.log.history, after):
             if after.index <= self.applied_index:
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -7,17 +7,16 @@
 from collections.abc import Sequence
 from typing import Any
 
-import cbor2
-
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost_standin.log import Record
 from jackdawpost_standin.log import Result
 
 MS_PER_SECOND = 1_000
 
-# Results up to this many rows are assumed to fit a frame of 1 MiB.
-UNMEASURED_ROWS = 64
+# Leaves room for column names and other fields in a frame of 1 MiB.
 MAX_RESULT_BYTES = 900_000
+# Upper bound on the encoded size of a number or of a text's header.
+CELL_OVERHEAD_BYTES = 9
 
 # SQLite instructions between two checks of the statement's deadline.
 DEADLINE_CHECK_STEPS = 50_000
@@ -65,6 +64,7 @@
 _ENGINE_SQL = frozenset(
     {_BEGIN, _COMMIT, _ROLLBACK, _SAVEPOINT, _ROLLBACK_TO, _RELEASE}
 )
+_PARAM_TYPES = frozenset({str, int, float, bytes, bool, type(None)})
 _STATEMENT_ERRORS = (
     sqlite3.Error,
     sqlite3.Warning,
@@ -156,6 +156,8 @@
         """
         if sql in _ENGINE_SQL:
             raise StatementError('not authorized')
+        if params:
+            _check_params(params)
         self._deadline = deadline
         try:
             cursor = self._conn.execute(sql, params or ())
@@ -219,10 +221,24 @@
         return 0.0 < self._deadline < time.monotonic()
 
 
+def _check_params(params: Sequence[Any]) -> None:
+    for value in params:
+        if type(value) not in _PARAM_TYPES:
+            raise StatementError(
+                f'parameter of type {type(value).__name__}: valid are text, '
+                'numbers, bytes and null'
+            )
+
+
 def _check_size(rows: list[list[Any]]) -> None:
-    if len(rows) <= UNMEASURED_ROWS:
-        return
-    size = len(cbor2.dumps(rows))
+    size = 0
+    for row in rows:
+        for cell in row:
+            size += CELL_OVERHEAD_BYTES
+            if type(cell) is bytes:
+                size += len(cell)
+            elif type(cell) is str:
+                size += len(cell) if cell.isascii() else len(cell.encode())
     if size > MAX_RESULT_BYTES:
         raise StatementError(
             f'result of {size} bytes: valid are up to {MAX_RESULT_BYTES}'
--- a/jackdawpost_standin/session.py
+++ b/jackdawpost_standin/session.py
@@ -25,6 +25,9 @@
 from jackdawpost_standin.rows import StatementTimeoutError
 
 Request = Execute | TxnBegin | TxnCommit | TxnRollback
+Refusal = tuple[RefusalCode, str]
+
+_LEAVING: Refusal = ('leaving', 'this database is leaving')
 
 
 class Workload:
@@ -88,11 +91,8 @@
         work = self._work
         if work.service_ms or work.faults.state.slow_ms or self._in_txn:
             return None
-        if not self._db.turn.free:
+        if not all(map(self._needs_no_wait, requests)):
             return None
-        for req in requests:
-            if type(req) is not Execute or req.wait_ms or req.in_txn:
-                return None
         if not work.slots.take():
             return [self._refuse_slot(req) for req in requests]
         try:
@@ -106,6 +106,16 @@
             work.slots.release()
             work.last_end_s = trio.current_time()
 
+    def _needs_no_wait(self, req: Request) -> bool:
+        if type(req) is not Execute or req.in_txn:
+            return False
+        if req.access == 'write' and not self._db.turn.free:
+            return False
+        if not req.wait_ms:
+            return True
+        refusal = self._check(req)
+        return refusal is None or refusal[0] != 'behind'
+
     def take_slot(self) -> bool:
         """Take a slot for a frame, unless the transaction has one."""
         if not self._holds_slot:
@@ -160,11 +170,11 @@
     async def _run_execute(self, req: Execute) -> Executed:
         deadline_s = trio.current_time() + req.timeout_ms / MS_PER_SECOND
         if req.in_txn:
-            refusal = self._check_txn(req.id, req.term)
+            refusal = self._check_txn(req.term)
         else:
             refusal = await self._wait_ready(req)
         if refusal is not None:
-            return refusal
+            return self._refuse(req.id, *refusal)
         if not await self._serve_time(deadline_s):
             return self._refuse(req.id, 'timeout', 'ran out of time')
         if req.in_txn:
@@ -189,11 +199,11 @@
         await trio.sleep_until(min(end_s, deadline_s))
         return end_s <= deadline_s
 
-    async def _wait_ready(self, req: Execute) -> Executed | None:
+    async def _wait_ready(self, req: Execute) -> Refusal | None:
         deadline_s = trio.current_time() + req.wait_ms / MS_PER_SECOND
         while True:
             refusal = self._check(req)
-            if refusal is None or refusal.code != 'behind':
+            if refusal is None or refusal[0] != 'behind':
                 return refusal
             if trio.current_time() >= deadline_s:
                 return refusal
@@ -202,7 +212,7 @@
     def _execute(self, req: Execute, now_s: float) -> Executed:
         refusal = self._check(req)
         if refusal is not None:
-            return refusal
+            return self._refuse(req.id, *refusal)
         deadline = now_s + req.timeout_ms / MS_PER_SECOND
         try:
             if req.access == 'read':
@@ -216,7 +226,7 @@
 
     def _write(self, req: Execute, deadline: float) -> Executed:
         if req.request_key is not None:
-            answer = self._find_duplicate(req.id, req.request_key)
+            answer = self._answer_from_key(req.id, req.request_key)
             if answer is not None:
                 return answer
         result = self._db.rows.write(req.sql, req.params, deadline)
@@ -225,7 +235,9 @@
         )
         return self._done(req.id, result, position)
 
-    def _find_duplicate(self, req_id: int, key: str) -> Executed | None:
+    def _answer_from_key(self, req_id: int, key: str) -> Executed | None:
+        if not _is_encodable(key):
+            return self._refuse(req_id, 'malformed', 'key is not Unicode')
         index = self._db.keys.get(key)
         if index is None:
             return None
@@ -243,7 +255,7 @@
             return self._refuse(req.id, 'malformed', 'transaction is open')
         refusal = self._check_begin(req)
         if refusal is not None:
-            return refusal
+            return self._refuse(req.id, *refusal)
         if not await self._db.turn.acquire(self, deadline_s):
             return self._refuse(
                 req.id, 'timeout', 'waited for a transaction to end'
@@ -251,16 +263,16 @@
         refusal = self._check_begin(req)
         if refusal is not None:
             self._db.turn.release(self)
-            return refusal
+            return self._refuse(req.id, *refusal)
         self._db.rows.begin()
         self._in_txn = True
         self._statements = []
         return self._done(req.id, Result(), self._db.applied)
 
     def _execute_in_txn(self, req: Execute, now_s: float) -> Executed:
-        refusal = self._check_txn(req.id, req.term)
+        refusal = self._check_txn(req.term)
         if refusal is not None:
-            return refusal
+            return self._refuse(req.id, *refusal)
         deadline = now_s + req.timeout_ms / MS_PER_SECOND
         rows = self._db.rows
         try:
@@ -280,12 +292,12 @@
         return self._done(req.id, result, None)
 
     def _run_commit(self, req: TxnCommit) -> Executed:
-        refusal = self._check_leader(req.id, req.term)
+        refusal = self._check_leader(req.term)
         if refusal is not None:
             self._end_txn()
-            return refusal
+            return self._refuse(req.id, *refusal)
         if req.request_key is not None:
-            answer = self._find_duplicate(req.id, req.request_key)
+            answer = self._answer_from_key(req.id, req.request_key)
             if answer is not None:
                 self._end_txn()
                 return answer
@@ -310,74 +322,61 @@
 
     # Checks
 
-    def _check(self, req: Execute) -> Executed | None:
+    def _check(self, req: Execute) -> Refusal | None:
         if self._work.refuses_new:
-            return self._refuse(req.id, 'leaving', 'this database is leaving')
+            return _LEAVING
         if req.must_lead or req.access == 'write':
-            refusal = self._check_leader(req.id, req.term)
+            refusal = self._check_leader(req.term)
         else:
-            refusal = self._check_replica(req.id, req.term)
+            refusal = self._check_replica(req.term)
         if refusal is not None:
             return refusal
-        return self._check_positions(req.id, req.after, req.fresh_after)
+        return self._check_positions(req.after, req.fresh_after)
 
-    def _check_begin(self, req: TxnBegin) -> Executed | None:
+    def _check_begin(self, req: TxnBegin) -> Refusal | None:
         if self._work.refuses_new:
-            return self._refuse(req.id, 'leaving', 'this database is leaving')
-        refusal = self._check_leader(req.id, req.term)
+            return _LEAVING
+        refusal = self._check_leader(req.term)
         if refusal is not None:
             return refusal
-        return self._check_positions(req.id, req.after, None)
+        return self._check_positions(req.after, None)
 
-    def _check_txn(self, req_id: int, term: int) -> Executed | None:
-        refusal = self._check_leader(req_id, term)
+    def _check_txn(self, term: int) -> Refusal | None:
+        refusal = self._check_leader(term)
         if refusal is None and not self._in_txn:
-            return self._refuse(req_id, 'malformed', 'no transaction is open')
+            return 'malformed', 'no transaction is open'
         return refusal
 
-    def _check_leader(self, req_id: int, term: int) -> Executed | None:
+    def _check_leader(self, term: int) -> Refusal | None:
         role = self._db.role
         if term != role.term:
-            return self._refuse(
-                req_id, 'stale_term', f'term {term}: valid is {role.term}'
-            )
+            return 'stale_term', f'term {term}: valid is {role.term}'
         if not role.leads:
-            return self._refuse(req_id, 'not_primary', 'does not lead')
+            return 'not_primary', 'this database does not lead'
         return None
 
-    def _check_replica(self, req_id: int, term: int) -> Executed | None:
+    def _check_replica(self, term: int) -> Refusal | None:
         role = self._db.role
         if term != role.term:
-            return self._refuse(
-                req_id, 'stale_term', f'term {term}: valid is {role.term}'
-            )
+            return 'stale_term', f'term {term}: valid is {role.term}'
         if not self._db.confirmed:
             # The log may still hold a tail that the primary does not have.
-            return self._refuse(
-                req_id, 'behind', 'not yet compared with the primary'
-            )
+            return 'behind', 'not yet compared with the primary'
         return None
 
     def _check_positions(
-        self,
-        req_id: int,
-        after: LogPosition | None,
-        fresh_after: LogPosition | None,
-    ) -> Executed | None:
+        self, after: LogPosition | None, fresh_after: LogPosition | None
+    ) -> Refusal | None:
         if after is not None:
             code = self._db.locate(after)
             if code is not None:
-                return self._refuse(
-                    req_id,
-                    cast(RefusalCode, code),
-                    f'after {tuple(after)}, applied {tuple(self._db.applied)}',
-                )
+                applied = tuple(self._db.applied)
+                return code, f'after {tuple(after)}, applied {applied}'
         if fresh_after is not None and self._db.applied < fresh_after:
-            return self._refuse(
-                req_id,
+            applied = tuple(self._db.applied)
+            return (
                 'behind',
-                f'fresh after {tuple(fresh_after)}, '
-                f'applied {tuple(self._db.applied)}',
+                f'fresh after {tuple(fresh_after)}, applied {applied}',
             )
         return None
 
@@ -412,3 +411,14 @@
         return self._refuse(
             req.id, 'no_slot', f'all {self._work.slots.size} slots in use'
         )
+
+
+def _is_encodable(text: str) -> bool:
+    """Tell whether a text from JSON has no half of a surrogate pair."""
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/jackdawpost_standin/upstream_server.py
+++ b/jackdawpost_standin/upstream_server.py
@@ -45,6 +45,12 @@
 # Least time between two reports on a monitor connection.
 PROGRESS_INTERVAL_S = 0.005
 
+# Roles in a certificate's common name that may open each purpose.
+_ROLES = {
+    'statements': ('proxy',),
+    'monitor': ('proxy', 'control'),
+    'admin': ('control',),
+}
 _OPEN_CODEC = FrameCodec(Open)
 _CODECS = {
     'statements': FrameCodec(Execute, TxnBegin, TxnCommit, TxnRollback),
@@ -100,7 +106,7 @@
     async def _open_and_serve(self, link: PeerLink, certificate: str) -> None:
         frame = await link.receive()
         req = cast(Open, _OPEN_CODEC.decode(frame)[0])
-        _check_certificate(certificate, req.peer)
+        _check_certificate(certificate, req)
         link.peer = req.peer
         link.purpose = req.purpose
         latency_ms = self._cfg.peer_latency_ms.get(
@@ -142,11 +148,15 @@
         except FrameError as exc:
             self._post_answers(link, [_malformed(exc)], frame)
             raise
+        start_s = trio.current_time()
         answers = session.run_now(requests)
         if answers is not None:
             self._post_answers(link, answers, frame)
-            return
-        await self._run_waiting(link, session, requests, frame)
+        else:
+            await self._run_waiting(link, session, requests, frame)
+        elapsed_ms = (trio.current_time() - start_s) * MS_PER_SECOND
+        self._db.metrics.count('statements', len(requests))
+        self._db.metrics.observe('frame', elapsed_ms)
 
     async def _run_waiting(
         self,
@@ -277,9 +287,15 @@
         return len(links)
 
 
-def _check_certificate(certificate: str, peer: str) -> None:
-    if certificate and certificate.partition('.')[2] != peer:
-        raise FrameError(f'certificate {certificate!r} is not of {peer!r}')
+def _check_certificate(certificate: str, req: Open) -> None:
+    if not certificate:
+        return
+    role, _, name = certificate.partition('.')
+    if name != req.peer or role not in _ROLES[req.purpose]:
+        raise FrameError(
+            f'certificate {certificate!r} is not valid for {req.peer!r} with '
+            f'purpose {req.purpose}'
+        )
 
 
 def _malformed(exc: FrameError) -> Executed:
