--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -4,12 +4,16 @@
 
 import argparse
 import sys
+from collections.abc import Callable
 from typing import TypeVar
 
 from pydantic import BaseModel
 
 from jackdawpost.core.errors import ConfigError
+from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.runtime.logs import configure_logging
 from jackdawpost.settings.loader import load_settings
+from jackdawpost.settings.models import ProcessSettings
 from jackdawpost.version import __version__
 
 EXIT_DONE = 0
@@ -17,12 +21,23 @@
 EXIT_USAGE = 2
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
+DaemonT = TypeVar('DaemonT', bound=ProcessSettings)
 
 
 def build_parser(
-    program: str, description: str, example: str
+    program: str,
+    description: str,
+    example: str,
+    config_required: bool = True,
 ) -> argparse.ArgumentParser:
-    """Return a parser with ``--version``, ``--config`` and ``--check``."""
+    """Return a parser with ``--version``, ``--config`` and ``--check``.
+
+    Parameters
+    ----------
+    config_required : bool
+        False if subcommands accept ``--config`` as well; the program then
+        checks by itself that it was given.
+    """
     parser = argparse.ArgumentParser(
         prog=program,
         description=description,
@@ -33,7 +48,10 @@
         '--version', action='version', version=f'{program} {__version__}'
     )
     parser.add_argument(
-        '--config', metavar='FILE', required=True, help='settings file'
+        '--config',
+        metavar='FILE',
+        required=config_required,
+        help='settings file',
     )
     parser.add_argument(
         '--check',
@@ -63,3 +81,28 @@
         print(f'{args.config}: settings are valid')
         raise SystemExit(EXIT_DONE)
     return cfg
+
+
+def run_daemon(
+    settings: DaemonT,
+    record_path: str | None,
+    start: Callable[[DaemonT, str | None], int],
+) -> int:
+    """Set up logs, run a daemon until it stops, and return its exit code."""
+    log = configure_logging(settings.name, settings.log_level)
+    try:
+        return start(settings, record_path)
+    except* (JackdawpostError, OSError) as group:
+        for exc in _flatten(group):
+            log.error('cannot run', extra={'detail': str(exc)})
+    return EXIT_FAILED
+
+
+def _flatten(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+    found: list[Exception] = []
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            found += _flatten(exc)
+        else:
+            found.append(exc)
+    return found
