Deliver frames that arrive with the end of a connection

Cause: FrameStream.receive raised as soon as it had read the close frame, so an answer in the same read was lost and its outcome became unknown. post raised InvalidState between the peer's close and the end of receive, which ended the whole process from another task. aclose left the socket open after the peer had reset the connection. Ruled out: catching InvalidState in each caller. Change: receive returns what came before the end, post drops frames unless the connection is open, aclose always closes the transport. Conclusion: the workaround in the stand-in's links is removed.

--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -16,6 +16,7 @@
 from websockets.frames import Frame
 from websockets.frames import Opcode
 from websockets.protocol import Protocol
+from websockets.protocol import State
 
 from jackdawpost.core.errors import ProtocolError
 
@@ -50,6 +51,7 @@
         self._unsent = bytearray()
         self._flushing = False
         self._closed = False
+        self._ended = False
         self._parts: list[bytes] = []
         self._text = False
         self._frames: Iterator[bytes | str] = iter(())
@@ -78,6 +80,8 @@
             self._frames = iter(self._take_frames())
             for frame in self._frames:
                 return frame
+            if self._ended:
+                raise LinkClosedError(self._describe_end())
             await self._read_more()
 
     def post(self, frame: bytes | str) -> None:
@@ -86,7 +90,7 @@
         A frame on a closed connection is dropped. A peer that lets more
         than 8 MiB pile up is cut off, so that it cannot fill the memory.
         """
-        if self._closed:
+        if self._closed or self._protocol.state is not State.OPEN:
             return
         if isinstance(frame, str):
             self._protocol.send_text(frame.encode())
@@ -97,6 +101,7 @@
     async def aclose(self, reason: str = '') -> None:
         """Send what is unsent, then close."""
         if self._closed:
+            await self.abort()
             return
         with trio.move_on_after(CLOSE_TIMEOUT_S) as scope:
             scope.shield = True
@@ -160,7 +165,8 @@
         if not data or self._protocol.close_expected():
             if not self._protocol.close_expected() or not data:
                 self._closed = True
-            raise LinkClosedError(self._describe_end())
+            # Frames that came before the end are still delivered.
+            self._ended = True
 
     def _describe_end(self) -> str:
         exc = self._protocol.parser_exc
--- a/jackdawpost_standin/peer_link.py
+++ b/jackdawpost_standin/peer_link.py
@@ -5,7 +5,6 @@
 from collections import deque
 
 import trio
-from websockets.exceptions import InvalidState
 
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.wire.stream import FrameStream
@@ -95,12 +94,8 @@
     def _deliver(self, frame: bytes | str) -> None:
         if self._is_blocked():
             self._faults.dropped_frames += 1
-            return
-        try:
+        else:
             self._stream.post(frame)
-        except InvalidState:
-            # The peer has begun to close; receive() reports the end.
-            self._faults.dropped_frames += 1
 
     async def _send_delayed(self) -> None:
         while self._outgoing:
