Keep log records encoded and test large and late replication

Cause: decoded records cost several tracked objects each, so a long run makes the garbage collector stop the process and the memory grow. Ruled out: caching the encoded form beside the record. Change: the log holds encoded bytes and decodes on apply; errors at start are printed without a traceback; an apply batch is 64 records, so that probes are answered in between.

--- a/jackdawpost_standin/cli.py
+++ b/jackdawpost_standin/cli.py
@@ -26,11 +26,23 @@
     )
     cfg = load_or_exit(parser.parse_args(argv), StandinSettings)
     configure_logging(cfg.name, cfg.log_level)
+    exit_code = EXIT_FAILED
     try:
-        return trio.run(_run, cfg)
-    except (JackdawpostError, OSError) as exc:
-        print(f'error: {exc}', file=sys.stderr)
-        return EXIT_FAILED
+        exit_code = trio.run(_run, cfg)
+    except* (JackdawpostError, OSError) as group:
+        for exc in _flatten(group):
+            print(f'error: {exc}', file=sys.stderr)
+    return exit_code
+
+
+def _flatten(group: BaseExceptionGroup) -> list[BaseException]:
+    found: list[BaseException] = []
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            found.extend(_flatten(exc))
+        else:
+            found.append(exc)
+    return found
 
 
 async def _run(cfg: StandinSettings) -> int:
--- a/jackdawpost_standin/database.py
+++ b/jackdawpost_standin/database.py
@@ -19,6 +19,8 @@
 from jackdawpost_standin.disk import DataFolder
 from jackdawpost_standin.disk import new_role
 from jackdawpost_standin.limits import WriteTurn
+from jackdawpost_standin.log import decode_record
+from jackdawpost_standin.log import encode_record
 from jackdawpost_standin.log import Record
 from jackdawpost_standin.log import ReplicatedLog
 from jackdawpost_standin.log import Result
@@ -28,7 +30,7 @@
 LOG = logging.getLogger(__name__)
 
 # Records applied between two chances for other tasks to run.
-APPLY_BATCH = 256
+APPLY_BATCH = 64
 
 
 class RoleError(JackdawpostError):
@@ -62,8 +64,8 @@
         self.apply_due: deque[tuple[float, int]] = deque()
         self._folder = folder
         self.role, records = folder.load()
-        for record in records:
-            self.log.append(record)
+        for encoded in records:
+            self.log.append(decode_record(encoded).position, encoded)
         self._apply_through(len(records))
 
     @property
@@ -170,7 +172,7 @@
         self.log = ReplicatedLog()
         self.keys.clear()
         self.apply_due.clear()
-        self.rows.rebuild([])
+        self.rows.clear()
         self.applied_index = 0
         self.confirmed = False
         self._folder.truncate(0)
@@ -212,9 +214,10 @@
         position = LogPosition(self.role.term, self.log.last.index + 1)
         stored = result if request_key is not None else Result()
         record = Record(position, statements, request_key, stored)
-        self.log.append(record)
-        self._folder.append(record)
-        self._apply_through(position.index)
+        encoded = encode_record(record)
+        self.log.append(position, encoded)
+        self._folder.append(encoded)
+        self._apply([record])
         self.changed.notify()
         return position
 
@@ -223,13 +226,20 @@
         self._folder.flush()
 
     def accept_records(
-        self, records: Sequence[Record], apply_at_s: float
+        self, records: Sequence[bytes], apply_at_s: float
     ) -> None:
-        """Add records of the primary, to be applied at a later time."""
+        """Add encoded records of the primary, to be applied later.
+
+        Raises
+        ------
+        StorageError
+            A record is malformed or does not continue the log; those
+            before it are kept.
+        """
         try:
-            for record in records:
-                self.log.append(record)
-                self._folder.append(record)
+            for encoded in records:
+                self.log.append(decode_record(encoded).position, encoded)
+                self._folder.append(encoded)
         finally:
             self._folder.flush()
             self.apply_due.append((apply_at_s, self.received.index))
@@ -249,21 +259,21 @@
         if rebuilt:
             self.keys.clear()
             self.applied_index = 0
-            self.rows.rebuild([])
+            self.rows.clear()
             self._apply_through(last_index)
-        self.metrics.count('discarded_records', len(removed))
+        self.metrics.count('discarded_records', removed)
         self.metrics.count('discarded_tails')
         LOG.warning(
             'discarded diverged tail',
             extra={
-                'records': len(removed),
+                'records': removed,
                 'received': list(before),
                 'kept': list(self.received),
                 'rows_rebuilt': rebuilt,
             },
         )
         self.changed.notify()
-        return len(removed)
+        return removed
 
     def apply_batch(self, last_index: int) -> bool:
         """Apply some records up to `last_index`; return whether all are."""
@@ -275,12 +285,16 @@
         return self.applied_index >= last_index
 
     def _apply_through(self, last_index: int) -> None:
-        records = self.log.records[self.applied_index : last_index]
+        while self.applied_index < last_index:
+            batch_end = min(last_index, self.applied_index + APPLY_BATCH)
+            self._apply(self.log.read(self.applied_index, batch_end))
+
+    def _apply(self, records: Sequence[Record]) -> None:
         self.rows.apply(records)
         for record in records:
             if record.request_key is not None:
                 self.keys[record.request_key] = record.position.index
-        self.applied_index = last_index
+        self.applied_index = records[-1].position.index
 
     async def _apply_all(self, term: int) -> None:
         while not self.apply_batch(self.received.index):
--- a/jackdawpost_standin/disk.py
+++ b/jackdawpost_standin/disk.py
@@ -14,9 +14,6 @@
 
 from jackdawpost.core.errors import FolderLockedError
 from jackdawpost.core.errors import StorageCorruptError
-from jackdawpost_standin.log import decode_record
-from jackdawpost_standin.log import encode_record
-from jackdawpost_standin.log import Record
 
 _HEADER = struct.Struct('>II')
 
@@ -83,8 +80,8 @@
             raise FolderLockedError(f'{folder}: used by a process') from exc
         self._log_fd = os.open(folder / 'log', os.O_RDWR | os.O_CREAT)
 
-    def load(self) -> tuple[Role, list[Record]]:
-        """Read role and log; a torn last record is removed."""
+    def load(self) -> tuple[Role, list[bytes]]:
+        """Read role and encoded records; a torn last one is removed."""
         if self._folder is None:
             return new_role(), []
         records = self._load_records(self._folder / 'log')
@@ -97,7 +94,7 @@
         role.leads = False
         return role, records
 
-    def _load_records(self, path: Path) -> list[Record]:
+    def _load_records(self, path: Path) -> list[bytes]:
         data = path.read_bytes()
         records = []
         offset = 0
@@ -113,7 +110,7 @@
                         str(path), offset, 'checksum differs'
                     )
                 break
-            records.append(decode_record(body))
+            records.append(body)
             self._ends.append(end)
             offset = end
         os.ftruncate(self._log_fd, offset)
@@ -134,11 +131,10 @@
         os.fsync(folder_fd)
         os.close(folder_fd)
 
-    def append(self, record: Record) -> None:
-        """Buffer one record until `flush`."""
+    def append(self, body: bytes) -> None:
+        """Buffer one encoded record until `flush`."""
         if self._folder is None:
             return
-        body = encode_record(record)
         start = self._ends[-1] if self._ends else 0
         self._ends.append(start + _HEADER.size + len(body))
         self._buffer.append(_HEADER.pack(len(body), zlib.crc32(body)))
--- a/jackdawpost_standin/log.py
+++ b/jackdawpost_standin/log.py
@@ -15,8 +15,6 @@
 from jackdawpost.core.positions import TermEnd
 from jackdawpost.core.positions import ZERO_POSITION
 
-RECORD_FIELDS = 5
-
 
 @dataclass(slots=True)
 class Result:
@@ -72,6 +70,8 @@
     """
     try:
         term, index, statements, request_key, result = cbor2.loads(data)
+        if type(term) is not int or type(index) is not int:
+            raise StorageError(f'not a log position: {(term, index)!r:.120}')
         return Record(
             LogPosition(term, index),
             [(sql, params) for sql, params in statements],
@@ -83,18 +83,24 @@
 
 
 class ReplicatedLog:
-    """Records in order, with the history of terms."""
+    """Records in order, with the history of terms.
+
+    Records are kept encoded: a million of them as objects would cost more
+    memory and make the garbage collector stop the process.
+    """
 
     def __init__(self) -> None:
-        self.records: list[Record] = []
+        self.encoded: list[bytes] = []
         self.history: list[TermEnd] = []
 
     @property
     def last(self) -> LogPosition:
         """Position of the last record."""
-        return self.records[-1].position if self.records else ZERO_POSITION
+        if not self.history:
+            return ZERO_POSITION
+        return LogPosition(*self.history[-1])
 
-    def append(self, record: Record) -> None:
+    def append(self, position: LogPosition, encoded: bytes) -> None:
         """Add the next record.
 
         Raises
@@ -102,28 +108,35 @@
         StorageError
             The record does not continue the log.
         """
-        term, index = record.position
+        term, index = position
         last_term, last_index = self.last
         if index != last_index + 1 or term < last_term:
             raise StorageError(
-                f'record {tuple(record.position)} does not follow '
+                f'record {(term, index)} does not follow '
                 f'{(last_term, last_index)}'
             )
-        if self.history and self.history[-1].term == term:
+        if term == last_term and self.history:
             self.history[-1] = TermEnd(term, index)
         else:
             self.history.append(TermEnd(term, index))
-        self.records.append(record)
+        self.encoded.append(encoded)
+
+    def read(self, after_index: int, last_index: int) -> list[Record]:
+        """Decode the records after one index up to another."""
+        return [
+            decode_record(data)
+            for data in self.encoded[after_index:last_index]
+        ]
 
-    def truncate(self, last_index: int) -> list[Record]:
-        """Remove and return all records after `last_index`."""
-        removed = self.records[last_index:]
-        del self.records[last_index:]
+    def truncate(self, last_index: int) -> int:
+        """Remove all records after `last_index`; return their number."""
+        removed = len(self.encoded) - last_index
+        del self.encoded[last_index:]
         while self.history and self._start_of(-1) > last_index:
             self.history.pop()
         if self.history and self.history[-1].last_index > last_index:
             self.history[-1] = TermEnd(self.history[-1].term, last_index)
-        return removed
+        return max(0, removed)
 
     def _start_of(self, place: int) -> int:
         place %= len(self.history)
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -23,8 +23,6 @@
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.faults import Faults
-from jackdawpost_standin.log import decode_record
-from jackdawpost_standin.log import encode_record
 from jackdawpost_standin.peer_link import PeerLink
 from jackdawpost_standin.settings import StandinSettings
 
@@ -150,10 +148,10 @@
             return False
         batch: list[bytes] = []
         size = 0
-        records = self.db.log.records
+        encoded = self.db.log.encoded
         index = self.sent_index
-        while index < len(records) and len(batch) < BATCH_RECORDS:
-            batch.append(encode_record(records[index]))
+        while index < len(encoded) and len(batch) < BATCH_RECORDS:
+            batch.append(encoded[index])
             size += len(batch[-1])
             index += 1
             if size >= CHUNK_BYTES:
@@ -381,14 +379,19 @@
         self._db.changed.notify()
 
     def _add_records(self, data: bytes) -> None:
-        records = [decode_record(item) for item in cbor2.loads(data)]
-        expected = self._db.received.index + 1
-        if records and records[0].position.index != expected:
-            raise ReplicationError(
-                f'record {records[0].position.index} in place of {expected}'
-            )
         lag_s = self._cfg.apply_lag_ms / MS_PER_SECOND
-        self._db.accept_records(records, trio.current_time() + lag_s)
+        apply_at_s = trio.current_time() + lag_s
+        self._db.accept_records(_split_batch(data), apply_at_s)
+
+
+def _split_batch(data: bytes) -> list[bytes]:
+    try:
+        batch = cbor2.loads(data)
+    except (ValueError, cbor2.CBORError) as exc:
+        raise ReplicationError(f'batch cannot be parsed: {exc}') from exc
+    if not isinstance(batch, list):
+        raise ReplicationError(f'{type(batch).__name__} in place of records')
+    return batch
 
 
 async def apply_when_due(database: Database, faults: Faults) -> None:
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -258,12 +258,11 @@
         self._executing: SqliteCopy | None = None
         self.apply_failures = 0
 
-    def rebuild(self, records: Sequence[Record]) -> None:
-        """Rebuild the committed rows from the log."""
+    def clear(self) -> None:
+        """Remove everything, before the log is applied anew."""
         self.stop_leading()
         self._committed.close()
         self._committed = SqliteCopy(deterministic=False)
-        self.apply(records)
 
     def start_leading(self) -> None:
         """Prepare the copy that executes writes."""
--- a/jackdawpost_standin/session.py
+++ b/jackdawpost_standin/session.py
@@ -241,7 +241,7 @@
         index = self._db.keys.get(key)
         if index is None:
             return None
-        record = self._db.log.records[index - 1]
+        record = self._db.log.read(index - 1, index)[0]
         self._db.metrics.count('duplicates')
         answer = self._done(req_id, record.result, record.position)
         answer.duplicate = True
--- a/jackdawpost_standin/tests/test_leaving.py
+++ b/jackdawpost_standin/tests/test_leaving.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 
@@ -78,8 +79,6 @@
 
 
 def _take_port():
-    import socket
-
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
--- a/jackdawpost_standin/tests/test_replication.py
+++ b/jackdawpost_standin/tests/test_replication.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from jackdawpost.core.messages.upstream import Seal
+from jackdawpost.core.messages.upstream import TxnBegin
+from jackdawpost.core.messages.upstream import TxnCommit
+from jackdawpost_standin.log import Result
+from jackdawpost_standin.replication import WINDOW_RECORDS
 from jackdawpost_standin.tests.helpers import administer
 from jackdawpost_standin.tests.helpers import connect
 from jackdawpost_standin.tests.helpers import lead
@@ -11,6 +17,8 @@
 
 CREATE = 'CREATE TABLE t (k TEXT PRIMARY KEY, v INTEGER)'
 INSERT = 'INSERT INTO t VALUES (?, ?)'
+LARGE_TEXT = 'x' * 700_000
+BEGIN = {'term': 1, 'timeout_ms': 1_000}
 SELECT = 'SELECT k, v FROM t ORDER BY k'
 
 
@@ -78,3 +86,90 @@
             SELECT, access='read', term=2, after=lost.position
         )
     assert (answer.status, answer.code) == ('not_run', 'history_lost')
+
+
+@pytest.mark.parametrize('latency_ms', [0.0, 5.0])
+async def test_late_follower_catches_up_over_several_windows(
+    nursery, latency_ms
+):
+    primary = await start(nursery, 'db-1')
+    replica = await start(nursery, 'db-2', latency_ms=latency_ms)
+    await lead(primary)
+    async with connect(primary) as client:
+        await client.execute(CREATE)
+    records = 2 * WINDOW_RECORDS + 10
+    for number in range(records):
+        statement = (INSERT, [str(number), number])
+        primary.database.append_committed([statement], None, Result())
+    await lead(primary, replica)
+    await wait_for(lambda: replica.database.applied.index == records + 2)
+    count = replica.database.rows.read('SELECT count(*) FROM t', None, 0.0)
+    assert count.rows == [[records]]
+
+
+async def test_transaction_larger_than_a_frame_is_replicated(nursery):
+    primary = await start(nursery, 'db-1')
+    replica = await start(nursery, 'db-2')
+    await lead(primary, replica)
+    async with connect(primary) as client:
+        await client.execute('CREATE TABLE large (v TEXT)')
+        await client.ask(TxnBegin, **BEGIN)
+        for _ in range(4):
+            done = await client.execute(
+                'INSERT INTO large VALUES (?)', [LARGE_TEXT], in_txn=True
+            )
+            assert done.status == 'done'
+        committed = await client.ask(TxnCommit, **BEGIN)
+    await wait_for(lambda: replica.database.applied == committed.position)
+    assert replica.read_metrics()['counters']['apply_failures'] == 0
+    size = replica.database.rows.read(
+        'SELECT sum(length(v)) FROM large', None, 0.0
+    )
+    assert size.rows == [[4 * len(LARGE_TEXT)]]
+
+
+async def test_result_larger_than_a_frame_is_an_error(nursery):
+    standin = await start(nursery)
+    await lead(standin)
+    async with connect(standin) as client:
+        await client.execute('CREATE TABLE large (v TEXT)')
+        for _ in range(2):
+            await client.execute('INSERT INTO large VALUES (?)', [LARGE_TEXT])
+        answer = await client.execute('SELECT v FROM large', access='read')
+        assert (answer.status, answer.code) == ('not_run', 'statement_failed')
+        before = standin.database.received
+        answer = await client.execute('DELETE FROM large RETURNING v')
+        assert (answer.status, answer.code) == ('not_run', 'statement_failed')
+        assert standin.database.received == before
+        count = await client.execute(
+            'SELECT count(*) FROM large', access='read'
+        )
+    assert count.rows == [[2]]
+
+
+async def test_sealed_replica_takes_no_records_of_the_old_primary(nursery):
+    old = await start(nursery, 'db-1')
+    replica = await start(nursery, 'db-2')
+    await lead(old, replica)
+    await wait_for(lambda: replica.database.received == (1, 1))
+    sealed = await administer(replica, Seal, term=2)
+    assert (sealed.ok, sealed.received) == (True, (1, 1))
+    async with connect(old) as client:
+        assert (await client.execute(CREATE)).status == 'done'
+    await wait_for(lambda: not replica.follower.connected)
+    assert replica.database.received == (1, 1)
+
+
+async def test_restarted_replica_goes_on_from_its_log(nursery, tmp_path):
+    primary = await start(nursery, 'db-1')
+    replica = await start(nursery, 'db-2', data_dir=str(tmp_path))
+    await lead(primary, replica)
+    async with connect(primary) as client:
+        written = await client.execute(CREATE)
+        await wait_for(lambda: replica.database.received == written.position)
+        replica.stop()
+        await wait_for(lambda: replica._scope.cancelled_caught)
+        written = await client.execute(INSERT, ['a', 1])
+        replica = await start(nursery, 'db-2', data_dir=str(tmp_path))
+        await wait_for(lambda: replica.database.applied == written.position)
+    assert 'discarded_records' not in replica.read_metrics()['counters']
