Refuse statements outside the open transaction of a connection

Cause: a write without in_txn on a connection with an open transaction waited for its own transaction until its timeout. A write that was woken and then revoked could have run inside another connection's transaction. Ruled out: running such a write in the open transaction, which would mix two units of work. Change: it is refused as malformed; a revoked turn is never taken; only certificates of upstreams may replicate.

--- a/jackdawpost_standin/limits.py
+++ b/jackdawpost_standin/limits.py
@@ -57,7 +57,7 @@
         return self.owner is None
 
     async def acquire(self, owner: TxnOwner, deadline_s: float) -> bool:
-        """Wait for the turn; return False when the deadline passes."""
+        """Wait for the turn; return False if it did not come in time."""
         if self.owner is None:
             self.owner = owner
             return True
@@ -76,7 +76,8 @@
         if not event.is_set():
             self._waiting.remove(entry)
             return False
-        return True
+        # The turn may have been revoked before this task ran again.
+        return self.owner is owner
 
     def release(self, owner: TxnOwner) -> None:
         """Pass the turn on, if `owner` still has it."""
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -188,6 +188,9 @@
         return serve
 
     async def _serve_replicate(self, link: PeerLink, certificate: str) -> None:
+        if certificate and not certificate.startswith('upstream.'):
+            LOG.warning('follower refused', extra={'peer': certificate})
+            return
         await serve_follower(self.database, link, self.cfg.group)
 
     async def _serve_faults(
--- a/jackdawpost_standin/session.py
+++ b/jackdawpost_standin/session.py
@@ -169,8 +169,11 @@
 
     async def _run_execute(self, req: Execute) -> Executed:
         deadline_s = trio.current_time() + req.timeout_ms / MS_PER_SECOND
+        refusal: Refusal | None
         if req.in_txn:
             refusal = self._check_txn(req.term)
+        elif self._in_txn:
+            refusal = 'malformed', 'a transaction is open on this connection'
         else:
             refusal = await self._wait_ready(req)
         if refusal is not None:
--- a/jackdawpost_standin/tests/test_statements.py
+++ b/jackdawpost_standin/tests/test_statements.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jackdawpost.core.messages.upstream import Execute
 from jackdawpost.core.messages.upstream import Probe
@@ -17,6 +18,7 @@
 from jackdawpost.wire.codec import to_plain
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost_standin.limits import WriteTurn
 from jackdawpost_standin.tests.helpers import connect
 from jackdawpost_standin.tests.helpers import HOST
 from jackdawpost_standin.tests.helpers import lead
@@ -114,6 +116,41 @@
         assert (await other.receive()).status == 'done'
 
 
+async def test_other_statements_do_not_mix_with_the_open_transaction(nursery):
+    standin = await _start_primary(nursery)
+    async with connect(standin) as txn:
+        await txn.ask(TxnBegin, **BEGIN)
+        refused = await txn.execute(INSERT, ['a', 1])
+        assert (refused.status, refused.code) == ('not_run', 'malformed')
+        again = await txn.ask(TxnBegin, **BEGIN)
+        assert again.code == 'malformed'
+        await txn.ask(TxnCommit, **BEGIN)
+        assert await _count(txn) == 0
+
+
+async def test_revoked_turn_is_not_taken_by_a_task_that_was_just_woken(
+    nursery,
+):
+    class Owner:
+        def lose_txn(self):
+            pass
+
+    turn = WriteTurn()
+    first, second = Owner(), Owner()
+    assert await turn.acquire(first, float('inf'))
+    got = []
+
+    async def wait():
+        got.append(await turn.acquire(second, float('inf')))
+
+    nursery.start_soon(wait)
+    await trio.testing.wait_all_tasks_blocked()
+    turn.release(first)
+    turn.revoke()
+    await wait_for(lambda: got)
+    assert (got, turn.free) == ([False], True)
+
+
 async def test_closed_connection_rolls_back_and_frees_the_slot(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn:
