Let the random command tests reach promotions

Cause: independent random values passed the first checks too rarely; in 300 examples no promotion ever started. Ruled out: more examples, which cost time without getting further. Change: commands take terms and identities from the current state in most cases, and examples start from a group with joined databases. Conclusion: states after promotions are now among those compared.

--- a/jackdawpost/tests/core/test_control_machine.py
+++ b/jackdawpost/tests/core/test_control_machine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import cbor2
 import pytest
 from hypothesis import given
@@ -11,6 +13,7 @@
 from jackdawpost.core import publication
 from jackdawpost.core.commands import AbandonPromotion
 from jackdawpost.core.commands import AdmitDatabase
+from jackdawpost.core.commands import AnnounceMember
 from jackdawpost.core.commands import ApplyChangeSet
 from jackdawpost.core.commands import ApproveMember
 from jackdawpost.core.commands import ChoosePrimary
@@ -59,12 +62,23 @@
         NAMES | GROUPS,
     ),
 )
+PROMOTION_STEPS = st.one_of(
+    st.builds(
+        ChoosePrimary,
+        group=GROUPS,
+        to_term=TERMS,
+        upstream=NAMES,
+        data_id=IDS,
+        position=st.just(LogPosition(0, 0)),
+    ),
+    st.builds(FinishPromotion, group=GROUPS, to_term=TERMS),
+)
 COMMANDS = st.one_of(
     st.builds(
         ApplyChangeSet,
-        change_id=st.text('xyz', min_size=1, max_size=3),
+        change_id=st.integers(0, 200).map(str),
         base_revision=st.just(-1),
-        operations=st.lists(OPERATIONS, max_size=3),
+        operations=st.lists(OPERATIONS, min_size=1, max_size=2),
         operator=st.just('ada'),
     ),
     st.builds(announcement, NAMES, IDS, st.sampled_from(['', 'g', 'h'])),
@@ -91,15 +105,9 @@
         reason=st.just(''),
         accept_loss=st.booleans(),
     ),
-    st.builds(
-        ChoosePrimary,
-        group=GROUPS,
-        to_term=TERMS,
-        upstream=NAMES,
-        data_id=IDS,
-        position=st.just(LogPosition(0, 0)),
-    ),
-    st.builds(FinishPromotion, group=GROUPS, to_term=TERMS),
+    PROMOTION_STEPS,
+    # Twice, since a promotion needs both steps in order to get anywhere.
+    PROMOTION_STEPS,
     st.builds(
         AbandonPromotion, group=GROUPS, to_term=TERMS, reason=st.just('')
     ),
@@ -107,27 +115,70 @@
 )
 
 
-def _run(driver, command):
-    # Most random revisions would be stale and reach no further check.
+STEPS = st.lists(
+    st.tuples(COMMANDS, st.integers(0, 3)), min_size=20, max_size=40
+)
+
+
+def _start():
+    driver = Driver()
+    driver.change('g', create('group', 'g', databases=3))
+    for name in ('a', 'b', 'c'):
+        driver.join(name, '1', 'g')
+    return driver
+
+
+def _fit(machine, command):
+    """Return the command with terms and identities of the current state.
+
+    Independent random values hardly ever get past the first check.
+    """
+    fields = {}
+    group = machine.groups.get(getattr(command, 'group', None))
     if isinstance(command, ApplyChangeSet):
-        command.base_revision = driver.machine.revision
-    return driver.run(command)
+        fields['base_revision'] = machine.revision
+    if isinstance(command, StartPromotion) and group is not None:
+        fields['from_term'] = group.term
+        fields['to_term'] = group.last_term + 1
+    elif hasattr(command, 'to_term') and group and group.promotion:
+        fields['to_term'] = group.promotion.to_term
+    for name_field, id_field in (
+        ('upstream', 'data_id'),
+        ('name', 'member_id'),
+        ('name', 'data_id'),
+        ('member', 'member_id'),
+    ):
+        member = machine.members.get(getattr(command, name_field, None))
+        if member is not None and hasattr(command, id_field):
+            fields[id_field] = member.member_id
+    newcomer = machine.newcomers.get(getattr(command, 'newcomer', None))
+    if newcomer is not None:
+        fields['newcomer_id'] = newcomer.member.member_id
+    return dataclasses.replace(command, **fields)
+
 
+def _fit_most(driver, step):
+    command, spread = step
+    if spread == 0 or isinstance(command, AnnounceMember):
+        return command
+    return _fit(driver.machine, command)
 
-@settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.lists(COMMANDS, max_size=40), st.integers(0, 40))
-def test_any_commands_give_equal_states_and_correct_deltas(commands, cut):
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(STEPS, st.integers(0, 20))
+def test_any_commands_give_equal_states_and_correct_deltas(steps, cut):
     """Guard against replicas that differ and proxies with a wrong state.
 
     One replica restarts from a snapshot in between. One proxy gets each
     delta, another everything since `cut` at once; both must equal a full
     update, and no object may be published late.
     """
-    driver, restarted = Driver(), Driver()
+    driver, restarted = _start(), _start()
     steady, late = PublishedState(), PublishedState()
-    for number, command in enumerate(commands):
+    for number, step in enumerate(steps):
         before = driver.machine.version
-        applied = _run(driver, command)
+        command = _fit_most(driver, step)
+        applied = driver.run(command)
         assert applied.changed == (driver.machine.version > before)
         if number == cut:
             snapshot = encode_snapshot(restarted.machine)
@@ -147,14 +198,14 @@
     assert not publish_changes(driver.machine, all_keys(driver.machine))
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.lists(COMMANDS, max_size=40))
-def test_terms_only_grow_and_only_members_are_published(commands):
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(STEPS)
+def test_terms_only_grow_and_only_members_are_published(steps):
     """Guard against two primaries in one term and against strangers."""
-    driver = Driver()
+    driver = _start()
     terms = {}
-    for command in commands:
-        _run(driver, command)
+    for step in steps:
+        driver.run(_fit_most(driver, step))
         machine = driver.machine
         for name, group in {
             **machine.groups,
