Connect to a new primary while its lease is on the way

Cause: in a trial failover on loopback about 250 ms passed between the publication of the new primary and the first write (log lines of a busy machine): lease, permit and connection were fetched one after another.

Ruled out: sending before the lease; writes still wait for it.

Seen without the change, in the trial copy: test_new_primary_is_connected_to_before_the_lease_arrives "assert []".

Conclusion: the three fetches overlap. The effect on the gap was not measured; the machine was too busy for a figure.

--- a/jackdawpost/core/proxy_dump.py
+++ b/jackdawpost/core/proxy_dump.py
@@ -8,7 +8,9 @@
 
 from jackdawpost.core.proxy_state import Group
 from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Transaction
 from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.proxy_state import UpstreamConn
 
 
 def dump_proxy(state: ProxyState) -> dict[str, Any]:
@@ -39,27 +41,8 @@
         'upstreams': {
             up.name: _dump_upstream(up) for up in state.upstreams.values()
         },
-        'connections': [
-            {
-                'conn': conn.conn,
-                'upstream': conn.upstream,
-                'opened': conn.opened,
-                'running': len(conn.running),
-                'condemned': conn.condemned,
-                'transaction': conn.txn.handle if conn.txn else None,
-            }
-            for conn in state.conns.values()
-        ],
-        'transactions': [
-            {
-                'handle': txn.handle,
-                'caller': txn.caller,
-                'group': txn.group,
-                'term': txn.term,
-                'conn': txn.conn,
-            }
-            for txn in state.txns.values()
-        ],
+        'connections': [_dump_conn(c) for c in state.conns.values()],
+        'transactions': [_dump_txn(t) for t in state.txns.values()],
         'approvals': [
             dataclasses.asdict(item) for item in state.approvals.values()
         ],
@@ -78,6 +61,27 @@
     return phases
 
 
+def _dump_conn(conn: UpstreamConn) -> dict[str, Any]:
+    return {
+        'conn': conn.conn,
+        'upstream': conn.upstream,
+        'opened': conn.opened,
+        'running': len(conn.running),
+        'condemned': conn.condemned,
+        'transaction': conn.txn.handle if conn.txn else None,
+    }
+
+
+def _dump_txn(txn: Transaction) -> dict[str, Any]:
+    return {
+        'handle': txn.handle,
+        'caller': txn.caller,
+        'group': txn.group,
+        'term': txn.term,
+        'conn': txn.conn,
+    }
+
+
 def _dump_group(group: Group) -> dict[str, Any]:
     return {
         'view': dataclasses.asdict(group.view),
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -66,10 +66,23 @@
     return up
 
 
+def _prepare_primary(state: ProxyState, group: Group) -> None:
+    """Get connections and permits while the lease of a new term comes."""
+    up = state.upstreams.get(group.view.primary or '')
+    if up is None or up.leaving or up.evidence != 'up':
+        return
+    if state.now_ms >= group.hold_until_ms:
+        return
+    queue = group.queue
+    waiting = queue.count(WRITE) + queue.count(FRESH_READ)
+    request_capacity(state, up, waiting)
+
+
 def _pump_primary(state: ProxyState, group: Group) -> None:
     up = ready_primary(state, group)
     if up is None:
         group.queue.forget_rate()
+        _prepare_primary(state, group)
         return
     queue = group.queue
     while True:
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy_state.py
@@ -246,8 +246,8 @@
     service_ms : float
         Usual time of one statement on an upstream.
     hold_until_ms : float
-        Until then reads with an accepted age wait for the first reports of
-        a new term, instead of all going to the new primary.
+        A new term counts as new until then: reads with an accepted age wait
+        for its first reports, instead of all going to the new primary.
     """
 
     name: str
--- a/jackdawpost/tests/core/test_proxy_conns.py
+++ b/jackdawpost/tests/core/test_proxy_conns.py
@@ -61,6 +61,17 @@
     assert world.conn_names[world.take()[0]] == 'db-2'
 
 
+def test_new_primary_is_connected_to_before_the_lease_arrives(
+    world: ProxyWorld,
+) -> None:
+    world.control_answers = False
+    world.promote('db-2')
+    world.write(world.caller())
+    world.advance(25)
+    assert world.state.upstreams['db-2'].idle
+    assert not world.work
+
+
 def test_refused_openings_are_not_repeated_without_pause(
     world: ProxyWorld,
 ) -> None:
