Test the decisions of a control process

Writing the tests found two faults: a proxy whose permit was recalled kept its old place in the queue and got the permit back, so that a fourth proxy never got one of three slots (test_proxies_with_one_permit_take_turns: assert 3 == 4); and a primary that left within a second of any promotion was replaced a second late. Ruled out: a second update before each grant, because every change and every report sends the update already.

--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -278,7 +278,6 @@
             continue
         if (link.name, link.member_id) in leader.removing:
             continue
-        push_update(state, link)
         leases = lease_ledger.record_grant(leader.leases, report, terms)
         grant = LeaseGrant(
             seq=report.seq,
--- a/jackdawpost/core/permit_ledger.py
+++ b/jackdawpost/core/permit_ledger.py
@@ -118,8 +118,8 @@
         return
     account = _account(ledger, proxy, upstream)
     returned = max(0, min(count, account.held))
-    if account.wanted <= account.held:
-        account.waiting_since_ms = now_ms
+    # Who gives a permit back queues behind those that wait already.
+    account.waiting_since_ms = now_ms
     account.held -= returned
     account.recalled = max(0, account.recalled - returned)
 
@@ -236,6 +236,7 @@
         proxy, account = waiting[0]
         account.held += 1
         account.granted_ms = now_ms
+        account.waiting_since_ms = now_ms
         granted[proxy] = granted.get(proxy, 0) + 1
         free -= 1
     return [
--- a/jackdawpost/core/promotion.py
+++ b/jackdawpost/core/promotion.py
@@ -62,8 +62,9 @@
         )
     if promotion.upstream is None:
         return choose_database(drive, now_ms, promotion, facts)
-    if drive.promoted:
-        drive.finished_ms = now_ms
+    if drive.promoted and promotion.upstream in facts.databases:
+        if facts.databases[promotion.upstream].leaving:
+            drive.finished_ms = now_ms
         return FinishPromotion(group=facts.name, to_term=promotion.to_term)
     return None
 
--- a/jackdawpost/core/promotion_facts.py
+++ b/jackdawpost/core/promotion_facts.py
@@ -127,7 +127,7 @@
     outdated : bool
         A database knows a term above that of the promotion.
     finished_ms : float, optional
-        Time of the last promotion that this leader finished.
+        Time at which this leader last promoted a database that leaves.
     joined_ms : dict
         Name, data and term of a database outside the set to the time at
         which this leader first saw it joined.
--- a/jackdawpost/tests/core/control_fakes.py
+++ b/jackdawpost/tests/core/control_fakes.py
@@ -192,6 +192,7 @@
         self.answers: list[Any] = []
         self.stopped: set[str] = set()
         self.logs: list[Any] = []
+        self.grants: list[tuple[float, str, Any]] = []
         for number, name in enumerate(names):
             cfg = ControlConfig(name=name, peers=names)
             rng = random.Random(seed * 100 + number)
@@ -273,6 +274,8 @@
             return
         replies = []
         for message in effect.messages:
+            if isinstance(message, LeaseGrant) and message.leases:
+                self.grants.append((self.now, name, message))
             replies += other.answer(message)
         if replies and frozenset((name, other.name)) not in self.cut:
             self.later(1, lambda: self.receive(name, effect.conn, replies))
@@ -351,10 +354,13 @@
         return until is None
 
     def leader(self) -> ControlState | None:
-        for name, state in self.controls.items():
-            if state.leader is not None and name not in self.stopped:
-                return state
-        return None
+        """Return the process that leads in the highest term."""
+        leaders = [
+            state
+            for name, state in self.controls.items()
+            if state.leader is not None and name not in self.stopped
+        ]
+        return max(leaders, key=lambda s: s.consensus.term, default=None)
 
     def isolate(self, name: str) -> None:
         """Cut a control process off from everything."""
