--- /dev/null
+++ b/jackdawpost/runtime/recorder.py
@@ -0,0 +1,68 @@
+"""Writes the events that a reducer receives as a trace of JSON lines."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import Any
+
+from jackdawpost.core.events import Event
+from jackdawpost.runtime.shell import ignore_event
+from jackdawpost.wire.codec import encode_json
+
+TRACE_FORMAT = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TraceHeader:
+    """First line of a trace: what the state was created from.
+
+    Parameters
+    ----------
+    role : str
+        ``'proxy'`` or ``'control'``.
+    settings : dict
+        Settings of the process.
+    incarnation : str
+        Identity of the process.
+    now_ms : float
+        Time at which the state was created, in milliseconds.
+    restored : bool
+        The process started with durable state, which the trace does not
+        hold; such a trace cannot be replayed.
+    """
+
+    role: str
+    settings: dict[str, Any]
+    incarnation: str = ''
+    now_ms: float = 0.0
+    restored: bool = False
+    format: int = field(default=TRACE_FORMAT)
+
+
+def build_recorder(
+    path: str | Path | None, header: TraceHeader
+) -> Callable[[Event], None]:
+    """Start a trace and return the function that adds an event to it.
+
+    Parameters
+    ----------
+    path : str or Path, optional
+        Trace file, replaced if it exists; None records nothing.
+    header : TraceHeader
+        First line of the trace.
+    """
+    if path is None:
+        return ignore_event
+    # Line buffering keeps the trace whole up to the last event on a crash.
+    trace = open(path, 'w', encoding='utf-8', buffering=1)  # noqa: SIM115
+    trace.write(json.dumps(asdict(header), sort_keys=True) + '\n')
+
+    def record(event: Event) -> None:
+        trace.write(encode_json([event]) + '\n')
+
+    return record
