Give the experiments their own routes; keep the client's deadline positive

Cause: the operators' example change sets use the deployments' own names and route defaults, and a slow connect left the client with a negative wait, which ended the load generator with ValueError. Ruled out: changing the example change sets to suit the load. Change: a second change set with one route a group; the client takes the time left after connecting and reports not_run/deadline when none is.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import json
 import shutil
 import sys
 import time
@@ -28,6 +29,7 @@
 from bench.load import LoadGenerator
 from bench.load import LoadPlan
 from bench.load import LoadResult
+from bench.load import route_of
 from jackdawpost.testing.history import check_history
 from jackdawpost.testing.history import Violation
 
@@ -73,23 +75,46 @@
 def prepare(cluster: Cluster, changes: Path) -> None:
     """Wait for control, apply the change set, wait until all can serve."""
     cluster.wait_healthy(cluster.names('control'))
-    applied = cluster.run_ctl('apply', str(changes), '--base-revision', '0')
-    print(applied.stdout.strip() or applied.stderr.strip())
-    if applied.returncode != 0:
-        raise SystemExit(f'change set refused: {applied.stderr}')
+    _apply(cluster, changes, base_revision=0)
+    _apply(cluster, _write_routes(cluster), base_revision=1)
     cluster.wait_healthy(cluster.names('proxy'))
     deadline = time.monotonic() + SETTLE_TIMEOUT_S
-    groups = cluster.deployment.group_names()
+    groups = list(cluster.deployment.groups)
     while set(find_primaries(cluster)) != set(groups):
         if time.monotonic() > deadline:
             raise SystemExit(f'no primary in each of {groups}')
         time.sleep(0.05)
 
 
+def _write_routes(cluster: Cluster) -> Path:
+    """Write a change set with a route to each group for the load."""
+    operations = [
+        {
+            'action': 'create',
+            'type': 'rule',
+            'name': route_of(group),
+            'body': {'groups': [group]},
+        }
+        for group in cluster.deployment.groups
+    ]
+    path = cluster.folder / 'routes.json'
+    path.write_text(json.dumps({'operations': operations}))
+    return path
+
+
+def _apply(cluster: Cluster, changes: Path, base_revision: int) -> None:
+    applied = cluster.run_ctl(
+        'apply', str(changes), '--base-revision', str(base_revision)
+    )
+    print(applied.stdout.strip() or applied.stderr.strip())
+    if applied.returncode != 0:
+        raise SystemExit(f'change set refused: {applied.stderr}')
+
+
 async def _load_and_kill(
     cluster: Cluster,
 ) -> tuple[LoadResult, str, float, list[Violation]]:
-    groups = cluster.deployment.group_names()
+    groups = list(cluster.deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
     load = LoadGenerator(
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -13,8 +13,8 @@
     ----------
     data_centres : tuple of str
         Names of the data centres.
-    database : str
-        Name of the database; its groups are numbered from 0.
+    groups : tuple of str
+        Names of the database groups.
     slots : int
         Statements that a database runs at the same time.
     connections : int
@@ -27,25 +27,20 @@
 
     name: str
     data_centres: tuple[str, str, str]
-    database: str
+    groups: tuple[str, ...]
     slots: int
     connections: int
     opening_ms: float
     latency_ms: float = 1.5
-    groups: int = 3
     databases_per_group: int = 3
     proxies: int = 4
     control: int = 3
 
-    def group_names(self) -> list[str]:
-        """Return the names of the database groups."""
-        return [f'{self.database}-{n}' for n in range(self.groups)]
-
 
 HANDFANG = Deployment(
     name='handfang',
     data_centres=('reykjavik', 'akureyri', 'egilsstadir'),
-    database='spares-db',
+    groups=('orders', 'stock', 'returns'),
     slots=3,
     connections=20,
     opening_ms=10,
@@ -53,7 +48,7 @@
 CORDILLERA = Deployment(
     name='cordillera',
     data_centres=('santiago', 'antofagasta', 'concepcion'),
-    database='remuneraciones',
+    groups=('remuneraciones-1', 'remuneraciones-2', 'remuneraciones-3'),
     slots=5,
     connections=55,
     opening_ms=30,
--- a/bench/experiment_failover.py
+++ b/bench/experiment_failover.py
@@ -49,7 +49,7 @@
 
     async def inject(self) -> None:
         """Kill the primary of each group in turn and restart it."""
-        groups = self.cluster.deployment.group_names()
+        groups = list(self.cluster.deployment.groups)
         await trio.sleep(WARM_UP_S)
         for number in range(self.runs):
             group = groups[number % len(groups)]
@@ -76,7 +76,7 @@
 
 async def run_failover(cluster: Cluster, runs: int) -> dict[str, Any]:
     """Run the experiment on a prepared cluster and return its figures."""
-    groups = cluster.deployment.group_names()
+    groups = list(cluster.deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
     duration_s = WARM_UP_S + runs * (SETTLE_S + RETURN_S) + SETTLE_S
--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -30,7 +30,7 @@
 
 def slot_capacity(deployment: Deployment) -> float:
     """Return the statements a second that all slots can serve."""
-    databases = deployment.groups * deployment.databases_per_group
+    databases = len(deployment.groups) * deployment.databases_per_group
     return databases * deployment.slots * MS_PER_SECOND / SERVICE_MS
 
 
@@ -65,7 +65,7 @@
     cluster: Cluster, args: argparse.Namespace, levels: list[float]
 ) -> dict[str, Any]:
     deployment = cluster.deployment
-    groups = deployment.group_names()
+    groups = list(deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
     capacity = slot_capacity(deployment)
--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -38,14 +38,14 @@
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
     """Measure one proxy, a bare relay and direct use in one run."""
-    small = replace(deployment, groups=1, proxies=1, opening_ms=1)
+    small = replace(deployment, groups=('bench',), proxies=1, opening_ms=1)
     with run_cluster(
         small,
         database_settings={'service_ms': 0, 'latency_ms': 0},
         proxy_settings={'max_callers': 2 * CALLERS},
     ) as cluster:
         prepare(cluster, _write_changes(cluster))
-        groups = small.group_names()
+        groups = list(small.groups)
         trio.run(create_tables, cluster.proxy_addresses(), groups)
         proxy = cluster.programs['proxy-0']
         figures = {
@@ -66,7 +66,7 @@
 
 
 def _write_changes(cluster: Cluster) -> Path:
-    group = cluster.deployment.group_names()[0]
+    group = list(cluster.deployment.groups)[0]
     operations = [
         {
             'action': 'create',
@@ -74,12 +74,6 @@
             'name': group,
             'body': {'databases': 3, 'write_copies': 2},
         },
-        {
-            'action': 'create',
-            'type': 'rule',
-            'name': group,
-            'body': {'groups': [group]},
-        },
         {
             'action': 'create',
             'type': 'limit',
@@ -131,7 +125,7 @@
 ) -> dict[str, Any]:
     if server is None:
         raise RuntimeError('the measured process has not been started')
-    route = cluster.deployment.group_names()[0]
+    route = list(cluster.deployment.groups)[0]
     command = [
         sys.executable,
         '-m',
--- a/bench/load.py
+++ b/bench/load.py
@@ -133,6 +133,11 @@
     prefix: str = 's'
 
 
+def route_of(group: str) -> str:
+    """Return the route that the experiments use for a group."""
+    return f'bench-{group}'
+
+
 async def create_tables(
     addresses: list[ProxyAddress], groups: list[str]
 ) -> None:
@@ -140,7 +145,8 @@
     async with open_session(addresses) as session:
         for group in groups:
             for sql in (CREATE_TABLE, CREATE_INDEX):
-                await session.write(group, sql, deadline_ms=20_000)
+                route = route_of(group)
+                await session.write(route, sql, deadline_ms=5_000)
     # Reads that accept an age may otherwise miss the new tables.
     await trio.sleep(TABLE_SETTLE_S)
 
@@ -257,7 +263,7 @@
         common = [record.request_key, self._name, record.seq]
         if record.parts == 1:
             await session.write(
-                record.group,
+                route_of(record.group),
                 INSERT,
                 [*common, 0, 1],
                 request_key=record.request_key,
@@ -265,7 +271,7 @@
             )
             return
         async with session.transaction(
-            record.group,
+            route_of(record.group),
             request_key=record.request_key,
             deadline_ms=deadline_ms,
         ) as txn:
@@ -280,7 +286,7 @@
         started_ms = _now_ms()
         try:
             found = await session.read(
-                group,
+                route_of(group),
                 SELECT_SEEN,
                 [nonce],
                 max_age_ms=max_age_ms,
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -64,7 +64,7 @@
             **(proxy_settings or {}),
         }
         _write(folder, settings)
-    for group in deployment.group_names():
+    for group in list(deployment.groups):
         for number in range(deployment.databases_per_group):
             name = f'{group}-db-{number}'
             settings = {
--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -226,14 +226,16 @@
         deadline_s = trio.current_time() + message.deadline_ms / MS_PER_SECOND
         may_have_run = False
         while True:
-            left_ms = (deadline_s - trio.current_time()) * MS_PER_SECOND
-            attempt = replace(
-                message,
-                session=self.token,
-                deadline_ms=max(1, int(left_ms)),
-            )
             try:
-                link = await self._connect(left_ms)
+                link = await self._connect(_left_ms(deadline_s))
+                left_ms = _left_ms(deadline_s)
+                if left_ms < 1:
+                    raise RequestNotRunError(
+                        'not_run', 'deadline', 'no proxy in time'
+                    )
+                attempt = replace(
+                    message, session=self.token, deadline_ms=int(left_ms)
+                )
                 answer = await self._ask(link, attempt, left_ms)
                 return _build_result(answer)
             except OutcomeUnknownError:
@@ -402,11 +404,15 @@
     )
 
 
+def _left_ms(deadline_s: float) -> float:
+    return (deadline_s - trio.current_time()) * MS_PER_SECOND
+
+
 def _passed(deadline_s: float) -> bool:
-    left_ms = (deadline_s - trio.current_time()) * MS_PER_SECOND
-    return left_ms < MIN_ATTEMPT_MS
+    return _left_ms(deadline_s) < MIN_ATTEMPT_MS
 
 
 async def _pause(retry_after_ms: int | None, deadline_s: float) -> None:
     pause_s = max(retry_after_ms or 0, RETRY_PAUSE_MS) / MS_PER_SECOND
-    await trio.sleep(min(pause_s, deadline_s - trio.current_time()))
+    left_s = max(0.0, deadline_s - trio.current_time())
+    await trio.sleep(min(pause_s, left_s))
