--- a/jackdawpost/core/change_sets.py
+++ b/jackdawpost/core/change_sets.py
@@ -27,7 +27,6 @@
 from jackdawpost.core.objects import object_key
 from jackdawpost.core.objects import OBJECT_TYPES
 from jackdawpost.core.objects import parse_object
-from jackdawpost.core.publication import all_keys
 from jackdawpost.core.publication import publish_changes
 
 MAX_OPERATIONS = 1_000
@@ -237,7 +236,11 @@
         )
     )
     del machine.history[:-MAX_HISTORY]
-    return publish_changes(machine, all_keys(machine))
+    # An allowance also changes with its fallback.
+    allowances = [
+        object_key('allowance', name) for name in machine.objects.allowances
+    ]
+    return publish_changes(machine, [*candidate.touched, *allowances])
 
 
 def _summarize(operations: list[Operation]) -> list[str]:
@@ -254,13 +257,12 @@
     wanted = machine.objects.groups
     for name in [name for name in machine.groups if name not in wanted]:
         machine.retired_groups[name] = machine.groups.pop(name)
-    for name in sorted(wanted):
-        if name not in machine.groups:
-            machine.groups[name] = machine.retired_groups.pop(
-                name, GroupState()
-            )
-    for name in sorted(machine.members):
-        enter_new_groups(machine, machine.members[name])
+    created = sorted(name for name in wanted if name not in machine.groups)
+    for name in created:
+        machine.groups[name] = machine.retired_groups.pop(name, GroupState())
+    if created:
+        for name in sorted(machine.members):
+            enter_new_groups(machine, machine.members[name])
 
 
 def _keep_answer(
--- a/jackdawpost/core/control_machine.py
+++ b/jackdawpost/core/control_machine.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 from typing import Any
 
@@ -90,7 +89,8 @@
     """Encode the whole state; equal states give equal bytes."""
     # Not canonical CBOR: that would sort the mappings whose order decides
     # which answers and tombstones are dropped first.
-    return cbor2.dumps([SNAPSHOT_FORMAT, dataclasses.asdict(machine)])
+    value = _MACHINE_ADAPTER.dump_python(machine)
+    return cbor2.dumps([SNAPSHOT_FORMAT, value])
 
 
 def decode_snapshot(data: bytes) -> ControlMachine:
--- a/jackdawpost/core/membership.py
+++ b/jackdawpost/core/membership.py
@@ -197,10 +197,15 @@
     # the newcomers are checked one after another against the grown set.
     changed_keys = list(keys or [])
     joined = []
-    for name in list(machine.newcomers):
+    for name, newcomer in list(machine.newcomers.items()):
+        # Only members' approvals are kept, so that the count spares the
+        # comparison with every member for all but the last approval.
+        if len(newcomer.approvals) < len(machine.members):
+            continue
         if missing_approvals(machine, name):
             continue
-        member = machine.newcomers.pop(name).member
+        del machine.newcomers[name]
+        member = newcomer.member
         machine.members[name] = member
         enter_new_groups(machine, member)
         changed_keys.extend(_affected_keys(machine, name, member))
--- a/jackdawpost/core/object_checks.py
+++ b/jackdawpost/core/object_checks.py
@@ -46,7 +46,8 @@
     faults = _check_references(candidate)
     faults.extend(_check_cycles(candidate))
     faults.extend(_check_rules_and_limits(candidate))
-    faults.extend(_check_groups(machine, candidate))
+    faults.extend(_check_groups(candidate))
+    faults.extend(_check_drained(machine, candidate))
     faults.extend(_check_upstreams(machine, candidate))
     faults.extend(_check_deleted_groups(machine, candidate))
     return faults
@@ -147,9 +148,7 @@
     return faults
 
 
-def _check_groups(
-    machine: ControlMachine, candidate: Candidate
-) -> list[Fault]:
+def _check_groups(candidate: Candidate) -> list[Fault]:
     faults = []
     for name in sorted(candidate.objects.groups):
         group = candidate.objects.groups[name]
@@ -163,35 +162,39 @@
                     f"group's databases, {group.databases}",
                 )
             )
-        drained = _find_all_drained(machine, candidate, name)
-        if drained:
+    return faults
+
+
+def _check_drained(
+    machine: ControlMachine, candidate: Candidate
+) -> list[Fault]:
+    # Membership changes by itself, so that a set accepted earlier may have no
+    # undrained upstream by now. Only a change set that touches the group's
+    # upstreams is held responsible for it.
+    touched_groups = set()
+    for key in candidate.touched:
+        object_type, _, name = key.partition('/')
+        member = machine.members.get(name)
+        if object_type == 'upstream' and member is not None:
+            touched_groups.add(member.group)
+    faults = []
+    for group in sorted(touched_groups & set(candidate.objects.groups)):
+        names = [member.name for member in _joined_upstreams(machine, group)]
+        if all(_is_drained(candidate, name) for name in names):
             faults.append(
                 Fault(
-                    object=key,
+                    object=object_key('group', group),
                     field='',
                     message='no possible primary: all its upstreams are '
-                    f'drained ({", ".join(drained)})',
+                    f'drained ({", ".join(names)})',
                 )
             )
     return faults
 
 
-def _find_all_drained(
-    machine: ControlMachine, candidate: Candidate, group: str
-) -> list[str]:
-    # Membership changes by itself, so that a set accepted earlier may have no
-    # undrained upstream by now. Only a change set that touches the group's
-    # upstreams is held responsible for it.
-    members = _joined_upstreams(machine, group)
-    names = [member.name for member in members]
-    keys = {object_key('upstream', name) for name in names}
-    if not keys & candidate.touched:
-        return []
-    for name in names:
-        settings = candidate.objects.upstreams.get(name)
-        if settings is None or not settings.drained:
-            return []
-    return names
+def _is_drained(candidate: Candidate, upstream: str) -> bool:
+    settings = candidate.objects.upstreams.get(upstream)
+    return settings is not None and settings.drained
 
 
 def _joined_upstreams(machine: ControlMachine, group: str) -> list[Member]:
--- a/jackdawpost/core/promotion_steps.py
+++ b/jackdawpost/core/promotion_steps.py
@@ -23,11 +23,17 @@
 def start_promotion(
     machine: ControlMachine, command: StartPromotion
 ) -> Applied:
-    """Begin a promotion; the group has no published primary meanwhile."""
+    """Begin a promotion; the group has no published primary meanwhile.
+
+    One that accepts loss replaces a running one that does not and has not
+    chosen yet: that one may be waiting for databases that never answer.
+    """
     group = machine.groups.get(command.group)
     if group is None:
         return _refuse('unknown_group', f'no group {command.group!r}')
-    if group.promotion is not None:
+    if group.promotion is not None and not _may_replace(
+        group.promotion, command
+    ):
         return _refuse(
             'promotion_running',
             f'{command.group!r} is being promoted to term '
@@ -56,6 +62,14 @@
     return _publish_group(machine, command.group)
 
 
+def _may_replace(running: Promotion, command: StartPromotion) -> bool:
+    return (
+        command.accept_loss
+        and not running.accept_loss
+        and running.step == 'started'
+    )
+
+
 def choose_primary(machine: ControlMachine, command: ChoosePrimary) -> Applied:
     """Record the upstream that is going to lead."""
     found = _find_step(machine, command.group, command.to_term)
--- a/jackdawpost/tests/core/test_promotion_steps.py
+++ b/jackdawpost/tests/core/test_promotion_steps.py
@@ -151,6 +151,24 @@
     assert driver.machine.groups['orders'].database_set['db-4'] == 'db-4-data'
 
 
+def test_accepted_loss_replaces_a_promotion_that_waits_for_databases():
+    # Guards against an operator who is locked out by the waiting promotion,
+    # and against two promotions that choose for the same term.
+    driver = _led_group()
+    driver.run(_start(1, 2))
+    assert driver.run(_start(1, 3, accept_loss=True)).answer is None
+    assert _published(driver) == (1, None)
+    assert driver.run(_choose(2, 'db-2')).answer.code == 'stale_term'
+    again = driver.run(_start(1, 4, accept_loss=True))
+    assert again.answer.code == 'promotion_running'
+    for command in (_choose(3, 'db-3'), _finish(3)):
+        assert driver.run(command).answer is None
+    driver.run(_start(3, 4))
+    driver.run(_choose(4, 'db-2'))
+    late = driver.run(_start(3, 5, accept_loss=True))
+    assert late.answer.code == 'promotion_running'
+
+
 def test_chosen_upstream_that_expires_is_not_published():
     # Guards against publishing a primary that nobody can reach.
     driver = _led_group()
