Measure the cost of control; refuse unknown fields of nested messages

Cause: the codec refused unknown fields only at the top level, so that a misspelt field of a nested message was ignored; and the cost of control was unmeasured. Ruled out: a pydantic configuration on each nested class, which would have to be remembered for each new one. Change: the codec tightens the schema of nested data classes too; byte counters for each kind of link; bench/experiment_cost.py. Conclusion: the test of nested fields failed before and passes now.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -75,14 +75,19 @@
 def prepare(cluster: Cluster, changes: Path) -> None:
     """Wait for control, apply the change set, wait until all can serve."""
     cluster.wait_healthy(cluster.names('control'))
-    _apply(cluster, changes, base_revision=0)
-    _apply(cluster, _write_routes(cluster), base_revision=1)
+    apply_changes(cluster, changes, base_revision=0)
+    apply_changes(cluster, _write_routes(cluster), base_revision=1)
     cluster.wait_healthy(cluster.names('proxy'))
+    wait_for_primaries(cluster)
+
+
+def wait_for_primaries(cluster: Cluster) -> None:
+    """Wait until each group of the deployment has a primary."""
     deadline = time.monotonic() + SETTLE_TIMEOUT_S
-    groups = list(cluster.deployment.groups)
-    while set(find_primaries(cluster)) != set(groups):
+    groups = set(cluster.deployment.groups)
+    while set(find_primaries(cluster)) != groups:
         if time.monotonic() > deadline:
-            raise SystemExit(f'no primary in each of {groups}')
+            raise SystemExit(f'no primary in each of {sorted(groups)}')
         time.sleep(0.05)
 
 
@@ -102,11 +107,11 @@
     return path
 
 
-def _apply(cluster: Cluster, changes: Path, base_revision: int) -> None:
+def apply_changes(cluster: Cluster, changes: Path, base_revision: int) -> None:
+    """Apply a change set; ends the experiment if it is refused."""
     applied = cluster.run_ctl(
         'apply', str(changes), '--base-revision', str(base_revision)
     )
-    print(applied.stdout.strip() or applied.stderr.strip())
     if applied.returncode != 0:
         raise SystemExit(f'change set refused: {applied.stderr}')
 
--- /dev/null
+++ b/bench/experiment_cost.py
@@ -0,0 +1,189 @@
+"""Cost of control: processor time, memory and bytes at several sizes.
+
+Each size runs idle, so that what is measured is the control traffic and not
+the statements: reports, leases, probes, announcements, heartbeats.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from bench.cluster import Cluster
+from bench.cluster import run_cluster
+from bench.demo import apply_changes
+from bench.demo import wait_for_primaries
+from bench.deployments import Deployment
+from bench.experiment_throughput import MIB
+from bench.experiment_throughput import read_cpu_s
+from bench.experiment_throughput import read_rss_bytes
+
+SIZES = ((4, 3), (8, 3), (16, 3), (32, 3), (4, 6), (4, 12), (4, 24))
+CHANGES_PER_S = 2.0
+DATABASES_PER_GROUP = 3
+CONNECTIONS = 400
+SETTLE_S = 2.0
+
+Probe = Callable[[], dict[str, dict[str, float]]]
+
+
+def run_cost(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    """Measure every size, idle and with configuration changes."""
+    rows = []
+    for proxies, groups in SIZES:
+        row = _measure_size(deployment, args, proxies, groups)
+        rows.append(row)
+        print(json.dumps(row), flush=True)
+    return {'sizes': rows}
+
+
+def _measure_size(
+    deployment: Deployment,
+    args: argparse.Namespace,
+    proxies: int,
+    groups: int,
+) -> dict[str, Any]:
+    sized = replace(
+        deployment,
+        groups=tuple(f'g{n}' for n in range(groups)),
+        proxies=proxies,
+        connections=CONNECTIONS,
+        opening_ms=1,
+    )
+    with run_cluster(sized, database_settings={'latency_ms': 0}) as cluster:
+        cluster.wait_healthy(cluster.names('control'))
+        apply_changes(cluster, _write_groups(cluster), base_revision=0)
+        cluster.wait_healthy(cluster.names('proxy'))
+        wait_for_primaries(cluster)
+        time.sleep(SETTLE_S)
+        idle = _measure(cluster, args.seconds, lambda: None)
+        changes = _ChangeSource(cluster)
+        busy = _measure(cluster, args.seconds, changes.apply_next)
+    return {
+        'proxies': proxies,
+        'databases': groups * DATABASES_PER_GROUP,
+        'idle': idle,
+        'with_changes': busy,
+        'changes_per_s': round(changes.applied / args.seconds, 2),
+    }
+
+
+def _write_groups(cluster: Cluster) -> Any:
+    operations = [
+        {
+            'action': 'create',
+            'type': 'group',
+            'name': group,
+            'body': {'databases': 3, 'write_copies': 2},
+        }
+        for group in cluster.deployment.groups
+    ]
+    path = cluster.folder / 'groups.json'
+    path.write_text(json.dumps({'operations': operations}))
+    return path
+
+
+class _ChangeSource:
+    """Applies one small change set after another."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.applied = 0
+        self._cluster = cluster
+
+    def apply_next(self) -> None:
+        """Create or amend one allowance."""
+        operation = {
+            'action': 'amend' if self.applied else 'create',
+            'type': 'allowance',
+            'name': 'changing',
+            'body': {'max_age_ms': 1_000 + self.applied},
+        }
+        path = self._cluster.folder / 'change.json'
+        path.write_text(json.dumps({'operations': [operation]}))
+        apply_changes(self._cluster, path, base_revision=1 + self.applied)
+        self.applied += 1
+        time.sleep(1 / CHANGES_PER_S)
+
+
+def _measure(
+    cluster: Cluster, seconds: float, act: Callable[[], None]
+) -> dict[str, Any]:
+    before = {name: _read(cluster, name) for name in _watched(cluster)}
+    started = time.monotonic()
+    while time.monotonic() < started + seconds:
+        act()
+        time.sleep(0.05)
+    elapsed_s = time.monotonic() - started
+    after = {name: _read(cluster, name) for name in _watched(cluster)}
+    leader = _find_leader(cluster)
+    proxies = cluster.names('proxy')
+    return {
+        'leader': _rates(before[leader], after[leader], elapsed_s),
+        'follower': _mean(
+            [
+                _rates(before[name], after[name], elapsed_s)
+                for name in cluster.names('control')
+                if name != leader
+            ]
+        ),
+        'proxy': _mean(
+            [_rates(before[n], after[n], elapsed_s) for n in proxies]
+        ),
+    }
+
+
+def _watched(cluster: Cluster) -> list[str]:
+    return [*cluster.names('control'), *cluster.names('proxy')]
+
+
+def _read(cluster: Cluster, name: str) -> dict[str, float]:
+    process = cluster.programs[name].process
+    if process is None:
+        raise RuntimeError(f'{name} has not been started')
+    _, metrics = cluster.read_page(name, '/metrics')
+    counters = (metrics or {}).get('counters', {})
+    values = {
+        key: float(value)
+        for key, value in counters.items()
+        if '_bytes_' in key
+    }
+    values['cpu_s'] = read_cpu_s(process.pid)
+    values['rss_mib'] = read_rss_bytes(process.pid) / MIB
+    return values
+
+
+def _rates(
+    before: dict[str, float], after: dict[str, float], elapsed_s: float
+) -> dict[str, float]:
+    rates = {}
+    for key, value in after.items():
+        if key == 'rss_mib':
+            rates[key] = round(value, 1)
+        elif key == 'cpu_s':
+            share = (value - before[key]) / elapsed_s
+            rates['core_percent'] = round(100 * share, 2)
+        else:
+            change = value - before.get(key, 0.0)
+            rates[f'{key}_per_s'] = round(change / elapsed_s, 1)
+    return rates
+
+
+def _mean(rows: list[dict[str, float]]) -> dict[str, float]:
+    return {
+        key: round(sum(row.get(key, 0.0) for row in rows) / len(rows), 2)
+        for key in rows[0]
+    }
+
+
+def _find_leader(cluster: Cluster) -> str:
+    for name in cluster.names('control'):
+        status, dump = cluster.read_page(name, '/dump')
+        if status == 200 and dump['leader']:
+            return name
+    raise RuntimeError('no control process leads')
--- a/bench/run.py
+++ b/bench/run.py
@@ -19,6 +19,7 @@
 from bench.demo import prepare
 from bench.deployments import Deployment
 from bench.deployments import DEPLOYMENTS
+from bench.experiment_cost import run_cost
 from bench.experiment_failover import run_failover
 from bench.experiment_share import run_overload
 from bench.experiment_share import run_share
@@ -84,6 +85,7 @@
 
 
 EXPERIMENTS: dict[str, Experiment] = {
+    'cost': run_cost,
     'failover': _failover,
     'overload': run_overload,
     'share': run_share,
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -258,6 +258,8 @@
     ) -> None:
         if type(frame) is str:
             handle.text = True
+        if handle.link != 'caller':
+            self.metrics.count(f'received_bytes_{handle.link}', len(frame))
         try:
             messages = self._codecs[handle.link].decode(frame)
         except FrameError as exc:
@@ -332,8 +334,10 @@
         messages = effect.messages
         encode = encode_json if handle.text else encode_cbor
         for start in range(0, len(messages), MAX_MESSAGES_PER_FRAME):
-            batch = messages[start : start + MAX_MESSAGES_PER_FRAME]
-            handle.stream.post(encode(batch))
+            frame = encode(messages[start : start + MAX_MESSAGES_PER_FRAME])
+            handle.stream.post(frame)
+            if handle.link != 'caller':
+                self.metrics.count(f'sent_bytes_{handle.link}', len(frame))
 
     def _connect(self, effect: Connect) -> None:
         self._spawn(self._open_upstream, effect)
--- a/jackdawpost/tests/wire/test_codec.py
+++ b/jackdawpost/tests/wire/test_codec.py
@@ -9,6 +9,7 @@
 from jackdawpost.core.messages.caller import Commit
 from jackdawpost.core.messages.caller import Rollback
 from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.upstream import Sealed
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import TermEnd
@@ -71,3 +72,17 @@
 def test_malformed_frames_are_refused(frame):
     with pytest.raises(FrameError):
         CALLER_CODEC.decode(frame)
+
+
+def test_unknown_fields_of_nested_data_are_refused():
+    codec = FrameCodec(LeaseGrant)
+    lease = {'group': 'g', 'term': 1, 'unknown_field': 1}
+    message = {
+        'kind': 'lease_grant',
+        'seq': 1,
+        'leases': [lease],
+        'duration_ms': 1,
+        'version': 1,
+    }
+    with pytest.raises(FrameError):
+        codec.decode(cbor2.dumps(message))
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import cbor2
-from pydantic import ConfigDict
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 from pydantic_core import SchemaValidator
@@ -18,7 +17,6 @@
 MAX_MESSAGES_PER_FRAME = 64
 MAX_FRAME_BYTES = 1 << 20
 
-_FORBID_EXTRA = ConfigDict(extra='forbid')
 _STRICT_SCALARS = frozenset({'int', 'float', 'bool', 'str', 'bytes'})
 
 
@@ -164,23 +162,24 @@
 
 
 def _build_validator(message_type: type[Any]) -> SchemaValidator:
-    message_type.__pydantic_config__ = _FORBID_EXTRA
     schema = copy.deepcopy(TypeAdapter(message_type).core_schema)
-    _make_scalars_strict(schema)
+    _tighten(schema)
     return SchemaValidator(schema)
 
 
-def _make_scalars_strict(schema: Any) -> None:
+def _tighten(schema: Any) -> None:
     # Strict mode for a whole schema would refuse mappings in place of data
     # classes, so only the scalars are made strict.
     if isinstance(schema, dict):
         if schema.get('type') in _STRICT_SCALARS:
             schema['strict'] = True
+        if schema.get('type') == 'dataclass-args':
+            schema['extra_behavior'] = 'forbid'
         for part in schema.values():
-            _make_scalars_strict(part)
+            _tighten(part)
     elif isinstance(schema, (list, tuple)):
         for part in schema:
-            _make_scalars_strict(part)
+            _tighten(part)
 
 
 def _parse_frame(frame: bytes | str) -> Any:
