--- /dev/null
+++ b/jackdawpost/tests/settings/test_reference.py
@@ -0,0 +1,13 @@
+"""The settings page must not fall behind the models."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from jackdawpost.settings.reference import render_reference
+
+PAGE = Path(__file__).parents[3] / 'docs' / 'settings.md'
+
+
+def test_settings_page_is_current():
+    assert PAGE.read_text() == render_reference()
