Let settings name the data folder; store known node ids in order

Cause: a group of one voter cannot ask others whether its empty folder is a wiped one, and the order of stored node ids followed the hash seed, so that a replayed trace could differ in its bytes. Ruled out: refusing any empty folder of a single voter, because the first start has one. Change: with `ConsensusConfig.node_id` set, a process whose folder has another id never votes; known ids are sorted before they are stored. Conclusion: both faults have a test.

--- a/jackdawpost/core/consensus.py
+++ b/jackdawpost/core/consensus.py
@@ -55,6 +55,7 @@
 from jackdawpost.core.consensus_state import compact_log
 from jackdawpost.core.consensus_state import ConsensusConfig
 from jackdawpost.core.consensus_state import ConsensusState
+from jackdawpost.core.consensus_state import holds_named_folder
 from jackdawpost.core.consensus_state import may_vote
 from jackdawpost.core.consensus_state import reset_election_timer
 from jackdawpost.core.consensus_state import RestoredState
@@ -165,7 +166,7 @@
     is_alone = first_voters.voters == [cfg.name]
     if restored.hard_state is None and (is_alone or not restored.node_id):
         hard.admitted_as = cfg.name
-    if not may_vote(state):
+    if not may_vote(state) and holds_named_folder(state):
         state.probe_due_ms = now_ms
     reset_election_timer(state, now_ms)
     if may_vote(state) and state.voters == [cfg.name]:
--- a/jackdawpost/core/consensus_election.py
+++ b/jackdawpost/core/consensus_election.py
@@ -164,7 +164,10 @@
     if not others <= state.vouched.keys() or state.name not in state.voters:
         return
     state.hard.admitted_as = state.name
-    state.hard.known_ids = {name: state.vouched[name] for name in others}
+    # Sorted, so that a replayed trace encodes the same bytes.
+    state.hard.known_ids = {
+        name: state.vouched[name] for name in sorted(others)
+    }
     state.hard_dirty = True
     state.probe_due_ms = math.inf
     reset_election_timer(state, now_ms)
--- a/jackdawpost/core/consensus_state.py
+++ b/jackdawpost/core/consensus_state.py
@@ -34,6 +34,9 @@
         Interval of heartbeats in milliseconds.
     election_min_ms, election_max_ms : float
         Bounds of the random election timeout in milliseconds.
+    node_id : str
+        Identity that the data folder must hold; with another one the
+        process never votes. Empty accepts any folder.
     """
 
     name: str
@@ -41,6 +44,7 @@
     heartbeat_ms: float = 50
     election_min_ms: float = 300
     election_max_ms: float = 600
+    node_id: str = ''
 
 
 @dataclass(slots=True, kw_only=True)
@@ -348,9 +352,14 @@
     return state.outstanding is None or not state.outstanding.has_hard_state
 
 
+def holds_named_folder(state: ConsensusState) -> bool:
+    """Tell whether the data folder is the one that the settings name."""
+    return state.cfg.node_id in ('', state.node_id)
+
+
 def may_vote(state: ConsensusState) -> bool:
     """Tell whether this process may vote and count for quorums."""
-    return state.hard.admitted_as == state.name
+    return holds_named_folder(state) and state.hard.admitted_as == state.name
 
 
 def newcomer_id(state: ConsensusState) -> str:
--- a/jackdawpost/tests/core/test_consensus.py
+++ b/jackdawpost/tests/core/test_consensus.py
@@ -489,6 +489,31 @@
     assert state.term < 99
 
 
+def test_folder_other_than_the_named_one_gives_no_vote():
+    """Guards against a single control process that lost its disk."""
+    cfg = ConsensusConfig(name='a', voters=['a'], node_id='lost')
+    state = new_consensus(
+        cfg, random.Random(1), RestoredState(node_id='new'), 0.0
+    )
+    assert tick(state, 10_000.0) == []
+    assert state.role == 'follower'
+    cfg.node_id = 'new'
+    restored = RestoredState(node_id='new')
+    state = new_consensus(cfg, random.Random(1), restored, 0.0)
+    assert state.role == 'follower'
+    assert _write(tick(state, 0.0)).hard_state is not None
+
+
+def test_known_ids_are_stored_in_order():
+    """Guards against a replayed trace that differs by hash order."""
+    names = ['a', *'gfedcb']
+    group = Group(names)
+    group.elect()
+    for name in names:
+        known = list(group.state(name).hard.known_ids)
+        assert known == sorted(known)
+
+
 def _fields(restored):
     names = ('hard_state', 'snapshot', 'entries', 'node_id')
     return {name: getattr(restored, name) for name in names}
