--- a/jackdawpost/testing/consensus_group.py
+++ b/jackdawpost/testing/consensus_group.py
@@ -147,10 +147,18 @@
 
     # -- processes ----------------------------------------------------------
 
+    def wipe(self, name: str) -> None:
+        """Replace a process by one with an empty disk."""
+        self.crash(name)
+        self.members[name].disk = self._new_disk(name)
+        self.start(name)
+
+    def _new_disk(self, name: str) -> MemoryDisk:
+        return MemoryDisk(f'{name}-{self.rng.getrandbits(32):08x}')
+
     def add_process(self, name: str, voters: list[str] | None = None) -> None:
         """Start a process with an empty disk."""
-        node_id = f'{name}-{self.rng.getrandbits(32):08x}'
-        self.members[name] = Member(name, MemoryDisk(node_id))
+        self.members[name] = Member(name, self._new_disk(name))
         self.start(name, voters)
 
     def start(self, name: str, voters: list[str] | None = None) -> None:
--- a/jackdawpost/tests/core/test_consensus.py
+++ b/jackdawpost/tests/core/test_consensus.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import time
 
@@ -10,6 +11,7 @@
 from jackdawpost.core.consensus import change_voters
 from jackdawpost.core.consensus import confirm_leadership
 from jackdawpost.core.consensus import ConsensusConfig
+from jackdawpost.core.consensus import describe
 from jackdawpost.core.consensus import LeadershipConfirmed
 from jackdawpost.core.consensus import LeadershipWon
 from jackdawpost.core.consensus import MAX_COMMAND_BYTES
@@ -457,8 +459,7 @@
     group = Group(ABC)
     group.elect()
     group.run(500)
-    group.crash('c')
-    group.add_process('c')
+    group.wipe('c')
     group.run(1_000)
     leader = group.elect()
     other = next(name for name in 'ab' if name != leader)
@@ -488,6 +489,31 @@
     assert state.term < 99
 
 
+def test_folder_other_than_the_named_one_gives_no_vote():
+    """Guards against a single control process that lost its disk."""
+    cfg = ConsensusConfig(name='a', voters=['a'], node_id='lost')
+    state = new_consensus(
+        cfg, random.Random(1), RestoredState(node_id='new'), 0.0
+    )
+    assert tick(state, 10_000.0) == []
+    assert state.role == 'follower'
+    cfg.node_id = 'new'
+    restored = RestoredState(node_id='new')
+    state = new_consensus(cfg, random.Random(1), restored, 0.0)
+    assert state.role == 'follower'
+    assert _write(tick(state, 0.0)).hard_state is not None
+
+
+def test_known_ids_are_stored_in_order():
+    """Guards against a replayed trace that differs by hash order."""
+    names = ['a', *'gfedcb']
+    group = Group(names)
+    group.elect()
+    for name in names:
+        known = list(group.state(name).hard.known_ids)
+        assert known == sorted(known)
+
+
 def _fields(restored):
     names = ('hard_state', 'snapshot', 'entries', 'node_id')
     return {name: getattr(restored, name) for name in names}
@@ -535,6 +561,14 @@
     assert state.last_index == 20_000
 
 
+def test_description_is_plain_data():
+    """Guards against a dump that cannot be written as JSON."""
+    state, _ = _lead()
+    plain = json.loads(json.dumps(describe(state)))
+    assert (plain['role'], plain['term']) == ('leader', 1)
+    assert sorted(plain['peers']) == ['b', 'c']
+
+
 def test_too_long_command_is_refused():
     """Guards against an entry that fits into no frame."""
     with pytest.raises(ValueError, match='valid are up to'):
--- a/jackdawpost/tests/storage/test_durable_store.py
+++ b/jackdawpost/tests/storage/test_durable_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import errno
 import os
 import random
@@ -11,8 +12,15 @@
 
 import pytest
 
+from jackdawpost.core.consensus import ApplyEntry
+from jackdawpost.core.consensus import compact
 from jackdawpost.core.consensus import ConsensusConfig
+from jackdawpost.core.consensus import InstallSnapshot
 from jackdawpost.core.consensus import new_consensus
+from jackdawpost.core.consensus import persisted
+from jackdawpost.core.consensus import propose
+from jackdawpost.core.consensus import tick
+from jackdawpost.core.consensus import WriteDurably
 from jackdawpost.core.consensus_records import COMMAND_ENTRY
 from jackdawpost.core.consensus_records import encode_hard_state
 from jackdawpost.core.consensus_records import encode_snapshot
@@ -249,6 +257,7 @@
 
     def __init__(self):
         self.failing = set()
+        self.folder_syncs_left = 0
 
     def write(self, fd, offset, data):
         if 'write' in self.failing:
@@ -262,7 +271,8 @@
         super().sync(fd)
 
     def sync_folder(self, path):
-        if 'sync_folder' in self.failing:
+        self.folder_syncs_left -= 1
+        if 'sync_folder' in self.failing and self.folder_syncs_left < 0:
             raise OSError(errno.EIO, 'Input/output error')
         super().sync_folder(path)
 
@@ -301,21 +311,55 @@
     assert _summary(_load(path)) == states[-1]
 
 
+@pytest.mark.parametrize('failing', ['write', 'sync'])
 @pytest.mark.parametrize('number', range(len(WRITES)))
-def test_restart_after_a_failed_write(tmp_path, number):
+def test_restart_after_a_failed_write(tmp_path, number, failing):
     """Guards against a failed write that takes effect after a restart."""
     states = _states(tmp_path)
     files = FullDisk()
     store = DurableStore.open(str(tmp_path / 'data'), files)
     for effect in WRITES[:number]:
         store.write(effect)
-    files.failing = {'write'}
+    if failing == 'sync' and WRITES[number].snapshot is None:
+        # The write reaches the file in full, and only its sync fails.
+        real_sync = files.sync
+        files.sync = _fail_once(files, real_sync)
+    else:
+        files.failing = {failing}
     with pytest.raises(StorageError):
         store.write(WRITES[number])
     store.close()
     assert _summary(_load(tmp_path / 'data')) == states[number]
 
 
+def _fail_once(files, real_sync):
+    def sync(fd):
+        files.sync = real_sync
+        raise OSError(errno.EIO, 'Input/output error')
+
+    return sync
+
+
+def test_writes_after_a_failed_snapshot_are_kept(tmp_path):
+    """Guards against a restart from the log file of a failed write."""
+    states = _states(tmp_path)
+    files = FullDisk()
+    store = DurableStore.open(str(tmp_path / 'data'), files)
+    for effect in WRITES[:3]:
+        store.write(effect)
+    # The snapshot succeeds; the name of the new log file is not synced.
+    files.folder_syncs_left = 1
+    files.failing = {'sync_folder'}
+    with pytest.raises(StorageError):
+        store.write(WRITES[3])
+    files.failing = set()
+    store.write(WRITES[4])
+    store.close()
+    hard_state, snapshot, entries = states[3]
+    expected = (hard_state, snapshot, [*entries, _entry(5, 2)])
+    assert _summary(_load(tmp_path / 'data')) == expected
+
+
 def test_entries_with_a_gap_are_refused(tmp_path):
     """Guards against a log that cannot be restored."""
     store = DurableStore.open(str(tmp_path))
@@ -383,6 +427,38 @@
     assert names == ['lock', 'log', 'node_id', 'snapshot']
 
 
+def test_core_goes_on_after_a_restart(tmp_path):
+    """Guards against writes of the core that the store cannot restore."""
+    seen = []
+    for count in range(1, 8):
+        store = DurableStore.open(str(tmp_path))
+        cfg = ConsensusConfig(name='a', voters=['a'])
+        state = new_consensus(cfg, random.Random(1), store.restored, 0.0)
+        applied = []
+        _carry_out(store, state, tick(state, 0.0), applied)
+        _, effects = propose(state, 1.0, b'%d' % count)
+        _carry_out(store, state, effects, applied)
+        seen.append(b'%d' % count)
+        assert applied == seen
+        if count % 3 == 0:
+            snapshot = b','.join(applied)
+            effects = compact(state, 2.0, state.applied_index, snapshot)
+            _carry_out(store, state, effects, applied)
+        store.close()
+
+
+def _carry_out(store, state, effects, applied):
+    for effect in effects:
+        if isinstance(effect, WriteDurably):
+            store.write(Persist(**dataclasses.asdict(effect)))
+            later = persisted(state, 1.0, effect.token)
+            _carry_out(store, state, later, applied)
+        elif isinstance(effect, InstallSnapshot):
+            applied[:] = effect.snapshot.split(b',')
+        elif isinstance(effect, ApplyEntry) and effect.command is not None:
+            applied.append(effect.command)
+
+
 def test_restart_with_a_long_log(tmp_path):
     """Guards against a restart that takes longer than 2 s."""
     hard = encode_hard_state(HardState(1, None, 'a'))
