Let leaving proxies keep their leases

Returns on a superseded connection were still taken after the holdings on the new one, and demands of an earlier leadership were replayed. Ruled out: a change of the proxy, which needs no other state than 'joined'. Change: grants to members say 'joined'; a superseded link is not served; demands are forgotten when leadership ends.

--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -102,6 +102,8 @@
         link.sent_version = None
         link.asked = set()
         link.revoked = set()
+        # A proxy states its demand anew to the next leader.
+        link.demands = {}
     log(state, 'info', 'leadership_lost', term=term)
 
 
--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -48,11 +48,11 @@
     if link.report is None:
         refuse(state, link, f'{message.kind} before the first report')
         return
+    if state.leader is None:
+        return
     if isinstance(message, PermitDemand):
         # Kept, as a proxy that joins later states its demand only once.
         link.demands[message.upstream] = message.wanted
-    if state.leader is None:
-        return
     if not is_member(state, link.name, link.member_id):
         log(state, 'info', 'not_joined', proxy=link.name, kind=message.kind)
         return
@@ -136,6 +136,7 @@
         is_other = older.member_id != link.member_id
         if is_other and is_member(state, older.name, older.member_id):
             return True  # a newcomer must not displace a member's link
+        older.is_served = False
         state.outbox.append(Close(conn=older.conn, reason='superseded'))
     state.proxies[report.proxy] = link.conn
     return True
@@ -284,7 +285,8 @@
             leases=leases,
             duration_ms=int(state.cfg.lease_ms),
             version=state.machine.version,
-            member_state=member_state(state, link.name, link.member_id),
+            # A leaving proxy still serves what it has in flight.
+            member_state='joined',
         )
         send(state, link.conn, grant)
     start_confirmation(state, leader)
