Check roles and names of TLS peers on every link

With TLS on, control compared the certificate name ROLE.NAME with the plain name of a report or announcement, so it refused every proxy and upstream. Processes that connect checked only that the authority had signed the other end, so any member could pose as control or as an upstream. The link opener also sent an empty Sec-WebSocket-Extensions header, which servers other than this project's own refuse with status 400.

Ruled out: host names in certificates, because processes are reached by IP address and may move; asking callers for an optional certificate, because nothing would read it.

Control now passes the name without the role to its reducer, which compares it with reports, announcements and, new, the operator of a request. open_link takes the expected role and name and reports the certificate name of the other end; proxy, control, stand-in, client and jackdawpost-ctl use it, and ctl's own check is gone. Announce and operator links that send nothing for 5 s are cut off, as are upstream connections of the stand-in without an open frame.

A proxy link that sends nothing is not cut off, because proxies report only to the leader.

--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -14,7 +14,9 @@
 from jackdawpost.runtime.logs import configure_logging
 from jackdawpost.settings.loader import load_settings
 from jackdawpost.settings.models import ProcessSettings
+from jackdawpost.settings.models import TlsSettings
 from jackdawpost.version import __version__
+from jackdawpost.wire.tls import build_client_context
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -74,6 +76,7 @@
     """Load the settings; exit with 2 if invalid, with 0 after ``--check``."""
     try:
         cfg = load_settings(args.config, model)
+        check_tls_files(args.config, getattr(cfg, 'tls', None))
     except ConfigError as exc:
         print(f'error: {exc}', file=sys.stderr)
         raise SystemExit(EXIT_USAGE) from exc
@@ -83,6 +86,26 @@
     return cfg
 
 
+def check_tls_files(path: str, tls: TlsSettings | None) -> None:
+    """Raise `ConfigError` unless the certificates of settings load.
+
+    Parameters
+    ----------
+    path : str
+        Settings file, named by the error.
+    tls : TlsSettings, optional
+        TLS settings of that file.
+    """
+    if tls is None:
+        return
+    try:
+        build_client_context(tls)
+    except ConfigError as exc:
+        raise ConfigError(
+            path, exc.key, f'{exc.path}: {exc.value}', exc.valid
+        ) from exc
+
+
 def run_daemon(
     settings: DaemonT,
     record_path: str | None,
--- a/jackdawpost/cli/operator_link.py
+++ b/jackdawpost/cli/operator_link.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import ssl
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -14,11 +13,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from itertools import cycle
-from typing import Any
 
 import trio
-from websockets.exceptions import WebSocketException
-from websockets.trio.client import connect
 
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.core.errors import ProtocolError
@@ -30,11 +26,16 @@
 from jackdawpost.settings.models import TlsSettings
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.link import LinkRefusedError
+from jackdawpost.wire.link import LinkTimeoutError
+from jackdawpost.wire.link import open_link
+from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost.wire.tls import build_client_context
+from jackdawpost.wire.tls import PeerIdentity
 
 OPERATOR_PATH = '/v1/operator'
 MAX_ANSWER_BYTES = 64 << 20
 RETRY_PAUSE_S = 0.1
-CLOSE_TIMEOUT_S = 1
 # A silent connection must leave time for the other control processes.
 ATTEMPTS_PER_TIMEOUT = 3
 
@@ -90,66 +91,24 @@
         Sends one request and returns the reply; raises `LinkError` or
         `ProtocolError`.
     """
-    host = f'[{peer.host}]' if ':' in peer.host else peer.host
-    uri = f'ws://{host}:{peer.port}{OPERATOR_PATH}'
+    context = build_client_context(tls) if tls is not None else None
     try:
-        stream = await _open_stream(peer, tls)
-        async with connect(
-            uri,
-            stream=stream,
-            proxy=None,
-            compression=None,
-            open_timeout=None,
-            close_timeout=CLOSE_TIMEOUT_S,
-            max_size=MAX_ANSWER_BYTES,
-        ) as conn:
+        async with open_link(
+            peer.host,
+            peer.port,
+            OPERATOR_PATH,
+            tls=context,
+            expected=PeerIdentity('control', peer.name),
+            max_frame_bytes=MAX_ANSWER_BYTES,
+        ) as stream:
 
             async def exchange(request: OperatorRequest) -> Reply:
-                await conn.send(encode_cbor([request]))
-                return _CODEC.decode(await conn.recv())[0]
+                stream.post(encode_cbor([request]))
+                return _CODEC.decode(await stream.receive())[0]
 
             yield exchange
-    except (OSError, WebSocketException, trio.BrokenResourceError) as exc:
-        raise LinkError(f'{peer.name}: {exc or type(exc).__name__}') from exc
-
-
-async def _open_stream(peer: Peer, tls: TlsSettings | None) -> trio.abc.Stream:
-    stream = await trio.open_tcp_stream(peer.host, peer.port)
-    if tls is None:
-        return stream
-    secure = trio.SSLStream(
-        stream, _build_tls_context(tls), https_compatible=True
-    )
-    try:
-        await secure.do_handshake()
-        _check_role(secure.getpeercert(), f'control.{peer.name}')
-    except BaseException:
-        await trio.aclose_forcefully(secure)
-        raise
-    return secure
-
-
-def _build_tls_context(tls: TlsSettings) -> ssl.SSLContext:
-    context = ssl.create_default_context(cafile=tls.authority)
-    # Processes are reached by address; certificates name ROLE.NAME, which
-    # is checked after the handshake.
-    context.check_hostname = False
-    context.load_cert_chain(tls.certificate, tls.key)
-    return context
-
-
-def _check_role(certificate: dict[str, Any], expected: str) -> None:
-    names = [
-        value
-        for part in certificate.get('subject', ())
-        for key, value in part
-        if key == 'commonName'
-    ]
-    if names != [expected]:
-        raise LinkError(
-            f'certificate of {", ".join(names) or "nobody"}: valid is '
-            f'{expected}'
-        )
+    except (LinkRefusedError, LinkTimeoutError, LinkClosedError) as exc:
+        raise LinkError(f'{peer.name}: {exc}') from exc
 
 
 async def send_request(
--- a/jackdawpost/client/link.py
+++ b/jackdawpost/client/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.tls import PeerIdentity
 
 SESSION_PATH = '/v1/session'
 MS_PER_SECOND = 1_000
@@ -117,11 +119,17 @@
 async def run_link(
     address: ProxyAddress,
     timeout_ms: float,
+    tls: ssl.SSLContext | None = None,
     task_status: trio.TaskStatus[ProxyLink] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Open a connection, report it through `task_status`, and serve it."""
     async with open_link(
-        address.host, address.port, SESSION_PATH, timeout_ms=timeout_ms
+        address.host,
+        address.port,
+        SESSION_PATH,
+        tls=tls,
+        expected=PeerIdentity('proxy'),
+        timeout_ms=timeout_ms,
     ) as stream:
         link = ProxyLink(stream)
         task_status.started(link)
--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 import uuid
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -79,10 +80,15 @@
         Proxies, tried in turn when a connection is lost.
     nursery : trio.Nursery
         Runs the reader of the connection.
+    tls : ssl.SSLContext, optional
+        Context from `build_caller_context`.
     """
 
     def __init__(
-        self, addresses: Sequence[ProxyAddress], nursery: trio.Nursery
+        self,
+        addresses: Sequence[ProxyAddress],
+        nursery: trio.Nursery,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         if not addresses:
             raise ValueError('addresses is empty: valid is at least one')
@@ -90,6 +96,7 @@
         self._addresses = list(addresses)
         self._next_address = 0
         self._nursery = nursery
+        self._tls = tls
         self._link: ProxyLink | None = None
         self._connecting = trio.Lock()
 
@@ -273,7 +280,7 @@
                 address = self._addresses[self._next_address]
                 try:
                     self._link = await self._nursery.start(
-                        run_link, address, CONNECT_TIMEOUT_MS
+                        run_link, address, CONNECT_TIMEOUT_MS, self._tls
                     )
                 except (LinkRefusedError, LinkTimeoutError) as exc:
                     self.move_on()
@@ -345,6 +352,8 @@
 @asynccontextmanager
 async def open_session(
     addresses: Sequence[ProxyAddress],
+    *,
+    tls: ssl.SSLContext | None = None,
 ) -> AsyncIterator[Session]:
     """Open a session over one or more proxies.
 
@@ -352,6 +361,9 @@
     ----------
     addresses : sequence of ProxyAddress
         Proxies, tried in turn.
+    tls : ssl.SSLContext, optional
+        Context from `build_caller_context`, if the proxies use TLS. A
+        process whose certificate names no proxy is refused.
 
     Yields
     ------
@@ -360,7 +372,7 @@
     """
     try:
         async with trio.open_nursery() as nursery:
-            yield Session(addresses, nursery)
+            yield Session(addresses, nursery, tls)
             nursery.cancel_scope.cancel()
     except BaseExceptionGroup as group:
         # The nursery wraps what the caller's block raised; the readers of
--- a/jackdawpost/core/control_operators.py
+++ b/jackdawpost/core/control_operators.py
@@ -45,6 +45,13 @@
     state: ControlState, link: LinkState, message: Any
 ) -> None:
     """Handle one message of an operator; only the leader answers."""
+    stated = getattr(message, 'operator', link.peer)
+    if link.peer and stated != link.peer:
+        reason = f'request of {stated!r} by operator {link.peer!r}'
+        answer = answer_refusal(state.machine, message.id, reason)
+        send(state, link.conn, answer)
+        refuse(state, link, reason)
+        return
     leader = state.leader
     if leader is None or state.draining:
         other = state.consensus.leader
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -45,9 +46,12 @@
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import peer_has_role
+from jackdawpost.wire.tls import PeerIdentity
 
 PEER_PATH = '/v1/peer'
 HELLO_TIMEOUT_S = 2.0
+# Upstreams and operators speak at once; proxies report only to the leader.
+FIRST_FRAME_S = 5.0
 
 CODECS = {
     'peer': FrameCodec(*get_args(consensus.ConsensusMessage)),
@@ -191,13 +195,15 @@
 ) -> dict[str, Callable[[FrameStream, str], Awaitable[None]]]:
     def accept(link: Link) -> Callable[[FrameStream, str], Awaitable[None]]:
         async def serve(stream: FrameStream, peer: str) -> None:
-            if not _role_is_valid(settings, peer, ROLES[link]):
+            valid = PeerIdentity(ROLES[link])
+            name = peer.partition('.')[2]
+            if settings.tls is not None and not valid.matches(peer):
                 log.warning(
-                    'peer refused: certificate has the wrong role',
-                    extra={'peer': peer, 'valid': ROLES[link]},
+                    'peer_refused', extra={'peer': peer, 'valid': str(valid)}
                 )
                 return
-            await shell.serve_link(link, stream, peer)
+            limit_s = math.inf if link == 'proxy' else FIRST_FRAME_S
+            await shell.serve_link(link, stream, name, limit_s)
 
         return serve
 
@@ -207,7 +213,14 @@
         if name not in known or not (
             settings.tls is None or peer_has_role(peer, 'control', name)
         ):
-            log.warning('peer refused', extra={'peer': name or peer})
+            log.warning(
+                'peer_refused',
+                extra={
+                    'peer': peer,
+                    'stated': name,
+                    'valid': ', '.join(f'control.{item}' for item in known),
+                },
+            )
             return
         await shell.serve_link('peer', stream, name)
 
@@ -219,10 +232,6 @@
     }
 
 
-def _role_is_valid(settings: ControlSettings, peer: str, role: str) -> bool:
-    return settings.tls is None or peer.startswith(f'{role}.')
-
-
 async def _read_hello(stream: FrameStream) -> str:
     try:
         with trio.fail_after(HELLO_TIMEOUT_S):
--- a/jackdawpost/runtime/process.py
+++ b/jackdawpost/runtime/process.py
@@ -18,12 +18,21 @@
 
 
 def build_contexts(
-    tls: TlsSettings | None, log: logging.Logger
+    tls: TlsSettings | None,
+    log: logging.Logger,
+    ask_certificate: bool = True,
 ) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
-    """Return the server and the client context, or warn without TLS."""
+    """Return the server and the client context, or warn without TLS.
+
+    Parameters
+    ----------
+    ask_certificate : bool
+        False serves clients without a certificate.
+    """
     if tls is None:
         log.warning(
             'tls is off: anyone who reaches this port can pose as any peer'
         )
         return None, None
-    return build_server_context(tls), build_client_context(tls)
+    server = build_server_context(tls, ask_certificate)
+    return server, build_client_context(tls)
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -72,7 +72,9 @@
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(settings.tls, log)
+    server_tls, client_tls = build_contexts(
+        settings.tls, log, settings.ask_caller_certificate
+    )
     header = TraceHeader(
         role='proxy',
         settings=settings.model_dump(mode='json'),
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -8,13 +8,13 @@
 
 import itertools
 import logging
+import math
 import signal
 import ssl
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
-from typing import cast
 
 import trio
 
@@ -36,12 +36,12 @@
 from jackdawpost.core.events import Link
 from jackdawpost.core.events import Received
 from jackdawpost.core.events import TimerFired
-from jackdawpost.core.messages.upstream import Open
-from jackdawpost.core.messages.upstream import Opened
-from jackdawpost.core.messages.upstream import Purpose
 from jackdawpost.runtime.metrics import Metrics
 from jackdawpost.runtime.timers import read_now_ms
 from jackdawpost.runtime.timers import TimerService
+from jackdawpost.runtime.upstream_link import describe_failure
+from jackdawpost.runtime.upstream_link import OPEN_ERRORS
+from jackdawpost.runtime.upstream_link import open_upstream
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import encode_json
 from jackdawpost.wire.codec import FrameCodec
@@ -50,10 +50,11 @@
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 from jackdawpost.wire.link import open_link
+from jackdawpost.wire.link import PeerIdentityError
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost.wire.tls import PeerIdentity
 
-UPSTREAM_PATH = '/v1/upstream'
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
 EXIT_ABORTED = 1
@@ -74,7 +75,7 @@
 
 @dataclass(slots=True)
 class LinkTarget:
-    """Another process to stay connected to."""
+    """A control process to stay connected to."""
 
     link: Link
     peer: str
@@ -196,14 +197,27 @@
                 self.dispatch(DrainRequested(now_ms=read_now_ms()))
 
     async def serve_link(
-        self, link: Link, stream: FrameStream, peer: str
+        self,
+        link: Link,
+        stream: FrameStream,
+        peer: str,
+        first_frame_s: float = math.inf,
     ) -> None:
-        """Serve one connection, accepted or opened, until it ends."""
+        """Serve one connection, accepted or opened, until it ends.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the other end, empty where unknown.
+        first_frame_s : float
+            Seconds after which a peer that sent nothing is cut off.
+        """
         conn = next(self._conn_ids)
         opened = ConnOpened(
             now_ms=read_now_ms(), conn=conn, link=link, peer=peer
         )
-        await self._serve_conn(OpenConnection(stream, link), opened)
+        handle = OpenConnection(stream, link)
+        await self._serve_conn(handle, opened, first_frame_s)
 
     async def maintain_link(self, target: LinkTarget) -> None:
         """Stay connected to another process, reconnecting for ever."""
@@ -215,19 +229,25 @@
                     target.port,
                     target.path,
                     tls=self._tls,
+                    expected=PeerIdentity('control', target.peer),
                     timeout_ms=target.timeout_ms,
                 ) as stream:
                     delay_s = RECONNECT_MIN_S
                     if target.hello is not None:
                         stream.post(encode_cbor([target.hello]))
                     await self.serve_link(target.link, stream, target.peer)
+            except PeerIdentityError as exc:
+                self._warn_wrong_peer(target.peer, str(exc))
             except (LinkRefusedError, LinkTimeoutError) as exc:
                 self._log.debug('link failed', extra={'detail': str(exc)})
             await trio.sleep(delay_s)
             delay_s = min(RECONNECT_MAX_S, 2 * delay_s)
 
     async def _serve_conn(
-        self, handle: OpenConnection, opened: ConnOpened
+        self,
+        handle: OpenConnection,
+        opened: ConnOpened,
+        first_frame_s: float = math.inf,
     ) -> None:
         conn = opened.conn
         self._conns[conn] = handle
@@ -235,8 +255,13 @@
         reason = 'closed'
         try:
             self.dispatch(opened)
+            with trio.fail_after(first_frame_s):
+                frame = await handle.stream.receive()
             while True:
-                self._take_frame(conn, handle, await handle.stream.receive())
+                self._take_frame(conn, handle, frame)
+                frame = await handle.stream.receive()
+        except trio.TooSlowError:
+            detail = f'no message within {first_frame_s:.0f} s'
         except LinkClosedError as exc:
             detail = str(exc)
         except FrameError as exc:
@@ -279,18 +304,12 @@
         )
 
     async def _open_upstream(self, effect: Connect) -> None:
-        reason = 'refused'
-        detail = ''
+        codec = self._codecs['upstream']
         try:
-            async with open_link(
-                effect.host,
-                effect.port,
-                UPSTREAM_PATH,
-                tls=self._tls,
-                timeout_ms=effect.timeout_ms,
-            ) as stream:
-                with trio.fail_after(effect.timeout_ms / 1_000):
-                    opened = await self._introduce(stream, effect)
+            async with open_upstream(self.name, effect, codec, self._tls) as (
+                stream,
+                opened,
+            ):
                 await self._serve_conn(
                     OpenConnection(stream, 'upstream'),
                     ConnOpened(
@@ -303,29 +322,23 @@
                     ),
                 )
                 return
-        except (LinkTimeoutError, trio.TooSlowError) as exc:
-            reason, detail = 'timeout', str(exc)
-        except (LinkRefusedError, LinkClosedError) as exc:
-            detail = str(exc)
-        except FrameError as exc:
-            reason, detail = 'malformed', str(exc)
+        except OPEN_ERRORS as exc:
+            reason, detail = describe_failure(exc)
+            if isinstance(exc, PeerIdentityError):
+                self._warn_wrong_peer(effect.peer, detail)
         self.dispatch(
             ConnClosed(
                 now_ms=read_now_ms(),
                 conn=effect.conn,
-                reason=reason,  # type: ignore[arg-type]
+                reason=reason,
                 detail=detail,
             )
         )
 
-    async def _introduce(self, stream: FrameStream, effect: Connect) -> Opened:
-        purpose = cast(Purpose, effect.purpose)
-        hello = Open(peer=self.name, purpose=purpose)
-        stream.post(encode_cbor([hello]))
-        reply = self._codecs['upstream'].decode(await stream.receive())[0]
-        if not isinstance(reply, Opened):
-            raise FrameError(f'{reply.kind!r} in place of opened')
-        return reply
+    def _warn_wrong_peer(self, expected: str, detail: str) -> None:
+        self._log.warning(
+            'wrong_peer', extra={'expected': expected, 'detail': detail}
+        )
 
     def _send(self, effect: Send) -> None:
         handle = self._conns.get(effect.conn)
--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -87,6 +87,11 @@
         description='Time after which open transactions are rolled back.',
     )
     max_callers: int = Field(default=10_000, ge=1)
+    ask_caller_certificate: bool = Field(
+        default=False,
+        description='With `tls`, whether callers need a certificate of the '
+        'authority.',
+    )
     max_in_flight_per_caller: int = Field(default=64, ge=1)
     idle_txn_ms: Milliseconds = Field(
         default=10_000,
--- a/jackdawpost/tests/wire/test_server.py
+++ b/jackdawpost/tests/wire/test_server.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import os
+from functools import partial
+
 import pytest
 import trio
+import trustme
+from websockets.trio.server import serve
 
+from jackdawpost.testing.certificates import issue_tls
+from jackdawpost.wire import server
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 from jackdawpost.wire.link import open_link
@@ -12,6 +19,7 @@
 from jackdawpost.wire.server import reply_json
 from jackdawpost.wire.server import serve_endpoints
 from jackdawpost.wire.stream import LinkClosedError
+from jackdawpost.wire.tls import build_server_context
 
 LARGE_FRAME_BYTES = 900_000
 
@@ -24,11 +32,11 @@
         return
 
 
-async def _start(nursery, **options):
+async def _start(nursery, tls=None, **options):
     endpoints = Endpoints(
         {'/echo': _echo}, {'/healthz': lambda: reply_json('ok')}, **options
     )
-    return await nursery.start(serve_endpoints, '127.0.0.1', 0, endpoints)
+    return await nursery.start(serve_endpoints, '127.0.0.1', 0, endpoints, tls)
 
 
 async def test_large_frames_arrive_whole_and_in_order(nursery):
@@ -81,3 +89,79 @@
         link.post(bytes(2 * LARGE_FRAME_BYTES))
         with pytest.raises(LinkClosedError):
             await link.receive()
+
+
+async def test_a_strict_server_accepts_the_handshake(nursery):
+    # Guards against headers that only this project's own server accepts,
+    # such as an empty list of extensions.
+    async def answer(conn):
+        await conn.send(await conn.recv())
+
+    other = await nursery.start(partial(serve, answer, 0, host='127.0.0.1'))
+    port = other.listeners[0].socket.getsockname()[1]
+    async with open_link('127.0.0.1', port, '/echo') as link:
+        link.post(b'x')
+        assert await link.receive() == b'x'
+
+
+@pytest.mark.parametrize('secure', [False, True])
+@pytest.mark.parametrize(
+    'opening',
+    [
+        b'',
+        b'GET /echo HTTP/1.1\r\nHost: x\r\n',
+        b'\x16\x03\x01\x02\x00\x01',
+        b'\xff' * 100,
+        b'GET /echo HTTP/1.1\r\n' + b'A: b\r\n' * 1_000,
+        b'GET /' + b'a' * 100_000,
+    ],
+    ids=['silent', 'half', 'half-tls', 'garbage', 'headers', 'long-line'],
+)
+async def test_a_peer_that_does_not_finish_the_handshake_is_cut_off(
+    nursery, monkeypatch, tmp_path, opening, secure
+):
+    # Guards against connections that hold a place for ever, or an error of
+    # one that ends the server.
+    monkeypatch.setattr(server, 'HANDSHAKE_TIMEOUT_S', 0.2)
+    tls = None
+    if secure:
+        cfg = issue_tls(trustme.CA(), tmp_path, 'proxy.p')
+        tls = build_server_context(cfg, ask_certificate=False)
+    port = await _start(nursery, tls)
+    stream = await trio.open_tcp_stream('127.0.0.1', port)
+    with trio.fail_after(2):
+        try:
+            if opening:
+                await stream.send_all(opening)
+            while await stream.receive_some():
+                pass
+        except trio.BrokenResourceError:
+            pass
+    await stream.aclose()
+    if not secure:
+        async with open_link('127.0.0.1', port, '/echo') as link:
+            link.post(b'x')
+            assert await link.receive() == b'x'
+
+
+async def test_half_open_handshakes_cost_little_memory(nursery):
+    # Guards against buffers that are allocated before a peer is known.
+    port = await _start(nursery)
+    before = _read_resident_bytes()
+    streams = [
+        await trio.open_tcp_stream('127.0.0.1', port) for _ in range(300)
+    ]
+    for stream in streams:
+        await stream.send_all(b'GET /echo HTTP/1.1\r\n')
+    await trio.sleep(0.1)
+    # The target of 5,300 connections within 128 MB leaves this much each;
+    # both ends of a connection live in this process.
+    grown = _read_resident_bytes() - before
+    assert grown / len(streams) < 128_000_000 / 5_300
+    for stream in streams:
+        await stream.aclose()
+
+
+def _read_resident_bytes():
+    with open('/proc/self/statm') as file:
+        return int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -15,6 +15,8 @@
 from jackdawpost.core.errors import ProtocolError
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.tls import PeerIdentity
+from jackdawpost.wire.tls import read_peer_name
 
 MS_PER_SECOND = 1_000
 
@@ -23,6 +25,10 @@
     """The other end refused the connection or reset it while opening."""
 
 
+class PeerIdentityError(LinkRefusedError):
+    """The process that was reached has another role or name."""
+
+
 class LinkTimeoutError(ProtocolError):
     """The other end did not answer in time while opening."""
 
@@ -34,7 +40,9 @@
     path: str,
     *,
     tls: ssl.SSLContext | None = None,
+    expected: PeerIdentity | None = None,
     timeout_ms: float = 5_000,
+    max_frame_bytes: int = MAX_FRAME_BYTES,
 ) -> AsyncIterator[FrameStream]:
     """Connect to a process; the connection is closed on exit.
 
@@ -48,85 +56,94 @@
         WebSocket path.
     tls : ssl.SSLContext, optional
         Context with this process's certificate.
+    expected : PeerIdentity, optional
+        Whom the certificate of the other end must name. Ignored without
+        `tls`.
     timeout_ms : float
         Longest time for opening, in milliseconds.
+    max_frame_bytes : int
+        Longest frame accepted from the other end.
 
     Yields
     ------
     FrameStream
-        The open connection.
+        The open connection; its `peer` is the certificate name of the
+        other end.
 
     Raises
     ------
     LinkRefusedError
         The other end refused or reset the connection.
+    PeerIdentityError
+        The certificate of the other end names somebody else.
     LinkTimeoutError
         The other end did not answer in time.
     """
-    stream, protocol = await _open_with_deadline(
-        host, port, path, tls, timeout_ms
+    authority = f'[{host}]' if ':' in host else host
+    protocol = ClientProtocol(
+        parse_uri(f'ws://{authority}:{port}{path}'),
+        max_size=max_frame_bytes,
+        # An empty list would send an empty header, which servers refuse.
+        extensions=None,
     )
-    frames = FrameStream(stream, protocol)
-    try:
-        yield frames
-    finally:
-        await frames.aclose()
-
-
-async def _open_with_deadline(
-    host: str,
-    port: int,
-    path: str,
-    tls: ssl.SSLContext | None,
-    timeout_ms: float,
-) -> tuple[
-    trio.SocketStream | trio.SSLStream[trio.SocketStream], ClientProtocol
-]:
+    place = f'{host}:{port}{path}'
     try:
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
-            return await _open_stream(host, port, path, tls)
+            frames = await _open_stream(host, port, protocol, tls, expected)
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
-            f'{host}:{port}{path}: no answer within {timeout_ms:.0f} ms'
+            f'{place}: no answer within {timeout_ms:.0f} ms'
         ) from exc
+    except PeerIdentityError as exc:
+        raise PeerIdentityError(f'{place}: {exc}') from exc
     except (OSError, trio.BrokenResourceError, ssl.SSLError) as exc:
-        raise LinkRefusedError(f'{host}:{port}{path}: {exc}') from exc
+        detail = exc.__cause__ or exc
+        raise LinkRefusedError(f'{place}: {detail}') from exc
+    try:
+        yield frames
+    finally:
+        await frames.aclose()
 
 
 async def _open_stream(
-    host: str, port: int, path: str, tls: ssl.SSLContext | None
-) -> tuple[
-    trio.SocketStream | trio.SSLStream[trio.SocketStream], ClientProtocol
-]:
+    host: str,
+    port: int,
+    protocol: ClientProtocol,
+    tls: ssl.SSLContext | None,
+    expected: PeerIdentity | None,
+) -> FrameStream:
     socket_stream = await trio.open_tcp_stream(host, port)
     stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
     stream = socket_stream
+    peer = ''
     try:
         if tls is not None:
             stream = trio.SSLStream(socket_stream, tls)
             await stream.do_handshake()
-        authority = f'[{host}]' if ':' in host else host
-        uri = parse_uri(f'ws://{authority}:{port}{path}')
-        protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES, extensions=[])
+            peer = read_peer_name(stream)
+            if expected is not None and not expected.matches(peer):
+                raise PeerIdentityError(
+                    f'certificate of {peer or "nobody"}: valid is {expected}'
+                )
         protocol.send_request(protocol.connect())
         await stream.send_all(b''.join(protocol.data_to_send()))
-        await _read_response(stream, protocol, path)
-        return stream, protocol
+        await _read_response(stream, protocol)
+        return FrameStream(stream, protocol, peer)
     except BaseException:
         await trio.aclose_forcefully(socket_stream)
         raise
 
 
 async def _read_response(
-    stream: trio.abc.Stream, protocol: ClientProtocol, path: str
+    stream: trio.abc.Stream, protocol: ClientProtocol
 ) -> None:
     while protocol.state is State.CONNECTING:
         data = await stream.receive_some(4_096)
         if not data:
-            raise LinkRefusedError(f'{path}: closed while opening')
+            raise LinkRefusedError('closed while opening')
         protocol.receive_data(data)
         if protocol.handshake_exc is not None:
-            raise LinkRefusedError(f'{path}: {protocol.handshake_exc}')
+            raise LinkRefusedError(str(protocol.handshake_exc))
     events = protocol.events_received()
     if events and isinstance(events[0], Response):
         del events[0]
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -138,7 +138,7 @@
             stream = trio.SSLStream(socket_stream, tls, server_side=True)
             await stream.do_handshake()
             peer = read_peer_name(stream)
-        protocol = ServerProtocol(max_size=MAX_FRAME_BYTES, extensions=[])
+        protocol = ServerProtocol(max_size=MAX_FRAME_BYTES, extensions=None)
         request = await _read_request(stream, protocol)
         if request is None:
             return
@@ -151,7 +151,7 @@
         await stream.send_all(b''.join(protocol.data_to_send()))
         if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
             return
-    frames = FrameStream(stream, protocol)
+    frames = FrameStream(stream, protocol, peer)
     del request, response
     try:
         await handler(frames, peer)
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -39,13 +39,17 @@
         Connected transport.
     protocol : websockets.protocol.Protocol
         Protocol object after the opening handshake.
+    peer : str
+        Common name of the peer's certificate; empty without one.
     """
 
     def __init__(
         self,
         stream: trio.SocketStream | trio.SSLStream[trio.SocketStream],
         protocol: Protocol,
+        peer: str = '',
     ) -> None:
+        self.peer = peer
         self._stream = stream
         self._protocol = protocol
         self._unsent = bytearray()
--- a/jackdawpost_standin/announcer.py
+++ b/jackdawpost_standin/announcer.py
@@ -18,6 +18,7 @@
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.link import open_link
+from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.faults import Faults
 from jackdawpost_standin.peer_link import PeerLink
@@ -104,6 +105,7 @@
                 peer.port,
                 ANNOUNCE_PATH,
                 tls=self._tls,
+                expected=PeerIdentity('control', peer.name),
                 timeout_ms=OPEN_TIMEOUT_MS,
             ) as stream:
                 async with trio.open_nursery() as nursery:
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -191,7 +191,7 @@
         if certificate and not certificate.startswith('upstream.'):
             LOG.warning('follower refused', extra={'peer': certificate})
             return
-        await serve_follower(self.database, link, self.cfg.group)
+        await serve_follower(self.database, link, self.cfg.group, certificate)
 
     async def _serve_faults(
         self, stream: FrameStream, certificate: str
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -21,6 +21,8 @@
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.stream import FrameStream
+from jackdawpost.wire.tls import peer_has_role
+from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.faults import Faults
 from jackdawpost_standin.peer_link import PeerLink
@@ -175,12 +177,14 @@
 
 
 async def serve_follower(
-    database: Database, link: PeerLink, group: str
+    database: Database, link: PeerLink, group: str, certificate: str = ''
 ) -> None:
     """Send the log to one follower until it leaves or the role changes."""
     req = _PRIMARY_CODEC.decode(await link.receive())[0]
     if not isinstance(req, ReplicateOpen):
         raise FrameError(f'{req.kind!r} in place of replicate_open')
+    if certificate and not peer_has_role(certificate, 'upstream', req.peer):
+        raise FrameError(f'{certificate!r} follows as {req.peer!r}')
     link.peer = req.peer
     role = database.role
     if not role.leads or role.term != req.term or group != req.group:
@@ -292,6 +296,7 @@
                 role.port,
                 REPLICATE_PATH,
                 tls=self._tls,
+                expected=PeerIdentity('upstream', role.primary),
                 timeout_ms=OPEN_TIMEOUT_MS,
             ) as stream:
                 await self._receive_all(stream, role.primary)
--- a/jackdawpost_standin/upstream_server.py
+++ b/jackdawpost_standin/upstream_server.py
@@ -44,6 +44,7 @@
 
 # Least time between two reports on a monitor connection.
 PROGRESS_INTERVAL_S = 0.005
+OPEN_TIMEOUT_S = 5.0
 
 # Roles in a certificate's common name that may open each purpose.
 _ROLES = {
@@ -104,7 +105,12 @@
             self.connections.release()
 
     async def _open_and_serve(self, link: PeerLink, certificate: str) -> None:
-        frame = await link.receive()
+        with trio.move_on_after(OPEN_TIMEOUT_S) as scope:
+            frame = await link.receive()
+        if scope.cancelled_caught:
+            LOG.info('connection refused: no open frame')
+            await link.abort()
+            return
         req = cast(Open, _OPEN_CODEC.decode(frame)[0])
         _check_certificate(certificate, req)
         link.peer = req.peer
