--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -281,8 +281,7 @@
     def _take_frame(
         self, conn: int, handle: OpenConnection, frame: bytes | str
     ) -> None:
-        if type(frame) is str:
-            handle.text = True
+        handle.text = type(frame) is str
         if handle.link != 'caller':
             self.metrics.count(f'received_bytes_{handle.link}', len(frame))
         try:
--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -4,12 +4,14 @@
 
 import json
 import logging
+import socket
 from contextlib import asynccontextmanager
 
 import trio
 
-from bench.cluster import take_port
 from jackdawpost.cli.operator_link import send_request
+from jackdawpost.client import open_session
+from jackdawpost.client import ProxyAddress
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Operation
@@ -71,6 +73,13 @@
     return port
 
 
+def take_port():
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
 async def wait_listening(port):
     """Wait until a port accepts connections."""
     with trio.fail_after(START_S):
@@ -116,6 +125,9 @@
             **common(name, 1, issue(f'upstream.{name}')),
             'group': 'orders',
             'control': [ctl.control[0].model_dump()],
+            # Transactions of one caller must not starve another one.
+            'slots': 64,
+            'connections': 200,
         }
         cfg = StandinSettings.model_validate_json(json.dumps(settings))
         await nursery.start(StandinDatabase(cfg, port=0).run)
@@ -137,6 +149,12 @@
                 await trio.sleep(0.05)
 
 
+async def serve_first_write(port):
+    """Wait until the system behind a proxy serves."""
+    async with open_session([ProxyAddress(HOST, port)]) as session:
+        await create_table(session)
+
+
 class LogCapture(logging.Handler):
     """Collects the log lines of the package."""
 
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -16,6 +16,12 @@
 
 MAX_MESSAGES_PER_FRAME = 64
 MAX_FRAME_BYTES = 1 << 20
+# A caller's frame may grow when it is passed on: floats take 9 bytes each.
+MAX_UPSTREAM_FRAME_BYTES = 2 << 20
+MAX_INT = 2**63 - 1
+MIN_INT = -(2**63)
+MAX_QUOTED_CHARS = 120
+MAX_DETAIL_CHARS = 500
 
 _STRICT_SCALARS = frozenset({'int', 'float', 'bool', 'str', 'bytes'})
 
@@ -30,7 +36,9 @@
     """
 
     def __init__(self, message: str, request_id: int = 0) -> None:
-        super().__init__(message)
+        # Quoted input may hold characters that no frame can carry.
+        text = message.encode('ascii', 'backslashreplace').decode()
+        super().__init__(text[:MAX_DETAIL_CHARS])
         self.request_id = request_id
 
 
@@ -84,7 +92,9 @@
                 f'{type(item).__name__} in place of a message object'
             )
         request_id = item.get('id', 0)
-        if type(request_id) is not int:
+        if type(request_id) is not int or not (
+            MIN_INT <= request_id <= MAX_INT
+        ):
             request_id = 0
         kind = item.get('kind')
         validator = (
@@ -92,7 +102,7 @@
         )
         if validator is None:
             raise FrameError(
-                f'kind {kind!r} is not valid here: {self._valid_kinds}',
+                f'kind {_quote(kind)} is not valid here: {self._valid_kinds}',
                 request_id,
             )
         try:
@@ -173,6 +183,10 @@
     if isinstance(schema, dict):
         if schema.get('type') in _STRICT_SCALARS:
             schema['strict'] = True
+        if schema.get('type') == 'int':
+            # Larger integers cost memory and cannot be printed.
+            schema.setdefault('ge', MIN_INT)
+            schema.setdefault('le', MAX_INT)
         if schema.get('type') == 'dataclass-args':
             schema['extra_behavior'] = 'forbid'
         for part in schema.values():
@@ -195,8 +209,17 @@
     if not isinstance(exc, ValidationError):
         return str(exc)
     first = exc.errors(include_url=False)[0]
-    place = '.'.join(str(part) for part in first['loc']) or '(message)'
-    return f'{place}: {first["msg"]}, got {first.get("input")!r:.120}'
+    path = '.'.join(str(part) for part in first['loc'])
+    place = path[:MAX_QUOTED_CHARS] or '(message)'
+    return f'{place}: {first["msg"]}, got {_quote(first.get("input"))}'
+
+
+def _quote(value: Any) -> str:
+    try:
+        return f'{value!r:.{MAX_QUOTED_CHARS}}'
+    except (ValueError, RecursionError):
+        # Integers of more than 4,300 digits and deep nesting.
+        return f'a value of type {type(value).__name__}'
 
 
 def _encode_json_bytes(value: Any) -> Any:
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -59,11 +59,14 @@
         For each plain HTTP path, a function that returns the reply.
     max_connections : int
         Connections beyond this are closed at once.
+    max_frame_bytes : int
+        A connection with a longer frame is closed.
     """
 
     handlers: Mapping[str, Handler]
     pages: Mapping[str, Page]
     max_connections: int = 20_000
+    max_frame_bytes: int = MAX_FRAME_BYTES
     open_connections: int = 0
 
 
@@ -138,7 +141,9 @@
             stream = trio.SSLStream(socket_stream, tls, server_side=True)
             await stream.do_handshake()
             peer = read_peer_name(stream)
-        protocol = ServerProtocol(max_size=MAX_FRAME_BYTES, extensions=None)
+        protocol = ServerProtocol(
+            max_size=endpoints.max_frame_bytes, extensions=None
+        )
         request = await _read_request(stream, protocol)
         if request is None:
             return
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -16,6 +16,7 @@
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
+from jackdawpost.wire.codec import MAX_UPSTREAM_FRAME_BYTES
 from jackdawpost.wire.codec import to_plain
 from jackdawpost.wire.server import Endpoints
 from jackdawpost.wire.server import HttpReply
@@ -168,6 +169,7 @@
                 '/metrics': lambda: reply_json(self.read_metrics()),
                 '/dump': lambda: reply_json(self.dump()),
             },
+            max_frame_bytes=MAX_UPSTREAM_FRAME_BYTES,
         )
 
     def _wrap(
