Report start failures in one line; test the programs as processes

Ruled out: checking the port before binding it, which another process can take in between.

Tests start the programs: help, version, check, a port and a data folder in use, one and two SIGTERM, and the wheel.

--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -116,16 +116,17 @@
     try:
         return start(settings, record_path)
     except* (JackdawpostError, OSError) as group:
-        for exc in _flatten(group):
+        for exc in flatten_group(group):
             log.error('cannot run', extra={'detail': str(exc)})
     return EXIT_FAILED
 
 
-def _flatten(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+def flatten_group(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+    """Return the exceptions of a group and of the groups in it."""
     found: list[Exception] = []
     for exc in group.exceptions:
         if isinstance(exc, BaseExceptionGroup):
-            found += _flatten(exc)
+            found += flatten_group(exc)
         else:
             found.append(exc)
     return found
--- a/jackdawpost/cli/replay.py
+++ b/jackdawpost/cli/replay.py
@@ -30,6 +30,9 @@
     except TraceError as exc:
         print(f'error: {exc}', file=sys.stderr)
         return EXIT_USAGE
+    if args.check:
+        print(f'{args.trace}: readable, {len(steps) - 1} events')
+        return EXIT_DONE
     if args.effects:
         for step in steps:
             print(json.dumps(asdict(step), sort_keys=True, default=repr))
@@ -56,6 +59,11 @@
     parser.add_argument(
         '--expect', metavar='OUTCOME', help='stated outcome to compare with'
     )
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='only read the files and exit with 0 or 2',
+    )
     parser.add_argument(
         '--effects',
         action='store_true',
--- a/jackdawpost/settings/loader.py
+++ b/jackdawpost/settings/loader.py
@@ -59,4 +59,5 @@
     except ValidationError as exc:
         first = exc.errors(include_url=False)[0]
         key = '.'.join(str(part) for part in first['loc'])
-        raise ConfigError(name, key, first.get('input'), first['msg']) from exc
+        value = None if first['type'] == 'missing' else first.get('input')
+        raise ConfigError(name, key, value, first['msg']) from exc
--- /dev/null
+++ b/jackdawpost/tests/cli/test_programs.py
@@ -0,0 +1,238 @@
+"""The programs as operators start them."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+import zipfile
+from contextlib import closing
+from importlib import import_module
+from pathlib import Path
+
+import pytest
+from websockets.sync.client import connect
+
+from jackdawpost.cli import replay
+from jackdawpost.version import __version__
+
+HOST = '127.0.0.1'
+PYPROJECT = Path(__file__).parents[3] / 'pyproject.toml'
+ENTRY_POINTS = tomllib.loads(PYPROJECT.read_text())['project']['scripts']
+CONFIGURED = [name for name in ENTRY_POINTS if 'replay' not in name]
+DAEMONS = [name for name in CONFIGURED if 'ctl' not in name]
+LIMIT_S = 20
+
+
+def load_main(name):
+    module, _, function = ENTRY_POINTS[name].partition(':')
+    return getattr(import_module(module), function)
+
+
+def run_main(name, *arguments):
+    try:
+        return load_main(name)(list(arguments))
+    except SystemExit as exc:
+        return exc.code
+
+
+def take_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def write_settings(folder, program, port, **options):
+    control = {'name': 'c', 'host': HOST, 'port': port}
+    settings = {
+        'name': 'c',
+        'data_centre': 'dc-1',
+        'listen': {'host': HOST, 'port': port},
+    }
+    settings |= {
+        'jackdawpost-proxy': {'control': [control], 'proxy_id': 'p'},
+        'jackdawpost-control': {
+            'peers': [control],
+            'data_dir': str(folder / 'data'),
+        },
+        'jackdawpost-standin-database': {
+            'group': 'g',
+            'data_dir': str(folder / 'data'),
+        },
+    }.get(program, {})
+    if program == 'jackdawpost-ctl':
+        settings = {'operator': 'ada', 'control': [control]}
+    path = folder / f'{program}-{port}.json'
+    path.write_text(json.dumps({**settings, **options}))
+    return str(path)
+
+
+@pytest.mark.parametrize('name', ENTRY_POINTS)
+def test_help_has_an_example_and_version_names_the_program(name, capsys):
+    # Guards against an entry point that does not import, and against a
+    # program whose usage has to be looked up elsewhere.
+    assert run_main(name, '--help') == 0
+    assert f'example: {name} ' in capsys.readouterr().out
+    assert run_main(name, '--version') == 0
+    assert capsys.readouterr().out == f'{name} {__version__}\n'
+    assert run_main(name, '--no-such-option') == 2
+
+
+@pytest.mark.parametrize('name', CONFIGURED)
+def test_check_tells_valid_settings_from_invalid_ones(name, tmp_path, capsys):
+    # Guards against a mistake that is noticed only when a process starts.
+    path = write_settings(tmp_path, name, 7100)
+    assert run_main(name, '--config', path, '--check') == 0
+    tls = {'certificate': '/none', 'key': '/none', 'authority': '/none'}
+    for key, value, quoted in (
+        ('surplus', 5, '5'),
+        ('tls', tls, '/none'),
+        ('operator' if 'ctl' in name else 'name', 'No Name', "'No Name'"),
+    ):
+        path = write_settings(tmp_path, name, 7100, **{key: value})
+        capsys.readouterr()
+        assert run_main(name, '--config', path, '--check') == 2
+        error = capsys.readouterr().err
+        assert error.count('\n') == 1
+        assert path in error and key in error and quoted in error
+    assert run_main(name, '--config', '/none', '--check') == 2
+
+
+def test_replay_checks_a_trace(tmp_path, capsys):
+    # Guards against a damaged trace that looks like a passed replay.
+    path = tmp_path / 'trace.jsonl'
+    path.write_text('nonsense\n')
+    assert replay.main([str(path), '--check']) == 2
+    assert str(path) in capsys.readouterr().err
+
+
+def start(name, path):
+    module = ENTRY_POINTS[name].partition(':')[0]
+    return subprocess.Popen(
+        [sys.executable, '-m', module, '--config', path],
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def wait_listening(port):
+    deadline = time.monotonic() + LIMIT_S
+    while time.monotonic() < deadline:
+        with closing(socket.socket()) as probe:
+            if probe.connect_ex((HOST, port)) == 0:
+                return
+        time.sleep(0.02)
+    raise AssertionError(f'nothing listens on {port}')
+
+
+def end(process):
+    """Return exit code and standard error; kills what still runs."""
+    try:
+        _, errors = process.communicate(timeout=LIMIT_S)
+    finally:
+        process.kill()
+        process.wait()
+    return process.returncode, errors
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('name', DAEMONS)
+def test_a_port_in_use_is_one_clear_line(name, tmp_path):
+    # Guards against a traceback, and against a process that runs on without
+    # its port.
+    with closing(socket.socket()) as taken:
+        taken.bind((HOST, 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        path = write_settings(tmp_path, name, port)
+        code, errors = end(start(name, path))
+    assert code == 1
+    assert 'Traceback' not in errors
+    lines = [line for line in errors.splitlines() if 'in use' in line]
+    assert len(lines) == 1 and f'{HOST}:{port}' in lines[0]
+
+
+@pytest.mark.process
+@pytest.mark.parametrize(
+    'name', ['jackdawpost-control', 'jackdawpost-standin-database']
+)
+def test_a_data_folder_in_use_is_one_clear_line(name, tmp_path):
+    # Guards against two processes that write the same log.
+    port = take_port()
+    first = start(name, write_settings(tmp_path, name, port))
+    try:
+        wait_listening(port)
+        other = write_settings(tmp_path, name, take_port())
+        code, errors = end(start(name, other))
+    finally:
+        first.kill()
+        end(first)
+    assert code == 1
+    assert 'Traceback' not in errors
+    folder = str(tmp_path / 'data')
+    assert len(re.findall(f'(?m)^.*{folder}: used by a.*$', errors)) == 1
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('name', DAEMONS)
+def test_sigterm_ends_an_idle_process_with_0(name, tmp_path):
+    # Guards against a drain that waits for something that never comes.
+    port = take_port()
+    process = start(name, write_settings(tmp_path, name, port))
+    try:
+        wait_listening(port)
+        process.send_signal(signal.SIGTERM)
+        code, errors = end(process)
+    finally:
+        process.kill()
+    assert code == 0, errors
+
+
+@pytest.mark.process
+def test_a_second_sigterm_stops_a_draining_proxy_at_once(tmp_path):
+    # Guards against an operator who has to kill a proxy whose callers stay.
+    port = take_port()
+    name = 'jackdawpost-proxy'
+    path = write_settings(tmp_path, name, port, drain_serve_ms=60_000)
+    process = start(name, path)
+    try:
+        wait_listening(port)
+        with connect(f'ws://{HOST}:{port}/v1/session') as caller:
+            process.send_signal(signal.SIGTERM)
+            caller.recv(timeout=LIMIT_S)  # going_away
+            assert process.poll() is None
+            started = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            code, errors = end(process)
+        assert code == 1, errors
+        assert time.monotonic() - started < 5
+    finally:
+        process.kill()
+
+
+def test_the_wheel_holds_both_packages_and_the_five_programs(tmp_path):
+    # Guards against an installation in which a program does not start.
+    built = subprocess.run(
+        [
+            *(sys.executable, '-m', 'build', '--wheel', '--no-isolation'),
+            *('--outdir', str(tmp_path), str(PYPROJECT.parent)),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert built.returncode == 0, built.stderr
+    (wheel,) = tmp_path.glob('*.whl')
+    with zipfile.ZipFile(wheel) as archive:
+        names = archive.namelist()
+        (entries,) = [n for n in names if n.endswith('entry_points.txt')]
+        text = archive.read(entries).decode()
+    for name, target in ENTRY_POINTS.items():
+        assert f'{name} = {target}' in text
+        assert target.partition(':')[0].replace('.', '/') + '.py' in names
+    assert len(ENTRY_POINTS) == 5
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -16,6 +16,7 @@
 from websockets.http11 import Request
 from websockets.server import ServerProtocol
 
+from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
@@ -27,6 +28,10 @@
 LISTEN_BACKLOG = 1_024
 
 
+class ListenError(JackdawpostError):
+    """The address to listen on is in use or not of this machine."""
+
+
 @dataclass(slots=True)
 class HttpReply:
     """Reply to a plain HTTP request."""
@@ -90,10 +95,20 @@
         Paths served.
     tls : ssl.SSLContext, optional
         Context with this process's certificate.
+
+    Raises
+    ------
+    ListenError
+        The address cannot be listened on.
     """
-    listeners = await trio.open_tcp_listeners(
-        port, host=host, backlog=LISTEN_BACKLOG
-    )
+    try:
+        listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=LISTEN_BACKLOG
+        )
+    except OSError as exc:
+        raise ListenError(
+            f'cannot listen on {host}:{port}: {exc.strerror or exc}'
+        ) from exc
     bound_port = listeners[0].socket.getsockname()[1]
 
     async def handle(stream: trio.SocketStream) -> None:
--- a/jackdawpost_standin/cli.py
+++ b/jackdawpost_standin/cli.py
@@ -8,6 +8,7 @@
 
 from jackdawpost.cli.common import build_parser
 from jackdawpost.cli.common import EXIT_FAILED
+from jackdawpost.cli.common import flatten_group
 from jackdawpost.cli.common import load_or_exit
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.runtime.logs import configure_logging
@@ -30,21 +31,11 @@
     try:
         exit_code = trio.run(_run, cfg)
     except* (JackdawpostError, OSError) as group:
-        for exc in _flatten(group):
+        for exc in flatten_group(group):
             print(f'error: {exc}', file=sys.stderr)
     return exit_code
 
 
-def _flatten(group: BaseExceptionGroup) -> list[BaseException]:
-    found: list[BaseException] = []
-    for exc in group.exceptions:
-        if isinstance(exc, BaseExceptionGroup):
-            found.extend(_flatten(exc))
-        else:
-            found.append(exc)
-    return found
-
-
 async def _run(cfg: StandinSettings) -> int:
     standin = StandinDatabase(cfg)
     async with trio.open_nursery() as nursery:
