--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -59,6 +59,12 @@
     return max(0, free)
 
 
+def is_asked(state: ProxyState, up: Upstream) -> bool:
+    """Tell whether permits or connections of an upstream are on the way."""
+    account = state.permits.account(up.name)
+    return up.opening > 0 or account.stated > account.in_use
+
+
 def request_capacity(state: ProxyState, up: Upstream, waiting: int) -> None:
     """Ask for the permits and connections that waiting requests need."""
     account = state.permits.account(up.name)
--- a/jackdawpost/core/proxy_requests.py
+++ b/jackdawpost/core/proxy_requests.py
@@ -21,6 +21,7 @@
 from jackdawpost.core.proxy_conns import attempt_timeout_ms
 from jackdawpost.core.proxy_conns import capacity
 from jackdawpost.core.proxy_conns import end_frame
+from jackdawpost.core.proxy_conns import is_asked
 from jackdawpost.core.proxy_conns import MAX_BATCH
 from jackdawpost.core.proxy_conns import release_permit
 from jackdawpost.core.proxy_conns import request_capacity
@@ -45,6 +46,8 @@
 # is sent would be too old when its answer arrives.
 AGE_MARGIN_MS = 20.0
 PAUSE_MS = 10.0
+# Each permit asked for in vain costs control three messages.
+ASK_ALL_MS = 10.0
 SERVICE_WEIGHT = 0.05
 
 
@@ -170,16 +173,32 @@
             continue
         free = [up for up in servers if capacity(state, up)]
         if not free:
-            waiting = queue.count(STALE_READ)
-            share = -(-waiting // len(servers))
-            for up in servers:
-                request_capacity(state, up, share)
+            _ask_replicas(state, group, servers, req)
             return
         group.turn += 1
         chosen = choose(free, state.rng, group.turn)
         _send_to_replica(state, group, chosen, free, fresh_after)
 
 
+def _ask_replicas(
+    state: ProxyState, group: Group, servers: list[Upstream], first: Request
+) -> None:
+    """Ask for capacity: for one read at one replica, soon at all."""
+    waiting = group.queue.count(STALE_READ)
+    ask_all_ms = first.arrived_ms + ASK_ALL_MS
+    if waiting < len(servers) and state.now_ms < ask_all_ms:
+        schedule_pump(state, group.name, ask_all_ms)
+        asked = [up for up in servers if is_asked(state, up)]
+        if not asked:
+            group.turn += 1
+            choose = CHOOSERS[state.cfg.replica_choice]
+            asked = [choose(servers, state.rng, group.turn)]
+        servers = asked
+    share = -(-waiting // len(servers))
+    for up in servers:
+        request_capacity(state, up, share)
+
+
 def _knows_replicas(group: Group) -> bool:
     """Tell whether sample and replicas of the current term are known."""
     term = group.view.term
--- a/jackdawpost/tests/core/test_proxy_conns.py
+++ b/jackdawpost/tests/core/test_proxy_conns.py
@@ -72,6 +72,22 @@
     assert not world.work
 
 
+def test_one_read_asks_one_replica_for_a_permit_and_soon_all(
+    world: ProxyWorld,
+) -> None:
+    world.lends = False
+    world.read(world.caller(), max_age_ms=900)
+    world.read(world.caller(), 1)
+
+    def asked() -> list[str]:
+        demands = [m for m in world.control_sent if m.kind == 'permit_demand']
+        return sorted({m.upstream for m in demands} - {'db-1'})
+
+    assert len(asked()) == 1
+    world.advance(10)
+    assert asked() == ['db-2', 'db-3']
+
+
 def test_refused_openings_are_not_repeated_without_pause(
     world: ProxyWorld,
 ) -> None:
