Ask one replica for a permit at first, and split the sending module

Cause: a single read with an accepted age asked every replica for a permit.

Ruled out: asking one replica for good; its slots may all be lent, so after 10 ms all are asked.

Change: proxy_replica_reads.py and proxy_sending.py; the demand of fewer reads than replicas goes to one replica that is asked already, or to one chosen.

--- /dev/null
+++ b/jackdawpost/core/proxy_replica_reads.py
@@ -0,0 +1,166 @@
+"""Sending of reads with an accepted age to replicas."""
+
+from __future__ import annotations
+
+from jackdawpost.core.admission import FRESH_READ
+from jackdawpost.core.admission import STALE_READ
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.positions import ZERO_POSITION
+from jackdawpost.core.proxy_conns import capacity
+from jackdawpost.core.proxy_conns import is_asked
+from jackdawpost.core.proxy_conns import request_capacity
+from jackdawpost.core.proxy_conns import start_frame
+from jackdawpost.core.proxy_conns import take_conn
+from jackdawpost.core.proxy_sending import batch_size
+from jackdawpost.core.proxy_sending import refuse_late
+from jackdawpost.core.proxy_sending import to_execute
+from jackdawpost.core.proxy_state import count
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Request
+from jackdawpost.core.proxy_state import schedule_pump
+from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.replica_choice import CHOOSERS
+from jackdawpost.core.replica_choice import split_by_freshness
+
+# Way to the replica and back: a read that is only just fresh enough when it
+# is sent would be too old when its answer arrives.
+AGE_MARGIN_MS = 20.0
+# Each permit asked for in vain costs control three messages.
+ASK_ALL_MS = 10.0
+
+
+def pump_replicas(state: ProxyState, group: Group) -> None:
+    """Send reads with an accepted age, or ask for capacity."""
+    if state.now_ms < group.hold_until_ms and not _knows_replicas(group):
+        schedule_pump(state, group.name, group.hold_until_ms)
+        return
+    queue = group.queue
+    choose = CHOOSERS[state.cfg.replica_choice]
+    while True:
+        req = queue.peek(STALE_READ)
+        if req is None:
+            return
+        if refuse_late(state, group, req):
+            continue
+        fresh_after = _fresh_after(state, group, req)
+        servers = _servers(state, group, req, fresh_after)
+        if not servers:
+            queue.remove(req)
+            req.priority = FRESH_READ
+            queue.push(req)
+            count(state, 'reads_without_replica')
+            continue
+        free = [up for up in servers if capacity(state, up)]
+        if not free:
+            _ask_replicas(state, group, servers, req)
+            return
+        group.turn += 1
+        chosen = choose(free, state.rng, group.turn)
+        _send_to_replica(state, group, chosen, free, fresh_after)
+
+
+def _ask_replicas(
+    state: ProxyState, group: Group, servers: list[Upstream], first: Request
+) -> None:
+    """Ask for capacity: for one read at one replica, soon at all."""
+    waiting = group.queue.count(STALE_READ)
+    ask_all_ms = first.arrived_ms + ASK_ALL_MS
+    if waiting < len(servers) and state.now_ms < ask_all_ms:
+        schedule_pump(state, group.name, ask_all_ms)
+        asked = [up for up in servers if is_asked(state, up)]
+        if not asked:
+            group.turn += 1
+            choose = CHOOSERS[state.cfg.replica_choice]
+            asked = [choose(servers, state.rng, group.turn)]
+        servers = asked
+    share = -(-waiting // len(servers))
+    for up in servers:
+        request_capacity(state, up, share)
+
+
+def _knows_replicas(group: Group) -> bool:
+    """Tell whether sample and replicas of the current term are known."""
+    term = group.view.term
+    return len(group.freshness) > 0 and any(
+        up.term == term and up.name != group.view.primary
+        for up in group.upstreams
+    )
+
+
+def _send_to_replica(
+    state: ProxyState,
+    group: Group,
+    up: Upstream,
+    free: list[Upstream],
+    fresh_after: LogPosition | None,
+) -> None:
+    queue = group.queue
+    waiting = queue.count(STALE_READ)
+    size = 1
+    if waiting > 1:
+        frames = sum(capacity(state, other) for other in free)
+        size = batch_size(waiting, frames)
+    conn = take_conn(state, up)
+    if conn is None:
+        raise RuntimeError(f'{up.name!r} has capacity but no connection')
+    batch: list[Request] = []
+    messages = []
+    while len(batch) < size:
+        req = queue.peek(STALE_READ)
+        if req is None:
+            break
+        if batch:
+            fresh_after = _fresh_after(state, group, req)
+            if up not in _servers(state, group, req, fresh_after):
+                break
+        queue.pop(STALE_READ, state.now_ms)
+        batch.append(req)
+        messages.append(to_execute(state, group, req, False, fresh_after))
+    timeout_ms = max(message.timeout_ms for message in messages)
+    start_frame(state, conn, batch, messages, timeout_ms)
+
+
+def _fresh_after(
+    state: ProxyState, group: Group, req: Request
+) -> LogPosition | None:
+    max_age_ms = req.max_age_ms or 0
+    margin_ms = min(AGE_MARGIN_MS, max_age_ms / 4)
+    return group.freshness.required_position(
+        max_age_ms - margin_ms, state.now_ms
+    )
+
+
+def _servers(
+    state: ProxyState,
+    group: Group,
+    req: Request,
+    fresh_after: LogPosition | None,
+) -> list[Upstream]:
+    if fresh_after is None:
+        return []
+    primary = group.view.primary
+    replicas = [
+        up
+        for up in group.upstreams
+        if up.name != primary
+        and (req.avoided is None or up.name not in req.avoided)
+    ]
+    max_lag_ms = _longest_lag_to_wait_for(state, group, req, fresh_after)
+    ready, soon = split_by_freshness(
+        replicas, group.view.term, req.after, fresh_after, max_lag_ms
+    )
+    return ready or soon
+
+
+def _longest_lag_to_wait_for(
+    state: ProxyState, group: Group, req: Request, fresh_after: LogPosition
+) -> float:
+    """Return the lag up to which a replica gets there in `wait_ms`."""
+    wait_ms = group.view.replica_wait_ms
+    if not wait_ms:
+        return -1.0
+    needed = max(req.after or ZERO_POSITION, fresh_after)
+    reached_ms = group.freshness.reached_ms(needed)
+    since_ms = 0.0 if reached_ms is None else state.now_ms - reached_ms
+    return min((req.max_age_ms or 0) - AGE_MARGIN_MS, since_ms + wait_ms)
--- /dev/null
+++ b/jackdawpost/core/proxy_sending.py
@@ -0,0 +1,62 @@
+"""What all ways of sending queued requests share."""
+
+from __future__ import annotations
+
+from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.messages.upstream import Execute
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.positions import ZERO_POSITION
+from jackdawpost.core.proxy_answers import finish_error
+from jackdawpost.core.proxy_conns import attempt_timeout_ms
+from jackdawpost.core.proxy_conns import MAX_BATCH
+from jackdawpost.core.proxy_state import Group
+from jackdawpost.core.proxy_state import new_serial
+from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy_state import Request
+
+
+def refuse_late(state: ProxyState, group: Group, req: Request) -> bool:
+    """Refuse a request that waited until too little time is left to run.
+
+    Under overload it would occupy a slot for an answer that comes too late,
+    and cost its connection. One that has not waited for long is always
+    tried, or an estimate that is too high would never be corrected.
+    """
+    left_ms = req.due_ms - state.now_ms
+    if left_ms > group.service_ms or left_ms > state.now_ms - req.arrived_ms:
+        return False
+    group.queue.remove(req)
+    finish_error(state, req, 'not_run', 'deadline')
+    return True
+
+
+def batch_size(waiting: int, free: int) -> int:
+    """Return how many statements share a frame, given free frames."""
+    return min(MAX_BATCH, -(-waiting // max(1, free)))
+
+
+def to_execute(
+    state: ProxyState,
+    group: Group,
+    req: Request,
+    must_lead: bool,
+    fresh_after: LogPosition | None = None,
+) -> Execute:
+    """Return the message of a new attempt, and number the attempt."""
+    message = req.message
+    assert isinstance(message, Statement)
+    req.exec_id = new_serial(state)
+    req.term = group.view.term
+    return Execute(
+        id=req.exec_id,
+        sql=message.sql,
+        access=message.access,
+        term=req.term,
+        must_lead=must_lead,
+        timeout_ms=attempt_timeout_ms(state, req),
+        params=message.params,
+        after=req.after,
+        fresh_after=None if fresh_after == ZERO_POSITION else fresh_after,
+        wait_ms=0 if must_lead else group.view.replica_wait_ms,
+        request_key=message.request_key,
+    )
