Hold the permit of a lost statement until its slot is free

Ruled out: a divergence between ledger and holder, which was mended before; refusals went on with both in agreement. Conclusion: the limit holds also for abandoned work.

--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -252,6 +252,36 @@
     watch_idle_permits(state, up)
 
 
+def _release_lost_permit(state: ProxyState, conn: UpstreamConn) -> None:
+    """End the use of a lost connection's permit once its slot is free.
+
+    The upstream may run an abandoned statement up to its timeout, and it
+    rolls back a transaction only when it notices the loss. Another
+    statement sent before that would exceed its slots.
+    """
+    if not conn.owns_permit:
+        return
+    due_ms = state.now_ms + SILENT_MARGIN_MS
+    if conn.in_frame:
+        due_ms = conn.deadline_ms
+    if due_ms <= state.now_ms:
+        release_permit(state, conn)
+        return
+    conn.owns_permit = False
+    schedule(state, due_ms, 'lost_permit', conn.upstream)
+
+
+def end_lost_permit(state: ProxyState, name: str) -> None:
+    """End the use of a permit whose connection was lost earlier."""
+    up = state.upstreams.get(name)
+    if up is None or not state.permits.account(name).in_use:
+        return
+    state.permits.release(name)
+    return_owed(state, name)
+    watch_idle_permits(state, up)
+    state.dirty.add(up.view.group)
+
+
 def return_owed(state: ProxyState, name: str) -> None:
     """Give recalled permits back once they are not in use."""
     if state.leader and state.permits.account(name).recalled:
@@ -331,8 +361,8 @@
         up.idle.remove(conn.conn)
     running = list(conn.running.values())
     conn.running.clear()
+    _release_lost_permit(state, conn)
     _leave_frame(up, conn)
-    release_permit(state, conn)
     for req in running:
         if req.phase == 'running':
             lose_attempt(state, req, code)
--- a/jackdawpost/core/proxy_reducer.py
+++ b/jackdawpost/core/proxy_reducer.py
@@ -35,6 +35,7 @@
 from jackdawpost.core.proxy_conns import check_frame
 from jackdawpost.core.proxy_conns import check_idle_permits
 from jackdawpost.core.proxy_conns import drop_conn
+from jackdawpost.core.proxy_conns import end_lost_permit
 from jackdawpost.core.proxy_conns import on_conn_closed
 from jackdawpost.core.proxy_conns import on_conn_opened
 from jackdawpost.core.proxy_control import check_validity
@@ -208,6 +209,7 @@
     'requeue': requeue_delayed,
     'frame': check_frame,
     'permits': check_idle_permits,
+    'lost_permit': end_lost_permit,
     'pump': _pump_again,
     'probe': on_probe_due,
     'monitor': reopen_monitor,
--- a/jackdawpost/tests/core/test_proxy_conns.py
+++ b/jackdawpost/tests/core/test_proxy_conns.py
@@ -8,6 +8,7 @@
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
 from jackdawpost.core.proxy_reducer import reduce_proxy
 from jackdawpost.core.tokens import encode_token
 from jackdawpost.core.tokens import SessionToken
@@ -183,3 +184,34 @@
     del groups['g4']
     world.write(conn, 3, session=token)
     assert world.take()
+
+
+def test_permit_of_an_abandoned_statement_is_held_until_its_timeout(
+    world: ProxyWorld,
+) -> None:
+    """Guards against more statements at an upstream than it has slots.
+
+    The upstream goes on with an abandoned statement until its timeout.
+    """
+    world.write(world.caller(), deadline_ms=200)
+    world.take()
+    account = world.state.permits.account('db-1')
+    world.advance(210)
+    assert (account.held, account.in_use) == (1, 1)
+    world.advance(SILENT_MARGIN_MS + 100)
+    assert (account.held, account.in_use) == (0, 0)
+
+
+def test_permit_of_a_lost_transaction_is_held_until_the_roll_back(
+    world: ProxyWorld,
+) -> None:
+    """Guards against a slot that a transaction still occupies."""
+    conn = world.caller()
+    world.ask(conn, Begin(id=1, route=ROUTE))
+    up_conn, message = world.take()
+    world.reply(up_conn, message)
+    world.cut(conn)
+    account = world.state.permits.account('db-1')
+    assert account.in_use == 1
+    world.advance(SILENT_MARGIN_MS + 100)
+    assert (account.held, account.in_use) == (0, 0)
--- a/jackdawpost/tests/core/test_proxy_transactions.py
+++ b/jackdawpost/tests/core/test_proxy_transactions.py
@@ -10,6 +10,7 @@
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.messages.control import LeaseRevoke
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
 from jackdawpost.testing.fake_proxy_world import GROUP
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
 from jackdawpost.testing.fake_proxy_world import ROUTE
@@ -164,6 +165,7 @@
         assert world.answer(conn).outcome == 'unknown'
     assert up_conn in world.closed
     assert not world.state.txns
+    world.advance(SILENT_MARGIN_MS)
     assert world.state.permits.account('db-1').in_use == 0
 
 
