Look only at permits and evidence that can change; replace lost primaries

Cause: each tick looked at the permits of all upstreams and each announcement at the evidence of all proxies. A primary that expired as a member, because only control did not hear it, left its group without a published primary. Change: permits have a due time for each upstream; evidence is weighed only for groups with an objection; a primary that is no member is replaced. Without the new rule, test_primary_that_expires_as_a_member_is_replaced fails with "assert False". Conclusion: the services of the leader cost what changes, not what exists.

--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -187,7 +187,7 @@
         finish_removals(state)
     start_confirmation(state, leader)
     advance_groups(state, leader)
-    move_permits(state, leader, is_tick)
+    move_permits(state, leader)
 
 
 def _note_pause(state: ControlState, leader: LeaderState) -> None:
@@ -205,7 +205,7 @@
     """Return when `run_services` is due without another event."""
     dues = [
         leader.expiry_check_ms,
-        leader.permit_due_ms,
+        *leader.permit_due_ms.values(),
         control_admin.next_admin_due_ms(leader.admin, state.now_ms),
         *leader.group_due_ms.values(),
         *(removal_due_ms(state, leader, key) for key in leader.removing),
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -170,8 +170,8 @@
         pause of this process in which it could hear nobody.
     ticked_ms : float
         Time of the last tick.
-    permit_due_ms : float, optional
-        Next time to look at all permits.
+    permit_due_ms : dict of str to float
+        Next time to look at the permits of an upstream.
     group_due_ms : dict of str to float
         Next time to look at each group.
     group_upstreams : dict of str to list of str
@@ -204,7 +204,7 @@
     expiry_check_ms: float = 0.0
     heard_floor_ms: float = 0.0
     ticked_ms: float = 0.0
-    permit_due_ms: float | None = None
+    permit_due_ms: dict[str, float] = field(default_factory=dict)
     group_due_ms: dict[str, float] = field(default_factory=dict)
     group_upstreams: dict[str, list[str]] = field(default_factory=dict)
     dirty_groups: set[str] = field(default_factory=set)
--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -201,14 +201,17 @@
     known = leader.permits.incarnations.get(link.name)
     if known is not None and known != report.incarnation:
         lose_permits(state, leader, link.name)
-    permit_ledger.note_connected(
+    was_lending = permit_ledger.is_lending(leader.permits, state.now_ms)
+    leader.dirty_permits |= permit_ledger.note_connected(
         leader.permits, link.name, report.incarnation, report.holdings
     )
+    if permit_ledger.is_lending(leader.permits, state.now_ms) > was_lending:
+        leader.dirty_permits.update(leader.permits.upstreams)
     for upstream, wanted in link.demands.items():
         permit_ledger.note_demand(
             leader.permits, state.now_ms, link.name, upstream, wanted
         )
-    leader.dirty_permits.update(leader.permits.upstreams)
+    leader.dirty_permits.update(link.demands)
     for name, group in state.machine.groups.items():
         if group.promotion is not None:
             leader.dirty_groups.add(name)
@@ -304,17 +307,15 @@
             send(state, conn, LeaseRevoke(group=group, term=term))
 
 
-def move_permits(
-    state: ControlState, leader: LeaderState, is_tick: bool
-) -> None:
-    """Lend and recall permits where something has changed."""
-    if not is_tick and not leader.dirty_permits:
-        return
-    upstreams = None if is_tick else leader.dirty_permits
+def move_permits(state: ControlState, leader: LeaderState) -> None:
+    """Lend and recall permits where something has changed or is due."""
+    due_ms = leader.permit_due_ms
+    names = {name for name, due in due_ms.items() if due <= state.now_ms}
+    names |= leader.dirty_permits & leader.permits.upstreams.keys()
+    leader.dirty_permits = set()
     decisions = permit_ledger.decide_permits(
-        leader.permits, state.now_ms, upstreams
+        leader.permits, state.now_ms, names
     )
-    leader.dirty_permits = set()
     for decision in decisions:
         conn = state.proxies.get(decision.proxy)
         if conn is None:
@@ -323,9 +324,14 @@
         send(
             state, conn, kind(upstream=decision.upstream, count=decision.count)
         )
-    leader.permit_due_ms = permit_ledger.next_permit_due_ms(
-        leader.permits, state.now_ms
-    )
+    for name in names:
+        later = permit_ledger.next_permit_due_ms(
+            leader.permits, state.now_ms, name
+        )
+        if later is None:
+            due_ms.pop(name, None)
+        else:
+            due_ms[name] = later
 
 
 def refresh_upstreams(state: ControlState, leader: LeaderState) -> None:
--- a/jackdawpost/core/control_upstreams.py
+++ b/jackdawpost/core/control_upstreams.py
@@ -151,7 +151,7 @@
         promotion=open_promotion,
         databases=_databases(state, leader, name),
         lease_holders=_lease_holders(state, leader, name, group),
-        failed=_failure(state, leader, group),
+        failed=_failure(state, leader, name, group),
     )
 
 
@@ -192,18 +192,21 @@
 
 
 def _failure(
-    state: ControlState, leader: LeaderState, group: GroupState
+    state: ControlState, leader: LeaderState, name: str, group: GroupState
 ) -> str:
     """Return why a primary must be replaced, empty if it need not be."""
     if group.primary is None:
         return ''
-    failed_ms = failure_detector.failed_at_ms(
-        leader.detector, state.now_ms, group.primary
-    )
-    if failed_ms is not None and failed_ms <= state.now_ms:
-        return 'primary failed'
+    if name in leader.suspects:
+        failed_ms = failure_detector.failed_at_ms(
+            leader.detector, state.now_ms, group.primary
+        )
+        if failed_ms is not None and failed_ms <= state.now_ms:
+            return 'primary failed'
     if _is_wiped(state, leader, group):
         return 'primary lost its data'
+    if not is_member(state, group.primary, group.primary_id):
+        return 'primary is no member'
     return ''
 
 
@@ -273,13 +276,13 @@
         promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
     ]
     primary = facts.primary
-    if primary is not None and failure_detector.has_objection(
-        leader.detector, state.now_ms, primary
+    is_suspect = facts.name in leader.suspects and primary is not None
+    if is_suspect and failure_detector.has_objection(
+        leader.detector, state.now_ms, primary or ''
     ):
-        leader.suspects.add(facts.name)
         dues += [
             failure_detector.failed_at_ms(
-                leader.detector, state.now_ms, primary
+                leader.detector, state.now_ms, primary or ''
             ),
             failure_detector.next_expiry_ms(leader.detector, state.now_ms),
         ]
--- a/jackdawpost/core/permit_ledger.py
+++ b/jackdawpost/core/permit_ledger.py
@@ -134,27 +134,37 @@
     proxy: str,
     incarnation: str,
     holdings: Mapping[str, int],
-) -> None:
+) -> set[str]:
     """Take the holdings that a proxy reports first on a new connection.
 
     They replace what the ledger knew of that process, since messages on the
     old connection may be lost. Permits of an earlier process of the same
     proxy stay lost.
+
+    Returns
+    -------
+    set of str
+        Upstreams whose permits may have become free.
     """
+    changed = set(holdings)
     ledger.unheard.discard(proxy)
     ledger.incarnations[proxy] = incarnation
     for upstream in holdings:
         ledger.upstreams.setdefault(upstream, UpstreamPermits())
     for upstream, permits in ledger.upstreams.items():
-        permits.lost = [
+        kept = [
             entry
             for entry in permits.lost
             if (entry.proxy, entry.incarnation) != (proxy, incarnation)
         ]
-        permits.borrowers.pop(proxy, None)
+        known = permits.borrowers.pop(proxy, None)
+        if known is not None or len(kept) < len(permits.lost):
+            changed.add(upstream)
+        permits.lost = kept
         held = max(0, holdings.get(upstream, 0))
         if held:
             permits.borrowers[proxy] = Borrower(held=held, wanted=held)
+    return changed
 
 
 def note_lost(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
@@ -197,16 +207,15 @@
     upstreams : collection of str, optional
         Upstreams to look at; all if left out.
     """
-    for permits in ledger.upstreams.values():
-        permits.lost = [e for e in permits.lost if now_ms < e.until_ms]
     if not is_lending(ledger, now_ms):
         return []
     names = ledger.upstreams if upstreams is None else upstreams
     decisions = []
     for name in sorted(names):
-        if name in ledger.upstreams:
-            decisions += _lend(ledger.upstreams[name], now_ms, name)
-            decisions += _recall(ledger.upstreams[name], now_ms, name)
+        permits = ledger.upstreams.get(name, UpstreamPermits())
+        permits.lost = [e for e in permits.lost if now_ms < e.until_ms]
+        decisions += _lend(permits, now_ms, name)
+        decisions += _recall(permits, now_ms, name)
     return decisions
 
 
@@ -289,21 +298,21 @@
     return best[3] if best else None
 
 
-def next_permit_due_ms(ledger: PermitLedger, now_ms: float) -> float | None:
-    """Return when `decide_permits` may decide more without an input."""
+def next_permit_due_ms(
+    ledger: PermitLedger, now_ms: float, upstream: str
+) -> float | None:
+    """Return when more may be decided for an upstream without an input."""
+    permits = ledger.upstreams[upstream]
+    if not any(
+        account.wanted > account.held for account in permits.borrowers.values()
+    ):
+        return None
     if not is_lending(ledger, now_ms):
         return ledger.ready_ms
-    dues = []
-    for permits in ledger.upstreams.values():
-        if not any(
-            account.wanted > account.held
-            for account in permits.borrowers.values()
-        ):
-            continue
-        dues += [entry.until_ms for entry in permits.lost]
-        dues += [
-            account.granted_ms + MIN_HOLD_MS
-            for account in permits.borrowers.values()
-            if account.held > account.recalled
-        ]
+    dues = [entry.until_ms for entry in permits.lost]
+    dues += [
+        account.granted_ms + MIN_HOLD_MS
+        for account in permits.borrowers.values()
+        if account.held > account.recalled
+    ]
     return min((due for due in dues if due > now_ms), default=None)
--- a/jackdawpost/tests/core/test_control_reducer.py
+++ b/jackdawpost/tests/core/test_control_reducer.py
@@ -230,6 +230,15 @@
     assert group_of(net).primary != 'u1'
 
 
+def test_primary_that_expires_as_a_member_is_replaced():
+    # Guards against a group without a published primary when only control
+    # does not hear the primary and no proxy objects.
+    net = start()
+    net.cut.add(frozenset(('c1', 'u1')))
+    assert net.run(34_000, finished(net, 1))
+    assert group_of(net).primary in ('u2', 'u3')
+
+
 def test_returning_old_primary_is_told_to_follow():
     # Guards against two databases that both believe that they lead.
     net = start()
--- a/jackdawpost/tests/core/test_permit_ledger.py
+++ b/jackdawpost/tests/core/test_permit_ledger.py
@@ -53,7 +53,7 @@
     permits = ledger()
     demand(permits, 0, p1=3)
     assert demand(permits, 5, p2=1) == []
-    due_ms = permit_ledger.next_permit_due_ms(permits, 5)
+    due_ms = permit_ledger.next_permit_due_ms(permits, 5, 'u')
     assert due_ms == MIN_HOLD_MS
     assert decide(permits, due_ms) == [('recall', 'p1', 1)]
 
@@ -91,7 +91,7 @@
     demand(permits, 0, p1=3)
     permit_ledger.note_lost(permits, 'p1', 1_000)
     assert demand(permits, 1, p2=1) == []
-    assert permit_ledger.next_permit_due_ms(permits, 1) == 1_000
+    assert permit_ledger.next_permit_due_ms(permits, 1, 'u') == 1_000
     assert decide(permits, 999) == []
     assert decide(permits, 1_000) == [('grant', 'p2', 1)]
 
