--- a/jackdawpost/core/consensus.py
+++ b/jackdawpost/core/consensus.py
@@ -55,6 +55,7 @@
 from jackdawpost.core.consensus_state import compact_log
 from jackdawpost.core.consensus_state import ConsensusConfig
 from jackdawpost.core.consensus_state import ConsensusState
+from jackdawpost.core.consensus_state import holds_named_folder
 from jackdawpost.core.consensus_state import may_vote
 from jackdawpost.core.consensus_state import reset_election_timer
 from jackdawpost.core.consensus_state import RestoredState
@@ -79,6 +80,7 @@
     'change_voters',
     'compact',
     'confirm_leadership',
+    'describe',
     'ConsensusConfig',
     'ConsensusEffect',
     'ConsensusState',
@@ -164,7 +166,7 @@
     is_alone = first_voters.voters == [cfg.name]
     if restored.hard_state is None and (is_alone or not restored.node_id):
         hard.admitted_as = cfg.name
-    if not may_vote(state):
+    if not may_vote(state) and holds_named_folder(state):
         state.probe_due_ms = now_ms
     reset_election_timer(state, now_ms)
     if may_vote(state) and state.voters == [cfg.name]:
@@ -413,6 +415,38 @@
     return _end_call(state, now_ms)
 
 
+def describe(state: ConsensusState) -> dict[str, Any]:
+    """Return the state as plain data, for dumps."""
+    return {
+        'name': state.name,
+        'node_id': state.node_id,
+        'may_vote': may_vote(state),
+        'role': state.role,
+        'leader': state.leader,
+        'term': state.term,
+        'voted_for': state.hard.voted_for,
+        'voters': list(state.voters),
+        'learners': list(state.learners),
+        'last_index': state.last_index,
+        'commit_index': state.commit_index,
+        'applied_index': state.applied_index,
+        'durable_index': state.durable_index,
+        'snapshot_index': state.snapshot_index,
+        'disk_failing': state.retry_write_ms is not None,
+        'last_refusal': state.last_refusal,
+        'peers': {
+            peer: {
+                'match': progress.match,
+                'next': progress.next,
+                'ack_ms': progress.ack_ms,
+                'newcomer_id': progress.newcomer_id,
+                'gets_snapshot': progress.transfer is not None,
+            }
+            for peer, progress in state.progress.items()
+        },
+    }
+
+
 def _end_call(state: ConsensusState, now_ms: float) -> list[ConsensusEffect]:
     flush(state, now_ms, count_own_vote)
     effects = state.outbox
