--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -51,11 +51,7 @@
     one counts as a holder until it has reported or a full lease has passed.
     """
     cfg = state.cfg
-    proxies = {
-        name
-        for name, member in state.machine.members.items()
-        if member.role == 'proxy'
-    }
+    proxies = _joined_proxies(state)
     leases = lease_ledger.LeaseLedger(
         duration_ms=cfg.lease_ms,
         clock_margin=cfg.clock_margin,
@@ -88,6 +84,14 @@
     log(state, 'info', 'leadership_won', term=term)
 
 
+def _joined_proxies(state: ControlState) -> set[str]:
+    return {
+        name
+        for name, member in state.machine.members.items()
+        if member.role == 'proxy'
+    }
+
+
 def end_leadership(state: ControlState, term: int) -> None:
     """Drop the leader services; nothing of them outlives the term."""
     leader = state.leader
