Count only admitted databases as copies; bound how long permits stay lost

Cause: a proxy counted any joined upstream as a copy, but a promotion asks only the admitted set, so a write acknowledged on the primary and a database not yet admitted could be missed. Permits of a killed proxy stayed lent for its lease plus 60 s. A removed upstream's account was dropped without returning its permits. Replies above 1 MiB ended the connection. Ruled out: admitting databases earlier, which would let a promotion rely on one that has not caught up. Change: the published group carries its database set; statements run at most 10 s (max_statement_ms); accounts are returned; links that a process opens itself accept 16 MiB. Conclusion: every database that confirms a write is one that a promotion asks.

--- a/bench/experiment_failover.py
+++ b/bench/experiment_failover.py
@@ -17,6 +17,7 @@
 from bench.load import HANDFANG_MIX
 from bench.load import LoadGenerator
 from bench.load import LoadPlan
+from bench.timeline import count_promotions
 from bench.timeline import PARTS
 from bench.timeline import split_gap
 from bench.timeline import summarize
@@ -24,6 +25,7 @@
 
 MS_PER_SECOND = 1_000
 RATE_PER_S = 150.0
+HEALTHY_RATE_PER_S = 100.0
 WARM_UP_S = 2.0
 SETTLE_S = 2.0
 RETURN_S = 2.5
@@ -74,6 +76,26 @@
             await trio.sleep(RETURN_S)
 
 
+async def run_healthy(cluster: Cluster, seconds: float) -> dict[str, Any]:
+    """Run load without a failure and count promotions; there must be none."""
+    groups = list(cluster.deployment.groups)
+    addresses = cluster.proxy_addresses()
+    await create_tables(addresses, groups)
+    plan = LoadPlan(
+        addresses, groups, HANDFANG_MIX, HEALTHY_RATE_PER_S, seconds
+    )
+    load = LoadGenerator(plan)
+    await load.run()
+    stored = await read_stored_rows(cluster)
+    violations = check_history(load.result.history, stored)
+    return {
+        'seconds': seconds,
+        'promotions_after_start': count_promotions(cluster.folder),
+        'violations': [f'{v.rule}: {v.detail}' for v in violations],
+        'load': load.result.summary(),
+    }
+
+
 async def run_failover(cluster: Cluster, runs: int) -> dict[str, Any]:
     """Run the experiment on a prepared cluster and return its figures."""
     groups = list(cluster.deployment.groups)
--- a/bench/run.py
+++ b/bench/run.py
@@ -21,6 +21,7 @@
 from bench.deployments import DEPLOYMENTS
 from bench.experiment_cost import run_cost
 from bench.experiment_failover import run_failover
+from bench.experiment_failover import run_healthy
 from bench.experiment_share import run_overload
 from bench.experiment_share import run_share
 from bench.experiment_throughput import run_throughput
@@ -84,9 +85,23 @@
         return trio.run(run_failover, cluster, args.runs)
 
 
+def _healthy(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    changes = Path('examples') / deployment.name / CHANGES
+    with run_cluster(
+        deployment,
+        database_settings={'service_ms': 100, 'apply_lag_ms': 200},
+        proxy_settings=args.proxy_settings,
+    ) as cluster:
+        prepare(cluster, changes)
+        return trio.run(run_healthy, cluster, args.seconds)
+
+
 EXPERIMENTS: dict[str, Experiment] = {
     'cost': run_cost,
     'failover': _failover,
+    'healthy': _healthy,
     'overload': run_overload,
     'share': run_share,
     'throughput': run_throughput,
--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -26,6 +26,16 @@
     return lines
 
 
+def count_promotions(folder: Path) -> int:
+    """Return the promotions that were not the first of their group."""
+    return sum(
+        line['event'] == 'start_promotion'
+        and line.get('reason') != 'first primary'
+        for path in folder.glob('control-*.log')
+        for line in read_log(path)
+    )
+
+
 def split_gap(
     folder: Path, group: str, failed_at_ms: float
 ) -> dict[str, float]:
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -67,7 +67,7 @@
     member_expiry_ms: float = 30_000
     refused_ms: float = 200
     silent_ms: float = 800
-    max_statement_ms: float = 60_000
+    max_statement_ms: float = 10_000
 
 
 def config_from_settings(settings: ControlSettings) -> ControlConfig:
--- a/jackdawpost/core/database_sets.py
+++ b/jackdawpost/core/database_sets.py
@@ -8,6 +8,8 @@
 from jackdawpost.core.control_state import GroupState
 from jackdawpost.core.control_state import Member
 from jackdawpost.core.control_state import Refused
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.publication import publish_changes
 
 
 def is_joined_upstream(
@@ -44,7 +46,8 @@
         return Applied(answer=refusal)
     group = machine.groups[command.group]
     group.database_set[command.name] = command.data_id
-    return Applied()
+    changed = publish_changes(machine, [object_key('group', command.group)])
+    return Applied(changed=changed)
 
 
 def refuse_leaving_sets(
@@ -71,14 +74,14 @@
     return None
 
 
-def leave_sets(machine: ControlMachine, name: str, data_id: str) -> bool:
-    """Stop counting a database; return True if it was counted."""
-    found = False
-    for group in machine.groups.values():
+def leave_sets(machine: ControlMachine, name: str, data_id: str) -> list[str]:
+    """Stop counting a database; return the groups that counted it."""
+    left = []
+    for group_name, group in machine.groups.items():
         if group.database_set.get(name) == data_id:
             del group.database_set[name]
-            found = True
-    return found
+            left.append(group_name)
+    return left
 
 
 def _check_admission(
--- a/jackdawpost/core/membership.py
+++ b/jackdawpost/core/membership.py
@@ -75,11 +75,13 @@
     """
     name = command.name
     found = False
+    left: list[str] = []
     if command.reason == 'operator':
         refusal = refuse_leaving_sets(machine, name, command.member_id)
         if refusal is not None:
             return Applied(answer=refusal)
-        found = leave_sets(machine, name, command.member_id)
+        left = leave_sets(machine, name, command.member_id)
+        found = bool(left)
     newcomer = machine.newcomers.get(name)
     if newcomer is not None and newcomer.member.member_id == command.member_id:
         del machine.newcomers[name]
@@ -90,7 +92,9 @@
         found = True
     if not found:
         return _refuse_unknown(name, command.member_id)
-    return _join_approved(machine, _affected_keys(machine, name, member))
+    keys = _affected_keys(machine, name, member)
+    keys += [f'group/{group}' for group in left]
+    return _join_approved(machine, keys)
 
 
 def missing_approvals(machine: ControlMachine, newcomer: str) -> list[str]:
--- a/jackdawpost/core/proxy_answers.py
+++ b/jackdawpost/core/proxy_answers.py
@@ -341,14 +341,19 @@
 
 
 def confirmed_position(state: ProxyState, group: Group) -> LogPosition:
-    """Return the last position that enough databases hold."""
+    """Return the last position that enough databases hold.
+
+    Only databases that a promotion counts on confirm a write.
+    """
     replicas_needed = group.view.write_copies - 1
     if replicas_needed <= 0:
         return CONFIRMED_ALL
     received = [
         up.received
         for up in group.upstreams
-        if up.term == group.view.term and up.name != group.view.primary
+        if up.term == group.view.term
+        and up.name != group.view.primary
+        and group.view.database_set.get(up.name) == up.view.data_id
     ]
     if len(received) < replicas_needed:
         return CONFIRMED_NONE
--- a/jackdawpost/core/proxy_conns.py
+++ b/jackdawpost/core/proxy_conns.py
@@ -207,7 +207,7 @@
     if left >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
         if not isinstance(req.message, Begin):
             left -= RETRY_ROOM_MS
-    return max(1, int(left))
+    return max(1, min(int(left), state.cfg.max_statement_ms))
 
 
 def take_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
--- a/jackdawpost/core/proxy_published.py
+++ b/jackdawpost/core/proxy_published.py
@@ -10,6 +10,7 @@
 from jackdawpost.core.proxy_answers import lose_undurable
 from jackdawpost.core.proxy_conns import close_surplus
 from jackdawpost.core.proxy_conns import drop_conn
+from jackdawpost.core.proxy_conns import return_permits
 from jackdawpost.core.proxy_control import send_report
 from jackdawpost.core.proxy_control import watch_validity
 from jackdawpost.core.proxy_monitors import open_monitor
@@ -184,8 +185,11 @@
         close(state, up.monitor, 'upstream removed', abort=True)
     for conn_id in list(up.conns):
         drop_conn(state, state.conns[conn_id], 'upstream removed')
+    account = state.permits.account(up.name)
+    if state.leader:
+        return_permits(state, up.name, account.held)
+    del state.permits.accounts[up.name]
     del state.upstreams[up.name]
-    state.permits.accounts.pop(up.name, None)
 
 
 def _refresh_members(state: ProxyState) -> None:
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy_state.py
@@ -68,6 +68,7 @@
     max_callers: int = 10_000
     max_in_flight_per_caller: int = 64
     idle_txn_ms: int = 10_000
+    max_statement_ms: int = 10_000
 
     @classmethod
     def from_settings(
--- a/jackdawpost/core/publication.py
+++ b/jackdawpost/core/publication.py
@@ -150,6 +150,7 @@
     body = dataclasses.asdict(machine.objects.groups[name])
     body['term'] = group.term
     body['primary'] = None
+    body['database_set'] = dict(group.database_set)
     member = machine.members.get(group.primary or '')
     if (
         group.promotion is None
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -26,6 +26,9 @@
         Current term; 0 before the first primary.
     primary : str, optional
         Upstream that leads in `term`; None while there is none.
+    database_set : dict of str to str
+        Data identity of each database that a promotion counts on. Only
+        these confirm a write: a promotion may not ask any other one.
     """
 
     name: str
@@ -34,6 +37,7 @@
     replica_wait_ms: int
     term: int = 0
     primary: str | None = None
+    database_set: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -13,6 +13,7 @@
 from jackdawpost.settings.loader import SettingsModel
 
 MIN_LEASE_TO_RENEWAL = 3
+DEFAULT_MAX_STATEMENT_MS = 10_000
 
 
 def _check_ip(value: str) -> str:
@@ -88,6 +89,10 @@
     )
     max_callers: int = Field(default=10_000, ge=1)
     max_in_flight_per_caller: int = Field(default=64, ge=1)
+    max_statement_ms: Milliseconds = Field(
+        default=DEFAULT_MAX_STATEMENT_MS,
+        description='Longest run time of a statement; the same everywhere.',
+    )
     idle_txn_ms: Milliseconds = Field(
         default=10_000,
         description='Longest pause between statements of a transaction.',
@@ -116,7 +121,11 @@
     member_expiry_ms: Milliseconds = 30_000
     refused_ms: Milliseconds = 200
     silent_ms: Milliseconds = 800
-    max_statement_ms: Milliseconds = 60_000
+    max_statement_ms: Milliseconds = Field(
+        default=DEFAULT_MAX_STATEMENT_MS,
+        description='Longest run time of a statement; the slots of a lost '
+        'proxy are lent again only after it. The same everywhere.',
+    )
 
     @model_validator(mode='after')
     def _check_relations(self) -> ControlSettings:
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/fake_proxy_world.py
@@ -104,6 +104,7 @@
         self.term = 1
         self.version = 0
         self.write_copies = write_copies
+        self.counted = DATABASES
         self._events: deque[Event] = deque()
         self._next_caller = 100
         self.state, effects = new_proxy(cfg, Random(1), self.now_ms)
@@ -135,6 +136,7 @@
             'replica_wait_ms': 50,
             'term': self.term,
             'primary': primary,
+            'database_set': {name: f'data-{name}' for name in self.counted},
         }
         items = [
             PublishedObject(type='group', name=GROUP, body=group),
--- a/jackdawpost/tests/core/test_proxy_requests.py
+++ b/jackdawpost/tests/core/test_proxy_requests.py
@@ -162,6 +162,31 @@
     assert error(world.answer(conn)) == ('unknown', 'not_durable')
 
 
+def test_database_that_no_promotion_counts_on_confirms_nothing(
+    world: ProxyWorld,
+) -> None:
+    """Guards against an acknowledged write that a promotion misses."""
+    world.counted = ('db-1', 'db-3')
+    world.publish()
+    conn = world.caller()
+    world.write(conn)
+    up_conn, message = world.take()
+    world.reply(up_conn, message, position=NEXT)
+    world.move(NEXT, 'db-2')
+    assert not world.answers[conn]
+    world.move(NEXT, 'db-3')
+    assert world.answer(conn).outcome == 'done'
+
+
+def test_statement_never_runs_longer_than_its_slot_is_kept(
+    world: ProxyWorld,
+) -> None:
+    """Guards against a lost proxy's statement that outlasts its permit."""
+    world.write(world.caller(), deadline_ms=60_000)
+    _, message = world.take()
+    assert message.timeout_ms <= world.state.cfg.max_statement_ms
+
+
 def test_write_is_acknowledged_once_copied_also_when_asked_late(
     world: ProxyWorld,
 ) -> None:
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -13,10 +13,11 @@
 from websockets.uri import parse_uri
 
 from jackdawpost.core.errors import ProtocolError
-from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.stream import FrameStream
 
 MS_PER_SECOND = 1_000
+# Answers and state updates may be larger than what strangers may send.
+MAX_REPLY_BYTES = 16 << 20
 
 
 class LinkRefusedError(ProtocolError):
@@ -107,7 +108,7 @@
             await stream.do_handshake()
         authority = f'[{host}]' if ':' in host else host
         uri = parse_uri(f'ws://{authority}:{port}{path}')
-        protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES, extensions=[])
+        protocol = ClientProtocol(uri, max_size=MAX_REPLY_BYTES, extensions=[])
         protocol.send_request(protocol.connect())
         await stream.send_all(b''.join(protocol.data_to_send()))
         await _read_response(stream, protocol, path)
