--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -24,7 +24,7 @@
 from jackdawpost.core.control_proxies import drop_left_proxies
 from jackdawpost.core.control_proxies import move_permits
 from jackdawpost.core.control_proxies import push_updates
-from jackdawpost.core.control_proxies import refresh_slots
+from jackdawpost.core.control_proxies import refresh_upstreams
 from jackdawpost.core.control_proxies import serve_report
 from jackdawpost.core.control_proxies import start_confirmation
 from jackdawpost.core.control_state import Applied
@@ -51,11 +51,7 @@
     one counts as a holder until it has reported or a full lease has passed.
     """
     cfg = state.cfg
-    proxies = {
-        name
-        for name, member in state.machine.members.items()
-        if member.role == 'proxy'
-    }
+    proxies = _joined_proxies(state)
     leases = lease_ledger.LeaseLedger(
         duration_ms=cfg.lease_ms,
         clock_margin=cfg.clock_margin,
@@ -84,10 +80,18 @@
     )
     leader.dirty_groups.update(state.machine.groups)
     state.leader = leader
-    refresh_slots(state, leader)
+    refresh_upstreams(state, leader)
     log(state, 'info', 'leadership_won', term=term)
 
 
+def _joined_proxies(state: ControlState) -> set[str]:
+    return {
+        name
+        for name, member in state.machine.members.items()
+        if member.role == 'proxy'
+    }
+
+
 def end_leadership(state: ControlState, term: int) -> None:
     """Drop the leader services; nothing of them outlives the term."""
     leader = state.leader
@@ -164,7 +168,7 @@
         if not is_member(state, *key):
             state.upstreams.pop(key, None)
         drop_left_proxies(state, leader)
-    refresh_slots(state, leader)
+    refresh_upstreams(state, leader)
     leader.dirty_groups.update(state.machine.groups)
     for name in done.joined:
         link = state.links.get(state.proxies.get(name, 0))
@@ -187,7 +191,7 @@
         finish_removals(state)
     start_confirmation(state, leader)
     advance_groups(state, leader)
-    move_permits(state, leader, is_tick)
+    move_permits(state, leader)
 
 
 def _note_pause(state: ControlState, leader: LeaderState) -> None:
@@ -205,7 +209,7 @@
     """Return when `run_services` is due without another event."""
     dues = [
         leader.expiry_check_ms,
-        leader.permit_due_ms,
+        *leader.permit_due_ms.values(),
         control_admin.next_admin_due_ms(leader.admin, state.now_ms),
         *leader.group_due_ms.values(),
         *(removal_due_ms(state, leader, key) for key in leader.removing),
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -67,7 +67,7 @@
     member_expiry_ms: float = 30_000
     refused_ms: float = 200
     silent_ms: float = 800
-    max_statement_ms: float = 60_000
+    max_statement_ms: float = 10_000
 
 
 def config_from_settings(settings: ControlSettings) -> ControlConfig:
@@ -170,10 +170,12 @@
         pause of this process in which it could hear nobody.
     ticked_ms : float
         Time of the last tick.
-    permit_due_ms : float, optional
-        Next time to look at all permits.
+    permit_due_ms : dict of str to float
+        Next time to look at the permits of an upstream.
     group_due_ms : dict of str to float
         Next time to look at each group.
+    group_upstreams : dict of str to list of str
+        Joined upstreams of each group.
     dirty_groups : set of str
         Groups whose promotion has to be looked at.
     dirty_permits : set of str
@@ -202,8 +204,9 @@
     expiry_check_ms: float = 0.0
     heard_floor_ms: float = 0.0
     ticked_ms: float = 0.0
-    permit_due_ms: float | None = None
+    permit_due_ms: dict[str, float] = field(default_factory=dict)
     group_due_ms: dict[str, float] = field(default_factory=dict)
+    group_upstreams: dict[str, list[str]] = field(default_factory=dict)
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
     suspects: set[str] = field(default_factory=set)
--- a/jackdawpost/core/control_upstreams.py
+++ b/jackdawpost/core/control_upstreams.py
@@ -149,17 +149,18 @@
         primary=group.primary,
         database_set=group.database_set,
         promotion=open_promotion,
-        databases=_databases(state, name),
+        databases=_databases(state, leader, name),
         lease_holders=_lease_holders(state, leader, name, group),
-        failed=_failure(state, leader, group),
+        failed=_failure(state, leader, name, group),
     )
 
 
-def _databases(state: ControlState, group: str) -> dict[str, Database]:
+def _databases(
+    state: ControlState, leader: LeaderState, group: str
+) -> dict[str, Database]:
     found = {}
-    for name, member in state.machine.members.items():
-        if member.role != 'upstream' or member.group != group:
-            continue
+    for name in leader.group_upstreams.get(group, ()):
+        member = state.machine.members[name]
         announced = state.upstreams.get((name, member.member_id))
         if announced is None:
             continue
@@ -191,18 +192,21 @@
 
 
 def _failure(
-    state: ControlState, leader: LeaderState, group: GroupState
+    state: ControlState, leader: LeaderState, name: str, group: GroupState
 ) -> str:
     """Return why a primary must be replaced, empty if it need not be."""
     if group.primary is None:
         return ''
-    failed_ms = failure_detector.failed_at_ms(
-        leader.detector, state.now_ms, group.primary
-    )
-    if failed_ms is not None and failed_ms <= state.now_ms:
-        return 'primary failed'
+    if name in leader.suspects:
+        failed_ms = failure_detector.failed_at_ms(
+            leader.detector, state.now_ms, group.primary
+        )
+        if failed_ms is not None and failed_ms <= state.now_ms:
+            return 'primary failed'
     if _is_wiped(state, leader, group):
         return 'primary lost its data'
+    if not is_member(state, group.primary, group.primary_id):
+        return 'primary is no member'
     return ''
 
 
@@ -272,13 +276,13 @@
         promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
     ]
     primary = facts.primary
-    if primary is not None and failure_detector.has_objection(
-        leader.detector, state.now_ms, primary
+    is_suspect = facts.name in leader.suspects and primary is not None
+    if is_suspect and failure_detector.has_objection(
+        leader.detector, state.now_ms, primary or ''
     ):
-        leader.suspects.add(facts.name)
         dues += [
             failure_detector.failed_at_ms(
-                leader.detector, state.now_ms, primary
+                leader.detector, state.now_ms, primary or ''
             ),
             failure_detector.next_expiry_ms(leader.detector, state.now_ms),
         ]
@@ -296,8 +300,7 @@
     for name, due_ms in leader.group_due_ms.items():
         if due_ms <= state.now_ms:
             leader.dirty_groups.add(name)
-    for link in leader.admin.links.values():
-        leader.dirty_groups.add(link.want.group)
+    leader.dirty_groups |= control_admin.due_groups(leader.admin, state.now_ms)
 
 
 def admin_opened(state: ControlState, leader: LeaderState, conn: int) -> bool:
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -13,12 +13,13 @@
 from websockets.uri import parse_uri
 
 from jackdawpost.core.errors import ProtocolError
-from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost.wire.tls import read_peer_name
 
 MS_PER_SECOND = 1_000
+# Answers and state updates may be larger than what strangers may send.
+MAX_REPLY_BYTES = 16 << 20
 
 
 class LinkRefusedError(ProtocolError):
@@ -42,7 +43,7 @@
     tls: ssl.SSLContext | None = None,
     expected: PeerIdentity | None = None,
     timeout_ms: float = 5_000,
-    max_frame_bytes: int = MAX_FRAME_BYTES,
+    max_frame_bytes: int = MAX_REPLY_BYTES,
 ) -> AsyncIterator[FrameStream]:
     """Connect to a process; the connection is closed on exit.
 
