Keep the leases of a proxy that drains

Cause: the leader marks a draining proxy as leaving and says so in its lease grants. proxy_control.on_lease_grant took any state but 'joined' for not being a member, dropped the leases and withdrew them; proxy_callers._check_serving refused new requests with not_joined.

Ruled out: the leader withholding leases (control_proxies.grant_leases grants them to leaving members) and a promotion in the meantime (terms unchanged).

Change: 'joined' and 'leaving' both serve. The fake control of the tests now calls a draining proxy leaving, as the leader does; with that alone two existing drain tests and the new one failed.

--- a/jackdawpost/core/proxy_callers.py
+++ b/jackdawpost/core/proxy_callers.py
@@ -30,6 +30,7 @@
 from jackdawpost.core.proxy_state import Request
 from jackdawpost.core.proxy_state import schedule
 from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_state import SERVING_STATES
 from jackdawpost.core.proxy_transactions import add_to_transaction
 from jackdawpost.core.proxy_transactions import roll_back
 from jackdawpost.core.published import RuleView
@@ -196,7 +197,7 @@
 def _check_serving(state: ProxyState) -> None:
     if state.drain_ms is not None and not serve_left_ms(state):
         raise _Refusal('draining')
-    if state.member_state and state.member_state != 'joined':
+    if state.member_state and state.member_state not in SERVING_STATES:
         raise _Refusal('not_joined', retry_after_ms=BUSY_RETRY_MS)
     if state.now_ms >= state.leases.config_until_ms:
         raise _Refusal('control_unreachable', retry_after_ms=BUSY_RETRY_MS)
--- a/jackdawpost/core/proxy_control.py
+++ b/jackdawpost/core/proxy_control.py
@@ -29,6 +29,7 @@
 from jackdawpost.core.proxy_state import ProxyState
 from jackdawpost.core.proxy_state import schedule
 from jackdawpost.core.proxy_state import send
+from jackdawpost.core.proxy_state import SERVING_STATES
 
 LEADER_SEARCH_MS = 100
 APPROVAL_RETRY_MS = 500
@@ -129,7 +130,7 @@
 
 def on_lease_grant(state: ProxyState, conn: int, message: LeaseGrant) -> None:
     """Renew leases and permits from the leader's answer."""
-    joined = message.member_state == 'joined'
+    joined = message.member_state in SERVING_STATES
     if not state.leases.apply_grant(
         message.seq,
         message.leases if joined else [],
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy_state.py
@@ -36,6 +36,8 @@
 
 TIMER_KEY = 'proxy'
 MAX_FRAME_MESSAGES = 64
+# A draining proxy is called leaving and keeps its leases until it has ended.
+SERVING_STATES = frozenset({'joined', 'leaving'})
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/fake_proxy_world.py
@@ -368,6 +368,7 @@
                 leases=[GroupLease(group=GROUP, term=self.term)],
                 duration_ms=LEASE_MS,
                 version=self.version,
+                member_state='leaving' if message.draining else 'joined',
             )
             self._later(conn, grant)
         elif isinstance(message, PermitDemand) and self.lends:
--- a/jackdawpost/tests/core/test_proxy_control.py
+++ b/jackdawpost/tests/core/test_proxy_control.py
@@ -274,6 +274,24 @@
     assert world.state.permits.holdings() == {}
 
 
+def test_draining_proxy_keeps_its_leases(world: ProxyWorld) -> None:
+    # Guards against cutting writes off because control calls a draining
+    # proxy leaving in the grants that renew its leases.
+    conn = world.caller()
+    world.write(conn, 1, deadline_ms=5_000)
+    up_conn, message = world.take()
+    drain(world)
+    world.answer(conn)
+    assert world.state.member_state == 'leaving'
+    world.move(LogPosition(1, 11))
+    world.reply(up_conn, message, position=LogPosition(1, 11))
+    assert world.answer(conn).outcome == 'done'
+    world.write(conn, 2)
+    up_conn, message = world.take()
+    world.reply(up_conn, message, position=LogPosition(1, 11))
+    assert world.answer(conn).outcome == 'done'
+
+
 def test_drain_limit_rolls_back_open_transactions(
     world: ProxyWorld,
 ) -> None:
