--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -229,11 +230,27 @@
 
 
 @contextmanager
-def run_cluster(deployment: Deployment, **options: Any) -> Iterator[Cluster]:
-    """Start a deployment in a temporary folder and stop it afterwards."""
+def run_cluster(
+    deployment: Deployment,
+    edit_settings: Callable[[Path], None] | None = None,
+    **options: Any,
+) -> Iterator[Cluster]:
+    """Start a deployment in a temporary folder and stop it afterwards.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Sizes and names.
+    edit_settings : callable, optional
+        Changes the settings files in a folder before the start.
+    **options
+        See `write_settings`.
+    """
     with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
         path = Path(folder)
         write_settings(deployment, path, take_port, path, **options)
+        if edit_settings is not None:
+            edit_settings(path)
         cluster = Cluster.load(deployment, path, path)
         try:
             cluster.start_all()
--- /dev/null
+++ b/bench/experiment_faults.py
@@ -0,0 +1,318 @@
+"""Faults on real processes, one scenario each.
+
+Example: ``python -m bench.run faults --scenario proxy-killed``
+"""
+
+from __future__ import annotations
+
+import argparse
+from contextlib import AsyncExitStack
+from typing import Any
+
+import trio
+
+from bench.deployments import Deployment
+from bench.fault_run import FaultRun
+from bench.fault_run import MS_PER_SECOND
+from bench.fault_run import now_ms
+from bench.fault_run import POLL_S
+from bench.fault_run import RELAYED_PROXY
+from bench.fault_run import run_fault
+from bench.fault_run import Scenario
+from bench.fault_writes import ProbeWriter
+from bench.partition import isolate
+from bench.partition import silence
+
+VICTIM_PROXY = 'proxy-1'
+PARTITION_S = 5.0
+SETTLE_S = 2.0
+PROXY_FROZEN_S = 4.0
+CONTROL_FROZEN_S = 5.0
+RELEASE_LIMIT_S = 5.0
+TRANSACTION_PAUSE_S = 1.0
+# A leaving database keeps accepting statements for this long, so that late
+# ones are counted and not just refused.
+LEAVE_DELAY_MS = 4_000
+LEAVE_BOUND_S = 2.0
+
+
+async def isolate_primary(run: FaultRun) -> None:
+    """Isolate a primary and one proxy together from everything else."""
+    primary = (await run.find_primary()).name
+    names = set(run.cluster.programs) - {primary, RELAYED_PROXY}
+    run.mark_failure(run.group)
+    await _partition(run, primary, sorted(names), [RELAYED_PROXY])
+    for relay in run.relays:
+        relay.set_silent(True)
+    await trio.sleep(PARTITION_S)
+    run.figures['healthy_in_partition'] = await _is_healthy(run, RELAYED_PROXY)
+    await _partition(run, primary, [], [])
+    for relay in run.relays:
+        relay.set_silent(False)
+    await run.wait_healthy(RELAYED_PROXY)
+    await trio.sleep(SETTLE_S)
+
+
+async def _partition(
+    run: FaultRun, primary: str, primary_peers: list[str], peers: list[str]
+) -> None:
+    async with trio.open_nursery() as nursery:
+        for name in run.cluster.names('database'):
+            isolated = primary_peers if name == primary else peers
+            nursery.start_soon(isolate, run.cluster, name, isolated)
+
+
+async def _is_healthy(run: FaultRun, name: str) -> bool:
+    status, _ = await trio.to_thread.run_sync(
+        run.cluster.read_page, name, '/healthz'
+    )
+    return status == 200
+
+
+async def kill_primary_and_leader(run: FaultRun) -> None:
+    """Kill a primary and the control leader at the same time."""
+    primary = (await run.find_primary()).name
+    leader, _ = await run.read_control()
+    run.mark_failure(run.group)
+    run.cluster.kill(primary)
+    run.cluster.kill(leader)
+    await trio.sleep(SETTLE_S * 2)
+    run.cluster.start(leader)
+    run.cluster.start(primary)
+    await run.wait_healthy(leader, primary)
+
+
+async def kill_proxy(run: FaultRun) -> None:
+    """Kill a proxy that has an open transaction in each group."""
+    groups = run.cluster.deployment.groups
+    writers = [ProbeWriter(run, VICTIM_PROXY, group) for group in groups]
+    resume = trio.Event()
+    async with AsyncExitStack() as stack:
+        for writer in writers:
+            await stack.enter_async_context(writer.connect())
+        async with trio.open_nursery() as nursery:
+            for writer in writers:
+                await nursery.start(writer.transact, resume)
+            run.figures['before'] = await _count_upstream_use(run)
+            run.cluster.kill(VICTIM_PROXY)
+            await _time_release(run)
+            resume.set()
+    run.figures['transactions'] = [w.outcomes for w in writers]
+    run.cluster.start(VICTIM_PROXY)
+    await run.wait_healthy(VICTIM_PROXY)
+    await _wait_load_ended(run)
+    run.figures['after'] = await _count_upstream_use(run)
+
+
+async def _time_release(run: FaultRun) -> None:
+    killed_ms = now_ms()
+    while (await _count_upstream_use(run))['connections_of_victim']:
+        if now_ms() - killed_ms > RELEASE_LIMIT_S * MS_PER_SECOND:
+            break
+        await trio.sleep(POLL_S)
+    run.figures['released_after_ms'] = round(now_ms() - killed_ms)
+
+
+async def _count_upstream_use(run: FaultRun) -> dict[str, int]:
+    """Return what the databases say about connections and slots in use."""
+    use = {'connections_of_victim': 0, 'slots_in_use': 0, 'slot_refusals': 0}
+    for name in run.cluster.names('database'):
+        dump = await run.read(name, '/dump')
+        counters = dump['counters']
+        use['slots_in_use'] += counters['slots_in_use']
+        use['slot_refusals'] += counters['slot_refusals']
+        use['connections_of_victim'] += sum(
+            conn['peer'] == VICTIM_PROXY and conn['purpose'] == 'statements'
+            for conn in dump['connections']
+        )
+    return use
+
+
+async def _wait_load_ended(run: FaultRun) -> None:
+    await trio.sleep_until(run.ends_s)
+    await trio.sleep(SETTLE_S)
+
+
+async def freeze_proxy(run: FaultRun) -> None:
+    """Freeze a proxy beyond its leases and let it go on."""
+    before = await _read_terms(run)
+    run.cluster.freeze(VICTIM_PROXY)
+    await trio.sleep(PROXY_FROZEN_S)
+    run.cluster.resume(VICTIM_PROXY)
+    resumed_ms = now_ms()
+    await run.wait_healthy(VICTIM_PROXY)
+    run.figures['healthy_after_ms'] = round(now_ms() - resumed_ms)
+    await trio.sleep(SETTLE_S)
+    run.figures['promotions'] = await _count_promotions(run, before)
+
+
+async def _read_terms(run: FaultRun) -> dict[str, int]:
+    groups = run.cluster.deployment.groups
+    return {group: (await run.find_primary(group)).term for group in groups}
+
+
+async def _count_promotions(run: FaultRun, before: dict[str, int]) -> int:
+    after = await _read_terms(run)
+    return sum(after[group] - term for group, term in before.items())
+
+
+async def freeze_follower(run: FaultRun) -> None:
+    """Freeze a control process that does not lead and let it go on."""
+    leader, _ = await run.read_control()
+    names = run.cluster.names('control')
+    await _freeze_control(run, next(n for n in names if n != leader))
+
+
+async def freeze_leader(run: FaultRun) -> None:
+    """Freeze the control leader and let it go on."""
+    leader, _ = await run.read_control()
+    await _freeze_control(run, leader)
+
+
+async def _freeze_control(run: FaultRun, victim: str) -> None:
+    before = await _read_terms(run)
+    run.figures['victim'] = victim
+    run.figures['before'] = await run.read_control()
+    run.cluster.freeze(victim)
+    await trio.sleep(CONTROL_FROZEN_S)
+    run.figures['while_frozen'] = await run.read_control(without=victim)
+    run.cluster.resume(victim)
+    await trio.sleep(SETTLE_S)
+    run.figures['after_return'] = await run.read_control()
+    run.figures['promotions'] = await _count_promotions(run, before)
+
+
+async def silence_connections(run: FaultRun) -> None:
+    """Silence a proxy's open connections to a primary, first one kind."""
+    before = await _read_terms(run)
+    primary = (await run.find_primary()).name
+    for purpose in ('statements', 'monitor'):
+        writer = ProbeWriter(run, VICTIM_PROXY, run.group)
+        async with writer.connect():
+            await writer.write()
+            affected = await silence(
+                run.cluster, primary, VICTIM_PROXY, purpose
+            )
+            run.figures[purpose] = {
+                'silenced': affected,
+                'write_ms': [round(await writer.write()) for _ in range(5)],
+                'outcomes': writer.outcomes,
+            }
+    await trio.sleep(SETTLE_S)
+    run.figures['promotions'] = await _count_promotions(run, before)
+
+
+async def stop_proxy(run: FaultRun) -> None:
+    """Stop a proxy gracefully while it holds an open transaction."""
+    writer = ProbeWriter(run, VICTIM_PROXY, run.group)
+    async with writer.connect(), trio.open_nursery() as nursery:
+        resume = trio.Event()
+        await nursery.start(writer.transact, resume)
+        nursery.start_soon(_terminate, run, VICTIM_PROXY)
+        await trio.sleep(TRANSACTION_PAUSE_S)
+        resume.set()
+    run.figures['transaction'] = writer.outcomes
+    run.cluster.start(VICTIM_PROXY)
+    await run.wait_healthy(VICTIM_PROXY)
+
+
+async def _terminate(run: FaultRun, name: str) -> None:
+    started_ms = now_ms()
+    code = await run.terminate(name)
+    run.figures.setdefault('stopped', {})[name] = {
+        'exit_code': code,
+        'took_ms': round(now_ms() - started_ms),
+    }
+
+
+async def stop_upstreams(run: FaultRun) -> None:
+    """Stop a primary and a replica of another group gracefully."""
+    primary = (await run.find_primary()).name
+    other = run.cluster.deployment.groups[1]
+    leads = (await run.find_primary(other)).name
+    databases = run.cluster.names('database')
+    replica = next(n for n in databases if n.startswith(other) and n != leads)
+    run.mark_failure(run.group)
+    async with trio.open_nursery() as nursery:
+        for name in (primary, replica):
+            nursery.start_soon(_terminate, run, name)
+            nursery.start_soon(_count_late_statements, run, name)
+    for name in (primary, replica):
+        run.cluster.start(name)
+    await run.wait_healthy(primary, replica)
+
+
+async def _count_late_statements(run: FaultRun, name: str) -> None:
+    said_s = trio.current_time()
+    counts = []
+    while (metrics := await run.read(name, '/metrics')) is not None:
+        count = metrics['counters'].get('statements', 0)
+        counts.append((trio.current_time() - said_s, count))
+        await trio.sleep(POLL_S)
+    # The last count before the bound: a statement is counted at its end.
+    at_bound = max(c for at_s, c in counts if at_s <= LEAVE_BOUND_S)
+    last_s = next(at_s for at_s, c in counts if c == counts[-1][1])
+    run.figures.setdefault('leaving', {})[name] = {
+        'statements_after_bound': counts[-1][1] - at_bound,
+        'last_statement_ms': round(last_s * MS_PER_SECOND),
+        'observed_ms': round(counts[-1][0] * MS_PER_SECOND),
+    }
+
+
+async def lose_second(run: FaultRun) -> None:
+    """Kill the new primary right after the first one has returned."""
+    first = await run.find_primary()
+    run.cluster.kill(first.name)
+    second = first
+    while second.name == first.name:
+        await trio.sleep(POLL_S)
+        second = await run.find_primary()
+    run.cluster.start(first.name)
+    await run.wait_healthy(first.name)
+    run.mark_failure(run.group)
+    run.cluster.kill(second.name)
+    await trio.sleep(SETTLE_S * 1.5)
+    third = await run.find_primary()
+    run.figures['primaries'] = [first, second, third]
+    run.cluster.start(second.name)
+    await run.wait_healthy(second.name)
+
+
+async def restart_control(run: FaultRun) -> None:
+    """Restart all control processes one after another."""
+    before = await _read_terms(run)
+    run.figures['before'] = await run.read_control()
+    for name in run.cluster.names('control'):
+        await _terminate(run, name)
+        run.cluster.start(name)
+        await run.wait_healthy(name)
+    await trio.sleep(SETTLE_S)
+    run.figures['after'] = await run.read_control()
+    run.figures['promotions'] = await _count_promotions(run, before)
+
+
+SCENARIOS: dict[str, Scenario] = {
+    'control-follower-frozen': Scenario(freeze_follower, load_s=10),
+    'control-leader-frozen': Scenario(freeze_leader, load_s=10),
+    'control-restarted': Scenario(restart_control, load_s=10),
+    'primary-and-leader-killed': Scenario(kill_primary_and_leader),
+    'primary-isolated': Scenario(isolate_primary, load_s=11, relayed=True),
+    'proxy-frozen': Scenario(freeze_proxy, load_s=9),
+    'proxy-killed': Scenario(kill_proxy, load_s=6),
+    'proxy-stopped': Scenario(stop_proxy),
+    'second-loss': Scenario(lose_second, load_s=9),
+    'silent-connections': Scenario(silence_connections),
+    'upstreams-stopped': Scenario(
+        stop_upstreams,
+        load_s=9,
+        database_settings={'leave_delay_ms': LEAVE_DELAY_MS},
+    ),
+}
+
+
+def run_faults(
+    deployment: Deployment, args: argparse.Namespace
+) -> dict[str, Any]:
+    """Run the scenario of the arguments, or all of them in turn."""
+    names = [args.scenario] if args.scenario else sorted(SCENARIOS)
+    return {name: run_fault(deployment, SCENARIOS[name]) for name in names}
--- /dev/null
+++ b/bench/fault_run.py
@@ -0,0 +1,243 @@
+"""One fault under load: marks, observations and the figures made of them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from bench.cluster import Cluster
+from bench.cluster import run_cluster
+from bench.demo import prepare
+from bench.deployments import Deployment
+from bench.failover import find_primaries
+from bench.failover import measure_write_gap
+from bench.failover import Primary
+from bench.failover import read_stored_rows
+from bench.load import create_tables
+from bench.load import HANDFANG_MIX
+from bench.load import LoadGenerator
+from bench.load import LoadPlan
+from bench.partition import relay_control_links
+from bench.partition import SilentRelay
+from jackdawpost.testing.history import check_history
+from jackdawpost.testing.history import History
+
+MS_PER_SECOND = 1_000
+RATE_PER_S = 60.0
+# More than the requests that arrive within their deadline of 2 s, so that
+# requests to one broken group do not hold back those to the others.
+SESSIONS = 128
+WARM_UP_S = 1.5
+POLL_S = 0.05
+MAX_DESCRIBED = 20
+RELAYED_PROXY = 'proxy-0'
+DATABASE_SETTINGS = {'service_ms': 5, 'apply_lag_ms': 50}
+
+
+@dataclass(slots=True)
+class FaultRun:
+    """A cluster under load into which a scenario injects faults.
+
+    Parameters
+    ----------
+    relays : list of SilentRelay
+        Relays between `RELAYED_PROXY` and the control processes; empty
+        unless the scenario asks for them.
+    failed_at_ms : dict of str to float
+        Time of the last failure of each group's primary.
+    figures : dict
+        What the scenario observed.
+    ends_s : float
+        Time at which the load ends, in seconds.
+    injected_ms : float
+        Time at which the scenario began, in milliseconds.
+    """
+
+    cluster: Cluster
+    load: LoadGenerator
+    relays: list[SilentRelay] = field(default_factory=list)
+    failed_at_ms: dict[str, float] = field(default_factory=dict)
+    figures: dict[str, Any] = field(default_factory=dict)
+    ends_s: float = field(init=False)
+    injected_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.ends_s = trio.current_time() + self.load.plan.duration_s
+
+    @property
+    def group(self) -> str:
+        """The group that scenarios break."""
+        return self.cluster.deployment.groups[0]
+
+    @property
+    def history(self) -> History:
+        """What callers did and were told so far."""
+        return self.load.result.history
+
+    def mark_failure(self, group: str) -> None:
+        """Start the gap of a group now."""
+        self.failed_at_ms[group] = now_ms()
+
+    async def find_primary(self, group: str | None = None) -> Primary:
+        """Wait until a group has a primary as proxies see it; return it."""
+        name = group or self.group
+        while True:
+            primaries = await trio.to_thread.run_sync(
+                find_primaries, self.cluster
+            )
+            if name in primaries:
+                return primaries[name]
+            await trio.sleep(POLL_S)
+
+    async def read(self, name: str, path: str) -> Any:
+        """Return a page of a process, None if it does not answer."""
+        _, value = await trio.to_thread.run_sync(
+            self.cluster.read_page, name, path
+        )
+        return value
+
+    async def wait_healthy(self, *names: str) -> None:
+        """Wait until the named processes are healthy."""
+        await trio.to_thread.run_sync(self.cluster.wait_healthy, list(names))
+
+    async def terminate(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        return await trio.to_thread.run_sync(self.cluster.terminate, name)
+
+    async def read_control(self, without: str = '') -> tuple[str, int]:
+        """Return the control leader and its term.
+
+        Parameters
+        ----------
+        without : str
+            Process that is not asked because it cannot answer.
+        """
+        for name in self.cluster.names('control'):
+            if name == without or not self.cluster.programs[name].running:
+                continue
+            dump = await self.read(name, '/dump')
+            if dump and dump['consensus']['role'] == 'leader':
+                return name, int(dump['consensus']['term'])
+        raise RuntimeError('no control process leads')
+
+
+Inject = Callable[[FaultRun], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A fault, the time it takes and what the processes need for it.
+
+    Parameters
+    ----------
+    inject : callable
+        Breaks something and observes; the load goes on beside it.
+    load_s : float
+        Length of the load, in seconds.
+    relayed : bool
+        Whether `RELAYED_PROXY` reaches control through relays.
+    database_settings : dict
+        Settings of the databases in addition to the usual ones.
+    """
+
+    inject: Inject
+    load_s: float = 8.0
+    relayed: bool = False
+    database_settings: dict[str, Any] = field(default_factory=dict)
+
+
+def now_ms() -> float:
+    """Return the time on the clock of the load generator."""
+    return trio.current_time() * MS_PER_SECOND
+
+
+def run_fault(deployment: Deployment, scenario: Scenario) -> dict[str, Any]:
+    """Run one scenario on a cluster of its own and return its figures."""
+    relays: list[SilentRelay] = []
+
+    def edit_settings(folder: Path) -> None:
+        if scenario.relayed:
+            relays.extend(relay_control_links(folder, RELAYED_PROXY))
+
+    with run_cluster(
+        deployment,
+        edit_settings,
+        database_settings={**DATABASE_SETTINGS, **scenario.database_settings},
+    ) as cluster:
+        return trio.run(_run, cluster, scenario, relays)
+
+
+async def _run(
+    cluster: Cluster, scenario: Scenario, relays: list[SilentRelay]
+) -> dict[str, Any]:
+    deployment = cluster.deployment
+    changes = Path('examples') / deployment.name / 'changes.json'
+    async with trio.open_nursery() as background:
+        for relay in relays:
+            background.start_soon(relay.run)
+        await trio.to_thread.run_sync(prepare, cluster, changes)
+        groups = list(deployment.groups)
+        addresses = cluster.proxy_addresses()
+        await create_tables(addresses, groups)
+        plan = LoadPlan(
+            addresses,
+            groups,
+            HANDFANG_MIX,
+            RATE_PER_S,
+            scenario.load_s,
+            sessions=SESSIONS,
+        )
+        run = FaultRun(cluster, LoadGenerator(plan), relays)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run.load.run)
+            await trio.sleep(WARM_UP_S)
+            run.injected_ms = now_ms()
+            await scenario.inject(run)
+        figures = await _collect(run)
+        background.cancel_scope.cancel()
+    return figures
+
+
+async def _collect(run: FaultRun) -> dict[str, Any]:
+    stored = await read_stored_rows(run.cluster)
+    violations = check_history(run.history, stored)
+    gaps = {
+        group: round(measure_write_gap(run.history, group, at_ms))
+        for group, at_ms in run.failed_at_ms.items()
+    }
+    return {
+        'gap_ms': gaps,
+        **run.figures,
+        'longest_pause_ms': round(_find_longest_pause(run.history)),
+        'failed_writes': _describe_failed(run),
+        'acknowledged_writes': sum(
+            write.outcome == 'done' for write in run.history.writes
+        ),
+        'checked_groups': sorted(stored),
+        'violations': [f'{v.rule}: {v.detail}' for v in violations],
+        'load': run.load.result.summary(),
+    }
+
+
+def _describe_failed(run: FaultRun) -> list[str]:
+    """Return the writes without success, in time since the injection."""
+    return [
+        f'{write.group} {write.session} {write.outcome}/{write.code} '
+        f'{write.started_ms - run.injected_ms:.0f} to '
+        f'{write.ended_ms - run.injected_ms:.0f} ms'
+        for write in run.history.writes
+        if write.outcome != 'done'
+    ][:MAX_DESCRIBED]
+
+
+def _find_longest_pause(history: History) -> float:
+    """Return the longest time between two acknowledged writes, in ms."""
+    ends = sorted(w.ended_ms for w in history.writes if w.outcome == 'done')
+    return max((b - a for a, b in pairwise(ends)), default=float('inf'))
--- a/bench/run.py
+++ b/bench/run.py
@@ -21,6 +21,8 @@
 from bench.deployments import DEPLOYMENTS
 from bench.experiment_cost import run_cost
 from bench.experiment_failover import run_failover
+from bench.experiment_faults import run_faults
+from bench.experiment_faults import SCENARIOS
 from bench.experiment_share import run_overload
 from bench.experiment_share import run_share
 from bench.experiment_throughput import run_throughput
@@ -43,6 +45,11 @@
     )
     parser.add_argument('--runs', type=int, default=20)
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument(
+        '--scenario',
+        choices=sorted(SCENARIOS),
+        help='one scenario of faults, default all',
+    )
     parser.add_argument('--output', type=Path, help='JSON file to write')
     parser.add_argument(
         '--proxy-setting',
@@ -87,6 +94,7 @@
 EXPERIMENTS: dict[str, Experiment] = {
     'cost': run_cost,
     'failover': _failover,
+    'faults': run_faults,
     'overload': run_overload,
     'share': run_share,
     'throughput': run_throughput,
