--- a/jackdawpost/tests/core/test_proxy_conns.py
+++ b/jackdawpost/tests/core/test_proxy_conns.py
@@ -8,6 +8,7 @@
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
 from jackdawpost.core.proxy_reducer import reduce_proxy
 from jackdawpost.core.tokens import encode_token
 from jackdawpost.core.tokens import SessionToken
@@ -72,6 +73,22 @@
     assert not world.work
 
 
+def test_one_read_asks_one_replica_for_a_permit_and_soon_all(
+    world: ProxyWorld,
+) -> None:
+    world.lends = False
+    world.read(world.caller(), max_age_ms=900)
+    world.read(world.caller(), 1)
+
+    def asked() -> list[str]:
+        demands = [m for m in world.control_sent if m.kind == 'permit_demand']
+        return sorted({m.upstream for m in demands} - {'db-1'})
+
+    assert len(asked()) == 1
+    world.advance(10)
+    assert asked() == ['db-2', 'db-3']
+
+
 def test_refused_openings_are_not_repeated_without_pause(
     world: ProxyWorld,
 ) -> None:
@@ -167,3 +184,34 @@
     del groups['g4']
     world.write(conn, 3, session=token)
     assert world.take()
+
+
+def test_permit_of_an_abandoned_statement_is_held_until_its_timeout(
+    world: ProxyWorld,
+) -> None:
+    """Guards against more statements at an upstream than it has slots.
+
+    The upstream goes on with an abandoned statement until its timeout.
+    """
+    world.write(world.caller(), deadline_ms=200)
+    world.take()
+    account = world.state.permits.account('db-1')
+    world.advance(210)
+    assert (account.held, account.in_use) == (1, 1)
+    world.advance(SILENT_MARGIN_MS + 100)
+    assert (account.held, account.in_use) == (0, 0)
+
+
+def test_permit_of_a_lost_transaction_is_held_until_the_roll_back(
+    world: ProxyWorld,
+) -> None:
+    """Guards against a slot that a transaction still occupies."""
+    conn = world.caller()
+    world.ask(conn, Begin(id=1, route=ROUTE))
+    up_conn, message = world.take()
+    world.reply(up_conn, message)
+    world.cut(conn)
+    account = world.state.permits.account('db-1')
+    assert account.in_use == 1
+    world.advance(SILENT_MARGIN_MS + 100)
+    assert (account.held, account.in_use) == (0, 0)
