--- a/jackdawpost/tests/testing/test_traces.py
+++ b/jackdawpost/tests/testing/test_traces.py
@@ -113,7 +113,7 @@
         ({'format': 99}, f'format 99: valid is {TRACE_FORMAT}'),
         ({'role': 'relay'}, "role 'relay': valid are proxy, control"),
         ({'extra': 1}, 'extra'),
-        ({'settings': {}}, 'settings'),
+        ({'settings': {}}, 'ProxySettings'),
         ({'role': 'control', 'restored': {}}, 'line 1'),
     ],
 )
