Fail requests on an ended connection of the client at once

Cause: ProxyLink.request posted to a connection whose reader had ended and waited for its whole deadline, as nothing wakes a waiter added after the end. Session requests check the link before, transactions do not.

Found by scenario proxy-killed: three transactions (deadline 3000 ms) ended 6836 to 6856 ms after the kill, one deadline each for the statement and the rollback.

Change: the link notes its end and refuses later requests. The test failed before (no answer within its 5 s bound) and takes 0.25 s now.

--- a/jackdawpost/client/link.py
+++ b/jackdawpost/client/link.py
@@ -44,6 +44,7 @@
 
     def __init__(self, stream: FrameStream) -> None:
         self.usable = True
+        self._ended = False
         self._stream = stream
         self._next_id = 1
         self._waiting: dict[int, _Waiter] = {}
@@ -69,6 +70,8 @@
         AnswerLostError
             No answer arrived; the outcome is unknown.
         """
+        if self._ended:
+            raise AnswerLostError('the connection has ended')
         waiter = _Waiter()
         self._waiting[message.id] = waiter
         try:
@@ -90,6 +93,7 @@
             pass
         finally:
             self.usable = False
+            self._ended = True
             for waiter in self._waiting.values():
                 waiter.arrived.set()
 
