--- a/bench/experiment_faults.py
+++ b/bench/experiment_faults.py
@@ -102,6 +102,8 @@
     await run.wait_healthy(VICTIM_PROXY)
     await _wait_load_ended(run)
     run.figures['after'] = await _count_upstream_use(run)
+    dump = await run.read(VICTIM_PROXY, '/dump')
+    run.figures['connections_of_successor'] = len(dump['connections'])
 
 
 async def _time_release(run: FaultRun) -> None:
