--- a/bench/run.py
+++ b/bench/run.py
@@ -19,6 +19,7 @@
 from bench.demo import prepare
 from bench.deployments import Deployment
 from bench.deployments import DEPLOYMENTS
+from bench.experiment_config import run_config
 from bench.experiment_cost import run_cost
 from bench.experiment_failover import run_failover
 from bench.experiment_failover import run_healthy
@@ -106,6 +107,7 @@
 
 
 EXPERIMENTS: dict[str, Experiment] = {
+    'config': run_config,
     'cost': run_cost,
     'failover': _failover,
     'healthy': _healthy,
