Lend free permits also to a proxy that owes one

Ruled out: lending to proxies with a recall first, which starved a fourth proxy before. Change: they come last; a grant settles as many recalls on both sides, which keeps both counts equal in any order of messages in flight. Figures: the new test failed before (no grant with 1 slot free).

--- a/jackdawpost/core/permit_holder.py
+++ b/jackdawpost/core/permit_holder.py
@@ -58,9 +58,14 @@
         return found
 
     def add_granted(self, upstream: str, count: int) -> None:
-        """Add permits lent by the control leader."""
+        """Add permits lent by the control leader.
+
+        A grant settles as many open recalls, on both sides: the leader has
+        found another permit for whom the recall was meant.
+        """
         account = self.account(upstream)
         account.held += count
+        account.recalled = max(0, account.recalled - count)
         account.low_water = account.idle
 
     def try_take(self, upstream: str) -> bool:
--- a/jackdawpost/core/permit_ledger.py
+++ b/jackdawpost/core/permit_ledger.py
@@ -225,14 +225,26 @@
 
 
 def _waiting(permits: UpstreamPermits) -> list[tuple[str, Borrower]]:
-    """Return who wants more: those with the fewest first, then by time."""
+    """Return who wants more: those with the fewest first, then by time.
+
+    Proxies that owe a permit come last. Were they first, a proxy would get
+    the permit back that was recalled for another one; were they left out,
+    a permit stuck on a silent connection would keep its holder from free
+    ones.
+    """
     waiting = [
         (proxy, account)
         for proxy, account in permits.borrowers.items()
-        if account.wanted > account.held and not account.recalled
+        if account.wanted > account.held
     ]
     return sorted(
-        waiting, key=lambda w: (w[1].held, w[1].waiting_since_ms, w[0])
+        waiting,
+        key=lambda w: (
+            w[1].recalled > 0,
+            w[1].held,
+            w[1].waiting_since_ms,
+            w[0],
+        ),
     )
 
 
@@ -244,6 +256,7 @@
     while free > 0 and (waiting := _waiting(permits)):
         proxy, account = waiting[0]
         account.held += 1
+        account.recalled = max(0, account.recalled - 1)
         account.granted_ms = now_ms
         account.waiting_since_ms = now_ms
         granted[proxy] = granted.get(proxy, 0) + 1
@@ -261,7 +274,8 @@
 ) -> list[PermitDecision]:
     recalls: dict[str, int] = {}
     coming = sum(account.recalled for account in permits.borrowers.values())
-    for _, account in _waiting(permits)[coming:]:
+    waiting = [w for w in _waiting(permits) if not w[1].recalled]
+    for _, account in waiting[coming:]:
         proxy = _donor(permits, now_ms, account.held)
         if proxy is None:
             break
--- a/jackdawpost/tests/core/test_permit_ledger.py
+++ b/jackdawpost/tests/core/test_permit_ledger.py
@@ -84,6 +84,24 @@
     assert max(served.values()) - min(served.values()) <= 2
 
 
+def test_proxy_that_owes_a_stuck_permit_gets_a_free_one():
+    # Guards against a silent connection that stops all other work of its
+    # proxy at the upstream: its permit cannot be returned.
+    permits = ledger()
+    demand(permits, 0, p1=1)
+    demand(permits, 0, p2=2)
+    assert demand(permits, 100, p3=1, p4=1) == [
+        ('recall', 'p2', 1),
+        ('recall', 'p1', 1),
+    ]
+    for count in (3, 4):
+        permit_ledger.note_demand(permits, 110, f'p{count}', 'u', 0)
+    permit_ledger.note_demand(permits, 110, 'p2', 'u', 0)
+    permit_ledger.note_return(permits, 120, 'p2', 'u', 2)
+    assert demand(permits, 130, p1=2) == [('grant', 'p1', 1)]
+    assert permits.upstreams['u'].borrowers['p1'].recalled == 0
+
+
 def test_permits_of_a_lost_proxy_are_kept_back():
     # Guards against lending a slot whose statement still runs.
     permits = ledger()
