Check parameters while a statement is decoded

Ruled out: a lenient encoder for traces, which would make a replay differ.

The check moved from the reducer into the Statement message, so it holds for the codec, traces and the embeddable client. A test sends each known bad frame alone to a recording proxy.

Conclusion: values that no frame can carry do not get past the codec.

--- a/jackdawpost/core/messages/caller.py
+++ b/jackdawpost/core/messages/caller.py
@@ -11,6 +11,38 @@
 
 DEFAULT_DEADLINE_MS = 2_000
 MAX_DEADLINE_MS = 60_000
+MAX_PARAMS = 32_766
+MAX_INT = 2**63 - 1
+MIN_INT = -(2**63)
+
+_PARAM_TYPES = frozenset({type(None), bool, int, float, str, bytes})
+
+
+def _check_params(params: list[Any]) -> None:
+    if len(params) > MAX_PARAMS:
+        raise ValueError(f'{len(params)} params: valid are up to {MAX_PARAMS}')
+    for place, value in enumerate(params):
+        kind = type(value)
+        if kind not in _PARAM_TYPES:
+            raise ValueError(
+                f'params.{place} is of type {kind.__name__}: valid are text, '
+                'integers, floats, booleans, bytes and null'
+            )
+        if kind is int and not MIN_INT <= value <= MAX_INT:
+            raise ValueError(f'params.{place}: valid integers have 64 bits')
+        if kind is str and not _is_unicode(value):
+            raise ValueError(f'params.{place} is no Unicode text')
+
+
+def _is_unicode(text: str) -> bool:
+    if text.isascii():
+        return True
+    try:
+        # JSON can carry one half of a surrogate pair, CBOR cannot.
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 @dataclass(slots=True, kw_only=True)
@@ -62,6 +94,14 @@
     txn: int | None = None
     kind: Literal['statement'] = 'statement'
 
+    def __post_init__(self) -> None:
+        """Raise `ValueError` for parameters that no frame can carry.
+
+        The check stands here, before traces and upstreams see the values.
+        """
+        if self.params:
+            _check_params(self.params)
+
 
 @dataclass(slots=True, kw_only=True)
 class Begin:
--- a/jackdawpost/core/proxy_callers.py
+++ b/jackdawpost/core/proxy_callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any
 
 from jackdawpost.core.admission import FRESH_READ
 from jackdawpost.core.admission import STALE_READ
@@ -41,11 +40,6 @@
 
 BUSY_RETRY_MS = 50
 MAX_REQUEST_KEY_CHARS = 128
-MAX_PARAMS = 32_766
-MAX_INT = 2**63 - 1
-MIN_INT = -(2**63)
-
-_PARAM_TYPES = frozenset({type(None), bool, int, float, str, bytes})
 
 
 class _Refusal(Exception):
@@ -126,8 +120,6 @@
                 f'deadline_ms {message.deadline_ms}: valid are 1 to '
                 f'{MAX_DEADLINE_MS}',
             )
-        if isinstance(message, Statement) and message.params:
-            _check_params(message.params)
         if isinstance(message, (Statement, Commit)):
             _check_request_key(message.request_key)
         if isinstance(message, Begin) or message.txn is None:
@@ -138,38 +130,6 @@
         _refuse(state, caller, message.id, refusal)
 
 
-def _check_params(params: list[Any]) -> None:
-    if len(params) > MAX_PARAMS:
-        raise _Refusal(
-            'malformed', f'{len(params)} params: valid are up to {MAX_PARAMS}'
-        )
-    for place, value in enumerate(params):
-        kind = type(value)
-        if kind not in _PARAM_TYPES:
-            raise _Refusal(
-                'malformed',
-                f'params.{place} is of type {kind.__name__}: valid are text, '
-                'integers, floats, booleans, bytes and null',
-            )
-        if kind is int and not MIN_INT <= value <= MAX_INT:
-            raise _Refusal(
-                'malformed', f'params.{place}: valid integers have 64 bits'
-            )
-        if kind is str and not _is_unicode(value):
-            raise _Refusal('malformed', f'params.{place} is no Unicode text')
-
-
-def _is_unicode(text: str) -> bool:
-    if text.isascii():
-        return True
-    try:
-        # JSON can carry one half of a surrogate pair, CBOR cannot.
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
 def _check_request_key(key: str | None) -> None:
     if key is not None and not 1 <= len(key) <= MAX_REQUEST_KEY_CHARS:
         raise _Refusal(
--- a/jackdawpost/testing/caller_fuzz.py
+++ b/jackdawpost/testing/caller_fuzz.py
@@ -152,57 +152,58 @@
     return cbor2.dumps(message).replace(cbor2.dumps('MARK'), raw)
 
 
-_special = st.sampled_from(
-    [
-        b'',
-        b'\xff',
-        b'\x81' * 10_000,
-        '[' * 100_000,
-        '',
-        'NaN',
-        _CYCLE,
-        _embed(_CYCLE),
-        _embed(b'\x81' * 500 + b'\x01'),
-        _embed(b'\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000),
-        b'\xa1\x64kind\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000,
-        b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff',
-        b'\x5b\x7f\xff\xff\xff\xff\xff\xff\xff',
-        b'\xa1\x80\x01',
-        '{"kind":"statement","id":1,"route":"orders","sql":"select ?",'
-        f'"access":"read","params":[{_SURROGATE}]}}',
-        f'{{"kind":{_SURROGATE}}}',
-        f'{{"kind":"begin","id":1,"route":"orders",{_SURROGATE}:1}}',
-        encode_cbor([Answer(id=1, outcome='done')] * 65),
-        b'\x00' * (MAX_FRAME_BYTES + 1),
-        cbor2.dumps(
-            {
-                'kind': 'statement',
-                'id': 1,
-                'route': 'orders',
-                'sql': 'select 1 -- ' + 'x' * (MAX_FRAME_BYTES - 200),
-                'access': 'read',
-            }
-        ),
-        cbor2.dumps(
-            {
-                'kind': 'statement',
-                'id': 1,
-                'route': 'orders',
-                'sql': 'select 1',
-                'params': [1.5] * 40_000,
-                'access': 'read',
-            }
-        ),
-    ]
-)
+SPECIAL_FRAMES: list[Frame] = [
+    b'',
+    b'\xff',
+    b'\x81' * 10_000,
+    '[' * 100_000,
+    '',
+    'NaN',
+    _CYCLE,
+    _embed(_CYCLE),
+    _embed(b'\x81' * 500 + b'\x01'),
+    _embed(b'\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000),
+    b'\xa1\x64kind\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000,
+    b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff',
+    b'\x5b\x7f\xff\xff\xff\xff\xff\xff\xff',
+    b'\xa1\x80\x01',
+    '{"kind":"statement","id":1,"route":"orders","sql":"select ?",'
+    f'"access":"read","params":[{_SURROGATE}]}}',
+    f'{{"kind":{_SURROGATE}}}',
+    f'{{"kind":"begin","id":1,"route":"orders",{_SURROGATE}:1}}',
+    encode_cbor([Answer(id=1, outcome='done')] * 65),
+    b'\x00' * (MAX_FRAME_BYTES + 1),
+    cbor2.dumps(
+        {
+            'kind': 'statement',
+            'id': 1,
+            'route': 'orders',
+            'sql': 'select 1 -- ' + 'x' * (MAX_FRAME_BYTES - 200),
+            'access': 'read',
+        }
+    ),
+    cbor2.dumps(
+        {
+            'kind': 'statement',
+            'id': 1,
+            'route': 'orders',
+            'sql': 'select 1',
+            'params': [1.5] * 40_000,
+            'access': 'read',
+        }
+    ),
+]
 _encoded = st.builds(_encode, _contents, st.booleans())
 _cut = st.builds(
     lambda frame, n: frame[: n % (len(frame) + 1)],
     _encoded,
     st.integers(0, 10_000),
 )
+_special = st.sampled_from(SPECIAL_FRAMES)
 frames = st.lists(
-    st.one_of(_encoded, _encoded, _encoded, _cut, _special),
+    st.one_of(
+        _encoded, _encoded, _encoded, _cut, st.sampled_from(SPECIAL_FRAMES)
+    ),
     min_size=1,
     max_size=4,
 )
--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -60,6 +60,7 @@
     """Start a proxy and return its port."""
     port = take_port()
     name = options.pop('name', 'proxy-1')
+    record = options.pop('record', None)
     settings = {
         **common(name, port, tls),
         'control': [{'name': 'control-1', 'host': HOST, 'port': control_port}],
@@ -67,7 +68,9 @@
         **options,
     }
     nursery.start_soon(
-        run_proxy, ProxySettings.model_validate_json(json.dumps(settings))
+        run_proxy,
+        ProxySettings.model_validate_json(json.dumps(settings)),
+        record,
     )
     await wait_listening(port)
     return port
@@ -93,7 +96,9 @@
             return
 
 
-async def start_system(nursery, folder, issue=lambda common_name: None):
+async def start_system(
+    nursery, folder, issue=lambda common_name: None, record=None
+):
     """Start a control process, a proxy and a group of two databases.
 
     `issue` returns the TLS settings for a certificate name. Returns the
@@ -131,7 +136,9 @@
         }
         cfg = StandinSettings.model_validate_json(json.dumps(settings))
         await nursery.start(StandinDatabase(cfg, port=0).run)
-    proxy = await start_proxy(nursery, control, issue('proxy.proxy-1'))
+    proxy = await start_proxy(
+        nursery, control, issue('proxy.proxy-1'), record=record
+    )
     return proxy, control
 
 
--- a/jackdawpost/tests/runtime/test_caller_fuzz.py
+++ b/jackdawpost/tests/runtime/test_caller_fuzz.py
@@ -11,9 +11,10 @@
 
 from jackdawpost.client import open_session
 from jackdawpost.client import ProxyAddress
-from jackdawpost.core.proxy_callers import MAX_PARAMS
+from jackdawpost.core.messages.caller import MAX_PARAMS
 from jackdawpost.testing.caller_fuzz import check_frames
 from jackdawpost.testing.caller_fuzz import frames
+from jackdawpost.testing.caller_fuzz import SPECIAL_FRAMES
 from jackdawpost.tests.runtime.helpers import create_table
 from jackdawpost.tests.runtime.helpers import daemons
 from jackdawpost.tests.runtime.helpers import HOST
@@ -57,6 +58,19 @@
                     assert type(await stream.receive()) is type(frame)
 
 
+async def test_each_known_bad_frame_is_answered_alone(tmp_path):
+    # Guards against the frames that once ended a proxy: half a surrogate
+    # pair, a list that holds itself, an integer of 39,000 digits. The
+    # proxy records, since the trace holds what callers sent.
+    async with daemons() as nursery:
+        port, _ = await start_system(
+            nursery, tmp_path, record=str(tmp_path / 'trace')
+        )
+        await serve_first_write(port)
+        for frame in SPECIAL_FRAMES:
+            await check_frames(port, [frame])
+
+
 async def test_bad_input_is_answered_and_hurts_nobody_else(tmp_path):
     # Guards against a frame that ends the process, gets no answer or a
     # wrong one, or keeps another caller from being served.
