--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -44,7 +44,7 @@
         database_settings={'service_ms': 0, 'latency_ms': 0},
         proxy_settings={'max_callers': 2 * CALLERS},
     ) as cluster:
-        prepare(cluster, _write_changes(cluster))
+        prepare(cluster, write_changes(cluster))
         groups = list(small.groups)
         trio.run(create_tables, cluster.proxy_addresses(), groups)
         proxy = cluster.programs['proxy-0']
@@ -65,7 +65,8 @@
     return figures
 
 
-def _write_changes(cluster: Cluster) -> Path:
+def write_changes(cluster: Cluster) -> Path:
+    """Write a change set with the one group and a long queue for it."""
     group = list(cluster.deployment.groups)[0]
     operations = [
         {
--- a/bench/run.py
+++ b/bench/run.py
@@ -25,6 +25,7 @@
 from bench.experiment_failover import run_healthy
 from bench.experiment_faults import run_faults
 from bench.experiment_faults import SCENARIOS
+from bench.experiment_latency import run_latency
 from bench.experiment_share import run_overload
 from bench.experiment_share import run_share
 from bench.experiment_throughput import run_throughput
@@ -112,6 +113,7 @@
     'failover': _failover,
     'healthy': _healthy,
     'faults': run_faults,
+    'latency': run_latency,
     'overload': run_overload,
     'share': run_share,
     'throughput': run_throughput,
