Refuse impossible addresses; end the stand-in's reconnects with its role

Cause: in the failover experiment with 20 kills every failover of one group took about 3 s: a replica had ended at the first seal, because a reconnect was due in the same step in which the seal took its primary away, and an empty host raised InvalidURI, which nothing caught. The promotion then rightly waited for the killed database to return. An announced address that is no address would have ended a proxy the same way. Ruled out: the promotion, which asked for 2 of 3 databases and had 1; ports taken by outgoing connections, which take_port now avoids as well. The new tests failed before.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -33,6 +34,9 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+# Below the range that Linux uses for outgoing connections.
+FIXED_PORTS = (10_000, 32_000)
+_TAKEN_PORTS: set[int] = set()
 MODULES = {
     'control': 'jackdawpost.cli.control',
     'proxy': 'jackdawpost.cli.proxy',
@@ -230,10 +234,21 @@
 
 
 def take_port() -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a free TCP port that the system gives to no outgoing connection.
+
+    A port of the ephemeral range may be taken by an outgoing connection
+    while its process is down, which then cannot start again.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*FIXED_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in _TAKEN_PORTS:
+            _TAKEN_PORTS.add(port)
+            return port
 
 
 @contextmanager
--- a/jackdawpost/tests/wire/test_server.py
+++ b/jackdawpost/tests/wire/test_server.py
@@ -165,3 +165,13 @@
 def _read_resident_bytes():
     with open('/proc/self/statm') as file:
         return int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+@pytest.mark.parametrize(
+    ('host', 'port'), [('', 0), ('127.0.0.1', 70_000), ('not an address', 1)]
+)
+async def test_impossible_address_is_refused(host, port):
+    # Guards against an announced address that ends the process.
+    with pytest.raises(LinkRefusedError):
+        async with open_link(host, port, '/echo', timeout_ms=1_000):
+            pass
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -8,6 +8,7 @@
 
 import trio
 from websockets.client import ClientProtocol
+from websockets.exceptions import InvalidURI
 from websockets.http11 import Response
 from websockets.protocol import State
 from websockets.uri import parse_uri
@@ -80,15 +81,9 @@
     LinkTimeoutError
         The other end did not answer in time.
     """
-    authority = f'[{host}]' if ':' in host else host
-    protocol = ClientProtocol(
-        parse_uri(f'ws://{authority}:{port}{path}'),
-        max_size=max_frame_bytes,
-        # An empty list would send an empty header, which servers refuse.
-        extensions=None,
-    )
     place = f'{host}:{port}{path}'
     try:
+        protocol = _build_protocol(host, port, path, max_frame_bytes)
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
             frames = await _open_stream(host, port, protocol, tls, expected)
     except trio.TooSlowError as exc:
@@ -97,7 +92,15 @@
         ) from exc
     except PeerIdentityError as exc:
         raise PeerIdentityError(f'{place}: {exc}') from exc
-    except (OSError, trio.BrokenResourceError, ssl.SSLError) as exc:
+    except (
+        OSError,
+        trio.BrokenResourceError,
+        ssl.SSLError,
+        InvalidURI,
+        ValueError,
+    ) as exc:
+        # The last two stand for an address that an instance announced and
+        # that cannot be one.
         detail = exc.__cause__ or exc
         raise LinkRefusedError(f'{place}: {detail}') from exc
     try:
@@ -106,6 +109,18 @@
         await frames.aclose()
 
 
+def _build_protocol(
+    host: str, port: int, path: str, max_frame_bytes: int
+) -> ClientProtocol:
+    authority = f'[{host}]' if ':' in host else host
+    return ClientProtocol(
+        parse_uri(f'ws://{authority}:{port}{path}'),
+        max_size=max_frame_bytes,
+        # An empty list would send an empty header, which servers refuse.
+        extensions=None,
+    )
+
+
 async def _open_stream(
     host: str,
     port: int,
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -283,7 +283,9 @@
                 nursery.cancel_scope.cancel()
 
     async def _follow_role(self) -> None:
-        while True:
+        # The role may have lost its primary in the same scheduler step in
+        # which a reconnect is due, before this task is cancelled.
+        while self._db.role.primary:
             if not self._faults.blocks(self._db.role.primary):
                 await self._follow_once()
             await trio.sleep(RECONNECT_MS / MS_PER_SECOND)
--- a/jackdawpost_standin/tests/test_replication.py
+++ b/jackdawpost_standin/tests/test_replication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import trio
 
 from jackdawpost.core.messages.upstream import Seal
 from jackdawpost.core.messages.upstream import TxnBegin
@@ -173,3 +174,12 @@
         replica = await start(nursery, 'db-2', data_dir=str(tmp_path))
         await wait_for(lambda: replica.database.applied == written.position)
     assert 'discarded_records' not in replica.read_metrics()['counters']
+
+
+async def test_reconnect_stops_when_the_role_has_no_primary(nursery):
+    # Guards against a database that ends when a seal takes its primary away
+    # in the same scheduler step in which a reconnect is due.
+    standin = await start(nursery, 'db-1')
+    assert not standin.database.role.primary
+    with trio.fail_after(1):
+        await standin.follower._follow_role()
