Measure overload with a service time that the generator can exceed

Cause: twice the capacity at 40 ms is 2,250 requests/s, more than the load generator can send beside the cluster. Ruled out: a smaller deployment. Change: 100 ms service time for the overload experiment.

--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -21,54 +21,63 @@
 from bench.load import LoadResult
 from jackdawpost.testing.history import check_history
 
-SERVICE_MS = 40.0
+SHARE_SERVICE_MS = 40.0
+# Twice the capacity must stay below what the load generator can send.
+OVERLOAD_SERVICE_MS = 100.0
 LAG_MS = 200.0
 SESSIONS = 160
 MS_PER_SECOND = 1_000
 MIXES = {'handfang': HANDFANG_MIX, 'cordillera': CORDILLERA_MIX}
 
 
-def slot_capacity(deployment: Deployment) -> float:
+def slot_capacity(deployment: Deployment, service_ms: float) -> float:
     """Return the statements a second that all slots can serve."""
     databases = len(deployment.groups) * deployment.databases_per_group
-    return databases * deployment.slots * MS_PER_SECOND / SERVICE_MS
+    return databases * deployment.slots * MS_PER_SECOND / service_ms
 
 
 def run_share(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
     """Run the deployment's mix at 60% of the slot capacity."""
-    return _run_loads(deployment, args, [0.6])
+    return _run_loads(deployment, args, [0.6], SHARE_SERVICE_MS)
 
 
 def run_overload(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
     """Run the mix at rising load up to twice the slot capacity."""
-    return _run_loads(deployment, args, [0.5, 0.75, 1.0, 2.0])
+    levels = [0.5, 0.75, 1.0, 2.0]
+    return _run_loads(deployment, args, levels, OVERLOAD_SERVICE_MS)
 
 
 def _run_loads(
-    deployment: Deployment, args: argparse.Namespace, levels: list[float]
+    deployment: Deployment,
+    args: argparse.Namespace,
+    levels: list[float],
+    service_ms: float,
 ) -> dict[str, Any]:
     changes = Path('examples') / deployment.name / 'changes.json'
     with run_cluster(
         deployment,
-        database_settings={'service_ms': SERVICE_MS, 'apply_lag_ms': LAG_MS},
+        database_settings={'service_ms': service_ms, 'apply_lag_ms': LAG_MS},
         proxy_settings=args.proxy_settings,
     ) as cluster:
         prepare(cluster, changes)
-        return trio.run(_run_levels, cluster, args, levels)
+        capacity = slot_capacity(deployment, service_ms)
+        return trio.run(_run_levels, cluster, args, levels, capacity)
 
 
 async def _run_levels(
-    cluster: Cluster, args: argparse.Namespace, levels: list[float]
+    cluster: Cluster,
+    args: argparse.Namespace,
+    levels: list[float],
+    capacity: float,
 ) -> dict[str, Any]:
     deployment = cluster.deployment
     groups = list(deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
-    capacity = slot_capacity(deployment)
     results: list[LoadResult] = []
     figures: dict[str, Any] = {'capacity_per_s': capacity}
     for number, level in enumerate(levels):
