--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -93,7 +93,7 @@
         )
         result = await LoadGenerator(plan).run()
         results.append(result)
-        figures[f'load {level:g}'] = _describe(result, args.seconds)
+        figures[f'load {level:g}'] = _describe(result)
     stored = await read_stored_rows(cluster)
     history = results[0].history
     for result in results[1:]:
@@ -105,13 +105,17 @@
     return figures
 
 
-def _describe(result: LoadResult, seconds: float) -> dict[str, Any]:
+def _describe(result: LoadResult) -> dict[str, Any]:
     done = sum(
         count
         for name, count in result.outcomes.items()
         if name.endswith(':done')
     )
-    return {'goodput_per_s': round(done / seconds, 1), **result.summary()}
+    return {
+        'goodput_per_s': round(done / result.elapsed_s, 1),
+        'elapsed_s': round(result.elapsed_s, 1),
+        **result.summary(),
+    }
 
 
 def _read_limits(cluster: Cluster) -> dict[str, Any]:
--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -24,6 +24,7 @@
 from bench.deployments import Deployment
 from bench.failover import find_primaries
 from bench.load import create_tables
+from bench.load import route_of
 
 CALLERS = 5_300
 CALLER_PROCESSES = 2
@@ -58,16 +59,16 @@
         }
         with _run_relay(cluster) as (relay, port):
             figures['relay'] = _measure(cluster, relay, port, args, CALLERS)
-        figures['ratio_to_relay'] = round(
-            figures['proxy']['per_second'] / figures['relay']['per_second'],
-            3,
-        )
+        relay_rate = figures['relay']['per_second']
+        if relay_rate:
+            ratio = figures['proxy']['per_second'] / relay_rate
+            figures['ratio_to_relay'] = round(ratio, 3)
     return figures
 
 
 def write_changes(cluster: Cluster) -> Path:
     """Write a change set with the one group and a long queue for it."""
-    group = list(cluster.deployment.groups)[0]
+    group = cluster.deployment.groups[0]
     operations = [
         {
             'action': 'create',
@@ -126,7 +127,7 @@
 ) -> dict[str, Any]:
     if server is None:
         raise RuntimeError('the measured process has not been started')
-    route = list(cluster.deployment.groups)[0]
+    route = route_of(cluster.deployment.groups[0])
     command = [
         sys.executable,
         '-m',
--- a/bench/load.py
+++ b/bench/load.py
@@ -73,8 +73,15 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """Outcome of one load phase."""
+    """Outcome of one load phase.
 
+    Parameters
+    ----------
+    elapsed_s : float
+        Time until the last request had ended, in seconds.
+    """
+
+    elapsed_s: float = 0.0
     history: History = field(default_factory=History)
     outcomes: Counter[str] = field(default_factory=Counter)
     sources: Counter[str] = field(default_factory=Counter)
@@ -177,6 +184,7 @@
             receive.close()
             async with send:
                 await self._schedule(send)
+        self.result.elapsed_s = trio.current_time() - self._start_s
         return self.result
 
     async def _schedule(self, send: trio.MemorySendChannel[float]) -> None:
