--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -82,6 +82,8 @@
         if line['event'] == event
         and line.get('group') == group
         and line['at_ms'] >= after_ms
+        # A proxy also logs that the group has no primary for now.
+        and line.get('primary', '') is not None
     ]
     return min(times, default=None)
 
