Share the start-up of the daemons and of two experiments

Cause: proxy and control shell ended with the same fifteen lines, and the experiments failover and healthy differed only in delays; an unused alias stood in the cost experiment. Ruled out: joining the message and view classes that look alike, since wire format and published state may change apart. Change: run_shell in runtime/process.py, _run_prepared in bench/run.py; behaviour is unchanged. Conclusion: each start-up stands once.

--- a/bench/experiment_cost.py
+++ b/bench/experiment_cost.py
@@ -28,8 +28,6 @@
 CONNECTIONS = 400
 SETTLE_S = 2.0
 
-Probe = Callable[[], dict[str, dict[str, float]]]
-
 
 def run_cost(
     deployment: Deployment, args: argparse.Namespace
--- a/bench/run.py
+++ b/bench/run.py
@@ -9,12 +9,15 @@
 import json
 import sys
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import trio
 
+from bench.cluster import Cluster
 from bench.cluster import run_cluster
 from bench.demo import prepare
 from bench.deployments import Deployment
@@ -84,27 +87,30 @@
 def _failover(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    changes = Path('examples') / deployment.name / CHANGES
-    with run_cluster(
-        deployment,
-        database_settings={'service_ms': 5, 'apply_lag_ms': 50},
-        proxy_settings=args.proxy_settings,
-    ) as cluster:
-        prepare(cluster, changes)
+    delays = {'service_ms': 5, 'apply_lag_ms': 50}
+    with _run_prepared(deployment, args, delays) as cluster:
         return trio.run(run_failover, cluster, args.runs)
 
 
 def _healthy(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    changes = Path('examples') / deployment.name / CHANGES
+    delays = {'service_ms': 100, 'apply_lag_ms': 200}
+    with _run_prepared(deployment, args, delays) as cluster:
+        return trio.run(run_healthy, cluster, args.seconds)
+
+
+@contextmanager
+def _run_prepared(
+    deployment: Deployment, args: argparse.Namespace, delays: dict[str, Any]
+) -> Iterator[Cluster]:
     with run_cluster(
         deployment,
-        database_settings={'service_ms': 100, 'apply_lag_ms': 200},
+        database_settings=delays,
         proxy_settings=args.proxy_settings,
     ) as cluster:
-        prepare(cluster, changes)
-        return trio.run(run_healthy, cluster, args.seconds)
+        prepare(cluster, Path('examples') / deployment.name / CHANGES)
+        yield cluster
 
 
 EXPERIMENTS: dict[str, Experiment] = {
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
-from functools import partial
 from typing import Any
 from typing import get_args
 
@@ -31,6 +30,7 @@
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_contexts
 from jackdawpost.runtime.process import raise_file_limit
+from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.recorder import build_recorder
 from jackdawpost.runtime.recorder import describe_restored
 from jackdawpost.runtime.recorder import TraceHeader
@@ -42,7 +42,6 @@
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.server import Endpoints
-from jackdawpost.wire.server import serve_endpoints
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import peer_has_role
@@ -171,22 +170,15 @@
         _build_handlers(shell, settings, log),
         build_pages(shell, is_healthy, dump_control),
     )
-    tasks = [
-        partial(shell.maintain_link, target) for target in _targets(settings)
-    ]
     log.info('control starts', extra={'port': settings.listen.port})
-    return await shell.run(
+    return await run_shell(
+        shell,
         effects,
-        partial(
-            serve_endpoints,
-            settings.listen.host,
-            settings.listen.port,
-            endpoints,
-            server_tls,
-        ),
+        settings.listen,
+        endpoints,
+        server_tls,
+        _targets(settings),
         writer.run,
-        shell.watch_signals,
-        *tasks,
     )
 
 
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import uuid
-from functools import partial
 
 import trio
 
@@ -20,6 +19,7 @@
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_contexts
 from jackdawpost.runtime.process import raise_file_limit
+from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.recorder import build_recorder
 from jackdawpost.runtime.recorder import TraceHeader
 from jackdawpost.runtime.shell import LinkTarget
@@ -28,7 +28,6 @@
 from jackdawpost.settings.models import ProxySettings
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.server import Endpoints
-from jackdawpost.wire.server import serve_endpoints
 from jackdawpost.wire.stream import FrameStream
 
 SESSION_PATH = '/v1/session'
@@ -101,21 +100,14 @@
         build_pages(shell, is_healthy, dump_proxy),
         max_connections=settings.max_callers,
     )
-    tasks = [
-        partial(shell.maintain_link, target) for target in _targets(settings)
-    ]
     log.info('proxy starts', extra={'port': settings.listen.port})
-    return await shell.run(
+    return await run_shell(
+        shell,
         effects,
-        partial(
-            serve_endpoints,
-            settings.listen.host,
-            settings.listen.port,
-            endpoints,
-            server_tls,
-        ),
-        shell.watch_signals,
-        *tasks,
+        settings.listen,
+        endpoints,
+        server_tls,
+        _targets(settings),
     )
 
 
