--- a/jackdawpost/core/change_sets.py
+++ b/jackdawpost/core/change_sets.py
@@ -227,7 +227,7 @@
 ) -> bool:
     machine.objects = candidate.objects
     machine.revision += 1
-    _match_group_states(machine)
+    match_group_states(machine)
     machine.history.append(
         HistoryEntry(
             revision=machine.revision,
@@ -254,7 +254,8 @@
     return lines
 
 
-def _match_group_states(machine: ControlMachine) -> None:
+def match_group_states(machine: ControlMachine) -> None:
+    """Keep a state for each group that exists, also for returning ones."""
     wanted = machine.objects.groups
     for name in [name for name in machine.groups if name not in wanted]:
         machine.retired_groups[name] = machine.groups.pop(name)
--- a/jackdawpost/core/commands.py
+++ b/jackdawpost/core/commands.py
@@ -40,6 +40,8 @@
         ``proxy_id`` of a proxy, ``data_id`` of an upstream.
     group, slots, connections : str, int, int
         Only for upstreams.
+    registered : bool
+        See `Member`.
     """
 
     role: Role
@@ -51,6 +53,7 @@
     group: str = ''
     slots: int = 0
     connections: int = 0
+    registered: bool = False
     kind: Literal['announce_member'] = 'announce_member'
 
 
@@ -156,6 +159,64 @@
     kind: Literal['admit_database'] = 'admit_database'
 
 
+@dataclass(slots=True, kw_only=True)
+class DeclareObject:
+    """One object of a declared configuration."""
+
+    type: str
+    name: str
+    body: dict[str, Any]
+
+
+@dataclass(slots=True, kw_only=True)
+class DeclareObjects:
+    """Replace the operators' objects by a whole new set.
+
+    Parameters
+    ----------
+    version : int
+        Version that the operators gave it; the highest one is in force.
+    document : bytes
+        The configuration as it was received.
+    """
+
+    version: int
+    document: bytes
+    objects: list[DeclareObject]
+    kind: Literal['declare_objects'] = 'declare_objects'
+
+
+@dataclass(slots=True, kw_only=True)
+class AdoptPrimary:
+    """An upstream has proved that it leads already."""
+
+    group: str
+    upstream: str
+    data_id: str
+    kind: Literal['adopt_primary'] = 'adopt_primary'
+
+
+@dataclass(slots=True, kw_only=True)
+class DelegatePromotion:
+    """Decide on a promotion that is ordered from outside.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the order, higher than any used before.
+    holder : str
+        Control process that may give the order.
+    """
+
+    group: str
+    token: int
+    holder: str
+    upstream: str
+    data_id: str
+    reason: str
+    kind: Literal['delegate_promotion'] = 'delegate_promotion'
+
+
 Command = (
     ApplyChangeSet
     | AnnounceMember
@@ -167,6 +228,9 @@
     | FinishPromotion
     | AbandonPromotion
     | AdmitDatabase
+    | DeclareObjects
+    | AdoptPrimary
+    | DelegatePromotion
 )
 
 COMMAND_TYPES: dict[str, type[Any]] = {
@@ -180,6 +244,9 @@
     'finish_promotion': FinishPromotion,
     'abandon_promotion': AbandonPromotion,
     'admit_database': AdmitDatabase,
+    'declare_objects': DeclareObjects,
+    'adopt_primary': AdoptPrimary,
+    'delegate_promotion': DelegatePromotion,
 }
 
 _ADAPTERS = {
--- a/jackdawpost/core/consensus.py
+++ b/jackdawpost/core/consensus.py
@@ -95,6 +95,7 @@
     'persisted',
     'propose',
     'receive',
+    'record_voters',
     'RestoredState',
     'SendToPeer',
     'tick',
@@ -372,6 +373,18 @@
     return _end_call(state, now_ms)
 
 
+def record_voters(
+    state: ConsensusState, now_ms: float
+) -> list[ConsensusEffect]:
+    """Write the present voter set into the log, without changing it.
+
+    A process that starts later then needs no settings to know it.
+    """
+    if state.role == 'leader' and state.won:
+        append_voter_set(state, now_ms, state.voter_set)
+    return _end_call(state, now_ms)
+
+
 def _refuse_change(
     state: ConsensusState, add: str | None, remove: str | None
 ) -> str:
--- a/jackdawpost/core/control_leadership.py
+++ b/jackdawpost/core/control_leadership.py
@@ -8,7 +8,9 @@
 from jackdawpost.core import permit_ledger
 from jackdawpost.core import promotion
 from jackdawpost.core.commands import Command
+from jackdawpost.core.commands import DelegatePromotion
 from jackdawpost.core.control_admin import AdminLinks
+from jackdawpost.core.control_delegation import advance_delegated
 from jackdawpost.core.control_members import ask_approvals
 from jackdawpost.core.control_members import expire_members
 from jackdawpost.core.control_members import finish_removals
@@ -27,10 +29,14 @@
 from jackdawpost.core.control_proxies import refresh_upstreams
 from jackdawpost.core.control_proxies import serve_report
 from jackdawpost.core.control_proxies import start_confirmation
+from jackdawpost.core.control_registry import answer_asked
+from jackdawpost.core.control_registry import release_asked
+from jackdawpost.core.control_registry import sweep_registered
 from jackdawpost.core.control_state import Applied
 from jackdawpost.core.control_state import Refused
 from jackdawpost.core.control_upstreams import advance_groups
 from jackdawpost.core.control_upstreams import wake_groups
+from jackdawpost.core.control_voters import advance_voters
 from jackdawpost.core.promotion_facts import drive_of
 from jackdawpost.core.promotion_facts import PromotionDriver
 
@@ -98,6 +104,7 @@
     if leader is None:
         return
     release_operators(state, leader)
+    release_asked(state, leader)
     state.outbox += control_admin.close_all(leader.admin)
     state.next_conn = leader.admin.next_conn
     state.leader = None
@@ -123,6 +130,7 @@
         if proposed <= index:
             del leader.proposed[key]
     answer_applied(state, leader, index, command, applied)
+    answer_asked(state, leader, index, command, applied)
     _after_group_command(state, leader, command, applied)
     if command.kind in MEMBER_COMMANDS:
         _after_member_command(state, leader, command, applied)
@@ -149,7 +157,9 @@
             group=group,
             code=done.answer.code,
         )
-    elif command.kind == 'finish_promotion':
+    elif isinstance(command, DelegatePromotion):
+        leader.own_tokens.add(command.token)
+    elif command.kind in ('finish_promotion', 'adopt_primary'):
         primary = state.machine.groups[group].primary
         if primary is not None:
             failure_detector.watch(leader.detector, primary, state.now_ms)
@@ -190,6 +200,11 @@
     if leader.removing:
         finish_removals(state)
     start_confirmation(state, leader)
+    advance_voters(state)
+    if state.cfg.delegated:
+        sweep_registered(state, leader)
+        advance_delegated(state, leader)
+        return
     advance_groups(state, leader)
     move_permits(state, leader)
 
--- a/jackdawpost/core/control_machine.py
+++ b/jackdawpost/core/control_machine.py
@@ -19,6 +19,9 @@
 from jackdawpost.core.control_state import ControlMachine
 from jackdawpost.core.database_sets import admit_database
 from jackdawpost.core.errors import StorageError
+from jackdawpost.core.declared import declare_objects
+from jackdawpost.core.delegated_steps import adopt_primary
+from jackdawpost.core.delegated_steps import delegate_promotion
 from jackdawpost.core.membership import announce_member
 from jackdawpost.core.membership import approve_member
 from jackdawpost.core.membership import mark_leaving
@@ -52,6 +55,9 @@
     'finish_promotion': finish_promotion,
     'abandon_promotion': abandon_promotion,
     'admit_database': admit_database,
+    'declare_objects': declare_objects,
+    'adopt_primary': adopt_primary,
+    'delegate_promotion': delegate_promotion,
 }
 
 _MACHINE_ADAPTER = TypeAdapter(ControlMachine)
--- a/jackdawpost/core/control_members.py
+++ b/jackdawpost/core/control_members.py
@@ -127,6 +127,7 @@
             host=newcomer.member.host,
             port=newcomer.member.port,
             role=newcomer.member.role,
+            group=newcomer.member.group,
         )
         key = (name, newcomer.member.member_id)
         for member in missing_approvals(state.machine, name):
@@ -170,7 +171,7 @@
     dues = []
     for key in _identities(state):
         heard_ms = max(leader.heard_ms.get(key, 0), leader.heard_floor_ms)
-        due_ms = heard_ms + state.cfg.member_expiry_ms
+        due_ms = heard_ms + _expiry_ms(state, key)
         if state.now_ms < due_ms:
             dues.append(due_ms)
             continue
@@ -181,6 +182,13 @@
     leader.expiry_check_ms = max(soonest, state.now_ms + 1)
 
 
+def _expiry_ms(state: ControlState, key: MemberKey) -> float:
+    member = state.machine.members.get(key[0])
+    if member is not None and member.registered:
+        return state.cfg.upstream_expiry_ms
+    return state.cfg.member_expiry_ms
+
+
 def _identities(state: ControlState) -> list[MemberKey]:
     known = [(m.name, m.member_id) for m in state.machine.members.values()]
     return known + [
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -24,6 +24,8 @@
 from jackdawpost.core.lease_ledger import LeaseLedger
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import UpstreamReport
+from jackdawpost.core.messages.registry import Registration
 from jackdawpost.core.permit_ledger import PermitLedger
 from jackdawpost.core.promotion import PromotionDriver
 
@@ -54,6 +56,18 @@
         Time for which a primary must be reported refused or silent.
     max_statement_ms : float
         Longest run time of a statement.
+    delegated : bool
+        Upstreams register by requests, and promotions are ordered from
+        outside.
+    holder : str
+        Name under which this process orders promotions.
+    voter_target : int
+        Voters that the control group should have; 0 keeps those of the
+        settings. With it, processes are named by their IP addresses.
+    seeds : tuple of str
+        Addresses at which control processes may be found.
+    upstream_expiry_ms : float
+        Time after which a silent registered upstream is removed.
     """
 
     name: str
@@ -68,6 +82,11 @@
     refused_ms: float = 200
     silent_ms: float = 800
     max_statement_ms: float = 10_000
+    delegated: bool = False
+    holder: str = ''
+    voter_target: int = 0
+    seeds: tuple[str, ...] = ()
+    upstream_expiry_ms: float = 30_000
 
 
 def config_from_settings(settings: ControlSettings) -> ControlConfig:
@@ -140,6 +159,32 @@
     request_id: int
 
 
+@dataclass(slots=True, kw_only=True)
+class Registered:
+    """Latest report of an upstream that registers itself."""
+
+    report: Registration
+    heard_ms: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Sighting:
+    """What one proxy last saw of an upstream."""
+
+    report: UpstreamReport
+    heard_ms: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Order:
+    """Order of a promotion; `outcome` is empty until it is answered."""
+
+    token: int
+    sent_ms: float
+    outcome: str = ''
+    detail: str = ''
+
+
 @dataclass(slots=True, kw_only=True)
 class LeaderState:
     """Services that only the leader runs, built anew at each election.
@@ -182,6 +227,23 @@
         Upstreams whose permits have to be looked at.
     suspects : set of str
         Groups with evidence against their primary.
+    asked : dict of int to list of int
+        Requests to answer once the entry with this index is applied.
+    reads : dict of int to int
+        Request by token of the confirmation that it waits for.
+    registered : dict of str to Registered
+        Latest reports of registered upstreams.
+    sightings : dict
+        What proxies saw, by upstream and proxy.
+    orders : dict of str to Order
+        Latest order of a promotion for each group.
+    own_tokens : set of int
+        Fencing tokens recorded in this leadership; only they are used.
+    avoid_ms : dict of str to float
+        Until when an upstream is not chosen for a promotion.
+    no_primary_ms, settled_ms : dict of str to float
+        Since when a group has no primary, and until when reports may be
+        older than its latest promotion.
     """
 
     term: int
@@ -210,6 +272,17 @@
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
     suspects: set[str] = field(default_factory=set)
+    # Requests without a link, and promotions ordered from outside.
+    asked: dict[int, list[int]] = field(default_factory=dict)
+    reads: dict[int, int] = field(default_factory=dict)
+    registered: dict[str, Registered] = field(default_factory=dict)
+    sweep_ms: float = 0.0
+    sightings: dict[str, dict[str, Sighting]] = field(default_factory=dict)
+    orders: dict[str, Order] = field(default_factory=dict)
+    own_tokens: set[int] = field(default_factory=set)
+    avoid_ms: dict[str, float] = field(default_factory=dict)
+    no_primary_ms: dict[str, float] = field(default_factory=dict)
+    settled_ms: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -239,9 +312,18 @@
     timer_ms: float | None = None
     draining: bool = False
     drain_due_ms: float = 0.0
+    leave_due_ms: float = 0.0
     stopped: bool = False
     storage_failed: bool = False
     applied_since_snapshot: int = 0
+    # Processes of the control group, where these may change.
+    leaving_peers: set[str] = field(default_factory=set)
+    voters_due_ms: float = 0.0
+    tell_due_ms: float = 0.0
+    told_group: tuple[str, tuple[str, ...]] | None = None
+    group_leader: str = ''
+    group_voters: list[str] = field(default_factory=list)
+    followed: list[str] | None = None
     queue: deque[Any] = field(default_factory=deque)
     outbox: list[Effect] = field(default_factory=list)
 
--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -9,6 +9,7 @@
 from jackdawpost.core import lease_ledger
 from jackdawpost.core import permit_ledger
 from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.control_delegation import note_sightings
 from jackdawpost.core.control_machine import update_since
 from jackdawpost.core.control_members import ask_approvals
 from jackdawpost.core.control_members import note_leaving
@@ -23,6 +24,7 @@
 from jackdawpost.core.control_process import member_state
 from jackdawpost.core.control_process import refuse
 from jackdawpost.core.control_process import send
+from jackdawpost.core.control_voters import known_peers
 from jackdawpost.core.effects import Close
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import LeaseGrant
@@ -105,7 +107,8 @@
         return
     link.report = report
     if state.leader is None:
-        send(state, link.conn, NotLeader(leader=state.consensus.leader))
+        known = state.consensus.leader or state.group_leader or None
+        send(state, link.conn, NotLeader(leader=known))
         return
     note_member(state, _announcement(report))
     if not is_member(state, link.name, link.member_id):
@@ -181,6 +184,8 @@
         leader.detector, state.now_ms, link.name, report.evidence
     )
     _note_suspects(state, leader, report)
+    if state.cfg.delegated:
+        note_sightings(state, leader, report)
     lease_ledger.note_report(
         leader.leases,
         state.now_ms,
@@ -274,8 +279,11 @@
     terms = {
         name: group.term
         for name, group in state.machine.groups.items()
-        if group.promotion is None and group.primary is not None
+        if group.promotion is None
+        and group.primary is not None
+        and not state.cfg.delegated
     }
+    peers = known_peers(state) if state.cfg.voter_target else None
     for report in lease_ledger.confirmed(leader.leases, token):
         link = state.links.get(report.conn)
         if link is None or not link.is_served:
@@ -290,6 +298,7 @@
             version=state.machine.version,
             # A leaving proxy still serves what it has in flight.
             member_state='joined',
+            peers=peers,
         )
         send(state, link.conn, grant)
     start_confirmation(state, leader)
--- a/jackdawpost/core/control_reducer.py
+++ b/jackdawpost/core/control_reducer.py
@@ -11,6 +11,7 @@
 
 from jackdawpost.core import consensus
 from jackdawpost.core.commands import decode_command
+from jackdawpost.core.control_delegation import note_promotion_ended
 from jackdawpost.core.control_dump import dump_control
 from jackdawpost.core.control_dump import is_healthy
 from jackdawpost.core.control_leadership import after_apply
@@ -32,6 +33,11 @@
 from jackdawpost.core.control_process import member_state
 from jackdawpost.core.control_process import refuse
 from jackdawpost.core.control_process import send
+from jackdawpost.core.control_registry import answer_confirmed_read
+from jackdawpost.core.control_registry import receive_request
+from jackdawpost.core.control_voters import follow_group
+from jackdawpost.core.control_voters import take_group
+from jackdawpost.core.control_voters import tell_group
 from jackdawpost.core.control_proxies import grant_leases
 from jackdawpost.core.control_proxies import proxy_closed
 from jackdawpost.core.control_proxies import receive_from_proxy
@@ -47,6 +53,7 @@
 from jackdawpost.core.effects import Persist
 from jackdawpost.core.effects import SetTimer
 from jackdawpost.core.effects import Stop
+from jackdawpost.core.events import Asked
 from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import ConnOpened
 from jackdawpost.core.events import DrainRequested
@@ -54,11 +61,14 @@
 from jackdawpost.core.events import FrameRejected
 from jackdawpost.core.events import Persisted
 from jackdawpost.core.events import PersistFailed
+from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.events import Received
 from jackdawpost.core.events import TimerFired
 from jackdawpost.core.messages.consensus import ConsensusMessage
 from jackdawpost.core.messages.control import AnnounceAck
 from jackdawpost.core.messages.control import NotLeader
+from jackdawpost.core.messages.peer import ControlGroup
+from jackdawpost.core.messages.peer import Hello
 from jackdawpost.core.operator_requests import answer_refusal
 
 __all__ = [
@@ -73,6 +83,7 @@
 
 TICK_KEY = 'control'
 HAND_OVER_MS = 1_500.0  # for the transfer of leadership before a stop
+LEAVE_MS = 1_000.0  # for a change of the voters before a stop
 
 
 def new_control(
@@ -133,6 +144,11 @@
         _on_rejected(state, event)
     elif isinstance(event, DrainRequested):
         _on_drain(state)
+    elif isinstance(event, Asked):
+        receive_request(state, event)
+    elif isinstance(event, PromotionEnded):
+        if state.leader is not None:
+            note_promotion_ended(state, state.leader, event)
     else:
         _on_storage(state, event)
     return _finish(state, is_tick)
@@ -154,11 +170,14 @@
     if event.link != 'peer':
         return
     known = {*state.cfg.peers, *state.consensus.voters}
-    if event.peer not in known - {state.cfg.name}:
+    is_open = state.cfg.voter_target > 0
+    if not is_open and event.peer not in known - {state.cfg.name}:
         refuse(state, link, f'{event.peer!r} is no control process')
         del state.links[event.conn]
         return
     state.peers[event.peer] = event.conn
+    state.leaving_peers.discard(event.peer)
+    state.tell_due_ms = state.now_ms
 
 
 def _on_closed(state: ControlState, event: ConnClosed) -> None:
@@ -197,6 +216,12 @@
 
 def _receive(state: ControlState, link: LinkState, message: Any) -> None:
     if link.link == 'peer':
+        if isinstance(message, ControlGroup):
+            take_group(state, message)
+            return
+        if isinstance(message, Hello):
+            state.leaving_peers.add(link.peer)
+            return
         if not isinstance(message, ConsensusMessage):
             refuse(state, link, f'{message.kind} is no message of a peer')
             return
@@ -230,7 +255,11 @@
         return
     state.draining = True
     state.drain_due_ms = state.now_ms + HAND_OVER_MS
+    state.leave_due_ms = state.now_ms + LEAVE_MS
     log(state, 'info', 'draining', leads=state.leader is not None)
+    if state.cfg.voter_target:
+        for conn in state.peers.values():
+            send(state, conn, Hello(name=state.cfg.name, leaving=True))
     effects = consensus.transfer_leadership(
         state.consensus, state.now_ms, None
     )
@@ -260,6 +289,8 @@
         run_services(state, state.leader, is_tick)
         _run_queue(state)
     _tell_leader(state)
+    tell_group(state)
+    follow_group(state)
     _stop_when_drained(state)
     _set_timer(state)
     effects = state.outbox
@@ -303,6 +334,8 @@
 def _on_confirmed(state: ControlState, token: int) -> None:
     if state.leader is None:
         return
+    if token < 0 and answer_confirmed_read(state, state.leader, token):
+        return
     if token < 0:
         answer_confirmed_query(state, state.leader, token)
     else:
@@ -348,6 +381,9 @@
     leads = state.consensus.role == 'leader' and not is_alone
     if leads and state.now_ms < state.drain_due_ms:
         return
+    if state.cfg.voter_target and state.now_ms < state.leave_due_ms:
+        # The leader may have another process take this one's place.
+        return
     if state.leader is not None:
         end_leadership(state, state.leader.term)
     state.stopped = True
@@ -362,8 +398,10 @@
     if state.leader is not None:
         due_ms = next_service_due_ms(state, state.leader)
         dues += [due_ms] if due_ms is not None else []
+    if state.cfg.voter_target and state.leader is not None:
+        dues.append(max(state.voters_due_ms, state.now_ms + 1))
     if state.draining:
-        dues.append(state.drain_due_ms)
+        dues += [state.drain_due_ms, state.leave_due_ms]
     soonest = max(min(dues), state.now_ms)
     if soonest != state.timer_ms:
         state.timer_ms = soonest
--- /dev/null
+++ b/jackdawpost/core/control_registry.py
@@ -0,0 +1,348 @@
+"""Requests without a link: declared configurations, registered upstreams."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+from jackdawpost.core import consensus
+from jackdawpost.core.commands import AnnounceMember
+from jackdawpost.core.commands import Command
+from jackdawpost.core.commands import DeclareObjects
+from jackdawpost.core.commands import MarkLeaving
+from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.control_members import note_member
+from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control_process import LeaderState
+from jackdawpost.core.control_process import log
+from jackdawpost.core.control_process import propose
+from jackdawpost.core.control_process import Registered
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ChangeAnswer
+from jackdawpost.core.control_state import Member
+from jackdawpost.core.declared import check_declared
+from jackdawpost.core.effects import Reply
+from jackdawpost.core.events import Asked
+from jackdawpost.core.messages.operator import Fault
+from jackdawpost.core.messages.registry import DeclareConfig
+from jackdawpost.core.messages.registry import Departure
+from jackdawpost.core.messages.registry import ReadConfig
+from jackdawpost.core.messages.registry import Registration
+
+MAX_SHOWN_FAULTS = 20
+# Pause between attempts to remove an identity that has been replaced.
+SWEEP_MS = 250.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Holder:
+    """A member or newcomer that holds a name or an address."""
+
+    member: Member
+    joined: bool
+
+
+def receive_request(state: ControlState, event: Asked) -> None:
+    """Handle one request; only the leader answers, others say who leads."""
+    leader = state.leader
+    if leader is None or state.draining:
+        _send_on(state, event.asked)
+        return
+    request = event.request
+    if isinstance(request, DeclareConfig):
+        _declare(state, leader, event.asked, request)
+    elif isinstance(request, ReadConfig):
+        _read(state, leader, event.asked)
+    elif isinstance(request, Registration):
+        _register(state, leader, event.asked, request)
+    elif isinstance(request, Departure):
+        _depart(state, leader, event.asked, request)
+
+
+def _send_on(state: ControlState, asked: int) -> None:
+    known = state.consensus.leader
+    if known is None and state.group_leader:
+        known = state.group_leader
+    if known is None or known == state.cfg.name:
+        reply(state, asked, 'unavailable')
+    else:
+        reply(state, asked, 'moved', leader=known)
+
+
+def reply(state: ControlState, asked: int, outcome: Any, **more: Any) -> None:
+    """Answer a request."""
+    state.outbox.append(Reply(asked=asked, outcome=outcome, **more))
+
+
+def _wait_for(leader: LeaderState, index: int, asked: int) -> None:
+    leader.asked.setdefault(index, []).append(asked)
+
+
+def _declare(
+    state: ControlState,
+    leader: LeaderState,
+    asked: int,
+    request: DeclareConfig,
+) -> None:
+    _, faults = check_declared(state.machine, request.objects)
+    if faults:
+        _refuse_declared(state, asked, request.version, faults)
+        return
+    held = state.machine.declared
+    if held is not None and request.version <= held.version:
+        # A version only rises, so that this stays true under any leader.
+        log(
+            state,
+            'info',
+            'config_overtaken',
+            version=request.version,
+            held=held.version,
+        )
+        reply(state, asked, 'done')
+        return
+    digest = hashlib.sha256(request.document).hexdigest()[:16]
+    key = f'declare/{request.version}/{digest}'
+    index = leader.proposed.get(key)
+    if index is None:
+        command = DeclareObjects(
+            version=request.version,
+            document=request.document,
+            objects=request.objects,
+        )
+        try:
+            index = propose(state, key, command)
+        except ValueError as exc:
+            fault = Fault(object='', field='document', message=str(exc))
+            _refuse_declared(state, asked, request.version, [fault])
+            return
+    if index is None:
+        reply(state, asked, 'unavailable')
+        return
+    _wait_for(leader, index, asked)
+
+
+def _refuse_declared(
+    state: ControlState, asked: int, version: int, faults: list[Fault]
+) -> None:
+    texts = [
+        f'{fault.object} {fault.field}: {fault.message}'
+        for fault in faults[:MAX_SHOWN_FAULTS]
+    ]
+    log(state, 'info', 'config_refused', version=version, faults=texts[:3])
+    reply(state, asked, 'invalid', faults=texts)
+
+
+def _read(state: ControlState, leader: LeaderState, asked: int) -> None:
+    """Answer once leadership is confirmed, so that nothing stale is shown."""
+    token = leader.next_query_token
+    leader.next_query_token -= 1
+    leader.reads[token] = asked
+    state.queue.extend(
+        consensus.confirm_leadership(state.consensus, state.now_ms, token)
+    )
+
+
+def answer_confirmed_read(
+    state: ControlState, leader: LeaderState, token: int
+) -> bool:
+    """Answer the read that a confirmation was for; False if it was none."""
+    asked = leader.reads.pop(token, None)
+    if asked is None:
+        return False
+    declared = state.machine.declared
+    if declared is None:
+        reply(state, asked, 'unavailable')
+    else:
+        reply(state, asked, 'done', document=declared.document)
+    return True
+
+
+def _register(
+    state: ControlState,
+    leader: LeaderState,
+    asked: int,
+    report: Registration,
+) -> None:
+    """Take a report; late ones of an earlier incarnation change nothing."""
+    stale = _why_stale(state, leader, report)
+    if stale:
+        log(
+            state,
+            'info',
+            'report_ignored',
+            upstream=report.name,
+            started_ms=report.started_ms,
+            sequence=report.sequence,
+            reason=stale,
+        )
+        reply(state, asked, 'done')
+        return
+    _remove_replaced(state, report)
+    known = leader.registered.get(report.name)
+    if known is None or known.report.state != report.state:
+        log(
+            state,
+            'info',
+            'upstream_report',
+            upstream=report.name,
+            group=report.group,
+            status=report.state,
+            started_ms=report.started_ms,
+            leads=report.leads,
+        )
+    leader.registered[report.name] = Registered(
+        report=report, heard_ms=state.now_ms
+    )
+    note_member(state, _announcement(report))
+    if report.state != 'draining':
+        reply(state, asked, 'done')
+        return
+    index = _mark_leaving(state, leader, report)
+    if index is None:
+        reply(state, asked, 'done')
+    else:
+        _wait_for(leader, index, asked)
+
+
+def _announcement(report: Registration) -> AnnounceMember:
+    return AnnounceMember(
+        role='upstream',
+        name=report.name,
+        member_id=str(report.started_ms),
+        host=report.host,
+        port=report.port,
+        data_centre=report.data_centre,
+        group=report.group,
+        slots=report.slots,
+        registered=True,
+    )
+
+
+def _why_stale(
+    state: ControlState, leader: LeaderState, report: Registration
+) -> str:
+    if state.machine.departed.get(report.name) == str(report.started_ms):
+        return 'has left'
+    known = leader.registered.get(report.name)
+    if known is not None:
+        before = known.report
+        if report.started_ms < before.started_ms:
+            return 'earlier incarnation'
+        if report.started_ms == before.started_ms:
+            if report.sequence < before.sequence:
+                return 'overtaken by a later report'
+    for holder in _holders(state):
+        member = holder.member
+        if not member.registered or int(member.member_id) <= report.started_ms:
+            continue
+        if member.name == report.name:
+            return 'earlier incarnation'
+        if (member.host, member.port) == (report.host, report.port):
+            return f'address is used by {member.name!r} since'
+    return ''
+
+
+def _holders(state: ControlState) -> list[Holder]:
+    machine = state.machine
+    found = [Holder(member=m, joined=True) for m in machine.members.values()]
+    return found + [
+        Holder(member=item.member, joined=False)
+        for item in machine.newcomers.values()
+    ]
+
+
+def _remove_replaced(state: ControlState, report: Registration) -> None:
+    """Remove earlier incarnations under the report's name or address."""
+    for holder in _holders(state):
+        member = holder.member
+        if not member.registered or member.member_id == str(report.started_ms):
+            continue
+        same_address = (member.host, member.port) == (report.host, report.port)
+        if member.name != report.name and not same_address:
+            continue
+        if int(member.member_id) < report.started_ms:
+            _propose_removal(state, member.name, member.member_id)
+
+
+def _propose_removal(
+    state: ControlState, name: str, member_id: str
+) -> int | None:
+    key = f'remove/{name}/{member_id}'
+    command = RemoveMember(name=name, member_id=member_id, reason='left')
+    if state.leader is not None and key in state.leader.proposed:
+        return state.leader.proposed[key]
+    return propose(state, key, command)
+
+
+def _mark_leaving(
+    state: ControlState, leader: LeaderState, report: Registration
+) -> int | None:
+    """Have it recorded that an upstream leaves; None if it is already."""
+    member_id = str(report.started_ms)
+    member = state.machine.members.get(report.name)
+    if member is None or member.member_id != member_id or member.leaving:
+        return None
+    key = f'leaving/{report.name}'
+    if key in leader.proposed:
+        return leader.proposed[key]
+    command = MarkLeaving(name=report.name, member_id=member_id, leaving=True)
+    return propose(state, key, command)
+
+
+def _depart(
+    state: ControlState, leader: LeaderState, asked: int, request: Departure
+) -> None:
+    leader.registered.pop(request.name, None)
+    for holder in _holders(state):
+        member = holder.member
+        if member.name != request.name or not member.registered:
+            continue
+        started = request.started_ms
+        if started is not None and member.member_id != str(started):
+            continue
+        log(state, 'info', 'upstream_left', upstream=request.name)
+        index = _propose_removal(state, member.name, member.member_id)
+        if index is None:
+            reply(state, asked, 'unavailable')
+        else:
+            _wait_for(leader, index, asked)
+        return
+    reply(state, asked, 'done')
+
+
+def sweep_registered(state: ControlState, leader: LeaderState) -> None:
+    """Record what upstreams reported before they had joined."""
+    if state.now_ms < leader.sweep_ms:
+        return
+    leader.sweep_ms = state.now_ms + SWEEP_MS
+    for known in leader.registered.values():
+        if known.report.state == 'draining':
+            _mark_leaving(state, leader, known.report)
+
+
+def answer_asked(
+    state: ControlState,
+    leader: LeaderState,
+    index: int,
+    command: Command,
+    applied: Applied,
+) -> None:
+    """Answer the requests that waited for a log entry."""
+    answer = applied.answer
+    if isinstance(command, DeclareObjects) and applied.changed:
+        log(state, 'info', 'config_accepted', version=command.version)
+    for asked in leader.asked.pop(index, []):
+        if isinstance(answer, ChangeAnswer) and not answer.accepted:
+            _refuse_declared(
+                state, asked, getattr(command, 'version', 0), answer.faults
+            )
+        else:
+            reply(state, asked, 'done')
+
+
+def release_asked(state: ControlState, leader: LeaderState) -> None:
+    """Tell those that wait that this process leads no longer."""
+    waiting = [asked for entry in leader.asked.values() for asked in entry]
+    for asked in [*waiting, *leader.reads.values()]:
+        reply(state, asked, 'unavailable')
--- a/jackdawpost/core/control_state.py
+++ b/jackdawpost/core/control_state.py
@@ -21,7 +21,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Member:
-    """A joined or leaving proxy or upstream."""
+    """A joined or leaving proxy or upstream.
+
+    Parameters
+    ----------
+    registered : bool
+        An upstream that registers itself by requests. It keeps no link on
+        which it could be asked to approve newcomers.
+    """
 
     role: Literal['proxy', 'upstream']
     name: str
@@ -33,6 +40,7 @@
     slots: int = 0
     connections: int = 0
     leaving: bool = False
+    registered: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -66,6 +74,11 @@
     ----------
     chosen : str, optional
         Upstream that is going to lead; None in step ``'started'``.
+    delegated : bool
+        The promotion is ordered from outside the system, and `to_term` is
+        the fencing token of the order.
+    holder : str
+        Control process that may give the order.
     """
 
     step: Literal['started', 'chosen']
@@ -76,6 +89,8 @@
     chosen: str | None = None
     data_id: str = ''
     position: LogPosition = ZERO_POSITION
+    delegated: bool = False
+    holder: str = ''
 
 
 @dataclass(slots=True, kw_only=True)
@@ -169,6 +184,22 @@
     body: dict[str, Any]
 
 
+@dataclass(slots=True, kw_only=True)
+class DeclaredConfig:
+    """A configuration that operators declare as a whole.
+
+    Parameters
+    ----------
+    version : int
+        Version that the operators gave it.
+    document : bytes
+        The configuration as it was received.
+    """
+
+    version: int
+    document: bytes
+
+
 @dataclass(slots=True, kw_only=True)
 class ControlMachine:
     """Replicated state of the control processes.
@@ -198,6 +229,11 @@
         Version of removal by ``TYPE/NAME``, oldest first.
     delta_floor : int
         Lowest version from which a delta can be given.
+    declared : DeclaredConfig, optional
+        Configuration that was last declared as a whole.
+    departed : dict of str to str
+        Latest identity under which a registered upstream has left, by name,
+        oldest first; late reports of it are ignored.
     """
 
     applied_index: int = 0
@@ -213,6 +249,8 @@
     published: dict[str, PublishedEntry] = field(default_factory=dict)
     tombstones: dict[str, int] = field(default_factory=dict)
     delta_floor: int = 0
+    declared: DeclaredConfig | None = None
+    departed: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/jackdawpost/core/declared.py
@@ -0,0 +1,115 @@
+"""Configurations that operators declare as a whole, under their versions."""
+
+from __future__ import annotations
+
+from jackdawpost.core.change_sets import match_group_states
+from jackdawpost.core.commands import DeclareObject
+from jackdawpost.core.commands import DeclareObjects
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ChangeAnswer
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import DeclaredConfig
+from jackdawpost.core.control_state import HistoryEntry
+from jackdawpost.core.control_state import MAX_HISTORY
+from jackdawpost.core.messages.operator import Fault
+from jackdawpost.core.object_checks import Candidate
+from jackdawpost.core.object_checks import check_objects
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.objects import OBJECT_TYPES
+from jackdawpost.core.objects import ObjectSet
+from jackdawpost.core.objects import parse_object
+from jackdawpost.core.publication import all_keys
+from jackdawpost.core.publication import publish_changes
+
+
+def declare_objects(
+    machine: ControlMachine, command: DeclareObjects
+) -> Applied:
+    """Put a declared configuration in force if its version is the highest.
+
+    One whose version is not higher than that in force is accepted without
+    effect, so that a resend, and a change that another has overtaken, get a
+    clear answer.
+    """
+    candidate, faults = check_declared(machine, command.objects)
+    change_id = f'declared-{command.version}'
+    if faults:
+        answer = ChangeAnswer(
+            change_id=change_id,
+            accepted=False,
+            revision=machine.revision,
+            faults=faults,
+        )
+        return Applied(answer=answer)
+    changed = False
+    declared = machine.declared
+    if declared is None or command.version > declared.version:
+        changed = _put_in_force(machine, command, candidate, change_id)
+    answer = ChangeAnswer(
+        change_id=change_id,
+        accepted=True,
+        revision=machine.revision,
+        duplicate=not changed,
+    )
+    return Applied(answer=answer, changed=changed)
+
+
+def check_declared(
+    machine: ControlMachine, objects: list[DeclareObject]
+) -> tuple[Candidate, list[Fault]]:
+    """Validate a declared configuration as a whole.
+
+    Returns
+    -------
+    tuple
+        The resulting objects and every fault; they may only be put in force
+        if there is none.
+    """
+    candidate = Candidate(objects=ObjectSet())
+    faults: list[Fault] = []
+    for declared in objects:
+        faults.extend(_add_object(candidate, declared))
+    faults.extend(check_objects(machine, candidate))
+    return candidate, faults
+
+
+def _add_object(candidate: Candidate, declared: DeclareObject) -> list[Fault]:
+    key = object_key(declared.type[:80], declared.name[:80])
+    if declared.type not in OBJECT_TYPES:
+        message = f'{declared.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
+        return [Fault(object=key, field='type', message=message)]
+    table = candidate.objects.table(declared.type)
+    if declared.name in table:
+        return [Fault(object=key, field='name', message='is used twice')]
+    item, faults = parse_object(declared.type, declared.name, declared.body)
+    candidate.touched.add(key)
+    if faults:
+        candidate.broken.add(key)
+    if item is not None:
+        table[declared.name] = item
+    return faults
+
+
+def _put_in_force(
+    machine: ControlMachine,
+    command: DeclareObjects,
+    candidate: Candidate,
+    change_id: str,
+) -> bool:
+    before = all_keys(machine)
+    machine.objects = candidate.objects
+    machine.revision += 1
+    machine.declared = DeclaredConfig(
+        version=command.version, document=command.document
+    )
+    match_group_states(machine)
+    machine.history.append(
+        HistoryEntry(
+            revision=machine.revision,
+            change_id=change_id,
+            operator='declared',
+            summary=[f'version {command.version}'],
+        )
+    )
+    del machine.history[:-MAX_HISTORY]
+    return publish_changes(machine, before | all_keys(machine))
--- /dev/null
+++ b/jackdawpost/core/delegated_steps.py
@@ -0,0 +1,88 @@
+"""Replicated steps of promotions that are ordered from outside.
+
+The deployment's platform makes an upstream primary and fences the old one by
+itself; the system decides when and whom, and orders it under a fencing token.
+"""
+
+from __future__ import annotations
+
+from jackdawpost.core.commands import AdoptPrimary
+from jackdawpost.core.commands import DelegatePromotion
+from jackdawpost.core.control_state import Applied
+from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.control_state import Promotion
+from jackdawpost.core.control_state import Refused
+from jackdawpost.core.database_sets import is_joined_upstream
+from jackdawpost.core.objects import object_key
+from jackdawpost.core.publication import publish_changes
+
+
+def adopt_primary(machine: ControlMachine, command: AdoptPrimary) -> Applied:
+    """Record which upstream leads without a promotion of ours.
+
+    A promotion under way stays: its order may still be carried out.
+    """
+    refusal = _refuse_unknown(machine, command)
+    if refusal is not None:
+        return Applied(answer=refusal)
+    group = machine.groups[command.group]
+    group.primary = command.upstream
+    group.primary_id = command.data_id
+    return _publish(machine, command.group)
+
+
+def delegate_promotion(
+    machine: ControlMachine, command: DelegatePromotion
+) -> Applied:
+    """Record a promotion and the token that it is ordered under.
+
+    It replaces one under way: the higher token fences the order of that one.
+    """
+    refusal = _refuse_unknown(machine, command)
+    if refusal is not None:
+        return Applied(answer=refusal)
+    group = machine.groups[command.group]
+    if command.token <= group.last_term:
+        return Applied(
+            answer=Refused(
+                code='stale_term',
+                message=f'token {command.token}: valid is above '
+                f'{group.last_term}, the highest used so far',
+            )
+        )
+    group.last_term = command.token
+    group.promotion = Promotion(
+        step='chosen',
+        from_term=group.term,
+        to_term=command.token,
+        reason=command.reason,
+        chosen=command.upstream,
+        data_id=command.data_id,
+        delegated=True,
+        holder=command.holder,
+    )
+    return _publish(machine, command.group)
+
+
+def _refuse_unknown(
+    machine: ControlMachine, command: AdoptPrimary | DelegatePromotion
+) -> Refused | None:
+    if command.group not in machine.groups:
+        return Refused(
+            code='unknown_group', message=f'no group {command.group!r}'
+        )
+    if not is_joined_upstream(
+        machine, command.group, command.upstream, command.data_id
+    ):
+        return Refused(
+            code='not_joined',
+            message=f'{command.upstream!r} with identity '
+            f'{command.data_id!r} is no joined upstream of '
+            f'{command.group!r}',
+        )
+    return None
+
+
+def _publish(machine: ControlMachine, name: str) -> Applied:
+    keys = [object_key('group', name)]
+    return Applied(changed=publish_changes(machine, keys))
--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -33,6 +33,8 @@
         Kind of the other end.
     timeout_ms : int
         Longest time for opening, in milliseconds.
+    group : str
+        Group that the upstream must belong to, where the protocol says it.
     """
 
     conn: int
@@ -41,6 +43,7 @@
     port: int
     purpose: str
     timeout_ms: int
+    group: str = ''
     link: Literal['upstream'] = 'upstream'
     kind: Literal['connect'] = 'connect'
 
@@ -132,6 +135,66 @@
     kind: Literal['observe_metric'] = 'observe_metric'
 
 
+@dataclass(slots=True, kw_only=True)
+class FollowPeers:
+    """Stay connected to these control processes, and to no others.
+
+    Parameters
+    ----------
+    peers : list of str
+        IP addresses.
+    """
+
+    peers: list[str]
+    kind: Literal['follow_peers'] = 'follow_peers'
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderPromotion:
+    """Have an upstream promoted from outside; `PromotionEnded` follows.
+
+    Parameters
+    ----------
+    holder : str
+        Name of this process, which holds the duty.
+    token : int
+        Fencing token of the order.
+    """
+
+    group: str
+    upstream: str
+    holder: str
+    token: int
+    kind: Literal['order_promotion'] = 'order_promotion'
+
+
+@dataclass(slots=True, kw_only=True)
+class Reply:
+    """Answer an HTTP request that came as `Asked`.
+
+    Parameters
+    ----------
+    asked : int
+        Number of the request.
+    outcome : str
+        ``'done'``; ``'invalid'``; ``'moved'``: ask `leader`;
+        ``'unavailable'``: nobody can answer now.
+    faults : list of str
+        Why the request is invalid.
+    document : bytes
+        Document that was asked for.
+    leader : str
+        IP address of the control process to ask.
+    """
+
+    asked: int
+    outcome: Literal['done', 'invalid', 'moved', 'unavailable']
+    faults: list[str] = field(default_factory=list)
+    document: bytes = b''
+    leader: str = ''
+    kind: Literal['reply'] = 'reply'
+
+
 @dataclass(slots=True, kw_only=True)
 class Stop:
     """End the process; everything owed has been sent."""
@@ -150,5 +213,8 @@
     | LogLine
     | CountMetric
     | ObserveMetric
+    | FollowPeers
+    | OrderPromotion
+    | Reply
     | Stop
 )
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -12,7 +12,9 @@
 from typing import Any
 from typing import Literal
 
-Link = Literal['caller', 'upstream', 'proxy', 'announce', 'peer', 'operator']
+Link = Literal[
+    'caller', 'upstream', 'proxy', 'announce', 'peer', 'operator', 'session'
+]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -128,6 +130,43 @@
     kind: Literal['persist_failed'] = 'persist_failed'
 
 
+@dataclass(slots=True, kw_only=True)
+class Asked:
+    """A request of an operator or an upstream that expects a `Reply`.
+
+    Parameters
+    ----------
+    asked : int
+        Number of the request, for the reply.
+    request : object
+        `DeclareConfig`, `ReadConfig`, `Registration` or `Departure` of
+        `jackdawpost.core.messages.registry`.
+    """
+
+    now_ms: float
+    asked: int
+    request: Any
+    kind: Literal['asked'] = 'asked'
+
+
+@dataclass(slots=True, kw_only=True)
+class PromotionEnded:
+    """An order of a promotion was answered, or got no answer.
+
+    Parameters
+    ----------
+    outcome : {'done', 'refused', 'unknown'}
+        ``'unknown'``: it may still be carried out later.
+    """
+
+    now_ms: float
+    group: str
+    token: int
+    outcome: Literal['done', 'refused', 'unknown']
+    detail: str = ''
+    kind: Literal['promotion_ended'] = 'promotion_ended'
+
+
 Event = (
     ConnOpened
     | ConnClosed
@@ -137,4 +176,6 @@
     | DrainRequested
     | Persisted
     | PersistFailed
+    | Asked
+    | PromotionEnded
 )
--- a/jackdawpost/core/membership.py
+++ b/jackdawpost/core/membership.py
@@ -9,6 +9,7 @@
 from jackdawpost.core.commands import AnnounceMember
 from jackdawpost.core.commands import ApproveMember
 from jackdawpost.core.commands import MarkLeaving
+from jackdawpost.core.commands import RemovalReason
 from jackdawpost.core.commands import RemoveMember
 from jackdawpost.core.control_state import Applied
 from jackdawpost.core.control_state import ControlMachine
@@ -22,6 +23,9 @@
 from jackdawpost.core.publication import member_keys
 from jackdawpost.core.publication import publish_changes
 
+# Departures remembered, so that late reports of them are ignored.
+MAX_DEPARTED = 1_000
+
 
 def announce_member(
     machine: ControlMachine, command: AnnounceMember
@@ -84,10 +88,12 @@
         found = bool(left)
     newcomer = machine.newcomers.get(name)
     if newcomer is not None and newcomer.member.member_id == command.member_id:
+        _note_departed(machine, newcomer.member, command.reason)
         del machine.newcomers[name]
         found = True
     member = machine.members.get(name)
     if member is not None and member.member_id == command.member_id:
+        _note_departed(machine, member, command.reason)
         _drop_member(machine, name)
         found = True
     if not found:
@@ -97,6 +103,17 @@
     return _join_approved(machine, keys)
 
 
+def _note_departed(
+    machine: ControlMachine, member: Member, reason: RemovalReason
+) -> None:
+    if not member.registered or reason != 'left':
+        return
+    machine.departed.pop(member.name, None)
+    machine.departed[member.name] = member.member_id
+    while len(machine.departed) > MAX_DEPARTED:
+        del machine.departed[next(iter(machine.departed))]
+
+
 def missing_approvals(machine: ControlMachine, newcomer: str) -> list[str]:
     """Return the members whose approval a newcomer still needs.
 
@@ -117,6 +134,8 @@
     approvals = machine.newcomers[newcomer].approvals
     missing = []
     for name in sorted(machine.members):
+        if machine.members[name].registered and name != newcomer:
+            continue
         given = approvals.get(name)
         if given is None or given.member_id != machine.members[name].member_id:
             missing.append(name)
@@ -176,6 +195,7 @@
         group=command.group,
         slots=command.slots,
         connections=command.connections,
+        registered=command.registered,
     )
 
 
@@ -201,16 +221,18 @@
     # the newcomers are checked one after another against the grown set.
     changed_keys = list(keys or [])
     joined = []
+    approvers = sum(1 for m in machine.members.values() if not m.registered)
     for name, newcomer in list(machine.newcomers.items()):
         # Only members' approvals are kept, so that the count spares the
         # comparison with every member for all but the last approval.
-        if len(newcomer.approvals) < len(machine.members):
+        if len(newcomer.approvals) < approvers:
             continue
         if missing_approvals(machine, name):
             continue
         del machine.newcomers[name]
         member = newcomer.member
         machine.members[name] = member
+        approvers += not member.registered
         enter_new_groups(machine, member)
         changed_keys.extend(_affected_keys(machine, name, member))
         joined.append(name)
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -50,6 +50,7 @@
     host: str
     port: int
     role: Literal['proxy', 'upstream']
+    group: str = ''
     kind: Literal['approval_request'] = 'approval_request'
 
 
@@ -87,6 +88,25 @@
     kind: Literal['announce_ack'] = 'announce_ack'
 
 
+@dataclass(slots=True, kw_only=True)
+class UpstreamReport:
+    """What a proxy last saw of one upstream.
+
+    Parameters
+    ----------
+    leads : bool
+        The upstream proved that it leads.
+    term : int
+        Newest term that it knows.
+    received : LogPosition
+        Last position that it has received.
+    """
+
+    leads: bool
+    term: int
+    received: LogPosition
+
+
 @dataclass(slots=True, kw_only=True)
 class ProxyReport:
     """State of a proxy; renews its leases and permits.
@@ -105,6 +125,8 @@
         Permits held for each upstream.
     evidence : dict of str to str
         Reachability of each watched upstream.
+    upstreams : dict of str to UpstreamReport
+        What session poolers see of the upstreams.
     """
 
     proxy: str
@@ -118,6 +140,7 @@
     draining: bool = False
     holdings: dict[str, int] = field(default_factory=dict)
     evidence: dict[str, Evidence] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamReport] | None = None
     kind: Literal['proxy_report'] = 'proxy_report'
 
 
@@ -152,6 +175,8 @@
         not count the grant as a confirmation of its configuration.
     member_state : str
         Membership state of the proxy.
+    peers : list of str, optional
+        Addresses of the control processes, where they may change.
     """
 
     seq: int
@@ -159,6 +184,7 @@
     duration_ms: int
     version: int
     member_state: str = 'joined'
+    peers: list[str] | None = None
     kind: Literal['lease_grant'] = 'lease_grant'
 
 
--- a/jackdawpost/core/object_checks.py
+++ b/jackdawpost/core/object_checks.py
@@ -10,6 +10,7 @@
 from jackdawpost.core.control_state import Member
 from jackdawpost.core.messages.operator import Fault
 from jackdawpost.core.objects import AllowanceObject
+from jackdawpost.core.objects import EndpointObject
 from jackdawpost.core.objects import LimitObject
 from jackdawpost.core.objects import NamedObject
 from jackdawpost.core.objects import object_key
@@ -46,6 +47,7 @@
     faults = _check_references(candidate)
     faults.extend(_check_cycles(candidate))
     faults.extend(_check_rules_and_limits(candidate))
+    faults.extend(_check_endpoints(candidate))
     faults.extend(_check_groups(candidate))
     faults.extend(_check_drained(machine, candidate))
     faults.extend(_check_upstreams(machine, candidate))
@@ -62,6 +64,10 @@
     elif isinstance(item, AllowanceObject):
         if item.fallback is not None:
             yield 'fallback', object_key('allowance', item.fallback)
+    elif isinstance(item, EndpointObject):
+        yield 'group', object_key('group', item.group)
+        if item.allowance is not None:
+            yield 'allowance', object_key('allowance', item.allowance)
     elif isinstance(item, (LimitObject, UpstreamObject)):
         if item.group is not None:
             yield 'group', object_key('group', item.group)
@@ -148,6 +154,24 @@
     return faults
 
 
+def _check_endpoints(candidate: Candidate) -> list[Fault]:
+    faults = []
+    places: dict[tuple[str, str], str] = {}
+    for name in sorted(candidate.objects.endpoints):
+        item = candidate.objects.endpoints[name]
+        other = places.setdefault((item.database, item.path), name)
+        if other != name:
+            faults.append(
+                Fault(
+                    object=object_key('endpoint', name),
+                    field='database',
+                    message=f'{item.database!r} with path {item.path!r} is '
+                    f'that of endpoint {other!r}',
+                )
+            )
+    return faults
+
+
 def _check_groups(candidate: Candidate) -> list[Fault]:
     faults = []
     for name in sorted(candidate.objects.groups):
--- a/jackdawpost/core/objects.py
+++ b/jackdawpost/core/objects.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from typing import Annotated
 from typing import Any
+from typing import Literal
 
 from pydantic import BaseModel
 from pydantic import ConfigDict
@@ -26,18 +27,29 @@
 )
 MAX_AGE_LIMIT_MS = 86_400_000
 MAX_DATABASES = 9
+MAX_TIMEOUT_MS = 3_600_000
+
+Consistency = Literal['primary', 'bounded_staleness', 'read_your_writes']
 
 _NAME = re.compile(NAME_PATTERN)
 
 
 @dataclass(slots=True, kw_only=True)
 class GroupObject:
-    """Database group."""
+    """Database group.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that each of its upstreams accepts in total; 0 where the
+        upstreams announce it themselves.
+    """
 
     name: str
     databases: int
     write_copies: int
     replica_wait_ms: int
+    max_connections: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -87,8 +99,49 @@
     retry_ratio: float
 
 
+@dataclass(slots=True, kw_only=True)
+class EndpointObject:
+    """Named database that sessions of the pooler connect to.
+
+    Parameters
+    ----------
+    database : str
+        Name that callers ask for when they open a session.
+    path : str
+        Part of the database's name space; no two endpoints share both.
+    consistency : {'primary', 'bounded_staleness', 'read_your_writes'}
+        What reads may be served from.
+    allowance : str, optional
+        Age of rows that reads accept; none with ``'primary'``.
+    timeout_ms : int
+        Longest time of one statement, in milliseconds.
+    objective_ms : int
+        Latency objective of a whole operation, in milliseconds.
+    priority : int
+        Urgency; 0 is the highest.
+    idle_txn_ms : int
+        Longest pause between statements of a transaction; 0 for any.
+    """
+
+    name: str
+    database: str
+    path: str
+    group: str
+    consistency: Consistency
+    allowance: str | None
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    idle_txn_ms: int
+
+
 NamedObject = (
-    GroupObject | UpstreamObject | RuleObject | AllowanceObject | LimitObject
+    GroupObject
+    | UpstreamObject
+    | RuleObject
+    | AllowanceObject
+    | LimitObject
+    | EndpointObject
 )
 
 
@@ -101,6 +154,7 @@
     rules: dict[str, RuleObject] = field(default_factory=dict)
     allowances: dict[str, AllowanceObject] = field(default_factory=dict)
     limits: dict[str, LimitObject] = field(default_factory=dict)
+    endpoints: dict[str, EndpointObject] = field(default_factory=dict)
 
     def table(self, object_type: str) -> dict[str, Any]:
         """Return the objects of one type by name."""
@@ -110,6 +164,7 @@
             'rule': self.rules,
             'allowance': self.allowances,
             'limit': self.limits,
+            'endpoint': self.endpoints,
         }
         return tables[object_type]
 
@@ -121,6 +176,7 @@
             rules=dict(self.rules),
             allowances=dict(self.allowances),
             limits=dict(self.limits),
+            endpoints=dict(self.endpoints),
         )
 
     def items(self) -> Iterator[tuple[str, str, NamedObject]]:
@@ -144,6 +200,7 @@
     databases: int = Field(ge=1, le=MAX_DATABASES)
     write_copies: int = Field(default=2, ge=1, le=MAX_DATABASES)
     replica_wait_ms: int = Field(default=50, ge=0, le=60_000)
+    max_connections: int = Field(default=0, ge=0, le=1_000_000)
 
 
 class UpstreamBody(_Body):
@@ -183,12 +240,35 @@
     retry_ratio: float = Field(default=0.1, ge=0, le=1, allow_inf_nan=False)
 
 
+class EndpointBody(_Body):
+    """Fields of an endpoint as operators write them."""
+
+    database: str = Field(min_length=1, max_length=255)
+    path: str = Field(default='/', max_length=255)
+    group: _Reference
+    consistency: Consistency = 'primary'
+    allowance: _Reference | None = None
+    timeout_ms: int = Field(ge=1, le=MAX_TIMEOUT_MS)
+    objective_ms: int = Field(default=1_000, ge=1, le=MAX_TIMEOUT_MS)
+    priority: int = Field(default=1, ge=0, le=1_000)
+    idle_txn_ms: int = Field(default=0, ge=0, le=MAX_TIMEOUT_MS)
+
+    @model_validator(mode='after')
+    def _check_allowance(self) -> EndpointBody:
+        if (self.consistency == 'primary') != (self.allowance is None):
+            raise ValueError(
+                'valid is an allowance unless consistency is primary'
+            )
+        return self
+
+
 _BODIES: Mapping[str, type[_Body]] = {
     'group': GroupBody,
     'upstream': UpstreamBody,
     'rule': RuleBody,
     'allowance': AllowanceBody,
     'limit': LimitBody,
+    'endpoint': EndpointBody,
 }
 
 _OBJECTS: Mapping[str, type[Any]] = {
@@ -197,6 +277,7 @@
     'rule': RuleObject,
     'allowance': AllowanceObject,
     'limit': LimitObject,
+    'endpoint': EndpointObject,
 }
 
 OBJECT_TYPES = tuple(_BODIES)
--- /dev/null
+++ b/jackdawpost/core/pooler/control_links.py
@@ -0,0 +1,333 @@
+"""Links to control: reports, published state, approvals of newcomers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.messages.control import Approval
+from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import NotLeader
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.control import UpstreamReport
+from jackdawpost.core.pooler.sessions import open_held
+from jackdawpost.core.pooler.state import log
+from jackdawpost.core.pooler.state import Newcomer
+from jackdawpost.core.pooler.state import PoolerState
+from jackdawpost.core.pooler.state import schedule
+from jackdawpost.core.pooler.state import send
+from jackdawpost.core.pooler.state import UpstreamConn
+from jackdawpost.core.pooler.upstreams import discard
+from jackdawpost.core.pooler.upstreams import open_connection
+from jackdawpost.core.pooler.upstreams import sync_pools
+from jackdawpost.core.published import apply_update
+from jackdawpost.core.published import UpstreamView
+
+LEADER_SEARCH_MS = 150.0  # about one trip between regions and its answer
+LEADER_SILENT_MS = 1_000.0  # longer than an election under way answers
+APPROVAL_RETRY_MS = 300.0
+MAX_APPROVAL_ATTEMPTS = 20
+
+
+def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
+    """Introduce this pooler to a control process."""
+    state.controls[conn] = peer
+    log(state, 'info', 'control_connected', peer=peer)
+    if not state.leader:
+        send_report(state)
+
+
+def on_control_closed(state: PoolerState, conn: int) -> None:
+    """Look for another leader if this was its connection."""
+    peer = state.controls.pop(conn)
+    log(state, 'warning', 'control_lost', peer=peer, led=conn == state.leader)
+    if conn == state.leader:
+        lose_leader(state)
+
+
+def lose_leader(state: PoolerState) -> None:
+    """Ask every control process again."""
+    state.leader = 0
+    state.asked_ms = None
+    send_report(state)
+    schedule(state, 'report', state.now_ms + LEADER_SEARCH_MS)
+
+
+def on_report_due(state: PoolerState) -> None:
+    """Send the regular report; leave a leader that stopped answering."""
+    asked_ms = state.asked_ms
+    if state.leader and asked_ms is not None:
+        if state.now_ms - asked_ms >= LEADER_SILENT_MS:
+            log(
+                state,
+                'warning',
+                'leader_silent',
+                peer=state.controls.get(state.leader),
+                waited_ms=round(state.now_ms - asked_ms),
+            )
+            lose_leader(state)
+            return
+    send_report(state)
+    pause_ms = state.cfg.report_interval_ms
+    if not state.leader:
+        pause_ms = LEADER_SEARCH_MS * (0.5 + state.rng.random())
+    schedule(state, 'report', state.now_ms + pause_ms)
+
+
+def send_report(state: PoolerState) -> None:
+    """Report to the leader, or to all control processes if unknown."""
+    targets = [state.leader] if state.leader else list(state.controls)
+    if not targets:
+        return
+    state.report_seq += 1
+    if state.asked_ms is None:
+        state.asked_ms = state.now_ms
+    cfg = state.cfg
+    report = ProxyReport(
+        proxy=cfg.name,
+        proxy_id=cfg.member_id,
+        incarnation=cfg.incarnation,
+        seq=state.report_seq,
+        host=cfg.host,
+        port=cfg.port,
+        data_centre=cfg.data_centre,
+        version=state.published.version,
+        draining=state.drain_ms is not None,
+        evidence={
+            name: pool.reach
+            for name, pool in state.pools.items()
+            if pool.reach
+        },
+        upstreams={
+            name: UpstreamReport(
+                leads=pool.leads, term=pool.term, received=pool.received
+            )
+            for name, pool in state.pools.items()
+            if pool.received is not None
+        },
+    )
+    for conn in targets:
+        send(state, conn, report)
+
+
+def receive_from_control(state: PoolerState, conn: int, message: Any) -> None:
+    """Handle one message of a control process."""
+    if isinstance(message, LeaseGrant):
+        _take_grant(state, conn, message)
+    elif isinstance(message, StateUpdate):
+        _take_update(state, conn, message)
+    elif isinstance(message, ApprovalRequest):
+        _examine(state, message)
+    elif isinstance(message, NotLeader):
+        if message.leader:
+            _follow(state, {*state.followed, message.leader})
+        if conn == state.leader:
+            lose_leader(state)
+
+
+def _follow(state: PoolerState, peers: set[str]) -> None:
+    """Stay connected to these control processes."""
+    if peers != state.followed:
+        state.followed = peers
+        state.out.append(FollowPeers(peers=sorted(peers)))
+
+
+def start_links(state: PoolerState) -> None:
+    """Connect to the control processes that the settings name."""
+    _follow(state, set(state.cfg.seeds))
+    schedule(state, 'report', state.now_ms)
+
+
+def _take_grant(state: PoolerState, conn: int, message: LeaseGrant) -> None:
+    """Take the leader's answer to a report."""
+    if message.seq <= state.granted_seq:
+        return
+    state.granted_seq = message.seq
+    state.granted_ms = state.now_ms
+    state.asked_ms = None
+    if conn != state.leader:
+        state.leader = conn
+        log(
+            state,
+            'info',
+            'leader_found',
+            peer=state.controls.get(conn),
+            version=message.version,
+        )
+    if message.member_state != state.member_state:
+        log(
+            state,
+            'info',
+            'member_state',
+            before=state.member_state,
+            now=message.member_state,
+        )
+        state.member_state = message.member_state
+    if message.peers:
+        _follow(state, set(message.peers))
+
+
+def _take_update(state: PoolerState, conn: int, message: StateUpdate) -> None:
+    before = state.published.version
+    if not apply_update(state.published, message):
+        log(
+            state,
+            'warning',
+            'update_gap',
+            in_force=before,
+            from_version=message.from_version,
+        )
+        return
+    if state.published.version == before:
+        return
+    log(
+        state,
+        'info',
+        'config_in_force',
+        version=state.published.version,
+        before=before,
+        upserts=len(message.upserts),
+        removals=len(message.removals),
+        full=message.full,
+    )
+    state.endpoints = {
+        view.database: view for view in state.published.endpoints.values()
+    }
+    sync_pools(state)
+    if not before:
+        open_held(state)
+    # Says at once that the version is in force.
+    send_report(state)
+
+
+def _examine(state: PoolerState, message: ApprovalRequest) -> None:
+    """Examine a newcomer that control asks about.
+
+    An upstream must answer at its address under its own identity. Proxies
+    do not connect to each other: their name and address must not belong to
+    another member.
+    """
+    if message.role == 'proxy':
+        _examine_proxy(state, message)
+        return
+    known = state.newcomers.get(message.newcomer)
+    if known is not None and known.member_id == message.newcomer_id:
+        return
+    newcomer = Newcomer(
+        name=message.newcomer,
+        member_id=message.newcomer_id,
+        group=message.group,
+        host=message.host,
+        port=message.port,
+    )
+    state.newcomers[newcomer.name] = newcomer
+    _connect(state, newcomer)
+
+
+def _examine_proxy(state: PoolerState, message: ApprovalRequest) -> None:
+    for member in state.published.members.values():
+        if member.role != 'proxy' or member.member_id == message.newcomer_id:
+            continue
+        if member.state != 'joined':
+            continue
+        same_address = (member.host, member.port) == (
+            message.host,
+            message.port,
+        )
+        if same_address and member.name != message.newcomer:
+            log(
+                state,
+                'warning',
+                'approval_refused',
+                newcomer=message.newcomer,
+                member=member.name,
+            )
+            return
+    _approve(
+        state,
+        message.newcomer,
+        message.newcomer_id,
+        'name and address are not in use by others',
+    )
+
+
+def _connect(state: PoolerState, newcomer: Newcomer) -> None:
+    newcomer.attempts += 1
+    view = UpstreamView(
+        name=newcomer.name,
+        group=newcomer.group,
+        data_id=newcomer.member_id,
+        host=newcomer.host,
+        port=newcomer.port,
+        data_centre='',
+        slots=0,
+        connections=0,
+    )
+    newcomer.conn = open_connection(state, view, 'check').conn
+
+
+def on_newcomer_opened(state: PoolerState, conn: UpstreamConn) -> None:
+    """Approve an upstream that answered under its identity."""
+    discard(state, conn, 'newcomer checked')
+    newcomer = state.newcomers.pop(conn.upstream, None)
+    if newcomer is not None:
+        _approve(
+            state,
+            newcomer.name,
+            newcomer.member_id,
+            'answers at its address under its identity',
+        )
+
+
+def on_newcomer_failed(state: PoolerState, conn: UpstreamConn) -> None:
+    """Try a newcomer again later, for some time."""
+    newcomer = state.newcomers.get(conn.upstream)
+    if newcomer is None:
+        return
+    newcomer.conn = 0
+    if newcomer.attempts >= MAX_APPROVAL_ATTEMPTS:
+        log(
+            state,
+            'warning',
+            'approval_refused',
+            newcomer=newcomer.name,
+            attempts=newcomer.attempts,
+        )
+        del state.newcomers[newcomer.name]
+        return
+    due_ms = state.now_ms + APPROVAL_RETRY_MS
+    schedule(state, f'newcomer/{newcomer.name}', due_ms)
+
+
+def on_newcomer_due(state: PoolerState, name: str) -> None:
+    """Connect to a newcomer once more."""
+    newcomer = state.newcomers.get(name)
+    if newcomer is not None and not newcomer.conn:
+        _connect(state, newcomer)
+
+
+def _approve(
+    state: PoolerState, newcomer: str, newcomer_id: str, checked: str
+) -> None:
+    log(
+        state,
+        'info',
+        'approved',
+        newcomer=newcomer,
+        newcomer_id=newcomer_id,
+        checked=checked,
+        version=state.published.version,
+    )
+    if not state.leader:
+        return
+    message = Approval(
+        member=state.cfg.name,
+        member_id=state.cfg.member_id,
+        newcomer=newcomer,
+        newcomer_id=newcomer_id,
+        checked=checked,
+        version=state.published.version,
+    )
+    send(state, state.leader, message)
--- /dev/null
+++ b/jackdawpost/core/pooler/sessions.py
@@ -0,0 +1,335 @@
+"""Caller sessions: opening, statements, transactions, end."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from jackdawpost.core.messages.session import Done
+from jackdawpost.core.messages.session import Failed
+from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.messages.session import Ready
+from jackdawpost.core.messages.session import Request
+from jackdawpost.core.pooler.serving import forget
+from jackdawpost.core.pooler.serving import run_statement
+from jackdawpost.core.pooler.serving import submit
+from jackdawpost.core.pooler.state import close
+from jackdawpost.core.pooler.state import count
+from jackdawpost.core.pooler.state import log
+from jackdawpost.core.pooler.state import PoolerState
+from jackdawpost.core.pooler.state import schedule
+from jackdawpost.core.pooler.state import send
+from jackdawpost.core.pooler.state import Session
+from jackdawpost.core.pooler.state import Transaction
+from jackdawpost.core.pooler.state import Work
+from jackdawpost.core.pooler.upstreams import send_internal
+from jackdawpost.core.published import EndpointView
+
+# Callers give up a session that has not opened after 2 s.
+OPEN_WAIT_MS = 1_500.0
+# Requests that a session may send ahead of their answers.
+MAX_BACKLOG = 64
+
+
+def open_session(state: PoolerState, conn: int, database: str) -> None:
+    """Open a session, or wait for the configuration that names it."""
+    state.strangers.discard(conn)
+    if not state.published.version:
+        state.held[conn] = database
+        schedule(state, f'open/{conn}', state.now_ms + OPEN_WAIT_MS)
+        return
+    if database not in state.endpoints:
+        _refuse_session(state, conn, database)
+        return
+    state.sessions[conn] = Session(conn=conn, database=database)
+    count(state, 'sessions_opened')
+    send(state, conn, Ready(state='idle'))
+
+
+def _refuse_session(state: PoolerState, conn: int, database: str) -> None:
+    log(
+        state,
+        'info',
+        'session_refused',
+        database=database,
+        config_version=state.published.version,
+    )
+    text = f'no database is named {database[:80]!r}'
+    send(state, conn, Failed(code='no_database', text=text))
+    close(state, conn, 'no such database', abort=False)
+
+
+def open_held(state: PoolerState) -> None:
+    """Open the sessions that waited for the first configuration."""
+    held, state.held = state.held, {}
+    for conn, database in held.items():
+        open_session(state, conn, database)
+
+
+def on_open_due(state: PoolerState, conn: int) -> None:
+    """Give up a session that no configuration came for."""
+    database = state.held.pop(conn, None)
+    if database is None:
+        return
+    log(state, 'warning', 'session_unserved', database=database)
+    text = 'no configuration has been received'
+    send(state, conn, Failed(code='overloaded', text=text))
+    close(state, conn, 'no configuration', abort=False)
+
+
+def receive_request(state: PoolerState, conn: int, req: Request) -> None:
+    """Take a request; requests of one session run one after another."""
+    session = state.sessions.get(conn)
+    if session is None:
+        text = 'the session has not been opened'
+        send(state, conn, Failed(code='malformed', text=text))
+        close(state, conn, 'request before start', abort=False)
+        return
+    if len(session.backlog) >= MAX_BACKLOG:
+        close(state, conn, 'too many requests in flight', abort=True)
+        end_session(state, conn)
+        return
+    session.backlog.append(req)
+    advance_session(state, session)
+
+
+def advance_session(state: PoolerState, session: Session) -> None:
+    """Take the next requests up to one that an upstream has to run."""
+    while session.work is None and session.backlog:
+        _take_request(state, session, session.backlog.popleft())
+
+
+def _take_request(state: PoolerState, session: Session, req: Request) -> None:
+    if req.verb == 'unknown':
+        fail(state, session, 'malformed', f'unknown statement {req.text!r:.80}')
+    elif session.state == 'failed_txn' and req.verb not in (
+        'rollback',
+        'commit',
+    ):
+        fail(state, session, 'malformed', 'the transaction has failed')
+    elif req.verb in ('set', 'prepare', 'deallocate'):
+        _keep_value(state, session, req)
+    elif req.verb in ('begin', 'begin_read'):
+        _begin(state, session, req)
+    elif req.verb == 'rollback':
+        _roll_back(state, session)
+    elif req.verb == 'commit':
+        _commit(state, session, req)
+    else:
+        _run(state, session, req)
+
+
+def answer_local(state: PoolerState, session: Session) -> None:
+    """Answer a request that no upstream has to run."""
+    ready = Ready(state=session.state)
+    send(state, session.conn, Done(signature='-'), ready)
+
+
+def fail(state: PoolerState, session: Session, code: str, text: str) -> None:
+    """Refuse a request of which nothing has run."""
+    count(state, f'statements_{code}')
+    log(
+        state,
+        'info',
+        'request_refused',
+        session=session.conn,
+        database=session.database,
+        code=code,
+        detail=text,
+    )
+    ready = Ready(state=session.state)
+    send(state, session.conn, Failed(code=code, text=text), ready)
+
+
+def _keep_value(state: PoolerState, session: Session, req: Request) -> None:
+    if req.verb == 'set':
+        session.values[req.name] = req.argument
+    elif req.verb == 'prepare':
+        session.prepared[req.name] = req.argument
+    else:
+        session.prepared.pop(req.name, None)
+    session.epoch += 1
+    _keep_in_txn(state, session, req)
+    answer_local(state, session)
+
+
+def _keep_in_txn(state: PoolerState, session: Session, req: Request) -> None:
+    """Bring a value onto the connection that the transaction holds."""
+    txn = session.txn
+    conn = state.conns.get(txn.conn) if txn is not None else None
+    if conn is None:
+        return
+    if req.verb == 'deallocate':
+        # The connection is reset before another session uses it.
+        conn.epoch = session.epoch
+        return
+    action = 'set' if req.verb == 'set' else 'prepare'
+    message = Internal(
+        action=action,  # type: ignore[arg-type]
+        name=req.name,
+        argument=req.argument,
+    )
+    send_internal(state, conn, 'replay', message)
+    conn.session = session.conn
+    conn.epoch = session.epoch
+
+
+def _begin(state: PoolerState, session: Session, req: Request) -> None:
+    if session.txn is not None:
+        fail(state, session, 'malformed', 'a transaction is open already')
+        return
+    endpoint = state.endpoints.get(session.database)
+    if endpoint is None:
+        _fail_dropped(state, session)
+        return
+    session.txn = Transaction(
+        endpoint=endpoint,
+        read_only=req.verb == 'begin_read',
+        active_ms=state.now_ms,
+    )
+    session.state = 'in_txn'
+    _watch_idle(state, session)
+    answer_local(state, session)
+
+
+def _fail_dropped(state: PoolerState, session: Session) -> None:
+    text = f'database {session.database!r} has been dropped'
+    fail(state, session, 'no_database', text)
+
+
+def _watch_idle(state: PoolerState, session: Session) -> None:
+    txn = session.txn
+    if txn is not None and txn.endpoint.idle_txn_ms:
+        due_ms = txn.active_ms + txn.endpoint.idle_txn_ms
+        schedule(state, f'txn/{session.conn}', due_ms)
+
+
+def on_txn_idle(state: PoolerState, conn: int) -> None:
+    """Roll back a transaction that its caller has left idle."""
+    session = state.sessions.get(conn)
+    txn = session.txn if session is not None else None
+    if session is None or txn is None or session.state != 'in_txn':
+        return
+    idle_ms = state.now_ms - txn.active_ms
+    if session.work is not None or idle_ms < txn.endpoint.idle_txn_ms:
+        _watch_idle(state, session)
+        return
+    log(
+        state,
+        'info',
+        'idle_transaction_ended',
+        session=conn,
+        database=session.database,
+        idle_ms=round(idle_ms),
+    )
+    count(state, 'transactions_idle')
+    release_txn_conn(state, session)
+    session.state = 'failed_txn'
+
+
+def release_txn_conn(state: PoolerState, session: Session) -> None:
+    """Roll back at the upstream and give the connection back."""
+    txn = session.txn
+    conn = state.conns.get(txn.conn) if txn is not None else None
+    if txn is None or conn is None:
+        return
+    txn.conn = 0
+    conn.owner = 0
+    send_internal(state, conn, 'rollback', Internal(action='rollback'))
+
+
+def _roll_back(state: PoolerState, session: Session) -> None:
+    release_txn_conn(state, session)
+    session.txn = None
+    session.state = 'idle'
+    answer_local(state, session)
+
+
+def _commit(state: PoolerState, session: Session, req: Request) -> None:
+    if session.txn is None:
+        fail(state, session, 'malformed', 'no transaction is open')
+        return
+    if session.state == 'failed_txn':
+        release_txn_conn(state, session)
+        session.txn = None
+        session.state = 'idle'
+        text = 'the transaction had failed and is rolled back'
+        fail(state, session, 'aborted', text)
+        return
+    _run(state, session, req)
+
+
+def _run(state: PoolerState, session: Session, req: Request) -> None:
+    """Hand a statement over to an upstream."""
+    txn = session.txn
+    endpoint = (
+        txn.endpoint if txn else state.endpoints.get(session.database)
+    )
+    if endpoint is None:
+        _fail_dropped(state, session)
+        return
+    is_write = _is_write(session, req)
+    if is_write is None:
+        text = f'no statement is prepared as {req.name!r:.80}'
+        fail(state, session, 'no_statement', text)
+        return
+    work = Work(
+        number=state.next_work,
+        session=session,
+        req=req,
+        endpoint=endpoint,
+        arrived_ms=state.now_ms,
+        due_ms=state.now_ms + endpoint.timeout_ms,
+        place=_place_of(endpoint, txn, is_write),
+        is_write=is_write,
+        in_txn=txn is not None,
+    )
+    state.next_work += 1
+    session.work = work
+    if txn is not None and txn.conn:
+        _run_in_txn(state, txn, work)
+        return
+    if txn is not None:
+        # An upstream that refuses the begin has run nothing of the
+        # transaction.
+        txn.active_ms = state.now_ms
+    submit(state, work)
+
+
+def _is_write(session: Session, req: Request) -> bool | None:
+    if req.verb != 'execute':
+        return req.verb == 'write'
+    shape = session.prepared.get(req.name)
+    return None if shape is None else shape.startswith('WRITE')
+
+
+def _place_of(
+    endpoint: EndpointView, txn: Transaction | None, is_write: bool
+) -> Literal['primary', 'any']:
+    if endpoint.consistency == 'primary' or is_write:
+        return 'primary'
+    if txn is not None and not txn.read_only:
+        return 'primary'
+    return 'any'
+
+
+def _run_in_txn(state: PoolerState, txn: Transaction, work: Work) -> None:
+    conn = state.conns[txn.conn]
+    txn.active_ms = state.now_ms
+    state.works[work.number] = work
+    schedule(state, f'work/{work.number}', work.due_ms)
+    run_statement(state, conn, work)
+
+
+def end_session(state: PoolerState, conn: int) -> None:
+    """Forget a session; what it left open is rolled back."""
+    state.strangers.discard(conn)
+    state.held.pop(conn, None)
+    session = state.sessions.pop(conn, None)
+    if session is None:
+        return
+    work = session.work
+    release_txn_conn(state, session)
+    if work is not None:
+        work.session = None
+        if work.phase == 'waiting':
+            forget(state, work)
--- /dev/null
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -0,0 +1,314 @@
+"""Connections to upstreams: opening, probes, session replay, loss."""
+
+from __future__ import annotations
+
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.pooler.state import Answer
+from jackdawpost.core.pooler.state import close
+from jackdawpost.core.pooler.state import count
+from jackdawpost.core.pooler.state import group_of
+from jackdawpost.core.pooler.state import log
+from jackdawpost.core.pooler.state import Pool
+from jackdawpost.core.pooler.state import PoolerState
+from jackdawpost.core.pooler.state import schedule
+from jackdawpost.core.pooler.state import send
+from jackdawpost.core.pooler.state import Session
+from jackdawpost.core.pooler.state import Step
+from jackdawpost.core.pooler.state import StepKind
+from jackdawpost.core.pooler.state import UpstreamConn
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.core.published import UpstreamView
+
+# Connections left to control, to newcomers' checks and to members on their
+# way in, out of those that an upstream allows.
+RESERVED_CONNECTIONS = 3
+DEFAULT_CONNECTIONS = 20
+MIN_CONNECTIONS = 1
+LATENCY_WEIGHT = 0.2  # of the newest statement in the moving average
+RETRY_MIN_MS = 50.0
+RETRY_MAX_MS = 500.0
+# While no primary is known, every upstream is asked whether it leads.
+SEARCH_INTERVAL_MS = 80.0
+
+
+def sync_pools(state: PoolerState) -> None:
+    """Follow the published upstreams."""
+    published = state.published.upstreams
+    for name in [name for name in state.pools if name not in published]:
+        _drop_pool(state, name)
+    for name, view in published.items():
+        pool = state.pools.get(name)
+        if pool is not None and pool.view.data_id != view.data_id:
+            _drop_pool(state, name)
+            pool = None
+        if pool is None:
+            state.pools[name] = Pool(view=view)
+            _probe(state, state.pools[name])
+        else:
+            pool.view = view
+        state.dirty.add(view.group)
+
+
+def _drop_pool(state: PoolerState, name: str) -> None:
+    pool = state.pools.pop(name)
+    group = group_of(state, pool.view.group)
+    if group.primary == name:
+        group.primary = None
+    for number in [*pool.conns, pool.monitor]:
+        conn = state.conns.get(number)
+        # A statement in flight still gets its answer.
+        if conn is not None and not conn.owner and not conn.steps:
+            discard(state, conn, 'upstream has left')
+
+
+def connection_limit(state: PoolerState, pool: Pool) -> int:
+    """Return how many statement connections this process may have open."""
+    group = state.published.groups.get(pool.view.group)
+    allowed = DEFAULT_CONNECTIONS
+    if group is not None and group.max_connections:
+        allowed = group.max_connections
+    proxies = sum(
+        1 for m in state.published.members.values() if m.role == 'proxy'
+    )
+    share = (allowed - RESERVED_CONNECTIONS) // max(1, proxies)
+    return max(MIN_CONNECTIONS, share - 1)
+
+
+def open_connection(
+    state: PoolerState, view: UpstreamView, purpose: str
+) -> UpstreamConn:
+    """Start to open a connection to an upstream."""
+    conn = UpstreamConn(
+        conn=state.next_conn,
+        upstream=view.name,
+        purpose=purpose,  # type: ignore[arg-type]
+    )
+    state.next_conn -= 1
+    state.conns[conn.conn] = conn
+    conn.steps.append(Step(kind='open', sent_ms=state.now_ms))
+    state.out.append(
+        Connect(
+            conn=conn.conn,
+            peer=view.name,
+            host=view.host,
+            port=view.port,
+            purpose=purpose,
+            group=view.group,
+            timeout_ms=int(state.cfg.open_timeout_ms),
+        )
+    )
+    return conn
+
+
+def may_open(state: PoolerState, pool: Pool) -> bool:
+    """Tell whether another statement connection may be opened now."""
+    if state.now_ms < pool.retry_at_ms or pool.reach in ('refused', 'silent'):
+        return False
+    return len(pool.conns) < connection_limit(state, pool)
+
+
+def add_connection(state: PoolerState, pool: Pool) -> None:
+    """Open one more statement connection."""
+    conn = open_connection(state, pool.view, 'statements')
+    pool.conns.add(conn.conn)
+    count(state, 'upstream_opens')
+
+
+def discard(state: PoolerState, conn: UpstreamConn, reason: str) -> None:
+    """Close a connection and forget it."""
+    close(state, conn.conn, reason, abort=True)
+    state.conns.pop(conn.conn, None)
+    pool = state.pools.get(conn.upstream)
+    if pool is None:
+        return
+    pool.conns.discard(conn.conn)
+    if pool.monitor == conn.conn:
+        pool.monitor = 0
+
+
+def note_open_failed(state: PoolerState, pool: Pool) -> None:
+    """Delay the next attempt after a connection could not be opened."""
+    pool.failures += 1
+    ceiling = min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** min(pool.failures, 4))
+    pause = ceiling * (0.5 + state.rng.random() / 2)
+    pool.retry_at_ms = state.now_ms + pause
+    schedule(state, f'group/{pool.view.group}', pool.retry_at_ms)
+
+
+def replay_session(
+    state: PoolerState, conn: UpstreamConn, session: Session
+) -> list[Internal]:
+    """Return what puts a session's values onto a connection."""
+    if conn.session == session.conn and conn.epoch == session.epoch:
+        return []
+    messages = [Internal(action='reset')] if conn.session else []
+    for name, value in session.values.items():
+        messages.append(Internal(action='set', name=name, argument=value))
+    for name, shape in session.prepared.items():
+        messages.append(Internal(action='prepare', name=name, argument=shape))
+    has_values = bool(session.values or session.prepared)
+    conn.session = session.conn if has_values else 0
+    conn.epoch = session.epoch
+    for _ in messages:
+        conn.steps.append(Step(kind='replay', sent_ms=state.now_ms))
+    return messages
+
+
+def send_internal(
+    state: PoolerState, conn: UpstreamConn, kind: StepKind, message: Internal
+) -> None:
+    """Send a statement of this process's own."""
+    conn.steps.append(Step(kind=kind, sent_ms=state.now_ms))
+    send(state, conn.conn, message)
+
+
+def note_latency(pool: Pool, taken_ms: float) -> None:
+    """Take the time of one statement into the moving average."""
+    pool.latency_ms += LATENCY_WEIGHT * (taken_ms - pool.latency_ms)
+
+
+def note_leader(
+    state: PoolerState, pool: Pool, sent_ms: float, position: LogPosition
+) -> None:
+    """Take an answer that proves that an upstream led when asked."""
+    group = group_of(state, pool.view.group)
+    pool.leads = True
+    if group.primary != pool.view.name:
+        log(
+            state,
+            'info',
+            'primary_found',
+            group=group.name,
+            upstream=pool.view.name,
+            before=group.primary,
+            position=list(position),
+        )
+        group.primary = pool.view.name
+        state.dirty.add(group.name)
+    group.samples.add(sent_ms, position)
+
+
+def note_not_leader(state: PoolerState, pool: Pool, why: str) -> None:
+    """Take an answer that shows that an upstream does not lead."""
+    pool.leads = False
+    group = group_of(state, pool.view.group)
+    if group.primary == pool.view.name:
+        group.primary = None
+        log(
+            state,
+            'warning',
+            'primary_lost',
+            group=group.name,
+            upstream=pool.view.name,
+            reason=why,
+        )
+        for other in state.pools.values():
+            if other.view.group == group.name:
+                schedule(state, f'probe/{other.view.name}', state.now_ms)
+
+
+def on_probe_due(state: PoolerState, name: str) -> None:
+    """Probe an upstream, or notice that it has not answered."""
+    pool = state.pools.get(name)
+    if pool is not None:
+        _probe(state, pool)
+
+
+def _probe(state: PoolerState, pool: Pool) -> None:
+    name = pool.view.name
+    conn = state.conns.get(pool.monitor)
+    if conn is None:
+        pool.monitor = open_connection(state, pool.view, 'monitor').conn
+        pool.probe_sent_ms = state.now_ms
+    elif conn.steps:
+        waited_ms = state.now_ms - conn.steps[0].sent_ms
+        if waited_ms >= state.cfg.probe_timeout_ms:
+            note_reach(state, pool, 'silent')
+            if conn.opened or waited_ms >= state.cfg.open_timeout_ms:
+                discard(state, conn, 'no answer to a probe')
+    else:
+        pool.probe_sent_ms = state.now_ms
+        send_internal(state, conn, 'status', Internal(action='status'))
+        # A begin proves leadership and takes no slot.
+        send_internal(state, conn, 'probe_begin', Internal(action='begin'))
+        undo = Internal(action='rollback')
+        send_internal(state, conn, 'probe_rollback', undo)
+    schedule(state, f'probe/{name}', state.now_ms + _probe_pause(state, pool))
+
+
+def _probe_pause(state: PoolerState, pool: Pool) -> float:
+    if group_of(state, pool.view.group).primary is None:
+        return SEARCH_INTERVAL_MS
+    return state.cfg.probe_interval_ms
+
+
+def note_reach(state: PoolerState, pool: Pool, reach: str) -> None:
+    """Take what a probe shows of an upstream's reachability."""
+    if reach == 'up':
+        pool.heard_ms = state.now_ms
+        pool.failures = 0
+    if pool.reach == reach:
+        return
+    log(
+        state,
+        'info' if reach == 'up' else 'warning',
+        'upstream_reach',
+        upstream=pool.view.name,
+        before=pool.reach,
+        reach=reach,
+        last_answer_ms=round(state.now_ms - pool.heard_ms),
+    )
+    pool.reach = reach  # type: ignore[assignment]
+    state.dirty.add(pool.view.group)
+    if reach != 'up':
+        note_not_leader(state, pool, reach)
+
+
+def take_probe_answer(
+    state: PoolerState, pool: Pool, step: Step, answer: Answer
+) -> None:
+    """Handle the answer to one statement of a probe."""
+    note_reach(state, pool, 'up')
+    if step.kind == 'status':
+        if answer.signature and answer.rows:
+            _take_status(state, pool, answer)
+        return
+    if step.kind == 'probe_begin':
+        if answer.signature and answer.position is not None:
+            pool.applied = answer.position
+            note_leader(state, pool, step.sent_ms, answer.position)
+        elif answer.code == 'not_primary':
+            note_not_leader(state, pool, 'not_primary')
+        if answer.position is not None:
+            pool.applied = answer.position
+        # Reads that waited for this upstream to catch up may go on.
+        state.dirty.add(pool.view.group)
+
+
+def _take_status(state: PoolerState, pool: Pool, answer: Answer) -> None:
+    try:
+        status = state.cfg.decode_status(answer.rows[0])
+    except ProtocolError as exc:
+        log(
+            state,
+            'warning',
+            'status_unreadable',
+            upstream=pool.view.name,
+            detail=str(exc),
+        )
+        return
+    pool.term = status.term
+    pool.received = status.received
+
+
+def lose_monitor(state: PoolerState, pool: Pool, reason: str) -> None:
+    """Take the end of a monitor connection."""
+    pool.monitor = 0
+    if reason in ('refused', 'closed'):
+        note_reach(state, pool, 'refused')
+    elif reason == 'timeout':
+        note_reach(state, pool, 'silent')
+    pause = min(SEARCH_INTERVAL_MS, state.cfg.probe_interval_ms)
+    schedule(state, f'probe/{pool.view.name}', state.now_ms + pause)
--- a/jackdawpost/core/promotion_steps.py
+++ b/jackdawpost/core/promotion_steps.py
@@ -123,13 +123,14 @@
 
     Before the choice the old primary is published again. After it the group
     has no primary until the next promotion, since the chosen upstream may
-    already lead.
+    already lead. A delegated promotion leaves the primary on record: proxies
+    tell which upstream leads.
     """
     found = _find_step(machine, command.group, command.to_term)
     if isinstance(found, Applied):
         return found
     group, promotion = found
-    if promotion.step == 'chosen':
+    if promotion.step == 'chosen' and not promotion.delegated:
         group.primary = None
         group.primary_id = ''
     group.promotion = None
--- a/jackdawpost/core/publication.py
+++ b/jackdawpost/core/publication.py
@@ -142,9 +142,21 @@
     if object_type == 'allowance':
         age_ms = resolve_max_age_ms(machine.objects, name)
         return {'name': name, 'max_age_ms': age_ms}
+    if object_type == 'endpoint':
+        return _build_endpoint(machine, name)
     return dataclasses.asdict(item)
 
 
+def _build_endpoint(machine: ControlMachine, name: str) -> dict[str, Any]:
+    body = dataclasses.asdict(machine.objects.endpoints[name])
+    del body['path']
+    allowance = body.pop('allowance')
+    body['max_age_ms'] = (
+        resolve_max_age_ms(machine.objects, allowance) if allowance else 0
+    )
+    return body
+
+
 def _build_group(machine: ControlMachine, name: str) -> dict[str, Any]:
     group = machine.groups[name]
     body = dataclasses.asdict(machine.objects.groups[name])
@@ -152,8 +164,12 @@
     body['primary'] = None
     body['database_set'] = dict(group.database_set)
     member = machine.members.get(group.primary or '')
+    # Until a delegated promotion ends, the old primary goes on leading.
+    runs_until_replaced = (
+        group.promotion is not None and group.promotion.delegated
+    )
     if (
-        group.promotion is None
+        (group.promotion is None or runs_until_replaced)
         and member is not None
         and member.member_id == group.primary_id
     ):
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -29,6 +29,9 @@
     database_set : dict of str to str
         Data identity of each database that a promotion counts on. Only
         these confirm a write: a promotion may not ask any other one.
+    max_connections : int
+        Connections that each upstream accepts in total; 0 where the
+        upstreams announce it.
     """
 
     name: str
@@ -38,6 +41,7 @@
     term: int = 0
     primary: str | None = None
     database_set: dict[str, str] = field(default_factory=dict)
+    max_connections: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -94,6 +98,27 @@
     retry_ratio: float
 
 
+@dataclass(slots=True, kw_only=True)
+class EndpointView:
+    """Named database of the session pooler; see `EndpointObject`.
+
+    Parameters
+    ----------
+    max_age_ms : int
+        Age that its reads accept; 0 with consistency ``'primary'``.
+    """
+
+    name: str
+    database: str
+    group: str
+    consistency: str
+    max_age_ms: int
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    idle_txn_ms: int
+
+
 @dataclass(slots=True, kw_only=True)
 class MemberView:
     """A joined proxy or upstream."""
@@ -112,6 +137,7 @@
     | RuleView
     | AllowanceView
     | LimitView
+    | EndpointView
     | MemberView
 )
 
@@ -121,6 +147,7 @@
     'rule': RuleView,
     'allowance': AllowanceView,
     'limit': LimitView,
+    'endpoint': EndpointView,
     'member': MemberView,
 }
 
@@ -135,6 +162,7 @@
     rules: dict[str, RuleView] = field(default_factory=dict)
     allowances: dict[str, AllowanceView] = field(default_factory=dict)
     limits: dict[str, LimitView] = field(default_factory=dict)
+    endpoints: dict[str, EndpointView] = field(default_factory=dict)
     members: dict[str, MemberView] = field(default_factory=dict)
 
     def table(self, object_type: str) -> dict[str, Any]:
@@ -145,6 +173,7 @@
             'rule': self.rules,
             'allowance': self.allowances,
             'limit': self.limits,
+            'endpoint': self.endpoints,
             'member': self.members,
         }
         return tables[object_type]
--- /dev/null
+++ b/jackdawpost/platform/control.py
@@ -0,0 +1,127 @@
+"""Program of a control process on the platform."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import trio
+
+from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import OrderPromotion
+from jackdawpost.core.effects import Reply
+from jackdawpost.core.messages.peer import Hello
+from jackdawpost.platform.control_api import ControlApi
+from jackdawpost.platform.http import serve_http
+from jackdawpost.platform.program import run_program
+from jackdawpost.platform.settings import load_platform_settings
+from jackdawpost.platform.settings import PlatformSettings
+from jackdawpost.platform.settings import settings_path
+from jackdawpost.platform.settings import split_address
+from jackdawpost.runtime.control_shell import ControlPlan
+from jackdawpost.runtime.control_shell import PEER_PATH
+from jackdawpost.runtime.control_shell import run_control_plan
+from jackdawpost.runtime.followers import PeerFollower
+from jackdawpost.runtime.shell import ReducerShell
+from jackdawpost.settings.models import Address
+from jackdawpost.wire.sockets import PEER_SILENCE_MS
+
+# Between regions a heartbeat takes up to 24 ms there and back.
+HEARTBEAT_MS = 100
+ELECTION_MIN_MS = 500
+ELECTION_MAX_MS = 900
+LEASE_MS = 2_000
+# A proxy that is frozen or cut off holds up nobody's approval for longer.
+MEMBER_EXPIRY_MS = 2_500
+# Databases report every second or two; a crashed one may come back.
+UPSTREAM_EXPIRY_MS = 60_000
+REFUSED_MS = 250
+SILENT_MS = 700
+SNAPSHOT_ENTRIES = 500
+NODE_ID_FILE = 'node_id'
+
+
+def build_plan(settings: PlatformSettings, data_dir: str) -> ControlPlan:
+    """Return how a control process is started with these settings."""
+    seeds = [split_address(seed)[0] for seed in settings.seeds]
+    is_new = not os.path.exists(os.path.join(data_dir, NODE_ID_FILE))
+    # An empty disk forms the group only at the very first start; later it
+    # is that of a newcomer, which the group admits.
+    forms_group = settings.is_first_start or not is_new
+    cfg = ControlConfig(
+        name=settings.ip,
+        peers=seeds if forms_group else [],
+        lease_ms=LEASE_MS,
+        heartbeat_ms=HEARTBEAT_MS,
+        election_min_ms=ELECTION_MIN_MS,
+        election_max_ms=ELECTION_MAX_MS,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+        member_expiry_ms=MEMBER_EXPIRY_MS,
+        refused_ms=REFUSED_MS,
+        silent_ms=SILENT_MS,
+        delegated=True,
+        holder=settings.node,
+        voter_target=2 * settings.tolerates.machines + 1,
+        seeds=tuple(seeds),
+        upstream_expiry_ms=UPSTREAM_EXPIRY_MS,
+    )
+    return ControlPlan(
+        cfg=cfg,
+        name=settings.node,
+        listen=Address(host=settings.ip, port=settings.internal_ports[0]),
+        data_dir=data_dir,
+        seed=hash(settings.ip) & 0xFFFF,
+        header_settings={},
+        knows_peer=lambda name, peer: bool(name),
+        silence_ms=PEER_SILENCE_MS,
+    )
+
+
+def run(settings: PlatformSettings) -> int:
+    """Run a control process until it is stopped."""
+    if settings.bind.control is None or settings.data_dir is None:
+        raise SystemExit('a control process needs a control address and disk')
+    host, port = split_address(settings.bind.control)
+    platform = split_address(settings.api.address) if settings.api else None
+    api = ControlApi(settings.bind.control, port, platform)
+    follower = PeerFollower(
+        'peer',
+        settings.internal_ports[0],
+        PEER_PATH,
+        Hello(name=settings.ip),
+    )
+    plan = build_plan(settings, settings.data_dir)
+    plan.performers = {
+        FollowPeers: follower.follow,
+        Reply: api.take_reply,
+        OrderPromotion: api.order_promotion,
+    }
+
+    def attach(shell: ReducerShell) -> Callable[[], Any]:
+        api.shell = shell
+        follower.shell = shell
+        return partial(serve_http, host, port, api.serve)
+
+    logging.getLogger('jackdawpost').info(
+        'control settings',
+        extra={
+            'ip': settings.ip,
+            'seeds': settings.seeds,
+            'first_start': settings.is_first_start,
+            'first_voters': plan.cfg.peers,
+        },
+    )
+    return trio.run(run_control_plan, plan, None, attach)
+
+
+def main() -> int:
+    """Run the program and return its exit code."""
+    return run_program(lambda: load_platform_settings(settings_path()), run)
+
+
+if __name__ == '__main__':
+    raise SystemExit(main())
--- /dev/null
+++ b/jackdawpost/platform/edge.py
@@ -0,0 +1,124 @@
+"""Program of a session pooler on the platform."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import Any
+
+import trio
+
+from jackdawpost.core.pooler.reducer import is_healthy
+from jackdawpost.core.pooler.state import PoolerConfig
+from jackdawpost.platform.http import HttpRequest
+from jackdawpost.platform.http import HttpResponse
+from jackdawpost.platform.http import serve_http
+from jackdawpost.platform.lines import CALLER_CODEC
+from jackdawpost.platform.lines import DATABASE_CODEC
+from jackdawpost.platform.lines import decode_status
+from jackdawpost.platform.lines import encode_messages
+from jackdawpost.platform.lines import LineStream
+from jackdawpost.platform.lines import open_database
+from jackdawpost.platform.program import run_program
+from jackdawpost.platform.settings import load_platform_settings
+from jackdawpost.platform.settings import PlatformSettings
+from jackdawpost.platform.settings import settings_path
+from jackdawpost.platform.settings import split_address
+from jackdawpost.runtime.pooler_shell import run_pooler
+from jackdawpost.runtime.pooler_shell import SessionProtocol
+from jackdawpost.runtime.shell import ReducerShell
+from jackdawpost.settings.models import Address
+from jackdawpost.wire.server import LISTEN_BACKLOG
+from jackdawpost.wire.sockets import CALLER_SILENCE_MS
+from jackdawpost.wire.sockets import end_when_silent
+
+READINESS_PATH = '/readiness'
+MS_PER_SECOND = 1_000
+# The balancer asks once a second and takes a process out after two misses.
+NOTICE_MS = 2_300
+# Left at the end of the time to stop, for what is on its way.
+EXIT_MARGIN_MS = 700
+
+
+def build_config(settings: PlatformSettings) -> PoolerConfig:
+    """Return the pooler's settings."""
+    grace_ms = settings.bounds.grace_s * MS_PER_SECOND
+    host, port = split_address(settings.bind.frontend or ':0')
+    return PoolerConfig(
+        name=settings.node,
+        # Kept over a restart, so that a quick one stays a member.
+        member_id=f'{settings.node}@{settings.ip}',
+        incarnation=uuid.uuid4().hex,
+        host=host,
+        port=port,
+        data_centre=settings.zone,
+        region=settings.region,
+        regions=settings.zones,
+        seeds=tuple(split_address(seed)[0] for seed in settings.seeds),
+        decode_status=decode_status,
+        drain_notice_ms=min(NOTICE_MS, grace_ms / 2),
+        drain_txn_ms=grace_ms / 2,
+        drain_limit_ms=grace_ms - EXIT_MARGIN_MS,
+    )
+
+
+def run(settings: PlatformSettings) -> int:
+    """Run a session pooler until it is stopped."""
+    if settings.bind.frontend is None or settings.bind.readiness is None:
+        raise SystemExit('an edge process needs frontend and readiness')
+    cfg = build_config(settings)
+    protocol = SessionProtocol(
+        codecs={'session': CALLER_CODEC, 'upstream': DATABASE_CODEC},
+        encoders={'session': encode_messages, 'upstream': encode_messages},
+        open_stream=open_database,
+    )
+    frontend = split_address(settings.bind.frontend)
+    readiness = split_address(settings.bind.readiness)
+
+    def attach_frontend(shell: ReducerShell) -> Callable[[], Any]:
+        return partial(_serve_callers, shell, *frontend)
+
+    def attach_readiness(shell: ReducerShell) -> Callable[[], Any]:
+        async def serve(request: HttpRequest) -> HttpResponse:
+            if request.path != READINESS_PATH:
+                return HttpResponse(HTTPStatus.NOT_FOUND)
+            if is_healthy(shell.state):
+                return HttpResponse(HTTPStatus.OK)
+            return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE)
+
+        return partial(serve_http, *readiness, serve)
+
+    pages = Address(host=settings.ip, port=settings.internal_ports[0] + 1)
+    return trio.run(
+        run_pooler,
+        cfg,
+        protocol,
+        pages,
+        settings.internal_ports[0],
+        hash(settings.ip) & 0xFFFF,
+        attach_frontend,
+        attach_readiness,
+    )
+
+
+async def _serve_callers(shell: ReducerShell, host: str, port: int) -> None:
+    listeners = await trio.open_tcp_listeners(
+        port, host=host, backlog=LISTEN_BACKLOG
+    )
+
+    async def serve(stream: trio.SocketStream) -> None:
+        end_when_silent(stream, CALLER_SILENCE_MS)
+        await shell.serve_link('session', LineStream(stream), '')
+
+    await trio.serve_listeners(serve, listeners)
+
+
+def main() -> int:
+    """Run the program and return its exit code."""
+    return run_program(lambda: load_platform_settings(settings_path()), run)
+
+
+if __name__ == '__main__':
+    raise SystemExit(main())
--- /dev/null
+++ b/jackdawpost/platform/program.py
@@ -0,0 +1,33 @@
+"""Start of the programs on the platform: settings, logs, exit codes."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from jackdawpost.cli.common import EXIT_FAILED
+from jackdawpost.cli.common import EXIT_USAGE
+from jackdawpost.cli.common import flatten_group
+from jackdawpost.core.errors import ConfigError
+from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.platform.settings import PlatformSettings
+from jackdawpost.runtime.logs import configure_logging
+
+
+def run_program(
+    load: Callable[[], PlatformSettings],
+    run: Callable[[PlatformSettings], int],
+) -> int:
+    """Load the settings, run a daemon until it stops, return its exit code."""
+    try:
+        settings = load()
+    except ConfigError as exc:
+        print(f'error: {exc}', file=sys.stderr)
+        return EXIT_USAGE
+    log = configure_logging(settings.node, 'info', sys.stdout)
+    try:
+        return run(settings)
+    except* (JackdawpostError, OSError) as group:
+        for exc in flatten_group(group):
+            log.error('cannot run', extra={'detail': str(exc)})
+    return EXIT_FAILED
--- /dev/null
+++ b/jackdawpost/platform/settings.py
@@ -0,0 +1,138 @@
+"""Settings file of the platform, decoded into the product's settings."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from typing import Annotated
+from typing import Any
+
+from pydantic import AfterValidator
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from jackdawpost.core.errors import ConfigError
+
+SETTINGS_VARIABLE = 'JACKDAWPOST_SETTINGS'
+
+
+class _Table(BaseModel):
+    # The platform may add fields at any time.
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(':')
+    if not host or not port.isdecimal():
+        raise ValueError('valid is IP:PORT')
+    return value
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+
+
+class BindAddresses(_Table):
+    """Addresses to serve; which ones depends on the role."""
+
+    frontend: AddressText | None = None
+    readiness: AddressText | None = None
+    control: AddressText | None = None
+
+
+class FaultTolerance(_Table):
+    """What may be lost at once."""
+
+    machines: int = Field(default=1, ge=0)
+
+
+class Bounds(_Table):
+    """Time limits that the platform states."""
+
+    grace_s: float = Field(default=6, gt=0, alias='graceS')
+    catch_up_s: float = Field(default=4, gt=0, alias='catchUpS')
+    config_deadline_ms: float = Field(
+        default=3_000, gt=0, alias='configDeadlineMs'
+    )
+
+
+class PlatformApi(_Table):
+    """Where the platform takes orders."""
+
+    address: AddressText
+
+
+class PlatformSettings(_Table):
+    """The platform's settings of one process.
+
+    `node` names the machine's process and `zone` its data centre; `seeds`
+    are control addresses as IP:PORT.
+    """
+
+    node: str = Field(alias='nodeName', min_length=1)
+    ip: str
+    zone: str
+    region: str
+    internal_ports: tuple[int, int] = Field(alias='internalPorts')
+    seeds: list[AddressText]
+    is_first_start: bool = Field(default=False, alias='bootstrap')
+    data_dir: str | None = Field(default=None, alias='dataDir')
+    heartbeat_interval_ms: float = Field(
+        default=1_200, gt=0, alias='heartbeatIntervalMs'
+    )
+    zones: dict[str, str] = Field(default_factory=dict)
+    bind: BindAddresses = Field(alias='bindAddresses')
+    tolerates: FaultTolerance = Field(
+        default_factory=FaultTolerance, alias='faultTolerance'
+    )
+    bounds: Bounds = Field(default_factory=Bounds)
+    api: PlatformApi | None = Field(default=None, alias='cloudApi')
+
+
+def settings_path() -> str:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    ConfigError
+        The environment does not name one.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    if not path:
+        raise ConfigError(
+            SETTINGS_VARIABLE, '', path, 'the path of a settings file'
+        )
+    return path
+
+
+def load_platform_settings(path: str) -> PlatformSettings:
+    """Read and validate the settings file.
+
+    Raises
+    ------
+    ConfigError
+        The file cannot be read, or values are invalid; the error names all
+        of them.
+    """
+    try:
+        with open(path, 'rb') as file:
+            value: dict[str, Any] = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise ConfigError(path, '', str(exc), 'a readable TOML file') from exc
+    try:
+        return PlatformSettings.model_validate(value)
+    except ValidationError as exc:
+        errors = exc.errors(include_url=False)
+        keys = ', '.join(
+            '.'.join(str(part) for part in error['loc']) for error in errors
+        )
+        values = [error.get('input') for error in errors]
+        valid = '; '.join(error['msg'] for error in errors)
+        raise ConfigError(path, keys, values, valid) from exc
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of IP:PORT."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -7,12 +7,15 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
 from typing import Any
 from typing import get_args
 
 import trio
 
 from jackdawpost.core.control_reducer import config_from_settings
+from jackdawpost.core.control_reducer import ControlConfig
 from jackdawpost.core.control_reducer import dump_control
 from jackdawpost.core.control_reducer import is_healthy
 from jackdawpost.core.control_reducer import new_control
@@ -26,6 +29,7 @@
 from jackdawpost.core.messages import control
 from jackdawpost.core.messages import operator
 from jackdawpost.core.messages import upstream
+from jackdawpost.core.messages.peer import ControlGroup
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_contexts
@@ -35,9 +39,12 @@
 from jackdawpost.runtime.recorder import describe_restored
 from jackdawpost.runtime.recorder import TraceHeader
 from jackdawpost.runtime.shell import LinkTarget
+from jackdawpost.runtime.shell import Perform
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.runtime.timers import read_now_ms
+from jackdawpost.settings.models import Address
 from jackdawpost.settings.models import ControlSettings
+from jackdawpost.settings.models import TlsSettings
 from jackdawpost.storage.durable_store import DurableStore
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.codec import FrameError
@@ -53,7 +60,9 @@
 FIRST_FRAME_S = 5.0
 
 CODECS = {
-    'peer': FrameCodec(*get_args(consensus.ConsensusMessage)),
+    'peer': FrameCodec(
+        *get_args(consensus.ConsensusMessage), Hello, ControlGroup
+    ),
     'proxy': FrameCodec(
         control.ProxyReport,
         control.LeaseRevoked,
@@ -120,6 +129,36 @@
     return PersistFailed(now_ms=now_ms, token=token, detail=error)
 
 
+@dataclass(slots=True, kw_only=True)
+class ControlPlan:
+    """What a control process is started with.
+
+    Parameters
+    ----------
+    header_settings : dict
+        Settings as the header of a trace states them.
+    knows_peer : callable
+        Tells from the stated name and the certificate name, or the IP
+        address without TLS, whether a process may join the peer links.
+    targets : list of LinkTarget
+        Processes to stay connected to.
+    performers : dict
+        Carry out effects that only some deployments have.
+    """
+
+    cfg: ControlConfig
+    name: str
+    listen: Address
+    data_dir: str
+    seed: int
+    header_settings: dict[str, Any]
+    knows_peer: Callable[[str, str], bool]
+    tls: TlsSettings | None = None
+    targets: list[LinkTarget] = field(default_factory=list)
+    performers: dict[type, Perform] = field(default_factory=dict)
+    silence_ms: int = 0
+
+
 async def run_control(
     settings: ControlSettings, record_path: str | None = None
 ) -> int:
@@ -142,54 +181,93 @@
     StorageError
         The data folder is in use, damaged or cannot be read.
     """
+    known = {item.name for item in settings.peers}
+
+    def knows_peer(name: str, peer: str) -> bool:
+        if name not in known:
+            return False
+        return settings.tls is None or peer_has_role(peer, 'control', name)
+
+    plan = ControlPlan(
+        cfg=config_from_settings(settings),
+        name=settings.name,
+        listen=settings.listen,
+        data_dir=settings.data_dir,
+        seed=settings.seed,
+        header_settings=settings.model_dump(mode='json'),
+        knows_peer=knows_peer,
+        tls=settings.tls,
+        targets=_targets(settings),
+    )
+    return await run_control_plan(plan, record_path)
+
+
+async def run_control_plan(
+    plan: ControlPlan,
+    record_path: str | None = None,
+    *attach: Callable[[ReducerShell], Callable[[], Any] | None],
+) -> int:
+    """Run a control process as planned until it is stopped.
+
+    Parameters
+    ----------
+    plan : ControlPlan
+        Settings and parts of the process.
+    *attach : callable
+        Called with the shell before it runs; may return a coroutine
+        function to run beside.
+    """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(settings.tls, log)
-    store = DurableStore.open(settings.data_dir)
+    server_tls, client_tls = build_contexts(plan.tls, log)
+    store = DurableStore.open(plan.data_dir)
     writer = DurableWriter(store)
-    cfg = config_from_settings(settings)
-    rng = random.Random(settings.seed)
     header = TraceHeader(
         role='control',
-        settings=settings.model_dump(mode='json'),
+        settings=plan.header_settings,
         now_ms=read_now_ms(),
         restored=describe_restored(store.restored),
     )
-    state, effects = new_control(cfg, rng, store.restored, header.now_ms)
+    state, effects = new_control(
+        plan.cfg, random.Random(plan.seed), store.restored, header.now_ms
+    )
     shell = ReducerShell(
-        settings.name,
+        plan.name,
         state,
         reduce_control,
         CODECS,
         tls=client_tls,
         record=build_recorder(record_path, header),
-        performers={Persist: writer.enqueue},
+        performers={Persist: writer.enqueue, **plan.performers},
     )
     writer.shell = shell
     endpoints = Endpoints(
-        _build_handlers(shell, settings, log),
+        _build_handlers(shell, plan, log),
         build_pages(shell, is_healthy, dump_control),
+        silence_ms=plan.silence_ms,
     )
-    log.info('control starts', extra={'port': settings.listen.port})
+    tasks = [task for part in attach if (task := part(shell)) is not None]
+    log.info('control starts', extra={'port': plan.listen.port})
     return await run_shell(
         shell,
         effects,
-        settings.listen,
+        plan.listen,
         endpoints,
         server_tls,
-        _targets(settings),
+        plan.targets,
         writer.run,
+        *tasks,
     )
 
 
 def _build_handlers(
-    shell: ReducerShell, settings: ControlSettings, log: logging.Logger
+    shell: ReducerShell, plan: ControlPlan, log: logging.Logger
 ) -> dict[str, Callable[[FrameStream, str], Awaitable[None]]]:
     def accept(link: Link) -> Callable[[FrameStream, str], Awaitable[None]]:
         async def serve(stream: FrameStream, peer: str) -> None:
             valid = PeerIdentity(ROLES[link])
             name = peer.partition('.')[2]
-            if settings.tls is not None and not valid.matches(peer):
+            if plan.tls is not None and not valid.matches(peer):
                 log.warning(
                     'peer_refused', extra={'peer': peer, 'valid': str(valid)}
                 )
@@ -201,18 +279,8 @@
 
     async def serve_peer(stream: FrameStream, peer: str) -> None:
         name = await _read_hello(stream)
-        known = {item.name for item in settings.peers}
-        if name not in known or not (
-            settings.tls is None or peer_has_role(peer, 'control', name)
-        ):
-            log.warning(
-                'peer_refused',
-                extra={
-                    'peer': peer,
-                    'stated': name,
-                    'valid': ', '.join(f'control.{item}' for item in known),
-                },
-            )
+        if not plan.knows_peer(name, peer):
+            log.warning('peer_refused', extra={'peer': peer, 'stated': name})
             return
         await shell.serve_link('peer', stream, name)
 
--- a/jackdawpost/runtime/logs.py
+++ b/jackdawpost/runtime/logs.py
@@ -4,12 +4,15 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
-def configure_logging(process: str, level: str) -> logging.Logger:
-    """Send the logs of this process to standard error as JSON lines.
+def configure_logging(
+    process: str, level: str, stream: TextIO | None = None
+) -> logging.Logger:
+    """Send the logs of this process to a stream as JSON lines.
 
     Parameters
     ----------
@@ -17,13 +20,15 @@
         Name of the process, added to each line.
     level : str
         Lowest level to write: debug, info, warning or error.
+    stream : TextIO, optional
+        Where to write; standard error if None.
 
     Returns
     -------
     logging.Logger
         Logger of the package.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             '%(asctime)s %(levelname)s %(name)s %(message)s',
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import Protocol
 
 import trio
 
@@ -55,6 +56,7 @@
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import PeerIdentity
 
+CALLER_LINKS = ('caller', 'session')
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
 EXIT_ABORTED = 1
@@ -64,11 +66,37 @@
 Perform = Callable[[Any], None]
 
 
+class MessageStream(Protocol):
+    """Connection that carries whole frames, as `FrameStream` does."""
+
+    async def receive(self) -> bytes | str:
+        """Return the next frame; raises `LinkClosedError` at the end."""
+
+    def post(self, frame: bytes | str) -> None:
+        """Send a frame without waiting."""
+
+    async def aclose(self, reason: str = '') -> None:
+        """Send what is unsent, then close."""
+
+    async def abort(self) -> None:
+        """Close at once."""
+
+
+class MessageCodec(Protocol):
+    """Decodes the frames of one kind of link, as `FrameCodec` does."""
+
+    def decode(self, frame: bytes | str) -> list[Any]:
+        """Return validated messages; raises `FrameError`."""
+
+
+Encode = Callable[[list[Any]], bytes | str]
+
+
 @dataclass(slots=True)
 class OpenConnection:
     """A connection that the reducer knows by its id."""
 
-    stream: FrameStream
+    stream: MessageStream
     link: Link
     text: bool = False
 
@@ -84,6 +112,7 @@
     path: str
     hello: Any = None
     timeout_ms: float = 1_000
+    silence_ms: int = 0
 
 
 def ignore_event(event: Event) -> None:
@@ -103,6 +132,8 @@
         ``reduce(state, event) -> list of effects``.
     codecs : mapping of str to FrameCodec
         Codec for the messages received on each kind of link.
+    encoders : mapping of str to callable, optional
+        Encode the messages for links that do not carry CBOR or JSON.
     tls : ssl.SSLContext, optional
         Client context for links that this process opens.
     record : callable, optional
@@ -116,8 +147,9 @@
         name: str,
         state: Any,
         reduce: Reduce,
-        codecs: Mapping[str, FrameCodec],
+        codecs: Mapping[str, MessageCodec],
         *,
+        encoders: Mapping[str, Encode] | None = None,
         tls: ssl.SSLContext | None = None,
         record: Record = ignore_event,
         performers: Mapping[type, Perform] | None = None,
@@ -128,6 +160,7 @@
         self.exit_code = 0
         self._reduce = reduce
         self._codecs = codecs
+        self._encoders = encoders or {}
         self._tls = tls
         self._record = record
         self._log = logging.getLogger('jackdawpost')
@@ -199,7 +232,7 @@
     async def serve_link(
         self,
         link: Link,
-        stream: FrameStream,
+        stream: MessageStream,
         peer: str,
         first_frame_s: float = math.inf,
     ) -> None:
@@ -231,6 +264,7 @@
                     tls=self._tls,
                     expected=PeerIdentity('control', target.peer),
                     timeout_ms=target.timeout_ms,
+                    silence_ms=target.silence_ms,
                 ) as stream:
                     delay_s = RECONNECT_MIN_S
                     if target.hello is not None:
@@ -243,6 +277,12 @@
             await trio.sleep(delay_s)
             delay_s = min(RECONNECT_MAX_S, 2 * delay_s)
 
+    async def serve_opened(
+        self, link: Link, stream: MessageStream, opened: ConnOpened
+    ) -> None:
+        """Serve a connection that the reducer asked for, until it ends."""
+        await self._serve_conn(OpenConnection(stream, link), opened)
+
     async def _serve_conn(
         self,
         handle: OpenConnection,
@@ -287,7 +327,7 @@
         try:
             messages = self._codecs[handle.link].decode(frame)
         except FrameError as exc:
-            if handle.link != 'caller':
+            if handle.link not in CALLER_LINKS:
                 raise
             self.dispatch(
                 FrameRejected(
@@ -344,7 +384,9 @@
         if handle is None:
             return
         messages = effect.messages
-        encode = encode_json if handle.text else encode_cbor
+        encode = self._encoders.get(handle.link)
+        if encode is None:
+            encode = encode_json if handle.text else encode_cbor
         for start in range(0, len(messages), MAX_MESSAGES_PER_FRAME):
             frame = encode(messages[start : start + MAX_MESSAGES_PER_FRAME])
             handle.stream.post(frame)
@@ -352,16 +394,16 @@
                 self.metrics.count(f'sent_bytes_{handle.link}', len(frame))
 
     def _connect(self, effect: Connect) -> None:
-        self._spawn(self._open_upstream, effect)
+        self.spawn(self._open_upstream, effect)
 
     def _close(self, effect: Close) -> None:
         handle = self._conns.get(effect.conn)
         if handle is None:
             return
         if effect.abort:
-            self._spawn(handle.stream.abort)
+            self.spawn(handle.stream.abort)
         else:
-            self._spawn(handle.stream.aclose, effect.reason)
+            self.spawn(handle.stream.aclose, effect.reason)
 
     def _set_timer(self, effect: SetTimer) -> None:
         self._timers.set_timer(effect.key, effect.due_ms)
@@ -381,7 +423,7 @@
 
     def _stop(self, effect: Stop) -> None:
         self.exit_code = effect.exit_code
-        self._spawn(self._close_all)
+        self.spawn(self._close_all)
 
     async def _close_all(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -393,6 +435,7 @@
     def _fire_timer(self, key: str) -> None:
         self.dispatch(TimerFired(now_ms=read_now_ms(), key=key))
 
-    def _spawn(self, task: Callable[..., Any], *args: Any) -> None:
+    def spawn(self, task: Callable[..., Any], *args: Any) -> None:
+        """Run a coroutine function beside, until the process stops."""
         if self._nursery is not None:
             self._nursery.start_soon(task, *args)
--- a/jackdawpost/runtime/timers.py
+++ b/jackdawpost/runtime/timers.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+import time
 from collections.abc import Callable
 
 import trio
@@ -11,9 +12,18 @@
 MS_PER_SECOND = 1_000
 
 
+# The sleep of the event loop does not count time in which the machine was
+# suspended, so that a timer may be found overdue only after its end.
+MAX_SLEEP_S = 0.25
+
+
 def read_now_ms() -> float:
-    """Return the monotonic time of this process in milliseconds."""
-    return trio.current_time() * MS_PER_SECOND
+    """Return the monotonic time of this machine in milliseconds.
+
+    Time in which the machine was suspended counts: leases and ages that ran
+    out meanwhile must not be trusted afterwards.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_SECOND
 
 
 class TimerService:
@@ -66,4 +76,5 @@
 async def _sleep_until_ms(due_ms: float) -> None:
     if math.isinf(due_ms):
         await trio.sleep_forever()
-    await trio.sleep_until(due_ms / MS_PER_SECOND)
+    left_s = (due_ms - read_now_ms()) / MS_PER_SECOND
+    await trio.sleep(max(0.0, min(MAX_SLEEP_S, left_s)))
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -14,6 +14,7 @@
 from websockets.uri import parse_uri
 
 from jackdawpost.core.errors import ProtocolError
+from jackdawpost.wire.sockets import end_when_silent
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost.wire.tls import read_peer_name
@@ -45,6 +46,7 @@
     expected: PeerIdentity | None = None,
     timeout_ms: float = 5_000,
     max_frame_bytes: int = MAX_REPLY_BYTES,
+    silence_ms: int = 0,
 ) -> AsyncIterator[FrameStream]:
     """Connect to a process; the connection is closed on exit.
 
@@ -65,6 +67,9 @@
         Longest time for opening, in milliseconds.
     max_frame_bytes : int
         Longest frame accepted from the other end.
+    silence_ms : int
+        The kernel ends the connection if the other end stops to answer for
+        so long; 0 leaves that to the messages on it.
 
     Yields
     ------
@@ -85,7 +90,9 @@
     try:
         protocol = _build_protocol(host, port, path, max_frame_bytes)
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
-            frames = await _open_stream(host, port, protocol, tls, expected)
+            frames = await _open_stream(
+                host, port, protocol, tls, expected, silence_ms
+            )
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
             f'{place}: no answer within {timeout_ms:.0f} ms'
@@ -127,8 +134,11 @@
     protocol: ClientProtocol,
     tls: ssl.SSLContext | None,
     expected: PeerIdentity | None,
+    silence_ms: int,
 ) -> FrameStream:
     socket_stream = await trio.open_tcp_stream(host, port)
+    if silence_ms:
+        end_when_silent(socket_stream, silence_ms)
     stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
     stream = socket_stream
     peer = ''
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -18,6 +18,7 @@
 
 from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
+from jackdawpost.wire.sockets import end_when_silent
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import read_peer_name
@@ -66,12 +67,16 @@
         Connections beyond this are closed at once.
     max_frame_bytes : int
         A connection with a longer frame is closed.
+    silence_ms : int
+        A connection whose other end stops to answer for so long is ended by
+        the kernel; 0 leaves that to the messages on it.
     """
 
     handlers: Mapping[str, Handler]
     pages: Mapping[str, Page]
     max_connections: int = 20_000
     max_frame_bytes: int = MAX_FRAME_BYTES
+    silence_ms: int = 0
     open_connections: int = 0
 
 
@@ -129,6 +134,8 @@
         return
     endpoints.open_connections += 1
     try:
+        if endpoints.silence_ms:
+            end_when_silent(socket_stream, endpoints.silence_ms)
         await _handle_transport(socket_stream, endpoints, tls)
     except (
         trio.BrokenResourceError,
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import os
 import ssl
 from collections.abc import Iterator
 
@@ -19,9 +18,9 @@
 from websockets.protocol import State
 
 from jackdawpost.core.errors import ProtocolError
+from jackdawpost.wire.byte_writer import ByteWriter
 
 READ_BYTES = 65_536
-MAX_UNSENT_BYTES = 8 << 20
 CLOSE_TIMEOUT_S = 2.0
 NORMAL_CLOSURE = 1000
 
@@ -52,23 +51,16 @@
         self.peer = peer
         self._stream = stream
         self._protocol = protocol
-        self._unsent = bytearray()
-        self._flushing = False
-        self._closed = False
+        self._writer = ByteWriter(stream)
         self._ended = False
         self._parts: list[bytes] = []
         self._text = False
         self._frames: Iterator[bytes | str] = iter(())
-        self._fd = (
-            stream.socket.fileno()
-            if isinstance(stream, trio.SocketStream)
-            else None
-        )
 
     @property
     def closed(self) -> bool:
         """Whether the connection has ended on this side."""
-        return self._closed
+        return self._writer.closed
 
     async def receive(self) -> bytes | str:
         """Return the next whole frame.
@@ -94,7 +86,7 @@
         A frame on a closed connection is dropped. A peer that lets more
         than 8 MiB pile up is cut off, so that it cannot fill the memory.
         """
-        if self._closed or self._protocol.state is not State.OPEN:
+        if self._writer.closed or self._protocol.state is not State.OPEN:
             return
         if isinstance(frame, str):
             self._protocol.send_text(frame.encode())
@@ -104,7 +96,7 @@
 
     async def aclose(self, reason: str = '') -> None:
         """Send what is unsent, then close."""
-        if self._closed:
+        if self._writer.closed:
             await self.abort()
             return
         with trio.move_on_after(CLOSE_TIMEOUT_S) as scope:
@@ -112,16 +104,14 @@
             try:
                 self._protocol.send_close(NORMAL_CLOSURE, reason[:120])
                 self._write_output()
-                while self._flushing:
-                    await trio.sleep(0.005)
+                await self._writer.drain()
             except Exception:  # noqa: BLE001 - closing must not fail
                 pass
         await self.abort()
 
     async def abort(self) -> None:
         """Close the transport at once."""
-        self._closed = True
-        await trio.aclose_forcefully(self._stream)
+        await self._writer.abort()
 
     def _take_frames(self) -> list[bytes | str]:
         frames: list[bytes | str] = []
@@ -150,7 +140,7 @@
             raise LinkClosedError(f'text frame is not UTF-8: {exc}') from exc
 
     async def _read_more(self) -> None:
-        if self._closed:
+        if self._writer.closed:
             raise LinkClosedError('connection closed')
         try:
             data = await self._stream.receive_some(READ_BYTES)
@@ -159,7 +149,7 @@
             trio.ClosedResourceError,
             ssl.SSLError,
         ) as exc:
-            self._closed = True
+            self._writer.closed = True
             raise LinkClosedError(str(exc) or 'connection reset') from exc
         if data:
             self._protocol.receive_data(data)
@@ -168,7 +158,7 @@
         self._write_output()
         if not data or self._protocol.close_expected():
             if not self._protocol.close_expected() or not data:
-                self._closed = True
+                self._writer.closed = True
             # Frames that came before the end are still delivered.
             self._ended = True
 
@@ -177,48 +167,4 @@
         return str(exc) if exc is not None else 'connection closed by peer'
 
     def _write_output(self) -> None:
-        chunks = self._protocol.data_to_send()
-        for chunk in chunks:
-            self._unsent += chunk
-        if not self._unsent or self._flushing:
-            self._check_backlog()
-            return
-        if self._fd is not None:
-            self._write_now(self._fd)
-        if self._unsent:
-            self._flushing = True
-            # A system task costs an idle connection nothing, unlike a
-            # nursery; _flush handles every error of the transport itself.
-            trio.lowlevel.spawn_system_task(self._flush)
-
-    def _write_now(self, fd: int) -> None:
-        try:
-            written = os.write(fd, self._unsent)
-        except BlockingIOError:
-            return
-        except OSError:
-            self._unsent.clear()
-            return
-        del self._unsent[:written]
-
-    def _check_backlog(self) -> None:
-        if len(self._unsent) > MAX_UNSENT_BYTES:
-            self._closed = True
-            trio.lowlevel.spawn_system_task(
-                trio.aclose_forcefully, self._stream
-            )
-
-    async def _flush(self) -> None:
-        try:
-            while self._unsent and not self._closed:
-                data = bytes(self._unsent)
-                self._unsent.clear()
-                await self._stream.send_all(data)
-        except (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            ssl.SSLError,
-        ):
-            self._unsent.clear()
-        finally:
-            self._flushing = False
+        self._writer.write(b''.join(self._protocol.data_to_send()))
