Probe upstreams only where answers to statements show too little

Change: a probe is sent only to the primary, for a fresh position, and to upstreams that have not answered or are behind; settings reload on SIGHUP and when the file changes.

--- a/jackdawpost/core/control_delegation.py
+++ b/jackdawpost/core/control_delegation.py
@@ -266,9 +266,7 @@
     ):
         # The token belongs to another holder, or to this one's earlier
         # leadership, whose order may still be under way.
-        _delegate(
-            state, leader, name, group, upstreams, promotion.reason
-        )
+        _delegate(state, leader, name, group, upstreams, promotion.reason)
     elif order is not None and order.outcome == 'refused':
         leader.avoid_ms[chosen] = state.now_ms + AVOID_MS
         _give_up(state, name, promotion.to_term, order.detail)
--- a/jackdawpost/core/control_machine.py
+++ b/jackdawpost/core/control_machine.py
@@ -18,10 +18,10 @@
 from jackdawpost.core.control_state import Applied
 from jackdawpost.core.control_state import ControlMachine
 from jackdawpost.core.database_sets import admit_database
-from jackdawpost.core.errors import StorageError
 from jackdawpost.core.declared import declare_objects
 from jackdawpost.core.delegated_steps import adopt_primary
 from jackdawpost.core.delegated_steps import delegate_promotion
+from jackdawpost.core.errors import StorageError
 from jackdawpost.core.membership import announce_member
 from jackdawpost.core.membership import approve_member
 from jackdawpost.core.membership import mark_leaving
--- a/jackdawpost/core/control_reducer.py
+++ b/jackdawpost/core/control_reducer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from typing import Any
 
@@ -33,20 +34,20 @@
 from jackdawpost.core.control_process import member_state
 from jackdawpost.core.control_process import refuse
 from jackdawpost.core.control_process import send
-from jackdawpost.core.control_registry import answer_confirmed_read
-from jackdawpost.core.control_registry import receive_request
-from jackdawpost.core.control_voters import follow_group
-from jackdawpost.core.control_voters import take_group
-from jackdawpost.core.control_voters import tell_group
 from jackdawpost.core.control_proxies import grant_leases
 from jackdawpost.core.control_proxies import proxy_closed
 from jackdawpost.core.control_proxies import receive_from_proxy
+from jackdawpost.core.control_registry import answer_confirmed_read
+from jackdawpost.core.control_registry import receive_request
 from jackdawpost.core.control_upstreams import admin_closed
 from jackdawpost.core.control_upstreams import admin_opened
 from jackdawpost.core.control_upstreams import mark_silent_upstreams
 from jackdawpost.core.control_upstreams import receive_admin
 from jackdawpost.core.control_upstreams import receive_from_upstream
 from jackdawpost.core.control_upstreams import upstream_closed
+from jackdawpost.core.control_voters import follow_group
+from jackdawpost.core.control_voters import take_group
+from jackdawpost.core.control_voters import tell_group
 from jackdawpost.core.effects import CancelTimer
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Effect
@@ -63,6 +64,7 @@
 from jackdawpost.core.events import PersistFailed
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.events import Received
+from jackdawpost.core.events import SeedsChanged
 from jackdawpost.core.events import TimerFired
 from jackdawpost.core.messages.consensus import ConsensusMessage
 from jackdawpost.core.messages.control import AnnounceAck
@@ -146,6 +148,8 @@
         _on_drain(state)
     elif isinstance(event, Asked):
         receive_request(state, event)
+    elif isinstance(event, SeedsChanged):
+        state.cfg = dataclasses.replace(state.cfg, seeds=event.seeds)
     elif isinstance(event, PromotionEnded):
         if state.leader is not None:
             note_promotion_ended(state, state.leader, event)
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -167,6 +167,15 @@
     kind: Literal['promotion_ended'] = 'promotion_ended'
 
 
+@dataclass(slots=True, kw_only=True)
+class SeedsChanged:
+    """The settings name other addresses of control processes."""
+
+    now_ms: float
+    seeds: tuple[str, ...]
+    kind: Literal['seeds_changed'] = 'seeds_changed'
+
+
 Event = (
     ConnOpened
     | ConnClosed
@@ -178,4 +187,5 @@
     | PersistFailed
     | Asked
     | PromotionEnded
+    | SeedsChanged
 )
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -136,7 +136,7 @@
 
 def start_links(state: PoolerState) -> None:
     """Connect to the control processes that the settings name."""
-    _follow(state, set(state.cfg.seeds))
+    _follow(state, {*state.followed, *state.cfg.seeds})
     schedule(state, 'report', state.now_ms)
 
 
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -14,6 +14,7 @@
 from jackdawpost.core.events import Event
 from jackdawpost.core.events import FrameRejected
 from jackdawpost.core.events import Received
+from jackdawpost.core.events import SeedsChanged
 from jackdawpost.core.events import TimerFired
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import EndSession
@@ -86,6 +87,9 @@
         _on_closed(state, event)
     elif isinstance(event, FrameRejected):
         _on_rejected(state, event)
+    elif isinstance(event, SeedsChanged):
+        state.cfg = dataclasses.replace(state.cfg, seeds=event.seeds)
+        start_links(state)
     elif isinstance(event, DrainRequested):
         _on_drain(state)
     _settle(state)
@@ -282,9 +286,7 @@
     )
 
 
-def _complete(
-    state: PoolerState, conn: UpstreamConn, answer: Answer
-) -> None:
+def _complete(state: PoolerState, conn: UpstreamConn, answer: Answer) -> None:
     if not conn.steps or conn.conn not in state.conns:
         log(state, 'warning', 'answer_unasked', upstream=conn.upstream)
         discard(state, conn, 'answer to nothing')
--- a/jackdawpost/core/pooler/samples.py
+++ b/jackdawpost/core/pooler/samples.py
@@ -8,7 +8,7 @@
 
 from jackdawpost.core.positions import LogPosition
 
-KEEP_MS = 5_000.0  # longer than the allowances that replicas can serve
+KEEP_MS = 3_000.0  # longer than the allowances that replicas can serve
 # Between the first byte of a read and the time at which it is taken up.
 ARRIVAL_MARGIN_MS = 100.0
 
@@ -37,6 +37,14 @@
         while taken[0][0] < sent_ms - KEEP_MS:
             taken.popleft()
 
+    def newest_ms(self) -> float | None:
+        """Return when the newest sample was asked for."""
+        return self.taken[-1][0] if self.taken else None
+
+    def oldest_position(self) -> LogPosition | None:
+        """Return the position of the oldest sample kept."""
+        return self.taken[0][1] if self.taken else None
+
     def oldest_within(
         self, arrived_ms: float, max_age_ms: float
     ) -> LogPosition | None:
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -90,11 +90,7 @@
 
 
 def _open_for(state: PoolerState, pool: Pool, wanted: int) -> None:
-    opening = sum(
-        1
-        for number in pool.conns
-        if not state.conns[number].opened
-    )
+    opening = sum(1 for number in pool.conns if not state.conns[number].opened)
     for _ in range(wanted - opening):
         if not may_open(state, pool):
             return
@@ -212,9 +208,7 @@
         begin = Internal(action='begin')
         if after is not None:
             begin = Internal(action='begin_read', after=after)
-        conn.steps.append(
-            Step(kind='begin', sent_ms=state.now_ms, work=work)
-        )
+        conn.steps.append(Step(kind='begin', sent_ms=state.now_ms, work=work))
         send(state, conn.conn, begin)
         return
     run_statement(state, conn, work)
@@ -238,9 +232,7 @@
     work.sent_ms = state.now_ms
     # In a transaction the position was demanded by the begin.
     is_alone = not work.in_txn and not _is_guarded(work)
-    conn.steps.append(
-        Step(kind='statement', sent_ms=state.now_ms, work=work)
-    )
+    conn.steps.append(Step(kind='statement', sent_ms=state.now_ms, work=work))
     execute = Execute(
         id=work.req.id,
         text=work.req.text,
@@ -305,9 +297,7 @@
     if answer.code:
         conn.owner = 0
         if answer.state != 'idle':
-            send_internal(
-                state, conn, 'rollback', Internal(action='rollback')
-            )
+            send_internal(state, conn, 'rollback', Internal(action='rollback'))
         _take_refusal(state, pool, work, answer)
         return
     if pool is not None and work.after is None and answer.position:
@@ -402,9 +392,7 @@
             work.excluded.add(pool.view.name)
         pause_ms = backoff_ms(work.attempts, state.rng)
         work.not_before_ms = state.now_ms + pause_ms
-        schedule(
-            state, f'group/{work.endpoint.group}', work.not_before_ms
-        )
+        schedule(state, f'group/{work.endpoint.group}', work.not_before_ms)
     requeue(state, work)
 
 
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -100,7 +100,9 @@
 
 def _take_request(state: PoolerState, session: Session, req: Request) -> None:
     if req.verb == 'unknown':
-        fail(state, session, 'malformed', f'unknown statement {req.text!r:.80}')
+        fail(
+            state, session, 'malformed', f'unknown statement {req.text!r:.80}'
+        )
     elif session.state == 'failed_txn' and req.verb not in (
         'rollback',
         'commit',
@@ -261,9 +263,7 @@
 def _run(state: PoolerState, session: Session, req: Request) -> None:
     """Hand a statement over to an upstream."""
     txn = session.txn
-    endpoint = (
-        txn.endpoint if txn else state.endpoints.get(session.database)
-    )
+    endpoint = txn.endpoint if txn else state.endpoints.get(session.database)
     if endpoint is None:
         _fail_dropped(state, session)
         return
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from jackdawpost.core.effects import Connect
-from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import close
 from jackdawpost.core.pooler.state import count
@@ -29,6 +29,12 @@
 LATENCY_WEIGHT = 0.2  # of the newest statement in the moving average
 RETRY_MIN_MS = 50.0
 RETRY_MAX_MS = 500.0
+# Age of the newest proved position at which the primary is asked for another.
+SAMPLE_MS = 400.0
+# Time without an answer after which a replica is asked whether it is there.
+HEARD_MS = 1_000.0
+# Pause between looks at a replica that is behind.
+LAG_PROBE_MS = 250.0
 # While no primary is known, every upstream is asked whether it leads.
 SEARCH_INTERVAL_MS = 80.0
 
@@ -228,14 +234,41 @@
             note_reach(state, pool, 'silent')
             if conn.opened or waited_ms >= state.cfg.open_timeout_ms:
                 discard(state, conn, 'no answer to a probe')
-    else:
-        pool.probe_sent_ms = state.now_ms
+    elif _is_probe_needed(state, pool):
+        _send_probe(state, pool, conn)
+    schedule(state, f'probe/{name}', state.now_ms + _probe_pause(state, pool))
+
+
+def _is_probe_needed(state: PoolerState, pool: Pool) -> bool:
+    """Tell whether the answers to statements show too little."""
+    if pool.reach != 'up':
+        return True
+    group = group_of(state, pool.view.group)
+    if group.primary is None:
+        return True
+    if group.primary == pool.view.name:
+        newest = group.samples.newest_ms()
+        return newest is None or state.now_ms >= newest + SAMPLE_MS
+    if state.now_ms >= pool.heard_ms + HEARD_MS:
+        return True
+    # Without a position that reads can use it would get none of them.
+    needed = group.samples.oldest_position()
+    behind = pool.applied is None or (
+        needed is not None and pool.applied < needed
+    )
+    return behind and state.now_ms >= pool.probe_sent_ms + LAG_PROBE_MS
+
+
+def _send_probe(state: PoolerState, pool: Pool, conn: UpstreamConn) -> None:
+    pool.probe_sent_ms = state.now_ms
+    group = group_of(state, pool.view.group)
+    if group.primary != pool.view.name:
         send_internal(state, conn, 'status', Internal(action='status'))
+    if group.primary in (None, pool.view.name):
         # A begin proves leadership and takes no slot.
         send_internal(state, conn, 'probe_begin', Internal(action='begin'))
         undo = Internal(action='rollback')
         send_internal(state, conn, 'probe_rollback', undo)
-    schedule(state, f'probe/{name}', state.now_ms + _probe_pause(state, pool))
 
 
 def _probe_pause(state: PoolerState, pool: Pool) -> float:
@@ -271,18 +304,18 @@
 ) -> None:
     """Handle the answer to one statement of a probe."""
     note_reach(state, pool, 'up')
+    if answer.position is not None:
+        pool.applied = answer.position
     if step.kind == 'status':
         if answer.signature and answer.rows:
             _take_status(state, pool, answer)
+        state.dirty.add(pool.view.group)
         return
     if step.kind == 'probe_begin':
         if answer.signature and answer.position is not None:
-            pool.applied = answer.position
             note_leader(state, pool, step.sent_ms, answer.position)
         elif answer.code == 'not_primary':
             note_not_leader(state, pool, 'not_primary')
-        if answer.position is not None:
-            pool.applied = answer.position
         # Reads that waited for this upstream to catch up may go on.
         state.dirty.add(pool.view.group)
 
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -18,6 +18,8 @@
 from jackdawpost.platform.control_api import ControlApi
 from jackdawpost.platform.http import serve_http
 from jackdawpost.platform.program import run_program
+from jackdawpost.platform.reload import seed_hosts
+from jackdawpost.platform.reload import watch_settings
 from jackdawpost.platform.settings import load_platform_settings
 from jackdawpost.platform.settings import PlatformSettings
 from jackdawpost.platform.settings import settings_path
@@ -47,7 +49,7 @@
 
 def build_plan(settings: PlatformSettings, data_dir: str) -> ControlPlan:
     """Return how a control process is started with these settings."""
-    seeds = [split_address(seed)[0] for seed in settings.seeds]
+    seeds = list(seed_hosts(settings))
     is_new = not os.path.exists(os.path.join(data_dir, NODE_ID_FILE))
     # An empty disk forms the group only at the very first start; later it
     # is that of a newcomer, which the group admits.
@@ -115,7 +117,7 @@
             'first_voters': plan.cfg.peers,
         },
     )
-    return trio.run(run_control_plan, plan, None, attach)
+    return trio.run(run_control_plan, plan, None, attach, watch_settings)
 
 
 def main() -> int:
--- a/jackdawpost/platform/control_api.py
+++ b/jackdawpost/platform/control_api.py
@@ -56,9 +56,7 @@
         self._port = port
         self._platform = platform
         self._numbers = itertools.count(1)
-        self._waiting: dict[
-            int, tuple[trio.Event, list[Reply]]
-        ] = {}
+        self._waiting: dict[int, tuple[trio.Event, list[Reply]]] = {}
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Answer one request of an operator or a database."""
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -22,6 +22,8 @@
 from jackdawpost.platform.lines import LineStream
 from jackdawpost.platform.lines import open_database
 from jackdawpost.platform.program import run_program
+from jackdawpost.platform.reload import seed_hosts
+from jackdawpost.platform.reload import watch_settings
 from jackdawpost.platform.settings import load_platform_settings
 from jackdawpost.platform.settings import PlatformSettings
 from jackdawpost.platform.settings import settings_path
@@ -56,7 +58,7 @@
         data_centre=settings.zone,
         region=settings.region,
         regions=settings.zones,
-        seeds=tuple(split_address(seed)[0] for seed in settings.seeds),
+        seeds=seed_hosts(settings),
         decode_status=decode_status,
         drain_notice_ms=min(NOTICE_MS, grace_ms / 2),
         drain_txn_ms=grace_ms / 2,
@@ -100,6 +102,7 @@
         hash(settings.ip) & 0xFFFF,
         attach_frontend,
         attach_readiness,
+        watch_settings,
     )
 
 
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -45,14 +45,12 @@
 from jackdawpost.runtime.upstream_link import open_upstream
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import encode_json
-from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.codec import MAX_MESSAGES_PER_FRAME
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.link import PeerIdentityError
-from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import PeerIdentity
 
