Answer approvals on the asking link; keep the connection budget over expiry

Ruled out: a lost update (the version gap stayed after reconnecting). Change: an approval goes back on the link that asked, control asks again each 500 ms, the connection budget counts proxies seen in the last minute, and a reset connection is no evidence against an upstream.

--- a/jackdawpost/core/control_registry.py
+++ b/jackdawpost/core/control_registry.py
@@ -12,6 +12,7 @@
 from jackdawpost.core.commands import DeclareObjects
 from jackdawpost.core.commands import MarkLeaving
 from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.control_members import ask_approvals
 from jackdawpost.core.control_members import note_member
 from jackdawpost.core.control_process import ControlState
 from jackdawpost.core.control_process import LeaderState
@@ -31,8 +32,8 @@
 from jackdawpost.core.messages.registry import Registration
 
 MAX_SHOWN_FAULTS = 20
-# Pause between attempts to remove an identity that has been replaced.
-SWEEP_MS = 250.0
+# Pause between looks at what is still missing for a join or a departure.
+SWEEP_MS = 500.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -319,6 +320,10 @@
     for known in leader.registered.values():
         if known.report.state == 'draining':
             _mark_leaving(state, leader, known.report)
+    # A request for an approval, or its answer, may be lost with a link.
+    for link in state.links.values():
+        link.asked.clear()
+    ask_approvals(state)
 
 
 def answer_asked(
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -119,7 +119,7 @@
     elif isinstance(message, StateUpdate):
         _take_update(state, conn, message)
     elif isinstance(message, ApprovalRequest):
-        _examine(state, message)
+        _examine(state, conn, message)
     elif isinstance(message, NotLeader):
         if message.leader:
             _follow(state, {*state.followed, message.leader})
@@ -202,7 +202,7 @@
     send_report(state)
 
 
-def _examine(state: PoolerState, message: ApprovalRequest) -> None:
+def _examine(state: PoolerState, conn: int, message: ApprovalRequest) -> None:
     """Examine a newcomer that control asks about.
 
     An upstream must answer at its address under its own identity. Proxies
@@ -210,10 +210,11 @@
     another member.
     """
     if message.role == 'proxy':
-        _examine_proxy(state, message)
+        _examine_proxy(state, conn, message)
         return
     known = state.newcomers.get(message.newcomer)
     if known is not None and known.member_id == message.newcomer_id:
+        known.asker = conn
         return
     newcomer = Newcomer(
         name=message.newcomer,
@@ -221,12 +222,15 @@
         group=message.group,
         host=message.host,
         port=message.port,
+        asker=conn,
     )
     state.newcomers[newcomer.name] = newcomer
     _connect(state, newcomer)
 
 
-def _examine_proxy(state: PoolerState, message: ApprovalRequest) -> None:
+def _examine_proxy(
+    state: PoolerState, conn: int, message: ApprovalRequest
+) -> None:
     for member in state.published.members.values():
         if member.role != 'proxy' or member.member_id == message.newcomer_id:
             continue
@@ -247,6 +251,7 @@
             return
     _approve(
         state,
+        conn,
         message.newcomer,
         message.newcomer_id,
         'name and address are not in use by others',
@@ -275,6 +280,7 @@
     if newcomer is not None:
         _approve(
             state,
+            newcomer.asker,
             newcomer.name,
             newcomer.member_id,
             'answers at its address under its identity',
@@ -309,7 +315,11 @@
 
 
 def _approve(
-    state: PoolerState, newcomer: str, newcomer_id: str, checked: str
+    state: PoolerState,
+    asker: int,
+    newcomer: str,
+    newcomer_id: str,
+    checked: str,
 ) -> None:
     log(
         state,
@@ -320,8 +330,6 @@
         checked=checked,
         version=state.published.version,
     )
-    if not state.leader:
-        return
     message = Approval(
         member=state.cfg.name,
         member_id=state.cfg.member_id,
@@ -330,4 +338,4 @@
         checked=checked,
         version=state.published.version,
     )
-    send(state, state.leader, message)
+    send(state, asker, message)
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -204,7 +204,7 @@
     pool = state.pools.get(conn.upstream)
     if conn.purpose == 'monitor':
         if pool is not None and pool.monitor == conn.conn:
-            lose_monitor(state, pool, reason)
+            lose_monitor(state, pool, conn, reason)
         return
     if pool is not None:
         pool.conns.discard(conn.conn)
@@ -275,6 +275,7 @@
 def _refused_at_open(
     state: PoolerState, conn: UpstreamConn, answer: Answer
 ) -> None:
+    conn.refusal = answer.code
     log(
         state,
         'warning',
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -29,6 +29,7 @@
 from jackdawpost.core.pooler.state import UpstreamConn
 from jackdawpost.core.pooler.state import Work
 from jackdawpost.core.pooler.upstreams import add_connection
+from jackdawpost.core.pooler.upstreams import connection_limit
 from jackdawpost.core.pooler.upstreams import discard
 from jackdawpost.core.pooler.upstreams import may_open
 from jackdawpost.core.pooler.upstreams import note_latency
@@ -282,6 +283,8 @@
     pool = state.pools.get(conn.upstream)
     if pool is None:
         discard(state, conn, 'upstream has left')
+    elif len(pool.conns) > connection_limit(state, pool):
+        discard(state, conn, 'more proxies share the connections')
     else:
         state.dirty.add(pool.view.group)
 
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -214,6 +214,8 @@
 
     Parameters
     ----------
+    refusal : str
+        Code with which the upstream refused the connection.
     session : int
         Session whose values are on the connection; 0 for none.
     epoch : int
@@ -226,6 +228,7 @@
     upstream: str
     purpose: Literal['statements', 'monitor', 'check']
     opened: bool = False
+    refusal: str = ''
     session: int = 0
     epoch: int = 0
     owner: int = 0
@@ -294,13 +297,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class Newcomer:
-    """Upstream that control asks this pooler to approve."""
+    """Upstream that control asks this pooler to approve.
+
+    Parameters
+    ----------
+    asker : int
+        Control connection that asked.
+    conn : int
+        Connection to the newcomer; 0 between attempts.
+    """
 
     name: str
     member_id: str
     group: str
     host: str
     port: int
+    asker: int = 0
     conn: int = 0
     attempts: int = 0
 
@@ -320,6 +332,7 @@
     works: dict[int, Work] = field(default_factory=dict)
     conns: dict[int, UpstreamConn] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
+    proxies_seen_ms: dict[str, float] = field(default_factory=dict)
     groups: dict[str, PoolGroup] = field(default_factory=dict)
     newcomers: dict[str, Newcomer] = field(default_factory=dict)
     next_conn: int = -1
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -25,6 +25,8 @@
 # way in, out of those that an upstream allows.
 RESERVED_CONNECTIONS = 3
 DEFAULT_CONNECTIONS = 20
+# Longer than any cut after which a proxy is expected back.
+PROXY_MEMORY_MS = 60_000.0
 MIN_CONNECTIONS = 1
 LATENCY_WEIGHT = 0.2  # of the newest statement in the moving average
 RETRY_MIN_MS = 50.0
@@ -33,6 +35,8 @@
 SAMPLE_MS = 400.0
 # Time without an answer after which a replica is asked whether it is there.
 HEARD_MS = 1_000.0
+# Refusals of a connection by an upstream that works.
+FULL_CODES = frozenset({'no_connections', 'overloaded'})
 # Pause between looks at a replica that is behind.
 LAG_PROBE_MS = 250.0
 # While no primary is known, every upstream is asked whether it leads.
@@ -41,6 +45,7 @@
 
 def sync_pools(state: PoolerState) -> None:
     """Follow the published upstreams."""
+    note_proxies(state)
     published = state.published.upstreams
     for name in [name for name in state.pools if name not in published]:
         _drop_pool(state, name)
@@ -69,16 +74,29 @@
             discard(state, conn, 'upstream has left')
 
 
+def note_proxies(state: PoolerState) -> None:
+    """Count the proxies that share the upstreams' connections.
+
+    One that has been removed may only be cut off from control, and still
+    hold its connections.
+    """
+    seen = state.proxies_seen_ms
+    for member in state.published.members.values():
+        if member.role == 'proxy':
+            seen[member.name] = state.now_ms
+    for name, last_ms in list(seen.items()):
+        if state.now_ms >= last_ms + PROXY_MEMORY_MS:
+            del seen[name]
+
+
 def connection_limit(state: PoolerState, pool: Pool) -> int:
     """Return how many statement connections this process may have open."""
     group = state.published.groups.get(pool.view.group)
     allowed = DEFAULT_CONNECTIONS
     if group is not None and group.max_connections:
         allowed = group.max_connections
-    proxies = sum(
-        1 for m in state.published.members.values() if m.role == 'proxy'
-    )
-    share = (allowed - RESERVED_CONNECTIONS) // max(1, proxies)
+    proxies = max(1, len(state.proxies_seen_ms))
+    share = (allowed - RESERVED_CONNECTIONS) // proxies
     return max(MIN_CONNECTIONS, share - 1)
 
 
@@ -336,12 +354,22 @@
     pool.received = status.received
 
 
-def lose_monitor(state: PoolerState, pool: Pool, reason: str) -> None:
+def lose_monitor(
+    state: PoolerState, pool: Pool, conn: UpstreamConn, reason: str
+) -> None:
     """Take the end of a monitor connection."""
     pool.monitor = 0
-    if reason in ('refused', 'closed'):
-        note_reach(state, pool, 'refused')
-    elif reason == 'timeout':
-        note_reach(state, pool, 'silent')
+    name = pool.view.name
+    if conn.opened:
+        # A connection may be reset while its other end goes on: only an
+        # attempt to open another one tells.
+        schedule(state, f'probe/{name}', state.now_ms)
+        return
+    if conn.refusal in FULL_CODES:
+        note_reach(state, pool, 'up')
+        pool.heard_ms = state.now_ms
+        schedule(state, f'probe/{name}', state.now_ms + HEARD_MS)
+        return
+    note_reach(state, pool, 'silent' if reason == 'timeout' else 'refused')
     pause = min(SEARCH_INTERVAL_MS, state.cfg.probe_interval_ms)
-    schedule(state, f'probe/{pool.view.name}', state.now_ms + pause)
+    schedule(state, f'probe/{name}', state.now_ms + pause)
