Keep an idle timer from spinning; open connections to quicker replicas

Ruled out: lost answers alone (they were retried in time on other edges). Change: a running statement counts as activity; an answer that only this process's own statements get is never passed on as a caller's; reads open connections to replicas that are much quicker. Tests of the pooler run against simulated databases (testing/fake_pooler_world).

--- a/jackdawpost/core/objects.py
+++ b/jackdawpost/core/objects.py
@@ -36,20 +36,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class GroupObject:
-    """Database group.
-
-    Parameters
-    ----------
-    max_connections : int
-        Connections that each of its upstreams accepts in total; 0 where the
-        upstreams announce it themselves.
-    """
+    """Database group."""
 
     name: str
     databases: int
     write_copies: int
     replica_wait_ms: int
-    max_connections: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -121,6 +113,9 @@
         Urgency; 0 is the highest.
     idle_txn_ms : int
         Longest pause between statements of a transaction; 0 for any.
+    max_connections : int
+        Connections that each upstream of the group accepts from all proxies
+        together; 0 where nobody has said.
     """
 
     name: str
@@ -133,6 +128,7 @@
     objective_ms: int
     priority: int
     idle_txn_ms: int
+    max_connections: int
 
 
 NamedObject = (
@@ -200,7 +196,6 @@
     databases: int = Field(ge=1, le=MAX_DATABASES)
     write_copies: int = Field(default=2, ge=1, le=MAX_DATABASES)
     replica_wait_ms: int = Field(default=50, ge=0, le=60_000)
-    max_connections: int = Field(default=0, ge=0, le=1_000_000)
 
 
 class UpstreamBody(_Body):
@@ -252,6 +247,7 @@
     objective_ms: int = Field(default=1_000, ge=1, le=MAX_TIMEOUT_MS)
     priority: int = Field(default=1, ge=0, le=1_000)
     idle_txn_ms: int = Field(default=0, ge=0, le=MAX_TIMEOUT_MS)
+    max_connections: int = Field(default=0, ge=0, le=1_000_000)
 
     @model_validator(mode='after')
     def _check_allowance(self) -> EndpointBody:
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -49,6 +49,10 @@
 READ_ATTEMPT_SHARE = 0.5
 # What a trip to another region costs a read more than one in this region.
 OTHER_REGION_MS = 30.0
+# Signature of answers that no database has signed.
+NOT_RUN_SIGNATURE = '-'
+# Time that a read must save for another connection to be opened for it.
+OPENING_GAIN_MS = 20.0
 # Refusals by the upstream that promise that nothing has run.
 NOT_RUN_CODES = frozenset(
     {'overloaded', 'behind', 'not_primary', 'wrong_upstream', 'no_statement'}
@@ -112,24 +116,34 @@
             for pool in pools:
                 conn = _free_conn(state, pool, work.session)
                 if conn is not None:
+                    if _is_much_quicker(state, pools[0], pool):
+                        _want(wanted, pools[0])
                     _start(state, pool, conn, work, after)
                     return True
             if pools:
-                wanted[pools[0].view.name] = (
-                    wanted.get(pools[0].view.name, 0) + 1
-                )
+                _want(wanted, pools[0])
                 return False
     pool = state.pools.get(group.primary or '')
     if pool is None:
         return False
     conn = _free_conn(state, pool, work.session)
     if conn is None:
-        wanted[pool.view.name] = wanted.get(pool.view.name, 0) + 1
+        _want(wanted, pool)
         return False
     _start(state, pool, conn, work, None)
     return True
 
 
+def _want(wanted: dict[str, int], pool: Pool) -> None:
+    wanted[pool.view.name] = wanted.get(pool.view.name, 0) + 1
+
+
+def _is_much_quicker(state: PoolerState, best: Pool, used: Pool) -> bool:
+    """Tell whether a connection to `best` would soon pay for its opening."""
+    gain_ms = _expected_ms(state, used) - _expected_ms(state, best)
+    return best is not used and gain_ms > OPENING_GAIN_MS
+
+
 def _needed_position(group: PoolGroup, work: Work) -> LogPosition | None:
     """Return the position that a read needs; None if only the primary can."""
     sample = group.samples.oldest_within(
@@ -255,6 +269,12 @@
     """Handle the complete answer to one step of a statement connection."""
     pool = state.pools.get(conn.upstream)
     work = step.work
+    if step.kind == 'statement' and answer.signature == NOT_RUN_SIGNATURE:
+        # Only statements of this process are answered so: an answer before
+        # this one has been lost.
+        lose_statement_conn(state, conn, 'an answer is missing', step)
+        discard(state, conn, 'an answer is missing')
+        return
     if step.kind == 'replay' and answer.code:
         # The session's values are not on the connection.
         log(
@@ -409,11 +429,22 @@
 
 
 def lose_statement_conn(
-    state: PoolerState, conn: UpstreamConn, reason: str
+    state: PoolerState,
+    conn: UpstreamConn,
+    reason: str,
+    unanswered: Step | None = None,
 ) -> None:
-    """Decide what becomes of the statements on a connection that ended."""
+    """Decide what becomes of the statements on a connection that ended.
+
+    Parameters
+    ----------
+    unanswered : Step, optional
+        Step that was taken off the connection without its answer.
+    """
     owner = state.sessions.get(conn.owner)
     steps = list(conn.steps)
+    if unanswered is not None:
+        steps.insert(0, unanswered)
     conn.steps.clear()
     for step in steps:
         work = step.work
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -211,8 +211,10 @@
     txn = session.txn if session is not None else None
     if session is None or txn is None or session.state != 'in_txn':
         return
+    if session.work is not None:
+        txn.active_ms = state.now_ms
     idle_ms = state.now_ms - txn.active_ms
-    if session.work is not None or idle_ms < txn.endpoint.idle_txn_ms:
+    if idle_ms < txn.endpoint.idle_txn_ms:
         _watch_idle(state, session)
         return
     log(
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -91,10 +91,12 @@
 
 def connection_limit(state: PoolerState, pool: Pool) -> int:
     """Return how many statement connections this process may have open."""
-    group = state.published.groups.get(pool.view.group)
-    allowed = DEFAULT_CONNECTIONS
-    if group is not None and group.max_connections:
-        allowed = group.max_connections
+    stated = [
+        view.max_connections
+        for view in state.published.endpoints.values()
+        if view.group == pool.view.group and view.max_connections
+    ]
+    allowed = min(stated, default=DEFAULT_CONNECTIONS)
     proxies = max(1, len(state.proxies_seen_ms))
     share = (allowed - RESERVED_CONNECTIONS) // proxies
     return max(MIN_CONNECTIONS, share - 1)
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -29,9 +29,6 @@
     database_set : dict of str to str
         Data identity of each database that a promotion counts on. Only
         these confirm a write: a promotion may not ask any other one.
-    max_connections : int
-        Connections that each upstream accepts in total; 0 where the
-        upstreams announce it.
     """
 
     name: str
@@ -41,7 +38,6 @@
     term: int = 0
     primary: str | None = None
     database_set: dict[str, str] = field(default_factory=dict)
-    max_connections: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -117,6 +113,7 @@
     objective_ms: int
     priority: int
     idle_txn_ms: int
+    max_connections: int
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -90,7 +90,7 @@
         )
         for age in sorted(ages)
     ]
-    objects += [_endpoint(route, config.limits) for route in config.routes]
+    objects += [_endpoint(route, config) for route in config.routes]
     return DeclareConfig(
         version=config.version, document=body, objects=objects
     )
@@ -109,12 +109,12 @@
     body = {
         'databases': copies,
         'write_copies': copies,
-        'max_connections': service.max_connections,
     }
     return DeclareObject(type='group', name=service.name, body=body)
 
 
-def _endpoint(route: _Route, limits: _Limits) -> DeclareObject:
+def _endpoint(route: _Route, config: _Config) -> DeclareObject:
+    connections = {s.name: s.max_connections for s in config.services}
     body: dict[str, Any] = {
         'database': route.database,
         'path': route.path,
@@ -123,7 +123,8 @@
         'timeout_ms': route.timeout_ms,
         'objective_ms': route.objective_ms,
         'priority': route.priority,
-        'idle_txn_ms': limits.idle_txn_ms,
+        'idle_txn_ms': config.limits.idle_txn_ms,
+        'max_connections': connections.get(route.group, 0),
     }
     if _has_age(route):
         body['allowance'] = _age_name(route.max_age_ms)
--- /dev/null
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -0,0 +1,622 @@
+"""Callers, control and databases around a session pooler, for tests.
+
+Time is simulated: every answer comes after the time that a database takes,
+in the order of due times, so that a run is the same every time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import Any
+
+from jackdawpost.core.effects import Close
+from jackdawpost.core.effects import Connect
+from jackdawpost.core.effects import Effect
+from jackdawpost.core.effects import LogLine
+from jackdawpost.core.effects import Send
+from jackdawpost.core.effects import SetTimer
+from jackdawpost.core.effects import Stop
+from jackdawpost.core.events import ConnClosed
+from jackdawpost.core.events import ConnOpened
+from jackdawpost.core.events import DrainRequested
+from jackdawpost.core.events import Event
+from jackdawpost.core.events import Received
+from jackdawpost.core.events import TimerFired
+from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import PublishedObject
+from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.session import Done
+from jackdawpost.core.messages.session import Execute
+from jackdawpost.core.messages.session import Failed
+from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.messages.session import OpenUpstream
+from jackdawpost.core.messages.session import Ready
+from jackdawpost.core.messages.session import Request
+from jackdawpost.core.messages.session import Row
+from jackdawpost.core.messages.session import StartSession
+from jackdawpost.core.messages.session import UpstreamStatus
+from jackdawpost.core.messages.session import Verb
+from jackdawpost.core.pooler.reducer import new_pooler
+from jackdawpost.core.pooler.reducer import reduce_pooler
+from jackdawpost.core.pooler.state import PoolerConfig
+from jackdawpost.core.positions import LogPosition
+
+CONTROL_CONN = 1
+GROUP = 'spares'
+DATABASES = ('db-1', 'db-2', 'db-3')
+TRIP_MS = 0.5  # to a database and back
+SLOT_FREE_MS = 0.5  # statements that take no slot
+VERBS: dict[str, Verb] = {
+    'BEGIN': 'begin',
+    'COMMIT': 'commit',
+    'ROLLBACK': 'rollback',
+    'READ': 'read',
+    'WRITE': 'write',
+    'SET': 'set',
+    'PREPARE': 'prepare',
+    'EXECUTE': 'execute',
+    'DEALLOC': 'deallocate',
+}
+
+
+def decode_status(row: str) -> UpstreamStatus:
+    """Read the status row of a `FakeDatabase`."""
+    role, term, index = row.split()
+    return UpstreamStatus(
+        leads=role == 'primary',
+        term=int(term),
+        received=LogPosition(int(term), int(index)),
+    )
+
+
+def build_request(request_id: str, text: str) -> Request:
+    """Return the request that a caller's text stands for."""
+    word, _, rest = text.partition(' ')
+    verb: Verb = VERBS.get(word, 'unknown')
+    if verb == 'begin' and rest == 'READ':
+        verb = 'begin_read'
+    if verb not in ('set', 'prepare', 'execute', 'deallocate'):
+        return Request(id=request_id, text=text, verb=verb)
+    name, _, argument = rest.partition(' ')
+    return Request(
+        id=request_id, text=text, verb=verb, name=name, argument=argument
+    )
+
+
+@dataclass
+class Ran:
+    """A caller's statement that a database ran."""
+
+    id: str
+    text: str
+    database: str
+    at_ms: float
+    values: dict[str, str]
+    in_txn: bool
+    conn: int
+    position: LogPosition
+
+
+@dataclass
+class FakeConn:
+    """A connection as a database sees it."""
+
+    number: int
+    database: FakeDatabase
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, str] = field(default_factory=dict)
+    txn: str = ''
+    failed: bool = False
+    queue: deque[Any] = field(default_factory=deque)
+    busy: bool = False
+
+
+@dataclass
+class FakeDatabase:
+    """A database with slots, a log and faults that a test sets.
+
+    Parameters
+    ----------
+    lag : int
+        Commits that it has not applied yet.
+    loses : set of str
+        Requests whose answer is lost after they ran.
+    refuses : set of str
+        Requests that are refused for lack of a slot.
+    """
+
+    name: str
+    leads: bool = False
+    term: int = 1
+    index: int = 10
+    lag: int = 0
+    slots: int = 3
+    work_ms: float = 10.0
+    reachable: str = 'up'
+    loses: set[str] = field(default_factory=set)
+    refuses: set[str] = field(default_factory=set)
+    data_centre: str = 'rvk'
+    running: int = 0
+    max_running: int = 0
+    opened: int = 0
+    waiting: deque[FakeConn] = field(default_factory=deque)
+
+    @property
+    def position(self) -> LogPosition:
+        """Position that it has applied."""
+        return LogPosition(self.term, self.index - self.lag)
+
+
+class PoolerWorld:
+    """A pooler among fakes.
+
+    Parameters
+    ----------
+    endpoints : list of dict
+        Bodies of endpoints to publish; by default ``orders`` (primary),
+        ``reports`` (bounded) and ``returns`` (read your writes).
+    """
+
+    def __init__(self, endpoints: list[dict[str, Any]] | None = None) -> None:
+        self.now_ms = 1_000.0
+        self.databases = {name: FakeDatabase(name) for name in DATABASES}
+        self.databases['db-1'].leads = True
+        self.ran: list[Ran] = []
+        self.logs: list[LogLine] = []
+        self.reports: list[ProxyReport] = []
+        self.sent: dict[int, list[Any]] = {}
+        self.closed: set[int] = set()
+        self.stopped = False
+        self.conns: dict[int, FakeConn] = {}
+        self._agenda: list[tuple[float, int, Any]] = []
+        self._order = itertools.count()
+        self._timers: dict[str, float] = {}
+        self._numbers = itertools.count(100)
+        self._ids = itertools.count(1)
+        cfg = PoolerConfig(
+            name='edge-1',
+            member_id='edge-1@10.0.0.1',
+            incarnation='first',
+            host='10.0.0.1',
+            port=5000,
+            data_centre='rvk',
+            region='north',
+            regions={'rvk': 'north', 'aey': 'east'},
+            seeds=('10.0.0.9',),
+            decode_status=decode_status,
+        )
+        self.state, effects = new_pooler(cfg, Random(7), self.now_ms)
+        self._perform(effects)
+        self.dispatch(
+            ConnOpened(
+                now_ms=self.now_ms,
+                conn=CONTROL_CONN,
+                link='proxy',
+                peer='10.0.0.9',
+            )
+        )
+        self.grant()
+        self.publish(endpoints or default_endpoints())
+        self.run(200)
+
+    # Control.
+
+    def grant(self) -> None:
+        """Answer the latest report as the leader."""
+        grant = LeaseGrant(
+            seq=self.state.report_seq,
+            leases=[],
+            duration_ms=1_500,
+            version=self.state.published.version,
+        )
+        self.receive(CONTROL_CONN, grant)
+
+    def publish(
+        self, endpoints: list[dict[str, Any]], proxies: int = 1
+    ) -> None:
+        """Publish the databases and these endpoints as a whole."""
+        objects = [
+            PublishedObject(type='group', name=GROUP, body=_group_body())
+        ]
+        for database in self.databases.values():
+            objects.append(_upstream(database))
+        for body in endpoints:
+            objects.append(
+                PublishedObject(type='endpoint', name=body['name'], body=body)
+            )
+        for number in range(1, proxies + 1):
+            objects.append(_proxy(f'edge-{number}'))
+        update = StateUpdate(
+            from_version=0,
+            version=self.state.published.version + 1,
+            upserts=objects,
+            full=True,
+        )
+        self.receive(CONTROL_CONN, update)
+
+    # Callers.
+
+    def open(self, database: str) -> int:
+        """Open a session."""
+        conn = next(self._numbers)
+        self.sent[conn] = []
+        self.dispatch(
+            ConnOpened(now_ms=self.now_ms, conn=conn, link='session')
+        )
+        self.receive(conn, StartSession(database=database))
+        return conn
+
+    def ask(self, conn: int, text: str) -> str:
+        """Send a statement and return its id."""
+        request_id = f'q{next(self._ids)}'
+        self.receive(conn, build_request(request_id, text))
+        return request_id
+
+    def answer(self, conn: int) -> list[Any]:
+        """Take the messages that a session has received so far."""
+        messages = self.sent[conn]
+        self.sent[conn] = []
+        return messages
+
+    def call(self, conn: int, text: str, within_ms: float = 5_000) -> Any:
+        """Send a statement, wait, and return `Done` or `Failed`."""
+        self.answer(conn)
+        self.ask(conn, text)
+        end_ms = self.now_ms + within_ms
+        while self.now_ms < end_ms:
+            if any(isinstance(m, Ready) for m in self.sent[conn]):
+                break
+            if not self._step(end_ms):
+                break
+        found = [m for m in self.answer(conn) if isinstance(m, Done | Failed)]
+        return found[0] if found else None
+
+    def leave(self, conn: int) -> None:
+        """Close a caller's connection."""
+        self.dispatch(ConnClosed(now_ms=self.now_ms, conn=conn))
+
+    # Faults.
+
+    def promote(self, name: str) -> None:
+        """Let another database lead the next term."""
+        term = max(db.term for db in self.databases.values()) + 1
+        chosen = self.databases[name]
+        for database in self.databases.values():
+            database.leads = database is chosen
+        chosen.term = term
+        for database in self.databases.values():
+            database.term = term
+            database.index = chosen.index
+            database.lag = 0
+
+    def cut(self, name: str) -> None:
+        """Let a database and its connections go silent."""
+        self.databases[name].reachable = 'silent'
+
+    def kill(self, name: str) -> None:
+        """Reset the connections to a database and refuse new ones."""
+        self.databases[name].reachable = 'refused'
+        self.reset(name)
+
+    def reset(self, name: str) -> None:
+        """Reset the connections to a database."""
+        database = self.databases[name]
+        database.running = 0
+        database.waiting.clear()
+        for number, conn in list(self.conns.items()):
+            if conn.database is database:
+                del self.conns[number]
+                self.dispatch(ConnClosed(now_ms=self.now_ms, conn=number))
+
+    def drain(self) -> None:
+        """Ask the pooler to stop."""
+        self.dispatch(DrainRequested(now_ms=self.now_ms))
+
+    # Time.
+
+    def run(self, for_ms: float) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + for_ms
+        while self._step(end_ms):
+            pass
+        self.now_ms = end_ms
+
+    def _step(self, end_ms: float) -> bool:
+        if not self._agenda or self._agenda[0][0] > end_ms:
+            return False
+        due_ms, _, action = heapq.heappop(self._agenda)
+        self.now_ms = max(self.now_ms, due_ms)
+        action()
+        return True
+
+    def _at(self, due_ms: float, action: Any) -> None:
+        heapq.heappush(self._agenda, (due_ms, next(self._order), action))
+
+    # The pooler.
+
+    def receive(self, conn: int, *messages: Any) -> None:
+        """Hand messages to the pooler."""
+        self.dispatch(
+            Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
+        )
+
+    def dispatch(self, event: Event) -> None:
+        """Hand an event to the pooler and carry out the effects."""
+        self._perform(reduce_pooler(self.state, event))
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, Connect):
+                self._connect(effect)
+            elif isinstance(effect, Close):
+                self._close(effect.conn)
+            elif isinstance(effect, SetTimer):
+                self._set_timer(effect)
+            elif isinstance(effect, LogLine):
+                self.logs.append(effect)
+            elif isinstance(effect, Stop):
+                self.stopped = True
+
+    def _set_timer(self, effect: SetTimer) -> None:
+        self._timers[effect.key] = effect.due_ms
+
+        def fire() -> None:
+            if self._timers.get(effect.key) == effect.due_ms:
+                del self._timers[effect.key]
+                self.dispatch(TimerFired(now_ms=self.now_ms, key=effect.key))
+
+        self._at(effect.due_ms, fire)
+
+    def _send(self, effect: Send) -> None:
+        if effect.conn == CONTROL_CONN:
+            for message in effect.messages:
+                if isinstance(message, ProxyReport):
+                    self.reports.append(message)
+                    self._at(self.now_ms + TRIP_MS, self.grant)
+            return
+        if effect.conn in self.sent:
+            self.sent[effect.conn].extend(effect.messages)
+            return
+        conn = self.conns.get(effect.conn)
+        if conn is not None:
+            conn.queue.extend(effect.messages)
+            self._serve(conn)
+
+    def _close(self, number: int) -> None:
+        self.closed.add(number)
+        conn = self.conns.pop(number, None)
+        if conn is not None and conn in conn.database.waiting:
+            conn.database.waiting.remove(conn)
+
+    def _connect(self, effect: Connect) -> None:
+        database = self.databases.get(effect.peer)
+
+        def open_conn() -> None:
+            if database is None or database.reachable == 'refused':
+                self.dispatch(
+                    ConnClosed(
+                        now_ms=self.now_ms,
+                        conn=effect.conn,
+                        reason='refused',
+                    )
+                )
+            elif database.reachable == 'silent':
+                self._at(
+                    self.now_ms + effect.timeout_ms,
+                    lambda: self.dispatch(
+                        ConnClosed(
+                            now_ms=self.now_ms,
+                            conn=effect.conn,
+                            reason='timeout',
+                        )
+                    ),
+                )
+            else:
+                database.opened += 1
+                self.conns[effect.conn] = FakeConn(effect.conn, database)
+                self.dispatch(
+                    ConnOpened(
+                        now_ms=self.now_ms,
+                        conn=effect.conn,
+                        link='upstream',
+                        peer=effect.peer,
+                    )
+                )
+
+        self._at(self.now_ms + TRIP_MS, open_conn)
+
+    # Databases.
+
+    def _serve(self, conn: FakeConn) -> None:
+        database = conn.database
+        if conn.busy or not conn.queue or database.reachable != 'up':
+            return
+        message = conn.queue[0]
+        needs_slot = isinstance(message, Execute)
+        if needs_slot and database.running >= database.slots:
+            if conn not in database.waiting:
+                database.waiting.append(conn)
+            return
+        conn.queue.popleft()
+        conn.busy = True
+        took_ms = SLOT_FREE_MS
+        if needs_slot:
+            database.running += 1
+            database.max_running = max(database.max_running, database.running)
+            took_ms = database.work_ms
+        self._at(
+            self.now_ms + took_ms,
+            lambda: self._end_statement(conn, message, needs_slot),
+        )
+
+    def _end_statement(
+        self, conn: FakeConn, message: Any, needs_slot: bool
+    ) -> None:
+        database = conn.database
+        conn.busy = False
+        if needs_slot:
+            database.running = max(0, database.running - 1)
+        if self.conns.get(conn.number) is conn:
+            replies = self._answer(conn, message)
+            if replies and database.reachable == 'up':
+                self.receive(conn.number, *replies)
+        if database.waiting:
+            self._serve(database.waiting.popleft())
+        self._serve(conn)
+
+    def _answer(self, conn: FakeConn, message: Any) -> list[Any]:
+        database = conn.database
+        if isinstance(message, OpenUpstream):
+            return [Ready(state='idle', position=database.position)]
+        code = ''
+        rows: list[str] = []
+        signature = '-'
+        if isinstance(message, Internal):
+            code, rows = self._run_internal(conn, message)
+        else:
+            code = self._run(conn, message)
+            signature = f'{database.name}.{message.id}'
+            rows = [f'row of {message.text}']
+            if message.id in database.loses:
+                return []
+        state = 'failed_txn' if conn.failed else 'idle'
+        if conn.txn and not conn.failed:
+            state = 'in_txn'
+        ready = Ready(
+            state=state,  # type: ignore[arg-type]
+            position=database.position,
+        )
+        if code:
+            return [Failed(code=code, text=database.name), ready]
+        return [*(Row(text=r) for r in rows), Done(signature=signature), ready]
+
+    def _run_internal(
+        self, conn: FakeConn, message: Internal
+    ) -> tuple[str, list[str]]:
+        database = conn.database
+        if message.after is not None and message.after > database.position:
+            return 'behind', []
+        if message.action == 'begin':
+            if not database.leads:
+                return 'not_primary', []
+            conn.txn = 'write'
+        elif message.action == 'begin_read':
+            conn.txn = 'read'
+        elif message.action == 'rollback':
+            conn.txn = ''
+            conn.failed = False
+        elif message.action == 'reset':
+            conn.values = {}
+            conn.prepared = {}
+        elif message.action == 'set':
+            conn.values[message.name] = message.argument
+        elif message.action == 'prepare':
+            conn.prepared[message.name] = message.argument
+        elif message.action == 'status':
+            role = 'primary' if database.leads else 'replica'
+            return '', [f'{role} {database.term} {database.index}']
+        return '', []
+
+    def _run(self, conn: FakeConn, message: Execute) -> str:
+        database = conn.database
+        if message.id in database.refuses:
+            return 'overloaded'
+        if message.after is not None and message.after > database.position:
+            return 'behind'
+        request = build_request(message.id, message.text)
+        shape = conn.prepared.get(request.name, '')
+        if request.verb == 'execute' and not shape:
+            return 'no_statement'
+        is_write = request.verb == 'write' or shape.startswith('WRITE')
+        if not database.leads and (is_write or conn.txn == 'write'):
+            conn.failed = bool(conn.txn)
+            return 'not_primary'
+        if is_write and not conn.txn or message.text == 'COMMIT':
+            database.index += 1
+        self.ran.append(
+            Ran(
+                id=message.id,
+                text=message.text,
+                database=database.name,
+                at_ms=self.now_ms,
+                values=dict(conn.values),
+                in_txn=bool(conn.txn),
+                conn=conn.number,
+                position=database.position,
+            )
+        )
+        if message.text == 'COMMIT':
+            conn.txn = ''
+        return ''
+
+
+def default_endpoints() -> list[dict[str, Any]]:
+    """Return one endpoint of each consistency."""
+    return [
+        endpoint('orders', 'primary', 0),
+        endpoint('reports', 'bounded_staleness', 1_500),
+        endpoint('returns', 'read_your_writes', 2_500),
+    ]
+
+
+def endpoint(
+    name: str, consistency: str, max_age_ms: int, **fields: Any
+) -> dict[str, Any]:
+    """Return the body of a published endpoint."""
+    return {
+        'name': name,
+        'database': name,
+        'group': GROUP,
+        'consistency': consistency,
+        'max_age_ms': max_age_ms,
+        'timeout_ms': 1_000,
+        'objective_ms': 800,
+        'priority': 1,
+        'idle_txn_ms': 3_000,
+        'max_connections': 21,
+        **fields,
+    }
+
+
+def _group_body() -> dict[str, Any]:
+    return {
+        'name': GROUP,
+        'databases': 3,
+        'write_copies': 1,
+        'replica_wait_ms': 0,
+    }
+
+
+def _upstream(database: FakeDatabase) -> PublishedObject:
+    body = {
+        'name': database.name,
+        'group': GROUP,
+        'data_id': '1',
+        'host': '10.0.1.1',
+        'port': 5432,
+        'data_centre': database.data_centre,
+        'slots': database.slots,
+        'connections': 0,
+        'leaving': False,
+    }
+    return PublishedObject(type='upstream', name=database.name, body=body)
+
+
+def _proxy(name: str) -> PublishedObject:
+    body = {
+        'name': name,
+        'member_id': name,
+        'role': 'proxy',
+        'host': '10.0.0.1',
+        'port': 5000,
+        'state': 'joined',
+    }
+    return PublishedObject(type='member', name=name, body=body)
--- /dev/null
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -0,0 +1,224 @@
+"""Where statements run, and what callers are told when they cannot."""
+
+from __future__ import annotations
+
+from jackdawpost.core.messages.session import Done
+from jackdawpost.core.messages.session import Failed
+from jackdawpost.core.messages.session import Ready
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.testing.fake_pooler_world import default_endpoints
+from jackdawpost.testing.fake_pooler_world import PoolerWorld
+
+
+def _codes(world, conn):
+    return [m.code for m in world.answer(conn) if isinstance(m, Failed)]
+
+
+def test_read_of_a_primary_endpoint_proves_leadership_first():
+    # A plain read at a replaced primary succeeds without a sign of it.
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.promote('db-2')
+    assert isinstance(world.call(conn, 'READ 1'), Done)
+    assert {ran.database for ran in world.ran} == {'db-2'}
+
+
+def test_write_at_a_replaced_primary_moves_to_the_new_one():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.call(conn, 'WRITE 1 a')
+    world.promote('db-3')
+    assert isinstance(world.call(conn, 'WRITE 2 b'), Done)
+    assert world.ran[-1].database == 'db-3'
+    assert len(world.ran) == 2
+
+
+def test_write_without_answer_is_never_repeated():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    request_id = world.ask(conn, 'WRITE 1 a')
+    world.databases['db-1'].loses.add(request_id)
+    world.run(1_500)
+    assert _codes(world, conn) == ['unknown_outcome']
+    assert [ran.id for ran in world.ran] == [request_id]
+
+
+def test_write_on_a_lost_connection_is_never_repeated():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.call(conn, 'WRITE 1 a')
+    world.ask(conn, 'WRITE 2 b')
+    world.run(5)
+    world.reset('db-1')
+    world.run(500)
+    assert _codes(world, conn) == ['unknown_outcome']
+
+
+def test_read_without_answer_is_tried_elsewhere():
+    world = PoolerWorld()
+    conn = world.open('reports')
+    request_id = world.ask(conn, 'READ 1')
+    for database in world.databases.values():
+        database.loses.add(request_id)
+    world.run(502)
+    for database in world.databases.values():
+        database.loses.clear()
+    world.run(400)
+    messages = world.answer(conn)
+    assert any(isinstance(m, Done) for m in messages)
+    assert len({ran.database for ran in world.ran}) == 2
+
+
+def test_answer_of_a_later_request_is_not_taken_for_a_lost_one():
+    # The guard's rollback is pipelined behind the read: if the read's answer
+    # is lost, the rollback's must not reach the caller.
+    world = PoolerWorld()
+    conn = world.open('orders')
+    request_id = world.ask(conn, 'READ 1')
+    world.databases['db-1'].loses.add(request_id)
+    world.run(300)
+    assert not any(
+        isinstance(m, Done) and m.signature == '-' for m in world.sent[conn]
+    )
+
+
+def test_statement_that_no_upstream_took_is_refused_as_not_run():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.kill('db-1')
+    world.run(50)
+    world.ask(conn, 'WRITE 1 a')
+    world.run(1_100)
+    assert _codes(world, conn) == ['overloaded']
+    assert not world.ran
+
+
+def test_reads_follow_the_sessions_own_commit():
+    # Guards against a replica that lacks what the session has written.
+    world = PoolerWorld()
+    conn = world.open('returns')
+    for name in ('db-2', 'db-3'):
+        world.databases[name].lag = 5
+    world.call(conn, 'WRITE 1 a')
+    written = world.ran[-1].position
+    for _ in range(6):
+        assert isinstance(world.call(conn, 'READ 1'), Done)
+        assert world.ran[-1].position >= written
+
+
+def test_bounded_read_accepts_a_replica_within_its_age():
+    world = PoolerWorld()
+    writer, reader = world.open('orders'), world.open('reports')
+    world.run(1_700)
+    # The replicas of this world never receive it.
+    world.call(writer, 'WRITE 1 a')
+    world.databases['db-1'].work_ms = 300
+    for _ in range(4):
+        assert isinstance(world.call(reader, 'READ 1'), Done)
+    served = [ran.database for ran in world.ran[1:]]
+    assert sum(name in ('db-2', 'db-3') for name in served) >= 3
+
+
+def test_bounded_read_refuses_a_replica_beyond_its_age():
+    world = PoolerWorld()
+    writer, reader = world.open('orders'), world.open('reports')
+    for name in ('db-2', 'db-3'):
+        world.databases[name].lag = 1
+    world.databases['db-2'].index -= 5
+    world.databases['db-3'].index -= 5
+    world.call(writer, 'WRITE 1 a')
+    world.run(1_600)
+    world.call(reader, 'READ 1')
+    assert world.ran[-1].database == 'db-1'
+
+
+def test_position_rolled_back_by_a_promotion_does_not_block_a_session():
+    # The log of the new primary never holds that position.
+    world = PoolerWorld()
+    conn = world.open('returns')
+    world.call(conn, 'WRITE 1 a')
+    session = world.state.sessions[conn]
+    session.position = LogPosition(1, 500)
+    world.promote('db-2')
+    world.run(500)
+    assert isinstance(world.call(conn, 'READ 1'), Done)
+
+
+def test_first_statement_of_a_transaction_moves_after_a_promotion():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.call(conn, 'BEGIN')
+    world.promote('db-2')
+    assert isinstance(world.call(conn, 'WRITE 1 a'), Done)
+    assert isinstance(world.call(conn, 'COMMIT'), Done)
+    assert {ran.database for ran in world.ran} == {'db-2'}
+
+
+def test_later_statement_of_a_transaction_is_refused_after_a_promotion():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.call(conn, 'BEGIN')
+    world.call(conn, 'WRITE 1 a')
+    world.promote('db-2')
+    world.ask(conn, 'WRITE 2 b')
+    world.run(100)
+    failed, ready = world.answer(conn)[-2:]
+    assert failed.code == 'not_primary'
+    assert ready.state == 'failed_txn'
+    assert isinstance(ready, Ready)
+
+
+def test_refused_slot_is_retried():
+    world = PoolerWorld()
+    conn = world.open('orders')
+    request_id = world.ask(conn, 'WRITE 1 a')
+    world.databases['db-1'].refuses.add(request_id)
+    world.run(30)
+    world.databases['db-1'].refuses.clear()
+    world.run(300)
+    assert any(isinstance(m, Done) for m in world.answer(conn))
+
+
+def test_connections_stay_within_the_share_of_one_proxy():
+    # 21 connections an upstream, 3 reserved, 4 proxies: 4 each, one of them
+    # the monitor's.
+    world = PoolerWorld()
+    world.publish(default_endpoints(), proxies=4)
+    conns = [world.open('orders') for _ in range(30)]
+    for conn in conns:
+        world.ask(conn, 'WRITE 1 a')
+    world.run(600)
+    of_primary = [c for c in world.conns.values() if c.database.leads]
+    assert len(of_primary) <= 4
+    assert all(
+        any(isinstance(m, Done) for m in world.answer(conn)) for conn in conns
+    )
+
+
+def test_share_of_connections_does_not_grow_when_a_proxy_is_removed():
+    # A removed proxy may only be cut off from control and go on serving.
+    world = PoolerWorld()
+    world.publish(default_endpoints(), proxies=4)
+    world.publish(default_endpoints(), proxies=1)
+    for conn in [world.open('orders') for _ in range(30)]:
+        world.ask(conn, 'WRITE 1 a')
+    world.run(600)
+    of_primary = [c for c in world.conns.values() if c.database.leads]
+    assert len(of_primary) <= 4
+
+
+def test_reset_connection_is_no_evidence_against_an_upstream():
+    world = PoolerWorld()
+    world.reset('db-1')
+    assert world.state.pools['db-1'].reach == 'up'
+    world.kill('db-1')
+    world.run(300)
+    assert world.state.pools['db-1'].reach == 'refused'
+
+
+def test_evidence_of_a_silent_primary_reaches_control():
+    world = PoolerWorld()
+    world.cut('db-1')
+    world.run(2_500)
+    assert world.reports[-1].evidence['db-1'] == 'silent'
+    assert world.reports[-1].evidence['db-2'] == 'up'
