Test the adapter, registered upstreams, ordered promotions and voters

A registered newcomer expired after the proxies' 2.5 s, so that a dead proxy could hold up a join until the next report: found by test_dead_proxy_delays_a_join_by_its_expiry_only, which failed first. Logs on standard output are bounded and never waited for; metrics are also served as text.

--- a/jackdawpost/core/control_members.py
+++ b/jackdawpost/core/control_members.py
@@ -184,6 +184,9 @@
 
 def _expiry_ms(state: ControlState, key: MemberKey) -> float:
     member = state.machine.members.get(key[0])
+    newcomer = state.machine.newcomers.get(key[0])
+    if newcomer is not None and newcomer.member.member_id == key[1]:
+        member = newcomer.member
     if member is not None and member.registered:
         return state.cfg.upstream_expiry_ms
     return state.cfg.member_expiry_ms
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -123,14 +123,14 @@
             if pools:
                 _want(wanted, pools[0])
                 return False
-    pool = state.pools.get(group.primary or '')
-    if pool is None:
+    primary = state.pools.get(group.primary or '')
+    if primary is None:
         return False
-    conn = _free_conn(state, pool, work.session)
+    conn = _free_conn(state, primary, work.session)
     if conn is None:
-        _want(wanted, pool)
+        _want(wanted, primary)
         return False
-    _start(state, pool, conn, work, None)
+    _start(state, primary, conn, work, None)
     return True
 
 
@@ -559,10 +559,10 @@
         _log_failure(state, work, answer, taken_ms)
     if session is None:
         return
+    result: list[Row | Done | Failed] = [Row(text=t) for t in answer.rows]
     if answer.code:
         result = [Failed(code=answer.code, text=answer.text or answer.code)]
     else:
-        result = [Row(text=row) for row in answer.rows]
         result.append(Done(signature=answer.signature))
     ready = Ready(state=end, position=answer.position)
     send(state, session.conn, *result, ready)
--- a/jackdawpost/platform/program.py
+++ b/jackdawpost/platform/program.py
@@ -21,8 +21,8 @@
     """Load the settings, run a daemon until it stops, return its exit code."""
     try:
         settings = load()
-    except ConfigError as exc:
-        print(f'error: {exc}', file=sys.stderr)
+    except ConfigError as error:
+        print(f'error: {error}', file=sys.stderr)
         return EXIT_USAGE
     log = configure_logging(settings.node, 'info', sys.stdout)
     try:
--- a/jackdawpost/runtime/metrics.py
+++ b/jackdawpost/runtime/metrics.py
@@ -12,6 +12,7 @@
 SIGNIFICANT_DIGITS = 2
 US_PER_MS = 1_000
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+TEXT_PREFIX = 'jackdawpost'
 
 
 class Metrics:
@@ -43,6 +44,27 @@
             },
         }
 
+    def render_text(self) -> str:
+        """Return all metrics in the text format that collectors read.
+
+        Counters end in ``_total``; durations are summaries in milliseconds.
+        """
+        lines = []
+        for name, value in sorted(self._counters.items()):
+            full = f'{TEXT_PREFIX}_{name}_total'
+            lines += [f'# TYPE {full} counter', f'{full} {value}']
+        for name, histogram in sorted(self._histograms.items()):
+            full = f'{TEXT_PREFIX}_{name}_ms'
+            lines.append(f'# TYPE {full} summary')
+            for percentile in PERCENTILES:
+                value_us = histogram.get_value_at_percentile(percentile)
+                quantile = f'{percentile / 100:g}'
+                lines.append(
+                    f'{full}{{quantile="{quantile}"}} {value_us / US_PER_MS:g}'
+                )
+            lines.append(f'{full}_count {histogram.get_total_count()}')
+        return '\n'.join([*lines, ''])
+
 
 def build_histogram() -> HdrHistogram:
     """Return an empty histogram of microseconds."""
--- a/jackdawpost/runtime/pages.py
+++ b/jackdawpost/runtime/pages.py
@@ -18,7 +18,7 @@
     is_healthy: Callable[[Any], bool],
     dump: Callable[[Any], dict[str, Any]],
 ) -> Mapping[str, Page]:
-    """Return ``/healthz``, ``/metrics`` and ``/dump``.
+    """Return ``/healthz``, ``/metrics``, ``/metrics/text`` and ``/dump``.
 
     Parameters
     ----------
@@ -38,7 +38,16 @@
     def metrics() -> HttpReply:
         return reply_json(shell.metrics.snapshot())
 
+    def metrics_text() -> HttpReply:
+        text = shell.metrics.render_text()
+        return HttpReply(HTTPStatus.OK, text, 'text/plain')
+
     def dump_state() -> HttpReply:
         return reply_json(dump(shell.state))
 
-    return {'/healthz': healthz, '/metrics': metrics, '/dump': dump_state}
+    return {
+        '/healthz': healthz,
+        '/metrics': metrics,
+        '/metrics/text': metrics_text,
+        '/dump': dump_state,
+    }
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import cast
 from typing import Protocol
 
 import trio
@@ -45,6 +46,7 @@
 from jackdawpost.runtime.upstream_link import open_upstream
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import encode_json
+from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.codec import MAX_MESSAGES_PER_FRAME
 from jackdawpost.wire.link import LinkRefusedError
@@ -341,7 +343,7 @@
         )
 
     async def _open_upstream(self, effect: Connect) -> None:
-        codec = self._codecs['upstream']
+        codec = cast(FrameCodec, self._codecs['upstream'])
         try:
             async with open_upstream(self.name, effect, codec, self._tls) as (
                 stream,
--- a/jackdawpost/tests/core/control_fakes.py
+++ b/jackdawpost/tests/core/control_fakes.py
@@ -35,6 +35,7 @@
 from jackdawpost.core.messages.control import LeaseRevoked
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Operation
 from jackdawpost.core.messages.upstream import AdminDone
@@ -58,6 +59,7 @@
         self.approves = True
         self.answers_revocations = True
         self.evidence: dict[str, str] = {}
+        self.sightings: dict[str, UpstreamReport] | None = None
         self.holdings: dict[str, int] = {}
         self.published = PublishedState()
         self.received: list[Any] = []
@@ -79,6 +81,7 @@
             version=self.published.version,
             holdings=dict(self.holdings),
             evidence=dict(self.evidence),
+            upstreams=self.sightings,
         )
 
     def answer(self, message: Any) -> list[Any]:
@@ -178,7 +181,10 @@
 class Group:
     """Control processes with proxies, upstreams and one operator."""
 
-    def __init__(self, names: list[str], seed: int = 1) -> None:
+    def __init__(
+        self, names: list[str], seed: int = 1, **cfg_fields: Any
+    ) -> None:
+        self.cfg_fields = cfg_fields
         self.now = 1_000.0
         self.order = itertools.count()
         self.conns = itertools.count(1)
@@ -194,22 +200,44 @@
         self.logs: list[Any] = []
         self.grants: list[tuple[float, str, Any]] = []
         for number, name in enumerate(names):
-            cfg = ControlConfig(name=name, peers=names)
-            rng = random.Random(seed * 100 + number)
-            state, effects = new_control(cfg, rng, RestoredState(), self.now)
-            self.controls[name] = state
-            self.perform(name, effects)
+            self.start_process(name, names, seed * 100 + number)
         for left, right in itertools.combinations(names, 2):
-            one, two = next(self.conns), next(self.conns)
-            self.ends[(left, one)] = ('control', right, two)
-            self.ends[(right, two)] = ('control', left, one)
-            for own, other, conn in ((left, right, one), (right, left, two)):
-                self.feed(
-                    own,
-                    ConnOpened(
-                        now_ms=self.now, conn=conn, link='peer', peer=other
-                    ),
-                )
+            self.link_processes(left, right)
+
+    def start_process(
+        self, name: str, peers: list[str], seed: int, node_id: str = ''
+    ) -> None:
+        """Start a control process with an empty disk."""
+        cfg = ControlConfig(name=name, peers=peers, **self.cfg_fields)
+        restored = RestoredState(node_id=node_id)
+        state, effects = new_control(
+            cfg, random.Random(seed), restored, self.now
+        )
+        self.controls[name] = state
+        self.stopped.discard(name)
+        self.perform(name, effects)
+
+    def link_processes(self, left: str, right: str) -> None:
+        one, two = next(self.conns), next(self.conns)
+        self.ends[(left, one)] = ('control', right, two)
+        self.ends[(right, two)] = ('control', left, one)
+        for own, other, conn in ((left, right, one), (right, left, two)):
+            self.feed(
+                own,
+                ConnOpened(
+                    now_ms=self.now, conn=conn, link='peer', peer=other
+                ),
+            )
+
+    def stop_process(self, name: str) -> None:
+        """Kill a control process; its links close."""
+        self.stopped.add(name)
+        for (own, conn), end in list(self.ends.items()):
+            if end[0] == 'control' and name in (own, end[1]):
+                self.ends.pop((own, conn), None)
+                if own != name:
+                    closed = ConnClosed(now_ms=self.now, conn=conn)
+                    self.feed(own, closed)
 
     def later(self, delay_ms: float, action: Any) -> None:
         due = self.now + delay_ms
--- /dev/null
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -0,0 +1,167 @@
+"""Bodies of the platform's calls."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from jackdawpost.core.commands import DeclareObjects
+from jackdawpost.core.control_machine import apply_command
+from jackdawpost.core.control_machine import decode_snapshot
+from jackdawpost.core.control_machine import encode_snapshot
+from jackdawpost.core.control_machine import new_machine
+from jackdawpost.core.errors import ProtocolError
+from jackdawpost.platform.documents import decode_config
+from jackdawpost.platform.documents import decode_departure
+from jackdawpost.platform.documents import decode_instance
+
+
+def _route(name='r-1', **fields):
+    return {
+        'name': name,
+        'databaseName': name,
+        'pathPrefix': '/',
+        'type': 'primary',
+        'timeoutMs': 1_000,
+        'targetLatencyMs': 400,
+        'priority': 1,
+        'service': 'pool',
+        'maxAttempts': 2,
+        **fields,
+    }
+
+
+def _config(version=7, routes=None, **fields):
+    return {
+        'version': version,
+        'routes': [_route()] if routes is None else routes,
+        'services': [
+            {'name': 'pool', 'maxConnections': 21, 'syncReplicas': 1}
+        ],
+        'limits': {'txnIdleMs': 3_000},
+        **fields,
+    }
+
+
+def _declare(machine, index, config):
+    request = decode_config(json.dumps(config).encode())
+    command = DeclareObjects(
+        version=request.version,
+        document=request.document,
+        objects=request.objects,
+    )
+    return apply_command(machine, index, command)
+
+
+def test_routes_become_endpoints_with_the_limits_of_their_group():
+    machine = new_machine()
+    route = _route('r-2', type='read_your_writes', maxStalenessMs=2_500)
+    applied = _declare(machine, 1, _config(routes=[_route(), route]))
+    assert applied.answer.accepted and applied.changed
+    body = machine.published['endpoint/r-2'].body
+    assert body['max_age_ms'] == 2_500
+    assert body['max_connections'] == 21
+    assert body['idle_txn_ms'] == 3_000
+    assert machine.objects.groups['pool'].write_copies == 2
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'routes': [_route(service='other')]},
+        {'routes': [_route(timeoutMs=0)]},
+        {'routes': [_route(), _route('r-2', databaseName='r-1')]},
+        {'routes': [_route(), _route()]},
+        {'routes': [_route(type='sometimes')]},
+        {'version': '7'},
+        {'version': True},
+        {'services': None},
+    ],
+)
+def test_invalid_configuration_is_refused_as_a_whole(change):
+    machine = new_machine()
+    _declare(machine, 1, _config(version=1))
+    before = encode_snapshot(machine)
+    try:
+        applied = _declare(machine, 2, {**_config(), **change})
+    except ProtocolError:
+        return
+    assert not applied.answer.accepted and applied.answer.faults
+    machine.applied_index = 1
+    assert encode_snapshot(machine) == before
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.integers(min_value=0, max_value=400))
+def test_configuration_cut_short_is_refused(length):
+    body = json.dumps(_config()).encode()
+    if length < len(body):
+        with pytest.raises(ProtocolError):
+            decode_config(body[:length])
+
+
+def test_highest_version_wins_and_lower_ones_are_accepted_without_effect():
+    # Guards against a change that is refused when it is sent again, and
+    # against other content under a version that is held.
+    machine = new_machine()
+    _declare(machine, 1, _config(version=7))
+    held = machine.declared.document
+    for version in (7, 6):
+        other = _config(version=version, routes=[])
+        applied = _declare(machine, 2, other)
+        assert applied.answer.accepted and not applied.changed
+    assert machine.declared.document == held
+    assert 'endpoint/r-1' in machine.published
+
+
+def test_declared_configuration_survives_a_snapshot():
+    machine = new_machine()
+    _declare(machine, 1, _config(version=7))
+    restored = decode_snapshot(encode_snapshot(machine))
+    assert restored.declared == machine.declared
+    assert _declare(restored, 2, _config(version=7)).answer.accepted
+
+
+def test_dropped_route_is_withdrawn_from_proxies():
+    machine = new_machine()
+    _declare(machine, 1, _config(version=7))
+    _declare(machine, 2, _config(version=8, routes=[]))
+    assert 'endpoint/r-1' not in machine.published
+    assert 'endpoint/r-1' in machine.tombstones
+
+
+def test_instance_is_decoded():
+    body = {
+        'service': 'pool',
+        'address': '10.1.0.9:8080',
+        'zone': 'rvk-a',
+        'version': 'v1',
+        'slots': 3,
+        'state': 'draining',
+        'coldRemainingMs': 0,
+        'dbRole': 'primary',
+        'sequence': 4,
+        'born': 1_700_000_000_000,
+    }
+    report = decode_instance('i-1', json.dumps(body).encode())
+    assert (report.host, report.port) == ('10.1.0.9', 8080)
+    assert (report.state, report.leads) == ('draining', True)
+    assert report.started_ms == 1_700_000_000_000
+    for key in ('service', 'address', 'state', 'dbRole', 'sequence'):
+        cut = {k: v for k, v in body.items() if k != key}
+        with pytest.raises(ProtocolError):
+            decode_instance('i-1', json.dumps(cut).encode())
+    for change in ({'sequence': 'x'}, {'state': 'odd'}, {'address': 'x'}):
+        with pytest.raises(ProtocolError):
+            decode_instance('i-1', json.dumps({**body, **change}).encode())
+
+
+def test_unreadable_departure_names_no_incarnation():
+    assert decode_departure(b'') is None
+    assert decode_departure(b'\xff{') is None
+    assert decode_departure(b'{"born": "x"}') is None
+    assert decode_departure(b'{"born": 5}') == 5
--- /dev/null
+++ b/jackdawpost/tests/platform/test_lines.py
@@ -0,0 +1,194 @@
+"""Line protocol: round trips, and hostile input."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.messages.session import Done
+from jackdawpost.core.messages.session import EndSession
+from jackdawpost.core.messages.session import Execute
+from jackdawpost.core.messages.session import Failed
+from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.messages.session import OpenUpstream
+from jackdawpost.core.messages.session import Ready
+from jackdawpost.core.messages.session import Row
+from jackdawpost.core.messages.session import StartSession
+from jackdawpost.core.positions import LogPosition
+from jackdawpost.platform import lines
+from jackdawpost.platform.lines import CALLER_CODEC
+from jackdawpost.platform.lines import DATABASE_CODEC
+from jackdawpost.platform.lines import decode_status
+from jackdawpost.platform.lines import encode_messages
+from jackdawpost.platform.lines import LineStream
+from jackdawpost.wire.codec import FrameError
+from jackdawpost.wire.stream import LinkClosedError
+
+
+@pytest.mark.parametrize(
+    'message, line',
+    [
+        (
+            OpenUpstream(group='pool', peer='edge-1', upstream='i-1'),
+            b'START pool edge-1 i-1\r\n',
+        ),
+        (Execute(id='a1', text='READ 7'), b'QUERY a1 READ 7\r\n'),
+        (
+            Execute(id='a1', text='READ 7', after=LogPosition(3, 12)),
+            b'QUERY a1 AFTER 3.12 READ 7\r\n',
+        ),
+        (
+            Internal(action='begin_read', after=LogPosition(3, 12)),
+            b'QUERY - AFTER 3.12 BEGIN READ\r\n',
+        ),
+        (
+            Internal(action='set', name='zone', argument='a b'),
+            b'QUERY - SET zone a b\r\n',
+        ),
+        (
+            Internal(action='prepare', name='s1', argument='READ q1'),
+            b'QUERY - PREPARE s1 READ q1\r\n',
+        ),
+        (Failed(code='overloaded', text='full'), b'ERROR BUSY full\r\n'),
+        (Ready(state='idle'), b'READY I -\r\n'),
+        (
+            Ready(state='failed_txn', position=LogPosition(2, 5)),
+            b'READY E 2.5\r\n',
+        ),
+    ],
+)
+def test_messages_have_the_stated_form(message, line):
+    assert encode_messages([message]) == line
+
+
+def test_answers_of_a_database_are_decoded_in_order():
+    data = b'DATAROW a b\r\nCOMPLETE 7.1\r\nREADY T 3.9\r\nERROR LAGGING x\r\n'
+    assert DATABASE_CODEC.decode(data) == [
+        Row(text='a b'),
+        Done(signature='7.1'),
+        Ready(state='in_txn', position=LogPosition(3, 9)),
+        Failed(code='behind', text='x'),
+    ]
+
+
+@pytest.mark.parametrize(
+    'text, verb, name, argument',
+    [
+        ('BEGIN', 'begin', '', ''),
+        ('BEGIN READ', 'begin_read', '', ''),
+        ('BEGIN NOW', 'unknown', '', ''),
+        ('READ 1', 'read', '', ''),
+        ('READ 1 2', 'unknown', '', ''),
+        ('WRITE 1', 'unknown', '', ''),
+        ('SET a b c', 'set', 'a', 'b c'),
+        ('PREPARE s READ q', 'prepare', 's', 'READ q'),
+        ('PREPARE s DROP q', 'unknown', '', ''),
+        ('EXECUTE s 1 x', 'execute', 's', '1 x'),
+        ('AFTER 3.1 READ 1', 'unknown', '', ''),
+        ('STATUS', 'unknown', '', ''),
+        ('PAUSE 9', 'unknown', '', ''),
+    ],
+)
+def test_statements_are_told_apart(text, verb, name, argument):
+    # AFTER, STATUS, PAUSE and the like are this process's own to send.
+    request = CALLER_CODEC.decode(f'QUERY a1 {text}\r\n'.encode())[0]
+    assert (request.verb, request.name, request.argument) == (
+        verb,
+        name,
+        argument,
+    )
+    assert request.text == text
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'\r\n',
+        b'HELLO\r\n',
+        b'QUERY\r\n',
+        b'QUERY - READ 1\r\n',
+        b'QUERY a1\r\n',
+        b'START \r\n',
+        b'QUERY a1 READ 1\nQUERY a2 WRITE 1 x\r\n',
+        b'READY I -\r\n',
+    ],
+)
+def test_lines_that_no_caller_may_send_are_refused(line):
+    with pytest.raises(FrameError):
+        CALLER_CODEC.decode(line)
+
+
+def test_session_words_of_a_caller():
+    decoded = CALLER_CODEC.decode(b'START orders u1\r\nTERMINATE\r\n')
+    assert decoded == [StartSession(database='orders'), EndSession()]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=200))
+def test_any_bytes_are_decoded_or_refused(data):
+    for codec in (CALLER_CODEC, DATABASE_CODEC):
+        try:
+            messages = codec.decode(data + b'\r\n')
+        except FrameError:
+            continue
+        assert messages
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.binary(max_size=60).filter(lambda b: b'\r' not in b and b'\n' not in b)
+)
+def test_texts_pass_through_unchanged(data):
+    request = CALLER_CODEC.decode(b'QUERY a1 X' + data + b'\r\n')[0]
+    line = encode_messages([Execute(id=request.id, text=request.text)])
+    assert line == b'QUERY a1 X' + data + b'\r\n'
+
+
+@pytest.mark.parametrize(
+    'row', ['', 'primary', 'primary x 3.1', 'boss 3 3.1', 'replica 3 -']
+)
+def test_unreadable_status_is_an_error(row):
+    with pytest.raises(ProtocolError):
+        decode_status(row)
+
+
+def test_status_names_role_term_and_received_position():
+    status = decode_status('replica 3 3.1209 0 12 2 17')
+    assert (status.leads, status.term) == (False, 3)
+    assert status.received == LogPosition(3, 1209)
+
+
+async def _connected():
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    client = await trio.open_tcp_stream('127.0.0.1', port)
+    server = await listeners[0].accept()
+    await listeners[0].aclose()
+    return client, LineStream(server)
+
+
+async def test_stream_returns_only_whole_lines():
+    client, stream = await _connected()
+    await client.send_all(b'QUERY a1 READ')
+    with trio.move_on_after(0.05) as scope:
+        await stream.receive()
+    assert scope.cancelled_caught
+    await client.send_all(b' 1\r\nQUERY a2')
+    assert await stream.receive() == b'QUERY a1 READ 1\r\n'
+    await client.aclose()
+    with pytest.raises(LinkClosedError):
+        await stream.receive()
+
+
+async def test_line_beyond_the_limit_is_refused(monkeypatch):
+    # Guards against a peer that fills the memory with one endless line.
+    monkeypatch.setattr(lines, 'MAX_MESSAGE_BYTES', 1_000)
+    client, stream = await _connected()
+    await client.send_all(b'QUERY a1 WRITE 1 ' + b'x' * 2_000)
+    with pytest.raises(FrameError):
+        await stream.receive()
+    await client.aclose()
--- /dev/null
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -0,0 +1,84 @@
+"""Settings file of the platform, and the build's requirements."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from jackdawpost.core.errors import ConfigError
+from jackdawpost.platform.control import build_plan
+from jackdawpost.platform.edge import build_config
+from jackdawpost.platform.reload import seed_hosts
+from jackdawpost.platform.settings import load_platform_settings
+
+ROOT = Path(__file__).parents[3]
+
+TEXT = """
+nodeName = "core-rvk-a-1"
+role = "control"
+ip = "10.1.0.10"
+zone = "rvk-a"
+region = "reykjavik"
+internalPorts = [7440, 7455]
+seeds = ["10.1.0.10:8782", "10.2.0.7:8782", "10.3.0.8:8782"]
+bootstrap = {bootstrap}
+dataDir = "/data/control"
+unknown = "ignored"
+[zones]
+rvk-a = "reykjavik"
+[bindAddresses]
+control = "10.1.0.10:8782"
+frontend = "10.1.0.10:8784"
+readiness = "10.1.0.10:8785"
+[faultTolerance]
+machines = 1
+[bounds]
+graceS = 6
+[cloudApi]
+address = "10.200.0.160:8783"
+"""
+
+
+def _load(tmp_path, text):
+    path = tmp_path / 'settings.toml'
+    path.write_text(text)
+    return load_platform_settings(str(path))
+
+
+def test_settings_are_decoded(tmp_path):
+    settings = _load(tmp_path, TEXT.format(bootstrap='true'))
+    assert seed_hosts(settings) == ('10.1.0.10', '10.2.0.7', '10.3.0.8')
+    cfg = build_config(settings)
+    assert (cfg.host, cfg.port) == ('10.1.0.10', 8784)
+    assert cfg.drain_txn_ms == 3_000
+
+
+def test_all_faults_are_named(tmp_path):
+    text = TEXT.format(bootstrap='true')
+    text = text.replace('"10.1.0.10:8784"', '"nowhere"')
+    text = text.replace('nodeName = "core-rvk-a-1"', '')
+    with pytest.raises(ConfigError) as caught:
+        _load(tmp_path, text)
+    assert 'nodeName' in str(caught.value)
+    assert 'bindAddresses.frontend' in str(caught.value)
+
+
+def test_empty_disk_forms_a_group_only_at_the_first_start(tmp_path):
+    # Guards against a second group, and a vote under a forgotten promise,
+    # after a disk was lost.
+    first = _load(tmp_path, TEXT.format(bootstrap='true'))
+    later = _load(tmp_path, TEXT.format(bootstrap='false'))
+    empty, kept = tmp_path / 'empty', tmp_path / 'kept'
+    kept.mkdir()
+    (kept / 'node_id').write_text('x')
+    assert len(build_plan(first, str(empty)).cfg.peers) == 3
+    assert build_plan(later, str(empty)).cfg.peers == []
+    assert len(build_plan(later, str(kept)).cfg.peers) == 3
+
+
+def test_build_and_package_require_the_same_libraries():
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())
+    lines = (ROOT / 'requirements.txt').read_text().split()
+    assert lines == project['project']['dependencies']
--- /dev/null
+++ b/jackdawpost/tests/runtime/test_bounded_logs.py
@@ -0,0 +1,60 @@
+"""Logs that are bounded in volume and never waited for."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import time
+
+import pytest
+
+from jackdawpost.runtime import logs
+
+
+@pytest.fixture
+def piped(monkeypatch):
+    reader, writer = os.pipe()
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    with os.fdopen(writer, 'w') as stream:
+        log = logs.configure_logging('edge-1', 'info', stream)
+        yield log, reader
+    root.handlers[:] = handlers
+    root.setLevel(level)
+    os.close(reader)
+
+
+def _read(reader):
+    os.set_blocking(reader, False)
+    try:
+        data = os.read(reader, 1 << 20)
+    except BlockingIOError:
+        return []
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_a_full_pipe_does_not_block_and_drops_are_told(piped):
+    # Guards against a process that hangs because nobody reads its logs.
+    log, reader = piped
+    started = time.monotonic()
+    for number in range(900):
+        log.info('filler', extra={'text': 'x' * 500, 'number': number})
+    assert time.monotonic() - started < 5
+    lines = _read(reader)
+    assert 0 < len(lines) < 900
+    log.info('after')
+    log.info('told')
+    told = [line for line in _read(reader) if 'dropped_lines' in line]
+    assert told and told[0]['dropped_lines'] >= 900 - len(lines) - 1
+
+
+def test_lines_beyond_the_rate_are_dropped(piped, monkeypatch):
+    log, reader = piped
+    handler = logging.getLogger().handlers[0]
+    handler._left = 3.0
+    monkeypatch.setattr(logs, 'LINES_PER_S', 0.0)
+    for _ in range(10):
+        log.info('line')
+    assert len(_read(reader)) == 3
+    assert handler.dropped == 7
