--- a/jackdawpost/core/control_delegation.py
+++ b/jackdawpost/core/control_delegation.py
@@ -37,6 +37,9 @@
 # to a second to lead, and proxies may be frozen for seconds and then report
 # what they saw before.
 REPLACED_MS = 5_000.0
+# A proxy that control no longer hears may only be cut off from it, and reach
+# the primary well. Cuts that last longer than this are taken for a loss.
+WITNESS_MS = 10_000.0
 # An upstream that an order was refused for is not chosen again for so long.
 AVOID_MS = 3_000.0
 
@@ -53,6 +56,7 @@
 
 def advance_delegated(state: ControlState, leader: LeaderState) -> None:
     """Take every group one step on."""
+    _note_witnesses(state, leader)
     for name in sorted(state.machine.groups):
         group = state.machine.groups[name]
         upstreams = _joined(state, name)
@@ -142,10 +146,7 @@
     member = upstreams.get(group.primary)
     if member is None or member.member_id != group.primary_id:
         return 'primary is no member'
-    failed_ms = failure_detector.failed_at_ms(
-        leader.detector, now_ms, group.primary
-    )
-    if failed_ms is not None and failed_ms <= now_ms:
+    if _has_failed(state, leader, group.primary):
         return 'primary failed'
     if is_leaving(state, group.primary):
         return 'primary leaving'
@@ -215,10 +216,7 @@
             continue
         if state.now_ms < leader.avoid_ms.get(name, 0):
             continue
-        failed_ms = failure_detector.failed_at_ms(
-            leader.detector, state.now_ms, name
-        )
-        if failed_ms is not None and failed_ms <= state.now_ms:
+        if _has_failed(state, leader, name):
             continue
         candidates.append(name)
     near = _proxies_by_data_centre(state)
@@ -282,11 +280,25 @@
 
 def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
     failed_ms = failure_detector.failed_at_ms(
-        leader.detector, state.now_ms, name
+        leader.detector,
+        state.now_ms,
+        name,
+        electorate=len(leader.witnesses_ms),
     )
     return failed_ms is not None and failed_ms <= state.now_ms
 
 
+def _note_witnesses(state: ControlState, leader: LeaderState) -> None:
+    """Keep the proxies whose word counts, or would if it could be heard."""
+    known = leader.witnesses_ms
+    for name, member in state.machine.members.items():
+        if member.role == 'proxy':
+            known[name] = state.now_ms
+    for name, last_ms in list(known.items()):
+        if state.now_ms >= last_ms + WITNESS_MS:
+            del known[name]
+
+
 def _order(
     state: ControlState,
     leader: LeaderState,
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -245,6 +245,8 @@
         Until when an upstream is not chosen for a promotion.
     no_primary_ms : dict of str to float
         Since when a group has no primary.
+    witnesses_ms : dict of str to float
+        When each proxy was last a member.
     replaced_ms : dict of str to float
         Until when a replaced primary is not adopted again.
     """
@@ -286,6 +288,7 @@
     avoid_ms: dict[str, float] = field(default_factory=dict)
     no_primary_ms: dict[str, float] = field(default_factory=dict)
     replaced_ms: dict[str, float] = field(default_factory=dict)
+    witnesses_ms: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/failure_detector.py
+++ b/jackdawpost/core/failure_detector.py
@@ -122,10 +122,18 @@
 
 
 def failed_at_ms(
-    detector: FailureDetector, now_ms: float, upstream: str
+    detector: FailureDetector,
+    now_ms: float,
+    upstream: str,
+    electorate: int = 0,
 ) -> float | None:
     """Return when `upstream` counts as failed on the present evidence.
 
+    Parameters
+    ----------
+    electorate : int
+        Proxies of which most must object, if more than are live.
+
     Returns
     -------
     float or None
@@ -144,7 +152,7 @@
         if (vote := _vote_ms(detector, witness, upstream, floor_ms))
         is not None
     )
-    needed = len(live) // 2 + 1
+    needed = max(len(live), electorate) // 2 + 1
     if not live or len(votes) < needed:
         return None
     return votes[needed - 1]
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -421,6 +421,9 @@
 
 def requeue(state: PoolerState, work: Work) -> None:
     """Let a statement of which nothing has run wait for an upstream."""
+    if work.session is None:
+        forget(state, work)
+        return
     work.phase = 'waiting'
     work.conn = 0
     group = group_of(state, work.endpoint.group)
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -184,3 +184,19 @@
     world.run(500)
     assert busy in world.closed
     assert world.stopped
+
+
+def test_statement_of_a_caller_that_left_is_not_placed_again():
+    # A begin was on its way when the caller left and the connection was
+    # reset: the process ended on the statement without a session.
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.ask(conn, 'READ 1')
+    world.run(20)
+    world.call(conn, 'READ 2')
+    world.ask(conn, 'READ 3')
+    world.leave(conn)
+    world.reset('db-1')
+    world.run(500)
+    assert not world.state.works
+    assert [ran.text for ran in world.ran] == ['READ 1', 'READ 2']
--- a/jackdawpost/tests/core/test_control_registry.py
+++ b/jackdawpost/tests/core/test_control_registry.py
@@ -367,3 +367,24 @@
         world.group.run(500)
         assert world.machine.groups['g'].primary != 'u1'
     assert len({order.token for order in world.orders()}) == 1
+
+
+def test_proxies_cut_off_from_control_still_count_as_witnesses():
+    # They may reach the primary well: a promotion on the word of the few
+    # that control hears would take it from the many.
+    world = World(proxies=4)
+    for proxy in world.proxies[1:]:
+        for name in world.group.controls:
+            world.group.cut.add(frozenset((name, proxy.name)))
+    world.object_to('u1', by=1)
+    world.group.run(7_000)
+    assert not world.orders()
+
+
+def test_proxies_lost_for_long_no_longer_hold_up_a_promotion():
+    world = World(proxies=4)
+    for proxy in world.proxies[1:]:
+        world.group.kill(proxy)
+    world.object_to('u1', by=1)
+    world.group.run(16_000)
+    assert world.orders()
