Reconnect in small steps after a loss of power

Change: attempts at control links end after 300 ms; two connections to an upstream are opened at a time, as the design states; a full one is asked again after 150 ms.

--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -51,6 +51,8 @@
 OTHER_REGION_MS = 30.0
 # Signature of answers that no database has signed.
 NOT_RUN_SIGNATURE = '-'
+# Connections to one upstream that may be on their way at a time.
+MAX_OPENING = 2
 # Time that a read must save for another connection to be opened for it.
 OPENING_GAIN_MS = 20.0
 # Refusals by the upstream that promise that nothing has run.
@@ -96,7 +98,7 @@
 
 def _open_for(state: PoolerState, pool: Pool, wanted: int) -> None:
     opening = sum(1 for number in pool.conns if not state.conns[number].opened)
-    for _ in range(wanted - opening):
+    for _ in range(min(wanted, MAX_OPENING) - opening):
         if not may_open(state, pool):
             return
         add_connection(state, pool)
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -35,6 +35,8 @@
 SAMPLE_MS = 200.0
 # Time without an answer after which a replica is asked whether it is there.
 HEARD_MS = 1_000.0
+# Pause before another attempt at an upstream without a free connection.
+FULL_RETRY_MS = 150.0
 # Refusals of a connection by an upstream that works.
 FULL_CODES = frozenset({'no_connections', 'overloaded'})
 # The same while it runs statements.
@@ -396,7 +398,7 @@
     if conn.refusal in FULL_CODES:
         note_reach(state, pool, 'up')
         pool.heard_ms = state.now_ms
-        schedule(state, f'probe/{name}', state.now_ms + HEARD_MS)
+        schedule(state, f'probe/{name}', state.now_ms + FULL_RETRY_MS)
         return
     note_reach(state, pool, 'silent' if reason == 'timeout' else 'refused')
     pause = min(SEARCH_INTERVAL_MS, state.cfg.probe_interval_ms)
--- a/jackdawpost/runtime/followers.py
+++ b/jackdawpost/runtime/followers.py
@@ -11,6 +11,11 @@
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.wire.sockets import PEER_SILENCE_MS
 
+# A machine without power answers nothing, and the kernel repeats an opening
+# only after a second: an attempt made too early is better made anew.
+OPEN_TIMEOUT_MS = 300
+RETRY_MAX_S = 0.2
+
 
 class PeerFollower:
     """Carries out `FollowPeers`: one link to each address.
@@ -56,7 +61,9 @@
             self._port,
             self._path,
             hello=self._hello,
+            timeout_ms=OPEN_TIMEOUT_MS,
             silence_ms=PEER_SILENCE_MS,
+            retry_max_s=RETRY_MAX_S,
         )
         with scope:
             await self.shell.maintain_link(target)
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -113,6 +113,7 @@
     hello: Any = None
     timeout_ms: float = 1_000
     silence_ms: int = 0
+    retry_max_s: float = RECONNECT_MAX_S
 
 
 def ignore_event(event: Event) -> None:
@@ -275,7 +276,7 @@
             except (LinkRefusedError, LinkTimeoutError) as exc:
                 self._log.debug('link failed', extra={'detail': str(exc)})
             await trio.sleep(delay_s)
-            delay_s = min(RECONNECT_MAX_S, 2 * delay_s)
+            delay_s = min(target.retry_max_s, 2 * delay_s)
 
     async def serve_opened(
         self, link: Link, stream: MessageStream, opened: ConnOpened
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -258,3 +258,36 @@
         started_ms = world.now_ms
         assert isinstance(world.call(conns[0], 'READ 2'), Done)
         assert world.now_ms - started_ms < 100
+
+
+def test_few_connections_are_opened_at_a_time():
+    # After a loss of power an upstream still holds the old connections: a
+    # burst of new ones would only be refused, and delay the next attempt.
+    world = PoolerWorld()
+    opening = []
+    for conn in [world.open('orders') for _ in range(20)]:
+        world.ask(conn, 'WRITE 1 a')
+        opening.append(
+            sum(
+                not conn.opened
+                for conn in world.state.conns.values()
+                if conn.purpose == 'statements' and conn.upstream == 'db-1'
+            )
+        )
+    assert max(opening) <= 2
+
+
+def test_full_primary_is_tried_again_soon():
+    world = PoolerWorld()
+    pool = world.state.pools['db-1']
+    monitor = world.state.conns[pool.monitor]
+    world.kill('db-1')
+    world.run(1)
+    del monitor
+    # The fake refuses like one that has no connection left.
+    for conn in list(world.state.conns.values()):
+        if conn.upstream == 'db-1':
+            conn.refusal = 'no_connections'
+    world.databases['db-1'].reachable = 'up'
+    world.run(300)
+    assert world.state.groups['spares'].primary == 'db-1'
