Probe on the statements' connections; a lost connection raises a probe

Cause: each pooler kept one connection to each upstream for probes. Change: probes use an idle statement connection, and one of their own only where there is none or all are busy; the end of any connection raises a probe.

--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -56,6 +56,8 @@
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import UpstreamConn
 from jackdawpost.core.pooler.upstreams import discard
+from jackdawpost.core.pooler.upstreams import doubt
+from jackdawpost.core.pooler.upstreams import FULL_CODES
 from jackdawpost.core.pooler.upstreams import lose_monitor
 from jackdawpost.core.pooler.upstreams import note_open_failed
 from jackdawpost.core.pooler.upstreams import on_probe_due
@@ -212,6 +214,8 @@
         pool.conns.discard(conn.conn)
         if not conn.opened:
             note_open_failed(state, pool)
+        if conn.refusal not in FULL_CODES:
+            doubt(state, pool)
         state.dirty.add(f'group/{pool.view.group}')
     lose_statement_conn(state, conn, event.detail or reason)
 
@@ -307,7 +311,7 @@
     if conn.purpose == 'monitor':
         pool = state.pools.get(conn.upstream)
         if pool is not None:
-            take_probe_answer(state, pool, step, answer)
+            take_probe_answer(state, pool, conn, step, answer)
         return
     take_answer(state, conn, step, answer)
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -35,8 +35,10 @@
 from jackdawpost.core.pooler.upstreams import note_latency
 from jackdawpost.core.pooler.upstreams import note_leader
 from jackdawpost.core.pooler.upstreams import note_not_leader
+from jackdawpost.core.pooler.upstreams import PROBE_STEPS
 from jackdawpost.core.pooler.upstreams import replay_session
 from jackdawpost.core.pooler.upstreams import send_internal
+from jackdawpost.core.pooler.upstreams import take_probe_answer
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.retry import backoff_ms
 
@@ -271,6 +273,8 @@
     """Handle the complete answer to one step of a statement connection."""
     pool = state.pools.get(conn.upstream)
     work = step.work
+    if step.kind in PROBE_STEPS and pool is not None:
+        take_probe_answer(state, pool, conn, step, answer)
     if step.kind == 'statement' and answer.signature == NOT_RUN_SIGNATURE:
         # Only statements of this process are answered so: an answer before
         # this one has been lost.
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -260,6 +260,10 @@
         Moving average of the time that its statements take.
     retry_at_ms : float
         Earliest time to open another connection after a failure.
+    probe_conn : int
+        Connection that the latest probe was sent on.
+    doubted : bool
+        A connection has ended since the upstream last answered a probe.
     """
 
     view: UpstreamView
@@ -273,7 +277,9 @@
     latency_ms: float = INITIAL_LATENCY_MS
     failures: int = 0
     retry_at_ms: float = 0.0
+    probe_conn: int = 0
     probe_sent_ms: float = 0.0
+    doubted: bool = False
     heard_ms: float = 0.0
 
     @property
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -28,6 +28,11 @@
 # Longer than any cut after which a proxy is expected back.
 PROXY_MEMORY_MS = 60_000.0
 MIN_CONNECTIONS = 1
+# With no more than these, probes share the statements' connections.
+SCARCE_CONNECTIONS = 3
+# Time without a probe after which a connection for probes is closed.
+MONITOR_IDLE_MS = 5_000.0
+PROBE_STEPS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
 LATENCY_WEIGHT = 0.2  # of the newest statement in the moving average
 RETRY_MIN_MS = 50.0
 RETRY_MAX_MS = 500.0
@@ -104,7 +109,9 @@
     allowed = min(stated, default=DEFAULT_CONNECTIONS)
     proxies = max(1, len(state.proxies_seen_ms))
     share = (allowed - RESERVED_CONNECTIONS) // proxies
-    return max(MIN_CONNECTIONS, share - 1)
+    if share > SCARCE_CONNECTIONS:
+        share -= 1  # for probes
+    return max(MIN_CONNECTIONS, share)
 
 
 def open_connection(
@@ -249,25 +256,51 @@
 
 
 def _probe(state: PoolerState, pool: Pool) -> None:
-    name = pool.view.name
-    conn = state.conns.get(pool.monitor)
-    if conn is None:
-        pool.monitor = open_connection(state, pool.view, 'monitor').conn
-        pool.probe_sent_ms = state.now_ms
-    elif conn.steps:
+    conn = state.conns.get(pool.probe_conn)
+    if conn is not None and _awaits_probe(conn):
         waited_ms = state.now_ms - conn.steps[0].sent_ms
         if waited_ms >= state.cfg.probe_timeout_ms:
             note_reach(state, pool, 'silent')
             if conn.opened or waited_ms >= state.cfg.open_timeout_ms:
                 discard(state, conn, 'no answer to a probe')
     elif _is_probe_needed(state, pool):
+        _start_probe(state, pool)
+    else:
+        _drop_idle_monitor(state, pool)
+    pause_ms = _probe_pause(state, pool)
+    schedule(state, f'probe/{pool.view.name}', state.now_ms + pause_ms)
+
+
+def _awaits_probe(conn: UpstreamConn) -> bool:
+    return bool(conn.steps) and conn.steps[0].kind in PROBE_STEPS
+
+
+def _start_probe(state: PoolerState, pool: Pool) -> None:
+    """Probe on an idle connection; without one, on one of its own."""
+    idle = [n for n in sorted(pool.conns) if state.conns[n].is_idle]
+    number = idle[0] if idle else pool.monitor
+    conn = state.conns.get(number)
+    if conn is None:
+        conn = open_connection(state, pool.view, 'monitor')
+        pool.monitor = conn.conn
+        pool.probe_sent_ms = state.now_ms
+    else:
         _send_probe(state, pool, conn)
-    schedule(state, f'probe/{name}', state.now_ms + _probe_pause(state, pool))
+    pool.probe_conn = conn.conn
+
+
+def _drop_idle_monitor(state: PoolerState, pool: Pool) -> None:
+    """Give up the connection for probes while statements show enough."""
+    conn = state.conns.get(pool.monitor)
+    if conn is None or not conn.is_idle or not pool.conns:
+        return
+    if state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_MS:
+        discard(state, conn, 'not needed')
 
 
 def _is_probe_needed(state: PoolerState, pool: Pool) -> bool:
     """Tell whether the answers to statements show too little."""
-    if pool.reach != 'up':
+    if pool.reach != 'up' or pool.doubted:
         return True
     group = group_of(state, pool.view.group)
     if group.primary is None:
@@ -283,7 +316,11 @@
 
 
 def _has_statements(state: PoolerState, pool: Pool) -> bool:
-    return any(state.conns[number].steps for number in pool.conns)
+    return any(
+        step.work is not None
+        for number in pool.conns
+        for step in state.conns[number].steps
+    )
 
 
 def _is_behind(state: PoolerState, pool: Pool) -> bool:
@@ -306,9 +343,9 @@
 
 def _probe_pause(state: PoolerState, pool: Pool) -> float:
     group = group_of(state, pool.view.group)
-    conn = state.conns.get(pool.monitor)
+    conn = state.conns.get(pool.probe_conn)
     due_ms = state.now_ms + state.cfg.probe_interval_ms
-    if conn is not None and conn.steps:
+    if conn is not None and _awaits_probe(conn):
         due_ms = conn.steps[0].sent_ms + state.cfg.probe_timeout_ms
     elif group.primary is None:
         due_ms = state.now_ms + SEARCH_INTERVAL_MS
@@ -318,11 +355,18 @@
     return max(MIN_PROBE_PAUSE_MS, due_ms - state.now_ms)
 
 
+def doubt(state: PoolerState, pool: Pool) -> None:
+    """Probe an upstream at once: a connection to it has ended."""
+    pool.doubted = True
+    schedule(state, f'probe/{pool.view.name}', state.now_ms)
+
+
 def note_reach(state: PoolerState, pool: Pool, reach: str) -> None:
     """Take what a probe shows of an upstream's reachability."""
     if reach == 'up':
         pool.heard_ms = state.now_ms
         pool.failures = 0
+        pool.doubted = False
     if pool.reach == reach:
         return
     log(
@@ -344,7 +388,11 @@
 
 
 def take_probe_answer(
-    state: PoolerState, pool: Pool, step: Step, answer: Answer
+    state: PoolerState,
+    pool: Pool,
+    conn: UpstreamConn,
+    step: Step,
+    answer: Answer,
 ) -> None:
     """Handle the answer to one statement of a probe."""
     note_reach(state, pool, 'up')
@@ -357,7 +405,6 @@
         return
     if step.kind == 'probe_begin':
         if answer.signature:
-            conn = state.conns[pool.monitor]
             undo = Internal(action='rollback')
             send_internal(state, conn, 'probe_rollback', undo)
         if answer.signature and answer.position is not None:
@@ -393,7 +440,7 @@
     if conn.opened:
         # A connection may be reset while its other end goes on: only an
         # attempt to open another one tells.
-        schedule(state, f'probe/{name}', state.now_ms)
+        doubt(state, pool)
         return
     if conn.refusal in FULL_CODES:
         note_reach(state, pool, 'up')
