Stop the other replicas before a group that promises copies is promoted

Cause: with syncReplicas 1 a commit may be held by the replica that is not chosen; the choice went by what proxies had seen up to 1.5 s before. Change: before the order, the replicas that are not chosen are told to stop receiving, through any proxy; the order follows once enough of them have answered that one holds each acknowledged commit, and the chosen one holds as much as all of them. Tests without the bench: no order while a replica is not heard; the better one is taken; the chosen one catches up with a leaving primary.

--- a/jackdawpost/core/control_delegation.py
+++ b/jackdawpost/core/control_delegation.py
@@ -12,6 +12,11 @@
 from jackdawpost.core.commands import AdoptPrimary
 from jackdawpost.core.commands import DelegatePromotion
 from jackdawpost.core.commands import FinishPromotion
+from jackdawpost.core.control_freeze import advance_freeze
+from jackdawpost.core.control_freeze import better_choice
+from jackdawpost.core.control_freeze import is_safe
+from jackdawpost.core.control_freeze import needs_freeze
+from jackdawpost.core.control_freeze import release_frozen
 from jackdawpost.core.control_process import ControlState
 from jackdawpost.core.control_process import is_leaving
 from jackdawpost.core.control_process import LeaderState
@@ -21,6 +26,7 @@
 from jackdawpost.core.control_process import Sighting
 from jackdawpost.core.control_state import GroupState
 from jackdawpost.core.control_state import Member
+from jackdawpost.core.control_state import Promotion
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.messages.control import ProxyReport
@@ -270,6 +276,10 @@
     elif order is not None and order.outcome == 'refused':
         leader.avoid_ms[chosen] = state.now_ms + AVOID_MS
         _give_up(state, name, promotion.to_term, order.detail)
+    elif order is None and not _is_frozen(
+        state, leader, name, promotion, upstreams
+    ):
+        return
     elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
         if order is not None and _has_failed(state, leader, chosen):
             leader.avoid_ms[chosen] = state.now_ms + AVOID_MS
@@ -278,6 +288,35 @@
         _order(state, leader, name, chosen, promotion.to_term)
 
 
+def _is_frozen(
+    state: ControlState,
+    leader: LeaderState,
+    name: str,
+    promotion: Promotion,
+    upstreams: dict[str, Member],
+) -> bool:
+    """Tell whether nothing acknowledged can be lost by the order."""
+    if not needs_freeze(state, name):
+        return True
+    terms = [
+        sighting.report.term
+        for upstream in upstreams
+        for sighting in _fresh(state, leader, upstream)
+    ]
+    freeze = advance_freeze(
+        state, leader, name, promotion, upstreams, max(terms, default=0) + 1
+    )
+    if is_safe(state, name, promotion, freeze, upstreams):
+        return True
+    primary = state.machine.groups[name].primary
+    better = better_choice(state, name, promotion, freeze, upstreams)
+    if better is not None and _has_failed(state, leader, primary or ''):
+        # A primary that runs would let the chosen one catch up.
+        leader.avoid_ms[promotion.chosen or ''] = state.now_ms + AVOID_MS
+        _give_up(state, name, promotion.to_term, f'{better} has received more')
+    return False
+
+
 def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
     failed_ms = failure_detector.failed_at_ms(
         leader.detector,
@@ -328,6 +367,7 @@
 def _finish(
     state: ControlState, leader: LeaderState, name: str, token: int
 ) -> None:
+    release_frozen(state, leader, name)
     old = state.machine.groups[name].primary
     command = FinishPromotion(group=name, to_term=token)
     if propose(state, f'group/{name}', command) is not None and old:
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -27,6 +27,7 @@
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.core.permit_ledger import PermitLedger
+from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.promotion import PromotionDriver
 
 if TYPE_CHECKING:
@@ -187,6 +188,28 @@
     detail: str = ''
 
 
+@dataclass(slots=True, kw_only=True)
+class Freeze:
+    """Replicas stopped before a promotion.
+
+    Parameters
+    ----------
+    token : int
+        Token of the promotion.
+    term : int
+        Term that they are stopped with.
+    positions : dict of str to LogPosition
+        Last position received by each that has answered, the chosen one
+        among them.
+    """
+
+    token: int
+    term: int
+    positions: dict[str, LogPosition] = field(default_factory=dict)
+    attempts: int = 0
+    ask_ms: float = 0.0
+
+
 @dataclass(slots=True, kw_only=True)
 class LeaderState:
     """Services that only the leader runs, built anew at each election.
@@ -245,6 +268,8 @@
         Until when an upstream is not chosen for a promotion.
     no_primary_ms : dict of str to float
         Since when a group has no primary.
+    freezes : dict of str to Freeze
+        Replicas stopped for the promotion of each group.
     witnesses_ms : dict of str to float
         When each proxy was last a member.
     replaced_ms : dict of str to float
@@ -289,6 +314,7 @@
     no_primary_ms: dict[str, float] = field(default_factory=dict)
     replaced_ms: dict[str, float] = field(default_factory=dict)
     witnesses_ms: dict[str, float] = field(default_factory=dict)
+    freezes: dict[str, Freeze] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/control_proxies.py
+++ b/jackdawpost/core/control_proxies.py
@@ -10,6 +10,7 @@
 from jackdawpost.core import permit_ledger
 from jackdawpost.core.commands import AnnounceMember
 from jackdawpost.core.control_delegation import note_sightings
+from jackdawpost.core.control_freeze import note_told
 from jackdawpost.core.control_machine import update_since
 from jackdawpost.core.control_members import ask_approvals
 from jackdawpost.core.control_members import note_leaving
@@ -36,6 +37,7 @@
 from jackdawpost.core.messages.control import PermitRecall
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.messages.control import UpstreamTold
 
 UPDATE_RESEND_MS = 2_000.0  # longer than a report that crosses an update
 
@@ -69,6 +71,8 @@
         take_approval(state, link, message)
     elif not link.is_served:
         return
+    elif isinstance(message, UpstreamTold):
+        note_told(state, leader, message)
     elif isinstance(message, LeaseRevoked):
         lease_ledger.note_revoked(
             leader.leases,
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -290,10 +290,53 @@
     kind: Literal['permit_return'] = 'permit_return'
 
 
+@dataclass(slots=True, kw_only=True)
+class AskUpstream:
+    """Pass a request of the control leader on to an upstream.
+
+    Parameters
+    ----------
+    action : {'pause', 'resume', 'status'}
+        Stop receiving, go on receiving, or only tell the position.
+    term : int
+        Term to stop with, above every one that the upstream knows.
+    token : int
+        Token of the promotion that it is for.
+    """
+
+    upstream: str
+    action: Literal['pause', 'resume', 'status']
+    term: int
+    token: int
+    kind: Literal['ask_upstream'] = 'ask_upstream'
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamTold:
+    """An upstream's answer to an `AskUpstream`.
+
+    Parameters
+    ----------
+    received : LogPosition
+        Last position that it has received.
+    """
+
+    upstream: str
+    action: Literal['pause', 'resume', 'status']
+    token: int
+    received: LogPosition
+    kind: Literal['upstream_told'] = 'upstream_told'
+
+
 ToControlFromUpstream = Announce | Approval
 ToUpstreamFromControl = AnnounceAck | ApprovalRequest
 ToControlFromProxy = (
-    ProxyReport | LeaseRevoked | PermitDemand | PermitReturn | Approval
+    ProxyReport
+    | LeaseRevoked
+    | PermitDemand
+    | PermitReturn
+    | Approval
+    | UpstreamTold
 )
 ToProxyFromControl = (
     NotLeader
@@ -303,4 +346,5 @@
     | PermitGrant
     | PermitRecall
     | ApprovalRequest
+    | AskUpstream
 )
--- a/jackdawpost/core/messages/session.py
+++ b/jackdawpost/core/messages/session.py
@@ -116,7 +116,8 @@
     action : str
         ``'begin'`` succeeds only at the primary; ``'begin_read'`` anywhere.
     name, argument : str
-        As in `Request`, for ``'set'`` and ``'prepare'``.
+        As in `Request`, for ``'set'`` and ``'prepare'``; for ``'pause'`` the
+        term, as the argument.
     after : LogPosition, optional
         As in `Execute`, for ``'begin_read'``.
     """
@@ -129,6 +130,8 @@
         'set',
         'prepare',
         'status',
+        'pause',
+        'resume',
     ]
     name: str = ''
     argument: str = ''
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -7,6 +7,7 @@
 from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.control import ProxyReport
@@ -19,6 +20,7 @@
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import UpstreamConn
+from jackdawpost.core.pooler.upstreams import ask_upstream
 from jackdawpost.core.pooler.upstreams import discard
 from jackdawpost.core.pooler.upstreams import open_connection
 from jackdawpost.core.pooler.upstreams import sync_pools
@@ -120,6 +122,8 @@
         _take_update(state, conn, message)
     elif isinstance(message, ApprovalRequest):
         _examine(state, conn, message)
+    elif isinstance(message, AskUpstream):
+        ask_upstream(state, conn, message)
     elif isinstance(message, NotLeader):
         if message.leader:
             _follow(state, {*state.followed, message.leader})
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -62,6 +62,7 @@
 from jackdawpost.core.pooler.upstreams import note_open_failed
 from jackdawpost.core.pooler.upstreams import on_probe_due
 from jackdawpost.core.pooler.upstreams import take_probe_answer
+from jackdawpost.core.pooler.upstreams import take_told
 
 DRAIN_STEP_MS = 100.0  # between looks at what a draining process still has
 
@@ -311,7 +312,10 @@
     if conn.purpose == 'monitor':
         pool = state.pools.get(conn.upstream)
         if pool is not None:
-            take_probe_answer(state, pool, conn, step, answer)
+            if step.kind == 'told':
+                take_told(state, pool, step, answer)
+            else:
+                take_probe_answer(state, pool, conn, step, answer)
         return
     take_answer(state, conn, step, answer)
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -39,6 +39,7 @@
 from jackdawpost.core.pooler.upstreams import replay_session
 from jackdawpost.core.pooler.upstreams import send_internal
 from jackdawpost.core.pooler.upstreams import take_probe_answer
+from jackdawpost.core.pooler.upstreams import take_told
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.retry import backoff_ms
 
@@ -275,6 +276,8 @@
     work = step.work
     if step.kind in PROBE_STEPS and pool is not None:
         take_probe_answer(state, pool, conn, step, answer)
+    if step.kind == 'told' and pool is not None:
+        take_told(state, pool, step, answer)
     if step.kind == 'statement' and answer.signature == NOT_RUN_SIGNATURE:
         # Only statements of this process are answered so: an answer before
         # this one has been lost.
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -17,6 +17,7 @@
 from jackdawpost.core.effects import ObserveMetric
 from jackdawpost.core.effects import Send
 from jackdawpost.core.effects import SetTimer
+from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import Evidence
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.messages.session import SessionState
@@ -176,16 +177,27 @@
     'status',
     'probe_begin',
     'probe_rollback',
+    'told',
 ]
 
 
 @dataclass(slots=True, kw_only=True)
 class Step:
-    """A request on an upstream connection whose answer is outstanding."""
+    """A request on an upstream connection whose answer is outstanding.
+
+    Parameters
+    ----------
+    asked : AskUpstream, optional
+        Request of control that it passes on.
+    asker : int
+        Control connection to answer.
+    """
 
     kind: StepKind
     sent_ms: float
     work: Work | None = None
+    asked: AskUpstream | None = None
+    asker: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -4,6 +4,8 @@
 
 from jackdawpost.core.effects import Connect
 from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.messages.control import AskUpstream
+from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import close
@@ -202,6 +204,48 @@
     send(state, conn.conn, message)
 
 
+def ask_upstream(state: PoolerState, asker: int, asked: AskUpstream) -> None:
+    """Pass a request of control on; it asks again if nothing comes back."""
+    pool = state.pools.get(asked.upstream)
+    if pool is None:
+        return
+    conn = _idle_connection(state, pool)
+    if conn is None:
+        doubt(state, pool)  # opens a connection
+        return
+    step = Step(kind='told', sent_ms=state.now_ms, asked=asked, asker=asker)
+    conn.steps.append(step)
+    argument = str(asked.term) if asked.action == 'pause' else ''
+    send(state, conn.conn, Internal(action=asked.action, argument=argument))
+
+
+def take_told(
+    state: PoolerState, pool: Pool, step: Step, answer: Answer
+) -> None:
+    """Hand an upstream's answer to control."""
+    asked = step.asked
+    if asked is None or not answer.signature or not answer.rows:
+        log(
+            state,
+            'warning',
+            'request_of_control_failed',
+            upstream=pool.view.name,
+            action=asked.action if asked else None,
+            code=answer.code,
+        )
+        return
+    _take_status(state, pool, answer)
+    if pool.received is None:
+        return
+    told = UpstreamTold(
+        upstream=asked.upstream,
+        action=asked.action,
+        token=asked.token,
+        received=pool.received,
+    )
+    send(state, step.asker, told)
+
+
 def note_latency(pool: Pool, taken_ms: float) -> None:
     """Take the time of one statement into the moving average."""
     pool.latency_ms += LATENCY_WEIGHT * (taken_ms - pool.latency_ms)
@@ -277,18 +321,24 @@
 
 def _start_probe(state: PoolerState, pool: Pool) -> None:
     """Probe on an idle connection; without one, on one of its own."""
-    idle = [n for n in sorted(pool.conns) if state.conns[n].is_idle]
-    number = idle[0] if idle else pool.monitor
-    conn = state.conns.get(number)
-    if conn is None:
+    conn = _idle_connection(state, pool)
+    if conn is not None:
+        _send_probe(state, pool, conn)
+    elif pool.monitor:
+        return
+    else:
         conn = open_connection(state, pool.view, 'monitor')
         pool.monitor = conn.conn
         pool.probe_sent_ms = state.now_ms
-    else:
-        _send_probe(state, pool, conn)
     pool.probe_conn = conn.conn
 
 
+def _idle_connection(state: PoolerState, pool: Pool) -> UpstreamConn | None:
+    numbers = [*sorted(pool.conns), pool.monitor]
+    conns = [state.conns[n] for n in numbers if n in state.conns]
+    return next((conn for conn in conns if conn.is_idle), None)
+
+
 def _drop_idle_monitor(state: PoolerState, pool: Pool) -> None:
     """Give up the connection for probes while statements show enough."""
     conn = state.conns.get(pool.monitor)
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -78,6 +78,7 @@
     'rollback': 'ROLLBACK',
     'reset': 'RESET',
     'status': 'STATUS',
+    'resume': 'RESUME',
 }
 
 
@@ -97,7 +98,8 @@
     text = _INTERNAL_TEXTS.get(message.action)
     if text is None:
         word = message.action.upper()
-        text = f'{word} {message.name} {message.argument}'
+        fields = (word, message.name, message.argument)
+        text = ' '.join(field for field in fields if field)
     return f'QUERY {NO_ID} {_after(message.after)}{text}'
 
 
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -69,6 +69,7 @@
         control.PermitDemand,
         control.PermitReturn,
         control.Approval,
+        control.UpstreamTold,
     ),
     'announce': FrameCodec(control.Announce, control.Approval),
     'operator': FrameCodec(*get_args(operator.OperatorRequest)),
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -48,6 +48,7 @@
         control.PermitGrant,
         control.PermitRecall,
         control.ApprovalRequest,
+        control.AskUpstream,
     ),
 }
 
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -31,6 +31,7 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Execute
 from jackdawpost.core.messages.session import Failed
@@ -136,6 +137,7 @@
     term: int = 1
     index: int = 10
     lag: int = 0
+    paused: bool = False
     slots: int = 3
     work_ms: float = 10.0
     reachable: str = 'up'
@@ -170,6 +172,7 @@
         self.ran: list[Ran] = []
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
+        self.told: list[UpstreamTold] = []
         self.sent: dict[int, list[Any]] = {}
         self.closed: set[int] = set()
         self.stopped = False
@@ -378,6 +381,8 @@
     def _send(self, effect: Send) -> None:
         if effect.conn == CONTROL_CONN:
             for message in effect.messages:
+                if isinstance(message, UpstreamTold):
+                    self.told.append(message)
                 if isinstance(message, ProxyReport):
                     self.reports.append(message)
                     self._at(self.now_ms + TRIP_MS, self.grant)
@@ -520,7 +525,9 @@
             conn.values[message.name] = message.argument
         elif message.action == 'prepare':
             conn.prepared[message.name] = message.argument
-        elif message.action == 'status':
+        elif message.action in ('status', 'pause', 'resume'):
+            if message.action != 'status':
+                database.paused = message.action == 'pause'
             role = 'primary' if database.leads else 'replica'
             return '', [f'{role} {database.term} {database.index}']
         return '', []
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.testing.fake_pooler_world import CONTROL_CONN
 from jackdawpost.testing.fake_pooler_world import default_endpoints
 from jackdawpost.testing.fake_pooler_world import PoolerWorld
 
@@ -291,3 +293,13 @@
     world.databases['db-1'].reachable = 'up'
     world.run(300)
     assert world.state.groups['spares'].primary == 'db-1'
+
+
+def test_request_of_control_is_passed_on_to_an_upstream():
+    world = PoolerWorld()
+    asked = AskUpstream(upstream='db-2', action='pause', term=2, token=7)
+    world.receive(CONTROL_CONN, asked)
+    world.run(300)
+    assert [(t.upstream, t.token) for t in world.told] == [('db-2', 7)]
+    assert world.told[0].received == LogPosition(1, 10)
+    assert world.databases['db-2'].paused
--- a/jackdawpost/tests/core/test_control_registry.py
+++ b/jackdawpost/tests/core/test_control_registry.py
@@ -22,12 +22,12 @@
 STARTED_MS = 1_700_000_000_000
 
 
-def _declare(version, name='r-1', group='g'):
+def _declare(version, name='r-1', group='g', copies=1):
     objects = [
         DeclareObject(
             type='group',
             name='g',
-            body={'databases': 1, 'write_copies': 1},
+            body={'databases': copies, 'write_copies': copies},
         ),
         DeclareObject(
             type='endpoint',
@@ -59,7 +59,7 @@
 class World:
     """A control group that upstreams register at."""
 
-    def __init__(self, controls=3, proxies=3):
+    def __init__(self, controls=3, proxies=3, copies=1):
         self.group = Group(
             [f'c{n}' for n in range(1, controls + 1)],
             delegated=True,
@@ -72,7 +72,7 @@
             self.group.add(FakeProxy(f'p{n}')) for n in range(1, proxies + 1)
         ]
         self.group.run(500)
-        assert self.ask(_declare(1)).outcome == 'done'
+        assert self.ask(_declare(1, copies=copies)).outcome == 'done'
         for name in ('u1', 'u2', 'u3'):
             assert self.ask(_registration(name)).outcome == 'done'
         self.see('u1')
@@ -388,3 +388,72 @@
     world.object_to('u1', by=1)
     world.group.run(16_000)
     assert world.orders()
+
+
+def _tell(world, **positions):
+    for proxy in world.proxies:
+        proxy.told = {
+            name: LogPosition(1, index) for name, index in positions.items()
+        }
+
+
+def test_copies_are_stopped_before_a_group_that_promises_them_is_promoted():
+    # A commit that only the other replica holds would be lost.
+    world = World(copies=2)
+    world.see('', u2=11, u3=14)
+    world.object_to('u1')
+    world.group.run(1_500)
+    assert not world.orders()
+    asked = [a for proxy in world.proxies for a in proxy.asked]
+    assert {(a.upstream, a.action) for a in asked} == {
+        ('u2', 'pause'),
+        ('u3', 'status'),
+    }
+    assert all(a.term == 2 for a in asked)
+    _tell(world, u2=14, u3=14)
+    world.group.run(1_000)
+    assert world.orders()[0].upstream == 'u3'
+
+
+def test_stopped_replica_that_holds_more_is_promoted_in_place_of_the_choice():
+    world = World(copies=2)
+    world.see('', u2=11, u3=14)
+    world.object_to('u1')
+    _tell(world, u2=15, u3=14)
+    world.group.run(3_000)
+    assert {order.upstream for order in world.orders()} == {'u2'}
+
+
+def test_no_promotion_while_a_copy_may_hold_more():
+    # The unreachable replica may be the only one with the last commit.
+    world = World(copies=2)
+    world.see('', u2=11, u3=14)
+    world.object_to('u1')
+    _tell(world, u3=14)
+    world.group.run(6_000)
+    assert not world.orders()
+
+
+def test_chosen_one_catches_up_with_a_leaving_primary():
+    world = World(copies=2)
+    world.see('u1', u2=12, u3=12)
+    world.group.run(300)
+    _tell(world, u2=13, u3=12)
+    world.ask(_registration('u1', state='draining', sequence=2))
+    world.group.run(800)
+    chosen = world.machine.groups['g'].promotion.chosen
+    other = 'u2' if chosen == 'u3' else 'u3'
+    if chosen == 'u3':
+        assert not world.orders()
+    _tell(world, **{chosen: 15, other: 13})
+    world.group.run(600)
+    assert world.orders()[0].upstream == chosen
+    world.answer(world.orders()[0], 'done')
+    world.group.run(500)
+    resumed = {
+        a.upstream
+        for proxy in world.proxies
+        for a in proxy.asked
+        if a.action == 'resume'
+    }
+    assert other in resumed
