Count no copy that was gone; give a leaving primary no work for long

Ruled out: the stop of the other replica (it answered after 50 ms). Change: a replica that most proxies find nobody at, for 2 s before the primary ended, counts for no copy; a pooler gives a leaving primary no work after 70% of the time that the platform allows.

--- a/jackdawpost/core/control_delegation.py
+++ b/jackdawpost/core/control_delegation.py
@@ -46,6 +46,9 @@
 # A proxy that control no longer hears may only be cut off from it, and reach
 # the primary well. Cuts that last longer than this are taken for a loss.
 WITNESS_MS = 10_000.0
+# Time for which a replica must have been gone to count for no copy: longer
+# than the others need to receive what it had helped to acknowledge.
+GONE_MS = 2_000.0
 # An upstream that an order was refused for is not chosen again for so long.
 AVOID_MS = 3_000.0
 
@@ -63,6 +66,7 @@
 def advance_delegated(state: ControlState, leader: LeaderState) -> None:
     """Take every group one step on."""
     _note_witnesses(state, leader)
+    _note_refused(state, leader)
     for name in sorted(state.machine.groups):
         group = state.machine.groups[name]
         upstreams = _joined(state, name)
@@ -303,6 +307,7 @@
         for upstream in upstreams
         for sighting in _fresh(state, leader, upstream)
     ]
+    upstreams = _counted(state, leader, name, upstreams)
     freeze = advance_freeze(
         state, leader, name, promotion, upstreams, max(terms, default=0) + 1
     )
@@ -317,6 +322,38 @@
     return False
 
 
+def _counted(
+    state: ControlState,
+    leader: LeaderState,
+    name: str,
+    upstreams: dict[str, Member],
+) -> dict[str, Member]:
+    """Leave out what was gone well before the primary ended.
+
+    The replicas that stayed have received since then whatever was
+    acknowledged with its help. One that is only silent may still receive.
+    """
+    primary = state.machine.groups[name].primary or ''
+    end_ms = leader.refused_ms.get(primary, state.now_ms)
+    return {
+        upstream: member
+        for upstream, member in upstreams.items()
+        if upstream == primary
+        or leader.refused_ms.get(upstream, end_ms) + GONE_MS > end_ms
+    }
+
+
+def _note_refused(state: ControlState, leader: LeaderState) -> None:
+    """Keep since when nobody is found at an upstream's address."""
+    for name, member in state.machine.members.items():
+        if member.role != 'upstream':
+            continue
+        if failure_detector.is_refused(leader.detector, state.now_ms, name):
+            leader.refused_ms.setdefault(name, state.now_ms)
+        else:
+            leader.refused_ms.pop(name, None)
+
+
 def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
     failed_ms = failure_detector.failed_at_ms(
         leader.detector,
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control_process.py
@@ -270,6 +270,8 @@
         Since when a group has no primary.
     freezes : dict of str to Freeze
         Replicas stopped for the promotion of each group.
+    refused_ms : dict of str to float
+        Since when most proxies find nobody at an upstream's address.
     witnesses_ms : dict of str to float
         When each proxy was last a member.
     replaced_ms : dict of str to float
@@ -315,6 +317,7 @@
     replaced_ms: dict[str, float] = field(default_factory=dict)
     witnesses_ms: dict[str, float] = field(default_factory=dict)
     freezes: dict[str, Freeze] = field(default_factory=dict)
+    refused_ms: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/failure_detector.py
+++ b/jackdawpost/core/failure_detector.py
@@ -171,6 +171,24 @@
     return min(refused_at, silent_at)
 
 
+def is_refused(
+    detector: FailureDetector, now_ms: float, upstream: str
+) -> bool:
+    """Tell whether most live proxies find nobody at an upstream's address."""
+    live = [
+        witness
+        for witness in detector.witnesses.values()
+        if now_ms < witness.live_until_ms
+    ]
+    votes = sum(
+        1
+        for witness in live
+        if upstream in witness.seen
+        and witness.seen[upstream].state == 'refused'
+    )
+    return votes > len(live) // 2
+
+
 def next_expiry_ms(detector: FailureDetector, now_ms: float) -> float | None:
     """Return when the next proxy stops counting; None without any."""
     ends = [
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -40,6 +40,7 @@
 from jackdawpost.core.pooler.upstreams import send_internal
 from jackdawpost.core.pooler.upstreams import take_probe_answer
 from jackdawpost.core.pooler.upstreams import take_told
+from jackdawpost.core.pooler.upstreams import takes_work
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.retry import backoff_ms
 
@@ -129,7 +130,7 @@
                 _want(wanted, pools[0])
                 return False
     primary = state.pools.get(group.primary or '')
-    if primary is None:
+    if primary is None or not takes_work(state, primary):
         return False
     conn = _free_conn(state, primary, work.session)
     if conn is None:
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -56,6 +56,8 @@
         Time that open transactions have from the request to stop.
     drain_limit_ms : float
         Time from the request to stop after which the process ends.
+    leaving_work_ms : float
+        Time for which a leaving primary without a successor gets work.
     """
 
     name: str
@@ -75,6 +77,7 @@
     drain_notice_ms: float = 2_300
     drain_txn_ms: float = 3_000
     drain_limit_ms: float = 5_000
+    leaving_work_ms: float = 5_000
 
 
 @dataclass(slots=True, kw_only=True)
@@ -272,6 +275,8 @@
         Moving average of the time that its statements take.
     retry_at_ms : float
         Earliest time to open another connection after a failure.
+    leaving_ms : float, optional
+        When this process learned that it leaves.
     probe_conn : int
         Connection that the latest probe was sent on.
     doubted : bool
@@ -289,6 +294,7 @@
     latency_ms: float = INITIAL_LATENCY_MS
     failures: int = 0
     retry_at_ms: float = 0.0
+    leaving_ms: float | None = None
     probe_conn: int = 0
     probe_sent_ms: float = 0.0
     doubted: bool = False
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -71,9 +71,25 @@
             _probe(state, state.pools[name])
         else:
             pool.view = view
+        pool = state.pools[name]
+        if not view.leaving:
+            pool.leaving_ms = None
+        elif pool.leaving_ms is None:
+            pool.leaving_ms = state.now_ms
         state.dirty.add(f'group/{view.group}')
 
 
+def takes_work(state: PoolerState, pool: Pool) -> bool:
+    """Tell whether an upstream may get statements that it has to lead for.
+
+    A leaving primary serves until its successor leads, but not for long.
+    """
+    since_ms = pool.leaving_ms
+    return since_ms is None or (
+        state.now_ms < since_ms + state.cfg.leaving_work_ms
+    )
+
+
 def _drop_pool(state: PoolerState, name: str) -> None:
     pool = state.pools.pop(name)
     group = group_of(state, pool.view.group)
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -42,6 +42,9 @@
 NOTICE_MS = 2_300
 # Left at the end of the time to stop, for what is on its way.
 EXIT_MARGIN_MS = 700
+# Of the time in which a leaving database may get work; the rest is for the
+# way of its report to this process and of the statement to the database.
+LEAVING_SHARE = 0.7
 
 
 def build_config(settings: PlatformSettings) -> PoolerConfig:
@@ -63,6 +66,7 @@
         drain_notice_ms=min(NOTICE_MS, grace_ms / 2),
         drain_txn_ms=grace_ms / 2,
         drain_limit_ms=grace_ms - EXIT_MARGIN_MS,
+        leaving_work_ms=settings.bounds.drain_ms * LEAVING_SHARE,
     )
 
 
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -50,6 +50,7 @@
 class Bounds(_Table):
     """Time limits that the platform states."""
 
+    drain_ms: float = Field(default=7_000, gt=0, alias='drainMs')
     grace_s: float = Field(default=6, gt=0, alias='graceS')
     catch_up_s: float = Field(default=4, gt=0, alias='catchUpS')
     config_deadline_ms: float = Field(
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -138,6 +138,7 @@
     index: int = 10
     lag: int = 0
     paused: bool = False
+    leaving: bool = False
     slots: int = 3
     work_ms: float = 10.0
     reachable: str = 'up'
@@ -612,7 +613,7 @@
         'data_centre': database.data_centre,
         'slots': database.slots,
         'connections': 0,
-        'leaving': False,
+        'leaving': database.leaving,
     }
     return PublishedObject(type='upstream', name=database.name, body=body)
 
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -303,3 +303,17 @@
     assert [(t.upstream, t.token) for t in world.told] == [('db-2', 7)]
     assert world.told[0].received == LogPosition(1, 10)
     assert world.databases['db-2'].paused
+
+
+def test_leaving_primary_gets_no_work_after_a_few_seconds():
+    # It may have no successor yet; it ends soon in any case.
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.databases['db-1'].leaving = True
+    world.publish(default_endpoints())
+    assert isinstance(world.call(conn, 'WRITE 1 a'), Done)
+    world.run(5_100)
+    ran = len(world.ran)
+    assert world.call(conn, 'WRITE 2 b').code == 'overloaded'
+    assert world.call(conn, 'READ 1').code == 'overloaded'
+    assert len(world.ran) == ran
--- a/jackdawpost/tests/core/test_control_registry.py
+++ b/jackdawpost/tests/core/test_control_registry.py
@@ -96,7 +96,7 @@
 
     def object_to(self, upstream, evidence='silent', by=None):
         for proxy in self.proxies if by is None else self.proxies[:by]:
-            proxy.evidence = {upstream: evidence, 'u2': 'up', 'u3': 'up'}
+            proxy.evidence = {'u2': 'up', 'u3': 'up', upstream: evidence}
 
     def ask(self, request, at=None, for_ms=500):
         """Send a request and return its reply."""
@@ -457,3 +457,27 @@
         if a.action == 'resume'
     }
     assert other in resumed
+
+
+def test_copy_that_was_gone_before_does_not_hold_up_a_leaving_primary():
+    # Guards against a release that waits for a crashed replica: the leaving
+    # primary must get no work after some seconds.
+    world = World(copies=2)
+    world.see('u1', u2=12, u3=12)
+    world.object_to('u3', evidence='refused')
+    world.group.run(3_000)
+    _tell(world, u2=12)
+    world.ask(_registration('u1', state='draining', sequence=2))
+    world.group.run(1_500)
+    assert world.orders()[0].upstream == 'u2'
+
+
+def test_copy_that_only_went_silent_may_still_hold_acknowledged_commits():
+    world = World(copies=2)
+    world.see('u1', u2=12, u3=12)
+    world.object_to('u3', evidence='silent')
+    world.group.run(3_000)
+    _tell(world, u2=12)
+    world.ask(_registration('u1', state='draining', sequence=2))
+    world.group.run(3_000)
+    assert not world.orders()
