--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -37,8 +37,8 @@
 ELECTION_MIN_MS = 500
 ELECTION_MAX_MS = 900
 # A pre-vote and a vote take two trips between regions and a disk write.
-FIRST_ELECTION_MIN_MS = 80
-FIRST_ELECTION_MAX_MS = 250
+FIRST_ELECTION_MIN_MS = 40
+FIRST_ELECTION_MAX_MS = 150
 LEASE_MS = 2_000
 # A proxy that is frozen or cut off holds up nobody's approval for longer.
 MEMBER_EXPIRY_MS = 2_500
--- /dev/null
+++ b/jackdawpost/runtime/control_codec.py
@@ -0,0 +1,19 @@
+"""What proxies and poolers receive from control processes."""
+
+from __future__ import annotations
+
+from jackdawpost.core.messages import control
+from jackdawpost.wire.codec import FrameCodec
+
+PROXY_PATH = '/v1/proxy'
+
+FROM_CONTROL = FrameCodec(
+    control.NotLeader,
+    control.LeaseGrant,
+    control.LeaseRevoke,
+    control.StateUpdate,
+    control.PermitGrant,
+    control.PermitRecall,
+    control.ApprovalRequest,
+    control.AskUpstream,
+)
--- a/jackdawpost/runtime/pooler_shell.py
+++ b/jackdawpost/runtime/pooler_shell.py
@@ -22,12 +22,12 @@
 from jackdawpost.core.pooler.reducer import new_pooler
 from jackdawpost.core.pooler.reducer import reduce_pooler
 from jackdawpost.core.pooler.state import PoolerConfig
+from jackdawpost.runtime.control_codec import FROM_CONTROL
+from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.followers import PeerFollower
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
-from jackdawpost.runtime.proxy_shell import CODECS as PROXY_CODECS
-from jackdawpost.runtime.proxy_shell import PROXY_PATH
 from jackdawpost.runtime.shell import Encode
 from jackdawpost.runtime.shell import MessageCodec
 from jackdawpost.runtime.shell import MessageStream
@@ -93,7 +93,7 @@
         cfg.name,
         state,
         reduce_pooler,
-        {'proxy': PROXY_CODECS['proxy'], **protocol.codecs},
+        {'proxy': FROM_CONTROL, **protocol.codecs},
         encoders=protocol.encoders,
         performers={FollowPeers: follower.follow, Connect: openers.connect},
     )
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -9,13 +9,14 @@
 import trio
 
 from jackdawpost.core.messages import caller
-from jackdawpost.core.messages import control
 from jackdawpost.core.messages import upstream
 from jackdawpost.core.proxy_reducer import dump_proxy
 from jackdawpost.core.proxy_reducer import is_healthy
 from jackdawpost.core.proxy_reducer import new_proxy
 from jackdawpost.core.proxy_reducer import ProxyConfig
 from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.runtime.control_codec import FROM_CONTROL
+from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_contexts
 from jackdawpost.runtime.process import raise_file_limit
@@ -31,7 +32,6 @@
 from jackdawpost.wire.stream import FrameStream
 
 SESSION_PATH = '/v1/session'
-PROXY_PATH = '/v1/proxy'
 
 CODECS = {
     'caller': FrameCodec(
@@ -40,16 +40,7 @@
     'upstream': FrameCodec(
         upstream.Opened, upstream.Executed, upstream.Probed, upstream.Progress
     ),
-    'proxy': FrameCodec(
-        control.NotLeader,
-        control.LeaseGrant,
-        control.LeaseRevoke,
-        control.StateUpdate,
-        control.PermitGrant,
-        control.PermitRecall,
-        control.ApprovalRequest,
-        control.AskUpstream,
-    ),
+    'proxy': FROM_CONTROL,
 }
 
 
