--- a/jackdawpost/core/control_reducer.py
+++ b/jackdawpost/core/control_reducer.py
@@ -393,6 +393,7 @@
     if state.leader is not None:
         end_leadership(state, state.leader.term)
     state.stopped = True
+    log(state, 'info', 'stopping', voters=list(state.consensus.voters))
     state.outbox.append(Stop())
 
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -633,6 +633,19 @@
     observe(state, f'statement_{work.endpoint.consistency}', taken_ms)
     if answer.code:
         _log_failure(state, work, answer, taken_ms)
+    elif taken_ms > work.endpoint.objective_ms:
+        log(
+            state,
+            'info',
+            'statement_late',
+            request=work.req.id,
+            database=work.endpoint.database,
+            verb=work.req.verb,
+            attempts=work.attempts,
+            refusal=work.refusal,
+            waited_ms=round(work.sent_ms - work.arrived_ms),
+            taken_ms=round(taken_ms),
+        )
     if session is None:
         return
     result: list[Row | Done | Failed] = [Row(text=t) for t in answer.rows]
--- /dev/null
+++ b/jackdawpost/tests/cli/test_explain.py
@@ -0,0 +1,66 @@
+"""The story of one request, from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+
+from jackdawpost.cli.explain import main
+
+
+def _write(path, *lines):
+    texts = [
+        json.dumps(
+            {
+                'time': f'2026-12-04 10:00:{second:06.3f}'.replace('.', ','),
+                **fields,
+            }
+        )
+        for second, fields in lines
+    ]
+    path.write_text('\n'.join([*texts, 'no json', '']))
+    return str(path)
+
+
+def test_story_merges_processes_in_order(tmp_path, capsys):
+    edge = _write(
+        tmp_path / 'edge.log',
+        (1.0, {'event': 'primary_found', 'process': 'edge-1', 'n': 0}),
+        (9.5, {'event': 'primary_lost', 'process': 'edge-1', 'n': 1}),
+        (9.9, {'event': 'session_refused', 'process': 'edge-1', 'n': 2}),
+        (
+            10.5,
+            {
+                'event': 'statement_failed',
+                'process': 'edge-1',
+                'request': '3f2a',
+                'code': 'overloaded',
+            },
+        ),
+        (11.0, {'event': 'primary_found', 'process': 'edge-1', 'n': 3}),
+    )
+    control = _write(
+        tmp_path / 'control.log',
+        (9.7, {'event': 'promotion_started', 'process': 'core-1', 'token': 4}),
+    )
+    assert main(['3f2a', edge, control]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    events = [
+        word
+        for line in lines
+        for word in line.split()
+        if word in ('primary_lost', 'promotion_started', 'statement_failed')
+    ]
+    assert events == ['primary_lost', 'promotion_started', 'statement_failed']
+    assert lines[-1].startswith('>') and 'code=overloaded' in lines[-1]
+    assert len(lines) == 3
+
+
+def test_unknown_request_is_said_so(tmp_path, capsys):
+    log = _write(tmp_path / 'edge.log', (1.0, {'event': 'x'}))
+    assert main(['77c0', log]) == 1
+    assert '77c0' in capsys.readouterr().err
+
+
+def test_missing_log_is_said_so(tmp_path, capsys):
+    assert main(['77c0', str(tmp_path / 'none.log')]) == 1
+    assert 'none.log' in capsys.readouterr().err
--- a/jackdawpost/tests/cli/test_programs.py
+++ b/jackdawpost/tests/cli/test_programs.py
@@ -24,7 +24,9 @@
 HOST = '127.0.0.1'
 PYPROJECT = Path(__file__).parents[3] / 'pyproject.toml'
 ENTRY_POINTS = tomllib.loads(PYPROJECT.read_text())['project']['scripts']
-CONFIGURED = [name for name in ENTRY_POINTS if 'replay' not in name]
+# These read files that others have written, and take no settings.
+WITHOUT_SETTINGS = ('jackdawpost-replay', 'jackdawpost-explain')
+CONFIGURED = [name for name in ENTRY_POINTS if name not in WITHOUT_SETTINGS]
 DAEMONS = [name for name in CONFIGURED if 'ctl' not in name]
 LIMIT_S = 20
 
@@ -215,7 +217,7 @@
         process.kill()
 
 
-def test_the_wheel_holds_both_packages_and_the_five_programs(tmp_path):
+def test_the_wheel_holds_both_packages_and_the_six_programs(tmp_path):
     # Guards against an installation in which a program does not start.
     built = subprocess.run(
         [
@@ -235,4 +237,4 @@
     for name, target in ENTRY_POINTS.items():
         assert f'{name} = {target}' in text
         assert target.partition(':')[0].replace('.', '/') + '.py' in names
-    assert len(ENTRY_POINTS) == 5
+    assert len(ENTRY_POINTS) == 6
