Let the sight of a replica behind age

What was known of a replica's position was renewed only by reads, and no read went there while it was known to be behind. Ruled out: the replicas' lag itself (it ended at 6.5 s, the overload at 17 s). Change: a replica is left out only for 150 ms after it has shown that it lacks the position; then one read finds out.

--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -37,6 +37,7 @@
 from jackdawpost.core.pooler.upstreams import connection_limit
 from jackdawpost.core.pooler.upstreams import discard
 from jackdawpost.core.pooler.upstreams import may_open
+from jackdawpost.core.pooler.upstreams import note_applied
 from jackdawpost.core.pooler.upstreams import note_latency
 from jackdawpost.core.pooler.upstreams import note_leader
 from jackdawpost.core.pooler.upstreams import note_not_leader
@@ -64,6 +65,8 @@
 MAX_OPENING = 2
 # Time that a read must save for another connection to be opened for it.
 OPENING_GAIN_MS = 20.0
+# Time for which a replica seen behind is not asked for the same again.
+BEHIND_MS = 150.0
 # Refusals by the upstream that promise that nothing has run.
 NOT_RUN_CODES = frozenset(
     {'overloaded', 'behind', 'not_primary', 'wrong_upstream', 'no_statement'}
@@ -183,12 +186,25 @@
             continue
         if view.name in work.excluded:
             continue
-        if pool.applied is not None and pool.applied < after:
+        if _is_known_behind(state, pool, after):
             continue
         found.append(pool)
     return sorted(found, key=lambda pool: _expected_ms(state, pool))
 
 
+def _is_known_behind(
+    state: PoolerState, pool: Pool, after: LogPosition
+) -> bool:
+    """Tell whether a replica has just shown that it lacks a position.
+
+    An older sight says little: it may have caught up since. One read finds
+    out, and costs nothing but the way if it has not.
+    """
+    if pool.applied is None or pool.applied >= after:
+        return False
+    return state.now_ms < pool.applied_ms + BEHIND_MS
+
+
 def _expected_ms(state: PoolerState, pool: Pool) -> float:
     busy = sum(1 for number in pool.conns if state.conns[number].steps)
     region = state.cfg.regions.get(pool.view.data_centre)
@@ -427,7 +443,7 @@
         if work.is_write and not work.in_txn and answer.position:
             note_leader(state, pool, step.sent_ms, answer.position)
     if answer.position and work.place == 'any':
-        pool.applied = answer.position
+        note_applied(state, pool, answer.position)
 
 
 def _follow_txn(
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -272,6 +272,8 @@
         Term that it reported.
     applied, received : LogPosition, optional
         Positions that it reported.
+    applied_ms : float
+        When it reported `applied`.
     latency_ms : float
         Moving average of the time that its statements take.
     retry_at_ms : float
@@ -295,6 +297,7 @@
     leads: bool = False
     term: int = 0
     applied: LogPosition | None = None
+    applied_ms: float = 0.0
     received: LogPosition | None = None
     latency_ms: float = INITIAL_LATENCY_MS
     failures: int = 0
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -262,6 +262,14 @@
     send(state, step.asker, told)
 
 
+def note_applied(
+    state: PoolerState, pool: Pool, position: LogPosition
+) -> None:
+    """Take the position that an upstream has applied by now."""
+    pool.applied = position
+    pool.applied_ms = state.now_ms
+
+
 def note_latency(pool: Pool, taken_ms: float) -> None:
     """Take the time of one statement into the moving average."""
     pool.latency_ms += LATENCY_WEIGHT * (taken_ms - pool.latency_ms)
@@ -463,7 +471,7 @@
     """Handle the answer to one statement of a probe."""
     note_reach(state, pool, 'up')
     if answer.position is not None:
-        pool.applied = answer.position
+        note_applied(state, pool, answer.position)
     if step.kind == 'status':
         if answer.signature and answer.rows:
             _take_status(state, pool, answer)
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -178,6 +178,7 @@
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
         self.told: list[UpstreamTold] = []
+        self.behind: list[str] = []
         self.sent: dict[int, list[Any]] = {}
         self.closed: set[int] = set()
         self.stopped = False
@@ -549,6 +550,7 @@
                 database.refuses.discard(message.id)
             return 'overloaded'
         if message.after is not None and message.after > database.position:
+            self.behind.append(database.name)
             return 'behind'
         request = build_request(message.id, message.text)
         shape = conn.prepared.get(request.name, '')
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -317,3 +317,30 @@
     assert world.call(conn, 'WRITE 2 b').code == 'overloaded'
     assert world.call(conn, 'READ 1').code == 'overloaded'
     assert len(world.ran) == ran
+
+
+def test_replica_that_caught_up_is_used_for_own_writes_soon():
+    # What is known of a replica's position ages while no read goes there.
+    # Taking it for the present position keeps all reads of sessions that
+    # write on the primary, which was overloaded long after the lag had gone.
+    world = PoolerWorld()
+    conn = world.open('returns')
+    world.call(conn, 'WRITE 1 a')
+    for name in ('db-2', 'db-3'):
+        world.databases[name].index = world.databases['db-1'].index
+    world.databases['db-1'].work_ms = 300
+    world.run(200)
+    for _ in range(4):
+        assert isinstance(world.call(conn, 'READ 1'), Done)
+    assert {ran.database for ran in world.ran[-2:]} <= {'db-2', 'db-3'}
+
+
+def test_replica_seen_behind_is_not_asked_by_every_read():
+    world = PoolerWorld()
+    conn = world.open('returns')
+    world.call(conn, 'WRITE 1 a')
+    for _ in range(20):
+        assert isinstance(world.call(conn, 'READ 1'), Done)
+    behind = sum(ran.database != 'db-1' for ran in world.ran)
+    assert behind == 0
+    assert len(world.behind) <= 6
