--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -13,6 +13,10 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.messages.control import UpstreamReport
+from jackdawpost.core.pooler.connections import discard
+from jackdawpost.core.pooler.connections import open_connection
+from jackdawpost.core.pooler.pools import sync_pools
+from jackdawpost.core.pooler.probes import ask_upstream
 from jackdawpost.core.pooler.sessions import open_held
 from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import Newcomer
@@ -20,10 +24,6 @@
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import UpstreamConn
-from jackdawpost.core.pooler.upstreams import ask_upstream
-from jackdawpost.core.pooler.upstreams import discard
-from jackdawpost.core.pooler.upstreams import open_connection
-from jackdawpost.core.pooler.upstreams import sync_pools
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import UpstreamView
 
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -24,6 +24,8 @@
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
+from jackdawpost.core.pooler.connections import discard
+from jackdawpost.core.pooler.connections import note_open_failed
 from jackdawpost.core.pooler.control_links import on_control_closed
 from jackdawpost.core.pooler.control_links import on_control_opened
 from jackdawpost.core.pooler.control_links import on_newcomer_due
@@ -33,7 +35,12 @@
 from jackdawpost.core.pooler.control_links import receive_from_control
 from jackdawpost.core.pooler.control_links import send_report
 from jackdawpost.core.pooler.control_links import start_links
-from jackdawpost.core.pooler.serving import dispatch
+from jackdawpost.core.pooler.placement import dispatch
+from jackdawpost.core.pooler.probes import FULL_CODES
+from jackdawpost.core.pooler.probes import lose_monitor
+from jackdawpost.core.pooler.probes import on_probe_due
+from jackdawpost.core.pooler.probes import take_probe_answer
+from jackdawpost.core.pooler.probes import take_told
 from jackdawpost.core.pooler.serving import lose_statement_conn
 from jackdawpost.core.pooler.serving import move_reads
 from jackdawpost.core.pooler.serving import on_again_due
@@ -56,14 +63,7 @@
 from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import UpstreamConn
-from jackdawpost.core.pooler.upstreams import discard
 from jackdawpost.core.pooler.upstreams import doubt
-from jackdawpost.core.pooler.upstreams import FULL_CODES
-from jackdawpost.core.pooler.upstreams import lose_monitor
-from jackdawpost.core.pooler.upstreams import note_open_failed
-from jackdawpost.core.pooler.upstreams import on_probe_due
-from jackdawpost.core.pooler.upstreams import take_probe_answer
-from jackdawpost.core.pooler.upstreams import take_told
 
 DRAIN_STEP_MS = 100.0  # between looks at what a draining process still has
 
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -9,9 +9,10 @@
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.messages.session import Ready
 from jackdawpost.core.messages.session import Request
-from jackdawpost.core.pooler.serving import forget
-from jackdawpost.core.pooler.serving import run_statement
-from jackdawpost.core.pooler.serving import submit
+from jackdawpost.core.pooler.answers import forget
+from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.placement import run_statement
+from jackdawpost.core.pooler.placement import submit
 from jackdawpost.core.pooler.state import close
 from jackdawpost.core.pooler.state import count
 from jackdawpost.core.pooler.state import log
@@ -21,7 +22,6 @@
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import Transaction
 from jackdawpost.core.pooler.state import Work
-from jackdawpost.core.pooler.upstreams import send_internal
 from jackdawpost.core.published import EndpointView
 
 # Callers give up a session that has not opened after 2 s.
