Measure the upstreams' pace only under a backlog; keep probes in the share

Causes (grown sites): with 32 poolers a group answers each of them every 150 ms at normal load; that was taken for the upstreams' pace, so that four waiting statements counted as an overload and were refused: of the group whose replicas lagged, nearly all statements failed where half could be served. Ruled out: the databases (6 slots with a queue of 48 were not full). Change: the pace counts only between answers with statements waiting; a probe opens a connection beyond the share only for an upstream in doubt.

--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -23,8 +23,6 @@
 # Longer than any cut after which a proxy is expected back.
 PROXY_MEMORY_MS = 60_000.0
 MIN_CONNECTIONS = 1
-# With no more than these, probes share the statements' connections.
-SCARCE_CONNECTIONS = 3
 RETRY_MIN_MS = 50.0
 RETRY_MAX_MS = 500.0
 
@@ -54,8 +52,6 @@
     allowed = min(stated, default=DEFAULT_CONNECTIONS)
     proxies = max(1, len(state.proxies_seen_ms))
     share = (allowed - RESERVED_CONNECTIONS) // proxies
-    if share > SCARCE_CONNECTIONS:
-        share -= 1  # for probes
     return max(MIN_CONNECTIONS, share)
 
 
@@ -89,7 +85,12 @@
     """Tell whether another statement connection may be opened now."""
     if state.now_ms < pool.retry_at_ms or pool.reach in ('refused', 'silent'):
         return False
-    return len(pool.conns) < connection_limit(state, pool)
+    return open_count(pool) < connection_limit(state, pool)
+
+
+def open_count(pool: Pool) -> int:
+    """Return the connections that count against this process's share."""
+    return len(pool.conns) + bool(pool.monitor)
 
 
 def add_connection(state: PoolerState, pool: Pool) -> None:
--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -57,9 +57,16 @@
 
 
 def note_pace(state: PoolerState, group: PoolGroup) -> None:
-    """Take the time since the group's previous answer."""
+    """Take the time since the group's previous answer.
+
+    It shows the pace of the upstreams only if statements waited all the
+    while; otherwise it is that of the callers.
+    """
     gap_ms = state.now_ms - group.answered_ms
+    if not group.had_backlog:
+        gap_ms = 0.0
     group.answered_ms = state.now_ms
+    group.had_backlog = bool(group.waiting)
     if gap_ms < MAX_GAP_MS:
         group.gap_ms += GAP_WEIGHT * (gap_ms - group.gap_ms)
 
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -6,9 +6,11 @@
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.pooler.connections import connection_limit
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import idle_connection
 from jackdawpost.core.pooler.connections import open_connection
+from jackdawpost.core.pooler.connections import open_count
 from jackdawpost.core.pooler.connections import send_internal
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import group_of
@@ -27,6 +29,8 @@
 
 # Time without a probe after which a connection for probes is closed.
 MONITOR_IDLE_MS = 5_000.0
+# Time without an answer that is worth a connection beyond the share.
+QUIET_MS = 400.0
 PROBE_STEPS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
 # Age of the newest proved position at which the primary is asked for another.
 SAMPLE_MS = 200.0
@@ -119,7 +123,7 @@
     conn = idle_connection(state, pool)
     if conn is not None:
         _send_probe(state, pool, conn)
-    elif pool.monitor:
+    elif pool.monitor or _may_wait_for_idle(state, pool):
         return
     else:
         conn = open_connection(state, pool.view, 'monitor')
@@ -128,12 +132,25 @@
     pool.probe_conn = conn.conn
 
 
+def _may_wait_for_idle(state: PoolerState, pool: Pool) -> bool:
+    """Tell whether no connection may be opened just to probe.
+
+    While statements are answered, the next idle one will do. An upstream in
+    doubt is worth one more than the share.
+    """
+    if open_count(pool) < connection_limit(state, pool):
+        return False
+    is_heard = state.now_ms < pool.heard_ms + QUIET_MS
+    return is_heard and not pool.doubted and pool.reach == 'up'
+
+
 def _drop_idle_monitor(state: PoolerState, pool: Pool) -> None:
     """Give up the connection for probes while statements show enough."""
     conn = state.conns.get(pool.monitor)
     if conn is None or not conn.is_idle or not pool.conns:
         return
-    if state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_MS:
+    is_over = open_count(pool) >= connection_limit(state, pool)
+    if is_over or state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_MS:
         discard(state, conn, 'not needed')
 
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -13,6 +13,7 @@
 from jackdawpost.core.pooler.answers import refuse
 from jackdawpost.core.pooler.connections import connection_limit
 from jackdawpost.core.pooler.connections import discard
+from jackdawpost.core.pooler.connections import open_count
 from jackdawpost.core.pooler.connections import send_internal
 from jackdawpost.core.pooler.limits import note_pace
 from jackdawpost.core.pooler.limits import note_served
@@ -94,7 +95,7 @@
     pool = state.pools.get(conn.upstream)
     if pool is None:
         discard(state, conn, 'upstream has left')
-    elif len(pool.conns) > connection_limit(state, pool):
+    elif open_count(pool) > connection_limit(state, pool):
         discard(state, conn, 'more proxies share the connections')
     else:
         state.dirty.add(f'group/{pool.view.group}')
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -328,7 +328,10 @@
     waiting : list of Work
         Statements that no upstream connection has been found for.
     answered_ms, gap_ms : float
-        Time of the latest answer, and mean time between two answers.
+        Time of the latest answer, and mean time between two answers while
+        statements wait.
+    had_backlog : bool
+        Statements waited at the latest answer.
     """
 
     name: str
@@ -337,6 +340,7 @@
     waiting: list[Work] = field(default_factory=list)
     answered_ms: float = 0.0
     gap_ms: float = 0.0
+    had_backlog: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -135,3 +135,37 @@
     assert isinstance(world.call(urgent, 'WRITE 2 b'), Done)
     # Those that run already come before it, the 40 that wait do not.
     assert world.now_ms - started_ms < 350
+
+
+def test_a_burst_after_a_quiet_time_is_not_taken_for_an_overload():
+    # The time between two answers says something of the upstream's pace only
+    # while statements wait; otherwise it is that of the callers.
+    world = PoolerWorld()
+    conns = [world.open('orders') for _ in range(8)]
+    for _ in range(40):
+        world.call(conns[0], 'WRITE 1 a')
+        world.run(200)
+    for conn in conns:
+        world.answer(conn)
+        world.ask(conn, 'WRITE 1 a')
+    world.run(400)
+    for conn in conns:
+        assert any(isinstance(m, Done) for m in world.answer(conn))
+
+
+def test_scarce_connections_are_not_exceeded_by_probes():
+    # 24 proxies before 56 connections have two each: a third for probes
+    # would have the upstream reset others.
+    world = PoolerWorld()
+    world.publish(
+        [endpoint('orders', 'primary', 0, max_connections=56)], proxies=24
+    )
+    world.run(7_000)
+    for conn in [world.open('orders') for _ in range(20)]:
+        world.ask(conn, 'WRITE 1 a')
+    most = 0
+    for _ in range(100):
+        world.run(20)
+        open_now = [c for c in world.conns.values() if c.database.leads]
+        most = max(most, len(open_now))
+    assert most <= 2
