Do not start statements whose time is nearly over; stop in time

And three edges were killed at the end of the time to stop: connections to peers that do not read were waited for up to 2 s.

--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -20,12 +20,15 @@
 # Refusals of one burst lower the limit once.
 DECREASE_PAUSE_MS = 50.0
 # Weight of the newest gap in the mean time between two answers.
-GAP_WEIGHT = 0.05
+GAP_WEIGHT = 0.2
 # Longer gaps are pauses of the callers, not the pace of the upstreams.
 MAX_GAP_MS = 500.0
 # A statement that has to wait for a larger part of its time is refused: the
 # rest is for its run, and for another attempt of the caller.
 MAX_WAIT_SHARE = 0.5
+# One that has waited for more than this is not started any more: it needs
+# the rest to run.
+START_SHARE = 0.6
 
 
 def running(state: PoolerState, pool: Pool) -> int:
@@ -71,6 +74,23 @@
         group.gap_ms += GAP_WEIGHT * (gap_ms - group.gap_ms)
 
 
+def has_waited_too_long(
+    state: PoolerState, group: PoolGroup, work: Work
+) -> bool:
+    """Tell whether a statement should no longer be started.
+
+    It would end too late and cost others their time. While no upstream
+    leads, waiting costs nobody anything.
+    """
+    if group.primary is None:
+        return False
+    if work.attempts and not work.refusal:
+        # It is here again because an upstream was lost, not for the load.
+        return False
+    waited_ms = state.now_ms - work.arrived_ms
+    return waited_ms >= work.endpoint.timeout_ms * START_SHARE
+
+
 def must_wait_too_long(group: PoolGroup, work: Work) -> bool:
     """Tell whether a statement would wait for most of its time."""
     ahead = sum(
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -11,7 +11,9 @@
 from jackdawpost.core.pooler.connections import replay_session
 from jackdawpost.core.pooler.connections import send_internal
 from jackdawpost.core.pooler.limits import has_room
+from jackdawpost.core.pooler.limits import has_waited_too_long
 from jackdawpost.core.pooler.limits import must_wait_too_long
+from jackdawpost.core.pooler.limits import START_SHARE
 from jackdawpost.core.pooler.state import group_of
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
@@ -30,6 +32,8 @@
 # Share of a read's time after which a lost answer is given up for another
 # attempt.
 READ_ATTEMPT_SHARE = 0.5
+# The same in mean times that the upstream takes for a statement.
+ATTEMPT_LATENCIES = 3.0
 # What a trip to another region costs a read more than one in this region.
 OTHER_REGION_MS = 30.0
 # Connections to one upstream that may be on their way at a time.
@@ -52,6 +56,11 @@
         refuse(state, work, 'overloaded', 'others wait that leave no time')
         return
     group.waiting.append(work)
+    schedule(
+        state,
+        f'group/{group.name}',
+        state.now_ms + work.endpoint.timeout_ms * START_SHARE,
+    )
     state.dirty.add(f'group/{group.name}')
 
 
@@ -67,6 +76,9 @@
     for work in waiting:
         if work.number not in state.works:
             continue
+        if has_waited_too_long(state, group, work):
+            refuse(state, work, 'overloaded', 'waited for most of its time')
+            continue
         if not _place(state, group, work, wanted):
             group.waiting.append(work)
     for upstream, number in wanted.items():
@@ -214,7 +226,7 @@
     messages = replay_session(state, conn, session)
     if messages:
         send(state, conn.conn, *messages)
-    _watch_attempt(state, work)
+    _watch_attempt(state, pool, work)
     is_guarded = not work.is_write and after is None
     if work.in_txn or is_guarded:
         work.phase = 'beginning'
@@ -228,15 +240,20 @@
     run_statement(state, conn, work)
 
 
-def _watch_attempt(state: PoolerState, work: Work) -> None:
+def _watch_attempt(state: PoolerState, pool: Pool, work: Work) -> None:
     if work.is_write or work.in_txn:
         return
     left_ms = work.due_ms - state.now_ms
-    schedule(
-        state,
-        f'attempt/{work.number}/{work.attempts}',
-        state.now_ms + left_ms * READ_ATTEMPT_SHARE,
+    # A slow upstream has not lost the answer.
+    wait_ms = max(
+        left_ms * READ_ATTEMPT_SHARE, pool.latency_ms * ATTEMPT_LATENCIES
     )
+    if wait_ms < left_ms:
+        schedule(
+            state,
+            f'attempt/{work.number}/{work.attempts}',
+            state.now_ms + wait_ms,
+        )
 
 
 def run_statement(state: PoolerState, conn: UpstreamConn, work: Work) -> None:
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -60,6 +60,8 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
 EXIT_ABORTED = 1
+# A peer that does not read must not keep a process from ending in time.
+CLOSE_ALL_S = 0.4
 
 Reduce = Callable[[Any, Event], list[Effect]]
 Record = Callable[[Event], None]
@@ -427,9 +429,26 @@
         self.spawn(self._close_all)
 
     async def _close_all(self) -> None:
+        """Close every connection, by force if it takes long."""
+        streams = [handle.stream for handle in self._conns.values()]
         async with trio.open_nursery() as nursery:
-            for handle in list(self._conns.values()):
-                nursery.start_soon(handle.stream.aclose, 'stopping')
+            closed = trio.Event()
+            left = len(streams)
+
+            async def close(stream: MessageStream) -> None:
+                nonlocal left
+                await stream.aclose('stopping')
+                left -= 1
+                if not left:
+                    closed.set()
+
+            for stream in streams:
+                nursery.start_soon(close, stream)
+            if streams:
+                with trio.move_on_after(CLOSE_ALL_S):
+                    await closed.wait()
+            for stream in streams:
+                await stream.abort()
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
@@ -169,3 +171,34 @@
         open_now = [c for c in world.conns.values() if c.database.leads]
         most = max(most, len(open_now))
     assert most <= 2
+
+
+def _share_of_one_proxy(text, database):
+    """A pooler whose share of a primary is one slow statement at a time."""
+    world = PoolerWorld()
+    primary = world.databases['db-1']
+    primary.work_ms = 180
+    primary.slots = 1
+    primary.queue = 1
+    for name in ('db-2', 'db-3'):
+        world.databases[name].lag = 50
+    callers = Callers(world, 13, text)
+    callers.free = [world.open(database) for _ in range(200)]
+    callers.run(2_000)
+    callers.done_ms.clear()
+    callers.refused_ms.clear()
+    callers.run(8_000)
+    return callers
+
+
+@pytest.mark.parametrize(
+    'text, database',
+    [('READ 1', 'orders'), ('READ 1', 'returns'), ('WRITE 1 a', 'orders')],
+)
+def test_statements_are_not_started_when_their_time_is_nearly_over(
+    text, database
+):
+    # First come, first served lets every statement start just before its
+    # end, so that each runs in vain: goodput fell to nothing.
+    callers = _share_of_one_proxy(text, database)
+    assert len(callers.done_ms) >= 0.8 * 8 * 1_000 / 180
