--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Any
+from zlib import crc32
 
 import trio
 
@@ -17,6 +18,7 @@
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.platform.control_api import ControlApi
 from jackdawpost.platform.http import serve_http
+from jackdawpost.platform.metrics import attach_metrics
 from jackdawpost.platform.program import run_program
 from jackdawpost.platform.reload import seed_hosts
 from jackdawpost.platform.reload import watch_settings
@@ -83,7 +85,7 @@
         name=settings.node,
         listen=Address(host=settings.ip, port=settings.internal_ports[0]),
         data_dir=data_dir,
-        seed=hash(settings.ip) & 0xFFFF,
+        seed=crc32(settings.ip.encode()),
         header_settings={},
         knows_peer=lambda name, peer: bool(name),
         silence_ms=PEER_SILENCE_MS,
@@ -124,7 +126,14 @@
             'first_voters': plan.cfg.peers,
         },
     )
-    return trio.run(run_control_plan, plan, None, attach, watch_settings)
+    return trio.run(
+        run_control_plan,
+        plan,
+        None,
+        attach,
+        watch_settings,
+        attach_metrics(settings),
+    )
 
 
 def main() -> int:
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -7,6 +7,7 @@
 from functools import partial
 from http import HTTPStatus
 from typing import Any
+from zlib import crc32
 
 import trio
 
@@ -21,6 +22,7 @@
 from jackdawpost.platform.lines import encode_messages
 from jackdawpost.platform.lines import LineStream
 from jackdawpost.platform.lines import open_database
+from jackdawpost.platform.metrics import attach_metrics
 from jackdawpost.platform.program import run_program
 from jackdawpost.platform.reload import seed_hosts
 from jackdawpost.platform.reload import watch_settings
@@ -103,10 +105,11 @@
         protocol,
         pages,
         settings.internal_ports[0],
-        hash(settings.ip) & 0xFFFF,
+        crc32(settings.ip.encode()),
         attach_frontend,
         attach_readiness,
         watch_settings,
+        attach_metrics(settings),
     )
 
 
