Never refuse a read as not run after an attempt whose answer was lost

Found on reading the diff: a read that had been sent once, and found no upstream for another attempt, was refused with the code that promises that nothing has run. It now gets the one that promises that nothing is kept. test_read_that_may_have_run_is_never_refused_as_not_run failed first. Also: one list of who holds a name in place of a class, an unused field removed.

--- a/jackdawpost/core/control_registry.py
+++ b/jackdawpost/core/control_registry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
 from typing import Any
 
 from jackdawpost.core import consensus
@@ -36,14 +35,6 @@
 SWEEP_MS = 500.0
 
 
-@dataclass(slots=True, kw_only=True)
-class Holder:
-    """A member or newcomer that holds a name or an address."""
-
-    member: Member
-    joined: bool
-
-
 def receive_request(state: ControlState, event: Asked) -> None:
     """Handle one request; only the leader answers, others say who leads."""
     leader = state.leader
@@ -233,8 +224,7 @@
         if report.started_ms == before.started_ms:
             if report.sequence < before.sequence:
                 return 'overtaken by a later report'
-    for holder in _holders(state):
-        member = holder.member
+    for member in _known(state):
         if not member.registered or int(member.member_id) <= report.started_ms:
             continue
         if member.name == report.name:
@@ -244,19 +234,15 @@
     return ''
 
 
-def _holders(state: ControlState) -> list[Holder]:
-    machine = state.machine
-    found = [Holder(member=m, joined=True) for m in machine.members.values()]
-    return found + [
-        Holder(member=item.member, joined=False)
-        for item in machine.newcomers.values()
-    ]
+def _known(state: ControlState) -> list[Member]:
+    """Return members and newcomers: all that hold a name or an address."""
+    newcomers = [item.member for item in state.machine.newcomers.values()]
+    return [*state.machine.members.values(), *newcomers]
 
 
 def _remove_replaced(state: ControlState, report: Registration) -> None:
     """Remove earlier incarnations under the report's name or address."""
-    for holder in _holders(state):
-        member = holder.member
+    for member in _known(state):
         if not member.registered or member.member_id == str(report.started_ms):
             continue
         same_address = (member.host, member.port) == (report.host, report.port)
@@ -295,8 +281,7 @@
     state: ControlState, leader: LeaderState, asked: int, request: Departure
 ) -> None:
     leader.registered.pop(request.name, None)
-    for holder in _holders(state):
-        member = holder.member
+    for member in _known(state):
         if member.name != request.name or not member.registered:
             continue
         started = request.started_ms
--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -26,6 +26,16 @@
     finish(state, work, answer, session.state if session else 'idle')
 
 
+def unserved_code(work: Work) -> str:
+    """Return the code of a statement that no upstream took in time.
+
+    ``'overloaded'`` promises that nothing has run.
+    """
+    if work.in_txn or work.may_have_run:
+        return 'aborted'
+    return 'overloaded'
+
+
 def finish(
     state: PoolerState, work: Work, answer: Answer, end: SessionState
 ) -> None:
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -6,6 +6,7 @@
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.answers import refuse
+from jackdawpost.core.pooler.answers import unserved_code
 from jackdawpost.core.pooler.connections import add_connection
 from jackdawpost.core.pooler.connections import may_open
 from jackdawpost.core.pooler.connections import replay_session
@@ -77,7 +78,8 @@
         if work.number not in state.works:
             continue
         if has_waited_too_long(state, group, work):
-            refuse(state, work, 'overloaded', 'waited for most of its time')
+            code = unserved_code(work)
+            refuse(state, work, code, 'waited for most of its time')
             continue
         if not _place(state, group, work, wanted):
             group.waiting.append(work)
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -11,6 +11,7 @@
 from jackdawpost.core.pooler.answers import finish
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.answers import refuse
+from jackdawpost.core.pooler.answers import unserved_code
 from jackdawpost.core.pooler.connections import connection_limit
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import open_count
@@ -91,7 +92,6 @@
     """Offer a connection that has become idle to what waits."""
     if not conn.is_idle:
         return
-    conn.idle_since_ms = state.now_ms
     pool = state.pools.get(conn.upstream)
     if pool is None:
         discard(state, conn, 'upstream has left')
@@ -294,6 +294,7 @@
         refuse(state, work, 'unknown_outcome', f'connection lost: {reason}')
     elif work.attempts < MAX_READ_ATTEMPTS and state.now_ms < work.due_ms:
         count(state, 'reads_repeated')
+        work.may_have_run = True
         requeue(state, work)
     else:
         refuse(state, work, 'aborted', f'connection lost: {reason}')
@@ -351,12 +352,11 @@
         return
     conn = state.conns.get(work.conn)
     if work.phase != 'running':
-        # Nothing of the statement was sent.
-        work_conn = conn
-        refuse(state, work, _waiting_code(work), 'no upstream in time')
-        if work_conn is not None and work_conn.steps:
-            lose_statement_conn(state, work_conn, 'no answer to a begin')
-            discard(state, work_conn, 'no answer to a begin')
+        # Nothing of this attempt was sent.
+        refuse(state, work, unserved_code(work), 'no upstream in time')
+        if conn is not None and conn.steps:
+            lose_statement_conn(state, conn, 'no answer to a begin')
+            discard(state, conn, 'no answer to a begin')
         return
     work.attempts = MAX_READ_ATTEMPTS
     if conn is None:
@@ -364,9 +364,3 @@
         return
     lose_statement_conn(state, conn, 'time limit')
     discard(state, conn, 'time limit')
-
-
-def _waiting_code(work: Work) -> str:
-    if work.in_txn:
-        return 'aborted'
-    return 'overloaded'
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -151,6 +151,10 @@
         Upstreams that cannot serve it.
     after : LogPosition, optional
         Position demanded from the upstream that it was sent to.
+    refusal : str
+        Code of the latest refusal by an upstream.
+    may_have_run : bool
+        An earlier attempt was sent and its answer lost.
     """
 
     number: int
@@ -170,6 +174,7 @@
     excluded: set[str] = field(default_factory=set)
     after: LogPosition | None = None
     refusal: str = ''
+    may_have_run: bool = False
 
 
 StepKind = Literal[
@@ -248,7 +253,6 @@
     session: int = 0
     epoch: int = 0
     owner: int = 0
-    idle_since_ms: float = 0.0
     steps: deque[Step] = field(default_factory=deque)
     answer: Answer = field(default_factory=Answer)
 
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -344,3 +344,18 @@
     behind = sum(ran.database != 'db-1' for ran in world.ran)
     assert behind == 0
     assert len(world.behind) <= 6
+
+
+def test_read_that_may_have_run_is_never_refused_as_not_run():
+    # Its first answer was lost; what is told later must still be true.
+    world = PoolerWorld()
+    conn = world.open('reports')
+    request_id = world.ask(conn, 'READ 1')
+    for database in world.databases.values():
+        database.loses.add(request_id)
+    world.run(501)
+    for name in world.databases:
+        world.kill(name)
+    world.run(1_500)
+    assert world.ran
+    assert _codes(world, conn) == ['aborted']
