Tidy probes, the choice of a primary and the count of copies

Found on reading the whole change; behaviour stays as it is. The count of copies stood twice in control_freeze; probes had a function that only looked up its argument and the same condition nested twice, and a comment stood over the wrong constant; the choice of a primary compares identities in one place.

--- a/jackdawpost/core/control_delegation.py
+++ b/jackdawpost/core/control_delegation.py
@@ -220,7 +220,8 @@
     """
     candidates = []
     for name in sorted(upstreams):
-        if name == group.primary and not _is_new(group, upstreams[name]):
+        identity = (name, upstreams[name].member_id)
+        if identity == (group.primary, group.primary_id):
             continue
         if is_leaving(state, name) or not _fresh(state, leader, name):
             continue
@@ -240,10 +241,6 @@
     )
 
 
-def _is_new(group: GroupState, member: Member) -> bool:
-    return member.member_id != group.primary_id
-
-
 def _proxies_by_data_centre(state: ControlState) -> dict[str, int]:
     found: dict[str, int] = {}
     for member in state.machine.members.values():
--- a/jackdawpost/core/control_freeze.py
+++ b/jackdawpost/core/control_freeze.py
@@ -76,8 +76,7 @@
 ) -> bool:
     """Tell whether the chosen one holds every acknowledged commit."""
     chosen = freeze.positions.get(promotion.chosen or '')
-    needed = len(upstreams) - _copies(state, group) + 1
-    if chosen is None or len(freeze.positions) < needed:
+    if chosen is None or not _are_enough(state, group, freeze, upstreams):
         return False
     return chosen >= max(freeze.positions.values())
 
@@ -90,15 +89,21 @@
     upstreams: dict[str, Member],
 ) -> str | None:
     """Return a stopped replica that holds more than the chosen one."""
-    needed = len(upstreams) - _copies(state, group) + 1
-    if len(freeze.positions) < needed:
+    if not _are_enough(state, group, freeze, upstreams):
         return None
     best = max(freeze.positions, key=lambda name: freeze.positions[name])
     return None if best == promotion.chosen else best
 
 
-def _copies(state: ControlState, group: str) -> int:
-    return state.machine.objects.groups[group].write_copies
+def _are_enough(
+    state: ControlState,
+    group: str,
+    freeze: Freeze,
+    upstreams: dict[str, Member],
+) -> bool:
+    """Tell whether one that was heard holds each acknowledged commit."""
+    copies = state.machine.objects.groups[group].write_copies
+    return len(freeze.positions) >= len(upstreams) - copies + 1
 
 
 def _ask(
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -36,12 +36,13 @@
 SAMPLE_MS = 200.0
 # Time without an answer after which a replica is asked whether it is there.
 HEARD_MS = 1_000.0
-# Pause before another attempt at an upstream without a free connection.
-FULL_RETRY_MS = 150.0
-# Refusals of a connection by an upstream that works.
-FULL_CODES = frozenset({'no_connections', 'overloaded'})
 # The same while it runs statements.
 UNANSWERED_MS = 150.0
+# Refusals of a connection by an upstream that works.
+FULL_CODES = frozenset({'no_connections', 'overloaded'})
+# Pause before another attempt at an upstream without a free connection.
+FULL_RETRY_MS = 150.0
+# Keeps overdue probes from being looked at again at once.
 MIN_PROBE_PAUSE_MS = 20.0
 # Pause between looks at a replica that is behind.
 LAG_PROBE_MS = 250.0
@@ -94,11 +95,8 @@
 def on_probe_due(state: PoolerState, name: str) -> None:
     """Probe an upstream, or notice that it has not answered."""
     pool = state.pools.get(name)
-    if pool is not None:
-        _probe(state, pool)
-
-
-def _probe(state: PoolerState, pool: Pool) -> None:
+    if pool is None:
+        return
     conn = state.conns.get(pool.probe_conn)
     if conn is not None and _awaits_probe(conn):
         waited_ms = state.now_ms - conn.steps[0].sent_ms
@@ -111,7 +109,7 @@
     else:
         _drop_idle_monitor(state, pool)
     pause_ms = _probe_pause(state, pool)
-    schedule(state, f'probe/{pool.view.name}', state.now_ms + pause_ms)
+    schedule(state, f'probe/{name}', state.now_ms + pause_ms)
 
 
 def _awaits_probe(conn: UpstreamConn) -> bool:
@@ -222,21 +220,20 @@
     note_reach(state, pool, 'up')
     if answer.position is not None:
         note_applied(state, pool, answer.position)
+    if step.kind not in ('status', 'probe_begin'):
+        return
+    # Reads that waited for this upstream to catch up may go on.
+    state.dirty.add(f'group/{pool.view.group}')
     if step.kind == 'status':
         if answer.signature and answer.rows:
             _take_status(state, pool, answer)
-        state.dirty.add(f'group/{pool.view.group}')
-        return
-    if step.kind == 'probe_begin':
-        if answer.signature:
-            undo = Internal(action='rollback')
-            send_internal(state, conn, 'probe_rollback', undo)
-        if answer.signature and answer.position is not None:
+    elif answer.signature:
+        undo = Internal(action='rollback')
+        send_internal(state, conn, 'probe_rollback', undo)
+        if answer.position is not None:
             note_leader(state, pool, step.sent_ms, answer.position)
-        elif answer.code == 'not_primary':
-            note_not_leader(state, pool, 'not_primary')
-        # Reads that waited for this upstream to catch up may go on.
-        state.dirty.add(f'group/{pool.view.group}')
+    elif answer.code == 'not_primary':
+        note_not_leader(state, pool, 'not_primary')
 
 
 def _take_status(state: PoolerState, pool: Pool, answer: Answer) -> None:
