Replace a primary that answers probes but gets no statement done

Our probes are a BEGIN, so every proxy reported it as up, and control had no reason to replace it. Change: a proxy takes an upstream for stalled when three accepted statements or more have got no success for 800 ms (three mean latencies if longer). It reports that, gives it no statements for 2 s (then 4 s and 8 s), and control counts it like silence. Refusals for lack of a slot are no evidence, so that a full primary is not replaced.

--- a/jackdawpost/core/failure_detector.py
+++ b/jackdawpost/core/failure_detector.py
@@ -48,7 +48,8 @@
     Parameters
     ----------
     refused_ms, silent_ms : float
-        Time for which an upstream must be reported refused or silent.
+        Time for which an upstream must be reported refused, or silent or
+        stalled.
     live_ms : float
         Time for which a proxy counts after its last report.
     watched_since_ms : dict of str to float
@@ -165,7 +166,7 @@
     if seen is None or seen.state == 'up':
         return None
     silent_at = max(seen.bad_since_ms, floor_ms) + detector.silent_ms
-    if seen.state == 'silent':
+    if seen.state != 'refused':
         return silent_at
     refused_at = max(seen.state_since_ms, floor_ms) + detector.refused_ms
     return min(refused_at, silent_at)
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -9,7 +9,8 @@
 
 from jackdawpost.core.positions import LogPosition
 
-Evidence = Literal['up', 'silent', 'refused']
+# 'stalled': it answers probes, but gets no statement done.
+Evidence = Literal['up', 'silent', 'refused', 'stalled']
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -12,6 +12,7 @@
 from jackdawpost.core.pooler.connections import open_connection
 from jackdawpost.core.pooler.connections import open_count
 from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.stalls import look_for_stall
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import group_of
 from jackdawpost.core.pooler.state import log
@@ -108,6 +109,7 @@
         _start_probe(state, pool)
     else:
         _drop_idle_monitor(state, pool)
+    look_for_stall(state, pool)
     pause_ms = _probe_pause(state, pool)
     schedule(state, f'probe/{name}', state.now_ms + pause_ms)
 
@@ -187,7 +189,8 @@
 
 def _send_probe(state: PoolerState, pool: Pool, conn: UpstreamConn) -> None:
     pool.probe_sent_ms = state.now_ms
-    if group_of(state, pool.view.group).primary is None:
+    is_sought = group_of(state, pool.view.group).primary is None
+    if is_sought and pool.reach != 'stalled':
         # A promotion is due: what each has received decides on it.
         send_internal(state, conn, 'status', Internal(action='status'))
     # A begin takes no slot, so that an overloaded upstream answers in time.
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -107,7 +107,9 @@
     Losing control later does not end the service: upstreams refuse what a
     pooler with an old view of the primary sends them.
     """
-    has_upstream = any(pool.reach == 'up' for pool in state.pools.values())
+    has_upstream = any(
+        pool.reach in ('up', 'stalled') for pool in state.pools.values()
+    )
     return state.drain_ms is None and bool(state.endpoints) and has_upstream
 
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -24,6 +24,8 @@
 from jackdawpost.core.pooler.probes import PROBE_STEPS
 from jackdawpost.core.pooler.probes import take_probe_answer
 from jackdawpost.core.pooler.probes import take_told
+from jackdawpost.core.pooler.stalls import note_success
+from jackdawpost.core.pooler.stalls import note_unserved
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import count
 from jackdawpost.core.pooler.state import group_of
@@ -192,9 +194,12 @@
         note_pace(state, group_of(state, pool.view.group))
     if answer.code == 'not_primary':
         note_not_leader(state, pool, 'not_primary')
+    elif answer.code == 'statement_failed':
+        note_unserved(state, pool, step.sent_ms)
     elif answer.signature:
         note_latency(pool, taken_ms)
         note_served(pool)
+        note_success(state, pool)
         observe(state, f'upstream_{work.req.verb}', taken_ms)
         if work.is_write and not work.in_txn and answer.position:
             note_leader(state, pool, step.sent_ms, answer.position)
@@ -262,8 +267,11 @@
     if unanswered is not None:
         steps.insert(0, unanswered)
     conn.steps.clear()
+    pool = state.pools.get(conn.upstream)
     for step in steps:
         work = step.work
+        if step.kind == 'statement' and pool is not None:
+            note_unserved(state, pool, step.sent_ms)
         if work is None or work.number not in state.works:
             continue
         if step.kind == 'begin':
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -292,6 +292,14 @@
         Connection that the latest probe was sent on.
     doubted : bool
         A connection has ended since the upstream last answered a probe.
+    served_ms : float
+        When it last ran a statement to its end.
+    unserved : deque of float
+        When accepted statements were sent that failed or were lost since.
+    stalls : int
+        How often it was found to run nothing since it last served.
+    stalled_until_ms : float
+        Time up to which it gets no statements because it ran none.
     """
 
     view: UpstreamView
@@ -313,6 +321,10 @@
     probe_sent_ms: float = 0.0
     doubted: bool = False
     heard_ms: float = 0.0
+    served_ms: float = 0.0
+    unserved: deque[float] = field(default_factory=deque)
+    stalls: int = 0
+    stalled_until_ms: float = 0.0
 
     @property
     def best_position(self) -> LogPosition | None:
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -43,7 +43,7 @@
     group = group_of(state, pool.view.group)
     pool.leads = True
     pool.term = max(pool.term, position.term)
-    if group.primary != pool.view.name:
+    if group.primary != pool.view.name and pool.reach != 'stalled':
         log(
             state,
             'info',
@@ -89,6 +89,9 @@
         pool.heard_ms = state.now_ms
         pool.failures = 0
         pool.doubted = False
+        if state.now_ms < pool.stalled_until_ms:
+            # The answer to a probe says nothing of its statements.
+            reach = 'stalled'
     if pool.reach == reach:
         return
     log(
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -132,6 +132,8 @@
         Requests that are refused for lack of a slot.
     queue : int
         Statements that may wait for a slot; more are refused.
+    fails_all : bool
+        Every statement runs and fails; probes succeed.
     """
 
     name: str
@@ -147,6 +149,7 @@
     reachable: str = 'up'
     loses: set[str] = field(default_factory=set)
     refuses: set[str] = field(default_factory=set)
+    fails_all: bool = False
     data_centre: str = 'rvk'
     running: int = 0
     max_running: int = 0
@@ -549,6 +552,8 @@
             if message.id in database.shed:
                 database.refuses.discard(message.id)
             return 'overloaded'
+        if database.fails_all:
+            return 'statement_failed'
         if message.after is not None and message.after > database.position:
             self.behind.append(database.name)
             return 'behind'
--- a/jackdawpost/tests/core/test_failure_detector.py
+++ b/jackdawpost/tests/core/test_failure_detector.py
@@ -94,3 +94,11 @@
     tell(found, 1_000, p1='silent')
     assert not failed(found, 1_700)
     assert failed(found, 1_800)
+
+
+def test_primary_that_gets_nothing_done_is_replaced():
+    # It answers the probes of every proxy.
+    found = detector()
+    tell(found, 0, p1='stalled', p2='stalled', p3='stalled', p4='up')
+    assert not failed(found, 799)
+    assert failed(found, 800)
