Let the first statement of a transaction wait its turn

Cause: the queue of a group put transactions before single statements, for the connection that they hold. But only their first statement ever waits there, before it holds one; the later ones go straight to their connection. Ruled out: wasted statements at the database (none of those served ended too late).

--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -87,9 +87,10 @@
         _open_for(state, state.pools[upstream], number)
 
 
-def _urgency(work: Work) -> tuple[bool, int, float]:
-    # An open transaction holds a connection that others wait for.
-    return not work.in_txn, work.endpoint.priority, work.arrived_ms
+def _urgency(work: Work) -> tuple[int, float]:
+    # A transaction waits here with its first statement only: it holds no
+    # connection that others need.
+    return work.endpoint.priority, work.arrived_ms
 
 
 def _open_for(state: PoolerState, pool: Pool, wanted: int) -> None:
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -139,6 +139,22 @@
     assert world.now_ms - started_ms < 350
 
 
+def test_first_statement_of_a_transaction_waits_its_turn():
+    # It holds no connection yet. Going first, transactions would take the
+    # place of several single statements each while there is too little.
+    world = PoolerWorld()
+    world.databases['db-1'].work_ms = WORK_MS
+    transaction = world.open('orders')
+    world.call(transaction, 'BEGIN')
+    conns = [world.open('orders') for _ in range(40)]
+    for conn in conns:
+        world.ask(conn, 'WRITE 1 a')
+    assert isinstance(world.call(transaction, 'WRITE 2 b'), Done)
+    replies = [world.answer(conn) for conn in conns]
+    done = [r for r in replies if any(isinstance(m, Done) for m in r)]
+    assert len(done) >= 35
+
+
 def test_a_burst_after_a_quiet_time_is_not_taken_for_an_overload():
     # The time between two answers says something of the upstream's pace only
     # while statements wait; otherwise it is that of the callers.
