--- a/bench/control_reducer_cost.py
+++ b/bench/control_reducer_cost.py
@@ -19,15 +19,15 @@
 
 from bench.experiment_throughput import MIB
 from bench.experiment_throughput import read_rss_bytes
-from jackdawpost.core import commands
-from jackdawpost.core.consensus import RestoredState
-from jackdawpost.core.control_machine import apply_command
-from jackdawpost.core.control_machine import new_machine
-from jackdawpost.core.control_reducer import ControlConfig
-from jackdawpost.core.control_reducer import new_control
-from jackdawpost.core.control_reducer import reduce_control
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import GivenApproval
+from jackdawpost.core.consensus.process import RestoredState
+from jackdawpost.core.control import commands
+from jackdawpost.core.control.machine import apply_command
+from jackdawpost.core.control.machine import new_machine
+from jackdawpost.core.control.reducer import ControlConfig
+from jackdawpost.core.control.reducer import new_control
+from jackdawpost.core.control.reducer import reduce_control
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import GivenApproval
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import Persist
 from jackdawpost.core.effects import Send
--- a/bench/cut_trace.py
+++ b/bench/cut_trace.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from jackdawpost.core.errors import TraceError
+from jackdawpost.errors import TraceError
 from jackdawpost.testing.traces import compare_outcome
 from jackdawpost.testing.traces import Outcome
 from jackdawpost.testing.traces import read_outcome
--- a/bench/fault_writes.py
+++ b/bench/fault_writes.py
@@ -17,8 +17,8 @@
 from jackdawpost.client import new_request_key
 from jackdawpost.client import Session
 from jackdawpost.client.session import open_session
-from jackdawpost.core.errors import OutcomeUnknownError
-from jackdawpost.core.errors import RequestNotRunError
+from jackdawpost.errors import OutcomeUnknownError
+from jackdawpost.errors import RequestNotRunError
 from jackdawpost.testing.history import WriteRecord
 
 DEADLINE_MS = 3_000
--- a/bench/load.py
+++ b/bench/load.py
@@ -19,9 +19,9 @@
 from jackdawpost.client import ProxyAddress
 from jackdawpost.client import Session
 from jackdawpost.client.session import open_session
-from jackdawpost.core.errors import OutcomeUnknownError
-from jackdawpost.core.errors import RequestError
-from jackdawpost.core.errors import RequestNotRunError
+from jackdawpost.errors import OutcomeUnknownError
+from jackdawpost.errors import RequestError
+from jackdawpost.errors import RequestNotRunError
 from jackdawpost.runtime.metrics import build_histogram
 from jackdawpost.runtime.metrics import summarize_histogram
 from jackdawpost.testing.history import History
--- a/bench/proxy_reducer_cost.py
+++ b/bench/proxy_reducer_cost.py
@@ -12,8 +12,8 @@
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.events import Event
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_reducer import reduce_proxy
-from jackdawpost.core.proxy_state import ProxyState
+from jackdawpost.core.proxy.reducer import reduce_proxy
+from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
 
 POSITION = LogPosition(1, 10)
--- a/bench/record_traces.py
+++ b/bench/record_traces.py
@@ -29,7 +29,7 @@
 from bench.partition import SilentRelay
 from jackdawpost.client import Session
 from jackdawpost.client.session import open_session
-from jackdawpost.core.errors import RequestError
+from jackdawpost.errors import RequestError
 from jackdawpost_standin.faults import FaultState
 from jackdawpost_standin.faults import SetFaults
 
--- a/jackdawpost/__init__.py
+++ b/jackdawpost/__init__.py
@@ -19,25 +19,26 @@
     from jackdawpost.client import Result as Result
     from jackdawpost.client import Session as Session
     from jackdawpost.client import Transaction as Transaction
-    from jackdawpost.core import consensus as consensus
-    from jackdawpost.core import lease_ledger as lease_ledger
-    from jackdawpost.core import replica_choice as replica_choice
-    from jackdawpost.core.errors import JackdawpostError as JackdawpostError
-    from jackdawpost.core.lease_holder import LeaseHolder as LeaseHolder
-    from jackdawpost.core.lease_ledger import LeaseLedger as LeaseLedger
-    from jackdawpost.core.object_checks import Candidate as Candidate
-    from jackdawpost.core.object_checks import check_objects as check_objects
-    from jackdawpost.core.objects import ObjectSet as ObjectSet
-    from jackdawpost.core.objects import parse_object as parse_object
+    from jackdawpost.core.consensus import process as consensus
+    from jackdawpost.core.control import lease_ledger as lease_ledger
+    from jackdawpost.core.objects.checks import Candidate as Candidate
+    from jackdawpost.core.objects.checks import check_objects as check_objects
+    from jackdawpost.core.objects.model import ObjectSet as ObjectSet
+    from jackdawpost.core.objects.model import parse_object as parse_object
     from jackdawpost.core.positions import LogPosition as LogPosition
+    from jackdawpost.core.proxy import replica_choice as replica_choice
+    from jackdawpost.core.proxy.lease_holder import LeaseHolder as LeaseHolder
     from jackdawpost.core.tokens import decode_token as decode_token
     from jackdawpost.core.tokens import encode_token as encode_token
     from jackdawpost.core.tokens import merge_position as merge_position
     from jackdawpost.core.tokens import SessionToken as SessionToken
+    from jackdawpost.errors import JackdawpostError as JackdawpostError
     from jackdawpost.testing.history import check_history as check_history
     from jackdawpost.testing.history import History as History
     from jackdawpost.version import __version__ as __version__
 
+    LeaseLedger = lease_ledger.LeaseLedger
+
 _MODULES = {
     'build_caller_context': 'jackdawpost.client',
     'new_request_key': 'jackdawpost.client',
@@ -46,16 +47,13 @@
     'Result': 'jackdawpost.client',
     'Session': 'jackdawpost.client',
     'Transaction': 'jackdawpost.client',
-    'consensus': 'jackdawpost.core',
-    'lease_ledger': 'jackdawpost.core',
-    'replica_choice': 'jackdawpost.core',
-    'JackdawpostError': 'jackdawpost.core.errors',
-    'LeaseHolder': 'jackdawpost.core.lease_holder',
-    'LeaseLedger': 'jackdawpost.core.lease_ledger',
-    'Candidate': 'jackdawpost.core.object_checks',
-    'check_objects': 'jackdawpost.core.object_checks',
-    'ObjectSet': 'jackdawpost.core.objects',
-    'parse_object': 'jackdawpost.core.objects',
+    'JackdawpostError': 'jackdawpost.errors',
+    'LeaseHolder': 'jackdawpost.core.proxy.lease_holder',
+    'LeaseLedger': 'jackdawpost.core.control.lease_ledger',
+    'Candidate': 'jackdawpost.core.objects.checks',
+    'check_objects': 'jackdawpost.core.objects.checks',
+    'ObjectSet': 'jackdawpost.core.objects.model',
+    'parse_object': 'jackdawpost.core.objects.model',
     'LogPosition': 'jackdawpost.core.positions',
     'decode_token': 'jackdawpost.core.tokens',
     'encode_token': 'jackdawpost.core.tokens',
@@ -65,14 +63,20 @@
     'History': 'jackdawpost.testing.history',
     '__version__': 'jackdawpost.version',
 }
+# Names that are modules.
+_SUBMODULES = {
+    'consensus': 'jackdawpost.core.consensus.process',
+    'lease_ledger': 'jackdawpost.core.control.lease_ledger',
+    'replica_choice': 'jackdawpost.core.proxy.replica_choice',
+}
 
 
 def __getattr__(name: str) -> Any:
+    if name in _SUBMODULES:
+        return importlib.import_module(_SUBMODULES[name])
     module = _MODULES.get(name)
     if module is None:
         raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
-    if module == f'{__name__}.core':
-        return importlib.import_module(f'{module}.{name}')
     return getattr(importlib.import_module(module), name)
 
 
--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -9,8 +9,8 @@
 
 from pydantic import BaseModel
 
-from jackdawpost.core.errors import ConfigError
-from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.errors import ConfigError
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.runtime.logs import configure_logging
 from jackdawpost.settings.loader import load_settings
 from jackdawpost.settings.models import ProcessSettings
--- a/jackdawpost/cli/ctl.py
+++ b/jackdawpost/cli/ctl.py
@@ -16,8 +16,8 @@
 from jackdawpost.cli.operator_link import NoAnswerError
 from jackdawpost.cli.operator_link import open_operator_link
 from jackdawpost.cli.operator_link import OpenLink
-from jackdawpost.core.errors import ConfigError
-from jackdawpost.core.objects import OBJECT_TYPES
+from jackdawpost.core.objects.model import OBJECT_TYPES
+from jackdawpost.errors import ConfigError
 from jackdawpost.settings.models import CtlSettings
 
 PROGRAM = 'jackdawpost-ctl'
--- a/jackdawpost/cli/operator_link.py
+++ b/jackdawpost/cli/operator_link.py
@@ -16,11 +16,11 @@
 
 import trio
 
-from jackdawpost.core.errors import JackdawpostError
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import OperatorRequest
+from jackdawpost.errors import JackdawpostError
+from jackdawpost.errors import ProtocolError
 from jackdawpost.settings.models import CtlSettings
 from jackdawpost.settings.models import Peer
 from jackdawpost.settings.models import TlsSettings
--- a/jackdawpost/cli/replay.py
+++ b/jackdawpost/cli/replay.py
@@ -11,7 +11,7 @@
 from jackdawpost.cli.common import EXIT_DONE
 from jackdawpost.cli.common import EXIT_FAILED
 from jackdawpost.cli.common import EXIT_USAGE
-from jackdawpost.core.errors import TraceError
+from jackdawpost.errors import TraceError
 from jackdawpost.testing.traces import compare_outcome
 from jackdawpost.testing.traces import read_outcome
 from jackdawpost.testing.traces import replay_trace
--- a/jackdawpost/client/link.py
+++ b/jackdawpost/client/link.py
@@ -8,10 +8,10 @@
 
 import trio
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.caller import Answer
 from jackdawpost.core.messages.caller import CallerRequest
 from jackdawpost.core.messages.caller import GoingAway
+from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.link import open_link
--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -19,8 +19,6 @@
 from jackdawpost.client.link import ProxyAddress
 from jackdawpost.client.link import ProxyLink
 from jackdawpost.client.link import run_link
-from jackdawpost.core.errors import OutcomeUnknownError
-from jackdawpost.core.errors import RequestNotRunError
 from jackdawpost.core.messages.caller import Answer
 from jackdawpost.core.messages.caller import Begin
 from jackdawpost.core.messages.caller import CallerRequest
@@ -28,6 +26,8 @@
 from jackdawpost.core.messages.caller import DEFAULT_DEADLINE_MS
 from jackdawpost.core.messages.caller import Rollback
 from jackdawpost.core.messages.caller import Statement
+from jackdawpost.errors import OutcomeUnknownError
+from jackdawpost.errors import RequestNotRunError
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 
--- /dev/null
+++ b/jackdawpost/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: elections, replication, snapshots."""
--- a/jackdawpost/core/consensus_election.py
+++ b/jackdawpost/core/consensus/election.py
@@ -12,14 +12,14 @@
 
 import math
 
-from jackdawpost.core.consensus_leader import become_leader
-from jackdawpost.core.consensus_roles import become_follower
-from jackdawpost.core.consensus_state import ConsensusState
-from jackdawpost.core.consensus_state import is_quorum
-from jackdawpost.core.consensus_state import may_vote
-from jackdawpost.core.consensus_state import OwnVote
-from jackdawpost.core.consensus_state import reset_election_timer
-from jackdawpost.core.consensus_state import send_when_durable
+from jackdawpost.core.consensus.leader import become_leader
+from jackdawpost.core.consensus.roles import become_follower
+from jackdawpost.core.consensus.state import ConsensusState
+from jackdawpost.core.consensus.state import is_quorum
+from jackdawpost.core.consensus.state import may_vote
+from jackdawpost.core.consensus.state import OwnVote
+from jackdawpost.core.consensus.state import reset_election_timer
+from jackdawpost.core.consensus.state import send_when_durable
 from jackdawpost.core.messages.consensus import PreVote
 from jackdawpost.core.messages.consensus import PreVoteAnswer
 from jackdawpost.core.messages.consensus import TimeoutNow
--- a/jackdawpost/core/consensus_follower.py
+++ b/jackdawpost/core/consensus/follower.py
@@ -2,28 +2,28 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.consensus_effects import InstallSnapshot
-from jackdawpost.core.consensus_records import decode_entry
-from jackdawpost.core.consensus_records import decode_snapshot
-from jackdawpost.core.consensus_records import LogEntry
-from jackdawpost.core.consensus_roles import become_follower
-from jackdawpost.core.consensus_state import advance_commit
-from jackdawpost.core.consensus_state import append_entry
-from jackdawpost.core.consensus_state import ConsensusState
-from jackdawpost.core.consensus_state import drop_log_prefix
-from jackdawpost.core.consensus_state import IncomingSnapshot
-from jackdawpost.core.consensus_state import is_hard_state_durable
-from jackdawpost.core.consensus_state import newcomer_id
-from jackdawpost.core.consensus_state import reset_election_timer
-from jackdawpost.core.consensus_state import send
-from jackdawpost.core.consensus_state import send_when_durable
-from jackdawpost.core.consensus_state import term_at
-from jackdawpost.core.consensus_state import truncate_log
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.consensus.effects import InstallSnapshot
+from jackdawpost.core.consensus.records import decode_entry
+from jackdawpost.core.consensus.records import decode_snapshot
+from jackdawpost.core.consensus.records import LogEntry
+from jackdawpost.core.consensus.roles import become_follower
+from jackdawpost.core.consensus.state import advance_commit
+from jackdawpost.core.consensus.state import append_entry
+from jackdawpost.core.consensus.state import ConsensusState
+from jackdawpost.core.consensus.state import drop_log_prefix
+from jackdawpost.core.consensus.state import IncomingSnapshot
+from jackdawpost.core.consensus.state import is_hard_state_durable
+from jackdawpost.core.consensus.state import newcomer_id
+from jackdawpost.core.consensus.state import reset_election_timer
+from jackdawpost.core.consensus.state import send
+from jackdawpost.core.consensus.state import send_when_durable
+from jackdawpost.core.consensus.state import term_at
+from jackdawpost.core.consensus.state import truncate_log
 from jackdawpost.core.messages.consensus import Append
 from jackdawpost.core.messages.consensus import AppendAnswer
 from jackdawpost.core.messages.consensus import SnapshotChunk
 from jackdawpost.core.messages.consensus import SnapshotChunkAnswer
+from jackdawpost.errors import ProtocolError
 
 
 def on_append(
--- a/jackdawpost/core/consensus_records.py
+++ b/jackdawpost/core/consensus/records.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 
 INTERNAL_ENTRY = 0
 COMMAND_ENTRY = 1
--- a/jackdawpost/core/consensus_roles.py
+++ b/jackdawpost/core/consensus/roles.py
@@ -4,9 +4,9 @@
 
 import math
 
-from jackdawpost.core.consensus_effects import LeadershipLost
-from jackdawpost.core.consensus_state import ConsensusState
-from jackdawpost.core.consensus_state import reset_election_timer
+from jackdawpost.core.consensus.effects import LeadershipLost
+from jackdawpost.core.consensus.state import ConsensusState
+from jackdawpost.core.consensus.state import reset_election_timer
 
 
 def become_follower(
--- a/jackdawpost/core/consensus_sending.py
+++ b/jackdawpost/core/consensus/sending.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.consensus_state import ConsensusState
-from jackdawpost.core.consensus_state import Progress
-from jackdawpost.core.consensus_state import send
-from jackdawpost.core.consensus_state import SnapshotTransfer
-from jackdawpost.core.consensus_state import term_at
+from jackdawpost.core.consensus.state import ConsensusState
+from jackdawpost.core.consensus.state import Progress
+from jackdawpost.core.consensus.state import send
+from jackdawpost.core.consensus.state import SnapshotTransfer
+from jackdawpost.core.consensus.state import term_at
 from jackdawpost.core.messages.consensus import Append
 from jackdawpost.core.messages.consensus import SnapshotChunk
 
--- a/jackdawpost/core/consensus_state.py
+++ b/jackdawpost/core/consensus/state.py
@@ -8,17 +8,17 @@
 from dataclasses import field
 from typing import Literal
 
-from jackdawpost.core.consensus_effects import ApplyEntry
-from jackdawpost.core.consensus_effects import ConsensusEffect
-from jackdawpost.core.consensus_effects import SendToPeer
-from jackdawpost.core.consensus_records import COMMAND_ENTRY
-from jackdawpost.core.consensus_records import decode_snapshot
-from jackdawpost.core.consensus_records import decode_voter_set
-from jackdawpost.core.consensus_records import HardState
-from jackdawpost.core.consensus_records import LogEntry
-from jackdawpost.core.consensus_records import SnapshotRecord
-from jackdawpost.core.consensus_records import VOTERS_ENTRY
-from jackdawpost.core.consensus_records import VoterSet
+from jackdawpost.core.consensus.effects import ApplyEntry
+from jackdawpost.core.consensus.effects import ConsensusEffect
+from jackdawpost.core.consensus.effects import SendToPeer
+from jackdawpost.core.consensus.records import COMMAND_ENTRY
+from jackdawpost.core.consensus.records import decode_snapshot
+from jackdawpost.core.consensus.records import decode_voter_set
+from jackdawpost.core.consensus.records import HardState
+from jackdawpost.core.consensus.records import LogEntry
+from jackdawpost.core.consensus.records import SnapshotRecord
+from jackdawpost.core.consensus.records import VOTERS_ENTRY
+from jackdawpost.core.consensus.records import VoterSet
 from jackdawpost.core.messages.consensus import ConsensusMessage
 
 
@@ -154,7 +154,7 @@
 
     Read `role`, `leader`, `term`, `commit_index`, `applied_index`,
     `voters`, `learners` and `last_refusal`; change it only through the
-    functions of `jackdawpost.core.consensus`.
+    functions of `jackdawpost.core.consensus.process`.
     """
 
     cfg: ConsensusConfig
--- a/jackdawpost/core/consensus_writes.py
+++ b/jackdawpost/core/consensus/writes.py
@@ -9,12 +9,12 @@
 
 from collections.abc import Callable
 
-from jackdawpost.core.consensus_effects import WriteDurably
-from jackdawpost.core.consensus_records import encode_hard_state
-from jackdawpost.core.consensus_state import ConsensusState
-from jackdawpost.core.consensus_state import Deferred
-from jackdawpost.core.consensus_state import OutstandingWrite
-from jackdawpost.core.consensus_state import OwnVote
+from jackdawpost.core.consensus.effects import WriteDurably
+from jackdawpost.core.consensus.records import encode_hard_state
+from jackdawpost.core.consensus.state import ConsensusState
+from jackdawpost.core.consensus.state import Deferred
+from jackdawpost.core.consensus.state import OutstandingWrite
+from jackdawpost.core.consensus.state import OwnVote
 
 OwnVoteHandler = Callable[[ConsensusState, float], None]
 
--- /dev/null
+++ b/jackdawpost/core/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control processes: members, leases, promotions, operators."""
--- a/jackdawpost/core/control_admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import Literal
 
+from jackdawpost.core.control.promotion import AdminWant
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Connect
 from jackdawpost.core.effects import Effect
@@ -14,7 +15,6 @@
 from jackdawpost.core.messages.upstream import Follow
 from jackdawpost.core.messages.upstream import Promote
 from jackdawpost.core.messages.upstream import Seal
-from jackdawpost.core.promotion import AdminWant
 
 ADMIN_OPEN_MS = 500
 ADMIN_ANSWER_MS = 400.0
--- a/jackdawpost/core/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -12,9 +12,9 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.operator import Operation
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.errors import ProtocolError
 
 Role = Literal['proxy', 'upstream']
 RemovalReason = Literal['left', 'expired', 'operator']
--- a/jackdawpost/core/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.commands import AdmitDatabase
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import GroupState
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.control_state import Refused
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.publication import publish_changes
+from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import GroupState
+from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import Refused
+from jackdawpost.core.objects.model import object_key
 
 
 def is_joined_upstream(
--- a/jackdawpost/core/delegated_steps.py
+++ b/jackdawpost/core/control/delegated_steps.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.commands import AdoptPrimary
-from jackdawpost.core.commands import DelegatePromotion
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import Promotion
-from jackdawpost.core.control_state import Refused
-from jackdawpost.core.database_sets import is_joined_upstream
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.publication import publish_changes
+from jackdawpost.core.control.commands import AdoptPrimary
+from jackdawpost.core.control.commands import DelegatePromotion
+from jackdawpost.core.control.database_sets import is_joined_upstream
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import Promotion
+from jackdawpost.core.control.state import Refused
+from jackdawpost.core.objects.model import object_key
 
 
 def adopt_primary(machine: ControlMachine, command: AdoptPrimary) -> Applied:
--- a/jackdawpost/core/control_dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import Any
 
-from jackdawpost.core.control_process import ControlState
+from jackdawpost.core.control.process import ControlState
 
 
 def is_healthy(state: ControlState) -> bool:
--- a/jackdawpost/core/control_freeze.py
+++ b/jackdawpost/core/control/freeze.py
@@ -9,13 +9,13 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import Freeze
-from jackdawpost.core.control_process import LeaderState
-from jackdawpost.core.control_process import log
-from jackdawpost.core.control_process import send
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.control_state import Promotion
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import Freeze
+from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import log
+from jackdawpost.core.control.process import send
+from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import Promotion
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.positions import LogPosition
--- a/jackdawpost/core/control_machine.py
+++ b/jackdawpost/core/control/machine.py
@@ -14,24 +14,24 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
-from jackdawpost.core.change_sets import apply_change_set
-from jackdawpost.core.commands import Command
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.database_sets import admit_database
-from jackdawpost.core.declared import declare_objects
-from jackdawpost.core.delegated_steps import adopt_primary
-from jackdawpost.core.delegated_steps import delegate_promotion
-from jackdawpost.core.errors import StorageError
-from jackdawpost.core.membership import announce_member
-from jackdawpost.core.membership import approve_member
-from jackdawpost.core.membership import mark_leaving
-from jackdawpost.core.membership import remove_member
-from jackdawpost.core.promotion_steps import abandon_promotion
-from jackdawpost.core.promotion_steps import choose_primary
-from jackdawpost.core.promotion_steps import finish_promotion
-from jackdawpost.core.promotion_steps import start_promotion
-from jackdawpost.core.publication import update_since
+from jackdawpost.core.control.commands import Command
+from jackdawpost.core.control.database_sets import admit_database
+from jackdawpost.core.control.delegated_steps import adopt_primary
+from jackdawpost.core.control.delegated_steps import delegate_promotion
+from jackdawpost.core.control.membership import announce_member
+from jackdawpost.core.control.membership import approve_member
+from jackdawpost.core.control.membership import mark_leaving
+from jackdawpost.core.control.membership import remove_member
+from jackdawpost.core.control.promotion_steps import abandon_promotion
+from jackdawpost.core.control.promotion_steps import choose_primary
+from jackdawpost.core.control.promotion_steps import finish_promotion
+from jackdawpost.core.control.promotion_steps import start_promotion
+from jackdawpost.core.control.publication import update_since
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.objects.change_sets import apply_change_set
+from jackdawpost.core.objects.declared import declare_objects
+from jackdawpost.errors import StorageError
 
 __all__ = [
     'Applied',
--- a/jackdawpost/core/control_members.py
+++ b/jackdawpost/core/control/members.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from jackdawpost.core import lease_ledger
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.commands import ApproveMember
-from jackdawpost.core.commands import MarkLeaving
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import LeaderState
-from jackdawpost.core.control_process import LinkState
-from jackdawpost.core.control_process import log
-from jackdawpost.core.control_process import MemberKey
-from jackdawpost.core.control_process import propose
-from jackdawpost.core.control_process import refuse
-from jackdawpost.core.control_process import send
-from jackdawpost.core.control_process import Waiting
-from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.control import lease_ledger
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import ApproveMember
+from jackdawpost.core.control.commands import MarkLeaving
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.membership import missing_approvals
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import LinkState
+from jackdawpost.core.control.process import log
+from jackdawpost.core.control.process import MemberKey
+from jackdawpost.core.control.process import propose
+from jackdawpost.core.control.process import refuse
+from jackdawpost.core.control.process import send
+from jackdawpost.core.control.process import Waiting
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
 
--- a/jackdawpost/core/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -6,22 +6,22 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.commands import ApproveMember
-from jackdawpost.core.commands import MarkLeaving
-from jackdawpost.core.commands import RemovalReason
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import GivenApproval
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.control_state import Newcomer
-from jackdawpost.core.control_state import Refused
-from jackdawpost.core.database_sets import enter_new_groups
-from jackdawpost.core.database_sets import leave_sets
-from jackdawpost.core.database_sets import refuse_leaving_sets
-from jackdawpost.core.publication import member_keys
-from jackdawpost.core.publication import publish_changes
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import ApproveMember
+from jackdawpost.core.control.commands import MarkLeaving
+from jackdawpost.core.control.commands import RemovalReason
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.database_sets import enter_new_groups
+from jackdawpost.core.control.database_sets import leave_sets
+from jackdawpost.core.control.database_sets import refuse_leaving_sets
+from jackdawpost.core.control.publication import member_keys
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import GivenApproval
+from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import Newcomer
+from jackdawpost.core.control.state import Refused
 
 # Departures remembered, so that late reports of them are ignored.
 MAX_DEPARTED = 1_000
--- a/jackdawpost/core/operator_queries.py
+++ b/jackdawpost/core/control/operator_queries.py
@@ -6,21 +6,21 @@
 from collections.abc import Mapping
 from typing import Any
 
-from jackdawpost.core.change_sets import apply_operations
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.control_state import promotion_quorum
-from jackdawpost.core.database_sets import is_joined_upstream
-from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.control.database_sets import is_joined_upstream
+from jackdawpost.core.control.membership import missing_approvals
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import promotion_quorum
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.core.messages.operator import Table
 from jackdawpost.core.messages.operator import Topic
-from jackdawpost.core.objects import field_names
-from jackdawpost.core.objects import object_body
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.objects import OBJECT_TYPES
-from jackdawpost.core.objects import ObjectSet
+from jackdawpost.core.objects.change_sets import apply_operations
+from jackdawpost.core.objects.model import field_names
+from jackdawpost.core.objects.model import object_body
+from jackdawpost.core.objects.model import object_key
+from jackdawpost.core.objects.model import OBJECT_TYPES
+from jackdawpost.core.objects.model import ObjectSet
 
 _MEMBER_COLUMNS = [
     'name',
--- a/jackdawpost/core/operator_requests.py
+++ b/jackdawpost/core/control/operator_requests.py
@@ -4,15 +4,13 @@
 
 import dataclasses
 
-from jackdawpost.core.change_sets import check_change_set
-from jackdawpost.core.change_sets import repeat_kept_answer
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.control_state import ChangeAnswer
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import Refused
-from jackdawpost.core.membership import missing_approvals
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.membership import missing_approvals
+from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import Refused
 from jackdawpost.core.messages.operator import Action
 from jackdawpost.core.messages.operator import AnswerStatus
 from jackdawpost.core.messages.operator import Apply
@@ -23,6 +21,8 @@
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Table
+from jackdawpost.core.objects.change_sets import check_change_set
+from jackdawpost.core.objects.change_sets import repeat_kept_answer
 
 _DRAIN_ACTIONS: tuple[Action, ...] = ('create', 'amend')
 
--- a/jackdawpost/core/control_operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -4,22 +4,32 @@
 
 from typing import Any
 
-from jackdawpost.core import consensus
-from jackdawpost.core import promotion
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.commands import Command
-from jackdawpost.core.control_members import ask_again
-from jackdawpost.core.control_members import begin_removal
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import LeaderState
-from jackdawpost.core.control_process import LinkState
-from jackdawpost.core.control_process import propose
-from jackdawpost.core.control_process import refuse
-from jackdawpost.core.control_process import send
-from jackdawpost.core.control_process import Waiting
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ChangeAnswer
-from jackdawpost.core.control_upstreams import group_facts
+from jackdawpost.core.consensus import process as consensus
+from jackdawpost.core.control import promotion
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.commands import Command
+from jackdawpost.core.control.members import ask_again
+from jackdawpost.core.control.members import begin_removal
+from jackdawpost.core.control.operator_queries import answer_query
+from jackdawpost.core.control.operator_requests import answer_approve
+from jackdawpost.core.control.operator_requests import answer_change
+from jackdawpost.core.control.operator_requests import answer_command
+from jackdawpost.core.control.operator_requests import answer_refusal
+from jackdawpost.core.control.operator_requests import build_change
+from jackdawpost.core.control.operator_requests import build_drain
+from jackdawpost.core.control.operator_requests import build_promotion
+from jackdawpost.core.control.operator_requests import build_removal
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import LinkState
+from jackdawpost.core.control.process import propose
+from jackdawpost.core.control.process import refuse
+from jackdawpost.core.control.process import send
+from jackdawpost.core.control.process import Waiting
+from jackdawpost.core.control.promotion_choice import missing_databases
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.upstreams import group_facts
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Approve
@@ -29,16 +39,6 @@
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.core.messages.operator import Table
-from jackdawpost.core.operator_queries import answer_query
-from jackdawpost.core.operator_requests import answer_approve
-from jackdawpost.core.operator_requests import answer_change
-from jackdawpost.core.operator_requests import answer_command
-from jackdawpost.core.operator_requests import answer_refusal
-from jackdawpost.core.operator_requests import build_change
-from jackdawpost.core.operator_requests import build_drain
-from jackdawpost.core.operator_requests import build_promotion
-from jackdawpost.core.operator_requests import build_removal
-from jackdawpost.core.promotion_choice import missing_databases
 
 
 def receive_from_operator(
--- a/jackdawpost/core/control_process.py
+++ b/jackdawpost/core/control/process.py
@@ -9,26 +9,26 @@
 from typing import Literal
 from typing import TYPE_CHECKING
 
-from jackdawpost.core import consensus
-from jackdawpost.core.commands import Command
-from jackdawpost.core.commands import encode_command
-from jackdawpost.core.control_admin import AdminLinks
-from jackdawpost.core.control_state import ControlMachine
+from jackdawpost.core.consensus import process as consensus
+from jackdawpost.core.control.admin import AdminLinks
+from jackdawpost.core.control.commands import Command
+from jackdawpost.core.control.commands import encode_command
+from jackdawpost.core.control.failure_detector import FailureDetector
+from jackdawpost.core.control.lease_ledger import LeaseLedger
+from jackdawpost.core.control.permit_ledger import PermitLedger
+from jackdawpost.core.control.promotion import PromotionDriver
+from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import LogLine
 from jackdawpost.core.effects import Send
 from jackdawpost.core.events import Link
-from jackdawpost.core.failure_detector import FailureDetector
-from jackdawpost.core.lease_ledger import LeaseLedger
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.messages.registry import Registration
-from jackdawpost.core.permit_ledger import PermitLedger
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.promotion import PromotionDriver
 
 if TYPE_CHECKING:
     from jackdawpost.settings.models import ControlSettings
--- a/jackdawpost/core/promotion.py
+++ b/jackdawpost/core/control/promotion.py
@@ -10,22 +10,22 @@
 
 from typing import Literal
 
-from jackdawpost.core.commands import AbandonPromotion
-from jackdawpost.core.commands import AdmitDatabase
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.commands import FinishPromotion
-from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.promotion_choice import CHOICE_GRACE_MS
-from jackdawpost.core.promotion_choice import choose_database
-from jackdawpost.core.promotion_facts import AdminWant
-from jackdawpost.core.promotion_facts import Database
-from jackdawpost.core.promotion_facts import drive_of
-from jackdawpost.core.promotion_facts import GroupDrive
-from jackdawpost.core.promotion_facts import GroupFacts
-from jackdawpost.core.promotion_facts import Heard
-from jackdawpost.core.promotion_facts import is_counted
-from jackdawpost.core.promotion_facts import OpenPromotion
-from jackdawpost.core.promotion_facts import PromotionDriver
+from jackdawpost.core.control.commands import AbandonPromotion
+from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.promotion_choice import CHOICE_GRACE_MS
+from jackdawpost.core.control.promotion_choice import choose_database
+from jackdawpost.core.control.promotion_facts import AdminWant
+from jackdawpost.core.control.promotion_facts import Database
+from jackdawpost.core.control.promotion_facts import drive_of
+from jackdawpost.core.control.promotion_facts import GroupDrive
+from jackdawpost.core.control.promotion_facts import GroupFacts
+from jackdawpost.core.control.promotion_facts import Heard
+from jackdawpost.core.control.promotion_facts import is_counted
+from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import PromotionDriver
 
 LEAVING_PAUSE_MS = 1_000.0  # between promotions for a primary that leaves
 RETRY_MS = 100.0  # after a command that the state machine refused
--- a/jackdawpost/core/promotion_choice.py
+++ b/jackdawpost/core/control/promotion_choice.py
@@ -4,14 +4,14 @@
 
 from collections.abc import Mapping
 
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.promotion_facts import drive_of
-from jackdawpost.core.promotion_facts import GroupDrive
-from jackdawpost.core.promotion_facts import GroupFacts
-from jackdawpost.core.promotion_facts import Heard
-from jackdawpost.core.promotion_facts import is_counted
-from jackdawpost.core.promotion_facts import OpenPromotion
-from jackdawpost.core.promotion_facts import PromotionDriver
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.promotion_facts import drive_of
+from jackdawpost.core.control.promotion_facts import GroupDrive
+from jackdawpost.core.control.promotion_facts import GroupFacts
+from jackdawpost.core.control.promotion_facts import Heard
+from jackdawpost.core.control.promotion_facts import is_counted
+from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import PromotionDriver
 
 CHOICE_GRACE_MS = 200.0  # for further replicas where waiting costs little
 
--- a/jackdawpost/core/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -6,18 +6,18 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.commands import AbandonPromotion
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.commands import FinishPromotion
-from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import GroupState
-from jackdawpost.core.control_state import Promotion
-from jackdawpost.core.control_state import Refused
-from jackdawpost.core.database_sets import is_joined_upstream
+from jackdawpost.core.control.commands import AbandonPromotion
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.database_sets import is_joined_upstream
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import GroupState
+from jackdawpost.core.control.state import Promotion
+from jackdawpost.core.control.state import Refused
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.publication import publish_changes
 
 
 def start_promotion(
--- a/jackdawpost/core/publication.py
+++ b/jackdawpost/core/control/publication.py
@@ -6,15 +6,15 @@
 from collections.abc import Iterable
 from typing import Any
 
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import MAX_TOMBSTONES
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.control_state import PublishedEntry
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import MAX_TOMBSTONES
+from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import PublishedEntry
 from jackdawpost.core.messages.control import ObjectKey
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.objects import resolve_max_age_ms
+from jackdawpost.core.objects.model import object_key
+from jackdawpost.core.objects.model import resolve_max_age_ms
 
 
 def publish_changes(machine: ControlMachine, keys: Iterable[str]) -> bool:
--- a/jackdawpost/core/control_registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -5,23 +5,22 @@
 import hashlib
 from typing import Any
 
-from jackdawpost.core import consensus
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.commands import Command
-from jackdawpost.core.commands import DeclareObjects
-from jackdawpost.core.commands import MarkLeaving
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.control_members import ask_approvals
-from jackdawpost.core.control_members import note_member
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import LeaderState
-from jackdawpost.core.control_process import log
-from jackdawpost.core.control_process import propose
-from jackdawpost.core.control_process import Registered
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ChangeAnswer
-from jackdawpost.core.control_state import Member
-from jackdawpost.core.declared import check_declared
+from jackdawpost.core.consensus import process as consensus
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import Command
+from jackdawpost.core.control.commands import DeclareObjects
+from jackdawpost.core.control.commands import MarkLeaving
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.members import ask_approvals
+from jackdawpost.core.control.members import note_member
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import log
+from jackdawpost.core.control.process import propose
+from jackdawpost.core.control.process import Registered
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.state import Member
 from jackdawpost.core.effects import Reply
 from jackdawpost.core.events import Asked
 from jackdawpost.core.messages.operator import Fault
@@ -29,6 +28,7 @@
 from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.messages.registry import ReadConfig
 from jackdawpost.core.messages.registry import Registration
+from jackdawpost.core.objects.declared import check_declared
 
 MAX_SHOWN_FAULTS = 20
 # Pause between looks at what is still missing for a join or a departure.
--- a/jackdawpost/core/control_state.py
+++ b/jackdawpost/core/control/state.py
@@ -8,7 +8,7 @@
 from typing import Literal
 
 from jackdawpost.core.messages.operator import Fault
-from jackdawpost.core.objects import ObjectSet
+from jackdawpost.core.objects.model import ObjectSet
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
 
--- a/jackdawpost/core/control_upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -4,40 +4,40 @@
 
 from typing import Any
 
-from jackdawpost.core import control_admin
-from jackdawpost.core import failure_detector
-from jackdawpost.core import lease_ledger
-from jackdawpost.core import promotion
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.control_members import ask_approvals
-from jackdawpost.core.control_members import note_leaving
-from jackdawpost.core.control_members import note_member
-from jackdawpost.core.control_members import take_approval
-from jackdawpost.core.control_process import Announced
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import is_leaving
-from jackdawpost.core.control_process import is_member
-from jackdawpost.core.control_process import LeaderState
-from jackdawpost.core.control_process import LinkState
-from jackdawpost.core.control_process import log
-from jackdawpost.core.control_process import member_state
-from jackdawpost.core.control_process import propose
-from jackdawpost.core.control_process import refuse
-from jackdawpost.core.control_process import send
-from jackdawpost.core.control_proxies import revoke_leases
-from jackdawpost.core.control_state import GroupState
-from jackdawpost.core.control_state import promotion_quorum
+from jackdawpost.core.control import admin as control_admin
+from jackdawpost.core.control import failure_detector
+from jackdawpost.core.control import lease_ledger
+from jackdawpost.core.control import promotion
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.members import ask_approvals
+from jackdawpost.core.control.members import note_leaving
+from jackdawpost.core.control.members import note_member
+from jackdawpost.core.control.members import take_approval
+from jackdawpost.core.control.process import Announced
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import is_leaving
+from jackdawpost.core.control.process import is_member
+from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import LinkState
+from jackdawpost.core.control.process import log
+from jackdawpost.core.control.process import member_state
+from jackdawpost.core.control.process import propose
+from jackdawpost.core.control.process import refuse
+from jackdawpost.core.control.process import send
+from jackdawpost.core.control.promotion_facts import Database
+from jackdawpost.core.control.promotion_facts import drive_of
+from jackdawpost.core.control.promotion_facts import GroupFacts
+from jackdawpost.core.control.promotion_facts import Heard
+from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.proxies import revoke_leases
+from jackdawpost.core.control.state import GroupState
+from jackdawpost.core.control.state import promotion_quorum
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import AnnounceAck
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.upstream import AdminDone
 from jackdawpost.core.messages.upstream import Sealed
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.promotion_facts import Database
-from jackdawpost.core.promotion_facts import drive_of
-from jackdawpost.core.promotion_facts import GroupFacts
-from jackdawpost.core.promotion_facts import Heard
-from jackdawpost.core.promotion_facts import OpenPromotion
 
 ANNOUNCE_SILENCE_MS = 1_000.0  # five announcements
 
--- a/jackdawpost/core/control_voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-from jackdawpost.core import consensus
-from jackdawpost.core.control_process import ControlState
-from jackdawpost.core.control_process import log
-from jackdawpost.core.control_process import send
+from jackdawpost.core.consensus import process as consensus
+from jackdawpost.core.control.process import ControlState
+from jackdawpost.core.control.process import log
+from jackdawpost.core.control.process import send
 from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.messages.peer import ControlGroup
 
--- a/jackdawpost/core/messages/registry.py
+++ b/jackdawpost/core/messages/registry.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from jackdawpost.core.commands import DeclareObject
+from jackdawpost.core.control.commands import DeclareObject
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/jackdawpost/core/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Named objects: their forms, checks and change sets."""
--- a/jackdawpost/core/change_sets.py
+++ b/jackdawpost/core/objects/change_sets.py
@@ -7,27 +7,27 @@
 
 import cbor2
 
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ChangeAnswer
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import GroupState
-from jackdawpost.core.control_state import HistoryEntry
-from jackdawpost.core.control_state import KeptAnswer
-from jackdawpost.core.control_state import MAX_CHANGE_ANSWERS
-from jackdawpost.core.control_state import MAX_HISTORY
-from jackdawpost.core.database_sets import enter_new_groups
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.database_sets import enter_new_groups
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import GroupState
+from jackdawpost.core.control.state import HistoryEntry
+from jackdawpost.core.control.state import KeptAnswer
+from jackdawpost.core.control.state import MAX_CHANGE_ANSWERS
+from jackdawpost.core.control.state import MAX_HISTORY
 from jackdawpost.core.messages.operator import Fault
 from jackdawpost.core.messages.operator import Operation
-from jackdawpost.core.object_checks import Candidate
-from jackdawpost.core.object_checks import check_objects
-from jackdawpost.core.objects import is_valid_name
-from jackdawpost.core.objects import NAME_RULE
-from jackdawpost.core.objects import object_body
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.objects import OBJECT_TYPES
-from jackdawpost.core.objects import parse_object
-from jackdawpost.core.publication import publish_changes
+from jackdawpost.core.objects.checks import Candidate
+from jackdawpost.core.objects.checks import check_objects
+from jackdawpost.core.objects.model import is_valid_name
+from jackdawpost.core.objects.model import NAME_RULE
+from jackdawpost.core.objects.model import object_body
+from jackdawpost.core.objects.model import object_key
+from jackdawpost.core.objects.model import OBJECT_TYPES
+from jackdawpost.core.objects.model import parse_object
 
 MAX_OPERATIONS = 1_000
 MAX_ID_LENGTH = 128
--- a/jackdawpost/core/object_checks.py
+++ b/jackdawpost/core/objects/checks.py
@@ -6,17 +6,17 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import Member
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import Member
 from jackdawpost.core.messages.operator import Fault
-from jackdawpost.core.objects import AllowanceObject
-from jackdawpost.core.objects import EndpointObject
-from jackdawpost.core.objects import LimitObject
-from jackdawpost.core.objects import NamedObject
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.objects import ObjectSet
-from jackdawpost.core.objects import RuleObject
-from jackdawpost.core.objects import UpstreamObject
+from jackdawpost.core.objects.model import AllowanceObject
+from jackdawpost.core.objects.model import EndpointObject
+from jackdawpost.core.objects.model import LimitObject
+from jackdawpost.core.objects.model import NamedObject
+from jackdawpost.core.objects.model import object_key
+from jackdawpost.core.objects.model import ObjectSet
+from jackdawpost.core.objects.model import RuleObject
+from jackdawpost.core.objects.model import UpstreamObject
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.change_sets import match_group_states
-from jackdawpost.core.commands import DeclareObject
-from jackdawpost.core.commands import DeclareObjects
-from jackdawpost.core.control_state import Applied
-from jackdawpost.core.control_state import ChangeAnswer
-from jackdawpost.core.control_state import ControlMachine
-from jackdawpost.core.control_state import DeclaredConfig
-from jackdawpost.core.control_state import HistoryEntry
-from jackdawpost.core.control_state import MAX_HISTORY
+from jackdawpost.core.control.commands import DeclareObject
+from jackdawpost.core.control.commands import DeclareObjects
+from jackdawpost.core.control.publication import all_keys
+from jackdawpost.core.control.publication import publish_changes
+from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import DeclaredConfig
+from jackdawpost.core.control.state import HistoryEntry
+from jackdawpost.core.control.state import MAX_HISTORY
 from jackdawpost.core.messages.operator import Fault
-from jackdawpost.core.object_checks import Candidate
-from jackdawpost.core.object_checks import check_objects
-from jackdawpost.core.objects import object_key
-from jackdawpost.core.objects import OBJECT_TYPES
-from jackdawpost.core.objects import ObjectSet
-from jackdawpost.core.objects import parse_object
-from jackdawpost.core.publication import all_keys
-from jackdawpost.core.publication import publish_changes
+from jackdawpost.core.objects.change_sets import match_group_states
+from jackdawpost.core.objects.checks import Candidate
+from jackdawpost.core.objects.checks import check_objects
+from jackdawpost.core.objects.model import object_key
+from jackdawpost.core.objects.model import OBJECT_TYPES
+from jackdawpost.core.objects.model import ObjectSet
+from jackdawpost.core.objects.model import parse_object
 
 
 def declare_objects(
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.session import Internal
@@ -27,6 +26,7 @@
 from jackdawpost.core.pooler.upstreams import note_leader
 from jackdawpost.core.pooler.upstreams import note_not_leader
 from jackdawpost.core.pooler.upstreams import note_reach
+from jackdawpost.errors import ProtocolError
 
 # Time without a probe after which a connection for probes is closed.
 MONITOR_IDLE_MS = 5_000.0
--- /dev/null
+++ b/jackdawpost/core/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Proxies whose callers carry a session token."""
--- a/jackdawpost/core/proxy_answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -6,10 +6,6 @@
 import math
 from typing import Literal
 
-from jackdawpost.core.admission import FRESH_READ
-from jackdawpost.core.admission import STALE_READ
-from jackdawpost.core.admission import WRITE
-from jackdawpost.core.errors import TokenError
 from jackdawpost.core.messages.caller import Answer
 from jackdawpost.core.messages.caller import AnswerError
 from jackdawpost.core.messages.caller import Begin
@@ -19,18 +15,22 @@
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.messages.upstream import Executed
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import holds_lease
-from jackdawpost.core.proxy_state import observe
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import send
-from jackdawpost.core.proxy_state import Transaction
+from jackdawpost.core.proxy.admission import FRESH_READ
+from jackdawpost.core.proxy.admission import STALE_READ
+from jackdawpost.core.proxy.admission import WRITE
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import holds_lease
+from jackdawpost.core.proxy.state import observe
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Request
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import send
+from jackdawpost.core.proxy.state import Transaction
 from jackdawpost.core.retry import backoff_ms
 from jackdawpost.core.tokens import encode_token
 from jackdawpost.core.tokens import merge_position
+from jackdawpost.errors import TokenError
 
 Source = Literal['primary', 'replica']
 
--- a/jackdawpost/core/proxy_callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -4,10 +4,6 @@
 
 import zlib
 
-from jackdawpost.core.admission import FRESH_READ
-from jackdawpost.core.admission import STALE_READ
-from jackdawpost.core.admission import WRITE
-from jackdawpost.core.errors import TokenError
 from jackdawpost.core.events import ConnOpened
 from jackdawpost.core.events import FrameRejected
 from jackdawpost.core.messages.caller import Answer
@@ -19,25 +15,29 @@
 from jackdawpost.core.messages.caller import MAX_DEADLINE_MS
 from jackdawpost.core.messages.caller import Rollback
 from jackdawpost.core.messages.caller import Statement
-from jackdawpost.core.proxy_answers import finish_error
-from jackdawpost.core.proxy_answers import MESSAGES
-from jackdawpost.core.proxy_state import Caller
-from jackdawpost.core.proxy_state import close
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import new_serial
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import send
-from jackdawpost.core.proxy_state import SERVING_STATES
-from jackdawpost.core.proxy_transactions import add_to_transaction
-from jackdawpost.core.proxy_transactions import roll_back
+from jackdawpost.core.proxy.admission import FRESH_READ
+from jackdawpost.core.proxy.admission import STALE_READ
+from jackdawpost.core.proxy.admission import WRITE
+from jackdawpost.core.proxy.answers import finish_error
+from jackdawpost.core.proxy.answers import MESSAGES
+from jackdawpost.core.proxy.state import Caller
+from jackdawpost.core.proxy.state import close
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Request
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import send
+from jackdawpost.core.proxy.state import SERVING_STATES
+from jackdawpost.core.proxy.transactions import add_to_transaction
+from jackdawpost.core.proxy.transactions import roll_back
 from jackdawpost.core.published import RuleView
 from jackdawpost.core.tokens import decode_token
 from jackdawpost.core.tokens import EMPTY_TOKEN
 from jackdawpost.core.tokens import has_room
 from jackdawpost.core.tokens import SessionToken
+from jackdawpost.errors import TokenError
 
 BUSY_RETRY_MS = 50
 MAX_REQUEST_KEY_CHARS = 128
--- a/jackdawpost/core/proxy_control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -17,19 +17,19 @@
 from jackdawpost.core.messages.control import PermitRecall
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.messages.control import ProxyReport
-from jackdawpost.core.proxy_answers import finish_error
-from jackdawpost.core.proxy_answers import lose_undurable
-from jackdawpost.core.proxy_conns import return_owed
-from jackdawpost.core.proxy_conns import watch_idle_permits
-from jackdawpost.core.proxy_state import Approval
-from jackdawpost.core.proxy_state import close
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import log
-from jackdawpost.core.proxy_state import new_conn
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import send
-from jackdawpost.core.proxy_state import SERVING_STATES
+from jackdawpost.core.proxy.answers import finish_error
+from jackdawpost.core.proxy.answers import lose_undurable
+from jackdawpost.core.proxy.conns import return_owed
+from jackdawpost.core.proxy.conns import watch_idle_permits
+from jackdawpost.core.proxy.state import Approval
+from jackdawpost.core.proxy.state import close
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import log
+from jackdawpost.core.proxy.state import new_conn
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import send
+from jackdawpost.core.proxy.state import SERVING_STATES
 
 LEADER_SEARCH_MS = 100
 APPROVAL_RETRY_MS = 500
--- a/jackdawpost/core/proxy_drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -4,14 +4,14 @@
 
 from jackdawpost.core.effects import Stop
 from jackdawpost.core.messages.caller import GoingAway
-from jackdawpost.core.proxy_callers import serve_left_ms
-from jackdawpost.core.proxy_conns import return_owed
-from jackdawpost.core.proxy_control import send_report
-from jackdawpost.core.proxy_state import log
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import send
-from jackdawpost.core.proxy_transactions import roll_back
+from jackdawpost.core.proxy.callers import serve_left_ms
+from jackdawpost.core.proxy.conns import return_owed
+from jackdawpost.core.proxy.control import send_report
+from jackdawpost.core.proxy.state import log
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import send
+from jackdawpost.core.proxy.transactions import roll_back
 
 
 def on_drain_requested(state: ProxyState) -> None:
--- a/jackdawpost/core/proxy_dump.py
+++ b/jackdawpost/core/proxy/dump.py
@@ -6,11 +6,11 @@
 import math
 from typing import Any
 
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Transaction
-from jackdawpost.core.proxy_state import Upstream
-from jackdawpost.core.proxy_state import UpstreamConn
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Transaction
+from jackdawpost.core.proxy.state import Upstream
+from jackdawpost.core.proxy.state import UpstreamConn
 
 
 def dump_proxy(state: ProxyState) -> dict[str, Any]:
--- a/jackdawpost/core/proxy_monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -8,19 +8,19 @@
 from jackdawpost.core.messages.upstream import Probe
 from jackdawpost.core.messages.upstream import Probed
 from jackdawpost.core.messages.upstream import Progress
-from jackdawpost.core.proxy_answers import answer_copied
-from jackdawpost.core.proxy_control import send_report
-from jackdawpost.core.proxy_state import close
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import holds_lease
-from jackdawpost.core.proxy_state import log
-from jackdawpost.core.proxy_state import new_conn
-from jackdawpost.core.proxy_state import new_serial
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import send
-from jackdawpost.core.proxy_state import Upstream
+from jackdawpost.core.proxy.answers import answer_copied
+from jackdawpost.core.proxy.control import send_report
+from jackdawpost.core.proxy.state import close
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import holds_lease
+from jackdawpost.core.proxy.state import log
+from jackdawpost.core.proxy.state import new_conn
+from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import send
+from jackdawpost.core.proxy.state import Upstream
 from jackdawpost.core.retry import backoff_ms
 
 # One failure may be the connection's own; a second connection tells.
--- a/jackdawpost/core/proxy_replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -2,26 +2,26 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.admission import FRESH_READ
-from jackdawpost.core.admission import STALE_READ
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
-from jackdawpost.core.proxy_conns import capacity
-from jackdawpost.core.proxy_conns import is_asked
-from jackdawpost.core.proxy_conns import request_capacity
-from jackdawpost.core.proxy_conns import start_frame
-from jackdawpost.core.proxy_conns import take_conn
-from jackdawpost.core.proxy_sending import batch_size
-from jackdawpost.core.proxy_sending import refuse_late
-from jackdawpost.core.proxy_sending import to_execute
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule_pump
-from jackdawpost.core.proxy_state import Upstream
-from jackdawpost.core.replica_choice import CHOOSERS
-from jackdawpost.core.replica_choice import split_by_freshness
+from jackdawpost.core.proxy.admission import FRESH_READ
+from jackdawpost.core.proxy.admission import STALE_READ
+from jackdawpost.core.proxy.conns import capacity
+from jackdawpost.core.proxy.conns import is_asked
+from jackdawpost.core.proxy.conns import request_capacity
+from jackdawpost.core.proxy.conns import start_frame
+from jackdawpost.core.proxy.conns import take_conn
+from jackdawpost.core.proxy.replica_choice import CHOOSERS
+from jackdawpost.core.proxy.replica_choice import split_by_freshness
+from jackdawpost.core.proxy.sending import batch_size
+from jackdawpost.core.proxy.sending import refuse_late
+from jackdawpost.core.proxy.sending import to_execute
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Request
+from jackdawpost.core.proxy.state import schedule_pump
+from jackdawpost.core.proxy.state import Upstream
 
 # Way to the replica and back: a read that is only just fresh enough when it
 # is sent would be too old when its answer arrives.
--- a/jackdawpost/core/proxy_sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -6,13 +6,13 @@
 from jackdawpost.core.messages.upstream import Execute
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
-from jackdawpost.core.proxy_answers import finish_error
-from jackdawpost.core.proxy_conns import attempt_timeout_ms
-from jackdawpost.core.proxy_conns import MAX_BATCH
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import new_serial
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Request
+from jackdawpost.core.proxy.answers import finish_error
+from jackdawpost.core.proxy.conns import attempt_timeout_ms
+from jackdawpost.core.proxy.conns import MAX_BATCH
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Request
 
 
 def refuse_late(state: ProxyState, group: Group, req: Request) -> bool:
--- a/jackdawpost/core/proxy_state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -10,20 +10,20 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from jackdawpost.core.admission import AdmissionQueue
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import LogLine
 from jackdawpost.core.effects import ObserveMetric
 from jackdawpost.core.effects import Send
-from jackdawpost.core.freshness import FreshnessTracker
-from jackdawpost.core.lease_holder import LeaseHolder
 from jackdawpost.core.messages.caller import CallerRequest
 from jackdawpost.core.messages.upstream import Executed
-from jackdawpost.core.permit_holder import PermitHolder
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
+from jackdawpost.core.proxy.admission import AdmissionQueue
+from jackdawpost.core.proxy.freshness import FreshnessTracker
+from jackdawpost.core.proxy.lease_holder import LeaseHolder
+from jackdawpost.core.proxy.permit_holder import PermitHolder
 from jackdawpost.core.published import GroupView
 from jackdawpost.core.published import PublishedState
 from jackdawpost.core.published import UpstreamView
--- a/jackdawpost/core/proxy_transactions.py
+++ b/jackdawpost/core/proxy/transactions.py
@@ -14,26 +14,26 @@
 from jackdawpost.core.messages.upstream import TxnBegin
 from jackdawpost.core.messages.upstream import TxnCommit
 from jackdawpost.core.messages.upstream import TxnRollback
-from jackdawpost.core.proxy_answers import delay
-from jackdawpost.core.proxy_answers import finish
-from jackdawpost.core.proxy_answers import finish_done
-from jackdawpost.core.proxy_answers import finish_error
-from jackdawpost.core.proxy_answers import hold_until_copied
-from jackdawpost.core.proxy_answers import lose_attempt
-from jackdawpost.core.proxy_answers import refuse_attempt
-from jackdawpost.core.proxy_conns import attempt_timeout_ms
-from jackdawpost.core.proxy_conns import drop_conn
-from jackdawpost.core.proxy_conns import end_frame
-from jackdawpost.core.proxy_conns import start_frame
-from jackdawpost.core.proxy_state import count
-from jackdawpost.core.proxy_state import Group
-from jackdawpost.core.proxy_state import holds_lease
-from jackdawpost.core.proxy_state import new_serial
-from jackdawpost.core.proxy_state import ProxyState
-from jackdawpost.core.proxy_state import Request
-from jackdawpost.core.proxy_state import schedule
-from jackdawpost.core.proxy_state import Transaction
-from jackdawpost.core.proxy_state import UpstreamConn
+from jackdawpost.core.proxy.answers import delay
+from jackdawpost.core.proxy.answers import finish
+from jackdawpost.core.proxy.answers import finish_done
+from jackdawpost.core.proxy.answers import finish_error
+from jackdawpost.core.proxy.answers import hold_until_copied
+from jackdawpost.core.proxy.answers import lose_attempt
+from jackdawpost.core.proxy.answers import refuse_attempt
+from jackdawpost.core.proxy.conns import attempt_timeout_ms
+from jackdawpost.core.proxy.conns import drop_conn
+from jackdawpost.core.proxy.conns import end_frame
+from jackdawpost.core.proxy.conns import start_frame
+from jackdawpost.core.proxy.state import count
+from jackdawpost.core.proxy.state import Group
+from jackdawpost.core.proxy.state import holds_lease
+from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import ProxyState
+from jackdawpost.core.proxy.state import Request
+from jackdawpost.core.proxy.state import schedule
+from jackdawpost.core.proxy.state import Transaction
+from jackdawpost.core.proxy.state import UpstreamConn
 
 MAX_LOST_HANDLES = 64
 # Refusals after which the upstream's transaction is still open.
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -9,8 +9,8 @@
 from collections.abc import Container
 from dataclasses import dataclass
 
-from jackdawpost.core.errors import TokenError
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.errors import TokenError
 
 MAX_ENTRIES = 16
 MAX_TOKEN_CHARS = 2_048
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from jackdawpost.core.control_reducer import ControlConfig
+from jackdawpost.core.control.reducer import ControlConfig
 from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
--- a/jackdawpost/platform/control_api.py
+++ b/jackdawpost/platform/control_api.py
@@ -11,11 +11,11 @@
 
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.events import Asked
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.messages.registry import ReadConfig
+from jackdawpost.errors import ProtocolError
 from jackdawpost.platform.documents import decode_config
 from jackdawpost.platform.documents import decode_departure
 from jackdawpost.platform.documents import decode_instance
--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -11,10 +11,10 @@
 from pydantic import Field
 from pydantic import ValidationError
 
-from jackdawpost.core.commands import DeclareObject
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.control.commands import DeclareObject
 from jackdawpost.core.messages.registry import DeclareConfig
 from jackdawpost.core.messages.registry import Registration
+from jackdawpost.errors import ProtocolError
 
 MAX_SHOWN_ERRORS = 5
 
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -11,7 +11,7 @@
 import h11
 import trio
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.server import LISTEN_BACKLOG
 from jackdawpost.wire.server import ListenError
 from jackdawpost.wire.sockets import CALLER_SILENCE_MS
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -14,7 +14,6 @@
 import trio
 
 from jackdawpost.core.effects import Connect
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import EndSession
 from jackdawpost.core.messages.session import Execute
@@ -29,6 +28,7 @@
 from jackdawpost.core.messages.session import UpstreamStatus
 from jackdawpost.core.messages.session import Verb
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.byte_writer import ByteWriter
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.link import LinkRefusedError
--- a/jackdawpost/platform/program.py
+++ b/jackdawpost/platform/program.py
@@ -8,8 +8,8 @@
 from jackdawpost.cli.common import EXIT_FAILED
 from jackdawpost.cli.common import EXIT_USAGE
 from jackdawpost.cli.common import flatten_group
-from jackdawpost.core.errors import ConfigError
-from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.errors import ConfigError
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.platform.settings import PlatformSettings
 from jackdawpost.runtime.logs import configure_logging
 
--- a/jackdawpost/platform/reload.py
+++ b/jackdawpost/platform/reload.py
@@ -10,8 +10,8 @@
 
 import trio
 
-from jackdawpost.core.errors import ConfigError
 from jackdawpost.core.events import SeedsChanged
+from jackdawpost.errors import ConfigError
 from jackdawpost.platform.settings import load_platform_settings
 from jackdawpost.platform.settings import PlatformSettings
 from jackdawpost.platform.settings import settings_path
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -13,7 +13,7 @@
 from pydantic import Field
 from pydantic import ValidationError
 
-from jackdawpost.core.errors import ConfigError
+from jackdawpost.errors import ConfigError
 
 SETTINGS_VARIABLE = 'JACKDAWPOST_SETTINGS'
 
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -14,14 +14,13 @@
 
 import trio
 
-from jackdawpost.core.control_reducer import config_from_settings
-from jackdawpost.core.control_reducer import ControlConfig
-from jackdawpost.core.control_reducer import dump_control
-from jackdawpost.core.control_reducer import is_healthy
-from jackdawpost.core.control_reducer import new_control
-from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.control.reducer import config_from_settings
+from jackdawpost.core.control.reducer import ControlConfig
+from jackdawpost.core.control.reducer import dump_control
+from jackdawpost.core.control.reducer import is_healthy
+from jackdawpost.core.control.reducer import new_control
+from jackdawpost.core.control.reducer import reduce_control
 from jackdawpost.core.effects import Persist
-from jackdawpost.core.errors import StorageError
 from jackdawpost.core.events import Link
 from jackdawpost.core.events import Persisted
 from jackdawpost.core.events import PersistFailed
@@ -31,6 +30,7 @@
 from jackdawpost.core.messages import upstream
 from jackdawpost.core.messages.peer import ControlGroup
 from jackdawpost.core.messages.peer import Hello
+from jackdawpost.errors import StorageError
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_contexts
 from jackdawpost.runtime.process import raise_file_limit
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -10,11 +10,11 @@
 
 from jackdawpost.core.messages import caller
 from jackdawpost.core.messages import upstream
-from jackdawpost.core.proxy_reducer import dump_proxy
-from jackdawpost.core.proxy_reducer import is_healthy
-from jackdawpost.core.proxy_reducer import new_proxy
-from jackdawpost.core.proxy_reducer import ProxyConfig
-from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.core.proxy.reducer import dump_proxy
+from jackdawpost.core.proxy.reducer import is_healthy
+from jackdawpost.core.proxy.reducer import new_proxy
+from jackdawpost.core.proxy.reducer import ProxyConfig
+from jackdawpost.core.proxy.reducer import reduce_proxy
 from jackdawpost.runtime.control_codec import FROM_CONTROL
 from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
--- a/jackdawpost/runtime/recorder.py
+++ b/jackdawpost/runtime/recorder.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from jackdawpost.core.consensus_state import RestoredState
+from jackdawpost.core.consensus.state import RestoredState
 from jackdawpost.core.events import Event
 from jackdawpost.runtime.shell import ignore_event
 from jackdawpost.wire.codec import encode_json
--- a/jackdawpost/settings/loader.py
+++ b/jackdawpost/settings/loader.py
@@ -11,7 +11,7 @@
 from pydantic import ConfigDict
 from pydantic import ValidationError
 
-from jackdawpost.core.errors import ConfigError
+from jackdawpost.errors import ConfigError
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -19,14 +19,14 @@
 
 import cbor2
 
-from jackdawpost.core.consensus_records import decode_entry
-from jackdawpost.core.consensus_records import decode_snapshot
-from jackdawpost.core.consensus_state import RestoredState
+from jackdawpost.core.consensus.records import decode_entry
+from jackdawpost.core.consensus.records import decode_snapshot
+from jackdawpost.core.consensus.state import RestoredState
 from jackdawpost.core.effects import Persist
-from jackdawpost.core.errors import FolderLockedError
-from jackdawpost.core.errors import ProtocolError
-from jackdawpost.core.errors import StorageCorruptError
-from jackdawpost.core.errors import StorageError
+from jackdawpost.errors import FolderLockedError
+from jackdawpost.errors import ProtocolError
+from jackdawpost.errors import StorageCorruptError
+from jackdawpost.errors import StorageError
 from jackdawpost.storage.files import FileLayer
 from jackdawpost.storage.records import encode_record
 from jackdawpost.storage.records import FILE_HEADER
--- a/jackdawpost/storage/records.py
+++ b/jackdawpost/storage/records.py
@@ -11,8 +11,8 @@
 import struct
 import zlib
 
-from jackdawpost.core.errors import StorageCorruptError
-from jackdawpost.core.errors import StorageError
+from jackdawpost.errors import StorageCorruptError
+from jackdawpost.errors import StorageError
 
 FORMAT_VERSION = 1
 FILE_HEADER = b'JDPS' + struct.pack('>I', FORMAT_VERSION)
--- a/jackdawpost/testing/consensus_group.py
+++ b/jackdawpost/testing/consensus_group.py
@@ -11,28 +11,28 @@
 from dataclasses import field
 from typing import Any
 
-from jackdawpost.core.consensus import ApplyEntry
-from jackdawpost.core.consensus import compact
-from jackdawpost.core.consensus import confirm_leadership
-from jackdawpost.core.consensus import ConsensusConfig
-from jackdawpost.core.consensus import ConsensusEffect
-from jackdawpost.core.consensus import ConsensusState
-from jackdawpost.core.consensus import InstallSnapshot
-from jackdawpost.core.consensus import LeadershipConfirmed
-from jackdawpost.core.consensus import LeadershipLost
-from jackdawpost.core.consensus import LeadershipWon
-from jackdawpost.core.consensus import new_consensus
-from jackdawpost.core.consensus import next_due_ms
-from jackdawpost.core.consensus import persist_failed
-from jackdawpost.core.consensus import persisted
-from jackdawpost.core.consensus import propose
-from jackdawpost.core.consensus import receive
-from jackdawpost.core.consensus import RestoredState
-from jackdawpost.core.consensus import SendToPeer
-from jackdawpost.core.consensus import tick
-from jackdawpost.core.consensus import WriteDurably
-from jackdawpost.core.consensus_records import decode_entry
-from jackdawpost.core.consensus_records import decode_snapshot
+from jackdawpost.core.consensus.process import ApplyEntry
+from jackdawpost.core.consensus.process import compact
+from jackdawpost.core.consensus.process import confirm_leadership
+from jackdawpost.core.consensus.process import ConsensusConfig
+from jackdawpost.core.consensus.process import ConsensusEffect
+from jackdawpost.core.consensus.process import ConsensusState
+from jackdawpost.core.consensus.process import InstallSnapshot
+from jackdawpost.core.consensus.process import LeadershipConfirmed
+from jackdawpost.core.consensus.process import LeadershipLost
+from jackdawpost.core.consensus.process import LeadershipWon
+from jackdawpost.core.consensus.process import new_consensus
+from jackdawpost.core.consensus.process import next_due_ms
+from jackdawpost.core.consensus.process import persist_failed
+from jackdawpost.core.consensus.process import persisted
+from jackdawpost.core.consensus.process import propose
+from jackdawpost.core.consensus.process import receive
+from jackdawpost.core.consensus.process import RestoredState
+from jackdawpost.core.consensus.process import SendToPeer
+from jackdawpost.core.consensus.process import tick
+from jackdawpost.core.consensus.process import WriteDurably
+from jackdawpost.core.consensus.records import decode_entry
+from jackdawpost.core.consensus.records import decode_snapshot
 
 
 @dataclass(slots=True)
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/fake_proxy_world.py
@@ -31,9 +31,9 @@
 from jackdawpost.core.messages.upstream import Probed
 from jackdawpost.core.messages.upstream import Progress
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_reducer import new_proxy
-from jackdawpost.core.proxy_reducer import ProxyConfig
-from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.core.proxy.reducer import new_proxy
+from jackdawpost.core.proxy.reducer import ProxyConfig
+from jackdawpost.core.proxy.reducer import reduce_proxy
 
 GROUP = 'spares'
 ROUTE = 'orders'
--- a/jackdawpost/testing/traces.py
+++ b/jackdawpost/testing/traces.py
@@ -15,12 +15,10 @@
 from pydantic import ConfigDict
 from pydantic import ValidationError
 
-from jackdawpost.core.control_reducer import config_from_settings
-from jackdawpost.core.control_reducer import new_control
-from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.control.reducer import config_from_settings
+from jackdawpost.core.control.reducer import new_control
+from jackdawpost.core.control.reducer import reduce_control
 from jackdawpost.core.effects import Effect
-from jackdawpost.core.errors import JackdawpostError
-from jackdawpost.core.errors import TraceError
 from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import ConnOpened
 from jackdawpost.core.events import DrainRequested
@@ -30,9 +28,11 @@
 from jackdawpost.core.events import PersistFailed
 from jackdawpost.core.events import Received
 from jackdawpost.core.events import TimerFired
-from jackdawpost.core.proxy_reducer import new_proxy
-from jackdawpost.core.proxy_reducer import ProxyConfig
-from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.core.proxy.reducer import new_proxy
+from jackdawpost.core.proxy.reducer import ProxyConfig
+from jackdawpost.core.proxy.reducer import reduce_proxy
+from jackdawpost.errors import JackdawpostError
+from jackdawpost.errors import TraceError
 from jackdawpost.runtime.control_shell import CODECS as CONTROL_CODECS
 from jackdawpost.runtime.proxy_shell import CODECS as PROXY_CODECS
 from jackdawpost.runtime.recorder import read_restored
--- a/jackdawpost/tests/cli/test_ctl.py
+++ b/jackdawpost/tests/cli/test_ctl.py
@@ -12,20 +12,20 @@
 from jackdawpost.cli.change_files import load_change_file
 from jackdawpost.cli.ctl import main
 from jackdawpost.cli.operator_link import LinkError
-from jackdawpost.core.control_machine import apply_command
+from jackdawpost.core.control.machine import apply_command
+from jackdawpost.core.control.operator_queries import answer_query
+from jackdawpost.core.control.operator_requests import answer_change
+from jackdawpost.core.control.operator_requests import answer_command
+from jackdawpost.core.control.operator_requests import build_change
+from jackdawpost.core.control.operator_requests import build_drain
+from jackdawpost.core.control.operator_requests import build_promotion
+from jackdawpost.core.control.operator_requests import build_removal
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
-from jackdawpost.core.operator_queries import answer_query
-from jackdawpost.core.operator_requests import answer_change
-from jackdawpost.core.operator_requests import answer_command
-from jackdawpost.core.operator_requests import build_change
-from jackdawpost.core.operator_requests import build_drain
-from jackdawpost.core.operator_requests import build_promotion
-from jackdawpost.core.operator_requests import build_removal
-from jackdawpost.tests.core.machine_driver import build_group
-from jackdawpost.tests.core.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import build_group
+from jackdawpost.tests.core.control.machine_driver import Driver
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
 CHANGES = """{
--- a/jackdawpost/tests/cli/test_operator_link.py
+++ b/jackdawpost/tests/cli/test_operator_link.py
@@ -13,9 +13,9 @@
 from jackdawpost.cli.operator_link import LinkError
 from jackdawpost.cli.operator_link import open_operator_link
 from jackdawpost.cli.operator_link import OPERATOR_PATH
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import Query
+from jackdawpost.errors import ProtocolError
 from jackdawpost.settings.models import Peer
 from jackdawpost.settings.models import TlsSettings
 from jackdawpost.wire.codec import encode_cbor
--- a/jackdawpost/tests/core/test_consensus_faults.py
+++ b/jackdawpost/tests/core/consensus/test_faults.py
@@ -11,8 +11,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core.consensus import change_voters
-from jackdawpost.core.consensus import transfer_leadership
+from jackdawpost.core.consensus.process import change_voters
+from jackdawpost.core.consensus.process import transfer_leadership
 from jackdawpost.testing.consensus_group import Group
 
 ABC = ['a', 'b', 'c']
--- a/jackdawpost/tests/core/control_fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -11,11 +11,11 @@
 import random
 from typing import Any
 
-from jackdawpost.core.consensus import RestoredState
-from jackdawpost.core.control_reducer import ControlConfig
-from jackdawpost.core.control_reducer import ControlState
-from jackdawpost.core.control_reducer import new_control
-from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.consensus.process import RestoredState
+from jackdawpost.core.control.reducer import ControlConfig
+from jackdawpost.core.control.reducer import ControlState
+from jackdawpost.core.control.reducer import new_control
+from jackdawpost.core.control.reducer import reduce_control
 from jackdawpost.core.effects import CancelTimer
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Connect
--- a/jackdawpost/tests/core/machine_driver.py
+++ b/jackdawpost/tests/core/control/machine_driver.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.commands import AdmitDatabase
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.commands import ApproveMember
-from jackdawpost.core.commands import decode_command
-from jackdawpost.core.commands import encode_command
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.control_machine import apply_command
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.core.control_machine import new_machine
+from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.commands import ApproveMember
+from jackdawpost.core.control.commands import decode_command
+from jackdawpost.core.control.commands import encode_command
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.machine import apply_command
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.control.machine import new_machine
 from jackdawpost.core.messages.operator import Operation
 
 
--- a/jackdawpost/tests/core/test_failure_detector.py
+++ b/jackdawpost/tests/core/control/test_failure_detector.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from jackdawpost.core import failure_detector
-from jackdawpost.core.failure_detector import FailureDetector
+from jackdawpost.core.control import failure_detector
+from jackdawpost.core.control.failure_detector import FailureDetector
 
 PROXIES = ('p1', 'p2', 'p3', 'p4')
 
--- a/jackdawpost/tests/core/test_lease_ledger.py
+++ b/jackdawpost/tests/core/control/test_lease_ledger.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from jackdawpost.core import lease_ledger
-from jackdawpost.core.lease_ledger import LeaseLedger
-from jackdawpost.core.lease_ledger import PendingReport
+from jackdawpost.core.control import lease_ledger
+from jackdawpost.core.control.lease_ledger import LeaseLedger
+from jackdawpost.core.control.lease_ledger import PendingReport
 
 
 def ledger(**changes):
--- a/jackdawpost/tests/core/test_control_machine.py
+++ b/jackdawpost/tests/core/control/test_machine.py
@@ -10,32 +10,32 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core import publication
-from jackdawpost.core.commands import AbandonPromotion
-from jackdawpost.core.commands import AdmitDatabase
-from jackdawpost.core.commands import AnnounceMember
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.commands import ApproveMember
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.commands import decode_command
-from jackdawpost.core.commands import FinishPromotion
-from jackdawpost.core.commands import MarkLeaving
-from jackdawpost.core.commands import RemoveMember
-from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.control_machine import decode_snapshot
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.core.control_machine import update_since
-from jackdawpost.core.errors import ProtocolError
-from jackdawpost.core.errors import StorageError
+from jackdawpost.core.control import publication
+from jackdawpost.core.control.commands import AbandonPromotion
+from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.commands import ApproveMember
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.commands import decode_command
+from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commands import MarkLeaving
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.control.machine import update_since
+from jackdawpost.core.control.publication import all_keys
+from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.publication import all_keys
-from jackdawpost.core.publication import publish_changes
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import PublishedState
-from jackdawpost.tests.core.machine_driver import announcement
-from jackdawpost.tests.core.machine_driver import create
-from jackdawpost.tests.core.machine_driver import Driver
-from jackdawpost.tests.core.machine_driver import operation
+from jackdawpost.errors import ProtocolError
+from jackdawpost.errors import StorageError
+from jackdawpost.tests.core.control.machine_driver import announcement
+from jackdawpost.tests.core.control.machine_driver import create
+from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import operation
 
 NAMES = st.sampled_from(['a', 'b', 'c'])
 IDS = st.sampled_from(['1', '2'])
--- a/jackdawpost/tests/core/test_membership.py
+++ b/jackdawpost/tests/core/control/test_membership.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from jackdawpost.core.commands import ApproveMember
-from jackdawpost.core.commands import MarkLeaving
-from jackdawpost.core.control_machine import decode_snapshot
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.core.membership import missing_approvals
-from jackdawpost.tests.core.machine_driver import build_group
-from jackdawpost.tests.core.machine_driver import create
-from jackdawpost.tests.core.machine_driver import Driver
+from jackdawpost.core.control.commands import ApproveMember
+from jackdawpost.core.control.commands import MarkLeaving
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.control.membership import missing_approvals
+from jackdawpost.tests.core.control.machine_driver import build_group
+from jackdawpost.tests.core.control.machine_driver import create
+from jackdawpost.tests.core.control.machine_driver import Driver
 
 
 def _two_members():
--- a/jackdawpost/tests/core/test_operator_requests.py
+++ b/jackdawpost/tests/core/control/test_operator_requests.py
@@ -6,8 +6,14 @@
 
 import pytest
 
-from jackdawpost.core.commands import ApplyChangeSet
-from jackdawpost.core.commands import RemoveMember
+from jackdawpost.core.control.commands import ApplyChangeSet
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.operator_queries import answer_query
+from jackdawpost.core.control.operator_requests import answer_approve
+from jackdawpost.core.control.operator_requests import build_change
+from jackdawpost.core.control.operator_requests import build_drain
+from jackdawpost.core.control.operator_requests import build_promotion
+from jackdawpost.core.control.operator_requests import build_removal
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Approve
 from jackdawpost.core.messages.operator import Drain
@@ -15,15 +21,9 @@
 from jackdawpost.core.messages.operator import OperatorAnswer
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
-from jackdawpost.core.operator_queries import answer_query
-from jackdawpost.core.operator_requests import answer_approve
-from jackdawpost.core.operator_requests import build_change
-from jackdawpost.core.operator_requests import build_drain
-from jackdawpost.core.operator_requests import build_promotion
-from jackdawpost.core.operator_requests import build_removal
-from jackdawpost.tests.core.machine_driver import build_group
-from jackdawpost.tests.core.machine_driver import create
-from jackdawpost.tests.core.machine_driver import operation
+from jackdawpost.tests.core.control.machine_driver import build_group
+from jackdawpost.tests.core.control.machine_driver import create
+from jackdawpost.tests.core.control.machine_driver import operation
 from jackdawpost.wire.codec import encode_json
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.codec import FrameError
--- a/jackdawpost/tests/core/test_permit_ledger.py
+++ b/jackdawpost/tests/core/control/test_permit_ledger.py
@@ -6,9 +6,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core import permit_ledger
-from jackdawpost.core.permit_ledger import MIN_HOLD_MS
-from jackdawpost.core.permit_ledger import PermitLedger
+from jackdawpost.core.control import permit_ledger
+from jackdawpost.core.control.permit_ledger import MIN_HOLD_MS
+from jackdawpost.core.control.permit_ledger import PermitLedger
 
 SLOTS = 3
 LOST_MS = 500.0
--- a/jackdawpost/tests/core/test_promotion.py
+++ b/jackdawpost/tests/core/control/test_promotion.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from jackdawpost.core import promotion
-from jackdawpost.core.commands import AbandonPromotion
-from jackdawpost.core.commands import AdmitDatabase
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.commands import FinishPromotion
-from jackdawpost.core.commands import StartPromotion
+from jackdawpost.core.control import promotion
+from jackdawpost.core.control.commands import AbandonPromotion
+from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.promotion_choice import missing_databases
+from jackdawpost.core.control.promotion_facts import Database
+from jackdawpost.core.control.promotion_facts import drive_of
+from jackdawpost.core.control.promotion_facts import GroupFacts
+from jackdawpost.core.control.promotion_facts import Heard
+from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.promotion_choice import missing_databases
-from jackdawpost.core.promotion_facts import Database
-from jackdawpost.core.promotion_facts import drive_of
-from jackdawpost.core.promotion_facts import GroupFacts
-from jackdawpost.core.promotion_facts import Heard
-from jackdawpost.core.promotion_facts import OpenPromotion
-from jackdawpost.core.promotion_facts import PromotionDriver
 
 
 def database(name, **changes):
--- a/jackdawpost/tests/core/test_promotion_steps.py
+++ b/jackdawpost/tests/core/control/test_promotion_steps.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from jackdawpost.core.commands import AbandonPromotion
-from jackdawpost.core.commands import ChoosePrimary
-from jackdawpost.core.commands import FinishPromotion
-from jackdawpost.core.commands import StartPromotion
-from jackdawpost.core.control_machine import decode_snapshot
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.core.control_state import promotion_quorum
+from jackdawpost.core.control.commands import AbandonPromotion
+from jackdawpost.core.control.commands import ChoosePrimary
+from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commands import StartPromotion
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.control.state import promotion_quorum
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.tests.core.machine_driver import build_group
-from jackdawpost.tests.core.machine_driver import operation
+from jackdawpost.tests.core.control.machine_driver import build_group
+from jackdawpost.tests.core.control.machine_driver import operation
 
 
 def _start(from_term, to_term, accept_loss=False):
--- a/jackdawpost/tests/core/test_control_reducer.py
+++ b/jackdawpost/tests/core/control/test_reducer.py
@@ -5,10 +5,10 @@
 import cbor2
 import pytest
 
-from jackdawpost.core import lease_ledger
-from jackdawpost.core.control_reducer import dump_control
-from jackdawpost.core.control_reducer import is_healthy
-from jackdawpost.core.control_reducer import reduce_control
+from jackdawpost.core.control import lease_ledger
+from jackdawpost.core.control.reducer import dump_control
+from jackdawpost.core.control.reducer import is_healthy
+from jackdawpost.core.control.reducer import reduce_control
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import LogLine
 from jackdawpost.core.effects import Stop
@@ -30,10 +30,10 @@
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.tests.core.control_fakes import FakeProxy
-from jackdawpost.tests.core.control_fakes import FakeUpstream
-from jackdawpost.tests.core.control_fakes import has_leases
-from jackdawpost.tests.core.control_fakes import start
+from jackdawpost.tests.core.control.fakes import FakeProxy
+from jackdawpost.tests.core.control.fakes import FakeUpstream
+from jackdawpost.tests.core.control.fakes import has_leases
+from jackdawpost.tests.core.control.fakes import start
 
 
 def group_of(net):
--- a/jackdawpost/tests/core/test_control_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jackdawpost.core.commands import DeclareObject
+from jackdawpost.core.control.commands import DeclareObject
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
 from jackdawpost.core.events import Asked
@@ -16,8 +16,8 @@
 from jackdawpost.core.messages.registry import ReadConfig
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.tests.core.control_fakes import FakeProxy
-from jackdawpost.tests.core.control_fakes import Group
+from jackdawpost.tests.core.control.fakes import FakeProxy
+from jackdawpost.tests.core.control.fakes import Group
 
 STARTED_MS = 1_700_000_000_000
 
--- a/jackdawpost/tests/core/test_control_voters.py
+++ b/jackdawpost/tests/core/control/test_voters.py
@@ -4,7 +4,7 @@
 
 from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.events import DrainRequested
-from jackdawpost.tests.core.control_fakes import Group
+from jackdawpost.tests.core.control.fakes import Group
 
 NAMES = ['c1', 'c2', 'c3']
 
--- a/jackdawpost/tests/core/test_change_sets.py
+++ b/jackdawpost/tests/core/objects/test_change_sets.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from jackdawpost.core import change_sets
-from jackdawpost.core.control_machine import decode_snapshot
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.tests.core.machine_driver import build_group
-from jackdawpost.tests.core.machine_driver import create
-from jackdawpost.tests.core.machine_driver import Driver
-from jackdawpost.tests.core.machine_driver import operation
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.objects import change_sets
+from jackdawpost.tests.core.control.machine_driver import build_group
+from jackdawpost.tests.core.control.machine_driver import create
+from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import operation
 
 AGES = ('allowance', 'reports')
 
--- a/jackdawpost/tests/core/test_proxy_conns.py
+++ b/jackdawpost/tests/core/proxy/test_conns.py
@@ -8,8 +8,8 @@
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
-from jackdawpost.core.proxy_reducer import reduce_proxy
+from jackdawpost.core.proxy.conns import SILENT_MARGIN_MS
+from jackdawpost.core.proxy.reducer import reduce_proxy
 from jackdawpost.core.tokens import encode_token
 from jackdawpost.core.tokens import SessionToken
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
--- a/jackdawpost/tests/core/test_proxy_control.py
+++ b/jackdawpost/tests/core/proxy/test_control.py
@@ -15,7 +15,7 @@
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_reducer import is_healthy
+from jackdawpost.core.proxy.reducer import is_healthy
 from jackdawpost.testing.fake_proxy_world import FakeUpstream
 from jackdawpost.testing.fake_proxy_world import GROUP
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
--- a/jackdawpost/tests/core/test_proxy_parts.py
+++ b/jackdawpost/tests/core/proxy/test_parts.py
@@ -7,18 +7,18 @@
 
 import pytest
 
-from jackdawpost.core.admission import AdmissionQueue
-from jackdawpost.core.admission import FRESH_READ
-from jackdawpost.core.admission import STALE_READ
-from jackdawpost.core.admission import WRITE
-from jackdawpost.core.freshness import FreshnessTracker
-from jackdawpost.core.freshness import MAX_SAMPLES
-from jackdawpost.core.lease_holder import LeaseHolder
 from jackdawpost.core.messages.control import GroupLease
-from jackdawpost.core.permit_holder import PermitHolder
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.replica_choice import CHOOSERS
-from jackdawpost.core.replica_choice import split_by_freshness
+from jackdawpost.core.proxy.admission import AdmissionQueue
+from jackdawpost.core.proxy.admission import FRESH_READ
+from jackdawpost.core.proxy.admission import STALE_READ
+from jackdawpost.core.proxy.admission import WRITE
+from jackdawpost.core.proxy.freshness import FreshnessTracker
+from jackdawpost.core.proxy.freshness import MAX_SAMPLES
+from jackdawpost.core.proxy.lease_holder import LeaseHolder
+from jackdawpost.core.proxy.permit_holder import PermitHolder
+from jackdawpost.core.proxy.replica_choice import CHOOSERS
+from jackdawpost.core.proxy.replica_choice import split_by_freshness
 from jackdawpost.core.retry import backoff_ms
 from jackdawpost.core.retry import RetryBudget
 from jackdawpost.core.retry import slow_start_limit
--- a/jackdawpost/tests/core/test_proxy_requests.py
+++ b/jackdawpost/tests/core/proxy/test_requests.py
@@ -11,7 +11,7 @@
 from jackdawpost.core.messages.control import PermitGrant
 from jackdawpost.core.messages.upstream import Executed
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
+from jackdawpost.core.proxy.conns import SILENT_MARGIN_MS
 from jackdawpost.core.tokens import encode_token
 from jackdawpost.core.tokens import SessionToken
 from jackdawpost.testing.fake_proxy_world import GROUP
--- a/jackdawpost/tests/core/test_proxy_serving.py
+++ b/jackdawpost/tests/core/proxy/test_serving.py
@@ -6,8 +6,8 @@
 from jackdawpost.core.messages.caller import Commit
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_reducer import dump_proxy
-from jackdawpost.core.proxy_reducer import is_healthy
+from jackdawpost.core.proxy.reducer import dump_proxy
+from jackdawpost.core.proxy.reducer import is_healthy
 from jackdawpost.core.tokens import decode_token
 from jackdawpost.testing.fake_proxy_world import GROUP
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
--- a/jackdawpost/tests/core/test_proxy_transactions.py
+++ b/jackdawpost/tests/core/proxy/test_transactions.py
@@ -10,7 +10,7 @@
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.messages.control import LeaseRevoke
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.proxy_conns import SILENT_MARGIN_MS
+from jackdawpost.core.proxy.conns import SILENT_MARGIN_MS
 from jackdawpost.testing.fake_proxy_world import GROUP
 from jackdawpost.testing.fake_proxy_world import ProxyWorld
 from jackdawpost.testing.fake_proxy_world import ROUTE
--- a/jackdawpost/tests/core/test_tokens.py
+++ b/jackdawpost/tests/core/test_tokens.py
@@ -7,7 +7,6 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core.errors import TokenError
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.tokens import decode_token
 from jackdawpost.core.tokens import EMPTY_TOKEN
@@ -16,6 +15,7 @@
 from jackdawpost.core.tokens import MAX_ENTRIES
 from jackdawpost.core.tokens import merge_position
 from jackdawpost.core.tokens import SessionToken
+from jackdawpost.errors import TokenError
 
 NUMBERS = st.integers(0, 2**64 - 1)
 NAMES = st.text('ab.-09z', min_size=1, max_size=63)
--- a/jackdawpost/tests/platform/test_documents.py
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -9,12 +9,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core.commands import DeclareObjects
-from jackdawpost.core.control_machine import apply_command
-from jackdawpost.core.control_machine import decode_snapshot
-from jackdawpost.core.control_machine import encode_snapshot
-from jackdawpost.core.control_machine import new_machine
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.core.control.commands import DeclareObjects
+from jackdawpost.core.control.machine import apply_command
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.control.machine import new_machine
+from jackdawpost.errors import ProtocolError
 from jackdawpost.platform.documents import decode_config
 from jackdawpost.platform.documents import decode_departure
 from jackdawpost.platform.documents import decode_instance
--- a/jackdawpost/tests/platform/test_lines.py
+++ b/jackdawpost/tests/platform/test_lines.py
@@ -8,7 +8,6 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import EndSession
 from jackdawpost.core.messages.session import Execute
@@ -19,6 +18,7 @@
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.errors import ProtocolError
 from jackdawpost.platform import lines
 from jackdawpost.platform.lines import CALLER_CODEC
 from jackdawpost.platform.lines import DATABASE_CODEC
--- a/jackdawpost/tests/platform/test_settings.py
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from jackdawpost.core.errors import ConfigError
+from jackdawpost.errors import ConfigError
 from jackdawpost.platform.control import build_plan
 from jackdawpost.platform.edge import build_config
 from jackdawpost.platform.reload import seed_hosts
--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -12,9 +12,9 @@
 from jackdawpost.cli.operator_link import send_request
 from jackdawpost.client import open_session
 from jackdawpost.client import ProxyAddress
-from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Operation
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.runtime.control_shell import run_control
 from jackdawpost.runtime.proxy_shell import run_proxy
 from jackdawpost.settings.models import ControlSettings
--- a/jackdawpost/tests/settings/test_loader.py
+++ b/jackdawpost/tests/settings/test_loader.py
@@ -7,7 +7,7 @@
 import jsonc
 import pytest
 
-from jackdawpost.core.errors import ConfigError
+from jackdawpost.errors import ConfigError
 from jackdawpost.settings.loader import load_settings
 from jackdawpost.settings.models import ControlSettings
 from jackdawpost.settings.models import CtlSettings
--- a/jackdawpost/tests/storage/test_durable_store.py
+++ b/jackdawpost/tests/storage/test_durable_store.py
@@ -12,26 +12,26 @@
 
 import pytest
 
-from jackdawpost.core.consensus import ApplyEntry
-from jackdawpost.core.consensus import compact
-from jackdawpost.core.consensus import ConsensusConfig
-from jackdawpost.core.consensus import InstallSnapshot
-from jackdawpost.core.consensus import new_consensus
-from jackdawpost.core.consensus import persisted
-from jackdawpost.core.consensus import propose
-from jackdawpost.core.consensus import tick
-from jackdawpost.core.consensus import WriteDurably
-from jackdawpost.core.consensus_records import COMMAND_ENTRY
-from jackdawpost.core.consensus_records import encode_hard_state
-from jackdawpost.core.consensus_records import encode_snapshot
-from jackdawpost.core.consensus_records import HardState
-from jackdawpost.core.consensus_records import make_entry
-from jackdawpost.core.consensus_records import SnapshotRecord
-from jackdawpost.core.consensus_records import VoterSet
+from jackdawpost.core.consensus.process import ApplyEntry
+from jackdawpost.core.consensus.process import compact
+from jackdawpost.core.consensus.process import ConsensusConfig
+from jackdawpost.core.consensus.process import InstallSnapshot
+from jackdawpost.core.consensus.process import new_consensus
+from jackdawpost.core.consensus.process import persisted
+from jackdawpost.core.consensus.process import propose
+from jackdawpost.core.consensus.process import tick
+from jackdawpost.core.consensus.process import WriteDurably
+from jackdawpost.core.consensus.records import COMMAND_ENTRY
+from jackdawpost.core.consensus.records import encode_hard_state
+from jackdawpost.core.consensus.records import encode_snapshot
+from jackdawpost.core.consensus.records import HardState
+from jackdawpost.core.consensus.records import make_entry
+from jackdawpost.core.consensus.records import SnapshotRecord
+from jackdawpost.core.consensus.records import VoterSet
 from jackdawpost.core.effects import Persist
-from jackdawpost.core.errors import FolderLockedError
-from jackdawpost.core.errors import StorageCorruptError
-from jackdawpost.core.errors import StorageError
+from jackdawpost.errors import FolderLockedError
+from jackdawpost.errors import StorageCorruptError
+from jackdawpost.errors import StorageError
 from jackdawpost.storage import DurableStore
 from jackdawpost.storage.files import FileLayer
 
@@ -375,7 +375,7 @@
     store = DurableStore.open(str(tmp_path))
     script = (
         'import sys\n'
-        'from jackdawpost.core.errors import FolderLockedError\n'
+        'from jackdawpost.errors import FolderLockedError\n'
         'from jackdawpost.storage import DurableStore\n'
         'try:\n'
         '    DurableStore.open(sys.argv[1])\n'
--- a/jackdawpost/tests/testing/test_traces.py
+++ b/jackdawpost/tests/testing/test_traces.py
@@ -11,8 +11,8 @@
 import pytest
 
 from jackdawpost.cli import replay
-from jackdawpost.core.consensus_state import RestoredState
-from jackdawpost.core.errors import TraceError
+from jackdawpost.core.consensus.state import RestoredState
+from jackdawpost.errors import TraceError
 from jackdawpost.runtime.recorder import describe_restored
 from jackdawpost.runtime.recorder import read_restored
 from jackdawpost.runtime.recorder import TRACE_FORMAT
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -12,7 +12,7 @@
 from pydantic import ValidationError
 from pydantic_core import SchemaValidator
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 
 MAX_MESSAGES_PER_FRAME = 64
 MAX_FRAME_BYTES = 1 << 20
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -13,7 +13,7 @@
 from websockets.protocol import State
 from websockets.uri import parse_uri
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.sockets import end_when_silent
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.tls import PeerIdentity
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -16,7 +16,7 @@
 from websockets.http11 import Request
 from websockets.server import ServerProtocol
 
-from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.sockets import end_when_silent
 from jackdawpost.wire.stream import FrameStream
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -17,7 +17,7 @@
 from websockets.protocol import Protocol
 from websockets.protocol import State
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.byte_writer import ByteWriter
 
 READ_BYTES = 65_536
--- a/jackdawpost/wire/tls.py
+++ b/jackdawpost/wire/tls.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from jackdawpost.core.errors import ConfigError
+from jackdawpost.errors import ConfigError
 from jackdawpost.settings.models import TlsSettings
 
 
--- a/jackdawpost_standin/announcer.py
+++ b/jackdawpost_standin/announcer.py
@@ -8,11 +8,11 @@
 
 import trio
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import AnnounceAck
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.errors import ProtocolError
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.settings.models import Peer
 from jackdawpost.wire.codec import encode_cbor
--- a/jackdawpost_standin/cli.py
+++ b/jackdawpost_standin/cli.py
@@ -10,7 +10,7 @@
 from jackdawpost.cli.common import EXIT_FAILED
 from jackdawpost.cli.common import flatten_group
 from jackdawpost.cli.common import load_or_exit
-from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.runtime.logs import configure_logging
 from jackdawpost_standin.process import StandinDatabase
 from jackdawpost_standin.settings import StandinSettings
--- a/jackdawpost_standin/database.py
+++ b/jackdawpost_standin/database.py
@@ -9,12 +9,12 @@
 
 import trio
 
-from jackdawpost.core.errors import JackdawpostError
 from jackdawpost.core.messages.upstream import Progress
 from jackdawpost.core.messages.upstream import RefusalCode
 from jackdawpost.core.positions import history_contains
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import TermEnd
+from jackdawpost.errors import JackdawpostError
 from jackdawpost.runtime.metrics import Metrics
 from jackdawpost_standin.disk import DataFolder
 from jackdawpost_standin.disk import new_role
--- a/jackdawpost_standin/disk.py
+++ b/jackdawpost_standin/disk.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from jackdawpost.core.errors import FolderLockedError
-from jackdawpost.core.errors import StorageCorruptError
+from jackdawpost.errors import FolderLockedError
+from jackdawpost.errors import StorageCorruptError
 
 _HEADER = struct.Struct('>II')
 
--- a/jackdawpost_standin/log.py
+++ b/jackdawpost_standin/log.py
@@ -10,10 +10,10 @@
 
 import cbor2
 
-from jackdawpost.core.errors import StorageError
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import TermEnd
 from jackdawpost.core.positions import ZERO_POSITION
+from jackdawpost.errors import StorageError
 
 
 @dataclass(slots=True)
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from jackdawpost.core.errors import ProtocolError
+from jackdawpost.errors import ProtocolError
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -11,10 +11,10 @@
 import cbor2
 import trio
 
-from jackdawpost.core.errors import JackdawpostError
-from jackdawpost.core.errors import ProtocolError
-from jackdawpost.core.errors import StorageError
 from jackdawpost.core.positions import TermEnd
+from jackdawpost.errors import JackdawpostError
+from jackdawpost.errors import ProtocolError
+from jackdawpost.errors import StorageError
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from jackdawpost.core.errors import JackdawpostError
+from jackdawpost.errors import JackdawpostError
 from jackdawpost_standin.log import Record
 from jackdawpost_standin.log import Result
 
--- a/jackdawpost_standin/upstream_server.py
+++ b/jackdawpost_standin/upstream_server.py
@@ -9,7 +9,6 @@
 
 import trio
 
-from jackdawpost.core.errors import ProtocolError
 from jackdawpost.core.messages.upstream import AdminDone
 from jackdawpost.core.messages.upstream import Execute
 from jackdawpost.core.messages.upstream import Executed
@@ -24,6 +23,7 @@
 from jackdawpost.core.messages.upstream import TxnBegin
 from jackdawpost.core.messages.upstream import TxnCommit
 from jackdawpost.core.messages.upstream import TxnRollback
+from jackdawpost.errors import ProtocolError
 from jackdawpost.runtime.timers import MS_PER_SECOND
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import encode_json
