Answer every statement before a stopping process ends

With graceS 4 the limit (graceS less 700 ms) came before the last sixth of graceS, up to which the platform expects answers; with graceS 3 it would come 200 ms before. Change: at the limit each statement gets its final answer (unknown, aborted or overloaded, whichever is true), and the margin is a sixth of graceS at most. Tests fail before.

--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -41,6 +41,7 @@
 from jackdawpost.core.pooler.probes import on_probe_due
 from jackdawpost.core.pooler.probes import take_probe_answer
 from jackdawpost.core.pooler.probes import take_told
+from jackdawpost.core.pooler.serving import give_up_all
 from jackdawpost.core.pooler.serving import lose_statement_conn
 from jackdawpost.core.pooler.serving import move_reads
 from jackdawpost.core.pooler.serving import on_again_due
@@ -380,6 +381,7 @@
     if since_ms >= cfg.drain_limit_ms or (
         since_ms >= cfg.drain_notice_ms and not state.sessions
     ):
+        give_up_all(state)
         log(state, 'info', 'stopping', sessions=len(state.sessions))
         state.stopped = True
         state.out.append(Stop())
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -350,6 +350,13 @@
         discard(state, conn, 'no answer')
 
 
+def give_up_all(state: PoolerState) -> None:
+    """Give every statement its final answer before the process ends."""
+    for number, work in list(state.works.items()):
+        work.due_ms = state.now_ms
+        on_work_due(state, number)
+
+
 def on_work_due(state: PoolerState, number: int) -> None:
     """End a statement whose time is over."""
     work = state.works.get(number)
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -42,8 +42,10 @@
 MS_PER_SECOND = 1_000
 # The balancer asks once a second and takes a process out after two misses.
 NOTICE_MS = 2_300
-# Left at the end of the time to stop, for what is on its way.
+# Left at the end of the time to stop, for what is on its way: not more than
+# its last sixth, up to which the platform expects answers.
 EXIT_MARGIN_MS = 700
+EXIT_MARGIN_SHARE = 1 / 6
 # Of the time in which a leaving database may get work; the rest is for the
 # way of its report to this process and of the statement to the database.
 LEAVING_SHARE = 0.7
@@ -52,6 +54,7 @@
 def build_config(settings: PlatformSettings) -> PoolerConfig:
     """Return the pooler's settings."""
     grace_ms = settings.bounds.grace_s * MS_PER_SECOND
+    exit_margin_ms = min(EXIT_MARGIN_MS, grace_ms * EXIT_MARGIN_SHARE)
     host, port = split_address(settings.bind.frontend or ':0')
     return PoolerConfig(
         name=settings.node,
@@ -67,7 +70,7 @@
         decode_status=decode_status,
         drain_notice_ms=min(NOTICE_MS, grace_ms / 2),
         drain_txn_ms=grace_ms / 2,
-        drain_limit_ms=grace_ms - EXIT_MARGIN_MS,
+        drain_limit_ms=grace_ms - exit_margin_ms,
         leaving_work_ms=settings.bounds.drain_ms * LEAVING_SHARE,
     )
 
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -5,6 +5,7 @@
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
+from jackdawpost.testing.fake_pooler_world import endpoint
 from jackdawpost.testing.fake_pooler_world import PoolerWorld
 
 
@@ -170,6 +171,27 @@
     assert isinstance(world.call(conn, 'COMMIT'), Done)
 
 
+def test_statement_without_answer_gets_its_final_answer_before_the_end():
+    # Its connection would end without a word.
+    slow = endpoint('orders', 'primary', 0, timeout_ms=20_000)
+    world = PoolerWorld([slow])
+    writer, reader = world.open('orders'), world.open('orders')
+    world.databases['db-1'].slots = 0
+    world.ask(writer, 'WRITE 1 a')
+    world.ask(reader, 'READ 1')
+    world.run(200)
+    world.drain()
+    world.run(5_500)
+    assert world.stopped
+    codes = [
+        message.code
+        for conn in (writer, reader)
+        for message in world.answer(conn)
+        if isinstance(message, Failed)
+    ]
+    assert codes == ['unknown_outcome', 'aborted']
+
+
 def test_drain_closes_idle_sessions_and_lets_transactions_end():
     # Guards against a shutdown that cuts statements in flight.
     world = PoolerWorld()
--- a/jackdawpost/tests/platform/test_settings.py
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -55,6 +55,18 @@
     assert cfg.drain_txn_ms == 3_000
 
 
+@pytest.mark.parametrize('grace_s', [3, 4, 6, 12])
+def test_statements_in_flight_have_five_sixths_of_the_time_to_stop(
+    tmp_path, grace_s
+):
+    text = TEXT.format(bootstrap='true').replace(
+        'graceS = 6', f'graceS = {grace_s}'
+    )
+    cfg = build_config(_load(tmp_path, text))
+    assert cfg.drain_limit_ms >= grace_s * 1_000 * 5 / 6 - 1e-6
+    assert cfg.drain_limit_ms < grace_s * 1_000
+
+
 def test_all_faults_are_named(tmp_path):
     text = TEXT.format(bootstrap='true')
     text = text.replace('"10.1.0.10:8784"', '"nowhere"')
