Add a fault soak of the platform's programs as processes

Links are delayed, reset, cut one way or silenced by a relay; processes are stopped, killed, paused, reloaded, and lose their disks. It checks from what callers and databases saw: writes at most once, nothing acknowledged lost, refusals true, ages of reads, transactions unmixed, stops that cut nothing, configurations that hold, and recovery. Each check has a test that it finds its breach.

The stand-in of a line database now has a log, replicas, slots and faults; the HTTP border hands headers on.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 jackdawpost jackdawpost_standin bench
+	$(BIN)/flake8 jackdawpost jackdawpost_standin bench soak
 	$(BIN)/mypy
 
 demo: setup
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -32,16 +33,20 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """A request as it was received."""
+    """A request as it was received; names of headers are in lower case."""
 
     method: str
     path: str
     body: bytes
+    headers: list[tuple[str, str]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class HttpResponse:
-    """A response to send, or one received."""
+    """A response to send, or one received.
+
+    Names of received headers are in lower case.
+    """
 
     status: int
     body: bytes = b''
@@ -122,7 +127,10 @@
                 )
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             return HttpRequest(
-                head.method.decode(), head.target.decode(), bytes(body)
+                head.method.decode(),
+                head.target.decode(),
+                bytes(body),
+                _decode_headers(head.headers),
             )
         else:
             return None
@@ -204,6 +212,7 @@
     data += conn.send(h11.EndOfMessage()) or b''
     await stream.send_all(data)
     status = 0
+    answer_headers: list[tuple[str, str]] = []
     answer = bytearray()
     while True:
         event = conn.next_event()
@@ -211,9 +220,19 @@
             conn.receive_data(await stream.receive_some(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            answer_headers = _decode_headers(event.headers)
         elif isinstance(event, h11.Data):
             answer += event.data
         elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, bytes(answer))
+            return HttpResponse(status, bytes(answer), answer_headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise HttpError('closed before the response')
+
+
+def _decode_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[str, str]]:
+    return [
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in headers
+    ]
--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -17,7 +17,7 @@
 
 from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
-from jackdawpost_standin.line_database import LineDatabase
+from jackdawpost_standin.line_database import LineGroup
 
 pytestmark = pytest.mark.process
 
@@ -149,7 +149,7 @@
     inside = _free_pair()
     control, frontend, readiness = _free_ports(3)
     ports = (inside, control, frontend, readiness)
-    database = LineDatabase('pool', 'i-1')
+    database = LineGroup('pool').add('i-1')
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     address = f'{HOST}:{listeners[0].socket.getsockname()[1]}'
     logs = [tmp_path / 'control.log', tmp_path / 'edge.log']
