--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -20,10 +20,22 @@
         The offending value.
     valid : str
         Description of what is valid.
+    more : tuple of tuple
+        Key, value and description of each further fault in the file.
     """
 
-    def __init__(self, path: str, key: str, value: object, valid: str) -> None:
-        super().__init__(f'{path}: {key or "(file)"}: {value!r}: {valid}')
+    def __init__(
+        self,
+        path: str,
+        key: str,
+        value: object,
+        valid: str,
+        more: tuple[tuple[str, object, str], ...] = (),
+    ) -> None:
+        faults = [(key or '(file)', value, valid), *more]
+        texts = [f'{name}: {bad!r}: {good}' for name, bad, good in faults]
+        super().__init__(f'{path}: {"; ".join(texts)}')
+        self.more = more
         self.path = path
         self.key = key
         self.value = value
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -14,6 +14,7 @@
 from pydantic import ValidationError
 
 from jackdawpost.errors import ConfigError
+from jackdawpost.settings.loader import explain_faults
 
 SETTINGS_VARIABLE = 'JACKDAWPOST_SETTINGS'
 
@@ -124,13 +125,7 @@
     try:
         return PlatformSettings.model_validate(value)
     except ValidationError as exc:
-        errors = exc.errors(include_url=False)
-        keys = ', '.join(
-            '.'.join(str(part) for part in error['loc']) for error in errors
-        )
-        values = [error.get('input') for error in errors]
-        valid = '; '.join(error['msg'] for error in errors)
-        raise ConfigError(path, keys, values, valid) from exc
+        raise explain_faults(path, exc) from exc
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/jackdawpost/settings/loader.py
+++ b/jackdawpost/settings/loader.py
@@ -40,8 +40,8 @@
     Raises
     ------
     ConfigError
-        The file cannot be read or parsed, or a value is invalid; the error
-        names file, key, value and what is valid.
+        The file cannot be read or parsed, or values are invalid; the error
+        names the file, and key, value and what is valid for each of them.
     """
     name = str(path)
     try:
@@ -57,7 +57,15 @@
     try:
         return model.model_validate_json(json.dumps(value))
     except ValidationError as exc:
-        first = exc.errors(include_url=False)[0]
-        key = '.'.join(str(part) for part in first['loc'])
-        value = None if first['type'] == 'missing' else first.get('input')
-        raise ConfigError(name, key, value, first['msg']) from exc
+        raise explain_faults(name, exc) from exc
+
+
+def explain_faults(path: str, exc: ValidationError) -> ConfigError:
+    """Return an error that names every fault of a settings file."""
+    faults: list[tuple[str, object, str]] = []
+    for error in exc.errors(include_url=False):
+        key = '.'.join(str(part) for part in error['loc'])
+        value = None if error['type'] == 'missing' else error.get('input')
+        faults.append((key, value, error['msg']))
+    (key, value, valid), *more = faults
+    return ConfigError(path, key, value, valid, tuple(more))
--- a/jackdawpost/tests/settings/test_loader.py
+++ b/jackdawpost/tests/settings/test_loader.py
@@ -54,6 +54,15 @@
     assert 'control.json' in str(caught.value)
 
 
+def test_every_mistake_is_named(tmp_path):
+    # Otherwise each start of the program shows one more.
+    extra = ', "lease_ms": 0, "unknown": 1'
+    with pytest.raises(ConfigError) as caught:
+        _load(tmp_path, VALID % extra)
+    assert 'lease_ms: 0: ' in str(caught.value)
+    assert 'unknown: 1: ' in str(caught.value)
+
+
 @pytest.mark.parametrize('text', ['', '{', '[1]', '{"name": }'])
 def test_unreadable_files_are_refused(tmp_path, text):
     with pytest.raises(ConfigError):
