--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,13 +13,15 @@
 
 import trio
 
+from soak.regressions import REGRESSIONS
 from soak.run import play
 
 DEFAULT_LENGTH_S = 20.0
 
 
-def play_seed(seed: int, length_s: float, keep: Path) -> tuple[int, list[str]]:
-    """Play one seed; keep its logs only if something was broken."""
+def play_seed(run: tuple[int, float], keep: Path) -> tuple[int, list[str]]:
+    """Play a seed of a length; keep its logs only if something broke."""
+    seed, length_s = run
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     try:
         breaches = trio.run(play, seed, length_s, folder)
@@ -49,16 +51,24 @@
     parser.add_argument('--jobs', type=int, default=2)
     parser.add_argument('--length', type=float, default=DEFAULT_LENGTH_S)
     parser.add_argument('--keep', type=Path, default=Path('soak-failures'))
+    parser.add_argument(
+        '--regressions',
+        action='store_true',
+        help='play the seeds that have failed once',
+    )
     args = parser.parse_args()
-    play_one = partial(play_seed, length_s=args.length, keep=args.keep)
+    runs = [(seed, args.length) for seed in args.seeds]
+    if args.regressions:
+        runs = [(seed, length_s) for seed, length_s, _ in REGRESSIONS]
+    play_one = partial(play_seed, keep=args.keep)
     broken = 0
     with multiprocessing.Pool(args.jobs, maxtasksperchild=1) as pool:
-        for seed, breaches in pool.imap_unordered(play_one, args.seeds):
+        for seed, breaches in pool.imap_unordered(play_one, runs):
             broken += bool(breaches)
             print(f'seed {seed}: {len(breaches)} breaches', flush=True)
             for breach in breaches[:5]:
                 print(f'  {breach[:300]}')
-    print(f'{len(args.seeds)} seeds, {broken} with breaches')
+    print(f'{len(runs)} seeds, {broken} with breaches')
     return 1 if broken else 0
 
 
