--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo bench ci
+.PHONY: setup test lint demo demo-platform bench ci
 
 setup: $(VENV)/.installed
 
@@ -23,4 +23,7 @@
 demo: setup
 	$(BIN)/python -m bench.demo
 
+demo-platform: setup
+	$(BIN)/python -m bench.demo_platform
+
 ci: test lint
--- /dev/null
+++ b/bench/demo_platform.py
@@ -0,0 +1,56 @@
+"""The demo of the platform's programs: traffic, a lost primary, a table.
+
+Starts three control and three edge processes on loopback addresses with
+stand-in databases, sends a mixed load, crashes the primary, and prints what
+callers got. Exits with 1 if any promise was broken.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import trio
+
+from soak.callers import Operation
+from soak.outside import ROUTES
+from soak.plan import Fault
+from soak.run import play
+
+SEED = 1
+LENGTH_S = 8.0
+CRASH = Fault(kind='database_crash', at_s=3.0, for_s=3.0, target=0, share=1.0)
+MS_PER_SECOND = 1_000
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = trio.run(play, SEED, LENGTH_S, Path(folder), [CRASH])
+    operations = run.recorder.operations
+    print(f'{len(operations)} operations, primary crashed at {CRASH.at_s} s')
+    for database, consistency in ROUTES.items():
+        counts = Counter(
+            op.outcome for op in operations if op.database == database
+        )
+        outcomes = ', '.join(f'{k} {n}' for k, n in counts.most_common() if k)
+        print(f'  {database} ({consistency}): {outcomes}')
+    print(f'longest time without a write: {longest_gap_ms(operations):.0f} ms')
+    for breach in run.breaches:
+        print(f'BROKEN {breach}')
+    return 1 if run.breaches else 0
+
+
+def longest_gap_ms(operations: list[Operation]) -> float:
+    """Return the longest time between two writes that succeeded."""
+    ends = sorted(
+        op.ended_s for op in operations if op.writes and op.outcome == 'done'
+    )
+    gaps = (later - end for end, later in zip(ends, ends[1:], strict=False))
+    return max(gaps, default=0.0) * MS_PER_SECOND
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,7 +24,7 @@
     seed, length_s = run
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     try:
-        breaches = trio.run(play, seed, length_s, folder)
+        breaches = trio.run(play, seed, length_s, folder).breaches
     except Exception:  # a run that cannot be played is a finding, too
         breaches = [f'not played: {traceback.format_exc()}']
     if breaches:
--- a/soak/run.py
+++ b/soak/run.py
@@ -63,6 +63,7 @@
     seed: int
     length_s: float
     folder: Path
+    plan: list[Fault]
     rng: random.Random
     group: LineGroup
     recorder: Recorder = field(default_factory=Recorder)
@@ -76,11 +77,24 @@
     operator: Operator = field(init=False)
 
 
-async def play(seed: int, length_s: float, folder: Path) -> list[str]:
-    """Play one seed and return the breaches."""
+async def play(
+    seed: int,
+    length_s: float,
+    folder: Path,
+    plan: list[Fault] | None = None,
+) -> Run:
+    """Play a plan, by default the one drawn from the seed.
+
+    Returns
+    -------
+    Run
+        With all that was seen, and `breaches` complete.
+    """
     rng = random.Random(seed)
     group = LineGroup('pool', sync_replicas=rng.randint(0, 1))
-    run = Run(seed, length_s, folder, rng, group)
+    if plan is None:
+        plan = draw_plan(seed, length_s)
+    run = Run(seed, length_s, folder, plan, rng, group)
     async with trio.open_nursery() as nursery:
         try:
             await _set_up(run, nursery)
@@ -96,11 +110,9 @@
         reads=group.reads,
         may_roll_back=not group.sync_replicas,
     )
-    return [
-        *run.breaches,
-        *find_breaches(evidence),
-        *find_cut_answers(evidence, run.drains),
-    ]
+    run.breaches += find_breaches(evidence)
+    run.breaches += find_cut_answers(evidence, run.drains)
+    return run
 
 
 async def _set_up(run: Run, nursery: trio.Nursery) -> None:
@@ -169,7 +181,7 @@
         changes = trio.CancelScope()
         faults.start_soon(_change, run, changes)
         began_s = trio.current_time()
-        for fault in draw_plan(run.seed, run.length_s):
+        for fault in run.plan:
             await trio.sleep_until(began_s + fault.at_s)
             faults.start_soon(_inject, run, fault)
         await trio.sleep_until(began_s + run.length_s)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -46,4 +46,4 @@
 
 @pytest.mark.process
 def test_short_run_keeps_every_promise(tmp_path):
-    assert trio.run(play, CI_SEED, CI_LENGTH_S, tmp_path) == []
+    assert trio.run(play, CI_SEED, CI_LENGTH_S, tmp_path).breaches == []
