--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.upstreams import note_reach
@@ -60,7 +61,8 @@
 
 def _judge(state: PoolerState, pool: Pool, first_ms: float) -> None:
     limit_ms = max(STALL_MS, pool.latency_ms * STALL_LATENCIES)
-    if state.now_ms < max(first_ms, pool.served_ms) + limit_ms:
+    without_ms = state.now_ms - max(first_ms, pool.served_ms)
+    if without_ms < limit_ms:
         return
     tried = len(pool.unserved) + len(_outstanding_ms(state, pool))
     if tried < MIN_UNSERVED:
@@ -69,6 +71,16 @@
     hold_ms = min(MAX_HOLD_MS, HOLD_MS * 2**pool.stalls)
     pool.stalls += 1
     pool.stalled_until_ms = state.now_ms + hold_ms
+    log(
+        state,
+        'warning',
+        'upstream_stalled',
+        upstream=pool.view.name,
+        statements=tried,
+        without_success_ms=round(without_ms),
+        limit_ms=round(limit_ms),
+        hold_ms=round(hold_ms),
+    )
     note_reach(state, pool, 'stalled')
 
 
--- a/jackdawpost/tests/core/pooler/test_stalls.py
+++ b/jackdawpost/tests/core/pooler/test_stalls.py
@@ -31,6 +31,8 @@
     world.run(1_200)
     assert _evidence(world, 'db-1') == 'stalled'
     assert _evidence(world, 'db-2') == 'up'
+    [line] = [log for log in world.logs if log.event == 'upstream_stalled']
+    assert line.fields['upstream'] == 'db-1'
 
 
 def test_statements_wait_for_the_successor_of_a_stalled_primary():
@@ -103,7 +105,7 @@
         _ask_some(world, 'orders', 'WRITE 1 a', number=10)
         world.run(50)
     assert database.shed
-    assert not [log for log in world.logs if 'stalled' in log.fields.values()]
+    assert not [log for log in world.logs if log.event == 'upstream_stalled']
 
 
 def test_stalled_upstream_is_tried_again_after_a_while():
