--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -156,13 +156,12 @@
         self.write_settings(node)
         self._signal(node, signal.SIGHUP)
 
-    def stop(self, node: Node) -> Life | None:
+    def stop(self, node: Node) -> None:
         """Ask a process to stop."""
         life = node.life
         if life is not None and life.stopped_s is None:
             life.stopped_s = time.monotonic()
             self._signal(node, signal.SIGTERM)
-        return life
 
     def kill(self, node: Node) -> None:
         """Kill a process at once."""
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -19,7 +19,7 @@
 _ABORT = struct.pack('ii', 1, 0)
 
 
-@dataclass
+@dataclass(eq=False)
 class _Pair:
     near: trio.SocketStream
     far: trio.SocketStream
@@ -35,6 +35,8 @@
 
     Parameters
     ----------
+    port : int
+        Where it passes connections on to.
     mode : str
         ``'one_way'`` holds back answers only.
     share : float
@@ -45,19 +47,18 @@
     port: int = 0
     mode: Mode = 'pass'
     share: float = 1.0
-    pairs: set[int] = field(default_factory=set)
-    _pairs: dict[int, _Pair] = field(default_factory=dict)
+    _pairs: list[_Pair] = field(default_factory=list)
 
     def set_mode(self, mode: Mode, share: float) -> None:
         """Put old and new connections under a fault."""
         self.mode = mode
         self.share = share
-        for pair in self._pairs.values():
+        for pair in self._pairs:
             pair.is_touched = self.rng.random() < share
 
     def reset(self, share: float) -> None:
         """Reset a part of the open connections."""
-        for pair in list(self._pairs.values()):
+        for pair in self._pairs:
             if self.rng.random() < share:
                 for stream in (pair.near, pair.far):
                     _abort(stream)
@@ -71,13 +72,13 @@
             return
         touched = self.rng.random() < self.share
         pair = _Pair(near, far, touched)
-        self._pairs[id(pair)] = pair
+        self._pairs.append(pair)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._copy, pair, near, far, False, nursery)
                 nursery.start_soon(self._copy, pair, far, near, True, nursery)
         finally:
-            del self._pairs[id(pair)]
+            self._pairs.remove(pair)
             for stream in (near, far):
                 _abort(stream)
 
