Let a database leave and return in the soak

Its reports say that it drains; 7 s after that is acknowledged it must get no new work, and its next incarnation joins by approval.

--- a/soak/outside.py
+++ b/soak/outside.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from http import HTTPStatus
+from typing import Literal
 
 import trio
 
@@ -104,6 +105,7 @@
     hosts: list[str]
     rng: random.Random
     sequence: int = 0
+    state: Literal['ready', 'draining'] = 'ready'
     started_ms: int = field(default_factory=lambda: int(time.time() * 1_000))
 
     async def run(self) -> None:
@@ -113,21 +115,42 @@
                 await self._report()
             await trio.sleep(BEAT_S)
 
-    async def _report(self) -> None:
+    async def leave(self) -> None:
+        """Report that the database leaves until that is acknowledged."""
+        self.state = 'draining'
+        while not await self._report():
+            await trio.sleep(BEAT_S)
+
+    async def depart(self) -> None:
+        """Say that the database has ended."""
+        hosts = self.rng.sample(self.hosts, len(self.hosts))
+        body = json.dumps({'born': self.started_ms}).encode()
+        await call_control(hosts, 'DELETE', self._path(), body)
+
+    def renew(self) -> None:
+        """Report the next incarnation of the database."""
+        self.state = 'ready'
+        self.sequence = 0
+        self.started_ms = int(time.time() * 1_000)
+
+    def _path(self) -> str:
+        return f'/instances/{self.database.name}'
+
+    async def _report(self) -> bool:
         self.sequence += 1
         body = {
             'service': self.database.group.name,
             'address': self.address,
             'zone': self.zone,
-            'state': 'ready',
+            'state': self.state,
             'dbRole': 'primary' if self.database.leads else 'replica',
             'slots': self.database.slots,
             'sequence': self.sequence,
             'born': self.started_ms,
         }
         hosts = self.rng.sample(self.hosts, len(self.hosts))
-        path = f'/instances/{self.database.name}'
-        await call_control(hosts, 'PUT', path, json.dumps(body).encode())
+        text = json.dumps(body).encode()
+        return await call_control(hosts, 'PUT', self._path(), text) is not None
 
 
 @dataclass
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,10 +23,12 @@
     'database_hang',
     'database_slow',
     'database_lag',
+    'database_leave',
     'order_lost',
     'order_late',
 ]
-# How often each kind is drawn, relative to the others.
+# How often each kind is drawn, relative to the others. A database leaves at
+# most once in a run; see `LEAVE_SHARE`.
 WEIGHTS: dict[Kind, int] = {
     'link_delay': 2,
     'link_reset': 2,
@@ -44,6 +46,7 @@
     'database_hang': 1,
     'database_slow': 2,
     'database_lag': 2,
+    'database_leave': 0,
     'order_lost': 1,
     'order_late': 1,
 }
@@ -55,6 +58,8 @@
 MAX_FOR_S = 4.0
 # A control process is back in the group this long after its fault.
 CONTROL_GAP_S = 5.0
+# Share of the plans in which a database leaves.
+LEAVE_SHARE = 0.5
 # Mean time between the starts of two faults; they overlap.
 MEAN_GAP_S = 0.8
 
@@ -105,4 +110,15 @@
                 continue
             control_free_s = fault.at_s + for_s + CONTROL_GAP_S
         plan.append(fault)
-    return plan
+    # Drawn apart, so that the other faults of a seed stay as they were.
+    other = random.Random(f'{seed}/leave')
+    if other.random() < LEAVE_SHARE:
+        leave = Fault(
+            kind='database_leave',
+            at_s=round(other.uniform(0.0, length_s / 2), 3),
+            for_s=0.0,
+            target=other.randrange(6),
+            share=1.0,
+        )
+        plan.append(leave)
+    return sorted(plan, key=lambda fault: fault.at_s)
--- a/soak/run.py
+++ b/soak/run.py
@@ -51,6 +51,9 @@
 RECOVERY_S = 12.0
 CALM_S = 2.0  # of traffic that must succeed after that
 CONFIG_DEADLINE_S = 3.0
+# A leaving database gets no new work after this (`drainMs` is 7 s here).
+LEAVING_WORK_S = 7.0
+LEAVING_WATCH_S = 1.0
 RESTART_S = 0.5  # between the end of a process and its next start
 STOP_MARGIN_S = 0.5
 IMPORT_S = 3.0  # from the start of a process to its handling of signals
@@ -68,6 +71,7 @@
     group: LineGroup
     recorder: Recorder = field(default_factory=Recorder)
     relays: list[Relay] = field(default_factory=list)
+    reporters: list[Reporter] = field(default_factory=list)
     breaches: list[str] = field(default_factory=list)
     drains: dict[str, list[tuple[float, float]]] = field(
         default_factory=lambda: defaultdict(list)
@@ -134,6 +138,7 @@
         reporter = Reporter(
             database, address, ZONES[number], hosts, random.Random(run.seed)
         )
+        run.reporters.append(reporter)
         nursery.start_soon(reporter.run)
     run.operator = Operator(
         'pool', hosts, random.Random(run.seed), run.group.sync_replicas
@@ -260,7 +265,9 @@
 async def _inject_database(run: Run, fault: Fault) -> None:
     databases = list(run.group.databases.values())
     database: LineDatabase = databases[fault.target % len(databases)]
-    if fault.kind == 'database_crash':
+    if fault.kind == 'database_leave':
+        await _leave(run, run.reporters[fault.target % len(databases)])
+    elif fault.kind == 'database_crash':
         await database.crash()
         await trio.sleep(fault.for_s)
         database.is_running = True
@@ -278,6 +285,26 @@
         database.apply_s = 0.02
 
 
+async def _leave(run: Run, reporter: Reporter) -> None:
+    """Drain a database, end it, and bring it back at its address.
+
+    What it has is handed on to its next incarnation.
+    """
+    database = reporter.database
+    await reporter.leave()
+    await trio.sleep(LEAVING_WORK_S)
+    ran = len(database.ran)
+    await trio.sleep(LEAVING_WATCH_S)
+    if len(database.ran) > ran:
+        late = database.ran[ran : ran + 3]
+        run.breaches.append(f'leaving: {database.name} still ran {late}')
+    await reporter.depart()
+    await database.crash()
+    await trio.sleep(RESTART_S)
+    reporter.renew()
+    database.is_running = True
+
+
 async def _inject_control(run: Run, fault: Fault) -> None:
     cluster = run.cluster
     nodes = [cluster.controls[fault.target % len(cluster.controls)]]
