Let statements use a probe's connection where a process has only one

After a restart the first connection to an upstream is opened for probes; it counts against the share and is only given up once a statement connection exists, so that none is ever opened and every statement waits to its end. Change: an idle connection for probes is taken over by statements when the share is used up. Before: test_single_connection_serves_probes_and_statements fails for shares of one; after: it passes.

--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -100,6 +100,23 @@
     count(state, 'upstream_opens')
 
 
+def adopt_monitor(state: PoolerState, pool: Pool) -> UpstreamConn | None:
+    """Give statements the idle connection that was opened for probes.
+
+    Where this process may have one connection only, statements would wait
+    for ever for another; probes use any that is idle.
+    """
+    conn = state.conns.get(pool.monitor)
+    if conn is None or not conn.is_idle:
+        return None
+    if open_count(pool) < connection_limit(state, pool):
+        return None
+    conn.purpose = 'statements'
+    pool.conns.add(conn.conn)
+    pool.monitor = 0
+    return conn
+
+
 def discard(state: PoolerState, conn: UpstreamConn, reason: str) -> None:
     """Close a connection and forget it."""
     close(state, conn.conn, reason, abort=True)
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -8,6 +8,7 @@
 from jackdawpost.core.pooler.answers import refuse
 from jackdawpost.core.pooler.answers import unserved_code
 from jackdawpost.core.pooler.connections import add_connection
+from jackdawpost.core.pooler.connections import adopt_monitor
 from jackdawpost.core.pooler.connections import may_open
 from jackdawpost.core.pooler.connections import replay_session
 from jackdawpost.core.pooler.connections import send_internal
@@ -209,7 +210,7 @@
             return conn
         if found is None or not conn.session:
             found = conn
-    return found
+    return found or adopt_monitor(state, pool)
 
 
 def _start(
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -320,6 +320,9 @@
                 take_told(state, pool, step, answer)
             else:
                 take_probe_answer(state, pool, conn, step, answer)
+            if conn.is_idle:
+                # It may be the only one that statements can have.
+                state.dirty.add(f'group/{pool.view.group}')
         return
     take_answer(state, conn, step, answer)
 
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -171,6 +171,26 @@
         assert any(isinstance(m, Done) for m in world.answer(conn))
 
 
+@pytest.mark.parametrize('max_connections', [3, 4, 5])
+def test_single_connection_serves_probes_and_statements(max_connections):
+    # 30 proxies before 56 connections have one each. A connection that was
+    # opened for probes kept it, and no statement ever ran.
+    world = PoolerWorld(
+        [
+            endpoint('orders', 'primary', 0, max_connections=max_connections),
+            endpoint('reports', 'bounded_staleness', 1_500),
+        ]
+    )
+    world.run(1_000)
+    for database in ('orders', 'reports', 'orders'):
+        assert isinstance(world.call(world.open(database), 'READ 1'), Done)
+    world.kill('db-1')
+    world.run(500)
+    world.promote('db-2')
+    world.run(2_000)
+    assert isinstance(world.call(world.open('orders'), 'READ 1'), Done)
+
+
 def test_scarce_connections_are_not_exceeded_by_probes():
     # 24 proxies before 56 connections have two each: a third for probes
     # would have the upstream reset others.
