Admit a voter again that lost its disk, whoever opens the links

A process with an empty disk that has been sent the voters of before took itself for one, and waited for links from those whose names sort first; they had removed it and opened none. Second, found by the test: one with an empty disk that was linked to followers only was told nothing of the group, as they took it for a voter. Change: a process whose disk is not admitted, or that has heard no leader for 1.5 s, opens links to all it knows; the group is told to every linked process. Ruled out: the admission itself (a linked newcomer is admitted in 0.2 s). Before: test_voter_with_an_empty_disk_finds_the_group_by_itself fails for c2 and c3; after: it passes.

--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -355,6 +355,7 @@
     leaving_peers: set[str] = field(default_factory=set)
     voters_due_ms: float = 0.0
     tell_due_ms: float = 0.0
+    leader_seen_ms: float = 0.0
     told_group: tuple[str, tuple[str, ...]] | None = None
     group_leader: str = ''
     group_voters: list[str] = field(default_factory=list)
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -183,7 +183,7 @@
         return
     state.peers[event.peer] = event.conn
     state.leaving_peers.discard(event.peer)
-    state.tell_due_ms = state.now_ms
+    state.told_group = None
 
 
 def _on_closed(state: ControlState, event: ConnClosed) -> None:
--- a/jackdawpost/core/control/voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from jackdawpost.core.consensus import process as consensus
+from jackdawpost.core.consensus.state import newcomer_id
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import send
@@ -20,6 +21,9 @@
 VOTER_LOST_MS = 2_000.0
 # Pause between two changes of the voter set.
 CHANGE_PAUSE_MS = 100.0
+# Time without a leader after which a voter opens links to all others, longer
+# than an election.
+LONE_MS = 1_500.0
 # Pause between two notes of the group to processes that follow it.
 TELL_PAUSE_MS = 1_000.0
 
@@ -120,7 +124,16 @@
         return
     core = state.consensus
     name = state.cfg.name
-    is_inside = name in core.voters or name in core.learners
+    if core.leader is not None:
+        state.leader_seen_ms = state.now_ms
+    is_lone = state.now_ms >= state.leader_seen_ms + LONE_MS
+    # One with an empty disk, or that hears no leader, may have been removed:
+    # the others then open no link to it.
+    is_inside = (
+        (name in core.voters or name in core.learners)
+        and not newcomer_id(core)
+        and not is_lone
+    )
     wanted = {*known_peers(state), *state.cfg.seeds} - {name}
     if is_inside:
         wanted = {peer for peer in wanted if name < peer}
@@ -142,9 +155,9 @@
     state.told_group = told
     state.tell_due_ms = state.now_ms + TELL_PAUSE_MS
     message = ControlGroup(leader=core.leader, voters=list(core.voters))
-    for name, conn in state.peers.items():
-        if name not in core.voters:
-            send(state, conn, message)
+    # A voter may have lost its disk, and know nothing of the group.
+    for conn in state.peers.values():
+        send(state, conn, message)
 
 
 def take_group(state: ControlState, message: ControlGroup) -> None:
--- a/jackdawpost/tests/core/control/test_voters.py
+++ b/jackdawpost/tests/core/control/test_voters.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import DrainRequested
 from jackdawpost.tests.core.control.fakes import Group
 
@@ -124,3 +127,76 @@
         if isinstance(effect, FollowPeers) and name == 'c4'
     ]
     assert set(follows[-1].peers) >= set(NAMES)
+
+
+class FollowingGroup(Group):
+    """Control processes that are linked only as they themselves ask."""
+
+    def __init__(self, **cfg_fields):
+        self.wanted = {}
+        self.open = {}
+        super().__init__([], **cfg_fields)
+
+    def perform(self, name, effects):
+        super().perform(name, effects)
+        for effect in effects:
+            if isinstance(effect, FollowPeers):
+                self.wanted[name] = set(effect.peers)
+                self.later(5, lambda: self._follow(name))
+
+    def stop_process(self, name):
+        super().stop_process(name)
+        self.wanted.pop(name, None)
+        for pair in [pair for pair in self.open if name in pair]:
+            del self.open[pair]
+            self.later(5, lambda pair=pair: self._follow(pair[0]))
+
+    def _follow(self, name):
+        wanted = self.wanted.get(name, set())
+        for pair in [p for p in self.open if p[0] == name]:
+            if pair[1] not in wanted:
+                one, two = self.open.pop(pair)
+                for own, conn in zip(pair, (one, two), strict=True):
+                    self.ends.pop((own, conn), None)
+                    closed = ConnClosed(now_ms=self.now, conn=conn)
+                    self.feed(own, closed)
+        for peer in wanted:
+            if (name, peer) in self.open:
+                continue
+            if peer not in self.controls or peer in self.stopped:
+                self.later(100, lambda: self._follow(name))
+                continue
+            before = next(self.conns)
+            self.link_processes(name, peer)
+            self.open[name, peer] = (before + 1, before + 2)
+
+
+def _start_following():
+    # Seeds are linked in any case; not every voter is one.
+    seeds = ('c1', 'c2')
+    group = FollowingGroup(voter_target=3, delegated=True, seeds=seeds)
+    for number, name in enumerate(NAMES):
+        group.start_process(name, NAMES, 100 + number, f'disk-{name}')
+    assert group.run(5_000, lambda: group.leader() is not None)
+    group.run(1_000)
+    return group
+
+
+@pytest.mark.parametrize('lost', NAMES)
+@pytest.mark.parametrize('down_ms', [50, 500, 5_000])
+@pytest.mark.parametrize('wait_ms', [0, 300])
+def test_voter_with_an_empty_disk_finds_the_group_by_itself(
+    lost, down_ms, wait_ms
+):
+    # Once it had been sent the voters of before, it took itself for one and
+    # waited for links from those whose names sort first. They had removed it.
+    group = _start_following()
+    group.stop_process(lost)
+    group.run(down_ms)
+    group.run(3_000, lambda: group.leader() is not None)
+    # The next change of the voters has to wait, as behind another one.
+    group.leader().voters_due_ms = group.now + wait_ms
+    group.start_process(lost, [], 7, 'disk-new')
+    group.run(6_000)
+    assert sorted(_voters(group)) == NAMES
+    assert group.controls[lost].consensus.hard.admitted_as == lost
