End a transaction's statement at once whose connection is lost while it waits for a slot

One that is refused for a slot is repeated in place after a pause; nothing is outstanding meanwhile, so that the loss of the connection reached no statement, and the repeat found no connection and did nothing. Change: the loss of a transaction's connection ends the statement that waits.

--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -283,9 +283,21 @@
             # The upstream rolls back what a closed connection leaves open.
             owner.txn.conn = 0
             owner.state = 'failed_txn'
+            _end_waiting(state, owner, reason)
     conn.owner = 0
 
 
+def _end_waiting(state: PoolerState, session: Session, reason: str) -> None:
+    """End a transaction's statement that waited for a slot in place."""
+    work = session.work
+    if work is None or work.number not in state.works:
+        return
+    if work.req.verb == 'commit':
+        session.txn = None
+        session.state = 'idle'
+    refuse(state, work, 'aborted', f'connection lost: {reason}')
+
+
 def _lose_statement(state: PoolerState, work: Work, reason: str) -> None:
     session = work.session
     if session is None:
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -122,6 +122,25 @@
     assert isinstance(world.call(conn, 'COMMIT'), Done)
 
 
+@pytest.mark.parametrize('text', ['WRITE 2 b', 'COMMIT'])
+def test_transaction_that_waits_for_a_slot_ends_with_its_connection(text):
+    # Nothing was outstanding on the connection then, so that its loss was
+    # noticed only at the end of the statement's time.
+    world = PoolerWorld()
+    conn = world.open('orders')
+    world.call(conn, 'BEGIN')
+    world.call(conn, 'WRITE 1 a')
+    request_id = world.ask(conn, text)
+    world.databases['db-1'].refuses.add(request_id)
+    world.run(12)
+    world.reset('db-1')
+    world.run(150)
+    messages = world.answer(conn)
+    [failed] = [m for m in messages if isinstance(m, Failed)]
+    assert failed.code == 'aborted'
+    assert not [ran for ran in world.ran if ran.text == 'COMMIT']
+
+
 def test_urgent_statements_go_first():
     world = PoolerWorld(
         [
