Write the pooler's rollback, lost connection and failed transaction once

Each rollback at an upstream was spelled out where it is sent, each connection that is given up was lost and then discarded by two calls, and a transaction's statement was ended in two places. One function each; behaviour unchanged.

--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -165,6 +165,13 @@
     send(state, conn.conn, message)
 
 
+def send_rollback(
+    state: PoolerState, conn: UpstreamConn, kind: StepKind = 'rollback'
+) -> None:
+    """End a transaction that this process has begun."""
+    send_internal(state, conn, kind, Internal(action='rollback'))
+
+
 def idle_connection(state: PoolerState, pool: Pool) -> UpstreamConn | None:
     numbers = [*sorted(pool.conns), pool.monitor]
     conns = [state.conns[n] for n in numbers if n in state.conns]
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -11,7 +11,7 @@
 from jackdawpost.core.pooler.connections import adopt_monitor
 from jackdawpost.core.pooler.connections import may_open
 from jackdawpost.core.pooler.connections import replay_session
-from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.connections import send_rollback
 from jackdawpost.core.pooler.limits import has_room
 from jackdawpost.core.pooler.limits import has_waited_too_long
 from jackdawpost.core.pooler.limits import must_wait_too_long
@@ -275,8 +275,7 @@
     )
     send(state, conn.conn, execute)
     if _is_guarded(work):
-        undo = Internal(action='rollback')
-        send_internal(state, conn, 'rollback', undo)
+        send_rollback(state, conn)
 
 
 def _is_guarded(work: Work) -> bool:
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -11,6 +11,7 @@
 from jackdawpost.core.pooler.connections import open_connection
 from jackdawpost.core.pooler.connections import open_count
 from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.connections import send_rollback
 from jackdawpost.core.pooler.stalls import look_for_stall
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import group_of
@@ -231,8 +232,7 @@
         if answer.signature and answer.rows:
             _take_status(state, pool, answer)
     elif answer.signature:
-        undo = Internal(action='rollback')
-        send_internal(state, conn, 'probe_rollback', undo)
+        send_rollback(state, conn, 'probe_rollback')
         if answer.position is not None:
             note_leader(state, pool, step.sent_ms, answer.position)
     elif answer.code == 'not_primary':
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.pooler.answers import finish
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.answers import refuse
@@ -15,7 +14,7 @@
 from jackdawpost.core.pooler.connections import connection_limit
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import open_count
-from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.connections import send_rollback
 from jackdawpost.core.pooler.limits import note_pace
 from jackdawpost.core.pooler.limits import note_served
 from jackdawpost.core.pooler.limits import note_shed
@@ -67,8 +66,7 @@
     if step.kind == 'statement' and answer.signature == NOT_RUN_SIGNATURE:
         # Only statements of this process are answered so: an answer before
         # this one has been lost.
-        lose_statement_conn(state, conn, 'an answer is missing', step)
-        discard(state, conn, 'an answer is missing')
+        _abandon(state, conn, 'an answer is missing', step)
         return
     if step.kind == 'replay' and answer.code:
         # The session's values are not on the connection.
@@ -80,8 +78,7 @@
             code=answer.code,
             detail=answer.text,
         )
-        lose_statement_conn(state, conn, 'replay refused')
-        discard(state, conn, 'replay refused')
+        _abandon(state, conn, 'replay refused')
         return
     if step.kind == 'begin' and work is not None:
         _take_begin(state, pool, conn, step, work, answer)
@@ -114,14 +111,14 @@
     if answer.code:
         conn.owner = 0
         if answer.state != 'idle':
-            send_internal(state, conn, 'rollback', Internal(action='rollback'))
+            send_rollback(state, conn)
         _take_refusal(state, pool, work, answer)
         return
     if pool is not None and work.after is None and answer.position:
         note_leader(state, pool, step.sent_ms, answer.position)
     if work.session is None or work.number not in state.works:
         conn.owner = 0
-        send_internal(state, conn, 'rollback', Internal(action='rollback'))
+        send_rollback(state, conn)
         return
     txn = work.session.txn
     if work.in_txn and txn is not None:
@@ -283,19 +280,22 @@
             # The upstream rolls back what a closed connection leaves open.
             owner.txn.conn = 0
             owner.state = 'failed_txn'
-            _end_waiting(state, owner, reason)
+            waiting = owner.work
+            if waiting is not None and waiting.number in state.works:
+                # It waited for a slot: nothing of it has run.
+                _end_in_txn(state, owner, waiting, 'aborted', reason)
     conn.owner = 0
 
 
-def _end_waiting(state: PoolerState, session: Session, reason: str) -> None:
-    """End a transaction's statement that waited for a slot in place."""
-    work = session.work
-    if work is None or work.number not in state.works:
-        return
-    if work.req.verb == 'commit':
-        session.txn = None
-        session.state = 'idle'
-    refuse(state, work, 'aborted', f'connection lost: {reason}')
+def _abandon(
+    state: PoolerState,
+    conn: UpstreamConn,
+    reason: str,
+    unanswered: Step | None = None,
+) -> None:
+    """Give a connection up with all that is out on it."""
+    lose_statement_conn(state, conn, reason, unanswered)
+    discard(state, conn, reason)
 
 
 def _lose_statement(state: PoolerState, work: Work, reason: str) -> None:
@@ -305,11 +305,8 @@
         return
     if work.in_txn:
         is_commit = work.req.verb == 'commit'
-        session.state = 'idle' if is_commit else 'failed_txn'
-        if is_commit:
-            session.txn = None
         code = 'unknown_outcome' if is_commit else 'aborted'
-        refuse(state, work, code, f'connection lost: {reason}')
+        _end_in_txn(state, session, work, code, reason)
     elif work.is_write:
         refuse(state, work, 'unknown_outcome', f'connection lost: {reason}')
     elif work.attempts < MAX_READ_ATTEMPTS and state.now_ms < work.due_ms:
@@ -320,6 +317,17 @@
         refuse(state, work, 'aborted', f'connection lost: {reason}')
 
 
+def _end_in_txn(
+    state: PoolerState, session: Session, work: Work, code: str, reason: str
+) -> None:
+    """Refuse a transaction's statement whose connection is lost."""
+    is_commit = work.req.verb == 'commit'
+    session.state = 'idle' if is_commit else 'failed_txn'
+    if is_commit:
+        session.txn = None
+    refuse(state, work, code, f'connection lost: {reason}')
+
+
 def move_reads(state: PoolerState, upstream: str) -> None:
     """Try the reads elsewhere that wait for an upstream out of reach.
 
@@ -336,8 +344,7 @@
             continue
         for work in works:
             work.excluded.add(upstream)
-        lose_statement_conn(state, conn, 'upstream out of reach')
-        discard(state, conn, 'upstream out of reach')
+        _abandon(state, conn, 'upstream out of reach')
 
 
 def on_attempt_due(state: PoolerState, number: int, attempt: int) -> None:
@@ -358,8 +365,7 @@
     )
     if conn is not None:
         work.excluded.add(conn.upstream)
-        lose_statement_conn(state, conn, 'no answer')
-        discard(state, conn, 'no answer')
+        _abandon(state, conn, 'no answer')
 
 
 def give_up_all(state: PoolerState) -> None:
@@ -382,12 +388,10 @@
         # Nothing of this attempt was sent.
         refuse(state, work, unserved_code(work), 'no upstream in time')
         if conn is not None and conn.steps:
-            lose_statement_conn(state, conn, 'no answer to a begin')
-            discard(state, conn, 'no answer to a begin')
+            _abandon(state, conn, 'no answer to a begin')
         return
     work.attempts = MAX_READ_ATTEMPTS
     if conn is None:
         refuse(state, work, 'aborted', 'connection lost')
         return
-    lose_statement_conn(state, conn, 'time limit')
-    discard(state, conn, 'time limit')
+    _abandon(state, conn, 'time limit')
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -11,6 +11,7 @@
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.connections import send_internal
+from jackdawpost.core.pooler.connections import send_rollback
 from jackdawpost.core.pooler.placement import run_statement
 from jackdawpost.core.pooler.placement import submit
 from jackdawpost.core.pooler.state import close
@@ -238,14 +239,18 @@
         return
     txn.conn = 0
     conn.owner = 0
-    send_internal(state, conn, 'rollback', Internal(action='rollback'))
+    send_rollback(state, conn)
 
 
 def _roll_back(state: PoolerState, session: Session) -> None:
+    _drop_txn(state, session)
+    answer_local(state, session)
+
+
+def _drop_txn(state: PoolerState, session: Session) -> None:
     release_txn_conn(state, session)
     session.txn = None
     session.state = 'idle'
-    answer_local(state, session)
 
 
 def _commit(state: PoolerState, session: Session, req: Request) -> None:
@@ -253,9 +258,7 @@
         fail(state, session, 'malformed', 'no transaction is open')
         return
     if session.state == 'failed_txn':
-        release_txn_conn(state, session)
-        session.txn = None
-        session.state = 'idle'
+        _drop_txn(state, session)
         text = 'the transaction had failed and is rolled back'
         fail(state, session, 'aborted', text)
         return
