Share the caller of the line protocol; the soak starts nothing it cannot end

The soak and the test of the programs each had a client of the line protocol; the stand-in now has one. The soak's set-up starts no process any more, so that its failure does not meet a cluster that is not there, and the end of a process is kept where it is used.

--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -17,6 +17,7 @@
 
 from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
+from jackdawpost_standin.line_caller import LineCaller
 from jackdawpost_standin.line_database import LineGroup
 
 pytestmark = pytest.mark.process
@@ -107,27 +108,6 @@
         await trio.sleep(0.1)
 
 
-class Caller:
-    """A session over the line protocol."""
-
-    def __init__(self, stream):
-        self.stream = stream
-        self.buffer = b''
-
-    async def ask(self, line):
-        """Send a line and return the answer up to `READY`."""
-        await self.stream.send_all(line.encode() + b'\r\n')
-        lines = []
-        while not lines or not lines[-1].startswith('READY'):
-            while b'\r\n' not in self.buffer:
-                data = await self.stream.receive_some(4_096)
-                assert data, f'closed after {lines}'
-                self.buffer += data
-            text, _, self.buffer = self.buffer.partition(b'\r\n')
-            lines.append(text.decode())
-        return lines
-
-
 CONFIG = {
     'version': 3,
     'routes': [
@@ -198,7 +178,7 @@
 async def _use(frontend, database):
     stream = await trio.open_tcp_stream(HOST, frontend)
     async with stream:
-        caller = Caller(stream)
+        caller = LineCaller(stream)
         assert await caller.ask('START orders u1') == ['READY I -']
         assert (await caller.ask('QUERY a1 SET zone x'))[0] == 'COMPLETE -'
         done = await caller.ask('QUERY a2 WRITE 7 blue')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 
 import trio
 
+from jackdawpost_standin.line_caller import LineCaller
+from jackdawpost_standin.line_caller import SessionLost
 from soak.cluster import FRONTEND_PORT
 from soak.cluster import Node
 
@@ -59,10 +61,6 @@
     kind: Literal['single', 'transaction'] = 'single'
 
 
-class SessionLost(Exception):
-    """The connection has ended."""
-
-
 @dataclass
 class Recorder:
     """All operations of a run."""
@@ -77,37 +75,6 @@
         return f'q{self.next_id:x}'
 
 
-@dataclass
-class CallerSession:
-    """A connection to an edge process."""
-
-    stream: trio.SocketStream
-    buffer: bytes = b''
-
-    async def ask(self, line: str) -> list[str]:
-        """Send a line and return its answer up to ``READY``.
-
-        Raises
-        ------
-        SessionLost
-            The connection ended first.
-        """
-        try:
-            await self.stream.send_all(line.encode() + b'\r\n')
-            lines: list[str] = []
-            while not lines or not lines[-1].startswith('READY'):
-                while b'\r\n' not in self.buffer:
-                    data = await self.stream.receive_some(65_536)
-                    if not data:
-                        raise SessionLost(line)
-                    self.buffer += data
-                text, _, self.buffer = self.buffer.partition(b'\r\n')
-                lines.append(text.decode())
-        except trio.BrokenResourceError as exc:
-            raise SessionLost(line) from exc
-        return lines
-
-
 async def run_caller(
     recorder: Recorder,
     rng: random.Random,
@@ -143,7 +110,7 @@
 ) -> None:
     recorder.next_session += 1
     number = recorder.next_session
-    session = CallerSession(stream)
+    session = LineCaller(stream)
     if not await start(session, database):
         return
     for _ in range(rng.randint(1, SESSION_OPERATIONS)):
@@ -164,7 +131,7 @@
         await trio.sleep(rng.expovariate(1 / PAUSE_S))
 
 
-async def start(session: CallerSession, database: str) -> bool:
+async def start(session: LineCaller, database: str) -> bool:
     """Start a session; True if the database name is served."""
     with trio.move_on_after(CONNECT_S):
         try:
@@ -178,7 +145,7 @@
 async def _operate(
     recorder: Recorder,
     rng: random.Random,
-    session: CallerSession,
+    session: LineCaller,
     operation: Operation,
 ) -> str:
     try:
@@ -194,7 +161,7 @@
 async def _statement(
     recorder: Recorder,
     rng: random.Random,
-    session: CallerSession,
+    session: LineCaller,
     operation: Operation,
     is_write: bool,
 ) -> str:
@@ -208,7 +175,7 @@
 async def _transact(
     recorder: Recorder,
     rng: random.Random,
-    session: CallerSession,
+    session: LineCaller,
     operation: Operation,
 ) -> str:
     async def control(word: str) -> tuple[str, bool]:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -40,7 +40,6 @@
     process: subprocess.Popen[bytes]
     started_s: float = field(default_factory=time.monotonic)
     stopped_s: float | None = None
-    ended_s: float | None = None
     disturbed: bool = False
 
 
@@ -170,7 +169,6 @@
             life.disturbed = True
             life.process.kill()
             life.process.wait()
-            life.ended_s = time.monotonic()
 
     def wipe(self, node: Node) -> None:
         """Kill a process and lose its disk."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,9 +17,9 @@
 import trio
 
 from jackdawpost.platform.http import serve_http
+from jackdawpost_standin.line_caller import LineCaller
 from jackdawpost_standin.line_database import LineDatabase
 from jackdawpost_standin.line_database import LineGroup
-from soak.callers import CallerSession
 from soak.callers import Recorder
 from soak.callers import run_caller
 from soak.callers import start
@@ -100,8 +100,8 @@
         plan = draw_plan(seed, length_s)
     run = Run(seed, length_s, folder, plan, rng, group)
     async with trio.open_nursery() as nursery:
+        await _set_up(run, nursery)
         try:
-            await _set_up(run, nursery)
             await _start(run)
             await _strike(run, nursery)
         finally:
@@ -143,7 +143,6 @@
     run.operator = Operator(
         'pool', hosts, random.Random(run.seed), run.group.sync_replicas
     )
-    run.cluster.start_all()
 
 
 async def _listen(
@@ -156,7 +155,8 @@
 
 
 async def _start(run: Run) -> None:
-    """Wait until every edge serves the first configuration."""
+    """Start all, and wait until every edge serves a configuration."""
+    run.cluster.start_all()
     with trio.fail_after(START_LIMIT_S):
         while not await run.operator.change():
             await trio.sleep(0.2)
@@ -171,7 +171,7 @@
     except OSError:
         return False
     async with stream:
-        return await start(CallerSession(stream), database)
+        return await start(LineCaller(stream), database)
 
 
 async def _strike(run: Run, nursery: trio.Nursery) -> None:
@@ -361,13 +361,13 @@
         run.breaches.append(f'stop: {node.name} outlived its grace time')
         run.cluster.kill(node)
         return
-    life.ended_s = time.monotonic()
+    ended_s = time.monotonic()
     code = life.process.returncode
     if code == -signal.SIGTERM and stopped_s < life.started_s + IMPORT_S:
         return  # it was still loading, and had no caller
     if code != 0:
         run.breaches.append(f'stop: {node.name} ended with {code}')
-    run.drains[node.name].append((stopped_s, life.ended_s))
+    run.drains[node.name].append((stopped_s, ended_s))
 
 
 def _note(run: Run, text: str) -> None:
