Write log, count, observe and send once for the three reducers

Control, proxy and pooler each had their own, over lists of effects with two names. core/outbox.py serves all states that have an outbox; the proxy keeps its send, which joins messages of one event.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -20,7 +20,6 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import Order
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import Sighting
@@ -30,6 +29,7 @@
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.outbox import log
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
 
--- a/jackdawpost/core/control/freeze.py
+++ b/jackdawpost/core/control/freeze.py
@@ -12,12 +12,12 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import Freeze
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.process import log
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
 
 # Pause between two attempts, each through another proxy.
--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -21,7 +21,6 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_member
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.promotion_facts import drive_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.proxies import close_silent_proxies
@@ -39,6 +38,7 @@
 from jackdawpost.core.control.upstreams import advance_groups
 from jackdawpost.core.control.upstreams import wake_groups
 from jackdawpost.core.control.voters import advance_voters
+from jackdawpost.core.outbox import log
 
 LONG_PAUSE_MS = 1_000.0  # ticks come at least with every heartbeat
 MEMBER_COMMANDS = (
--- a/jackdawpost/core/control/members.py
+++ b/jackdawpost/core/control/members.py
@@ -11,14 +11,14 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import LinkState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.process import Waiting
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 
 ANNOUNCE_PAUSE_MS = 1_000.0  # bounds the log if the command is refused
 
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -24,7 +24,6 @@
 from jackdawpost.core.control.process import LinkState
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.process import Waiting
 from jackdawpost.core.control.promotion_choice import missing_databases
 from jackdawpost.core.control.state import Applied
@@ -39,6 +38,7 @@
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.core.messages.operator import Table
+from jackdawpost.core.outbox import send
 
 
 def receive_from_operator(
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
-from typing import Literal
 from typing import TYPE_CHECKING
 
 from jackdawpost.core.consensus import process as consensus
@@ -19,15 +18,14 @@
 from jackdawpost.core.control.promotion import PromotionDriver
 from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.effects import Close
-from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
-from jackdawpost.core.effects import LogLine
-from jackdawpost.core.effects import Send
 from jackdawpost.core.events import Link
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.messages.registry import Registration
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
 from jackdawpost.core.positions import LogPosition
 
 if TYPE_CHECKING:
@@ -364,26 +362,6 @@
     outbox: list[Effect] = field(default_factory=list)
 
 
-def send(state: ControlState, conn: int, *messages: Any) -> None:
-    """Send messages as one frame."""
-    state.outbox.append(Send(conn=conn, messages=list(messages)))
-
-
-def log(
-    state: ControlState,
-    level: Literal['debug', 'info', 'warning', 'error'],
-    event: str,
-    **fields: Any,
-) -> None:
-    """Write a log line."""
-    state.outbox.append(LogLine(level=level, event=event, fields=fields))
-
-
-def count(state: ControlState, name: str) -> None:
-    """Count an occurrence."""
-    state.outbox.append(CountMetric(name=name))
-
-
 def refuse(state: ControlState, link: LinkState, reason: str) -> None:
     """Log a message that breaks the protocol and close its connection."""
     link.is_refused = True
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -21,10 +21,8 @@
 from jackdawpost.core.control.process import is_member
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import LinkState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import member_state
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.voters import known_peers
 from jackdawpost.core.effects import Close
 from jackdawpost.core.messages.control import Approval
@@ -38,6 +36,8 @@
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 
 UPDATE_RESEND_MS = 2_000.0  # longer than a report that crosses an update
 
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -31,10 +31,8 @@
 from jackdawpost.core.control.process import ControlConfig
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LinkState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import member_state
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.proxies import grant_leases
 from jackdawpost.core.control.proxies import proxy_closed
 from jackdawpost.core.control.proxies import receive_from_proxy
@@ -72,6 +70,9 @@
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.peer import ControlGroup
 from jackdawpost.core.messages.peer import Hello
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
+from jackdawpost.core.outbox import take_outbox
 
 __all__ = [
     'config_from_settings',
@@ -299,9 +300,7 @@
     follow_group(state)
     _stop_when_drained(state)
     _set_timer(state)
-    effects = state.outbox
-    state.outbox = []
-    return effects
+    return take_outbox(state)
 
 
 def _run_queue(state: ControlState) -> None:
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -15,7 +15,6 @@
 from jackdawpost.core.control.members import note_member
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import Registered
 from jackdawpost.core.control.state import Applied
@@ -29,6 +28,7 @@
 from jackdawpost.core.messages.registry import ReadConfig
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.core.objects.declared import check_declared
+from jackdawpost.core.outbox import log
 
 MAX_SHOWN_FAULTS = 20
 # Pause between looks at what is still missing for a join or a departure.
--- a/jackdawpost/core/control/upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -19,11 +19,9 @@
 from jackdawpost.core.control.process import is_member
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import LinkState
-from jackdawpost.core.control.process import log
 from jackdawpost.core.control.process import member_state
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import send
 from jackdawpost.core.control.promotion_facts import Database
 from jackdawpost.core.control.promotion_facts import drive_of
 from jackdawpost.core.control.promotion_facts import GroupFacts
@@ -37,6 +35,8 @@
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.upstream import AdminDone
 from jackdawpost.core.messages.upstream import Sealed
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
 
 ANNOUNCE_SILENCE_MS = 1_000.0  # five announcements
--- a/jackdawpost/core/control/voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -11,10 +11,10 @@
 from jackdawpost.core.consensus import process as consensus
 from jackdawpost.core.consensus.state import newcomer_id
 from jackdawpost.core.control.process import ControlState
-from jackdawpost.core.control.process import log
-from jackdawpost.core.control.process import send
 from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.messages.peer import ControlGroup
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 
 # Time without an answer after which a voter is replaced if another process
 # is there. A restart takes less.
--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -7,13 +7,13 @@
 from jackdawpost.core.messages.session import Ready
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import SessionState
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import observe
+from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.state import Answer
-from jackdawpost.core.pooler.state import count
 from jackdawpost.core.pooler.state import group_of
-from jackdawpost.core.pooler.state import log
-from jackdawpost.core.pooler.state import observe
 from jackdawpost.core.pooler.state import PoolerState
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Work
 
 
--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -4,12 +4,12 @@
 
 from jackdawpost.core.effects import Connect
 from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.state import close
-from jackdawpost.core.pooler.state import count
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import Step
 from jackdawpost.core.pooler.state import StepKind
@@ -67,7 +67,7 @@
     state.next_conn -= 1
     state.conns[conn.conn] = conn
     conn.steps.append(Step(kind='open', sent_ms=state.now_ms))
-    state.out.append(
+    state.outbox.append(
         Connect(
             conn=conn.conn,
             peer=view.name,
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -13,16 +13,16 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.messages.control import UpstreamReport
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import open_connection
 from jackdawpost.core.pooler.pools import sync_pools
 from jackdawpost.core.pooler.probes import ask_upstream
 from jackdawpost.core.pooler.sessions import open_held
-from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import Newcomer
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import UpstreamConn
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import UpstreamView
@@ -135,7 +135,7 @@
     """Stay connected to these control processes."""
     if peers != state.followed:
         state.followed = peers
-        state.out.append(FollowPeers(peers=sorted(peers)))
+        state.outbox.append(FollowPeers(peers=sorted(peers)))
 
 
 def start_links(state: PoolerState) -> None:
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -4,6 +4,7 @@
 
 from jackdawpost.core.messages.session import Execute
 from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.answers import refuse
 from jackdawpost.core.pooler.answers import unserved_code
@@ -21,7 +22,6 @@
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import PoolGroup
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import Step
 from jackdawpost.core.pooler.state import UpstreamConn
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -5,6 +5,8 @@
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.session import Internal
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.connections import connection_limit
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import idle_connection
@@ -15,11 +17,9 @@
 from jackdawpost.core.pooler.stalls import look_for_stall
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import group_of
-from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Step
 from jackdawpost.core.pooler.state import UpstreamConn
 from jackdawpost.core.pooler.upstreams import doubt
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -24,6 +24,9 @@
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import send
+from jackdawpost.core.outbox import take_outbox
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import note_open_failed
 from jackdawpost.core.pooler.control_links import on_control_closed
@@ -57,11 +60,9 @@
 from jackdawpost.core.pooler.sessions import receive_request
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import close
-from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import PoolerConfig
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import send
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import UpstreamConn
 from jackdawpost.core.pooler.upstreams import doubt
@@ -75,7 +76,7 @@
     """Return the state of a starting pooler and its first effects."""
     state = PoolerState(cfg=cfg, rng=rng, now_ms=now_ms)
     start_links(state)
-    return state, _take_effects(state)
+    return state, take_outbox(state)
 
 
 def reduce_pooler(state: PoolerState, event: Event) -> list[Effect]:
@@ -99,7 +100,7 @@
     elif isinstance(event, DrainRequested):
         _on_drain(state)
     _settle(state)
-    return _take_effects(state)
+    return take_outbox(state)
 
 
 def is_healthy(state: PoolerState) -> bool:
@@ -150,12 +151,6 @@
     }
 
 
-def _take_effects(state: PoolerState) -> list[Effect]:
-    effects = state.out
-    state.out = []
-    return effects
-
-
 def _settle(state: PoolerState) -> None:
     """Go on with all that the event has made possible."""
     while state.dirty:
@@ -387,7 +382,7 @@
         give_up_all(state)
         log(state, 'info', 'stopping', sessions=len(state.sessions))
         state.stopped = True
-        state.out.append(Stop())
+        state.outbox.append(Stop())
         return
     schedule(state, 'drain', state.now_ms + DRAIN_STEP_MS)
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import observe
 from jackdawpost.core.pooler.answers import finish
 from jackdawpost.core.pooler.answers import forget
 from jackdawpost.core.pooler.answers import refuse
@@ -26,10 +29,7 @@
 from jackdawpost.core.pooler.stalls import note_success
 from jackdawpost.core.pooler.stalls import note_unserved
 from jackdawpost.core.pooler.state import Answer
-from jackdawpost.core.pooler.state import count
 from jackdawpost.core.pooler.state import group_of
-from jackdawpost.core.pooler.state import log
-from jackdawpost.core.pooler.state import observe
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.pooler.state import log
+from jackdawpost.core.outbox import log
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.upstreams import note_reach
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -7,15 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from typing import Any
 from typing import Literal
 
 from jackdawpost.core.effects import Close
-from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
-from jackdawpost.core.effects import LogLine
-from jackdawpost.core.effects import ObserveMetric
-from jackdawpost.core.effects import Send
 from jackdawpost.core.effects import SetTimer
 from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import Evidence
@@ -415,42 +410,17 @@
     stopped: bool = False
     # What to look at again: group/NAME, session/CONN or silent/UPSTREAM.
     dirty: set[str] = field(default_factory=set)
-    out: list[Effect] = field(default_factory=list)
-
-
-def send(state: PoolerState, conn: int, *messages: Any) -> None:
-    """Send messages as one frame."""
-    state.out.append(Send(conn=conn, messages=list(messages)))
+    outbox: list[Effect] = field(default_factory=list)
 
 
 def close(state: PoolerState, conn: int, reason: str, abort: bool) -> None:
     """Close a connection."""
-    state.out.append(Close(conn=conn, reason=reason, abort=abort))
-
-
-def log(
-    state: PoolerState,
-    level: Literal['debug', 'info', 'warning', 'error'],
-    event: str,
-    **fields: Any,
-) -> None:
-    """Write a log line."""
-    state.out.append(LogLine(level=level, event=event, fields=fields))
-
-
-def count(state: PoolerState, name: str) -> None:
-    """Count an occurrence."""
-    state.out.append(CountMetric(name=name))
-
-
-def observe(state: PoolerState, name: str, value_ms: float) -> None:
-    """Record a duration in milliseconds."""
-    state.out.append(ObserveMetric(name=name, value_ms=value_ms))
+    state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
 
 def schedule(state: PoolerState, key: str, due_ms: float) -> None:
     """Set a timer; replaces the one with the same key."""
-    state.out.append(SetTimer(key=key, due_ms=due_ms))
+    state.outbox.append(SetTimer(key=key, due_ms=due_ms))
 
 
 def group_of(state: PoolerState, name: str) -> PoolGroup:
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.outbox import log
 from jackdawpost.core.pooler.state import group_of
-from jackdawpost.core.pooler.state import log
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
--- a/jackdawpost/core/proxy/answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -14,14 +14,14 @@
 from jackdawpost.core.messages.caller import Rollback
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import observe
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.admission import WRITE
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
-from jackdawpost.core.proxy.state import observe
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 from jackdawpost.core.proxy.state import schedule
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -15,6 +15,7 @@
 from jackdawpost.core.messages.caller import MAX_DEADLINE_MS
 from jackdawpost.core.messages.caller import Rollback
 from jackdawpost.core.messages.caller import Statement
+from jackdawpost.core.outbox import count
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.admission import WRITE
@@ -22,7 +23,6 @@
 from jackdawpost.core.proxy.answers import MESSAGES
 from jackdawpost.core.proxy.state import Caller
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import new_serial
 from jackdawpost.core.proxy.state import ProxyState
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -12,12 +12,12 @@
 from jackdawpost.core.messages.caller import Begin
 from jackdawpost.core.messages.control import PermitDemand
 from jackdawpost.core.messages.control import PermitReturn
+from jackdawpost.core.outbox import count
 from jackdawpost.core.proxy.answers import finish_error
 from jackdawpost.core.proxy.answers import lose_attempt
 from jackdawpost.core.proxy.answers import lose_transaction
 from jackdawpost.core.proxy.permit_holder import IDLE_RETURN_MS
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import new_conn
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
@@ -88,7 +88,7 @@
     up.opening += 1
     up.conns.add(conn_id)
     state.conns[conn_id] = UpstreamConn(conn_id, up.name)
-    state.out.append(
+    state.outbox.append(
         Connect(
             conn=conn_id,
             peer=up.name,
--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -17,14 +17,14 @@
 from jackdawpost.core.messages.control import PermitRecall
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.messages.control import ProxyReport
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
 from jackdawpost.core.proxy.answers import finish_error
 from jackdawpost.core.proxy.answers import lose_undurable
 from jackdawpost.core.proxy.conns import return_owed
 from jackdawpost.core.proxy.conns import watch_idle_permits
 from jackdawpost.core.proxy.state import Approval
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import count
-from jackdawpost.core.proxy.state import log
 from jackdawpost.core.proxy.state import new_conn
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
@@ -281,7 +281,7 @@
     approval.attempts += 1
     approval.conn = new_conn(state)
     state.approval_conns[approval.conn] = approval.newcomer_id
-    state.out.append(
+    state.outbox.append(
         Connect(
             conn=approval.conn,
             peer=approval.newcomer,
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -4,10 +4,10 @@
 
 from jackdawpost.core.effects import Stop
 from jackdawpost.core.messages.caller import GoingAway
+from jackdawpost.core.outbox import log
 from jackdawpost.core.proxy.callers import serve_left_ms
 from jackdawpost.core.proxy.conns import return_owed
 from jackdawpost.core.proxy.control import send_report
-from jackdawpost.core.proxy.state import log
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
 from jackdawpost.core.proxy.state import send
@@ -45,4 +45,4 @@
         state.permits.recall(name, state.permits.account(name).held)
         return_owed(state, name)
     log(state, 'info', 'drained')
-    state.out.append(Stop())
+    state.outbox.append(Stop())
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -8,13 +8,13 @@
 from jackdawpost.core.messages.upstream import Probe
 from jackdawpost.core.messages.upstream import Probed
 from jackdawpost.core.messages.upstream import Progress
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
 from jackdawpost.core.proxy.answers import answer_copied
 from jackdawpost.core.proxy.control import send_report
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
-from jackdawpost.core.proxy.state import log
 from jackdawpost.core.proxy.state import new_conn
 from jackdawpost.core.proxy.state import new_serial
 from jackdawpost.core.proxy.state import ProxyState
@@ -36,7 +36,7 @@
     up.monitor_open = False
     up.probes.clear()
     state.monitors[up.monitor] = up.name
-    state.out.append(
+    state.outbox.append(
         Connect(
             conn=up.monitor,
             peer=up.name,
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.outbox import log
 from jackdawpost.core.proxy.admission import AdmissionQueue
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.answers import finish_error
@@ -16,7 +17,6 @@
 from jackdawpost.core.proxy.monitors import open_monitor
 from jackdawpost.core.proxy.state import close
 from jackdawpost.core.proxy.state import Group
-from jackdawpost.core.proxy.state import log
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
 from jackdawpost.core.proxy.state import Upstream
--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -27,6 +27,8 @@
 from jackdawpost.core.messages.upstream import Executed
 from jackdawpost.core.messages.upstream import Probed
 from jackdawpost.core.messages.upstream import Progress
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import take_outbox
 from jackdawpost.core.proxy.answers import requeue_delayed
 from jackdawpost.core.proxy.callers import on_caller_closed
 from jackdawpost.core.proxy.callers import on_caller_frame_rejected
@@ -67,7 +69,6 @@
 from jackdawpost.core.proxy.requests import on_executed
 from jackdawpost.core.proxy.requests import pump
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import log
 from jackdawpost.core.proxy.state import ProxyConfig
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import TIMER_KEY
@@ -174,11 +175,9 @@
     _clean_agenda(state)
     if state.agenda and state.agenda[0][0] < state.armed_ms:
         state.armed_ms = state.agenda[0][0]
-        state.out.append(SetTimer(key=TIMER_KEY, due_ms=state.armed_ms))
-    out = state.out
-    state.out = []
+        state.outbox.append(SetTimer(key=TIMER_KEY, due_ms=state.armed_ms))
     state.sends.clear()
-    return out
+    return take_outbox(state)
 
 
 def _clean_agenda(state: ProxyState) -> None:
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.outbox import count
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
 from jackdawpost.core.proxy.admission import FRESH_READ
@@ -16,7 +17,6 @@
 from jackdawpost.core.proxy.sending import batch_size
 from jackdawpost.core.proxy.sending import refuse_late
 from jackdawpost.core.proxy.sending import to_execute
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
--- a/jackdawpost/core/proxy/requests.py
+++ b/jackdawpost/core/proxy/requests.py
@@ -4,6 +4,7 @@
 
 from jackdawpost.core.messages.caller import Begin
 from jackdawpost.core.messages.upstream import Executed
+from jackdawpost.core.outbox import count
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.admission import WRITE
@@ -26,7 +27,6 @@
 from jackdawpost.core.proxy.sending import batch_size
 from jackdawpost.core.proxy.sending import refuse_late
 from jackdawpost.core.proxy.sending import to_execute
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
 from jackdawpost.core.proxy.state import ProxyState
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -11,10 +11,7 @@
 from typing import TYPE_CHECKING
 
 from jackdawpost.core.effects import Close
-from jackdawpost.core.effects import CountMetric
 from jackdawpost.core.effects import Effect
-from jackdawpost.core.effects import LogLine
-from jackdawpost.core.effects import ObserveMetric
 from jackdawpost.core.effects import Send
 from jackdawpost.core.messages.caller import CallerRequest
 from jackdawpost.core.messages.upstream import Executed
@@ -316,7 +313,7 @@
     drain_ms: float | None = None
     stopped: bool = False
     proxies: int = 1
-    out: list[Effect] = field(default_factory=list)
+    outbox: list[Effect] = field(default_factory=list)
     sends: dict[int, Send] = field(default_factory=dict)
 
 
@@ -328,7 +325,7 @@
         return
     effect = Send(conn=conn, messages=[message])
     state.sends[conn] = effect
-    state.out.append(effect)
+    state.outbox.append(effect)
 
 
 def close(
@@ -336,22 +333,7 @@
 ) -> None:
     """Close a connection after what was sent on it."""
     state.sends.pop(conn, None)
-    state.out.append(Close(conn=conn, reason=reason, abort=abort))
-
-
-def count(state: ProxyState, name: str, by: int = 1) -> None:
-    """Add to a counter."""
-    state.out.append(CountMetric(name=name, by=by))
-
-
-def observe(state: ProxyState, name: str, value_ms: float) -> None:
-    """Record a duration in a histogram."""
-    state.out.append(ObserveMetric(name=name, value_ms=value_ms))
-
-
-def log(state: ProxyState, level: Any, event: str, **fields: Any) -> None:
-    """Write one structured log line."""
-    state.out.append(LogLine(level=level, event=event, fields=fields))
+    state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
 
 def schedule(
--- a/jackdawpost/core/proxy/transactions.py
+++ b/jackdawpost/core/proxy/transactions.py
@@ -14,6 +14,7 @@
 from jackdawpost.core.messages.upstream import TxnBegin
 from jackdawpost.core.messages.upstream import TxnCommit
 from jackdawpost.core.messages.upstream import TxnRollback
+from jackdawpost.core.outbox import count
 from jackdawpost.core.proxy.answers import delay
 from jackdawpost.core.proxy.answers import finish
 from jackdawpost.core.proxy.answers import finish_done
@@ -25,7 +26,6 @@
 from jackdawpost.core.proxy.conns import drop_conn
 from jackdawpost.core.proxy.conns import end_frame
 from jackdawpost.core.proxy.conns import start_frame
-from jackdawpost.core.proxy.state import count
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
 from jackdawpost.core.proxy.state import new_serial
