--- a/bench/control_reducer_cost.py
+++ b/bench/control_reducer_cost.py
@@ -27,7 +27,7 @@
 from jackdawpost.core.control.reducer import new_control
 from jackdawpost.core.control.reducer import reduce_control
 from jackdawpost.core.control.state import ControlMachine
-from jackdawpost.core.control.state import GivenApproval
+from jackdawpost.core.control.state import MemberApproval
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import Persist
 from jackdawpost.core.effects import Send
@@ -191,7 +191,7 @@
     *others, last = list(machine.members)
     for member in others:
         member_id = machine.members[member].member_id
-        newcomer.approvals[member] = GivenApproval(
+        newcomer.approvals[member] = MemberApproval(
             member_id=member_id, checked='bench'
         )
     approve = commands.ApproveMember(
--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -116,17 +116,19 @@
     try:
         return start(settings, record_path)
     except* (JackdawpostError, OSError) as group:
-        for exc in flatten_group(group):
+        for exc in flatten_exception_group(group):
             log.error('cannot run', extra={'detail': str(exc)})
     return EXIT_FAILED
 
 
-def flatten_group(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+def flatten_exception_group(
+    group: BaseExceptionGroup[Exception],
+) -> list[Exception]:
     """Return the exceptions of a group and of the groups in it."""
     found: list[Exception] = []
     for exc in group.exceptions:
         if isinstance(exc, BaseExceptionGroup):
-            found += flatten_group(exc)
+            found += flatten_exception_group(exc)
         else:
             found.append(exc)
     return found
--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -7,7 +7,7 @@
 from dataclasses import field
 from typing import Literal
 
-from jackdawpost.core.control.promotion import AdminWant
+from jackdawpost.core.control.promotion import AdminRequest
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Connect
 from jackdawpost.core.effects import Effect
@@ -37,7 +37,7 @@
         Earliest time of the next attempt.
     """
 
-    want: AdminWant
+    request: AdminRequest
     conn: int | None = None
     is_open: bool = False
     request_id: int | None = None
@@ -65,36 +65,39 @@
     admin: AdminLinks,
     now_ms: float,
     group: str,
-    wants: Mapping[str, AdminWant],
+    requests: Mapping[str, AdminRequest],
 ) -> list[Effect]:
     """Send, retry or drop requests until they are as wanted.
 
     Parameters
     ----------
     group : str
-        Group that `wants` speaks for; others keep their requests.
-    wants : mapping of str to AdminWant
+        Group that `requests` speaks for; others keep their requests.
+    requests : mapping of str to AdminRequest
         Request that each upstream of the group owes now.
     """
     effects: list[Effect] = []
-    names = {n for n, k in admin.links.items() if k.want.group == group}
-    for name in sorted(names | set(wants)):
-        want = wants.get(name)
+    names = {n for n, k in admin.links.items() if k.request.group == group}
+    for name in sorted(names | set(requests)):
+        request = requests.get(name)
         link = admin.links.get(name)
-        if link is not None and (want is None or _moved(link, want)):
+        if link is not None and (request is None or _moved(link, request)):
             effects += _drop(admin, name)
             link = None
-        if want is None:
+        if request is None:
             continue
         if link is None:
-            link = AdminLink(want=want)
+            link = AdminLink(request=request)
             admin.links[name] = link
-        effects += _advance(admin, now_ms, link, want)
+        effects += _advance(admin, now_ms, link, request)
     return effects
 
 
-def _moved(link: AdminLink, want: AdminWant) -> bool:
-    return (link.want.host, link.want.port) != (want.host, want.port)
+def _moved(link: AdminLink, request: AdminRequest) -> bool:
+    return (link.request.host, link.request.port) != (
+        request.host,
+        request.port,
+    )
 
 
 def _drop(admin: AdminLinks, name: str) -> list[Effect]:
@@ -106,25 +109,27 @@
 
 
 def _advance(
-    admin: AdminLinks, now_ms: float, link: AdminLink, want: AdminWant
+    admin: AdminLinks, now_ms: float, link: AdminLink, request: AdminRequest
 ) -> list[Effect]:
     if link.request_id is not None and now_ms >= link.answer_due_ms:
         effects = _abort(admin, now_ms, link)
-        return effects + _advance(admin, now_ms, link, want)
+        return effects + _advance(admin, now_ms, link, request)
     if link.conn is None:
-        link.want = want
+        link.request = request
         if now_ms < link.retry_at_ms:
             return []
         return [_connect(admin, link)]
-    if not link.is_open or (link.request_id and link.want == want):
+    if not link.is_open or (link.request_id and link.request == request):
         return []
-    if now_ms < link.retry_at_ms and link.want == want:
+    if now_ms < link.retry_at_ms and link.request == request:
         return []
-    link.want = want
+    link.request = request
     link.request_id = admin.next_request
     link.answer_due_ms = now_ms + ADMIN_ANSWER_MS
     admin.next_request += 1
-    return [Send(conn=link.conn, messages=[_request(link.request_id, want)])]
+    return [
+        Send(conn=link.conn, messages=[_request(link.request_id, request)])
+    ]
 
 
 def _abort(admin: AdminLinks, now_ms: float, link: AdminLink) -> list[Effect]:
@@ -145,32 +150,34 @@
 def _connect(admin: AdminLinks, link: AdminLink) -> Connect:
     link.conn = admin.next_conn
     admin.next_conn -= 1
-    admin.conns[link.conn] = link.want.upstream
+    admin.conns[link.conn] = link.request.upstream
     return Connect(
         conn=link.conn,
-        peer=link.want.upstream,
-        host=link.want.host,
-        port=link.want.port,
+        peer=link.request.upstream,
+        host=link.request.host,
+        port=link.request.port,
         purpose='admin',
         timeout_ms=ADMIN_OPEN_MS,
     )
 
 
-def _request(request_id: int, want: AdminWant) -> Seal | Promote | Follow:
-    if want.action == 'seal':
-        return Seal(id=request_id, term=want.term)
-    if want.action == 'promote':
-        return Promote(id=request_id, term=want.term)
+def _request(
+    request_id: int, request: AdminRequest
+) -> Seal | Promote | Follow:
+    if request.action == 'seal':
+        return Seal(id=request_id, term=request.term)
+    if request.action == 'promote':
+        return Promote(id=request_id, term=request.term)
     return Follow(
         id=request_id,
-        term=want.term,
-        primary=want.primary,
-        host=want.primary_host,
-        port=want.primary_port,
+        term=request.term,
+        primary=request.primary,
+        host=request.primary_host,
+        port=request.primary_port,
     )
 
 
-def note_opened(admin: AdminLinks, conn: int) -> bool:
+def on_opened(admin: AdminLinks, conn: int) -> bool:
     """Note that a connection is open; False if it is not an admin one."""
     name = admin.conns.get(conn)
     if name is None:
@@ -179,17 +186,17 @@
     return True
 
 
-def note_closed(
+def on_closed(
     admin: AdminLinks,
     now_ms: float,
     conn: int,
     reason: Literal['closed', 'refused', 'timeout', 'malformed'],
-) -> AdminWant | None:
+) -> AdminRequest | None:
     """Note that a connection ended.
 
     Returns
     -------
-    AdminWant or None
+    AdminRequest or None
         Request that the upstream refused a connection for.
     """
     name = admin.conns.pop(conn, None)
@@ -197,12 +204,12 @@
         return None
     link = admin.links[name]
     _reset(link, now_ms)
-    return link.want if reason == 'refused' else None
+    return link.request if reason == 'refused' else None
 
 
-def note_answer(
+def on_answer(
     admin: AdminLinks, now_ms: float, conn: int, request_id: int
-) -> AdminWant | None:
+) -> AdminRequest | None:
     """Return the request that an answer belongs to; None for a stale one."""
     name = admin.conns.get(conn)
     if name is None:
@@ -212,7 +219,7 @@
         return None
     link.request_id = None
     link.retry_at_ms = now_ms + ADMIN_RETRY_MS
-    return link.want
+    return link.request
 
 
 def _due_ms(link: AdminLink) -> float | None:
@@ -237,7 +244,7 @@
     for link in admin.links.values():
         due_ms = _due_ms(link)
         if due_ms is not None and due_ms <= now_ms:
-            found.add(link.want.group)
+            found.add(link.request.group)
     return found
 
 
--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -5,10 +5,10 @@
 from jackdawpost.core.control.commands import AdmitDatabase
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
-from jackdawpost.core.control.state import Refused
 from jackdawpost.core.objects.model import object_key
 
 
@@ -25,7 +25,7 @@
     )
 
 
-def enter_new_groups(machine: ControlMachine, member: Member) -> None:
+def add_to_new_groups(machine: ControlMachine, member: Member) -> None:
     """Count a joined upstream at once while its group is at term 0.
 
     No write can have been acknowledged before the first term, so that there
@@ -52,7 +52,7 @@
 
 def refuse_leaving_sets(
     machine: ControlMachine, name: str, data_id: str
-) -> Refused | None:
+) -> CommandRefused | None:
     """Return why an operator may not remove a database now, or None."""
     for group_name in sorted(machine.groups):
         group = machine.groups[group_name]
@@ -61,12 +61,12 @@
             name,
             data_id,
         ):
-            return Refused(
+            return CommandRefused(
                 code='promotion_running',
                 message=f'{name!r} is being promoted in {group_name!r}',
             )
         if (group.primary, group.primary_id) == (name, data_id):
-            return Refused(
+            return CommandRefused(
                 code='is_primary',
                 message=f'{name!r} is the primary of {group_name!r}: promote '
                 'another database first',
@@ -86,27 +86,27 @@
 
 def _check_admission(
     machine: ControlMachine, command: AdmitDatabase
-) -> Refused | None:
+) -> CommandRefused | None:
     group: GroupState | None = machine.groups.get(command.group)
     if group is None:
-        return Refused(
+        return CommandRefused(
             code='unknown_group', message=f'no group {command.group!r}'
         )
     if not is_joined_upstream(
         machine, command.group, command.name, command.data_id
     ):
-        return Refused(
+        return CommandRefused(
             code='not_joined',
             message=f'{command.name!r} with data {command.data_id!r} is no '
             f'joined upstream of {command.group!r}',
         )
     if group.database_set.get(command.name) == command.data_id:
-        return Refused(
+        return CommandRefused(
             code='already_done', message=f'{command.name!r} is admitted'
         )
     if group.promotion is not None:
         # The promotion has counted the set as it was when it started.
-        return Refused(
+        return CommandRefused(
             code='promotion_running',
             message=f'{command.group!r} is being promoted',
         )
--- a/jackdawpost/core/control/delegated_steps.py
+++ b/jackdawpost/core/control/delegated_steps.py
@@ -11,9 +11,9 @@
 from jackdawpost.core.control.database_sets import is_joined_upstream
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.control.state import Promotion
-from jackdawpost.core.control.state import Refused
 from jackdawpost.core.objects.model import object_key
 
 
@@ -44,7 +44,7 @@
     group = machine.groups[command.group]
     if command.token <= group.last_term:
         return Applied(
-            answer=Refused(
+            answer=CommandRefused(
                 code='stale_term',
                 message=f'token {command.token}: valid is above '
                 f'{group.last_term}, the highest used so far',
@@ -66,15 +66,15 @@
 
 def _refuse_unknown(
     machine: ControlMachine, command: AdoptPrimary | DelegatePromotion
-) -> Refused | None:
+) -> CommandRefused | None:
     if command.group not in machine.groups:
-        return Refused(
+        return CommandRefused(
             code='unknown_group', message=f'no group {command.group!r}'
         )
     if not is_joined_upstream(
         machine, command.group, command.upstream, command.data_id
     ):
-        return Refused(
+        return CommandRefused(
             code='not_joined',
             message=f'{command.upstream!r} with identity '
             f'{command.data_id!r} is no joined upstream of '
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -12,17 +12,17 @@
 from jackdawpost.core.control.commands import AdoptPrimary
 from jackdawpost.core.control.commands import DelegatePromotion
 from jackdawpost.core.control.commands import FinishPromotion
-from jackdawpost.core.control.freeze import advance_freeze
-from jackdawpost.core.control.freeze import better_choice
-from jackdawpost.core.control.freeze import is_safe
-from jackdawpost.core.control.freeze import needs_freeze
-from jackdawpost.core.control.freeze import release_frozen
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.process import Order
+from jackdawpost.core.control.process import PromotionOrder
 from jackdawpost.core.control.process import propose
-from jackdawpost.core.control.process import Sighting
+from jackdawpost.core.control.process import UpstreamObservation
+from jackdawpost.core.control.replica_pause import advance_pause
+from jackdawpost.core.control.replica_pause import better_choice
+from jackdawpost.core.control.replica_pause import is_safe
+from jackdawpost.core.control.replica_pause import needs_pause
+from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
@@ -53,13 +53,13 @@
 AVOID_MS = 3_000.0
 
 
-def note_sightings(
+def record_observations(
     state: ControlState, leader: LeaderState, report: ProxyReport
 ) -> None:
     """Take what a proxy saw of the upstreams."""
     for name, seen in (report.upstreams or {}).items():
-        leader.sightings.setdefault(name, {})[report.proxy] = Sighting(
-            report=seen, heard_ms=state.now_ms
+        leader.upstream_observations.setdefault(name, {})[report.proxy] = (
+            UpstreamObservation(report=seen, last_contact_ms=state.now_ms)
         )
 
 
@@ -92,11 +92,11 @@
 
 def _fresh(
     state: ControlState, leader: LeaderState, name: str
-) -> list[Sighting]:
+) -> list[UpstreamObservation]:
     return [
-        sighting
-        for sighting in leader.sightings.get(name, {}).values()
-        if state.now_ms < sighting.heard_ms + SIGHTING_MS
+        observation
+        for observation in leader.upstream_observations.get(name, {}).values()
+        if state.now_ms < observation.last_contact_ms + SIGHTING_MS
     ]
 
 
@@ -110,11 +110,11 @@
     """Record the upstream that leads, if it is not the one on record."""
     leading: tuple[int, str] | None = None
     for upstream in upstreams:
-        if state.now_ms < leader.replaced_ms.get(upstream, 0):
+        if state.now_ms < leader.not_adopted_until_ms.get(upstream, 0):
             continue
-        for sighting in _fresh(state, leader, upstream):
-            if sighting.report.leads:
-                found = (sighting.report.term, upstream)
+        for observation in _fresh(state, leader, upstream):
+            if observation.report.leads:
+                found = (observation.report.term, upstream)
                 leading = max(leading or found, found)
     if leading is None:
         return False
@@ -150,9 +150,9 @@
     """Return why a primary must be replaced, empty if it need not be."""
     now_ms = state.now_ms
     if group.primary is None:
-        since_ms = leader.no_primary_ms.setdefault(name, now_ms)
+        since_ms = leader.without_primary_since_ms.setdefault(name, now_ms)
         return 'no primary' if now_ms >= since_ms + NO_PRIMARY_MS else ''
-    leader.no_primary_ms.pop(name, None)
+    leader.without_primary_since_ms.pop(name, None)
     member = upstreams.get(group.primary)
     if member is None or member.member_id != group.primary_id:
         return 'primary is no member'
@@ -202,7 +202,8 @@
     state: ControlState, leader: LeaderState, name: str
 ) -> LogPosition:
     positions = [
-        sighting.report.received for sighting in _fresh(state, leader, name)
+        observation.report.received
+        for observation in _fresh(state, leader, name)
     ]
     return max(positions, default=ZERO_POSITION)
 
@@ -225,7 +226,7 @@
             continue
         if is_leaving(state, name) or not _fresh(state, leader, name):
             continue
-        if state.now_ms < leader.avoid_ms.get(name, 0):
+        if state.now_ms < leader.excluded_until_ms.get(name, 0):
             continue
         if _has_failed(state, leader, name):
             continue
@@ -275,7 +276,7 @@
         # leadership, whose order may still be under way.
         _delegate(state, leader, name, group, upstreams, promotion.reason)
     elif order is not None and order.outcome == 'refused':
-        leader.avoid_ms[chosen] = state.now_ms + AVOID_MS
+        leader.excluded_until_ms[chosen] = state.now_ms + AVOID_MS
         _give_up(state, name, promotion.to_term, order.detail)
     elif order is None and not _is_frozen(
         state, leader, name, promotion, upstreams
@@ -283,7 +284,7 @@
         return
     elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
         if order is not None and _has_failed(state, leader, chosen):
-            leader.avoid_ms[chosen] = state.now_ms + AVOID_MS
+            leader.excluded_until_ms[chosen] = state.now_ms + AVOID_MS
             _give_up(state, name, promotion.to_term, 'the chosen one failed')
             return
         _order(state, leader, name, chosen, promotion.to_term)
@@ -297,24 +298,26 @@
     upstreams: dict[str, Member],
 ) -> bool:
     """Tell whether nothing acknowledged can be lost by the order."""
-    if not needs_freeze(state, name):
+    if not needs_pause(state, name):
         return True
     terms = [
-        sighting.report.term
+        observation.report.term
         for upstream in upstreams
-        for sighting in _fresh(state, leader, upstream)
+        for observation in _fresh(state, leader, upstream)
     ]
     upstreams = _counted(state, leader, name, upstreams)
-    freeze = advance_freeze(
+    pause = advance_pause(
         state, leader, name, promotion, upstreams, max(terms, default=0) + 1
     )
-    if is_safe(state, name, promotion, freeze, upstreams):
+    if is_safe(state, name, promotion, pause, upstreams):
         return True
     primary = state.machine.groups[name].primary
-    better = better_choice(state, name, promotion, freeze, upstreams)
+    better = better_choice(state, name, promotion, pause, upstreams)
     if better is not None and _has_failed(state, leader, primary or ''):
         # A primary that runs would let the chosen one catch up.
-        leader.avoid_ms[promotion.chosen or ''] = state.now_ms + AVOID_MS
+        leader.excluded_until_ms[promotion.chosen or ''] = (
+            state.now_ms + AVOID_MS
+        )
         _give_up(state, name, promotion.to_term, f'{better} has received more')
     return False
 
@@ -331,12 +334,12 @@
     acknowledged with its help. One that is only silent may still receive.
     """
     primary = state.machine.groups[name].primary or ''
-    end_ms = leader.refused_ms.get(primary, state.now_ms)
+    end_ms = leader.refused_since_ms.get(primary, state.now_ms)
     return {
         upstream: member
         for upstream, member in upstreams.items()
         if upstream == primary
-        or leader.refused_ms.get(upstream, end_ms) + GONE_MS > end_ms
+        or leader.refused_since_ms.get(upstream, end_ms) + GONE_MS > end_ms
     }
 
 
@@ -346,9 +349,9 @@
         if member.role != 'upstream':
             continue
         if failure_detector.is_refused(leader.detector, state.now_ms, name):
-            leader.refused_ms.setdefault(name, state.now_ms)
+            leader.refused_since_ms.setdefault(name, state.now_ms)
         else:
-            leader.refused_ms.pop(name, None)
+            leader.refused_since_ms.pop(name, None)
 
 
 def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
@@ -356,14 +359,14 @@
         leader.detector,
         state.now_ms,
         name,
-        electorate=len(leader.witnesses_ms),
+        electorate=len(leader.electorate_ms),
     )
     return failed_ms is not None and failed_ms <= state.now_ms
 
 
 def _note_witnesses(state: ControlState, leader: LeaderState) -> None:
     """Keep the proxies whose word counts, or would if it could be heard."""
-    known = leader.witnesses_ms
+    known = leader.electorate_ms
     for name, member in state.machine.members.items():
         if member.role == 'proxy':
             known[name] = state.now_ms
@@ -379,7 +382,7 @@
     upstream: str,
     token: int,
 ) -> None:
-    leader.orders[name] = Order(token=token, sent_ms=state.now_ms)
+    leader.orders[name] = PromotionOrder(token=token, sent_ms=state.now_ms)
     log(
         state,
         'info',
@@ -401,11 +404,11 @@
 def _finish(
     state: ControlState, leader: LeaderState, name: str, token: int
 ) -> None:
-    release_frozen(state, leader, name)
+    resume_replicas(state, leader, name)
     old = state.machine.groups[name].primary
     command = FinishPromotion(group=name, to_term=token)
     if propose(state, f'group/{name}', command) is not None and old:
-        leader.replaced_ms[old] = state.now_ms + REPLACED_MS
+        leader.not_adopted_until_ms[old] = state.now_ms + REPLACED_MS
 
 
 def _give_up(state: ControlState, name: str, token: int, why: str) -> None:
@@ -421,7 +424,7 @@
         )
 
 
-def note_promotion_ended(
+def on_promotion_ended(
     state: ControlState, leader: LeaderState, event: PromotionEnded
 ) -> None:
     """Take the answer to an order."""
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -7,6 +7,35 @@
 
 from jackdawpost.core.control.process import ControlState
 
+# Names in the dump that differ from the names of the fields.
+_DUMP_NAMES = {
+    'accounts': 'borrowers',
+    'approvals_requested': 'asked',
+    'contact_floor_ms': 'heard_floor_ms',
+    'electorate_ms': 'witnesses_ms',
+    'excluded_until_ms': 'avoid_ms',
+    'last_contact_ms': 'heard_ms',
+    'last_tick_ms': 'ticked_ms',
+    'next_request_ms': 'ask_ms',
+    'next_sweep_ms': 'sweep_ms',
+    'not_adopted_until_ms': 'replaced_ms',
+    'observations': 'seen',
+    'pending_promotions': 'promotes',
+    'pending_reads': 'reads',
+    'pending_requests': 'asked',
+    'refused_since_ms': 'refused_ms',
+    'replica_pauses': 'freezes',
+    'reporters': 'witnesses',
+    'request': 'want',
+    'sealed': 'heard',
+    'sealed_term': 'heard_term',
+    'suspect_groups': 'suspects',
+    'unreported': 'unheard',
+    'upstream_observations': 'sightings',
+    'versions_in_force': 'in_force',
+    'without_primary_since_ms': 'no_primary_ms',
+}
+
 
 def is_healthy(state: ControlState) -> bool:
     """Tell whether the process takes part and knows a leader."""
@@ -42,7 +71,9 @@
 def _plain(value: Any) -> Any:
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {
-            item.name: _plain(getattr(value, item.name))
+            _DUMP_NAMES.get(item.name, item.name): _plain(
+                getattr(value, item.name)
+            )
             for item in dataclasses.fields(value)
         }
     if isinstance(value, dict):
--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -27,7 +27,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Witness:
+class Reporter:
     """A proxy that reports evidence.
 
     Parameters
@@ -38,7 +38,7 @@
     """
 
     live_until_ms: float
-    seen: dict[str, Observation] = field(default_factory=dict)
+    observations: dict[str, Observation] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -60,11 +60,11 @@
     refused_ms: float
     silent_ms: float
     live_ms: float
-    witnesses: dict[str, Witness] = field(default_factory=dict)
+    reporters: dict[str, Reporter] = field(default_factory=dict)
     watched_since_ms: dict[str, float] = field(default_factory=dict)
 
 
-def note_evidence(
+def record_evidence(
     detector: FailureDetector,
     now_ms: float,
     proxy: str,
@@ -74,15 +74,17 @@
 
     An upstream that the report does not mention is not judged by it.
     """
-    witness = detector.witnesses.get(proxy)
-    if witness is None or witness.live_until_ms <= now_ms:
-        witness = Witness(live_until_ms=now_ms)
-        detector.witnesses[proxy] = witness
-    witness.live_until_ms = now_ms + detector.live_ms
-    seen = {}
+    reporter = detector.reporters.get(proxy)
+    if reporter is None or reporter.live_until_ms <= now_ms:
+        reporter = Reporter(live_until_ms=now_ms)
+        detector.reporters[proxy] = reporter
+    reporter.live_until_ms = now_ms + detector.live_ms
+    observations = {}
     for upstream, state in evidence.items():
-        seen[upstream] = _observe(now_ms, witness.seen.get(upstream), state)
-    witness.seen = seen
+        observations[upstream] = _observe(
+            now_ms, reporter.observations.get(upstream), state
+        )
+    reporter.observations = observations
 
 
 def _observe(
@@ -100,9 +102,9 @@
     )
 
 
-def forget_proxy(detector: FailureDetector, proxy: str) -> None:
+def remove_proxy(detector: FailureDetector, proxy: str) -> None:
     """Drop a proxy that is no longer a member."""
-    detector.witnesses.pop(proxy, None)
+    detector.reporters.pop(proxy, None)
 
 
 def watch(detector: FailureDetector, upstream: str, since_ms: float) -> None:
@@ -110,14 +112,14 @@
     detector.watched_since_ms[upstream] = since_ms
 
 
-def has_objection(
+def is_suspected(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
     """Tell whether a live proxy reports an upstream as unreachable."""
-    for witness in detector.witnesses.values():
-        seen = witness.seen.get(upstream)
-        if now_ms < witness.live_until_ms and seen is not None:
-            if seen.state != 'up':
+    for reporter in detector.reporters.values():
+        observation = reporter.observations.get(upstream)
+        if now_ms < reporter.live_until_ms and observation is not None:
+            if observation.state != 'up':
                 return True
     return False
 
@@ -142,15 +144,15 @@
         will unless other evidence arrives; None if too few proxies object.
     """
     live = [
-        witness
-        for witness in detector.witnesses.values()
-        if now_ms < witness.live_until_ms
+        reporter
+        for reporter in detector.reporters.values()
+        if now_ms < reporter.live_until_ms
     ]
     floor_ms = detector.watched_since_ms.get(upstream, 0)
     votes = sorted(
         vote
-        for witness in live
-        if (vote := _vote_ms(detector, witness, upstream, floor_ms))
+        for reporter in live
+        if (vote := _vote_ms(detector, reporter, upstream, floor_ms))
         is not None
     )
     needed = max(len(live), electorate) // 2 + 1
@@ -160,15 +162,20 @@
 
 
 def _vote_ms(
-    detector: FailureDetector, witness: Witness, upstream: str, floor_ms: float
+    detector: FailureDetector,
+    reporter: Reporter,
+    upstream: str,
+    floor_ms: float,
 ) -> float | None:
-    seen = witness.seen.get(upstream)
-    if seen is None or seen.state == 'up':
+    observation = reporter.observations.get(upstream)
+    if observation is None or observation.state == 'up':
         return None
-    silent_at = max(seen.bad_since_ms, floor_ms) + detector.silent_ms
-    if seen.state != 'refused':
+    silent_at = max(observation.bad_since_ms, floor_ms) + detector.silent_ms
+    if observation.state != 'refused':
         return silent_at
-    refused_at = max(seen.state_since_ms, floor_ms) + detector.refused_ms
+    refused_at = (
+        max(observation.state_since_ms, floor_ms) + detector.refused_ms
+    )
     return min(refused_at, silent_at)
 
 
@@ -177,15 +184,15 @@
 ) -> bool:
     """Tell whether most live proxies find nobody at an upstream's address."""
     live = [
-        witness
-        for witness in detector.witnesses.values()
-        if now_ms < witness.live_until_ms
+        reporter
+        for reporter in detector.reporters.values()
+        if now_ms < reporter.live_until_ms
     ]
     votes = sum(
         1
-        for witness in live
-        if upstream in witness.seen
-        and witness.seen[upstream].state == 'refused'
+        for reporter in live
+        if upstream in reporter.observations
+        and reporter.observations[upstream].state == 'refused'
     )
     return votes > len(live) // 2
 
@@ -193,8 +200,8 @@
 def next_expiry_ms(detector: FailureDetector, now_ms: float) -> float | None:
     """Return when the next proxy stops counting; None without any."""
     ends = [
-        witness.live_until_ms
-        for witness in detector.witnesses.values()
-        if now_ms < witness.live_until_ms
+        reporter.live_until_ms
+        for reporter in detector.reporters.values()
+        if now_ms < reporter.live_until_ms
     ]
     return min(ends, default=None)
--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -21,7 +21,7 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_member
 from jackdawpost.core.control.process import LeaderState
-from jackdawpost.core.control.promotion_facts import drive_of
+from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.proxies import close_silent_proxies
 from jackdawpost.core.control.proxies import drop_left_proxies
@@ -34,7 +34,7 @@
 from jackdawpost.core.control.registry import release_asked
 from jackdawpost.core.control.registry import sweep_registered
 from jackdawpost.core.control.state import Applied
-from jackdawpost.core.control.state import Refused
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.upstreams import advance_groups
 from jackdawpost.core.control.upstreams import wake_groups
 from jackdawpost.core.control.voters import advance_voters
@@ -70,7 +70,7 @@
         leases=leases,
         permits=permit_ledger.PermitLedger(
             ready_ms=lease_ledger.assumed_until_ms(leases),
-            unheard=set(proxies),
+            unreported=set(proxies),
         ),
         detector=failure_detector.FailureDetector(
             refused_ms=cfg.refused_ms,
@@ -81,8 +81,8 @@
             refused_ms=cfg.refused_ms, silent_ms=cfg.silent_ms
         ),
         admin=AdminLinks(next_conn=state.next_conn),
-        heard_floor_ms=state.now_ms,
-        ticked_ms=state.now_ms,
+        contact_floor_ms=state.now_ms,
+        last_tick_ms=state.now_ms,
     )
     leader.dirty_groups.update(state.machine.groups)
     state.leader = leader
@@ -111,7 +111,7 @@
     for link in state.links.values():
         link.is_served = False
         link.sent_version = None
-        link.asked = set()
+        link.approvals_requested = set()
         link.revoked = set()
         # A proxy states its demand anew to the next leader.
         link.demands = {}
@@ -146,9 +146,9 @@
         leader.dirty_groups.add(group)
     if command.kind in MEMBER_COMMANDS or group not in state.machine.groups:
         return
-    drive = drive_of(leader.driver, group)
-    if isinstance(done.answer, Refused):
-        drive.retry_at_ms = state.now_ms + promotion.RETRY_MS
+    progress = progress_of(leader.driver, group)
+    if isinstance(done.answer, CommandRefused):
+        progress.retry_at_ms = state.now_ms + promotion.RETRY_MS
         log(
             state,
             'warning',
@@ -172,7 +172,7 @@
         key = (command.name, command.member_id)
         leader.removing.pop(key, None)
         leader.removal_reasons.pop(key, None)
-        leader.heard_ms.pop(key, None)
+        leader.last_contact_ms.pop(key, None)
         leader.announce_at_ms.pop(key, None)
         forget_asked(state, key)
         if not is_member(state, *key):
@@ -211,11 +211,11 @@
 
 def _note_pause(state: ControlState, leader: LeaderState) -> None:
     """Count nobody as silent for the time in which this process slept."""
-    if state.now_ms > leader.ticked_ms + LONG_PAUSE_MS:
-        leader.heard_floor_ms = state.now_ms
+    if state.now_ms > leader.last_tick_ms + LONG_PAUSE_MS:
+        leader.contact_floor_ms = state.now_ms
         for link in state.links.values():
-            link.heard_ms = state.now_ms
-    leader.ticked_ms = state.now_ms
+            link.last_contact_ms = state.now_ms
+    leader.last_tick_ms = state.now_ms
 
 
 def next_service_due_ms(
--- a/jackdawpost/core/control/members.py
+++ b/jackdawpost/core/control/members.py
@@ -14,7 +14,7 @@
 from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import Waiting
+from jackdawpost.core.control.process import WaitingOperator
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
 from jackdawpost.core.outbox import log
@@ -32,7 +32,7 @@
     if leader is None:
         return
     key = (command.name, command.member_id)
-    leader.heard_ms[key] = state.now_ms
+    leader.last_contact_ms[key] = state.now_ms
     if key in leader.removing or _is_known(state, command):
         return
     if state.now_ms < leader.announce_at_ms.get(key, 0):
@@ -132,8 +132,8 @@
         key = (name, newcomer.member.member_id)
         for member in missing_approvals(state.machine, name):
             link = _link_of(state, member)
-            if link is not None and key not in link.asked:
-                link.asked.add(key)
+            if link is not None and key not in link.approvals_requested:
+                link.approvals_requested.add(key)
                 send(state, link.conn, request)
 
 
@@ -153,14 +153,16 @@
 def ask_again(state: ControlState, newcomer: str) -> None:
     """Ask every member whose approval of a newcomer is missing again."""
     for link in state.links.values():
-        link.asked = {key for key in link.asked if key[0] != newcomer}
+        link.approvals_requested = {
+            key for key in link.approvals_requested if key[0] != newcomer
+        }
     ask_approvals(state)
 
 
 def forget_asked(state: ControlState, key: MemberKey) -> None:
     """Ask anew if this identity announces itself again."""
     for link in state.links.values():
-        link.asked.discard(key)
+        link.approvals_requested.discard(key)
 
 
 def expire_members(state: ControlState) -> None:
@@ -170,8 +172,10 @@
         return
     dues = []
     for key in _identities(state):
-        heard_ms = max(leader.heard_ms.get(key, 0), leader.heard_floor_ms)
-        due_ms = heard_ms + _expiry_ms(state, key)
+        last_contact_ms = max(
+            leader.last_contact_ms.get(key, 0), leader.contact_floor_ms
+        )
+        due_ms = last_contact_ms + _expiry_ms(state, key)
         if state.now_ms < due_ms:
             dues.append(due_ms)
             continue
@@ -201,7 +205,10 @@
 
 
 def begin_removal(
-    state: ControlState, key: MemberKey, reason: str, waiting: Waiting | None
+    state: ControlState,
+    key: MemberKey,
+    reason: str,
+    waiting: WaitingOperator | None,
 ) -> None:
     """Remove a member once it can hold no lease any more.
 
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -11,17 +11,17 @@
 from jackdawpost.core.control.commands import MarkLeaving
 from jackdawpost.core.control.commands import RemovalReason
 from jackdawpost.core.control.commands import RemoveMember
-from jackdawpost.core.control.database_sets import enter_new_groups
+from jackdawpost.core.control.database_sets import add_to_new_groups
 from jackdawpost.core.control.database_sets import leave_sets
 from jackdawpost.core.control.database_sets import refuse_leaving_sets
 from jackdawpost.core.control.publication import member_keys
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
-from jackdawpost.core.control.state import GivenApproval
 from jackdawpost.core.control.state import Member
+from jackdawpost.core.control.state import MemberApproval
 from jackdawpost.core.control.state import Newcomer
-from jackdawpost.core.control.state import Refused
 
 # Departures remembered, so that late reports of them are ignored.
 MAX_DEPARTED = 1_000
@@ -54,7 +54,7 @@
     newcomer = machine.newcomers.get(command.newcomer)
     if newcomer is None or newcomer.member.member_id != command.newcomer_id:
         return _refuse_unknown(command.newcomer, command.newcomer_id)
-    newcomer.approvals[command.member] = GivenApproval(
+    newcomer.approvals[command.member] = MemberApproval(
         member_id=command.member_id,
         checked=command.checked,
         version=command.version,
@@ -144,13 +144,13 @@
 
 def _check_announcement(
     machine: ControlMachine, command: AnnounceMember
-) -> Refused | None:
+) -> CommandRefused | None:
     if not command.name or not command.member_id:
-        return Refused(
+        return CommandRefused(
             code='malformed', message='name and member_id must not be empty'
         )
     if (command.role == 'upstream') != bool(command.group):
-        return Refused(
+        return CommandRefused(
             code='malformed',
             message=f'role {command.role!r} with group {command.group!r}: '
             'an upstream names its group, a proxy does not',
@@ -158,7 +158,7 @@
     settings = machine.objects.upstreams.get(command.name)
     if command.role == 'upstream' and settings and settings.group:
         if settings.group != command.group:
-            return Refused(
+            return CommandRefused(
                 code='wrong_group',
                 message=f'group {command.group!r}: operators expect '
                 f'{command.name!r} in {settings.group!r}',
@@ -167,7 +167,7 @@
     if member is None or member.member_id != command.member_id:
         return None
     if (member.role, member.group) != (command.role, command.group):
-        return Refused(
+        return CommandRefused(
             code='wrong_group',
             message=f'{command.name!r} is a member with role {member.role!r} '
             f'and group {member.group!r}; it must be removed first',
@@ -233,7 +233,7 @@
         member = newcomer.member
         machine.members[name] = member
         approvers += not member.registered
-        enter_new_groups(machine, member)
+        add_to_new_groups(machine, member)
         changed_keys.extend(_affected_keys(machine, name, member))
         joined.append(name)
     changed = publish_changes(machine, changed_keys)
@@ -242,7 +242,7 @@
 
 def _refuse_unknown(name: str, member_id: str) -> Applied:
     return Applied(
-        answer=Refused(
+        answer=CommandRefused(
             code='unknown_member',
             message=f'{name!r} with identity {member_id!r} is not known',
         )
--- a/jackdawpost/core/control/operator_requests.py
+++ b/jackdawpost/core/control/operator_requests.py
@@ -9,8 +9,8 @@
 from jackdawpost.core.control.commands import StartPromotion
 from jackdawpost.core.control.membership import missing_approvals
 from jackdawpost.core.control.state import ChangeAnswer
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
-from jackdawpost.core.control.state import Refused
 from jackdawpost.core.messages.operator import Action
 from jackdawpost.core.messages.operator import AnswerStatus
 from jackdawpost.core.messages.operator import Apply
@@ -22,7 +22,7 @@
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Table
 from jackdawpost.core.objects.change_sets import check_change_set
-from jackdawpost.core.objects.change_sets import repeat_kept_answer
+from jackdawpost.core.objects.change_sets import find_stored_answer
 
 _DRAIN_ACTIONS: tuple[Action, ...] = ('create', 'amend')
 
@@ -65,7 +65,7 @@
         for action in _DRAIN_ACTIONS
     ]
     for variant in variants:
-        kept = repeat_kept_answer(machine, request.change_id, [variant])
+        kept = find_stored_answer(machine, request.change_id, [variant])
         if kept is not None and kept.duplicate:
             return answer_change(machine, request.id, kept)
     if settings is None and (member is None or member.role != 'upstream'):
@@ -152,7 +152,7 @@
 
 
 def answer_command(
-    machine: ControlMachine, request_id: int, refused: Refused | None
+    machine: ControlMachine, request_id: int, refused: CommandRefused | None
 ) -> OperatorAnswer:
     """Answer for a removal or the start of a promotion."""
     if refused is None:
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -24,7 +24,7 @@
 from jackdawpost.core.control.process import LinkState
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
-from jackdawpost.core.control.process import Waiting
+from jackdawpost.core.control.process import WaitingOperator
 from jackdawpost.core.control.promotion_choice import missing_databases
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import ChangeAnswer
@@ -99,7 +99,7 @@
     if index is None:
         send(state, link.conn, NotLeader(leader=None))
         return
-    waiting = Waiting(conn=link.conn, request_id=message.id)
+    waiting = WaitingOperator(conn=link.conn, request_id=message.id)
     leader.answers.setdefault(index, []).append(waiting)
 
 
@@ -123,7 +123,7 @@
     if found is None:
         return
     conn, query = found
-    answer = answer_query(state.machine, query, leader.in_force)
+    answer = answer_query(state.machine, query, leader.versions_in_force)
     if query.what == 'status':
         answer.tables.append(_promotion_table(state, leader))
     send(state, conn, answer)
@@ -176,8 +176,8 @@
     promotion.request_promotion(
         leader.driver, message.group, built.reason, built.accept_loss
     )
-    waiting = Waiting(conn=link.conn, request_id=message.id)
-    leader.promotes.setdefault(message.group, []).append(waiting)
+    waiting = WaitingOperator(conn=link.conn, request_id=message.id)
+    leader.pending_promotions.setdefault(message.group, []).append(waiting)
     leader.dirty_groups.add(message.group)
 
 
@@ -188,7 +188,7 @@
     if isinstance(built, OperatorAnswer):
         send(state, link.conn, built)
         return
-    waiting = Waiting(conn=link.conn, request_id=message.id)
+    waiting = WaitingOperator(conn=link.conn, request_id=message.id)
     key = (built.name, built.member_id)
     begin_removal(state, key, 'operator', waiting)
 
@@ -203,7 +203,7 @@
     """Answer the operators that waited for a log entry."""
     waiting = leader.answers.pop(index, [])
     if command.kind == 'start_promotion':
-        waiting += leader.promotes.pop(command.group, [])
+        waiting += leader.pending_promotions.pop(command.group, [])
     for entry in waiting:
         if isinstance(applied.answer, ChangeAnswer):
             answer = answer_change(
@@ -219,7 +219,10 @@
 def release_operators(state: ControlState, leader: LeaderState) -> None:
     """Send waiting operators to the next leader, which knows the outcome."""
     conns = {conn for conn, _ in leader.queries.values()}
-    for waiting in (*leader.answers.values(), *leader.promotes.values()):
+    for waiting in (
+        *leader.answers.values(),
+        *leader.pending_promotions.values(),
+    ):
         conns.update(entry.conn for entry in waiting)
     for operators in leader.removing.values():
         conns.update(entry.conn for entry in operators)
--- a/jackdawpost/core/control/permit_ledger.py
+++ b/jackdawpost/core/control/permit_ledger.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Borrower:
+class ProxyPermits:
     """A proxy's account at one upstream.
 
     Parameters
@@ -65,7 +65,7 @@
     """Permits of one upstream."""
 
     slots: int = 0
-    borrowers: dict[str, Borrower] = field(default_factory=dict)
+    accounts: dict[str, ProxyPermits] = field(default_factory=dict)
     lost: list[LostPermits] = field(default_factory=list)
 
 
@@ -75,7 +75,7 @@
 
     Parameters
     ----------
-    unheard : set of str
+    unreported : set of str
         Proxies that may hold permits of an earlier leader; nothing is lent
         before each has reported or `ready_ms` has passed.
     ready_ms : float
@@ -85,7 +85,7 @@
     """
 
     ready_ms: float
-    unheard: set[str] = field(default_factory=set)
+    unreported: set[str] = field(default_factory=set)
     upstreams: dict[str, UpstreamPermits] = field(default_factory=dict)
     incarnations: dict[str, str] = field(default_factory=dict)
 
@@ -98,7 +98,7 @@
         ledger.upstreams.setdefault(name, UpstreamPermits()).slots = count
 
 
-def note_demand(
+def record_demand(
     ledger: PermitLedger, now_ms: float, proxy: str, upstream: str, wanted: int
 ) -> None:
     """Take the number of permits that a proxy could use now in total."""
@@ -110,7 +110,7 @@
     account.wanted = max(0, wanted)
 
 
-def note_return(
+def record_return(
     ledger: PermitLedger, now_ms: float, proxy: str, upstream: str, count: int
 ) -> None:
     """Take permits back; more than were lent are ignored."""
@@ -124,12 +124,12 @@
     account.recalled = max(0, account.recalled - returned)
 
 
-def _account(ledger: PermitLedger, proxy: str, upstream: str) -> Borrower:
-    borrowers = ledger.upstreams[upstream].borrowers
-    return borrowers.setdefault(proxy, Borrower())
+def _account(ledger: PermitLedger, proxy: str, upstream: str) -> ProxyPermits:
+    accounts = ledger.upstreams[upstream].accounts
+    return accounts.setdefault(proxy, ProxyPermits())
 
 
-def note_connected(
+def record_holdings(
     ledger: PermitLedger,
     proxy: str,
     incarnation: str,
@@ -147,7 +147,7 @@
         Upstreams whose permits may have become free.
     """
     changed = set(holdings)
-    ledger.unheard.discard(proxy)
+    ledger.unreported.discard(proxy)
     ledger.incarnations[proxy] = incarnation
     for upstream in holdings:
         ledger.upstreams.setdefault(upstream, UpstreamPermits())
@@ -157,17 +157,17 @@
             for entry in permits.lost
             if (entry.proxy, entry.incarnation) != (proxy, incarnation)
         ]
-        known = permits.borrowers.pop(proxy, None)
+        known = permits.accounts.pop(proxy, None)
         if known is not None or len(kept) < len(permits.lost):
             changed.add(upstream)
         permits.lost = kept
         held = max(0, holdings.get(upstream, 0))
         if held:
-            permits.borrowers[proxy] = Borrower(held=held, wanted=held)
+            permits.accounts[proxy] = ProxyPermits(held=held, wanted=held)
     return changed
 
 
-def note_lost(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
+def record_lost(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
     """Keep the permits of a disconnected proxy until they are unusable.
 
     Parameters
@@ -177,7 +177,7 @@
     """
     incarnation = ledger.incarnations.pop(proxy, '')
     for permits in ledger.upstreams.values():
-        account = permits.borrowers.pop(proxy, None)
+        account = permits.accounts.pop(proxy, None)
         if account is None or not account.held:
             continue
         entry = LostPermits(
@@ -189,9 +189,9 @@
         permits.lost.append(entry)
 
 
-def lent(permits: UpstreamPermits) -> int:
+def granted_count(permits: UpstreamPermits) -> int:
     """Return the permits that may be in use."""
-    held = sum(account.held for account in permits.borrowers.values())
+    held = sum(account.held for account in permits.accounts.values())
     return held + sum(entry.count for entry in permits.lost)
 
 
@@ -207,7 +207,7 @@
     upstreams : collection of str, optional
         Upstreams to look at; all if left out.
     """
-    if not is_lending(ledger, now_ms):
+    if not is_granting(ledger, now_ms):
         return []
     names = ledger.upstreams if upstreams is None else upstreams
     decisions = []
@@ -219,12 +219,12 @@
     return decisions
 
 
-def is_lending(ledger: PermitLedger, now_ms: float) -> bool:
+def is_granting(ledger: PermitLedger, now_ms: float) -> bool:
     """Tell whether the holdings of all proxies are known or run out."""
-    return not ledger.unheard or now_ms >= ledger.ready_ms
+    return not ledger.unreported or now_ms >= ledger.ready_ms
 
 
-def _waiting(permits: UpstreamPermits) -> list[tuple[str, Borrower]]:
+def _waiting(permits: UpstreamPermits) -> list[tuple[str, ProxyPermits]]:
     """Return who wants more: those with the fewest first, then by time.
 
     Proxies that owe a permit come last. Were they first, a proxy would get
@@ -234,7 +234,7 @@
     """
     waiting = [
         (proxy, account)
-        for proxy, account in permits.borrowers.items()
+        for proxy, account in permits.accounts.items()
         if account.wanted > account.held
     ]
     return sorted(
@@ -252,7 +252,7 @@
     permits: UpstreamPermits, now_ms: float, upstream: str
 ) -> list[PermitDecision]:
     granted: dict[str, int] = {}
-    free = permits.slots - lent(permits)
+    free = permits.slots - granted_count(permits)
     while free > 0 and (waiting := _waiting(permits)):
         proxy, account = waiting[0]
         account.held += 1
@@ -273,13 +273,13 @@
     permits: UpstreamPermits, now_ms: float, upstream: str
 ) -> list[PermitDecision]:
     recalls: dict[str, int] = {}
-    coming = sum(account.recalled for account in permits.borrowers.values())
+    coming = sum(account.recalled for account in permits.accounts.values())
     waiting = [w for w in _waiting(permits) if not w[1].recalled]
     for _, account in waiting[coming:]:
         proxy = _donor(permits, now_ms, account.held)
         if proxy is None:
             break
-        permits.borrowers[proxy].recalled += 1
+        permits.accounts[proxy].recalled += 1
         recalls[proxy] = recalls.get(proxy, 0) + 1
     return [
         PermitDecision(
@@ -299,7 +299,7 @@
     """
     best: tuple[int, int, float, str] | None = None
     floor = 1 if waiter_held == 0 else waiter_held + 2
-    for proxy, account in permits.borrowers.items():
+    for proxy, account in permits.accounts.items():
         left = account.held - account.recalled
         spare = left - account.wanted
         if left < 1 or (spare <= 0 and left < floor):
@@ -318,15 +318,15 @@
     """Return when more may be decided for an upstream without an input."""
     permits = ledger.upstreams[upstream]
     if not any(
-        account.wanted > account.held for account in permits.borrowers.values()
+        account.wanted > account.held for account in permits.accounts.values()
     ):
         return None
-    if not is_lending(ledger, now_ms):
+    if not is_granting(ledger, now_ms):
         return ledger.ready_ms
     dues = [entry.until_ms for entry in permits.lost]
     dues += [
         account.granted_ms + MIN_HOLD_MS
-        for account in permits.borrowers.values()
+        for account in permits.accounts.values()
         if account.held > account.recalled
     ]
     return min((due for due in dues if due > now_ms), default=None)
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -116,7 +116,7 @@
     ----------
     peer : str
         Name that the transport vouches for; empty if it does not.
-    heard_ms : float
+    last_contact_ms : float
         Time of the last message.
     is_refused : bool
         The connection broke the protocol; nothing more is taken from it.
@@ -129,7 +129,7 @@
     conn: int
     link: Link
     peer: str
-    heard_ms: float
+    last_contact_ms: float
     is_refused: bool = False
     name: str = ''
     member_id: str = ''
@@ -138,22 +138,22 @@
     sent_version: int | None = None
     sent_ms: float = 0.0
     demands: dict[str, int] = field(default_factory=dict)
-    asked: set[MemberKey] = field(default_factory=set)
+    approvals_requested: set[MemberKey] = field(default_factory=set)
     revoked: set[tuple[str, int]] = field(default_factory=set)
 
 
 @dataclass(slots=True, kw_only=True)
-class Announced:
+class AnnouncedUpstream:
     """Latest announcement of one upstream identity."""
 
     announce: Announce
     conn: int
-    heard_ms: float
+    last_contact_ms: float
     connected: bool = True
 
 
 @dataclass(slots=True, kw_only=True)
-class Waiting:
+class WaitingOperator:
     """Operator request whose answer depends on a log entry."""
 
     conn: int
@@ -161,23 +161,23 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Registered:
+class RegisteredUpstream:
     """Latest report of an upstream that registers itself."""
 
     report: Registration
-    heard_ms: float
+    last_contact_ms: float
 
 
 @dataclass(slots=True, kw_only=True)
-class Sighting:
+class UpstreamObservation:
     """What one proxy last saw of an upstream."""
 
     report: UpstreamReport
-    heard_ms: float
+    last_contact_ms: float
 
 
 @dataclass(slots=True, kw_only=True)
-class Order:
+class PromotionOrder:
     """Order of a promotion; `outcome` is empty until it is answered."""
 
     token: int
@@ -187,7 +187,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Freeze:
+class ReplicaPause:
     """Replicas stopped before a promotion.
 
     Parameters
@@ -205,7 +205,7 @@
     term: int
     positions: dict[str, LogPosition] = field(default_factory=dict)
     attempts: int = 0
-    ask_ms: float = 0.0
+    next_request_ms: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -216,9 +216,9 @@
     ----------
     proposed : dict of str to int
         What has been proposed and not applied, with the log index.
-    heard_ms : dict
+    last_contact_ms : dict
         When each member or newcomer was last heard.
-    answers : dict of int to list of Waiting
+    answers : dict of int to list of WaitingOperator
         Operators to answer once the entry is applied.
     queries : dict
         Connection and query by token of the confirmation they wait for.
@@ -227,16 +227,16 @@
         their lease has ended and the removal is proposed.
     removal_reasons : dict
         Why each of them is removed.
-    in_force : dict of str to int
+    versions_in_force : dict of str to int
         Published version in force on each proxy.
     announce_at_ms : dict
         Earliest time of another announcement of an identity.
     expiry_check_ms : float
         Next time to look for silent members.
-    heard_floor_ms : float
+    contact_floor_ms : float
         Members count as heard at this time: the election, or the end of a
         pause of this process in which it could hear nobody.
-    ticked_ms : float
+    last_tick_ms : float
         Time of the last tick.
     permit_due_ms : dict of str to float
         Next time to look at the permits of an upstream.
@@ -248,31 +248,31 @@
         Groups whose promotion has to be looked at.
     dirty_permits : set of str
         Upstreams whose permits have to be looked at.
-    suspects : set of str
+    suspect_groups : set of str
         Groups with evidence against their primary.
-    asked : dict of int to list of int
+    pending_requests : dict of int to list of int
         Requests to answer once the entry with this index is applied.
-    reads : dict of int to int
+    pending_reads : dict of int to int
         Request by token of the confirmation that it waits for.
-    registered : dict of str to Registered
+    registered : dict of str to RegisteredUpstream
         Latest reports of registered upstreams.
-    sightings : dict
+    upstream_observations : dict
         What proxies saw, by upstream and proxy.
-    orders : dict of str to Order
+    orders : dict of str to PromotionOrder
         Latest order of a promotion for each group.
     own_tokens : set of int
         Fencing tokens recorded in this leadership; only they are used.
-    avoid_ms : dict of str to float
+    excluded_until_ms : dict of str to float
         Until when an upstream is not chosen for a promotion.
-    no_primary_ms : dict of str to float
+    without_primary_since_ms : dict of str to float
         Since when a group has no primary.
-    freezes : dict of str to Freeze
+    replica_pauses : dict of str to ReplicaPause
         Replicas stopped for the promotion of each group.
-    refused_ms : dict of str to float
+    refused_since_ms : dict of str to float
         Since when most proxies find nobody at an upstream's address.
-    witnesses_ms : dict of str to float
+    electorate_ms : dict of str to float
         When each proxy was last a member.
-    replaced_ms : dict of str to float
+    not_adopted_until_ms : dict of str to float
         Until when a replaced primary is not adopted again.
     """
 
@@ -284,38 +284,44 @@
     driver: PromotionDriver
     admin: AdminLinks
     proposed: dict[str, int] = field(default_factory=dict)
-    heard_ms: dict[MemberKey, float] = field(default_factory=dict)
-    answers: dict[int, list[Waiting]] = field(default_factory=dict)
+    last_contact_ms: dict[MemberKey, float] = field(default_factory=dict)
+    answers: dict[int, list[WaitingOperator]] = field(default_factory=dict)
     queries: dict[int, tuple[int, Any]] = field(default_factory=dict)
     next_query_token: int = -1
-    promotes: dict[str, list[Waiting]] = field(default_factory=dict)
-    removing: dict[MemberKey, list[Waiting]] = field(default_factory=dict)
+    pending_promotions: dict[str, list[WaitingOperator]] = field(
+        default_factory=dict
+    )
+    removing: dict[MemberKey, list[WaitingOperator]] = field(
+        default_factory=dict
+    )
     removal_reasons: dict[MemberKey, str] = field(default_factory=dict)
-    in_force: dict[str, int] = field(default_factory=dict)
+    versions_in_force: dict[str, int] = field(default_factory=dict)
     announce_at_ms: dict[MemberKey, float] = field(default_factory=dict)
     expiry_check_ms: float = 0.0
-    heard_floor_ms: float = 0.0
-    ticked_ms: float = 0.0
+    contact_floor_ms: float = 0.0
+    last_tick_ms: float = 0.0
     permit_due_ms: dict[str, float] = field(default_factory=dict)
     group_due_ms: dict[str, float] = field(default_factory=dict)
     group_upstreams: dict[str, list[str]] = field(default_factory=dict)
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
-    suspects: set[str] = field(default_factory=set)
+    suspect_groups: set[str] = field(default_factory=set)
     # Requests without a link, and promotions ordered from outside.
-    asked: dict[int, list[int]] = field(default_factory=dict)
-    reads: dict[int, int] = field(default_factory=dict)
-    registered: dict[str, Registered] = field(default_factory=dict)
-    sweep_ms: float = 0.0
-    sightings: dict[str, dict[str, Sighting]] = field(default_factory=dict)
-    orders: dict[str, Order] = field(default_factory=dict)
+    pending_requests: dict[int, list[int]] = field(default_factory=dict)
+    pending_reads: dict[int, int] = field(default_factory=dict)
+    registered: dict[str, RegisteredUpstream] = field(default_factory=dict)
+    next_sweep_ms: float = 0.0
+    upstream_observations: dict[str, dict[str, UpstreamObservation]] = field(
+        default_factory=dict
+    )
+    orders: dict[str, PromotionOrder] = field(default_factory=dict)
     own_tokens: set[int] = field(default_factory=set)
-    avoid_ms: dict[str, float] = field(default_factory=dict)
-    no_primary_ms: dict[str, float] = field(default_factory=dict)
-    replaced_ms: dict[str, float] = field(default_factory=dict)
-    witnesses_ms: dict[str, float] = field(default_factory=dict)
-    freezes: dict[str, Freeze] = field(default_factory=dict)
-    refused_ms: dict[str, float] = field(default_factory=dict)
+    excluded_until_ms: dict[str, float] = field(default_factory=dict)
+    without_primary_since_ms: dict[str, float] = field(default_factory=dict)
+    not_adopted_until_ms: dict[str, float] = field(default_factory=dict)
+    electorate_ms: dict[str, float] = field(default_factory=dict)
+    replica_pauses: dict[str, ReplicaPause] = field(default_factory=dict)
+    refused_since_ms: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -338,9 +344,9 @@
     links: dict[int, LinkState] = field(default_factory=dict)
     peers: dict[str, int] = field(default_factory=dict)
     proxies: dict[str, int] = field(default_factory=dict)
-    upstreams: dict[MemberKey, Announced] = field(default_factory=dict)
+    upstreams: dict[MemberKey, AnnouncedUpstream] = field(default_factory=dict)
     leader: LeaderState | None = None
-    told_leader: str | None = None
+    notified_leader: str | None = None
     next_conn: int = -1
     timer_ms: float | None = None
     draining: bool = False
@@ -352,12 +358,12 @@
     # Processes of the control group, where these may change.
     leaving_peers: set[str] = field(default_factory=set)
     voters_due_ms: float = 0.0
-    tell_due_ms: float = 0.0
+    notify_group_due_ms: float = 0.0
     leader_seen_ms: float = 0.0
-    told_group: tuple[str, tuple[str, ...]] | None = None
+    notified_group: tuple[str, tuple[str, ...]] | None = None
     group_leader: str = ''
     group_voters: list[str] = field(default_factory=list)
-    followed: list[str] | None = None
+    connected_peers: list[str] | None = None
     queue: deque[Any] = field(default_factory=deque)
     outbox: list[Effect] = field(default_factory=list)
 
--- a/jackdawpost/core/control/promotion_choice.py
+++ b/jackdawpost/core/control/promotion_choice.py
@@ -5,21 +5,21 @@
 from collections.abc import Mapping
 
 from jackdawpost.core.control.commands import ChoosePrimary
-from jackdawpost.core.control.promotion_facts import drive_of
-from jackdawpost.core.control.promotion_facts import GroupDrive
 from jackdawpost.core.control.promotion_facts import GroupFacts
-from jackdawpost.core.control.promotion_facts import Heard
+from jackdawpost.core.control.promotion_facts import GroupProgress
 from jackdawpost.core.control.promotion_facts import is_counted
-from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
+from jackdawpost.core.control.promotion_facts import RunningPromotion
+from jackdawpost.core.control.promotion_facts import SealedDatabase
 
 CHOICE_GRACE_MS = 200.0  # for further replicas where waiting costs little
 
 
 def choose_database(
-    drive: GroupDrive,
+    progress: GroupProgress,
     now_ms: float,
-    promotion: OpenPromotion,
+    promotion: RunningPromotion,
     facts: GroupFacts,
 ) -> ChoosePrimary | None:
     """Return the choice of the next primary once it is safe.
@@ -30,33 +30,35 @@
     """
     if facts.lease_holders:
         return None
-    heard = counted_heard(drive, facts)
-    if len(heard) < (1 if promotion.accept_loss else facts.needed):
+    sealed = counted_sealed(progress, facts)
+    if len(sealed) < (1 if promotion.accept_loss else facts.needed):
         return None
-    if drive.enough_since_ms is None:
-        drive.enough_since_ms = now_ms
-    others = {n: h for n, h in heard.items() if not _is_avoided(n, facts)}
-    if _should_wait(drive, now_ms, promotion, facts, others):
+    if progress.enough_since_ms is None:
+        progress.enough_since_ms = now_ms
+    others = {n: h for n, h in sealed.items() if not _is_avoided(n, facts)}
+    if _should_wait(progress, now_ms, promotion, facts, others):
         return None
-    name = _best(others if len(others) >= facts.needed else heard, facts)
+    name = _best(others if len(others) >= facts.needed else sealed, facts)
     return ChoosePrimary(
         group=facts.name,
         to_term=promotion.to_term,
         upstream=name,
-        data_id=heard[name].data_id,
-        position=heard[name].received,
+        data_id=sealed[name].data_id,
+        position=sealed[name].received,
     )
 
 
-def counted_heard(drive: GroupDrive, facts: GroupFacts) -> dict[str, Heard]:
+def counted_sealed(
+    progress: GroupProgress, facts: GroupFacts
+) -> dict[str, SealedDatabase]:
     """Return the sealed databases whose data counts for the choice."""
     counted = {}
-    for name, heard in drive.heard.items():
+    for name, sealed in progress.sealed.items():
         database = facts.databases.get(name)
-        if database is not None and database.data_id != heard.data_id:
+        if database is not None and database.data_id != sealed.data_id:
             continue
-        if facts.database_set.get(name) == heard.data_id:
-            counted[name] = heard
+        if facts.database_set.get(name) == sealed.data_id:
+            counted[name] = sealed
     return counted
 
 
@@ -67,11 +69,11 @@
 
 
 def _should_wait(
-    drive: GroupDrive,
+    progress: GroupProgress,
     now_ms: float,
-    promotion: OpenPromotion,
+    promotion: RunningPromotion,
     facts: GroupFacts,
-    others: Mapping[str, Heard],
+    others: Mapping[str, SealedDatabase],
 ) -> bool:
     """Wait a little for further databases that may hold more.
 
@@ -90,11 +92,11 @@
         and is_counted(facts, database)
         and not _is_avoided(name, facts)
     ]
-    since_ms = drive.enough_since_ms or now_ms
+    since_ms = progress.enough_since_ms or now_ms
     return bool(missing) and now_ms < since_ms + CHOICE_GRACE_MS
 
 
-def _best(candidates: Mapping[str, Heard], facts: GroupFacts) -> str:
+def _best(candidates: Mapping[str, SealedDatabase], facts: GroupFacts) -> str:
     return max(
         sorted(candidates),
         key=lambda name: (
@@ -108,5 +110,5 @@
     """Return the databases that a blocked promotion has not heard."""
     if facts.promotion is None or facts.promotion.upstream is not None:
         return []
-    heard = counted_heard(drive_of(driver, facts.name), facts)
-    return sorted(set(facts.database_set) - set(heard))
+    sealed = counted_sealed(progress_of(driver, facts.name), facts)
+    return sorted(set(facts.database_set) - set(sealed))
--- a/jackdawpost/core/control/promotion_facts.py
+++ b/jackdawpost/core/control/promotion_facts.py
@@ -18,7 +18,7 @@
     ----------
     session : int
         Announcing connection; a new one calls for a new `follow`.
-    heard_ms : float
+    last_contact_ms : float
         Time of the announcement.
     connected : bool
         The announcing connection is open.
@@ -33,12 +33,12 @@
     received: LogPosition
     leaving: bool
     session: int
-    heard_ms: float
+    last_contact_ms: float
     connected: bool = True
 
 
 @dataclass(slots=True, kw_only=True)
-class OpenPromotion:
+class RunningPromotion:
     """Promotion under way as committed; `upstream` is the choice."""
 
     from_term: int
@@ -74,14 +74,14 @@
     last_term: int
     primary: str | None
     database_set: Mapping[str, str]
-    promotion: OpenPromotion | None
+    promotion: RunningPromotion | None
     databases: Mapping[str, Database]
     lease_holders: Mapping[str, float]
     failed: str
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class AdminWant:
+class AdminRequest:
     """Admin request that an upstream has to answer."""
 
     group: str
@@ -97,7 +97,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Heard:
+class SealedDatabase:
     """What a sealed database holds."""
 
     data_id: str
@@ -105,7 +105,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class GroupDrive:
+class GroupProgress:
     """Progress of one group under this leader.
 
     Parameters
@@ -118,8 +118,8 @@
         Reason to start another promotion, empty if there is none.
     retry_at_ms : float
         Earliest time of the next command after a refused one.
-    heard_term : int
-        Promotion that `heard` and the following fields belong to.
+    sealed_term : int
+        Promotion that `sealed` and the following fields belong to.
     enough_since_ms : float, optional
         Time since which enough databases have been heard.
     chosen_since_ms : float, optional
@@ -141,14 +141,14 @@
     restart: str = ''
     retry_at_ms: float = 0.0
     accept_loss: bool = False
-    heard_term: int = 0
-    heard: dict[str, Heard] = field(default_factory=dict)
+    sealed_term: int = 0
+    sealed: dict[str, SealedDatabase] = field(default_factory=dict)
     enough_since_ms: float | None = None
     chosen_since_ms: float | None = None
     promoted: bool = False
     outdated: bool = False
     finished_ms: float | None = None
-    followed: set[AdminWant] = field(default_factory=set)
+    followed: set[AdminRequest] = field(default_factory=set)
     joined_ms: dict[tuple[str, str, int], float] = field(default_factory=dict)
     targets: dict[tuple[str, str, int], LogPosition] = field(
         default_factory=dict
@@ -168,12 +168,12 @@
 
     refused_ms: float
     silent_ms: float
-    groups: dict[str, GroupDrive] = field(default_factory=dict)
+    groups: dict[str, GroupProgress] = field(default_factory=dict)
 
 
-def drive_of(driver: PromotionDriver, group: str) -> GroupDrive:
+def progress_of(driver: PromotionDriver, group: str) -> GroupProgress:
     """Return the progress of a group, creating it if need be."""
-    return driver.groups.setdefault(group, GroupDrive())
+    return driver.groups.setdefault(group, GroupProgress())
 
 
 def is_counted(facts: GroupFacts, database: Database) -> bool:
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -13,10 +13,10 @@
 from jackdawpost.core.control.database_sets import is_joined_upstream
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
+from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Promotion
-from jackdawpost.core.control.state import Refused
 from jackdawpost.core.positions import LogPosition
 
 
@@ -159,7 +159,7 @@
 
 
 def _refuse(code: str, message: str) -> Applied:
-    return Applied(answer=Refused(code=code, message=message))
+    return Applied(answer=CommandRefused(code=code, message=message))
 
 
 def _refuse_not_joined(group: str, name: str, data_id: str) -> Applied:
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -9,8 +9,7 @@
 from jackdawpost.core.control import lease_ledger
 from jackdawpost.core.control import permit_ledger
 from jackdawpost.core.control.commands import AnnounceMember
-from jackdawpost.core.control.delegation import note_sightings
-from jackdawpost.core.control.freeze import note_told
+from jackdawpost.core.control.delegation import record_observations
 from jackdawpost.core.control.machine import update_since
 from jackdawpost.core.control.members import ask_approvals
 from jackdawpost.core.control.members import note_leaving
@@ -23,6 +22,7 @@
 from jackdawpost.core.control.process import LinkState
 from jackdawpost.core.control.process import member_state
 from jackdawpost.core.control.process import refuse
+from jackdawpost.core.control.replica_pause import record_action_answer
 from jackdawpost.core.control.voters import known_peers
 from jackdawpost.core.effects import Close
 from jackdawpost.core.messages.control import Approval
@@ -35,7 +35,7 @@
 from jackdawpost.core.messages.control import PermitRecall
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.messages.control import ProxyReport
-from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
 
@@ -71,8 +71,8 @@
         take_approval(state, link, message)
     elif not link.is_served:
         return
-    elif isinstance(message, UpstreamTold):
-        note_told(state, leader, message)
+    elif isinstance(message, UpstreamActionAnswer):
+        record_action_answer(state, leader, message)
     elif isinstance(message, LeaseRevoked):
         lease_ledger.note_revoked(
             leader.leases,
@@ -83,7 +83,7 @@
         )
         leader.dirty_groups.add(message.group)
     elif isinstance(message, PermitDemand):
-        permit_ledger.note_demand(
+        permit_ledger.record_demand(
             leader.permits,
             state.now_ms,
             link.name,
@@ -92,7 +92,7 @@
         )
         leader.dirty_permits.add(message.upstream)
     elif isinstance(message, PermitReturn):
-        permit_ledger.note_return(
+        permit_ledger.record_return(
             leader.permits,
             state.now_ms,
             link.name,
@@ -180,16 +180,16 @@
     report = link.report
     if report is None or state.proxies.get(link.name) != link.conn:
         return
-    leader.in_force[link.name] = report.version
+    leader.versions_in_force[link.name] = report.version
     if not link.is_served:
         _begin_service(state, leader, link, report)
     push_update(state, link)
-    failure_detector.note_evidence(
+    failure_detector.record_evidence(
         leader.detector, state.now_ms, link.name, report.evidence
     )
     _note_suspects(state, leader, report)
     if state.cfg.delegated:
-        note_sightings(state, leader, report)
+        record_observations(state, leader, report)
     lease_ledger.note_report(
         leader.leases,
         state.now_ms,
@@ -210,14 +210,14 @@
     known = leader.permits.incarnations.get(link.name)
     if known is not None and known != report.incarnation:
         lose_permits(state, leader, link.name)
-    was_lending = permit_ledger.is_lending(leader.permits, state.now_ms)
-    leader.dirty_permits |= permit_ledger.note_connected(
+    was_granting = permit_ledger.is_granting(leader.permits, state.now_ms)
+    leader.dirty_permits |= permit_ledger.record_holdings(
         leader.permits, link.name, report.incarnation, report.holdings
     )
-    if permit_ledger.is_lending(leader.permits, state.now_ms) > was_lending:
+    if permit_ledger.is_granting(leader.permits, state.now_ms) > was_granting:
         leader.dirty_permits.update(leader.permits.upstreams)
     for upstream, wanted in link.demands.items():
-        permit_ledger.note_demand(
+        permit_ledger.record_demand(
             leader.permits, state.now_ms, link.name, upstream, wanted
         )
     leader.dirty_permits.update(link.demands)
@@ -230,7 +230,7 @@
 def lose_permits(state: ControlState, leader: LeaderState, proxy: str) -> None:
     """Keep back the permits of a process until it cannot use them."""
     end_ms = lease_ledger.lease_end_ms(leader.leases, state.now_ms, proxy)
-    permit_ledger.note_lost(
+    permit_ledger.record_lost(
         leader.permits, proxy, end_ms + state.cfg.max_statement_ms
     )
 
@@ -242,8 +242,8 @@
     for upstream, evidence in report.evidence.items():
         member = state.machine.members.get(upstream)
         if evidence != 'up' and member is not None and member.group:
-            leader.suspects.add(member.group)
-    leader.dirty_groups |= leader.suspects
+            leader.suspect_groups.add(member.group)
+    leader.dirty_groups |= leader.suspect_groups
 
 
 def push_update(state: ControlState, link: LinkState) -> None:
@@ -386,7 +386,10 @@
     """
     limit_ms = lease_ledger.hold_ms(leader.leases)
     for link in list(state.links.values()):
-        if not link.is_served or state.now_ms < link.heard_ms + limit_ms:
+        if (
+            not link.is_served
+            or state.now_ms < link.last_contact_ms + limit_ms
+        ):
             continue
         log(state, 'warning', 'proxy_silent', proxy=link.name)
         proxy_closed(state, link)
@@ -399,5 +402,5 @@
     for link in state.links.values():
         if link.is_served and not is_member(state, link.name, link.member_id):
             stop_service(state, link)
-            failure_detector.forget_proxy(leader.detector, link.name)
-            leader.in_force.pop(link.name, None)
+            failure_detector.remove_proxy(leader.detector, link.name)
+            leader.versions_in_force.pop(link.name, None)
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -12,7 +12,7 @@
 
 from jackdawpost.core.consensus import process as consensus
 from jackdawpost.core.control.commands import decode_command
-from jackdawpost.core.control.delegation import note_promotion_ended
+from jackdawpost.core.control.delegation import on_promotion_ended
 from jackdawpost.core.control.dump import dump_control
 from jackdawpost.core.control.dump import is_healthy
 from jackdawpost.core.control.leadership import after_apply
@@ -53,7 +53,6 @@
 from jackdawpost.core.effects import Persist
 from jackdawpost.core.effects import SetTimer
 from jackdawpost.core.effects import Stop
-from jackdawpost.core.events import Asked
 from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import ConnOpened
 from jackdawpost.core.events import DrainRequested
@@ -63,6 +62,7 @@
 from jackdawpost.core.events import PersistFailed
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.events import Received
+from jackdawpost.core.events import RequestReceived
 from jackdawpost.core.events import SeedsChanged
 from jackdawpost.core.events import TimerFired
 from jackdawpost.core.messages.consensus import ConsensusMessage
@@ -71,8 +71,8 @@
 from jackdawpost.core.messages.peer import ControlGroup
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import pop_effects
 from jackdawpost.core.outbox import send
-from jackdawpost.core.outbox import take_outbox
 
 __all__ = [
     'config_from_settings',
@@ -149,13 +149,13 @@
         _on_rejected(state, event)
     elif isinstance(event, DrainRequested):
         _on_drain(state)
-    elif isinstance(event, Asked):
+    elif isinstance(event, RequestReceived):
         receive_request(state, event)
     elif isinstance(event, SeedsChanged):
         state.cfg = dataclasses.replace(state.cfg, seeds=event.seeds)
     elif isinstance(event, PromotionEnded):
         if state.leader is not None:
-            note_promotion_ended(state, state.leader, event)
+            on_promotion_ended(state, state.leader, event)
     else:
         _on_storage(state, event)
     return _finish(state, is_tick)
@@ -171,7 +171,7 @@
         conn=event.conn,
         link=event.link,
         peer=event.peer,
-        heard_ms=state.now_ms,
+        last_contact_ms=state.now_ms,
     )
     state.links[event.conn] = link
     if event.link != 'peer':
@@ -184,7 +184,7 @@
         return
     state.peers[event.peer] = event.conn
     state.leaving_peers.discard(event.peer)
-    state.told_group = None
+    state.notified_group = None
 
 
 def _on_closed(state: ControlState, event: ConnClosed) -> None:
@@ -216,7 +216,7 @@
         link = state.links.get(event.conn)
         if link is None or link.is_refused:
             return
-        link.heard_ms = state.now_ms
+        link.last_contact_ms = state.now_ms
         _receive(state, link, message)
         _run_queue(state)
 
@@ -300,7 +300,7 @@
     follow_group(state)
     _stop_when_drained(state)
     _set_timer(state)
-    return take_outbox(state)
+    return pop_effects(state)
 
 
 def _run_queue(state: ControlState) -> None:
@@ -368,9 +368,9 @@
 def _tell_leader(state: ControlState) -> None:
     """Tell connected proxies and upstreams of another leader."""
     known = state.consensus.leader
-    if known == state.told_leader:
+    if known == state.notified_leader:
         return
-    state.told_leader = known
+    state.notified_leader = known
     for link in state.links.values():
         if link.link == 'proxy' and link.name and known != state.cfg.name:
             send(state, link.conn, NotLeader(leader=known))
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -16,12 +16,12 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import propose
-from jackdawpost.core.control.process import Registered
+from jackdawpost.core.control.process import RegisteredUpstream
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import ChangeAnswer
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.effects import Reply
-from jackdawpost.core.events import Asked
+from jackdawpost.core.events import RequestReceived
 from jackdawpost.core.messages.operator import Fault
 from jackdawpost.core.messages.registry import DeclareConfig
 from jackdawpost.core.messages.registry import Departure
@@ -35,51 +35,53 @@
 SWEEP_MS = 500.0
 
 
-def receive_request(state: ControlState, event: Asked) -> None:
+def receive_request(state: ControlState, event: RequestReceived) -> None:
     """Handle one request; only the leader answers, others say who leads."""
     leader = state.leader
     if leader is None or state.draining:
-        _send_on(state, event.asked)
+        _send_on(state, event.request_id)
         return
     request = event.request
     if isinstance(request, DeclareConfig):
-        _declare(state, leader, event.asked, request)
+        _declare(state, leader, event.request_id, request)
     elif isinstance(request, ReadConfig):
-        _read(state, leader, event.asked)
+        _read(state, leader, event.request_id)
     elif isinstance(request, Registration):
-        _register(state, leader, event.asked, request)
+        _register(state, leader, event.request_id, request)
     elif isinstance(request, Departure):
-        _depart(state, leader, event.asked, request)
+        _depart(state, leader, event.request_id, request)
 
 
-def _send_on(state: ControlState, asked: int) -> None:
+def _send_on(state: ControlState, request_id: int) -> None:
     known = state.consensus.leader
     if known is None and state.group_leader:
         known = state.group_leader
     if known is None or known == state.cfg.name:
-        reply(state, asked, 'unavailable')
+        reply(state, request_id, 'unavailable')
     else:
-        reply(state, asked, 'moved', leader=known)
+        reply(state, request_id, 'moved', leader=known)
 
 
-def reply(state: ControlState, asked: int, outcome: Any, **more: Any) -> None:
+def reply(
+    state: ControlState, request_id: int, outcome: Any, **more: Any
+) -> None:
     """Answer a request."""
-    state.outbox.append(Reply(asked=asked, outcome=outcome, **more))
+    state.outbox.append(Reply(request_id=request_id, outcome=outcome, **more))
 
 
-def _wait_for(leader: LeaderState, index: int, asked: int) -> None:
-    leader.asked.setdefault(index, []).append(asked)
+def _wait_for(leader: LeaderState, index: int, request_id: int) -> None:
+    leader.pending_requests.setdefault(index, []).append(request_id)
 
 
 def _declare(
     state: ControlState,
     leader: LeaderState,
-    asked: int,
+    request_id: int,
     request: DeclareConfig,
 ) -> None:
     _, faults = check_declared(state.machine, request.objects)
     if faults:
-        _refuse_declared(state, asked, request.version, faults)
+        _refuse_declared(state, request_id, request.version, faults)
         return
     held = state.machine.declared
     if held is not None and request.version <= held.version:
@@ -91,7 +93,7 @@
             version=request.version,
             held=held.version,
         )
-        reply(state, asked, 'done')
+        reply(state, request_id, 'done')
         return
     digest = hashlib.sha256(request.document).hexdigest()[:16]
     key = f'declare/{request.version}/{digest}'
@@ -106,30 +108,30 @@
             index = propose(state, key, command)
         except ValueError as exc:
             fault = Fault(object='', field='document', message=str(exc))
-            _refuse_declared(state, asked, request.version, [fault])
+            _refuse_declared(state, request_id, request.version, [fault])
             return
     if index is None:
-        reply(state, asked, 'unavailable')
+        reply(state, request_id, 'unavailable')
         return
-    _wait_for(leader, index, asked)
+    _wait_for(leader, index, request_id)
 
 
 def _refuse_declared(
-    state: ControlState, asked: int, version: int, faults: list[Fault]
+    state: ControlState, request_id: int, version: int, faults: list[Fault]
 ) -> None:
     texts = [
         f'{fault.object} {fault.field}: {fault.message}'
         for fault in faults[:MAX_SHOWN_FAULTS]
     ]
     log(state, 'info', 'config_refused', version=version, faults=texts[:3])
-    reply(state, asked, 'invalid', faults=texts)
+    reply(state, request_id, 'invalid', faults=texts)
 
 
-def _read(state: ControlState, leader: LeaderState, asked: int) -> None:
+def _read(state: ControlState, leader: LeaderState, request_id: int) -> None:
     """Answer once leadership is confirmed, so that nothing stale is shown."""
     token = leader.next_query_token
     leader.next_query_token -= 1
-    leader.reads[token] = asked
+    leader.pending_reads[token] = request_id
     state.queue.extend(
         consensus.confirm_leadership(state.consensus, state.now_ms, token)
     )
@@ -139,21 +141,21 @@
     state: ControlState, leader: LeaderState, token: int
 ) -> bool:
     """Answer the read that a confirmation was for; False if it was none."""
-    asked = leader.reads.pop(token, None)
-    if asked is None:
+    request_id = leader.pending_reads.pop(token, None)
+    if request_id is None:
         return False
     declared = state.machine.declared
     if declared is None:
-        reply(state, asked, 'unavailable')
+        reply(state, request_id, 'unavailable')
     else:
-        reply(state, asked, 'done', document=declared.document)
+        reply(state, request_id, 'done', document=declared.document)
     return True
 
 
 def _register(
     state: ControlState,
     leader: LeaderState,
-    asked: int,
+    request_id: int,
     report: Registration,
 ) -> None:
     """Take a report; late ones of an earlier incarnation change nothing."""
@@ -168,7 +170,7 @@
             sequence=report.sequence,
             reason=stale,
         )
-        reply(state, asked, 'done')
+        reply(state, request_id, 'done')
         return
     _remove_replaced(state, report)
     known = leader.registered.get(report.name)
@@ -183,18 +185,18 @@
             started_ms=report.started_ms,
             leads=report.leads,
         )
-    leader.registered[report.name] = Registered(
-        report=report, heard_ms=state.now_ms
+    leader.registered[report.name] = RegisteredUpstream(
+        report=report, last_contact_ms=state.now_ms
     )
     note_member(state, _announcement(report))
     if report.state != 'draining':
-        reply(state, asked, 'done')
+        reply(state, request_id, 'done')
         return
     index = _mark_leaving(state, leader, report)
     if index is None:
-        reply(state, asked, 'done')
+        reply(state, request_id, 'done')
     else:
-        _wait_for(leader, index, asked)
+        _wait_for(leader, index, request_id)
 
 
 def _announcement(report: Registration) -> AnnounceMember:
@@ -278,7 +280,10 @@
 
 
 def _depart(
-    state: ControlState, leader: LeaderState, asked: int, request: Departure
+    state: ControlState,
+    leader: LeaderState,
+    request_id: int,
+    request: Departure,
 ) -> None:
     leader.registered.pop(request.name, None)
     for member in _known(state):
@@ -290,24 +295,24 @@
         log(state, 'info', 'upstream_left', upstream=request.name)
         index = _propose_removal(state, member.name, member.member_id)
         if index is None:
-            reply(state, asked, 'unavailable')
+            reply(state, request_id, 'unavailable')
         else:
-            _wait_for(leader, index, asked)
+            _wait_for(leader, index, request_id)
         return
-    reply(state, asked, 'done')
+    reply(state, request_id, 'done')
 
 
 def sweep_registered(state: ControlState, leader: LeaderState) -> None:
     """Record what upstreams reported before they had joined."""
-    if state.now_ms < leader.sweep_ms:
+    if state.now_ms < leader.next_sweep_ms:
         return
-    leader.sweep_ms = state.now_ms + SWEEP_MS
+    leader.next_sweep_ms = state.now_ms + SWEEP_MS
     for known in leader.registered.values():
         if known.report.state == 'draining':
             _mark_leaving(state, leader, known.report)
     # A request for an approval, or its answer, may be lost with a link.
     for link in state.links.values():
-        link.asked.clear()
+        link.approvals_requested.clear()
     ask_approvals(state)
 
 
@@ -322,17 +327,24 @@
     answer = applied.answer
     if isinstance(command, DeclareObjects) and applied.changed:
         log(state, 'info', 'config_accepted', version=command.version)
-    for asked in leader.asked.pop(index, []):
+    for request_id in leader.pending_requests.pop(index, []):
         if isinstance(answer, ChangeAnswer) and not answer.accepted:
             _refuse_declared(
-                state, asked, getattr(command, 'version', 0), answer.faults
+                state,
+                request_id,
+                getattr(command, 'version', 0),
+                answer.faults,
             )
         else:
-            reply(state, asked, 'done')
+            reply(state, request_id, 'done')
 
 
 def release_asked(state: ControlState, leader: LeaderState) -> None:
     """Tell those that wait that this process leads no longer."""
-    waiting = [asked for entry in leader.asked.values() for asked in entry]
-    for asked in [*waiting, *leader.reads.values()]:
-        reply(state, asked, 'unavailable')
+    waiting = [
+        request_id
+        for entry in leader.pending_requests.values()
+        for request_id in entry
+    ]
+    for request_id in [*waiting, *leader.pending_reads.values()]:
+        reply(state, request_id, 'unavailable')
--- a/jackdawpost/core/control/freeze.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 from jackdawpost.core.control.process import ControlState
-from jackdawpost.core.control.process import Freeze
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import ReplicaPause
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
-from jackdawpost.core.messages.control import AskUpstream
-from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.messages.control import UpstreamAction
+from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
@@ -24,20 +24,20 @@
 ASK_PAUSE_MS = 200.0
 
 
-def needs_freeze(state: ControlState, group: str) -> bool:
+def needs_pause(state: ControlState, group: str) -> bool:
     """Tell whether a group's commits must survive a promotion."""
     settings = state.machine.objects.groups.get(group)
     return settings is not None and settings.write_copies > 1
 
 
-def advance_freeze(
+def advance_pause(
     state: ControlState,
     leader: LeaderState,
     group: str,
     promotion: Promotion,
     upstreams: dict[str, Member],
     term: int,
-) -> Freeze:
+) -> ReplicaPause:
     """Stop the replicas that are not chosen; ask again where it failed.
 
     Parameters
@@ -47,69 +47,69 @@
 
     Returns
     -------
-    Freeze
+    ReplicaPause
         What is known so far; `positions` holds the chosen one's position
         only once all others that answer have been stopped.
     """
-    freeze = leader.freezes.get(group)
-    if freeze is None or freeze.token != promotion.to_term:
-        freeze = Freeze(token=promotion.to_term, term=term)
-        leader.freezes[group] = freeze
-    if state.now_ms < freeze.ask_ms:
-        return freeze
-    freeze.ask_ms = state.now_ms + ASK_PAUSE_MS
+    pause = leader.replica_pauses.get(group)
+    if pause is None or pause.token != promotion.to_term:
+        pause = ReplicaPause(token=promotion.to_term, term=term)
+        leader.replica_pauses[group] = pause
+    if state.now_ms < pause.next_request_ms:
+        return pause
+    pause.next_request_ms = state.now_ms + ASK_PAUSE_MS
     primary = state.machine.groups[group].primary
     for name in sorted(upstreams):
-        if name in (primary, promotion.chosen) or name in freeze.positions:
+        if name in (primary, promotion.chosen) or name in pause.positions:
             continue
-        _ask(state, leader, freeze, name, 'pause')
-    _ask(state, leader, freeze, promotion.chosen or '', 'status')
-    return freeze
+        _ask(state, leader, pause, name, 'pause')
+    _ask(state, leader, pause, promotion.chosen or '', 'status')
+    return pause
 
 
 def is_safe(
     state: ControlState,
     group: str,
     promotion: Promotion,
-    freeze: Freeze,
+    pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
     """Tell whether the chosen one holds every acknowledged commit."""
-    chosen = freeze.positions.get(promotion.chosen or '')
-    if chosen is None or not _are_enough(state, group, freeze, upstreams):
+    chosen = pause.positions.get(promotion.chosen or '')
+    if chosen is None or not _are_enough(state, group, pause, upstreams):
         return False
-    return chosen >= max(freeze.positions.values())
+    return chosen >= max(pause.positions.values())
 
 
 def better_choice(
     state: ControlState,
     group: str,
     promotion: Promotion,
-    freeze: Freeze,
+    pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> str | None:
     """Return a stopped replica that holds more than the chosen one."""
-    if not _are_enough(state, group, freeze, upstreams):
+    if not _are_enough(state, group, pause, upstreams):
         return None
-    best = max(freeze.positions, key=lambda name: freeze.positions[name])
+    best = max(pause.positions, key=lambda name: pause.positions[name])
     return None if best == promotion.chosen else best
 
 
 def _are_enough(
     state: ControlState,
     group: str,
-    freeze: Freeze,
+    pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
     """Tell whether one that was heard holds each acknowledged commit."""
     copies = state.machine.objects.groups[group].write_copies
-    return len(freeze.positions) >= len(upstreams) - copies + 1
+    return len(pause.positions) >= len(upstreams) - copies + 1
 
 
 def _ask(
     state: ControlState,
     leader: LeaderState,
-    freeze: Freeze,
+    pause: ReplicaPause,
     upstream: str,
     action: str,
 ) -> None:
@@ -118,23 +118,23 @@
     served = [link for link in links if link.is_served]
     if not served:
         return
-    freeze.attempts += 1
-    link = served[freeze.attempts % len(served)]
-    message = AskUpstream(
+    pause.attempts += 1
+    link = served[pause.attempts % len(served)]
+    message = UpstreamAction(
         upstream=upstream,
         action=action,  # type: ignore[arg-type]
-        term=freeze.term,
-        token=freeze.token,
+        term=pause.term,
+        token=pause.token,
     )
     send(state, link.conn, message)
 
 
-def note_told(
-    state: ControlState, leader: LeaderState, message: UpstreamTold
+def record_action_answer(
+    state: ControlState, leader: LeaderState, message: UpstreamActionAnswer
 ) -> None:
     """Take an upstream's answer."""
-    for group, freeze in leader.freezes.items():
-        if freeze.token != message.token:
+    for group, pause in leader.replica_pauses.items():
+        if pause.token != message.token:
             continue
         member = state.machine.members.get(message.upstream)
         if member is None or member.group != group:
@@ -146,7 +146,7 @@
         if is_chosen == (message.action == 'pause'):
             continue
         received = LogPosition(*message.received)
-        freeze.positions[message.upstream] = received
+        pause.positions[message.upstream] = received
         log(
             state,
             'info',
@@ -159,12 +159,12 @@
         )
 
 
-def release_frozen(
+def resume_replicas(
     state: ControlState, leader: LeaderState, group: str
 ) -> None:
     """Let the stopped replicas receive again."""
-    freeze = leader.freezes.pop(group, None)
-    if freeze is None:
+    pause = leader.replica_pauses.pop(group, None)
+    if pause is None:
         return
-    for name in sorted(freeze.positions):
-        _ask(state, leader, freeze, name, 'resume')
+    for name in sorted(pause.positions):
+        _ask(state, leader, pause, name, 'resume')
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class GivenApproval:
+class MemberApproval:
     """One member's approval of a newcomer."""
 
     member_id: str
@@ -58,12 +58,12 @@
 
     Parameters
     ----------
-    approvals : dict of str to GivenApproval
+    approvals : dict of str to MemberApproval
         Approvals by name of the approving member.
     """
 
     member: Member
-    approvals: dict[str, GivenApproval] = field(default_factory=dict)
+    approvals: dict[str, MemberApproval] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -141,7 +141,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Refused:
+class CommandRefused:
     """A command that was applied without effect.
 
     Parameters
@@ -159,7 +159,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class KeptAnswer:
+class StoredAnswer:
     """Answer to a change set, kept for resends."""
 
     fingerprint: bytes
@@ -221,7 +221,7 @@
     retired_groups : dict of str to GroupState
         State of deleted groups, so that a group created again under the
         same name continues its terms.
-    answers : dict of str to KeptAnswer
+    answers : dict of str to StoredAnswer
         Latest answers by change id, oldest first.
     published : dict of str to PublishedEntry
         Published objects by ``TYPE/NAME``, least recently changed first.
@@ -245,7 +245,7 @@
     groups: dict[str, GroupState] = field(default_factory=dict)
     retired_groups: dict[str, GroupState] = field(default_factory=dict)
     history: list[HistoryEntry] = field(default_factory=list)
-    answers: dict[str, KeptAnswer] = field(default_factory=dict)
+    answers: dict[str, StoredAnswer] = field(default_factory=dict)
     published: dict[str, PublishedEntry] = field(default_factory=dict)
     tombstones: dict[str, int] = field(default_factory=dict)
     delta_floor: int = 0
@@ -259,7 +259,7 @@
 
     Parameters
     ----------
-    answer : ChangeAnswer or Refused, optional
+    answer : ChangeAnswer or CommandRefused, optional
         Answer to a change set, or why a command had no effect.
     changed : bool
         The published state changed, so that proxies need an update.
@@ -267,7 +267,7 @@
         Members that joined by this command.
     """
 
-    answer: ChangeAnswer | Refused | None = None
+    answer: ChangeAnswer | CommandRefused | None = None
     changed: bool = False
     joined: list[str] = field(default_factory=list)
 
--- a/jackdawpost/core/control/upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -13,7 +13,7 @@
 from jackdawpost.core.control.members import note_leaving
 from jackdawpost.core.control.members import note_member
 from jackdawpost.core.control.members import take_approval
-from jackdawpost.core.control.process import Announced
+from jackdawpost.core.control.process import AnnouncedUpstream
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import is_member
@@ -23,10 +23,10 @@
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
 from jackdawpost.core.control.promotion_facts import Database
-from jackdawpost.core.control.promotion_facts import drive_of
 from jackdawpost.core.control.promotion_facts import GroupFacts
-from jackdawpost.core.control.promotion_facts import Heard
-from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import progress_of
+from jackdawpost.core.control.promotion_facts import RunningPromotion
+from jackdawpost.core.control.promotion_facts import SealedDatabase
 from jackdawpost.core.control.proxies import revoke_leases
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import promotion_quorum
@@ -69,8 +69,8 @@
         return
     is_new = not link.name
     link.name, link.member_id = key
-    state.upstreams[key] = Announced(
-        announce=announce, conn=link.conn, heard_ms=state.now_ms
+    state.upstreams[key] = AnnouncedUpstream(
+        announce=announce, conn=link.conn, last_contact_ms=state.now_ms
     )
     ack = AnnounceAck(
         state=member_state(state, *key), leader=state.consensus.leader
@@ -119,7 +119,7 @@
     """Treat upstreams that stopped to announce themselves as disconnected."""
     limit_ms = state.now_ms - ANNOUNCE_SILENCE_MS
     for announced in state.upstreams.values():
-        if announced.heard_ms < limit_ms:
+        if announced.last_contact_ms < limit_ms:
             announced.connected = False
 
 
@@ -131,9 +131,9 @@
     settings = state.machine.objects.groups.get(name)
     if group is None or settings is None:
         return None
-    open_promotion = None
+    running_promotion = None
     if group.promotion is not None:
-        open_promotion = OpenPromotion(
+        running_promotion = RunningPromotion(
             from_term=group.promotion.from_term,
             to_term=group.promotion.to_term,
             accept_loss=group.promotion.accept_loss,
@@ -148,7 +148,7 @@
         last_term=group.last_term,
         primary=group.primary,
         database_set=group.database_set,
-        promotion=open_promotion,
+        promotion=running_promotion,
         databases=_databases(state, leader, name),
         lease_holders=_lease_holders(state, leader, name, group),
         failed=_failure(state, leader, name, group),
@@ -175,7 +175,7 @@
             received=LogPosition(*announce.received),
             leaving=announce.leaving or is_leaving(state, name),
             session=announced.conn,
-            heard_ms=announced.heard_ms,
+            last_contact_ms=announced.last_contact_ms,
             connected=announced.connected,
         )
     return found
@@ -197,7 +197,7 @@
     """Return why a primary must be replaced, empty if it need not be."""
     if group.primary is None:
         return ''
-    if name in leader.suspects:
+    if name in leader.suspect_groups:
         failed_ms = failure_detector.failed_at_ms(
             leader.detector, state.now_ms, group.primary
         )
@@ -220,8 +220,10 @@
     """
     assert group.primary is not None
     key = (group.primary, group.primary_id)
-    heard_ms = max(leader.heard_ms.get(key, 0), leader.heard_floor_ms)
-    if state.now_ms < heard_ms + state.cfg.silent_ms:
+    last_contact_ms = max(
+        leader.last_contact_ms.get(key, 0), leader.contact_floor_ms
+    )
+    if state.now_ms < last_contact_ms + state.cfg.silent_ms:
         return False
     return any(
         name == group.primary and data_id != group.primary_id
@@ -251,15 +253,15 @@
     if facts.promotion is not None and facts.promotion.from_term > 0:
         revoke_leases(state, leader, name, facts.promotion.from_term)
     key = f'group/{name}'
-    drive = drive_of(leader.driver, name)
-    drive.busy = key in leader.proposed
+    progress = progress_of(leader.driver, name)
+    progress.busy = key in leader.proposed
     command = promotion.next_command(leader.driver, state.now_ms, facts)
     if command is not None:
-        drive.busy = propose(state, key, command) is not None
+        progress.busy = propose(state, key, command) is not None
         log(state, 'info', command.kind, **_log_fields(command))
-    wants = promotion.admin_wants(leader.driver, facts)
+    requests = promotion.admin_requests(leader.driver, facts)
     state.outbox += control_admin.reconcile(
-        leader.admin, state.now_ms, name, wants
+        leader.admin, state.now_ms, name, requests
     )
     _set_group_due(state, leader, facts)
 
@@ -276,8 +278,8 @@
         promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
     ]
     primary = facts.primary
-    is_suspect = facts.name in leader.suspects and primary is not None
-    if is_suspect and failure_detector.has_objection(
+    is_suspect = facts.name in leader.suspect_groups and primary is not None
+    if is_suspect and failure_detector.is_suspected(
         leader.detector, state.now_ms, primary or ''
     ):
         dues += [
@@ -287,7 +289,7 @@
             failure_detector.next_expiry_ms(leader.detector, state.now_ms),
         ]
     else:
-        leader.suspects.discard(facts.name)
+        leader.suspect_groups.discard(facts.name)
     later = [due for due in dues if due is not None and due > state.now_ms]
     if later:
         leader.group_due_ms[facts.name] = min(later)
@@ -305,10 +307,10 @@
 
 def admin_opened(state: ControlState, leader: LeaderState, conn: int) -> bool:
     """Handle the opening of an admin connection; False if it is none."""
-    if not control_admin.note_opened(leader.admin, conn):
+    if not control_admin.on_opened(leader.admin, conn):
         return False
     upstream = leader.admin.conns[conn]
-    leader.dirty_groups.add(leader.admin.links[upstream].want.group)
+    leader.dirty_groups.add(leader.admin.links[upstream].request.group)
     return True
 
 
@@ -316,13 +318,15 @@
     state: ControlState, leader: LeaderState, conn: int, reason: Any
 ) -> None:
     """Handle the end of an admin connection."""
-    want = control_admin.note_closed(leader.admin, state.now_ms, conn, reason)
-    if want is None:
+    request = control_admin.on_closed(leader.admin, state.now_ms, conn, reason)
+    if request is None:
         return
-    facts = group_facts(state, leader, want.group)
+    facts = group_facts(state, leader, request.group)
     if facts is not None:
-        promotion.note_refused(leader.driver, state.now_ms, facts, want)
-        leader.dirty_groups.add(want.group)
+        promotion.on_connection_refused(
+            leader.driver, state.now_ms, facts, request
+        )
+        leader.dirty_groups.add(request.group)
 
 
 def receive_admin(
@@ -331,31 +335,31 @@
     """Handle an upstream's answer to an admin request."""
     if not isinstance(message, Sealed | AdminDone):
         return
-    want = control_admin.note_answer(
+    request = control_admin.on_answer(
         leader.admin, state.now_ms, conn, message.id
     )
-    facts = group_facts(state, leader, want.group) if want else None
-    if want is None or facts is None:
+    facts = group_facts(state, leader, request.group) if request else None
+    if request is None or facts is None:
         return
     if isinstance(message, Sealed):
-        heard = Heard(
+        sealed = SealedDatabase(
             data_id=message.data_id, received=LogPosition(*message.received)
         )
-        promotion.note_sealed(
-            leader.driver, facts, want, message.ok, message.term, heard
+        promotion.on_sealed(
+            leader.driver, facts, request, message.ok, message.term, sealed
         )
     else:
-        promotion.note_admin_done(
-            leader.driver, facts, want, message.ok, message.term
+        promotion.on_admin_done(
+            leader.driver, facts, request, message.ok, message.term
         )
     if not message.ok:
         log(
             state,
             'warning',
             'admin_request_refused',
-            upstream=want.upstream,
-            action=want.action,
-            term=want.term,
+            upstream=request.upstream,
+            action=request.action,
+            term=request.term,
             upstream_term=message.term,
         )
-    leader.dirty_groups.add(want.group)
+    leader.dirty_groups.add(request.group)
--- a/jackdawpost/core/control/voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -11,7 +11,7 @@
 from jackdawpost.core.consensus import process as consensus
 from jackdawpost.core.consensus.state import newcomer_id
 from jackdawpost.core.control.process import ControlState
-from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.messages.peer import ControlGroup
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
@@ -138,9 +138,9 @@
     if is_inside:
         wanted = {peer for peer in wanted if name < peer}
     peers = sorted(wanted)
-    if peers != state.followed:
-        state.followed = peers
-        state.outbox.append(FollowPeers(peers=peers))
+    if peers != state.connected_peers:
+        state.connected_peers = peers
+        state.outbox.append(SetPeers(peers=peers))
 
 
 def tell_group(state: ControlState) -> None:
@@ -149,11 +149,13 @@
     if not state.cfg.voter_target or core.leader is None:
         return
     told = (core.leader, tuple(core.voters))
-    is_due = state.now_ms >= state.tell_due_ms and state.leader is not None
-    if told == state.told_group and not is_due:
+    is_due = (
+        state.now_ms >= state.notify_group_due_ms and state.leader is not None
+    )
+    if told == state.notified_group and not is_due:
         return
-    state.told_group = told
-    state.tell_due_ms = state.now_ms + TELL_PAUSE_MS
+    state.notified_group = told
+    state.notify_group_due_ms = state.now_ms + TELL_PAUSE_MS
     message = ControlGroup(leader=core.leader, voters=list(core.voters))
     # A voter may have lost its disk, and know nothing of the group.
     for conn in state.peers.values():
--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -136,7 +136,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class FollowPeers:
+class SetPeers:
     """Stay connected to these control processes, and to no others.
 
     Parameters
@@ -170,11 +170,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class Reply:
-    """Answer an HTTP request that came as `Asked`.
+    """Answer an HTTP request that came as `RequestReceived`.
 
     Parameters
     ----------
-    asked : int
+    request_id : int
         Number of the request.
     outcome : str
         ``'done'``; ``'invalid'``; ``'moved'``: ask `leader`;
@@ -187,7 +187,7 @@
         IP address of the control process to ask.
     """
 
-    asked: int
+    request_id: int
     outcome: Literal['done', 'invalid', 'moved', 'unavailable']
     faults: list[str] = field(default_factory=list)
     document: bytes = b''
@@ -213,7 +213,7 @@
     | LogLine
     | CountMetric
     | ObserveMetric
-    | FollowPeers
+    | SetPeers
     | OrderPromotion
     | Reply
     | Stop
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -131,12 +131,12 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Asked:
+class RequestReceived:
     """A request of an operator or an upstream that expects a `Reply`.
 
     Parameters
     ----------
-    asked : int
+    request_id : int
         Number of the request, for the reply.
     request : object
         `DeclareConfig`, `ReadConfig`, `Registration` or `Departure` of
@@ -144,7 +144,7 @@
     """
 
     now_ms: float
-    asked: int
+    request_id: int
     request: Any
     kind: Literal['asked'] = 'asked'
 
@@ -185,7 +185,7 @@
     | DrainRequested
     | Persisted
     | PersistFailed
-    | Asked
+    | RequestReceived
     | PromotionEnded
     | SeedsChanged
 )
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -292,7 +292,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class AskUpstream:
+class UpstreamAction:
     """Pass a request of the control leader on to an upstream.
 
     Parameters
@@ -313,8 +313,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class UpstreamTold:
-    """An upstream's answer to an `AskUpstream`.
+class UpstreamActionAnswer:
+    """An upstream's answer to an `UpstreamAction`.
 
     Parameters
     ----------
@@ -337,7 +337,7 @@
     | PermitDemand
     | PermitReturn
     | Approval
-    | UpstreamTold
+    | UpstreamActionAnswer
 )
 ToProxyFromControl = (
     NotLeader
@@ -347,5 +347,5 @@
     | PermitGrant
     | PermitRecall
     | ApprovalRequest
-    | AskUpstream
+    | UpstreamAction
 )
--- a/jackdawpost/core/objects/change_sets.py
+++ b/jackdawpost/core/objects/change_sets.py
@@ -8,16 +8,16 @@
 import cbor2
 
 from jackdawpost.core.control.commands import ApplyChangeSet
-from jackdawpost.core.control.database_sets import enter_new_groups
+from jackdawpost.core.control.database_sets import add_to_new_groups
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import ChangeAnswer
 from jackdawpost.core.control.state import ControlMachine
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import HistoryEntry
-from jackdawpost.core.control.state import KeptAnswer
 from jackdawpost.core.control.state import MAX_CHANGE_ANSWERS
 from jackdawpost.core.control.state import MAX_HISTORY
+from jackdawpost.core.control.state import StoredAnswer
 from jackdawpost.core.messages.operator import Fault
 from jackdawpost.core.messages.operator import Operation
 from jackdawpost.core.objects.checks import Candidate
@@ -39,7 +39,7 @@
     machine: ControlMachine, command: ApplyChangeSet
 ) -> Applied:
     """Accept or reject a change set, or repeat its first answer."""
-    kept = repeat_kept_answer(machine, command.change_id, command.operations)
+    kept = find_stored_answer(machine, command.change_id, command.operations)
     if kept is not None:
         return Applied(answer=kept)
     fingerprint = _fingerprint(command.operations)
@@ -74,7 +74,7 @@
     )
 
 
-def repeat_kept_answer(
+def find_stored_answer(
     machine: ControlMachine, change_id: str, operations: list[Operation]
 ) -> ChangeAnswer | None:
     """Return the first answer under a change id, or None.
@@ -264,7 +264,7 @@
         machine.groups[name] = machine.retired_groups.pop(name, GroupState())
     if created:
         for name in sorted(machine.members):
-            enter_new_groups(machine, machine.members[name])
+            add_to_new_groups(machine, machine.members[name])
 
 
 def _keep_answer(
@@ -272,7 +272,7 @@
 ) -> None:
     if not 1 <= len(answer.change_id) <= MAX_ID_LENGTH:
         return
-    machine.answers[answer.change_id] = KeptAnswer(
+    machine.answers[answer.change_id] = StoredAnswer(
         fingerprint=fingerprint, answer=answer
     )
     while len(machine.answers) > MAX_CHANGE_ANSWERS:
--- a/jackdawpost/core/outbox.py
+++ b/jackdawpost/core/outbox.py
@@ -50,7 +50,7 @@
     state.outbox.append(ObserveMetric(name=name, value_ms=value_ms))
 
 
-def take_outbox(state: HasOutbox) -> list[Effect]:
+def pop_effects(state: HasOutbox) -> list[Effect]:
     """Return the effects and leave an empty outbox."""
     effects = state.outbox
     state.outbox = []
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -4,14 +4,14 @@
 
 from typing import Any
 
-from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
-from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.control import NotLeader
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.control import UpstreamAction
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
@@ -122,7 +122,7 @@
         _take_update(state, conn, message)
     elif isinstance(message, ApprovalRequest):
         _examine(state, conn, message)
-    elif isinstance(message, AskUpstream):
+    elif isinstance(message, UpstreamAction):
         ask_upstream(state, conn, message)
     elif isinstance(message, NotLeader):
         if message.leader:
@@ -135,7 +135,7 @@
     """Stay connected to these control processes."""
     if peers != state.followed:
         state.followed = peers
-        state.outbox.append(FollowPeers(peers=sorted(peers)))
+        state.outbox.append(SetPeers(peers=sorted(peers)))
 
 
 def start_links(state: PoolerState) -> None:
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.messages.control import AskUpstream
-from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.messages.control import UpstreamAction
+from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
@@ -52,7 +52,9 @@
 SEARCH_INTERVAL_MS = 80.0
 
 
-def ask_upstream(state: PoolerState, asker: int, asked: AskUpstream) -> None:
+def ask_upstream(
+    state: PoolerState, asker: int, asked: UpstreamAction
+) -> None:
     """Pass a request of control on; it asks again if nothing comes back."""
     pool = state.pools.get(asked.upstream)
     if pool is None:
@@ -85,7 +87,7 @@
     _take_status(state, pool, answer)
     if pool.received is None:
         return
-    told = UpstreamTold(
+    told = UpstreamActionAnswer(
         upstream=asked.upstream,
         action=asked.action,
         token=asked.token,
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -25,8 +25,8 @@
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
 from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import pop_effects
 from jackdawpost.core.outbox import send
-from jackdawpost.core.outbox import take_outbox
 from jackdawpost.core.pooler.connections import discard
 from jackdawpost.core.pooler.connections import note_open_failed
 from jackdawpost.core.pooler.control_links import on_control_closed
@@ -76,7 +76,7 @@
     """Return the state of a starting pooler and its first effects."""
     state = PoolerState(cfg=cfg, rng=rng, now_ms=now_ms)
     start_links(state)
-    return state, take_outbox(state)
+    return state, pop_effects(state)
 
 
 def reduce_pooler(state: PoolerState, event: Event) -> list[Effect]:
@@ -100,7 +100,7 @@
     elif isinstance(event, DrainRequested):
         _on_drain(state)
     _settle(state)
-    return take_outbox(state)
+    return pop_effects(state)
 
 
 def is_healthy(state: PoolerState) -> bool:
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -12,8 +12,8 @@
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Effect
 from jackdawpost.core.effects import SetTimer
-from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import Evidence
+from jackdawpost.core.messages.control import UpstreamAction
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.messages.session import SessionState
 from jackdawpost.core.messages.session import UpstreamStatus
@@ -191,7 +191,7 @@
 
     Parameters
     ----------
-    asked : AskUpstream, optional
+    asked : UpstreamAction, optional
         Request of control that it passes on.
     asker : int
         Control connection to answer.
@@ -200,7 +200,7 @@
     kind: StepKind
     sent_ms: float
     work: Work | None = None
-    asked: AskUpstream | None = None
+    asked: UpstreamAction | None = None
     asker: int = 0
 
 
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -201,7 +201,7 @@
     req.token = token
     req.after = token.position(group.name)
     req.max_age_ms = max_age_ms
-    group.budget.note_request()
+    group.budget.record_request()
     _enqueue_new(state, group, req)
 
 
--- a/jackdawpost/core/proxy/dump.py
+++ b/jackdawpost/core/proxy/dump.py
@@ -87,7 +87,7 @@
         'view': dataclasses.asdict(group.view),
         'queued': len(group.queue),
         'queue_limit': group.queue.limit,
-        'retries_left': group.budget.left,
+        'retries_left': group.budget.available,
         'samples': len(group.freshness),
         'waiting_for_copies': len(group.undurable),
     }
--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -28,7 +28,7 @@
 from jackdawpost.core.messages.upstream import Probed
 from jackdawpost.core.messages.upstream import Progress
 from jackdawpost.core.outbox import log
-from jackdawpost.core.outbox import take_outbox
+from jackdawpost.core.outbox import pop_effects
 from jackdawpost.core.proxy.answers import requeue_delayed
 from jackdawpost.core.proxy.callers import on_caller_closed
 from jackdawpost.core.proxy.callers import on_caller_frame_rejected
@@ -177,7 +177,7 @@
         state.armed_ms = state.agenda[0][0]
         state.outbox.append(SetTimer(key=TIMER_KEY, due_ms=state.armed_ms))
     state.sends.clear()
-    return take_outbox(state)
+    return pop_effects(state)
 
 
 def _clean_agenda(state: ProxyState) -> None:
--- a/jackdawpost/core/retry.py
+++ b/jackdawpost/core/retry.py
@@ -41,27 +41,27 @@
         period can retry what was in flight.
     """
 
-    __slots__ = ('ratio', '_reserve', '_left')
+    __slots__ = ('ratio', '_reserve', '_available')
 
     def __init__(self, ratio: float, reserve: float = BUDGET_RESERVE) -> None:
         self.ratio = ratio
         self._reserve = reserve
-        self._left = reserve if ratio > 0 else 0.0
+        self._available = reserve if ratio > 0 else 0.0
 
     @property
-    def left(self) -> float:
+    def available(self) -> float:
         """Retries that may be spent now."""
-        return self._left
+        return self._available
 
-    def note_request(self) -> None:
+    def record_request(self) -> None:
         """Count one new request."""
-        self._left = min(self._reserve, self._left + self.ratio)
+        self._available = min(self._reserve, self._available + self.ratio)
 
     def try_spend(self) -> bool:
         """Take one retry; False if none is left."""
-        if self._left < 1:
+        if self._available < 1:
             return False
-        self._left -= 1
+        self._available -= 1
         return True
 
 
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -12,9 +12,9 @@
 import trio
 
 from jackdawpost.core.control.reducer import ControlConfig
-from jackdawpost.core.effects import FollowPeers
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.platform.control_api import ControlApi
 from jackdawpost.platform.http import serve_http
@@ -26,10 +26,10 @@
 from jackdawpost.platform.settings import PlatformSettings
 from jackdawpost.platform.settings import settings_path
 from jackdawpost.platform.settings import split_address
-from jackdawpost.runtime.control_shell import ControlPlan
+from jackdawpost.runtime.control_shell import ControlSpec
 from jackdawpost.runtime.control_shell import PEER_PATH
-from jackdawpost.runtime.control_shell import run_control_plan
-from jackdawpost.runtime.followers import PeerFollower
+from jackdawpost.runtime.control_shell import run_control_process
+from jackdawpost.runtime.peer_links import PeerLinks
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.settings.models import Address
 from jackdawpost.wire.sockets import PEER_SILENCE_MS
@@ -54,7 +54,7 @@
 NODE_ID_FILE = 'node_id'
 
 
-def build_plan(settings: PlatformSettings, data_dir: str) -> ControlPlan:
+def build_plan(settings: PlatformSettings, data_dir: str) -> ControlSpec:
     """Return how a control process is started with these settings."""
     seeds = list(seed_hosts(settings))
     is_new = not os.path.exists(os.path.join(data_dir, NODE_ID_FILE))
@@ -80,7 +80,7 @@
         seeds=tuple(seeds),
         upstream_expiry_ms=UPSTREAM_EXPIRY_MS,
     )
-    return ControlPlan(
+    return ControlSpec(
         cfg=cfg,
         name=settings.node,
         listen=Address(host=settings.ip, port=settings.internal_ports[0]),
@@ -99,22 +99,22 @@
     host, port = split_address(settings.bind.control)
     platform = split_address(settings.api.address) if settings.api else None
     api = ControlApi(settings.bind.control, port, platform)
-    follower = PeerFollower(
+    peer_links = PeerLinks(
         'peer',
         settings.internal_ports[0],
         PEER_PATH,
         Hello(name=settings.ip),
     )
-    plan = build_plan(settings, settings.data_dir)
-    plan.performers = {
-        FollowPeers: follower.follow,
+    spec = build_plan(settings, settings.data_dir)
+    spec.performers = {
+        SetPeers: peer_links.set_peers,
         Reply: api.take_reply,
         OrderPromotion: api.order_promotion,
     }
 
     def attach(shell: ReducerShell) -> Callable[[], Any]:
         api.shell = shell
-        follower.shell = shell
+        peer_links.shell = shell
         return partial(serve_http, host, port, api.serve)
 
     logging.getLogger('jackdawpost').info(
@@ -123,12 +123,12 @@
             'ip': settings.ip,
             'seeds': settings.seeds,
             'first_start': settings.is_first_start,
-            'first_voters': plan.cfg.peers,
+            'first_voters': spec.cfg.peers,
         },
     )
     return trio.run(
-        run_control_plan,
-        plan,
+        run_control_process,
+        spec,
         None,
         attach,
         watch_settings,
--- a/jackdawpost/platform/control_api.py
+++ b/jackdawpost/platform/control_api.py
@@ -11,8 +11,8 @@
 
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
-from jackdawpost.core.events import Asked
 from jackdawpost.core.events import PromotionEnded
+from jackdawpost.core.events import RequestReceived
 from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.messages.registry import ReadConfig
 from jackdawpost.errors import ProtocolError
@@ -72,7 +72,7 @@
 
     def take_reply(self, effect: Reply) -> None:
         """Hand a reply to the request that waits for it."""
-        waiting = self._waiting.pop(effect.asked, None)
+        waiting = self._waiting.pop(effect.request_id, None)
         if waiting is not None:
             waiting[1].append(effect)
             waiting[0].set()
@@ -105,7 +105,9 @@
         replies: list[Reply] = []
         self._waiting[number] = (done, replies)
         self.shell.dispatch(
-            Asked(now_ms=read_now_ms(), asked=number, request=request)
+            RequestReceived(
+                now_ms=read_now_ms(), request_id=number, request=request
+            )
         )
         with trio.move_on_after(REPLY_TIMEOUT_S):
             await done.wait()
--- a/jackdawpost/platform/program.py
+++ b/jackdawpost/platform/program.py
@@ -7,7 +7,7 @@
 
 from jackdawpost.cli.common import EXIT_FAILED
 from jackdawpost.cli.common import EXIT_USAGE
-from jackdawpost.cli.common import flatten_group
+from jackdawpost.cli.common import flatten_exception_group
 from jackdawpost.errors import ConfigError
 from jackdawpost.errors import JackdawpostError
 from jackdawpost.platform.settings import PlatformSettings
@@ -28,6 +28,6 @@
     try:
         return run(settings)
     except* (JackdawpostError, OSError) as group:
-        for exc in flatten_group(group):
+        for exc in flatten_exception_group(group):
             log.error('cannot run', extra={'detail': str(exc)})
     return EXIT_FAILED
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -14,7 +14,7 @@
 from pydantic import ValidationError
 
 from jackdawpost.errors import ConfigError
-from jackdawpost.settings.loader import explain_faults
+from jackdawpost.settings.loader import to_config_error
 
 SETTINGS_VARIABLE = 'JACKDAWPOST_SETTINGS'
 
@@ -125,7 +125,7 @@
     try:
         return PlatformSettings.model_validate(value)
     except ValidationError as exc:
-        raise explain_faults(path, exc) from exc
+        raise to_config_error(path, exc) from exc
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/jackdawpost/runtime/control_codec.py
+++ b/jackdawpost/runtime/control_codec.py
@@ -15,5 +15,5 @@
     control.PermitGrant,
     control.PermitRecall,
     control.ApprovalRequest,
-    control.AskUpstream,
+    control.UpstreamAction,
 )
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -69,7 +69,7 @@
         control.PermitDemand,
         control.PermitReturn,
         control.Approval,
-        control.UpstreamTold,
+        control.UpstreamActionAnswer,
     ),
     'announce': FrameCodec(control.Announce, control.Approval),
     'operator': FrameCodec(*get_args(operator.OperatorRequest)),
@@ -131,7 +131,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class ControlPlan:
+class ControlSpec:
     """What a control process is started with.
 
     Parameters
@@ -189,7 +189,7 @@
             return False
         return settings.tls is None or peer_has_role(peer, 'control', name)
 
-    plan = ControlPlan(
+    spec = ControlSpec(
         cfg=config_from_settings(settings),
         name=settings.name,
         listen=settings.listen,
@@ -200,11 +200,11 @@
         tls=settings.tls,
         targets=_targets(settings),
     )
-    return await run_control_plan(plan, record_path)
+    return await run_control_process(spec, record_path)
 
 
-async def run_control_plan(
-    plan: ControlPlan,
+async def run_control_process(
+    spec: ControlSpec,
     record_path: str | None = None,
     *attach: Callable[[ReducerShell], Callable[[], Any] | None],
 ) -> int:
@@ -212,7 +212,7 @@
 
     Parameters
     ----------
-    plan : ControlPlan
+    spec : ControlSpec
         Settings and parts of the process.
     *attach : callable
         Called with the shell before it runs; may return a coroutine
@@ -220,55 +220,55 @@
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(plan.tls, log)
-    store = DurableStore.open(plan.data_dir)
+    server_tls, client_tls = build_contexts(spec.tls, log)
+    store = DurableStore.open(spec.data_dir)
     writer = DurableWriter(store)
     header = TraceHeader(
         role='control',
-        settings=plan.header_settings,
+        settings=spec.header_settings,
         now_ms=read_now_ms(),
         restored=describe_restored(store.restored),
     )
     state, effects = new_control(
-        plan.cfg, random.Random(plan.seed), store.restored, header.now_ms
+        spec.cfg, random.Random(spec.seed), store.restored, header.now_ms
     )
     shell = ReducerShell(
-        plan.name,
+        spec.name,
         state,
         reduce_control,
         CODECS,
         tls=client_tls,
         record=build_recorder(record_path, header),
-        performers={Persist: writer.enqueue, **plan.performers},
+        performers={Persist: writer.enqueue, **spec.performers},
     )
     writer.shell = shell
     endpoints = Endpoints(
-        _build_handlers(shell, plan, log),
+        _build_handlers(shell, spec, log),
         build_pages(shell, is_healthy, dump_control),
-        silence_ms=plan.silence_ms,
+        silence_ms=spec.silence_ms,
     )
     tasks = [task for part in attach if (task := part(shell)) is not None]
-    log.info('control starts', extra={'port': plan.listen.port})
+    log.info('control starts', extra={'port': spec.listen.port})
     return await run_shell(
         shell,
         effects,
-        plan.listen,
+        spec.listen,
         endpoints,
         server_tls,
-        plan.targets,
+        spec.targets,
         writer.run,
         *tasks,
     )
 
 
 def _build_handlers(
-    shell: ReducerShell, plan: ControlPlan, log: logging.Logger
+    shell: ReducerShell, spec: ControlSpec, log: logging.Logger
 ) -> dict[str, Callable[[FrameStream, str], Awaitable[None]]]:
     def accept(link: Link) -> Callable[[FrameStream, str], Awaitable[None]]:
         async def serve(stream: FrameStream, peer: str) -> None:
             valid = PeerIdentity(ROLES[link])
             name = peer.partition('.')[2]
-            if plan.tls is not None and not valid.matches(peer):
+            if spec.tls is not None and not valid.matches(peer):
                 log.warning(
                     'peer_refused', extra={'peer': peer, 'valid': str(valid)}
                 )
@@ -280,7 +280,7 @@
 
     async def serve_peer(stream: FrameStream, peer: str) -> None:
         name = await _read_hello(stream)
-        if not plan.knows_peer(name, peer):
+        if not spec.knows_peer(name, peer):
             log.warning('peer_refused', extra={'peer': peer, 'stated': name})
             return
         await shell.serve_link('peer', stream, name)
--- a/jackdawpost/runtime/followers.py
+++ b/jackdawpost/runtime/peer_links.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.events import Link
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.runtime.shell import LinkTarget
@@ -17,8 +17,8 @@
 RETRY_MAX_S = 0.2
 
 
-class PeerFollower:
-    """Carries out `FollowPeers`: one link to each address.
+class PeerLinks:
+    """Carries out `SetPeers`: one link to each address.
 
     Parameters
     ----------
@@ -42,7 +42,7 @@
         self._hello = hello
         self._scopes: dict[str, trio.CancelScope] = {}
 
-    def follow(self, effect: FollowPeers) -> None:
+    def set_peers(self, effect: SetPeers) -> None:
         """Open links to new peers and close those to all others."""
         assert self.shell is not None
         for peer in [p for p in self._scopes if p not in effect.peers]:
--- a/jackdawpost/runtime/pooler_shell.py
+++ b/jackdawpost/runtime/pooler_shell.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from jackdawpost.core.effects import Connect
-from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import ConnOpened
 from jackdawpost.core.pooler.reducer import dump_pooler
@@ -24,8 +24,8 @@
 from jackdawpost.core.pooler.state import PoolerConfig
 from jackdawpost.runtime.control_codec import FROM_CONTROL
 from jackdawpost.runtime.control_codec import PROXY_PATH
-from jackdawpost.runtime.followers import PeerFollower
 from jackdawpost.runtime.pages import build_pages
+from jackdawpost.runtime.peer_links import PeerLinks
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.shell import Encode
@@ -87,7 +87,7 @@
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
     state, effects = new_pooler(cfg, random.Random(seed), read_now_ms())
-    follower = PeerFollower('proxy', control_port, PROXY_PATH)
+    peer_links = PeerLinks('proxy', control_port, PROXY_PATH)
     openers = UpstreamOpener(protocol.open_stream)
     shell = ReducerShell(
         cfg.name,
@@ -95,9 +95,9 @@
         reduce_pooler,
         {'proxy': FROM_CONTROL, **protocol.codecs},
         encoders=protocol.encoders,
-        performers={FollowPeers: follower.follow, Connect: openers.connect},
+        performers={SetPeers: peer_links.set_peers, Connect: openers.connect},
     )
-    follower.shell = shell
+    peer_links.shell = shell
     openers.shell = shell
     endpoints = Endpoints({}, build_pages(shell, is_healthy, dump_pooler))
     tasks = [task for part in attach if (task := part(shell)) is not None]
--- a/jackdawpost/settings/loader.py
+++ b/jackdawpost/settings/loader.py
@@ -57,10 +57,10 @@
     try:
         return model.model_validate_json(json.dumps(value))
     except ValidationError as exc:
-        raise explain_faults(name, exc) from exc
+        raise to_config_error(name, exc) from exc
 
 
-def explain_faults(path: str, exc: ValidationError) -> ConfigError:
+def to_config_error(path: str, exc: ValidationError) -> ConfigError:
     """Return an error that names every fault of a settings file."""
     faults: list[tuple[str, object, str]] = []
     for error in exc.errors(include_url=False):
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/fake_pooler_world.py
@@ -31,7 +31,7 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import StateUpdate
-from jackdawpost.core.messages.control import UpstreamTold
+from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Execute
 from jackdawpost.core.messages.session import Failed
@@ -180,7 +180,7 @@
         self.ran: list[Ran] = []
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
-        self.told: list[UpstreamTold] = []
+        self.told: list[UpstreamActionAnswer] = []
         self.behind: list[str] = []
         self.sent: dict[int, list[Any]] = {}
         self.closed: set[int] = set()
@@ -390,7 +390,7 @@
     def _send(self, effect: Send) -> None:
         if effect.conn == CONTROL_CONN:
             for message in effect.messages:
-                if isinstance(message, UpstreamTold):
+                if isinstance(message, UpstreamActionAnswer):
                     self.told.append(message)
                 if isinstance(message, ProxyReport):
                     self.reports.append(message)
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -30,14 +30,14 @@
 from jackdawpost.core.messages.control import Announce
 from jackdawpost.core.messages.control import Approval
 from jackdawpost.core.messages.control import ApprovalRequest
-from jackdawpost.core.messages.control import AskUpstream
 from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.control import LeaseRevoke
 from jackdawpost.core.messages.control import LeaseRevoked
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import StateUpdate
+from jackdawpost.core.messages.control import UpstreamAction
+from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.messages.control import UpstreamReport
-from jackdawpost.core.messages.control import UpstreamTold
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Operation
 from jackdawpost.core.messages.upstream import AdminDone
@@ -63,7 +63,7 @@
         self.evidence: dict[str, str] = {}
         self.sightings: dict[str, UpstreamReport] | None = None
         self.told: dict[str, LogPosition] = {}
-        self.asked: list[AskUpstream] = []
+        self.asked: list[UpstreamAction] = []
         self.holdings: dict[str, int] = {}
         self.published = PublishedState()
         self.received: list[Any] = []
@@ -90,11 +90,11 @@
 
     def answer(self, message: Any) -> list[Any]:
         self.received.append(message)
-        if isinstance(message, AskUpstream):
+        if isinstance(message, UpstreamAction):
             self.asked.append(message)
             if message.upstream not in self.told:
                 return []
-            told = UpstreamTold(
+            told = UpstreamActionAnswer(
                 upstream=message.upstream,
                 action=message.action,
                 token=message.token,
--- a/jackdawpost/tests/core/control/test_failure_detector.py
+++ b/jackdawpost/tests/core/control/test_failure_detector.py
@@ -14,7 +14,7 @@
 
 def tell(found, now_ms, **states):
     for proxy, state in states.items():
-        failure_detector.note_evidence(found, now_ms, proxy, {'u': state})
+        failure_detector.record_evidence(found, now_ms, proxy, {'u': state})
 
 
 def failed(found, now_ms):
--- a/jackdawpost/tests/core/control/test_permit_ledger.py
+++ b/jackdawpost/tests/core/control/test_permit_ledger.py
@@ -22,7 +22,7 @@
 
 def demand(permits, now_ms, **wanted):
     for proxy, count in wanted.items():
-        permit_ledger.note_demand(permits, now_ms, proxy, 'u', count)
+        permit_ledger.record_demand(permits, now_ms, proxy, 'u', count)
     return decide(permits, now_ms)
 
 
@@ -44,7 +44,7 @@
     demand(permits, 0, p1=3)
     assert demand(permits, 100, p2=1) == [('recall', 'p1', 1)]
     assert decide(permits, 101) == []
-    permit_ledger.note_return(permits, 102, 'p1', 'u', 1)
+    permit_ledger.record_return(permits, 102, 'p1', 'u', 1)
     assert decide(permits, 102) == [('grant', 'p2', 1)]
 
 
@@ -77,7 +77,7 @@
             if action == 'grant':
                 served[proxy] = served.get(proxy, 0) + count
             else:
-                permit_ledger.note_return(permits, now_ms, proxy, 'u', count)
+                permit_ledger.record_return(permits, now_ms, proxy, 'u', count)
         now_ms += MIN_HOLD_MS / 2
         decisions = decide(permits, now_ms)
     assert len(served) == 4
@@ -93,18 +93,18 @@
     assert action == 'recall'
     other = next(name for name in ('p1', 'p2', 'p3') if name != owing)
     for name in ('p4', other):
-        permit_ledger.note_demand(permits, 110, name, 'u', 0)
-    permit_ledger.note_return(permits, 120, other, 'u', 1)
+        permit_ledger.record_demand(permits, 110, name, 'u', 0)
+    permit_ledger.record_return(permits, 120, other, 'u', 1)
     assert demand(permits, 130, **{owing: 2}) == [('grant', owing, 1)]
-    assert permits.upstreams['u'].borrowers[owing].recalled == 0
+    assert permits.upstreams['u'].accounts[owing].recalled == 0
 
 
 def test_permits_of_a_lost_proxy_are_kept_back():
     # Guards against lending a slot whose statement still runs.
     permits = ledger()
-    permit_ledger.note_connected(permits, 'p1', 'i1', {})
+    permit_ledger.record_holdings(permits, 'p1', 'i1', {})
     demand(permits, 0, p1=3)
-    permit_ledger.note_lost(permits, 'p1', 1_000)
+    permit_ledger.record_lost(permits, 'p1', 1_000)
     assert demand(permits, 1, p2=1) == []
     assert permit_ledger.next_permit_due_ms(permits, 1, 'u') == 1_000
     assert decide(permits, 999) == []
@@ -114,31 +114,31 @@
 def test_holdings_on_a_new_connection_replace_the_account():
     # Guards against permits leaked by a grant that the old connection lost.
     permits = ledger()
-    permit_ledger.note_connected(permits, 'p1', 'i1', {})
+    permit_ledger.record_holdings(permits, 'p1', 'i1', {})
     demand(permits, 0, p1=3)
-    permit_ledger.note_lost(permits, 'p1', 10_000)
-    permit_ledger.note_connected(permits, 'p1', 'i1', {'u': 1})
+    permit_ledger.record_lost(permits, 'p1', 10_000)
+    permit_ledger.record_holdings(permits, 'p1', 'i1', {'u': 1})
     assert demand(permits, 1, p2=2) == [('grant', 'p2', 2)]
 
 
 def test_new_process_does_not_free_permits_of_the_old_one():
     # Guards against over-lending while statements of a killed process run.
     permits = ledger()
-    permit_ledger.note_connected(permits, 'p1', 'i1', {})
+    permit_ledger.record_holdings(permits, 'p1', 'i1', {})
     demand(permits, 0, p1=2)
-    permit_ledger.note_lost(permits, 'p1', 1_000)
-    permit_ledger.note_connected(permits, 'p1', 'i2', {})
+    permit_ledger.record_lost(permits, 'p1', 1_000)
+    permit_ledger.record_holdings(permits, 'p1', 'i2', {})
     assert demand(permits, 1, p1=3) == [('grant', 'p1', 1)]
 
 
 def test_new_leader_lends_nothing_before_it_knows_the_holdings():
     # Guards against lending what an earlier leader has lent already.
-    permits = ledger(ready_ms=1_530, unheard={'p1', 'p2'})
-    permit_ledger.note_connected(permits, 'p1', 'i1', {'u': 1})
+    permits = ledger(ready_ms=1_530, unreported={'p1', 'p2'})
+    permit_ledger.record_holdings(permits, 'p1', 'i1', {'u': 1})
     assert demand(permits, 10, p1=3) == []
-    permit_ledger.note_connected(permits, 'p2', 'i1', {'u': 1})
+    permit_ledger.record_holdings(permits, 'p2', 'i1', {'u': 1})
     assert decide(permits, 11) == [('grant', 'p1', 1)]
-    late = ledger(ready_ms=1_530, unheard={'p1', 'p2'})
+    late = ledger(ready_ms=1_530, unreported={'p1', 'p2'})
     assert demand(late, 1_529, p1=1) == []
     assert decide(late, 1_530) == [('grant', 'p1', 1)]
 
@@ -154,7 +154,7 @@
         self.down = {proxy: [] for proxy in self.held}
         self.zombies = []
         for proxy in self.held:
-            permit_ledger.note_connected(self.ledger, proxy, '1', {})
+            permit_ledger.record_holdings(self.ledger, proxy, '1', {})
 
     def settle(self):
         for d in permit_ledger.decide_permits(self.ledger, self.now_ms):
@@ -162,12 +162,12 @@
         self.zombies = [z for z in self.zombies if self.now_ms < z[0]]
         used = sum(self.held.values()) + sum(z[1] for z in self.zombies)
         assert used <= SLOTS
-        assert permit_ledger.lent(self.ledger.upstreams['u']) <= SLOTS
+        assert permit_ledger.granted_count(self.ledger.upstreams['u']) <= SLOTS
 
     def step(self, action, proxy, count):
         self.now_ms += 7
         if action == 'demand':
-            permit_ledger.note_demand(
+            permit_ledger.record_demand(
                 self.ledger, self.now_ms, proxy, 'u', count
             )
         elif action == 'deliver' and self.down[proxy]:
@@ -188,17 +188,19 @@
 
     def give_back(self, proxy, count):
         self.held[proxy] -= count
-        permit_ledger.note_return(self.ledger, self.now_ms, proxy, 'u', count)
+        permit_ledger.record_return(
+            self.ledger, self.now_ms, proxy, 'u', count
+        )
 
     def reconnect(self, proxy, is_restart):
         self.down[proxy].clear()
         until_ms = self.now_ms + LOST_MS
-        permit_ledger.note_lost(self.ledger, proxy, until_ms)
+        permit_ledger.record_lost(self.ledger, proxy, until_ms)
         if is_restart:
             self.zombies.append((until_ms, self.held[proxy]))
             self.held[proxy] = 0
             self.processes[proxy] += 1
-        permit_ledger.note_connected(
+        permit_ledger.record_holdings(
             self.ledger,
             proxy,
             str(self.processes[proxy]),
--- a/jackdawpost/tests/core/control/test_promotion.py
+++ b/jackdawpost/tests/core/control/test_promotion.py
@@ -10,11 +10,11 @@
 from jackdawpost.core.control.commands import StartPromotion
 from jackdawpost.core.control.promotion_choice import missing_databases
 from jackdawpost.core.control.promotion_facts import Database
-from jackdawpost.core.control.promotion_facts import drive_of
 from jackdawpost.core.control.promotion_facts import GroupFacts
-from jackdawpost.core.control.promotion_facts import Heard
-from jackdawpost.core.control.promotion_facts import OpenPromotion
+from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
+from jackdawpost.core.control.promotion_facts import RunningPromotion
+from jackdawpost.core.control.promotion_facts import SealedDatabase
 from jackdawpost.core.positions import LogPosition
 
 
@@ -29,7 +29,7 @@
         'received': LogPosition(3, 10),
         'leaving': False,
         'session': 1,
-        'heard_ms': 0.0,
+        'last_contact_ms': 0.0,
     }
     return Database(**{**values, **changes})
 
@@ -53,11 +53,11 @@
 
 
 def started(**changes):
-    return facts(promotion=OpenPromotion(from_term=3, to_term=4), **changes)
+    return facts(promotion=RunningPromotion(from_term=3, to_term=4), **changes)
 
 
 def chosen(**changes):
-    choice = OpenPromotion(
+    choice = RunningPromotion(
         from_term=3, to_term=4, upstream='b', data_id='data-b'
     )
     return facts(promotion=choice, **changes)
@@ -69,10 +69,12 @@
 
 def hear(drive, known, now_ms=0, **indexes):
     """Let databases answer the seal requests that they owe."""
-    wants = promotion.admin_wants(drive, known)
+    requests = promotion.admin_requests(drive, known)
     for name, index in indexes.items():
-        heard = Heard(data_id=f'data-{name}', received=LogPosition(3, index))
-        promotion.note_sealed(drive, known, wants[name], True, 4, heard)
+        sealed = SealedDatabase(
+            data_id=f'data-{name}', received=LogPosition(3, index)
+        )
+        promotion.on_sealed(drive, known, requests[name], True, 4, sealed)
     return promotion.next_command(drive, now_ms, known)
 
 
@@ -114,9 +116,9 @@
     known.databases['b'].data_id = 'data-new'
     assert hear(drive, known, b=99, c=5) is None
     drive, known = driver(), started()
-    wants = promotion.admin_wants(drive, known)
-    heard = Heard(data_id='data-new', received=LogPosition(3, 99))
-    promotion.note_sealed(drive, known, wants['b'], True, 4, heard)
+    requests = promotion.admin_requests(drive, known)
+    sealed = SealedDatabase(data_id='data-new', received=LogPosition(3, 99))
+    promotion.on_sealed(drive, known, requests['b'], True, 4, sealed)
     assert hear(drive, known, c=5) is None
     known.databases['b'].data_id = 'data-new'
     assert promotion.next_command(drive, 0, known) is None
@@ -159,7 +161,7 @@
     command = promotion.next_command(drive, 11, idle)
     assert isinstance(command, StartPromotion)
     assert (command.to_term, command.accept_loss) == (5, True)
-    again = OpenPromotion(from_term=3, to_term=5, accept_loss=True)
+    again = RunningPromotion(from_term=3, to_term=5, accept_loss=True)
     blocked = facts(databases={'b': database('b')}, promotion=again)
     assert hear(drive, blocked, 12, b=5).upstream == 'b'
 
@@ -167,7 +169,7 @@
 def test_accepted_loss_holds_for_one_promotion():
     # Guards against a later promotion that inherits the permission.
     drive = driver()
-    again = OpenPromotion(from_term=3, to_term=4, accept_loss=True)
+    again = RunningPromotion(from_term=3, to_term=4, accept_loss=True)
     promotion.next_command(drive, 0, facts(promotion=again))
     command = promotion.next_command(drive, 1, facts(failed='failed'))
     assert not command.accept_loss
@@ -177,10 +179,10 @@
     # Guards against a second choice of another database in the same term.
     drive = driver()
     assert promotion.next_command(drive, 0, chosen()) is None
-    wants = promotion.admin_wants(drive, chosen())
-    assert list(wants) == ['b']
-    assert (wants['b'].action, wants['b'].term) == ('promote', 4)
-    promotion.note_admin_done(drive, chosen(), wants['b'], True, 4)
+    requests = promotion.admin_requests(drive, chosen())
+    assert list(requests) == ['b']
+    assert (requests['b'].action, requests['b'].term) == ('promote', 4)
+    promotion.on_admin_done(drive, chosen(), requests['b'], True, 4)
     command = promotion.next_command(drive, 1, chosen())
     assert isinstance(command, FinishPromotion)
 
@@ -189,8 +191,8 @@
     # Guards against a group that waits for a dead database for ever.
     drive = driver()
     assert promotion.next_command(drive, 0, chosen()) is None
-    want = promotion.admin_wants(drive, chosen())['b']
-    promotion.note_refused(drive, 10, chosen(), want)
+    request = promotion.admin_requests(drive, chosen())['b']
+    promotion.on_connection_refused(drive, 10, chosen(), request)
     assert promotion.next_command(drive, 209, chosen()) is None
     command = promotion.next_command(drive, 210, chosen())
     assert isinstance(command, AbandonPromotion)
@@ -214,9 +216,9 @@
 def test_database_that_knows_a_higher_term_ends_the_attempt():
     # Guards against asking with a term that is refused for ever.
     drive = driver()
-    want = promotion.admin_wants(drive, started())['b']
-    heard = Heard(data_id='data-b', received=LogPosition(3, 1))
-    promotion.note_sealed(drive, started(), want, False, 9, heard)
+    request = promotion.admin_requests(drive, started())['b']
+    sealed = SealedDatabase(data_id='data-b', received=LogPosition(3, 1))
+    promotion.on_sealed(drive, started(), request, False, 9, sealed)
     command = promotion.next_command(drive, 0, started())
     assert isinstance(command, AbandonPromotion)
     command = promotion.next_command(drive, 1, facts(last_term=4))
@@ -228,18 +230,18 @@
     drive = driver()
     known = facts()
     known.databases['c'].leads = True
-    wants = promotion.admin_wants(drive, known)
-    assert {n: w.action for n, w in wants.items()} == {
+    requests = promotion.admin_requests(drive, known)
+    assert {n: w.action for n, w in requests.items()} == {
         'b': 'follow',
         'c': 'follow',
     }
-    promotion.note_admin_done(drive, known, wants['b'], True, 3)
-    promotion.note_admin_done(drive, known, wants['c'], True, 3)
-    assert list(promotion.admin_wants(drive, known)) == ['c']
+    promotion.on_admin_done(drive, known, requests['b'], True, 3)
+    promotion.on_admin_done(drive, known, requests['c'], True, 3)
+    assert list(promotion.admin_requests(drive, known)) == ['c']
     known = facts()
-    assert promotion.admin_wants(drive, known) == {}
+    assert promotion.admin_requests(drive, known) == {}
     known.databases['b'].session = 2
-    assert list(promotion.admin_wants(drive, known)) == ['b']
+    assert list(promotion.admin_requests(drive, known)) == ['b']
 
 
 def test_admission_needs_a_position_heard_after_the_join():
@@ -248,7 +250,7 @@
     drive = driver()
     known = facts(database_set={'a': 'data-a', 'b': 'data-b', 'c': 'old'})
     assert promotion.next_command(drive, 100, known) is None
-    known.databases['a'].heard_ms = 150
+    known.databases['a'].last_contact_ms = 150
     known.databases['a'].received = LogPosition(3, 50)
     assert promotion.next_command(drive, 151, known) is None
     known.databases['c'].received = LogPosition(3, 50)
@@ -263,7 +265,7 @@
 def test_refused_command_is_not_repeated_at_once():
     # Guards against a log that fills with commands that have no effect.
     drive = driver()
-    drive_of(drive, 'g').retry_at_ms = 100
+    progress_of(drive, 'g').retry_at_ms = 100
     known = facts(failed='failed')
     assert promotion.next_command(drive, 99, known) is None
     assert promotion.next_command(drive, 100, known) is not None
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -7,9 +7,9 @@
 from jackdawpost.core.control.commands import DeclareObject
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.effects import Reply
-from jackdawpost.core.events import Asked
 from jackdawpost.core.events import DrainRequested
 from jackdawpost.core.events import PromotionEnded
+from jackdawpost.core.events import RequestReceived
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.messages.registry import DeclareConfig
 from jackdawpost.core.messages.registry import Departure
@@ -104,7 +104,10 @@
         number = self.asked
         name = at or self.group.leader().cfg.name
         self.group.feed(
-            name, Asked(now_ms=self.group.now, asked=number, request=request)
+            name,
+            RequestReceived(
+                now_ms=self.group.now, request_id=number, request=request
+            ),
         )
         self.group.run(for_ms, lambda: self.reply(number) is not None)
         return self.reply(number)
@@ -113,7 +116,7 @@
         found = [
             effect
             for _, _, effect in self.group.logs
-            if isinstance(effect, Reply) and effect.asked == number
+            if isinstance(effect, Reply) and effect.request_id == number
         ]
         return found[0] if found else None
 
--- a/jackdawpost/tests/core/control/test_voters.py
+++ b/jackdawpost/tests/core/control/test_voters.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jackdawpost.core.effects import FollowPeers
+from jackdawpost.core.effects import SetPeers
 from jackdawpost.core.events import ConnClosed
 from jackdawpost.core.events import DrainRequested
 from jackdawpost.tests.core.control.fakes import Group
@@ -116,7 +116,7 @@
     follows = [
         effect
         for _, name, effect in group.logs
-        if isinstance(effect, FollowPeers) and name == 'c1'
+        if isinstance(effect, SetPeers) and name == 'c1'
     ]
     assert follows[-1].peers == ['c2', 'c3']
     _join(group, 'c4', 'disk-c4')
@@ -124,7 +124,7 @@
     follows = [
         effect
         for _, name, effect in group.logs
-        if isinstance(effect, FollowPeers) and name == 'c4'
+        if isinstance(effect, SetPeers) and name == 'c4'
     ]
     assert set(follows[-1].peers) >= set(NAMES)
 
@@ -140,7 +140,7 @@
     def perform(self, name, effects):
         super().perform(name, effects)
         for effect in effects:
-            if isinstance(effect, FollowPeers):
+            if isinstance(effect, SetPeers):
                 self.wanted[name] = set(effect.peers)
                 self.later(5, lambda: self._follow(name))
 
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jackdawpost.core.messages.control import AskUpstream
+from jackdawpost.core.messages.control import UpstreamAction
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
@@ -297,7 +297,7 @@
 
 def test_request_of_control_is_passed_on_to_an_upstream():
     world = PoolerWorld()
-    asked = AskUpstream(upstream='db-2', action='pause', term=2, token=7)
+    asked = UpstreamAction(upstream='db-2', action='pause', term=2, token=7)
     world.receive(CONTROL_CONN, asked)
     world.run(300)
     assert [(t.upstream, t.token) for t in world.told] == [('db-2', 7)]
--- a/jackdawpost/tests/core/proxy/test_parts.py
+++ b/jackdawpost/tests/core/proxy/test_parts.py
@@ -170,7 +170,7 @@
     assert budget.try_spend() and budget.try_spend()
     assert not budget.try_spend()
     for _ in range(11):
-        budget.note_request()
+        budget.record_request()
     assert budget.try_spend()
     assert not budget.try_spend()
 
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -14,7 +14,7 @@
 from websockets.uri import parse_uri
 
 from jackdawpost.errors import ProtocolError
-from jackdawpost.wire.sockets import end_when_silent
+from jackdawpost.wire.sockets import enable_keepalive
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost.wire.tls import read_peer_name
@@ -138,7 +138,7 @@
 ) -> FrameStream:
     socket_stream = await trio.open_tcp_stream(host, port)
     if silence_ms:
-        end_when_silent(socket_stream, silence_ms)
+        enable_keepalive(socket_stream, silence_ms)
     stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
     stream = socket_stream
     peer = ''
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -18,7 +18,7 @@
 
 from jackdawpost.errors import JackdawpostError
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
-from jackdawpost.wire.sockets import end_when_silent
+from jackdawpost.wire.sockets import enable_keepalive
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import read_peer_name
@@ -135,7 +135,7 @@
     endpoints.open_connections += 1
     try:
         if endpoints.silence_ms:
-            end_when_silent(socket_stream, endpoints.silence_ms)
+            enable_keepalive(socket_stream, endpoints.silence_ms)
         await _handle_transport(socket_stream, endpoints, tls)
     except (
         trio.BrokenResourceError,
--- a/jackdawpost/wire/sockets.py
+++ b/jackdawpost/wire/sockets.py
@@ -13,7 +13,7 @@
 PROBES = 2
 
 
-def end_when_silent(stream: trio.SocketStream, silence_ms: int) -> None:
+def enable_keepalive(stream: trio.SocketStream, silence_ms: int) -> None:
     """Have the kernel end a connection whose other end stops to answer.
 
     Parameters
--- a/jackdawpost_standin/cli.py
+++ b/jackdawpost_standin/cli.py
@@ -8,7 +8,7 @@
 
 from jackdawpost.cli.common import build_parser
 from jackdawpost.cli.common import EXIT_FAILED
-from jackdawpost.cli.common import flatten_group
+from jackdawpost.cli.common import flatten_exception_group
 from jackdawpost.cli.common import load_or_exit
 from jackdawpost.errors import JackdawpostError
 from jackdawpost.runtime.logs import configure_logging
@@ -31,7 +31,7 @@
     try:
         exit_code = trio.run(_run, cfg)
     except* (JackdawpostError, OSError) as group:
-        for exc in flatten_group(group):
+        for exc in flatten_exception_group(group):
             print(f'error: {exc}', file=sys.stderr)
     return exit_code
 
--- a/jackdawpost_standin/line_caller.py
+++ b/jackdawpost_standin/line_caller.py
@@ -7,7 +7,7 @@
 import trio
 
 
-class SessionLost(Exception):
+class SessionLostError(Exception):
     """The connection has ended before an answer was complete."""
 
 
@@ -29,7 +29,7 @@
 
         Raises
         ------
-        SessionLost
+        SessionLostError
             The connection ended first.
         """
         lines: list[str] = []
@@ -39,10 +39,12 @@
                 while b'\r\n' not in self.buffer:
                     data = await self.stream.receive_some(65_536)
                     if not data:
-                        raise SessionLost(f'{line!r}: closed after {lines}')
+                        raise SessionLostError(
+                            f'{line!r}: closed after {lines}'
+                        )
                     self.buffer += data
                 text, _, self.buffer = self.buffer.partition(b'\r\n')
                 lines.append(text.decode())
         except trio.BrokenResourceError as exc:
-            raise SessionLost(f'{line!r}: broken after {lines}') from exc
+            raise SessionLostError(f'{line!r}: broken after {lines}') from exc
         return lines
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True)
-class ReadRan:
+class ExecutedRead:
     """A read that ran, and the last commit in what it saw."""
 
     request: str
@@ -79,7 +79,7 @@
     token: int = 0
     databases: dict[str, LineDatabase] = field(default_factory=dict)
     rolled_back: list[Commit] = field(default_factory=list)
-    reads: list[ReadRan] = field(default_factory=list)
+    reads: list[ExecutedRead] = field(default_factory=list)
 
     def add(self, name: str) -> LineDatabase:
         """Add a database; the first one leads."""
@@ -310,7 +310,7 @@
         self.ran.append(f'{request_id} {text}')
         done = f'COMPLETE {self.name}.{request_id}'
         if word == 'READ':
-            seen = ReadRan(request_id, self.name, self.applied())
+            seen = ExecutedRead(request_id, self.name, self.applied())
             self.group.reads.append(seen)
             return [f'DATAROW {self._row(name)}', done]
         if word == 'WRITE':
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,7 @@
 import trio
 
 from jackdawpost_standin.line_caller import LineCaller
-from jackdawpost_standin.line_caller import SessionLost
+from jackdawpost_standin.line_caller import SessionLostError
 from soak.cluster import FRONTEND_PORT
 from soak.cluster import Node
 
@@ -136,7 +136,7 @@
     with trio.move_on_after(CONNECT_S):
         try:
             opened = await session.ask(f'START {database} soak')
-        except SessionLost:
+        except SessionLostError:
             return False
         return opened[0].startswith('READY')
     return False
@@ -154,7 +154,7 @@
             return await _transact(recorder, rng, session, operation)
         is_write = rng.random() < WRITE_SHARE
         return await _statement(recorder, rng, session, operation, is_write)
-    except SessionLost:
+    except SessionLostError:
         return 'lost'
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from jackdawpost_standin.line_database import Commit
-from jackdawpost_standin.line_database import ReadRan
+from jackdawpost_standin.line_database import ExecutedRead
 from soak.callers import NOT_KEPT
 from soak.callers import Operation
 from soak.outside import STALENESS_MS
@@ -36,7 +36,7 @@
     operations: list[Operation]
     log: list[Commit]
     rolled_back: list[Commit]
-    reads: list[ReadRan]
+    reads: list[ExecutedRead]
     may_roll_back: bool
 
 
@@ -110,7 +110,7 @@
 
 def _stale(evidence: Evidence) -> list[str]:
     """Find reads of a log that lacks what they had to see."""
-    ran: dict[str, list[ReadRan]] = defaultdict(list)
+    ran: dict[str, list[ExecutedRead]] = defaultdict(list)
     for read in evidence.reads:
         ran[f'{read.database}.{read.request}'].append(read)
     position_of = {
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jackdawpost_standin.line_database import Commit
-from jackdawpost_standin.line_database import ReadRan
+from jackdawpost_standin.line_database import ExecutedRead
 from soak.callers import Operation
 from soak.promises import Evidence
 from soak.promises import find_breaches
@@ -49,7 +49,7 @@
         operations=list(operations),
         log=list(log),
         rolled_back=list(rolled_back),
-        reads=[ReadRan('r', 'i-2', (1, saw))] if saw else [],
+        reads=[ExecutedRead('r', 'i-2', (1, saw))] if saw else [],
         may_roll_back=loss,
     )
 
