--- a/jackdawpost/core/consensus/__init__.py
+++ b/jackdawpost/core/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""Replicated log: elections, replication, snapshots."""
+"""Raft-style consensus: elections, log replication and snapshots."""
--- a/jackdawpost/core/consensus/effects.py
+++ b/jackdawpost/core/consensus/effects.py
@@ -1,4 +1,4 @@
-"""Effects that the consensus core returns."""
+"""Effects returned by the consensus core: the I/O its embedder performs."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SendToPeer:
-    """Send a message to a process of the group; it may be lost."""
+    """Send a message to another process of the group; loss is tolerated."""
 
     peer: str
     message: ConsensusMessage
@@ -18,23 +18,24 @@
 
 @dataclass(slots=True, kw_only=True)
 class WriteDurably:
-    """Write and sync; answer with `persisted` or `persist_failed`.
+    """Write to disk and sync, then call `persisted` or `persist_failed`.
 
-    At most one write is outstanding. A write takes effect as a whole or not
-    at all.
+    At most one write is outstanding. The write must be atomic: either all
+    of it takes effect or nothing.
 
     Parameters
     ----------
     token : int
-        Rising number of the write.
+        Number of the write, increasing; passed back to `persisted` or
+        `persist_failed`.
     hard_state : bytes, optional
-        New hard state.
+        New hard state; None leaves the stored one.
     truncate_from : int, optional
-        First log index to discard before appending.
+        First log index to discard before `entries` are appended.
     entries : list of bytes
         Encoded log entries to append.
     snapshot : bytes, optional
-        New snapshot; replaces the log up to its index.
+        New snapshot; replaces the stored one and the log up to its index.
     """
 
     token: int
@@ -46,7 +47,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class ApplyEntry:
-    """Apply a committed entry; `command` is None for internal entries."""
+    """Apply a committed entry to the application state.
+
+    `command` is None for entries without a command (no-op and voter-set
+    entries).
+    """
 
     index: int
     term: int
@@ -55,7 +60,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class InstallSnapshot:
-    """Replace the application state by a snapshot taken after `index`."""
+    """Replace the application state by a snapshot as of entry `index`."""
 
     index: int
     snapshot: bytes
@@ -63,21 +68,27 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeadershipWon:
-    """This process leads and has applied everything committed earlier."""
+    """This process became leader and applied all earlier committed entries.
+
+    Emitted when the first entry of the new term commits.
+    """
 
     term: int
 
 
 @dataclass(slots=True, kw_only=True)
 class LeadershipLost:
-    """This process no longer leads; follows only a `LeadershipWon`."""
+    """This process stepped down; emitted only after a `LeadershipWon`."""
 
     term: int
 
 
 @dataclass(slots=True, kw_only=True)
 class LeadershipConfirmed:
-    """This process led at some time after the call with `token`."""
+    """This process was still leader after `confirm_leadership` was called.
+
+    `token` is the one passed to that call.
+    """
 
     token: int
 
--- a/jackdawpost/core/consensus/election.py
+++ b/jackdawpost/core/consensus/election.py
@@ -1,11 +1,13 @@
-"""Elections of the consensus core and the right to take part in them.
+"""Leader election, and admission of a data folder as a voter.
 
-A data folder starts without the right to vote, since it may be a wiped one
-whose promises are lost. It gains the right in one of two ways:
+Elections use Raft with pre-vote. A process votes only if its data folder has
+been admitted. A new data folder is not admitted, since it may replace a
+wiped one that had already voted or acknowledged entries. It is admitted in
+one of two ways:
 
-* the group is formed: every other first voter answers that it has no right
-  either, or that it formed the group with this very folder;
-* a voter change names the folder's node id.
+* Bootstrap of the group: each of the other first voters answers that it is
+  not admitted either, or that it bootstrapped the group with this node id.
+* A committed or uncommitted voter set in the log lists its node id.
 """
 
 from __future__ import annotations
@@ -26,21 +28,25 @@
 from jackdawpost.core.messages.consensus import Vote
 from jackdawpost.core.messages.consensus import VoteAnswer
 
-# Heartbeat intervals between attempts to gain the right to vote.
-PROBE_HEARTBEATS = 2
+# Heartbeat intervals between two attempts to bootstrap the group.
+BOOTSTRAP_RETRY_HEARTBEATS = 2
 
 
-def probe_group(state: ConsensusState, now_ms: float) -> None:
-    """Ask the other first voters to vouch for this data folder."""
-    interval = PROBE_HEARTBEATS * state.cfg.heartbeat_ms
-    state.probe_due_ms = now_ms + interval
+def request_bootstrap(state: ConsensusState, now_ms: float) -> None:
+    """Send a bootstrap request to the other first voters.
+
+    Sends nothing if this process is already admitted or is no voter. The
+    request is a `PreVote` whose `admitted` is false.
+    """
+    interval = BOOTSTRAP_RETRY_HEARTBEATS * state.cfg.heartbeat_ms
+    state.bootstrap_due_ms = now_ms + interval
     if may_vote(state) or state.name not in state.voters:
         return
-    _ask_pre_votes(state)
+    _request_pre_votes(state)
 
 
 def on_election_timeout(state: ConsensusState, now_ms: float) -> None:
-    """Ask for pre-votes, without disturbing anyone."""
+    """Start a pre-vote, which leaves the term of every process unchanged."""
     reset_election_timer(state, now_ms)
     if not may_vote(state) or state.name not in state.voters:
         return
@@ -52,32 +58,39 @@
     if is_quorum(state, state.pre_votes):
         start_election(state, now_ms, transfer=False)
         return
-    _ask_pre_votes(state)
+    _request_pre_votes(state)
 
 
-def _ask_pre_votes(state: ConsensusState) -> None:
+def _request_pre_votes(state: ConsensusState) -> None:
     for peer in state.voters:
         if peer == state.name:
             continue
-        question = PreVote(
+        request = PreVote(
             term=state.term + 1,
             last_index=state.last_index,
             last_term=state.last_term,
             node_id=state.node_id,
             admitted=may_vote(state),
         )
-        send_when_durable(state, peer, question)
+        send_when_durable(state, peer, request)
 
 
 def start_election(
     state: ConsensusState, now_ms: float, transfer: bool
 ) -> None:
-    """Become a candidate in a new term."""
+    """Become a candidate in a new term and request votes.
+
+    Parameters
+    ----------
+    transfer : bool
+        The leader asked for this election, so voters need not wait until
+        they have lost contact with it.
+    """
     become_follower(state, now_ms, state.term + 1, None)
     state.role = 'candidate'
     state.hard.voted_for = state.name
     reset_election_timer(state, now_ms)
-    state.waiting.append(OwnVote(state.term))
+    state.deferred.append(OwnVote(state.term))
     for peer in state.voters:
         if peer == state.name:
             continue
@@ -91,22 +104,22 @@
 
 
 def count_vote(state: ConsensusState, now_ms: float, voter: str) -> None:
-    """Count a durable vote for this candidate."""
+    """Count a durable vote; become leader once a quorum has voted."""
     if state.role != 'candidate':
         return
     state.votes.add(voter)
-    # The own vote must be among them: it shows that the term is durable.
+    # The own vote is required: it is counted only once the term is durable.
     if state.name in state.votes and is_quorum(state, state.votes):
         become_leader(state, now_ms)
 
 
 def count_own_vote(state: ConsensusState, now_ms: float) -> None:
-    """Count this candidate's vote for itself, now that it is durable."""
+    """Count this candidate's vote for itself after it became durable."""
     count_vote(state, now_ms, state.name)
 
 
 def has_live_leader(state: ConsensusState, now_ms: float) -> bool:
-    """Tell whether a leader was heard within the least timeout."""
+    """Return whether a leader made contact within `election_min_ms`."""
     if state.role == 'leader':
         return True
     return now_ms - state.leader_contact_ms < state.cfg.election_min_ms
@@ -115,7 +128,7 @@
 def on_pre_vote(
     state: ConsensusState, now_ms: float, peer: str, message: PreVote
 ) -> None:
-    """Tell whether a vote would be granted."""
+    """Answer whether this process would grant a vote in that term."""
     granted = (
         may_vote(state)
         and message.admitted
@@ -132,16 +145,16 @@
         admitted=may_vote(state),
         knows_asker=bool(known_id) and known_id == message.node_id,
     )
-    # An answer may rest on an admission that is not durable yet.
+    # The admission that the answer reports may not be durable yet.
     send_when_durable(state, peer, answer)
 
 
 def on_pre_vote_answer(
     state: ConsensusState, now_ms: float, peer: str, message: PreVoteAnswer
 ) -> None:
-    """Count a pre-vote, or a voucher for this data folder."""
+    """Count a pre-vote, or an answer to a bootstrap request."""
     if not may_vote(state):
-        _count_voucher(state, now_ms, peer, message)
+        _on_bootstrap_answer(state, now_ms, peer, message)
         return
     if message.granted:
         if message.asked_term != state.pre_vote_term:
@@ -153,30 +166,38 @@
         become_follower(state, now_ms, message.term, None)
 
 
-def _count_voucher(
+def _on_bootstrap_answer(
     state: ConsensusState, now_ms: float, peer: str, message: PreVoteAnswer
 ) -> None:
+    """Admit this data folder once all other voters agree to bootstrap."""
     if message.admitted and not message.knows_asker:
-        state.vouched.pop(peer, None)
+        state.bootstrap_ids.pop(peer, None)
         return
-    state.vouched[peer] = message.node_id
+    state.bootstrap_ids[peer] = message.node_id
     others = {voter for voter in state.voters if voter != state.name}
-    if not others <= state.vouched.keys() or state.name not in state.voters:
+    if (
+        not others <= state.bootstrap_ids.keys()
+        or state.name not in state.voters
+    ):
         return
     state.hard.admitted_as = state.name
     # Sorted, so that a replayed trace encodes the same bytes.
     state.hard.known_ids = {
-        name: state.vouched[name] for name in sorted(others)
+        name: state.bootstrap_ids[name] for name in sorted(others)
     }
     state.hard_dirty = True
-    state.probe_due_ms = math.inf
+    state.bootstrap_due_ms = math.inf
     reset_election_timer(state, now_ms)
 
 
 def on_vote(
     state: ConsensusState, now_ms: float, peer: str, message: Vote
 ) -> None:
-    """Grant or refuse a vote; a grant is sent once it is durable."""
+    """Grant or deny a vote; the answer is sent once the vote is durable.
+
+    Requests are ignored while a leader is in contact with this process,
+    unless that leader asked for the election to transfer leadership.
+    """
     if not may_vote(state):
         return
     if not message.transfer and has_live_leader(state, now_ms):
@@ -202,7 +223,7 @@
 def on_vote_answer(
     state: ConsensusState, now_ms: float, peer: str, message: VoteAnswer
 ) -> None:
-    """Count a vote of this term."""
+    """Count a vote granted in the current term."""
     if message.granted and message.term == state.term:
         count_vote(state, now_ms, peer)
 
@@ -210,7 +231,7 @@
 def on_timeout_now(
     state: ConsensusState, now_ms: float, peer: str, message: TimeoutNow
 ) -> None:
-    """Start an election on behalf of the leader."""
+    """Start an election at once because the leader requests it."""
     if message.term != state.term or state.leader != peer:
         return
     if may_vote(state) and state.name in state.voters:
@@ -218,5 +239,5 @@
 
 
 def _is_up_to_date(state: ConsensusState, message: PreVote | Vote) -> bool:
-    theirs = (message.last_term, message.last_index)
-    return theirs >= (state.last_term, state.last_index)
+    candidate_last = (message.last_term, message.last_index)
+    return candidate_last >= (state.last_term, state.last_index)
--- a/jackdawpost/core/consensus/follower.py
+++ b/jackdawpost/core/consensus/follower.py
@@ -1,4 +1,4 @@
-"""What a follower does with entries and snapshots."""
+"""Follower side of log replication: log entries and snapshot chunks."""
 
 from __future__ import annotations
 
@@ -29,7 +29,11 @@
 def on_append(
     state: ConsensusState, now_ms: float, peer: str, message: Append
 ) -> None:
-    """Take entries from the leader of this term."""
+    """Append entries from the leader of this term and advance the commit.
+
+    An append from an earlier term, or one whose previous entry is not in
+    the log, is rejected. One with a malformed entry is ignored.
+    """
     if message.term < state.term:
         _answer_append(state, peer, message, ok=False, index=0)
         return
@@ -37,12 +41,12 @@
         entries = [decode_entry(raw) for raw in message.entries]
     except ProtocolError:
         return
-    _follow(state, now_ms, peer)
-    if not _matches(state, message):
-        hint = _retry_after(state, message.prev_index)
+    _accept_leader(state, now_ms, peer)
+    if not _has_previous_entry(state, message):
+        hint = _conflict_hint(state, message.prev_index)
         _answer_append(state, peer, message, ok=False, index=hint)
         return
-    _store_entries(state, entries)
+    _append_entries(state, entries)
     index = message.prev_index + len(entries)
     advance_commit(state, min(message.commit, index))
     _answer_append(state, peer, message, ok=True, index=index)
@@ -51,36 +55,40 @@
 def on_snapshot_chunk(
     state: ConsensusState, now_ms: float, peer: str, message: SnapshotChunk
 ) -> None:
-    """Collect a snapshot and install it when complete."""
+    """Store a chunk of a snapshot; install the snapshot once complete.
+
+    The answer reports the number of bytes received in order; the leader
+    continues from there.
+    """
     if message.term < state.term:
         _answer_chunk(state, peer, message, 0, done=False)
         return
-    _follow(state, now_ms, peer)
+    _accept_leader(state, now_ms, peer)
     if message.index <= state.commit_index:
         _answer_chunk(state, peer, message, message.total, done=True)
         return
-    incoming = state.incoming
+    incoming = state.incoming_snapshot
     if incoming is None or (incoming.index, incoming.term) != (
         message.index,
         message.term,
     ):
         incoming = IncomingSnapshot(message.index, message.term, bytearray())
-        state.incoming = incoming
+        state.incoming_snapshot = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
     offset = len(incoming.data)
     if offset < message.total:
         _answer_chunk(state, peer, message, offset, done=False)
         return
-    state.incoming = None
+    state.incoming_snapshot = None
     try:
-        _install(state, bytes(incoming.data))
+        _install_snapshot(state, bytes(incoming.data))
     except ProtocolError:
         return
     _answer_chunk(state, peer, message, offset, done=True)
 
 
-def _follow(state: ConsensusState, now_ms: float, peer: str) -> None:
+def _accept_leader(state: ConsensusState, now_ms: float, peer: str) -> None:
     if state.role != 'follower':
         become_follower(state, now_ms, state.term, peer)
     state.leader = peer
@@ -89,24 +97,28 @@
     reset_election_timer(state, now_ms)
 
 
-def _matches(state: ConsensusState, message: Append) -> bool:
+def _has_previous_entry(state: ConsensusState, message: Append) -> bool:
     if message.prev_index <= state.snapshot_index:
-        # Committed entries are the same everywhere.
+        # Committed entries are identical in all logs.
         return True
     return term_at(state, message.prev_index) == message.prev_term
 
 
-def _retry_after(state: ConsensusState, prev_index: int) -> int:
+def _conflict_hint(state: ConsensusState, prev_index: int) -> int:
+    # The leader retries from the entry after the hint: the end of a log that
+    # is too short, else the entry before those of the conflicting term.
     if prev_index > state.last_index:
         return state.last_index
-    conflict = term_at(state, prev_index)
+    conflict_term = term_at(state, prev_index)
     index = prev_index
-    while index > state.commit_index and term_at(state, index) == conflict:
+    while (
+        index > state.commit_index and term_at(state, index) == conflict_term
+    ):
         index -= 1
     return index
 
 
-def _store_entries(state: ConsensusState, entries: list[LogEntry]) -> None:
+def _append_entries(state: ConsensusState, entries: list[LogEntry]) -> None:
     for entry in entries:
         if entry.index <= state.snapshot_index:
             continue
@@ -133,19 +145,19 @@
         send(state, peer, answer)
     else:
         if not message.entries:
-            # A slow disk must not hold up the answer to a heartbeat.
-            early = AppendAnswer(
+            # A slow disk must not delay the answer to a heartbeat.
+            durable_answer = AppendAnswer(
                 term=state.term,
                 ok=True,
                 index=state.durable_index,
                 round=message.round,
                 newcomer_id=newcomer_id(state),
             )
-            send(state, peer, early)
+            send(state, peer, durable_answer)
         send_when_durable(state, peer, answer)
 
 
-def _install(state: ConsensusState, raw: bytes) -> None:
+def _install_snapshot(state: ConsensusState, raw: bytes) -> None:
     record = decode_snapshot(raw)
     drop_log_prefix(state, record)
     state.snapshot = raw
--- a/jackdawpost/core/consensus/leader.py
+++ b/jackdawpost/core/consensus/leader.py
@@ -1,19 +1,23 @@
-"""Leadership: commitment, confirmation, voter changes, transfer."""
+"""Leader side: commit index, leadership confirmation and voter changes.
+
+Also handles check-quorum, leadership transfer and the answers of followers
+to appends and snapshot chunks.
+"""
 
 from __future__ import annotations
 
 from jackdawpost.core.consensus.effects import LeadershipConfirmed
 from jackdawpost.core.consensus.effects import LeadershipWon
 from jackdawpost.core.consensus.records import encode_voter_set
-from jackdawpost.core.consensus.records import INTERNAL_ENTRY
 from jackdawpost.core.consensus.records import LogEntry
 from jackdawpost.core.consensus.records import make_entry
+from jackdawpost.core.consensus.records import NOOP_ENTRY
 from jackdawpost.core.consensus.records import VOTERS_ENTRY
 from jackdawpost.core.consensus.records import VoterSet
 from jackdawpost.core.consensus.roles import become_follower
+from jackdawpost.core.consensus.sending import broadcast_heartbeat
 from jackdawpost.core.consensus.sending import replicate
-from jackdawpost.core.consensus.sending import send_chunk
-from jackdawpost.core.consensus.sending import send_round
+from jackdawpost.core.consensus.sending import send_snapshot_chunk
 from jackdawpost.core.consensus.sending import sync_progress
 from jackdawpost.core.consensus.state import advance_commit
 from jackdawpost.core.consensus.state import append_entry
@@ -28,66 +32,81 @@
 
 
 def become_leader(state: ConsensusState, now_ms: float) -> None:
-    """Lead in the present term, starting with an entry of that term."""
+    """Become leader of the current term and append a no-op entry.
+
+    Entries of earlier terms commit only together with that entry.
+    """
     state.role = 'leader'
     state.leader = state.name
     state.won = False
     state.confirm_round = 0
     state.progress.clear()
     sync_progress(state, now_ms)
-    append_own(state, INTERNAL_ENTRY, b'')
-    send_heartbeats(state, now_ms)
+    append_leader_entry(state, NOOP_ENTRY, b'')
+    start_heartbeat_round(state, now_ms)
     replicate(state, now_ms)
 
 
-def append_own(
+def append_leader_entry(
     state: ConsensusState, entry_type: int, payload: bytes
 ) -> LogEntry:
-    """Append an entry of the present term as its leader."""
+    """Append an entry of the current term to the leader's own log."""
     entry = make_entry(state.last_index + 1, state.term, entry_type, payload)
     append_entry(state, entry)
     return entry
 
 
 def has_quorum_contact(state: ConsensusState, now_ms: float) -> bool:
-    """Tell whether a quorum answered within the election timeout."""
-    limit = now_ms - state.cfg.election_max_ms
-    heard = {
+    """Return whether a quorum answered within `election_max_ms`.
+
+    A leader without quorum contact steps down (check-quorum).
+    """
+    oldest_ms = now_ms - state.cfg.election_max_ms
+    active = {
         peer
         for peer, progress in state.progress.items()
-        if progress.ack_ms >= limit
+        if progress.ack_ms >= oldest_ms
     }
-    return is_quorum(state, heard | {state.name})
+    return is_quorum(state, active | {state.name})
 
 
-def send_heartbeats(state: ConsensusState, now_ms: float) -> None:
-    """Start a new round, which also serves waiting confirmations."""
-    send_round(state, now_ms)
-    if not state.confirming:
-        state.confirming = state.confirm_waiting
-        state.confirm_waiting = []
-        state.confirm_round = state.round
-    release_confirmations(state, now_ms)
+def start_heartbeat_round(state: ConsensusState, now_ms: float) -> None:
+    """Send heartbeats with a new round number.
+
+    Pending confirmations are tied to this round unless those of an earlier
+    round are still unanswered.
+    """
+    broadcast_heartbeat(state, now_ms)
+    if not state.confirm_tokens:
+        state.confirm_tokens = state.next_confirm_tokens
+        state.next_confirm_tokens = []
+        state.confirm_round = state.heartbeat_round
+    report_confirmations(state, now_ms)
 
 
 def on_append_answer(
     state: ConsensusState, now_ms: float, peer: str, message: AppendAnswer
 ) -> None:
-    """Take note of a peer's log and go on sending."""
-    progress = _heard(state, now_ms, peer, message)
+    """Update a peer's replication progress and continue replication."""
+    progress = _record_answer(state, now_ms, peer, message)
     if progress is None:
         return
     progress.in_flight = max(0, progress.in_flight - 1)
     if message.ok:
-        progress.match = max(progress.match, message.index)
-        progress.next = max(progress.next, progress.match + 1)
-        if message.index >= progress.next - 1:
+        progress.match_index = max(progress.match_index, message.index)
+        progress.next_index = max(
+            progress.next_index, progress.match_index + 1
+        )
+        if message.index >= progress.next_index - 1:
             progress.probing = False
-    elif progress.transfer is None and message.index < progress.next - 1:
-        progress.next = max(progress.match, message.index) + 1
+    elif (
+        progress.snapshot_transfer is None
+        and message.index < progress.next_index - 1
+    ):
+        progress.next_index = max(progress.match_index, message.index) + 1
         progress.probing = True
         progress.in_flight = 0
-    after_progress(state, now_ms)
+    advance_leader(state, now_ms)
 
 
 def on_chunk_answer(
@@ -96,38 +115,39 @@
     peer: str,
     message: SnapshotChunkAnswer,
 ) -> None:
-    """Send the next part of a snapshot, or entries after the last part."""
-    progress = _heard(state, now_ms, peer, message)
+    """Send the next snapshot chunk, or log entries after the last chunk."""
+    progress = _record_answer(state, now_ms, peer, message)
     if progress is None:
         return
-    transfer = progress.transfer
+    transfer = progress.snapshot_transfer
     if transfer is not None and transfer.index == message.index:
         if message.done:
-            progress.transfer = None
-            progress.match = max(progress.match, message.index)
-            progress.next = progress.match + 1
+            progress.snapshot_transfer = None
+            progress.match_index = max(progress.match_index, message.index)
+            progress.next_index = progress.match_index + 1
         elif message.offset != transfer.offset:
             transfer.offset = message.offset
-            send_chunk(state, now_ms, peer, transfer)
-    after_progress(state, now_ms)
+            send_snapshot_chunk(state, now_ms, peer, transfer)
+    advance_leader(state, now_ms)
 
 
-def _heard(
+def _record_answer(
     state: ConsensusState,
     now_ms: float,
     peer: str,
     message: AppendAnswer | SnapshotChunkAnswer,
 ) -> Progress | None:
+    """Record contact with a peer; return None if its answer is ignored."""
     progress = state.progress.get(peer)
     if state.role != 'leader' or message.term < state.term:
         return None
     if progress is None:
         return None
     if progress.newcomer_id != message.newcomer_id and message.newcomer_id:
-        # The peer lost its disk: what it acknowledged before is gone.
-        progress.match = 0
+        # The peer lost its disk and with it the entries it acknowledged.
+        progress.match_index = 0
         progress.probing = True
-        progress.transfer = None
+        progress.snapshot_transfer = None
     progress.newcomer_id = message.newcomer_id
     if not message.newcomer_id:
         progress.ack_ms = now_ms
@@ -135,25 +155,32 @@
     return progress
 
 
-def after_progress(state: ConsensusState, now_ms: float) -> None:
-    """Commit, confirm and send what the latest answers allow."""
+def advance_leader(state: ConsensusState, now_ms: float) -> None:
+    """Advance the leader's work after an answer or a durable write.
+
+    Commits entries, reports confirmations, promotes a learner, replicates
+    further entries and completes a leadership transfer, where possible.
+    """
     if state.role != 'leader':
         return
-    _commit_as_leader(state, now_ms)
+    _commit_by_quorum(state, now_ms)
     if state.role != 'leader':
         return
-    release_confirmations(state, now_ms)
+    report_confirmations(state, now_ms)
     promote_learner(state, now_ms)
     replicate(state, now_ms)
-    hand_over(state)
+    advance_leadership_transfer(state)
 
 
-def _commit_as_leader(state: ConsensusState, now_ms: float) -> None:
-    matches = sorted(_match(state, voter) for voter in state.voters)
-    if not matches:
+def _commit_by_quorum(state: ConsensusState, now_ms: float) -> None:
+    match_indexes = sorted(
+        _match_index(state, voter) for voter in state.voters
+    )
+    if not match_indexes:
         return
-    index = matches[(len(matches) - 1) // 2]
-    # Entries of earlier terms commit only together with one of this term.
+    index = match_indexes[(len(match_indexes) - 1) // 2]
+    # Raft: an entry of an earlier term commits only through a later entry
+    # of the current term.
     if term_at(state, index) != state.term:
         return
     advance_commit(state, index)
@@ -162,31 +189,34 @@
         state.outbox.append(LeadershipWon(term=state.term))
     config_index, voter_set = state.configs[-1]
     if state.name not in voter_set.voters and config_index <= index:
-        _leave(state)
+        _trigger_successor_election(state)
         become_follower(state, now_ms, state.term, None)
 
 
-def _leave(state: ConsensusState) -> None:
-    # Without this the others would wait for an election timeout.
+def _trigger_successor_election(state: ConsensusState) -> None:
+    # Saves the remaining voters the wait for an election timeout.
     for peer in state.voters:
         progress = state.progress[peer]
-        if progress.match == state.last_index and not progress.newcomer_id:
+        if (
+            progress.match_index == state.last_index
+            and not progress.newcomer_id
+        ):
             send(state, peer, TimeoutNow(term=state.term))
             return
 
 
-def _match(state: ConsensusState, voter: str) -> int:
+def _match_index(state: ConsensusState, voter: str) -> int:
     if voter == state.name:
         return state.durable_index
     progress = state.progress[voter]
-    return 0 if progress.newcomer_id else progress.match
+    return 0 if progress.newcomer_id else progress.match_index
 
 
-def release_confirmations(state: ConsensusState, now_ms: float) -> None:
-    """Report confirmations whose round a quorum has answered."""
+def report_confirmations(state: ConsensusState, now_ms: float) -> None:
+    """Emit `LeadershipConfirmed` once a quorum has answered the round."""
     if not state.won:
         return
-    if state.confirming:
+    if state.confirm_tokens:
         answered = {
             peer
             for peer, progress in state.progress.items()
@@ -194,25 +224,25 @@
         }
         if not is_quorum(state, answered | {state.name}):
             return
-        tokens = state.confirming
-        state.confirming = []
+        tokens = state.confirm_tokens
+        state.confirm_tokens = []
         for token in tokens:
             state.outbox.append(LeadershipConfirmed(token=token))
-    if state.confirm_waiting:
-        send_heartbeats(state, now_ms)
+    if state.next_confirm_tokens:
+        start_heartbeat_round(state, now_ms)
 
 
 def append_voter_set(
     state: ConsensusState, now_ms: float, voter_set: VoterSet
 ) -> None:
-    """Append a voter set, in force at once, and send it."""
-    append_own(state, VOTERS_ENTRY, encode_voter_set(voter_set))
+    """Append a voter set, which is in force at once, and replicate it."""
+    append_leader_entry(state, VOTERS_ENTRY, encode_voter_set(voter_set))
     sync_progress(state, now_ms)
     replicate(state, now_ms)
 
 
 def promote_learner(state: ConsensusState, now_ms: float) -> None:
-    """Make a learner that has caught up a voter."""
+    """Promote the first learner that has caught up to a voter."""
     config_index, current = state.configs[-1]
     if not state.won or config_index > state.commit_index:
         return
@@ -220,7 +250,7 @@
         return
     for name in current.learners:
         progress = state.progress[name]
-        if progress.match < max(config_index, state.commit_index):
+        if progress.match_index < max(config_index, state.commit_index):
             continue
         node_ids = dict(current.node_ids)
         if progress.newcomer_id:
@@ -231,11 +261,11 @@
         return
 
 
-def hand_over(state: ConsensusState) -> None:
-    """Tell the target of a transfer to start once it has the whole log."""
+def advance_leadership_transfer(state: ConsensusState) -> None:
+    """Send `TimeoutNow` to the transfer target once it has the whole log."""
     target = state.transfer_target
-    if target is None or state.transfer_sent:
+    if target is None or state.timeout_now_sent:
         return
-    if state.progress[target].match == state.last_index:
-        state.transfer_sent = True
+    if state.progress[target].match_index == state.last_index:
+        state.timeout_now_sent = True
         send(state, target, TimeoutNow(term=state.term))
--- a/jackdawpost/core/consensus/process.py
+++ b/jackdawpost/core/consensus/process.py
@@ -1,12 +1,14 @@
-"""Leader-based replicated log with pre-vote, check-quorum and snapshots.
+"""Raft-style replicated log with pre-vote, check-quorum and snapshots.
 
-The functions of this module drive one process of a group. Each takes the
-present time of the process's monotonic clock in milliseconds, changes the
-state in place and returns effects. Nothing here reads a clock, draws from
-a global random generator, or does I/O.
+This is the public interface of the consensus core, a state machine without
+I/O. The functions of this module operate one process of a group. Each takes
+the current time of a monotonic clock in milliseconds, changes the state in
+place and returns effects. Nothing here reads a clock, uses a global random
+generator, or does I/O.
 
-An embedder feeds in messages, time and the ends of writes, and carries out
-the effects in order. `next_due_ms` tells when `tick` is due.
+The embedder passes in received messages, the time (`tick`) and the results
+of writes, and performs the returned effects in order. `next_due_ms` returns
+the time of the next `tick`.
 """
 
 from __future__ import annotations
@@ -29,17 +31,17 @@
 from jackdawpost.core.consensus.election import on_timeout_now
 from jackdawpost.core.consensus.election import on_vote
 from jackdawpost.core.consensus.election import on_vote_answer
-from jackdawpost.core.consensus.election import probe_group
+from jackdawpost.core.consensus.election import request_bootstrap
 from jackdawpost.core.consensus.follower import on_append
 from jackdawpost.core.consensus.follower import on_snapshot_chunk
-from jackdawpost.core.consensus.leader import after_progress
-from jackdawpost.core.consensus.leader import append_own
+from jackdawpost.core.consensus.leader import advance_leader
+from jackdawpost.core.consensus.leader import advance_leadership_transfer
+from jackdawpost.core.consensus.leader import append_leader_entry
 from jackdawpost.core.consensus.leader import append_voter_set
-from jackdawpost.core.consensus.leader import hand_over
 from jackdawpost.core.consensus.leader import has_quorum_contact
 from jackdawpost.core.consensus.leader import on_append_answer
 from jackdawpost.core.consensus.leader import on_chunk_answer
-from jackdawpost.core.consensus.leader import send_heartbeats
+from jackdawpost.core.consensus.leader import start_heartbeat_round
 from jackdawpost.core.consensus.records import COMMAND_ENTRY
 from jackdawpost.core.consensus.records import decode_entry
 from jackdawpost.core.consensus.records import decode_hard_state
@@ -49,21 +51,21 @@
 from jackdawpost.core.consensus.records import SnapshotRecord
 from jackdawpost.core.consensus.records import VoterSet
 from jackdawpost.core.consensus.roles import become_follower
-from jackdawpost.core.consensus.roles import end_transfer
+from jackdawpost.core.consensus.roles import clear_leadership_transfer
 from jackdawpost.core.consensus.sending import replicate
 from jackdawpost.core.consensus.state import append_entry
 from jackdawpost.core.consensus.state import compact_log
 from jackdawpost.core.consensus.state import ConsensusConfig
 from jackdawpost.core.consensus.state import ConsensusState
-from jackdawpost.core.consensus.state import holds_named_folder
+from jackdawpost.core.consensus.state import has_configured_node_id
 from jackdawpost.core.consensus.state import may_vote
 from jackdawpost.core.consensus.state import reset_election_timer
 from jackdawpost.core.consensus.state import RestoredState
 from jackdawpost.core.consensus.state import term_at
 from jackdawpost.core.consensus.state import voter_set_at
-from jackdawpost.core.consensus.writes import finish_write
+from jackdawpost.core.consensus.writes import complete_write
 from jackdawpost.core.consensus.writes import flush
-from jackdawpost.core.consensus.writes import undo_write
+from jackdawpost.core.consensus.writes import requeue_failed_write
 from jackdawpost.core.messages.consensus import Append
 from jackdawpost.core.messages.consensus import AppendAnswer
 from jackdawpost.core.messages.consensus import ConsensusMessage
@@ -103,7 +105,7 @@
     'WriteDurably',
 ]
 
-# A command travels in one frame of at most 1 MiB.
+# A command is sent in one frame of at most 1 MiB.
 MAX_COMMAND_BYTES = 768 * 1024
 
 _HANDLERS: dict[type[Any], Any] = {
@@ -117,9 +119,9 @@
     SnapshotChunkAnswer: on_chunk_answer,
     TimeoutNow: on_timeout_now,
 }
-# Questions about a future term, and votes that may have to be ignored, do
-# not change the term by themselves.
-_KEEPS_TERM = (PreVote, PreVoteAnswer, Vote)
+# A pre-vote refers to a term that may never start, and a vote request may
+# have to be ignored, so the handlers of these decide on the term themselves.
+_TERM_NEUTRAL_MESSAGES = (PreVote, PreVoteAnswer, Vote)
 
 
 def new_consensus(
@@ -128,24 +130,25 @@
     restored: RestoredState,
     now_ms: float,
 ) -> ConsensusState:
-    """Build the state of a process from what its disk holds.
+    """Create the state of a process from its durable state.
 
     Parameters
     ----------
     cfg : ConsensusConfig
-        Settings; `cfg.voters` counts only until the log names a voter set.
+        Settings; `cfg.voters` is used only until the log contains a voter
+        set.
     rng : random.Random
-        Source of election timeouts.
+        Random generator for election timeouts.
     restored : RestoredState
         Durable state, empty at the first start.
     now_ms : float
-        Present time in milliseconds.
+        Current time in milliseconds.
 
     Returns
     -------
     ConsensusState
-        The first call with it returns `InstallSnapshot` if a snapshot was
-        restored.
+        If a snapshot was restored, the next call with this state returns
+        `InstallSnapshot`.
 
     Raises
     ------
@@ -164,11 +167,13 @@
         configs=[(0, first_voters)],
     )
     _restore_log(state, restored)
-    is_alone = first_voters.voters == [cfg.name]
-    if restored.hard_state is None and (is_alone or not restored.node_id):
+    is_single_voter = first_voters.voters == [cfg.name]
+    if restored.hard_state is None and (
+        is_single_voter or not restored.node_id
+    ):
         hard.admitted_as = cfg.name
-    if not may_vote(state) and holds_named_folder(state):
-        state.probe_due_ms = now_ms
+    if not may_vote(state) and has_configured_node_id(state):
+        state.bootstrap_due_ms = now_ms
     reset_election_timer(state, now_ms)
     if may_vote(state) and state.voters == [cfg.name]:
         state.election_due_ms = now_ms
@@ -190,33 +195,36 @@
     for raw in restored.entries:
         append_entry(state, decode_entry(raw))
     state.durable_index = state.last_index
-    state.disk_last = state.last_index
+    state.disk_last_index = state.last_index
     state.dirty_from = state.last_index + 1
 
 
 def next_due_ms(state: ConsensusState) -> float:
-    """Tell when `tick` must be called next, in milliseconds."""
-    if state.retry_write_ms is not None:
-        return state.retry_write_ms
+    """Return the time at which `tick` must be called next, in milliseconds.
+
+    It may change with every call of another function.
+    """
+    if state.write_retry_due_ms is not None:
+        return state.write_retry_due_ms
     if state.role == 'leader':
         return min(state.heartbeat_due_ms, state.transfer_due_ms)
-    return min(state.election_due_ms, state.probe_due_ms)
+    return min(state.election_due_ms, state.bootstrap_due_ms)
 
 
 def tick(state: ConsensusState, now_ms: float) -> list[ConsensusEffect]:
-    """Take note of the time; harmless when called early."""
-    if state.retry_write_ms is not None:
-        if now_ms >= state.retry_write_ms:
-            state.retry_write_ms = None
+    """Process timers that have expired; an early call does no harm."""
+    if state.write_retry_due_ms is not None:
+        if now_ms >= state.write_retry_due_ms:
+            state.write_retry_due_ms = None
             reset_election_timer(state, now_ms)
     elif state.role == 'leader':
         _tick_leader(state, now_ms)
     else:
-        if now_ms >= state.probe_due_ms:
-            probe_group(state, now_ms)
+        if now_ms >= state.bootstrap_due_ms:
+            request_bootstrap(state, now_ms)
         if now_ms >= state.election_due_ms:
             on_election_timeout(state, now_ms)
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def _tick_leader(state: ConsensusState, now_ms: float) -> None:
@@ -224,9 +232,9 @@
         become_follower(state, now_ms, state.term, None)
         return
     if now_ms >= state.transfer_due_ms:
-        end_transfer(state)
+        clear_leadership_transfer(state)
     if now_ms >= state.heartbeat_due_ms:
-        send_heartbeats(state, now_ms)
+        start_heartbeat_round(state, now_ms)
 
 
 def receive(
@@ -235,33 +243,35 @@
     peer: str,
     message: ConsensusMessage,
 ) -> list[ConsensusEffect]:
-    """Take a message from a process of the group.
+    """Handle a message from another process of the group.
 
     Parameters
     ----------
     peer : str
-        Sender, as established by the link.
+        Name of the sender, as established by the connection.
     """
-    if state.retry_write_ms is not None:
-        # Nothing can be promised while the disk fails.
-        return _end_call(state, now_ms)
-    if message.term > state.term and not isinstance(message, _KEEPS_TERM):
+    if state.write_retry_due_ms is not None:
+        # No vote or acknowledgement can become durable while the disk fails.
+        return _pop_effects(state, now_ms)
+    if message.term > state.term and not isinstance(
+        message, _TERM_NEUTRAL_MESSAGES
+    ):
         become_follower(state, now_ms, message.term, None)
     _HANDLERS[type(message)](state, now_ms, peer, message)
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def propose(
     state: ConsensusState, now_ms: float, command: bytes
 ) -> tuple[int | None, list[ConsensusEffect]]:
-    """Append a command to the log as its leader.
+    """Append a command to the log, if this process is the leader.
 
     Returns
     -------
     index : int or None
-        Where the command stands if `ApplyEntry` of this index follows in
-        the same term; None if this process does not lead or is handing
-        over.
+        Log index of the command. The command is committed if `ApplyEntry`
+        with this index follows in the same term. None if this process is
+        not the leader or is transferring leadership.
     effects : list of ConsensusEffect
 
     Raises
@@ -271,79 +281,82 @@
     """
     if len(command) > MAX_COMMAND_BYTES:
         raise ValueError(
-            f'command of {len(command)} bytes: valid are up to '
+            f'command too long: got {len(command)} bytes, expected at most '
             f'{MAX_COMMAND_BYTES}'
         )
     if state.role != 'leader' or state.transfer_target is not None:
-        return None, _end_call(state, now_ms)
-    entry = append_own(state, COMMAND_ENTRY, command)
+        return None, _pop_effects(state, now_ms)
+    entry = append_leader_entry(state, COMMAND_ENTRY, command)
     replicate(state, now_ms)
-    return entry.index, _end_call(state, now_ms)
+    return entry.index, _pop_effects(state, now_ms)
 
 
 def persisted(
     state: ConsensusState, now_ms: float, token: int
 ) -> list[ConsensusEffect]:
-    """Take note that the write named by `token` is durable."""
-    if finish_write(state, now_ms, token, count_own_vote):
-        after_progress(state, now_ms)
-    return _end_call(state, now_ms)
+    """Record that the write with this `token` is durable."""
+    if complete_write(state, now_ms, token, count_own_vote):
+        advance_leader(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def persist_failed(
     state: ConsensusState, now_ms: float, token: int
 ) -> list[ConsensusEffect]:
-    """Step down after a failed write and retry it later.
+    """Record that the write with this `token` failed, and step down.
 
-    Until the retry succeeds the process takes no messages, so that it
-    promises nothing that it cannot keep.
+    The write is retried after `election_min_ms`. Until then received
+    messages are ignored, because no vote or acknowledgement can become
+    durable.
     """
-    if undo_write(state, now_ms, token):
+    if requeue_failed_write(state, now_ms, token):
         become_follower(state, now_ms, state.term, None)
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def confirm_leadership(
     state: ConsensusState, now_ms: float, token: int
 ) -> list[ConsensusEffect]:
-    """Ask for `LeadershipConfirmed`.
+    """Request `LeadershipConfirmed`, as for a linearizable read.
 
-    It follows once a quorum has answered a heartbeat sent after this call
-    and `LeadershipWon` was reported; never after a loss of leadership.
-    Calls during an unfinished round share the next one.
+    The effect is returned once a quorum has answered a heartbeat sent after
+    this call and `LeadershipWon` has been returned. It is never returned
+    after leadership is lost. Calls during an unfinished heartbeat round are
+    confirmed together by the next round.
     """
     if state.role == 'leader':
-        state.confirm_waiting.append(token)
-        if not state.confirming:
-            send_heartbeats(state, now_ms)
-    return _end_call(state, now_ms)
+        state.next_confirm_tokens.append(token)
+        if not state.confirm_tokens:
+            start_heartbeat_round(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def transfer_leadership(
     state: ConsensusState, now_ms: float, target: str | None
 ) -> list[ConsensusEffect]:
-    """Hand leadership over to `target`, or to the best voter.
+    """Transfer leadership to `target`, or to the most up-to-date voter.
 
-    Proposals are refused until the transfer ends, at the latest after the
-    longest election timeout.
+    Proposals are refused until the transfer completes or is abandoned,
+    which happens after `election_max_ms`. If `target` is not another voter,
+    the reason is left in `state.last_refusal`.
     """
     if state.role != 'leader' or state.transfer_target is not None:
-        return _end_call(state, now_ms)
+        return _pop_effects(state, now_ms)
     candidates = {
-        peer: progress.match
+        peer: progress.match_index
         for peer, progress in state.progress.items()
         if peer in state.voters and not progress.newcomer_id
     }
     if target is None and candidates:
         target = max(candidates, key=lambda peer: candidates[peer])
     if target not in candidates:
-        state.last_refusal = f'{target!r} cannot lead: no other voter'
-        return _end_call(state, now_ms)
+        state.last_refusal = f'{target!r} cannot lead: not another voter'
+        return _pop_effects(state, now_ms)
     state.transfer_target = target
-    state.transfer_sent = False
+    state.timeout_now_sent = False
     state.transfer_due_ms = now_ms + state.cfg.election_max_ms
-    hand_over(state)
-    return _end_call(state, now_ms)
+    advance_leadership_transfer(state)
+    return _pop_effects(state, now_ms)
 
 
 def change_voters(
@@ -354,82 +367,85 @@
 ) -> list[ConsensusEffect]:
     """Add or remove one voter.
 
-    A new voter is a learner until it has caught up. `state.voters` and
-    `state.learners` show the outcome; a refused call changes nothing and
-    leaves the reason in `state.last_refusal`.
+    A new voter is a learner until it has caught up with the log.
+    `state.voters` and `state.learners` show the result. A refused call
+    changes nothing else and leaves the reason in `state.last_refusal`.
     """
-    state.last_refusal = _refuse_change(state, add, remove)
+    state.last_refusal = _voter_change_refusal(state, add, remove)
     if state.last_refusal:
-        return _end_call(state, now_ms)
-    present = state.voter_set
-    voters = [name for name in present.voters if name != remove]
-    learners = [name for name in present.learners if name != remove]
-    node_ids = dict(present.node_ids)
+        return _pop_effects(state, now_ms)
+    current = state.voter_set
+    voters = [name for name in current.voters if name != remove]
+    learners = [name for name in current.learners if name != remove]
+    node_ids = dict(current.node_ids)
     if add is not None:
         learners.append(add)
     if remove is not None:
         node_ids.pop(remove, None)
     append_voter_set(state, now_ms, VoterSet(voters, learners, node_ids))
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def record_voters(
     state: ConsensusState, now_ms: float
 ) -> list[ConsensusEffect]:
-    """Write the present voter set into the log, without changing it.
+    """Append the current voter set to the log without changing it.
 
-    A process that starts later then needs no settings to know it.
+    A process that joins later then reads it from the log and does not need
+    the first voters in its settings.
     """
     if state.role == 'leader' and state.won:
         append_voter_set(state, now_ms, state.voter_set)
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
-def _refuse_change(
+def _voter_change_refusal(
     state: ConsensusState, add: str | None, remove: str | None
 ) -> str:
+    """Return why a voter change is refused, or an empty string."""
     if state.role != 'leader' or not state.won:
-        return 'this process does not lead'
+        return 'this process is not the leader'
     if state.transfer_target is not None:
-        return 'leadership is being handed over'
+        return 'a leadership transfer is in progress'
     if (add is None) == (remove is None):
-        return 'name one process to add or one to remove'
+        return 'expected exactly one process to add or to remove'
     if state.configs[-1][0] > state.commit_index:
-        return 'an earlier change is not committed yet'
+        return 'an earlier voter change is not committed yet'
     members = [*state.voters, *state.learners]
     if add is not None and add in members:
-        return f'{add!r} takes part already'
+        return f'{add!r} is already a member of the group'
     if remove is not None and remove not in members:
-        return f'{remove!r} takes no part: valid are {members}'
+        return f'{remove!r} is not a member of the group, expected {members}'
     if state.voters == [remove]:
-        return f'{remove!r} is the last voter'
+        return f'{remove!r} is the only voter and cannot be removed'
     return ''
 
 
 def compact(
     state: ConsensusState, now_ms: float, index: int, snapshot: bytes
 ) -> list[ConsensusEffect]:
-    """Replace the log up to `index` by a snapshot of the application.
+    """Replace the log up to `index` by a snapshot of the application state.
 
     Raises
     ------
     ValueError
-        `index` is not applied yet.
+        The entry at `index` is not applied yet.
     """
     if index > state.applied_index:
         raise ValueError(
-            f'snapshot at {index}: valid are up to {state.applied_index}'
+            f'snapshot index {index} is not applied yet, expected at most '
+            f'{state.applied_index}'
         )
     term = term_at(state, index)
     if index > state.snapshot_index and term is not None:
         voters = voter_set_at(state, index)
         record = SnapshotRecord(index, term, voters, snapshot)
         compact_log(state, encode_snapshot(record))
-    return _end_call(state, now_ms)
+    return _pop_effects(state, now_ms)
 
 
 def describe(state: ConsensusState) -> dict[str, Any]:
-    """Return the state as plain data, for dumps."""
+    """Return the state as JSON-compatible data for state dumps."""
     return {
         'name': state.name,
         'node_id': state.node_id,
@@ -445,22 +461,25 @@
         'applied_index': state.applied_index,
         'durable_index': state.durable_index,
         'snapshot_index': state.snapshot_index,
-        'disk_failing': state.retry_write_ms is not None,
+        'disk_failing': state.write_retry_due_ms is not None,
         'last_refusal': state.last_refusal,
         'peers': {
             peer: {
-                'match': progress.match,
-                'next': progress.next,
+                'match': progress.match_index,
+                'next': progress.next_index,
                 'ack_ms': progress.ack_ms,
                 'newcomer_id': progress.newcomer_id,
-                'gets_snapshot': progress.transfer is not None,
+                'gets_snapshot': progress.snapshot_transfer is not None,
             }
             for peer, progress in state.progress.items()
         },
     }
 
 
-def _end_call(state: ConsensusState, now_ms: float) -> list[ConsensusEffect]:
+def _pop_effects(
+    state: ConsensusState, now_ms: float
+) -> list[ConsensusEffect]:
+    """Start the next write, if any, and return the collected effects."""
     flush(state, now_ms, count_own_vote)
     effects = state.outbox
     state.outbox = []
--- a/jackdawpost/core/consensus/records.py
+++ b/jackdawpost/core/consensus/records.py
@@ -1,4 +1,8 @@
-"""Encoding of log entries, hard state and snapshots."""
+"""Binary encoding of log entries, hard state and snapshots.
+
+A log entry is a fixed header (type, term, index) followed by its payload;
+hard state, voter sets and snapshots are CBOR arrays.
+"""
 
 from __future__ import annotations
 
@@ -11,11 +15,12 @@
 
 from jackdawpost.errors import ProtocolError
 
-INTERNAL_ENTRY = 0
+NOOP_ENTRY = 0
 COMMAND_ENTRY = 1
 VOTERS_ENTRY = 2
 
-_HEADER = struct.Struct('>BQQ')
+# Entry type, term, index.
+_ENTRY_HEADER = struct.Struct('>BQQ')
 
 
 @dataclass(slots=True)
@@ -25,9 +30,9 @@
     Parameters
     ----------
     entry_type : int
-        `INTERNAL_ENTRY`, `COMMAND_ENTRY` or `VOTERS_ENTRY`.
+        `NOOP_ENTRY`, `COMMAND_ENTRY` or `VOTERS_ENTRY`.
     raw : bytes
-        Encoded form, as stored and sent.
+        Header and payload, as stored on disk and sent to peers.
     """
 
     index: int
@@ -37,20 +42,22 @@
 
     @property
     def payload(self) -> bytes:
-        """Command or encoded voter set."""
-        return self.raw[_HEADER.size :]
+        """Command or encoded voter set; empty for a no-op entry."""
+        return self.raw[_ENTRY_HEADER.size :]
 
 
 @dataclass(slots=True)
 class VoterSet:
-    """Processes that take part in the group.
+    """Membership of the group: its voters and learners.
 
     Parameters
     ----------
     voters, learners : list of str
-        Names; learners receive the log but count for no quorum.
+        Names of processes. Learners receive the log but have no vote and
+        are not part of any quorum.
     node_ids : dict of str to str
-        Node ids of the processes admitted by a voter change.
+        Node id by name, for each process that gained the right to vote
+        through a voter change rather than the bootstrap of the group.
     """
 
     voters: list[str]
@@ -60,14 +67,19 @@
 
 @dataclass(slots=True)
 class HardState:
-    """Promises of a process, durable before anyone relies on them.
+    """Term, vote and right to vote; synced before any message reveals them.
 
     Parameters
     ----------
+    term : int
+        Current term.
+    voted_for : str, optional
+        Candidate that received this process's vote in `term`.
     admitted_as : str, optional
-        Name under which this data folder has the right to vote.
+        Process name under which this data folder may vote.
     known_ids : dict of str to str
-        Node ids of the other voters when this process was admitted.
+        Node ids of the other first voters, by name, as of the bootstrap of
+        the group.
     """
 
     term: int = 0
@@ -78,7 +90,7 @@
 
 @dataclass(slots=True)
 class SnapshotRecord:
-    """Application state after `index`, with the voter set of that point."""
+    """Application state and voter set as of the log entry at `index`."""
 
     index: int
     term: int
@@ -89,27 +101,29 @@
 def make_entry(
     index: int, term: int, entry_type: int, payload: bytes
 ) -> LogEntry:
-    """Build an entry with its encoded form."""
-    raw = _HEADER.pack(entry_type, term, index) + payload
+    """Create a log entry and encode it."""
+    raw = _ENTRY_HEADER.pack(entry_type, term, index) + payload
     return LogEntry(index, term, entry_type, raw)
 
 
 def decode_entry(raw: bytes) -> LogEntry:
-    """Decode one entry.
+    """Decode a log entry.
 
     Raises
     ------
     ProtocolError
-        The bytes are no log entry.
+        The bytes are not a valid log entry.
     """
-    if len(raw) < _HEADER.size:
+    if len(raw) < _ENTRY_HEADER.size:
         raise ProtocolError(
-            f'log entry of {len(raw)} bytes: valid are {_HEADER.size} or more'
+            f'log entry too short: got {len(raw)} bytes, expected at least '
+            f'{_ENTRY_HEADER.size}'
         )
-    entry_type, term, index = _HEADER.unpack_from(raw)
+    entry_type, term, index = _ENTRY_HEADER.unpack_from(raw)
     if entry_type > VOTERS_ENTRY:
         raise ProtocolError(
-            f'log entry type {entry_type}: valid are 0 to {VOTERS_ENTRY}'
+            f'unknown log entry type {entry_type}, expected 0 to '
+            f'{VOTERS_ENTRY}'
         )
     return LogEntry(index, term, entry_type, raw)
 
@@ -123,7 +137,7 @@
 
 def decode_voter_set(payload: bytes) -> VoterSet:
     """Decode the payload of a `VOTERS_ENTRY`."""
-    voters, learners, node_ids = _load(payload, 3, 'voter set')
+    voters, learners, node_ids = _decode_list(payload, 3, 'voter set')
     return VoterSet(voters, learners, node_ids)
 
 
@@ -136,7 +150,9 @@
 
 def decode_hard_state(raw: bytes) -> HardState:
     """Decode a hard state."""
-    term, voted_for, admitted_as, known_ids = _load(raw, 4, 'hard state')
+    term, voted_for, admitted_as, known_ids = _decode_list(
+        raw, 4, 'hard state'
+    )
     return HardState(term, voted_for, admitted_as, known_ids)
 
 
@@ -152,17 +168,19 @@
     Raises
     ------
     ProtocolError
-        The bytes are no snapshot.
+        The bytes are not a valid snapshot.
     """
-    index, term, voters, data = _load(raw, 4, 'snapshot')
+    index, term, voters, data = _decode_list(raw, 4, 'snapshot')
     return SnapshotRecord(index, term, decode_voter_set(voters), data)
 
 
-def _load(raw: bytes, length: int, what: str) -> list[Any]:
+def _decode_list(raw: bytes, length: int, record_name: str) -> list[Any]:
     try:
         value = cbor2.loads(raw)
     except (ValueError, cbor2.CBORError) as exc:
-        raise ProtocolError(f'{what} cannot be decoded: {exc}') from exc
+        raise ProtocolError(f'invalid CBOR in {record_name}: {exc}') from exc
     if not isinstance(value, list) or len(value) != length:
-        raise ProtocolError(f'{what}: valid is a list of {length} items')
+        raise ProtocolError(
+            f'malformed {record_name}: expected an array of {length} items'
+        )
     return value
--- a/jackdawpost/core/consensus/roles.py
+++ b/jackdawpost/core/consensus/roles.py
@@ -1,4 +1,4 @@
-"""Changes of role of a consensus process."""
+"""Transition to the follower role and end of a leadership transfer."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 def become_follower(
     state: ConsensusState, now_ms: float, term: int, leader: str | None
 ) -> None:
-    """Follow in `term`, giving up any candidacy or leadership."""
+    """Become a follower in `term`, ending any candidacy or leadership."""
     if state.won:
         state.outbox.append(LeadershipLost(term=state.term))
     if term > state.term:
         state.hard.term = term
         state.hard.voted_for = None
         state.hard_dirty = True
-        state.incoming = None
+        state.incoming_snapshot = None
     was_leader = state.role == 'leader'
     state.role = 'follower'
     state.leader = leader
@@ -27,15 +27,15 @@
     state.pre_vote_term = 0
     state.votes.clear()
     state.progress.clear()
-    state.confirming.clear()
-    state.confirm_waiting.clear()
-    end_transfer(state)
+    state.confirm_tokens.clear()
+    state.next_confirm_tokens.clear()
+    clear_leadership_transfer(state)
     if was_leader:
         reset_election_timer(state, now_ms)
 
 
-def end_transfer(state: ConsensusState) -> None:
-    """Go on as leader after a transfer that did not happen."""
+def clear_leadership_transfer(state: ConsensusState) -> None:
+    """Cancel the leadership transfer; proposals are accepted again."""
     state.transfer_target = None
-    state.transfer_sent = False
+    state.timeout_now_sent = False
     state.transfer_due_ms = math.inf
--- a/jackdawpost/core/consensus/sending.py
+++ b/jackdawpost/core/consensus/sending.py
@@ -1,4 +1,4 @@
-"""What a leader sends to its peers."""
+"""Leader side of replication: heartbeats, appends and snapshot chunks."""
 
 from __future__ import annotations
 
@@ -10,15 +10,16 @@
 from jackdawpost.core.messages.consensus import Append
 from jackdawpost.core.messages.consensus import SnapshotChunk
 
-# Several of these fit into one frame of at most 1 MiB.
+# Several of these messages fit into one frame of at most 1 MiB.
 MAX_APPEND_BYTES = 128 * 1024
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
-# Further proposals wait for an answer and then travel in one append.
+# Unanswered appends per peer. Later proposals wait for an answer and are then
+# batched into one append.
 PIPELINE_DEPTH = 4
 
 
 def sync_progress(state: ConsensusState, now_ms: float) -> None:
-    """Track exactly the other members of the voter set in force."""
+    """Match the tracked peers to the voters and learners in force."""
     members = {*state.voters, *state.learners} - {state.name}
     for peer in list(state.progress):
         if peer not in members:
@@ -26,22 +27,22 @@
     for peer in sorted(members):
         if peer not in state.progress:
             state.progress[peer] = Progress(
-                next=state.last_index + 1, ack_ms=now_ms, probing=True
+                next_index=state.last_index + 1, ack_ms=now_ms, probing=True
             )
 
 
-def send_round(state: ConsensusState, now_ms: float) -> None:
-    """Send every peer a heartbeat with a new round number."""
-    state.round += 1
+def broadcast_heartbeat(state: ConsensusState, now_ms: float) -> None:
+    """Send a heartbeat with a new round number to every peer."""
+    state.heartbeat_round += 1
     state.heartbeat_due_ms = now_ms + state.cfg.heartbeat_ms
     for peer, progress in state.progress.items():
-        # Lost appends must not use up the pipeline.
+        # Otherwise lost appends would occupy the pipeline forever.
         progress.in_flight = 0
         _send_heartbeat(state, now_ms, peer, progress)
 
 
 def replicate(state: ConsensusState, now_ms: float) -> None:
-    """Send every peer what its pipeline allows."""
+    """Send log entries to every peer, up to the pipeline depth."""
     for peer, progress in state.progress.items():
         _send_entries(state, now_ms, peer, progress)
 
@@ -49,10 +50,10 @@
 def _send_heartbeat(
     state: ConsensusState, now_ms: float, peer: str, progress: Progress
 ) -> None:
-    prev_index = progress.next - 1
+    prev_index = progress.next_index - 1
     prev_term = term_at(state, prev_index)
-    if progress.transfer is not None or prev_term is None:
-        # Every log agrees at index 0.
+    if progress.snapshot_transfer is not None or prev_term is None:
+        # Index 0 precedes the first entry and matches in every log.
         prev_index = 0
         prev_term = 0
     send(
@@ -63,32 +64,34 @@
             prev_index=prev_index,
             prev_term=prev_term,
             commit=state.commit_index,
-            round=state.round,
+            round=state.heartbeat_round,
         ),
     )
-    if progress.transfer is not None:
-        stalled = now_ms - progress.transfer.sent_ms
-        if stalled >= state.cfg.election_min_ms:
-            send_chunk(state, now_ms, peer, progress.transfer)
+    if progress.snapshot_transfer is not None:
+        stalled_ms = now_ms - progress.snapshot_transfer.sent_ms
+        if stalled_ms >= state.cfg.election_min_ms:
+            send_snapshot_chunk(
+                state, now_ms, peer, progress.snapshot_transfer
+            )
 
 
 def _send_entries(
     state: ConsensusState, now_ms: float, peer: str, progress: Progress
 ) -> None:
-    depth = 1 if progress.probing else PIPELINE_DEPTH
+    max_in_flight = 1 if progress.probing else PIPELINE_DEPTH
     while (
-        progress.transfer is None
-        and progress.next <= state.last_index
-        and progress.in_flight < depth
+        progress.snapshot_transfer is None
+        and progress.next_index <= state.last_index
+        and progress.in_flight < max_in_flight
     ):
-        prev_index = progress.next - 1
+        prev_index = progress.next_index - 1
         prev_term = term_at(state, prev_index)
         if prev_term is None:
-            _start_transfer(state, now_ms, peer, progress)
+            _start_snapshot_transfer(state, now_ms, peer, progress)
             return
-        entries = _batch(state, progress.next)
+        entries = _collect_batch(state, progress.next_index)
         progress.in_flight += 1
-        progress.next += len(entries)
+        progress.next_index += len(entries)
         send(
             state,
             peer,
@@ -97,13 +100,13 @@
                 prev_index=prev_index,
                 prev_term=prev_term,
                 commit=state.commit_index,
-                round=state.round,
+                round=state.heartbeat_round,
                 entries=entries,
             ),
         )
 
 
-def _batch(state: ConsensusState, first: int) -> list[bytes]:
+def _collect_batch(state: ConsensusState, first: int) -> list[bytes]:
     entries: list[bytes] = []
     size = 0
     for position in range(first - state.snapshot_index - 1, len(state.log)):
@@ -115,19 +118,23 @@
     return entries
 
 
-def _start_transfer(
+def _start_snapshot_transfer(
     state: ConsensusState, now_ms: float, peer: str, progress: Progress
 ) -> None:
     if state.snapshot is None:
-        raise RuntimeError('log has a snapshot point but no snapshot')
-    progress.transfer = SnapshotTransfer(state.snapshot_index, state.snapshot)
-    send_chunk(state, now_ms, peer, progress.transfer)
+        raise RuntimeError(
+            'log starts after a snapshot but there is no snapshot to send'
+        )
+    progress.snapshot_transfer = SnapshotTransfer(
+        state.snapshot_index, state.snapshot
+    )
+    send_snapshot_chunk(state, now_ms, peer, progress.snapshot_transfer)
 
 
-def send_chunk(
+def send_snapshot_chunk(
     state: ConsensusState, now_ms: float, peer: str, transfer: SnapshotTransfer
 ) -> None:
-    """Send the next part of a snapshot."""
+    """Send the chunk of a snapshot at the current offset."""
     transfer.sent_ms = now_ms
     end = transfer.offset + SNAPSHOT_CHUNK_BYTES
     send(
@@ -138,7 +145,7 @@
             index=transfer.index,
             offset=transfer.offset,
             total=len(transfer.data),
-            round=state.round,
+            round=state.heartbeat_round,
             data=transfer.data[transfer.offset : end],
         ),
     )
--- a/jackdawpost/core/consensus/state.py
+++ b/jackdawpost/core/consensus/state.py
@@ -1,4 +1,8 @@
-"""State of the consensus core, its log and its writes."""
+"""State of one consensus process, with the operations on its log.
+
+Holds the settings, the log and its voter sets, what is durable, the election
+timer, and the leader's view of its peers.
+"""
 
 from __future__ import annotations
 
@@ -29,18 +33,20 @@
     Parameters
     ----------
     voters : list of str
-        First voters of the group; later the log decides.
+        First voters of the group; used only until the log contains a voter
+        set.
     heartbeat_ms : float
         Interval of heartbeats in milliseconds.
     election_min_ms, election_max_ms : float
         Bounds of the random election timeout in milliseconds.
     first_election_min_ms, first_election_max_ms : float
-        Bounds until a leader has been heard since the start; 0 for the same
-        as later. Pre-votes keep a process that restarts from disturbing a
-        group that has a leader, so that they may be short.
+        Bounds of the election timeout from the start of the process until
+        its first contact with a leader; 0 uses the bounds above. They may
+        be short, because a restarted process cannot disrupt a group that
+        has a leader: its pre-votes are denied.
     node_id : str
-        Identity that the data folder must hold; with another one the
-        process never votes. Empty accepts any folder.
+        Node id that the data folder is required to have; the process never
+        votes with another one. Empty accepts any data folder.
     """
 
     name: str
@@ -64,8 +70,9 @@
     entries : list of bytes
         Encoded entries that follow the snapshot.
     node_id : str
-        Identity of the data folder. With an empty one a wiped disk is not
-        told apart, which is for tests and folders that cannot be wiped.
+        Node id of the data folder. If it is empty, a wiped data folder
+        cannot be detected and may vote at once; use this only in tests or
+        where the folder cannot be wiped.
     """
 
     hard_state: bytes | None = None
@@ -76,7 +83,7 @@
 
 @dataclass(slots=True)
 class SnapshotTransfer:
-    """Snapshot being sent to one peer."""
+    """Snapshot that a leader is sending to one peer, chunk by chunk."""
 
     index: int
     data: bytes
@@ -86,52 +93,67 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What a leader knows of one peer.
+    """Replication progress of one peer, as tracked by the leader.
 
     Parameters
     ----------
-    match : int
-        Last index known to be durable at the peer.
-    next : int
-        Next index to send.
+    match_index : int
+        Highest index known to be durable at the peer.
+    next_index : int
+        Index of the next entry to send.
     ack_ms : float
-        When the peer last answered in this term.
+        Time of the peer's last answer in this term, or of the start of
+        tracking. Answers of a peer that may not vote are not included.
     ack_round : int
-        Highest round that the peer has answered.
+        Highest heartbeat round that the peer has answered.
     in_flight : int
-        Appends with entries sent and not answered.
+        Number of unanswered appends with entries.
     probing : bool
-        The end of the peer's log is unknown; send one append at a time.
+        The end of the peer's log is unknown, so appends are sent one at a
+        time.
     newcomer_id : str
-        Node id of a peer without the right to vote; it counts for nothing.
+        Node id of a peer whose data folder may not vote, else empty. Such a
+        peer is not part of any quorum.
+    snapshot_transfer : SnapshotTransfer, optional
+        Snapshot being sent; no entries are sent meanwhile.
     """
 
-    next: int
+    next_index: int
     ack_ms: float
-    match: int = 0
+    match_index: int = 0
     ack_round: int = 0
     in_flight: int = 0
     probing: bool = False
     newcomer_id: str = ''
-    transfer: SnapshotTransfer | None = None
+    snapshot_transfer: SnapshotTransfer | None = None
 
 
 @dataclass(slots=True)
 class OutstandingWrite:
-    """Write handed out and not yet reported as done."""
+    """Write that was started and has neither completed nor failed yet.
+
+    Parameters
+    ----------
+    first_index, last_index : int
+        Range of the entries that the write contains.
+    previous_disk_last_index : int
+        `disk_last_index` before the write.
+    deferred : list of Deferred
+        Messages and own votes that wait for this write.
+    """
 
     token: int
     first_index: int
     last_index: int
-    previous_disk_last: int
+    previous_disk_last_index: int
     has_hard_state: bool
     has_snapshot: bool
-    waiting: list[Deferred] = field(default_factory=list)
+    deferred: list[Deferred] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class OwnVote:
-    """A candidate's vote for itself, counted once durable."""
+    """A candidate's vote for itself, counted once it is durable."""
 
     term: int
 
@@ -141,7 +163,7 @@
 
 @dataclass(slots=True)
 class IncomingSnapshot:
-    """Snapshot being received from a leader."""
+    """Snapshot that a follower is receiving, with the bytes so far."""
 
     index: int
     term: int
@@ -152,15 +174,17 @@
 class ConsensusState:
     """State of one process of a consensus group.
 
-    Read `role`, `leader`, `term`, `commit_index`, `applied_index`,
-    `voters`, `learners` and `last_refusal`; change it only through the
-    functions of `jackdawpost.core.consensus.process`.
+    Embedders may read `role`, `leader`, `term`, `commit_index`,
+    `applied_index`, `voters`, `learners` and `last_refusal`. Only the
+    functions of `jackdawpost.core.consensus.process` change the state.
     """
 
     cfg: ConsensusConfig
     rng: random.Random
     node_id: str
     hard: HardState
+    # Voter sets, each with the index of its log entry; the last one is in
+    # force. The first comes from the settings (index 0) or the snapshot.
     configs: list[tuple[int, VoterSet]]
     role: Literal['follower', 'candidate', 'leader'] = 'follower'
     leader: str | None = None
@@ -169,44 +193,51 @@
     last_refusal: str = ''
     outbox: list[ConsensusEffect] = field(default_factory=list)
 
-    # Log: entries after the snapshot point.
+    # Log: the entries after `snapshot_index`.
     log: list[LogEntry] = field(default_factory=list)
     snapshot_index: int = 0
     snapshot_term: int = 0
     snapshot: bytes | None = None
-    incoming: IncomingSnapshot | None = None
+    incoming_snapshot: IncomingSnapshot | None = None
 
-    # Writes. Entries from `dirty_from` on were not handed out yet.
+    # Writes. Entries from `dirty_from` on are not part of any write yet.
+    # `disk_last_index` is the last index that the disk may hold, `deferred`
+    # what must wait for changes not yet written. `write_retry_due_ms` is set
+    # while the disk fails.
     dirty_from: int = 1
-    disk_last: int = 0
+    disk_last_index: int = 0
     durable_index: int = 0
     hard_dirty: bool = False
     snapshot_dirty: bool = False
     next_token: int = 1
-    outstanding: OutstandingWrite | None = None
-    waiting: list[Deferred] = field(default_factory=list)
-    retry_write_ms: float | None = None
+    outstanding_write: OutstandingWrite | None = None
+    deferred: list[Deferred] = field(default_factory=list)
+    write_retry_due_ms: float | None = None
 
-    # Elections.
+    # Elections. `pre_vote_term` is 0 while no pre-vote is in progress.
+    # `bootstrap_ids` holds the node ids of the voters that agreed to
+    # bootstrap the group, by name.
     election_due_ms: float = 0.0
-    probe_due_ms: float = math.inf
+    bootstrap_due_ms: float = math.inf
     leader_contact_ms: float = -math.inf
     pre_vote_term: int = 0
     pre_votes: set[str] = field(default_factory=set)
     votes: set[str] = field(default_factory=set)
-    vouched: dict[str, str] = field(default_factory=dict)
+    bootstrap_ids: dict[str, str] = field(default_factory=dict)
 
-    # Leadership.
+    # Leadership. `won` is set once an entry of the current term is committed.
+    # `confirm_tokens` are the confirmations that wait for answers to
+    # `confirm_round`; `next_confirm_tokens` wait for the round after it.
     progress: dict[str, Progress] = field(default_factory=dict)
     heartbeat_due_ms: float = math.inf
     won: bool = False
-    round: int = 0
+    heartbeat_round: int = 0
     confirm_round: int = 0
-    confirming: list[int] = field(default_factory=list)
-    confirm_waiting: list[int] = field(default_factory=list)
+    confirm_tokens: list[int] = field(default_factory=list)
+    next_confirm_tokens: list[int] = field(default_factory=list)
     transfer_target: str | None = None
     transfer_due_ms: float = math.inf
-    transfer_sent: bool = False
+    timeout_now_sent: bool = False
 
     @property
     def name(self) -> str:
@@ -220,17 +251,17 @@
 
     @property
     def voter_set(self) -> VoterSet:
-        """Voter set in force: the latest in the log, committed or not."""
+        """Voter set in force: the last one in the log, committed or not."""
         return self.configs[-1][1]
 
     @property
     def voters(self) -> list[str]:
-        """Names of the present voters."""
+        """Names of the current voters."""
         return self.voter_set.voters
 
     @property
     def learners(self) -> list[str]:
-        """Names of processes that receive the log without a vote."""
+        """Names of the current learners: they get the log but cannot vote."""
         return self.voter_set.learners
 
     @property
@@ -245,19 +276,19 @@
 
 
 def send(state: ConsensusState, peer: str, message: ConsensusMessage) -> None:
-    """Send at once: nothing in the message depends on a write."""
+    """Send a message that does not depend on an unfinished write."""
     state.outbox.append(SendToPeer(peer=peer, message=message))
 
 
 def send_when_durable(
     state: ConsensusState, peer: str, message: ConsensusMessage
 ) -> None:
-    """Send once everything changed so far is durable."""
-    state.waiting.append(SendToPeer(peer=peer, message=message))
+    """Send a message once all state changes up to now are durable."""
+    state.deferred.append(SendToPeer(peer=peer, message=message))
 
 
 def term_at(state: ConsensusState, index: int) -> int | None:
-    """Term of the entry at `index`; None if the log does not hold it."""
+    """Return the term of the entry at `index`, or None if not in the log."""
     if index == state.snapshot_index:
         return state.snapshot_term
     if not state.snapshot_index < index <= state.last_index:
@@ -266,20 +297,20 @@
 
 
 def entry_at(state: ConsensusState, index: int) -> LogEntry:
-    """Entry at `index`, which the log must hold."""
+    """Return the entry at `index`, which must be in the log."""
     return state.log[index - state.snapshot_index - 1]
 
 
 def append_entry(state: ConsensusState, entry: LogEntry) -> None:
-    """Add an entry at the end of the log."""
+    """Append an entry to the log; a voter set is in force at once."""
     state.log.append(entry)
     if entry.entry_type == VOTERS_ENTRY:
         state.configs.append((entry.index, decode_voter_set(entry.payload)))
-        admit_by_config(state)
+        admit_by_voter_set(state)
 
 
-def admit_by_config(state: ConsensusState) -> None:
-    """Gain the right to vote when the voter set names this data folder."""
+def admit_by_voter_set(state: ConsensusState) -> None:
+    """Gain the right to vote if the voter set lists this node id."""
     node_id = state.voter_set.node_ids.get(state.name)
     if may_vote(state) or not node_id or node_id != state.node_id:
         return
@@ -292,8 +323,8 @@
     """Discard the entries from `index` on."""
     if index <= state.commit_index:
         raise RuntimeError(
-            f'entry {index} is committed up to {state.commit_index}: '
-            'the log of the leader differs'
+            f'cannot truncate the log at entry {index}: entries up to '
+            f'{state.commit_index} are committed, but the leader sent others'
         )
     del state.log[index - state.snapshot_index - 1 :]
     while state.configs[-1][0] >= index:
@@ -303,16 +334,21 @@
 
 
 def drop_log_prefix(state: ConsensusState, record: SnapshotRecord) -> None:
-    """Make a snapshot the start of the log."""
+    """Replace the log up to the index of a snapshot by that snapshot.
+
+    The entries after it are kept only if the log agrees with the snapshot.
+    """
     keep_from = record.index - state.snapshot_index
     if term_at(state, record.index) == record.term:
         del state.log[:keep_from]
-        later = [item for item in state.configs if item[0] > record.index]
+        later_configs = [
+            item for item in state.configs if item[0] > record.index
+        ]
     else:
         state.log.clear()
-        later = []
+        later_configs = []
         state.durable_index = min(state.durable_index, state.commit_index)
-    state.configs = [(record.index, record.voter_set), *later]
+    state.configs = [(record.index, record.voter_set), *later_configs]
     state.snapshot_index = record.index
     state.snapshot_term = record.term
     state.dirty_from = max(state.dirty_from, record.index + 1)
@@ -322,14 +358,14 @@
 
 
 def compact_log(state: ConsensusState, record_raw: bytes) -> None:
-    """Replace applied entries by an encoded snapshot."""
+    """Replace applied log entries by an encoded snapshot."""
     record = decode_snapshot(record_raw)
     drop_log_prefix(state, record)
     state.snapshot = record_raw
 
 
 def voter_set_at(state: ConsensusState, index: int) -> VoterSet:
-    """Voter set in force at `index`."""
+    """Return the voter set that was in force at `index`."""
     found = state.configs[0][1]
     for config_index, voter_set in state.configs:
         if config_index <= index:
@@ -338,7 +374,7 @@
 
 
 def advance_commit(state: ConsensusState, index: int) -> None:
-    """Raise the commit index and apply what it covers."""
+    """Raise the commit index to `index` and apply the entries up to it."""
     if index <= state.commit_index:
         return
     state.commit_index = index
@@ -352,35 +388,43 @@
 
 
 def is_hard_state_durable(state: ConsensusState) -> bool:
-    """Tell whether term, vote and admission are on disk as they stand."""
+    """Return whether the current term, vote and admission are durable."""
     if state.hard_dirty:
         return False
-    return state.outstanding is None or not state.outstanding.has_hard_state
+    return (
+        state.outstanding_write is None
+        or not state.outstanding_write.has_hard_state
+    )
 
 
-def holds_named_folder(state: ConsensusState) -> bool:
-    """Tell whether the data folder is the one that the settings name."""
+def has_configured_node_id(state: ConsensusState) -> bool:
+    """Return whether the data folder has the node id the settings require."""
     return state.cfg.node_id in ('', state.node_id)
 
 
 def may_vote(state: ConsensusState) -> bool:
-    """Tell whether this process may vote and count for quorums."""
-    return holds_named_folder(state) and state.hard.admitted_as == state.name
+    """Return whether this process may vote and be part of a quorum."""
+    return (
+        has_configured_node_id(state) and state.hard.admitted_as == state.name
+    )
 
 
 def newcomer_id(state: ConsensusState) -> str:
-    """Node id to report while this process must not count, else empty."""
+    """Return the node id if this process may not vote, else an empty string.
+
+    Answers carry it, so that the leader excludes this process from quorums.
+    """
     return '' if may_vote(state) else state.node_id
 
 
 def is_quorum(state: ConsensusState, names: set[str]) -> bool:
-    """Tell whether `names` hold a majority of the voters."""
+    """Return whether `names` include a majority of the voters."""
     count = sum(1 for voter in state.voters if voter in names)
     return count > len(state.voters) // 2
 
 
 def reset_election_timer(state: ConsensusState, now_ms: float) -> None:
-    """Choose a new random election timeout."""
+    """Restart the election timer with a new random timeout."""
     cfg = state.cfg
     bounds = (cfg.election_min_ms, cfg.election_max_ms)
     if cfg.first_election_max_ms and math.isinf(state.leader_contact_ms):
--- a/jackdawpost/core/consensus/writes.py
+++ b/jackdawpost/core/consensus/writes.py
@@ -1,8 +1,8 @@
-"""Writes of the consensus core and the answers that wait for them.
+"""Durable writes of the consensus core, and the actions deferred until then.
 
-One write is outstanding at a time; what changes meanwhile goes into the
-next one. This groups proposals under load and leaves a single write to
-undo when the disk fails.
+One write is outstanding at a time; later changes are collected for the next
+one. This batches proposals under load, and after a disk failure only one
+write has to be repeated.
 """
 
 from __future__ import annotations
@@ -22,55 +22,76 @@
 def flush(
     state: ConsensusState, now_ms: float, count_own_vote: OwnVoteHandler
 ) -> None:
-    """Start the next write and release answers that depend on none."""
-    while state.retry_write_ms is None:
+    """Start the next write and perform deferred actions that need no write.
+
+    The other deferred actions are attached to the write that they wait for.
+    """
+    while state.write_retry_due_ms is None:
         if _is_dirty(state):
-            if state.outstanding is not None:
+            if state.outstanding_write is not None:
                 return
             _start_write(state)
-        if not state.waiting:
+        if not state.deferred:
             return
-        waiting = state.waiting
-        state.waiting = []
-        if state.outstanding is not None:
-            state.outstanding.waiting += waiting
+        deferred = state.deferred
+        state.deferred = []
+        if state.outstanding_write is not None:
+            state.outstanding_write.deferred += deferred
             return
-        _release(state, now_ms, waiting, count_own_vote)
+        _perform_deferred(state, now_ms, deferred, count_own_vote)
 
 
-def finish_write(
+def complete_write(
     state: ConsensusState,
     now_ms: float,
     token: int,
     count_own_vote: OwnVoteHandler,
 ) -> bool:
-    """Take note that a write is durable and release its answers."""
-    write = state.outstanding
+    """Record that a write is durable and perform the actions deferred to it.
+
+    Returns
+    -------
+    bool
+        False if `token` is not that of the outstanding write.
+    """
+    write = state.outstanding_write
     if write is None or write.token != token:
         return False
-    state.outstanding = None
+    state.outstanding_write = None
     if not state.snapshot_dirty:
-        # A pending snapshot may replace entries that this write held.
+        # A snapshot not yet written may replace entries of this write.
         durable = min(write.last_index, state.dirty_from - 1)
         state.durable_index = max(state.durable_index, durable)
-    _release(state, now_ms, write.waiting, count_own_vote)
+    _perform_deferred(state, now_ms, write.deferred, count_own_vote)
     return True
 
 
-def undo_write(state: ConsensusState, now_ms: float, token: int) -> bool:
-    """Drop the answers of a failed write and keep its content for later."""
-    write = state.outstanding
+def requeue_failed_write(
+    state: ConsensusState, now_ms: float, token: int
+) -> bool:
+    """Mark the content of a failed write as unwritten and schedule a retry.
+
+    The actions deferred to it are dropped.
+
+    Returns
+    -------
+    bool
+        False if `token` is not that of the outstanding write.
+    """
+    write = state.outstanding_write
     if write is None or write.token != token:
         return False
-    state.outstanding = None
+    state.outstanding_write = None
     state.hard_dirty = state.hard_dirty or write.has_hard_state
     state.snapshot_dirty = state.snapshot_dirty or write.has_snapshot
     first = max(write.first_index, state.snapshot_index + 1)
     state.dirty_from = min(state.dirty_from, first)
-    # A retry truncates whatever the failed write may have left.
-    state.disk_last = max(state.disk_last, write.previous_disk_last)
-    state.waiting.clear()
-    state.retry_write_ms = now_ms + state.cfg.election_min_ms
+    # The retry must truncate what the failed write may have left on disk.
+    state.disk_last_index = max(
+        state.disk_last_index, write.previous_disk_last_index
+    )
+    state.deferred.clear()
+    state.write_retry_due_ms = now_ms + state.cfg.election_min_ms
     return True
 
 
@@ -78,18 +99,18 @@
     return (
         state.hard_dirty
         or state.snapshot_dirty
-        or state.dirty_from <= max(state.last_index, state.disk_last)
+        or state.dirty_from <= max(state.last_index, state.disk_last_index)
     )
 
 
 def _start_write(state: ConsensusState) -> None:
     first = state.dirty_from
     entries = state.log[first - state.snapshot_index - 1 :]
-    state.outstanding = OutstandingWrite(
+    state.outstanding_write = OutstandingWrite(
         token=state.next_token,
         first_index=first,
         last_index=state.last_index,
-        previous_disk_last=state.disk_last,
+        previous_disk_last_index=state.disk_last_index,
         has_hard_state=state.hard_dirty,
         has_snapshot=state.snapshot_dirty,
     )
@@ -99,25 +120,25 @@
             hard_state=(
                 encode_hard_state(state.hard) if state.hard_dirty else None
             ),
-            truncate_from=first if first <= state.disk_last else None,
+            truncate_from=first if first <= state.disk_last_index else None,
             entries=[entry.raw for entry in entries],
             snapshot=state.snapshot if state.snapshot_dirty else None,
         )
     )
     state.next_token += 1
-    state.disk_last = state.last_index
+    state.disk_last_index = state.last_index
     state.dirty_from = state.last_index + 1
     state.hard_dirty = False
     state.snapshot_dirty = False
 
 
-def _release(
+def _perform_deferred(
     state: ConsensusState,
     now_ms: float,
-    waiting: list[Deferred],
+    deferred: list[Deferred],
     count_own_vote: OwnVoteHandler,
 ) -> None:
-    for item in waiting:
+    for item in deferred:
         if not isinstance(item, OwnVote):
             state.outbox.append(item)
         elif item.term == state.term:
--- a/jackdawpost/tests/core/consensus/test_process.py
+++ b/jackdawpost/tests/core/consensus/test_process.py
@@ -241,7 +241,11 @@
 
 def _ack(state, index, **fields):
     answer = AppendAnswer(
-        term=state.term, ok=True, index=index, round=state.round, **fields
+        term=state.term,
+        ok=True,
+        index=index,
+        round=state.heartbeat_round,
+        **fields,
     )
     return receive(state, 704.0, 'b', answer)
 
@@ -447,7 +451,7 @@
     group.propose(leader, b'x')
     group.call(leader, transfer_leadership, target)
     group.call(leader, change_voters, None, target)
-    assert 'handed over' in group.state(leader).last_refusal
+    assert 'transfer is in progress' in group.state(leader).last_refusal
     group.run(1_000)
     group.call(leader, change_voters, None, target)
     group.run(100)
@@ -574,7 +578,7 @@
 
 def test_too_long_command_is_refused():
     """Guards against an entry that fits into no frame."""
-    with pytest.raises(ValueError, match='valid are up to'):
+    with pytest.raises(ValueError, match='expected at most'):
         propose(_core(), 0.0, bytes(MAX_COMMAND_BYTES + 1))
 
 
