Name the simulation and tests of the consensus core by what they do

Cause: elect runs until there is a leader, crash_in is a count of writes, and names of tests such as "disturbs nobody" or "counts for no quorum" have to be turned round to be understood.

Ruled out: renaming freeze and thaw of a simulated process (usual terms for a suspended process), and the actions, the method act and the test functions of test_faults.py: their source seeds the derandomized examples, which stay the same.

Change: names, docstrings, comments and texts of failing assertions. Every test and assertion stays.

--- a/jackdawpost/tests/core/consensus/test_faults.py
+++ b/jackdawpost/tests/core/consensus/test_faults.py
@@ -1,7 +1,7 @@
-"""Safety of the consensus core under faults in any order.
+"""Random sequences of faults against the safety of the consensus core.
 
 `Group` checks election safety, log matching, leader completeness,
-state-machine safety and confirmations after every step.
+state-machine safety and leadership confirmations after every step.
 """
 
 from __future__ import annotations
@@ -35,8 +35,8 @@
     'add',
     'remove',
 ]
-# A wiped voter uses up the one loss that a quorum survives, so the voter set
-# stays as it is there.
+# A wiped voter is the one loss that a quorum of three survives, so the voter
+# set does not change in these runs.
 ACTIONS_WITH_WIPE = sorted({*ACTIONS, 'wipe'} - {'add', 'remove'})
 
 
@@ -49,7 +49,7 @@
     return st.lists(step, min_size=20, max_size=60)
 
 
-# Shrinking a failure takes minutes; the printed steps reproduce it as is.
+# No shrinking, which takes minutes: the printed steps reproduce the failure.
 PROFILE = settings(
     derandomize=True,
     deadline=None,
@@ -60,35 +60,36 @@
 
 
 class Scenario:
-    """Carries out actions on a group and remembers what was proposed."""
+    """Performs actions on a group and counts the proposed commands."""
 
     def __init__(self, names, seed):
         self.group = Group(names, seed, loss=0.05, duplication=0.1)
-        self.group.delay_ms = (1.0, 25.0)
+        self.group.message_delay_ms = (1.0, 25.0)
         self.proposed = 0
         self.has_wiped = False
-        self.group.elect()
+        self.group.wait_for_leader()
 
-    def act(self, action, which, pause_ms):
+    def act(self, action, member_number, pause_ms):
+        """Perform an action on the nth member and let `pause_ms` pass."""
         names = sorted(self.group.members)
-        name = names[which % len(names)]
+        name = names[member_number % len(names)]
         getattr(self, f'_{action}')(name)
         self.group.run(pause_ms)
 
     def finish(self):
-        """Repair everything and check that the group agrees again."""
+        """End all faults and check that all voters converge."""
         group = self.group
         group.heal()
         group.loss = 0.0
         for name, member in group.members.items():
             member.disk.failing_writes = 0
-            member.disk.crash_in = 0
+            member.disk.writes_until_crash = 0
             if member.state is None:
                 group.start(name)
             elif member.frozen:
                 group.thaw(name)
         group.run(3_000)
-        leader = group.elect()
+        leader = group.wait_for_leader()
         assert group.propose(leader, b'last') is not None
         group.run(1_000)
         expected = group.applied(leader)
@@ -127,7 +128,7 @@
 
     def _crash_at_write(self, name):
         disk = self.group.members[name].disk
-        disk.crash_in = 1 + self.proposed % 3
+        disk.writes_until_crash = 1 + self.proposed % 3
         disk.crash_after_sync = self.proposed % 2 == 0
 
     def _start(self, name):
--- a/jackdawpost/tests/core/consensus/test_process.py
+++ b/jackdawpost/tests/core/consensus/test_process.py
@@ -1,4 +1,7 @@
-"""Elections, replication and confirmations of the consensus core."""
+"""Elections, replication, durability and membership of the consensus core.
+
+Tests call a single core with `_core`, or simulate a whole `Group`.
+"""
 
 from __future__ import annotations
 
@@ -73,10 +76,10 @@
     )
 
 
-def test_single_voter_commits_by_itself():
-    """Guards against a deployment of one control process that stalls."""
+def test_single_voter_commits_alone():
+    """Guards against a stall in a deployment of one control process."""
     group = Group(['a'])
-    leader = group.elect(limit_ms=100)
+    leader = group.wait_for_leader(limit_ms=100)
     index = group.propose(leader, b'x')
     token = group.confirm(leader)
     group.run(20)
@@ -86,9 +89,9 @@
 
 
 def test_group_replicates_and_confirms():
-    """Guards against entries that do not reach every process."""
+    """Guards against entries missing on some of the processes."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     commands = [b'%d' % number for number in range(200)]
     for command in commands:
         group.propose(leader, command)
@@ -100,14 +103,14 @@
 
 
 def test_group_survives_the_loss_of_its_leader():
-    """Guards against an election that takes a second or more."""
+    """Guards against an election that takes 1 s or more."""
     group = Group(ABC)
-    first = group.elect()
+    first = group.wait_for_leader()
     group.propose(first, b'x')
     group.run(100)
     crashed_ms = group.now_ms
     group.crash(first)
-    second = group.elect()
+    second = group.wait_for_leader()
     assert group.now_ms - crashed_ms < 1_000
     group.propose(second, b'y')
     group.run(50)
@@ -118,30 +121,30 @@
 
 
 @pytest.mark.parametrize('seed', range(5))
-def test_returning_process_disturbs_nobody(seed):
-    """Guards against a leader change when an isolated process is back."""
+def test_rejoining_process_does_not_disrupt_the_leader(seed):
+    """Guards against an election when an isolated process reconnects."""
     group = Group(ABC, seed)
-    leader = group.elect()
-    away = next(name for name in ABC if name != leader)
+    leader = group.wait_for_leader()
+    follower = next(name for name in ABC if name != leader)
     term = group.state(leader).term
-    group.isolate(away)
+    group.isolate(follower)
     group.run(60_000)
     group.propose(leader, b'x')
     group.heal()
     group.run(3_000)
     assert len(group.elections) == 1
     assert group.state(leader).term == term
-    assert group.applied(away) == [b'x']
+    assert group.applied(follower) == [b'x']
 
 
-def test_voter_that_hears_a_leader_refuses_pre_votes():
-    """Guards against an election started by a one-way broken link."""
+def test_voter_in_contact_with_a_leader_denies_pre_votes():
+    """Guards against an election when a link fails in one direction."""
     state = _core('b')
     write = _write(receive(state, 0.0, 'a', _append(1)))
     persisted(state, 1.0, write.token)
-    question = PreVote(term=2, last_index=9, last_term=1, admitted=True)
-    (refusal,) = _sent(receive(state, 299.0, 'c', question))
-    (grant,) = _sent(receive(state, 301.0, 'c', question))
+    request = PreVote(term=2, last_index=9, last_term=1, admitted=True)
+    (refusal,) = _sent(receive(state, 299.0, 'c', request))
+    (grant,) = _sent(receive(state, 301.0, 'c', request))
     assert (refusal.granted, grant.granted) == (False, True)
     ignored = receive(
         state, 200.0, 'c', Vote(term=2, last_index=9, last_term=1)
@@ -151,15 +154,15 @@
 
 
 def test_isolated_leader_steps_down_and_confirms_nothing():
-    """Guards against a deposed leader that grants leases."""
+    """Guards against leases granted by a deposed leader."""
     group = Group(ABC)
-    old = group.elect()
+    old = group.wait_for_leader()
     group.isolate(old)
     tokens = [group.confirm(old)]
     group.run(2_000)
     tokens.append(group.confirm(old))
     assert group.state(old).role == 'follower'
-    assert group.members[old].events[-1].term == 1
+    assert group.members[old].leadership_events[-1].term == 1
     assert group.leader() != old
     group.heal()
     group.run(2_000)
@@ -167,9 +170,12 @@
 
 
 def test_frozen_leader_confirms_nothing_after_its_successor_won():
-    """Guards against confirmations by a leader that slept too long."""
+    """Guards against confirmations by a leader that was suspended.
+
+    It resumes after another process has been elected.
+    """
     group = Group(ABC)
-    old = group.elect()
+    old = group.wait_for_leader()
     group.confirm(old)
     group.freeze(old)
     group.run(2_000, lambda: len(group.elections) > 1)
@@ -182,13 +188,13 @@
 
 
 def test_confirmation_needs_a_heartbeat_sent_after_the_call():
-    """Guards against a confirmation by answers that are already old."""
+    """Guards against a confirmation by answers to earlier heartbeats."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.run(100)
     group.confirm(leader)
-    # The answers of the first round are on their way when the second
-    # confirmation is asked.
+    # The answers to the first round are in flight when the second
+    # confirmation is requested.
     group.run(2)
     sent = []
     group._send = lambda name, effect: sent.append(effect)
@@ -198,7 +204,7 @@
 
 
 def test_answers_wait_for_durability():
-    """Guards against votes and entries lost by a crash after the answer."""
+    """Guards against votes and entries lost in a crash after the answer."""
     state = _core('b')
     vote = Vote(term=1, last_index=0, last_term=0)
     effects = receive(state, 0.0, 'a', vote)
@@ -213,7 +219,7 @@
 
 
 def test_vote_in_a_known_term_survives_a_restart():
-    """Guards against a second vote when the term itself did not change."""
+    """Guards against a second vote if only the vote changed, not the term."""
     state = _core('b')
     write = _write(receive(state, 0.0, 'a', _append(5)))
     persisted(state, 1.0, write.token)
@@ -224,12 +230,12 @@
     assert not answer.granted
 
 
-def _lead(**restored):
-    """Return process a, just elected by b, and its first write's token."""
+def _elected_leader(**restored):
+    """Return core a, elected by b, and the token of its first write."""
     state = _core('a', **restored)
     effects = tick(state, 700.0)
-    question = _sent(effects)[0]
-    term = question.term
+    request = _sent(effects)[0]
+    term = request.term
     grant = PreVoteAnswer(term=term - 1, asked_term=term, granted=True)
     token = _write(receive(state, 701.0, 'b', grant)).token
     persisted(state, 702.0, token)
@@ -250,9 +256,9 @@
     return receive(state, 704.0, 'b', answer)
 
 
-def test_leader_counts_itself_only_once_durable():
-    """Guards against an entry committed on one disk of three."""
-    state, token = _lead()
+def test_leader_counts_its_own_log_only_once_durable():
+    """Guards against an entry committed while on only one disk of three."""
+    state, token = _elected_leader()
     _ack(state, 1)
     assert state.commit_index == 0
     effects = persisted(state, 705.0, token)
@@ -260,11 +266,13 @@
     assert LeadershipWon(term=1) in effects
 
 
-def test_entry_of_an_earlier_term_is_not_committed_by_count():
-    """Guards against a committed entry that a later leader replaces."""
+def test_entry_of_an_earlier_term_is_not_committed_by_replica_count():
+    """Guards against a committed entry that a later leader overwrites."""
     hard = HardState(2, None, 'a')
     entries = [_entry(1, 1), _entry(2, 2)]
-    state, token = _lead(hard_state=encode_hard_state(hard), entries=entries)
+    state, token = _elected_leader(
+        hard_state=encode_hard_state(hard), entries=entries
+    )
     persisted(state, 704.0, token)
     _ack(state, 2)
     assert state.commit_index == 0
@@ -272,9 +280,9 @@
     assert state.commit_index == 3
 
 
-def test_newcomer_counts_for_no_quorum():
-    """Guards against commits and leases that rest on a wiped disk."""
-    state, token = _lead()
+def test_peer_without_right_to_vote_is_in_no_quorum():
+    """Guards against commits and leases that rely on a wiped disk."""
+    state, token = _elected_leader()
     persisted(state, 704.0, token)
     _ack(state, 1, newcomer_id='new')
     assert state.commit_index == 0
@@ -287,7 +295,7 @@
 
 
 def test_heartbeat_is_answered_while_a_write_is_slow():
-    """Guards against a slow disk that looks like a lost process."""
+    """Guards against treating a process with a slow disk as lost."""
     state = _core('b')
     first = receive(state, 0.0, 'a', _append(1))
     persisted(state, 1.0, _write(first).token)
@@ -296,7 +304,7 @@
     assert (answer.ok, answer.index) == (True, 0)
 
 
-def test_failed_write_keeps_earlier_promises():
+def test_vote_is_kept_after_a_failed_write():
     """Guards against a second vote in a term after a disk failure."""
     state = _core('b')
     vote = Vote(term=5, last_index=0, last_term=0)
@@ -313,14 +321,14 @@
 
 
 def test_leader_steps_down_when_its_disk_fails():
-    """Guards against a leader that goes on without a durable log."""
+    """Guards against a leader that continues without a durable log."""
     group = Group(ABC)
-    old = group.elect()
+    old = group.wait_for_leader()
     group.members[old].disk.failing_writes = 1
     group.propose(old, b'x')
     group.run(10)
     assert group.state(old).role == 'follower'
-    new = group.elect()
+    new = group.wait_for_leader()
     group.propose(new, b'y')
     group.run(2_000)
     assert {tuple(group.applied(name)) for name in ABC} == {
@@ -332,10 +340,10 @@
 @pytest.mark.parametrize('after_sync', [False, True])
 @pytest.mark.parametrize('number', range(1, 9))
 def test_crash_at_each_write(number, after_sync):
-    """Guards against promises that rest on an unfinished write."""
+    """Guards against votes and acknowledgements before a write completes."""
     group = Group(ABC, seed=number)
     for name in ('a', 'b'):
-        group.members[name].disk.crash_in = number
+        group.members[name].disk.writes_until_crash = number
         group.members[name].disk.crash_after_sync = after_sync
     for count in range(12):
         group.run(150)
@@ -343,7 +351,7 @@
             if member.state is None:
                 group.start(name)
             group.propose(name, b'%d' % count)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.propose(leader, b'last')
     group.run(500)
     for name in ABC:
@@ -351,12 +359,12 @@
         assert group.applied(name) == group.applied(leader)
 
 
-def test_far_behind_follower_gets_a_snapshot_in_parts():
-    """Guards against a follower that cannot return after a compaction."""
+def test_lagging_follower_gets_a_snapshot_in_chunks():
+    """Guards against a follower that cannot catch up after a compaction."""
     group = Group(ABC)
-    leader = group.elect()
-    away = next(name for name in ABC if name != leader)
-    group.isolate(away)
+    leader = group.wait_for_leader()
+    follower = next(name for name in ABC if name != leader)
+    group.isolate(follower)
     for count in range(10):
         group.propose(leader, b'%d' % count * 60_000)
     group.run(200)
@@ -365,18 +373,18 @@
     group.loss = 0.2
     group.heal()
     group.run(3_000)
-    assert group.applied(away) == group.applied(leader)
-    assert group.state(away).snapshot_index > 0
-    group.crash(away)
-    group.start(away)
+    assert group.applied(follower) == group.applied(leader)
+    assert group.state(follower).snapshot_index > 0
+    group.crash(follower)
+    group.start(follower)
     group.run(1_000)
-    assert group.applied(away) == group.applied(leader)
+    assert group.applied(follower) == group.applied(leader)
 
 
 def test_voters_are_added_and_removed():
-    """Guards against a new voter that counts before it has the log."""
+    """Guards against a new voter in a quorum before it has the log."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.propose(leader, b'x')
     group.add_process('d', [*ABC, 'd'])
     group.isolate('d')
@@ -400,10 +408,10 @@
     assert len(group.elections) == 2
 
 
-def test_second_change_waits_for_the_first():
-    """Guards against two voter sets without a common quorum."""
+def test_second_voter_change_waits_for_the_first():
+    """Guards against two voter sets whose quorums do not overlap."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.call(leader, change_voters, 'd', None)
     group.call(leader, change_voters, None, 'a')
     assert 'not committed' in group.state(leader).last_refusal
@@ -411,9 +419,9 @@
 
 
 def test_transfer_is_fast_and_refuses_proposals():
-    """Guards against a shutdown that costs an election timeout."""
+    """Guards against waiting for an election timeout at each shutdown."""
     group = Group(ABC)
-    old = group.elect()
+    old = group.wait_for_leader()
     group.run(100)
     target = next(name for name in ABC if name != old)
     started_ms = group.now_ms
@@ -421,16 +429,18 @@
     assert group.propose(old, b'x') is None
     group.run(1_000, lambda: group.leader() == target)
     assert group.now_ms - started_ms < 100
-    assert [type(item).__name__ for item in group.members[old].events] == [
+    assert [
+        type(item).__name__ for item in group.members[old].leadership_events
+    ] == [
         'LeadershipWon',
         'LeadershipLost',
     ]
 
 
-def test_transfer_to_a_silent_process_is_given_up():
-    """Guards against a leader that refuses proposals for good."""
+def test_transfer_to_a_crashed_process_is_abandoned():
+    """Guards against a leader that refuses proposals forever."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     target = next(name for name in ABC if name != leader)
     group.crash(target)
     group.call(leader, transfer_leadership, target)
@@ -439,13 +449,14 @@
 
 
 def test_voter_removed_while_it_is_the_transfer_target():
-    """Guards against a leader that fails on a peer it no longer tracks.
+    """Guards against a KeyError of the leader during a transfer.
 
-    Found by random faults (trial seed 743): removal was accepted during a
-    transfer, and the next answer raised KeyError.
+    If the removal of the transfer target is accepted, the next answer raises
+    KeyError, because the leader no longer tracks the target. Found by random
+    faults (trial seed 743).
     """
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     target = next(name for name in ABC if name != leader)
     group.isolate(target)
     group.propose(leader, b'x')
@@ -458,20 +469,20 @@
     assert target not in group.state(leader).voters
 
 
-def test_wiped_voter_counts_only_after_it_is_added_again():
-    """Guards against a wiped disk that votes twice or loses entries."""
+def test_wiped_voter_is_in_no_quorum_until_added_again():
+    """Guards against double votes and lost entries after a wiped disk."""
     group = Group(ABC)
-    group.elect()
+    group.wait_for_leader()
     group.run(500)
     group.wipe('c')
     group.run(1_000)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     other = next(name for name in 'ab' if name != leader)
     group.crash(other)
     group.run(5_000)
     assert group.leader() is None
     group.start(other)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.call(leader, change_voters, None, 'c')
     group.run(200)
     group.call(leader, change_voters, 'c', None)
@@ -482,10 +493,10 @@
     assert group.leader() in (leader, 'c')
 
 
-def test_folder_of_another_process_gives_no_vote():
-    """Guards against a swapped data folder."""
+def test_data_folder_of_another_process_does_not_vote():
+    """Guards against votes cast with a swapped data folder."""
     group = Group(ABC)
-    group.elect()
+    group.wait_for_leader()
     group.run(500)
     state = _core('b', **_fields(group.members['a'].disk.restore()))
     vote = Vote(term=99, last_index=99, last_term=98)
@@ -493,8 +504,8 @@
     assert state.term < 99
 
 
-def test_folder_other_than_the_named_one_gives_no_vote():
-    """Guards against a single control process that lost its disk."""
+def test_data_folder_with_another_node_id_does_not_vote():
+    """Guards against a single control process that leads with a new disk."""
     cfg = ConsensusConfig(name='a', voters=['a'], node_id='lost')
     state = new_consensus(
         cfg, random.Random(1), RestoredState(node_id='new'), 0.0
@@ -509,10 +520,10 @@
 
 
 def test_known_ids_are_stored_in_order():
-    """Guards against a replayed trace that differs by hash order."""
+    """Guards against a difference in replayed traces due to hash order."""
     names = ['a', *'gfedcb']
     group = Group(names)
-    group.elect()
+    group.wait_for_leader()
     for name in names:
         known = list(group.state(name).hard.known_ids)
         assert known == sorted(known)
@@ -523,22 +534,22 @@
     return {name: getattr(restored, name) for name in names}
 
 
-def test_group_forms_once_all_first_voters_are_there():
-    """Guards against a wiped process taken for a first voter."""
+def test_group_bootstraps_once_all_first_voters_run():
+    """Guards against a wiped process that is treated as a first voter."""
     group = Group(ABC)
     group.crash('c')
     group.run(2_000)
     assert group.leader() is None
     group.start('c')
     started_ms = group.now_ms
-    group.elect()
+    group.wait_for_leader()
     assert group.now_ms - started_ms < 1_000
 
 
 def test_proposals_are_batched():
-    """Guards against one message for each of many proposals."""
+    """Guards against one append message per proposal."""
     group = Group(ABC)
-    leader = group.elect()
+    leader = group.wait_for_leader()
     group.run(100)
     sent = []
     real_send = group._send
@@ -559,7 +570,7 @@
 def test_long_log_is_restored_fast():
     """Guards against a restart that takes longer than 2 s.
 
-    Processor time: what other processes take is no part of the restart.
+    Measures CPU time, which excludes the time used by other processes.
     """
     entries = [_entry(index, 1) for index in range(1, 20_001)]
     started = time.process_time()
@@ -568,22 +579,22 @@
     assert state.last_index == 20_000
 
 
-def test_description_is_plain_data():
-    """Guards against a dump that cannot be written as JSON."""
-    state, _ = _lead()
+def test_description_is_json_compatible():
+    """Guards against a state dump that cannot be written as JSON."""
+    state, _ = _elected_leader()
     plain = json.loads(json.dumps(describe(state)))
     assert (plain['role'], plain['term']) == ('leader', 1)
     assert sorted(plain['peers']) == ['b', 'c']
 
 
 def test_too_long_command_is_refused():
-    """Guards against an entry that fits into no frame."""
+    """Guards against an entry larger than a frame."""
     with pytest.raises(ValueError, match='expected at most'):
         propose(_core(), 0.0, bytes(MAX_COMMAND_BYTES + 1))
 
 
-def test_messages_pass_the_codec():
-    """Guards against messages that peers refuse as malformed."""
+def test_messages_survive_an_encoding_round_trip():
+    """Guards against messages that peers reject as malformed."""
     codec = FrameCodec(*ConsensusMessage.__args__)
     message = _append(1, entries=[_entry(1, 1)], commit=3)
     answer = AppendAnswer(term=1, index=4, round=2, ok=True)
