Describe the replicated control state and its commands in plain terms

Cause: docstrings such as "A member or newcomer goes" or "stays after all" did not say what a command does, several stored fields had no description, and error texts named a bad value without what is accepted. Change: wording of state.py, commands.py and machine.py; private names _adapter and _APPLY are now _command_adapter and _APPLY_FUNCTIONS, and _machine_adapter is _snapshot_adapter. The texts of two storage errors and one protocol error name the accepted value; no test matches them. The tests of core/control, core/objects, the declared documents and ctl passed; mypy and flake8 reported nothing.

--- a/jackdawpost/core/control/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -1,4 +1,7 @@
-"""Commands of the replicated control log and their encoding."""
+"""Commands of the replicated control log and their CBOR encoding.
+
+The fields of these classes are stored in the log.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +25,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class ApplyChangeSet:
-    """Apply a change set of an operator."""
+    """Apply an operator's change set to the configuration objects.
+
+    Parameters
+    ----------
+    change_id : str
+        Identifier by which repeated requests are recognized.
+    base_revision : int
+        Revision that the operator's changes are based on.
+    """
 
     change_id: str
     base_revision: int
@@ -33,16 +44,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class AnnounceMember:
-    """A newcomer, or a known member whose address or figures changed.
+    """Announce a newcomer, or a new address or capacity of a member.
 
     Parameters
     ----------
     member_id : str
         ``proxy_id`` of a proxy, ``data_id`` of an upstream.
     group, slots, connections : str, int, int
-        Only for upstreams.
+        Only set for upstreams.
     registered : bool
-        See `Member`.
+        The upstream registered itself by single requests; see `Member`.
     """
 
     role: Role
@@ -60,7 +71,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class ApproveMember:
-    """A member approves one newcomer identity."""
+    """Record that a member approves one identity of a newcomer.
+
+    Parameters
+    ----------
+    member, member_id : str
+        Name and identity of the approving member.
+    checked : str
+        What the member checked, as text for operators.
+    version : int
+        Published version that was in force on the member.
+    """
 
     member: str
     member_id: str
@@ -73,13 +94,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class RemoveMember:
-    """A member or newcomer goes.
+    """Remove a member or newcomer.
 
     Parameters
     ----------
     reason : {'left', 'expired', 'operator'}
-        Only ``'operator'`` also gives up an upstream's place in the
-        database set of its group.
+        Only ``'operator'`` also removes an upstream from the database set
+        of its group.
     """
 
     name: str
@@ -90,7 +111,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class MarkLeaving:
-    """A member starts to leave, or stays after all."""
+    """Set or clear the leaving state of a member."""
 
     name: str
     member_id: str
@@ -100,15 +121,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class StartPromotion:
-    """Begin to replace the primary of a group.
+    """Start to replace the primary of a group.
 
     Parameters
     ----------
     from_term : int
         Current term of the group.
     to_term : int
-        Term of the new primary; higher than any term used before, including
-        those of abandoned promotions.
+        Term of the new primary. It must be higher than every term used
+        before, including those of abandoned promotions.
+    accept_loss : bool
+        An operator allows the loss of acknowledged writes.
     """
 
     group: str
@@ -121,7 +144,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class ChoosePrimary:
-    """Record the upstream that is going to lead in `to_term`."""
+    """Record the upstream selected as the primary of `to_term`.
+
+    Parameters
+    ----------
+    position : LogPosition
+        Last position that the upstream had received when it was sealed.
+    """
 
     group: str
     to_term: int
@@ -133,7 +162,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class FinishPromotion:
-    """The chosen upstream leads; publish it."""
+    """Publish the selected upstream, which now leads, as the primary."""
 
     group: str
     to_term: int
@@ -142,7 +171,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AbandonPromotion:
-    """Give up a promotion; its term is never used again."""
+    """Abandon a promotion. Its term is never used again."""
 
     group: str
     to_term: int
@@ -152,7 +181,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AdmitDatabase:
-    """A joined upstream has caught up and counts in its group's set."""
+    """Add a joined upstream that has caught up to its database set."""
 
     group: str
     name: str
@@ -162,7 +191,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class DeclareObject:
-    """One object of a declared configuration."""
+    """Configuration object of a complete declared configuration."""
 
     type: str
     name: str
@@ -171,14 +200,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class DeclareObjects:
-    """Replace the operators' objects by a whole new set.
+    """Replace all configuration objects by a declared configuration.
 
     Parameters
     ----------
     version : int
-        Version that the operators gave it; the highest one is in force.
+        Version number assigned by the operators. The configuration with the
+        highest version is in force.
     document : bytes
-        The configuration as it was received.
+        Configuration document as received.
     """
 
     version: int
@@ -189,7 +219,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AdoptPrimary:
-    """An upstream has proved that it leads already."""
+    """Record an upstream that leads already as the primary of its group."""
 
     group: str
     upstream: str
@@ -199,14 +229,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class DelegatePromotion:
-    """Decide on a promotion that is ordered from outside.
+    """Start a promotion that the deployment's platform carries out.
 
     Parameters
     ----------
     token : int
-        Fencing token of the order, higher than any used before.
+        Fencing token of the order to the platform. It must be higher than
+        every term or token used before.
     holder : str
-        Control process that may give the order.
+        Control process that is allowed to send the order.
+    upstream, data_id : str
+        Name and data identity of the upstream to promote.
     """
 
     group: str
@@ -252,7 +285,7 @@
 
 
 @functools.cache
-def _adapter(kind: str) -> TypeAdapter[Any]:
+def _command_adapter(kind: str) -> TypeAdapter[Any]:
     return TypeAdapter(COMMAND_TYPES[kind])
 
 
@@ -267,12 +300,12 @@
     Raises
     ------
     ProtocolError
-        The entry is no valid command.
+        The log entry is not a valid command.
     """
     try:
         value = cbor2.loads(data)
         kind = value['kind']
-        return _adapter(kind).validate_python(value)
+        return _command_adapter(kind).validate_python(value)
     except (
         ValueError,
         TypeError,
@@ -281,6 +314,6 @@
         ValidationError,
     ) as exc:
         raise ProtocolError(
-            f'log entry of {len(data)} bytes is no command: {exc}; valid '
-            f'kinds are {", ".join(COMMAND_TYPES)}'
+            f'log entry of {len(data)} bytes is not a valid command: {exc}; '
+            f'accepted kinds are {", ".join(COMMAND_TYPES)}'
         ) from exc
--- a/jackdawpost/core/control/machine.py
+++ b/jackdawpost/core/control/machine.py
@@ -1,7 +1,7 @@
 """Replicated state machine of the control processes.
 
-Deterministic: the same commands in the same order give equal states and
-equal snapshots in every process.
+It is deterministic: the same commands applied in the same order produce
+equal states and identical snapshots in every process.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 
 SNAPSHOT_FORMAT = 1
 
-_APPLY: dict[str, Callable[[ControlMachine, Any], Applied]] = {
+_APPLY_FUNCTIONS: dict[str, Callable[[ControlMachine, Any], Applied]] = {
     'apply_change_set': apply_change_set,
     'announce_member': announce_member,
     'approve_member': approve_member,
@@ -63,19 +63,19 @@
 
 
 @functools.cache
-def _machine_adapter() -> TypeAdapter[ControlMachine]:
+def _snapshot_adapter() -> TypeAdapter[ControlMachine]:
     return TypeAdapter(ControlMachine)
 
 
 def new_machine() -> ControlMachine:
-    """Return the state before the first command."""
+    """Return the initial state, before any command has been applied."""
     return ControlMachine()
 
 
 def apply_command(
     machine: ControlMachine, index: int, command: Command
 ) -> Applied:
-    """Apply one committed command in place.
+    """Apply one committed command to the state in place.
 
     Parameters
     ----------
@@ -84,22 +84,23 @@
     index : int
         Log index of the command.
     command : Command
-        Decoded command. It is not kept or changed.
+        Decoded command. It is neither modified nor retained.
 
     Returns
     -------
     Applied
-        Answer, whether the published state changed, and who joined.
+        Answer to the command, whether the published state changed, and the
+        newcomers that joined.
     """
     machine.applied_index = index
-    return _APPLY[command.kind](machine, command)
+    return _APPLY_FUNCTIONS[command.kind](machine, command)
 
 
 def encode_snapshot(machine: ControlMachine) -> bytes:
-    """Encode the whole state; equal states give equal bytes."""
-    # Not canonical CBOR: that would sort the mappings whose order decides
-    # which answers and tombstones are dropped first.
-    value = _machine_adapter().dump_python(machine)
+    """Encode the whole state. Equal states produce identical bytes."""
+    # Canonical CBOR is not used because it would sort the mappings whose
+    # order decides which answers and tombstones are dropped first.
+    value = _snapshot_adapter().dump_python(machine)
     return cbor2.dumps([SNAPSHOT_FORMAT, value])
 
 
@@ -109,24 +110,26 @@
     Raises
     ------
     StorageError
-        The bytes are no snapshot of this format.
+        The bytes are not a snapshot in the supported format, or the
+        snapshot was written by another release with other fields.
     """
     try:
         format_number, value = cbor2.loads(data)
         if format_number != SNAPSHOT_FORMAT:
             raise ValueError(
-                f'format {format_number!r}: valid is {SNAPSHOT_FORMAT}'
+                f'format {format_number!r} is not supported; the accepted '
+                f'format is {SNAPSHOT_FORMAT}'
             )
-        machine = _machine_adapter().validate_python(value)
+        machine = _snapshot_adapter().validate_python(value)
     except (ValueError, TypeError, cbor2.CBORError, ValidationError) as exc:
         raise StorageError(
-            f'snapshot of {len(data)} bytes cannot be read: {exc}'
+            f'snapshot of {len(data)} bytes cannot be decoded: {exc}'
         ) from exc
-    # Fields of a later release would be ignored and missing ones take their
-    # defaults, so that the processes would differ from here on.
+    # Decoding ignores fields of a later release and fills in the defaults of
+    # missing ones. The states of the processes would then diverge.
     if encode_snapshot(machine) != data:
         raise StorageError(
-            f'snapshot of {len(data)} bytes has fields that this release '
-            'does not know, or lacks some'
+            f'snapshot of {len(data)} bytes has unknown or missing fields; '
+            'it must have been written by a release with the same fields'
         )
     return machine
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -1,4 +1,8 @@
-"""Data classes of the replicated control state."""
+"""Replicated state of the control processes, as data classes.
+
+Each control process applies the same log of commands to a `ControlMachine`.
+The fields of these classes, except `Applied`, are written to snapshots.
+"""
 
 from __future__ import annotations
 
@@ -14,20 +18,29 @@
 
 MAX_HISTORY = 1_000
 MAX_CHANGE_ANSWERS = 10_000
-# A process that missed 1,000 changes must still get a delta; one change set
-# may remove several objects.
+# A process that has missed 1,000 changes must still be sent a delta instead
+# of the full state. One change set may remove several objects.
 MAX_TOMBSTONES = 4_000
 
 
 @dataclass(slots=True, kw_only=True)
 class Member:
-    """A joined or leaving proxy or upstream.
+    """A proxy or upstream that has joined, and may be leaving.
 
     Parameters
     ----------
+    member_id : str
+        ``proxy_id`` of a proxy, ``data_id`` of an upstream.
+    slots : int
+        Statements that an upstream can run concurrently.
+    connections : int
+        Connections that an upstream accepts concurrently.
+    leaving : bool
+        The member is shutting down and is to get no new work.
     registered : bool
-        An upstream that registers itself by requests. It keeps no link on
-        which it could be asked to approve newcomers.
+        The upstream registered itself by single requests. It has no open
+        connection on which it could be asked to approve newcomers, and its
+        approval is not required.
     """
 
     role: Literal['proxy', 'upstream']
@@ -45,7 +58,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class MemberApproval:
-    """One member's approval of a newcomer."""
+    """Approval of a newcomer by one member.
+
+    Parameters
+    ----------
+    member_id : str
+        Identity of the approving member.
+    checked : str
+        What the member checked, as text for operators.
+    version : int
+        Published version that was in force on the member.
+    """
 
     member_id: str
     checked: str
@@ -54,7 +77,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Newcomer:
-    """An announced instance that waits for approvals.
+    """An announced instance that has not been approved by every member.
 
     Parameters
     ----------
@@ -68,17 +91,28 @@
 
 @dataclass(slots=True, kw_only=True)
 class Promotion:
-    """A running promotion.
+    """A running promotion: the replacement of a group's primary.
 
     Parameters
     ----------
+    step : {'started', 'chosen'}
+        ``'started'`` while databases are sealed, ``'chosen'`` once the new
+        primary has been selected.
+    from_term, to_term : int
+        Term of the replaced primary and of the new one.
+    accept_loss : bool
+        An operator allows the loss of acknowledged writes.
     chosen : str, optional
-        Upstream that is going to lead; None in step ``'started'``.
+        Upstream selected as the new primary; None in step ``'started'``.
+    data_id : str
+        Data identity of the selected upstream.
+    position : LogPosition
+        Last position that the selected upstream had received.
     delegated : bool
-        The promotion is ordered from outside the system, and `to_term` is
-        the fencing token of the order.
+        The deployment's platform carries the promotion out, and `to_term`
+        is the fencing token of the order sent to it.
     holder : str
-        Control process that may give the order.
+        Control process that is allowed to send the order.
     """
 
     step: Literal['started', 'chosen']
@@ -99,16 +133,19 @@
 
     Parameters
     ----------
+    term : int
+        Term of the latest finished promotion; 0 before the first primary.
     last_term : int
-        Highest term ever used, including abandoned promotions: upstreams
-        may be sealed in it.
+        Highest term ever used. Includes abandoned promotions, since
+        upstreams may be sealed in their terms.
     primary : str, optional
-        Upstream that leads in `term`.
+        Upstream that is the primary in `term`.
     primary_id : str
-        Data identity of the primary; a wiped database under the same name
+        Data identity of the primary. A wiped database under the same name
         is not the primary.
     database_set : dict of str to str
-        Data identity by name of the databases that count for durability.
+        Databases that hold the group's acknowledged writes, as data
+        identity by name. The quorum of a promotion is counted over them.
     """
 
     term: int = 0
@@ -121,16 +158,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class ChangeAnswer:
-    """Accept or reject of a change set.
+    """Answer to a change set: accepted or rejected.
 
     Parameters
     ----------
     revision : int
-        Revision after an accept, else the current one.
+        Revision created by an accepted change set, else the current one.
     faults : list of Fault
-        Every reason of a reject.
+        All reasons for a rejection.
     duplicate : bool
-        This is the stored answer to the first request with this change id.
+        This is the stored answer to an earlier request with the same
+        change id.
     """
 
     change_id: str
@@ -142,12 +180,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class CommandRefused:
-    """A command that was applied without effect.
+    """Result of a command that was refused and changed nothing.
 
     Parameters
     ----------
     code : str
-        Stable reason: ``'unknown_group'``, ``'promotion_running'``,
+        Machine-readable reason: ``'unknown_group'``, ``'promotion_running'``,
         ``'no_promotion'``, ``'wrong_step'``, ``'stale_term'``,
         ``'not_joined'``, ``'unknown_member'``, ``'wrong_group'``,
         ``'not_in_set'``, ``'is_primary'``, ``'already_done'`` or
@@ -160,7 +198,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class StoredAnswer:
-    """Answer to a change set, kept for resends."""
+    """Answer to a change set, kept for repeated requests.
+
+    Parameters
+    ----------
+    fingerprint : bytes
+        Digest of the operations, which detects the reuse of a change id
+        for other operations.
+    """
 
     fingerprint: bytes
     answer: ChangeAnswer
@@ -168,7 +213,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class HistoryEntry:
-    """An accepted change set."""
+    """An accepted change set in the history that operators can list."""
 
     revision: int
     change_id: str
@@ -178,7 +223,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PublishedEntry:
-    """Body of a published object and the version that last changed it."""
+    """Body of a published object and the version of its last change."""
 
     version: int
     body: dict[str, Any]
@@ -186,14 +231,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class DeclaredConfig:
-    """A configuration that operators declare as a whole.
+    """A complete configuration declared by operators.
 
     Parameters
     ----------
     version : int
-        Version that the operators gave it.
+        Version number assigned by the operators.
     document : bytes
-        The configuration as it was received.
+        Configuration document as received.
     """
 
     version: int
@@ -211,7 +256,9 @@
     revision : int
         Number of accepted change sets.
     version : int
-        Version of the published state; rises with each change of it.
+        Version of the published state, incremented by each change to it.
+    objects : ObjectSet
+        Configuration objects that the operators have created.
     members : dict of str to Member
         Joined and leaving members by name.
     newcomers : dict of str to Newcomer
@@ -219,8 +266,10 @@
     groups : dict of str to GroupState
         State of the groups that exist as objects.
     retired_groups : dict of str to GroupState
-        State of deleted groups, so that a group created again under the
-        same name continues its terms.
+        State of deleted groups. A group created again under the same name
+        continues with the next term.
+    history : list of HistoryEntry
+        Latest accepted change sets, oldest first.
     answers : dict of str to StoredAnswer
         Latest answers by change id, oldest first.
     published : dict of str to PublishedEntry
@@ -228,12 +277,13 @@
     tombstones : dict of str to int
         Version of removal by ``TYPE/NAME``, oldest first.
     delta_floor : int
-        Lowest version from which a delta can be given.
+        Lowest version from which a delta can be built. Older tombstones
+        have been dropped.
     declared : DeclaredConfig, optional
-        Configuration that was last declared as a whole.
+        Latest complete configuration declared by operators.
     departed : dict of str to str
         Latest identity under which a registered upstream has left, by name,
-        oldest first; late reports of it are ignored.
+        oldest first. Late reports from that identity are ignored.
     """
 
     applied_index: int = 0
@@ -255,16 +305,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class Applied:
-    """Result of one command.
+    """Result of applying one command.
 
     Parameters
     ----------
     answer : ChangeAnswer or CommandRefused, optional
-        Answer to a change set, or why a command had no effect.
+        Answer to a change set, or the refusal of any other command.
     changed : bool
-        The published state changed, so that proxies need an update.
+        The published state changed, and proxies need an update.
     joined : list of str
-        Members that joined by this command.
+        Newcomers that became members by this command.
     """
 
     answer: ChangeAnswer | CommandRefused | None = None
@@ -273,21 +323,21 @@
 
 
 def database_set_size(machine: ControlMachine, group: str) -> int:
-    """Return the number of databases that count in a group.
+    """Return the size of a group's database set for quorum calculations.
 
-    An operator's removal leaves a place to be filled: until a replacement is
-    admitted, the group's setting keeps the number of answers that a promotion
-    needs from falling.
+    It is at least the number of databases configured for the group. When an
+    operator removes a database, the quorum of a promotion therefore does not
+    shrink until a replacement is admitted.
     """
     setting = machine.objects.groups[group].databases
     return max(setting, len(machine.groups[group].database_set))
 
 
 def promotion_quorum(machine: ControlMachine, group: str) -> int:
-    """Return how many databases of the set a promotion must hear from.
+    """Return how many databases of the set a promotion must have sealed.
 
-    Each acknowledged write is on `write_copies` databases, so that any
-    ``size - write_copies + 1`` of them include one that holds it.
+    Each acknowledged write is stored on `write_copies` databases, hence any
+    ``size - write_copies + 1`` databases include one that holds it.
     """
     write_copies = machine.objects.groups[group].write_copies
     return database_set_size(machine, group) - write_copies + 1
