Name the steps of membership and promotion commands for what they do

Cause: leave_sets, refuse_leaving_sets, _refuse_unknown (which also checks the upstream) and _find_step did not say what they return, and docstrings such as "joins those that waited only for it" had to be read twice. Ruled out: add_to_new_groups, all_keys and update_since, which other folders import; error codes, which are sent to operators. Change: wording and private names in membership.py, database_sets.py, promotion_steps.py, delegated_steps.py and publication.py. Messages of refused commands name the subject and, where there is one, the remedy; each keeps its values, and no test matches them.

--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -1,4 +1,8 @@
-"""Databases that count for the durability of a group."""
+"""Database set of a group: the databases its quorum is counted over.
+
+Every acknowledged write is stored on enough databases of the set that a
+promotion which has sealed a quorum of them finds it.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,7 @@
 def is_joined_upstream(
     machine: ControlMachine, group: str, name: str, data_id: str
 ) -> bool:
-    """Tell whether this identity is a joined upstream of the group."""
+    """Return whether this identity is a joined upstream of the group."""
     member = machine.members.get(name)
     return (
         member is not None
@@ -26,10 +30,10 @@
 
 
 def add_to_new_groups(machine: ControlMachine, member: Member) -> None:
-    """Count a joined upstream at once while its group is at term 0.
+    """Add a joined upstream to the set of its group if the term is 0.
 
-    No write can have been acknowledged before the first term, so that there
-    is nothing to catch up with.
+    No write can have been acknowledged before the first term, so the
+    upstream does not have to catch up first.
     """
     group = machine.groups.get(member.group)
     if member.role == 'upstream' and group is not None and group.term == 0:
@@ -37,9 +41,9 @@
 
 
 def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
-    """Count an upstream that has caught up.
+    """Add an upstream that has caught up to the set of its group.
 
-    It takes the place of an older data identity under the same name.
+    It replaces an older data identity of the same name.
     """
     refusal = _check_admission(machine, command)
     if refusal is not None:
@@ -50,10 +54,10 @@
     return Applied(changed=changed)
 
 
-def refuse_leaving_sets(
+def check_set_removal(
     machine: ControlMachine, name: str, data_id: str
 ) -> CommandRefused | None:
-    """Return why an operator may not remove a database now, or None."""
+    """Return why an operator must not remove a database now, or None."""
     for group_name in sorted(machine.groups):
         group = machine.groups[group_name]
         promotion = group.promotion
@@ -63,25 +67,34 @@
         ):
             return CommandRefused(
                 code='promotion_running',
-                message=f'{name!r} is being promoted in {group_name!r}',
+                message=f'{name!r} is being promoted to primary of '
+                f'{group_name!r}; retry after the promotion has ended',
             )
         if (group.primary, group.primary_id) == (name, data_id):
             return CommandRefused(
                 code='is_primary',
-                message=f'{name!r} is the primary of {group_name!r}: promote '
-                'another database first',
+                message=f'{name!r} is the primary of {group_name!r}; promote '
+                'another database before its removal',
             )
     return None
 
 
-def leave_sets(machine: ControlMachine, name: str, data_id: str) -> list[str]:
-    """Stop counting a database; return the groups that counted it."""
-    left = []
+def remove_from_sets(
+    machine: ControlMachine, name: str, data_id: str
+) -> list[str]:
+    """Remove a database from all database sets.
+
+    Returns
+    -------
+    list of str
+        Groups whose set contained the database.
+    """
+    changed_groups = []
     for group_name, group in machine.groups.items():
         if group.database_set.get(name) == data_id:
             del group.database_set[name]
-            left.append(group_name)
-    return left
+            changed_groups.append(group_name)
+    return changed_groups
 
 
 def _check_admission(
@@ -90,24 +103,28 @@
     group: GroupState | None = machine.groups.get(command.group)
     if group is None:
         return CommandRefused(
-            code='unknown_group', message=f'no group {command.group!r}'
+            code='unknown_group',
+            message=f'group {command.group!r} does not exist',
         )
     if not is_joined_upstream(
         machine, command.group, command.name, command.data_id
     ):
         return CommandRefused(
             code='not_joined',
-            message=f'{command.name!r} with data {command.data_id!r} is no '
-            f'joined upstream of {command.group!r}',
+            message=f'{command.name!r} with data identity '
+            f'{command.data_id!r} is not a joined upstream of '
+            f'{command.group!r}',
         )
     if group.database_set.get(command.name) == command.data_id:
         return CommandRefused(
-            code='already_done', message=f'{command.name!r} is admitted'
+            code='already_done',
+            message=f'{command.name!r} is in the database set already',
         )
     if group.promotion is not None:
-        # The promotion has counted the set as it was when it started.
+        # The promotion counts its quorum over the set at its start.
         return CommandRefused(
             code='promotion_running',
-            message=f'{command.group!r} is being promoted',
+            message=f'a promotion of group {command.group!r} is running; '
+            'retry after it has ended',
         )
     return None
--- a/jackdawpost/core/control/delegated_steps.py
+++ b/jackdawpost/core/control/delegated_steps.py
@@ -1,7 +1,8 @@
-"""Replicated steps of promotions that are ordered from outside.
+"""Commands of promotions that the deployment's platform carries out.
 
-The deployment's platform makes an upstream primary and fences the old one by
-itself; the system decides when and whom, and orders it under a fencing token.
+The control processes decide when to promote which upstream and send the
+platform an order with a fencing token. The platform makes the upstream the
+primary and fences the old primary.
 """
 
 from __future__ import annotations
@@ -18,27 +19,29 @@
 
 
 def adopt_primary(machine: ControlMachine, command: AdoptPrimary) -> Applied:
-    """Record which upstream leads without a promotion of ours.
+    """Record the primary that the platform has set without an order.
 
-    A promotion under way stays: its order may still be carried out.
+    A running promotion continues, since the platform may still carry out
+    its order.
     """
-    refusal = _refuse_unknown(machine, command)
+    refusal = _check_upstream(machine, command)
     if refusal is not None:
         return Applied(answer=refusal)
     group = machine.groups[command.group]
     group.primary = command.upstream
     group.primary_id = command.data_id
-    return _publish(machine, command.group)
+    return _publish_group(machine, command.group)
 
 
 def delegate_promotion(
     machine: ControlMachine, command: DelegatePromotion
 ) -> Applied:
-    """Record a promotion and the token that it is ordered under.
+    """Record a promotion and the fencing token of its order.
 
-    It replaces one under way: the higher token fences the order of that one.
+    It replaces a running promotion, whose order is fenced off by the higher
+    token.
     """
-    refusal = _refuse_unknown(machine, command)
+    refusal = _check_upstream(machine, command)
     if refusal is not None:
         return Applied(answer=refusal)
     group = machine.groups[command.group]
@@ -46,8 +49,8 @@
         return Applied(
             answer=CommandRefused(
                 code='stale_term',
-                message=f'token {command.token}: valid is above '
-                f'{group.last_term}, the highest used so far',
+                message=f'token {command.token} is too low; it must be above '
+                f'{group.last_term}, the highest term or token used so far',
             )
         )
     group.last_term = command.token
@@ -61,28 +64,29 @@
         delegated=True,
         holder=command.holder,
     )
-    return _publish(machine, command.group)
+    return _publish_group(machine, command.group)
 
 
-def _refuse_unknown(
+def _check_upstream(
     machine: ControlMachine, command: AdoptPrimary | DelegatePromotion
 ) -> CommandRefused | None:
     if command.group not in machine.groups:
         return CommandRefused(
-            code='unknown_group', message=f'no group {command.group!r}'
+            code='unknown_group',
+            message=f'group {command.group!r} does not exist',
         )
     if not is_joined_upstream(
         machine, command.group, command.upstream, command.data_id
     ):
         return CommandRefused(
             code='not_joined',
-            message=f'{command.upstream!r} with identity '
-            f'{command.data_id!r} is no joined upstream of '
+            message=f'{command.upstream!r} with data identity '
+            f'{command.data_id!r} is not a joined upstream of '
             f'{command.group!r}',
         )
     return None
 
 
-def _publish(machine: ControlMachine, name: str) -> Applied:
+def _publish_group(machine: ControlMachine, name: str) -> Applied:
     keys = [object_key('group', name)]
     return Applied(changed=publish_changes(machine, keys))
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -1,7 +1,9 @@
-"""Membership: announced, approvals, joined, leaving, left.
+"""Membership of proxies and upstreams: announce, approve, join, leave.
 
-All functions run while a command of the replicated log is applied, so that
-the set of members that must approve is the one at that place in the log.
+A newcomer joins once all present members have approved it. The functions
+that change the state run only while a command of the replicated log is
+applied, so the members whose approval is needed are the same in every
+control process.
 """
 
 from __future__ import annotations
@@ -12,8 +14,8 @@
 from jackdawpost.core.control.commands import RemovalReason
 from jackdawpost.core.control.commands import RemoveMember
 from jackdawpost.core.control.database_sets import add_to_new_groups
-from jackdawpost.core.control.database_sets import leave_sets
-from jackdawpost.core.control.database_sets import refuse_leaving_sets
+from jackdawpost.core.control.database_sets import check_set_removal
+from jackdawpost.core.control.database_sets import remove_from_sets
 from jackdawpost.core.control.publication import member_keys
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
@@ -23,14 +25,14 @@
 from jackdawpost.core.control.state import MemberApproval
 from jackdawpost.core.control.state import Newcomer
 
-# Departures remembered, so that late reports of them are ignored.
+# Identities of departed upstreams that are retained to ignore late reports.
 MAX_DEPARTED = 1_000
 
 
 def announce_member(
     machine: ControlMachine, command: AnnounceMember
 ) -> Applied:
-    """Record a newcomer, or the new figures of a known identity."""
+    """Record a newcomer, or the new address or capacity of a member."""
     refusal = _check_announcement(machine, command)
     if refusal is not None:
         return Applied(answer=refusal)
@@ -40,70 +42,73 @@
     newcomer = machine.newcomers.get(command.name)
     if newcomer is None or newcomer.member.member_id != command.member_id:
         machine.newcomers.pop(command.name, None)
-        machine.newcomers[command.name] = Newcomer(member=_build(command))
+        machine.newcomers[command.name] = Newcomer(
+            member=_build_member(command)
+        )
     else:
-        newcomer.member = _build(command)
-    return _join_approved(machine)
+        newcomer.member = _build_member(command)
+    return _join_approved_newcomers(machine)
 
 
 def approve_member(machine: ControlMachine, command: ApproveMember) -> Applied:
-    """Record an approval; the last missing one joins the newcomer."""
+    """Record an approval. The last missing one makes the newcomer join."""
     member = machine.members.get(command.member)
     if member is None or member.member_id != command.member_id:
-        return _refuse_unknown(command.member, command.member_id)
+        return _refuse_unknown_member(command.member, command.member_id)
     newcomer = machine.newcomers.get(command.newcomer)
     if newcomer is None or newcomer.member.member_id != command.newcomer_id:
-        return _refuse_unknown(command.newcomer, command.newcomer_id)
+        return _refuse_unknown_member(command.newcomer, command.newcomer_id)
     newcomer.approvals[command.member] = MemberApproval(
         member_id=command.member_id,
         checked=command.checked,
         version=command.version,
     )
-    return _join_approved(machine)
+    return _join_approved_newcomers(machine)
 
 
 def mark_leaving(machine: ControlMachine, command: MarkLeaving) -> Applied:
-    """Record that a member starts to leave or stays after all."""
+    """Set or clear the leaving state of a member."""
     member = machine.members.get(command.name)
     if member is None or member.member_id != command.member_id:
-        return _refuse_unknown(command.name, command.member_id)
+        return _refuse_unknown_member(command.name, command.member_id)
     member.leaving = command.leaving
     return Applied(changed=publish_changes(machine, member_keys(command.name)))
 
 
 def remove_member(machine: ControlMachine, command: RemoveMember) -> Applied:
-    """Remove a member or newcomer and join those that waited only for it.
+    """Remove a member or newcomer.
 
-    An operator's removal also gives up the database's place in its group's
-    set, even if its membership has expired before.
+    Newcomers that lacked only the approval of the removed member join. A
+    removal by an operator also removes the database from the database set
+    of its group, even if its membership has expired before.
     """
     name = command.name
     found = False
-    left: list[str] = []
+    changed_groups: list[str] = []
     if command.reason == 'operator':
-        refusal = refuse_leaving_sets(machine, name, command.member_id)
+        refusal = check_set_removal(machine, name, command.member_id)
         if refusal is not None:
             return Applied(answer=refusal)
-        left = leave_sets(machine, name, command.member_id)
-        found = bool(left)
+        changed_groups = remove_from_sets(machine, name, command.member_id)
+        found = bool(changed_groups)
     newcomer = machine.newcomers.get(name)
     if newcomer is not None and newcomer.member.member_id == command.member_id:
-        _note_departed(machine, newcomer.member, command.reason)
+        _record_departure(machine, newcomer.member, command.reason)
         del machine.newcomers[name]
         found = True
     member = machine.members.get(name)
     if member is not None and member.member_id == command.member_id:
-        _note_departed(machine, member, command.reason)
+        _record_departure(machine, member, command.reason)
         _drop_member(machine, name)
         found = True
     if not found:
-        return _refuse_unknown(name, command.member_id)
-    keys = _affected_keys(machine, name, member)
-    keys += [f'group/{group}' for group in left]
-    return _join_approved(machine, keys)
+        return _refuse_unknown_member(name, command.member_id)
+    keys = _published_keys(machine, name, member)
+    keys += [f'group/{group}' for group in changed_groups]
+    return _join_approved_newcomers(machine, keys)
 
 
-def _note_departed(
+def _record_departure(
     machine: ControlMachine, member: Member, reason: RemovalReason
 ) -> None:
     if not member.registered or reason != 'left':
@@ -127,17 +132,20 @@
     Returns
     -------
     list of str
-        Names of members, sorted; empty if nothing is missing. An older
-        identity of the newcomer's own name is among them: it must be
-        removed before the name can be used again.
+        Names of members, sorted; empty if every approval is present. If a
+        member of the newcomer's own name has another identity, that member
+        is in the list too: it must be removed before the newcomer can join.
     """
     approvals = machine.newcomers[newcomer].approvals
     missing = []
     for name in sorted(machine.members):
         if machine.members[name].registered and name != newcomer:
             continue
-        given = approvals.get(name)
-        if given is None or given.member_id != machine.members[name].member_id:
+        approval = approvals.get(name)
+        if (
+            approval is None
+            or approval.member_id != machine.members[name].member_id
+        ):
             missing.append(name)
     return missing
 
@@ -147,21 +155,22 @@
 ) -> CommandRefused | None:
     if not command.name or not command.member_id:
         return CommandRefused(
-            code='malformed', message='name and member_id must not be empty'
+            code='malformed',
+            message='name or member_id is empty; both are required',
         )
     if (command.role == 'upstream') != bool(command.group):
         return CommandRefused(
             code='malformed',
             message=f'role {command.role!r} with group {command.group!r}: '
-            'an upstream names its group, a proxy does not',
+            'an upstream must have a group, a proxy must not',
         )
     settings = machine.objects.upstreams.get(command.name)
     if command.role == 'upstream' and settings and settings.group:
         if settings.group != command.group:
             return CommandRefused(
                 code='wrong_group',
-                message=f'group {command.group!r}: operators expect '
-                f'{command.name!r} in {settings.group!r}',
+                message=f'announced group {command.group!r}, but upstream '
+                f'{command.name!r} is configured for {settings.group!r}',
             )
     member = machine.members.get(command.name)
     if member is None or member.member_id != command.member_id:
@@ -170,7 +179,8 @@
         return CommandRefused(
             code='wrong_group',
             message=f'{command.name!r} is a member with role {member.role!r} '
-            f'and group {member.group!r}; it must be removed first',
+            f'and group {member.group!r}; remove it before it joins with '
+            'another role or group',
         )
     return None
 
@@ -178,13 +188,13 @@
 def _update_member(
     machine: ControlMachine, member: Member, command: AnnounceMember
 ) -> Applied:
-    replacement = _build(command)
+    replacement = _build_member(command)
     replacement.leaving = member.leaving
     machine.members[command.name] = replacement
     return Applied(changed=publish_changes(machine, member_keys(command.name)))
 
 
-def _build(command: AnnounceMember) -> Member:
+def _build_member(command: AnnounceMember) -> Member:
     return Member(
         role=command.role,
         name=command.name,
@@ -205,7 +215,7 @@
         newcomer.approvals.pop(name, None)
 
 
-def _affected_keys(
+def _published_keys(
     machine: ControlMachine, name: str, member: Member | None
 ) -> list[str]:
     keys = member_keys(name)
@@ -214,17 +224,17 @@
     return keys
 
 
-def _join_approved(
+def _join_approved_newcomers(
     machine: ControlMachine, keys: list[str] | None = None
 ) -> Applied:
-    # Each join adds a member that the remaining newcomers need as well, so
-    # the newcomers are checked one after another against the grown set.
+    # The remaining newcomers also need the approval of each member that joins
+    # here, so they are checked one by one against the updated members.
     changed_keys = list(keys or [])
     joined = []
     approvers = sum(1 for m in machine.members.values() if not m.registered)
     for name, newcomer in list(machine.newcomers.items()):
-        # Only members' approvals are kept, so that the count spares the
-        # comparison with every member for all but the last approval.
+        # Only approvals of present members are stored. Comparing the count
+        # first avoids checking every member until the last approval arrives.
         if len(newcomer.approvals) < approvers:
             continue
         if missing_approvals(machine, name):
@@ -234,16 +244,17 @@
         machine.members[name] = member
         approvers += not member.registered
         add_to_new_groups(machine, member)
-        changed_keys.extend(_affected_keys(machine, name, member))
+        changed_keys.extend(_published_keys(machine, name, member))
         joined.append(name)
     changed = publish_changes(machine, changed_keys)
     return Applied(changed=changed, joined=joined)
 
 
-def _refuse_unknown(name: str, member_id: str) -> Applied:
+def _refuse_unknown_member(name: str, member_id: str) -> Applied:
     return Applied(
         answer=CommandRefused(
             code='unknown_member',
-            message=f'{name!r} with identity {member_id!r} is not known',
+            message=f'{name!r} with identity {member_id!r} is neither a '
+            'member nor a newcomer',
         )
     )
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -1,7 +1,8 @@
-"""Replicated steps of a promotion: started, chosen, finished, abandoned.
+"""Commands of a promotion: start, choose, finish, abandon.
 
-Commands that do not fit the current step are refused without effect, so that
-repeated commands and those of a former leader are harmless.
+A command that does not match the current step is refused and changes
+nothing. Repeated commands and commands of a former leader are therefore
+harmless.
 """
 
 from __future__ import annotations
@@ -23,33 +24,36 @@
 def start_promotion(
     machine: ControlMachine, command: StartPromotion
 ) -> Applied:
-    """Begin a promotion; the group has no published primary meanwhile.
+    """Start a promotion. The group has no published primary until it ends.
 
-    One that accepts loss replaces a running one that does not and has not
-    chosen yet: that one may be waiting for databases that never answer.
+    A promotion that accepts loss replaces a running one that does not and
+    has not selected a primary yet, since that one may be waiting for
+    databases that never answer.
     """
     group = machine.groups.get(command.group)
     if group is None:
-        return _refuse('unknown_group', f'no group {command.group!r}')
+        return _refuse(
+            'unknown_group', f'group {command.group!r} does not exist'
+        )
     if group.promotion is not None and not _may_replace(
         group.promotion, command
     ):
         return _refuse(
             'promotion_running',
-            f'{command.group!r} is being promoted to term '
-            f'{group.promotion.to_term}',
+            f'a promotion of group {command.group!r} to term '
+            f'{group.promotion.to_term} is running',
         )
     if command.from_term != group.term:
         return _refuse(
             'stale_term',
-            f'from_term {command.from_term}: {command.group!r} is in term '
-            f'{group.term}',
+            f'from_term {command.from_term} does not match: the term of '
+            f'group {command.group!r} is {group.term}',
         )
     if command.to_term <= group.last_term:
         return _refuse(
             'stale_term',
-            f'to_term {command.to_term}: valid is above {group.last_term}, '
-            'the highest term used so far',
+            f'to_term {command.to_term} is too low; it must be above '
+            f'{group.last_term}, the highest term used so far',
         )
     group.last_term = command.to_term
     group.promotion = Promotion(
@@ -71,22 +75,25 @@
 
 
 def choose_primary(machine: ControlMachine, command: ChoosePrimary) -> Applied:
-    """Record the upstream that is going to lead."""
-    found = _find_step(machine, command.group, command.to_term)
-    if isinstance(found, Applied):
-        return found
-    group, promotion = found
+    """Record the upstream selected as the new primary."""
+    result = _find_promotion(machine, command.group, command.to_term)
+    if isinstance(result, Applied):
+        return result
+    group, promotion = result
     if promotion.step != 'started':
-        return _refuse('wrong_step', f'{promotion.chosen!r} is chosen already')
+        return _refuse(
+            'wrong_step',
+            f'{promotion.chosen!r} is selected already as the new primary',
+        )
     name, data_id = command.upstream, command.data_id
     if not is_joined_upstream(machine, command.group, name, data_id):
         return _refuse_not_joined(command.group, name, data_id)
-    counted = group.database_set.get(name) == data_id
-    if not counted and not promotion.accept_loss:
+    in_set = group.database_set.get(name) == data_id
+    if not in_set and not promotion.accept_loss:
         return _refuse(
             'not_in_set',
-            f'{name!r} with data {data_id!r} is not in the database set of '
-            f'{command.group!r}',
+            f'{name!r} with data identity {data_id!r} is not in the database '
+            f'set of {command.group!r}',
         )
     promotion.step = 'chosen'
     promotion.chosen = name
@@ -98,13 +105,15 @@
 def finish_promotion(
     machine: ControlMachine, command: FinishPromotion
 ) -> Applied:
-    """Publish the chosen upstream as the primary in the new term."""
-    found = _find_step(machine, command.group, command.to_term)
-    if isinstance(found, Applied):
-        return found
-    group, promotion = found
+    """Publish the selected upstream as the primary in the new term."""
+    result = _find_promotion(machine, command.group, command.to_term)
+    if isinstance(result, Applied):
+        return result
+    group, promotion = result
     if promotion.step != 'chosen' or promotion.chosen is None:
-        return _refuse('wrong_step', 'no upstream is chosen yet')
+        return _refuse(
+            'wrong_step', 'no upstream is selected yet as the new primary'
+        )
     name, data_id = promotion.chosen, promotion.data_id
     if not is_joined_upstream(machine, command.group, name, data_id):
         return _refuse_not_joined(command.group, name, data_id)
@@ -119,17 +128,18 @@
 def abandon_promotion(
     machine: ControlMachine, command: AbandonPromotion
 ) -> Applied:
-    """Give up a promotion.
+    """Abandon a running promotion.
 
-    Before the choice the old primary is published again. After it the group
-    has no primary until the next promotion, since the chosen upstream may
-    already lead. A delegated promotion leaves the primary on record: proxies
-    tell which upstream leads.
+    If no upstream has been selected, the old primary is published again.
+    Otherwise the group has no primary until the next promotion, since the
+    selected upstream may already lead. A delegated promotion does not change
+    the recorded primary: the reports of the proxies show which upstream
+    leads.
     """
-    found = _find_step(machine, command.group, command.to_term)
-    if isinstance(found, Applied):
-        return found
-    group, promotion = found
+    result = _find_promotion(machine, command.group, command.to_term)
+    if isinstance(result, Applied):
+        return result
+    group, promotion = result
     if promotion.step == 'chosen' and not promotion.delegated:
         group.primary = None
         group.primary_id = ''
@@ -137,19 +147,21 @@
     return _publish_group(machine, command.group)
 
 
-def _find_step(
+def _find_promotion(
     machine: ControlMachine, group_name: str, to_term: int
 ) -> tuple[GroupState, Promotion] | Applied:
     group = machine.groups.get(group_name)
     if group is None:
-        return _refuse('unknown_group', f'no group {group_name!r}')
+        return _refuse('unknown_group', f'group {group_name!r} does not exist')
     if group.promotion is None:
-        return _refuse('no_promotion', f'{group_name!r} is not being promoted')
+        return _refuse(
+            'no_promotion', f'no promotion of group {group_name!r} is running'
+        )
     if group.promotion.to_term != to_term:
         return _refuse(
             'stale_term',
-            f'to_term {to_term}: {group_name!r} is being promoted to term '
-            f'{group.promotion.to_term}',
+            f'to_term {to_term}: the running promotion of group '
+            f'{group_name!r} has term {group.promotion.to_term}',
         )
     return group, group.promotion
 
@@ -165,5 +177,6 @@
 def _refuse_not_joined(group: str, name: str, data_id: str) -> Applied:
     return _refuse(
         'not_joined',
-        f'{name!r} with data {data_id!r} is no joined upstream of {group!r}',
+        f'{name!r} with data identity {data_id!r} is not a joined upstream '
+        f'of {group!r}',
     )
--- a/jackdawpost/core/control/publication.py
+++ b/jackdawpost/core/control/publication.py
@@ -1,4 +1,9 @@
-"""Published part of the control state, its versions and deltas."""
+"""State that control processes publish to proxies and poolers.
+
+Each object is published under a key ``TYPE/NAME``. Every change increments
+the version of the published state, and a receiver is sent the changes since
+the version that it has (a delta) or the full state.
+"""
 
 from __future__ import annotations
 
@@ -18,19 +23,19 @@
 
 
 def publish_changes(machine: ControlMachine, keys: Iterable[str]) -> bool:
-    """Compare objects with what is published and publish the differences.
+    """Publish the objects that differ from their published form.
 
     Parameters
     ----------
     machine : ControlMachine
         State to change.
     keys : iterable of str
-        ``TYPE/NAME`` of all objects that may have changed.
+        Keys ``TYPE/NAME`` of all objects that may have changed.
 
     Returns
     -------
     bool
-        True if the published state changed; its version then rose by one.
+        True if the published state changed and its version was incremented.
     """
     changes = {}
     for key in sorted(set(keys)):
@@ -42,7 +47,7 @@
         return False
     machine.version += 1
     for key, body in changes.items():
-        _record(machine, key, body)
+        _store_entry(machine, key, body)
     _trim_tombstones(machine)
     return True
 
@@ -63,20 +68,20 @@
 
 
 def update_since(machine: ControlMachine, version: int) -> StateUpdate:
-    """Return what changed in the published state after `version`.
+    """Return the changes to the published state since `version`.
 
     Parameters
     ----------
     machine : ControlMachine
         State to read.
     version : int
-        Version that the receiver has in force; 0 for none.
+        Version that is in force at the receiver; 0 for none.
 
     Returns
     -------
     StateUpdate
-        A delta, or the full state if `version` is older than the kept
-        removals or unknown to this state.
+        A delta, or the full state if `version` is older than the retained
+        tombstones or newer than this state.
     """
     full = version < machine.delta_floor or version > machine.version
     since = 0 if full else version
@@ -100,7 +105,7 @@
     )
 
 
-def _record(
+def _store_entry(
     machine: ControlMachine, key: str, body: dict[str, Any] | None
 ) -> None:
     machine.published.pop(key, None)
@@ -164,12 +169,12 @@
     body['primary'] = None
     body['database_set'] = dict(group.database_set)
     member = machine.members.get(group.primary or '')
-    # Until a delegated promotion ends, the old primary goes on leading.
-    runs_until_replaced = (
+    # The old primary keeps leading until a delegated promotion has ended.
+    keeps_old_primary = (
         group.promotion is not None and group.promotion.delegated
     )
     if (
-        (group.promotion is None or runs_until_replaced)
+        (group.promotion is None or keeps_old_primary)
         and member is not None
         and member.member_id == group.primary_id
     ):
