Describe leases, permits and failure detection in the terms of the field

Ruled out: renaming fields, which a state dump writes, the public names of lease_ledger.py, and failure_detector.watch, which leadership.py calls. The reason behind MIN_HOLD_MS stays. Every test and assertion is there as before.

--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -1,4 +1,9 @@
-"""Failure detector: judges primaries by the evidence of the proxies."""
+"""Failure detector for primaries, based on a majority of the proxies.
+
+Proxies regularly report the state in which they see each upstream. A
+primary has failed if most live proxies have reported it as refused, silent
+or stalled for long enough.
+"""
 
 from __future__ import annotations
 
@@ -11,14 +16,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class Observation:
-    """What one proxy says about one upstream.
+    """State of one upstream as reported by one proxy.
 
     Parameters
     ----------
+    state : Evidence
+        Last reported state.
     bad_since_ms : float
         Time since which the proxy has not reported ``'up'``.
     state_since_ms : float
-        Time since which the proxy reports the present state.
+        Time since which the proxy has reported `state`.
     """
 
     state: Evidence
@@ -28,13 +35,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class Reporter:
-    """A proxy that reports evidence.
+    """A proxy that reports the states of upstreams.
 
     Parameters
     ----------
     live_until_ms : float
-        End of the lease that its last report is good for; its evidence
-        counts until then.
+        Time until which the proxy is considered live: its last report plus
+        the lease duration. Its observations are ignored afterwards.
+    observations : dict of str to Observation
+        Observations of its last report by upstream.
     """
 
     live_until_ms: float
@@ -43,18 +52,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class FailureDetector:
-    """Evidence of all proxies.
+    """Observations of all proxies and the time-outs that apply to them.
 
     Parameters
     ----------
-    refused_ms, silent_ms : float
-        Time for which an upstream must be reported refused, or silent or
-        stalled.
+    refused_ms : float
+        Time-out for an upstream that is reported as refused.
+    silent_ms : float
+        Time-out for an upstream that is reported as silent or stalled, or
+        in changing states other than ``'up'``.
     live_ms : float
-        Time for which a proxy counts after its last report.
+        Time for which a proxy is considered live after a report.
+    reporters : dict of str to Reporter
+        Reporting proxies by name.
     watched_since_ms : dict of str to float
-        Upstream to the time since which it is the primary; evidence from
-        before that does not count against it.
+        Time since which an upstream has been the primary. Observations from
+        before that time are ignored.
     """
 
     refused_ms: float
@@ -70,9 +83,14 @@
     proxy: str,
     evidence: Mapping[str, Evidence],
 ) -> None:
-    """Take the evidence of one report.
+    """Replace the observations of a proxy by those of a new report.
+
+    A proxy has no observation of upstreams that its report does not contain.
 
-    An upstream that the report does not mention is not judged by it.
+    Parameters
+    ----------
+    evidence : mapping of str to Evidence
+        Reported state of each upstream.
     """
     reporter = detector.reporters.get(proxy)
     if reporter is None or reporter.live_until_ms <= now_ms:
@@ -81,41 +99,41 @@
     reporter.live_until_ms = now_ms + detector.live_ms
     observations = {}
     for upstream, state in evidence.items():
-        observations[upstream] = _observe(
+        observations[upstream] = _next_observation(
             now_ms, reporter.observations.get(upstream), state
         )
     reporter.observations = observations
 
 
-def _observe(
-    now_ms: float, before: Observation | None, state: Evidence
+def _next_observation(
+    now_ms: float, previous: Observation | None, state: Evidence
 ) -> Observation:
-    if before is None or before.state == 'up' or state == 'up':
+    if previous is None or previous.state == 'up' or state == 'up':
         return Observation(
             state=state, bad_since_ms=now_ms, state_since_ms=now_ms
         )
-    since_ms = before.state_since_ms if before.state == state else now_ms
+    since_ms = previous.state_since_ms if previous.state == state else now_ms
     return Observation(
         state=state,
-        bad_since_ms=before.bad_since_ms,
+        bad_since_ms=previous.bad_since_ms,
         state_since_ms=since_ms,
     )
 
 
 def remove_proxy(detector: FailureDetector, proxy: str) -> None:
-    """Drop a proxy that is no longer a member."""
+    """Remove the observations of a proxy that is no longer a member."""
     detector.reporters.pop(proxy, None)
 
 
 def watch(detector: FailureDetector, upstream: str, since_ms: float) -> None:
-    """Judge `upstream` only by evidence from `since_ms` on."""
+    """Ignore observations of `upstream` from before `since_ms`."""
     detector.watched_since_ms[upstream] = since_ms
 
 
 def is_suspected(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
-    """Tell whether a live proxy reports an upstream as unreachable."""
+    """Return whether any live proxy reports an upstream as not up."""
     for reporter in detector.reporters.values():
         observation = reporter.observations.get(upstream)
         if now_ms < reporter.live_until_ms and observation is not None:
@@ -130,78 +148,85 @@
     upstream: str,
     electorate: int = 0,
 ) -> float | None:
-    """Return when `upstream` counts as failed on the present evidence.
+    """Return when a majority of the proxies sees `upstream` as failed.
 
     Parameters
     ----------
     electorate : int
-        Proxies of which most must object, if more than are live.
+        Lower bound for the number of proxies that the majority is taken of.
 
     Returns
     -------
     float or None
-        A time up to `now_ms` if it has failed already; a later time if it
-        will unless other evidence arrives; None if too few proxies object.
+        A time up to `now_ms` if the upstream has failed; a later time if it
+        fails then unless another report changes that; None if a majority
+        does not report it as down.
     """
-    live = [
+    live_reporters = [
         reporter
         for reporter in detector.reporters.values()
         if now_ms < reporter.live_until_ms
     ]
-    floor_ms = detector.watched_since_ms.get(upstream, 0)
-    votes = sorted(
-        vote
-        for reporter in live
-        if (vote := _vote_ms(detector, reporter, upstream, floor_ms))
+    primary_since_ms = detector.watched_since_ms.get(upstream, 0)
+    vote_times_ms = sorted(
+        due_ms
+        for reporter in live_reporters
+        if (
+            due_ms := _vote_due_ms(
+                detector, reporter, upstream, primary_since_ms
+            )
+        )
         is not None
     )
-    needed = max(len(live), electorate) // 2 + 1
-    if not live or len(votes) < needed:
+    majority = max(len(live_reporters), electorate) // 2 + 1
+    if not live_reporters or len(vote_times_ms) < majority:
         return None
-    return votes[needed - 1]
+    return vote_times_ms[majority - 1]
 
 
-def _vote_ms(
+def _vote_due_ms(
     detector: FailureDetector,
     reporter: Reporter,
     upstream: str,
-    floor_ms: float,
+    primary_since_ms: float,
 ) -> float | None:
     observation = reporter.observations.get(upstream)
     if observation is None or observation.state == 'up':
         return None
-    silent_at = max(observation.bad_since_ms, floor_ms) + detector.silent_ms
+    silent_due_ms = (
+        max(observation.bad_since_ms, primary_since_ms) + detector.silent_ms
+    )
     if observation.state != 'refused':
-        return silent_at
-    refused_at = (
-        max(observation.state_since_ms, floor_ms) + detector.refused_ms
+        return silent_due_ms
+    refused_due_ms = (
+        max(observation.state_since_ms, primary_since_ms) + detector.refused_ms
     )
-    return min(refused_at, silent_at)
+    return min(refused_due_ms, silent_due_ms)
 
 
 def is_refused(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
-    """Tell whether most live proxies find nobody at an upstream's address."""
-    live = [
+    """Return whether connections are refused to most of the live proxies."""
+    live_reporters = [
         reporter
         for reporter in detector.reporters.values()
         if now_ms < reporter.live_until_ms
     ]
-    votes = sum(
+    vote_count = sum(
         1
-        for reporter in live
+        for reporter in live_reporters
         if upstream in reporter.observations
         and reporter.observations[upstream].state == 'refused'
     )
-    return votes > len(live) // 2
+    return vote_count > len(live_reporters) // 2
 
 
 def next_expiry_ms(detector: FailureDetector, now_ms: float) -> float | None:
-    """Return when the next proxy stops counting; None without any."""
-    ends = [
+    """Return when the next live proxy expires; None if there is none."""
+    expiry_times_ms = [
         reporter.live_until_ms
         for reporter in detector.reporters.values()
         if now_ms < reporter.live_until_ms
     ]
-    return min(ends, default=None)
+    return min(expiry_times_ms, default=None)
--- a/jackdawpost/core/control/lease_ledger.py
+++ b/jackdawpost/core/control/lease_ledger.py
@@ -1,8 +1,9 @@
-"""Lease ledger: which proxies may hold write leases, as the leader knows.
+"""Write leases that proxies may hold, as recorded by the control leader.
 
-A lease lets one proxy acknowledge writes of one group in one term. The
-ledger is held in memory by the control leader and built anew after each
-election, so it starts by assuming that every joined proxy holds every lease.
+A lease allows one proxy to acknowledge writes of one group in one term. The
+control leader keeps the ledger in memory only. A newly elected leader starts
+with an empty ledger and must assume that every joined proxy holds every
+lease until the leases of its predecessor have expired.
 """
 
 from __future__ import annotations
@@ -15,14 +16,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class PendingReport:
-    """Report of a proxy that waits for the confirmation of leadership.
+    """Report of a proxy that is answered once leadership is confirmed.
 
     Parameters
     ----------
+    incarnation : str
+        Identity of the proxy's process.
     conn : int
-        Connection that the grant is sent on.
+        Connection on which the grant is sent.
+    seq : int
+        Sequence number of the report.
     received_ms : float
-        Time of receipt; the lease is counted from here.
+        Time of receipt, at which the lease starts.
     """
 
     proxy: str
@@ -34,34 +39,35 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeaseLedger:
-    """Leases that may be in force.
+    """Leases that may be in force, and reports waiting for a grant.
 
     Parameters
     ----------
     duration_ms : float
-        Validity of a lease on the clock of the proxy.
+        Duration of a lease, measured by the clock of the proxy.
     clock_margin : float
-        Largest difference in clock rate, as a fraction.
+        Largest relative difference between the rates of two clocks.
     elected_ms : float
-        Time of this process's election.
+        Time at which this process was elected.
     assumed : set of str
-        Proxies that may hold leases of an earlier leader.
+        Proxies that may hold leases granted by an earlier leader.
     holds : dict
-        Proxy, incarnation, group and term to the end of the lease.
+        End of each lease by proxy, incarnation, group and term.
     granted_until : dict of str to float
-        Proxy to the end of its last grant, which its permits depend on too.
+        End of the last grant to each proxy. The proxy's slot permits are
+        valid until then as well.
     released : dict
-        Proxy and group to the highest term whose revocation the proxy has
-        answered to this leader.
+        Highest term whose revocation a proxy has confirmed to this leader,
+        by proxy and group.
     revoked : dict of str to int
-        Group to the highest term revoked by this leader.
+        Highest term revoked by this leader, by group.
     waiting, confirming : dict of str to PendingReport
-        Latest report of each proxy that waits for the next confirmation, or
-        for the one under way.
+        Latest report of each proxy that waits for the next confirmation of
+        leadership, or for the running one.
     confirming_token : int, optional
-        Token of the confirmation under way.
+        Token of the running confirmation.
     prune_due_ms : float
-        Time to drop leases that have run out.
+        Next time at which expired leases are dropped.
     """
 
     duration_ms: float
@@ -80,12 +86,12 @@
 
 
 def hold_ms(ledger: LeaseLedger) -> float:
-    """Return for how long a lease may last on the leader's clock, in ms."""
+    """Return the longest duration of a lease on the leader's clock, in ms."""
     return ledger.duration_ms * (1 + ledger.clock_margin)
 
 
 def assumed_until_ms(ledger: LeaseLedger) -> float:
-    """Return when leases of earlier leaders have all run out."""
+    """Return when all leases granted by earlier leaders have expired."""
     return ledger.elected_ms + hold_ms(ledger)
 
 
@@ -99,7 +105,7 @@
 ) -> None:
     """Queue a report for the next confirmation of leadership.
 
-    A newer report of the same proxy replaces an older one that waits.
+    It replaces an older queued report of the same proxy.
     """
     ledger.waiting[proxy] = PendingReport(
         proxy=proxy,
@@ -111,14 +117,15 @@
 
 
 def start_confirmation(ledger: LeaseLedger) -> int | None:
-    """Start one confirmation for all reports that wait.
+    """Start one confirmation of leadership for all queued reports.
 
     Returns
     -------
     int or None
-        Token to confirm leadership with; None if nothing waits or a
-        confirmation is under way. Reports that arrive in the meantime wait
-        for the next one, as the heartbeat must be sent after their receipt.
+        Token for the confirmation; None if no report is queued or a
+        confirmation is running. Reports received during a confirmation wait
+        for the next one, since the heartbeats that confirm leadership must
+        be sent after the receipt of the report.
     """
     if not ledger.waiting or ledger.confirming_token is not None:
         return None
@@ -130,7 +137,10 @@
 
 
 def confirmed(ledger: LeaseLedger, token: int) -> list[PendingReport]:
-    """Return the reports that may be answered; empty for a stale token."""
+    """Return the reports to answer after a confirmation of leadership.
+
+    The list is empty if the token is not that of the running confirmation.
+    """
     if token != ledger.confirming_token:
         return []
     reports = list(ledger.confirming.values())
@@ -142,21 +152,21 @@
 def record_grant(
     ledger: LeaseLedger, report: PendingReport, terms: dict[str, int]
 ) -> list[GroupLease]:
-    """Record the leases granted in answer to a confirmed report.
+    """Record the leases granted in answer to a report.
 
     Parameters
     ----------
     terms : dict of str to int
-        Groups that have a primary and no promotion under way, with terms.
+        Terms of the groups that have a primary and no running promotion.
 
     Returns
     -------
     list of GroupLease
-        Leases to grant: `terms` without those that were revoked.
+        Leases to grant: one for each group whose term is not revoked.
     """
     until_ms = report.received_ms + hold_ms(ledger)
-    before_ms = ledger.granted_until.get(report.proxy, 0)
-    ledger.granted_until[report.proxy] = max(until_ms, before_ms)
+    previous_ms = ledger.granted_until.get(report.proxy, 0)
+    ledger.granted_until[report.proxy] = max(until_ms, previous_ms)
     leases = []
     for group, term in sorted(terms.items()):
         if term <= ledger.revoked.get(group, -1):
@@ -168,58 +178,63 @@
 
 
 def revoke(ledger: LeaseLedger, group: str, term: int) -> None:
-    """Grant no more leases of `group` up to and including `term`."""
+    """Stop granting leases of `group` for terms up to `term`, inclusive."""
     ledger.revoked[group] = max(term, ledger.revoked.get(group, -1))
 
 
 def note_revoked(
     ledger: LeaseLedger, proxy: str, incarnation: str, group: str, term: int
 ) -> None:
-    """Note that a proxy has answered a revocation by this leader.
+    """Record that a proxy has confirmed a revocation by this leader.
 
-    The answer speaks for the process that sent it: a lease granted to an
-    earlier process of the same proxy is still waited out.
+    The confirmation releases only leases of the process that sent it. A
+    lease granted to an earlier process of the same proxy stays recorded
+    until it expires.
     """
     if term > ledger.revoked.get(group, -1):
         return
     key = (proxy, group)
     ledger.released[key] = max(term, ledger.released.get(key, -1))
-    for hold in list(ledger.holds):
-        if hold[:3] == (proxy, incarnation, group) and hold[3] <= term:
-            del ledger.holds[hold]
+    for lease_key in list(ledger.holds):
+        if (
+            lease_key[:3] == (proxy, incarnation, group)
+            and lease_key[3] <= term
+        ):
+            del ledger.holds[lease_key]
 
 
 def holders(
     ledger: LeaseLedger, now_ms: float, group: str, term: int
 ) -> dict[str, float]:
-    """Return the proxies that may hold a lease, with the latest ends.
+    """Return the proxies that may hold a lease of a group.
 
     Parameters
     ----------
     term : int
-        Leases of `group` up to and including this term are looked for.
+        Highest term of the leases to include.
 
     Returns
     -------
     dict of str to float
-        Empty once no proxy can acknowledge a write of these terms.
+        Latest time at which the leases of each proxy end. Empty once no
+        proxy can acknowledge a write in these terms.
     """
-    found: dict[str, float] = {}
+    ends_ms: dict[str, float] = {}
     if term == 0:
-        return found
-    assumed_ms = assumed_until_ms(ledger)
-    if now_ms < assumed_ms:
+        return ends_ms
+    assumed_end_ms = assumed_until_ms(ledger)
+    if now_ms < assumed_end_ms:
         for proxy in ledger.assumed:
             if ledger.released.get((proxy, group), -1) < term:
-                found[proxy] = assumed_ms
+                ends_ms[proxy] = assumed_end_ms
     for (proxy, _, held_group, held_term), until_ms in ledger.holds.items():
         if held_group == group and held_term <= term and now_ms < until_ms:
-            found[proxy] = max(until_ms, found.get(proxy, 0))
-    return found
+            ends_ms[proxy] = max(until_ms, ends_ms.get(proxy, 0))
+    return ends_ms
 
 
 def lease_end_ms(ledger: LeaseLedger, now_ms: float, proxy: str) -> float:
-    """Return when the last grant to a proxy ends; `now_ms` if none."""
+    """Return when the last grant to a proxy ends; `now_ms` without one."""
     ends = [ledger.granted_until.get(proxy, now_ms)]
     if proxy in ledger.assumed:
         ends.append(assumed_until_ms(ledger))
@@ -227,7 +242,10 @@
 
 
 def forget_expired(ledger: LeaseLedger, now_ms: float) -> None:
-    """Drop leases that have run out, now and then, to bound the size."""
+    """Drop expired leases, at most once per lease duration.
+
+    This bounds the size of the ledger.
+    """
     if now_ms < ledger.prune_due_ms:
         return
     ledger.prune_due_ms = now_ms + hold_ms(ledger)
--- a/jackdawpost/core/control/permit_ledger.py
+++ b/jackdawpost/core/control/permit_ledger.py
@@ -1,7 +1,9 @@
-"""Permit ledger: slot permits of upstreams that are lent to proxies.
+"""Slot permits that the control leader grants to proxies.
 
-The permits lent for an upstream, together with those of lost proxies that
-may still be in use, never exceed its slots.
+A permit allows a proxy to run one statement at a time on an upstream. The
+permits granted for an upstream, including those of disconnected proxies
+whose statements may still run, never exceed its slots. When permits are
+scarce, the leader recalls some from the proxies that hold the most.
 """
 
 from __future__ import annotations
@@ -12,12 +14,14 @@
 from dataclasses import field
 from typing import Literal
 
-MIN_HOLD_MS = 20.0  # shorter turns spend more time on recalls than on work
+# Minimum time before a permit in demand is recalled. With a shorter one,
+# recalls take more time than statements.
+MIN_HOLD_MS = 20.0
 
 
 @dataclass(slots=True, kw_only=True)
 class PermitDecision:
-    """Message that the leader owes to a proxy."""
+    """Grant or recall that the leader has to send to a proxy."""
 
     proxy: str
     upstream: str
@@ -27,18 +31,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class ProxyPermits:
-    """A proxy's account at one upstream.
+    """Permits of one proxy at one upstream.
 
     Parameters
     ----------
     held : int
-        Permits lent, including a grant that is still on its way.
+        Permits granted, including a grant that is in flight.
     wanted : int
-        Permits that the proxy could use now in total.
+        Total number of permits that the proxy can use now.
     recalled : int
-        Permits asked back and not yet returned.
+        Permits that have been recalled and not been returned yet.
     waiting_since_ms : float
-        Time since which the proxy wants more than it holds.
+        Time since which the proxy has wanted more permits than it holds.
     granted_ms : float
         Time of the last grant.
     """
@@ -52,7 +56,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class LostPermits:
-    """Permits of a lost process that may be in use until `until_ms`."""
+    """Permits of a disconnected process, possibly in use until `until_ms`."""
 
     proxy: str
     incarnation: str
@@ -62,7 +66,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamPermits:
-    """Permits of one upstream."""
+    """Permits of one upstream.
+
+    Parameters
+    ----------
+    slots : int
+        Total number of permits; 0 if the upstream does not serve.
+    accounts : dict of str to ProxyPermits
+        Permits of the connected proxies by name.
+    lost : list of LostPermits
+        Permits of disconnected proxies that may still be in use.
+    """
 
     slots: int = 0
     accounts: dict[str, ProxyPermits] = field(default_factory=dict)
@@ -75,13 +89,13 @@
 
     Parameters
     ----------
-    unreported : set of str
-        Proxies that may hold permits of an earlier leader; nothing is lent
-        before each has reported or `ready_ms` has passed.
     ready_ms : float
-        Time at which leases of an earlier leader have run out.
+        Time at which the leases of earlier leaders have expired.
+    unreported : set of str
+        Proxies that may hold permits granted by an earlier leader. No permit
+        is granted until all of them have reported or `ready_ms` has passed.
     incarnations : dict of str to str
-        Connected proxies and their processes.
+        Identity of the process of each connected proxy.
     """
 
     ready_ms: float
@@ -91,7 +105,7 @@
 
 
 def set_slots(ledger: PermitLedger, slots: Mapping[str, int]) -> None:
-    """Take the slots of all upstreams that serve; others lend nothing."""
+    """Set the slots of the serving upstreams; other upstreams get none."""
     for name, permits in ledger.upstreams.items():
         permits.slots = slots.get(name, 0)
     for name, count in slots.items():
@@ -101,10 +115,10 @@
 def record_demand(
     ledger: PermitLedger, now_ms: float, proxy: str, upstream: str, wanted: int
 ) -> None:
-    """Take the number of permits that a proxy could use now in total."""
+    """Record the total number of permits that a proxy can use now."""
     if upstream not in ledger.upstreams:
         return
-    account = _account(ledger, proxy, upstream)
+    account = _proxy_account(ledger, proxy, upstream)
     if wanted > account.held and account.wanted <= account.held:
         account.waiting_since_ms = now_ms
     account.wanted = max(0, wanted)
@@ -113,18 +127,20 @@
 def record_return(
     ledger: PermitLedger, now_ms: float, proxy: str, upstream: str, count: int
 ) -> None:
-    """Take permits back; more than were lent are ignored."""
+    """Record returned permits; any beyond those held are ignored."""
     if upstream not in ledger.upstreams:
         return
-    account = _account(ledger, proxy, upstream)
+    account = _proxy_account(ledger, proxy, upstream)
     returned = max(0, min(count, account.held))
-    # Who gives a permit back queues behind those that wait already.
+    # A proxy that returns a permit queues behind the proxies that wait.
     account.waiting_since_ms = now_ms
     account.held -= returned
     account.recalled = max(0, account.recalled - returned)
 
 
-def _account(ledger: PermitLedger, proxy: str, upstream: str) -> ProxyPermits:
+def _proxy_account(
+    ledger: PermitLedger, proxy: str, upstream: str
+) -> ProxyPermits:
     accounts = ledger.upstreams[upstream].accounts
     return accounts.setdefault(proxy, ProxyPermits())
 
@@ -135,16 +151,21 @@
     incarnation: str,
     holdings: Mapping[str, int],
 ) -> set[str]:
-    """Take the holdings that a proxy reports first on a new connection.
+    """Record the permits that a proxy reports on a new connection.
 
-    They replace what the ledger knew of that process, since messages on the
-    old connection may be lost. Permits of an earlier process of the same
-    proxy stay lost.
+    They replace the recorded permits of that process, since messages on the
+    old connection may have been lost. Permits of an earlier process of the
+    same proxy stay reserved until they expire.
+
+    Parameters
+    ----------
+    holdings : mapping of str to int
+        Permits that the proxy holds, by upstream.
 
     Returns
     -------
     set of str
-        Upstreams whose permits may have become free.
+        Upstreams at which permits may have become free.
     """
     changed = set(holdings)
     ledger.unreported.discard(proxy)
@@ -152,15 +173,15 @@
     for upstream in holdings:
         ledger.upstreams.setdefault(upstream, UpstreamPermits())
     for upstream, permits in ledger.upstreams.items():
-        kept = [
+        still_lost = [
             entry
             for entry in permits.lost
             if (entry.proxy, entry.incarnation) != (proxy, incarnation)
         ]
-        known = permits.accounts.pop(proxy, None)
-        if known is not None or len(kept) < len(permits.lost):
+        account = permits.accounts.pop(proxy, None)
+        if account is not None or len(still_lost) < len(permits.lost):
             changed.add(upstream)
-        permits.lost = kept
+        permits.lost = still_lost
         held = max(0, holdings.get(upstream, 0))
         if held:
             permits.accounts[proxy] = ProxyPermits(held=held, wanted=held)
@@ -168,7 +189,7 @@
 
 
 def record_lost(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
-    """Keep the permits of a disconnected proxy until they are unusable.
+    """Reserve the permits of a disconnected proxy until they expire.
 
     Parameters
     ----------
@@ -190,7 +211,7 @@
 
 
 def granted_count(permits: UpstreamPermits) -> int:
-    """Return the permits that may be in use."""
+    """Return the number of permits that may be in use."""
     held = sum(account.held for account in permits.accounts.values())
     return held + sum(entry.count for entry in permits.lost)
 
@@ -200,12 +221,12 @@
     now_ms: float,
     upstreams: Collection[str] | None = None,
 ) -> list[PermitDecision]:
-    """Lend free permits and recall others, as far as possible now.
+    """Grant free permits and recall permits for proxies that wait.
 
     Parameters
     ----------
     upstreams : collection of str, optional
-        Upstreams to look at; all if left out.
+        Upstreams to consider; all by default.
     """
     if not is_granting(ledger, now_ms):
         return []
@@ -214,23 +235,26 @@
     for name in sorted(names):
         permits = ledger.upstreams.get(name, UpstreamPermits())
         permits.lost = [e for e in permits.lost if now_ms < e.until_ms]
-        decisions += _lend(permits, now_ms, name)
-        decisions += _recall(permits, now_ms, name)
+        decisions += _grant_free_permits(permits, now_ms, name)
+        decisions += _recall_permits(permits, now_ms, name)
     return decisions
 
 
 def is_granting(ledger: PermitLedger, now_ms: float) -> bool:
-    """Tell whether the holdings of all proxies are known or run out."""
+    """Return whether permits of earlier leaders are all known or expired."""
     return not ledger.unreported or now_ms >= ledger.ready_ms
 
 
-def _waiting(permits: UpstreamPermits) -> list[tuple[str, ProxyPermits]]:
-    """Return who wants more: those with the fewest first, then by time.
+def _waiting_proxies(
+    permits: UpstreamPermits,
+) -> list[tuple[str, ProxyPermits]]:
+    """Return the proxies that want more permits, in order of priority.
 
-    Proxies that owe a permit come last. Were they first, a proxy would get
-    the permit back that was recalled for another one; were they left out,
-    a permit stuck on a silent connection would keep its holder from free
-    ones.
+    Proxies with fewer permits come first, then those that have waited
+    longer. Proxies with an outstanding recall come last. If they came first,
+    a proxy would be granted the permit that was recalled for another one. If
+    they were left out, a proxy with a permit stuck on an unresponsive
+    connection would not be granted free permits.
     """
     waiting = [
         (proxy, account)
@@ -239,21 +263,21 @@
     ]
     return sorted(
         waiting,
-        key=lambda w: (
-            w[1].recalled > 0,
-            w[1].held,
-            w[1].waiting_since_ms,
-            w[0],
+        key=lambda item: (
+            item[1].recalled > 0,
+            item[1].held,
+            item[1].waiting_since_ms,
+            item[0],
         ),
     )
 
 
-def _lend(
+def _grant_free_permits(
     permits: UpstreamPermits, now_ms: float, upstream: str
 ) -> list[PermitDecision]:
     granted: dict[str, int] = {}
     free = permits.slots - granted_count(permits)
-    while free > 0 and (waiting := _waiting(permits)):
+    while free > 0 and (waiting := _waiting_proxies(permits)):
         proxy, account = waiting[0]
         account.held += 1
         account.recalled = max(0, account.recalled - 1)
@@ -269,14 +293,18 @@
     ]
 
 
-def _recall(
+def _recall_permits(
     permits: UpstreamPermits, now_ms: float, upstream: str
 ) -> list[PermitDecision]:
     recalls: dict[str, int] = {}
-    coming = sum(account.recalled for account in permits.accounts.values())
-    waiting = [w for w in _waiting(permits) if not w[1].recalled]
-    for _, account in waiting[coming:]:
-        proxy = _donor(permits, now_ms, account.held)
+    pending_recalls = sum(
+        account.recalled for account in permits.accounts.values()
+    )
+    waiting = [
+        item for item in _waiting_proxies(permits) if not item[1].recalled
+    ]
+    for _, account in waiting[pending_recalls:]:
+        proxy = _choose_recall_target(permits, now_ms, account.held)
         if proxy is None:
             break
         permits.accounts[proxy].recalled += 1
@@ -289,24 +317,30 @@
     ]
 
 
-def _donor(
-    permits: UpstreamPermits, now_ms: float, waiter_held: int
+def _choose_recall_target(
+    permits: UpstreamPermits, now_ms: float, requester_held: int
 ) -> str | None:
-    """Return who gives up a permit for a waiter that holds `waiter_held`.
+    """Return the proxy from which to recall a permit for another proxy.
 
-    A holder that keeps fewer than the waiter would get is no donor, except
-    that a waiter with none takes turns with holders of one.
+    A proxy with unused permits is preferred. Otherwise the holder must not
+    be left with fewer permits than the requester then has, except that a
+    requester without permits takes turns with holders of one.
+
+    Parameters
+    ----------
+    requester_held : int
+        Permits that the waiting proxy holds.
     """
     best: tuple[int, int, float, str] | None = None
-    floor = 1 if waiter_held == 0 else waiter_held + 2
+    min_remaining = 1 if requester_held == 0 else requester_held + 2
     for proxy, account in permits.accounts.items():
-        left = account.held - account.recalled
-        spare = left - account.wanted
-        if left < 1 or (spare <= 0 and left < floor):
+        remaining = account.held - account.recalled
+        idle = remaining - account.wanted
+        if remaining < 1 or (idle <= 0 and remaining < min_remaining):
             continue
-        if spare <= 0 and now_ms < account.granted_ms + MIN_HOLD_MS:
+        if idle <= 0 and now_ms < account.granted_ms + MIN_HOLD_MS:
             continue
-        rank = (max(0, spare), left, -account.granted_ms, proxy)
+        rank = (max(0, idle), remaining, -account.granted_ms, proxy)
         if best is None or rank > best:
             best = rank
     return best[3] if best else None
@@ -315,7 +349,14 @@
 def next_permit_due_ms(
     ledger: PermitLedger, now_ms: float, upstream: str
 ) -> float | None:
-    """Return when more may be decided for an upstream without an input."""
+    """Return when a grant or recall may be due without further input.
+
+    Returns
+    -------
+    float or None
+        None if no proxy waits for permits of the upstream, or only a message
+        from a proxy can free one.
+    """
     permits = ledger.upstreams[upstream]
     if not any(
         account.wanted > account.held for account in permits.accounts.values()
@@ -323,10 +364,10 @@
         return None
     if not is_granting(ledger, now_ms):
         return ledger.ready_ms
-    dues = [entry.until_ms for entry in permits.lost]
-    dues += [
+    due_times_ms = [entry.until_ms for entry in permits.lost]
+    due_times_ms += [
         account.granted_ms + MIN_HOLD_MS
         for account in permits.accounts.values()
         if account.held > account.recalled
     ]
-    return min((due for due in dues if due > now_ms), default=None)
+    return min((due for due in due_times_ms if due > now_ms), default=None)
--- a/jackdawpost/tests/core/control/test_failure_detector.py
+++ b/jackdawpost/tests/core/control/test_failure_detector.py
@@ -1,4 +1,4 @@
-"""Failures of the judgement about primaries."""
+"""Majority and time-outs by which the failure detector decides."""
 
 from __future__ import annotations
 
@@ -8,97 +8,104 @@
 PROXIES = ('p1', 'p2', 'p3', 'p4')
 
 
-def detector():
+def make_detector():
     return FailureDetector(refused_ms=200, silent_ms=800, live_ms=1_500)
 
 
-def tell(found, now_ms, **states):
+def record_states(detector, now_ms, **states):
     for proxy, state in states.items():
-        failure_detector.record_evidence(found, now_ms, proxy, {'u': state})
+        failure_detector.record_evidence(detector, now_ms, proxy, {'u': state})
 
 
-def failed(found, now_ms):
-    at_ms = failure_detector.failed_at_ms(found, now_ms, 'u')
+def has_failed(detector, now_ms):
+    at_ms = failure_detector.failed_at_ms(detector, now_ms, 'u')
     return at_ms is not None and at_ms <= now_ms
 
 
-def test_half_of_the_proxies_is_not_enough():
-    # Guards against a promotion because a rack with two of four proxies is
-    # cut off from the primary.
-    found = detector()
+def test_half_of_the_proxies_is_no_majority():
+    # Guards against a promotion when a partition separates two of four
+    # proxies, such as a rack, from the primary.
+    detector = make_detector()
     for now_ms in range(0, 2_000, 400):
-        tell(found, now_ms, p1='refused', p2='refused', p3='up', p4='up')
-        assert not failed(found, now_ms)
-    tell(found, 2_000, p3='refused')
-    assert not failed(found, 2_199)
-    assert failed(found, 2_200)
+        record_states(
+            detector, now_ms, p1='refused', p2='refused', p3='up', p4='up'
+        )
+        assert not has_failed(detector, now_ms)
+    record_states(detector, 2_000, p3='refused')
+    assert not has_failed(detector, 2_199)
+    assert has_failed(detector, 2_200)
 
 
-def test_silence_needs_longer_than_refusal():
+def test_silent_timeout_is_longer_than_refused_timeout():
     # Guards against replacing a primary that pauses for half a second.
-    found = detector()
-    tell(found, 0, p1='silent', p2='silent', p3='silent', p4='up')
-    assert not failed(found, 799)
-    assert failed(found, 800)
+    detector = make_detector()
+    record_states(detector, 0, p1='silent', p2='silent', p3='silent', p4='up')
+    assert not has_failed(detector, 799)
+    assert has_failed(detector, 800)
 
 
-def test_one_answer_starts_the_time_anew():
-    # Guards against flapping: a slow primary that answers now and then.
-    found = detector()
+def test_up_report_restarts_the_timeout():
+    # Guards against flapping with a slow primary that answers occasionally.
+    detector = make_detector()
     for now_ms in range(0, 4_000, 700):
         state = 'up' if now_ms % 1_400 else 'silent'
-        tell(found, now_ms, p1=state, p2=state, p3=state)
-        assert not failed(found, now_ms)
+        record_states(detector, now_ms, p1=state, p2=state, p3=state)
+        assert not has_failed(detector, now_ms)
 
 
-def test_change_of_the_objection_does_not_start_anew():
-    # Guards against a dead primary that is refused and silent in turns.
-    found = detector()
+def test_change_between_refused_and_silent_keeps_the_timeout():
+    # Guards against keeping a dead primary that is reported as refused and
+    # as silent by turns.
+    detector = make_detector()
     for now_ms in range(0, 900, 100):
         state = 'silent' if now_ms % 200 else 'refused'
-        tell(found, now_ms, p1=state, p2=state, p3=state)
-    assert failed(found, 800)
+        record_states(detector, now_ms, p1=state, p2=state, p3=state)
+    assert has_failed(detector, 800)
 
 
-def test_proxy_whose_reports_stop_does_not_vote():
-    # Guards against a dead proxy whose last word blocks or decides.
-    found = detector()
-    tell(found, 0, p1='up', p2='up', p3='up')
-    tell(found, 1_000, p4='refused')
-    assert not failed(found, 1_499)
-    assert failed(found, 1_500)
-    assert not failed(found, 2_500)
+def test_proxy_without_recent_report_does_not_vote():
+    # Guards against counting the last report of a dead proxy for or against
+    # a failure.
+    detector = make_detector()
+    record_states(detector, 0, p1='up', p2='up', p3='up')
+    record_states(detector, 1_000, p4='refused')
+    assert not has_failed(detector, 1_499)
+    assert has_failed(detector, 1_500)
+    assert not has_failed(detector, 2_500)
 
 
-def test_single_live_proxy_decides():
+def test_single_live_proxy_is_a_majority():
     # Guards against a deployment with one proxy that never fails over.
-    found = detector()
-    tell(found, 0, p1='refused')
-    assert failed(found, 200)
-
-
-def test_returning_proxy_starts_from_its_new_reports():
-    # Guards against evidence from before a proxy's absence.
-    found = detector()
-    tell(found, 0, p1='silent')
-    tell(found, 1_600, p1='silent')
-    assert not failed(found, 1_600)
-    assert failed(found, 2_400)
-
-
-def test_evidence_from_before_its_leadership_does_not_count():
-    # Guards against replacing a database again right after its promotion.
-    found = detector()
-    tell(found, 0, p1='silent')
-    failure_detector.watch(found, 'u', 1_000)
-    tell(found, 1_000, p1='silent')
-    assert not failed(found, 1_700)
-    assert failed(found, 1_800)
-
-
-def test_primary_that_gets_nothing_done_is_replaced():
-    # It answers the probes of every proxy.
-    found = detector()
-    tell(found, 0, p1='stalled', p2='stalled', p3='stalled', p4='up')
-    assert not failed(found, 799)
-    assert failed(found, 800)
+    detector = make_detector()
+    record_states(detector, 0, p1='refused')
+    assert has_failed(detector, 200)
+
+
+def test_returning_proxy_starts_without_old_observations():
+    # Guards against observations made before the proxy stopped reporting.
+    detector = make_detector()
+    record_states(detector, 0, p1='silent')
+    record_states(detector, 1_600, p1='silent')
+    assert not has_failed(detector, 1_600)
+    assert has_failed(detector, 2_400)
+
+
+def test_observations_before_the_promotion_are_ignored():
+    # Guards against replacing a database immediately after its promotion.
+    detector = make_detector()
+    record_states(detector, 0, p1='silent')
+    failure_detector.watch(detector, 'u', 1_000)
+    record_states(detector, 1_000, p1='silent')
+    assert not has_failed(detector, 1_700)
+    assert has_failed(detector, 1_800)
+
+
+def test_stalled_primary_fails_after_the_silent_timeout():
+    # Guards against keeping a primary that answers the probes of every proxy
+    # but completes no statements.
+    detector = make_detector()
+    record_states(
+        detector, 0, p1='stalled', p2='stalled', p3='stalled', p4='up'
+    )
+    assert not has_failed(detector, 799)
+    assert has_failed(detector, 800)
