Describe the promotion driver and its admin requests in usual terms

Ruled out: renaming fields of GroupProgress, AdminLink and AdminRequest, which a state dump writes, fields of GroupFacts, which upstreams.py fills in, and RETRY_MS, which leadership.py reads. Two reason texts of a promotion, which are logged and matched nowhere, say "abandoned" instead of "given up".

--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -1,4 +1,9 @@
-"""Admin connections of the control leader to upstreams."""
+"""Admin connections from the control leader to upstreams.
+
+The leader sends seal, promote and follow requests on them. `reconcile`
+compares the pending requests with those that a group needs now and opens
+connections, sends requests and retries as necessary.
+"""
 
 from __future__ import annotations
 
@@ -16,23 +21,27 @@
 from jackdawpost.core.messages.upstream import Promote
 from jackdawpost.core.messages.upstream import Seal
 
-ADMIN_OPEN_MS = 500
-ADMIN_ANSWER_MS = 400.0
-ADMIN_RETRY_MS = 100.0
+CONNECT_TIMEOUT_MS = 500
+ANSWER_TIMEOUT_MS = 400.0
+RETRY_DELAY_MS = 100.0
 
 
 @dataclass(slots=True, kw_only=True)
 class AdminLink:
-    """Admin connection to one upstream and the request that it owes.
+    """Admin connection to one upstream and its pending request.
 
     Parameters
     ----------
+    request : AdminRequest
+        Request that was sent last or is to be sent.
     conn : int, optional
         Connection that is open or being opened.
+    is_open : bool
+        The connection has been established.
     request_id : int, optional
-        Request in flight.
+        Identifier of the request in flight.
     answer_due_ms : float
-        Time at which the request in flight is given up.
+        Time at which the request in flight times out.
     retry_at_ms : float
         Earliest time of the next attempt.
     """
@@ -47,12 +56,19 @@
 
 @dataclass(slots=True, kw_only=True)
 class AdminLinks:
-    """Admin connections to all upstreams that owe a request.
+    """Admin connections to all upstreams with a pending request.
 
     Parameters
     ----------
     next_conn : int
-        Id of the next connection; falls, as ids are negative.
+        Identifier of the next connection. Identifiers are negative and
+        decrease.
+    next_request : int
+        Identifier of the next request.
+    links : dict of str to AdminLink
+        Links by upstream.
+    conns : dict of int to str
+        Upstream of each connection that is open or being opened.
     """
 
     next_conn: int
@@ -67,40 +83,42 @@
     group: str,
     requests: Mapping[str, AdminRequest],
 ) -> list[Effect]:
-    """Send, retry or drop requests until they are as wanted.
+    """Send, retry or drop requests to match those that a group needs now.
 
     Parameters
     ----------
     group : str
-        Group that `requests` speaks for; others keep their requests.
+        Group of `requests`. The requests of other groups are not changed.
     requests : mapping of str to AdminRequest
-        Request that each upstream of the group owes now.
+        Request that is now pending for each upstream of the group.
     """
     effects: list[Effect] = []
     names = {n for n, k in admin.links.items() if k.request.group == group}
     for name in sorted(names | set(requests)):
         request = requests.get(name)
         link = admin.links.get(name)
-        if link is not None and (request is None or _moved(link, request)):
-            effects += _drop(admin, name)
+        if link is not None and (
+            request is None or _address_changed(link, request)
+        ):
+            effects += _drop_link(admin, name)
             link = None
         if request is None:
             continue
         if link is None:
             link = AdminLink(request=request)
             admin.links[name] = link
-        effects += _advance(admin, now_ms, link, request)
+        effects += _advance_link(admin, now_ms, link, request)
     return effects
 
 
-def _moved(link: AdminLink, request: AdminRequest) -> bool:
+def _address_changed(link: AdminLink, request: AdminRequest) -> bool:
     return (link.request.host, link.request.port) != (
         request.host,
         request.port,
     )
 
 
-def _drop(admin: AdminLinks, name: str) -> list[Effect]:
+def _drop_link(admin: AdminLinks, name: str) -> list[Effect]:
     link = admin.links.pop(name)
     if link.conn is None:
         return []
@@ -108,46 +126,50 @@
     return [Close(conn=link.conn, reason='done')]
 
 
-def _advance(
+def _advance_link(
     admin: AdminLinks, now_ms: float, link: AdminLink, request: AdminRequest
 ) -> list[Effect]:
     if link.request_id is not None and now_ms >= link.answer_due_ms:
-        effects = _abort(admin, now_ms, link)
-        return effects + _advance(admin, now_ms, link, request)
+        effects = _abort_link(admin, now_ms, link)
+        return effects + _advance_link(admin, now_ms, link, request)
     if link.conn is None:
         link.request = request
         if now_ms < link.retry_at_ms:
             return []
-        return [_connect(admin, link)]
+        return [_open_connection(admin, link)]
     if not link.is_open or (link.request_id and link.request == request):
         return []
     if now_ms < link.retry_at_ms and link.request == request:
         return []
     link.request = request
     link.request_id = admin.next_request
-    link.answer_due_ms = now_ms + ADMIN_ANSWER_MS
+    link.answer_due_ms = now_ms + ANSWER_TIMEOUT_MS
     admin.next_request += 1
     return [
-        Send(conn=link.conn, messages=[_request(link.request_id, request)])
+        Send(
+            conn=link.conn, messages=[_build_message(link.request_id, request)]
+        )
     ]
 
 
-def _abort(admin: AdminLinks, now_ms: float, link: AdminLink) -> list[Effect]:
+def _abort_link(
+    admin: AdminLinks, now_ms: float, link: AdminLink
+) -> list[Effect]:
     assert link.conn is not None
     admin.conns.pop(link.conn, None)
     effect = Close(conn=link.conn, reason='no answer', abort=True)
-    _reset(link, now_ms)
+    _schedule_reconnect(link, now_ms)
     return [effect]
 
 
-def _reset(link: AdminLink, now_ms: float) -> None:
+def _schedule_reconnect(link: AdminLink, now_ms: float) -> None:
     link.conn = None
     link.is_open = False
     link.request_id = None
-    link.retry_at_ms = now_ms + ADMIN_RETRY_MS
+    link.retry_at_ms = now_ms + RETRY_DELAY_MS
 
 
-def _connect(admin: AdminLinks, link: AdminLink) -> Connect:
+def _open_connection(admin: AdminLinks, link: AdminLink) -> Connect:
     link.conn = admin.next_conn
     admin.next_conn -= 1
     admin.conns[link.conn] = link.request.upstream
@@ -157,11 +179,11 @@
         host=link.request.host,
         port=link.request.port,
         purpose='admin',
-        timeout_ms=ADMIN_OPEN_MS,
+        timeout_ms=CONNECT_TIMEOUT_MS,
     )
 
 
-def _request(
+def _build_message(
     request_id: int, request: AdminRequest
 ) -> Seal | Promote | Follow:
     if request.action == 'seal':
@@ -178,7 +200,7 @@
 
 
 def on_opened(admin: AdminLinks, conn: int) -> bool:
-    """Note that a connection is open; False if it is not an admin one."""
+    """Handle an established connection; False if it is no admin connection."""
     name = admin.conns.get(conn)
     if name is None:
         return False
@@ -192,25 +214,25 @@
     conn: int,
     reason: Literal['closed', 'refused', 'timeout', 'malformed'],
 ) -> AdminRequest | None:
-    """Note that a connection ended.
+    """Handle the end of a connection and schedule another attempt.
 
     Returns
     -------
     AdminRequest or None
-        Request that the upstream refused a connection for.
+        Pending request of the upstream if it refused the connection.
     """
     name = admin.conns.pop(conn, None)
     if name is None:
         return None
     link = admin.links[name]
-    _reset(link, now_ms)
+    _schedule_reconnect(link, now_ms)
     return link.request if reason == 'refused' else None
 
 
 def on_answer(
     admin: AdminLinks, now_ms: float, conn: int, request_id: int
 ) -> AdminRequest | None:
-    """Return the request that an answer belongs to; None for a stale one."""
+    """Return the request of an answer; None if the answer is outdated."""
     name = admin.conns.get(conn)
     if name is None:
         return None
@@ -218,12 +240,15 @@
     if link.request_id != request_id:
         return None
     link.request_id = None
-    link.retry_at_ms = now_ms + ADMIN_RETRY_MS
+    link.retry_at_ms = now_ms + RETRY_DELAY_MS
     return link.request
 
 
-def _due_ms(link: AdminLink) -> float | None:
-    """Return when a request is to be retried or given up, if by itself."""
+def _link_due_ms(link: AdminLink) -> float | None:
+    """Return when a request is to be retried or times out.
+
+    None if an event, such as the end of the connection, comes first.
+    """
     if link.request_id is not None:
         return link.answer_due_ms
     if link.conn is None or link.is_open:
@@ -232,24 +257,26 @@
 
 
 def next_admin_due_ms(admin: AdminLinks, now_ms: float) -> float | None:
-    """Return when a request is to be retried or given up."""
-    dues = [_due_ms(link) for link in admin.links.values()]
-    later = [due for due in dues if due is not None and due > now_ms]
-    return min(later, default=None)
+    """Return the next time at which a request is retried or times out."""
+    due_times_ms = [_link_due_ms(link) for link in admin.links.values()]
+    upcoming = [
+        due for due in due_times_ms if due is not None and due > now_ms
+    ]
+    return min(upcoming, default=None)
 
 
 def due_groups(admin: AdminLinks, now_ms: float) -> set[str]:
-    """Return the groups with a request to be retried or given up now."""
+    """Return the groups with a request to retry or to time out now."""
     found = set()
     for link in admin.links.values():
-        due_ms = _due_ms(link)
+        due_ms = _link_due_ms(link)
         if due_ms is not None and due_ms <= now_ms:
             found.add(link.request.group)
     return found
 
 
 def close_all(admin: AdminLinks) -> list[Effect]:
-    """Close every connection, as the process leads no more."""
+    """Close all connections because the process is no longer the leader."""
     effects: list[Effect] = [
         Close(conn=conn, reason='not leader') for conn in admin.conns
     ]
--- a/jackdawpost/core/control/promotion.py
+++ b/jackdawpost/core/control/promotion.py
@@ -1,9 +1,9 @@
 """Promotion driver: replaces primaries step by step on the control leader.
 
-The committed steps are in the replicated state; the driver keeps only what
-the present leader has heard and can be built anew at each of them. It is
-level-triggered: `next_command` and `admin_requests` look at the facts of a
-group and return what is missing for its next step.
+The committed steps of a promotion are in the replicated state. The driver
+keeps only the answers received by the present leader and can be rebuilt
+after any step. It is level-triggered: `next_command` and `admin_requests`
+derive from the present facts of a group what its next step requires.
 """
 
 from __future__ import annotations
@@ -21,14 +21,16 @@
 from jackdawpost.core.control.promotion_facts import Database
 from jackdawpost.core.control.promotion_facts import GroupFacts
 from jackdawpost.core.control.promotion_facts import GroupProgress
-from jackdawpost.core.control.promotion_facts import is_counted
+from jackdawpost.core.control.promotion_facts import is_in_database_set
 from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.promotion_facts import RunningPromotion
 from jackdawpost.core.control.promotion_facts import SealedDatabase
 
-LEAVING_PAUSE_MS = 1_000.0  # between promotions for a primary that leaves
-RETRY_MS = 100.0  # after a command that the state machine refused
+# Between two promotions for a leaving primary.
+LEAVING_COOLDOWN_MS = 1_000.0
+# Back-off after a command that the state machine has refused.
+RETRY_MS = 100.0
 
 GroupCommand = (
     StartPromotion
@@ -42,23 +44,24 @@
 def next_command(
     driver: PromotionDriver, now_ms: float, facts: GroupFacts
 ) -> GroupCommand | None:
-    """Return the command that takes a group one step on, if it is due.
+    """Return the command for the next step of a group, if one is due.
 
-    Nothing is returned while an earlier command of the group is in the log
-    and not applied; the caller sets ``busy`` once it has proposed.
+    None is returned while an earlier command of the group is in the log but
+    has not been applied. The caller sets `GroupProgress.busy` after it has
+    proposed a command.
     """
     progress = progress_of(driver, facts.name)
-    _learn_terms(progress, facts)
+    _update_highest_term(progress, facts)
     if progress.busy or now_ms < progress.retry_at_ms:
         return None
     promotion = facts.promotion
     if promotion is None:
-        return _start(progress, now_ms, facts) or _admit(
+        return _start_command(progress, now_ms, facts) or _admission_command(
             progress, now_ms, facts
         )
-    _enter(progress, promotion)
+    _reset_for_promotion(progress, promotion)
     if _must_abandon(driver, progress, now_ms, promotion, facts):
-        progress.restart = progress.restart or 'promotion given up'
+        progress.restart = progress.restart or 'promotion abandoned'
         return AbandonPromotion(
             group=facts.name,
             to_term=promotion.to_term,
@@ -73,15 +76,17 @@
     return None
 
 
-def _learn_terms(progress: GroupProgress, facts: GroupFacts) -> None:
+def _update_highest_term(progress: GroupProgress, facts: GroupFacts) -> None:
     terms = [database.term for database in facts.databases.values()]
     progress.highest_term = max(
         [progress.highest_term, facts.last_term, facts.term, *terms]
     )
 
 
-def _enter(progress: GroupProgress, promotion: RunningPromotion) -> None:
-    """Forget what belongs to an earlier promotion."""
+def _reset_for_promotion(
+    progress: GroupProgress, promotion: RunningPromotion
+) -> None:
+    """Discard the progress of an earlier promotion."""
     progress.highest_term = max(progress.highest_term, promotion.to_term)
     if progress.sealed_term == promotion.to_term:
         return
@@ -95,7 +100,7 @@
     progress.accept_loss = promotion.accept_loss
 
 
-def _start(
+def _start_command(
     progress: GroupProgress, now_ms: float, facts: GroupFacts
 ) -> StartPromotion | None:
     if not progress.restart:
@@ -118,53 +123,63 @@
     if facts.primary is None:
         if facts.term:
             return 'no primary'
-        return 'first primary' if _may_begin(progress, facts) else ''
+        return (
+            'first primary'
+            if _can_choose_first_primary(progress, facts)
+            else ''
+        )
     if progress.restart or facts.failed:
         return progress.restart or facts.failed
-    if _is_sealed(facts):
-        return 'sealed by a promotion that was given up'
+    if _is_sealed_in_newer_term(facts):
+        return 'sealed by an abandoned promotion'
     primary = facts.databases.get(facts.primary)
     if primary is None:
         return ''
-    if primary.leaving and _has_successor(facts):
-        return '' if _is_paused(progress, now_ms) else 'primary leaving'
+    if primary.leaving and _has_candidate(facts):
+        return '' if _is_cooling_down(progress, now_ms) else 'primary leaving'
     return ''
 
 
-def _is_sealed(facts: GroupFacts) -> bool:
-    """Tell whether a counted database refuses the present term."""
+def _is_sealed_in_newer_term(facts: GroupFacts) -> bool:
+    """Return whether a database of the set has a newer term than the group.
+
+    A promotion that was abandoned has sealed it, and it refuses the present
+    term.
+    """
     return any(
-        database.term > facts.term and is_counted(facts, database)
+        database.term > facts.term and is_in_database_set(facts, database)
         for database in facts.databases.values()
     )
 
 
-def _may_begin(progress: GroupProgress, facts: GroupFacts) -> bool:
-    """Tell whether enough databases are there for the first primary.
+def _can_choose_first_primary(
+    progress: GroupProgress, facts: GroupFacts
+) -> bool:
+    """Return whether enough databases are connected for a first primary.
 
-    A second attempt, after a choice that failed, waits for no more
-    databases than must be heard.
+    The first attempt waits for all databases of the group, later attempts
+    only for a quorum.
     """
-    present = [d for d in facts.databases.values() if d.connected]
+    connected = [d for d in facts.databases.values() if d.connected]
     if progress.accept_loss:
-        return bool(present)
-    return len(present) >= (facts.needed if facts.last_term else facts.size)
+        return bool(connected)
+    return len(connected) >= (facts.needed if facts.last_term else facts.size)
 
 
-def _is_paused(progress: GroupProgress, now_ms: float) -> bool:
-    """Tell whether a leaving primary was chosen again a moment ago.
+def _is_cooling_down(progress: GroupProgress, now_ms: float) -> bool:
+    """Return whether the cool-down after promoting a leaving database runs.
 
-    That happens if only it holds every write; the pause lets another
-    database catch up.
+    A leaving database is promoted again if it is the only one that holds
+    all writes. The cool-down gives another database time to catch up.
     """
     if progress.finished_ms is None:
         return False
-    return now_ms < progress.finished_ms + LEAVING_PAUSE_MS
+    return now_ms < progress.finished_ms + LEAVING_COOLDOWN_MS
 
 
-def _has_successor(facts: GroupFacts) -> bool:
+def _has_candidate(facts: GroupFacts) -> bool:
     return any(
-        not database.leaving and is_counted(facts, database)
+        not database.leaving and is_in_database_set(facts, database)
         for database in facts.databases.values()
     )
 
@@ -172,10 +187,10 @@
 def request_promotion(
     driver: PromotionDriver, group: str, reason: str, accept_loss: bool
 ) -> None:
-    """Start a promotion on an operator's request, or let one go on.
+    """Request a promotion for an operator.
 
-    With `accept_loss` a promotion that has heard too few databases is given
-    up and started again with that permission.
+    A running promotion continues, except that with `accept_loss` one that
+    lacks a quorum is abandoned and restarted with that permission.
     """
     progress = progress_of(driver, group)
     progress.restart = reason
@@ -206,19 +221,21 @@
     return now_ms >= progress.chosen_since_ms + driver.silent_ms
 
 
-def _admit(
+def _admission_command(
     progress: GroupProgress, now_ms: float, facts: GroupFacts
 ) -> AdmitDatabase | None:
-    """Admit a database that has reached a position of the primary.
+    """Return a command to admit a database that has caught up, if any.
 
-    A position heard before the database joined proves nothing: a wiped
-    database may have held writes that were acknowledged after it.
+    A database has caught up when it reaches a position that the primary
+    reported after the database joined. An earlier position is not
+    sufficient: a wiped database may have held writes that were acknowledged
+    after that position.
     """
     primary = facts.databases.get(facts.primary or '')
     if primary is None or not primary.leads or primary.term != facts.term:
         return None
     for name, database in sorted(facts.databases.items()):
-        if is_counted(facts, database) or name == facts.primary:
+        if is_in_database_set(facts, database) or name == facts.primary:
             continue
         key = (name, database.data_id, facts.term)
         if primary.last_contact_ms > progress.joined_ms.setdefault(
@@ -238,15 +255,15 @@
 def admin_requests(
     driver: PromotionDriver, facts: GroupFacts
 ) -> dict[str, AdminRequest]:
-    """Return the admin request that each upstream of a group owes now."""
+    """Return the admin requests that are pending for a group, by upstream."""
     progress = progress_of(driver, facts.name)
     promotion = facts.promotion
     if promotion is None:
-        return _follow_requests(progress, facts)
-    _enter(progress, promotion)
+        return _replication_requests(progress, facts)
+    _reset_for_promotion(progress, promotion)
     if promotion.upstream is None:
         return {
-            name: _request(facts, database, 'seal', promotion.to_term)
+            name: _build_request(facts, database, 'seal', promotion.to_term)
             for name, database in facts.databases.items()
             if name not in progress.sealed
             or progress.sealed[name].data_id != database.data_id
@@ -254,11 +271,11 @@
     database = facts.databases.get(promotion.upstream)
     if database is None or progress.promoted:
         return {}
-    request = _request(facts, database, 'promote', promotion.to_term)
+    request = _build_request(facts, database, 'promote', promotion.to_term)
     return {database.name: request}
 
 
-def _request(
+def _build_request(
     facts: GroupFacts,
     database: Database,
     action: Literal['seal', 'promote'],
@@ -274,7 +291,7 @@
     )
 
 
-def _follow_requests(
+def _replication_requests(
     progress: GroupProgress, facts: GroupFacts
 ) -> dict[str, AdminRequest]:
     primary = facts.databases.get(facts.primary or '')
@@ -282,8 +299,8 @@
         return {}
     requests = {}
     if primary.term == facts.term and not primary.leads:
-        if is_counted(facts, primary):
-            requests[primary.name] = _request(
+        if is_in_database_set(facts, primary):
+            requests[primary.name] = _build_request(
                 facts, primary, 'promote', facts.term
             )
     for name, database in facts.databases.items():
@@ -315,7 +332,7 @@
     term: int,
     sealed: SealedDatabase,
 ) -> None:
-    """Take the answer to a seal request."""
+    """Handle the answer to a seal request."""
     progress = progress_of(driver, facts.name)
     progress.highest_term = max(progress.highest_term, term)
     if progress.sealed_term != request.term:
@@ -333,7 +350,7 @@
     ok: bool,
     term: int,
 ) -> None:
-    """Take the answer to a promote or follow request."""
+    """Handle the answer to a promote or follow request."""
     progress = progress_of(driver, facts.name)
     progress.highest_term = max(progress.highest_term, term)
     if request.action == 'follow':
@@ -359,28 +376,28 @@
     facts: GroupFacts,
     request: AdminRequest,
 ) -> None:
-    """Note that a chosen database refuses connections.
+    """Shorten the time-out of a selected database that refuses connections.
 
-    A refusal says more than silence, so the time after which the database
-    is given up becomes `refused_ms`.
+    A refused connection is stronger evidence of a failure than a missing
+    answer, so `refused_ms` applies from now on instead of `silent_ms`.
     """
     progress = progress_of(driver, facts.name)
     if request.action != 'promote' or progress.chosen_since_ms is None:
         return
-    earliest = now_ms + driver.refused_ms - driver.silent_ms
-    progress.chosen_since_ms = min(progress.chosen_since_ms, earliest)
+    earliest_ms = now_ms + driver.refused_ms - driver.silent_ms
+    progress.chosen_since_ms = min(progress.chosen_since_ms, earliest_ms)
 
 
 def next_promotion_due_ms(
     driver: PromotionDriver, now_ms: float, facts: GroupFacts
 ) -> float | None:
-    """Return when `next_command` may be due without another input."""
+    """Return when `next_command` may be due without further input."""
     progress = progress_of(driver, facts.name)
-    dues = [progress.retry_at_ms, *facts.lease_holders.values()]
+    due_times_ms = [progress.retry_at_ms, *facts.lease_holders.values()]
     if progress.finished_ms is not None:
-        dues.append(progress.finished_ms + LEAVING_PAUSE_MS)
+        due_times_ms.append(progress.finished_ms + LEAVING_COOLDOWN_MS)
     if progress.enough_since_ms is not None:
-        dues.append(progress.enough_since_ms + CHOICE_GRACE_MS)
+        due_times_ms.append(progress.enough_since_ms + CHOICE_GRACE_MS)
     if progress.chosen_since_ms is not None:
-        dues.append(progress.chosen_since_ms + driver.silent_ms)
-    return min((due for due in dues if due > now_ms), default=None)
+        due_times_ms.append(progress.chosen_since_ms + driver.silent_ms)
+    return min((due for due in due_times_ms if due > now_ms), default=None)
--- a/jackdawpost/core/control/promotion_choice.py
+++ b/jackdawpost/core/control/promotion_choice.py
@@ -1,4 +1,4 @@
-"""Choice of the database that leads next."""
+"""Selection of the new primary among the sealed databases of a group."""
 
 from __future__ import annotations
 
@@ -7,13 +7,14 @@
 from jackdawpost.core.control.commands import ChoosePrimary
 from jackdawpost.core.control.promotion_facts import GroupFacts
 from jackdawpost.core.control.promotion_facts import GroupProgress
-from jackdawpost.core.control.promotion_facts import is_counted
+from jackdawpost.core.control.promotion_facts import is_in_database_set
 from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.promotion_facts import RunningPromotion
 from jackdawpost.core.control.promotion_facts import SealedDatabase
 
-CHOICE_GRACE_MS = 200.0  # for further replicas where waiting costs little
+# Grace period for further replicas to be sealed, where a wait costs little.
+CHOICE_GRACE_MS = 200.0
 
 
 def choose_database(
@@ -22,11 +23,12 @@
     promotion: RunningPromotion,
     facts: GroupFacts,
 ) -> ChoosePrimary | None:
-    """Return the choice of the next primary once it is safe.
+    """Return the command that selects the new primary once that is safe.
 
-    It needs every lease of the old term to have ended and enough sealed
-    databases: one of them holds each acknowledged write, and a sealed
-    database takes no more records from the old primary.
+    All leases of the old term must have ended and a quorum of databases must
+    be sealed; one database is enough if loss is accepted. A sealed database
+    accepts no more records from the old primary, and any quorum includes a
+    database that holds each acknowledged write.
     """
     if facts.lease_holders:
         return None
@@ -35,10 +37,16 @@
         return None
     if progress.enough_since_ms is None:
         progress.enough_since_ms = now_ms
-    others = {n: h for n, h in sealed.items() if not _is_avoided(n, facts)}
-    if _should_wait(progress, now_ms, promotion, facts, others):
+    preferred = {
+        n: item
+        for n, item in sealed.items()
+        if not _is_least_preferred(n, facts)
+    }
+    if _should_wait(progress, now_ms, promotion, facts, preferred):
         return None
-    name = _best(others if len(others) >= facts.needed else sealed, facts)
+    name = _most_up_to_date(
+        preferred if len(preferred) >= facts.needed else sealed, facts
+    )
     return ChoosePrimary(
         group=facts.name,
         to_term=promotion.to_term,
@@ -51,19 +59,22 @@
 def counted_sealed(
     progress: GroupProgress, facts: GroupFacts
 ) -> dict[str, SealedDatabase]:
-    """Return the sealed databases whose data counts for the choice."""
-    counted = {}
+    """Return the sealed databases of the set that still hold their data."""
+    usable = {}
     for name, sealed in progress.sealed.items():
         database = facts.databases.get(name)
         if database is not None and database.data_id != sealed.data_id:
             continue
         if facts.database_set.get(name) == sealed.data_id:
-            counted[name] = sealed
-    return counted
+            usable[name] = sealed
+    return usable
+
 
+def _is_least_preferred(name: str, facts: GroupFacts) -> bool:
+    """Return whether a database is selected only if no other one suffices.
 
-def _is_avoided(name: str, facts: GroupFacts) -> bool:
-    """Tell whether a database is to be replaced rather than chosen."""
+    These are the old primary, unannounced databases and leaving ones.
+    """
     database = facts.databases.get(name)
     return name == facts.primary or database is None or database.leaving
 
@@ -73,12 +84,13 @@
     now_ms: float,
     promotion: RunningPromotion,
     facts: GroupFacts,
-    others: Mapping[str, SealedDatabase],
+    preferred: Mapping[str, SealedDatabase],
 ) -> bool:
-    """Wait a little for further databases that may hold more.
+    """Return whether to wait for more databases, which may hold more writes.
 
-    A dead primary is never worth it: the databases needed for the choice
-    already include every acknowledged write.
+    There is a wait only if loss is accepted or if the primary is leaving and
+    has not failed. Otherwise a wait would prolong the outage, and the quorum
+    already holds every acknowledged write.
     """
     primary = facts.databases.get(facts.primary or '')
     leaving = primary is not None and primary.leaving and not facts.failed
@@ -87,27 +99,33 @@
     missing = [
         name
         for name, database in facts.databases.items()
-        if name not in others
+        if name not in preferred
         and database.connected
-        and is_counted(facts, database)
-        and not _is_avoided(name, facts)
+        and is_in_database_set(facts, database)
+        and not _is_least_preferred(name, facts)
     ]
     since_ms = progress.enough_since_ms or now_ms
     return bool(missing) and now_ms < since_ms + CHOICE_GRACE_MS
 
 
-def _best(candidates: Mapping[str, SealedDatabase], facts: GroupFacts) -> str:
+def _most_up_to_date(
+    candidates: Mapping[str, SealedDatabase], facts: GroupFacts
+) -> str:
     return max(
         sorted(candidates),
         key=lambda name: (
             candidates[name].received,
-            not _is_avoided(name, facts),
+            not _is_least_preferred(name, facts),
         ),
     )
 
 
 def missing_databases(driver: PromotionDriver, facts: GroupFacts) -> list[str]:
-    """Return the databases that a blocked promotion has not heard."""
+    """Return the databases that a promotion has not sealed yet.
+
+    The list is empty unless a promotion is running without a selected
+    upstream.
+    """
     if facts.promotion is None or facts.promotion.upstream is not None:
         return []
     sealed = counted_sealed(progress_of(driver, facts.name), facts)
--- a/jackdawpost/core/control/promotion_facts.py
+++ b/jackdawpost/core/control/promotion_facts.py
@@ -1,4 +1,8 @@
-"""Facts about a group and progress of its promotion under one leader."""
+"""Inputs and state of the promotion driver.
+
+`GroupFacts` is what the control leader knows about a group at present.
+`GroupProgress` is what the leader remembers between two calls of the driver.
+"""
 
 from __future__ import annotations
 
@@ -12,16 +16,23 @@
 
 @dataclass(slots=True, kw_only=True)
 class Database:
-    """A joined upstream as it last announced itself.
+    """A joined upstream as of its last announcement.
 
     Parameters
     ----------
+    term : int
+        Newest term that it knows.
+    leads : bool
+        It is the primary in `term`.
+    received : LogPosition
+        Last position that it has received.
     session : int
-        Announcing connection; a new one calls for a new `follow`.
+        Connection of the announcement. A new connection requires another
+        follow request.
     last_contact_ms : float
         Time of the announcement.
     connected : bool
-        The announcing connection is open.
+        The connection of the announcement is open.
     """
 
     name: str
@@ -39,7 +50,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class RunningPromotion:
-    """Promotion under way as committed; `upstream` is the choice."""
+    """Running promotion as committed to the log.
+
+    Parameters
+    ----------
+    from_term, to_term : int
+        Term of the replaced primary and of the new one.
+    accept_loss : bool
+        An operator allows the loss of acknowledged writes.
+    upstream, data_id : str, optional
+        Name and data identity of the selected upstream; `upstream` is None
+        until one is selected.
+    """
 
     from_term: int
     to_term: int
@@ -50,21 +72,32 @@
 
 @dataclass(slots=True, kw_only=True)
 class GroupFacts:
-    """What the leader knows about a group now.
+    """Present state of a group as known to the control leader.
 
     Parameters
     ----------
     size : int
-        Databases that the group should have.
+        Number of databases configured for the group.
     needed : int
-        Databases of the set that must be heard, so that at least one of
-        them holds each acknowledged write.
-    databases : dict of str to Database
+        Quorum of a promotion: any `needed` databases of the set include one
+        that holds each acknowledged write.
+    term : int
+        Term of the latest finished promotion.
+    last_term : int
+        Highest term used by any promotion.
+    primary : str, optional
+        Primary in `term`.
+    database_set : mapping of str to str
+        Data identity by name of the databases in the database set.
+    promotion : RunningPromotion, optional
+        Running promotion.
+    databases : mapping of str to Database
         Joined upstreams of the group that have announced themselves.
-    lease_holders : dict of str to float
-        Proxies that may acknowledge writes of the replaced term.
+    lease_holders : mapping of str to float
+        Proxies that may acknowledge writes in the replaced term, with the
+        end of their leases.
     failed : str
-        Why the primary must be replaced, empty if it need not be.
+        Reason why the primary must be replaced; empty if there is none.
     """
 
     name: str
@@ -82,7 +115,20 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AdminRequest:
-    """Admin request that an upstream has to answer."""
+    """Admin request to an upstream.
+
+    Parameters
+    ----------
+    term : int
+        Term in which the upstream is to be sealed, lead or follow.
+    host, port : str, int
+        Address of the upstream.
+    primary, primary_host, primary_port : str, str, int
+        Primary to follow and its address; only set for ``'follow'``.
+    session : int
+        Connection of the upstream's announcement; only set for
+        ``'follow'``.
+    """
 
     group: str
     upstream: str
@@ -98,7 +144,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SealedDatabase:
-    """What a sealed database holds."""
+    """Data identity and last received position of a sealed database."""
 
     data_id: str
     received: LogPosition
@@ -106,34 +152,44 @@
 
 @dataclass(slots=True, kw_only=True)
 class GroupProgress:
-    """Progress of one group under this leader.
+    """Progress of one group under the present leader.
 
     Parameters
     ----------
     highest_term : int
-        Highest term seen anywhere; a new promotion starts above it.
+        Highest term reported or used so far. A new promotion gets a higher
+        one.
     busy : bool
-        A command of this group is in the log and not yet applied.
+        A command of this group is in the log but has not been applied.
     restart : str
-        Reason to start another promotion, empty if there is none.
+        Reason to start another promotion; empty if there is none.
     retry_at_ms : float
         Earliest time of the next command after a refused one.
+    accept_loss : bool
+        An operator allows the loss of acknowledged writes.
     sealed_term : int
-        Promotion that `sealed` and the following fields belong to.
+        Term of the promotion to which the fields from `sealed` to
+        `outdated` belong.
+    sealed : dict of str to SealedDatabase
+        Databases that have been sealed, by name.
     enough_since_ms : float, optional
-        Time since which enough databases have been heard.
+        Time since which a quorum of databases has been sealed.
     chosen_since_ms : float, optional
-        Time since which the chosen database has been asked to lead.
+        Time at which the time-out of the selected database started.
+    promoted : bool
+        The selected database leads.
     outdated : bool
-        A database knows a term above that of the promotion.
+        A database knows a newer term than that of the promotion.
     finished_ms : float, optional
-        Time at which this leader last promoted a database that leaves.
+        Time at which this leader last promoted a leaving database.
+    followed : set of AdminRequest
+        Follow requests that upstreams have accepted.
     joined_ms : dict
-        Name, data and term of a database outside the set to the time at
-        which this leader first saw it joined.
+        Time at which this leader first saw a joined database outside the
+        set, by name, data identity and term.
     targets : dict
-        The same keys to the position that the database must reach to be
-        admitted: one of the primary that was heard after that time.
+        Position that such a database must reach to be admitted, by the same
+        keys. It was reported by the primary after the time in `joined_ms`.
     """
 
     highest_term: int = 0
@@ -161,9 +217,12 @@
 
     Parameters
     ----------
-    refused_ms, silent_ms : float
-        Time after which a chosen database that refuses connections or does
-        not answer is given up.
+    refused_ms : float
+        Time-out for a selected database that refuses connections.
+    silent_ms : float
+        Time-out for a selected database that does not answer.
+    groups : dict of str to GroupProgress
+        Progress by group.
     """
 
     refused_ms: float
@@ -172,10 +231,10 @@
 
 
 def progress_of(driver: PromotionDriver, group: str) -> GroupProgress:
-    """Return the progress of a group, creating it if need be."""
+    """Return the progress of a group; it is created if there is none."""
     return driver.groups.setdefault(group, GroupProgress())
 
 
-def is_counted(facts: GroupFacts, database: Database) -> bool:
-    """Tell whether a database holds the data of the group's set."""
+def is_in_database_set(facts: GroupFacts, database: Database) -> bool:
+    """Return whether a database is in the set with its data identity."""
     return facts.database_set.get(database.name) == database.data_id
