Say in the tests of the control state which failure each guards against

Ruled out: Driver and build_group of machine_driver.py, which tests of other folders import. Change: wording and names in machine_driver.py, test_machine.py, test_membership.py and test_promotion_steps.py. Every test and assertion is there as before.

--- a/jackdawpost/tests/core/control/machine_driver.py
+++ b/jackdawpost/tests/core/control/machine_driver.py
@@ -1,4 +1,4 @@
-"""Short forms for driving a control machine in tests."""
+"""Helpers that apply commands to the replicated state in tests."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Driver:
-    """A machine whose commands pass through the log encoding."""
+    """State machine whose commands are encoded and decoded as in the log."""
 
     def __init__(self):
         self.machine = new_machine()
--- a/jackdawpost/tests/core/control/test_machine.py
+++ b/jackdawpost/tests/core/control/test_machine.py
@@ -1,4 +1,4 @@
-"""Determinism, snapshots and deltas of the replicated state."""
+"""Determinism, snapshots and deltas of the replicated control state."""
 
 from __future__ import annotations
 
@@ -106,7 +106,7 @@
         accept_loss=st.booleans(),
     ),
     PROMOTION_STEPS,
-    # Twice, since a promotion needs both steps in order to get anywhere.
+    # Listed twice because a promotion ends only after both steps.
     PROMOTION_STEPS,
     st.builds(
         AbandonPromotion, group=GROUPS, to_term=TERMS, reason=st.just('')
@@ -120,7 +120,7 @@
 )
 
 
-def _start():
+def _driver_with_group():
     driver = Driver()
     driver.change('g', create('group', 'g', databases=3))
     for name in ('a', 'b', 'c'):
@@ -128,10 +128,11 @@
     return driver
 
 
-def _fit(machine, command):
+def _match_state(machine, command):
     """Return the command with terms and identities of the current state.
 
-    Independent random values hardly ever get past the first check.
+    Commands with independent random values nearly always fail the first
+    check.
     """
     fields = {}
     group = machine.groups.get(getattr(command, 'group', None))
@@ -157,55 +158,59 @@
     return dataclasses.replace(command, **fields)
 
 
-def _fit_most(driver, step):
-    command, spread = step
-    if spread == 0 or isinstance(command, AnnounceMember):
+def _match_state_mostly(driver, step):
+    command, choice = step
+    if choice == 0 or isinstance(command, AnnounceMember):
         return command
-    return _fit(driver.machine, command)
+    return _match_state(driver.machine, command)
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(STEPS, st.integers(0, 20))
-def test_any_commands_give_equal_states_and_correct_deltas(steps, cut):
-    """Guard against replicas that differ and proxies with a wrong state.
+def test_any_commands_produce_equal_states_and_correct_deltas(
+    steps, restart_at
+):
+    """Guard against diverging replicas and proxies with a wrong state.
 
-    One replica restarts from a snapshot in between. One proxy gets each
-    delta, another everything since `cut` at once; both must equal a full
-    update, and no object may be published late.
+    One replica restarts from a snapshot after step `restart_at`. One proxy
+    receives every delta, another a single delta since that step. Both must
+    equal a full update, and no object may be published late.
     """
-    driver, restarted = _start(), _start()
-    steady, late = PublishedState(), PublishedState()
+    driver, restarted = _driver_with_group(), _driver_with_group()
+    every_delta, one_delta = PublishedState(), PublishedState()
     for number, step in enumerate(steps):
         before = driver.machine.version
-        command = _fit_most(driver, step)
+        command = _match_state_mostly(driver, step)
         applied = driver.run(command)
         assert applied.changed == (driver.machine.version > before)
-        if number == cut:
+        if number == restart_at:
             snapshot = encode_snapshot(restarted.machine)
             restarted.machine = decode_snapshot(snapshot)
-            apply_update(late, update_since(driver.machine, 0))
+            apply_update(one_delta, update_since(driver.machine, 0))
         restarted.run(command)
         assert apply_update(
-            steady, update_since(driver.machine, steady.version)
+            every_delta, update_since(driver.machine, every_delta.version)
         )
     assert encode_snapshot(restarted.machine) == encode_snapshot(
         driver.machine
     )
-    assert apply_update(late, update_since(driver.machine, late.version))
-    fresh = PublishedState()
-    assert apply_update(fresh, update_since(driver.machine, 0))
-    assert steady == late == fresh
+    assert apply_update(
+        one_delta, update_since(driver.machine, one_delta.version)
+    )
+    full_update = PublishedState()
+    assert apply_update(full_update, update_since(driver.machine, 0))
+    assert every_delta == one_delta == full_update
     assert not publish_changes(driver.machine, all_keys(driver.machine))
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(STEPS)
-def test_terms_only_grow_and_only_members_are_published(steps):
-    """Guard against two primaries in one term and against strangers."""
-    driver = _start()
+def test_terms_never_decrease_and_only_members_are_published(steps):
+    """Guard against two primaries in a term and unapproved members."""
+    driver = _driver_with_group()
     terms = {}
     for step in steps:
-        driver.run(_fit_most(driver, step))
+        driver.run(_match_state_mostly(driver, step))
         machine = driver.machine
         for name, group in {
             **machine.groups,
@@ -226,7 +231,7 @@
 
 
 def test_process_that_missed_a_thousand_changes_gets_a_delta():
-    # Guards against full updates for everybody after a short isolation.
+    # Guards against full updates for all proxies after a short partition.
     driver = Driver()
     driver.change('g', create('group', 'g', databases=3))
     proxy = PublishedState()
@@ -242,10 +247,10 @@
     assert proxy.version == 1_001 and proxy.rules == {}
 
 
-def test_version_older_than_the_kept_removals_gets_the_full_state(
+def test_version_older_than_the_tombstones_gets_the_full_state(
     monkeypatch,
 ):
-    # Guards against deleted objects that stay in force on a proxy (H9).
+    # Guards against deleted objects that stay in force on a proxy.
     monkeypatch.setattr(publication, 'MAX_TOMBSTONES', 2)
     driver = Driver()
     driver.change('g', create('group', 'g', databases=3))
@@ -272,8 +277,8 @@
         b'1',
     ],
 )
-def test_unreadable_snapshot_is_reported(data):
-    # Guards against starting with an empty state after damage.
+def test_invalid_snapshot_raises_storage_error(data):
+    # Guards against starting with an empty state after a corruption.
     with pytest.raises(StorageError):
         decode_snapshot(data)
 
@@ -281,7 +286,8 @@
 @pytest.mark.parametrize(
     'value', [7, {'kind': 'x'}, {'kind': 'finish_promotion'}]
 )
-def test_unreadable_command_is_reported(value):
-    # Guards against a crash with an error outside the exception tree.
+def test_invalid_command_raises_protocol_error(value):
+    # Guards against an exception that is not derived from those of this
+    # package and ends the process.
     with pytest.raises(ProtocolError):
         decode_command(cbor2.dumps(value))
--- a/jackdawpost/tests/core/control/test_membership.py
+++ b/jackdawpost/tests/core/control/test_membership.py
@@ -1,4 +1,4 @@
-"""Joins that must wait, and identities that must not be mixed up."""
+"""Approvals that a join needs, and identities that share a name."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from jackdawpost.tests.core.control.machine_driver import Driver
 
 
-def _two_members():
+def _driver_with_two_members():
     driver = Driver()
     driver.join('proxy-1', 'p1')
     driver.join('proxy-2', 'p2')
@@ -22,16 +22,17 @@
 
 
 def test_first_member_needs_no_approval_and_the_second_does():
-    # Guards against a deployment that can never start, or that is open.
+    # Guards against a deployment that can never start, and against one that
+    # any instance can join.
     driver = Driver()
     assert driver.announce('proxy-1', 'p1').joined == ['proxy-1']
     assert driver.announce('proxy-2', 'p2').joined == []
     assert driver.approve('proxy-1', 'proxy-2').joined == ['proxy-2']
 
 
-def test_one_missing_approval_keeps_a_newcomer_out():
-    # Guards against a join by majority (H10).
-    driver = _two_members()
+def test_newcomer_needs_the_approval_of_every_member():
+    # Guards against a join that only a majority of the members approves.
+    driver = _driver_with_two_members()
     driver.announce('proxy-3', 'p3')
     driver.approve('proxy-1', 'proxy-3')
     driver.approve('proxy-1', 'proxy-3')
@@ -49,9 +50,9 @@
         {'member': 'unknown'},
     ],
 )
-def test_approval_of_or_by_another_identity_does_not_count(fields):
-    # Guards against approvals that were given for a former instance.
-    driver = _two_members()
+def test_approval_of_or_by_another_identity_is_refused(fields):
+    # Guards against counting approvals of, or by, a former instance.
+    driver = _driver_with_two_members()
     driver.announce('proxy-3', 'p3')
     driver.approve('proxy-1', 'proxy-3')
     before = driver.state_without_index()
@@ -71,7 +72,7 @@
 @pytest.mark.parametrize('reason', ['left', 'expired', 'operator'])
 def test_removal_of_the_last_missing_member_joins_the_newcomer(reason):
     # Guards against a newcomer that waits forever for a dead member.
-    driver = _two_members()
+    driver = _driver_with_two_members()
     driver.announce('proxy-3', 'p3')
     driver.approve('proxy-1', 'proxy-3')
     applied = driver.remove('proxy-2', 'p2', reason)
@@ -79,9 +80,10 @@
     assert sorted(driver.machine.members) == ['proxy-1', 'proxy-3']
 
 
-def test_approval_of_a_removed_member_does_not_count_when_it_returns():
-    # Guards against an approval given before the member lost its state.
-    driver = _two_members()
+def test_approval_by_a_removed_member_is_discarded():
+    # Guards against counting an approval from before the member lost its
+    # state.
+    driver = _driver_with_two_members()
     driver.announce('proxy-3', 'p3')
     driver.approve('proxy-2', 'proxy-3')
     driver.remove('proxy-2', 'p2', 'expired')
@@ -92,9 +94,9 @@
 
 
 def test_pending_newcomers_need_the_one_that_joined_before_them():
-    # Guards against two newcomers that join at once without approving each
-    # other, also when a removal releases both.
-    driver = _two_members()
+    # Guards against two newcomers that join at the same time without an
+    # approval by the other one, also when one removal enables both joins.
+    driver = _driver_with_two_members()
     for name in ('proxy-3', 'proxy-4'):
         driver.announce(name, f'id-{name}')
         driver.approve('proxy-1', name)
@@ -103,9 +105,9 @@
     assert driver.approve('proxy-3', 'proxy-4').joined == ['proxy-4']
 
 
-def test_restart_with_the_same_identity_is_no_newcomer():
-    # Guards against work withheld from an instance that only moved.
-    driver = _two_members()
+def test_restart_with_the_same_identity_stays_a_member():
+    # Guards against withholding work from a member whose address changed.
+    driver = _driver_with_two_members()
     applied = driver.announce('proxy-2', 'p2', host='127.0.0.2')
     assert applied.changed and not driver.machine.newcomers
     body = driver.machine.published['member/proxy-2'].body
@@ -113,8 +115,9 @@
 
 
 def test_same_name_with_another_identity_waits_for_the_removal():
-    # Guards against a stranger that takes over a member's name and address.
-    driver = _two_members()
+    # Guards against an unapproved instance that takes over the name and
+    # address of a member.
+    driver = _driver_with_two_members()
     driver.announce('proxy-2', 'other', host='127.0.0.9')
     driver.approve('proxy-1', 'proxy-2')
     body = driver.machine.published['member/proxy-2'].body
@@ -123,9 +126,9 @@
     assert driver.machine.members['proxy-2'].member_id == 'other'
 
 
-def test_late_removal_of_an_old_identity_spares_its_successor():
-    # Guards against a repeated removal that hits the replacement.
-    driver = _two_members()
+def test_late_removal_of_an_old_identity_keeps_the_new_one():
+    # Guards against a repeated removal that removes the replacement.
+    driver = _driver_with_two_members()
     driver.remove('proxy-2', 'p2', 'expired')
     driver.join('proxy-2', 'new')
     applied = driver.remove('proxy-2', 'p2', 'expired')
@@ -134,19 +137,19 @@
 
 
 def test_leaving_is_published_and_still_needs_to_approve():
-    # Guards against new work for a leaving member (H7), and against a join
-    # that skips a member which has not left yet (H10).
-    driver = _two_members()
-    mark = MarkLeaving(name='proxy-2', member_id='p2', leaving=True)
-    assert driver.run(mark).changed
-    assert not driver.run(mark).changed
+    # Guards against new work for a leaving member, and against a join without
+    # the approval of a member that has not left yet.
+    driver = _driver_with_two_members()
+    mark_leaving = MarkLeaving(name='proxy-2', member_id='p2', leaving=True)
+    assert driver.run(mark_leaving).changed
+    assert not driver.run(mark_leaving).changed
     body = driver.machine.published['member/proxy-2'].body
     assert body['state'] == 'leaving'
     driver.announce('proxy-3', 'p3')
     assert driver.approve('proxy-1', 'proxy-3').joined == []
 
 
-def test_upstream_of_an_unexpected_group_is_refused():
+def test_upstream_of_an_unconfigured_group_is_refused():
     # Guards against a database that serves another group's data.
     driver = build_group(databases=())
     driver.change(
@@ -162,8 +165,8 @@
 
 
 def test_pending_join_survives_a_snapshot():
-    # Guards against asking all members again after a restart.
-    driver = _two_members()
+    # Guards against asking all members for approval again after a restart.
+    driver = _driver_with_two_members()
     driver.announce('proxy-3', 'p3')
     driver.approve('proxy-1', 'proxy-3')
     driver.machine = decode_snapshot(encode_snapshot(driver.machine))
--- a/jackdawpost/tests/core/control/test_promotion_steps.py
+++ b/jackdawpost/tests/core/control/test_promotion_steps.py
@@ -1,4 +1,4 @@
-"""Promotions interrupted at each step, and databases that count or not."""
+"""Promotions interrupted at each step, and the database set of a group."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
     return AbandonPromotion(group='orders', to_term=to_term, reason='late')
 
 
-def _led_group():
+def _group_with_primary():
     driver = build_group()
     for command in (_start(0, 1), _choose(1, 'db-1'), _finish(1)):
         assert driver.run(command).answer is None
@@ -57,8 +57,8 @@
 
 
 def test_no_primary_is_published_while_a_promotion_runs():
-    # Guards against proxies that write to a primary being replaced (H2).
-    driver = _led_group()
+    # Guards against proxies that write to a primary which is being replaced.
+    driver = _group_with_primary()
     assert _published(driver) == (1, 'db-1')
     assert driver.run(_start(1, 2)).changed
     assert _published(driver) == (1, None)
@@ -72,15 +72,15 @@
 
 
 @pytest.mark.parametrize('done', [0, 1, 2, 3])
-def test_commands_that_do_not_fit_the_step_have_no_effect(done):
-    # Guards against a repeated command or one of a former leader, and
-    # against steps lost by a new leader that restores a snapshot.
-    driver = _led_group()
+def test_commands_for_another_step_are_refused(done):
+    # Guards against effects of a repeated command or one of a former leader,
+    # and against a step that a snapshot does not contain.
+    driver = _group_with_primary()
     for command in STEPS[:done]:
         assert driver.run(command).answer is None
     driver.machine = decode_snapshot(encode_snapshot(driver.machine))
     before = driver.state_without_index()
-    misfits = [
+    refused_commands = [
         *STEPS[:done],
         *STEPS[done + 1 :],
         _start(0, 5),
@@ -91,8 +91,8 @@
         _abandon(3),
     ]
     if done:
-        misfits.append(_start(1, 3))
-    for command in misfits:
+        refused_commands.append(_start(1, 3))
+    for command in refused_commands:
         applied = driver.run(command)
         assert applied.answer is not None and not applied.changed, command
         assert driver.state_without_index() == before, command
@@ -102,8 +102,8 @@
 
 
 def test_abandoned_term_is_never_used_again():
-    # Guards against a second primary in a term that upstreams are sealed in.
-    driver = _led_group()
+    # Guards against a second primary in a term in which upstreams are sealed.
+    driver = _group_with_primary()
     driver.run(_start(1, 2))
     assert driver.run(_abandon(2)).changed
     assert _published(driver) == (1, 'db-1')
@@ -112,9 +112,9 @@
 
 
 def test_abandoning_after_the_choice_leaves_no_primary():
-    # Guards against the old primary coming back although the chosen one may
-    # lead already.
-    driver = _led_group()
+    # Guards against publishing the old primary again although the chosen
+    # upstream may already lead.
+    driver = _group_with_primary()
     driver.run(_start(1, 2))
     driver.run(_choose(2, 'db-2'))
     driver.run(_abandon(2))
@@ -132,18 +132,18 @@
         ('db-4', None, 'not_in_set'),
     ],
 )
-def test_only_a_counted_database_can_be_chosen(upstream, data_id, code):
-    # Guards against promoting a database without the acknowledged writes.
-    driver = _led_group()
+def test_only_a_database_of_the_set_can_be_chosen(upstream, data_id, code):
+    # Guards against promoting a database that lacks acknowledged writes.
+    driver = _group_with_primary()
     driver.join('db-4', 'db-4-data', 'orders')
     driver.run(_start(1, 2))
     assert driver.run(_choose(2, upstream, data_id)).answer.code == code
 
 
 def test_accepted_loss_allows_a_database_outside_the_set():
-    # Guards against a group that stays without primary when every counted
-    # database is gone for good.
-    driver = _led_group()
+    # Guards against a group without a primary after all databases of its set
+    # have been lost.
+    driver = _group_with_primary()
     driver.join('db-4', 'db-4-data', 'orders')
     driver.run(_start(1, 2, accept_loss=True))
     assert driver.run(_choose(2, 'db-4')).answer is None
@@ -152,26 +152,26 @@
 
 
 def test_accepted_loss_replaces_a_promotion_that_waits_for_databases():
-    # Guards against an operator who is locked out by the waiting promotion,
-    # and against two promotions that choose for the same term.
-    driver = _led_group()
+    # Guards against a waiting promotion that blocks the operator, and against
+    # two promotions that choose a primary for the same term.
+    driver = _group_with_primary()
     driver.run(_start(1, 2))
     assert driver.run(_start(1, 3, accept_loss=True)).answer is None
     assert _published(driver) == (1, None)
     assert driver.run(_choose(2, 'db-2')).answer.code == 'stale_term'
-    again = driver.run(_start(1, 4, accept_loss=True))
-    assert again.answer.code == 'promotion_running'
+    second = driver.run(_start(1, 4, accept_loss=True))
+    assert second.answer.code == 'promotion_running'
     for command in (_choose(3, 'db-3'), _finish(3)):
         assert driver.run(command).answer is None
     driver.run(_start(3, 4))
     driver.run(_choose(4, 'db-2'))
-    late = driver.run(_start(3, 5, accept_loss=True))
-    assert late.answer.code == 'promotion_running'
+    after_choice = driver.run(_start(3, 5, accept_loss=True))
+    assert after_choice.answer.code == 'promotion_running'
 
 
-def test_chosen_upstream_that_expires_is_not_published():
-    # Guards against publishing a primary that nobody can reach.
-    driver = _led_group()
+def test_expired_chosen_upstream_is_not_published():
+    # Guards against publishing an unreachable primary.
+    driver = _group_with_primary()
     driver.run(_start(1, 2))
     driver.run(_choose(2, 'db-2'))
     driver.remove('db-2', 'db-2-data', 'expired')
@@ -179,10 +179,10 @@
     assert driver.run(_abandon(2)).answer is None
 
 
-def test_expiry_keeps_the_set_and_an_operator_shrinks_it():
-    # Guards against a promotion that counts too few databases after an
-    # expiry (lost acknowledged writes).
-    driver = _led_group()
+def test_only_removal_by_an_operator_shrinks_the_set():
+    # Guards against a smaller quorum after an expiry: a promotion could then
+    # lose acknowledged writes.
+    driver = _group_with_primary()
     driver.remove('db-3', 'db-3-data', 'expired')
     group = driver.machine.groups['orders']
     assert sorted(group.database_set) == ['db-1', 'db-2', 'db-3']
@@ -192,8 +192,9 @@
 
 
 def test_operator_cannot_remove_the_primary_or_the_chosen_database():
-    # Guards against giving up the only sure copy of acknowledged writes.
-    driver = _led_group()
+    # Guards against removing the only copy that is known to hold all
+    # acknowledged writes.
+    driver = _group_with_primary()
     applied = driver.remove('db-1', 'db-1-data', 'operator')
     assert applied.answer.code == 'is_primary'
     driver.run(_start(1, 2))
@@ -202,9 +203,10 @@
     assert applied.answer.code == 'promotion_running'
 
 
-def test_wiped_database_counts_only_when_it_has_caught_up():
-    # Guards against counting an empty database for what the old data held.
-    driver = _led_group()
+def test_wiped_database_is_in_the_set_only_after_admission():
+    # Guards against counting a wiped database as a copy of the writes that
+    # its old data held.
+    driver = _group_with_primary()
     driver.remove('db-2', 'db-2-data', 'expired')
     driver.join('db-2', 'wiped', 'orders')
     group = driver.machine.groups['orders']
@@ -216,8 +218,8 @@
 
 
 def test_wiped_primary_is_not_published_under_its_old_name():
-    # Guards against reads and writes on an empty primary.
-    driver = _led_group()
+    # Guards against reads and writes on a wiped primary.
+    driver = _group_with_primary()
     driver.remove('db-1', 'db-1-data', 'expired')
     assert _published(driver) == (1, None)
     driver.join('db-1', 'wiped', 'orders')
@@ -227,17 +229,17 @@
     assert _published(driver) == (1, 'db-1')
 
 
-def test_no_admission_while_a_promotion_counts_the_set():
-    # Guards against a set that grows between sealing and the choice.
-    driver = _led_group()
+def test_no_admission_during_a_promotion():
+    # Guards against a database set that changes between sealing and choice.
+    driver = _group_with_primary()
     driver.join('db-4', 'db-4-data', 'orders')
     driver.run(_start(1, 2))
     applied = driver.admit('orders', 'db-4', 'db-4-data')
     assert applied.answer.code == 'promotion_running'
 
 
-def test_running_promotion_keeps_its_group():
-    # Guards against deleting a group under the leader's hands.
+def test_group_with_a_running_promotion_is_not_deleted():
+    # Guards against deleting a group that the leader is working on.
     driver = build_group(databases=())
     driver.run(_start(0, 1))
     answer = driver.change('a', operation('delete', 'group', 'orders'))
