Say when one database is enough for a first primary

Cause: the description of the check left out the case of accepted loss, and that of the cool-down began with its name instead of its meaning. Ruled out: nothing; two docstrings of promotion.py.

--- a/jackdawpost/core/control/promotion.py
+++ b/jackdawpost/core/control/promotion.py
@@ -158,7 +158,7 @@
     """Return whether enough databases are connected for a first primary.
 
     The first attempt waits for all databases of the group, later attempts
-    only for a quorum.
+    only for a quorum. One database is enough if loss is accepted.
     """
     connected = [d for d in facts.databases.values() if d.connected]
     if progress.accept_loss:
@@ -167,7 +167,7 @@
 
 
 def _is_cooling_down(progress: GroupProgress, now_ms: float) -> bool:
-    """Return whether the cool-down after promoting a leaving database runs.
+    """Return whether a leaving database was promoted within the cool-down.
 
     A leaving database is promoted again if it is the only one that holds
     all writes. The cool-down gives another database time to catch up.
