--- a/bench/proxy_reducer_cost.py
+++ b/bench/proxy_reducer_cost.py
@@ -14,7 +14,7 @@
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.proxy.reducer import reduce_proxy
 from jackdawpost.core.proxy.state import ProxyState
-from jackdawpost.testing.fake_proxy_world import ProxyWorld
+from jackdawpost.testing.proxy_simulation import ProxySimulation
 
 POSITION = LogPosition(1, 10)
 IN_FLIGHT = 4
@@ -40,7 +40,7 @@
 
 
 def measure(
-    name: str, statements: int, world: ProxyWorld, callers: list[int]
+    name: str, statements: int, sim: ProxySimulation, callers: list[int]
 ) -> None:
     """Print the processor time of one kind of statement.
 
@@ -48,20 +48,20 @@
     upstream answers until nothing is left.
     """
     fields = dict(KINDS[name])
-    ask = world.write if fields.pop('access') == 'write' else world.read
+    ask = sim.write if fields.pop('access') == 'write' else sim.read
     watch = Stopwatch()
-    world.reduce = watch.reduce
+    sim.reduce = watch.reduce
     answered = 0
     for at in range(statements):
         conn = callers[at % len(callers)]
         ask(conn, at + 1, **fields)
         if at % IN_FLIGHT != IN_FLIGHT - 1:
             continue
-        while world.work:
-            upstream_conn, message = world.work.pop(0)
-            world.reply(upstream_conn, message, position=POSITION)
-        world.advance(1)
-    for messages in world.answers.values():
+        while sim.statements:
+            upstream_conn, message = sim.statements.pop(0)
+            sim.reply(upstream_conn, message, position=POSITION)
+        sim.advance(1)
+    for messages in sim.answers.values():
         answered += sum(m.outcome == 'done' for m in messages)
         messages.clear()
     print(
@@ -74,11 +74,11 @@
     """Measure writes, fresh reads and stale reads."""
     statements = int(sys.argv[1]) if len(sys.argv) > 1 else 20_000
     count = int(sys.argv[2]) if len(sys.argv) > 2 else 5_300
-    world = ProxyWorld()
-    world.start()
-    callers = [world.caller() for _ in range(count)]
+    sim = ProxySimulation()
+    sim.start()
+    callers = [sim.connect_caller() for _ in range(count)]
     for name in KINDS:
-        measure(name, statements, world, callers)
+        measure(name, statements, sim, callers)
 
 
 if __name__ == '__main__':
--- a/jackdawpost/core/proxy/admission.py
+++ b/jackdawpost/core/proxy/admission.py
@@ -18,11 +18,11 @@
 # A request that would start this late in its deadline has no time left to
 # run; queueing it would only push others past theirs.
 USABLE_DEADLINE_SHARE = 0.8
-MAX_GONE_SHARE = 4
-_RATE_WEIGHT = 0.05
+MAX_LANE_RATIO = 4
+_INTERVAL_WEIGHT = 0.05
 
 
-class Queued(Protocol):
+class QueueItem(Protocol):
     """What the queue needs to know about a request.
 
     Attributes
@@ -40,7 +40,7 @@
     queued: bool
 
 
-Q = TypeVar('Q', bound=Queued)
+Q = TypeVar('Q', bound=QueueItem)
 
 
 class AdmissionQueue(Generic[Q]):
@@ -52,14 +52,20 @@
         Requests that may wait.
     """
 
-    __slots__ = ('limit', '_lanes', '_counts', '_pop_ms', '_interval_ms')
+    __slots__ = (
+        'limit',
+        '_lanes',
+        '_counts',
+        '_last_pop_ms',
+        '_mean_pop_interval_ms',
+    )
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self._lanes: tuple[deque[Q], ...] = tuple(deque() for _ in PRIORITIES)
         self._counts = [0 for _ in PRIORITIES]
-        self._pop_ms = -math.inf
-        self._interval_ms = 0.0
+        self._last_pop_ms = -math.inf
+        self._mean_pop_interval_ms = 0.0
 
     def __len__(self) -> int:
         return sum(self._counts)
@@ -68,7 +74,7 @@
         """Return how many requests of one priority wait."""
         return self._counts[priority]
 
-    def rejects(self, item: Q, now_ms: float) -> int | None:
+    def retry_delay_ms(self, item: Q, now_ms: float) -> int | None:
         """Tell whether a new request has to be rejected.
 
         Returns
@@ -87,7 +93,7 @@
         bounded = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         return int(bounded)
 
-    def displace(self, priority: int) -> Q | None:
+    def evict_lower_priority(self, priority: int) -> Q | None:
         """Remove the newest request of a lower priority, if any.
 
         Lets a write enter a full queue in place of a read.
@@ -101,14 +107,14 @@
                     return item
         return None
 
-    def push(self, item: Q, first: bool = False) -> None:
-        """Add a request; `first` puts it ahead of its priority."""
+    def push(self, item: Q, at_front: bool = False) -> None:
+        """Add a request; `at_front` puts it ahead of its priority."""
         lane = self._lanes[item.priority]
-        if len(lane) > MAX_GONE_SHARE * self._counts[item.priority] + 64:
-            self._drop_gone(item.priority)
+        if len(lane) > MAX_LANE_RATIO * self._counts[item.priority] + 64:
+            self._compact_lane(item.priority)
         item.queued = True
         self._counts[item.priority] += 1
-        if first:
+        if at_front:
             lane.appendleft(item)
         else:
             lane.append(item)
@@ -134,7 +140,7 @@
         self._lanes[priority].popleft()
         item.queued = False
         self._counts[priority] -= 1
-        self._note_pop(now_ms)
+        self._record_pop(now_ms)
         return item
 
     def remove(self, item: Q) -> None:
@@ -143,7 +149,7 @@
             item.queued = False
             self._counts[item.priority] -= 1
 
-    def drain_items(self) -> list[Q]:
+    def pop_all(self) -> list[Q]:
         """Take all requests out of the queue."""
         items = [i for lane in self._lanes for i in lane if i.queued]
         for item in items:
@@ -152,28 +158,28 @@
             lane.clear()
         return items
 
-    def forget_rate(self) -> None:
+    def reset_rate(self) -> None:
         """Drop the estimated rate, as after a pause without primary."""
-        self._interval_ms = 0.0
-        self._pop_ms = -math.inf
+        self._mean_pop_interval_ms = 0.0
+        self._last_pop_ms = -math.inf
 
-    def _drop_gone(self, priority: int) -> None:
+    def _compact_lane(self, priority: int) -> None:
         # While nothing is taken out, expired requests would pile up.
         lane = self._lanes[priority]
         kept = [i for i in lane if i.queued and i.priority == priority]
         lane.clear()
         lane.extend(kept)
 
-    def _note_pop(self, now_ms: float) -> None:
+    def _record_pop(self, now_ms: float) -> None:
         if len(self):
-            gap_ms = now_ms - self._pop_ms
+            gap_ms = now_ms - self._last_pop_ms
             if gap_ms < MAX_RETRY_AFTER_MS:
-                change = gap_ms - self._interval_ms
-                self._interval_ms += _RATE_WEIGHT * change
-            self._pop_ms = now_ms
+                change = gap_ms - self._mean_pop_interval_ms
+                self._mean_pop_interval_ms += _INTERVAL_WEIGHT * change
+            self._last_pop_ms = now_ms
         else:
-            self._pop_ms = -math.inf
+            self._last_pop_ms = -math.inf
 
     def _expected_wait_ms(self, priority: int) -> float:
         ahead = sum(self._counts[: priority + 1])
-        return ahead * self._interval_ms
+        return ahead * self._mean_pop_interval_ms
--- a/jackdawpost/core/proxy/answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -34,7 +34,7 @@
 
 Source = Literal['primary', 'replica']
 
-_DURATIONS = {
+_DURATION_METRICS = {
     'done': 'request_done_ms',
     'not_run': 'request_not_run_ms',
     'unknown': 'request_unknown_ms',
@@ -43,7 +43,7 @@
 CONFIRMED_ALL = LogPosition(1 << 62, 0)
 CONFIRMED_NONE = LogPosition(-1, 0)
 
-MESSAGES = {
+ERROR_MESSAGES = {
     'deadline': 'the deadline passed before an answer was complete',
     'connection_lost': 'the connection to the upstream was lost',
     'lease_lost': 'the right to acknowledge for the primary was lost',
@@ -67,7 +67,9 @@
     caller = state.callers.get(req.caller)
     if caller is None:
         return
-    observe(state, _DURATIONS[answer.outcome], state.now_ms - req.arrived_ms)
+    observe(
+        state, _DURATION_METRICS[answer.outcome], state.now_ms - req.arrived_ms
+    )
     del caller.requests[req.message.id]
     send(state, req.caller, answer)
 
@@ -85,8 +87,8 @@
     ``'not_run'`` becomes ``'unknown'`` if an earlier attempt may have taken
     effect, so that callers must not rely on a refusal of a later one.
     """
-    text = message or MESSAGES.get(code, code)
-    if outcome == 'not_run' and req.sent_term >= 0:
+    text = message or ERROR_MESSAGES.get(code, code)
+    if outcome == 'not_run' and req.uncertain_term >= 0:
         outcome = 'unknown'
         if code not in ('deadline', 'not_durable'):
             text = f'an earlier attempt may have run; last refusal: {text}'
@@ -119,7 +121,7 @@
         except TokenError:
             # Room was checked on admission; only a group added meanwhile
             # gets here. Without its token the write must not be answered.
-            req.sent_term = max(req.sent_term, req.term)
+            req.uncertain_term = max(req.uncertain_term, req.term)
             finish_error(state, req, 'not_run', 'not_durable')
             return
         session = encode_token(token)
@@ -137,7 +139,7 @@
     finish(state, req, answer)
 
 
-def enqueue(state: ProxyState, req: Request, first: bool = False) -> None:
+def enqueue(state: ProxyState, req: Request, at_front: bool = False) -> None:
     """Put a request into the queue of its group."""
     group = state.groups.get(req.group)
     if group is None:
@@ -147,11 +149,11 @@
         finish_error(state, req, 'not_run', 'control_unreachable')
         return
     req.phase = 'queued'
-    group.queue.push(req, first)
-    state.dirty.add(req.group)
+    group.queue.push(req, at_front)
+    state.groups_to_dispatch.add(req.group)
 
 
-def delay(state: ProxyState, req: Request) -> None:
+def retry_later(state: ProxyState, req: Request) -> None:
     """Queue a request again after a pause that grows with attempts."""
     req.phase = 'delayed'
     due_ms = state.now_ms + backoff_ms(req.attempts, state.rng)
@@ -161,41 +163,41 @@
 def requeue_delayed(state: ProxyState, req: Request) -> None:
     """Queue a request whose pause is over."""
     if req.phase == 'delayed':
-        enqueue(state, req, first=True)
+        enqueue(state, req, at_front=True)
 
 
-def lose_attempt(state: ProxyState, req: Request, code: str) -> None:
+def retry_or_fail(state: ProxyState, req: Request, code: str) -> None:
     """Handle an attempt whose effect is unknown.
 
     It is made again only if that is harmless (a read, an idempotent write,
     or one with a request key) and deadline and retry budget allow it.
     """
     if req.txn is not None:
-        _lose_in_transaction(state, req, code)
+        _fail_in_transaction(state, req, code)
         return
     if not isinstance(req.message, Begin):
-        req.sent_term = max(req.sent_term, req.term)
+        req.uncertain_term = max(req.uncertain_term, req.term)
     group = state.groups.get(req.group)
     if req.caller not in state.callers or group is None:
         finish_error(state, req, 'unknown', code)
         return
     out_of_time = req.due_ms <= state.now_ms
-    alone = state.now_ms >= state.leases.config_until_ms
-    if out_of_time or alone or not _is_repeatable(req):
+    is_isolated = state.now_ms >= state.leases.config_until_ms
+    if out_of_time or is_isolated or not _is_safe_to_retry(req):
         finish_error(state, req, 'unknown', code)
         return
-    if not group.budget.try_spend():
+    if not group.retry_budget.try_spend():
         count(state, 'retry_budget_exhausted')
         finish_error(state, req, 'unknown', code)
         return
     count(state, 'retries')
     if req.attempts > 1:
-        delay(state, req)
+        retry_later(state, req)
     else:
-        enqueue(state, req, first=True)
+        enqueue(state, req, at_front=True)
 
 
-def _lose_in_transaction(state: ProxyState, req: Request, code: str) -> None:
+def _fail_in_transaction(state: ProxyState, req: Request, code: str) -> None:
     # Only a commit that may have been read leaves doubt: anything else is
     # rolled back by the upstream once the connection has ended.
     if isinstance(req.message, Commit):
@@ -208,7 +210,7 @@
         finish_error(state, req, 'not_run', 'transaction_lost')
 
 
-def lose_transaction(state: ProxyState, txn: Transaction) -> None:
+def on_transaction_lost(state: ProxyState, txn: Transaction) -> None:
     """Note that a transaction has been rolled back by its upstream.
 
     The caller's handle stays known, so that later statements are told of
@@ -224,7 +226,7 @@
         finish_error(state, req, 'not_run', 'transaction_lost')
 
 
-def _is_repeatable(req: Request) -> bool:
+def _is_safe_to_retry(req: Request) -> bool:
     message = req.message
     if isinstance(message, Begin):
         # A transaction that nobody knows of is rolled back.
@@ -236,27 +238,30 @@
     return message.request_key is not None
 
 
-def refuse_attempt(
-    state: ProxyState, req: Request, executed: Executed, current: bool
+def finish_refused(
+    state: ProxyState,
+    req: Request,
+    executed: Executed,
+    from_current_primary: bool,
 ) -> None:
     """Answer a request that its upstream refused for good.
 
     Parameters
     ----------
-    current : bool
+    from_current_primary : bool
         The refusal comes from the current primary under a valid lease. In
         a higher term than that of every earlier attempt, it has looked for
         the request key in a history that those can no longer enter.
     """
     code: str = executed.code or 'malformed'
-    keyed = getattr(req.message, 'request_key', None) is not None
+    has_request_key = getattr(req.message, 'request_key', None) is not None
     if (
         code == 'statement_failed'
-        and keyed
-        and current
-        and req.sent_term < req.term
+        and has_request_key
+        and from_current_primary
+        and req.uncertain_term < req.term
     ):
-        req.sent_term = -1
+        req.uncertain_term = -1
     if code == 'timeout':
         code = 'deadline'
     elif code == 'history_lost':
@@ -264,21 +269,23 @@
     finish_error(state, req, 'not_run', code, executed.message or '')
 
 
-def redirect_read(state: ProxyState, req: Request, ran: bool) -> None:
+def redirect_to_primary(
+    state: ProxyState, req: Request, was_executed: bool
+) -> None:
     """Send a read that a replica could not serve to the primary.
 
     Parameters
     ----------
-    ran : bool
+    was_executed : bool
         The replica ran it, but the result was too old.
     """
-    if ran:
-        req.sent_term = max(req.sent_term, req.term)
+    if was_executed:
+        req.uncertain_term = max(req.uncertain_term, req.term)
     req.priority = FRESH_READ
-    enqueue(state, req, first=True)
+    enqueue(state, req, at_front=True)
 
 
-def settle_done(
+def on_statement_done(
     state: ProxyState,
     group: Group,
     req: Request,
@@ -288,20 +295,20 @@
     """Judge a result that an upstream reports as done."""
     same_term = executed.term is None or executed.term == req.term
     if req.priority == STALE_READ:
-        _settle_replica_read(state, group, req, executed, same_term)
+        _on_replica_read_done(state, group, req, executed, same_term)
         return
     if not same_term or not holds_lease(state, group, req.term):
-        lose_attempt(state, req, 'lease_lost')
+        retry_or_fail(state, req, 'lease_lost')
         return
     if req.priority == WRITE:
-        hold_until_copied(state, group, req, executed)
+        answer_when_replicated(state, group, req, executed)
     else:
         if req.max_age_ms:
             count(state, 'aged_reads_on_primary')
         finish_done(state, req, executed, 'primary', 0)
 
 
-def _settle_replica_read(
+def _on_replica_read_done(
     state: ProxyState,
     group: Group,
     req: Request,
@@ -309,18 +316,18 @@
     same_term: bool,
 ) -> None:
     age_ms = None
-    current = same_term and req.term == group.view.term
-    if current and executed.position is not None:
+    is_current_term = same_term and req.term == group.view.term
+    if is_current_term and executed.position is not None:
         age_ms = group.freshness.age_ms(executed.position, state.now_ms)
     if age_ms is None or age_ms > (req.max_age_ms or 0):
         count(state, 'reads_too_old')
-        redirect_read(state, req, ran=True)
+        redirect_to_primary(state, req, was_executed=True)
         return
     count(state, 'replica_reads')
     finish_done(state, req, executed, 'replica', math.ceil(age_ms))
 
 
-def hold_until_copied(
+def answer_when_replicated(
     state: ProxyState, group: Group, req: Request, executed: Executed
 ) -> None:
     """Answer a write once enough databases hold it."""
@@ -334,7 +341,7 @@
     if position <= confirmed_position(state, group):
         finish_done(state, req, executed)
         return
-    waiting = group.undurable
+    waiting = group.unconfirmed_writes
     while waiting and waiting[0][2].phase != 'durable':
         heapq.heappop(waiting)
     heapq.heappush(waiting, (position, req.serial, req))
@@ -361,9 +368,9 @@
     return received[replicas_needed - 1]
 
 
-def answer_copied(state: ProxyState, group: Group) -> None:
+def answer_replicated_writes(state: ProxyState, group: Group) -> None:
     """Answer the writes that enough databases hold now."""
-    waiting = group.undurable
+    waiting = group.unconfirmed_writes
     if not waiting:
         return
     confirmed = confirmed_position(state, group)
@@ -378,10 +385,10 @@
         finish_done(state, req, req.result)
 
 
-def lose_undurable(state: ProxyState, group: Group) -> None:
+def retry_unconfirmed_writes(state: ProxyState, group: Group) -> None:
     """Handle the writes whose term ended before they were confirmed."""
-    waiting = [entry[2] for entry in group.undurable]
-    group.undurable.clear()
+    waiting = [entry[2] for entry in group.unconfirmed_writes]
+    group.unconfirmed_writes.clear()
     for req in waiting:
         if req.phase == 'durable':
-            lose_attempt(state, req, 'lease_lost')
+            retry_or_fail(state, req, 'lease_lost')
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -19,12 +19,12 @@
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.admission import WRITE
+from jackdawpost.core.proxy.answers import ERROR_MESSAGES
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import MESSAGES
 from jackdawpost.core.proxy.state import Caller
 from jackdawpost.core.proxy.state import close
 from jackdawpost.core.proxy.state import Group
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 from jackdawpost.core.proxy.state import schedule
@@ -39,11 +39,11 @@
 from jackdawpost.core.tokens import SessionToken
 from jackdawpost.errors import TokenError
 
-BUSY_RETRY_MS = 50
+RETRY_AFTER_HINT_MS = 50
 MAX_REQUEST_KEY_CHARS = 128
 
 
-class _Refusal(Exception):
+class _RequestRefused(Exception):
     """A request that is not run, with the code for its caller."""
 
     def __init__(
@@ -51,7 +51,7 @@
     ) -> None:
         super().__init__(code)
         self.code = code
-        self.message = message or MESSAGES.get(code, code)
+        self.message = message or ERROR_MESSAGES.get(code, code)
         self.retry_after_ms = retry_after_ms
 
 
@@ -62,15 +62,15 @@
         close(state, event.conn, 'too many callers')
         return
     state.callers[event.conn] = Caller(event.conn)
-    if state.drain_ms is not None:
-        send(state, event.conn, GoingAway(serve_ms=serve_left_ms(state)))
+    if state.drain_started_ms is not None:
+        send(state, event.conn, GoingAway(serve_ms=remaining_serve_ms(state)))
 
 
-def serve_left_ms(state: ProxyState) -> int:
+def remaining_serve_ms(state: ProxyState) -> int:
     """Return how long a draining proxy still serves new requests."""
-    if state.drain_ms is None:
+    if state.drain_started_ms is None:
         return state.cfg.drain_serve_ms
-    until = state.drain_ms + state.cfg.drain_serve_ms
+    until = state.drain_started_ms + state.cfg.drain_serve_ms
     return max(0, int(until - state.now_ms))
 
 
@@ -97,7 +97,9 @@
     if request_id in caller.requests:
         # Its own answer is still owed; a second one would be taken for it.
         request_id = 0
-    _refuse(state, caller, request_id, _Refusal('malformed', event.detail))
+    _refuse(
+        state, caller, request_id, _RequestRefused('malformed', event.detail)
+    )
 
 
 def on_caller_request(
@@ -106,17 +108,17 @@
     """Take in one request, or refuse it."""
     try:
         if message.id in caller.requests:
-            raise _Refusal(
+            raise _RequestRefused(
                 'duplicate_id', f'id {message.id} is already in flight'
             )
         if len(caller.requests) >= state.cfg.max_in_flight_per_caller:
-            raise _Refusal(
+            raise _RequestRefused(
                 'overloaded',
                 'too many requests in flight on this connection',
-                BUSY_RETRY_MS,
+                RETRY_AFTER_HINT_MS,
             )
         if not 1 <= message.deadline_ms <= MAX_DEADLINE_MS:
-            raise _Refusal(
+            raise _RequestRefused(
                 'malformed',
                 f'deadline_ms {message.deadline_ms}: valid are 1 to '
                 f'{MAX_DEADLINE_MS}',
@@ -127,13 +129,13 @@
             _admit(state, caller, message)
         else:
             _admit_in_transaction(state, caller, message, message.txn)
-    except _Refusal as refusal:
+    except _RequestRefused as refusal:
         _refuse(state, caller, message.id, refusal)
 
 
 def _check_request_key(key: str | None) -> None:
     if key is not None and not 1 <= len(key) <= MAX_REQUEST_KEY_CHARS:
-        raise _Refusal(
+        raise _RequestRefused(
             'malformed',
             f'request_key of {len(key)} characters: valid are 1 to '
             f'{MAX_REQUEST_KEY_CHARS}',
@@ -141,7 +143,10 @@
 
 
 def _refuse(
-    state: ProxyState, caller: Caller, request_id: int, refusal: _Refusal
+    state: ProxyState,
+    caller: Caller,
+    request_id: int,
+    refusal: _RequestRefused,
 ) -> None:
     count(state, f'rejected_{refusal.code}')
     error = AnswerError(
@@ -163,13 +168,13 @@
     # caller is as unknown as one that never existed.
     txn = caller.txns.get(handle)
     if txn is None:
-        raise _Refusal(
+        raise _RequestRefused(
             'unknown_transaction', f'transaction {handle} is not open here'
         )
     if txn.state == 'lost':
         if not isinstance(message, Statement):
             del caller.txns[handle]
-        raise _Refusal('transaction_lost')
+        raise _RequestRefused('transaction_lost')
     req = _new_request(state, caller, message, txn.group, WRITE)
     _register(state, caller, req)
     add_to_transaction(state, txn, req)
@@ -177,19 +182,19 @@
 
 def _admit(state: ProxyState, caller: Caller, message: CallerRequest) -> None:
     if isinstance(message, (Commit, Rollback)):
-        raise _Refusal('unknown_transaction')
+        raise _RequestRefused('unknown_transaction')
     _check_serving(state)
     rule = state.published.rules.get(message.route)
     if rule is None or not rule.groups:
-        raise _Refusal('unknown_route', f'no route {message.route!r}')
+        raise _RequestRefused('unknown_route', f'no route {message.route!r}')
     group = _pick_group(state, rule, message.key)
     if message.deadline_ms > group.max_deadline_ms:
-        raise _Refusal(
+        raise _RequestRefused(
             'malformed',
             f'deadline_ms {message.deadline_ms}: the limit of group '
             f'{group.name!r} is {group.max_deadline_ms}',
         )
-    token = _read_token(message.session)
+    token = _decode_session_token(message.session)
     max_age_ms = None
     priority = WRITE
     if isinstance(message, Statement) and message.access == 'read':
@@ -201,17 +206,19 @@
     req.token = token
     req.after = token.position(group.name)
     req.max_age_ms = max_age_ms
-    group.budget.record_request()
+    group.retry_budget.record_request()
     _enqueue_new(state, group, req)
 
 
 def _check_serving(state: ProxyState) -> None:
-    if state.drain_ms is not None and not serve_left_ms(state):
-        raise _Refusal('draining')
+    if state.drain_started_ms is not None and not remaining_serve_ms(state):
+        raise _RequestRefused('draining')
     if state.member_state and state.member_state not in SERVING_STATES:
-        raise _Refusal('not_joined', retry_after_ms=BUSY_RETRY_MS)
+        raise _RequestRefused('not_joined', retry_after_ms=RETRY_AFTER_HINT_MS)
     if state.now_ms >= state.leases.config_until_ms:
-        raise _Refusal('control_unreachable', retry_after_ms=BUSY_RETRY_MS)
+        raise _RequestRefused(
+            'control_unreachable', retry_after_ms=RETRY_AFTER_HINT_MS
+        )
 
 
 def _pick_group(state: ProxyState, rule: RuleView, key: str | None) -> Group:
@@ -220,19 +227,19 @@
         at = zlib.crc32(key.encode()) % len(rule.groups)
     group = state.groups.get(rule.groups[at])
     if group is None:
-        raise _Refusal(
+        raise _RequestRefused(
             'unknown_route', f'group {rule.groups[at]!r} is not in force'
         )
     return group
 
 
-def _read_token(text: str | None) -> SessionToken:
+def _decode_session_token(text: str | None) -> SessionToken:
     if text is None:
         return EMPTY_TOKEN
     try:
         return decode_token(text)
     except TokenError as exc:
-        raise _Refusal('invalid_token', str(exc)) from exc
+        raise _RequestRefused('invalid_token', str(exc)) from exc
 
 
 def _accepted_age(
@@ -240,11 +247,11 @@
 ) -> int | None:
     if message.max_age_ms is not None:
         if message.allowance is not None:
-            raise _Refusal(
+            raise _RequestRefused(
                 'malformed', 'max_age_ms and allowance exclude each other'
             )
         if message.max_age_ms < 0:
-            raise _Refusal(
+            raise _RequestRefused(
                 'malformed',
                 f'max_age_ms {message.max_age_ms}: valid are 0 and above',
             )
@@ -254,7 +261,7 @@
         return None
     allowance = state.published.allowances.get(name)
     if allowance is None:
-        raise _Refusal('unknown_allowance', f'no allowance {name!r}')
+        raise _RequestRefused('unknown_allowance', f'no allowance {name!r}')
     return allowance.max_age_ms
 
 
@@ -266,17 +273,17 @@
     token: SessionToken,
 ) -> None:
     if rule.read_only:
-        raise _Refusal(
+        raise _RequestRefused(
             'read_only_route', f'route {rule.name!r} takes no writes'
         )
     if isinstance(message, Statement):
         if not message.idempotent and message.request_key is None:
-            raise _Refusal(
+            raise _RequestRefused(
                 'request_key_missing',
                 'a write that is not idempotent needs a request_key',
             )
     if not has_room(token, group.name, state.groups):
-        raise _Refusal(
+        raise _RequestRefused(
             'invalid_token',
             f'the token has no room for another group, {group.name!r}',
         )
@@ -290,7 +297,7 @@
     priority: int,
 ) -> Request:
     return Request(
-        new_serial(state),
+        new_id(state),
         caller.conn,
         message,
         group,
@@ -308,13 +315,13 @@
 
 def _enqueue_new(state: ProxyState, group: Group, req: Request) -> None:
     queue = group.queue
-    retry_after_ms = queue.rejects(req, state.now_ms)
+    retry_after_ms = queue.retry_delay_ms(req, state.now_ms)
     if retry_after_ms is not None:
         displaced = None
         if len(queue) >= queue.limit:
-            displaced = queue.displace(req.priority)
+            displaced = queue.evict_lower_priority(req.priority)
         if displaced is None:
-            raise _Refusal(
+            raise _RequestRefused(
                 'overloaded',
                 f'group {group.name!r} has too many requests waiting',
                 retry_after_ms,
@@ -329,4 +336,4 @@
         )
     _register(state, state.callers[req.caller], req)
     queue.push(req)
-    state.dirty.add(group.name)
+    state.groups_to_dispatch.add(group.name)
--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -20,47 +20,49 @@
 from jackdawpost.core.outbox import count
 from jackdawpost.core.outbox import log
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import lose_undurable
-from jackdawpost.core.proxy.conns import return_owed
-from jackdawpost.core.proxy.conns import watch_idle_permits
+from jackdawpost.core.proxy.answers import retry_unconfirmed_writes
+from jackdawpost.core.proxy.conns import return_recalled_permits
+from jackdawpost.core.proxy.conns import schedule_idle_permit_check
 from jackdawpost.core.proxy.state import Approval
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import new_conn
+from jackdawpost.core.proxy.state import new_conn_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
 from jackdawpost.core.proxy.state import send
 from jackdawpost.core.proxy.state import SERVING_STATES
 
-LEADER_SEARCH_MS = 100
+LEADER_SEARCH_INTERVAL_MS = 100
 APPROVAL_RETRY_MS = 500
 MAX_APPROVAL_ATTEMPTS = 60
 
 
 def on_control_opened(state: ProxyState, event: ConnOpened) -> None:
     """Introduce this proxy to a control process."""
-    state.controls[event.conn] = event.peer
-    if not state.leader:
+    state.control_conns[event.conn] = event.peer
+    if not state.leader_conn:
         send_report(state)
 
 
 def on_control_closed(state: ProxyState, conn: int) -> None:
     """Look for another leader if this was its connection."""
-    del state.controls[conn]
-    if conn == state.leader:
-        _lose_leader(state)
+    del state.control_conns[conn]
+    if conn == state.leader_conn:
+        _on_leader_lost(state)
 
 
-def _lose_leader(state: ProxyState) -> None:
+def _on_leader_lost(state: ProxyState) -> None:
     count(state, 'leader_lost')
-    state.leader = 0
-    state.permits.forget_demand()
+    state.leader_conn = 0
+    state.permits.reset_demand()
     send_report(state)
     schedule_report(state)
 
 
 def send_report(state: ProxyState) -> None:
     """Report to the leader, or to all control processes if unknown."""
-    targets = [state.leader] if state.leader else list(state.controls)
+    targets = (
+        [state.leader_conn] if state.leader_conn else list(state.control_conns)
+    )
     if not targets:
         return
     state.report_seq += 1
@@ -75,7 +77,7 @@
         port=cfg.port,
         data_centre=cfg.data_centre,
         version=state.published.version,
-        draining=state.drain_ms is not None,
+        draining=state.drain_started_ms is not None,
         holdings=state.permits.holdings(),
         evidence={
             up.name: up.evidence  # type: ignore[misc]
@@ -94,14 +96,14 @@
     oldest_ms = state.leases.oldest_open_ms()
     limit_ms = state.cfg.report_interval_ms
     silent = oldest_ms is not None and state.now_ms - oldest_ms >= limit_ms
-    if state.leader and silent:
+    if state.leader_conn and silent:
         log(state, 'warning', 'leader_silent', seq=state.report_seq)
-        _lose_leader(state)
+        _on_leader_lost(state)
     else:
         # Restated in case control dropped a demand, as for an upstream that
         # it did not know yet.
-        state.permits.forget_demand()
-        mark_waiting_groups(state)
+        state.permits.reset_demand()
+        mark_groups_to_dispatch(state)
         send_report(state)
         schedule_report(state)
 
@@ -109,21 +111,21 @@
 def schedule_report(state: ProxyState) -> None:
     """Schedule the next regular report."""
     pause = float(state.cfg.report_interval_ms)
-    if not state.leader:
-        pause = LEADER_SEARCH_MS * (0.5 + state.rng.random() / 2)
+    if not state.leader_conn:
+        pause = LEADER_SEARCH_INTERVAL_MS * (0.5 + state.rng.random() / 2)
     state.report_due_ms = state.now_ms + pause
     schedule(state, state.report_due_ms, 'report')
 
 
 def on_not_leader(state: ProxyState, conn: int, message: NotLeader) -> None:
     """Follow a control process to the leader that it knows."""
-    if conn != state.leader:
+    if conn != state.leader_conn:
         # Without a known leader all control processes are asked anyway.
         return
     count(state, 'leader_moved')
-    state.leader = 0
-    state.permits.forget_demand()
-    if any(name == message.leader for name in state.controls.values()):
+    state.leader_conn = 0
+    state.permits.reset_demand()
+    if any(name == message.leader for name in state.control_conns.values()):
         send_report(state)
     schedule_report(state)
 
@@ -140,30 +142,30 @@
     ):
         count(state, 'grants_ignored')
         return
-    if conn != state.leader:
-        state.leader = conn
-        state.permits.forget_demand()
+    if conn != state.leader_conn:
+        state.leader_conn = conn
+        state.permits.reset_demand()
     for name in state.permits.accounts:
-        return_owed(state, name)
+        return_recalled_permits(state, name)
     state.member_state = message.member_state
     if not joined:
         state.leases.withdraw()
-    watch_validity(state)
-    mark_waiting_groups(state)
+    schedule_validity_check(state)
+    mark_groups_to_dispatch(state)
     for group in state.groups.values():
         if not len(group.freshness):
             for up in group.upstreams:
                 schedule(state, state.now_ms, 'sample', up.name)
 
 
-def mark_waiting_groups(state: ProxyState) -> None:
+def mark_groups_to_dispatch(state: ProxyState) -> None:
     """Look again at all groups with requests waiting."""
     for group in state.groups.values():
         if len(group.queue):
-            state.dirty.add(group.name)
+            state.groups_to_dispatch.add(group.name)
 
 
-def watch_validity(state: ProxyState) -> None:
+def schedule_validity_check(state: ProxyState) -> None:
     """Act when what the leader granted runs out."""
     ends = [
         end
@@ -180,16 +182,16 @@
     """Refuse what waits once control was out of reach for too long."""
     state.validity_due_ms = math.inf
     if state.now_ms >= state.leases.grant_until_ms:
-        state.permits.void()
+        state.permits.invalidate_all()
     if state.now_ms >= state.leases.config_until_ms:
-        refuse_waiting(state)
-    watch_validity(state)
+        refuse_queued_requests(state)
+    schedule_validity_check(state)
 
 
-def refuse_waiting(state: ProxyState) -> None:
+def refuse_queued_requests(state: ProxyState) -> None:
     """Answer all queued requests that control is out of reach."""
     for group in state.groups.values():
-        for req in group.queue.drain_items():
+        for req in group.queue.pop_all():
             finish_error(state, req, 'not_run', 'control_unreachable')
 
 
@@ -202,7 +204,7 @@
     send(state, conn, reply)
     group = state.groups.get(message.group)
     if group is not None and group.view.term <= message.term:
-        lose_undurable(state, group)
+        retry_unconfirmed_writes(state, group)
 
 
 def on_permit_grant(
@@ -211,23 +213,25 @@
     """Take over permits, or give back those that are not wanted."""
     up = state.upstreams.get(message.upstream)
     expired = state.now_ms >= state.leases.grant_until_ms
-    if up is None or expired or conn != state.leader:
-        back = PermitReturn(upstream=message.upstream, count=message.count)
-        send(state, conn, back)
+    if up is None or expired or conn != state.leader_conn:
+        permit_return = PermitReturn(
+            upstream=message.upstream, count=message.count
+        )
+        send(state, conn, permit_return)
         return
     state.permits.add_granted(up.name, message.count)
-    watch_idle_permits(state, up)
-    state.dirty.add(up.view.group)
+    schedule_idle_permit_check(state, up)
+    state.groups_to_dispatch.add(up.view.group)
 
 
 def on_permit_recall(
     state: ProxyState, conn: int, message: PermitRecall
 ) -> None:
     """Give back permits now or once their statement ends."""
-    if conn != state.leader:
+    if conn != state.leader_conn:
         return
     state.permits.recall(message.upstream, message.count)
-    return_owed(state, message.upstream)
+    return_recalled_permits(state, message.upstream)
 
 
 def on_approval_request(
@@ -253,7 +257,7 @@
         _approve_proxy(state, approval)
         return
     state.approvals[message.newcomer_id] = approval
-    _try_newcomer(state, approval)
+    _connect_to_newcomer(state, approval)
 
 
 def _approve_proxy(state: ProxyState, approval: Approval) -> None:
@@ -277,9 +281,9 @@
     _approve(state, approval, 'name and address are not in use by others')
 
 
-def _try_newcomer(state: ProxyState, approval: Approval) -> None:
+def _connect_to_newcomer(state: ProxyState, approval: Approval) -> None:
     approval.attempts += 1
-    approval.conn = new_conn(state)
+    approval.conn = new_conn_id(state)
     state.approval_conns[approval.conn] = approval.newcomer_id
     state.outbox.append(
         Connect(
@@ -311,17 +315,17 @@
         found=event.peer,
         data_id=event.data_id,
     )
-    _retry_newcomer(state, approval)
+    _schedule_approval_retry(state, approval)
 
 
 def on_approval_conn_closed(state: ProxyState, conn: int) -> None:
     """Try a newcomer again later."""
     approval = state.approvals[state.approval_conns.pop(conn)]
     approval.conn = 0
-    _retry_newcomer(state, approval)
+    _schedule_approval_retry(state, approval)
 
 
-def _retry_newcomer(state: ProxyState, approval: Approval) -> None:
+def _schedule_approval_retry(state: ProxyState, approval: Approval) -> None:
     if approval.attempts >= MAX_APPROVAL_ATTEMPTS:
         del state.approvals[approval.newcomer_id]
         return
@@ -333,7 +337,7 @@
     """Connect to a newcomer once more."""
     approval = state.approvals.get(newcomer_id)
     if approval is not None and not approval.conn:
-        _try_newcomer(state, approval)
+        _connect_to_newcomer(state, approval)
 
 
 def _approve(state: ProxyState, approval: Approval, checked: str) -> None:
@@ -345,6 +349,6 @@
         checked=checked,
         version=state.published.version,
     )
-    targets: list[Any] = [state.leader] if state.leader else []
-    for conn in targets or list(state.controls):
+    targets: list[Any] = [state.leader_conn] if state.leader_conn else []
+    for conn in targets or list(state.control_conns):
         send(state, conn, message)
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -5,8 +5,8 @@
 from jackdawpost.core.effects import Stop
 from jackdawpost.core.messages.caller import GoingAway
 from jackdawpost.core.outbox import log
-from jackdawpost.core.proxy.callers import serve_left_ms
-from jackdawpost.core.proxy.conns import return_owed
+from jackdawpost.core.proxy.callers import remaining_serve_ms
+from jackdawpost.core.proxy.conns import return_recalled_permits
 from jackdawpost.core.proxy.control import send_report
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
@@ -16,15 +16,17 @@
 
 def on_drain_requested(state: ProxyState) -> None:
     """Tell all callers to go elsewhere and serve for a while longer."""
-    if state.drain_ms is not None:
+    if state.drain_started_ms is not None:
         return
-    state.drain_ms = state.now_ms
+    state.drain_started_ms = state.now_ms
     log(state, 'info', 'draining', callers=len(state.callers))
-    serve_ms = serve_left_ms(state)
+    serve_ms = remaining_serve_ms(state)
     for conn in state.callers:
         send(state, conn, GoingAway(serve_ms=serve_ms))
     send_report(state)
-    schedule(state, state.now_ms + state.cfg.drain_serve_ms, 'drain_served')
+    schedule(
+        state, state.now_ms + state.cfg.drain_serve_ms, 'drain_window_end'
+    )
     schedule(state, state.now_ms + state.cfg.drain_limit_ms, 'drain_limit')
 
 
@@ -36,13 +38,13 @@
 
 def stop_when_drained(state: ProxyState) -> None:
     """Stop once every request and transaction has ended."""
-    if state.drain_ms is None or state.stopped:
+    if state.drain_started_ms is None or state.stopped:
         return
-    if state.requests or state.txns or serve_left_ms(state):
+    if state.requests or state.txns or remaining_serve_ms(state):
         return
     state.stopped = True
     for name in state.permits.holdings():
         state.permits.recall(name, state.permits.account(name).held)
-        return_owed(state, name)
+        return_recalled_permits(state, name)
     log(state, 'info', 'drained')
     state.outbox.append(Stop())
--- a/jackdawpost/core/proxy/dump.py
+++ b/jackdawpost/core/proxy/dump.py
@@ -24,12 +24,12 @@
         'config': dataclasses.asdict(state.cfg),
         'version': state.published.version,
         'member_state': state.member_state,
-        'draining': state.drain_ms is not None,
+        'draining': state.drain_started_ms is not None,
         'callers': len(state.callers),
         'requests': len(state.requests),
         'requests_by_phase': _count_phases(state),
-        'leader': state.controls.get(state.leader),
-        'controls': sorted(state.controls.values()),
+        'leader': state.control_conns.get(state.leader_conn),
+        'controls': sorted(state.control_conns.values()),
         'report_seq': state.report_seq,
         'control_left_ms': _finite(state.leases.config_until_ms - now_ms),
         'leases': state.leases.dump(),
@@ -67,7 +67,7 @@
         'upstream': conn.upstream,
         'opened': conn.opened,
         'running': len(conn.running),
-        'condemned': conn.condemned,
+        'condemned': conn.close_after_frame,
         'transaction': conn.txn.handle if conn.txn else None,
     }
 
@@ -87,9 +87,9 @@
         'view': dataclasses.asdict(group.view),
         'queued': len(group.queue),
         'queue_limit': group.queue.limit,
-        'retries_left': group.budget.available,
+        'retries_left': group.retry_budget.available,
         'samples': len(group.freshness),
-        'waiting_for_copies': len(group.undurable),
+        'waiting_for_copies': len(group.unconfirmed_writes),
     }
 
 
--- a/jackdawpost/core/proxy/freshness.py
+++ b/jackdawpost/core/proxy/freshness.py
@@ -23,23 +23,23 @@
         Current term of the group; samples of other terms do not count.
     """
 
-    __slots__ = ('term', '_sent', '_positions')
+    __slots__ = ('term', '_sent_ms', '_positions')
 
     def __init__(self, term: int = 0) -> None:
         self.term = term
-        self._sent: list[float] = []
+        self._sent_ms: list[float] = []
         self._positions: list[LogPosition] = []
 
     def __len__(self) -> int:
-        return len(self._sent)
+        return len(self._sent_ms)
 
     def reset(self, term: int) -> None:
         """Forget all samples and start on another term."""
         self.term = term
-        self._sent.clear()
+        self._sent_ms.clear()
         self._positions.clear()
 
-    def note_sample(
+    def record_sample(
         self, sent_ms: float, term: int, position: LogPosition
     ) -> bool:
         """Add the primary's answer to a probe.
@@ -61,16 +61,16 @@
         """
         if term != self.term:
             return False
-        if self._sent and sent_ms <= self._sent[-1]:
+        if self._sent_ms and sent_ms <= self._sent_ms[-1]:
             return False
         if self._positions and position < self._positions[-1]:
             return False
         if self._positions and position == self._positions[-1]:
-            self._sent[-1] = sent_ms
+            self._sent_ms[-1] = sent_ms
             return True
-        self._sent.append(sent_ms)
+        self._sent_ms.append(sent_ms)
         self._positions.append(position)
-        if len(self._sent) > MAX_SAMPLES:
+        if len(self._sent_ms) > MAX_SAMPLES:
             self._thin_out()
         return True
 
@@ -93,7 +93,7 @@
         at = bisect_right(self._positions, applied) - 1
         if at < 0:
             return None
-        return max(0.0, now_ms - self._sent[at])
+        return max(0.0, now_ms - self._sent_ms[at])
 
     def required_position(
         self, max_age_ms: float, now_ms: float
@@ -112,8 +112,8 @@
         LogPosition or None
             None if no sample is young enough.
         """
-        at = bisect_left(self._sent, now_ms - max_age_ms)
-        if at == len(self._sent):
+        at = bisect_left(self._sent_ms, now_ms - max_age_ms)
+        if at == len(self._sent_ms):
             return None
         return self._positions[at]
 
@@ -132,9 +132,9 @@
             None if no sample has got there.
         """
         at = bisect_left(self._positions, position)
-        return self._sent[at] if at < len(self._sent) else None
+        return self._sent_ms[at] if at < len(self._sent_ms) else None
 
     def _thin_out(self) -> None:
-        half = len(self._sent) // 2
-        del self._sent[1:half:2]
+        half = len(self._sent_ms) // 2
+        del self._sent_ms[1:half:2]
         del self._positions[1:half:2]
--- a/jackdawpost/core/proxy/lease_holder.py
+++ b/jackdawpost/core/proxy/lease_holder.py
@@ -17,31 +17,31 @@
     """Leases of one proxy, with validity counted from sent reports."""
 
     __slots__ = (
-        '_sent',
-        '_until',
-        '_revoked',
-        '_pending',
+        '_report_sent_ms',
+        '_leases',
+        '_revoked_terms',
+        '_unconfirmed_grant',
         'grant_until_ms',
         'config_until_ms',
     )
 
     def __init__(self) -> None:
-        self._sent: dict[int, float] = {}
-        self._until: dict[str, tuple[int, float]] = {}
-        self._revoked: dict[str, int] = {}
-        self._pending: tuple[int, float] | None = None
+        self._report_sent_ms: dict[int, float] = {}
+        self._leases: dict[str, tuple[int, float]] = {}
+        self._revoked_terms: dict[str, int] = {}
+        self._unconfirmed_grant: tuple[int, float] | None = None
         self.grant_until_ms = -math.inf
         self.config_until_ms = -math.inf
 
     def oldest_open_ms(self) -> float | None:
         """Return when the oldest unanswered report was sent, if any."""
-        return next(iter(self._sent.values()), None)
+        return next(iter(self._report_sent_ms.values()), None)
 
     def note_report(self, seq: int, now_ms: float) -> None:
         """Remember when the report `seq` was sent."""
-        self._sent[seq] = now_ms
-        if len(self._sent) > MAX_OPEN_REPORTS:
-            del self._sent[next(iter(self._sent))]
+        self._report_sent_ms[seq] = now_ms
+        if len(self._report_sent_ms) > MAX_OPEN_REPORTS:
+            del self._report_sent_ms[next(iter(self._report_sent_ms))]
 
     def apply_grant(
         self,
@@ -73,49 +73,58 @@
             False if the grant is ignored: it answers an unknown report or
             one older than the last answered.
         """
-        sent_ms = self._sent.get(seq)
+        sent_ms = self._report_sent_ms.get(seq)
         if sent_ms is None:
             return False
         # Older reports can no longer be answered: their grants are void.
-        self._sent = {s: at for s, at in self._sent.items() if s > seq}
+        self._report_sent_ms = {
+            s: at for s, at in self._report_sent_ms.items() if s > seq
+        }
         until = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
         self.grant_until_ms = until
-        self._until = {
+        self._leases = {
             lease.group: (lease.term, until)
             for lease in leases
-            if lease.term > self._revoked.get(lease.group, -1)
+            if lease.term > self._revoked_terms.get(lease.group, -1)
         }
-        self._pending = (leader_version, until)
+        self._unconfirmed_grant = (leader_version, until)
         self.note_version(own_version)
         return True
 
     def note_version(self, own_version: int) -> None:
         """Confirm the configuration if the leader's version is in force."""
-        if self._pending is None or own_version < self._pending[0]:
+        if (
+            self._unconfirmed_grant is None
+            or own_version < self._unconfirmed_grant[0]
+        ):
             return
-        self.config_until_ms = max(self.config_until_ms, self._pending[1])
+        self.config_until_ms = max(
+            self.config_until_ms, self._unconfirmed_grant[1]
+        )
 
     def withdraw(self) -> None:
         """Give up every lease, as this proxy is no member."""
-        self._until.clear()
+        self._leases.clear()
         self.config_until_ms = -math.inf
 
     def revoke(self, group: str, term: int) -> None:
         """Give up the leases of a group up to and including `term`."""
-        self._revoked[group] = max(term, self._revoked.get(group, -1))
-        held = self._until.get(group)
+        self._revoked_terms[group] = max(
+            term, self._revoked_terms.get(group, -1)
+        )
+        held = self._leases.get(group)
         if held is not None and held[0] <= term:
-            del self._until[group]
+            del self._leases[group]
 
     def is_valid(self, group: str, term: int, now_ms: float) -> bool:
         """Tell whether writes of `group` may be acknowledged in `term`."""
-        held = self._until.get(group)
+        held = self._leases.get(group)
         return held is not None and held[0] == term and now_ms < held[1]
 
     def dump(self) -> dict[str, object]:
         """Return the leases as plain data."""
         return {
-            'leases': {g: list(held) for g, held in self._until.items()},
-            'revoked': dict(self._revoked),
-            'open_reports': len(self._sent),
+            'leases': {g: list(held) for g, held in self._leases.items()},
+            'revoked': dict(self._revoked_terms),
+            'open_reports': len(self._report_sent_ms),
         }
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -10,13 +10,13 @@
 from jackdawpost.core.messages.upstream import Progress
 from jackdawpost.core.outbox import count
 from jackdawpost.core.outbox import log
-from jackdawpost.core.proxy.answers import answer_copied
+from jackdawpost.core.proxy.answers import answer_replicated_writes
 from jackdawpost.core.proxy.control import send_report
 from jackdawpost.core.proxy.state import close
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
-from jackdawpost.core.proxy.state import new_conn
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_conn_id
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
 from jackdawpost.core.proxy.state import send
@@ -30,12 +30,12 @@
 def open_monitor(state: ProxyState, up: Upstream) -> None:
     """Open a monitor connection in place of any earlier one."""
     if up.monitor:
-        state.monitors.pop(up.monitor, None)
+        state.monitor_conns.pop(up.monitor, None)
         close(state, up.monitor, 'replaced', abort=True)
-    up.monitor = new_conn(state)
+    up.monitor = new_conn_id(state)
     up.monitor_open = False
     up.probes.clear()
-    state.monitors[up.monitor] = up.name
+    state.monitor_conns[up.monitor] = up.name
     state.outbox.append(
         Connect(
             conn=up.monitor,
@@ -50,41 +50,43 @@
 
 def on_monitor_opened(state: ProxyState, event: ConnOpened) -> None:
     """Start probing on a new monitor connection."""
-    up = _watched(state, event.conn)
+    up = _monitored_upstream(state, event.conn)
     if up is None:
         close(state, event.conn, 'not wanted any more')
         return
     if event.data_id != up.view.data_id:
         log(state, 'warning', 'other_data', upstream=up.name)
-        _fail_monitor(state, up, 'refused')
+        _on_monitor_failure(state, up, 'refused')
         return
     up.monitor_open = True
-    _probe(state, up)
+    _send_probe(state, up)
 
 
 def on_monitor_closed(state: ProxyState, event: ConnClosed) -> None:
     """Reconnect, or report the upstream once that fails as well."""
-    up = _watched(state, event.conn)
+    up = _monitored_upstream(state, event.conn)
     if up is None:
         return
-    state.monitors.pop(event.conn)
+    state.monitor_conns.pop(event.conn)
     up.monitor = 0
     evidence = 'silent' if event.reason == 'timeout' else 'refused'
-    _fail_monitor(state, up, evidence)
+    _on_monitor_failure(state, up, evidence)
 
 
-def _watched(state: ProxyState, conn: int) -> Upstream | None:
-    name = state.monitors.get(conn)
+def _monitored_upstream(state: ProxyState, conn: int) -> Upstream | None:
+    name = state.monitor_conns.get(conn)
     return None if name is None else state.upstreams.get(name)
 
 
-def _fail_monitor(state: ProxyState, up: Upstream, evidence: str) -> None:
+def _on_monitor_failure(
+    state: ProxyState, up: Upstream, evidence: str
+) -> None:
     up.failures += 1
     up.monitor_open = False
     if up.failures >= FAILURES_FOR_EVIDENCE:
         set_evidence(state, up, evidence)
         if up.monitor:
-            state.monitors.pop(up.monitor)
+            state.monitor_conns.pop(up.monitor)
             close(state, up.monitor, 'failed', abort=True)
             up.monitor = 0
         pause = state.cfg.probe_interval_ms / 2
@@ -111,21 +113,21 @@
         return
     oldest = next(iter(up.probes.values()), state.now_ms)
     if state.now_ms - oldest < state.cfg.probe_timeout_ms:
-        _probe(state, up)
+        _send_probe(state, up)
         return
     count(state, 'monitor_silent')
-    _fail_monitor(state, up, 'silent')
+    _on_monitor_failure(state, up, 'silent')
 
 
 def probe_for_sample(state: ProxyState, name: str) -> None:
     """Probe at once in a new term, so that replicas soon serve again."""
     up = state.upstreams.get(name)
     if up is not None and up.monitor_open:
-        _probe(state, up)
+        _send_probe(state, up)
 
 
-def _probe(state: ProxyState, up: Upstream) -> None:
-    probe_id = new_serial(state)
+def _send_probe(state: ProxyState, up: Upstream) -> None:
+    probe_id = new_id(state)
     up.probes[probe_id] = state.now_ms
     send(state, up.monitor, Probe(id=probe_id))
 
@@ -134,7 +136,7 @@
     state: ProxyState, conn: int, message: Probed | Progress
 ) -> None:
     """Take over what an upstream reports of itself."""
-    up = _watched(state, conn)
+    up = _monitored_upstream(state, conn)
     if up is None or not up.monitor_open:
         return
     group = state.groups.get(up.view.group)
@@ -143,42 +145,42 @@
         sent_ms = up.probes.pop(message.id, None)
         if sent_ms is None:
             return
-        _forget_earlier_probes(up, message.id)
+        _drop_earlier_probes(up, message.id)
         up.failures = 0
         set_evidence(state, up, 'up')
     up.term = message.term
     up.leads = message.leads
     up.received = message.received
     up.applied = message.applied
-    _note_leaving(state, up, message.leaving)
+    _update_leaving(state, up, message.leaving)
     if group is None:
         return
     if up.name != group.view.primary:
-        _note_lag(state, group, up)
-        answer_copied(state, group)
+        _update_lag(state, group, up)
+        answer_replicated_writes(state, group)
     elif sent_ms is not None and message.leads:
-        _note_sample(state, group, up, sent_ms)
+        _record_sample(state, group, up, sent_ms)
     if len(group.queue):
-        state.dirty.add(group.name)
+        state.groups_to_dispatch.add(group.name)
 
 
-def _forget_earlier_probes(up: Upstream, probe_id: int) -> None:
+def _drop_earlier_probes(up: Upstream, probe_id: int) -> None:
     # Probes are answered in order, so earlier ones get no answer any more.
     for earlier in [i for i in up.probes if i < probe_id]:
         del up.probes[earlier]
 
 
-def _note_sample(
+def _record_sample(
     state: ProxyState, group: Group, up: Upstream, sent_ms: float
 ) -> None:
     # A primary that has been replaced still answers; the lease shows that
     # no other one could commit before this answer arrived.
     if holds_lease(state, group, up.term):
         position = max(up.received, up.applied)
-        group.freshness.note_sample(sent_ms, up.term, position)
+        group.freshness.record_sample(sent_ms, up.term, position)
 
 
-def _note_lag(state: ProxyState, group: Group, up: Upstream) -> None:
+def _update_lag(state: ProxyState, group: Group, up: Upstream) -> None:
     if up.term != group.view.term:
         return
     age_ms = group.freshness.age_ms(up.applied, state.now_ms)
@@ -188,7 +190,7 @@
         up.lag_ms = max(0.0, age_ms - state.cfg.probe_interval_ms)
 
 
-def _note_leaving(state: ProxyState, up: Upstream, leaving: bool) -> None:
+def _update_leaving(state: ProxyState, up: Upstream, leaving: bool) -> None:
     up.reported_leaving = leaving
     up.leaving = leaving or up.view.leaving
 
@@ -199,8 +201,8 @@
         return
     log(state, 'info', 'evidence', upstream=up.name, evidence=evidence)
     if evidence == 'up' and up.was_down:
-        up.returned_ms = state.now_ms
+        up.recovered_ms = state.now_ms
     up.was_down = evidence != 'up'
     up.evidence = evidence
-    state.dirty.add(up.view.group)
+    state.groups_to_dispatch.add(up.view.group)
     send_report(state)
--- a/jackdawpost/core/proxy/permit_holder.py
+++ b/jackdawpost/core/proxy/permit_holder.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-IDLE_RETURN_MS = 5.0
+IDLE_CHECK_INTERVAL_MS = 5.0
 
 
 @dataclass(slots=True)
@@ -68,7 +68,7 @@
         account.recalled = max(0, account.recalled - count)
         account.low_water = account.idle
 
-    def try_take(self, upstream: str) -> bool:
+    def try_acquire(self, upstream: str) -> bool:
         """Occupy one idle permit; False if there is none."""
         account = self.account(upstream)
         idle = account.held - account.in_use - account.recalled
@@ -92,7 +92,7 @@
         account.recalled = min(account.held, account.recalled + count)
         account.low_water = min(account.low_water, account.idle)
 
-    def take_owed(self, upstream: str) -> int:
+    def return_recalled(self, upstream: str) -> int:
         """Give back owed permits that are not in use; return how many."""
         account = self.account(upstream)
         count = min(account.recalled, account.held - account.in_use)
@@ -100,7 +100,7 @@
         account.recalled -= count
         return count
 
-    def take_idle(self, upstream: str) -> int:
+    def return_idle(self, upstream: str) -> int:
         """Give back permits idle since the last call; return how many."""
         account = self.account(upstream)
         count = max(0, min(account.low_water, account.idle))
@@ -108,14 +108,14 @@
         account.low_water = account.idle
         return count
 
-    def void(self) -> None:
+    def invalidate_all(self) -> None:
         """Use no permit any more: their validity has ended."""
         for account in self.accounts.values():
             account.recalled = account.held
             account.stated = 0
             account.low_water = 0
 
-    def forget_demand(self) -> None:
+    def reset_demand(self) -> None:
         """State demand anew, as the control leader changed."""
         for account in self.accounts.values():
             account.stated = 0
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -7,12 +7,12 @@
 from jackdawpost.core.proxy.admission import AdmissionQueue
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import lose_undurable
-from jackdawpost.core.proxy.conns import close_surplus
+from jackdawpost.core.proxy.answers import retry_unconfirmed_writes
+from jackdawpost.core.proxy.conns import close_surplus_conns
 from jackdawpost.core.proxy.conns import drop_conn
 from jackdawpost.core.proxy.conns import return_permits
+from jackdawpost.core.proxy.control import schedule_validity_check
 from jackdawpost.core.proxy.control import send_report
-from jackdawpost.core.proxy.control import watch_validity
 from jackdawpost.core.proxy.freshness import FreshnessTracker
 from jackdawpost.core.proxy.monitors import open_monitor
 from jackdawpost.core.proxy.state import close
@@ -31,7 +31,7 @@
 DEFAULT_MAX_DEADLINE_MS = 60_000
 # Spreads the connections that all proxies open to a new primary at once.
 OPEN_JITTER_MS = 20.0
-FIRST_SAMPLE_MS = 150.0
+NEW_TERM_GRACE_MS = 150.0
 
 
 def on_state_update(state: ProxyState, message: StateUpdate) -> None:
@@ -53,7 +53,7 @@
         return
     if state.published.version == before:
         return
-    state.proxies = max(
+    state.proxy_count = max(
         1,
         sum(
             member.role == 'proxy' and member.state in ('joined', 'leaving')
@@ -62,9 +62,9 @@
     )
     _refresh_groups(state)
     _refresh_upstreams(state)
-    _refresh_members(state)
+    _remove_joined_newcomers(state)
     state.leases.note_version(state.published.version)
-    watch_validity(state)
+    schedule_validity_check(state)
     send_report(state)
 
 
@@ -72,8 +72,8 @@
     limits = {limit.group: limit for limit in state.published.limits.values()}
     for name in [n for n in state.groups if n not in state.published.groups]:
         group = state.groups.pop(name)
-        lose_undurable(state, group)
-        for req in group.queue.drain_items():
+        retry_unconfirmed_writes(state, group)
+        for req in group.queue.pop_all():
             finish_error(
                 state, req, 'not_run', 'unknown_route', 'group removed'
             )
@@ -87,7 +87,7 @@
         known.view = view
         if (old.term, old.primary) != (view.term, view.primary):
             _on_new_term(state, known, old)
-        state.dirty.add(name)
+        state.groups_to_dispatch.add(name)
 
 
 def _new_group(view: GroupView) -> Group:
@@ -95,7 +95,7 @@
         name=view.name,
         view=view,
         queue=AdmissionQueue(DEFAULT_QUEUE_LENGTH),
-        budget=RetryBudget(DEFAULT_RETRY_RATIO),
+        retry_budget=RetryBudget(DEFAULT_RETRY_RATIO),
         freshness=FreshnessTracker(view.term),
     )
 
@@ -103,11 +103,11 @@
 def _apply_limit(group: Group, limit: LimitView | None) -> None:
     if limit is None:
         group.queue.limit = DEFAULT_QUEUE_LENGTH
-        group.budget.ratio = DEFAULT_RETRY_RATIO
+        group.retry_budget.ratio = DEFAULT_RETRY_RATIO
         group.max_deadline_ms = DEFAULT_MAX_DEADLINE_MS
         return
     group.queue.limit = limit.queue_length
-    group.budget.ratio = limit.retry_ratio
+    group.retry_budget.ratio = limit.retry_ratio
     group.max_deadline_ms = limit.max_deadline_ms
 
 
@@ -122,14 +122,14 @@
     )
     if group.view.term != old.term:
         group.freshness.reset(group.view.term)
-        group.hold_until_ms = state.now_ms + FIRST_SAMPLE_MS
-        group.queue.forget_rate()
-        lose_undurable(state, group)
+        group.new_term_grace_until_ms = state.now_ms + NEW_TERM_GRACE_MS
+        group.queue.reset_rate()
+        retry_unconfirmed_writes(state, group)
         _drop_frames_of_earlier_terms(state, group)
     jitter = state.rng.random() * OPEN_JITTER_MS
     for up in group.upstreams:
         if up.name == group.view.primary:
-            up.returned_ms = float('-inf')
+            up.recovered_ms = float('-inf')
             up.next_open_ms = max(up.next_open_ms, state.now_ms + jitter)
 
 
@@ -151,7 +151,7 @@
 def _refresh_upstreams(state: ProxyState) -> None:
     views = state.published.upstreams
     for up in list(state.upstreams.values()):
-        if not _is_same(up.view, views.get(up.name)):
+        if not _has_same_identity(up.view, views.get(up.name)):
             _remove_upstream(state, up)
     for group in state.groups.values():
         group.upstreams.clear()
@@ -165,12 +165,12 @@
             schedule(state, due_ms, 'probe', name)
         known.view = view
         known.leaving = view.leaving or known.reported_leaving
-        close_surplus(state, known)
+        close_surplus_conns(state, known)
         if view.group in state.groups:
             state.groups[view.group].upstreams.append(known)
 
 
-def _is_same(old: UpstreamView, new: UpstreamView | None) -> bool:
+def _has_same_identity(old: UpstreamView, new: UpstreamView | None) -> bool:
     return new is not None and (
         old.data_id,
         old.host,
@@ -181,18 +181,18 @@
 
 def _remove_upstream(state: ProxyState, up: Upstream) -> None:
     if up.monitor:
-        state.monitors.pop(up.monitor, None)
+        state.monitor_conns.pop(up.monitor, None)
         close(state, up.monitor, 'upstream removed', abort=True)
     for conn_id in list(up.conns):
         drop_conn(state, state.conns[conn_id], 'upstream removed')
     account = state.permits.account(up.name)
-    if state.leader:
+    if state.leader_conn:
         return_permits(state, up.name, account.held)
     del state.permits.accounts[up.name]
     del state.upstreams[up.name]
 
 
-def _refresh_members(state: ProxyState) -> None:
+def _remove_joined_newcomers(state: ProxyState) -> None:
     joined = {member.member_id for member in state.published.members.values()}
     for newcomer_id in [i for i in state.approvals if i in joined]:
         if not state.approvals[newcomer_id].conn:
--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -34,12 +34,12 @@
 from jackdawpost.core.proxy.callers import on_caller_frame_rejected
 from jackdawpost.core.proxy.callers import on_caller_opened
 from jackdawpost.core.proxy.callers import on_caller_request
-from jackdawpost.core.proxy.conns import check_frame
+from jackdawpost.core.proxy.conns import check_answer_deadline
 from jackdawpost.core.proxy.conns import check_idle_permits
 from jackdawpost.core.proxy.conns import drop_conn
-from jackdawpost.core.proxy.conns import end_lost_permit
 from jackdawpost.core.proxy.conns import on_conn_closed
 from jackdawpost.core.proxy.conns import on_conn_opened
+from jackdawpost.core.proxy.conns import release_lost_permit
 from jackdawpost.core.proxy.control import check_validity
 from jackdawpost.core.proxy.control import on_approval_conn_closed
 from jackdawpost.core.proxy.control import on_approval_conn_opened
@@ -65,9 +65,9 @@
 from jackdawpost.core.proxy.monitors import probe_for_sample
 from jackdawpost.core.proxy.monitors import reopen_monitor
 from jackdawpost.core.proxy.published import on_state_update
-from jackdawpost.core.proxy.requests import expire
+from jackdawpost.core.proxy.requests import dispatch
+from jackdawpost.core.proxy.requests import expire_request
 from jackdawpost.core.proxy.requests import on_executed
-from jackdawpost.core.proxy.requests import pump
 from jackdawpost.core.proxy.state import close
 from jackdawpost.core.proxy.state import ProxyConfig
 from jackdawpost.core.proxy.state import ProxyState
@@ -83,11 +83,11 @@
     'reduce_proxy',
 ]
 
-MAX_PUMP_ROUNDS = 16
+MAX_DISPATCH_ROUNDS = 16
 # Deadlines of answered requests stay on the agenda until they are due or
 # outnumber the live ones by this factor.
-AGENDA_SLACK = 4
-MIN_AGENDA_CLEANUP = 4_096
+MAX_AGENDA_RATIO = 4
+MIN_AGENDA_CLEANUP_SIZE = 4_096
 
 
 def new_proxy(
@@ -124,7 +124,7 @@
     """
     if event.now_ms > state.now_ms:
         state.now_ms = event.now_ms
-    _run_due(state)
+    _run_due_actions(state)
     if isinstance(event, Received):
         _on_received(state, event)
     elif isinstance(event, ConnOpened):
@@ -141,50 +141,50 @@
 def is_healthy(state: ProxyState) -> bool:
     """Tell whether callers should use this proxy."""
     return (
-        state.drain_ms is None
+        state.drain_started_ms is None
         and state.member_state == 'joined'
         and state.now_ms < state.leases.config_until_ms
     )
 
 
-def _run_due(state: ProxyState) -> None:
+def _run_due_actions(state: ProxyState) -> None:
     agenda = state.agenda
     now_ms = state.now_ms
     while agenda and agenda[0][0] <= now_ms:
         _, _, action, subject = heapq.heappop(agenda)
         _ACTIONS[action](state, subject)
-    if state.armed_ms <= now_ms:
-        state.armed_ms = math.inf
+    if state.timer_due_ms <= now_ms:
+        state.timer_due_ms = math.inf
 
 
 def _end_event(state: ProxyState) -> list[Effect]:
     rounds = 0
-    while state.dirty and rounds < MAX_PUMP_ROUNDS:
+    while state.groups_to_dispatch and rounds < MAX_DISPATCH_ROUNDS:
         rounds += 1
-        names = list(state.dirty)
-        state.dirty.clear()
+        names = list(state.groups_to_dispatch)
+        state.groups_to_dispatch.clear()
         if len(names) > 1:
             # The order of a set of texts differs from process to process.
             names.sort()
         for name in names:
             group = state.groups.get(name)
             if group is not None and len(group.queue):
-                pump(state, group)
-    if state.drain_ms is not None:
+                dispatch(state, group)
+    if state.drain_started_ms is not None:
         stop_when_drained(state)
     _clean_agenda(state)
-    if state.agenda and state.agenda[0][0] < state.armed_ms:
-        state.armed_ms = state.agenda[0][0]
-        state.outbox.append(SetTimer(key=TIMER_KEY, due_ms=state.armed_ms))
-    state.sends.clear()
+    if state.agenda and state.agenda[0][0] < state.timer_due_ms:
+        state.timer_due_ms = state.agenda[0][0]
+        state.outbox.append(SetTimer(key=TIMER_KEY, due_ms=state.timer_due_ms))
+    state.open_frames.clear()
     return pop_effects(state)
 
 
 def _clean_agenda(state: ProxyState) -> None:
     size = len(state.agenda)
-    if size < MIN_AGENDA_CLEANUP:
+    if size < MIN_AGENDA_CLEANUP_SIZE:
         return
-    if size < AGENDA_SLACK * len(state.requests):
+    if size < MAX_AGENDA_RATIO * len(state.requests):
         return
     requests = state.requests
     state.agenda = [
@@ -195,21 +195,21 @@
     heapq.heapify(state.agenda)
 
 
-def _pump_again(state: ProxyState, name: str) -> None:
-    state.dirty.add(name)
+def _dispatch_again(state: ProxyState, name: str) -> None:
+    state.groups_to_dispatch.add(name)
 
 
-def _nothing(state: ProxyState, subject: object) -> None:
+def _no_action(state: ProxyState, subject: object) -> None:
     """Let the end of the event look again at what is owed."""
 
 
 _ACTIONS: Mapping[str, Callable[[ProxyState, Any], None]] = {
-    'request': expire,
+    'request': expire_request,
     'requeue': requeue_delayed,
-    'frame': check_frame,
+    'frame': check_answer_deadline,
     'permits': check_idle_permits,
-    'lost_permit': end_lost_permit,
-    'pump': _pump_again,
+    'lost_permit': release_lost_permit,
+    'dispatch': _dispatch_again,
     'probe': on_probe_due,
     'monitor': reopen_monitor,
     'sample': probe_for_sample,
@@ -217,7 +217,7 @@
     'validity': check_validity,
     'approval': retry_approval,
     'txn_idle': check_idle_transaction,
-    'drain_served': _nothing,
+    'drain_window_end': _no_action,
     'drain_limit': roll_back_all,
 }
 
@@ -249,7 +249,7 @@
     for message in event.messages:
         if isinstance(message, (Probed, Progress)):
             on_monitor_message(state, conn_id, message)
-        elif conn_id in state.controls:
+        elif conn_id in state.control_conns:
             handler = _CONTROL_HANDLERS.get(type(message))
             if handler is not None:
                 handler(state, conn_id, message)
@@ -272,11 +272,11 @@
     conn_id = event.conn
     if conn_id in state.callers:
         on_caller_closed(state, conn_id)
-    elif conn_id in state.controls:
+    elif conn_id in state.control_conns:
         on_control_closed(state, conn_id)
     elif conn_id in state.approval_conns:
         on_approval_conn_closed(state, conn_id)
-    elif conn_id in state.monitors:
+    elif conn_id in state.monitor_conns:
         on_monitor_closed(state, event)
     else:
         on_conn_closed(state, event)
@@ -297,7 +297,7 @@
     conn = state.conns.get(event.conn)
     if conn is not None:
         drop_conn(state, conn, 'malformed frame')
-    elif event.conn in state.monitors:
+    elif event.conn in state.monitor_conns:
         close(state, event.conn, 'malformed frame', abort=True)
         closed = ConnClosed(
             now_ms=event.now_ms, conn=event.conn, reason='malformed'
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -7,33 +7,36 @@
 from jackdawpost.core.positions import ZERO_POSITION
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
-from jackdawpost.core.proxy.conns import capacity
-from jackdawpost.core.proxy.conns import is_asked
+from jackdawpost.core.proxy.conns import acquire_conn
+from jackdawpost.core.proxy.conns import available_frames
+from jackdawpost.core.proxy.conns import is_capacity_requested
 from jackdawpost.core.proxy.conns import request_capacity
 from jackdawpost.core.proxy.conns import start_frame
-from jackdawpost.core.proxy.conns import take_conn
 from jackdawpost.core.proxy.replica_choice import CHOOSERS
 from jackdawpost.core.proxy.replica_choice import split_by_freshness
 from jackdawpost.core.proxy.sending import batch_size
-from jackdawpost.core.proxy.sending import refuse_late
-from jackdawpost.core.proxy.sending import to_execute
+from jackdawpost.core.proxy.sending import build_execute
+from jackdawpost.core.proxy.sending import refuse_if_too_late
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
-from jackdawpost.core.proxy.state import schedule_pump
+from jackdawpost.core.proxy.state import schedule_dispatch
 from jackdawpost.core.proxy.state import Upstream
 
 # Way to the replica and back: a read that is only just fresh enough when it
 # is sent would be too old when its answer arrives.
 AGE_MARGIN_MS = 20.0
 # Each permit asked for in vain costs control three messages.
-ASK_ALL_MS = 10.0
+FAN_OUT_DELAY_MS = 10.0
 
 
-def pump_replicas(state: ProxyState, group: Group) -> None:
+def dispatch_to_replicas(state: ProxyState, group: Group) -> None:
     """Send reads with an accepted age, or ask for capacity."""
-    if state.now_ms < group.hold_until_ms and not _knows_replicas(group):
-        schedule_pump(state, group.name, group.hold_until_ms)
+    if (
+        state.now_ms < group.new_term_grace_until_ms
+        and not _has_replica_reports(group)
+    ):
+        schedule_dispatch(state, group.name, group.new_term_grace_until_ms)
         return
     queue = group.queue
     choose = CHOOSERS[state.cfg.replica_choice]
@@ -41,45 +44,49 @@
         req = queue.peek(STALE_READ)
         if req is None:
             return
-        if refuse_late(state, group, req):
+        if refuse_if_too_late(state, group, req):
             continue
-        fresh_after = _fresh_after(state, group, req)
-        servers = _servers(state, group, req, fresh_after)
-        if not servers:
+        fresh_after = _required_freshness(state, group, req)
+        candidates = _candidate_replicas(state, group, req, fresh_after)
+        if not candidates:
             queue.remove(req)
             req.priority = FRESH_READ
             queue.push(req)
             count(state, 'reads_without_replica')
             continue
-        free = [up for up in servers if capacity(state, up)]
+        free = [up for up in candidates if available_frames(state, up)]
         if not free:
-            _ask_replicas(state, group, servers, req)
+            _request_replica_capacity(state, group, candidates, req)
             return
-        group.turn += 1
-        chosen = choose(free, state.rng, group.turn)
+        group.round_robin_count += 1
+        chosen = choose(free, state.rng, group.round_robin_count)
         _send_to_replica(state, group, chosen, free, fresh_after)
 
 
-def _ask_replicas(
-    state: ProxyState, group: Group, servers: list[Upstream], first: Request
+def _request_replica_capacity(
+    state: ProxyState, group: Group, candidates: list[Upstream], first: Request
 ) -> None:
     """Ask for capacity: for one read at one replica, soon at all."""
     waiting = group.queue.count(STALE_READ)
-    ask_all_ms = first.arrived_ms + ASK_ALL_MS
-    if waiting < len(servers) and state.now_ms < ask_all_ms:
-        schedule_pump(state, group.name, ask_all_ms)
-        asked = [up for up in servers if is_asked(state, up)]
-        if not asked:
-            group.turn += 1
+    fan_out_ms = first.arrived_ms + FAN_OUT_DELAY_MS
+    if waiting < len(candidates) and state.now_ms < fan_out_ms:
+        schedule_dispatch(state, group.name, fan_out_ms)
+        requested = [
+            up for up in candidates if is_capacity_requested(state, up)
+        ]
+        if not requested:
+            group.round_robin_count += 1
             choose = CHOOSERS[state.cfg.replica_choice]
-            asked = [choose(servers, state.rng, group.turn)]
-        servers = asked
-    share = -(-waiting // len(servers))
-    for up in servers:
+            requested = [
+                choose(candidates, state.rng, group.round_robin_count)
+            ]
+        candidates = requested
+    share = -(-waiting // len(candidates))
+    for up in candidates:
         request_capacity(state, up, share)
 
 
-def _knows_replicas(group: Group) -> bool:
+def _has_replica_reports(group: Group) -> bool:
     """Tell whether sample and replicas of the current term are known."""
     term = group.view.term
     return len(group.freshness) > 0 and any(
@@ -99,9 +106,9 @@
     waiting = queue.count(STALE_READ)
     size = 1
     if waiting > 1:
-        frames = sum(capacity(state, other) for other in free)
+        frames = sum(available_frames(state, other) for other in free)
         size = batch_size(waiting, frames)
-    conn = take_conn(state, up)
+    conn = acquire_conn(state, up)
     if conn is None:
         raise RuntimeError(f'{up.name!r} has capacity but no connection')
     batch: list[Request] = []
@@ -111,17 +118,17 @@
         if req is None:
             break
         if batch:
-            fresh_after = _fresh_after(state, group, req)
-            if up not in _servers(state, group, req, fresh_after):
+            fresh_after = _required_freshness(state, group, req)
+            if up not in _candidate_replicas(state, group, req, fresh_after):
                 break
         queue.pop(STALE_READ, state.now_ms)
         batch.append(req)
-        messages.append(to_execute(state, group, req, False, fresh_after))
+        messages.append(build_execute(state, group, req, False, fresh_after))
     timeout_ms = max(message.timeout_ms for message in messages)
     start_frame(state, conn, batch, messages, timeout_ms)
 
 
-def _fresh_after(
+def _required_freshness(
     state: ProxyState, group: Group, req: Request
 ) -> LogPosition | None:
     max_age_ms = req.max_age_ms or 0
@@ -131,7 +138,7 @@
     )
 
 
-def _servers(
+def _candidate_replicas(
     state: ProxyState,
     group: Group,
     req: Request,
@@ -144,16 +151,19 @@
         up
         for up in group.upstreams
         if up.name != primary
-        and (req.avoided is None or up.name not in req.avoided)
+        and (
+            req.excluded_upstreams is None
+            or up.name not in req.excluded_upstreams
+        )
     ]
-    max_lag_ms = _longest_lag_to_wait_for(state, group, req, fresh_after)
+    max_lag_ms = _max_recoverable_lag_ms(state, group, req, fresh_after)
     ready, soon = split_by_freshness(
         replicas, group.view.term, req.after, fresh_after, max_lag_ms
     )
     return ready or soon
 
 
-def _longest_lag_to_wait_for(
+def _max_recoverable_lag_ms(
     state: ProxyState, group: Group, req: Request, fresh_after: LogPosition
 ) -> float:
     """Return the lag up to which a replica gets there in `wait_ms`."""
--- a/jackdawpost/core/proxy/requests.py
+++ b/jackdawpost/core/proxy/requests.py
@@ -8,48 +8,48 @@
 from jackdawpost.core.proxy.admission import FRESH_READ
 from jackdawpost.core.proxy.admission import STALE_READ
 from jackdawpost.core.proxy.admission import WRITE
-from jackdawpost.core.proxy.answers import delay
 from jackdawpost.core.proxy.answers import enqueue
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import redirect_read
-from jackdawpost.core.proxy.answers import refuse_attempt
-from jackdawpost.core.proxy.answers import settle_done
-from jackdawpost.core.proxy.conns import abandon
+from jackdawpost.core.proxy.answers import finish_refused
+from jackdawpost.core.proxy.answers import on_statement_done
+from jackdawpost.core.proxy.answers import redirect_to_primary
+from jackdawpost.core.proxy.answers import retry_later
+from jackdawpost.core.proxy.conns import abandon_request
+from jackdawpost.core.proxy.conns import acquire_conn
 from jackdawpost.core.proxy.conns import attempt_timeout_ms
-from jackdawpost.core.proxy.conns import capacity
+from jackdawpost.core.proxy.conns import available_frames
 from jackdawpost.core.proxy.conns import end_frame
 from jackdawpost.core.proxy.conns import release_permit
 from jackdawpost.core.proxy.conns import request_capacity
+from jackdawpost.core.proxy.conns import set_answer_deadline
 from jackdawpost.core.proxy.conns import start_frame
-from jackdawpost.core.proxy.conns import take_conn
-from jackdawpost.core.proxy.conns import watch_frame
-from jackdawpost.core.proxy.replica_reads import pump_replicas
+from jackdawpost.core.proxy.replica_reads import dispatch_to_replicas
 from jackdawpost.core.proxy.sending import batch_size
-from jackdawpost.core.proxy.sending import refuse_late
-from jackdawpost.core.proxy.sending import to_execute
+from jackdawpost.core.proxy.sending import build_execute
+from jackdawpost.core.proxy.sending import refuse_if_too_late
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
-from jackdawpost.core.proxy.state import schedule_pump
+from jackdawpost.core.proxy.state import schedule_dispatch
 from jackdawpost.core.proxy.state import Upstream
 from jackdawpost.core.proxy.state import UpstreamConn
 from jackdawpost.core.proxy.transactions import on_txn_executed
 from jackdawpost.core.proxy.transactions import send_begin
 
-PAUSE_MS = 10.0
-SERVICE_WEIGHT = 0.05
+UPSTREAM_COOL_DOWN_MS = 10.0
+SERVICE_TIME_WEIGHT = 0.05
 
 
-def pump(state: ProxyState, group: Group) -> None:
+def dispatch(state: ProxyState, group: Group) -> None:
     """Send what can be sent of a group's queue."""
     if group.queue.count(STALE_READ):
-        pump_replicas(state, group)
+        dispatch_to_replicas(state, group)
     if group.queue.count(WRITE) or group.queue.count(FRESH_READ):
-        _pump_primary(state, group)
+        _dispatch_to_primary(state, group)
 
 
-def ready_primary(state: ProxyState, group: Group) -> Upstream | None:
+def usable_primary(state: ProxyState, group: Group) -> Upstream | None:
     """Return the primary if it may get work from this proxy."""
     up = state.upstreams.get(group.view.primary or '')
     if up is None or up.leaving or up.evidence != 'up':
@@ -59,31 +59,31 @@
     return up
 
 
-def _prepare_primary(state: ProxyState, group: Group) -> None:
+def _prewarm_primary(state: ProxyState, group: Group) -> None:
     """Get connections and permits while the lease of a new term comes."""
     up = state.upstreams.get(group.view.primary or '')
     if up is None or up.leaving or up.evidence != 'up':
         return
-    if state.now_ms >= group.hold_until_ms:
+    if state.now_ms >= group.new_term_grace_until_ms:
         return
     queue = group.queue
     waiting = queue.count(WRITE) + queue.count(FRESH_READ)
     request_capacity(state, up, waiting)
 
 
-def _pump_primary(state: ProxyState, group: Group) -> None:
-    up = ready_primary(state, group)
+def _dispatch_to_primary(state: ProxyState, group: Group) -> None:
+    up = usable_primary(state, group)
     if up is None:
-        group.queue.forget_rate()
-        _prepare_primary(state, group)
+        group.queue.reset_rate()
+        _prewarm_primary(state, group)
         return
     queue = group.queue
     while True:
         waiting = queue.count(WRITE) + queue.count(FRESH_READ)
         if not waiting:
             return
-        free = capacity(state, up)
-        conn = take_conn(state, up) if free else None
+        free = available_frames(state, up)
+        conn = acquire_conn(state, up) if free else None
         if conn is None:
             request_capacity(state, up, waiting)
             return
@@ -95,7 +95,7 @@
         if isinstance(batch[0].message, Begin):
             send_begin(state, group, conn, batch[0])
             continue
-        messages = [to_execute(state, group, req, True) for req in batch]
+        messages = [build_execute(state, group, req, True) for req in batch]
         timeout_ms = max(message.timeout_ms for message in messages)
         start_frame(state, conn, batch, messages, timeout_ms)
 
@@ -110,7 +110,7 @@
         req = queue.peek(priority)
         if req is None:
             break
-        if refuse_late(state, group, req):
+        if refuse_if_too_late(state, group, req):
             continue
         if isinstance(req.message, Begin):
             if not batch:
@@ -136,24 +136,24 @@
         on_txn_executed(state, conn, req, executed)
         return
     if group is not None:
-        change = state.now_ms - conn.turn_ms - group.service_ms
-        group.service_ms += SERVICE_WEIGHT * change
-        conn.turn_ms = state.now_ms
+        change = state.now_ms - conn.last_activity_ms - group.mean_service_ms
+        group.mean_service_ms += SERVICE_TIME_WEIGHT * change
+        conn.last_activity_ms = state.now_ms
     if req.phase == 'running' and group is not None:
         if executed.status == 'done':
-            settle_done(state, group, req, executed, up.name)
+            on_statement_done(state, group, req, executed, up.name)
         else:
-            _settle_refused(state, group, up, req, executed)
+            _on_statement_refused(state, group, up, req, executed)
     if conn.running:
         timeout_ms = max(
             attempt_timeout_ms(state, other) for other in conn.running.values()
         )
-        watch_frame(state, conn, timeout_ms)
+        set_answer_deadline(state, conn, timeout_ms)
     else:
         end_frame(state, conn)
 
 
-def _settle_refused(
+def _on_statement_refused(
     state: ProxyState,
     group: Group,
     up: Upstream,
@@ -163,51 +163,51 @@
     code = executed.code
     count(state, f'refused_{code}')
     if code in ('statement_failed', 'malformed', 'timeout'):
-        current = holds_lease(state, group, req.term)
-        refuse_attempt(state, req, executed, current)
+        from_current_primary = holds_lease(state, group, req.term)
+        finish_refused(state, req, executed, from_current_primary)
         return
     if code == 'leaving':
         up.leaving = True
     if code in ('no_slot', 'stale_term', 'not_primary'):
-        pause_upstream(state, up)
+        start_cool_down(state, up)
     if req.priority == STALE_READ:
-        _refused_by_replica(state, up, req, executed)
+        _on_replica_refused(state, up, req, executed)
     elif code == 'history_lost' and holds_lease(state, group, req.term):
-        refuse_attempt(state, req, executed, True)
+        finish_refused(state, req, executed, True)
     else:
-        delay(state, req)
+        retry_later(state, req)
 
 
-def _refused_by_replica(
+def _on_replica_refused(
     state: ProxyState, up: Upstream, req: Request, executed: Executed
 ) -> None:
     if executed.code == 'history_lost':
         # Only the primary knows for certain what the group's history is.
-        redirect_read(state, req, ran=False)
+        redirect_to_primary(state, req, was_executed=False)
         return
     if executed.code == 'no_slot':
-        delay(state, req)
+        retry_later(state, req)
         return
-    if req.avoided is None:
-        req.avoided = set()
-    req.avoided.add(up.name)
-    enqueue(state, req, first=True)
+    if req.excluded_upstreams is None:
+        req.excluded_upstreams = set()
+    req.excluded_upstreams.add(up.name)
+    enqueue(state, req, at_front=True)
 
 
-def pause_upstream(state: ProxyState, up: Upstream) -> None:
+def start_cool_down(state: ProxyState, up: Upstream) -> None:
     """Send nothing to an upstream for a moment."""
-    up.paused_until_ms = state.now_ms + PAUSE_MS
-    schedule_pump(state, up.view.group, up.paused_until_ms)
+    up.cool_down_until_ms = state.now_ms + UPSTREAM_COOL_DOWN_MS
+    schedule_dispatch(state, up.view.group, up.cool_down_until_ms)
 
 
-def expire(state: ProxyState, serial: int) -> None:
+def expire_request(state: ProxyState, serial: int) -> None:
     """Answer a request whose deadline has come."""
     req = state.requests.get(serial)
     if req is None:
         return
     count(state, 'expired')
     if req.phase == 'running':
-        abandon(state, req, 'deadline')
+        abandon_request(state, req, 'deadline')
     elif req.phase == 'durable':
         finish_error(state, req, 'unknown', 'not_durable')
     else:
--- a/jackdawpost/core/proxy/sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -8,14 +8,14 @@
 from jackdawpost.core.positions import ZERO_POSITION
 from jackdawpost.core.proxy.answers import finish_error
 from jackdawpost.core.proxy.conns import attempt_timeout_ms
-from jackdawpost.core.proxy.conns import MAX_BATCH
+from jackdawpost.core.proxy.conns import MAX_BATCH_STATEMENTS
 from jackdawpost.core.proxy.state import Group
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 
 
-def refuse_late(state: ProxyState, group: Group, req: Request) -> bool:
+def refuse_if_too_late(state: ProxyState, group: Group, req: Request) -> bool:
     """Refuse a request that waited until too little time is left to run.
 
     Under overload it would occupy a slot for an answer that comes too late,
@@ -23,7 +23,10 @@
     tried, or an estimate that is too high would never be corrected.
     """
     left_ms = req.due_ms - state.now_ms
-    if left_ms > group.service_ms or left_ms > state.now_ms - req.arrived_ms:
+    if (
+        left_ms > group.mean_service_ms
+        or left_ms > state.now_ms - req.arrived_ms
+    ):
         return False
     group.queue.remove(req)
     finish_error(state, req, 'not_run', 'deadline')
@@ -32,10 +35,10 @@
 
 def batch_size(waiting: int, free: int) -> int:
     """Return how many statements share a frame, given free frames."""
-    return min(MAX_BATCH, -(-waiting // max(1, free)))
+    return min(MAX_BATCH_STATEMENTS, -(-waiting // max(1, free)))
 
 
-def to_execute(
+def build_execute(
     state: ProxyState,
     group: Group,
     req: Request,
@@ -45,7 +48,7 @@
     """Return the message of a new attempt, and number the attempt."""
     message = req.message
     assert isinstance(message, Statement)
-    req.exec_id = new_serial(state)
+    req.exec_id = new_id(state)
     req.term = group.view.term
     return Execute(
         id=req.exec_id,
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -119,12 +119,12 @@
     max_age_ms: int | None = None
     queued: bool = False
     phase: str = 'queued'
-    sent_term: int = -1
+    uncertain_term: int = -1
     term: int = -1
     attempts: int = 0
     exec_id: int = 0
     upstream_conn: int = 0
-    avoided: set[str] | None = None
+    excluded_upstreams: set[str] | None = None
     txn: Transaction | None = None
     result: Executed | None = None
 
@@ -137,7 +137,7 @@
     ----------
     state : str
         ``'open'`` or ``'lost'``.
-    busy : Request, optional
+    running : Request, optional
         Statement that runs now.
     is_watched : bool
         A check for an idle transaction is on the agenda.
@@ -150,10 +150,10 @@
     conn: int
     token: SessionToken
     state: str = 'open'
-    busy: Request | None = None
+    running: Request | None = None
     pending: list[Request] = field(default_factory=list)
     idle_due_ms: float = math.inf
-    is_watched: bool = False
+    idle_check_scheduled: bool = False
 
 
 @dataclass(slots=True)
@@ -188,12 +188,12 @@
     opened: bool = False
     running: dict[int, Request] = field(default_factory=dict)
     txn: Transaction | None = None
-    condemned: bool = False
-    in_frame: bool = False
-    owns_permit: bool = False
-    turn_ms: float = 0.0
+    close_after_frame: bool = False
+    frame_outstanding: bool = False
+    holds_permit: bool = False
+    last_activity_ms: float = 0.0
     deadline_ms: float = math.inf
-    watch_due_ms: float = math.inf
+    check_due_ms: float = math.inf
 
 
 @dataclass(slots=True)
@@ -231,10 +231,10 @@
     opening: int = 0
     open_failures: int = 0
     next_open_ms: float = -math.inf
-    paused_until_ms: float = -math.inf
-    returned_ms: float = -math.inf
+    cool_down_until_ms: float = -math.inf
+    recovered_ms: float = -math.inf
     was_down: bool = False
-    permit_check: bool = False
+    permit_check_scheduled: bool = False
 
 
 @dataclass(slots=True)
@@ -253,17 +253,17 @@
     name: str
     view: GroupView
     queue: AdmissionQueue[Request]
-    budget: RetryBudget
+    retry_budget: RetryBudget
     freshness: FreshnessTracker
     upstreams: list[Upstream] = field(default_factory=list)
     max_deadline_ms: int = 60_000
-    undurable: list[tuple[LogPosition, int, Request]] = field(
+    unconfirmed_writes: list[tuple[LogPosition, int, Request]] = field(
         default_factory=list
     )
-    turn: int = 0
-    service_ms: float = 0.0
-    pump_due_ms: float = math.inf
-    hold_until_ms: float = -math.inf
+    round_robin_count: int = 0
+    mean_service_ms: float = 0.0
+    dispatch_due_ms: float = math.inf
+    new_term_grace_until_ms: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -291,9 +291,9 @@
     groups: dict[str, Group] = field(default_factory=dict)
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     conns: dict[int, UpstreamConn] = field(default_factory=dict)
-    monitors: dict[int, str] = field(default_factory=dict)
-    controls: dict[int, str] = field(default_factory=dict)
-    leader: int = 0
+    monitor_conns: dict[int, str] = field(default_factory=dict)
+    control_conns: dict[int, str] = field(default_factory=dict)
+    leader_conn: int = 0
     member_state: str = ''
     validity_due_ms: float = math.inf
     report_due_ms: float = -math.inf
@@ -306,25 +306,25 @@
     txns: dict[int, Transaction] = field(default_factory=dict)
     agenda: list[tuple[float, int, str, Any]] = field(default_factory=list)
     agenda_seq: int = 0
-    armed_ms: float = math.inf
-    dirty: set[str] = field(default_factory=set)
-    last_conn: int = 0
-    last_serial: int = 0
-    drain_ms: float | None = None
+    timer_due_ms: float = math.inf
+    groups_to_dispatch: set[str] = field(default_factory=set)
+    last_conn_id: int = 0
+    last_id: int = 0
+    drain_started_ms: float | None = None
     stopped: bool = False
-    proxies: int = 1
+    proxy_count: int = 1
     outbox: list[Effect] = field(default_factory=list)
-    sends: dict[int, Send] = field(default_factory=dict)
+    open_frames: dict[int, Send] = field(default_factory=dict)
 
 
 def send(state: ProxyState, conn: int, message: Any) -> None:
     """Send a message, in one frame with others of the same event."""
-    earlier = state.sends.get(conn)
+    earlier = state.open_frames.get(conn)
     if earlier is not None and len(earlier.messages) < MAX_FRAME_MESSAGES:
         earlier.messages.append(message)
         return
     effect = Send(conn=conn, messages=[message])
-    state.sends[conn] = effect
+    state.open_frames[conn] = effect
     state.outbox.append(effect)
 
 
@@ -332,7 +332,7 @@
     state: ProxyState, conn: int, reason: str, abort: bool = False
 ) -> None:
     """Close a connection after what was sent on it."""
-    state.sends.pop(conn, None)
+    state.open_frames.pop(conn, None)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
 
@@ -344,25 +344,25 @@
     heapq.heappush(state.agenda, (due_ms, state.agenda_seq, action, subject))
 
 
-def schedule_pump(state: ProxyState, name: str, due_ms: float) -> None:
+def schedule_dispatch(state: ProxyState, name: str, due_ms: float) -> None:
     """Look again at a group's queue at a time."""
     group = state.groups.get(name)
-    if group is None or state.now_ms < group.pump_due_ms <= due_ms:
+    if group is None or state.now_ms < group.dispatch_due_ms <= due_ms:
         return
-    group.pump_due_ms = due_ms
-    schedule(state, due_ms, 'pump', name)
+    group.dispatch_due_ms = due_ms
+    schedule(state, due_ms, 'dispatch', name)
 
 
-def new_conn(state: ProxyState) -> int:
+def new_conn_id(state: ProxyState) -> int:
     """Return the id of a connection that is about to be opened."""
-    state.last_conn -= 1
-    return state.last_conn
+    state.last_conn_id -= 1
+    return state.last_conn_id
 
 
-def new_serial(state: ProxyState) -> int:
+def new_id(state: ProxyState) -> int:
     """Return a number that is unique in this process."""
-    state.last_serial += 1
-    return state.last_serial
+    state.last_id += 1
+    return state.last_id
 
 
 def holds_lease(state: ProxyState, group: Group, term: int) -> bool:
--- a/jackdawpost/core/proxy/transactions.py
+++ b/jackdawpost/core/proxy/transactions.py
@@ -15,20 +15,20 @@
 from jackdawpost.core.messages.upstream import TxnCommit
 from jackdawpost.core.messages.upstream import TxnRollback
 from jackdawpost.core.outbox import count
-from jackdawpost.core.proxy.answers import delay
+from jackdawpost.core.proxy.answers import answer_when_replicated
 from jackdawpost.core.proxy.answers import finish
 from jackdawpost.core.proxy.answers import finish_done
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import hold_until_copied
-from jackdawpost.core.proxy.answers import lose_attempt
-from jackdawpost.core.proxy.answers import refuse_attempt
+from jackdawpost.core.proxy.answers import finish_refused
+from jackdawpost.core.proxy.answers import retry_later
+from jackdawpost.core.proxy.answers import retry_or_fail
 from jackdawpost.core.proxy.conns import attempt_timeout_ms
 from jackdawpost.core.proxy.conns import drop_conn
 from jackdawpost.core.proxy.conns import end_frame
 from jackdawpost.core.proxy.conns import start_frame
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 from jackdawpost.core.proxy.state import schedule
@@ -37,15 +37,18 @@
 
 MAX_LOST_HANDLES = 64
 # Refusals after which the upstream's transaction is still open.
-KEEPING_CODES = frozenset({'statement_failed', 'timeout'})
-FINAL_BEGIN_CODES = KEEPING_CODES | {'malformed', 'history_lost'}
+TRANSACTION_KEEPING_CODES = frozenset({'statement_failed', 'timeout'})
+PERMANENT_BEGIN_CODES = TRANSACTION_KEEPING_CODES | {
+    'malformed',
+    'history_lost',
+}
 
 
 def send_begin(
     state: ProxyState, group: Group, conn: UpstreamConn, req: Request
 ) -> None:
     """Open a transaction on a connection taken for it."""
-    req.exec_id = new_serial(state)
+    req.exec_id = new_id(state)
     req.term = group.view.term
     message = TxnBegin(
         id=req.exec_id,
@@ -62,7 +65,7 @@
     """Run a request in its transaction, after those before it."""
     req.txn = txn
     txn.idle_due_ms = math.inf
-    if txn.busy is not None or txn.pending:
+    if txn.running is not None or txn.pending:
         req.phase = 'txn'
         txn.pending.append(req)
         return
@@ -73,16 +76,16 @@
     state: ProxyState, txn: Transaction, req: Request
 ) -> None:
     conn = state.conns[txn.conn]
-    txn.busy = req
-    req.exec_id = new_serial(state)
+    txn.running = req
+    req.exec_id = new_id(state)
     req.term = txn.term
     req.token = txn.token
     timeout_ms = attempt_timeout_ms(state, req)
-    message = _to_upstream(req, timeout_ms)
+    message = _build_message(req, timeout_ms)
     start_frame(state, conn, [req], [message], timeout_ms)
 
 
-def _to_upstream(req: Request, timeout_ms: int) -> Any:
+def _build_message(req: Request, timeout_ms: int) -> Any:
     message = req.message
     if isinstance(message, Commit):
         return TxnCommit(
@@ -115,47 +118,47 @@
     """Handle an upstream's answer to a request of a transaction."""
     txn = conn.txn
     if txn is None:
-        _on_begun(state, conn, req, executed)
+        _on_begin_executed(state, conn, req, executed)
         return
-    txn.busy = None
+    txn.running = None
     if isinstance(req.message, (Commit, Rollback)):
-        _on_ended(state, conn, txn, req, executed)
+        _on_end_executed(state, conn, txn, req, executed)
         return
     group = state.groups.get(req.group)
     if group is None or not holds_lease(state, group, txn.term):
-        lose_attempt(state, req, 'lease_lost')
+        retry_or_fail(state, req, 'lease_lost')
         drop_conn(state, conn, 'lease lost in a transaction')
         return
     if executed.status == 'done':
         finish_done(state, req, executed, 'primary', 0)
     else:
-        if executed.code not in KEEPING_CODES:
+        if executed.code not in TRANSACTION_KEEPING_CODES:
             text = executed.message or ''
             finish_error(state, req, 'not_run', 'transaction_lost', text)
             drop_conn(state, conn, 'refused in a transaction')
             return
-        refuse_attempt(state, req, executed, True)
+        finish_refused(state, req, executed, True)
     end_frame(state, conn)
-    _go_on(state, txn)
+    _run_next(state, txn)
 
 
-def _go_on(state: ProxyState, txn: Transaction) -> None:
+def _run_next(state: ProxyState, txn: Transaction) -> None:
     if txn.state == 'lost':
         return
     if txn.pending:
         _send_in_transaction(state, txn, txn.pending.pop(0))
         return
     txn.idle_due_ms = state.now_ms + state.cfg.idle_txn_ms
-    _watch_idle(state, txn)
+    _schedule_idle_check(state, txn)
 
 
-def _watch_idle(state: ProxyState, txn: Transaction) -> None:
-    if not txn.is_watched:
-        txn.is_watched = True
+def _schedule_idle_check(state: ProxyState, txn: Transaction) -> None:
+    if not txn.idle_check_scheduled:
+        txn.idle_check_scheduled = True
         schedule(state, txn.idle_due_ms, 'txn_idle', txn.handle)
 
 
-def _on_begun(
+def _on_begin_executed(
     state: ProxyState,
     conn: UpstreamConn,
     req: Request,
@@ -165,17 +168,17 @@
     caller = state.callers.get(req.caller)
     if executed.status != 'done':
         end_frame(state, conn)
-        _refuse_begin(state, req, executed)
+        _on_begin_refused(state, req, executed)
         return
     if caller is None or group is None or req.phase != 'running':
         drop_conn(state, conn, 'the caller has gone')
         return
     if not holds_lease(state, group, req.term):
         drop_conn(state, conn, 'lease lost in a transaction')
-        delay(state, req)
+        retry_later(state, req)
         return
     txn = Transaction(
-        handle=new_serial(state),
+        handle=new_id(state),
         caller=req.caller,
         group=req.group,
         term=req.term,
@@ -184,15 +187,15 @@
     )
     conn.txn = txn
     state.txns[txn.handle] = txn
-    _forget_lost_handles(caller.txns)
+    _evict_lost_handles(caller.txns)
     caller.txns[txn.handle] = txn
     answer = Answer(id=req.message.id, outcome='done', txn=txn.handle)
     finish(state, req, answer)
     end_frame(state, conn)
-    _go_on(state, txn)
+    _run_next(state, txn)
 
 
-def _forget_lost_handles(txns: dict[int, Transaction]) -> None:
+def _evict_lost_handles(txns: dict[int, Transaction]) -> None:
     if len(txns) < MAX_LOST_HANDLES:
         return
     lost = [h for h, txn in txns.items() if txn.state == 'lost']
@@ -200,16 +203,18 @@
         del txns[handle]
 
 
-def _refuse_begin(state: ProxyState, req: Request, executed: Executed) -> None:
+def _on_begin_refused(
+    state: ProxyState, req: Request, executed: Executed
+) -> None:
     if req.phase != 'running':
         return
-    if executed.code in FINAL_BEGIN_CODES:
-        refuse_attempt(state, req, executed, True)
+    if executed.code in PERMANENT_BEGIN_CODES:
+        finish_refused(state, req, executed, True)
     else:
-        delay(state, req)
+        retry_later(state, req)
 
 
-def _on_ended(
+def _on_end_executed(
     state: ProxyState,
     conn: UpstreamConn,
     txn: Transaction,
@@ -217,19 +222,19 @@
     executed: Executed,
 ) -> None:
     group = state.groups.get(req.group)
-    _forget(state, txn)
+    _remove_transaction(state, txn)
     if executed.status != 'done':
         # Whether the upstream still has it open is not certain.
-        refuse_attempt(state, req, executed, True)
+        finish_refused(state, req, executed, True)
         drop_conn(state, conn, 'the end of a transaction was refused')
         return
     conn.txn = None
     if isinstance(req.message, Rollback):
         finish_done(state, req, executed)
     elif group is None or not holds_lease(state, group, txn.term):
-        lose_attempt(state, req, 'lease_lost')
+        retry_or_fail(state, req, 'lease_lost')
     elif req.phase == 'running':
-        hold_until_copied(state, group, req, executed)
+        answer_when_replicated(state, group, req, executed)
     end_frame(state, conn)
     _refuse_pending(state, txn)
 
@@ -242,7 +247,7 @@
         finish_error(state, req, 'not_run', 'unknown_transaction')
 
 
-def _forget(state: ProxyState, txn: Transaction) -> None:
+def _remove_transaction(state: ProxyState, txn: Transaction) -> None:
     state.txns.pop(txn.handle, None)
     caller = state.callers.get(txn.caller)
     if caller is not None:
@@ -262,8 +267,8 @@
     txn = state.txns.get(handle)
     if txn is None:
         return
-    txn.is_watched = False
+    txn.idle_check_scheduled = False
     if txn.idle_due_ms <= state.now_ms:
         roll_back(state, txn, 'idle transaction')
     elif txn.idle_due_ms < math.inf:
-        _watch_idle(state, txn)
+        _schedule_idle_check(state, txn)
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/proxy_simulation.py
@@ -40,7 +40,7 @@
 DATABASES = ('db-1', 'db-2', 'db-3')
 CONTROL_CONN = 1
 LEASE_MS = 1_500
-OPENING = 'opening:'
+OPENING_TIMER_PREFIX = 'opening:'
 
 
 class FakeUpstream:
@@ -56,7 +56,7 @@
         self.answers_probes = True
 
 
-class ProxyWorld:
+class ProxySimulation:
     """A proxy among fakes that answer at once unless told otherwise.
 
     Parameters
@@ -66,7 +66,7 @@
 
     Attributes
     ----------
-    work : list of (int, message)
+    statements : list of (int, message)
         Statements sent to upstreams, by connection, not yet answered.
     answers : dict of int to list
         Messages received by each caller.
@@ -91,7 +91,7 @@
         self.upstreams = {name: FakeUpstream(name) for name in DATABASES}
         self.conn_names: dict[int, str] = {}
         self.purposes: dict[int, str] = {}
-        self.work: list[tuple[int, Any]] = []
+        self.statements: list[tuple[int, Any]] = []
         self.answers: dict[int, list[Any]] = {}
         self.control_sent: list[Any] = []
         self.closed: list[int] = []
@@ -99,12 +99,12 @@
         self.stopped = False
         self.control = CONTROL_CONN
         self.control_answers = True
-        self.lends = True
-        self.lent: dict[str, int] = {}
+        self.grants_permits = True
+        self.granted_permits: dict[str, int] = {}
         self.term = 1
         self.version = 0
         self.write_copies = write_copies
-        self.counted = DATABASES
+        self.database_set = DATABASES
         self._events: deque[Event] = deque()
         self._next_caller = 100
         self.state, effects = new_proxy(cfg, Random(1), self.now_ms)
@@ -136,7 +136,9 @@
             'replica_wait_ms': 50,
             'term': self.term,
             'primary': primary,
-            'database_set': {name: f'data-{name}' for name in self.counted},
+            'database_set': {
+                name: f'data-{name}' for name in self.database_set
+            },
         }
         items = [
             PublishedObject(type='group', name=GROUP, body=group),
@@ -163,7 +165,7 @@
             items.append(
                 PublishedObject(type='upstream', name=name, body=body)
             )
-        self.from_control(
+        self.deliver_from_control(
             StateUpdate(
                 from_version=0, version=self.version, upserts=items, full=True
             )
@@ -178,14 +180,14 @@
         if publish:
             self.publish(primary=name)
 
-    def from_control(self, message: Any, conn: int = 0) -> None:
+    def deliver_from_control(self, message: Any, conn: int = 0) -> None:
         """Deliver a message of a control process, by default the last."""
         sender = conn or self.control
         self.feed(
             Received(now_ms=self.now_ms, conn=sender, messages=[message])
         )
 
-    def caller(self) -> int:
+    def connect_caller(self) -> int:
         """Connect a caller."""
         self._next_caller += 1
         conn = self._next_caller
@@ -193,7 +195,7 @@
         self.feed(ConnOpened(now_ms=self.now_ms, conn=conn, link='caller'))
         return conn
 
-    def ask(self, conn: int, *messages: Any) -> None:
+    def send_requests(self, conn: int, *messages: Any) -> None:
         """Send requests of a caller in one frame."""
         self.feed(
             Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
@@ -202,22 +204,22 @@
     def write(self, conn: int, request_id: int = 1, **fields: Any) -> None:
         """Send a write with a request key."""
         fields.setdefault('request_key', f'key-{request_id}')
-        self.ask(conn, _statement(request_id, 'write', **fields))
+        self.send_requests(conn, _statement(request_id, 'write', **fields))
 
     def read(self, conn: int, request_id: int = 1, **fields: Any) -> None:
         """Send a read."""
-        self.ask(conn, _statement(request_id, 'read', **fields))
+        self.send_requests(conn, _statement(request_id, 'read', **fields))
 
-    def answer(self, conn: int) -> Answer:
+    def pop_answer(self, conn: int) -> Answer:
         """Return the only message that a caller received, and forget it."""
         messages = self.answers[conn]
         assert len(messages) == 1, messages
         return messages.pop()
 
-    def take(self) -> tuple[int, Any]:
+    def pop_statement(self) -> tuple[int, Any]:
         """Return the only statement that an upstream got."""
-        assert len(self.work) == 1, self.work
-        return self.work.pop()
+        assert len(self.statements) == 1, self.statements
+        return self.statements.pop()
 
     def reply(self, conn: int, message: Any, **fields: Any) -> None:
         """Answer a statement as its upstream."""
@@ -230,7 +232,7 @@
         """Refuse a statement as its upstream."""
         self.reply(conn, message, status='not_run', code=code)
 
-    def move(self, position: LogPosition, *names: str) -> None:
+    def report_position(self, position: LogPosition, *names: str) -> None:
         """Let databases hold a position and report it."""
         for name in names or DATABASES:
             self.upstreams[name].position = position
@@ -244,19 +246,19 @@
                         )
                     )
 
-    def cut(self, conn: int, reason: Any = 'closed') -> None:
+    def disconnect(self, conn: int, reason: Any = 'closed') -> None:
         """End a connection from the other side."""
         self.conn_names.pop(conn, None)
         self.feed(ConnClosed(now_ms=self.now_ms, conn=conn, reason=reason))
 
-    def fail(self, name: str, reachable: str = 'refused') -> None:
+    def fail_upstream(self, name: str, reachable: str = 'refused') -> None:
         """Make an upstream refuse or swallow everything."""
         up = self.upstreams[name]
         up.reachable = reachable
         up.answers_probes = False
         if reachable == 'refused':
             for conn in [c for c, n in self.conn_names.items() if n == name]:
-                self.cut(conn)
+                self.disconnect(conn)
 
     def advance(self, duration_ms: float) -> None:
         """Let time pass and fire what is due on the way."""
@@ -267,13 +269,15 @@
                 break
             del self.timers[key]
             self.now_ms = max(self.now_ms, due_ms)
-            if key.startswith(OPENING):
-                self.cut(int(key.removeprefix(OPENING)), 'timeout')
+            if key.startswith(OPENING_TIMER_PREFIX):
+                self.disconnect(
+                    int(key.removeprefix(OPENING_TIMER_PREFIX)), 'timeout'
+                )
             else:
                 self.feed(TimerFired(now_ms=self.now_ms, key=key))
         self.now_ms = end_ms
 
-    def freeze(self, duration_ms: float) -> None:
+    def suspend_process(self, duration_ms: float) -> None:
         """Let time pass without any event, as in a frozen process."""
         self.now_ms += duration_ms
 
@@ -287,7 +291,7 @@
             self._perform(effects)
             self._events.popleft()
 
-    def conn_of(self, name: str, purpose: str = 'statements') -> int:
+    def find_conn(self, name: str, purpose: str = 'statements') -> int:
         """Return an open connection to an upstream."""
         for conn, owner in self.conn_names.items():
             if owner == name and self.purposes[conn] == purpose:
@@ -319,7 +323,7 @@
                 )
             )
         elif up.reachable == 'silent':
-            key = f'{OPENING}{effect.conn}'
+            key = f'{OPENING_TIMER_PREFIX}{effect.conn}'
             self.timers[key] = self.now_ms + effect.timeout_ms
         else:
             self.conn_names[effect.conn] = up.name
@@ -339,16 +343,16 @@
             self.answers[conn].append(message)
         elif conn > 0:
             self.control_sent.append(message)
-            self._as_control(conn, message)
+            self._answer_as_control(conn, message)
         elif isinstance(message, Probe):
             name = self.conn_names.get(conn)
             if name and self.upstreams[name].answers_probes:
                 probed = self._report(name, Probed, id=message.id)
-                self._later(conn, probed)
+                self._enqueue_message(conn, probed)
         elif conn in self.conn_names:
-            self.work.append((conn, message))
+            self.statements.append((conn, message))
 
-    def _later(self, conn: int, message: Any) -> None:
+    def _enqueue_message(self, conn: int, message: Any) -> None:
         event = Received(now_ms=self.now_ms, conn=conn, messages=[message])
         self._events.append(event)
 
@@ -363,7 +367,7 @@
             **fields,
         )
 
-    def _as_control(self, conn: int, message: Any) -> None:
+    def _answer_as_control(self, conn: int, message: Any) -> None:
         if isinstance(message, ProxyReport) and self.control_answers:
             grant = LeaseGrant(
                 seq=message.seq,
@@ -372,13 +376,13 @@
                 version=self.version,
                 member_state='leaving' if message.draining else 'joined',
             )
-            self._later(conn, grant)
-        elif isinstance(message, PermitDemand) and self.lends:
+            self._enqueue_message(conn, grant)
+        elif isinstance(message, PermitDemand) and self.grants_permits:
             held = self.state.permits.account(message.upstream).held
             if message.wanted > held:
                 more = message.wanted - held
                 grant_more = PermitGrant(upstream=message.upstream, count=more)
-                self._later(conn, grant_more)
+                self._enqueue_message(conn, grant_more)
 
 
 def _statement(request_id: int, access: Any, **fields: Any) -> Statement:
--- a/jackdawpost/tests/core/conftest.py
+++ b/jackdawpost/tests/core/conftest.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from jackdawpost.testing.fake_proxy_world import ProxyWorld
+from jackdawpost.testing.proxy_simulation import ProxySimulation
 
 
 @pytest.fixture
-def world() -> ProxyWorld:
+def sim() -> ProxySimulation:
     """Return a proxy that has joined and serves one group."""
-    started = ProxyWorld()
+    started = ProxySimulation()
     started.start()
     return started
--- a/jackdawpost/tests/core/proxy/test_parts.py
+++ b/jackdawpost/tests/core/proxy/test_components.py
@@ -31,7 +31,7 @@
 def test_age_is_unknown_without_a_sample_that_is_covered() -> None:
     tracker = FreshnessTracker(1)
     assert tracker.age_ms(at(5), 100) is None
-    tracker.note_sample(100, 1, at(6))
+    tracker.record_sample(100, 1, at(6))
     assert tracker.reached_ms(at(5)) == 100
     assert tracker.reached_ms(at(7)) is None
     assert tracker.age_ms(at(5), 150) is None
@@ -40,22 +40,22 @@
 
 def test_samples_of_another_term_do_not_count() -> None:
     tracker = FreshnessTracker(2)
-    assert not tracker.note_sample(100, 1, at(6))
-    assert not tracker.note_sample(100, 3, at(6))
+    assert not tracker.record_sample(100, 1, at(6))
+    assert not tracker.record_sample(100, 3, at(6))
     assert tracker.age_ms(at(9), 150) is None
 
 
 def test_late_probe_answer_does_not_make_data_look_younger() -> None:
     tracker = FreshnessTracker(1)
-    tracker.note_sample(200, 1, at(8))
-    assert not tracker.note_sample(100, 1, at(8))
-    assert not tracker.note_sample(300, 1, at(7))
+    tracker.record_sample(200, 1, at(8))
+    assert not tracker.record_sample(100, 1, at(8))
+    assert not tracker.record_sample(300, 1, at(7))
     assert tracker.age_ms(at(8), 300) == 100
 
 
 def test_age_is_never_below_zero() -> None:
     tracker = FreshnessTracker(1)
-    tracker.note_sample(200, 1, at(8))
+    tracker.record_sample(200, 1, at(8))
     assert tracker.age_ms(at(8), 150) == 0
     assert tracker.required_position(-1, 200) is None
 
@@ -63,7 +63,7 @@
 def test_thinned_samples_only_overestimate_ages() -> None:
     tracker = FreshnessTracker(1)
     for index in range(3 * MAX_SAMPLES):
-        tracker.note_sample(index, 1, at(index))
+        tracker.record_sample(index, 1, at(index))
     assert len(tracker) <= MAX_SAMPLES
     now_ms = 3.0 * MAX_SAMPLES
     for index in range(0, 3 * MAX_SAMPLES, 7):
@@ -148,9 +148,9 @@
     reads = [Item(STALE_READ), Item(STALE_READ)]
     for item in reads:
         queue.push(item)
-    assert queue.rejects(Item(STALE_READ), 0) is not None
-    assert queue.displace(STALE_READ) is None
-    assert queue.displace(WRITE) is reads[1]
+    assert queue.retry_delay_ms(Item(STALE_READ), 0) is not None
+    assert queue.evict_lower_priority(STALE_READ) is None
+    assert queue.evict_lower_priority(WRITE) is reads[1]
     assert len(queue) == 1
 
 
@@ -160,9 +160,9 @@
         queue.push(Item(WRITE))
     for now_ms in range(0, 1_000, 10):
         queue.pop(WRITE, now_ms)
-    retry_after_ms = queue.rejects(Item(WRITE, due_ms=1_100), 1_000)
+    retry_after_ms = queue.retry_delay_ms(Item(WRITE, due_ms=1_100), 1_000)
     assert retry_after_ms is not None and retry_after_ms > 1_000
-    assert queue.rejects(Item(WRITE, due_ms=9_000), 1_000) is None
+    assert queue.retry_delay_ms(Item(WRITE, due_ms=9_000), 1_000) is None
 
 
 def test_retries_are_limited_to_a_share_of_requests() -> None:
@@ -231,34 +231,34 @@
 def test_recalled_permit_in_use_is_returned_after_its_statement() -> None:
     permits = PermitHolder()
     permits.add_granted('u', 2)
-    assert permits.try_take('u') and permits.try_take('u')
+    assert permits.try_acquire('u') and permits.try_acquire('u')
     permits.recall('u', 1)
-    assert permits.take_owed('u') == 0
+    assert permits.return_recalled('u') == 0
     permits.release('u')
-    assert not permits.try_take('u')
-    assert permits.take_owed('u') == 1
+    assert not permits.try_acquire('u')
+    assert permits.return_recalled('u') == 1
     assert permits.holdings() == {'u': 1}
 
 
 def test_permits_past_their_validity_are_not_used() -> None:
     permits = PermitHolder()
     permits.add_granted('u', 2)
-    permits.try_take('u')
-    permits.void()
-    assert not permits.try_take('u')
-    assert permits.take_owed('u') == 1
+    permits.try_acquire('u')
+    permits.invalidate_all()
+    assert not permits.try_acquire('u')
+    assert permits.return_recalled('u') == 1
     permits.release('u')
-    assert not permits.try_take('u')
-    assert permits.take_owed('u') == 1
+    assert not permits.try_acquire('u')
+    assert permits.return_recalled('u') == 1
     assert permits.holdings() == {}
 
 
 def test_only_permits_idle_for_the_whole_interval_are_returned() -> None:
     permits = PermitHolder()
     permits.add_granted('u', 3)
-    permits.try_take('u')
-    permits.try_take('u')
+    permits.try_acquire('u')
+    permits.try_acquire('u')
     permits.release('u')
-    assert permits.take_idle('u') == 1
-    assert permits.take_idle('u') == 1
+    assert permits.return_idle('u') == 1
+    assert permits.return_idle('u') == 1
     assert permits.holdings() == {'u': 1}
--- a/jackdawpost/tests/core/proxy/test_control.py
+++ b/jackdawpost/tests/core/proxy/test_control.py
@@ -16,172 +16,172 @@
 from jackdawpost.core.messages.control import StateUpdate
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.proxy.reducer import is_healthy
-from jackdawpost.testing.fake_proxy_world import FakeUpstream
-from jackdawpost.testing.fake_proxy_world import GROUP
-from jackdawpost.testing.fake_proxy_world import ProxyWorld
-from jackdawpost.testing.fake_proxy_world import ROUTE
+from jackdawpost.testing.proxy_simulation import FakeUpstream
+from jackdawpost.testing.proxy_simulation import GROUP
+from jackdawpost.testing.proxy_simulation import ProxySimulation
+from jackdawpost.testing.proxy_simulation import ROUTE
 
 
-def sent(world: ProxyWorld, kind: str) -> list[object]:
-    return [m for m in world.control_sent if m.kind == kind]
+def sent(sim: ProxySimulation, kind: str) -> list[object]:
+    return [m for m in sim.control_sent if m.kind == kind]
 
 
 def error(answer: object) -> tuple[str, str]:
     return answer.outcome, answer.error.code
 
 
-def drain(world: ProxyWorld) -> None:
-    world.feed(DrainRequested(now_ms=world.now_ms))
+def drain(sim: ProxySimulation) -> None:
+    sim.feed(DrainRequested(now_ms=sim.now_ms))
 
 
-def test_unreachable_control_ends_service(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.lends = False
-    world.write(conn, 1, deadline_ms=10_000)
-    world.control_answers = False
-    world.advance(1_500)
-    assert error(world.answer(conn)) == ('not_run', 'control_unreachable')
-    assert not is_healthy(world.state)
-    world.read(conn, 2, max_age_ms=60_000)
-    assert error(world.answer(conn)) == ('not_run', 'control_unreachable')
-    world.control_answers = True
-    world.advance(200)
-    assert is_healthy(world.state)
+def test_unreachable_control_ends_service(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.grants_permits = False
+    sim.write(conn, 1, deadline_ms=10_000)
+    sim.control_answers = False
+    sim.advance(1_500)
+    assert error(sim.pop_answer(conn)) == ('not_run', 'control_unreachable')
+    assert not is_healthy(sim.state)
+    sim.read(conn, 2, max_age_ms=60_000)
+    assert error(sim.pop_answer(conn)) == ('not_run', 'control_unreachable')
+    sim.control_answers = True
+    sim.advance(200)
+    assert is_healthy(sim.state)
 
 
-def test_proxy_that_is_not_joined_serves_nothing(world: ProxyWorld) -> None:
-    world.control_answers = False
-    world.advance(400)
-    seq = world.state.report_seq
-    world.from_control(
+def test_proxy_that_is_not_joined_serves_nothing(sim: ProxySimulation) -> None:
+    sim.control_answers = False
+    sim.advance(400)
+    seq = sim.state.report_seq
+    sim.deliver_from_control(
         LeaseGrant(
             seq=seq,
             leases=[],
             duration_ms=1_500,
-            version=world.version,
+            version=sim.version,
             member_state='announced',
         )
     )
-    conn = world.caller()
-    world.read(conn)
-    assert error(world.answer(conn)) == ('not_run', 'not_joined')
-    assert not is_healthy(world.state)
+    conn = sim.connect_caller()
+    sim.read(conn)
+    assert error(sim.pop_answer(conn)) == ('not_run', 'not_joined')
+    assert not is_healthy(sim.state)
 
 
-def test_silent_leader_is_left_for_the_next(world: ProxyWorld) -> None:
-    world.open_control(2)
-    world.control_answers = False
-    world.advance(450)
-    world.control_answers = True
-    before = len(sent(world, 'proxy_report'))
-    world.advance(450)
-    assert len(sent(world, 'proxy_report')) - before >= 2
-    assert is_healthy(world.state)
+def test_silent_leader_is_left_for_the_next(sim: ProxySimulation) -> None:
+    sim.open_control(2)
+    sim.control_answers = False
+    sim.advance(450)
+    sim.control_answers = True
+    before = len(sent(sim, 'proxy_report'))
+    sim.advance(450)
+    assert len(sent(sim, 'proxy_report')) - before >= 2
+    assert is_healthy(sim.state)
 
 
 def test_report_just_before_the_next_is_no_sign_of_silence(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.advance(world.state.report_due_ms - world.now_ms - 1)
-    world.control_answers = False
-    world.fail('db-3')
-    before = len(sent(world, 'proxy_report'))
-    world.advance(2)
-    assert len(sent(world, 'proxy_report')) == before + 1
-    assert world.state.leader == 1
+    sim.advance(sim.state.report_due_ms - sim.now_ms - 1)
+    sim.control_answers = False
+    sim.fail_upstream('db-3')
+    before = len(sent(sim, 'proxy_report'))
+    sim.advance(2)
+    assert len(sent(sim, 'proxy_report')) == before + 1
+    assert sim.state.leader_conn == 1
 
 
 def test_demand_dropped_by_control_is_stated_again(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.lends = False
-    world.write(world.caller(), deadline_ms=2_000)
-    world.advance(450)
-    demands = sent(world, 'permit_demand')
+    sim.grants_permits = False
+    sim.write(sim.connect_caller(), deadline_ms=2_000)
+    sim.advance(450)
+    demands = sent(sim, 'permit_demand')
     assert [m.wanted for m in demands] == [1, 1]
 
 
 def test_not_leader_sends_the_proxy_to_the_named_one(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.open_control(2)
-    assert world.state.leader == 1
-    world.control_answers = False
-    world.from_control(NotLeader(leader='c2'), conn=1)
-    assert world.state.leader == 0
-    seq = world.state.report_seq
-    world.from_control(
+    sim.open_control(2)
+    assert sim.state.leader_conn == 1
+    sim.control_answers = False
+    sim.deliver_from_control(NotLeader(leader='c2'), conn=1)
+    assert sim.state.leader_conn == 0
+    seq = sim.state.report_seq
+    sim.deliver_from_control(
         LeaseGrant(seq=seq, leases=[], duration_ms=1_500, version=1), conn=2
     )
-    assert world.state.leader == 2
+    assert sim.state.leader_conn == 2
 
 
-def test_holdings_are_stated_to_a_new_leader(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.write(conn)
-    world.control_sent.clear()
-    world.cut(1)
-    world.open_control(2)
-    report = sent(world, 'proxy_report')[0]
+def test_holdings_are_stated_to_a_new_leader(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.write(conn)
+    sim.control_sent.clear()
+    sim.disconnect(1)
+    sim.open_control(2)
+    report = sent(sim, 'proxy_report')[0]
     assert report.holdings == {'db-1': 1}
 
 
 def test_update_with_a_gap_is_not_applied_but_reported(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    version = world.state.published.version
-    world.from_control(StateUpdate(from_version=8, version=9))
-    assert world.state.published.version == version
-    assert sent(world, 'proxy_report')[-1].version == version
+    version = sim.state.published.version
+    sim.deliver_from_control(StateUpdate(from_version=8, version=9))
+    assert sim.state.published.version == version
+    assert sent(sim, 'proxy_report')[-1].version == version
 
 
-def test_new_version_is_reported_at_once(world: ProxyWorld) -> None:
-    world.publish()
-    reports = sent(world, 'proxy_report')
-    assert reports[0].version == world.version
+def test_new_version_is_reported_at_once(sim: ProxySimulation) -> None:
+    sim.publish()
+    reports = sent(sim, 'proxy_report')
+    assert reports[0].version == sim.version
 
 
-def test_idle_permits_are_returned(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.write(conn)
-    up_conn, message = world.take()
-    world.reply(up_conn, message, position=LogPosition(1, 10))
-    world.advance(11)
-    assert sent(world, 'permit_return')[0].count == 1
-    assert sent(world, 'permit_demand')[-1].wanted == 0
-    assert world.state.permits.holdings() == {}
+def test_idle_permits_are_returned(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.write(conn)
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message, position=LogPosition(1, 10))
+    sim.advance(11)
+    assert sent(sim, 'permit_return')[0].count == 1
+    assert sent(sim, 'permit_demand')[-1].wanted == 0
+    assert sim.state.permits.holdings() == {}
 
 
 def test_recall_is_honoured_when_the_statement_ends(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.write(conn, 1)
-    up_conn, message = world.take()
-    world.write(conn, 2)
-    world.lends = False
-    world.work.clear()
-    held = world.state.permits.account('db-1').held
-    world.from_control(PermitRecall(upstream='db-1', count=held))
-    assert not sent(world, 'permit_return')
-    world.reply(up_conn, message, position=LogPosition(1, 10))
-    assert sum(m.count for m in sent(world, 'permit_return')) >= 1
+    conn = sim.connect_caller()
+    sim.write(conn, 1)
+    up_conn, message = sim.pop_statement()
+    sim.write(conn, 2)
+    sim.grants_permits = False
+    sim.statements.clear()
+    held = sim.state.permits.account('db-1').held
+    sim.deliver_from_control(PermitRecall(upstream='db-1', count=held))
+    assert not sent(sim, 'permit_return')
+    sim.reply(up_conn, message, position=LogPosition(1, 10))
+    assert sum(m.count for m in sent(sim, 'permit_return')) >= 1
 
 
 def test_permits_end_with_the_validity_of_the_grant(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.from_control(PermitGrant(upstream='db-1', count=2))
-    world.state.upstreams['db-1'].opening = 1
-    world.control_answers = False
-    world.advance(1_500)
-    assert world.state.permits.account('db-1').idle == 0
-    world.from_control(PermitGrant(upstream='db-1', count=1))
-    assert world.state.permits.account('db-1').idle == 0
-    assert sent(world, 'permit_return')[-1].count == 1
+    sim.deliver_from_control(PermitGrant(upstream='db-1', count=2))
+    sim.state.upstreams['db-1'].opening = 1
+    sim.control_answers = False
+    sim.advance(1_500)
+    assert sim.state.permits.account('db-1').idle == 0
+    sim.deliver_from_control(PermitGrant(upstream='db-1', count=1))
+    assert sim.state.permits.account('db-1').idle == 0
+    assert sent(sim, 'permit_return')[-1].count == 1
 
 
-def request_approval(world: ProxyWorld, **fields: object) -> None:
+def request_approval(sim: ProxySimulation, **fields: object) -> None:
     message = {
         'newcomer': 'db-4',
         'newcomer_id': 'data-db-4',
@@ -190,26 +190,26 @@
         'role': 'upstream',
         **fields,
     }
-    world.from_control(ApprovalRequest(**message))
+    sim.deliver_from_control(ApprovalRequest(**message))
 
 
-def test_newcomer_is_approved_only_once_reached(world: ProxyWorld) -> None:
-    request_approval(world)
-    assert not sent(world, 'approval')
+def test_newcomer_is_approved_only_once_reached(sim: ProxySimulation) -> None:
+    request_approval(sim)
+    assert not sent(sim, 'approval')
     newcomer = FakeUpstream('db-4')
-    world.upstreams['db-4'] = newcomer
-    world.advance(600)
-    (approval,) = sent(world, 'approval')
+    sim.upstreams['db-4'] = newcomer
+    sim.advance(600)
+    (approval,) = sent(sim, 'approval')
     assert (approval.newcomer, approval.newcomer_id) == ('db-4', 'data-db-4')
-    assert approval.version == world.version
+    assert approval.version == sim.version
 
 
 @pytest.mark.parametrize('data_id', ['data-db-1', 'another'])
 def test_reached_newcomer_must_hold_the_announced_data(
-    world: ProxyWorld, data_id: str
+    sim: ProxySimulation, data_id: str
 ) -> None:
-    request_approval(world, newcomer='db-1', newcomer_id=data_id)
-    approvals = sent(world, 'approval')
+    request_approval(sim, newcomer='db-1', newcomer_id=data_id)
+    approvals = sent(sim, 'approval')
     if data_id == 'data-db-1':
         assert approvals[0].newcomer_id == data_id
         assert 'opened' in approvals[0].checked
@@ -218,7 +218,7 @@
 
 
 def test_proxy_with_the_address_of_another_is_not_approved(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
     body = {
         'name': 'proxy-2',
@@ -229,115 +229,115 @@
         'state': 'joined',
     }
     update = StateUpdate(
-        from_version=world.version,
-        version=world.version + 1,
+        from_version=sim.version,
+        version=sim.version + 1,
         upserts=[PublishedObject(type='member', name='proxy-2', body=body)],
     )
-    world.from_control(update)
+    sim.deliver_from_control(update)
     request_approval(
-        world, newcomer='proxy-3', newcomer_id='id-3', role='proxy', port=7002
+        sim, newcomer='proxy-3', newcomer_id='id-3', role='proxy', port=7002
     )
-    assert not sent(world, 'approval')
+    assert not sent(sim, 'approval')
     request_approval(
-        world, newcomer='proxy-3', newcomer_id='id-3', role='proxy', port=7003
+        sim, newcomer='proxy-3', newcomer_id='id-3', role='proxy', port=7003
     )
-    assert sent(world, 'approval')[0].member_id == 'proxy-id-1'
-
-
-def test_drain_interrupts_no_request(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.ask(conn, Begin(id=1, route=ROUTE))
-    txn_conn, message = world.take()
-    world.reply(txn_conn, message)
-    handle = world.answer(conn).txn
-    drain(world)
-    assert world.answer(conn).serve_ms == 1_000
-    assert sent(world, 'proxy_report')[-1].draining
-    assert not is_healthy(world.state)
-    world.advance(500)
-    world.write(conn, 2, deadline_ms=5_000)
-    up_conn, message = world.take()
-    world.advance(500)
-    world.read(conn, 3)
-    assert error(world.answer(conn)) == ('not_run', 'draining')
-    late = world.caller()
-    assert world.answer(late).serve_ms == 0
-    world.move(LogPosition(1, 11))
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    assert world.answer(conn).outcome == 'done'
-    assert not world.stopped
-    world.ask(conn, Commit(id=4, txn=handle))
-    up_conn, message = world.take()
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    assert world.answer(conn).outcome == 'done'
-    assert world.stopped
-    assert world.state.permits.holdings() == {}
-
-
-def test_draining_proxy_keeps_its_leases(world: ProxyWorld) -> None:
+    assert sent(sim, 'approval')[0].member_id == 'proxy-id-1'
+
+
+def test_drain_interrupts_no_request(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.send_requests(conn, Begin(id=1, route=ROUTE))
+    txn_conn, message = sim.pop_statement()
+    sim.reply(txn_conn, message)
+    handle = sim.pop_answer(conn).txn
+    drain(sim)
+    assert sim.pop_answer(conn).serve_ms == 1_000
+    assert sent(sim, 'proxy_report')[-1].draining
+    assert not is_healthy(sim.state)
+    sim.advance(500)
+    sim.write(conn, 2, deadline_ms=5_000)
+    up_conn, message = sim.pop_statement()
+    sim.advance(500)
+    sim.read(conn, 3)
+    assert error(sim.pop_answer(conn)) == ('not_run', 'draining')
+    late = sim.connect_caller()
+    assert sim.pop_answer(late).serve_ms == 0
+    sim.report_position(LogPosition(1, 11))
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    assert sim.pop_answer(conn).outcome == 'done'
+    assert not sim.stopped
+    sim.send_requests(conn, Commit(id=4, txn=handle))
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    assert sim.pop_answer(conn).outcome == 'done'
+    assert sim.stopped
+    assert sim.state.permits.holdings() == {}
+
+
+def test_draining_proxy_keeps_its_leases(sim: ProxySimulation) -> None:
     # Guards against cutting writes off because control calls a draining
     # proxy leaving in the grants that renew its leases.
-    conn = world.caller()
-    world.write(conn, 1, deadline_ms=5_000)
-    up_conn, message = world.take()
-    drain(world)
-    world.answer(conn)
-    assert world.state.member_state == 'leaving'
-    world.move(LogPosition(1, 11))
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    assert world.answer(conn).outcome == 'done'
-    world.write(conn, 2)
-    up_conn, message = world.take()
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    assert world.answer(conn).outcome == 'done'
+    conn = sim.connect_caller()
+    sim.write(conn, 1, deadline_ms=5_000)
+    up_conn, message = sim.pop_statement()
+    drain(sim)
+    sim.pop_answer(conn)
+    assert sim.state.member_state == 'leaving'
+    sim.report_position(LogPosition(1, 11))
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    assert sim.pop_answer(conn).outcome == 'done'
+    sim.write(conn, 2)
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    assert sim.pop_answer(conn).outcome == 'done'
 
 
 def test_drain_limit_rolls_back_open_transactions(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.state.cfg.idle_txn_ms = 60_000
-    conn = world.caller()
-    world.ask(conn, Begin(id=1, route=ROUTE))
-    txn_conn, message = world.take()
-    world.reply(txn_conn, message)
-    drain(world)
-    world.advance(29_999)
-    assert not world.stopped
-    world.advance(1)
-    assert txn_conn in world.closed and world.stopped
+    sim.state.cfg.idle_txn_ms = 60_000
+    conn = sim.connect_caller()
+    sim.send_requests(conn, Begin(id=1, route=ROUTE))
+    txn_conn, message = sim.pop_statement()
+    sim.reply(txn_conn, message)
+    drain(sim)
+    sim.advance(29_999)
+    assert not sim.stopped
+    sim.advance(1)
+    assert txn_conn in sim.closed and sim.stopped
 
 
 def test_draining_proxy_waits_for_a_request_in_flight(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.read(conn, deadline_ms=5_000)
-    up_conn, message = world.take()
-    drain(world)
-    world.advance(2_000)
-    assert not world.stopped
-    world.reply(up_conn, message)
-    assert world.answers[conn][-1].outcome == 'done'
-    assert world.stopped
+    conn = sim.connect_caller()
+    sim.read(conn, deadline_ms=5_000)
+    up_conn, message = sim.pop_statement()
+    drain(sim)
+    sim.advance(2_000)
+    assert not sim.stopped
+    sim.reply(up_conn, message)
+    assert sim.answers[conn][-1].outcome == 'done'
+    assert sim.stopped
 
 
 def test_drained_proxy_serves_until_the_end_of_its_window(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    drain(world)
-    world.advance(999)
-    assert not world.stopped
-    world.advance(1)
-    assert world.stopped
-
-
-def test_removed_group_answers_what_waits(world: ProxyWorld) -> None:
-    world.lends = False
-    conn = world.caller()
-    world.write(conn)
-    world.version += 1
-    world.from_control(
-        StateUpdate(from_version=0, version=world.version, full=True)
+    drain(sim)
+    sim.advance(999)
+    assert not sim.stopped
+    sim.advance(1)
+    assert sim.stopped
+
+
+def test_removed_group_answers_what_waits(sim: ProxySimulation) -> None:
+    sim.grants_permits = False
+    conn = sim.connect_caller()
+    sim.write(conn)
+    sim.version += 1
+    sim.deliver_from_control(
+        StateUpdate(from_version=0, version=sim.version, full=True)
     )
-    assert error(world.answer(conn)) == ('not_run', 'unknown_route')
-    assert GROUP not in world.state.groups
+    assert error(sim.pop_answer(conn)) == ('not_run', 'unknown_route')
+    assert GROUP not in sim.state.groups
--- a/jackdawpost/tests/core/proxy/test_failover.py
+++ b/jackdawpost/tests/core/proxy/test_failover.py
@@ -6,13 +6,13 @@
 from jackdawpost.core.messages.caller import Statement
 from jackdawpost.core.messages.control import LeaseRevoke
 from jackdawpost.core.positions import LogPosition
-from jackdawpost.testing.fake_proxy_world import GROUP
-from jackdawpost.testing.fake_proxy_world import ProxyWorld
-from jackdawpost.testing.fake_proxy_world import ROUTE
+from jackdawpost.testing.proxy_simulation import GROUP
+from jackdawpost.testing.proxy_simulation import ProxySimulation
+from jackdawpost.testing.proxy_simulation import ROUTE
 
 
-def evidence(world: ProxyWorld) -> dict[str, str]:
-    reports = [m for m in world.control_sent if m.kind == 'proxy_report']
+def evidence(sim: ProxySimulation) -> dict[str, str]:
+    reports = [m for m in sim.control_sent if m.kind == 'proxy_report']
     return reports[-1].evidence if reports else {}
 
 
@@ -20,194 +20,196 @@
     return answer.outcome, answer.error.code
 
 
-def test_refused_reconnect_is_reported_at_once(world: ProxyWorld) -> None:
-    world.fail('db-1')
-    assert evidence(world)['db-1'] == 'refused'
-    assert evidence(world)['db-2'] == 'up'
+def test_refused_reconnect_is_reported_at_once(sim: ProxySimulation) -> None:
+    sim.fail_upstream('db-1')
+    assert evidence(sim)['db-1'] == 'refused'
+    assert evidence(sim)['db-2'] == 'up'
 
 
-def test_one_lost_connection_is_no_evidence(world: ProxyWorld) -> None:
-    world.cut(world.conn_of('db-1', 'monitor'))
-    world.advance(500)
-    reports = [m for m in world.control_sent if m.kind == 'proxy_report']
+def test_one_lost_connection_is_no_evidence(sim: ProxySimulation) -> None:
+    sim.disconnect(sim.find_conn('db-1', 'monitor'))
+    sim.advance(500)
+    reports = [m for m in sim.control_sent if m.kind == 'proxy_report']
     assert {m.evidence['db-1'] for m in reports} == {'up'}
 
 
 def test_silent_connection_with_a_working_second_is_no_evidence(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    silent = world.conn_of('db-1', 'monitor')
-    world.upstreams['db-1'].answers_probes = False
-    world.advance(350)
-    world.upstreams['db-1'].answers_probes = True
-    world.advance(400)
-    assert silent in world.closed
-    assert world.state.upstreams['db-1'].evidence == 'up'
-    assert evidence(world).get('db-1', 'up') == 'up'
+    silent = sim.find_conn('db-1', 'monitor')
+    sim.upstreams['db-1'].answers_probes = False
+    sim.advance(350)
+    sim.upstreams['db-1'].answers_probes = True
+    sim.advance(400)
+    assert silent in sim.closed
+    assert sim.state.upstreams['db-1'].evidence == 'up'
+    assert evidence(sim).get('db-1', 'up') == 'up'
 
 
 def test_silent_upstream_is_reported_after_a_second_connection(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.fail('db-1', 'silent')
-    world.advance(299)
-    assert world.state.upstreams['db-1'].evidence == 'up'
-    world.advance(900)
-    assert evidence(world)['db-1'] == 'silent'
+    sim.fail_upstream('db-1', 'silent')
+    sim.advance(299)
+    assert sim.state.upstreams['db-1'].evidence == 'up'
+    sim.advance(900)
+    assert evidence(sim)['db-1'] == 'silent'
 
 
 def test_returning_upstream_is_up_again_with_a_slow_start(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    world.fail('db-2')
-    world.upstreams['db-2'].reachable = 'yes'
-    world.upstreams['db-2'].answers_probes = True
-    world.advance(300)
-    up = world.state.upstreams['db-2']
-    assert evidence(world)['db-2'] == 'up'
-    assert up.returned_ms > 0
-
-
-def test_wiped_database_counts_as_gone(world: ProxyWorld) -> None:
-    world.publish(data_id='data-before-the-wipe')
-    world.advance(300)
-    assert evidence(world)['db-1'] == 'refused'
-    conn = world.caller()
-    world.write(conn)
-    assert not world.work
-
-
-def test_failover_looks_like_a_pause(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.write(conn, 1)
-    world.fail('db-1')
-    world.work.clear()
-    world.write(conn, 2)
-    world.from_control(LeaseRevoke(group=GROUP, term=1))
-    world.publish(primary=None)
-    world.advance(700)
-    assert not world.answers[conn] and not world.work
-    world.promote('db-2')
-    world.advance(60)
+    sim.fail_upstream('db-2')
+    sim.upstreams['db-2'].reachable = 'yes'
+    sim.upstreams['db-2'].answers_probes = True
+    sim.advance(300)
+    up = sim.state.upstreams['db-2']
+    assert evidence(sim)['db-2'] == 'up'
+    assert up.recovered_ms > 0
+
+
+def test_wiped_database_counts_as_gone(sim: ProxySimulation) -> None:
+    sim.publish(data_id='data-before-the-wipe')
+    sim.advance(300)
+    assert evidence(sim)['db-1'] == 'refused'
+    conn = sim.connect_caller()
+    sim.write(conn)
+    assert not sim.statements
+
+
+def test_failover_looks_like_a_pause(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.write(conn, 1)
+    sim.fail_upstream('db-1')
+    sim.statements.clear()
+    sim.write(conn, 2)
+    sim.deliver_from_control(LeaseRevoke(group=GROUP, term=1))
+    sim.publish(primary=None)
+    sim.advance(700)
+    assert not sim.answers[conn] and not sim.statements
+    sim.promote('db-2')
+    sim.advance(60)
     keys = set()
     position = LogPosition(2, 12)
-    world.move(position)
-    for up_conn, message in world.work:
-        assert world.conn_names[up_conn] == 'db-2'
+    sim.report_position(position)
+    for up_conn, message in sim.statements:
+        assert sim.conn_names[up_conn] == 'db-2'
         assert message.term == 2
         keys.add(message.request_key)
-        world.reply(up_conn, message, position=position)
+        sim.reply(up_conn, message, position=position)
     assert keys == {'key-1', 'key-2'}
-    assert [a.outcome for a in world.answers[conn]] == ['done', 'done']
+    assert [a.outcome for a in sim.answers[conn]] == ['done', 'done']
 
 
 def test_answer_of_the_replaced_primary_is_not_acknowledged(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.write(conn)
-    up_conn, message = world.take()
-    world.promote('db-2')
-    assert up_conn in world.closed
-    world.reply(up_conn, message, position=LogPosition(1, 11), term=1)
-    assert not world.answers[conn]
-    world.advance(60)
-    up_conn, message = world.take()
-    assert world.conn_names[up_conn] == 'db-2'
+    conn = sim.connect_caller()
+    sim.write(conn)
+    up_conn, message = sim.pop_statement()
+    sim.promote('db-2')
+    assert up_conn in sim.closed
+    sim.reply(up_conn, message, position=LogPosition(1, 11), term=1)
+    assert not sim.answers[conn]
+    sim.advance(60)
+    up_conn, message = sim.pop_statement()
+    assert sim.conn_names[up_conn] == 'db-2'
 
 
 def test_unconfirmed_write_is_made_again_in_the_new_term(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.write(conn)
-    up_conn, message = world.take()
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    world.promote('db-2')
-    world.move(LogPosition(1, 11), 'db-3')
-    assert not world.answers[conn]
-    world.advance(60)
-    up_conn, message = world.take()
-    world.refuse(up_conn, message, 'statement_failed')
-    answer = world.answer(conn)
+    conn = sim.connect_caller()
+    sim.write(conn)
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    sim.promote('db-2')
+    sim.report_position(LogPosition(1, 11), 'db-3')
+    assert not sim.answers[conn]
+    sim.advance(60)
+    up_conn, message = sim.pop_statement()
+    sim.refuse(up_conn, message, 'statement_failed')
+    answer = sim.pop_answer(conn)
     assert error(answer) == ('not_run', 'statement_failed')
 
 
 def test_reads_with_accepted_age_wait_for_a_sample_of_the_new_term(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.control_answers = False
-    world.promote('db-2')
-    world.read(conn, max_age_ms=500)
-    assert not world.work
-    world.control_answers = True
-    world.publish(primary='db-2')
-    world.advance(5)
-    assert world.conn_names[world.take()[0]] != 'db-2'
-
-
-def test_transaction_ends_with_its_term(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.ask(conn, Begin(id=1, route=ROUTE))
-    up_conn, message = world.take()
-    world.reply(up_conn, message)
-    handle = world.answer(conn).txn
-    world.promote('db-2')
-    assert up_conn in world.closed
-    world.ask(conn, Statement(id=2, sql='x', access='write', txn=handle))
-    assert error(world.answer(conn)) == ('not_run', 'transaction_lost')
+    conn = sim.connect_caller()
+    sim.control_answers = False
+    sim.promote('db-2')
+    sim.read(conn, max_age_ms=500)
+    assert not sim.statements
+    sim.control_answers = True
+    sim.publish(primary='db-2')
+    sim.advance(5)
+    assert sim.conn_names[sim.pop_statement()[0]] != 'db-2'
+
+
+def test_transaction_ends_with_its_term(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.send_requests(conn, Begin(id=1, route=ROUTE))
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message)
+    handle = sim.pop_answer(conn).txn
+    sim.promote('db-2')
+    assert up_conn in sim.closed
+    sim.send_requests(
+        conn, Statement(id=2, sql='x', access='write', txn=handle)
+    )
+    assert error(sim.pop_answer(conn)) == ('not_run', 'transaction_lost')
 
 
 def test_write_without_primary_expires_at_its_deadline(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.publish(primary=None)
-    world.write(conn, deadline_ms=400)
-    world.advance(400)
-    assert error(world.answer(conn)) == ('not_run', 'no_primary')
+    conn = sim.connect_caller()
+    sim.publish(primary=None)
+    sim.write(conn, deadline_ms=400)
+    sim.advance(400)
+    assert error(sim.pop_answer(conn)) == ('not_run', 'no_primary')
 
 
-def test_leaving_upstream_gets_no_new_work(world: ProxyWorld) -> None:
-    world.upstreams['db-1'].leaving = True
-    world.upstreams['db-2'].leaving = True
-    world.move(LogPosition(1, 10))
-    conn = world.caller()
-    world.write(conn, 1)
-    assert not world.work
-    world.read(conn, 2, max_age_ms=500)
-    assert world.conn_names[world.take()[0]] == 'db-3'
+def test_leaving_upstream_gets_no_new_work(sim: ProxySimulation) -> None:
+    sim.upstreams['db-1'].leaving = True
+    sim.upstreams['db-2'].leaving = True
+    sim.report_position(LogPosition(1, 10))
+    conn = sim.connect_caller()
+    sim.write(conn, 1)
+    assert not sim.statements
+    sim.read(conn, 2, max_age_ms=500)
+    assert sim.conn_names[sim.pop_statement()[0]] == 'db-3'
 
 
 def test_refusal_as_leaving_sends_the_request_elsewhere(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.read(conn, max_age_ms=500)
-    up_conn, message = world.take()
-    first = world.conn_names[up_conn]
-    world.refuse(up_conn, message, 'leaving')
-    assert world.conn_names[world.take()[0]] not in (first, 'db-1')
+    conn = sim.connect_caller()
+    sim.read(conn, max_age_ms=500)
+    up_conn, message = sim.pop_statement()
+    first = sim.conn_names[up_conn]
+    sim.refuse(up_conn, message, 'leaving')
+    assert sim.conn_names[sim.pop_statement()[0]] not in (first, 'db-1')
 
 
 def test_two_faults_at_once_lose_and_repeat_nothing(
-    world: ProxyWorld,
+    sim: ProxySimulation,
 ) -> None:
-    conn = world.caller()
-    world.write(conn, 1, deadline_ms=5_000)
-    up_conn, message = world.take()
-    world.reply(up_conn, message, position=LogPosition(1, 11))
-    world.fail('db-1')
-    world.cut(1)
-    world.advance(500)
-    world.open_control(2)
-    world.promote('db-2')
-    world.advance(60)
-    assert not world.answers[conn]
-    up_conn, message = world.take()
+    conn = sim.connect_caller()
+    sim.write(conn, 1, deadline_ms=5_000)
+    up_conn, message = sim.pop_statement()
+    sim.reply(up_conn, message, position=LogPosition(1, 11))
+    sim.fail_upstream('db-1')
+    sim.disconnect(1)
+    sim.advance(500)
+    sim.open_control(2)
+    sim.promote('db-2')
+    sim.advance(60)
+    assert not sim.answers[conn]
+    up_conn, message = sim.pop_statement()
     assert message.request_key == 'key-1'
     position = LogPosition(1, 11)
-    world.move(LogPosition(2, 12), 'db-2', 'db-3')
-    world.reply(up_conn, message, position=position, duplicate=True)
-    assert world.answer(conn).duplicate
+    sim.report_position(LogPosition(2, 12), 'db-2', 'db-3')
+    sim.reply(up_conn, message, position=position, duplicate=True)
+    assert sim.pop_answer(conn).duplicate
--- a/jackdawpost/tests/core/proxy/test_serving.py
+++ b/jackdawpost/tests/core/proxy/test_serving.py
@@ -9,86 +9,88 @@
 from jackdawpost.core.proxy.reducer import dump_proxy
 from jackdawpost.core.proxy.reducer import is_healthy
 from jackdawpost.core.tokens import decode_token
-from jackdawpost.testing.fake_proxy_world import GROUP
-from jackdawpost.testing.fake_proxy_world import ProxyWorld
-from jackdawpost.testing.fake_proxy_world import ROUTE
+from jackdawpost.testing.proxy_simulation import GROUP
+from jackdawpost.testing.proxy_simulation import ProxySimulation
+from jackdawpost.testing.proxy_simulation import ROUTE
 
 
-def test_write_then_read_on_the_primary(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.write(conn)
-    upstream_conn, message = world.take()
-    assert world.conn_names[upstream_conn] == 'db-1'
+def test_write_then_read_on_the_primary(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.write(conn)
+    upstream_conn, message = sim.pop_statement()
+    assert sim.conn_names[upstream_conn] == 'db-1'
     assert message.must_lead and message.request_key == 'key-1'
     position = LogPosition(1, 11)
-    world.move(position, 'db-2')
-    world.reply(upstream_conn, message, position=position, row_count=1)
-    answer = world.answer(conn)
+    sim.report_position(position, 'db-2')
+    sim.reply(upstream_conn, message, position=position, row_count=1)
+    answer = sim.pop_answer(conn)
     assert answer.outcome == 'done'
     assert decode_token(answer.session).position(GROUP) == position
 
-    world.read(conn, 2, session=answer.session)
-    upstream_conn, message = world.take()
-    assert world.conn_names[upstream_conn] == 'db-1'
+    sim.read(conn, 2, session=answer.session)
+    upstream_conn, message = sim.pop_statement()
+    assert sim.conn_names[upstream_conn] == 'db-1'
     assert message.after == position
-    world.reply(upstream_conn, message, position=position, rows=[[1]])
-    answer = world.answer(conn)
+    sim.reply(upstream_conn, message, position=position, rows=[[1]])
+    answer = sim.pop_answer(conn)
     assert (answer.source, answer.age_ms) == ('primary', 0)
-    assert is_healthy(world.state)
+    assert is_healthy(sim.state)
 
 
-def test_read_with_accepted_age_on_a_replica(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.read(conn, max_age_ms=400)
-    upstream_conn, message = world.take()
-    assert world.conn_names[upstream_conn] != 'db-1'
+def test_read_with_accepted_age_on_a_replica(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.read(conn, max_age_ms=400)
+    upstream_conn, message = sim.pop_statement()
+    assert sim.conn_names[upstream_conn] != 'db-1'
     assert message.fresh_after == LogPosition(1, 10)
     assert not message.must_lead
-    world.advance(20)
-    world.reply(upstream_conn, message, position=LogPosition(1, 10))
-    answer = world.answer(conn)
+    sim.advance(20)
+    sim.reply(upstream_conn, message, position=LogPosition(1, 10))
+    answer = sim.pop_answer(conn)
     assert answer.source == 'replica'
     assert 20 <= answer.age_ms <= 400
 
 
-def test_transaction_from_begin_to_commit(world: ProxyWorld) -> None:
-    conn = world.caller()
-    world.ask(conn, Begin(id=1, route=ROUTE))
-    upstream_conn, begin = world.take()
-    world.reply(upstream_conn, begin)
-    handle = world.answer(conn).txn
-    world.ask(conn, Statement(id=2, sql='x', access='write', txn=handle))
-    second_conn, statement = world.take()
+def test_transaction_from_begin_to_commit(sim: ProxySimulation) -> None:
+    conn = sim.connect_caller()
+    sim.send_requests(conn, Begin(id=1, route=ROUTE))
+    upstream_conn, begin = sim.pop_statement()
+    sim.reply(upstream_conn, begin)
+    handle = sim.pop_answer(conn).txn
+    sim.send_requests(
+        conn, Statement(id=2, sql='x', access='write', txn=handle)
+    )
+    second_conn, statement = sim.pop_statement()
     assert second_conn == upstream_conn and statement.in_txn
-    world.reply(second_conn, statement, row_count=1)
-    assert world.answer(conn).outcome == 'done'
-    world.ask(conn, Commit(id=3, txn=handle, request_key='k'))
-    third_conn, commit = world.take()
+    sim.reply(second_conn, statement, row_count=1)
+    assert sim.pop_answer(conn).outcome == 'done'
+    sim.send_requests(conn, Commit(id=3, txn=handle, request_key='k'))
+    third_conn, commit = sim.pop_statement()
     assert third_conn == upstream_conn and commit.request_key == 'k'
     position = LogPosition(1, 12)
-    world.reply(third_conn, commit, position=position)
-    assert not world.answers[conn]
-    world.move(position, 'db-3')
-    answer = world.answer(conn)
+    sim.reply(third_conn, commit, position=position)
+    assert not sim.answers[conn]
+    sim.report_position(position, 'db-3')
+    answer = sim.pop_answer(conn)
     assert decode_token(answer.session).position(GROUP) == position
-    assert not world.state.txns
+    assert not sim.state.txns
 
 
-def test_waiting_statements_share_a_frame(world: ProxyWorld) -> None:
-    callers = [world.caller() for _ in range(30)]
+def test_waiting_statements_share_a_frame(sim: ProxySimulation) -> None:
+    callers = [sim.connect_caller() for _ in range(30)]
     for conn in callers:
-        world.read(conn)
-    first = {c for c, _ in world.work}
+        sim.read(conn)
+    first = {c for c, _ in sim.statements}
     assert len(first) <= 3
-    conn, message = world.work.pop(0)
-    world.reply(conn, message)
-    shared = [m for c, m in world.work if c == conn]
+    conn, message = sim.statements.pop(0)
+    sim.reply(conn, message)
+    shared = [m for c, m in sim.statements if c == conn]
     assert 2 <= len(shared) <= 8
 
 
-def test_dump_is_plain_data(world: ProxyWorld) -> None:
+def test_dump_is_plain_data(sim: ProxySimulation) -> None:
     import json
 
-    conn = world.caller()
-    world.write(conn)
-    assert json.loads(json.dumps(dump_proxy(world.state)))['requests'] == 1
+    conn = sim.connect_caller()
+    sim.write(conn)
+    assert json.loads(json.dumps(dump_proxy(sim.state)))['requests'] == 1
