Describe state, connections and permits of a proxy in usual terms

Ruled out: new names for the fields of PermitAccount: a dump writes them. Change: docstrings, comments and texts of closed connections; UpstreamConn.deadline_ms becomes answer_due_ms (not dumped).

--- a/jackdawpost/core/proxy/__init__.py
+++ b/jackdawpost/core/proxy/__init__.py
@@ -1,1 +1,1 @@
-"""Proxies whose callers carry a session token."""
+"""Decision logic of a proxy whose callers carry session tokens."""
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -1,4 +1,8 @@
-"""Statement connections to upstreams: opening, frames, loss."""
+"""Statement connections to upstreams, and the permits to use them.
+
+A frame of statements needs an idle connection and a permit, which control
+grants so that all proxies together stay within the slots of an upstream.
+"""
 
 from __future__ import annotations
 
@@ -33,21 +37,27 @@
 RESERVED_CONNECTIONS = 2
 MAX_BATCH_STATEMENTS = 8
 ANSWER_GRACE_MS = 500
-# An attempt that can be made again gets less than the whole deadline, so
-# that a silent connection is found while there is time for another one.
+# A retryable attempt gets less than the whole deadline: a silent connection
+# is then detected while there is still time for another attempt.
 RETRY_RESERVE_MS = 750
 MIN_DEADLINE_FOR_RETRY_MS = 1_500
 
 
 def connection_limit(state: ProxyState, up: Upstream) -> int:
-    """Return how many statement connections this proxy may open."""
+    """Return this proxy's share of an upstream's connections.
+
+    Each proxy also has a monitor connection to the upstream.
+    """
     proxy_count = state.proxy_count
     spare = up.view.connections - RESERVED_CONNECTIONS - proxy_count
     return max(1, spare // proxy_count)
 
 
 def available_frames(state: ProxyState, up: Upstream) -> int:
-    """Return how many frames can be sent to an upstream now."""
+    """Return how many frames can be sent to an upstream now.
+
+    Zero during a cool-down; limited after a recovery (slow start).
+    """
     if up.cool_down_until_ms > state.now_ms:
         return 0
     account = state.permits.account(up.name)
@@ -60,13 +70,13 @@
 
 
 def is_capacity_requested(state: ProxyState, up: Upstream) -> bool:
-    """Tell whether permits or connections of an upstream are on the way."""
+    """Tell whether permits or connections have been requested already."""
     account = state.permits.account(up.name)
     return up.opening > 0 or account.stated > account.in_use
 
 
 def request_capacity(state: ProxyState, up: Upstream, waiting: int) -> None:
-    """Ask for the permits and connections that waiting requests need."""
+    """Request the permits and open the connections for waiting requests."""
     account = state.permits.account(up.name)
     limit = min(up.view.slots, connection_limit(state, up))
     wanted = min(limit, account.in_use + waiting)
@@ -101,22 +111,22 @@
 
 
 def close_surplus_conns(state: ProxyState, up: Upstream) -> None:
-    """Close idle connections above the limit, as proxies have joined."""
+    """Close idle connections above the limit, which falls with each proxy."""
     limit = connection_limit(state, up)
     while len(up.conns) > limit and up.idle:
         drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
 
 
 def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Take a statement connection into use."""
+    """Make a new statement connection available."""
     conn = state.conns.get(event.conn)
     if conn is None:
-        close(state, event.conn, 'not wanted any more')
+        close(state, event.conn, 'connection no longer needed')
         return
     up = state.upstreams[conn.upstream]
     if event.data_id != up.view.data_id:
         _record_open_failure(state, up)
-        drop_conn(state, conn, 'other data than published')
+        drop_conn(state, conn, 'data_id differs from the published one')
         return
     conn.opened = True
     up.opening -= 1
@@ -150,16 +160,16 @@
     messages: Sequence[Any],
     timeout_ms: float,
 ) -> None:
-    """Send one frame and watch for its answers.
+    """Send one frame and set the deadline for its first answer.
 
     Parameters
     ----------
     requests : sequence of Request
-        Requests of the frame, their `exec_id` and `term` already set.
+        Requests of the frame, with `exec_id` and `term` set.
     messages : sequence
         One message for each request.
     timeout_ms : float
-        Longest timeout stated in the messages, in milliseconds.
+        Longest timeout of the messages, in milliseconds.
     """
     up = state.upstreams[conn.upstream]
     up.outstanding += 1
@@ -178,11 +188,11 @@
 def set_answer_deadline(
     state: ProxyState, conn: UpstreamConn, timeout_ms: float
 ) -> None:
-    """Call a connection silent if no answer comes in time."""
-    conn.deadline_ms = state.now_ms + timeout_ms + ANSWER_GRACE_MS
-    if conn.deadline_ms < conn.check_due_ms:
-        conn.check_due_ms = conn.deadline_ms
-        schedule(state, conn.deadline_ms, 'frame', conn.conn)
+    """Set the time after which a connection without an answer is silent."""
+    conn.answer_due_ms = state.now_ms + timeout_ms + ANSWER_GRACE_MS
+    if conn.answer_due_ms < conn.check_due_ms:
+        conn.check_due_ms = conn.answer_due_ms
+        schedule(state, conn.answer_due_ms, 'frame', conn.conn)
 
 
 def check_answer_deadline(state: ProxyState, conn_id: int) -> None:
@@ -193,16 +203,16 @@
     conn.check_due_ms = math.inf
     if not conn.running:
         return
-    if conn.deadline_ms > state.now_ms:
-        conn.check_due_ms = conn.deadline_ms
-        schedule(state, conn.deadline_ms, 'frame', conn_id)
+    if conn.answer_due_ms > state.now_ms:
+        conn.check_due_ms = conn.answer_due_ms
+        schedule(state, conn.answer_due_ms, 'frame', conn_id)
         return
     count(state, 'silent_connections')
     drop_conn(state, conn, 'silent')
 
 
 def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
-    """Return how long an attempt may run."""
+    """Return how long an attempt may run, in milliseconds."""
     left = req.due_ms - state.now_ms
     if left >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
         if not isinstance(req.message, Begin):
@@ -211,7 +221,7 @@
 
 
 def acquire_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
-    """Take a free connection together with a permit."""
+    """Acquire an idle connection and a permit; None without either."""
     if not up.idle or not state.permits.try_acquire(up.name):
         return None
     conn = state.conns[up.idle.pop()]
@@ -220,14 +230,14 @@
 
 
 def end_frame(state: ProxyState, conn: UpstreamConn) -> None:
-    """Free a connection whose frame is complete."""
+    """Make a connection idle once all its requests are answered."""
     if conn.running:
         return
-    conn.deadline_ms = math.inf
+    conn.answer_due_ms = math.inf
     up = state.upstreams[conn.upstream]
     _clear_outstanding_frame(up, conn)
     if conn.close_after_frame:
-        drop_conn(state, conn, 'a request was abandoned on it')
+        drop_conn(state, conn, 'request abandoned on this connection')
         return
     if conn.txn is None:
         release_permit(state, conn)
@@ -242,7 +252,7 @@
 
 
 def release_permit(state: ProxyState, conn: UpstreamConn) -> None:
-    """End the use of a connection's permit."""
+    """Release the permit of a connection."""
     if not conn.holds_permit:
         return
     conn.holds_permit = False
@@ -255,17 +265,17 @@
 def _release_permit_once_slot_is_free(
     state: ProxyState, conn: UpstreamConn
 ) -> None:
-    """End the use of a lost connection's permit once its slot is free.
+    """Release a lost connection's permit once the upstream's slot is free.
 
-    The upstream may run an abandoned statement up to its timeout, and it
-    rolls back a transaction only when it notices the loss. Another
+    The upstream may run an abandoned statement until its timeout, and it
+    rolls back a transaction only when it detects the loss. Another
     statement sent before that would exceed its slots.
     """
     if not conn.holds_permit:
         return
     due_ms = state.now_ms + ANSWER_GRACE_MS
     if conn.frame_outstanding:
-        due_ms = conn.deadline_ms
+        due_ms = conn.answer_due_ms
     if due_ms <= state.now_ms:
         release_permit(state, conn)
         return
@@ -274,7 +284,7 @@
 
 
 def release_lost_permit(state: ProxyState, name: str) -> None:
-    """End the use of a permit whose connection was lost earlier."""
+    """Release a permit whose connection was lost earlier."""
     up = state.upstreams.get(name)
     if up is None or not state.permits.account(name).in_use:
         return
@@ -285,20 +295,20 @@
 
 
 def return_recalled_permits(state: ProxyState, name: str) -> None:
-    """Give recalled permits back once they are not in use."""
+    """Return recalled permits that are not in use."""
     if state.leader_conn and state.permits.account(name).recalled:
         return_permits(state, name, state.permits.return_recalled(name))
 
 
 def return_permits(state: ProxyState, name: str, number: int) -> None:
-    """Tell the control leader of permits given back."""
+    """Notify the control leader of returned permits."""
     if number:
         message = PermitReturn(upstream=name, count=number)
         send(state, state.leader_conn, message)
 
 
 def schedule_idle_permit_check(state: ProxyState, up: Upstream) -> None:
-    """Check soon whether permits stay idle."""
+    """Schedule a check for idle permits, unless one is scheduled."""
     if not up.permit_check_scheduled:
         up.permit_check_scheduled = True
         schedule(
@@ -307,15 +317,15 @@
 
 
 def check_idle_permits(state: ProxyState, name: str) -> None:
-    """Give back permits that were idle since the last check."""
+    """Return permits that have been idle since the last check."""
     up = state.upstreams.get(name)
     if up is None:
         return
     up.permit_check_scheduled = False
     account = state.permits.account(name)
     if up.opening or not state.leader_conn:
-        # They are about to be used by requests that wait for a connection,
-        # or there is no leader to be told.
+        # Requests that wait for an opening connection need the permits, or
+        # there is no leader to notify.
         schedule_idle_permit_check(state, up)
         return
     returned = state.permits.return_idle(name)
@@ -329,10 +339,10 @@
 
 
 def abandon_request(state: ProxyState, req: Request, code: str) -> None:
-    """Answer a running request without its result.
+    """Answer a running request as unknown, without its result.
 
-    Its connection takes no other work: a late answer must never meet a
-    request of somebody else.
+    Its connection is not used for other requests: a late answer must never
+    reach another request.
     """
     conn = state.conns.get(req.upstream_conn)
     finish_error(state, req, 'unknown', code)
@@ -341,7 +351,7 @@
     del conn.running[req.exec_id]
     conn.close_after_frame = True
     if conn.txn is not None or not conn.running:
-        drop_conn(state, conn, 'a request was abandoned on it')
+        drop_conn(state, conn, 'request abandoned on this connection')
 
 
 def drop_conn(
@@ -350,7 +360,15 @@
     reason: str,
     code: str = 'connection_lost',
 ) -> None:
-    """Close a statement connection and handle what ran on it."""
+    """Close a statement connection and retry or fail its requests.
+
+    Parameters
+    ----------
+    reason : str
+        Reason for closing.
+    code : str
+        Error code for the requests on the connection.
+    """
     close(state, conn.conn, reason, abort=True)
     _remove_conn(state, conn, code)
 
--- a/jackdawpost/core/proxy/permit_holder.py
+++ b/jackdawpost/core/proxy/permit_holder.py
@@ -1,4 +1,8 @@
-"""Slot permits as the proxy holds them."""
+"""Slot permits that a proxy holds.
+
+A permit is the right to use one statement slot of an upstream. The control
+leader grants and recalls permits.
+"""
 
 from __future__ import annotations
 
@@ -14,15 +18,15 @@
     Parameters
     ----------
     held : int
-        Permits lent to this proxy.
+        Permits granted to this proxy and not returned.
     in_use : int
-        Those among `held` that a frame or transaction occupies.
+        Held permits that a frame or transaction uses.
     recalled : int
-        Permits to give back as soon as they are unused.
+        Held permits to return as soon as they are not in use.
     stated : int
-        Demand last stated to the control leader.
+        Number of permits last requested from the control leader.
     low_water : int
-        Fewest idle permits since the last check for idle ones.
+        Lowest number of idle permits since the last check.
     """
 
     held: int = 0
@@ -33,16 +37,16 @@
 
     @property
     def idle(self) -> int:
-        """Permits that a frame may take now."""
+        """Number of permits that can be acquired now."""
         return max(0, self.held - self.in_use - self.recalled)
 
 
 class PermitHolder:
     """Permits of one proxy by upstream.
 
-    A permit counts as held until the control leader is told of its return,
-    so that both sides always agree on the number. Returns wait while there
-    is no leader to tell.
+    A permit counts as held until the control leader is notified of its
+    return, so that both sides always agree on the number. While there is no
+    leader, nothing is returned.
     """
 
     __slots__ = ('accounts',)
@@ -51,17 +55,17 @@
         self.accounts: dict[str, PermitAccount] = {}
 
     def account(self, upstream: str) -> PermitAccount:
-        """Return the account of an upstream."""
+        """Return the account of an upstream; creates it if missing."""
         found = self.accounts.get(upstream)
         if found is None:
             found = self.accounts[upstream] = PermitAccount()
         return found
 
     def add_granted(self, upstream: str, count: int) -> None:
-        """Add permits lent by the control leader.
+        """Add permits granted by the control leader.
 
-        A grant settles as many open recalls, on both sides: the leader has
-        found another permit for whom the recall was meant.
+        A grant cancels as many pending recalls, on both sides: the leader
+        found another permit for the proxy that needed the recalled one.
         """
         account = self.account(upstream)
         account.held += count
@@ -69,7 +73,7 @@
         account.low_water = account.idle
 
     def try_acquire(self, upstream: str) -> bool:
-        """Occupy one idle permit; False if there is none."""
+        """Acquire one idle permit; False if there is none."""
         account = self.account(upstream)
         idle = account.held - account.in_use - account.recalled
         if idle <= 0:
@@ -80,20 +84,26 @@
         return True
 
     def release(self, upstream: str) -> None:
-        """End the use of one permit."""
+        """Release one permit that was in use."""
         account = self.account(upstream)
         if account.in_use <= 0:
             raise ValueError(f'no permit of {upstream!r} is in use')
         account.in_use -= 1
 
     def recall(self, upstream: str, count: int) -> None:
-        """Owe permits to the control leader, in use or not."""
+        """Mark permits to be returned, whether in use or not."""
         account = self.account(upstream)
         account.recalled = min(account.held, account.recalled + count)
         account.low_water = min(account.low_water, account.idle)
 
     def return_recalled(self, upstream: str) -> int:
-        """Give back owed permits that are not in use; return how many."""
+        """Remove recalled permits that are not in use.
+
+        Returns
+        -------
+        int
+            Number of permits to return to the control leader.
+        """
         account = self.account(upstream)
         count = min(account.recalled, account.held - account.in_use)
         account.held -= count
@@ -101,7 +111,13 @@
         return count
 
     def return_idle(self, upstream: str) -> int:
-        """Give back permits idle since the last call; return how many."""
+        """Remove permits that have been idle since the last call.
+
+        Returns
+        -------
+        int
+            Number of permits to return to the control leader.
+        """
         account = self.account(upstream)
         count = max(0, min(account.low_water, account.idle))
         account.held -= count
@@ -109,17 +125,21 @@
         return count
 
     def invalidate_all(self) -> None:
-        """Use no permit any more: their validity has ended."""
+        """Mark all permits to be returned, as their validity has ended."""
         for account in self.accounts.values():
             account.recalled = account.held
             account.stated = 0
             account.low_water = 0
 
     def reset_demand(self) -> None:
-        """State demand anew, as the control leader changed."""
+        """Make every demand be sent again.
+
+        A new control leader does not know it, and control may have dropped
+        it.
+        """
         for account in self.accounts.values():
             account.stated = 0
 
     def holdings(self) -> dict[str, int]:
-        """Return permits held by upstream, for a report."""
+        """Return the number of held permits by upstream, for a report."""
         return {n: a.held for n, a in self.accounts.items() if a.held}
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -1,4 +1,8 @@
-"""State of a proxy and the small helpers that its modules share."""
+"""State of a proxy, and helpers that the modules of the proxy share.
+
+The reducer changes this state and performs no input or output itself: it
+appends effects (send, connect, close, set a timer) to `ProxyState.outbox`.
+"""
 
 from __future__ import annotations
 
@@ -33,18 +37,18 @@
 
 TIMER_KEY = 'proxy'
 MAX_FRAME_MESSAGES = 64
-# A draining proxy is called leaving and keeps its leases until it has ended.
+# Control reports a draining proxy as 'leaving'; it still holds its leases.
 SERVING_STATES = frozenset({'joined', 'leaving'})
 
 
 @dataclass(slots=True, kw_only=True)
 class ProxyConfig:
-    """Settings of a proxy as its reducer needs them.
+    """Settings that the reducer of a proxy uses.
 
     Parameters
     ----------
     incarnation : str
-        Identity of the process; new at each start.
+        Identity of the process, new at each start.
 
     Notes
     -----
@@ -73,7 +77,7 @@
     def from_settings(
         cls, settings: ProxySettings, incarnation: str
     ) -> ProxyConfig:
-        """Take over the settings of the process."""
+        """Build the configuration from the settings of the process."""
         shared = {
             name: getattr(settings, name)
             for name in cls.__dataclass_fields__
@@ -89,22 +93,40 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """One request of a caller, from its arrival to its answer.
+    """Request of a caller, from its arrival to its answer.
 
     Parameters
     ----------
     serial : int
-        Unique in the process.
+        Number of the request, unique in the process.
+    caller : int
+        Connection of the caller.
+    priority : int
+        `WRITE`, `FRESH_READ` or `STALE_READ`.
+    due_ms : float
+        Deadline.
+    after : LogPosition, optional
+        Position of the session token that the upstream must have applied.
+    max_age_ms : int, optional
+        Age of the data that the caller accepts.
+    queued : bool
+        Set by `AdmissionQueue` while the request is in it.
     phase : str
-        ``'queued'``, ``'delayed'``, ``'running'``, ``'durable'`` (run, its
-        copies not yet confirmed), ``'txn'`` (behind another statement of
-        its transaction) or ``'over'``.
-    sent_term : int
+        ``'queued'``, ``'delayed'`` (waits for a retry), ``'running'``,
+        ``'durable'`` (executed, replication not yet confirmed), ``'txn'``
+        (waits for another statement of its transaction) or ``'over'``.
+    uncertain_term : int
         Highest term of an attempt that may have taken effect; -1 if none.
     term : int
         Term of the running attempt.
     exec_id : int
         Id of the running attempt on its connection.
+    upstream_conn : int
+        Connection of the running attempt.
+    excluded_upstreams : set of str, optional
+        Replicas that refused this read.
+    result : Executed, optional
+        Result of a write that waits for replication.
     """
 
     serial: int
@@ -131,16 +153,22 @@
 
 @dataclass(slots=True, eq=False)
 class Transaction:
-    """An open transaction; owns one connection and one permit.
+    """Open transaction; holds one connection and one permit.
 
     Parameters
     ----------
+    handle : int
+        Id by which the caller refers to the transaction.
     state : str
-        ``'open'`` or ``'lost'``.
+        ``'open'`` or ``'lost'`` (rolled back by the upstream).
     running : Request, optional
-        Statement that runs now.
-    is_watched : bool
-        A check for an idle transaction is on the agenda.
+        Statement that is running.
+    pending : list of Request
+        Statements that wait for the running one.
+    idle_due_ms : float
+        Time at which an idle transaction is rolled back.
+    idle_check_scheduled : bool
+        The agenda has a check for the idle time-out.
     """
 
     handle: int
@@ -158,7 +186,15 @@
 
 @dataclass(slots=True)
 class Caller:
-    """Connection of a caller."""
+    """Connection of a caller.
+
+    Parameters
+    ----------
+    requests : dict of int to Request
+        Unanswered requests, by the id that the caller gave them.
+    txns : dict of int to Transaction
+        Open and lost transactions, by handle.
+    """
 
     conn: int
     requests: dict[int, Request] = field(default_factory=dict)
@@ -171,16 +207,25 @@
 
     Parameters
     ----------
+    opened : bool
+        The connection is established.
     running : dict of int to Request
-        Requests of the frame that runs, by attempt id.
-    in_frame : bool
-        A frame counts among the upstream's outstanding ones.
-    condemned : bool
-        A request was abandoned here; closed once the frame is over.
-    turn_ms : float
-        When the frame was sent, or its latest answer came.
-    owns_permit : bool
+        Unanswered requests of the current frame, by attempt id.
+    txn : Transaction, optional
+        Transaction that has the connection to itself.
+    close_after_frame : bool
+        A request was abandoned here; the connection is closed once the
+        other requests of the frame are answered.
+    frame_outstanding : bool
+        The frame is counted in `Upstream.outstanding`.
+    holds_permit : bool
         A permit is in use for this connection.
+    last_activity_ms : float
+        When the frame was sent, or when its latest answer arrived.
+    answer_due_ms : float
+        Time by which the next answer must arrive.
+    check_due_ms : float
+        Time of the scheduled check of that deadline.
     """
 
     conn: int
@@ -192,23 +237,55 @@
     frame_outstanding: bool = False
     holds_permit: bool = False
     last_activity_ms: float = 0.0
-    deadline_ms: float = math.inf
+    answer_due_ms: float = math.inf
     check_due_ms: float = math.inf
 
 
 @dataclass(slots=True)
 class Upstream:
-    """An upstream in force and what is known of it.
+    """Upstream of the published state, with its observed condition.
 
     Parameters
     ----------
+    view : UpstreamView
+        Published description of the upstream.
     evidence : str
-        ``'up'``, ``'silent'``, ``'refused'``, or empty before the first
-        finding.
+        Observed reachability: ``'up'``, ``'silent'``, ``'refused'``, or
+        empty before the first observation.
+    reported_leaving : bool
+        The upstream itself reports that it leaves.
+    leaving : bool
+        The upstream takes no new statements.
+    term, leads, received, applied
+        Latest report of the upstream.
+    lag_ms : float
+        Estimated replication lag.
+    outstanding : int
+        Frames sent and not completely answered.
+    monitor : int
+        Monitor connection; 0 if none.
     failures : int
         Monitor connections that failed since the last answer.
-    paused_until_ms : float
+    probes : dict of int to float
+        Send times of unanswered probes, by probe id.
+    conns : set of int
+        Statement connections, open or opening.
+    idle : list of int
+        Open statement connections without a frame.
+    opening : int
+        Number of statement connections that are opening.
+    open_failures : int
+        Consecutive failures to open a statement connection.
+    next_open_ms : float
+        Back-off: no connection is opened before this time.
+    cool_down_until_ms : float
         No statement is sent before this time.
+    recovered_ms : float
+        When the upstream became reachable again; starts its slow start.
+    was_down : bool
+        The latest observation was not ``'up'``.
+    permit_check_scheduled : bool
+        The agenda has a check for idle permits.
     """
 
     name: str
@@ -239,15 +316,31 @@
 
 @dataclass(slots=True)
 class Group:
-    """A database group in force and its work.
+    """Database group of the published state, with its requests.
 
     Parameters
     ----------
-    service_ms : float
-        Usual time of one statement on an upstream.
-    hold_until_ms : float
-        A new term counts as new until then: reads with an accepted age wait
-        for its first reports, instead of all going to the new primary.
+    view : GroupView
+        Published description of the group.
+    queue : AdmissionQueue of Request
+        Requests that wait to be sent.
+    retry_budget : RetryBudget
+        Limits retries to a share of the requests.
+    freshness : FreshnessTracker
+        Bounds the age of the data on replicas.
+    unconfirmed_writes : list of (LogPosition, int, Request)
+        Heap, by position, of executed writes whose replication is not yet
+        confirmed.
+    round_robin_count : int
+        Counter for the round-robin choice of a replica.
+    mean_service_ms : float
+        Moving average of the time of one statement on an upstream.
+    dispatch_due_ms : float
+        Time of the next scheduled dispatch of the queue.
+    new_term_grace_until_ms : float
+        End of the grace period of a new term, in which reads with an
+        accepted age wait for its first reports. Without it they would all
+        go to the new primary.
     """
 
     name: str
@@ -268,7 +361,15 @@
 
 @dataclass(slots=True)
 class Approval:
-    """A newcomer under examination."""
+    """Upstream or proxy that asks to join and that this proxy checks.
+
+    Parameters
+    ----------
+    attempts : int
+        Connection attempts made so far.
+    conn : int
+        Connection of the running attempt; 0 if none.
+    """
 
     newcomer: str
     newcomer_id: str
@@ -281,7 +382,45 @@
 
 @dataclass(slots=True)
 class ProxyState:
-    """Whole state of a proxy."""
+    """Whole state of a proxy.
+
+    Parameters
+    ----------
+    published : PublishedState
+        Groups, upstreams, rules and members, as published by control.
+    conns : dict of int to UpstreamConn
+        Statement connections.
+    monitor_conns : dict of int to str
+        Upstream of each monitor connection.
+    control_conns : dict of int to str
+        Control process of each connection to control.
+    leader_conn : int
+        Connection to the control leader; 0 while it is unknown.
+    member_state : str
+        Membership state of this proxy, from the control leader.
+    approvals : dict of str to Approval
+        Newcomers being checked, by id.
+    approval_conns : dict of int to str
+        Newcomer id of each connection opened to check one.
+    agenda : list of (float, int, str, Any)
+        Heap of scheduled actions: due time, sequence number, action,
+        subject.
+    timer_due_ms : float
+        Due time of the process's timer.
+    groups_to_dispatch : set of str
+        Groups whose queues are examined at the end of the event.
+    last_conn_id, last_id : int
+        Ids issued last.
+    drain_started_ms : float, optional
+        When graceful shutdown started.
+    proxy_count : int
+        Number of proxies in the published state, at least 1.
+    outbox : list of Effect
+        Effects of the current event.
+    open_frames : dict of int to Send
+        Frame of the current event for each connection; further messages
+        are added to it.
+    """
 
     cfg: ProxyConfig
     rng: Random
@@ -331,7 +470,7 @@
 def close(
     state: ProxyState, conn: int, reason: str, abort: bool = False
 ) -> None:
-    """Close a connection after what was sent on it."""
+    """Close a connection, after the messages already sent on it."""
     state.open_frames.pop(conn, None)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
@@ -339,13 +478,21 @@
 def schedule(
     state: ProxyState, due_ms: float, action: str, subject: Any = None
 ) -> None:
-    """Run an action of the agenda at a time."""
+    """Schedule an action for a time.
+
+    Parameters
+    ----------
+    action : str
+        Key of the action in the table of the reducer.
+    subject : object
+        Argument of the action.
+    """
     state.agenda_seq += 1
     heapq.heappush(state.agenda, (due_ms, state.agenda_seq, action, subject))
 
 
 def schedule_dispatch(state: ProxyState, name: str, due_ms: float) -> None:
-    """Look again at a group's queue at a time."""
+    """Schedule a dispatch of a group's queue, unless one comes earlier."""
     group = state.groups.get(name)
     if group is None or state.now_ms < group.dispatch_due_ms <= due_ms:
         return
@@ -354,19 +501,19 @@
 
 
 def new_conn_id(state: ProxyState) -> int:
-    """Return the id of a connection that is about to be opened."""
+    """Return an unused id for a connection to be opened."""
     state.last_conn_id -= 1
     return state.last_conn_id
 
 
 def new_id(state: ProxyState) -> int:
-    """Return a number that is unique in this process."""
+    """Return an id that is unique in this process."""
     state.last_id += 1
     return state.last_id
 
 
 def holds_lease(state: ProxyState, group: Group, term: int) -> bool:
-    """Tell whether `term` is in force and this proxy has its lease."""
+    """Tell whether `term` is current and this proxy holds its lease."""
     return term == group.view.term and state.leases.is_valid(
         group.name, term, state.now_ms
     )
