Describe admission, answers and callers of a proxy in usual terms

Cause: docstrings told of requests that are forgotten, harmless or owed, and error texts such as "the token has no room for another group" or "takes no writes" did not name the thing at fault first. Ruled out: other texts for lease_lost, control_unreachable and deadline: recorded traces and the client show them. Change: docstrings, comments, error texts (codes and values as before).

--- a/jackdawpost/core/proxy/admission.py
+++ b/jackdawpost/core/proxy/admission.py
@@ -1,4 +1,8 @@
-"""Bounded queue of requests with deadlines and priorities."""
+"""Bounded queue of requests with deadlines and priorities.
+
+A request that is expected to wait for most of its deadline is rejected on
+arrival, with a hint when to retry.
+"""
 
 from __future__ import annotations
 
@@ -15,15 +19,16 @@
 
 MIN_RETRY_AFTER_MS = 20
 MAX_RETRY_AFTER_MS = 2_000
-# A request that would start this late in its deadline has no time left to
-# run; queueing it would only push others past theirs.
+# A request that would wait for longer than this share of its deadline has no
+# time left to run; queueing it would only make others miss theirs.
 USABLE_DEADLINE_SHARE = 0.8
+# Compact a lane at this number of entries for each queued request.
 MAX_LANE_RATIO = 4
-_INTERVAL_WEIGHT = 0.05
+_INTERVAL_WEIGHT = 0.05  # of the moving average
 
 
 class QueueItem(Protocol):
-    """What the queue needs to know about a request.
+    """Interface of a request that can be queued.
 
     Attributes
     ----------
@@ -32,7 +37,7 @@
     due_ms : float
         Deadline, in milliseconds.
     queued : bool
-        Kept by the queue: the request waits in it.
+        Set by the queue: the request is in it.
     """
 
     priority: int
@@ -46,10 +51,14 @@
 class AdmissionQueue(Generic[Q]):
     """Requests of one group that wait to be sent.
 
+    Each priority has a FIFO lane. A removed request stays in its lane,
+    marked as not queued, until it reaches the front or the lane is
+    compacted.
+
     Parameters
     ----------
     limit : int
-        Requests that may wait.
+        Maximum number of queued requests.
     """
 
     __slots__ = (
@@ -71,17 +80,17 @@
         return sum(self._counts)
 
     def count(self, priority: int) -> int:
-        """Return how many requests of one priority wait."""
+        """Return the number of queued requests of one priority."""
         return self._counts[priority]
 
     def retry_delay_ms(self, item: Q, now_ms: float) -> int | None:
-        """Tell whether a new request has to be rejected.
+        """Return the retry delay if a new request must be rejected.
 
         Returns
         -------
         int or None
-            None to accept it, else the earliest useful time for another
-            attempt, in milliseconds.
+            None to accept the request, else the time after which a retry
+            is worthwhile, in milliseconds.
         """
         waiting = self._counts[0] + self._counts[1] + self._counts[2]
         if not waiting:
@@ -94,9 +103,9 @@
         return int(bounded)
 
     def evict_lower_priority(self, priority: int) -> Q | None:
-        """Remove the newest request of a lower priority, if any.
+        """Remove and return the newest request of a lower priority, if any.
 
-        Lets a write enter a full queue in place of a read.
+        A write can thus enter a full queue in place of a read.
         """
         for lower in range(STALE_READ, priority, -1):
             lane = self._lanes[lower]
@@ -108,7 +117,7 @@
         return None
 
     def push(self, item: Q, at_front: bool = False) -> None:
-        """Add a request; `at_front` puts it ahead of its priority."""
+        """Add a request at the back, or at the front, of its priority."""
         lane = self._lanes[item.priority]
         if len(lane) > MAX_LANE_RATIO * self._counts[item.priority] + 64:
             self._compact_lane(item.priority)
@@ -120,7 +129,7 @@
             lane.append(item)
 
     def peek(self, priority: int) -> Q | None:
-        """Return the first request of a priority, leaving it there."""
+        """Return the first request of a priority without removing it."""
         if not self._counts[priority]:
             self._lanes[priority].clear()
             return None
@@ -133,7 +142,7 @@
         return None
 
     def pop(self, priority: int, now_ms: float) -> Q | None:
-        """Take the first request of a priority out of the queue."""
+        """Remove and return the first request of a priority."""
         item = self.peek(priority)
         if item is None:
             return None
@@ -144,13 +153,13 @@
         return item
 
     def remove(self, item: Q) -> None:
-        """Take any request out of the queue, such as an expired one."""
+        """Remove any request from the queue, such as an expired one."""
         if item.queued:
             item.queued = False
             self._counts[item.priority] -= 1
 
     def pop_all(self) -> list[Q]:
-        """Take all requests out of the queue."""
+        """Remove and return all requests."""
         items = [i for lane in self._lanes for i in lane if i.queued]
         for item in items:
             self.remove(item)
@@ -159,12 +168,12 @@
         return items
 
     def reset_rate(self) -> None:
-        """Drop the estimated rate, as after a pause without primary."""
+        """Drop the estimated rate, as after a time without a primary."""
         self._mean_pop_interval_ms = 0.0
         self._last_pop_ms = -math.inf
 
     def _compact_lane(self, priority: int) -> None:
-        # While nothing is taken out, expired requests would pile up.
+        # Expired requests would accumulate while nothing is popped.
         lane = self._lanes[priority]
         kept = [i for i in lane if i.queued and i.priority == priority]
         lane.clear()
--- a/jackdawpost/core/proxy/answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -1,4 +1,4 @@
-"""Ends of requests: answers, losses, expiry and confirmed copies."""
+"""Completion of requests: answers, retries and confirmed replication."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
     'deadline': 'the deadline passed before an answer was complete',
     'connection_lost': 'the connection to the upstream was lost',
     'lease_lost': 'the right to acknowledge for the primary was lost',
-    'not_durable': 'run, but its copies were not confirmed in time',
+    'not_durable': 'executed, but its replication was not confirmed in time',
     'no_primary': 'the group has no primary',
     'control_unreachable': 'this proxy has lost contact with control',
     'not_joined': 'this proxy is not a member',
@@ -57,7 +57,7 @@
 
 
 def finish(state: ProxyState, req: Request, answer: Answer) -> None:
-    """Answer a request and forget it."""
+    """Send the answer of a request and remove the request."""
     if req.phase == 'over':
         return
     if req.queued:
@@ -84,14 +84,14 @@
 ) -> None:
     """Answer a request with an error.
 
-    ``'not_run'`` becomes ``'unknown'`` if an earlier attempt may have taken
-    effect, so that callers must not rely on a refusal of a later one.
+    If an earlier attempt may have taken effect, ``'not_run'`` becomes
+    ``'unknown'``: the refusal of a later attempt proves nothing about it.
     """
     text = message or ERROR_MESSAGES.get(code, code)
     if outcome == 'not_run' and req.uncertain_term >= 0:
         outcome = 'unknown'
         if code not in ('deadline', 'not_durable'):
-            text = f'an earlier attempt may have run; last refusal: {text}'
+            text = f'an earlier attempt may have run; last error: {text}'
             code = 'connection_lost'
     error = AnswerError(code=code, message=text, retry_after_ms=retry_after_ms)
     answer = Answer(id=req.message.id, outcome=outcome, error=error)
@@ -105,7 +105,11 @@
     source: Source | None = None,
     age_ms: int | None = None,
 ) -> None:
-    """Answer a request with its complete result."""
+    """Answer a request with its result.
+
+    The answer to a write has a session token with the position of the
+    write.
+    """
     message = req.message
     session = None
     is_write = isinstance(message, Commit) or (
@@ -119,8 +123,9 @@
                 req.token, req.group, executed.position, state.groups
             )
         except TokenError:
-            # Room was checked on admission; only a group added meanwhile
-            # gets here. Without its token the write must not be answered.
+            # Admission checked that the token has room; a group that was
+            # added since can have used it up. The write must not be
+            # acknowledged without its token.
             req.uncertain_term = max(req.uncertain_term, req.term)
             finish_error(state, req, 'not_run', 'not_durable')
             return
@@ -140,7 +145,11 @@
 
 
 def enqueue(state: ProxyState, req: Request, at_front: bool = False) -> None:
-    """Put a request into the queue of its group."""
+    """Put a request into the queue of its group.
+
+    Answers it with an error if the group was removed or this proxy has
+    lost contact with control.
+    """
     group = state.groups.get(req.group)
     if group is None:
         finish_error(state, req, 'not_run', 'unknown_route', 'group removed')
@@ -154,23 +163,24 @@
 
 
 def retry_later(state: ProxyState, req: Request) -> None:
-    """Queue a request again after a pause that grows with attempts."""
+    """Queue a request again after a back-off that grows with attempts."""
     req.phase = 'delayed'
     due_ms = state.now_ms + backoff_ms(req.attempts, state.rng)
     schedule(state, due_ms, 'requeue', req)
 
 
 def requeue_delayed(state: ProxyState, req: Request) -> None:
-    """Queue a request whose pause is over."""
+    """Queue a request whose back-off has ended."""
     if req.phase == 'delayed':
         enqueue(state, req, at_front=True)
 
 
 def retry_or_fail(state: ProxyState, req: Request, code: str) -> None:
-    """Handle an attempt whose effect is unknown.
+    """Retry a request whose attempt has an unknown effect, or fail it.
 
-    It is made again only if that is harmless (a read, an idempotent write,
-    or one with a request key) and deadline and retry budget allow it.
+    It is retried only if that is safe (a read, an idempotent write, or a
+    write with a request key), if its deadline and the retry budget allow
+    it, and if this proxy has contact with control.
     """
     if req.txn is not None:
         _fail_in_transaction(state, req, code)
@@ -198,8 +208,8 @@
 
 
 def _fail_in_transaction(state: ProxyState, req: Request, code: str) -> None:
-    # Only a commit that may have been read leaves doubt: anything else is
-    # rolled back by the upstream once the connection has ended.
+    # Only a commit that the upstream may have received has an unknown effect:
+    # anything else is rolled back when the connection ends.
     if isinstance(req.message, Commit):
         finish_error(state, req, 'unknown', code)
     elif isinstance(req.message, Rollback):
@@ -211,10 +221,10 @@
 
 
 def on_transaction_lost(state: ProxyState, txn: Transaction) -> None:
-    """Note that a transaction has been rolled back by its upstream.
+    """Record that the upstream has rolled back a transaction.
 
-    The caller's handle stays known, so that later statements are told of
-    the loss and never run outside the transaction.
+    The caller's handle is kept: later statements that use it are refused as
+    lost and never run outside the transaction.
     """
     if txn.state == 'lost':
         return
@@ -229,7 +239,7 @@
 def _is_safe_to_retry(req: Request) -> bool:
     message = req.message
     if isinstance(message, Begin):
-        # A transaction that nobody knows of is rolled back.
+        # A transaction whose handle was never answered is rolled back.
         return True
     if not isinstance(message, Statement) or message.txn is not None:
         return False
@@ -244,14 +254,15 @@
     executed: Executed,
     from_current_primary: bool,
 ) -> None:
-    """Answer a request that its upstream refused for good.
+    """Answer a request that its upstream refused permanently.
 
     Parameters
     ----------
     from_current_primary : bool
-        The refusal comes from the current primary under a valid lease. In
-        a higher term than that of every earlier attempt, it has looked for
-        the request key in a history that those can no longer enter.
+        The refusal comes from the current primary under a valid lease. If
+        its term is higher than that of every earlier attempt, it searched
+        for the request key in a history that those attempts can no longer
+        enter, so they took no effect.
     """
     code: str = executed.code or 'malformed'
     has_request_key = getattr(req.message, 'request_key', None) is not None
@@ -272,12 +283,12 @@
 def redirect_to_primary(
     state: ProxyState, req: Request, was_executed: bool
 ) -> None:
-    """Send a read that a replica could not serve to the primary.
+    """Queue a read that a replica could not serve for the primary.
 
     Parameters
     ----------
     was_executed : bool
-        The replica ran it, but the result was too old.
+        The replica executed it, but the result was too old.
     """
     if was_executed:
         req.uncertain_term = max(req.uncertain_term, req.term)
@@ -292,7 +303,12 @@
     executed: Executed,
     upstream_name: str,
 ) -> None:
-    """Judge a result that an upstream reports as done."""
+    """Handle the result of a statement that an upstream executed.
+
+    It is answered only if the term and the lease are still valid, a write
+    also only once it is replicated, and a result of a replica only if it is
+    fresh enough.
+    """
     same_term = executed.term is None or executed.term == req.term
     if req.priority == STALE_READ:
         _on_replica_read_done(state, group, req, executed, same_term)
@@ -330,12 +346,12 @@
 def answer_when_replicated(
     state: ProxyState, group: Group, req: Request, executed: Executed
 ) -> None:
-    """Answer a write once enough databases hold it."""
+    """Answer a write as soon as enough databases hold it."""
     req.result = executed
     req.phase = 'durable'
     position = executed.position
     if position is None:
-        # Without a position no copy can be confirmed.
+        # Replication cannot be confirmed without a position.
         finish_error(state, req, 'unknown', 'not_durable')
         return
     if position <= confirmed_position(state, group):
@@ -350,7 +366,8 @@
 def confirmed_position(state: ProxyState, group: Group) -> LogPosition:
     """Return the last position that enough databases hold.
 
-    Only databases that a promotion counts on confirm a write.
+    Only databases of the published database set count: a promotion may not
+    ask any other one.
     """
     replicas_needed = group.view.write_copies - 1
     if replicas_needed <= 0:
@@ -369,7 +386,7 @@
 
 
 def answer_replicated_writes(state: ProxyState, group: Group) -> None:
-    """Answer the writes that enough databases hold now."""
+    """Answer the waiting writes that enough databases now hold."""
     waiting = group.unconfirmed_writes
     if not waiting:
         return
@@ -386,7 +403,7 @@
 
 
 def retry_unconfirmed_writes(state: ProxyState, group: Group) -> None:
-    """Handle the writes whose term ended before they were confirmed."""
+    """Retry or fail the writes whose term ended before confirmation."""
     waiting = [entry[2] for entry in group.unconfirmed_writes]
     group.unconfirmed_writes.clear()
     for req in waiting:
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -1,4 +1,4 @@
-"""Callers: connections, validation of requests, admission."""
+"""Connections of callers, and validation and admission of requests."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 class _RequestRefused(Exception):
-    """A request that is not run, with the code for its caller."""
+    """Refusal of a request, with the error code for the caller."""
 
     def __init__(
         self, code: str, message: str = '', retry_after_ms: int | None = None
@@ -56,7 +56,7 @@
 
 
 def on_caller_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Accept a caller, or close it above the limit."""
+    """Accept a caller, or close its connection above the limit."""
     if len(state.callers) >= state.cfg.max_callers:
         count(state, 'callers_refused')
         close(state, event.conn, 'too many callers')
@@ -67,7 +67,7 @@
 
 
 def remaining_serve_ms(state: ProxyState) -> int:
-    """Return how long a draining proxy still serves new requests."""
+    """Return how long a draining proxy still accepts new requests."""
     if state.drain_started_ms is None:
         return state.cfg.drain_serve_ms
     until = state.drain_started_ms + state.cfg.drain_serve_ms
@@ -75,9 +75,10 @@
 
 
 def on_caller_closed(state: ProxyState, conn: int) -> None:
-    """Forget a caller's requests and roll back its transactions.
+    """Remove a caller's requests and roll back its transactions.
 
-    Statements that run on an upstream end there; nobody gets the answer.
+    Statements that are running on an upstream complete there; their answers
+    are discarded.
     """
     caller = state.callers.pop(conn)
     for req in caller.requests.values():
@@ -86,7 +87,7 @@
         req.phase = 'over'
         state.requests.pop(req.serial, None)
     for txn in [t for t in caller.txns.values() if t.state == 'open']:
-        roll_back(state, txn, 'the caller has gone')
+        roll_back(state, txn, 'caller disconnected')
 
 
 def on_caller_frame_rejected(
@@ -95,7 +96,8 @@
     """Answer a frame that could not be decoded."""
     request_id = event.request_id
     if request_id in caller.requests:
-        # Its own answer is still owed; a second one would be taken for it.
+        # The request with this id is still running; the caller would take
+        # the refusal for its answer.
         request_id = 0
     _refuse(
         state, caller, request_id, _RequestRefused('malformed', event.detail)
@@ -105,7 +107,7 @@
 def on_caller_request(
     state: ProxyState, caller: Caller, message: CallerRequest
 ) -> None:
-    """Take in one request, or refuse it."""
+    """Validate and admit one request, or refuse it."""
     try:
         if message.id in caller.requests:
             raise _RequestRefused(
@@ -164,12 +166,13 @@
     message: Statement | Commit | Rollback,
     handle: int,
 ) -> None:
-    # Looked up among this caller's handles only: the handle of another
-    # caller is as unknown as one that never existed.
+    # Only handles of this caller are accepted: the handle of another caller
+    # is refused like one that never existed.
     txn = caller.txns.get(handle)
     if txn is None:
         raise _RequestRefused(
-            'unknown_transaction', f'transaction {handle} is not open here'
+            'unknown_transaction',
+            f'transaction {handle} is not open on this connection',
         )
     if txn.state == 'lost':
         if not isinstance(message, Statement):
@@ -186,7 +189,9 @@
     _check_serving(state)
     rule = state.published.rules.get(message.route)
     if rule is None or not rule.groups:
-        raise _RequestRefused('unknown_route', f'no route {message.route!r}')
+        raise _RequestRefused(
+            'unknown_route', f'unknown route {message.route!r}'
+        )
     group = _pick_group(state, rule, message.key)
     if message.deadline_ms > group.max_deadline_ms:
         raise _RequestRefused(
@@ -222,13 +227,14 @@
 
 
 def _pick_group(state: ProxyState, rule: RuleView, key: str | None) -> Group:
-    at = 0
+    group_index = 0
     if key is not None:
-        at = zlib.crc32(key.encode()) % len(rule.groups)
-    group = state.groups.get(rule.groups[at])
+        group_index = zlib.crc32(key.encode()) % len(rule.groups)
+    group = state.groups.get(rule.groups[group_index])
     if group is None:
         raise _RequestRefused(
-            'unknown_route', f'group {rule.groups[at]!r} is not in force'
+            'unknown_route',
+            f'group {rule.groups[group_index]!r} is not known to this proxy',
         )
     return group
 
@@ -248,7 +254,7 @@
     if message.max_age_ms is not None:
         if message.allowance is not None:
             raise _RequestRefused(
-                'malformed', 'max_age_ms and allowance exclude each other'
+                'malformed', 'max_age_ms and allowance cannot be combined'
             )
         if message.max_age_ms < 0:
             raise _RequestRefused(
@@ -261,7 +267,9 @@
         return None
     allowance = state.published.allowances.get(name)
     if allowance is None:
-        raise _RequestRefused('unknown_allowance', f'no allowance {name!r}')
+        raise _RequestRefused(
+            'unknown_allowance', f'unknown allowance {name!r}'
+        )
     return allowance.max_age_ms
 
 
@@ -274,7 +282,7 @@
 ) -> None:
     if rule.read_only:
         raise _RequestRefused(
-            'read_only_route', f'route {rule.name!r} takes no writes'
+            'read_only_route', f'route {rule.name!r} does not accept writes'
         )
     if isinstance(message, Statement):
         if not message.idempotent and message.request_key is None:
@@ -285,7 +293,7 @@
     if not has_room(token, group.name, state.groups):
         raise _RequestRefused(
             'invalid_token',
-            f'the token has no room for another group, {group.name!r}',
+            f'the session token is full; no room for group {group.name!r}',
         )
 
 
