Describe control links, monitors and leases of a proxy in usual terms

Cause: docstrings such as "Act when what the leader granted runs out" or "Take over what an upstream reports of itself" had to be read twice. Ruled out: renaming public names of lease_holder.py (note_report, note_version, withdraw): embedders use them. Change: docstrings, comments, one text of a closed connection; a private slot of LeaseHolder is _last_grant, as it is kept after confirmation.

--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -1,4 +1,9 @@
-"""Links to control: reports, leases, permits, approvals."""
+"""Connections to control: reports, leases, permits, approvals.
+
+The proxy sends a report to the control leader in regular intervals and on
+changes. The answer renews its leases (the right to acknowledge writes of a
+group in a term) and confirms its configuration.
+"""
 
 from __future__ import annotations
 
@@ -37,14 +42,14 @@
 
 
 def on_control_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Introduce this proxy to a control process."""
+    """Register the connection; report at once if no leader is known."""
     state.control_conns[event.conn] = event.peer
     if not state.leader_conn:
         send_report(state)
 
 
 def on_control_closed(state: ProxyState, conn: int) -> None:
-    """Look for another leader if this was its connection."""
+    """Search for another leader if the leader's connection closed."""
     del state.control_conns[conn]
     if conn == state.leader_conn:
         _on_leader_lost(state)
@@ -59,7 +64,7 @@
 
 
 def send_report(state: ProxyState) -> None:
-    """Report to the leader, or to all control processes if unknown."""
+    """Report to the leader, or to all control processes without one."""
     targets = (
         [state.leader_conn] if state.leader_conn else list(state.control_conns)
     )
@@ -90,7 +95,7 @@
 
 
 def on_report_due(state: ProxyState, subject: object) -> None:
-    """Send the regular report; leave a leader that stopped answering."""
+    """Send the regular report, or drop a leader that does not answer."""
     if state.now_ms < state.report_due_ms:
         return
     oldest_ms = state.leases.oldest_open_ms()
@@ -100,8 +105,8 @@
         log(state, 'warning', 'leader_silent', seq=state.report_seq)
         _on_leader_lost(state)
     else:
-        # Restated in case control dropped a demand, as for an upstream that
-        # it did not know yet.
+        # Demands are sent again in case control dropped one, such as one for
+        # an upstream that it did not know yet.
         state.permits.reset_demand()
         mark_groups_to_dispatch(state)
         send_report(state)
@@ -118,9 +123,9 @@
 
 
 def on_not_leader(state: ProxyState, conn: int, message: NotLeader) -> None:
-    """Follow a control process to the leader that it knows."""
+    """Report to the leader that a former leader names."""
     if conn != state.leader_conn:
-        # Without a known leader all control processes are asked anyway.
+        # While no leader is known, reports go to all control processes.
         return
     count(state, 'leader_moved')
     state.leader_conn = 0
@@ -131,7 +136,7 @@
 
 
 def on_lease_grant(state: ProxyState, conn: int, message: LeaseGrant) -> None:
-    """Renew leases and permits from the leader's answer."""
+    """Renew leases and permits from the leader's answer to a report."""
     joined = message.member_state in SERVING_STATES
     if not state.leases.apply_grant(
         message.seq,
@@ -159,14 +164,14 @@
 
 
 def mark_groups_to_dispatch(state: ProxyState) -> None:
-    """Look again at all groups with requests waiting."""
+    """Mark all groups with queued requests for dispatch."""
     for group in state.groups.values():
         if len(group.queue):
             state.groups_to_dispatch.add(group.name)
 
 
 def schedule_validity_check(state: ProxyState) -> None:
-    """Act when what the leader granted runs out."""
+    """Schedule a check for when the grant or the configuration expires."""
     ends = [
         end
         for end in (state.leases.config_until_ms, state.leases.grant_until_ms)
@@ -179,7 +184,11 @@
 
 
 def check_validity(state: ProxyState, subject: object) -> None:
-    """Refuse what waits once control was out of reach for too long."""
+    """Invalidate permits and refuse queued requests after expiry.
+
+    The grant and the configuration expire when control has not been
+    reachable for too long.
+    """
     state.validity_due_ms = math.inf
     if state.now_ms >= state.leases.grant_until_ms:
         state.permits.invalidate_all()
@@ -189,7 +198,7 @@
 
 
 def refuse_queued_requests(state: ProxyState) -> None:
-    """Answer all queued requests that control is out of reach."""
+    """Refuse all queued requests, as control is unreachable."""
     for group in state.groups.values():
         for req in group.queue.pop_all():
             finish_error(state, req, 'not_run', 'control_unreachable')
@@ -198,7 +207,7 @@
 def on_lease_revoke(
     state: ProxyState, conn: int, message: LeaseRevoke
 ) -> None:
-    """Give up a group's lease and say so at once."""
+    """Give up a group's lease and confirm that at once."""
     state.leases.revoke(message.group, message.term)
     reply = LeaseRevoked(group=message.group, term=message.term)
     send(state, conn, reply)
@@ -210,7 +219,7 @@
 def on_permit_grant(
     state: ProxyState, conn: int, message: PermitGrant
 ) -> None:
-    """Take over permits, or give back those that are not wanted."""
+    """Add granted permits, or return those that cannot be used."""
     up = state.upstreams.get(message.upstream)
     expired = state.now_ms >= state.leases.grant_until_ms
     if up is None or expired or conn != state.leader_conn:
@@ -227,7 +236,7 @@
 def on_permit_recall(
     state: ProxyState, conn: int, message: PermitRecall
 ) -> None:
-    """Give back permits now or once their statement ends."""
+    """Return permits now, or as soon as their statements end."""
     if conn != state.leader_conn:
         return
     state.permits.recall(message.upstream, message.count)
@@ -237,11 +246,11 @@
 def on_approval_request(
     state: ProxyState, conn: int, message: ApprovalRequest
 ) -> None:
-    """Examine a newcomer.
+    """Check a newcomer and approve it if the check succeeds.
 
-    An upstream must be reachable and hold the announced data. A proxy is
-    never connected to by other proxies; its name and address must not
-    belong to another member.
+    An upstream must be reachable and hold the announced data. For a proxy,
+    the name and address must not belong to another member; no connection is
+    tried, as proxies never connect to each other.
     """
     earlier = state.approvals.get(message.newcomer_id)
     if earlier is not None and earlier.conn:
@@ -298,7 +307,7 @@
 
 
 def on_approval_conn_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Approve a newcomer that could be reached."""
+    """Approve a newcomer that is reachable and holds the announced data."""
     newcomer_id = state.approval_conns.pop(event.conn)
     close(state, event.conn, 'newcomer checked')
     approval = state.approvals[newcomer_id]
@@ -319,7 +328,7 @@
 
 
 def on_approval_conn_closed(state: ProxyState, conn: int) -> None:
-    """Try a newcomer again later."""
+    """Schedule another attempt to reach a newcomer."""
     approval = state.approvals[state.approval_conns.pop(conn)]
     approval.conn = 0
     _schedule_approval_retry(state, approval)
@@ -334,7 +343,7 @@
 
 
 def retry_approval(state: ProxyState, newcomer_id: str) -> None:
-    """Connect to a newcomer once more."""
+    """Try to connect to a newcomer again."""
     approval = state.approvals.get(newcomer_id)
     if approval is not None and not approval.conn:
         _connect_to_newcomer(state, approval)
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -15,7 +15,10 @@
 
 
 def on_drain_requested(state: ProxyState) -> None:
-    """Tell all callers to go elsewhere and serve for a while longer."""
+    """Start the shutdown; new requests are accepted for a while longer.
+
+    All callers are notified to use another proxy.
+    """
     if state.drain_started_ms is not None:
         return
     state.drain_started_ms = state.now_ms
@@ -31,13 +34,13 @@
 
 
 def roll_back_all(state: ProxyState, subject: object) -> None:
-    """Roll back transactions that outlast the drain limit."""
+    """Roll back transactions that are still open at the drain limit."""
     for txn in list(state.txns.values()):
         roll_back(state, txn, 'drain limit')
 
 
 def stop_when_drained(state: ProxyState) -> None:
-    """Stop once every request and transaction has ended."""
+    """Stop when the drain window and all requests and transactions ended."""
     if state.drain_started_ms is None or state.stopped:
         return
     if state.requests or state.txns or remaining_serve_ms(state):
--- a/jackdawpost/core/proxy/dump.py
+++ b/jackdawpost/core/proxy/dump.py
@@ -1,4 +1,4 @@
-"""The state of a proxy as plain data."""
+"""Snapshot of a proxy's state as plain data, for operators."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 def dump_proxy(state: ProxyState) -> dict[str, Any]:
     """Return a snapshot of a proxy's state as plain data.
 
-    Callers are summarized by number, as thousands of them are usual.
+    Callers are only counted, as there may be thousands of them.
     """
     now_ms = state.now_ms
     return {
--- a/jackdawpost/core/proxy/freshness.py
+++ b/jackdawpost/core/proxy/freshness.py
@@ -1,4 +1,4 @@
-"""Upper bound on the age of what a replica shows."""
+"""Upper bound on the age of the data that a replica shows."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 
 class FreshnessTracker:
-    """Samples of the primary's position, each with its sent time.
+    """Samples of the primary's position, each with the time of its probe.
 
-    A sample (sent time, position) means that a replica which has applied
-    the position shows everything committed up to the sent time. Leaving
-    out samples is safe: ages are then overestimated.
+    A sample (send time, position) means that a replica which has applied
+    the position shows everything committed up to the send time. Dropping
+    samples is safe: ages are then overestimated.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
         return len(self._sent_ms)
 
     def reset(self, term: int) -> None:
-        """Forget all samples and start on another term."""
+        """Drop all samples and start another term."""
         self.term = term
         self._sent_ms.clear()
         self._positions.clear()
@@ -42,7 +42,7 @@
     def record_sample(
         self, sent_ms: float, term: int, position: LogPosition
     ) -> bool:
-        """Add the primary's answer to a probe.
+        """Record the primary's answer to a probe.
 
         Parameters
         ----------
@@ -56,8 +56,8 @@
         Returns
         -------
         bool
-            False if the sample does not count: another term, or older
-            than the newest sample.
+            False if the sample is ignored: it has another term, or is
+            older than the newest sample.
         """
         if term != self.term:
             return False
@@ -75,20 +75,20 @@
         return True
 
     def age_ms(self, applied: LogPosition, now_ms: float) -> float | None:
-        """Return the bound on the age of data at `applied`.
+        """Return an upper bound on the age of the data at a position.
 
         Parameters
         ----------
         applied : LogPosition
-            Position applied by the replica in the current term.
+            Position that the replica has applied in the current term.
         now_ms : float
             Present time, in milliseconds.
 
         Returns
         -------
         float or None
-            Age in milliseconds, never below zero; None if unknown, which
-            callers must treat as too old.
+            Age in milliseconds, at least zero; None if unknown, which must
+            be treated as too old.
         """
         at = bisect_right(self._positions, applied) - 1
         if at < 0:
@@ -98,7 +98,7 @@
     def required_position(
         self, max_age_ms: float, now_ms: float
     ) -> LogPosition | None:
-        """Return what a replica must have applied for an accepted age.
+        """Return the position a replica needs for an accepted age.
 
         Parameters
         ----------
@@ -110,7 +110,7 @@
         Returns
         -------
         LogPosition or None
-            None if no sample is young enough.
+            None if no sample is recent enough.
         """
         at = bisect_left(self._sent_ms, now_ms - max_age_ms)
         if at == len(self._sent_ms):
@@ -118,7 +118,7 @@
         return self._positions[at]
 
     def reached_ms(self, position: LogPosition) -> float | None:
-        """Return by when the primary had reached a position.
+        """Return a time by which the primary had reached a position.
 
         Parameters
         ----------
@@ -128,8 +128,8 @@
         Returns
         -------
         float or None
-            Sent time of the first sample at or after it, in milliseconds;
-            None if no sample has got there.
+            Send time of the first sample at or after the position, in
+            milliseconds; None if there is no such sample.
         """
         at = bisect_left(self._positions, position)
         return self._sent_ms[at] if at < len(self._sent_ms) else None
--- a/jackdawpost/core/proxy/lease_holder.py
+++ b/jackdawpost/core/proxy/lease_holder.py
@@ -1,4 +1,7 @@
-"""Leases as the proxy holds them."""
+"""Leases that a proxy holds.
+
+A lease is the right to acknowledge writes of one group in one term.
+"""
 
 from __future__ import annotations
 
@@ -7,20 +10,28 @@
 
 from jackdawpost.core.messages.control import GroupLease
 
-# The control leader waits 2% longer than the duration it granted. The proxy
-# counts 2% less, so that both clock rates may be wrong by 2% at once.
+# The control leader waits 2% longer than the duration that it granted, and the
+# proxy subtracts 2%: both clock rates may be wrong by 2% at the same time.
 CLOCK_MARGIN = 0.02
 MAX_OPEN_REPORTS = 64
 
 
 class LeaseHolder:
-    """Leases of one proxy, with validity counted from sent reports."""
+    """Leases of one proxy, valid from when the answered report was sent.
+
+    Attributes
+    ----------
+    grant_until_ms : float
+        End of validity of the latest grant.
+    config_until_ms : float
+        Time until which the configuration is confirmed as current.
+    """
 
     __slots__ = (
         '_report_sent_ms',
         '_leases',
         '_revoked_terms',
-        '_unconfirmed_grant',
+        '_last_grant',
         'grant_until_ms',
         'config_until_ms',
     )
@@ -29,7 +40,7 @@
         self._report_sent_ms: dict[int, float] = {}
         self._leases: dict[str, tuple[int, float]] = {}
         self._revoked_terms: dict[str, int] = {}
-        self._unconfirmed_grant: tuple[int, float] | None = None
+        self._last_grant: tuple[int, float] | None = None
         self.grant_until_ms = -math.inf
         self.config_until_ms = -math.inf
 
@@ -38,7 +49,7 @@
         return next(iter(self._report_sent_ms.values()), None)
 
     def note_report(self, seq: int, now_ms: float) -> None:
-        """Remember when the report `seq` was sent."""
+        """Record when the report `seq` was sent."""
         self._report_sent_ms[seq] = now_ms
         if len(self._report_sent_ms) > MAX_OPEN_REPORTS:
             del self._report_sent_ms[next(iter(self._report_sent_ms))]
@@ -51,32 +62,33 @@
         leader_version: int,
         own_version: int,
     ) -> bool:
-        """Count a grant from when its report was sent.
+        """Apply a grant, valid from when its report was sent.
 
         Parameters
         ----------
         seq : int
-            Report that the grant answers.
+            Sequence number of the report that the grant answers.
         leases : iterable of GroupLease
             Groups and terms granted.
         duration_ms : float
-            Validity, in milliseconds.
+            Duration of validity, in milliseconds.
         leader_version : int
-            Published version at the leader.
+            Version of the published state at the leader.
         own_version : int
-            Published version in force here; a lower one leaves the
-            configuration unconfirmed until `note_version` catches up.
+            Version of the published state at this proxy; a lower one
+            leaves the configuration unconfirmed until `note_version`
+            reports the leader's version.
 
         Returns
         -------
         bool
-            False if the grant is ignored: it answers an unknown report or
-            one older than the last answered.
+            False if the grant is ignored: it answers an unknown report, or
+            one older than the last answered one.
         """
         sent_ms = self._report_sent_ms.get(seq)
         if sent_ms is None:
             return False
-        # Older reports can no longer be answered: their grants are void.
+        # Grants for older reports are no longer accepted.
         self._report_sent_ms = {
             s: at for s, at in self._report_sent_ms.items() if s > seq
         }
@@ -87,28 +99,23 @@
             for lease in leases
             if lease.term > self._revoked_terms.get(lease.group, -1)
         }
-        self._unconfirmed_grant = (leader_version, until)
+        self._last_grant = (leader_version, until)
         self.note_version(own_version)
         return True
 
     def note_version(self, own_version: int) -> None:
-        """Confirm the configuration if the leader's version is in force."""
-        if (
-            self._unconfirmed_grant is None
-            or own_version < self._unconfirmed_grant[0]
-        ):
+        """Confirm the configuration if it has the leader's version."""
+        if self._last_grant is None or own_version < self._last_grant[0]:
             return
-        self.config_until_ms = max(
-            self.config_until_ms, self._unconfirmed_grant[1]
-        )
+        self.config_until_ms = max(self.config_until_ms, self._last_grant[1])
 
     def withdraw(self) -> None:
-        """Give up every lease, as this proxy is no member."""
+        """Drop all leases, as this proxy is not a member."""
         self._leases.clear()
         self.config_until_ms = -math.inf
 
     def revoke(self, group: str, term: int) -> None:
-        """Give up the leases of a group up to and including `term`."""
+        """Drop the leases of a group up to and including `term`."""
         self._revoked_terms[group] = max(
             term, self._revoked_terms.get(group, -1)
         )
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -1,4 +1,4 @@
-"""Monitor connections: probes, progress, evidence of failures."""
+"""Monitor connections to upstreams: probes, progress, failure detection."""
 
 from __future__ import annotations
 
@@ -23,12 +23,13 @@
 from jackdawpost.core.proxy.state import Upstream
 from jackdawpost.core.retry import backoff_ms
 
-# One failure may be the connection's own; a second connection tells.
+# The first failure may concern only that connection; a second connection
+# shows whether the upstream has failed.
 FAILURES_FOR_EVIDENCE = 2
 
 
 def open_monitor(state: ProxyState, up: Upstream) -> None:
-    """Open a monitor connection in place of any earlier one."""
+    """Open a monitor connection, replacing any earlier one."""
     if up.monitor:
         state.monitor_conns.pop(up.monitor, None)
         close(state, up.monitor, 'replaced', abort=True)
@@ -52,7 +53,7 @@
     """Start probing on a new monitor connection."""
     up = _monitored_upstream(state, event.conn)
     if up is None:
-        close(state, event.conn, 'not wanted any more')
+        close(state, event.conn, 'connection no longer needed')
         return
     if event.data_id != up.view.data_id:
         log(state, 'warning', 'other_data', upstream=up.name)
@@ -63,7 +64,7 @@
 
 
 def on_monitor_closed(state: ProxyState, event: ConnClosed) -> None:
-    """Reconnect, or report the upstream once that fails as well."""
+    """Reconnect; report the upstream if the second connection fails too."""
     up = _monitored_upstream(state, event.conn)
     if up is None:
         return
@@ -97,14 +98,14 @@
 
 
 def reopen_monitor(state: ProxyState, name: str) -> None:
-    """Open a monitor connection again after a pause."""
+    """Open a monitor connection again after a back-off."""
     up = state.upstreams.get(name)
     if up is not None and not up.monitor:
         open_monitor(state, up)
 
 
 def on_probe_due(state: ProxyState, name: str) -> None:
-    """Send the next probe, or give up a silent connection."""
+    """Send the next probe, or drop a silent connection."""
     up = state.upstreams.get(name)
     if up is None:
         return
@@ -120,7 +121,10 @@
 
 
 def probe_for_sample(state: ProxyState, name: str) -> None:
-    """Probe at once in a new term, so that replicas soon serve again."""
+    """Probe at once in a new term.
+
+    Replicas serve reads only after the first sample of the term.
+    """
     up = state.upstreams.get(name)
     if up is not None and up.monitor_open:
         _send_probe(state, up)
@@ -135,7 +139,7 @@
 def on_monitor_message(
     state: ProxyState, conn: int, message: Probed | Progress
 ) -> None:
-    """Take over what an upstream reports of itself."""
+    """Record what an upstream reports about itself."""
     up = _monitored_upstream(state, conn)
     if up is None or not up.monitor_open:
         return
@@ -165,7 +169,7 @@
 
 
 def _drop_earlier_probes(up: Upstream, probe_id: int) -> None:
-    # Probes are answered in order, so earlier ones get no answer any more.
+    # Probes are answered in order: earlier ones will not be answered.
     for earlier in [i for i in up.probes if i < probe_id]:
         del up.probes[earlier]
 
@@ -173,8 +177,8 @@
 def _record_sample(
     state: ProxyState, group: Group, up: Upstream, sent_ms: float
 ) -> None:
-    # A primary that has been replaced still answers; the lease shows that
-    # no other one could commit before this answer arrived.
+    # A replaced primary may still answer. The lease proves that no other one
+    # could commit before this answer arrived.
     if holds_lease(state, group, up.term):
         position = max(up.received, up.applied)
         group.freshness.record_sample(sent_ms, up.term, position)
@@ -185,7 +189,7 @@
         return
     age_ms = group.freshness.age_ms(up.applied, state.now_ms)
     if age_ms is not None:
-        # Between two samples the age overstates the lag by up to a probe
+        # Between two samples the age exceeds the lag by up to one probe
         # interval.
         up.lag_ms = max(0.0, age_ms - state.cfg.probe_interval_ms)
 
@@ -196,7 +200,7 @@
 
 
 def set_evidence(state: ProxyState, up: Upstream, evidence: str) -> None:
-    """Note a finding about an upstream; a change is reported at once."""
+    """Record the reachability of an upstream; report a change at once."""
     if up.evidence == evidence:
         return
     log(state, 'info', 'evidence', upstream=up.name, evidence=evidence)
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -1,4 +1,4 @@
-"""Takes published state into force: groups, upstreams, terms."""
+"""Applies updates of the published state: groups, upstreams, terms."""
 
 from __future__ import annotations
 
@@ -29,16 +29,17 @@
 DEFAULT_QUEUE_LENGTH = 1_000
 DEFAULT_RETRY_RATIO = 0.1
 DEFAULT_MAX_DEADLINE_MS = 60_000
-# Spreads the connections that all proxies open to a new primary at once.
+# Spreads the connections that all proxies open to a new primary.
 OPEN_JITTER_MS = 20.0
 NEW_TERM_GRACE_MS = 150.0
 
 
 def on_state_update(state: ProxyState, message: StateUpdate) -> None:
-    """Apply an update and act on what it changes.
+    """Apply an update of the published state and act on the changes.
 
-    The version in force is reported at once, after an update that does not
-    follow it as well, so that the leader sends what is missing.
+    The resulting version is reported at once. After an update that does not
+    follow the current version, the report makes the leader send what is
+    missing.
     """
     before = state.published.version
     if not apply_update(state.published, message):
@@ -134,8 +135,8 @@
 
 
 def _drop_frames_of_earlier_terms(state: ProxyState, group: Group) -> None:
-    # Their answers could not be used; without waiting for them the requests
-    # are made again at the new primary.
+    # Their answers could not be used. Dropping the connections at once lets
+    # the requests be retried on the new primary without waiting for them.
     for conn in list(state.conns.values()):
         up = state.upstreams[conn.upstream]
         if up.view.group != group.name:
