Describe dispatch and transactions of a proxy in usual terms

Cause: docstrings such as "Send what can be sent" or "What all ways of sending queued requests share" say little, and the reason for asking one replica first stood beside its constant without saying what the constant is. Ruled out: renaming parameters of the functions of replica_choice.py, which embedders may pass by name. Change: docstrings, comments, texts of closed connections, one local.

--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -1,4 +1,4 @@
-"""Decisions of a proxy: events in, effects out."""
+"""Reducer of a proxy: takes events, changes the state, returns effects."""
 
 from __future__ import annotations
 
@@ -84,8 +84,8 @@
 ]
 
 MAX_DISPATCH_ROUNDS = 16
-# Deadlines of answered requests stay on the agenda until they are due or
-# outnumber the live ones by this factor.
+# Deadlines of answered requests stay on the agenda until they are due. They
+# are removed earlier when the agenda has this many entries per open request.
 MAX_AGENDA_RATIO = 4
 MIN_AGENDA_CLEANUP_SIZE = 4_096
 
@@ -93,16 +93,16 @@
 def new_proxy(
     cfg: ProxyConfig, rng: Random, now_ms: float
 ) -> tuple[ProxyState, list[Effect]]:
-    """Return the state of a starting proxy and its first effects.
+    """Create the state of a starting proxy, with its first effects.
 
     Parameters
     ----------
     cfg : ProxyConfig
-        Settings.
+        Configuration of the proxy.
     rng : Random
         Source of jitter and random choices.
     now_ms : float
-        Present time, in milliseconds.
+        Current time, in milliseconds.
     """
     state = ProxyState(cfg=cfg, rng=rng, now_ms=now_ms)
     schedule_report(state)
@@ -110,17 +110,18 @@
 
 
 def reduce_proxy(state: ProxyState, event: Event) -> list[Effect]:
-    """Apply one event and return what to do about it.
+    """Apply one event and return its effects.
 
-    What is due by then happens first, even if its timer has not fired yet,
-    so that a process that was frozen never acts on a deadline that passed.
+    Actions that are due run first, even if their timer has not fired yet: a
+    process that was suspended must not handle events as if its deadlines
+    and leases had not expired.
 
     Parameters
     ----------
     state : ProxyState
-        State to change.
+        State, changed in place.
     event : Event
-        Event with the present time.
+        Event with the current time.
     """
     if event.now_ms > state.now_ms:
         state.now_ms = event.now_ms
@@ -164,7 +165,7 @@
         names = list(state.groups_to_dispatch)
         state.groups_to_dispatch.clear()
         if len(names) > 1:
-            # The order of a set of texts differs from process to process.
+            # The order of a set of strings differs between processes.
             names.sort()
         for name in names:
             group = state.groups.get(name)
@@ -200,7 +201,7 @@
 
 
 def _no_action(state: ProxyState, subject: object) -> None:
-    """Let the end of the event look again at what is owed."""
+    """Do nothing: the end of the event checks whether to stop."""
 
 
 _ACTIONS: Mapping[str, Callable[[ProxyState, Any], None]] = {
@@ -242,7 +243,7 @@
     conn = state.conns.get(conn_id)
     if conn is not None:
         for message in event.messages:
-            # An answer may have ended the connection.
+            # An earlier answer may have closed the connection.
             if isinstance(message, Executed) and conn_id in state.conns:
                 on_executed(state, conn, message)
         return
--- a/jackdawpost/core/proxy/replica_choice.py
+++ b/jackdawpost/core/proxy/replica_choice.py
@@ -1,4 +1,4 @@
-"""Choice of the replica that serves a read."""
+"""Strategies for choosing the replica that serves a read."""
 
 from __future__ import annotations
 
@@ -14,20 +14,20 @@
 
 
 class Replica(Protocol):
-    """What a choice needs to know about a replica.
+    """Interface of a replica to choose from.
 
     Attributes
     ----------
     leaving : bool
-        The replica takes no new work.
+        The replica accepts no new statements.
     evidence : str
         Reachability: ``'up'``, ``'silent'``, ``'refused'`` or unknown.
     term : int
-        Term in which the replica last reported.
+        Term of the replica's latest report.
     applied : LogPosition
-        Position that the replica had applied then.
+        Applied position in the replica's latest report.
     outstanding : int
-        Statements running on it.
+        Frames of statements running on the replica.
     lag_ms : float
         Estimated replication lag, in milliseconds.
     """
@@ -45,12 +45,12 @@
 
 
 def choose_random(replicas: Sequence[R], rng: Random, turn: int) -> R:
-    """Return any replica."""
+    """Return a replica drawn at random."""
     return replicas[int(rng.random() * len(replicas))]
 
 
 def choose_round_robin(replicas: Sequence[R], rng: Random, turn: int) -> R:
-    """Return the replica whose turn it is."""
+    """Return the next replica in turn."""
     return replicas[turn % len(replicas)]
 
 
@@ -71,7 +71,7 @@
 def choose_least_outstanding(
     replicas: Sequence[R], rng: Random, turn: int
 ) -> R:
-    """Return a replica with the fewest running statements."""
+    """Return a replica with the fewest running frames of statements."""
     fewest = min(replica.outstanding for replica in replicas)
     tied = [r for r in replicas if r.outstanding == fewest]
     return tied[int(rng.random() * len(tied))]
@@ -86,7 +86,7 @@
 
 
 def is_usable(replica: Replica, term: int) -> bool:
-    """Tell whether a replica may get new work in `term`."""
+    """Tell whether a replica may get new statements in `term`."""
     return (
         replica.evidence == 'up'
         and replica.term == term
@@ -101,7 +101,7 @@
     fresh_after: LogPosition,
     max_wait_lag_ms: float,
 ) -> tuple[list[R], list[R]]:
-    """Separate the replicas that can serve now from those after a wait.
+    """Return the replicas that can serve now, and those after a wait.
 
     Parameters
     ----------
@@ -110,17 +110,17 @@
     term : int
         Current term of the group.
     after : LogPosition or None
-        Session position that must be applied.
+        Position of the session token, which must be applied.
     fresh_after : LogPosition
         Position that must be applied for the accepted age.
     max_wait_lag_ms : float
-        Replicas with a higher lag never become fresh enough by waiting;
-        below zero no wait is allowed.
+        Replicas with a higher lag do not become fresh enough by waiting;
+        below zero, no wait is allowed.
 
     Returns
     -------
     tuple of (list, list)
-        Replicas that are fresh enough, and those that are soon.
+        Replicas that are fresh enough, and those that soon will be.
     """
     needed = max(after or ZERO_POSITION, fresh_after)
     ready = []
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -1,4 +1,7 @@
-"""Sending of reads with an accepted age to replicas."""
+"""Dispatch of reads with an accepted age to replicas.
+
+A read that no replica can serve is queued for the primary instead.
+"""
 
 from __future__ import annotations
 
@@ -23,15 +26,16 @@
 from jackdawpost.core.proxy.state import schedule_dispatch
 from jackdawpost.core.proxy.state import Upstream
 
-# Way to the replica and back: a read that is only just fresh enough when it
-# is sent would be too old when its answer arrives.
+# Round trip to the replica: a read that is barely fresh enough when it is sent
+# would be too old when its answer arrives.
 AGE_MARGIN_MS = 20.0
-# Each permit asked for in vain costs control three messages.
+# Capacity for a single read is requested from one replica, and from all after
+# this delay: each permit requested in vain costs control three messages.
 FAN_OUT_DELAY_MS = 10.0
 
 
 def dispatch_to_replicas(state: ProxyState, group: Group) -> None:
-    """Send reads with an accepted age, or ask for capacity."""
+    """Send queued reads with an accepted age, or request capacity."""
     if (
         state.now_ms < group.new_term_grace_until_ms
         and not _has_replica_reports(group)
@@ -66,7 +70,10 @@
 def _request_replica_capacity(
     state: ProxyState, group: Group, candidates: list[Upstream], first: Request
 ) -> None:
-    """Ask for capacity: for one read at one replica, soon at all."""
+    """Request capacity: first from one replica, soon from all.
+
+    With at least as many waiting reads as replicas, all are asked at once.
+    """
     waiting = group.queue.count(STALE_READ)
     fan_out_ms = first.arrived_ms + FAN_OUT_DELAY_MS
     if waiting < len(candidates) and state.now_ms < fan_out_ms:
@@ -87,7 +94,7 @@
 
 
 def _has_replica_reports(group: Group) -> bool:
-    """Tell whether sample and replicas of the current term are known."""
+    """Tell whether a sample and a replica of the current term are known."""
     term = group.view.term
     return len(group.freshness) > 0 and any(
         up.term == term and up.name != group.view.primary
@@ -110,7 +117,9 @@
         size = batch_size(waiting, frames)
     conn = acquire_conn(state, up)
     if conn is None:
-        raise RuntimeError(f'{up.name!r} has capacity but no connection')
+        raise RuntimeError(
+            f'no connection to {up.name!r} in spite of free capacity'
+        )
     batch: list[Request] = []
     messages = []
     while len(batch) < size:
@@ -166,7 +175,7 @@
 def _max_recoverable_lag_ms(
     state: ProxyState, group: Group, req: Request, fresh_after: LogPosition
 ) -> float:
-    """Return the lag up to which a replica gets there in `wait_ms`."""
+    """Return the highest lag that a replica can make up in its wait time."""
     wait_ms = group.view.replica_wait_ms
     if not wait_ms:
         return -1.0
--- a/jackdawpost/core/proxy/requests.py
+++ b/jackdawpost/core/proxy/requests.py
@@ -1,4 +1,7 @@
-"""Sending of queued requests to upstreams, and their answers."""
+"""Dispatch of queued requests to the primary, and answers of upstreams.
+
+Reads with an accepted age are dispatched by `replica_reads`.
+"""
 
 from __future__ import annotations
 
@@ -38,11 +41,11 @@
 from jackdawpost.core.proxy.transactions import send_begin
 
 UPSTREAM_COOL_DOWN_MS = 10.0
-SERVICE_TIME_WEIGHT = 0.05
+SERVICE_TIME_WEIGHT = 0.05  # of the moving average
 
 
 def dispatch(state: ProxyState, group: Group) -> None:
-    """Send what can be sent of a group's queue."""
+    """Send as many requests of a group's queue as capacity allows."""
     if group.queue.count(STALE_READ):
         dispatch_to_replicas(state, group)
     if group.queue.count(WRITE) or group.queue.count(FRESH_READ):
@@ -50,7 +53,7 @@
 
 
 def usable_primary(state: ProxyState, group: Group) -> Upstream | None:
-    """Return the primary if it may get work from this proxy."""
+    """Return the primary if this proxy may send statements to it."""
     up = state.upstreams.get(group.view.primary or '')
     if up is None or up.leaving or up.evidence != 'up':
         return None
@@ -60,7 +63,10 @@
 
 
 def _prewarm_primary(state: ProxyState, group: Group) -> None:
-    """Get connections and permits while the lease of a new term comes."""
+    """Request connections and permits while a new term's lease is awaited.
+
+    Done only in the grace period of the term.
+    """
     up = state.upstreams.get(group.view.primary or '')
     if up is None or up.leaving or up.evidence != 'up':
         return
@@ -136,8 +142,10 @@
         on_txn_executed(state, conn, req, executed)
         return
     if group is not None:
-        change = state.now_ms - conn.last_activity_ms - group.mean_service_ms
-        group.mean_service_ms += SERVICE_TIME_WEIGHT * change
+        deviation_ms = (
+            state.now_ms - conn.last_activity_ms - group.mean_service_ms
+        )
+        group.mean_service_ms += SERVICE_TIME_WEIGHT * deviation_ms
         conn.last_activity_ms = state.now_ms
     if req.phase == 'running' and group is not None:
         if executed.status == 'done':
@@ -182,7 +190,7 @@
     state: ProxyState, up: Upstream, req: Request, executed: Executed
 ) -> None:
     if executed.code == 'history_lost':
-        # Only the primary knows for certain what the group's history is.
+        # Only the primary knows the group's history for certain.
         redirect_to_primary(state, req, was_executed=False)
         return
     if executed.code == 'no_slot':
@@ -195,13 +203,13 @@
 
 
 def start_cool_down(state: ProxyState, up: Upstream) -> None:
-    """Send nothing to an upstream for a moment."""
+    """Send no statements to an upstream during a cool-down."""
     up.cool_down_until_ms = state.now_ms + UPSTREAM_COOL_DOWN_MS
     schedule_dispatch(state, up.view.group, up.cool_down_until_ms)
 
 
 def expire_request(state: ProxyState, serial: int) -> None:
-    """Answer a request whose deadline has come."""
+    """Answer a request whose deadline has passed."""
     req = state.requests.get(serial)
     if req is None:
         return
--- a/jackdawpost/core/proxy/sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -1,4 +1,4 @@
-"""What all ways of sending queued requests share."""
+"""Helpers for sending queued requests to primaries and replicas."""
 
 from __future__ import annotations
 
@@ -16,11 +16,12 @@
 
 
 def refuse_if_too_late(state: ProxyState, group: Group, req: Request) -> bool:
-    """Refuse a request that waited until too little time is left to run.
+    """Refuse a request that has too little time left to run.
 
     Under overload it would occupy a slot for an answer that comes too late,
-    and cost its connection. One that has not waited for long is always
-    tried, or an estimate that is too high would never be corrected.
+    and its connection would be closed. A request that has waited for less
+    time than it has left is always tried: otherwise a service time that is
+    estimated too high would never be corrected.
     """
     left_ms = req.due_ms - state.now_ms
     if (
@@ -34,7 +35,15 @@
 
 
 def batch_size(waiting: int, free: int) -> int:
-    """Return how many statements share a frame, given free frames."""
+    """Return how many of the waiting statements to send in one frame.
+
+    Parameters
+    ----------
+    waiting : int
+        Queued statements.
+    free : int
+        Frames that can be sent now.
+    """
     return min(MAX_BATCH_STATEMENTS, -(-waiting // max(1, free)))
 
 
@@ -45,7 +54,7 @@
     must_lead: bool,
     fresh_after: LogPosition | None = None,
 ) -> Execute:
-    """Return the message of a new attempt, and number the attempt."""
+    """Build the message of a new attempt; sets its id and its term."""
     message = req.message
     assert isinstance(message, Statement)
     req.exec_id = new_id(state)
--- a/jackdawpost/core/proxy/transactions.py
+++ b/jackdawpost/core/proxy/transactions.py
@@ -1,4 +1,4 @@
-"""Transactions: each owns one upstream connection and one permit."""
+"""Transactions; each holds one upstream connection and one permit."""
 
 from __future__ import annotations
 
@@ -36,8 +36,9 @@
 from jackdawpost.core.proxy.state import UpstreamConn
 
 MAX_LOST_HANDLES = 64
-# Refusals after which the upstream's transaction is still open.
+# Refusals after which the transaction is still open on the upstream.
 TRANSACTION_KEEPING_CODES = frozenset({'statement_failed', 'timeout'})
+# Refusals of a begin that a retry would not change.
 PERMANENT_BEGIN_CODES = TRANSACTION_KEEPING_CODES | {
     'malformed',
     'history_lost',
@@ -47,7 +48,7 @@
 def send_begin(
     state: ProxyState, group: Group, conn: UpstreamConn, req: Request
 ) -> None:
-    """Open a transaction on a connection taken for it."""
+    """Open a transaction on a connection acquired for it."""
     req.exec_id = new_id(state)
     req.term = group.view.term
     message = TxnBegin(
@@ -62,7 +63,7 @@
 def add_to_transaction(
     state: ProxyState, txn: Transaction, req: Request
 ) -> None:
-    """Run a request in its transaction, after those before it."""
+    """Send a request of a transaction, or queue it behind earlier ones."""
     req.txn = txn
     txn.idle_due_ms = math.inf
     if txn.running is not None or txn.pending:
@@ -127,7 +128,7 @@
     group = state.groups.get(req.group)
     if group is None or not holds_lease(state, group, txn.term):
         retry_or_fail(state, req, 'lease_lost')
-        drop_conn(state, conn, 'lease lost in a transaction')
+        drop_conn(state, conn, 'lease lost during a transaction')
         return
     if executed.status == 'done':
         finish_done(state, req, executed, 'primary', 0)
@@ -135,7 +136,7 @@
         if executed.code not in TRANSACTION_KEEPING_CODES:
             text = executed.message or ''
             finish_error(state, req, 'not_run', 'transaction_lost', text)
-            drop_conn(state, conn, 'refused in a transaction')
+            drop_conn(state, conn, 'statement of a transaction refused')
             return
         finish_refused(state, req, executed, True)
     end_frame(state, conn)
@@ -171,10 +172,10 @@
         _on_begin_refused(state, req, executed)
         return
     if caller is None or group is None or req.phase != 'running':
-        drop_conn(state, conn, 'the caller has gone')
+        drop_conn(state, conn, 'caller disconnected')
         return
     if not holds_lease(state, group, req.term):
-        drop_conn(state, conn, 'lease lost in a transaction')
+        drop_conn(state, conn, 'lease lost while a transaction opened')
         retry_later(state, req)
         return
     txn = Transaction(
@@ -224,9 +225,10 @@
     group = state.groups.get(req.group)
     _remove_transaction(state, txn)
     if executed.status != 'done':
-        # Whether the upstream still has it open is not certain.
+        # The transaction may still be open on the upstream; closing the
+        # connection rolls it back.
         finish_refused(state, req, executed, True)
-        drop_conn(state, conn, 'the end of a transaction was refused')
+        drop_conn(state, conn, 'commit or rollback refused')
         return
     conn.txn = None
     if isinstance(req.message, Rollback):
@@ -255,7 +257,7 @@
 
 
 def roll_back(state: ProxyState, txn: Transaction, reason: str) -> None:
-    """End a transaction by closing its connection."""
+    """Roll back a transaction by closing its connection."""
     count(state, 'transactions_rolled_back')
     conn = state.conns.get(txn.conn)
     if conn is not None:
@@ -263,7 +265,7 @@
 
 
 def check_idle_transaction(state: ProxyState, handle: int) -> None:
-    """Roll back a transaction whose caller paused for too long."""
+    """Roll back a transaction that was idle for too long."""
     txn = state.txns.get(handle)
     if txn is None:
         return
