Name the tests of the proxy and its simulation in usual terms

Cause: names such as test_failover_looks_like_a_pause or test_copies_that_arrive_after_the_lease_acknowledge_nothing had to be guessed, and the simulation did not describe its attributes.

Ruled out: merging or shortening tests: each stays with its assertions.

Change: names of tests, locals and attributes of the simulation, docstrings and comments. The docstring of ProxySimulation said that its overrides also reach the published group; they only reach ProxyConfig.

--- a/jackdawpost/testing/proxy_simulation.py
+++ b/jackdawpost/testing/proxy_simulation.py
@@ -1,4 +1,7 @@
-"""Control, upstreams and callers around a proxy's reducer, for tests."""
+"""Simulated control, upstreams and callers around a proxy's reducer.
+
+Time is simulated as well; nothing is sent over a network.
+"""
 
 from __future__ import annotations
 
@@ -44,7 +47,18 @@
 
 
 class FakeUpstream:
-    """What a database of the group reports of itself."""
+    """Simulated database of the group.
+
+    Attributes
+    ----------
+    position : LogPosition
+        Received and applied position that it reports.
+    reachable : str
+        ``'yes'``, ``'refused'`` (refuses connections) or ``'silent'``
+        (connections time out).
+    answers_probes : bool
+        Probes are answered.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -57,21 +71,39 @@
 
 
 class ProxySimulation:
-    """A proxy among fakes that answer at once unless told otherwise.
+    """Proxy with simulated control and upstreams.
+
+    Control and monitor connections are answered at once, unless configured
+    otherwise. Statements are answered by the test.
 
     Parameters
     ----------
+    write_copies : int
+        Databases that must hold a write before it is acknowledged.
     overrides : dict
-        Fields of `ProxyConfig` and of the published group that differ.
+        Fields of `ProxyConfig` that differ from the defaults.
 
     Attributes
     ----------
+    conn_upstreams : dict of int to str
+        Upstream of each open connection to an upstream.
+    conn_purposes : dict of int to str
+        Purpose of each connection to an upstream.
     statements : list of (int, message)
-        Statements sent to upstreams, by connection, not yet answered.
+        Connection and message of each statement that was sent to an
+        upstream and not yet answered.
     answers : dict of int to list
         Messages received by each caller.
     control_sent : list
         Messages received by control, in order.
+    control_conn : int
+        Connection to the control process that was opened last.
+    control_answers : bool
+        Control answers reports.
+    grants_permits : bool
+        Control grants requested permits.
+    database_set : sequence of str
+        Databases in the published database set of the group.
     reduce : callable
         The reducer; replaced to measure it.
     """
@@ -89,15 +121,15 @@
         self.reduce = reduce_proxy
         self.now_ms = 1_000.0
         self.upstreams = {name: FakeUpstream(name) for name in DATABASES}
-        self.conn_names: dict[int, str] = {}
-        self.purposes: dict[int, str] = {}
+        self.conn_upstreams: dict[int, str] = {}
+        self.conn_purposes: dict[int, str] = {}
         self.statements: list[tuple[int, Any]] = []
         self.answers: dict[int, list[Any]] = {}
         self.control_sent: list[Any] = []
-        self.closed: list[int] = []
+        self.closed_conns: list[int] = []
         self.timers: dict[str, float] = {}
         self.stopped = False
-        self.control = CONTROL_CONN
+        self.control_conn = CONTROL_CONN
         self.control_answers = True
         self.grants_permits = True
         self.granted_permits: dict[str, int] = {}
@@ -111,7 +143,7 @@
         self._perform(effects)
 
     def start(self) -> None:
-        """Join, publish one group of three databases, and warm up."""
+        """Join, publish one group of three databases, and open connections."""
         self.open_control(CONTROL_CONN)
         self.publish()
         self.advance(250)
@@ -119,7 +151,7 @@
 
     def open_control(self, conn: int) -> None:
         """Open a link to a control process."""
-        self.control = conn
+        self.control_conn = conn
         self.feed(
             ConnOpened(
                 now_ms=self.now_ms, conn=conn, link='proxy', peer=f'c{conn}'
@@ -127,7 +159,7 @@
         )
 
     def publish(self, primary: str | None = 'db-1', **upstream: Any) -> None:
-        """Publish the whole state with `term` and a primary."""
+        """Publish the whole state with the current term and a primary."""
         self.version += 1
         group = {
             'name': GROUP,
@@ -172,7 +204,7 @@
         )
 
     def promote(self, name: str, publish: bool = True) -> None:
-        """Make another database primary of the next term."""
+        """Make another database the primary of the next term."""
         self.term += 1
         for up in self.upstreams.values():
             up.leads = up.name == name
@@ -181,8 +213,8 @@
             self.publish(primary=name)
 
     def deliver_from_control(self, message: Any, conn: int = 0) -> None:
-        """Deliver a message of a control process, by default the last."""
-        sender = conn or self.control
+        """Deliver a message from control, by default on the newest link."""
+        sender = conn or self.control_conn
         self.feed(
             Received(now_ms=self.now_ms, conn=sender, messages=[message])
         )
@@ -211,33 +243,33 @@
         self.send_requests(conn, _statement(request_id, 'read', **fields))
 
     def pop_answer(self, conn: int) -> Answer:
-        """Return the only message that a caller received, and forget it."""
+        """Remove and return the only message that a caller received."""
         messages = self.answers[conn]
         assert len(messages) == 1, messages
         return messages.pop()
 
     def pop_statement(self) -> tuple[int, Any]:
-        """Return the only statement that an upstream got."""
+        """Remove and return the only unanswered statement."""
         assert len(self.statements) == 1, self.statements
         return self.statements.pop()
 
     def reply(self, conn: int, message: Any, **fields: Any) -> None:
-        """Answer a statement as its upstream."""
+        """Answer a statement on behalf of its upstream."""
         fields.setdefault('status', 'done')
         fields.setdefault('term', self.term)
         executed = Executed(id=message.id, **fields)
         self.feed(Received(now_ms=self.now_ms, conn=conn, messages=[executed]))
 
     def refuse(self, conn: int, message: Any, code: str) -> None:
-        """Refuse a statement as its upstream."""
+        """Refuse a statement on behalf of its upstream."""
         self.reply(conn, message, status='not_run', code=code)
 
     def report_position(self, position: LogPosition, *names: str) -> None:
-        """Let databases hold a position and report it."""
+        """Set the position of databases and report it to the proxy."""
         for name in names or DATABASES:
             self.upstreams[name].position = position
-            for conn, owner in list(self.conn_names.items()):
-                if owner == name and self.purposes[conn] == 'monitor':
+            for conn, owner in list(self.conn_upstreams.items()):
+                if owner == name and self.conn_purposes[conn] == 'monitor':
                     self.feed(
                         Received(
                             now_ms=self.now_ms,
@@ -247,21 +279,23 @@
                     )
 
     def disconnect(self, conn: int, reason: Any = 'closed') -> None:
-        """End a connection from the other side."""
-        self.conn_names.pop(conn, None)
+        """Close a connection at its other end."""
+        self.conn_upstreams.pop(conn, None)
         self.feed(ConnClosed(now_ms=self.now_ms, conn=conn, reason=reason))
 
     def fail_upstream(self, name: str, reachable: str = 'refused') -> None:
-        """Make an upstream refuse or swallow everything."""
+        """Make an upstream refuse connections, or stop answering."""
         up = self.upstreams[name]
         up.reachable = reachable
         up.answers_probes = False
         if reachable == 'refused':
-            for conn in [c for c, n in self.conn_names.items() if n == name]:
+            for conn in [
+                c for c, n in self.conn_upstreams.items() if n == name
+            ]:
                 self.disconnect(conn)
 
     def advance(self, duration_ms: float) -> None:
-        """Let time pass and fire what is due on the way."""
+        """Let time pass and fire the timers that become due."""
         end_ms = self.now_ms + duration_ms
         while self.timers:
             key, due_ms = min(self.timers.items(), key=lambda item: item[1])
@@ -278,11 +312,11 @@
         self.now_ms = end_ms
 
     def suspend_process(self, duration_ms: float) -> None:
-        """Let time pass without any event, as in a frozen process."""
+        """Let time pass without any event, as in a suspended process."""
         self.now_ms += duration_ms
 
     def feed(self, event: Event) -> None:
-        """Deliver an event and perform what follows from it."""
+        """Deliver an event and carry out its effects."""
         self._events.append(event)
         if len(self._events) > 1:
             return
@@ -293,8 +327,8 @@
 
     def find_conn(self, name: str, purpose: str = 'statements') -> int:
         """Return an open connection to an upstream."""
-        for conn, owner in self.conn_names.items():
-            if owner == name and self.purposes[conn] == purpose:
+        for conn, owner in self.conn_upstreams.items():
+            if owner == name and self.conn_purposes[conn] == purpose:
                 return conn
         raise LookupError(f'no {purpose} connection to {name!r}')
 
@@ -305,8 +339,8 @@
             elif isinstance(effect, Connect):
                 self._connect(effect)
             elif isinstance(effect, Close):
-                self.closed.append(effect.conn)
-                self.conn_names.pop(effect.conn, None)
+                self.closed_conns.append(effect.conn)
+                self.conn_upstreams.pop(effect.conn, None)
             elif isinstance(effect, Stop):
                 self.stopped = True
             elif isinstance(effect, Send):
@@ -314,7 +348,7 @@
                     self._deliver(effect.conn, message)
 
     def _connect(self, effect: Connect) -> None:
-        self.purposes[effect.conn] = effect.purpose
+        self.conn_purposes[effect.conn] = effect.purpose
         up = self.upstreams.get(effect.peer)
         if up is None or up.reachable == 'refused':
             self._events.append(
@@ -326,7 +360,7 @@
             key = f'{OPENING_TIMER_PREFIX}{effect.conn}'
             self.timers[key] = self.now_ms + effect.timeout_ms
         else:
-            self.conn_names[effect.conn] = up.name
+            self.conn_upstreams[effect.conn] = up.name
             self._events.append(
                 ConnOpened(
                     now_ms=self.now_ms,
@@ -345,11 +379,11 @@
             self.control_sent.append(message)
             self._answer_as_control(conn, message)
         elif isinstance(message, Probe):
-            name = self.conn_names.get(conn)
+            name = self.conn_upstreams.get(conn)
             if name and self.upstreams[name].answers_probes:
                 probed = self._report(name, Probed, id=message.id)
                 self._enqueue_message(conn, probed)
-        elif conn in self.conn_names:
+        elif conn in self.conn_upstreams:
             self.statements.append((conn, message))
 
     def _enqueue_message(self, conn: int, message: Any) -> None:
--- a/jackdawpost/tests/core/proxy/test_components.py
+++ b/jackdawpost/tests/core/proxy/test_components.py
@@ -1,4 +1,4 @@
-"""Freshness, replica choice, admission, retries, leases and permits."""
+"""Tests of freshness, replica choice, admission, retries and permits."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
     assert tracker.required_position(-1, 200) is None
 
 
-def test_thinned_samples_only_overestimate_ages() -> None:
+def test_dropping_samples_only_overestimates_ages() -> None:
     tracker = FreshnessTracker(1)
     for index in range(3 * MAX_SAMPLES):
         tracker.record_sample(index, 1, at(index))
@@ -81,16 +81,16 @@
     lag_ms: float = 30
 
 
-def test_unfit_replicas_are_left_out_and_late_ones_come_last() -> None:
+def test_unusable_replicas_are_excluded_and_late_ones_separated() -> None:
     good = FakeReplica(at(9))
     late = FakeReplica(at(3))
-    hopeless = FakeReplica(at(3), lag_ms=300)
-    unfit = [
+    too_late = FakeReplica(at(3), lag_ms=300)
+    unusable = [
         FakeReplica(at(9), leaving=True),
         FakeReplica(at(9), evidence='silent'),
         FakeReplica(at(9), term=2),
     ]
-    replicas = [late, hopeless, *unfit, good]
+    replicas = [late, too_late, *unusable, good]
     ready, soon = split_by_freshness(replicas, 1, at(5), at(4), 100)
     assert ready == [good]
     assert soon == [late]
@@ -98,7 +98,9 @@
 
 
 @pytest.mark.parametrize('name', CHOOSERS)
-def test_every_choice_uses_all_and_is_repeatable(name: str) -> None:
+def test_every_strategy_uses_all_replicas_and_is_deterministic(
+    name: str,
+) -> None:
     replicas = [FakeReplica(at(i)) for i in range(3)]
     drawn = []
     for _ in range(2):
@@ -132,7 +134,7 @@
     assert len(queue) == 0
 
 
-def test_expired_requests_do_not_pile_up_without_a_primary() -> None:
+def test_expired_requests_do_not_accumulate_without_a_primary() -> None:
     queue: AdmissionQueue[Item] = AdmissionQueue(10)
     queue.push(Item(WRITE))
     for _ in range(1_000):
@@ -143,7 +145,7 @@
     assert len(queue._lanes[WRITE]) < 100
 
 
-def test_full_queue_rejects_but_a_write_displaces_a_read() -> None:
+def test_full_queue_rejects_reads_and_evicts_one_for_a_write() -> None:
     queue: AdmissionQueue[Item] = AdmissionQueue(2)
     reads = [Item(STALE_READ), Item(STALE_READ)]
     for item in reads:
@@ -189,7 +191,7 @@
     return holder.apply_grant(seq, leases, 1_500, 4, own)
 
 
-def test_lease_counts_from_when_the_report_was_sent() -> None:
+def test_lease_is_valid_from_when_the_report_was_sent() -> None:
     holder = LeaseHolder()
     holder.note_report(1, 1_000)
     assert grant(holder, 1)
@@ -208,7 +210,7 @@
     assert not grant(holder, 7)
 
 
-def test_grant_on_its_way_during_a_revocation_is_ignored() -> None:
+def test_grant_in_flight_during_a_revocation_is_ignored() -> None:
     holder = LeaseHolder()
     holder.note_report(1, 1_000)
     holder.revoke('g', 1)
@@ -240,7 +242,7 @@
     assert permits.holdings() == {'u': 1}
 
 
-def test_permits_past_their_validity_are_not_used() -> None:
+def test_expired_permits_are_not_used() -> None:
     permits = PermitHolder()
     permits.add_granted('u', 2)
     permits.try_acquire('u')
--- a/jackdawpost/tests/core/proxy/test_conns.py
+++ b/jackdawpost/tests/core/proxy/test_conns.py
@@ -1,4 +1,4 @@
-"""Statement connections: limits, opening and return of an upstream."""
+"""Tests of statement connections: limits, opening, recovery, permits."""
 
 from __future__ import annotations
 
@@ -52,17 +52,17 @@
     assert up.opening <= 2
 
 
-def test_new_primary_is_not_opened_by_all_proxies_at_once(
+def test_connections_to_a_new_primary_are_opened_with_jitter(
     sim: ProxySimulation,
 ) -> None:
     sim.promote('db-2')
     sim.write(sim.connect_caller())
     assert not sim.statements
     sim.advance(20)
-    assert sim.conn_names[sim.pop_statement()[0]] == 'db-2'
+    assert sim.conn_upstreams[sim.pop_statement()[0]] == 'db-2'
 
 
-def test_new_primary_is_connected_to_before_the_lease_arrives(
+def test_new_primary_is_connected_before_the_lease_arrives(
     sim: ProxySimulation,
 ) -> None:
     sim.control_answers = False
@@ -73,7 +73,7 @@
     assert not sim.statements
 
 
-def test_one_read_asks_one_replica_for_a_permit_and_soon_all(
+def test_one_read_requests_a_permit_of_one_replica_and_then_of_all(
     sim: ProxySimulation,
 ) -> None:
     sim.grants_permits = False
@@ -89,16 +89,16 @@
     assert requested() == ['db-2', 'db-3']
 
 
-def test_refused_openings_are_not_repeated_without_pause(
+def test_refused_connections_are_retried_with_backoff(
     sim: ProxySimulation,
 ) -> None:
     up = sim.state.upstreams['db-1']
     sim.upstreams['db-1'].reachable = 'refused'
     sim.write(sim.connect_caller(), deadline_ms=60_000)
-    tried = sim.state.last_conn_id
+    conn_id_before = sim.state.last_conn_id
     sim.advance(1_000)
     assert up.open_failures > 3
-    assert tried - sim.state.last_conn_id < 40
+    assert conn_id_before - sim.state.last_conn_id < 40
 
 
 def test_connections_above_a_lowered_limit_are_closed(
@@ -116,7 +116,7 @@
     assert up.idle
 
 
-def test_returning_upstream_starts_slowly(sim: ProxySimulation) -> None:
+def test_recovered_upstream_gets_a_slow_start(sim: ProxySimulation) -> None:
     sim.fail_upstream('db-1')
     sim.upstreams['db-1'].reachable = 'yes'
     sim.upstreams['db-1'].answers_probes = True
@@ -164,10 +164,10 @@
     sim.state.cfg.max_callers = 1
     sim.connect_caller()
     second = sim.connect_caller()
-    assert second in sim.closed
+    assert second in sim.closed_conns
 
 
-def test_write_whose_position_has_no_room_in_the_token_is_not_run(
+def test_write_is_refused_if_the_token_has_no_room_for_its_position(
     sim: ProxySimulation,
 ) -> None:
     names = [f'g{i}' for i in range(16)]
@@ -191,7 +191,7 @@
 ) -> None:
     """Guards against more statements at an upstream than it has slots.
 
-    The upstream goes on with an abandoned statement until its timeout.
+    The upstream continues an abandoned statement until its timeout.
     """
     sim.write(sim.connect_caller(), deadline_ms=200)
     sim.pop_statement()
@@ -202,10 +202,13 @@
     assert (account.held, account.in_use) == (0, 0)
 
 
-def test_permit_of_a_lost_transaction_is_held_until_the_roll_back(
+def test_permit_of_a_lost_transaction_is_held_until_the_rollback(
     sim: ProxySimulation,
 ) -> None:
-    """Guards against a slot that a transaction still occupies."""
+    """Guards against a new statement for a slot that is still in use.
+
+    The upstream rolls the transaction back only when it detects the loss.
+    """
     conn = sim.connect_caller()
     sim.send_requests(conn, Begin(id=1, route=ROUTE))
     up_conn, message = sim.pop_statement()
--- a/jackdawpost/tests/core/proxy/test_control.py
+++ b/jackdawpost/tests/core/proxy/test_control.py
@@ -1,4 +1,4 @@
-"""Links to control: leader changes, permits, approvals, shutdown."""
+"""Tests of control links: leader changes, permits, approvals, shutdown."""
 
 from __future__ import annotations
 
@@ -34,7 +34,9 @@
     sim.feed(DrainRequested(now_ms=sim.now_ms))
 
 
-def test_unreachable_control_ends_service(sim: ProxySimulation) -> None:
+def test_requests_are_refused_while_control_is_unreachable(
+    sim: ProxySimulation,
+) -> None:
     conn = sim.connect_caller()
     sim.grants_permits = False
     sim.write(conn, 1, deadline_ms=10_000)
@@ -49,7 +51,9 @@
     assert is_healthy(sim.state)
 
 
-def test_proxy_that_is_not_joined_serves_nothing(sim: ProxySimulation) -> None:
+def test_proxy_that_is_not_joined_refuses_requests(
+    sim: ProxySimulation,
+) -> None:
     sim.control_answers = False
     sim.advance(400)
     seq = sim.state.report_seq
@@ -68,7 +72,7 @@
     assert not is_healthy(sim.state)
 
 
-def test_silent_leader_is_left_for_the_next(sim: ProxySimulation) -> None:
+def test_silent_leader_is_replaced_by_the_next(sim: ProxySimulation) -> None:
     sim.open_control(2)
     sim.control_answers = False
     sim.advance(450)
@@ -79,7 +83,7 @@
     assert is_healthy(sim.state)
 
 
-def test_report_just_before_the_next_is_no_sign_of_silence(
+def test_unanswered_report_just_before_the_next_is_not_silence(
     sim: ProxySimulation,
 ) -> None:
     sim.advance(sim.state.report_due_ms - sim.now_ms - 1)
@@ -91,7 +95,7 @@
     assert sim.state.leader_conn == 1
 
 
-def test_demand_dropped_by_control_is_stated_again(
+def test_demand_dropped_by_control_is_sent_again(
     sim: ProxySimulation,
 ) -> None:
     sim.grants_permits = False
@@ -101,7 +105,7 @@
     assert [m.wanted for m in demands] == [1, 1]
 
 
-def test_not_leader_sends_the_proxy_to_the_named_one(
+def test_not_leader_redirects_the_proxy_to_the_named_leader(
     sim: ProxySimulation,
 ) -> None:
     sim.open_control(2)
@@ -116,7 +120,7 @@
     assert sim.state.leader_conn == 2
 
 
-def test_holdings_are_stated_to_a_new_leader(sim: ProxySimulation) -> None:
+def test_holdings_are_reported_to_a_new_leader(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.write(conn)
     sim.control_sent.clear()
@@ -152,7 +156,7 @@
     assert sim.state.permits.holdings() == {}
 
 
-def test_recall_is_honoured_when_the_statement_ends(
+def test_recalled_permits_are_returned_when_the_statement_ends(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -168,7 +172,7 @@
     assert sum(m.count for m in sent(sim, 'permit_return')) >= 1
 
 
-def test_permits_end_with_the_validity_of_the_grant(
+def test_permits_expire_with_the_grant(
     sim: ProxySimulation,
 ) -> None:
     sim.deliver_from_control(PermitGrant(upstream='db-1', count=2))
@@ -193,7 +197,9 @@
     sim.deliver_from_control(ApprovalRequest(**message))
 
 
-def test_newcomer_is_approved_only_once_reached(sim: ProxySimulation) -> None:
+def test_newcomer_is_approved_only_once_reachable(
+    sim: ProxySimulation,
+) -> None:
     request_approval(sim)
     assert not sent(sim, 'approval')
     newcomer = FakeUpstream('db-4')
@@ -205,7 +211,7 @@
 
 
 @pytest.mark.parametrize('data_id', ['data-db-1', 'another'])
-def test_reached_newcomer_must_hold_the_announced_data(
+def test_reachable_newcomer_must_hold_the_announced_data(
     sim: ProxySimulation, data_id: str
 ) -> None:
     request_approval(sim, newcomer='db-1', newcomer_id=data_id)
@@ -275,8 +281,8 @@
 
 
 def test_draining_proxy_keeps_its_leases(sim: ProxySimulation) -> None:
-    # Guards against cutting writes off because control calls a draining
-    # proxy leaving in the grants that renew its leases.
+    # Guards against failing writes during a drain: the grants that renew the
+    # leases of a draining proxy have the member state 'leaving'.
     conn = sim.connect_caller()
     sim.write(conn, 1, deadline_ms=5_000)
     up_conn, message = sim.pop_statement()
@@ -304,7 +310,7 @@
     sim.advance(29_999)
     assert not sim.stopped
     sim.advance(1)
-    assert txn_conn in sim.closed and sim.stopped
+    assert txn_conn in sim.closed_conns and sim.stopped
 
 
 def test_draining_proxy_waits_for_a_request_in_flight(
@@ -321,7 +327,7 @@
     assert sim.stopped
 
 
-def test_drained_proxy_serves_until_the_end_of_its_window(
+def test_idle_draining_proxy_stops_at_the_end_of_its_window(
     sim: ProxySimulation,
 ) -> None:
     drain(sim)
@@ -331,7 +337,9 @@
     assert sim.stopped
 
 
-def test_removed_group_answers_what_waits(sim: ProxySimulation) -> None:
+def test_removing_a_group_refuses_its_queued_requests(
+    sim: ProxySimulation,
+) -> None:
     sim.grants_permits = False
     conn = sim.connect_caller()
     sim.write(conn)
--- a/jackdawpost/tests/core/proxy/test_failover.py
+++ b/jackdawpost/tests/core/proxy/test_failover.py
@@ -1,4 +1,4 @@
-"""Failures of upstreams: evidence, failover and what callers see."""
+"""Tests of failed upstreams: evidence, failover, effects on callers."""
 
 from __future__ import annotations
 
@@ -26,14 +26,14 @@
     assert evidence(sim)['db-2'] == 'up'
 
 
-def test_one_lost_connection_is_no_evidence(sim: ProxySimulation) -> None:
+def test_one_lost_connection_is_not_a_failure(sim: ProxySimulation) -> None:
     sim.disconnect(sim.find_conn('db-1', 'monitor'))
     sim.advance(500)
     reports = [m for m in sim.control_sent if m.kind == 'proxy_report']
     assert {m.evidence['db-1'] for m in reports} == {'up'}
 
 
-def test_silent_connection_with_a_working_second_is_no_evidence(
+def test_silent_connection_is_not_a_failure_if_a_second_one_works(
     sim: ProxySimulation,
 ) -> None:
     silent = sim.find_conn('db-1', 'monitor')
@@ -41,7 +41,7 @@
     sim.advance(350)
     sim.upstreams['db-1'].answers_probes = True
     sim.advance(400)
-    assert silent in sim.closed
+    assert silent in sim.closed_conns
     assert sim.state.upstreams['db-1'].evidence == 'up'
     assert evidence(sim).get('db-1', 'up') == 'up'
 
@@ -56,7 +56,7 @@
     assert evidence(sim)['db-1'] == 'silent'
 
 
-def test_returning_upstream_is_up_again_with_a_slow_start(
+def test_recovered_upstream_is_up_with_a_slow_start(
     sim: ProxySimulation,
 ) -> None:
     sim.fail_upstream('db-2')
@@ -68,7 +68,7 @@
     assert up.recovered_ms > 0
 
 
-def test_wiped_database_counts_as_gone(sim: ProxySimulation) -> None:
+def test_wiped_database_is_reported_as_refused(sim: ProxySimulation) -> None:
     sim.publish(data_id='data-before-the-wipe')
     sim.advance(300)
     assert evidence(sim)['db-1'] == 'refused'
@@ -77,7 +77,7 @@
     assert not sim.statements
 
 
-def test_failover_looks_like_a_pause(sim: ProxySimulation) -> None:
+def test_failover_only_delays_writes(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.write(conn, 1)
     sim.fail_upstream('db-1')
@@ -93,7 +93,7 @@
     position = LogPosition(2, 12)
     sim.report_position(position)
     for up_conn, message in sim.statements:
-        assert sim.conn_names[up_conn] == 'db-2'
+        assert sim.conn_upstreams[up_conn] == 'db-2'
         assert message.term == 2
         keys.add(message.request_key)
         sim.reply(up_conn, message, position=position)
@@ -108,15 +108,15 @@
     sim.write(conn)
     up_conn, message = sim.pop_statement()
     sim.promote('db-2')
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     sim.reply(up_conn, message, position=LogPosition(1, 11), term=1)
     assert not sim.answers[conn]
     sim.advance(60)
     up_conn, message = sim.pop_statement()
-    assert sim.conn_names[up_conn] == 'db-2'
+    assert sim.conn_upstreams[up_conn] == 'db-2'
 
 
-def test_unconfirmed_write_is_made_again_in_the_new_term(
+def test_unconfirmed_write_is_retried_in_the_new_term(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -144,17 +144,17 @@
     sim.control_answers = True
     sim.publish(primary='db-2')
     sim.advance(5)
-    assert sim.conn_names[sim.pop_statement()[0]] != 'db-2'
+    assert sim.conn_upstreams[sim.pop_statement()[0]] != 'db-2'
 
 
-def test_transaction_ends_with_its_term(sim: ProxySimulation) -> None:
+def test_transaction_is_lost_when_its_term_ends(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.send_requests(conn, Begin(id=1, route=ROUTE))
     up_conn, message = sim.pop_statement()
     sim.reply(up_conn, message)
     handle = sim.pop_answer(conn).txn
     sim.promote('db-2')
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     sim.send_requests(
         conn, Statement(id=2, sql='x', access='write', txn=handle)
     )
@@ -171,7 +171,7 @@
     assert error(sim.pop_answer(conn)) == ('not_run', 'no_primary')
 
 
-def test_leaving_upstream_gets_no_new_work(sim: ProxySimulation) -> None:
+def test_leaving_upstream_gets_no_new_statements(sim: ProxySimulation) -> None:
     sim.upstreams['db-1'].leaving = True
     sim.upstreams['db-2'].leaving = True
     sim.report_position(LogPosition(1, 10))
@@ -179,21 +179,21 @@
     sim.write(conn, 1)
     assert not sim.statements
     sim.read(conn, 2, max_age_ms=500)
-    assert sim.conn_names[sim.pop_statement()[0]] == 'db-3'
+    assert sim.conn_upstreams[sim.pop_statement()[0]] == 'db-3'
 
 
-def test_refusal_as_leaving_sends_the_request_elsewhere(
+def test_read_refused_by_a_leaving_replica_is_sent_to_another(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
     sim.read(conn, max_age_ms=500)
     up_conn, message = sim.pop_statement()
-    first = sim.conn_names[up_conn]
+    first = sim.conn_upstreams[up_conn]
     sim.refuse(up_conn, message, 'leaving')
-    assert sim.conn_names[sim.pop_statement()[0]] not in (first, 'db-1')
+    assert sim.conn_upstreams[sim.pop_statement()[0]] not in (first, 'db-1')
 
 
-def test_two_faults_at_once_lose_and_repeat_nothing(
+def test_simultaneous_faults_neither_lose_nor_repeat_a_write(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
--- a/jackdawpost/tests/core/proxy/test_requests.py
+++ b/jackdawpost/tests/core/proxy/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests under faults: outcomes, matching, ages and durability."""
+"""Tests of requests under faults: outcomes, ids, ages and durability."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
     return answer.outcome, answer.error.code
 
 
-def test_late_answer_after_abandonment_reaches_nobody(
+def test_late_answer_to_an_abandoned_request_is_discarded(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -33,7 +33,7 @@
     up_conn, message = sim.pop_statement()
     sim.advance(100)
     assert error(sim.pop_answer(conn)) == ('unknown', 'deadline')
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     sim.read(conn, 1)
     second_conn, _ = sim.pop_statement()
     assert second_conn != up_conn
@@ -41,18 +41,18 @@
     assert not sim.answers[conn]
 
 
-def test_answer_with_a_foreign_or_repeated_id_is_ignored(
+def test_answer_with_an_unknown_or_repeated_id_is_ignored(
     sim: ProxySimulation,
 ) -> None:
     first, second = sim.connect_caller(), sim.connect_caller()
     sim.read(first, 7)
     sim.read(second, 7)
-    (conn_a, ask_a), (conn_b, ask_b) = sim.statements
-    sim.reply(conn_a, ask_b, rows=[['wrong connection']])
+    (conn_a, message_a), (conn_b, message_b) = sim.statements
+    sim.reply(conn_a, message_b, rows=[['wrong connection']])
     assert not sim.answers[first] and not sim.answers[second]
-    sim.reply(conn_b, ask_b, rows=[['b']])
-    sim.reply(conn_a, ask_a, rows=[['a']])
-    sim.reply(conn_a, ask_a, rows=[['again']])
+    sim.reply(conn_b, message_b, rows=[['b']])
+    sim.reply(conn_a, message_a, rows=[['a']])
+    sim.reply(conn_a, message_a, rows=[['again']])
     assert sim.pop_answer(first).rows == [['a']]
     assert sim.pop_answer(second).rows == [['b']]
 
@@ -89,7 +89,7 @@
     assert sim.pop_answer(conn).outcome == 'unknown'
 
 
-def test_frozen_process_does_not_acknowledge_after_its_lease(
+def test_suspended_process_does_not_acknowledge_after_its_lease(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -101,7 +101,7 @@
     assert error(sim.pop_answer(conn)) == ('unknown', 'lease_lost')
 
 
-def test_frozen_process_sends_nothing_after_its_lease(
+def test_suspended_process_sends_nothing_after_its_lease(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -119,7 +119,7 @@
     assert not sim.statements
 
 
-def test_copies_that_arrive_after_the_lease_acknowledge_nothing(
+def test_replication_after_the_lease_acknowledges_nothing(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -134,7 +134,7 @@
     assert error(sim.pop_answer(conn)) == ('unknown', 'not_durable')
 
 
-def test_write_without_key_is_not_made_again_after_a_loss(
+def test_write_without_request_key_is_not_retried_after_a_loss(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -147,7 +147,7 @@
     assert not sim.statements
 
 
-def test_write_is_unknown_until_enough_databases_hold_it(
+def test_write_is_not_acknowledged_until_enough_databases_hold_it(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -162,10 +162,13 @@
     assert error(sim.pop_answer(conn)) == ('unknown', 'not_durable')
 
 
-def test_database_that_no_promotion_counts_on_confirms_nothing(
+def test_database_outside_the_database_set_confirms_nothing(
     sim: ProxySimulation,
 ) -> None:
-    """Guards against an acknowledged write that a promotion misses."""
+    """Guards against an acknowledged write that a promotion loses.
+
+    A promotion only asks the databases of the published database set.
+    """
     sim.database_set = ('db-1', 'db-3')
     sim.publish()
     conn = sim.connect_caller()
@@ -178,16 +181,16 @@
     assert sim.pop_answer(conn).outcome == 'done'
 
 
-def test_statement_never_runs_longer_than_its_slot_is_kept(
+def test_statement_timeout_never_exceeds_the_limit(
     sim: ProxySimulation,
 ) -> None:
-    """Guards against a lost proxy's statement that outlasts its permit."""
+    """Guards against a statement of a lost proxy that outlasts its permit."""
     sim.write(sim.connect_caller(), deadline_ms=60_000)
     _, message = sim.pop_statement()
     assert message.timeout_ms <= sim.state.cfg.max_statement_ms
 
 
-def test_write_is_acknowledged_once_copied_also_when_asked_late(
+def test_writes_answered_out_of_order_are_acknowledged_once_replicated(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -200,18 +203,18 @@
     assert [a.id for a in sim.answers[conn]] == [3, 2]
 
 
-def test_token_of_lost_history_gets_its_own_error(
+def test_token_of_lost_history_has_its_own_error_code(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
     token = encode_token(SessionToken(((GROUP, LogPosition(0, 99)),)))
     sim.read(conn, session=token, max_age_ms=900)
     up_conn, message = sim.pop_statement()
-    assert sim.conn_names[up_conn] != 'db-1'
+    assert sim.conn_upstreams[up_conn] != 'db-1'
     assert message.after == LogPosition(0, 99)
     sim.refuse(up_conn, message, 'history_lost')
     up_conn, message = sim.pop_statement()
-    assert sim.conn_names[up_conn] == 'db-1'
+    assert sim.conn_upstreams[up_conn] == 'db-1'
     sim.refuse(up_conn, message, 'history_lost')
     answer = sim.pop_answer(conn)
     assert error(answer) == ('not_run', 'session_history_lost')
@@ -223,7 +226,7 @@
     assert error(sim.pop_answer(conn)) == ('not_run', 'invalid_token')
 
 
-def test_replica_behind_is_left_for_another_and_then_the_primary(
+def test_read_refused_as_behind_goes_to_another_replica_then_the_primary(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -231,23 +234,23 @@
     names = []
     for _ in range(2):
         up_conn, message = sim.pop_statement()
-        names.append(sim.conn_names[up_conn])
+        names.append(sim.conn_upstreams[up_conn])
         sim.refuse(up_conn, message, 'behind')
     up_conn, message = sim.pop_statement()
-    names.append(sim.conn_names[up_conn])
+    names.append(sim.conn_upstreams[up_conn])
     assert names[2] == 'db-1' and set(names[:2]) == {'db-2', 'db-3'}
     assert message.must_lead
     sim.reply(up_conn, message)
     assert sim.pop_answer(conn).source == 'primary'
 
 
-def test_replicas_too_far_behind_are_not_asked(sim: ProxySimulation) -> None:
+def test_replicas_too_far_behind_get_no_reads(sim: ProxySimulation) -> None:
     sim.report_position(LogPosition(1, 50), 'db-1')
     sim.advance(1_000)
     conn = sim.connect_caller()
     sim.read(conn, max_age_ms=400)
     up_conn, _ = sim.pop_statement()
-    assert sim.conn_names[up_conn] == 'db-1'
+    assert sim.conn_upstreams[up_conn] == 'db-1'
 
 
 def test_read_too_old_on_arrival_goes_to_the_primary(
@@ -261,12 +264,14 @@
     sim.reply(up_conn, message, position=LogPosition(1, 10))
     assert not sim.answers[conn]
     second_conn, message = sim.pop_statement()
-    assert sim.conn_names[second_conn] == 'db-1'
+    assert sim.conn_upstreams[second_conn] == 'db-1'
     sim.reply(second_conn, message)
     assert sim.pop_answer(conn).source == 'primary'
 
 
-def test_replaced_primary_gives_no_age_samples(sim: ProxySimulation) -> None:
+def test_probes_of_a_replaced_primary_are_no_age_samples(
+    sim: ProxySimulation,
+) -> None:
     conn = sim.connect_caller()
     sim.control_answers = False
     sim.advance(1_200)
@@ -281,7 +286,7 @@
 
 
 @pytest.mark.parametrize('position', [None, LogPosition(1, 2)])
-def test_unknown_age_counts_as_too_old(
+def test_unknown_age_is_treated_as_too_old(
     sim: ProxySimulation, position: LogPosition | None
 ) -> None:
     conn = sim.connect_caller()
@@ -289,7 +294,7 @@
     up_conn, message = sim.pop_statement()
     sim.reply(up_conn, message, position=position)
     assert not sim.answers[conn]
-    assert sim.conn_names[sim.pop_statement()[0]] == 'db-1'
+    assert sim.conn_upstreams[sim.pop_statement()[0]] == 'db-1'
 
 
 @pytest.mark.parametrize(
@@ -307,7 +312,7 @@
         ({'access': 'write', 'route': 'reports'}, 'read_only_route'),
     ],
 )
-def test_faulty_request_is_not_run(
+def test_invalid_request_is_refused(
     sim: ProxySimulation, fields: dict[str, object], code: str
 ) -> None:
     conn = sim.connect_caller()
@@ -330,7 +335,7 @@
     assert sim.pop_answer(conn).outcome == 'unknown'
 
 
-def test_caller_resending_after_a_lost_answer_gets_the_stored_one(
+def test_caller_that_retries_after_a_lost_answer_gets_the_stored_one(
     sim: ProxySimulation,
 ) -> None:
     first = sim.connect_caller()
@@ -347,14 +352,14 @@
     assert answer.duplicate and answer.outcome == 'done'
 
 
-def test_silent_connection_is_left_while_there_is_time_for_another(
+def test_silent_connection_is_dropped_in_time_for_another_attempt(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
     sim.write(conn, deadline_ms=2_000)
     up_conn, _ = sim.pop_statement()
     sim.advance(1_760)
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     second_conn, message = sim.pop_statement()
     assert second_conn != up_conn
     sim.report_position(NEXT)
@@ -362,13 +367,13 @@
     assert sim.pop_answer(conn).outcome == 'done'
 
 
-def test_expiry_in_a_frame_spares_the_others_in_it(
+def test_expiry_of_a_request_keeps_the_others_of_its_frame(
     sim: ProxySimulation,
 ) -> None:
     sim.grants_permits = False
-    hasty, patient = sim.connect_caller(), sim.connect_caller()
-    sim.read(hasty, deadline_ms=200)
-    sim.read(patient, deadline_ms=1_000)
+    short_deadline, long_deadline = sim.connect_caller(), sim.connect_caller()
+    sim.read(short_deadline, deadline_ms=200)
+    sim.read(long_deadline, deadline_ms=1_000)
     sim.grants_permits = True
     sim.advance(10)
     sim.state.permits.add_granted('db-1', 1)
@@ -376,11 +381,11 @@
     up_conn = sim.statements[0][0]
     assert [conn for conn, _ in sim.statements] == [up_conn] * 3
     sim.advance(190)
-    assert error(sim.pop_answer(hasty)) == ('unknown', 'deadline')
+    assert error(sim.pop_answer(short_deadline)) == ('unknown', 'deadline')
     sim.reply(up_conn, sim.statements[1][1], rows=[['kept']])
-    assert sim.pop_answer(patient).rows == [['kept']]
+    assert sim.pop_answer(long_deadline).rows == [['kept']]
     sim.reply(up_conn, sim.statements[2][1])
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
 
 
 def test_queued_request_expires_at_its_deadline(sim: ProxySimulation) -> None:
@@ -420,7 +425,7 @@
     assert sim.state.permits.account('db-1').in_use == 0
 
 
-def test_overload_is_answered_with_a_time_to_retry(
+def test_overload_is_answered_with_a_retry_delay(
     sim: ProxySimulation,
 ) -> None:
     sim.grants_permits = False
@@ -445,7 +450,7 @@
             now_ms=sim.now_ms, conn=up_conn, request_id=0, detail='x'
         )
     )
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     assert sim.pop_statement()[0] != up_conn
 
 
@@ -455,9 +460,9 @@
     up_conn, message = sim.pop_statement()
     sim.disconnect(conn)
     executed = Executed(id=message.id, status='done')
-    for stranger in (conn, -999, 5_000):
+    for other_conn in (conn, -999, 5_000):
         sim.feed(
-            Received(now_ms=sim.now_ms, conn=stranger, messages=[executed])
+            Received(now_ms=sim.now_ms, conn=other_conn, messages=[executed])
         )
     sim.reply(up_conn, message)
     assert not sim.answers[conn]
--- a/jackdawpost/tests/core/proxy/test_serving.py
+++ b/jackdawpost/tests/core/proxy/test_serving.py
@@ -1,4 +1,4 @@
-"""A proxy without faults: what callers and upstreams see."""
+"""Tests of a proxy without faults: writes, reads and transactions."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     conn = sim.connect_caller()
     sim.write(conn)
     upstream_conn, message = sim.pop_statement()
-    assert sim.conn_names[upstream_conn] == 'db-1'
+    assert sim.conn_upstreams[upstream_conn] == 'db-1'
     assert message.must_lead and message.request_key == 'key-1'
     position = LogPosition(1, 11)
     sim.report_position(position, 'db-2')
@@ -29,7 +29,7 @@
 
     sim.read(conn, 2, session=answer.session)
     upstream_conn, message = sim.pop_statement()
-    assert sim.conn_names[upstream_conn] == 'db-1'
+    assert sim.conn_upstreams[upstream_conn] == 'db-1'
     assert message.after == position
     sim.reply(upstream_conn, message, position=position, rows=[[1]])
     answer = sim.pop_answer(conn)
@@ -41,7 +41,7 @@
     conn = sim.connect_caller()
     sim.read(conn, max_age_ms=400)
     upstream_conn, message = sim.pop_statement()
-    assert sim.conn_names[upstream_conn] != 'db-1'
+    assert sim.conn_upstreams[upstream_conn] != 'db-1'
     assert message.fresh_after == LogPosition(1, 10)
     assert not message.must_lead
     sim.advance(20)
--- a/jackdawpost/tests/core/proxy/test_transactions.py
+++ b/jackdawpost/tests/core/proxy/test_transactions.py
@@ -1,4 +1,4 @@
-"""Transactions under faults: isolation, loss and roll-back."""
+"""Tests of transactions under faults: isolation, loss and rollback."""
 
 from __future__ import annotations
 
@@ -24,7 +24,9 @@
     return sim.pop_answer(conn).txn, up_conn
 
 
-def run(sim: ProxySimulation, conn: int, handle: int, request_id: int) -> None:
+def send_statement(
+    sim: ProxySimulation, conn: int, handle: int, request_id: int
+) -> None:
     sim.send_requests(
         conn, Statement(id=request_id, sql='x', access='write', txn=handle)
     )
@@ -49,7 +51,7 @@
 def test_statement_with_foreign_handle_does_not_run(
     sim: ProxySimulation,
 ) -> None:
-    owner, stranger = sim.connect_caller(), sim.connect_caller()
+    owner, other_conn = sim.connect_caller(), sim.connect_caller()
     handle, _ = begin(sim, owner)
     for request_id, message in enumerate(
         [
@@ -59,8 +61,8 @@
         ]
     ):
         message.id = request_id
-        sim.send_requests(stranger, message)
-        answer = sim.pop_answer(stranger)
+        sim.send_requests(other_conn, message)
+        answer = sim.pop_answer(other_conn)
         assert error(answer) == ('not_run', 'unknown_transaction')
     assert not sim.statements
 
@@ -70,8 +72,8 @@
 ) -> None:
     conn = sim.connect_caller()
     handle, up_conn = begin(sim, conn)
-    run(sim, conn, handle, 1)
-    run(sim, conn, handle, 2)
+    send_statement(sim, conn, handle, 1)
+    send_statement(sim, conn, handle, 2)
     sim.send_requests(conn, Commit(id=3, txn=handle))
     for kind in ('execute', 'execute'):
         message = sim.pop_statement()[1]
@@ -80,19 +82,19 @@
     assert sim.pop_statement()[1].kind == 'txn_commit'
 
 
-def test_connection_lost_in_mid_transaction_rolls_back(
+def test_connection_lost_during_a_transaction_rolls_back(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
     handle, up_conn = begin(sim, conn)
-    run(sim, conn, handle, 1)
-    run(sim, conn, handle, 2)
+    send_statement(sim, conn, handle, 1)
+    send_statement(sim, conn, handle, 2)
     sim.statements.clear()
     sim.disconnect(up_conn)
     answers = sim.answers[conn]
     assert [error(a) for a in answers] == [('not_run', 'transaction_lost')] * 2
     answers.clear()
-    run(sim, conn, handle, 3)
+    send_statement(sim, conn, handle, 3)
     assert error(sim.pop_answer(conn)) == ('not_run', 'transaction_lost')
     sim.send_requests(conn, Commit(id=4, txn=handle))
     assert error(sim.pop_answer(conn)) == ('not_run', 'transaction_lost')
@@ -111,7 +113,7 @@
     assert error(sim.pop_answer(conn)) == ('unknown', 'connection_lost')
 
 
-def test_commit_without_lease_or_copies_is_not_acknowledged(
+def test_commit_without_lease_or_replication_is_not_acknowledged(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -132,38 +134,38 @@
 ) -> None:
     conn = sim.connect_caller()
     handle, up_conn = begin(sim, conn)
-    run(sim, conn, handle, 1)
+    send_statement(sim, conn, handle, 1)
     sim.deliver_from_control(LeaseRevoke(group=GROUP, term=1))
     sim.reply(up_conn, sim.pop_statement()[1], rows=[['old']])
     assert sim.pop_answer(conn).outcome == 'unknown'
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
 
 
-@pytest.mark.parametrize('way', ['caller', 'idle', 'deadline'])
+@pytest.mark.parametrize('cause', ['caller', 'idle', 'deadline'])
 def test_abandoned_transaction_is_rolled_back(
-    sim: ProxySimulation, way: str
+    sim: ProxySimulation, cause: str
 ) -> None:
     conn = sim.connect_caller()
     handle, up_conn = begin(sim, conn)
-    if way == 'caller':
+    if cause == 'caller':
         sim.disconnect(conn)
-    elif way == 'idle':
+    elif cause == 'idle':
         sim.advance(9_999)
-        assert up_conn not in sim.closed
+        assert up_conn not in sim.closed_conns
         sim.advance(1)
         handle, up_conn = begin(sim, conn)
         sim.advance(6_000)
-        run(sim, conn, handle, 1)
+        send_statement(sim, conn, handle, 1)
         sim.reply(up_conn, sim.pop_statement()[1])
         assert sim.pop_answer(conn).outcome == 'done'
         sim.advance(9_999)
-        assert up_conn not in sim.closed
+        assert up_conn not in sim.closed_conns
         sim.advance(1)
     else:
-        run(sim, conn, handle, 1)
+        send_statement(sim, conn, handle, 1)
         sim.advance(2_000)
         assert sim.pop_answer(conn).outcome == 'unknown'
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     assert not sim.state.txns
     sim.advance(ANSWER_GRACE_MS)
     assert sim.state.permits.account('db-1').in_use == 0
@@ -175,11 +177,11 @@
     up_conn, message = sim.pop_statement()
     sim.disconnect(conn)
     sim.reply(up_conn, message)
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
     assert not sim.state.txns
 
 
-def test_begin_lost_with_its_connection_is_made_again(
+def test_begin_lost_with_its_connection_is_retried(
     sim: ProxySimulation,
 ) -> None:
     conn = sim.connect_caller()
@@ -195,10 +197,10 @@
 ) -> None:
     conn = sim.connect_caller()
     handle, up_conn = begin(sim, conn)
-    run(sim, conn, handle, 1)
+    send_statement(sim, conn, handle, 1)
     sim.refuse(up_conn, sim.pop_statement()[1], 'statement_failed')
     assert error(sim.pop_answer(conn)) == ('not_run', 'statement_failed')
-    run(sim, conn, handle, 2)
+    send_statement(sim, conn, handle, 2)
     sim.refuse(up_conn, sim.pop_statement()[1], 'stale_term')
     assert error(sim.pop_answer(conn)) == ('not_run', 'transaction_lost')
-    assert up_conn in sim.closed
+    assert up_conn in sim.closed_conns
