Give locals of the proxy a unit or a plain name

Cause: pause and left were times without a unit, soon and silent did not say what they hold.

Ruled out: renaming the permit field stated, which a dump writes.

--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -67,7 +67,7 @@
 
 
 def remaining_serve_ms(state: ProxyState) -> int:
-    """Return how long a draining proxy still accepts new requests."""
+    """Return how long this proxy accepts new requests once it drains."""
     if state.drain_started_ms is None:
         return state.cfg.drain_serve_ms
     until = state.drain_started_ms + state.cfg.drain_serve_ms
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -148,8 +148,8 @@
 
 def _record_open_failure(state: ProxyState, up: Upstream) -> None:
     up.open_failures += 1
-    pause = backoff_ms(up.open_failures, state.rng)
-    up.next_open_ms = state.now_ms + pause
+    delay_ms = backoff_ms(up.open_failures, state.rng)
+    up.next_open_ms = state.now_ms + delay_ms
     schedule_dispatch(state, up.view.group, up.next_open_ms)
 
 
@@ -213,11 +213,11 @@
 
 def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
     """Return how long an attempt may run, in milliseconds."""
-    left = req.due_ms - state.now_ms
-    if left >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
+    remaining_ms = req.due_ms - state.now_ms
+    if remaining_ms >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
         if not isinstance(req.message, Begin):
-            left -= RETRY_RESERVE_MS
-    return max(1, min(int(left), state.cfg.max_statement_ms))
+            remaining_ms -= RETRY_RESERVE_MS
+    return max(1, min(int(remaining_ms), state.cfg.max_statement_ms))
 
 
 def acquire_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -100,8 +100,10 @@
         return
     oldest_ms = state.leases.oldest_open_ms()
     limit_ms = state.cfg.report_interval_ms
-    silent = oldest_ms is not None and state.now_ms - oldest_ms >= limit_ms
-    if state.leader_conn and silent:
+    is_leader_silent = (
+        oldest_ms is not None and state.now_ms - oldest_ms >= limit_ms
+    )
+    if state.leader_conn and is_leader_silent:
         log(state, 'warning', 'leader_silent', seq=state.report_seq)
         _on_leader_lost(state)
     else:
@@ -115,10 +117,10 @@
 
 def schedule_report(state: ProxyState) -> None:
     """Schedule the next regular report."""
-    pause = float(state.cfg.report_interval_ms)
+    delay_ms = float(state.cfg.report_interval_ms)
     if not state.leader_conn:
-        pause = LEADER_SEARCH_INTERVAL_MS * (0.5 + state.rng.random() / 2)
-    state.report_due_ms = state.now_ms + pause
+        delay_ms = LEADER_SEARCH_INTERVAL_MS * (0.5 + state.rng.random() / 2)
+    state.report_due_ms = state.now_ms + delay_ms
     schedule(state, state.report_due_ms, 'report')
 
 
@@ -207,7 +209,7 @@
 def on_lease_revoke(
     state: ProxyState, conn: int, message: LeaseRevoke
 ) -> None:
-    """Give up a group's lease and confirm that at once."""
+    """Drop a group's lease and confirm the revocation at once."""
     state.leases.revoke(message.group, message.term)
     reply = LeaseRevoked(group=message.group, term=message.term)
     send(state, conn, reply)
--- a/jackdawpost/core/proxy/freshness.py
+++ b/jackdawpost/core/proxy/freshness.py
@@ -123,7 +123,7 @@
         Parameters
         ----------
         position : LogPosition
-            Position to look for.
+            Position in the history of the current term.
 
         Returns
         -------
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -25,7 +25,7 @@
 
 # The first failure may concern only that connection; a second connection
 # shows whether the upstream has failed.
-FAILURES_FOR_EVIDENCE = 2
+FAILURES_BEFORE_EVIDENCE = 2
 
 
 def open_monitor(state: ProxyState, up: Upstream) -> None:
@@ -84,15 +84,15 @@
 ) -> None:
     up.failures += 1
     up.monitor_open = False
-    if up.failures >= FAILURES_FOR_EVIDENCE:
+    if up.failures >= FAILURES_BEFORE_EVIDENCE:
         set_evidence(state, up, evidence)
         if up.monitor:
             state.monitor_conns.pop(up.monitor)
             close(state, up.monitor, 'failed', abort=True)
             up.monitor = 0
-        pause = state.cfg.probe_interval_ms / 2
-        pause += backoff_ms(1, state.rng)
-        schedule(state, state.now_ms + pause, 'monitor', up.name)
+        delay_ms = state.cfg.probe_interval_ms / 2
+        delay_ms += backoff_ms(1, state.rng)
+        schedule(state, state.now_ms + delay_ms, 'monitor', up.name)
     else:
         open_monitor(state, up)
 
@@ -200,7 +200,10 @@
 
 
 def set_evidence(state: ProxyState, up: Upstream, evidence: str) -> None:
-    """Record the reachability of an upstream; report a change at once."""
+    """Record the reachability of an upstream; report a change at once.
+
+    A change to 'up' starts the slow start of a recovered upstream.
+    """
     if up.evidence == evidence:
         return
     log(state, 'info', 'evidence', upstream=up.name, evidence=evidence)
--- a/jackdawpost/core/proxy/replica_choice.py
+++ b/jackdawpost/core/proxy/replica_choice.py
@@ -120,16 +120,16 @@
     Returns
     -------
     tuple of (list, list)
-        Replicas that are fresh enough, and those that soon will be.
+        Replicas that are fresh enough, and those that will be after a wait.
     """
     needed = max(after or ZERO_POSITION, fresh_after)
     ready = []
-    soon = []
+    catching_up = []
     for replica in replicas:
         if not is_usable(replica, term):
             continue
         if replica.applied >= needed:
             ready.append(replica)
         elif replica.lag_ms <= max_wait_lag_ms:
-            soon.append(replica)
-    return ready, soon
+            catching_up.append(replica)
+    return ready, catching_up
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -166,10 +166,10 @@
         )
     ]
     max_lag_ms = _max_recoverable_lag_ms(state, group, req, fresh_after)
-    ready, soon = split_by_freshness(
+    ready, catching_up = split_by_freshness(
         replicas, group.view.term, req.after, fresh_after, max_lag_ms
     )
-    return ready or soon
+    return ready or catching_up
 
 
 def _max_recoverable_lag_ms(
--- a/jackdawpost/core/proxy/sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -23,10 +23,10 @@
     time than it has left is always tried: otherwise a service time that is
     estimated too high would never be corrected.
     """
-    left_ms = req.due_ms - state.now_ms
+    remaining_ms = req.due_ms - state.now_ms
     if (
-        left_ms > group.mean_service_ms
-        or left_ms > state.now_ms - req.arrived_ms
+        remaining_ms > group.mean_service_ms
+        or remaining_ms > state.now_ms - req.arrived_ms
     ):
         return False
     group.queue.remove(req)
--- a/jackdawpost/tests/core/proxy/test_components.py
+++ b/jackdawpost/tests/core/proxy/test_components.py
@@ -91,9 +91,9 @@
         FakeReplica(at(9), term=2),
     ]
     replicas = [late, too_late, *unusable, good]
-    ready, soon = split_by_freshness(replicas, 1, at(5), at(4), 100)
+    ready, catching_up = split_by_freshness(replicas, 1, at(5), at(4), 100)
     assert ready == [good]
-    assert soon == [late]
+    assert catching_up == [late]
     assert split_by_freshness(replicas, 1, at(5), at(4), -1)[1] == []
 
 
