--- a/jackdawpost/core/proxy/admission.py
+++ b/jackdawpost/core/proxy/admission.py
@@ -1,4 +1,8 @@
-"""Bounded queue of requests with deadlines and priorities."""
+"""Bounded queue of requests with deadlines and priorities.
+
+A request that is expected to wait for most of its deadline is rejected on
+arrival, with a hint when to retry.
+"""
 
 from __future__ import annotations
 
@@ -15,15 +19,16 @@
 
 MIN_RETRY_AFTER_MS = 20
 MAX_RETRY_AFTER_MS = 2_000
-# A request that would start this late in its deadline has no time left to
-# run; queueing it would only push others past theirs.
+# A request that would wait for longer than this share of its deadline has no
+# time left to run; queueing it would only make others miss theirs.
 USABLE_DEADLINE_SHARE = 0.8
-MAX_GONE_SHARE = 4
-_RATE_WEIGHT = 0.05
+# Compact a lane at this number of entries for each queued request.
+MAX_LANE_RATIO = 4
+_INTERVAL_WEIGHT = 0.05  # of the moving average
 
 
-class Queued(Protocol):
-    """What the queue needs to know about a request.
+class QueueItem(Protocol):
+    """Interface of a request that can be queued.
 
     Attributes
     ----------
@@ -32,7 +37,7 @@
     due_ms : float
         Deadline, in milliseconds.
     queued : bool
-        Kept by the queue: the request waits in it.
+        Set by the queue: the request is in it.
     """
 
     priority: int
@@ -40,42 +45,52 @@
     queued: bool
 
 
-Q = TypeVar('Q', bound=Queued)
+Q = TypeVar('Q', bound=QueueItem)
 
 
 class AdmissionQueue(Generic[Q]):
     """Requests of one group that wait to be sent.
 
+    Each priority has a FIFO lane. A removed request stays in its lane,
+    marked as not queued, until it reaches the front or the lane is
+    compacted.
+
     Parameters
     ----------
     limit : int
-        Requests that may wait.
+        Maximum number of queued requests.
     """
 
-    __slots__ = ('limit', '_lanes', '_counts', '_pop_ms', '_interval_ms')
+    __slots__ = (
+        'limit',
+        '_lanes',
+        '_counts',
+        '_last_pop_ms',
+        '_mean_pop_interval_ms',
+    )
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self._lanes: tuple[deque[Q], ...] = tuple(deque() for _ in PRIORITIES)
         self._counts = [0 for _ in PRIORITIES]
-        self._pop_ms = -math.inf
-        self._interval_ms = 0.0
+        self._last_pop_ms = -math.inf
+        self._mean_pop_interval_ms = 0.0
 
     def __len__(self) -> int:
         return sum(self._counts)
 
     def count(self, priority: int) -> int:
-        """Return how many requests of one priority wait."""
+        """Return the number of queued requests of one priority."""
         return self._counts[priority]
 
-    def rejects(self, item: Q, now_ms: float) -> int | None:
-        """Tell whether a new request has to be rejected.
+    def retry_delay_ms(self, item: Q, now_ms: float) -> int | None:
+        """Return the retry delay if a new request must be rejected.
 
         Returns
         -------
         int or None
-            None to accept it, else the earliest useful time for another
-            attempt, in milliseconds.
+            None to accept the request, else the time after which a retry
+            is worthwhile, in milliseconds.
         """
         waiting = self._counts[0] + self._counts[1] + self._counts[2]
         if not waiting:
@@ -87,10 +102,10 @@
         bounded = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         return int(bounded)
 
-    def displace(self, priority: int) -> Q | None:
-        """Remove the newest request of a lower priority, if any.
+    def evict_lower_priority(self, priority: int) -> Q | None:
+        """Remove and return the newest request of a lower priority, if any.
 
-        Lets a write enter a full queue in place of a read.
+        A write can thus enter a full queue in place of a read.
         """
         for lower in range(STALE_READ, priority, -1):
             lane = self._lanes[lower]
@@ -101,20 +116,20 @@
                     return item
         return None
 
-    def push(self, item: Q, first: bool = False) -> None:
-        """Add a request; `first` puts it ahead of its priority."""
+    def push(self, item: Q, at_front: bool = False) -> None:
+        """Add a request at the back, or at the front, of its priority."""
         lane = self._lanes[item.priority]
-        if len(lane) > MAX_GONE_SHARE * self._counts[item.priority] + 64:
-            self._drop_gone(item.priority)
+        if len(lane) > MAX_LANE_RATIO * self._counts[item.priority] + 64:
+            self._compact_lane(item.priority)
         item.queued = True
         self._counts[item.priority] += 1
-        if first:
+        if at_front:
             lane.appendleft(item)
         else:
             lane.append(item)
 
     def peek(self, priority: int) -> Q | None:
-        """Return the first request of a priority, leaving it there."""
+        """Return the first request of a priority without removing it."""
         if not self._counts[priority]:
             self._lanes[priority].clear()
             return None
@@ -127,24 +142,24 @@
         return None
 
     def pop(self, priority: int, now_ms: float) -> Q | None:
-        """Take the first request of a priority out of the queue."""
+        """Remove and return the first request of a priority."""
         item = self.peek(priority)
         if item is None:
             return None
         self._lanes[priority].popleft()
         item.queued = False
         self._counts[priority] -= 1
-        self._note_pop(now_ms)
+        self._record_pop(now_ms)
         return item
 
     def remove(self, item: Q) -> None:
-        """Take any request out of the queue, such as an expired one."""
+        """Remove any request from the queue, such as an expired one."""
         if item.queued:
             item.queued = False
             self._counts[item.priority] -= 1
 
-    def drain_items(self) -> list[Q]:
-        """Take all requests out of the queue."""
+    def pop_all(self) -> list[Q]:
+        """Remove and return all requests."""
         items = [i for lane in self._lanes for i in lane if i.queued]
         for item in items:
             self.remove(item)
@@ -152,28 +167,28 @@
             lane.clear()
         return items
 
-    def forget_rate(self) -> None:
-        """Drop the estimated rate, as after a pause without primary."""
-        self._interval_ms = 0.0
-        self._pop_ms = -math.inf
+    def reset_rate(self) -> None:
+        """Drop the estimated rate, as after a time without a primary."""
+        self._mean_pop_interval_ms = 0.0
+        self._last_pop_ms = -math.inf
 
-    def _drop_gone(self, priority: int) -> None:
-        # While nothing is taken out, expired requests would pile up.
+    def _compact_lane(self, priority: int) -> None:
+        # Expired requests would accumulate while nothing is popped.
         lane = self._lanes[priority]
         kept = [i for i in lane if i.queued and i.priority == priority]
         lane.clear()
         lane.extend(kept)
 
-    def _note_pop(self, now_ms: float) -> None:
+    def _record_pop(self, now_ms: float) -> None:
         if len(self):
-            gap_ms = now_ms - self._pop_ms
+            gap_ms = now_ms - self._last_pop_ms
             if gap_ms < MAX_RETRY_AFTER_MS:
-                change = gap_ms - self._interval_ms
-                self._interval_ms += _RATE_WEIGHT * change
-            self._pop_ms = now_ms
+                change = gap_ms - self._mean_pop_interval_ms
+                self._mean_pop_interval_ms += _INTERVAL_WEIGHT * change
+            self._last_pop_ms = now_ms
         else:
-            self._pop_ms = -math.inf
+            self._last_pop_ms = -math.inf
 
     def _expected_wait_ms(self, priority: int) -> float:
         ahead = sum(self._counts[: priority + 1])
-        return ahead * self._interval_ms
+        return ahead * self._mean_pop_interval_ms
--- a/jackdawpost/core/proxy/answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -1,4 +1,4 @@
-"""Ends of requests: answers, losses, expiry and confirmed copies."""
+"""Completion of requests: answers, retries and confirmed replication."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 Source = Literal['primary', 'replica']
 
-_DURATIONS = {
+_DURATION_METRICS = {
     'done': 'request_done_ms',
     'not_run': 'request_not_run_ms',
     'unknown': 'request_unknown_ms',
@@ -43,11 +43,11 @@
 CONFIRMED_ALL = LogPosition(1 << 62, 0)
 CONFIRMED_NONE = LogPosition(-1, 0)
 
-MESSAGES = {
+ERROR_MESSAGES = {
     'deadline': 'the deadline passed before an answer was complete',
     'connection_lost': 'the connection to the upstream was lost',
     'lease_lost': 'the right to acknowledge for the primary was lost',
-    'not_durable': 'run, but its copies were not confirmed in time',
+    'not_durable': 'executed, but its replication was not confirmed in time',
     'no_primary': 'the group has no primary',
     'control_unreachable': 'this proxy has lost contact with control',
     'not_joined': 'this proxy is not a member',
@@ -57,7 +57,7 @@
 
 
 def finish(state: ProxyState, req: Request, answer: Answer) -> None:
-    """Answer a request and forget it."""
+    """Send the answer of a request and remove the request."""
     if req.phase == 'over':
         return
     if req.queued:
@@ -67,7 +67,9 @@
     caller = state.callers.get(req.caller)
     if caller is None:
         return
-    observe(state, _DURATIONS[answer.outcome], state.now_ms - req.arrived_ms)
+    observe(
+        state, _DURATION_METRICS[answer.outcome], state.now_ms - req.arrived_ms
+    )
     del caller.requests[req.message.id]
     send(state, req.caller, answer)
 
@@ -82,14 +84,14 @@
 ) -> None:
     """Answer a request with an error.
 
-    ``'not_run'`` becomes ``'unknown'`` if an earlier attempt may have taken
-    effect, so that callers must not rely on a refusal of a later one.
+    If an earlier attempt may have taken effect, ``'not_run'`` becomes
+    ``'unknown'``: the refusal of a later attempt proves nothing about it.
     """
-    text = message or MESSAGES.get(code, code)
-    if outcome == 'not_run' and req.sent_term >= 0:
+    text = message or ERROR_MESSAGES.get(code, code)
+    if outcome == 'not_run' and req.uncertain_term >= 0:
         outcome = 'unknown'
         if code not in ('deadline', 'not_durable'):
-            text = f'an earlier attempt may have run; last refusal: {text}'
+            text = f'an earlier attempt may have run; last error: {text}'
             code = 'connection_lost'
     error = AnswerError(code=code, message=text, retry_after_ms=retry_after_ms)
     answer = Answer(id=req.message.id, outcome=outcome, error=error)
@@ -103,7 +105,11 @@
     source: Source | None = None,
     age_ms: int | None = None,
 ) -> None:
-    """Answer a request with its complete result."""
+    """Answer a request with its result.
+
+    The answer to a write has a session token with the position of the
+    write.
+    """
     message = req.message
     session = None
     is_write = isinstance(message, Commit) or (
@@ -117,9 +123,10 @@
                 req.token, req.group, executed.position, state.groups
             )
         except TokenError:
-            # Room was checked on admission; only a group added meanwhile
-            # gets here. Without its token the write must not be answered.
-            req.sent_term = max(req.sent_term, req.term)
+            # Admission checked that the token has room; a group that was
+            # added since can have used it up. The write must not be
+            # acknowledged without its token.
+            req.uncertain_term = max(req.uncertain_term, req.term)
             finish_error(state, req, 'not_run', 'not_durable')
             return
         session = encode_token(token)
@@ -137,8 +144,12 @@
     finish(state, req, answer)
 
 
-def enqueue(state: ProxyState, req: Request, first: bool = False) -> None:
-    """Put a request into the queue of its group."""
+def enqueue(state: ProxyState, req: Request, at_front: bool = False) -> None:
+    """Put a request into the queue of its group.
+
+    Answers it with an error if the group was removed or this proxy has
+    lost contact with control.
+    """
     group = state.groups.get(req.group)
     if group is None:
         finish_error(state, req, 'not_run', 'unknown_route', 'group removed')
@@ -147,57 +158,58 @@
         finish_error(state, req, 'not_run', 'control_unreachable')
         return
     req.phase = 'queued'
-    group.queue.push(req, first)
-    state.dirty.add(req.group)
+    group.queue.push(req, at_front)
+    state.groups_to_dispatch.add(req.group)
 
 
-def delay(state: ProxyState, req: Request) -> None:
-    """Queue a request again after a pause that grows with attempts."""
+def retry_later(state: ProxyState, req: Request) -> None:
+    """Queue a request again after a back-off that grows with attempts."""
     req.phase = 'delayed'
     due_ms = state.now_ms + backoff_ms(req.attempts, state.rng)
     schedule(state, due_ms, 'requeue', req)
 
 
 def requeue_delayed(state: ProxyState, req: Request) -> None:
-    """Queue a request whose pause is over."""
+    """Queue a request whose back-off has ended."""
     if req.phase == 'delayed':
-        enqueue(state, req, first=True)
+        enqueue(state, req, at_front=True)
 
 
-def lose_attempt(state: ProxyState, req: Request, code: str) -> None:
-    """Handle an attempt whose effect is unknown.
+def retry_or_fail(state: ProxyState, req: Request, code: str) -> None:
+    """Retry a request whose attempt has an unknown effect, or fail it.
 
-    It is made again only if that is harmless (a read, an idempotent write,
-    or one with a request key) and deadline and retry budget allow it.
+    It is retried only if that is safe (a read, an idempotent write, or a
+    write with a request key), if its deadline and the retry budget allow
+    it, and if this proxy has contact with control.
     """
     if req.txn is not None:
-        _lose_in_transaction(state, req, code)
+        _fail_in_transaction(state, req, code)
         return
     if not isinstance(req.message, Begin):
-        req.sent_term = max(req.sent_term, req.term)
+        req.uncertain_term = max(req.uncertain_term, req.term)
     group = state.groups.get(req.group)
     if req.caller not in state.callers or group is None:
         finish_error(state, req, 'unknown', code)
         return
     out_of_time = req.due_ms <= state.now_ms
-    alone = state.now_ms >= state.leases.config_until_ms
-    if out_of_time or alone or not _is_repeatable(req):
+    is_isolated = state.now_ms >= state.leases.config_until_ms
+    if out_of_time or is_isolated or not _is_safe_to_retry(req):
         finish_error(state, req, 'unknown', code)
         return
-    if not group.budget.try_spend():
+    if not group.retry_budget.try_spend():
         count(state, 'retry_budget_exhausted')
         finish_error(state, req, 'unknown', code)
         return
     count(state, 'retries')
     if req.attempts > 1:
-        delay(state, req)
+        retry_later(state, req)
     else:
-        enqueue(state, req, first=True)
+        enqueue(state, req, at_front=True)
 
 
-def _lose_in_transaction(state: ProxyState, req: Request, code: str) -> None:
-    # Only a commit that may have been read leaves doubt: anything else is
-    # rolled back by the upstream once the connection has ended.
+def _fail_in_transaction(state: ProxyState, req: Request, code: str) -> None:
+    # Only a commit that the upstream may have received has an unknown effect:
+    # anything else is rolled back when the connection ends.
     if isinstance(req.message, Commit):
         finish_error(state, req, 'unknown', code)
     elif isinstance(req.message, Rollback):
@@ -208,11 +220,11 @@
         finish_error(state, req, 'not_run', 'transaction_lost')
 
 
-def lose_transaction(state: ProxyState, txn: Transaction) -> None:
-    """Note that a transaction has been rolled back by its upstream.
+def on_transaction_lost(state: ProxyState, txn: Transaction) -> None:
+    """Record that the upstream has rolled back a transaction.
 
-    The caller's handle stays known, so that later statements are told of
-    the loss and never run outside the transaction.
+    The caller's handle is kept: later statements that use it are refused as
+    lost and never run outside the transaction.
     """
     if txn.state == 'lost':
         return
@@ -224,10 +236,10 @@
         finish_error(state, req, 'not_run', 'transaction_lost')
 
 
-def _is_repeatable(req: Request) -> bool:
+def _is_safe_to_retry(req: Request) -> bool:
     message = req.message
     if isinstance(message, Begin):
-        # A transaction that nobody knows of is rolled back.
+        # A transaction whose handle was never answered is rolled back.
         return True
     if not isinstance(message, Statement) or message.txn is not None:
         return False
@@ -236,27 +248,31 @@
     return message.request_key is not None
 
 
-def refuse_attempt(
-    state: ProxyState, req: Request, executed: Executed, current: bool
+def finish_refused(
+    state: ProxyState,
+    req: Request,
+    executed: Executed,
+    from_current_primary: bool,
 ) -> None:
-    """Answer a request that its upstream refused for good.
+    """Answer a request that its upstream refused permanently.
 
     Parameters
     ----------
-    current : bool
-        The refusal comes from the current primary under a valid lease. In
-        a higher term than that of every earlier attempt, it has looked for
-        the request key in a history that those can no longer enter.
+    from_current_primary : bool
+        The refusal comes from the current primary under a valid lease. If
+        its term is higher than that of every earlier attempt, it searched
+        for the request key in a history that those attempts can no longer
+        enter, so they took no effect.
     """
     code: str = executed.code or 'malformed'
-    keyed = getattr(req.message, 'request_key', None) is not None
+    has_request_key = getattr(req.message, 'request_key', None) is not None
     if (
         code == 'statement_failed'
-        and keyed
-        and current
-        and req.sent_term < req.term
+        and has_request_key
+        and from_current_primary
+        and req.uncertain_term < req.term
     ):
-        req.sent_term = -1
+        req.uncertain_term = -1
     if code == 'timeout':
         code = 'deadline'
     elif code == 'history_lost':
@@ -264,44 +280,51 @@
     finish_error(state, req, 'not_run', code, executed.message or '')
 
 
-def redirect_read(state: ProxyState, req: Request, ran: bool) -> None:
-    """Send a read that a replica could not serve to the primary.
+def redirect_to_primary(
+    state: ProxyState, req: Request, was_executed: bool
+) -> None:
+    """Queue a read that a replica could not serve for the primary.
 
     Parameters
     ----------
-    ran : bool
-        The replica ran it, but the result was too old.
+    was_executed : bool
+        The replica executed it, but the result was too old.
     """
-    if ran:
-        req.sent_term = max(req.sent_term, req.term)
+    if was_executed:
+        req.uncertain_term = max(req.uncertain_term, req.term)
     req.priority = FRESH_READ
-    enqueue(state, req, first=True)
+    enqueue(state, req, at_front=True)
 
 
-def settle_done(
+def on_statement_done(
     state: ProxyState,
     group: Group,
     req: Request,
     executed: Executed,
     upstream_name: str,
 ) -> None:
-    """Judge a result that an upstream reports as done."""
+    """Handle the result of a statement that an upstream executed.
+
+    It is answered only if the term and the lease are still valid, a write
+    also only once it is replicated, and a result of a replica only if it is
+    fresh enough.
+    """
     same_term = executed.term is None or executed.term == req.term
     if req.priority == STALE_READ:
-        _settle_replica_read(state, group, req, executed, same_term)
+        _on_replica_read_done(state, group, req, executed, same_term)
         return
     if not same_term or not holds_lease(state, group, req.term):
-        lose_attempt(state, req, 'lease_lost')
+        retry_or_fail(state, req, 'lease_lost')
         return
     if req.priority == WRITE:
-        hold_until_copied(state, group, req, executed)
+        answer_when_replicated(state, group, req, executed)
     else:
         if req.max_age_ms:
             count(state, 'aged_reads_on_primary')
         finish_done(state, req, executed, 'primary', 0)
 
 
-def _settle_replica_read(
+def _on_replica_read_done(
     state: ProxyState,
     group: Group,
     req: Request,
@@ -309,32 +332,32 @@
     same_term: bool,
 ) -> None:
     age_ms = None
-    current = same_term and req.term == group.view.term
-    if current and executed.position is not None:
+    is_current_term = same_term and req.term == group.view.term
+    if is_current_term and executed.position is not None:
         age_ms = group.freshness.age_ms(executed.position, state.now_ms)
     if age_ms is None or age_ms > (req.max_age_ms or 0):
         count(state, 'reads_too_old')
-        redirect_read(state, req, ran=True)
+        redirect_to_primary(state, req, was_executed=True)
         return
     count(state, 'replica_reads')
     finish_done(state, req, executed, 'replica', math.ceil(age_ms))
 
 
-def hold_until_copied(
+def answer_when_replicated(
     state: ProxyState, group: Group, req: Request, executed: Executed
 ) -> None:
-    """Answer a write once enough databases hold it."""
+    """Answer a write as soon as enough databases hold it."""
     req.result = executed
     req.phase = 'durable'
     position = executed.position
     if position is None:
-        # Without a position no copy can be confirmed.
+        # Replication cannot be confirmed without a position.
         finish_error(state, req, 'unknown', 'not_durable')
         return
     if position <= confirmed_position(state, group):
         finish_done(state, req, executed)
         return
-    waiting = group.undurable
+    waiting = group.unconfirmed_writes
     while waiting and waiting[0][2].phase != 'durable':
         heapq.heappop(waiting)
     heapq.heappush(waiting, (position, req.serial, req))
@@ -343,7 +366,8 @@
 def confirmed_position(state: ProxyState, group: Group) -> LogPosition:
     """Return the last position that enough databases hold.
 
-    Only databases that a promotion counts on confirm a write.
+    Only databases of the published database set count: a promotion may not
+    ask any other one.
     """
     replicas_needed = group.view.write_copies - 1
     if replicas_needed <= 0:
@@ -361,9 +385,9 @@
     return received[replicas_needed - 1]
 
 
-def answer_copied(state: ProxyState, group: Group) -> None:
-    """Answer the writes that enough databases hold now."""
-    waiting = group.undurable
+def answer_replicated_writes(state: ProxyState, group: Group) -> None:
+    """Answer the waiting writes that enough databases now hold."""
+    waiting = group.unconfirmed_writes
     if not waiting:
         return
     confirmed = confirmed_position(state, group)
@@ -378,10 +402,10 @@
         finish_done(state, req, req.result)
 
 
-def lose_undurable(state: ProxyState, group: Group) -> None:
-    """Handle the writes whose term ended before they were confirmed."""
-    waiting = [entry[2] for entry in group.undurable]
-    group.undurable.clear()
+def retry_unconfirmed_writes(state: ProxyState, group: Group) -> None:
+    """Retry or fail the writes whose term ended before confirmation."""
+    waiting = [entry[2] for entry in group.unconfirmed_writes]
+    group.unconfirmed_writes.clear()
     for req in waiting:
         if req.phase == 'durable':
-            lose_attempt(state, req, 'lease_lost')
+            retry_or_fail(state, req, 'lease_lost')
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -1,4 +1,8 @@
-"""Statement connections to upstreams: opening, frames, loss."""
+"""Statement connections to upstreams, and the permits to use them.
+
+A frame of statements needs an idle connection and a permit, which control
+grants so that all proxies together stay within the slots of an upstream.
+"""
 
 from __future__ import annotations
 
@@ -14,77 +18,83 @@
 from jackdawpost.core.messages.control import PermitReturn
 from jackdawpost.core.outbox import count
 from jackdawpost.core.proxy.answers import finish_error
-from jackdawpost.core.proxy.answers import lose_attempt
-from jackdawpost.core.proxy.answers import lose_transaction
-from jackdawpost.core.proxy.permit_holder import IDLE_RETURN_MS
+from jackdawpost.core.proxy.answers import on_transaction_lost
+from jackdawpost.core.proxy.answers import retry_or_fail
+from jackdawpost.core.proxy.permit_holder import IDLE_CHECK_INTERVAL_MS
 from jackdawpost.core.proxy.state import close
-from jackdawpost.core.proxy.state import new_conn
+from jackdawpost.core.proxy.state import new_conn_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 from jackdawpost.core.proxy.state import schedule
-from jackdawpost.core.proxy.state import schedule_pump
+from jackdawpost.core.proxy.state import schedule_dispatch
 from jackdawpost.core.proxy.state import send
 from jackdawpost.core.proxy.state import Upstream
 from jackdawpost.core.proxy.state import UpstreamConn
 from jackdawpost.core.retry import backoff_ms
 from jackdawpost.core.retry import slow_start_limit
 
-MAX_OPENING = 2
+MAX_OPENING_CONNECTIONS = 2
 RESERVED_CONNECTIONS = 2
-MAX_BATCH = 8
-SILENT_MARGIN_MS = 500
-# An attempt that can be made again gets less than the whole deadline, so
-# that a silent connection is found while there is time for another one.
-RETRY_ROOM_MS = 750
+MAX_BATCH_STATEMENTS = 8
+ANSWER_GRACE_MS = 500
+# A retryable attempt gets less than the whole deadline: a silent connection
+# is then detected while there is still time for another attempt.
+RETRY_RESERVE_MS = 750
 MIN_DEADLINE_FOR_RETRY_MS = 1_500
 
 
 def connection_limit(state: ProxyState, up: Upstream) -> int:
-    """Return how many statement connections this proxy may open."""
-    proxies = state.proxies
-    spare = up.view.connections - RESERVED_CONNECTIONS - proxies
-    return max(1, spare // proxies)
+    """Return this proxy's share of an upstream's connections.
+
+    Each proxy also has a monitor connection to the upstream.
+    """
+    proxy_count = state.proxy_count
+    spare = up.view.connections - RESERVED_CONNECTIONS - proxy_count
+    return max(1, spare // proxy_count)
 
 
-def capacity(state: ProxyState, up: Upstream) -> int:
-    """Return how many frames can be sent to an upstream now."""
-    if up.paused_until_ms > state.now_ms:
+def available_frames(state: ProxyState, up: Upstream) -> int:
+    """Return how many frames can be sent to an upstream now.
+
+    Zero during a cool-down; limited after a recovery (slow start).
+    """
+    if up.cool_down_until_ms > state.now_ms:
         return 0
     account = state.permits.account(up.name)
     free = min(len(up.idle), account.idle)
-    if up.returned_ms > -math.inf:
-        since_ms = state.now_ms - up.returned_ms
+    if up.recovered_ms > -math.inf:
+        since_ms = state.now_ms - up.recovered_ms
         limit = slow_start_limit(up.view.slots, since_ms)
         free = min(free, limit - up.outstanding)
     return max(0, free)
 
 
-def is_asked(state: ProxyState, up: Upstream) -> bool:
-    """Tell whether permits or connections of an upstream are on the way."""
+def is_capacity_requested(state: ProxyState, up: Upstream) -> bool:
+    """Tell whether permits or connections have been requested already."""
     account = state.permits.account(up.name)
     return up.opening > 0 or account.stated > account.in_use
 
 
 def request_capacity(state: ProxyState, up: Upstream, waiting: int) -> None:
-    """Ask for the permits and connections that waiting requests need."""
+    """Request the permits and open the connections for waiting requests."""
     account = state.permits.account(up.name)
-    most = min(up.view.slots, connection_limit(state, up))
-    wanted = min(most, account.in_use + waiting)
-    if wanted > account.stated and state.leader:
+    limit = min(up.view.slots, connection_limit(state, up))
+    wanted = min(limit, account.in_use + waiting)
+    if wanted > account.stated and state.leader_conn:
         account.stated = wanted
         demand = PermitDemand(upstream=up.name, wanted=wanted)
-        send(state, state.leader, demand)
+        send(state, state.leader_conn, demand)
     busy = len(up.conns) - len(up.idle) - up.opening
-    missing = min(most, busy + waiting) - len(up.conns)
-    for _ in range(min(missing, MAX_OPENING - up.opening)):
+    missing = min(limit, busy + waiting) - len(up.conns)
+    for _ in range(min(missing, MAX_OPENING_CONNECTIONS - up.opening)):
         _open_conn(state, up)
 
 
 def _open_conn(state: ProxyState, up: Upstream) -> None:
     if state.now_ms < up.next_open_ms:
-        schedule_pump(state, up.view.group, up.next_open_ms)
+        schedule_dispatch(state, up.view.group, up.next_open_ms)
         return
-    conn_id = new_conn(state)
+    conn_id = new_conn_id(state)
     up.opening += 1
     up.conns.add(conn_id)
     state.conns[conn_id] = UpstreamConn(conn_id, up.name)
@@ -100,29 +110,29 @@
     )
 
 
-def close_surplus(state: ProxyState, up: Upstream) -> None:
-    """Close idle connections above the limit, as proxies have joined."""
+def close_surplus_conns(state: ProxyState, up: Upstream) -> None:
+    """Close idle connections above the limit, which falls with each proxy."""
     limit = connection_limit(state, up)
     while len(up.conns) > limit and up.idle:
         drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
 
 
 def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Take a statement connection into use."""
+    """Make a new statement connection available."""
     conn = state.conns.get(event.conn)
     if conn is None:
-        close(state, event.conn, 'not wanted any more')
+        close(state, event.conn, 'connection no longer needed')
         return
     up = state.upstreams[conn.upstream]
     if event.data_id != up.view.data_id:
-        _note_open_failure(state, up)
-        drop_conn(state, conn, 'other data than published')
+        _record_open_failure(state, up)
+        drop_conn(state, conn, 'data_id differs from the published one')
         return
     conn.opened = True
     up.opening -= 1
     up.open_failures = 0
     up.idle.append(conn.conn)
-    state.dirty.add(up.view.group)
+    state.groups_to_dispatch.add(up.view.group)
 
 
 def on_conn_closed(state: ProxyState, event: ConnClosed) -> None:
@@ -132,15 +142,15 @@
         return
     up = state.upstreams[conn.upstream]
     if not conn.opened:
-        _note_open_failure(state, up)
-    _forget_conn(state, conn, 'connection_lost')
+        _record_open_failure(state, up)
+    _remove_conn(state, conn, 'connection_lost')
 
 
-def _note_open_failure(state: ProxyState, up: Upstream) -> None:
+def _record_open_failure(state: ProxyState, up: Upstream) -> None:
     up.open_failures += 1
-    pause = backoff_ms(up.open_failures, state.rng)
-    up.next_open_ms = state.now_ms + pause
-    schedule_pump(state, up.view.group, up.next_open_ms)
+    delay_ms = backoff_ms(up.open_failures, state.rng)
+    up.next_open_ms = state.now_ms + delay_ms
+    schedule_dispatch(state, up.view.group, up.next_open_ms)
 
 
 def start_frame(
@@ -150,21 +160,21 @@
     messages: Sequence[Any],
     timeout_ms: float,
 ) -> None:
-    """Send one frame and watch for its answers.
+    """Send one frame and set the deadline for its first answer.
 
     Parameters
     ----------
     requests : sequence of Request
-        Requests of the frame, their `exec_id` and `term` already set.
+        Requests of the frame, with `exec_id` and `term` set.
     messages : sequence
         One message for each request.
     timeout_ms : float
-        Longest timeout stated in the messages, in milliseconds.
+        Longest timeout of the messages, in milliseconds.
     """
     up = state.upstreams[conn.upstream]
     up.outstanding += 1
-    conn.in_frame = True
-    conn.turn_ms = state.now_ms
+    conn.frame_outstanding = True
+    conn.last_activity_ms = state.now_ms
     for req in requests:
         req.phase = 'running'
         req.upstream_conn = conn.conn
@@ -172,172 +182,176 @@
         conn.running[req.exec_id] = req
     for message in messages:
         send(state, conn.conn, message)
-    watch_frame(state, conn, timeout_ms)
+    set_answer_deadline(state, conn, timeout_ms)
 
 
-def watch_frame(
+def set_answer_deadline(
     state: ProxyState, conn: UpstreamConn, timeout_ms: float
 ) -> None:
-    """Call a connection silent if no answer comes in time."""
-    conn.deadline_ms = state.now_ms + timeout_ms + SILENT_MARGIN_MS
-    if conn.deadline_ms < conn.watch_due_ms:
-        conn.watch_due_ms = conn.deadline_ms
-        schedule(state, conn.deadline_ms, 'frame', conn.conn)
+    """Set the time after which a connection without an answer is silent."""
+    conn.answer_due_ms = state.now_ms + timeout_ms + ANSWER_GRACE_MS
+    if conn.answer_due_ms < conn.check_due_ms:
+        conn.check_due_ms = conn.answer_due_ms
+        schedule(state, conn.answer_due_ms, 'frame', conn.conn)
 
 
-def check_frame(state: ProxyState, conn_id: int) -> None:
+def check_answer_deadline(state: ProxyState, conn_id: int) -> None:
     """Drop a connection whose answer is overdue."""
     conn = state.conns.get(conn_id)
-    if conn is None or conn.watch_due_ms > state.now_ms:
+    if conn is None or conn.check_due_ms > state.now_ms:
         return
-    conn.watch_due_ms = math.inf
+    conn.check_due_ms = math.inf
     if not conn.running:
         return
-    if conn.deadline_ms > state.now_ms:
-        conn.watch_due_ms = conn.deadline_ms
-        schedule(state, conn.deadline_ms, 'frame', conn_id)
+    if conn.answer_due_ms > state.now_ms:
+        conn.check_due_ms = conn.answer_due_ms
+        schedule(state, conn.answer_due_ms, 'frame', conn_id)
         return
     count(state, 'silent_connections')
     drop_conn(state, conn, 'silent')
 
 
 def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
-    """Return how long an attempt may run."""
-    left = req.due_ms - state.now_ms
-    if left >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
+    """Return how long an attempt may run, in milliseconds."""
+    remaining_ms = req.due_ms - state.now_ms
+    if remaining_ms >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
         if not isinstance(req.message, Begin):
-            left -= RETRY_ROOM_MS
-    return max(1, min(int(left), state.cfg.max_statement_ms))
+            remaining_ms -= RETRY_RESERVE_MS
+    return max(1, min(int(remaining_ms), state.cfg.max_statement_ms))
 
 
-def take_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
-    """Take a free connection together with a permit."""
-    if not up.idle or not state.permits.try_take(up.name):
+def acquire_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
+    """Acquire an idle connection and a permit; None without either."""
+    if not up.idle or not state.permits.try_acquire(up.name):
         return None
     conn = state.conns[up.idle.pop()]
-    conn.owns_permit = True
+    conn.holds_permit = True
     return conn
 
 
 def end_frame(state: ProxyState, conn: UpstreamConn) -> None:
-    """Free a connection whose frame is complete."""
+    """Make a connection idle once all its requests are answered."""
     if conn.running:
         return
-    conn.deadline_ms = math.inf
+    conn.answer_due_ms = math.inf
     up = state.upstreams[conn.upstream]
-    _leave_frame(up, conn)
-    if conn.condemned:
-        drop_conn(state, conn, 'a request was abandoned on it')
+    _clear_outstanding_frame(up, conn)
+    if conn.close_after_frame:
+        drop_conn(state, conn, 'request abandoned on this connection')
         return
     if conn.txn is None:
         release_permit(state, conn)
         up.idle.append(conn.conn)
-    state.dirty.add(up.view.group)
+    state.groups_to_dispatch.add(up.view.group)
 
 
-def _leave_frame(up: Upstream, conn: UpstreamConn) -> None:
-    if conn.in_frame:
-        conn.in_frame = False
+def _clear_outstanding_frame(up: Upstream, conn: UpstreamConn) -> None:
+    if conn.frame_outstanding:
+        conn.frame_outstanding = False
         up.outstanding -= 1
 
 
 def release_permit(state: ProxyState, conn: UpstreamConn) -> None:
-    """End the use of a connection's permit."""
-    if not conn.owns_permit:
+    """Release the permit of a connection."""
+    if not conn.holds_permit:
         return
-    conn.owns_permit = False
+    conn.holds_permit = False
     up = state.upstreams[conn.upstream]
     state.permits.release(up.name)
-    return_owed(state, up.name)
-    watch_idle_permits(state, up)
+    return_recalled_permits(state, up.name)
+    schedule_idle_permit_check(state, up)
 
 
-def _release_lost_permit(state: ProxyState, conn: UpstreamConn) -> None:
-    """End the use of a lost connection's permit once its slot is free.
+def _release_permit_once_slot_is_free(
+    state: ProxyState, conn: UpstreamConn
+) -> None:
+    """Release a lost connection's permit once the upstream's slot is free.
 
-    The upstream may run an abandoned statement up to its timeout, and it
-    rolls back a transaction only when it notices the loss. Another
+    The upstream may run an abandoned statement until its timeout, and it
+    rolls back a transaction only when it detects the loss. Another
     statement sent before that would exceed its slots.
     """
-    if not conn.owns_permit:
+    if not conn.holds_permit:
         return
-    due_ms = state.now_ms + SILENT_MARGIN_MS
-    if conn.in_frame:
-        due_ms = conn.deadline_ms
+    due_ms = state.now_ms + ANSWER_GRACE_MS
+    if conn.frame_outstanding:
+        due_ms = conn.answer_due_ms
     if due_ms <= state.now_ms:
         release_permit(state, conn)
         return
-    conn.owns_permit = False
+    conn.holds_permit = False
     schedule(state, due_ms, 'lost_permit', conn.upstream)
 
 
-def end_lost_permit(state: ProxyState, name: str) -> None:
-    """End the use of a permit whose connection was lost earlier."""
+def release_lost_permit(state: ProxyState, name: str) -> None:
+    """Release a permit whose connection was lost earlier."""
     up = state.upstreams.get(name)
     if up is None or not state.permits.account(name).in_use:
         return
     state.permits.release(name)
-    return_owed(state, name)
-    watch_idle_permits(state, up)
-    state.dirty.add(up.view.group)
+    return_recalled_permits(state, name)
+    schedule_idle_permit_check(state, up)
+    state.groups_to_dispatch.add(up.view.group)
 
 
-def return_owed(state: ProxyState, name: str) -> None:
-    """Give recalled permits back once they are not in use."""
-    if state.leader and state.permits.account(name).recalled:
-        return_permits(state, name, state.permits.take_owed(name))
+def return_recalled_permits(state: ProxyState, name: str) -> None:
+    """Return recalled permits that are not in use."""
+    if state.leader_conn and state.permits.account(name).recalled:
+        return_permits(state, name, state.permits.return_recalled(name))
 
 
 def return_permits(state: ProxyState, name: str, number: int) -> None:
-    """Tell the control leader of permits given back."""
+    """Notify the control leader of returned permits."""
     if number:
         message = PermitReturn(upstream=name, count=number)
-        send(state, state.leader, message)
+        send(state, state.leader_conn, message)
 
 
-def watch_idle_permits(state: ProxyState, up: Upstream) -> None:
-    """Check soon whether permits stay idle."""
-    if not up.permit_check:
-        up.permit_check = True
-        schedule(state, state.now_ms + IDLE_RETURN_MS, 'permits', up.name)
+def schedule_idle_permit_check(state: ProxyState, up: Upstream) -> None:
+    """Schedule a check for idle permits, unless one is scheduled."""
+    if not up.permit_check_scheduled:
+        up.permit_check_scheduled = True
+        schedule(
+            state, state.now_ms + IDLE_CHECK_INTERVAL_MS, 'permits', up.name
+        )
 
 
 def check_idle_permits(state: ProxyState, name: str) -> None:
-    """Give back permits that were idle since the last check."""
+    """Return permits that have been idle since the last check."""
     up = state.upstreams.get(name)
     if up is None:
         return
-    up.permit_check = False
+    up.permit_check_scheduled = False
     account = state.permits.account(name)
-    if up.opening or not state.leader:
-        # They are about to be used by requests that wait for a connection,
-        # or there is no leader to be told.
-        watch_idle_permits(state, up)
+    if up.opening or not state.leader_conn:
+        # Requests that wait for an opening connection need the permits, or
+        # there is no leader to notify.
+        schedule_idle_permit_check(state, up)
         return
-    back = state.permits.take_idle(name)
-    if back:
-        return_permits(state, name, back)
+    returned = state.permits.return_idle(name)
+    if returned:
+        return_permits(state, name, returned)
         account.stated = account.held
         demand = PermitDemand(upstream=name, wanted=account.held)
-        send(state, state.leader, demand)
+        send(state, state.leader_conn, demand)
     if account.idle > 0:
-        watch_idle_permits(state, up)
+        schedule_idle_permit_check(state, up)
 
 
-def abandon(state: ProxyState, req: Request, code: str) -> None:
-    """Answer a running request without its result.
+def abandon_request(state: ProxyState, req: Request, code: str) -> None:
+    """Answer a running request as unknown, without its result.
 
-    Its connection takes no other work: a late answer must never meet a
-    request of somebody else.
+    Its connection is not used for other requests: a late answer must never
+    reach another request.
     """
     conn = state.conns.get(req.upstream_conn)
     finish_error(state, req, 'unknown', code)
     if conn is None or conn.running.get(req.exec_id) is not req:
         return
     del conn.running[req.exec_id]
-    conn.condemned = True
+    conn.close_after_frame = True
     if conn.txn is not None or not conn.running:
-        drop_conn(state, conn, 'a request was abandoned on it')
+        drop_conn(state, conn, 'request abandoned on this connection')
 
 
 def drop_conn(
@@ -346,12 +360,20 @@
     reason: str,
     code: str = 'connection_lost',
 ) -> None:
-    """Close a statement connection and handle what ran on it."""
+    """Close a statement connection and retry or fail its requests.
+
+    Parameters
+    ----------
+    reason : str
+        Reason for closing.
+    code : str
+        Error code for the requests on the connection.
+    """
     close(state, conn.conn, reason, abort=True)
-    _forget_conn(state, conn, code)
+    _remove_conn(state, conn, code)
 
 
-def _forget_conn(state: ProxyState, conn: UpstreamConn, code: str) -> None:
+def _remove_conn(state: ProxyState, conn: UpstreamConn, code: str) -> None:
     up = state.upstreams[conn.upstream]
     del state.conns[conn.conn]
     up.conns.discard(conn.conn)
@@ -361,12 +383,12 @@
         up.idle.remove(conn.conn)
     running = list(conn.running.values())
     conn.running.clear()
-    _release_lost_permit(state, conn)
-    _leave_frame(up, conn)
+    _release_permit_once_slot_is_free(state, conn)
+    _clear_outstanding_frame(up, conn)
     for req in running:
         if req.phase == 'running':
-            lose_attempt(state, req, code)
+            retry_or_fail(state, req, code)
     if conn.txn is not None:
-        lose_transaction(state, conn.txn)
+        on_transaction_lost(state, conn.txn)
         conn.txn = None
-    state.dirty.add(up.view.group)
+    state.groups_to_dispatch.add(up.view.group)
--- a/jackdawpost/core/proxy/freshness.py
+++ b/jackdawpost/core/proxy/freshness.py
@@ -1,4 +1,4 @@
-"""Upper bound on the age of what a replica shows."""
+"""Upper bound on the age of the data that a replica shows."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 
 class FreshnessTracker:
-    """Samples of the primary's position, each with its sent time.
+    """Samples of the primary's position, each with the time of its probe.
 
-    A sample (sent time, position) means that a replica which has applied
-    the position shows everything committed up to the sent time. Leaving
-    out samples is safe: ages are then overestimated.
+    A sample (send time, position) means that a replica which has applied
+    the position shows everything committed up to the send time. Dropping
+    samples is safe: ages are then overestimated.
 
     Parameters
     ----------
@@ -23,26 +23,26 @@
         Current term of the group; samples of other terms do not count.
     """
 
-    __slots__ = ('term', '_sent', '_positions')
+    __slots__ = ('term', '_sent_ms', '_positions')
 
     def __init__(self, term: int = 0) -> None:
         self.term = term
-        self._sent: list[float] = []
+        self._sent_ms: list[float] = []
         self._positions: list[LogPosition] = []
 
     def __len__(self) -> int:
-        return len(self._sent)
+        return len(self._sent_ms)
 
     def reset(self, term: int) -> None:
-        """Forget all samples and start on another term."""
+        """Drop all samples and start another term."""
         self.term = term
-        self._sent.clear()
+        self._sent_ms.clear()
         self._positions.clear()
 
-    def note_sample(
+    def record_sample(
         self, sent_ms: float, term: int, position: LogPosition
     ) -> bool:
-        """Add the primary's answer to a probe.
+        """Record the primary's answer to a probe.
 
         Parameters
         ----------
@@ -56,49 +56,49 @@
         Returns
         -------
         bool
-            False if the sample does not count: another term, or older
-            than the newest sample.
+            False if the sample is ignored: it has another term, or is
+            older than the newest sample.
         """
         if term != self.term:
             return False
-        if self._sent and sent_ms <= self._sent[-1]:
+        if self._sent_ms and sent_ms <= self._sent_ms[-1]:
             return False
         if self._positions and position < self._positions[-1]:
             return False
         if self._positions and position == self._positions[-1]:
-            self._sent[-1] = sent_ms
+            self._sent_ms[-1] = sent_ms
             return True
-        self._sent.append(sent_ms)
+        self._sent_ms.append(sent_ms)
         self._positions.append(position)
-        if len(self._sent) > MAX_SAMPLES:
+        if len(self._sent_ms) > MAX_SAMPLES:
             self._thin_out()
         return True
 
     def age_ms(self, applied: LogPosition, now_ms: float) -> float | None:
-        """Return the bound on the age of data at `applied`.
+        """Return an upper bound on the age of the data at a position.
 
         Parameters
         ----------
         applied : LogPosition
-            Position applied by the replica in the current term.
+            Position that the replica has applied in the current term.
         now_ms : float
             Present time, in milliseconds.
 
         Returns
         -------
         float or None
-            Age in milliseconds, never below zero; None if unknown, which
-            callers must treat as too old.
+            Age in milliseconds, at least zero; None if unknown, which must
+            be treated as too old.
         """
         at = bisect_right(self._positions, applied) - 1
         if at < 0:
             return None
-        return max(0.0, now_ms - self._sent[at])
+        return max(0.0, now_ms - self._sent_ms[at])
 
     def required_position(
         self, max_age_ms: float, now_ms: float
     ) -> LogPosition | None:
-        """Return what a replica must have applied for an accepted age.
+        """Return the position a replica needs for an accepted age.
 
         Parameters
         ----------
@@ -110,31 +110,31 @@
         Returns
         -------
         LogPosition or None
-            None if no sample is young enough.
+            None if no sample is recent enough.
         """
-        at = bisect_left(self._sent, now_ms - max_age_ms)
-        if at == len(self._sent):
+        at = bisect_left(self._sent_ms, now_ms - max_age_ms)
+        if at == len(self._sent_ms):
             return None
         return self._positions[at]
 
     def reached_ms(self, position: LogPosition) -> float | None:
-        """Return by when the primary had reached a position.
+        """Return a time by which the primary had reached a position.
 
         Parameters
         ----------
         position : LogPosition
-            Position to look for.
+            Position in the history of the current term.
 
         Returns
         -------
         float or None
-            Sent time of the first sample at or after it, in milliseconds;
-            None if no sample has got there.
+            Send time of the first sample at or after the position, in
+            milliseconds; None if there is no such sample.
         """
         at = bisect_left(self._positions, position)
-        return self._sent[at] if at < len(self._sent) else None
+        return self._sent_ms[at] if at < len(self._sent_ms) else None
 
     def _thin_out(self) -> None:
-        half = len(self._sent) // 2
-        del self._sent[1:half:2]
+        half = len(self._sent_ms) // 2
+        del self._sent_ms[1:half:2]
         del self._positions[1:half:2]
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -1,4 +1,4 @@
-"""Monitor connections: probes, progress, evidence of failures."""
+"""Monitor connections to upstreams: probes, progress, failure detection."""
 
 from __future__ import annotations
 
@@ -10,32 +10,33 @@
 from jackdawpost.core.messages.upstream import Progress
 from jackdawpost.core.outbox import count
 from jackdawpost.core.outbox import log
-from jackdawpost.core.proxy.answers import answer_copied
+from jackdawpost.core.proxy.answers import answer_replicated_writes
 from jackdawpost.core.proxy.control import send_report
 from jackdawpost.core.proxy.state import close
 from jackdawpost.core.proxy.state import Group
 from jackdawpost.core.proxy.state import holds_lease
-from jackdawpost.core.proxy.state import new_conn
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_conn_id
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import schedule
 from jackdawpost.core.proxy.state import send
 from jackdawpost.core.proxy.state import Upstream
 from jackdawpost.core.retry import backoff_ms
 
-# One failure may be the connection's own; a second connection tells.
-FAILURES_FOR_EVIDENCE = 2
+# The first failure may concern only that connection; a second connection
+# shows whether the upstream has failed.
+FAILURES_BEFORE_EVIDENCE = 2
 
 
 def open_monitor(state: ProxyState, up: Upstream) -> None:
-    """Open a monitor connection in place of any earlier one."""
+    """Open a monitor connection, replacing any earlier one."""
     if up.monitor:
-        state.monitors.pop(up.monitor, None)
+        state.monitor_conns.pop(up.monitor, None)
         close(state, up.monitor, 'replaced', abort=True)
-    up.monitor = new_conn(state)
+    up.monitor = new_conn_id(state)
     up.monitor_open = False
     up.probes.clear()
-    state.monitors[up.monitor] = up.name
+    state.monitor_conns[up.monitor] = up.name
     state.outbox.append(
         Connect(
             conn=up.monitor,
@@ -50,59 +51,61 @@
 
 def on_monitor_opened(state: ProxyState, event: ConnOpened) -> None:
     """Start probing on a new monitor connection."""
-    up = _watched(state, event.conn)
+    up = _monitored_upstream(state, event.conn)
     if up is None:
-        close(state, event.conn, 'not wanted any more')
+        close(state, event.conn, 'connection no longer needed')
         return
     if event.data_id != up.view.data_id:
         log(state, 'warning', 'other_data', upstream=up.name)
-        _fail_monitor(state, up, 'refused')
+        _on_monitor_failure(state, up, 'refused')
         return
     up.monitor_open = True
-    _probe(state, up)
+    _send_probe(state, up)
 
 
 def on_monitor_closed(state: ProxyState, event: ConnClosed) -> None:
-    """Reconnect, or report the upstream once that fails as well."""
-    up = _watched(state, event.conn)
+    """Reconnect; report the upstream if the second connection fails too."""
+    up = _monitored_upstream(state, event.conn)
     if up is None:
         return
-    state.monitors.pop(event.conn)
+    state.monitor_conns.pop(event.conn)
     up.monitor = 0
     evidence = 'silent' if event.reason == 'timeout' else 'refused'
-    _fail_monitor(state, up, evidence)
+    _on_monitor_failure(state, up, evidence)
 
 
-def _watched(state: ProxyState, conn: int) -> Upstream | None:
-    name = state.monitors.get(conn)
+def _monitored_upstream(state: ProxyState, conn: int) -> Upstream | None:
+    name = state.monitor_conns.get(conn)
     return None if name is None else state.upstreams.get(name)
 
 
-def _fail_monitor(state: ProxyState, up: Upstream, evidence: str) -> None:
+def _on_monitor_failure(
+    state: ProxyState, up: Upstream, evidence: str
+) -> None:
     up.failures += 1
     up.monitor_open = False
-    if up.failures >= FAILURES_FOR_EVIDENCE:
+    if up.failures >= FAILURES_BEFORE_EVIDENCE:
         set_evidence(state, up, evidence)
         if up.monitor:
-            state.monitors.pop(up.monitor)
+            state.monitor_conns.pop(up.monitor)
             close(state, up.monitor, 'failed', abort=True)
             up.monitor = 0
-        pause = state.cfg.probe_interval_ms / 2
-        pause += backoff_ms(1, state.rng)
-        schedule(state, state.now_ms + pause, 'monitor', up.name)
+        delay_ms = state.cfg.probe_interval_ms / 2
+        delay_ms += backoff_ms(1, state.rng)
+        schedule(state, state.now_ms + delay_ms, 'monitor', up.name)
     else:
         open_monitor(state, up)
 
 
 def reopen_monitor(state: ProxyState, name: str) -> None:
-    """Open a monitor connection again after a pause."""
+    """Open a monitor connection again after a back-off."""
     up = state.upstreams.get(name)
     if up is not None and not up.monitor:
         open_monitor(state, up)
 
 
 def on_probe_due(state: ProxyState, name: str) -> None:
-    """Send the next probe, or give up a silent connection."""
+    """Send the next probe, or drop a silent connection."""
     up = state.upstreams.get(name)
     if up is None:
         return
@@ -111,21 +114,24 @@
         return
     oldest = next(iter(up.probes.values()), state.now_ms)
     if state.now_ms - oldest < state.cfg.probe_timeout_ms:
-        _probe(state, up)
+        _send_probe(state, up)
         return
     count(state, 'monitor_silent')
-    _fail_monitor(state, up, 'silent')
+    _on_monitor_failure(state, up, 'silent')
 
 
 def probe_for_sample(state: ProxyState, name: str) -> None:
-    """Probe at once in a new term, so that replicas soon serve again."""
+    """Probe at once in a new term.
+
+    Replicas serve reads only after the first sample of the term.
+    """
     up = state.upstreams.get(name)
     if up is not None and up.monitor_open:
-        _probe(state, up)
+        _send_probe(state, up)
 
 
-def _probe(state: ProxyState, up: Upstream) -> None:
-    probe_id = new_serial(state)
+def _send_probe(state: ProxyState, up: Upstream) -> None:
+    probe_id = new_id(state)
     up.probes[probe_id] = state.now_ms
     send(state, up.monitor, Probe(id=probe_id))
 
@@ -133,8 +139,8 @@
 def on_monitor_message(
     state: ProxyState, conn: int, message: Probed | Progress
 ) -> None:
-    """Take over what an upstream reports of itself."""
-    up = _watched(state, conn)
+    """Record what an upstream reports about itself."""
+    up = _monitored_upstream(state, conn)
     if up is None or not up.monitor_open:
         return
     group = state.groups.get(up.view.group)
@@ -143,64 +149,67 @@
         sent_ms = up.probes.pop(message.id, None)
         if sent_ms is None:
             return
-        _forget_earlier_probes(up, message.id)
+        _drop_earlier_probes(up, message.id)
         up.failures = 0
         set_evidence(state, up, 'up')
     up.term = message.term
     up.leads = message.leads
     up.received = message.received
     up.applied = message.applied
-    _note_leaving(state, up, message.leaving)
+    _update_leaving(state, up, message.leaving)
     if group is None:
         return
     if up.name != group.view.primary:
-        _note_lag(state, group, up)
-        answer_copied(state, group)
+        _update_lag(state, group, up)
+        answer_replicated_writes(state, group)
     elif sent_ms is not None and message.leads:
-        _note_sample(state, group, up, sent_ms)
+        _record_sample(state, group, up, sent_ms)
     if len(group.queue):
-        state.dirty.add(group.name)
+        state.groups_to_dispatch.add(group.name)
 
 
-def _forget_earlier_probes(up: Upstream, probe_id: int) -> None:
-    # Probes are answered in order, so earlier ones get no answer any more.
+def _drop_earlier_probes(up: Upstream, probe_id: int) -> None:
+    # Probes are answered in order: earlier ones will not be answered.
     for earlier in [i for i in up.probes if i < probe_id]:
         del up.probes[earlier]
 
 
-def _note_sample(
+def _record_sample(
     state: ProxyState, group: Group, up: Upstream, sent_ms: float
 ) -> None:
-    # A primary that has been replaced still answers; the lease shows that
-    # no other one could commit before this answer arrived.
+    # A replaced primary may still answer. The lease proves that no other one
+    # could commit before this answer arrived.
     if holds_lease(state, group, up.term):
         position = max(up.received, up.applied)
-        group.freshness.note_sample(sent_ms, up.term, position)
+        group.freshness.record_sample(sent_ms, up.term, position)
 
 
-def _note_lag(state: ProxyState, group: Group, up: Upstream) -> None:
+def _update_lag(state: ProxyState, group: Group, up: Upstream) -> None:
     if up.term != group.view.term:
         return
     age_ms = group.freshness.age_ms(up.applied, state.now_ms)
     if age_ms is not None:
-        # Between two samples the age overstates the lag by up to a probe
+        # Between two samples the age exceeds the lag by up to one probe
         # interval.
         up.lag_ms = max(0.0, age_ms - state.cfg.probe_interval_ms)
 
 
-def _note_leaving(state: ProxyState, up: Upstream, leaving: bool) -> None:
+def _update_leaving(state: ProxyState, up: Upstream, leaving: bool) -> None:
     up.reported_leaving = leaving
     up.leaving = leaving or up.view.leaving
 
 
 def set_evidence(state: ProxyState, up: Upstream, evidence: str) -> None:
-    """Note a finding about an upstream; a change is reported at once."""
+    """Record the reachability of an upstream; report a change at once.
+
+    A change to 'up' starts the slow start of a recovered upstream.
+    """
     if up.evidence == evidence:
         return
     log(state, 'info', 'evidence', upstream=up.name, evidence=evidence)
     if evidence == 'up' and up.was_down:
-        up.returned_ms = state.now_ms
+        up.recovered_ms = state.now_ms
     up.was_down = evidence != 'up'
     up.evidence = evidence
-    state.dirty.add(up.view.group)
+    state.groups_to_dispatch.add(up.view.group)
     send_report(state)
--- a/jackdawpost/core/proxy/sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -1,4 +1,4 @@
-"""What all ways of sending queued requests share."""
+"""Helpers for sending queued requests to primaries and replicas."""
 
 from __future__ import annotations
 
@@ -8,22 +8,26 @@
 from jackdawpost.core.positions import ZERO_POSITION
 from jackdawpost.core.proxy.answers import finish_error
 from jackdawpost.core.proxy.conns import attempt_timeout_ms
-from jackdawpost.core.proxy.conns import MAX_BATCH
+from jackdawpost.core.proxy.conns import MAX_BATCH_STATEMENTS
 from jackdawpost.core.proxy.state import Group
-from jackdawpost.core.proxy.state import new_serial
+from jackdawpost.core.proxy.state import new_id
 from jackdawpost.core.proxy.state import ProxyState
 from jackdawpost.core.proxy.state import Request
 
 
-def refuse_late(state: ProxyState, group: Group, req: Request) -> bool:
-    """Refuse a request that waited until too little time is left to run.
+def refuse_if_too_late(state: ProxyState, group: Group, req: Request) -> bool:
+    """Refuse a request that has too little time left to run.
 
     Under overload it would occupy a slot for an answer that comes too late,
-    and cost its connection. One that has not waited for long is always
-    tried, or an estimate that is too high would never be corrected.
+    and its connection would be closed. A request that has waited for less
+    time than it has left is always tried: otherwise a service time that is
+    estimated too high would never be corrected.
     """
-    left_ms = req.due_ms - state.now_ms
-    if left_ms > group.service_ms or left_ms > state.now_ms - req.arrived_ms:
+    remaining_ms = req.due_ms - state.now_ms
+    if (
+        remaining_ms > group.mean_service_ms
+        or remaining_ms > state.now_ms - req.arrived_ms
+    ):
         return False
     group.queue.remove(req)
     finish_error(state, req, 'not_run', 'deadline')
@@ -31,21 +35,29 @@
 
 
 def batch_size(waiting: int, free: int) -> int:
-    """Return how many statements share a frame, given free frames."""
-    return min(MAX_BATCH, -(-waiting // max(1, free)))
+    """Return how many of the waiting statements to send in one frame.
+
+    Parameters
+    ----------
+    waiting : int
+        Queued statements.
+    free : int
+        Frames that can be sent now.
+    """
+    return min(MAX_BATCH_STATEMENTS, -(-waiting // max(1, free)))
 
 
-def to_execute(
+def build_execute(
     state: ProxyState,
     group: Group,
     req: Request,
     must_lead: bool,
     fresh_after: LogPosition | None = None,
 ) -> Execute:
-    """Return the message of a new attempt, and number the attempt."""
+    """Build the message of a new attempt; sets its id and its term."""
     message = req.message
     assert isinstance(message, Statement)
-    req.exec_id = new_serial(state)
+    req.exec_id = new_id(state)
     req.term = group.view.term
     return Execute(
         id=req.exec_id,
--- a/jackdawpost/testing/fake_proxy_world.py
+++ b/jackdawpost/testing/proxy_simulation.py
@@ -1,4 +1,7 @@
-"""Control, upstreams and callers around a proxy's reducer, for tests."""
+"""Simulated control, upstreams and callers around a proxy's reducer.
+
+Time is simulated as well; nothing is sent over a network.
+"""
 
 from __future__ import annotations
 
@@ -40,11 +43,22 @@
 DATABASES = ('db-1', 'db-2', 'db-3')
 CONTROL_CONN = 1
 LEASE_MS = 1_500
-OPENING = 'opening:'
+OPENING_TIMER_PREFIX = 'opening:'
 
 
 class FakeUpstream:
-    """What a database of the group reports of itself."""
+    """Simulated database of the group.
+
+    Attributes
+    ----------
+    position : LogPosition
+        Received and applied position that it reports.
+    reachable : str
+        ``'yes'``, ``'refused'`` (refuses connections) or ``'silent'``
+        (connections time out).
+    answers_probes : bool
+        Probes are answered.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -56,22 +70,40 @@
         self.answers_probes = True
 
 
-class ProxyWorld:
-    """A proxy among fakes that answer at once unless told otherwise.
+class ProxySimulation:
+    """Proxy with simulated control and upstreams.
+
+    Control and monitor connections are answered at once, unless configured
+    otherwise. Statements are answered by the test.
 
     Parameters
     ----------
+    write_copies : int
+        Databases that must hold a write before it is acknowledged.
     overrides : dict
-        Fields of `ProxyConfig` and of the published group that differ.
+        Fields of `ProxyConfig` that differ from the defaults.
 
     Attributes
     ----------
-    work : list of (int, message)
-        Statements sent to upstreams, by connection, not yet answered.
+    conn_upstreams : dict of int to str
+        Upstream of each open connection to an upstream.
+    conn_purposes : dict of int to str
+        Purpose of each connection to an upstream.
+    statements : list of (int, message)
+        Connection and message of each statement that was sent to an
+        upstream and not yet answered.
     answers : dict of int to list
         Messages received by each caller.
     control_sent : list
         Messages received by control, in order.
+    control_conn : int
+        Connection to the control process that was opened last.
+    control_answers : bool
+        Control answers reports.
+    grants_permits : bool
+        Control grants requested permits.
+    database_set : sequence of str
+        Databases in the published database set of the group.
     reduce : callable
         The reducer; replaced to measure it.
     """
@@ -89,29 +121,29 @@
         self.reduce = reduce_proxy
         self.now_ms = 1_000.0
         self.upstreams = {name: FakeUpstream(name) for name in DATABASES}
-        self.conn_names: dict[int, str] = {}
-        self.purposes: dict[int, str] = {}
-        self.work: list[tuple[int, Any]] = []
+        self.conn_upstreams: dict[int, str] = {}
+        self.conn_purposes: dict[int, str] = {}
+        self.statements: list[tuple[int, Any]] = []
         self.answers: dict[int, list[Any]] = {}
         self.control_sent: list[Any] = []
-        self.closed: list[int] = []
+        self.closed_conns: list[int] = []
         self.timers: dict[str, float] = {}
         self.stopped = False
-        self.control = CONTROL_CONN
+        self.control_conn = CONTROL_CONN
         self.control_answers = True
-        self.lends = True
-        self.lent: dict[str, int] = {}
+        self.grants_permits = True
+        self.granted_permits: dict[str, int] = {}
         self.term = 1
         self.version = 0
         self.write_copies = write_copies
-        self.counted = DATABASES
+        self.database_set = DATABASES
         self._events: deque[Event] = deque()
         self._next_caller = 100
         self.state, effects = new_proxy(cfg, Random(1), self.now_ms)
         self._perform(effects)
 
     def start(self) -> None:
-        """Join, publish one group of three databases, and warm up."""
+        """Join, publish one group of three databases, and open connections."""
         self.open_control(CONTROL_CONN)
         self.publish()
         self.advance(250)
@@ -119,7 +151,7 @@
 
     def open_control(self, conn: int) -> None:
         """Open a link to a control process."""
-        self.control = conn
+        self.control_conn = conn
         self.feed(
             ConnOpened(
                 now_ms=self.now_ms, conn=conn, link='proxy', peer=f'c{conn}'
@@ -127,7 +159,7 @@
         )
 
     def publish(self, primary: str | None = 'db-1', **upstream: Any) -> None:
-        """Publish the whole state with `term` and a primary."""
+        """Publish the whole state with the current term and a primary."""
         self.version += 1
         group = {
             'name': GROUP,
@@ -136,7 +168,9 @@
             'replica_wait_ms': 50,
             'term': self.term,
             'primary': primary,
-            'database_set': {name: f'data-{name}' for name in self.counted},
+            'database_set': {
+                name: f'data-{name}' for name in self.database_set
+            },
         }
         items = [
             PublishedObject(type='group', name=GROUP, body=group),
@@ -163,14 +197,14 @@
             items.append(
                 PublishedObject(type='upstream', name=name, body=body)
             )
-        self.from_control(
+        self.deliver_from_control(
             StateUpdate(
                 from_version=0, version=self.version, upserts=items, full=True
             )
         )
 
     def promote(self, name: str, publish: bool = True) -> None:
-        """Make another database primary of the next term."""
+        """Make another database the primary of the next term."""
         self.term += 1
         for up in self.upstreams.values():
             up.leads = up.name == name
@@ -178,14 +212,14 @@
         if publish:
             self.publish(primary=name)
 
-    def from_control(self, message: Any, conn: int = 0) -> None:
-        """Deliver a message of a control process, by default the last."""
-        sender = conn or self.control
+    def deliver_from_control(self, message: Any, conn: int = 0) -> None:
+        """Deliver a message from control, by default on the newest link."""
+        sender = conn or self.control_conn
         self.feed(
             Received(now_ms=self.now_ms, conn=sender, messages=[message])
         )
 
-    def caller(self) -> int:
+    def connect_caller(self) -> int:
         """Connect a caller."""
         self._next_caller += 1
         conn = self._next_caller
@@ -193,7 +227,7 @@
         self.feed(ConnOpened(now_ms=self.now_ms, conn=conn, link='caller'))
         return conn
 
-    def ask(self, conn: int, *messages: Any) -> None:
+    def send_requests(self, conn: int, *messages: Any) -> None:
         """Send requests of a caller in one frame."""
         self.feed(
             Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
@@ -202,40 +236,40 @@
     def write(self, conn: int, request_id: int = 1, **fields: Any) -> None:
         """Send a write with a request key."""
         fields.setdefault('request_key', f'key-{request_id}')
-        self.ask(conn, _statement(request_id, 'write', **fields))
+        self.send_requests(conn, _statement(request_id, 'write', **fields))
 
     def read(self, conn: int, request_id: int = 1, **fields: Any) -> None:
         """Send a read."""
-        self.ask(conn, _statement(request_id, 'read', **fields))
+        self.send_requests(conn, _statement(request_id, 'read', **fields))
 
-    def answer(self, conn: int) -> Answer:
-        """Return the only message that a caller received, and forget it."""
+    def pop_answer(self, conn: int) -> Answer:
+        """Remove and return the only message that a caller received."""
         messages = self.answers[conn]
         assert len(messages) == 1, messages
         return messages.pop()
 
-    def take(self) -> tuple[int, Any]:
-        """Return the only statement that an upstream got."""
-        assert len(self.work) == 1, self.work
-        return self.work.pop()
+    def pop_statement(self) -> tuple[int, Any]:
+        """Remove and return the only unanswered statement."""
+        assert len(self.statements) == 1, self.statements
+        return self.statements.pop()
 
     def reply(self, conn: int, message: Any, **fields: Any) -> None:
-        """Answer a statement as its upstream."""
+        """Answer a statement on behalf of its upstream."""
         fields.setdefault('status', 'done')
         fields.setdefault('term', self.term)
         executed = Executed(id=message.id, **fields)
         self.feed(Received(now_ms=self.now_ms, conn=conn, messages=[executed]))
 
     def refuse(self, conn: int, message: Any, code: str) -> None:
-        """Refuse a statement as its upstream."""
+        """Refuse a statement on behalf of its upstream."""
         self.reply(conn, message, status='not_run', code=code)
 
-    def move(self, position: LogPosition, *names: str) -> None:
-        """Let databases hold a position and report it."""
+    def report_position(self, position: LogPosition, *names: str) -> None:
+        """Set the position of databases and report it to the proxy."""
         for name in names or DATABASES:
             self.upstreams[name].position = position
-            for conn, owner in list(self.conn_names.items()):
-                if owner == name and self.purposes[conn] == 'monitor':
+            for conn, owner in list(self.conn_upstreams.items()):
+                if owner == name and self.conn_purposes[conn] == 'monitor':
                     self.feed(
                         Received(
                             now_ms=self.now_ms,
@@ -244,22 +278,24 @@
                         )
                     )
 
-    def cut(self, conn: int, reason: Any = 'closed') -> None:
-        """End a connection from the other side."""
-        self.conn_names.pop(conn, None)
+    def disconnect(self, conn: int, reason: Any = 'closed') -> None:
+        """Close a connection at its other end."""
+        self.conn_upstreams.pop(conn, None)
         self.feed(ConnClosed(now_ms=self.now_ms, conn=conn, reason=reason))
 
-    def fail(self, name: str, reachable: str = 'refused') -> None:
-        """Make an upstream refuse or swallow everything."""
+    def fail_upstream(self, name: str, reachable: str = 'refused') -> None:
+        """Make an upstream refuse connections, or stop answering."""
         up = self.upstreams[name]
         up.reachable = reachable
         up.answers_probes = False
         if reachable == 'refused':
-            for conn in [c for c, n in self.conn_names.items() if n == name]:
-                self.cut(conn)
+            for conn in [
+                c for c, n in self.conn_upstreams.items() if n == name
+            ]:
+                self.disconnect(conn)
 
     def advance(self, duration_ms: float) -> None:
-        """Let time pass and fire what is due on the way."""
+        """Let time pass and fire the timers that become due."""
         end_ms = self.now_ms + duration_ms
         while self.timers:
             key, due_ms = min(self.timers.items(), key=lambda item: item[1])
@@ -267,18 +303,20 @@
                 break
             del self.timers[key]
             self.now_ms = max(self.now_ms, due_ms)
-            if key.startswith(OPENING):
-                self.cut(int(key.removeprefix(OPENING)), 'timeout')
+            if key.startswith(OPENING_TIMER_PREFIX):
+                self.disconnect(
+                    int(key.removeprefix(OPENING_TIMER_PREFIX)), 'timeout'
+                )
             else:
                 self.feed(TimerFired(now_ms=self.now_ms, key=key))
         self.now_ms = end_ms
 
-    def freeze(self, duration_ms: float) -> None:
-        """Let time pass without any event, as in a frozen process."""
+    def suspend_process(self, duration_ms: float) -> None:
+        """Let time pass without any event, as in a suspended process."""
         self.now_ms += duration_ms
 
     def feed(self, event: Event) -> None:
-        """Deliver an event and perform what follows from it."""
+        """Deliver an event and carry out its effects."""
         self._events.append(event)
         if len(self._events) > 1:
             return
@@ -287,10 +325,10 @@
             self._perform(effects)
             self._events.popleft()
 
-    def conn_of(self, name: str, purpose: str = 'statements') -> int:
+    def find_conn(self, name: str, purpose: str = 'statements') -> int:
         """Return an open connection to an upstream."""
-        for conn, owner in self.conn_names.items():
-            if owner == name and self.purposes[conn] == purpose:
+        for conn, owner in self.conn_upstreams.items():
+            if owner == name and self.conn_purposes[conn] == purpose:
                 return conn
         raise LookupError(f'no {purpose} connection to {name!r}')
 
@@ -301,8 +339,8 @@
             elif isinstance(effect, Connect):
                 self._connect(effect)
             elif isinstance(effect, Close):
-                self.closed.append(effect.conn)
-                self.conn_names.pop(effect.conn, None)
+                self.closed_conns.append(effect.conn)
+                self.conn_upstreams.pop(effect.conn, None)
             elif isinstance(effect, Stop):
                 self.stopped = True
             elif isinstance(effect, Send):
@@ -310,7 +348,7 @@
                     self._deliver(effect.conn, message)
 
     def _connect(self, effect: Connect) -> None:
-        self.purposes[effect.conn] = effect.purpose
+        self.conn_purposes[effect.conn] = effect.purpose
         up = self.upstreams.get(effect.peer)
         if up is None or up.reachable == 'refused':
             self._events.append(
@@ -319,10 +357,10 @@
                 )
             )
         elif up.reachable == 'silent':
-            key = f'{OPENING}{effect.conn}'
+            key = f'{OPENING_TIMER_PREFIX}{effect.conn}'
             self.timers[key] = self.now_ms + effect.timeout_ms
         else:
-            self.conn_names[effect.conn] = up.name
+            self.conn_upstreams[effect.conn] = up.name
             self._events.append(
                 ConnOpened(
                     now_ms=self.now_ms,
@@ -339,16 +377,16 @@
             self.answers[conn].append(message)
         elif conn > 0:
             self.control_sent.append(message)
-            self._as_control(conn, message)
+            self._answer_as_control(conn, message)
         elif isinstance(message, Probe):
-            name = self.conn_names.get(conn)
+            name = self.conn_upstreams.get(conn)
             if name and self.upstreams[name].answers_probes:
                 probed = self._report(name, Probed, id=message.id)
-                self._later(conn, probed)
-        elif conn in self.conn_names:
-            self.work.append((conn, message))
+                self._enqueue_message(conn, probed)
+        elif conn in self.conn_upstreams:
+            self.statements.append((conn, message))
 
-    def _later(self, conn: int, message: Any) -> None:
+    def _enqueue_message(self, conn: int, message: Any) -> None:
         event = Received(now_ms=self.now_ms, conn=conn, messages=[message])
         self._events.append(event)
 
@@ -363,7 +401,7 @@
             **fields,
         )
 
-    def _as_control(self, conn: int, message: Any) -> None:
+    def _answer_as_control(self, conn: int, message: Any) -> None:
         if isinstance(message, ProxyReport) and self.control_answers:
             grant = LeaseGrant(
                 seq=message.seq,
@@ -372,13 +410,13 @@
                 version=self.version,
                 member_state='leaving' if message.draining else 'joined',
             )
-            self._later(conn, grant)
-        elif isinstance(message, PermitDemand) and self.lends:
+            self._enqueue_message(conn, grant)
+        elif isinstance(message, PermitDemand) and self.grants_permits:
             held = self.state.permits.account(message.upstream).held
             if message.wanted > held:
                 more = message.wanted - held
                 grant_more = PermitGrant(upstream=message.upstream, count=more)
-                self._later(conn, grant_more)
+                self._enqueue_message(conn, grant_more)
 
 
 def _statement(request_id: int, access: Any, **fields: Any) -> Statement:
