--- a/jackdawpost/core/pooler/__init__.py
+++ b/jackdawpost/core/pooler/__init__.py
@@ -1,7 +1,8 @@
-"""Session pooler: many caller sessions on few upstream connections.
+"""Session pooler: multiplexes caller sessions over few upstream connections.
 
-Unlike the proxy of `jackdawpost.core.proxy.reducer`, whose callers carry a
-session token from connection to connection, a session here is a connection.
-The pooler keeps the session's values and prepared statements, and replays
-them onto whichever upstream connection runs its next statement.
+In the proxy of `jackdawpost.core.proxy.reducer`, callers carry a session
+token from one connection to the next. In the pooler, a session is a single
+connection. The pooler stores the session values and the prepared statements
+of each session and replays them on the upstream connection that runs the
+session's next statement.
 """
--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -12,54 +12,56 @@
 from jackdawpost.core.outbox import observe
 from jackdawpost.core.outbox import send
 from jackdawpost.core.pooler.state import Answer
-from jackdawpost.core.pooler.state import group_of
+from jackdawpost.core.pooler.state import get_group
 from jackdawpost.core.pooler.state import PoolerState
-from jackdawpost.core.pooler.state import Work
+from jackdawpost.core.pooler.state import StatementTask
 
 
-def refuse(state: PoolerState, work: Work, code: str, text: str) -> None:
+def fail_statement(
+    state: PoolerState, task: StatementTask, code: str, text: str
+) -> None:
     """Answer a statement that is not going to succeed."""
-    session = work.session
-    if session is not None and work.in_txn and session.txn is not None:
+    session = task.session
+    if session is not None and task.in_txn and session.txn is not None:
         session.state = 'failed_txn'
     answer = Answer(code=code, text=text)
-    finish(state, work, answer, session.state if session else 'idle')
+    finish_statement(state, task, answer, session.state if session else 'idle')
 
 
-def unserved_code(work: Work) -> str:
+def expiry_code(task: StatementTask) -> str:
     """Return the code of a statement that no upstream took in time.
 
     ``'overloaded'`` promises that nothing has run.
     """
-    if work.in_txn or work.may_have_run:
+    if task.in_txn or task.may_have_run:
         return 'aborted'
     return 'overloaded'
 
 
-def finish(
-    state: PoolerState, work: Work, answer: Answer, end: SessionState
+def finish_statement(
+    state: PoolerState, task: StatementTask, answer: Answer, end: SessionState
 ) -> None:
     """Give a caller the answer to its statement."""
-    session = work.session
-    forget(state, work)
-    taken_ms = state.now_ms - work.arrived_ms
+    session = task.session
+    drop_task(state, task)
+    duration_ms = state.now_ms - task.arrived_ms
     outcome = answer.code or 'done'
     count(state, f'statements_{outcome}')
-    observe(state, f'statement_{work.endpoint.consistency}', taken_ms)
+    observe(state, f'statement_{task.endpoint.consistency}', duration_ms)
     if answer.code:
-        _log_failure(state, work, answer, taken_ms)
-    elif taken_ms > work.endpoint.objective_ms:
+        _log_failure(state, task, answer, duration_ms)
+    elif duration_ms > task.endpoint.objective_ms:
         log(
             state,
             'info',
             'statement_late',
-            request=work.req.id,
-            database=work.endpoint.database,
-            verb=work.req.verb,
-            attempts=work.attempts,
-            refusal=work.refusal,
-            waited_ms=round(work.sent_ms - work.arrived_ms),
-            taken_ms=round(taken_ms),
+            request=task.req.id,
+            database=task.endpoint.database,
+            verb=task.req.verb,
+            attempts=task.attempts,
+            refusal=task.refusal_code,
+            waited_ms=round(task.sent_ms - task.arrived_ms),
+            taken_ms=round(duration_ms),
         )
     if session is None:
         return
@@ -70,34 +72,34 @@
         result.append(Done(signature=answer.signature))
     ready = Ready(state=end, position=answer.position)
     send(state, session.conn, *result, ready)
-    session.work = None
+    session.task = None
     state.dirty.add(f'session/{session.conn}')
 
 
 def _log_failure(
-    state: PoolerState, work: Work, answer: Answer, taken_ms: float
+    state: PoolerState, task: StatementTask, answer: Answer, duration_ms: float
 ) -> None:
-    group = group_of(state, work.endpoint.group)
+    group = get_group(state, task.endpoint.group)
     log(
         state,
         'warning',
         'statement_failed',
-        request=work.req.id,
-        session=work.session.conn if work.session else None,
-        database=work.endpoint.database,
-        verb=work.req.verb,
-        in_txn=work.in_txn,
+        request=task.req.id,
+        session=task.session.conn if task.session else None,
+        database=task.endpoint.database,
+        verb=task.req.verb,
+        in_txn=task.in_txn,
         code=answer.code,
         detail=answer.text,
-        phase=work.phase,
-        attempts=work.attempts,
-        refusal=work.refusal,
+        phase=task.phase,
+        attempts=task.attempts,
+        refusal=task.refusal_code,
         primary=group.primary,
         config_version=state.published.version,
-        taken_ms=round(taken_ms),
+        taken_ms=round(duration_ms),
     )
 
 
-def forget(state: PoolerState, work: Work) -> None:
+def drop_task(state: PoolerState, task: StatementTask) -> None:
     """Drop a statement; a late answer to it is ignored."""
-    state.works.pop(work.number, None)
+    state.tasks.pop(task.number, None)
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -15,11 +15,11 @@
 from jackdawpost.core.messages.control import UpstreamReport
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
-from jackdawpost.core.pooler.connections import discard
+from jackdawpost.core.pooler.connections import close_upstream_conn
 from jackdawpost.core.pooler.connections import open_connection
 from jackdawpost.core.pooler.pools import sync_pools
-from jackdawpost.core.pooler.probes import ask_upstream
-from jackdawpost.core.pooler.sessions import open_held
+from jackdawpost.core.pooler.probes import forward_control_action
+from jackdawpost.core.pooler.sessions import open_waiting_sessions
 from jackdawpost.core.pooler.state import Newcomer
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
@@ -27,65 +27,75 @@
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import UpstreamView
 
-LEADER_SEARCH_MS = 150.0  # about one trip between regions and its answer
-LEADER_SILENT_MS = 1_000.0  # longer than an election under way answers
-APPROVAL_RETRY_MS = 300.0
+LEADER_SEARCH_INTERVAL_MS = (
+    150.0  # about one trip between regions and its answer
+)
+LEADER_ANSWER_TIMEOUT_MS = 1_000.0  # longer than an election under way answers
+APPROVAL_RETRY_INTERVAL_MS = 300.0
 MAX_APPROVAL_ATTEMPTS = 20
 
 
 def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
     """Introduce this pooler to a control process."""
-    state.controls[conn] = peer
+    state.control_conns[conn] = peer
     log(state, 'info', 'control_connected', peer=peer)
-    if not state.leader:
+    if not state.leader_conn:
         send_report(state)
 
 
 def on_control_closed(state: PoolerState, conn: int) -> None:
     """Look for another leader if this was its connection."""
-    peer = state.controls.pop(conn)
-    log(state, 'warning', 'control_lost', peer=peer, led=conn == state.leader)
-    if conn == state.leader:
-        lose_leader(state)
+    peer = state.control_conns.pop(conn)
+    log(
+        state,
+        'warning',
+        'control_lost',
+        peer=peer,
+        led=conn == state.leader_conn,
+    )
+    if conn == state.leader_conn:
+        search_leader(state)
 
 
-def lose_leader(state: PoolerState) -> None:
+def search_leader(state: PoolerState) -> None:
     """Ask every control process again."""
-    state.leader = 0
-    state.asked_ms = None
+    state.leader_conn = 0
+    state.unanswered_report_ms = None
     send_report(state)
-    schedule(state, 'report', state.now_ms + LEADER_SEARCH_MS)
+    schedule(state, 'report', state.now_ms + LEADER_SEARCH_INTERVAL_MS)
 
 
 def on_report_due(state: PoolerState) -> None:
     """Send the regular report; leave a leader that stopped answering."""
-    asked_ms = state.asked_ms
-    if state.leader and asked_ms is not None:
-        if state.now_ms - asked_ms >= LEADER_SILENT_MS:
+    unanswered_report_ms = state.unanswered_report_ms
+    if state.leader_conn and unanswered_report_ms is not None:
+        if state.now_ms - unanswered_report_ms >= LEADER_ANSWER_TIMEOUT_MS:
             log(
                 state,
                 'warning',
                 'leader_silent',
-                peer=state.controls.get(state.leader),
-                waited_ms=round(state.now_ms - asked_ms),
+                peer=state.control_conns.get(state.leader_conn),
+                waited_ms=round(state.now_ms - unanswered_report_ms),
             )
-            lose_leader(state)
+            search_leader(state)
             return
     send_report(state)
-    pause_ms = state.cfg.report_interval_ms
-    if not state.leader:
-        pause_ms = LEADER_SEARCH_MS * (0.5 + state.rng.random())
-    schedule(state, 'report', state.now_ms + pause_ms)
+    delay_ms = state.cfg.report_interval_ms
+    if not state.leader_conn:
+        delay_ms = LEADER_SEARCH_INTERVAL_MS * (0.5 + state.rng.random())
+    schedule(state, 'report', state.now_ms + delay_ms)
 
 
 def send_report(state: PoolerState) -> None:
     """Report to the leader, or to all control processes if unknown."""
-    targets = [state.leader] if state.leader else list(state.controls)
+    targets = (
+        [state.leader_conn] if state.leader_conn else list(state.control_conns)
+    )
     if not targets:
         return
     state.report_seq += 1
-    if state.asked_ms is None:
-        state.asked_ms = state.now_ms
+    if state.unanswered_report_ms is None:
+        state.unanswered_report_ms = state.now_ms
     cfg = state.cfg
     report = ProxyReport(
         proxy=cfg.name,
@@ -98,66 +108,66 @@
         version=state.published.version,
         draining=state.drain_ms is not None,
         evidence={
-            name: pool.reach
+            name: pool.reachability
             for name, pool in state.pools.items()
-            if pool.reach
+            if pool.reachability
         },
         upstreams={
             name: UpstreamReport(
                 leads=pool.leads, term=pool.term, received=received
             )
             for name, pool in state.pools.items()
-            if (received := pool.best_position) is not None
+            if (received := pool.highest_position) is not None
         },
     )
     for conn in targets:
         send(state, conn, report)
 
 
-def receive_from_control(state: PoolerState, conn: int, message: Any) -> None:
+def on_control_message(state: PoolerState, conn: int, message: Any) -> None:
     """Handle one message of a control process."""
     if isinstance(message, LeaseGrant):
-        _take_grant(state, conn, message)
+        _handle_grant(state, conn, message)
     elif isinstance(message, StateUpdate):
-        _take_update(state, conn, message)
+        _handle_update(state, conn, message)
     elif isinstance(message, ApprovalRequest):
-        _examine(state, conn, message)
+        _check_newcomer(state, conn, message)
     elif isinstance(message, UpstreamAction):
-        ask_upstream(state, conn, message)
+        forward_control_action(state, conn, message)
     elif isinstance(message, NotLeader):
         if message.leader:
-            _follow(state, {*state.followed, message.leader})
-        if conn == state.leader:
-            lose_leader(state)
+            _set_control_peers(state, {*state.connected_peers, message.leader})
+        if conn == state.leader_conn:
+            search_leader(state)
 
 
-def _follow(state: PoolerState, peers: set[str]) -> None:
+def _set_control_peers(state: PoolerState, peers: set[str]) -> None:
     """Stay connected to these control processes."""
-    if peers != state.followed:
-        state.followed = peers
+    if peers != state.connected_peers:
+        state.connected_peers = peers
         state.outbox.append(SetPeers(peers=sorted(peers)))
 
 
-def start_links(state: PoolerState) -> None:
+def connect_to_seeds(state: PoolerState) -> None:
     """Connect to the control processes that the settings name."""
-    _follow(state, {*state.followed, *state.cfg.seeds})
+    _set_control_peers(state, {*state.connected_peers, *state.cfg.seeds})
     schedule(state, 'report', state.now_ms)
 
 
-def _take_grant(state: PoolerState, conn: int, message: LeaseGrant) -> None:
+def _handle_grant(state: PoolerState, conn: int, message: LeaseGrant) -> None:
     """Take the leader's answer to a report."""
-    if message.seq <= state.granted_seq:
+    if message.seq <= state.last_grant_seq:
         return
-    state.granted_seq = message.seq
-    state.granted_ms = state.now_ms
-    state.asked_ms = None
-    if conn != state.leader:
-        state.leader = conn
+    state.last_grant_seq = message.seq
+    state.last_grant_ms = state.now_ms
+    state.unanswered_report_ms = None
+    if conn != state.leader_conn:
+        state.leader_conn = conn
         log(
             state,
             'info',
             'leader_found',
-            peer=state.controls.get(conn),
+            peer=state.control_conns.get(conn),
             version=message.version,
         )
     if message.member_state != state.member_state:
@@ -170,10 +180,12 @@
         )
         state.member_state = message.member_state
     if message.peers:
-        _follow(state, set(message.peers))
+        _set_control_peers(state, set(message.peers))
 
 
-def _take_update(state: PoolerState, conn: int, message: StateUpdate) -> None:
+def _handle_update(
+    state: PoolerState, conn: int, message: StateUpdate
+) -> None:
     before = state.published.version
     if not apply_update(state.published, message):
         log(
@@ -201,12 +213,14 @@
     }
     sync_pools(state)
     if not before:
-        open_held(state)
+        open_waiting_sessions(state)
     # Says at once that the version is in force.
     send_report(state)
 
 
-def _examine(state: PoolerState, conn: int, message: ApprovalRequest) -> None:
+def _check_newcomer(
+    state: PoolerState, conn: int, message: ApprovalRequest
+) -> None:
     """Examine a newcomer that control asks about.
 
     An upstream must answer at its address under its own identity. Proxies
@@ -214,11 +228,11 @@
     another member.
     """
     if message.role == 'proxy':
-        _examine_proxy(state, conn, message)
+        _check_new_proxy(state, conn, message)
         return
-    known = state.newcomers.get(message.newcomer)
-    if known is not None and known.member_id == message.newcomer_id:
-        known.asker = conn
+    existing = state.newcomers.get(message.newcomer)
+    if existing is not None and existing.member_id == message.newcomer_id:
+        existing.control_conn = conn
         return
     newcomer = Newcomer(
         name=message.newcomer,
@@ -226,13 +240,13 @@
         group=message.group,
         host=message.host,
         port=message.port,
-        asker=conn,
+        control_conn=conn,
     )
     state.newcomers[newcomer.name] = newcomer
-    _connect(state, newcomer)
+    _connect_to_newcomer(state, newcomer)
 
 
-def _examine_proxy(
+def _check_new_proxy(
     state: PoolerState, conn: int, message: ApprovalRequest
 ) -> None:
     for member in state.published.members.values():
@@ -253,7 +267,7 @@
                 member=member.name,
             )
             return
-    _approve(
+    _send_approval(
         state,
         conn,
         message.newcomer,
@@ -262,7 +276,7 @@
     )
 
 
-def _connect(state: PoolerState, newcomer: Newcomer) -> None:
+def _connect_to_newcomer(state: PoolerState, newcomer: Newcomer) -> None:
     newcomer.attempts += 1
     view = UpstreamView(
         name=newcomer.name,
@@ -279,12 +293,12 @@
 
 def on_newcomer_opened(state: PoolerState, conn: UpstreamConn) -> None:
     """Approve an upstream that answered under its identity."""
-    discard(state, conn, 'newcomer checked')
+    close_upstream_conn(state, conn, 'newcomer checked')
     newcomer = state.newcomers.pop(conn.upstream, None)
     if newcomer is not None:
-        _approve(
+        _send_approval(
             state,
-            newcomer.asker,
+            newcomer.control_conn,
             newcomer.name,
             newcomer.member_id,
             'answers at its address under its identity',
@@ -307,7 +321,7 @@
         )
         del state.newcomers[newcomer.name]
         return
-    due_ms = state.now_ms + APPROVAL_RETRY_MS
+    due_ms = state.now_ms + APPROVAL_RETRY_INTERVAL_MS
     schedule(state, f'newcomer/{newcomer.name}', due_ms)
 
 
@@ -315,12 +329,12 @@
     """Connect to a newcomer once more."""
     newcomer = state.newcomers.get(name)
     if newcomer is not None and not newcomer.conn:
-        _connect(state, newcomer)
+        _connect_to_newcomer(state, newcomer)
 
 
-def _approve(
+def _send_approval(
     state: PoolerState,
-    asker: int,
+    control_conn: int,
     newcomer: str,
     newcomer_id: str,
     checked: str,
@@ -342,4 +356,4 @@
         checked=checked,
         version=state.published.version,
     )
-    send(state, asker, message)
+    send(state, control_conn, message)
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -5,290 +5,329 @@
 from jackdawpost.core.messages.session import Execute
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.outbox import send
-from jackdawpost.core.pooler.answers import forget
-from jackdawpost.core.pooler.answers import refuse
-from jackdawpost.core.pooler.answers import unserved_code
-from jackdawpost.core.pooler.connections import add_connection
-from jackdawpost.core.pooler.connections import adopt_monitor
-from jackdawpost.core.pooler.connections import may_open
-from jackdawpost.core.pooler.connections import replay_session
+from jackdawpost.core.pooler.answers import drop_task
+from jackdawpost.core.pooler.answers import expiry_code
+from jackdawpost.core.pooler.answers import fail_statement
+from jackdawpost.core.pooler.connections import can_open_connection
+from jackdawpost.core.pooler.connections import convert_idle_monitor
+from jackdawpost.core.pooler.connections import open_statement_connection
+from jackdawpost.core.pooler.connections import prepare_replay
 from jackdawpost.core.pooler.connections import send_rollback
-from jackdawpost.core.pooler.limits import has_room
-from jackdawpost.core.pooler.limits import has_waited_too_long
-from jackdawpost.core.pooler.limits import must_wait_too_long
-from jackdawpost.core.pooler.limits import START_SHARE
-from jackdawpost.core.pooler.state import group_of
+from jackdawpost.core.pooler.limits import is_below_limit
+from jackdawpost.core.pooler.limits import is_too_late_to_start
+from jackdawpost.core.pooler.limits import LATEST_START_SHARE
+from jackdawpost.core.pooler.limits import would_wait_too_long
+from jackdawpost.core.pooler.state import get_group
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import PoolGroup
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.pooler.state import Session
-from jackdawpost.core.pooler.state import Step
+from jackdawpost.core.pooler.state import StatementTask
 from jackdawpost.core.pooler.state import UpstreamConn
-from jackdawpost.core.pooler.state import Work
-from jackdawpost.core.pooler.upstreams import takes_work
+from jackdawpost.core.pooler.state import UpstreamRequest
+from jackdawpost.core.pooler.upstreams import accepts_statements
 from jackdawpost.core.positions import LogPosition
 
 # Statements that may wait for an upstream, for each group.
-MAX_WAITING = 256
+MAX_QUEUED_STATEMENTS = 256
 # Share of a read's time after which a lost answer is given up for another
 # attempt.
-READ_ATTEMPT_SHARE = 0.5
+READ_ATTEMPT_TIMEOUT_SHARE = 0.5
 # The same in mean times that the upstream takes for a statement.
-ATTEMPT_LATENCIES = 3.0
+READ_ATTEMPT_TIMEOUT_LATENCIES = 3.0
 # What a trip to another region costs a read more than one in this region.
-OTHER_REGION_MS = 30.0
+CROSS_REGION_PENALTY_MS = 30.0
 # Connections to one upstream that may be on their way at a time.
-MAX_OPENING = 2
+MAX_CONCURRENT_OPENS = 2
 # Time that a read must save for another connection to be opened for it.
-OPENING_GAIN_MS = 20.0
+MIN_OPEN_GAIN_MS = 20.0
 # Time for which a replica seen behind is not asked for the same again.
-BEHIND_MS = 150.0
+LAG_EXCLUSION_MS = 150.0
 
 
-def submit(state: PoolerState, work: Work) -> None:
+def submit(state: PoolerState, task: StatementTask) -> None:
     """Take a statement that an upstream has to run."""
-    state.works[work.number] = work
-    schedule(state, f'work/{work.number}', work.due_ms)
-    group = group_of(state, work.endpoint.group)
-    if len(group.waiting) >= MAX_WAITING:
-        refuse(state, work, 'overloaded', 'too many statements wait')
+    state.tasks[task.number] = task
+    schedule(state, f'work/{task.number}', task.deadline_ms)
+    group = get_group(state, task.endpoint.group)
+    if len(group.waiting) >= MAX_QUEUED_STATEMENTS:
+        fail_statement(state, task, 'overloaded', 'too many statements wait')
         return
-    if must_wait_too_long(group, work):
-        refuse(state, work, 'overloaded', 'others wait that leave no time')
+    if would_wait_too_long(group, task):
+        fail_statement(
+            state, task, 'overloaded', 'others wait that leave no time'
+        )
         return
-    group.waiting.append(work)
+    group.waiting.append(task)
     schedule(
         state,
         f'group/{group.name}',
-        state.now_ms + work.endpoint.timeout_ms * START_SHARE,
+        state.now_ms + task.endpoint.timeout_ms * LATEST_START_SHARE,
     )
     state.dirty.add(f'group/{group.name}')
 
 
-def dispatch(state: PoolerState, name: str) -> None:
+def dispatch_group(state: PoolerState, name: str) -> None:
     """Place the waiting statements of a group, the most urgent first."""
-    group = group_of(state, name)
+    group = get_group(state, name)
     if not group.waiting:
         return
-    group.waiting.sort(key=_urgency)
+    group.waiting.sort(key=_queue_order)
     waiting = group.waiting
     group.waiting = []
-    wanted: dict[str, int] = {}
-    for work in waiting:
-        if work.number not in state.works:
+    connections_needed: dict[str, int] = {}
+    for task in waiting:
+        if task.number not in state.tasks:
             continue
-        if has_waited_too_long(state, group, work):
-            code = unserved_code(work)
-            refuse(state, work, code, 'waited for most of its time')
+        if is_too_late_to_start(state, group, task):
+            code = expiry_code(task)
+            fail_statement(state, task, code, 'waited for most of its time')
             continue
-        if not _place(state, group, work, wanted):
-            group.waiting.append(work)
-    for upstream, number in wanted.items():
-        _open_for(state, state.pools[upstream], number)
+        if not _try_start(state, group, task, connections_needed):
+            group.waiting.append(task)
+    for upstream, number in connections_needed.items():
+        _open_connections(state, state.pools[upstream], number)
 
 
-def _urgency(work: Work) -> tuple[int, float]:
+def _queue_order(task: StatementTask) -> tuple[int, float]:
     # A transaction waits here with its first statement only: it holds no
     # connection that others need.
-    return work.endpoint.priority, work.arrived_ms
+    return task.endpoint.priority, task.arrived_ms
 
 
-def _open_for(state: PoolerState, pool: Pool, wanted: int) -> None:
+def _open_connections(
+    state: PoolerState, pool: Pool, connections_needed: int
+) -> None:
     opening = sum(1 for number in pool.conns if not state.conns[number].opened)
-    for _ in range(min(wanted, MAX_OPENING) - opening):
-        if not may_open(state, pool) or not has_room(state, pool):
+    for _ in range(min(connections_needed, MAX_CONCURRENT_OPENS) - opening):
+        if not can_open_connection(state, pool) or not is_below_limit(
+            state, pool
+        ):
             return
-        add_connection(state, pool)
+        open_statement_connection(state, pool)
 
 
-def _place(
-    state: PoolerState, group: PoolGroup, work: Work, wanted: dict[str, int]
+def _try_start(
+    state: PoolerState,
+    group: PoolGroup,
+    task: StatementTask,
+    connections_needed: dict[str, int],
 ) -> bool:
     """Send a statement if an upstream has a connection for it."""
-    if work.not_before_ms > state.now_ms:
+    if task.not_before_ms > state.now_ms:
         return False
-    after = None
-    if work.place == 'any':
-        after = _needed_position(group, work)
-        if after is not None:
-            pools = _readers(state, group, work, after)
+    required_position = None
+    if task.target == 'any':
+        required_position = _required_position(group, task)
+        if required_position is not None:
+            pools = _eligible_upstreams(state, group, task, required_position)
             for pool in pools:
-                conn = _free_conn(state, pool, work.session)
+                conn = _pick_connection(state, pool, task.session)
                 if conn is not None:
-                    if _is_much_quicker(state, pools[0], pool):
-                        _want(wanted, pools[0])
-                    _start(state, pool, conn, work, after)
+                    if _is_much_faster(state, pools[0], pool):
+                        _need_connection(connections_needed, pools[0])
+                    _start_attempt(state, pool, conn, task, required_position)
                     return True
             if pools:
-                _want(wanted, pools[0])
+                _need_connection(connections_needed, pools[0])
                 return False
     primary = state.pools.get(group.primary or '')
-    if primary is None or not takes_work(state, primary):
+    if primary is None or not accepts_statements(state, primary):
         return False
-    conn = _free_conn(state, primary, work.session)
+    conn = _pick_connection(state, primary, task.session)
     if conn is None:
-        _want(wanted, primary)
+        _need_connection(connections_needed, primary)
         return False
-    _start(state, primary, conn, work, None)
+    _start_attempt(state, primary, conn, task, None)
     return True
 
 
-def _want(wanted: dict[str, int], pool: Pool) -> None:
-    wanted[pool.view.name] = wanted.get(pool.view.name, 0) + 1
+def _need_connection(connections_needed: dict[str, int], pool: Pool) -> None:
+    connections_needed[pool.view.name] = (
+        connections_needed.get(pool.view.name, 0) + 1
+    )
 
 
-def _is_much_quicker(state: PoolerState, best: Pool, used: Pool) -> bool:
+def _is_much_faster(state: PoolerState, best: Pool, used: Pool) -> bool:
     """Tell whether a connection to `best` would soon pay for its opening."""
-    gain_ms = _expected_ms(state, used) - _expected_ms(state, best)
-    return best is not used and gain_ms > OPENING_GAIN_MS
+    gain_ms = _expected_latency_ms(state, used) - _expected_latency_ms(
+        state, best
+    )
+    return best is not used and gain_ms > MIN_OPEN_GAIN_MS
 
 
-def _needed_position(group: PoolGroup, work: Work) -> LogPosition | None:
+def _required_position(
+    group: PoolGroup, task: StatementTask
+) -> LogPosition | None:
     """Return the position that a read needs; None if only the primary can."""
     sample = group.samples.oldest_within(
-        work.arrived_ms, work.endpoint.max_age_ms
+        task.arrived_ms, task.endpoint.max_age_ms
     )
     if sample is None:
         return None
-    session = work.session
-    is_own = work.endpoint.consistency == 'read_your_writes'
+    session = task.session
+    is_own = task.endpoint.consistency == 'read_your_writes'
     if is_own and session is not None and session.position is not None:
         return max(sample, session.position)
     return sample
 
 
-def _readers(
-    state: PoolerState, group: PoolGroup, work: Work, after: LogPosition
+def _eligible_upstreams(
+    state: PoolerState,
+    group: PoolGroup,
+    task: StatementTask,
+    required_position: LogPosition,
 ) -> list[Pool]:
     """Return the upstreams that can serve a read, the quickest first."""
     found = []
     for pool in state.pools.values():
         view = pool.view
-        if view.group != group.name or view.leaving or pool.reach != 'up':
+        if (
+            view.group != group.name
+            or view.leaving
+            or pool.reachability != 'up'
+        ):
             continue
-        if view.name in work.excluded:
+        if view.name in task.excluded_upstreams:
             continue
-        if _is_known_behind(state, pool, after):
+        if _is_known_to_lag(state, pool, required_position):
             continue
         found.append(pool)
-    return sorted(found, key=lambda pool: _expected_ms(state, pool))
+    return sorted(found, key=lambda pool: _expected_latency_ms(state, pool))
 
 
-def _is_known_behind(
-    state: PoolerState, pool: Pool, after: LogPosition
+def _is_known_to_lag(
+    state: PoolerState, pool: Pool, required_position: LogPosition
 ) -> bool:
     """Tell whether a replica has just shown that it lacks a position.
 
     An older sight says little: it may have caught up since. One read finds
     out, and costs nothing but the way if it has not.
     """
-    if pool.applied is None or pool.applied >= after:
+    if pool.applied is None or pool.applied >= required_position:
         return False
-    return state.now_ms < pool.applied_ms + BEHIND_MS
+    return state.now_ms < pool.applied_ms + LAG_EXCLUSION_MS
 
 
-def _expected_ms(state: PoolerState, pool: Pool) -> float:
-    busy = sum(1 for number in pool.conns if state.conns[number].steps)
+def _expected_latency_ms(state: PoolerState, pool: Pool) -> float:
+    busy = sum(
+        1 for number in pool.conns if state.conns[number].pending_requests
+    )
     region = state.cfg.regions.get(pool.view.data_centre)
-    distance_ms = 0.0 if region == state.cfg.region else OTHER_REGION_MS
+    distance_ms = (
+        0.0 if region == state.cfg.region else CROSS_REGION_PENALTY_MS
+    )
     return pool.latency_ms * (1 + busy) + distance_ms
 
 
-def _free_conn(
+def _pick_connection(
     state: PoolerState, pool: Pool, session: Session | None
 ) -> UpstreamConn | None:
     """Return an idle connection, best one that holds the session's values."""
     found = None
-    if not has_room(state, pool):
+    if not is_below_limit(state, pool):
         return None
     for number in pool.conns:
         conn = state.conns[number]
         if not conn.is_idle:
             continue
-        if session is not None and conn.session == session.conn:
+        if session is not None and conn.replayed_session == session.conn:
             return conn
-        if found is None or not conn.session:
+        if found is None or not conn.replayed_session:
             found = conn
-    return found or adopt_monitor(state, pool)
+    return found or convert_idle_monitor(state, pool)
 
 
-def _start(
+def _start_attempt(
     state: PoolerState,
     pool: Pool,
     conn: UpstreamConn,
-    work: Work,
-    after: LogPosition | None,
+    task: StatementTask,
+    required_position: LogPosition | None,
 ) -> None:
     """Send a statement, or the begin that it needs before it."""
-    session = work.session
+    session = task.session
     assert session is not None
-    work.attempts += 1
-    work.conn = conn.conn
-    work.after = after
-    work.sent_ms = state.now_ms
-    messages = replay_session(state, conn, session)
+    task.attempts += 1
+    task.conn = conn.conn
+    task.required_position = required_position
+    task.sent_ms = state.now_ms
+    messages = prepare_replay(state, conn, session)
     if messages:
         send(state, conn.conn, *messages)
-    _watch_attempt(state, pool, work)
-    is_guarded = not work.is_write and after is None
-    if work.in_txn or is_guarded:
-        work.phase = 'beginning'
-        conn.owner = session.conn if work.in_txn else 0
+    _schedule_attempt_timeout(state, pool, task)
+    needs_leadership_check = not task.is_write and required_position is None
+    if task.in_txn or needs_leadership_check:
+        task.phase = 'beginning'
+        conn.txn_session = session.conn if task.in_txn else 0
         begin = Internal(action='begin')
-        if after is not None:
-            begin = Internal(action='begin_read', after=after)
-        conn.steps.append(Step(kind='begin', sent_ms=state.now_ms, work=work))
+        if required_position is not None:
+            begin = Internal(action='begin_read', after=required_position)
+        conn.pending_requests.append(
+            UpstreamRequest(kind='begin', sent_ms=state.now_ms, task=task)
+        )
         send(state, conn.conn, begin)
         return
-    run_statement(state, conn, work)
+    send_statement(state, conn, task)
 
 
-def _watch_attempt(state: PoolerState, pool: Pool, work: Work) -> None:
-    if work.is_write or work.in_txn:
+def _schedule_attempt_timeout(
+    state: PoolerState, pool: Pool, task: StatementTask
+) -> None:
+    if task.is_write or task.in_txn:
         return
-    left_ms = work.due_ms - state.now_ms
+    remaining_ms = task.deadline_ms - state.now_ms
     # A slow upstream has not lost the answer.
     wait_ms = max(
-        left_ms * READ_ATTEMPT_SHARE, pool.latency_ms * ATTEMPT_LATENCIES
+        remaining_ms * READ_ATTEMPT_TIMEOUT_SHARE,
+        pool.latency_ms * READ_ATTEMPT_TIMEOUT_LATENCIES,
     )
-    if wait_ms < left_ms:
+    if wait_ms < remaining_ms:
         schedule(
             state,
-            f'attempt/{work.number}/{work.attempts}',
+            f'attempt/{task.number}/{task.attempts}',
             state.now_ms + wait_ms,
         )
 
 
-def run_statement(state: PoolerState, conn: UpstreamConn, work: Work) -> None:
+def send_statement(
+    state: PoolerState, conn: UpstreamConn, task: StatementTask
+) -> None:
     """Send the caller's statement on a connection that is ready for it."""
-    work.phase = 'running'
-    work.conn = conn.conn
-    work.sent_ms = state.now_ms
+    task.phase = 'running'
+    task.conn = conn.conn
+    task.sent_ms = state.now_ms
     # In a transaction the position was demanded by the begin.
-    is_alone = not work.in_txn and not _is_guarded(work)
-    conn.steps.append(Step(kind='statement', sent_ms=state.now_ms, work=work))
+    is_standalone = not task.in_txn and not _needs_leadership_check(task)
+    conn.pending_requests.append(
+        UpstreamRequest(kind='statement', sent_ms=state.now_ms, task=task)
+    )
     execute = Execute(
-        id=work.req.id,
-        text=work.req.text,
-        after=work.after if is_alone else None,
+        id=task.req.id,
+        text=task.req.text,
+        after=task.required_position if is_standalone else None,
     )
     send(state, conn.conn, execute)
-    if _is_guarded(work):
+    if _needs_leadership_check(task):
         send_rollback(state, conn)
 
 
-def _is_guarded(work: Work) -> bool:
-    return not work.is_write and not work.in_txn and work.after is None
+def _needs_leadership_check(task: StatementTask) -> bool:
+    return (
+        not task.is_write
+        and not task.in_txn
+        and task.required_position is None
+    )
 
 
-def requeue(state: PoolerState, work: Work) -> None:
+def requeue(state: PoolerState, task: StatementTask) -> None:
     """Let a statement of which nothing has run wait for an upstream."""
-    if work.session is None:
-        forget(state, work)
+    if task.session is None:
+        drop_task(state, task)
         return
-    work.phase = 'waiting'
-    work.conn = 0
-    group = group_of(state, work.endpoint.group)
-    group.waiting.append(work)
+    task.phase = 'waiting'
+    task.conn = 0
+    group = get_group(state, task.endpoint.group)
+    group.waiting.append(task)
     state.dirty.add(f'group/{group.name}')
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -7,93 +7,98 @@
 from jackdawpost.core.messages.session import Internal
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
+from jackdawpost.core.pooler.connections import close_upstream_conn
 from jackdawpost.core.pooler.connections import connection_limit
-from jackdawpost.core.pooler.connections import discard
-from jackdawpost.core.pooler.connections import idle_connection
+from jackdawpost.core.pooler.connections import count_connections
+from jackdawpost.core.pooler.connections import find_idle_connection
 from jackdawpost.core.pooler.connections import open_connection
-from jackdawpost.core.pooler.connections import open_count
 from jackdawpost.core.pooler.connections import send_internal
 from jackdawpost.core.pooler.connections import send_rollback
-from jackdawpost.core.pooler.stalls import look_for_stall
+from jackdawpost.core.pooler.stalls import detect_stall
 from jackdawpost.core.pooler.state import Answer
-from jackdawpost.core.pooler.state import group_of
+from jackdawpost.core.pooler.state import get_group
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
-from jackdawpost.core.pooler.state import Step
 from jackdawpost.core.pooler.state import UpstreamConn
-from jackdawpost.core.pooler.upstreams import doubt
-from jackdawpost.core.pooler.upstreams import note_applied
-from jackdawpost.core.pooler.upstreams import note_leader
-from jackdawpost.core.pooler.upstreams import note_not_leader
-from jackdawpost.core.pooler.upstreams import note_reach
+from jackdawpost.core.pooler.state import UpstreamRequest
+from jackdawpost.core.pooler.upstreams import clear_leadership
+from jackdawpost.core.pooler.upstreams import record_applied
+from jackdawpost.core.pooler.upstreams import record_leadership
+from jackdawpost.core.pooler.upstreams import set_reachability
+from jackdawpost.core.pooler.upstreams import suspect
 from jackdawpost.errors import ProtocolError
 
 # Time without a probe after which a connection for probes is closed.
-MONITOR_IDLE_MS = 5_000.0
+MONITOR_IDLE_TIMEOUT_MS = 5_000.0
 # Time without an answer that is worth a connection beyond the share.
-QUIET_MS = 400.0
-PROBE_STEPS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
+EXTRA_CONNECTION_SILENCE_MS = 400.0
+PROBE_KINDS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
 # Age of the newest proved position at which the primary is asked for another.
-SAMPLE_MS = 200.0
+MAX_SAMPLE_AGE_MS = 200.0
 # Time without an answer after which a replica is asked whether it is there.
-HEARD_MS = 1_000.0
+IDLE_PROBE_SILENCE_MS = 1_000.0
 # The same while it runs statements.
-UNANSWERED_MS = 150.0
+BUSY_PROBE_SILENCE_MS = 150.0
 # Refusals of a connection by an upstream that works.
-FULL_CODES = frozenset({'no_connections', 'overloaded'})
+NO_CAPACITY_CODES = frozenset({'no_connections', 'overloaded'})
 # Pause before another attempt at an upstream without a free connection.
-FULL_RETRY_MS = 150.0
+NO_CAPACITY_RETRY_MS = 150.0
 # Keeps overdue probes from being looked at again at once.
-MIN_PROBE_PAUSE_MS = 20.0
+MIN_PROBE_DELAY_MS = 20.0
 # Pause between looks at a replica that is behind.
-LAG_PROBE_MS = 250.0
+LAGGING_PROBE_INTERVAL_MS = 250.0
 # While no primary is known, every upstream is asked whether it leads.
-SEARCH_INTERVAL_MS = 80.0
+PRIMARY_SEARCH_INTERVAL_MS = 80.0
 
 
-def ask_upstream(
-    state: PoolerState, asker: int, asked: UpstreamAction
+def forward_control_action(
+    state: PoolerState, control_conn: int, action: UpstreamAction
 ) -> None:
     """Pass a request of control on; it asks again if nothing comes back."""
-    pool = state.pools.get(asked.upstream)
+    pool = state.pools.get(action.upstream)
     if pool is None:
         return
-    conn = idle_connection(state, pool)
+    conn = find_idle_connection(state, pool)
     if conn is None:
-        doubt(state, pool)  # opens a connection
+        suspect(state, pool)  # opens a connection
         return
-    step = Step(kind='told', sent_ms=state.now_ms, asked=asked, asker=asker)
-    conn.steps.append(step)
-    argument = str(asked.term) if asked.action == 'pause' else ''
-    send(state, conn.conn, Internal(action=asked.action, argument=argument))
+    request = UpstreamRequest(
+        kind='control_action',
+        sent_ms=state.now_ms,
+        control_action=action,
+        control_conn=control_conn,
+    )
+    conn.pending_requests.append(request)
+    argument = str(action.term) if action.action == 'pause' else ''
+    send(state, conn.conn, Internal(action=action.action, argument=argument))
 
 
-def take_told(
-    state: PoolerState, pool: Pool, step: Step, answer: Answer
+def handle_action_answer(
+    state: PoolerState, pool: Pool, request: UpstreamRequest, answer: Answer
 ) -> None:
     """Hand an upstream's answer to control."""
-    asked = step.asked
-    if asked is None or not answer.signature or not answer.rows:
+    action = request.control_action
+    if action is None or not answer.signature or not answer.rows:
         log(
             state,
             'warning',
             'request_of_control_failed',
             upstream=pool.view.name,
-            action=asked.action if asked else None,
+            action=action.action if action else None,
             code=answer.code,
         )
         return
-    _take_status(state, pool, answer)
+    _update_from_status(state, pool, answer)
     if pool.received is None:
         return
-    told = UpstreamActionAnswer(
-        upstream=asked.upstream,
-        action=asked.action,
-        token=asked.token,
+    action_answer = UpstreamActionAnswer(
+        upstream=action.upstream,
+        action=action.action,
+        token=action.token,
         received=pool.received,
     )
-    send(state, step.asker, told)
+    send(state, request.control_conn, action_answer)
 
 
 def on_probe_due(state: PoolerState, name: str) -> None:
@@ -102,31 +107,34 @@
     if pool is None:
         return
     conn = state.conns.get(pool.probe_conn)
-    if conn is not None and _awaits_probe(conn):
-        waited_ms = state.now_ms - conn.steps[0].sent_ms
+    if conn is not None and _is_probe_outstanding(conn):
+        waited_ms = state.now_ms - conn.pending_requests[0].sent_ms
         if waited_ms >= state.cfg.probe_timeout_ms:
-            note_reach(state, pool, 'silent')
+            set_reachability(state, pool, 'silent')
             if conn.opened or waited_ms >= state.cfg.open_timeout_ms:
-                discard(state, conn, 'no answer to a probe')
+                close_upstream_conn(state, conn, 'no answer to a probe')
     elif _is_probe_needed(state, pool):
         _start_probe(state, pool)
     else:
-        _drop_idle_monitor(state, pool)
-    look_for_stall(state, pool)
-    pause_ms = _probe_pause(state, pool)
-    schedule(state, f'probe/{name}', state.now_ms + pause_ms)
+        _close_idle_monitor(state, pool)
+    detect_stall(state, pool)
+    delay_ms = _probe_delay_ms(state, pool)
+    schedule(state, f'probe/{name}', state.now_ms + delay_ms)
 
 
-def _awaits_probe(conn: UpstreamConn) -> bool:
-    return bool(conn.steps) and conn.steps[0].kind in PROBE_STEPS
+def _is_probe_outstanding(conn: UpstreamConn) -> bool:
+    return (
+        bool(conn.pending_requests)
+        and conn.pending_requests[0].kind in PROBE_KINDS
+    )
 
 
 def _start_probe(state: PoolerState, pool: Pool) -> None:
     """Probe on an idle connection; without one, on one of its own."""
-    conn = idle_connection(state, pool)
+    conn = find_idle_connection(state, pool)
     if conn is not None:
         _send_probe(state, pool, conn)
-    elif pool.monitor or _may_wait_for_idle(state, pool):
+    elif pool.monitor or _can_wait_for_idle_connection(state, pool):
         return
     else:
         conn = open_connection(state, pool.view, 'monitor')
@@ -135,56 +143,67 @@
     pool.probe_conn = conn.conn
 
 
-def _may_wait_for_idle(state: PoolerState, pool: Pool) -> bool:
+def _can_wait_for_idle_connection(state: PoolerState, pool: Pool) -> bool:
     """Tell whether no connection may be opened just to probe.
 
     While statements are answered, the next idle one will do. An upstream in
     doubt is worth one more than the share.
     """
-    if open_count(pool) < connection_limit(state, pool):
+    if count_connections(pool) < connection_limit(state, pool):
         return False
-    is_heard = state.now_ms < pool.heard_ms + QUIET_MS
-    return is_heard and not pool.doubted and pool.reach == 'up'
+    has_recent_contact = (
+        state.now_ms < pool.last_contact_ms + EXTRA_CONNECTION_SILENCE_MS
+    )
+    return (
+        has_recent_contact and not pool.suspected and pool.reachability == 'up'
+    )
 
 
-def _drop_idle_monitor(state: PoolerState, pool: Pool) -> None:
+def _close_idle_monitor(state: PoolerState, pool: Pool) -> None:
     """Give up the connection for probes while statements show enough."""
     conn = state.conns.get(pool.monitor)
     if conn is None or not conn.is_idle or not pool.conns:
         return
-    is_over = open_count(pool) >= connection_limit(state, pool)
-    if is_over or state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_MS:
-        discard(state, conn, 'not needed')
+    is_over_share = count_connections(pool) >= connection_limit(state, pool)
+    if (
+        is_over_share
+        or state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_TIMEOUT_MS
+    ):
+        close_upstream_conn(state, conn, 'not needed')
 
 
 def _is_probe_needed(state: PoolerState, pool: Pool) -> bool:
     """Tell whether the answers to statements show too little."""
-    if pool.reach != 'up' or pool.doubted:
+    if pool.reachability != 'up' or pool.suspected:
         return True
-    group = group_of(state, pool.view.group)
+    group = get_group(state, pool.view.group)
     if group.primary is None:
         return True
     if group.primary == pool.view.name:
         newest = group.samples.newest_ms()
-        return newest is None or state.now_ms >= newest + SAMPLE_MS
-    quiet_ms = UNANSWERED_MS if _has_statements(state, pool) else HEARD_MS
-    if state.now_ms >= pool.heard_ms + quiet_ms:
+        return newest is None or state.now_ms >= newest + MAX_SAMPLE_AGE_MS
+    probe_silence_ms = (
+        BUSY_PROBE_SILENCE_MS
+        if _has_outstanding_statements(state, pool)
+        else IDLE_PROBE_SILENCE_MS
+    )
+    if state.now_ms >= pool.last_contact_ms + probe_silence_ms:
         return True
-    is_due = state.now_ms >= pool.probe_sent_ms + LAG_PROBE_MS
-    return is_due and _is_behind(state, pool)
+    is_due = state.now_ms >= pool.probe_sent_ms + LAGGING_PROBE_INTERVAL_MS
+    return is_due and _is_lagging(state, pool)
 
 
-def _has_statements(state: PoolerState, pool: Pool) -> bool:
+def _has_outstanding_statements(state: PoolerState, pool: Pool) -> bool:
     return any(
-        step.work is not None
+        request.task is not None
         for number in pool.conns
-        for step in state.conns[number].steps
+        for request in state.conns[number].pending_requests
     )
 
 
-def _is_behind(state: PoolerState, pool: Pool) -> bool:
+def _is_lagging(state: PoolerState, pool: Pool) -> bool:
     """Tell whether no read can use what is known of an upstream's log."""
-    needed = group_of(state, pool.view.group).samples.oldest_position()
+    needed = get_group(state, pool.view.group).samples.oldest_position()
     return pool.applied is None or (
         needed is not None and pool.applied < needed
     )
@@ -192,8 +211,8 @@
 
 def _send_probe(state: PoolerState, pool: Pool, conn: UpstreamConn) -> None:
     pool.probe_sent_ms = state.now_ms
-    is_sought = group_of(state, pool.view.group).primary is None
-    if is_sought and pool.reach != 'stalled':
+    is_primary_unknown = get_group(state, pool.view.group).primary is None
+    if is_primary_unknown and pool.reachability != 'stalled':
         # A promotion is due: what each has received decides on it.
         send_internal(state, conn, 'status', Internal(action='status'))
     # A begin takes no slot, so that an overloaded upstream answers in time.
@@ -201,47 +220,49 @@
     send_internal(state, conn, 'probe_begin', Internal(action='begin'))
 
 
-def _probe_pause(state: PoolerState, pool: Pool) -> float:
-    group = group_of(state, pool.view.group)
+def _probe_delay_ms(state: PoolerState, pool: Pool) -> float:
+    group = get_group(state, pool.view.group)
     conn = state.conns.get(pool.probe_conn)
     due_ms = state.now_ms + state.cfg.probe_interval_ms
-    if conn is not None and _awaits_probe(conn):
-        due_ms = conn.steps[0].sent_ms + state.cfg.probe_timeout_ms
+    if conn is not None and _is_probe_outstanding(conn):
+        due_ms = conn.pending_requests[0].sent_ms + state.cfg.probe_timeout_ms
     elif group.primary is None:
-        due_ms = state.now_ms + SEARCH_INTERVAL_MS
+        due_ms = state.now_ms + PRIMARY_SEARCH_INTERVAL_MS
     elif group.primary == pool.view.name:
         newest = group.samples.newest_ms()
-        due_ms = (newest or state.now_ms) + SAMPLE_MS
-    return max(MIN_PROBE_PAUSE_MS, due_ms - state.now_ms)
+        due_ms = (newest or state.now_ms) + MAX_SAMPLE_AGE_MS
+    return max(MIN_PROBE_DELAY_MS, due_ms - state.now_ms)
 
 
-def take_probe_answer(
+def handle_probe_answer(
     state: PoolerState,
     pool: Pool,
     conn: UpstreamConn,
-    step: Step,
+    request: UpstreamRequest,
     answer: Answer,
 ) -> None:
     """Handle the answer to one statement of a probe."""
-    note_reach(state, pool, 'up')
+    set_reachability(state, pool, 'up')
     if answer.position is not None:
-        note_applied(state, pool, answer.position)
-    if step.kind not in ('status', 'probe_begin'):
+        record_applied(state, pool, answer.position)
+    if request.kind not in ('status', 'probe_begin'):
         return
     # Reads that waited for this upstream to catch up may go on.
     state.dirty.add(f'group/{pool.view.group}')
-    if step.kind == 'status':
+    if request.kind == 'status':
         if answer.signature and answer.rows:
-            _take_status(state, pool, answer)
+            _update_from_status(state, pool, answer)
     elif answer.signature:
         send_rollback(state, conn, 'probe_rollback')
         if answer.position is not None:
-            note_leader(state, pool, step.sent_ms, answer.position)
+            record_leadership(state, pool, request.sent_ms, answer.position)
     elif answer.code == 'not_primary':
-        note_not_leader(state, pool, 'not_primary')
+        clear_leadership(state, pool, 'not_primary')
 
 
-def _take_status(state: PoolerState, pool: Pool, answer: Answer) -> None:
+def _update_from_status(
+    state: PoolerState, pool: Pool, answer: Answer
+) -> None:
     try:
         status = state.cfg.decode_status(answer.rows[0])
     except ProtocolError as exc:
@@ -257,7 +278,7 @@
     pool.received = status.received
 
 
-def lose_monitor(
+def on_monitor_closed(
     state: PoolerState, pool: Pool, conn: UpstreamConn, reason: str
 ) -> None:
     """Take the end of a monitor connection."""
@@ -266,13 +287,15 @@
     if conn.opened:
         # A connection may be reset while its other end goes on: only an
         # attempt to open another one tells.
-        doubt(state, pool)
+        suspect(state, pool)
         return
-    if conn.refusal in FULL_CODES:
-        note_reach(state, pool, 'up')
-        pool.heard_ms = state.now_ms
-        schedule(state, f'probe/{name}', state.now_ms + FULL_RETRY_MS)
+    if conn.refusal_code in NO_CAPACITY_CODES:
+        set_reachability(state, pool, 'up')
+        pool.last_contact_ms = state.now_ms
+        schedule(state, f'probe/{name}', state.now_ms + NO_CAPACITY_RETRY_MS)
         return
-    note_reach(state, pool, 'silent' if reason == 'timeout' else 'refused')
-    pause = min(SEARCH_INTERVAL_MS, state.cfg.probe_interval_ms)
-    schedule(state, f'probe/{name}', state.now_ms + pause)
+    set_reachability(
+        state, pool, 'silent' if reason == 'timeout' else 'refused'
+    )
+    delay = min(PRIMARY_SEARCH_INTERVAL_MS, state.cfg.probe_interval_ms)
+    schedule(state, f'probe/{name}', state.now_ms + delay)
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -27,37 +27,37 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import pop_effects
 from jackdawpost.core.outbox import send
-from jackdawpost.core.pooler.connections import discard
-from jackdawpost.core.pooler.connections import note_open_failed
+from jackdawpost.core.pooler.connections import close_upstream_conn
+from jackdawpost.core.pooler.connections import on_open_failed
+from jackdawpost.core.pooler.control_links import connect_to_seeds
 from jackdawpost.core.pooler.control_links import on_control_closed
+from jackdawpost.core.pooler.control_links import on_control_message
 from jackdawpost.core.pooler.control_links import on_control_opened
 from jackdawpost.core.pooler.control_links import on_newcomer_due
 from jackdawpost.core.pooler.control_links import on_newcomer_failed
 from jackdawpost.core.pooler.control_links import on_newcomer_opened
 from jackdawpost.core.pooler.control_links import on_report_due
-from jackdawpost.core.pooler.control_links import receive_from_control
 from jackdawpost.core.pooler.control_links import send_report
-from jackdawpost.core.pooler.control_links import start_links
-from jackdawpost.core.pooler.placement import dispatch
-from jackdawpost.core.pooler.probes import FULL_CODES
-from jackdawpost.core.pooler.probes import lose_monitor
+from jackdawpost.core.pooler.outcomes import expire_all
+from jackdawpost.core.pooler.outcomes import handle_answer
+from jackdawpost.core.pooler.outcomes import handle_lost_conn
+from jackdawpost.core.pooler.outcomes import on_attempt_timeout
+from jackdawpost.core.pooler.outcomes import on_deadline
+from jackdawpost.core.pooler.outcomes import on_retry_due
+from jackdawpost.core.pooler.outcomes import release_if_idle
+from jackdawpost.core.pooler.outcomes import retry_reads_elsewhere
+from jackdawpost.core.pooler.placement import dispatch_group
+from jackdawpost.core.pooler.probes import handle_action_answer
+from jackdawpost.core.pooler.probes import handle_probe_answer
+from jackdawpost.core.pooler.probes import NO_CAPACITY_CODES
+from jackdawpost.core.pooler.probes import on_monitor_closed
 from jackdawpost.core.pooler.probes import on_probe_due
-from jackdawpost.core.pooler.probes import take_probe_answer
-from jackdawpost.core.pooler.probes import take_told
-from jackdawpost.core.pooler.serving import give_up_all
-from jackdawpost.core.pooler.serving import lose_statement_conn
-from jackdawpost.core.pooler.serving import move_reads
-from jackdawpost.core.pooler.serving import on_again_due
-from jackdawpost.core.pooler.serving import on_attempt_due
-from jackdawpost.core.pooler.serving import on_work_due
-from jackdawpost.core.pooler.serving import release
-from jackdawpost.core.pooler.serving import take_answer
-from jackdawpost.core.pooler.sessions import advance_session
 from jackdawpost.core.pooler.sessions import end_session
-from jackdawpost.core.pooler.sessions import on_open_due
-from jackdawpost.core.pooler.sessions import on_txn_idle
+from jackdawpost.core.pooler.sessions import on_config_wait_expired
+from jackdawpost.core.pooler.sessions import on_request
+from jackdawpost.core.pooler.sessions import on_txn_idle_timeout
 from jackdawpost.core.pooler.sessions import open_session
-from jackdawpost.core.pooler.sessions import receive_request
+from jackdawpost.core.pooler.sessions import process_backlog
 from jackdawpost.core.pooler.state import Answer
 from jackdawpost.core.pooler.state import close
 from jackdawpost.core.pooler.state import PoolerConfig
@@ -65,9 +65,20 @@
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.pooler.state import Session
 from jackdawpost.core.pooler.state import UpstreamConn
-from jackdawpost.core.pooler.upstreams import doubt
-
-DRAIN_STEP_MS = 100.0  # between looks at what a draining process still has
+from jackdawpost.core.pooler.upstreams import suspect
+
+DRAIN_CHECK_INTERVAL_MS = 100.0
+# Names in the dump that differ from the names of the fields of `Pool`.
+_DUMP_NAMES = {
+    'reachability': 'reach',
+    'concurrency_limit': 'limit',
+    'limit_lowered_ms': 'shed_ms',
+    'leaving_since_ms': 'leaving_ms',
+    'suspected': 'doubted',
+    'last_contact_ms': 'heard_ms',
+    'last_success_ms': 'served_ms',
+    'failed_sent_ms': 'unserved',
+}
 
 
 def new_pooler(
@@ -75,7 +86,7 @@
 ) -> tuple[PoolerState, list[Effect]]:
     """Return the state of a starting pooler and its first effects."""
     state = PoolerState(cfg=cfg, rng=rng, now_ms=now_ms)
-    start_links(state)
+    connect_to_seeds(state)
     return state, pop_effects(state)
 
 
@@ -89,17 +100,17 @@
     elif isinstance(event, TimerFired):
         _on_timer(state, event.key)
     elif isinstance(event, ConnOpened):
-        _on_opened(state, event)
+        _on_conn_opened(state, event)
     elif isinstance(event, ConnClosed):
-        _on_closed(state, event)
+        _on_conn_closed(state, event)
     elif isinstance(event, FrameRejected):
-        _on_rejected(state, event)
+        _on_frame_rejected(state, event)
     elif isinstance(event, SeedsChanged):
         state.cfg = dataclasses.replace(state.cfg, seeds=event.seeds)
-        start_links(state)
+        connect_to_seeds(state)
     elif isinstance(event, DrainRequested):
-        _on_drain(state)
-    _settle(state)
+        _on_drain_requested(state)
+    _process_dirty(state)
     return pop_effects(state)
 
 
@@ -110,7 +121,7 @@
     pooler with an old view of the primary sends them.
     """
     has_upstream = any(
-        pool.reach in ('up', 'stalled') for pool in state.pools.values()
+        pool.reachability in ('up', 'stalled') for pool in state.pools.values()
     )
     return state.drain_ms is None and bool(state.endpoints) and has_upstream
 
@@ -122,20 +133,20 @@
         'name': state.cfg.name,
         'version': state.published.version,
         'member_state': state.member_state,
-        'leader': state.controls.get(state.leader),
-        'controls': sorted(state.controls.values()),
-        'granted_age_ms': state.now_ms - state.granted_ms,
+        'leader': state.control_conns.get(state.leader_conn),
+        'controls': sorted(state.control_conns.values()),
+        'granted_age_ms': state.now_ms - state.last_grant_ms,
         'draining': state.drain_ms is not None,
         'sessions': len(state.sessions),
         'endpoints': sorted(state.endpoints),
         'statements': [
             {
-                'request': work.req.id,
-                'verb': work.req.verb,
-                'phase': work.phase,
-                'age_ms': state.now_ms - work.arrived_ms,
+                'request': task.req.id,
+                'verb': task.req.verb,
+                'phase': task.phase,
+                'age_ms': state.now_ms - task.arrived_ms,
             }
-            for work in state.works.values()
+            for task in state.tasks.values()
         ],
         'groups': {
             group.name: {
@@ -145,13 +156,16 @@
             for group in state.groups.values()
         },
         'pools': {
-            name: dataclasses.asdict(pool)
+            name: {
+                _DUMP_NAMES.get(key, key): value
+                for key, value in dataclasses.asdict(pool).items()
+            }
             for name, pool in state.pools.items()
         },
     }
 
 
-def _settle(state: PoolerState) -> None:
+def _process_dirty(state: PoolerState) -> None:
     """Go on with all that the event has made possible."""
     while state.dirty:
         dirty = sorted(state.dirty)
@@ -159,16 +173,16 @@
         for name in dirty:
             kind, _, subject = name.partition('/')
             if kind == 'group':
-                dispatch(state, subject)
-            elif kind == 'silent':
-                move_reads(state, subject)
+                dispatch_group(state, subject)
+            elif kind == 'unreachable':
+                retry_reads_elsewhere(state, subject)
             elif int(subject) in state.sessions:
-                advance_session(state, state.sessions[int(subject)])
+                process_backlog(state, state.sessions[int(subject)])
 
 
-def _on_opened(state: PoolerState, event: ConnOpened) -> None:
+def _on_conn_opened(state: PoolerState, event: ConnOpened) -> None:
     if event.link == 'session':
-        state.strangers.add(event.conn)
+        state.unidentified.add(event.conn)
     elif event.link == 'proxy':
         on_control_opened(state, event.conn, event.peer)
     elif event.link == 'upstream':
@@ -176,13 +190,13 @@
         if conn is None:
             close(state, event.conn, 'not needed', abort=True)
             return
-        conn.steps[0].sent_ms = state.now_ms
-        hello = OpenUpstream(
+        conn.pending_requests[0].sent_ms = state.now_ms
+        open_message = OpenUpstream(
             group=_group_name(state, conn),
             peer=state.cfg.name,
             upstream=conn.upstream,
         )
-        send(state, event.conn, hello)
+        send(state, event.conn, open_message)
 
 
 def _group_name(state: PoolerState, conn: UpstreamConn) -> str:
@@ -193,8 +207,8 @@
     return pool.view.group if pool is not None else ''
 
 
-def _on_closed(state: PoolerState, event: ConnClosed) -> None:
-    if event.conn in state.controls:
+def _on_conn_closed(state: PoolerState, event: ConnClosed) -> None:
+    if event.conn in state.control_conns:
         on_control_closed(state, event.conn)
         return
     conn = state.conns.pop(event.conn, None)
@@ -208,19 +222,19 @@
     pool = state.pools.get(conn.upstream)
     if conn.purpose == 'monitor':
         if pool is not None and pool.monitor == conn.conn:
-            lose_monitor(state, pool, conn, reason)
+            on_monitor_closed(state, pool, conn, reason)
         return
     if pool is not None:
         pool.conns.discard(conn.conn)
         if not conn.opened:
-            note_open_failed(state, pool)
-        if conn.refusal not in FULL_CODES:
-            doubt(state, pool)
+            on_open_failed(state, pool)
+        if conn.refusal_code not in NO_CAPACITY_CODES:
+            suspect(state, pool)
         state.dirty.add(f'group/{pool.view.group}')
-    lose_statement_conn(state, conn, event.detail or reason)
+    handle_lost_conn(state, conn, event.detail or reason)
 
 
-def _on_rejected(state: PoolerState, event: FrameRejected) -> None:
+def _on_frame_rejected(state: PoolerState, event: FrameRejected) -> None:
     """Answer bytes that are no request; other sessions are not affected."""
     log(state, 'info', 'request_malformed', detail=event.detail)
     failed = Failed(code='malformed', text=event.detail)
@@ -230,34 +244,34 @@
 
 
 def _on_received(state: PoolerState, event: Received) -> None:
-    if event.conn in state.controls:
+    if event.conn in state.control_conns:
         for message in event.messages:
-            receive_from_control(state, event.conn, message)
+            on_control_message(state, event.conn, message)
         return
     conn = state.conns.get(event.conn)
     for message in event.messages:
         if conn is not None:
-            _receive_upstream(state, conn, message)
+            _on_upstream_message(state, conn, message)
         elif isinstance(message, StartSession):
-            _start_session(state, event.conn, message)
+            _on_start_session(state, event.conn, message)
         elif isinstance(message, Request):
-            receive_request(state, event.conn, message)
+            on_request(state, event.conn, message)
         elif isinstance(message, EndSession):
             close(state, event.conn, 'session ended', abort=False)
             end_session(state, event.conn)
 
 
-def _start_session(
+def _on_start_session(
     state: PoolerState, conn: int, message: StartSession
 ) -> None:
-    if conn not in state.strangers:
+    if conn not in state.unidentified:
         close(state, conn, 'second start', abort=True)
         end_session(state, conn)
         return
     open_session(state, conn, message.database)
 
 
-def _receive_upstream(
+def _on_upstream_message(
     state: PoolerState, conn: UpstreamConn, message: Any
 ) -> None:
     answer = conn.answer
@@ -270,18 +284,18 @@
         answer.text = message.text
         if not conn.opened:
             # The upstream closes after a refused start.
-            _refused_at_open(state, conn, answer)
+            _on_open_refused(state, conn, answer)
     elif isinstance(message, Ready):
         answer.state = message.state
         answer.position = message.position
         conn.answer = Answer()
-        _complete(state, conn, answer)
+        _on_answer_complete(state, conn, answer)
 
 
-def _refused_at_open(
+def _on_open_refused(
     state: PoolerState, conn: UpstreamConn, answer: Answer
 ) -> None:
-    conn.refusal = answer.code
+    conn.refusal_code = answer.code
     log(
         state,
         'warning',
@@ -293,44 +307,46 @@
     )
 
 
-def _complete(state: PoolerState, conn: UpstreamConn, answer: Answer) -> None:
-    if not conn.steps or conn.conn not in state.conns:
+def _on_answer_complete(
+    state: PoolerState, conn: UpstreamConn, answer: Answer
+) -> None:
+    if not conn.pending_requests or conn.conn not in state.conns:
         log(state, 'warning', 'answer_unasked', upstream=conn.upstream)
-        discard(state, conn, 'answer to nothing')
+        close_upstream_conn(state, conn, 'answer to nothing')
         return
-    step = conn.steps.popleft()
-    if step.kind == 'open':
+    request = conn.pending_requests.popleft()
+    if request.kind == 'open':
         conn.opened = True
         if conn.purpose == 'check':
             on_newcomer_opened(state, conn)
         elif conn.purpose == 'statements':
-            release(state, conn)
+            release_if_idle(state, conn)
         else:
             on_probe_due(state, conn.upstream)
         return
     if conn.purpose == 'monitor':
         pool = state.pools.get(conn.upstream)
         if pool is not None:
-            if step.kind == 'told':
-                take_told(state, pool, step, answer)
+            if request.kind == 'control_action':
+                handle_action_answer(state, pool, request, answer)
             else:
-                take_probe_answer(state, pool, conn, step, answer)
+                handle_probe_answer(state, pool, conn, request, answer)
             if conn.is_idle:
                 # It may be the only one that statements can have.
                 state.dirty.add(f'group/{pool.view.group}')
         return
-    take_answer(state, conn, step, answer)
+    handle_answer(state, conn, request, answer)
 
 
 def _on_timer(state: PoolerState, key: str) -> None:
     kind, _, subject = key.partition('/')
     if kind == 'work':
-        on_work_due(state, int(subject))
+        on_deadline(state, int(subject))
     elif kind == 'attempt':
         number, _, attempt = subject.partition('/')
-        on_attempt_due(state, int(number), int(attempt))
+        on_attempt_timeout(state, int(number), int(attempt))
     elif kind == 'again':
-        on_again_due(state, int(subject))
+        on_retry_due(state, int(subject))
     elif kind == 'probe':
         on_probe_due(state, subject)
     elif kind == 'report':
@@ -338,16 +354,16 @@
     elif kind == 'group':
         state.dirty.add(key)
     elif kind == 'txn':
-        on_txn_idle(state, int(subject))
+        on_txn_idle_timeout(state, int(subject))
     elif kind == 'open':
-        on_open_due(state, int(subject))
+        on_config_wait_expired(state, int(subject))
     elif kind == 'newcomer':
         on_newcomer_due(state, subject)
     elif kind == 'drain':
-        _drain(state)
+        _advance_drain(state)
 
 
-def _on_drain(state: PoolerState) -> None:
+def _on_drain_requested(state: PoolerState) -> None:
     if state.drain_ms is not None:
         return
     state.drain_ms = state.now_ms
@@ -356,37 +372,39 @@
         'info',
         'draining',
         sessions=len(state.sessions),
-        statements=len(state.works),
+        statements=len(state.tasks),
     )
     send_report(state)
-    _drain(state)
+    _advance_drain(state)
 
 
-def _drain(state: PoolerState) -> None:
+def _advance_drain(state: PoolerState) -> None:
     """Close what has ended, and end the process when nothing is left."""
     assert state.drain_ms is not None
-    since_ms = state.now_ms - state.drain_ms
+    elapsed_ms = state.now_ms - state.drain_ms
     cfg = state.cfg
-    if since_ms >= cfg.drain_notice_ms:
+    if elapsed_ms >= cfg.drain_notice_ms:
         for session in list(state.sessions.values()):
-            is_idle = session.work is None and not session.backlog
+            is_idle = session.task is None and not session.backlog
             if is_idle and session.state == 'idle':
-                _end(state, session, 'draining')
-            elif is_idle and since_ms >= cfg.drain_txn_ms:
+                _close_session(state, session, 'draining')
+            elif is_idle and elapsed_ms >= cfg.drain_txn_ms:
                 failed = Failed(code='aborted', text='the proxy is stopping')
                 send(state, session.conn, failed)
-                _end(state, session, 'draining with an open transaction')
-    if since_ms >= cfg.drain_limit_ms or (
-        since_ms >= cfg.drain_notice_ms and not state.sessions
+                _close_session(
+                    state, session, 'draining with an open transaction'
+                )
+    if elapsed_ms >= cfg.drain_limit_ms or (
+        elapsed_ms >= cfg.drain_notice_ms and not state.sessions
     ):
-        give_up_all(state)
+        expire_all(state)
         log(state, 'info', 'stopping', sessions=len(state.sessions))
         state.stopped = True
         state.outbox.append(Stop())
         return
-    schedule(state, 'drain', state.now_ms + DRAIN_STEP_MS)
+    schedule(state, 'drain', state.now_ms + DRAIN_CHECK_INTERVAL_MS)
 
 
-def _end(state: PoolerState, session: Session, reason: str) -> None:
+def _close_session(state: PoolerState, session: Session, reason: str) -> None:
     close(state, session.conn, reason, abort=False)
     end_session(state, session.conn)
--- a/jackdawpost/core/pooler/samples.py
+++ b/jackdawpost/core/pooler/samples.py
@@ -8,7 +8,7 @@
 
 from jackdawpost.core.positions import LogPosition
 
-KEEP_MS = 3_000.0  # longer than the allowances that replicas can serve
+RETENTION_MS = 3_000.0  # longer than the allowances that replicas can serve
 # Between the first byte of a read and the time at which it is taken up.
 ARRIVAL_MARGIN_MS = 100.0
 
@@ -23,27 +23,27 @@
     old rows as fresh.
     """
 
-    taken: deque[tuple[float, LogPosition]] = field(default_factory=deque)
+    samples: deque[tuple[float, LogPosition]] = field(default_factory=deque)
 
     def add(self, sent_ms: float, position: LogPosition) -> None:
         """Take a position that a request sent at `sent_ms` proved."""
-        taken = self.taken
-        if taken and position < taken[-1][1]:
+        samples = self.samples
+        if samples and position < samples[-1][1]:
             return
-        if taken and sent_ms <= taken[-1][0]:
+        if samples and sent_ms <= samples[-1][0]:
             # An answer overtaken by that of a later request adds nothing.
             return
-        taken.append((sent_ms, position))
-        while taken[0][0] < sent_ms - KEEP_MS:
-            taken.popleft()
+        samples.append((sent_ms, position))
+        while samples[0][0] < sent_ms - RETENTION_MS:
+            samples.popleft()
 
     def newest_ms(self) -> float | None:
         """Return when the newest sample was asked for."""
-        return self.taken[-1][0] if self.taken else None
+        return self.samples[-1][0] if self.samples else None
 
     def oldest_position(self) -> LogPosition | None:
         """Return the position of the oldest sample kept."""
-        return self.taken[0][1] if self.taken else None
+        return self.samples[0][1] if self.samples else None
 
     def oldest_within(
         self, arrived_ms: float, max_age_ms: float
@@ -62,8 +62,8 @@
         LogPosition or None
             None if no sample is young enough.
         """
-        since_ms = arrived_ms - max_age_ms + ARRIVAL_MARGIN_MS
-        for sent_ms, position in self.taken:
-            if sent_ms >= since_ms:
+        earliest_ms = arrived_ms - max_age_ms + ARRIVAL_MARGIN_MS
+        for sent_ms, position in self.samples:
+            if sent_ms >= earliest_ms:
                 return position
         return None
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -12,31 +12,31 @@
 from jackdawpost.core.outbox import count
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
-from jackdawpost.core.pooler.answers import forget
+from jackdawpost.core.pooler.answers import drop_task
 from jackdawpost.core.pooler.connections import send_internal
 from jackdawpost.core.pooler.connections import send_rollback
-from jackdawpost.core.pooler.placement import run_statement
+from jackdawpost.core.pooler.placement import send_statement
 from jackdawpost.core.pooler.placement import submit
 from jackdawpost.core.pooler.state import close
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.pooler.state import Session
+from jackdawpost.core.pooler.state import StatementTask
 from jackdawpost.core.pooler.state import Transaction
-from jackdawpost.core.pooler.state import Work
 from jackdawpost.core.published import EndpointView
 
 # Callers give up a session that has not opened after 2 s.
-OPEN_WAIT_MS = 1_500.0
+CONFIG_WAIT_MS = 1_500.0
 # Requests that a session may send ahead of their answers.
-MAX_BACKLOG = 64
+MAX_PIPELINED_REQUESTS = 64
 
 
 def open_session(state: PoolerState, conn: int, database: str) -> None:
     """Open a session, or wait for the configuration that names it."""
-    state.strangers.discard(conn)
+    state.unidentified.discard(conn)
     if not state.published.version:
-        state.held[conn] = database
-        schedule(state, f'open/{conn}', state.now_ms + OPEN_WAIT_MS)
+        state.waiting_sessions[conn] = database
+        schedule(state, f'open/{conn}', state.now_ms + CONFIG_WAIT_MS)
         return
     if database not in state.endpoints:
         _refuse_session(state, conn, database)
@@ -59,16 +59,16 @@
     close(state, conn, 'no such database', abort=False)
 
 
-def open_held(state: PoolerState) -> None:
+def open_waiting_sessions(state: PoolerState) -> None:
     """Open the sessions that waited for the first configuration."""
-    held, state.held = state.held, {}
-    for conn, database in held.items():
+    waiting_sessions, state.waiting_sessions = state.waiting_sessions, {}
+    for conn, database in waiting_sessions.items():
         open_session(state, conn, database)
 
 
-def on_open_due(state: PoolerState, conn: int) -> None:
+def on_config_wait_expired(state: PoolerState, conn: int) -> None:
     """Give up a session that no configuration came for."""
-    database = state.held.pop(conn, None)
+    database = state.waiting_sessions.pop(conn, None)
     if database is None:
         return
     log(state, 'warning', 'session_unserved', database=database)
@@ -77,7 +77,7 @@
     close(state, conn, 'no configuration', abort=False)
 
 
-def receive_request(state: PoolerState, conn: int, req: Request) -> None:
+def on_request(state: PoolerState, conn: int, req: Request) -> None:
     """Take a request; requests of one session run one after another."""
     session = state.sessions.get(conn)
     if session is None:
@@ -85,32 +85,36 @@
         send(state, conn, Failed(code='malformed', text=text))
         close(state, conn, 'request before start', abort=False)
         return
-    if len(session.backlog) >= MAX_BACKLOG:
+    if len(session.backlog) >= MAX_PIPELINED_REQUESTS:
         close(state, conn, 'too many requests in flight', abort=True)
         end_session(state, conn)
         return
     session.backlog.append(req)
-    advance_session(state, session)
+    process_backlog(state, session)
 
 
-def advance_session(state: PoolerState, session: Session) -> None:
+def process_backlog(state: PoolerState, session: Session) -> None:
     """Take the next requests up to one that an upstream has to run."""
-    while session.work is None and session.backlog:
-        _take_request(state, session, session.backlog.popleft())
+    while session.task is None and session.backlog:
+        _process_request(state, session, session.backlog.popleft())
 
 
-def _take_request(state: PoolerState, session: Session, req: Request) -> None:
+def _process_request(
+    state: PoolerState, session: Session, req: Request
+) -> None:
     if req.verb == 'unknown':
-        fail(
+        refuse_request(
             state, session, 'malformed', f'unknown statement {req.text!r:.80}'
         )
     elif session.state == 'failed_txn' and req.verb not in (
         'rollback',
         'commit',
     ):
-        fail(state, session, 'malformed', 'the transaction has failed')
+        refuse_request(
+            state, session, 'malformed', 'the transaction has failed'
+        )
     elif req.verb in ('set', 'prepare', 'deallocate'):
-        _keep_value(state, session, req)
+        _update_session_values(state, session, req)
     elif req.verb in ('begin', 'begin_read'):
         _begin(state, session, req)
     elif req.verb == 'rollback':
@@ -118,16 +122,18 @@
     elif req.verb == 'commit':
         _commit(state, session, req)
     else:
-        _run(state, session, req)
+        _submit_statement(state, session, req)
 
 
-def answer_local(state: PoolerState, session: Session) -> None:
+def answer_locally(state: PoolerState, session: Session) -> None:
     """Answer a request that no upstream has to run."""
     ready = Ready(state=session.state)
     send(state, session.conn, Done(signature='-'), ready)
 
 
-def fail(state: PoolerState, session: Session, code: str, text: str) -> None:
+def refuse_request(
+    state: PoolerState, session: Session, code: str, text: str
+) -> None:
     """Refuse a request of which nothing has run."""
     count(state, f'statements_{code}')
     log(
@@ -143,7 +149,9 @@
     send(state, session.conn, Failed(code=code, text=text), ready)
 
 
-def _keep_value(state: PoolerState, session: Session, req: Request) -> None:
+def _update_session_values(
+    state: PoolerState, session: Session, req: Request
+) -> None:
     if req.verb == 'set':
         session.values[req.name] = req.argument
     elif req.verb == 'prepare':
@@ -151,11 +159,11 @@
     else:
         session.prepared.pop(req.name, None)
     session.epoch += 1
-    _keep_in_txn(state, session, req)
-    answer_local(state, session)
+    _replay_in_txn(state, session, req)
+    answer_locally(state, session)
 
 
-def _keep_in_txn(state: PoolerState, session: Session, req: Request) -> None:
+def _replay_in_txn(state: PoolerState, session: Session, req: Request) -> None:
     """Bring a value onto the connection that the transaction holds."""
     txn = session.txn
     conn = state.conns.get(txn.conn) if txn is not None else None
@@ -163,7 +171,7 @@
         return
     if req.verb == 'deallocate':
         # The connection is reset before another session uses it.
-        conn.epoch = session.epoch
+        conn.replayed_epoch = session.epoch
         return
     action = 'set' if req.verb == 'set' else 'prepare'
     message = Internal(
@@ -172,51 +180,53 @@
         argument=req.argument,
     )
     send_internal(state, conn, 'replay', message)
-    conn.session = session.conn
-    conn.epoch = session.epoch
+    conn.replayed_session = session.conn
+    conn.replayed_epoch = session.epoch
 
 
 def _begin(state: PoolerState, session: Session, req: Request) -> None:
     if session.txn is not None:
-        fail(state, session, 'malformed', 'a transaction is open already')
+        refuse_request(
+            state, session, 'malformed', 'a transaction is open already'
+        )
         return
     endpoint = state.endpoints.get(session.database)
     if endpoint is None:
-        _fail_dropped(state, session)
+        _refuse_dropped_database(state, session)
         return
     session.txn = Transaction(
         endpoint=endpoint,
         read_only=req.verb == 'begin_read',
-        active_ms=state.now_ms,
+        last_activity_ms=state.now_ms,
     )
     session.state = 'in_txn'
-    _watch_idle(state, session)
-    answer_local(state, session)
+    _schedule_idle_timeout(state, session)
+    answer_locally(state, session)
 
 
-def _fail_dropped(state: PoolerState, session: Session) -> None:
+def _refuse_dropped_database(state: PoolerState, session: Session) -> None:
     text = f'database {session.database!r} has been dropped'
-    fail(state, session, 'no_database', text)
+    refuse_request(state, session, 'no_database', text)
 
 
-def _watch_idle(state: PoolerState, session: Session) -> None:
+def _schedule_idle_timeout(state: PoolerState, session: Session) -> None:
     txn = session.txn
     if txn is not None and txn.endpoint.idle_txn_ms:
-        due_ms = txn.active_ms + txn.endpoint.idle_txn_ms
+        due_ms = txn.last_activity_ms + txn.endpoint.idle_txn_ms
         schedule(state, f'txn/{session.conn}', due_ms)
 
 
-def on_txn_idle(state: PoolerState, conn: int) -> None:
+def on_txn_idle_timeout(state: PoolerState, conn: int) -> None:
     """Roll back a transaction that its caller has left idle."""
     session = state.sessions.get(conn)
     txn = session.txn if session is not None else None
     if session is None or txn is None or session.state != 'in_txn':
         return
-    if session.work is not None:
-        txn.active_ms = state.now_ms
-    idle_ms = state.now_ms - txn.active_ms
+    if session.task is not None:
+        txn.last_activity_ms = state.now_ms
+    idle_ms = state.now_ms - txn.last_activity_ms
     if idle_ms < txn.endpoint.idle_txn_ms:
-        _watch_idle(state, session)
+        _schedule_idle_timeout(state, session)
         return
     log(
         state,
@@ -238,16 +248,16 @@
     if txn is None or conn is None:
         return
     txn.conn = 0
-    conn.owner = 0
+    conn.txn_session = 0
     send_rollback(state, conn)
 
 
 def _roll_back(state: PoolerState, session: Session) -> None:
-    _drop_txn(state, session)
-    answer_local(state, session)
+    _end_txn(state, session)
+    answer_locally(state, session)
 
 
-def _drop_txn(state: PoolerState, session: Session) -> None:
+def _end_txn(state: PoolerState, session: Session) -> None:
     release_txn_conn(state, session)
     session.txn = None
     session.state = 'idle'
@@ -255,49 +265,51 @@
 
 def _commit(state: PoolerState, session: Session, req: Request) -> None:
     if session.txn is None:
-        fail(state, session, 'malformed', 'no transaction is open')
+        refuse_request(state, session, 'malformed', 'no transaction is open')
         return
     if session.state == 'failed_txn':
-        _drop_txn(state, session)
+        _end_txn(state, session)
         text = 'the transaction had failed and is rolled back'
-        fail(state, session, 'aborted', text)
+        refuse_request(state, session, 'aborted', text)
         return
-    _run(state, session, req)
+    _submit_statement(state, session, req)
 
 
-def _run(state: PoolerState, session: Session, req: Request) -> None:
+def _submit_statement(
+    state: PoolerState, session: Session, req: Request
+) -> None:
     """Hand a statement over to an upstream."""
     txn = session.txn
     endpoint = txn.endpoint if txn else state.endpoints.get(session.database)
     if endpoint is None:
-        _fail_dropped(state, session)
+        _refuse_dropped_database(state, session)
         return
     is_write = _is_write(session, req)
     if is_write is None:
         text = f'no statement is prepared as {req.name!r:.80}'
-        fail(state, session, 'no_statement', text)
+        refuse_request(state, session, 'no_statement', text)
         return
-    work = Work(
-        number=state.next_work,
+    task = StatementTask(
+        number=state.next_task,
         session=session,
         req=req,
         endpoint=endpoint,
         arrived_ms=state.now_ms,
-        due_ms=state.now_ms + endpoint.timeout_ms,
-        place=_place_of(endpoint, txn, is_write),
+        deadline_ms=state.now_ms + endpoint.timeout_ms,
+        target=_choose_target(endpoint, txn, is_write),
         is_write=is_write,
         in_txn=txn is not None,
     )
-    state.next_work += 1
-    session.work = work
+    state.next_task += 1
+    session.task = task
     if txn is not None and txn.conn:
-        _run_in_txn(state, txn, work)
+        _send_in_txn(state, txn, task)
         return
     if txn is not None:
         # An upstream that refuses the begin has run nothing of the
         # transaction.
-        txn.active_ms = state.now_ms
-    submit(state, work)
+        txn.last_activity_ms = state.now_ms
+    submit(state, task)
 
 
 def _is_write(session: Session, req: Request) -> bool | None:
@@ -307,7 +319,7 @@
     return None if shape is None else shape.startswith('WRITE')
 
 
-def _place_of(
+def _choose_target(
     endpoint: EndpointView, txn: Transaction | None, is_write: bool
 ) -> Literal['primary', 'any']:
     if endpoint.consistency == 'primary' or is_write:
@@ -317,24 +329,26 @@
     return 'any'
 
 
-def _run_in_txn(state: PoolerState, txn: Transaction, work: Work) -> None:
+def _send_in_txn(
+    state: PoolerState, txn: Transaction, task: StatementTask
+) -> None:
     conn = state.conns[txn.conn]
-    txn.active_ms = state.now_ms
-    state.works[work.number] = work
-    schedule(state, f'work/{work.number}', work.due_ms)
-    run_statement(state, conn, work)
+    txn.last_activity_ms = state.now_ms
+    state.tasks[task.number] = task
+    schedule(state, f'work/{task.number}', task.deadline_ms)
+    send_statement(state, conn, task)
 
 
 def end_session(state: PoolerState, conn: int) -> None:
     """Forget a session; what it left open is rolled back."""
-    state.strangers.discard(conn)
-    state.held.pop(conn, None)
+    state.unidentified.discard(conn)
+    state.waiting_sessions.pop(conn, None)
     session = state.sessions.pop(conn, None)
     if session is None:
         return
-    work = session.work
+    task = session.task
     release_txn_conn(state, session)
-    if work is not None:
-        work.session = None
-        if work.phase == 'waiting':
-            forget(state, work)
+    if task is not None:
+        task.session = None
+        if task.phase == 'waiting':
+            drop_task(state, task)
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -11,84 +11,92 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
-from jackdawpost.core.pooler.upstreams import note_reach
+from jackdawpost.core.pooler.upstreams import set_reachability
 
 # Longer than a statement waits and runs on a full database: a queue of 48
 # before 6 slots and 55 ms a statement (the deployments' own sizes) take
 # 500 ms.
-STALL_MS = 800.0
+MIN_STALL_TIMEOUT_MS = 800.0
 # The same in mean times that the upstream takes for a statement.
-STALL_LATENCIES = 3.0
+STALL_TIMEOUT_LATENCIES = 3.0
 # A single failure may be the statement's own.
-MIN_UNSERVED = 3
+MIN_STALL_STATEMENTS = 3
 # Older failures do not count any more.
-UNSERVED_MEMORY_MS = 3_000.0
+FAILURE_RETENTION_MS = 3_000.0
 # Time for which a stalled upstream gets no statements; twice as long each
 # time that it stalls again. Control needs a part of it to hear most proxies
 # and replace a primary.
-HOLD_MS = 2_000.0
-MAX_HOLD_MS = 8_000.0
+MIN_SUSPENSION_MS = 2_000.0
+MAX_SUSPENSION_MS = 8_000.0
 
 
-def note_success(state: PoolerState, pool: Pool) -> None:
+def record_success(state: PoolerState, pool: Pool) -> None:
     """Take a statement that an upstream has run to its end."""
-    pool.served_ms = state.now_ms
-    pool.unserved.clear()
+    pool.last_success_ms = state.now_ms
+    pool.failed_sent_ms.clear()
     pool.stalls = 0
     if state.now_ms < pool.stalled_until_ms:
         pool.stalled_until_ms = state.now_ms
-        note_reach(state, pool, 'up')
+        set_reachability(state, pool, 'up')
 
 
-def note_unserved(state: PoolerState, pool: Pool, sent_ms: float) -> None:
+def record_failure(state: PoolerState, pool: Pool, sent_ms: float) -> None:
     """Take a statement, accepted at `sent_ms`, that failed or was lost."""
-    if pool.reach != 'up':
+    if pool.reachability != 'up':
         return
-    pool.unserved.append(sent_ms)
-    while pool.unserved[0] < state.now_ms - UNSERVED_MEMORY_MS:
-        pool.unserved.popleft()
-        if not pool.unserved:
+    pool.failed_sent_ms.append(sent_ms)
+    while pool.failed_sent_ms[0] < state.now_ms - FAILURE_RETENTION_MS:
+        pool.failed_sent_ms.popleft()
+        if not pool.failed_sent_ms:
             return
-    _judge(state, pool, min(pool.unserved))
+    _mark_if_stalled(state, pool, min(pool.failed_sent_ms))
 
 
-def look_for_stall(state: PoolerState, pool: Pool) -> None:
+def detect_stall(state: PoolerState, pool: Pool) -> None:
     """Take an upstream for stalled that has answered nothing for too long."""
-    outstanding = _outstanding_ms(state, pool)
-    if pool.reach == 'up' and outstanding:
-        _judge(state, pool, min(outstanding))
+    outstanding = _outstanding_sent_ms(state, pool)
+    if pool.reachability == 'up' and outstanding:
+        _mark_if_stalled(state, pool, min(outstanding))
 
 
-def _judge(state: PoolerState, pool: Pool, first_ms: float) -> None:
-    limit_ms = max(STALL_MS, pool.latency_ms * STALL_LATENCIES)
-    without_ms = state.now_ms - max(first_ms, pool.served_ms)
-    if without_ms < limit_ms:
+def _mark_if_stalled(
+    state: PoolerState, pool: Pool, oldest_sent_ms: float
+) -> None:
+    timeout_ms = max(
+        MIN_STALL_TIMEOUT_MS, pool.latency_ms * STALL_TIMEOUT_LATENCIES
+    )
+    without_success_ms = state.now_ms - max(
+        oldest_sent_ms, pool.last_success_ms
+    )
+    if without_success_ms < timeout_ms:
         return
-    tried = len(pool.unserved) + len(_outstanding_ms(state, pool))
-    if tried < MIN_UNSERVED:
+    statements = len(pool.failed_sent_ms) + len(
+        _outstanding_sent_ms(state, pool)
+    )
+    if statements < MIN_STALL_STATEMENTS:
         return
-    pool.unserved.clear()
-    hold_ms = min(MAX_HOLD_MS, HOLD_MS * 2**pool.stalls)
+    pool.failed_sent_ms.clear()
+    suspension_ms = min(MAX_SUSPENSION_MS, MIN_SUSPENSION_MS * 2**pool.stalls)
     pool.stalls += 1
-    pool.stalled_until_ms = state.now_ms + hold_ms
+    pool.stalled_until_ms = state.now_ms + suspension_ms
     log(
         state,
         'warning',
         'upstream_stalled',
         upstream=pool.view.name,
-        statements=tried,
-        without_success_ms=round(without_ms),
-        limit_ms=round(limit_ms),
-        hold_ms=round(hold_ms),
+        statements=statements,
+        without_success_ms=round(without_success_ms),
+        limit_ms=round(timeout_ms),
+        hold_ms=round(suspension_ms),
     )
-    note_reach(state, pool, 'stalled')
+    set_reachability(state, pool, 'stalled')
 
 
-def _outstanding_ms(state: PoolerState, pool: Pool) -> list[float]:
+def _outstanding_sent_ms(state: PoolerState, pool: Pool) -> list[float]:
     """Return when the statements were sent that have no answer yet."""
     return [
-        step.sent_ms
+        request.sent_ms
         for number in pool.conns
-        for step in state.conns[number].steps
-        if step.kind == 'statement'
+        for request in state.conns[number].pending_requests
+        if request.kind == 'statement'
     ]
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -1,4 +1,4 @@
-"""State of a session pooler and the helpers that its parts share."""
+"""State of the session pooler, and helpers shared by its modules."""
 
 from __future__ import annotations
 
@@ -23,37 +23,41 @@
 from jackdawpost.core.published import PublishedState
 from jackdawpost.core.published import UpstreamView
 
-INITIAL_LIMIT = 16.0  # statements at a time, until an upstream refuses one
-INITIAL_LATENCY_MS = 20.0  # until an upstream has answered a statement
+# Concurrent statements per upstream, until the upstream refuses one.
+INITIAL_CONCURRENCY_LIMIT = 16.0
+# Assumed until an upstream has answered a statement.
+INITIAL_LATENCY_MS = 20.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class PoolerConfig:
-    """Settings of a pooler that its decisions depend on.
+    """Settings of a session pooler.
 
     Parameters
     ----------
     member_id : str
-        Identity of this pooler, kept over restarts.
+        Identity of this pooler, which survives restarts.
     regions : dict of str to str
         Region of each data centre.
     seeds : tuple of str
-        Addresses of control processes to start from.
+        Addresses of the control processes to connect to first.
     decode_status : callable
-        Reads the row with which an upstream answers a status request;
-        raises `ProtocolError` if it cannot.
+        Parses the row that an upstream returns for a status request; raises
+        `ProtocolError` if the row is malformed.
     probe_interval_ms, probe_timeout_ms : float
-        Pause between probes of an upstream, and time without an answer
-        after which it counts as silent.
+        Interval between probes of an upstream, and the time without an
+        answer after which the upstream is reported as silent.
     drain_notice_ms : float
-        Time in which the balancer takes a draining process out of rotation;
-        idle sessions are closed only then.
+        Time that the load balancer needs to take a draining process out of
+        rotation. Idle sessions are closed after this time, not earlier.
     drain_txn_ms : float
-        Time that open transactions have from the request to stop.
+        Time from the drain request after which open transactions are
+        aborted.
     drain_limit_ms : float
-        Time from the request to stop after which the process ends.
+        Time from the drain request after which the process exits.
     leaving_work_ms : float
-        Time for which a leaving primary without a successor gets work.
+        Time for which a leaving primary still receives statements while no
+        successor has been promoted.
     """
 
     name: str
@@ -80,37 +84,40 @@
 class Transaction:
     """Open transaction of a session.
 
-    The upstream connection is taken with the first statement, not with the
-    begin, so that a caller that pauses in between holds none.
+    The upstream connection is acquired by the first statement, not by the
+    begin. A caller that pauses between the two occupies no connection.
 
     Parameters
     ----------
     conn : int
-        Upstream connection; 0 before the first statement and after a loss.
+        Upstream connection; 0 before the first statement and after the
+        connection was lost.
     """
 
     endpoint: EndpointView
     read_only: bool
     conn: int = 0
-    active_ms: float = 0.0
+    last_activity_ms: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
 class Session:
-    """A caller's connection.
+    """Session of a caller, which lasts as long as the caller's connection.
 
     Parameters
     ----------
     values : dict of str to str
         Session values that the caller set.
     prepared : dict of str to str
-        ``READ SHAPE`` or ``WRITE SHAPE`` by name of prepared statement.
+        Prepared statements by name, each ``READ SHAPE`` or ``WRITE SHAPE``.
     epoch : int
-        Rises with every change of values or prepared statements.
+        Incremented by each change of session values or prepared statements.
     position : LogPosition, optional
-        Position of the latest commit of this session.
+        Log position of the session's latest commit.
     backlog : deque of Request
-        Requests behind the one in progress.
+        Pipelined requests that wait for the one in progress.
+    task : StatementTask, optional
+        Statement in progress.
     """
 
     conn: int
@@ -121,35 +128,39 @@
     state: SessionState = 'idle'
     position: LogPosition | None = None
     backlog: deque[Request] = field(default_factory=deque)
-    work: Work | None = None
+    task: StatementTask | None = None
     txn: Transaction | None = None
 
 
 @dataclass(slots=True, kw_only=True)
-class Work:
-    """A statement of a caller that an upstream has to run.
+class StatementTask:
+    """Statement of a caller that has to run on an upstream.
 
     Parameters
     ----------
     session : Session, optional
-        None once the caller has gone.
-    due_ms : float
-        End of the time that the statement has.
-    place : {'primary', 'any'}
-        Where it may run; ``'any'`` is for reads of a bounded age.
+        None after the caller has disconnected.
+    deadline_ms : float
+        Time at which the statement times out.
+    target : {'primary', 'any'}
+        Upstreams that may run the statement. ``'any'`` is for reads that
+        accept a replica.
     in_txn : bool
-        Part of a transaction.
+        True if the statement belongs to a transaction of the caller.
     phase : str
-        ``'waiting'``: nothing is sent; ``'beginning'``: a transaction is
-        being begun for it; ``'running'``: it was sent.
-    excluded : set of str
-        Upstreams that cannot serve it.
-    after : LogPosition, optional
-        Position demanded from the upstream that it was sent to.
-    refusal : str
-        Code of the latest refusal by an upstream.
+        ``'waiting'``: queued, nothing has been sent; ``'beginning'``: the
+        begin of a transaction has been sent; ``'running'``: the statement
+        has been sent.
+    not_before_ms : float
+        Earliest time of the next attempt (back-off after a refusal).
+    excluded_upstreams : set of str
+        Upstreams on which the statement is not tried again.
+    required_position : LogPosition, optional
+        Log position that the upstream must have applied to run the read.
+    refusal_code : str
+        Error code of the latest refusal by an upstream.
     may_have_run : bool
-        An earlier attempt was sent and its answer lost.
+        True if an earlier attempt was sent and its answer was lost.
     """
 
     number: int
@@ -157,8 +168,8 @@
     req: Request
     endpoint: EndpointView
     arrived_ms: float
-    due_ms: float
-    place: Literal['primary', 'any']
+    deadline_ms: float
+    target: Literal['primary', 'any']
     is_write: bool
     in_txn: bool = False
     phase: Literal['waiting', 'beginning', 'running'] = 'waiting'
@@ -166,13 +177,13 @@
     not_before_ms: float = 0.0
     conn: int = 0
     sent_ms: float = 0.0
-    excluded: set[str] = field(default_factory=set)
-    after: LogPosition | None = None
-    refusal: str = ''
+    excluded_upstreams: set[str] = field(default_factory=set)
+    required_position: LogPosition | None = None
+    refusal_code: str = ''
     may_have_run: bool = False
 
 
-StepKind = Literal[
+RequestKind = Literal[
     'open',
     'replay',
     'begin',
@@ -181,39 +192,41 @@
     'status',
     'probe_begin',
     'probe_rollback',
-    'told',
+    'control_action',
 ]
 
 
 @dataclass(slots=True, kw_only=True)
-class Step:
-    """A request on an upstream connection whose answer is outstanding.
+class UpstreamRequest:
+    """Request that was sent on an upstream connection and is unanswered.
 
     Parameters
     ----------
-    asked : UpstreamAction, optional
-        Request of control that it passes on.
-    asker : int
-        Control connection to answer.
+    task : StatementTask, optional
+        Statement of a caller that the request belongs to.
+    control_action : UpstreamAction, optional
+        Request of a control process that is forwarded.
+    control_conn : int
+        Control connection on which to return the answer.
     """
 
-    kind: StepKind
+    kind: RequestKind
     sent_ms: float
-    work: Work | None = None
-    asked: UpstreamAction | None = None
-    asker: int = 0
+    task: StatementTask | None = None
+    control_action: UpstreamAction | None = None
+    control_conn: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
 class Answer:
-    """Collected answer to one step.
+    """Answer to one upstream request, collected from several messages.
 
     Parameters
     ----------
     signature : str
-        Signature of a success; empty after a failure.
+        Signature of the database; empty if the request failed.
     code, text : str
-        Failure; empty after a success.
+        Error code and message; empty if the request succeeded.
     """
 
     rows: list[str] = field(default_factory=list)
@@ -226,81 +239,106 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamConn:
-    """A connection to an upstream.
+    """Connection to an upstream.
 
     Parameters
     ----------
-    refusal : str
-        Code with which the upstream refused the connection.
-    session : int
-        Session whose values are on the connection; 0 for none.
-    epoch : int
-        Epoch of that session when they were replayed.
-    owner : int
-        Session whose transaction holds the connection; 0 for none.
+    purpose : {'statements', 'monitor', 'check'}
+        Statements of callers, probes, or the check of a new upstream before
+        it is approved.
+    refusal_code : str
+        Error code with which the upstream refused the connection.
+    replayed_session : int
+        Session whose values and prepared statements were replayed on the
+        connection; 0 for none.
+    replayed_epoch : int
+        Epoch of that session at the time of the replay.
+    txn_session : int
+        Session whose open transaction occupies the connection; 0 for none.
+    pending_requests : deque of UpstreamRequest
+        Unanswered requests in the order in which they were sent.
+    answer : Answer
+        Answer to the first pending request, as far as it has arrived.
     """
 
     conn: int
     upstream: str
     purpose: Literal['statements', 'monitor', 'check']
     opened: bool = False
-    refusal: str = ''
-    session: int = 0
-    epoch: int = 0
-    owner: int = 0
-    steps: deque[Step] = field(default_factory=deque)
+    refusal_code: str = ''
+    replayed_session: int = 0
+    replayed_epoch: int = 0
+    txn_session: int = 0
+    pending_requests: deque[UpstreamRequest] = field(default_factory=deque)
     answer: Answer = field(default_factory=Answer)
 
     @property
     def is_idle(self) -> bool:
-        """Whether a statement may be sent now."""
-        return self.opened and not self.steps and not self.owner
+        """True if a statement can be sent on the connection now."""
+        return (
+            self.opened and not self.pending_requests and not self.txn_session
+        )
 
 
 @dataclass(slots=True, kw_only=True)
 class Pool:
-    """Connections to one upstream and what is known of it.
+    """Connection pool and observed state of one upstream.
+
+    The state dump writes some fields under other names, see `dump_pooler`.
 
     Parameters
     ----------
-    reach : str
-        Reachability; empty before the first probe.
+    conns : set of int
+        Connections for statements.
+    monitor : int
+        Connection that was opened for probes; 0 for none.
+    reachability : str
+        Result of the latest probe; empty before the first one.
     leads : bool
-        The latest probe proved that it leads.
+        True if the upstream has proved that it is the primary; False after
+        it refused to lead or became unreachable.
     term : int
-        Term that it reported.
+        Latest term that the upstream reported.
     applied, received : LogPosition, optional
-        Positions that it reported.
+        Latest log positions that the upstream reported.
     applied_ms : float
-        When it reported `applied`.
+        Time at which the upstream reported `applied`.
     latency_ms : float
-        Moving average of the time that its statements take.
+        Moving average of the latency of statements.
+    failures : int
+        Consecutive failures to open a connection, for the back-off.
     retry_at_ms : float
-        Earliest time to open another connection after a failure.
-    limit : float
-        Statements that may run there at a time.
-    shed_ms : float
-        When a refusal last lowered the limit.
-    leaving_ms : float, optional
-        When this process learned that it leaves.
+        Earliest time at which another connection may be opened after a
+        failure.
+    concurrency_limit : float
+        Maximum number of concurrent statements on the upstream.
+    limit_lowered_ms : float
+        Time at which a refusal last lowered `concurrency_limit`.
+    leaving_since_ms : float, optional
+        Time at which the published state first showed the upstream as
+        leaving.
     probe_conn : int
-        Connection that the latest probe was sent on.
-    doubted : bool
-        A connection has ended since the upstream last answered a probe.
-    served_ms : float
-        When it last ran a statement to its end.
-    unserved : deque of float
-        When accepted statements were sent that failed or were lost since.
+        Connection on which the latest probe was sent.
+    suspected : bool
+        True if a connection has ended since the upstream last answered a
+        probe.
+    last_contact_ms : float
+        Time of the latest answer to a probe or a statement.
+    last_success_ms : float
+        Time at which the upstream last completed a statement successfully.
+    failed_sent_ms : deque of float
+        Send times of the accepted statements that have failed or been lost
+        since the last success.
     stalls : int
-        How often it was found to run nothing since it last served.
+        Number of stalls detected since the last success.
     stalled_until_ms : float
-        Time up to which it gets no statements because it ran none.
+        Time up to which a stalled upstream receives no statements.
     """
 
     view: UpstreamView
     conns: set[int] = field(default_factory=set)
     monitor: int = 0
-    reach: Evidence | Literal[''] = ''
+    reachability: Evidence | Literal[''] = ''
     leads: bool = False
     term: int = 0
     applied: LogPosition | None = None
@@ -309,61 +347,68 @@
     latency_ms: float = INITIAL_LATENCY_MS
     failures: int = 0
     retry_at_ms: float = 0.0
-    limit: float = INITIAL_LIMIT
-    shed_ms: float = 0.0
-    leaving_ms: float | None = None
+    concurrency_limit: float = INITIAL_CONCURRENCY_LIMIT
+    limit_lowered_ms: float = 0.0
+    leaving_since_ms: float | None = None
     probe_conn: int = 0
     probe_sent_ms: float = 0.0
-    doubted: bool = False
-    heard_ms: float = 0.0
-    served_ms: float = 0.0
-    unserved: deque[float] = field(default_factory=deque)
+    suspected: bool = False
+    last_contact_ms: float = 0.0
+    last_success_ms: float = 0.0
+    failed_sent_ms: deque[float] = field(default_factory=deque)
     stalls: int = 0
     stalled_until_ms: float = 0.0
 
     @property
-    def best_position(self) -> LogPosition | None:
-        """Highest position that the upstream is known to hold."""
+    def highest_position(self) -> LogPosition | None:
+        """Highest log position that the upstream has reported."""
         known = [p for p in (self.applied, self.received) if p is not None]
         return max(known, default=None)
 
 
 @dataclass(slots=True, kw_only=True)
 class PoolGroup:
-    """What is known of one database group.
+    """Queue and observed state of one database group.
 
     Parameters
     ----------
     primary : str, optional
-        Upstream that last proved that it leads; None once it refused.
-    waiting : list of Work
-        Statements that no upstream connection has been found for.
-    answered_ms, gap_ms : float
-        Time of the latest answer, and mean time between two answers while
-        statements wait.
+        Upstream that last proved that it is the primary; None after that
+        upstream refused to lead or became unreachable.
+    samples : PositionSamples
+        Log positions of the primary at known times.
+    waiting : list of StatementTask
+        Statements queued until an upstream connection is available.
+    last_answer_ms : float
+        Time of the latest answer to a statement.
+    mean_answer_interval_ms : float
+        Moving average of the time between two answers while statements are
+        queued.
     had_backlog : bool
-        Statements waited at the latest answer.
+        True if statements were queued at the latest answer.
     """
 
     name: str
     primary: str | None = None
     samples: PositionSamples = field(default_factory=PositionSamples)
-    waiting: list[Work] = field(default_factory=list)
-    answered_ms: float = 0.0
-    gap_ms: float = 0.0
+    waiting: list[StatementTask] = field(default_factory=list)
+    last_answer_ms: float = 0.0
+    mean_answer_interval_ms: float = 0.0
     had_backlog: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
 class Newcomer:
-    """Upstream that control asks this pooler to approve.
+    """New upstream that a control process has asked this pooler to check.
 
     Parameters
     ----------
-    asker : int
-        Control connection that asked.
+    control_conn : int
+        Control connection on which to send the approval.
     conn : int
-        Connection to the newcomer; 0 between attempts.
+        Connection to the new upstream; 0 between attempts.
+    attempts : int
+        Number of connection attempts so far.
     """
 
     name: str
@@ -371,14 +416,41 @@
     group: str
     host: str
     port: int
-    asker: int = 0
+    control_conn: int = 0
     conn: int = 0
     attempts: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
 class PoolerState:
-    """Whole state of a session pooler."""
+    """State of a session pooler.
+
+    Parameters
+    ----------
+    unidentified : set of int
+        Caller connections that have not sent `StartSession` yet.
+    waiting_sessions : dict of int to str
+        Database by caller connection, for sessions that arrived before the
+        first configuration.
+    proxies_last_seen_ms : dict of str to float
+        Time at which each proxy was last in the published state.
+    control_conns : dict of int to str
+        Peer address by connection to a control process.
+    connected_peers : set of str
+        Control processes to stay connected to.
+    leader_conn : int
+        Connection to the control leader; 0 if it is not known.
+    last_grant_seq, last_grant_ms : int, float
+        Sequence number and arrival time of the leader's latest answer to a
+        report.
+    unanswered_report_ms : float, optional
+        Send time of the first report since the leader's latest answer.
+    drain_ms : float, optional
+        Time of the drain request.
+    dirty : set of str
+        What to process before the event ends: ``group/NAME``,
+        ``session/CONN`` or ``unreachable/UPSTREAM``.
+    """
 
     cfg: PoolerConfig
     rng: random.Random
@@ -386,29 +458,28 @@
     published: PublishedState = field(default_factory=PublishedState)
     endpoints: dict[str, EndpointView] = field(default_factory=dict)
     sessions: dict[int, Session] = field(default_factory=dict)
-    strangers: set[int] = field(default_factory=set)
-    held: dict[int, str] = field(default_factory=dict)
-    works: dict[int, Work] = field(default_factory=dict)
+    unidentified: set[int] = field(default_factory=set)
+    waiting_sessions: dict[int, str] = field(default_factory=dict)
+    tasks: dict[int, StatementTask] = field(default_factory=dict)
     conns: dict[int, UpstreamConn] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
-    proxies_seen_ms: dict[str, float] = field(default_factory=dict)
+    proxies_last_seen_ms: dict[str, float] = field(default_factory=dict)
     groups: dict[str, PoolGroup] = field(default_factory=dict)
     newcomers: dict[str, Newcomer] = field(default_factory=dict)
     next_conn: int = -1
-    next_work: int = 1
+    next_task: int = 1
     # Links to control processes.
-    controls: dict[int, str] = field(default_factory=dict)
-    followed: set[str] = field(default_factory=set)
-    leader: int = 0
+    control_conns: dict[int, str] = field(default_factory=dict)
+    connected_peers: set[str] = field(default_factory=set)
+    leader_conn: int = 0
     member_state: str = 'announced'
     report_seq: int = 0
-    granted_seq: int = 0
-    granted_ms: float = 0.0
-    asked_ms: float | None = None
-    # Stop.
+    last_grant_seq: int = 0
+    last_grant_ms: float = 0.0
+    unanswered_report_ms: float | None = None
+    # Shutdown.
     drain_ms: float | None = None
     stopped: bool = False
-    # What to look at again: group/NAME, session/CONN or silent/UPSTREAM.
     dirty: set[str] = field(default_factory=set)
     outbox: list[Effect] = field(default_factory=list)
 
@@ -419,12 +490,12 @@
 
 
 def schedule(state: PoolerState, key: str, due_ms: float) -> None:
-    """Set a timer; replaces the one with the same key."""
+    """Set a timer, replacing a timer with the same key."""
     state.outbox.append(SetTimer(key=key, due_ms=due_ms))
 
 
-def group_of(state: PoolerState, name: str) -> PoolGroup:
-    """Return what is known of a group."""
+def get_group(state: PoolerState, name: str) -> PoolGroup:
+    """Return the state of a group, creating it if needed."""
     group = state.groups.get(name)
     if group is None:
         group = PoolGroup(name=name)
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -51,8 +51,8 @@
 CONTROL_CONN = 1
 GROUP = 'spares'
 DATABASES = ('db-1', 'db-2', 'db-3')
-TRIP_MS = 0.5  # to a database and back
-SLOT_FREE_MS = 0.5  # statements that take no slot
+ROUND_TRIP_MS = 0.5  # to a database and back
+SLOTLESS_MS = 0.5  # statements that take no slot
 VERBS: dict[str, Verb] = {
     'BEGIN': 'begin',
     'COMMIT': 'commit',
@@ -91,7 +91,7 @@
 
 
 @dataclass
-class Ran:
+class ExecutedStatement:
     """A caller's statement that a database ran."""
 
     id: str
@@ -145,17 +145,17 @@
     leaving: bool = False
     slots: int = 3
     queue: int = 1_000
-    work_ms: float = 10.0
+    statement_ms: float = 10.0
     reachable: str = 'up'
-    loses: set[str] = field(default_factory=set)
-    refuses: set[str] = field(default_factory=set)
+    lost_answers: set[str] = field(default_factory=set)
+    refused_requests: set[str] = field(default_factory=set)
     fails_all: bool = False
     data_centre: str = 'rvk'
     running: int = 0
     max_running: int = 0
     opened: int = 0
     waiting: deque[FakeConn] = field(default_factory=deque)
-    shed: list[str] = field(default_factory=list)
+    overload_refusals: list[str] = field(default_factory=list)
 
     @property
     def position(self) -> LogPosition:
@@ -163,7 +163,7 @@
         return LogPosition(self.term, self.index - self.lag)
 
 
-class PoolerWorld:
+class PoolerSimulation:
     """A pooler among fakes.
 
     Parameters
@@ -177,17 +177,17 @@
         self.now_ms = 1_000.0
         self.databases = {name: FakeDatabase(name) for name in DATABASES}
         self.databases['db-1'].leads = True
-        self.ran: list[Ran] = []
+        self.executed: list[ExecutedStatement] = []
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
-        self.told: list[UpstreamActionAnswer] = []
-        self.behind: list[str] = []
-        self.sent: dict[int, list[Any]] = {}
+        self.action_answers: list[UpstreamActionAnswer] = []
+        self.lag_refusals: list[str] = []
+        self.caller_messages: dict[int, list[Any]] = {}
         self.closed: set[int] = set()
         self.stopped = False
         self.conns: dict[int, FakeConn] = {}
-        self._agenda: list[tuple[float, int, Any]] = []
-        self._order = itertools.count()
+        self._scheduled: list[tuple[float, int, Any]] = []
+        self._sequence = itertools.count()
         self._timers: dict[str, float] = {}
         self._numbers = itertools.count(100)
         self._ids = itertools.count(1)
@@ -213,13 +213,13 @@
                 peer='10.0.0.9',
             )
         )
-        self.grant()
+        self.send_grant()
         self.publish(endpoints or default_endpoints())
-        self.run(200)
+        self.advance(200)
 
     # Control.
 
-    def grant(self) -> None:
+    def send_grant(self) -> None:
         """Answer the latest report as the leader."""
         grant = LeaseGrant(
             seq=self.state.report_seq,
@@ -257,39 +257,41 @@
     def open(self, database: str) -> int:
         """Open a session."""
         conn = next(self._numbers)
-        self.sent[conn] = []
+        self.caller_messages[conn] = []
         self.dispatch(
             ConnOpened(now_ms=self.now_ms, conn=conn, link='session')
         )
         self.receive(conn, StartSession(database=database))
         return conn
 
-    def ask(self, conn: int, text: str) -> str:
+    def send_request(self, conn: int, text: str) -> str:
         """Send a statement and return its id."""
         request_id = f'q{next(self._ids)}'
         self.receive(conn, build_request(request_id, text))
         return request_id
 
-    def answer(self, conn: int) -> list[Any]:
+    def pop_messages(self, conn: int) -> list[Any]:
         """Take the messages that a session has received so far."""
-        messages = self.sent[conn]
-        self.sent[conn] = []
+        messages = self.caller_messages[conn]
+        self.caller_messages[conn] = []
         return messages
 
     def call(self, conn: int, text: str, within_ms: float = 5_000) -> Any:
         """Send a statement, wait, and return `Done` or `Failed`."""
-        self.answer(conn)
-        self.ask(conn, text)
+        self.pop_messages(conn)
+        self.send_request(conn, text)
         end_ms = self.now_ms + within_ms
         while self.now_ms < end_ms:
-            if any(isinstance(m, Ready) for m in self.sent[conn]):
+            if any(isinstance(m, Ready) for m in self.caller_messages[conn]):
                 break
             if not self._step(end_ms):
                 break
-        found = [m for m in self.answer(conn) if isinstance(m, Done | Failed)]
+        found = [
+            m for m in self.pop_messages(conn) if isinstance(m, Done | Failed)
+        ]
         return found[0] if found else None
 
-    def leave(self, conn: int) -> None:
+    def disconnect(self, conn: int) -> None:
         """Close a caller's connection."""
         self.dispatch(ConnClosed(now_ms=self.now_ms, conn=conn))
 
@@ -307,16 +309,16 @@
             database.index = chosen.index
             database.lag = 0
 
-    def cut(self, name: str) -> None:
+    def silence(self, name: str) -> None:
         """Let a database and its connections go silent."""
         self.databases[name].reachable = 'silent'
 
-    def kill(self, name: str) -> None:
+    def crash(self, name: str) -> None:
         """Reset the connections to a database and refuse new ones."""
         self.databases[name].reachable = 'refused'
-        self.reset(name)
+        self.reset_connections(name)
 
-    def reset(self, name: str) -> None:
+    def reset_connections(self, name: str) -> None:
         """Reset the connections to a database."""
         database = self.databases[name]
         database.running = 0
@@ -332,7 +334,7 @@
 
     # Time.
 
-    def run(self, for_ms: float) -> None:
+    def advance(self, for_ms: float) -> None:
         """Let time pass."""
         end_ms = self.now_ms + for_ms
         while self._step(end_ms):
@@ -340,15 +342,15 @@
         self.now_ms = end_ms
 
     def _step(self, end_ms: float) -> bool:
-        if not self._agenda or self._agenda[0][0] > end_ms:
+        if not self._scheduled or self._scheduled[0][0] > end_ms:
             return False
-        due_ms, _, action = heapq.heappop(self._agenda)
+        due_ms, _, action = heapq.heappop(self._scheduled)
         self.now_ms = max(self.now_ms, due_ms)
         action()
         return True
 
-    def _at(self, due_ms: float, action: Any) -> None:
-        heapq.heappush(self._agenda, (due_ms, next(self._order), action))
+    def _schedule(self, due_ms: float, action: Any) -> None:
+        heapq.heappush(self._scheduled, (due_ms, next(self._sequence), action))
 
     # The pooler.
 
@@ -385,19 +387,21 @@
                 del self._timers[effect.key]
                 self.dispatch(TimerFired(now_ms=self.now_ms, key=effect.key))
 
-        self._at(effect.due_ms, fire)
+        self._schedule(effect.due_ms, fire)
 
     def _send(self, effect: Send) -> None:
         if effect.conn == CONTROL_CONN:
             for message in effect.messages:
                 if isinstance(message, UpstreamActionAnswer):
-                    self.told.append(message)
+                    self.action_answers.append(message)
                 if isinstance(message, ProxyReport):
                     self.reports.append(message)
-                    self._at(self.now_ms + TRIP_MS, self.grant)
+                    self._schedule(
+                        self.now_ms + ROUND_TRIP_MS, self.send_grant
+                    )
             return
-        if effect.conn in self.sent:
-            self.sent[effect.conn].extend(effect.messages)
+        if effect.conn in self.caller_messages:
+            self.caller_messages[effect.conn].extend(effect.messages)
             return
         conn = self.conns.get(effect.conn)
         if conn is not None:
@@ -423,7 +427,7 @@
                     )
                 )
             elif database.reachable == 'silent':
-                self._at(
+                self._schedule(
                     self.now_ms + effect.timeout_ms,
                     lambda: self.dispatch(
                         ConnClosed(
@@ -445,7 +449,7 @@
                     )
                 )
 
-        self._at(self.now_ms + TRIP_MS, open_conn)
+        self._schedule(self.now_ms + ROUND_TRIP_MS, open_conn)
 
     # Databases.
 
@@ -462,17 +466,17 @@
                 database.waiting.append(conn)
                 return
             needs_slot = False
-            database.refuses.add(message.id)
-            database.shed.append(message.id)
+            database.refused_requests.add(message.id)
+            database.overload_refusals.append(message.id)
         conn.queue.popleft()
         conn.busy = True
-        took_ms = SLOT_FREE_MS
+        duration_ms = SLOTLESS_MS
         if needs_slot:
             database.running += 1
             database.max_running = max(database.max_running, database.running)
-            took_ms = database.work_ms
-        self._at(
-            self.now_ms + took_ms,
+            duration_ms = database.statement_ms
+        self._schedule(
+            self.now_ms + duration_ms,
             lambda: self._end_statement(conn, message, needs_slot),
         )
 
@@ -504,7 +508,7 @@
             code = self._run(conn, message)
             signature = f'{database.name}.{message.id}'
             rows = [f'row of {message.text}']
-            if message.id in database.loses:
+            if message.id in database.lost_answers:
                 return []
         state = 'failed_txn' if conn.failed else 'idle'
         if conn.txn and not conn.failed:
@@ -548,14 +552,14 @@
 
     def _run(self, conn: FakeConn, message: Execute) -> str:
         database = conn.database
-        if message.id in database.refuses:
-            if message.id in database.shed:
-                database.refuses.discard(message.id)
+        if message.id in database.refused_requests:
+            if message.id in database.overload_refusals:
+                database.refused_requests.discard(message.id)
             return 'overloaded'
         if database.fails_all:
             return 'statement_failed'
         if message.after is not None and message.after > database.position:
-            self.behind.append(database.name)
+            self.lag_refusals.append(database.name)
             return 'behind'
         request = build_request(message.id, message.text)
         shape = conn.prepared.get(request.name, '')
@@ -567,8 +571,8 @@
             return 'not_primary'
         if is_write and not conn.txn or message.text == 'COMMIT':
             database.index += 1
-        self.ran.append(
-            Ran(
+        self.executed.append(
+            ExecutedStatement(
                 id=message.id,
                 text=message.text,
                 database=database.name,
