--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers: success, failure, and what is logged of them."""
+"""Sends the final answers of statements to callers, and logs failures."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 def fail_statement(
     state: PoolerState, task: StatementTask, code: str, text: str
 ) -> None:
-    """Answer a statement that is not going to succeed."""
+    """Answer a statement with an error."""
     session = task.session
     if session is not None and task.in_txn and session.txn is not None:
         session.state = 'failed_txn'
@@ -29,9 +29,9 @@
 
 
 def expiry_code(task: StatementTask) -> str:
-    """Return the code of a statement that no upstream took in time.
+    """Return the error code for a statement that expires in the queue.
 
-    ``'overloaded'`` promises that nothing has run.
+    ``'overloaded'`` guarantees to the caller that nothing has run.
     """
     if task.in_txn or task.may_have_run:
         return 'aborted'
@@ -39,9 +39,12 @@
 
 
 def finish_statement(
-    state: PoolerState, task: StatementTask, answer: Answer, end: SessionState
+    state: PoolerState,
+    task: StatementTask,
+    answer: Answer,
+    session_state: SessionState,
 ) -> None:
-    """Give a caller the answer to its statement."""
+    """Send the final answer of a statement to its caller."""
     session = task.session
     drop_task(state, task)
     duration_ms = state.now_ms - task.arrived_ms
@@ -70,7 +73,7 @@
         result = [Failed(code=answer.code, text=answer.text or answer.code)]
     else:
         result.append(Done(signature=answer.signature))
-    ready = Ready(state=end, position=answer.position)
+    ready = Ready(state=session_state, position=answer.position)
     send(state, session.conn, *result, ready)
     session.task = None
     state.dirty.add(f'session/{session.conn}')
@@ -101,5 +104,5 @@
 
 
 def drop_task(state: PoolerState, task: StatementTask) -> None:
-    """Drop a statement; a late answer to it is ignored."""
+    """Remove a statement; a late answer to it will be ignored."""
     state.tasks.pop(task.number, None)
--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -1,4 +1,4 @@
-"""Connections to upstreams: how many, opening, session replay."""
+"""Upstream connections: limits, opening, closing and session replay."""
 
 from __future__ import annotations
 
@@ -16,11 +16,12 @@
 from jackdawpost.core.pooler.state import UpstreamRequest
 from jackdawpost.core.published import UpstreamView
 
-# Connections left to control, to newcomers' checks and to members on their
-# way in, out of those that an upstream allows.
+# Connections per upstream that are not shared out among the proxies. They
+# remain for control, for checks of new members, and for joining members.
 RESERVED_CONNECTIONS = 3
 DEFAULT_MAX_CONNECTIONS = 20
-# Longer than any cut after which a proxy is expected back.
+# Longer than any network partition after which a proxy is expected to
+# return.
 REMOVED_PROXY_RETENTION_MS = 60_000.0
 MIN_CONNECTIONS = 1
 MIN_REOPEN_DELAY_MS = 50.0
@@ -28,10 +29,10 @@
 
 
 def update_known_proxies(state: PoolerState) -> None:
-    """Count the proxies that share the upstreams' connections.
+    """Update the set of proxies that share the upstreams' connections.
 
-    One that has been removed may only be cut off from control, and still
-    hold its connections.
+    A removed proxy counts for `REMOVED_PROXY_RETENTION_MS` more: it may only
+    be partitioned from control and still hold its connections.
     """
     last_seen_ms = state.proxies_last_seen_ms
     for member in state.published.members.values():
@@ -43,7 +44,7 @@
 
 
 def connection_limit(state: PoolerState, pool: Pool) -> int:
-    """Return how many statement connections this process may have open."""
+    """Return the maximum number of connections that this process may open."""
     declared = [
         view.max_connections
         for view in state.published.endpoints.values()
@@ -58,7 +59,7 @@
 def open_connection(
     state: PoolerState, view: UpstreamView, purpose: str
 ) -> UpstreamConn:
-    """Start to open a connection to an upstream."""
+    """Start opening a connection to an upstream."""
     conn = UpstreamConn(
         conn=state.next_conn,
         upstream=view.name,
@@ -84,7 +85,7 @@
 
 
 def can_open_connection(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether another statement connection may be opened now."""
+    """Return whether another statement connection may be opened now."""
     if state.now_ms < pool.retry_at_ms or pool.reachability in (
         'refused',
         'silent',
@@ -94,7 +95,7 @@
 
 
 def count_connections(pool: Pool) -> int:
-    """Return the connections that count against this process's share."""
+    """Return the number of connections that count towards the limit."""
     return len(pool.conns) + bool(pool.monitor)
 
 
@@ -108,10 +109,11 @@
 def convert_idle_monitor(
     state: PoolerState, pool: Pool
 ) -> UpstreamConn | None:
-    """Give statements the idle connection that was opened for probes.
+    """Convert the idle probe connection to a statement connection.
 
-    Where this process may have one connection only, statements would wait
-    for ever for another; probes use any that is idle.
+    This happens only at the connection limit. With a limit of one
+    connection, statements would otherwise wait forever for a second one.
+    Probes can use any idle connection.
     """
     conn = state.conns.get(pool.monitor)
     if conn is None or not conn.is_idle:
@@ -127,7 +129,7 @@
 def close_upstream_conn(
     state: PoolerState, conn: UpstreamConn, reason: str
 ) -> None:
-    """Close a connection and forget it."""
+    """Close an upstream connection and remove it from the state."""
     close(state, conn.conn, reason, abort=True)
     state.conns.pop(conn.conn, None)
     pool = state.pools.get(conn.upstream)
@@ -139,7 +141,7 @@
 
 
 def on_open_failed(state: PoolerState, pool: Pool) -> None:
-    """Delay the next attempt after a connection could not be opened."""
+    """Back off, with jitter, after a connection could not be opened."""
     pool.failures += 1
     ceiling = min(
         MAX_REOPEN_DELAY_MS, MIN_REOPEN_DELAY_MS * 2 ** min(pool.failures, 4)
@@ -152,7 +154,7 @@
 def prepare_replay(
     state: PoolerState, conn: UpstreamConn, session: Session
 ) -> list[Internal]:
-    """Return what puts a session's values onto a connection."""
+    """Return the messages that replay a session's values on a connection."""
     if (
         conn.replayed_session == session.conn
         and conn.replayed_epoch == session.epoch
@@ -179,7 +181,7 @@
     kind: RequestKind,
     message: Internal,
 ) -> None:
-    """Send a statement of this process's own."""
+    """Send a statement that is the pooler's own, not a caller's."""
     conn.pending_requests.append(
         UpstreamRequest(kind=kind, sent_ms=state.now_ms)
     )
@@ -189,13 +191,14 @@
 def send_rollback(
     state: PoolerState, conn: UpstreamConn, kind: RequestKind = 'rollback'
 ) -> None:
-    """End a transaction that this process has begun."""
+    """Roll back the transaction that is open on a connection."""
     send_internal(state, conn, kind, Internal(action='rollback'))
 
 
 def find_idle_connection(
     state: PoolerState, pool: Pool
 ) -> UpstreamConn | None:
+    """Return an idle connection to an upstream, of either purpose."""
     numbers = [*sorted(pool.conns), pool.monitor]
     conns = [state.conns[n] for n in numbers if n in state.conns]
     return next((conn for conn in conns if conn.is_idle), None)
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -1,4 +1,8 @@
-"""Links to control: reports, published state, approvals of newcomers."""
+"""Links to control processes.
+
+Sends reports to the control leader, applies the published state, and checks
+new members that control asks this pooler to approve.
+"""
 
 from __future__ import annotations
 
@@ -27,16 +31,16 @@
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import UpstreamView
 
-LEADER_SEARCH_INTERVAL_MS = (
-    150.0  # about one trip between regions and its answer
-)
-LEADER_ANSWER_TIMEOUT_MS = 1_000.0  # longer than an election under way answers
+# About one round trip between regions.
+LEADER_SEARCH_INTERVAL_MS = 150.0
+# Longer than an election in progress delays the answer to a report.
+LEADER_ANSWER_TIMEOUT_MS = 1_000.0
 APPROVAL_RETRY_INTERVAL_MS = 300.0
 MAX_APPROVAL_ATTEMPTS = 20
 
 
 def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
-    """Introduce this pooler to a control process."""
+    """Record a control connection; report on it if no leader is known."""
     state.control_conns[conn] = peer
     log(state, 'info', 'control_connected', peer=peer)
     if not state.leader_conn:
@@ -44,7 +48,7 @@
 
 
 def on_control_closed(state: PoolerState, conn: int) -> None:
-    """Look for another leader if this was its connection."""
+    """Search for the leader if this was the connection to it."""
     peer = state.control_conns.pop(conn)
     log(
         state,
@@ -58,7 +62,7 @@
 
 
 def search_leader(state: PoolerState) -> None:
-    """Ask every control process again."""
+    """Report to every control process, to find the leader."""
     state.leader_conn = 0
     state.unanswered_report_ms = None
     send_report(state)
@@ -66,7 +70,7 @@
 
 
 def on_report_due(state: PoolerState) -> None:
-    """Send the regular report; leave a leader that stopped answering."""
+    """Send the periodic report, or drop a leader that no longer answers."""
     unanswered_report_ms = state.unanswered_report_ms
     if state.leader_conn and unanswered_report_ms is not None:
         if state.now_ms - unanswered_report_ms >= LEADER_ANSWER_TIMEOUT_MS:
@@ -87,7 +91,7 @@
 
 
 def send_report(state: PoolerState) -> None:
-    """Report to the leader, or to all control processes if unknown."""
+    """Report to the leader, or to all control processes if it is unknown."""
     targets = (
         [state.leader_conn] if state.leader_conn else list(state.control_conns)
     )
@@ -142,20 +146,20 @@
 
 
 def _set_control_peers(state: PoolerState, peers: set[str]) -> None:
-    """Stay connected to these control processes."""
+    """Replace the set of control processes to stay connected to."""
     if peers != state.connected_peers:
         state.connected_peers = peers
         state.outbox.append(SetPeers(peers=sorted(peers)))
 
 
 def connect_to_seeds(state: PoolerState) -> None:
-    """Connect to the control processes that the settings name."""
+    """Connect to the control processes listed in the settings."""
     _set_control_peers(state, {*state.connected_peers, *state.cfg.seeds})
     schedule(state, 'report', state.now_ms)
 
 
 def _handle_grant(state: PoolerState, conn: int, message: LeaseGrant) -> None:
-    """Take the leader's answer to a report."""
+    """Handle the leader's answer to a report."""
     if message.seq <= state.last_grant_seq:
         return
     state.last_grant_seq = message.seq
@@ -214,18 +218,18 @@
     sync_pools(state)
     if not before:
         open_waiting_sessions(state)
-    # Says at once that the version is in force.
+    # Reports at once that this version is in force.
     send_report(state)
 
 
 def _check_newcomer(
     state: PoolerState, conn: int, message: ApprovalRequest
 ) -> None:
-    """Examine a newcomer that control asks about.
+    """Check a new member that control asks this pooler to approve.
 
-    An upstream must answer at its address under its own identity. Proxies
-    do not connect to each other: their name and address must not belong to
-    another member.
+    An upstream must answer at its address with its own identity. A proxy
+    cannot be checked by connecting, since proxies do not connect to each
+    other. Its address must not belong to another member.
     """
     if message.role == 'proxy':
         _check_new_proxy(state, conn, message)
@@ -292,8 +296,8 @@
 
 
 def on_newcomer_opened(state: PoolerState, conn: UpstreamConn) -> None:
-    """Approve an upstream that answered under its identity."""
-    close_upstream_conn(state, conn, 'newcomer checked')
+    """Approve a new upstream that answered with its own identity."""
+    close_upstream_conn(state, conn, 'new upstream checked')
     newcomer = state.newcomers.pop(conn.upstream, None)
     if newcomer is not None:
         _send_approval(
@@ -306,7 +310,7 @@
 
 
 def on_newcomer_failed(state: PoolerState, conn: UpstreamConn) -> None:
-    """Try a newcomer again later, for some time."""
+    """Schedule another check of a new upstream, or refuse to approve it."""
     newcomer = state.newcomers.get(conn.upstream)
     if newcomer is None:
         return
@@ -326,7 +330,7 @@
 
 
 def on_newcomer_due(state: PoolerState, name: str) -> None:
-    """Connect to a newcomer once more."""
+    """Connect to a new upstream for another check."""
     newcomer = state.newcomers.get(name)
     if newcomer is not None and not newcomer.conn:
         _connect_to_newcomer(state, newcomer)
--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -1,9 +1,10 @@
-"""How much work a pooler gives to an upstream, and what it refuses early.
+"""Adaptive concurrency limit per upstream, and early refusal of statements.
 
-Upstreams are shared with other proxies, whose load is not known. What they
-refuse for lack of a slot lowers the number of statements that run there at a
-time; each success raises it a little (additive increase, multiplicative
-decrease).
+Upstreams are shared with other proxies whose load is unknown. Each refusal
+for lack of a slot lowers the number of concurrent statements on an upstream,
+and each success raises it a little (additive increase, multiplicative
+decrease). Statements that would spend too much of their time in the queue
+are refused early.
 """
 
 from __future__ import annotations
@@ -15,24 +16,25 @@
 
 MIN_CONCURRENCY = 1.0
 DECREASE_FACTOR = 0.7
-# A full round of statements raises the limit by this much.
+# Added to the limit by one full round of successful statements.
 INCREASE_PER_ROUND = 0.5
-# Refusals of one burst lower the limit once.
+# A burst of refusals lowers the limit only once.
 DECREASE_COOLDOWN_MS = 50.0
-# Weight of the newest gap in the mean time between two answers.
+# Weight of the latest interval in the moving average.
 ANSWER_INTERVAL_WEIGHT = 0.2
-# Longer gaps are pauses of the callers, not the pace of the upstreams.
+# Longer intervals come from idle callers, not from slow upstreams.
 MAX_ANSWER_INTERVAL_MS = 500.0
-# A statement that has to wait for a larger part of its time is refused: the
-# rest is for its run, and for another attempt of the caller.
+# A statement is refused if it is expected to spend more than this share of
+# its time in the queue. The rest is needed to run it, and for a retry by the
+# caller.
 MAX_QUEUE_TIME_SHARE = 0.5
-# One that has waited for more than this is not started any more: it needs
-# the rest to run.
+# A statement is not started after this share of its time has passed, since
+# it needs the rest to run.
 LATEST_START_SHARE = 0.6
 
 
 def count_running(state: PoolerState, pool: Pool) -> int:
-    """Return how many statements outside transactions run at an upstream."""
+    """Return the number of running statements outside transactions."""
     return sum(
         1
         for number in pool.conns
@@ -42,21 +44,21 @@
 
 
 def is_below_limit(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether another statement may run at an upstream."""
+    """Return whether an upstream may get another concurrent statement."""
     return count_running(state, pool) < max(
         MIN_CONCURRENCY, int(pool.concurrency_limit)
     )
 
 
 def raise_limit(pool: Pool) -> None:
-    """Raise the limit after a success."""
+    """Raise the concurrency limit after a success."""
     pool.concurrency_limit += INCREASE_PER_ROUND / max(
         MIN_CONCURRENCY, pool.concurrency_limit
     )
 
 
 def lower_limit(state: PoolerState, pool: Pool) -> None:
-    """Lower the limit after a refusal for lack of a slot."""
+    """Lower the concurrency limit after a refusal for lack of a slot."""
     if state.now_ms < pool.limit_lowered_ms + DECREASE_COOLDOWN_MS:
         return
     pool.limit_lowered_ms = state.now_ms
@@ -67,10 +69,11 @@
 
 
 def record_answer_interval(state: PoolerState, group: PoolGroup) -> None:
-    """Take the time since the group's previous answer.
+    """Update the mean interval between answers of a group.
 
-    It shows the pace of the upstreams only if statements waited all the
-    while; otherwise it is that of the callers.
+    The interval shows how fast the upstreams are only if statements were
+    queued all the time. Otherwise it shows how fast callers send, and counts
+    as 0.
     """
     interval_ms = state.now_ms - group.last_answer_ms
     if not group.had_backlog:
@@ -86,22 +89,22 @@
 def is_too_late_to_start(
     state: PoolerState, group: PoolGroup, task: StatementTask
 ) -> bool:
-    """Tell whether a statement should no longer be started.
+    """Return whether a queued statement is unlikely to finish in time.
 
-    It would end too late and cost others their time. While no upstream
-    leads, waiting costs nobody anything.
+    Starting it would delay other statements in vain. While no primary is
+    known, queued statements delay no others and are kept.
     """
     if group.primary is None:
         return False
     if task.attempts and not task.refusal_code:
-        # It is here again because an upstream was lost, not for the load.
+        # Queued again because an upstream was lost, not because of load.
         return False
     waited_ms = state.now_ms - task.arrived_ms
     return waited_ms >= task.endpoint.timeout_ms * LATEST_START_SHARE
 
 
 def would_wait_too_long(group: PoolGroup, task: StatementTask) -> bool:
-    """Tell whether a statement would wait for most of its time."""
+    """Return whether a new statement would spend too long in the queue."""
     ahead = sum(
         1
         for other in group.waiting
--- a/jackdawpost/core/pooler/outcomes.py
+++ b/jackdawpost/core/pooler/outcomes.py
@@ -1,8 +1,8 @@
-"""What the answers and losses of upstream connections mean.
+"""Outcomes of statements: results, refusals, lost connections, time-outs.
 
-A statement that nothing has run of is placed again when its upstream
-refuses it or is lost; one that may have run is never repeated unless it only
-reads.
+A statement that has not run at all is queued again when its upstream
+refuses it or the connection is lost. A statement that may have run is
+retried only if it is a read.
 """
 
 from __future__ import annotations
@@ -43,11 +43,12 @@
 from jackdawpost.core.pooler.upstreams import record_leadership
 from jackdawpost.core.retry import backoff_ms
 
-# Reads that got no answer are tried elsewhere this often at most.
+# Maximum number of attempts of a read that gets no answer.
 MAX_READ_ATTEMPTS = 3
-# Signature of answers that no database has signed.
+# Signature in the answer to a statement of the pooler itself. The answer to
+# a caller's statement is signed by the database.
 UNSIGNED = '-'
-# Refusals by the upstream that promise that nothing has run.
+# Error codes with which an upstream guarantees that nothing has run.
 NOT_RUN_CODES = frozenset(
     {'overloaded', 'behind', 'not_primary', 'wrong_upstream', 'no_statement'}
 )
@@ -59,7 +60,7 @@
     request: UpstreamRequest,
     answer: Answer,
 ) -> None:
-    """Handle the complete answer to one step of a statement connection."""
+    """Handle the complete answer to one request on a statement connection."""
     pool = state.pools.get(conn.upstream)
     task = request.task
     if request.kind in PROBE_KINDS and pool is not None:
@@ -67,12 +68,12 @@
     if request.kind == 'control_action' and pool is not None:
         handle_action_answer(state, pool, request, answer)
     if request.kind == 'statement' and answer.signature == UNSIGNED:
-        # Only statements of this process are answered so: an answer before
-        # this one has been lost.
-        _abandon_conn(state, conn, 'an answer is missing', request)
+        # This answers a later request of the pooler itself, hence the answer
+        # to the statement has been lost.
+        _abandon_conn(state, conn, 'answer missing', request)
         return
     if request.kind == 'replay' and answer.code:
-        # The session's values are not on the connection.
+        # The connection does not have the session's values.
         log(
             state,
             'warning',
@@ -91,14 +92,14 @@
 
 
 def release_if_idle(state: PoolerState, conn: UpstreamConn) -> None:
-    """Offer a connection that has become idle to what waits."""
+    """Offer an idle connection to queued statements, or close it."""
     if not conn.is_idle:
         return
     pool = state.pools.get(conn.upstream)
     if pool is None:
-        close_upstream_conn(state, conn, 'upstream has left')
+        close_upstream_conn(state, conn, 'upstream has been removed')
     elif count_connections(pool) > connection_limit(state, pool):
-        close_upstream_conn(state, conn, 'more proxies share the connections')
+        close_upstream_conn(state, conn, 'over the share of connections')
     else:
         state.dirty.add(f'group/{pool.view.group}')
 
@@ -162,7 +163,10 @@
 def _can_retry_in_txn(
     state: PoolerState, task: StatementTask, answer: Answer
 ) -> bool:
-    """Tell whether a transaction's statement was refused for a slot only."""
+    """Return whether to retry a statement within its open transaction.
+
+    It was refused for lack of a slot, and the transaction is still intact.
+    """
     return (
         task.in_txn
         and task.session is not None
@@ -173,7 +177,7 @@
 
 
 def on_retry_due(state: PoolerState, number: int) -> None:
-    """Send a statement again inside the transaction that it belongs to."""
+    """Resend a refused statement within its open transaction."""
     task = state.tasks.get(number)
     conn = state.conns.get(task.conn) if task is not None else None
     if task is None or conn is None or task.session is None:
@@ -189,7 +193,7 @@
     task: StatementTask,
     answer: Answer,
 ) -> None:
-    """Take what an answer shows of the upstream."""
+    """Update the state of an upstream from the answer to a statement."""
     duration_ms = state.now_ms - request.sent_ms
     pool.last_contact_ms = state.now_ms
     if answer.code == 'overloaded':
@@ -231,7 +235,7 @@
 def _handle_refusal(
     state: PoolerState, pool: Pool | None, task: StatementTask, answer: Answer
 ) -> None:
-    """Place a statement again that an upstream refused to run."""
+    """Queue a statement again that an upstream refused to run."""
     if task.number not in state.tasks or task.session is None:
         drop_task(state, task)
         return
@@ -259,12 +263,12 @@
     reason: str,
     lost_request: UpstreamRequest | None = None,
 ) -> None:
-    """Decide what becomes of the statements on a connection that ended.
+    """Retry or fail the statements on a lost connection.
 
     Parameters
     ----------
-    unanswered : Step, optional
-        Step that was taken off the connection without its answer.
+    lost_request : UpstreamRequest, optional
+        Request that is no longer pending although its answer was lost.
     """
     txn_session = state.sessions.get(conn.txn_session)
     pending_requests = list(conn.pending_requests)
@@ -284,12 +288,12 @@
             _handle_lost_statement(state, task, reason)
     if txn_session is not None and txn_session.txn is not None:
         if txn_session.txn.conn == conn.conn:
-            # The upstream rolls back what a closed connection leaves open.
+            # The upstream rolls back the transaction of a closed connection.
             txn_session.txn.conn = 0
             txn_session.state = 'failed_txn'
             waiting = txn_session.task
             if waiting is not None and waiting.number in state.tasks:
-                # It waited for a slot: nothing of it has run.
+                # It was waiting for a slot, and nothing of it has run.
                 _fail_in_txn(state, txn_session, waiting, 'aborted', reason)
     conn.txn_session = 0
 
@@ -300,7 +304,7 @@
     reason: str,
     lost_request: UpstreamRequest | None = None,
 ) -> None:
-    """Give a connection up with all that is out on it."""
+    """Close a connection and handle its outstanding statements as lost."""
     handle_lost_conn(state, conn, reason, lost_request)
     close_upstream_conn(state, conn, reason)
 
@@ -335,7 +339,7 @@
     code: str,
     reason: str,
 ) -> None:
-    """Refuse a transaction's statement whose connection is lost."""
+    """Fail a statement whose transaction was lost with its connection."""
     is_commit = task.req.verb == 'commit'
     session.state = 'idle' if is_commit else 'failed_txn'
     if is_commit:
@@ -344,10 +348,10 @@
 
 
 def retry_reads_elsewhere(state: PoolerState, upstream: str) -> None:
-    """Try the reads elsewhere that wait for an upstream out of reach.
+    """Retry reads that are outstanding on an unreachable upstream.
 
-    Statements that write, and transactions, wait for an answer as long as
-    they have time: one may still come.
+    Writes and transactions keep waiting until their deadline, since an
+    answer may still arrive.
     """
     pool = state.pools.get(upstream)
     if pool is None or pool.reachability == 'up':
@@ -363,11 +367,11 @@
             continue
         for task in tasks:
             task.excluded_upstreams.add(upstream)
-        _abandon_conn(state, conn, 'upstream out of reach')
+        _abandon_conn(state, conn, 'upstream unreachable')
 
 
 def on_attempt_timeout(state: PoolerState, number: int, attempt: int) -> None:
-    """Try a read elsewhere whose answer seems to be lost."""
+    """Retry an unanswered read on another upstream."""
     task = state.tasks.get(number)
     if task is None or task.attempts != attempt or task.phase == 'waiting':
         return
@@ -388,14 +392,14 @@
 
 
 def expire_all(state: PoolerState) -> None:
-    """Give every statement its final answer before the process ends."""
+    """Time out all statements, to answer them before the process exits."""
     for number, task in list(state.tasks.items()):
         task.deadline_ms = state.now_ms
         on_deadline(state, number)
 
 
 def on_deadline(state: PoolerState, number: int) -> None:
-    """End a statement whose time is over."""
+    """Time out a statement at its deadline."""
     task = state.tasks.get(number)
     if task is None:
         return
@@ -404,13 +408,15 @@
         return
     conn = state.conns.get(task.conn)
     if task.phase != 'running':
-        # Nothing of this attempt was sent.
-        fail_statement(state, task, expiry_code(task), 'no upstream in time')
+        # The statement itself was not sent in this attempt.
+        fail_statement(
+            state, task, expiry_code(task), 'no upstream was available in time'
+        )
         if conn is not None and conn.pending_requests:
-            _abandon_conn(state, conn, 'no answer to a begin')
+            _abandon_conn(state, conn, 'begin timed out')
         return
     task.attempts = MAX_READ_ATTEMPTS
     if conn is None:
         fail_statement(state, task, 'aborted', 'connection lost')
         return
-    _abandon_conn(state, conn, 'time limit')
+    _abandon_conn(state, conn, 'statement timed out')
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -1,4 +1,8 @@
-"""Where statements run: queue, choice of an upstream, sending."""
+"""Statement placement: queues statements, chooses an upstream and sends.
+
+Writes and strongly consistent reads go to the primary. Reads that accept a
+replica go to the eligible upstream with the lowest expected latency.
+"""
 
 from __future__ import annotations
 
@@ -29,34 +33,39 @@
 from jackdawpost.core.pooler.upstreams import accepts_statements
 from jackdawpost.core.positions import LogPosition
 
-# Statements that may wait for an upstream, for each group.
+# Maximum queue length per database group.
 MAX_QUEUED_STATEMENTS = 256
-# Share of a read's time after which a lost answer is given up for another
-# attempt.
+# An unanswered read is retried elsewhere after the longer of this share of
+# its remaining time and this multiple of the upstream's mean latency.
 READ_ATTEMPT_TIMEOUT_SHARE = 0.5
-# The same in mean times that the upstream takes for a statement.
 READ_ATTEMPT_TIMEOUT_LATENCIES = 3.0
-# What a trip to another region costs a read more than one in this region.
+# Additional latency of a read in another region.
 CROSS_REGION_PENALTY_MS = 30.0
-# Connections to one upstream that may be on their way at a time.
+# Connections to one upstream that may be opening at the same time.
 MAX_CONCURRENT_OPENS = 2
-# Time that a read must save for another connection to be opened for it.
+# Latency that a read must save to justify opening another connection.
 MIN_OPEN_GAIN_MS = 20.0
-# Time for which a replica seen behind is not asked for the same again.
+# Time for which a replica that reported a lower position than required is
+# not tried.
 LAG_EXCLUSION_MS = 150.0
 
 
 def submit(state: PoolerState, task: StatementTask) -> None:
-    """Take a statement that an upstream has to run."""
+    """Queue a new statement, or refuse it if the queue is too long."""
     state.tasks[task.number] = task
     schedule(state, f'work/{task.number}', task.deadline_ms)
     group = get_group(state, task.endpoint.group)
     if len(group.waiting) >= MAX_QUEUED_STATEMENTS:
-        fail_statement(state, task, 'overloaded', 'too many statements wait')
+        fail_statement(
+            state, task, 'overloaded', 'too many statements are queued'
+        )
         return
     if would_wait_too_long(group, task):
         fail_statement(
-            state, task, 'overloaded', 'others wait that leave no time'
+            state,
+            task,
+            'overloaded',
+            'the queue is too long to run it in time',
         )
         return
     group.waiting.append(task)
@@ -69,7 +78,7 @@
 
 
 def dispatch_group(state: PoolerState, name: str) -> None:
-    """Place the waiting statements of a group, the most urgent first."""
+    """Start the queued statements of a group in order of priority and age."""
     group = get_group(state, name)
     if not group.waiting:
         return
@@ -82,7 +91,9 @@
             continue
         if is_too_late_to_start(state, group, task):
             code = expiry_code(task)
-            fail_statement(state, task, code, 'waited for most of its time')
+            fail_statement(
+                state, task, code, 'queued for too long to finish in time'
+            )
             continue
         if not _try_start(state, group, task, connections_needed):
             group.waiting.append(task)
@@ -91,7 +102,8 @@
 
 
 def _queue_order(task: StatementTask) -> tuple[int, float]:
-    # A transaction waits here with its first statement only: it holds no
+    # Transactions get no precedence. Only the first statement of a
+    # transaction is queued, and at that point the transaction holds no
     # connection that others need.
     return task.endpoint.priority, task.arrived_ms
 
@@ -114,7 +126,7 @@
     task: StatementTask,
     connections_needed: dict[str, int],
 ) -> bool:
-    """Send a statement if an upstream has a connection for it."""
+    """Start a statement if a suitable upstream has a free connection."""
     if task.not_before_ms > state.now_ms:
         return False
     required_position = None
@@ -150,7 +162,7 @@
 
 
 def _is_much_faster(state: PoolerState, best: Pool, used: Pool) -> bool:
-    """Tell whether a connection to `best` would soon pay for its opening."""
+    """Return whether `best` is so much faster that opening pays off."""
     gain_ms = _expected_latency_ms(state, used) - _expected_latency_ms(
         state, best
     )
@@ -160,7 +172,7 @@
 def _required_position(
     group: PoolGroup, task: StatementTask
 ) -> LogPosition | None:
-    """Return the position that a read needs; None if only the primary can."""
+    """Return the log position that a read requires; None for the primary."""
     sample = group.samples.oldest_within(
         task.arrived_ms, task.endpoint.max_age_ms
     )
@@ -179,7 +191,7 @@
     task: StatementTask,
     required_position: LogPosition,
 ) -> list[Pool]:
-    """Return the upstreams that can serve a read, the quickest first."""
+    """Return the upstreams that can serve a read, fastest first."""
     found = []
     for pool in state.pools.values():
         view = pool.view
@@ -200,10 +212,11 @@
 def _is_known_to_lag(
     state: PoolerState, pool: Pool, required_position: LogPosition
 ) -> bool:
-    """Tell whether a replica has just shown that it lacks a position.
+    """Return whether a replica has recently reported a lower position.
 
-    An older sight says little: it may have caught up since. One read finds
-    out, and costs nothing but the way if it has not.
+    An older report is ignored, since the replica may have caught up. A read
+    that is tried there shows it, and if the replica still lags, the read
+    costs only a round trip.
     """
     if pool.applied is None or pool.applied >= required_position:
         return False
@@ -224,7 +237,7 @@
 def _pick_connection(
     state: PoolerState, pool: Pool, session: Session | None
 ) -> UpstreamConn | None:
-    """Return an idle connection, best one that holds the session's values."""
+    """Return an idle connection, preferably with the session's values."""
     found = None
     if not is_below_limit(state, pool):
         return None
@@ -246,7 +259,7 @@
     task: StatementTask,
     required_position: LogPosition | None,
 ) -> None:
-    """Send a statement, or the begin that it needs before it."""
+    """Send a statement, preceded by a begin if it needs one."""
     session = task.session
     assert session is not None
     task.attempts += 1
@@ -278,7 +291,8 @@
     if task.is_write or task.in_txn:
         return
     remaining_ms = task.deadline_ms - state.now_ms
-    # A slow upstream has not lost the answer.
+    # The latency term keeps a slow upstream from being taken for a lost
+    # answer.
     wait_ms = max(
         remaining_ms * READ_ATTEMPT_TIMEOUT_SHARE,
         pool.latency_ms * READ_ATTEMPT_TIMEOUT_LATENCIES,
@@ -294,11 +308,11 @@
 def send_statement(
     state: PoolerState, conn: UpstreamConn, task: StatementTask
 ) -> None:
-    """Send the caller's statement on a connection that is ready for it."""
+    """Send a caller's statement on a connection, after any begin it needs."""
     task.phase = 'running'
     task.conn = conn.conn
     task.sent_ms = state.now_ms
-    # In a transaction the position was demanded by the begin.
+    # In a transaction, the begin has carried the required position.
     is_standalone = not task.in_txn and not _needs_leadership_check(task)
     conn.pending_requests.append(
         UpstreamRequest(kind='statement', sent_ms=state.now_ms, task=task)
@@ -314,6 +328,11 @@
 
 
 def _needs_leadership_check(task: StatementTask) -> bool:
+    """Return whether a read must run in a transaction on the primary.
+
+    A begin succeeds only on an upstream that proves that it leads. A plain
+    read would also succeed on a primary that has been replaced.
+    """
     return (
         not task.is_write
         and not task.in_txn
@@ -322,7 +341,7 @@
 
 
 def requeue(state: PoolerState, task: StatementTask) -> None:
-    """Let a statement of which nothing has run wait for an upstream."""
+    """Queue a statement again; drop it if its caller has disconnected."""
     if task.session is None:
         drop_task(state, task)
         return
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -1,4 +1,4 @@
-"""Pools of connections follow the published upstreams."""
+"""Creates and removes connection pools as upstreams are published."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def sync_pools(state: PoolerState) -> None:
-    """Follow the published upstreams."""
+    """Update the pools to match the published upstreams."""
     update_known_proxies(state)
     published = state.published.upstreams
     for name in [name for name in state.pools if name not in published]:
@@ -41,10 +41,10 @@
         group.primary = None
     for number in [*pool.conns, pool.monitor]:
         conn = state.conns.get(number)
-        # A statement in flight still gets its answer.
+        # Statements in flight still get their answers.
         if (
             conn is not None
             and not conn.txn_session
             and not conn.pending_requests
         ):
-            close_upstream_conn(state, conn, 'upstream has left')
+            close_upstream_conn(state, conn, 'upstream has been removed')
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -1,4 +1,8 @@
-"""Probes of upstreams, and requests that control has passed on."""
+"""Probes of upstreams, and requests of control that are forwarded to them.
+
+A probe shows whether an upstream is reachable and whether it is the primary.
+An upstream is probed only when answers to statements do not show this.
+"""
 
 from __future__ import annotations
 
@@ -29,39 +33,45 @@
 from jackdawpost.core.pooler.upstreams import suspect
 from jackdawpost.errors import ProtocolError
 
-# Time without a probe after which a connection for probes is closed.
+# A connection opened for probes is closed after this time without a probe.
 MONITOR_IDLE_TIMEOUT_MS = 5_000.0
-# Time without an answer that is worth a connection beyond the share.
+# After this time without an answer, a probe may open a connection beyond
+# this process's share.
 EXTRA_CONNECTION_SILENCE_MS = 400.0
 PROBE_KINDS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
-# Age of the newest proved position at which the primary is asked for another.
+# The primary is probed when its latest position sample reaches this age.
 MAX_SAMPLE_AGE_MS = 200.0
-# Time without an answer after which a replica is asked whether it is there.
+# An idle replica is probed after this time without an answer.
 IDLE_PROBE_SILENCE_MS = 1_000.0
-# The same while it runs statements.
+# A replica with outstanding statements is probed after this time without an
+# answer.
 BUSY_PROBE_SILENCE_MS = 150.0
-# Refusals of a connection by an upstream that works.
+# Error codes of an upstream that is up but accepts no more connections.
 NO_CAPACITY_CODES = frozenset({'no_connections', 'overloaded'})
-# Pause before another attempt at an upstream without a free connection.
+# Delay before the next probe of an upstream that accepts no connections.
 NO_CAPACITY_RETRY_MS = 150.0
-# Keeps overdue probes from being looked at again at once.
+# Prevents a busy loop while a probe is overdue.
 MIN_PROBE_DELAY_MS = 20.0
-# Pause between looks at a replica that is behind.
+# Interval between probes of a replica that lags behind.
 LAGGING_PROBE_INTERVAL_MS = 250.0
-# While no primary is known, every upstream is asked whether it leads.
+# Interval at which all upstreams are probed while the primary is unknown.
 PRIMARY_SEARCH_INTERVAL_MS = 80.0
 
 
 def forward_control_action(
     state: PoolerState, control_conn: int, action: UpstreamAction
 ) -> None:
-    """Pass a request of control on; it asks again if nothing comes back."""
+    """Forward a request of control to an upstream.
+
+    Without an idle connection the request is dropped. Control repeats a
+    request that is not answered.
+    """
     pool = state.pools.get(action.upstream)
     if pool is None:
         return
     conn = find_idle_connection(state, pool)
     if conn is None:
-        suspect(state, pool)  # opens a connection
+        suspect(state, pool)  # the probe opens a connection
         return
     request = UpstreamRequest(
         kind='control_action',
@@ -77,7 +87,7 @@
 def handle_action_answer(
     state: PoolerState, pool: Pool, request: UpstreamRequest, answer: Answer
 ) -> None:
-    """Hand an upstream's answer to control."""
+    """Return an upstream's answer to the control process that asked."""
     action = request.control_action
     if action is None or not answer.signature or not answer.rows:
         log(
@@ -102,7 +112,7 @@
 
 
 def on_probe_due(state: PoolerState, name: str) -> None:
-    """Probe an upstream, or notice that it has not answered."""
+    """Probe an upstream if needed, and time out an unanswered probe."""
     pool = state.pools.get(name)
     if pool is None:
         return
@@ -112,7 +122,7 @@
         if waited_ms >= state.cfg.probe_timeout_ms:
             set_reachability(state, pool, 'silent')
             if conn.opened or waited_ms >= state.cfg.open_timeout_ms:
-                close_upstream_conn(state, conn, 'no answer to a probe')
+                close_upstream_conn(state, conn, 'probe timed out')
     elif _is_probe_needed(state, pool):
         _start_probe(state, pool)
     else:
@@ -130,7 +140,7 @@
 
 
 def _start_probe(state: PoolerState, pool: Pool) -> None:
-    """Probe on an idle connection; without one, on one of its own."""
+    """Probe on an idle connection, or open a connection for the probe."""
     conn = find_idle_connection(state, pool)
     if conn is not None:
         _send_probe(state, pool, conn)
@@ -144,10 +154,11 @@
 
 
 def _can_wait_for_idle_connection(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether no connection may be opened just to probe.
+    """Return whether a probe should wait until a connection is idle.
 
-    While statements are answered, the next idle one will do. An upstream in
-    doubt is worth one more than the share.
+    This is the case at the connection limit while statements are being
+    answered. For a suspected or silent upstream, one connection beyond the
+    limit is opened.
     """
     if count_connections(pool) < connection_limit(state, pool):
         return False
@@ -160,7 +171,7 @@
 
 
 def _close_idle_monitor(state: PoolerState, pool: Pool) -> None:
-    """Give up the connection for probes while statements show enough."""
+    """Close the probe connection when statement connections suffice."""
     conn = state.conns.get(pool.monitor)
     if conn is None or not conn.is_idle or not pool.conns:
         return
@@ -169,19 +180,21 @@
         is_over_share
         or state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_TIMEOUT_MS
     ):
-        close_upstream_conn(state, conn, 'not needed')
+        close_upstream_conn(state, conn, 'connection no longer needed')
 
 
 def _is_probe_needed(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether the answers to statements show too little."""
+    """Return whether recent answers leave the upstream's state unclear."""
     if pool.reachability != 'up' or pool.suspected:
         return True
     group = get_group(state, pool.view.group)
     if group.primary is None:
         return True
     if group.primary == pool.view.name:
-        newest = group.samples.newest_ms()
-        return newest is None or state.now_ms >= newest + MAX_SAMPLE_AGE_MS
+        newest_ms = group.samples.newest_ms()
+        return (
+            newest_ms is None or state.now_ms >= newest_ms + MAX_SAMPLE_AGE_MS
+        )
     probe_silence_ms = (
         BUSY_PROBE_SILENCE_MS
         if _has_outstanding_statements(state, pool)
@@ -202,10 +215,10 @@
 
 
 def _is_lagging(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether no read can use what is known of an upstream's log."""
-    needed = get_group(state, pool.view.group).samples.oldest_position()
+    """Return whether an upstream's last position is too old for any read."""
+    required = get_group(state, pool.view.group).samples.oldest_position()
     return pool.applied is None or (
-        needed is not None and pool.applied < needed
+        required is not None and pool.applied < required
     )
 
 
@@ -213,10 +226,11 @@
     pool.probe_sent_ms = state.now_ms
     is_primary_unknown = get_group(state, pool.view.group).primary is None
     if is_primary_unknown and pool.reachability != 'stalled':
-        # A promotion is due: what each has received decides on it.
+        # A promotion is likely, and control chooses the new primary by the
+        # log positions that the upstreams have received.
         send_internal(state, conn, 'status', Internal(action='status'))
-    # A begin takes no slot, so that an overloaded upstream answers in time.
-    # It succeeds only where it proves leadership.
+    # A begin needs no slot, hence an overloaded upstream still answers it in
+    # time. It succeeds only on an upstream that proves that it leads.
     send_internal(state, conn, 'probe_begin', Internal(action='begin'))
 
 
@@ -229,8 +243,8 @@
     elif group.primary is None:
         due_ms = state.now_ms + PRIMARY_SEARCH_INTERVAL_MS
     elif group.primary == pool.view.name:
-        newest = group.samples.newest_ms()
-        due_ms = (newest or state.now_ms) + MAX_SAMPLE_AGE_MS
+        newest_ms = group.samples.newest_ms()
+        due_ms = (newest_ms or state.now_ms) + MAX_SAMPLE_AGE_MS
     return max(MIN_PROBE_DELAY_MS, due_ms - state.now_ms)
 
 
@@ -241,13 +255,13 @@
     request: UpstreamRequest,
     answer: Answer,
 ) -> None:
-    """Handle the answer to one statement of a probe."""
+    """Handle the answer to one request of a probe."""
     set_reachability(state, pool, 'up')
     if answer.position is not None:
         record_applied(state, pool, answer.position)
     if request.kind not in ('status', 'probe_begin'):
         return
-    # Reads that waited for this upstream to catch up may go on.
+    # The upstream may have caught up, and queued reads may now run on it.
     state.dirty.add(f'group/{pool.view.group}')
     if request.kind == 'status':
         if answer.signature and answer.rows:
@@ -281,12 +295,12 @@
 def on_monitor_closed(
     state: PoolerState, pool: Pool, conn: UpstreamConn, reason: str
 ) -> None:
-    """Take the end of a monitor connection."""
+    """Update reachability after the connection for probes was closed."""
     pool.monitor = 0
     name = pool.view.name
     if conn.opened:
-        # A connection may be reset while its other end goes on: only an
-        # attempt to open another one tells.
+        # A reset does not prove that the upstream is down. The attempt to
+        # open another connection shows it.
         suspect(state, pool)
         return
     if conn.refusal_code in NO_CAPACITY_CODES:
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -1,4 +1,8 @@
-"""Reducer of a session pooler: every event in, effects out."""
+"""Reducer of the session pooler.
+
+`reduce_pooler` routes each event to the module that handles it, then
+processes what the event has marked as dirty, and returns the effects.
+"""
 
 from __future__ import annotations
 
@@ -84,14 +88,14 @@
 def new_pooler(
     cfg: PoolerConfig, rng: random.Random, now_ms: float
 ) -> tuple[PoolerState, list[Effect]]:
-    """Return the state of a starting pooler and its first effects."""
+    """Return the initial state of a pooler and its first effects."""
     state = PoolerState(cfg=cfg, rng=rng, now_ms=now_ms)
     connect_to_seeds(state)
     return state, pop_effects(state)
 
 
 def reduce_pooler(state: PoolerState, event: Event) -> list[Effect]:
-    """Handle one event: change the state in place and return effects."""
+    """Handle one event: update the state in place and return the effects."""
     state.now_ms = max(state.now_ms, event.now_ms)
     if state.stopped:
         return []
@@ -115,10 +119,11 @@
 
 
 def is_healthy(state: PoolerState) -> bool:
-    """Tell whether the balancer should send new sessions here.
+    """Return whether the load balancer should route new sessions here.
 
-    Losing control later does not end the service: upstreams refuse what a
-    pooler with an old view of the primary sends them.
+    A pooler that loses its control connections stays healthy. Its view of
+    the primary may be outdated then, but upstreams that do not lead refuse
+    its writes.
     """
     has_upstream = any(
         pool.reachability in ('up', 'stalled') for pool in state.pools.values()
@@ -127,7 +132,7 @@
 
 
 def dump_pooler(state: PoolerState) -> dict[str, Any]:
-    """Return a snapshot of the state as plain data."""
+    """Return a snapshot of the state as plain data for the state page."""
     return {
         'now_ms': state.now_ms,
         'name': state.cfg.name,
@@ -166,7 +171,7 @@
 
 
 def _process_dirty(state: PoolerState) -> None:
-    """Go on with all that the event has made possible."""
+    """Process all groups, sessions and upstreams that are marked as dirty."""
     while state.dirty:
         dirty = sorted(state.dirty)
         state.dirty = set()
@@ -188,7 +193,7 @@
     elif event.link == 'upstream':
         conn = state.conns.get(event.conn)
         if conn is None:
-            close(state, event.conn, 'not needed', abort=True)
+            close(state, event.conn, 'connection no longer needed', abort=True)
             return
         conn.pending_requests[0].sent_ms = state.now_ms
         open_message = OpenUpstream(
@@ -235,7 +240,7 @@
 
 
 def _on_frame_rejected(state: PoolerState, event: FrameRejected) -> None:
-    """Answer bytes that are no request; other sessions are not affected."""
+    """Refuse a malformed request and close only the session that sent it."""
     log(state, 'info', 'request_malformed', detail=event.detail)
     failed = Failed(code='malformed', text=event.detail)
     send(state, event.conn, failed)
@@ -265,7 +270,7 @@
     state: PoolerState, conn: int, message: StartSession
 ) -> None:
     if conn not in state.unidentified:
-        close(state, conn, 'second start', abort=True)
+        close(state, conn, 'session started twice', abort=True)
         end_session(state, conn)
         return
     open_session(state, conn, message.database)
@@ -283,7 +288,7 @@
         answer.code = message.code
         answer.text = message.text
         if not conn.opened:
-            # The upstream closes after a refused start.
+            # The upstream closes the connection after this message.
             _on_open_refused(state, conn, answer)
     elif isinstance(message, Ready):
         answer.state = message.state
@@ -312,7 +317,7 @@
 ) -> None:
     if not conn.pending_requests or conn.conn not in state.conns:
         log(state, 'warning', 'answer_unasked', upstream=conn.upstream)
-        close_upstream_conn(state, conn, 'answer to nothing')
+        close_upstream_conn(state, conn, 'answer without a request')
         return
     request = conn.pending_requests.popleft()
     if request.kind == 'open':
@@ -332,7 +337,7 @@
             else:
                 handle_probe_answer(state, pool, conn, request, answer)
             if conn.is_idle:
-                # It may be the only one that statements can have.
+                # Statements may have no other connection than this one.
                 state.dirty.add(f'group/{pool.view.group}')
         return
     handle_answer(state, conn, request, answer)
@@ -379,7 +384,7 @@
 
 
 def _advance_drain(state: PoolerState) -> None:
-    """Close what has ended, and end the process when nothing is left."""
+    """Close idle sessions, and stop when no session is left."""
     assert state.drain_ms is not None
     elapsed_ms = state.now_ms - state.drain_ms
     cfg = state.cfg
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -1,4 +1,4 @@
-"""Caller sessions: opening, statements, transactions, end."""
+"""Caller sessions: start, request processing, transactions and end."""
 
 from __future__ import annotations
 
@@ -25,14 +25,14 @@
 from jackdawpost.core.pooler.state import Transaction
 from jackdawpost.core.published import EndpointView
 
-# Callers give up a session that has not opened after 2 s.
+# Shorter than the 2 s after which callers abandon an unopened session.
 CONFIG_WAIT_MS = 1_500.0
-# Requests that a session may send ahead of their answers.
+# Pipelined requests that may be queued per session.
 MAX_PIPELINED_REQUESTS = 64
 
 
 def open_session(state: PoolerState, conn: int, database: str) -> None:
-    """Open a session, or wait for the configuration that names it."""
+    """Open a session, or hold it until a configuration has been received."""
     state.unidentified.discard(conn)
     if not state.published.version:
         state.waiting_sessions[conn] = database
@@ -54,39 +54,39 @@
         database=database,
         config_version=state.published.version,
     )
-    text = f'no database is named {database[:80]!r}'
+    text = f'unknown database {database[:80]!r}'
     send(state, conn, Failed(code='no_database', text=text))
-    close(state, conn, 'no such database', abort=False)
+    close(state, conn, 'unknown database', abort=False)
 
 
 def open_waiting_sessions(state: PoolerState) -> None:
-    """Open the sessions that waited for the first configuration."""
+    """Open the sessions that arrived before the first configuration."""
     waiting_sessions, state.waiting_sessions = state.waiting_sessions, {}
     for conn, database in waiting_sessions.items():
         open_session(state, conn, database)
 
 
 def on_config_wait_expired(state: PoolerState, conn: int) -> None:
-    """Give up a session that no configuration came for."""
+    """Refuse a session if no configuration has been received in time."""
     database = state.waiting_sessions.pop(conn, None)
     if database is None:
         return
     log(state, 'warning', 'session_unserved', database=database)
-    text = 'no configuration has been received'
+    text = 'the proxy has received no configuration yet'
     send(state, conn, Failed(code='overloaded', text=text))
-    close(state, conn, 'no configuration', abort=False)
+    close(state, conn, 'no configuration received', abort=False)
 
 
 def on_request(state: PoolerState, conn: int, req: Request) -> None:
-    """Take a request; requests of one session run one after another."""
+    """Queue a request of a session; requests run one at a time, in order."""
     session = state.sessions.get(conn)
     if session is None:
-        text = 'the session has not been opened'
+        text = 'request received before the session was started'
         send(state, conn, Failed(code='malformed', text=text))
-        close(state, conn, 'request before start', abort=False)
+        close(state, conn, 'session not started', abort=False)
         return
     if len(session.backlog) >= MAX_PIPELINED_REQUESTS:
-        close(state, conn, 'too many requests in flight', abort=True)
+        close(state, conn, 'too many pipelined requests', abort=True)
         end_session(state, conn)
         return
     session.backlog.append(req)
@@ -94,7 +94,7 @@
 
 
 def process_backlog(state: PoolerState, session: Session) -> None:
-    """Take the next requests up to one that an upstream has to run."""
+    """Process queued requests until one of them needs an upstream."""
     while session.task is None and session.backlog:
         _process_request(state, session, session.backlog.popleft())
 
@@ -111,7 +111,10 @@
         'commit',
     ):
         refuse_request(
-            state, session, 'malformed', 'the transaction has failed'
+            state,
+            session,
+            'malformed',
+            'transaction has failed; only commit and rollback are accepted',
         )
     elif req.verb in ('set', 'prepare', 'deallocate'):
         _update_session_values(state, session, req)
@@ -126,7 +129,7 @@
 
 
 def answer_locally(state: PoolerState, session: Session) -> None:
-    """Answer a request that no upstream has to run."""
+    """Answer a request that needs no upstream."""
     ready = Ready(state=session.state)
     send(state, session.conn, Done(signature='-'), ready)
 
@@ -134,7 +137,7 @@
 def refuse_request(
     state: PoolerState, session: Session, code: str, text: str
 ) -> None:
-    """Refuse a request of which nothing has run."""
+    """Refuse a request before anything of it has run."""
     count(state, f'statements_{code}')
     log(
         state,
@@ -164,13 +167,14 @@
 
 
 def _replay_in_txn(state: PoolerState, session: Session, req: Request) -> None:
-    """Bring a value onto the connection that the transaction holds."""
+    """Replay a changed value on the connection of the open transaction."""
     txn = session.txn
     conn = state.conns.get(txn.conn) if txn is not None else None
     if conn is None:
         return
     if req.verb == 'deallocate':
-        # The connection is reset before another session uses it.
+        # No message is needed: the connection is reset before another
+        # session uses it.
         conn.replayed_epoch = session.epoch
         return
     action = 'set' if req.verb == 'set' else 'prepare'
@@ -187,7 +191,7 @@
 def _begin(state: PoolerState, session: Session, req: Request) -> None:
     if session.txn is not None:
         refuse_request(
-            state, session, 'malformed', 'a transaction is open already'
+            state, session, 'malformed', 'a transaction is already open'
         )
         return
     endpoint = state.endpoints.get(session.database)
@@ -217,7 +221,7 @@
 
 
 def on_txn_idle_timeout(state: PoolerState, conn: int) -> None:
-    """Roll back a transaction that its caller has left idle."""
+    """Roll back a transaction that has been idle for too long."""
     session = state.sessions.get(conn)
     txn = session.txn if session is not None else None
     if session is None or txn is None or session.state != 'in_txn':
@@ -242,7 +246,7 @@
 
 
 def release_txn_conn(state: PoolerState, session: Session) -> None:
-    """Roll back at the upstream and give the connection back."""
+    """Roll back on the upstream and release the connection."""
     txn = session.txn
     conn = state.conns.get(txn.conn) if txn is not None else None
     if txn is None or conn is None:
@@ -269,7 +273,7 @@
         return
     if session.state == 'failed_txn':
         _end_txn(state, session)
-        text = 'the transaction had failed and is rolled back'
+        text = 'the transaction failed earlier and has been rolled back'
         refuse_request(state, session, 'aborted', text)
         return
     _submit_statement(state, session, req)
@@ -278,7 +282,7 @@
 def _submit_statement(
     state: PoolerState, session: Session, req: Request
 ) -> None:
-    """Hand a statement over to an upstream."""
+    """Create the task for a statement and send or queue it."""
     txn = session.txn
     endpoint = txn.endpoint if txn else state.endpoints.get(session.database)
     if endpoint is None:
@@ -286,7 +290,7 @@
         return
     is_write = _is_write(session, req)
     if is_write is None:
-        text = f'no statement is prepared as {req.name!r:.80}'
+        text = f'unknown prepared statement {req.name!r:.80}'
         refuse_request(state, session, 'no_statement', text)
         return
     task = StatementTask(
@@ -306,8 +310,8 @@
         _send_in_txn(state, txn, task)
         return
     if txn is not None:
-        # An upstream that refuses the begin has run nothing of the
-        # transaction.
+        # First statement of the transaction. If an upstream refuses the
+        # begin, nothing of the transaction has run.
         txn.last_activity_ms = state.now_ms
     submit(state, task)
 
@@ -340,7 +344,7 @@
 
 
 def end_session(state: PoolerState, conn: int) -> None:
-    """Forget a session; what it left open is rolled back."""
+    """Remove a session and roll back its open transaction."""
     state.unidentified.discard(conn)
     state.waiting_sessions.pop(conn, None)
     session = state.sessions.pop(conn, None)
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -1,9 +1,9 @@
-"""Upstreams that answer probes, but do not get statements done.
+"""Stall detection: circuit breaker for upstreams that complete no statements.
 
-A health check and a begin take no slot, so they succeed on a database whose
-executors hang, or that fails whatever it runs. Only the outcomes of
-statements show that. Refusals for lack of a slot are no evidence: a
-database that is merely full serves others meanwhile.
+A health check and a begin need no slot. They succeed even on a database
+whose executors hang or that fails every statement. Only the results of
+statements reveal such a stall. Refusals for lack of a slot do not count,
+since a database that is merely full still completes other statements.
 """
 
 from __future__ import annotations
@@ -13,25 +13,25 @@
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.upstreams import set_reachability
 
-# Longer than a statement waits and runs on a full database: a queue of 48
-# before 6 slots and 55 ms a statement (the deployments' own sizes) take
-# 500 ms.
+# An upstream is stalled after the longer of this time and a multiple of its
+# mean latency without a success. A statement takes about 500 ms on a full
+# database of the deployed size (48 queued, 6 slots, 55 ms per statement).
 MIN_STALL_TIMEOUT_MS = 800.0
-# The same in mean times that the upstream takes for a statement.
 STALL_TIMEOUT_LATENCIES = 3.0
-# A single failure may be the statement's own.
+# Minimum number of failed or unanswered statements. A single failure may be
+# caused by the statement itself.
 MIN_STALL_STATEMENTS = 3
-# Older failures do not count any more.
+# Failures of statements that were sent earlier are discarded.
 FAILURE_RETENTION_MS = 3_000.0
-# Time for which a stalled upstream gets no statements; twice as long each
-# time that it stalls again. Control needs a part of it to hear most proxies
-# and replace a primary.
-MIN_SUSPENSION_MS = 2_000.0
+# Time for which a stalled upstream receives no statements, doubled with each
+# further stall. It leaves control enough time to collect the reports of most
+# proxies and to replace a primary.
+INITIAL_SUSPENSION_MS = 2_000.0
 MAX_SUSPENSION_MS = 8_000.0
 
 
 def record_success(state: PoolerState, pool: Pool) -> None:
-    """Take a statement that an upstream has run to its end."""
+    """Record a successful statement and end a suspension."""
     pool.last_success_ms = state.now_ms
     pool.failed_sent_ms.clear()
     pool.stalls = 0
@@ -41,7 +41,7 @@
 
 
 def record_failure(state: PoolerState, pool: Pool, sent_ms: float) -> None:
-    """Take a statement, accepted at `sent_ms`, that failed or was lost."""
+    """Record a failed or lost statement, which was sent at `sent_ms`."""
     if pool.reachability != 'up':
         return
     pool.failed_sent_ms.append(sent_ms)
@@ -53,7 +53,7 @@
 
 
 def detect_stall(state: PoolerState, pool: Pool) -> None:
-    """Take an upstream for stalled that has answered nothing for too long."""
+    """Suspend an upstream that leaves statements unanswered for too long."""
     outstanding = _outstanding_sent_ms(state, pool)
     if pool.reachability == 'up' and outstanding:
         _mark_if_stalled(state, pool, min(outstanding))
@@ -76,7 +76,9 @@
     if statements < MIN_STALL_STATEMENTS:
         return
     pool.failed_sent_ms.clear()
-    suspension_ms = min(MAX_SUSPENSION_MS, MIN_SUSPENSION_MS * 2**pool.stalls)
+    suspension_ms = min(
+        MAX_SUSPENSION_MS, INITIAL_SUSPENSION_MS * 2**pool.stalls
+    )
     pool.stalls += 1
     pool.stalled_until_ms = state.now_ms + suspension_ms
     log(
@@ -93,7 +95,7 @@
 
 
 def _outstanding_sent_ms(state: PoolerState, pool: Pool) -> list[float]:
-    """Return when the statements were sent that have no answer yet."""
+    """Return the send times of all unanswered statements."""
     return [
         request.sent_ms
         for number in pool.conns
--- a/jackdawpost/core/pooler/upstreams.py
+++ b/jackdawpost/core/pooler/upstreams.py
@@ -1,4 +1,4 @@
-"""What is known of upstreams: who leads, how far, how quick, in reach."""
+"""Observed state of upstreams: role, position, latency and reachability."""
 
 from __future__ import annotations
 
@@ -9,13 +9,14 @@
 from jackdawpost.core.pooler.state import schedule
 from jackdawpost.core.positions import LogPosition
 
-LATENCY_WEIGHT = 0.2  # of the newest statement in the moving average
+LATENCY_WEIGHT = 0.2  # of the latest statement in the moving average
 
 
 def accepts_statements(state: PoolerState, pool: Pool) -> bool:
-    """Tell whether an upstream may get statements that it has to lead for.
+    """Return whether a primary may receive new statements.
 
-    A leaving primary serves until its successor leads, but not for long.
+    A leaving primary receives statements until its successor leads, but for
+    no longer than `PoolerConfig.leaving_work_ms`.
     """
     leaving_since_ms = pool.leaving_since_ms
     return leaving_since_ms is None or (
@@ -26,20 +27,20 @@
 def record_applied(
     state: PoolerState, pool: Pool, position: LogPosition
 ) -> None:
-    """Take the position that an upstream has applied by now."""
+    """Record the log position that an upstream has applied."""
     pool.applied = position
     pool.applied_ms = state.now_ms
 
 
 def record_latency(pool: Pool, duration_ms: float) -> None:
-    """Take the time of one statement into the moving average."""
+    """Update the moving average of the latency of statements."""
     pool.latency_ms += LATENCY_WEIGHT * (duration_ms - pool.latency_ms)
 
 
 def record_leadership(
     state: PoolerState, pool: Pool, sent_ms: float, position: LogPosition
 ) -> None:
-    """Take an answer that proves that an upstream led when asked."""
+    """Record proof that an upstream was the primary at `sent_ms`."""
     group = get_group(state, pool.view.group)
     pool.leads = True
     pool.term = max(pool.term, position.term)
@@ -59,7 +60,7 @@
 
 
 def clear_leadership(state: PoolerState, pool: Pool, reason: str) -> None:
-    """Take an answer that shows that an upstream does not lead."""
+    """Record that an upstream is not the primary, or is out of service."""
     pool.leads = False
     group = get_group(state, pool.view.group)
     if group.primary == pool.view.name:
@@ -78,7 +79,7 @@
 
 
 def suspect(state: PoolerState, pool: Pool) -> None:
-    """Probe an upstream at once: a connection to it has ended."""
+    """Probe an upstream at once, e.g. because a connection has ended."""
     pool.suspected = True
     schedule(state, f'probe/{pool.view.name}', state.now_ms)
 
@@ -86,13 +87,13 @@
 def set_reachability(
     state: PoolerState, pool: Pool, reachability: str
 ) -> None:
-    """Take what a probe shows of an upstream's reachability."""
+    """Set the reachability of an upstream, and report changes to control."""
     if reachability == 'up':
         pool.last_contact_ms = state.now_ms
         pool.failures = 0
         pool.suspected = False
         if state.now_ms < pool.stalled_until_ms:
-            # The answer to a probe says nothing of its statements.
+            # An answer to a probe does not end a stall.
             reachability = 'stalled'
     if pool.reachability == reachability:
         return
@@ -107,7 +108,7 @@
     )
     pool.reachability = reachability  # type: ignore[assignment]
     state.dirty.add(f'group/{pool.view.group}')
-    # Control decides on a promotion by what most proxies see.
+    # Control bases promotions on the reports of a majority of proxies.
     schedule(state, 'report', state.now_ms)
     if reachability != 'up':
         clear_leadership(state, pool, reachability)
