--- a/jackdawpost/testing/pooler_simulation.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -1,7 +1,8 @@
-"""Callers, control and databases around a session pooler, for tests.
+"""Deterministic simulation of callers, control and databases for a pooler.
 
-Time is simulated: every answer comes after the time that a database takes,
-in the order of due times, so that a run is the same every time.
+The simulation runs the reducer of the session pooler in simulated time.
+Events are processed in the order of their due times, and every run with the
+same calls gives the same result.
 """
 
 from __future__ import annotations
@@ -51,8 +52,8 @@
 CONTROL_CONN = 1
 GROUP = 'spares'
 DATABASES = ('db-1', 'db-2', 'db-3')
-ROUND_TRIP_MS = 0.5  # to a database and back
-SLOTLESS_MS = 0.5  # statements that take no slot
+ROUND_TRIP_MS = 0.5
+SLOTLESS_MS = 0.5  # duration of statements that need no slot
 VERBS: dict[str, Verb] = {
     'BEGIN': 'begin',
     'COMMIT': 'commit',
@@ -77,7 +78,7 @@
 
 
 def build_request(request_id: str, text: str) -> Request:
-    """Return the request that a caller's text stands for."""
+    """Parse a caller's text into a request."""
     word, _, rest = text.partition(' ')
     verb: Verb = VERBS.get(word, 'unknown')
     if verb == 'begin' and rest == 'READ':
@@ -92,7 +93,7 @@
 
 @dataclass
 class ExecutedStatement:
-    """A caller's statement that a database ran."""
+    """Statement of a caller that a database has executed."""
 
     id: str
     text: str
@@ -106,7 +107,7 @@
 
 @dataclass
 class FakeConn:
-    """A connection as a database sees it."""
+    """Connection of the pooler, on the side of the database."""
 
     number: int
     database: FakeDatabase
@@ -120,20 +121,30 @@
 
 @dataclass
 class FakeDatabase:
-    """A database with slots, a log and faults that a test sets.
+    """Simulated database with execution slots, a log and injected faults.
 
     Parameters
     ----------
     lag : int
-        Commits that it has not applied yet.
-    loses : set of str
-        Requests whose answer is lost after they ran.
-    refuses : set of str
-        Requests that are refused for lack of a slot.
+        Number of commits that it has received but not applied.
+    slots : int
+        Maximum number of statements that run at the same time.
     queue : int
-        Statements that may wait for a slot; more are refused.
+        Maximum number of statements that wait for a slot. Further ones are
+        refused.
+    statement_ms : float
+        Duration of a statement that needs a slot.
+    reachable : str
+        ``'up'``; ``'silent'``: answers nothing; ``'refused'``: refuses
+        connections.
+    lost_answers : set of str
+        Requests that run but whose answers are lost.
+    refused_requests : set of str
+        Requests that are refused for lack of a slot.
     fails_all : bool
-        Every statement runs and fails; probes succeed.
+        True if all statements run and fail while probes succeed.
+    overload_refusals : list of str
+        Requests that were refused because the queue was full.
     """
 
     name: str
@@ -159,18 +170,32 @@
 
     @property
     def position(self) -> LogPosition:
-        """Position that it has applied."""
+        """Log position that the database has applied."""
         return LogPosition(self.term, self.index - self.lag)
 
 
 class PoolerSimulation:
-    """A pooler among fakes.
+    """Simulation of a pooler with a control leader, databases and callers.
 
     Parameters
     ----------
     endpoints : list of dict
-        Bodies of endpoints to publish; by default ``orders`` (primary),
-        ``reports`` (bounded) and ``returns`` (read your writes).
+        Bodies of the endpoints to publish. The default is ``orders``
+        (primary), ``reports`` (bounded staleness) and ``returns`` (read your
+        writes).
+
+    Attributes
+    ----------
+    executed : list of ExecutedStatement
+        Statements of callers in the order of execution.
+    reports : list of ProxyReport
+        Reports that the pooler has sent to control.
+    action_answers : list of UpstreamActionAnswer
+        Answers to forwarded requests of control.
+    lag_refusals : list of str
+        Databases that refused a read because they lag behind, one per read.
+    caller_messages : dict of int to list
+        Messages sent to each caller and not yet popped.
     """
 
     def __init__(self, endpoints: list[dict[str, Any]] | None = None) -> None:
@@ -220,7 +245,7 @@
     # Control.
 
     def send_grant(self) -> None:
-        """Answer the latest report as the leader."""
+        """Answer the latest report as the control leader."""
         grant = LeaseGrant(
             seq=self.state.report_seq,
             leases=[],
@@ -232,7 +257,7 @@
     def publish(
         self, endpoints: list[dict[str, Any]], proxies: int = 1
     ) -> None:
-        """Publish the databases and these endpoints as a whole."""
+        """Publish a full state with the databases and these endpoints."""
         objects = [
             PublishedObject(type='group', name=GROUP, body=_group_body())
         ]
@@ -271,20 +296,20 @@
         return request_id
 
     def pop_messages(self, conn: int) -> list[Any]:
-        """Take the messages that a session has received so far."""
+        """Return and clear the messages that a session has received."""
         messages = self.caller_messages[conn]
         self.caller_messages[conn] = []
         return messages
 
     def call(self, conn: int, text: str, within_ms: float = 5_000) -> Any:
-        """Send a statement, wait, and return `Done` or `Failed`."""
+        """Send a statement, await the answer, return `Done` or `Failed`."""
         self.pop_messages(conn)
         self.send_request(conn, text)
         end_ms = self.now_ms + within_ms
         while self.now_ms < end_ms:
             if any(isinstance(m, Ready) for m in self.caller_messages[conn]):
                 break
-            if not self._step(end_ms):
+            if not self._process_next(end_ms):
                 break
         found = [
             m for m in self.pop_messages(conn) if isinstance(m, Done | Failed)
@@ -292,13 +317,13 @@
         return found[0] if found else None
 
     def disconnect(self, conn: int) -> None:
-        """Close a caller's connection."""
+        """Close the connection of a caller."""
         self.dispatch(ConnClosed(now_ms=self.now_ms, conn=conn))
 
     # Faults.
 
     def promote(self, name: str) -> None:
-        """Let another database lead the next term."""
+        """Make a database the primary of the next term."""
         term = max(db.term for db in self.databases.values()) + 1
         chosen = self.databases[name]
         for database in self.databases.values():
@@ -310,7 +335,7 @@
             database.lag = 0
 
     def silence(self, name: str) -> None:
-        """Let a database and its connections go silent."""
+        """Stop a database from answering, on open and on new connections."""
         self.databases[name].reachable = 'silent'
 
     def crash(self, name: str) -> None:
@@ -329,19 +354,19 @@
                 self.dispatch(ConnClosed(now_ms=self.now_ms, conn=number))
 
     def drain(self) -> None:
-        """Ask the pooler to stop."""
+        """Request the pooler to drain and stop."""
         self.dispatch(DrainRequested(now_ms=self.now_ms))
 
-    # Time.
+    # Simulated time.
 
-    def advance(self, for_ms: float) -> None:
-        """Let time pass."""
-        end_ms = self.now_ms + for_ms
-        while self._step(end_ms):
+    def advance(self, duration_ms: float) -> None:
+        """Process the events of the next `duration_ms` milliseconds."""
+        end_ms = self.now_ms + duration_ms
+        while self._process_next(end_ms):
             pass
         self.now_ms = end_ms
 
-    def _step(self, end_ms: float) -> bool:
+    def _process_next(self, end_ms: float) -> bool:
         if not self._scheduled or self._scheduled[0][0] > end_ms:
             return False
         due_ms, _, action = heapq.heappop(self._scheduled)
@@ -355,13 +380,13 @@
     # The pooler.
 
     def receive(self, conn: int, *messages: Any) -> None:
-        """Hand messages to the pooler."""
+        """Deliver messages to the pooler."""
         self.dispatch(
             Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
         )
 
     def dispatch(self, event: Event) -> None:
-        """Hand an event to the pooler and carry out the effects."""
+        """Deliver an event to the pooler and perform the resulting effects."""
         self._perform(reduce_pooler(self.state, event))
 
     def _perform(self, effects: list[Effect]) -> None:
@@ -406,7 +431,7 @@
         conn = self.conns.get(effect.conn)
         if conn is not None:
             conn.queue.extend(effect.messages)
-            self._serve(conn)
+            self._process_queue(conn)
 
     def _close(self, number: int) -> None:
         self.closed.add(number)
@@ -453,7 +478,7 @@
 
     # Databases.
 
-    def _serve(self, conn: FakeConn) -> None:
+    def _process_queue(self, conn: FakeConn) -> None:
         database = conn.database
         if conn.busy or not conn.queue or database.reachable != 'up':
             return
@@ -488,14 +513,14 @@
         if needs_slot:
             database.running = max(0, database.running - 1)
         if self.conns.get(conn.number) is conn:
-            replies = self._answer(conn, message)
+            replies = self._build_answer(conn, message)
             if replies and database.reachable == 'up':
                 self.receive(conn.number, *replies)
         if database.waiting:
-            self._serve(database.waiting.popleft())
-        self._serve(conn)
+            self._process_queue(database.waiting.popleft())
+        self._process_queue(conn)
 
-    def _answer(self, conn: FakeConn, message: Any) -> list[Any]:
+    def _build_answer(self, conn: FakeConn, message: Any) -> list[Any]:
         database = conn.database
         if isinstance(message, OpenUpstream):
             return [Ready(state='idle', position=database.position)]
@@ -503,9 +528,9 @@
         rows: list[str] = []
         signature = '-'
         if isinstance(message, Internal):
-            code, rows = self._run_internal(conn, message)
+            code, rows = self._execute_internal(conn, message)
         else:
-            code = self._run(conn, message)
+            code = self._execute(conn, message)
             signature = f'{database.name}.{message.id}'
             rows = [f'row of {message.text}']
             if message.id in database.lost_answers:
@@ -521,7 +546,7 @@
             return [Failed(code=code, text=database.name), ready]
         return [*(Row(text=r) for r in rows), Done(signature=signature), ready]
 
-    def _run_internal(
+    def _execute_internal(
         self, conn: FakeConn, message: Internal
     ) -> tuple[str, list[str]]:
         database = conn.database
@@ -550,7 +575,7 @@
             return '', [f'{role} {database.term} {database.index}']
         return '', []
 
-    def _run(self, conn: FakeConn, message: Execute) -> str:
+    def _execute(self, conn: FakeConn, message: Execute) -> str:
         database = conn.database
         if message.id in database.refused_requests:
             if message.id in database.overload_refusals:
