Reword and rename the tests of the session pooler

Heads of tests told their failure in private words ('eats it', 'cut off', 'the process span'). They now say in one to three lines which failure the test guards against and how it comes about; the names of tests say what is asserted. Each test keeps all its assertions.

--- a/jackdawpost/tests/core/pooler/test_outcomes.py
+++ b/jackdawpost/tests/core/pooler/test_outcomes.py
@@ -1,4 +1,4 @@
-"""Where statements run, and what callers are told when they cannot."""
+"""Tests of statement placement, retries and error codes of the pooler."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 
 
 def test_read_of_a_primary_endpoint_proves_leadership_first():
-    # A plain read at a replaced primary succeeds without a sign of it.
+    # A plain read on a replaced primary succeeds and does not show that the
+    # primary has been replaced.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.promote('db-2')
@@ -25,7 +26,7 @@
     assert {executed.database for executed in sim.executed} == {'db-2'}
 
 
-def test_write_at_a_replaced_primary_moves_to_the_new_one():
+def test_write_refused_by_a_replaced_primary_runs_on_the_new_one():
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'WRITE 1 a')
@@ -56,7 +57,7 @@
     assert _codes(sim, conn) == ['unknown_outcome']
 
 
-def test_read_without_answer_is_tried_elsewhere():
+def test_read_without_answer_is_retried_on_another_upstream():
     sim = PoolerSimulation()
     conn = sim.open('reports')
     request_id = sim.send_request(conn, 'READ 1')
@@ -71,9 +72,10 @@
     assert len({executed.database for executed in sim.executed}) == 2
 
 
-def test_answer_of_a_later_request_is_not_taken_for_a_lost_one():
-    # The guard's rollback is pipelined behind the read: if the read's answer
-    # is lost, the rollback's must not reach the caller.
+def test_answer_to_a_later_request_does_not_replace_a_lost_one():
+    # The rollback after the leadership check is pipelined behind the read. If
+    # the answer to the read is lost, that to the rollback must not reach the
+    # caller.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     request_id = sim.send_request(conn, 'READ 1')
@@ -85,7 +87,7 @@
     )
 
 
-def test_statement_that_no_upstream_took_is_refused_as_not_run():
+def test_statement_without_an_upstream_is_refused_as_not_run():
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.crash('db-1')
@@ -96,8 +98,8 @@
     assert not sim.executed
 
 
-def test_reads_follow_the_sessions_own_commit():
-    # Guards against a replica that lacks what the session has written.
+def test_reads_see_the_commits_of_their_own_session():
+    # Guards against reads on a replica that lacks the session's writes.
     sim = PoolerSimulation()
     conn = sim.open('returns')
     for name in ('db-2', 'db-3'):
@@ -109,23 +111,23 @@
         assert sim.executed[-1].position >= written
 
 
-def test_bounded_read_accepts_a_replica_within_its_age():
+def test_bounded_read_uses_a_replica_within_the_staleness_bound():
     sim = PoolerSimulation()
     writer, reader = sim.open('orders'), sim.open('reports')
     sim.advance(1_700)
-    # The replicas of this world never receive it.
+    # The simulated replicas never receive this write.
     sim.call(writer, 'WRITE 1 a')
     sim.databases['db-1'].statement_ms = 300
     for _ in range(4):
         assert isinstance(sim.call(reader, 'READ 1'), Done)
-    # The first ones show that the primary is slow.
+    # The first reads measure that the primary is slow.
     assert {executed.database for executed in sim.executed[-2:]} <= {
         'db-2',
         'db-3',
     }
 
 
-def test_bounded_read_refuses_a_replica_beyond_its_age():
+def test_bounded_read_avoids_a_replica_beyond_the_staleness_bound():
     sim = PoolerSimulation()
     writer, reader = sim.open('orders'), sim.open('reports')
     for name in ('db-2', 'db-3'):
@@ -139,7 +141,7 @@
 
 
 def test_position_rolled_back_by_a_promotion_does_not_block_a_session():
-    # The log of the new primary never holds that position.
+    # The log of the new primary never reaches that position.
     sim = PoolerSimulation()
     conn = sim.open('returns')
     sim.call(conn, 'WRITE 1 a')
@@ -150,7 +152,7 @@
     assert isinstance(sim.call(conn, 'READ 1'), Done)
 
 
-def test_first_statement_of_a_transaction_moves_after_a_promotion():
+def test_first_statement_of_a_transaction_runs_on_the_promoted_primary():
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -186,8 +188,8 @@
 
 
 def test_connections_stay_within_the_share_of_one_proxy():
-    # 21 connections an upstream, 3 reserved, 4 proxies: 4 each, one of them
-    # the monitor's.
+    # 21 connections per upstream, 3 reserved, 4 proxies: 4 connections each,
+    # one of them for probes.
     sim = PoolerSimulation()
     sim.publish(default_endpoints(), proxies=4)
     conns = [sim.open('orders') for _ in range(30)]
@@ -203,7 +205,7 @@
 
 
 def test_share_of_connections_does_not_grow_when_a_proxy_is_removed():
-    # A removed proxy may only be cut off from control and go on serving.
+    # A removed proxy may only be partitioned from control and still serve.
     sim = PoolerSimulation()
     sim.publish(default_endpoints(), proxies=4)
     sim.publish(default_endpoints(), proxies=1)
@@ -232,8 +234,8 @@
 
 
 def test_silence_of_a_primary_is_reported_within_three_quarters_of_a_second():
-    # The failover gap starts with it: a promotion by the platform takes up
-    # to a second more.
+    # The report starts the failover. A promotion by the platform takes up to
+    # another second.
     sim = PoolerSimulation()
     sim.silence('db-1')
     cut_ms = sim.now_ms
@@ -250,8 +252,8 @@
     assert sim.reports[-1].evidence['db-1'] == 'refused'
 
 
-def test_reads_leave_an_upstream_that_has_gone_silent():
-    # Guards against reads that wait until their time is over.
+def test_reads_are_retried_when_an_upstream_becomes_silent():
+    # Guards against reads that wait until their timeout.
     sim = PoolerSimulation()
     conns = [sim.open('reports') for _ in range(12)]
     for conn in conns:
@@ -268,8 +270,8 @@
 
 
 def test_few_connections_are_opened_at_a_time():
-    # After a loss of power an upstream still holds the old connections: a
-    # burst of new ones would only be refused, and delay the next attempt.
+    # After a power failure, an upstream still holds the old connections. A
+    # burst of new ones would only be refused and delay the next attempt.
     sim = PoolerSimulation()
     opening = []
     for conn in [sim.open('orders') for _ in range(20)]:
@@ -284,14 +286,14 @@
     assert max(opening) <= 2
 
 
-def test_full_primary_is_tried_again_soon():
+def test_primary_without_free_connections_is_retried_soon():
     sim = PoolerSimulation()
     pool = sim.state.pools['db-1']
     monitor = sim.state.conns[pool.monitor]
     sim.crash('db-1')
     sim.advance(1)
     del monitor
-    # The fake refuses like one that has no connection left.
+    # Simulates a refusal for lack of connections.
     for conn in list(sim.state.conns.values()):
         if conn.upstream == 'db-1':
             conn.refusal_code = 'no_connections'
@@ -300,7 +302,7 @@
     assert sim.state.groups['spares'].primary == 'db-1'
 
 
-def test_request_of_control_is_passed_on_to_an_upstream():
+def test_request_of_control_is_forwarded_to_an_upstream():
     sim = PoolerSimulation()
     action = UpstreamAction(upstream='db-2', action='pause', term=2, token=7)
     sim.receive(CONTROL_CONN, action)
@@ -311,7 +313,7 @@
 
 
 def test_leaving_primary_gets_no_work_after_a_few_seconds():
-    # It may have no successor yet; it ends soon in any case.
+    # It exits soon, even if no successor has been promoted.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.databases['db-1'].leaving = True
@@ -324,10 +326,10 @@
     assert len(sim.executed) == executed
 
 
-def test_replica_that_caught_up_is_used_for_own_writes_soon():
-    # What is known of a replica's position ages while no read goes there.
-    # Taking it for the present position keeps all reads of sessions that
-    # write on the primary, which was overloaded long after the lag had gone.
+def test_replica_that_caught_up_soon_serves_read_your_writes():
+    # The recorded position of a replica grows old while no read runs there.
+    # When it was treated as current, all reads of writing sessions went to
+    # the primary, which was overloaded long after the lag had ended.
     sim = PoolerSimulation()
     conn = sim.open('returns')
     sim.call(conn, 'WRITE 1 a')
@@ -343,7 +345,7 @@
     }
 
 
-def test_replica_seen_behind_is_not_asked_by_every_read():
+def test_lagging_replica_is_not_tried_by_every_read():
     sim = PoolerSimulation()
     conn = sim.open('returns')
     sim.call(conn, 'WRITE 1 a')
@@ -357,7 +359,8 @@
 
 
 def test_read_that_may_have_run_is_never_refused_as_not_run():
-    # Its first answer was lost; what is told later must still be true.
+    # The first answer was lost, so the final error must not claim that
+    # nothing has run.
     sim = PoolerSimulation()
     conn = sim.open('reports')
     request_id = sim.send_request(conn, 'READ 1')
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -1,4 +1,4 @@
-"""Load beyond what the databases can serve."""
+"""Tests of the session pooler under more load than the databases can serve."""
 
 from __future__ import annotations
 
@@ -11,31 +11,31 @@
 from jackdawpost.testing.pooler_simulation import PoolerSimulation
 
 SLOTS = 3
-WORK_MS = 30.0
-CAPACITY_PER_S = SLOTS * 1_000 / WORK_MS
+STATEMENT_MS = 30.0
+CAPACITY_PER_S = SLOTS * 1_000 / STATEMENT_MS
 
 
 class Callers:
-    """Open-loop callers: each statement comes at its time, on any session."""
+    """Open-loop load: statements are sent at a fixed rate on free sessions."""
 
     def __init__(self, sim, per_s, text='WRITE 1 a', sessions=400):
         self.sim = sim
         self.free = [sim.open('orders') for _ in range(sessions)]
         self.busy = {}
         self.text = text
-        self.gap_ms = 1_000 / per_s
+        self.interval_ms = 1_000 / per_s
         self.done_ms = []
         self.refused_ms = []
 
-    def run(self, for_ms):
-        end_ms = self.sim.now_ms + for_ms
+    def run(self, duration_ms):
+        end_ms = self.sim.now_ms + duration_ms
         while self.sim.now_ms < end_ms:
             if self.free:
                 conn = self.free.pop()
                 self.busy[conn] = self.sim.now_ms
                 self.sim.pop_messages(conn)
                 self.sim.send_request(conn, self.text)
-            self.sim.advance(self.gap_ms)
+            self.sim.advance(self.interval_ms)
             self._collect()
 
     def _collect(self):
@@ -52,13 +52,13 @@
             self.free.append(conn)
 
 
-def _overloaded(queue, times=2.0):
+def _overloaded(queue, load_factor=2.0):
     sim = PoolerSimulation()
     database = sim.databases['db-1']
-    database.statement_ms = WORK_MS
+    database.statement_ms = STATEMENT_MS
     database.slots = SLOTS
     database.queue = queue
-    callers = Callers(sim, CAPACITY_PER_S * times)
+    callers = Callers(sim, CAPACITY_PER_S * load_factor)
     callers.run(2_000)
     callers.done_ms.clear()
     callers.refused_ms.clear()
@@ -66,7 +66,8 @@
 
 
 def test_goodput_at_twice_the_capacity_stays_at_nine_tenths():
-    # A retry storm, or work for callers whose time is over, would eat it.
+    # Guards against retry storms and against statements that are run after
+    # their callers have timed out.
     _, callers = _overloaded(queue=4)
     callers.run(4_000)
     in_time = [taken for taken in callers.done_ms if taken <= 1_000]
@@ -74,9 +75,9 @@
 
 
 def test_statements_that_cannot_be_served_are_refused_early():
-    # Waiting to the end of its time helps neither the caller nor those that
-    # could have been served.
-    _, callers = _overloaded(queue=4, times=3.0)
+    # A statement that waits until its timeout and then fails helps neither
+    # its caller nor the statements behind it in the queue.
+    _, callers = _overloaded(queue=4, load_factor=3.0)
     callers.run(4_000)
     assert callers.refused_ms
     late = [taken for taken in callers.refused_ms if taken > 700]
@@ -84,7 +85,7 @@
 
 
 def test_few_statements_are_sent_only_to_be_refused():
-    # Each refusal costs the database and the way there and back.
+    # Each refusal costs a round trip and load on the database.
     sim, callers = _overloaded(queue=4)
     sim.databases['db-1'].overload_refusals.clear()
     before = len(sim.executed)
@@ -93,10 +94,10 @@
     assert len(sim.databases['db-1'].overload_refusals) <= 0.3 * executed
 
 
-def test_load_leaves_no_trace_once_it_has_gone():
-    # Guards against an overload that keeps itself alive by its retries.
-    sim, callers = _overloaded(queue=4, times=4.0)
-    callers.gap_ms = 1_000 / (0.5 * CAPACITY_PER_S)
+def test_service_recovers_after_an_overload():
+    # Guards against retries that sustain an overload after its cause is gone.
+    sim, callers = _overloaded(queue=4, load_factor=4.0)
+    callers.interval_ms = 1_000 / (0.5 * CAPACITY_PER_S)
     callers.run(1_500)
     callers.done_ms.clear()
     callers.refused_ms.clear()
@@ -105,8 +106,8 @@
     assert max(callers.done_ms) < 400
 
 
-def test_refused_statement_inside_a_transaction_is_tried_again_in_place():
-    # Nothing of it has run: failing it would waste the whole transaction.
+def test_refused_statement_in_a_transaction_is_retried_within_it():
+    # The statement has not run. Failing it would waste the whole transaction.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -124,8 +125,8 @@
 
 @pytest.mark.parametrize('text', ['WRITE 2 b', 'COMMIT'])
 def test_transaction_that_waits_for_a_slot_ends_with_its_connection(text):
-    # Nothing was outstanding on the connection then, so that its loss was
-    # noticed only at the end of the statement's time.
+    # No request was outstanding on the connection at that time, and its loss
+    # was detected only when the statement timed out.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -150,21 +151,21 @@
             endpoint('urgent', 'primary', 0, priority=1),
         ]
     )
-    sim.databases['db-1'].statement_ms = WORK_MS
+    sim.databases['db-1'].statement_ms = STATEMENT_MS
     for conn in [sim.open('orders') for _ in range(40)]:
         sim.send_request(conn, 'WRITE 1 a')
     urgent = sim.open('urgent')
     started_ms = sim.now_ms
     assert isinstance(sim.call(urgent, 'WRITE 2 b'), Done)
-    # Those that run already come before it, the 40 that wait do not.
+    # Only statements that already run precede it, not the 40 queued ones.
     assert sim.now_ms - started_ms < 350
 
 
-def test_first_statement_of_a_transaction_waits_its_turn():
-    # It holds no connection yet. Going first, transactions would take the
-    # place of several single statements each while there is too little.
+def test_first_statement_of_a_transaction_gets_no_precedence():
+    # The transaction holds no connection yet. With precedence under
+    # overload, each transaction would displace several single statements.
     sim = PoolerSimulation()
-    sim.databases['db-1'].statement_ms = WORK_MS
+    sim.databases['db-1'].statement_ms = STATEMENT_MS
     transaction = sim.open('orders')
     sim.call(transaction, 'BEGIN')
     conns = [sim.open('orders') for _ in range(40)]
@@ -176,9 +177,9 @@
     assert len(done) >= 35
 
 
-def test_a_burst_after_a_quiet_time_is_not_taken_for_an_overload():
-    # The time between two answers says something of the upstream's pace only
-    # while statements wait; otherwise it is that of the callers.
+def test_burst_after_an_idle_period_is_not_treated_as_an_overload():
+    # The interval between two answers shows the speed of the upstream only
+    # while statements are queued. Otherwise it shows how often callers send.
     sim = PoolerSimulation()
     conns = [sim.open('orders') for _ in range(8)]
     for _ in range(40):
@@ -194,8 +195,8 @@
 
 @pytest.mark.parametrize('max_connections', [3, 4, 5])
 def test_single_connection_serves_probes_and_statements(max_connections):
-    # 30 proxies before 56 connections have one each. A connection that was
-    # opened for probes kept it, and no statement ever ran.
+    # 30 proxies that share 56 connections have one each. It was opened for
+    # probes and never used for statements, so no statement ever ran.
     sim = PoolerSimulation(
         [
             endpoint('orders', 'primary', 0, max_connections=max_connections),
@@ -213,8 +214,8 @@
 
 
 def test_scarce_connections_are_not_exceeded_by_probes():
-    # 24 proxies before 56 connections have two each: a third for probes
-    # would have the upstream reset others.
+    # 24 proxies that share 56 connections have two each. With a third one
+    # for probes, the upstream would reset others.
     sim = PoolerSimulation()
     sim.publish(
         [endpoint('orders', 'primary', 0, max_connections=56)], proxies=24
@@ -231,7 +232,7 @@
 
 
 def _share_of_one_proxy(text, database):
-    """A pooler whose share of a primary is one slow statement at a time."""
+    """Load a pooler that can run only one slow statement at a time."""
     sim = PoolerSimulation()
     primary = sim.databases['db-1']
     primary.statement_ms = 180
@@ -255,7 +256,7 @@
 def test_statements_are_not_started_when_their_time_is_nearly_over(
     text, database
 ):
-    # First come, first served lets every statement start just before its
-    # end, so that each runs in vain: goodput fell to nothing.
+    # With first come, first served, every statement started just before its
+    # timeout and ran in vain. Goodput fell to zero.
     callers = _share_of_one_proxy(text, database)
     assert len(callers.done_ms) >= 0.8 * 8 * 1_000 / 180
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -1,4 +1,4 @@
-"""Sessions of the pooler: values, transactions, ends."""
+"""Tests of the pooler's sessions: values, transactions, drain and end."""
 
 from __future__ import annotations
 
@@ -23,7 +23,8 @@
 
 
 def test_session_values_are_on_the_connection_of_each_statement():
-    # Guards against a pooled connection that keeps another session's values.
+    # Guards against a pooled connection that still has the values of another
+    # session.
     sim = PoolerSimulation()
     first, second = sim.open('returns'), sim.open('returns')
     sim.call(first, 'SET zone a')
@@ -33,7 +34,7 @@
         assert sim.executed[-1].values == {'zone': value}
 
 
-def test_session_without_values_gets_a_clean_connection():
+def test_session_without_values_gets_a_reset_connection():
     sim = PoolerSimulation()
     first, second = sim.open('orders'), sim.open('orders')
     sim.call(first, 'SET zone a')
@@ -101,8 +102,8 @@
 
 
 def test_idle_transaction_is_ended_and_its_connection_returned():
-    # Guards against callers that rest inside transactions and hold the few
-    # connections that an upstream allows.
+    # Guards against idle transactions that occupy the few connections that an
+    # upstream allows.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -116,8 +117,9 @@
 
 
 def test_running_statement_keeps_a_transaction_from_being_idle():
-    # Guards against a timer that was due at once, again and again, while a
-    # statement of an old transaction ran: the process span for seconds.
+    # Guards against a timer that was rescheduled as already due while a
+    # statement of an old transaction ran. The process was in a busy loop for
+    # seconds.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -176,7 +178,7 @@
 
 
 def test_statement_without_answer_gets_its_final_answer_before_the_end():
-    # Its connection would end without a word.
+    # Guards against closing the connection without an answer.
     slow = endpoint('orders', 'primary', 0, timeout_ms=20_000)
     sim = PoolerSimulation([slow])
     writer, reader = sim.open('orders'), sim.open('orders')
@@ -197,7 +199,7 @@
 
 
 def test_drain_closes_idle_sessions_and_lets_transactions_end():
-    # Guards against a shutdown that cuts statements in flight.
+    # Guards against a shutdown that aborts statements in flight.
     sim = PoolerSimulation()
     idle, busy = sim.open('orders'), sim.open('orders')
     sim.call(busy, 'BEGIN')
@@ -212,9 +214,10 @@
     assert sim.stopped
 
 
-def test_statement_of_a_caller_that_left_is_not_placed_again():
-    # A begin was on its way when the caller left and the connection was
-    # reset: the process ended on the statement without a session.
+def test_statement_of_a_disconnected_caller_is_not_retried():
+    # A begin was outstanding when the caller disconnected and the upstream
+    # connection was reset. The process crashed on the statement without a
+    # session.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.send_request(conn, 'READ 1')
--- a/jackdawpost/tests/core/pooler/test_stalls.py
+++ b/jackdawpost/tests/core/pooler/test_stalls.py
@@ -1,4 +1,4 @@
-"""Databases that answer probes, but get no statement done."""
+"""Tests of stall detection: databases that answer probes but no statements."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
     sim.databases[name].slots = 0
 
 
-def _ask_some(sim, database, text, number=6):
+def _send_some(sim, database, text, number=6):
     conns = [sim.open(database) for _ in range(number)]
     for conn in conns:
         sim.send_request(conn, text)
@@ -22,12 +22,12 @@
     return sim.reports[-1].evidence[name]
 
 
-def test_primary_that_only_answers_probes_is_reported_as_stalled():
-    # It keeps its health check and takes every begin, so that nobody would
-    # ever replace it.
+def test_primary_that_answers_only_probes_is_reported_as_stalled():
+    # It passes its health check and accepts every begin, and would never be
+    # replaced without stall detection.
     sim = PoolerSimulation()
     _hang(sim, 'db-1')
-    _ask_some(sim, 'orders', 'WRITE 1 a')
+    _send_some(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_200)
     assert _evidence(sim, 'db-1') == 'stalled'
     assert _evidence(sim, 'db-2') == 'up'
@@ -35,10 +35,10 @@
     assert line.fields['upstream'] == 'db-1'
 
 
-def test_statements_wait_for_the_successor_of_a_stalled_primary():
+def test_statements_are_queued_until_a_stalled_primary_is_replaced():
     sim = PoolerSimulation()
     _hang(sim, 'db-1')
-    _ask_some(sim, 'orders', 'WRITE 1 a')
+    _send_some(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_100)
     conn = sim.open('orders')
     sim.send_request(conn, 'WRITE 2 b')
@@ -48,12 +48,12 @@
     assert any(isinstance(m, Done) for m in sim.pop_messages(conn))
 
 
-def test_reads_leave_a_replica_that_hangs():
+def test_reads_avoid_replicas_that_hang():
     sim = PoolerSimulation()
     _hang(sim, 'db-2')
     _hang(sim, 'db-3')
     for _ in range(20):
-        _ask_some(sim, 'reports', 'READ 1', number=1)
+        _send_some(sim, 'reports', 'READ 1', number=1)
         sim.advance(60)
     sim.advance(500)
     sent_ms = sim.now_ms
@@ -66,17 +66,17 @@
     sim = PoolerSimulation()
     sim.databases['db-1'].fails_all = True
     for _ in range(12):
-        _ask_some(sim, 'orders', 'WRITE 1 a', number=1)
+        _send_some(sim, 'orders', 'WRITE 1 a', number=1)
         sim.advance(100)
     assert _evidence(sim, 'db-1') == 'stalled'
 
 
-def test_failures_of_a_few_statements_are_their_own():
+def test_few_failures_between_successes_are_not_a_stall():
     sim = PoolerSimulation()
     database = sim.databases['db-1']
     for _ in range(10):
         database.fails_all = True
-        _ask_some(sim, 'orders', 'WRITE 1 a', number=4)
+        _send_some(sim, 'orders', 'WRITE 1 a', number=4)
         sim.advance(100)
         database.fails_all = False
         assert isinstance(sim.call(sim.open('orders'), 'WRITE 1 a'), Done)
@@ -84,7 +84,7 @@
     assert _evidence(sim, 'db-1') == 'up'
 
 
-def test_old_failures_do_not_add_up():
+def test_old_failures_are_discarded():
     sim = PoolerSimulation()
     sim.databases['db-1'].fails_all = True
     for _ in range(6):
@@ -94,25 +94,25 @@
     assert _evidence(sim, 'db-1') == 'up'
 
 
-def test_full_primary_is_not_taken_for_a_stalled_one():
-    # Replacing it would only move the load, again and again.
+def test_full_primary_is_not_reported_as_stalled():
+    # Replacing it would only move the load to the next primary, repeatedly.
     sim = PoolerSimulation()
     database = sim.databases['db-1']
     database.slots = 1
     database.queue = 8
     database.statement_ms = 55.0
     for _ in range(60):
-        _ask_some(sim, 'orders', 'WRITE 1 a', number=10)
+        _send_some(sim, 'orders', 'WRITE 1 a', number=10)
         sim.advance(50)
     assert database.overload_refusals
     assert not [log for log in sim.logs if log.event == 'upstream_stalled']
 
 
-def test_stalled_upstream_is_tried_again_after_a_while():
+def test_stalled_upstream_is_retried_after_its_suspension():
     sim = PoolerSimulation()
     database = sim.databases['db-1']
     _hang(sim, 'db-1')
-    _ask_some(sim, 'orders', 'WRITE 1 a')
+    _send_some(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_200)
     assert _evidence(sim, 'db-1') == 'stalled'
     database.slots = 3
