Name the session of a lost connection a session

In handle_lost_conn the session whose transaction occupied the connection was held in a local named txn_session, like the number that looks it up, and was read as txn_session.txn.

--- a/jackdawpost/core/pooler/outcomes.py
+++ b/jackdawpost/core/pooler/outcomes.py
@@ -270,7 +270,7 @@
     lost_request : UpstreamRequest, optional
         Request that is no longer pending although its answer was lost.
     """
-    txn_session = state.sessions.get(conn.txn_session)
+    session = state.sessions.get(conn.txn_session)
     pending_requests = list(conn.pending_requests)
     if lost_request is not None:
         pending_requests.insert(0, lost_request)
@@ -286,15 +286,15 @@
             requeue(state, task)
         elif request.kind == 'statement':
             _handle_lost_statement(state, task, reason)
-    if txn_session is not None and txn_session.txn is not None:
-        if txn_session.txn.conn == conn.conn:
+    if session is not None and session.txn is not None:
+        if session.txn.conn == conn.conn:
             # The upstream rolls back the transaction of a closed connection.
-            txn_session.txn.conn = 0
-            txn_session.state = 'failed_txn'
-            waiting = txn_session.task
-            if waiting is not None and waiting.number in state.tasks:
+            session.txn.conn = 0
+            session.state = 'failed_txn'
+            waiting_task = session.task
+            if waiting_task is not None and waiting_task.number in state.tasks:
                 # It was waiting for a slot, and nothing of it has run.
-                _fail_in_txn(state, txn_session, waiting, 'aborted', reason)
+                _fail_in_txn(state, session, waiting_task, 'aborted', reason)
     conn.txn_session = 0
 
 
@@ -363,7 +363,7 @@
             for request in conn.pending_requests
             if request.task is not None
         ]
-        if not tasks or any(w.is_write or w.in_txn for w in tasks):
+        if not tasks or any(t.is_write or t.in_txn for t in tasks):
             continue
         for task in tasks:
             task.excluded_upstreams.add(upstream)
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -21,7 +21,7 @@
 # Minimum number of failed or unanswered statements. A single failure may be
 # caused by the statement itself.
 MIN_STALL_STATEMENTS = 3
-# Failures of statements that were sent earlier are discarded.
+# Failures of statements that were sent longer ago are discarded.
 FAILURE_RETENTION_MS = 3_000.0
 # Time for which a stalled upstream receives no statements, doubled with each
 # further stall. It leaves control enough time to collect the reports of most
