--- /dev/null
+++ b/jackdawpost/core/pooler/outcomes.py
@@ -0,0 +1,422 @@
+"""Outcomes of statements: results, refusals, lost connections, time-outs.
+
+A statement that has not run at all is queued again when its upstream
+refuses it or the connection is lost. A statement that may have run is
+retried only if it is a read.
+"""
+
+from __future__ import annotations
+
+from jackdawpost.core.outbox import count
+from jackdawpost.core.outbox import log
+from jackdawpost.core.outbox import observe
+from jackdawpost.core.pooler.answers import drop_task
+from jackdawpost.core.pooler.answers import expiry_code
+from jackdawpost.core.pooler.answers import fail_statement
+from jackdawpost.core.pooler.answers import finish_statement
+from jackdawpost.core.pooler.connections import close_upstream_conn
+from jackdawpost.core.pooler.connections import connection_limit
+from jackdawpost.core.pooler.connections import count_connections
+from jackdawpost.core.pooler.connections import send_rollback
+from jackdawpost.core.pooler.limits import lower_limit
+from jackdawpost.core.pooler.limits import raise_limit
+from jackdawpost.core.pooler.limits import record_answer_interval
+from jackdawpost.core.pooler.placement import requeue
+from jackdawpost.core.pooler.placement import send_statement
+from jackdawpost.core.pooler.probes import handle_action_answer
+from jackdawpost.core.pooler.probes import handle_probe_answer
+from jackdawpost.core.pooler.probes import PROBE_KINDS
+from jackdawpost.core.pooler.stalls import record_failure
+from jackdawpost.core.pooler.stalls import record_success
+from jackdawpost.core.pooler.state import Answer
+from jackdawpost.core.pooler.state import get_group
+from jackdawpost.core.pooler.state import Pool
+from jackdawpost.core.pooler.state import PoolerState
+from jackdawpost.core.pooler.state import schedule
+from jackdawpost.core.pooler.state import Session
+from jackdawpost.core.pooler.state import StatementTask
+from jackdawpost.core.pooler.state import UpstreamConn
+from jackdawpost.core.pooler.state import UpstreamRequest
+from jackdawpost.core.pooler.upstreams import clear_leadership
+from jackdawpost.core.pooler.upstreams import record_applied
+from jackdawpost.core.pooler.upstreams import record_latency
+from jackdawpost.core.pooler.upstreams import record_leadership
+from jackdawpost.core.retry import backoff_ms
+
+# Maximum number of attempts of a read that gets no answer.
+MAX_READ_ATTEMPTS = 3
+# Signature in the answer to a statement of the pooler itself. The answer to
+# a caller's statement is signed by the database.
+UNSIGNED = '-'
+# Error codes with which an upstream guarantees that nothing has run.
+NOT_RUN_CODES = frozenset(
+    {'overloaded', 'behind', 'not_primary', 'wrong_upstream', 'no_statement'}
+)
+
+
+def handle_answer(
+    state: PoolerState,
+    conn: UpstreamConn,
+    request: UpstreamRequest,
+    answer: Answer,
+) -> None:
+    """Handle the complete answer to one request on a statement connection."""
+    pool = state.pools.get(conn.upstream)
+    task = request.task
+    if request.kind in PROBE_KINDS and pool is not None:
+        handle_probe_answer(state, pool, conn, request, answer)
+    if request.kind == 'control_action' and pool is not None:
+        handle_action_answer(state, pool, request, answer)
+    if request.kind == 'statement' and answer.signature == UNSIGNED:
+        # This answers a later request of the pooler itself, hence the answer
+        # to the statement has been lost.
+        _abandon_conn(state, conn, 'answer missing', request)
+        return
+    if request.kind == 'replay' and answer.code:
+        # The connection does not have the session's values.
+        log(
+            state,
+            'warning',
+            'replay_refused',
+            upstream=conn.upstream,
+            code=answer.code,
+            detail=answer.text,
+        )
+        _abandon_conn(state, conn, 'replay refused')
+        return
+    if request.kind == 'begin' and task is not None:
+        _handle_begin_answer(state, pool, conn, request, task, answer)
+    elif request.kind == 'statement' and task is not None:
+        _handle_result(state, pool, conn, request, task, answer)
+    release_if_idle(state, conn)
+
+
+def release_if_idle(state: PoolerState, conn: UpstreamConn) -> None:
+    """Offer an idle connection to queued statements, or close it."""
+    if not conn.is_idle:
+        return
+    pool = state.pools.get(conn.upstream)
+    if pool is None:
+        close_upstream_conn(state, conn, 'upstream has been removed')
+    elif count_connections(pool) > connection_limit(state, pool):
+        close_upstream_conn(state, conn, 'over the share of connections')
+    else:
+        state.dirty.add(f'group/{pool.view.group}')
+
+
+def _handle_begin_answer(
+    state: PoolerState,
+    pool: Pool | None,
+    conn: UpstreamConn,
+    request: UpstreamRequest,
+    task: StatementTask,
+    answer: Answer,
+) -> None:
+    if answer.code:
+        conn.txn_session = 0
+        if answer.state != 'idle':
+            send_rollback(state, conn)
+        _handle_refusal(state, pool, task, answer)
+        return
+    if pool is not None and task.required_position is None and answer.position:
+        record_leadership(state, pool, request.sent_ms, answer.position)
+    if task.session is None or task.number not in state.tasks:
+        conn.txn_session = 0
+        send_rollback(state, conn)
+        return
+    txn = task.session.txn
+    if task.in_txn and txn is not None:
+        txn.conn = conn.conn
+    send_statement(state, conn, task)
+
+
+def _handle_result(
+    state: PoolerState,
+    pool: Pool | None,
+    conn: UpstreamConn,
+    request: UpstreamRequest,
+    task: StatementTask,
+    answer: Answer,
+) -> None:
+    if pool is not None:
+        _update_pool_from_answer(state, pool, request, task, answer)
+    if task.number not in state.tasks:
+        return
+    if _can_retry_in_txn(state, task, answer):
+        task.attempts += 1
+        delay_ms = backoff_ms(task.attempts, state.rng)
+        schedule(state, f'again/{task.number}', state.now_ms + delay_ms)
+        return
+    if answer.code and not task.in_txn and answer.code in NOT_RUN_CODES:
+        _handle_refusal(state, pool, task, answer)
+        return
+    session = task.session
+    if session is not None:
+        if answer.position and (task.is_write or task.req.verb == 'commit'):
+            if answer.signature:
+                session.position = answer.position
+        if task.in_txn:
+            _update_txn_from_answer(state, conn, session, task, answer)
+    finish_statement(state, task, answer, session.state if session else 'idle')
+
+
+def _can_retry_in_txn(
+    state: PoolerState, task: StatementTask, answer: Answer
+) -> bool:
+    """Return whether to retry a statement within its open transaction.
+
+    It was refused for lack of a slot, and the transaction is still intact.
+    """
+    return (
+        task.in_txn
+        and task.session is not None
+        and answer.code == 'overloaded'
+        and answer.state == 'in_txn'
+        and state.now_ms < task.deadline_ms
+    )
+
+
+def on_retry_due(state: PoolerState, number: int) -> None:
+    """Resend a refused statement within its open transaction."""
+    task = state.tasks.get(number)
+    conn = state.conns.get(task.conn) if task is not None else None
+    if task is None or conn is None or task.session is None:
+        return
+    if conn.txn_session == task.session.conn and not conn.pending_requests:
+        send_statement(state, conn, task)
+
+
+def _update_pool_from_answer(
+    state: PoolerState,
+    pool: Pool,
+    request: UpstreamRequest,
+    task: StatementTask,
+    answer: Answer,
+) -> None:
+    """Update the state of an upstream from the answer to a statement."""
+    duration_ms = state.now_ms - request.sent_ms
+    pool.last_contact_ms = state.now_ms
+    if answer.code == 'overloaded':
+        lower_limit(state, pool)
+    else:
+        record_answer_interval(state, get_group(state, pool.view.group))
+    if answer.code == 'not_primary':
+        clear_leadership(state, pool, 'not_primary')
+    elif answer.code == 'statement_failed':
+        record_failure(state, pool, request.sent_ms)
+    elif answer.signature:
+        record_latency(pool, duration_ms)
+        raise_limit(pool)
+        record_success(state, pool)
+        observe(state, f'upstream_{task.req.verb}', duration_ms)
+        if task.is_write and not task.in_txn and answer.position:
+            record_leadership(state, pool, request.sent_ms, answer.position)
+    if answer.position and task.target == 'any':
+        record_applied(state, pool, answer.position)
+
+
+def _update_txn_from_answer(
+    state: PoolerState,
+    conn: UpstreamConn,
+    session: Session,
+    task: StatementTask,
+    answer: Answer,
+) -> None:
+    txn = session.txn
+    if txn is None:
+        return
+    session.state = answer.state
+    txn.last_activity_ms = state.now_ms
+    if answer.state == 'idle':
+        conn.txn_session = 0
+        session.txn = None
+
+
+def _handle_refusal(
+    state: PoolerState, pool: Pool | None, task: StatementTask, answer: Answer
+) -> None:
+    """Queue a statement again that an upstream refused to run."""
+    if task.number not in state.tasks or task.session is None:
+        drop_task(state, task)
+        return
+    count(state, f'refused_{answer.code}')
+    task.refusal_code = answer.code
+    if answer.code == 'not_primary' and pool is not None:
+        clear_leadership(state, pool, 'not_primary')
+    elif answer.code == 'behind' and pool is not None:
+        task.excluded_upstreams.add(pool.view.name)
+    elif answer.code == 'no_statement':
+        finish_statement(state, task, answer, task.session.state)
+        return
+    else:
+        if task.target == 'any' and pool is not None:
+            task.excluded_upstreams.add(pool.view.name)
+        delay_ms = backoff_ms(task.attempts, state.rng)
+        task.not_before_ms = state.now_ms + delay_ms
+        schedule(state, f'group/{task.endpoint.group}', task.not_before_ms)
+    requeue(state, task)
+
+
+def handle_lost_conn(
+    state: PoolerState,
+    conn: UpstreamConn,
+    reason: str,
+    lost_request: UpstreamRequest | None = None,
+) -> None:
+    """Retry or fail the statements on a lost connection.
+
+    Parameters
+    ----------
+    lost_request : UpstreamRequest, optional
+        Request that is no longer pending although its answer was lost.
+    """
+    session = state.sessions.get(conn.txn_session)
+    pending_requests = list(conn.pending_requests)
+    if lost_request is not None:
+        pending_requests.insert(0, lost_request)
+    conn.pending_requests.clear()
+    pool = state.pools.get(conn.upstream)
+    for request in pending_requests:
+        task = request.task
+        if request.kind == 'statement' and pool is not None:
+            record_failure(state, pool, request.sent_ms)
+        if task is None or task.number not in state.tasks:
+            continue
+        if request.kind == 'begin':
+            requeue(state, task)
+        elif request.kind == 'statement':
+            _handle_lost_statement(state, task, reason)
+    if session is not None and session.txn is not None:
+        if session.txn.conn == conn.conn:
+            # The upstream rolls back the transaction of a closed connection.
+            session.txn.conn = 0
+            session.state = 'failed_txn'
+            waiting_task = session.task
+            if waiting_task is not None and waiting_task.number in state.tasks:
+                # It was waiting for a slot, and nothing of it has run.
+                _fail_in_txn(state, session, waiting_task, 'aborted', reason)
+    conn.txn_session = 0
+
+
+def _abandon_conn(
+    state: PoolerState,
+    conn: UpstreamConn,
+    reason: str,
+    lost_request: UpstreamRequest | None = None,
+) -> None:
+    """Close a connection and handle its outstanding statements as lost."""
+    handle_lost_conn(state, conn, reason, lost_request)
+    close_upstream_conn(state, conn, reason)
+
+
+def _handle_lost_statement(
+    state: PoolerState, task: StatementTask, reason: str
+) -> None:
+    session = task.session
+    if session is None:
+        drop_task(state, task)
+        return
+    if task.in_txn:
+        is_commit = task.req.verb == 'commit'
+        code = 'unknown_outcome' if is_commit else 'aborted'
+        _fail_in_txn(state, session, task, code, reason)
+    elif task.is_write:
+        fail_statement(
+            state, task, 'unknown_outcome', f'connection lost: {reason}'
+        )
+    elif task.attempts < MAX_READ_ATTEMPTS and state.now_ms < task.deadline_ms:
+        count(state, 'reads_repeated')
+        task.may_have_run = True
+        requeue(state, task)
+    else:
+        fail_statement(state, task, 'aborted', f'connection lost: {reason}')
+
+
+def _fail_in_txn(
+    state: PoolerState,
+    session: Session,
+    task: StatementTask,
+    code: str,
+    reason: str,
+) -> None:
+    """Fail a statement whose transaction was lost with its connection."""
+    is_commit = task.req.verb == 'commit'
+    session.state = 'idle' if is_commit else 'failed_txn'
+    if is_commit:
+        session.txn = None
+    fail_statement(state, task, code, f'connection lost: {reason}')
+
+
+def retry_reads_elsewhere(state: PoolerState, upstream: str) -> None:
+    """Retry reads that are outstanding on an unreachable upstream.
+
+    Writes and transactions keep waiting until their deadline, since an
+    answer may still arrive.
+    """
+    pool = state.pools.get(upstream)
+    if pool is None or pool.reachability == 'up':
+        return
+    for number in sorted(pool.conns):
+        conn = state.conns[number]
+        tasks = [
+            request.task
+            for request in conn.pending_requests
+            if request.task is not None
+        ]
+        if not tasks or any(t.is_write or t.in_txn for t in tasks):
+            continue
+        for task in tasks:
+            task.excluded_upstreams.add(upstream)
+        _abandon_conn(state, conn, 'upstream unreachable')
+
+
+def on_attempt_timeout(state: PoolerState, number: int, attempt: int) -> None:
+    """Retry an unanswered read on another upstream."""
+    task = state.tasks.get(number)
+    if task is None or task.attempts != attempt or task.phase == 'waiting':
+        return
+    if task.attempts >= MAX_READ_ATTEMPTS:
+        return
+    conn = state.conns.get(task.conn)
+    log(
+        state,
+        'warning',
+        'read_unanswered',
+        request=task.req.id,
+        upstream=conn.upstream if conn else None,
+        waited_ms=round(state.now_ms - task.sent_ms),
+    )
+    if conn is not None:
+        task.excluded_upstreams.add(conn.upstream)
+        _abandon_conn(state, conn, 'no answer')
+
+
+def expire_all(state: PoolerState) -> None:
+    """Time out all statements, to answer them before the process exits."""
+    for number, task in list(state.tasks.items()):
+        task.deadline_ms = state.now_ms
+        on_deadline(state, number)
+
+
+def on_deadline(state: PoolerState, number: int) -> None:
+    """Time out a statement at its deadline."""
+    task = state.tasks.get(number)
+    if task is None:
+        return
+    if state.now_ms < task.deadline_ms:
+        schedule(state, f'work/{number}', task.deadline_ms)
+        return
+    conn = state.conns.get(task.conn)
+    if task.phase != 'running':
+        # The statement itself was not sent in this attempt.
+        fail_statement(
+            state, task, expiry_code(task), 'no upstream was available in time'
+        )
+        if conn is not None and conn.pending_requests:
+            _abandon_conn(state, conn, 'begin timed out')
+        return
+    task.attempts = MAX_READ_ATTEMPTS
+    if conn is None:
+        fail_statement(state, task, 'aborted', 'connection lost')
+        return
+    _abandon_conn(state, conn, 'statement timed out')
--- a/jackdawpost/testing/fake_pooler_world.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -1,7 +1,8 @@
-"""Callers, control and databases around a session pooler, for tests.
+"""Deterministic simulation of callers, control and databases for a pooler.
 
-Time is simulated: every answer comes after the time that a database takes,
-in the order of due times, so that a run is the same every time.
+The simulation runs the reducer of the session pooler in simulated time.
+Events are processed in the order of their due times, and every run with the
+same calls gives the same result.
 """
 
 from __future__ import annotations
@@ -51,8 +52,8 @@
 CONTROL_CONN = 1
 GROUP = 'spares'
 DATABASES = ('db-1', 'db-2', 'db-3')
-TRIP_MS = 0.5  # to a database and back
-SLOT_FREE_MS = 0.5  # statements that take no slot
+ROUND_TRIP_MS = 0.5
+SLOTLESS_MS = 0.5  # duration of statements that need no slot
 VERBS: dict[str, Verb] = {
     'BEGIN': 'begin',
     'COMMIT': 'commit',
@@ -77,7 +78,7 @@
 
 
 def build_request(request_id: str, text: str) -> Request:
-    """Return the request that a caller's text stands for."""
+    """Parse a caller's text into a request."""
     word, _, rest = text.partition(' ')
     verb: Verb = VERBS.get(word, 'unknown')
     if verb == 'begin' and rest == 'READ':
@@ -91,8 +92,8 @@
 
 
 @dataclass
-class Ran:
-    """A caller's statement that a database ran."""
+class ExecutedStatement:
+    """Statement of a caller that a database has executed."""
 
     id: str
     text: str
@@ -106,7 +107,7 @@
 
 @dataclass
 class FakeConn:
-    """A connection as a database sees it."""
+    """Connection of the pooler, on the side of the database."""
 
     number: int
     database: FakeDatabase
@@ -120,20 +121,30 @@
 
 @dataclass
 class FakeDatabase:
-    """A database with slots, a log and faults that a test sets.
+    """Simulated database with execution slots, a log and injected faults.
 
     Parameters
     ----------
     lag : int
-        Commits that it has not applied yet.
-    loses : set of str
-        Requests whose answer is lost after they ran.
-    refuses : set of str
-        Requests that are refused for lack of a slot.
+        Number of commits that it has received but not applied.
+    slots : int
+        Maximum number of statements that run at the same time.
     queue : int
-        Statements that may wait for a slot; more are refused.
+        Maximum number of statements that wait for a slot. Further ones are
+        refused.
+    statement_ms : float
+        Duration of a statement that needs a slot.
+    reachable : str
+        ``'up'``; ``'silent'``: answers nothing; ``'refused'``: refuses
+        connections.
+    lost_answers : set of str
+        Requests that run but whose answers are lost.
+    refused_requests : set of str
+        Requests that are refused for lack of a slot.
     fails_all : bool
-        Every statement runs and fails; probes succeed.
+        True if all statements run and fail while probes succeed.
+    overload_refusals : list of str
+        Requests that were refused because the queue was full.
     """
 
     name: str
@@ -145,49 +156,63 @@
     leaving: bool = False
     slots: int = 3
     queue: int = 1_000
-    work_ms: float = 10.0
+    statement_ms: float = 10.0
     reachable: str = 'up'
-    loses: set[str] = field(default_factory=set)
-    refuses: set[str] = field(default_factory=set)
+    lost_answers: set[str] = field(default_factory=set)
+    refused_requests: set[str] = field(default_factory=set)
     fails_all: bool = False
     data_centre: str = 'rvk'
     running: int = 0
     max_running: int = 0
     opened: int = 0
     waiting: deque[FakeConn] = field(default_factory=deque)
-    shed: list[str] = field(default_factory=list)
+    overload_refusals: list[str] = field(default_factory=list)
 
     @property
     def position(self) -> LogPosition:
-        """Position that it has applied."""
+        """Log position that the database has applied."""
         return LogPosition(self.term, self.index - self.lag)
 
 
-class PoolerWorld:
-    """A pooler among fakes.
+class PoolerSimulation:
+    """Simulation of a pooler with a control leader, databases and callers.
 
     Parameters
     ----------
     endpoints : list of dict
-        Bodies of endpoints to publish; by default ``orders`` (primary),
-        ``reports`` (bounded) and ``returns`` (read your writes).
+        Bodies of the endpoints to publish. The default is ``orders``
+        (primary), ``reports`` (bounded staleness) and ``returns`` (read your
+        writes).
+
+    Attributes
+    ----------
+    executed : list of ExecutedStatement
+        Statements of callers in the order of execution.
+    reports : list of ProxyReport
+        Reports that the pooler has sent to control.
+    action_answers : list of UpstreamActionAnswer
+        Answers to forwarded requests of control.
+    lag_refusals : list of str
+        Databases that refused a read because they lag behind, one per read.
+    caller_messages : dict of int to list
+        Messages sent to each caller and not yet popped.
     """
 
     def __init__(self, endpoints: list[dict[str, Any]] | None = None) -> None:
         self.now_ms = 1_000.0
         self.databases = {name: FakeDatabase(name) for name in DATABASES}
         self.databases['db-1'].leads = True
-        self.ran: list[Ran] = []
+        self.executed: list[ExecutedStatement] = []
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
-        self.told: list[UpstreamActionAnswer] = []
-        self.behind: list[str] = []
-        self.sent: dict[int, list[Any]] = {}
+        self.action_answers: list[UpstreamActionAnswer] = []
+        self.lag_refusals: list[str] = []
+        self.caller_messages: dict[int, list[Any]] = {}
         self.closed: set[int] = set()
         self.stopped = False
         self.conns: dict[int, FakeConn] = {}
-        self._agenda: list[tuple[float, int, Any]] = []
-        self._order = itertools.count()
+        self._scheduled: list[tuple[float, int, Any]] = []
+        self._sequence = itertools.count()
         self._timers: dict[str, float] = {}
         self._numbers = itertools.count(100)
         self._ids = itertools.count(1)
@@ -213,14 +238,14 @@
                 peer='10.0.0.9',
             )
         )
-        self.grant()
+        self.send_grant()
         self.publish(endpoints or default_endpoints())
-        self.run(200)
+        self.advance(200)
 
     # Control.
 
-    def grant(self) -> None:
-        """Answer the latest report as the leader."""
+    def send_grant(self) -> None:
+        """Answer the latest report as the control leader."""
         grant = LeaseGrant(
             seq=self.state.report_seq,
             leases=[],
@@ -232,7 +257,7 @@
     def publish(
         self, endpoints: list[dict[str, Any]], proxies: int = 1
     ) -> None:
-        """Publish the databases and these endpoints as a whole."""
+        """Publish a full state with the databases and these endpoints."""
         objects = [
             PublishedObject(type='group', name=GROUP, body=_group_body())
         ]
@@ -257,46 +282,48 @@
     def open(self, database: str) -> int:
         """Open a session."""
         conn = next(self._numbers)
-        self.sent[conn] = []
+        self.caller_messages[conn] = []
         self.dispatch(
             ConnOpened(now_ms=self.now_ms, conn=conn, link='session')
         )
         self.receive(conn, StartSession(database=database))
         return conn
 
-    def ask(self, conn: int, text: str) -> str:
+    def send_request(self, conn: int, text: str) -> str:
         """Send a statement and return its id."""
         request_id = f'q{next(self._ids)}'
         self.receive(conn, build_request(request_id, text))
         return request_id
 
-    def answer(self, conn: int) -> list[Any]:
-        """Take the messages that a session has received so far."""
-        messages = self.sent[conn]
-        self.sent[conn] = []
+    def pop_messages(self, conn: int) -> list[Any]:
+        """Return and clear the messages that a session has received."""
+        messages = self.caller_messages[conn]
+        self.caller_messages[conn] = []
         return messages
 
     def call(self, conn: int, text: str, within_ms: float = 5_000) -> Any:
-        """Send a statement, wait, and return `Done` or `Failed`."""
-        self.answer(conn)
-        self.ask(conn, text)
+        """Send a statement, await the answer, return `Done` or `Failed`."""
+        self.pop_messages(conn)
+        self.send_request(conn, text)
         end_ms = self.now_ms + within_ms
         while self.now_ms < end_ms:
-            if any(isinstance(m, Ready) for m in self.sent[conn]):
+            if any(isinstance(m, Ready) for m in self.caller_messages[conn]):
                 break
-            if not self._step(end_ms):
+            if not self._process_next(end_ms):
                 break
-        found = [m for m in self.answer(conn) if isinstance(m, Done | Failed)]
+        found = [
+            m for m in self.pop_messages(conn) if isinstance(m, Done | Failed)
+        ]
         return found[0] if found else None
 
-    def leave(self, conn: int) -> None:
-        """Close a caller's connection."""
+    def disconnect(self, conn: int) -> None:
+        """Close the connection of a caller."""
         self.dispatch(ConnClosed(now_ms=self.now_ms, conn=conn))
 
     # Faults.
 
     def promote(self, name: str) -> None:
-        """Let another database lead the next term."""
+        """Make a database the primary of the next term."""
         term = max(db.term for db in self.databases.values()) + 1
         chosen = self.databases[name]
         for database in self.databases.values():
@@ -307,16 +334,16 @@
             database.index = chosen.index
             database.lag = 0
 
-    def cut(self, name: str) -> None:
-        """Let a database and its connections go silent."""
+    def silence(self, name: str) -> None:
+        """Stop a database from answering, on open and on new connections."""
         self.databases[name].reachable = 'silent'
 
-    def kill(self, name: str) -> None:
+    def crash(self, name: str) -> None:
         """Reset the connections to a database and refuse new ones."""
         self.databases[name].reachable = 'refused'
-        self.reset(name)
+        self.reset_connections(name)
 
-    def reset(self, name: str) -> None:
+    def reset_connections(self, name: str) -> None:
         """Reset the connections to a database."""
         database = self.databases[name]
         database.running = 0
@@ -327,39 +354,39 @@
                 self.dispatch(ConnClosed(now_ms=self.now_ms, conn=number))
 
     def drain(self) -> None:
-        """Ask the pooler to stop."""
+        """Request the pooler to drain and stop."""
         self.dispatch(DrainRequested(now_ms=self.now_ms))
 
-    # Time.
+    # Simulated time.
 
-    def run(self, for_ms: float) -> None:
-        """Let time pass."""
-        end_ms = self.now_ms + for_ms
-        while self._step(end_ms):
+    def advance(self, duration_ms: float) -> None:
+        """Process the events of the next `duration_ms` milliseconds."""
+        end_ms = self.now_ms + duration_ms
+        while self._process_next(end_ms):
             pass
         self.now_ms = end_ms
 
-    def _step(self, end_ms: float) -> bool:
-        if not self._agenda or self._agenda[0][0] > end_ms:
+    def _process_next(self, end_ms: float) -> bool:
+        if not self._scheduled or self._scheduled[0][0] > end_ms:
             return False
-        due_ms, _, action = heapq.heappop(self._agenda)
+        due_ms, _, action = heapq.heappop(self._scheduled)
         self.now_ms = max(self.now_ms, due_ms)
         action()
         return True
 
-    def _at(self, due_ms: float, action: Any) -> None:
-        heapq.heappush(self._agenda, (due_ms, next(self._order), action))
+    def _schedule(self, due_ms: float, action: Any) -> None:
+        heapq.heappush(self._scheduled, (due_ms, next(self._sequence), action))
 
     # The pooler.
 
     def receive(self, conn: int, *messages: Any) -> None:
-        """Hand messages to the pooler."""
+        """Deliver messages to the pooler."""
         self.dispatch(
             Received(now_ms=self.now_ms, conn=conn, messages=list(messages))
         )
 
     def dispatch(self, event: Event) -> None:
-        """Hand an event to the pooler and carry out the effects."""
+        """Deliver an event to the pooler and perform the resulting effects."""
         self._perform(reduce_pooler(self.state, event))
 
     def _perform(self, effects: list[Effect]) -> None:
@@ -385,24 +412,26 @@
                 del self._timers[effect.key]
                 self.dispatch(TimerFired(now_ms=self.now_ms, key=effect.key))
 
-        self._at(effect.due_ms, fire)
+        self._schedule(effect.due_ms, fire)
 
     def _send(self, effect: Send) -> None:
         if effect.conn == CONTROL_CONN:
             for message in effect.messages:
                 if isinstance(message, UpstreamActionAnswer):
-                    self.told.append(message)
+                    self.action_answers.append(message)
                 if isinstance(message, ProxyReport):
                     self.reports.append(message)
-                    self._at(self.now_ms + TRIP_MS, self.grant)
+                    self._schedule(
+                        self.now_ms + ROUND_TRIP_MS, self.send_grant
+                    )
             return
-        if effect.conn in self.sent:
-            self.sent[effect.conn].extend(effect.messages)
+        if effect.conn in self.caller_messages:
+            self.caller_messages[effect.conn].extend(effect.messages)
             return
         conn = self.conns.get(effect.conn)
         if conn is not None:
             conn.queue.extend(effect.messages)
-            self._serve(conn)
+            self._process_queue(conn)
 
     def _close(self, number: int) -> None:
         self.closed.add(number)
@@ -423,7 +452,7 @@
                     )
                 )
             elif database.reachable == 'silent':
-                self._at(
+                self._schedule(
                     self.now_ms + effect.timeout_ms,
                     lambda: self.dispatch(
                         ConnClosed(
@@ -445,11 +474,11 @@
                     )
                 )
 
-        self._at(self.now_ms + TRIP_MS, open_conn)
+        self._schedule(self.now_ms + ROUND_TRIP_MS, open_conn)
 
     # Databases.
 
-    def _serve(self, conn: FakeConn) -> None:
+    def _process_queue(self, conn: FakeConn) -> None:
         database = conn.database
         if conn.busy or not conn.queue or database.reachable != 'up':
             return
@@ -462,17 +491,17 @@
                 database.waiting.append(conn)
                 return
             needs_slot = False
-            database.refuses.add(message.id)
-            database.shed.append(message.id)
+            database.refused_requests.add(message.id)
+            database.overload_refusals.append(message.id)
         conn.queue.popleft()
         conn.busy = True
-        took_ms = SLOT_FREE_MS
+        duration_ms = SLOTLESS_MS
         if needs_slot:
             database.running += 1
             database.max_running = max(database.max_running, database.running)
-            took_ms = database.work_ms
-        self._at(
-            self.now_ms + took_ms,
+            duration_ms = database.statement_ms
+        self._schedule(
+            self.now_ms + duration_ms,
             lambda: self._end_statement(conn, message, needs_slot),
         )
 
@@ -484,14 +513,14 @@
         if needs_slot:
             database.running = max(0, database.running - 1)
         if self.conns.get(conn.number) is conn:
-            replies = self._answer(conn, message)
+            replies = self._build_answer(conn, message)
             if replies and database.reachable == 'up':
                 self.receive(conn.number, *replies)
         if database.waiting:
-            self._serve(database.waiting.popleft())
-        self._serve(conn)
+            self._process_queue(database.waiting.popleft())
+        self._process_queue(conn)
 
-    def _answer(self, conn: FakeConn, message: Any) -> list[Any]:
+    def _build_answer(self, conn: FakeConn, message: Any) -> list[Any]:
         database = conn.database
         if isinstance(message, OpenUpstream):
             return [Ready(state='idle', position=database.position)]
@@ -499,12 +528,12 @@
         rows: list[str] = []
         signature = '-'
         if isinstance(message, Internal):
-            code, rows = self._run_internal(conn, message)
+            code, rows = self._execute_internal(conn, message)
         else:
-            code = self._run(conn, message)
+            code = self._execute(conn, message)
             signature = f'{database.name}.{message.id}'
             rows = [f'row of {message.text}']
-            if message.id in database.loses:
+            if message.id in database.lost_answers:
                 return []
         state = 'failed_txn' if conn.failed else 'idle'
         if conn.txn and not conn.failed:
@@ -517,7 +546,7 @@
             return [Failed(code=code, text=database.name), ready]
         return [*(Row(text=r) for r in rows), Done(signature=signature), ready]
 
-    def _run_internal(
+    def _execute_internal(
         self, conn: FakeConn, message: Internal
     ) -> tuple[str, list[str]]:
         database = conn.database
@@ -546,16 +575,16 @@
             return '', [f'{role} {database.term} {database.index}']
         return '', []
 
-    def _run(self, conn: FakeConn, message: Execute) -> str:
+    def _execute(self, conn: FakeConn, message: Execute) -> str:
         database = conn.database
-        if message.id in database.refuses:
-            if message.id in database.shed:
-                database.refuses.discard(message.id)
+        if message.id in database.refused_requests:
+            if message.id in database.overload_refusals:
+                database.refused_requests.discard(message.id)
             return 'overloaded'
         if database.fails_all:
             return 'statement_failed'
         if message.after is not None and message.after > database.position:
-            self.behind.append(database.name)
+            self.lag_refusals.append(database.name)
             return 'behind'
         request = build_request(message.id, message.text)
         shape = conn.prepared.get(request.name, '')
@@ -567,8 +596,8 @@
             return 'not_primary'
         if is_write and not conn.txn or message.text == 'COMMIT':
             database.index += 1
-        self.ran.append(
-            Ran(
+        self.executed.append(
+            ExecutedStatement(
                 id=message.id,
                 text=message.text,
                 database=database.name,
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -1,4 +1,4 @@
-"""Load beyond what the databases can serve."""
+"""Tests of the session pooler under more load than the databases can serve."""
 
 from __future__ import annotations
 
@@ -7,43 +7,43 @@
 from jackdawpost.core.messages.session import Done
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
-from jackdawpost.testing.fake_pooler_world import endpoint
-from jackdawpost.testing.fake_pooler_world import PoolerWorld
+from jackdawpost.testing.pooler_simulation import endpoint
+from jackdawpost.testing.pooler_simulation import PoolerSimulation
 
 SLOTS = 3
-WORK_MS = 30.0
-CAPACITY_PER_S = SLOTS * 1_000 / WORK_MS
+STATEMENT_MS = 30.0
+CAPACITY_PER_S = SLOTS * 1_000 / STATEMENT_MS
 
 
 class Callers:
-    """Open-loop callers: each statement comes at its time, on any session."""
+    """Open-loop load: statements are sent at a fixed rate on free sessions."""
 
-    def __init__(self, world, per_s, text='WRITE 1 a', sessions=400):
-        self.world = world
-        self.free = [world.open('orders') for _ in range(sessions)]
+    def __init__(self, sim, per_s, text='WRITE 1 a', sessions=400):
+        self.sim = sim
+        self.free = [sim.open('orders') for _ in range(sessions)]
         self.busy = {}
         self.text = text
-        self.gap_ms = 1_000 / per_s
+        self.interval_ms = 1_000 / per_s
         self.done_ms = []
         self.refused_ms = []
 
-    def run(self, for_ms):
-        end_ms = self.world.now_ms + for_ms
-        while self.world.now_ms < end_ms:
+    def run(self, duration_ms):
+        end_ms = self.sim.now_ms + duration_ms
+        while self.sim.now_ms < end_ms:
             if self.free:
                 conn = self.free.pop()
-                self.busy[conn] = self.world.now_ms
-                self.world.answer(conn)
-                self.world.ask(conn, self.text)
-            self.world.run(self.gap_ms)
+                self.busy[conn] = self.sim.now_ms
+                self.sim.pop_messages(conn)
+                self.sim.send_request(conn, self.text)
+            self.sim.advance(self.interval_ms)
             self._collect()
 
     def _collect(self):
         for conn, sent_ms in list(self.busy.items()):
-            messages = self.world.sent[conn]
+            messages = self.sim.caller_messages[conn]
             if not any(isinstance(m, Ready) for m in messages):
                 continue
-            taken_ms = self.world.now_ms - sent_ms
+            taken_ms = self.sim.now_ms - sent_ms
             if any(isinstance(m, Done) for m in messages):
                 self.done_ms.append(taken_ms)
             else:
@@ -52,21 +52,22 @@
             self.free.append(conn)
 
 
-def _overloaded(queue, times=2.0):
-    world = PoolerWorld()
-    database = world.databases['db-1']
-    database.work_ms = WORK_MS
+def _overloaded(queue, load_factor=2.0):
+    sim = PoolerSimulation()
+    database = sim.databases['db-1']
+    database.statement_ms = STATEMENT_MS
     database.slots = SLOTS
     database.queue = queue
-    callers = Callers(world, CAPACITY_PER_S * times)
+    callers = Callers(sim, CAPACITY_PER_S * load_factor)
     callers.run(2_000)
     callers.done_ms.clear()
     callers.refused_ms.clear()
-    return world, callers
+    return sim, callers
 
 
 def test_goodput_at_twice_the_capacity_stays_at_nine_tenths():
-    # A retry storm, or work for callers whose time is over, would eat it.
+    # Guards against retry storms and against statements that are run after
+    # their callers have timed out.
     _, callers = _overloaded(queue=4)
     callers.run(4_000)
     in_time = [taken for taken in callers.done_ms if taken <= 1_000]
@@ -74,9 +75,9 @@
 
 
 def test_statements_that_cannot_be_served_are_refused_early():
-    # Waiting to the end of its time helps neither the caller nor those that
-    # could have been served.
-    _, callers = _overloaded(queue=4, times=3.0)
+    # A statement that waits until its timeout and then fails helps neither
+    # its caller nor the statements behind it in the queue.
+    _, callers = _overloaded(queue=4, load_factor=3.0)
     callers.run(4_000)
     assert callers.refused_ms
     late = [taken for taken in callers.refused_ms if taken > 700]
@@ -84,19 +85,19 @@
 
 
 def test_few_statements_are_sent_only_to_be_refused():
-    # Each refusal costs the database and the way there and back.
-    world, callers = _overloaded(queue=4)
-    world.databases['db-1'].shed.clear()
-    before = len(world.ran)
+    # Each refusal costs a round trip and load on the database.
+    sim, callers = _overloaded(queue=4)
+    sim.databases['db-1'].overload_refusals.clear()
+    before = len(sim.executed)
     callers.run(4_000)
-    ran = len(world.ran) - before
-    assert len(world.databases['db-1'].shed) <= 0.3 * ran
+    executed = len(sim.executed) - before
+    assert len(sim.databases['db-1'].overload_refusals) <= 0.3 * executed
 
 
-def test_load_leaves_no_trace_once_it_has_gone():
-    # Guards against an overload that keeps itself alive by its retries.
-    world, callers = _overloaded(queue=4, times=4.0)
-    callers.gap_ms = 1_000 / (0.5 * CAPACITY_PER_S)
+def test_service_recovers_after_an_overload():
+    # Guards against retries that sustain an overload after its cause is gone.
+    sim, callers = _overloaded(queue=4, load_factor=4.0)
+    callers.interval_ms = 1_000 / (0.5 * CAPACITY_PER_S)
     callers.run(1_500)
     callers.done_ms.clear()
     callers.refused_ms.clear()
@@ -105,140 +106,142 @@
     assert max(callers.done_ms) < 400
 
 
-def test_refused_statement_inside_a_transaction_is_tried_again_in_place():
-    # Nothing of it has run: failing it would waste the whole transaction.
-    world = PoolerWorld()
-    conn = world.open('orders')
-    world.call(conn, 'BEGIN')
-    world.call(conn, 'WRITE 1 a')
-    request_id = world.ask(conn, 'WRITE 2 b')
-    world.databases['db-1'].refuses.add(request_id)
-    world.run(30)
-    world.databases['db-1'].refuses.clear()
-    world.run(200)
-    messages = world.answer(conn)
+def test_refused_statement_in_a_transaction_is_retried_within_it():
+    # The statement has not run. Failing it would waste the whole transaction.
+    sim = PoolerSimulation()
+    conn = sim.open('orders')
+    sim.call(conn, 'BEGIN')
+    sim.call(conn, 'WRITE 1 a')
+    request_id = sim.send_request(conn, 'WRITE 2 b')
+    sim.databases['db-1'].refused_requests.add(request_id)
+    sim.advance(30)
+    sim.databases['db-1'].refused_requests.clear()
+    sim.advance(200)
+    messages = sim.pop_messages(conn)
     assert any(isinstance(m, Done) for m in messages)
     assert not any(isinstance(m, Failed) for m in messages)
-    assert isinstance(world.call(conn, 'COMMIT'), Done)
+    assert isinstance(sim.call(conn, 'COMMIT'), Done)
 
 
 @pytest.mark.parametrize('text', ['WRITE 2 b', 'COMMIT'])
 def test_transaction_that_waits_for_a_slot_ends_with_its_connection(text):
-    # Nothing was outstanding on the connection then, so that its loss was
-    # noticed only at the end of the statement's time.
-    world = PoolerWorld()
-    conn = world.open('orders')
-    world.call(conn, 'BEGIN')
-    world.call(conn, 'WRITE 1 a')
-    request_id = world.ask(conn, text)
-    world.databases['db-1'].refuses.add(request_id)
-    world.run(12)
-    world.reset('db-1')
-    world.run(150)
-    messages = world.answer(conn)
+    # No request was outstanding on the connection at that time, and its loss
+    # was detected only when the statement timed out.
+    sim = PoolerSimulation()
+    conn = sim.open('orders')
+    sim.call(conn, 'BEGIN')
+    sim.call(conn, 'WRITE 1 a')
+    request_id = sim.send_request(conn, text)
+    sim.databases['db-1'].refused_requests.add(request_id)
+    sim.advance(12)
+    sim.reset_connections('db-1')
+    sim.advance(150)
+    messages = sim.pop_messages(conn)
     [failed] = [m for m in messages if isinstance(m, Failed)]
     assert failed.code == 'aborted'
-    assert not [ran for ran in world.ran if ran.text == 'COMMIT']
+    assert not [
+        executed for executed in sim.executed if executed.text == 'COMMIT'
+    ]
 
 
 def test_urgent_statements_go_first():
-    world = PoolerWorld(
+    sim = PoolerSimulation(
         [
             endpoint('orders', 'primary', 0, priority=2),
             endpoint('urgent', 'primary', 0, priority=1),
         ]
     )
-    world.databases['db-1'].work_ms = WORK_MS
-    for conn in [world.open('orders') for _ in range(40)]:
-        world.ask(conn, 'WRITE 1 a')
-    urgent = world.open('urgent')
-    started_ms = world.now_ms
-    assert isinstance(world.call(urgent, 'WRITE 2 b'), Done)
-    # Those that run already come before it, the 40 that wait do not.
-    assert world.now_ms - started_ms < 350
-
-
-def test_first_statement_of_a_transaction_waits_its_turn():
-    # It holds no connection yet. Going first, transactions would take the
-    # place of several single statements each while there is too little.
-    world = PoolerWorld()
-    world.databases['db-1'].work_ms = WORK_MS
-    transaction = world.open('orders')
-    world.call(transaction, 'BEGIN')
-    conns = [world.open('orders') for _ in range(40)]
+    sim.databases['db-1'].statement_ms = STATEMENT_MS
+    for conn in [sim.open('orders') for _ in range(40)]:
+        sim.send_request(conn, 'WRITE 1 a')
+    urgent = sim.open('urgent')
+    started_ms = sim.now_ms
+    assert isinstance(sim.call(urgent, 'WRITE 2 b'), Done)
+    # Only statements that already run precede it, not the 40 queued ones.
+    assert sim.now_ms - started_ms < 350
+
+
+def test_first_statement_of_a_transaction_gets_no_precedence():
+    # The transaction holds no connection yet. With precedence under
+    # overload, each transaction would displace several single statements.
+    sim = PoolerSimulation()
+    sim.databases['db-1'].statement_ms = STATEMENT_MS
+    transaction = sim.open('orders')
+    sim.call(transaction, 'BEGIN')
+    conns = [sim.open('orders') for _ in range(40)]
     for conn in conns:
-        world.ask(conn, 'WRITE 1 a')
-    assert isinstance(world.call(transaction, 'WRITE 2 b'), Done)
-    replies = [world.answer(conn) for conn in conns]
+        sim.send_request(conn, 'WRITE 1 a')
+    assert isinstance(sim.call(transaction, 'WRITE 2 b'), Done)
+    replies = [sim.pop_messages(conn) for conn in conns]
     done = [r for r in replies if any(isinstance(m, Done) for m in r)]
     assert len(done) >= 35
 
 
-def test_a_burst_after_a_quiet_time_is_not_taken_for_an_overload():
-    # The time between two answers says something of the upstream's pace only
-    # while statements wait; otherwise it is that of the callers.
-    world = PoolerWorld()
-    conns = [world.open('orders') for _ in range(8)]
+def test_burst_after_an_idle_period_is_not_treated_as_an_overload():
+    # The interval between two answers shows the speed of the upstream only
+    # while statements are queued. Otherwise it shows how often callers send.
+    sim = PoolerSimulation()
+    conns = [sim.open('orders') for _ in range(8)]
     for _ in range(40):
-        world.call(conns[0], 'WRITE 1 a')
-        world.run(200)
+        sim.call(conns[0], 'WRITE 1 a')
+        sim.advance(200)
     for conn in conns:
-        world.answer(conn)
-        world.ask(conn, 'WRITE 1 a')
-    world.run(400)
+        sim.pop_messages(conn)
+        sim.send_request(conn, 'WRITE 1 a')
+    sim.advance(400)
     for conn in conns:
-        assert any(isinstance(m, Done) for m in world.answer(conn))
+        assert any(isinstance(m, Done) for m in sim.pop_messages(conn))
 
 
 @pytest.mark.parametrize('max_connections', [3, 4, 5])
 def test_single_connection_serves_probes_and_statements(max_connections):
-    # 30 proxies before 56 connections have one each. A connection that was
-    # opened for probes kept it, and no statement ever ran.
-    world = PoolerWorld(
+    # 30 proxies that share 56 connections have one each. It was opened for
+    # probes and never used for statements, so no statement ever ran.
+    sim = PoolerSimulation(
         [
             endpoint('orders', 'primary', 0, max_connections=max_connections),
             endpoint('reports', 'bounded_staleness', 1_500),
         ]
     )
-    world.run(1_000)
+    sim.advance(1_000)
     for database in ('orders', 'reports', 'orders'):
-        assert isinstance(world.call(world.open(database), 'READ 1'), Done)
-    world.kill('db-1')
-    world.run(500)
-    world.promote('db-2')
-    world.run(2_000)
-    assert isinstance(world.call(world.open('orders'), 'READ 1'), Done)
+        assert isinstance(sim.call(sim.open(database), 'READ 1'), Done)
+    sim.crash('db-1')
+    sim.advance(500)
+    sim.promote('db-2')
+    sim.advance(2_000)
+    assert isinstance(sim.call(sim.open('orders'), 'READ 1'), Done)
 
 
 def test_scarce_connections_are_not_exceeded_by_probes():
-    # 24 proxies before 56 connections have two each: a third for probes
-    # would have the upstream reset others.
-    world = PoolerWorld()
-    world.publish(
+    # 24 proxies that share 56 connections have two each. With a third one
+    # for probes, the upstream would reset others.
+    sim = PoolerSimulation()
+    sim.publish(
         [endpoint('orders', 'primary', 0, max_connections=56)], proxies=24
     )
-    world.run(7_000)
-    for conn in [world.open('orders') for _ in range(20)]:
-        world.ask(conn, 'WRITE 1 a')
+    sim.advance(7_000)
+    for conn in [sim.open('orders') for _ in range(20)]:
+        sim.send_request(conn, 'WRITE 1 a')
     most = 0
     for _ in range(100):
-        world.run(20)
-        open_now = [c for c in world.conns.values() if c.database.leads]
+        sim.advance(20)
+        open_now = [c for c in sim.conns.values() if c.database.leads]
         most = max(most, len(open_now))
     assert most <= 2
 
 
 def _share_of_one_proxy(text, database):
-    """A pooler whose share of a primary is one slow statement at a time."""
-    world = PoolerWorld()
-    primary = world.databases['db-1']
-    primary.work_ms = 180
+    """Load a pooler that can run only one slow statement at a time."""
+    sim = PoolerSimulation()
+    primary = sim.databases['db-1']
+    primary.statement_ms = 180
     primary.slots = 1
     primary.queue = 1
     for name in ('db-2', 'db-3'):
-        world.databases[name].lag = 50
-    callers = Callers(world, 13, text)
-    callers.free = [world.open(database) for _ in range(200)]
+        sim.databases[name].lag = 50
+    callers = Callers(sim, 13, text)
+    callers.free = [sim.open(database) for _ in range(200)]
     callers.run(2_000)
     callers.done_ms.clear()
     callers.refused_ms.clear()
@@ -253,7 +256,7 @@
 def test_statements_are_not_started_when_their_time_is_nearly_over(
     text, database
 ):
-    # First come, first served lets every statement start just before its
-    # end, so that each runs in vain: goodput fell to nothing.
+    # With first come, first served, every statement started just before its
+    # timeout and ran in vain. Goodput fell to zero.
     callers = _share_of_one_proxy(text, database)
     assert len(callers.done_ms) >= 0.8 * 8 * 1_000 / 180
