Reword the requests and queries of operators

Cause: texts such as 'asked again' or 'dry run, nothing was changed' and names such as kept, only, now and then (for the old and the new value of a diff) made a reader look elsewhere for their meaning. Ruled out: renaming the functions that the tests of the command line use, and the columns of tables, which are outer names.

--- a/jackdawpost/core/control/operator_queries.py
+++ b/jackdawpost/core/control/operator_queries.py
@@ -1,4 +1,4 @@
-"""Answers to operators' queries that the replicated state can give alone."""
+"""Answers to operator queries, computed from the replicated state."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 def answer_query(
     machine: ControlMachine,
     query: Query,
-    in_force: Mapping[str, int] | None = None,
+    versions_in_force: Mapping[str, int] | None = None,
 ) -> OperatorAnswer:
     """Answer a query.
 
@@ -46,14 +46,13 @@
         State to read.
     query : Query
         Validated query.
-    in_force : mapping of str to int, optional
-        Published version in force by name of the proxy, as reported to the
-        leader.
+    versions_in_force : mapping of str to int, optional
+        Published version in force on each proxy, as reported to the leader.
 
     Returns
     -------
     OperatorAnswer
-        ``'done'`` with tables, ``'refused'`` for an unknown type or name, or
+        ``'done'`` with tables; ``'refused'`` for an unknown type or name;
         ``'rejected'`` for a diff whose change set has faults.
     """
     answer = OperatorAnswer(
@@ -69,18 +68,21 @@
     elif query.what == 'dump':
         answer.data = _dump(machine)
     else:
-        answer.tables = _build_tables(machine, query.what, in_force or {})
+        answer.tables = _build_tables(
+            machine, query.what, versions_in_force or {}
+        )
     return answer
 
 
 def list_members(machine: ControlMachine) -> list[Table]:
-    """Return the members, newcomers and absent databases.
+    """Return tables of the members, newcomers and absent databases.
 
     Returns
     -------
     list of Table
-        ``members``; ``newcomers`` with their missing approvals; ``absent``,
-        the identities that count in a database set without being members.
+        ``members``; ``newcomers`` with their missing approvals; ``absent``
+        with the databases that count in the database set of a group but are
+        not members.
     """
     members = Table(
         name='members',
@@ -104,10 +106,10 @@
 
 
 def _build_tables(
-    machine: ControlMachine, what: Topic, in_force: Mapping[str, int]
+    machine: ControlMachine, what: Topic, versions_in_force: Mapping[str, int]
 ) -> list[Table]:
     if what == 'status':
-        return _build_status(machine, in_force)
+        return _build_status(machine, versions_in_force)
     if what == 'members':
         return list_members(machine)
     return [_list_history(machine)]
@@ -153,7 +155,7 @@
 
 
 def _build_status(
-    machine: ControlMachine, in_force: Mapping[str, int]
+    machine: ControlMachine, versions_in_force: Mapping[str, int]
 ) -> list[Table]:
     proxies = [
         name
@@ -179,7 +181,7 @@
             name='proxies',
             columns=['proxy', 'version', 'behind'],
             rows=[
-                _proxy_row(machine, name, in_force.get(name))
+                _proxy_row(machine, name, versions_in_force.get(name))
                 for name in proxies
             ],
         ),
@@ -227,8 +229,8 @@
 
 
 def _dump(machine: ControlMachine) -> dict[str, Any]:
-    # Kept answers and tombstones are left out: they can exceed a frame and
-    # only serve resends and deltas.
+    # Stored answers and tombstones are left out: they can exceed the size of
+    # a frame and only serve resends and deltas.
     data = {
         item.name: _plain(getattr(machine, item.name))
         for item in dataclasses.fields(machine)
@@ -262,7 +264,10 @@
         _list_objects(machine, item, query.name) for item in types
     ]
     if query.name and not any(table.rows for table in answer.tables):
-        _refuse(answer, f'no {object_key(query.type or "object", query.name)}')
+        _refuse(
+            answer,
+            f'{object_key(query.type or "object", query.name)} does not exist',
+        )
 
 
 def _refuse(answer: OperatorAnswer, message: str) -> None:
@@ -272,11 +277,11 @@
 
 
 def _list_objects(
-    machine: ControlMachine, object_type: str, only: str
+    machine: ControlMachine, object_type: str, name_filter: str
 ) -> Table:
     objects = machine.objects.table(object_type)
     if object_type == 'upstream':
-        return _list_upstreams(machine, only)
+        return _list_upstreams(machine, name_filter)
     columns = field_names(object_type)
     return Table(
         name=object_type,
@@ -284,17 +289,17 @@
         rows=[
             [getattr(objects[name], column) for column in columns]
             for name in sorted(objects)
-            if only in ('', name)
+            if name_filter in ('', name)
         ],
     )
 
 
-def _list_upstreams(machine: ControlMachine, only: str) -> Table:
+def _list_upstreams(machine: ControlMachine, name_filter: str) -> Table:
     settings = machine.objects.upstreams
     announced = _announced_upstreams(machine)
     rows: list[list[Any]] = []
     for name in sorted({*settings, *announced}):
-        if only not in ('', name):
+        if name_filter not in ('', name):
             continue
         item = settings.get(name)
         state, group = announced.get(name, ('absent', None))
@@ -333,23 +338,23 @@
     machine: ControlMachine, query: Query, answer: OperatorAnswer
 ) -> None:
     candidate, answer.faults = apply_operations(machine, query.operations)
-    answer.tables = [_compare(machine.objects, candidate.objects)]
+    answer.tables = [_diff_table(machine.objects, candidate.objects)]
     if answer.faults:
         answer.status = 'rejected'
 
 
-def _compare(before: ObjectSet, after: ObjectSet) -> Table:
+def _diff_table(current: ObjectSet, proposed: ObjectSet) -> Table:
     rows: list[list[Any]] = []
     for object_type in OBJECT_TYPES:
-        old, new = before.table(object_type), after.table(object_type)
+        old, new = current.table(object_type), proposed.table(object_type)
         for name in sorted({*old, *new}):
             old_body = object_body(old[name]) if name in old else {}
             new_body = object_body(new[name]) if name in new else {}
             for field in new_body or old_body:
-                now, then = old_body.get(field), new_body.get(field)
-                if now != then:
+                old_value, new_value = old_body.get(field), new_body.get(field)
+                if old_value != new_value:
                     key = object_key(object_type, name)
-                    rows.append([key, field, now, then])
+                    rows.append([key, field, old_value, new_value])
     return Table(
         name='diff',
         columns=['object', 'field', 'in_force', 'wanted'],
--- a/jackdawpost/core/control/operator_requests.py
+++ b/jackdawpost/core/control/operator_requests.py
@@ -1,4 +1,4 @@
-"""Turns operators' requests into commands, and results into answers."""
+"""Converts operator requests to commands, and their results to answers."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 def build_change(
     machine: ControlMachine, request: Apply
 ) -> ApplyChangeSet | OperatorAnswer:
-    """Return the command to propose, or the answer to a dry run."""
+    """Return the command for a change set, or the answer to a dry run."""
     command = ApplyChangeSet(
         change_id=request.change_id,
         base_revision=request.base_revision,
@@ -40,7 +40,7 @@
     if request.dry_run:
         checked = check_change_set(machine, command)
         answer = answer_change(machine, request.id, checked)
-        answer.message = 'dry run, nothing was changed'
+        answer.message = 'dry run: the change set was checked but not applied'
         return answer
     return command
 
@@ -50,8 +50,9 @@
 ) -> ApplyChangeSet | OperatorAnswer:
     """Return the change set that drains an upstream, or an answer.
 
-    A resend gets the first answer here: the upstream's settings may exist by
-    now, so that the operation would differ from the first one.
+    A resent request gets the stored answer. The upstream's settings may have
+    been created since, so the operation built now could differ from the
+    first one and be rejected as another change with the same id.
     """
     member = machine.members.get(request.name)
     settings = machine.objects.upstreams.get(request.name)
@@ -65,12 +66,14 @@
         for action in _DRAIN_ACTIONS
     ]
     for variant in variants:
-        kept = find_stored_answer(machine, request.change_id, [variant])
-        if kept is not None and kept.duplicate:
-            return answer_change(machine, request.id, kept)
+        stored = find_stored_answer(machine, request.change_id, [variant])
+        if stored is not None and stored.duplicate:
+            return answer_change(machine, request.id, stored)
     if settings is None and (member is None or member.role != 'upstream'):
         return answer_refusal(
-            machine, request.id, f'{request.name!r} is no joined upstream'
+            machine,
+            request.id,
+            f'name {request.name!r}: not a joined upstream',
         )
     return ApplyChangeSet(
         change_id=request.change_id,
@@ -83,7 +86,7 @@
 def build_removal(
     machine: ControlMachine, request: Members
 ) -> RemoveMember | OperatorAnswer:
-    """Return the command that removes a member."""
+    """Return the command that removes a member, or a refusal."""
     if not request.member_id:
         return answer_refusal(
             machine,
@@ -98,11 +101,11 @@
 def build_promotion(
     machine: ControlMachine, request: PromoteGroup
 ) -> StartPromotion | OperatorAnswer:
-    """Return the command that starts a promotion."""
+    """Return the command that starts a promotion, or a refusal."""
     group = machine.groups.get(request.group)
     if group is None:
         return answer_refusal(
-            machine, request.id, f'no group {request.group!r}'
+            machine, request.id, f'group {request.group!r}: does not exist'
         )
     return StartPromotion(
         group=request.group,
@@ -118,17 +121,22 @@
 ) -> OperatorAnswer:
     """Answer with the members whose approval is missing.
 
-    The leader asks these again; an operator cannot approve in their place.
+    The leader requests their approval again. An operator cannot approve in
+    place of a member.
     """
     if request.name in machine.members:
-        return _answer(
-            machine, request.id, 'done', f'{request.name!r} has joined'
+        return _build_answer(
+            machine, request.id, 'done', f'{request.name!r} has already joined'
         )
     if request.name not in machine.newcomers:
         return answer_refusal(
-            machine, request.id, f'{request.name!r} is not announced'
+            machine,
+            request.id,
+            f'name {request.name!r}: neither a newcomer nor a member',
         )
-    answer = _answer(machine, request.id, 'done', 'asked again')
+    answer = _build_answer(
+        machine, request.id, 'done', 'missing approvals requested again'
+    )
     answer.tables = [
         Table(
             name='missing',
@@ -142,9 +150,9 @@
 def answer_change(
     machine: ControlMachine, request_id: int, change: ChangeAnswer
 ) -> OperatorAnswer:
-    """Turn the machine's answer to a change set into a message."""
+    """Convert the result of a change set to a message."""
     status: AnswerStatus = 'accepted' if change.accepted else 'rejected'
-    answer = _answer(machine, request_id, status, '')
+    answer = _build_answer(machine, request_id, status, '')
     answer.revision = change.revision
     answer.faults = [dataclasses.replace(fault) for fault in change.faults]
     answer.duplicate = change.duplicate
@@ -154,9 +162,9 @@
 def answer_command(
     machine: ControlMachine, request_id: int, refused: CommandRefused | None
 ) -> OperatorAnswer:
-    """Answer for a removal or the start of a promotion."""
+    """Answer a removal or the start of a promotion."""
     if refused is None:
-        return _answer(machine, request_id, 'done', '')
+        return _build_answer(machine, request_id, 'done', '')
     return answer_refusal(
         machine, request_id, f'{refused.code}: {refused.message}'
     )
@@ -165,11 +173,11 @@
 def answer_refusal(
     machine: ControlMachine, request_id: int, message: str
 ) -> OperatorAnswer:
-    """Return a refusal with its reason."""
-    return _answer(machine, request_id, 'refused', message)
+    """Return the refusal of a request with its reason."""
+    return _build_answer(machine, request_id, 'refused', message)
 
 
-def _answer(
+def _build_answer(
     machine: ControlMachine,
     request_id: int,
     status: AnswerStatus,
