--- a/jackdawpost/core/control/__init__.py
+++ b/jackdawpost/core/control/__init__.py
@@ -1,1 +1,1 @@
-"""Control processes: members, leases, promotions, operators."""
+"""Control processes: membership, leases, promotions, operator requests."""
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -1,8 +1,8 @@
-"""Promotions that the leader decides on and orders from outside.
+"""Delegated promotions: decided by the leader, executed by another service.
 
-Each order carries the fencing token that the replicated state assigned to
-it, so that an order of an earlier leader, or one that is carried out late,
-cannot undo a later one. A new leader never uses a token of another holder.
+Each order carries a fencing token assigned by the replicated state. An order
+of an earlier leader, or an order executed late, therefore cannot undo a later
+one. A new leader never uses a token of another holder.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import UpstreamObservation
 from jackdawpost.core.control.replica_pause import advance_pause
-from jackdawpost.core.control.replica_pause import better_choice
-from jackdawpost.core.control.replica_pause import is_safe
+from jackdawpost.core.control.replica_pause import find_newer_replica
+from jackdawpost.core.control.replica_pause import has_all_commits
 from jackdawpost.core.control.replica_pause import needs_pause
 from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
@@ -33,56 +33,60 @@
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
 
-# What proxies have seen counts for this long: three of their reports.
-SIGHTING_MS = 1_500.0
-# A group without a primary may only lack reports of it.
-NO_PRIMARY_MS = 3_000.0
-# Pause after an order was refused, and before an unanswered one is repeated.
+# Time-to-live of the observations of proxies: three report intervals.
+OBSERVATION_TTL_MS = 1_500.0
+# Grace period before a group without a primary gets one by promotion: the
+# primary may be running, with no report of it received yet.
+NO_PRIMARY_GRACE_MS = 3_000.0
+# Interval at which an order without a known outcome is repeated.
 ORDER_RETRY_MS = 1_000.0
-# A replaced primary is not adopted again for so long: the new one takes up
-# to a second to lead, and proxies may be frozen for seconds and then report
-# what they saw before.
-REPLACED_MS = 5_000.0
-# A proxy that control no longer hears may only be cut off from it, and reach
-# the primary well. Cuts that last longer than this are taken for a loss.
-WITNESS_MS = 10_000.0
-# Time for which a replica must have been gone to count for no copy: longer
-# than the others need to receive what it had helped to acknowledge.
-GONE_MS = 2_000.0
-# An upstream that an order was refused for is not chosen again for so long.
-AVOID_MS = 3_000.0
+# Cool-down before a replaced primary may be adopted again. The new primary
+# takes up to 1 s to lead, and a proxy that was suspended for seconds then
+# reports what it saw before.
+READOPTION_COOLDOWN_MS = 5_000.0
+# A proxy that control receives nothing from may still reach the primary, so it
+# stays in the electorate for this retention time. After a longer partition it
+# counts as lost.
+ELECTORATE_RETENTION_MS = 10_000.0
+# Time for which a replica must have refused connections before the primary
+# did, for the promotion not to wait for its answer. It is longer than the
+# other replicas need to receive the commits that this one acknowledged.
+UNREACHABLE_REPLICA_MS = 2_000.0
+# Cool-down before an upstream is a candidate again after it failed, an order
+# for it was refused, or another replica had received more.
+CANDIDATE_COOLDOWN_MS = 3_000.0
 
 
 def record_observations(
     state: ControlState, leader: LeaderState, report: ProxyReport
 ) -> None:
-    """Take what a proxy saw of the upstreams."""
-    for name, seen in (report.upstreams or {}).items():
+    """Record what a proxy reports about the upstreams."""
+    for name, upstream in (report.upstreams or {}).items():
         leader.upstream_observations.setdefault(name, {})[report.proxy] = (
-            UpstreamObservation(report=seen, last_contact_ms=state.now_ms)
+            UpstreamObservation(report=upstream, last_contact_ms=state.now_ms)
         )
 
 
-def advance_delegated(state: ControlState, leader: LeaderState) -> None:
-    """Take every group one step on."""
-    _note_witnesses(state, leader)
-    _note_refused(state, leader)
+def advance_delegated_groups(state: ControlState, leader: LeaderState) -> None:
+    """Advance the promotion of every group by one step."""
+    _update_electorate(state, leader)
+    _update_refused_since(state, leader)
     for name in sorted(state.machine.groups):
         group = state.machine.groups[name]
-        upstreams = _joined(state, name)
+        upstreams = _joined_upstreams(state, name)
         if not upstreams:
             continue
         if group.promotion is not None:
             _advance_promotion(state, leader, name, group, upstreams)
             continue
-        if _adopt(state, leader, name, group, upstreams):
+        if _adopt_primary(state, leader, name, group, upstreams):
             continue
-        reason = _why_replace(state, leader, name, group, upstreams)
+        reason = _replacement_reason(state, leader, name, group, upstreams)
         if reason:
-            _delegate(state, leader, name, group, upstreams, reason)
+            _propose_promotion(state, leader, name, group, upstreams, reason)
 
 
-def _joined(state: ControlState, group: str) -> dict[str, Member]:
+def _joined_upstreams(state: ControlState, group: str) -> dict[str, Member]:
     return {
         name: member
         for name, member in state.machine.members.items()
@@ -90,29 +94,35 @@
     }
 
 
-def _fresh(
+def _fresh_observations(
     state: ControlState, leader: LeaderState, name: str
 ) -> list[UpstreamObservation]:
     return [
         observation
         for observation in leader.upstream_observations.get(name, {}).values()
-        if state.now_ms < observation.last_contact_ms + SIGHTING_MS
+        if state.now_ms < observation.last_contact_ms + OBSERVATION_TTL_MS
     ]
 
 
-def _adopt(
+def _adopt_primary(
     state: ControlState,
     leader: LeaderState,
     name: str,
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Record the upstream that leads, if it is not the one on record."""
+    """Adopt the upstream that proxies see leading, if it is not recorded.
+
+    Returns
+    -------
+    bool
+        Whether the recorded primary differs from the one that leads.
+    """
     leading: tuple[int, str] | None = None
     for upstream in upstreams:
         if state.now_ms < leader.not_adopted_until_ms.get(upstream, 0):
             continue
-        for observation in _fresh(state, leader, upstream):
+        for observation in _fresh_observations(state, leader, upstream):
             if observation.report.leads:
                 found = (observation.report.term, upstream)
                 leading = max(leading or found, found)
@@ -140,22 +150,22 @@
     return True
 
 
-def _why_replace(
+def _replacement_reason(
     state: ControlState,
     leader: LeaderState,
     name: str,
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> str:
-    """Return why a primary must be replaced, empty if it need not be."""
+    """Return why the primary must be replaced; empty if it need not be."""
     now_ms = state.now_ms
     if group.primary is None:
         since_ms = leader.without_primary_since_ms.setdefault(name, now_ms)
-        return 'no primary' if now_ms >= since_ms + NO_PRIMARY_MS else ''
+        return 'no primary' if now_ms >= since_ms + NO_PRIMARY_GRACE_MS else ''
     leader.without_primary_since_ms.pop(name, None)
     member = upstreams.get(group.primary)
     if member is None or member.member_id != group.primary_id:
-        return 'primary is no member'
+        return 'primary is not a member'
     if _has_failed(state, leader, group.primary):
         return 'primary failed'
     if is_leaving(state, group.primary):
@@ -163,7 +173,7 @@
     return ''
 
 
-def _delegate(
+def _propose_promotion(
     state: ControlState,
     leader: LeaderState,
     name: str,
@@ -171,8 +181,8 @@
     upstreams: dict[str, Member],
     reason: str,
 ) -> None:
-    """Choose an upstream and have the order recorded with its token."""
-    chosen = _choose(state, leader, group, upstreams)
+    """Propose to promote the best candidate under a new fencing token."""
+    chosen = _choose_candidate(state, leader, group, upstreams)
     if chosen is None:
         return
     token = group.last_term + 1
@@ -194,60 +204,62 @@
             upstream=chosen,
             token=token,
             reason=reason,
-            received=list(_received(state, leader, chosen)),
+            received=list(_received_position(state, leader, chosen)),
         )
 
 
-def _received(
+def _received_position(
     state: ControlState, leader: LeaderState, name: str
 ) -> LogPosition:
     positions = [
         observation.report.received
-        for observation in _fresh(state, leader, name)
+        for observation in _fresh_observations(state, leader, name)
     ]
     return max(positions, default=ZERO_POSITION)
 
 
-def _choose(
+def _choose_candidate(
     state: ControlState,
     leader: LeaderState,
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return the reachable upstream that has received most.
+    """Return the reachable upstream with the highest received position.
 
-    At equal positions the one in the data centre of most proxies is best,
-    since their writes then stay near.
+    At equal positions the upstream in the data centre with most proxies is
+    preferred, which keeps the latency of their writes low.
     """
     candidates = []
     for name in sorted(upstreams):
         identity = (name, upstreams[name].member_id)
         if identity == (group.primary, group.primary_id):
             continue
-        if is_leaving(state, name) or not _fresh(state, leader, name):
+        if is_leaving(state, name) or not _fresh_observations(
+            state, leader, name
+        ):
             continue
         if state.now_ms < leader.excluded_until_ms.get(name, 0):
             continue
         if _has_failed(state, leader, name):
             continue
         candidates.append(name)
-    near = _proxies_by_data_centre(state)
+    proxy_counts = _proxies_by_data_centre(state)
     return max(
         candidates,
         key=lambda name: (
-            _received(state, leader, name),
-            near.get(upstreams[name].data_centre, 0),
+            _received_position(state, leader, name),
+            proxy_counts.get(upstreams[name].data_centre, 0),
         ),
         default=None,
     )
 
 
 def _proxies_by_data_centre(state: ControlState) -> dict[str, int]:
-    found: dict[str, int] = {}
+    counts: dict[str, int] = {}
     for member in state.machine.members.values():
         if member.role == 'proxy':
-            found[member.data_centre] = found.get(member.data_centre, 0) + 1
-    return found
+            counts[member.data_centre] = counts.get(member.data_centre, 0) + 1
+    return counts
 
 
 def _advance_promotion(
@@ -262,76 +274,90 @@
     chosen = promotion.chosen or ''
     member = upstreams.get(chosen)
     if member is None or member.member_id != promotion.data_id:
-        _give_up(state, name, promotion.to_term, 'the chosen one has left')
+        _abandon_promotion(
+            state, name, promotion.to_term, 'candidate is no longer a member'
+        )
         return
     order = leader.orders.get(name)
     if order is not None and order.token != promotion.to_term:
         order = None
     if order is not None and order.outcome == 'done':
-        _finish(state, leader, name, promotion.to_term)
+        _finish_promotion(state, leader, name, promotion.to_term)
     elif promotion.holder != state.cfg.holder or (
         promotion.to_term not in leader.own_tokens
     ):
-        # The token belongs to another holder, or to this one's earlier
-        # leadership, whose order may still be under way.
-        _delegate(state, leader, name, group, upstreams, promotion.reason)
+        # The token belongs to another holder, or to an earlier leadership of
+        # this process, whose order may still be executed.
+        _propose_promotion(
+            state, leader, name, group, upstreams, promotion.reason
+        )
     elif order is not None and order.outcome == 'refused':
-        leader.excluded_until_ms[chosen] = state.now_ms + AVOID_MS
-        _give_up(state, name, promotion.to_term, order.detail)
-    elif order is None and not _is_frozen(
+        leader.excluded_until_ms[chosen] = state.now_ms + CANDIDATE_COOLDOWN_MS
+        _abandon_promotion(state, name, promotion.to_term, order.detail)
+    elif order is None and not _is_order_safe(
         state, leader, name, promotion, upstreams
     ):
         return
     elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
         if order is not None and _has_failed(state, leader, chosen):
-            leader.excluded_until_ms[chosen] = state.now_ms + AVOID_MS
-            _give_up(state, name, promotion.to_term, 'the chosen one failed')
+            leader.excluded_until_ms[chosen] = (
+                state.now_ms + CANDIDATE_COOLDOWN_MS
+            )
+            _abandon_promotion(
+                state, name, promotion.to_term, 'candidate failed'
+            )
             return
-        _order(state, leader, name, chosen, promotion.to_term)
+        _send_order(state, leader, name, chosen, promotion.to_term)
 
 
-def _is_frozen(
+def _is_order_safe(
     state: ControlState,
     leader: LeaderState,
     name: str,
     promotion: Promotion,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Tell whether nothing acknowledged can be lost by the order."""
+    """Return whether the order can lose no acknowledged commit."""
     if not needs_pause(state, name):
         return True
     terms = [
         observation.report.term
         for upstream in upstreams
-        for observation in _fresh(state, leader, upstream)
+        for observation in _fresh_observations(state, leader, upstream)
     ]
-    upstreams = _counted(state, leader, name, upstreams)
+    upstreams = _possible_commit_holders(state, leader, name, upstreams)
     pause = advance_pause(
         state, leader, name, promotion, upstreams, max(terms, default=0) + 1
     )
-    if is_safe(state, name, promotion, pause, upstreams):
+    if has_all_commits(state, name, promotion, pause, upstreams):
         return True
     primary = state.machine.groups[name].primary
-    better = better_choice(state, name, promotion, pause, upstreams)
-    if better is not None and _has_failed(state, leader, primary or ''):
-        # A primary that runs would let the chosen one catch up.
+    newer = find_newer_replica(state, name, promotion, pause, upstreams)
+    if newer is not None and _has_failed(state, leader, primary or ''):
+        # While the primary runs, the candidate can still catch up with it.
         leader.excluded_until_ms[promotion.chosen or ''] = (
-            state.now_ms + AVOID_MS
+            state.now_ms + CANDIDATE_COOLDOWN_MS
+        )
+        _abandon_promotion(
+            state,
+            name,
+            promotion.to_term,
+            f'{newer} has received more than the candidate',
         )
-        _give_up(state, name, promotion.to_term, f'{better} has received more')
     return False
 
 
-def _counted(
+def _possible_commit_holders(
     state: ControlState,
     leader: LeaderState,
     name: str,
     upstreams: dict[str, Member],
 ) -> dict[str, Member]:
-    """Leave out what was gone well before the primary ended.
+    """Return the upstreams that may be the only holder of a commit.
 
-    The replicas that stayed have received since then whatever was
-    acknowledged with its help. One that is only silent may still receive.
+    Leaves out replicas that refused connections well before the primary did:
+    the other replicas have received since then every commit that these helped
+    to acknowledge. A replica that is only silent may still receive commits.
     """
     primary = state.machine.groups[name].primary or ''
     end_ms = leader.refused_since_ms.get(primary, state.now_ms)
@@ -339,12 +365,14 @@
         upstream: member
         for upstream, member in upstreams.items()
         if upstream == primary
-        or leader.refused_since_ms.get(upstream, end_ms) + GONE_MS > end_ms
+        or leader.refused_since_ms.get(upstream, end_ms)
+        + UNREACHABLE_REPLICA_MS
+        > end_ms
     }
 
 
-def _note_refused(state: ControlState, leader: LeaderState) -> None:
-    """Keep since when nobody is found at an upstream's address."""
+def _update_refused_since(state: ControlState, leader: LeaderState) -> None:
+    """Record since when connections to each upstream are refused."""
     for name, member in state.machine.members.items():
         if member.role != 'upstream':
             continue
@@ -364,18 +392,21 @@
     return failed_ms is not None and failed_ms <= state.now_ms
 
 
-def _note_witnesses(state: ControlState, leader: LeaderState) -> None:
-    """Keep the proxies whose word counts, or would if it could be heard."""
-    known = leader.electorate_ms
+def _update_electorate(state: ControlState, leader: LeaderState) -> None:
+    """Update the proxies whose majority decides that an upstream failed.
+
+    Proxies that control receives nothing from stay for a retention time.
+    """
+    electorate = leader.electorate_ms
     for name, member in state.machine.members.items():
         if member.role == 'proxy':
-            known[name] = state.now_ms
-    for name, last_ms in list(known.items()):
-        if state.now_ms >= last_ms + WITNESS_MS:
-            del known[name]
+            electorate[name] = state.now_ms
+    for name, last_ms in list(electorate.items()):
+        if state.now_ms >= last_ms + ELECTORATE_RETENTION_MS:
+            del electorate[name]
 
 
-def _order(
+def _send_order(
     state: ControlState,
     leader: LeaderState,
     name: str,
@@ -401,18 +432,22 @@
     )
 
 
-def _finish(
+def _finish_promotion(
     state: ControlState, leader: LeaderState, name: str, token: int
 ) -> None:
     resume_replicas(state, leader, name)
-    old = state.machine.groups[name].primary
+    replaced = state.machine.groups[name].primary
     command = FinishPromotion(group=name, to_term=token)
-    if propose(state, f'group/{name}', command) is not None and old:
-        leader.not_adopted_until_ms[old] = state.now_ms + REPLACED_MS
+    if propose(state, f'group/{name}', command) is not None and replaced:
+        leader.not_adopted_until_ms[replaced] = (
+            state.now_ms + READOPTION_COOLDOWN_MS
+        )
 
 
-def _give_up(state: ControlState, name: str, token: int, why: str) -> None:
-    command = AbandonPromotion(group=name, to_term=token, reason=why)
+def _abandon_promotion(
+    state: ControlState, name: str, token: int, reason: str
+) -> None:
+    command = AbandonPromotion(group=name, to_term=token, reason=reason)
     if propose(state, f'group/{name}', command) is not None:
         log(
             state,
@@ -420,14 +455,14 @@
             'promotion_given_up',
             group=name,
             token=token,
-            reason=why,
+            reason=reason,
         )
 
 
 def on_promotion_ended(
     state: ControlState, leader: LeaderState, event: PromotionEnded
 ) -> None:
-    """Take the answer to an order."""
+    """Handle the outcome of an order."""
     log(
         state,
         'info' if event.outcome == 'done' else 'warning',
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -1,4 +1,4 @@
-"""Health and dump of a control process."""
+"""Health check and state dump of a control process."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from jackdawpost.core.control.process import ControlState
 
-# Names in the dump that differ from the names of the fields.
+# Fields that are written to the dump under another name.
 _DUMP_NAMES = {
     'accounts': 'borrowers',
     'approvals_requested': 'asked',
@@ -16,11 +16,14 @@
     'excluded_until_ms': 'avoid_ms',
     'last_contact_ms': 'heard_ms',
     'last_tick_ms': 'ticked_ms',
+    'next_announce_ms': 'announce_at_ms',
     'next_request_ms': 'ask_ms',
     'next_sweep_ms': 'sweep_ms',
     'not_adopted_until_ms': 'replaced_ms',
     'observations': 'seen',
+    'pending_operators': 'answers',
     'pending_promotions': 'promotes',
+    'pending_queries': 'queries',
     'pending_reads': 'reads',
     'pending_requests': 'asked',
     'refused_since_ms': 'refused_ms',
@@ -38,13 +41,16 @@
 
 
 def is_healthy(state: ControlState) -> bool:
-    """Tell whether the process takes part and knows a leader."""
+    """Return whether the process knows a leader, can write, and is running.
+
+    A draining process is not healthy.
+    """
     knows_leader = state.consensus.leader is not None
     return knows_leader and not state.draining and not state.storage_failed
 
 
 def dump_control(state: ControlState) -> dict[str, Any]:
-    """Return the whole state as plain data."""
+    """Return the state as dicts, lists, strings and numbers."""
     core = state.consensus
     return {
         'name': state.cfg.name,
--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -1,4 +1,4 @@
-"""Start, end and sweeps of the services that only the leader runs."""
+"""Start, periodic work and end of the services that only the leader runs."""
 
 from __future__ import annotations
 
@@ -10,37 +10,39 @@
 from jackdawpost.core.control.admin import AdminLinks
 from jackdawpost.core.control.commands import Command
 from jackdawpost.core.control.commands import DelegatePromotion
-from jackdawpost.core.control.delegation import advance_delegated
-from jackdawpost.core.control.members import ask_approvals
+from jackdawpost.core.control.delegation import advance_delegated_groups
+from jackdawpost.core.control.members import discard_approval_requests
 from jackdawpost.core.control.members import expire_members
 from jackdawpost.core.control.members import finish_removals
-from jackdawpost.core.control.members import forget_asked
 from jackdawpost.core.control.members import removal_due_ms
-from jackdawpost.core.control.operators import answer_applied
-from jackdawpost.core.control.operators import release_operators
+from jackdawpost.core.control.members import request_approvals
+from jackdawpost.core.control.operators import answer_waiting_operators
+from jackdawpost.core.control.operators import redirect_waiting_operators
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_member
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.promotion_facts import progress_of
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.proxies import close_silent_proxies
-from jackdawpost.core.control.proxies import drop_left_proxies
-from jackdawpost.core.control.proxies import move_permits
+from jackdawpost.core.control.proxies import drop_removed_proxies
+from jackdawpost.core.control.proxies import process_report
 from jackdawpost.core.control.proxies import push_updates
 from jackdawpost.core.control.proxies import refresh_upstreams
-from jackdawpost.core.control.proxies import serve_report
 from jackdawpost.core.control.proxies import start_confirmation
-from jackdawpost.core.control.registry import answer_asked
-from jackdawpost.core.control.registry import release_asked
-from jackdawpost.core.control.registry import sweep_registered
+from jackdawpost.core.control.proxies import update_permits
+from jackdawpost.core.control.registry import abort_pending_requests
+from jackdawpost.core.control.registry import answer_pending_requests
+from jackdawpost.core.control.registry import sweep_registrations
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.upstreams import advance_groups
-from jackdawpost.core.control.upstreams import wake_groups
+from jackdawpost.core.control.upstreams import mark_due_groups
 from jackdawpost.core.control.voters import advance_voters
 from jackdawpost.core.outbox import log
 
-LONG_PAUSE_MS = 1_000.0  # ticks come at least with every heartbeat
+# A longer gap between ticks means that this process was suspended: a leader
+# ticks at least once per heartbeat.
+MAX_TICK_GAP_MS = 1_000.0
 MEMBER_COMMANDS = (
     'announce_member',
     'approve_member',
@@ -51,10 +53,11 @@
 
 
 def begin_leadership(state: ControlState, term: int) -> None:
-    """Build the leader services anew.
+    """Start the leader services with a new state.
 
-    Proxies may hold leases and permits of earlier leaders, so every joined
-    one counts as a holder until it has reported or a full lease has passed.
+    Proxies may hold leases and permits granted by earlier leaders. Every
+    joined proxy is therefore assumed to hold some until it has reported or a
+    full lease has passed.
     """
     cfg = state.cfg
     proxies = _joined_proxies(state)
@@ -99,12 +102,12 @@
 
 
 def end_leadership(state: ControlState, term: int) -> None:
-    """Drop the leader services; nothing of them outlives the term."""
+    """Stop the leader services and drop their state."""
     leader = state.leader
     if leader is None:
         return
-    release_operators(state, leader)
-    release_asked(state, leader)
+    redirect_waiting_operators(state, leader)
+    abort_pending_requests(state, leader)
     state.outbox += control_admin.close_all(leader.admin)
     state.next_conn = leader.admin.next_conn
     state.leader = None
@@ -113,7 +116,7 @@
         link.sent_version = None
         link.approvals_requested = set()
         link.revoked = set()
-        # A proxy states its demand anew to the next leader.
+        # A proxy sends its demand again to the next leader.
         link.demands = {}
     log(state, 'info', 'leadership_lost', term=term)
 
@@ -125,12 +128,12 @@
     command: Command,
     applied: Applied,
 ) -> None:
-    """Act on an applied command as the leader."""
-    for key, proposed in list(leader.proposed.items()):
-        if proposed <= index:
+    """Run the leader services that depend on a command just applied."""
+    for key, proposed_index in list(leader.proposed.items()):
+        if proposed_index <= index:
             del leader.proposed[key]
-    answer_applied(state, leader, index, command, applied)
-    answer_asked(state, leader, index, command, applied)
+    answer_waiting_operators(state, leader, index, command, applied)
+    answer_pending_requests(state, leader, index, command, applied)
     _after_group_command(state, leader, command, applied)
     if command.kind in MEMBER_COMMANDS:
         _after_member_command(state, leader, command, applied)
@@ -139,7 +142,10 @@
 
 
 def _after_group_command(
-    state: ControlState, leader: LeaderState, command: Command, done: Applied
+    state: ControlState,
+    leader: LeaderState,
+    command: Command,
+    applied: Applied,
 ) -> None:
     group = getattr(command, 'group', '')
     if group in state.machine.groups:
@@ -147,7 +153,7 @@
     if command.kind in MEMBER_COMMANDS or group not in state.machine.groups:
         return
     progress = progress_of(leader.driver, group)
-    if isinstance(done.answer, CommandRefused):
+    if isinstance(applied.answer, CommandRefused):
         progress.retry_at_ms = state.now_ms + promotion.RETRY_MS
         log(
             state,
@@ -155,7 +161,7 @@
             'command_refused',
             command=command.kind,
             group=group,
-            code=done.answer.code,
+            code=applied.answer.code,
         )
     elif isinstance(command, DelegatePromotion):
         leader.own_tokens.add(command.token)
@@ -166,52 +172,58 @@
 
 
 def _after_member_command(
-    state: ControlState, leader: LeaderState, command: Command, done: Applied
+    state: ControlState,
+    leader: LeaderState,
+    command: Command,
+    applied: Applied,
 ) -> None:
     if command.kind == 'remove_member':
         key = (command.name, command.member_id)
         leader.removing.pop(key, None)
         leader.removal_reasons.pop(key, None)
         leader.last_contact_ms.pop(key, None)
-        leader.announce_at_ms.pop(key, None)
-        forget_asked(state, key)
+        leader.next_announce_ms.pop(key, None)
+        discard_approval_requests(state, key)
         if not is_member(state, *key):
             state.upstreams.pop(key, None)
-        drop_left_proxies(state, leader)
+        drop_removed_proxies(state, leader)
     refresh_upstreams(state, leader)
     leader.dirty_groups.update(state.machine.groups)
-    for name in done.joined:
+    for name in applied.joined:
         link = state.links.get(state.proxies.get(name, 0))
         if link is not None and is_member(state, link.name, link.member_id):
-            serve_report(state, leader, link)
-    ask_approvals(state)
+            process_report(state, leader, link)
+    request_approvals(state)
 
 
 def run_services(
     state: ControlState, leader: LeaderState, is_tick: bool
 ) -> None:
-    """Do what an event, or passing time, has made due."""
+    """Run the leader services that are due after an event or a tick."""
     if is_tick:
-        _note_pause(state, leader)
+        _detect_process_pause(state, leader)
         close_silent_proxies(state, leader)
         lease_ledger.forget_expired(leader.leases, state.now_ms)
         expire_members(state)
-        wake_groups(state, leader)
+        mark_due_groups(state, leader)
     if leader.removing:
         finish_removals(state)
     start_confirmation(state, leader)
     advance_voters(state)
     if state.cfg.delegated:
-        sweep_registered(state, leader)
-        advance_delegated(state, leader)
+        sweep_registrations(state, leader)
+        advance_delegated_groups(state, leader)
         return
     advance_groups(state, leader)
-    move_permits(state, leader)
+    update_permits(state, leader)
+
 
+def _detect_process_pause(state: ControlState, leader: LeaderState) -> None:
+    """Restart the silence timeouts if this process has been suspended.
 
-def _note_pause(state: ControlState, leader: LeaderState) -> None:
-    """Count nobody as silent for the time in which this process slept."""
-    if state.now_ms > leader.last_tick_ms + LONG_PAUSE_MS:
+    Members that sent messages meanwhile must not count as silent.
+    """
+    if state.now_ms > leader.last_tick_ms + MAX_TICK_GAP_MS:
         leader.contact_floor_ms = state.now_ms
         for link in state.links.values():
             link.last_contact_ms = state.now_ms
@@ -221,13 +233,17 @@
 def next_service_due_ms(
     state: ControlState, leader: LeaderState
 ) -> float | None:
-    """Return when `run_services` is due without another event."""
-    dues = [
+    """Return the time at which `run_services` is due without an event."""
+    due_times_ms = [
         leader.expiry_check_ms,
         *leader.permit_due_ms.values(),
         control_admin.next_admin_due_ms(leader.admin, state.now_ms),
         *leader.group_due_ms.values(),
         *(removal_due_ms(state, leader, key) for key in leader.removing),
     ]
-    later = [due for due in dues if due is not None and due > state.now_ms]
+    later = [
+        due_ms
+        for due_ms in due_times_ms
+        if due_ms is not None and due_ms > state.now_ms
+    ]
     return min(later, default=None)
--- a/jackdawpost/core/control/members.py
+++ b/jackdawpost/core/control/members.py
@@ -1,4 +1,4 @@
-"""Membership as the leader drives it: newcomers, approvals, expiry."""
+"""Membership: how the leader admits, expires and removes members."""
 
 from __future__ import annotations
 
@@ -20,36 +20,38 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
 
-ANNOUNCE_PAUSE_MS = 1_000.0  # bounds the log if the command is refused
+# Limits the growth of the log while a command is refused again and again.
+ANNOUNCE_BACKOFF_MS = 1_000.0
 
 
-def note_member(state: ControlState, command: AnnounceMember) -> None:
-    """Take what a member or newcomer says of itself.
+def record_announcement(state: ControlState, command: AnnounceMember) -> None:
+    """Record contact with a member or newcomer and what it announces.
 
-    The command is proposed only if the replicated state differs from it.
+    The command is proposed only if the replicated state differs from the
+    announcement.
     """
     leader = state.leader
     if leader is None:
         return
     key = (command.name, command.member_id)
     leader.last_contact_ms[key] = state.now_ms
-    if key in leader.removing or _is_known(state, command):
+    if key in leader.removing or _is_recorded(state, command):
         return
-    if state.now_ms < leader.announce_at_ms.get(key, 0):
+    if state.now_ms < leader.next_announce_ms.get(key, 0):
         return
-    name = f'announce/{command.name}/{command.member_id}'
-    if propose(state, name, command) is not None:
-        leader.announce_at_ms[key] = state.now_ms + ANNOUNCE_PAUSE_MS
+    proposal = f'announce/{command.name}/{command.member_id}'
+    if propose(state, proposal, command) is not None:
+        leader.next_announce_ms[key] = state.now_ms + ANNOUNCE_BACKOFF_MS
 
 
-def _is_known(state: ControlState, command: AnnounceMember) -> bool:
+def _is_recorded(state: ControlState, command: AnnounceMember) -> bool:
     member = state.machine.members.get(command.name)
     if member is None or member.member_id != command.member_id:
         newcomer = state.machine.newcomers.get(command.name)
         if newcomer is None:
             return False
         member = newcomer.member
-    said = (
+    announced = (
         command.role,
         command.member_id,
         command.host,
@@ -59,7 +61,7 @@
         command.slots,
         command.connections,
     )
-    return said == (
+    return announced == (
         member.role,
         member.member_id,
         member.host,
@@ -71,8 +73,10 @@
     )
 
 
-def note_leaving(state: ControlState, key: MemberKey, leaving: bool) -> None:
-    """Record that a member drains or has come back."""
+def propose_leaving(
+    state: ControlState, key: MemberKey, leaving: bool
+) -> None:
+    """Propose to mark a member as leaving, or as no longer leaving."""
     member = state.machine.members.get(key[0])
     if member is None or member.member_id != key[1]:
         return
@@ -84,16 +88,20 @@
         )
 
 
-def take_approval(
+def handle_approval(
     state: ControlState, link: LinkState, approval: Approval
 ) -> None:
     """Propose a member's approval of a newcomer.
 
-    An approval counts only from the member that it names, on that member's
-    own connection.
+    An approval counts only if it arrives on the connection of the member
+    that it names.
     """
     if (approval.member, approval.member_id) != (link.name, link.member_id):
-        refuse(state, link, f'approval in the name of {approval.member!r}')
+        refuse(
+            state,
+            link,
+            f'approval by {approval.member!r} sent by another instance',
+        )
         return
     newcomer = state.machine.newcomers.get(approval.newcomer)
     if newcomer is None or newcomer.member.member_id != approval.newcomer_id:
@@ -113,10 +121,10 @@
     )
 
 
-def ask_approvals(state: ControlState) -> None:
-    """Ask connected members for the approvals that are missing.
+def request_approvals(state: ControlState) -> None:
+    """Request the missing approvals from connected members.
 
-    Each connection is asked once for each newcomer identity.
+    One request is sent on each connection for each newcomer identity.
     """
     if state.leader is None:
         return
@@ -131,14 +139,14 @@
         )
         key = (name, newcomer.member.member_id)
         for member in missing_approvals(state.machine, name):
-            link = _link_of(state, member)
+            link = _member_link(state, member)
             if link is not None and key not in link.approvals_requested:
                 link.approvals_requested.add(key)
                 send(state, link.conn, request)
 
 
-def _link_of(state: ControlState, name: str) -> LinkState | None:
-    """Return the connection of a member, if it has one."""
+def _member_link(state: ControlState, name: str) -> LinkState | None:
+    """Return the link of a member; None if it is not connected."""
     member = state.machine.members[name]
     if member.role == 'proxy':
         link = state.links.get(state.proxies.get(name, 0))
@@ -150,40 +158,45 @@
     return link
 
 
-def ask_again(state: ControlState, newcomer: str) -> None:
-    """Ask every member whose approval of a newcomer is missing again."""
+def repeat_approval_requests(state: ControlState, newcomer: str) -> None:
+    """Repeat the requests for missing approvals of a newcomer."""
     for link in state.links.values():
         link.approvals_requested = {
             key for key in link.approvals_requested if key[0] != newcomer
         }
-    ask_approvals(state)
+    request_approvals(state)
+
 
+def discard_approval_requests(state: ControlState, key: MemberKey) -> None:
+    """Discard the record of requests for the approval of an identity.
 
-def forget_asked(state: ControlState, key: MemberKey) -> None:
-    """Ask anew if this identity announces itself again."""
+    If it announces itself again, approvals are requested again.
+    """
     for link in state.links.values():
         link.approvals_requested.discard(key)
 
 
 def expire_members(state: ControlState) -> None:
-    """Remove members and newcomers that have been silent for too long."""
+    """Remove members and newcomers whose silence exceeds the expiry time."""
     leader = state.leader
     if leader is None or state.now_ms < leader.expiry_check_ms:
         return
-    dues = []
+    due_times_ms = []
     for key in _identities(state):
         last_contact_ms = max(
             leader.last_contact_ms.get(key, 0), leader.contact_floor_ms
         )
         due_ms = last_contact_ms + _expiry_ms(state, key)
         if state.now_ms < due_ms:
-            dues.append(due_ms)
+            due_times_ms.append(due_ms)
             continue
         if key not in leader.removing:
             log(state, 'warning', 'member_expired', member=key[0])
             begin_removal(state, key, 'expired', None)
-    soonest = min(dues, default=state.now_ms + state.cfg.member_expiry_ms)
-    leader.expiry_check_ms = max(soonest, state.now_ms + 1)
+    next_ms = min(
+        due_times_ms, default=state.now_ms + state.cfg.member_expiry_ms
+    )
+    leader.expiry_check_ms = max(next_ms, state.now_ms + 1)
 
 
 def _expiry_ms(state: ControlState, key: MemberKey) -> float:
@@ -197,8 +210,11 @@
 
 
 def _identities(state: ControlState) -> list[MemberKey]:
-    known = [(m.name, m.member_id) for m in state.machine.members.values()]
-    return known + [
+    members = [
+        (member.name, member.member_id)
+        for member in state.machine.members.values()
+    ]
+    return members + [
         (newcomer.member.name, newcomer.member.member_id)
         for newcomer in state.machine.newcomers.values()
     ]
@@ -210,10 +226,10 @@
     reason: str,
     waiting: WaitingOperator | None,
 ) -> None:
-    """Remove a member once it can hold no lease any more.
+    """Start the removal of a member, which waits for its lease to expire.
 
-    A later leader does not know removed members, so it could not wait for
-    their leases before a promotion.
+    A later leader does not know of removed members, so before a promotion it
+    could not wait for their leases.
     """
     leader = state.leader
     assert leader is not None
@@ -226,7 +242,7 @@
 
 
 def finish_removals(state: ControlState) -> None:
-    """Propose the removals whose leases have ended."""
+    """Propose the removal of members whose last lease has expired."""
     leader = state.leader
     if leader is None:
         return
@@ -244,14 +260,14 @@
             ),
         )
         if index is not None:
-            leader.answers.setdefault(index, []).extend(operators)
+            leader.pending_operators.setdefault(index, []).extend(operators)
             operators.clear()
 
 
 def removal_due_ms(
     state: ControlState, leader: LeaderState, key: MemberKey
 ) -> float:
-    """Return when a member that is to be removed holds no lease."""
+    """Return the time at which a member to be removed holds no lease."""
     member = state.machine.members.get(key[0])
     if member is None or member.member_id != key[1]:
         return state.now_ms
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -1,4 +1,4 @@
-"""Links from operators: changes, queries and requests."""
+"""Links from operators: change sets, queries and other requests."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from jackdawpost.core.control import promotion
 from jackdawpost.core.control.commands import ApplyChangeSet
 from jackdawpost.core.control.commands import Command
-from jackdawpost.core.control.members import ask_again
 from jackdawpost.core.control.members import begin_removal
+from jackdawpost.core.control.members import repeat_approval_requests
 from jackdawpost.core.control.operator_queries import answer_query
 from jackdawpost.core.control.operator_requests import answer_approve
 from jackdawpost.core.control.operator_requests import answer_change
@@ -44,10 +44,10 @@
 def receive_from_operator(
     state: ControlState, link: LinkState, message: Any
 ) -> None:
-    """Handle one message of an operator; only the leader answers."""
-    stated = getattr(message, 'operator', link.peer)
-    if link.peer and stated != link.peer:
-        reason = f'request of {stated!r} by operator {link.peer!r}'
+    """Handle one message from an operator; only the leader answers."""
+    declared = getattr(message, 'operator', link.peer)
+    if link.peer and declared != link.peer:
+        reason = f'operator {declared!r}: valid is {link.peer!r}'
         answer = answer_refusal(state.machine, message.id, reason)
         send(state, link.conn, answer)
         refuse(state, link, reason)
@@ -60,38 +60,38 @@
         send(state, link.conn, NotLeader(leader=other))
         return
     if isinstance(message, Apply):
-        _take_change(
+        _handle_change(
             state, leader, link, message, build_change(state.machine, message)
         )
     elif isinstance(message, Drain):
-        _take_change(
+        _handle_change(
             state, leader, link, message, build_drain(state.machine, message)
         )
     elif isinstance(message, Query):
-        _take_query(state, leader, link, message)
+        _handle_query(state, leader, link, message)
     elif isinstance(message, Approve):
-        ask_again(state, message.name)
+        repeat_approval_requests(state, message.name)
         send(state, link.conn, answer_approve(state.machine, message))
     elif isinstance(message, PromoteGroup):
-        _take_promote(state, leader, link, message)
+        _handle_promotion(state, leader, link, message)
     elif isinstance(message, Members):
-        _take_removal(state, link, message)
+        _handle_removal(state, link, message)
     else:
-        refuse(state, link, f'{message.kind} is no message of an operator')
+        refuse(state, link, f'{message.kind} is not a message of an operator')
 
 
-def _take_change(
+def _handle_change(
     state: ControlState,
     leader: LeaderState,
     link: LinkState,
     message: Apply | Drain,
-    built: ApplyChangeSet | OperatorAnswer,
+    command_or_answer: ApplyChangeSet | OperatorAnswer,
 ) -> None:
-    if isinstance(built, OperatorAnswer):
-        send(state, link.conn, built)
+    if isinstance(command_or_answer, OperatorAnswer):
+        send(state, link.conn, command_or_answer)
         return
     try:
-        index = propose(state, '', built)
+        index = propose(state, '', command_or_answer)
     except ValueError as exc:
         answer = answer_refusal(state.machine, message.id, str(exc))
         send(state, link.conn, answer)
@@ -100,17 +100,17 @@
         send(state, link.conn, NotLeader(leader=None))
         return
     waiting = WaitingOperator(conn=link.conn, request_id=message.id)
-    leader.answers.setdefault(index, []).append(waiting)
+    leader.pending_operators.setdefault(index, []).append(waiting)
 
 
-def _take_query(
+def _handle_query(
     state: ControlState, leader: LeaderState, link: LinkState, query: Query
 ) -> None:
-    """Answer once leadership is confirmed, so that nothing stale is shown."""
+    """Defer the answer until leadership is confirmed, to avoid stale reads."""
     token = leader.next_query_token
     leader.next_query_token -= 1
-    leader.queries[token] = (link.conn, query)
-    state.queue.extend(
+    leader.pending_queries[token] = (link.conn, query)
+    state.consensus_effects.extend(
         consensus.confirm_leadership(state.consensus, state.now_ms, token)
     )
 
@@ -118,11 +118,11 @@
 def answer_confirmed_query(
     state: ControlState, leader: LeaderState, token: int
 ) -> None:
-    """Answer the query that a confirmation of leadership was for."""
-    found = leader.queries.pop(token, None)
-    if found is None:
+    """Answer the query that waited for this leadership confirmation."""
+    pending = leader.pending_queries.pop(token, None)
+    if pending is None:
         return
-    conn, query = found
+    conn, query = pending
     answer = answer_query(state.machine, query, leader.versions_in_force)
     if query.what == 'status':
         answer.tables.append(_promotion_table(state, leader))
@@ -130,7 +130,7 @@
 
 
 def _promotion_table(state: ControlState, leader: LeaderState) -> Table:
-    """Say what each promotion under way waits for."""
+    """Return a table of what each running promotion waits for."""
     rows: list[list[Any]] = []
     for name in sorted(state.machine.groups):
         facts = group_facts(state, leader, name)
@@ -153,78 +153,85 @@
     )
 
 
-def _take_promote(
+def _handle_promotion(
     state: ControlState,
     leader: LeaderState,
     link: LinkState,
     message: PromoteGroup,
 ) -> None:
-    built = build_promotion(state.machine, message)
-    if isinstance(built, OperatorAnswer):
-        send(state, link.conn, built)
+    command = build_promotion(state.machine, message)
+    if isinstance(command, OperatorAnswer):
+        send(state, link.conn, command)
         return
     group = state.machine.groups[message.group]
     running = group.promotion
     if message.from_term != group.term:
-        text = f'{message.group!r} is in term {group.term}'
+        text = f'from_term of {message.group!r}: valid is {group.term}'
         send(state, link.conn, answer_refusal(state.machine, message.id, text))
         return
-    if running is not None and (running.accept_loss or not built.accept_loss):
-        text = f'promotion to term {running.to_term} is under way'
+    if running is not None and (
+        running.accept_loss or not command.accept_loss
+    ):
+        text = f'a promotion to term {running.to_term} is already running'
         send(state, link.conn, answer_refusal(state.machine, message.id, text))
         return
     promotion.request_promotion(
-        leader.driver, message.group, built.reason, built.accept_loss
+        leader.driver, message.group, command.reason, command.accept_loss
     )
     waiting = WaitingOperator(conn=link.conn, request_id=message.id)
     leader.pending_promotions.setdefault(message.group, []).append(waiting)
     leader.dirty_groups.add(message.group)
 
 
-def _take_removal(
+def _handle_removal(
     state: ControlState, link: LinkState, message: Members
 ) -> None:
-    built = build_removal(state.machine, message)
-    if isinstance(built, OperatorAnswer):
-        send(state, link.conn, built)
+    command = build_removal(state.machine, message)
+    if isinstance(command, OperatorAnswer):
+        send(state, link.conn, command)
         return
     waiting = WaitingOperator(conn=link.conn, request_id=message.id)
-    key = (built.name, built.member_id)
+    key = (command.name, command.member_id)
     begin_removal(state, key, 'operator', waiting)
 
 
-def answer_applied(
+def answer_waiting_operators(
     state: ControlState,
     leader: LeaderState,
     index: int,
     command: Command,
     applied: Applied,
 ) -> None:
-    """Answer the operators that waited for a log entry."""
-    waiting = leader.answers.pop(index, [])
+    """Answer the operators that waited for a log entry to be applied."""
+    waiting = leader.pending_operators.pop(index, [])
     if command.kind == 'start_promotion':
         waiting += leader.pending_promotions.pop(command.group, [])
-    for entry in waiting:
+    for operator in waiting:
         if isinstance(applied.answer, ChangeAnswer):
             answer = answer_change(
-                state.machine, entry.request_id, applied.answer
+                state.machine, operator.request_id, applied.answer
             )
         else:
             answer = answer_command(
-                state.machine, entry.request_id, applied.answer
+                state.machine, operator.request_id, applied.answer
             )
-        send(state, entry.conn, answer)
+        send(state, operator.conn, answer)
+
 
+def redirect_waiting_operators(
+    state: ControlState, leader: LeaderState
+) -> None:
+    """Tell waiting operators that this process does not lead any longer.
 
-def release_operators(state: ControlState, leader: LeaderState) -> None:
-    """Send waiting operators to the next leader, which knows the outcome."""
-    conns = {conn for conn, _ in leader.queries.values()}
+    They repeat the request at the next leader, which knows the outcome.
+    """
+    conns = {conn for conn, _ in leader.pending_queries.values()}
     for waiting in (
-        *leader.answers.values(),
+        *leader.pending_operators.values(),
         *leader.pending_promotions.values(),
     ):
-        conns.update(entry.conn for entry in waiting)
+        conns.update(operator.conn for operator in waiting)
     for operators in leader.removing.values():
-        conns.update(entry.conn for entry in operators)
+        conns.update(operator.conn for operator in operators)
     for conn in sorted(conns):
         send(state, conn, NotLeader(leader=None))
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -1,4 +1,4 @@
-"""State of a control process and the helpers that its handlers share."""
+"""State of a control process and helper functions shared by its handlers."""
 
 from __future__ import annotations
 
@@ -32,39 +32,42 @@
     from jackdawpost.settings.models import ControlSettings
 
 MemberKey = tuple[str, str]
-"""Name and identity of a member or newcomer."""
+"""Name and identity (`member_id`) of a member or newcomer."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ControlConfig:
-    """Settings of a control process that its decisions depend on.
+    """Settings of a control process that the reducer reads.
 
     Parameters
     ----------
     peers : list of str
-        Names of all control processes, this one included.
+        Names of all control processes, including this one.
     lease_ms : float
-        Validity of a lease.
+        Validity of a write lease.
     clock_margin : float
-        Largest difference in clock rate, as a fraction.
+        Largest difference in clock rate between two machines, as a
+        fraction.
     snapshot_entries : int
-        Applied entries after which the log is compacted.
+        Number of applied log entries after which the log is compacted.
     member_expiry_ms : float
         Time after which a silent member is removed.
     refused_ms, silent_ms : float
-        Time for which a primary must be reported refused or silent.
+        Time for which proxies must report a primary as refusing
+        connections, or as silent, before it counts as failed.
     max_statement_ms : float
         Longest run time of a statement.
     delegated : bool
-        Upstreams register by requests, and promotions are ordered from
-        outside.
+        Whether upstreams register through requests and promotions are
+        executed by an external service on order of the leader.
     holder : str
-        Name under which this process orders promotions.
+        Name that this process uses when it orders promotions.
     voter_target : int
-        Voters that the control group should have; 0 keeps those of the
-        settings. With it, processes are named by their IP addresses.
+        Number of voters that the control group should have; 0 keeps the
+        voters of the settings. If it is set, processes are named by their
+        IP addresses.
     seeds : tuple of str
-        Addresses at which control processes may be found.
+        Addresses at which other control processes may be found.
     upstream_expiry_ms : float
         Time after which a silent registered upstream is removed.
     """
@@ -91,7 +94,7 @@
 
 
 def config_from_settings(settings: ControlSettings) -> ControlConfig:
-    """Return the part of the settings that the reducer needs."""
+    """Return the settings that the reducer reads."""
     return ControlConfig(
         name=settings.name,
         peers=[peer.name for peer in settings.peers],
@@ -110,20 +113,38 @@
 
 @dataclass(slots=True, kw_only=True)
 class LinkState:
-    """An accepted connection, or one to a peer.
+    """Connection accepted by this process, or connection to a peer.
 
     Parameters
     ----------
+    link : str
+        Kind of the link: ``'peer'``, ``'proxy'``, ``'announce'`` or
+        ``'operator'``.
     peer : str
-        Name that the transport vouches for; empty if it does not.
+        Name authenticated by the transport; empty without authentication.
     last_contact_ms : float
         Time of the last message.
     is_refused : bool
-        The connection broke the protocol; nothing more is taken from it.
+        Whether the connection violated the protocol; its further messages
+        are ignored.
     name, member_id : str
-        Member or newcomer that the other end says it is, once it has.
+        Member or newcomer that the remote end declared itself to be; empty
+        before its first report or announcement.
+    report : ProxyReport, optional
+        Latest report of a proxy.
+    is_served : bool
+        Whether this leader handles the reports, permits and leases of the
+        proxy.
+    sent_version : int, optional
+        Published version last sent to the proxy; None before the first one.
+    sent_ms : float
+        Time at which it was sent.
     demands : dict of str to int
         Latest permit demand of a proxy for each upstream.
+    approvals_requested : set
+        Newcomers whose approval has been requested on this link.
+    revoked : set
+        Group and term of the lease revocations sent on this link.
     """
 
     conn: int
@@ -144,7 +165,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class AnnouncedUpstream:
-    """Latest announcement of one upstream identity."""
+    """Latest announcement of an upstream under one data identity.
+
+    Parameters
+    ----------
+    conn : int
+        Connection on which the announcement arrived.
+    connected : bool
+        Whether the connection is open and announcements still arrive on it.
+    """
 
     announce: Announce
     conn: int
@@ -154,7 +183,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class WaitingOperator:
-    """Operator request whose answer depends on a log entry."""
+    """Operator request that is answered once a log entry is applied."""
 
     conn: int
     request_id: int
@@ -162,7 +191,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class RegisteredUpstream:
-    """Latest report of an upstream that registers itself."""
+    """Latest report of an upstream that registers through requests."""
 
     report: Registration
     last_contact_ms: float
@@ -170,7 +199,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamObservation:
-    """What one proxy last saw of an upstream."""
+    """Latest state of an upstream as reported by one proxy."""
 
     report: UpstreamReport
     last_contact_ms: float
@@ -178,7 +207,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class PromotionOrder:
-    """Order of a promotion; `outcome` is empty until it is answered."""
+    """Promotion ordered from the external service.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the order.
+    outcome : str
+        Outcome of the order; empty until it is answered.
+    detail : str
+        Explanation of the outcome.
+    """
 
     token: int
     sent_ms: float
@@ -188,17 +227,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplicaPause:
-    """Replicas stopped before a promotion.
+    """Pause of a group's replicas before a promotion.
 
     Parameters
     ----------
     token : int
-        Token of the promotion.
+        Fencing token of the promotion.
     term : int
-        Term that they are stopped with.
+        Term sent with the pause requests.
     positions : dict of str to LogPosition
-        Last position received by each that has answered, the chosen one
-        among them.
+        Last position received by each replica that has answered, including
+        the candidate.
+    attempts : int
+        Number of requests sent; each goes through the next proxy.
+    next_request_ms : float
+        Earliest time of the next round of requests.
     """
 
     token: int
@@ -210,70 +253,82 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeaderState:
-    """Services that only the leader runs, built anew at each election.
+    """State of the services that only the leader runs.
+
+    It is created at each election and dropped at the end of the term.
 
     Parameters
     ----------
     proposed : dict of str to int
-        What has been proposed and not applied, with the log index.
+        Proposals in the log that have not been applied: key to log index.
     last_contact_ms : dict
-        When each member or newcomer was last heard.
-    answers : dict of int to list of WaitingOperator
-        Operators to answer once the entry is applied.
-    queries : dict
-        Connection and query by token of the confirmation they wait for.
+        Time of the last contact with each member or newcomer.
+    pending_operators : dict of int to list of WaitingOperator
+        Operators to answer once the entry with this index is applied.
+    pending_queries : dict
+        Connection and query by token of the leadership confirmation that
+        the query waits for.
+    next_query_token : int
+        Next token for the confirmation of a query or read. These tokens are
+        negative, those of the lease ledger positive.
+    pending_promotions : dict of str to list of WaitingOperator
+        Operators to answer once the promotion of the group has started.
     removing : dict
-        Members that get no more leases, with the operators to answer, until
-        their lease has ended and the removal is proposed.
+        Members that get no more leases, with the operators to answer. The
+        removal is proposed once the last lease has expired.
     removal_reasons : dict
-        Why each of them is removed.
+        Reason for each of these removals.
     versions_in_force : dict of str to int
         Published version in force on each proxy.
-    announce_at_ms : dict
-        Earliest time of another announcement of an identity.
+    next_announce_ms : dict
+        Earliest time at which the announcement of an identity is proposed
+        again.
     expiry_check_ms : float
-        Next time to look for silent members.
+        Time of the next check for silent members.
     contact_floor_ms : float
-        Members count as heard at this time: the election, or the end of a
-        pause of this process in which it could hear nobody.
+        Lower bound of every last contact: the time of the election, or of
+        the end of a pause during which this process received nothing.
     last_tick_ms : float
         Time of the last tick.
     permit_due_ms : dict of str to float
-        Next time to look at the permits of an upstream.
+        Time at which the permits of an upstream are reconsidered.
     group_due_ms : dict of str to float
-        Next time to look at each group.
+        Time at which each group is reconsidered.
     group_upstreams : dict of str to list of str
         Joined upstreams of each group.
     dirty_groups : set of str
-        Groups whose promotion has to be looked at.
+        Groups whose promotion must be reconsidered.
     dirty_permits : set of str
-        Upstreams whose permits have to be looked at.
+        Upstreams whose permits must be reconsidered.
     suspect_groups : set of str
-        Groups with evidence against their primary.
+        Groups whose primary some proxy reports as unreachable.
     pending_requests : dict of int to list of int
         Requests to answer once the entry with this index is applied.
     pending_reads : dict of int to int
-        Request by token of the confirmation that it waits for.
+        Request by token of the leadership confirmation that it waits for.
     registered : dict of str to RegisteredUpstream
         Latest reports of registered upstreams.
+    next_sweep_ms : float
+        Time of the next sweep over the registered upstreams.
     upstream_observations : dict
-        What proxies saw, by upstream and proxy.
+        Latest observations by upstream and proxy.
     orders : dict of str to PromotionOrder
-        Latest order of a promotion for each group.
+        Latest promotion order of each group.
     own_tokens : set of int
-        Fencing tokens recorded in this leadership; only they are used.
+        Fencing tokens recorded during this leadership; no others are used.
     excluded_until_ms : dict of str to float
-        Until when an upstream is not chosen for a promotion.
+        Time until which an upstream is not a candidate for promotion.
     without_primary_since_ms : dict of str to float
-        Since when a group has no primary.
+        Time since which a group has had no primary.
     replica_pauses : dict of str to ReplicaPause
-        Replicas stopped for the promotion of each group.
+        Pause of the replicas for the promotion of each group.
     refused_since_ms : dict of str to float
-        Since when most proxies find nobody at an upstream's address.
+        Time since which most proxies report that connections to an upstream
+        are refused.
     electorate_ms : dict of str to float
-        When each proxy was last a member.
+        Time at which each proxy was last a member.
     not_adopted_until_ms : dict of str to float
-        Until when a replaced primary is not adopted again.
+        Time until which a replaced primary is not adopted again.
     """
 
     term: int
@@ -285,8 +340,10 @@
     admin: AdminLinks
     proposed: dict[str, int] = field(default_factory=dict)
     last_contact_ms: dict[MemberKey, float] = field(default_factory=dict)
-    answers: dict[int, list[WaitingOperator]] = field(default_factory=dict)
-    queries: dict[int, tuple[int, Any]] = field(default_factory=dict)
+    pending_operators: dict[int, list[WaitingOperator]] = field(
+        default_factory=dict
+    )
+    pending_queries: dict[int, tuple[int, Any]] = field(default_factory=dict)
     next_query_token: int = -1
     pending_promotions: dict[str, list[WaitingOperator]] = field(
         default_factory=dict
@@ -296,7 +353,7 @@
     )
     removal_reasons: dict[MemberKey, str] = field(default_factory=dict)
     versions_in_force: dict[str, int] = field(default_factory=dict)
-    announce_at_ms: dict[MemberKey, float] = field(default_factory=dict)
+    next_announce_ms: dict[MemberKey, float] = field(default_factory=dict)
     expiry_check_ms: float = 0.0
     contact_floor_ms: float = 0.0
     last_tick_ms: float = 0.0
@@ -306,7 +363,7 @@
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
     suspect_groups: set[str] = field(default_factory=set)
-    # Requests without a link, and promotions ordered from outside.
+    # Requests that arrive without a link, and delegated promotions.
     pending_requests: dict[int, list[int]] = field(default_factory=dict)
     pending_reads: dict[int, int] = field(default_factory=dict)
     registered: dict[str, RegisteredUpstream] = field(default_factory=dict)
@@ -326,15 +383,53 @@
 
 @dataclass(slots=True, kw_only=True)
 class ControlState:
-    """Whole state of a control process.
+    """State of a control process.
 
     Parameters
     ----------
-    queue : deque
-        Consensus effects that have not been carried out; they keep their
-        order, which the order of writes depends on.
+    machine : ControlMachine
+        Replicated state, as applied by this process.
+    links : dict of int to LinkState
+        Open links by connection.
+    peers, proxies : dict of str to int
+        Connection of each peer and of each proxy.
+    upstreams : dict of tuple to AnnouncedUpstream
+        Latest announcements by name and data identity.
+    leader : LeaderState, optional
+        State of the leader services; None on a process that does not lead.
+    notified_leader : str, optional
+        Leader last named to connected proxies and upstreams.
+    next_conn : int
+        Number of the next admin connection; these are negative.
+    timer_ms : float, optional
+        Time at which the timer fires; None if it is not set.
+    transfer_deadline_ms : float
+        Time until which a draining leader waits for the transfer of its
+        leadership.
+    replacement_deadline_ms : float
+        Time until which a draining process waits to be replaced as a voter.
+    applied_since_snapshot : int
+        Entries applied since the last compaction of the log.
+    leaving_peers : set of str
+        Control processes that have announced their stop.
+    voters_due_ms : float
+        Earliest time of the next change of the voter set.
+    notify_group_due_ms : float
+        Time at which the leader sends the control group to its peers again.
+    last_leader_ms : float
+        Time at which a leader was last known.
+    notified_group : tuple, optional
+        Leader and voters last sent to the peers.
+    group_leader, group_voters : str, list of str
+        Leader and voters as received from another control process; used by
+        a process that is not a voter.
+    connected_peers : list of str, optional
+        Peers to which this process opens links; None before the first time.
+    consensus_effects : deque
+        Consensus effects that have not been carried out. Writes must happen
+        in this order.
     outbox : list of Effect
-        Effects of the event in progress.
+        Effects of the event being handled.
     """
 
     cfg: ControlConfig
@@ -350,26 +445,26 @@
     next_conn: int = -1
     timer_ms: float | None = None
     draining: bool = False
-    drain_due_ms: float = 0.0
-    leave_due_ms: float = 0.0
+    transfer_deadline_ms: float = 0.0
+    replacement_deadline_ms: float = 0.0
     stopped: bool = False
     storage_failed: bool = False
     applied_since_snapshot: int = 0
-    # Processes of the control group, where these may change.
+    # Used only if the voters of the control group may change.
     leaving_peers: set[str] = field(default_factory=set)
     voters_due_ms: float = 0.0
     notify_group_due_ms: float = 0.0
-    leader_seen_ms: float = 0.0
+    last_leader_ms: float = 0.0
     notified_group: tuple[str, tuple[str, ...]] | None = None
     group_leader: str = ''
     group_voters: list[str] = field(default_factory=list)
     connected_peers: list[str] | None = None
-    queue: deque[Any] = field(default_factory=deque)
+    consensus_effects: deque[Any] = field(default_factory=deque)
     outbox: list[Effect] = field(default_factory=list)
 
 
 def refuse(state: ControlState, link: LinkState, reason: str) -> None:
-    """Log a message that breaks the protocol and close its connection."""
+    """Log a protocol violation and close the connection."""
     link.is_refused = True
     log(
         state,
@@ -385,12 +480,13 @@
 
 
 def propose(state: ControlState, key: str, command: Command) -> int | None:
-    """Propose a command unless one with the same key is in the log.
+    """Propose a command unless a proposal with the same key is pending.
 
     Parameters
     ----------
     key : str
-        Names what the command is about; empty allows any number.
+        Subject of the command; with an empty key any number of proposals
+        may be pending.
 
     Returns
     -------
@@ -403,20 +499,20 @@
     index, effects = consensus.propose(
         state.consensus, state.now_ms, encode_command(command)
     )
-    state.queue.extend(effects)
+    state.consensus_effects.extend(effects)
     if index is not None and key:
         leader.proposed[key] = index
     return index
 
 
 def is_member(state: ControlState, name: str, member_id: str) -> bool:
-    """Tell whether this identity has joined and not left."""
+    """Return whether this identity has joined and has not been removed."""
     member = state.machine.members.get(name)
     return member is not None and member.member_id == member_id
 
 
 def member_state(state: ControlState, name: str, member_id: str) -> str:
-    """Return the membership state of an identity as it is told."""
+    """Return the membership state reported to an identity."""
     member = state.machine.members.get(name)
     if member is None or member.member_id != member_id:
         return 'announced'
@@ -424,7 +520,7 @@
 
 
 def is_leaving(state: ControlState, name: str) -> bool:
-    """Tell whether an upstream leaves or is drained by operators."""
+    """Return whether an upstream is leaving or drained by operators."""
     member = state.machine.members.get(name)
     settings = state.machine.objects.upstreams.get(name)
     drained = settings is not None and settings.drained
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -1,4 +1,4 @@
-"""Links from proxies: reports, published state, leases and permits."""
+"""Links from proxies: reports, published state, leases, permits."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 from jackdawpost.core.control.commands import AnnounceMember
 from jackdawpost.core.control.delegation import record_observations
 from jackdawpost.core.control.machine import update_since
-from jackdawpost.core.control.members import ask_approvals
-from jackdawpost.core.control.members import note_leaving
-from jackdawpost.core.control.members import note_member
-from jackdawpost.core.control.members import take_approval
+from jackdawpost.core.control.members import handle_approval
+from jackdawpost.core.control.members import propose_leaving
+from jackdawpost.core.control.members import record_announcement
+from jackdawpost.core.control.members import request_approvals
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import is_member
@@ -39,36 +39,42 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
 
-UPDATE_RESEND_MS = 2_000.0  # longer than a report that crosses an update
+# A report may still show the old version because it crossed the update on the
+# way; after this time the update counts as lost and is sent again.
+UPDATE_RESEND_MS = 2_000.0
 
 
 def receive_from_proxy(
     state: ControlState, link: LinkState, message: Any
 ) -> None:
-    """Handle one message of a proxy."""
+    """Handle one message from a proxy."""
     if isinstance(message, ProxyReport):
-        _take_report(state, link, message)
+        _handle_report(state, link, message)
         return
     if link.report is None:
-        refuse(state, link, f'{message.kind} before the first report')
+        refuse(
+            state,
+            link,
+            f'{message.kind} received before the first proxy_report',
+        )
         return
     if state.leader is None:
         return
     if isinstance(message, PermitDemand):
-        # Kept, as a proxy that joins later states its demand only once.
+        # Kept for a proxy that joins later, since it sends its demand once.
         link.demands[message.upstream] = message.wanted
     if not is_member(state, link.name, link.member_id):
         log(state, 'info', 'not_joined', proxy=link.name, kind=message.kind)
         return
-    _take_member_message(state, state.leader, link, message)
+    _handle_member_message(state, state.leader, link, message)
 
 
-def _take_member_message(
+def _handle_member_message(
     state: ControlState, leader: LeaderState, link: LinkState, message: Any
 ) -> None:
     assert link.report is not None
     if isinstance(message, Approval):
-        take_approval(state, link, message)
+        handle_approval(state, link, message)
     elif not link.is_served:
         return
     elif isinstance(message, UpstreamActionAnswer):
@@ -101,55 +107,63 @@
         )
         leader.dirty_permits.add(message.upstream)
     else:
-        refuse(state, link, f'{message.kind} is no message of a proxy')
+        refuse(state, link, f'{message.kind} is not a message of a proxy')
 
 
-def _take_report(
+def _handle_report(
     state: ControlState, link: LinkState, report: ProxyReport
 ) -> None:
-    if not _identify(state, link, report):
+    if not _bind_connection(state, link, report):
         return
     link.report = report
     if state.leader is None:
-        known = state.consensus.leader or state.group_leader or None
-        send(state, link.conn, NotLeader(leader=known))
+        current = state.consensus.leader or state.group_leader or None
+        send(state, link.conn, NotLeader(leader=current))
         return
-    note_member(state, _announcement(report))
+    record_announcement(state, _announce_command(report))
     if not is_member(state, link.name, link.member_id):
         _send_member_state(state, link)
         return
-    note_leaving(state, (link.name, link.member_id), report.draining)
-    serve_report(state, state.leader, link)
+    propose_leaving(state, (link.name, link.member_id), report.draining)
+    process_report(state, state.leader, link)
 
 
-def _identify(
+def _bind_connection(
     state: ControlState, link: LinkState, report: ProxyReport
 ) -> bool:
-    """Bind a connection to the proxy that reports on it."""
+    """Bind a connection to the reporting proxy; False if it is refused."""
     if link.peer and report.proxy != link.peer:
-        refuse(state, link, f'report of {report.proxy!r} by another peer')
+        refuse(
+            state,
+            link,
+            f'proxy_report of {report.proxy!r} sent by another peer',
+        )
         return False
-    before = link.report
+    previous = link.report
     identity = (report.proxy, report.proxy_id, report.incarnation)
-    if before is not None:
-        if identity != (before.proxy, before.proxy_id, before.incarnation):
-            refuse(state, link, 'identity changed on an open connection')
+    if previous is not None:
+        if identity != (
+            previous.proxy,
+            previous.proxy_id,
+            previous.incarnation,
+        ):
+            refuse(state, link, 'proxy identity changed on an open connection')
             return False
         return True
     link.name = report.proxy
     link.member_id = report.proxy_id
     older = state.links.get(state.proxies.get(report.proxy, 0))
     if older is not None:
-        is_other = older.member_id != link.member_id
-        if is_other and is_member(state, older.name, older.member_id):
-            return True  # a newcomer must not displace a member's link
+        has_other_id = older.member_id != link.member_id
+        if has_other_id and is_member(state, older.name, older.member_id):
+            return True  # a newcomer must not replace the link of a member
         older.is_served = False
         state.outbox.append(Close(conn=older.conn, reason='superseded'))
     state.proxies[report.proxy] = link.conn
     return True
 
 
-def _announcement(report: ProxyReport) -> AnnounceMember:
+def _announce_command(report: ProxyReport) -> AnnounceMember:
     return AnnounceMember(
         role='proxy',
         name=report.proxy,
@@ -161,7 +175,7 @@
 
 
 def _send_member_state(state: ControlState, link: LinkState) -> None:
-    """Tell an instance that has not joined so, and nothing else."""
+    """Send a proxy that has not joined its membership state, and no lease."""
     assert link.report is not None
     grant = LeaseGrant(
         seq=link.report.seq,
@@ -173,21 +187,21 @@
     send(state, link.conn, grant)
 
 
-def serve_report(
+def process_report(
     state: ControlState, leader: LeaderState, link: LinkState
 ) -> None:
-    """Take the latest report of a joined proxy."""
+    """Process the latest report of a joined proxy."""
     report = link.report
     if report is None or state.proxies.get(link.name) != link.conn:
         return
     leader.versions_in_force[link.name] = report.version
     if not link.is_served:
-        _begin_service(state, leader, link, report)
+        _start_serving(state, leader, link, report)
     push_update(state, link)
     failure_detector.record_evidence(
         leader.detector, state.now_ms, link.name, report.evidence
     )
-    _note_suspects(state, leader, report)
+    _mark_suspect_groups(state, leader, report)
     if state.cfg.delegated:
         record_observations(state, leader, report)
     lease_ledger.note_report(
@@ -200,16 +214,16 @@
     )
 
 
-def _begin_service(
+def _start_serving(
     state: ControlState,
     leader: LeaderState,
     link: LinkState,
     report: ProxyReport,
 ) -> None:
     link.is_served = True
-    known = leader.permits.incarnations.get(link.name)
-    if known is not None and known != report.incarnation:
-        lose_permits(state, leader, link.name)
+    previous = leader.permits.incarnations.get(link.name)
+    if previous is not None and previous != report.incarnation:
+        withhold_permits(state, leader, link.name)
     was_granting = permit_ledger.is_granting(leader.permits, state.now_ms)
     leader.dirty_permits |= permit_ledger.record_holdings(
         leader.permits, link.name, report.incarnation, report.holdings
@@ -224,21 +238,27 @@
     for name, group in state.machine.groups.items():
         if group.promotion is not None:
             leader.dirty_groups.add(name)
-    ask_approvals(state)
+    request_approvals(state)
+
 
+def withhold_permits(
+    state: ControlState, leader: LeaderState, proxy: str
+) -> None:
+    """Withhold the permits of a lost proxy until it can no longer use them.
 
-def lose_permits(state: ControlState, leader: LeaderState, proxy: str) -> None:
-    """Keep back the permits of a process until it cannot use them."""
+    That is when its last lease has expired and the longest statement started
+    under it has ended.
+    """
     end_ms = lease_ledger.lease_end_ms(leader.leases, state.now_ms, proxy)
     permit_ledger.record_lost(
         leader.permits, proxy, end_ms + state.cfg.max_statement_ms
     )
 
 
-def _note_suspects(
+def _mark_suspect_groups(
     state: ControlState, leader: LeaderState, report: ProxyReport
 ) -> None:
-    """Look again at groups whose primary somebody cannot reach."""
+    """Mark the groups whose primary a proxy reports as unreachable."""
     for upstream, evidence in report.evidence.items():
         member = state.machine.members.get(upstream)
         if evidence != 'up' and member is not None and member.group:
@@ -247,13 +267,13 @@
 
 
 def push_update(state: ControlState, link: LinkState) -> None:
-    """Send a joined proxy the published changes that it lacks."""
+    """Send a joined proxy the published changes that it does not have."""
     report = link.report
     if not link.is_served or report is None:
         return
     base = link.sent_version
-    is_late = state.now_ms > link.sent_ms + UPDATE_RESEND_MS
-    if base is None or (report.version < base and is_late):
+    is_overdue = state.now_ms > link.sent_ms + UPDATE_RESEND_MS
+    if base is None or (report.version < base and is_overdue):
         base = report.version
     if base >= state.machine.version:
         link.sent_version = base
@@ -264,22 +284,22 @@
 
 
 def push_updates(state: ControlState) -> None:
-    """Send the published changes to every joined proxy."""
+    """Send every joined proxy the published changes that it does not have."""
     for conn in state.proxies.values():
         push_update(state, state.links[conn])
 
 
 def start_confirmation(state: ControlState, leader: LeaderState) -> None:
-    """Have leadership confirmed for the reports that wait for leases."""
+    """Request a leadership confirmation if reports wait for leases."""
     token = lease_ledger.start_confirmation(leader.leases)
     if token is not None:
-        state.queue.extend(
+        state.consensus_effects.extend(
             consensus.confirm_leadership(state.consensus, state.now_ms, token)
         )
 
 
 def grant_leases(state: ControlState, leader: LeaderState, token: int) -> None:
-    """Answer the reports that a confirmation of leadership was for."""
+    """Answer the reports that waited for this leadership confirmation."""
     terms = {
         name: group.term
         for name, group in state.machine.groups.items()
@@ -300,7 +320,8 @@
             leases=leases,
             duration_ms=int(state.cfg.lease_ms),
             version=state.machine.version,
-            # A leaving proxy still serves what it has in flight.
+            # 'joined' for a leaving proxy too: it still finishes the requests
+            # that it has in flight.
             member_state='joined',
             peers=peers,
         )
@@ -311,7 +332,7 @@
 def revoke_leases(
     state: ControlState, leader: LeaderState, group: str, term: int
 ) -> None:
-    """Withdraw the leases of a group, once on each connection."""
+    """Revoke the leases of a group, once on each connection."""
     lease_ledger.revoke(leader.leases, group, term)
     for conn in state.proxies.values():
         link = state.links[conn]
@@ -320,10 +341,10 @@
             send(state, conn, LeaseRevoke(group=group, term=term))
 
 
-def move_permits(state: ControlState, leader: LeaderState) -> None:
-    """Lend and recall permits where something has changed or is due."""
+def update_permits(state: ControlState, leader: LeaderState) -> None:
+    """Grant and recall permits of the upstreams that changed or are due."""
     due_ms = leader.permit_due_ms
-    names = {name for name, due in due_ms.items() if due <= state.now_ms}
+    names = {name for name, at_ms in due_ms.items() if at_ms <= state.now_ms}
     names |= leader.dirty_permits & leader.permits.upstreams.keys()
     leader.dirty_permits = set()
     decisions = permit_ledger.decide_permits(
@@ -338,17 +359,20 @@
             state, conn, kind(upstream=decision.upstream, count=decision.count)
         )
     for name in names:
-        later = permit_ledger.next_permit_due_ms(
+        next_ms = permit_ledger.next_permit_due_ms(
             leader.permits, state.now_ms, name
         )
-        if later is None:
+        if next_ms is None:
             due_ms.pop(name, None)
         else:
-            due_ms[name] = later
+            due_ms[name] = next_ms
 
 
 def refresh_upstreams(state: ControlState, leader: LeaderState) -> None:
-    """Take the joined upstreams and their slots; leaving ones lend nothing."""
+    """Update the joined upstreams and their slots.
+
+    A leaving upstream counts with 0 slots, so no permits are granted for it.
+    """
     leader.group_upstreams = {}
     for name, member in state.machine.members.items():
         if member.role == 'upstream':
@@ -362,27 +386,27 @@
     leader.dirty_permits.update(slots)
 
 
-def stop_service(state: ControlState, link: LinkState) -> None:
-    """Treat the proxy of a link as lost or no longer joined."""
+def stop_serving(state: ControlState, link: LinkState) -> None:
+    """Stop serving a proxy that is lost or no longer a member."""
     if state.proxies.get(link.name) == link.conn and state.leader is not None:
         if link.is_served:
-            lose_permits(state, state.leader, link.name)
+            withhold_permits(state, state.leader, link.name)
     link.is_served = False
     link.sent_version = None
 
 
-def proxy_closed(state: ControlState, link: LinkState) -> None:
-    """Forget a connection of a proxy."""
-    stop_service(state, link)
+def on_proxy_closed(state: ControlState, link: LinkState) -> None:
+    """Handle the end of a connection of a proxy."""
+    stop_serving(state, link)
     if state.proxies.get(link.name) == link.conn:
         del state.proxies[link.name]
 
 
 def close_silent_proxies(state: ControlState, leader: LeaderState) -> None:
-    """Give up connections on which a proxy has stopped to report.
+    """Close connections on which a proxy has stopped reporting.
 
-    A connection can go silent for good without being closed; the proxy's
-    lease has run out by then.
+    A connection can stay silent without being closed. The proxy's lease has
+    expired by the time the connection is closed here.
     """
     limit_ms = lease_ledger.hold_ms(leader.leases)
     for link in list(state.links.values()):
@@ -392,15 +416,15 @@
         ):
             continue
         log(state, 'warning', 'proxy_silent', proxy=link.name)
-        proxy_closed(state, link)
+        on_proxy_closed(state, link)
         del state.links[link.conn]
         state.outbox.append(Close(conn=link.conn, reason='silent', abort=True))
 
 
-def drop_left_proxies(state: ControlState, leader: LeaderState) -> None:
-    """Stop serving proxies that are no members any more."""
+def drop_removed_proxies(state: ControlState, leader: LeaderState) -> None:
+    """Stop serving proxies that are no longer members."""
     for link in state.links.values():
         if link.is_served and not is_member(state, link.name, link.member_id):
-            stop_service(state, link)
+            stop_serving(state, link)
             failure_detector.remove_proxy(leader.detector, link.name)
             leader.versions_in_force.pop(link.name, None)
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -1,7 +1,8 @@
-"""Reducer of a control process: every event in, effects out.
+"""Reducer of a control process: takes events and returns effects.
 
-The reducer owns the order: consensus effects are carried out as they come,
-then the services of the leader run, then the timer is set.
+Each event is handled in a fixed order: the state changes, then the consensus
+effects that follow are carried out, then the services of the leader run, and
+last the timer is set.
 """
 
 from __future__ import annotations
@@ -34,19 +35,19 @@
 from jackdawpost.core.control.process import member_state
 from jackdawpost.core.control.process import refuse
 from jackdawpost.core.control.proxies import grant_leases
-from jackdawpost.core.control.proxies import proxy_closed
+from jackdawpost.core.control.proxies import on_proxy_closed
 from jackdawpost.core.control.proxies import receive_from_proxy
 from jackdawpost.core.control.registry import answer_confirmed_read
 from jackdawpost.core.control.registry import receive_request
-from jackdawpost.core.control.upstreams import admin_closed
-from jackdawpost.core.control.upstreams import admin_opened
 from jackdawpost.core.control.upstreams import mark_silent_upstreams
+from jackdawpost.core.control.upstreams import on_admin_closed
+from jackdawpost.core.control.upstreams import on_admin_opened
+from jackdawpost.core.control.upstreams import on_upstream_closed
 from jackdawpost.core.control.upstreams import receive_admin
 from jackdawpost.core.control.upstreams import receive_from_upstream
-from jackdawpost.core.control.upstreams import upstream_closed
-from jackdawpost.core.control.voters import follow_group
-from jackdawpost.core.control.voters import take_group
-from jackdawpost.core.control.voters import tell_group
+from jackdawpost.core.control.voters import handle_control_group
+from jackdawpost.core.control.voters import send_control_group
+from jackdawpost.core.control.voters import update_peer_links
 from jackdawpost.core.effects import CancelTimer
 from jackdawpost.core.effects import Close
 from jackdawpost.core.effects import Effect
@@ -85,8 +86,11 @@
 ]
 
 TICK_KEY = 'control'
-HAND_OVER_MS = 1_500.0  # for the transfer of leadership before a stop
-LEAVE_MS = 1_000.0  # for a change of the voters before a stop
+# Time that a draining leader waits for the transfer of its leadership.
+TRANSFER_TIMEOUT_MS = 1_500.0
+# Time that a draining process keeps running for the leader to replace it as a
+# voter.
+REPLACEMENT_GRACE_MS = 1_000.0
 
 
 def new_control(
@@ -95,18 +99,18 @@
     restored: consensus.RestoredState,
     now_ms: float,
 ) -> tuple[ControlState, list[Effect]]:
-    """Return the state of a starting process and its first effects.
+    """Return the initial state of a process and its first effects.
 
     Parameters
     ----------
     cfg : ControlConfig
         Settings.
     rng : random.Random
-        Source of election timeouts.
+        Random generator for election timeouts.
     restored : RestoredState
-        What storage holds: hard state, snapshot and log.
+        Hard state, snapshot and log as read from storage.
     now_ms : float
-        Present time in milliseconds.
+        Current time in milliseconds.
     """
     core = consensus.new_consensus(
         consensus.ConsensusConfig(
@@ -125,12 +129,12 @@
     state = ControlState(
         cfg=cfg, consensus=core, machine=new_machine(), now_ms=now_ms
     )
-    state.queue.extend(consensus.tick(core, now_ms))
-    return state, _finish(state, is_tick=True)
+    state.consensus_effects.extend(consensus.tick(core, now_ms))
+    return state, _complete_event(state, is_tick=True)
 
 
 def reduce_control(state: ControlState, event: Event) -> list[Effect]:
-    """Handle one event: change the state in place and return effects."""
+    """Handle one event; updates the state in place and returns effects."""
     state.now_ms = max(state.now_ms, event.now_ms)
     if state.stopped:
         return []
@@ -138,7 +142,9 @@
     if is_tick:
         state.timer_ms = None
         mark_silent_upstreams(state)
-        state.queue.extend(consensus.tick(state.consensus, state.now_ms))
+        state.consensus_effects.extend(
+            consensus.tick(state.consensus, state.now_ms)
+        )
     elif isinstance(event, ConnOpened):
         _on_opened(state, event)
     elif isinstance(event, ConnClosed):
@@ -158,13 +164,13 @@
             on_promotion_ended(state, state.leader, event)
     else:
         _on_storage(state, event)
-    return _finish(state, is_tick)
+    return _complete_event(state, is_tick)
 
 
 def _on_opened(state: ControlState, event: ConnOpened) -> None:
     leader = state.leader
     if event.link == 'upstream':
-        if leader is None or not admin_opened(state, leader, event.conn):
+        if leader is None or not on_admin_opened(state, leader, event.conn):
             state.outbox.append(Close(conn=event.conn, reason='not needed'))
         return
     link = LinkState(
@@ -176,10 +182,10 @@
     state.links[event.conn] = link
     if event.link != 'peer':
         return
-    known = {*state.cfg.peers, *state.consensus.voters}
-    is_open = state.cfg.voter_target > 0
-    if not is_open and event.peer not in known - {state.cfg.name}:
-        refuse(state, link, f'{event.peer!r} is no control process')
+    group = {*state.cfg.peers, *state.consensus.voters}
+    accepts_new_peers = state.cfg.voter_target > 0
+    if not accepts_new_peers and event.peer not in group - {state.cfg.name}:
+        refuse(state, link, f'peer {event.peer!r}: not in the control group')
         del state.links[event.conn]
         return
     state.peers[event.peer] = event.conn
@@ -190,15 +196,15 @@
 def _on_closed(state: ControlState, event: ConnClosed) -> None:
     leader = state.leader
     if leader is not None and event.conn in leader.admin.conns:
-        admin_closed(state, leader, event.conn, event.reason)
+        on_admin_closed(state, leader, event.conn, event.reason)
         return
     link = state.links.get(event.conn)
     if link is None:
         return
     if link.link == 'proxy':
-        proxy_closed(state, link)
+        on_proxy_closed(state, link)
     elif link.link == 'announce':
-        upstream_closed(state, link)
+        on_upstream_closed(state, link)
     del state.links[event.conn]
     if state.peers.get(link.peer) == event.conn:
         del state.peers[link.peer]
@@ -217,25 +223,27 @@
         if link is None or link.is_refused:
             return
         link.last_contact_ms = state.now_ms
-        _receive(state, link, message)
-        _run_queue(state)
+        _handle_message(state, link, message)
+        _run_consensus_effects(state)
 
 
-def _receive(state: ControlState, link: LinkState, message: Any) -> None:
+def _handle_message(
+    state: ControlState, link: LinkState, message: Any
+) -> None:
     if link.link == 'peer':
         if isinstance(message, ControlGroup):
-            take_group(state, message)
+            handle_control_group(state, message)
             return
         if isinstance(message, Hello):
             state.leaving_peers.add(link.peer)
             return
         if not isinstance(message, ConsensusMessage):
-            refuse(state, link, f'{message.kind} is no message of a peer')
+            refuse(state, link, f'{message.kind} is not a message of a peer')
             return
         effects = consensus.receive(
             state.consensus, state.now_ms, link.peer, message
         )
-        state.queue.extend(effects)
+        state.consensus_effects.extend(effects)
     elif link.link == 'proxy':
         receive_from_proxy(state, link, message)
     elif link.link == 'announce':
@@ -243,7 +251,7 @@
     elif link.link == 'operator':
         receive_from_operator(state, link, message)
     else:
-        refuse(state, link, f'nothing is expected on a {link.link} link')
+        refuse(state, link, f'no message is accepted on a {link.link} link')
 
 
 def _on_rejected(state: ControlState, event: FrameRejected) -> None:
@@ -261,8 +269,8 @@
     if state.draining:
         return
     state.draining = True
-    state.drain_due_ms = state.now_ms + HAND_OVER_MS
-    state.leave_due_ms = state.now_ms + LEAVE_MS
+    state.transfer_deadline_ms = state.now_ms + TRANSFER_TIMEOUT_MS
+    state.replacement_deadline_ms = state.now_ms + REPLACEMENT_GRACE_MS
     log(state, 'info', 'draining', leads=state.leader is not None)
     if state.cfg.voter_target:
         for conn in state.peers.values():
@@ -270,7 +278,7 @@
     effects = consensus.transfer_leadership(
         state.consensus, state.now_ms, None
     )
-    state.queue.extend(effects)
+    state.consensus_effects.extend(effects)
 
 
 def _on_storage(state: ControlState, event: Event) -> None:
@@ -279,36 +287,36 @@
         effects = consensus.persisted(
             state.consensus, state.now_ms, event.token
         )
-        state.queue.extend(effects)
+        state.consensus_effects.extend(effects)
     elif isinstance(event, PersistFailed):
         state.storage_failed = True
         log(state, 'error', 'persist_failed', detail=event.detail)
         effects = consensus.persist_failed(
             state.consensus, state.now_ms, event.token
         )
-        state.queue.extend(effects)
+        state.consensus_effects.extend(effects)
 
 
-def _finish(state: ControlState, is_tick: bool) -> list[Effect]:
-    """Carry out what the event caused and return all effects."""
-    _run_queue(state)
+def _complete_event(state: ControlState, is_tick: bool) -> list[Effect]:
+    """Carry out the consequences of an event and return its effects."""
+    _run_consensus_effects(state)
     if state.leader is not None:
         run_services(state, state.leader, is_tick)
-        _run_queue(state)
-    _tell_leader(state)
-    tell_group(state)
-    follow_group(state)
+        _run_consensus_effects(state)
+    _notify_leader_change(state)
+    send_control_group(state)
+    update_peer_links(state)
     _stop_when_drained(state)
     _set_timer(state)
     return pop_effects(state)
 
 
-def _run_queue(state: ControlState) -> None:
-    while state.queue:
-        _run_effect(state, state.queue.popleft())
+def _run_consensus_effects(state: ControlState) -> None:
+    while state.consensus_effects:
+        _run_consensus_effect(state, state.consensus_effects.popleft())
 
 
-def _run_effect(state: ControlState, effect: Any) -> None:
+def _run_consensus_effect(state: ControlState, effect: Any) -> None:
     if isinstance(effect, consensus.SendToPeer):
         conn = state.peers.get(effect.peer)
         if conn is not None:
@@ -324,7 +332,7 @@
             )
         )
     elif isinstance(effect, consensus.ApplyEntry):
-        _apply(state, effect)
+        _apply_entry(state, effect)
     elif isinstance(effect, consensus.InstallSnapshot):
         state.machine = decode_snapshot(effect.snapshot)
         state.applied_since_snapshot = 0
@@ -333,10 +341,10 @@
     elif isinstance(effect, consensus.LeadershipLost):
         end_leadership(state, effect.term)
     elif isinstance(effect, consensus.LeadershipConfirmed):
-        _on_confirmed(state, effect.token)
+        _on_leadership_confirmed(state, effect.token)
 
 
-def _on_confirmed(state: ControlState, token: int) -> None:
+def _on_leadership_confirmed(state: ControlState, token: int) -> None:
     if state.leader is None:
         return
     if token < 0 and answer_confirmed_read(state, state.leader, token):
@@ -347,7 +355,7 @@
         grant_leases(state, state.leader, token)
 
 
-def _apply(state: ControlState, entry: consensus.ApplyEntry) -> None:
+def _apply_entry(state: ControlState, entry: consensus.ApplyEntry) -> None:
     if entry.command is not None:
         command = decode_command(entry.command)
         applied = apply_command(state.machine, entry.index, command)
@@ -362,32 +370,34 @@
             entry.index,
             encode_snapshot(state.machine),
         )
-        state.queue.extend(effects)
+        state.consensus_effects.extend(effects)
 
 
-def _tell_leader(state: ControlState) -> None:
-    """Tell connected proxies and upstreams of another leader."""
-    known = state.consensus.leader
-    if known == state.notified_leader:
+def _notify_leader_change(state: ControlState) -> None:
+    """Notify connected proxies and upstreams of a change of leader."""
+    current = state.consensus.leader
+    if current == state.notified_leader:
         return
-    state.notified_leader = known
+    state.notified_leader = current
     for link in state.links.values():
-        if link.link == 'proxy' and link.name and known != state.cfg.name:
-            send(state, link.conn, NotLeader(leader=known))
+        if link.link == 'proxy' and link.name and current != state.cfg.name:
+            send(state, link.conn, NotLeader(leader=current))
         elif link.link == 'announce' and link.name:
-            told = member_state(state, link.name, link.member_id)
-            send(state, link.conn, AnnounceAck(state=told, leader=known))
+            membership = member_state(state, link.name, link.member_id)
+            send(
+                state, link.conn, AnnounceAck(state=membership, leader=current)
+            )
 
 
 def _stop_when_drained(state: ControlState) -> None:
     if not state.draining or state.stopped:
         return
-    is_alone = state.consensus.voters == [state.cfg.name]
-    leads = state.consensus.role == 'leader' and not is_alone
-    if leads and state.now_ms < state.drain_due_ms:
+    is_sole_voter = state.consensus.voters == [state.cfg.name]
+    can_transfer = state.consensus.role == 'leader' and not is_sole_voter
+    if can_transfer and state.now_ms < state.transfer_deadline_ms:
         return
-    if state.cfg.voter_target and state.now_ms < state.leave_due_ms:
-        # The leader may have another process take this one's place.
+    if state.cfg.voter_target and state.now_ms < state.replacement_deadline_ms:
+        # The leader may replace this process as a voter meanwhile.
         return
     if state.leader is not None:
         end_leadership(state, state.leader.term)
@@ -400,15 +410,18 @@
     if state.stopped:
         state.outbox.append(CancelTimer(key=TICK_KEY))
         return
-    dues = [consensus.next_due_ms(state.consensus)]
+    due_times_ms = [consensus.next_due_ms(state.consensus)]
     if state.leader is not None:
         due_ms = next_service_due_ms(state, state.leader)
-        dues += [due_ms] if due_ms is not None else []
+        due_times_ms += [due_ms] if due_ms is not None else []
     if state.cfg.voter_target and state.leader is not None:
-        dues.append(max(state.voters_due_ms, state.now_ms + 1))
+        due_times_ms.append(max(state.voters_due_ms, state.now_ms + 1))
     if state.draining:
-        dues += [state.drain_due_ms, state.leave_due_ms]
-    soonest = max(min(dues), state.now_ms)
-    if soonest != state.timer_ms:
-        state.timer_ms = soonest
-        state.outbox.append(SetTimer(key=TICK_KEY, due_ms=soonest))
+        due_times_ms += [
+            state.transfer_deadline_ms,
+            state.replacement_deadline_ms,
+        ]
+    next_ms = max(min(due_times_ms), state.now_ms)
+    if next_ms != state.timer_ms:
+        state.timer_ms = next_ms
+        state.outbox.append(SetTimer(key=TICK_KEY, due_ms=next_ms))
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -1,4 +1,8 @@
-"""Requests without a link: declared configurations, registered upstreams."""
+"""Requests that arrive without a link.
+
+Operators declare and read whole configurations; upstreams register and report
+their state, and depart.
+"""
 
 from __future__ import annotations
 
@@ -11,8 +15,8 @@
 from jackdawpost.core.control.commands import DeclareObjects
 from jackdawpost.core.control.commands import MarkLeaving
 from jackdawpost.core.control.commands import RemoveMember
-from jackdawpost.core.control.members import ask_approvals
-from jackdawpost.core.control.members import note_member
+from jackdawpost.core.control.members import record_announcement
+from jackdawpost.core.control.members import request_approvals
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import propose
@@ -30,50 +34,52 @@
 from jackdawpost.core.objects.declared import check_declared
 from jackdawpost.core.outbox import log
 
-MAX_SHOWN_FAULTS = 20
-# Pause between looks at what is still missing for a join or a departure.
-SWEEP_MS = 500.0
+MAX_REPORTED_FAULTS = 20
+# Interval at which the missing steps of a join or a departure are repeated.
+SWEEP_INTERVAL_MS = 500.0
 
 
 def receive_request(state: ControlState, event: RequestReceived) -> None:
-    """Handle one request; only the leader answers, others say who leads."""
+    """Handle one request; a process that does not lead names the leader."""
     leader = state.leader
     if leader is None or state.draining:
-        _send_on(state, event.request_id)
+        _redirect(state, event.request_id)
         return
     request = event.request
     if isinstance(request, DeclareConfig):
-        _declare(state, leader, event.request_id, request)
+        _declare_config(state, leader, event.request_id, request)
     elif isinstance(request, ReadConfig):
-        _read(state, leader, event.request_id)
+        _read_config(state, leader, event.request_id)
     elif isinstance(request, Registration):
-        _register(state, leader, event.request_id, request)
+        _handle_registration(state, leader, event.request_id, request)
     elif isinstance(request, Departure):
-        _depart(state, leader, event.request_id, request)
+        _handle_departure(state, leader, event.request_id, request)
 
 
-def _send_on(state: ControlState, request_id: int) -> None:
-    known = state.consensus.leader
-    if known is None and state.group_leader:
-        known = state.group_leader
-    if known is None or known == state.cfg.name:
+def _redirect(state: ControlState, request_id: int) -> None:
+    current = state.consensus.leader
+    if current is None and state.group_leader:
+        current = state.group_leader
+    if current is None or current == state.cfg.name:
         reply(state, request_id, 'unavailable')
     else:
-        reply(state, request_id, 'moved', leader=known)
+        reply(state, request_id, 'moved', leader=current)
 
 
 def reply(
     state: ControlState, request_id: int, outcome: Any, **more: Any
 ) -> None:
-    """Answer a request."""
+    """Send the reply to a request."""
     state.outbox.append(Reply(request_id=request_id, outcome=outcome, **more))
 
 
-def _wait_for(leader: LeaderState, index: int, request_id: int) -> None:
+def _add_pending_request(
+    leader: LeaderState, index: int, request_id: int
+) -> None:
     leader.pending_requests.setdefault(index, []).append(request_id)
 
 
-def _declare(
+def _declare_config(
     state: ControlState,
     leader: LeaderState,
     request_id: int,
@@ -83,15 +89,16 @@
     if faults:
         _refuse_declared(state, request_id, request.version, faults)
         return
-    held = state.machine.declared
-    if held is not None and request.version <= held.version:
-        # A version only rises, so that this stays true under any leader.
+    current = state.machine.declared
+    if current is not None and request.version <= current.version:
+        # The declared version never falls, so the answer stays right under
+        # every later leader.
         log(
             state,
             'info',
             'config_overtaken',
             version=request.version,
-            held=held.version,
+            held=current.version,
         )
         reply(state, request_id, 'done')
         return
@@ -113,26 +120,28 @@
     if index is None:
         reply(state, request_id, 'unavailable')
         return
-    _wait_for(leader, index, request_id)
+    _add_pending_request(leader, index, request_id)
 
 
 def _refuse_declared(
     state: ControlState, request_id: int, version: int, faults: list[Fault]
 ) -> None:
-    texts = [
+    messages = [
         f'{fault.object} {fault.field}: {fault.message}'
-        for fault in faults[:MAX_SHOWN_FAULTS]
+        for fault in faults[:MAX_REPORTED_FAULTS]
     ]
-    log(state, 'info', 'config_refused', version=version, faults=texts[:3])
-    reply(state, request_id, 'invalid', faults=texts)
+    log(state, 'info', 'config_refused', version=version, faults=messages[:3])
+    reply(state, request_id, 'invalid', faults=messages)
 
 
-def _read(state: ControlState, leader: LeaderState, request_id: int) -> None:
-    """Answer once leadership is confirmed, so that nothing stale is shown."""
+def _read_config(
+    state: ControlState, leader: LeaderState, request_id: int
+) -> None:
+    """Defer the answer until leadership is confirmed, to avoid stale reads."""
     token = leader.next_query_token
     leader.next_query_token -= 1
     leader.pending_reads[token] = request_id
-    state.queue.extend(
+    state.consensus_effects.extend(
         consensus.confirm_leadership(state.consensus, state.now_ms, token)
     )
 
@@ -140,7 +149,7 @@
 def answer_confirmed_read(
     state: ControlState, leader: LeaderState, token: int
 ) -> bool:
-    """Answer the read that a confirmation was for; False if it was none."""
+    """Answer the read that waited for a confirmation; False without one."""
     request_id = leader.pending_reads.pop(token, None)
     if request_id is None:
         return False
@@ -152,15 +161,15 @@
     return True
 
 
-def _register(
+def _handle_registration(
     state: ControlState,
     leader: LeaderState,
     request_id: int,
     report: Registration,
 ) -> None:
-    """Take a report; late ones of an earlier incarnation change nothing."""
-    stale = _why_stale(state, leader, report)
-    if stale:
+    """Handle a report; late reports of an earlier incarnation are ignored."""
+    reason = _staleness_reason(state, leader, report)
+    if reason:
         log(
             state,
             'info',
@@ -168,13 +177,13 @@
             upstream=report.name,
             started_ms=report.started_ms,
             sequence=report.sequence,
-            reason=stale,
+            reason=reason,
         )
         reply(state, request_id, 'done')
         return
-    _remove_replaced(state, report)
-    known = leader.registered.get(report.name)
-    if known is None or known.report.state != report.state:
+    _remove_superseded(state, report)
+    previous = leader.registered.get(report.name)
+    if previous is None or previous.report.state != report.state:
         log(
             state,
             'info',
@@ -188,18 +197,18 @@
     leader.registered[report.name] = RegisteredUpstream(
         report=report, last_contact_ms=state.now_ms
     )
-    note_member(state, _announcement(report))
+    record_announcement(state, _announce_command(report))
     if report.state != 'draining':
         reply(state, request_id, 'done')
         return
-    index = _mark_leaving(state, leader, report)
+    index = _propose_leaving(state, leader, report)
     if index is None:
         reply(state, request_id, 'done')
     else:
-        _wait_for(leader, index, request_id)
+        _add_pending_request(leader, index, request_id)
 
 
-def _announcement(report: Registration) -> AnnounceMember:
+def _announce_command(report: Registration) -> AnnounceMember:
     return AnnounceMember(
         role='upstream',
         name=report.name,
@@ -213,38 +222,38 @@
     )
 
 
-def _why_stale(
+def _staleness_reason(
     state: ControlState, leader: LeaderState, report: Registration
 ) -> str:
     if state.machine.departed.get(report.name) == str(report.started_ms):
-        return 'has left'
-    known = leader.registered.get(report.name)
-    if known is not None:
-        before = known.report
-        if report.started_ms < before.started_ms:
-            return 'earlier incarnation'
-        if report.started_ms == before.started_ms:
-            if report.sequence < before.sequence:
-                return 'overtaken by a later report'
-    for member in _known(state):
+        return 'this incarnation has departed'
+    previous = leader.registered.get(report.name)
+    if previous is not None:
+        latest = previous.report
+        if report.started_ms < latest.started_ms:
+            return 'a later incarnation has reported'
+        if report.started_ms == latest.started_ms:
+            if report.sequence < latest.sequence:
+                return 'a later report has been received'
+    for member in _members_and_newcomers(state):
         if not member.registered or int(member.member_id) <= report.started_ms:
             continue
         if member.name == report.name:
-            return 'earlier incarnation'
+            return 'a later incarnation is registered'
         if (member.host, member.port) == (report.host, report.port):
-            return f'address is used by {member.name!r} since'
+            return f'the address is now used by {member.name!r}'
     return ''
 
 
-def _known(state: ControlState) -> list[Member]:
-    """Return members and newcomers: all that hold a name or an address."""
+def _members_and_newcomers(state: ControlState) -> list[Member]:
+    """Return all instances that occupy a name or an address."""
     newcomers = [item.member for item in state.machine.newcomers.values()]
     return [*state.machine.members.values(), *newcomers]
 
 
-def _remove_replaced(state: ControlState, report: Registration) -> None:
-    """Remove earlier incarnations under the report's name or address."""
-    for member in _known(state):
+def _remove_superseded(state: ControlState, report: Registration) -> None:
+    """Remove earlier incarnations that used the same name or address."""
+    for member in _members_and_newcomers(state):
         if not member.registered or member.member_id == str(report.started_ms):
             continue
         same_address = (member.host, member.port) == (report.host, report.port)
@@ -264,10 +273,17 @@
     return propose(state, key, command)
 
 
-def _mark_leaving(
+def _propose_leaving(
     state: ControlState, leader: LeaderState, report: Registration
 ) -> int | None:
-    """Have it recorded that an upstream leaves; None if it is already."""
+    """Propose to mark an upstream as leaving.
+
+    Returns
+    -------
+    int or None
+        Index of the log entry; None if the upstream is not a member, is
+        marked already, or nothing was proposed.
+    """
     member_id = str(report.started_ms)
     member = state.machine.members.get(report.name)
     if member is None or member.member_id != member_id or member.leaving:
@@ -279,14 +295,14 @@
     return propose(state, key, command)
 
 
-def _depart(
+def _handle_departure(
     state: ControlState,
     leader: LeaderState,
     request_id: int,
     request: Departure,
 ) -> None:
     leader.registered.pop(request.name, None)
-    for member in _known(state):
+    for member in _members_and_newcomers(state):
         if member.name != request.name or not member.registered:
             continue
         started = request.started_ms
@@ -297,33 +313,36 @@
         if index is None:
             reply(state, request_id, 'unavailable')
         else:
-            _wait_for(leader, index, request_id)
+            _add_pending_request(leader, index, request_id)
         return
     reply(state, request_id, 'done')
 
 
-def sweep_registered(state: ControlState, leader: LeaderState) -> None:
-    """Record what upstreams reported before they had joined."""
+def sweep_registrations(state: ControlState, leader: LeaderState) -> None:
+    """Repeat the missing steps of joins and departures.
+
+    An upstream may have reported that it drains before it had joined.
+    """
     if state.now_ms < leader.next_sweep_ms:
         return
-    leader.next_sweep_ms = state.now_ms + SWEEP_MS
-    for known in leader.registered.values():
-        if known.report.state == 'draining':
-            _mark_leaving(state, leader, known.report)
-    # A request for an approval, or its answer, may be lost with a link.
+    leader.next_sweep_ms = state.now_ms + SWEEP_INTERVAL_MS
+    for upstream in leader.registered.values():
+        if upstream.report.state == 'draining':
+            _propose_leaving(state, leader, upstream.report)
+    # An approval request, or its answer, may be lost when a link is closed.
     for link in state.links.values():
         link.approvals_requested.clear()
-    ask_approvals(state)
+    request_approvals(state)
 
 
-def answer_asked(
+def answer_pending_requests(
     state: ControlState,
     leader: LeaderState,
     index: int,
     command: Command,
     applied: Applied,
 ) -> None:
-    """Answer the requests that waited for a log entry."""
+    """Answer the requests that waited for a log entry to be applied."""
     answer = applied.answer
     if isinstance(command, DeclareObjects) and applied.changed:
         log(state, 'info', 'config_accepted', version=command.version)
@@ -339,8 +358,8 @@
             reply(state, request_id, 'done')
 
 
-def release_asked(state: ControlState, leader: LeaderState) -> None:
-    """Tell those that wait that this process leads no longer."""
+def abort_pending_requests(state: ControlState, leader: LeaderState) -> None:
+    """Answer pending requests as unavailable at the end of a leadership."""
     waiting = [
         request_id
         for entry in leader.pending_requests.values()
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -1,10 +1,11 @@
-"""Replicas are stopped before a group that promises copies is promoted.
-
-With `write_copies` above one, a commit is acknowledged once another database
-holds it. A promotion must not choose a database that lacks such a commit, so
-the replicas that are not chosen are stopped from receiving first: from then
-on only the chosen one can let the old primary acknowledge anything. Control
-has no connections to databases; proxies pass the requests on.
+"""Pause of replication before the promotion of a group with copies.
+
+With `write_copies` above 1, a commit is acknowledged once another database
+holds it. A promotion must not choose a database that lacks such a commit.
+Before the order, the replicas other than the candidate are therefore paused:
+they receive nothing more, so the old primary can only acknowledge commits that
+the candidate holds. Control processes have no connections to the databases;
+proxies forward the requests.
 """
 
 from __future__ import annotations
@@ -20,12 +21,12 @@
 from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
 
-# Pause between two attempts, each through another proxy.
-ASK_PAUSE_MS = 200.0
+# Interval between rounds of requests; each goes through the next proxy.
+REQUEST_INTERVAL_MS = 200.0
 
 
 def needs_pause(state: ControlState, group: str) -> bool:
-    """Tell whether a group's commits must survive a promotion."""
+    """Return whether each commit of a group needs a copy on a replica."""
     settings = state.machine.objects.groups.get(group)
     return settings is not None and settings.write_copies > 1
 
@@ -38,18 +39,19 @@
     upstreams: dict[str, Member],
     term: int,
 ) -> ReplicaPause:
-    """Stop the replicas that are not chosen; ask again where it failed.
+    """Request the pause of the replicas that have not answered yet.
+
+    The candidate is not paused; it is asked for its position only.
 
     Parameters
     ----------
     term : int
-        Term above every one that the databases know.
+        Term above every term that the databases know.
 
     Returns
     -------
     ReplicaPause
-        What is known so far; `positions` holds the chosen one's position
-        only once all others that answer have been stopped.
+        The answers received so far.
     """
     pause = leader.replica_pauses.get(group)
     if pause is None or pause.token != promotion.to_term:
@@ -57,63 +59,69 @@
         leader.replica_pauses[group] = pause
     if state.now_ms < pause.next_request_ms:
         return pause
-    pause.next_request_ms = state.now_ms + ASK_PAUSE_MS
+    pause.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
     primary = state.machine.groups[group].primary
     for name in sorted(upstreams):
         if name in (primary, promotion.chosen) or name in pause.positions:
             continue
-        _ask(state, leader, pause, name, 'pause')
-    _ask(state, leader, pause, promotion.chosen or '', 'status')
+        _send_action(state, leader, pause, name, 'pause')
+    _send_action(state, leader, pause, promotion.chosen or '', 'status')
     return pause
 
 
-def is_safe(
+def has_all_commits(
     state: ControlState,
     group: str,
     promotion: Promotion,
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Tell whether the chosen one holds every acknowledged commit."""
-    chosen = pause.positions.get(promotion.chosen or '')
-    if chosen is None or not _are_enough(state, group, pause, upstreams):
+    """Return whether the candidate holds every acknowledged commit."""
+    candidate = pause.positions.get(promotion.chosen or '')
+    if candidate is None or not _has_read_quorum(
+        state, group, pause, upstreams
+    ):
         return False
-    return chosen >= max(pause.positions.values())
+    return candidate >= max(pause.positions.values())
 
 
-def better_choice(
+def find_newer_replica(
     state: ControlState,
     group: str,
     promotion: Promotion,
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return a stopped replica that holds more than the chosen one."""
-    if not _are_enough(state, group, pause, upstreams):
+    """Return the replica with the highest position, if not the candidate."""
+    if not _has_read_quorum(state, group, pause, upstreams):
         return None
     best = max(pause.positions, key=lambda name: pause.positions[name])
     return None if best == promotion.chosen else best
 
 
-def _are_enough(
+def _has_read_quorum(
     state: ControlState,
     group: str,
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Tell whether one that was heard holds each acknowledged commit."""
+    """Return whether some replica that answered holds each commit.
+
+    Each acknowledged commit is on `write_copies` upstreams, so any
+    ``len(upstreams) - write_copies + 1`` of them include a holder.
+    """
     copies = state.machine.objects.groups[group].write_copies
     return len(pause.positions) >= len(upstreams) - copies + 1
 
 
-def _ask(
+def _send_action(
     state: ControlState,
     leader: LeaderState,
     pause: ReplicaPause,
     upstream: str,
     action: str,
 ) -> None:
-    """Pass a request on through the next proxy."""
+    """Send a request to an upstream through the next proxy."""
     links = [state.links[conn] for conn in sorted(state.proxies.values())]
     served = [link for link in links if link.is_served]
     if not served:
@@ -132,7 +140,11 @@
 def record_action_answer(
     state: ControlState, leader: LeaderState, message: UpstreamActionAnswer
 ) -> None:
-    """Take an upstream's answer."""
+    """Record the position that an upstream answered.
+
+    Only the answers to ``'pause'`` of the other replicas and to ``'status'``
+    of the candidate count.
+    """
     for group, pause in leader.replica_pauses.items():
         if pause.token != message.token:
             continue
@@ -140,10 +152,10 @@
         if member is None or member.group != group:
             continue
         promotion = state.machine.groups[group].promotion
-        is_chosen = promotion is not None and (
+        is_candidate = promotion is not None and (
             promotion.chosen == message.upstream
         )
-        if is_chosen == (message.action == 'pause'):
+        if is_candidate == (message.action == 'pause'):
             continue
         received = LogPosition(*message.received)
         pause.positions[message.upstream] = received
@@ -162,9 +174,9 @@
 def resume_replicas(
     state: ControlState, leader: LeaderState, group: str
 ) -> None:
-    """Let the stopped replicas receive again."""
+    """Resume the replicas that have answered the requests."""
     pause = leader.replica_pauses.pop(group, None)
     if pause is None:
         return
     for name in sorted(pause.positions):
-        _ask(state, leader, pause, name, 'resume')
+        _send_action(state, leader, pause, name, 'resume')
--- a/jackdawpost/core/control/upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -1,4 +1,4 @@
-"""Links from announcing upstreams, and the promotions of their groups."""
+"""Links from upstreams that announce themselves, and group promotions."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 from jackdawpost.core.control import lease_ledger
 from jackdawpost.core.control import promotion
 from jackdawpost.core.control.commands import AnnounceMember
-from jackdawpost.core.control.members import ask_approvals
-from jackdawpost.core.control.members import note_leaving
-from jackdawpost.core.control.members import note_member
-from jackdawpost.core.control.members import take_approval
+from jackdawpost.core.control.members import handle_approval
+from jackdawpost.core.control.members import propose_leaving
+from jackdawpost.core.control.members import record_announcement
+from jackdawpost.core.control.members import request_approvals
 from jackdawpost.core.control.process import AnnouncedUpstream
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
@@ -39,33 +39,37 @@
 from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
 
-ANNOUNCE_SILENCE_MS = 1_000.0  # five announcements
+ANNOUNCE_TIMEOUT_MS = 1_000.0  # five announcement intervals
 
 
 def receive_from_upstream(
     state: ControlState, link: LinkState, message: Any
 ) -> None:
-    """Handle one message on an announcing connection."""
+    """Handle one message from an upstream."""
     if isinstance(message, Announce):
-        _take_announce(state, link, message)
+        _handle_announce(state, link, message)
     elif not link.name:
-        refuse(state, link, f'{message.kind} before the first announcement')
+        refuse(
+            state, link, f'{message.kind} received before the first announce'
+        )
     elif isinstance(message, Approval):
         if state.leader is not None:
-            take_approval(state, link, message)
+            handle_approval(state, link, message)
     else:
-        refuse(state, link, f'{message.kind} is no message of an upstream')
+        refuse(state, link, f'{message.kind} is not a message of an upstream')
 
 
-def _take_announce(
+def _handle_announce(
     state: ControlState, link: LinkState, announce: Announce
 ) -> None:
     if link.peer and announce.name != link.peer:
-        refuse(state, link, f'announcement of {announce.name!r} by another')
+        refuse(
+            state, link, f'announce of {announce.name!r} sent by another peer'
+        )
         return
     key = (announce.name, announce.data_id)
     if link.name and (link.name, link.member_id) != key:
-        refuse(state, link, 'identity changed on an open connection')
+        refuse(state, link, 'upstream identity changed on an open connection')
         return
     is_new = not link.name
     link.name, link.member_id = key
@@ -78,15 +82,15 @@
     send(state, link.conn, ack)
     if state.leader is None:
         return
-    note_member(state, _announcement(announce))
+    record_announcement(state, _announce_command(announce))
     if is_member(state, *key):
-        note_leaving(state, key, announce.leaving)
+        propose_leaving(state, key, announce.leaving)
         state.leader.dirty_groups.add(announce.group)
     if is_new:
-        ask_approvals(state)
+        request_approvals(state)
 
 
-def _announcement(announce: Announce) -> AnnounceMember:
+def _announce_command(announce: Announce) -> AnnounceMember:
     return AnnounceMember(
         role='upstream',
         name=announce.name,
@@ -100,11 +104,11 @@
     )
 
 
-def upstream_closed(state: ControlState, link: LinkState) -> None:
-    """Note that an announcing connection has ended.
+def on_upstream_closed(state: ControlState, link: LinkState) -> None:
+    """Handle the end of a connection of an upstream.
 
-    A joined upstream's last announcement is kept, so that a promotion can
-    still try to reach it.
+    The last announcement of a joined upstream is kept, so that a promotion
+    can still try to reach it.
     """
     key = (link.name, link.member_id)
     announced = state.upstreams.get(key)
@@ -116,17 +120,17 @@
 
 
 def mark_silent_upstreams(state: ControlState) -> None:
-    """Treat upstreams that stopped to announce themselves as disconnected."""
-    limit_ms = state.now_ms - ANNOUNCE_SILENCE_MS
+    """Mark upstreams that have stopped announcing as disconnected."""
+    oldest_ms = state.now_ms - ANNOUNCE_TIMEOUT_MS
     for announced in state.upstreams.values():
-        if announced.last_contact_ms < limit_ms:
+        if announced.last_contact_ms < oldest_ms:
             announced.connected = False
 
 
 def group_facts(
     state: ControlState, leader: LeaderState, name: str
 ) -> GroupFacts | None:
-    """Return what is known about a group; None if it does not exist."""
+    """Return the current facts about a group; None if it does not exist."""
     group = state.machine.groups.get(name)
     settings = state.machine.objects.groups.get(name)
     if group is None or settings is None:
@@ -151,7 +155,7 @@
         promotion=running_promotion,
         databases=_databases(state, leader, name),
         lease_holders=_lease_holders(state, leader, name, group),
-        failed=_failure(state, leader, name, group),
+        failed=_failure_reason(state, leader, name, group),
     )
 
 
@@ -191,10 +195,10 @@
     )
 
 
-def _failure(
+def _failure_reason(
     state: ControlState, leader: LeaderState, name: str, group: GroupState
 ) -> str:
-    """Return why a primary must be replaced, empty if it need not be."""
+    """Return why the primary must be replaced; empty if it need not be."""
     if group.primary is None:
         return ''
     if name in leader.suspect_groups:
@@ -203,20 +207,21 @@
         )
         if failed_ms is not None and failed_ms <= state.now_ms:
             return 'primary failed'
-    if _is_wiped(state, leader, group):
+    if _has_lost_data(state, leader, group):
         return 'primary lost its data'
     if not is_member(state, group.primary, group.primary_id):
-        return 'primary is no member'
+        return 'primary is not a member'
     return ''
 
 
-def _is_wiped(
+def _has_lost_data(
     state: ControlState, leader: LeaderState, group: GroupState
 ) -> bool:
-    """Tell whether the primary came back without its data.
+    """Return whether the primary has restarted without its data.
 
-    The old identity must have been silent, so that an instance that only
-    claims the name cannot cause a promotion.
+    It then announces a new data identity. The old identity must also be
+    silent, so that another instance that uses the name cannot cause a
+    promotion.
     """
     assert group.primary is not None
     key = (group.primary, group.primary_id)
@@ -232,7 +237,7 @@
 
 
 def advance_groups(state: ControlState, leader: LeaderState) -> None:
-    """Take every group that has changed one step on."""
+    """Advance the promotion of every group that has changed."""
     dirty = leader.dirty_groups
     leader.dirty_groups = set()
     for name in sorted(dirty):
@@ -268,13 +273,17 @@
 
 def _log_fields(command: promotion.GroupCommand) -> dict[str, Any]:
     names = ('group', 'to_term', 'upstream', 'name', 'reason')
-    return {n: getattr(command, n) for n in names if hasattr(command, n)}
+    return {
+        name: getattr(command, name)
+        for name in names
+        if hasattr(command, name)
+    }
 
 
 def _set_group_due(
     state: ControlState, leader: LeaderState, facts: GroupFacts
 ) -> None:
-    dues = [
+    due_times_ms = [
         promotion.next_promotion_due_ms(leader.driver, state.now_ms, facts)
     ]
     primary = facts.primary
@@ -282,7 +291,7 @@
     if is_suspect and failure_detector.is_suspected(
         leader.detector, state.now_ms, primary or ''
     ):
-        dues += [
+        due_times_ms += [
             failure_detector.failed_at_ms(
                 leader.detector, state.now_ms, primary or ''
             ),
@@ -290,23 +299,29 @@
         ]
     else:
         leader.suspect_groups.discard(facts.name)
-    later = [due for due in dues if due is not None and due > state.now_ms]
+    later = [
+        due_ms
+        for due_ms in due_times_ms
+        if due_ms is not None and due_ms > state.now_ms
+    ]
     if later:
         leader.group_due_ms[facts.name] = min(later)
     else:
         leader.group_due_ms.pop(facts.name, None)
 
 
-def wake_groups(state: ControlState, leader: LeaderState) -> None:
-    """Mark the groups whose time has come."""
+def mark_due_groups(state: ControlState, leader: LeaderState) -> None:
+    """Mark the groups that are due to be reconsidered."""
     for name, due_ms in leader.group_due_ms.items():
         if due_ms <= state.now_ms:
             leader.dirty_groups.add(name)
     leader.dirty_groups |= control_admin.due_groups(leader.admin, state.now_ms)
 
 
-def admin_opened(state: ControlState, leader: LeaderState, conn: int) -> bool:
-    """Handle the opening of an admin connection; False if it is none."""
+def on_admin_opened(
+    state: ControlState, leader: LeaderState, conn: int
+) -> bool:
+    """Handle an opened connection; False if it is not an admin connection."""
     if not control_admin.on_opened(leader.admin, conn):
         return False
     upstream = leader.admin.conns[conn]
@@ -314,7 +329,7 @@
     return True
 
 
-def admin_closed(
+def on_admin_closed(
     state: ControlState, leader: LeaderState, conn: int, reason: Any
 ) -> None:
     """Handle the end of an admin connection."""
