Reword the simulation and the tests of the control process

No assertion was added, dropped or eased. A comment in the module of fakes said that writes are durable at once; they take 0.1 ms of simulated time.

--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -1,7 +1,7 @@
-"""Fakes around the control reducer: peers, proxies and upstreams.
+"""Simulated control processes with fake proxies and upstreams.
 
-Messages take one millisecond and writes are durable at once, so that tests
-control time through `Group.run` alone.
+A message takes 1 ms and a write 0.1 ms of simulated time, which advances in
+`SimulatedCluster.run` only.
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
 
 
 class FakeProxy:
-    """Proxy that reports, approves and answers revocations."""
+    """Proxy that sends reports, approves newcomers and answers revocations."""
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -61,13 +61,13 @@
         self.approves = True
         self.answers_revocations = True
         self.evidence: dict[str, str] = {}
-        self.sightings: dict[str, UpstreamReport] | None = None
-        self.told: dict[str, LogPosition] = {}
-        self.asked: list[UpstreamAction] = []
+        self.upstream_reports: dict[str, UpstreamReport] | None = None
+        self.received_positions: dict[str, LogPosition] = {}
+        self.actions: list[UpstreamAction] = []
         self.holdings: dict[str, int] = {}
         self.published = PublishedState()
         self.received: list[Any] = []
-        self.lease_until: dict[tuple[str, int], float] = {}
+        self.lease_until_ms: dict[tuple[str, int], float] = {}
         self.sent_ms: dict[int, float] = {}
         self.revoked: dict[str, int] = {}
 
@@ -85,45 +85,45 @@
             version=self.published.version,
             holdings=dict(self.holdings),
             evidence=dict(self.evidence),
-            upstreams=self.sightings,
+            upstreams=self.upstream_reports,
         )
 
     def answer(self, message: Any) -> list[Any]:
         self.received.append(message)
         if isinstance(message, UpstreamAction):
-            self.asked.append(message)
-            if message.upstream not in self.told:
+            self.actions.append(message)
+            if message.upstream not in self.received_positions:
                 return []
-            told = UpstreamActionAnswer(
+            answer = UpstreamActionAnswer(
                 upstream=message.upstream,
                 action=message.action,
                 token=message.token,
-                received=self.told[message.upstream],
+                received=self.received_positions[message.upstream],
             )
-            return [told]
+            return [answer]
         if isinstance(message, StateUpdate):
             apply_update(self.published, message)
         elif isinstance(message, LeaseGrant):
-            until = self.sent_ms[message.seq] + message.duration_ms
+            until_ms = self.sent_ms[message.seq] + message.duration_ms
             for lease in message.leases:
                 if lease.term > self.revoked.get(lease.group, 0):
-                    self.lease_until[(lease.group, lease.term)] = until
+                    self.lease_until_ms[(lease.group, lease.term)] = until_ms
         elif isinstance(message, LeaseRevoke) and self.answers_revocations:
             self.revoked[message.group] = message.term
-            for key in list(self.lease_until):
+            for key in list(self.lease_until_ms):
                 if key[0] == message.group and key[1] <= message.term:
-                    del self.lease_until[key]
+                    del self.lease_until_ms[key]
             return [LeaseRevoked(group=message.group, term=message.term)]
         elif isinstance(message, ApprovalRequest) and self.approves:
             return [approve(self.name, f'id-{self.name}', message)]
         return []
 
-    def holds(self, now_ms: float, group: str, term: int) -> bool:
-        return now_ms < self.lease_until.get((group, term), 0)
+    def holds_lease(self, now_ms: float, group: str, term: int) -> bool:
+        return now_ms < self.lease_until_ms.get((group, term), 0)
 
 
 class FakeUpstream:
-    """Database that announces itself and obeys admin requests."""
+    """Database that announces itself and executes admin requests."""
 
     def __init__(self, name: str, group: str = 'g') -> None:
         self.name = name
@@ -183,36 +183,60 @@
         return [AdminDone(id=message.id, ok=ok, term=self.term)]
 
 
-def approve(name: str, identity: str, request: ApprovalRequest) -> Approval:
+def approve(name: str, member_id: str, request: ApprovalRequest) -> Approval:
     return Approval(
         member=name,
-        member_id=identity,
+        member_id=member_id,
         newcomer=request.newcomer,
         newcomer_id=request.newcomer_id,
         checked='reached',
     )
 
 
-class Group:
-    """Control processes with proxies, upstreams and one operator."""
+class SimulatedCluster:
+    """Control processes with fake proxies, fake upstreams and one operator.
+
+    Attributes
+    ----------
+    controls : dict of str to ControlState
+        State of each control process.
+    stopped : set of str
+        Control processes that have been stopped.
+    remote_ends : dict of tuple to tuple
+        Process and connection to its remote end: kind of link, the fake or
+        the name of the other process, and the connection there.
+    fake_conns : dict of tuple to int
+        Fake and process to the connection between them.
+    cut_links : set of frozenset
+        Pairs of names that do not receive each other's messages.
+    scheduled : list
+        Heap of actions with their time.
+    effects : list of tuple
+        Time, process and effect of everything that is not simulated, such
+        as log lines and orders.
+    grants : list of tuple
+        Time, process and message of every lease grant that was delivered.
+    operator_answers : list
+        Messages sent to operators.
+    """
 
     def __init__(
         self, names: list[str], seed: int = 1, **cfg_fields: Any
     ) -> None:
         self.cfg_fields = cfg_fields
-        self.now = 1_000.0
-        self.order = itertools.count()
-        self.conns = itertools.count(1)
-        self.events: list[Any] = []
+        self.now_ms = 1_000.0
+        self.sequence = itertools.count()
+        self.conn_numbers = itertools.count(1)
+        self.scheduled: list[Any] = []
         self.controls: dict[str, ControlState] = {}
-        self.ends: dict[tuple[str, int], tuple[str, Any, int]] = {}
+        self.remote_ends: dict[tuple[str, int], tuple[str, Any, int]] = {}
         self.timers: dict[tuple[str, str], float] = {}
-        self.cut: set[frozenset[str]] = set()
+        self.cut_links: set[frozenset[str]] = set()
         self.fakes: dict[str, Any] = {}
-        self.links: dict[tuple[str, str], int] = {}
-        self.answers: list[Any] = []
+        self.fake_conns: dict[tuple[str, str], int] = {}
+        self.operator_answers: list[Any] = []
         self.stopped: set[str] = set()
-        self.logs: list[Any] = []
+        self.effects: list[Any] = []
         self.grants: list[tuple[float, str, Any]] = []
         for number, name in enumerate(names):
             self.start_process(name, names, seed * 100 + number)
@@ -226,37 +250,44 @@
         cfg = ControlConfig(name=name, peers=peers, **self.cfg_fields)
         restored = RestoredState(node_id=node_id)
         state, effects = new_control(
-            cfg, random.Random(seed), restored, self.now
+            cfg, random.Random(seed), restored, self.now_ms
         )
         self.controls[name] = state
         self.stopped.discard(name)
         self.perform(name, effects)
 
     def link_processes(self, left: str, right: str) -> None:
-        one, two = next(self.conns), next(self.conns)
-        self.ends[(left, one)] = ('control', right, two)
-        self.ends[(right, two)] = ('control', left, one)
-        for own, other, conn in ((left, right, one), (right, left, two)):
+        """Open a link between two control processes."""
+        left_conn, right_conn = (
+            next(self.conn_numbers),
+            next(self.conn_numbers),
+        )
+        self.remote_ends[(left, left_conn)] = ('control', right, right_conn)
+        self.remote_ends[(right, right_conn)] = ('control', left, left_conn)
+        for own, other, conn in (
+            (left, right, left_conn),
+            (right, left, right_conn),
+        ):
             self.feed(
                 own,
                 ConnOpened(
-                    now_ms=self.now, conn=conn, link='peer', peer=other
+                    now_ms=self.now_ms, conn=conn, link='peer', peer=other
                 ),
             )
 
     def stop_process(self, name: str) -> None:
-        """Kill a control process; its links close."""
+        """Stop a control process without a drain and close its links."""
         self.stopped.add(name)
-        for (own, conn), end in list(self.ends.items()):
+        for (own, conn), end in list(self.remote_ends.items()):
             if end[0] == 'control' and name in (own, end[1]):
-                self.ends.pop((own, conn), None)
+                self.remote_ends.pop((own, conn), None)
                 if own != name:
-                    closed = ConnClosed(now_ms=self.now, conn=conn)
+                    closed = ConnClosed(now_ms=self.now_ms, conn=conn)
                     self.feed(own, closed)
 
-    def later(self, delay_ms: float, action: Any) -> None:
-        due = self.now + delay_ms
-        heapq.heappush(self.events, (due, next(self.order), action))
+    def schedule(self, delay_ms: float, action: Any) -> None:
+        due_ms = self.now_ms + delay_ms
+        heapq.heappush(self.scheduled, (due_ms, next(self.sequence), action))
 
     def feed(self, name: str, event: Any) -> None:
         if name not in self.stopped:
@@ -265,85 +296,94 @@
     def perform(self, name: str, effects: list[Any]) -> None:
         for effect in effects:
             if isinstance(effect, Persist):
-                done = Persisted(now_ms=self.now, token=effect.token)
-                self.later(0.1, lambda e=done: self.feed_now(name, e))
+                done = Persisted(now_ms=self.now_ms, token=effect.token)
+                self.schedule(
+                    0.1, lambda e=done: self.feed_at_current_time(name, e)
+                )
             elif isinstance(effect, SetTimer):
                 self.timers[(name, effect.key)] = effect.due_ms
-                self.later(
-                    effect.due_ms - self.now,
-                    lambda e=effect: self.fire(name, e),
+                self.schedule(
+                    effect.due_ms - self.now_ms,
+                    lambda e=effect: self.fire_timer(name, e),
                 )
             elif isinstance(effect, CancelTimer):
                 self.timers.pop((name, effect.key), None)
             elif isinstance(effect, Send):
-                self.carry(name, effect)
+                self.deliver(name, effect)
             elif isinstance(effect, Connect):
-                self.later(1, lambda e=effect: self.open_admin(name, e))
+                self.schedule(
+                    1, lambda e=effect: self.open_admin_connection(name, e)
+                )
             elif isinstance(effect, Close):
-                self.closed_by(name, effect.conn)
+                self.handle_close(name, effect.conn)
             else:
-                self.logs.append((self.now, name, effect))
+                self.effects.append((self.now_ms, name, effect))
 
-    def closed_by(self, name: str, conn: int) -> None:
-        """End a connection; proxies and upstreams open a new one."""
-        end = self.ends.pop((name, conn), None)
+    def handle_close(self, name: str, conn: int) -> None:
+        """Close a connection; proxies and upstreams open a new one."""
+        end = self.remote_ends.pop((name, conn), None)
         if end is None or end[0] not in ('proxy', 'announce'):
             return
         fake = end[1]
-        if self.links.get((fake.name, name)) == conn:
-            self.feed(name, ConnClosed(now_ms=self.now, conn=conn))
-            self.later(20, lambda: self.connect(fake, name))
+        if self.fake_conns.get((fake.name, name)) == conn:
+            self.feed(name, ConnClosed(now_ms=self.now_ms, conn=conn))
+            self.schedule(20, lambda: self.connect(fake, name))
 
-    def feed_now(self, name: str, event: Any) -> None:
-        event.now_ms = self.now
+    def feed_at_current_time(self, name: str, event: Any) -> None:
+        event.now_ms = self.now_ms
         self.feed(name, event)
 
-    def fire(self, name: str, effect: SetTimer) -> None:
+    def fire_timer(self, name: str, effect: SetTimer) -> None:
         if self.timers.get((name, effect.key)) == effect.due_ms:
             del self.timers[(name, effect.key)]
-            self.feed(name, TimerFired(now_ms=self.now, key=effect.key))
+            self.feed(name, TimerFired(now_ms=self.now_ms, key=effect.key))
 
-    def carry(self, name: str, effect: Send) -> None:
-        end = self.ends.get((name, effect.conn))
+    def deliver(self, name: str, effect: Send) -> None:
+        end = self.remote_ends.get((name, effect.conn))
         if end is None:
             return
         kind, other, conn = end
         if kind == 'operator':
-            self.answers += effect.messages
+            self.operator_answers += effect.messages
         elif kind == 'control':
-            if frozenset((name, other)) not in self.cut:
-                self.later(
+            if frozenset((name, other)) not in self.cut_links:
+                self.schedule(
                     1, lambda: self.receive(other, conn, effect.messages)
                 )
-        elif other.is_up and frozenset((name, other.name)) not in self.cut:
-            self.later(1, lambda: self.reach(name, effect, other))
+        elif (
+            other.is_up and frozenset((name, other.name)) not in self.cut_links
+        ):
+            self.schedule(1, lambda: self.deliver_to_fake(name, effect, other))
 
     def receive(self, name: str, conn: int, messages: list[Any]) -> None:
-        event = Received(now_ms=self.now, conn=conn, messages=messages)
+        event = Received(now_ms=self.now_ms, conn=conn, messages=messages)
         self.feed(name, event)
 
-    def reach(self, name: str, effect: Send, other: Any) -> None:
+    def deliver_to_fake(self, name: str, effect: Send, other: Any) -> None:
         if not other.is_up or getattr(other, 'is_silent', False):
             return
         replies = []
         for message in effect.messages:
             if isinstance(message, LeaseGrant) and message.leases:
-                self.grants.append((self.now, name, message))
+                self.grants.append((self.now_ms, name, message))
             replies += other.answer(message)
-        if replies and frozenset((name, other.name)) not in self.cut:
-            self.later(1, lambda: self.receive(name, effect.conn, replies))
+        if replies and frozenset((name, other.name)) not in self.cut_links:
+            self.schedule(1, lambda: self.receive(name, effect.conn, replies))
 
-    def open_admin(self, name: str, effect: Connect) -> None:
+    def open_admin_connection(self, name: str, effect: Connect) -> None:
         upstream = self.fakes[effect.peer]
-        if not upstream.is_up or frozenset((name, effect.peer)) in self.cut:
+        if (
+            not upstream.is_up
+            or frozenset((name, effect.peer)) in self.cut_links
+        ):
             closed = ConnClosed(
-                now_ms=self.now, conn=effect.conn, reason='refused'
+                now_ms=self.now_ms, conn=effect.conn, reason='refused'
             )
             self.feed(name, closed)
             return
-        self.ends[(name, effect.conn)] = ('upstream', upstream, 0)
+        self.remote_ends[(name, effect.conn)] = ('upstream', upstream, 0)
         opened = ConnOpened(
-            now_ms=self.now,
+            now_ms=self.now_ms,
             conn=effect.conn,
             link='upstream',
             peer=effect.peer,
@@ -353,41 +393,41 @@
         self.feed(name, opened)
 
     def add(self, fake: Any, every_ms: float = 100) -> Any:
-        """Connect a fake to all processes and let it report regularly."""
+        """Connect a fake to all processes; it reports at this interval."""
         self.fakes[fake.name] = fake
         for name in self.controls:
             self.connect(fake, name)
-        self.speak(fake, every_ms)
+        self.report_regularly(fake, every_ms)
         return fake
 
     def connect(self, fake: Any, name: str) -> None:
         link = 'proxy' if isinstance(fake, FakeProxy) else 'announce'
-        conn = next(self.conns)
-        self.ends[(name, conn)] = (link, fake, 0)
-        self.links[(fake.name, name)] = conn
-        opened = ConnOpened(now_ms=self.now, conn=conn, link=link)
+        conn = next(self.conn_numbers)
+        self.remote_ends[(name, conn)] = (link, fake, 0)
+        self.fake_conns[(fake.name, name)] = conn
+        opened = ConnOpened(now_ms=self.now_ms, conn=conn, link=link)
         self.feed(name, opened)
 
     def disconnect(self, fake: Any, name: str) -> None:
-        conn = self.links.pop((fake.name, name), 0)
-        self.ends.pop((name, conn), None)
-        self.feed(name, ConnClosed(now_ms=self.now, conn=conn))
+        conn = self.fake_conns.pop((fake.name, name), 0)
+        self.remote_ends.pop((name, conn), None)
+        self.feed(name, ConnClosed(now_ms=self.now_ms, conn=conn))
 
-    def speak(self, fake: Any, every_ms: float) -> None:
+    def report_regularly(self, fake: Any, every_ms: float) -> None:
         if fake.is_up and not getattr(fake, 'is_silent', False):
             for name in self.controls:
-                self.speak_to(fake, name)
-        self.later(every_ms, lambda: self.speak(fake, every_ms))
+                self.send_report(fake, name)
+        self.schedule(every_ms, lambda: self.report_regularly(fake, every_ms))
 
-    def speak_to(self, fake: Any, name: str) -> None:
-        conn = self.links.get((fake.name, name))
-        if conn is None or frozenset((name, fake.name)) in self.cut:
+    def send_report(self, fake: Any, name: str) -> None:
+        conn = self.fake_conns.get((fake.name, name))
+        if conn is None or frozenset((name, fake.name)) in self.cut_links:
             return
         if isinstance(fake, FakeProxy):
-            message = fake.report(self.now)
+            message = fake.report(self.now_ms)
         else:
             message = fake.announce()
-        self.later(1, lambda: self.receive(name, conn, [message]))
+        self.schedule(1, lambda: self.receive(name, conn, [message]))
 
     def kill(self, fake: Any) -> None:
         fake.is_up = False
@@ -395,19 +435,22 @@
             self.disconnect(fake, name)
 
     def run(self, for_ms: float, until: Any = None) -> bool:
-        """Pass time; stop early once `until` holds."""
-        end = self.now + for_ms
-        while self.events and self.events[0][0] <= end:
-            due, _, action = heapq.heappop(self.events)
-            self.now = max(self.now, due)
+        """Advance time; return True early once `until` returns True.
+
+        Without `until` the result is always True.
+        """
+        end_ms = self.now_ms + for_ms
+        while self.scheduled and self.scheduled[0][0] <= end_ms:
+            due_ms, _, action = heapq.heappop(self.scheduled)
+            self.now_ms = max(self.now_ms, due_ms)
             action()
             if until is not None and until():
                 return True
-        self.now = end
+        self.now_ms = end_ms
         return until is None
 
     def leader(self) -> ControlState | None:
-        """Return the process that leads in the highest term."""
+        """Return the state of the process that leads in the highest term."""
         leaders = [
             state
             for name, state in self.controls.items()
@@ -416,36 +459,36 @@
         return max(leaders, key=lambda s: s.consensus.term, default=None)
 
     def isolate(self, name: str) -> None:
-        """Cut a control process off from everything."""
+        """Cut the links of a control process to all others and all fakes."""
         for other in (*self.controls, *self.fakes):
-            self.cut.add(frozenset((name, other)))
+            self.cut_links.add(frozenset((name, other)))
 
-    def ask(self, message: Any) -> None:
-        """Send an operator's message to the leader."""
+    def send_operator_message(self, message: Any) -> None:
+        """Send a message of an operator to the leader."""
         leader = self.leader()
         assert leader is not None
-        conn = next(self.conns)
+        conn = next(self.conn_numbers)
         name = leader.cfg.name
-        self.ends[(name, conn)] = ('operator', None, 0)
+        self.remote_ends[(name, conn)] = ('operator', None, 0)
         self.feed(
-            name, ConnOpened(now_ms=self.now, conn=conn, link='operator')
+            name, ConnOpened(now_ms=self.now_ms, conn=conn, link='operator')
         )
         self.receive(name, conn, [message])
 
 
-def start(
+def start_cluster(
     controls: int = 1, proxies: int = 2, upstreams: int = 3, seed: int = 1
-) -> Group:
-    """Return a group whose first primary is published everywhere."""
-    group = Group([f'c{n}' for n in range(1, controls + 1)], seed)
-    assert group.run(3_000, lambda: group.leader() is not None)
+) -> SimulatedCluster:
+    """Return a cluster in which every proxy holds a lease of term 1."""
+    cluster = SimulatedCluster([f'c{n}' for n in range(1, controls + 1)], seed)
+    assert cluster.run(3_000, lambda: cluster.leader() is not None)
     create = Operation(
         action='create',
         type='group',
         name='g',
         body={'databases': upstreams, 'write_copies': 2},
     )
-    group.ask(
+    cluster.send_operator_message(
         Apply(
             id=1,
             change_id='first',
@@ -455,20 +498,23 @@
         )
     )
     for number in range(1, proxies + 1):
-        group.add(FakeProxy(f'p{number}'))
-        group.run(20)
+        cluster.add(FakeProxy(f'p{number}'))
+        cluster.run(20)
     for number in range(1, upstreams + 1):
-        group.add(FakeUpstream(f'u{number}'))
-        group.run(20)
-    assert group.run(5_000, lambda: has_leases(group, proxies))
-    return group
+        cluster.add(FakeUpstream(f'u{number}'))
+        cluster.run(20)
+    assert cluster.run(5_000, lambda: has_leases(cluster, proxies))
+    return cluster
 
 
-def has_leases(group: Group, proxies: int) -> bool:
-    """Tell whether every proxy holds a lease of the current term."""
-    leader = group.leader()
+def has_leases(cluster: SimulatedCluster, proxies: int) -> bool:
+    """Return whether every proxy holds a lease of the current term."""
+    leader = cluster.leader()
     if leader is None or 'g' not in leader.machine.groups:
         return False
     term = leader.machine.groups['g'].term
-    fakes = [f for f in group.fakes.values() if isinstance(f, FakeProxy)]
-    return len([f for f in fakes if f.holds(group.now, 'g', term)]) == proxies
+    fakes = [f for f in cluster.fakes.values() if isinstance(f, FakeProxy)]
+    return (
+        len([f for f in fakes if f.holds_lease(cluster.now_ms, 'g', term)])
+        == proxies
+    )
--- a/jackdawpost/tests/core/control/test_operator_requests.py
+++ b/jackdawpost/tests/core/control/test_operator_requests.py
@@ -1,4 +1,4 @@
-"""Answers on which operators base their next step."""
+"""Answers to the queries and requests of operators."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 from jackdawpost.wire.codec import FrameError
 
 
-def _ask(driver, what, **fields):
+def _query(driver, what, **fields):
     query = Query(id=7, what=what, **fields)
     answer = answer_query(driver.machine, query, {'proxy-1': 2})
     rows = {table.name: table.rows for table in answer.tables}
@@ -47,18 +47,18 @@
     driver.join('proxy-1', 'p1')
     codec = FrameCodec(OperatorAnswer)
     for topic in (what, 'dump'):
-        answer, _ = _ask(driver, topic)
+        answer, _ = _query(driver, topic)
         assert codec.decode(encode_json([answer])) == [answer]
         assert json.dumps(answer.data)
 
 
 def test_status_shows_proxies_behind_and_missing_approvals():
-    # Guards against a stalled rollout or join that nobody can see.
+    # Guards against a stalled rollout or join that the status does not show.
     driver = build_group()
     driver.join('proxy-1', 'p1')
     driver.announce('proxy-2', 'p2')
     driver.remove('db-3', 'db-3-data', 'expired')
-    answer, rows = _ask(driver, 'status')
+    answer, rows = _query(driver, 'status')
     version = driver.machine.version
     assert rows['proxies'] == [['proxy-1', 2, version - 2]]
     assert rows['newcomers'][0][-1] == 'db-1, db-2, proxy-1'
@@ -70,24 +70,24 @@
 def test_get_of_something_unknown_is_refused():
     # Guards against an empty table that looks like a deleted object.
     driver = build_group()
-    assert _ask(driver, 'get', type='queue')[0].status == 'refused'
-    answer, _ = _ask(driver, 'get', type='group', name='x')
+    assert _query(driver, 'get', type='queue')[0].status == 'refused'
+    answer, _ = _query(driver, 'get', type='group', name='x')
     assert answer.status == 'refused'
-    _, rows = _ask(driver, 'get', type='group', name='orders')
+    _, rows = _query(driver, 'get', type='group', name='orders')
     assert rows == {'group': [['orders', 3, 2, 50]]}
-    _, rows = _ask(driver, 'get', type='upstream', name='db-1')
+    _, rows = _query(driver, 'get', type='upstream', name='db-1')
     assert rows['upstream'] == [['db-1', None, False, 'joined', 'orders']]
 
 
 def test_diff_and_dry_run_change_nothing_and_list_faults():
-    # Guards against a preview that has an effect or that promises too much.
+    # Guards against a preview that has an effect or omits faults.
     driver = build_group()
     before = driver.state_without_index()
     items = [
         operation('amend', 'group', 'orders', databases=5),
         create('rule', 'r', groups=['x']),
     ]
-    answer, rows = _ask(driver, 'diff', operations=items)
+    answer, rows = _query(driver, 'diff', operations=items)
     assert ['group/orders', 'databases', 3, 5] in rows['diff']
     assert answer.status == 'rejected' and len(answer.faults) == 1
     request = Apply(
@@ -104,9 +104,9 @@
     assert isinstance(build_change(driver.machine, request), ApplyChangeSet)
 
 
-def test_resent_drain_gets_its_first_answer():
-    # Guards against a resend that is refused for a reused change id because
-    # the settings object exists by then.
+def test_resent_drain_gets_the_stored_answer():
+    # Guards against refusing a resend as another change under the same id,
+    # because the settings of the upstream exist by then.
     driver = build_group()
     command = build_drain(driver.machine, _drain())
     assert driver.run(command).answer.accepted
@@ -121,7 +121,7 @@
 
 
 def test_operator_approval_does_not_replace_a_member():
-    # Guards against a join without a member's approval (H10).
+    # Guards against a join without the approval of a member.
     driver = build_group(databases=('db-1',))
     driver.announce('proxy-1', 'p1')
     request = Approve(id=1, name='proxy-1', operator='ada')
@@ -132,8 +132,9 @@
     assert answer_approve(driver.machine, request).status == 'refused'
 
 
-def test_repeated_promotion_and_removal_hit_nothing_new():
-    # Guards against a resend that promotes twice or removes a successor.
+def test_repeated_promotion_and_removal_have_no_second_effect():
+    # Guards against a resend that promotes twice, or that removes a new member
+    # of the same name.
     driver = build_group()
     request = PromoteGroup(id=1, group='orders', from_term=0, operator='ada')
     assert driver.run(build_promotion(driver.machine, request)).answer is None
@@ -157,8 +158,8 @@
         '{"action": "create", "type": "group", "name": 7}',
     ],
 )
-def test_malformed_operation_is_refused_at_the_border(item):
-    # Guards against a misspelt body that turns an amend into no change.
+def test_malformed_operation_is_refused_by_the_codec(item):
+    # Guards against a misspelled field that turns an amend into no change.
     frame = (
         '{"kind": "apply", "id": 1, "change_id": "c", "base_revision": 0, '
         f'"operator": "ada", "operations": [{item}]}}'
