Reword the configuration objects, their checks and change sets

Cause: a reader met names such as match_group_states, _put_in_force, _keep_answer, _known_instances, place or users, which do not say what they are, and docstrings that named no subject ("One whose version is not higher than that in force"). Fault texts gave the accepted values in several forms ("valid is", "valid are"), and some named no remedy.

Ruled out: renaming Candidate, its fields, check_objects, parse_object and ObjectSet (public interface); changing the texts 'named by more than one operation' (quoted for operators), 'exists already', 'a promotion is running' and "current revision is N" (matched by tests of other folders).

Change: comments, docstrings, private names and fault texts. A fault now reads "value: must be ...". Fault texts are stored with the answers in the replicated state, so processes of both versions in one control group store different texts for the same rejected change until all are upgraded; no code reads the texts. The tests of change sets have new names and the same assertions.

--- a/jackdawpost/core/objects/__init__.py
+++ b/jackdawpost/core/objects/__init__.py
@@ -1,1 +1,1 @@
-"""Named objects: their forms, checks and change sets."""
+"""Configuration objects: data model, validation and change sets."""
--- a/jackdawpost/core/objects/change_sets.py
+++ b/jackdawpost/core/objects/change_sets.py
@@ -1,4 +1,9 @@
-"""Change sets: validated as a whole, answered once by change id."""
+"""Apply operators' change sets to the configuration objects.
+
+A change set is a list of create, amend and delete operations. It is applied
+only if the resulting configuration is valid as a whole. The answer is stored
+under the change id, and a resent change set gets the stored answer.
+"""
 
 from __future__ import annotations
 
@@ -23,27 +28,27 @@
 from jackdawpost.core.objects.checks import Candidate
 from jackdawpost.core.objects.checks import check_objects
 from jackdawpost.core.objects.model import is_valid_name
-from jackdawpost.core.objects.model import NAME_RULE
+from jackdawpost.core.objects.model import NAME_FORMAT
 from jackdawpost.core.objects.model import object_body
 from jackdawpost.core.objects.model import object_key
 from jackdawpost.core.objects.model import OBJECT_TYPES
 from jackdawpost.core.objects.model import parse_object
 
 MAX_OPERATIONS = 1_000
-MAX_ID_LENGTH = 128
-# Bounds the history: 1,000 entries of 1,000 operations would not fit a frame.
+MAX_ID_CHARS = 128
+# 1,000 history entries of 1,000 lines each would not fit in one frame.
 MAX_SUMMARY_LINES = 50
 
 
 def apply_change_set(
     machine: ControlMachine, command: ApplyChangeSet
 ) -> Applied:
-    """Accept or reject a change set, or repeat its first answer."""
-    kept = find_stored_answer(machine, command.change_id, command.operations)
-    if kept is not None:
-        return Applied(answer=kept)
+    """Apply a change set, or return the stored answer if it is a resend."""
+    stored = find_stored_answer(machine, command.change_id, command.operations)
+    if stored is not None:
+        return Applied(answer=stored)
     fingerprint = _fingerprint(command.operations)
-    candidate, faults = _evaluate(machine, command)
+    candidate, faults = _validate(machine, command)
     if faults:
         answer = ChangeAnswer(
             change_id=command.change_id,
@@ -51,21 +56,21 @@
             revision=machine.revision,
             faults=faults,
         )
-        _keep_answer(machine, fingerprint, answer)
+        _store_answer(machine, fingerprint, answer)
         return Applied(answer=answer)
-    changed = _put_in_force(machine, command, candidate)
+    changed = _activate_objects(machine, command, candidate)
     answer = ChangeAnswer(
         change_id=command.change_id, accepted=True, revision=machine.revision
     )
-    _keep_answer(machine, fingerprint, answer)
+    _store_answer(machine, fingerprint, answer)
     return Applied(answer=answer, changed=changed)
 
 
 def check_change_set(
     machine: ControlMachine, command: ApplyChangeSet
 ) -> ChangeAnswer:
-    """Validate a change set without applying it or keeping an answer."""
-    _, faults = _evaluate(machine, command)
+    """Validate a change set without applying it or storing an answer."""
+    _, faults = _validate(machine, command)
     return ChangeAnswer(
         change_id=command.change_id,
         accepted=not faults,
@@ -77,26 +82,26 @@
 def find_stored_answer(
     machine: ControlMachine, change_id: str, operations: list[Operation]
 ) -> ChangeAnswer | None:
-    """Return the first answer under a change id, or None.
+    """Return the answer stored under a change id, or None.
 
-    Only the operations are compared: a resend may name a later base revision,
-    since the first attempt may have made it.
+    The base revision is not compared: if the first attempt was accepted, it
+    raised the current revision, and a resend may name the new one.
 
     Returns
     -------
     ChangeAnswer, optional
-        The kept answer marked as duplicate, or a reject if the id was used
-        for other operations.
+        The stored answer marked as duplicate, or a rejection if the id was
+        used for other operations.
     """
-    kept = machine.answers.get(change_id)
-    if kept is None:
+    stored = machine.answers.get(change_id)
+    if stored is None:
         return None
-    if kept.fingerprint == _fingerprint(operations):
-        return dataclasses.replace(kept.answer, duplicate=True)
-    outcome = 'accepted' if kept.answer.accepted else 'rejected'
+    if stored.fingerprint == _fingerprint(operations):
+        return dataclasses.replace(stored.answer, duplicate=True)
+    outcome = 'accepted' if stored.answer.accepted else 'rejected'
     message = (
-        f'{change_id!r}: used before for other operations, {outcome} '
-        f'at revision {kept.answer.revision}; valid is a new id'
+        f'{change_id!r} was already used for other operations, {outcome} '
+        f'at revision {stored.answer.revision}; must be a new id'
     )
     return ChangeAnswer(
         change_id=change_id,
@@ -121,13 +126,15 @@
     Returns
     -------
     tuple
-        The resulting objects and every fault; they may only be put in force
-        if there is none.
+        The resulting objects and all faults. The objects may be activated
+        only if there are no faults.
     """
     candidate = Candidate(objects=machine.objects.copy())
     faults = []
     if not 1 <= len(operations) <= MAX_OPERATIONS:
-        message = f'{len(operations)}: valid are 1 to {MAX_OPERATIONS}'
+        message = (
+            f'{len(operations)} operations: must be 1 to {MAX_OPERATIONS}'
+        )
         faults.append(Fault(object='', field='operations', message=message))
     for operation in operations[:MAX_OPERATIONS]:
         faults.extend(_apply_operation(candidate, operation))
@@ -135,39 +142,39 @@
     return candidate, faults
 
 
-def _evaluate(
+def _validate(
     machine: ControlMachine, command: ApplyChangeSet
 ) -> tuple[Candidate, list[Fault]]:
     if command.base_revision != machine.revision:
-        fault = _describe_stale_base(machine, command.base_revision)
+        fault = _build_stale_base_fault(machine, command.base_revision)
         return Candidate(objects=machine.objects), [fault]
-    faults = _check_texts(command)
+    faults = _check_text_lengths(command)
     candidate, more_faults = apply_operations(machine, command.operations)
     return candidate, faults + more_faults
 
 
-def _describe_stale_base(machine: ControlMachine, base: int) -> Fault:
-    message = f'{base}: the current revision is {machine.revision}'
+def _build_stale_base_fault(machine: ControlMachine, base: int) -> Fault:
+    message = (
+        f'{base} does not match: the current revision is {machine.revision}'
+    )
     if base < machine.revision and machine.history:
-        winner = next(
+        conflicting = next(
             (e for e in machine.history if e.revision == base + 1),
             machine.history[-1],
         )
         message += (
-            f'; change {winner.change_id!r} of {winner.operator!r} made '
-            f'revision {winner.revision}'
+            f'; change {conflicting.change_id!r} of {conflicting.operator!r} '
+            f'created revision {conflicting.revision}'
         )
     return Fault(object='', field='base_revision', message=message)
 
 
-def _check_texts(command: ApplyChangeSet) -> list[Fault]:
+def _check_text_lengths(command: ApplyChangeSet) -> list[Fault]:
     faults = []
     for field in ('change_id', 'operator'):
         value = getattr(command, field)
-        if not 1 <= len(value) <= MAX_ID_LENGTH:
-            message = (
-                f'{len(value)} characters: valid are 1 to {MAX_ID_LENGTH}'
-            )
+        if not 1 <= len(value) <= MAX_ID_CHARS:
+            message = f'{len(value)} characters: must be 1 to {MAX_ID_CHARS}'
             faults.append(Fault(object='', field=field, message=message))
     return faults
 
@@ -175,15 +182,15 @@
 def _apply_operation(
     candidate: Candidate, operation: Operation
 ) -> list[Fault]:
-    # Faults are kept with the answer, so that they must stay short.
+    # Faults are stored with the answer, so names in them are cut short.
     key = object_key(operation.type[:80], operation.name[:80])
     if operation.type not in OBJECT_TYPES:
         message = (
-            f'{operation.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
+            f'{operation.type!r:.80}: must be one of {", ".join(OBJECT_TYPES)}'
         )
         return [Fault(object=key, field='type', message=message)]
     if not is_valid_name(operation.name):
-        message = f'{operation.name!r:.80}: valid are {NAME_RULE}'
+        message = f'{operation.name!r:.80}: must be {NAME_FORMAT}'
         return [Fault(object=key, field='name', message=message)]
     if key in candidate.touched:
         message = 'named by more than one operation'
@@ -205,12 +212,12 @@
         del table[operation.name]
         candidate.deleted.add(key)
         if operation.body:
-            message = 'valid is an empty body for delete'
+            message = 'must be empty for delete'
             return [Fault(object=key, field='body', message=message)]
         return []
     body = {} if current is None else object_body(current)
     body.update(operation.body)
-    # A null resets a field, so that its default applies.
+    # A null value resets a field to its default.
     body = {name: value for name, value in body.items() if value is not None}
     item, faults = parse_object(operation.type, operation.name, body)
     if faults:
@@ -222,12 +229,12 @@
     return faults
 
 
-def _put_in_force(
+def _activate_objects(
     machine: ControlMachine, command: ApplyChangeSet, candidate: Candidate
 ) -> bool:
     machine.objects = candidate.objects
     machine.revision += 1
-    match_group_states(machine)
+    reconcile_group_states(machine)
     machine.history.append(
         HistoryEntry(
             revision=machine.revision,
@@ -237,7 +244,7 @@
         )
     )
     del machine.history[:-MAX_HISTORY]
-    # An allowance also changes with its fallback.
+    # A change of an allowance also changes those that fall back on it.
     allowances = [
         object_key('allowance', name) for name in machine.objects.allowances
     ]
@@ -254,12 +261,16 @@
     return lines
 
 
-def match_group_states(machine: ControlMachine) -> None:
-    """Keep a state for each group that exists, also for returning ones."""
-    wanted = machine.objects.groups
-    for name in [name for name in machine.groups if name not in wanted]:
+def reconcile_group_states(machine: ControlMachine) -> None:
+    """Create, retire or restore group states to match the group objects.
+
+    The state of a deleted group is retained and restored if a group of the
+    same name is created again.
+    """
+    configured = machine.objects.groups
+    for name in [name for name in machine.groups if name not in configured]:
         machine.retired_groups[name] = machine.groups.pop(name)
-    created = sorted(name for name in wanted if name not in machine.groups)
+    created = sorted(name for name in configured if name not in machine.groups)
     for name in created:
         machine.groups[name] = machine.retired_groups.pop(name, GroupState())
     if created:
@@ -267,10 +278,10 @@
             add_to_new_groups(machine, machine.members[name])
 
 
-def _keep_answer(
+def _store_answer(
     machine: ControlMachine, fingerprint: bytes, answer: ChangeAnswer
 ) -> None:
-    if not 1 <= len(answer.change_id) <= MAX_ID_LENGTH:
+    if not 1 <= len(answer.change_id) <= MAX_ID_CHARS:
         return
     machine.answers[answer.change_id] = StoredAnswer(
         fingerprint=fingerprint, answer=answer
--- a/jackdawpost/core/objects/checks.py
+++ b/jackdawpost/core/objects/checks.py
@@ -1,4 +1,8 @@
-"""Checks of a whole resulting set of objects."""
+"""Validate a complete set of configuration objects before it is activated.
+
+These checks cover references between objects and the current members. Each
+object's own fields have been validated by `parse_object` before.
+"""
 
 from __future__ import annotations
 
@@ -21,17 +25,19 @@
 
 @dataclass(slots=True, kw_only=True)
 class Candidate:
-    """Result of the operations of a change set, not yet in force.
+    """Objects that result from a change set and are not active yet.
 
     Parameters
     ----------
+    objects : ObjectSet
+        All objects after the change, also the unchanged ones.
     touched : set of str
         ``TYPE/NAME`` of every object that an operation names.
     broken : set of str
-        Objects whose own fields are faulty. References to them are not
-        reported as missing, which would hide the real fault.
+        ``TYPE/NAME`` of objects with invalid fields. References to them are
+        not reported as missing, which would hide the actual fault.
     deleted : set of str
-        Objects that the change set deletes.
+        ``TYPE/NAME`` of objects that the change set deletes.
     """
 
     objects: ObjectSet
@@ -43,22 +49,22 @@
 def check_objects(
     machine: ControlMachine, candidate: Candidate
 ) -> list[Fault]:
-    """Return every fault of the resulting set, in a fixed order."""
+    """Return all faults of the resulting objects, in a fixed order."""
     faults = _check_references(candidate)
     faults.extend(_check_cycles(candidate))
     faults.extend(_check_rules_and_limits(candidate))
     faults.extend(_check_endpoints(candidate))
     faults.extend(_check_groups(candidate))
-    faults.extend(_check_drained(machine, candidate))
+    faults.extend(_check_drained_groups(machine, candidate))
     faults.extend(_check_upstreams(machine, candidate))
     faults.extend(_check_deleted_groups(machine, candidate))
     return faults
 
 
-def _list_references(item: NamedObject) -> Iterator[tuple[str, str]]:
+def _iter_references(item: NamedObject) -> Iterator[tuple[str, str]]:
     if isinstance(item, RuleObject):
-        for place, name in enumerate(item.groups):
-            yield f'groups.{place}', object_key('group', name)
+        for index, name in enumerate(item.groups):
+            yield f'groups.{index}', object_key('group', name)
         if item.allowance is not None:
             yield 'allowance', object_key('allowance', item.allowance)
     elif isinstance(item, AllowanceObject):
@@ -75,20 +81,26 @@
 
 def _check_references(candidate: Candidate) -> list[Fault]:
     faults = []
-    users: dict[str, list[str]] = {}
+    referrers: dict[str, list[str]] = {}
     for object_type, name, item in candidate.objects.items():
         key = object_key(object_type, name)
-        for place, target in _list_references(item):
+        for field_path, target in _iter_references(item):
             if _exists(candidate, target):
                 continue
             if target in candidate.deleted:
-                users.setdefault(target, []).append(f'{key} ({place})')
+                referrers.setdefault(target, []).append(
+                    f'{key} ({field_path})'
+                )
                 continue
             faults.append(
-                Fault(object=key, field=place, message=f'no {target} exists')
+                Fault(
+                    object=key,
+                    field=field_path,
+                    message=f'{target} does not exist',
+                )
             )
-    for target in sorted(users):
-        message = f'still used by {", ".join(users[target])}'
+    for target in sorted(referrers):
+        message = f'still used by {", ".join(referrers[target])}'
         faults.append(Fault(object=target, field='', message=message))
     return faults
 
@@ -103,19 +115,19 @@
 def _check_cycles(candidate: Candidate) -> list[Fault]:
     faults = []
     for name in sorted(candidate.objects.allowances):
-        path = _follow_fallbacks(candidate.objects, name)
+        path = _follow_fallback_chain(candidate.objects, name)
         if len(path) > 1 and path[-1] == name:
             faults.append(
                 Fault(
                     object=object_key('allowance', name),
                     field='fallback',
-                    message=f'cycle: {" -> ".join(path)}',
+                    message=f'fallbacks form a cycle: {" -> ".join(path)}',
                 )
             )
     return faults
 
 
-def _follow_fallbacks(objects: ObjectSet, name: str) -> list[str]:
+def _follow_fallback_chain(objects: ObjectSet, name: str) -> list[str]:
     path = [name]
     while True:
         allowance = objects.allowances.get(path[-1])
@@ -139,16 +151,17 @@
                     message=f'group {group!r} is listed more than once',
                 )
             )
-    limit_of: dict[str, str] = {}
+    limit_by_group: dict[str, str] = {}
     for name in sorted(candidate.objects.limits):
         group = candidate.objects.limits[name].group
-        other = limit_of.setdefault(group, name)
+        other = limit_by_group.setdefault(group, name)
         if other != name:
             faults.append(
                 Fault(
                     object=object_key('limit', name),
                     field='group',
-                    message=f'group {group!r} has limit {other!r} already',
+                    message=f'group {group!r} already has limit {other!r}; '
+                    'must be a group without a limit',
                 )
             )
     return faults
@@ -156,17 +169,19 @@
 
 def _check_endpoints(candidate: Candidate) -> list[Fault]:
     faults = []
-    places: dict[tuple[str, str], str] = {}
+    endpoint_by_address: dict[tuple[str, str], str] = {}
     for name in sorted(candidate.objects.endpoints):
         item = candidate.objects.endpoints[name]
-        other = places.setdefault((item.database, item.path), name)
+        other = endpoint_by_address.setdefault(
+            (item.database, item.path), name
+        )
         if other != name:
             faults.append(
                 Fault(
                     object=object_key('endpoint', name),
                     field='database',
                     message=f'{item.database!r} with path {item.path!r} is '
-                    f'that of endpoint {other!r}',
+                    f'already used by endpoint {other!r}',
                 )
             )
     return faults
@@ -182,19 +197,19 @@
                 Fault(
                     object=key,
                     field='write_copies',
-                    message=f'{group.write_copies}: valid is 1 to the '
-                    f"group's databases, {group.databases}",
+                    message=f'{group.write_copies}: must be 1 to the number '
+                    f"of the group's databases, {group.databases}",
                 )
             )
     return faults
 
 
-def _check_drained(
+def _check_drained_groups(
     machine: ControlMachine, candidate: Candidate
 ) -> list[Fault]:
-    # Membership changes by itself, so that a set accepted earlier may have no
-    # undrained upstream by now. Only a change set that touches the group's
-    # upstreams is held responsible for it.
+    # Upstreams join and leave without a change set. A group may have lost its
+    # last undrained upstream that way since the last change set, so the check
+    # covers only groups whose upstreams this change set names.
     touched_groups = set()
     for key in candidate.touched:
         object_type, _, name = key.partition('/')
@@ -203,14 +218,16 @@
             touched_groups.add(member.group)
     faults = []
     for group in sorted(touched_groups & set(candidate.objects.groups)):
-        names = [member.name for member in _joined_upstreams(machine, group)]
+        names = [
+            member.name for member in _list_joined_upstreams(machine, group)
+        ]
         if all(_is_drained(candidate, name) for name in names):
             faults.append(
                 Fault(
                     object=object_key('group', group),
                     field='',
-                    message='no possible primary: all its upstreams are '
-                    f'drained ({", ".join(names)})',
+                    message='no upstream can become the primary: all joined '
+                    f'upstreams are drained ({", ".join(names)})',
                 )
             )
     return faults
@@ -221,7 +238,9 @@
     return settings is not None and settings.drained
 
 
-def _joined_upstreams(machine: ControlMachine, group: str) -> list[Member]:
+def _list_joined_upstreams(
+    machine: ControlMachine, group: str
+) -> list[Member]:
     return [
         machine.members[name]
         for name in sorted(machine.members)
@@ -239,19 +258,27 @@
         if key not in candidate.touched:
             continue
         expected = candidate.objects.upstreams[name].group
-        for member in _known_instances(machine, name):
+        for member in _find_members_and_newcomers(machine, name):
             if member.role != 'upstream':
-                message = f'{name!r} is the name of a {member.role}'
+                message = (
+                    f'{name!r} is the name of a {member.role}: must be '
+                    'the name of an upstream'
+                )
                 faults.append(Fault(object=key, field='', message=message))
             elif expected is not None and member.group != expected:
-                message = f'{expected!r}: it announces {member.group!r}'
+                message = (
+                    f'{expected!r}: must be the group that the upstream '
+                    f'announces, {member.group!r}'
+                )
                 faults.append(
                     Fault(object=key, field='group', message=message)
                 )
     return faults
 
 
-def _known_instances(machine: ControlMachine, name: str) -> list[Member]:
+def _find_members_and_newcomers(
+    machine: ControlMachine, name: str
+) -> list[Member]:
     found = []
     if name in machine.members:
         found.append(machine.members[name])
@@ -268,7 +295,7 @@
         object_type, _, name = key.partition('/')
         if object_type != 'group':
             continue
-        members = _joined_upstreams(machine, name)
+        members = _list_joined_upstreams(machine, name)
         if members:
             names = ', '.join(member.name for member in members)
             message = f'still used by joined upstreams: {names}'
--- a/jackdawpost/core/objects/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -1,4 +1,8 @@
-"""Configurations that operators declare as a whole, under their versions."""
+"""Apply complete configurations that operators declare under a version.
+
+A declared configuration replaces all objects, unlike a change set, which
+changes some of them.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +17,7 @@
 from jackdawpost.core.control.state import HistoryEntry
 from jackdawpost.core.control.state import MAX_HISTORY
 from jackdawpost.core.messages.operator import Fault
-from jackdawpost.core.objects.change_sets import match_group_states
+from jackdawpost.core.objects.change_sets import reconcile_group_states
 from jackdawpost.core.objects.checks import Candidate
 from jackdawpost.core.objects.checks import check_objects
 from jackdawpost.core.objects.model import object_key
@@ -25,11 +29,11 @@
 def declare_objects(
     machine: ControlMachine, command: DeclareObjects
 ) -> Applied:
-    """Put a declared configuration in force if its version is the highest.
+    """Activate a declared configuration if its version is the highest.
 
-    One whose version is not higher than that in force is accepted without
-    effect, so that a resend, and a change that another has overtaken, get a
-    clear answer.
+    A configuration whose version is not higher than the active one is
+    accepted without effect and answered as a duplicate. It is a resend, or a
+    higher version was declared in the meantime.
     """
     candidate, faults = check_declared(machine, command.objects)
     change_id = f'declared-{command.version}'
@@ -44,7 +48,7 @@
     changed = False
     declared = machine.declared
     if declared is None or command.version > declared.version:
-        changed = _put_in_force(machine, command, candidate, change_id)
+        changed = _activate_objects(machine, command, candidate, change_id)
     answer = ChangeAnswer(
         change_id=change_id,
         accepted=True,
@@ -62,8 +66,8 @@
     Returns
     -------
     tuple
-        The resulting objects and every fault; they may only be put in force
-        if there is none.
+        The resulting objects and all faults. The objects may be activated
+        only if there are no faults.
     """
     candidate = Candidate(objects=ObjectSet())
     faults: list[Fault] = []
@@ -76,11 +80,15 @@
 def _add_object(candidate: Candidate, declared: DeclareObject) -> list[Fault]:
     key = object_key(declared.type[:80], declared.name[:80])
     if declared.type not in OBJECT_TYPES:
-        message = f'{declared.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
+        message = (
+            f'{declared.type!r:.80}: must be one of {", ".join(OBJECT_TYPES)}'
+        )
         return [Fault(object=key, field='type', message=message)]
     table = candidate.objects.table(declared.type)
     if declared.name in table:
-        return [Fault(object=key, field='name', message='is used twice')]
+        return [
+            Fault(object=key, field='name', message='declared more than once')
+        ]
     item, faults = parse_object(declared.type, declared.name, declared.body)
     candidate.touched.add(key)
     if faults:
@@ -90,7 +98,7 @@
     return faults
 
 
-def _put_in_force(
+def _activate_objects(
     machine: ControlMachine,
     command: DeclareObjects,
     candidate: Candidate,
@@ -102,7 +110,7 @@
     machine.declared = DeclaredConfig(
         version=command.version, document=command.document
     )
-    match_group_states(machine)
+    reconcile_group_states(machine)
     machine.history.append(
         HistoryEntry(
             revision=machine.revision,
--- a/jackdawpost/core/objects/model.py
+++ b/jackdawpost/core/objects/model.py
@@ -1,4 +1,9 @@
-"""Named objects that operators manage."""
+"""Configuration objects that operators manage, and their validation.
+
+Each type has two classes: a dataclass such as `GroupObject`, which is kept in
+the replicated state, and a pydantic model such as `GroupBody`, which validates
+the fields that operators write and fills in defaults.
+"""
 
 from __future__ import annotations
 
@@ -21,22 +26,32 @@
 from jackdawpost.core.messages.operator import Fault
 
 NAME_PATTERN = r'^[a-z0-9][a-z0-9.-]{0,62}$'
-NAME_RULE = (
+NAME_FORMAT = (
     '1 to 63 lower-case letters, digits, dots or hyphens, the first one a '
     'letter or digit'
 )
-MAX_AGE_LIMIT_MS = 86_400_000
+MAX_ALLOWANCE_AGE_MS = 86_400_000
 MAX_DATABASES = 9
 MAX_TIMEOUT_MS = 3_600_000
 
 Consistency = Literal['primary', 'bounded_staleness', 'read_your_writes']
 
-_NAME = re.compile(NAME_PATTERN)
+_NAME_REGEX = re.compile(NAME_PATTERN)
 
 
 @dataclass(slots=True, kw_only=True)
 class GroupObject:
-    """Database group."""
+    """Replicated group of databases.
+
+    Parameters
+    ----------
+    databases : int
+        Number of databases that the group should have.
+    write_copies : int
+        Databases that must hold a write before it is acknowledged.
+    replica_wait_ms : int
+        Time that a read may wait on a replica, in milliseconds.
+    """
 
     name: str
     databases: int
@@ -46,14 +61,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamObject:
-    """Operator settings of an upstream that announces itself.
+    """Operator's settings for an upstream that announces itself.
 
     Parameters
     ----------
     group : str, optional
-        Group that the upstream must announce; another one is refused.
+        Group that the upstream must announce. An upstream that announces
+        another group is refused.
     drained : bool
-        The upstream gets no new work.
+        The upstream receives no new requests.
     """
 
     name: str
@@ -63,7 +79,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class RuleObject:
-    """Routing rule."""
+    """Routing rule: the groups behind a route and its allowance."""
 
     name: str
     groups: list[str]
@@ -73,7 +89,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AllowanceObject:
-    """Staleness allowance with its own age or that of its fallback."""
+    """Staleness allowance: a maximum age, or the allowance to fall back on."""
 
     name: str
     max_age_ms: int | None = None
@@ -82,7 +98,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class LimitObject:
-    """Limits of one group."""
+    """Request limits of one group; see `LimitView`."""
 
     name: str
     group: str
@@ -93,29 +109,32 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndpointObject:
-    """Named database that sessions of the pooler connect to.
+    """Named database that callers of the session pooler connect to.
 
     Parameters
     ----------
     database : str
-        Name that callers ask for when they open a session.
+        Database name that callers give when they open a session.
     path : str
-        Part of the database's name space; no two endpoints share both.
+        Part of the database's name space. No two endpoints have the same
+        database and path.
     consistency : {'primary', 'bounded_staleness', 'read_your_writes'}
-        What reads may be served from.
+        Consistency level of reads.
     allowance : str, optional
-        Age of rows that reads accept; none with ``'primary'``.
+        Allowance that gives the maximum age of rows read; None with
+        consistency ``'primary'``.
     timeout_ms : int
-        Longest time of one statement, in milliseconds.
+        Maximum run time of one statement, in milliseconds.
     objective_ms : int
         Latency objective of a whole operation, in milliseconds.
     priority : int
-        Urgency; 0 is the highest.
+        Priority of requests; 0 is the highest.
     idle_txn_ms : int
-        Longest pause between statements of a transaction; 0 for any.
+        Maximum time between statements of a transaction, in milliseconds; 0
+        for no limit.
     max_connections : int
         Connections that each upstream of the group accepts from all proxies
-        together; 0 where nobody has said.
+        together; 0 if not specified.
     """
 
     name: str
@@ -143,7 +162,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ObjectSet:
-    """All named objects by type and name."""
+    """All configuration objects by type and name."""
 
     groups: dict[str, GroupObject] = field(default_factory=dict)
     upstreams: dict[str, UpstreamObject] = field(default_factory=dict)
@@ -153,7 +172,7 @@
     endpoints: dict[str, EndpointObject] = field(default_factory=dict)
 
     def table(self, object_type: str) -> dict[str, Any]:
-        """Return the objects of one type by name."""
+        """Return the mutable table of one type, keyed by object name."""
         tables: dict[str, dict[str, Any]] = {
             'group': self.groups,
             'upstream': self.upstreams,
@@ -165,7 +184,7 @@
         return tables[object_type]
 
     def copy(self) -> ObjectSet:
-        """Return a copy whose tables can be changed; objects are shared."""
+        """Return a copy with its own tables that shares the objects."""
         return ObjectSet(
             groups=dict(self.groups),
             upstreams=dict(self.upstreams),
@@ -176,73 +195,75 @@
         )
 
     def items(self) -> Iterator[tuple[str, str, NamedObject]]:
-        """Yield type, name and object, sorted."""
+        """Yield type, name and object, sorted by name within each type."""
         for object_type in OBJECT_TYPES:
             table = self.table(object_type)
             for name in sorted(table):
                 yield object_type, name, table[name]
 
 
-class _Body(BaseModel):
+class _BodyModel(BaseModel):
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
 
-_Reference = Annotated[str, Field(pattern=NAME_PATTERN)]
+_ObjectName = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
-class GroupBody(_Body):
-    """Fields of a group as operators write them."""
+class GroupBody(_BodyModel):
+    """Validation model of the fields of a group."""
 
     databases: int = Field(ge=1, le=MAX_DATABASES)
     write_copies: int = Field(default=2, ge=1, le=MAX_DATABASES)
     replica_wait_ms: int = Field(default=50, ge=0, le=60_000)
 
 
-class UpstreamBody(_Body):
-    """Fields of an upstream as operators write them."""
+class UpstreamBody(_BodyModel):
+    """Validation model of the fields of an upstream."""
 
-    group: _Reference | None = None
+    group: _ObjectName | None = None
     drained: bool = False
 
 
-class RuleBody(_Body):
-    """Fields of a rule as operators write them."""
+class RuleBody(_BodyModel):
+    """Validation model of the fields of a rule."""
 
-    groups: list[_Reference] = Field(min_length=1, max_length=1_000)
-    allowance: _Reference | None = None
+    groups: list[_ObjectName] = Field(min_length=1, max_length=1_000)
+    allowance: _ObjectName | None = None
     read_only: bool = False
 
 
-class AllowanceBody(_Body):
-    """Fields of an allowance as operators write them."""
+class AllowanceBody(_BodyModel):
+    """Validation model of the fields of an allowance."""
 
-    max_age_ms: int | None = Field(default=None, ge=0, le=MAX_AGE_LIMIT_MS)
-    fallback: _Reference | None = None
+    max_age_ms: int | None = Field(default=None, ge=0, le=MAX_ALLOWANCE_AGE_MS)
+    fallback: _ObjectName | None = None
 
     @model_validator(mode='after')
-    def _check_one_source(self) -> AllowanceBody:
+    def _check_age_or_fallback(self) -> AllowanceBody:
         if (self.max_age_ms is None) == (self.fallback is None):
-            raise ValueError('valid is exactly one of max_age_ms and fallback')
+            raise ValueError(
+                'must have exactly one of max_age_ms and fallback'
+            )
         return self
 
 
-class LimitBody(_Body):
-    """Fields of a limit as operators write them."""
+class LimitBody(_BodyModel):
+    """Validation model of the fields of a limit."""
 
-    group: _Reference
+    group: _ObjectName
     queue_length: int = Field(default=256, ge=1, le=100_000)
     max_deadline_ms: int = Field(default=60_000, ge=1, le=60_000)
     retry_ratio: float = Field(default=0.1, ge=0, le=1, allow_inf_nan=False)
 
 
-class EndpointBody(_Body):
-    """Fields of an endpoint as operators write them."""
+class EndpointBody(_BodyModel):
+    """Validation model of the fields of an endpoint."""
 
     database: str = Field(min_length=1, max_length=255)
     path: str = Field(default='/', max_length=255)
-    group: _Reference
+    group: _ObjectName
     consistency: Consistency = 'primary'
-    allowance: _Reference | None = None
+    allowance: _ObjectName | None = None
     timeout_ms: int = Field(ge=1, le=MAX_TIMEOUT_MS)
     objective_ms: int = Field(default=1_000, ge=1, le=MAX_TIMEOUT_MS)
     priority: int = Field(default=1, ge=0, le=1_000)
@@ -253,12 +274,12 @@
     def _check_allowance(self) -> EndpointBody:
         if (self.consistency == 'primary') != (self.allowance is None):
             raise ValueError(
-                'valid is an allowance unless consistency is primary'
+                'must have an allowance unless consistency is primary'
             )
         return self
 
 
-_BODIES: Mapping[str, type[_Body]] = {
+_BODY_MODELS: Mapping[str, type[_BodyModel]] = {
     'group': GroupBody,
     'upstream': UpstreamBody,
     'rule': RuleBody,
@@ -267,7 +288,7 @@
     'endpoint': EndpointBody,
 }
 
-_OBJECTS: Mapping[str, type[Any]] = {
+_DATACLASSES: Mapping[str, type[Any]] = {
     'group': GroupObject,
     'upstream': UpstreamObject,
     'rule': RuleObject,
@@ -276,26 +297,28 @@
     'endpoint': EndpointObject,
 }
 
-OBJECT_TYPES = tuple(_BODIES)
+OBJECT_TYPES = tuple(_BODY_MODELS)
 
 
 def object_key(object_type: str, name: str) -> str:
-    """Return ``TYPE/NAME``."""
+    """Return the key ``TYPE/NAME`` of an object."""
     return f'{object_type}/{name}'
 
 
 def is_valid_name(name: str) -> bool:
-    """Tell whether an object may have this name."""
-    return _NAME.fullmatch(name) is not None
+    """Return True if the name has the format required of object names."""
+    return _NAME_REGEX.fullmatch(name) is not None
 
 
 def field_names(object_type: str) -> list[str]:
-    """Return the fields of a type, the name first."""
-    return [item.name for item in dataclasses.fields(_OBJECTS[object_type])]
+    """Return the field names of an object type, ``name`` first."""
+    return [
+        item.name for item in dataclasses.fields(_DATACLASSES[object_type])
+    ]
 
 
 def object_body(item: NamedObject) -> dict[str, Any]:
-    """Return the fields of an object without its name."""
+    """Return the fields of an object except its name."""
     body = dataclasses.asdict(item)
     del body['name']
     return body
@@ -318,39 +341,42 @@
     Returns
     -------
     tuple
-        The object, and every fault of its fields. With faults, the object is
-        what the valid fields give, for finding further faults, or None.
+        The object and all faults of its fields. If there are faults, the
+        object is built from the valid fields alone, for further checks, or
+        is None if that is impossible.
     """
-    model_type = _BODIES[object_type]
+    model_type = _BODY_MODELS[object_type]
     faults: list[Fault] = []
     try:
         model = model_type.model_validate(body)
     except ValidationError as exc:
-        valid = ', '.join(model_type.model_fields)
-        faults = _list_faults(object_key(object_type, name), exc, valid)
+        field_list = ', '.join(model_type.model_fields)
+        faults = _convert_validation_error(
+            object_key(object_type, name), exc, field_list
+        )
         bad_fields = {fault.field.partition('.')[0] for fault in faults}
-        rest = {k: v for k, v in body.items() if k not in bad_fields}
+        valid_body = {k: v for k, v in body.items() if k not in bad_fields}
         try:
-            model = model_type.model_validate(rest)
+            model = model_type.model_validate(valid_body)
         except ValidationError:
             return None, faults
-    return _OBJECTS[object_type](name=name, **model.model_dump()), faults
+    return _DATACLASSES[object_type](name=name, **model.model_dump()), faults
 
 
 def resolve_max_age_ms(objects: ObjectSet, name: str) -> int:
-    """Return the age of an allowance, following its fallbacks.
+    """Return the maximum age of an allowance, following its fallbacks.
 
     Parameters
     ----------
     objects : ObjectSet
-        Validated objects: references exist and form no cycle.
+        Validated objects: fallbacks exist and form no cycle.
     name : str
         Name of the allowance.
 
     Returns
     -------
     int
-        Age in milliseconds.
+        Maximum age in milliseconds.
     """
     allowance = objects.allowances[name]
     while allowance.max_age_ms is None:
@@ -359,16 +385,16 @@
     return allowance.max_age_ms
 
 
-def _list_faults(
-    key: str, exc: ValidationError, valid_fields: str
+def _convert_validation_error(
+    key: str, exc: ValidationError, field_list: str
 ) -> list[Fault]:
     faults = []
     for error in exc.errors(include_url=False):
-        place = '.'.join(str(part)[:80] for part in error['loc'])
+        field_path = '.'.join(str(part)[:80] for part in error['loc'])
         message = error['msg'].removeprefix('Value error, ')
         if error['type'] == 'extra_forbidden':
-            message = f'unknown field: valid are {valid_fields}'
+            message = f'unknown field: must be one of {field_list}'
         elif error['type'] not in ('missing', 'value_error'):
             message = f'{error["input"]!r:.80}: {message}'
-        faults.append(Fault(object=key, field=place, message=message))
+        faults.append(Fault(object=key, field=field_path, message=message))
     return faults
--- a/jackdawpost/tests/core/objects/test_change_sets.py
+++ b/jackdawpost/tests/core/objects/test_change_sets.py
@@ -1,4 +1,4 @@
-"""Change sets that race, are sent again, or must not be accepted."""
+"""Change sets: conflicts, resends and rejections."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from jackdawpost.tests.core.control.machine_driver import Driver
 from jackdawpost.tests.core.control.machine_driver import operation
 
-AGES = ('allowance', 'reports')
+REPORTS_ALLOWANCE = ('allowance', 'reports')
 
 
-def _configured():
+def _build_configured_driver():
     driver = build_group()
     answer = driver.change(
         'base',
-        create(*AGES, max_age_ms=500),
+        create(*REPORTS_ALLOWANCE, max_age_ms=500),
         create('allowance', 'shops', fallback='reports'),
         create('rule', 'sales', groups=['orders'], allowance='shops'),
         create('limit', 'orders', group='orders'),
@@ -30,13 +30,13 @@
     return driver
 
 
-def test_second_of_two_changes_with_equal_base_names_the_winner():
-    # Guards against the later operator silently undoing the earlier change.
-    driver = _configured()
+def test_second_change_on_the_same_base_is_rejected_and_names_the_first():
+    # Guards against a change that silently overwrites a concurrent one.
+    driver = _build_configured_driver()
     base = driver.machine.revision
-    amend = operation('amend', *AGES, max_age_ms=100)
+    amend = operation('amend', *REPORTS_ALLOWANCE, max_age_ms=100)
     assert driver.change('a', amend, base=base, operator='ada').accepted
-    amend = operation('amend', *AGES, max_age_ms=900)
+    amend = operation('amend', *REPORTS_ALLOWANCE, max_age_ms=900)
     answer = driver.change('b', amend, base=base, operator='bo')
     assert not answer.accepted
     assert answer.revision == base + 1
@@ -47,9 +47,10 @@
 
 
 @pytest.mark.parametrize('base_step', [1, 100])
-def test_base_revision_of_the_future_is_rejected(base_step):
-    # Guards against accepting a change written against another deployment.
-    driver = _configured()
+def test_base_revision_above_the_current_one_is_rejected(base_step):
+    # Guards against accepting a change that was written for another
+    # deployment.
+    driver = _build_configured_driver()
     base = driver.machine.revision + base_step
     answer = driver.change('a', create('group', 'g', databases=1), base=base)
     assert [fault.field for fault in answer.faults] == ['base_revision']
@@ -57,28 +58,30 @@
 
 @pytest.mark.parametrize('restart', [False, True])
 @pytest.mark.parametrize('accepted', [False, True])
-def test_resend_gets_the_first_answer(restart, accepted):
-    # Guards against applying a change twice after a lost answer, and against
-    # forgetting answers when a process restarts from a snapshot.
-    driver = _configured()
-    item = create('group', 'stock', databases=3 if accepted else 0)
-    first = driver.change('a', item)
+def test_resend_gets_the_stored_answer(restart, accepted):
+    # Guards against applying a change twice after its answer was lost, and
+    # against losing stored answers in a restart from a snapshot.
+    driver = _build_configured_driver()
+    change = create('group', 'stock', databases=3 if accepted else 0)
+    first = driver.change('a', change)
     assert first.accepted is accepted
-    driver.change('later', operation('amend', *AGES, max_age_ms=7))
+    driver.change(
+        'later', operation('amend', *REPORTS_ALLOWANCE, max_age_ms=7)
+    )
     before = driver.state_without_index()
     if restart:
         driver.machine = decode_snapshot(encode_snapshot(driver.machine))
-    again = driver.change('a', item)
+    again = driver.change('a', change)
     assert again.duplicate
     again.duplicate = False
     assert again == first
     assert driver.state_without_index() == before
 
 
-def test_reused_change_id_with_other_content_is_refused():
-    # Guards against telling an operator that a change was accepted which was
-    # never applied, and against losing the first answer.
-    driver = _configured()
+def test_change_id_reused_for_other_operations_is_rejected():
+    # Guards against reporting a change as accepted that was never applied,
+    # and against losing the first answer.
+    driver = _build_configured_driver()
     first = create('group', 'stock', databases=3)
     assert driver.change('a', first).accepted
     other = create('group', 'returns', databases=3)
@@ -89,21 +92,21 @@
     assert driver.change('a', first).accepted
 
 
-def test_answers_and_history_keep_the_latest(monkeypatch):
-    # Guards against growing without bound, and against dropping the newest.
+def test_answers_and_history_are_bounded_and_keep_the_newest(monkeypatch):
+    # Guards against unbounded growth, and against dropping the newest entry.
     monkeypatch.setattr(change_sets, 'MAX_CHANGE_ANSWERS', 3)
     monkeypatch.setattr(change_sets, 'MAX_HISTORY', 2)
     driver = Driver()
     for number in range(5):
-        item = create('group', f'g{number}', databases=3)
-        assert driver.change(f'c{number}', item).accepted
+        change = create('group', f'g{number}', databases=3)
+        assert driver.change(f'c{number}', change).accepted
     assert list(driver.machine.answers) == ['c2', 'c3', 'c4']
     assert [e.revision for e in driver.machine.history] == [4, 5]
 
 
-# Each line guards against accepting one kind of faulty operation: action,
-# object, body, and the place that the fault must name for the operator.
-FAULTY = r"""
+# Each line is an operation that must be rejected: action, object, body, and
+# the object and field that the fault must name.
+INVALID_OPERATIONS = r"""
 create queue/q           {}                              queue/q type
 create group/G           {"databases": 3}                group/G name
 create group/orders      {"databases": 3}                group/orders
@@ -146,27 +149,28 @@
 """  # noqa: E501
 
 
-@pytest.mark.parametrize('line', FAULTY.strip().splitlines())
-def test_faulty_change_set_changes_nothing(line):
+@pytest.mark.parametrize('line', INVALID_OPERATIONS.strip().splitlines())
+def test_invalid_change_set_changes_nothing(line):
     action, key, rest = line.split(maxsplit=2)
     body, end = json.JSONDecoder().raw_decode(rest)
     faulty_object, _, field = rest[end:].strip().partition(' ')
-    driver = _configured()
+    driver = _build_configured_driver()
     published = dict(driver.machine.published)
     objects = list(driver.machine.objects.items())
-    item = operation(action, *key.split('/'), **body)
-    answer = driver.change('a', create('group', 'fine', databases=3), item)
+    change = operation(action, *key.split('/'), **body)
+    answer = driver.change('a', create('group', 'fine', databases=3), change)
     assert not answer.accepted
-    places = [(fault.object, fault.field) for fault in answer.faults]
-    assert (faulty_object, field) in places
+    fault_locations = [(fault.object, fault.field) for fault in answer.faults]
+    assert (faulty_object, field) in fault_locations
     assert driver.machine.published == published
     assert list(driver.machine.objects.items()) == objects
 
 
-def test_one_reject_lists_every_fault_without_false_ones():
-    # Guards against one round trip per fault, and against reporting a group
-    # as missing only because its own fields are faulty.
-    driver = _configured()
+def test_rejection_lists_all_faults_and_no_false_ones():
+    # Guards against reporting only the first fault, which costs the operator
+    # one round trip per fault, and against reporting a group as missing
+    # because its own fields are invalid.
+    driver = _build_configured_driver()
     answer = driver.change(
         'a',
         create('group', 'stock', databases=0, colour=1),
@@ -182,21 +186,21 @@
     ]
 
 
-def test_empty_doubled_and_oversized_change_sets_are_rejected():
-    # Guards against a revision without a change, and against an order of
-    # operations that decides the result.
-    driver = _configured()
+def test_empty_duplicate_and_oversized_change_sets_are_rejected():
+    # Guards against a new revision without a change, and against a result
+    # that depends on the order of the operations.
+    driver = _build_configured_driver()
     assert driver.change('a').faults[0].field == 'operations'
-    item = operation('amend', *AGES, max_age_ms=1)
-    assert not driver.change('b', item, item).accepted
+    change = operation('amend', *REPORTS_ALLOWANCE, max_age_ms=1)
+    assert not driver.change('b', change, change).accepted
     many = [create('group', f'g{n}', databases=3) for n in range(1_001)]
     assert driver.change('c', *many).faults[0].field == 'operations'
-    assert not driver.change('d', item, operator='').accepted
-    assert not driver.change('', item).accepted
+    assert not driver.change('d', change, operator='').accepted
+    assert not driver.change('', change).accepted
 
 
 def test_draining_the_last_upstream_of_a_group_is_rejected():
-    # Guards against a group that can never have a primary.
+    # Guards against a group in which no upstream can become the primary.
     driver = build_group()
     drains = [
         create('upstream', f'db-{number}', drained=True)
@@ -210,9 +214,9 @@
     assert body['leaving'] is True
 
 
-def test_group_in_use_cannot_be_deleted_and_keeps_its_term():
-    # Guards against a group created again under the same name at term 0,
-    # whose writes sealed upstreams would refuse.
+def test_deleting_a_group_needs_no_members_and_retains_its_term():
+    # Guards against a group that is created again under the same name and
+    # starts at term 0: upstreams sealed in a higher term refuse its writes.
     driver = build_group(databases=('db-1',))
     delete = operation('delete', 'group', 'orders')
     assert driver.change('a', delete).faults[0].object == 'group/orders'
@@ -221,26 +225,26 @@
     driver.remove('db-1', 'db-1-data', 'left')
     assert driver.change('b', delete).accepted
     assert 'group/orders' not in driver.machine.published
-    item = create('group', 'orders', databases=3)
-    assert driver.change('c', item).accepted
+    change = create('group', 'orders', databases=3)
+    assert driver.change('c', change).accepted
     assert driver.machine.groups['orders'].last_term == 6
 
 
 def test_amend_keeps_other_fields_and_null_resets_one():
-    # Guards against an amend that drops settings it does not name.
-    driver = _configured()
-    item = operation('amend', 'rule', 'sales', read_only=True)
-    assert driver.change('a', item).accepted
+    # Guards against an amend that resets fields it does not name.
+    driver = _build_configured_driver()
+    change = operation('amend', 'rule', 'sales', read_only=True)
+    assert driver.change('a', change).accepted
     rule = driver.machine.objects.rules['sales']
     assert (rule.allowance, rule.read_only) == ('shops', True)
-    item = operation('amend', 'rule', 'sales', allowance=None)
-    assert driver.change('b', item).accepted
+    change = operation('amend', 'rule', 'sales', allowance=None)
+    assert driver.change('b', change).accepted
     assert driver.machine.objects.rules['sales'].allowance is None
 
 
-def test_fallback_is_published_as_its_current_age():
-    # Guards against proxies that keep the age of a fallback amended later.
-    driver = _configured()
-    driver.change('a', operation('amend', *AGES, max_age_ms=250))
+def test_allowance_is_published_with_the_current_age_of_its_fallback():
+    # Guards against proxies that keep the old age after the fallback changed.
+    driver = _build_configured_driver()
+    driver.change('a', operation('amend', *REPORTS_ALLOWANCE, max_age_ms=250))
     body = driver.machine.published['allowance/shops'].body
     assert body == {'name': 'shops', 'max_age_ms': 250}
