Reword the messages between processes

Cause: many docstrings needed a second reading or knowledge of the project: "binds nobody", "knows_asker : formed the group with the asker's node id", "What an upstream says of itself", "Explanation for people", "who forms it", "0 where nobody has said". Fields that a reader needs first, such as received, leaving or voters, were not described at all.

Ruled out: renaming any class, field, alias or literal of a message; they leave the process or are imported by other folders.

Change: docstrings and comments, and the texts of four errors for parameters of a statement, which now read "params.N ...: must be ...". In _check_params the locals place and kind became index and param_type (kind is the name of the tag of a message). The lists of object types in PublishedObject.type and Operation.type now name 'endpoint' also, which the code accepts.

--- a/jackdawpost/core/messages/__init__.py
+++ b/jackdawpost/core/messages/__init__.py
@@ -1,1 +1,1 @@
-"""Data classes of all messages between processes."""
+"""Messages exchanged by callers, proxies, control processes and upstreams."""
--- a/jackdawpost/core/messages/caller.py
+++ b/jackdawpost/core/messages/caller.py
@@ -1,4 +1,7 @@
-"""Messages between a caller and a proxy."""
+"""Messages between a caller and a proxy.
+
+A caller sends a `CallerRequest` and receives one `Answer` with the same id.
+"""
 
 from __future__ import annotations
 
@@ -20,25 +23,25 @@
 
 def _check_params(params: list[Any]) -> None:
     if len(params) > MAX_PARAMS:
-        raise ValueError(f'{len(params)} params: valid are up to {MAX_PARAMS}')
-    for place, value in enumerate(params):
-        kind = type(value)
-        if kind not in _PARAM_TYPES:
+        raise ValueError(f'{len(params)} params: must be at most {MAX_PARAMS}')
+    for index, value in enumerate(params):
+        param_type = type(value)
+        if param_type not in _PARAM_TYPES:
             raise ValueError(
-                f'params.{place} is of type {kind.__name__}: valid are text, '
-                'integers, floats, booleans, bytes and null'
+                f'params.{index} is of type {param_type.__name__}: must be '
+                'text, integer, float, boolean, bytes or null'
             )
-        if kind is int and not MIN_INT <= value <= MAX_INT:
-            raise ValueError(f'params.{place}: valid integers have 64 bits')
-        if kind is str and not _is_unicode(value):
-            raise ValueError(f'params.{place} is no Unicode text')
+        if param_type is int and not MIN_INT <= value <= MAX_INT:
+            raise ValueError(f'params.{index}: integer must fit in 64 bits')
+        if param_type is str and not _is_unicode(value):
+            raise ValueError(f'params.{index}: text must be valid Unicode')
 
 
 def _is_unicode(text: str) -> bool:
     if text.isascii():
         return True
     try:
-        # JSON can carry one half of a surrogate pair, CBOR cannot.
+        # JSON text can contain an unpaired surrogate, CBOR text cannot.
         text.encode()
     except UnicodeEncodeError:
         return False
@@ -54,27 +57,29 @@
     id : int
         Unique among the requests in flight on the connection.
     route : str
-        Name of a routing rule. Ignored inside a transaction.
+        Name of a routing rule; ignored inside a transaction.
     sql : str
         Statement text.
     params : list
         Positional parameters: text, numbers, bytes or null.
     access : {'read', 'write'}
-        Whether the statement changes data.
+        ``'write'`` if the statement changes data.
     key : str, optional
-        Selects the group among those of the rule.
+        Routing key that selects one of the rule's groups.
     max_age_ms : int, optional
-        Accepted age of the data read, in milliseconds.
+        Maximum accepted age of the data read, in milliseconds.
     allowance : str, optional
-        Name of a staleness allowance, instead of `max_age_ms`.
+        Name of a staleness allowance, in place of `max_age_ms`.
     session : str, optional
         Session token of the caller.
     idempotent : bool
-        The write may take effect more than once.
+        The write may be executed more than once.
     request_key : str, optional
-        Identifies the write across resends; required unless idempotent.
+        Identifies the write across resends. Required for a write that is not
+        idempotent.
     deadline_ms : int
-        Time in which an answer is useful, in milliseconds from arrival.
+        Time within which the caller needs the answer, in milliseconds from
+        the arrival of the request.
     txn : int, optional
         Handle of the transaction that the statement belongs to.
     """
@@ -95,9 +100,10 @@
     kind: Literal['statement'] = 'statement'
 
     def __post_init__(self) -> None:
-        """Raise `ValueError` for parameters that no frame can carry.
+        """Raise `ValueError` for parameters that cannot be encoded.
 
-        The check stands here, before traces and upstreams see the values.
+        The check is made here because traces and frames to upstreams encode
+        the values later.
         """
         if self.params:
             _check_params(self.params)
@@ -117,7 +123,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Commit:
-    """Commit a transaction; `request_key` makes a resend safe."""
+    """Commit a transaction; `request_key` makes it safe to resend."""
 
     id: int
     txn: int
@@ -128,7 +134,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Rollback:
-    """Abandon a transaction."""
+    """Roll back a transaction."""
 
     id: int
     txn: int
@@ -138,16 +144,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class AnswerError:
-    """Why a request was not done.
+    """Error that prevented a request from completing.
 
     Parameters
     ----------
     code : str
         Stable error code, see ``docs/protocol.md``.
     message : str
-        Explanation for people.
+        Human-readable explanation.
     retry_after_ms : int, optional
-        Earliest useful time for another attempt, in milliseconds.
+        Time to wait before another attempt, in milliseconds.
     """
 
     code: str
@@ -157,14 +163,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class Answer:
-    """The one answer to a request.
+    """Answer to a request; each request gets exactly one.
 
     Parameters
     ----------
     id : int
         Id of the request; 0 when the request's id could not be read.
     outcome : {'done', 'not_run', 'unknown'}
-        What became of the request.
+        ``'done'``: the request was executed; ``'not_run'``: it had no
+        effect; ``'unknown'``: it may or may not have taken effect.
     session : str, optional
         New session token, present after a write.
     source : {'primary', 'replica'}, optional
@@ -172,7 +179,7 @@
     age_ms : int, optional
         Upper bound on the age of the data read, in milliseconds.
     duplicate : bool
-        The write had taken effect before, under the same request key.
+        The write was already executed under the same request key.
     txn : int, optional
         Handle of the transaction, present after `Begin`.
     """
@@ -193,7 +200,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class GoingAway:
-    """The proxy drains; callers should reconnect elsewhere.
+    """The proxy is draining; callers should connect to another proxy.
 
     Parameters
     ----------
--- a/jackdawpost/core/messages/consensus.py
+++ b/jackdawpost/core/messages/consensus.py
@@ -1,4 +1,8 @@
-"""Messages between the processes of a consensus group."""
+"""Messages between the members of a consensus group.
+
+The protocol is Raft with pre-vote, leadership transfer and snapshots sent in
+chunks.
+"""
 
 from __future__ import annotations
 
@@ -9,18 +13,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class PreVote:
-    """Ask whether a vote in `term` would be granted; binds nobody.
+    """Ask if a vote in `term` would be granted; no vote is cast.
 
     Parameters
     ----------
     term : int
-        Term that the sender would start.
+        Term in which the sender would start an election.
     last_index, last_term : int
-        End of the sender's log.
+        Index and term of the last entry in the sender's log.
     node_id : str
         Identity of the sender's data folder.
     admitted : bool
-        False while the sender's data folder has no right to vote.
+        The sender's data folder has been admitted as a voter.
     """
 
     term: int
@@ -40,13 +44,14 @@
     term : int
         Current term of the answering process.
     asked_term : int
-        Term of the question.
+        Term of the `PreVote` that is answered.
     node_id : str
         Identity of the answering process's data folder.
     admitted : bool
-        False while the answering process has no right to vote.
+        The answering process's data folder has been admitted as a voter.
     knows_asker : bool
-        The answering process formed the group with the asker's node id.
+        The node id of the `PreVote` is the one that the answering process
+        has on record for its sender.
     """
 
     term: int
@@ -60,12 +65,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Vote:
-    """Ask for a vote.
+    """Request a vote in an election.
 
     Parameters
     ----------
     transfer : bool
-        The present leader asked for this election.
+        The current leader requested this election to transfer leadership.
     """
 
     term: int
@@ -86,14 +91,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Append:
-    """Entries that follow `prev_index`; without entries a heartbeat.
+    """Append entries after `prev_index`; a heartbeat if there are none.
 
     Parameters
     ----------
     commit : int
         Commit index of the leader.
     round : int
-        Rising number that the answer repeats.
+        Increasing number that the answer repeats.
     entries : list of bytes
         Encoded log entries.
     """
@@ -109,16 +114,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class AppendAnswer:
-    """Answer to `Append`, sent once what it reports is durable.
+    """Answer to `Append`, sent once the reported entries are durable.
 
     Parameters
     ----------
     ok : bool
-        The log agrees with the leader's up to `index`.
+        The log matches the leader's up to `index`.
     index : int
-        If not `ok`, the index after which the leader should try next.
+        Last matching index. If not `ok`, the index after which the leader
+        should try next.
     newcomer_id : str
-        Node id of a process whose answers count for no quorum, else empty.
+        Node id of a process that is not admitted yet and whose answers count
+        towards no quorum; empty for an admitted process.
     """
 
     term: int
@@ -138,7 +145,7 @@
     index : int
         Last log index that the snapshot covers.
     offset, total : int
-        Place of `data` in the snapshot and size of the snapshot, in bytes.
+        Offset of `data` in the snapshot and size of the snapshot, in bytes.
     """
 
     term: int
@@ -157,7 +164,7 @@
     Parameters
     ----------
     offset : int
-        Number of bytes received in order.
+        Number of consecutive bytes received from the start.
     done : bool
         The snapshot is installed and durable.
     """
@@ -173,7 +180,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class TimeoutNow:
-    """Start an election at once; sent by a leader that hands over."""
+    """Start an election at once; sent by a leader to transfer leadership."""
 
     term: int
     kind: Literal['timeout_now'] = 'timeout_now'
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -1,4 +1,4 @@
-"""Messages to and from a control process: upstreams and proxies."""
+"""Messages between a control process and the upstreams and proxies."""
 
 from __future__ import annotations
 
@@ -9,22 +9,30 @@
 
 from jackdawpost.core.positions import LogPosition
 
-# 'stalled': it answers probes, but gets no statement done.
+# 'stalled': the upstream answers probes but completes no statements.
 Evidence = Literal['up', 'silent', 'refused', 'stalled']
 
 
 @dataclass(slots=True, kw_only=True)
 class Announce:
-    """State of an upstream, sent on connect, on a change and regularly.
+    """State of an upstream, sent on connection, on change and periodically.
 
     Parameters
     ----------
     data_id : str
-        Identity of the upstream's data; new after a wipe.
+        Identity of the upstream's data; a wiped upstream has a new one.
     slots : int
-        Statements that may run at the same time.
+        Maximum number of concurrent statements.
     connections : int
-        Connections that may be open at the same time.
+        Maximum number of open connections.
+    term : int
+        Newest term known to the upstream.
+    leads : bool
+        The upstream is the primary in `term`.
+    received : LogPosition
+        Last position received.
+    leaving : bool
+        The upstream is shutting down.
     """
 
     name: str
@@ -44,7 +52,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ApprovalRequest:
-    """Ask a member to approve a newcomer."""
+    """Ask a member to approve a proxy or upstream that wants to join."""
 
     newcomer: str
     newcomer_id: str
@@ -57,7 +65,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Approval:
-    """A member's approval of one newcomer.
+    """Approval of a newcomer by a member.
 
     Parameters
     ----------
@@ -66,9 +74,9 @@
     newcomer_id : str
         Identity of the newcomer: ``proxy_id`` or ``data_id``.
     checked : str
-        What the member checked, for people.
+        Human-readable description of what the member checked.
     version : int
-        Published version that the member had in force.
+        Version of the published state that the member had applied.
     """
 
     member: str
@@ -82,7 +90,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AnnounceAck:
-    """Membership state of the announcing upstream."""
+    """Answer to `Announce`: the upstream's membership state."""
 
     state: str
     leader: str | None = None
@@ -91,16 +99,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamReport:
-    """What a proxy last saw of one upstream.
+    """Last state of an upstream that a proxy observed.
 
     Parameters
     ----------
     leads : bool
-        The upstream proved that it leads.
+        The upstream has shown that it is the primary.
     term : int
-        Newest term that it knows.
+        Newest term known to the upstream.
     received : LogPosition
-        Last position that it has received.
+        Last position that the upstream has received.
     """
 
     leads: bool
@@ -115,19 +123,19 @@
     Parameters
     ----------
     proxy_id : str
-        Identity of the proxy, kept over a restart.
+        Identity of the proxy, kept across restarts.
     incarnation : str
         Identity of the proxy's process; new at each start.
     seq : int
-        Rising number of the report within the incarnation.
+        Number of the report, increasing within the incarnation.
     version : int
-        Published version in force.
+        Version of the published state that the proxy has applied.
     holdings : dict of str to int
-        Permits held for each upstream.
+        Number of permits held for each upstream.
     evidence : dict of str to str
-        Reachability of each watched upstream.
+        Reachability of each monitored upstream.
     upstreams : dict of str to UpstreamReport
-        What session poolers see of the upstreams.
+        States of the upstreams, reported by session poolers only.
     """
 
     proxy: str
@@ -147,7 +155,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class NotLeader:
-    """The control process does not lead; `leader` names the one known."""
+    """The sender is not the leader; `leader` names the leader if known."""
 
     leader: str | None = None
     kind: Literal['not_leader'] = 'not_leader'
@@ -155,7 +163,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class GroupLease:
-    """Right to acknowledge writes of one group in one term."""
+    """Permission to acknowledge writes of one group in one term."""
 
     group: str
     term: int
@@ -163,21 +171,23 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeaseGrant:
-    """Answer to the report numbered `seq`.
+    """Answer to the `ProxyReport` numbered `seq`.
 
     Parameters
     ----------
     leases : list of GroupLease
         Groups whose writes the proxy may acknowledge.
     duration_ms : int
-        Validity in milliseconds, counted from when the report was sent.
+        Validity in milliseconds, counted from the time at which the report
+        was sent.
     version : int
-        Published version at the leader; a proxy whose own is lower must
-        not count the grant as a confirmation of its configuration.
+        Version of the published state at the leader. A proxy with a lower
+        version must not treat the grant as confirmation of its configuration.
     member_state : str
         Membership state of the proxy.
     peers : list of str, optional
-        Addresses of the control processes, where they may change.
+        Addresses of the control processes; None if they are fixed by the
+        settings.
     """
 
     seq: int
@@ -191,7 +201,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeaseRevoke:
-    """Withdraw the leases of a group up to and including `term`."""
+    """Revoke the leases of a group up to and including `term`."""
 
     group: str
     term: int
@@ -200,7 +210,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeaseRevoked:
-    """The proxy no longer acknowledges writes of the group in `term`."""
+    """Confirm that the proxy acknowledges no writes of the group in `term`."""
 
     group: str
     term: int
@@ -215,7 +225,7 @@
     ----------
     type : str
         ``'group'``, ``'upstream'``, ``'rule'``, ``'allowance'``,
-        ``'limit'`` or ``'member'``.
+        ``'limit'``, ``'endpoint'`` or ``'member'``.
     body : dict
         Fields of the object; see ``jackdawpost.core.published``.
     """
@@ -235,7 +245,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class StateUpdate:
-    """Change of the published state.
+    """Change to the published state.
 
     Parameters
     ----------
@@ -244,7 +254,7 @@
     version : int
         Version after the update.
     full : bool
-        The update holds the whole state.
+        The update contains the whole state.
     """
 
     from_version: int
@@ -257,7 +267,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PermitDemand:
-    """Permits that the proxy could use for an upstream in total now."""
+    """Total number of permits for an upstream that the proxy could use now."""
 
     upstream: str
     wanted: int
@@ -266,7 +276,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PermitGrant:
-    """Lend `count` more permits for an upstream."""
+    """Grant `count` more permits for an upstream."""
 
     upstream: str
     count: int
@@ -275,7 +285,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PermitRecall:
-    """Ask for `count` permits back as soon as they are unused."""
+    """Request the return of `count` permits as soon as they are unused."""
 
     upstream: str
     count: int
@@ -284,7 +294,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PermitReturn:
-    """Give back `count` permits."""
+    """Return `count` permits for an upstream."""
 
     upstream: str
     count: int
@@ -293,16 +303,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamAction:
-    """Pass a request of the control leader on to an upstream.
+    """Request of the control leader that a proxy forwards to an upstream.
 
     Parameters
     ----------
     action : {'pause', 'resume', 'status'}
-        Stop receiving, go on receiving, or only tell the position.
+        Pause replication, resume replication, or only report the position.
     term : int
-        Term to stop with, above every one that the upstream knows.
+        Term of a pause, higher than any term known to the upstream.
     token : int
-        Token of the promotion that it is for.
+        Token of the promotion that the request belongs to.
     """
 
     upstream: str
@@ -314,12 +324,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamActionAnswer:
-    """An upstream's answer to an `UpstreamAction`.
+    """Answer of an upstream to an `UpstreamAction`.
 
     Parameters
     ----------
     received : LogPosition
-        Last position that it has received.
+        Last position that the upstream has received.
     """
 
     upstream: str
--- a/jackdawpost/core/messages/operator.py
+++ b/jackdawpost/core/messages/operator.py
@@ -1,4 +1,4 @@
-"""Messages between an operator's program and a control process."""
+"""Messages between an operator's client and a control process."""
 
 from __future__ import annotations
 
@@ -23,18 +23,19 @@
     Parameters
     ----------
     action : {'create', 'amend', 'delete'}
-        ``'amend'`` replaces only the fields in `body`; a null resets a
-        field to its default.
+        ``'amend'`` replaces only the fields in `body`; a null value resets
+        a field to its default.
     type : str
-        ``'group'``, ``'upstream'``, ``'rule'``, ``'allowance'`` or
-        ``'limit'``.
+        ``'group'``, ``'upstream'``, ``'rule'``, ``'allowance'``,
+        ``'limit'`` or ``'endpoint'``.
     body : dict
-        Fields of the object; empty for ``'delete'``. Only JSON values:
-        others, such as CBOR tags, may not survive the replicated log.
+        Fields of the object; empty for ``'delete'``. Only JSON values are
+        accepted, because others, such as CBOR tags, may be lost or changed
+        in the replicated log.
     """
 
-    # Without this a misspelt "body" of a nested operation is ignored and an
-    # amend without effect is accepted.
+    # Rejects a misspelt "body" in a nested operation. It would be ignored
+    # otherwise, and an amend without effect would be accepted.
     __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra='forbid')
 
     action: Action
@@ -45,14 +46,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class Fault:
-    """One reason why a change set is rejected.
+    """One reason for rejecting a change set.
 
     Parameters
     ----------
     object : str
-        ``TYPE/NAME`` of the object, empty for the change set itself.
+        ``TYPE/NAME`` of the object; empty for the change set itself.
     field : str
-        Field with the fault, empty for the whole object.
+        Field with the fault; empty for the whole object.
+    message : str
+        Human-readable explanation.
     """
 
     object: str
@@ -62,7 +65,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Table:
-    """Plain data for people and programs: named columns and rows."""
+    """Query result with named columns, to be printed or parsed."""
 
     name: str
     columns: list[str]
@@ -80,7 +83,7 @@
     base_revision : int
         Revision that the change set was written against.
     dry_run : bool
-        Only validate; nothing is recorded under `change_id`.
+        Only validate; no answer is stored under `change_id`.
     """
 
     id: int
@@ -94,7 +97,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Query:
-    """Ask for state.
+    """Query the state of the control process.
 
     Parameters
     ----------
@@ -105,7 +108,7 @@
     name : str
         For ``'get'``: name of one object, empty for all of the type.
     operations : list of Operation
-        For ``'diff'``: the change set to compare with the objects in force.
+        For ``'diff'``: change set to compare with the active objects.
     """
 
     id: int
@@ -118,9 +121,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class Approve:
-    """Ask the members whose approval is missing again.
+    """Request the missing approvals of a newcomer from the members again.
 
-    An operator cannot approve in a member's place.
+    An operator cannot approve on behalf of a member.
     """
 
     id: int
@@ -131,7 +134,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Drain:
-    """Set or clear ``drained`` of an upstream, as a change set.
+    """Set or clear ``drained`` of an upstream by a change set.
 
     Parameters
     ----------
@@ -154,10 +157,10 @@
     Parameters
     ----------
     from_term : int
-        Term that the operator saw; a resend after the promotion is refused
-        because the term has moved on.
+        Current term that the operator saw. A resend after the promotion is
+        refused, because the term has changed.
     accept_loss : bool
-        Promote even if too few databases answer to be sure that every
+        Promote even if too few databases answer to guarantee that every
         acknowledged write survives.
     """
 
@@ -171,13 +174,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class Members:
-    """Remove a member and, for an upstream, its place in the database set.
+    """Remove a member and, if it is an upstream, its database-set entry.
 
     Parameters
     ----------
     member_id : str
-        Identity that the operator saw under `name`, so that a resend does
-        not remove a successor of the same name.
+        Identity that the operator saw under `name`. It prevents a resend
+        from removing a later member of the same name.
     """
 
     id: int
@@ -190,26 +193,26 @@
 
 @dataclass(slots=True, kw_only=True)
 class OperatorAnswer:
-    """Answer to any operator message.
+    """Answer to an `OperatorRequest`.
 
     Parameters
     ----------
     status : {'accepted', 'rejected', 'done', 'refused'}
-        The first two answer a change set, the others everything else.
+        The first two answer a change set, the others any other request.
     revision : int
-        Current revision; after an accept the new one.
+        Current revision; the new one if a change set was accepted.
     version : int
-        Current published version.
+        Current version of the published state.
     faults : list of Fault
-        Every reason of a reject.
+        All reasons for a rejection.
     duplicate : bool
-        This is the stored answer to an earlier request.
+        The answer is the stored one of an earlier request.
     message : str
-        Explanation for people.
+        Human-readable explanation.
     tables : list of Table
-        Results of queries.
+        Results of a query.
     data : dict, optional
-        Whole state, for ``'dump'``.
+        Complete state, for ``'dump'``.
     """
 
     id: int
--- a/jackdawpost/core/messages/peer.py
+++ b/jackdawpost/core/messages/peer.py
@@ -1,4 +1,4 @@
-"""Messages between control processes beside those of consensus."""
+"""Messages between control processes other than those of consensus."""
 
 from __future__ import annotations
 
@@ -8,12 +8,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Hello:
-    """Names the process that opened the link.
+    """Introduce the process that opened the link.
 
     Parameters
     ----------
+    name : str
+        Name of the process.
     leaving : bool
-        The process is about to stop.
+        The process is shutting down.
     """
 
     name: str
@@ -23,12 +25,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class ControlGroup:
-    """Tells a process outside the control group who forms it.
+    """Send the members of the control group to a process outside it.
 
     Parameters
     ----------
     leader : str
-        Leader as the sender knows it.
+        Leader known to the sender.
+    voters : list of str
+        Voting members of the control group.
     """
 
     leader: str
--- a/jackdawpost/core/messages/registry.py
+++ b/jackdawpost/core/messages/registry.py
@@ -1,7 +1,7 @@
-"""Requests to control that come without a link of their own.
+"""Requests that reach the control process over HTTP, not over a link.
 
-Operators declare the whole configuration under a version, and upstreams that
-speak only the statement protocol register themselves.
+Operators declare a complete configuration under a version, and upstreams that
+support only the statement protocol register themselves.
 """
 
 from __future__ import annotations
@@ -14,14 +14,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class DeclareConfig:
-    """Put a whole configuration in force.
+    """Declare a complete configuration.
 
     Parameters
     ----------
     version : int
-        Version that the operators gave it.
+        Version that the operators gave the configuration.
     document : bytes
-        The configuration as it was received, to be read back.
+        Configuration as received, to be returned by `ReadConfig`.
+    objects : list of DeclareObject
+        Objects of the configuration.
     """
 
     version: int
@@ -31,21 +33,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReadConfig:
-    """Read the newest configuration back."""
+    """Read the newest declared configuration."""
 
 
 @dataclass(slots=True, kw_only=True)
 class Registration:
-    """What an upstream says of itself, regularly and on changes.
+    """State that an upstream reports of itself, periodically and on change.
 
     Parameters
     ----------
     started_ms : int
-        Unix time of its start in milliseconds; it tells incarnations apart.
+        Unix time of the upstream's start in milliseconds, which identifies
+        the incarnation.
     sequence : int
-        Rises with each report of an incarnation.
+        Number of the report, increasing within an incarnation.
     leads : bool
-        It believes that it is the primary.
+        The upstream considers itself the primary.
     """
 
     name: str
@@ -62,12 +65,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Departure:
-    """An upstream ends.
+    """Deregister an upstream that shuts down.
 
     Parameters
     ----------
     started_ms : int, optional
-        Incarnation that ends; None for the present one.
+        Start time of the incarnation that ends; None for the current one.
     """
 
     name: str
--- a/jackdawpost/core/messages/session.py
+++ b/jackdawpost/core/messages/session.py
@@ -1,8 +1,8 @@
-"""Messages of a session of statements: caller <-> proxy <-> upstream.
+"""Messages of the session protocol between caller, proxy and upstream.
 
-In this protocol a session is a connection. Requests on a connection are
-answered in order: any number of `Row`, then `Done` or `Failed`, and in every
-case `Ready`.
+In this protocol, each connection is one session. Requests on a connection are
+answered in order. An answer is any number of `Row` messages, then `Done` or
+`Failed`, then `Ready`.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class StartSession:
-    """A caller opens a session on a named database."""
+    """Request of a caller to open a session on a named database."""
 
     database: str
     kind: Literal['start_session'] = 'start_session'
@@ -38,18 +38,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class Request:
-    """One statement of a session.
+    """One statement of a caller's session.
 
     Parameters
     ----------
     id : str
-        Id that the caller chose; it is passed on unchanged.
+        Id chosen by the caller; it is forwarded unchanged.
     text : str
-        Whole statement as the caller sent it.
+        Complete statement as sent by the caller.
     verb : str
-        What the statement does.
+        Kind of statement.
     name : str
-        Name of the session value or prepared statement; empty otherwise.
+        Name of the session variable or prepared statement; empty otherwise.
     argument : str
         Value of a ``set``; ``READ SHAPE`` or ``WRITE SHAPE`` of a
         ``prepare``; empty otherwise.
@@ -65,14 +65,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndSession:
-    """The caller ends its session."""
+    """Request of a caller to end its session."""
 
     kind: Literal['end_session'] = 'end_session'
 
 
 @dataclass(slots=True, kw_only=True)
 class OpenUpstream:
-    """Open a session at an upstream.
+    """Open a session on an upstream.
 
     Parameters
     ----------
@@ -81,8 +81,8 @@
     peer : str
         Name of this process.
     upstream : str
-        Identity that the upstream must have, so that an address in use by
-        another one is noticed before any statement runs.
+        Identity that the upstream must have. The check detects an address
+        that another upstream has taken over, before any statement runs.
     """
 
     group: str
@@ -93,12 +93,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class Execute:
-    """Run a statement at an upstream.
+    """Run a statement on an upstream.
 
     Parameters
     ----------
     after : LogPosition, optional
-        Position that the upstream's log must hold, else nothing runs.
+        Position that the upstream's log must contain; otherwise the
+        statement does not run.
     """
 
     id: str
@@ -109,17 +110,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class Internal:
-    """A statement of the proxy itself, not of a caller.
+    """Statement issued by the proxy rather than by a caller.
 
     Parameters
     ----------
     action : str
-        ``'begin'`` succeeds only at the primary; ``'begin_read'`` anywhere.
+        ``'begin'`` succeeds only on the primary, ``'begin_read'`` on any
+        upstream.
     name, argument : str
-        As in `Request`, for ``'set'`` and ``'prepare'``; for ``'pause'`` the
-        term, as the argument.
+        As in `Request` for ``'set'`` and ``'prepare'``. For ``'pause'``, the
+        argument is the term.
     after : LogPosition, optional
-        As in `Execute`, for ``'begin_read'``.
+        As in `Execute`, for ``'begin_read'`` only.
     """
 
     action: Literal[
@@ -141,16 +143,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamStatus:
-    """What an upstream says of itself when asked for its status.
+    """Answer of an upstream to the internal statement ``'status'``.
 
     Parameters
     ----------
     leads : bool
-        It believes that it is the primary.
+        The upstream considers itself the primary.
     term : int
-        Newest term that it knows.
+        Newest term known to the upstream.
     received : LogPosition
-        Last position received, applied or not.
+        Last position received, even if not yet applied.
     """
 
     leads: bool
@@ -168,12 +170,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class Done:
-    """The statement has run.
+    """The statement was executed.
 
     Parameters
     ----------
     signature : str
-        Proof of the upstream that ran it; ``-`` if none did.
+        Signature of the upstream that ran the statement; ``-`` if no
+        upstream was involved.
     """
 
     signature: str
@@ -191,7 +194,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Ready:
-    """The end of an answer.
+    """End of an answer; the session is ready for the next statement.
 
     Parameters
     ----------
--- a/jackdawpost/core/messages/upstream.py
+++ b/jackdawpost/core/messages/upstream.py
@@ -1,4 +1,4 @@
-"""Messages between the system and an upstream database."""
+"""Messages that proxies and control processes exchange with upstreams."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Open:
-    """First frame on a connection to an upstream."""
+    """Introduce the sender; the first message on a connection."""
 
     peer: str
     purpose: Purpose
@@ -61,20 +61,23 @@
     id : int
         Unique on the connection.
     term : int
-        Term of the group known to the sender. An upstream whose term is
-        lower or higher refuses a statement that must run on the primary.
+        Term of the group known to the sender. An upstream with a different
+        term refuses a statement that must run on the primary.
     must_lead : bool
-        Run only if the upstream leads in `term`.
+        Run only if the upstream is the primary in `term`.
     after : LogPosition, optional
-        Session position: must be applied and part of the history.
+        Position of the session token. It must be applied and part of the
+        log's history.
     fresh_after : LogPosition, optional
-        Position that must be applied for the accepted age.
+        Position that must be applied to satisfy the maximum accepted age.
     wait_ms : int
-        Time for which the upstream may wait for both, in milliseconds.
+        Time that the upstream may wait for `after` and `fresh_after`, in
+        milliseconds.
     request_key : str, optional
-        Recorded with the answer in the same transaction.
+        Key stored with the answer in the same transaction as the write. A
+        resend with the same key is not executed again.
     timeout_ms : int
-        Longest run time, in milliseconds.
+        Maximum run time, in milliseconds.
     in_txn : bool
         The statement belongs to the connection's open transaction.
     """
@@ -96,7 +99,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class TxnBegin:
-    """Open a transaction on the connection; it keeps one slot."""
+    """Open a transaction on the connection; it occupies one slot."""
 
     id: int
     term: int
@@ -131,11 +134,11 @@
     Parameters
     ----------
     status : {'done', 'not_run'}
-        Whether the statement took effect.
+        ``'done'`` if the statement took effect.
     code : str, optional
         Reason for ``'not_run'``.
     position : LogPosition, optional
-        Position of a write, or applied position that a read saw.
+        Position of a write, or the applied position at the time of a read.
     term : int, optional
         Term of the upstream.
     """
@@ -155,7 +158,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Probe:
-    """Ask for term and positions; uses no slot."""
+    """Request the term and positions; occupies no slot."""
 
     id: int
     kind: Literal['probe'] = 'probe'
@@ -176,7 +179,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Progress:
-    """Unasked report on a monitor connection when a position advances."""
+    """Unsolicited report on a monitor connection when a position advances."""
 
     term: int
     leads: bool
@@ -210,7 +213,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Promote:
-    """Become the primary in `term`; repeating it is harmless."""
+    """Become the primary in `term`; idempotent."""
 
     id: int
     term: int
@@ -219,7 +222,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Follow:
-    """Replicate from `primary` in `term`, discarding a diverged tail."""
+    """Replicate from `primary` in `term`; drop diverged log records."""
 
     id: int
     term: int
