Reword the modules directly in core, the exceptions and the tests of tokens

Cause: docstrings such as "everything owed has been sent", "What every reducer writes into the outbox of its state", "nothing of it may be relied on" and "as proxies hold it" had to be worked out, and the modules did not say what a reducer, the outbox or the published state is. Token errors began with a bare "token", which a caller of the protocol also uses for other things, and gave accepted values as "valid is" and "valid are up to".

Ruled out: renaming the public names of tokens.py and errors.py (also the parameter known), the fields of events, effects, positions and published views, and try_spend and reserve, which tests of other folders use.

Change: docstrings, comments and the texts of TokenError.

tests of tokens have new names and the same assertions; hypothesis derives the examples of a derandomized test from its function, so a renamed test draws other examples of the same strategies.

--- a/jackdawpost/__init__.py
+++ b/jackdawpost/__init__.py
@@ -1,8 +1,8 @@
-"""Database proxy with session consistency, and its coordination parts.
+"""Database proxy with session consistency, and its coordination libraries.
 
-The names below are the public interface for embedding; ``docs/embedding.md``
-shows them in use. They are loaded at their first use, so that a daemon does
-not load the client.
+The names in ``__all__`` are the public interface for embedding;
+``docs/embedding.md`` shows how to use them. They are imported on first use
+because a daemon must not import the client.
 """
 
 from __future__ import annotations
@@ -63,7 +63,7 @@
     'History': 'jackdawpost.testing.history',
     '__version__': 'jackdawpost.version',
 }
-# Names that are modules.
+# Public names that are modules themselves.
 _SUBMODULES = {
     'consensus': 'jackdawpost.core.consensus.process',
     'lease_ledger': 'jackdawpost.core.control.lease_ledger',
--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -1,4 +1,8 @@
-"""Effects that the reducers return and the runtime carries out."""
+"""Effects that the reducers return and the runtime executes.
+
+A reducer performs no input or output itself: it changes its state in response
+to an event and returns the effects of the event as these data classes.
+"""
 
 from __future__ import annotations
 
@@ -10,9 +14,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class Send:
-    """Send messages on a connection as one frame, in order.
+    """Send messages on a connection in one frame, in order.
 
-    Sending on a connection that has closed is harmless.
+    The effect is ignored if the connection has closed.
     """
 
     conn: int
@@ -27,14 +31,18 @@
     Parameters
     ----------
     conn : int
-        Id chosen by the reducer, negative, never reused. Accepted
-        connections have positive ids.
-    link : {'upstream'}
-        Kind of the other end.
+        Connection id chosen by the reducer; negative and never reused.
+        Accepted connections have positive ids.
+    peer : str
+        Name of the remote end.
+    purpose : str
+        Purpose of the connection, as in `ConnOpened`.
     timeout_ms : int
-        Longest time for opening, in milliseconds.
+        Maximum time to open the connection, in milliseconds.
     group : str
-        Group that the upstream must belong to, where the protocol says it.
+        Group that the upstream must belong to, if the protocol transmits it.
+    link : {'upstream'}
+        Kind of the remote end.
     """
 
     conn: int
@@ -50,12 +58,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Close:
-    """Close a connection after what was sent on it.
+    """Close a connection after sending the queued data.
 
     Parameters
     ----------
     abort : bool
-        Close at once, without the closing handshake.
+        Close immediately, without the closing handshake.
     """
 
     conn: int
@@ -66,7 +74,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SetTimer:
-    """Fire `TimerFired` with `key` at `due_ms`; replaces the same key."""
+    """Set or reset the timer `key` to fire `TimerFired` at `due_ms`."""
 
     key: str
     due_ms: float
@@ -75,7 +83,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class CancelTimer:
-    """Forget the timer with `key`."""
+    """Cancel the timer `key`."""
 
     key: str
     kind: Literal['cancel_timer'] = 'cancel_timer'
@@ -83,20 +91,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class Persist:
-    """Write and sync; `Persisted` or `PersistFailed` follows.
+    """Write consensus state to disk; `Persisted` or `PersistFailed` follows.
 
     Parameters
     ----------
     token : int
-        Rising number of the write.
+        Number of the write, increasing.
     hard_state : bytes, optional
-        New consensus hard state (term, vote, snapshot point), encoded.
+        Encoded new hard state of consensus (term, vote, admission).
     truncate_from : int, optional
         First log index to discard before appending.
     entries : list of bytes
         Encoded log entries to append.
     snapshot : bytes, optional
-        New snapshot; the log up to its point may be dropped once synced.
+        Encoded new snapshot. Log entries that it covers may be deleted once
+        it is synced.
     """
 
     token: int
@@ -137,7 +146,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SetPeers:
-    """Stay connected to these control processes, and to no others.
+    """Maintain connections to these control processes and to no others.
 
     Parameters
     ----------
@@ -151,14 +160,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class OrderPromotion:
-    """Have an upstream promoted from outside; `PromotionEnded` follows.
+    """Request a promotion from an external system; `PromotionEnded` follows.
 
     Parameters
     ----------
     holder : str
-        Name of this process, which holds the duty.
+        Name of this process, which holds the right to order promotions.
     token : int
-        Fencing token of the order.
+        Fencing token of the promotion order.
     """
 
     group: str
@@ -170,21 +179,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class Reply:
-    """Answer an HTTP request that came as `RequestReceived`.
+    """Answer an HTTP request that was received as `RequestReceived`.
 
     Parameters
     ----------
     request_id : int
         Number of the request.
-    outcome : str
-        ``'done'``; ``'invalid'``; ``'moved'``: ask `leader`;
-        ``'unavailable'``: nobody can answer now.
+    outcome : {'done', 'invalid', 'moved', 'unavailable'}
+        ``'moved'``: send the request to `leader`; ``'unavailable'``: there is
+        no leader that can answer at present.
     faults : list of str
-        Why the request is invalid.
+        Reasons why the request is invalid.
     document : bytes
-        Document that was asked for.
+        Requested document.
     leader : str
-        IP address of the control process to ask.
+        IP address of the leading control process.
     """
 
     request_id: int
@@ -197,7 +206,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Stop:
-    """End the process; everything owed has been sent."""
+    """Stop the process; all pending messages have been sent."""
 
     exit_code: int = 0
     kind: Literal['stop'] = 'stop'
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -1,9 +1,9 @@
-"""Events that the reducers of proxy and control receive.
+"""Events that the reducers of proxies and control processes receive.
 
-Every event carries ``now_ms``: monotonic time of the process in
-milliseconds. Connections are named by integers that the runtime never
-reuses within a process, so that a late frame of a closed connection cannot
-be taken for one of its successor.
+Every event carries ``now_ms``, the monotonic time of the process in
+milliseconds. Connections are identified by integers that the runtime never
+reuses within a process. A late frame of a closed connection can therefore not
+be mistaken for a frame of a newer connection.
 """
 
 from __future__ import annotations
@@ -19,23 +19,25 @@
 
 @dataclass(slots=True, kw_only=True)
 class ConnOpened:
-    """A connection is ready for messages.
+    """A connection was opened and is ready for messages.
 
     Parameters
     ----------
     conn : int
         Connection id.
     link : str
-        Kind of the other end as this process sees it. In a proxy
-        ``'proxy'`` is a link to a control process; in a control process it
-        is a link from a proxy.
+        Kind of the remote end from the point of view of this process. In a
+        proxy, ``'proxy'`` is a link to a control process; in a control
+        process, it is a link from a proxy.
     peer : str
-        Name of the other end where known: the upstream, control process or
+        Name of the remote end if known: upstream, control process or
         certificate name; empty for callers.
     purpose : str
-        For upstream links ``'statements'``, ``'monitor'`` or ``'admin'``.
+        ``'statements'``, ``'monitor'`` or ``'admin'`` for upstream links;
+        empty for other links.
     data_id : str
-        For upstream links the identity of the upstream's data.
+        Identity of the upstream's data for upstream links; empty for other
+        links.
     """
 
     now_ms: float
@@ -49,15 +51,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class ConnClosed:
-    """A connection has ended or could not be opened.
+    """A connection was closed or could not be opened.
 
     Parameters
     ----------
     reason : {'closed', 'refused', 'timeout', 'malformed'}
-        ``'refused'``: the other end refused or reset; ``'timeout'``: no
-        answer while opening.
+        ``'refused'``: the remote end refused or reset the connection;
+        ``'timeout'``: the remote end did not answer in time while the
+        connection was opened.
     detail : str
-        Explanation for people.
+        Human-readable explanation.
     """
 
     now_ms: float
@@ -69,7 +72,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Received:
-    """Messages of one frame, validated, in order."""
+    """The validated messages of one frame were received, in order."""
 
     now_ms: float
     conn: int
@@ -79,12 +82,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class FrameRejected:
-    """A frame failed validation.
+    """A received frame failed validation.
 
     Parameters
     ----------
     request_id : int
-        Id of the request if it could be read, else 0.
+        Id of the request in the frame; 0 if it could not be read.
     """
 
     now_ms: float
@@ -96,7 +99,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class TimerFired:
-    """A timer set by `SetTimer` is due."""
+    """A timer set by `SetTimer` has expired."""
 
     now_ms: float
     key: str
@@ -105,7 +108,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class DrainRequested:
-    """The process was asked to stop gracefully."""
+    """A graceful shutdown of the process was requested."""
 
     now_ms: float
     kind: Literal['drain_requested'] = 'drain_requested'
@@ -113,7 +116,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Persisted:
-    """The write named by `token` is synced to disk."""
+    """The write with number `token` was synced to disk."""
 
     now_ms: float
     token: int
@@ -122,7 +125,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PersistFailed:
-    """The write named by `token` failed; nothing of it may be relied on."""
+    """The write with number `token` failed; it may be partial or missing."""
 
     now_ms: float
     token: int
@@ -132,12 +135,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class RequestReceived:
-    """A request of an operator or an upstream that expects a `Reply`.
+    """An operator or an upstream sent a request that expects a `Reply`.
 
     Parameters
     ----------
     request_id : int
-        Number of the request, for the reply.
+        Number of the request, repeated in the reply.
     request : object
         `DeclareConfig`, `ReadConfig`, `Registration` or `Departure` of
         `jackdawpost.core.messages.registry`.
@@ -151,12 +154,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class PromotionEnded:
-    """An order of a promotion was answered, or got no answer.
+    """An `OrderPromotion` was answered, or its answer did not arrive.
 
     Parameters
     ----------
     outcome : {'done', 'refused', 'unknown'}
-        ``'unknown'``: it may still be carried out later.
+        ``'unknown'``: the promotion may still be executed later.
     """
 
     now_ms: float
@@ -169,7 +172,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SeedsChanged:
-    """The settings name other addresses of control processes."""
+    """The settings now list other addresses of control processes."""
 
     now_ms: float
     seeds: tuple[str, ...]
--- a/jackdawpost/core/outbox.py
+++ b/jackdawpost/core/outbox.py
@@ -1,4 +1,8 @@
-"""What every reducer writes into the outbox of its state."""
+"""Append effects to the outbox of a reducer's state.
+
+While a reducer handles an event, it collects the resulting effects in the
+outbox and returns them at the end.
+"""
 
 from __future__ import annotations
 
@@ -14,19 +18,19 @@
 
 
 class HasOutbox(Protocol):
-    """State of a reducer.
+    """Reducer state that has an outbox.
 
     Parameters
     ----------
     outbox : list of Effect
-        Effects of the event in progress, in their order.
+        Effects of the event being handled, in order.
     """
 
     outbox: list[Effect]
 
 
 def send(state: HasOutbox, conn: int, *messages: Any) -> None:
-    """Send messages as one frame."""
+    """Append a `Send` effect with all messages in one frame."""
     state.outbox.append(Send(conn=conn, messages=list(messages)))
 
 
@@ -36,22 +40,22 @@
     event: str,
     **fields: Any,
 ) -> None:
-    """Write one structured log line."""
+    """Append a `LogLine` effect."""
     state.outbox.append(LogLine(level=level, event=event, fields=fields))
 
 
 def count(state: HasOutbox, name: str, by: int = 1) -> None:
-    """Add to a counter."""
+    """Append a `CountMetric` effect that adds to a counter."""
     state.outbox.append(CountMetric(name=name, by=by))
 
 
 def observe(state: HasOutbox, name: str, value_ms: float) -> None:
-    """Record a duration in milliseconds."""
+    """Append an `ObserveMetric` effect that records a duration."""
     state.outbox.append(ObserveMetric(name=name, value_ms=value_ms))
 
 
 def pop_effects(state: HasOutbox) -> list[Effect]:
-    """Return the effects and leave an empty outbox."""
+    """Return the effects in the outbox and empty it."""
     effects = state.outbox
     state.outbox = []
     return effects
--- a/jackdawpost/core/positions.py
+++ b/jackdawpost/core/positions.py
@@ -1,4 +1,4 @@
-"""Positions in a replicated log and the history of terms."""
+"""Log positions of a database group and the history of its terms."""
 
 from __future__ import annotations
 
@@ -7,14 +7,15 @@
 
 
 class LogPosition(NamedTuple):
-    """Place of one record in the log of a database group.
+    """Position of a record in the replicated log of a database group.
 
     Parameters
     ----------
     term : int
-        Term of the primary that wrote the record; 0 before the first one.
+        Term of the primary that wrote the record; 0 if there is no record.
     index : int
-        Index of the record in the log, counted from 1; 0 means no record.
+        Index of the record in the log, starting at 1; 0 if there is no
+        record.
     """
 
     term: int
@@ -25,7 +26,7 @@
 
 
 class TermEnd(NamedTuple):
-    """Last index that a log holds of one term."""
+    """Index of the last record that a log contains of one term."""
 
     term: int
     last_index: int
@@ -34,19 +35,20 @@
 def history_contains(
     history: Sequence[TermEnd], position: LogPosition
 ) -> bool:
-    """Tell whether a log's history includes a position.
+    """Return True if the history of a log includes a position.
 
     Parameters
     ----------
     history : sequence of TermEnd
-        One entry for each term with records in the log, in rising order.
+        One entry for each term with records in the log, in ascending order.
     position : LogPosition
-        Position to look for.
+        Position to check.
 
     Returns
     -------
     bool
-        True if the record at `position` is part of this history.
+        True if the record at `position` is part of the history, or if the
+        position stands for no record.
     """
     if position.index == 0:
         return True
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -1,4 +1,9 @@
-"""Published state as proxies hold it: typed views and a keyed store."""
+"""Published state: the proxies' copy of the active configuration.
+
+The control leader publishes the active objects with the current terms,
+primaries and members under increasing versions. Proxies receive `StateUpdate`
+messages and apply them to their copy, which holds one view for each object.
+"""
 
 from __future__ import annotations
 
@@ -25,10 +30,10 @@
     term : int
         Current term; 0 before the first primary.
     primary : str, optional
-        Upstream that leads in `term`; None while there is none.
+        Upstream that is the primary in `term`; None if there is no primary.
     database_set : dict of str to str
-        Data identity of each database that a promotion counts on. Only
-        these confirm a write: a promotion may not ask any other one.
+        Data identity by name of the databases that count for durability.
+        Only these confirm a write, because a promotion considers only them.
     """
 
     name: str
@@ -42,7 +47,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamView:
-    """A joined upstream and how to reach it."""
+    """Joined upstream: its address, capacity and identity."""
 
     name: str
     group: str
@@ -67,7 +72,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AllowanceView:
-    """Named staleness allowance, in milliseconds."""
+    """Staleness allowance with its maximum age after fallbacks."""
 
     name: str
     max_age_ms: int
@@ -80,11 +85,11 @@
     Parameters
     ----------
     queue_length : int
-        Requests that may wait in each proxy.
+        Maximum number of queued requests in each proxy.
     max_deadline_ms : int
-        Longest deadline that a request may state, in milliseconds.
+        Longest deadline that a request may specify, in milliseconds.
     retry_ratio : float
-        Retries allowed for each request, 0 to 1.
+        Retries allowed per request, from 0 to 1.
     """
 
     name: str
@@ -96,12 +101,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndpointView:
-    """Named database of the session pooler; see `EndpointObject`.
+    """Database of the session pooler; see `EndpointObject`.
 
     Parameters
     ----------
     max_age_ms : int
-        Age that its reads accept; 0 with consistency ``'primary'``.
+        Maximum age of rows read, in milliseconds; 0 with consistency
+        ``'primary'``.
     """
 
     name: str
@@ -118,7 +124,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class MemberView:
-    """A joined proxy or upstream."""
+    """Member of the system: a joined proxy or upstream."""
 
     name: str
     member_id: str
@@ -151,7 +157,7 @@
 
 @dataclass(slots=True)
 class PublishedState:
-    """Objects in force at one version."""
+    """Copy of the published objects at one version."""
 
     version: int = 0
     groups: dict[str, GroupView] = field(default_factory=dict)
@@ -163,7 +169,7 @@
     members: dict[str, MemberView] = field(default_factory=dict)
 
     def table(self, object_type: str) -> dict[str, Any]:
-        """Return the objects of one type by name."""
+        """Return the mutable table of one type, keyed by object name."""
         tables: dict[str, dict[str, Any]] = {
             'group': self.groups,
             'upstream': self.upstreams,
@@ -177,7 +183,7 @@
 
 
 def apply_update(state: PublishedState, update: StateUpdate) -> bool:
-    """Apply an update of the published state in place.
+    """Apply an update to the published state in place.
 
     Parameters
     ----------
@@ -189,8 +195,8 @@
     Returns
     -------
     bool
-        False if the update does not follow the version in force, so that a
-        full one is needed; the state is then unchanged.
+        False if the update starts at a later version than that of the state.
+        The state is then unchanged and a full update is needed.
     """
     if not update.full and update.from_version > state.version:
         return False
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -1,4 +1,8 @@
-"""Session tokens: the positions that a session's reads must include."""
+"""Session tokens, which carry the positions of a session's writes.
+
+A read with a token is served only by a database that has applied the token's
+position of its group, which gives read-your-writes consistency.
+"""
 
 from __future__ import annotations
 
@@ -24,18 +28,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionToken:
-    """Positions written by a session, least recently written group first.
+    """Positions of a session's writes, least recently written group first.
 
     Parameters
     ----------
     entries : tuple of (str, LogPosition)
-        One entry for each group, at most 16.
+        Group name and position, one entry for each group, at most 16.
     """
 
     entries: tuple[tuple[str, LogPosition], ...] = ()
 
     def position(self, group: str) -> LogPosition | None:
-        """Return the position that reads of `group` must include."""
+        """Return the position that reads of `group` must include, or None."""
         for name, position in self.entries:
             if name == group:
                 return position
@@ -46,7 +50,7 @@
 
 
 def encode_token(token: SessionToken) -> str:
-    """Encode a token as base64 text for URLs."""
+    """Encode a token as URL-safe base64 text without padding."""
     parts = [_HEADER.pack(TOKEN_VERSION, len(token.entries))]
     for group, position in token.entries:
         name = group.encode()
@@ -59,32 +63,34 @@
 
 
 def decode_token(text: str) -> SessionToken:
-    """Decode the text of a token.
+    """Decode a token from its text.
 
     Raises
     ------
     TokenError
-        The text is malformed, truncated, or fails its checksum.
+        The text is malformed or truncated, or its checksum is wrong.
     """
     raw = _decode_base64(text)
     if len(raw) < _HEADER.size + _CRC.size:
-        raise TokenError(f'token of {len(raw)} bytes is truncated')
+        raise TokenError(f'session token of {len(raw)} bytes is truncated')
     body = raw[: -_CRC.size]
     (checksum,) = _CRC.unpack(raw[-_CRC.size :])
     if checksum != zlib.crc32(body):
-        raise TokenError('token fails its checksum')
+        raise TokenError('session token has a wrong checksum')
     version, count = _HEADER.unpack_from(body)
     if version != TOKEN_VERSION:
-        raise TokenError(f'token version {version}: valid is {TOKEN_VERSION}')
+        raise TokenError(
+            f'session token has version {version}: must be {TOKEN_VERSION}'
+        )
     if count > MAX_ENTRIES:
         raise TokenError(
-            f'token with {count} entries: valid are up to {MAX_ENTRIES}'
+            f'session token has {count} entries: must be at most {MAX_ENTRIES}'
         )
     return _decode_entries(body, count)
 
 
 def has_room(token: SessionToken, group: str, known: Container[str]) -> bool:
-    """Tell whether a write of `group` can be added to a token.
+    """Return True if a write to `group` can be added to a token.
 
     Parameters
     ----------
@@ -93,7 +99,7 @@
     group : str
         Group that is about to be written.
     known : container of str
-        Names of the groups in force.
+        Names of the existing groups.
     """
     if len(token.entries) < MAX_ENTRIES:
         return True
@@ -108,9 +114,9 @@
 ) -> SessionToken:
     """Add the position of a write to a token.
 
-    An entry is dropped only for a group that is no longer in force: no
-    read can reach its rows, while dropping any other entry would break
-    read-your-writes.
+    If the token is full, the entry of a group that no longer exists is
+    dropped. No read can reach the rows of such a group, while dropping any
+    other entry would break read-your-writes consistency.
 
     Parameters
     ----------
@@ -121,12 +127,12 @@
     position : LogPosition
         Position of the write; ignored if the token has a later one.
     known : container of str
-        Names of the groups in force.
+        Names of the existing groups.
 
     Raises
     ------
     TokenError
-        All entries are in use by other groups in force.
+        The token is full and all its groups exist.
     """
     kept = [entry for entry in token.entries if entry[0] != group]
     earlier = token.position(group)
@@ -136,7 +142,7 @@
         drop = next((e for e in kept if e[0] not in known), None)
         if drop is None:
             raise TokenError(
-                f'token already holds {MAX_ENTRIES} groups in force'
+                f'session token is full: all {MAX_ENTRIES} groups still exist'
             )
         kept.remove(drop)
     kept.append((group, position))
@@ -146,16 +152,16 @@
 def _decode_base64(text: str) -> bytes:
     if len(text) > MAX_TOKEN_CHARS:
         raise TokenError(
-            f'token of {len(text)} characters: valid are up to '
+            f'session token of {len(text)} characters: must be at most '
             f'{MAX_TOKEN_CHARS}'
         )
     padded = text + '=' * (-len(text) % 4)
     try:
         raw = base64.b64decode(padded, altchars=b'-_', validate=True)
     except (binascii.Error, ValueError) as exc:
-        raise TokenError(f'token is not base64 text: {exc}') from exc
+        raise TokenError(f'session token is not base64 text: {exc}') from exc
     if base64.urlsafe_b64encode(raw).rstrip(b'=').decode() != text:
-        raise TokenError('token is not in its shortest base64 form')
+        raise TokenError('session token is not canonical base64 text')
     return raw
 
 
@@ -172,11 +178,18 @@
             term, index = _POSITION.unpack_from(body, offset)
             offset += _POSITION.size
             if not 1 <= size <= _MAX_GROUP_BYTES or group in seen:
-                raise TokenError(f'token has a bad group name {group!r}')
+                raise TokenError(
+                    f'session token has invalid or duplicate group {group!r}'
+                )
             seen.add(group)
             entries.append((group, LogPosition(term, index)))
     except (IndexError, struct.error, UnicodeDecodeError) as exc:
-        raise TokenError(f'token entries are malformed: {exc}') from exc
+        raise TokenError(
+            f'session token entries are malformed: {exc}'
+        ) from exc
     if offset != len(body):
-        raise TokenError(f'token has {len(body) - offset} surplus bytes')
+        raise TokenError(
+            f'session token has {len(body) - offset} bytes after the last '
+            'entry: must be 0'
+        )
     return SessionToken(tuple(entries))
--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -1,4 +1,4 @@
-"""Exception tree: every error that jackdawpost raises on purpose."""
+"""Exception classes of jackdawpost."""
 
 from __future__ import annotations
 
@@ -15,13 +15,14 @@
     path : str
         Settings file.
     key : str
-        Dotted path of the key inside the file, empty for the whole file.
+        Dotted path of the key in the file; empty for the whole file.
     value : object
-        The offending value.
+        Invalid value.
     valid : str
-        Description of what is valid.
+        Description of the valid values.
     more : tuple of tuple
-        Key, value and description of each further fault in the file.
+        Key, invalid value and description of the valid values, for each
+        further fault in the file.
     """
 
     def __init__(
@@ -47,22 +48,24 @@
 
 
 class TokenError(ProtocolError):
-    """A session token is malformed, truncated or forged."""
+    """A session token is malformed, truncated, altered or full."""
 
 
 class StorageError(JackdawpostError):
-    """Durable state cannot be read or written."""
+    """Stored state cannot be read or written."""
 
 
 class StorageCorruptError(StorageError):
-    """A record other than the last one fails its checksum.
+    """A stored record other than the last one has a wrong checksum.
 
     Parameters
     ----------
     path : str
-        Damaged file.
+        Corrupt file.
     offset : int
-        Offset of the damaged record in bytes.
+        Offset of the corrupt record in bytes.
+    reason : str
+        Description of the corruption.
     """
 
     def __init__(self, path: str, offset: int, reason: str) -> None:
@@ -72,7 +75,7 @@
 
 
 class FolderLockedError(StorageError):
-    """Another process uses the data folder."""
+    """The data folder is locked by another process."""
 
 
 class TraceError(JackdawpostError):
@@ -80,18 +83,19 @@
 
 
 class RequestError(JackdawpostError):
-    """A caller's request ended without being done.
+    """A caller's request was not completed.
 
     Parameters
     ----------
     outcome : str
-        ``'not_run'`` or ``'unknown'``.
+        ``'not_run'``: the request had no effect; ``'unknown'``: it may or
+        may not have taken effect.
     code : str
         Stable error code, see ``docs/protocol.md``.
     message : str
-        Explanation for people.
+        Human-readable explanation.
     retry_after_ms : int, optional
-        Earliest useful time for another attempt, in milliseconds.
+        Time to wait before another attempt, in milliseconds.
     """
 
     def __init__(
@@ -108,7 +112,7 @@
 
 
 class RequestNotRunError(RequestError):
-    """The request was not run; a resend is safe."""
+    """The request was not executed; it is safe to resend."""
 
 
 class OutcomeUnknownError(RequestError):
--- a/jackdawpost/tests/core/test_tokens.py
+++ b/jackdawpost/tests/core/test_tokens.py
@@ -1,4 +1,4 @@
-"""Session tokens: malformed ones are refused, no position is lost."""
+"""Session tokens: encoding, rejection of invalid tokens and merging."""
 
 from __future__ import annotations
 
@@ -17,45 +17,47 @@
 from jackdawpost.core.tokens import SessionToken
 from jackdawpost.errors import TokenError
 
-NUMBERS = st.integers(0, 2**64 - 1)
-NAMES = st.text('ab.-09z', min_size=1, max_size=63)
+UINT64S = st.integers(0, 2**64 - 1)
+GROUP_NAMES = st.text('ab.-09z', min_size=1, max_size=63)
 TOKENS = st.dictionaries(
-    NAMES, st.builds(LogPosition, NUMBERS, NUMBERS), max_size=MAX_ENTRIES
+    GROUP_NAMES, st.builds(LogPosition, UINT64S, UINT64S), max_size=MAX_ENTRIES
 ).map(lambda entries: SessionToken(tuple(entries.items())))
 SETTINGS = settings(derandomize=True, max_examples=200, deadline=None)
 
 
 @given(TOKENS)
 @SETTINGS
-def test_decoding_returns_what_was_encoded(token: SessionToken) -> None:
+def test_decoding_an_encoded_token_returns_the_same_token(
+    token: SessionToken,
+) -> None:
     assert decode_token(encode_token(token)) == token
 
 
 @given(TOKENS, st.data())
 @SETTINGS
-def test_changed_or_truncated_token_is_refused(
+def test_altered_or_truncated_token_is_rejected(
     token: SessionToken, data: st.DataObject
 ) -> None:
     text = encode_token(token)
-    at = data.draw(st.integers(0, len(text) - 1))
-    other = data.draw(st.sampled_from('Aa0_-=~'))
-    changed = text[:at] + other + text[at + 1 :]
-    for bad in (text[:at], changed, text + 'A'):
-        if bad != text:
+    index = data.draw(st.integers(0, len(text) - 1))
+    replacement = data.draw(st.sampled_from('Aa0_-=~'))
+    altered = text[:index] + replacement + text[index + 1 :]
+    for invalid in (text[:index], altered, text + 'A'):
+        if invalid != text:
             with pytest.raises(TokenError):
-                decode_token(bad)
+                decode_token(invalid)
 
 
 @given(st.text(max_size=80))
 @SETTINGS
-def test_any_text_is_refused_without_another_error(text: str) -> None:
+def test_arbitrary_text_raises_only_token_error(text: str) -> None:
     with pytest.raises(TokenError):
         decode_token(text)
 
 
-@given(TOKENS, NAMES, st.builds(LogPosition, NUMBERS, NUMBERS))
+@given(TOKENS, GROUP_NAMES, st.builds(LogPosition, UINT64S, UINT64S))
 @SETTINGS
-def test_merging_never_drops_a_group_in_force(
+def test_merging_never_drops_an_existing_group(
     token: SessionToken, group: str, position: LogPosition
 ) -> None:
     known = {name for name, _ in token.entries}
@@ -69,7 +71,7 @@
     assert known <= {name for name, _ in merged.entries}
 
 
-def test_full_token_drops_the_oldest_removed_group() -> None:
+def test_full_token_drops_the_least_recently_written_removed_group() -> None:
     token = EMPTY_TOKEN
     names = [f'g{i}' for i in range(MAX_ENTRIES)]
     for name in names:
--- a/jackdawpost/version.py
+++ b/jackdawpost/version.py
@@ -1,3 +1,3 @@
-"""Version of the package, read by the build and by every program."""
+"""Version of the package, read by the build and by all programs."""
 
 __version__ = '0.1.0'
