Restore the texts of faults that are stored in the replicated state

Ruled out: changing the texts in steps, and restoring only the texts that are stored. The fault of a change id used again and those of declared configurations are only returned, but all others built by the same functions are stored, so one rule covers the whole folder.

A comment in change_sets.py gives the reason. Docstrings and comments of the folder that had to be read twice are mended, among them Candidate, which also serves declared configurations.

--- a/jackdawpost/core/objects/change_sets.py
+++ b/jackdawpost/core/objects/change_sets.py
@@ -39,6 +39,10 @@
 # 1,000 history entries of 1,000 lines each would not fit in one frame.
 MAX_SUMMARY_LINES = 50
 
+# The texts of faults and history entries, including those built in `checks`
+# and `model`, are stored in the replicated state. They must not differ between
+# releases that run side by side.
+
 
 def apply_change_set(
     machine: ControlMachine, command: ApplyChangeSet
@@ -100,8 +104,8 @@
         return dataclasses.replace(stored.answer, duplicate=True)
     outcome = 'accepted' if stored.answer.accepted else 'rejected'
     message = (
-        f'{change_id!r} was already used for other operations, {outcome} '
-        f'at revision {stored.answer.revision}; must be a new id'
+        f'{change_id!r}: used before for other operations, {outcome} '
+        f'at revision {stored.answer.revision}; valid is a new id'
     )
     return ChangeAnswer(
         change_id=change_id,
@@ -132,9 +136,7 @@
     candidate = Candidate(objects=machine.objects.copy())
     faults = []
     if not 1 <= len(operations) <= MAX_OPERATIONS:
-        message = (
-            f'{len(operations)} operations: must be 1 to {MAX_OPERATIONS}'
-        )
+        message = f'{len(operations)}: valid are 1 to {MAX_OPERATIONS}'
         faults.append(Fault(object='', field='operations', message=message))
     for operation in operations[:MAX_OPERATIONS]:
         faults.extend(_apply_operation(candidate, operation))
@@ -154,9 +156,7 @@
 
 
 def _build_stale_base_fault(machine: ControlMachine, base: int) -> Fault:
-    message = (
-        f'{base} does not match: the current revision is {machine.revision}'
-    )
+    message = f'{base}: the current revision is {machine.revision}'
     if base < machine.revision and machine.history:
         conflicting = next(
             (e for e in machine.history if e.revision == base + 1),
@@ -164,7 +164,7 @@
         )
         message += (
             f'; change {conflicting.change_id!r} of {conflicting.operator!r} '
-            f'created revision {conflicting.revision}'
+            f'made revision {conflicting.revision}'
         )
     return Fault(object='', field='base_revision', message=message)
 
@@ -174,7 +174,7 @@
     for field in ('change_id', 'operator'):
         value = getattr(command, field)
         if not 1 <= len(value) <= MAX_ID_CHARS:
-            message = f'{len(value)} characters: must be 1 to {MAX_ID_CHARS}'
+            message = f'{len(value)} characters: valid are 1 to {MAX_ID_CHARS}'
             faults.append(Fault(object='', field=field, message=message))
     return faults
 
@@ -182,15 +182,15 @@
 def _apply_operation(
     candidate: Candidate, operation: Operation
 ) -> list[Fault]:
-    # Faults are stored with the answer, so names in them are cut short.
+    # Faults are stored with the answer, so names in them are truncated.
     key = object_key(operation.type[:80], operation.name[:80])
     if operation.type not in OBJECT_TYPES:
         message = (
-            f'{operation.type!r:.80}: must be one of {", ".join(OBJECT_TYPES)}'
+            f'{operation.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
         )
         return [Fault(object=key, field='type', message=message)]
     if not is_valid_name(operation.name):
-        message = f'{operation.name!r:.80}: must be {NAME_FORMAT}'
+        message = f'{operation.name!r:.80}: valid are {NAME_FORMAT}'
         return [Fault(object=key, field='name', message=message)]
     if key in candidate.touched:
         message = 'named by more than one operation'
@@ -212,7 +212,7 @@
         del table[operation.name]
         candidate.deleted.add(key)
         if operation.body:
-            message = 'must be empty for delete'
+            message = 'valid is an empty body for delete'
             return [Fault(object=key, field='body', message=message)]
         return []
     body = {} if current is None else object_body(current)
@@ -244,7 +244,7 @@
         )
     )
     del machine.history[:-MAX_HISTORY]
-    # A change of an allowance also changes those that fall back on it.
+    # A change to an allowance also changes those that fall back on it.
     allowances = [
         object_key('allowance', name) for name in machine.objects.allowances
     ]
--- a/jackdawpost/core/objects/checks.py
+++ b/jackdawpost/core/objects/checks.py
@@ -1,7 +1,7 @@
 """Validate a complete set of configuration objects before it is activated.
 
-These checks cover references between objects and the current members. Each
-object's own fields have been validated by `parse_object` before.
+The checks cover references between objects and the current members. The fields
+of each object are validated before, by `parse_object`.
 """
 
 from __future__ import annotations
@@ -25,14 +25,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class Candidate:
-    """Objects that result from a change set and are not active yet.
+    """Objects of a change set or declared configuration, not yet active.
 
     Parameters
     ----------
     objects : ObjectSet
-        All objects after the change, also the unchanged ones.
+        All objects after the change, including unchanged ones.
     touched : set of str
-        ``TYPE/NAME`` of every object that an operation names.
+        ``TYPE/NAME`` of every object that the change set or declared
+        configuration names.
     broken : set of str
         ``TYPE/NAME`` of objects with invalid fields. References to them are
         not reported as missing, which would hide the actual fault.
@@ -96,7 +97,7 @@
                 Fault(
                     object=key,
                     field=field_path,
-                    message=f'{target} does not exist',
+                    message=f'no {target} exists',
                 )
             )
     for target in sorted(referrers):
@@ -121,7 +122,7 @@
                 Fault(
                     object=object_key('allowance', name),
                     field='fallback',
-                    message=f'fallbacks form a cycle: {" -> ".join(path)}',
+                    message=f'cycle: {" -> ".join(path)}',
                 )
             )
     return faults
@@ -160,8 +161,7 @@
                 Fault(
                     object=object_key('limit', name),
                     field='group',
-                    message=f'group {group!r} already has limit {other!r}; '
-                    'must be a group without a limit',
+                    message=f'group {group!r} has limit {other!r} already',
                 )
             )
     return faults
@@ -181,7 +181,7 @@
                     object=object_key('endpoint', name),
                     field='database',
                     message=f'{item.database!r} with path {item.path!r} is '
-                    f'already used by endpoint {other!r}',
+                    f'that of endpoint {other!r}',
                 )
             )
     return faults
@@ -197,8 +197,8 @@
                 Fault(
                     object=key,
                     field='write_copies',
-                    message=f'{group.write_copies}: must be 1 to the number '
-                    f"of the group's databases, {group.databases}",
+                    message=f'{group.write_copies}: valid is 1 to the '
+                    f"group's databases, {group.databases}",
                 )
             )
     return faults
@@ -207,9 +207,9 @@
 def _check_drained_groups(
     machine: ControlMachine, candidate: Candidate
 ) -> list[Fault]:
-    # Upstreams join and leave without a change set. A group may have lost its
-    # last undrained upstream that way since the last change set, so the check
-    # covers only groups whose upstreams this change set names.
+    # Upstreams join and leave independently of change sets, so a group may
+    # have lost its last undrained upstream already. A change set is rejected
+    # for this only if it names an upstream of the group.
     touched_groups = set()
     for key in candidate.touched:
         object_type, _, name = key.partition('/')
@@ -226,8 +226,8 @@
                 Fault(
                     object=object_key('group', group),
                     field='',
-                    message='no upstream can become the primary: all joined '
-                    f'upstreams are drained ({", ".join(names)})',
+                    message='no possible primary: all its upstreams are '
+                    f'drained ({", ".join(names)})',
                 )
             )
     return faults
@@ -260,16 +260,10 @@
         expected = candidate.objects.upstreams[name].group
         for member in _find_members_and_newcomers(machine, name):
             if member.role != 'upstream':
-                message = (
-                    f'{name!r} is the name of a {member.role}: must be '
-                    'the name of an upstream'
-                )
+                message = f'{name!r} is the name of a {member.role}'
                 faults.append(Fault(object=key, field='', message=message))
             elif expected is not None and member.group != expected:
-                message = (
-                    f'{expected!r}: must be the group that the upstream '
-                    f'announces, {member.group!r}'
-                )
+                message = f'{expected!r}: it announces {member.group!r}'
                 faults.append(
                     Fault(object=key, field='group', message=message)
                 )
--- a/jackdawpost/core/objects/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -32,8 +32,8 @@
     """Activate a declared configuration if its version is the highest.
 
     A configuration whose version is not higher than the active one is
-    accepted without effect and answered as a duplicate. It is a resend, or a
-    higher version was declared in the meantime.
+    accepted without effect and answered as a duplicate: it is a resend, or a
+    higher version has been declared in the meantime.
     """
     candidate, faults = check_declared(machine, command.objects)
     change_id = f'declared-{command.version}'
@@ -80,15 +80,11 @@
 def _add_object(candidate: Candidate, declared: DeclareObject) -> list[Fault]:
     key = object_key(declared.type[:80], declared.name[:80])
     if declared.type not in OBJECT_TYPES:
-        message = (
-            f'{declared.type!r:.80}: must be one of {", ".join(OBJECT_TYPES)}'
-        )
+        message = f'{declared.type!r:.80}: valid are {", ".join(OBJECT_TYPES)}'
         return [Fault(object=key, field='type', message=message)]
     table = candidate.objects.table(declared.type)
     if declared.name in table:
-        return [
-            Fault(object=key, field='name', message='declared more than once')
-        ]
+        return [Fault(object=key, field='name', message='is used twice')]
     item, faults = parse_object(declared.type, declared.name, declared.body)
     candidate.touched.add(key)
     if faults:
--- a/jackdawpost/core/objects/model.py
+++ b/jackdawpost/core/objects/model.py
@@ -116,7 +116,7 @@
     database : str
         Database name that callers give when they open a session.
     path : str
-        Part of the database's name space. No two endpoints have the same
+        Part of the database's namespace. No two endpoints have the same
         database and path.
     consistency : {'primary', 'bounded_staleness', 'read_your_writes'}
         Consistency level of reads.
@@ -241,9 +241,7 @@
     @model_validator(mode='after')
     def _check_age_or_fallback(self) -> AllowanceBody:
         if (self.max_age_ms is None) == (self.fallback is None):
-            raise ValueError(
-                'must have exactly one of max_age_ms and fallback'
-            )
+            raise ValueError('valid is exactly one of max_age_ms and fallback')
         return self
 
 
@@ -274,7 +272,7 @@
     def _check_allowance(self) -> EndpointBody:
         if (self.consistency == 'primary') != (self.allowance is None):
             raise ValueError(
-                'must have an allowance unless consistency is primary'
+                'valid is an allowance unless consistency is primary'
             )
         return self
 
@@ -393,7 +391,7 @@
         field_path = '.'.join(str(part)[:80] for part in error['loc'])
         message = error['msg'].removeprefix('Value error, ')
         if error['type'] == 'extra_forbidden':
-            message = f'unknown field: must be one of {field_list}'
+            message = f'unknown field: valid are {field_list}'
         elif error['type'] not in ('missing', 'value_error'):
             message = f'{error["input"]!r:.80}: {message}'
         faults.append(Fault(object=key, field=field_path, message=message))
