Mend docstrings of core and its messages

Cause: some sentences had to be turned round, such as "the one that the answering process has on record for its sender", "that a log contains of one term" and "its maximum age after fallbacks", and Sealed was said to contain a record where it contains a position.

Ruled out: any name or text.

Change: docstrings only.

--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -186,8 +186,8 @@
     request_id : int
         Number of the request.
     outcome : {'done', 'invalid', 'moved', 'unavailable'}
-        ``'moved'``: send the request to `leader`; ``'unavailable'``: there is
-        no leader that can answer at present.
+        ``'moved'``: the request must be sent to `leader`;
+        ``'unavailable'``: there is no leader that can answer at present.
     faults : list of str
         Reasons why the request is invalid.
     document : bytes
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -2,8 +2,8 @@
 
 Every event carries ``now_ms``, the monotonic time of the process in
 milliseconds. Connections are identified by integers that the runtime never
-reuses within a process. A late frame of a closed connection can therefore not
-be mistaken for a frame of a newer connection.
+reuses within a process. A late frame of a closed connection therefore
+cannot be mistaken for a frame of a newer connection.
 """
 
 from __future__ import annotations
--- a/jackdawpost/core/messages/consensus.py
+++ b/jackdawpost/core/messages/consensus.py
@@ -50,8 +50,8 @@
     admitted : bool
         The answering process's data folder has been admitted as a voter.
     knows_asker : bool
-        The node id of the `PreVote` is the one that the answering process
-        has on record for its sender.
+        The answering process has the node id of the `PreVote` on record for
+        its sender.
     """
 
     term: int
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -99,7 +99,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamReport:
-    """Last state of an upstream that a proxy observed.
+    """Last state of an upstream as observed by a proxy.
 
     Parameters
     ----------
--- a/jackdawpost/core/messages/operator.py
+++ b/jackdawpost/core/messages/operator.py
@@ -174,7 +174,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Members:
-    """Remove a member and, if it is an upstream, its database-set entry.
+    """Remove a member and, for an upstream, its entry in the database set.
 
     Parameters
     ----------
--- a/jackdawpost/core/messages/upstream.py
+++ b/jackdawpost/core/messages/upstream.py
@@ -200,7 +200,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Sealed:
-    """Answer to `Seal` with the last record received."""
+    """Answer to `Seal` with the position of the last record received."""
 
     id: int
     ok: bool
--- a/jackdawpost/core/positions.py
+++ b/jackdawpost/core/positions.py
@@ -26,7 +26,7 @@
 
 
 class TermEnd(NamedTuple):
-    """Index of the last record that a log contains of one term."""
+    """Index of the last record of one term in a log."""
 
     term: int
     last_index: int
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -72,7 +72,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AllowanceView:
-    """Staleness allowance with its maximum age after fallbacks."""
+    """Staleness allowance whose fallbacks are resolved to a maximum age."""
 
     name: str
     max_age_ms: int
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -1,7 +1,7 @@
 """Session tokens, which carry the positions of a session's writes.
 
-A read with a token is served only by a database that has applied the token's
-position of its group, which gives read-your-writes consistency.
+A read with a token is served only by a database that has applied the position
+that the token holds for its group, which gives read-your-writes consistency.
 """
 
 from __future__ import annotations
