--- a/jackdawpost/core/objects/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -1,4 +1,8 @@
-"""Configurations that operators declare as a whole, under their versions."""
+"""Apply complete configurations that operators declare under a version.
+
+A declared configuration replaces all objects, unlike a change set, which
+changes some of them.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +17,7 @@
 from jackdawpost.core.control.state import HistoryEntry
 from jackdawpost.core.control.state import MAX_HISTORY
 from jackdawpost.core.messages.operator import Fault
-from jackdawpost.core.objects.change_sets import match_group_states
+from jackdawpost.core.objects.change_sets import reconcile_group_states
 from jackdawpost.core.objects.checks import Candidate
 from jackdawpost.core.objects.checks import check_objects
 from jackdawpost.core.objects.model import object_key
@@ -25,11 +29,11 @@
 def declare_objects(
     machine: ControlMachine, command: DeclareObjects
 ) -> Applied:
-    """Put a declared configuration in force if its version is the highest.
+    """Activate a declared configuration if its version is the highest.
 
-    One whose version is not higher than that in force is accepted without
-    effect, so that a resend, and a change that another has overtaken, get a
-    clear answer.
+    A configuration whose version is not higher than the active one is
+    accepted without effect and answered as a duplicate: it is a resend, or a
+    higher version has been declared in the meantime.
     """
     candidate, faults = check_declared(machine, command.objects)
     change_id = f'declared-{command.version}'
@@ -44,7 +48,7 @@
     changed = False
     declared = machine.declared
     if declared is None or command.version > declared.version:
-        changed = _put_in_force(machine, command, candidate, change_id)
+        changed = _activate_objects(machine, command, candidate, change_id)
     answer = ChangeAnswer(
         change_id=change_id,
         accepted=True,
@@ -62,8 +66,8 @@
     Returns
     -------
     tuple
-        The resulting objects and every fault; they may only be put in force
-        if there is none.
+        The resulting objects and all faults. The objects may be activated
+        only if there are no faults.
     """
     candidate = Candidate(objects=ObjectSet())
     faults: list[Fault] = []
@@ -90,7 +94,7 @@
     return faults
 
 
-def _put_in_force(
+def _activate_objects(
     machine: ControlMachine,
     command: DeclareObjects,
     candidate: Candidate,
@@ -102,7 +106,7 @@
     machine.declared = DeclaredConfig(
         version=command.version, document=command.document
     )
-    match_group_states(machine)
+    reconcile_group_states(machine)
     machine.history.append(
         HistoryEntry(
             revision=machine.revision,
