Name the keepalive time-outs of connections as such

A reader met PEER_SILENCE_MS, CALLER_SILENCE_MS and silence_ms and had to open the function to see that they are time-outs of TCP keepalive, set as TCP_USER_TIMEOUT. They are now PEER_KEEPALIVE_TIMEOUT_MS, CALLER_KEEPALIVE_TIMEOUT_MS and keepalive_timeout_ms in wire, runtime and platform. Probe silence in core/pooler is another matter and stays.

--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -32,7 +32,7 @@
 from jackdawpost.runtime.peer_links import PeerLinks
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.settings.models import Address
-from jackdawpost.wire.sockets import PEER_SILENCE_MS
+from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 
 # Between regions a heartbeat takes up to 24 ms there and back.
 HEARTBEAT_MS = 100
@@ -88,7 +88,7 @@
         seed=crc32(settings.ip.encode()),
         header_settings={},
         knows_peer=lambda name, peer: bool(name),
-        silence_ms=PEER_SILENCE_MS,
+        keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
     )
 
 
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -35,7 +35,7 @@
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.settings.models import Address
 from jackdawpost.wire.server import LISTEN_BACKLOG
-from jackdawpost.wire.sockets import CALLER_SILENCE_MS
+from jackdawpost.wire.sockets import CALLER_KEEPALIVE_TIMEOUT_MS
 from jackdawpost.wire.sockets import enable_keepalive
 
 READINESS_PATH = '/readiness'
@@ -122,7 +122,7 @@
     )
 
     async def serve(stream: trio.SocketStream) -> None:
-        enable_keepalive(stream, CALLER_SILENCE_MS)
+        enable_keepalive(stream, CALLER_KEEPALIVE_TIMEOUT_MS)
         await shell.serve_link('session', LineStream(stream), '')
 
     await trio.serve_listeners(serve, listeners)
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -15,7 +15,7 @@
 from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.server import LISTEN_BACKLOG
 from jackdawpost.wire.server import ListenError
-from jackdawpost.wire.sockets import CALLER_SILENCE_MS
+from jackdawpost.wire.sockets import CALLER_KEEPALIVE_TIMEOUT_MS
 from jackdawpost.wire.sockets import enable_keepalive
 
 LOG = logging.getLogger(__name__)
@@ -73,7 +73,7 @@
 
     async def handle(stream: trio.SocketStream) -> None:
         try:
-            enable_keepalive(stream, CALLER_SILENCE_MS)
+            enable_keepalive(stream, CALLER_KEEPALIVE_TIMEOUT_MS)
             await _serve_stream(stream, serve)
         except (
             OSError,
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -34,7 +34,7 @@
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 from jackdawpost.wire.sockets import enable_keepalive
-from jackdawpost.wire.sockets import PEER_SILENCE_MS
+from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 from jackdawpost.wire.stream import LinkClosedError
 
 MAX_MESSAGE_BYTES = 1 << 20
@@ -372,7 +372,7 @@
         ) from exc
     except OSError as exc:
         raise LinkRefusedError(f'{place}: {exc}') from exc
-    enable_keepalive(stream, PEER_SILENCE_MS)
+    enable_keepalive(stream, PEER_KEEPALIVE_TIMEOUT_MS)
     lines = LineStream(stream)
     try:
         yield lines
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -157,7 +157,7 @@
     tls: TlsSettings | None = None
     targets: list[LinkTarget] = field(default_factory=list)
     performers: dict[type, Perform] = field(default_factory=dict)
-    silence_ms: int = 0
+    keepalive_timeout_ms: int = 0
 
 
 async def run_control(
@@ -245,7 +245,7 @@
     endpoints = Endpoints(
         _build_handlers(shell, spec, log),
         build_pages(shell, is_healthy, dump_control),
-        silence_ms=spec.silence_ms,
+        keepalive_timeout_ms=spec.keepalive_timeout_ms,
     )
     tasks = [task for part in attach if (task := part(shell)) is not None]
     log.info('control starts', extra={'port': spec.listen.port})
--- a/jackdawpost/runtime/peer_links.py
+++ b/jackdawpost/runtime/peer_links.py
@@ -9,7 +9,7 @@
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.runtime.shell import LinkTarget
 from jackdawpost.runtime.shell import ReducerShell
-from jackdawpost.wire.sockets import PEER_SILENCE_MS
+from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 
 # A machine without power answers nothing, and the kernel repeats an opening
 # only after a second: an attempt made too early is better made anew.
@@ -62,7 +62,7 @@
             self._path,
             hello=self._hello,
             timeout_ms=OPEN_TIMEOUT_MS,
-            silence_ms=PEER_SILENCE_MS,
+            keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
             retry_max_s=RETRY_MAX_S,
         )
         with scope:
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -114,7 +114,7 @@
     path: str
     hello: Any = None
     timeout_ms: float = 1_000
-    silence_ms: int = 0
+    keepalive_timeout_ms: int = 0
     retry_max_s: float = RECONNECT_MAX_S
 
 
@@ -267,7 +267,7 @@
                     tls=self._tls,
                     expected=PeerIdentity('control', target.peer),
                     timeout_ms=target.timeout_ms,
-                    silence_ms=target.silence_ms,
+                    keepalive_timeout_ms=target.keepalive_timeout_ms,
                 ) as stream:
                     delay_s = RECONNECT_MIN_S
                     if target.hello is not None:
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -46,7 +46,7 @@
     expected: PeerIdentity | None = None,
     timeout_ms: float = 5_000,
     max_frame_bytes: int = MAX_REPLY_BYTES,
-    silence_ms: int = 0,
+    keepalive_timeout_ms: int = 0,
 ) -> AsyncIterator[FrameStream]:
     """Connect to a process; the connection is closed on exit.
 
@@ -67,7 +67,7 @@
         Longest time for opening, in milliseconds.
     max_frame_bytes : int
         Longest frame accepted from the other end.
-    silence_ms : int
+    keepalive_timeout_ms : int
         The kernel ends the connection if the other end stops to answer for
         so long; 0 leaves that to the messages on it.
 
@@ -91,7 +91,7 @@
         protocol = _build_protocol(host, port, path, max_frame_bytes)
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
             frames = await _open_stream(
-                host, port, protocol, tls, expected, silence_ms
+                host, port, protocol, tls, expected, keepalive_timeout_ms
             )
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
@@ -134,11 +134,11 @@
     protocol: ClientProtocol,
     tls: ssl.SSLContext | None,
     expected: PeerIdentity | None,
-    silence_ms: int,
+    keepalive_timeout_ms: int,
 ) -> FrameStream:
     socket_stream = await trio.open_tcp_stream(host, port)
-    if silence_ms:
-        enable_keepalive(socket_stream, silence_ms)
+    if keepalive_timeout_ms:
+        enable_keepalive(socket_stream, keepalive_timeout_ms)
     stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
     stream = socket_stream
     peer = ''
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -67,7 +67,7 @@
         Connections beyond this are closed at once.
     max_frame_bytes : int
         A connection with a longer frame is closed.
-    silence_ms : int
+    keepalive_timeout_ms : int
         A connection whose other end stops to answer for so long is ended by
         the kernel; 0 leaves that to the messages on it.
     """
@@ -76,7 +76,7 @@
     pages: Mapping[str, Page]
     max_connections: int = 20_000
     max_frame_bytes: int = MAX_FRAME_BYTES
-    silence_ms: int = 0
+    keepalive_timeout_ms: int = 0
     open_connections: int = 0
 
 
@@ -134,8 +134,8 @@
         return
     endpoints.open_connections += 1
     try:
-        if endpoints.silence_ms:
-            enable_keepalive(socket_stream, endpoints.silence_ms)
+        if endpoints.keepalive_timeout_ms:
+            enable_keepalive(socket_stream, endpoints.keepalive_timeout_ms)
         await _handle_transport(socket_stream, endpoints, tls)
     except (
         trio.BrokenResourceError,
