Reword the wire package in plain technical English

Cause: a reader stumbled over names and sentences of this project alone: _tighten, _take_frames, _read_more, _load_own, _handle_transport, "a peer that lets 8 MiB pile up is cut off", "whom a certificate must name", "valid is". Ruled out: renaming what other packages import (FrameCodec, FrameStream, Endpoints, open_link, reply_json, peer_has_role and so on), the close texts 'connection closed' and 'connection reset', and the HTTP answers. Change: docstrings, comments, error texts ("expected ..."), private names and locals. ask_certificate is require_certificate, build_contexts is build_tls_contexts. Error texts changed here are matched by no test.

Tests: names of tests and locals, comments; no assertion changed.

--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -32,7 +32,7 @@
 from jackdawpost.core.messages.peer import Hello
 from jackdawpost.errors import StorageError
 from jackdawpost.runtime.pages import build_pages
-from jackdawpost.runtime.process import build_contexts
+from jackdawpost.runtime.process import build_tls_contexts
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.recorder import build_recorder
@@ -220,7 +220,7 @@
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(spec.tls, log)
+    server_tls, client_tls = build_tls_contexts(spec.tls, log)
     store = DurableStore.open(spec.data_dir)
     writer = DurableWriter(store)
     header = TraceHeader(
--- a/jackdawpost/runtime/process.py
+++ b/jackdawpost/runtime/process.py
@@ -26,10 +26,10 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def build_contexts(
+def build_tls_contexts(
     tls: TlsSettings | None,
     log: logging.Logger,
-    ask_certificate: bool = True,
+    require_certificate: bool = True,
 ) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
     """Return the server and the client context, or warn without TLS.
 
@@ -43,7 +43,7 @@
             'tls is off: anyone who reaches this port can pose as any peer'
         )
         return None, None
-    server = build_server_context(tls, ask_certificate)
+    server = build_server_context(tls, require_certificate)
     return server, build_client_context(tls)
 
 
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -18,7 +18,7 @@
 from jackdawpost.runtime.control_codec import FROM_CONTROL
 from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
-from jackdawpost.runtime.process import build_contexts
+from jackdawpost.runtime.process import build_tls_contexts
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.recorder import build_recorder
@@ -63,7 +63,7 @@
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(
+    server_tls, client_tls = build_tls_contexts(
         settings.tls, log, settings.ask_caller_certificate
     )
     header = TraceHeader(
--- a/jackdawpost/tests/wire/test_codec.py
+++ b/jackdawpost/tests/wire/test_codec.py
@@ -1,4 +1,4 @@
-"""Frames that would let bad input reach the reducers."""
+"""Tests of encoding, decoding and validation of frames."""
 
 from __future__ import annotations
 
@@ -57,24 +57,24 @@
         {'kind': 7},
     ],
 )
-def test_wrong_types_and_unknown_fields_are_refused(fields):
+def test_wrong_types_and_unknown_fields_are_rejected(fields):
     with pytest.raises(FrameError):
         CALLER_CODEC.decode(cbor2.dumps(_statement(**fields)))
 
 
-def test_refusal_names_the_request():
-    with pytest.raises(FrameError) as caught:
+def test_frame_error_contains_the_request_id():
+    with pytest.raises(FrameError) as exc_info:
         CALLER_CODEC.decode(cbor2.dumps(_statement(access='x')))
-    assert caught.value.request_id == 7
+    assert exc_info.value.request_id == 7
 
 
 @pytest.mark.parametrize('frame', [b'', b'\xff', '{', '[]', '7'])
-def test_malformed_frames_are_refused(frame):
+def test_malformed_frames_are_rejected(frame):
     with pytest.raises(FrameError):
         CALLER_CODEC.decode(frame)
 
 
-def test_unknown_fields_of_nested_data_are_refused():
+def test_unknown_fields_of_nested_data_are_rejected():
     codec = FrameCodec(LeaseGrant)
     lease = {'group': 'g', 'term': 1, 'unknown_field': 1}
     message = {
--- a/jackdawpost/tests/wire/test_server.py
+++ b/jackdawpost/tests/wire/test_server.py
@@ -1,4 +1,4 @@
-"""Connections between two ends on loopback."""
+"""Tests of WebSocket connections between server and client on loopback."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
     return await nursery.start(serve_endpoints, '127.0.0.1', 0, endpoints, tls)
 
 
-async def test_large_frames_arrive_whole_and_in_order(nursery):
+async def test_large_frames_arrive_complete_and_in_order(nursery):
     port = await _start(nursery)
     async with open_link('127.0.0.1', port, '/echo') as link:
         frames = [bytes([n]) * LARGE_FRAME_BYTES for n in range(4)]
@@ -74,7 +74,7 @@
                 pass
 
 
-async def test_silent_server_is_a_timeout_not_a_hang():
+async def test_connecting_to_an_unresponsive_server_times_out():
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     port = listeners[0].socket.getsockname()[1]
     with pytest.raises(LinkTimeoutError):
@@ -92,19 +92,21 @@
 
 
 async def test_a_strict_server_accepts_the_handshake(nursery):
-    # Guards against headers that only this project's own server accepts,
-    # such as an empty list of extensions.
-    async def answer(conn):
+    # Guards against a request that only the server of this project accepts,
+    # for example with an empty Sec-WebSocket-Extensions header.
+    async def echo(conn):
         await conn.send(await conn.recv())
 
-    other = await nursery.start(partial(serve, answer, 0, host='127.0.0.1'))
-    port = other.listeners[0].socket.getsockname()[1]
+    strict_server = await nursery.start(
+        partial(serve, echo, 0, host='127.0.0.1')
+    )
+    port = strict_server.listeners[0].socket.getsockname()[1]
     async with open_link('127.0.0.1', port, '/echo') as link:
         link.post(b'x')
         assert await link.receive() == b'x'
 
 
-@pytest.mark.parametrize('secure', [False, True])
+@pytest.mark.parametrize('use_tls', [False, True])
 @pytest.mark.parametrize(
     'opening',
     [
@@ -117,16 +119,16 @@
     ],
     ids=['silent', 'half', 'half-tls', 'garbage', 'headers', 'long-line'],
 )
-async def test_a_peer_that_does_not_finish_the_handshake_is_cut_off(
-    nursery, monkeypatch, tmp_path, opening, secure
+async def test_an_incomplete_handshake_closes_the_connection(
+    nursery, monkeypatch, tmp_path, opening, use_tls
 ):
-    # Guards against connections that hold a place for ever, or an error of
-    # one that ends the server.
+    # Guards against a peer that occupies a connection indefinitely, and
+    # against a handshake error that ends the server.
     monkeypatch.setattr(server, 'HANDSHAKE_TIMEOUT_S', 0.2)
     tls = None
-    if secure:
+    if use_tls:
         cfg = issue_tls(trustme.CA(), tmp_path, 'proxy.p')
-        tls = build_server_context(cfg, ask_certificate=False)
+        tls = build_server_context(cfg, require_certificate=False)
     port = await _start(nursery, tls)
     stream = await trio.open_tcp_stream('127.0.0.1', port)
     with trio.fail_after(2):
@@ -138,14 +140,15 @@
         except trio.BrokenResourceError:
             pass
     await stream.aclose()
-    if not secure:
+    if not use_tls:
         async with open_link('127.0.0.1', port, '/echo') as link:
             link.post(b'x')
             assert await link.receive() == b'x'
 
 
-async def test_half_open_handshakes_cost_little_memory(nursery):
-    # Guards against buffers that are allocated before a peer is known.
+async def test_incomplete_handshakes_use_little_memory(nursery):
+    # Guards against buffers that are allocated before the handshake is
+    # complete.
     port = await _start(nursery)
     before = _read_resident_bytes()
     streams = [
@@ -154,10 +157,10 @@
     for stream in streams:
         await stream.send_all(b'GET /echo HTTP/1.1\r\n')
     await trio.sleep(0.1)
-    # The target of 5,300 connections within 128 MB leaves this much each;
-    # both ends of a connection live in this process.
-    grown = _read_resident_bytes() - before
-    assert grown / len(streams) < 128_000_000 / 5_300
+    # Limit per connection that follows from the target of 5,300 connections
+    # in 128 MB. The measured growth includes both ends of each connection.
+    growth = _read_resident_bytes() - before
+    assert growth / len(streams) < 128_000_000 / 5_300
     for stream in streams:
         await stream.aclose()
 
@@ -170,8 +173,8 @@
 @pytest.mark.parametrize(
     ('host', 'port'), [('', 0), ('127.0.0.1', 70_000), ('not an address', 1)]
 )
-async def test_impossible_address_is_refused(host, port):
-    # Guards against an announced address that ends the process.
+async def test_invalid_address_is_refused(host, port):
+    # Guards against an invalid announced address that ends the process.
     with pytest.raises(LinkRefusedError):
         async with open_link(host, port, '/echo', timeout_ms=1_000):
             pass
--- a/jackdawpost/tests/wire/test_stream.py
+++ b/jackdawpost/tests/wire/test_stream.py
@@ -1,4 +1,4 @@
-"""Ends of connections: what arrived before still counts."""
+"""Tests of closing connections."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 
 
 async def test_frames_that_arrive_with_the_close_frame_are_delivered(nursery):
-    # An answer just before a close must not turn into an unknown outcome.
+    # Guards against losing an answer sent just before the close, which would
+    # make the outcome of the request unknown.
     async def answer_and_close(stream, peer):
         stream.post(b'1')
         stream.post(b'2')
@@ -31,7 +32,8 @@
 
 
 async def test_post_after_the_peer_has_closed_is_dropped(nursery):
-    # Another task may post between the peer's close and the end of receive.
+    # Guards against an error if another task posts after the peer has closed
+    # the connection.
     async def close(stream, peer):
         return
 
@@ -42,8 +44,9 @@
         link.post(b'late')
 
 
-async def test_transport_is_closed_after_the_peer_has_left(nursery):
-    # A link that the peer had reset kept its socket open.
+async def test_transport_is_closed_after_a_reset_by_the_peer(nursery):
+    # Guards against a socket that stays open after the peer has reset the
+    # connection.
     async def reset(stream, peer):
         await stream.abort()
 
--- a/jackdawpost/wire/byte_writer.py
+++ b/jackdawpost/wire/byte_writer.py
@@ -1,4 +1,4 @@
-"""Writes bytes to a transport without waiting, in order."""
+"""Buffered, non-blocking writes to a TCP or TLS connection."""
 
 from __future__ import annotations
 
@@ -8,19 +8,26 @@
 import trio
 
 MAX_UNSENT_BYTES = 8 << 20
-FLUSH_POLL_S = 0.005
+DRAIN_POLL_INTERVAL_S = 0.005
 
 
 class ByteWriter:
-    """Sends at once what the transport takes, the rest in the background.
+    """Writes to a transport without blocking the caller.
 
-    A peer that lets more than 8 MiB pile up is cut off, so that it cannot
-    fill the memory.
+    Bytes that the socket does not accept immediately are buffered and sent
+    in order by a background task. The transport is aborted when the buffer
+    exceeds 8 MiB, because a peer that does not read could otherwise exhaust
+    the memory.
 
     Parameters
     ----------
     stream : trio.SocketStream or trio.SSLStream
         Connected transport.
+
+    Attributes
+    ----------
+    closed : bool
+        True after the transport was closed by either side or failed.
     """
 
     def __init__(
@@ -37,26 +44,27 @@
         )
 
     def write(self, data: bytes) -> None:
-        """Send bytes; those for a closed transport are dropped."""
+        """Send bytes, or drop them if the transport is closed."""
         self._unsent += data
         if not self._unsent or self._flushing:
-            self._check_backlog()
+            self._abort_if_over_limit()
             return
         if self._fd is not None:
             self._write_now(self._fd)
         if self._unsent:
             self._flushing = True
-            # A system task costs an idle connection nothing, unlike a
-            # nursery; _flush handles every error of the transport itself.
+            # Unlike a nursery, a system task costs an idle connection
+            # nothing. `_flush` handles all transport errors, because an
+            # exception in a system task would crash the program.
             trio.lowlevel.spawn_system_task(self._flush)
 
     async def drain(self) -> None:
-        """Wait until everything is sent or the transport has failed."""
+        """Wait until all bytes are sent or the transport has failed."""
         while self._flushing:
-            await trio.sleep(FLUSH_POLL_S)
+            await trio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def abort(self) -> None:
-        """Close the transport at once."""
+        """Close the transport immediately and drop unsent bytes."""
         self.closed = True
         await trio.aclose_forcefully(self._stream)
 
@@ -66,12 +74,12 @@
         except BlockingIOError:
             return
         except OSError:
-            # The reader of the connection reports its end.
+            # The task that reads from the connection reports the error.
             self._unsent.clear()
             return
         del self._unsent[:written]
 
-    def _check_backlog(self) -> None:
+    def _abort_if_over_limit(self) -> None:
         if len(self._unsent) > MAX_UNSENT_BYTES:
             self.closed = True
             trio.lowlevel.spawn_system_task(
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -1,4 +1,4 @@
-"""Opens WebSocket connections to other processes."""
+"""Opens WebSocket connections to other processes, with or without TLS."""
 
 from __future__ import annotations
 
@@ -20,20 +20,21 @@
 from jackdawpost.wire.tls import read_peer_name
 
 MS_PER_SECOND = 1_000
-# Answers and state updates may be larger than what strangers may send.
-MAX_REPLY_BYTES = 16 << 20
+# Answers and state updates can be larger than the frames that a server accepts
+# from unauthenticated clients.
+MAX_INBOUND_FRAME_BYTES = 16 << 20
 
 
 class LinkRefusedError(ProtocolError):
-    """The other end refused the connection or reset it while opening."""
+    """The other end refused the connection or closed it while opening."""
 
 
 class PeerIdentityError(LinkRefusedError):
-    """The process that was reached has another role or name."""
+    """The certificate of the other end has the wrong role or name."""
 
 
 class LinkTimeoutError(ProtocolError):
-    """The other end did not answer in time while opening."""
+    """The connection was not established within the time limit."""
 
 
 @asynccontextmanager
@@ -45,10 +46,10 @@
     tls: ssl.SSLContext | None = None,
     expected: PeerIdentity | None = None,
     timeout_ms: float = 5_000,
-    max_frame_bytes: int = MAX_REPLY_BYTES,
+    max_frame_bytes: int = MAX_INBOUND_FRAME_BYTES,
     keepalive_timeout_ms: int = 0,
 ) -> AsyncIterator[FrameStream]:
-    """Connect to a process; the connection is closed on exit.
+    """Connect to another process; the connection is closed on exit.
 
     Parameters
     ----------
@@ -59,46 +60,47 @@
     path : str
         WebSocket path.
     tls : ssl.SSLContext, optional
-        Context with this process's certificate.
+        Client context; without it the connection is not encrypted.
     expected : PeerIdentity, optional
-        Whom the certificate of the other end must name. Ignored without
-        `tls`.
+        Role and name required in the certificate of the other end. Ignored
+        without `tls`.
     timeout_ms : float
-        Longest time for opening, in milliseconds.
+        Time limit for establishing the connection, in milliseconds.
     max_frame_bytes : int
-        Longest frame accepted from the other end.
+        Maximum size of a frame accepted from the other end.
     keepalive_timeout_ms : int
-        The kernel ends the connection if the other end stops to answer for
-        so long; 0 leaves that to the messages on it.
+        The kernel closes the connection if the other end acknowledges
+        nothing for this time, in milliseconds; 0 disables TCP keepalive.
 
     Yields
     ------
     FrameStream
-        The open connection; its `peer` is the certificate name of the
-        other end.
+        Open connection; its `peer` is the common name of the certificate of
+        the other end.
 
     Raises
     ------
     LinkRefusedError
-        The other end refused or reset the connection.
+        The address is invalid, or the other end refused the connection or
+        closed it during the handshake.
     PeerIdentityError
-        The certificate of the other end names somebody else.
+        The certificate of the other end does not match `expected`.
     LinkTimeoutError
-        The other end did not answer in time.
+        The connection was not established within `timeout_ms`.
     """
-    place = f'{host}:{port}{path}'
+    address = f'{host}:{port}{path}'
     try:
         protocol = _build_protocol(host, port, path, max_frame_bytes)
         with trio.fail_after(timeout_ms / MS_PER_SECOND):
-            frames = await _open_stream(
+            frame_stream = await _connect(
                 host, port, protocol, tls, expected, keepalive_timeout_ms
             )
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
-            f'{place}: no answer within {timeout_ms:.0f} ms'
+            f'{address}: no answer within {timeout_ms:.0f} ms'
         ) from exc
     except PeerIdentityError as exc:
-        raise PeerIdentityError(f'{place}: {exc}') from exc
+        raise PeerIdentityError(f'{address}: {exc}') from exc
     except (
         OSError,
         trio.BrokenResourceError,
@@ -106,14 +108,14 @@
         InvalidURI,
         ValueError,
     ) as exc:
-        # The last two stand for an address that an instance announced and
-        # that cannot be one.
+        # InvalidURI and ValueError: an instance announced an address that is
+        # not a valid host and port.
         detail = exc.__cause__ or exc
-        raise LinkRefusedError(f'{place}: {detail}') from exc
+        raise LinkRefusedError(f'{address}: {detail}') from exc
     try:
-        yield frames
+        yield frame_stream
     finally:
-        await frames.aclose()
+        await frame_stream.aclose()
 
 
 def _build_protocol(
@@ -123,12 +125,13 @@
     return ClientProtocol(
         parse_uri(f'ws://{authority}:{port}{path}'),
         max_size=max_frame_bytes,
-        # An empty list would send an empty header, which servers refuse.
+        # With an empty list the client sends an empty header, which servers
+        # reject.
         extensions=None,
     )
 
 
-async def _open_stream(
+async def _connect(
     host: str,
     port: int,
     protocol: ClientProtocol,
@@ -149,7 +152,7 @@
             peer = read_peer_name(stream)
             if expected is not None and not expected.matches(peer):
                 raise PeerIdentityError(
-                    f'certificate of {peer or "nobody"}: valid is {expected}'
+                    f'certificate name {peer or "(none)"}, expected {expected}'
                 )
         protocol.send_request(protocol.connect())
         await stream.send_all(b''.join(protocol.data_to_send()))
@@ -166,12 +169,12 @@
     while protocol.state is State.CONNECTING:
         data = await stream.receive_some(4_096)
         if not data:
-            raise LinkRefusedError('closed while opening')
+            raise LinkRefusedError('closed during the handshake')
         protocol.receive_data(data)
         if protocol.handshake_exc is not None:
             raise LinkRefusedError(str(protocol.handshake_exc))
     events = protocol.events_received()
     if events and isinstance(events[0], Response):
         del events[0]
-    # Frames that arrived together with the response stay queued.
+    # Requeue the frames that arrived together with the response.
     protocol.events.extend(events)
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -1,4 +1,4 @@
-"""WebSocket server with plain HTTP pages on the same port."""
+"""Server for WebSocket connections and plain HTTP pages on one port."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class ListenError(JackdawpostError):
-    """The address to listen on is in use or not of this machine."""
+    """The listening address is in use or does not belong to this machine."""
 
 
 @dataclass(slots=True)
@@ -43,7 +43,7 @@
 
 
 def reply_json(value: Any, status: int = HTTPStatus.OK) -> HttpReply:
-    """Return a reply with `value` as JSON."""
+    """Return a reply whose body is `value` encoded as JSON."""
     return HttpReply(status, json.dumps(value, default=str, indent=1) + '\n')
 
 
@@ -53,23 +53,26 @@
 
 @dataclass(slots=True)
 class Endpoints:
-    """What a server offers.
+    """Paths, limits and connection count of one server.
 
     Parameters
     ----------
     handlers : mapping of str to callable
-        For each WebSocket path, a coroutine function that gets the stream
-        and the peer's certificate name, empty without TLS. The stream is
-        closed when it returns.
+        Coroutine function for each WebSocket path. It receives the stream
+        and the common name of the peer's certificate (empty without one).
+        The stream is closed when it returns.
     pages : mapping of str to callable
-        For each plain HTTP path, a function that returns the reply.
+        Function for each plain HTTP path that returns the reply.
     max_connections : int
-        Connections beyond this are closed at once.
+        Maximum number of open connections; further ones are closed
+        immediately.
     max_frame_bytes : int
-        A connection with a longer frame is closed.
+        Maximum size of a received frame; a longer one closes the connection.
     keepalive_timeout_ms : int
-        A connection whose other end stops to answer for so long is ended by
-        the kernel; 0 leaves that to the messages on it.
+        The kernel closes a connection whose other end acknowledges nothing
+        for this time, in milliseconds; 0 disables TCP keepalive.
+    open_connections : int
+        Current number of connections, maintained by the server.
     """
 
     handlers: Mapping[str, Handler]
@@ -87,24 +90,23 @@
     tls: ssl.SSLContext | None = None,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until cancelled.
+    """Accept and serve connections until cancelled.
 
     Parameters
     ----------
     host : str
         IP address to listen on.
     port : int
-        TCP port; 0 takes a free one. The port in use is reported through
-        `task_status`.
+        TCP port; 0 selects a free one. `task_status` reports the port.
     endpoints : Endpoints
-        Paths served.
+        Handlers and pages by path, and limits.
     tls : ssl.SSLContext, optional
-        Context with this process's certificate.
+        Server context; without it connections are not encrypted.
 
     Raises
     ------
     ListenError
-        The address cannot be listened on.
+        The server cannot listen on the address.
     """
     try:
         listeners = await trio.open_tcp_listeners(
@@ -116,11 +118,11 @@
         ) from exc
     bound_port = listeners[0].socket.getsockname()[1]
 
-    async def handle(stream: trio.SocketStream) -> None:
+    async def serve_stream(stream: trio.SocketStream) -> None:
         await _serve_connection(stream, endpoints, tls)
 
     async with trio.open_nursery() as nursery:
-        await nursery.start(trio.serve_listeners, handle, listeners)
+        await nursery.start(trio.serve_listeners, serve_stream, listeners)
         task_status.started(bound_port)
 
 
@@ -136,7 +138,7 @@
     try:
         if endpoints.keepalive_timeout_ms:
             enable_keepalive(socket_stream, endpoints.keepalive_timeout_ms)
-        await _handle_transport(socket_stream, endpoints, tls)
+        await _serve_transport(socket_stream, endpoints, tls)
     except (
         trio.BrokenResourceError,
         trio.ClosedResourceError,
@@ -150,7 +152,7 @@
         await trio.aclose_forcefully(socket_stream)
 
 
-async def _handle_transport(
+async def _serve_transport(
     socket_stream: trio.SocketStream,
     endpoints: Endpoints,
     tls: ssl.SSLContext | None,
@@ -171,19 +173,19 @@
             return
         handler = endpoints.handlers.get(request.path)
         if handler is None:
-            await _answer_page(stream, protocol, request, endpoints)
+            await _send_page(stream, protocol, request, endpoints)
             return
         response = protocol.accept(request)
         protocol.send_response(response)
         await stream.send_all(b''.join(protocol.data_to_send()))
         if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
             return
-    frames = FrameStream(stream, protocol, peer)
+    frame_stream = FrameStream(stream, protocol, peer)
     del request, response
     try:
-        await handler(frames, peer)
+        await handler(frame_stream, peer)
     finally:
-        await frames.aclose()
+        await frame_stream.aclose()
 
 
 async def _read_request(
@@ -201,7 +203,7 @@
         protocol.receive_data(data)
 
 
-async def _answer_page(
+async def _send_page(
     stream: trio.abc.Stream,
     protocol: ServerProtocol,
     request: Request,
@@ -209,9 +211,12 @@
 ) -> None:
     page = endpoints.pages.get(request.path)
     if page is None:
-        known = sorted([*endpoints.pages, *endpoints.handlers])
+        served_paths = sorted([*endpoints.pages, *endpoints.handlers])
         reply = reply_json(
-            {'error': f'path {request.path!r} is not served', 'paths': known},
+            {
+                'error': f'path {request.path!r} is not served',
+                'paths': served_paths,
+            },
             HTTPStatus.NOT_FOUND,
         )
     else:
--- a/jackdawpost/wire/sockets.py
+++ b/jackdawpost/wire/sockets.py
@@ -1,4 +1,4 @@
-"""Socket options that end connections which have gone silent."""
+"""TCP keepalive options of sockets."""
 
 from __future__ import annotations
 
@@ -6,30 +6,34 @@
 
 import trio
 
-# Between processes: longer than an election, shorter than a lease matters.
+# For connections between processes: longer than an election takes, but short
+# enough to detect a dead connection before leases are affected.
 PEER_KEEPALIVE_TIMEOUT_MS = 2_000
-# Callers may be suspended for seconds and go on afterwards.
+# Callers may be suspended for seconds and resume afterwards.
 CALLER_KEEPALIVE_TIMEOUT_MS = 15_000
-PROBES = 2
+KEEPALIVE_PROBES = 2
 
 
 def enable_keepalive(
     stream: trio.SocketStream, keepalive_timeout_ms: int
 ) -> None:
-    """Have the kernel end a connection whose other end stops to answer.
+    """Make the kernel close a connection to an unresponsive peer.
 
     Parameters
     ----------
     keepalive_timeout_ms : int
-        Time without any acknowledgement, in milliseconds. It covers both
-        unacknowledged data and an idle connection.
+        Time without an acknowledgement from the peer after which the
+        connection is closed, in milliseconds. It applies to unacknowledged
+        data and to keepalive probes on an idle connection.
     """
-    interval_s = max(1, keepalive_timeout_ms // 1_000 // (PROBES + 1))
+    interval_s = max(
+        1, keepalive_timeout_ms // 1_000 // (KEEPALIVE_PROBES + 1)
+    )
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval_s),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, keepalive_timeout_ms),
     )
     for level, option, value in options:
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -1,9 +1,9 @@
-"""Frames over one WebSocket connection.
+"""Sends and receives WebSocket frames on a trio stream.
 
-Uses the I/O-free protocol of `websockets` on a trio stream: one task reads,
-and frames are written without a task of their own. With thousands of mostly
-idle callers this saves the reader and keepalive tasks that the library's own
-trio connection keeps for each of them.
+Uses the I/O-free protocol objects of `websockets`. The trio connection of that
+library runs a reader task and a keepalive task for each connection. Here the
+task that serves a connection reads from it, and writing needs no task, which
+matters with thousands of mostly idle callers.
 """
 
 from __future__ import annotations
@@ -26,11 +26,11 @@
 
 
 class LinkClosedError(ProtocolError):
-    """The connection has ended."""
+    """The connection is closed or has failed."""
 
 
 class FrameStream:
-    """Sends and receives whole frames.
+    """WebSocket connection that sends and receives complete frames.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
     protocol : websockets.protocol.Protocol
         Protocol object after the opening handshake.
     peer : str
-        Common name of the peer's certificate; empty without one.
+        Common name of the peer's certificate; empty if it sent none.
     """
 
     def __init__(
@@ -52,39 +52,40 @@
         self._stream = stream
         self._protocol = protocol
         self._writer = ByteWriter(stream)
-        self._ended = False
-        self._parts: list[bytes] = []
-        self._text = False
-        self._frames: Iterator[bytes | str] = iter(())
+        self._end_received = False
+        self._fragments: list[bytes] = []
+        self._is_text = False
+        self._parsed_frames: Iterator[bytes | str] = iter(())
 
     @property
     def closed(self) -> bool:
-        """Whether the connection has ended on this side."""
+        """True after the connection was closed by either side or failed."""
         return self._writer.closed
 
     async def receive(self) -> bytes | str:
-        """Return the next whole frame.
+        """Wait for the next complete frame and return it.
 
         Raises
         ------
         LinkClosedError
-            The connection has ended.
+            The connection is closed or has failed.
         """
         while True:
-            for frame in self._frames:
+            for frame in self._parsed_frames:
                 return frame
-            self._frames = iter(self._take_frames())
-            for frame in self._frames:
+            self._parsed_frames = iter(self._parse_frames())
+            for frame in self._parsed_frames:
                 return frame
-            if self._ended:
-                raise LinkClosedError(self._describe_end())
-            await self._read_more()
+            if self._end_received:
+                raise LinkClosedError(self._describe_close())
+            await self._read_transport()
 
     def post(self, frame: bytes | str) -> None:
-        """Send a frame without waiting; order is kept.
+        """Send a frame without blocking; frames are sent in order.
 
-        A frame on a closed connection is dropped. A peer that lets more
-        than 8 MiB pile up is cut off, so that it cannot fill the memory.
+        On a closed connection the frame is dropped. The connection is
+        aborted when more than 8 MiB are unsent, because a peer that does not
+        read could otherwise exhaust the memory.
         """
         if self._writer.closed or self._protocol.state is not State.OPEN:
             return
@@ -95,7 +96,7 @@
         self._write_output()
 
     async def aclose(self, reason: str = '') -> None:
-        """Send what is unsent, then close."""
+        """Send the remaining output and a close frame, then close."""
         if self._writer.closed:
             await self.abort()
             return
@@ -110,36 +111,38 @@
         await self.abort()
 
     async def abort(self) -> None:
-        """Close the transport at once."""
+        """Close the transport immediately, without the closing handshake."""
         await self._writer.abort()
 
-    def _take_frames(self) -> list[bytes | str]:
+    def _parse_frames(self) -> list[bytes | str]:
         frames: list[bytes | str] = []
         for event in self._protocol.events_received():
             if not isinstance(event, Frame):
                 continue
             if event.opcode in (Opcode.TEXT, Opcode.BINARY):
-                self._text = event.opcode is Opcode.TEXT
-                self._parts = [bytes(event.data)]
+                self._is_text = event.opcode is Opcode.TEXT
+                self._fragments = [bytes(event.data)]
             elif event.opcode is Opcode.CONT:
-                self._parts.append(bytes(event.data))
+                self._fragments.append(bytes(event.data))
             else:
                 continue
             if event.fin:
-                frames.append(self._join_parts())
+                frames.append(self._join_fragments())
         return frames
 
-    def _join_parts(self) -> bytes | str:
-        data = b''.join(self._parts)
-        self._parts = []
-        if not self._text:
+    def _join_fragments(self) -> bytes | str:
+        data = b''.join(self._fragments)
+        self._fragments = []
+        if not self._is_text:
             return data
         try:
             return data.decode()
         except UnicodeDecodeError as exc:
-            raise LinkClosedError(f'text frame is not UTF-8: {exc}') from exc
+            raise LinkClosedError(
+                f'text frame is not valid UTF-8: {exc}'
+            ) from exc
 
-    async def _read_more(self) -> None:
+    async def _read_transport(self) -> None:
         if self._writer.closed:
             raise LinkClosedError('connection closed')
         try:
@@ -159,10 +162,10 @@
         if not data or self._protocol.close_expected():
             if not self._protocol.close_expected() or not data:
                 self._writer.closed = True
-            # Frames that came before the end are still delivered.
-            self._ended = True
+            # Frames received before the end are still returned by `receive`.
+            self._end_received = True
 
-    def _describe_end(self) -> str:
+    def _describe_close(self) -> str:
         exc = self._protocol.parser_exc
         return str(exc) if exc is not None else 'connection closed by peer'
 
--- a/jackdawpost/wire/tls.py
+++ b/jackdawpost/wire/tls.py
@@ -1,4 +1,8 @@
-"""TLS between known peers: one authority, one certificate a process."""
+"""TLS contexts and identities of peers.
+
+Each process has one certificate, and one authority signs all of them. The
+common name of a certificate is ``ROLE.NAME``.
+"""
 
 from __future__ import annotations
 
@@ -14,21 +18,21 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
-    """Whom a certificate must name.
+    """Role and name that a peer's certificate must have.
 
     Parameters
     ----------
     role : str
         ``control``, ``proxy``, ``upstream`` or ``operator``.
     name : str
-        Name of the process or operator; empty accepts any.
+        Name of the process or operator; empty accepts any name.
     """
 
     role: str
     name: str = ''
 
     def matches(self, common_name: str) -> bool:
-        """Tell whether a certificate's common name stands for this peer."""
+        """Return whether the common name has this role and name."""
         role, separator, name = common_name.partition('.')
         if role != self.role or not separator or not name:
             return False
@@ -39,39 +43,40 @@
 
 
 def build_server_context(
-    cfg: TlsSettings, ask_certificate: bool = True
+    cfg: TlsSettings, require_certificate: bool = True
 ) -> ssl.SSLContext:
-    """Return a context for accepted connections.
+    """Return a context for connections that this process accepts.
 
     Parameters
     ----------
     cfg : TlsSettings
-        Certificates of this process.
-    ask_certificate : bool
-        False accepts clients without a certificate and reads none.
+        Certificate and key of this process, and the authority.
+    require_certificate : bool
+        Require clients to present a certificate of the authority. If False,
+        client certificates are neither requested nor verified.
     """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.verify_mode = (
-        ssl.CERT_REQUIRED if ask_certificate else ssl.CERT_NONE
+        ssl.CERT_REQUIRED if require_certificate else ssl.CERT_NONE
     )
-    _load_own(context, cfg)
+    _load_certificate(context, cfg)
     _load_authority(context, cfg.authority)
     return context
 
 
 def build_client_context(cfg: TlsSettings) -> ssl.SSLContext:
-    """Return a context that presents and demands certificates.
+    """Return a context for connections that this process opens.
 
-    Host names are not checked, because processes are addressed by IP
-    number; `open_link` compares the peer's role and name instead.
+    Host names are not verified, because processes are addressed by IP
+    address. `open_link` checks the role and name in the certificate instead.
     """
     context = build_caller_context(cfg.authority)
-    _load_own(context, cfg)
+    _load_certificate(context, cfg)
     return context
 
 
 def build_caller_context(authority: str) -> ssl.SSLContext:
-    """Return a context for callers, who present no certificate.
+    """Return a context for callers, which present no certificate.
 
     Parameters
     ----------
@@ -85,7 +90,7 @@
     return context
 
 
-def _load_own(context: ssl.SSLContext, cfg: TlsSettings) -> None:
+def _load_certificate(context: ssl.SSLContext, cfg: TlsSettings) -> None:
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     try:
         context.load_cert_chain(cfg.certificate, cfg.key)
@@ -112,7 +117,7 @@
 
 
 def read_peer_name(stream: trio.SSLStream[Any]) -> str:
-    """Return the common name of the peer's certificate, or ''."""
+    """Return the common name of the peer's certificate; '' if it has none."""
     certificate = stream.getpeercert() or {}
     names = [
         str(value)
@@ -120,10 +125,10 @@
         for key, value in attributes
         if key == 'commonName'
     ]
-    # A certificate with several names could stand for several peers.
+    # A certificate with several common names is ambiguous and is not used.
     return names[0] if len(names) == 1 else ''
 
 
 def peer_has_role(peer: str, role: str, name: str) -> bool:
-    """Tell whether a certificate name stands for this role and name."""
+    """Return whether a certificate name has this role and nonempty name."""
     return bool(name) and PeerIdentity(role, name).matches(peer)
