Reword the runtime package in plain technical English

Cause: a reader stumbled over names and sentences of this project alone: performers, attach, knows_peer, serve_opened, _take_frame, _take_turn, _keep, ROLES, "logs never waited for", "run beside", "what a control process is started with". Ruled out: renaming what other packages import or read (ReducerShell with state, metrics, dispatch, spawn and serve_link, ControlSpec, run_control_process, SessionProtocol, PeerLinks, TraceHeader, CODECS), log events and fields, close reasons, and the detail 'no message within'. Change: docstrings, comments, two error texts of upstream_link ("expected ..."), private names, locals and parameters. Two fields of ControlSpec that only platform/control.py sets have new names there: is_known_peer and effect_handlers. The constant that a TLS test shortens is now FIRST_FRAME_TIMEOUT_S, and BoundedHandler._left, which a log test sets, is _tokens; both tests set the new names to the same values. The docstring of ControlSpec said that knows_peer gets the IP address without TLS; the server passes an empty text, and the docstring says so.

--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -87,7 +87,7 @@
         data_dir=data_dir,
         seed=crc32(settings.ip.encode()),
         header_settings={},
-        knows_peer=lambda name, peer: bool(name),
+        is_known_peer=lambda name, peer: bool(name),
         keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
     )
 
@@ -106,7 +106,7 @@
         Hello(name=settings.ip),
     )
     spec = build_plan(settings, settings.data_dir)
-    spec.performers = {
+    spec.effect_handlers = {
         SetPeers: peer_links.set_peers,
         Reply: api.take_reply,
         OrderPromotion: api.order_promotion,
--- a/jackdawpost/runtime/control_codec.py
+++ b/jackdawpost/runtime/control_codec.py
@@ -1,4 +1,4 @@
-"""What proxies and poolers receive from control processes."""
+"""Codec for messages that proxies and poolers receive from control."""
 
 from __future__ import annotations
 
--- a/jackdawpost/runtime/control_shell.py
+++ b/jackdawpost/runtime/control_shell.py
@@ -1,4 +1,4 @@
-"""Runs a control process: links, pages and durable storage."""
+"""Runs a control process: reducer, connections, pages and storage."""
 
 from __future__ import annotations
 
@@ -38,8 +38,8 @@
 from jackdawpost.runtime.recorder import build_recorder
 from jackdawpost.runtime.recorder import describe_restored
 from jackdawpost.runtime.recorder import TraceHeader
+from jackdawpost.runtime.shell import EffectHandler
 from jackdawpost.runtime.shell import LinkTarget
-from jackdawpost.runtime.shell import Perform
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.runtime.timers import read_now_ms
 from jackdawpost.settings.models import Address
@@ -56,8 +56,9 @@
 
 PEER_PATH = '/v1/peer'
 HELLO_TIMEOUT_S = 2.0
-# Upstreams and operators speak at once; proxies report only to the leader.
-FIRST_FRAME_S = 5.0
+# Upstreams and operators send a message immediately. Proxies, which report
+# only to the leader, have no time limit.
+FIRST_FRAME_TIMEOUT_S = 5.0
 
 CODECS = {
     'peer': FrameCodec(
@@ -79,8 +80,8 @@
 }
 HELLO_CODEC = FrameCodec(Hello)
 
-# Role that the certificate on each kind of accepted link must have.
-ROLES = {
+# Role required in the peer's certificate on each kind of accepted link.
+CERTIFICATE_ROLES = {
     'proxy': 'proxy',
     'announce': 'upstream',
     'peer': 'control',
@@ -89,12 +90,12 @@
 
 
 class DurableWriter:
-    """Carries out `Persist` effects in order, in a worker thread.
+    """Performs `Persist` effects in order, in a worker thread.
 
     Parameters
     ----------
     store : DurableStore
-        Open data folder.
+        Store of the data folder.
     """
 
     def __init__(self, store: DurableStore) -> None:
@@ -103,15 +104,15 @@
         self.shell: ReducerShell | None = None
 
     def enqueue(self, effect: Persist) -> None:
-        """Write after everything enqueued before."""
+        """Queue a write after all earlier ones."""
         self._send.send_nowait(effect)
 
     async def run(self) -> None:
-        """Write until cancelled."""
+        """Perform the queued writes until cancelled."""
         async for effect in self._receive:
             error = await trio.to_thread.run_sync(self._write, effect)
             if self.shell is not None:
-                self.shell.dispatch(_describe_write(effect.token, error))
+                self.shell.dispatch(_build_write_event(effect.token, error))
 
     def _write(self, effect: Persist) -> str | None:
         try:
@@ -121,7 +122,7 @@
         return None
 
 
-def _describe_write(
+def _build_write_event(
     token: int, error: str | None
 ) -> Persisted | PersistFailed:
     now_ms = read_now_ms()
@@ -132,19 +133,24 @@
 
 @dataclass(slots=True, kw_only=True)
 class ControlSpec:
-    """What a control process is started with.
+    """Configuration and deployment-specific parts of a control process.
 
     Parameters
     ----------
     header_settings : dict
-        Settings as the header of a trace states them.
-    knows_peer : callable
-        Tells from the stated name and the certificate name, or the IP
-        address without TLS, whether a process may join the peer links.
-    targets : list of LinkTarget
-        Processes to stay connected to.
-    performers : dict
-        Carry out effects that only some deployments have.
+        Settings recorded in the header of a trace.
+    is_known_peer : callable
+        Receives the name that a process sent in `Hello` and the common name
+        of its certificate (empty without TLS). Returns whether to accept the
+        process as a peer.
+    link_targets : list of LinkTarget
+        Control processes to stay connected to.
+    effect_handlers : dict
+        Functions that perform effects used only in some deployments, by
+        effect type.
+    keepalive_timeout_ms : int
+        TCP keepalive timeout of accepted connections, in milliseconds; 0
+        disables TCP keepalive.
     """
 
     cfg: ControlConfig
@@ -153,10 +159,10 @@
     data_dir: str
     seed: int
     header_settings: dict[str, Any]
-    knows_peer: Callable[[str, str], bool]
+    is_known_peer: Callable[[str, str], bool]
     tls: TlsSettings | None = None
-    targets: list[LinkTarget] = field(default_factory=list)
-    performers: dict[type, Perform] = field(default_factory=dict)
+    link_targets: list[LinkTarget] = field(default_factory=list)
+    effect_handlers: dict[type, EffectHandler] = field(default_factory=dict)
     keepalive_timeout_ms: int = 0
 
 
@@ -170,7 +176,7 @@
     settings : ControlSettings
         Validated settings.
     record_path : str, optional
-        File for a trace of all events.
+        File to which a trace of all events is written.
 
     Returns
     -------
@@ -180,12 +186,12 @@
     Raises
     ------
     StorageError
-        The data folder is in use, damaged or cannot be read.
+        The data folder is in use, corrupt or cannot be read.
     """
-    known = {item.name for item in settings.peers}
+    peer_names = {item.name for item in settings.peers}
 
-    def knows_peer(name: str, peer: str) -> bool:
-        if name not in known:
+    def is_known_peer(name: str, peer: str) -> bool:
+        if name not in peer_names:
             return False
         return settings.tls is None or peer_has_role(peer, 'control', name)
 
@@ -196,9 +202,9 @@
         data_dir=settings.data_dir,
         seed=settings.seed,
         header_settings=settings.model_dump(mode='json'),
-        knows_peer=knows_peer,
+        is_known_peer=is_known_peer,
         tls=settings.tls,
-        targets=_targets(settings),
+        link_targets=_build_link_targets(settings),
     )
     return await run_control_process(spec, record_path)
 
@@ -206,17 +212,17 @@
 async def run_control_process(
     spec: ControlSpec,
     record_path: str | None = None,
-    *attach: Callable[[ReducerShell], Callable[[], Any] | None],
+    *task_factories: Callable[[ReducerShell], Callable[[], Any] | None],
 ) -> int:
-    """Run a control process as planned until it is stopped.
+    """Run a control process from its specification until it is stopped.
 
     Parameters
     ----------
     spec : ControlSpec
-        Settings and parts of the process.
-    *attach : callable
-        Called with the shell before it runs; may return a coroutine
-        function to run beside.
+        Configuration and parts of the process.
+    *task_factories : callable
+        Called with the shell before it runs. Each may return a coroutine
+        function to run concurrently.
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
@@ -238,8 +244,8 @@
         reduce_control,
         CODECS,
         tls=client_tls,
-        record=build_recorder(record_path, header),
-        performers={Persist: writer.enqueue, **spec.performers},
+        record_event=build_recorder(record_path, header),
+        effect_handlers={Persist: writer.enqueue, **spec.effect_handlers},
     )
     writer.shell = shell
     endpoints = Endpoints(
@@ -247,7 +253,11 @@
         build_pages(shell, is_healthy, dump_control),
         keepalive_timeout_ms=spec.keepalive_timeout_ms,
     )
-    tasks = [task for part in attach if (task := part(shell)) is not None]
+    tasks = [
+        task
+        for build_task in task_factories
+        if (task := build_task(shell)) is not None
+    ]
     log.info('control starts', extra={'port': spec.listen.port})
     return await run_shell(
         shell,
@@ -255,7 +265,7 @@
         spec.listen,
         endpoints,
         server_tls,
-        spec.targets,
+        spec.link_targets,
         writer.run,
         *tasks,
     )
@@ -264,31 +274,34 @@
 def _build_handlers(
     shell: ReducerShell, spec: ControlSpec, log: logging.Logger
 ) -> dict[str, Callable[[FrameStream, str], Awaitable[None]]]:
-    def accept(link: Link) -> Callable[[FrameStream, str], Awaitable[None]]:
+    def build_handler(
+        link: Link,
+    ) -> Callable[[FrameStream, str], Awaitable[None]]:
         async def serve(stream: FrameStream, peer: str) -> None:
-            valid = PeerIdentity(ROLES[link])
+            expected = PeerIdentity(CERTIFICATE_ROLES[link])
             name = peer.partition('.')[2]
-            if spec.tls is not None and not valid.matches(peer):
+            if spec.tls is not None and not expected.matches(peer):
                 log.warning(
-                    'peer_refused', extra={'peer': peer, 'valid': str(valid)}
+                    'peer_refused',
+                    extra={'peer': peer, 'valid': str(expected)},
                 )
                 return
-            limit_s = math.inf if link == 'proxy' else FIRST_FRAME_S
-            await shell.serve_link(link, stream, name, limit_s)
+            timeout_s = math.inf if link == 'proxy' else FIRST_FRAME_TIMEOUT_S
+            await shell.serve_link(link, stream, name, timeout_s)
 
         return serve
 
     async def serve_peer(stream: FrameStream, peer: str) -> None:
         name = await _read_hello(stream)
-        if not spec.knows_peer(name, peer):
+        if not spec.is_known_peer(name, peer):
             log.warning('peer_refused', extra={'peer': peer, 'stated': name})
             return
         await shell.serve_link('peer', stream, name)
 
     return {
-        '/v1/proxy': accept('proxy'),
-        '/v1/announce': accept('announce'),
-        '/v1/operator': accept('operator'),
+        '/v1/proxy': build_handler('proxy'),
+        '/v1/announce': build_handler('announce'),
+        '/v1/operator': build_handler('operator'),
         PEER_PATH: serve_peer,
     }
 
@@ -302,9 +315,9 @@
     return str(message.name)
 
 
-def _targets(settings: ControlSettings) -> list[LinkTarget]:
-    # One link serves both directions; the process whose name sorts first
-    # opens it.
+def _build_link_targets(settings: ControlSettings) -> list[LinkTarget]:
+    # Each pair of processes has one link for both directions. The process
+    # whose name sorts first opens it.
     return [
         LinkTarget(
             'peer',
@@ -320,5 +333,5 @@
 
 
 def start_control(settings: ControlSettings, record_path: str | None) -> int:
-    """Run a control process in a trio loop of its own."""
+    """Run a control process in a new trio event loop; return its exit code."""
     return trio.run(run_control, settings, record_path)
--- a/jackdawpost/runtime/logs.py
+++ b/jackdawpost/runtime/logs.py
@@ -1,4 +1,4 @@
-"""JSON-line logs, bounded in volume and never waited for."""
+"""Logging of JSON lines with a rate limit and without blocking."""
 
 from __future__ import annotations
 
@@ -10,36 +10,37 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-# Lines that a process may write in a burst, and each second after it. One
-# failed statement takes one line; a pooler serves some hundred a second.
+# Token bucket: maximum lines in a burst, and lines per second after it. Each
+# failed statement logs one line, and a pooler serves some hundred statements
+# per second.
 BURST_LINES = 1_000.0
 LINES_PER_S = 200.0
 
 
 class BoundedHandler(logging.Handler):
-    """Writes lines to a file descriptor that it never waits for.
+    """Writes log lines to a file descriptor without blocking.
 
-    Lines beyond the rate, and those that the reader of a pipe leaves no room
-    for, are dropped; the next line that is written tells how many.
+    Lines are dropped if they exceed the rate limit or do not fit into a pipe.
+    The next line that is written contains the number of dropped lines.
 
     Parameters
     ----------
     fd : int
-        File descriptor; it is made non-blocking.
+        File descriptor, which is set to non-blocking mode.
     """
 
     def __init__(self, fd: int) -> None:
         super().__init__()
         self.dropped = 0
         self._fd = fd
-        self._rest = b''
-        self._left = BURST_LINES
-        self._filled_s = time.monotonic()
+        self._unwritten = b''
+        self._tokens = BURST_LINES
+        self._refilled_s = time.monotonic()
         os.set_blocking(fd, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record, or count it as dropped."""
-        if not self._take_turn():
+        if not self._acquire_token():
             self.dropped += 1
             return
         if self.dropped:
@@ -54,46 +55,46 @@
         else:
             self.dropped += 1
 
-    def _take_turn(self) -> bool:
+    def _acquire_token(self) -> bool:
         now_s = time.monotonic()
-        gained = (now_s - self._filled_s) * LINES_PER_S
-        self._left = min(BURST_LINES, self._left + gained)
-        self._filled_s = now_s
-        if self._left < 1:
+        refill = (now_s - self._refilled_s) * LINES_PER_S
+        self._tokens = min(BURST_LINES, self._tokens + refill)
+        self._refilled_s = now_s
+        if self._tokens < 1:
             return False
-        self._left -= 1
+        self._tokens -= 1
         return True
 
     def _write(self, line: bytes) -> bool:
-        """Write a line; what a pipe takes in part is finished first."""
+        """Write the rest of a partial line, then this line."""
         try:
-            if self._rest:
-                written = os.write(self._fd, self._rest)
-                self._rest = self._rest[written:]
-            if self._rest:
+            if self._unwritten:
+                written = os.write(self._fd, self._unwritten)
+                self._unwritten = self._unwritten[written:]
+            if self._unwritten:
                 return False
             written = os.write(self._fd, line)
         except OSError:
-            # A full pipe, or one that nobody reads: counted as dropped.
+            # The pipe is full or has no reader. The line counts as dropped.
             return False
-        self._rest = line[written:]
+        self._unwritten = line[written:]
         return True
 
 
 def configure_logging(
     process: str, level: str, stream: TextIO | None = None
 ) -> logging.Logger:
-    """Send the logs of this process to a stream as JSON lines.
+    """Write the logs of this process as JSON lines.
 
     Parameters
     ----------
     process : str
         Name of the process, added to each line.
     level : str
-        Lowest level to write: debug, info, warning or error.
+        Minimum level: debug, info, warning or error.
     stream : TextIO, optional
-        Where to write, bounded in volume; without it, standard error
-        without a bound.
+        Output stream, written with `BoundedHandler`. The default is standard
+        error without a rate limit.
 
     Returns
     -------
--- a/jackdawpost/runtime/metrics.py
+++ b/jackdawpost/runtime/metrics.py
@@ -7,8 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST_US = 1
-HIGHEST_US = 120_000_000
+MIN_DURATION_US = 1
+MAX_DURATION_US = 120_000_000
 SIGNIFICANT_DIGITS = 2
 US_PER_MS = 1_000
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
@@ -16,7 +16,7 @@
 
 
 class Metrics:
-    """Counts events and records durations."""
+    """Set of named counters and duration histograms."""
 
     def __init__(self) -> None:
         self._counters: Counter[str] = Counter()
@@ -32,10 +32,10 @@
         if histogram is None:
             histogram = build_histogram()
             self._histograms[name] = histogram
-        histogram.record_value(max(LOWEST_US, int(value_ms * US_PER_MS)))
+        histogram.record_value(max(MIN_DURATION_US, int(value_ms * US_PER_MS)))
 
     def snapshot(self) -> dict[str, Any]:
-        """Return all counters and percentiles, durations in ms."""
+        """Return all counters, and summaries of all durations in ms."""
         return {
             'counters': dict(sorted(self._counters.items())),
             'durations_ms': {
@@ -45,34 +45,39 @@
         }
 
     def render_text(self) -> str:
-        """Return all metrics in the text format that collectors read.
+        """Return all metrics in the Prometheus text format.
 
-        Counters end in ``_total``; durations are summaries in milliseconds.
+        Names of counters end in ``_total``. Durations are summaries in
+        milliseconds.
         """
         lines = []
         for name, value in sorted(self._counters.items()):
-            full = f'{TEXT_PREFIX}_{name}_total'
-            lines += [f'# TYPE {full} counter', f'{full} {value}']
+            metric = f'{TEXT_PREFIX}_{name}_total'
+            lines += [
+                f'# TYPE {metric} counter',
+                f'{metric} {value}',
+            ]
         for name, histogram in sorted(self._histograms.items()):
-            full = f'{TEXT_PREFIX}_{name}_ms'
-            lines.append(f'# TYPE {full} summary')
+            metric = f'{TEXT_PREFIX}_{name}_ms'
+            lines.append(f'# TYPE {metric} summary')
             for percentile in PERCENTILES:
                 value_us = histogram.get_value_at_percentile(percentile)
                 quantile = f'{percentile / 100:g}'
                 lines.append(
-                    f'{full}{{quantile="{quantile}"}} {value_us / US_PER_MS:g}'
+                    f'{metric}{{quantile="{quantile}"}} '
+                    f'{value_us / US_PER_MS:g}'
                 )
-            lines.append(f'{full}_count {histogram.get_total_count()}')
+            lines.append(f'{metric}_count {histogram.get_total_count()}')
         return '\n'.join([*lines, ''])
 
 
 def build_histogram() -> HdrHistogram:
-    """Return an empty histogram of microseconds."""
-    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    """Return an empty histogram for durations in microseconds."""
+    return HdrHistogram(MIN_DURATION_US, MAX_DURATION_US, SIGNIFICANT_DIGITS)
 
 
 def summarize_histogram(histogram: HdrHistogram) -> dict[str, float]:
-    """Return count, percentiles and maximum, in milliseconds."""
+    """Return the count, and percentiles and maximum in milliseconds."""
     summary: dict[str, float] = {'count': histogram.get_total_count()}
     for percentile in PERCENTILES:
         value_us = histogram.get_value_at_percentile(percentile)
--- a/jackdawpost/runtime/pages.py
+++ b/jackdawpost/runtime/pages.py
@@ -1,4 +1,4 @@
-"""Plain HTTP pages that every daemon serves."""
+"""HTTP pages that all daemons serve: health, metrics and state dump."""
 
 from __future__ import annotations
 
@@ -18,16 +18,16 @@
     is_healthy: Callable[[Any], bool],
     dump: Callable[[Any], dict[str, Any]],
 ) -> Mapping[str, Page]:
-    """Return ``/healthz``, ``/metrics``, ``/metrics/text`` and ``/dump``.
+    """Return the pages by path: health, metrics (JSON and text), state.
 
     Parameters
     ----------
     shell : ReducerShell
-        Running process.
+        Shell that holds the state and the metrics of the process.
     is_healthy : callable
-        Tells from the state whether the process is fit to serve.
+        Returns whether a process in the given state can serve.
     dump : callable
-        Returns the state as plain data.
+        Returns the given state as data that can be encoded as JSON.
     """
 
     def healthz() -> HttpReply:
--- a/jackdawpost/runtime/peer_links.py
+++ b/jackdawpost/runtime/peer_links.py
@@ -1,4 +1,4 @@
-"""Keeps links to a set of control processes that may change."""
+"""Maintains connections to a changing set of control processes."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 
-# A machine without power answers nothing, and the kernel repeats an opening
-# only after a second: an attempt made too early is better made anew.
+# A machine that is still powered off does not answer, and the kernel resends
+# the SYN only after a second. A new attempt connects earlier than that.
 OPEN_TIMEOUT_MS = 300
-RETRY_MAX_S = 0.2
+MAX_RECONNECT_DELAY_S = 0.2
 
 
 class PeerLinks:
-    """Carries out `SetPeers`: one link to each address.
+    """Performs `SetPeers` effects: keeps one link to each address.
 
     Parameters
     ----------
@@ -27,9 +27,9 @@
     port : int
         Port of the control processes.
     path : str
-        WebSocket path.
+        WebSocket path on the control processes.
     hello : Hello, optional
-        First message on each link.
+        First message to send on each link.
     """
 
     def __init__(
@@ -43,16 +43,16 @@
         self._scopes: dict[str, trio.CancelScope] = {}
 
     def set_peers(self, effect: SetPeers) -> None:
-        """Open links to new peers and close those to all others."""
+        """Open links to new peers and close links to removed peers."""
         assert self.shell is not None
         for peer in [p for p in self._scopes if p not in effect.peers]:
             self._scopes.pop(peer).cancel()
         for peer in effect.peers:
             if peer not in self._scopes:
                 self._scopes[peer] = trio.CancelScope()
-                self.shell.spawn(self._keep, peer, self._scopes[peer])
+                self.shell.spawn(self._maintain_link, peer, self._scopes[peer])
 
-    async def _keep(self, peer: str, scope: trio.CancelScope) -> None:
+    async def _maintain_link(self, peer: str, scope: trio.CancelScope) -> None:
         assert self.shell is not None
         target = LinkTarget(
             self._link,
@@ -63,7 +63,7 @@
             hello=self._hello,
             timeout_ms=OPEN_TIMEOUT_MS,
             keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
-            retry_max_s=RETRY_MAX_S,
+            max_reconnect_delay_s=MAX_RECONNECT_DELAY_S,
         )
         with scope:
             await self.shell.maintain_link(target)
--- a/jackdawpost/runtime/pooler_shell.py
+++ b/jackdawpost/runtime/pooler_shell.py
@@ -1,7 +1,8 @@
-"""Runs a session pooler: links to control and pages around its reducer.
+"""Runs a session pooler: its reducer, links to control and HTTP pages.
 
-The protocol of callers and upstreams is an adapter's: it serves the callers'
-connections and opens those to upstreams.
+An adapter, passed as `SessionProtocol`, implements the protocol of callers and
+upstreams. It accepts the connections of callers and opens connections to
+upstreams.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 from jackdawpost.runtime.peer_links import PeerLinks
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
-from jackdawpost.runtime.shell import Encode
+from jackdawpost.runtime.shell import EncodeFrame
 from jackdawpost.runtime.shell import MessageCodec
 from jackdawpost.runtime.shell import MessageStream
 from jackdawpost.runtime.shell import ReducerShell
@@ -43,41 +44,42 @@
 
 @dataclass(slots=True, kw_only=True)
 class SessionProtocol:
-    """Adapter of the protocol that callers and upstreams speak.
+    """Adapter for the protocol of callers and upstreams.
 
     Parameters
     ----------
     codecs, encoders : mapping
-        For the links ``'session'`` and ``'upstream'``.
+        Decoders and encoders of messages, by the kind of link:
+        ``'session'`` or ``'upstream'``.
     open_stream : callable
-        Returns an async context manager with a `MessageStream` to an
-        upstream; raises `OPEN_ERRORS`.
+        Receives a `Connect` effect and returns an async context manager that
+        yields a `MessageStream` to the upstream. Raises one of `OPEN_ERRORS`.
     """
 
     codecs: Mapping[str, MessageCodec]
-    encoders: Mapping[str, Encode]
+    encoders: Mapping[str, EncodeFrame]
     open_stream: OpenStream
 
 
 async def run_pooler(
     cfg: PoolerConfig,
     protocol: SessionProtocol,
-    pages: Address,
+    pages_address: Address,
     control_port: int,
     seed: int,
-    *attach: Callable[[ReducerShell], Callable[[], Any] | None],
+    *task_factories: Callable[[ReducerShell], Callable[[], Any] | None],
 ) -> int:
     """Run a session pooler until it is stopped.
 
     Parameters
     ----------
-    pages : Address
-        Where health, metrics and the state are served.
+    pages_address : Address
+        Listening address of the pages for health, metrics and state.
     control_port : int
-        Port of the control processes.
-    *attach : callable
-        Called with the shell before it runs; may return a coroutine
-        function to run beside.
+        TCP port of all control processes.
+    *task_factories : callable
+        Called with the shell before it runs. Each may return a coroutine
+        function to run concurrently.
 
     Returns
     -------
@@ -88,32 +90,41 @@
     raise_file_limit()
     state, effects = new_pooler(cfg, random.Random(seed), read_now_ms())
     peer_links = PeerLinks('proxy', control_port, PROXY_PATH)
-    openers = UpstreamOpener(protocol.open_stream)
+    opener = UpstreamOpener(protocol.open_stream)
     shell = ReducerShell(
         cfg.name,
         state,
         reduce_pooler,
         {'proxy': FROM_CONTROL, **protocol.codecs},
         encoders=protocol.encoders,
-        performers={SetPeers: peer_links.set_peers, Connect: openers.connect},
+        effect_handlers={
+            SetPeers: peer_links.set_peers,
+            Connect: opener.connect,
+        },
     )
     peer_links.shell = shell
-    openers.shell = shell
+    opener.shell = shell
     endpoints = Endpoints({}, build_pages(shell, is_healthy, dump_pooler))
-    tasks = [task for part in attach if (task := part(shell)) is not None]
-    log.info('pooler starts', extra={'port': pages.port})
-    return await run_shell(shell, effects, pages, endpoints, None, [], *tasks)
+    tasks = [
+        task
+        for build_task in task_factories
+        if (task := build_task(shell)) is not None
+    ]
+    log.info('pooler starts', extra={'port': pages_address.port})
+    return await run_shell(
+        shell, effects, pages_address, endpoints, None, [], *tasks
+    )
 
 
 class UpstreamOpener:
-    """Carries out `Connect` through an adapter's protocol."""
+    """Performs `Connect` effects with the protocol of an adapter."""
 
     def __init__(self, open_stream: OpenStream) -> None:
         self.shell: ReducerShell | None = None
         self._open_stream = open_stream
 
     def connect(self, effect: Connect) -> None:
-        """Open a connection and serve it until it ends."""
+        """Start a task that opens a connection and serves it until closed."""
         assert self.shell is not None
         self.shell.spawn(self._run, effect)
 
@@ -129,7 +140,7 @@
                     peer=effect.peer,
                     purpose=effect.purpose,
                 )
-                await self.shell.serve_opened('upstream', stream, opened)
+                await self.shell.serve_connection('upstream', stream, opened)
                 return
         except OPEN_ERRORS as exc:
             reason, detail = describe_failure(exc)
--- a/jackdawpost/runtime/process.py
+++ b/jackdawpost/runtime/process.py
@@ -1,4 +1,4 @@
-"""What the daemons share at start: limits, TLS contexts, their tasks."""
+"""Startup code of all daemons: file limit, TLS contexts and tasks."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 def raise_file_limit() -> None:
-    """Allow as many open files as the system permits this process."""
+    """Raise the limit of open files to the hard limit of this process."""
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
@@ -31,12 +31,12 @@
     log: logging.Logger,
     require_certificate: bool = True,
 ) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
-    """Return the server and the client context, or warn without TLS.
+    """Return the server and the client context; log a warning without TLS.
 
     Parameters
     ----------
     ask_certificate : bool
-        False serves clients without a certificate.
+        If False, the server accepts clients without a certificate.
     """
     if tls is None:
         log.warning(
@@ -49,23 +49,23 @@
 
 async def run_shell(
     shell: ReducerShell,
-    first_effects: list[Effect],
+    initial_effects: list[Effect],
     listen: Address,
     endpoints: Endpoints,
     server_tls: ssl.SSLContext | None,
-    targets: list[LinkTarget],
+    link_targets: list[LinkTarget],
     *tasks: Callable[[], Any],
 ) -> int:
-    """Serve the endpoints, keep the links, and run a shell until it stops.
+    """Run a shell with its server, links and other tasks until it stops.
 
     Parameters
     ----------
-    first_effects : list
-        Effects of creating the reducer's state.
-    targets : list of LinkTarget
+    initial_effects : list
+        Effects returned with the initial state of the reducer.
+    link_targets : list of LinkTarget
         Processes to stay connected to.
     *tasks : callable
-        Further coroutine functions to run beside.
+        Additional coroutine functions to run concurrently.
 
     Returns
     -------
@@ -75,7 +75,9 @@
     serve = partial(
         serve_endpoints, listen.host, listen.port, endpoints, server_tls
     )
-    links = [partial(shell.maintain_link, target) for target in targets]
+    link_tasks = [
+        partial(shell.maintain_link, target) for target in link_targets
+    ]
     return await shell.run(
-        first_effects, serve, shell.watch_signals, *tasks, *links
+        initial_effects, serve, shell.watch_signals, *tasks, *link_tasks
     )
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -1,4 +1,4 @@
-"""Runs a proxy: the links and pages around its reducer."""
+"""Runs a proxy process: its reducer, connections and HTTP pages."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
     settings : ProxySettings
         Validated settings.
     record_path : str, optional
-        File for a trace of all events.
+        File to which a trace of all events is written.
 
     Returns
     -------
@@ -81,7 +81,7 @@
         reduce_proxy,
         CODECS,
         tls=client_tls,
-        record=build_recorder(record_path, header),
+        record_event=build_recorder(record_path, header),
     )
 
     async def serve_caller(stream: FrameStream, peer: str) -> None:
@@ -99,11 +99,11 @@
         settings.listen,
         endpoints,
         server_tls,
-        _targets(settings),
+        _build_link_targets(settings),
     )
 
 
-def _targets(settings: ProxySettings) -> list[LinkTarget]:
+def _build_link_targets(settings: ProxySettings) -> list[LinkTarget]:
     return [
         LinkTarget('proxy', peer.name, peer.host, peer.port, PROXY_PATH)
         for peer in settings.control
@@ -111,5 +111,5 @@
 
 
 def start_proxy(settings: ProxySettings, record_path: str | None) -> int:
-    """Run a proxy in a trio loop of its own and return its exit code."""
+    """Run a proxy in a new trio event loop and return its exit code."""
     return trio.run(run_proxy, settings, record_path)
--- a/jackdawpost/runtime/recorder.py
+++ b/jackdawpost/runtime/recorder.py
@@ -1,4 +1,4 @@
-"""Writes the events that a reducer receives as a trace of JSON lines."""
+"""Records the events of a reducer in a trace file of JSON lines."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TraceHeader:
-    """First line of a trace: what the state was created from.
+    """First line of a trace: values that the initial state was built from.
 
     Parameters
     ----------
@@ -29,12 +29,12 @@
     settings : dict
         Settings of the process.
     incarnation : str
-        Identity of the process.
+        Unique id of this run of a proxy; empty for a control process.
     now_ms : float
         Time at which the state was created, in milliseconds.
     restored : dict
-        Durable state that a control process started with, bytes in
-        hexadecimal; empty for a proxy.
+        Durable state that the control process read at startup, with bytes
+        in hexadecimal. Empty for a proxy.
     """
 
     role: str
@@ -46,7 +46,7 @@
 
 
 def describe_restored(restored: RestoredState) -> dict[str, Any]:
-    """Return durable state as it stands in a header."""
+    """Return durable state in the form of `TraceHeader.restored`."""
     return {
         'node_id': restored.node_id,
         'hard_state': _to_hex(restored.hard_state),
@@ -56,12 +56,12 @@
 
 
 def read_restored(described: dict[str, Any]) -> RestoredState:
-    """Return the durable state that a header holds.
+    """Return the durable state from `TraceHeader.restored`.
 
     Raises
     ------
     ValueError
-        A value is no hexadecimal text.
+        A value is not valid hexadecimal text.
     KeyError
         A value is missing.
     """
@@ -84,18 +84,18 @@
 def build_recorder(
     path: str | Path | None, header: TraceHeader
 ) -> Callable[[Event], None]:
-    """Start a trace and return the function that adds an event to it.
+    """Start a trace and return the function that appends an event to it.
 
     Parameters
     ----------
     path : str or Path, optional
-        Trace file, replaced if it exists; None records nothing.
+        Trace file, overwritten if it exists. None disables recording.
     header : TraceHeader
         First line of the trace.
     """
     if path is None:
         return ignore_event
-    # Line buffering keeps the trace whole up to the last event on a crash.
+    # Line buffering: after a crash the trace is complete up to the last event.
     trace = open(path, 'w', encoding='utf-8', buffering=1)  # noqa: SIM115
     trace.write(json.dumps(asdict(header), sort_keys=True) + '\n')
 
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -1,7 +1,8 @@
-"""Runs a reducer: turns input into events and carries out effects.
+"""Runs the reducer of a process: feeds it events and performs its effects.
 
-The shell holds no policy. It owns the connections, the timer service, the
-metrics and the recorder of one process.
+A reducer is a function without I/O that receives an event and returns effects.
+The shell owns the connections, timers, metrics and trace recorder of the
+process. It makes no decisions itself.
 """
 
 from __future__ import annotations
@@ -56,56 +57,80 @@
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost.wire.tls import PeerIdentity
 
+# Links on which a malformed frame is reported to the reducer. On all others it
+# closes the connection.
 CALLER_LINKS = ('caller', 'session')
-RECONNECT_MIN_S = 0.05
-RECONNECT_MAX_S = 0.5
+MIN_RECONNECT_DELAY_S = 0.05
+MAX_RECONNECT_DELAY_S = 0.5
 EXIT_ABORTED = 1
-# A peer that does not read must not keep a process from ending in time.
-CLOSE_ALL_S = 0.4
+# Limits the time to exit if a peer does not read.
+CLOSE_ALL_TIMEOUT_S = 0.4
 
-Reduce = Callable[[Any, Event], list[Effect]]
-Record = Callable[[Event], None]
-Perform = Callable[[Any], None]
+Reducer = Callable[[Any, Event], list[Effect]]
+EventRecorder = Callable[[Event], None]
+EffectHandler = Callable[[Any], None]
 
 
 class MessageStream(Protocol):
-    """Connection that carries whole frames, as `FrameStream` does."""
+    """Interface of a connection that carries frames, such as `FrameStream`."""
 
     async def receive(self) -> bytes | str:
-        """Return the next frame; raises `LinkClosedError` at the end."""
+        """Return the next frame; raise `LinkClosedError` after the last."""
 
     def post(self, frame: bytes | str) -> None:
-        """Send a frame without waiting."""
+        """Send a frame without blocking."""
 
     async def aclose(self, reason: str = '') -> None:
-        """Send what is unsent, then close."""
+        """Send the remaining output, then close."""
 
     async def abort(self) -> None:
-        """Close at once."""
+        """Close immediately and drop unsent output."""
 
 
 class MessageCodec(Protocol):
-    """Decodes the frames of one kind of link, as `FrameCodec` does."""
+    """Interface of a decoder of received frames, such as `FrameCodec`."""
 
     def decode(self, frame: bytes | str) -> list[Any]:
-        """Return validated messages; raises `FrameError`."""
+        """Return the validated messages; raise `FrameError` if invalid."""
 
 
-Encode = Callable[[list[Any]], bytes | str]
+EncodeFrame = Callable[[list[Any]], bytes | str]
 
 
 @dataclass(slots=True)
 class OpenConnection:
-    """A connection that the reducer knows by its id."""
+    """Open connection, which the reducer refers to by an integer id.
+
+    Parameters
+    ----------
+    answer_as_text : bool
+        Encode messages as JSON: the latest received frame was a text frame.
+    """
 
     stream: MessageStream
     link: Link
-    text: bool = False
+    answer_as_text: bool = False
 
 
 @dataclass(slots=True)
 class LinkTarget:
-    """A control process to stay connected to."""
+    """Control process to stay connected to.
+
+    Parameters
+    ----------
+    link : str
+        Kind of the other end as the reducer sees it.
+    peer : str
+        Name of the control process, required in its certificate.
+    hello : object, optional
+        First message to send on each connection.
+    timeout_ms : float
+        Time limit for establishing the connection, in milliseconds.
+    keepalive_timeout_ms : int
+        TCP keepalive timeout in milliseconds; 0 disables TCP keepalive.
+    max_reconnect_delay_s : float
+        Upper bound of the delay between connection attempts, in seconds.
+    """
 
     link: Link
     peer: str
@@ -115,47 +140,49 @@
     hello: Any = None
     timeout_ms: float = 1_000
     keepalive_timeout_ms: int = 0
-    retry_max_s: float = RECONNECT_MAX_S
+    max_reconnect_delay_s: float = MAX_RECONNECT_DELAY_S
 
 
 def ignore_event(event: Event) -> None:
-    """Record nothing."""
+    """Do nothing; the event recorder of processes without a trace."""
 
 
 class ReducerShell:
-    """Carries out the effects of one reducer.
+    """Dispatches events to a reducer and performs the returned effects.
 
     Parameters
     ----------
     name : str
         Name of this process.
     state : object
-        State of the reducer.
+        State of the reducer, which changes it in place.
     reduce : callable
         ``reduce(state, event) -> list of effects``.
     codecs : mapping of str to FrameCodec
-        Codec for the messages received on each kind of link.
+        Decoder of received messages by kind of link.
     encoders : mapping of str to callable, optional
-        Encode the messages for links that do not carry CBOR or JSON.
+        Encoder of sent messages by kind of link, for links that use neither
+        CBOR nor JSON.
     tls : ssl.SSLContext, optional
-        Client context for links that this process opens.
-    record : callable, optional
-        Called with every event before the reducer.
-    performers : mapping of type to callable, optional
-        Carry out effects that only one role has.
+        Client context for connections that this process opens.
+    record_event : callable, optional
+        Called with each event before the reducer processes it.
+    effect_handlers : mapping of type to callable, optional
+        Functions that perform effects of additional types, or replace the
+        default function for a type.
     """
 
     def __init__(
         self,
         name: str,
         state: Any,
-        reduce: Reduce,
+        reduce: Reducer,
         codecs: Mapping[str, MessageCodec],
         *,
-        encoders: Mapping[str, Encode] | None = None,
+        encoders: Mapping[str, EncodeFrame] | None = None,
         tls: ssl.SSLContext | None = None,
-        record: Record = ignore_event,
-        performers: Mapping[type, Perform] | None = None,
+        record_event: EventRecorder = ignore_event,
+        effect_handlers: Mapping[type, EffectHandler] | None = None,
     ) -> None:
         self.name = name
         self.state = state
@@ -165,13 +192,13 @@
         self._codecs = codecs
         self._encoders = encoders or {}
         self._tls = tls
-        self._record = record
+        self._record_event = record_event
         self._log = logging.getLogger('jackdawpost')
         self._timers = TimerService(self._fire_timer)
         self._conns: dict[int, OpenConnection] = {}
         self._conn_ids = itertools.count(1)
         self._nursery: trio.Nursery | None = None
-        self._performers: dict[type, Perform] = {
+        self._effect_handlers: dict[type, EffectHandler] = {
             Send: self._send,
             Connect: self._connect,
             Close: self._close,
@@ -181,46 +208,46 @@
             CountMetric: self._count,
             ObserveMetric: self._observe,
             Stop: self._stop,
-            **(performers or {}),
+            **(effect_handlers or {}),
         }
 
     async def run(
         self,
-        first_effects: list[Effect],
+        initial_effects: list[Effect],
         *tasks: Callable[[], Any],
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> int:
-        """Run until a `Stop` effect and return the exit code.
+        """Run until a `Stop` effect; return the exit code.
 
         Parameters
         ----------
-        first_effects : list
-            Effects of creating the state.
+        initial_effects : list
+            Effects returned with the initial state.
         *tasks : callable
-            Coroutine functions to run beside, for example servers.
+            Coroutine functions to run concurrently, for example servers.
         """
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._timers.run)
             for task in tasks:
                 nursery.start_soon(task)
-            self.perform(first_effects)
+            self.perform_effects(initial_effects)
             task_status.started()
         return self.exit_code
 
     def dispatch(self, event: Event) -> None:
-        """Feed one event to the reducer and carry out its effects."""
-        self._record(event)
-        self.perform(self._reduce(self.state, event))
+        """Pass an event to the reducer and perform the returned effects."""
+        self._record_event(event)
+        self.perform_effects(self._reduce(self.state, event))
 
-    def perform(self, effects: list[Effect]) -> None:
-        """Carry out effects in order."""
-        performers = self._performers
+    def perform_effects(self, effects: list[Effect]) -> None:
+        """Perform effects in order."""
+        effect_handlers = self._effect_handlers
         for effect in effects:
-            performers[type(effect)](effect)
+            effect_handlers[type(effect)](effect)
 
     async def watch_signals(self) -> None:
-        """Drain on the first SIGTERM or SIGINT, stop at once on the next."""
+        """Drain on the first SIGTERM or SIGINT; stop on the second."""
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
@@ -237,27 +264,28 @@
         link: Link,
         stream: MessageStream,
         peer: str,
-        first_frame_s: float = math.inf,
+        first_frame_timeout_s: float = math.inf,
     ) -> None:
-        """Serve one connection, accepted or opened, until it ends.
+        """Serve a connection with a new id until it is closed.
 
         Parameters
         ----------
         peer : str
-            Name of the other end, empty where unknown.
-        first_frame_s : float
-            Seconds after which a peer that sent nothing is cut off.
+            Name of the other end; empty if it is not known.
+        first_frame_timeout_s : float
+            Time limit for the first frame, in seconds. The connection is
+            closed after it.
         """
         conn = next(self._conn_ids)
         opened = ConnOpened(
             now_ms=read_now_ms(), conn=conn, link=link, peer=peer
         )
-        handle = OpenConnection(stream, link)
-        await self._serve_conn(handle, opened, first_frame_s)
+        connection = OpenConnection(stream, link)
+        await self._run_connection(connection, opened, first_frame_timeout_s)
 
     async def maintain_link(self, target: LinkTarget) -> None:
-        """Stay connected to another process, reconnecting for ever."""
-        delay_s = RECONNECT_MIN_S
+        """Connect to a control process; reconnect until cancelled."""
+        delay_s = MIN_RECONNECT_DELAY_S
         while True:
             try:
                 async with open_link(
@@ -269,7 +297,7 @@
                     timeout_ms=target.timeout_ms,
                     keepalive_timeout_ms=target.keepalive_timeout_ms,
                 ) as stream:
-                    delay_s = RECONNECT_MIN_S
+                    delay_s = MIN_RECONNECT_DELAY_S
                     if target.hello is not None:
                         stream.post(encode_cbor([target.hello]))
                     await self.serve_link(target.link, stream, target.peer)
@@ -278,33 +306,33 @@
             except (LinkRefusedError, LinkTimeoutError) as exc:
                 self._log.debug('link failed', extra={'detail': str(exc)})
             await trio.sleep(delay_s)
-            delay_s = min(target.retry_max_s, 2 * delay_s)
+            delay_s = min(target.max_reconnect_delay_s, 2 * delay_s)
 
-    async def serve_opened(
+    async def serve_connection(
         self, link: Link, stream: MessageStream, opened: ConnOpened
     ) -> None:
-        """Serve a connection that the reducer asked for, until it ends."""
-        await self._serve_conn(OpenConnection(stream, link), opened)
+        """Serve a connection opened for `Connect` until it is closed."""
+        await self._run_connection(OpenConnection(stream, link), opened)
 
-    async def _serve_conn(
+    async def _run_connection(
         self,
-        handle: OpenConnection,
+        connection: OpenConnection,
         opened: ConnOpened,
-        first_frame_s: float = math.inf,
+        first_frame_timeout_s: float = math.inf,
     ) -> None:
         conn = opened.conn
-        self._conns[conn] = handle
+        self._conns[conn] = connection
         detail = ''
         reason = 'closed'
         try:
             self.dispatch(opened)
-            with trio.fail_after(first_frame_s):
-                frame = await handle.stream.receive()
+            with trio.fail_after(first_frame_timeout_s):
+                frame = await connection.stream.receive()
             while True:
-                self._take_frame(conn, handle, frame)
-                frame = await handle.stream.receive()
+                self._handle_frame(conn, connection, frame)
+                frame = await connection.stream.receive()
         except trio.TooSlowError:
-            detail = f'no message within {first_frame_s:.0f} s'
+            detail = f'no message within {first_frame_timeout_s:.0f} s'
         except LinkClosedError as exc:
             detail = str(exc)
         except FrameError as exc:
@@ -321,16 +349,16 @@
                 )
             )
 
-    def _take_frame(
-        self, conn: int, handle: OpenConnection, frame: bytes | str
+    def _handle_frame(
+        self, conn: int, connection: OpenConnection, frame: bytes | str
     ) -> None:
-        handle.text = type(frame) is str
-        if handle.link != 'caller':
-            self.metrics.count(f'received_bytes_{handle.link}', len(frame))
+        connection.answer_as_text = type(frame) is str
+        if connection.link != 'caller':
+            self.metrics.count(f'received_bytes_{connection.link}', len(frame))
         try:
-            messages = self._codecs[handle.link].decode(frame)
+            messages = self._codecs[connection.link].decode(frame)
         except FrameError as exc:
-            if handle.link not in CALLER_LINKS:
+            if connection.link not in CALLER_LINKS:
                 raise
             self.dispatch(
                 FrameRejected(
@@ -352,7 +380,7 @@
                 stream,
                 opened,
             ):
-                await self._serve_conn(
+                await self._run_connection(
                     OpenConnection(stream, 'upstream'),
                     ConnOpened(
                         now_ms=read_now_ms(),
@@ -383,30 +411,30 @@
         )
 
     def _send(self, effect: Send) -> None:
-        handle = self._conns.get(effect.conn)
-        if handle is None:
+        connection = self._conns.get(effect.conn)
+        if connection is None:
             return
         messages = effect.messages
-        encode = self._encoders.get(handle.link)
+        encode = self._encoders.get(connection.link)
         if encode is None:
-            encode = encode_json if handle.text else encode_cbor
+            encode = encode_json if connection.answer_as_text else encode_cbor
         for start in range(0, len(messages), MAX_MESSAGES_PER_FRAME):
             frame = encode(messages[start : start + MAX_MESSAGES_PER_FRAME])
-            handle.stream.post(frame)
-            if handle.link != 'caller':
-                self.metrics.count(f'sent_bytes_{handle.link}', len(frame))
+            connection.stream.post(frame)
+            if connection.link != 'caller':
+                self.metrics.count(f'sent_bytes_{connection.link}', len(frame))
 
     def _connect(self, effect: Connect) -> None:
         self.spawn(self._open_upstream, effect)
 
     def _close(self, effect: Close) -> None:
-        handle = self._conns.get(effect.conn)
-        if handle is None:
+        connection = self._conns.get(effect.conn)
+        if connection is None:
             return
         if effect.abort:
-            self.spawn(handle.stream.abort)
+            self.spawn(connection.stream.abort)
         else:
-            self.spawn(handle.stream.aclose, effect.reason)
+            self.spawn(connection.stream.aclose, effect.reason)
 
     def _set_timer(self, effect: SetTimer) -> None:
         self._timers.set_timer(effect.key, effect.due_ms)
@@ -429,24 +457,24 @@
         self.spawn(self._close_all)
 
     async def _close_all(self) -> None:
-        """Close every connection, by force if it takes long."""
-        streams = [handle.stream for handle in self._conns.values()]
+        """Close all connections, by force after `CLOSE_ALL_TIMEOUT_S`."""
+        streams = [connection.stream for connection in self._conns.values()]
         async with trio.open_nursery() as nursery:
-            closed = trio.Event()
-            left = len(streams)
+            all_closed = trio.Event()
+            remaining = len(streams)
 
             async def close(stream: MessageStream) -> None:
-                nonlocal left
+                nonlocal remaining
                 await stream.aclose('stopping')
-                left -= 1
-                if not left:
-                    closed.set()
+                remaining -= 1
+                if not remaining:
+                    all_closed.set()
 
             for stream in streams:
                 nursery.start_soon(close, stream)
             if streams:
-                with trio.move_on_after(CLOSE_ALL_S):
-                    await closed.wait()
+                with trio.move_on_after(CLOSE_ALL_TIMEOUT_S):
+                    await all_closed.wait()
             for stream in streams:
                 await stream.abort()
         if self._nursery is not None:
@@ -456,6 +484,6 @@
         self.dispatch(TimerFired(now_ms=read_now_ms(), key=key))
 
     def spawn(self, task: Callable[..., Any], *args: Any) -> None:
-        """Run a coroutine function beside, until the process stops."""
+        """Start a task, which is cancelled when the process stops."""
         if self._nursery is not None:
             self._nursery.start_soon(task, *args)
--- a/jackdawpost/runtime/timers.py
+++ b/jackdawpost/runtime/timers.py
@@ -1,4 +1,4 @@
-"""Timer service: parts subscribe to a key and a due time."""
+"""Timers identified by a key, on a clock that includes suspended time."""
 
 from __future__ import annotations
 
@@ -12,27 +12,27 @@
 MS_PER_SECOND = 1_000
 
 
-# The sleep of the event loop does not count time in which the machine was
-# suspended, so that a timer may be found overdue only after its end.
+# The event loop's clock stops while the machine is suspended. Without this
+# limit a timer that became due during a suspension would fire late.
 MAX_SLEEP_S = 0.25
 
 
 def read_now_ms() -> float:
     """Return the monotonic time of this machine in milliseconds.
 
-    Time in which the machine was suspended counts: leases and ages that ran
-    out meanwhile must not be trusted afterwards.
+    The clock includes the time during which the machine was suspended,
+    because leases and ages that expired meanwhile must not be trusted.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_SECOND
 
 
 class TimerService:
-    """Calls a subscriber once each timer is due.
+    """Calls a function with the key of each timer that is due.
 
     Parameters
     ----------
     on_due : callable
-        Called with the key of a due timer.
+        Called with the key of the timer.
     """
 
     def __init__(self, on_due: Callable[[str], None]) -> None:
@@ -43,18 +43,18 @@
         self._next_due = math.inf
 
     def set_timer(self, key: str, due_ms: float) -> None:
-        """Fire `key` at `due_ms`, in place of its earlier due time."""
+        """Set a timer to `due_ms`, replacing a timer with the same key."""
         self._due_by_key[key] = due_ms
         heapq.heappush(self._heap, (due_ms, key))
         if due_ms < self._next_due and self._sleep_scope is not None:
             self._sleep_scope.cancel()
 
     def cancel_timer(self, key: str) -> None:
-        """Forget the timer with `key`, if there is one."""
+        """Cancel the timer with `key`, if there is one."""
         self._due_by_key.pop(key, None)
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Fire due timers until cancelled."""
         while True:
             self._fire_due()
             due_ms = self._heap[0][0] if self._heap else math.inf
@@ -76,5 +76,5 @@
 async def _sleep_until_ms(due_ms: float) -> None:
     if math.isinf(due_ms):
         await trio.sleep_forever()
-    left_s = (due_ms - read_now_ms()) / MS_PER_SECOND
-    await trio.sleep(max(0.0, min(MAX_SLEEP_S, left_s)))
+    remaining_s = (due_ms - read_now_ms()) / MS_PER_SECOND
+    await trio.sleep(max(0.0, min(MAX_SLEEP_S, remaining_s)))
--- a/jackdawpost/runtime/upstream_link.py
+++ b/jackdawpost/runtime/upstream_link.py
@@ -1,4 +1,4 @@
-"""Opens connections to upstreams and checks whom they reached."""
+"""Opens connections to upstreams and verifies their identity."""
 
 from __future__ import annotations
 
@@ -46,29 +46,31 @@
     codec: FrameCodec,
     tls: ssl.SSLContext | None,
 ) -> AsyncIterator[tuple[FrameStream, Opened]]:
-    """Connect to an upstream and introduce this process.
+    """Connect to an upstream and perform the opening handshake.
+
+    This process sends `Open` and the upstream answers with `Opened`.
 
     Parameters
     ----------
     name : str
         Name of this process.
     effect : Connect
-        Which upstream, where, and for what.
+        Upstream, its address and the purpose of the connection.
     codec : FrameCodec
-        Codec of the messages that upstreams send.
+        Codec for messages received from upstreams.
     tls : ssl.SSLContext, optional
-        Client context; with it the certificate and the stated name must be
-        those of the upstream.
+        Client context. With TLS, the certificate and the name in `Opened`
+        must match the upstream.
 
     Yields
     ------
     tuple of FrameStream and Opened
-        The connection and the upstream's introduction.
+        Open connection, and the upstream's answer to `Open`.
 
     Raises
     ------
     PeerIdentityError
-        Another process was reached.
+        The process at this address is not the upstream.
     """
     async with open_link(
         effect.host,
@@ -83,17 +85,17 @@
         with trio.fail_after(effect.timeout_ms / MS_PER_SECOND):
             reply = codec.decode(await stream.receive())[0]
         if not isinstance(reply, Opened):
-            raise FrameError(f'{reply.kind!r} in place of opened')
+            raise FrameError(f'got message {reply.kind!r}, expected opened')
         if tls is not None and reply.name != effect.peer:
             raise PeerIdentityError(
-                f'{stream.peer} calls itself {reply.name!r}: valid is '
+                f'{stream.peer} sent the name {reply.name!r}, expected '
                 f'{effect.peer!r}'
             )
         yield stream, reply
 
 
 def describe_failure(exc: Exception) -> tuple[Reason, str]:
-    """Return reason and detail of one of the `OPEN_ERRORS`."""
+    """Return the `ConnClosed` reason and detail for one of `OPEN_ERRORS`."""
     if isinstance(exc, (LinkTimeoutError, trio.TooSlowError)):
         return 'timeout', str(exc)
     if isinstance(exc, FrameError):
--- a/jackdawpost/tests/runtime/test_bounded_logs.py
+++ b/jackdawpost/tests/runtime/test_bounded_logs.py
@@ -52,7 +52,7 @@
 def test_lines_beyond_the_rate_are_dropped(piped, monkeypatch):
     log, reader = piped
     handler = logging.getLogger().handlers[0]
-    handler._left = 3.0
+    handler._tokens = 3.0
     monkeypatch.setattr(logs, 'LINES_PER_S', 0.0)
     for _ in range(10):
         log.info('line')
--- a/jackdawpost/tests/runtime/test_tls.py
+++ b/jackdawpost/tests/runtime/test_tls.py
@@ -259,7 +259,7 @@
     tmp_path, monkeypatch
 ):
     # Guards against silent connections that pile up on control processes.
-    monkeypatch.setattr(control_shell, 'FIRST_FRAME_S', 0.1)
+    monkeypatch.setattr(control_shell, 'FIRST_FRAME_TIMEOUT_S', 0.1)
     async with daemons() as nursery:
         port = await start_control(nursery, tmp_path)
         async with open_link(HOST, port, '/v1/operator') as stream:
