Mend left-over wording in runtime and wire

Cause: a docstring of build_tls_contexts still had the old parameter name, FROM_CONTROL did not say that it is a codec, UpstreamOpener._run did not say what it runs, and the module docstring of stream.py had to be read twice. Ruled out: renaming PROXY_PATH, which is a path, and OPEN_ERRORS. Change: CONTROL_CODEC, _open_and_serve, _start_server in the tests of wire, and the docstrings.

--- a/jackdawpost/runtime/control_codec.py
+++ b/jackdawpost/runtime/control_codec.py
@@ -7,7 +7,7 @@
 
 PROXY_PATH = '/v1/proxy'
 
-FROM_CONTROL = FrameCodec(
+CONTROL_CODEC = FrameCodec(
     control.NotLeader,
     control.LeaseGrant,
     control.LeaseRevoke,
--- a/jackdawpost/runtime/pooler_shell.py
+++ b/jackdawpost/runtime/pooler_shell.py
@@ -23,7 +23,7 @@
 from jackdawpost.core.pooler.reducer import new_pooler
 from jackdawpost.core.pooler.reducer import reduce_pooler
 from jackdawpost.core.pooler.state import PoolerConfig
-from jackdawpost.runtime.control_codec import FROM_CONTROL
+from jackdawpost.runtime.control_codec import CONTROL_CODEC
 from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.peer_links import PeerLinks
@@ -95,7 +95,7 @@
         cfg.name,
         state,
         reduce_pooler,
-        {'proxy': FROM_CONTROL, **protocol.codecs},
+        {'proxy': CONTROL_CODEC, **protocol.codecs},
         encoders=protocol.encoders,
         effect_handlers={
             SetPeers: peer_links.set_peers,
@@ -126,9 +126,9 @@
     def connect(self, effect: Connect) -> None:
         """Start a task that opens a connection and serves it until closed."""
         assert self.shell is not None
-        self.shell.spawn(self._run, effect)
+        self.shell.spawn(self._open_and_serve, effect)
 
-    async def _run(self, effect: Connect) -> None:
+    async def _open_and_serve(self, effect: Connect) -> None:
         assert self.shell is not None
         stream: MessageStream
         try:
--- a/jackdawpost/runtime/process.py
+++ b/jackdawpost/runtime/process.py
@@ -35,7 +35,7 @@
 
     Parameters
     ----------
-    ask_certificate : bool
+    require_certificate : bool
         If False, the server accepts clients without a certificate.
     """
     if tls is None:
@@ -63,7 +63,7 @@
     initial_effects : list
         Effects returned with the initial state of the reducer.
     link_targets : list of LinkTarget
-        Processes to stay connected to.
+        Control processes to stay connected to.
     *tasks : callable
         Additional coroutine functions to run concurrently.
 
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -15,7 +15,7 @@
 from jackdawpost.core.proxy.reducer import new_proxy
 from jackdawpost.core.proxy.reducer import ProxyConfig
 from jackdawpost.core.proxy.reducer import reduce_proxy
-from jackdawpost.runtime.control_codec import FROM_CONTROL
+from jackdawpost.runtime.control_codec import CONTROL_CODEC
 from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
 from jackdawpost.runtime.process import build_tls_contexts
@@ -40,7 +40,7 @@
     'upstream': FrameCodec(
         upstream.Opened, upstream.Executed, upstream.Probed, upstream.Progress
     ),
-    'proxy': FROM_CONTROL,
+    'proxy': CONTROL_CODEC,
 }
 
 
--- a/jackdawpost/tests/wire/test_server.py
+++ b/jackdawpost/tests/wire/test_server.py
@@ -32,7 +32,7 @@
         return
 
 
-async def _start(nursery, tls=None, **options):
+async def _start_server(nursery, tls=None, **options):
     endpoints = Endpoints(
         {'/echo': _echo}, {'/healthz': lambda: reply_json('ok')}, **options
     )
@@ -40,7 +40,7 @@
 
 
 async def test_large_frames_arrive_complete_and_in_order(nursery):
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     async with open_link('127.0.0.1', port, '/echo') as link:
         frames = [bytes([n]) * LARGE_FRAME_BYTES for n in range(4)]
         for frame in frames:
@@ -49,7 +49,7 @@
 
 
 async def test_http_page_on_the_same_port(nursery):
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     stream = await trio.open_tcp_stream('127.0.0.1', port)
     await stream.send_all(b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n')
     reply = b''
@@ -60,14 +60,14 @@
 
 
 async def test_unknown_path_is_refused(nursery):
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     with pytest.raises(LinkRefusedError):
         async with open_link('127.0.0.1', port, '/other'):
             pass
 
 
 async def test_connections_beyond_the_limit_are_refused(nursery):
-    port = await _start(nursery, max_connections=1)
+    port = await _start_server(nursery, max_connections=1)
     async with open_link('127.0.0.1', port, '/echo'):
         with pytest.raises(LinkRefusedError):
             async with open_link('127.0.0.1', port, '/echo'):
@@ -84,7 +84,7 @@
 
 
 async def test_oversized_frame_closes_the_connection(nursery):
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     async with open_link('127.0.0.1', port, '/echo') as link:
         link.post(bytes(2 * LARGE_FRAME_BYTES))
         with pytest.raises(LinkClosedError):
@@ -129,7 +129,7 @@
     if use_tls:
         cfg = issue_tls(trustme.CA(), tmp_path, 'proxy.p')
         tls = build_server_context(cfg, require_certificate=False)
-    port = await _start(nursery, tls)
+    port = await _start_server(nursery, tls)
     stream = await trio.open_tcp_stream('127.0.0.1', port)
     with trio.fail_after(2):
         try:
@@ -149,7 +149,7 @@
 async def test_incomplete_handshakes_use_little_memory(nursery):
     # Guards against buffers that are allocated before the handshake is
     # complete.
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     before = _read_resident_bytes()
     streams = [
         await trio.open_tcp_stream('127.0.0.1', port) for _ in range(300)
--- a/jackdawpost/tests/wire/test_stream.py
+++ b/jackdawpost/tests/wire/test_stream.py
@@ -11,7 +11,7 @@
 from jackdawpost.wire.stream import LinkClosedError
 
 
-async def _start(nursery, handler):
+async def _start_server(nursery, handler):
     endpoints = Endpoints({'/link': handler}, {})
     return await nursery.start(serve_endpoints, '127.0.0.1', 0, endpoints)
 
@@ -23,7 +23,7 @@
         stream.post(b'1')
         stream.post(b'2')
 
-    port = await _start(nursery, answer_and_close)
+    port = await _start_server(nursery, answer_and_close)
     async with open_link('127.0.0.1', port, '/link') as link:
         await trio.sleep(0.05)
         assert [await link.receive(), await link.receive()] == [b'1', b'2']
@@ -37,7 +37,7 @@
     async def close(stream, peer):
         return
 
-    port = await _start(nursery, close)
+    port = await _start_server(nursery, close)
     async with open_link('127.0.0.1', port, '/link') as link:
         with pytest.raises(LinkClosedError):
             await link.receive()
@@ -50,7 +50,7 @@
     async def reset(stream, peer):
         await stream.abort()
 
-    port = await _start(nursery, reset)
+    port = await _start_server(nursery, reset)
     async with open_link('127.0.0.1', port, '/link') as link:
         with pytest.raises(LinkClosedError):
             await link.receive()
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -2,8 +2,9 @@
 
 Uses the I/O-free protocol objects of `websockets`. The trio connection of that
 library runs a reader task and a keepalive task for each connection. Here the
-task that serves a connection reads from it, and writing needs no task, which
-matters with thousands of mostly idle callers.
+task that serves a connection also reads from it, and frames are written
+without a separate task. This saves resources with thousands of mostly idle
+callers.
 """
 
 from __future__ import annotations
