Reword the tests of the runtime package

Cause: names and comments that need knowledge of the project or a second reading: _say, stranger, bystander, take_port, piped, 'told', "who is let in", "hurts nobody else", "impostor". Every assertion stays. The docstring of start_system said that it returns once a write can run; it does not wait for that (create_table does), so that the sentence is gone. The log event 'told', which only one test writes and reads by its field, is 'last'.

--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -1,4 +1,4 @@
-"""Daemons in the process of the test, on loopback."""
+"""Runs daemons on loopback in the process of a test."""
 
 from __future__ import annotations
 
@@ -25,11 +25,11 @@
 from jackdawpost_standin.settings import StandinSettings
 
 HOST = '127.0.0.1'
-START_S = 5.0
+START_TIMEOUT_S = 5.0
 
 
-def common(name, port, tls):
-    """Return the settings that all daemons have."""
+def common_settings(name, port, tls):
+    """Return the settings common to all daemons."""
     settings = {
         'name': name,
         'data_centre': 'dc-1',
@@ -41,11 +41,11 @@
 
 
 async def start_control(nursery, folder, tls=None, name='control-1'):
-    """Start a control process and return its port."""
-    port = take_port()
+    """Start a control process and return its TCP port."""
+    port = find_free_port()
     peer = {'name': name, 'host': HOST, 'port': port}
     settings = {
-        **common(name, port, tls),
+        **common_settings(name, port, tls),
         'peers': [peer],
         'data_dir': str(folder / f'data-{port}'),
     }
@@ -57,12 +57,12 @@
 
 
 async def start_proxy(nursery, control_port, tls=None, **options):
-    """Start a proxy and return its port."""
-    port = take_port()
+    """Start a proxy and return its TCP port."""
+    port = find_free_port()
     name = options.pop('name', 'proxy-1')
     record = options.pop('record', None)
     settings = {
-        **common(name, port, tls),
+        **common_settings(name, port, tls),
         'control': [{'name': 'control-1', 'host': HOST, 'port': control_port}],
         'proxy_id': f'id-{name}',
         **options,
@@ -76,16 +76,16 @@
     return port
 
 
-def take_port():
-    """Return a TCP port that was free a moment ago."""
+def find_free_port():
+    """Return a TCP port that is currently free."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
 
 
 async def wait_listening(port):
-    """Wait until a port accepts connections."""
-    with trio.fail_after(START_S):
+    """Wait until a TCP port accepts connections."""
+    with trio.fail_after(START_TIMEOUT_S):
         while True:
             try:
                 stream = await trio.open_tcp_stream(HOST, port)
@@ -97,18 +97,29 @@
 
 
 async def start_system(
-    nursery, folder, issue=lambda common_name: None, record=None
+    nursery, folder, issue_tls=lambda common_name: None, record=None
 ):
     """Start a control process, a proxy and a group of two databases.
 
-    `issue` returns the TLS settings for a certificate name. Returns the
-    ports of the proxy and of the control process once a write can run.
+    Parameters
+    ----------
+    issue_tls : callable
+        Returns the TLS settings for a common name, or None without TLS.
+    record : str, optional
+        Trace file of the proxy.
+
+    Returns
+    -------
+    tuple of int
+        TCP ports of the proxy and of the control process.
     """
-    control = await start_control(nursery, folder, issue('control.control-1'))
+    control = await start_control(
+        nursery, folder, issue_tls('control.control-1')
+    )
     ctl = CtlSettings(
         control=[Peer(name='control-1', host=HOST, port=control)],
         operator='ada',
-        tls=issue('operator.ada'),
+        tls=issue_tls('operator.ada'),
     )
     operations = [
         Operation(action='create', type=kind, name='orders', body=body)
@@ -127,24 +138,24 @@
     assert (await send_request(ctl, change)).status == 'accepted'
     for name in ('db-1', 'db-2'):
         settings = {
-            **common(name, 1, issue(f'upstream.{name}')),
+            **common_settings(name, 1, issue_tls(f'upstream.{name}')),
             'group': 'orders',
             'control': [ctl.control[0].model_dump()],
-            # Transactions of one caller must not starve another one.
+            # With few slots, transactions of one caller would starve another.
             'slots': 64,
             'connections': 200,
         }
         cfg = StandinSettings.model_validate_json(json.dumps(settings))
         await nursery.start(StandinDatabase(cfg, port=0).run)
     proxy = await start_proxy(
-        nursery, control, issue('proxy.proxy-1'), record=record
+        nursery, control, issue_tls('proxy.proxy-1'), record=record
     )
     return proxy, control
 
 
 async def create_table(session):
-    """Create a table once the system can serve a write."""
-    with trio.fail_after(3 * START_S):
+    """Create a table; retry until the system can serve a write."""
+    with trio.fail_after(3 * START_TIMEOUT_S):
         while True:
             try:
                 return await session.write(
@@ -157,25 +168,25 @@
 
 
 async def serve_first_write(port):
-    """Wait until the system behind a proxy serves."""
+    """Wait until the system behind a proxy can serve a write."""
     async with open_session([ProxyAddress(HOST, port)]) as session:
         await create_table(session)
 
 
 class LogCapture(logging.Handler):
-    """Collects the log lines of the package."""
+    """Logging handler that stores all records."""
 
     def __init__(self):
         super().__init__(logging.DEBUG)
         self.records = []
 
     def emit(self, record):
-        """Keep a line."""
+        """Store a record."""
         self.records.append(record)
 
     async def wait(self, event, text=''):
-        """Wait for a line with this event and text; return it."""
-        with trio.fail_after(START_S):
+        """Wait for a record with this event and text; return it."""
+        with trio.fail_after(START_TIMEOUT_S):
             while True:
                 for record in self.records:
                     if record.getMessage() == event and text in str(
@@ -187,7 +198,7 @@
 
 @asynccontextmanager
 async def daemons():
-    """Yield a nursery whose daemons are stopped at the end."""
+    """Yield a nursery for daemons, which is cancelled on exit."""
     async with trio.open_nursery() as nursery:
         yield nursery
         nursery.cancel_scope.cancel()
--- a/jackdawpost/tests/runtime/test_bounded_logs.py
+++ b/jackdawpost/tests/runtime/test_bounded_logs.py
@@ -1,4 +1,4 @@
-"""Logs that are bounded in volume and never waited for."""
+"""Tests that logging does not block and that its rate is limited."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 @pytest.fixture
-def piped(monkeypatch):
+def piped_log(monkeypatch):
     reader, writer = os.pipe()
     root = logging.getLogger()
     handlers, level = root.handlers[:], root.level
@@ -34,9 +34,9 @@
     return [json.loads(line) for line in data.splitlines()]
 
 
-def test_a_full_pipe_does_not_block_and_drops_are_told(piped):
-    # Guards against a process that hangs because nobody reads its logs.
-    log, reader = piped
+def test_a_full_pipe_does_not_block_and_drops_are_counted(piped_log):
+    # Guards against a process that blocks because nothing reads its logs.
+    log, reader = piped_log
     started = time.monotonic()
     for number in range(900):
         log.info('filler', extra={'text': 'x' * 500, 'number': number})
@@ -44,13 +44,13 @@
     lines = _read(reader)
     assert 0 < len(lines) < 900
     log.info('after')
-    log.info('told')
-    told = [line for line in _read(reader) if 'dropped_lines' in line]
-    assert told and told[0]['dropped_lines'] >= 900 - len(lines) - 1
+    log.info('last')
+    reports = [line for line in _read(reader) if 'dropped_lines' in line]
+    assert reports and reports[0]['dropped_lines'] >= 900 - len(lines) - 1
 
 
-def test_lines_beyond_the_rate_are_dropped(piped, monkeypatch):
-    log, reader = piped
+def test_lines_beyond_the_rate_limit_are_dropped(piped_log, monkeypatch):
+    log, reader = piped_log
     handler = logging.getLogger().handlers[0]
     handler._tokens = 3.0
     monkeypatch.setattr(logs, 'LINES_PER_S', 0.0)
--- a/jackdawpost/tests/runtime/test_caller_fuzz.py
+++ b/jackdawpost/tests/runtime/test_caller_fuzz.py
@@ -1,4 +1,4 @@
-"""A real proxy under bad input of one caller, beside another caller."""
+"""Tests of a proxy that receives invalid frames from callers."""
 
 from __future__ import annotations
 
@@ -28,8 +28,9 @@
 
 
 async def test_the_longest_frame_of_a_caller_reaches_the_upstream(tmp_path):
-    # Guards against a frame that grows above the limit of the upstream when
-    # it is passed on, which would cost the connection and be retried.
+    # Guards against a frame that exceeds the limit of the upstream after it
+    # is re-encoded. The upstream would close the connection, and the proxy
+    # would retry the statement.
     floats = '1.1,' * MAX_PARAMS
     start = (
         '{"kind":"statement","id":1,"route":"orders","access":"read",'
@@ -48,7 +49,8 @@
 
 
 async def test_an_answer_has_the_encoding_of_the_latest_frame():
-    # Guards against a connection that stays with JSON after one text frame.
+    # Guards against a connection that keeps answering in JSON after one text
+    # frame.
     async with daemons() as nursery:
         port = await start_proxy(nursery, 9)
         async with open_link(HOST, port, '/v1/session') as stream:
@@ -58,10 +60,10 @@
                     assert type(await stream.receive()) is type(frame)
 
 
-async def test_each_known_bad_frame_is_answered_alone(tmp_path):
-    # Guards against the frames that once ended a proxy: half a surrogate
-    # pair, a list that holds itself, an integer of 39,000 digits. The
-    # proxy records, since the trace holds what callers sent.
+async def test_each_known_invalid_frame_is_answered(tmp_path):
+    # Guards against frames that have crashed the proxy: half a surrogate
+    # pair, a list that contains itself, an integer of 39,000 digits. The
+    # proxy records a trace, because the trace contains these frames too.
     async with daemons() as nursery:
         port, _ = await start_system(
             nursery, tmp_path, record=str(tmp_path / 'trace')
@@ -71,18 +73,18 @@
             await check_frames(port, [frame])
 
 
-async def test_bad_input_is_answered_and_hurts_nobody_else(tmp_path):
-    # Guards against a frame that ends the process, gets no answer or a
-    # wrong one, or keeps another caller from being served.
+async def test_invalid_input_does_not_affect_other_callers(tmp_path):
+    # Guards against a frame that ends the process, gets no answer or a wrong
+    # one, or prevents the proxy from serving another caller.
     async with daemons() as nursery:
         port, _ = await start_system(nursery, tmp_path)
-        async with open_session([ProxyAddress(HOST, port)]) as bystander:
-            await create_table(bystander)
+        async with open_session([ProxyAddress(HOST, port)]) as other_session:
+            await create_table(other_session)
 
             async def check(sent):
-                async with trio.open_nursery() as pair:
-                    pair.start_soon(check_frames, port, sent)
-                    result = await bystander.read('orders', 'select 1')
+                async with trio.open_nursery() as check_nursery:
+                    check_nursery.start_soon(check_frames, port, sent)
+                    result = await other_session.read('orders', 'select 1')
                     assert result.rows == [[1]]
 
             @settings(
--- a/jackdawpost/tests/runtime/test_tls.py
+++ b/jackdawpost/tests/runtime/test_tls.py
@@ -1,4 +1,4 @@
-"""Daemons with certificates: who is let in, and whom they talk to."""
+"""Tests of TLS: which peers the daemons accept and connect to."""
 
 from __future__ import annotations
 
@@ -92,7 +92,7 @@
     logger.removeHandler(capture)
 
 
-async def _say(port, context, path, message):
+async def _send_request(port, context, path, message):
     with trio.fail_after(5):
         async with open_link(HOST, port, path, tls=context) as stream:
             stream.post(encode_cbor([message]))
@@ -102,21 +102,21 @@
 async def _list_members(port, tls):
     query = Query(id=1, what='members')
     context = build_client_context(tls)
-    return str(await _say(port, context, '/v1/operator', query))
+    return str(await _send_request(port, context, '/v1/operator', query))
 
 
 @pytest.mark.parametrize('link', ['proxy', 'announce', 'operator'])
-async def test_the_right_role_and_name_is_served(
+async def test_the_correct_role_and_name_are_accepted(
     authority, tmp_path, link, logs
 ):
-    # Guards against a name check that compares ROLE.NAME with NAME and so
-    # refuses everybody as soon as TLS is on.
+    # Guards against a check that compares ROLE.NAME with NAME and therefore
+    # refuses all peers if TLS is enabled.
     path, message, common_name = LINKS[link]
-    own = issue_tls(authority, tmp_path, 'control.control-1')
+    control_tls = issue_tls(authority, tmp_path, 'control.control-1')
     context = build_client_context(issue_tls(authority, tmp_path, common_name))
     async with daemons() as nursery:
-        port = await start_control(nursery, tmp_path, own)
-        reply = await _say(port, context, path, message)
+        port = await start_control(nursery, tmp_path, control_tls)
+        reply = await _send_request(port, context, path, message)
     assert isinstance(
         reply, (LeaseGrant, AnnounceAck, NotLeader, OperatorAnswer)
     )
@@ -125,17 +125,17 @@
 
 
 @pytest.mark.parametrize('link', LINKS)
-async def test_another_role_or_name_is_refused_and_logged(
+async def test_a_wrong_role_or_name_is_refused_and_logged(
     authority, tmp_path, logs, link
 ):
-    # Guards against a member that reports, announces, votes or operates in
-    # the name of another one.
+    # Guards against a process that reports, announces, votes or sends
+    # operator requests under the name of another one.
     path, message, common_name = LINKS[link]
     role = common_name.partition('.')[0]
-    own = issue_tls(authority, tmp_path, 'control.control-1')
+    control_tls = issue_tls(authority, tmp_path, 'control.control-1')
     other_role = 'proxy' if role == 'upstream' else 'upstream'
     async with daemons() as nursery:
-        port = await start_control(nursery, tmp_path, own)
+        port = await start_control(nursery, tmp_path, control_tls)
         for name, event in (
             (common_name.replace(role, other_role), 'peer_refused'),
             (
@@ -147,7 +147,7 @@
                 issue_tls(authority, tmp_path, name)
             )
             try:
-                reply = await _say(port, context, path, message)
+                reply = await _send_request(port, context, path, message)
                 assert reply.status == 'refused'
             except (LinkClosedError, LinkRefusedError):
                 pass
@@ -155,21 +155,21 @@
 
 
 @pytest.mark.parametrize('link', LINKS)
-async def test_no_certificate_or_a_foreign_one_is_refused(
+async def test_a_missing_or_untrusted_certificate_is_refused(
     authority, tmp_path, link
 ):
-    # Guards against a context that verifies nothing.
+    # Guards against a TLS context that does not verify certificates.
     path, message, common_name = LINKS[link]
-    own = issue_tls(authority, tmp_path, 'control.control-1')
-    foreign = issue_tls(trustme.CA(), tmp_path, common_name)
-    stranger = build_client_context(foreign)
-    stranger.load_verify_locations(own.authority)
-    anonymous = build_caller_context(own.authority)
+    control_tls = issue_tls(authority, tmp_path, 'control.control-1')
+    untrusted_tls = issue_tls(trustme.CA(), tmp_path, common_name)
+    untrusted = build_client_context(untrusted_tls)
+    untrusted.load_verify_locations(control_tls.authority)
+    anonymous = build_caller_context(control_tls.authority)
     async with daemons() as nursery:
-        port = await start_control(nursery, tmp_path, own)
-        for context in (stranger, anonymous, None):
+        port = await start_control(nursery, tmp_path, control_tls)
+        for context in (untrusted, anonymous, None):
             with pytest.raises((LinkRefusedError, LinkClosedError)):
-                await _say(port, context, path, message)
+                await _send_request(port, context, path, message)
 
 
 @pytest.mark.parametrize(
@@ -179,7 +179,8 @@
 async def test_a_proxy_checks_which_control_process_it_reached(
     authority, tmp_path, logs, common_name, joined
 ):
-    # Guards against leases and published state taken from an impostor.
+    # Guards against accepting leases and published state from a process that
+    # is not the configured control process.
     async with daemons() as nursery:
         tls = issue_tls(authority, tmp_path, common_name)
         control = await start_control(nursery, tmp_path, tls)
@@ -194,18 +195,20 @@
             await logs.wait('wrong_peer', common_name)
 
 
-@pytest.mark.parametrize('asks', [False, True])
-async def test_callers_need_a_certificate_only_if_the_proxy_asks(
-    authority, tmp_path, asks
+@pytest.mark.parametrize('required', [False, True])
+async def test_callers_need_a_certificate_only_if_the_proxy_requires_it(
+    authority, tmp_path, required
 ):
-    # Guards against callers that are locked out by default, and against a
-    # setting without effect.
+    # Guards against a default that refuses callers without a certificate, and
+    # against a setting without effect.
     tls = issue_tls(authority, tmp_path, 'proxy.proxy-1')
     anonymous = build_caller_context(tls.authority)
     known = build_client_context(issue_tls(authority, tmp_path, 'caller.shop'))
     async with daemons() as nursery:
-        port = await start_proxy(nursery, 9, tls, ask_caller_certificate=asks)
-        for context, served in ((known, True), (anonymous, not asks)):
+        port = await start_proxy(
+            nursery, 9, tls, ask_caller_certificate=required
+        )
+        for context, served in ((known, True), (anonymous, not required)):
             try:
                 async with open_link(
                     HOST,
@@ -224,7 +227,7 @@
 
 
 async def test_a_caller_refuses_a_server_that_is_no_proxy(authority, tmp_path):
-    # Guards against statements sent to any holder of a certificate.
+    # Guards against sending statements to a process that is not a proxy.
     tls = issue_tls(authority, tmp_path, 'upstream.db-1')
     async with daemons() as nursery:
         port = await start_proxy(nursery, 9, tls)
@@ -240,25 +243,26 @@
 
 
 async def test_a_query_needs_no_operator_name(authority, tmp_path):
-    # Guards against a name check that refuses queries, which state no name.
-    own = issue_tls(authority, tmp_path, 'control.control-1')
+    # Guards against a name check that refuses queries, which contain no
+    # operator name.
+    control_tls = issue_tls(authority, tmp_path, 'control.control-1')
     tls = issue_tls(authority, tmp_path, 'operator.ada')
     async with daemons() as nursery:
-        port = await start_control(nursery, tmp_path, own)
+        port = await start_control(nursery, tmp_path, control_tls)
         query = Query(id=1, what='status')
         reply = NotLeader(leader=None)
         with trio.fail_after(5):
             while isinstance(reply, NotLeader):
-                reply = await _say(
+                reply = await _send_request(
                     port, build_client_context(tls), '/v1/operator', query
                 )
         assert reply.status == 'done'
 
 
-async def test_an_operator_link_without_a_message_is_cut_off(
+async def test_an_operator_link_without_a_message_is_closed(
     tmp_path, monkeypatch
 ):
-    # Guards against silent connections that pile up on control processes.
+    # Guards against idle connections that accumulate on a control process.
     monkeypatch.setattr(control_shell, 'FIRST_FRAME_TIMEOUT_S', 0.1)
     async with daemons() as nursery:
         port = await start_control(nursery, tmp_path)
@@ -267,9 +271,9 @@
                 await stream.receive()
 
 
-async def test_a_whole_system_serves_writes_over_tls(authority, tmp_path):
-    # Guards against a link of the chain operator, control, upstream, proxy,
-    # caller that works only without certificates.
+async def test_a_complete_system_serves_writes_over_tls(authority, tmp_path):
+    # Guards against a connection between operator, control, upstream, proxy
+    # and caller that works only without TLS.
     issue = partial(issue_tls, authority, tmp_path)
     async with daemons() as nursery:
         port, _ = await start_system(nursery, tmp_path, issue)
