--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -32,7 +32,7 @@
 from jackdawpost.runtime.peer_links import PeerLinks
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.settings.models import Address
-from jackdawpost.wire.sockets import PEER_SILENCE_MS
+from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 
 # Between regions a heartbeat takes up to 24 ms there and back.
 HEARTBEAT_MS = 100
@@ -87,8 +87,8 @@
         data_dir=data_dir,
         seed=crc32(settings.ip.encode()),
         header_settings={},
-        knows_peer=lambda name, peer: bool(name),
-        silence_ms=PEER_SILENCE_MS,
+        is_known_peer=lambda name, peer: bool(name),
+        keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
     )
 
 
@@ -106,7 +106,7 @@
         Hello(name=settings.ip),
     )
     spec = build_plan(settings, settings.data_dir)
-    spec.performers = {
+    spec.effect_handlers = {
         SetPeers: peer_links.set_peers,
         Reply: api.take_reply,
         OrderPromotion: api.order_promotion,
--- a/jackdawpost/runtime/control_codec.py
+++ b/jackdawpost/runtime/control_codec.py
@@ -1,4 +1,4 @@
-"""What proxies and poolers receive from control processes."""
+"""Codec for messages that proxies and poolers receive from control."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 PROXY_PATH = '/v1/proxy'
 
-FROM_CONTROL = FrameCodec(
+CONTROL_CODEC = FrameCodec(
     control.NotLeader,
     control.LeaseGrant,
     control.LeaseRevoke,
--- a/jackdawpost/runtime/proxy_shell.py
+++ b/jackdawpost/runtime/proxy_shell.py
@@ -1,4 +1,4 @@
-"""Runs a proxy: the links and pages around its reducer."""
+"""Runs a proxy process: its reducer, connections and HTTP pages."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 from jackdawpost.core.proxy.reducer import new_proxy
 from jackdawpost.core.proxy.reducer import ProxyConfig
 from jackdawpost.core.proxy.reducer import reduce_proxy
-from jackdawpost.runtime.control_codec import FROM_CONTROL
+from jackdawpost.runtime.control_codec import CONTROL_CODEC
 from jackdawpost.runtime.control_codec import PROXY_PATH
 from jackdawpost.runtime.pages import build_pages
-from jackdawpost.runtime.process import build_contexts
+from jackdawpost.runtime.process import build_tls_contexts
 from jackdawpost.runtime.process import raise_file_limit
 from jackdawpost.runtime.process import run_shell
 from jackdawpost.runtime.recorder import build_recorder
@@ -40,7 +40,7 @@
     'upstream': FrameCodec(
         upstream.Opened, upstream.Executed, upstream.Probed, upstream.Progress
     ),
-    'proxy': FROM_CONTROL,
+    'proxy': CONTROL_CODEC,
 }
 
 
@@ -54,7 +54,7 @@
     settings : ProxySettings
         Validated settings.
     record_path : str, optional
-        File for a trace of all events.
+        File to which a trace of all events is written.
 
     Returns
     -------
@@ -63,7 +63,7 @@
     """
     log = logging.getLogger('jackdawpost')
     raise_file_limit()
-    server_tls, client_tls = build_contexts(
+    server_tls, client_tls = build_tls_contexts(
         settings.tls, log, settings.ask_caller_certificate
     )
     header = TraceHeader(
@@ -81,7 +81,7 @@
         reduce_proxy,
         CODECS,
         tls=client_tls,
-        record=build_recorder(record_path, header),
+        record_event=build_recorder(record_path, header),
     )
 
     async def serve_caller(stream: FrameStream, peer: str) -> None:
@@ -99,11 +99,11 @@
         settings.listen,
         endpoints,
         server_tls,
-        _targets(settings),
+        _build_link_targets(settings),
     )
 
 
-def _targets(settings: ProxySettings) -> list[LinkTarget]:
+def _build_link_targets(settings: ProxySettings) -> list[LinkTarget]:
     return [
         LinkTarget('proxy', peer.name, peer.host, peer.port, PROXY_PATH)
         for peer in settings.control
@@ -111,5 +111,5 @@
 
 
 def start_proxy(settings: ProxySettings, record_path: str | None) -> int:
-    """Run a proxy in a trio loop of its own and return its exit code."""
+    """Run a proxy in a new trio event loop and return its exit code."""
     return trio.run(run_proxy, settings, record_path)
