--- a/jackdawpost/platform/__init__.py
+++ b/jackdawpost/platform/__init__.py
@@ -1,5 +1,6 @@
-"""Adapter to the deployment platform: names, formats and calls.
+"""Adapter between the core and the deployment platform.
 
-Nothing here decides. Wire messages are decoded into the product's own types
-once, and the product's answers are put into the platform's words.
+It holds the platform's names, file formats and requests, and makes no
+decisions. Messages from outside are decoded once into the types of the core,
+and the answers of the core are encoded for the platform.
 """
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -1,4 +1,9 @@
-"""Program of a control process on the platform."""
+"""Entry point of a control process that runs on the platform.
+
+Converts the platform's settings into the configuration of the process, and
+connects the HTTP API, the links to other control processes, the metrics and
+the reload of the settings file to it.
+"""
 
 from __future__ import annotations
 
@@ -34,36 +39,43 @@
 from jackdawpost.settings.models import Address
 from jackdawpost.wire.sockets import PEER_SILENCE_MS
 
-# Between regions a heartbeat takes up to 24 ms there and back.
+# The round trip of a heartbeat between regions takes up to 24 ms.
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 500
 ELECTION_MAX_MS = 900
-# A pre-vote and a vote take two trips between regions and a disk write.
+# Covers a pre-vote and a vote: two trips between regions and a disk write.
 FIRST_ELECTION_MIN_MS = 40
 FIRST_ELECTION_MAX_MS = 150
 LEASE_MS = 2_000
-# A proxy that is frozen or cut off holds up nobody's approval for longer.
+# Longest time for which a proxy that is suspended or disconnected can delay
+# an operation that needs the approval of all members.
 MEMBER_EXPIRY_MS = 2_500
-# Databases report every second or two; a crashed one may come back.
+# Databases report every one or two seconds. A crashed one may restart before
+# it is removed.
 UPSTREAM_EXPIRY_MS = 60_000
-# Proxies report an upstream as silent after 450 ms without an answer, and as
-# refused after an attempt to connect: this only has most of them agree.
+# Time for which reports of a failed upstream must persist. Proxies report an
+# upstream as silent after 450 ms without an answer, and as refusing right
+# after a failed connection attempt; this adds the time in which the reports
+# of most proxies arrive.
 REFUSED_MS = 150
 SILENT_MS = 150
 SNAPSHOT_ENTRIES = 500
 NODE_ID_FILE = 'node_id'
 
 
-def build_plan(settings: PlatformSettings, data_dir: str) -> ControlSpec:
-    """Return how a control process is started with these settings."""
+def build_control_spec(
+    settings: PlatformSettings, data_dir: str
+) -> ControlSpec:
+    """Return the specification of the control process to run."""
     seeds = list(seed_hosts(settings))
-    is_new = not os.path.exists(os.path.join(data_dir, NODE_ID_FILE))
-    # An empty disk forms the group only at the very first start; later it
-    # is that of a newcomer, which the group admits.
-    forms_group = settings.is_first_start or not is_new
+    is_new_node = not os.path.exists(os.path.join(data_dir, NODE_ID_FILE))
+    # A process with an empty disk takes part in forming the group only at
+    # the first start of the system. Later it is a new member and waits until
+    # the existing group admits it.
+    may_bootstrap = settings.is_first_start or not is_new_node
     cfg = ControlConfig(
         name=settings.ip,
-        peers=seeds if forms_group else [],
+        peers=seeds if may_bootstrap else [],
         lease_ms=LEASE_MS,
         heartbeat_ms=HEARTBEAT_MS,
         election_min_ms=ELECTION_MIN_MS,
@@ -95,20 +107,25 @@
 def run(settings: PlatformSettings) -> int:
     """Run a control process until it is stopped."""
     if settings.bind.control is None or settings.data_dir is None:
-        raise SystemExit('a control process needs a control address and disk')
+        raise SystemExit(
+            'a control process needs bindAddresses.control and dataDir in its '
+            'settings'
+        )
     host, port = split_address(settings.bind.control)
-    platform = split_address(settings.api.address) if settings.api else None
-    api = ControlApi(settings.bind.control, port, platform)
+    promotion_address = (
+        split_address(settings.api.address) if settings.api else None
+    )
+    api = ControlApi(settings.bind.control, port, promotion_address)
     peer_links = PeerLinks(
         'peer',
         settings.internal_ports[0],
         PEER_PATH,
         Hello(name=settings.ip),
     )
-    spec = build_plan(settings, settings.data_dir)
+    spec = build_control_spec(settings, settings.data_dir)
     spec.performers = {
         SetPeers: peer_links.set_peers,
-        Reply: api.take_reply,
+        Reply: api.handle_reply,
         OrderPromotion: api.order_promotion,
     }
 
@@ -137,7 +154,7 @@
 
 
 def main() -> int:
-    """Run the program and return its exit code."""
+    """Load the settings, run the process and return its exit code."""
     return run_program(lambda: load_platform_settings(settings_path()), run)
 
 
--- a/jackdawpost/platform/control_api.py
+++ b/jackdawpost/platform/control_api.py
@@ -1,4 +1,9 @@
-"""The platform's calls to and from a control process."""
+"""HTTP API of a control process, and its promotion requests to the platform.
+
+Operators read and write the configuration at ``/config``. Databases report
+their state at ``/instances/NAME``. The control process itself sends a request
+to the platform to promote a database.
+"""
 
 from __future__ import annotations
 
@@ -19,68 +24,74 @@
 from jackdawpost.platform.documents import decode_config
 from jackdawpost.platform.documents import decode_departure
 from jackdawpost.platform.documents import decode_instance
-from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
 from jackdawpost.platform.http import HttpRequest
 from jackdawpost.platform.http import HttpResponse
+from jackdawpost.platform.http import send_request
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.runtime.timers import read_now_ms
 
 CONFIG_PATH = '/config'
 INSTANCES_PATH = '/instances/'
 PROMOTE_PATH = '/promote'
-# Callers move on to another process after a second.
+# Clients try another control process after 1 s, well before this time-out.
 REPLY_TIMEOUT_S = 5.0
-# A promotion takes up to a second; the answer comes after it.
-ORDER_TIMEOUT_S = 2.5
+# The platform answers after the promotion, which takes up to a second.
+PROMOTION_TIMEOUT_S = 2.5
 
 
 class ControlApi:
-    """Turns HTTP requests into events and replies into responses.
+    """Converts HTTP requests into events, and replies into HTTP responses.
 
     Parameters
     ----------
     address : str
-        Address of this process's own API.
+        Address of the API of this process, as IP:PORT.
     port : int
-        Port of the API of all control processes.
-    platform : tuple of str and int, optional
-        Address that takes orders of promotions.
+        Port of the API, the same at every control process.
+    promotion_address : tuple of str and int, optional
+        Host and port at which the platform accepts promotion requests.
     """
 
     def __init__(
-        self, address: str, port: int, platform: tuple[str, int] | None
+        self,
+        address: str,
+        port: int,
+        promotion_address: tuple[str, int] | None,
     ) -> None:
         self.shell: ReducerShell | None = None
         self._address = address
         self._port = port
-        self._platform = platform
-        self._numbers = itertools.count(1)
-        self._waiting: dict[int, tuple[trio.Event, list[Reply]]] = {}
+        self._promotion_address = promotion_address
+        self._request_ids = itertools.count(1)
+        self._pending: dict[int, tuple[trio.Event, list[Reply]]] = {}
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request of an operator or a database."""
+        """Answer a request of an operator or a database."""
         try:
-            event = self._decode(request)
+            decoded_request = self._decode(request)
         except ProtocolError as exc:
-            return _explain(HTTPStatus.BAD_REQUEST, [str(exc)])
-        if event is None:
+            return _error_response(HTTPStatus.BAD_REQUEST, [str(exc)])
+        if decoded_request is None:
             text = f'{request.method} {request.path!r:.80} is not served'
-            return _explain(HTTPStatus.NOT_FOUND, [text])
-        reply = await self._ask(event)
+            return _error_response(HTTPStatus.NOT_FOUND, [text])
+        reply = await self._dispatch(decoded_request)
         return self._encode(request, reply)
 
-    def take_reply(self, effect: Reply) -> None:
-        """Hand a reply to the request that waits for it."""
-        waiting = self._waiting.pop(effect.request_id, None)
-        if waiting is not None:
-            waiting[1].append(effect)
-            waiting[0].set()
+    def handle_reply(self, effect: Reply) -> None:
+        """Pass a reply to the HTTP request that waits for it.
+
+        A reply to a request that has timed out is dropped.
+        """
+        pending = self._pending.pop(effect.request_id, None)
+        if pending is not None:
+            pending[1].append(effect)
+            pending[0].set()
 
     def order_promotion(self, effect: OrderPromotion) -> None:
-        """Order a promotion; the answer comes as `PromotionEnded`."""
+        """Request a promotion; `PromotionEnded` reports the result."""
         assert self.shell is not None
-        self.shell.spawn(self._order, effect)
+        self.shell.spawn(self._execute_order, effect)
 
     def _decode(self, request: HttpRequest) -> object | None:
         path = request.path.partition('?')[0]
@@ -98,45 +109,46 @@
             return Departure(name=name, started_ms=started_ms)
         return None
 
-    async def _ask(self, request: object) -> Reply | None:
+    async def _dispatch(self, request: object) -> Reply | None:
         assert self.shell is not None
-        number = next(self._numbers)
-        done = trio.Event()
+        request_id = next(self._request_ids)
+        replied = trio.Event()
         replies: list[Reply] = []
-        self._waiting[number] = (done, replies)
+        self._pending[request_id] = (replied, replies)
         self.shell.dispatch(
             RequestReceived(
-                now_ms=read_now_ms(), request_id=number, request=request
+                now_ms=read_now_ms(), request_id=request_id, request=request
             )
         )
         with trio.move_on_after(REPLY_TIMEOUT_S):
-            await done.wait()
-        self._waiting.pop(number, None)
+            await replied.wait()
+        self._pending.pop(request_id, None)
         return replies[0] if replies else None
 
     def _encode(
         self, request: HttpRequest, reply: Reply | None
     ) -> HttpResponse:
         if reply is None or reply.outcome == 'unavailable':
-            return _explain(
-                HTTPStatus.SERVICE_UNAVAILABLE, ['no leader can answer now']
+            return _error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                ['no leader is available at present'],
             )
         if reply.outcome == 'moved':
-            place = f'http://{reply.leader}:{self._port}{request.path}'
+            location = f'http://{reply.leader}:{self._port}{request.path}'
             return HttpResponse(
-                HTTPStatus.TEMPORARY_REDIRECT, headers=[('Location', place)]
+                HTTPStatus.TEMPORARY_REDIRECT, headers=[('Location', location)]
             )
         if reply.outcome == 'invalid':
-            return _explain(HTTPStatus.BAD_REQUEST, reply.faults)
+            return _error_response(HTTPStatus.BAD_REQUEST, reply.faults)
         if request.path.startswith(INSTANCES_PATH):
-            # Later reports come to the leader at once.
+            # The database sends its later reports directly to the leader.
             body = json.dumps({'heartbeatEndpoint': self._address})
             return HttpResponse(HTTPStatus.OK, body.encode())
         return HttpResponse(HTTPStatus.OK, reply.document or b'{}')
 
-    async def _order(self, effect: OrderPromotion) -> None:
+    async def _execute_order(self, effect: OrderPromotion) -> None:
         assert self.shell is not None
-        outcome, detail = await self._call_promote(effect)
+        outcome, detail = await self._request_promotion(effect)
         self.shell.dispatch(
             PromotionEnded(
                 now_ms=read_now_ms(),
@@ -147,22 +159,24 @@
             )
         )
 
-    async def _call_promote(self, effect: OrderPromotion) -> tuple[str, str]:
-        if self._platform is None:
-            return 'unknown', 'the settings name no address for orders'
+    async def _request_promotion(
+        self, effect: OrderPromotion
+    ) -> tuple[str, str]:
+        if self._promotion_address is None:
+            return 'unknown', 'cloudApi.address is missing in the settings'
         body = {'service': effect.group, 'id': effect.upstream}
         headers = [
             ('X-Lease-Holder', effect.holder),
             ('X-Fencing-Token', str(effect.token)),
         ]
         try:
-            response = await call(
-                self._platform,
+            response = await send_request(
+                self._promotion_address,
                 'POST',
                 PROMOTE_PATH,
                 headers,
                 json.dumps(body).encode(),
-                ORDER_TIMEOUT_S,
+                PROMOTION_TIMEOUT_S,
             )
         except HttpError as exc:
             return 'unknown', str(exc)
@@ -174,5 +188,5 @@
         return 'unknown', detail
 
 
-def _explain(status: int, faults: list[str]) -> HttpResponse:
+def _error_response(status: int, faults: list[str]) -> HttpResponse:
     return HttpResponse(status, json.dumps({'errors': faults}).encode())
--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -1,4 +1,9 @@
-"""Bodies of the platform's calls, decoded into requests to control."""
+"""Decoding of the JSON bodies of HTTP requests to a control process.
+
+Operators send the whole configuration, and each database sends reports of its
+state. The models list the JSON fields; the functions convert valid bodies
+into the request types of the core.
+"""
 
 from __future__ import annotations
 
@@ -16,17 +21,18 @@
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.errors import ProtocolError
 
-MAX_SHOWN_ERRORS = 5
+MAX_REPORTED_ERRORS = 5
 
 
-class _Body(BaseModel):
-    # The platform may add fields; the types of those known must be right.
+class _RequestBody(BaseModel):
+    # The platform may add fields, so unknown ones are ignored. Known fields
+    # must have the exact type.
     model_config = ConfigDict(extra='ignore', strict=True, frozen=True)
 
 
-class _Route(_Body):
+class _Route(_RequestBody):
     name: str
-    # The name that sessions ask for.
+    # Database name that callers give when they open a session.
     database: str = Field(alias='databaseName', min_length=1)
     path: str = Field(default='/', alias='pathPrefix')
     consistency: Literal[
@@ -35,86 +41,93 @@
     timeout_ms: int = Field(alias='timeoutMs', ge=1)
     objective_ms: int = Field(default=1_000, alias='targetLatencyMs', ge=1)
     priority: int = Field(default=1, ge=0)
-    # The database group, not one of its members.
+    # Name of a database group, not of one of its members.
     group: str = Field(alias='service')
     max_age_ms: int = Field(default=0, alias='maxStalenessMs', ge=0)
 
 
-class _Service(_Body):
+class _Service(_RequestBody):
     name: str
-    # For each database of the group, all callers together.
+    # Limit for each database of the group, over all callers.
     max_connections: int = Field(default=0, alias='maxConnections', ge=0)
-    # Replicas that hold a commit before it is acknowledged; these are copies
-    # beside the primary's.
+    # Number of replicas that must hold a commit before it is acknowledged.
+    # The primary's own copy is not counted.
     sync_replicas: int = Field(default=0, alias='syncReplicas', ge=0, le=8)
 
 
-class _Limits(_Body):
+class _Limits(_RequestBody):
     idle_txn_ms: int = Field(default=0, alias='txnIdleMs', ge=0)
 
 
-class _Config(_Body):
+class _Config(_RequestBody):
     version: int = Field(ge=0, le=2**62)
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = Field(default_factory=_Limits)
 
 
-class _Instance(_Body):
+class _Instance(_RequestBody):
     group: str = Field(alias='service', min_length=1)
     address: str
-    # The data centre.
+    # Name of the data centre.
     zone: str = Field(min_length=1)
     slots: int = Field(default=0, ge=0)
     state: Literal['ready', 'draining']
     role: Literal['primary', 'replica'] = Field(alias='dbRole')
-    # Counts the reports of one incarnation, which `born` names.
+    # Number of the report, counted from the start of the database. `born` is
+    # the time of that start.
     sequence: int = Field(ge=0)
     born: int = Field(default=0, ge=0)
 
 
 def decode_config(body: bytes) -> DeclareConfig:
-    """Decode the desired state of the operators.
+    """Decode the configuration that operators declare.
 
     Raises
     ------
     ProtocolError
-        The body cannot be read in full, or a value is invalid.
+        The body is not complete JSON, or a value is missing or invalid.
     """
-    config = _validate(_Config, body)
-    objects = [_group(service) for service in config.services]
-    ages = {route.max_age_ms for route in config.routes if _has_age(route)}
+    config = _parse_body(_Config, body)
+    objects = [_build_group(service) for service in config.services]
+    max_ages_ms = {
+        route.max_age_ms
+        for route in config.routes
+        if _has_staleness_limit(route)
+    }
     objects += [
         DeclareObject(
-            type='allowance', name=_age_name(age), body={'max_age_ms': age}
+            type='allowance',
+            name=_allowance_name(max_age_ms),
+            body={'max_age_ms': max_age_ms},
         )
-        for age in sorted(ages)
+        for max_age_ms in sorted(max_ages_ms)
     ]
-    objects += [_endpoint(route, config) for route in config.routes]
+    objects += [_build_endpoint(route, config) for route in config.routes]
     return DeclareConfig(
         version=config.version, document=body, objects=objects
     )
 
 
-def _has_age(route: _Route) -> bool:
+def _has_staleness_limit(route: _Route) -> bool:
     return route.consistency != 'primary'
 
 
-def _age_name(age_ms: int) -> str:
-    return f'age-{age_ms}'
+def _allowance_name(max_age_ms: int) -> str:
+    return f'age-{max_age_ms}'
 
 
-def _group(service: _Service) -> DeclareObject:
-    copies = 1 + service.sync_replicas
+def _build_group(service: _Service) -> DeclareObject:
+    copy_count = 1 + service.sync_replicas
     body = {
-        'databases': copies,
-        'write_copies': copies,
+        'databases': copy_count,
+        'write_copies': copy_count,
     }
     return DeclareObject(type='group', name=service.name, body=body)
 
 
-def _endpoint(route: _Route, config: _Config) -> DeclareObject:
-    connections = {s.name: s.max_connections for s in config.services}
+def _build_endpoint(route: _Route, config: _Config) -> DeclareObject:
+    connection_limits = {s.name: s.max_connections for s in config.services}
     body: dict[str, Any] = {
         'database': route.database,
         'path': route.path,
@@ -124,43 +137,46 @@
         'objective_ms': route.objective_ms,
         'priority': route.priority,
         'idle_txn_ms': config.limits.idle_txn_ms,
-        'max_connections': connections.get(route.group, 0),
+        'max_connections': connection_limits.get(route.group, 0),
     }
-    if _has_age(route):
-        body['allowance'] = _age_name(route.max_age_ms)
+    if _has_staleness_limit(route):
+        body['allowance'] = _allowance_name(route.max_age_ms)
     return DeclareObject(type='endpoint', name=route.name, body=body)
 
 
 def decode_instance(name: str, body: bytes) -> Registration:
-    """Decode what a database says of itself.
+    """Decode the report of a database about its own state.
 
     Raises
     ------
     ProtocolError
-        The body cannot be read, or a value is missing or invalid.
+        The body is not valid JSON, or a value is missing or invalid.
     """
-    instance = _validate(_Instance, body)
-    host, _, port = instance.address.rpartition(':')
+    report = _parse_body(_Instance, body)
+    host, _, port = report.address.rpartition(':')
     if not host or not port.isdecimal():
         raise ProtocolError(
-            f'address {instance.address!r:.80}: valid is IP:PORT'
+            f'malformed address {report.address!r:.80}, expected IP:PORT'
         )
     return Registration(
         name=name,
-        group=instance.group,
+        group=report.group,
         host=host,
         port=int(port),
-        data_centre=instance.zone,
-        slots=instance.slots,
-        state=instance.state,
-        started_ms=instance.born,
-        sequence=instance.sequence,
-        leads=instance.role == 'primary',
+        data_centre=report.zone,
+        slots=report.slots,
+        state=report.state,
+        started_ms=report.born,
+        sequence=report.sequence,
+        leads=report.role == 'primary',
     )
 
 
 def decode_departure(body: bytes) -> int | None:
-    """Return which incarnation ends, or None if the body does not say."""
+    """Return which incarnation of a database ends, as its start time in ms.
+
+    None if the body does not name one: the present incarnation ends then.
+    """
     if not body:
         return None
     try:
@@ -171,13 +187,13 @@
     return born if type(born) is int else None
 
 
-def _validate(model: type[Any], body: bytes) -> Any:
+def _parse_body(model: type[Any], body: bytes) -> Any:
     try:
         return model.model_validate_json(body)
     except ValidationError as exc:
-        errors = exc.errors(include_url=False)[:MAX_SHOWN_ERRORS]
-        texts = [
+        errors = exc.errors(include_url=False)[:MAX_REPORTED_ERRORS]
+        descriptions = [
             f'{".".join(str(part) for part in error["loc"])}: {error["msg"]}'
             for error in errors
         ]
-        raise ProtocolError('; '.join(texts)) from exc
+        raise ProtocolError('; '.join(descriptions)) from exc
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -1,4 +1,10 @@
-"""Program of a session pooler on the platform."""
+"""Entry point of a session pooler that runs on the platform.
+
+The platform calls this process "edge". This module converts the platform's
+settings into the configuration of the pooler, and connects the line protocol
+of callers and databases, the readiness check, the metrics and the reload of
+the settings file to it.
+"""
 
 from __future__ import annotations
 
@@ -21,7 +27,7 @@
 from jackdawpost.platform.lines import decode_status
 from jackdawpost.platform.lines import encode_messages
 from jackdawpost.platform.lines import LineStream
-from jackdawpost.platform.lines import open_database
+from jackdawpost.platform.lines import open_database_stream
 from jackdawpost.platform.metrics import attach_metrics
 from jackdawpost.platform.program import run_program
 from jackdawpost.platform.reload import seed_hosts
@@ -40,25 +46,29 @@
 
 READINESS_PATH = '/readiness'
 MS_PER_SECOND = 1_000
-# The balancer asks once a second and takes a process out after two misses.
-NOTICE_MS = 2_300
-# Left at the end of the time to stop, for what is on its way: not more than
-# its last sixth, up to which the platform expects answers.
+# Time until the load balancer sends no more connections to a process that is
+# not ready: it checks once a second and removes a process after two failures.
+BALANCER_REMOVAL_MS = 2_300
+# Reserve at the end of the grace period, in which answers in transit reach
+# the callers. It is at most the last sixth of the period, because the platform
+# expects statements to be answered until then.
 EXIT_MARGIN_MS = 700
 EXIT_MARGIN_SHARE = 1 / 6
-# Of the time in which a leaving database may get work; the rest is for the
-# way of its report to this process and of the statement to the database.
-LEAVING_SHARE = 0.7
+# Share of the time limit `drainMs` for which a leaving primary still receives
+# statements. The rest covers the delays of its report to this process and of
+# a statement to the database.
+LEAVING_PRIMARY_SHARE = 0.7
 
 
 def build_config(settings: PlatformSettings) -> PoolerConfig:
-    """Return the pooler's settings."""
+    """Return the configuration of the pooler."""
     grace_ms = settings.bounds.grace_s * MS_PER_SECOND
     exit_margin_ms = min(EXIT_MARGIN_MS, grace_ms * EXIT_MARGIN_SHARE)
     host, port = split_address(settings.bind.frontend or ':0')
     return PoolerConfig(
         name=settings.node,
-        # Kept over a restart, so that a quick one stays a member.
+        # The same after a restart: a process that restarts quickly stays a
+        # member.
         member_id=f'{settings.node}@{settings.ip}',
         incarnation=uuid.uuid4().hex,
         host=host,
@@ -68,22 +78,25 @@
         regions=settings.zones,
         seeds=seed_hosts(settings),
         decode_status=decode_status,
-        drain_notice_ms=min(NOTICE_MS, grace_ms / 2),
+        drain_notice_ms=min(BALANCER_REMOVAL_MS, grace_ms / 2),
         drain_txn_ms=grace_ms / 2,
         drain_limit_ms=grace_ms - exit_margin_ms,
-        leaving_work_ms=settings.bounds.drain_ms * LEAVING_SHARE,
+        leaving_work_ms=settings.bounds.drain_ms * LEAVING_PRIMARY_SHARE,
     )
 
 
 def run(settings: PlatformSettings) -> int:
     """Run a session pooler until it is stopped."""
     if settings.bind.frontend is None or settings.bind.readiness is None:
-        raise SystemExit('an edge process needs frontend and readiness')
+        raise SystemExit(
+            'an edge process needs bindAddresses.frontend and '
+            'bindAddresses.readiness in its settings'
+        )
     cfg = build_config(settings)
     protocol = SessionProtocol(
         codecs={'session': CALLER_CODEC, 'upstream': DATABASE_CODEC},
         encoders={'session': encode_messages, 'upstream': encode_messages},
-        open_stream=open_database,
+        open_stream=open_database_stream,
     )
     frontend = split_address(settings.bind.frontend)
     readiness = split_address(settings.bind.readiness)
@@ -101,12 +114,14 @@
 
         return partial(serve_http, *readiness, serve)
 
-    pages = Address(host=settings.ip, port=settings.internal_ports[0] + 1)
+    pages_address = Address(
+        host=settings.ip, port=settings.internal_ports[0] + 1
+    )
     return trio.run(
         run_pooler,
         cfg,
         protocol,
-        pages,
+        pages_address,
         settings.internal_ports[0],
         crc32(settings.ip.encode()),
         attach_frontend,
@@ -129,7 +144,7 @@
 
 
 def main() -> int:
-    """Run the program and return its exit code."""
+    """Load the settings, run the process and return its exit code."""
     return run_program(lambda: load_platform_settings(settings_path()), run)
 
 
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 towards the platform, operators and databases, by `h11`."""
+"""HTTP/1.1 server and client on trio, based on the parser `h11`.
+
+The platform, operators and databases send requests to the server. The client
+sends requests to the platform.
+"""
 
 from __future__ import annotations
 
@@ -21,19 +25,19 @@
 LOG = logging.getLogger(__name__)
 
 READ_BYTES = 65_536
-# The platform's largest configuration, with room for its growth.
+# Above the size of the platform's largest configuration, to let it grow.
 MAX_BODY_BYTES = 2 << 20
-# A peer that is slower than this blocks nobody else, but holds memory.
+# Limits how long a slow peer holds memory; it blocks no other connection.
 REQUEST_TIMEOUT_S = 10.0
 
 
 class HttpError(ProtocolError):
-    """The other end does not speak HTTP as expected, or is gone."""
+    """The peer violated HTTP, closed the connection or did not answer."""
 
 
 @dataclass(slots=True)
 class HttpRequest:
-    """A request as it was received; names of headers are in lower case."""
+    """Request received by the server, with header names in lower case."""
 
     method: str
     path: str
@@ -43,9 +47,9 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """A response to send, or one received.
+    """Response to send, or response received.
 
-    Names of received headers are in lower case.
+    Header names of a received response are in lower case.
     """
 
     status: int
@@ -53,16 +57,18 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
 
 
-Serve = Callable[[HttpRequest], Awaitable[HttpResponse]]
+RequestHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
 
+async def serve_http(host: str, port: int, handler: RequestHandler) -> None:
+    """Serve HTTP requests until cancelled.
 
-async def serve_http(host: str, port: int, serve: Serve) -> None:
-    """Serve requests until cancelled.
+    A network or protocol error ends only its own connection.
 
     Raises
     ------
     ListenError
-        The address cannot be listened on.
+        The process cannot listen on the address.
     """
     try:
         listeners = await trio.open_tcp_listeners(
@@ -74,7 +80,7 @@
     async def handle(stream: trio.SocketStream) -> None:
         try:
             enable_keepalive(stream, CALLER_SILENCE_MS)
-            await _serve_stream(stream, serve)
+            await _serve_stream(stream, handler)
         except (
             OSError,
             trio.BrokenResourceError,
@@ -90,18 +96,22 @@
     await trio.serve_listeners(handle, listeners)
 
 
-async def _serve_stream(stream: trio.SocketStream, serve: Serve) -> None:
+async def _serve_stream(
+    stream: trio.SocketStream, handler: RequestHandler
+) -> None:
     conn = h11.Connection(h11.SERVER)
     while True:
         try:
             request = await _read_request(stream, conn)
         except h11.RemoteProtocolError as exc:
-            await _send(stream, conn, HttpResponse(exc.error_status_hint))
+            await _send_response(
+                stream, conn, HttpResponse(exc.error_status_hint)
+            )
             return
         if request is None:
             return
-        response = await serve(request)
-        await _send(stream, conn, response)
+        response = await handler(request)
+        await _send_response(stream, conn, response)
         if conn.our_state is not h11.DONE:
             return
         conn.start_next_cycle()
@@ -110,7 +120,7 @@
 async def _read_request(
     stream: trio.SocketStream, conn: h11.Connection
 ) -> HttpRequest | None:
-    head: h11.Request | None = None
+    request_head: h11.Request | None = None
     body = bytearray()
     while True:
         event = conn.next_event()
@@ -118,25 +128,26 @@
             with trio.fail_after(REQUEST_TIMEOUT_S):
                 conn.receive_data(await stream.receive_some(READ_BYTES))
         elif isinstance(event, h11.Request):
-            head = event
+            request_head = event
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 raise h11.RemoteProtocolError(
-                    'body is too long', error_status_hint=413
+                    'request body is longer than 2 MiB',
+                    error_status_hint=413,
                 )
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
+        elif isinstance(event, h11.EndOfMessage) and request_head is not None:
             return HttpRequest(
-                head.method.decode(),
-                head.target.decode(),
+                request_head.method.decode(),
+                request_head.target.decode(),
                 bytes(body),
-                _decode_headers(head.headers),
+                _decode_headers(request_head.headers),
             )
         else:
             return None
 
 
-async def _send(
+async def _send_response(
     stream: trio.SocketStream, conn: h11.Connection, response: HttpResponse
 ) -> None:
     if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -146,14 +157,14 @@
         ('Content-Type', 'application/json'),
         *response.headers,
     ]
-    head = h11.Response(status_code=response.status, headers=headers)
-    data = conn.send(head) or b''
+    response_head = h11.Response(status_code=response.status, headers=headers)
+    data = conn.send(response_head) or b''
     data += conn.send(h11.Data(data=response.body)) or b''
     data += conn.send(h11.EndOfMessage()) or b''
     await stream.send_all(data)
 
 
-async def call(
+async def send_request(
     address: tuple[str, int],
     method: str,
     path: str,
@@ -161,15 +172,15 @@
     body: bytes,
     timeout_s: float,
 ) -> HttpResponse:
-    """Make one request on a connection of its own.
+    """Send a request on a new connection and return the response.
 
     Raises
     ------
     HttpError
-        There was no whole response in time; the request may have been, or
-        may still be, carried out.
+        No complete response was received in time. The request may have been
+        executed, or may be executed later.
     """
-    place = f'{method} {address[0]}:{address[1]}{path}'
+    request_line = f'{method} {address[0]}:{address[1]}{path}'
     try:
         with trio.fail_after(timeout_s):
             stream = await trio.open_tcp_stream(*address)
@@ -178,13 +189,15 @@
                     stream, address, method, path, headers, body
                 )
     except trio.TooSlowError as exc:
-        raise HttpError(f'{place}: no response in {timeout_s} s') from exc
+        raise HttpError(
+            f'{request_line}: no response within {timeout_s} s'
+        ) from exc
     except (
         OSError,
         trio.BrokenResourceError,
         h11.RemoteProtocolError,
     ) as exc:
-        raise HttpError(f'{place}: {exc}') from exc
+        raise HttpError(f'{request_line}: {exc}') from exc
 
 
 async def _exchange(
@@ -212,27 +225,27 @@
     data += conn.send(h11.EndOfMessage()) or b''
     await stream.send_all(data)
     status = 0
-    answer_headers: list[tuple[str, str]] = []
-    answer = bytearray()
+    response_headers: list[tuple[str, str]] = []
+    response_body = bytearray()
     while True:
         event = conn.next_event()
         if event is h11.NEED_DATA:
             conn.receive_data(await stream.receive_some(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
-            answer_headers = _decode_headers(event.headers)
+            response_headers = _decode_headers(event.headers)
         elif isinstance(event, h11.Data):
-            answer += event.data
+            response_body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, bytes(answer), answer_headers)
+            return HttpResponse(status, bytes(response_body), response_headers)
         elif isinstance(event, h11.ConnectionClosed):
-            raise HttpError('closed before the response')
+            raise HttpError('connection closed before the response ended')
 
 
 def _decode_headers(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> list[tuple[str, str]]:
     return [
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in headers
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in headers
     ]
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -1,7 +1,7 @@
-"""Line protocol of callers and databases: codec and stream.
+"""Codecs and stream of the line protocol that callers and databases speak.
 
-A message is one line: a word, then fields parted by blanks. The last field
-extends to the end of the line, which ends with CR LF.
+A message is one line: a keyword, then fields separated by spaces. The last
+field extends to the end of the line. CR LF ends each line.
 """
 
 from __future__ import annotations
@@ -43,20 +43,20 @@
 LINE_END = b'\r\n'
 NO_ID = '-'
 NO_POSITION = '-'
-# Bytes that are no UTF-8 are passed on as they came.
-_KEEP_BYTES = 'surrogateescape'
-# Characters that would end a line or a field inside a text of our own.
-_BREAKS = str.maketrans({'\r': ' ', '\n': ' '})
+# Error handler of str codecs that passes on invalid UTF-8 unchanged.
+_UTF8_ERRORS = 'surrogateescape'
+# For error texts of this process: a line break would end the message.
+_LINE_BREAKS_TO_SPACES = str.maketrans({'\r': ' ', '\n': ' '})
 
 _STATES: dict[str, SessionState] = {
     'I': 'idle',
     'T': 'in_txn',
     'E': 'failed_txn',
 }
-_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_STATE_KEYWORDS = {state: keyword for keyword, state in _STATES.items()}
 
-# The project's failure codes by the protocol's.
-_CODES = {
+# Failure codes of `Failed` by the error codes of the line protocol.
+_ERROR_CODES = {
     'BUSY': 'overloaded',
     'ABORTED': 'aborted',
     'LAGGING': 'behind',
@@ -70,9 +70,9 @@
     'NOSTMT': 'no_statement',
     'FAILED': 'statement_failed',
 }
-_CODE_WORDS = {code: word for word, code in _CODES.items()}
+_ERROR_KEYWORDS = {code: keyword for keyword, code in _ERROR_CODES.items()}
 
-_INTERNAL_TEXTS: dict[str, str] = {
+_INTERNAL_STATEMENTS: dict[str, str] = {
     'begin': 'BEGIN',
     'begin_read': 'BEGIN READ',
     'rollback': 'ROLLBACK',
@@ -86,24 +86,24 @@
     """Encode messages as lines."""
     lines = [_ENCODERS[type(message)](message) for message in messages]
     return b''.join(
-        line.encode(errors=_KEEP_BYTES) + LINE_END for line in lines
+        line.encode(errors=_UTF8_ERRORS) + LINE_END for line in lines
     )
 
 
 def _encode_execute(message: Execute) -> str:
-    return f'QUERY {message.id} {_after(message.after)}{message.text}'
+    return f'QUERY {message.id} {_encode_after(message.after)}{message.text}'
 
 
 def _encode_internal(message: Internal) -> str:
-    text = _INTERNAL_TEXTS.get(message.action)
+    text = _INTERNAL_STATEMENTS.get(message.action)
     if text is None:
-        word = message.action.upper()
-        fields = (word, message.name, message.argument)
+        keyword = message.action.upper()
+        fields = (keyword, message.name, message.argument)
         text = ' '.join(field for field in fields if field)
-    return f'QUERY {NO_ID} {_after(message.after)}{text}'
+    return f'QUERY {NO_ID} {_encode_after(message.after)}{text}'
 
 
-def _after(position: LogPosition | None) -> str:
+def _encode_after(position: LogPosition | None) -> str:
     return '' if position is None else f'AFTER {_encode_position(position)} '
 
 
@@ -114,13 +114,13 @@
 
 
 def _encode_ready(message: Ready) -> str:
-    state = _STATE_WORDS[message.state]
+    state = _STATE_KEYWORDS[message.state]
     return f'READY {state} {_encode_position(message.position)}'
 
 
 def _encode_failed(message: Failed) -> str:
-    word = _CODE_WORDS.get(message.code, 'FAILED')
-    return f'ERROR {word} {message.text.translate(_BREAKS)}'
+    keyword = _ERROR_KEYWORDS.get(message.code, 'FAILED')
+    return f'ERROR {keyword} {message.text.translate(_LINE_BREAKS_TO_SPACES)}'
 
 
 _ENCODERS: dict[type[Any], Callable[[Any], str]] = {
@@ -135,60 +135,73 @@
 
 
 class LineCodec:
-    """Decodes lines of one kind of peer.
+    """Decoder of the lines that one kind of peer may send.
 
     Parameters
     ----------
     decoders : dict
-        Function for the rest of the line by its first word.
+        Maps the keyword of a line to a function that decodes the rest.
     """
 
     def __init__(self, decoders: dict[str, Callable[[str], Any]]) -> None:
         self._decoders = decoders
 
     def decode(self, frame: bytes | str) -> list[Any]:
-        """Decode whole lines.
+        """Decode complete lines into messages.
 
         Raises
         ------
         FrameError
-            A line is no message that this kind of peer may send.
+            A line is malformed, or this kind of peer may not send it.
         """
         assert isinstance(frame, bytes)
-        text = frame.decode(errors=_KEEP_BYTES)
+        text = frame.decode(errors=_UTF8_ERRORS)
         return [self._decode_line(line) for line in text.split('\r\n')[:-1]]
 
     def _decode_line(self, line: str) -> Any:
         if '\n' in line or '\r' in line:
             raise FrameError(f'line break inside {line!r:.80}')
-        word, _, rest = line.partition(' ')
-        decoder = self._decoders.get(word)
+        keyword, _, rest = line.partition(' ')
+        decoder = self._decoders.get(keyword)
         if decoder is None:
-            valid = ', '.join(self._decoders)
-            raise FrameError(f'word {word!r:.40}: valid are {valid}')
+            accepted = ', '.join(self._decoders)
+            raise FrameError(
+                f'unknown keyword {keyword!r:.40}, expected one of {accepted}'
+            )
         return decoder(rest)
 
 
 def _decode_start(rest: str) -> StartSession:
     database = rest.split(' ')[0]
     if not database:
-        raise FrameError('START names no database')
+        raise FrameError('START without a field, expected a database name')
     return StartSession(database=database)
 
 
 def decode_request(rest: str) -> Request:
-    """Decode the fields of a QUERY."""
+    """Decode the fields of a ``QUERY`` line of a caller.
+
+    A statement that is unknown or has the wrong fields gets the verb
+    ``'unknown'``.
+
+    Raises
+    ------
+    FrameError
+        The id or the statement is missing.
+    """
     request_id, _, text = rest.partition(' ')
     if not request_id or request_id == NO_ID or not text:
-        raise FrameError(f'QUERY {rest!r:.80}: valid is an id and a text')
-    word, _, fields = text.partition(' ')
-    verb = _VERBS.get(word, 'unknown')
+        raise FrameError(
+            f'malformed QUERY {rest!r:.80}, expected an id and a statement'
+        )
+    keyword, _, fields = text.partition(' ')
+    verb = _VERBS_BY_KEYWORD.get(keyword, 'unknown')
     name, _, argument = fields.partition(' ')
     if verb == 'begin' and fields:
         verb = 'begin_read' if fields == 'READ' else 'unknown'
     elif verb in ('commit', 'rollback') and fields:
         verb = 'unknown'
-    elif verb in _FIELDS_OF and not _FIELDS_OF[verb](name, argument):
+    elif verb in _FIELD_CHECKS and not _FIELD_CHECKS[verb](name, argument):
         verb = 'unknown'
     if verb not in ('set', 'prepare', 'execute', 'deallocate'):
         return Request(id=request_id, text=text, verb=verb)
@@ -197,7 +210,7 @@
     )
 
 
-_VERBS: dict[str, Verb] = {
+_VERBS_BY_KEYWORD: dict[str, Verb] = {
     'BEGIN': 'begin',
     'COMMIT': 'commit',
     'ROLLBACK': 'rollback',
@@ -209,8 +222,8 @@
     'DEALLOC': 'deallocate',
 }
 
-# Whether the fields of a statement are complete.
-_FIELDS_OF: dict[str, Callable[[str, str], bool]] = {
+# Checks that a statement has exactly the fields that its verb requires.
+_FIELD_CHECKS: dict[str, Callable[[str, str], bool]] = {
     'read': lambda name, argument: bool(name) and not argument,
     'write': lambda name, argument: bool(name) and bool(argument),
     'set': lambda name, argument: bool(name) and bool(argument),
@@ -223,24 +236,28 @@
 
 
 def _decode_failed(rest: str) -> Failed:
-    word, _, text = rest.partition(' ')
-    return Failed(code=_CODES.get(word, 'statement_failed'), text=text)
+    keyword, _, text = rest.partition(' ')
+    return Failed(
+        code=_ERROR_CODES.get(keyword, 'statement_failed'), text=text
+    )
 
 
 def _decode_ready(rest: str) -> Ready:
     state, _, position = rest.partition(' ')
     if state not in _STATES:
-        raise FrameError(f'state {state!r:.20}: valid are I, T and E')
+        raise FrameError(
+            f'unknown session state {state!r:.20}, expected I, T or E'
+        )
     return Ready(state=_STATES[state], position=decode_position(position))
 
 
 def decode_position(text: str) -> LogPosition | None:
-    """Decode TERM.NUMBER, or ``-`` for none.
+    """Decode a log position: ``TERM.NUMBER``, or ``-`` for None.
 
     Raises
     ------
     FrameError
-        The text is neither.
+        The text has another form.
     """
     if text == NO_POSITION:
         return None
@@ -249,29 +266,35 @@
         return LogPosition(int(term), int(number))
     except ValueError as exc:
         raise FrameError(
-            f'position {text!r:.40}: valid is TERM.NUMBER'
+            f'malformed log position {text!r:.40}, expected TERM.NUMBER or -'
         ) from exc
 
 
 def decode_status(row: str) -> UpstreamStatus:
-    """Decode the row that answers STATUS.
+    """Decode the row that a database returns for ``STATUS``.
 
-    Its fields are role, term, position received, term held, lag in ms, busy
-    slots and open connections.
+    Its fields are role, term, position received, term held, replication lag
+    in ms, slots in use and open connections. Only the first three are read.
 
     Raises
     ------
     ProtocolError
-        The row has other fields.
+        One of the first three fields is missing or malformed.
     """
     fields = row.split(' ')
     try:
         role, term = fields[0], int(fields[1])
         received = decode_position(fields[2])
     except (ValueError, IndexError) as exc:
-        raise ProtocolError(f'status {row!r:.80} cannot be read') from exc
+        raise ProtocolError(
+            f'malformed status {row!r:.80}, expected a role, a term and a log '
+            'position'
+        ) from exc
     if role not in ('primary', 'replica') or received is None:
-        raise ProtocolError(f'status {row!r:.80} cannot be read')
+        raise ProtocolError(
+            f'malformed status {row!r:.80}, expected the role primary or '
+            'replica, and a log position other than -'
+        )
     return UpstreamStatus(
         leads=role == 'primary', term=term, received=received
     )
@@ -295,7 +318,7 @@
 
 
 class LineStream:
-    """Sends and receives whole lines over one connection."""
+    """Stream of complete lines over one TCP connection."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
@@ -303,12 +326,14 @@
         self._buffer = bytearray()
 
     async def receive(self) -> bytes:
-        """Return all whole lines that have arrived, with their ends.
+        """Wait for a complete line and return all that have arrived.
+
+        The line ends are included.
 
         Raises
         ------
         LinkClosedError
-            The connection has ended.
+            The connection is closed.
         FrameError
             A line is longer than 1 MiB.
         """
@@ -334,44 +359,44 @@
             self._buffer += data
 
     def post(self, frame: bytes | str) -> None:
-        """Send lines without waiting."""
+        """Send lines without waiting; drop them if the stream is closed."""
         assert isinstance(frame, bytes)
         if not self._writer.closed:
             self._writer.write(frame)
 
     async def aclose(self, reason: str = '') -> None:
-        """Send what is unsent, then close."""
+        """Send the unsent data for at most 1 s, then close."""
         with trio.move_on_after(1) as scope:
             scope.shield = True
             await self._writer.drain()
         await self.abort()
 
     async def abort(self) -> None:
-        """Close at once."""
+        """Close the connection and drop unsent data."""
         await self._writer.abort()
 
 
 @asynccontextmanager
-async def open_database(effect: Connect) -> AsyncIterator[LineStream]:
-    """Connect to a database.
+async def open_database_stream(effect: Connect) -> AsyncIterator[LineStream]:
+    """Connect to a database; the connection is closed on exit.
 
     Raises
     ------
     LinkRefusedError
-        The other end refused the connection.
+        The connection failed.
     LinkTimeoutError
-        The other end did not answer in time.
+        The database did not accept the connection in time.
     """
-    place = f'{effect.host}:{effect.port}'
+    address = f'{effect.host}:{effect.port}'
     try:
         with trio.fail_after(effect.timeout_ms / MS_PER_SECOND):
             stream = await trio.open_tcp_stream(effect.host, effect.port)
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
-            f'{place}: no answer within {effect.timeout_ms} ms'
+            f'{address}: no answer within {effect.timeout_ms} ms'
         ) from exc
     except OSError as exc:
-        raise LinkRefusedError(f'{place}: {exc}') from exc
+        raise LinkRefusedError(f'{address}: {exc}') from exc
     enable_keepalive(stream, PEER_SILENCE_MS)
     lines = LineStream(stream)
     try:
--- a/jackdawpost/platform/metrics.py
+++ b/jackdawpost/platform/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics on the address that the deploy file names."""
+"""HTTP server of the metrics, at the port that the deploy file names."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 from jackdawpost.runtime.shell import ReducerShell
 from jackdawpost.wire.server import ListenError
 
-# As in deploy/system.toml; the ports in the settings change from day to day.
+# Must equal the port in deploy/system.toml. It is not taken from the ports in
+# the settings, because those change from one deployment to the next.
 METRICS_PORT = 9464
 METRICS_PATH = '/metrics'
 
@@ -24,7 +25,11 @@
 def attach_metrics(
     settings: PlatformSettings,
 ) -> Callable[[ReducerShell], Callable[[], Any]]:
-    """Return what serves a process's metrics as text."""
+    """Return a function that attaches the metrics server to a process.
+
+    The function takes the shell of the process and returns the coroutine
+    function that serves its metrics as text.
+    """
 
     def attach(shell: ReducerShell) -> Callable[[], Any]:
         async def serve(request: HttpRequest) -> HttpResponse:
@@ -37,7 +42,7 @@
             try:
                 await serve_http(settings.ip, METRICS_PORT, serve)
             except ListenError as exc:
-                # Serving callers matters more than being measured.
+                # The process keeps serving callers, without metrics.
                 LOG.warning('metrics_unserved', extra={'detail': str(exc)})
 
         return run
--- a/jackdawpost/platform/program.py
+++ b/jackdawpost/platform/program.py
@@ -1,4 +1,4 @@
-"""Start of the programs on the platform: settings, logs, exit codes."""
+"""Start-up of the programs on the platform: settings, log and exit code."""
 
 from __future__ import annotations
 
@@ -18,7 +18,21 @@
     load: Callable[[], PlatformSettings],
     run: Callable[[PlatformSettings], int],
 ) -> int:
-    """Load the settings, run a daemon until it stops, return its exit code."""
+    """Load the settings and run a daemon until it stops.
+
+    Parameters
+    ----------
+    load : callable
+        Loads the settings; may raise `ConfigError`.
+    run : callable
+        Runs the daemon and returns its exit code.
+
+    Returns
+    -------
+    int
+        Exit code: `EXIT_USAGE` for invalid settings, `EXIT_FAILED` if the
+        daemon failed.
+    """
     try:
         settings = load()
     except ConfigError as error:
--- a/jackdawpost/platform/reload.py
+++ b/jackdawpost/platform/reload.py
@@ -1,4 +1,8 @@
-"""Reloads the settings file on SIGHUP, and when it changes without one."""
+"""Reload of the settings file, on SIGHUP or when the file has changed.
+
+Only the seeds are taken from the reloaded file. The process receives them as
+`SeedsChanged`.
+"""
 
 from __future__ import annotations
 
@@ -20,23 +24,26 @@
 from jackdawpost.runtime.timers import read_now_ms
 
 LOG = logging.getLogger('jackdawpost')
-POLL_S = 1.0
+POLL_INTERVAL_S = 1.0
 
 
 def seed_hosts(settings: PlatformSettings) -> tuple[str, ...]:
-    """Return the IP addresses of the seeds."""
+    """Return the IP addresses of the seeds, without their ports."""
     return tuple(split_address(seed)[0] for seed in settings.seeds)
 
 
 def watch_settings(shell: ReducerShell) -> Callable[[], object]:
-    """Return a coroutine function that tells a process of new settings."""
+    """Return a coroutine function that reloads the settings until cancelled.
+
+    It dispatches the new settings to the shell of the process.
+    """
     path = settings_path()
 
     def reload(cause: str) -> None:
         try:
             settings = load_platform_settings(path)
         except ConfigError as exc:
-            # The settings in effect stay until the file is valid again.
+            # The process keeps its settings until the file is valid again.
             LOG.error('reload_refused', extra={'detail': str(exc)})
             return
         seeds = seed_hosts(settings)
@@ -59,16 +66,16 @@
 
 
 async def _watch_file(path: str, reload: Callable[[str], None]) -> None:
-    known = _stamp(path)
+    last_version = _read_file_version(path)
     while True:
-        await trio.sleep(POLL_S)
-        stamp = _stamp(path)
-        if stamp != known:
-            known = stamp
+        await trio.sleep(POLL_INTERVAL_S)
+        version = _read_file_version(path)
+        if version != last_version:
+            last_version = version
             reload('file changed')
 
 
-def _stamp(path: str) -> tuple[int, int] | None:
+def _read_file_version(path: str) -> tuple[int, int] | None:
     try:
         status = os.stat(path)
     except OSError as exc:
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -1,4 +1,7 @@
-"""Settings file of the platform, decoded into the product's settings."""
+"""Settings file that the platform writes for each process, in TOML.
+
+The aliases are the keys of the file.
+"""
 
 from __future__ import annotations
 
@@ -20,14 +23,14 @@
 
 
 class _Table(BaseModel):
-    # The platform may add fields at any time.
+    # The platform may add keys at any time, so unknown ones are ignored.
     model_config = ConfigDict(extra='ignore', frozen=True)
 
 
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(':')
     if not host or not port.isdecimal():
-        raise ValueError('valid is IP:PORT')
+        raise ValueError('address must have the form IP:PORT')
     return value
 
 
@@ -35,7 +38,7 @@
 
 
 class BindAddresses(_Table):
-    """Addresses to serve; which ones depends on the role."""
+    """Addresses to listen on; which ones are set depends on the role."""
 
     frontend: AddressText | None = None
     readiness: AddressText | None = None
@@ -43,13 +46,13 @@
 
 
 class FaultTolerance(_Table):
-    """What may be lost at once."""
+    """Number of machines that may fail at the same time."""
 
     machines: int = Field(default=1, ge=0)
 
 
 class Bounds(_Table):
-    """Time limits that the platform states."""
+    """Time limits that the platform sets for the processes."""
 
     drain_ms: float = Field(default=7_000, gt=0, alias='drainMs')
     grace_s: float = Field(default=6, gt=0, alias='graceS')
@@ -60,16 +63,28 @@
 
 
 class PlatformApi(_Table):
-    """Where the platform takes orders."""
+    """Address of the platform's own API, which promotes databases."""
 
     address: AddressText
 
 
 class PlatformSettings(_Table):
-    """The platform's settings of one process.
-
-    `node` names the machine's process and `zone` its data centre; `seeds`
-    are control addresses as IP:PORT.
+    """Settings of one process.
+
+    Parameters
+    ----------
+    node : str
+        Name of this process.
+    zone, region : str
+        Data centre of this process, and the region that contains it.
+    internal_ports : tuple of int
+        First and last port of the range for use between processes.
+    seeds : list of str
+        Addresses of control processes to connect to first, as IP:PORT.
+    is_first_start : bool
+        Whether the system starts for the first time, without stored state.
+    zones : dict of str to str
+        Region of each data centre.
     """
 
     node: str = Field(alias='nodeName', min_length=1)
@@ -93,17 +108,17 @@
 
 
 def settings_path() -> str:
-    """Return the path of the settings file.
+    """Return the path of the settings file, from the environment.
 
     Raises
     ------
     ConfigError
-        The environment does not name one.
+        The environment variable is missing or empty.
     """
     path = os.environ.get(SETTINGS_VARIABLE, '')
     if not path:
         raise ConfigError(
-            SETTINGS_VARIABLE, '', path, 'the path of a settings file'
+            SETTINGS_VARIABLE, '', path, 'expected the path of a settings file'
         )
     return path
 
@@ -114,14 +129,16 @@
     Raises
     ------
     ConfigError
-        The file cannot be read, or values are invalid; the error names all
-        of them.
+        The file is not readable TOML, or values are invalid. The error names
+        all invalid values.
     """
     try:
         with open(path, 'rb') as file:
             value: dict[str, Any] = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError) as exc:
-        raise ConfigError(path, '', str(exc), 'a readable TOML file') from exc
+        raise ConfigError(
+            path, '', str(exc), 'expected a readable TOML file'
+        ) from exc
     try:
         return PlatformSettings.model_validate(value)
     except ValidationError as exc:
@@ -129,6 +146,6 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of IP:PORT."""
+    """Split an address of the form IP:PORT into host and port."""
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/jackdawpost/tests/platform/test_http.py
+++ b/jackdawpost/tests/platform/test_http.py
@@ -8,9 +8,9 @@
 import trio
 
 from jackdawpost.platform import http
-from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
 from jackdawpost.platform.http import HttpResponse
+from jackdawpost.platform.http import send_request
 from jackdawpost.platform.http import serve_http
 
 HOST = '127.0.0.1'
@@ -43,7 +43,7 @@
 
 async def test_calls_are_answered(nursery):
     port = await _start(nursery)
-    response = await call((HOST, port), 'PUT', '/a?b', [], b'12345', 2)
+    response = await send_request((HOST, port), 'PUT', '/a?b', [], b'12345', 2)
     assert (response.status, response.body) == (200, b'PUT /a?b 5')
 
 
@@ -70,7 +70,7 @@
     port = await _start(nursery)
     answer = await _send(port, data)
     assert answer == b'' or answer.startswith(b'HTTP/1.1 4')
-    response = await call((HOST, port), 'GET', '/next', [], b'', 2)
+    response = await send_request((HOST, port), 'GET', '/next', [], b'', 2)
     assert response.status == 200
 
 
@@ -105,9 +105,9 @@
 
     port = await _start(nursery, sleep)
     with pytest.raises(HttpError):
-        await call((HOST, port), 'GET', '/', [], b'', 0.2)
+        await send_request((HOST, port), 'GET', '/', [], b'', 0.2)
 
 
 async def test_call_to_nobody_fails():
     with pytest.raises(HttpError):
-        await call((HOST, 1), 'GET', '/', [], b'', 0.5)
+        await send_request((HOST, 1), 'GET', '/', [], b'', 0.5)
--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -15,8 +15,8 @@
 import pytest
 import trio
 
-from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
+from jackdawpost.platform.http import send_request
 from jackdawpost_standin.line_caller import LineCaller
 from jackdawpost_standin.line_database import LineGroup
 
@@ -142,7 +142,9 @@
         ):
             body = json.dumps(CONFIG).encode()
             api = (HOST, control)
-            await _until(lambda: call(api, 'PUT', '/config', [], body, 2))
+            await _until(
+                lambda: send_request(api, 'PUT', '/config', [], body, 2)
+            )
             report = {
                 'service': 'pool',
                 'address': address,
@@ -154,16 +156,20 @@
             }
             beat = json.dumps(report).encode()
             path = '/instances/i-1'
-            await _until(lambda: call(api, 'PUT', path, [], beat, 2))
-            held = await call(api, 'GET', '/config', [], b'', 2)
+            await _until(lambda: send_request(api, 'PUT', path, [], beat, 2))
+            held = await send_request(api, 'GET', '/config', [], b'', 2)
             assert json.loads(held.body) == CONFIG
-            bad = await call(api, 'PUT', '/config', [], body[:40], 2)
+            bad = await send_request(api, 'PUT', '/config', [], body[:40], 2)
             assert bad.status == 400
             ready = (HOST, readiness)
-            await _until(lambda: call(ready, 'GET', '/readiness', [], b'', 2))
+            await _until(
+                lambda: send_request(ready, 'GET', '/readiness', [], b'', 2)
+            )
             await _use(frontend, database)
             pages = (HOST, inside + 1)
-            text = await call(pages, 'GET', '/metrics/text', [], b'', 2)
+            text = await send_request(
+                pages, 'GET', '/metrics/text', [], b'', 2
+            )
             assert b'jackdawpost_statements_done_total' in text.body
             os.kill(edge.pid, signal.SIGHUP)
             await trio.sleep(0.3)
--- a/jackdawpost/tests/platform/test_settings.py
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -8,7 +8,7 @@
 import pytest
 
 from jackdawpost.errors import ConfigError
-from jackdawpost.platform.control import build_plan
+from jackdawpost.platform.control import build_control_spec
 from jackdawpost.platform.edge import build_config
 from jackdawpost.platform.reload import seed_hosts
 from jackdawpost.platform.settings import load_platform_settings
@@ -85,9 +85,9 @@
     empty, kept = tmp_path / 'empty', tmp_path / 'kept'
     kept.mkdir()
     (kept / 'node_id').write_text('x')
-    assert len(build_plan(first, str(empty)).cfg.peers) == 3
-    assert build_plan(later, str(empty)).cfg.peers == []
-    assert len(build_plan(later, str(kept)).cfg.peers) == 3
+    assert len(build_control_spec(first, str(empty)).cfg.peers) == 3
+    assert build_control_spec(later, str(empty)).cfg.peers == []
+    assert len(build_control_spec(later, str(kept)).cfg.peers) == 3
 
 
 def test_build_and_package_require_the_same_libraries():
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -12,10 +12,10 @@
 
 import trio
 
-from jackdawpost.platform.http import call
 from jackdawpost.platform.http import HttpError
 from jackdawpost.platform.http import HttpRequest
 from jackdawpost.platform.http import HttpResponse
+from jackdawpost.platform.http import send_request
 from jackdawpost.platform.settings import split_address
 from jackdawpost_standin.line_database import LineDatabase
 from jackdawpost_standin.line_database import LineGroup
@@ -44,7 +44,7 @@
         place, target = (host, CONTROL_PORT), path
         for _ in range(1 + MAX_REDIRECTS):
             try:
-                response = await call(
+                response = await send_request(
                     place, method, target, [], body, CALL_TIMEOUT_S
                 )
             except HttpError:
