--- a/jackdawpost/tests/platform/test_documents.py
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -1,4 +1,4 @@
-"""Bodies of the platform's calls."""
+"""Decoding of the JSON bodies of HTTP requests to a control process."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
     }
 
 
-def _declare(machine, index, config):
+def _apply_config(machine, index, config):
     request = decode_config(json.dumps(config).encode())
     command = DeclareObjects(
         version=request.version,
@@ -57,10 +57,10 @@
     return apply_command(machine, index, command)
 
 
-def test_routes_become_endpoints_with_the_limits_of_their_group():
+def test_routes_are_converted_to_endpoints_with_limits_of_their_group():
     machine = new_machine()
     route = _route('r-2', type='read_your_writes', maxStalenessMs=2_500)
-    applied = _declare(machine, 1, _config(routes=[_route(), route]))
+    applied = _apply_config(machine, 1, _config(routes=[_route(), route]))
     assert applied.answer.accepted and applied.changed
     body = machine.published['endpoint/r-2'].body
     assert body['max_age_ms'] == 2_500
@@ -70,7 +70,7 @@
 
 
 @pytest.mark.parametrize(
-    'change',
+    'changed_fields',
     [
         {'routes': [_route(service='other')]},
         {'routes': [_route(timeoutMs=0)]},
@@ -82,12 +82,12 @@
         {'services': None},
     ],
 )
-def test_invalid_configuration_is_refused_as_a_whole(change):
+def test_invalid_configuration_is_rejected_as_a_whole(changed_fields):
     machine = new_machine()
-    _declare(machine, 1, _config(version=1))
+    _apply_config(machine, 1, _config(version=1))
     before = encode_snapshot(machine)
     try:
-        applied = _declare(machine, 2, {**_config(), **change})
+        applied = _apply_config(machine, 2, {**_config(), **changed_fields})
     except ProtocolError:
         return
     assert not applied.answer.accepted and applied.answer.faults
@@ -97,7 +97,7 @@
 
 @settings(derandomize=True, max_examples=60)
 @given(st.integers(min_value=0, max_value=400))
-def test_configuration_cut_short_is_refused(length):
+def test_truncated_configuration_is_rejected(length):
     body = json.dumps(_config()).encode()
     if length < len(body):
         with pytest.raises(ProtocolError):
@@ -105,31 +105,31 @@
 
 
 def test_highest_version_wins_and_lower_ones_are_accepted_without_effect():
-    # Guards against a change that is refused when it is sent again, and
-    # against other content under a version that is held.
+    # Guards against the rejection of a change that is sent again, and against
+    # a stored version whose content is replaced.
     machine = new_machine()
-    _declare(machine, 1, _config(version=7))
-    held = machine.declared.document
+    _apply_config(machine, 1, _config(version=7))
+    stored = machine.declared.document
     for version in (7, 6):
         other = _config(version=version, routes=[])
-        applied = _declare(machine, 2, other)
+        applied = _apply_config(machine, 2, other)
         assert applied.answer.accepted and not applied.changed
-    assert machine.declared.document == held
+    assert machine.declared.document == stored
     assert 'endpoint/r-1' in machine.published
 
 
 def test_declared_configuration_survives_a_snapshot():
     machine = new_machine()
-    _declare(machine, 1, _config(version=7))
+    _apply_config(machine, 1, _config(version=7))
     restored = decode_snapshot(encode_snapshot(machine))
     assert restored.declared == machine.declared
-    assert _declare(restored, 2, _config(version=7)).answer.accepted
+    assert _apply_config(restored, 2, _config(version=7)).answer.accepted
 
 
-def test_dropped_route_is_withdrawn_from_proxies():
+def test_removed_route_is_withdrawn_from_proxies():
     machine = new_machine()
-    _declare(machine, 1, _config(version=7))
-    _declare(machine, 2, _config(version=8, routes=[]))
+    _apply_config(machine, 1, _config(version=7))
+    _apply_config(machine, 2, _config(version=8, routes=[]))
     assert 'endpoint/r-1' not in machine.published
     assert 'endpoint/r-1' in machine.tombstones
 
@@ -152,15 +152,21 @@
     assert (report.state, report.leads) == ('draining', True)
     assert report.started_ms == 1_700_000_000_000
     for key in ('service', 'address', 'state', 'dbRole', 'sequence'):
-        cut = {k: v for k, v in body.items() if k != key}
+        incomplete = {k: v for k, v in body.items() if k != key}
         with pytest.raises(ProtocolError):
-            decode_instance('i-1', json.dumps(cut).encode())
-    for change in ({'sequence': 'x'}, {'state': 'odd'}, {'address': 'x'}):
+            decode_instance('i-1', json.dumps(incomplete).encode())
+    for changed_fields in (
+        {'sequence': 'x'},
+        {'state': 'odd'},
+        {'address': 'x'},
+    ):
         with pytest.raises(ProtocolError):
-            decode_instance('i-1', json.dumps({**body, **change}).encode())
+            decode_instance(
+                'i-1', json.dumps({**body, **changed_fields}).encode()
+            )
 
 
-def test_unreadable_departure_names_no_incarnation():
+def test_malformed_departure_names_no_incarnation():
     assert decode_departure(b'') is None
     assert decode_departure(b'\xff{') is None
     assert decode_departure(b'{"born": "x"}') is None
--- a/jackdawpost/tests/platform/test_http.py
+++ b/jackdawpost/tests/platform/test_http.py
@@ -1,4 +1,4 @@
-"""HTTP border: ordinary and hostile peers."""
+"""HTTP server and client, with well-behaved and hostile peers."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 HOST = '127.0.0.1'
 
 
-async def _echo(request):
+async def _echo_request(request):
     text = f'{request.method} {request.path} {len(request.body)}'
     return HttpResponse(200, text.encode())
 
 
-async def _start(nursery, serve=_echo):
+async def _start_server(nursery, serve=_echo_request):
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     port = listeners[0].socket.getsockname()[1]
     await listeners[0].aclose()
@@ -30,7 +30,7 @@
     return port
 
 
-async def _send(port, data):
+async def _send_raw(port, data):
     stream = await trio.open_tcp_stream(HOST, port)
     async with stream:
         await stream.send_all(data)
@@ -41,17 +41,17 @@
         return answer
 
 
-async def test_calls_are_answered(nursery):
-    port = await _start(nursery)
+async def test_request_is_answered(nursery):
+    port = await _start_server(nursery)
     response = await send_request((HOST, port), 'PUT', '/a?b', [], b'12345', 2)
     assert (response.status, response.body) == (200, b'PUT /a?b 5')
 
 
 async def test_two_requests_on_one_connection_are_both_answered(nursery):
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     one = b'GET /1 HTTP/1.1\r\nHost: x\r\n\r\n'
     two = b'GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
-    answer = await _send(port, one + two)
+    answer = await _send_raw(port, one + two)
     assert b'GET /1 0' in answer and b'GET /2 0' in answer
 
 
@@ -66,30 +66,32 @@
         b'GET / HTTP/1.1\r\n\r\n',
     ],
 )
-async def test_malformed_request_is_refused_and_harms_nobody(nursery, data):
-    port = await _start(nursery)
-    answer = await _send(port, data)
+async def test_malformed_request_is_rejected_and_the_next_served(
+    nursery, data
+):
+    port = await _start_server(nursery)
+    answer = await _send_raw(port, data)
     assert answer == b'' or answer.startswith(b'HTTP/1.1 4')
     response = await send_request((HOST, port), 'GET', '/next', [], b'', 2)
     assert response.status == 200
 
 
-async def test_body_beyond_the_limit_is_refused(nursery, monkeypatch):
+async def test_body_above_the_limit_is_rejected(nursery, monkeypatch):
     monkeypatch.setattr(http, 'MAX_BODY_BYTES', 1_000)
-    port = await _start(nursery)
+    port = await _start_server(nursery)
     head = b'PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n'
-    answer = await _send(port, head + b'x' * 2_000)
+    answer = await _send_raw(port, head + b'x' * 2_000)
     assert answer.startswith(b'HTTP/1.1 413')
 
 
-async def test_cut_request_gets_no_answer_and_has_no_effect(nursery):
+async def test_truncated_request_is_not_handled(nursery):
     seen = []
 
     async def serve(request):
         seen.append(request)
         return HttpResponse(200)
 
-    port = await _start(nursery, serve)
+    port = await _start_server(nursery, serve)
     stream = await trio.open_tcp_stream(HOST, port)
     await stream.send_all(
         b'PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc'
@@ -99,15 +101,15 @@
     assert not seen
 
 
-async def test_call_without_answer_ends_in_time(nursery):
+async def test_request_without_response_times_out(nursery):
     async def sleep(request):
         await trio.sleep(10)
 
-    port = await _start(nursery, sleep)
+    port = await _start_server(nursery, sleep)
     with pytest.raises(HttpError):
         await send_request((HOST, port), 'GET', '/', [], b'', 0.2)
 
 
-async def test_call_to_nobody_fails():
+async def test_request_to_a_closed_port_fails():
     with pytest.raises(HttpError):
         await send_request((HOST, 1), 'GET', '/', [], b'', 0.5)
--- a/jackdawpost/tests/platform/test_lines.py
+++ b/jackdawpost/tests/platform/test_lines.py
@@ -1,4 +1,4 @@
-"""Line protocol: round trips, and hostile input."""
+"""Line protocol: encoding and decoding, and hostile input."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
         ),
     ],
 )
-def test_messages_have_the_stated_form(message, line):
+def test_messages_are_encoded_as_lines(message, line):
     assert encode_messages([message]) == line
 
 
@@ -93,8 +93,9 @@
         ('PAUSE 9', 'unknown', '', ''),
     ],
 )
-def test_statements_are_told_apart(text, verb, name, argument):
-    # AFTER, STATUS, PAUSE and the like are this process's own to send.
+def test_statements_are_classified(text, verb, name, argument):
+    # AFTER, STATUS, PAUSE and similar statements are sent by this process
+    # only; a caller's statement of that form is unknown.
     request = CALLER_CODEC.decode(f'QUERY a1 {text}\r\n'.encode())[0]
     assert (request.verb, request.name, request.argument) == (
         verb,
@@ -117,19 +118,19 @@
         b'READY I -\r\n',
     ],
 )
-def test_lines_that_no_caller_may_send_are_refused(line):
+def test_lines_that_no_caller_may_send_are_rejected(line):
     with pytest.raises(FrameError):
         CALLER_CODEC.decode(line)
 
 
-def test_session_words_of_a_caller():
+def test_start_and_end_of_a_session_are_decoded():
     decoded = CALLER_CODEC.decode(b'START orders u1\r\nTERMINATE\r\n')
     assert decoded == [StartSession(database='orders'), EndSession()]
 
 
 @settings(derandomize=True, max_examples=300)
 @given(st.binary(max_size=200))
-def test_any_bytes_are_decoded_or_refused(data):
+def test_any_bytes_are_decoded_or_rejected(data):
     for codec in (CALLER_CODEC, DATABASE_CODEC):
         try:
             messages = codec.decode(data + b'\r\n')
@@ -142,7 +143,7 @@
 @given(
     st.binary(max_size=60).filter(lambda b: b'\r' not in b and b'\n' not in b)
 )
-def test_texts_pass_through_unchanged(data):
+def test_statement_bytes_are_passed_on_unchanged(data):
     request = CALLER_CODEC.decode(b'QUERY a1 X' + data + b'\r\n')[0]
     line = encode_messages([Execute(id=request.id, text=request.text)])
     assert line == b'QUERY a1 X' + data + b'\r\n'
@@ -151,18 +152,18 @@
 @pytest.mark.parametrize(
     'row', ['', 'primary', 'primary x 3.1', 'boss 3 3.1', 'replica 3 -']
 )
-def test_unreadable_status_is_an_error(row):
+def test_malformed_status_is_rejected(row):
     with pytest.raises(ProtocolError):
         decode_status(row)
 
 
-def test_status_names_role_term_and_received_position():
+def test_status_has_role_term_and_received_position():
     status = decode_status('replica 3 3.1209 0 12 2 17')
     assert (status.leads, status.term) == (False, 3)
     assert status.received == LogPosition(3, 1209)
 
 
-async def _connected():
+async def _connect():
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     port = listeners[0].socket.getsockname()[1]
     client = await trio.open_tcp_stream('127.0.0.1', port)
@@ -171,8 +172,8 @@
     return client, LineStream(server)
 
 
-async def test_stream_returns_only_whole_lines():
-    client, stream = await _connected()
+async def test_stream_returns_only_complete_lines():
+    client, stream = await _connect()
     await client.send_all(b'QUERY a1 READ')
     with trio.move_on_after(0.05) as scope:
         await stream.receive()
@@ -184,10 +185,10 @@
         await stream.receive()
 
 
-async def test_line_beyond_the_limit_is_refused(monkeypatch):
-    # Guards against a peer that fills the memory with one endless line.
+async def test_line_above_the_limit_is_rejected(monkeypatch):
+    # Guards against a peer that exhausts the memory with an endless line.
     monkeypatch.setattr(lines, 'MAX_MESSAGE_BYTES', 1_000)
-    client, stream = await _connected()
+    client, stream = await _connect()
     await client.send_all(b'QUERY a1 WRITE 1 ' + b'x' * 2_000)
     with pytest.raises(FrameError):
         await stream.receive()
--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -1,4 +1,4 @@
-"""The programs of the platform as real processes, against stand-ins."""
+"""Tests of the platform's programs as processes, with stand-in databases."""
 
 from __future__ import annotations
 
@@ -27,37 +27,39 @@
 START_S = 20.0
 
 
-def _free_ports(count):
+def _find_free_ports(count):
     sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    for sock in sockets:
+        sock.bind((HOST, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
     return ports
 
 
-def _free_pair():
-    """Return two neighbouring free ports, for the links inside."""
+def _find_port_pair():
+    """Return the first of two consecutive free ports for internal use."""
     for _ in range(50):
-        [port] = _free_ports(1)
+        [port] = _find_free_ports(1)
         try:
             for number in (port, port + 1):
-                with socket.socket() as item:
-                    item.bind((HOST, number))
+                with socket.socket() as sock:
+                    sock.bind((HOST, number))
         except OSError:
             continue
         return port
-    raise AssertionError('no two neighbouring ports are free')
+    raise AssertionError('found no two consecutive free ports in 50 attempts')
 
 
-def _settings(tmp_path, role, inside, control, frontend, readiness):
+def _write_settings(
+    tmp_path, role, internal_port, control, frontend, readiness
+):
     text = f'''
 nodeName = "{role}-1"
 ip = "{HOST}"
 zone = "rvk-a"
 region = "reykjavik"
-internalPorts = [{inside}, {inside + 1}]
+internalPorts = [{internal_port}, {internal_port + 1}]
 seeds = ["{HOST}:{control}"]
 bootstrap = true
 dataDir = "{tmp_path / role}"
@@ -78,7 +80,7 @@
 
 
 @contextmanager
-def _program(role, settings, log):
+def _run_program(role, settings, log):
     with open(log, 'w') as out:
         process = subprocess.Popen(
             [sys.executable, '-m', f'jackdawpost.platform.{role}'],
@@ -94,17 +96,17 @@
         process.wait()
 
 
-async def _until(probe):
-    """Repeat an HTTP call until it answers 200."""
-    end = time.monotonic() + START_S
+async def _retry_until_ok(send):
+    """Repeat an HTTP request until the response has status 200."""
+    deadline = time.monotonic() + START_S
     while True:
         try:
-            response = await probe()
+            response = await send()
             if response.status == 200:
                 return response
         except HttpError:
             response = None
-        assert time.monotonic() < end, response
+        assert time.monotonic() < deadline, response
         await trio.sleep(0.1)
 
 
@@ -124,25 +126,28 @@
 }
 
 
-async def test_the_whole_path_from_the_operator_to_the_database(tmp_path):
-    # Guards against parts that only fit their fakes.
-    inside = _free_pair()
-    control, frontend, readiness = _free_ports(3)
-    ports = (inside, control, frontend, readiness)
+async def test_configuration_and_session_end_to_end(tmp_path):
+    # Guards against parts that work with their fakes in other tests, but not
+    # with each other.
+    internal_port = _find_port_pair()
+    control, frontend, readiness = _find_free_ports(3)
+    ports = (internal_port, control, frontend, readiness)
     database = LineGroup('pool').add('i-1')
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     address = f'{HOST}:{listeners[0].socket.getsockname()[1]}'
     logs = [tmp_path / 'control.log', tmp_path / 'edge.log']
-    files = [_settings(tmp_path, role, *ports) for role in ('control', 'edge')]
+    files = [
+        _write_settings(tmp_path, role, *ports) for role in ('control', 'edge')
+    ]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, database.serve, listeners)
         with (
-            _program('control', files[0], logs[0]),
-            _program('edge', files[1], logs[1]) as edge,
+            _run_program('control', files[0], logs[0]),
+            _run_program('edge', files[1], logs[1]) as edge,
         ):
             body = json.dumps(CONFIG).encode()
             api = (HOST, control)
-            await _until(
+            await _retry_until_ok(
                 lambda: send_request(api, 'PUT', '/config', [], body, 2)
             )
             report = {
@@ -154,21 +159,27 @@
                 'sequence': 1,
                 'born': 1_700_000_000_000,
             }
-            beat = json.dumps(report).encode()
+            report_body = json.dumps(report).encode()
             path = '/instances/i-1'
-            await _until(lambda: send_request(api, 'PUT', path, [], beat, 2))
-            held = await send_request(api, 'GET', '/config', [], b'', 2)
-            assert json.loads(held.body) == CONFIG
-            bad = await send_request(api, 'PUT', '/config', [], body[:40], 2)
-            assert bad.status == 400
-            ready = (HOST, readiness)
-            await _until(
-                lambda: send_request(ready, 'GET', '/readiness', [], b'', 2)
+            await _retry_until_ok(
+                lambda: send_request(api, 'PUT', path, [], report_body, 2)
             )
-            await _use(frontend, database)
-            pages = (HOST, inside + 1)
+            stored = await send_request(api, 'GET', '/config', [], b'', 2)
+            assert json.loads(stored.body) == CONFIG
+            rejected = await send_request(
+                api, 'PUT', '/config', [], body[:40], 2
+            )
+            assert rejected.status == 400
+            readiness_address = (HOST, readiness)
+            await _retry_until_ok(
+                lambda: send_request(
+                    readiness_address, 'GET', '/readiness', [], b'', 2
+                )
+            )
+            await _run_session(frontend, database)
+            pages_address = (HOST, internal_port + 1)
             text = await send_request(
-                pages, 'GET', '/metrics/text', [], b'', 2
+                pages_address, 'GET', '/metrics/text', [], b'', 2
             )
             assert b'jackdawpost_statements_done_total' in text.body
             os.kill(edge.pid, signal.SIGHUP)
@@ -181,7 +192,7 @@
     assert {'reloaded', 'draining', 'stopping'} <= set(events)
 
 
-async def _use(frontend, database):
+async def _run_session(frontend, database):
     stream = await trio.open_tcp_stream(HOST, frontend)
     async with stream:
         caller = LineCaller(stream)
--- a/jackdawpost/tests/platform/test_settings.py
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings file of the platform, and the build's requirements."""
+"""Settings file of the platform, and the list of required libraries."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
 
 
 @pytest.mark.parametrize('grace_s', [3, 4, 6, 12])
-def test_statements_in_flight_have_five_sixths_of_the_time_to_stop(
+def test_statements_in_flight_have_five_sixths_of_the_grace_period(
     tmp_path, grace_s
 ):
     text = TEXT.format(bootstrap='true').replace(
@@ -67,7 +67,7 @@
     assert cfg.drain_limit_ms < grace_s * 1_000
 
 
-def test_all_faults_are_named(tmp_path):
+def test_error_names_every_invalid_value(tmp_path):
     text = TEXT.format(bootstrap='true')
     text = text.replace('"10.1.0.10:8784"', '"nowhere"')
     text = text.replace('nodeName = "core-rvk-a-1"', '')
@@ -77,17 +77,17 @@
     assert 'bindAddresses.frontend' in str(caught.value)
 
 
-def test_empty_disk_forms_a_group_only_at_the_first_start(tmp_path):
-    # Guards against a second group, and a vote under a forgotten promise,
-    # after a disk was lost.
+def test_empty_disk_bootstraps_the_group_only_at_the_first_start(tmp_path):
+    # Guards against a process that lost its disk and then forms a second
+    # group, or votes without knowing its earlier votes.
     first = _load(tmp_path, TEXT.format(bootstrap='true'))
     later = _load(tmp_path, TEXT.format(bootstrap='false'))
-    empty, kept = tmp_path / 'empty', tmp_path / 'kept'
-    kept.mkdir()
-    (kept / 'node_id').write_text('x')
-    assert len(build_control_spec(first, str(empty)).cfg.peers) == 3
-    assert build_control_spec(later, str(empty)).cfg.peers == []
-    assert len(build_control_spec(later, str(kept)).cfg.peers) == 3
+    empty_disk, used_disk = tmp_path / 'empty', tmp_path / 'kept'
+    used_disk.mkdir()
+    (used_disk / 'node_id').write_text('x')
+    assert len(build_control_spec(first, str(empty_disk)).cfg.peers) == 3
+    assert build_control_spec(later, str(empty_disk)).cfg.peers == []
+    assert len(build_control_spec(later, str(used_disk)).cfg.peers) == 3
 
 
 def test_build_and_package_require_the_same_libraries():
