Reword the settings models, their loader and the settings page

Descriptions of settings such as "the same everywhere" and "slots ... are lent again only after it" could be read in several ways. They are full sentences now, and error texts say what is expected. Keys of the files stay.

--- a/jackdawpost/settings/loader.py
+++ b/jackdawpost/settings/loader.py
@@ -1,4 +1,4 @@
-"""Reads settings files: JSON with comments, checked by a model."""
+"""Loader of settings files: JSON with comments, validated by pydantic."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class SettingsModel(BaseModel):
-    """Base of all settings models: immutable, without unknown keys."""
+    """Base class of all settings models: immutable, rejects unknown keys."""
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
@@ -40,19 +40,22 @@
     Raises
     ------
     ConfigError
-        The file cannot be read or parsed, or values are invalid; the error
-        names the file, and key, value and what is valid for each of them.
+        The file cannot be read or parsed, or values are invalid. The error
+        names the file and, for each fault, the key, the value and what is
+        accepted.
     """
     name = str(path)
     try:
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
-        raise ConfigError(name, '', str(exc), 'a readable file') from exc
+        raise ConfigError(
+            name, '', str(exc), 'expected a readable UTF-8 file'
+        ) from exc
     try:
         value = jsonc.loads(text)
     except ValueError as exc:
         raise ConfigError(
-            name, '', str(exc), 'valid is JSON, comments allowed'
+            name, '', str(exc), 'expected JSON, comments are allowed'
         ) from exc
     try:
         return model.model_validate_json(json.dumps(value))
@@ -61,11 +64,11 @@
 
 
 def to_config_error(path: str, exc: ValidationError) -> ConfigError:
-    """Return an error that names every fault of a settings file."""
+    """Convert the errors of a model to one error that names all of them."""
     faults: list[tuple[str, object, str]] = []
     for error in exc.errors(include_url=False):
         key = '.'.join(str(part) for part in error['loc'])
         value = None if error['type'] == 'missing' else error.get('input')
         faults.append((key, value, error['msg']))
-    (key, value, valid), *more = faults
-    return ConfigError(path, key, value, valid, tuple(more))
+    (key, value, accepted), *more = faults
+    return ConfigError(path, key, value, accepted, tuple(more))
--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -1,4 +1,8 @@
-"""Settings of the programs."""
+"""Models of the settings files of the proxy, control and ctl programs.
+
+The fields are the keys of the files. Their descriptions are printed in the
+settings page.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,7 @@
 
 from jackdawpost.settings.loader import SettingsModel
 
-MIN_LEASE_TO_RENEWAL = 3
+MIN_LEASE_REPORT_INTERVALS = 3
 DEFAULT_MAX_STATEMENT_MS = 10_000
 
 
@@ -41,10 +45,10 @@
 
 
 class TlsSettings(SettingsModel):
-    """Certificates of this process, PEM files.
+    """Paths of the PEM files with which this process identifies itself.
 
-    The certificate's common name is ``ROLE.NAME``, for example
-    ``proxy.proxy-1``; the authority signs the certificates of all roles.
+    The common name of the certificate is ``ROLE.NAME``, for example
+    ``proxy.proxy-1``. The authority signs the certificates of all roles.
     """
 
     certificate: str
@@ -53,7 +57,7 @@
 
 
 class ProcessSettings(SettingsModel):
-    """What every daemon needs to know."""
+    """Settings that all daemons have in common."""
 
     name: Name
     data_centre: str = Field(min_length=1)
@@ -61,7 +65,9 @@
     tls: TlsSettings | None = None
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     seed: int = Field(
-        default=0, ge=0, description='Seed of jitter and random choices.'
+        default=0,
+        ge=0,
+        description='Seed of the random generator for jitter and choices.',
     )
 
 
@@ -70,7 +76,7 @@
 
     control: list[Peer] = Field(min_length=1, max_length=7)
     proxy_id: Name = Field(
-        description='Identity of this proxy, kept over restarts.'
+        description='Identity of this proxy, the same after a restart.'
     )
     replica_choice: Literal[
         'random', 'round_robin', 'two_choices', 'least_outstanding'
@@ -85,22 +91,25 @@
     )
     drain_limit_ms: Milliseconds = Field(
         default=30_000,
-        description='Time after which open transactions are rolled back.',
+        description='Time after which a draining proxy rolls back open '
+        'transactions.',
     )
     max_callers: int = Field(default=10_000, ge=1)
     ask_caller_certificate: bool = Field(
         default=False,
-        description='With `tls`, whether callers need a certificate of the '
-        'authority.',
+        description='With `tls`, require callers to present a certificate '
+        'that the authority has signed.',
     )
     max_in_flight_per_caller: int = Field(default=64, ge=1)
     max_statement_ms: Milliseconds = Field(
         default=DEFAULT_MAX_STATEMENT_MS,
-        description='Longest run time of a statement; the same everywhere.',
+        description='Longest run time of a statement. Must be the same in '
+        'all processes.',
     )
     idle_txn_ms: Milliseconds = Field(
         default=10_000,
-        description='Longest pause between statements of a transaction.',
+        description='Longest time that a transaction may be idle between '
+        'statements.',
     )
 
 
@@ -115,33 +124,43 @@
         default=0.02,
         ge=0,
         le=0.5,
-        description='Largest difference in clock rate, as a fraction.',
+        description='Largest difference in clock rate between two machines, '
+        'as a fraction.',
     )
     heartbeat_ms: Milliseconds = 50
     election_min_ms: Milliseconds = 300
     election_max_ms: Milliseconds = 600
     snapshot_entries: int = Field(
-        default=5_000, ge=10, description='Log length that is compacted.'
+        default=5_000,
+        ge=10,
+        description='Number of applied log entries after which the log is '
+        'compacted.',
     )
     member_expiry_ms: Milliseconds = 30_000
     refused_ms: Milliseconds = 200
     silent_ms: Milliseconds = 800
     max_statement_ms: Milliseconds = Field(
         default=DEFAULT_MAX_STATEMENT_MS,
-        description='Longest run time of a statement; the slots of a lost '
-        'proxy are lent again only after it. The same everywhere.',
+        description='Longest run time of a statement. The slots of a lost '
+        'proxy are granted again only after this time. Must be the same in '
+        'all processes.',
     )
 
     @model_validator(mode='after')
     def _check_relations(self) -> ControlSettings:
         if self.name not in {peer.name for peer in self.peers}:
-            raise ValueError(f'peers must include this process, {self.name!r}')
+            raise ValueError(
+                f'peers must include this process, named {self.name!r}'
+            )
         if len(self.peers) % 2 == 0:
-            raise ValueError('peers must be 1, 3, 5 or 7 processes')
-        if self.lease_ms < MIN_LEASE_TO_RENEWAL * self.report_interval_ms:
+            raise ValueError('peers must list 1, 3, 5 or 7 processes')
+        if (
+            self.lease_ms
+            < MIN_LEASE_REPORT_INTERVALS * self.report_interval_ms
+        ):
             raise ValueError(
-                f'lease_ms must be at least {MIN_LEASE_TO_RENEWAL} times '
-                'report_interval_ms'
+                'lease_ms must be at least '
+                f'{MIN_LEASE_REPORT_INTERVALS} times report_interval_ms'
             )
         if self.election_min_ms < 4 * self.heartbeat_ms:
             raise ValueError(
--- a/jackdawpost/tests/settings/test_loader.py
+++ b/jackdawpost/tests/settings/test_loader.py
@@ -1,4 +1,4 @@
-"""Settings mistakes must name file, key, value and what is valid."""
+"""Errors of settings files name the file, key, value and what is accepted."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from jackdawpost_standin.settings import StandinSettings
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
-VALID = """{
+VALID_SETTINGS = """{
   // comments are allowed
   "name": "control-0", "data_centre": "akureyri", "data_dir": "data",
   "listen": {"host": "127.0.0.1", "port": 7100},
@@ -31,7 +31,7 @@
 
 
 def test_comments_are_allowed(tmp_path):
-    assert _load(tmp_path, VALID % '').name == 'control-0'
+    assert _load(tmp_path, VALID_SETTINGS % '').name == 'control-0'
 
 
 @pytest.mark.parametrize(
@@ -47,24 +47,24 @@
         ('', ', "name": "control-9"'),
     ],
 )
-def test_mistakes_name_the_key(tmp_path, key, extra):
+def test_error_names_the_key(tmp_path, key, extra):
     with pytest.raises(ConfigError) as caught:
-        _load(tmp_path, VALID % extra)
+        _load(tmp_path, VALID_SETTINGS % extra)
     assert caught.value.key == key
     assert 'control.json' in str(caught.value)
 
 
-def test_every_mistake_is_named(tmp_path):
-    # Otherwise each start of the program shows one more.
+def test_error_names_every_invalid_key(tmp_path):
+    # Guards against errors that have to be found one start at a time.
     extra = ', "lease_ms": 0, "unknown": 1'
     with pytest.raises(ConfigError) as caught:
-        _load(tmp_path, VALID % extra)
+        _load(tmp_path, VALID_SETTINGS % extra)
     assert 'lease_ms: 0: ' in str(caught.value)
     assert 'unknown: 1: ' in str(caught.value)
 
 
 @pytest.mark.parametrize('text', ['', '{', '[1]', '{"name": }'])
-def test_unreadable_files_are_refused(tmp_path, text):
+def test_malformed_files_are_rejected(tmp_path, text):
     with pytest.raises(ConfigError):
         _load(tmp_path, text)
 
--- a/jackdawpost/tests/settings/test_reference.py
+++ b/jackdawpost/tests/settings/test_reference.py
@@ -1,4 +1,4 @@
-"""The settings page must not fall behind the models."""
+"""The settings page must match the settings models."""
 
 from __future__ import annotations
 
@@ -9,5 +9,5 @@
 PAGE = Path(__file__).parents[3] / 'docs' / 'settings.md'
 
 
-def test_settings_page_is_current():
+def test_settings_page_is_up_to_date():
     assert PAGE.read_text() == render_reference()
