Reword the durable store and its tests

Names now say that a write is rolled back and that the next content is built; error texts name what was read, the bad value and what is expected. Two tests that match an error text change with it and still check the value read and the value expected. File names and record layouts stay.

--- a/jackdawpost/storage/__init__.py
+++ b/jackdawpost/storage/__init__.py
@@ -1,4 +1,4 @@
-"""Durable state of a control process."""
+"""Durable storage of the consensus state of a control process."""
 
 from __future__ import annotations
 
--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -1,11 +1,11 @@
-"""Durable state of a consensus group member in one data folder.
-
-The folder holds ``lock``, ``node_id``, one log file ``log-SEQUENCE`` and
-the snapshot that it names, ``snapshot-SEQUENCE``. The first record of a log
-file holds the whole state apart from the snapshot, each later one the
-content of one write, so that a write takes effect as a whole or not at all.
-A write with a snapshot starts a new log file; the old files are removed
-once the new ones are synced.
+"""Durable consensus state of a control process, in one data folder.
+
+The folder holds ``lock``, ``node_id``, one log file ``log-SEQUENCE``, and the
+snapshot file ``snapshot-SEQUENCE`` if the log file refers to one. The first
+record of a log file holds the whole state except the snapshot. Each later
+record holds the content of one write, which makes a write atomic. A write
+with a snapshot starts a new log file; the old files are removed once the new
+ones are synced.
 """
 
 from __future__ import annotations
@@ -38,8 +38,8 @@
 
 
 @dataclass(slots=True)
-class _Content:
-    """What the log file holds."""
+class _LogContent:
+    """State that the records of the log file describe."""
 
     hard_state: bytes | None = None
     snapshot_name: str | None = None
@@ -52,12 +52,14 @@
 
 
 class DurableStore:
-    """Data folder of one process; open it with `DurableStore.open`.
+    """Store of the consensus state of one process in a data folder.
+
+    It is created by `DurableStore.open`.
 
     Attributes
     ----------
     restored : RestoredState
-        What the folder held when it was opened.
+        Content of the folder when it was opened.
     """
 
     restored: RestoredState
@@ -69,21 +71,22 @@
         self._log_fd = -1
         self._log_length = 0
         self._sequence = 0
-        self._content = _Content()
-        # Undoes a failed write; kept until it succeeds.
-        self._leftover: list[str] = []
-        self._is_log_dirty = False
+        self._content = _LogContent()
+        # Files and log data of a write that did not succeed. They are kept
+        # until its rollback succeeds.
+        self._unfinished_files: list[str] = []
+        self._has_unfinished_append = False
 
     @classmethod
     def open(
         cls, data_dir: str, files: FileLayer | None = None
     ) -> DurableStore:
-        """Lock a folder, creating it at first use, and load it.
+        """Lock and load a data folder; create it if it does not exist.
 
         Parameters
         ----------
         data_dir : str
-            Folder of this process alone.
+            Data folder, which no other process may use.
         files : FileLayer, optional
             File operations; those of the operating system by default.
 
@@ -92,9 +95,9 @@
         FolderLockedError
             Another process uses the folder.
         StorageCorruptError
-            A record other than a torn last one is damaged.
+            A record is damaged and is not an incomplete last record.
         StorageError
-            The folder cannot be read or written, or part of it is missing.
+            The folder cannot be read or written, or a file is missing.
         """
         store = cls(data_dir, files or FileLayer())
         try:
@@ -116,48 +119,48 @@
         self._lock_fd = -1
 
     def write(self, effect: Persist) -> None:
-        """Write and sync; takes effect as a whole or not at all.
+        """Write and sync atomically.
 
         Raises
         ------
         StorageError
-            Nothing was written; a later write may succeed.
+            The write failed and has no effect; a later write may succeed.
         """
         if self._log_fd < 0:
             raise StorageError(f'{self._dir}: the store is closed')
         try:
-            self._undo_failed_write()
+            self._roll_back_failed_write()
             if effect.snapshot is not None:
                 self._write_new_log(effect, effect.snapshot)
             else:
-                self._append(effect)
+                self._append_record(effect)
         except OSError as exc:
-            self._try_undo()
+            self._try_roll_back()
             raise StorageError(f'{self._dir}: {exc}') from exc
 
-    # -- opening ------------------------------------------------------------
+    # -- opening a folder ---------------------------------------------------
 
     def _open(self) -> None:
         if not os.path.isdir(self._dir):
             os.makedirs(self._dir, mode=0o700, exist_ok=True)
             parent = os.path.dirname(os.path.abspath(self._dir))
             self._files.sync_folder(parent)
-        self._lock()
-        names = os.listdir(self._dir)
-        sequences = _sequences(names)
+        self._lock_folder()
+        file_names = os.listdir(self._dir)
+        sequences = _find_log_sequences(file_names)
         if sequences:
             self._sequence = sequences[-1]
-            self._load()
-        elif 'node_id' in names:
+            self._load_log()
+        elif 'node_id' in file_names:
             # The node id is written after the first log file.
             raise StorageError(f'{self._path("node_id")}: log file is missing')
         else:
             self._create_log()
         node_id = self._load_node_id()
-        self._remove_unused(names)
-        self.restored = self._restore(node_id)
+        self._remove_unused_files(file_names)
+        self.restored = self._build_restored_state(node_id)
 
-    def _lock(self) -> None:
+    def _lock_folder(self) -> None:
         path = self._path('lock')
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         self._lock_fd = os.open(path, flags, 0o600)
@@ -165,33 +168,36 @@
             fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as exc:
             raise FolderLockedError(
-                f'{self._dir}: used by another process'
+                f'{self._dir}: data folder is in use by another process'
             ) from exc
 
-    def _load(self) -> None:
+    def _load_log(self) -> None:
         path = self._log_path(self._sequence)
         content = _read_file(path)
         payloads, length = read_records(path, content, may_be_torn=True)
         if not payloads:
-            raise StorageCorruptError(path, len(FILE_HEADER), 'no record')
+            raise StorageCorruptError(
+                path, len(FILE_HEADER), 'expected at least one record'
+            )
         for payload in payloads:
-            self._replay(path, payload)
+            self._replay_record(path, payload)
         self._log_fd = self._files.open(path)
         self._log_length = length
         if length < len(content):
             self._files.truncate(self._log_fd, length)
-        # What a crashed process wrote may be read without being durable.
+        # Records that a crashed process wrote can be read before they are
+        # durable.
         self._files.sync(self._log_fd)
         self._files.sync_folder(self._dir)
 
-    def _replay(self, path: str, payload: bytes) -> None:
+    def _replay_record(self, path: str, payload: bytes) -> None:
         try:
             hard_state, truncate_from, entries, snapshot = cbor2.loads(payload)
             if snapshot is not None:
                 name, index = snapshot
                 self._content.snapshot_name = name
                 self._content.snapshot_index = index
-            _apply(self._content, hard_state, truncate_from, entries)
+            _apply_write(self._content, hard_state, truncate_from, entries)
         except (ValueError, TypeError, ProtocolError, StorageError) as exc:
             raise StorageError(f'{path}: {exc}') from exc
 
@@ -201,14 +207,14 @@
             node_id = _read_file(path).decode('ascii').strip()
         except FileNotFoundError:
             if self._content.hard_state is not None:
-                raise StorageError(f'{path}: missing') from None
+                raise StorageError(f'{path}: file is missing') from None
             node_id = secrets.token_hex(8)
-            self._create(path, node_id.encode('ascii'))
+            self._create_file(path, node_id.encode('ascii'))
         if not node_id:
-            raise StorageCorruptError(path, 0, 'empty node id')
+            raise StorageCorruptError(path, 0, 'node id is empty')
         return node_id
 
-    def _restore(self, node_id: str) -> RestoredState:
+    def _build_restored_state(self, node_id: str) -> RestoredState:
         content = self._content
         snapshot = None
         if content.snapshot_name is not None:
@@ -216,10 +222,12 @@
             try:
                 raw = _read_file(path)
             except FileNotFoundError as exc:
-                raise StorageError(f'{path}: missing') from exc
+                raise StorageError(f'{path}: file is missing') from exc
             payloads, _ = read_records(path, raw, may_be_torn=False)
             if len(payloads) != 1:
-                raise StorageCorruptError(path, 0, 'no snapshot record')
+                raise StorageCorruptError(
+                    path, 0, 'expected exactly one snapshot record'
+                )
             snapshot = payloads[0]
         return RestoredState(
             hard_state=content.hard_state,
@@ -228,22 +236,22 @@
             node_id=node_id,
         )
 
-    def _remove_unused(self, names: list[str]) -> None:
+    def _remove_unused_files(self, file_names: list[str]) -> None:
         used = {
             os.path.basename(self._log_path(self._sequence)),
             self._content.snapshot_name,
         }
         prefixes = (_LOG_PREFIX, _SNAPSHOT_PREFIX)
-        for name in names:
-            is_ours = name.startswith(prefixes)
-            if name.endswith(_TEMPORARY_SUFFIX) or is_ours:
+        for name in file_names:
+            has_store_prefix = name.startswith(prefixes)
+            if name.endswith(_TEMPORARY_SUFFIX) or has_store_prefix:
                 if name not in used:
                     self._files.unlink(self._path(name))
 
     # -- writing ------------------------------------------------------------
 
-    def _append(self, effect: Persist) -> None:
-        planned = self._plan(effect)
+    def _append_record(self, effect: Persist) -> None:
+        next_content = self._build_next_content(effect)
         record = encode_record(
             cbor2.dumps(
                 [
@@ -254,40 +262,40 @@
                 ]
             )
         )
-        self._is_log_dirty = True
+        self._has_unfinished_append = True
         self._files.write(self._log_fd, self._log_length, record)
         self._files.sync(self._log_fd)
-        self._is_log_dirty = False
+        self._has_unfinished_append = False
         self._log_length += len(record)
-        self._content = planned
+        self._content = next_content
 
     def _write_new_log(self, effect: Persist, snapshot: bytes) -> None:
-        planned = self._plan(effect)
+        next_content = self._build_next_content(effect)
         sequence = self._sequence + 1
         snapshot_name = f'{_SNAPSHOT_PREFIX}{sequence:016d}'
         log_path = self._log_path(sequence)
-        self._leftover = [log_path, self._path(snapshot_name)]
-        framed = FILE_HEADER + encode_record(snapshot)
-        self._create(self._path(snapshot_name), framed)
-        planned.snapshot_name = snapshot_name
-        content = _encode_log(planned)
-        self._create(log_path, content)
+        self._unfinished_files = [log_path, self._path(snapshot_name)]
+        file_content = FILE_HEADER + encode_record(snapshot)
+        self._create_file(self._path(snapshot_name), file_content)
+        next_content.snapshot_name = snapshot_name
+        content = _encode_log_file(next_content)
+        self._create_file(log_path, content)
         log_fd = self._files.open(log_path)
-        self._leftover = []
+        self._unfinished_files = []
         os.close(self._log_fd)
         self._log_fd = log_fd
         self._log_length = len(content)
-        old_names = [
+        old_file_names = [
             os.path.basename(self._log_path(self._sequence)),
             self._content.snapshot_name,
         ]
         self._sequence = sequence
-        self._content = planned
-        self._remove_old(old_names)
+        self._content = next_content
+        self._remove_old_files(old_file_names)
 
-    def _plan(self, effect: Persist) -> _Content:
+    def _build_next_content(self, effect: Persist) -> _LogContent:
         old = self._content
-        planned = _Content(
+        next_content = _LogContent(
             hard_state=old.hard_state,
             snapshot_name=old.snapshot_name,
             snapshot_index=old.snapshot_index,
@@ -298,31 +306,33 @@
                 index = decode_snapshot(effect.snapshot).index
                 if index < old.snapshot_index:
                     raise StorageError(
-                        f'{self._dir}: snapshot at {index}: valid are '
-                        f'{old.snapshot_index} or later'
+                        f'{self._dir}: snapshot index {index} is too low, '
+                        f'expected at least {old.snapshot_index}'
                     )
-                planned.entries = old.entries[index - old.snapshot_index :]
-                planned.snapshot_index = index
+                next_content.entries = old.entries[
+                    index - old.snapshot_index :
+                ]
+                next_content.snapshot_index = index
             else:
-                planned.entries = list(old.entries)
-            _apply(
-                planned,
+                next_content.entries = list(old.entries)
+            _apply_write(
+                next_content,
                 effect.hard_state,
                 effect.truncate_from,
                 effect.entries,
             )
         except ProtocolError as exc:
             raise StorageError(f'{self._dir}: {exc}') from exc
-        return planned
+        return next_content
 
     def _create_log(self) -> None:
-        content = _encode_log(self._content)
+        content = _encode_log_file(self._content)
         path = self._log_path(self._sequence)
-        self._create(path, content)
+        self._create_file(path, content)
         self._log_fd = self._files.open(path)
         self._log_length = len(content)
 
-    def _create(self, path: str, content: bytes) -> None:
+    def _create_file(self, path: str, content: bytes) -> None:
         temporary = path + _TEMPORARY_SUFFIX
         fd = self._files.create(temporary)
         try:
@@ -333,34 +343,36 @@
         self._files.rename(temporary, path)
         self._files.sync_folder(self._dir)
 
-    def _remove_old(self, names: list[str | None]) -> None:
-        for name in names:
+    def _remove_old_files(self, file_names: list[str | None]) -> None:
+        for name in file_names:
             if name is None:
                 continue
             try:
                 self._files.unlink(self._path(name))
             except OSError:
-                # Removed at the next start; the new log file counts.
+                # The new log file is already in use. The next start removes
+                # the old files.
                 pass
 
-    def _try_undo(self) -> None:
+    def _try_roll_back(self) -> None:
         try:
-            self._undo_failed_write()
+            self._roll_back_failed_write()
         except OSError:
-            # Tried again before the next write, which fails until then.
+            # The next write tries the rollback again, and fails as long as
+            # the rollback fails.
             pass
 
-    def _undo_failed_write(self) -> None:
-        if self._leftover:
-            for path in self._leftover:
+    def _roll_back_failed_write(self) -> None:
+        if self._unfinished_files:
+            for path in self._unfinished_files:
                 self._files.unlink(path)
                 self._files.unlink(path + _TEMPORARY_SUFFIX)
             self._files.sync_folder(self._dir)
-            self._leftover = []
-        if self._is_log_dirty:
+            self._unfinished_files = []
+        if self._has_unfinished_append:
             self._files.truncate(self._log_fd, self._log_length)
             self._files.sync(self._log_fd)
-            self._is_log_dirty = False
+            self._has_unfinished_append = False
 
     def _path(self, name: str) -> str:
         return os.path.join(self._dir, name)
@@ -369,8 +381,8 @@
         return self._path(f'{_LOG_PREFIX}{sequence:016d}')
 
 
-def _apply(
-    content: _Content,
+def _apply_write(
+    content: _LogContent,
     hard_state: bytes | None,
     truncate_from: int | None,
     entries: list[bytes],
@@ -378,18 +390,19 @@
     if hard_state is not None:
         content.hard_state = hard_state
     if truncate_from is not None:
-        keep = max(0, truncate_from - content.snapshot_index - 1)
-        del content.entries[keep:]
+        kept_count = max(0, truncate_from - content.snapshot_index - 1)
+        del content.entries[kept_count:]
     for raw in entries:
         index = decode_entry(raw).index
         if index != content.last_index + 1:
             raise StorageError(
-                f'entry {index}: valid is {content.last_index + 1}'
+                f'log entry index {index} is out of sequence, expected '
+                f'{content.last_index + 1}'
             )
         content.entries.append(raw)
 
 
-def _encode_log(content: _Content) -> bytes:
+def _encode_log_file(content: _LogContent) -> bytes:
     snapshot: list[Any] | None = None
     if content.snapshot_name is not None:
         snapshot = [content.snapshot_name, content.snapshot_index]
@@ -399,13 +412,13 @@
     return FILE_HEADER + encode_record(payload)
 
 
-def _sequences(names: list[str]) -> list[int]:
-    found = []
-    for name in names:
+def _find_log_sequences(file_names: list[str]) -> list[int]:
+    sequences = []
+    for name in file_names:
         digits = name.removeprefix(_LOG_PREFIX)
         if name.startswith(_LOG_PREFIX) and digits.isdigit():
-            found.append(int(digits))
-    return sorted(found)
+            sequences.append(int(digits))
+    return sorted(sequences)
 
 
 def _read_file(path: str) -> bytes:
--- a/jackdawpost/storage/files.py
+++ b/jackdawpost/storage/files.py
@@ -1,4 +1,7 @@
-"""File operations of the durable store, replaceable in tests."""
+"""File operations of the durable store.
+
+Tests replace this layer to simulate crashes and disk errors.
+"""
 
 from __future__ import annotations
 
@@ -6,10 +9,10 @@
 
 
 class FileLayer:
-    """Operations of the operating system that the store relies on."""
+    """File operations of the operating system."""
 
     def create(self, path: str) -> int:
-        """Create or empty a file and return its descriptor."""
+        """Create or truncate a file and return its descriptor."""
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
         return os.open(path, flags, 0o600)
 
@@ -26,7 +29,7 @@
             view = view[written:]
 
     def truncate(self, fd: int, length: int) -> None:
-        """Cut a file."""
+        """Truncate a file to `length` bytes."""
         os.ftruncate(fd, length)
 
     def sync(self, fd: int) -> None:
@@ -34,7 +37,7 @@
         os.fsync(fd)
 
     def rename(self, source: str, target: str) -> None:
-        """Rename a file, replacing the target."""
+        """Rename a file atomically, replacing the target if it exists."""
         os.replace(source, target)
 
     def unlink(self, path: str) -> None:
@@ -45,7 +48,7 @@
             pass
 
     def sync_folder(self, path: str) -> None:
-        """Make the names in a folder durable."""
+        """Make created, renamed and removed names in a folder durable."""
         fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
             os.fsync(fd)
--- a/jackdawpost/storage/records.py
+++ b/jackdawpost/storage/records.py
@@ -1,9 +1,9 @@
-"""Checksummed records in files.
+"""Encoding of the checksummed records in storage files.
 
-A file starts with a magic number and a format version. A record is a
-header (length and checksum of the payload, then a checksum of these two)
-and the payload. The header has its own checksum so that a damaged length
-in the middle of a file is not taken for a torn end.
+A file starts with a magic number and a format version. A record consists of
+a header and the payload; the header holds the length and checksum of the
+payload, and a checksum of these two. Without this second checksum, a damaged
+length in the middle of a file would look like an incomplete last record.
 """
 
 from __future__ import annotations
@@ -18,17 +18,23 @@
 FILE_HEADER = b'JDPS' + struct.pack('>I', FORMAT_VERSION)
 
 _RECORD_HEADER = struct.Struct('>III')
-_LENGTH_AND_SUM = struct.Struct('>II')
+_LENGTH_AND_CHECKSUM = struct.Struct('>II')
 
 
 def encode_record(payload: bytes) -> bytes:
-    """Frame a payload."""
-    head = _LENGTH_AND_SUM.pack(len(payload), zlib.crc32(payload))
-    return head + struct.pack('>I', zlib.crc32(head)) + payload
+    """Return a record that holds the payload."""
+    length_and_checksum = _LENGTH_AND_CHECKSUM.pack(
+        len(payload), zlib.crc32(payload)
+    )
+    return (
+        length_and_checksum
+        + struct.pack('>I', zlib.crc32(length_and_checksum))
+        + payload
+    )
 
 
 def check_file_header(path: str, content: bytes) -> None:
-    """Refuse a file of another format or version.
+    """Check the magic number and the format version of a file.
 
     Raises
     ------
@@ -38,23 +44,29 @@
         The file has another format version.
     """
     if content[:4] != FILE_HEADER[:4] or len(content) < len(FILE_HEADER):
-        raise StorageCorruptError(path, 0, 'no jackdawpost storage file')
+        raise StorageCorruptError(path, 0, 'not a jackdawpost storage file')
     (version,) = struct.unpack_from('>I', content, 4)
     if version != FORMAT_VERSION:
         raise StorageError(
-            f'{path}: format version {version}: valid is {FORMAT_VERSION}'
+            f'{path}: unknown format version {version}, expected '
+            f'{FORMAT_VERSION}'
         )
 
 
 def read_records(
     path: str, content: bytes, may_be_torn: bool
 ) -> tuple[list[bytes], int]:
-    """Read the records of a file.
+    """Return the payloads of all records of a file.
 
     Parameters
     ----------
+    path : str
+        Path of the file, for error messages.
+    content : bytes
+        Whole content of the file.
     may_be_torn : bool
-        The last record may be incomplete after a crash.
+        Whether the last record may be incomplete, as after a crash during a
+        write. It is then ignored.
 
     Returns
     -------
@@ -65,7 +77,7 @@
     Raises
     ------
     StorageCorruptError
-        A record is damaged and is not the torn last one.
+        A record is damaged and is not an incomplete last record.
     """
     check_file_header(path, content)
     payloads = []
@@ -96,16 +108,18 @@
 def _read_length(content: bytes, offset: int) -> int | None:
     if offset + _RECORD_HEADER.size > len(content):
         return None
-    length, _, head_sum = _RECORD_HEADER.unpack_from(content, offset)
-    head = content[offset : offset + _LENGTH_AND_SUM.size]
-    return length if zlib.crc32(head) == head_sum else None
+    length, _, header_checksum = _RECORD_HEADER.unpack_from(content, offset)
+    length_and_checksum = content[offset : offset + _LENGTH_AND_CHECKSUM.size]
+    return (
+        length if zlib.crc32(length_and_checksum) == header_checksum else None
+    )
 
 
 def _has_record_after(content: bytes, offset: int) -> bool:
     length = _read_length(content, offset)
     if length is not None:
         return offset + _RECORD_HEADER.size + length < len(content)
-    # The length is unknown: look for an intact record at any offset.
+    # The length is damaged: search for an intact record at any offset.
     for start in range(offset + 1, len(content) - _RECORD_HEADER.size):
         if _read_length(content, start) is not None:
             if _read_record(content, start) is not None:
--- a/jackdawpost/tests/storage/test_durable_store.py
+++ b/jackdawpost/tests/storage/test_durable_store.py
@@ -1,4 +1,4 @@
-"""Durable store: crashes, damage, a full disk, and identities."""
+"""Durable store: crashes, damaged files, disk errors and node ids."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 from jackdawpost.storage import DurableStore
 from jackdawpost.storage.files import FileLayer
 
-OPERATIONS = (
+FILE_OPERATIONS = (
     'create',
     'write',
     'truncate',
@@ -71,32 +71,32 @@
 
 
 class Crash(BaseException):
-    """The process or the machine stopped."""
+    """Simulated end of the process or failure of the machine."""
 
 
 class CrashingLayer(FileLayer):
-    """Stops at one operation and knows what was synced by then.
+    """Raises `Crash` at one operation and records what was synced before.
 
     Parameters
     ----------
-    stop_at : int
-        Number of operations carried out before the crash.
+    crash_after : int
+        Number of operations that are executed before the crash.
     """
 
-    def __init__(self, stop_at=10**9):
-        self.left = stop_at
+    def __init__(self, crash_after=10**9):
+        self.remaining_operations = crash_after
         self.synced_content = {}
         self.synced_names = {}
 
     def __getattribute__(self, name):
         value = super().__getattribute__(name)
-        if name not in OPERATIONS:
+        if name not in FILE_OPERATIONS:
             return value
 
         def operation(*args):
-            if self.left == 0:
+            if self.remaining_operations == 0:
                 raise Crash
-            self.left -= 1
+            self.remaining_operations -= 1
             return value(*args)
 
         return operation
@@ -114,15 +114,15 @@
         }
 
     def lose_unsynced(self, path):
-        """Leave only what was synced, as after a loss of power."""
+        """Restore the last synced files, as after a power failure."""
         present = {entry.inode(): entry.name for entry in os.scandir(path)}
-        kept = {
+        synced_files = {
             name: self.synced_content.get(inode, b'')
             for name, inode in self.synced_names.items()
         }
         for name in present.values():
             os.unlink(path / name)
-        for name, content in kept.items():
+        for name, content in synced_files.items():
             (path / name).write_bytes(content)
 
 
@@ -132,21 +132,21 @@
     return store.restored
 
 
-def _summary(restored):
+def _stored_state(restored):
     return (restored.hard_state, restored.snapshot, restored.entries)
 
 
-def _states(tmp_path):
-    """Return the state after each number of writes."""
+def _expected_states(tmp_path):
+    """Return the stored state after each number of writes, from 0."""
     states = []
     for count in range(len(WRITES) + 1):
         path = tmp_path / f'expected-{count}'
-        _write_all(path, WRITES[:count])
-        states.append(_summary(_load(path)))
+        _write_to_new_store(path, WRITES[:count])
+        states.append(_stored_state(_load(path)))
     return states
 
 
-def _write_all(path, effects):
+def _write_to_new_store(path, effects):
     store = DurableStore.open(str(path))
     try:
         for effect in effects:
@@ -161,8 +161,8 @@
 
 
 def test_writes_are_restored(tmp_path):
-    """Guards against state that is lost or changed by a restart."""
-    assert _states(tmp_path)[-1] == (
+    """Guards against a restart that loses or changes state."""
+    assert _expected_states(tmp_path)[-1] == (
         encode_hard_state(HardState(2, 'b')),
         _snapshot(9),
         [_entry(10, 2)],
@@ -171,61 +171,64 @@
 
 @pytest.mark.parametrize('loses_unsynced', [False, True])
 def test_crash_at_each_file_operation(tmp_path, loses_unsynced):
-    """Guards against a write that is lost after it was reported."""
-    states = _states(tmp_path)
-    stop_at = 0
+    """Guards against the loss of a write that was acknowledged."""
+    states = _expected_states(tmp_path)
+    crash_after = 0
     while True:
-        path = tmp_path / f'crash-{stop_at}'
-        files = CrashingLayer(stop_at)
-        done = _run_until_crash(path, files)
+        path = tmp_path / f'crash-{crash_after}'
+        files = CrashingLayer(crash_after)
+        completed = _run_until_crash(path, files)
         if loses_unsynced and path.exists():
             files.lose_unsynced(path)
         restored = _load(path)
-        # The write under way may have taken effect, but only as a whole.
-        assert _summary(restored) in states[max(done, 0) : done + 2]
-        assert _summary(restored) == _summary(_load(path))
+        # The write in progress may have taken effect, but only as a whole.
+        assert (
+            _stored_state(restored)
+            in states[max(completed, 0) : completed + 2]
+        )
+        assert _stored_state(restored) == _stored_state(_load(path))
         assert restored.node_id
-        if done == len(WRITES):
+        if completed == len(WRITES):
             break
-        stop_at += 1
-    assert stop_at > 30
+        crash_after += 1
+    assert crash_after > 30
 
 
 def _run_until_crash(path, files):
-    """Return the number of writes that were reported as done."""
-    done = 0
+    """Return the number of writes that were acknowledged."""
+    completed = 0
     store = None
     try:
         store = DurableStore.open(str(path), files)
         for effect in WRITES:
             store.write(effect)
-            done += 1
+            completed += 1
     except Crash:
         pass
     if store is not None:
         store.close()
-    return done
+    return completed
 
 
-def test_torn_end_is_cut(tmp_path):
+def test_incomplete_last_record_is_truncated(tmp_path):
     """Guards against a process that cannot start after a crash."""
-    _write_all(tmp_path / 'whole', WRITES[:3])
-    before = _states(tmp_path)[2]
+    _write_to_new_store(tmp_path / 'whole', WRITES[:3])
+    before = _expected_states(tmp_path)[2]
     content = _log_file(tmp_path / 'whole').read_bytes()
-    _write_all(tmp_path / 'shorter', WRITES[:2])
-    start = _log_file(tmp_path / 'shorter').stat().st_size
-    for length in range(start + 1, len(content)):
+    _write_to_new_store(tmp_path / 'shorter', WRITES[:2])
+    intact_length = _log_file(tmp_path / 'shorter').stat().st_size
+    for length in range(intact_length + 1, len(content)):
         _log_file(tmp_path / 'whole').write_bytes(content[:length])
-        assert _summary(_load(tmp_path / 'whole')) == before
-        assert _log_file(tmp_path / 'whole').stat().st_size == start
+        assert _stored_state(_load(tmp_path / 'whole')) == before
+        assert _log_file(tmp_path / 'whole').stat().st_size == intact_length
 
 
-def test_damage_before_the_end_is_refused(tmp_path):
-    """Guards against promises that silently disappear."""
-    _write_all(tmp_path / 'a', WRITES[:3])
+def test_damage_before_the_last_record_is_rejected(tmp_path):
+    """Guards against the silent loss of votes and acknowledged entries."""
+    _write_to_new_store(tmp_path / 'a', WRITES[:3])
     log = _log_file(tmp_path / 'a')
     content = log.read_bytes()
-    _write_all(tmp_path / 'b', WRITES[:2])
+    _write_to_new_store(tmp_path / 'b', WRITES[:2])
     last = _log_file(tmp_path / 'b').stat().st_size
     for offset in range(last):
         damaged = bytearray(content)
@@ -239,9 +242,9 @@
             assert caught.value.offset <= offset
 
 
-def test_damaged_snapshot_is_refused(tmp_path):
-    """Guards against an application restored from damaged bytes."""
-    _write_all(tmp_path, WRITES[:4])
+def test_damaged_snapshot_is_rejected(tmp_path):
+    """Guards against the restore of an application from damaged bytes."""
+    _write_to_new_store(tmp_path, WRITES[:4])
     (name,) = [
         item for item in os.listdir(tmp_path) if item.startswith('snapshot-')
     ]
@@ -252,12 +255,12 @@
         DurableStore.open(str(tmp_path))
 
 
-class FullDisk(FileLayer):
-    """Fails chosen operations, after writing part of the data."""
+class FailingDisk(FileLayer):
+    """Fails chosen operations; a failing write writes half of the data."""
 
     def __init__(self):
         self.failing = set()
-        self.folder_syncs_left = 0
+        self.remaining_folder_syncs = 0
 
     def write(self, fd, offset, data):
         if 'write' in self.failing:
@@ -271,8 +274,8 @@
         super().sync(fd)
 
     def sync_folder(self, path):
-        self.folder_syncs_left -= 1
-        if 'sync_folder' in self.failing and self.folder_syncs_left < 0:
+        self.remaining_folder_syncs -= 1
+        if 'sync_folder' in self.failing and self.remaining_folder_syncs < 0:
             raise OSError(errno.EIO, 'Input/output error')
         super().sync_folder(path)
 
@@ -287,49 +290,51 @@
     [{'write'}, {'sync'}, {'sync_folder'}, {'write', 'truncate'}],
     ids='-'.join,
 )
-@pytest.mark.parametrize('number', range(len(WRITES)))
-def test_failed_write_leaves_the_state_before(tmp_path, failing, number):
-    """Guards against a full disk that damages what was written earlier."""
-    states = _states(tmp_path)
+@pytest.mark.parametrize('write_index', range(len(WRITES)))
+def test_failed_write_keeps_the_earlier_state(tmp_path, failing, write_index):
+    """Guards against a full disk that damages data of earlier writes."""
+    states = _expected_states(tmp_path)
     path = tmp_path / 'data'
-    files = FullDisk()
+    files = FailingDisk()
     store = DurableStore.open(str(path), files)
-    for effect in WRITES[:number]:
+    for effect in WRITES[:write_index]:
         store.write(effect)
-    has_folder_sync = WRITES[number].snapshot is not None
-    if failing == {'sync_folder'} and not has_folder_sync:
+    syncs_folder = WRITES[write_index].snapshot is not None
+    if failing == {'sync_folder'} and not syncs_folder:
         store.close()
         return
     files.failing = failing
     for _ in range(2):
         with pytest.raises(StorageError, match='No space|Input/output'):
-            store.write(WRITES[number])
+            store.write(WRITES[write_index])
     files.failing = set()
-    for effect in WRITES[number:]:
+    for effect in WRITES[write_index:]:
         store.write(effect)
     store.close()
-    assert _summary(_load(path)) == states[-1]
+    assert _stored_state(_load(path)) == states[-1]
 
 
 @pytest.mark.parametrize('failing', ['write', 'sync'])
-@pytest.mark.parametrize('number', range(len(WRITES)))
-def test_restart_after_a_failed_write(tmp_path, number, failing):
+@pytest.mark.parametrize('write_index', range(len(WRITES)))
+def test_failed_write_has_no_effect_after_restart(
+    tmp_path, write_index, failing
+):
     """Guards against a failed write that takes effect after a restart."""
-    states = _states(tmp_path)
-    files = FullDisk()
+    states = _expected_states(tmp_path)
+    files = FailingDisk()
     store = DurableStore.open(str(tmp_path / 'data'), files)
-    for effect in WRITES[:number]:
+    for effect in WRITES[:write_index]:
         store.write(effect)
-    if failing == 'sync' and WRITES[number].snapshot is None:
-        # The write reaches the file in full, and only its sync fails.
+    if failing == 'sync' and WRITES[write_index].snapshot is None:
+        # The file receives the whole write; only the sync fails.
         real_sync = files.sync
         files.sync = _fail_once(files, real_sync)
     else:
         files.failing = {failing}
     with pytest.raises(StorageError):
-        store.write(WRITES[number])
+        store.write(WRITES[write_index])
     store.close()
-    assert _summary(_load(tmp_path / 'data')) == states[number]
+    assert _stored_state(_load(tmp_path / 'data')) == states[write_index]
 
 
 def _fail_once(files, real_sync):
@@ -342,13 +347,14 @@
 
 def test_writes_after_a_failed_snapshot_are_kept(tmp_path):
     """Guards against a restart from the log file of a failed write."""
-    states = _states(tmp_path)
-    files = FullDisk()
+    states = _expected_states(tmp_path)
+    files = FailingDisk()
     store = DurableStore.open(str(tmp_path / 'data'), files)
     for effect in WRITES[:3]:
         store.write(effect)
-    # The snapshot succeeds; the name of the new log file is not synced.
-    files.folder_syncs_left = 1
+    # The snapshot file is complete; the name of the new log file is not
+    # synced.
+    files.remaining_folder_syncs = 1
     files.failing = {'sync_folder'}
     with pytest.raises(StorageError):
         store.write(WRITES[3])
@@ -357,21 +363,24 @@
     store.close()
     hard_state, snapshot, entries = states[3]
     expected = (hard_state, snapshot, [*entries, _entry(5, 2)])
-    assert _summary(_load(tmp_path / 'data')) == expected
+    assert _stored_state(_load(tmp_path / 'data')) == expected
 
 
-def test_entries_with_a_gap_are_refused(tmp_path):
+def test_entries_with_a_gap_are_rejected(tmp_path):
     """Guards against a log that cannot be restored."""
     store = DurableStore.open(str(tmp_path))
-    with pytest.raises(StorageError, match='entry 2: valid is 1'):
+    with pytest.raises(
+        StorageError,
+        match='log entry index 2 is out of sequence, expected 1',
+    ):
         store.write(Persist(token=1, entries=[_entry(2)]))
     store.write(Persist(token=2, entries=[_entry(1)]))
     store.close()
     assert _load(tmp_path).entries == [_entry(1)]
 
 
-def test_second_process_is_refused(tmp_path):
-    """Guards against two processes that write one log."""
+def test_second_process_is_rejected(tmp_path):
+    """Guards against two processes that write to the same log."""
     store = DurableStore.open(str(tmp_path))
     script = (
         'import sys\n'
@@ -390,8 +399,8 @@
     assert subprocess.run(command, timeout=20).returncode == 0
 
 
-def test_wiped_folder_has_another_identity(tmp_path):
-    """Guards against a process that votes again without its promises."""
+def test_new_folder_gets_a_new_node_id(tmp_path):
+    """Guards against a process without its stored votes that votes again."""
     first = _load(tmp_path / 'data')
     assert _load(tmp_path / 'data').node_id == first.node_id
     os.rename(tmp_path / 'data', tmp_path / 'old')
@@ -399,9 +408,9 @@
 
 
 @pytest.mark.parametrize('missing', ['log-', 'node_id', 'snapshot-'])
-def test_missing_file_is_refused(tmp_path, missing):
-    """Guards against a folder whose promises were removed in part."""
-    _write_all(tmp_path, WRITES)
+def test_missing_file_is_rejected(tmp_path, missing):
+    """Guards against the use of a folder from which files were removed."""
+    _write_to_new_store(tmp_path, WRITES)
     for name in os.listdir(tmp_path):
         if name.startswith(missing):
             os.unlink(tmp_path / name)
@@ -409,64 +418,64 @@
         DurableStore.open(str(tmp_path))
 
 
-def test_other_format_version_is_refused(tmp_path):
-    """Guards against a newer file read as if it were damaged."""
-    _write_all(tmp_path, WRITES)
+def test_unknown_format_version_is_rejected(tmp_path):
+    """Guards against a newer file that is reported as damaged."""
+    _write_to_new_store(tmp_path, WRITES)
     log = _log_file(tmp_path)
     content = bytearray(log.read_bytes())
     content[7] = 2
     log.write_bytes(content)
-    with pytest.raises(StorageError, match='format version 2: valid is 1'):
+    with pytest.raises(StorageError, match='format version 2, expected 1'):
         DurableStore.open(str(tmp_path))
 
 
-def test_old_files_are_dropped_after_a_snapshot(tmp_path):
-    """Guards against a folder that grows without end."""
-    _write_all(tmp_path, WRITES)
+def test_old_files_are_removed_after_a_snapshot(tmp_path):
+    """Guards against a folder that grows without limit."""
+    _write_to_new_store(tmp_path, WRITES)
     names = sorted(item.split('-')[0] for item in os.listdir(tmp_path))
     assert names == ['lock', 'log', 'node_id', 'snapshot']
 
 
-def test_core_goes_on_after_a_restart(tmp_path):
-    """Guards against writes of the core that the store cannot restore."""
-    seen = []
+def test_consensus_continues_after_a_restart(tmp_path):
+    """Guards against writes of the consensus core that cannot be restored."""
+    proposed = []
     for count in range(1, 8):
         store = DurableStore.open(str(tmp_path))
         cfg = ConsensusConfig(name='a', voters=['a'])
         state = new_consensus(cfg, random.Random(1), store.restored, 0.0)
         applied = []
-        _carry_out(store, state, tick(state, 0.0), applied)
+        _perform_effects(store, state, tick(state, 0.0), applied)
         _, effects = propose(state, 1.0, b'%d' % count)
-        _carry_out(store, state, effects, applied)
-        seen.append(b'%d' % count)
-        assert applied == seen
+        _perform_effects(store, state, effects, applied)
+        proposed.append(b'%d' % count)
+        assert applied == proposed
         if count % 3 == 0:
             snapshot = b','.join(applied)
             effects = compact(state, 2.0, state.applied_index, snapshot)
-            _carry_out(store, state, effects, applied)
+            _perform_effects(store, state, effects, applied)
         store.close()
 
 
-def _carry_out(store, state, effects, applied):
+def _perform_effects(store, state, effects, applied):
     for effect in effects:
         if isinstance(effect, WriteDurably):
             store.write(Persist(**dataclasses.asdict(effect)))
-            later = persisted(state, 1.0, effect.token)
-            _carry_out(store, state, later, applied)
+            next_effects = persisted(state, 1.0, effect.token)
+            _perform_effects(store, state, next_effects, applied)
         elif isinstance(effect, InstallSnapshot):
             applied[:] = effect.snapshot.split(b',')
         elif isinstance(effect, ApplyEntry) and effect.command is not None:
             applied.append(effect.command)
 
 
-def test_restart_with_a_long_log(tmp_path):
+def test_long_log_is_restored_in_time(tmp_path):
     """Guards against a restart that takes longer than 2 s."""
     hard = encode_hard_state(HardState(1, None, 'a'))
     writes = [Persist(token=1, hard_state=hard)]
     for index in range(1, 1_001):
         entry = _entry(index, payload=bytes(500))
         writes.append(Persist(token=index + 1, entries=[entry]))
-    _write_all(tmp_path, writes)
+    _write_to_new_store(tmp_path, writes)
     started = time.perf_counter()
     restored = _load(tmp_path)
     cfg = ConsensusConfig(name='a', voters=['a', 'b', 'c'])
