--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -25,7 +25,7 @@
 LOG = logging.getLogger(__name__)
 
 READ_BYTES = 65_536
-# Above the size of the platform's largest configuration, to let it grow.
+# The platform's largest configuration fits, with room for growth.
 MAX_BODY_BYTES = 2 << 20
 # Limits how long a slow peer holds memory; it blocks no other connection.
 REQUEST_TIMEOUT_S = 10.0
--- a/jackdawpost/platform/metrics.py
+++ b/jackdawpost/platform/metrics.py
@@ -15,7 +15,7 @@
 from jackdawpost.wire.server import ListenError
 
 # Must equal the port in deploy/system.toml. It is not taken from the ports in
-# the settings, because those change from one deployment to the next.
+# the settings, because those change from day to day.
 METRICS_PORT = 9464
 METRICS_PATH = '/metrics'
 
@@ -42,7 +42,8 @@
             try:
                 await serve_http(settings.ip, METRICS_PORT, serve)
             except ListenError as exc:
-                # The process keeps serving callers, without metrics.
+                # Serving callers is more important than metrics: the process
+                # continues without them.
                 LOG.warning('metrics_unserved', extra={'detail': str(exc)})
 
         return run
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -82,7 +82,7 @@
     seeds : list of str
         Addresses of control processes to connect to first, as IP:PORT.
     is_first_start : bool
-        Whether the system starts for the first time, without stored state.
+        True at the first start of the whole system, when nothing is stored.
     zones : dict of str to str
         Region of each data centre.
     """
--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -39,7 +39,7 @@
 
 
 class Peer(Address):
-    """A named control process."""
+    """Name and address of a control process."""
 
     name: Name
 
--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -185,8 +185,8 @@
         self._log_length = length
         if length < len(content):
             self._files.truncate(self._log_fd, length)
-        # Records that a crashed process wrote can be read before they are
-        # durable.
+        # A process that crashed before the sync leaves records that can be
+        # read but are not durable yet.
         self._files.sync(self._log_fd)
         self._files.sync_folder(self._dir)
 
--- a/jackdawpost/storage/records.py
+++ b/jackdawpost/storage/records.py
@@ -65,8 +65,8 @@
     content : bytes
         Whole content of the file.
     may_be_torn : bool
-        Whether the last record may be incomplete, as after a crash during a
-        write. It is then ignored.
+        Accept and ignore an incomplete last record, which a crash during a
+        write leaves.
 
     Returns
     -------
--- a/jackdawpost/tests/settings/test_loader.py
+++ b/jackdawpost/tests/settings/test_loader.py
@@ -55,7 +55,7 @@
 
 
 def test_error_names_every_invalid_key(tmp_path):
-    # Guards against errors that have to be found one start at a time.
+    # Guards against a program that reports one invalid key per start.
     extra = ', "lease_ms": 0, "unknown": 1'
     with pytest.raises(ConfigError) as caught:
         _load(tmp_path, VALID_SETTINGS % extra)
