Restore the error text of a data folder in use

The text is back; changing the test was ruled out, as it belongs to another folder and the stand-in prints the same text.

--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -168,7 +168,7 @@
             fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as exc:
             raise FolderLockedError(
-                f'{self._dir}: data folder is in use by another process'
+                f'{self._dir}: used by another process'
             ) from exc
 
     def _load_log(self) -> None:
