Describe the command-line programs and their options in plain terms

Ruled out: options, metavars, exit codes, columns and the usage errors that the list of log events names; names that other folders import. Change: docstrings, comments, help and error texts in cli/ and its tests; identifiers are renamed with every use.

--- a/jackdawpost/cli/change_files.py
+++ b/jackdawpost/cli/change_files.py
@@ -1,4 +1,4 @@
-"""Change-set files of operators: JSON with comments."""
+"""Reads change-set files, which operators write as JSON with comments."""
 
 from __future__ import annotations
 
@@ -35,18 +35,18 @@
     Parameters
     ----------
     path : str or Path
-        File in JSON with comments.
+        Change-set file, JSON with comments.
 
     Returns
     -------
     list of Operation
-        Operations in the order of the file; their objects are validated by
-        the control processes.
+        Operations in the order of the file. The control processes validate
+        the objects.
 
     Raises
     ------
     ConfigError
-        The file cannot be read or is no change set.
+        The file cannot be read or is not a valid change set.
     """
     return [
         Operation(
--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -1,4 +1,4 @@
-"""Arguments and exit codes that the programs share."""
+"""Arguments, settings loading and exit codes shared by the programs."""
 
 from __future__ import annotations
 
@@ -36,9 +36,16 @@
 
     Parameters
     ----------
+    program : str
+        Name of the program.
+    description : str
+        What the program does, for ``--help``.
+    example : str
+        Example of a command line, for ``--help``.
     config_required : bool
-        False if subcommands accept ``--config`` as well; the program then
-        checks by itself that it was given.
+        True if the parser rejects a command line without ``--config``. Pass
+        False if subcommands accept ``--config`` too; the program then has to
+        check that the option was given.
     """
     parser = argparse.ArgumentParser(
         prog=program,
@@ -58,22 +65,22 @@
     parser.add_argument(
         '--check',
         action='store_true',
-        help='validate the settings and exit with 0 or 2',
+        help='only validate the settings; exit with 0 if valid, 2 if not',
     )
     return parser
 
 
 def add_record_argument(parser: argparse.ArgumentParser) -> None:
-    """Add ``--record``."""
+    """Add the option ``--record``, which writes a trace for replay."""
     parser.add_argument(
         '--record',
         metavar='FILE',
-        help='write all events that the process receives as JSON lines',
+        help='write the events that the process handles as JSON lines',
     )
 
 
 def load_or_exit(args: argparse.Namespace, model: type[ModelT]) -> ModelT:
-    """Load the settings; exit with 2 if invalid, with 0 after ``--check``."""
+    """Load the settings; exit with 2 if invalid, or with 0 on ``--check``."""
     try:
         cfg = load_settings(args.config, model)
         check_tls_files(args.config, getattr(cfg, 'tls', None))
@@ -87,14 +94,14 @@
 
 
 def check_tls_files(path: str, tls: TlsSettings | None) -> None:
-    """Raise `ConfigError` unless the certificates of settings load.
+    """Raise `ConfigError` if the TLS files of the settings cannot be loaded.
 
     Parameters
     ----------
     path : str
-        Settings file, named by the error.
+        Settings file, quoted in the error.
     tls : TlsSettings, optional
-        TLS settings of that file.
+        TLS settings of that file; None if TLS is off.
     """
     if tls is None:
         return
@@ -111,7 +118,17 @@
     record_path: str | None,
     start: Callable[[DaemonT, str | None], int],
 ) -> int:
-    """Set up logs, run a daemon until it stops, and return its exit code."""
+    """Configure logging, run a daemon until it stops, return its exit code.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Settings of the process.
+    record_path : str, optional
+        File to which the events are recorded.
+    start : callable
+        Runs the daemon with the settings and the path, returns an exit code.
+    """
     log = configure_logging(settings.name, settings.log_level)
     try:
         return start(settings, record_path)
@@ -124,11 +141,11 @@
 def flatten_exception_group(
     group: BaseExceptionGroup[Exception],
 ) -> list[Exception]:
-    """Return the exceptions of a group and of the groups in it."""
-    found: list[Exception] = []
+    """Return the exceptions of a group, including those of nested groups."""
+    exceptions: list[Exception] = []
     for exc in group.exceptions:
         if isinstance(exc, BaseExceptionGroup):
-            found += flatten_exception_group(exc)
+            exceptions += flatten_exception_group(exc)
         else:
-            found.append(exc)
-    return found
+            exceptions.append(exc)
+    return exceptions
--- a/jackdawpost/cli/control.py
+++ b/jackdawpost/cli/control.py
@@ -1,4 +1,4 @@
-"""Program ``jackdawpost-control``."""
+"""Entry point of ``jackdawpost-control``, the control process."""
 
 from __future__ import annotations
 
@@ -16,7 +16,8 @@
     """Run the program and return its exit code."""
     parser = build_parser(
         'jackdawpost-control',
-        'Decides configuration, membership, leases, permits, promotions.',
+        'Run a control process, which manages configuration, membership, '
+        'leases, permits and promotions.',
         'jackdawpost-control --config control-0.json',
     )
     add_record_argument(parser)
--- a/jackdawpost/cli/ctl.py
+++ b/jackdawpost/cli/ctl.py
@@ -1,4 +1,4 @@
-"""``jackdawpost-ctl``: the operators' command line."""
+"""Entry point and arguments of ``jackdawpost-ctl``, used by operators."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 def build_ctl_parser() -> argparse.ArgumentParser:
-    """Return the parser of all subcommands."""
+    """Return the parser of the program and its subcommands."""
     parser = build_parser(
         PROGRAM,
         'Operate a jackdawpost deployment.',
@@ -32,17 +32,20 @@
         config_required=False,
     )
     parser.add_argument('--json', action='store_true', help='print JSON')
-    # Both options are accepted after the subcommand too, where the default
-    # must not overwrite what was given before it.
-    shared = argparse.ArgumentParser(add_help=False)
-    shared.add_argument('--config', metavar='FILE', default=argparse.SUPPRESS)
-    shared.add_argument(
+    # Both options may also follow the subcommand. Without SUPPRESS the
+    # default of the subcommand's parser would overwrite a value given before
+    # the subcommand.
+    common_options = argparse.ArgumentParser(add_help=False)
+    common_options.add_argument(
+        '--config', metavar='FILE', default=argparse.SUPPRESS
+    )
+    common_options.add_argument(
         '--json', action='store_true', default=argparse.SUPPRESS
     )
     commands = parser.add_subparsers(dest='command', metavar='COMMAND')
-    _add_change_commands(commands, shared)
-    _add_query_commands(commands, shared)
-    _add_member_commands(commands, shared)
+    _add_change_commands(commands, common_options)
+    _add_query_commands(commands, common_options)
+    _add_member_commands(commands, common_options)
     return parser
 
 
@@ -50,19 +53,20 @@
     argv: Sequence[str] | None = None,
     open_link: OpenLink = open_operator_link,
 ) -> int:
-    """Run the program.
+    """Run the program and return its exit code.
 
     Parameters
     ----------
     argv : sequence of str, optional
-        Arguments; those of the process by default.
+        Command-line arguments; those of the process by default.
     open_link : callable
         Opens a connection to a control process.
 
     Returns
     -------
     int
-        0 done, 1 refused or failed, 2 wrong usage or settings.
+        0 if done, 1 if refused or failed, 2 on wrong usage or invalid
+        settings.
     """
     parser = build_ctl_parser()
     args = parser.parse_args(argv)
@@ -83,76 +87,82 @@
 
 def _add_change_commands(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
-    shared: argparse.ArgumentParser,
+    common_options: argparse.ArgumentParser,
 ) -> None:
     parser = commands.add_parser(
-        'apply', parents=[shared], help='apply a change set'
+        'apply', parents=[common_options], help='apply a change set'
     )
     parser.add_argument('file', metavar='FILE')
     parser.add_argument('--dry-run', action='store_true', help='only validate')
     parser.add_argument(
         '--change-id',
         metavar='ID',
-        help='identity across resends; a new one by default',
+        help='id that makes a resend safe (default: a new id)',
     )
     parser.add_argument(
         '--base-revision',
         metavar='N',
         type=int,
-        help='revision that the file was written against; by default the '
-        'current one',
+        help='revision on which the change set is based (default: the '
+        'current one)',
     )
     parser = commands.add_parser(
-        'diff', parents=[shared], help='compare a change set with the objects'
+        'diff',
+        parents=[common_options],
+        help='compare a change set with the objects in force',
     )
     parser.add_argument('file', metavar='FILE')
 
 
 def _add_query_commands(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
-    shared: argparse.ArgumentParser,
+    common_options: argparse.ArgumentParser,
 ) -> None:
     parser = commands.add_parser(
-        'get', parents=[shared], help='print named objects'
+        'get', parents=[common_options], help='print configuration objects'
     )
     parser.add_argument(
         'type', metavar='TYPE', nargs='?', choices=OBJECT_TYPES
     )
     parser.add_argument('name', metavar='NAME', nargs='?', default='')
-    for name, text in (
+    for name, help_text in (
         ('history', 'print the accepted change sets'),
         ('status', 'print groups, newcomers and versions in force'),
-        ('dump', 'print the whole state'),
+        ('dump', 'print the replicated state'),
     ):
-        commands.add_parser(name, parents=[shared], help=text)
+        commands.add_parser(name, parents=[common_options], help=help_text)
 
 
 def _add_member_commands(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
-    shared: argparse.ArgumentParser,
+    common_options: argparse.ArgumentParser,
 ) -> None:
     parser = commands.add_parser(
-        'members', parents=[shared], help='print or remove members'
+        'members', parents=[common_options], help='print or remove members'
     )
     actions = parser.add_subparsers(dest='action', metavar='ACTION')
-    removal = actions.add_parser('remove', parents=[shared])
+    removal = actions.add_parser('remove', parents=[common_options])
     removal.add_argument('name', metavar='NAME')
     removal.add_argument(
         '--id',
         metavar='ID',
-        help='identity to remove; needed if the name has more than one',
+        help='identity to remove; required if the name has more than one',
     )
-    for name, text in (
-        ('approve', 'ask again for the missing approvals of a newcomer'),
-        ('drain', 'give an upstream no new work'),
+    for name, help_text in (
+        ('approve', 'request the missing approvals of a newcomer again'),
+        ('drain', 'send no new statements to an upstream'),
     ):
-        parser = commands.add_parser(name, parents=[shared], help=text)
+        parser = commands.add_parser(
+            name, parents=[common_options], help=help_text
+        )
         parser.add_argument('name', metavar='NAME')
         if name == 'drain':
             parser.add_argument('--undo', action='store_true')
             parser.add_argument('--change-id', metavar='ID')
     parser = commands.add_parser(
-        'promote', parents=[shared], help='replace the primary of a group'
+        'promote',
+        parents=[common_options],
+        help='replace the primary of a group',
     )
     parser.add_argument('group', metavar='GROUP')
     parser.add_argument(
--- a/jackdawpost/cli/ctl_commands.py
+++ b/jackdawpost/cli/ctl_commands.py
@@ -17,8 +17,8 @@
 from jackdawpost.cli.operator_link import NoAnswerError
 from jackdawpost.cli.operator_link import OpenLink
 from jackdawpost.cli.operator_link import send_request
+from jackdawpost.cli.tables import build_fault_table
 from jackdawpost.cli.tables import format_table
-from jackdawpost.cli.tables import list_faults
 from jackdawpost.core.messages.operator import Apply
 from jackdawpost.core.messages.operator import Approve
 from jackdawpost.core.messages.operator import Drain
@@ -38,7 +38,7 @@
 async def run_command(
     cfg: CtlSettings, args: argparse.Namespace, open_link: OpenLink
 ) -> int:
-    """Run one subcommand and print its answer.
+    """Run a subcommand and print its answer.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
     Returns
     -------
     int
-        Exit code.
+        `EXIT_DONE` if the request was accepted or done, else `EXIT_FAILED`.
     """
 
     async def send(request: OperatorRequest) -> OperatorAnswer:
@@ -140,15 +140,19 @@
     answer = await send(Query(id=REQUEST_ID, what='members'))
     if args.action is None:
         return answer
-    known = _find_member_ids(answer.tables, args.name)
-    member_id = args.id or (known[0] if len(known) == 1 else None)
-    if not known:
-        return _refuse(answer, f'{args.name!r} is not known')
-    if member_id not in known:
-        return _refuse(
+    known_ids = _find_member_ids(answer.tables, args.name)
+    member_id = args.id or (known_ids[0] if len(known_ids) == 1 else None)
+    if not known_ids:
+        return _build_refusal(
             answer,
-            f'{args.name!r}: name its identity with --id, valid are '
-            f'{", ".join(known)}',
+            f'member {args.name!r} is not known: valid are the names that '
+            '"members" prints',
+        )
+    if member_id not in known_ids:
+        return _build_refusal(
+            answer,
+            f'member {args.name!r}: --id must select one identity, valid are '
+            f'{", ".join(known_ids)}',
         )
     return await send(
         Members(
@@ -175,7 +179,11 @@
     answer = await send(Query(id=REQUEST_ID, what='status'))
     term = _find_cell(answer.tables, 'groups', args.group, 'term')
     if term is None:
-        return _refuse(answer, f'no group {args.group!r}')
+        return _build_refusal(
+            answer,
+            f'group {args.group!r} is not known: valid are the groups that '
+            '"status" prints',
+        )
     return await send(
         PromoteGroup(
             id=REQUEST_ID,
@@ -210,7 +218,7 @@
     return uuid.uuid4().hex
 
 
-def _refuse(answer: OperatorAnswer, message: str) -> OperatorAnswer:
+def _build_refusal(answer: OperatorAnswer, message: str) -> OperatorAnswer:
     return OperatorAnswer(
         id=answer.id,
         status='refused',
@@ -221,12 +229,12 @@
 
 
 def _find_member_ids(tables: list[Table], name: str) -> list[str]:
-    found = []
+    member_ids = []
     for table in ('members', 'newcomers', 'absent'):
         member_id = _find_cell(tables, table, name, 'member_id')
-        if member_id is not None and member_id not in found:
-            found.append(member_id)
-    return found
+        if member_id is not None and member_id not in member_ids:
+            member_ids.append(member_id)
+    return member_ids
 
 
 def _find_cell(
@@ -235,10 +243,10 @@
     for table in tables:
         if table.name != table_name:
             continue
-        place = table.columns.index(column)
+        column_index = table.columns.index(column)
         for row in table.rows:
             if row[0] == row_name:
-                return row[place]
+                return row[column_index]
     return None
 
 
@@ -249,11 +257,11 @@
     if answer.data is not None:
         print(json.dumps(answer.data, indent=2))
     if answer.faults:
-        print(format_table(list_faults(answer.faults)))
+        print(format_table(build_fault_table(answer.faults)))
         print()
-    repeated = ' (repeated answer)' if answer.duplicate else ''
+    repeated_note = ' (repeated answer)' if answer.duplicate else ''
     detail = f': {answer.message}' if answer.message else ''
     print(
-        f'{answer.status}{repeated}, revision {answer.revision}{detail}',
+        f'{answer.status}{repeated_note}, revision {answer.revision}{detail}',
         file=sys.stderr if answer.data is not None else sys.stdout,
     )
--- a/jackdawpost/cli/explain.py
+++ b/jackdawpost/cli/explain.py
@@ -1,4 +1,8 @@
-"""Program ``jackdawpost-explain``: the story of one request from logs."""
+"""Entry point of ``jackdawpost-explain``, which filters logs for one request.
+
+It merges the logs of several processes by time and prints the lines that name
+the request, together with the state changes shortly before and during it.
+"""
 
 from __future__ import annotations
 
@@ -19,10 +23,11 @@
 
 TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
 DEFAULT_BEFORE_S = 5.0
-# Fields that every line has; the others are the inputs of a decision.
+# Fields of every line; the others are the inputs of the logged decision.
 COMMON_FIELDS = ('time', 'level', 'logger', 'event', 'process', 'request')
-# Events that change what a process believes of its surroundings.
-BELIEFS = (
+# Prefixes of events that change the view a process has of the cluster: its
+# leader, members, primaries, upstreams and configuration.
+STATE_EVENT_PREFIXES = (
     'upstream_',
     'primary_',
     'promotion_',
@@ -41,9 +46,17 @@
 
 @dataclass(slots=True)
 class Line:
-    """One line of a log."""
+    """One line of a log.
+
+    Parameters
+    ----------
+    timestamp : datetime
+        Time of the line, from its field ``time``.
+    fields : dict
+        All fields of the line.
+    """
 
-    at: datetime
+    timestamp: datetime
     fields: dict[str, Any]
 
     @property
@@ -53,79 +66,93 @@
 
 
 def read_lines(paths: Iterable[str]) -> Iterator[Line]:
-    """Yield the lines of logs that are JSON objects with a time."""
+    """Yield the lines of log files; skip lines without a JSON object or time.
+
+    Raises
+    ------
+    OSError
+        A file cannot be read.
+    """
     for path in paths:
         with open(path, encoding='utf-8', errors='replace') as file:
             for text in file:
-                line = _parse(text)
+                line = _parse_line(text)
                 if line is not None:
                     yield line
 
 
-def _parse(text: str) -> Line | None:
-    # A collector may put its own fields before the object.
+def _parse_line(text: str) -> Line | None:
+    # Log collectors may prefix the JSON object with their own fields.
     start = text.find('{')
     try:
         fields = json.loads(text[start:])
-        at = datetime.strptime(fields['time'], TIME_FORMAT)
+        timestamp = datetime.strptime(fields['time'], TIME_FORMAT)
     except (ValueError, KeyError, TypeError):
         return None
-    return Line(at=at, fields=fields)
+    return Line(timestamp=timestamp, fields=fields)
 
 
-def tell_story(
+def select_lines(
     lines: Iterable[Line], request: str, before_s: float
 ) -> list[Line]:
-    """Return what concerns a request, in order of time.
+    """Return the lines of a request and the state changes around it.
 
     Parameters
     ----------
+    lines : iterable of Line
+        Lines of all logs, in any order.
     request : str
         Id of the request.
     before_s : float
-        Time before its first line, in seconds, from which changes of what
-        the processes believed are included.
+        State changes are included from this many seconds before the first
+        line of the request until its last line.
 
     Returns
     -------
     list of Line
-        Empty if no log names the request.
+        Lines in order of time; empty if no line has the id of the request.
     """
-    known = sorted(lines, key=lambda line: line.at)
-    own = [line for line in known if line.fields.get('request') == request]
-    if not own:
+    ordered = sorted(lines, key=lambda line: line.timestamp)
+    request_lines = [
+        line for line in ordered if line.fields.get('request') == request
+    ]
+    if not request_lines:
         return []
-    since = own[0].at - timedelta(seconds=before_s)
+    start_time = request_lines[0].timestamp - timedelta(seconds=before_s)
     return [
         line
-        for line in known
+        for line in ordered
         if line.fields.get('request') == request
-        or (since <= line.at <= own[-1].at and _is_belief(line))
+        or (
+            start_time <= line.timestamp <= request_lines[-1].timestamp
+            and _is_state_event(line)
+        )
     ]
 
 
-def _is_belief(line: Line) -> bool:
-    return line.event.startswith(BELIEFS)
+def _is_state_event(line: Line) -> bool:
+    return line.event.startswith(STATE_EVENT_PREFIXES)
 
 
 def format_line(line: Line, request: str) -> str:
-    """Return one line of text; ``>`` marks those of the request itself."""
-    mark = '>' if line.fields.get('request') == request else ' '
-    inputs = ' '.join(
+    """Return a line as text; ``>`` marks lines of the request itself."""
+    marker = '>' if line.fields.get('request') == request else ' '
+    details = ' '.join(
         f'{name}={value}'
         for name, value in line.fields.items()
         if name not in COMMON_FIELDS
     )
     process = line.fields.get('process', '?')
-    time = line.at.strftime(TIME_FORMAT)[:-3]
-    return f'{mark} {time} {process} {line.event} {inputs}'
+    time = line.timestamp.strftime(TIME_FORMAT)[:-3]
+    return f'{marker} {time} {process} {line.event} {details}'
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program and return its exit code."""
     parser = argparse.ArgumentParser(
         prog='jackdawpost-explain',
-        description='Print what the logs tell of one request.',
+        description='Print the log lines of one request and the state changes '
+        'around it, in order of time.',
         epilog='example: jackdawpost-explain 3f2a logs/*',
     )
     parser.add_argument(
@@ -138,20 +165,26 @@
         type=float,
         default=DEFAULT_BEFORE_S,
         metavar='SECONDS',
-        help='time before the request to look back (default: %(default)s)',
+        help='include state changes from this long before the first line of '
+        'the request (default: %(default)s)',
     )
     parser.add_argument('request', help='id of the request')
     parser.add_argument('logs', nargs='+', metavar='LOG')
     args = parser.parse_args(argv)
     try:
-        story = tell_story(read_lines(args.logs), args.request, args.before)
+        selected = select_lines(
+            read_lines(args.logs), args.request, args.before
+        )
     except OSError as exc:
         print(f'error: {exc}', file=sys.stderr)
         return EXIT_FAILED
-    if not story:
-        print(f'no log names request {args.request!r}', file=sys.stderr)
+    if not selected:
+        print(
+            f'request {args.request!r} is not named in any of the logs',
+            file=sys.stderr,
+        )
         return EXIT_FAILED
-    for line in story:
+    for line in selected:
         print(format_line(line, args.request))
     return EXIT_DONE
 
--- a/jackdawpost/cli/operator_link.py
+++ b/jackdawpost/cli/operator_link.py
@@ -1,7 +1,8 @@
-"""Requests of operators to the control processes.
+"""Sends requests of operators to the leader of the control processes.
 
-Each request may be sent again: change sets carry a change id, promotions the
-term and removals the identity that the operator saw.
+Every request can safely be resent: a change set carries a change id, a
+promotion carries the term and a removal the member identity that the operator
+saw.
 """
 
 from __future__ import annotations
@@ -35,8 +36,9 @@
 
 OPERATOR_PATH = '/v1/operator'
 MAX_ANSWER_BYTES = 64 << 20
-RETRY_PAUSE_S = 0.1
-# A silent connection must leave time for the other control processes.
+RETRY_DELAY_S = 0.1
+# Limits each attempt to a share of the total time, which leaves time to try
+# other control processes when one does not answer.
 ATTEMPTS_PER_TIMEOUT = 3
 
 Reply = OperatorAnswer | NotLeader
@@ -49,16 +51,16 @@
 
 
 class LinkError(JackdawpostError):
-    """A control process could not be reached or the connection was lost."""
+    """A control process is unreachable or the connection to it was lost."""
 
 
 class NoAnswerError(JackdawpostError):
-    """No control process answered in time.
+    """The leader of the control processes did not answer in time.
 
     Parameters
     ----------
     sent : bool
-        The request was sent at least once, so that it may have taken effect.
+        True if the request was sent and may have taken effect.
     """
 
     def __init__(self, message: str, sent: bool) -> None:
@@ -68,8 +70,18 @@
 
 @dataclass(slots=True)
 class _Attempts:
+    """Attempts to send one request.
+
+    Attributes
+    ----------
+    sent : int
+        Attempts that may have taken effect.
+    last_error : str
+        Why the latest attempt got no answer.
+    """
+
     sent: int = 0
-    last_error: str = 'no attempt was made'
+    last_error: str = 'no control process was tried'
 
 
 @asynccontextmanager
@@ -88,8 +100,8 @@
     Yields
     ------
     callable
-        Sends one request and returns the reply; raises `LinkError` or
-        `ProtocolError`.
+        Coroutine function that sends one request and returns the reply. It
+        raises `LinkError` or `ProtocolError`.
     """
     context = build_client_context(tls) if tls is not None else None
     try:
@@ -116,14 +128,14 @@
     request: OperatorRequest,
     open_link: OpenLink = open_operator_link,
 ) -> OperatorAnswer:
-    """Send a request until the leader answers it.
+    """Send a request, and resend it until the leader answers.
 
     Parameters
     ----------
     cfg : CtlSettings
-        Control processes and the time limit.
+        Addresses of the control processes and the time limit.
     request : OperatorRequest
-        Request; it is sent unchanged each time.
+        Request, which is the same in each attempt.
     open_link : callable
         Opens a connection to one control process.
 
@@ -135,58 +147,61 @@
     Raises
     ------
     NoAnswerError
-        The time limit ran out.
+        The time limit expired.
     """
     attempts = _Attempts()
     timeout_s = cfg.timeout_ms / 1_000
     with trio.move_on_after(timeout_s):
-        return await _ask_leader(cfg, request, open_link, attempts)
+        return await _request_from_leader(cfg, request, open_link, attempts)
     raise NoAnswerError(
-        f'no answer within {cfg.timeout_ms} ms: {attempts.last_error}',
+        f'control processes: no answer within {cfg.timeout_ms} ms: '
+        f'{attempts.last_error}',
         sent=attempts.sent > 0,
     )
 
 
-async def _ask_leader(
+async def _request_from_leader(
     cfg: CtlSettings,
     request: OperatorRequest,
     open_link: OpenLink,
     attempts: _Attempts,
 ) -> OperatorAnswer:
-    order = cycle(cfg.control)
-    peer = next(order)
-    by_name = {item.name: item for item in cfg.control}
+    peers = cycle(cfg.control)
+    peer = next(peers)
+    peers_by_name = {item.name: item for item in cfg.control}
     while True:
-        reply = await _try_peer(cfg, peer, request, open_link, attempts)
+        reply = await _request_from_peer(
+            cfg, peer, request, open_link, attempts
+        )
         if isinstance(reply, OperatorAnswer):
             return reply
-        leader = by_name.get(reply.leader or '') if reply else None
+        leader = peers_by_name.get(reply.leader or '') if reply else None
         if leader is None or leader == peer:
-            peer = next(order)
-            await trio.sleep(RETRY_PAUSE_S)
+            peer = next(peers)
+            await trio.sleep(RETRY_DELAY_S)
         else:
             peer = leader
 
 
-async def _try_peer(
+async def _request_from_peer(
     cfg: CtlSettings,
     peer: Peer,
     request: OperatorRequest,
     open_link: OpenLink,
     attempts: _Attempts,
 ) -> Reply | None:
-    limit_s = cfg.timeout_ms / 1_000 / ATTEMPTS_PER_TIMEOUT
+    attempt_timeout_s = cfg.timeout_ms / 1_000 / ATTEMPTS_PER_TIMEOUT
     reply: Reply | None = None
     try:
-        with trio.fail_after(limit_s):
+        with trio.fail_after(attempt_timeout_s):
             async with open_link(peer, cfg.tls) as exchange:
                 attempts.sent += 1
                 reply = await exchange(request)
     except (trio.TooSlowError, LinkError, ProtocolError) as exc:
-        # A connection that fails while closing has delivered its reply.
+        # If the connection failed only while closing, the reply has arrived.
         if reply is None:
             attempts.last_error = (
-                f'{peer.name}: silent for {limit_s:.1f} s'
+                f'{peer.name}: no answer within {attempt_timeout_s:.1f} s'
                 if isinstance(exc, trio.TooSlowError)
                 else str(exc)
             )
@@ -194,9 +209,12 @@
     if isinstance(reply, NotLeader):
         attempts.sent -= 1
         attempts.last_error = (
-            f'{peer.name} does not lead, it names {reply.leader!r}'
+            f'{peer.name} is not the leader; the leader that it knows is '
+            f'{reply.leader!r}'
         )
     elif reply is not None and reply.id != request.id:
-        attempts.last_error = f'{peer.name}: answer to request {reply.id}'
+        attempts.last_error = (
+            f'{peer.name}: answer has the id of another request: {reply.id}'
+        )
         return None
     return reply
--- a/jackdawpost/cli/proxy.py
+++ b/jackdawpost/cli/proxy.py
@@ -1,4 +1,4 @@
-"""Program ``jackdawpost-proxy``."""
+"""Entry point of ``jackdawpost-proxy``, the proxy process."""
 
 from __future__ import annotations
 
@@ -16,7 +16,8 @@
     """Run the program and return its exit code."""
     parser = build_parser(
         'jackdawpost-proxy',
-        'Serves callers: sessions, routing, limits, retries.',
+        'Run a proxy, which serves callers: sessions, routing, limits, '
+        'retries.',
         'jackdawpost-proxy --config proxy-0.json',
     )
     add_record_argument(parser)
--- a/jackdawpost/cli/replay.py
+++ b/jackdawpost/cli/replay.py
@@ -1,4 +1,4 @@
-"""Program ``jackdawpost-replay``."""
+"""Entry point of ``jackdawpost-replay``, which replays recorded traces."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
-        description='Replays a recorded trace through the same reducer.',
+        description='Replay a recorded trace through the same reducer.',
         epilog=f'example: {EXAMPLE}',
     )
     parser.add_argument(
@@ -57,12 +57,12 @@
     )
     parser.add_argument('trace', metavar='TRACE', help='recorded trace')
     parser.add_argument(
-        '--expect', metavar='OUTCOME', help='stated outcome to compare with'
+        '--expect', metavar='OUTCOME', help='file with the expected outcome'
     )
     parser.add_argument(
         '--check',
         action='store_true',
-        help='only read the files and exit with 0 or 2',
+        help='only read the files; exit with 0 if valid, 2 if not',
     )
     parser.add_argument(
         '--effects',
--- a/jackdawpost/cli/tables.py
+++ b/jackdawpost/cli/tables.py
@@ -1,4 +1,4 @@
-"""Tables for people."""
+"""Formats tables of answers as text for the terminal."""
 
 from __future__ import annotations
 
@@ -12,36 +12,36 @@
 
 
 def format_table(table: Table) -> str:
-    """Return a table as aligned text, with its name and column names.
+    """Return a table as aligned text below its name and column names.
 
     Parameters
     ----------
     table : Table
-        Columns and rows of plain values.
+        Table to format; its cells are plain values.
 
     Returns
     -------
     str
-        Lines without trailing blanks; one line if there are no rows.
+        Lines without trailing blanks; a single line if there are no rows.
     """
     if not table.rows:
         return f'{table.name}: none'
     lines = [[str(column) for column in table.columns]]
     lines.extend([_format_cell(cell) for cell in row] for row in table.rows)
     widths = [
-        max(len(line[place]) for line in lines)
-        for place in range(len(table.columns))
+        max(len(line[index]) for line in lines)
+        for index in range(len(table.columns))
     ]
-    text = [f'{table.name}:']
+    output = [f'{table.name}:']
     for line in lines:
         cells = [
             cell.ljust(width) for cell, width in zip(line, widths, strict=True)
         ]
-        text.append(COLUMN_GAP.join(cells).rstrip())
-    return '\n'.join(text)
+        output.append(COLUMN_GAP.join(cells).rstrip())
+    return '\n'.join(output)
 
 
-def list_faults(faults: list[Fault]) -> Table:
+def build_fault_table(faults: list[Fault]) -> Table:
     """Return the faults of a change set as a table."""
     return Table(
         name='faults',
@@ -57,5 +57,6 @@
         return 'yes' if value else 'no'
     if isinstance(value, list):
         return ', '.join(str(item) for item in value) or NO_VALUE
-    # Control characters in announced names would garble the terminal.
+    # Members announce their own names. Control characters in them would
+    # garble the terminal.
     return ''.join(c if c.isprintable() else '?' for c in str(value))
--- a/jackdawpost/tests/cli/test_ctl.py
+++ b/jackdawpost/tests/cli/test_ctl.py
@@ -1,4 +1,4 @@
-"""What operators see, and what is sent again after a lost answer."""
+"""Tests of ``jackdawpost-ctl`` against simulated control processes."""
 
 from __future__ import annotations
 
@@ -38,10 +38,18 @@
 
 
 class FakeControl:
-    """Three control processes around one machine; ``c1`` leads.
-
-    `faults` maps a process to what it does: ``'refuse'``, ``'silent'`` or
-    ``'lose_answer'`` (once, after the request took effect).
+    """Three simulated control processes with one replicated state.
+
+    The leader is ``c1``; the others answer with its name.
+
+    Attributes
+    ----------
+    faults : dict of str to str
+        Fault of a process: ``'refuse'`` refuses connections, ``'silent'``
+        never answers, ``'lose_answer'`` loses one connection after the
+        request has taken effect.
+    requests : list
+        Requests that the leader handled, in order.
     """
 
     def __init__(self):
@@ -73,13 +81,13 @@
         self.requests.append(request)
         if isinstance(request, Query):
             return answer_query(self.machine, request)
-        build = {
+        build_command = {
             'apply': build_change,
             'drain': build_drain,
             'promote': build_promotion,
             'members': build_removal,
         }[request.kind]
-        command = build(self.machine, request)
+        command = build_command(self.machine, request)
         if isinstance(command, OperatorAnswer):
             return command
         self.index += 1
@@ -100,8 +108,8 @@
         'operator': 'ada',
         'timeout_ms': 900,
         'control': [
-            {'name': name, 'host': '127.0.0.1', 'port': 7001 + place}
-            for place, name in enumerate(('c2', 'c1', 'c3'))
+            {'name': name, 'host': '127.0.0.1', 'port': 7001 + offset}
+            for offset, name in enumerate(('c2', 'c1', 'c3'))
         ],
     }
     config = tmp_path / 'ctl.json'
@@ -109,12 +117,16 @@
     (tmp_path / 'changes.json').write_text(CHANGES)
 
     def run_main(*arguments):
-        words = [
-            str(tmp_path / word) if word.endswith('.json') else word
-            for word in arguments
+        resolved = [
+            str(tmp_path / argument)
+            if argument.endswith('.json')
+            else argument
+            for argument in arguments
         ]
         try:
-            code = main(['--config', str(config), *words], control.open_link)
+            code = main(
+                ['--config', str(config), *resolved], control.open_link
+            )
         except SystemExit as exc:
             code = exc.code
         printed = capsys.readouterr()
@@ -124,17 +136,19 @@
 
 
 def test_check_works_without_a_subcommand(run):
-    # Guards against settings that can only be checked by sending something.
+    # Guards against settings that cannot be checked without sending a
+    # request.
     assert run('--check')[0] == 0
     code, _, err = run()
     assert code == 2 and 'COMMAND' in err
 
 
 def test_missing_settings_and_wrong_usage_exit_with_2(run, tmp_path):
-    # Guards against scripts that take a typing error for a reject.
-    for words in (['status'], ['--config', 'none.json', 'status']):
+    # Guards against a script that mistakes a usage error for a rejected
+    # change.
+    for arguments in (['status'], ['--config', 'none.json', 'status']):
         with pytest.raises(SystemExit) as caught:
-            main(words)
+            main(arguments)
         assert caught.value.code == 2
     assert run('get', 'queue')[0] == 2
     assert run('apply', 'none.json')[0] == 2
@@ -143,8 +157,9 @@
     assert code == 2 and 'operations.0.action' in err
 
 
-def test_apply_follows_the_leader_and_prints_the_revision(run, control):
-    # Guards against a follower's redirect that ends the program.
+def test_apply_follows_a_redirect_to_the_leader(run, control):
+    # Guards against a program that fails when a follower redirects it to the
+    # leader.
     code, out, _ = run('apply', 'changes.json')
     assert code == 0 and 'accepted, revision 2' in out
     assert 'stock' in control.machine.objects.groups
@@ -153,7 +168,7 @@
 
 
 def test_options_are_accepted_after_the_subcommand(run, tmp_path):
-    # Guards against a misplaced option that silently loses its value.
+    # Guards against losing the value of an option because of its position.
     code, out, _ = run('status', '--json')
     assert code == 0 and json.loads(out)['revision'] == 1
     code, out, _ = run('--json', 'get', 'group')
@@ -162,13 +177,16 @@
 
 
 @pytest.mark.parametrize(
-    'words', [('apply', 'changes.json'), ('drain', 'db-1')]
+    'arguments', [('apply', 'changes.json'), ('drain', 'db-1')]
 )
-def test_lost_answer_is_resent_under_the_same_change_id(run, control, words):
-    # Guards against a change applied twice, or reported as failed although
-    # it is in force.
+def test_lost_answer_is_resent_under_the_same_change_id(
+    run, control, arguments
+):
+    # Guards against a change that is applied twice, or reported as failed
+    # although it is in force, because the connection was lost before the
+    # answer.
     control.faults['c1'] = 'lose_answer'
-    code, out, _ = run(*words)
+    code, out, _ = run(*arguments)
     assert code == 0 and 'repeated answer' in out
     first, second = control.requests[-2:]
     assert first == second
@@ -176,26 +194,28 @@
 
 
 @pytest.mark.parametrize('fault', ['refuse', 'silent'])
-def test_unreachable_control_process_is_passed_over(run, control, fault):
-    # Guards against a program that hangs on the first address.
+def test_unreachable_control_process_is_skipped(run, control, fault):
+    # Guards against a program that hangs on the first address of its
+    # settings.
     control.faults['c2'] = fault
     code, out, _ = run('status')
     assert code == 0 and 'orders' in out
 
 
-def test_no_answer_names_the_change_id_to_use_again(run, control):
-    # Guards against an operator who sends the change under a new id.
+def test_error_without_an_answer_names_the_change_id_to_reuse(run, control):
+    # Guards against an operator who resends a change under a new id, so that
+    # it may be applied twice.
     control.faults = dict.fromkeys(('c1', 'c2', 'c3'), 'silent')
-    words = ('--base-revision', '1', '--change-id', 'monday')
-    code, _, err = run('apply', 'changes.json', *words)
+    arguments = ('--base-revision', '1', '--change-id', 'monday')
+    code, _, err = run('apply', 'changes.json', *arguments)
     assert code == 1 and '--change-id monday' in err
     control.faults = dict.fromkeys(('c1', 'c2', 'c3'), 'refuse')
-    code, _, err = run('apply', 'changes.json', *words)
+    code, _, err = run('apply', 'changes.json', *arguments)
     assert code == 1 and 'may be in force' not in err
 
 
 def test_dry_run_and_diff_send_no_change(run, control):
-    # Guards against a preview that is applied.
+    # Guards against a preview that changes the configuration.
     code, out, _ = run('apply', 'changes.json', '--dry-run')
     assert code == 0 and 'dry run' in out
     code, out, _ = run('diff', 'changes.json')
@@ -203,15 +223,16 @@
     assert control.machine.revision == 1
 
 
-def test_stale_base_revision_is_rejected_with_the_winner(run):
-    # Guards against overwriting a colleague's change.
+def test_stale_base_revision_is_rejected_with_the_latest_change(run):
+    # Guards against overwriting a change that another operator made in the
+    # meantime.
     assert run('drain', 'db-1')[0] == 0
     code, out, _ = run('apply', 'changes.json', '--base-revision', '1')
     assert code == 1 and 'current revision is 2' in out and "'ada'" in out
 
 
-def test_promotion_names_the_term_that_the_operator_saw(run, control):
-    # Guards against a second promotion by a resend.
+def test_promotion_carries_the_term_from_the_status(run, control):
+    # Guards against a resend that starts a second promotion.
     assert run('promote', 'orders', '--accept-loss')[0] == 0
     request = control.requests[-1]
     assert isinstance(request, PromoteGroup)
@@ -220,21 +241,22 @@
 
 
 def test_ambiguous_removal_needs_an_identity(run, control):
-    # Guards against removing the replacement instead of the lost database.
+    # Guards against removing the replacement of a lost database that has the
+    # same name.
     assert run('members', 'remove', 'x')[0] == 1
     assert run('members', 'remove', 'db-3')[0] == 0
     assert 'db-3' not in control.machine.groups['orders'].database_set
     control.machine.members['db-2'].member_id = 'wiped'
     code, out, _ = run('members', 'remove', 'db-2')
     assert code == 1 and 'wiped, db-2-data' in out
-    words = ('members', 'remove', 'db-2', '--id', 'db-2-data')
-    assert run(*words)[0] == 0
+    arguments = ('members', 'remove', 'db-2', '--id', 'db-2-data')
+    assert run(*arguments)[0] == 0
     assert 'db-2' in control.machine.members
 
 
 @pytest.mark.parametrize('deployment', ['handfang', 'cordillera'])
 def test_example_change_sets_are_accepted(deployment):
-    # Guards against examples that operators cannot use.
+    # Guards against examples that the control processes reject.
     answer = Driver().change(
         'example', *load_change_file(EXAMPLES / deployment / 'changes.json')
     )
--- a/jackdawpost/tests/cli/test_explain.py
+++ b/jackdawpost/tests/cli/test_explain.py
@@ -1,4 +1,4 @@
-"""The story of one request, from the logs of several processes."""
+"""Tests of ``jackdawpost-explain``."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from jackdawpost.cli.explain import main
 
 
-def _write(path, *lines):
+def _write_log(path, *lines):
     texts = [
         json.dumps(
             {
@@ -21,8 +21,8 @@
     return str(path)
 
 
-def test_story_merges_processes_in_order(tmp_path, capsys):
-    edge = _write(
+def test_lines_of_several_processes_are_merged_by_time(tmp_path, capsys):
+    proxy_log = _write_log(
         tmp_path / 'edge.log',
         (1.0, {'event': 'primary_found', 'process': 'edge-1', 'n': 0}),
         (9.5, {'event': 'primary_lost', 'process': 'edge-1', 'n': 1}),
@@ -38,11 +38,11 @@
         ),
         (11.0, {'event': 'primary_found', 'process': 'edge-1', 'n': 3}),
     )
-    control = _write(
+    control_log = _write_log(
         tmp_path / 'control.log',
         (9.7, {'event': 'promotion_started', 'process': 'core-1', 'token': 4}),
     )
-    assert main(['3f2a', edge, control]) == 0
+    assert main(['3f2a', proxy_log, control_log]) == 0
     lines = capsys.readouterr().out.splitlines()
     events = [
         word
@@ -55,12 +55,12 @@
     assert len(lines) == 3
 
 
-def test_unknown_request_is_said_so(tmp_path, capsys):
-    log = _write(tmp_path / 'edge.log', (1.0, {'event': 'x'}))
+def test_unknown_request_is_reported(tmp_path, capsys):
+    log = _write_log(tmp_path / 'edge.log', (1.0, {'event': 'x'}))
     assert main(['77c0', log]) == 1
     assert '77c0' in capsys.readouterr().err
 
 
-def test_missing_log_is_said_so(tmp_path, capsys):
+def test_missing_log_is_reported(tmp_path, capsys):
     assert main(['77c0', str(tmp_path / 'none.log')]) == 1
     assert 'none.log' in capsys.readouterr().err
--- a/jackdawpost/tests/cli/test_operator_link.py
+++ b/jackdawpost/tests/cli/test_operator_link.py
@@ -1,4 +1,4 @@
-"""The operators' WebSocket against a server on loopback."""
+"""Tests of the operator connection against a server on loopback."""
 
 from __future__ import annotations
 
@@ -48,16 +48,16 @@
     return Peer(name='c1', host='127.0.0.1', port=port)
 
 
-async def _ask(peer, tls=None):
+async def _exchange_query(peer, tls=None):
     with trio.fail_after(5):
         async with open_operator_link(peer, tls) as exchange:
             return await exchange(QUERY)
 
 
 async def test_large_answer_arrives(nursery):
-    # Guards against a dump that the default frame limit cuts off.
+    # Guards against a dump that exceeds the default limit of a frame.
     peer = await _listen(nursery, _answer)
-    assert await _ask(peer) == ANSWER
+    assert await _exchange_query(peer) == ANSWER
 
 
 @pytest.mark.parametrize(
@@ -65,24 +65,27 @@
     [(_close, LinkError), (_send_nonsense, ProtocolError)],
 )
 async def test_broken_exchange_is_a_typed_error(nursery, handler, error):
-    # Guards against a traceback or an exception group instead of a resend.
+    # Guards against a traceback or an exception group in place of an error
+    # after which the request is resent.
     peer = await _listen(nursery, handler)
     with pytest.raises(error):
-        await _ask(peer)
+        await _exchange_query(peer)
 
 
 async def test_refused_connection_and_plain_tcp_are_link_errors(nursery):
-    # Guards against a wrong port that ends the program with a traceback.
-    async def hang_up(stream):
+    # Guards against a traceback when a port in the settings is wrong.
+    async def close_stream(stream):
         await stream.aclose()
 
     listeners = await nursery.start(
-        partial(trio.serve_tcp, hang_up, 0, host='127.0.0.1')
+        partial(trio.serve_tcp, close_stream, 0, host='127.0.0.1')
     )
     port = listeners[0].socket.getsockname()[1]
     for number in (1, port):
         with pytest.raises(LinkError):
-            await _ask(Peer(name='c1', host='127.0.0.1', port=number))
+            await _exchange_query(
+                Peer(name='c1', host='127.0.0.1', port=number)
+            )
 
 
 @pytest.fixture
@@ -112,7 +115,8 @@
 async def test_only_the_named_control_process_gets_requests(
     nursery, authority, tls, common_name, own_authority, valid
 ):
-    # Guards against change sets sent to an impostor with another role.
+    # Guards against sending change sets to a process with the certificate of
+    # another process, role or authority.
     issuer = authority if own_authority else trustme.CA()
     issued = issuer.issue_cert('127.0.0.1', common_name=common_name)
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
@@ -121,7 +125,7 @@
     context.verify_mode = ssl.CERT_REQUIRED
     peer = await _listen(nursery, _answer, context)
     if valid:
-        assert await _ask(peer, tls) == ANSWER
+        assert await _exchange_query(peer, tls) == ANSWER
     else:
         with pytest.raises(LinkError):
-            await _ask(peer, tls)
+            await _exchange_query(peer, tls)
--- a/jackdawpost/tests/cli/test_programs.py
+++ b/jackdawpost/tests/cli/test_programs.py
@@ -1,4 +1,4 @@
-"""The programs as operators start them."""
+"""Tests of the installed programs: arguments, settings and signals."""
 
 from __future__ import annotations
 
@@ -24,11 +24,11 @@
 HOST = '127.0.0.1'
 PYPROJECT = Path(__file__).parents[3] / 'pyproject.toml'
 ENTRY_POINTS = tomllib.loads(PYPROJECT.read_text())['project']['scripts']
-# These read files that others have written, and take no settings.
+# These read logs or traces and have no settings file.
 WITHOUT_SETTINGS = ('jackdawpost-replay', 'jackdawpost-explain')
 CONFIGURED = [name for name in ENTRY_POINTS if name not in WITHOUT_SETTINGS]
 DAEMONS = [name for name in CONFIGURED if 'ctl' not in name]
-LIMIT_S = 20
+TIMEOUT_S = 20
 
 
 def load_main(name):
@@ -43,7 +43,7 @@
         return exc.code
 
 
-def take_port():
+def find_free_port():
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
@@ -76,8 +76,8 @@
 
 @pytest.mark.parametrize('name', ENTRY_POINTS)
 def test_help_has_an_example_and_version_names_the_program(name, capsys):
-    # Guards against an entry point that does not import, and against a
-    # program whose usage has to be looked up elsewhere.
+    # Guards against an entry point that cannot be imported, and against help
+    # texts without an example.
     assert run_main(name, '--help') == 0
     assert f'example: {name} ' in capsys.readouterr().out
     assert run_main(name, '--version') == 0
@@ -86,12 +86,15 @@
 
 
 @pytest.mark.parametrize('name', CONFIGURED)
-def test_check_tells_valid_settings_from_invalid_ones(name, tmp_path, capsys):
-    # Guards against a mistake that is noticed only when a process starts.
+def test_check_distinguishes_valid_from_invalid_settings(
+    name, tmp_path, capsys
+):
+    # Guards against a mistake in the settings that is found only when the
+    # process starts.
     path = write_settings(tmp_path, name, 7100)
     assert run_main(name, '--config', path, '--check') == 0
     tls = {'certificate': '/none', 'key': '/none', 'authority': '/none'}
-    for key, value, quoted in (
+    for key, value, expected in (
         ('surplus', 5, '5'),
         ('tls', tls, '/none'),
         ('operator' if 'ctl' in name else 'name', 'No Name', "'No Name'"),
@@ -101,19 +104,19 @@
         assert run_main(name, '--config', path, '--check') == 2
         error = capsys.readouterr().err
         assert error.count('\n') == 1
-        assert path in error and key in error and quoted in error
+        assert path in error and key in error and expected in error
     assert run_main(name, '--config', '/none', '--check') == 2
 
 
 def test_replay_checks_a_trace(tmp_path, capsys):
-    # Guards against a damaged trace that looks like a passed replay.
+    # Guards against a damaged trace that is reported as readable.
     path = tmp_path / 'trace.jsonl'
     path.write_text('nonsense\n')
     assert replay.main([str(path), '--check']) == 2
     assert str(path) in capsys.readouterr().err
 
 
-def start(name, path):
+def start_program(name, path):
     module = ENTRY_POINTS[name].partition(':')[0]
     return subprocess.Popen(
         [sys.executable, '-m', module, '--config', path],
@@ -123,7 +126,7 @@
 
 
 def wait_listening(port):
-    deadline = time.monotonic() + LIMIT_S
+    deadline = time.monotonic() + TIMEOUT_S
     while time.monotonic() < deadline:
         with closing(socket.socket()) as probe:
             if probe.connect_ex((HOST, port)) == 0:
@@ -132,10 +135,10 @@
     raise AssertionError(f'nothing listens on {port}')
 
 
-def end(process):
-    """Return exit code and standard error; kills what still runs."""
+def wait_for_exit(process):
+    """Return exit code and standard error; kill the process on time-out."""
     try:
-        _, errors = process.communicate(timeout=LIMIT_S)
+        _, errors = process.communicate(timeout=TIMEOUT_S)
     finally:
         process.kill()
         process.wait()
@@ -144,15 +147,15 @@
 
 @pytest.mark.process
 @pytest.mark.parametrize('name', DAEMONS)
-def test_a_port_in_use_is_one_clear_line(name, tmp_path):
-    # Guards against a traceback, and against a process that runs on without
-    # its port.
-    with closing(socket.socket()) as taken:
-        taken.bind((HOST, 0))
-        taken.listen()
-        port = taken.getsockname()[1]
+def test_port_in_use_is_reported_in_one_line(name, tmp_path):
+    # Guards against a traceback, and against a process that keeps running
+    # without its port.
+    with closing(socket.socket()) as occupied:
+        occupied.bind((HOST, 0))
+        occupied.listen()
+        port = occupied.getsockname()[1]
         path = write_settings(tmp_path, name, port)
-        code, errors = end(start(name, path))
+        code, errors = wait_for_exit(start_program(name, path))
     assert code == 1
     assert 'Traceback' not in errors
     lines = [line for line in errors.splitlines() if 'in use' in line]
@@ -163,17 +166,17 @@
 @pytest.mark.parametrize(
     'name', ['jackdawpost-control', 'jackdawpost-standin-database']
 )
-def test_a_data_folder_in_use_is_one_clear_line(name, tmp_path):
-    # Guards against two processes that write the same log.
-    port = take_port()
-    first = start(name, write_settings(tmp_path, name, port))
+def test_data_folder_in_use_is_reported_in_one_line(name, tmp_path):
+    # Guards against two processes that write to the same log.
+    port = find_free_port()
+    first = start_program(name, write_settings(tmp_path, name, port))
     try:
         wait_listening(port)
-        other = write_settings(tmp_path, name, take_port())
-        code, errors = end(start(name, other))
+        other = write_settings(tmp_path, name, find_free_port())
+        code, errors = wait_for_exit(start_program(name, other))
     finally:
         first.kill()
-        end(first)
+        wait_for_exit(first)
     assert code == 1
     assert 'Traceback' not in errors
     folder = str(tmp_path / 'data')
@@ -182,44 +185,45 @@
 
 @pytest.mark.process
 @pytest.mark.parametrize('name', DAEMONS)
-def test_sigterm_ends_an_idle_process_with_0(name, tmp_path):
-    # Guards against a drain that waits for something that never comes.
-    port = take_port()
-    process = start(name, write_settings(tmp_path, name, port))
+def test_idle_process_exits_with_0_on_sigterm(name, tmp_path):
+    # Guards against a drain that never ends in a process without connections.
+    port = find_free_port()
+    process = start_program(name, write_settings(tmp_path, name, port))
     try:
         wait_listening(port)
         process.send_signal(signal.SIGTERM)
-        code, errors = end(process)
+        code, errors = wait_for_exit(process)
     finally:
         process.kill()
     assert code == 0, errors
 
 
 @pytest.mark.process
-def test_a_second_sigterm_stops_a_draining_proxy_at_once(tmp_path):
-    # Guards against an operator who has to kill a proxy whose callers stay.
-    port = take_port()
+def test_second_sigterm_stops_a_draining_proxy_immediately(tmp_path):
+    # Guards against a proxy that can only be killed while callers stay
+    # connected.
+    port = find_free_port()
     name = 'jackdawpost-proxy'
     path = write_settings(tmp_path, name, port, drain_serve_ms=60_000)
-    process = start(name, path)
+    process = start_program(name, path)
     try:
         wait_listening(port)
         with connect(f'ws://{HOST}:{port}/v1/session') as caller:
             process.send_signal(signal.SIGTERM)
-            caller.recv(timeout=LIMIT_S)  # going_away
+            caller.recv(timeout=TIMEOUT_S)  # going_away
             assert process.poll() is None
             started = time.monotonic()
             process.send_signal(signal.SIGTERM)
-            code, errors = end(process)
+            code, errors = wait_for_exit(process)
         assert code == 1, errors
         assert time.monotonic() - started < 5
     finally:
         process.kill()
 
 
-def test_the_wheel_holds_both_packages_and_the_six_programs(tmp_path):
-    # Guards against an installation in which a program does not start.
-    built = subprocess.run(
+def test_wheel_contains_both_packages_and_the_six_programs(tmp_path):
+    # Guards against an installation without the modules of a program.
+    build_result = subprocess.run(
         [
             *(sys.executable, '-m', 'build', '--wheel', '--no-isolation'),
             *('--outdir', str(tmp_path), str(PYPROJECT.parent)),
@@ -228,12 +232,12 @@
         text=True,
         check=False,
     )
-    assert built.returncode == 0, built.stderr
+    assert build_result.returncode == 0, build_result.stderr
     (wheel,) = tmp_path.glob('*.whl')
-    with zipfile.ZipFile(wheel) as archive:
-        names = archive.namelist()
+    with zipfile.ZipFile(wheel) as wheel_file:
+        names = wheel_file.namelist()
         (entries,) = [n for n in names if n.endswith('entry_points.txt')]
-        text = archive.read(entries).decode()
+        text = wheel_file.read(entries).decode()
     for name, target in ENTRY_POINTS.items():
         assert f'{name} = {target}' in text
         assert target.partition(':')[0].replace('.', '/') + '.py' in names
