Describe the client library and its retries in usual terms

Ruled out: the names that client/__init__.py exports, their methods, parameters and fields, and the error codes. NAME wait_ms: the parameter of ProxyLink.request is now timeout_ms; the field of messages stays.

--- a/jackdawpost/client/__init__.py
+++ b/jackdawpost/client/__init__.py
@@ -1,4 +1,4 @@
-"""Embeddable client for callers."""
+"""Client library that callers embed to use a proxy."""
 
 from __future__ import annotations
 
--- a/jackdawpost/client/link.py
+++ b/jackdawpost/client/link.py
@@ -1,4 +1,4 @@
-"""One connection of a client to a proxy, answers matched by id."""
+"""Connection of a client to a proxy; answers are matched by request id."""
 
 from __future__ import annotations
 
@@ -25,14 +25,14 @@
 
 
 class ProxyAddress(NamedTuple):
-    """IP address and port of a proxy or of the balancer before them."""
+    """IP address and port of a proxy, or of a load balancer before proxies."""
 
     host: str
     port: int
 
 
 class AnswerLostError(ProtocolError):
-    """The connection ended, or the deadline passed, without an answer."""
+    """The connection ended or the wait timed out before the answer."""
 
 
 class ProxyLink:
@@ -42,6 +42,12 @@
     ----------
     stream : FrameStream
         Open connection.
+
+    Attributes
+    ----------
+    usable : bool
+        False once the proxy is going away or the connection has ended; new
+        requests then need another connection.
     """
 
     def __init__(self, stream: FrameStream) -> None:
@@ -49,23 +55,25 @@
         self._ended = False
         self._stream = stream
         self._next_id = 1
-        self._waiting: dict[int, _Waiter] = {}
+        self._pending: dict[int, _PendingRequest] = {}
 
-    def take_id(self) -> int:
-        """Return a request id that this connection has not used."""
+    def allocate_request_id(self) -> int:
+        """Return a request id that is not yet used on this connection."""
         request_id = self._next_id
         self._next_id += 1
         return request_id
 
-    async def request(self, message: CallerRequest, wait_ms: float) -> Answer:
+    async def request(
+        self, message: CallerRequest, timeout_ms: float
+    ) -> Answer:
         """Send a request and wait for its answer.
 
         Parameters
         ----------
         message : Statement, Begin, Commit or Rollback
-            Request with an id from `take_id`.
+            Request with an id from `allocate_request_id`.
         wait_ms : float
-            Longest wait in milliseconds.
+            Longest wait for the answer, in milliseconds.
 
         Raises
         ------
@@ -73,45 +81,50 @@
             No answer arrived; the outcome is unknown.
         """
         if self._ended:
-            raise AnswerLostError('the connection has ended')
-        waiter = _Waiter()
-        self._waiting[message.id] = waiter
+            raise AnswerLostError('the connection to the proxy has ended')
+        pending = _PendingRequest()
+        self._pending[message.id] = pending
         try:
             self._stream.post(encode_cbor([message]))
-            with trio.move_on_after(wait_ms / MS_PER_SECOND):
-                await waiter.arrived.wait()
+            with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+                await pending.arrived.wait()
         finally:
-            self._waiting.pop(message.id, None)
-        if waiter.answer is None:
-            raise AnswerLostError(f'no answer to request {message.id}')
-        return waiter.answer
+            self._pending.pop(message.id, None)
+        if pending.answer is None:
+            raise AnswerLostError(
+                f'no answer to request {message.id} within the time limit or '
+                'before the connection ended'
+            )
+        return pending.answer
 
     async def run(self) -> None:
-        """Read answers until the connection ends."""
+        """Receive answers until the connection ends."""
         try:
             while True:
-                self._take(_REPLY_CODEC.decode(await self._stream.receive()))
+                self._handle_messages(
+                    _REPLY_CODEC.decode(await self._stream.receive())
+                )
         except ProtocolError:
             pass
         finally:
             self.usable = False
             self._ended = True
-            for waiter in self._waiting.values():
-                waiter.arrived.set()
+            for pending in self._pending.values():
+                pending.arrived.set()
 
-    def _take(self, messages: Sequence[Answer | GoingAway]) -> None:
+    def _handle_messages(self, messages: Sequence[Answer | GoingAway]) -> None:
         for message in messages:
             if isinstance(message, GoingAway):
                 self.usable = False
                 continue
-            waiter = self._waiting.get(message.id)
-            if waiter is not None:
-                waiter.answer = message
-                waiter.arrived.set()
+            pending = self._pending.get(message.id)
+            if pending is not None:
+                pending.answer = message
+                pending.arrived.set()
 
 
-class _Waiter:
-    """Place for the answer to one request."""
+class _PendingRequest:
+    """Request that waits for its answer."""
 
     __slots__ = ('answer', 'arrived')
 
@@ -126,7 +139,19 @@
     tls: ssl.SSLContext | None = None,
     task_status: trio.TaskStatus[ProxyLink] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Open a connection, report it through `task_status`, and serve it."""
+    """Open a connection and receive its answers until it ends.
+
+    Parameters
+    ----------
+    address : ProxyAddress
+        Address to connect to.
+    timeout_ms : float
+        Time limit for opening the connection, in milliseconds.
+    tls : ssl.SSLContext, optional
+        Context of the client; None connects without TLS.
+    task_status : trio.TaskStatus
+        Receives the `ProxyLink` once the connection is open.
+    """
     async with open_link(
         address.host,
         address.port,
--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -1,4 +1,8 @@
-"""Embeddable client: a session with read-your-writes over any proxy."""
+"""Session of a caller, with read-your-writes through any proxy.
+
+Reads, and writes with a request key, are resent after a lost connection or a
+temporary error until their deadline.
+"""
 
 from __future__ import annotations
 
@@ -33,16 +37,18 @@
 
 MS_PER_SECOND = 1_000
 CONNECT_TIMEOUT_MS = 1_000
+# Least remaining time for another attempt. The client also waits this much
+# longer than the deadline for an answer, as it may arrive shortly after.
 MIN_ATTEMPT_MS = 50
-RETRY_PAUSE_MS = 20
-RETRIED_CODES = frozenset(
+RETRY_DELAY_MS = 20
+RETRYABLE_CODES = frozenset(
     {'overloaded', 'draining', 'control_unreachable', 'not_joined'}
 )
 
 
 @dataclass(slots=True)
 class Result:
-    """Rows of a read, or the effect of a write.
+    """Result of a statement: rows of a read, or the effect of a write.
 
     Parameters
     ----------
@@ -51,7 +57,8 @@
     age_ms : int, optional
         Upper bound on the age of the rows, in milliseconds.
     duplicate : bool
-        The write had taken effect before under the same request key.
+        True if the write had already taken effect under the same request
+        key.
     """
 
     columns: list[str] = field(default_factory=list)
@@ -63,23 +70,23 @@
 
 
 def new_request_key() -> str:
-    """Return a key that identifies one write across resends."""
+    """Return a new key that identifies one write across resends."""
     return uuid.uuid4().hex
 
 
 class Session:
-    """A caller's session; use `open_session` to make one.
+    """Session of a caller; use `open_session` to create one.
 
-    Statements of one session may run at the same time. The session token
-    makes each read see the session's earlier acknowledged writes, through
-    whichever proxy it runs.
+    Statements of a session may run concurrently. The session token ensures
+    that each read sees the earlier acknowledged writes of the session,
+    whichever proxy serves it.
 
     Parameters
     ----------
     addresses : sequence of ProxyAddress
         Proxies, tried in turn when a connection is lost.
     nursery : trio.Nursery
-        Runs the reader of the connection.
+        Runs the task that receives answers.
     tls : ssl.SSLContext, optional
         Context from `build_caller_context`.
     """
@@ -91,7 +98,9 @@
         tls: ssl.SSLContext | None = None,
     ) -> None:
         if not addresses:
-            raise ValueError('addresses is empty: valid is at least one')
+            raise ValueError(
+                'addresses is empty: valid is at least one ProxyAddress'
+            )
         self.token: str | None = None
         self._addresses = list(addresses)
         self._next_address = 0
@@ -111,7 +120,7 @@
         allowance: str | None = None,
         deadline_ms: int = DEFAULT_DEADLINE_MS,
     ) -> Result:
-        """Run a statement that changes nothing.
+        """Run a statement that does not change data.
 
         Parameters
         ----------
@@ -122,24 +131,24 @@
         params : sequence
             Positional parameters.
         key : str, optional
-            Picks the group among those of the rule.
+            Selects the group among those of the rule.
         max_age_ms : int, optional
-            Accepted age of the rows in milliseconds; without it and
-            without `allowance` the rows are current.
+            Accepted age of the rows, in milliseconds. Rows are current if
+            neither this nor `allowance` is given.
         allowance : str, optional
             Name of a staleness allowance.
         deadline_ms : int
-            Time in which an answer is useful, in milliseconds.
+            Time limit for the answer, in milliseconds.
 
         Returns
         -------
         Result
-            The rows.
+            Rows of the read.
 
         Raises
         ------
         RequestNotRunError
-            The read failed or could not run in time.
+            The read failed or could not run before the deadline.
         OutcomeUnknownError
             No answer arrived.
         """
@@ -154,7 +163,7 @@
             allowance=allowance,
             deadline_ms=deadline_ms,
         )
-        return await self._run(message)
+        return await self._run_statement(message)
 
     async def write(
         self,
@@ -171,15 +180,15 @@
         Parameters
         ----------
         request_key : str, optional
-            Identifies the write across resends; made if not given. Pass
-            the same key to ask again after `OutcomeUnknownError`.
+            Identifies the write across resends; a new key if not given.
+            Pass the same key to retry after `OutcomeUnknownError`.
 
         Raises
         ------
         RequestNotRunError
             The write did not take effect.
         OutcomeUnknownError
-            The write may have taken effect; asking again with the same
+            The write may have taken effect. Retrying with the same
             `request_key` is safe.
 
         See Also
@@ -196,7 +205,7 @@
             request_key=request_key or new_request_key(),
             deadline_ms=deadline_ms,
         )
-        return await self._run(message)
+        return await self._run_statement(message)
 
     @asynccontextmanager
     async def transaction(
@@ -209,7 +218,8 @@
     ) -> AsyncIterator[Transaction]:
         """Run statements in one transaction on the primary.
 
-        It commits when the block ends and rolls back when the block raises.
+        The transaction commits when the block ends and rolls back when the
+        block raises an exception.
         """
         link = await self._connect(deadline_ms)
         begin = Begin(
@@ -219,7 +229,7 @@
             session=self.token,
             deadline_ms=deadline_ms,
         )
-        answer = await self._ask(link, begin, deadline_ms)
+        answer = await self._send_request(link, begin, deadline_ms)
         txn = Transaction(self, link, answer.txn or 0, deadline_ms)
         try:
             yield txn
@@ -229,40 +239,44 @@
             raise
         await txn.commit(request_key or new_request_key())
 
-    async def _run(self, message: Statement) -> Result:
+    async def _run_statement(self, message: Statement) -> Result:
         deadline_s = trio.current_time() + message.deadline_ms / MS_PER_SECOND
         may_have_run = False
         while True:
             try:
-                link = await self._connect(_left_ms(deadline_s))
-                left_ms = _left_ms(deadline_s)
-                if left_ms < 1:
+                link = await self._connect(_remaining_ms(deadline_s))
+                remaining_ms = _remaining_ms(deadline_s)
+                if remaining_ms < 1:
                     raise RequestNotRunError(
-                        'not_run', 'deadline', 'no proxy in time'
+                        'not_run',
+                        'deadline',
+                        'no connection to a proxy before the deadline',
                     )
                 attempt = replace(
-                    message, session=self.token, deadline_ms=int(left_ms)
+                    message, session=self.token, deadline_ms=int(remaining_ms)
                 )
-                answer = await self._ask(link, attempt, left_ms)
+                answer = await self._send_request(link, attempt, remaining_ms)
                 return _build_result(answer)
             except OutcomeUnknownError:
                 may_have_run = True
-                last_chance = not _may_resend(message)
-                if last_chance or _passed(deadline_s):
+                is_final = not _is_safe_to_resend(message)
+                if is_final or _is_too_late_to_retry(deadline_s):
                     raise
             except RequestNotRunError as exc:
-                if exc.code not in RETRIED_CODES or _passed(deadline_s):
+                if exc.code not in RETRYABLE_CODES or _is_too_late_to_retry(
+                    deadline_s
+                ):
                     if may_have_run:
-                        raise _as_unknown(exc) from exc
+                        raise _to_outcome_unknown(exc) from exc
                     raise
-                await _pause(exc.retry_after_ms, deadline_s)
+                await _wait_before_retry(exc.retry_after_ms, deadline_s)
 
-    async def _ask(
+    async def _send_request(
         self, link: ProxyLink, message: CallerRequest, wait_ms: float
     ) -> Answer:
-        numbered = replace(message, id=link.take_id())
+        request = replace(message, id=link.allocate_request_id())
         try:
-            answer = await link.request(numbered, wait_ms + MIN_ATTEMPT_MS)
+            answer = await link.request(request, wait_ms + MIN_ATTEMPT_MS)
         except AnswerLostError as exc:
             link.usable = False
             raise OutcomeUnknownError(
@@ -273,8 +287,8 @@
         _raise_for_error(answer)
         return answer
 
-    async def _connect(self, left_ms: float) -> ProxyLink:
-        deadline_s = trio.current_time() + left_ms / MS_PER_SECOND
+    async def _connect(self, remaining_ms: float) -> ProxyLink:
+        deadline_s = trio.current_time() + remaining_ms / MS_PER_SECOND
         async with self._connecting:
             while self._link is None or not self._link.usable:
                 address = self._addresses[self._next_address]
@@ -284,26 +298,26 @@
                     )
                 except (LinkRefusedError, LinkTimeoutError) as exc:
                     self.move_on()
-                    if _passed(deadline_s):
+                    if _is_too_late_to_retry(deadline_s):
                         raise RequestNotRunError(
                             'not_run', 'no_proxy', str(exc)
                         ) from exc
-                    await trio.sleep(RETRY_PAUSE_MS / MS_PER_SECOND)
+                    await trio.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
                 else:
                     self.move_on()
         return self._link
 
     def move_on(self) -> None:
-        """Use the next proxy for the next connection."""
+        """Select the next proxy for the next connection."""
         self._next_address = (self._next_address + 1) % len(self._addresses)
 
     def roam(self) -> None:
-        """Leave the current proxy; the next request uses another one."""
+        """Leave the current proxy; the next request connects to another."""
         self._link = None
 
 
 class Transaction:
-    """An open transaction; use `Session.transaction` to make one."""
+    """Open transaction; use `Session.transaction` to create one."""
 
     def __init__(
         self, session: Session, link: ProxyLink, handle: int, wait_ms: int
@@ -316,7 +330,7 @@
     async def execute(
         self, sql: str, params: Sequence[Any] = (), *, write: bool = True
     ) -> Result:
-        """Run one statement inside the transaction."""
+        """Run a statement in the transaction."""
         message = Statement(
             id=0,
             sql=sql,
@@ -325,28 +339,30 @@
             txn=self._handle,
             deadline_ms=self._wait_ms,
         )
-        return _build_result(await self._ask(message))
+        return _build_result(await self._send_request(message))
 
     async def commit(self, request_key: str) -> None:
-        """Commit; `request_key` lets a repeated transaction be refused."""
+        """Commit; a transaction repeated under `request_key` is refused."""
         message = Commit(
             id=0,
             txn=self._handle,
             request_key=request_key,
             deadline_ms=self._wait_ms,
         )
-        await self._ask(message)
+        await self._send_request(message)
 
     async def rollback(self) -> None:
-        """Roll back; errors are ignored, since the proxy rolls back too."""
+        """Roll back; errors are ignored, as the proxy rolls back too."""
         message = Rollback(id=0, txn=self._handle, deadline_ms=self._wait_ms)
         try:
-            await self._ask(message)
+            await self._send_request(message)
         except (RequestNotRunError, OutcomeUnknownError):
             return
 
-    async def _ask(self, message: CallerRequest) -> Answer:
-        return await self._session._ask(self._link, message, self._wait_ms)
+    async def _send_request(self, message: CallerRequest) -> Answer:
+        return await self._session._send_request(
+            self._link, message, self._wait_ms
+        )
 
 
 @asynccontextmanager
@@ -363,7 +379,7 @@
         Proxies, tried in turn.
     tls : ssl.SSLContext, optional
         Context from `build_caller_context`, if the proxies use TLS. A
-        process whose certificate names no proxy is refused.
+        server whose certificate is not that of a proxy is refused.
 
     Yields
     ------
@@ -375,14 +391,14 @@
             yield Session(addresses, nursery, tls)
             nursery.cancel_scope.cancel()
     except BaseExceptionGroup as group:
-        # The nursery wraps what the caller's block raised; the readers of
-        # the connections raise nothing.
+        # The nursery wraps an exception of the caller's block in a group.
+        # The tasks that receive answers raise none.
         if len(group.exceptions) == 1:
             raise group.exceptions[0] from None
         raise
 
 
-def _may_resend(message: Statement) -> bool:
+def _is_safe_to_resend(message: Statement) -> bool:
     return message.access == 'read' or message.request_key is not None
 
 
@@ -400,8 +416,8 @@
     raise error_type(answer.outcome, code, text, retry_after)
 
 
-def _as_unknown(exc: RequestNotRunError) -> OutcomeUnknownError:
-    # An earlier attempt may have taken effect although this one did not.
+def _to_outcome_unknown(exc: RequestNotRunError) -> OutcomeUnknownError:
+    # This attempt was not run, but an earlier one may have taken effect.
     return OutcomeUnknownError('unknown', exc.code, str(exc))
 
 
@@ -416,15 +432,17 @@
     )
 
 
-def _left_ms(deadline_s: float) -> float:
+def _remaining_ms(deadline_s: float) -> float:
     return (deadline_s - trio.current_time()) * MS_PER_SECOND
 
 
-def _passed(deadline_s: float) -> bool:
-    return _left_ms(deadline_s) < MIN_ATTEMPT_MS
+def _is_too_late_to_retry(deadline_s: float) -> bool:
+    return _remaining_ms(deadline_s) < MIN_ATTEMPT_MS
 
 
-async def _pause(retry_after_ms: int | None, deadline_s: float) -> None:
-    pause_s = max(retry_after_ms or 0, RETRY_PAUSE_MS) / MS_PER_SECOND
-    left_s = max(0.0, deadline_s - trio.current_time())
-    await trio.sleep(min(pause_s, left_s))
+async def _wait_before_retry(
+    retry_after_ms: int | None, deadline_s: float
+) -> None:
+    delay_s = max(retry_after_ms or 0, RETRY_DELAY_MS) / MS_PER_SECOND
+    remaining_s = max(0.0, deadline_s - trio.current_time())
+    await trio.sleep(min(delay_s, remaining_s))
