Name the parts of the caller fuzzer by the frames that they generate

Cause: strategies were called _odd, _others, _faulty, _cut and _special, and a proxy "owed" answers (count_owed); nobody could tell which frames each one draws without reading all of them. Ruled out: frames, check_frames and Frame, which two other folders import. SPECIAL_FRAMES is EDGE_CASE_FRAMES, also in its only user, the test of the caller fuzzer in tests/runtime.

--- a/jackdawpost/testing/caller_fuzz.py
+++ b/jackdawpost/testing/caller_fuzz.py
@@ -1,4 +1,8 @@
-"""Bad input of callers: random frames, and what a proxy owes for them."""
+"""Fuzzing of the caller connections of a proxy.
+
+`frames` is a Hypothesis strategy for lists of valid, malformed and truncated
+frames; `check_frames` sends them to a proxy and checks its answers.
+"""
 
 from __future__ import annotations
 
@@ -24,9 +28,11 @@
 from jackdawpost.wire.stream import LinkClosedError
 
 HOST = '127.0.0.1'
-LAST_ID = 7_777_777
-ANSWER_S = 5.0
-CODES = frozenset(
+# Id of the read that follows the frames, outside the range of generated ids.
+FINAL_READ_ID = 7_777_777
+ANSWER_TIMEOUT_S = 5.0
+# Error codes that a proxy may return to callers.
+KNOWN_ERROR_CODES = frozenset(
     {
         *('malformed', 'duplicate_id', 'unknown_route', 'read_only_route'),
         *('unknown_allowance', 'request_key_missing', 'invalid_token'),
@@ -39,11 +45,11 @@
 
 Frame = bytes | str
 
-_REPLIES = FrameCodec(Answer, GoingAway)
-_TOKEN = encode_token(SessionToken((('orders', LogPosition(1, 1)),)))
-# A list that contains itself, by the CBOR tags for shared values.
-_CYCLE = bytes.fromhex('d81c81d81d00')
-_SURROGATE = '"\\ud800"'
+_REPLY_CODEC = FrameCodec(Answer, GoingAway)
+_VALID_TOKEN = encode_token(SessionToken((('orders', LogPosition(1, 1)),)))
+# A list that contains itself, written with the CBOR tags of shared values.
+_CYCLIC_LIST = bytes.fromhex('d81c81d81d00')
+_LONE_SURROGATE_JSON = '"\\ud800"'
 
 _scalars = st.one_of(
     st.none(),
@@ -55,7 +61,7 @@
     st.binary(max_size=8),
     st.sampled_from(['\ud800', 'x' * 5_000]),
 )
-_odd = st.one_of(
+_arbitrary_values = st.one_of(
     _scalars,
     st.lists(_scalars, max_size=3),
     st.dictionaries(st.text(max_size=3), _scalars, max_size=2),
@@ -66,10 +72,10 @@
     ),
     st.sampled_from([cbor2.undefined, cbor2.CBORSimpleValue(99)]),
 )
-_tokens = st.one_of(
-    st.integers(0, len(_TOKEN)).map(lambda n: _TOKEN[:n]),
-    st.integers(0, len(_TOKEN) - 1).map(
-        lambda n: _TOKEN[:n] + 'A' + _TOKEN[n + 1 :]
+_session_tokens = st.one_of(
+    st.integers(0, len(_VALID_TOKEN)).map(lambda n: _VALID_TOKEN[:n]),
+    st.integers(0, len(_VALID_TOKEN) - 1).map(
+        lambda n: _VALID_TOKEN[:n] + 'A' + _VALID_TOKEN[n + 1 :]
     ),
     st.builds(
         lambda group, term, index: encode_token(
@@ -81,50 +87,50 @@
     ),
     st.text(max_size=40),
 )
-_ids = st.integers(1, 3)
-_deadlines = st.integers(20, 120)
-_statement = st.fixed_dictionaries(
+_request_ids = st.integers(1, 3)
+_deadlines_ms = st.integers(20, 120)
+_statements = st.fixed_dictionaries(
     {
         'kind': st.just('statement'),
-        'id': _ids,
+        'id': _request_ids,
         'route': st.sampled_from(['orders', 'orders', 'orders', 'none']),
         'sql': st.sampled_from(
             ['select 1', 'select ?', 'insert into t values (?)', 'nonsense']
         ),
         'access': st.sampled_from(['read', 'write']),
-        'deadline_ms': _deadlines,
+        'deadline_ms': _deadlines_ms,
     },
     optional={
-        'params': st.lists(_odd, max_size=2),
+        'params': st.lists(_arbitrary_values, max_size=2),
         'max_age_ms': st.sampled_from([-1, 0, 100, 10**9]),
         'allowance': st.just('none'),
-        'session': _tokens,
+        'session': _session_tokens,
         'idempotent': st.booleans(),
         'request_key': st.text(max_size=3),
         'txn': st.integers(-1, 3),
     },
 )
-_others = st.one_of(
+_transaction_messages = st.one_of(
     st.fixed_dictionaries(
         {
             'kind': st.just('begin'),
-            'id': _ids,
+            'id': _request_ids,
             'route': st.just('orders'),
-            'deadline_ms': _deadlines,
+            'deadline_ms': _deadlines_ms,
         }
     ),
     st.fixed_dictionaries(
         {
             'kind': st.sampled_from(['commit', 'rollback']),
-            'id': _ids,
+            'id': _request_ids,
             'txn': st.integers(-1, 3),
-            'deadline_ms': _deadlines,
+            'deadline_ms': _deadlines_ms,
         }
     ),
 )
-_faulty = st.builds(
+_messages_with_bad_field = st.builds(
     lambda message, field, value: {**message, field: value},
-    st.one_of(_statement, _others),
+    st.one_of(_statements, _transaction_messages),
     st.sampled_from(
         [
             *('kind', 'id', 'route', 'sql', 'access', 'params', 'max_age_ms'),
@@ -132,45 +138,53 @@
             *('idempotent', 'key', '\ud800', 'z' * 3_000),
         ]
     ),
-    _odd,
+    _arbitrary_values,
+)
+_messages = st.one_of(
+    _statements,
+    _transaction_messages,
+    _messages_with_bad_field,
+    _messages_with_bad_field,
+)
+_frame_contents = st.one_of(
+    _messages, st.lists(_messages, max_size=4), _arbitrary_values
 )
-_messages = st.one_of(_statement, _others, _faulty, _faulty)
-_contents = st.one_of(_messages, st.lists(_messages, max_size=4), _odd)
 
 
 def _encode(value: Any, as_text: bool) -> Frame:
     try:
         return json.dumps(value) if as_text else cbor2.dumps(value)
     except (TypeError, ValueError):
-        # The other encoding cannot carry the value either way round.
+        # JSON and CBOR each lack some values that the other can encode.
         return repr(value).encode('ascii', 'replace')
 
 
-def _embed(raw: bytes) -> bytes:
+def _embed_param(raw: bytes) -> bytes:
+    """Return a CBOR statement with raw bytes as its only parameter."""
     message = {'kind': 'statement', 'id': 1, 'route': 'orders'}
     message |= {'sql': 'select ?', 'access': 'read', 'params': ['MARK']}
     return cbor2.dumps(message).replace(cbor2.dumps('MARK'), raw)
 
 
-SPECIAL_FRAMES: list[Frame] = [
+EDGE_CASE_FRAMES: list[Frame] = [
     b'',
     b'\xff',
     b'\x81' * 10_000,
     '[' * 100_000,
     '',
     'NaN',
-    _CYCLE,
-    _embed(_CYCLE),
-    _embed(b'\x81' * 500 + b'\x01'),
-    _embed(b'\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000),
+    _CYCLIC_LIST,
+    _embed_param(_CYCLIC_LIST),
+    _embed_param(b'\x81' * 500 + b'\x01'),
+    _embed_param(b'\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000),
     b'\xa1\x64kind\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000,
     b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff',
     b'\x5b\x7f\xff\xff\xff\xff\xff\xff\xff',
     b'\xa1\x80\x01',
     '{"kind":"statement","id":1,"route":"orders","sql":"select ?",'
-    f'"access":"read","params":[{_SURROGATE}]}}',
-    f'{{"kind":{_SURROGATE}}}',
-    f'{{"kind":"begin","id":1,"route":"orders",{_SURROGATE}:1}}',
+    f'"access":"read","params":[{_LONE_SURROGATE_JSON}]}}',
+    f'{{"kind":{_LONE_SURROGATE_JSON}}}',
+    f'{{"kind":"begin","id":1,"route":"orders",{_LONE_SURROGATE_JSON}:1}}',
     encode_cbor([Answer(id=1, outcome='done')] * 65),
     b'\x00' * (MAX_FRAME_BYTES + 1),
     cbor2.dumps(
@@ -193,24 +207,28 @@
         }
     ),
 ]
-_encoded = st.builds(_encode, _contents, st.booleans())
-_cut = st.builds(
+_encoded_frames = st.builds(_encode, _frame_contents, st.booleans())
+_truncated_frames = st.builds(
     lambda frame, n: frame[: n % (len(frame) + 1)],
-    _encoded,
+    _encoded_frames,
     st.integers(0, 10_000),
 )
-_special = st.sampled_from(SPECIAL_FRAMES)
+_edge_case_frames = st.sampled_from(EDGE_CASE_FRAMES)
 frames = st.lists(
     st.one_of(
-        _encoded, _encoded, _encoded, _cut, st.sampled_from(SPECIAL_FRAMES)
+        _encoded_frames,
+        _encoded_frames,
+        _encoded_frames,
+        _truncated_frames,
+        st.sampled_from(EDGE_CASE_FRAMES),
     ),
     min_size=1,
     max_size=4,
 )
 
 
-def count_owed(frame: Frame) -> int:
-    """Return how many answers a proxy owes for a frame."""
+def count_expected_answers(frame: Frame) -> int:
+    """Return how many answers a proxy has to send for a frame."""
     try:
         return len(CODECS['caller'].decode(frame))
     except FrameError:
@@ -218,54 +236,54 @@
 
 
 async def check_frames(port: int, sent: list[Frame]) -> None:
-    """Send frames to a proxy and check that each is answered.
+    """Send frames to a proxy and check that it answers each request.
 
     Parameters
     ----------
     port : int
         Port of a proxy whose route ``orders`` serves reads.
     sent : list of bytes or str
-        Frames.
+        Frames to send.
 
     Raises
     ------
     AssertionError
-        An answer is missing, surplus, unclear, or the connection ended
-        without an oversized frame.
+        An answer is missing, surplus, or has an unknown code or no message,
+        or the connection ended although no frame exceeds `MAX_FRAME_BYTES`.
     """
     answers: list[Answer] = []
     is_oversized = any(len(frame) > MAX_FRAME_BYTES for frame in sent)
-    owed = sum(count_owed(frame) for frame in sent)
+    expected_count = sum(count_expected_answers(frame) for frame in sent)
     async with open_link(HOST, port, '/v1/session') as stream:
         for frame in sent:
             stream.post(frame)
         try:
-            with trio.fail_after(ANSWER_S):
-                while len(answers) < owed:
-                    answers += _REPLIES.decode(await stream.receive())
+            with trio.fail_after(ANSWER_TIMEOUT_S):
+                while len(answers) < expected_count:
+                    answers += _REPLY_CODEC.decode(await stream.receive())
             await _check_still_served(stream)
         except LinkClosedError:
-            assert is_oversized, f'closed after {sent!r:.300}'
+            assert is_oversized, f'proxy closed after frames {sent!r:.300}'
     for answer in answers:
         _check_answer(answer)
-    malformed = Counter(_code(answer) for answer in answers)['malformed']
-    assert is_oversized or malformed >= _count_unreadable(sent)
+    malformed = Counter(_error_code(answer) for answer in answers)['malformed']
+    assert is_oversized or malformed >= _count_undecodable(sent)
 
 
 async def _check_still_served(stream: Any) -> None:
-    stream.post(encode_cbor([read_request()]))
-    with trio.fail_after(ANSWER_S):
-        replies = _REPLIES.decode(await stream.receive())
-    assert [reply.id for reply in replies] == [LAST_ID], replies
+    stream.post(encode_cbor([build_read_request()]))
+    with trio.fail_after(ANSWER_TIMEOUT_S):
+        replies = _REPLY_CODEC.decode(await stream.receive())
+    assert [reply.id for reply in replies] == [FINAL_READ_ID], replies
     assert replies[0].outcome == 'done', replies
 
 
-def read_request() -> Any:
+def build_read_request() -> Any:
     """Return a read that a healthy proxy answers with one row."""
     return CODECS['caller'].validate(
         {
             'kind': 'statement',
-            'id': LAST_ID,
+            'id': FINAL_READ_ID,
             'route': 'orders',
             'sql': 'select 1',
             'access': 'read',
@@ -273,17 +291,17 @@
     )
 
 
-def _count_unreadable(sent: list[Frame]) -> int:
-    unreadable = 0
+def _count_undecodable(sent: list[Frame]) -> int:
+    undecodable = 0
     for frame in sent:
         try:
             CODECS['caller'].decode(frame)
         except FrameError:
-            unreadable += 1
-    return unreadable
+            undecodable += 1
+    return undecodable
 
 
-def _code(answer: Answer) -> str:
+def _error_code(answer: Answer) -> str:
     return answer.error.code if answer.error else ''
 
 
@@ -291,6 +309,6 @@
     if answer.outcome == 'done':
         assert answer.error is None, answer
         return
-    assert _code(answer) in CODES, answer
+    assert _error_code(answer) in KNOWN_ERROR_CODES, answer
     assert answer.error is not None and answer.error.message, answer
     assert len(answer.error.message) < 2_000, len(answer.error.message)
--- a/jackdawpost/tests/runtime/test_caller_fuzz.py
+++ b/jackdawpost/tests/runtime/test_caller_fuzz.py
@@ -13,8 +13,8 @@
 from jackdawpost.client import ProxyAddress
 from jackdawpost.core.messages.caller import MAX_PARAMS
 from jackdawpost.testing.caller_fuzz import check_frames
+from jackdawpost.testing.caller_fuzz import EDGE_CASE_FRAMES
 from jackdawpost.testing.caller_fuzz import frames
-from jackdawpost.testing.caller_fuzz import SPECIAL_FRAMES
 from jackdawpost.tests.runtime.helpers import create_table
 from jackdawpost.tests.runtime.helpers import daemons
 from jackdawpost.tests.runtime.helpers import HOST
@@ -67,7 +67,7 @@
             nursery, tmp_path, record=str(tmp_path / 'trace')
         )
         await serve_first_write(port)
-        for frame in SPECIAL_FRAMES:
+        for frame in EDGE_CASE_FRAMES:
             await check_frames(port, [frame])
 
 
