Describe the history checker and the trace replay in plain terms

Cause: docstrings spoke of what callers were told and of broken promises, of stated outcomes and of what a trace proves; _judge_write, found, due, own, _expand and _lines_matching did not say what they hold or do. Details of violations gave bare numbers. Ruled out: public names of both modules, names of rules, fields of records, outcomes, steps and headers, and the texts that tests match.

--- a/jackdawpost/testing/history.py
+++ b/jackdawpost/testing/history.py
@@ -1,9 +1,11 @@
-"""History checker: what callers were told against what databases hold.
-
-A workload writes rows ``(request_key, session, seq, part, parts)``. Each
-session numbers its writes from 1 and has at most one write in flight, so
-that a read of the highest number of each session shows which acknowledged
-writes it includes. A transaction writes several parts under one key.
+"""Checks the history of a workload for violations of consistency.
+
+It compares the outcomes that callers received with the rows that the databases
+hold after the run. The workload writes rows ``(request_key, session, seq,
+part, parts)``. Each session numbers its writes from 1 and has at most one
+write in flight. Therefore the highest number of a session in the rows of a
+read shows which acknowledged writes the read includes. A transaction writes
+several parts under one request key.
 """
 
 from __future__ import annotations
@@ -21,10 +23,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class WriteRecord:
-    """A write and what its caller was told last.
+    """A write and the last outcome that its caller received.
 
     Parameters
     ----------
+    seq : int
+        Number of the write within its session, counted from 1.
     parts : int
         Rows that the write inserts; more than 1 for a transaction.
     started_ms, ended_ms : float
@@ -44,20 +48,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReadRecord:
-    """A finished read of the highest number of each session.
+    """A completed read of the highest write number of each session.
 
     Parameters
     ----------
     session : str
-        Session that read.
+        Session that ran the read.
     seen : mapping of str to int
-        Highest number of each session in the rows.
+        Highest write number of each session in the rows.
     max_age_ms : float, optional
-        Accepted age; None for a fresh read.
+        Accepted age of the rows; None for a read of current rows.
     age_ms : float, optional
-        Age that the proxy stated.
+        Age of the rows that the proxy reported.
     nonce_sent, nonce_received : str
-        Text that the request carries and its answer must return.
+        Text sent with the request, and the text in its answer. They are
+        equal unless the answer belongs to another request.
     """
 
     group: str
@@ -73,7 +78,7 @@
 
 
 class StoredRow(NamedTuple):
-    """One row that the primary of a group holds after the run."""
+    """One row in the primary of a group after the run."""
 
     request_key: str
     session: str
@@ -84,14 +89,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class History:
-    """Everything that callers did and were told."""
+    """All writes and reads of the callers, with their outcomes."""
 
     writes: list[WriteRecord] = field(default_factory=list)
     reads: list[ReadRecord] = field(default_factory=list)
 
 
 class Violation(NamedTuple):
-    """One broken promise."""
+    """One violation of a consistency rule."""
 
     rule: str
     detail: str
@@ -100,12 +105,12 @@
 def check_history(
     history: History, stored: Mapping[str, Iterable[StoredRow]]
 ) -> list[Violation]:
-    """Return all violations found in a run.
+    """Return all violations of the consistency rules in a run.
 
     Parameters
     ----------
     history : History
-        What callers did and were told.
+        Writes and reads of the callers.
     stored : mapping of str to iterable of StoredRow
         Rows of each group after the run.
 
@@ -117,9 +122,9 @@
         ``too_old``, ``age_not_kept``, ``foreign_answer``.
     """
     violations: list[Violation] = []
-    rows = {group: list(found) for group, found in stored.items()}
-    violations += _check_writes(history.writes, rows)
-    violations += _check_foreign_rows(history.writes, rows)
+    rows_by_group = {group: list(rows) for group, rows in stored.items()}
+    violations += _check_writes(history.writes, rows_by_group)
+    violations += _check_foreign_rows(history.writes, rows_by_group)
     acknowledged = _index_acknowledged(history.writes)
     for read in history.reads:
         violations += _check_read(read, acknowledged)
@@ -136,36 +141,49 @@
     )
     violations = []
     for write in writes:
-        counts = [
+        copy_counts = [
             copies[(write.group, write.request_key, part)]
             for part in range(write.parts)
         ]
-        violations += _judge_write(write, counts)
+        violations += _check_write_copies(write, copy_counts)
     return violations
 
 
-def _judge_write(write: WriteRecord, counts: list[int]) -> list[Violation]:
-    name = f'{write.group} {write.session}#{write.seq} {write.request_key}'
-    found = []
-    if max(counts) > 1:
-        found.append(Violation('doubled_write', f'{name}: {counts}'))
-    if min(counts) == 0 and max(counts) > 0:
-        found.append(Violation('partial_transaction', f'{name}: {counts}'))
-    if write.outcome == 'done' and min(counts) == 0:
-        found.append(Violation('lost_write', name))
-    if write.outcome == 'not_run' and max(counts) > 0:
-        found.append(Violation('not_run_but_ran', f'{name}: {write.code}'))
-    return found
+def _check_write_copies(
+    write: WriteRecord, copy_counts: list[int]
+) -> list[Violation]:
+    label = f'{write.group} {write.session}#{write.seq} {write.request_key}'
+    violations = []
+    if max(copy_counts) > 1:
+        violations.append(
+            Violation(
+                'doubled_write', f'{label}: copies per part {copy_counts}'
+            )
+        )
+    if min(copy_counts) == 0 and max(copy_counts) > 0:
+        violations.append(
+            Violation(
+                'partial_transaction',
+                f'{label}: copies per part {copy_counts}',
+            )
+        )
+    if write.outcome == 'done' and min(copy_counts) == 0:
+        violations.append(Violation('lost_write', label))
+    if write.outcome == 'not_run' and max(copy_counts) > 0:
+        violations.append(
+            Violation('not_run_but_ran', f'{label}: error code {write.code}')
+        )
+    return violations
 
 
 def _check_foreign_rows(
     writes: list[WriteRecord], stored: Mapping[str, list[StoredRow]]
 ) -> list[Violation]:
-    known = {(w.group, w.request_key): w for w in writes}
+    writes_by_key = {(w.group, w.request_key): w for w in writes}
     violations = []
     for group, rows in stored.items():
         for row in rows:
-            write = known.get((group, row.request_key))
+            write = writes_by_key.get((group, row.request_key))
             if write is None or write.session != row.session:
                 violations.append(Violation('foreign_row', f'{group} {row}'))
     return violations
@@ -186,30 +204,46 @@
 def _check_read(
     read: ReadRecord, acknowledged: Acknowledged
 ) -> list[Violation]:
-    name = f'{read.group} {read.session} at {read.started_ms:.1f} ms'
-    found = []
+    """Check an answer, its age, and the acknowledged writes that it includes.
+
+    A read must include the writes that its own session had acknowledged
+    before it started. Of another session it may lack those acknowledged within
+    the accepted age before its start.
+    """
+    label = f'{read.group} {read.session} at {read.started_ms:.1f} ms'
+    violations = []
     if read.nonce_sent != read.nonce_received:
-        found.append(Violation('foreign_answer', name))
+        violations.append(Violation('foreign_answer', label))
     if read.max_age_ms is not None and (
         read.age_ms is None or read.age_ms > read.max_age_ms
     ):
-        found.append(
+        violations.append(
             Violation(
-                'age_not_kept', f'{name}: {read.age_ms} > {read.max_age_ms}'
+                'age_not_kept',
+                f'{label}: age_ms {read.age_ms}, valid is up to '
+                f'{read.max_age_ms}',
             )
         )
     for (group, session), entries in acknowledged.items():
         if group != read.group:
             continue
-        own = session == read.session
-        accepted_ms = 0.0 if own else read.max_age_ms or 0.0
-        due = _newest_before(entries, read.started_ms - accepted_ms)
-        if read.seen.get(session, 0) < due:
-            rule = 'read_your_writes' if own else 'too_old'
-            detail = f'{name}: {session}#{due} missing, {read.source}'
-            found.append(Violation(rule, detail))
-    return found
-
-
-def _newest_before(entries: list[tuple[float, int]], limit_ms: float) -> int:
-    return max((seq for ended, seq in entries if ended < limit_ms), default=0)
+        is_own_session = session == read.session
+        allowed_age_ms = 0.0 if is_own_session else read.max_age_ms or 0.0
+        required_seq = _find_latest_seq_before(
+            entries, read.started_ms - allowed_age_ms
+        )
+        if read.seen.get(session, 0) < required_seq:
+            rule = 'read_your_writes' if is_own_session else 'too_old'
+            detail = (
+                f'{label}: {session}#{required_seq} missing, {read.source}'
+            )
+            violations.append(Violation(rule, detail))
+    return violations
+
+
+def _find_latest_seq_before(
+    entries: list[tuple[float, int]], limit_ms: float
+) -> int:
+    return max(
+        (seq for ended_ms, seq in entries if ended_ms < limit_ms), default=0
+    )
--- a/jackdawpost/testing/traces.py
+++ b/jackdawpost/testing/traces.py
@@ -1,4 +1,4 @@
-"""Reads recorded traces, replays them and compares stated outcomes."""
+"""Replays recorded traces and compares the effects with an outcome file."""
 
 from __future__ import annotations
 
@@ -53,37 +53,38 @@
     Persisted,
     PersistFailed,
 )
-CODECS = {'proxy': PROXY_CODECS, 'control': CONTROL_CODECS}
+CODECS_BY_ROLE = {'proxy': PROXY_CODECS, 'control': CONTROL_CODECS}
 
-Plain = dict[str, Any]
+PlainData = dict[str, Any]
 
 
 class Outcome(BaseModel):
-    """Stated outcome of a trace, written from a requirement.
+    """Expected outcome of a trace, written from a requirement.
 
-    A pattern matches an effect if every field of the pattern equals or,
-    for maps, matches that of the effect. A `send` effect is also tried with
-    each of its messages alone under the key ``message``.
+    Effects are compared with patterns. A pattern matches an effect if each
+    of its fields is equal to the field of the effect or, for a map, matches
+    it by the same rule. A `send` effect is also compared once for each of its
+    messages, with that message under the key ``message``.
 
     Parameters
     ----------
     requirement : str
-        What the trace proves.
+        Requirement that the trace shows to be met.
     answers : list of dict
-        Answers to callers: each pattern must match exactly one.
+        Patterns of answers to callers; each must match exactly one answer.
     must : list of dict
-        Patterns that at least one effect matches.
+        Patterns that must match at least one effect.
     never : list of dict
-        Patterns that no effect matches.
+        Patterns that must not match any effect.
     """
 
     model_config = ConfigDict(extra='forbid')
 
     format: int
     requirement: str
-    answers: list[Plain] = []
-    must: list[Plain] = []
-    never: list[Plain] = []
+    answers: list[PlainData] = []
+    must: list[PlainData] = []
+    never: list[PlainData] = []
 
 
 @dataclass(slots=True)
@@ -97,12 +98,12 @@
     """
 
     line: int
-    event: Plain
-    effects: list[Plain]
+    event: PlainData
+    effects: list[PlainData]
 
 
 def read_outcome(path: str | Path) -> Outcome:
-    """Read a stated outcome.
+    """Read the expected outcome of a trace.
 
     Raises
     ------
@@ -116,17 +117,17 @@
 
 
 def replay_trace(path: str | Path) -> Iterator[Step]:
-    """Feed a trace to the reducer that it was recorded from.
+    """Run the events of a trace through the reducer of the recorded process.
 
     Yields
     ------
     Step
-        One for each event.
+        The effects of creating the state, then one step for each event.
 
     Raises
     ------
     TraceError
-        The trace is unreadable; names the line and the reason.
+        The trace cannot be read; the text has the line and the reason.
     """
     try:
         lines = Path(path).read_text(encoding='utf-8').splitlines()
@@ -134,51 +135,58 @@
         raise TraceError(f'{path}: {exc}') from exc
     if not lines:
         raise TraceError(f'{path}: line 1: the trace is empty')
-    role, reduce, first_effects = _create_state(path, lines[0])
-    links: dict[int, str] = {}
+    role, reduce, first_effects = _create_reducer(path, lines[0])
+    links_by_conn: dict[int, str] = {}
     yield Step(1, {}, [to_plain(effect) for effect in first_effects])
-    for number, line in enumerate(lines[1:], start=2):
-        event = _read_event(path, number, line, CODECS[role], links)
+    for line_number, line in enumerate(lines[1:], start=2):
+        event = _read_event(
+            path, line_number, line, CODECS_BY_ROLE[role], links_by_conn
+        )
         effects = reduce(event)
         for effect in effects:
             if effect.kind == 'connect':
-                links[effect.conn] = effect.link
+                links_by_conn[effect.conn] = effect.link
         yield Step(
-            number, to_plain(event), [to_plain(effect) for effect in effects]
+            line_number,
+            to_plain(event),
+            [to_plain(effect) for effect in effects],
         )
 
 
 def compare_outcome(steps: list[Step], outcome: Outcome) -> str | None:
-    """Return the first difference to a stated outcome, or None."""
+    """Return the first difference from the expected outcome, or None."""
     candidates = [
         (step.line, plain)
         for step in steps
         for effect in step.effects
-        for plain in _expand(effect)
+        for plain in _expand_messages(effect)
     ]
     for pattern in outcome.answers:
-        wrapped = {'kind': 'send', 'message': {'kind': 'answer', **pattern}}
-        lines = _lines_matching(candidates, wrapped)
+        answer_effect = {
+            'kind': 'send',
+            'message': {'kind': 'answer', **pattern},
+        }
+        lines = _find_matching_lines(candidates, answer_effect)
         if len(lines) != 1:
-            return f'answer {pattern}: found at lines {lines}, valid is one'
+            return f'answer {pattern}: matches lines {lines}, valid is one'
     for pattern in outcome.must:
-        if not _lines_matching(candidates, pattern):
-            return f'no effect matches {pattern}'
+        if not _find_matching_lines(candidates, pattern):
+            return f'must: no effect matches {pattern}'
     for pattern in outcome.never:
-        lines = _lines_matching(candidates, pattern)
+        lines = _find_matching_lines(candidates, pattern)
         if lines:
-            return f'line {lines[0]}: an effect matches {pattern}'
+            return f'never: line {lines[0]}: an effect matches {pattern}'
     return None
 
 
-def _create_state(
+def _create_reducer(
     path: str | Path, line: str
 ) -> tuple[str, Callable[[Event], list[Effect]], list[Effect]]:
     try:
         header = TraceHeader(**json.loads(line))
         if header.format != TRACE_FORMAT:
             raise TraceError(
-                f'format {header.format}: valid is {TRACE_FORMAT}'
+                f'trace format {header.format}: valid is {TRACE_FORMAT}'
             )
         if header.role == 'proxy':
             return 'proxy', *_create_proxy(header)
@@ -214,21 +222,21 @@
 
 def _read_event(
     path: str | Path,
-    number: int,
+    line_number: int,
     line: str,
     codecs: dict[str, FrameCodec],
-    links: dict[int, str],
+    links_by_conn: dict[int, str],
 ) -> Event:
     try:
         value = _restore_bytes(json.loads(line))
         event: Event = EVENT_CODEC.validate(value)
         if isinstance(event, ConnOpened):
-            links[event.conn] = event.link
+            links_by_conn[event.conn] = event.link
         if isinstance(event, Received):
-            codec = codecs[links[event.conn]]
+            codec = codecs[links_by_conn[event.conn]]
             event.messages = [codec.validate(m) for m in event.messages]
     except (ValueError, KeyError, ValidationError, JackdawpostError) as exc:
-        raise TraceError(f'{path}: line {number}: {exc}') from exc
+        raise TraceError(f'{path}: line {line_number}: {exc}') from exc
     return event
 
 
@@ -242,14 +250,14 @@
     return value
 
 
-def _expand(effect: Plain) -> Iterator[Plain]:
+def _expand_messages(effect: PlainData) -> Iterator[PlainData]:
     yield effect
     for message in effect.get('messages', ()):
         yield {'kind': 'send', 'conn': effect['conn'], 'message': message}
 
 
-def _lines_matching(
-    candidates: list[tuple[int, Plain]], pattern: Plain
+def _find_matching_lines(
+    candidates: list[tuple[int, PlainData]], pattern: PlainData
 ) -> list[int]:
     return [line for line, plain in candidates if _matches(plain, pattern)]
 
--- a/jackdawpost/tests/testing/test_history.py
+++ b/jackdawpost/tests/testing/test_history.py
@@ -1,4 +1,4 @@
-"""The checker must object to each kind of bad history."""
+"""Tests that the history checker reports each kind of violation."""
 
 from __future__ import annotations
 
@@ -27,19 +27,19 @@
 )
 
 
-def _rules(writes=(), reads=(), rows=()):
+def _find_rules(writes=(), reads=(), rows=()):
     history = History(writes=list(writes), reads=list(reads))
     return {v.rule for v in check_history(history, {'g': list(rows)})}
 
 
-def test_good_history_has_no_violation():
-    assert _rules([WRITE], [READ], [ROW]) == set()
+def test_correct_history_has_no_violation():
+    assert _find_rules([WRITE], [READ], [ROW]) == set()
 
 
 @pytest.mark.parametrize('outcome', ['unknown'])
 @pytest.mark.parametrize('rows', [[], [ROW]])
-def test_unknown_outcome_allows_both(outcome, rows):
-    assert _rules([replace(WRITE, outcome=outcome)], [], rows) == set()
+def test_write_of_unknown_outcome_may_be_present_or_absent(outcome, rows):
+    assert _find_rules([replace(WRITE, outcome=outcome)], [], rows) == set()
 
 
 @pytest.mark.parametrize(
@@ -53,8 +53,8 @@
         ('foreign_row', WRITE, [ROW._replace(session='other')]),
     ],
 )
-def test_bad_writes(rule, write, rows):
-    assert rule in _rules([write], [], rows)
+def test_wrong_write_violates_its_rule(rule, write, rows):
+    assert rule in _find_rules([write], [], rows)
 
 
 @pytest.mark.parametrize(
@@ -72,10 +72,10 @@
         ('foreign_answer', replace(READ, nonce_sent='a', nonce_received='b')),
     ],
 )
-def test_bad_reads(rule, read):
-    assert rule in _rules([WRITE], [read], [ROW])
+def test_wrong_read_violates_its_rule(rule, read):
+    assert rule in _find_rules([WRITE], [read], [ROW])
 
 
 def test_accepted_age_allows_a_missing_recent_write():
     read = replace(READ, session='r', seen={}, max_age_ms=500, age_ms=100)
-    assert _rules([WRITE], [read], [ROW]) == set()
+    assert _find_rules([WRITE], [read], [ROW]) == set()
