Say in the documentation tests which mismatch each guards against

Cause: the tests spoke of pages against the code and of advice; names, texts and listed did not say what they hold. Change: wording and names in test_pages.py and in the fixture of the core tests.

--- a/jackdawpost/tests/core/conftest.py
+++ b/jackdawpost/tests/core/conftest.py
@@ -10,6 +10,6 @@
 @pytest.fixture
 def sim() -> ProxySimulation:
     """Return a proxy that has joined and serves one group."""
-    started = ProxySimulation()
-    started.start()
-    return started
+    simulation = ProxySimulation()
+    simulation.start()
+    return simulation
--- a/jackdawpost/tests/test_pages.py
+++ b/jackdawpost/tests/test_pages.py
@@ -1,4 +1,4 @@
-"""The pages against the code: examples run, lists are complete."""
+"""Tests that the documentation matches the code."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from jackdawpost.tests.runtime.helpers import start_system
 
 ROOT = Path(__file__).parents[2]
-LEVELS = ('warning', 'error')
+DOCUMENTED_LEVELS = ('warning', 'error')
 
 
 def _read_examples():
@@ -22,30 +22,30 @@
     return re.findall(r'```python\n(.*?)```', page, re.DOTALL)
 
 
-def test_public_names_exist_and_are_on_the_page():
-    # Guards against an interface that is promised but missing, or missing
-    # from the page.
+def test_public_names_exist_and_are_documented():
+    # Guards against a documented name that does not exist, and against a
+    # public name without documentation.
     page = (ROOT / 'docs' / 'embedding.md').read_text()
     for name in set(jackdawpost.__all__) - {'__version__', 'JackdawpostError'}:
         assert hasattr(jackdawpost, name)
         assert f'`{name}`' in page, name
 
 
-def test_the_consensus_example_runs(capsys):
+def test_consensus_example_runs(capsys):
     # Guards against an example that a changed interface has broken.
     exec(compile(_read_examples()[1], 'consensus', 'exec'), {})
     assert capsys.readouterr().out == "[b'stock: 40 handles']\n"
 
 
-async def test_the_client_example_runs(tmp_path, capsys):
+async def test_client_example_runs(tmp_path, capsys):
     # Guards against an example that a changed interface has broken.
-    names = {'__name__': 'example'}
-    exec(compile(_read_examples()[0], 'client', 'exec'), names)
+    namespace = {'__name__': 'example'}
+    exec(compile(_read_examples()[0], 'client', 'exec'), namespace)
     async with daemons() as nursery:
         port, _ = await start_system(nursery, tmp_path)
         await serve_first_write(port)
-        names['PROXIES'][:] = [ProxyAddress(HOST, port)]
-        await names['main']()
+        namespace['PROXIES'][:] = [ProxyAddress(HOST, port)]
+        await namespace['main']()
     assert capsys.readouterr().out == "['T-40']\n"
 
 
@@ -53,26 +53,30 @@
     for node in ast.walk(ast.parse(path.read_text())):
         if not isinstance(node, ast.Call):
             continue
-        texts = [
+        string_args = [
             item.value
             for item in node.args
             if isinstance(item, ast.Constant) and isinstance(item.value, str)
         ]
         if ast.unparse(node.func).startswith('parser.'):
-            continue  # usage errors of a program
+            continue  # parser.error() reports wrong usage, not a log event
         name = getattr(node.func, 'attr', getattr(node.func, 'id', ''))
-        if name == 'log' and texts and texts[0] in LEVELS:
-            yield texts[1]
-        elif name in LEVELS and texts:
-            yield texts[0]
-
-
-def test_operators_page_has_every_warning_and_error():
-    # Guards against a warning without advice, and against advice for an
-    # event that no longer exists.
+        if (
+            name == 'log'
+            and string_args
+            and string_args[0] in DOCUMENTED_LEVELS
+        ):
+            yield string_args[1]
+        elif name in DOCUMENTED_LEVELS and string_args:
+            yield string_args[0]
+
+
+def test_operators_page_lists_every_warning_and_error():
+    # Guards against a warning or error that the page does not explain, and
+    # against an explanation of an event that no longer exists.
     page = (ROOT / 'docs' / 'operators.md').read_text()
     section = page.partition('## Log events')[2]
-    listed = set(re.findall(r'^\| `([^`]+)` \|', section, re.MULTILINE))
+    documented = set(re.findall(r'^\| `([^`]+)` \|', section, re.MULTILINE))
     logged = {
         event
         for package in ('jackdawpost', 'jackdawpost_standin')
@@ -80,4 +84,4 @@
         if 'tests' not in path.parts
         for event in _find_logged_events(path)
     }
-    assert listed == logged
+    assert documented == logged
