--- a/jackdawpost/cli/control.py
+++ b/jackdawpost/cli/control.py
@@ -16,7 +16,7 @@
     """Run the program and return its exit code."""
     parser = build_parser(
         'jackdawpost-control',
-        'Run a control process, which manages configuration, membership, '
+        'Run a control process, which manages configuration, membership,\n'
         'leases, permits and promotions.',
         'jackdawpost-control --config control-0.json',
     )
--- a/jackdawpost/cli/ctl_commands.py
+++ b/jackdawpost/cli/ctl_commands.py
@@ -32,7 +32,7 @@
 
 REQUEST_ID = 1
 
-Send = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
+SendRequest = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
 
 
 async def run_command(
@@ -68,17 +68,17 @@
 
 
 async def _apply(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     operations = load_change_file(args.file)
-    base = args.base_revision
-    if base is None:
+    base_revision = args.base_revision
+    if base_revision is None:
         status = await send(Query(id=REQUEST_ID, what='status'))
-        base = status.revision
+        base_revision = status.revision
     request = Apply(
         id=REQUEST_ID,
         change_id=args.change_id or _make_change_id(),
-        base_revision=base,
+        base_revision=base_revision,
         operations=operations,
         operator=cfg.operator,
         dry_run=args.dry_run,
@@ -87,7 +87,7 @@
 
 
 async def _drain(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     request = Drain(
         id=REQUEST_ID,
@@ -99,7 +99,9 @@
     return await _send_change(request, send)
 
 
-async def _send_change(request: Apply | Drain, send: Send) -> OperatorAnswer:
+async def _send_change(
+    request: Apply | Drain, send: SendRequest
+) -> OperatorAnswer:
     try:
         return await send(request)
     except NoAnswerError as exc:
@@ -113,13 +115,13 @@
 
 
 async def _query(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     return await send(Query(id=REQUEST_ID, what=args.command))
 
 
 async def _get(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     query = Query(
         id=REQUEST_ID, what='get', type=args.type or '', name=args.name
@@ -128,14 +130,14 @@
 
 
 async def _diff(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     operations = load_change_file(args.file)
     return await send(Query(id=REQUEST_ID, what='diff', operations=operations))
 
 
 async def _members(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     answer = await send(Query(id=REQUEST_ID, what='members'))
     if args.action is None:
@@ -166,7 +168,7 @@
 
 
 async def _approve(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     return await send(
         Approve(id=REQUEST_ID, name=args.name, operator=cfg.operator)
@@ -174,7 +176,7 @@
 
 
 async def _promote(
-    cfg: CtlSettings, args: argparse.Namespace, send: Send
+    cfg: CtlSettings, args: argparse.Namespace, send: SendRequest
 ) -> OperatorAnswer:
     answer = await send(Query(id=REQUEST_ID, what='status'))
     term = _find_cell(answer.tables, 'groups', args.group, 'term')
@@ -198,7 +200,8 @@
 _COMMANDS: dict[
     str,
     Callable[
-        [CtlSettings, argparse.Namespace, Send], Awaitable[OperatorAnswer]
+        [CtlSettings, argparse.Namespace, SendRequest],
+        Awaitable[OperatorAnswer],
     ],
 ] = {
     'apply': _apply,
@@ -229,6 +232,7 @@
 
 
 def _find_member_ids(tables: list[Table], name: str) -> list[str]:
+    """Return the identities known under a name; one name can have several."""
     member_ids = []
     for table in ('members', 'newcomers', 'absent'):
         member_id = _find_cell(tables, table, name, 'member_id')
@@ -240,6 +244,7 @@
 def _find_cell(
     tables: list[Table], table_name: str, row_name: str, column: str
 ) -> Any:
+    """Return a cell of the row whose first cell is `row_name`, or None."""
     for table in tables:
         if table.name != table_name:
             continue
--- a/jackdawpost/cli/operator_link.py
+++ b/jackdawpost/cli/operator_link.py
@@ -207,6 +207,7 @@
             )
             return None
     if isinstance(reply, NotLeader):
+        # The request was not handled and cannot have taken effect.
         attempts.sent -= 1
         attempts.last_error = (
             f'{peer.name} is not the leader; the leader that it knows is '
--- a/jackdawpost/cli/replay.py
+++ b/jackdawpost/cli/replay.py
@@ -49,7 +49,7 @@
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
-        description='Replay a recorded trace through the same reducer.',
+        description='Replay a recorded trace through the reducer of its role.',
         epilog=f'example: {EXAMPLE}',
     )
     parser.add_argument(
--- a/jackdawpost/testing/caller_fuzz.py
+++ b/jackdawpost/testing/caller_fuzz.py
@@ -169,23 +169,32 @@
 EDGE_CASE_FRAMES: list[Frame] = [
     b'',
     b'\xff',
+    # Arrays nested too deeply, as CBOR and as JSON.
     b'\x81' * 10_000,
     '[' * 100_000,
     '',
     'NaN',
+    # A cyclic list as the frame and as a parameter.
     _CYCLIC_LIST,
     _embed_param(_CYCLIC_LIST),
+    # Nested arrays as a parameter.
     _embed_param(b'\x81' * 500 + b'\x01'),
+    # An integer of 39,000 digits as a parameter and as the kind.
     _embed_param(b'\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000),
     b'\xa1\x64kind\xc2\x5a\x00\x00\x40\x00' + b'\x7f' * 0x4000,
+    # An array and a byte string with a huge declared length.
     b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff',
     b'\x5b\x7f\xff\xff\xff\xff\xff\xff\xff',
+    # A map whose key is an array.
     b'\xa1\x80\x01',
+    # Half a surrogate pair as a parameter, as the kind and as a field name.
     '{"kind":"statement","id":1,"route":"orders","sql":"select ?",'
     f'"access":"read","params":[{_LONE_SURROGATE_JSON}]}}',
     f'{{"kind":{_LONE_SURROGATE_JSON}}}',
     f'{{"kind":"begin","id":1,"route":"orders",{_LONE_SURROGATE_JSON}:1}}',
+    # More messages than a frame may have, of a kind that callers never send.
     encode_cbor([Answer(id=1, outcome='done')] * 65),
+    # A frame above the size limit, and a statement just below it.
     b'\x00' * (MAX_FRAME_BYTES + 1),
     cbor2.dumps(
         {
@@ -196,6 +205,7 @@
             'access': 'read',
         }
     ),
+    # More parameters than a statement may have.
     cbor2.dumps(
         {
             'kind': 'statement',
