--- a/jackdawpost/tests/cli/test_ctl.py
+++ b/jackdawpost/tests/cli/test_ctl.py
@@ -203,8 +203,8 @@
 
 
 def test_error_without_an_answer_names_the_change_id_to_reuse(run, control):
-    # Guards against an operator who resends a change under a new id, so that
-    # it may be applied twice.
+    # Guards against an operator who resends a change under a new id, which
+    # may apply it twice.
     control.faults = dict.fromkeys(('c1', 'c2', 'c3'), 'silent')
     arguments = ('--base-revision', '1', '--change-id', 'monday')
     code, _, err = run('apply', 'changes.json', *arguments)
