Reword the simulated databases of the line protocol

The fields have the terms of replication and queueing now (`apply_delay_s`, `applied_count`, `executed`, `slots_in_use`, `max_queued`, `fencing_token`), and the docstrings describe each one. The error texts of `LineCaller` say what was sent, what was received and what is expected. `hangs`, `leads`, `reads`, `log` and `rolled_back` stay: they are plain and soak uses them. In soak and in the test of the programs only the lines that use a renamed attribute or method change.

--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -179,19 +179,21 @@
     stream = await trio.open_tcp_stream(HOST, frontend)
     async with stream:
         caller = LineCaller(stream)
-        assert await caller.ask('START orders u1') == ['READY I -']
-        assert (await caller.ask('QUERY a1 SET zone x'))[0] == 'COMPLETE -'
-        done = await caller.ask('QUERY a2 WRITE 7 blue')
+        assert await caller.request('START orders u1') == ['READY I -']
+        assert (await caller.request('QUERY a1 SET zone x'))[0] == 'COMPLETE -'
+        done = await caller.request('QUERY a2 WRITE 7 blue')
         assert done[0] == 'COMPLETE i-1.a2'
-        assert await caller.ask('QUERY a3 BEGIN') == [
+        assert await caller.request('QUERY a3 BEGIN') == [
             'COMPLETE -',
             'READY T -',
         ]
-        row, done, ready = await caller.ask('QUERY a4 READ 7')
+        row, done, ready = await caller.request('QUERY a4 READ 7')
         assert (row, done) == ('DATAROW blue', 'COMPLETE i-1.a4')
         assert ready.startswith('READY T')
-        assert (await caller.ask('QUERY a5 COMMIT'))[0] == 'COMPLETE i-1.a5'
-        assert 'a2 WRITE 7 blue' in database.ran
+        assert (await caller.request('QUERY a5 COMMIT'))[
+            0
+        ] == 'COMPLETE i-1.a5'
+        assert 'a2 WRITE 7 blue' in database.executed
     stream = await trio.open_tcp_stream(HOST, frontend)
     async with stream:
         await stream.send_all(b'START nowhere u1\r\n')
--- a/jackdawpost_standin/line_caller.py
+++ b/jackdawpost_standin/line_caller.py
@@ -1,4 +1,4 @@
-"""Stand-in for a caller that speaks the platform's line protocol."""
+"""Client of the line protocol of the platform, for tests."""
 
 from __future__ import annotations
 
@@ -8,29 +8,31 @@
 
 
 class SessionLostError(Exception):
-    """The connection has ended before an answer was complete."""
+    """The connection ended before an answer was complete."""
 
 
 @dataclass
 class LineCaller:
-    """A session over a connection to a pooler.
+    """Session over a connection to a pooler or a database.
 
     Parameters
     ----------
+    stream : trio.SocketStream
+        Open connection.
     buffer : bytes
-        Received bytes that belong to no answer yet.
+        Received bytes that are not parsed yet.
     """
 
     stream: trio.SocketStream
     buffer: bytes = b''
 
-    async def ask(self, line: str) -> list[str]:
-        """Send a line and return its answer up to ``READY``.
+    async def request(self, line: str) -> list[str]:
+        """Send a line and return the lines of its answer, ``READY`` included.
 
         Raises
         ------
         SessionLostError
-            The connection ended first.
+            The connection ended before the ``READY`` line.
         """
         lines: list[str] = []
         try:
@@ -40,11 +42,15 @@
                     data = await self.stream.receive_some(65_536)
                     if not data:
                         raise SessionLostError(
-                            f'{line!r}: closed after {lines}'
+                            f'connection closed after request {line!r}: '
+                            f'received {lines}, expected a READY line'
                         )
                     self.buffer += data
                 text, _, self.buffer = self.buffer.partition(b'\r\n')
                 lines.append(text.decode())
         except trio.BrokenResourceError as exc:
-            raise SessionLostError(f'{line!r}: broken after {lines}') from exc
+            raise SessionLostError(
+                f'connection broken after request {line!r}: '
+                f'received {lines}, expected a READY line'
+            ) from exc
         return lines
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -1,8 +1,9 @@
-"""Stand-in for a group of databases that speak the platform's line protocol.
+"""Simulated database group that speaks the line protocol of the platform.
 
-`LineGroup` holds who leads; each `LineDatabase` has its own copy of the log,
-receives and applies commits with a delay, and serves connections over TCP.
-Rows are made up; every commit, read and refusal is kept for checks.
+`LineGroup` stores which database is the primary. Each `LineDatabase` has its
+own copy of the log, receives and applies commits with a delay, and serves
+connections over TCP. There are no tables: a read returns the last value that
+was written to a key. All commits and reads are recorded for checks.
 """
 
 from __future__ import annotations
@@ -14,22 +15,22 @@
 import trio
 
 LINE_END = b'\r\n'
-FIRST_INDEX = 10
-POLL_S = 0.005  # between looks of a statement that waits
-# Words of a statement that neither reads nor changes rows.
+INITIAL_INDEX = 10  # position of a log without commits
+POLL_INTERVAL_S = 0.005  # of a statement that waits
+# First words of statements that change only the session.
 _SESSION_WORDS = frozenset({'SET', 'PREPARE', 'DEALLOC', 'RESET'})
 
 
 @dataclass(frozen=True)
 class Commit:
-    """A commit in the log.
+    """Committed transaction in the log.
 
     Parameters
     ----------
     position : tuple of int
-        Term and number.
+        Term and index.
     at_s : float
-        Time of the commit on the steady clock.
+        Time of the commit on the monotonic clock.
     writes : tuple of tuple
         Request id, key and value of each write.
     """
@@ -41,7 +42,7 @@
 
 @dataclass(frozen=True)
 class ExecutedRead:
-    """A read that ran, and the last commit in what it saw."""
+    """Executed read, with the position of the last commit visible to it."""
 
     request: str
     database: str
@@ -50,39 +51,58 @@
 
 @dataclass
 class LineSession:
-    """State of one connection."""
+    """State of the session on one connection.
 
-    values: dict[str, str] = field(default_factory=dict)
+    Parameters
+    ----------
+    variables : dict of str to str
+        Session variables set by SET.
+    prepared : dict of str to str
+        Prepared statements by name.
+    is_read_write : bool
+        Whether the transaction is read-write, so that it needs the primary.
+    has_failed : bool
+        Whether a statement of the transaction has failed.
+    writes : list of tuple
+        Request id, key and value of each write that is not committed.
+    """
+
+    variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, str] = field(default_factory=dict)
     in_txn: bool = False
-    is_plain: bool = False
+    is_read_write: bool = False
     has_failed: bool = False
     writes: list[tuple[str, str, str]] = field(default_factory=list)
 
 
 @dataclass
 class LineGroup:
-    """Databases of one group.
+    """Database group with one primary.
 
     Parameters
     ----------
     sync_replicas : int
-        Replicas that must have received a commit before it is acknowledged.
+        Number of replicas that must have received a commit before it is
+        acknowledged.
+    fencing_token : int
+        Highest fencing token of a promotion.
     rolled_back : list of Commit
-        Commits that promotions have dropped.
+        Commits that promotions have removed from logs.
+    reads : list of ExecutedRead
+        Reads of all databases.
     """
 
     name: str
     sync_replicas: int = 0
     term: int = 1
     primary: str = ''
-    token: int = 0
+    fencing_token: int = 0
     databases: dict[str, LineDatabase] = field(default_factory=dict)
     rolled_back: list[Commit] = field(default_factory=list)
     reads: list[ExecutedRead] = field(default_factory=list)
 
     def add(self, name: str) -> LineDatabase:
-        """Add a database; the first one leads."""
+        """Add a database; the first one becomes the primary."""
         database = LineDatabase(self, name)
         self.databases[name] = database
         self.primary = self.primary or name
@@ -90,30 +110,44 @@
 
     @property
     def log(self) -> list[Commit]:
-        """Log of the primary."""
+        """Log of the current primary."""
         return self.databases[self.primary].log
 
-    def promote(self, name: str, token: int) -> bool:
-        """Let a database lead; False if the token is old or it is down."""
-        chosen = self.databases.get(name)
-        if token < self.token or chosen is None or not chosen.is_running:
+    def promote(self, name: str, fencing_token: int) -> bool:
+        """Make a database the primary.
+
+        Commits that the new primary has not received are removed from the
+        logs of all databases.
+
+        Returns
+        -------
+        bool
+            False if the fencing token is lower than an earlier one, or the
+            database is unknown or not running.
+        """
+        new_primary = self.databases.get(name)
+        if (
+            fencing_token < self.fencing_token
+            or new_primary is None
+            or not new_primary.is_running
+        ):
             return False
-        self.token = token
+        self.fencing_token = fencing_token
         if name == self.primary:
             return True
         for database in self.databases.values():
             database.catch_up()
         for database in self.databases.values():
-            shared = 0
-            for own, other in zip(database.log, chosen.log, strict=False):
+            common_count = 0
+            for own, other in zip(database.log, new_primary.log, strict=False):
                 if own != other:
                     break
-                shared += 1
-            for commit in database.log[shared:]:
+                common_count += 1
+            for commit in database.log[common_count:]:
                 if commit not in self.rolled_back:
                     self.rolled_back.append(commit)
-            del database.log[shared:]
-            database.shown = min(database.shown, shared)
+            del database.log[common_count:]
+            database.applied_count = min(database.applied_count, common_count)
             database.paused_term = 0
         self.primary = name
         self.term += 1
@@ -122,78 +156,91 @@
 
 @dataclass
 class LineDatabase:
-    """A database that answers the line protocol.
+    """Database of a group, served over the line protocol.
 
     Parameters
     ----------
-    receive_s, apply_s : float
-        Age at which a replica receives and applies a commit.
-    work_s : float
-        Time that a statement holds a slot.
-    shown : int
-        Commits of its log that reads have seen.
+    receive_delay_s, apply_delay_s : float
+        Age of a commit at which a replica receives and applies it.
+    service_s : float
+        Execution time of a statement, for which it holds a slot.
+    slots : int
+        Maximum number of statements that run at the same time.
+    max_queued : int
+        Maximum number of statements that wait for a slot; 0 refuses all
+        statements that need a slot.
     hangs : bool
-        Statements that take a slot get no answer; the others do.
+        Whether statements that need a slot get no answer.
+    applied_count : int
+        Number of commits in the log that reads can see.
+    paused_term : int
+        Term of the last PAUSE statement. A paused replica receives no
+        commits; 0 if it is not paused.
+    executed : list of str
+        Request id and text of each executed statement.
     """
 
     group: LineGroup
     name: str
     log: list[Commit] = field(default_factory=list)
-    receive_s: float = 0.005
-    apply_s: float = 0.02
-    work_s: float = 0.0
+    receive_delay_s: float = 0.005
+    apply_delay_s: float = 0.02
+    service_s: float = 0.0
     slots: int = 6
-    queue: int = 48
+    max_queued: int = 48
     is_running: bool = True
     hangs: bool = False
-    shown: int = 0
+    applied_count: int = 0
     paused_term: int = 0
-    busy: int = 0
-    waiting: int = 0
-    ran: list[str] = field(default_factory=list)
+    slots_in_use: int = 0
+    queued: int = 0
+    executed: list[str] = field(default_factory=list)
     streams: set[trio.SocketStream] = field(default_factory=set)
 
     @property
     def leads(self) -> bool:
-        """Whether it is the primary."""
+        """Whether this database is the primary."""
         return self.group.primary == self.name
 
     async def crash(self) -> None:
-        """Close every connection and refuse new ones."""
+        """Stop running: close all connections and refuse new ones."""
         self.is_running = False
         for stream in list(self.streams):
             await trio.aclose_forcefully(stream)
 
     def catch_up(self) -> None:
-        """Receive from the primary what has had the time to come."""
-        source = self.group.databases[self.group.primary]
+        """Receive all commits of the primary that are older than the delay."""
+        primary = self.group.databases[self.group.primary]
         if self.leads or self.paused_term or not self.is_running:
             return
-        if not source.is_running:
+        if not primary.is_running:
             return
-        limit_s = time.monotonic() - self.receive_s
-        for commit in source.log[len(self.log) :]:
-            if commit.at_s > limit_s:
+        max_commit_s = time.monotonic() - self.receive_delay_s
+        for commit in primary.log[len(self.log) :]:
+            if commit.at_s > max_commit_s:
                 return
             self.log.append(commit)
 
     def applied(self) -> tuple[int, int]:
-        """Return the position of the last commit that reads see."""
+        """Return the position of the last commit that reads can see."""
         self.catch_up()
-        limit_s = time.monotonic() - self.apply_s
-        while self.shown < len(self.log):
-            # What was applied stays so when the delay grows.
-            if not self.leads and self.log[self.shown].at_s > limit_s:
+        max_commit_s = time.monotonic() - self.apply_delay_s
+        while self.applied_count < len(self.log):
+            # Applied commits stay applied when the delay is increased.
+            if (
+                not self.leads
+                and self.log[self.applied_count].at_s > max_commit_s
+            ):
                 break
-            self.shown += 1
-        if not self.shown:
-            return (1, FIRST_INDEX)
-        return self.log[self.shown - 1].position
+            self.applied_count += 1
+        if not self.applied_count:
+            return (1, INITIAL_INDEX)
+        return self.log[self.applied_count - 1].position
 
     def received(self) -> tuple[int, int]:
-        """Return the position of the last commit that it holds."""
+        """Return the position of the last commit in the log."""
         self.catch_up()
-        return self.log[-1].position if self.log else (1, FIRST_INDEX)
+        return self.log[-1].position if self.log else (1, INITIAL_INDEX)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends."""
@@ -210,16 +257,18 @@
                     while LINE_END in buffer:
                         line, _, rest = bytes(buffer).partition(LINE_END)
                         buffer[:] = rest
-                        replies = await self.answer(session, line.decode())
+                        replies = await self.handle_line(
+                            session, line.decode()
+                        )
                         text = ''.join(reply + '\r\n' for reply in replies)
                         await stream.send_all(text.encode())
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # what is open is rolled back with the session
+            pass  # the end of the session rolls back an open transaction
         finally:
             self.streams.discard(stream)
 
-    async def answer(self, session: LineSession, line: str) -> list[str]:
-        """Return the lines that answer one line."""
+    async def handle_line(self, session: LineSession, line: str) -> list[str]:
+        """Handle one received line and return the lines of the answer."""
         word, _, rest = line.partition(' ')
         if word == 'START':
             fields = rest.split(' ')
@@ -228,19 +277,19 @@
                 [self.name],
             ):
                 return [f'ERROR MISROUTED {self.name}']
-            return [self._ready(session)]
+            return [self._build_ready(session)]
         request_id, _, text = rest.partition(' ')
-        replies = await self._run(session, request_id, text)
-        return [*replies, self._ready(session)]
+        replies = await self._run_request(session, request_id, text)
+        return [*replies, self._build_ready(session)]
 
-    def _ready(self, session: LineSession) -> str:
+    def _build_ready(self, session: LineSession) -> str:
         state = 'T' if session.in_txn else 'I'
         if session.has_failed:
             state = 'E'
         term, index = self.applied()
         return f'READY {state} {term}.{index}'
 
-    async def _run(
+    async def _run_request(
         self, session: LineSession, request_id: str, text: str
     ) -> list[str]:
         after = None
@@ -259,67 +308,67 @@
             return ['COMPLETE -']
         if word == 'BEGIN':
             return self._begin(session, text)
-        if not await self._take_slot():
+        if not await self._acquire_slot():
             return [f'ERROR BUSY {self.name}']
         try:
             while self.hangs:
-                await trio.sleep(POLL_S)
-            await trio.sleep(self.work_s)
-            return await self._work(session, request_id, text)
+                await trio.sleep(POLL_INTERVAL_S)
+            await trio.sleep(self.service_s)
+            return await self._execute(session, request_id, text)
         finally:
-            self.busy -= 1
+            self.slots_in_use -= 1
 
-    async def _take_slot(self) -> bool:
-        if self.waiting >= self.queue:
+    async def _acquire_slot(self) -> bool:
+        if self.queued >= self.max_queued:
             return False
-        self.waiting += 1
+        self.queued += 1
         try:
-            while self.busy >= self.slots:
-                await trio.sleep(POLL_S)
+            while self.slots_in_use >= self.slots:
+                await trio.sleep(POLL_INTERVAL_S)
         finally:
-            self.waiting -= 1
-        self.busy += 1
+            self.queued -= 1
+        self.slots_in_use += 1
         return True
 
     def _begin(self, session: LineSession, text: str) -> list[str]:
-        session.is_plain = text == 'BEGIN'
-        if session.is_plain and not self.leads:
+        session.is_read_write = text == 'BEGIN'
+        if session.is_read_write and not self.leads:
             return [f'ERROR READONLY {self.name}']
         session.in_txn = True
         return ['COMPLETE -']
 
-    async def _work(
+    async def _execute(
         self, session: LineSession, request_id: str, text: str
     ) -> list[str]:
         word, _, fields = text.partition(' ')
         if word in ('STATUS', 'PAUSE', 'RESUME'):
-            return self._status(word, fields)
+            return self._run_admin_statement(word, fields)
         name, _, argument = fields.partition(' ')
         if word == 'EXECUTE':
-            shape = session.prepared.get(name)
-            if shape is None:
+            statement = session.prepared.get(name)
+            if statement is None:
                 return [f'ERROR NOSTMT {name}']
-            word = shape.split(' ')[0]
+            word = statement.split(' ')[0]
             name, _, argument = argument.partition(' ')
-        if session.in_txn and session.is_plain and not self.leads:
+        if session.in_txn and session.is_read_write and not self.leads:
             session.has_failed = True
             if word != 'COMMIT' or session.writes:
                 return [f'ERROR READONLY {self.name}']
         if word == 'WRITE' and not self.leads:
             return [f'ERROR READONLY {self.name}']
-        self.ran.append(f'{request_id} {text}')
+        self.executed.append(f'{request_id} {text}')
         done = f'COMPLETE {self.name}.{request_id}'
         if word == 'READ':
-            seen = ExecutedRead(request_id, self.name, self.applied())
-            self.group.reads.append(seen)
-            return [f'DATAROW {self._row(name)}', done]
+            read = ExecutedRead(request_id, self.name, self.applied())
+            self.group.reads.append(read)
+            return [f'DATAROW {self._read_value(name)}', done]
         if word == 'WRITE':
             session.writes.append((request_id, name, argument))
         if word == 'COMMIT':
             session.in_txn = session.has_failed = False
         if not session.in_txn and session.writes:
             commit = self._commit(session)
-            if not await self._is_copied(commit):
+            if not await self._wait_for_replicas(commit):
                 return [f'ERROR INDOUBT {self.name}']
         return [done]
 
@@ -334,20 +383,26 @@
         self.log.append(commit)
         return commit
 
-    async def _is_copied(self, commit: Commit) -> bool:
-        """Wait until enough replicas have received a commit."""
+    async def _wait_for_replicas(self, commit: Commit) -> bool:
+        """Wait until enough replicas have received a commit.
+
+        Returns
+        -------
+        bool
+            False if the database is no longer the primary.
+        """
         while self.leads:
-            copies = 0
+            receivers = 0
             for database in self.group.databases.values():
                 if database is not self:
                     database.catch_up()
-                    copies += commit in database.log[-100:]
-            if copies >= self.group.sync_replicas:
+                    receivers += commit in database.log[-100:]
+            if receivers >= self.group.sync_replicas:
                 return True
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_INTERVAL_S)
         return False
 
-    def _row(self, key: str) -> str:
+    def _read_value(self, key: str) -> str:
         position = self.applied()
         for commit in reversed(self.log):
             if commit.position > position:
@@ -357,7 +412,7 @@
                     return value
         return 'none'
 
-    def _status(self, word: str, fields: str) -> list[str]:
+    def _run_admin_statement(self, word: str, fields: str) -> list[str]:
         if word == 'PAUSE' and int(fields) > self.group.term:
             self.catch_up()
             self.paused_term = int(fields)
@@ -373,12 +428,12 @@
     word, _, fields = text.partition(' ')
     name, _, argument = fields.partition(' ')
     if word == 'SET':
-        session.values[name] = argument
+        session.variables[name] = argument
     elif word == 'PREPARE':
         session.prepared[name] = argument
     elif word == 'DEALLOC':
         session.prepared.pop(name, None)
     else:
-        session.values.clear()
+        session.variables.clear()
         session.prepared.clear()
     return ['COMPLETE -']
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -135,7 +135,7 @@
     """Start a session; True if the database name is served."""
     with trio.move_on_after(CONNECT_S):
         try:
-            opened = await session.ask(f'START {database} soak')
+            opened = await session.request(f'START {database} soak')
         except SessionLostError:
             return False
         return opened[0].startswith('READY')
@@ -169,7 +169,9 @@
     key = rng.randrange(KEYS)
     text = f'WRITE {key} {request}' if is_write else f'READ {key}'
     (operation.writes if is_write else operation.reads).append(request)
-    return _outcome(await session.ask(f'QUERY {request} {text}'), operation)
+    return _outcome(
+        await session.request(f'QUERY {request} {text}'), operation
+    )
 
 
 async def _transact(
@@ -179,7 +181,7 @@
     operation: Operation,
 ) -> str:
     async def control(word: str) -> tuple[str, bool]:
-        lines = await session.ask(f'QUERY {recorder.new_id()} {word}')
+        lines = await session.request(f'QUERY {recorder.new_id()} {word}')
         return _outcome(lines, operation), lines[-1].startswith('READY I')
 
     outcome, _ = await control('BEGIN')
--- a/soak/run.py
+++ b/soak/run.py
@@ -276,13 +276,13 @@
         await trio.sleep(fault.for_s)
         database.hangs = False
     elif fault.kind == 'database_slow':
-        database.work_s = 0.1
+        database.service_s = 0.1
         await trio.sleep(fault.for_s)
-        database.work_s = 0.0
+        database.service_s = 0.0
     else:
-        database.apply_s = 2.0
+        database.apply_delay_s = 2.0
         await trio.sleep(fault.for_s)
-        database.apply_s = 0.02
+        database.apply_delay_s = 0.02
 
 
 async def _leave(run: Run, reporter: Reporter) -> None:
@@ -293,10 +293,10 @@
     database = reporter.database
     await reporter.leave()
     await trio.sleep(LEAVING_WORK_S)
-    ran = len(database.ran)
+    ran = len(database.executed)
     await trio.sleep(LEAVING_WATCH_S)
-    if len(database.ran) > ran:
-        late = database.ran[ran : ran + 3]
+    if len(database.executed) > ran:
+        late = database.executed[ran : ran + 3]
         run.breaches.append(f'leaving: {database.name} still ran {late}')
     await reporter.depart()
     await database.crash()
