Reword storage and settings of the simulated database

`rows.py` spoke of two "copies" without saying of what, and of an "engine" that is no class; `Role` was "what a database has promised". The module names the committed and the writable SQLite database now, and error texts say what was read, the bad value and what is accepted. Comments keep their reasons: the frame limit, the statement cache that bypasses the authorizer, and encoded records because of the garbage collector.

Names of `Role`, files, record layouts and settings keys stay.

--- a/jackdawpost_standin/__init__.py
+++ b/jackdawpost_standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-in for one database of a replicated group."""
+"""Simulated databases for tests and experiments."""
--- a/jackdawpost_standin/cli.py
+++ b/jackdawpost_standin/cli.py
@@ -1,4 +1,7 @@
-"""Program ``jackdawpost-standin-database``."""
+"""Command line of ``jackdawpost-standin-database``.
+
+The program runs one simulated database of a replicated group.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +25,7 @@
     """Run the program and return its exit code."""
     parser = build_parser(
         PROGRAM,
-        'Stand-in for one database of a replicated group.',
+        'Simulated database of a replicated group, for tests.',
         f'{PROGRAM} --config spares-1.jsonc',
     )
     cfg = load_or_exit(parser.parse_args(argv), StandinSettings)
--- a/jackdawpost_standin/disk.py
+++ b/jackdawpost_standin/disk.py
@@ -1,4 +1,4 @@
-"""Files of the data folder: the log and the role of the database."""
+"""Data folder of a database: its log and its replication role."""
 
 from __future__ import annotations
 
@@ -20,18 +20,20 @@
 
 @dataclass(slots=True)
 class Role:
-    """What a database has promised; survives a restart.
+    """Replication role and accepted terms of a database, kept over restarts.
 
     Parameters
     ----------
+    data_id : str
+        Identity of the data; a wiped database gets a new one.
     term : int
         Highest term accepted by a seal, promotion or follow.
     sealed_term : int
         Highest term of a seal.
     leads : bool
-        Whether it is the primary in `term`; false after a restart.
+        Whether the database is the primary in `term`; false after a restart.
     primary, host, port : str, str, int
-        The primary that it follows, empty for none.
+        Name and address of the primary to replicate from; empty for none.
     """
 
     data_id: str
@@ -49,14 +51,14 @@
 
 
 class DataFolder:
-    """Keeps the log and the role in files, or nothing without a folder.
+    """Stores log and role in files; without a path nothing is stored.
 
     Parameters
     ----------
     path : str or None
-        Data folder.
+        Path of the folder; None stores nothing.
     sync_log : bool
-        Sync the log at each `flush`.
+        Whether `flush` syncs the log to disk.
     """
 
     def __init__(self, path: str | None, sync_log: bool) -> None:
@@ -64,8 +66,8 @@
         self._log_fd = -1
         self._lock_fd = -1
         self._buffer: list[bytes] = []
-        # Offset of the end of each record, to truncate the file.
-        self._ends: list[int] = []
+        # End offset of each record in the file, needed to truncate it.
+        self._record_ends: list[int] = []
         self._folder = Path(path) if path is not None else None
         if self._folder is not None:
             self._open(self._folder)
@@ -77,11 +79,13 @@
             fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as exc:
             os.close(self._lock_fd)
-            raise FolderLockedError(f'{folder}: used by a process') from exc
+            raise FolderLockedError(
+                f'data folder {folder} is locked by another process'
+            ) from exc
         self._log_fd = os.open(folder / 'log', os.O_RDWR | os.O_CREAT)
 
     def load(self) -> tuple[Role, list[bytes]]:
-        """Read role and encoded records; a torn last one is removed."""
+        """Read role and encoded records; remove a torn last record."""
         if self._folder is None:
             return new_role(), []
         records = self._load_records(self._folder / 'log')
@@ -107,18 +111,20 @@
             if zlib.crc32(body) != checksum:
                 if end < len(data):
                     raise StorageCorruptError(
-                        str(path), offset, 'checksum differs'
+                        str(path),
+                        offset,
+                        'checksum of the record does not match',
                     )
                 break
             records.append(body)
-            self._ends.append(end)
+            self._record_ends.append(end)
             offset = end
         os.ftruncate(self._log_fd, offset)
         os.lseek(self._log_fd, offset, os.SEEK_SET)
         return records
 
     def save_role(self, role: Role) -> None:
-        """Replace the role file and sync it."""
+        """Replace the role file atomically and sync it."""
         if self._folder is None:
             return
         temporary = self._folder / 'role.json.new'
@@ -135,13 +141,13 @@
         """Buffer one encoded record until `flush`."""
         if self._folder is None:
             return
-        start = self._ends[-1] if self._ends else 0
-        self._ends.append(start + _HEADER.size + len(body))
+        start = self._record_ends[-1] if self._record_ends else 0
+        self._record_ends.append(start + _HEADER.size + len(body))
         self._buffer.append(_HEADER.pack(len(body), zlib.crc32(body)))
         self._buffer.append(body)
 
     def flush(self) -> None:
-        """Write the buffered records, synced if so set."""
+        """Write the buffered records, and sync the file if configured."""
         if not self._buffer:
             return
         _write_all(self._log_fd, b''.join(self._buffer))
@@ -154,14 +160,14 @@
         if self._folder is None:
             return
         self.flush()
-        del self._ends[last_index:]
-        end = self._ends[-1] if self._ends else 0
+        del self._record_ends[last_index:]
+        end = self._record_ends[-1] if self._record_ends else 0
         os.ftruncate(self._log_fd, end)
         os.lseek(self._log_fd, end, os.SEEK_SET)
         os.fsync(self._log_fd)
 
     def close(self) -> None:
-        """Write what is buffered and release the folder."""
+        """Write the buffered records and unlock the folder."""
         if self._folder is None:
             return
         self.flush()
--- a/jackdawpost_standin/log.py
+++ b/jackdawpost_standin/log.py
@@ -1,4 +1,4 @@
-"""The replicated log: records of committed transactions."""
+"""Replicated log: records of committed transactions, kept in memory."""
 
 from __future__ import annotations
 
@@ -32,12 +32,13 @@
     Parameters
     ----------
     position : LogPosition
-        Place in the log.
+        Term and index in the log.
     statements : list of (str, list or None)
-        Texts and parameters in the order in which they ran; empty for the
-        record that opens a term.
+        Texts and parameters in execution order; empty for the record that
+        opens a term.
     request_key : str, optional
-        Key under which `result` is the stored answer.
+        Idempotency key of the transaction; `result` is the answer to a
+        resend with the same key.
     """
 
     position: LogPosition
@@ -66,12 +67,14 @@
     Raises
     ------
     StorageError
-        The bytes are not a record.
+        The bytes are not an encoded record.
     """
     try:
         term, index, statements, request_key, result = cbor2.loads(data)
         if type(term) is not int or type(index) is not int:
-            raise StorageError(f'not a log position: {(term, index)!r:.120}')
+            raise StorageError(
+                f'log position {(term, index)!r:.120}: expected integers'
+            )
         return Record(
             LogPosition(term, index),
             [(sql, params) for sql, params in statements],
@@ -79,14 +82,14 @@
             Result(*result),
         )
     except (ValueError, TypeError, cbor2.CBORError) as exc:
-        raise StorageError(f'not a log record: {exc}') from exc
+        raise StorageError(f'log record cannot be decoded: {exc}') from exc
 
 
 class ReplicatedLog:
-    """Records in order, with the history of terms.
+    """Encoded records in order, and the last index of each term.
 
-    Records are kept encoded: a million of them as objects would cost more
-    memory and make the garbage collector stop the process.
+    Records stay encoded. A million decoded records would need more memory,
+    and the garbage collector would pause the process to traverse them.
     """
 
     def __init__(self) -> None:
@@ -101,7 +104,7 @@
         return LogPosition(*self.history[-1])
 
     def append(self, position: LogPosition, encoded: bytes) -> None:
-        """Add the next record.
+        """Append the next record.
 
         Raises
         ------
@@ -112,8 +115,9 @@
         last_term, last_index = self.last
         if index != last_index + 1 or term < last_term:
             raise StorageError(
-                f'record {(term, index)} does not follow '
-                f'{(last_term, last_index)}'
+                f'record at {(term, index)} does not follow the last record '
+                f'{(last_term, last_index)}: expected the next index and the '
+                'same or a higher term'
             )
         if term == last_term and self.history:
             self.history[-1] = TermEnd(term, index)
@@ -122,7 +126,7 @@
         self.encoded.append(encoded)
 
     def read(self, after_index: int, last_index: int) -> list[Record]:
-        """Decode the records after one index up to another."""
+        """Decode the records after `after_index` up to `last_index`."""
         return [
             decode_record(data)
             for data in self.encoded[after_index:last_index]
@@ -132,25 +136,32 @@
         """Remove all records after `last_index`; return their number."""
         removed = len(self.encoded) - last_index
         del self.encoded[last_index:]
-        while self.history and self._start_of(-1) > last_index:
+        while self.history and self._first_index_of(-1) > last_index:
             self.history.pop()
         if self.history and self.history[-1].last_index > last_index:
             self.history[-1] = TermEnd(self.history[-1].term, last_index)
         return max(0, removed)
 
-    def _start_of(self, place: int) -> int:
-        place %= len(self.history)
-        return self.history[place - 1].last_index + 1 if place else 1
+    def _first_index_of(self, entry_index: int) -> int:
+        entry_index %= len(self.history)
+        return (
+            self.history[entry_index - 1].last_index + 1 if entry_index else 1
+        )
 
     def common_index(self, other: Sequence[TermEnd]) -> int:
-        """Return the last index that this log shares with another history.
+        """Return the last index up to which this log equals another.
+
+        A term has only one primary. Two logs that hold a record of the same
+        term and index are therefore equal up to this index.
 
-        A term has one primary, so two logs that both hold a record of one
-        term and index are equal up to it.
+        Parameters
+        ----------
+        other : sequence of TermEnd
+            Last index of each term in the other log.
         """
         other_ends = {end.term: end.last_index for end in other}
-        for place in range(len(self.history) - 1, -1, -1):
-            end = self.history[place]
+        for entry_index in range(len(self.history) - 1, -1, -1):
+            end = self.history[entry_index]
             if end.term in other_ends:
                 return min(end.last_index, other_ends[end.term])
         return 0
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -1,4 +1,8 @@
-"""Rows in SQLite: one copy that executes and one that shows commits."""
+"""Rows of a database, stored in SQLite in memory.
+
+A committed SQLite database serves reads. A primary has a second, writable
+one, which executes transactions before they are committed.
+"""
 
 from __future__ import annotations
 
@@ -13,17 +17,18 @@
 
 MS_PER_SECOND = 1_000
 
-# Leaves room for column names and other fields in a frame of 1 MiB.
+# Leaves room in a frame of 1 MiB for column names and other fields.
 MAX_RESULT_BYTES = 900_000
-# Upper bound on the encoded size of a number or of a text's header.
+# Maximum encoded size of a number or of the header of a text.
 CELL_OVERHEAD_BYTES = 9
 
-# SQLite instructions between two checks of the statement's deadline.
-DEADLINE_CHECK_STEPS = 50_000
+# SQLite instructions between two checks of the deadline of a statement.
+DEADLINE_CHECK_INSTRUCTIONS = 50_000
 
-STATEMENT_CACHE = 512
+STATEMENT_CACHE_SIZE = 512
 
-# Their results differ between replicas that replay the statement.
+# Replicas execute the statements of the log again, and the results of these
+# functions would differ.
 _NONDETERMINISTIC = frozenset(
     {
         'random',
@@ -35,7 +40,8 @@
         'total_changes',
     }
 )
-# The transaction and the file belong to the engine, not to statements.
+# Statements must not control transactions, attached files or the connection;
+# only this module does.
 _DENIED_ACTIONS = frozenset(
     {
         sqlite3.SQLITE_TRANSACTION,
@@ -53,8 +59,9 @@
         sqlite3.SQLITE_RECURSIVE,
     }
 )
-# The comment keeps the engine's statements apart from equal statements of
-# callers in the statement cache, which skips the authorizer.
+# SQLite does not call the authorizer for a statement in its cache. The comment
+# keeps the transaction statements of this module apart from equal statements
+# of callers in the cache. `run` refuses the exact texts.
 _BEGIN = 'BEGIN /* engine */'
 _COMMIT = 'COMMIT /* engine */'
 _ROLLBACK = 'ROLLBACK /* engine */'
@@ -75,56 +82,56 @@
 
 
 class StatementError(JackdawpostError):
-    """A statement failed and changed nothing."""
+    """A statement failed without any change."""
 
 
 class StatementTimeoutError(StatementError):
-    """A statement ran out of time and changed nothing."""
+    """A statement exceeded its timeout without any change."""
 
 
-class SqliteCopy:
-    """One in-memory SQLite database.
+class SqliteDatabase:
+    """In-memory SQLite database that checks statements before it runs them.
 
     Parameters
     ----------
     deterministic : bool
-        Refuse functions whose results differ between replicas.
+        Whether functions whose results differ between replicas are refused.
     """
 
     def __init__(self, deterministic: bool) -> None:
         self._conn = sqlite3.connect(
             ':memory:',
             isolation_level=None,
-            cached_statements=STATEMENT_CACHE,
+            cached_statements=STATEMENT_CACHE_SIZE,
             check_same_thread=False,
         )
         self._deterministic = deterministic
-        self._internal = False
+        self._is_internal = False
         self._actions: set[int] = set()
         self._read_only: dict[str, bool] = {}
         self._deadline = 0.0
         self._conn.set_authorizer(self._authorize)
         self._conn.set_progress_handler(
-            self._is_past_deadline, DEADLINE_CHECK_STEPS
+            self._is_past_deadline, DEADLINE_CHECK_INSTRUCTIONS
         )
 
     def close(self) -> None:
         """Release the memory."""
         self._conn.close()
 
-    def copy_from(self, other: SqliteCopy) -> None:
-        """Take over all rows of another copy."""
+    def copy_rows_from(self, other: SqliteDatabase) -> None:
+        """Replace all rows by those of another database."""
         self._deadline = 0.0
         other._deadline = 0.0
         other._conn.backup(self._conn)
 
-    def control(self, sql: str) -> None:
-        """Run a transaction statement of the engine."""
-        self._internal = True
+    def execute_internal(self, sql: str) -> None:
+        """Run a transaction statement of this module."""
+        self._is_internal = True
         try:
             self._conn.execute(sql)
         finally:
-            self._internal = False
+            self._is_internal = False
 
     @property
     def in_transaction(self) -> bool:
@@ -137,7 +144,7 @@
         params: Sequence[Any] | None,
         deadline: float = 0.0,
     ) -> Result:
-        """Run one statement to its end.
+        """Run one statement and fetch all rows.
 
         Parameters
         ----------
@@ -146,16 +153,18 @@
         params : sequence, optional
             Positional parameters.
         deadline : float
-            ``time.monotonic()`` in seconds after which the statement is
-            stopped; 0 for none.
+            Time of ``time.monotonic()`` in seconds at which the statement is
+            interrupted; 0 for no deadline.
 
         Raises
         ------
         StatementError
-            The statement failed; it changed nothing.
+            The statement failed without any change.
         """
         if sql in _ENGINE_SQL:
-            raise StatementError('not authorized')
+            raise StatementError(
+                'not authorized: transactions are opened with txn_begin'
+            )
         if params:
             _check_params(params)
         self._deadline = deadline
@@ -166,7 +175,9 @@
             rows = [list(row) for row in cursor.fetchall()]
         except sqlite3.OperationalError as exc:
             if str(exc) == 'interrupted':
-                raise StatementTimeoutError('ran out of time') from exc
+                raise StatementTimeoutError(
+                    'statement exceeded its timeout_ms'
+                ) from exc
             raise StatementError(str(exc)) from exc
         except _STATEMENT_ERRORS as exc:
             raise StatementError(str(exc)) from exc
@@ -175,7 +186,7 @@
         return Result(columns, rows, len(rows))
 
     def is_read_only(self, sql: str, params: Sequence[Any] | None) -> bool:
-        """Tell whether a statement cannot change anything.
+        """Return whether a statement only reads.
 
         Raises
         ------
@@ -184,16 +195,16 @@
         """
         if sql[:6].upper() == 'SELECT':
             return True
-        known = self._read_only.get(sql)
-        if known is None:
-            # A new text each time, so that it is not in the statement cache
-            # and the authorizer sees its actions.
+        read_only = self._read_only.get(sql)
+        if read_only is None:
+            # The number makes the text new, so that it is not in the statement
+            # cache and SQLite calls the authorizer for its actions.
             self._actions.clear()
             number = len(self._read_only)
             self.run(f'EXPLAIN /* {number} */ {sql}', params)
-            known = bool(self._actions) and self._actions <= _READ_ACTIONS
-            self._read_only[sql] = known
-        return known
+            read_only = bool(self._actions) and self._actions <= _READ_ACTIONS
+            self._read_only[sql] = read_only
+        return read_only
 
     def _authorize(
         self,
@@ -203,7 +214,7 @@
         _database: str | None,
         _trigger: str | None,
     ) -> int:
-        if self._internal:
+        if self._is_internal:
             return sqlite3.SQLITE_OK
         self._actions.add(action)
         if action in _DENIED_ACTIONS:
@@ -225,8 +236,8 @@
     for value in params:
         if type(value) not in _PARAM_TYPES:
             raise StatementError(
-                f'parameter of type {type(value).__name__}: valid are text, '
-                'numbers, bytes and null'
+                f'parameter is of type {type(value).__name__}: expected text, '
+                'a number, bytes or null'
             )
 
 
@@ -241,121 +252,129 @@
                 size += len(cell) if cell.isascii() else len(cell.encode())
     if size > MAX_RESULT_BYTES:
         raise StatementError(
-            f'result of {size} bytes: valid are up to {MAX_RESULT_BYTES}'
+            f'result too large: got {size} bytes, expected at most '
+            f'{MAX_RESULT_BYTES}'
         )
 
 
 class RowStore:
-    """Rows of the database.
+    """Rows of a replicated database, in one or two SQLite databases.
 
-    Reads see the committed copy, to which records are applied one whole
-    transaction at a time. A primary runs writes on a second copy first, so
-    that reads never wait for an open transaction.
+    Reads use the committed database, to which whole transactions are applied.
+    A primary runs writes on a second, writable database first. Reads therefore
+    never wait for an open transaction.
     """
 
     def __init__(self) -> None:
-        self._committed = SqliteCopy(deterministic=False)
-        self._executing: SqliteCopy | None = None
+        self._committed = SqliteDatabase(deterministic=False)
+        self._writable: SqliteDatabase | None = None
         self.apply_failures = 0
 
     def clear(self) -> None:
-        """Remove everything, before the log is applied anew."""
+        """Remove all rows; the log can be applied from its start."""
         self.stop_leading()
         self._committed.close()
-        self._committed = SqliteCopy(deterministic=False)
+        self._committed = SqliteDatabase(deterministic=False)
 
     def start_leading(self) -> None:
-        """Prepare the copy that executes writes."""
+        """Create the writable database from the committed rows."""
         self.stop_leading()
-        self._executing = SqliteCopy(deterministic=True)
-        self._executing.copy_from(self._committed)
+        self._writable = SqliteDatabase(deterministic=True)
+        self._writable.copy_rows_from(self._committed)
 
     def stop_leading(self) -> None:
-        """Drop the executing copy with any open transaction."""
-        if self._executing is not None:
-            self._executing.close()
-            self._executing = None
+        """Drop the writable database together with an open transaction."""
+        if self._writable is not None:
+            self._writable.close()
+            self._writable = None
 
     def apply(self, records: Sequence[Record]) -> None:
-        """Make committed transactions visible to reads."""
-        copy = self._committed
+        """Apply committed transactions to the rows that reads see."""
+        database = self._committed
         for record in records:
-            self._apply_one(copy, record)
+            self._apply_record(database, record)
 
-    def _apply_one(self, copy: SqliteCopy, record: Record) -> None:
+    def _apply_record(self, database: SqliteDatabase, record: Record) -> None:
         try:
             if not record.statements:
                 return
             if len(record.statements) == 1:
-                copy.run(*record.statements[0])
+                database.run(*record.statements[0])
                 return
-            copy.control(_BEGIN)
+            database.execute_internal(_BEGIN)
             for sql, params in record.statements:
-                copy.run(sql, params)
-            copy.control(_COMMIT)
+                database.run(sql, params)
+            database.execute_internal(_COMMIT)
         except StatementError:
-            # The statement succeeded on the primary, so this replica differs.
+            # The statement succeeded on the primary, so the rows differ here.
             self.apply_failures += 1
-            if copy.in_transaction:
-                copy.control(_ROLLBACK)
+            if database.in_transaction:
+                database.execute_internal(_ROLLBACK)
 
     def read(
         self, sql: str, params: Sequence[Any] | None, deadline: float
     ) -> Result:
         """Run a read on the committed rows."""
-        copy = self._committed
-        if not copy.is_read_only(sql, params):
-            raise StatementError('access is read but the statement writes')
-        return copy.run(sql, params, deadline)
+        database = self._committed
+        if not database.is_read_only(sql, params):
+            raise StatementError(
+                "statement with access 'read' writes: expected access 'write'"
+            )
+        return database.run(sql, params, deadline)
 
     def write(
         self, sql: str, params: Sequence[Any] | None, deadline: float
     ) -> Result:
-        """Run a write as the primary, alone or in the open transaction."""
-        copy = self._primary_copy()
+        """Run a write on the primary, alone or in the open transaction."""
+        database = self._require_writable()
         if 'RETURNING' not in sql.upper():
-            return copy.run(sql, params, deadline)
-        # A result that is too large fails after the rows have changed.
-        copy.control(_SAVEPOINT)
+            return database.run(sql, params, deadline)
+        # A result that is too large is refused after the rows have changed,
+        # so the change must be rolled back.
+        database.execute_internal(_SAVEPOINT)
         try:
-            result = copy.run(sql, params, deadline)
+            result = database.run(sql, params, deadline)
         except StatementError:
-            if copy.in_transaction:
-                copy.control(_ROLLBACK_TO)
-                copy.control(_RELEASE)
+            if database.in_transaction:
+                database.execute_internal(_ROLLBACK_TO)
+                database.execute_internal(_RELEASE)
             raise
-        copy.control(_RELEASE)
+        database.execute_internal(_RELEASE)
         return result
 
     def read_in_txn(
         self, sql: str, params: Sequence[Any] | None, deadline: float
     ) -> Result:
         """Run a read in the open transaction."""
-        copy = self._primary_copy()
-        if not copy.is_read_only(sql, params):
-            raise StatementError('access is read but the statement writes')
-        return copy.run(sql, params, deadline)
+        database = self._require_writable()
+        if not database.is_read_only(sql, params):
+            raise StatementError(
+                "statement with access 'read' writes: expected access 'write'"
+            )
+        return database.run(sql, params, deadline)
 
     def begin(self) -> None:
-        """Open the transaction."""
-        self._primary_copy().control(_BEGIN)
+        """Open a transaction on the writable database."""
+        self._require_writable().execute_internal(_BEGIN)
 
     def commit(self) -> None:
         """Commit the open transaction."""
-        self._primary_copy().control(_COMMIT)
+        self._require_writable().execute_internal(_COMMIT)
 
     def rollback(self) -> None:
         """Roll back the open transaction if there is one."""
-        copy = self._executing
-        if copy is not None and copy.in_transaction:
-            copy.control(_ROLLBACK)
+        database = self._writable
+        if database is not None and database.in_transaction:
+            database.execute_internal(_ROLLBACK)
 
     @property
     def in_transaction(self) -> bool:
-        """Whether a transaction is open on the primary's copy."""
-        return self._executing is not None and self._executing.in_transaction
+        """Whether a transaction is open on the writable database."""
+        return self._writable is not None and self._writable.in_transaction
 
-    def _primary_copy(self) -> SqliteCopy:
-        if self._executing is None:
-            raise StatementError('this database does not lead')
-        return self._executing
+    def _require_writable(self) -> SqliteDatabase:
+        if self._writable is None:
+            raise StatementError(
+                'this database is not the primary of its group'
+            )
+        return self._writable
--- a/jackdawpost_standin/settings.py
+++ b/jackdawpost_standin/settings.py
@@ -15,49 +15,56 @@
 
 
 class StandinSettings(ProcessSettings):
-    """Settings of one stand-in database; all delays in milliseconds."""
+    """Settings of one simulated database; all delays in milliseconds."""
 
-    group: Name = Field(description='Database group.')
+    group: Name = Field(description='Name of the database group.')
     control: list[Peer] = Field(
-        default=[], description='Control processes to announce to.'
+        default=[], description='Control processes that receive announcements.'
+    )
+    slots: int = Field(
+        default=3, ge=1, description='Maximum number of running statements.'
+    )
+    connections: int = Field(
+        default=20, ge=1, description='Maximum number of open connections.'
     )
-    slots: int = Field(default=3, ge=1, description='Running statements.')
-    connections: int = Field(default=20, ge=1, description='Open connections.')
     opening_ms: Delay = Field(
-        default=0, description='Time to open a connection.'
+        default=0, description='Simulated time to open a connection.'
     )
     service_ms: Delay = Field(
-        default=0, description='Time that a statement holds its slot.'
+        default=0, description='Simulated execution time of a statement.'
     )
     latency_ms: Delay = Field(
-        default=0, description='One-way latency to every peer.'
+        default=0, description='Simulated one-way latency to peers.'
     )
     peer_latency_ms: dict[str, Delay] = Field(
-        default={}, description='One-way latency to a peer, by its name.'
+        default={}, description='One-way latency to single peers, by name.'
     )
     data_dir: str | None = Field(
-        default=None, description='Folder of the log; none keeps no data.'
+        default=None,
+        description='Folder of log and role; null stores nothing.',
     )
     sync_log: bool = Field(
-        default=False, description='Sync the log before answering a write.'
+        default=False,
+        description='Sync the log to disk before a write is answered.',
     )
     shipping_delay_ms: Delay = Field(
-        default=0, description='Delay before a record counts as received.'
+        default=0, description='Additional one-way latency of replication.'
     )
     apply_lag_ms: Delay = Field(
-        default=0, description='Delay before a received record is applied.'
+        default=0, description='Delay from receiving a record to applying it.'
     )
     approve: bool | list[str] = Field(
-        default=True, description='Newcomers that this member approves.'
+        default=True,
+        description='Newcomers to approve: all, none or a list of names.',
     )
     announce_interval_ms: Milliseconds = 200
     leave_delay_ms: Delay = Field(
         default=1_000,
-        description='Time for which a leaving database takes new work.',
+        description='Time for which a leaving database accepts statements.',
     )
     leave_quiet_ms: Delay = Field(
-        default=300, description='Time without statements before the end.'
+        default=300, description='Time without statements before shutdown.'
     )
     leave_limit_ms: Delay = Field(
-        default=10_000, description='Longest time from SIGTERM to the end.'
+        default=10_000, description='Maximum time from SIGTERM to shutdown.'
     )
