--- a/jackdawpost_standin/announcer.py
+++ b/jackdawpost_standin/announcer.py
@@ -1,4 +1,8 @@
-"""Announces the database to control processes and approves newcomers."""
+"""Announcements to control processes, and approvals of newcomers.
+
+The database sends its state to each control process. It answers the requests
+of control processes to approve newcomers.
+"""
 
 from __future__ import annotations
 
@@ -20,41 +24,41 @@
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost_standin.database import Database
-from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.faults import FaultInjector
 from jackdawpost_standin.peer_link import PeerLink
 from jackdawpost_standin.settings import StandinSettings
 
 LOG = logging.getLogger(__name__)
 
 ANNOUNCE_PATH = '/v1/announce'
-RECONNECT_MS = 100
+RECONNECT_DELAY_MS = 100
 OPEN_TIMEOUT_MS = 1_000
 
 _CODEC = FrameCodec(AnnounceAck, ApprovalRequest)
 
 
 class Announcer:
-    """Keeps one connection to each control process.
+    """Maintains one connection to each control process for announcements.
 
     Parameters
     ----------
     cfg : StandinSettings
-        Control processes, limits and approvals.
+        Control processes, announced limits and newcomers to approve.
     database : Database
-        The database announced.
-    faults : Faults
-        Switches that may drop the traffic.
+        Database to announce.
+    faults : FaultInjector
+        Decides whether the traffic with a control process is dropped.
     read_port : callable
-        Returns the port in use.
+        Returns the port on which the database listens.
     tls : ssl.SSLContext, optional
-        Client context.
+        TLS context of the connections to control processes.
     """
 
     def __init__(
         self,
         cfg: StandinSettings,
         database: Database,
-        faults: Faults,
+        faults: FaultInjector,
         read_port: Callable[[], int],
         tls: ssl.SSLContext | None = None,
     ) -> None:
@@ -66,13 +70,13 @@
         self._tls = tls
 
     async def run(self) -> None:
-        """Announce until cancelled."""
+        """Send announcements to all control processes until cancelled."""
         async with trio.open_nursery() as nursery:
             for peer in self._cfg.control:
-                nursery.start_soon(self._maintain, peer)
+                nursery.start_soon(self._announce_to, peer)
 
     def build_announce(self) -> Announce:
-        """Return the present state of the database."""
+        """Return an announcement of the current state of the database."""
         role = self._db.role
         return Announce(
             name=self._cfg.name,
@@ -89,13 +93,13 @@
             leaving=self._db.leaving,
         )
 
-    async def _maintain(self, peer: Peer) -> None:
+    async def _announce_to(self, peer: Peer) -> None:
         while True:
-            if not self._faults.blocks(peer.name):
-                await self._announce_once(peer)
-            await trio.sleep(RECONNECT_MS / MS_PER_SECOND)
+            if not self._faults.is_isolated_from(peer.name):
+                await self._announce_until_closed(peer)
+            await trio.sleep(RECONNECT_DELAY_MS / MS_PER_SECOND)
 
-    async def _announce_once(self, peer: Peer) -> None:
+    async def _announce_until_closed(self, peer: Peer) -> None:
         latency_ms = self._cfg.peer_latency_ms.get(
             peer.name, self._cfg.latency_ms
         )
@@ -112,7 +116,7 @@
                     link = PeerLink(
                         stream, self._faults, nursery, peer.name, latency_ms
                     )
-                    nursery.start_soon(self._send_regularly, link)
+                    nursery.start_soon(self._send_announces, link)
                     await self._receive(link)
                     nursery.cancel_scope.cancel()
         except ProtocolError as exc:
@@ -121,13 +125,13 @@
                 extra={'control': peer.name, 'detail': str(exc)},
             )
 
-    async def _send_regularly(self, link: PeerLink) -> None:
+    async def _send_announces(self, link: PeerLink) -> None:
         interval_s = self._cfg.announce_interval_ms / MS_PER_SECOND
         while True:
             version = self._db.role_changed.version
             link.post(encode_cbor([self.build_announce()]))
             with trio.move_on_after(interval_s):
-                await self._db.role_changed.wait_beyond(version)
+                await self._db.role_changed.wait_for_change(version)
 
     async def _receive(self, link: PeerLink) -> None:
         try:
@@ -136,15 +140,17 @@
                     if isinstance(message, AnnounceAck):
                         self.acks[link.peer] = message
                     else:
-                        self._answer(link, message)
+                        self._handle_approval_request(link, message)
         except ProtocolError as exc:
             LOG.debug(
                 'announce connection ended',
                 extra={'control': link.peer, 'detail': str(exc)},
             )
 
-    def _answer(self, link: PeerLink, req: ApprovalRequest) -> None:
-        if not self._approves(req.newcomer):
+    def _handle_approval_request(
+        self, link: PeerLink, req: ApprovalRequest
+    ) -> None:
+        if not self._is_approved(req.newcomer):
             LOG.info('not approved', extra={'newcomer': req.newcomer})
             return
         approval = Approval(
@@ -156,6 +162,6 @@
         )
         link.post(encode_cbor([approval]))
 
-    def _approves(self, newcomer: str) -> bool:
+    def _is_approved(self, newcomer: str) -> bool:
         approve = self._cfg.approve
         return approve if isinstance(approve, bool) else newcomer in approve
--- a/jackdawpost_standin/database.py
+++ b/jackdawpost_standin/database.py
@@ -1,4 +1,4 @@
-"""The database: role, log, rows and request keys."""
+"""State of a simulated database: role, log, rows and request keys."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from jackdawpost.runtime.metrics import Metrics
 from jackdawpost_standin.disk import DataFolder
 from jackdawpost_standin.disk import new_role
-from jackdawpost_standin.limits import WriteTurn
+from jackdawpost_standin.limits import WriteLock
 from jackdawpost_standin.log import decode_record
 from jackdawpost_standin.log import encode_record
 from jackdawpost_standin.log import Record
@@ -29,23 +29,23 @@
 
 LOG = logging.getLogger(__name__)
 
-# Records applied between two chances for other tasks to run.
-APPLY_BATCH = 64
+# Records applied before other tasks get a chance to run.
+APPLY_BATCH_RECORDS = 64
 
 
 class RoleError(JackdawpostError):
-    """A seal, promotion or follow is refused."""
+    """A seal, promotion or change of the primary is refused."""
 
 
 class Database:
-    """State of one database, without any connection.
+    """One database with its replication role, independent of connections.
 
     Parameters
     ----------
     name : str
         Name of this upstream.
     folder : DataFolder
-        Where log and role survive a restart.
+        Persistent storage of log and role.
     """
 
     def __init__(self, name: str, folder: DataFolder) -> None:
@@ -53,15 +53,18 @@
         self.metrics = Metrics()
         self.rows = RowStore()
         self.log = ReplicatedLog()
-        self.keys: dict[str, int] = {}
+        # Log index of the record of each request key.
+        self.request_keys: dict[str, int] = {}
         self.applied_index = 0
         self.leaving = False
-        # The log is known to match the primary's in the current term.
+        # Whether the log has been compared with that of the primary in the
+        # current term and holds no diverged tail.
         self.confirmed = False
-        self.turn = WriteTurn()
+        self.write_lock = WriteLock()
         self.changed = Notifier()
         self.role_changed = Notifier()
-        self.apply_due: deque[tuple[float, int]] = deque()
+        # Time to apply and last log index of each received batch.
+        self.apply_schedule: deque[tuple[float, int]] = deque()
         self._folder = folder
         self.role, records = folder.load()
         for encoded in records:
@@ -75,7 +78,7 @@
 
     @property
     def applied(self) -> LogPosition:
-        """Position of the last record whose rows are visible."""
+        """Position of the last record whose changes reads can see."""
         return self.log.position_at(self.applied_index)
 
     def progress(self) -> Progress:
@@ -91,18 +94,20 @@
     # Role
 
     def seal(self, term: int) -> None:
-        """Refuse lower terms from now on.
+        """Raise the term and refuse all lower terms from now on.
+
+        A primary of a lower term steps down.
 
         Raises
         ------
         RoleError
             A higher term was accepted before.
         """
-        self._refuse_lower(term)
+        self._check_term(term)
         if term > self.role.term:
             self._stop_leading()
             self.role.term = term
-            self._forget_primary()
+            self._clear_primary()
         if term > self.role.sealed_term:
             self.role.sealed_term = term
             self._save_role()
@@ -115,25 +120,29 @@
         RoleError
             A higher term was accepted, or another primary in this one.
         """
-        self._refuse_lower(term)
+        self._check_term(term)
         if self.role.leads and self.role.term == term:
             return
         if self.role.term == term and self.role.primary:
-            raise RoleError(f'follows {self.role.primary!r} in term {term}')
+            raise RoleError(
+                f'database follows {self.role.primary!r} in term {term}: a '
+                'higher term is needed to promote it'
+            )
         if term > self.role.term:
             self._stop_leading()
             self.role.term = term
-            self._forget_primary()
+            self._clear_primary()
             self._save_role()
-        await self._apply_all(term)
+        await self._apply_whole_log(term)
         if self.role.leads:
             return
         self.rows.start_leading()
         self.role.leads = True
         self.confirmed = True
         self._save_role()
-        # Opens the term in the log, so that a record of a lower term that
-        # only the old primary holds can no longer be the highest one.
+        # The empty record opens the term in the log. Without it, a record of
+        # a lower term that only the old primary holds could be the highest
+        # of the group.
         self.append_committed([], None, Result())
         self.flush()
         LOG.info(
@@ -141,22 +150,30 @@
         )
 
     def follow(self, term: int, primary: str, host: str, port: int) -> None:
-        """Follow `primary` in `term`.
+        """Become a follower that replicates from `primary` in `term`.
 
         Raises
         ------
         RoleError
             A higher term was accepted, or another primary in this one.
         """
-        self._refuse_lower(term)
+        self._check_term(term)
         role = self.role
         if primary == self.name:
-            raise RoleError('cannot follow itself')
+            raise RoleError(
+                'primary to follow is this database: expected another one'
+            )
         if term == role.term:
             if role.leads:
-                raise RoleError(f'leads in term {term}')
+                raise RoleError(
+                    f'this database is the primary in term {term}: a higher '
+                    'term is needed to follow another one'
+                )
             if role.primary not in ('', primary):
-                raise RoleError(f'follows {role.primary!r} in term {term}')
+                raise RoleError(
+                    f'database follows {role.primary!r} in term {term}: a '
+                    'higher term is needed to follow another primary'
+                )
             if (role.primary, role.host, role.port) == (primary, host, port):
                 return
         self._stop_leading()
@@ -167,11 +184,11 @@
         LOG.info('following', extra={'term': term, 'primary': primary})
 
     def wipe(self) -> None:
-        """Lose all data and take a new identity."""
+        """Erase all data and create a new identity."""
         self._stop_leading()
         self.log = ReplicatedLog()
-        self.keys.clear()
-        self.apply_due.clear()
+        self.request_keys.clear()
+        self.apply_schedule.clear()
         self.rows.clear()
         self.applied_index = 0
         self.confirmed = False
@@ -180,20 +197,20 @@
         self._save_role()
         LOG.warning('disk wiped', extra={'data_id': self.role.data_id})
 
-    def _refuse_lower(self, term: int) -> None:
+    def _check_term(self, term: int) -> None:
         if term < self.role.term:
             raise RoleError(
-                f'term {term}: valid are {self.role.term} and higher'
+                f'term {term} is too low: expected {self.role.term} or higher'
             )
 
     def _stop_leading(self) -> None:
         if self.role.leads:
             LOG.info('stopped leading', extra={'term': self.role.term})
         self.role.leads = False
-        self.turn.revoke()
+        self.write_lock.revoke()
         self.rows.stop_leading()
 
-    def _forget_primary(self) -> None:
+    def _clear_primary(self) -> None:
         self.role.primary, self.role.host, self.role.port = '', '', 0
         self.confirmed = False
 
@@ -210,7 +227,13 @@
         request_key: str | None,
         result: Result,
     ) -> LogPosition:
-        """Log a transaction that the primary has just committed."""
+        """Append a transaction that this primary has committed to the log.
+
+        Returns
+        -------
+        LogPosition
+            Position of the new record. It is written by `flush`.
+        """
         position = LogPosition(self.role.term, self.log.last.index + 1)
         stored = result if request_key is not None else Result()
         record = Record(position, statements, request_key, stored)
@@ -222,18 +245,25 @@
         return position
 
     def flush(self) -> None:
-        """Write new records to the folder; called before answering."""
+        """Write new records to the data folder; called before answers."""
         self._folder.flush()
 
-    def accept_records(
+    def append_received(
         self, records: Sequence[bytes], apply_at_s: float
     ) -> None:
-        """Add encoded records of the primary, to be applied later.
+        """Append encoded records from the primary and schedule their apply.
+
+        Parameters
+        ----------
+        records : sequence of bytes
+            Encoded records in log order.
+        apply_at_s : float
+            Time on the clock of trio at which the records are applied.
 
         Raises
         ------
         StorageError
-            A record is malformed or does not continue the log; those
+            A record is malformed or does not continue the log. The records
             before it are kept.
         """
         try:
@@ -242,7 +272,7 @@
                 self._folder.append(encoded)
         finally:
             self._folder.flush()
-            self.apply_due.append((apply_at_s, self.received.index))
+            self.apply_schedule.append((apply_at_s, self.received.index))
             self.changed.notify()
 
     def discard_after(self, last_index: int) -> int:
@@ -252,12 +282,13 @@
         if not removed:
             return 0
         self._folder.truncate(last_index)
-        self.apply_due = deque(
-            (due_s, min(index, last_index)) for due_s, index in self.apply_due
+        self.apply_schedule = deque(
+            (due_s, min(index, last_index))
+            for due_s, index in self.apply_schedule
         )
         rebuilt = self.applied_index > last_index
         if rebuilt:
-            self.keys.clear()
+            self.request_keys.clear()
             self.applied_index = 0
             self.rows.clear()
             self._apply_through(last_index)
@@ -276,9 +307,15 @@
         return removed
 
     def apply_batch(self, last_index: int) -> bool:
-        """Apply some records up to `last_index`; return whether all are."""
+        """Apply one batch of records up to `last_index`.
+
+        Returns
+        -------
+        bool
+            True if all records up to `last_index` are applied.
+        """
         last_index = min(last_index, self.received.index)
-        batch_end = min(last_index, self.applied_index + APPLY_BATCH)
+        batch_end = min(last_index, self.applied_index + APPLY_BATCH_RECORDS)
         if batch_end > self.applied_index:
             self._apply_through(batch_end)
             self.changed.notify()
@@ -286,27 +323,36 @@
 
     def _apply_through(self, last_index: int) -> None:
         while self.applied_index < last_index:
-            batch_end = min(last_index, self.applied_index + APPLY_BATCH)
+            batch_end = min(
+                last_index, self.applied_index + APPLY_BATCH_RECORDS
+            )
             self._apply(self.log.read(self.applied_index, batch_end))
 
     def _apply(self, records: Sequence[Record]) -> None:
         self.rows.apply(records)
         for record in records:
             if record.request_key is not None:
-                self.keys[record.request_key] = record.position.index
+                self.request_keys[record.request_key] = record.position.index
         self.applied_index = records[-1].position.index
 
-    async def _apply_all(self, term: int) -> None:
+    async def _apply_whole_log(self, term: int) -> None:
         while not self.apply_batch(self.received.index):
             await trio.lowlevel.checkpoint()
             if self.role.term != term or self.role.primary:
-                raise RoleError(f'superseded in term {self.role.term}')
-        self.apply_due.clear()
+                raise RoleError(
+                    'promotion superseded: the database is now in term '
+                    f'{self.role.term} or follows a primary'
+                )
+        self.apply_schedule.clear()
 
     # Positions
 
-    def locate(self, after: LogPosition) -> RefusalCode | None:
-        """Return None if a session position is applied, else a code."""
+    def check_position(self, after: LogPosition) -> RefusalCode | None:
+        """Return None if a session position is applied, else a refusal code.
+
+        The code is ``'behind'`` if the position may still be applied here,
+        and ``'history_lost'`` if the log does not contain it.
+        """
         if history_contains(self.log.history, after):
             if after.index <= self.applied_index:
                 return None
--- a/jackdawpost_standin/faults.py
+++ b/jackdawpost_standin/faults.py
@@ -1,4 +1,4 @@
-"""Fault switches of a stand-in database."""
+"""Fault injection: messages of ``/v1/faults`` and their effects."""
 
 from __future__ import annotations
 
@@ -12,25 +12,26 @@
 
 @dataclass(slots=True, kw_only=True)
 class FaultState:
-    """Faults in force.
+    """Faults that are currently injected.
 
     Parameters
     ----------
     isolated : list of str
-        Peers whose traffic is dropped in both directions; ``'*'`` for all.
+        Peers whose frames are dropped in both directions; ``'*'`` for all.
     hold_apply : bool
-        Received records are not applied: lag without end.
+        Received records are not applied, which makes the lag unbounded.
     slow_ms : float
-        Added to the service time of each statement.
+        Time added to the service time of each statement.
     answer_delay_ms : float
         Delay of each frame of statement answers.
     answer_jitter_ms : float
-        Further random delay up to this, so that answers leave out of order
-        between connections; on one connection they keep their order.
+        Upper bound of an additional random delay. It reorders answers of
+        different connections; answers of one connection stay in order.
     late_share : float
         Share of answer frames, 0 to 1, that are delayed by `late_ms`.
     late_ms : float
-        Delay of a late frame, to be chosen above the statement timeout.
+        Additional delay of a late frame; a useful value exceeds the
+        statement timeout.
     """
 
     isolated: list[str] = field(default_factory=list)
@@ -44,7 +45,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class SetFaults:
-    """Replace all switches."""
+    """Request to replace all injected faults by `state`."""
 
     id: int
     state: FaultState = field(default_factory=FaultState)
@@ -53,16 +54,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class SilenceConnections:
-    """Make the open connections that match silent for good.
+    """Request to drop all further frames of matching open connections.
+
+    The connections stay open and silent until they are closed.
 
     Parameters
     ----------
     peer : str
-        Name of the peer; ``'*'`` for all.
+        Name of the peer; ``'*'`` matches all.
     purpose : str
-        Purpose of the connections; ``'*'`` for all.
+        Purpose of the connections; ``'*'`` matches all.
     count : int
-        Largest number of connections to silence; 0 for all.
+        Maximum number of connections to silence; 0 for no limit.
     """
 
     id: int
@@ -74,7 +77,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class WipeDisk:
-    """Lose all data; the database returns with a new ``data_id``."""
+    """Request to erase all data; the database gets a new ``data_id``."""
 
     id: int
     kind: Literal['wipe_disk'] = 'wipe_disk'
@@ -82,12 +85,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class FaultsDone:
-    """Answer with the switches now in force.
+    """Answer to a fault request.
 
     Parameters
     ----------
+    state : FaultState
+        Faults injected after the request.
     affected : int
-        Connections silenced or closed by the request.
+        Number of connections silenced or closed by the request.
     """
 
     id: int
@@ -96,8 +101,8 @@
     kind: Literal['faults_done'] = 'faults_done'
 
 
-class Faults:
-    """Answers what the switches mean for traffic and statements.
+class FaultInjector:
+    """Applies the injected faults to frames and answers.
 
     Parameters
     ----------
@@ -110,13 +115,13 @@
         self.dropped_frames = 0
         self._rng = random.Random(seed)  # noqa: S311 - not for security
 
-    def blocks(self, peer: str) -> bool:
-        """Tell whether all traffic with a peer is dropped."""
+    def is_isolated_from(self, peer: str) -> bool:
+        """Return whether all frames from and to a peer are dropped."""
         isolated = self.state.isolated
         return bool(isolated) and (peer in isolated or ALL_PEERS in isolated)
 
-    def draw_answer_delay_ms(self) -> float:
-        """Return the delay of the next frame of statement answers."""
+    def next_answer_delay_ms(self) -> float:
+        """Return the delay for the next frame of statement answers."""
         state = self.state
         delay_ms = state.answer_delay_ms
         if state.answer_jitter_ms:
--- a/jackdawpost_standin/limits.py
+++ b/jackdawpost_standin/limits.py
@@ -1,4 +1,4 @@
-"""Limits of a database: slots, connections and its one writer."""
+"""Limits of a database: slots, connections, and one write transaction."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 class Limit:
-    """Counts what is in use and what was refused.
+    """Upper bound on the slots or connections in use, with counters.
 
     Parameters
     ----------
     size : int
-        Largest number in use at the same time.
+        Maximum number in use at the same time.
     """
 
     def __init__(self, size: int) -> None:
@@ -23,8 +23,8 @@
         self.max_in_use = 0
         self.refusals = 0
 
-    def take(self) -> bool:
-        """Take one if there is one, else count a refusal."""
+    def try_acquire(self) -> bool:
+        """Acquire one without waiting, or count a refusal."""
         if self.in_use >= self.size:
             self.refusals += 1
             return False
@@ -33,31 +33,39 @@
         return True
 
     def release(self) -> None:
-        """Give one back."""
+        """Release one that was acquired."""
         self.in_use -= 1
 
 
 class TxnOwner(Protocol):
-    """Holder of the open transaction."""
+    """Session that can hold the write lock."""
 
-    def lose_txn(self) -> None:
-        """Learn that the transaction was rolled back from outside."""
+    def on_txn_revoked(self) -> None:
+        """Handle the loss of the write lock; the transaction is gone."""
 
 
-class WriteTurn:
-    """The right to run a transaction; first come, first served."""
+class WriteLock:
+    """Lock that one write or transaction holds at a time, in FIFO order."""
 
     def __init__(self) -> None:
         self.owner: TxnOwner | None = None
         self._waiting: deque[tuple[TxnOwner, trio.Event]] = deque()
 
     @property
-    def free(self) -> bool:
-        """Whether a write can run at once."""
+    def is_free(self) -> bool:
+        """Whether nobody holds the lock."""
         return self.owner is None
 
     async def acquire(self, owner: TxnOwner, deadline_s: float) -> bool:
-        """Wait for the turn; return False if it did not come in time."""
+        """Wait for the lock; return False on timeout or revocation.
+
+        Parameters
+        ----------
+        owner : TxnOwner
+            Session that asks for the lock.
+        deadline_s : float
+            Time on the clock of trio after which the wait ends.
+        """
         if self.owner is None:
             self.owner = owner
             return True
@@ -76,11 +84,11 @@
         if not event.is_set():
             self._waiting.remove(entry)
             return False
-        # The turn may have been revoked before this task ran again.
+        # The lock may have been revoked before this task ran again.
         return self.owner is owner
 
     def release(self, owner: TxnOwner) -> None:
-        """Pass the turn on, if `owner` still has it."""
+        """Pass the lock to the next waiting owner, if `owner` holds it."""
         if self.owner is not owner:
             return
         self.owner = None
@@ -89,9 +97,9 @@
             event.set()
 
     def revoke(self) -> None:
-        """Take the turn away from its owner."""
+        """Take the lock from its owner and notify the owner."""
         owner = self.owner
         if owner is None:
             return
-        owner.lose_txn()
+        owner.on_txn_revoked()
         self.release(owner)
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -170,7 +170,7 @@
         Maximum number of statements that wait for a slot; 0 refuses all
         statements that need a slot.
     hangs : bool
-        Whether statements that need a slot get no answer.
+        Whether statements that need a slot get no answer; the others do.
     applied_count : int
         Number of commits in the log that reads can see.
     paused_term : int
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -1,4 +1,4 @@
-"""Wires the parts of one stand-in database together."""
+"""Process of one simulated database: its tasks, paths and shutdown."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.disk import DataFolder
 from jackdawpost_standin.faults import ALL_PEERS
-from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.faults import FaultInjector
 from jackdawpost_standin.faults import FaultsDone
 from jackdawpost_standin.faults import SetFaults
 from jackdawpost_standin.faults import SilenceConnections
@@ -40,7 +40,7 @@
 from jackdawpost_standin.replication import Follower
 from jackdawpost_standin.replication import REPLICATE_PATH
 from jackdawpost_standin.replication import serve_follower
-from jackdawpost_standin.session import Workload
+from jackdawpost_standin.session import ExecutionContext
 from jackdawpost_standin.settings import StandinSettings
 from jackdawpost_standin.upstream_server import UpstreamServer
 
@@ -48,7 +48,7 @@
 
 UPSTREAM_PATH = '/v1/upstream'
 FAULTS_PATH = '/v1/faults'
-QUIET_CHECK_S = 0.02
+IDLE_CHECK_INTERVAL_S = 0.02
 EXIT_ABORTED = 1
 
 _FAULTS_CODEC = FrameCodec(SetFaults, SilenceConnections, WipeDisk)
@@ -57,29 +57,28 @@
 
 
 class StandinDatabase:
-    """One stand-in database; embeddable in tests.
+    """One simulated database, run by the program or inside a test.
 
     Parameters
     ----------
     cfg : StandinSettings
-        Settings.
+        Settings of the database.
     port : int, optional
-        Port to listen on in place of that of the settings; 0 takes a free
-        one.
+        Port that replaces the one in the settings; 0 selects a free port.
     """
 
     def __init__(self, cfg: StandinSettings, port: int | None = None) -> None:
         self.cfg = cfg
         self.port = cfg.listen.port if port is None else port
-        self.faults = Faults(cfg.seed)
+        self.faults = FaultInjector(cfg.seed)
         self.folder = DataFolder(cfg.data_dir, cfg.sync_log)
         self.database = Database(cfg.name, self.folder)
         self.slots = Limit(cfg.slots)
-        self.work = Workload(
+        self.context = ExecutionContext(
             self.database, self.slots, self.faults, cfg.service_ms
         )
         self.server = UpstreamServer(
-            cfg, self.database, self.work, self.faults, uuid.uuid4().hex
+            cfg, self.database, self.context, self.faults, uuid.uuid4().hex
         )
         tls = build_client_context(cfg.tls) if cfg.tls else None
         self.follower = Follower(self.database, cfg, self.faults, tls)
@@ -92,7 +91,7 @@
     async def run(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> int:
-        """Serve until left or stopped; return the exit code."""
+        """Serve until `leave` or `stop` ends it; return the exit code."""
         tls = build_server_context(self.cfg.tls) if self.cfg.tls else None
         try:
             with self._scope:
@@ -116,31 +115,33 @@
         return self.exit_code
 
     def stop(self, exit_code: int = 0) -> None:
-        """Stop at once."""
+        """Stop without waiting for running statements."""
         self.exit_code = exit_code
         self._scope.cancel()
 
     async def leave(self) -> None:
-        """Announce leaving, finish running work, then stop."""
+        """Announce the departure, finish running statements, then stop."""
         LOG.info('leaving')
         db = self.database
         db.leaving = True
         db.role_changed.notify()
         db.changed.notify()
-        limit_s = trio.current_time() + self.cfg.leave_limit_ms / MS_PER_SECOND
-        with trio.move_on_at(limit_s):
+        deadline_s = (
+            trio.current_time() + self.cfg.leave_limit_ms / MS_PER_SECOND
+        )
+        with trio.move_on_at(deadline_s):
             await trio.sleep(self.cfg.leave_delay_ms / MS_PER_SECOND)
-            self.work.refuses_new = True
-            while not self._is_quiet():
-                await trio.sleep(QUIET_CHECK_S)
+            self.context.refuses_new = True
+            while not self._is_idle():
+                await trio.sleep(IDLE_CHECK_INTERVAL_S)
         LOG.info('left', extra={'slots_in_use': self.slots.in_use})
         self.stop()
 
-    def _is_quiet(self) -> bool:
-        quiet_s = trio.current_time() - self.work.last_end_s
+    def _is_idle(self) -> bool:
+        idle_s = trio.current_time() - self.context.last_finished_s
         return (
             self.slots.in_use == 0
-            and quiet_s * MS_PER_SECOND >= self.cfg.leave_quiet_ms
+            and idle_s * MS_PER_SECOND >= self.cfg.leave_quiet_ms
         )
 
     async def watch_signals(self) -> None:
@@ -160,8 +161,10 @@
     def _build_endpoints(self) -> Endpoints:
         return Endpoints(
             handlers={
-                UPSTREAM_PATH: self._wrap(self.server.serve),
-                REPLICATE_PATH: self._wrap(self._serve_replicate),
+                UPSTREAM_PATH: self._build_link_handler(self.server.serve),
+                REPLICATE_PATH: self._build_link_handler(
+                    self._serve_replicate
+                ),
                 FAULTS_PATH: self._serve_faults,
             },
             pages={
@@ -172,7 +175,7 @@
             max_frame_bytes=MAX_UPSTREAM_FRAME_BYTES,
         )
 
-    def _wrap(
+    def _build_link_handler(
         self, handler: LinkHandler
     ) -> Callable[[FrameStream, str], Awaitable[None]]:
         async def serve(stream: FrameStream, certificate: str) -> None:
@@ -201,11 +204,11 @@
         try:
             while True:
                 for req in _FAULTS_CODEC.decode(await stream.receive()):
-                    await self._answer_fault(stream, req)
+                    await self._handle_fault_request(stream, req)
         except ProtocolError as exc:
             LOG.debug('faults connection ended', extra={'detail': str(exc)})
 
-    async def _answer_fault(
+    async def _handle_fault_request(
         self,
         stream: FrameStream,
         req: SetFaults | SilenceConnections | WipeDisk,
@@ -219,7 +222,13 @@
     async def apply_fault(
         self, req: SetFaults | SilenceConnections | WipeDisk
     ) -> int:
-        """Carry out a fault request; return the connections affected."""
+        """Execute a fault request.
+
+        Returns
+        -------
+        int
+            Number of connections silenced or closed.
+        """
         if isinstance(req, SilenceConnections):
             return self.server.silence(req.peer, req.purpose, req.count)
         if isinstance(req, WipeDisk):
@@ -237,13 +246,13 @@
         reason = ''
         if self.database.leaving:
             reason = 'leaving'
-        elif self.faults.blocks(ALL_PEERS):
+        elif self.faults.is_isolated_from(ALL_PEERS):
             reason = 'isolated'
         status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
         return reply_json({'healthy': not reason, 'reason': reason}, status)
 
     def read_metrics(self) -> dict[str, Any]:
-        """Return counters and durations."""
+        """Return the counters and duration statistics of the database."""
         metrics = self.database.metrics.snapshot()
         metrics['counters'].update(
             slot_refusals=self.slots.refusals,
@@ -258,7 +267,7 @@
         return metrics
 
     def dump(self) -> dict[str, Any]:
-        """Return the whole state but the rows and records."""
+        """Return the state except rows and log records."""
         db = self.database
         return {
             'announce': to_plain(self.announcer.build_announce()),
@@ -272,8 +281,8 @@
             'history': [list(end) for end in db.history()],
             'confirmed': db.confirmed,
             'replication_connected': self.follower.connected,
-            'request_keys': len(db.keys),
-            'refuses_new': self.work.refuses_new,
+            'request_keys': len(db.request_keys),
+            'refuses_new': self.context.refuses_new,
             'faults': to_plain_faults(
                 SetFaults(id=0, state=self.faults.state)
             ),
@@ -294,7 +303,7 @@
 
 
 def to_plain_faults(req: SetFaults) -> dict[str, Any]:
-    """Return the switches as plain data."""
+    """Return the injected faults as a dict for JSON."""
     return {
         name: getattr(req.state, name)
         for name in req.state.__dataclass_fields__
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -1,4 +1,9 @@
-"""Replication between stand-ins over the path ``/v1/replicate``."""
+"""Log replication between simulated databases over ``/v1/replicate``.
+
+A follower connects to its primary and sends the history of its log. The
+primary streams the records after the last common index, and the follower
+acknowledges them.
+"""
 
 from __future__ import annotations
 
@@ -24,33 +29,35 @@
 from jackdawpost.wire.tls import peer_has_role
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost_standin.database import Database
-from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.faults import FaultInjector
 from jackdawpost_standin.peer_link import PeerLink
 from jackdawpost_standin.settings import StandinSettings
 
 LOG = logging.getLogger(__name__)
 
 REPLICATE_PATH = '/v1/replicate'
-HEARTBEAT_MS = 200
-# Five missed heartbeats: the connection has gone silent.
-SILENT_MS = 1_000
-RECONNECT_MS = 50
+HEARTBEAT_INTERVAL_MS = 200
+# A connection without a frame for five heartbeat intervals is closed.
+SILENCE_TIMEOUT_MS = 1_000
+RECONNECT_DELAY_MS = 50
 OPEN_TIMEOUT_MS = 1_000
-BATCH_RECORDS = 512
-CHUNK_BYTES = 500_000
-# Kept far below the unsent bytes at which a stream cuts its peer off.
-WINDOW_RECORDS = 4_096
-WINDOW_BYTES = 2 << 20
+MAX_BATCH_RECORDS = 512
+# Size of a part; a batch also ends with the record that reaches it.
+MAX_PART_BYTES = 500_000
+# No batch is sent while this much is unacknowledged. The limit in bytes is
+# far below the unsent bytes at which a stream closes the connection.
+MAX_UNACKED_RECORDS = 4_096
+MAX_UNACKED_BYTES = 2 << 20
 
 
 @dataclass(slots=True, kw_only=True)
 class ReplicateOpen:
-    """First frame of a follower.
+    """First frame that a follower sends.
 
     Parameters
     ----------
     term : int
-        Term in which the follower was told to follow.
+        Term of the role in which the follower replicates.
     history : list of TermEnd
         Last index of each term in the follower's log.
     """
@@ -65,7 +72,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplicateStart:
-    """The primary sends the records after `common_index`."""
+    """Answer to `ReplicateOpen`: records after `common_index` are sent."""
 
     term: int
     common_index: int
@@ -74,7 +81,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplicateRefused:
-    """The sender is not the primary in the follower's term."""
+    """Answer to `ReplicateOpen`: not the primary of the follower's term."""
 
     term: int
     message: str
@@ -83,16 +90,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class Records:
-    """Part of a batch of records; empty as a heartbeat.
+    """Part of a batch of records, or a heartbeat without records.
 
     Parameters
     ----------
     data : bytes
-        Part of the CBOR array of encoded records.
+        Part of the CBOR array of encoded records; empty in a heartbeat.
     more : bool
-        Further parts of this batch follow.
+        Whether further parts of this batch follow.
     sent_through : int
-        Index of the last record sent so far, this batch included.
+        Index of the last record sent so far, including this batch.
     """
 
     data: bytes = b''
@@ -103,14 +110,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Replicated:
-    """Index of the last record that the follower has received."""
+    """Acknowledgement of all records up to `index`."""
 
     index: int
     kind: Literal['replicated'] = 'replicated'
 
 
 class ReplicationError(JackdawpostError):
-    """The connection cannot go on; the follower opens a new one."""
+    """The follower must close the connection and open a new one."""
 
 
 _PRIMARY_CODEC = FrameCodec(ReplicateOpen, Replicated)
@@ -120,8 +127,12 @@
 # Primary
 
 
-class _Feed:
-    """Records sent to one follower and not yet acknowledged."""
+class _LogSender:
+    """Sends the log to one follower within a window of unacknowledged records.
+
+    It stops when the database is no longer the primary in the term in which
+    the follower connected.
+    """
 
     def __init__(self, database: Database, link: PeerLink) -> None:
         self.db = database
@@ -133,7 +144,7 @@
         self.unacked_bytes = 0
 
     @property
-    def valid(self) -> bool:
+    def is_current(self) -> bool:
         role = self.db.role
         return (
             role.leads
@@ -142,21 +153,24 @@
         )
 
     def send_batch(self) -> bool:
-        """Send records if there are any and the window is open."""
+        """Send the next batch; return False if none may be sent now."""
         if self.acked_index == self.sent_index:
             self.unacked_bytes = 0
         in_flight = self.sent_index - self.acked_index
-        if in_flight >= WINDOW_RECORDS or self.unacked_bytes >= WINDOW_BYTES:
+        if (
+            in_flight >= MAX_UNACKED_RECORDS
+            or self.unacked_bytes >= MAX_UNACKED_BYTES
+        ):
             return False
         batch: list[bytes] = []
         size = 0
         encoded = self.db.log.encoded
         index = self.sent_index
-        while index < len(encoded) and len(batch) < BATCH_RECORDS:
+        while index < len(encoded) and len(batch) < MAX_BATCH_RECORDS:
             batch.append(encoded[index])
             size += len(batch[-1])
             index += 1
-            if size >= CHUNK_BYTES:
+            if size >= MAX_PART_BYTES:
                 break
         if not batch:
             return False
@@ -166,8 +180,8 @@
         return True
 
     def _send_parts(self, data: bytes) -> None:
-        for start in range(0, len(data), CHUNK_BYTES):
-            end = start + CHUNK_BYTES
+        for start in range(0, len(data), MAX_PART_BYTES):
+            end = start + MAX_PART_BYTES
             part = Records(
                 data=data[start:end],
                 more=end < len(data),
@@ -179,33 +193,58 @@
 async def serve_follower(
     database: Database, link: PeerLink, group: str, certificate: str = ''
 ) -> None:
-    """Send the log to one follower until it leaves or the role changes."""
+    """Send the log to one follower until it disconnects or the role changes.
+
+    Parameters
+    ----------
+    database : Database
+        Database whose log is sent.
+    link : PeerLink
+        Connection that the follower has opened.
+    group : str
+        Database group of `database`.
+    certificate : str
+        Common name of the follower's certificate; empty without TLS.
+
+    Raises
+    ------
+    FrameError
+        The first frame is invalid or the certificate names another peer.
+    """
     req = _PRIMARY_CODEC.decode(await link.receive())[0]
     if not isinstance(req, ReplicateOpen):
-        raise FrameError(f'{req.kind!r} in place of replicate_open')
+        raise FrameError(
+            f'first frame is {req.kind!r}: expected replicate_open'
+        )
     if certificate and not peer_has_role(certificate, 'upstream', req.peer):
-        raise FrameError(f'{certificate!r} follows as {req.peer!r}')
+        raise FrameError(
+            f'certificate {certificate!r} does not allow the follower name '
+            f'{req.peer!r}; its common name must be upstream.PEER'
+        )
     link.peer = req.peer
     role = database.role
     if not role.leads or role.term != req.term or group != req.group:
         refusal = ReplicateRefused(
-            term=role.term, message=f'{group}: leads is {role.leads}'
+            term=role.term,
+            message=f'replicate_open refused: this database has group {group} '
+            f'and leads {role.leads}; expected the primary of the requested '
+            'group and term',
         )
         link.post(encode_cbor([refusal]))
         return
-    feed = _Feed(database, link)
-    feed.sent_index = database.log.common_index(req.history)
-    feed.acked_index = feed.sent_index
-    start = ReplicateStart(term=role.term, common_index=feed.sent_index)
+    sender = _LogSender(database, link)
+    sender.sent_index = database.log.common_index(req.history)
+    sender.acked_index = sender.sent_index
+    start = ReplicateStart(term=role.term, common_index=sender.sent_index)
     link.post(encode_cbor([start]))
     LOG.info(
         'follower connected',
-        extra={'peer': req.peer, 'common_index': feed.sent_index},
+        extra={'peer': req.peer, 'common_index': sender.sent_index},
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_send_records, feed, nursery.cancel_scope)
+        nursery.start_soon(_send_records, sender, nursery.cancel_scope)
         try:
-            await _read_acks(feed)
+            await _read_acks(sender)
         except ProtocolError as exc:
             LOG.info(
                 'follower disconnected',
@@ -214,54 +253,54 @@
         nursery.cancel_scope.cancel()
 
 
-async def _send_records(feed: _Feed, scope: trio.CancelScope) -> None:
-    heartbeat_s = HEARTBEAT_MS / MS_PER_SECOND
+async def _send_records(sender: _LogSender, scope: trio.CancelScope) -> None:
+    heartbeat_s = HEARTBEAT_INTERVAL_MS / MS_PER_SECOND
     due_s = trio.current_time() + heartbeat_s
-    while feed.valid:
-        if feed.send_batch():
+    while sender.is_current:
+        if sender.send_batch():
             due_s = trio.current_time() + heartbeat_s
             await trio.lowlevel.checkpoint()
             continue
-        await feed.db.changed.wait_until(due_s)
+        await sender.db.changed.wait_for_change_until(due_s)
         if trio.current_time() >= due_s:
-            beat = Records(sent_through=feed.sent_index)
-            feed.link.post(encode_cbor([beat]))
+            heartbeat = Records(sent_through=sender.sent_index)
+            sender.link.post(encode_cbor([heartbeat]))
             due_s = trio.current_time() + heartbeat_s
     scope.cancel()
 
 
-async def _read_acks(feed: _Feed) -> None:
+async def _read_acks(sender: _LogSender) -> None:
     while True:
-        for ack in _PRIMARY_CODEC.decode(await feed.link.receive()):
+        for ack in _PRIMARY_CODEC.decode(await sender.link.receive()):
             if not isinstance(ack, Replicated):
-                raise FrameError(f'{ack.kind!r} in place of replicated')
-            feed.acked_index = max(feed.acked_index, ack.index)
-            feed.db.changed.notify()
+                raise FrameError(f'received {ack.kind!r}: expected replicated')
+            sender.acked_index = max(sender.acked_index, ack.index)
+            sender.db.changed.notify()
 
 
 # Follower
 
 
 class Follower:
-    """Keeps the log equal to that of the primary being followed.
+    """Replicates the log of the primary that the role of the database names.
 
     Parameters
     ----------
     database : Database
-        The database that follows.
+        Database that receives the records.
     cfg : StandinSettings
-        Name, group and delays.
-    faults : Faults
-        Switches that may drop the traffic.
+        Group and simulated delays.
+    faults : FaultInjector
+        Decides whether the traffic with the primary is dropped.
     tls : ssl.SSLContext, optional
-        Client context.
+        TLS context of the connection to the primary.
     """
 
     def __init__(
         self,
         database: Database,
         cfg: StandinSettings,
-        faults: Faults,
+        faults: FaultInjector,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self._db = database
@@ -271,26 +310,26 @@
         self.connected = False
 
     async def run(self) -> None:
-        """Follow whichever primary the role names, until cancelled."""
+        """Replicate from the primary of the current role, until cancelled."""
         while True:
             version = self._db.role_changed.version
             if not self._db.role.primary:
-                await self._db.role_changed.wait_beyond(version)
+                await self._db.role_changed.wait_for_change(version)
                 continue
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._follow_role)
-                await self._db.role_changed.wait_beyond(version)
+                nursery.start_soon(self._maintain_replication)
+                await self._db.role_changed.wait_for_change(version)
                 nursery.cancel_scope.cancel()
 
-    async def _follow_role(self) -> None:
-        # The role may have lost its primary in the same scheduler step in
-        # which a reconnect is due, before this task is cancelled.
+    async def _maintain_replication(self) -> None:
+        # A seal may clear the primary in the same scheduler step in which a
+        # reconnect is due, before this task is cancelled.
         while self._db.role.primary:
-            if not self._faults.blocks(self._db.role.primary):
-                await self._follow_once()
-            await trio.sleep(RECONNECT_MS / MS_PER_SECOND)
+            if not self._faults.is_isolated_from(self._db.role.primary):
+                await self._replicate_once()
+            await trio.sleep(RECONNECT_DELAY_MS / MS_PER_SECOND)
 
-    async def _follow_once(self) -> None:
+    async def _replicate_once(self) -> None:
         role = self._db.role
         try:
             async with open_link(
@@ -326,14 +365,16 @@
             nursery.cancel_scope.cancel()
 
     async def _receive_frames(self, link: PeerLink, latency_ms: float) -> None:
-        silent_s = (SILENT_MS + 2 * latency_ms) / MS_PER_SECOND
-        link.post(encode_cbor([self._open_message()]))
+        silence_timeout_s = (
+            SILENCE_TIMEOUT_MS + 2 * latency_ms
+        ) / MS_PER_SECOND
+        link.post(encode_cbor([self._build_open()]))
         parts: list[bytes] = []
         while True:
-            with trio.fail_after(silent_s):
+            with trio.fail_after(silence_timeout_s):
                 frame = await link.receive()
             for message in _FOLLOWER_CODEC.decode(frame):
-                self._take(message, parts, link)
+                self._handle_message(message, parts, link)
 
     def _log_end(self, exc: Exception) -> None:
         LOG.debug(
@@ -341,7 +382,7 @@
             extra={'primary': self._db.role.primary, 'detail': str(exc)},
         )
 
-    def _open_message(self) -> ReplicateOpen:
+    def _build_open(self) -> ReplicateOpen:
         role = self._db.role
         return ReplicateOpen(
             peer=self._db.name,
@@ -351,7 +392,7 @@
             history=self._db.history(),
         )
 
-    def _take(
+    def _handle_message(
         self,
         message: ReplicateStart | ReplicateRefused | Records,
         parts: list[bytes],
@@ -360,55 +401,65 @@
         if isinstance(message, ReplicateRefused):
             raise ReplicationError(message.message)
         if isinstance(message, ReplicateStart):
-            self._start(message)
+            self._handle_start(message)
             return
         if not self.connected:
-            raise ReplicationError('records before replicate_start')
+            raise ReplicationError(
+                'received records: expected replicate_start first'
+            )
         if message.data:
             parts.append(message.data)
             if message.more:
                 return
-            self._add_records(b''.join(parts))
+            self._append_records(b''.join(parts))
             parts.clear()
         if message.sent_through != self._db.received.index:
             raise ReplicationError(
-                f'sent through {message.sent_through}, '
-                f'received {self._db.received.index}'
+                f'primary has sent up to index {message.sent_through}: '
+                f'received up to {self._db.received.index}'
             )
         link.post(encode_cbor([Replicated(index=message.sent_through)]))
 
-    def _start(self, message: ReplicateStart) -> None:
+    def _handle_start(self, message: ReplicateStart) -> None:
         if message.term != self._db.role.term:
-            raise ReplicationError(f'term {message.term} of the primary')
+            raise ReplicationError(
+                f'primary started replication in term {message.term}: '
+                'expected the term of the role'
+            )
         self._db.discard_after(message.common_index)
         self._db.confirmed = True
         self.connected = True
         self._db.changed.notify()
 
-    def _add_records(self, data: bytes) -> None:
+    def _append_records(self, data: bytes) -> None:
         lag_s = self._cfg.apply_lag_ms / MS_PER_SECOND
         apply_at_s = trio.current_time() + lag_s
-        self._db.accept_records(_split_batch(data), apply_at_s)
+        self._db.append_received(_split_batch(data), apply_at_s)
 
 
 def _split_batch(data: bytes) -> list[bytes]:
     try:
         batch = cbor2.loads(data)
     except (ValueError, cbor2.CBORError) as exc:
-        raise ReplicationError(f'batch cannot be parsed: {exc}') from exc
+        raise ReplicationError(
+            f'batch of records cannot be decoded: {exc}'
+        ) from exc
     if not isinstance(batch, list):
-        raise ReplicationError(f'{type(batch).__name__} in place of records')
+        raise ReplicationError(
+            f'batch is of type {type(batch).__name__}: expected a list of '
+            'records'
+        )
     return batch
 
 
-async def apply_when_due(database: Database, faults: Faults) -> None:
-    """Apply received records after their lag, until cancelled."""
+async def apply_when_due(database: Database, faults: FaultInjector) -> None:
+    """Apply each received record after the apply lag, until cancelled."""
     while True:
-        due = database.apply_due
+        due = database.apply_schedule
         if not due or faults.state.hold_apply:
-            await database.changed.wait_beyond(database.changed.version)
+            await database.changed.wait_for_change(database.changed.version)
         elif due[0][0] > trio.current_time():
-            await database.changed.wait_until(due[0][0])
+            await database.changed.wait_for_change_until(due[0][0])
         else:
             if database.apply_batch(due[0][1]):
                 due.popleft()
--- a/jackdawpost_standin/tests/helpers.py
+++ b/jackdawpost_standin/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Starts stand-ins in the process of the test and talks to them."""
+"""Simulated databases in the process of the test, and their client."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def build_settings(name='db-1', **options):
-    """Return settings on loopback."""
+    """Return the settings of a database on loopback."""
     return StandinSettings.model_validate(
         {
             'name': name,
@@ -41,14 +41,14 @@
 
 
 async def start(nursery, name='db-1', **options):
-    """Start one stand-in on a free port."""
+    """Start one database on a free port."""
     standin = StandinDatabase(build_settings(name, **options), port=0)
     await nursery.start(standin.run)
     return standin
 
 
 class Client:
-    """One connection to a stand-in."""
+    """Client on one connection to a database."""
 
     def __init__(self, stream):
         self.stream = stream
@@ -65,7 +65,7 @@
                 self._inbox = CODEC.decode(await self.stream.receive())
         return self._inbox.pop(0)
 
-    async def ask(self, message_type, **fields):
+    async def request(self, message_type, **fields):
         """Send one request and return its answer."""
         self._last_id += 1
         self.post(message_type(id=self._last_id, **fields))
@@ -80,7 +80,7 @@
             'must_lead': access == 'write',
             'timeout_ms': 1_000,
         }
-        return await self.ask(
+        return await self.request(
             Execute,
             sql=sql,
             params=params,
@@ -91,7 +91,7 @@
 
 @asynccontextmanager
 async def connect(standin, purpose='statements', peer='proxy-1'):
-    """Open a connection of one purpose."""
+    """Open a connection for a purpose."""
     async with open_link(HOST, standin.port, '/v1/upstream') as stream:
         client = Client(stream)
         client.post(Open(peer=peer, purpose=purpose))
@@ -99,18 +99,18 @@
         yield client
 
 
-async def administer(standin, message_type, **fields):
-    """Send one admin request on its own connection."""
+async def send_admin_request(standin, message_type, **fields):
+    """Send one admin request on a new connection and return its answer."""
     async with connect(standin, 'admin', 'control-1') as client:
-        return await client.ask(message_type, **fields)
+        return await client.request(message_type, **fields)
 
 
-async def lead(standin, *replicas, term=1):
-    """Make `standin` the primary and the others its replicas."""
-    done = await administer(standin, Promote, term=term)
+async def promote(standin, *replicas, term=1):
+    """Promote `standin` and let the others replicate from it."""
+    done = await send_admin_request(standin, Promote, term=term)
     assert done.ok, done
     for replica in replicas:
-        done = await administer(
+        done = await send_admin_request(
             replica,
             Follow,
             term=term,
@@ -122,7 +122,7 @@
 
 
 async def wait_for(condition, timeout_s=TIMEOUT_S):
-    """Wait until a condition holds."""
+    """Poll until a condition is true."""
     with trio.fail_after(timeout_s):
         while not condition():
             await trio.sleep(0.002)
--- a/jackdawpost_standin/tests/test_announcer.py
+++ b/jackdawpost_standin/tests/test_announcer.py
@@ -15,7 +15,7 @@
 from jackdawpost.wire.stream import LinkClosedError
 from jackdawpost_standin.faults import FaultState
 from jackdawpost_standin.tests.helpers import HOST
-from jackdawpost_standin.tests.helpers import lead
+from jackdawpost_standin.tests.helpers import promote
 from jackdawpost_standin.tests.helpers import start
 from jackdawpost_standin.tests.helpers import wait_for
 
@@ -23,7 +23,7 @@
 
 
 class FakeControl:
-    """Control process that keeps what it is told."""
+    """Control process that records announcements and approvals."""
 
     def __init__(self):
         self.streams = []
@@ -35,11 +35,11 @@
         try:
             while True:
                 for message in CODEC.decode(await stream.receive()):
-                    self._take(stream, message)
+                    self._handle_message(stream, message)
         except LinkClosedError:
             return
 
-    def _take(self, stream, message):
+    def _handle_message(self, stream, message):
         if isinstance(message, Approval):
             self.approvals.append(message)
             return
@@ -64,7 +64,7 @@
     return control, {'name': f'control-{port}', 'host': HOST, 'port': port}
 
 
-async def test_every_control_process_hears_changes_at_once(nursery):
+async def test_every_control_process_is_sent_role_changes_immediately(nursery):
     first, first_peer = await _start_control(nursery)
     second, second_peer = await _start_control(nursery)
     standin = await start(
@@ -74,7 +74,7 @@
     )
     await wait_for(lambda: first.announces and second.announces)
     assert first.announces[0].port == standin.port
-    await lead(standin)
+    await promote(standin)
     await wait_for(lambda: first.announces[-1].leads)
     await wait_for(lambda: second.announces[-1].leads)
     assert second.announces[-1].term == 1
@@ -115,7 +115,7 @@
     assert [item.newcomer for item in control.approvals] == ['proxy-2']
 
 
-async def test_isolated_database_is_not_heard(nursery):
+async def test_isolated_database_sends_no_announces(nursery):
     control, peer = await _start_control(nursery)
     standin = await start(nursery, control=[peer], announce_interval_ms=5)
     await wait_for(lambda: control.announces)
--- a/jackdawpost_standin/tests/test_replication.py
+++ b/jackdawpost_standin/tests/test_replication.py
@@ -1,4 +1,4 @@
-"""Replication, promotion and divergence between stand-ins."""
+"""Replication, promotion and diverged logs of simulated databases."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 from jackdawpost.core.messages.upstream import TxnBegin
 from jackdawpost.core.messages.upstream import TxnCommit
 from jackdawpost_standin.log import Result
-from jackdawpost_standin.replication import WINDOW_RECORDS
-from jackdawpost_standin.tests.helpers import administer
+from jackdawpost_standin.replication import MAX_UNACKED_RECORDS
 from jackdawpost_standin.tests.helpers import connect
-from jackdawpost_standin.tests.helpers import lead
+from jackdawpost_standin.tests.helpers import promote
+from jackdawpost_standin.tests.helpers import send_admin_request
 from jackdawpost_standin.tests.helpers import start
 from jackdawpost_standin.tests.helpers import wait_for
 
@@ -32,10 +32,10 @@
     return answer.rows
 
 
-async def test_replica_shows_rows_after_the_session_position(nursery):
+async def test_replica_read_waits_for_the_session_position(nursery):
     primary = await start(nursery, 'db-1')
     replica = await start(nursery, 'db-2', apply_lag_ms=50)
-    await lead(primary, replica)
+    await promote(primary, replica)
     async with connect(primary) as client:
         await client.execute(CREATE)
         written = await client.execute(INSERT, ['a', 1])
@@ -44,16 +44,16 @@
     assert rows == [['a', 1]]
 
 
-async def test_duplicate_is_recognised_after_a_promotion(nursery):
+async def test_duplicate_request_key_is_detected_after_a_promotion(nursery):
     first = await start(nursery, 'db-1')
     second = await start(nursery, 'db-2')
-    await lead(first, second)
+    await promote(first, second)
     async with connect(first) as client:
         await client.execute(CREATE)
         written = await client.execute(INSERT, ['a', 1], request_key='r-1')
     await wait_for(lambda: second.database.received == written.position)
-    await administer(second, Seal, term=2)
-    await lead(second, first, term=2)
+    await send_admin_request(second, Seal, term=2)
+    await promote(second, first, term=2)
     async with connect(second) as client:
         resent = await client.execute(
             INSERT, ['a', 1], request_key='r-1', term=2
@@ -67,14 +67,14 @@
 async def test_diverged_tail_is_discarded_and_rows_rebuilt(nursery):
     old = await start(nursery, 'db-1')
     new = await start(nursery, 'db-2')
-    await lead(old, new)
+    await promote(old, new)
     async with connect(old) as client:
         kept = await client.execute(CREATE)
         await wait_for(lambda: new.database.received == kept.position)
-        await administer(new, Seal, term=2)
+        await send_admin_request(new, Seal, term=2)
         lost = await client.execute(INSERT, ['lost', 1])
     assert lost.status == 'done'
-    await lead(new, old, term=2)
+    await promote(new, old, term=2)
     async with connect(new) as client:
         await client.execute(INSERT, ['new', 2], term=2)
     await wait_for(lambda: old.database.received == new.database.received)
@@ -95,14 +95,14 @@
 ):
     primary = await start(nursery, 'db-1')
     replica = await start(nursery, 'db-2', latency_ms=latency_ms)
-    await lead(primary)
+    await promote(primary)
     async with connect(primary) as client:
         await client.execute(CREATE)
-    records = 2 * WINDOW_RECORDS + 10
+    records = 2 * MAX_UNACKED_RECORDS + 10
     for number in range(records):
         statement = (INSERT, [str(number), number])
         primary.database.append_committed([statement], None, Result())
-    await lead(primary, replica)
+    await promote(primary, replica)
     await wait_for(lambda: replica.database.applied.index == records + 2)
     count = replica.database.rows.read('SELECT count(*) FROM t', None, 0.0)
     assert count.rows == [[records]]
@@ -111,16 +111,16 @@
 async def test_transaction_larger_than_a_frame_is_replicated(nursery):
     primary = await start(nursery, 'db-1')
     replica = await start(nursery, 'db-2')
-    await lead(primary, replica)
+    await promote(primary, replica)
     async with connect(primary) as client:
         await client.execute('CREATE TABLE large (v TEXT)')
-        await client.ask(TxnBegin, **BEGIN)
+        await client.request(TxnBegin, **BEGIN)
         for _ in range(4):
             done = await client.execute(
                 'INSERT INTO large VALUES (?)', [LARGE_TEXT], in_txn=True
             )
             assert done.status == 'done'
-        committed = await client.ask(TxnCommit, **BEGIN)
+        committed = await client.request(TxnCommit, **BEGIN)
     await wait_for(lambda: replica.database.applied == committed.position)
     assert replica.read_metrics()['counters']['apply_failures'] == 0
     size = replica.database.rows.read(
@@ -129,9 +129,9 @@
     assert size.rows == [[4 * len(LARGE_TEXT)]]
 
 
-async def test_result_larger_than_a_frame_is_an_error(nursery):
+async def test_result_larger_than_a_frame_fails_without_a_change(nursery):
     standin = await start(nursery)
-    await lead(standin)
+    await promote(standin)
     async with connect(standin) as client:
         await client.execute('CREATE TABLE large (v TEXT)')
         for _ in range(2):
@@ -148,12 +148,14 @@
     assert count.rows == [[2]]
 
 
-async def test_sealed_replica_takes_no_records_of_the_old_primary(nursery):
+async def test_sealed_replica_receives_no_records_from_the_old_primary(
+    nursery,
+):
     old = await start(nursery, 'db-1')
     replica = await start(nursery, 'db-2')
-    await lead(old, replica)
+    await promote(old, replica)
     await wait_for(lambda: replica.database.received == (1, 1))
-    sealed = await administer(replica, Seal, term=2)
+    sealed = await send_admin_request(replica, Seal, term=2)
     assert (sealed.ok, sealed.received) == (True, (1, 1))
     async with connect(old) as client:
         assert (await client.execute(CREATE)).status == 'done'
@@ -161,10 +163,10 @@
     assert replica.database.received == (1, 1)
 
 
-async def test_restarted_replica_goes_on_from_its_log(nursery, tmp_path):
+async def test_restarted_replica_continues_from_its_log(nursery, tmp_path):
     primary = await start(nursery, 'db-1')
     replica = await start(nursery, 'db-2', data_dir=str(tmp_path))
-    await lead(primary, replica)
+    await promote(primary, replica)
     async with connect(primary) as client:
         written = await client.execute(CREATE)
         await wait_for(lambda: replica.database.received == written.position)
@@ -177,9 +179,9 @@
 
 
 async def test_reconnect_stops_when_the_role_has_no_primary(nursery):
-    # Guards against a database that ends when a seal takes its primary away
-    # in the same scheduler step in which a reconnect is due.
+    # Guards against a process that crashes when a seal clears the primary in
+    # the same scheduler step in which a reconnect is due.
     standin = await start(nursery, 'db-1')
     assert not standin.database.role.primary
     with trio.fail_after(1):
-        await standin.follower._follow_role()
+        await standin.follower._maintain_replication()
--- a/jackdawpost_standin/tests/test_roles.py
+++ b/jackdawpost_standin/tests/test_roles.py
@@ -1,4 +1,4 @@
-"""Seal, promote and follow: idempotent, and only upwards in terms."""
+"""Seal, promote and follow are idempotent and refuse lower terms."""
 
 from __future__ import annotations
 
@@ -9,36 +9,36 @@
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.database import RoleError
 from jackdawpost_standin.disk import DataFolder
-from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.faults import FaultInjector
 from jackdawpost_standin.limits import Limit
 from jackdawpost_standin.log import Result
+from jackdawpost_standin.session import ExecutionContext
 from jackdawpost_standin.session import Session
-from jackdawpost_standin.session import Workload
 
 
-def _open(path=None):
+def _open_database(path=None):
     return Database('db-1', DataFolder(path, sync_log=False))
 
 
-def _write(db, key):
+def _append_insert(db, key):
     statement = ('INSERT INTO t VALUES (?)', [key])
     db.append_committed([statement], key, Result(row_count=1))
 
 
-async def test_starts_as_follower_and_never_leads_by_itself():
-    db = _open()
+async def test_new_database_is_not_the_primary():
+    db = _open_database()
     assert (db.role.term, db.role.leads, db.role.primary) == (0, False, '')
 
 
-async def test_repeated_promotion_adds_nothing():
-    db = _open()
+async def test_repeated_promotion_appends_no_record():
+    db = _open_database()
     await db.promote(1)
     await db.promote(1)
     assert db.received == (1, 1)
 
 
 async def test_lower_terms_are_refused_after_a_seal():
-    db = _open()
+    db = _open_database()
     await db.promote(1)
     db.seal(3)
     db.seal(3)
@@ -52,17 +52,17 @@
     assert (db.role.term, db.role.sealed_term) == (3, 3)
 
 
-async def test_seal_of_the_own_term_does_not_depose_the_primary():
-    # A control leader that resumes a promotion may repeat the seal.
-    db = _open()
+async def test_seal_of_the_current_term_does_not_demote_the_primary():
+    # A control leader that resumes a promotion may send the seal again.
+    db = _open_database()
     db.seal(1)
     await db.promote(1)
     db.seal(1)
     assert db.role.leads
 
 
-async def test_one_primary_per_term():
-    db = _open()
+async def test_second_primary_in_a_term_is_refused():
+    db = _open_database()
     db.follow(2, 'db-2', '127.0.0.1', 1)
     db.follow(2, 'db-2', '127.0.0.1', 1)
     with pytest.raises(RoleError):
@@ -75,53 +75,53 @@
 
 
 async def test_role_log_and_keys_survive_a_restart(tmp_path):
-    db = _open(tmp_path)
+    db = _open_database(tmp_path)
     await db.promote(4)
     create = ('CREATE TABLE t (k TEXT)', None)
     db.append_committed([create], None, Result())
-    _write(db, 'r-1')
+    _append_insert(db, 'r-1')
     db.seal(6)
     data_id = db.role.data_id
     db._folder.close()
-    db = _open(tmp_path)
+    db = _open_database(tmp_path)
     assert (db.role.term, db.role.sealed_term) == (6, 6)
     assert (db.role.leads, db.role.data_id) == (False, data_id)
     assert db.received == db.applied == LogPosition(4, 3)
-    assert db.keys == {'r-1': 3}
+    assert db.request_keys == {'r-1': 3}
     assert db.rows.read('SELECT k FROM t', None, 0.0).rows == [['r-1']]
     db._folder.close()
 
 
-async def test_torn_last_record_is_dropped(tmp_path):
-    db = _open(tmp_path)
+async def test_torn_last_record_is_removed_at_start(tmp_path):
+    db = _open_database(tmp_path)
     await db.promote(1)
     db.append_committed([('CREATE TABLE t (k TEXT)', None)], None, Result())
     db._folder.close()
     path = tmp_path / 'log'
     path.write_bytes(path.read_bytes()[:-3])
-    db = _open(tmp_path)
+    db = _open_database(tmp_path)
     assert db.received == (1, 1)
     db._folder.close()
 
 
-async def test_discarded_records_stay_discarded_on_disk(tmp_path):
-    db = _open(tmp_path)
+async def test_discarded_records_are_removed_from_disk(tmp_path):
+    db = _open_database(tmp_path)
     await db.promote(1)
     db.append_committed([('CREATE TABLE t (k TEXT)', None)], None, Result())
     for key in ('a', 'b'):
-        _write(db, key)
+        _append_insert(db, key)
     db.flush()
     db.seal(2)
     db.discard_after(3)
     db._folder.close()
-    db = _open(tmp_path)
+    db = _open_database(tmp_path)
     assert db.received == (1, 3)
-    assert db.keys == {'a': 3}
+    assert db.request_keys == {'a': 3}
     db._folder.close()
 
 
-async def test_wipe_takes_a_new_identity_and_loses_the_promises(tmp_path):
-    db = _open(tmp_path)
+async def test_wipe_creates_a_new_identity_and_resets_the_term(tmp_path):
+    db = _open_database(tmp_path)
     await db.promote(5)
     data_id = db.role.data_id
     db.wipe()
@@ -130,14 +130,14 @@
     db._folder.close()
 
 
-async def test_seal_rolls_back_the_open_transaction_and_frees_its_slot():
-    db = _open()
+async def test_seal_rolls_back_the_open_transaction_and_releases_its_slot():
+    db = _open_database()
     await db.promote(1)
     slots = Limit(1)
-    session = Session(Workload(db, slots, Faults(), 0))
-    assert session.take_slot()
+    session = Session(ExecutionContext(db, slots, FaultInjector(), 0))
+    assert session.acquire_slot()
     begun = await session.run(TxnBegin(id=1, term=1, timeout_ms=100))
     session.end_frame()
     assert (begun.status, slots.in_use) == ('done', 1)
     db.seal(2)
-    assert (db.turn.free, slots.in_use) == (True, 0)
+    assert (db.write_lock.is_free, slots.in_use) == (True, 0)
--- a/jackdawpost_standin/tests/test_statements.py
+++ b/jackdawpost_standin/tests/test_statements.py
@@ -1,4 +1,4 @@
-"""Statements, transactions, limits and refusals on connections."""
+"""Statements and transactions on connections, their limits and refusals."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 from jackdawpost.wire.codec import to_plain
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.stream import LinkClosedError
-from jackdawpost_standin.limits import WriteTurn
+from jackdawpost_standin.limits import WriteLock
 from jackdawpost_standin.tests.helpers import connect
 from jackdawpost_standin.tests.helpers import HOST
-from jackdawpost_standin.tests.helpers import lead
+from jackdawpost_standin.tests.helpers import promote
 from jackdawpost_standin.tests.helpers import start
 from jackdawpost_standin.tests.helpers import wait_for
 
@@ -33,7 +33,7 @@
 
 async def _start_primary(nursery, **options):
     standin = await start(nursery, **options)
-    await lead(standin)
+    await promote(standin)
     async with connect(standin) as client:
         assert (await client.execute(CREATE)).status == 'done'
     return standin
@@ -56,7 +56,9 @@
     )
 
 
-async def test_frame_of_several_is_answered_one_by_one_in_order(nursery):
+async def test_statements_of_one_frame_are_answered_one_by_one_in_order(
+    nursery,
+):
     standin = await _start_primary(nursery, service_ms=1)
     async with connect(standin) as client:
         client.post(*[_build_insert(number) for number in range(1, 9)])
@@ -92,69 +94,69 @@
 async def test_transaction_is_isolated_and_commits_as_one_record(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn, connect(standin) as other:
-        await txn.ask(TxnBegin, **BEGIN)
+        await txn.request(TxnBegin, **BEGIN)
         await txn.execute(INSERT, ['a', 1], in_txn=True)
         await txn.execute(INSERT, ['b', 2], in_txn=True)
         assert await _count(txn, in_txn=True) == 2
         assert await _count(other) == 0
-        done = await txn.ask(TxnCommit, request_key='r-1', **BEGIN)
+        done = await txn.request(TxnCommit, request_key='r-1', **BEGIN)
         assert (done.status, done.position) == ('done', (1, 3))
         assert await _count(other) == 2
-        resent = await other.ask(TxnCommit, request_key='r-1', **BEGIN)
+        resent = await other.request(TxnCommit, request_key='r-1', **BEGIN)
     assert (resent.duplicate, resent.position) == (True, (1, 3))
 
 
 async def test_write_waits_for_a_transaction_within_its_timeout(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn, connect(standin) as other:
-        await txn.ask(TxnBegin, **BEGIN)
+        await txn.request(TxnBegin, **BEGIN)
         late = await other.execute(INSERT, ['a', 1], timeout_ms=20)
         assert (late.status, late.code) == ('not_run', 'timeout')
         other.post(_build_insert(90))
         await wait_for(lambda: standin.slots.in_use == 2)
-        await txn.ask(TxnRollback)
+        await txn.request(TxnRollback)
         assert (await other.receive()).status == 'done'
 
 
-async def test_other_statements_do_not_mix_with_the_open_transaction(nursery):
+async def test_statement_outside_the_open_transaction_is_refused(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn:
-        await txn.ask(TxnBegin, **BEGIN)
+        await txn.request(TxnBegin, **BEGIN)
         refused = await txn.execute(INSERT, ['a', 1])
         assert (refused.status, refused.code) == ('not_run', 'malformed')
-        again = await txn.ask(TxnBegin, **BEGIN)
+        again = await txn.request(TxnBegin, **BEGIN)
         assert again.code == 'malformed'
-        await txn.ask(TxnCommit, **BEGIN)
+        await txn.request(TxnCommit, **BEGIN)
         assert await _count(txn) == 0
 
 
-async def test_revoked_turn_is_not_taken_by_a_task_that_was_just_woken(
+async def test_write_lock_revoked_before_the_woken_task_runs_is_not_acquired(
     nursery,
 ):
     class Owner:
-        def lose_txn(self):
+        def on_txn_revoked(self):
             pass
 
-    turn = WriteTurn()
+    write_lock = WriteLock()
     first, second = Owner(), Owner()
-    assert await turn.acquire(first, float('inf'))
+    assert await write_lock.acquire(first, float('inf'))
     got = []
 
     async def wait():
-        got.append(await turn.acquire(second, float('inf')))
+        got.append(await write_lock.acquire(second, float('inf')))
 
     nursery.start_soon(wait)
     await trio.testing.wait_all_tasks_blocked()
-    turn.release(first)
-    turn.revoke()
+    write_lock.release(first)
+    write_lock.revoke()
     await wait_for(lambda: got)
-    assert (got, turn.free) == ([False], True)
+    assert (got, write_lock.is_free) == ([False], True)
 
 
-async def test_closed_connection_rolls_back_and_frees_the_slot(nursery):
+async def test_closed_connection_rolls_back_and_releases_the_slot(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn:
-        await txn.ask(TxnBegin, **BEGIN)
+        await txn.request(TxnBegin, **BEGIN)
         await txn.execute(INSERT, ['a', 1], in_txn=True)
         assert standin.slots.in_use == 1
     await wait_for(lambda: standin.slots.in_use == 0)
@@ -163,15 +165,15 @@
         assert (await client.execute(INSERT, ['a', 1])).status == 'done'
 
 
-async def test_failed_statement_leaves_its_transaction_usable(nursery):
+async def test_failed_statement_does_not_abort_its_transaction(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin) as txn:
-        await txn.ask(TxnBegin, **BEGIN)
+        await txn.request(TxnBegin, **BEGIN)
         await txn.execute(INSERT, ['a', 1], in_txn=True)
         failed = await txn.execute(INSERT, ['a', 1], in_txn=True)
         assert (failed.status, failed.code) == ('not_run', 'statement_failed')
         await txn.execute(INSERT, ['b', 1], in_txn=True)
-        await txn.ask(TxnCommit, **BEGIN)
+        await txn.request(TxnCommit, **BEGIN)
         assert await _count(txn) == 2
 
 
@@ -214,7 +216,7 @@
 
 
 async def _post_json(client, fields):
-    # JSON, because CBOR cannot carry half of a surrogate pair.
+    # CBOR cannot encode a lone surrogate, so the message is sent as JSON.
     message = _build_insert(1)
     for name, value in fields.items():
         setattr(message, name, value)
@@ -234,7 +236,7 @@
 async def test_replica_refuses_writes_and_waits_for_positions(nursery):
     primary = await _start_primary(nursery)
     replica = await start(nursery, 'db-2', apply_lag_ms=80)
-    await lead(primary, replica)
+    await promote(primary, replica)
     async with connect(primary) as client:
         written = await client.execute(INSERT, ['a', 1])
     await wait_for(lambda: replica.database.received == written.position)
@@ -267,7 +269,7 @@
         assert progress.applied == (1, 3)
 
 
-async def test_progress_comes_at_most_every_5_ms(nursery):
+async def test_progress_is_pushed_at_most_every_5_ms(nursery):
     standin = await _start_primary(nursery)
     async with connect(standin, 'monitor') as monitor:
         await monitor.receive()
@@ -282,7 +284,7 @@
     assert reports <= elapsed_ms / 5 + 1
 
 
-async def test_latency_and_opening_time_are_added(nursery):
+async def test_latency_and_opening_time_delay_the_answers(nursery):
     standin = await _start_primary(
         nursery, opening_ms=30, peer_latency_ms={'far': 20.0}
     )
--- a/jackdawpost_standin/tests/test_tls.py
+++ b/jackdawpost_standin/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""Links between processes with certificates."""
+"""Connections with TLS certificates."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
     return paths
 
 
-async def _administer(standin, tls, message_type, **fields):
+async def _send_admin_request(standin, tls, message_type, **fields):
     context = build_client_context(TlsSettings(**tls))
     async with open_link(
         HOST, standin.port, '/v1/upstream', tls=context
@@ -40,10 +40,10 @@
         stream.post(encode_cbor([Open(peer='c-1', purpose='admin')]))
         client = Client(stream)
         await client.receive()
-        return await client.ask(message_type, **fields)
+        return await client.request(message_type, **fields)
 
 
-async def test_only_control_administers_and_replication_uses_tls(
+async def test_only_control_may_send_admin_requests_and_replication_uses_tls(
     nursery, tmp_path
 ):
     authority = trustme.CA()
@@ -58,9 +58,11 @@
         for name in ('db-1', 'db-2')
     ]
     with pytest.raises(LinkClosedError):
-        await _administer(primary, proxy, Promote, term=1)
+        await _send_admin_request(primary, proxy, Promote, term=1)
     assert not primary.database.role.leads
-    assert (await _administer(primary, control, Promote, term=1)).ok
+    assert (await _send_admin_request(primary, control, Promote, term=1)).ok
     place = {'primary': 'db-1', 'host': HOST, 'port': primary.port}
-    assert (await _administer(replica, control, Follow, term=1, **place)).ok
+    assert (
+        await _send_admin_request(replica, control, Follow, term=1, **place)
+    ).ok
     await wait_for(lambda: replica.database.received == (1, 1))
--- a/jackdawpost_standin/upstream_server.py
+++ b/jackdawpost_standin/upstream_server.py
@@ -1,4 +1,8 @@
-"""Serves the path ``/v1/upstream``: statements, monitor and admin."""
+"""Server of the path ``/v1/upstream``.
+
+A connection has one of three purposes: to run statements, to monitor the
+log positions, or to change the replication role (admin).
+"""
 
 from __future__ import annotations
 
@@ -32,21 +36,22 @@
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost_standin.database import Database
 from jackdawpost_standin.database import RoleError
-from jackdawpost_standin.faults import Faults
+from jackdawpost_standin.faults import FaultInjector
 from jackdawpost_standin.limits import Limit
 from jackdawpost_standin.peer_link import PeerLink
+from jackdawpost_standin.session import ExecutionContext
 from jackdawpost_standin.session import Request
 from jackdawpost_standin.session import Session
-from jackdawpost_standin.session import Workload
 from jackdawpost_standin.settings import StandinSettings
 
 LOG = logging.getLogger(__name__)
 
-# Least time between two reports on a monitor connection.
+# Minimum interval between two reports on a monitor connection.
 PROGRESS_INTERVAL_S = 0.005
 OPEN_TIMEOUT_S = 5.0
 
-# Roles in a certificate's common name that may open each purpose.
+# Roles in the common name of a certificate that may open a connection of
+# each purpose.
 _ROLES = {
     'statements': ('proxy',),
     'monitor': ('proxy', 'control'),
@@ -61,26 +66,28 @@
 
 
 class UpstreamServer:
-    """Serves connections of proxies and control processes.
+    """Serves the connections of proxies and control processes.
 
     Parameters
     ----------
     cfg : StandinSettings
-        Limits and delays.
+        Connection limit and simulated delays.
     database : Database
-        The database served.
-    work : Workload
-        Statements of all connections.
-    faults : Faults
-        Switches for traffic and answers.
+        Database to serve.
+    context : ExecutionContext
+        State that the sessions of all connections share.
+    faults : FaultInjector
+        Injects faults into frames and answers.
+    incarnation : str
+        Identity of this process, sent in `Opened`; new at each start.
     """
 
     def __init__(
         self,
         cfg: StandinSettings,
         database: Database,
-        work: Workload,
-        faults: Faults,
+        context: ExecutionContext,
+        faults: FaultInjector,
         incarnation: str,
     ) -> None:
         self.connections = Limit(cfg.connections)
@@ -88,12 +95,12 @@
         self.incarnation = incarnation
         self._cfg = cfg
         self._db = database
-        self._work = work
+        self._context = context
         self._faults = faults
 
     async def serve(self, link: PeerLink, certificate: str) -> None:
         """Serve one connection until it ends."""
-        if not self.connections.take():
+        if not self.connections.try_acquire():
             LOG.info('connection refused: limit reached')
             await link.abort()
             return
@@ -119,7 +126,7 @@
             req.peer, self._cfg.latency_ms
         )
         link.set_latency(latency_ms)
-        # The open frame itself arrived without latency.
+        # The open frame was received without latency, so it is added here.
         opening_ms = self._cfg.opening_ms + latency_ms
         await trio.sleep(opening_ms / MS_PER_SECOND)
         opened = Opened(
@@ -138,7 +145,7 @@
     # Statements
 
     async def _serve_statements(self, link: PeerLink) -> None:
-        session = Session(self._work)
+        session = Session(self._context)
         try:
             while True:
                 frame = await link.receive()
@@ -152,27 +159,27 @@
         try:
             requests = _CODECS['statements'].decode(frame)
         except FrameError as exc:
-            self._post_answers(link, [_malformed(exc)], frame)
+            self._post_answers(link, [_build_malformed_answer(exc)], frame)
             raise
         start_s = trio.current_time()
-        answers = session.run_now(requests)
+        answers = session.try_run_immediately(requests)
         if answers is not None:
             self._post_answers(link, answers, frame)
         else:
-            await self._run_waiting(link, session, requests, frame)
+            await self._run_with_slot(link, session, requests, frame)
         elapsed_ms = (trio.current_time() - start_s) * MS_PER_SECOND
         self._db.metrics.count('statements', len(requests))
         self._db.metrics.observe('frame', elapsed_ms)
 
-    async def _run_waiting(
+    async def _run_with_slot(
         self,
         link: PeerLink,
         session: Session,
         requests: list[Request],
         frame: bytes | str,
     ) -> None:
-        if not session.take_slot():
-            self._post_answers(link, session.refuse_slot(requests), frame)
+        if not session.acquire_slot():
+            self._post_answers(link, session.refuse_no_slot(requests), frame)
             return
         try:
             for req in requests:
@@ -184,7 +191,7 @@
     def _post_answers(
         self, link: PeerLink, answers: list[Executed], frame: bytes | str
     ) -> None:
-        delay_ms = self._faults.draw_answer_delay_ms()
+        delay_ms = self._faults.next_answer_delay_ms()
         data = _encode(answers, frame)
         if len(data) <= MAX_FRAME_BYTES:
             link.post(data, delay_ms)
@@ -194,9 +201,11 @@
 
     # Monitor
 
-    async def _serve_monitor(self, link: PeerLink, first: bytes | str) -> None:
+    async def _serve_monitor(
+        self, link: PeerLink, open_frame: bytes | str
+    ) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._push_progress, link, first)
+            nursery.start_soon(self._push_progress, link, open_frame)
             try:
                 while True:
                     frame = await link.receive()
@@ -206,16 +215,18 @@
                 LOG.debug('monitor ended', extra={'detail': str(exc)})
             nursery.cancel_scope.cancel()
 
-    async def _push_progress(self, link: PeerLink, first: bytes | str) -> None:
-        last = None
+    async def _push_progress(
+        self, link: PeerLink, open_frame: bytes | str
+    ) -> None:
+        last_sent = None
         while True:
             version = self._db.changed.version
             progress = self._db.progress()
-            if progress != last:
-                link.post(_encode([progress], first))
-                last = progress
+            if progress != last_sent:
+                link.post(_encode([progress], open_frame))
+                last_sent = progress
                 await trio.sleep(PROGRESS_INTERVAL_S)
-            await self._db.changed.wait_beyond(version)
+            await self._db.changed.wait_for_change(version)
 
     def _probe(self, req: Probe) -> Probed:
         return Probed(
@@ -233,10 +244,10 @@
         while True:
             frame = await link.receive()
             for req in _CODECS['admin'].decode(frame):
-                answer = await self._administer(req)
+                answer = await self._handle_admin_request(req)
                 link.post(_encode([answer], frame))
 
-    async def _administer(self, req: Any) -> Any:
+    async def _handle_admin_request(self, req: Any) -> Any:
         if isinstance(req, Probe):
             return self._probe(req)
         if isinstance(req, Seal):
@@ -273,7 +284,13 @@
     # Faults
 
     def silence(self, peer: str, purpose: str, count: int) -> int:
-        """Silence matching connections; return their number."""
+        """Drop all further frames of matching connections.
+
+        Returns
+        -------
+        int
+            Number of connections silenced.
+        """
         matching = [
             link
             for link in self.links
@@ -286,7 +303,7 @@
         return len(matching[: count or None])
 
     async def abort_all(self) -> int:
-        """Close all connections at once; return their number."""
+        """Close all connections without delay; return their number."""
         links = list(self.links)
         for link in links:
             await link.abort()
@@ -299,19 +316,20 @@
     role, _, name = certificate.partition('.')
     if name != req.peer or role not in _ROLES[req.purpose]:
         raise FrameError(
-            f'certificate {certificate!r} is not valid for {req.peer!r} with '
-            f'purpose {req.purpose}'
+            f'certificate {certificate!r} does not allow the peer '
+            f'{req.peer!r} to open purpose {req.purpose}; its common name '
+            'must be ROLE.PEER with a role allowed for the purpose'
         )
 
 
-def _malformed(exc: FrameError) -> Executed:
+def _build_malformed_answer(exc: FrameError) -> Executed:
     return Executed(
         id=exc.request_id, status='not_run', code='malformed', message=str(exc)
     )
 
 
 def _encode(messages: Sequence[Any], frame: bytes | str) -> bytes | str:
-    """Encode an answer in the format of the frame it answers."""
+    """Encode messages in the format of `frame`: JSON text or CBOR bytes."""
     if isinstance(frame, str):
         return encode_json(list(messages))
     return encode_cbor(list(messages))
