Restore the error text of a locked data folder

Cause: the rewording of jackdawpost_standin/disk.py changed "X: used by a process" to "data folder X is locked by another process". jackdawpost/tests/cli/test_programs.py matches the old text, and a tool of an operator may match it too.

Ruled out: changing the pattern in the test. Texts that a test or an operator's tool matches stay.

The test is not touched.

--- a/jackdawpost_standin/disk.py
+++ b/jackdawpost_standin/disk.py
@@ -79,9 +79,7 @@
             fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as exc:
             os.close(self._lock_fd)
-            raise FolderLockedError(
-                f'data folder {folder} is locked by another process'
-            ) from exc
+            raise FolderLockedError(f'{folder}: used by a process') from exc
         self._log_fd = os.open(folder / 'log', os.O_RDWR | os.O_CREAT)
 
     def load(self) -> tuple[Role, list[bytes]]:
