Correct docstrings of the consensus core to the code

Cause: requeue_failed_write said that only the actions deferred to the failed write are dropped, but it drops all deferred actions; the comment on write_retry_due_ms and that on the conflict hint of a follower were elliptical or left out the lower bound. Heads of three tests did not say how the failure comes about.

Ruled out: a new name for `configs` of the state, which core/control reads.

Change: docstrings and comments only.

--- a/jackdawpost/core/consensus/election.py
+++ b/jackdawpost/core/consensus/election.py
@@ -7,7 +7,7 @@
 
 * Bootstrap of the group: each of the other first voters answers that it is
   not admitted either, or that it bootstrapped the group with this node id.
-* A committed or uncommitted voter set in the log lists its node id.
+* A voter set in the log, committed or not, lists its node id.
 """
 
 from __future__ import annotations
@@ -83,8 +83,8 @@
     Parameters
     ----------
     transfer : bool
-        The leader asked for this election, so voters need not wait until
-        they have lost contact with it.
+        True if the leader asked for this election, so voters need not wait
+        until they have lost contact with it.
     """
     become_follower(state, now_ms, state.term + 1, None)
     state.role = 'candidate'
--- a/jackdawpost/core/consensus/follower.py
+++ b/jackdawpost/core/consensus/follower.py
@@ -29,7 +29,7 @@
 def on_append(
     state: ConsensusState, now_ms: float, peer: str, message: Append
 ) -> None:
-    """Append entries from the leader of this term and advance the commit.
+    """Append entries from the leader of this term and raise the commit index.
 
     An append from an earlier term, or one whose previous entry is not in
     the log, is rejected. One with a malformed entry is ignored.
@@ -105,8 +105,9 @@
 
 
 def _conflict_hint(state: ConsensusState, prev_index: int) -> int:
-    # The leader retries from the entry after the hint: the end of a log that
-    # is too short, else the entry before those of the conflicting term.
+    # The leader retries from the entry after the hint. The hint is the last
+    # index if the log is too short, otherwise the index before the entries of
+    # the conflicting term, but not below the commit index.
     if prev_index > state.last_index:
         return state.last_index
     conflict_term = term_at(state, prev_index)
--- a/jackdawpost/core/consensus/process.py
+++ b/jackdawpost/core/consensus/process.py
@@ -369,7 +369,7 @@
 
     A new voter is a learner until it has caught up with the log.
     `state.voters` and `state.learners` show the result. A refused call
-    changes nothing else and leaves the reason in `state.last_refusal`.
+    leaves the reason in `state.last_refusal` and changes nothing else.
     """
     state.last_refusal = _voter_change_refusal(state, add, remove)
     if state.last_refusal:
--- a/jackdawpost/core/consensus/roles.py
+++ b/jackdawpost/core/consensus/roles.py
@@ -35,7 +35,7 @@
 
 
 def clear_leadership_transfer(state: ConsensusState) -> None:
-    """Cancel the leadership transfer; proposals are accepted again."""
+    """Cancel any leadership transfer; a leader accepts proposals again."""
     state.transfer_target = None
     state.timeout_now_sent = False
     state.transfer_due_ms = math.inf
--- a/jackdawpost/core/consensus/state.py
+++ b/jackdawpost/core/consensus/state.py
@@ -201,9 +201,9 @@
     incoming_snapshot: IncomingSnapshot | None = None
 
     # Writes. Entries from `dirty_from` on are not part of any write yet.
-    # `disk_last_index` is the last index that the disk may hold, `deferred`
-    # what must wait for changes not yet written. `write_retry_due_ms` is set
-    # while the disk fails.
+    # `disk_last_index` is the last index that the disk may hold. `deferred`
+    # holds the messages and own votes that wait for changes not yet written.
+    # `write_retry_due_ms` is set from a failed write until its retry.
     dirty_from: int = 1
     disk_last_index: int = 0
     durable_index: int = 0
--- a/jackdawpost/core/consensus/writes.py
+++ b/jackdawpost/core/consensus/writes.py
@@ -71,7 +71,7 @@
 ) -> bool:
     """Mark the content of a failed write as unwritten and schedule a retry.
 
-    The actions deferred to it are dropped.
+    All deferred actions are dropped.
 
     Returns
     -------
--- a/jackdawpost/tests/core/consensus/test_faults.py
+++ b/jackdawpost/tests/core/consensus/test_faults.py
@@ -182,7 +182,11 @@
     seed=st.integers(0, 99),
 )
 def test_safety_and_recovery_under_any_faults(steps, size, seed):
-    """Guards against two leaders in a term, lost or differing entries."""
+    """Guards against two leaders in a term, lost or differing entries.
+
+    Links, processes and disks fail in random order while messages are lost,
+    duplicated and delayed and the voter set changes.
+    """
     scenario = Scenario(ABCDE[:size], seed)
     for step in steps:
         scenario.act(*step)
--- a/jackdawpost/tests/core/consensus/test_process.py
+++ b/jackdawpost/tests/core/consensus/test_process.py
@@ -122,7 +122,10 @@
 
 @pytest.mark.parametrize('seed', range(5))
 def test_rejoining_process_does_not_disrupt_the_leader(seed):
-    """Guards against an election when an isolated process reconnects."""
+    """Guards against an election when an isolated process reconnects.
+
+    Without pre-votes it would return with a higher term.
+    """
     group = Group(ABC, seed)
     leader = group.wait_for_leader()
     follower = next(name for name in ABC if name != leader)
@@ -138,7 +141,10 @@
 
 
 def test_voter_in_contact_with_a_leader_denies_pre_votes():
-    """Guards against an election when a link fails in one direction."""
+    """Guards against an election when a link fails in one direction.
+
+    A process that receives no heartbeats can still send requests.
+    """
     state = _core('b')
     write = _write(receive(state, 0.0, 'a', _append(1)))
     persisted(state, 1.0, write.token)
