Use one name for the monitor connection and the connection limit

Cause: the connection that is opened for probes had three names in the pooler (probe connection, connection for probes, monitor), one of them that of `probe_conn`, which is another thing. The connection limit was also called share. Some docstrings claimed other than the code does: count_running counts busy connections, reachability may be 'stalled' without a probe, suspected is also set when control finds no idle connection, intervals without a queue count as 0, expiry_code is also used after a begin was sent.

Restored: a sample-less read can be served by the primary only (_required_position); 800 ms is longer than a statement takes on a full database (MIN_STALL_TIMEOUT_MS).

Change: docstrings, comments and three texts (the refusal of a statement that would wait too long, the close reasons of a connection over the limit and of one to an unreachable or stalled upstream; no test or tool matches them). _need_connection becomes _count_needed_connection and two locals are renamed.

--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -29,9 +29,11 @@
 
 
 def expiry_code(task: StatementTask) -> str:
-    """Return the error code for a statement that expires in the queue.
+    """Return the error code for a statement that expires before it is sent.
 
-    ``'overloaded'`` guarantees to the caller that nothing has run.
+    ``'overloaded'`` guarantees to the caller that nothing has run. A
+    statement of a transaction, or one that may have run in an earlier
+    attempt, gets ``'aborted'``.
     """
     if task.in_txn or task.may_have_run:
         return 'aborted'
--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -44,7 +44,11 @@
 
 
 def connection_limit(state: PoolerState, pool: Pool) -> int:
-    """Return the maximum number of connections that this process may open."""
+    """Return how many connections to an upstream this process may have.
+
+    Each proxy gets an equal share of the connections that are not reserved,
+    and at least `MIN_CONNECTIONS`.
+    """
     declared = [
         view.max_connections
         for view in state.published.endpoints.values()
@@ -109,7 +113,7 @@
 def convert_idle_monitor(
     state: PoolerState, pool: Pool
 ) -> UpstreamConn | None:
-    """Convert the idle probe connection to a statement connection.
+    """Convert an idle monitor connection to a statement connection.
 
     This happens only at the connection limit. With a limit of one
     connection, statements would otherwise wait forever for a second one.
@@ -198,7 +202,7 @@
 def find_idle_connection(
     state: PoolerState, pool: Pool
 ) -> UpstreamConn | None:
-    """Return an idle connection to an upstream, of either purpose."""
+    """Return an idle statement or monitor connection to an upstream."""
     numbers = [*sorted(pool.conns), pool.monitor]
     conns = [state.conns[n] for n in numbers if n in state.conns]
     return next((conn for conn in conns if conn.is_idle), None)
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -40,7 +40,7 @@
 
 
 def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
-    """Record a control connection; report on it if no leader is known."""
+    """Record a control connection; send a report if no leader is known."""
     state.control_conns[conn] = peer
     log(state, 'info', 'control_connected', peer=peer)
     if not state.leader_conn:
@@ -218,7 +218,7 @@
     sync_pools(state)
     if not before:
         open_waiting_sessions(state)
-    # Reports at once that this version is in force.
+    # Report at once that this version is in force.
     send_report(state)
 
 
@@ -229,7 +229,7 @@
 
     An upstream must answer at its address with its own identity. A proxy
     cannot be checked by connecting, since proxies do not connect to each
-    other. Its address must not belong to another member.
+    other. Its address must not belong to a joined proxy of another name.
     """
     if message.role == 'proxy':
         _check_new_proxy(state, conn, message)
--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -34,7 +34,10 @@
 
 
 def count_running(state: PoolerState, pool: Pool) -> int:
-    """Return the number of running statements outside transactions."""
+    """Return the number of connections that are busy outside transactions.
+
+    A connection that is being opened or probed is busy, too.
+    """
     return sum(
         1
         for number in pool.conns
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -65,7 +65,7 @@
             state,
             task,
             'overloaded',
-            'the queue is too long to run it in time',
+            'too many statements are queued to run this one in time',
         )
         return
     group.waiting.append(task)
@@ -138,31 +138,33 @@
                 conn = _pick_connection(state, pool, task.session)
                 if conn is not None:
                     if _is_much_faster(state, pools[0], pool):
-                        _need_connection(connections_needed, pools[0])
+                        _count_needed_connection(connections_needed, pools[0])
                     _start_attempt(state, pool, conn, task, required_position)
                     return True
             if pools:
-                _need_connection(connections_needed, pools[0])
+                _count_needed_connection(connections_needed, pools[0])
                 return False
     primary = state.pools.get(group.primary or '')
     if primary is None or not accepts_statements(state, primary):
         return False
     conn = _pick_connection(state, primary, task.session)
     if conn is None:
-        _need_connection(connections_needed, primary)
+        _count_needed_connection(connections_needed, primary)
         return False
     _start_attempt(state, primary, conn, task, None)
     return True
 
 
-def _need_connection(connections_needed: dict[str, int], pool: Pool) -> None:
+def _count_needed_connection(
+    connections_needed: dict[str, int], pool: Pool
+) -> None:
     connections_needed[pool.view.name] = (
         connections_needed.get(pool.view.name, 0) + 1
     )
 
 
 def _is_much_faster(state: PoolerState, best: Pool, used: Pool) -> bool:
-    """Return whether `best` is so much faster that opening pays off."""
+    """Return whether `best` saves enough latency to justify a connection."""
     gain_ms = _expected_latency_ms(state, used) - _expected_latency_ms(
         state, best
     )
@@ -172,15 +174,22 @@
 def _required_position(
     group: PoolGroup, task: StatementTask
 ) -> LogPosition | None:
-    """Return the log position that a read requires; None for the primary."""
+    """Return the log position that a read requires.
+
+    None means that no replica can serve it, only the primary.
+    """
     sample = group.samples.oldest_within(
         task.arrived_ms, task.endpoint.max_age_ms
     )
     if sample is None:
         return None
     session = task.session
-    is_own = task.endpoint.consistency == 'read_your_writes'
-    if is_own and session is not None and session.position is not None:
+    reads_own_writes = task.endpoint.consistency == 'read_your_writes'
+    if (
+        reads_own_writes
+        and session is not None
+        and session.position is not None
+    ):
         return max(sample, session.position)
     return sample
 
@@ -291,8 +300,7 @@
     if task.is_write or task.in_txn:
         return
     remaining_ms = task.deadline_ms - state.now_ms
-    # The latency term keeps a slow upstream from being taken for a lost
-    # answer.
+    # The latency term keeps a slow answer from being treated as lost.
     wait_ms = max(
         remaining_ms * READ_ATTEMPT_TIMEOUT_SHARE,
         pool.latency_ms * READ_ATTEMPT_TIMEOUT_LATENCIES,
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -1,4 +1,4 @@
-"""Creates and removes connection pools as upstreams are published."""
+"""Creates and removes connection pools as the published upstreams change."""
 
 from __future__ import annotations
 
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -33,10 +33,10 @@
 from jackdawpost.core.pooler.upstreams import suspect
 from jackdawpost.errors import ProtocolError
 
-# A connection opened for probes is closed after this time without a probe.
+# An idle monitor connection is closed after this time without a probe.
 MONITOR_IDLE_TIMEOUT_MS = 5_000.0
-# After this time without an answer, a probe may open a connection beyond
-# this process's share.
+# After this time without an answer, a probe may open a connection beyond the
+# connection limit.
 EXTRA_CONNECTION_SILENCE_MS = 400.0
 PROBE_KINDS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
 # The primary is probed when its latest position sample reaches this age.
@@ -140,7 +140,7 @@
 
 
 def _start_probe(state: PoolerState, pool: Pool) -> None:
-    """Probe on an idle connection, or open a connection for the probe."""
+    """Probe on an idle connection, or open a monitor connection."""
     conn = find_idle_connection(state, pool)
     if conn is not None:
         _send_probe(state, pool, conn)
@@ -157,8 +157,9 @@
     """Return whether a probe should wait until a connection is idle.
 
     This is the case at the connection limit while statements are being
-    answered. For a suspected or silent upstream, one connection beyond the
-    limit is opened.
+    answered. One connection beyond the limit is opened to probe an upstream
+    that is suspected, is not ``'up'``, or has not answered for
+    `EXTRA_CONNECTION_SILENCE_MS`.
     """
     if count_connections(pool) < connection_limit(state, pool):
         return False
@@ -171,13 +172,13 @@
 
 
 def _close_idle_monitor(state: PoolerState, pool: Pool) -> None:
-    """Close the probe connection when statement connections suffice."""
+    """Close the monitor connection when statement connections suffice."""
     conn = state.conns.get(pool.monitor)
     if conn is None or not conn.is_idle or not pool.conns:
         return
-    is_over_share = count_connections(pool) >= connection_limit(state, pool)
+    is_at_limit = count_connections(pool) >= connection_limit(state, pool)
     if (
-        is_over_share
+        is_at_limit
         or state.now_ms >= pool.probe_sent_ms + MONITOR_IDLE_TIMEOUT_MS
     ):
         close_upstream_conn(state, conn, 'connection no longer needed')
@@ -295,12 +296,12 @@
 def on_monitor_closed(
     state: PoolerState, pool: Pool, conn: UpstreamConn, reason: str
 ) -> None:
-    """Update reachability after the connection for probes was closed."""
+    """Update reachability after the monitor connection was closed."""
     pool.monitor = 0
     name = pool.view.name
     if conn.opened:
-        # A reset does not prove that the upstream is down. The attempt to
-        # open another connection shows it.
+        # A reset does not prove that the upstream is down. Only an attempt
+        # to open another connection shows whether it is.
         suspect(state, pool)
         return
     if conn.refusal_code in NO_CAPACITY_CODES:
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -123,7 +123,7 @@
 
     A pooler that loses its control connections stays healthy. Its view of
     the primary may be outdated then, but upstreams that do not lead refuse
-    its writes.
+    statements that need the primary.
     """
     has_upstream = any(
         pool.reachability in ('up', 'stalled') for pool in state.pools.values()
--- a/jackdawpost/core/pooler/samples.py
+++ b/jackdawpost/core/pooler/samples.py
@@ -10,7 +10,8 @@
 
 # Longer than the staleness bounds for which replicas can be used.
 RETENTION_MS = 3_000.0
-# Time between the first byte of a read and the recorded arrival of the read.
+# Allowance for the time between the first byte of a read and its recorded
+# arrival.
 ARRIVAL_MARGIN_MS = 100.0
 
 
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -2,7 +2,7 @@
 
 A statement that has not run at all is queued again when its upstream
 refuses it or the connection is lost. A statement that may have run is
-retried only if it is a read.
+retried only if it is a read outside a transaction.
 """
 
 from __future__ import annotations
@@ -99,7 +99,7 @@
     if pool is None:
         close_upstream_conn(state, conn, 'upstream has been removed')
     elif count_connections(pool) > connection_limit(state, pool):
-        close_upstream_conn(state, conn, 'over the share of connections')
+        close_upstream_conn(state, conn, 'connection limit exceeded')
     else:
         state.dirty.add(f'group/{pool.view.group}')
 
@@ -348,7 +348,7 @@
 
 
 def retry_reads_elsewhere(state: PoolerState, upstream: str) -> None:
-    """Retry reads that are outstanding on an unreachable upstream.
+    """Retry reads that are outstanding on an unreachable or stalled upstream.
 
     Writes and transactions keep waiting until their deadline, since an
     answer may still arrive.
@@ -367,7 +367,7 @@
             continue
         for task in tasks:
             task.excluded_upstreams.add(upstream)
-        _abandon_conn(state, conn, 'upstream unreachable')
+        _abandon_conn(state, conn, 'upstream unreachable or stalled')
 
 
 def on_attempt_timeout(state: PoolerState, number: int, attempt: int) -> None:
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -14,8 +14,9 @@
 from jackdawpost.core.pooler.upstreams import set_reachability
 
 # An upstream is stalled after the longer of this time and a multiple of its
-# mean latency without a success. A statement takes about 500 ms on a full
-# database of the deployed size (48 queued, 6 slots, 55 ms per statement).
+# mean latency without a success. This time is longer than a statement takes
+# on a full database of the deployed size, which is about 500 ms (48 queued,
+# 6 slots, 55 ms per statement).
 MIN_STALL_TIMEOUT_MS = 800.0
 STALL_TIMEOUT_LATENCIES = 3.0
 # Minimum number of failed or unanswered statements. A single failure may be
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -244,8 +244,8 @@
     Parameters
     ----------
     purpose : {'statements', 'monitor', 'check'}
-        Statements of callers, probes, or the check of a new upstream before
-        it is approved.
+        ``'statements'``: statements of callers; ``'monitor'``: probes;
+        ``'check'``: check of a new upstream before it is approved.
     refusal_code : str
         Error code with which the upstream refused the connection.
     replayed_session : int
@@ -291,12 +291,13 @@
     conns : set of int
         Connections for statements.
     monitor : int
-        Connection that was opened for probes; 0 for none.
+        Monitor connection, which was opened for probes; 0 for none.
     reachability : str
-        Result of the latest probe; empty before the first one.
+        Result of the latest probe, or ``'stalled'`` while statements are
+        suspended; empty before the first probe.
     leads : bool
         True if the upstream has proved that it is the primary; False after
-        it refused to lead or became unreachable.
+        it refused to lead or its reachability is no longer ``'up'``.
     term : int
         Latest term that the upstream reported.
     applied, received : LogPosition, optional
@@ -320,8 +321,8 @@
     probe_conn : int
         Connection on which the latest probe was sent.
     suspected : bool
-        True if a connection has ended since the upstream last answered a
-        probe.
+        True if a connection has ended, or none was idle for a request of
+        control, since the upstream last answered a probe.
     last_contact_ms : float
         Time of the latest answer to a probe or a statement.
     last_success_ms : float
@@ -374,7 +375,7 @@
     ----------
     primary : str, optional
         Upstream that last proved that it is the primary; None after that
-        upstream refused to lead or became unreachable.
+        upstream refused to lead, became unreachable, stalled or was removed.
     samples : PositionSamples
         Log positions of the primary at known times.
     waiting : list of StatementTask
@@ -382,8 +383,8 @@
     last_answer_ms : float
         Time of the latest answer to a statement.
     mean_answer_interval_ms : float
-        Moving average of the time between two answers while statements are
-        queued.
+        Moving average of the time between two answers; an interval without
+        queued statements counts as 0.
     had_backlog : bool
         True if statements were queued at the latest answer.
     """
@@ -434,6 +435,8 @@
         first configuration.
     proxies_last_seen_ms : dict of str to float
         Time at which each proxy was last in the published state.
+    next_conn : int
+        Identifier of the next upstream connection; these are negative.
     control_conns : dict of int to str
         Peer address by connection to a control process.
     connected_peers : set of str
