Name locals in the tests of the pooler for what they hold

Cause: a local named lag_refusals counted reads that ran on replicas, beside the attribute lag_refusals of the simulation, which counts refusals; other names (cut_ms, _numbers, _ids, _share_of_one_proxy) did not say what they hold.

No assertion, number or case changes.

--- a/jackdawpost/testing/pooler_simulation.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -52,7 +52,7 @@
 CONTROL_CONN = 1
 GROUP = 'spares'
 DATABASES = ('db-1', 'db-2', 'db-3')
-ROUND_TRIP_MS = 0.5
+ROUND_TRIP_MS = 0.5  # to a database or to control
 SLOTLESS_MS = 0.5  # duration of statements that need no slot
 VERBS: dict[str, Verb] = {
     'BEGIN': 'begin',
@@ -107,7 +107,7 @@
 
 @dataclass
 class FakeConn:
-    """Connection of the pooler, on the side of the database."""
+    """Connection of the pooler to a database, as the database sees it."""
 
     number: int
     database: FakeDatabase
@@ -212,10 +212,10 @@
         self.stopped = False
         self.conns: dict[int, FakeConn] = {}
         self._scheduled: list[tuple[float, int, Any]] = []
-        self._sequence = itertools.count()
+        self._event_numbers = itertools.count()
         self._timers: dict[str, float] = {}
-        self._numbers = itertools.count(100)
-        self._ids = itertools.count(1)
+        self._conn_numbers = itertools.count(100)
+        self._request_ids = itertools.count(1)
         cfg = PoolerConfig(
             name='edge-1',
             member_id='edge-1@10.0.0.1',
@@ -281,7 +281,7 @@
 
     def open(self, database: str) -> int:
         """Open a session."""
-        conn = next(self._numbers)
+        conn = next(self._conn_numbers)
         self.caller_messages[conn] = []
         self.dispatch(
             ConnOpened(now_ms=self.now_ms, conn=conn, link='session')
@@ -291,7 +291,7 @@
 
     def send_request(self, conn: int, text: str) -> str:
         """Send a statement and return its id."""
-        request_id = f'q{next(self._ids)}'
+        request_id = f'q{next(self._request_ids)}'
         self.receive(conn, build_request(request_id, text))
         return request_id
 
@@ -375,7 +375,9 @@
         return True
 
     def _schedule(self, due_ms: float, action: Any) -> None:
-        heapq.heappush(self._scheduled, (due_ms, next(self._sequence), action))
+        heapq.heappush(
+            self._scheduled, (due_ms, next(self._event_numbers), action)
+        )
 
     # The pooler.
 
--- a/jackdawpost/tests/core/pooler/test_overload.py
+++ b/jackdawpost/tests/core/pooler/test_overload.py
@@ -43,11 +43,11 @@
             messages = self.sim.caller_messages[conn]
             if not any(isinstance(m, Ready) for m in messages):
                 continue
-            taken_ms = self.sim.now_ms - sent_ms
+            duration_ms = self.sim.now_ms - sent_ms
             if any(isinstance(m, Done) for m in messages):
-                self.done_ms.append(taken_ms)
+                self.done_ms.append(duration_ms)
             else:
-                self.refused_ms.append(taken_ms)
+                self.refused_ms.append(duration_ms)
             del self.busy[conn]
             self.free.append(conn)
 
@@ -231,8 +231,8 @@
     assert most <= 2
 
 
-def _share_of_one_proxy(text, database):
-    """Load a pooler that can run only one slow statement at a time."""
+def _load_with_one_slot(text, database):
+    """Load a pooler whose primary runs only one slow statement at a time."""
     sim = PoolerSimulation()
     primary = sim.databases['db-1']
     primary.statement_ms = 180
@@ -258,5 +258,5 @@
 ):
     # With first come, first served, every statement started just before its
     # timeout and ran in vain. Goodput fell to zero.
-    callers = _share_of_one_proxy(text, database)
+    callers = _load_with_one_slot(text, database)
     assert len(callers.done_ms) >= 0.8 * 8 * 1_000 / 180
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -120,7 +120,7 @@
     sim.databases['db-1'].statement_ms = 300
     for _ in range(4):
         assert isinstance(sim.call(reader, 'READ 1'), Done)
-    # The first reads measure that the primary is slow.
+    # The first reads show that the primary is slow.
     assert {executed.database for executed in sim.executed[-2:]} <= {
         'db-2',
         'db-3',
@@ -176,7 +176,7 @@
     assert isinstance(ready, Ready)
 
 
-def test_refused_slot_is_retried():
+def test_statement_refused_for_lack_of_a_slot_is_retried():
     sim = PoolerSimulation()
     conn = sim.open('orders')
     request_id = sim.send_request(conn, 'WRITE 1 a')
@@ -234,15 +234,15 @@
 
 
 def test_silence_of_a_primary_is_reported_within_three_quarters_of_a_second():
-    # The report starts the failover. A promotion by the platform takes up to
-    # another second.
+    # The failover starts with this report. A promotion by the platform takes
+    # up to another second.
     sim = PoolerSimulation()
     sim.silence('db-1')
-    cut_ms = sim.now_ms
+    silenced_ms = sim.now_ms
     sim.advance(750)
     report = sim.reports[-1]
     assert report.evidence['db-1'] == 'silent'
-    assert sim.now_ms - cut_ms <= 750
+    assert sim.now_ms - silenced_ms <= 750
 
 
 def test_crash_of_a_primary_is_reported_at_once():
@@ -312,7 +312,7 @@
     assert sim.databases['db-2'].paused
 
 
-def test_leaving_primary_gets_no_work_after_a_few_seconds():
+def test_leaving_primary_gets_no_statements_after_a_few_seconds():
     # It exits soon, even if no successor has been promoted.
     sim = PoolerSimulation()
     conn = sim.open('orders')
@@ -351,10 +351,10 @@
     sim.call(conn, 'WRITE 1 a')
     for _ in range(20):
         assert isinstance(sim.call(conn, 'READ 1'), Done)
-    lag_refusals = sum(
+    replica_reads = sum(
         executed.database != 'db-1' for executed in sim.executed
     )
-    assert lag_refusals == 0
+    assert replica_reads == 0
     assert len(sim.lag_refusals) <= 6
 
 
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -91,7 +91,7 @@
     assert sim.executed[-1].values == {'zone': 'a'}
 
 
-def test_caller_that_leaves_a_transaction_rolls_it_back():
+def test_disconnect_rolls_back_an_open_transaction():
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -177,8 +177,8 @@
     assert isinstance(sim.call(conn, 'COMMIT'), Done)
 
 
-def test_statement_without_answer_gets_its_final_answer_before_the_end():
-    # Guards against closing the connection without an answer.
+def test_unanswered_statement_gets_its_final_answer_before_the_exit():
+    # Guards against a shutdown that closes the connection without an answer.
     slow = endpoint('orders', 'primary', 0, timeout_ms=20_000)
     sim = PoolerSimulation([slow])
     writer, reader = sim.open('orders'), sim.open('orders')
