Restore reasons in messages, events and published state

A reader who compared the code with its earlier wording found reasons that had been lost or had changed their sense: a failed write must not be relied on in any part; a pre-vote answer knows its asker if both formed the group; answers of a process without the right to vote count towards no quorum; a promotion can succeed without a database outside the database set.

Also corrected to the code: the hard state holds the right to vote, an update to an earlier version is ignored, and only a valid declared configuration is accepted without effect. Texts of faults are unchanged, as they are stored in the replicated state.

--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -98,7 +98,7 @@
     token : int
         Number of the write, increasing.
     hard_state : bytes, optional
-        Encoded new hard state of consensus (term, vote, admission).
+        Encoded new hard state of consensus (term, vote, right to vote).
     truncate_from : int, optional
         First log index to discard before appending.
     entries : list of bytes
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -125,7 +125,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PersistFailed:
-    """The write with number `token` failed; it may be partial or missing."""
+    """The write with number `token` failed; none of it may be relied on."""
 
     now_ms: float
     token: int
--- a/jackdawpost/core/messages/consensus.py
+++ b/jackdawpost/core/messages/consensus.py
@@ -24,7 +24,7 @@
     node_id : str
         Identity of the sender's data folder.
     admitted : bool
-        The sender's data folder has been admitted as a voter.
+        The sender's data folder has the right to vote.
     """
 
     term: int
@@ -48,10 +48,10 @@
     node_id : str
         Identity of the answering process's data folder.
     admitted : bool
-        The answering process's data folder has been admitted as a voter.
+        The answering process's data folder has the right to vote.
     knows_asker : bool
-        The answering process has the node id of the `PreVote` on record for
-        its sender.
+        The answering process formed the group with the node id of the
+        `PreVote`.
     """
 
     term: int
@@ -124,8 +124,8 @@
         Last matching index. If not `ok`, the index after which the leader
         should try next.
     newcomer_id : str
-        Node id of a process that is not admitted yet and whose answers count
-        towards no quorum; empty for an admitted process.
+        Node id of a process that has no right to vote and whose answers count
+        towards no quorum; empty for a voter.
     """
 
     term: int
@@ -167,6 +167,8 @@
         Number of consecutive bytes received from the start.
     done : bool
         The snapshot is installed and durable.
+    newcomer_id : str
+        As in `AppendAnswer`.
     """
 
     term: int
--- a/jackdawpost/core/objects/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -31,7 +31,7 @@
 ) -> Applied:
     """Activate a declared configuration if its version is the highest.
 
-    A configuration whose version is not higher than the active one is
+    A valid configuration whose version is not higher than the active one is
     accepted without effect and answered as a duplicate: it is a resend, or a
     higher version has been declared in the meantime.
     """
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -33,7 +33,8 @@
         Upstream that is the primary in `term`; None if there is no primary.
     database_set : dict of str to str
         Data identity by name of the databases that count for durability.
-        Only these confirm a write, because a promotion considers only them.
+        Only these confirm a write: a promotion counts its quorum over them
+        and can succeed without asking any other one.
     """
 
     name: str
@@ -196,7 +197,8 @@
     -------
     bool
         False if the update starts at a later version than that of the state.
-        The state is then unchanged and a full update is needed.
+        The state is then unchanged and a full update is needed. An update to
+        an earlier version is ignored and gives True.
     """
     if not update.full and update.from_version > state.version:
         return False
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -139,12 +139,12 @@
     if earlier is not None and earlier > position:
         position = earlier
     if len(kept) >= MAX_ENTRIES:
-        drop = next((e for e in kept if e[0] not in known), None)
-        if drop is None:
+        dropped_entry = next((e for e in kept if e[0] not in known), None)
+        if dropped_entry is None:
             raise TokenError(
                 f'session token is full: all {MAX_ENTRIES} groups still exist'
             )
-        kept.remove(drop)
+        kept.remove(dropped_entry)
     kept.append((group, position))
     return SessionToken(tuple(kept))
 
--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -1,10 +1,10 @@
-"""Exception classes of jackdawpost."""
+"""Exceptions that jackdawpost raises on purpose, under one base class."""
 
 from __future__ import annotations
 
 
 class JackdawpostError(Exception):
-    """Base class of all errors raised by jackdawpost."""
+    """Base class of the errors that jackdawpost raises on purpose."""
 
 
 class ConfigError(JackdawpostError):
