Correct sentences of the proxy core to its code

A newcomer could not tell what a fresh and a stale read are, and some sentences said other than the code: a full queue rejects requests as well, a begin is retried, NotLeader starts a search in place of a report to one process, capacity is requested from one replica for any number of reads below the number of replicas, and a missing permit also prevents a frame. A draining proxy keeps its leases until it has stopped, which had been lost.

Vague local names (at, s, held, ends, busy, oldest, until) are replaced by what they hold. Texts that tests match, log events and fields are unchanged.

--- a/jackdawpost/core/proxy/admission.py
+++ b/jackdawpost/core/proxy/admission.py
@@ -1,7 +1,7 @@
 """Bounded queue of requests with deadlines and priorities.
 
-A request that is expected to wait for most of its deadline is rejected on
-arrival, with a hint when to retry.
+A request is rejected on arrival, with a hint when to retry, if the queue is
+full or if the expected wait would use up most of its deadline.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 from typing import Protocol
 from typing import TypeVar
 
+# Priorities, highest first. A fresh read runs on the primary; a stale read has
+# an accepted age and may run on a replica.
 WRITE = 0
 FRESH_READ = 1
 STALE_READ = 2
@@ -51,9 +53,9 @@
 class AdmissionQueue(Generic[Q]):
     """Requests of one group that wait to be sent.
 
-    Each priority has a FIFO lane. A removed request stays in its lane,
-    marked as not queued, until it reaches the front or the lane is
-    compacted.
+    Each priority has a FIFO lane. A removed request stays in its lane until
+    it reaches the front or the lane is compacted. It is skipped there, also
+    if it has been queued again with another priority.
 
     Parameters
     ----------
@@ -99,8 +101,10 @@
         usable_ms = (item.due_ms - now_ms) * USABLE_DEADLINE_SHARE
         if waiting < self.limit and wait_ms <= usable_ms:
             return None
-        bounded = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-        return int(bounded)
+        bounded_wait_ms = min(
+            max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS
+        )
+        return int(bounded_wait_ms)
 
     def evict_lower_priority(self, priority: int) -> Q | None:
         """Remove and return the newest request of a lower priority, if any.
--- a/jackdawpost/core/proxy/answers.py
+++ b/jackdawpost/core/proxy/answers.py
@@ -40,6 +40,7 @@
     'unknown': 'request_unknown_ms',
 }
 
+# Above and below the positions of all records.
 CONFIRMED_ALL = LogPosition(1 << 62, 0)
 CONFIRMED_NONE = LogPosition(-1, 0)
 
@@ -107,8 +108,8 @@
 ) -> None:
     """Answer a request with its result.
 
-    The answer to a write has a session token with the position of the
-    write.
+    The answer to a commit, or to a write outside a transaction, has a
+    session token with the position of the write.
     """
     message = req.message
     session = None
@@ -178,9 +179,9 @@
 def retry_or_fail(state: ProxyState, req: Request, code: str) -> None:
     """Retry a request whose attempt has an unknown effect, or fail it.
 
-    It is retried only if that is safe (a read, an idempotent write, or a
-    write with a request key), if its deadline and the retry budget allow
-    it, and if this proxy has contact with control.
+    It is retried only if that is safe (a begin, a read, an idempotent
+    write, or a write with a request key), if its deadline and the retry
+    budget allow it, and if this proxy has contact with control.
     """
     if req.txn is not None:
         _fail_in_transaction(state, req, code)
@@ -208,7 +209,7 @@
 
 
 def _fail_in_transaction(state: ProxyState, req: Request, code: str) -> None:
-    # Only a commit that the upstream may have received has an unknown effect:
+    # A commit that the upstream may have received has an unknown effect;
     # anything else is rolled back when the connection ends.
     if isinstance(req.message, Commit):
         finish_error(state, req, 'unknown', code)
@@ -283,7 +284,7 @@
 def redirect_to_primary(
     state: ProxyState, req: Request, was_executed: bool
 ) -> None:
-    """Queue a read that a replica could not serve for the primary.
+    """Queue a read for the primary after a replica could not serve it.
 
     Parameters
     ----------
@@ -366,8 +367,8 @@
 def confirmed_position(state: ProxyState, group: Group) -> LogPosition:
     """Return the last position that enough databases hold.
 
-    Only databases of the published database set count: a promotion may not
-    ask any other one.
+    Only databases of the published database set count: a promotion counts
+    its quorum over them and can succeed without asking any other one.
     """
     replicas_needed = group.view.write_copies - 1
     if replicas_needed <= 0:
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -67,11 +67,15 @@
 
 
 def remaining_serve_ms(state: ProxyState) -> int:
-    """Return how long this proxy accepts new requests once it drains."""
+    """Return the rest of the drain window, in milliseconds.
+
+    New requests are still accepted in this window. Before the drain starts,
+    its whole length is returned.
+    """
     if state.drain_started_ms is None:
         return state.cfg.drain_serve_ms
-    until = state.drain_started_ms + state.cfg.drain_serve_ms
-    return max(0, int(until - state.now_ms))
+    until_ms = state.drain_started_ms + state.cfg.drain_serve_ms
+    return max(0, int(until_ms - state.now_ms))
 
 
 def on_caller_closed(state: ProxyState, conn: int) -> None:
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -44,9 +44,10 @@
 
 
 def connection_limit(state: ProxyState, up: Upstream) -> int:
-    """Return this proxy's share of an upstream's connections.
+    """Return how many statement connections this proxy may open.
 
-    Each proxy also has a monitor connection to the upstream.
+    The proxies share the connections of an upstream equally, less a reserve
+    and one monitor connection for each proxy.
     """
     proxy_count = state.proxy_count
     spare = up.view.connections - RESERVED_CONNECTIONS - proxy_count
@@ -111,7 +112,7 @@
 
 
 def close_surplus_conns(state: ProxyState, up: Upstream) -> None:
-    """Close idle connections above the limit, which falls with each proxy."""
+    """Close idle connections above the limit, which falls as proxies join."""
     limit = connection_limit(state, up)
     while len(up.conns) > limit and up.idle:
         drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
@@ -188,7 +189,7 @@
 def set_answer_deadline(
     state: ProxyState, conn: UpstreamConn, timeout_ms: float
 ) -> None:
-    """Set the time after which a connection without an answer is silent."""
+    """Set the time by which the next answer on a connection is due."""
     conn.answer_due_ms = state.now_ms + timeout_ms + ANSWER_GRACE_MS
     if conn.answer_due_ms < conn.check_due_ms:
         conn.check_due_ms = conn.answer_due_ms
@@ -221,7 +222,7 @@
 
 
 def acquire_conn(state: ProxyState, up: Upstream) -> UpstreamConn | None:
-    """Acquire an idle connection and a permit; None without either."""
+    """Acquire an idle connection and a permit; None if one is missing."""
     if not up.idle or not state.permits.try_acquire(up.name):
         return None
     conn = state.conns[up.idle.pop()]
@@ -365,7 +366,7 @@
     Parameters
     ----------
     reason : str
-        Reason for closing.
+        Reason in the `Close` effect.
     code : str
         Error code for the requests on the connection.
     """
--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -1,6 +1,6 @@
 """Connections to control: reports, leases, permits, approvals.
 
-The proxy sends a report to the control leader in regular intervals and on
+The proxy sends a report to the control leader at regular intervals and on
 changes. The answer renews its leases (the right to acknowledge writes of a
 group in a term) and confirms its configuration.
 """
@@ -64,7 +64,7 @@
 
 
 def send_report(state: ProxyState) -> None:
-    """Report to the leader, or to all control processes without one."""
+    """Report to the leader, or to all control processes if it is unknown."""
     targets = (
         [state.leader_conn] if state.leader_conn else list(state.control_conns)
     )
@@ -125,7 +125,10 @@
 
 
 def on_not_leader(state: ProxyState, conn: int, message: NotLeader) -> None:
-    """Report to the leader that a former leader names."""
+    """Search for the new leader once the current one has lost its role.
+
+    If the leader that it names is connected, reports go out at once.
+    """
     if conn != state.leader_conn:
         # While no leader is known, reports go to all control processes.
         return
@@ -174,12 +177,15 @@
 
 def schedule_validity_check(state: ProxyState) -> None:
     """Schedule a check for when the grant or the configuration expires."""
-    ends = [
-        end
-        for end in (state.leases.config_until_ms, state.leases.grant_until_ms)
-        if end > state.now_ms
+    expiries_ms = [
+        expiry_ms
+        for expiry_ms in (
+            state.leases.config_until_ms,
+            state.leases.grant_until_ms,
+        )
+        if expiry_ms > state.now_ms
     ]
-    due_ms = min(ends, default=math.inf)
+    due_ms = min(expiries_ms, default=math.inf)
     if due_ms < state.validity_due_ms:
         state.validity_due_ms = due_ms
         schedule(state, due_ms, 'validity')
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -40,7 +40,7 @@
 
 
 def stop_when_drained(state: ProxyState) -> None:
-    """Stop when the drain window and all requests and transactions ended."""
+    """Stop once the window, all requests and all transactions have ended."""
     if state.drain_started_ms is None or state.stopped:
         return
     if state.requests or state.txns or remaining_serve_ms(state):
--- a/jackdawpost/core/proxy/freshness.py
+++ b/jackdawpost/core/proxy/freshness.py
@@ -56,8 +56,8 @@
         Returns
         -------
         bool
-            False if the sample is ignored: it has another term, or is
-            older than the newest sample.
+            False if the sample is ignored: it has another term, is not
+            newer than the newest sample, or has a lower position.
         """
         if term != self.term:
             return False
@@ -82,7 +82,7 @@
         applied : LogPosition
             Position that the replica has applied in the current term.
         now_ms : float
-            Present time, in milliseconds.
+            Current time, in milliseconds.
 
         Returns
         -------
@@ -90,32 +90,32 @@
             Age in milliseconds, at least zero; None if unknown, which must
             be treated as too old.
         """
-        at = bisect_right(self._positions, applied) - 1
-        if at < 0:
+        index = bisect_right(self._positions, applied) - 1
+        if index < 0:
             return None
-        return max(0.0, now_ms - self._sent_ms[at])
+        return max(0.0, now_ms - self._sent_ms[index])
 
     def required_position(
         self, max_age_ms: float, now_ms: float
     ) -> LogPosition | None:
-        """Return the position a replica needs for an accepted age.
+        """Return the position that a replica must have for an accepted age.
 
         Parameters
         ----------
         max_age_ms : float
             Accepted age, in milliseconds.
         now_ms : float
-            Present time, in milliseconds.
+            Current time, in milliseconds.
 
         Returns
         -------
         LogPosition or None
             None if no sample is recent enough.
         """
-        at = bisect_left(self._sent_ms, now_ms - max_age_ms)
-        if at == len(self._sent_ms):
+        index = bisect_left(self._sent_ms, now_ms - max_age_ms)
+        if index == len(self._sent_ms):
             return None
-        return self._positions[at]
+        return self._positions[index]
 
     def reached_ms(self, position: LogPosition) -> float | None:
         """Return a time by which the primary had reached a position.
@@ -131,8 +131,8 @@
             Send time of the first sample at or after the position, in
             milliseconds; None if there is no such sample.
         """
-        at = bisect_left(self._positions, position)
-        return self._sent_ms[at] if at < len(self._sent_ms) else None
+        index = bisect_left(self._positions, position)
+        return self._sent_ms[index] if index < len(self._sent_ms) else None
 
     def _thin_out(self) -> None:
         half = len(self._sent_ms) // 2
--- a/jackdawpost/core/proxy/lease_holder.py
+++ b/jackdawpost/core/proxy/lease_holder.py
@@ -76,8 +76,8 @@
             Version of the published state at the leader.
         own_version : int
             Version of the published state at this proxy; a lower one
-            leaves the configuration unconfirmed until `note_version`
-            reports the leader's version.
+            leaves the configuration unconfirmed until `note_version` is
+            called with the leader's version.
 
         Returns
         -------
@@ -90,21 +90,23 @@
             return False
         # Grants for older reports are no longer accepted.
         self._report_sent_ms = {
-            s: at for s, at in self._report_sent_ms.items() if s > seq
+            report_seq: report_ms
+            for report_seq, report_ms in self._report_sent_ms.items()
+            if report_seq > seq
         }
-        until = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
-        self.grant_until_ms = until
+        until_ms = sent_ms + duration_ms * (1 - CLOCK_MARGIN)
+        self.grant_until_ms = until_ms
         self._leases = {
-            lease.group: (lease.term, until)
+            lease.group: (lease.term, until_ms)
             for lease in leases
             if lease.term > self._revoked_terms.get(lease.group, -1)
         }
-        self._last_grant = (leader_version, until)
+        self._last_grant = (leader_version, until_ms)
         self.note_version(own_version)
         return True
 
     def note_version(self, own_version: int) -> None:
-        """Confirm the configuration if it has the leader's version."""
+        """Confirm the configuration if it has reached the leader's version."""
         if self._last_grant is None or own_version < self._last_grant[0]:
             return
         self.config_until_ms = max(self.config_until_ms, self._last_grant[1])
@@ -119,19 +121,19 @@
         self._revoked_terms[group] = max(
             term, self._revoked_terms.get(group, -1)
         )
-        held = self._leases.get(group)
-        if held is not None and held[0] <= term:
+        lease = self._leases.get(group)
+        if lease is not None and lease[0] <= term:
             del self._leases[group]
 
     def is_valid(self, group: str, term: int, now_ms: float) -> bool:
         """Tell whether writes of `group` may be acknowledged in `term`."""
-        held = self._leases.get(group)
-        return held is not None and held[0] == term and now_ms < held[1]
+        lease = self._leases.get(group)
+        return lease is not None and lease[0] == term and now_ms < lease[1]
 
     def dump(self) -> dict[str, object]:
         """Return the leases as plain data."""
         return {
-            'leases': {g: list(held) for g, held in self._leases.items()},
+            'leases': {g: list(lease) for g, lease in self._leases.items()},
             'revoked': dict(self._revoked_terms),
             'open_reports': len(self._report_sent_ms),
         }
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -112,8 +112,8 @@
     schedule(state, state.now_ms + state.cfg.probe_interval_ms, 'probe', name)
     if not up.monitor_open:
         return
-    oldest = next(iter(up.probes.values()), state.now_ms)
-    if state.now_ms - oldest < state.cfg.probe_timeout_ms:
+    oldest_ms = next(iter(up.probes.values()), state.now_ms)
+    if state.now_ms - oldest_ms < state.cfg.probe_timeout_ms:
         _send_probe(state, up)
         return
     count(state, 'monitor_silent')
--- a/jackdawpost/core/proxy/permit_holder.py
+++ b/jackdawpost/core/proxy/permit_holder.py
@@ -91,7 +91,7 @@
         account.in_use -= 1
 
     def recall(self, upstream: str, count: int) -> None:
-        """Mark permits to be returned, whether in use or not."""
+        """Mark permits for return, whether in use or not."""
         account = self.account(upstream)
         account.recalled = min(account.held, account.recalled + count)
         account.low_water = min(account.low_water, account.idle)
@@ -125,17 +125,17 @@
         return count
 
     def invalidate_all(self) -> None:
-        """Mark all permits to be returned, as their validity has ended."""
+        """Mark all permits for return, as their validity has ended."""
         for account in self.accounts.values():
             account.recalled = account.held
             account.stated = 0
             account.low_water = 0
 
     def reset_demand(self) -> None:
-        """Make every demand be sent again.
+        """Clear the recorded demands, which are then sent again.
 
-        A new control leader does not know it, and control may have dropped
-        it.
+        A new control leader does not know them, and control may have dropped
+        one.
         """
         for account in self.accounts.values():
             account.stated = 0
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -141,11 +141,11 @@
         up = state.upstreams[conn.upstream]
         if up.view.group != group.name:
             continue
-        busy = any(
+        has_outdated_request = any(
             req.term < group.view.term and req.priority != STALE_READ
             for req in conn.running.values()
         )
-        if busy or conn.txn is not None:
+        if has_outdated_request or conn.txn is not None:
             drop_conn(state, conn, 'term ended', 'lease_lost')
 
 
--- a/jackdawpost/core/proxy/replica_choice.py
+++ b/jackdawpost/core/proxy/replica_choice.py
@@ -27,7 +27,7 @@
     applied : LogPosition
         Applied position in the replica's latest report.
     outstanding : int
-        Frames of statements running on the replica.
+        Frames sent to the replica and not completely answered.
     lag_ms : float
         Estimated replication lag, in milliseconds.
     """
@@ -71,7 +71,7 @@
 def choose_least_outstanding(
     replicas: Sequence[R], rng: Random, turn: int
 ) -> R:
-    """Return a replica with the fewest running frames of statements."""
+    """Return a replica with the fewest outstanding frames."""
     fewest = min(replica.outstanding for replica in replicas)
     tied = [r for r in replicas if r.outstanding == fewest]
     return tied[int(rng.random() * len(tied))]
@@ -101,7 +101,7 @@
     fresh_after: LogPosition,
     max_wait_lag_ms: float,
 ) -> tuple[list[R], list[R]]:
-    """Return the replicas that can serve now, and those after a wait.
+    """Return the replicas that can serve now, and those that need a wait.
 
     Parameters
     ----------
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -29,8 +29,9 @@
 # Round trip to the replica: a read that is barely fresh enough when it is sent
 # would be too old when its answer arrives.
 AGE_MARGIN_MS = 20.0
-# Capacity for a single read is requested from one replica, and from all after
-# this delay: each permit requested in vain costs control three messages.
+# With fewer waiting reads than replicas, capacity is requested from one
+# replica, and from all after this delay: each permit requested in vain costs
+# control three messages.
 FAN_OUT_DELAY_MS = 10.0
 
 
@@ -70,9 +71,10 @@
 def _request_replica_capacity(
     state: ProxyState, group: Group, candidates: list[Upstream], first: Request
 ) -> None:
-    """Request capacity: first from one replica, soon from all.
+    """Request capacity from one replica first, and soon from all.
 
-    With at least as many waiting reads as replicas, all are asked at once.
+    With at least as many waiting reads as replicas, it is requested from all
+    at once.
     """
     waiting = group.queue.count(STALE_READ)
     fan_out_ms = first.arrived_ms + FAN_OUT_DELAY_MS
@@ -118,7 +120,8 @@
     conn = acquire_conn(state, up)
     if conn is None:
         raise RuntimeError(
-            f'no connection to {up.name!r} in spite of free capacity'
+            f'no connection or permit for {up.name!r} in spite of free '
+            'capacity'
         )
     batch: list[Request] = []
     messages = []
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -37,7 +37,8 @@
 
 TIMER_KEY = 'proxy'
 MAX_FRAME_MESSAGES = 64
-# Control reports a draining proxy as 'leaving'; it still holds its leases.
+# Control reports a draining proxy as 'leaving'; it keeps its leases until it
+# has stopped.
 SERVING_STATES = frozenset({'joined', 'leaving'})
 
 
@@ -470,7 +471,7 @@
 def close(
     state: ProxyState, conn: int, reason: str, abort: bool = False
 ) -> None:
-    """Close a connection, after the messages already sent on it."""
+    """Close a connection after the messages sent on it; `abort`: at once."""
     state.open_frames.pop(conn, None)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
--- a/jackdawpost/core/proxy/transactions.py
+++ b/jackdawpost/core/proxy/transactions.py
@@ -123,7 +123,7 @@
         return
     txn.running = None
     if isinstance(req.message, (Commit, Rollback)):
-        _on_end_executed(state, conn, txn, req, executed)
+        _on_commit_or_rollback_executed(state, conn, txn, req, executed)
         return
     group = state.groups.get(req.group)
     if group is None or not holds_lease(state, group, txn.term):
@@ -215,7 +215,7 @@
         retry_later(state, req)
 
 
-def _on_end_executed(
+def _on_commit_or_rollback_executed(
     state: ProxyState,
     conn: UpstreamConn,
     txn: Transaction,
