Name locals in the tests of the proxy core

Locals such as NEXT, at, pauses and samples_end did not say what they hold, and upstream connections had two names. The reason of the test of the database set says that a promotion counts its quorum over the set. No assertion, number or case changed.

--- a/jackdawpost/testing/proxy_simulation.py
+++ b/jackdawpost/testing/proxy_simulation.py
@@ -105,7 +105,7 @@
     database_set : sequence of str
         Databases in the published database set of the group.
     reduce : callable
-        The reducer; replaced to measure it.
+        Reducer of the proxy; a benchmark replaces it by a measured one.
     """
 
     def __init__(self, write_copies: int = 2, **overrides: Any) -> None:
@@ -159,7 +159,15 @@
         )
 
     def publish(self, primary: str | None = 'db-1', **upstream: Any) -> None:
-        """Publish the whole state with the current term and a primary."""
+        """Publish the whole state with the current term and a primary.
+
+        Parameters
+        ----------
+        primary : str, optional
+            Primary of the group; None for a group without one.
+        upstream : dict
+            Fields of all upstreams that differ from the defaults.
+        """
         self.version += 1
         group = {
             'name': GROUP,
@@ -182,13 +190,13 @@
                 body={'name': 'relaxed', 'max_age_ms': 500},
             ),
         ]
-        for at, name in enumerate(DATABASES):
+        for index, name in enumerate(DATABASES):
             body = {
                 'name': name,
                 'group': GROUP,
                 'data_id': f'data-{name}',
                 'host': '127.0.0.1',
-                'port': 7100 + at,
+                'port': 7100 + index,
                 'data_centre': 'rey',
                 'slots': 3,
                 'connections': 20,
@@ -415,8 +423,10 @@
             held = self.state.permits.account(message.upstream).held
             if message.wanted > held:
                 more = message.wanted - held
-                grant_more = PermitGrant(upstream=message.upstream, count=more)
-                self._enqueue_message(conn, grant_more)
+                permit_grant = PermitGrant(
+                    upstream=message.upstream, count=more
+                )
+                self._enqueue_message(conn, permit_grant)
 
 
 def _statement(request_id: int, access: Any, **fields: Any) -> Statement:
--- a/jackdawpost/tests/core/proxy/test_components.py
+++ b/jackdawpost/tests/core/proxy/test_components.py
@@ -179,9 +179,9 @@
 
 def test_backoff_grows_within_bounds_and_slow_start_ramps() -> None:
     rng = Random(1)
-    pauses = [backoff_ms(attempt, rng) for attempt in (1, 4, 50)]
-    assert 2.5 <= pauses[0] <= 5 and 20 <= pauses[1] <= 40
-    assert 100 <= pauses[2] <= 200
+    delays_ms = [backoff_ms(attempt, rng) for attempt in (1, 4, 50)]
+    assert 2.5 <= delays_ms[0] <= 5 and 20 <= delays_ms[1] <= 40
+    assert 100 <= delays_ms[2] <= 200
     limits = [slow_start_limit(10, ms) for ms in (0, 1_000, 2_000)]
     assert limits == [1, 5, 10]
 
--- a/jackdawpost/tests/core/proxy/test_requests.py
+++ b/jackdawpost/tests/core/proxy/test_requests.py
@@ -18,7 +18,7 @@
 from jackdawpost.testing.proxy_simulation import ProxySimulation
 from jackdawpost.testing.proxy_simulation import ROUTE
 
-NEXT = LogPosition(1, 11)
+NEXT_POSITION = LogPosition(1, 11)
 
 
 def error(answer: object) -> tuple[str, str]:
@@ -82,8 +82,8 @@
     up_conn, message = sim.pop_statement()
     sim.deliver_from_control(LeaseRevoke(group=GROUP, term=1))
     assert sim.control_sent[-1].kind == 'lease_revoked'
-    sim.report_position(NEXT)
-    sim.reply(up_conn, message, position=NEXT)
+    sim.report_position(NEXT_POSITION)
+    sim.reply(up_conn, message, position=NEXT_POSITION)
     assert not sim.answers[conn]
     sim.advance(2_000)
     assert sim.pop_answer(conn).outcome == 'unknown'
@@ -95,9 +95,9 @@
     conn = sim.connect_caller()
     sim.write(conn, deadline_ms=60_000)
     up_conn, message = sim.pop_statement()
-    sim.report_position(NEXT)
+    sim.report_position(NEXT_POSITION)
     sim.suspend_process(1_600)
-    sim.reply(up_conn, message, position=NEXT)
+    sim.reply(up_conn, message, position=NEXT_POSITION)
     assert error(sim.pop_answer(conn)) == ('unknown', 'lease_lost')
 
 
@@ -125,10 +125,10 @@
     conn = sim.connect_caller()
     sim.write(conn, deadline_ms=5_000)
     up_conn, message = sim.pop_statement()
-    sim.reply(up_conn, message, position=NEXT)
+    sim.reply(up_conn, message, position=NEXT_POSITION)
     sim.control_answers = False
     sim.advance(1_500)
-    sim.report_position(NEXT)
+    sim.report_position(NEXT_POSITION)
     assert not sim.answers[conn]
     sim.advance(3_500)
     assert error(sim.pop_answer(conn)) == ('unknown', 'not_durable')
@@ -153,10 +153,10 @@
     conn = sim.connect_caller()
     sim.write(conn, deadline_ms=500)
     up_conn, message = sim.pop_statement()
-    sim.report_position(NEXT, 'db-1')
-    sim.reply(up_conn, message, position=NEXT)
+    sim.report_position(NEXT_POSITION, 'db-1')
+    sim.reply(up_conn, message, position=NEXT_POSITION)
     sim.upstreams['db-2'].term = 2
-    sim.report_position(NEXT, 'db-2')
+    sim.report_position(NEXT_POSITION, 'db-2')
     assert not sim.answers[conn]
     sim.advance(500)
     assert error(sim.pop_answer(conn)) == ('unknown', 'not_durable')
@@ -167,17 +167,18 @@
 ) -> None:
     """Guards against an acknowledged write that a promotion loses.
 
-    A promotion only asks the databases of the published database set.
+    A promotion counts its quorum over the published database set and can
+    succeed without asking any other database.
     """
     sim.database_set = ('db-1', 'db-3')
     sim.publish()
     conn = sim.connect_caller()
     sim.write(conn)
     up_conn, message = sim.pop_statement()
-    sim.reply(up_conn, message, position=NEXT)
-    sim.report_position(NEXT, 'db-2')
+    sim.reply(up_conn, message, position=NEXT_POSITION)
+    sim.report_position(NEXT_POSITION, 'db-2')
     assert not sim.answers[conn]
-    sim.report_position(NEXT, 'db-3')
+    sim.report_position(NEXT_POSITION, 'db-3')
     assert sim.pop_answer(conn).outcome == 'done'
 
 
@@ -276,11 +277,11 @@
     sim.control_answers = False
     sim.advance(1_200)
     group = sim.state.groups[GROUP]
-    samples_end = group.freshness.age_ms(LogPosition(1, 10), sim.now_ms)
+    age_before_ms = group.freshness.age_ms(LogPosition(1, 10), sim.now_ms)
     sim.deliver_from_control(LeaseRevoke(group=GROUP, term=1))
     sim.advance(200)
     age_ms = group.freshness.age_ms(LogPosition(1, 10), sim.now_ms)
-    assert age_ms == pytest.approx(samples_end + 200)
+    assert age_ms == pytest.approx(age_before_ms + 200)
     sim.read(conn, max_age_ms=150)
     assert not sim.statements
 
@@ -342,12 +343,12 @@
     sim.write(first, request_key='order-7')
     up_conn, message = sim.pop_statement()
     sim.disconnect(first)
-    sim.reply(up_conn, message, position=NEXT)
+    sim.reply(up_conn, message, position=NEXT_POSITION)
     second = sim.connect_caller()
     sim.write(second, request_key='order-7')
     up_conn, message = sim.pop_statement()
-    sim.report_position(NEXT)
-    sim.reply(up_conn, message, position=NEXT, duplicate=True)
+    sim.report_position(NEXT_POSITION)
+    sim.reply(up_conn, message, position=NEXT_POSITION, duplicate=True)
     answer = sim.pop_answer(second)
     assert answer.duplicate and answer.outcome == 'done'
 
@@ -362,8 +363,8 @@
     assert up_conn in sim.closed_conns
     second_conn, message = sim.pop_statement()
     assert second_conn != up_conn
-    sim.report_position(NEXT)
-    sim.reply(second_conn, message, position=NEXT)
+    sim.report_position(NEXT_POSITION)
+    sim.reply(second_conn, message, position=NEXT_POSITION)
     assert sim.pop_answer(conn).outcome == 'done'
 
 
--- a/jackdawpost/tests/core/proxy/test_serving.py
+++ b/jackdawpost/tests/core/proxy/test_serving.py
@@ -17,21 +17,21 @@
 def test_write_then_read_on_the_primary(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.write(conn)
-    upstream_conn, message = sim.pop_statement()
-    assert sim.conn_upstreams[upstream_conn] == 'db-1'
+    up_conn, message = sim.pop_statement()
+    assert sim.conn_upstreams[up_conn] == 'db-1'
     assert message.must_lead and message.request_key == 'key-1'
     position = LogPosition(1, 11)
     sim.report_position(position, 'db-2')
-    sim.reply(upstream_conn, message, position=position, row_count=1)
+    sim.reply(up_conn, message, position=position, row_count=1)
     answer = sim.pop_answer(conn)
     assert answer.outcome == 'done'
     assert decode_token(answer.session).position(GROUP) == position
 
     sim.read(conn, 2, session=answer.session)
-    upstream_conn, message = sim.pop_statement()
-    assert sim.conn_upstreams[upstream_conn] == 'db-1'
+    up_conn, message = sim.pop_statement()
+    assert sim.conn_upstreams[up_conn] == 'db-1'
     assert message.after == position
-    sim.reply(upstream_conn, message, position=position, rows=[[1]])
+    sim.reply(up_conn, message, position=position, rows=[[1]])
     answer = sim.pop_answer(conn)
     assert (answer.source, answer.age_ms) == ('primary', 0)
     assert is_healthy(sim.state)
@@ -40,12 +40,12 @@
 def test_read_with_accepted_age_on_a_replica(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.read(conn, max_age_ms=400)
-    upstream_conn, message = sim.pop_statement()
-    assert sim.conn_upstreams[upstream_conn] != 'db-1'
+    up_conn, message = sim.pop_statement()
+    assert sim.conn_upstreams[up_conn] != 'db-1'
     assert message.fresh_after == LogPosition(1, 10)
     assert not message.must_lead
     sim.advance(20)
-    sim.reply(upstream_conn, message, position=LogPosition(1, 10))
+    sim.reply(up_conn, message, position=LogPosition(1, 10))
     answer = sim.pop_answer(conn)
     assert answer.source == 'replica'
     assert 20 <= answer.age_ms <= 400
@@ -54,19 +54,19 @@
 def test_transaction_from_begin_to_commit(sim: ProxySimulation) -> None:
     conn = sim.connect_caller()
     sim.send_requests(conn, Begin(id=1, route=ROUTE))
-    upstream_conn, begin = sim.pop_statement()
-    sim.reply(upstream_conn, begin)
+    up_conn, begin = sim.pop_statement()
+    sim.reply(up_conn, begin)
     handle = sim.pop_answer(conn).txn
     sim.send_requests(
         conn, Statement(id=2, sql='x', access='write', txn=handle)
     )
     second_conn, statement = sim.pop_statement()
-    assert second_conn == upstream_conn and statement.in_txn
+    assert second_conn == up_conn and statement.in_txn
     sim.reply(second_conn, statement, row_count=1)
     assert sim.pop_answer(conn).outcome == 'done'
     sim.send_requests(conn, Commit(id=3, txn=handle, request_key='k'))
     third_conn, commit = sim.pop_statement()
-    assert third_conn == upstream_conn and commit.request_key == 'k'
+    assert third_conn == up_conn and commit.request_key == 'k'
     position = LogPosition(1, 12)
     sim.reply(third_conn, commit, position=position)
     assert not sim.answers[conn]
