Start docstrings of predicates with one phrase

Docstrings of predicates began with three phrases in the core folders; most of the package says "Return whether". The proxy, objects, positions and tokens now do too. GroupLease is a right, as in the lease holder, and ANSWER_GRACE_MS says what it is added to.

Tests of core/proxy, core/objects and the tokens pass.

--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -163,7 +163,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class GroupLease:
-    """Permission to acknowledge writes of one group in one term."""
+    """Right to acknowledge writes of one group in one term."""
 
     group: str
     term: int
--- a/jackdawpost/core/objects/model.py
+++ b/jackdawpost/core/objects/model.py
@@ -304,7 +304,7 @@
 
 
 def is_valid_name(name: str) -> bool:
-    """Return True if the name has the format required of object names."""
+    """Return whether a name has the format required of object names."""
     return _NAME_REGEX.fullmatch(name) is not None
 
 
--- a/jackdawpost/core/positions.py
+++ b/jackdawpost/core/positions.py
@@ -35,7 +35,7 @@
 def history_contains(
     history: Sequence[TermEnd], position: LogPosition
 ) -> bool:
-    """Return True if the history of a log includes a position.
+    """Return whether the history of a log includes a position.
 
     Parameters
     ----------
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -100,7 +100,7 @@
     """Answer a frame that could not be decoded."""
     request_id = event.request_id
     if request_id in caller.requests:
-        # The request with this id is still running; the caller would take
+        # The request with this id is still running; the caller would mistake
         # the refusal for its answer.
         request_id = 0
     _refuse(
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -36,6 +36,7 @@
 MAX_OPENING_CONNECTIONS = 2
 RESERVED_CONNECTIONS = 2
 MAX_BATCH_STATEMENTS = 8
+# Time for an answer to arrive after the timeout of its statement.
 ANSWER_GRACE_MS = 500
 # A retryable attempt gets less than the whole deadline: a silent connection
 # is then detected while there is still time for another attempt.
@@ -71,7 +72,7 @@
 
 
 def is_capacity_requested(state: ProxyState, up: Upstream) -> bool:
-    """Tell whether permits or connections have been requested already."""
+    """Return whether permits or connections have been requested already."""
     account = state.permits.account(up.name)
     return up.opening > 0 or account.stated > account.in_use
 
--- a/jackdawpost/core/proxy/lease_holder.py
+++ b/jackdawpost/core/proxy/lease_holder.py
@@ -126,7 +126,7 @@
             del self._leases[group]
 
     def is_valid(self, group: str, term: int, now_ms: float) -> bool:
-        """Tell whether writes of `group` may be acknowledged in `term`."""
+        """Return whether writes of `group` may be acknowledged in `term`."""
         lease = self._leases.get(group)
         return lease is not None and lease[0] == term and now_ms < lease[1]
 
--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -1,4 +1,4 @@
-"""Reducer of a proxy: takes events, changes the state, returns effects."""
+"""Reducer of a proxy: handles events and returns their effects."""
 
 from __future__ import annotations
 
@@ -140,7 +140,7 @@
 
 
 def is_healthy(state: ProxyState) -> bool:
-    """Tell whether callers should use this proxy."""
+    """Return whether callers should use this proxy."""
     return (
         state.drain_started_ms is None
         and state.member_state == 'joined'
--- a/jackdawpost/core/proxy/replica_choice.py
+++ b/jackdawpost/core/proxy/replica_choice.py
@@ -86,7 +86,7 @@
 
 
 def is_usable(replica: Replica, term: int) -> bool:
-    """Tell whether a replica may get new statements in `term`."""
+    """Return whether a replica may get new statements in `term`."""
     return (
         replica.evidence == 'up'
         and replica.term == term
--- a/jackdawpost/core/proxy/replica_reads.py
+++ b/jackdawpost/core/proxy/replica_reads.py
@@ -96,7 +96,7 @@
 
 
 def _has_replica_reports(group: Group) -> bool:
-    """Tell whether a sample and a replica of the current term are known."""
+    """Return whether a sample and a replica of the current term are known."""
     term = group.view.term
     return len(group.freshness) > 0 and any(
         up.term == term and up.name != group.view.primary
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -256,7 +256,7 @@
     reported_leaving : bool
         The upstream itself reports that it leaves.
     leaving : bool
-        The upstream takes no new statements.
+        The upstream accepts no new statements.
     term, leads, received, applied
         Latest report of the upstream.
     lag_ms : float
@@ -514,7 +514,7 @@
 
 
 def holds_lease(state: ProxyState, group: Group, term: int) -> bool:
-    """Tell whether `term` is current and this proxy holds its lease."""
+    """Return whether `term` is current and this proxy holds its lease."""
     return term == group.view.term and state.leases.is_valid(
         group.name, term, state.now_ms
     )
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -90,7 +90,7 @@
 
 
 def has_room(token: SessionToken, group: str, known: Container[str]) -> bool:
-    """Return True if a write to `group` can be added to a token.
+    """Return whether a write to `group` can be added to a token.
 
     Parameters
     ----------
