--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -37,7 +37,8 @@
 
 TIMER_KEY = 'proxy'
 MAX_FRAME_MESSAGES = 64
-# Control reports a draining proxy as 'leaving'; it still holds its leases.
+# Control reports a draining proxy as 'leaving'; it keeps its leases until it
+# has stopped.
 SERVING_STATES = frozenset({'joined', 'leaving'})
 
 
@@ -255,7 +256,7 @@
     reported_leaving : bool
         The upstream itself reports that it leaves.
     leaving : bool
-        The upstream takes no new statements.
+        The upstream accepts no new statements.
     term, leads, received, applied
         Latest report of the upstream.
     lag_ms : float
@@ -470,7 +471,7 @@
 def close(
     state: ProxyState, conn: int, reason: str, abort: bool = False
 ) -> None:
-    """Close a connection, after the messages already sent on it."""
+    """Close a connection after the messages sent on it; `abort`: at once."""
     state.open_frames.pop(conn, None)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
@@ -513,7 +514,7 @@
 
 
 def holds_lease(state: ProxyState, group: Group, term: int) -> bool:
-    """Tell whether `term` is current and this proxy holds its lease."""
+    """Return whether `term` is current and this proxy holds its lease."""
     return term == group.view.term and state.leases.is_valid(
         group.name, term, state.now_ms
     )
