Rename the tests' Driver of the control machine to MachineDriver

Cause: a reader of the tests of core/control met two drivers: Driver, which applies commands to the replicated state, and PromotionDriver.

Ruled out: CommandRunner.

No assertion, number or case changes.

--- a/jackdawpost/tests/cli/test_ctl.py
+++ b/jackdawpost/tests/cli/test_ctl.py
@@ -25,7 +25,7 @@
 from jackdawpost.core.messages.operator import PromoteGroup
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.tests.core.control.machine_driver import build_group
-from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import MachineDriver
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
 CHANGES = """{
@@ -257,7 +257,7 @@
 @pytest.mark.parametrize('deployment', ['handfang', 'cordillera'])
 def test_example_change_sets_are_accepted(deployment):
     # Guards against examples that the control processes reject.
-    answer = Driver().change(
+    answer = MachineDriver().change(
         'example', *load_change_file(EXAMPLES / deployment / 'changes.json')
     )
     assert answer.accepted, answer.faults
--- a/jackdawpost/tests/core/control/machine_driver.py
+++ b/jackdawpost/tests/core/control/machine_driver.py
@@ -1,4 +1,4 @@
-"""Helpers that apply commands to the replicated state in tests."""
+"""Helper that applies commands to the replicated state in tests."""
 
 from __future__ import annotations
 
@@ -37,8 +37,8 @@
     )
 
 
-class Driver:
-    """State machine whose commands are encoded and decoded as in the log."""
+class MachineDriver:
+    """Applies commands to a machine, encoded and decoded as in the log."""
 
     def __init__(self):
         self.machine = new_machine()
@@ -98,7 +98,7 @@
 
 def build_group(name='orders', databases=('db-1', 'db-2', 'db-3')):
     """Return a driver with one group whose databases have joined."""
-    driver = Driver()
+    driver = MachineDriver()
     answer = driver.change('setup', create('group', name, databases=3))
     assert answer.accepted
     for database in databases:
--- a/jackdawpost/tests/core/control/test_machine.py
+++ b/jackdawpost/tests/core/control/test_machine.py
@@ -34,7 +34,7 @@
 from jackdawpost.errors import StorageError
 from jackdawpost.tests.core.control.machine_driver import announcement
 from jackdawpost.tests.core.control.machine_driver import create
-from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import MachineDriver
 from jackdawpost.tests.core.control.machine_driver import operation
 
 NAMES = st.sampled_from(['a', 'b', 'c'])
@@ -121,7 +121,7 @@
 
 
 def _driver_with_group():
-    driver = Driver()
+    driver = MachineDriver()
     driver.change('g', create('group', 'g', databases=3))
     for name in ('a', 'b', 'c'):
         driver.join(name, '1', 'g')
@@ -232,7 +232,7 @@
 
 def test_process_that_missed_a_thousand_changes_gets_a_delta():
     # Guards against full updates for all proxies after a short partition.
-    driver = Driver()
+    driver = MachineDriver()
     driver.change('g', create('group', 'g', databases=3))
     proxy = PublishedState()
     apply_update(proxy, update_since(driver.machine, 0))
@@ -252,7 +252,7 @@
 ):
     # Guards against deleted objects that stay in force on a proxy.
     monkeypatch.setattr(publication, 'MAX_TOMBSTONES', 2)
-    driver = Driver()
+    driver = MachineDriver()
     driver.change('g', create('group', 'g', databases=3))
     rules = [create('rule', f'r{n}', groups=['g']) for n in range(4)]
     driver.change('rules', *rules)
--- a/jackdawpost/tests/core/control/test_membership.py
+++ b/jackdawpost/tests/core/control/test_membership.py
@@ -11,11 +11,11 @@
 from jackdawpost.core.control.membership import missing_approvals
 from jackdawpost.tests.core.control.machine_driver import build_group
 from jackdawpost.tests.core.control.machine_driver import create
-from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import MachineDriver
 
 
 def _driver_with_two_members():
-    driver = Driver()
+    driver = MachineDriver()
     driver.join('proxy-1', 'p1')
     driver.join('proxy-2', 'p2')
     return driver
@@ -24,7 +24,7 @@
 def test_first_member_needs_no_approval_and_the_second_does():
     # Guards against a deployment that can never start, and against one that
     # any instance can join.
-    driver = Driver()
+    driver = MachineDriver()
     assert driver.announce('proxy-1', 'p1').joined == ['proxy-1']
     assert driver.announce('proxy-2', 'p2').joined == []
     assert driver.approve('proxy-1', 'proxy-2').joined == ['proxy-2']
--- a/jackdawpost/tests/core/objects/test_change_sets.py
+++ b/jackdawpost/tests/core/objects/test_change_sets.py
@@ -11,7 +11,7 @@
 from jackdawpost.core.objects import change_sets
 from jackdawpost.tests.core.control.machine_driver import build_group
 from jackdawpost.tests.core.control.machine_driver import create
-from jackdawpost.tests.core.control.machine_driver import Driver
+from jackdawpost.tests.core.control.machine_driver import MachineDriver
 from jackdawpost.tests.core.control.machine_driver import operation
 
 REPORTS_ALLOWANCE = ('allowance', 'reports')
@@ -96,7 +96,7 @@
     # Guards against unbounded growth, and against dropping the newest entry.
     monkeypatch.setattr(change_sets, 'MAX_CHANGE_ANSWERS', 3)
     monkeypatch.setattr(change_sets, 'MAX_HISTORY', 2)
-    driver = Driver()
+    driver = MachineDriver()
     for number in range(5):
         change = create('group', f'g{number}', databases=3)
         assert driver.change(f'c{number}', change).accepted
