Use one set of terms in the docstrings of core/control

Cause: two people reworded the folder in halves. The service that carries out delegated promotions was "the deployment's platform" in one half and an "external service" in the other; the upstream that a promotion has chosen was "selected" in one and "the candidate" in the other, though the fields and commands say chosen. Some sentences said other than the code does.

Ruled out: renaming choose and chosen, which are stored names.

Change: "the deployment's platform" and "chosen" everywhere; "candidate" is left to upstreams that may be chosen. Corrected to the code: who must approve a newcomer, what suspect_groups and a group's database set hold, term 0, when LeaderState is created and dropped, who is in the electorate, what find_newer_replica and _is_order_safe do, and what lease_end_ms counts. Restored: the approvals needed are those at a command's position in the log; an adopted primary has shown that it leads; the set must not grow between sealing and choice; two losses one after another. Refusals of operator requests and of unknown peers are whole sentences.

--- a/jackdawpost/core/control/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -144,7 +144,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ChoosePrimary:
-    """Record the upstream selected as the primary of `to_term`.
+    """Record the upstream chosen as the primary of `to_term`.
 
     Parameters
     ----------
@@ -162,7 +162,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class FinishPromotion:
-    """Publish the selected upstream, which now leads, as the primary."""
+    """Publish the chosen upstream, which now leads, as the primary."""
 
     group: str
     to_term: int
@@ -181,7 +181,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AdmitDatabase:
-    """Add a joined upstream that has caught up to its database set."""
+    """Add an upstream to the set of its group after it has caught up."""
 
     group: str
     name: str
@@ -191,7 +191,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class DeclareObject:
-    """Configuration object of a complete declared configuration."""
+    """One object of a complete declared configuration."""
 
     type: str
     name: str
@@ -219,7 +219,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class AdoptPrimary:
-    """Record an upstream that leads already as the primary of its group."""
+    """Record as the primary an upstream that has shown that it leads."""
 
     group: str
     upstream: str
--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -1,7 +1,7 @@
 """Database set of a group: the databases its quorum is counted over.
 
-Every acknowledged write is stored on enough databases of the set that a
-promotion which has sealed a quorum of them finds it.
+Every acknowledged write is stored on so many databases of the set that any
+quorum of them includes one that holds it.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
 
 def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
-    """Add an upstream that has caught up to the set of its group.
+    """Add an upstream to the set of its group after it has caught up.
 
     It replaces an older data identity of the same name.
     """
@@ -121,7 +121,8 @@
             message=f'{command.name!r} is in the database set already',
         )
     if group.promotion is not None:
-        # The promotion counts its quorum over the set at its start.
+        # The set must not grow between sealing and the choice of a primary,
+        # since the quorum of the promotion is counted over it.
         return CommandRefused(
             code='promotion_running',
             message=f'a promotion of group {command.group!r} is running; '
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -1,7 +1,8 @@
-"""Delegated promotions: decided by the leader, executed by another service.
+"""Delegated promotions: decided by the leader, carried out by the platform.
 
-Each order carries a fencing token assigned by the replicated state. An order
-of an earlier leader, or an order executed late, therefore cannot undo a later
+The leader orders a promotion from the deployment's platform. Each order
+carries a fencing token assigned by the replicated state. An order of an
+earlier leader, or an order carried out late, therefore cannot undo a later
 one. A new leader never uses a token of another holder.
 """
 
@@ -44,9 +45,9 @@
 # takes up to 1 s to lead, and a proxy that was suspended for seconds then
 # reports what it saw before.
 READOPTION_COOLDOWN_MS = 5_000.0
-# A proxy that control receives nothing from may still reach the primary, so it
-# stays in the electorate for this retention time. After a longer partition it
-# counts as lost.
+# A proxy from which the control processes receive nothing is removed as a
+# member, but may still reach the primary. It stays in the electorate for this
+# time; after a longer partition it counts as lost.
 ELECTORATE_RETENTION_MS = 10_000.0
 # Time for which a replica must have refused connections before the primary
 # did, for the promotion not to wait for its answer. It is longer than the
@@ -111,7 +112,7 @@
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Adopt the upstream that proxies see leading, if it is not recorded.
+    """Adopt the upstream that leads according to the proxies' reports.
 
     Returns
     -------
@@ -181,7 +182,7 @@
     upstreams: dict[str, Member],
     reason: str,
 ) -> None:
-    """Propose to promote the best candidate under a new fencing token."""
+    """Choose an upstream and propose its promotion under a new token."""
     chosen = _choose_candidate(state, leader, group, upstreams)
     if chosen is None:
         return
@@ -224,10 +225,12 @@
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return the reachable upstream with the highest received position.
+    """Return the candidate with the highest received position.
 
-    At equal positions the upstream in the data centre with most proxies is
-    preferred, which keeps the latency of their writes low.
+    Candidates are all upstreams except the recorded primary, leaving ones,
+    those without recent observations, and those that have failed or are
+    excluded. At equal positions the upstream in the data centre with most
+    proxies is preferred, which keeps the latency of their writes low.
     """
     candidates = []
     for name in sorted(upstreams):
@@ -275,7 +278,10 @@
     member = upstreams.get(chosen)
     if member is None or member.member_id != promotion.data_id:
         _abandon_promotion(
-            state, name, promotion.to_term, 'candidate is no longer a member'
+            state,
+            name,
+            promotion.to_term,
+            'chosen upstream is no longer a member',
         )
         return
     order = leader.orders.get(name)
@@ -287,7 +293,7 @@
         promotion.to_term not in leader.own_tokens
     ):
         # The token belongs to another holder, or to an earlier leadership of
-        # this process, whose order may still be executed.
+        # this process, whose order may still be carried out.
         _propose_promotion(
             state, leader, name, group, upstreams, promotion.reason
         )
@@ -304,7 +310,7 @@
                 state.now_ms + CANDIDATE_COOLDOWN_MS
             )
             _abandon_promotion(
-                state, name, promotion.to_term, 'candidate failed'
+                state, name, promotion.to_term, 'chosen upstream failed'
             )
             return
         _send_order(state, leader, name, chosen, promotion.to_term)
@@ -317,7 +323,11 @@
     promotion: Promotion,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Return whether the order can lose no acknowledged commit."""
+    """Return whether the order cannot lose an acknowledged commit.
+
+    Advances the pause of the replicas for that. Abandons the promotion if the
+    primary has failed and another replica has received more.
+    """
     if not needs_pause(state, name):
         return True
     terms = [
@@ -334,7 +344,7 @@
     primary = state.machine.groups[name].primary
     newer = find_newer_replica(state, name, promotion, pause, upstreams)
     if newer is not None and _has_failed(state, leader, primary or ''):
-        # While the primary runs, the candidate can still catch up with it.
+        # While the primary runs, the chosen upstream can still catch up.
         leader.excluded_until_ms[promotion.chosen or ''] = (
             state.now_ms + CANDIDATE_COOLDOWN_MS
         )
@@ -342,7 +352,7 @@
             state,
             name,
             promotion.to_term,
-            f'{newer} has received more than the candidate',
+            f'{newer} has received more than the chosen upstream',
         )
     return False
 
@@ -395,7 +405,7 @@
 def _update_electorate(state: ControlState, leader: LeaderState) -> None:
     """Update the proxies whose majority decides that an upstream failed.
 
-    Proxies that control receives nothing from stay for a retention time.
+    Proxies that are no longer members stay for `ELECTORATE_RETENTION_MS`.
     """
     electorate = leader.electorate_ms
     for name, member in state.machine.members.items():
@@ -462,7 +472,7 @@
 def on_promotion_ended(
     state: ControlState, leader: LeaderState, event: PromotionEnded
 ) -> None:
-    """Handle the outcome of an order."""
+    """Record the outcome of an order."""
     log(
         state,
         'info' if event.outcome == 'done' else 'warning',
--- a/jackdawpost/core/control/lease_ledger.py
+++ b/jackdawpost/core/control/lease_ledger.py
@@ -27,7 +27,7 @@
     seq : int
         Sequence number of the report.
     received_ms : float
-        Time of receipt, at which the lease starts.
+        Time of receipt, from which the leader counts the lease.
     """
 
     proxy: str
@@ -234,7 +234,10 @@
 
 
 def lease_end_ms(ledger: LeaseLedger, now_ms: float, proxy: str) -> float:
-    """Return when the last grant to a proxy ends; `now_ms` without one."""
+    """Return when the last grant to a proxy ends; `now_ms` without one.
+
+    Grants that it may have received from an earlier leader count as well.
+    """
     ends = [ledger.granted_until.get(proxy, now_ms)]
     if proxy in ledger.assumed:
         ends.append(assumed_until_ms(ledger))
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -1,9 +1,9 @@
 """Membership of proxies and upstreams: announce, approve, join, leave.
 
-A newcomer joins once all present members have approved it. The functions
-that change the state run only while a command of the replicated log is
-applied, so the members whose approval is needed are the same in every
-control process.
+A newcomer joins once all present members, except the registered upstreams,
+have approved it. The functions that change the state run only while a command
+of the replicated log is applied, so the members whose approval is needed are
+those at that position in the log, the same in every control process.
 """
 
 from __future__ import annotations
--- a/jackdawpost/core/control/operator_requests.py
+++ b/jackdawpost/core/control/operator_requests.py
@@ -1,4 +1,4 @@
-"""Converts operator requests to commands, and their results to answers."""
+"""Conversion of operator requests to commands and of results to answers."""
 
 from __future__ import annotations
 
@@ -73,7 +73,7 @@
         return answer_refusal(
             machine,
             request.id,
-            f'name {request.name!r}: not a joined upstream',
+            f'{request.name!r} is not a joined upstream',
         )
     return ApplyChangeSet(
         change_id=request.change_id,
@@ -105,7 +105,7 @@
     group = machine.groups.get(request.group)
     if group is None:
         return answer_refusal(
-            machine, request.id, f'group {request.group!r}: does not exist'
+            machine, request.id, f'group {request.group!r} does not exist'
         )
     return StartPromotion(
         group=request.group,
@@ -132,7 +132,7 @@
         return answer_refusal(
             machine,
             request.id,
-            f'name {request.name!r}: neither a newcomer nor a member',
+            f'{request.name!r} is neither a member nor a newcomer',
         )
     answer = _build_answer(
         machine, request.id, 'done', 'missing approvals requested again'
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -221,7 +221,7 @@
 def redirect_waiting_operators(
     state: ControlState, leader: LeaderState
 ) -> None:
-    """Tell waiting operators that this process does not lead any longer.
+    """Notify waiting operators that this process no longer leads.
 
     They repeat the request at the next leader, which knows the outcome.
     """
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -59,7 +59,7 @@
         Longest run time of a statement.
     delegated : bool
         Whether upstreams register through requests and promotions are
-        executed by an external service on order of the leader.
+        carried out by the deployment's platform on order of the leader.
     holder : str
         Name that this process uses when it orders promotions.
     voter_target : int
@@ -207,7 +207,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class PromotionOrder:
-    """Promotion ordered from the external service.
+    """Order of a promotion that was sent to the deployment's platform.
 
     Parameters
     ----------
@@ -237,7 +237,7 @@
         Term sent with the pause requests.
     positions : dict of str to LogPosition
         Last position received by each replica that has answered, including
-        the candidate.
+        the chosen upstream.
     attempts : int
         Number of requests sent; each goes through the next proxy.
     next_request_ms : float
@@ -255,7 +255,8 @@
 class LeaderState:
     """State of the services that only the leader runs.
 
-    It is created at each election and dropped at the end of the term.
+    It is created when the process wins an election and dropped when its
+    leadership ends.
 
     Parameters
     ----------
@@ -287,13 +288,13 @@
         Time of the next check for silent members.
     contact_floor_ms : float
         Lower bound of every last contact: the time of the election, or of
-        the end of a pause during which this process received nothing.
+        the end of a suspension in which this process could receive nothing.
     last_tick_ms : float
         Time of the last tick.
     permit_due_ms : dict of str to float
-        Time at which the permits of an upstream are reconsidered.
+        Time at which the permits of an upstream must be reconsidered.
     group_due_ms : dict of str to float
-        Time at which each group is reconsidered.
+        Time at which the promotion of a group must be reconsidered.
     group_upstreams : dict of str to list of str
         Joined upstreams of each group.
     dirty_groups : set of str
@@ -301,7 +302,8 @@
     dirty_permits : set of str
         Upstreams whose permits must be reconsidered.
     suspect_groups : set of str
-        Groups whose primary some proxy reports as unreachable.
+        Groups with an upstream that a proxy has reported as not up. A group
+        is removed once no live proxy reports its primary so.
     pending_requests : dict of int to list of int
         Requests to answer once the entry with this index is applied.
     pending_reads : dict of int to int
@@ -426,8 +428,8 @@
     connected_peers : list of str, optional
         Peers to which this process opens links; None before the first time.
     consensus_effects : deque
-        Consensus effects that have not been carried out. Writes must happen
-        in this order.
+        Consensus effects that have not been carried out, in the order in
+        which the writes must happen.
     outbox : list of Effect
         Effects of the event being handled.
     """
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -27,7 +27,7 @@
     """Start a promotion. The group has no published primary until it ends.
 
     A promotion that accepts loss replaces a running one that does not and
-    has not selected a primary yet, since that one may be waiting for
+    has not chosen a primary yet, since that one may be waiting for
     databases that never answer.
     """
     group = machine.groups.get(command.group)
@@ -75,7 +75,7 @@
 
 
 def choose_primary(machine: ControlMachine, command: ChoosePrimary) -> Applied:
-    """Record the upstream selected as the new primary."""
+    """Record the upstream chosen as the new primary."""
     result = _find_promotion(machine, command.group, command.to_term)
     if isinstance(result, Applied):
         return result
@@ -83,7 +83,7 @@
     if promotion.step != 'started':
         return _refuse(
             'wrong_step',
-            f'{promotion.chosen!r} is selected already as the new primary',
+            f'{promotion.chosen!r} is chosen already as the new primary',
         )
     name, data_id = command.upstream, command.data_id
     if not is_joined_upstream(machine, command.group, name, data_id):
@@ -105,14 +105,14 @@
 def finish_promotion(
     machine: ControlMachine, command: FinishPromotion
 ) -> Applied:
-    """Publish the selected upstream as the primary in the new term."""
+    """Publish the chosen upstream as the primary in the new term."""
     result = _find_promotion(machine, command.group, command.to_term)
     if isinstance(result, Applied):
         return result
     group, promotion = result
     if promotion.step != 'chosen' or promotion.chosen is None:
         return _refuse(
-            'wrong_step', 'no upstream is selected yet as the new primary'
+            'wrong_step', 'no upstream is chosen yet as the new primary'
         )
     name, data_id = promotion.chosen, promotion.data_id
     if not is_joined_upstream(machine, command.group, name, data_id):
@@ -130,9 +130,9 @@
 ) -> Applied:
     """Abandon a running promotion.
 
-    If no upstream has been selected, the old primary is published again.
+    If no upstream has been chosen, the old primary is published again.
     Otherwise the group has no primary until the next promotion, since the
-    selected upstream may already lead. A delegated promotion does not change
+    chosen upstream may already lead. A delegated promotion does not change
     the recorded primary: the reports of the proxies show which upstream
     leads.
     """
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -88,8 +88,7 @@
 TICK_KEY = 'control'
 # Time that a draining leader waits for the transfer of its leadership.
 TRANSFER_TIMEOUT_MS = 1_500.0
-# Time that a draining process keeps running for the leader to replace it as a
-# voter.
+# Time that a draining process waits for the leader to replace it as a voter.
 REPLACEMENT_GRACE_MS = 1_000.0
 
 
@@ -134,7 +133,7 @@
 
 
 def reduce_control(state: ControlState, event: Event) -> list[Effect]:
-    """Handle one event; updates the state in place and returns effects."""
+    """Handle one event: update the state in place and return the effects."""
     state.now_ms = max(state.now_ms, event.now_ms)
     if state.stopped:
         return []
@@ -171,7 +170,9 @@
     leader = state.leader
     if event.link == 'upstream':
         if leader is None or not on_admin_opened(state, leader, event.conn):
-            state.outbox.append(Close(conn=event.conn, reason='not needed'))
+            state.outbox.append(
+                Close(conn=event.conn, reason='connection no longer needed')
+            )
         return
     link = LinkState(
         conn=event.conn,
@@ -185,7 +186,7 @@
     group = {*state.cfg.peers, *state.consensus.voters}
     accepts_new_peers = state.cfg.voter_target > 0
     if not accepts_new_peers and event.peer not in group - {state.cfg.name}:
-        refuse(state, link, f'peer {event.peer!r}: not in the control group')
+        refuse(state, link, f'peer {event.peer!r} is not in the control group')
         del state.links[event.conn]
         return
     state.peers[event.peer] = event.conn
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -1,7 +1,7 @@
-"""Requests that arrive without a link.
+"""Requests that arrive over HTTP, not over a link.
 
-Operators declare and read whole configurations; upstreams register and report
-their state, and depart.
+Operators declare and read complete configurations. Upstreams register, report
+their state and depart.
 """
 
 from __future__ import annotations
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -2,10 +2,10 @@
 
 With `write_copies` above 1, a commit is acknowledged once another database
 holds it. A promotion must not choose a database that lacks such a commit.
-Before the order, the replicas other than the candidate are therefore paused:
-they receive nothing more, so the old primary can only acknowledge commits that
-the candidate holds. Control processes have no connections to the databases;
-proxies forward the requests.
+Before the promotion is ordered, the replicas other than the chosen upstream
+are therefore paused: they receive nothing more, so the old primary can only
+acknowledge commits that the chosen upstream holds. Control processes have no
+connections to the databases; proxies forward the requests.
 """
 
 from __future__ import annotations
@@ -21,7 +21,8 @@
 from jackdawpost.core.outbox import send
 from jackdawpost.core.positions import LogPosition
 
-# Interval between rounds of requests; each goes through the next proxy.
+# Interval between rounds of requests. Each request goes through the next
+# proxy.
 REQUEST_INTERVAL_MS = 200.0
 
 
@@ -41,7 +42,7 @@
 ) -> ReplicaPause:
     """Request the pause of the replicas that have not answered yet.
 
-    The candidate is not paused; it is asked for its position only.
+    The chosen upstream is not paused; only its position is requested.
 
     Parameters
     ----------
@@ -76,13 +77,13 @@
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Return whether the candidate holds every acknowledged commit."""
-    candidate = pause.positions.get(promotion.chosen or '')
-    if candidate is None or not _has_read_quorum(
+    """Return whether the chosen upstream holds every acknowledged commit."""
+    chosen_position = pause.positions.get(promotion.chosen or '')
+    if chosen_position is None or not _has_read_quorum(
         state, group, pause, upstreams
     ):
         return False
-    return candidate >= max(pause.positions.values())
+    return chosen_position >= max(pause.positions.values())
 
 
 def find_newer_replica(
@@ -92,7 +93,10 @@
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return the replica with the highest position, if not the candidate."""
+    """Return the replica with the highest position of those that answered.
+
+    None if that is the chosen upstream, or if too few have answered.
+    """
     if not _has_read_quorum(state, group, pause, upstreams):
         return None
     best = max(pause.positions, key=lambda name: pause.positions[name])
@@ -105,7 +109,7 @@
     pause: ReplicaPause,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Return whether some replica that answered holds each commit.
+    """Return whether some upstream that answered holds each commit.
 
     Each acknowledged commit is on `write_copies` upstreams, so any
     ``len(upstreams) - write_copies + 1`` of them include a holder.
@@ -143,7 +147,7 @@
     """Record the position that an upstream answered.
 
     Only the answers to ``'pause'`` of the other replicas and to ``'status'``
-    of the candidate count.
+    of the chosen upstream count.
     """
     for group, pause in leader.replica_pauses.items():
         if pause.token != message.token:
@@ -152,10 +156,10 @@
         if member is None or member.group != group:
             continue
         promotion = state.machine.groups[group].promotion
-        is_candidate = promotion is not None and (
+        is_chosen = promotion is not None and (
             promotion.chosen == message.upstream
         )
-        if is_candidate == (message.action == 'pause'):
+        if is_chosen == (message.action == 'pause'):
             continue
         received = LogPosition(*message.received)
         pause.positions[message.upstream] = received
@@ -174,7 +178,7 @@
 def resume_replicas(
     state: ControlState, leader: LeaderState, group: str
 ) -> None:
-    """Resume the replicas that have answered the requests."""
+    """Request that the replicas which have answered resume replication."""
     pause = leader.replica_pauses.pop(group, None)
     if pause is None:
         return
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Member:
-    """A proxy or upstream that has joined, and may be leaving.
+    """A proxy or upstream that has joined or wants to join.
 
     Parameters
     ----------
@@ -97,17 +97,17 @@
     ----------
     step : {'started', 'chosen'}
         ``'started'`` while databases are sealed, ``'chosen'`` once the new
-        primary has been selected.
+        primary has been chosen.
     from_term, to_term : int
         Term of the replaced primary and of the new one.
     accept_loss : bool
         An operator allows the loss of acknowledged writes.
     chosen : str, optional
-        Upstream selected as the new primary; None in step ``'started'``.
+        Upstream chosen as the new primary; None in step ``'started'``.
     data_id : str
-        Data identity of the selected upstream.
+        Data identity of the chosen upstream.
     position : LogPosition
-        Last position that the selected upstream had received.
+        Last position that the chosen upstream had received.
     delegated : bool
         The deployment's platform carries the promotion out, and `to_term`
         is the fencing token of the order sent to it.
@@ -134,7 +134,7 @@
     Parameters
     ----------
     term : int
-        Term of the latest finished promotion; 0 before the first primary.
+        Term of the latest finished promotion; 0 before the first one.
     last_term : int
         Highest term ever used. Includes abandoned promotions, since
         upstreams may be sealed in their terms.
@@ -144,8 +144,8 @@
         Data identity of the primary. A wiped database under the same name
         is not the primary.
     database_set : dict of str to str
-        Databases that hold the group's acknowledged writes, as data
-        identity by name. The quorum of a promotion is counted over them.
+        Data identity by name of the databases over which the quorum of a
+        promotion is counted.
     """
 
     term: int = 0
@@ -336,8 +336,8 @@
 def promotion_quorum(machine: ControlMachine, group: str) -> int:
     """Return how many databases of the set a promotion must have sealed.
 
-    Each acknowledged write is stored on `write_copies` databases, hence any
-    ``size - write_copies + 1`` databases include one that holds it.
+    Each acknowledged write is stored on `write_copies` databases of the set,
+    hence any ``size - write_copies + 1`` of them include one that holds it.
     """
     write_copies = machine.objects.groups[group].write_copies
     return database_set_size(machine, group) - write_copies + 1
--- a/jackdawpost/core/control/voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -1,4 +1,4 @@
-"""Adjusts the voter set to the control processes that run.
+"""Adjustment of the voter set to the control processes that run.
 
 A voter that lost its disk is removed and admitted again under its new
 identity. A voter that is lost or is stopping is replaced once another control
@@ -120,7 +120,8 @@
     """Open links to the other processes of the control group.
 
     Of two voters, the one whose name sorts first opens the link. A process
-    outside the group opens links to all processes that it knows of.
+    outside the group opens links to all processes that it knows of, and to
+    the seeds.
     """
     if not state.cfg.voter_target:
         return
--- a/jackdawpost/tests/core/control/test_promotion_steps.py
+++ b/jackdawpost/tests/core/control/test_promotion_steps.py
@@ -230,7 +230,7 @@
 
 
 def test_no_admission_during_a_promotion():
-    # Guards against a database set that changes between sealing and choice.
+    # Guards against a database set that grows between sealing and choice.
     driver = _group_with_primary()
     driver.join('db-4', 'db-4-data', 'orders')
     driver.run(_start(1, 2))
--- a/jackdawpost/tests/core/control/test_reducer.py
+++ b/jackdawpost/tests/core/control/test_reducer.py
@@ -242,7 +242,7 @@
 
 def test_primary_that_expires_as_a_member_is_replaced():
     # Guards against a group without a published primary when the primary is
-    # silent towards control only, and no proxy reports it as unreachable.
+    # silent towards the control processes only, and every proxy reaches it.
     cluster = start_cluster()
     cluster.cut_links.add(frozenset(('c1', 'u1')))
     assert cluster.run(34_000, promoted_after(cluster, 1))
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -336,13 +336,13 @@
     old = sim.cluster.leader().cfg.name
     sim.cluster.stop_process(old)
     sim.cluster.run(6_000)
-    schedule = [
+    later_orders = [
         (name, effect)
         for _, name, effect in sim.cluster.effects
         if isinstance(effect, OrderPromotion) and name != old
     ]
-    assert schedule
-    assert all(effect.token > first.token for _, effect in schedule)
+    assert later_orders
+    assert all(effect.token > first.token for _, effect in later_orders)
 
 
 @pytest.mark.parametrize('received', [{'u2': 12}, {'u3': 12}])
@@ -381,7 +381,7 @@
 
 def test_proxies_partitioned_from_control_still_count_as_electorate():
     # They may still reach the primary. A promotion decided by the minority
-    # that control receives reports from would take it from the majority.
+    # whose reports arrive would take the primary from the majority.
     sim = DelegatedSimulation(proxies=4)
     for proxy in sim.proxies[1:]:
         for name in sim.cluster.controls:
@@ -425,7 +425,7 @@
     assert sim.orders()[0].upstream == 'u3'
 
 
-def test_paused_replica_with_a_higher_position_replaces_the_candidate():
+def test_paused_replica_with_a_higher_position_replaces_the_chosen_one():
     sim = DelegatedSimulation(copies=2)
     sim.set_observations('', u2=11, u3=14)
     sim.report_evidence('u1')
@@ -444,7 +444,7 @@
     assert not sim.orders()
 
 
-def test_candidate_catches_up_with_a_leaving_primary():
+def test_chosen_upstream_catches_up_with_a_leaving_primary():
     sim = DelegatedSimulation(copies=2)
     sim.set_observations('u1', u2=12, u3=12)
     sim.cluster.run(300)
--- a/jackdawpost/tests/core/control/test_voters.py
+++ b/jackdawpost/tests/core/control/test_voters.py
@@ -84,7 +84,8 @@
 
 
 def test_lost_voter_without_a_replacement_stays_a_voter():
-    # Guards against a set that shrinks to one voter after two more losses.
+    # Guards against a voter set that shrinks to one voter after two more
+    # losses, one after another.
     cluster = _start()
     lost = next(n for n in NAMES if n != cluster.leader().cfg.name)
     cluster.stop_process(lost)
@@ -159,8 +160,10 @@
         requested = self.requested_peers.get(name, set())
         for pair in [p for p in self.open_links if p[0] == name]:
             if pair[1] not in requested:
-                one, two = self.open_links.pop(pair)
-                for own, conn in zip(pair, (one, two), strict=True):
+                left_conn, right_conn = self.open_links.pop(pair)
+                for own, conn in zip(
+                    pair, (left_conn, right_conn), strict=True
+                ):
                     self.remote_ends.pop((own, conn), None)
                     closed = ConnClosed(now_ms=self.now_ms, conn=conn)
                     self.feed(own, closed)
@@ -170,9 +173,9 @@
             if peer not in self.controls or peer in self.stopped:
                 self.schedule(100, lambda: self._update_links(name))
                 continue
-            before = next(self.conn_numbers)
+            last_conn = next(self.conn_numbers)
             self.link_processes(name, peer)
-            self.open_links[name, peer] = (before + 1, before + 2)
+            self.open_links[name, peer] = (last_conn + 1, last_conn + 2)
 
 
 def _start_self_linking():
