Rename vague names in the promotion and permit code of core/control

Cause: a reader could not tell from their names what watch, reconcile, close_all, due_groups, record_lost, RETRY_MS and the fields needed, failed, restart and session (a connection number) are.

Ruled out: new names in the state dump, which is read by tools.

Change: failure_detector.watch is set_primary_since and its field primary_since_ms; admin.reconcile is update_requests, close_all close_connections, due_groups groups_with_due_requests; record_lost and withhold_permits are reserve_permits; promotion.RETRY_MS is COMMAND_RETRY_MS; GroupFacts.needed is quorum and failed failure_reason; GroupProgress.restart is restart_reason; session of Database and AdminRequest is announce_conn. Three entries of _DUMP_NAMES keep the dump. Docstrings corrected to the code: the failure detector serves all upstreams, the primary's start only delays the timeouts, enough_since_ms also waits for the leases. Reasons to close a connection say why.

--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -1,6 +1,6 @@
 """Admin connections from the control leader to upstreams.
 
-The leader sends seal, promote and follow requests on them. `reconcile`
+The leader sends seal, promote and follow requests on them. `update_requests`
 compares the pending requests with those that a group needs now and opens
 connections, sends requests and retries as necessary.
 """
@@ -77,7 +77,7 @@
     conns: dict[int, str] = field(default_factory=dict)
 
 
-def reconcile(
+def update_requests(
     admin: AdminLinks,
     now_ms: float,
     group: str,
@@ -93,7 +93,9 @@
         Request that is now pending for each upstream of the group.
     """
     effects: list[Effect] = []
-    names = {n for n, k in admin.links.items() if k.request.group == group}
+    names = {
+        n for n, item in admin.links.items() if item.request.group == group
+    }
     for name in sorted(names | set(requests)):
         request = requests.get(name)
         link = admin.links.get(name)
@@ -123,7 +125,7 @@
     if link.conn is None:
         return []
     admin.conns.pop(link.conn, None)
-    return [Close(conn=link.conn, reason='done')]
+    return [Close(conn=link.conn, reason='connection no longer needed')]
 
 
 def _advance_link(
@@ -157,7 +159,9 @@
 ) -> list[Effect]:
     assert link.conn is not None
     admin.conns.pop(link.conn, None)
-    effect = Close(conn=link.conn, reason='no answer', abort=True)
+    effect = Close(
+        conn=link.conn, reason='admin request timed out', abort=True
+    )
     _schedule_reconnect(link, now_ms)
     return [effect]
 
@@ -247,7 +251,7 @@
 def _link_due_ms(link: AdminLink) -> float | None:
     """Return when a request is to be retried or times out.
 
-    None if an event, such as the end of the connection, comes first.
+    None while the connection is being opened, which ends with an event.
     """
     if link.request_id is not None:
         return link.answer_due_ms
@@ -265,7 +269,7 @@
     return min(upcoming, default=None)
 
 
-def due_groups(admin: AdminLinks, now_ms: float) -> set[str]:
+def groups_with_due_requests(admin: AdminLinks, now_ms: float) -> set[str]:
     """Return the groups with a request to retry or to time out now."""
     found = set()
     for link in admin.links.values():
@@ -275,10 +279,11 @@
     return found
 
 
-def close_all(admin: AdminLinks) -> list[Effect]:
+def close_connections(admin: AdminLinks) -> list[Effect]:
     """Close all connections because the process is no longer the leader."""
     effects: list[Effect] = [
-        Close(conn=conn, reason='not leader') for conn in admin.conns
+        Close(conn=conn, reason='process no longer leads')
+        for conn in admin.conns
     ]
     admin.conns.clear()
     admin.links.clear()
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -10,6 +10,7 @@
 # Fields that are written to the dump under another name.
 _DUMP_NAMES = {
     'accounts': 'borrowers',
+    'announce_conn': 'session',
     'approvals_requested': 'asked',
     'contact_floor_ms': 'heard_floor_ms',
     'electorate_ms': 'witnesses_ms',
@@ -26,10 +27,12 @@
     'pending_queries': 'queries',
     'pending_reads': 'reads',
     'pending_requests': 'asked',
+    'primary_since_ms': 'watched_since_ms',
     'refused_since_ms': 'refused_ms',
     'replica_pauses': 'freezes',
     'reporters': 'witnesses',
     'request': 'want',
+    'restart_reason': 'restart',
     'sealed': 'heard',
     'sealed_term': 'heard_term',
     'suspect_groups': 'suspects',
@@ -41,7 +44,7 @@
 
 
 def is_healthy(state: ControlState) -> bool:
-    """Return whether the process knows a leader, can write, and is running.
+    """Return whether the process knows a leader and can write to disk.
 
     A draining process is not healthy.
     """
@@ -50,7 +53,7 @@
 
 
 def dump_control(state: ControlState) -> dict[str, Any]:
-    """Return the state as dicts, lists, strings and numbers."""
+    """Return the state as nested dicts and lists of simple values."""
     core = state.consensus
     return {
         'name': state.cfg.name,
--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -1,7 +1,7 @@
-"""Failure detector for primaries, based on a majority of the proxies.
+"""Failure detector for upstreams, based on a majority of the proxies.
 
-Proxies regularly report the state in which they see each upstream. A
-primary has failed if most live proxies have reported it as refused, silent
+Proxies regularly report the state in which they see each upstream. An
+upstream has failed if most live proxies have reported it as refused, silent
 or stalled for long enough.
 """
 
@@ -52,29 +52,29 @@
 
 @dataclass(slots=True, kw_only=True)
 class FailureDetector:
-    """Observations of all proxies and the time-outs that apply to them.
+    """Observations of all proxies and the timeouts that apply to them.
 
     Parameters
     ----------
     refused_ms : float
-        Time-out for an upstream that is reported as refused.
+        Timeout for an upstream that is reported as refused.
     silent_ms : float
-        Time-out for an upstream that is reported as silent or stalled, or
+        Timeout for an upstream that is reported as silent or stalled, or
         in changing states other than ``'up'``.
     live_ms : float
         Time for which a proxy is considered live after a report.
     reporters : dict of str to Reporter
         Reporting proxies by name.
-    watched_since_ms : dict of str to float
-        Time since which an upstream has been the primary. Observations from
-        before that time are ignored.
+    primary_since_ms : dict of str to float
+        Time since which an upstream has been the primary. Its timeouts start
+        no earlier, whatever was observed before.
     """
 
     refused_ms: float
     silent_ms: float
     live_ms: float
     reporters: dict[str, Reporter] = field(default_factory=dict)
-    watched_since_ms: dict[str, float] = field(default_factory=dict)
+    primary_since_ms: dict[str, float] = field(default_factory=dict)
 
 
 def record_evidence(
@@ -125,15 +125,17 @@
     detector.reporters.pop(proxy, None)
 
 
-def watch(detector: FailureDetector, upstream: str, since_ms: float) -> None:
-    """Ignore observations of `upstream` from before `since_ms`."""
-    detector.watched_since_ms[upstream] = since_ms
+def set_primary_since(
+    detector: FailureDetector, upstream: str, since_ms: float
+) -> None:
+    """Set the earliest time at which the timeouts of a new primary start."""
+    detector.primary_since_ms[upstream] = since_ms
 
 
 def is_suspected(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
-    """Return whether any live proxy reports an upstream as not up."""
+    """Return whether any live proxy reports a state other than 'up'."""
     for reporter in detector.reporters.values():
         observation = reporter.observations.get(upstream)
         if now_ms < reporter.live_until_ms and observation is not None:
@@ -159,15 +161,15 @@
     -------
     float or None
         A time up to `now_ms` if the upstream has failed; a later time if it
-        fails then unless another report changes that; None if a majority
-        does not report it as down.
+        fails then unless another report changes that; None if no majority
+        reports it as other than ``'up'``.
     """
     live_reporters = [
         reporter
         for reporter in detector.reporters.values()
         if now_ms < reporter.live_until_ms
     ]
-    primary_since_ms = detector.watched_since_ms.get(upstream, 0)
+    primary_since_ms = detector.primary_since_ms.get(upstream, 0)
     vote_times_ms = sorted(
         due_ms
         for reporter in live_reporters
--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -108,7 +108,7 @@
         return
     redirect_waiting_operators(state, leader)
     abort_pending_requests(state, leader)
-    state.outbox += control_admin.close_all(leader.admin)
+    state.outbox += control_admin.close_connections(leader.admin)
     state.next_conn = leader.admin.next_conn
     state.leader = None
     for link in state.links.values():
@@ -154,7 +154,7 @@
         return
     progress = progress_of(leader.driver, group)
     if isinstance(applied.answer, CommandRefused):
-        progress.retry_at_ms = state.now_ms + promotion.RETRY_MS
+        progress.retry_at_ms = state.now_ms + promotion.COMMAND_RETRY_MS
         log(
             state,
             'warning',
@@ -168,7 +168,9 @@
     elif command.kind in ('finish_promotion', 'adopt_primary'):
         primary = state.machine.groups[group].primary
         if primary is not None:
-            failure_detector.watch(leader.detector, primary, state.now_ms)
+            failure_detector.set_primary_since(
+                leader.detector, primary, state.now_ms
+            )
 
 
 def _after_member_command(
@@ -201,7 +203,7 @@
 ) -> None:
     """Run the leader services that are due after an event or a tick."""
     if is_tick:
-        _detect_process_pause(state, leader)
+        _detect_suspension(state, leader)
         close_silent_proxies(state, leader)
         lease_ledger.forget_expired(leader.leases, state.now_ms)
         expire_members(state)
@@ -218,7 +220,7 @@
     update_permits(state, leader)
 
 
-def _detect_process_pause(state: ControlState, leader: LeaderState) -> None:
+def _detect_suspension(state: ControlState, leader: LeaderState) -> None:
     """Restart the silence timeouts if this process has been suspended.
 
     Members that sent messages meanwhile must not count as silent.
@@ -233,7 +235,7 @@
 def next_service_due_ms(
     state: ControlState, leader: LeaderState
 ) -> float | None:
-    """Return the time at which `run_services` is due without an event."""
+    """Return when `run_services` is due without an event; None if never."""
     due_times_ms = [
         leader.expiry_check_ms,
         *leader.permit_due_ms.values(),
--- a/jackdawpost/core/control/permit_ledger.py
+++ b/jackdawpost/core/control/permit_ledger.py
@@ -3,7 +3,8 @@
 A permit allows a proxy to run one statement at a time on an upstream. The
 permits granted for an upstream, including those of disconnected proxies
 whose statements may still run, never exceed its slots. When permits are
-scarce, the leader recalls some from the proxies that hold the most.
+scarce, the leader recalls unused ones, then some of the proxies that hold the
+most.
 """
 
 from __future__ import annotations
@@ -14,8 +15,8 @@
 from dataclasses import field
 from typing import Literal
 
-# Minimum time before a permit in demand is recalled. With a shorter one,
-# recalls take more time than statements.
+# Minimum time for which a proxy keeps a permit that it can use. With a shorter
+# one, recalls take more time than statements.
 MIN_HOLD_MS = 20.0
 
 
@@ -42,7 +43,8 @@
     recalled : int
         Permits that have been recalled and not been returned yet.
     waiting_since_ms : float
-        Time since which the proxy has wanted more permits than it holds.
+        Time since which the proxy has wanted more permits than it holds. Each
+        grant and return sets it again.
     granted_ms : float
         Time of the last grant.
     """
@@ -188,7 +190,7 @@
     return changed
 
 
-def record_lost(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
+def reserve_permits(ledger: PermitLedger, proxy: str, until_ms: float) -> None:
     """Reserve the permits of a disconnected proxy until they expire.
 
     Parameters
--- a/jackdawpost/core/control/promotion.py
+++ b/jackdawpost/core/control/promotion.py
@@ -27,10 +27,10 @@
 from jackdawpost.core.control.promotion_facts import RunningPromotion
 from jackdawpost.core.control.promotion_facts import SealedDatabase
 
-# Between two promotions for a leaving primary.
+# Cool-down between two promotions because of a leaving primary.
 LEAVING_COOLDOWN_MS = 1_000.0
 # Back-off after a command that the state machine has refused.
-RETRY_MS = 100.0
+COMMAND_RETRY_MS = 100.0
 
 GroupCommand = (
     StartPromotion
@@ -61,11 +61,13 @@
         )
     _reset_for_promotion(progress, promotion)
     if _must_abandon(driver, progress, now_ms, promotion, facts):
-        progress.restart = progress.restart or 'promotion abandoned'
+        progress.restart_reason = (
+            progress.restart_reason or 'promotion abandoned'
+        )
         return AbandonPromotion(
             group=facts.name,
             to_term=promotion.to_term,
-            reason=progress.restart,
+            reason=progress.restart_reason,
         )
     if promotion.upstream is None:
         return choose_database(progress, now_ms, promotion, facts)
@@ -96,14 +98,14 @@
     progress.chosen_since_ms = None
     progress.promoted = False
     progress.outdated = False
-    progress.restart = ''
+    progress.restart_reason = ''
     progress.accept_loss = promotion.accept_loss
 
 
 def _start_command(
     progress: GroupProgress, now_ms: float, facts: GroupFacts
 ) -> StartPromotion | None:
-    if not progress.restart:
+    if not progress.restart_reason:
         progress.accept_loss = False
     reason = _start_reason(progress, now_ms, facts)
     if not reason:
@@ -128,8 +130,8 @@
             if _can_choose_first_primary(progress, facts)
             else ''
         )
-    if progress.restart or facts.failed:
-        return progress.restart or facts.failed
+    if progress.restart_reason or facts.failure_reason:
+        return progress.restart_reason or facts.failure_reason
     if _is_sealed_in_newer_term(facts):
         return 'sealed by an abandoned promotion'
     primary = facts.databases.get(facts.primary)
@@ -163,7 +165,7 @@
     connected = [d for d in facts.databases.values() if d.connected]
     if progress.accept_loss:
         return bool(connected)
-    return len(connected) >= (facts.needed if facts.last_term else facts.size)
+    return len(connected) >= (facts.quorum if facts.last_term else facts.size)
 
 
 def _is_cooling_down(progress: GroupProgress, now_ms: float) -> bool:
@@ -190,10 +192,10 @@
     """Request a promotion for an operator.
 
     A running promotion continues, except that with `accept_loss` one that
-    lacks a quorum is abandoned and restarted with that permission.
+    has not chosen a database is abandoned and restarted with that permission.
     """
     progress = progress_of(driver, group)
-    progress.restart = reason
+    progress.restart_reason = reason
     progress.accept_loss = progress.accept_loss or accept_loss
 
 
@@ -204,6 +206,11 @@
     promotion: RunningPromotion,
     facts: GroupFacts,
 ) -> bool:
+    """Return whether to abandon a running promotion.
+
+    Also records in `progress` that the chosen database leads, or the time at
+    which its timeout started.
+    """
     if progress.outdated:
         return True
     if promotion.upstream is None:
@@ -294,6 +301,11 @@
 def _replication_requests(
     progress: GroupProgress, facts: GroupFacts
 ) -> dict[str, AdminRequest]:
+    """Return the requests that restore replication if no promotion runs.
+
+    A primary that does not lead in its term is promoted again. The other
+    databases are to follow it.
+    """
     primary = facts.databases.get(facts.primary or '')
     if primary is None:
         return {}
@@ -316,7 +328,7 @@
             primary=primary.name,
             primary_host=primary.host,
             primary_port=primary.port,
-            session=database.session,
+            announce_conn=database.announce_conn,
         )
         behind = database.term < facts.term or database.leads
         if behind or request not in progress.followed:
@@ -376,7 +388,7 @@
     facts: GroupFacts,
     request: AdminRequest,
 ) -> None:
-    """Shorten the time-out of a selected database that refuses connections.
+    """Shorten the timeout of a chosen database that refuses connections.
 
     A refused connection is stronger evidence of a failure than a missing
     answer, so `refused_ms` applies from now on instead of `silent_ms`.
--- a/jackdawpost/core/control/promotion_choice.py
+++ b/jackdawpost/core/control/promotion_choice.py
@@ -1,4 +1,4 @@
-"""Selection of the new primary among the sealed databases of a group."""
+"""Choice of the new primary among the sealed databases of a group."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     promotion: RunningPromotion,
     facts: GroupFacts,
 ) -> ChoosePrimary | None:
-    """Return the command that selects the new primary once that is safe.
+    """Return the command that chooses the new primary once that is safe.
 
     All leases of the old term must have ended and a quorum of databases must
     be sealed; one database is enough if loss is accepted. A sealed database
@@ -33,7 +33,7 @@
     if facts.lease_holders:
         return None
     sealed = counted_sealed(progress, facts)
-    if len(sealed) < (1 if promotion.accept_loss else facts.needed):
+    if len(sealed) < (1 if promotion.accept_loss else facts.quorum):
         return None
     if progress.enough_since_ms is None:
         progress.enough_since_ms = now_ms
@@ -45,7 +45,7 @@
     if _should_wait(progress, now_ms, promotion, facts, preferred):
         return None
     name = _most_up_to_date(
-        preferred if len(preferred) >= facts.needed else sealed, facts
+        preferred if len(preferred) >= facts.quorum else sealed, facts
     )
     return ChoosePrimary(
         group=facts.name,
@@ -71,7 +71,7 @@
 
 
 def _is_least_preferred(name: str, facts: GroupFacts) -> bool:
-    """Return whether a database is selected only if no other one suffices.
+    """Return whether a database is chosen only if the others are no quorum.
 
     These are the old primary, unannounced databases and leaving ones.
     """
@@ -93,7 +93,9 @@
     already holds every acknowledged write.
     """
     primary = facts.databases.get(facts.primary or '')
-    leaving = primary is not None and primary.leaving and not facts.failed
+    leaving = (
+        primary is not None and primary.leaving and not facts.failure_reason
+    )
     if not leaving and not promotion.accept_loss:
         return False
     missing = [
@@ -123,7 +125,7 @@
 def missing_databases(driver: PromotionDriver, facts: GroupFacts) -> list[str]:
     """Return the databases that a promotion has not sealed yet.
 
-    The list is empty unless a promotion is running without a selected
+    The list is empty unless a promotion is running that has not chosen an
     upstream.
     """
     if facts.promotion is None or facts.promotion.upstream is not None:
--- a/jackdawpost/core/control/promotion_facts.py
+++ b/jackdawpost/core/control/promotion_facts.py
@@ -26,7 +26,7 @@
         It is the primary in `term`.
     received : LogPosition
         Last position that it has received.
-    session : int
+    announce_conn : int
         Connection of the announcement. A new connection requires another
         follow request.
     last_contact_ms : float
@@ -43,7 +43,7 @@
     leads: bool
     received: LogPosition
     leaving: bool
-    session: int
+    announce_conn: int
     last_contact_ms: float
     connected: bool = True
 
@@ -59,8 +59,8 @@
     accept_loss : bool
         An operator allows the loss of acknowledged writes.
     upstream, data_id : str, optional
-        Name and data identity of the selected upstream; `upstream` is None
-        until one is selected.
+        Name and data identity of the chosen upstream; `upstream` is None
+        until one is chosen.
     """
 
     from_term: int
@@ -78,9 +78,9 @@
     ----------
     size : int
         Number of databases configured for the group.
-    needed : int
-        Quorum of a promotion: any `needed` databases of the set include one
-        that holds each acknowledged write.
+    quorum : int
+        Number of databases that a promotion must seal: any `quorum`
+        databases of the set include one that holds each acknowledged write.
     term : int
         Term of the latest finished promotion.
     last_term : int
@@ -96,13 +96,13 @@
     lease_holders : mapping of str to float
         Proxies that may acknowledge writes in the replaced term, with the
         end of their leases.
-    failed : str
+    failure_reason : str
         Reason why the primary must be replaced; empty if there is none.
     """
 
     name: str
     size: int
-    needed: int
+    quorum: int
     term: int
     last_term: int
     primary: str | None
@@ -110,7 +110,7 @@
     promotion: RunningPromotion | None
     databases: Mapping[str, Database]
     lease_holders: Mapping[str, float]
-    failed: str
+    failure_reason: str
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -125,7 +125,7 @@
         Address of the upstream.
     primary, primary_host, primary_port : str, str, int
         Primary to follow and its address; only set for ``'follow'``.
-    session : int
+    announce_conn : int
         Connection of the upstream's announcement; only set for
         ``'follow'``.
     """
@@ -139,7 +139,7 @@
     primary: str = ''
     primary_host: str = ''
     primary_port: int = 0
-    session: int = 0
+    announce_conn: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -161,7 +161,7 @@
         one.
     busy : bool
         A command of this group is in the log but has not been applied.
-    restart : str
+    restart_reason : str
         Reason to start another promotion; empty if there is none.
     retry_at_ms : float
         Earliest time of the next command after a refused one.
@@ -173,11 +173,13 @@
     sealed : dict of str to SealedDatabase
         Databases that have been sealed, by name.
     enough_since_ms : float, optional
-        Time since which a quorum of databases has been sealed.
+        Time since which all leases of the old term have ended and enough
+        databases have been sealed to choose one.
     chosen_since_ms : float, optional
-        Time at which the time-out of the selected database started.
+        Time at which the timeout of the chosen database started. A refused
+        connection moves it to an earlier time.
     promoted : bool
-        The selected database leads.
+        The chosen database leads.
     outdated : bool
         A database knows a newer term than that of the promotion.
     finished_ms : float, optional
@@ -194,7 +196,7 @@
 
     highest_term: int = 0
     busy: bool = False
-    restart: str = ''
+    restart_reason: str = ''
     retry_at_ms: float = 0.0
     accept_loss: bool = False
     sealed_term: int = 0
@@ -218,9 +220,9 @@
     Parameters
     ----------
     refused_ms : float
-        Time-out for a selected database that refuses connections.
+        Timeout for a chosen database that refuses connections.
     silent_ms : float
-        Time-out for a selected database that does not answer.
+        Timeout for a chosen database that does not answer.
     groups : dict of str to GroupProgress
         Progress by group.
     """
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -223,7 +223,7 @@
     link.is_served = True
     previous = leader.permits.incarnations.get(link.name)
     if previous is not None and previous != report.incarnation:
-        withhold_permits(state, leader, link.name)
+        reserve_permits(state, leader, link.name)
     was_granting = permit_ledger.is_granting(leader.permits, state.now_ms)
     leader.dirty_permits |= permit_ledger.record_holdings(
         leader.permits, link.name, report.incarnation, report.holdings
@@ -241,16 +241,16 @@
     request_approvals(state)
 
 
-def withhold_permits(
+def reserve_permits(
     state: ControlState, leader: LeaderState, proxy: str
 ) -> None:
-    """Withhold the permits of a lost proxy until it can no longer use them.
+    """Reserve the permits of a lost process until it can no longer use them.
 
     That is when its last lease has expired and the longest statement started
     under it has ended.
     """
     end_ms = lease_ledger.lease_end_ms(leader.leases, state.now_ms, proxy)
-    permit_ledger.record_lost(
+    permit_ledger.reserve_permits(
         leader.permits, proxy, end_ms + state.cfg.max_statement_ms
     )
 
@@ -258,7 +258,10 @@
 def _mark_suspect_groups(
     state: ControlState, leader: LeaderState, report: ProxyReport
 ) -> None:
-    """Mark the groups whose primary a proxy reports as unreachable."""
+    """Mark the groups with an upstream that a proxy reports as not up.
+
+    Their promotions, and those of all groups still marked, are reconsidered.
+    """
     for upstream, evidence in report.evidence.items():
         member = state.machine.members.get(upstream)
         if evidence != 'up' and member is not None and member.group:
@@ -390,7 +393,7 @@
     """Stop serving a proxy that is lost or no longer a member."""
     if state.proxies.get(link.name) == link.conn and state.leader is not None:
         if link.is_served:
-            withhold_permits(state, state.leader, link.name)
+            reserve_permits(state, state.leader, link.name)
     link.is_served = False
     link.sent_version = None
 
@@ -418,7 +421,13 @@
         log(state, 'warning', 'proxy_silent', proxy=link.name)
         on_proxy_closed(state, link)
         del state.links[link.conn]
-        state.outbox.append(Close(conn=link.conn, reason='silent', abort=True))
+        state.outbox.append(
+            Close(
+                conn=link.conn,
+                reason='no message within the lease duration',
+                abort=True,
+            )
+        )
 
 
 def drop_removed_proxies(state: ControlState, leader: LeaderState) -> None:
--- a/jackdawpost/core/control/upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -147,7 +147,7 @@
     return GroupFacts(
         name=name,
         size=settings.databases,
-        needed=max(1, promotion_quorum(state.machine, name)),
+        quorum=max(1, promotion_quorum(state.machine, name)),
         term=group.term,
         last_term=group.last_term,
         primary=group.primary,
@@ -155,7 +155,7 @@
         promotion=running_promotion,
         databases=_databases(state, leader, name),
         lease_holders=_lease_holders(state, leader, name, group),
-        failed=_failure_reason(state, leader, name, group),
+        failure_reason=_failure_reason(state, leader, name, group),
     )
 
 
@@ -178,7 +178,7 @@
             leads=announce.leads,
             received=LogPosition(*announce.received),
             leaving=announce.leaving or is_leaving(state, name),
-            session=announced.conn,
+            announce_conn=announced.conn,
             last_contact_ms=announced.last_contact_ms,
             connected=announced.connected,
         )
@@ -251,7 +251,7 @@
     if facts is None:
         leader.driver.groups.pop(name, None)
         leader.group_due_ms.pop(name, None)
-        state.outbox += control_admin.reconcile(
+        state.outbox += control_admin.update_requests(
             leader.admin, state.now_ms, name, {}
         )
         return
@@ -265,7 +265,7 @@
         progress.busy = propose(state, key, command) is not None
         log(state, 'info', command.kind, **_log_fields(command))
     requests = promotion.admin_requests(leader.driver, facts)
-    state.outbox += control_admin.reconcile(
+    state.outbox += control_admin.update_requests(
         leader.admin, state.now_ms, name, requests
     )
     _set_group_due(state, leader, facts)
@@ -315,7 +315,9 @@
     for name, due_ms in leader.group_due_ms.items():
         if due_ms <= state.now_ms:
             leader.dirty_groups.add(name)
-    leader.dirty_groups |= control_admin.due_groups(leader.admin, state.now_ms)
+    leader.dirty_groups |= control_admin.groups_with_due_requests(
+        leader.admin, state.now_ms
+    )
 
 
 def on_admin_opened(
--- a/jackdawpost/tests/core/control/test_failure_detector.py
+++ b/jackdawpost/tests/core/control/test_failure_detector.py
@@ -1,4 +1,4 @@
-"""Majority and time-outs by which the failure detector decides."""
+"""Majority and timeouts by which the failure detector decides."""
 
 from __future__ import annotations
 
@@ -94,7 +94,7 @@
     # Guards against replacing a database immediately after its promotion.
     detector = make_detector()
     record_states(detector, 0, p1='silent')
-    failure_detector.watch(detector, 'u', 1_000)
+    failure_detector.set_primary_since(detector, 'u', 1_000)
     record_states(detector, 1_000, p1='silent')
     assert not has_failed(detector, 1_700)
     assert has_failed(detector, 1_800)
--- a/jackdawpost/tests/core/control/test_permit_ledger.py
+++ b/jackdawpost/tests/core/control/test_permit_ledger.py
@@ -107,7 +107,7 @@
     ledger = make_ledger()
     permit_ledger.record_holdings(ledger, 'p1', 'i1', {})
     demand(ledger, 0, p1=3)
-    permit_ledger.record_lost(ledger, 'p1', 1_000)
+    permit_ledger.reserve_permits(ledger, 'p1', 1_000)
     assert demand(ledger, 1, p2=1) == []
     assert permit_ledger.next_permit_due_ms(ledger, 1, 'u') == 1_000
     assert decide(ledger, 999) == []
@@ -119,7 +119,7 @@
     ledger = make_ledger()
     permit_ledger.record_holdings(ledger, 'p1', 'i1', {})
     demand(ledger, 0, p1=3)
-    permit_ledger.record_lost(ledger, 'p1', 10_000)
+    permit_ledger.reserve_permits(ledger, 'p1', 10_000)
     permit_ledger.record_holdings(ledger, 'p1', 'i1', {'u': 1})
     assert demand(ledger, 1, p2=2) == [('grant', 'p2', 2)]
 
@@ -130,7 +130,7 @@
     ledger = make_ledger()
     permit_ledger.record_holdings(ledger, 'p1', 'i1', {})
     demand(ledger, 0, p1=2)
-    permit_ledger.record_lost(ledger, 'p1', 1_000)
+    permit_ledger.reserve_permits(ledger, 'p1', 1_000)
     permit_ledger.record_holdings(ledger, 'p1', 'i2', {})
     assert demand(ledger, 1, p1=3) == [('grant', 'p1', 1)]
 
@@ -206,7 +206,7 @@
     def reconnect(self, proxy, is_restart):
         self.in_flight[proxy].clear()
         until_ms = self.now_ms + RESERVATION_MS
-        permit_ledger.record_lost(self.ledger, proxy, until_ms)
+        permit_ledger.reserve_permits(self.ledger, proxy, until_ms)
         if is_restart:
             self.killed_processes.append((until_ms, self.held[proxy]))
             self.held[proxy] = 0
--- a/jackdawpost/tests/core/control/test_promotion.py
+++ b/jackdawpost/tests/core/control/test_promotion.py
@@ -28,7 +28,7 @@
         'leads': name == 'a',
         'received': LogPosition(3, 10),
         'leaving': False,
-        'session': 1,
+        'announce_conn': 1,
         'last_contact_ms': 0.0,
     }
     return Database(**{**values, **changes})
@@ -39,7 +39,7 @@
     values = {
         'name': 'g',
         'size': 3,
-        'needed': 2,
+        'quorum': 2,
         'term': 3,
         'last_term': 3,
         'primary': 'a',
@@ -47,7 +47,7 @@
         'promotion': None,
         'databases': {name: make_database(name) for name in names},
         'lease_holders': {},
-        'failed': '',
+        'failure_reason': '',
     }
     return GroupFacts(**{**values, **changes})
 
@@ -92,7 +92,7 @@
     command = promotion.next_command(
         make_driver(),
         0,
-        make_facts(failed='primary failed', databases=databases),
+        make_facts(failure_reason='primary failed', databases=databases),
     )
     assert isinstance(command, StartPromotion)
     assert (command.from_term, command.to_term) == (3, 8)
@@ -109,7 +109,8 @@
 
 
 def test_no_choice_while_a_proxy_may_hold_a_lease():
-    # Guards against a write acknowledged on the replaced primary.
+    # Guards against a write that is acknowledged on the replaced primary and
+    # that the chosen database lacks.
     driver = make_driver()
     facts = started_facts(lease_holders={'p': 500.0})
     assert answer_seal_requests(driver, facts, b=1, c=2) is None
@@ -137,7 +138,7 @@
 def test_failed_primary_is_not_chosen_again():
     # Guards against promoting a database that the proxies cannot reach.
     driver = make_driver()
-    facts = started_facts(failed='primary failed')
+    facts = started_facts(failure_reason='primary failed')
     command = answer_seal_requests(driver, facts, a=20, b=10, c=11)
     assert command.upstream == 'c'
 
@@ -185,7 +186,9 @@
     driver = make_driver()
     with_loss = RunningPromotion(from_term=3, to_term=4, accept_loss=True)
     promotion.next_command(driver, 0, make_facts(promotion=with_loss))
-    command = promotion.next_command(driver, 1, make_facts(failed='failed'))
+    command = promotion.next_command(
+        driver, 1, make_facts(failure_reason='failed')
+    )
     assert not command.accept_loss
 
 
@@ -254,7 +257,7 @@
     assert list(promotion.admin_requests(driver, facts)) == ['c']
     facts = make_facts()
     assert promotion.admin_requests(driver, facts) == {}
-    facts.databases['b'].session = 2
+    facts.databases['b'].announce_conn = 2
     assert list(promotion.admin_requests(driver, facts)) == ['b']
 
 
@@ -280,6 +283,6 @@
     # Guards against filling the log with commands that are refused.
     driver = make_driver()
     progress_of(driver, 'g').retry_at_ms = 100
-    facts = make_facts(failed='failed')
+    facts = make_facts(failure_reason='failed')
     assert promotion.next_command(driver, 99, facts) is None
     assert promotion.next_command(driver, 100, facts) is not None
