Say that registrations reach the control process over HTTP

Cause: core/control called the requests of registered upstreams "single requests", "requests" and "requests that arrive without a link"; a reader could not tell how they arrive. The comment of ANNOUNCE_BACKOFF_MS gave its reason but not what it limits.

Ruled out: changes outside the folder; core/messages/registry.py already says HTTP.

Change: "HTTP requests" in the five places; the comment says what the time separates. Only comments and docstrings change.

--- a/jackdawpost/core/control/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -53,7 +53,7 @@
     group, slots, connections : str, int, int
         Only set for upstreams.
     registered : bool
-        The upstream registered itself by single requests; see `Member`.
+        The upstream registered itself by HTTP requests; see `Member`.
     """
 
     role: Role
--- a/jackdawpost/core/control/members.py
+++ b/jackdawpost/core/control/members.py
@@ -20,7 +20,8 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import send
 
-# Limits the growth of the log while a command is refused again and again.
+# Minimum time between two proposals of an announcement. Limits the growth of
+# the log while the command is refused again and again.
 ANNOUNCE_BACKOFF_MS = 1_000.0
 
 
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -58,7 +58,7 @@
     max_statement_ms : float
         Longest run time of a statement.
     delegated : bool
-        Whether upstreams register through requests and promotions are
+        Whether upstreams register by HTTP requests and promotions are
         carried out by the deployment's platform on order of the leader.
     holder : str
         Name that this process uses when it orders promotions.
@@ -191,7 +191,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class RegisteredUpstream:
-    """Latest report of an upstream that registers through requests."""
+    """Latest report of an upstream that registers by HTTP requests."""
 
     report: Registration
     last_contact_ms: float
@@ -365,7 +365,7 @@
     dirty_groups: set[str] = field(default_factory=set)
     dirty_permits: set[str] = field(default_factory=set)
     suspect_groups: set[str] = field(default_factory=set)
-    # Requests that arrive without a link, and delegated promotions.
+    # Used by HTTP requests and by delegated promotions.
     pending_requests: dict[int, list[int]] = field(default_factory=dict)
     pending_reads: dict[int, int] = field(default_factory=dict)
     registered: dict[str, RegisteredUpstream] = field(default_factory=dict)
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -38,7 +38,7 @@
     leaving : bool
         The member is shutting down and is to get no new work.
     registered : bool
-        The upstream registered itself by single requests. It has no open
+        The upstream registered itself by HTTP requests. It has no open
         connection on which it could be asked to approve newcomers, and its
         approval is not required.
     """
