Reword the fault plans, regressions and relay of the soak test

A reader stumbled over names such as MIN_FOR_S, CONTROL_GAP_S, LEAVE_SHARE, "which faults strike when", and near/far/is_touched in the relay.

Constants now name a duration, an interval or a probability; the relay has client and server streams, is_affected, _forward and _is_blocked. Kinds of faults, the order of WEIGHTS, all draws and seeding texts, and the fields of Fault are unchanged: the file `faults` of a kept folder prints these fields.

Ruled out: renaming at_s and for_s, because they are written out under their own names.

draw_plan(seed, 20.0) gives the same kind, times, target and share for seeds 1 to 200 before and after.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,4 +1,4 @@
-"""Plans: which faults strike when, drawn from a seed."""
+"""Fault plans: the kind, time and target of each fault, drawn from a seed."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-Kind = Literal[
+FaultKind = Literal[
     'link_delay',
     'link_reset',
     'link_one_way',
@@ -27,9 +27,9 @@
     'order_lost',
     'order_late',
 ]
-# How often each kind is drawn, relative to the others. A database leaves at
-# most once in a run; see `LEAVE_SHARE`.
-WEIGHTS: dict[Kind, int] = {
+# Relative frequency of each kind. 'database_leave' occurs at most once in a
+# run, with the probability `LEAVE_PROBABILITY`.
+WEIGHTS: dict[FaultKind, int] = {
     'link_delay': 2,
     'link_reset': 2,
     'link_one_way': 2,
@@ -50,36 +50,40 @@
     'order_lost': 1,
     'order_late': 1,
 }
-# Kinds that take a control process away. Of three, one may be gone at once.
+# Kinds that make control processes unavailable. A group of three tolerates
+# the loss of one, so these faults do not overlap.
 CONTROL_KINDS = frozenset(
     {'control_kill', 'control_pause', 'control_wipe', 'control_kill_all'}
 )
-MIN_FOR_S = 0.3
-MAX_FOR_S = 4.0
-# A control process is back in the group this long after its fault.
-CONTROL_GAP_S = 5.0
-# Share of the plans in which a database leaves.
-LEAVE_SHARE = 0.5
-# Mean time between the starts of two faults; they overlap.
-MEAN_GAP_S = 0.8
+MIN_DURATION_S = 0.3
+MAX_DURATION_S = 4.0
+# Time for a control process to rejoin its group after a fault.
+CONTROL_REJOIN_S = 5.0
+# Probability that a database leaves during a run.
+LEAVE_PROBABILITY = 0.5
+# Mean time between the starts of two faults, which may overlap.
+MEAN_INTERVAL_S = 0.8
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Fault:
-    """A fault and its target.
+    """Fault to inject, with its time and target.
 
     Parameters
     ----------
+    kind : str
+        Kind of the fault. ``stop``, ``kill``, ``pause`` and ``reload`` affect
+        edge processes, the ``order`` kinds promotions ordered from the
+        platform; the others start with the name of their target.
     at_s, for_s : float
-        Start after the start of traffic, and duration, in seconds.
+        Start, in seconds after the start of the plan, and duration in seconds.
     target : int
-        Number of the process, database or link, from 0; the runner takes it
-        modulo how many there are.
+        Index of the process, database or link, modulo their number.
     share : float
-        Part of the connections that a fault of a link touches.
+        Fraction of the connections affected by a link fault.
     """
 
-    kind: Kind
+    kind: FaultKind
     at_s: float
     for_s: float
     target: int
@@ -87,16 +91,18 @@
 
 
 def draw_plan(seed: int, length_s: float) -> list[Fault]:
-    """Return the faults of a seed in the order of their starts."""
+    """Return the faults of a seed, sorted by start time."""
     rng = random.Random(seed)
     kinds = list(WEIGHTS)
     weights = list(WEIGHTS.values())
     plan = []
-    control_free_s = 0.0
+    next_control_fault_s = 0.0
     at_s = rng.uniform(0.2, 1.0)
     while at_s < length_s:
         [kind] = rng.choices(kinds, weights)
-        for_s = min(rng.uniform(MIN_FOR_S, MAX_FOR_S), length_s - at_s)
+        for_s = min(
+            rng.uniform(MIN_DURATION_S, MAX_DURATION_S), length_s - at_s
+        )
         fault = Fault(
             kind=kind,
             at_s=round(at_s, 3),
@@ -104,20 +110,20 @@
             target=rng.randrange(6),
             share=rng.choice((0.3, 0.6, 1.0)),
         )
-        at_s += rng.expovariate(1 / MEAN_GAP_S)
+        at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
         if kind in CONTROL_KINDS:
-            if fault.at_s < control_free_s:
+            if fault.at_s < next_control_fault_s:
                 continue
-            control_free_s = fault.at_s + for_s + CONTROL_GAP_S
+            next_control_fault_s = fault.at_s + for_s + CONTROL_REJOIN_S
         plan.append(fault)
-    # Drawn apart, so that the other faults of a seed stay as they were.
-    other = random.Random(f'{seed}/leave')
-    if other.random() < LEAVE_SHARE:
+    # A generator of its own leaves the other faults of a seed unchanged.
+    leave_rng = random.Random(f'{seed}/leave')
+    if leave_rng.random() < LEAVE_PROBABILITY:
         leave = Fault(
             kind='database_leave',
-            at_s=round(other.uniform(0.0, length_s / 2), 3),
+            at_s=round(leave_rng.uniform(0.0, length_s / 2), 3),
             for_s=0.0,
-            target=other.randrange(6),
+            target=leave_rng.randrange(6),
             share=1.0,
         )
         plan.append(leave)
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,30 +1,33 @@
-"""Seeds that have failed once, and why; play them with --regressions.
+"""Seeds whose runs have failed before, for the option ``--regressions``.
 
-A change of the plan's weights or draws gives a seed another plan: then the
-old one stays here as a note, and the test named with it guards the cause.
+A change of the weights or draws in `soak.plan` gives a seed a different plan.
+Its entry then stays as a record, and the test named in it covers the cause.
 """
 
 from __future__ import annotations
 
-# Seed, length of its faults in seconds, cause and guard.
+# Seed, length of its faults in seconds, cause and the test that covers it.
 REGRESSIONS: tuple[tuple[int, float, str], ...] = (
     (
         7,
         15.0,
-        'a write at a silent primary was cut without an answer at the end of '
-        'a shutdown; tests/core/pooler/test_sessions.py, '
+        'a write sent to a primary that did not respond was cut off without '
+        'an answer at the end of a shutdown; '
+        'tests/core/pooler/test_sessions.py, '
         'test_statement_without_answer_gets_its_final_answer_before_the_end',
     ),
     (
         8,
         15.0,
-        'not a fault of the product: SIGTERM while Python still loaded the '
-        'program ended it by the signal; the soak now expects that',
+        'not a fault of the product: SIGTERM ended a process by the signal '
+        'while Python was still loading the program; the soak test now '
+        'accepts that',
     ),
     (
         2,
         15.0,
-        'not a fault of the product: a stand-in that turned slow took back '
-        'what it had applied, so that reads looked stale',
+        'not a fault of the product: a stand-in database reverted commits '
+        'that it had applied when its apply delay was increased, which made '
+        'reads look stale',
     ),
 )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -1,4 +1,4 @@
-"""Loopback relay that delays, resets, cuts or silences connections."""
+"""TCP relay on loopback that delays, blocks and resets connections."""
 
 from __future__ import annotations
 
@@ -13,78 +13,85 @@
 
 Mode = Literal['pass', 'delay', 'silent', 'one_way']
 READ_BYTES = 65_536
-POLL_S = 0.02  # between looks whether a cut has healed
+POLL_INTERVAL_S = 0.02  # of blocked data
 DELAY_S = 0.15
-# Close with a reset: no lingering, at once.
-_ABORT = struct.pack('ii', 1, 0)
+# SO_LINGER with a timeout of 0 s: close() sends a reset.
+_LINGER_RESET = struct.pack('ii', 1, 0)
 
 
 @dataclass(eq=False)
-class _Pair:
-    near: trio.SocketStream
-    far: trio.SocketStream
-    is_touched: bool = False
+class _RelayedConnection:
+    client: trio.SocketStream
+    server: trio.SocketStream
+    is_affected: bool = False
 
 
 @dataclass
 class Relay:
-    """Passes connections on to an address, under the fault set in `mode`.
+    """Forward connections to a port, with the fault set by `mode`.
 
-    What a cut holds back is delivered once it heals, as a network does that
-    sends again.
+    Blocked data is forwarded once the fault ends, like data that TCP
+    retransmits after a network partition.
 
     Parameters
     ----------
+    rng : random.Random
+        Selects the connections affected by a fault.
     port : int
-        Where it passes connections on to.
+        Port on 127.0.0.1 to which connections are forwarded.
     mode : str
-        ``'one_way'`` holds back answers only.
+        ``'delay'`` delays all data, ``'silent'`` blocks both directions,
+        ``'one_way'`` blocks only answers, ``'pass'`` has no effect.
     share : float
-        Part of the connections that the mode touches.
+        Fraction of the connections affected by the mode.
     """
 
     rng: random.Random
     port: int = 0
     mode: Mode = 'pass'
     share: float = 1.0
-    _pairs: list[_Pair] = field(default_factory=list)
+    _connections: list[_RelayedConnection] = field(default_factory=list)
 
     def set_mode(self, mode: Mode, share: float) -> None:
-        """Put old and new connections under a fault."""
+        """Apply a mode to a fraction of the open and new connections."""
         self.mode = mode
         self.share = share
-        for pair in self._pairs:
-            pair.is_touched = self.rng.random() < share
+        for connection in self._connections:
+            connection.is_affected = self.rng.random() < share
 
     def reset(self, share: float) -> None:
-        """Reset a part of the open connections."""
-        for pair in self._pairs:
+        """Reset a fraction of the open connections."""
+        for connection in self._connections:
             if self.rng.random() < share:
-                for stream in (pair.near, pair.far):
-                    _abort(stream)
+                for stream in (connection.client, connection.server):
+                    _close_with_reset(stream)
 
-    async def serve(self, near: trio.SocketStream) -> None:
-        """Pass one connection on until an end closes it."""
+    async def serve(self, client: trio.SocketStream) -> None:
+        """Forward one connection until either end closes it."""
         try:
-            far = await trio.open_tcp_stream('127.0.0.1', self.port)
+            server = await trio.open_tcp_stream('127.0.0.1', self.port)
         except OSError:
-            _abort(near)
+            _close_with_reset(client)
             return
-        touched = self.rng.random() < self.share
-        pair = _Pair(near, far, touched)
-        self._pairs.append(pair)
+        is_affected = self.rng.random() < self.share
+        connection = _RelayedConnection(client, server, is_affected)
+        self._connections.append(connection)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy, pair, near, far, False, nursery)
-                nursery.start_soon(self._copy, pair, far, near, True, nursery)
+                nursery.start_soon(
+                    self._forward, connection, client, server, False, nursery
+                )
+                nursery.start_soon(
+                    self._forward, connection, server, client, True, nursery
+                )
         finally:
-            self._pairs.remove(pair)
-            for stream in (near, far):
-                _abort(stream)
+            self._connections.remove(connection)
+            for stream in (client, server):
+                _close_with_reset(stream)
 
-    async def _copy(
+    async def _forward(
         self,
-        pair: _Pair,
+        connection: _RelayedConnection,
         source: trio.SocketStream,
         sink: trio.SocketStream,
         is_answer: bool,
@@ -92,22 +99,22 @@
     ) -> None:
         try:
             while data := await source.receive_some(READ_BYTES):
-                if pair.is_touched and self.mode == 'delay':
+                if connection.is_affected and self.mode == 'delay':
                     await trio.sleep(DELAY_S)
-                while pair.is_touched and self._holds_back(is_answer):
-                    await trio.sleep(POLL_S)
+                while connection.is_affected and self._is_blocked(is_answer):
+                    await trio.sleep(POLL_INTERVAL_S)
                 await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # either end has gone: so does the other
+            pass  # one end has closed; serve() closes the other
         nursery.cancel_scope.cancel()
 
-    def _holds_back(self, is_answer: bool) -> bool:
+    def _is_blocked(self, is_answer: bool) -> bool:
         return self.mode == 'silent' or (self.mode == 'one_way' and is_answer)
 
 
-def _abort(stream: trio.SocketStream) -> None:
+def _close_with_reset(stream: trio.SocketStream) -> None:
     try:
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
     except OSError:
-        return  # closed already
+        return  # already closed
     stream.socket.close()
