--- a/bench/callers.py
+++ b/bench/callers.py
@@ -1,7 +1,7 @@
-"""Closed-loop callers: many open connections, few requests in flight.
+"""Closed-loop load generator: many open connections, few requests in flight.
 
-Run as a process of its own, so that the callers do not share a core with
-the process that is measured. Prints one JSON object.
+It runs in a separate process, so the callers do not share a core with the
+measured process. The result is printed as one JSON object.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 from jackdawpost.wire.link import open_link
 from jackdawpost.wire.stream import FrameStream
 
-US_PER_S = 1_000_000
+US_PER_SECOND = 1_000_000
 READ_SQL = 'select ?'
 WRITE_SQL = (
     'insert into ledger (request_key, session, seq, part, parts) '
@@ -31,8 +31,8 @@
 )
 
 
-class CallerLoop:
-    """Counts and latencies of all callers of this process."""
+class ClosedLoopCallers:
+    """All callers of this process, with their counts and latencies."""
 
     def __init__(self, args: argparse.Namespace) -> None:
         self.args = args
@@ -43,20 +43,20 @@
         self._next_id = 0
 
     def build_frame(self) -> bytes:
-        """Return the next request as one frame."""
+        """Return the frame of the next statement request."""
         self._next_id += 1
-        number = self._next_id
+        request_id = self._next_id
         message: dict[str, Any] = {
             'kind': 'statement',
-            'id': number,
+            'id': request_id,
             'route': self.args.route,
             'access': 'read',
             'sql': READ_SQL,
-            'params': [number],
+            'params': [request_id],
             'deadline_ms': 10_000,
         }
-        if number % 100 < self.args.write_percent:
-            key = f'{os.getpid()}-{number}'
+        if request_id % 100 < self.args.write_percent:
+            key = f'{os.getpid()}-{request_id}'
             message |= {
                 'access': 'write',
                 'sql': WRITE_SQL,
@@ -67,19 +67,21 @@
             message['max_age_ms'] = self.args.max_age_ms
         return cbor2.dumps(message)
 
-    async def serve(self, streams: list[FrameStream], end_s: float) -> None:
-        """Keep one request in flight over these connections in turn."""
+    async def send_requests(
+        self, streams: list[FrameStream], end_s: float
+    ) -> None:
+        """Send one request at a time, using the connections round-robin."""
         while True:
             for stream in streams:
                 started_s = trio.current_time()
                 if started_s >= end_s:
                     return
                 stream.post(self.build_frame())
-                self._count(cbor2.loads(await stream.receive()))
-                elapsed_us = (trio.current_time() - started_s) * US_PER_S
+                self._count_outcome(cbor2.loads(await stream.receive()))
+                elapsed_us = (trio.current_time() - started_s) * US_PER_SECOND
                 self.histogram.record_value(max(1, int(elapsed_us)))
 
-    def _count(self, answer: dict[str, Any]) -> None:
+    def _count_outcome(self, answer: dict[str, Any]) -> None:
         if answer.get('outcome') == 'done':
             self.done += 1
             return
@@ -89,8 +91,8 @@
 
 
 async def run_callers(args: argparse.Namespace) -> dict[str, Any]:
-    """Open the connections, run the load, and return the figures."""
-    loop = CallerLoop(args)
+    """Open the connections, run the load and return the results."""
+    callers = ClosedLoopCallers(args)
     async with AsyncExitStack() as stack:
         streams = []
         for _ in range(args.connections):
@@ -102,19 +104,19 @@
         end_s = trio.current_time() + args.seconds
         async with trio.open_nursery() as nursery:
             for number in range(args.in_flight):
-                own = streams[number :: args.in_flight]
-                nursery.start_soon(loop.serve, own, end_s)
+                assigned = streams[number :: args.in_flight]
+                nursery.start_soon(callers.send_requests, assigned, end_s)
         return {
-            'done': loop.done,
-            'failed': loop.failed,
-            'errors': loop.errors,
-            'per_second': round(loop.done / args.seconds, 1),
-            'latency_ms': summarize_histogram(loop.histogram),
+            'done': callers.done,
+            'failed': callers.failed,
+            'errors': callers.errors,
+            'per_second': round(callers.done / args.seconds, 1),
+            'latency_ms': summarize_histogram(callers.histogram),
         }
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the callers and print their figures."""
+    """Run the callers and print the results as JSON."""
     parser = argparse.ArgumentParser(prog='python -m bench.callers')
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, required=True)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,7 +1,7 @@
-"""Starts and stops the processes of one deployment on loopback.
+"""Starts and stops the processes of a deployment on the loopback interface.
 
-Only experiments and tests use this; no program of the product starts
-another one.
+Only the experiments and tests use this module. The installed programs never
+start one another.
 """
 
 from __future__ import annotations
@@ -31,12 +31,12 @@
 from jackdawpost.client import ProxyAddress
 
 LOOPBACK = '127.0.0.1'
-START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 10.0
-POLL_S = 0.02
-# Below the range that Linux uses for outgoing connections.
-FIXED_PORTS = (10_000, 32_000)
-_TAKEN_PORTS: set[int] = set()
+HEALTHY_TIMEOUT_S = 30.0
+TERMINATE_TIMEOUT_S = 10.0
+POLL_INTERVAL_S = 0.02
+# Below the default range of ephemeral ports on Linux.
+LISTEN_PORT_RANGE = (10_000, 32_000)
+_ALLOCATED_PORTS: set[int] = set()
 MODULES = {
     'control': 'jackdawpost.cli.control',
     'proxy': 'jackdawpost.cli.proxy',
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class Program:
-    """One process and where it listens."""
+    """One process, its port and its settings file."""
 
     name: str
     role: str
@@ -57,23 +57,23 @@
 
     @property
     def running(self) -> bool:
-        """Whether the process has been started and not ended."""
+        """True while the process runs."""
         return self.process is not None and self.process.poll() is None
 
 
 class Cluster:
-    """Processes of one deployment.
+    """The processes of one deployment.
 
     Parameters
     ----------
     deployment : Deployment
-        Sizes and names.
+        Names of the groups and numbers of processes.
     folder : Path
-        Folder for the logs.
+        Folder for the logs and traces.
     programs : dict of str to Program
-        Programs with their settings files.
+        Programs by their names.
     ctl_config : Path
-        Settings of ``jackdawpost-ctl``.
+        Settings file of ``jackdawpost-ctl``.
     """
 
     def __init__(
@@ -92,21 +92,21 @@
     def load(
         cls, deployment: Deployment, settings: Path, folder: Path
     ) -> Cluster:
-        """Return a cluster with the settings files of a folder."""
+        """Return the cluster that the settings files in a folder describe."""
         programs = {}
         for config in sorted(settings.glob('*.json')):
             if config.stem in ('ctl', 'changes'):
                 continue
             value = jsonc.loads(config.read_text())
             name = value['name']
-            role = _role_of(value)
+            role = _get_role(value)
             programs[name] = Program(
                 name, role, value['listen']['port'], config
             )
         return cls(deployment, folder, programs, settings / 'ctl.json')
 
     def names(self, role: str) -> list[str]:
-        """Return the names of the programs of one role."""
+        """Return the names of the programs with the given role."""
         return [p.name for p in self.programs.values() if p.role == role]
 
     def proxy_addresses(self) -> list[ProxyAddress]:
@@ -116,8 +116,8 @@
             for name in self.names('proxy')
         ]
 
-    def record_traces(self) -> None:
-        """Let proxies and control processes record their events."""
+    def enable_trace_recording(self) -> None:
+        """Make proxies and control processes record traces when started."""
         for program in self.programs.values():
             if program.role != 'database':
                 trace = self.folder / f'{program.name}.jsonl'
@@ -129,7 +129,7 @@
             self.start(name)
 
     def start(self, name: str) -> None:
-        """Start one program; its logs are appended to ``NAME.log``."""
+        """Start one program and append its output to ``NAME.log``."""
         program = self.programs[name]
         command = [
             sys.executable,
@@ -145,38 +145,41 @@
             )
 
     def kill(self, name: str) -> None:
-        """Kill a program without warning."""
-        self._signal(name, signal.SIGKILL)
+        """Kill a program with SIGKILL and wait for its end."""
+        self._send_signal(name, signal.SIGKILL)
         process = self.programs[name].process
         if process is not None:
             process.wait()
 
     def terminate(self, name: str) -> int:
-        """Stop a program gracefully and return its exit code."""
-        self._signal(name, signal.SIGTERM)
+        """Stop a program with SIGTERM and return its exit code."""
+        self._send_signal(name, signal.SIGTERM)
         process = self.programs[name].process
-        return process.wait(STOP_TIMEOUT_S * 4) if process else 0
+        return process.wait(TERMINATE_TIMEOUT_S * 4) if process else 0
 
-    def freeze(self, name: str) -> None:
-        """Stop a program from running without ending it."""
-        self._signal(name, signal.SIGSTOP)
+    def suspend(self, name: str) -> None:
+        """Suspend a program with SIGSTOP."""
+        self._send_signal(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
-        """Let a frozen program go on."""
-        self._signal(name, signal.SIGCONT)
+        """Resume a suspended program with SIGCONT."""
+        self._send_signal(name, signal.SIGCONT)
 
     def stop_all(self) -> None:
-        """End everything that was started."""
+        """Kill all running programs, including suspended ones."""
         running = [p for p in self.programs.values() if p.running]
         for program in running:
-            self._signal(program.name, signal.SIGCONT)
-            self._signal(program.name, signal.SIGKILL)
+            self._send_signal(program.name, signal.SIGCONT)
+            self._send_signal(program.name, signal.SIGKILL)
         for program in running:
             if program.process is not None:
                 program.process.wait()
 
-    def read_page(self, name: str, path: str) -> tuple[int, Any]:
-        """Return status and JSON of a plain HTTP page; 0 if unreachable."""
+    def fetch_json(self, name: str, path: str) -> tuple[int, Any]:
+        """Return the HTTP status and the JSON body of a page of a program.
+
+        The status is 0 if the program does not answer.
+        """
         url = f'http://{LOOPBACK}:{self.programs[name].port}{path}'
         try:
             with urlopen(url, timeout=5) as reply:
@@ -187,15 +190,15 @@
             return 0, None
 
     def wait_healthy(self, names: list[str]) -> None:
-        """Wait until ``/healthz`` of each program answers 200."""
-        deadline = time.monotonic() + START_TIMEOUT_S
+        """Wait until ``/healthz`` of each program returns status 200."""
+        deadline = time.monotonic() + HEALTHY_TIMEOUT_S
         for name in names:
-            while self.read_page(name, '/healthz')[0] != 200:
-                self._check_waiting(name, deadline)
-                time.sleep(POLL_S)
+            while self.fetch_json(name, '/healthz')[0] != 200:
+                self._check_startup(name, deadline)
+                time.sleep(POLL_INTERVAL_S)
 
     def run_ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run ``jackdawpost-ctl`` and return what it printed."""
+        """Run ``jackdawpost-ctl`` and return its exit code and output."""
         command = [
             sys.executable,
             '-m',
@@ -208,46 +211,50 @@
             command, capture_output=True, text=True, timeout=60, check=False
         )
 
-    def _check_waiting(self, name: str, deadline: float) -> None:
+    def _check_startup(self, name: str, deadline: float) -> None:
         if not self.programs[name].running:
-            raise RuntimeError(f'{name} ended: {self._log_tail(name)}')
+            raise RuntimeError(
+                f'{name} ended before it was healthy; log: '
+                f'{self._read_log_tail(name)}'
+            )
         if time.monotonic() > deadline:
             raise RuntimeError(
-                f'{name} not healthy after {START_TIMEOUT_S:.0f} s: '
-                f'{self._log_tail(name)}'
+                f'{name} not healthy after {HEALTHY_TIMEOUT_S:.0f} s; log: '
+                f'{self._read_log_tail(name)}'
             )
 
-    def _log_tail(self, name: str) -> str:
+    def _read_log_tail(self, name: str) -> str:
         text = (self.folder / f'{name}.log').read_text(errors='replace')
         return text[-2_000:]
 
-    def _signal(self, name: str, number: int) -> None:
+    def _send_signal(self, name: str, number: int) -> None:
         program = self.programs[name]
         if program.running and program.process is not None:
             program.process.send_signal(number)
 
 
-def _role_of(settings: dict[str, Any]) -> str:
+def _get_role(settings: dict[str, Any]) -> str:
     if 'peers' in settings:
         return 'control'
     return 'database' if 'group' in settings else 'proxy'
 
 
-def take_port() -> int:
-    """Return a free TCP port that the system gives to no outgoing connection.
+def allocate_port() -> int:
+    """Return a free TCP port outside the range of ephemeral ports.
 
-    A port of the ephemeral range may be taken by an outgoing connection
-    while its process is down, which then cannot start again.
+    While a process is down, an outgoing connection of another process could
+    use its port if that were an ephemeral one. The process could then not
+    start again. No port is returned twice.
     """
     while True:
-        port = random.SystemRandom().randrange(*FIXED_PORTS)
-        with socket.socket() as probe:
+        port = random.SystemRandom().randrange(*LISTEN_PORT_RANGE)
+        with socket.socket() as sock:
             try:
-                probe.bind((LOOPBACK, port))
+                sock.bind((LOOPBACK, port))
             except OSError:
                 continue
-        if port not in _TAKEN_PORTS:
-            _TAKEN_PORTS.add(port)
+        if port not in _ALLOCATED_PORTS:
+            _ALLOCATED_PORTS.add(port)
             return port
 
 
@@ -258,27 +265,28 @@
     record: bool = False,
     **options: Any,
 ) -> Iterator[Cluster]:
-    """Start a deployment in a temporary folder and stop it afterwards.
+    """Run a deployment in a temporary folder and stop it on exit.
 
     Parameters
     ----------
     deployment : Deployment
-        Sizes and names.
+        Names of the groups and numbers of processes.
     edit_settings : callable, optional
-        Changes the settings files in a folder before the start.
+        Called with the folder of the settings files before the start, to
+        change them.
     record : bool
-        Proxies and control processes write traces ``NAME.jsonl``.
+        Record traces of proxies and control processes in ``NAME.jsonl``.
     **options
-        See `write_settings`.
+        Keyword arguments of `write_settings`.
     """
     with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
         path = Path(folder)
-        write_settings(deployment, path, take_port, path, **options)
+        write_settings(deployment, path, allocate_port, path, **options)
         if edit_settings is not None:
             edit_settings(path)
         cluster = Cluster.load(deployment, path, path)
         if record:
-            cluster.record_traces()
+            cluster.enable_trace_recording()
         try:
             cluster.start_all()
             yield cluster
--- a/bench/control_reducer_cost.py
+++ b/bench/control_reducer_cost.py
@@ -1,7 +1,8 @@
-"""Processor time and bytes of a control leader at any size, in one process.
+"""Measures processor time and bytes sent of a control leader of any size.
 
-Feeds a single-voter control process with the reports and announcements of
-many members and counts the reducer and the codec, but no sockets.
+One control process, the only voter, receives the reports and announcements of
+many members within this process. The measurement covers the reducer and the
+codec, but no sockets and no disk.
 ``python -m bench.control_reducer_cost --proxies 720 --databases 1800``
 """
 
@@ -45,17 +46,17 @@
 from jackdawpost.wire.codec import encode_cbor
 
 DATABASES_PER_GROUP = 3
-WATCHED_DATABASES = 8
-ROUNDS = 3
+DATABASES_PER_REPORT = 8
+MEASURED_ROUNDS = 3
 REPORT_INTERVAL_MS = 400.0
-CHANGES = 20
-US_PER_S = 1_000_000
+MEASURED_CHANGES = 20
+US_PER_SECOND = 1_000_000
 OPERATOR_CONN = 1
 FIRST_CONN = 10
 
 
-class ControlLoop:
-    """A control process without sockets and disk.
+class InMemoryControl:
+    """A control process that runs without sockets and disk.
 
     Parameters
     ----------
@@ -67,55 +68,57 @@
         cfg = ControlConfig(name='control-0', peers=['control-0'])
         self.now_ms = 0.0
         self.sent_bytes: Counter[int] = Counter()
-        self._due_ms: dict[str, float] = {}
+        self._timer_due_ms: dict[str, float] = {}
         restored = RestoredState()
         self.state, effects = new_control(
             cfg, random.Random(1), restored, self.now_ms
         )
         self.state.machine = machine
-        self.perform(effects)
+        self.execute_effects(effects)
 
-    def feed(self, event: Any) -> None:
-        """Reduce one event and carry out its effects."""
-        self.perform(reduce_control(self.state, event))
+    def apply_event(self, event: Any) -> None:
+        """Apply one event and execute its effects."""
+        self.execute_effects(reduce_control(self.state, event))
 
-    def perform(self, effects: list[Effect]) -> None:
-        """Encode what is sent and report every write as synced."""
+    def execute_effects(self, effects: list[Effect]) -> None:
+        """Count the sent bytes, confirm disk writes and set timers."""
         for effect in effects:
             if isinstance(effect, Send):
                 frame = encode_cbor(effect.messages)
                 self.sent_bytes[effect.conn] += len(frame)
             elif isinstance(effect, Persist):
                 token = effect.token
-                self.feed(Persisted(now_ms=self.now_ms, token=token))
+                self.apply_event(Persisted(now_ms=self.now_ms, token=token))
             elif isinstance(effect, SetTimer):
-                self._due_ms[effect.key] = effect.due_ms
+                self._timer_due_ms[effect.key] = effect.due_ms
 
-    def advance(self, duration_ms: float) -> None:
-        """Let time pass, firing timers when they are due."""
+    def advance_clock(self, duration_ms: float) -> None:
+        """Advance the simulated clock and fire the timers that are due."""
         end_ms = self.now_ms + duration_ms
-        while self._due_ms:
-            key = min(self._due_ms, key=self._due_ms.__getitem__)
-            due_ms = self._due_ms[key]
+        while self._timer_due_ms:
+            key = min(self._timer_due_ms, key=self._timer_due_ms.__getitem__)
+            due_ms = self._timer_due_ms[key]
             if due_ms > end_ms:
                 break
-            del self._due_ms[key]
+            del self._timer_due_ms[key]
             self.now_ms = max(self.now_ms, due_ms)
-            self.feed(TimerFired(now_ms=self.now_ms, key=key))
+            self.apply_event(TimerFired(now_ms=self.now_ms, key=key))
         self.now_ms = end_ms
 
-    def open(self, conn: int, link: Any) -> None:
-        """Accept a connection."""
-        self.feed(ConnOpened(now_ms=self.now_ms, conn=conn, link=link))
+    def open_connection(self, conn: int, link: Any) -> None:
+        """Report a new incoming connection."""
+        self.apply_event(ConnOpened(now_ms=self.now_ms, conn=conn, link=link))
 
     def receive(self, conn: int, link: str, frame: bytes) -> None:
-        """Decode and reduce a frame."""
+        """Decode a frame and apply its messages."""
         messages = CODECS[link].decode(frame)
-        self.feed(Received(now_ms=self.now_ms, conn=conn, messages=messages))
+        self.apply_event(
+            Received(now_ms=self.now_ms, conn=conn, messages=messages)
+        )
 
 
 def build_machine(proxies: int, databases: int) -> ControlMachine:
-    """Return a machine with this many joined members."""
+    """Return a replicated state in which all members have joined."""
     machine = new_machine()
     groups = databases // DATABASES_PER_GROUP
     operations = [
@@ -138,16 +141,16 @@
         ),
     )
     for number in range(proxies):
-        _join(machine, 'proxy', f'p{number}', '')
+        _add_member(machine, 'proxy', f'p{number}', '')
     for number in range(databases):
         group = f'g{number // DATABASES_PER_GROUP}'
-        _join(machine, 'upstream', f'd{number}', group)
+        _add_member(machine, 'upstream', f'd{number}', group)
     for number in range(groups):
-        _promote(machine, number)
+        _complete_promotion(machine, number)
     return machine
 
 
-def _promote(machine: ControlMachine, number: int) -> None:
+def _complete_promotion(machine: ControlMachine, number: int) -> None:
     group = f'g{number}'
     name = f'd{number * DATABASES_PER_GROUP}'
     for command in (
@@ -170,8 +173,10 @@
         apply_command(machine, 1, command)
 
 
-def _join(machine: ControlMachine, role: Any, name: str, group: str) -> None:
-    announce = commands.AnnounceMember(
+def _add_member(
+    machine: ControlMachine, role: Any, name: str, group: str
+) -> None:
+    announcement = commands.AnnounceMember(
         role=role,
         name=name,
         member_id=f'id-{name}',
@@ -182,12 +187,12 @@
         slots=5 if group else 0,
         connections=55 if group else 0,
     )
-    apply_command(machine, 1, announce)
+    apply_command(machine, 1, announcement)
     newcomer = machine.newcomers.get(name)
     if newcomer is None:
         return
-    # The approvals of all but one member are entered directly, since
-    # applying each of them is not what is measured here.
+    # The approvals of all members but one are inserted directly: applying
+    # them as commands is not part of the measurement.
     *others, last = list(machine.members)
     for member in others:
         member_id = machine.members[member].member_id
@@ -206,66 +211,79 @@
 
 
 def measure(proxies: int, databases: int) -> dict[str, Any]:
-    """Return the cost of each kind of message at one size."""
+    """Return the cost of each kind of message for one deployment size."""
     started_s = time.thread_time()
-    loop = ControlLoop(build_machine(proxies, databases))
-    built_s = time.thread_time() - started_s
-    loop.advance(2_000)
-    conns = {f'p{n}': FIRST_CONN + n for n in range(proxies)}
+    control = InMemoryControl(build_machine(proxies, databases))
+    build_s = time.thread_time() - started_s
+    control.advance_clock(2_000)
+    conn_by_proxy = {f'p{n}': FIRST_CONN + n for n in range(proxies)}
     databases_by_conn = {FIRST_CONN + proxies + n: n for n in range(databases)}
-    for conn in conns.values():
-        loop.open(conn, 'proxy')
+    for conn in conn_by_proxy.values():
+        control.open_connection(conn, 'proxy')
     for conn in databases_by_conn:
-        loop.open(conn, 'announce')
-    loop.open(OPERATOR_CONN, 'operator')
-    first_s = _time_reports(loop, conns, 1, databases)
-    first_bytes = sum(loop.sent_bytes[conn] for conn in conns.values())
-    _time_announcements(loop, databases_by_conn)
-    loop.advance(REPORT_INTERVAL_MS)
-    loop.sent_bytes.clear()
+        control.open_connection(conn, 'announce')
+    control.open_connection(OPERATOR_CONN, 'operator')
+    first_reports_s = _measure_reports(control, conn_by_proxy, 1, databases)
+    first_reply_bytes = sum(
+        control.sent_bytes[conn] for conn in conn_by_proxy.values()
+    )
+    _measure_announcements(control, databases_by_conn)
+    control.advance_clock(REPORT_INTERVAL_MS)
+    control.sent_bytes.clear()
     report_s = announce_s = 0.0
-    for number in range(ROUNDS):
-        report_s += _time_reports(loop, conns, 2 + number, databases)
-        announce_s += _time_announcements(loop, databases_by_conn)
-        loop.advance(REPORT_INTERVAL_MS)
-    grant_bytes = sum(loop.sent_bytes[conn] for conn in conns.values())
-    _time_reports(loop, conns, 2 + ROUNDS, databases)
-    loop.sent_bytes.clear()
-    change_s = _time_changes(loop)
-    change_bytes = sum(loop.sent_bytes[conn] for conn in conns.values())
+    for number in range(MEASURED_ROUNDS):
+        report_s += _measure_reports(
+            control, conn_by_proxy, 2 + number, databases
+        )
+        announce_s += _measure_announcements(control, databases_by_conn)
+        control.advance_clock(REPORT_INTERVAL_MS)
+    grant_bytes = sum(
+        control.sent_bytes[conn] for conn in conn_by_proxy.values()
+    )
+    _measure_reports(control, conn_by_proxy, 2 + MEASURED_ROUNDS, databases)
+    control.sent_bytes.clear()
+    change_s = _measure_changes(control)
+    change_bytes = sum(
+        control.sent_bytes[conn] for conn in conn_by_proxy.values()
+    )
     return {
         'proxies': proxies,
         'databases': databases,
-        'build_s': round(built_s, 2),
-        'first_report_us': _per(first_s, proxies),
-        'first_load_bytes': round(first_bytes / proxies),
-        'report_us': _per(report_s, ROUNDS * proxies),
-        'grant_bytes': round(grant_bytes / ROUNDS / proxies),
-        'announce_us': _per(announce_s, ROUNDS * databases),
-        'change_us': _per(change_s, CHANGES),
-        'change_bytes_per_proxy': round(change_bytes / CHANGES / proxies),
-        'rss_mib': round(read_rss_bytes_of_self() / MIB, 1),
+        'build_s': round(build_s, 2),
+        'first_report_us': _mean_us(first_reports_s, proxies),
+        'first_load_bytes': round(first_reply_bytes / proxies),
+        'report_us': _mean_us(report_s, MEASURED_ROUNDS * proxies),
+        'grant_bytes': round(grant_bytes / MEASURED_ROUNDS / proxies),
+        'announce_us': _mean_us(announce_s, MEASURED_ROUNDS * databases),
+        'change_us': _mean_us(change_s, MEASURED_CHANGES),
+        'change_bytes_per_proxy': round(
+            change_bytes / MEASURED_CHANGES / proxies
+        ),
+        'rss_mib': round(read_own_rss_bytes() / MIB, 1),
     }
 
 
-def _per(spent_s: float, number: int) -> float:
-    return round(spent_s / max(1, number) * US_PER_S, 1)
+def _mean_us(spent_s: float, number: int) -> float:
+    return round(spent_s / max(1, number) * US_PER_SECOND, 1)
 
 
-def read_rss_bytes_of_self() -> int:
+def read_own_rss_bytes() -> int:
     """Return the resident memory of this process in bytes."""
 
     return read_rss_bytes(os.getpid())
 
 
-def _time_reports(
-    loop: ControlLoop, conns: dict[str, int], seq: int, databases: int
+def _measure_reports(
+    control: InMemoryControl,
+    conn_by_proxy: dict[str, int],
+    seq: int,
+    databases: int,
 ) -> float:
     frames = []
-    for number, (name, conn) in enumerate(conns.items()):
-        watched = [
-            f'd{(WATCHED_DATABASES * number + k) % databases}'
-            for k in range(WATCHED_DATABASES)
+    for number, (name, conn) in enumerate(conn_by_proxy.items()):
+        reported_names = [
+            f'd{(DATABASES_PER_REPORT * number + k) % databases}'
+            for k in range(DATABASES_PER_REPORT)
         ]
         report = ProxyReport(
             proxy=name,
@@ -275,22 +293,24 @@
             host='127.0.0.1',
             port=9_000,
             data_centre='dc',
-            version=0 if seq == 1 else loop.state.machine.version,
-            holdings={watched[0]: 1},
-            evidence=dict.fromkeys(watched, 'up'),
+            version=0 if seq == 1 else control.state.machine.version,
+            holdings={reported_names[0]: 1},
+            evidence=dict.fromkeys(reported_names, 'up'),
         )
         frames.append((conn, encode_cbor([report])))
     started_s = time.thread_time()
     for conn, frame in frames:
-        loop.receive(conn, 'proxy', frame)
-    loop.advance(60)
+        control.receive(conn, 'proxy', frame)
+    control.advance_clock(60)
     return time.thread_time() - started_s
 
 
-def _time_announcements(loop: ControlLoop, conns: dict[int, int]) -> float:
+def _measure_announcements(
+    control: InMemoryControl, databases_by_conn: dict[int, int]
+) -> float:
     frames = []
-    for conn, number in conns.items():
-        announce = Announce(
+    for conn, number in databases_by_conn.items():
+        announcement = Announce(
             name=f'd{number}',
             group=f'g{number // DATABASES_PER_GROUP}',
             data_id=f'id-d{number}',
@@ -303,16 +323,16 @@
             leads=number % DATABASES_PER_GROUP == 0,
             received=LogPosition(1, 1),
         )
-        frames.append((conn, encode_cbor([announce])))
+        frames.append((conn, encode_cbor([announcement])))
     started_s = time.thread_time()
     for conn, frame in frames:
-        loop.receive(conn, 'announce', frame)
+        control.receive(conn, 'announce', frame)
     return time.thread_time() - started_s
 
 
-def _time_changes(loop: ControlLoop) -> float:
+def _measure_changes(control: InMemoryControl) -> float:
     started_s = time.thread_time()
-    for number in range(CHANGES):
+    for number in range(MEASURED_CHANGES):
         operation = Operation(
             action='amend' if number else 'create',
             type='allowance',
@@ -326,13 +346,13 @@
             operations=[operation],
             operator='bench',
         )
-        loop.receive(OPERATOR_CONN, 'operator', encode_cbor([apply]))
-        loop.advance(10)
+        control.receive(OPERATOR_CONN, 'operator', encode_cbor([apply]))
+        control.advance_clock(10)
     return time.thread_time() - started_s
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Measure one size and print one JSON line."""
+    """Measure one deployment size and print one line of JSON."""
     parser = argparse.ArgumentParser(
         prog='python -m bench.control_reducer_cost'
     )
--- a/bench/cut_trace.py
+++ b/bench/cut_trace.py
@@ -1,4 +1,4 @@
-"""Cuts a trace to a small one that still has its stated outcome.
+"""Removes events from a trace as long as its replay has a given outcome.
 
 Example: ``python -m bench.cut_trace long.jsonl outcome.json short.jsonl``
 """
@@ -19,47 +19,47 @@
 from jackdawpost.testing.traces import replay_trace
 
 
-def cut_lines(
-    lines: list[str], holds: Callable[[list[str]], bool]
+def minimize_lines(
+    lines: list[str], is_sufficient: Callable[[list[str]], bool]
 ) -> list[str]:
-    """Drop lines, ever smaller chunks of them, for as long as `holds`.
+    """Remove lines that a predicate does not need, in chunks of falling size.
 
     Parameters
     ----------
     lines : list of str
-        Lines of a trace; the first one, the header, stays.
+        Lines of a trace. The first one, the header, is kept.
     holds : callable
-        Tells whether a shorter list still shows the point.
+        Return whether a shortened list still has the wanted property.
     """
-    kept = list(lines)
-    size = len(kept) // 2
-    while size:
+    minimized = list(lines)
+    chunk_size = len(minimized) // 2
+    while chunk_size:
         start = 1
-        while start < len(kept):
-            shorter = kept[:start] + kept[start + size :]
-            if holds(shorter):
-                kept = shorter
+        while start < len(minimized):
+            candidate = minimized[:start] + minimized[start + chunk_size :]
+            if is_sufficient(candidate):
+                minimized = candidate
             else:
-                start += size
-        size //= 2
-    return kept
+                start += chunk_size
+        chunk_size //= 2
+    return minimized
 
 
 def has_outcome(lines: list[str], outcome: Outcome) -> bool:
-    """Tell whether a trace can be replayed with a stated outcome."""
+    """Return whether the replay of a trace has the given outcome."""
     with tempfile.NamedTemporaryFile('w', suffix='.jsonl') as trace:
         trace.write('\n'.join(lines) + '\n')
         trace.flush()
         try:
             steps = list(replay_trace(trace.name))
         except (TraceError, LookupError, AttributeError, AssertionError):
-            # Without some event the reducer can lack what a later one needs.
+            # A removed event may have created state that a later event needs.
             return False
         return compare_outcome(steps, outcome) is None
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Cut one trace; return 1 if it does not have its outcome at all."""
+    """Shorten a trace; return 1 if its replay lacks the given outcome."""
     parser = argparse.ArgumentParser(prog='python -m bench.cut_trace')
     parser.add_argument('trace', type=Path)
     parser.add_argument('outcome', type=Path)
@@ -68,11 +68,16 @@
     outcome = read_outcome(args.outcome)
     lines = args.trace.read_text().splitlines()
     if not has_outcome(lines, outcome):
-        print(f'{args.trace}: outcome not found', file=sys.stderr)
+        print(
+            f'{args.trace}: replay does not have the given outcome',
+            file=sys.stderr,
+        )
         return 1
-    kept = cut_lines(lines, lambda shorter: has_outcome(shorter, outcome))
-    args.output.write_text('\n'.join(kept) + '\n')
-    print(f'{args.trace}: {len(lines)} lines cut to {len(kept)}')
+    minimized = minimize_lines(
+        lines, lambda candidate: has_outcome(candidate, outcome)
+    )
+    args.output.write_text('\n'.join(minimized) + '\n')
+    print(f'{args.trace}: {len(lines)} lines reduced to {len(minimized)}')
     return 0
 
 
--- a/bench/day_reports.py
+++ b/bench/day_reports.py
@@ -1,8 +1,10 @@
-"""Tables and plots of a platform bench's reports, against an earlier run.
+"""Prints a table and draws plots of the reports of a platform bench.
 
-The reports of one run lie in a folder, one JSON file for each day, named
-``SITE-DAY.json``; ``--play`` makes them. A table names for each day what
-costs most, so that the next weakest day is seen at a glance.
+The bench simulates days of traffic at a site. The reports of one run are in
+one folder, with one JSON file per day named ``SITE-DAY.json``; ``--play`` runs
+the bench to produce them. The table lists the day with the lowest worth first
+and shows what lowers the worth of each day most, compared with an earlier run
+if ``--before`` is given.
 """
 
 from __future__ import annotations
@@ -19,21 +21,21 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
-SHOWN_PRICES = 3
+PRICES_SHOWN = 3
 PLOT_INCHES = (10.0, 5.0)
 PLOT_DPI = 100
 
 
-class _Model(BaseModel):
+class _ReportModel(BaseModel):
     # The bench may add fields.
     model_config = ConfigDict(extra='ignore', frozen=True)
 
 
-class Part(_Model):
-    """Requests of one kind, data centre or window of time.
+class Part(_ReportModel):
+    """Results of the requests of one kind, data centre or time window.
 
-    `credit` is the share of the credit that callers could have given;
-    `name` of a window is its first second.
+    `credit` is the credit received as a share of the maximum. The `name` of a
+    time window is its first second.
     """
 
     name: str
@@ -43,21 +45,21 @@
     p99_ms: float
 
 
-class Report(_Model):
-    """One day as the bench reports it."""
+class Report(_ReportModel):
+    """The report of the bench on one day."""
 
     worth: float = Field(alias='G')
     served: float
-    broken: dict[str, object] = Field(alias='breaks')
-    kinds: list[Part] = Field(alias='classes')
+    violated_rules: dict[str, object] = Field(alias='breaks')
+    request_kinds: list[Part] = Field(alias='classes')
     zones: list[Part]
     windows: list[Part]
-    # Name, amount, and what it takes off the worth.
+    # Name, amount, and deduction from the worth.
     prices: list[tuple[str, float, float]]
 
 
 def load_reports(folder: Path) -> dict[str, Report]:
-    """Return the reports of a folder by their names."""
+    """Return the reports in a folder by their file names."""
     return {
         path.stem: Report.model_validate_json(path.read_bytes())
         for path in sorted(folder.glob('*.json'))
@@ -67,7 +69,7 @@
 def build_table(
     reports: dict[str, Report], before: dict[str, Report]
 ) -> list[list[str]]:
-    """Return the rows of a table, the day with the least worth first."""
+    """Return the header and the rows, sorted by rising worth."""
     header = ['day', 'worth', 'change', 'credit', 'worst kind', 'worst zone']
     rows = [[*header, 'worst window', 'highest prices', 'broken']]
     for name, report in sorted(reports.items(), key=lambda i: i[1].worth):
@@ -80,23 +82,23 @@
                 f'{report.worth:.3f}',
                 change,
                 f'{report.served:.3f}',
-                _worst(report.kinds),
-                _worst(report.zones),
-                _worst(report.windows),
-                ', '.join(f'{p[0]} {p[2]:.3f}' for p in prices[:SHOWN_PRICES]),
-                ', '.join(report.broken) or '-',
+                _describe_worst_part(report.request_kinds),
+                _describe_worst_part(report.zones),
+                _describe_worst_part(report.windows),
+                ', '.join(f'{p[0]} {p[2]:.3f}' for p in prices[:PRICES_SHOWN]),
+                ', '.join(report.violated_rules) or '-',
             ]
         )
     return rows
 
 
-def _worst(parts: list[Part]) -> str:
+def _describe_worst_part(parts: list[Part]) -> str:
     part = min(parts, key=lambda part: part.credit, default=None)
     return f'{part.name} {part.credit:.3f}' if part is not None else '-'
 
 
 def print_table(rows: list[list[str]]) -> None:
-    """Print rows as a table in Markdown."""
+    """Print rows as a Markdown table."""
     columns = zip(*rows, strict=True)
     widths = [max(len(cell) for cell in column) for column in columns]
     rule = ['-' * width for width in widths]
@@ -108,27 +110,27 @@
 def plot_day(
     name: str, report: Report, earlier: Report | None, folder: Path
 ) -> Path:
-    """Draw credit and waiting time over a day; return the file."""
+    """Plot credit and latency over a day and return the path of the file."""
     figure, (upper, lower) = pyplot.subplots(
         2, 1, sharex=True, figsize=PLOT_INCHES
     )
     runs = [('now', report), ('before', earlier)]
-    for label, shown in runs:
-        if shown is None:
+    for label, drawn in runs:
+        if drawn is None:
             continue
-        seconds = [float(part.name) for part in shown.windows]
+        seconds = [float(part.name) for part in drawn.windows]
         style = '-' if label == 'now' else ':'
-        credit = [part.credit for part in shown.windows]
+        credit = [part.credit for part in drawn.windows]
         upper.plot(seconds, credit, style, label=label)
-        p99_ms = [part.p99_ms for part in shown.windows]
+        p99_ms = [part.p99_ms for part in drawn.windows]
         lower.plot(seconds, p99_ms, style, label=f'p99, {label}')
-        median_ms = [part.median_ms for part in shown.windows]
+        median_ms = [part.median_ms for part in drawn.windows]
         lower.plot(seconds, median_ms, style, label=f'median, {label}')
     upper.set_ylabel('credit')
     upper.set_title(f'{name}: worth {report.worth:.3f}')
     upper.legend()
     lower.set_yscale('log')
-    lower.set_ylabel('waiting time, ms')
+    lower.set_ylabel('latency, ms')
     lower.set_xlabel('second')
     lower.legend()
     folder.mkdir(parents=True, exist_ok=True)
@@ -138,13 +140,13 @@
     return path
 
 
-def play(
+def run_days(
     bench: Path, site: Path, days: Sequence[str], folder: Path, jobs: int
 ) -> None:
-    """Have the bench play days of a site and keep their reports."""
+    """Run the bench for days of a site, several at a time."""
     folder.mkdir(parents=True, exist_ok=True)
 
-    def play_day(day: str) -> None:
+    def run_day(day: str) -> None:
         report = folder / f'{site.stem}-{day}.json'
         command = [str(bench), 'run', str(site), day, '--report', str(report)]
         result = subprocess.run(command, capture_output=True, text=True)
@@ -153,33 +155,41 @@
             print(result.stderr[-1_000:])
 
     with ThreadPoolExecutor(jobs) as pool:
-        list(pool.map(play_day, days))
+        list(pool.map(run_day, days))
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Print the table and draw the plots; 1 if a rule was broken."""
+    """Print the table, draw the plots, return 1 if a rule was violated."""
     parser = argparse.ArgumentParser(
         prog='python -m bench.day_reports', description=__doc__
     )
-    parser.add_argument('folder', type=Path, help='reports of this run')
-    parser.add_argument('--before', type=Path, help='reports of another run')
+    parser.add_argument(
+        'folder', type=Path, help='folder with the reports of this run'
+    )
+    parser.add_argument(
+        '--before', type=Path, help='folder with the reports of an earlier run'
+    )
     parser.add_argument('--plots', type=Path, help='folder for the plots')
     parser.add_argument('--play', type=Path, metavar='BENCH')
-    parser.add_argument('--site', type=Path, help='site to play')
-    parser.add_argument('--days', nargs='*', default=[], help='days to play')
+    parser.add_argument('--site', type=Path, help='site file for --play')
+    parser.add_argument(
+        '--days', nargs='*', default=[], help='names of the days for --play'
+    )
     parser.add_argument('--jobs', type=int, default=2)
     args = parser.parse_args(argv)
     if args.play is not None:
         if args.site is None:
             parser.error('--play needs --site')
-        play(args.play, args.site, args.days, args.folder, args.jobs)
+        run_days(args.play, args.site, args.days, args.folder, args.jobs)
     reports = load_reports(args.folder)
     before = load_reports(args.before) if args.before else {}
     print_table(build_table(reports, before))
     if args.plots is not None:
         for name, report in reports.items():
             plot_day(name, report, before.get(name), args.plots)
-    return 1 if any(report.broken for report in reports.values()) else 0
+    return (
+        1 if any(report.violated_rules for report in reports.values()) else 0
+    )
 
 
 if __name__ == '__main__':
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,8 +1,9 @@
-"""The demo: the whole system on loopback, a short load, a killed primary.
+"""Demo of a failover under load on the loopback interface.
 
-Starts the processes of ``examples/handfang`` in the foreground, applies its
-change set, sends a mixed load, kills one primary half way, prints a table
-and stops everything. Exits with 1 if any promise was broken.
+It starts the processes of ``examples/handfang`` or another deployment, applies
+the change set there, sends a mixed load and kills one primary during the load.
+It then prints a table of the results and stops all processes. The exit code is
+1 if the history of the load violates a consistency rule.
 """
 
 from __future__ import annotations
@@ -35,9 +36,9 @@
 
 RUN_FOLDER = Path('run')
 RATE_PER_S = 120.0
-LOAD_S = 8.0
+LOAD_DURATION_S = 8.0
 KILL_AFTER_S = 3.0
-SETTLE_TIMEOUT_S = 30.0
+PRIMARY_TIMEOUT_S = 30.0
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -58,41 +59,48 @@
     folder.mkdir(parents=True)
     cluster = Cluster.load(deployment, examples, folder)
     try:
-        return _run(cluster, examples / 'changes.json')
+        return _run_demo(cluster, examples / 'changes.json')
     finally:
         cluster.stop_all()
 
 
-def _run(cluster: Cluster, changes: Path) -> int:
+def _run_demo(cluster: Cluster, changes: Path) -> int:
     print(f'starting {len(cluster.programs)} processes')
     cluster.start_all()
-    prepare(cluster, changes)
-    result, killed, gap_ms, violations = trio.run(_load_and_kill, cluster)
-    _print_summary(result, killed, gap_ms, violations)
+    prepare_cluster(cluster, changes)
+    result, killed_primary, gap_ms, violations = trio.run(
+        _load_and_kill, cluster
+    )
+    _print_summary(result, killed_primary, gap_ms, violations)
     return 1 if violations else 0
 
 
-def prepare(cluster: Cluster, changes: Path) -> None:
-    """Wait for control, apply the change set, wait until all can serve."""
+def prepare_cluster(cluster: Cluster, changes: Path) -> None:
+    """Apply a change set and wait until all groups can serve requests.
+
+    It also creates the routes that the load uses, see `route_of`.
+    """
     cluster.wait_healthy(cluster.names('control'))
     apply_changes(cluster, changes, base_revision=0)
-    apply_changes(cluster, _write_routes(cluster), base_revision=1)
+    apply_changes(cluster, _write_route_changes(cluster), base_revision=1)
     cluster.wait_healthy(cluster.names('proxy'))
     wait_for_primaries(cluster)
 
 
 def wait_for_primaries(cluster: Cluster) -> None:
-    """Wait until each group of the deployment has a primary."""
-    deadline = time.monotonic() + SETTLE_TIMEOUT_S
+    """Wait until every group of the deployment has a primary."""
+    deadline = time.monotonic() + PRIMARY_TIMEOUT_S
     groups = set(cluster.deployment.groups)
     while set(find_primaries(cluster)) != groups:
         if time.monotonic() > deadline:
-            raise SystemExit(f'no primary in each of {sorted(groups)}')
+            raise SystemExit(
+                f'some of the groups {sorted(groups)} have no primary'
+            )
         time.sleep(0.05)
 
 
-def _write_routes(cluster: Cluster) -> Path:
-    """Write a change set with a route to each group for the load."""
+def _write_route_changes(cluster: Cluster) -> Path:
+    """Write a change set that creates the route of the load to each group."""
     operations = [
         {
             'action': 'create',
@@ -108,12 +116,12 @@
 
 
 def apply_changes(cluster: Cluster, changes: Path, base_revision: int) -> None:
-    """Apply a change set; ends the experiment if it is refused."""
-    applied = cluster.run_ctl(
+    """Apply a change set and exit if it is refused."""
+    result = cluster.run_ctl(
         'apply', str(changes), '--base-revision', str(base_revision)
     )
-    if applied.returncode != 0:
-        raise SystemExit(f'change set refused: {applied.stderr}')
+    if result.returncode != 0:
+        raise SystemExit(f'change set refused: {result.stderr}')
 
 
 async def _load_and_kill(
@@ -123,33 +131,33 @@
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
     load = LoadGenerator(
-        LoadPlan(addresses, groups, HANDFANG_MIX, RATE_PER_S, LOAD_S)
+        LoadPlan(addresses, groups, HANDFANG_MIX, RATE_PER_S, LOAD_DURATION_S)
     )
-    killed = find_primaries(cluster)[groups[0]].name
+    killed_primary = find_primaries(cluster)[groups[0]].name
     killed_at_ms = 0.0
     async with trio.open_nursery() as nursery:
         nursery.start_soon(load.run)
         await trio.sleep(KILL_AFTER_S)
         killed_at_ms = trio.current_time() * 1_000
-        await trio.to_thread.run_sync(cluster.kill, killed)
-        print(f'killed primary {killed}')
+        await trio.to_thread.run_sync(cluster.kill, killed_primary)
+        print(f'killed primary {killed_primary}')
     stored = await read_stored_rows(cluster)
     violations = check_history(load.result.history, stored)
     gap_ms = measure_write_gap(load.result.history, groups[0], killed_at_ms)
-    return load.result, killed, gap_ms, violations
+    return load.result, killed_primary, gap_ms, violations
 
 
 def _print_summary(
     result: LoadResult,
-    killed: str,
+    killed_primary: str,
     gap_ms: float,
     violations: list[Violation],
 ) -> None:
     summary = result.summary()
     rows: list[tuple[str, Any]] = [
         *summary['outcomes'].items(),
-        ('replica share of reads with an age', summary['replica_share']),
-        (f'failover gap after killing {killed}', f'{gap_ms:.0f} ms'),
+        ('share of stale reads served by replicas', summary['replica_share']),
+        (f'failover gap after killing {killed_primary}', f'{gap_ms:.0f} ms'),
         ('violations', len(violations)),
     ]
     width = max(len(str(name)) for name, _ in rows)
--- a/bench/demo_platform.py
+++ b/bench/demo_platform.py
@@ -1,8 +1,9 @@
-"""The demo of the platform's programs: traffic, a lost primary, a table.
+"""Demo of the platform's programs with a crash of the primary under load.
 
-Starts three control and three edge processes on loopback addresses with
-stand-in databases, sends a mixed load, crashes the primary, and prints what
-callers got. Exits with 1 if any promise was broken.
+It starts three control processes, three edge processes and stand-in databases
+on loopback addresses, sends a mixed load and crashes the primary. It then
+prints the outcomes of the requests. The exit code is 1 if a consistency rule
+was violated.
 """
 
 from __future__ import annotations
@@ -44,7 +45,7 @@
 
 
 def longest_gap_ms(operations: list[Operation]) -> float:
-    """Return the longest time between two writes that succeeded."""
+    """Return the longest time between consecutive successful writes."""
     ends = sorted(
         op.ended_s for op in operations if op.writes and op.outcome == 'done'
     )
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,4 +1,4 @@
-"""Sizes of the two deployments, as the experiments model them."""
+"""Sizes of the two deployments that the experiments run."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """One deployment.
+    """Sizes, limits and latencies of one deployment.
 
     Parameters
     ----------
@@ -16,13 +16,17 @@
     groups : tuple of str
         Names of the database groups.
     slots : int
-        Statements that a database runs at the same time.
+        Statements that a database runs concurrently.
     connections : int
-        Connections that a database accepts.
+        Maximum number of connections to a database.
     opening_ms : float
-        Time to open a connection, in milliseconds.
+        Time a database takes to open a connection, in milliseconds.
     latency_ms : float
         One-way latency between data centres, in milliseconds.
+    databases_per_group : int
+        Number of databases in each group.
+    proxies, control : int
+        Numbers of proxies and of control processes.
     """
 
     name: str
--- a/bench/experiment_config.py
+++ b/bench/experiment_config.py
@@ -1,4 +1,9 @@
-"""Configuration in force: on every proxy, and after a missed thousand."""
+"""Measures how long changes of the configuration take to reach processes.
+
+It times single changes until they are in force on every proxy. It also times
+the catch-up of a control process and of a proxy that were down during many
+changes.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +17,7 @@
 
 from bench.cluster import Cluster
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.timeline import summarize
 from jackdawpost.cli.operator_link import send_request
@@ -24,43 +29,47 @@
 FIRST_REVISION = 2
 MISSED_CHANGES = 1_000
 MS_PER_SECOND = 1_000
-IN_FORCE_TIMEOUT_S = 30.0
+VERSION_TIMEOUT_S = 30.0
 
 
 def run_config(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Time changes to all proxies, and a return after 1,000 changes."""
+    """Measure single changes, and restarts after `MISSED_CHANGES` changes."""
     changes = Path('examples') / deployment.name / 'changes.json'
     with run_cluster(deployment) as cluster:
-        prepare(cluster, changes)
-        source = _Changes(load_settings(cluster.ctl_config, CtlSettings))
-        times = [_time_change(cluster, source) for _ in range(args.runs)]
-        absent = _find_follower(cluster)
-        cluster.kill(absent)
+        prepare_cluster(cluster, changes)
+        applier = _ChangeApplier(
+            load_settings(cluster.ctl_config, CtlSettings)
+        )
+        times = [_measure_change(cluster, applier) for _ in range(args.runs)]
+        stopped_follower = _find_follower(cluster)
+        cluster.kill(stopped_follower)
         cluster.kill('proxy-0')
         started_s = time.monotonic()
         for _ in range(MISSED_CHANGES):
-            source.apply()
+            applier.apply_next()
         applying_s = time.monotonic() - started_s
         return {
             'in_force_everywhere_ms': summarize(times),
             'missed_changes': MISSED_CHANGES,
             'applying_s': round(applying_s, 1),
-            'control_return_ms': round(_time_return(cluster, absent)),
-            'proxy_return_ms': round(_time_return(cluster, 'proxy-0')),
+            'control_return_ms': round(
+                _measure_restart(cluster, stopped_follower)
+            ),
+            'proxy_return_ms': round(_measure_restart(cluster, 'proxy-0')),
         }
 
 
-class _Changes:
-    """Applies one small change set after another."""
+class _ChangeApplier:
+    """Applies a sequence of change sets, each with one operation."""
 
     def __init__(self, cfg: CtlSettings) -> None:
         self._cfg = cfg
         self._number = 0
 
-    def apply(self) -> None:
-        """Apply the next change set; raise if it is not accepted."""
+    def apply_next(self) -> None:
+        """Apply the next change set and raise if it is not accepted."""
         number = self._number
         self._number += 1
         operation = Operation(
@@ -78,38 +87,44 @@
         )
         answer = trio.run(send_request, self._cfg, request)
         if answer.status != 'accepted':
-            raise RuntimeError(f'change {number}: {answer}')
+            raise RuntimeError(
+                f'change set {number} was not accepted: {answer}'
+            )
 
 
-def _time_change(cluster: Cluster, source: _Changes) -> float:
-    """Return the time from the operator's request to the last proxy."""
+def _measure_change(cluster: Cluster, applier: _ChangeApplier) -> float:
+    """Apply a change and return the time until all proxies use it, in ms."""
     started_s = time.monotonic()
-    source.apply()
-    target = max(_versions(cluster, cluster.names('control')).values())
-    _wait_for_version(cluster, cluster.names('proxy'), target)
+    applier.apply_next()
+    version = max(_read_versions(cluster, cluster.names('control')).values())
+    _wait_for_version(cluster, cluster.names('proxy'), version)
     return (time.monotonic() - started_s) * MS_PER_SECOND
 
 
-def _time_return(cluster: Cluster, name: str) -> float:
-    """Return the time from the start of a process to the latest version."""
-    target = max(_versions(cluster, cluster.names('control')).values())
+def _measure_restart(cluster: Cluster, name: str) -> float:
+    """Start a process and return the time until it is up to date, in ms."""
+    version = max(_read_versions(cluster, cluster.names('control')).values())
     started_s = time.monotonic()
     cluster.start(name)
-    _wait_for_version(cluster, [name], target)
+    _wait_for_version(cluster, [name], version)
     return (time.monotonic() - started_s) * MS_PER_SECOND
 
 
-def _wait_for_version(cluster: Cluster, names: list[str], target: int) -> None:
-    deadline_s = time.monotonic() + IN_FORCE_TIMEOUT_S
-    while min(_versions(cluster, names).values()) < target:
+def _wait_for_version(
+    cluster: Cluster, names: list[str], version: int
+) -> None:
+    deadline_s = time.monotonic() + VERSION_TIMEOUT_S
+    while min(_read_versions(cluster, names).values()) < version:
         if time.monotonic() > deadline_s:
-            raise RuntimeError(f'version {target} is not in force on {names}')
+            raise RuntimeError(
+                f'version {version} is not in force on all of {names}'
+            )
 
 
-def _versions(cluster: Cluster, names: list[str]) -> dict[str, int]:
+def _read_versions(cluster: Cluster, names: list[str]) -> dict[str, int]:
     versions = {}
     for name in names:
-        _, dump = cluster.read_page(name, '/dump')
+        _, dump = cluster.fetch_json(name, '/dump')
         state = (dump or {}).get('machine') or dump or {}
         versions[name] = int(state.get('version', -1))
     return versions
@@ -117,7 +132,10 @@
 
 def _find_follower(cluster: Cluster) -> str:
     for name in cluster.names('control'):
-        _, dump = cluster.read_page(name, '/dump')
+        _, dump = cluster.fetch_json(name, '/dump')
         if not dump['leader']:
             return name
-    raise RuntimeError(f'no follower: {json.dumps(cluster.names("control"))}')
+    raise RuntimeError(
+        'no control process is a follower: '
+        f'{json.dumps(cluster.names("control"))}'
+    )
--- a/bench/experiment_cost.py
+++ b/bench/experiment_cost.py
@@ -144,7 +144,7 @@
     process = cluster.programs[name].process
     if process is None:
         raise RuntimeError(f'{name} has not been started')
-    _, metrics = cluster.read_page(name, '/metrics')
+    _, metrics = cluster.fetch_json(name, '/metrics')
     counters = (metrics or {}).get('counters', {})
     values = {
         key: float(value)
@@ -181,7 +181,7 @@
 
 def _find_leader(cluster: Cluster) -> str:
     for name in cluster.names('control'):
-        status, dump = cluster.read_page(name, '/dump')
+        status, dump = cluster.fetch_json(name, '/dump')
         if status == 200 and dump['leader']:
             return name
     raise RuntimeError('no control process leads')
--- a/bench/experiment_failover.py
+++ b/bench/experiment_failover.py
@@ -18,8 +18,8 @@
 from bench.load import LoadGenerator
 from bench.load import LoadPlan
 from bench.timeline import count_promotions
-from bench.timeline import PARTS
-from bench.timeline import split_gap
+from bench.timeline import PHASES
+from bench.timeline import split_gap_into_phases
 from bench.timeline import summarize
 from jackdawpost.testing.history import check_history
 
@@ -116,7 +116,7 @@
         for item in run.failures
     ]
     splits = [
-        split_gap(cluster.folder, item.group, item.wall_ms)
+        split_gap_into_phases(cluster.folder, item.group, item.wall_ms)
         for item in run.failures
     ]
     return {
@@ -124,7 +124,7 @@
         'gaps_ms': [round(gap) for gap in gaps],
         'parts_ms': {
             part: summarize([item[part] for item in splits if part in item])
-            for part in PARTS
+            for part in PHASES
         },
         'acknowledged_writes': sum(
             write.outcome == 'done' for write in history.writes
--- a/bench/experiment_faults.py
+++ b/bench/experiment_faults.py
@@ -15,15 +15,15 @@
 from bench.fault_run import FaultRun
 from bench.fault_run import MS_PER_SECOND
 from bench.fault_run import now_ms
-from bench.fault_run import POLL_S
+from bench.fault_run import POLL_INTERVAL_S
 from bench.fault_run import RELAYED_PROXY
 from bench.fault_run import run_fault
 from bench.fault_run import Scenario
 from bench.fault_writes import ProbeWriter
-from bench.partition import isolate
-from bench.partition import silence
+from bench.partition import isolate_database
+from bench.partition import silence_peer
 
-VICTIM_PROXY = 'proxy-1'
+TARGET_PROXY = 'proxy-1'
 PARTITION_S = 5.0
 SETTLE_S = 2.0
 PROXY_FROZEN_S = 4.0
@@ -40,15 +40,15 @@
     """Isolate a primary and one proxy together from everything else."""
     primary = (await run.find_primary()).name
     names = set(run.cluster.programs) - {primary, RELAYED_PROXY}
-    run.mark_failure(run.group)
+    run.record_failure(run.group)
     await _partition(run, primary, sorted(names), [RELAYED_PROXY])
     for relay in run.relays:
-        relay.set_silent(True)
+        relay.set_partitioned(True)
     await trio.sleep(PARTITION_S)
     run.figures['healthy_in_partition'] = await _is_healthy(run, RELAYED_PROXY)
     await _partition(run, primary, [], [])
     for relay in run.relays:
-        relay.set_silent(False)
+        relay.set_partitioned(False)
     await run.wait_healthy(RELAYED_PROXY)
     await trio.sleep(SETTLE_S)
 
@@ -59,12 +59,12 @@
     async with trio.open_nursery() as nursery:
         for name in run.cluster.names('database'):
             isolated = primary_peers if name == primary else peers
-            nursery.start_soon(isolate, run.cluster, name, isolated)
+            nursery.start_soon(isolate_database, run.cluster, name, isolated)
 
 
 async def _is_healthy(run: FaultRun, name: str) -> bool:
     status, _ = await trio.to_thread.run_sync(
-        run.cluster.read_page, name, '/healthz'
+        run.cluster.fetch_json, name, '/healthz'
     )
     return status == 200
 
@@ -72,8 +72,8 @@
 async def kill_primary_and_leader(run: FaultRun) -> None:
     """Kill a primary and the control leader at the same time."""
     primary = (await run.find_primary()).name
-    leader, _ = await run.read_control()
-    run.mark_failure(run.group)
+    leader, _ = await run.find_control_leader()
+    run.record_failure(run.group)
     run.cluster.kill(primary)
     run.cluster.kill(leader)
     await trio.sleep(SETTLE_S * 2)
@@ -85,24 +85,24 @@
 async def kill_proxy(run: FaultRun) -> None:
     """Kill a proxy that has an open transaction in each group."""
     groups = run.cluster.deployment.groups
-    writers = [ProbeWriter(run, VICTIM_PROXY, group) for group in groups]
+    writers = [ProbeWriter(run, TARGET_PROXY, group) for group in groups]
     resume = trio.Event()
     async with AsyncExitStack() as stack:
         for writer in writers:
             await stack.enter_async_context(writer.connect())
         async with trio.open_nursery() as nursery:
             for writer in writers:
-                await nursery.start(writer.transact, resume)
+                await nursery.start(writer.run_transaction, resume)
             run.figures['before'] = await _count_upstream_use(run)
-            run.cluster.kill(VICTIM_PROXY)
+            run.cluster.kill(TARGET_PROXY)
             await _time_release(run)
             resume.set()
     run.figures['transactions'] = [w.outcomes for w in writers]
-    run.cluster.start(VICTIM_PROXY)
-    await run.wait_healthy(VICTIM_PROXY)
+    run.cluster.start(TARGET_PROXY)
+    await run.wait_healthy(TARGET_PROXY)
     await _wait_load_ended(run)
     run.figures['after'] = await _count_upstream_use(run)
-    dump = await run.read(VICTIM_PROXY, '/dump')
+    dump = await run.fetch_json(TARGET_PROXY, '/dump')
     run.figures['connections_of_successor'] = len(dump['connections'])
 
 
@@ -111,7 +111,7 @@
     while (await _count_upstream_use(run))['connections_of_victim']:
         if now_ms() - killed_ms > RELEASE_LIMIT_S * MS_PER_SECOND:
             break
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
     run.figures['released_after_ms'] = round(now_ms() - killed_ms)
 
 
@@ -119,30 +119,30 @@
     """Return what the databases say about connections and slots in use."""
     use = {'connections_of_victim': 0, 'slots_in_use': 0, 'slot_refusals': 0}
     for name in run.cluster.names('database'):
-        dump = await run.read(name, '/dump')
+        dump = await run.fetch_json(name, '/dump')
         counters = dump['counters']
         use['slots_in_use'] += counters['slots_in_use']
         use['slot_refusals'] += counters['slot_refusals']
         use['connections_of_victim'] += sum(
-            conn['peer'] == VICTIM_PROXY and conn['purpose'] == 'statements'
+            conn['peer'] == TARGET_PROXY and conn['purpose'] == 'statements'
             for conn in dump['connections']
         )
     return use
 
 
 async def _wait_load_ended(run: FaultRun) -> None:
-    await trio.sleep_until(run.ends_s)
+    await trio.sleep_until(run.load_end_s)
     await trio.sleep(SETTLE_S)
 
 
 async def freeze_proxy(run: FaultRun) -> None:
     """Freeze a proxy beyond its leases and let it go on."""
     before = await _read_terms(run)
-    run.cluster.freeze(VICTIM_PROXY)
+    run.cluster.suspend(TARGET_PROXY)
     await trio.sleep(PROXY_FROZEN_S)
-    run.cluster.resume(VICTIM_PROXY)
+    run.cluster.resume(TARGET_PROXY)
     resumed_ms = now_ms()
-    await run.wait_healthy(VICTIM_PROXY)
+    await run.wait_healthy(TARGET_PROXY)
     run.figures['healthy_after_ms'] = round(now_ms() - resumed_ms)
     await trio.sleep(SETTLE_S)
     run.figures['promotions'] = await _count_promotions(run, before)
@@ -160,27 +160,27 @@
 
 async def freeze_follower(run: FaultRun) -> None:
     """Freeze a control process that does not lead and let it go on."""
-    leader, _ = await run.read_control()
+    leader, _ = await run.find_control_leader()
     names = run.cluster.names('control')
     await _freeze_control(run, next(n for n in names if n != leader))
 
 
 async def freeze_leader(run: FaultRun) -> None:
     """Freeze the control leader and let it go on."""
-    leader, _ = await run.read_control()
+    leader, _ = await run.find_control_leader()
     await _freeze_control(run, leader)
 
 
 async def _freeze_control(run: FaultRun, victim: str) -> None:
     before = await _read_terms(run)
     run.figures['victim'] = victim
-    run.figures['before'] = await run.read_control()
-    run.cluster.freeze(victim)
+    run.figures['before'] = await run.find_control_leader()
+    run.cluster.suspend(victim)
     await trio.sleep(CONTROL_FROZEN_S)
-    run.figures['while_frozen'] = await run.read_control(without=victim)
+    run.figures['while_frozen'] = await run.find_control_leader(without=victim)
     run.cluster.resume(victim)
     await trio.sleep(SETTLE_S)
-    run.figures['after_return'] = await run.read_control()
+    run.figures['after_return'] = await run.find_control_leader()
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
@@ -189,11 +189,11 @@
     before = await _read_terms(run)
     primary = (await run.find_primary()).name
     for purpose in ('statements', 'monitor'):
-        writer = ProbeWriter(run, VICTIM_PROXY, run.group)
+        writer = ProbeWriter(run, TARGET_PROXY, run.group)
         async with writer.connect():
             await writer.write()
-            affected = await silence(
-                run.cluster, primary, VICTIM_PROXY, purpose
+            affected = await silence_peer(
+                run.cluster, primary, TARGET_PROXY, purpose
             )
             run.figures[purpose] = {
                 'silenced': affected,
@@ -206,16 +206,16 @@
 
 async def stop_proxy(run: FaultRun) -> None:
     """Stop a proxy gracefully while it holds an open transaction."""
-    writer = ProbeWriter(run, VICTIM_PROXY, run.group)
+    writer = ProbeWriter(run, TARGET_PROXY, run.group)
     async with writer.connect(), trio.open_nursery() as nursery:
         resume = trio.Event()
-        await nursery.start(writer.transact, resume)
-        nursery.start_soon(_terminate, run, VICTIM_PROXY)
+        await nursery.start(writer.run_transaction, resume)
+        nursery.start_soon(_terminate, run, TARGET_PROXY)
         await trio.sleep(TRANSACTION_PAUSE_S)
         resume.set()
     run.figures['transaction'] = writer.outcomes
-    run.cluster.start(VICTIM_PROXY)
-    await run.wait_healthy(VICTIM_PROXY)
+    run.cluster.start(TARGET_PROXY)
+    await run.wait_healthy(TARGET_PROXY)
 
 
 async def _terminate(run: FaultRun, name: str) -> None:
@@ -234,7 +234,7 @@
     leads = (await run.find_primary(other)).name
     databases = run.cluster.names('database')
     replica = next(n for n in databases if n.startswith(other) and n != leads)
-    run.mark_failure(run.group)
+    run.record_failure(run.group)
     async with trio.open_nursery() as nursery:
         for name in (primary, replica):
             nursery.start_soon(_terminate, run, name)
@@ -247,10 +247,10 @@
 async def _count_late_statements(run: FaultRun, name: str) -> None:
     said_s = trio.current_time()
     counts = []
-    while (metrics := await run.read(name, '/metrics')) is not None:
+    while (metrics := await run.fetch_json(name, '/metrics')) is not None:
         count = metrics['counters'].get('statements', 0)
         counts.append((trio.current_time() - said_s, count))
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
     # The last count before the bound: a statement is counted at its end.
     at_bound = max(c for at_s, c in counts if at_s <= LEAVE_BOUND_S)
     last_s = next(at_s for at_s, c in counts if c == counts[-1][1])
@@ -267,11 +267,11 @@
     run.cluster.kill(first.name)
     second = first
     while second.name == first.name:
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
         second = await run.find_primary()
     run.cluster.start(first.name)
     await run.wait_healthy(first.name)
-    run.mark_failure(run.group)
+    run.record_failure(run.group)
     run.cluster.kill(second.name)
     await trio.sleep(SETTLE_S * 1.5)
     third = await run.find_primary()
@@ -283,13 +283,13 @@
 async def restart_control(run: FaultRun) -> None:
     """Restart all control processes one after another."""
     before = await _read_terms(run)
-    run.figures['before'] = await run.read_control()
+    run.figures['before'] = await run.find_control_leader()
     for name in run.cluster.names('control'):
         await _terminate(run, name)
         run.cluster.start(name)
         await run.wait_healthy(name)
     await trio.sleep(SETTLE_S)
-    run.figures['after'] = await run.read_control()
+    run.figures['after'] = await run.find_control_leader()
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
--- a/bench/experiment_latency.py
+++ b/bench/experiment_latency.py
@@ -11,9 +11,9 @@
 from bench.cluster import Cluster
 from bench.cluster import LOOPBACK
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
-from bench.experiment_throughput import write_changes
+from bench.experiment_throughput import write_change_set
 from bench.failover import find_primaries
 from bench.load import create_tables
 from bench.load import route_of
@@ -55,7 +55,7 @@
     with run_cluster(
         small, database_settings={'service_ms': 0, 'latency_ms': 0}
     ) as cluster:
-        prepare(cluster, write_changes(cluster))
+        prepare_cluster(cluster, write_change_set(cluster))
         trio.run(create_tables, cluster.proxy_addresses(), ['bench'])
         for callers in CALLERS:
             figures[f'{callers} callers'] = {
--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -10,7 +10,7 @@
 
 from bench.cluster import Cluster
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.failover import read_stored_rows
 from bench.load import CORDILLERA_MIX
@@ -30,7 +30,7 @@
 MIXES = {'handfang': HANDFANG_MIX, 'cordillera': CORDILLERA_MIX}
 
 
-def slot_capacity(deployment: Deployment, service_ms: float) -> float:
+def compute_slot_capacity(deployment: Deployment, service_ms: float) -> float:
     """Return the statements a second that all slots can serve."""
     databases = len(deployment.groups) * deployment.databases_per_group
     return databases * deployment.slots * MS_PER_SECOND / service_ms
@@ -63,8 +63,8 @@
         database_settings={'service_ms': service_ms, 'apply_lag_ms': LAG_MS},
         proxy_settings=args.proxy_settings,
     ) as cluster:
-        prepare(cluster, changes)
-        capacity = slot_capacity(deployment, service_ms)
+        prepare_cluster(cluster, changes)
+        capacity = compute_slot_capacity(deployment, service_ms)
         return trio.run(_run_levels, cluster, args, levels, capacity)
 
 
@@ -122,7 +122,7 @@
     """Return the counters of broken limits, summed over the databases."""
     totals: dict[str, Any] = {}
     for name in cluster.names('database'):
-        status, metrics = cluster.read_page(name, '/metrics')
+        status, metrics = cluster.fetch_json(name, '/metrics')
         if status == 200:
             for key, value in metrics['counters'].items():
                 if key.startswith('max_'):
--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -16,11 +16,11 @@
 
 import trio
 
+from bench.cluster import allocate_port
 from bench.cluster import Cluster
 from bench.cluster import LOOPBACK
 from bench.cluster import run_cluster
-from bench.cluster import take_port
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.failover import find_primaries
 from bench.load import create_tables
@@ -45,7 +45,7 @@
         database_settings={'service_ms': 0, 'latency_ms': 0},
         proxy_settings={'max_callers': 2 * CALLERS},
     ) as cluster:
-        prepare(cluster, write_changes(cluster))
+        prepare_cluster(cluster, write_change_set(cluster))
         groups = list(small.groups)
         trio.run(create_tables, cluster.proxy_addresses(), groups)
         proxy = cluster.programs['proxy-0']
@@ -66,7 +66,7 @@
     return figures
 
 
-def write_changes(cluster: Cluster) -> Path:
+def write_change_set(cluster: Cluster) -> Path:
     """Write a change set with the one group and a long queue for it."""
     group = cluster.deployment.groups[0]
     operations = [
@@ -93,7 +93,7 @@
     cluster: Cluster,
 ) -> Iterator[tuple[subprocess.Popen[bytes], int]]:
     primary = next(iter(find_primaries(cluster).values()))
-    port = take_port()
+    port = allocate_port()
     command = [
         sys.executable,
         '-m',
@@ -106,7 +106,7 @@
         str(primary.term),
     ]
     # The proxy would take the upstream's slots while the relay is measured.
-    cluster.freeze('proxy-0')
+    cluster.suspend('proxy-0')
     relay = subprocess.Popen(command)
     try:
         time.sleep(STARTED_S)
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -35,7 +35,7 @@
 def find_primaries(cluster: Cluster) -> dict[str, Primary]:
     """Return the primary of each group that has one, as proxies see it."""
     for name in cluster.names('proxy'):
-        status, dump = cluster.read_page(name, '/dump')
+        status, dump = cluster.fetch_json(name, '/dump')
         if status == 200:
             views = [item['view'] for item in dump['groups'].values()]
             return {
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -14,7 +14,7 @@
 
 from bench.cluster import Cluster
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.failover import find_primaries
 from bench.failover import measure_write_gap
@@ -24,8 +24,8 @@
 from bench.load import HANDFANG_MIX
 from bench.load import LoadGenerator
 from bench.load import LoadPlan
+from bench.partition import PartitionRelay
 from bench.partition import relay_control_links
-from bench.partition import SilentRelay
 from jackdawpost.testing.history import check_history
 from jackdawpost.testing.history import History
 
@@ -35,7 +35,7 @@
 # requests to one broken group do not hold back those to the others.
 SESSIONS = 128
 WARM_UP_S = 1.5
-POLL_S = 0.05
+POLL_INTERVAL_S = 0.05
 MAX_DESCRIBED = 20
 RELAYED_PROXY = 'proxy-0'
 DATABASE_SETTINGS = {'service_ms': 5, 'apply_lag_ms': 50}
@@ -62,14 +62,14 @@
 
     cluster: Cluster
     load: LoadGenerator
-    relays: list[SilentRelay] = field(default_factory=list)
+    relays: list[PartitionRelay] = field(default_factory=list)
     failed_at_ms: dict[str, float] = field(default_factory=dict)
     figures: dict[str, Any] = field(default_factory=dict)
-    ends_s: float = field(init=False)
+    load_end_s: float = field(init=False)
     injected_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        self.ends_s = trio.current_time() + self.load.plan.duration_s
+        self.load_end_s = trio.current_time() + self.load.plan.duration_s
 
     @property
     def group(self) -> str:
@@ -81,7 +81,7 @@
         """What callers did and were told so far."""
         return self.load.result.history
 
-    def mark_failure(self, group: str) -> None:
+    def record_failure(self, group: str) -> None:
         """Start the gap of a group now."""
         self.failed_at_ms[group] = now_ms()
 
@@ -94,12 +94,12 @@
             )
             if name in primaries:
                 return primaries[name]
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_INTERVAL_S)
 
-    async def read(self, name: str, path: str) -> Any:
+    async def fetch_json(self, name: str, path: str) -> Any:
         """Return a page of a process, None if it does not answer."""
         _, value = await trio.to_thread.run_sync(
-            self.cluster.read_page, name, path
+            self.cluster.fetch_json, name, path
         )
         return value
 
@@ -111,7 +111,7 @@
         """Stop a process gracefully and return its exit code."""
         return await trio.to_thread.run_sync(self.cluster.terminate, name)
 
-    async def read_control(self, without: str = '') -> tuple[str, int]:
+    async def find_control_leader(self, without: str = '') -> tuple[str, int]:
         """Return the control leader and its term.
 
         Parameters
@@ -122,7 +122,7 @@
         for name in self.cluster.names('control'):
             if name == without or not self.cluster.programs[name].running:
                 continue
-            dump = await self.read(name, '/dump')
+            dump = await self.fetch_json(name, '/dump')
             if dump and dump['consensus']['role'] == 'leader':
                 return name, int(dump['consensus']['term'])
         raise RuntimeError('no control process leads')
@@ -160,7 +160,7 @@
 
 def run_fault(deployment: Deployment, scenario: Scenario) -> dict[str, Any]:
     """Run one scenario on a cluster of its own and return its figures."""
-    relays: list[SilentRelay] = []
+    relays: list[PartitionRelay] = []
 
     def edit_settings(folder: Path) -> None:
         if scenario.relayed:
@@ -175,14 +175,14 @@
 
 
 async def _run(
-    cluster: Cluster, scenario: Scenario, relays: list[SilentRelay]
+    cluster: Cluster, scenario: Scenario, relays: list[PartitionRelay]
 ) -> dict[str, Any]:
     deployment = cluster.deployment
     changes = Path('examples') / deployment.name / 'changes.json'
     async with trio.open_nursery() as background:
         for relay in relays:
             background.start_soon(relay.run)
-        await trio.to_thread.run_sync(prepare, cluster, changes)
+        await trio.to_thread.run_sync(prepare_cluster, cluster, changes)
         groups = list(deployment.groups)
         addresses = cluster.proxy_addresses()
         await create_tables(addresses, groups)
--- a/bench/fault_writes.py
+++ b/bench/fault_writes.py
@@ -71,7 +71,7 @@
             )
         return record.ended_ms - record.started_ms
 
-    async def transact(
+    async def run_transaction(
         self,
         resume: trio.Event,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -8,9 +8,9 @@
 
 import trio
 
+from bench.cluster import allocate_port
 from bench.cluster import Cluster
 from bench.cluster import LOOPBACK
-from bench.cluster import take_port
 from jackdawpost.wire.codec import encode_cbor
 from jackdawpost.wire.codec import FrameCodec
 from jackdawpost.wire.link import open_link
@@ -25,7 +25,7 @@
 _CODEC = FrameCodec(FaultsDone)
 
 
-class SilentRelay:
+class PartitionRelay:
     """Forwards TCP connections until told to fall silent.
 
     While silent it accepts connections and holds their bytes back. They
@@ -39,7 +39,7 @@
         self._forwards = trio.Event()
         self._forwards.set()
 
-    def set_silent(self, silent: bool) -> None:
+    def set_partitioned(self, silent: bool) -> None:
         """Hold all bytes back, or forward them again."""
         if silent:
             self._forwards = trio.Event()
@@ -74,7 +74,7 @@
             await trio.aclose_forcefully(sink)
 
 
-def relay_control_links(folder: Path, proxy: str) -> list[SilentRelay]:
+def relay_control_links(folder: Path, proxy: str) -> list[PartitionRelay]:
     """Put a relay between a proxy and each control process.
 
     Parameters
@@ -88,19 +88,23 @@
     settings = json.loads(path.read_text())
     relays = []
     for peer in settings['control']:
-        relays.append(SilentRelay(take_port(), peer['port']))
+        relays.append(PartitionRelay(allocate_port(), peer['port']))
         peer['port'] = relays[-1].port
     path.write_text(json.dumps(settings))
     return relays
 
 
-async def isolate(cluster: Cluster, name: str, peers: list[str]) -> None:
+async def isolate_database(
+    cluster: Cluster, name: str, peers: list[str]
+) -> None:
     """Drop the traffic of a database with the named peers only."""
     state = FaultState(isolated=peers)
     await send_fault(cluster, name, SetFaults(id=1, state=state))
 
 
-async def silence(cluster: Cluster, name: str, peer: str, purpose: str) -> int:
+async def silence_peer(
+    cluster: Cluster, name: str, peer: str, purpose: str
+) -> int:
     """Silence open connections of a peer; return how many there were."""
     request = SilenceConnections(id=1, peer=peer, purpose=purpose)
     done = await send_fault(cluster, name, request)
--- a/bench/record_traces.py
+++ b/bench/record_traces.py
@@ -18,15 +18,15 @@
 
 from bench.cluster import Cluster
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.failover import find_primaries
 from bench.load import CREATE_TABLE
 from bench.load import INSERT
 from bench.load import route_of
+from bench.partition import PartitionRelay
 from bench.partition import relay_control_links
 from bench.partition import send_fault
-from bench.partition import SilentRelay
 from jackdawpost.client import Session
 from jackdawpost.client.session import open_session
 from jackdawpost.errors import RequestError
@@ -50,7 +50,7 @@
     proxies=1,
 )
 
-Script = Callable[[Cluster, list[SilentRelay], Session], Awaitable[None]]
+Script = Callable[[Cluster, list[PartitionRelay], Session], Awaitable[None]]
 
 
 async def write(session: Session, key: str) -> None:
@@ -70,7 +70,7 @@
 
 
 async def fail_over(
-    cluster: Cluster, relays: list[SilentRelay], session: Session
+    cluster: Cluster, relays: list[PartitionRelay], session: Session
 ) -> None:
     """Write, kill the primary, write again and read both rows."""
     await write(session, 'before')
@@ -82,7 +82,7 @@
 
 
 async def lose_lease(
-    cluster: Cluster, relays: list[SilentRelay], session: Session
+    cluster: Cluster, relays: list[PartitionRelay], session: Session
 ) -> None:
     """Cut a proxy off from control while a write's answer is late."""
     await write(session, 'before')
@@ -93,7 +93,7 @@
         nursery.start_soon(write, session, 'in-flight')
         await trio.sleep(SENT_AFTER_S)
         for relay in relays:
-            relay.set_silent(True)
+            relay.set_partitioned(True)
     await write(session, 'too-late')
 
 
@@ -105,7 +105,7 @@
 
 def record(name: str, output: Path) -> None:
     """Run one script and store the traces of all processes."""
-    relays: list[SilentRelay] = []
+    relays: list[PartitionRelay] = []
 
     def edit_settings(folder: Path) -> None:
         relays.extend(relay_control_links(folder, PROXY))
@@ -118,14 +118,14 @@
 
 
 async def _run(
-    cluster: Cluster, script: Script, relays: list[SilentRelay]
+    cluster: Cluster, script: Script, relays: list[PartitionRelay]
 ) -> None:
     async with trio.open_nursery() as nursery:
         for relay in relays:
             nursery.start_soon(relay.run)
         changes = cluster.folder / 'changes.json'
         changes.write_text(json.dumps({'operations': _operations()}))
-        await trio.to_thread.run_sync(prepare, cluster, changes)
+        await trio.to_thread.run_sync(prepare_cluster, cluster, changes)
         async with open_session(cluster.proxy_addresses()) as session:
             await session.write(
                 route_of(GROUP), CREATE_TABLE, deadline_ms=DEADLINE_MS
--- a/bench/run.py
+++ b/bench/run.py
@@ -19,7 +19,7 @@
 
 from bench.cluster import Cluster
 from bench.cluster import run_cluster
-from bench.demo import prepare
+from bench.demo import prepare_cluster
 from bench.deployments import Deployment
 from bench.deployments import DEPLOYMENTS
 from bench.experiment_config import run_config
@@ -109,7 +109,7 @@
         database_settings=delays,
         proxy_settings=args.proxy_settings,
     ) as cluster:
-        prepare(cluster, Path('examples') / deployment.name / CHANGES)
+        prepare_cluster(cluster, Path('examples') / deployment.name / CHANGES)
         yield cluster
 
 
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -21,7 +21,7 @@
 def write_settings(
     deployment: Deployment,
     folder: Path,
-    take_port: Callable[[], int],
+    allocate_port: Callable[[], int],
     data: Path,
     *,
     database_settings: dict[str, Any] | None = None,
@@ -44,7 +44,7 @@
         Settings in addition or in place of the usual ones.
     """
     peers = [
-        {'name': f'control-{n}', 'host': LOOPBACK, 'port': take_port()}
+        {'name': f'control-{n}', 'host': LOOPBACK, 'port': allocate_port()}
         for n in range(deployment.control)
     ]
     for number, peer in enumerate(peers):
@@ -58,7 +58,7 @@
     for number in range(deployment.proxies):
         name = f'proxy-{number}'
         settings = {
-            **_common(deployment, name, take_port(), number),
+            **_common(deployment, name, allocate_port(), number),
             'control': peers,
             'proxy_id': f'id-{name}',
             **(proxy_settings or {}),
@@ -68,7 +68,7 @@
         for number in range(deployment.databases_per_group):
             name = f'{group}-db-{number}'
             settings = {
-                **_common(deployment, name, take_port(), number),
+                **_common(deployment, name, allocate_port(), number),
                 'group': group,
                 'control': peers,
                 'slots': deployment.slots,
--- a/bench/tests/test_cut_trace.py
+++ b/bench/tests/test_cut_trace.py
@@ -1,21 +1,21 @@
-"""Cutting traces to the lines that still show the point."""
+"""Tests of the removal of unneeded lines from traces."""
 
 from __future__ import annotations
 
-from bench.cut_trace import cut_lines
+from bench.cut_trace import minimize_lines
 
 
-def test_only_the_header_and_the_needed_lines_stay() -> None:
-    # Guards against cutting away what the outcome depends on, and against
-    # stopping before every line has been tried.
+def test_only_header_and_needed_lines_are_kept() -> None:
+    # Guards against the removal of a line that the outcome depends on, and
+    # against a search that ends before every line was tried.
     lines = ['header', *(str(number) for number in range(40))]
 
-    def holds(shorter: list[str]) -> bool:
-        return {'7', '21'} <= set(shorter)
+    def is_sufficient(candidate: list[str]) -> bool:
+        return {'7', '21'} <= set(candidate)
 
-    assert cut_lines(lines, holds) == ['header', '7', '21']
+    assert minimize_lines(lines, is_sufficient) == ['header', '7', '21']
 
 
-def test_nothing_is_cut_from_a_trace_that_needs_all() -> None:
+def test_trace_that_needs_every_line_is_unchanged() -> None:
     lines = ['header', 'a', 'b', 'c']
-    assert cut_lines(lines, lambda shorter: shorter == lines) == lines
+    assert minimize_lines(lines, lambda candidate: candidate == lines) == lines
--- a/bench/tests/test_day_reports.py
+++ b/bench/tests/test_day_reports.py
@@ -1,4 +1,4 @@
-"""Tables and plots of reports."""
+"""Tests of the table and the plots of day reports."""
 
 from __future__ import annotations
 
@@ -29,7 +29,9 @@
     (folder / f'{name}.json').write_text(json.dumps(report))
 
 
-def test_weakest_day_comes_first_with_what_costs_most(tmp_path):
+def test_day_with_lowest_worth_is_first_and_shows_its_largest_deductions(
+    tmp_path,
+):
     now, before = tmp_path / 'now', tmp_path / 'before'
     _write(now, 'site-quiet', 0.8)
     _write(now, 'site-trouble', 0.6)
@@ -48,13 +50,13 @@
     assert rows[2][2] == ''
 
 
-def test_broken_rule_is_shown_and_ends_with_1(tmp_path, capsys):
+def test_violated_rule_is_printed_and_exit_code_is_1(tmp_path, capsys):
     _write(tmp_path / 'now', 'site-quiet', 0.8, {'LOST': 1})
     assert main([str(tmp_path / 'now')]) == 1
     assert 'LOST' in capsys.readouterr().out
 
 
-def test_day_is_drawn_against_the_earlier_run(tmp_path):
+def test_plot_contains_day_and_earlier_run(tmp_path):
     _write(tmp_path / 'now', 'site-quiet', 0.8)
     [report] = load_reports(tmp_path / 'now').values()
     path = plot_day('site-quiet', report, report, tmp_path / 'plots')
--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 MS_PER_SECOND = 1_000
-PARTS = ('detection', 'fencing_and_choice', 'promotion', 'publication')
+PHASES = ('detection', 'fencing_and_choice', 'promotion', 'publication')
 
 
 def read_log(path: Path) -> list[dict[str, Any]]:
@@ -36,7 +36,7 @@
     )
 
 
-def split_gap(
+def split_gap_into_phases(
     folder: Path, group: str, failed_at_ms: float
 ) -> dict[str, float]:
     """Return the parts of the gap after a failure, in milliseconds.
@@ -68,7 +68,7 @@
         marks.append(found)
     return {
         part: later - earlier
-        for part, earlier, later in zip(PARTS, marks, marks[1:], strict=False)
+        for part, earlier, later in zip(PHASES, marks, marks[1:], strict=False)
     }
 
 
