--- a/bench/experiment_cost.py
+++ b/bench/experiment_cost.py
@@ -1,7 +1,8 @@
-"""Cost of control: processor time, memory and bytes at several sizes.
+"""Measures the cost of control traffic for several deployment sizes.
 
-Each size runs idle, so that what is measured is the control traffic and not
-the statements: reports, leases, probes, announcements, heartbeats.
+It reads the processor time, memory and network bytes of control processes and
+proxies. No statements run, so the costs are those of reports, leases, probes,
+announcements and heartbeats only.
 """
 
 from __future__ import annotations
@@ -22,17 +23,18 @@
 from bench.experiment_throughput import read_cpu_s
 from bench.experiment_throughput import read_rss_bytes
 
+# Numbers of proxies and of groups.
 SIZES = ((4, 3), (8, 3), (16, 3), (32, 3), (4, 6), (4, 12), (4, 24))
 CHANGES_PER_S = 2.0
 DATABASES_PER_GROUP = 3
 CONNECTIONS = 400
-SETTLE_S = 2.0
+SETTLE_TIME_S = 2.0
 
 
 def run_cost(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Measure every size, idle and with configuration changes."""
+    """Measure each of `SIZES`, idle and with configuration changes."""
     rows = []
     for proxies, groups in SIZES:
         row = _measure_size(deployment, args, proxies, groups)
@@ -47,32 +49,34 @@
     proxies: int,
     groups: int,
 ) -> dict[str, Any]:
-    sized = replace(
+    scaled = replace(
         deployment,
         groups=tuple(f'g{n}' for n in range(groups)),
         proxies=proxies,
         connections=CONNECTIONS,
         opening_ms=1,
     )
-    with run_cluster(sized, database_settings={'latency_ms': 0}) as cluster:
+    with run_cluster(scaled, database_settings={'latency_ms': 0}) as cluster:
         cluster.wait_healthy(cluster.names('control'))
-        apply_changes(cluster, _write_groups(cluster), base_revision=0)
+        apply_changes(cluster, _write_change_set(cluster), base_revision=0)
         cluster.wait_healthy(cluster.names('proxy'))
         wait_for_primaries(cluster)
-        time.sleep(SETTLE_S)
-        idle = _measure(cluster, args.seconds, lambda: None)
-        changes = _ChangeSource(cluster)
-        busy = _measure(cluster, args.seconds, changes.apply_next)
+        time.sleep(SETTLE_TIME_S)
+        idle_costs = _measure_processes(cluster, args.seconds, lambda: None)
+        applier = _ChangeApplier(cluster)
+        change_costs = _measure_processes(
+            cluster, args.seconds, applier.apply_next
+        )
     return {
         'proxies': proxies,
         'databases': groups * DATABASES_PER_GROUP,
-        'idle': idle,
-        'with_changes': busy,
-        'changes_per_s': round(changes.applied / args.seconds, 2),
+        'idle': idle_costs,
+        'with_changes': change_costs,
+        'changes_per_s': round(applier.applied / args.seconds, 2),
     }
 
 
-def _write_groups(cluster: Cluster) -> Any:
+def _write_change_set(cluster: Cluster) -> Any:
     operations = [
         {
             'action': 'create',
@@ -87,15 +91,15 @@
     return path
 
 
-class _ChangeSource:
-    """Applies one small change set after another."""
+class _ChangeApplier:
+    """Applies a sequence of change sets, each with one operation."""
 
     def __init__(self, cluster: Cluster) -> None:
         self.applied = 0
         self._cluster = cluster
 
     def apply_next(self) -> None:
-        """Create or amend one allowance."""
+        """Create or amend an allowance, then wait for the next change."""
         operation = {
             'action': 'amend' if self.applied else 'create',
             'type': 'allowance',
@@ -109,38 +113,44 @@
         time.sleep(1 / CHANGES_PER_S)
 
 
-def _measure(
-    cluster: Cluster, seconds: float, act: Callable[[], None]
+def _measure_processes(
+    cluster: Cluster, seconds: float, action: Callable[[], None]
 ) -> dict[str, Any]:
-    before = {name: _read(cluster, name) for name in _watched(cluster)}
+    before = {
+        name: _read_counters(cluster, name)
+        for name in _get_measured_processes(cluster)
+    }
     started = time.monotonic()
     while time.monotonic() < started + seconds:
-        act()
+        action()
         time.sleep(0.05)
     elapsed_s = time.monotonic() - started
-    after = {name: _read(cluster, name) for name in _watched(cluster)}
+    after = {
+        name: _read_counters(cluster, name)
+        for name in _get_measured_processes(cluster)
+    }
     leader = _find_leader(cluster)
     proxies = cluster.names('proxy')
     return {
-        'leader': _rates(before[leader], after[leader], elapsed_s),
-        'follower': _mean(
+        'leader': _compute_rates(before[leader], after[leader], elapsed_s),
+        'follower': _average(
             [
-                _rates(before[name], after[name], elapsed_s)
+                _compute_rates(before[name], after[name], elapsed_s)
                 for name in cluster.names('control')
                 if name != leader
             ]
         ),
-        'proxy': _mean(
-            [_rates(before[n], after[n], elapsed_s) for n in proxies]
+        'proxy': _average(
+            [_compute_rates(before[n], after[n], elapsed_s) for n in proxies]
         ),
     }
 
 
-def _watched(cluster: Cluster) -> list[str]:
+def _get_measured_processes(cluster: Cluster) -> list[str]:
     return [*cluster.names('control'), *cluster.names('proxy')]
 
 
-def _read(cluster: Cluster, name: str) -> dict[str, float]:
+def _read_counters(cluster: Cluster, name: str) -> dict[str, float]:
     process = cluster.programs[name].process
     if process is None:
         raise RuntimeError(f'{name} has not been started')
@@ -156,7 +166,7 @@
     return values
 
 
-def _rates(
+def _compute_rates(
     before: dict[str, float], after: dict[str, float], elapsed_s: float
 ) -> dict[str, float]:
     rates = {}
@@ -172,7 +182,7 @@
     return rates
 
 
-def _mean(rows: list[dict[str, float]]) -> dict[str, float]:
+def _average(rows: list[dict[str, float]]) -> dict[str, float]:
     return {
         key: round(sum(row.get(key, 0.0) for row in rows) / len(rows), 2)
         for key in rows[0]
@@ -184,4 +194,4 @@
         status, dump = cluster.fetch_json(name, '/dump')
         if status == 200 and dump['leader']:
             return name
-    raise RuntimeError('no control process leads')
+    raise RuntimeError('no control process is the leader')
--- a/bench/experiment_failover.py
+++ b/bench/experiment_failover.py
@@ -1,4 +1,7 @@
-"""Failover gap: kills or isolates primaries under load, many times."""
+"""Measures the failover gap by killing primaries repeatedly under load.
+
+A second experiment runs a load without failures and counts promotions.
+"""
 
 from __future__ import annotations
 
@@ -26,40 +29,48 @@
 MS_PER_SECOND = 1_000
 RATE_PER_S = 150.0
 HEALTHY_RATE_PER_S = 100.0
-WARM_UP_S = 2.0
-SETTLE_S = 2.0
-RETURN_S = 2.5
+WARM_UP_TIME_S = 2.0
+SETTLE_TIME_S = 2.0
+REJOIN_TIME_S = 2.5
 
 
 @dataclass(slots=True)
 class Failure:
-    """One injected failure."""
+    """One injected failure of a primary.
+
+    Parameters
+    ----------
+    at_ms : float
+        Time on the clock of the load generator, in milliseconds.
+    wall_clock_ms : float
+        Time on the wall clock, as in the logs, in milliseconds.
+    """
 
     group: str
     primary: str
     at_ms: float
-    wall_ms: float
+    wall_clock_ms: float
 
 
 @dataclass(slots=True)
 class FailoverRun:
-    """Injects failures one after another under one load."""
+    """Kills primaries one after another during one load."""
 
     cluster: Cluster
     runs: int
     failures: list[Failure] = field(default_factory=list)
 
-    async def inject(self) -> None:
-        """Kill the primary of each group in turn and restart it."""
+    async def inject_failures(self) -> None:
+        """Kill and restart the primary of each group in turn."""
         groups = list(self.cluster.deployment.groups)
-        await trio.sleep(WARM_UP_S)
+        await trio.sleep(WARM_UP_TIME_S)
         for number in range(self.runs):
             group = groups[number % len(groups)]
             primaries = await trio.to_thread.run_sync(
                 find_primaries, self.cluster
             )
             if group not in primaries:
-                await trio.sleep(SETTLE_S)
+                await trio.sleep(SETTLE_TIME_S)
                 continue
             primary = primaries[group].name
             self.failures.append(
@@ -71,13 +82,13 @@
                 )
             )
             await trio.to_thread.run_sync(self.cluster.kill, primary)
-            await trio.sleep(SETTLE_S)
+            await trio.sleep(SETTLE_TIME_S)
             self.cluster.start(primary)
-            await trio.sleep(RETURN_S)
+            await trio.sleep(REJOIN_TIME_S)
 
 
 async def run_healthy(cluster: Cluster, seconds: float) -> dict[str, Any]:
-    """Run load without a failure and count promotions; there must be none."""
+    """Run a load without failures and count promotions, expected to be 0."""
     groups = list(cluster.deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
@@ -97,34 +108,44 @@
 
 
 async def run_failover(cluster: Cluster, runs: int) -> dict[str, Any]:
-    """Run the experiment on a prepared cluster and return its figures."""
+    """Kill primaries of a prepared cluster and return the results."""
     groups = list(cluster.deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
-    duration_s = WARM_UP_S + runs * (SETTLE_S + RETURN_S) + SETTLE_S
+    duration_s = (
+        WARM_UP_TIME_S + runs * (SETTLE_TIME_S + REJOIN_TIME_S) + SETTLE_TIME_S
+    )
     plan = LoadPlan(addresses, groups, HANDFANG_MIX, RATE_PER_S, duration_s)
     load = LoadGenerator(plan)
     run = FailoverRun(cluster, runs)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(load.run)
-        nursery.start_soon(run.inject)
+        nursery.start_soon(run.inject_failures)
     stored = await read_stored_rows(cluster)
     history = load.result.history
     violations = check_history(history, stored)
     gaps = [
-        measure_write_gap(history, item.group, item.at_ms)
-        for item in run.failures
+        measure_write_gap(history, failure.group, failure.at_ms)
+        for failure in run.failures
     ]
-    splits = [
-        split_gap_into_phases(cluster.folder, item.group, item.wall_ms)
-        for item in run.failures
+    phase_durations = [
+        split_gap_into_phases(
+            cluster.folder, failure.group, failure.wall_clock_ms
+        )
+        for failure in run.failures
     ]
     return {
         'gap_ms': summarize(gaps),
         'gaps_ms': [round(gap) for gap in gaps],
         'parts_ms': {
-            part: summarize([item[part] for item in splits if part in item])
-            for part in PHASES
+            phase: summarize(
+                [
+                    durations[phase]
+                    for durations in phase_durations
+                    if phase in durations
+                ]
+            )
+            for phase in PHASES
         },
         'acknowledged_writes': sum(
             write.outcome == 'done' for write in history.writes
--- a/bench/experiment_faults.py
+++ b/bench/experiment_faults.py
@@ -1,4 +1,7 @@
-"""Faults on real processes, one scenario each.
+"""Fault scenarios on a cluster of real processes under load.
+
+Each scenario kills, suspends, stops or isolates processes and records what it
+observes. `SCENARIOS` lists them.
 
 Example: ``python -m bench.run faults --scenario proxy-killed``
 """
@@ -25,35 +28,39 @@
 
 TARGET_PROXY = 'proxy-1'
 PARTITION_S = 5.0
-SETTLE_S = 2.0
-PROXY_FROZEN_S = 4.0
-CONTROL_FROZEN_S = 5.0
-RELEASE_LIMIT_S = 5.0
+SETTLE_TIME_S = 2.0
+PROXY_SUSPENDED_S = 4.0
+CONTROL_SUSPENDED_S = 5.0
+RELEASE_TIMEOUT_S = 5.0
 TRANSACTION_PAUSE_S = 1.0
-# A leaving database keeps accepting statements for this long, so that late
-# ones are counted and not just refused.
+# A leaving database still accepts statements during this time, so that late
+# statements are counted instead of refused.
 LEAVE_DELAY_MS = 4_000
-LEAVE_BOUND_S = 2.0
+# Statements later than this after the start of the shutdown are counted.
+LEAVE_LIMIT_S = 2.0
 
 
 async def isolate_primary(run: FaultRun) -> None:
-    """Isolate a primary and one proxy together from everything else."""
+    """Isolate a primary and a proxy from all other processes.
+
+    The two can still reach each other.
+    """
     primary = (await run.find_primary()).name
     names = set(run.cluster.programs) - {primary, RELAYED_PROXY}
     run.record_failure(run.group)
-    await _partition(run, primary, sorted(names), [RELAYED_PROXY])
+    await _isolate_databases(run, primary, sorted(names), [RELAYED_PROXY])
     for relay in run.relays:
         relay.set_partitioned(True)
     await trio.sleep(PARTITION_S)
     run.figures['healthy_in_partition'] = await _is_healthy(run, RELAYED_PROXY)
-    await _partition(run, primary, [], [])
+    await _isolate_databases(run, primary, [], [])
     for relay in run.relays:
         relay.set_partitioned(False)
     await run.wait_healthy(RELAYED_PROXY)
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_TIME_S)
 
 
-async def _partition(
+async def _isolate_databases(
     run: FaultRun, primary: str, primary_peers: list[str], peers: list[str]
 ) -> None:
     async with trio.open_nursery() as nursery:
@@ -70,20 +77,20 @@
 
 
 async def kill_primary_and_leader(run: FaultRun) -> None:
-    """Kill a primary and the control leader at the same time."""
+    """Kill a primary and the control leader together and restart them."""
     primary = (await run.find_primary()).name
     leader, _ = await run.find_control_leader()
     run.record_failure(run.group)
     run.cluster.kill(primary)
     run.cluster.kill(leader)
-    await trio.sleep(SETTLE_S * 2)
+    await trio.sleep(SETTLE_TIME_S * 2)
     run.cluster.start(leader)
     run.cluster.start(primary)
     await run.wait_healthy(leader, primary)
 
 
 async def kill_proxy(run: FaultRun) -> None:
-    """Kill a proxy that has an open transaction in each group."""
+    """Kill and restart a proxy with an open transaction in each group."""
     groups = run.cluster.deployment.groups
     writers = [ProbeWriter(run, TARGET_PROXY, group) for group in groups]
     resume = trio.Event()
@@ -93,58 +100,58 @@
         async with trio.open_nursery() as nursery:
             for writer in writers:
                 await nursery.start(writer.run_transaction, resume)
-            run.figures['before'] = await _count_upstream_use(run)
+            run.figures['before'] = await _read_upstream_usage(run)
             run.cluster.kill(TARGET_PROXY)
-            await _time_release(run)
+            await _measure_release(run)
             resume.set()
     run.figures['transactions'] = [w.outcomes for w in writers]
     run.cluster.start(TARGET_PROXY)
     await run.wait_healthy(TARGET_PROXY)
-    await _wait_load_ended(run)
-    run.figures['after'] = await _count_upstream_use(run)
+    await _wait_for_load_end(run)
+    run.figures['after'] = await _read_upstream_usage(run)
     dump = await run.fetch_json(TARGET_PROXY, '/dump')
     run.figures['connections_of_successor'] = len(dump['connections'])
 
 
-async def _time_release(run: FaultRun) -> None:
+async def _measure_release(run: FaultRun) -> None:
     killed_ms = now_ms()
-    while (await _count_upstream_use(run))['connections_of_victim']:
-        if now_ms() - killed_ms > RELEASE_LIMIT_S * MS_PER_SECOND:
+    while (await _read_upstream_usage(run))['connections_of_victim']:
+        if now_ms() - killed_ms > RELEASE_TIMEOUT_S * MS_PER_SECOND:
             break
         await trio.sleep(POLL_INTERVAL_S)
     run.figures['released_after_ms'] = round(now_ms() - killed_ms)
 
 
-async def _count_upstream_use(run: FaultRun) -> dict[str, int]:
-    """Return what the databases say about connections and slots in use."""
-    use = {'connections_of_victim': 0, 'slots_in_use': 0, 'slot_refusals': 0}
+async def _read_upstream_usage(run: FaultRun) -> dict[str, int]:
+    """Sum the connections and slots in use over all databases."""
+    usage = {'connections_of_victim': 0, 'slots_in_use': 0, 'slot_refusals': 0}
     for name in run.cluster.names('database'):
         dump = await run.fetch_json(name, '/dump')
         counters = dump['counters']
-        use['slots_in_use'] += counters['slots_in_use']
-        use['slot_refusals'] += counters['slot_refusals']
-        use['connections_of_victim'] += sum(
+        usage['slots_in_use'] += counters['slots_in_use']
+        usage['slot_refusals'] += counters['slot_refusals']
+        usage['connections_of_victim'] += sum(
             conn['peer'] == TARGET_PROXY and conn['purpose'] == 'statements'
             for conn in dump['connections']
         )
-    return use
+    return usage
 
 
-async def _wait_load_ended(run: FaultRun) -> None:
+async def _wait_for_load_end(run: FaultRun) -> None:
     await trio.sleep_until(run.load_end_s)
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_TIME_S)
 
 
-async def freeze_proxy(run: FaultRun) -> None:
-    """Freeze a proxy beyond its leases and let it go on."""
+async def suspend_proxy(run: FaultRun) -> None:
+    """Suspend a proxy until its leases have expired, then resume it."""
     before = await _read_terms(run)
     run.cluster.suspend(TARGET_PROXY)
-    await trio.sleep(PROXY_FROZEN_S)
+    await trio.sleep(PROXY_SUSPENDED_S)
     run.cluster.resume(TARGET_PROXY)
     resumed_ms = now_ms()
     await run.wait_healthy(TARGET_PROXY)
     run.figures['healthy_after_ms'] = round(now_ms() - resumed_ms)
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_TIME_S)
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
@@ -158,34 +165,40 @@
     return sum(after[group] - term for group, term in before.items())
 
 
-async def freeze_follower(run: FaultRun) -> None:
-    """Freeze a control process that does not lead and let it go on."""
+async def suspend_follower(run: FaultRun) -> None:
+    """Suspend a control process that is a follower, then resume it."""
     leader, _ = await run.find_control_leader()
     names = run.cluster.names('control')
-    await _freeze_control(run, next(n for n in names if n != leader))
+    await _suspend_control(run, next(n for n in names if n != leader))
 
 
-async def freeze_leader(run: FaultRun) -> None:
-    """Freeze the control leader and let it go on."""
+async def suspend_leader(run: FaultRun) -> None:
+    """Suspend the control leader, then resume it."""
     leader, _ = await run.find_control_leader()
-    await _freeze_control(run, leader)
+    await _suspend_control(run, leader)
 
 
-async def _freeze_control(run: FaultRun, victim: str) -> None:
+async def _suspend_control(run: FaultRun, suspended: str) -> None:
     before = await _read_terms(run)
-    run.figures['victim'] = victim
+    run.figures['victim'] = suspended
     run.figures['before'] = await run.find_control_leader()
-    run.cluster.suspend(victim)
-    await trio.sleep(CONTROL_FROZEN_S)
-    run.figures['while_frozen'] = await run.find_control_leader(without=victim)
-    run.cluster.resume(victim)
-    await trio.sleep(SETTLE_S)
+    run.cluster.suspend(suspended)
+    await trio.sleep(CONTROL_SUSPENDED_S)
+    run.figures['while_frozen'] = await run.find_control_leader(
+        excluded=suspended
+    )
+    run.cluster.resume(suspended)
+    await trio.sleep(SETTLE_TIME_S)
     run.figures['after_return'] = await run.find_control_leader()
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
-async def silence_connections(run: FaultRun) -> None:
-    """Silence a proxy's open connections to a primary, first one kind."""
+async def silence_proxy_connections(run: FaultRun) -> None:
+    """Silence the open connections of a proxy to a primary.
+
+    The connections for statements are silenced first, then those for
+    monitoring.
+    """
     before = await _read_terms(run)
     primary = (await run.find_primary()).name
     for purpose in ('statements', 'monitor'):
@@ -200,17 +213,17 @@
                 'write_ms': [round(await writer.write()) for _ in range(5)],
                 'outcomes': writer.outcomes,
             }
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_TIME_S)
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
 async def stop_proxy(run: FaultRun) -> None:
-    """Stop a proxy gracefully while it holds an open transaction."""
+    """Stop a proxy gracefully during a transaction and start it again."""
     writer = ProbeWriter(run, TARGET_PROXY, run.group)
     async with writer.connect(), trio.open_nursery() as nursery:
         resume = trio.Event()
         await nursery.start(writer.run_transaction, resume)
-        nursery.start_soon(_terminate, run, TARGET_PROXY)
+        nursery.start_soon(_terminate_and_record_time, run, TARGET_PROXY)
         await trio.sleep(TRANSACTION_PAUSE_S)
         resume.set()
     run.figures['transaction'] = writer.outcomes
@@ -218,7 +231,7 @@
     await run.wait_healthy(TARGET_PROXY)
 
 
-async def _terminate(run: FaultRun, name: str) -> None:
+async def _terminate_and_record_time(run: FaultRun, name: str) -> None:
     started_ms = now_ms()
     code = await run.terminate(name)
     run.figures.setdefault('stopped', {})[name] = {
@@ -228,16 +241,20 @@
 
 
 async def stop_upstreams(run: FaultRun) -> None:
-    """Stop a primary and a replica of another group gracefully."""
+    """Stop a primary and a replica of another group, then start them."""
     primary = (await run.find_primary()).name
-    other = run.cluster.deployment.groups[1]
-    leads = (await run.find_primary(other)).name
+    other_group = run.cluster.deployment.groups[1]
+    other_primary = (await run.find_primary(other_group)).name
     databases = run.cluster.names('database')
-    replica = next(n for n in databases if n.startswith(other) and n != leads)
+    replica = next(
+        n
+        for n in databases
+        if n.startswith(other_group) and n != other_primary
+    )
     run.record_failure(run.group)
     async with trio.open_nursery() as nursery:
         for name in (primary, replica):
-            nursery.start_soon(_terminate, run, name)
+            nursery.start_soon(_terminate_and_record_time, run, name)
             nursery.start_soon(_count_late_statements, run, name)
     for name in (primary, replica):
         run.cluster.start(name)
@@ -245,24 +262,24 @@
 
 
 async def _count_late_statements(run: FaultRun, name: str) -> None:
-    said_s = trio.current_time()
+    started_s = trio.current_time()
     counts = []
     while (metrics := await run.fetch_json(name, '/metrics')) is not None:
         count = metrics['counters'].get('statements', 0)
-        counts.append((trio.current_time() - said_s, count))
+        counts.append((trio.current_time() - started_s, count))
         await trio.sleep(POLL_INTERVAL_S)
-    # The last count before the bound: a statement is counted at its end.
-    at_bound = max(c for at_s, c in counts if at_s <= LEAVE_BOUND_S)
+    # The counter includes a statement once it has ended.
+    count_at_limit = max(c for at_s, c in counts if at_s <= LEAVE_LIMIT_S)
     last_s = next(at_s for at_s, c in counts if c == counts[-1][1])
     run.figures.setdefault('leaving', {})[name] = {
-        'statements_after_bound': counts[-1][1] - at_bound,
+        'statements_after_bound': counts[-1][1] - count_at_limit,
         'last_statement_ms': round(last_s * MS_PER_SECOND),
         'observed_ms': round(counts[-1][0] * MS_PER_SECOND),
     }
 
 
-async def lose_second(run: FaultRun) -> None:
-    """Kill the new primary right after the first one has returned."""
+async def kill_successive_primaries(run: FaultRun) -> None:
+    """Kill a primary, then its successor once the first one is back."""
     first = await run.find_primary()
     run.cluster.kill(first.name)
     second = first
@@ -273,7 +290,7 @@
     await run.wait_healthy(first.name)
     run.record_failure(run.group)
     run.cluster.kill(second.name)
-    await trio.sleep(SETTLE_S * 1.5)
+    await trio.sleep(SETTLE_TIME_S * 1.5)
     third = await run.find_primary()
     run.figures['primaries'] = [first, second, third]
     run.cluster.start(second.name)
@@ -281,29 +298,29 @@
 
 
 async def restart_control(run: FaultRun) -> None:
-    """Restart all control processes one after another."""
+    """Restart the control processes one after another."""
     before = await _read_terms(run)
     run.figures['before'] = await run.find_control_leader()
     for name in run.cluster.names('control'):
-        await _terminate(run, name)
+        await _terminate_and_record_time(run, name)
         run.cluster.start(name)
         await run.wait_healthy(name)
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_TIME_S)
     run.figures['after'] = await run.find_control_leader()
     run.figures['promotions'] = await _count_promotions(run, before)
 
 
 SCENARIOS: dict[str, Scenario] = {
-    'control-follower-frozen': Scenario(freeze_follower, load_s=10),
-    'control-leader-frozen': Scenario(freeze_leader, load_s=10),
+    'control-follower-frozen': Scenario(suspend_follower, load_s=10),
+    'control-leader-frozen': Scenario(suspend_leader, load_s=10),
     'control-restarted': Scenario(restart_control, load_s=10),
     'primary-and-leader-killed': Scenario(kill_primary_and_leader),
-    'primary-isolated': Scenario(isolate_primary, load_s=11, relayed=True),
-    'proxy-frozen': Scenario(freeze_proxy, load_s=9),
+    'primary-isolated': Scenario(isolate_primary, load_s=11, uses_relays=True),
+    'proxy-frozen': Scenario(suspend_proxy, load_s=9),
     'proxy-killed': Scenario(kill_proxy, load_s=6),
     'proxy-stopped': Scenario(stop_proxy),
-    'second-loss': Scenario(lose_second, load_s=9),
-    'silent-connections': Scenario(silence_connections),
+    'second-loss': Scenario(kill_successive_primaries, load_s=9),
+    'silent-connections': Scenario(silence_proxy_connections),
     'upstreams-stopped': Scenario(
         stop_upstreams,
         load_s=9,
@@ -315,6 +332,6 @@
 def run_faults(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Run the scenario of the arguments, or all of them in turn."""
+    """Run the selected scenario, or all scenarios one after another."""
     names = [args.scenario] if args.scenario else sorted(SCENARIOS)
     return {name: run_fault(deployment, SCENARIOS[name]) for name in names}
--- a/bench/experiment_latency.py
+++ b/bench/experiment_latency.py
@@ -1,4 +1,4 @@
-"""Latency that a proxy adds to direct use of the primary."""
+"""Compares the latency of reads through a proxy with that of direct reads."""
 
 from __future__ import annotations
 
@@ -42,8 +42,8 @@
 def run_latency(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Compare fresh reads through a proxy with reads on the primary."""
-    small = replace(
+    """Measure reads through a proxy and directly on the primary."""
+    scaled = replace(
         deployment,
         groups=('bench',),
         proxies=1,
@@ -53,7 +53,7 @@
     )
     figures = {}
     with run_cluster(
-        small, database_settings={'service_ms': 0, 'latency_ms': 0}
+        scaled, database_settings={'service_ms': 0, 'latency_ms': 0}
     ) as cluster:
         prepare_cluster(cluster, write_change_set(cluster))
         trio.run(create_tables, cluster.proxy_addresses(), ['bench'])
@@ -71,18 +71,18 @@
     histogram = build_histogram()
     route = route_of('bench')
 
-    async def call(session: Session) -> None:
+    async def send_read(session: Session) -> None:
         await session.read(route, SQL, [1], deadline_ms=TIMEOUT_MS)
 
-    async def serve(end_s: float) -> None:
+    async def run_caller(end_s: float) -> None:
         async with open_session(cluster.proxy_addresses()) as session:
             while trio.current_time() < end_s:
                 started_s = trio.current_time()
-                await call(session)
+                await send_read(session)
                 elapsed_s = trio.current_time() - started_s
                 histogram.record_value(max(1, int(elapsed_s * US_PER_S)))
 
-    await _run_all(serve, callers, args.seconds)
+    await _run_callers(run_caller, callers, args.seconds)
     return summarize_histogram(histogram)
 
 
@@ -102,7 +102,7 @@
         timeout_ms=TIMEOUT_MS,
     )
 
-    async def serve(end_s: float) -> None:
+    async def run_caller(end_s: float) -> None:
         async with open_link(LOOPBACK, port, '/v1/upstream') as link:
             link.post(encode_cbor([Open(peer='x', purpose='statements')]))
             _CODEC.decode(await link.receive())
@@ -113,12 +113,12 @@
                 elapsed_s = trio.current_time() - started_s
                 histogram.record_value(max(1, int(elapsed_s * US_PER_S)))
 
-    await _run_all(serve, callers, args.seconds)
+    await _run_callers(run_caller, callers, args.seconds)
     return summarize_histogram(histogram)
 
 
-async def _run_all(serve: Any, callers: int, seconds: float) -> None:
+async def _run_callers(run_caller: Any, callers: int, seconds: float) -> None:
     end_s = trio.current_time() + seconds
     async with trio.open_nursery() as nursery:
         for _ in range(callers):
-            nursery.start_soon(serve, end_s)
+            nursery.start_soon(run_caller, end_s)
--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -1,4 +1,8 @@
-"""Share of reads on replicas, and load beyond the slot capacity."""
+"""Load experiments relative to the slot capacity of the databases.
+
+One experiment measures the share of reads that replicas serve, the other the
+goodput and latency up to twice the capacity.
+"""
 
 from __future__ import annotations
 
@@ -22,16 +26,16 @@
 from jackdawpost.testing.history import check_history
 
 SHARE_SERVICE_MS = 40.0
-# Twice the capacity must stay below what the load generator can send.
+# Keeps twice the capacity below the maximum rate of the load generator.
 OVERLOAD_SERVICE_MS = 100.0
-LAG_MS = 200.0
+APPLY_LAG_MS = 200.0
 SESSIONS = 160
 MS_PER_SECOND = 1_000
 MIXES = {'handfang': HANDFANG_MIX, 'cordillera': CORDILLERA_MIX}
 
 
 def compute_slot_capacity(deployment: Deployment, service_ms: float) -> float:
-    """Return the statements a second that all slots can serve."""
+    """Return the statements per second that all slots together can run."""
     databases = len(deployment.groups) * deployment.databases_per_group
     return databases * deployment.slots * MS_PER_SECOND / service_ms
 
@@ -40,38 +44,41 @@
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
     """Run the deployment's mix at 60% of the slot capacity."""
-    return _run_loads(deployment, args, [0.6], SHARE_SERVICE_MS)
+    return _run_load_levels(deployment, args, [0.6], SHARE_SERVICE_MS)
 
 
 def run_overload(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Run the mix at rising load up to twice the slot capacity."""
-    levels = [0.5, 0.75, 1.0, 2.0]
-    return _run_loads(deployment, args, levels, OVERLOAD_SERVICE_MS)
+    """Run the deployment's mix at 50% to 200% of the slot capacity."""
+    load_levels = [0.5, 0.75, 1.0, 2.0]
+    return _run_load_levels(deployment, args, load_levels, OVERLOAD_SERVICE_MS)
 
 
-def _run_loads(
+def _run_load_levels(
     deployment: Deployment,
     args: argparse.Namespace,
-    levels: list[float],
+    load_levels: list[float],
     service_ms: float,
 ) -> dict[str, Any]:
     changes = Path('examples') / deployment.name / 'changes.json'
     with run_cluster(
         deployment,
-        database_settings={'service_ms': service_ms, 'apply_lag_ms': LAG_MS},
+        database_settings={
+            'service_ms': service_ms,
+            'apply_lag_ms': APPLY_LAG_MS,
+        },
         proxy_settings=args.proxy_settings,
     ) as cluster:
         prepare_cluster(cluster, changes)
         capacity = compute_slot_capacity(deployment, service_ms)
-        return trio.run(_run_levels, cluster, args, levels, capacity)
+        return trio.run(_run_levels, cluster, args, load_levels, capacity)
 
 
 async def _run_levels(
     cluster: Cluster,
     args: argparse.Namespace,
-    levels: list[float],
+    load_levels: list[float],
     capacity: float,
 ) -> dict[str, Any]:
     deployment = cluster.deployment
@@ -80,20 +87,20 @@
     await create_tables(addresses, groups)
     results: list[LoadResult] = []
     figures: dict[str, Any] = {'capacity_per_s': capacity}
-    for number, level in enumerate(levels):
+    for number, load_level in enumerate(load_levels):
         plan = LoadPlan(
             addresses,
             groups,
             MIXES[deployment.name],
-            capacity * level,
+            capacity * load_level,
             args.seconds,
-            sessions=int(SESSIONS * max(1.0, 4 * (level - 0.5))),
+            sessions=int(SESSIONS * max(1.0, 4 * (load_level - 0.5))),
             prefix=f'level{number}-',
             seed=number,
         )
         result = await LoadGenerator(plan).run()
         results.append(result)
-        figures[f'load {level:g}'] = _describe(result)
+        figures[f'load {load_level:g}'] = _summarize_result(result)
     stored = await read_stored_rows(cluster)
     history = results[0].history
     for result in results[1:]:
@@ -101,11 +108,11 @@
         history.reads += result.history.reads
     violations = check_history(history, stored)
     figures['violations'] = [f'{v.rule}: {v.detail}' for v in violations]
-    figures['databases'] = _read_limits(cluster)
+    figures['databases'] = _sum_limit_counters(cluster)
     return figures
 
 
-def _describe(result: LoadResult) -> dict[str, Any]:
+def _summarize_result(result: LoadResult) -> dict[str, Any]:
     done = sum(
         count
         for name, count in result.outcomes.items()
@@ -118,8 +125,12 @@
     }
 
 
-def _read_limits(cluster: Cluster) -> dict[str, Any]:
-    """Return the counters of broken limits, summed over the databases."""
+def _sum_limit_counters(cluster: Cluster) -> dict[str, Any]:
+    """Combine the counters of all databases, which include limit violations.
+
+    Counters named ``max_*`` are combined by their maximum, others by their
+    sum.
+    """
     totals: dict[str, Any] = {}
     for name in cluster.names('database'):
         status, metrics = cluster.fetch_json(name, '/metrics')
--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -1,4 +1,4 @@
-"""Statements a second of one proxy, beside a bare relay and direct use."""
+"""Compares the throughput of a proxy with that of a minimal relay."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 CALLERS = 5_300
 CALLER_PROCESSES = 2
 IN_FLIGHT = 64
-STARTED_S = 1.0
+RELAY_STARTUP_S = 1.0
 MIB = 1 << 20
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
@@ -38,27 +38,29 @@
 def run_throughput(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    """Measure one proxy, a bare relay and direct use in one run."""
-    small = replace(deployment, groups=('bench',), proxies=1, opening_ms=1)
+    """Measure a proxy and a minimal relay on the same cluster."""
+    scaled = replace(deployment, groups=('bench',), proxies=1, opening_ms=1)
     with run_cluster(
-        small,
+        scaled,
         database_settings={'service_ms': 0, 'latency_ms': 0},
         proxy_settings={'max_callers': 2 * CALLERS},
     ) as cluster:
         prepare_cluster(cluster, write_change_set(cluster))
-        groups = list(small.groups)
+        groups = list(scaled.groups)
         trio.run(create_tables, cluster.proxy_addresses(), groups)
         proxy = cluster.programs['proxy-0']
         figures = {
-            'proxy': _measure(
+            'proxy': _measure_server(
                 cluster, proxy.process, proxy.port, args, CALLERS
             ),
-            'proxy_reads_with_age': _measure(
+            'proxy_reads_with_age': _measure_server(
                 cluster, proxy.process, proxy.port, args, CALLERS, 1_000
             ),
         }
         with _run_relay(cluster) as (relay, port):
-            figures['relay'] = _measure(cluster, relay, port, args, CALLERS)
+            figures['relay'] = _measure_server(
+                cluster, relay, port, args, CALLERS
+            )
         relay_rate = figures['relay']['per_second']
         if relay_rate:
             ratio = figures['proxy']['per_second'] / relay_rate
@@ -67,7 +69,7 @@
 
 
 def write_change_set(cluster: Cluster) -> Path:
-    """Write a change set with the one group and a long queue for it."""
+    """Write a change set with the first group and a long queue for it."""
     group = cluster.deployment.groups[0]
     operations = [
         {
@@ -105,11 +107,11 @@
         '--term',
         str(primary.term),
     ]
-    # The proxy would take the upstream's slots while the relay is measured.
+    # Otherwise the proxy would occupy slots of the upstream.
     cluster.suspend('proxy-0')
     relay = subprocess.Popen(command)
     try:
-        time.sleep(STARTED_S)
+        time.sleep(RELAY_STARTUP_S)
         yield relay, port
     finally:
         relay.kill()
@@ -117,7 +119,7 @@
         cluster.resume('proxy-0')
 
 
-def _measure(
+def _measure_server(
     cluster: Cluster,
     server: subprocess.Popen[bytes] | None,
     port: int,
@@ -126,7 +128,7 @@
     max_age_ms: int | None = None,
 ) -> dict[str, Any]:
     if server is None:
-        raise RuntimeError('the measured process has not been started')
+        raise RuntimeError('the process to measure has not been started')
     route = route_of(cluster.deployment.groups[0])
     command = [
         sys.executable,
@@ -156,33 +158,33 @@
     for process in processes:
         if process.stderr is not None:
             process.stderr.readline()
-    cpu_s = read_cpu_s(server.pid)
+    cpu_before_s = read_cpu_s(server.pid)
     started_s = time.monotonic()
     outputs = [process.communicate()[0] for process in processes]
     elapsed_s = time.monotonic() - started_s
-    parts = [json.loads(output) for output in outputs]
-    used_s = read_cpu_s(server.pid) - cpu_s
-    done = sum(part['done'] for part in parts)
+    results = [json.loads(output) for output in outputs]
+    used_s = read_cpu_s(server.pid) - cpu_before_s
+    done = sum(result['done'] for result in results)
     return {
         'per_second': round(done / args.seconds, 1),
-        'failed': sum(part['failed'] for part in parts),
-        'errors': [part['errors'] for part in parts],
+        'failed': sum(result['failed'] for result in results),
+        'errors': [result['errors'] for result in results],
         'core_share': round(used_s / elapsed_s, 3),
         'cpu_us_per_statement': round(used_s / max(1, done) * 1e6, 1),
         'rss_mib': round(read_rss_bytes(server.pid) / MIB, 1),
         'callers': callers,
-        'p50_ms': parts[0]['latency_ms']['p50'],
-        'p99_ms': parts[0]['latency_ms']['p99'],
+        'p50_ms': results[0]['latency_ms']['p50'],
+        'p99_ms': results[0]['latency_ms']['p99'],
     }
 
 
 def read_cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used, in seconds."""
+    """Return the processor time used by a process, in seconds."""
     fields = Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
 def read_rss_bytes(pid: int) -> int:
-    """Return the resident memory of a process in bytes."""
+    """Return the resident memory of a process, in bytes."""
     pages = Path(f'/proc/{pid}/statm').read_text().split()[1]
     return int(pages) * PAGE_BYTES
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -1,4 +1,8 @@
-"""What a failover experiment reads from the databases and the history."""
+"""Helpers of the failover experiments.
+
+They find primaries, read the rows stored after a run and measure the time
+without acknowledged writes after a failure.
+"""
 
 from __future__ import annotations
 
@@ -26,14 +30,14 @@
 
 
 class Primary(NamedTuple):
-    """Primary of a group and its term."""
+    """The primary of a group and its term."""
 
     name: str
     term: int
 
 
 def find_primaries(cluster: Cluster) -> dict[str, Primary]:
-    """Return the primary of each group that has one, as proxies see it."""
+    """Return the primary of each group that has one, as known to a proxy."""
     for name in cluster.names('proxy'):
         status, dump = cluster.fetch_json(name, '/dump')
         if status == 200:
@@ -47,7 +51,7 @@
 
 
 async def read_stored_rows(cluster: Cluster) -> dict[str, list[StoredRow]]:
-    """Read the ledger of each group from its primary, past the proxies."""
+    """Read the ledger of each group directly from its primary."""
     primaries = await trio.to_thread.run_sync(find_primaries, cluster)
     return {
         group: await _read_ledger(cluster, primary)
@@ -63,7 +67,7 @@
         link.post(encode_cbor([Open(peer='checker', purpose='statements')]))
         opened = _CODEC.decode(await link.receive())[0]
         if not isinstance(opened, Opened):
-            raise RuntimeError(f'{name}: {opened}')
+            raise RuntimeError(f'{name} did not open the connection: {opened}')
         while True:
             message = Execute(
                 id=1 + len(rows),
@@ -77,7 +81,10 @@
             link.post(encode_cbor([message]))
             reply = _CODEC.decode(await link.receive())[0]
             if reply.status != 'done':
-                raise RuntimeError(f'{name}: {reply.code}: {reply.message}')
+                raise RuntimeError(
+                    f'{name} failed to read the ledger: '
+                    f'{reply.code}: {reply.message}'
+                )
             rows += [StoredRow(*row) for row in reply.rows or []]
             if len(reply.rows or []) < PAGE_ROWS:
                 return rows
@@ -86,10 +93,11 @@
 def measure_write_gap(
     history: History, group: str, failed_at_ms: float
 ) -> float:
-    """Return the time without a finished write after a failure, in ms.
+    """Return the time without an acknowledged write after a failure, in ms.
 
-    The gap runs from the failure to the end of the first write of the
-    group that was acknowledged after having been started after it.
+    The gap starts at the failure and ends with the first acknowledgment of a
+    write to the group that was started after the failure. It is infinite if
+    there is no such write.
     """
     ends = [
         write.ended_ms
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -1,4 +1,4 @@
-"""One fault under load: marks, observations and the figures made of them."""
+"""Runs a fault scenario on a cluster under load and collects the results."""
 
 from __future__ import annotations
 
@@ -31,33 +31,34 @@
 
 MS_PER_SECOND = 1_000
 RATE_PER_S = 60.0
-# More than the requests that arrive within their deadline of 2 s, so that
-# requests to one broken group do not hold back those to the others.
+# More than the requests that arrive within the deadline of 2 s, so requests to
+# a failed group do not occupy all sessions and delay those to other groups.
 SESSIONS = 128
-WARM_UP_S = 1.5
+WARM_UP_TIME_S = 1.5
 POLL_INTERVAL_S = 0.05
-MAX_DESCRIBED = 20
+MAX_LISTED_WRITES = 20
 RELAYED_PROXY = 'proxy-0'
-DATABASE_SETTINGS = {'service_ms': 5, 'apply_lag_ms': 50}
+DEFAULT_DATABASE_SETTINGS = {'service_ms': 5, 'apply_lag_ms': 50}
 
 
 @dataclass(slots=True)
 class FaultRun:
-    """A cluster under load into which a scenario injects faults.
+    """A cluster under load and the observations of a fault scenario.
 
     Parameters
     ----------
     relays : list of SilentRelay
-        Relays between `RELAYED_PROXY` and the control processes; empty
-        unless the scenario asks for them.
+        Relays between `RELAYED_PROXY` and the control processes. The list
+        is empty unless the scenario uses relays.
     failed_at_ms : dict of str to float
-        Time of the last failure of each group's primary.
+        Time of the last failure of the primary of each group, in
+        milliseconds.
     figures : dict
-        What the scenario observed.
+        Measurements of the scenario.
     ends_s : float
         Time at which the load ends, in seconds.
     injected_ms : float
-        Time at which the scenario began, in milliseconds.
+        Time at which the injection of the fault started, in milliseconds.
     """
 
     cluster: Cluster
@@ -73,20 +74,20 @@
 
     @property
     def group(self) -> str:
-        """The group that scenarios break."""
+        """The group whose primary the scenarios fail."""
         return self.cluster.deployment.groups[0]
 
     @property
     def history(self) -> History:
-        """What callers did and were told so far."""
+        """Requests of the load so far, with their outcomes."""
         return self.load.result.history
 
     def record_failure(self, group: str) -> None:
-        """Start the gap of a group now."""
+        """Record that the primary of a group fails now."""
         self.failed_at_ms[group] = now_ms()
 
     async def find_primary(self, group: str | None = None) -> Primary:
-        """Wait until a group has a primary as proxies see it; return it."""
+        """Return the primary of a group once a proxy knows one."""
         name = group or self.group
         while True:
             primaries = await trio.to_thread.run_sync(
@@ -97,84 +98,87 @@
             await trio.sleep(POLL_INTERVAL_S)
 
     async def fetch_json(self, name: str, path: str) -> Any:
-        """Return a page of a process, None if it does not answer."""
+        """Return the JSON of a page of a process, or None without answer."""
         _, value = await trio.to_thread.run_sync(
             self.cluster.fetch_json, name, path
         )
         return value
 
     async def wait_healthy(self, *names: str) -> None:
-        """Wait until the named processes are healthy."""
+        """Wait until the given processes are healthy."""
         await trio.to_thread.run_sync(self.cluster.wait_healthy, list(names))
 
     async def terminate(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
         return await trio.to_thread.run_sync(self.cluster.terminate, name)
 
-    async def find_control_leader(self, without: str = '') -> tuple[str, int]:
+    async def find_control_leader(self, excluded: str = '') -> tuple[str, int]:
         """Return the control leader and its term.
 
         Parameters
         ----------
-        without : str
-            Process that is not asked because it cannot answer.
+        excluded : str
+            Name of a process to skip because it cannot answer.
         """
         for name in self.cluster.names('control'):
-            if name == without or not self.cluster.programs[name].running:
+            if name == excluded or not self.cluster.programs[name].running:
                 continue
             dump = await self.fetch_json(name, '/dump')
             if dump and dump['consensus']['role'] == 'leader':
                 return name, int(dump['consensus']['term'])
-        raise RuntimeError('no control process leads')
+        raise RuntimeError('no control process is the leader')
 
 
-Inject = Callable[[FaultRun], Awaitable[None]]
+InjectFault = Callable[[FaultRun], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """A fault, the time it takes and what the processes need for it.
+    """A fault to inject and the conditions under which it is injected.
 
     Parameters
     ----------
     inject : callable
-        Breaks something and observes; the load goes on beside it.
+        Injects the fault and records measurements while the load runs.
     load_s : float
-        Length of the load, in seconds.
-    relayed : bool
-        Whether `RELAYED_PROXY` reaches control through relays.
+        Duration of the load, in seconds.
+    uses_relays : bool
+        True if `RELAYED_PROXY` connects to control through relays.
     database_settings : dict
-        Settings of the databases in addition to the usual ones.
+        Settings of the databases that override the default ones.
     """
 
-    inject: Inject
+    inject: InjectFault
     load_s: float = 8.0
-    relayed: bool = False
+    uses_relays: bool = False
     database_settings: dict[str, Any] = field(default_factory=dict)
 
 
 def now_ms() -> float:
-    """Return the time on the clock of the load generator."""
+    """Return the time on the clock of the load generator, in ms."""
     return trio.current_time() * MS_PER_SECOND
 
 
 def run_fault(deployment: Deployment, scenario: Scenario) -> dict[str, Any]:
-    """Run one scenario on a cluster of its own and return its figures."""
+    """Run a scenario on a new cluster and return the results."""
     relays: list[PartitionRelay] = []
 
     def edit_settings(folder: Path) -> None:
-        if scenario.relayed:
+        if scenario.uses_relays:
             relays.extend(relay_control_links(folder, RELAYED_PROXY))
 
     with run_cluster(
         deployment,
         edit_settings,
-        database_settings={**DATABASE_SETTINGS, **scenario.database_settings},
+        database_settings={
+            **DEFAULT_DATABASE_SETTINGS,
+            **scenario.database_settings,
+        },
     ) as cluster:
-        return trio.run(_run, cluster, scenario, relays)
+        return trio.run(_run_scenario, cluster, scenario, relays)
 
 
-async def _run(
+async def _run_scenario(
     cluster: Cluster, scenario: Scenario, relays: list[PartitionRelay]
 ) -> dict[str, Any]:
     deployment = cluster.deployment
@@ -197,15 +201,15 @@
         run = FaultRun(cluster, LoadGenerator(plan), relays)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run.load.run)
-            await trio.sleep(WARM_UP_S)
+            await trio.sleep(WARM_UP_TIME_S)
             run.injected_ms = now_ms()
             await scenario.inject(run)
-        figures = await _collect(run)
+        figures = await _collect_figures(run)
         background.cancel_scope.cancel()
     return figures
 
 
-async def _collect(run: FaultRun) -> dict[str, Any]:
+async def _collect_figures(run: FaultRun) -> dict[str, Any]:
     stored = await read_stored_rows(run.cluster)
     violations = check_history(run.history, stored)
     gaps = {
@@ -215,8 +219,8 @@
     return {
         'gap_ms': gaps,
         **run.figures,
-        'longest_pause_ms': round(_find_longest_pause(run.history)),
-        'failed_writes': _describe_failed(run),
+        'longest_pause_ms': round(_find_longest_write_gap(run.history)),
+        'failed_writes': _describe_failed_writes(run),
         'acknowledged_writes': sum(
             write.outcome == 'done' for write in run.history.writes
         ),
@@ -226,18 +230,18 @@
     }
 
 
-def _describe_failed(run: FaultRun) -> list[str]:
-    """Return the writes without success, in time since the injection."""
+def _describe_failed_writes(run: FaultRun) -> list[str]:
+    """List unsuccessful writes with times relative to the injection."""
     return [
         f'{write.group} {write.session} {write.outcome}/{write.code} '
         f'{write.started_ms - run.injected_ms:.0f} to '
         f'{write.ended_ms - run.injected_ms:.0f} ms'
         for write in run.history.writes
         if write.outcome != 'done'
-    ][:MAX_DESCRIBED]
+    ][:MAX_LISTED_WRITES]
 
 
-def _find_longest_pause(history: History) -> float:
-    """Return the longest time between two acknowledged writes, in ms."""
+def _find_longest_write_gap(history: History) -> float:
+    """Return the longest time between acknowledged writes, in ms."""
     ends = sorted(w.ended_ms for w in history.writes if w.outcome == 'done')
     return max((b - a for a, b in pairwise(ends)), default=float('inf'))
--- a/bench/tests/test_faults.py
+++ b/bench/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""Faults on a small deployment of real processes."""
+"""Tests of fault scenarios on a small deployment of real processes."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 
 @pytest.mark.process
-def test_stopped_proxy_finishes_what_is_in_flight() -> None:
-    # Guards against a draining proxy that loses its leases, and with them
-    # the answers to writes and open transactions.
+def test_stopped_proxy_completes_requests_in_flight() -> None:
+    # Guards against a draining proxy that loses its leases and therefore the
+    # answers to writes and open transactions.
     scenario = replace(SCENARIOS['proxy-stopped'], load_s=4.0)
     figures = run_fault(SMALL, scenario)
     assert figures['violations'] == []
--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -1,4 +1,4 @@
-"""Splits failover gaps into their parts from the processes' logs."""
+"""Splits failover gaps into phases by the log events of the processes."""
 
 from __future__ import annotations
 
@@ -13,33 +13,33 @@
 
 
 def read_log(path: Path) -> list[dict[str, Any]]:
-    """Return the JSON lines of a log with ``at_ms``, wall-clock time."""
-    lines = []
+    """Parse the JSON lines of a log and add ``at_ms``, the wall-clock time."""
+    entries = []
     for text in path.read_text(errors='replace').splitlines():
         try:
-            line = json.loads(text)
+            entry = json.loads(text)
         except ValueError:
             continue
-        stamp = datetime.strptime(line['time'], '%Y-%m-%d %H:%M:%S,%f')
-        line['at_ms'] = stamp.timestamp() * MS_PER_SECOND
-        lines.append(line)
-    return lines
+        timestamp = datetime.strptime(entry['time'], '%Y-%m-%d %H:%M:%S,%f')
+        entry['at_ms'] = timestamp.timestamp() * MS_PER_SECOND
+        entries.append(entry)
+    return entries
 
 
 def count_promotions(folder: Path) -> int:
-    """Return the promotions that were not the first of their group."""
+    """Count promotions, except the first one of each group."""
     return sum(
-        line['event'] == 'start_promotion'
-        and line.get('reason') != 'first primary'
+        entry['event'] == 'start_promotion'
+        and entry.get('reason') != 'first primary'
         for path in folder.glob('control-*.log')
-        for line in read_log(path)
+        for entry in read_log(path)
     )
 
 
 def split_gap_into_phases(
     folder: Path, group: str, failed_at_ms: float
 ) -> dict[str, float]:
-    """Return the parts of the gap after a failure, in milliseconds.
+    """Return the durations of the phases of a failover, in milliseconds.
 
     Parameters
     ----------
@@ -48,27 +48,30 @@
     group : str
         Group whose primary failed.
     failed_at_ms : float
-        Wall-clock time of the failure.
+        Wall-clock time of the failure, in milliseconds.
 
     Returns
     -------
     dict of str to float
-        Duration of each part that the logs show.
+        Durations by the names in `PHASES`, up to the first phase whose end
+        is not in the logs.
     """
-    marks = [failed_at_ms]
+    phase_bounds_ms = [failed_at_ms]
     for pattern, event in (
         ('control-*.log', 'start_promotion'),
         ('control-*.log', 'choose_primary'),
         ('control-*.log', 'finish_promotion'),
         ('proxy-*.log', 'new_term'),
     ):
-        found = _find_first(folder, pattern, event, group, failed_at_ms)
-        if found is None:
+        event_ms = _find_first(folder, pattern, event, group, failed_at_ms)
+        if event_ms is None:
             break
-        marks.append(found)
+        phase_bounds_ms.append(event_ms)
     return {
-        part: later - earlier
-        for part, earlier, later in zip(PHASES, marks, marks[1:], strict=False)
+        phase: later - earlier
+        for phase, earlier, later in zip(
+            PHASES, phase_bounds_ms, phase_bounds_ms[1:], strict=False
+        )
     }
 
 
@@ -76,20 +79,20 @@
     folder: Path, pattern: str, event: str, group: str, after_ms: float
 ) -> float | None:
     times = [
-        line['at_ms']
+        entry['at_ms']
         for path in folder.glob(pattern)
-        for line in read_log(path)
-        if line['event'] == event
-        and line.get('group') == group
-        and line['at_ms'] >= after_ms
-        # A proxy also logs that the group has no primary for now.
-        and line.get('primary', '') is not None
+        for entry in read_log(path)
+        if entry['event'] == event
+        and entry.get('group') == group
+        and entry['at_ms'] >= after_ms
+        # Excludes log lines of proxies that the group has no primary.
+        and entry.get('primary', '') is not None
     ]
     return min(times, default=None)
 
 
 def summarize(values: list[float]) -> dict[str, float]:
-    """Return count, median and maximum."""
+    """Return the count, median and maximum of the values."""
     if not values:
         return {'runs': 0}
     return {
