--- a/bench/fault_writes.py
+++ b/bench/fault_writes.py
@@ -1,4 +1,4 @@
-"""Writes through one named proxy, recorded for the history checker."""
+"""Sends single writes through a given proxy and records their outcomes."""
 
 from __future__ import annotations
 
@@ -23,18 +23,18 @@
 
 DEADLINE_MS = 3_000
 
-_NUMBERS = itertools.count()
+_PROBE_NUMBERS = itertools.count()
 
 
 class ProbeWriter:
-    """A session on one proxy whose writes enter the history.
+    """A session on one proxy whose writes are added to the history.
 
     Parameters
     ----------
     run : FaultRun
-        Run whose history gets the records.
+        Run to whose history the writes are added.
     proxy, group : str
-        Names of the proxy and of the group written to.
+        Names of the proxy to connect to and of the group to write to.
     """
 
     def __init__(self, run: FaultRun, proxy: str, group: str) -> None:
@@ -42,13 +42,13 @@
         self._run = run
         self._proxy = proxy
         self._group = group
-        self._name = f'probe{next(_NUMBERS)}'
-        self._seq = itertools.count(1)
+        self._name = f'probe{next(_PROBE_NUMBERS)}'
+        self._write_numbers = itertools.count(1)
         self._session: Session | None = None
 
     @asynccontextmanager
     async def connect(self) -> AsyncIterator[None]:
-        """Open the session; it is closed on exit."""
+        """Open the session and close it on exit."""
         addresses = [
             address
             for address in self._run.cluster.proxy_addresses()
@@ -59,13 +59,13 @@
             yield
 
     async def write(self) -> float:
-        """Write one row and return the time it took, in milliseconds."""
-        record = self._record(parts=1)
-        with self._judge(record):
-            await self._connected().write(
+        """Write one row and return the duration in milliseconds."""
+        record = self._add_record(parts=1)
+        with self._record_outcome(record):
+            await self._get_session().write(
                 route_of(self._group),
                 INSERT,
-                self._row(record, 0),
+                self._build_row(record, 0),
                 request_key=record.request_key,
                 deadline_ms=DEADLINE_MS,
             )
@@ -76,37 +76,39 @@
         resume: trio.Event,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Run a transaction of two rows, with a pause between them.
+        """Write two rows in one transaction and wait between them.
 
         Parameters
         ----------
         resume : trio.Event
-            Ends the pause.
+            Event to wait for after the first row.
         task_status : trio.TaskStatus
-            Told when the first row is written and the pause begins.
+            Started once the first row is written.
         """
-        record = self._record(parts=2)
-        with self._judge(record):
-            async with self._connected().transaction(
+        record = self._add_record(parts=2)
+        with self._record_outcome(record):
+            async with self._get_session().transaction(
                 route_of(self._group),
                 request_key=record.request_key,
                 deadline_ms=DEADLINE_MS,
             ) as txn:
-                await txn.execute(INSERT, self._row(record, 0))
+                await txn.execute(INSERT, self._build_row(record, 0))
                 task_status.started()
                 await resume.wait()
-                await txn.execute(INSERT, self._row(record, 1))
+                await txn.execute(INSERT, self._build_row(record, 1))
 
-    def _connected(self) -> Session:
+    def _get_session(self) -> Session:
         if self._session is None:
-            raise RuntimeError('not connected: valid is within connect()')
+            raise RuntimeError(
+                'the writer has no session: use it within connect()'
+            )
         return self._session
 
-    def _record(self, parts: int) -> WriteRecord:
+    def _add_record(self, parts: int) -> WriteRecord:
         record = WriteRecord(
             group=self._group,
             session=self._name,
-            seq=next(self._seq),
+            seq=next(self._write_numbers),
             request_key=new_request_key(),
             outcome='unknown',
             started_ms=now_ms(),
@@ -116,13 +118,13 @@
         self._run.history.writes.append(record)
         return record
 
-    def _row(self, record: WriteRecord, part: int) -> list[object]:
+    def _build_row(self, record: WriteRecord, part: int) -> list[object]:
         key = record.request_key
         return [key, self._name, record.seq, part, record.parts]
 
     @contextmanager
-    def _judge(self, record: WriteRecord) -> Iterator[None]:
-        """Turn what the block raises into the outcome of a record."""
+    def _record_outcome(self, record: WriteRecord) -> Iterator[None]:
+        """Set the outcome of a record from the exception of the block."""
         try:
             yield
             record.outcome = 'done'
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -1,8 +1,9 @@
-"""Random search for caller input that a proxy does not stand.
+"""Fuzzes the caller connections of a proxy with random frames.
 
-Starts a small system in this process on loopback and sends random frames to
-its proxy, as the test of the caller border does, but from a new seed each
-time. Prints the seed first; exits with 1 if a promise was broken.
+It starts a small system on loopback in this process, sends random frames to
+the proxy and checks the answers. A test does the same with a fixed seed; this
+program uses a new seed each time and prints it first. The exit code is 1 if a
+check fails.
 """
 
 from __future__ import annotations
@@ -31,33 +32,35 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the search and return its exit code."""
+    """Run the fuzzer and return the exit code."""
     parser = argparse.ArgumentParser(
         prog='python -m bench.fuzz',
         description=__doc__,
         epilog='example: python -m bench.fuzz --seed 7 --examples 2000',
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument('--seed', type=int, help='a random one by default')
+    parser.add_argument(
+        '--seed', type=int, help='seed of the frames, random by default'
+    )
     parser.add_argument('--examples', type=int, default=DEFAULT_EXAMPLES)
     args = parser.parse_args(argv)
-    number = args.seed
-    if number is None:
-        number = random.SystemRandom().randrange(2**32)
-    print(f'seed {number}, {args.examples} examples', flush=True)
-    trio.run(search, number, args.examples)
-    print('no promise broken')
+    seed_value = args.seed
+    if seed_value is None:
+        seed_value = random.SystemRandom().randrange(2**32)
+    print(f'seed {seed_value}, {args.examples} examples', flush=True)
+    trio.run(fuzz_proxy, seed_value, args.examples)
+    print('no check failed')
     return 0
 
 
-async def search(number: int, examples: int) -> None:
-    """Send random frames; raises what the first failure raised."""
+async def fuzz_proxy(seed_value: int, examples: int) -> None:
+    """Send random frames and raise the exception of the first failure."""
     with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
         async with daemons() as nursery:
             port, _ = await start_system(nursery, Path(folder))
             await serve_first_write(port)
 
-            @seed(number)
+            @seed(seed_value)
             @settings(
                 max_examples=examples,
                 deadline=None,
@@ -65,10 +68,10 @@
                 suppress_health_check=list(HealthCheck),
             )
             @given(frames)
-            def run(sent: list[Frame]) -> None:
-                trio.from_thread.run(check_frames, port, sent)
+            def check_example(sent_frames: list[Frame]) -> None:
+                trio.from_thread.run(check_frames, port, sent_frames)
 
-            await trio.to_thread.run_sync(run)
+            await trio.to_thread.run_sync(check_example)
 
 
 if __name__ == '__main__':
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,7 +1,8 @@
-"""Open-loop load with a checkable history.
+"""Open-loop load generator that records the history of its requests.
 
-Arrivals follow a seeded Poisson process. Latency counts from the intended
-start, so that a stall of the system or of the generator is not hidden.
+Arrivals follow a Poisson process with a given seed. Latency is measured from
+the scheduled start of a request, so it includes delays caused by a stall of
+the system or of the generator (no coordinated omission).
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 
 MS_PER_SECOND = 1_000
 US_PER_MS = 1_000
-TABLE_SETTLE_S = 1.5
+TABLE_REPLICATION_TIME_S = 1.5
 
 CREATE_TABLE = (
     'create table if not exists ledger (id integer primary key, '
@@ -44,12 +45,12 @@
     'insert into ledger (request_key, session, seq, part, parts) '
     'values (?, ?, ?, ?, ?)'
 )
-SELECT_SEEN = 'select ?, session, max(seq) from ledger group by session'
+SELECT_LAST_WRITES = 'select ?, session, max(seq) from ledger group by session'
 
 
 @dataclass(frozen=True, slots=True)
 class Mix:
-    """Shares of the kinds of requests; the rest are fresh reads.
+    """Shares of the kinds of requests. The remaining ones are fresh reads.
 
     Parameters
     ----------
@@ -58,7 +59,9 @@
     transactions : float
         Share of transactions of two writes.
     stale_reads : float
-        Share of reads that accept `max_age_ms`.
+        Share of reads that accept rows of limited age.
+    max_age_ms : int
+        Maximum age of the rows of stale reads, in milliseconds.
     """
 
     writes: float
@@ -73,12 +76,20 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """Outcome of one load phase.
+    """Results of one load phase.
 
     Parameters
     ----------
     elapsed_s : float
-        Time until the last request had ended, in seconds.
+        Time until the end of the last request, in seconds.
+    history : History
+        Writes and reads for the consistency check.
+    outcomes : Counter
+        Number of requests per kind and outcome.
+    sources : Counter
+        Number of stale reads per role of the database that served them.
+    latencies : dict of str to HdrHistogram
+        Latencies of successful requests per kind.
     """
 
     elapsed_s: float = 0.0
@@ -90,18 +101,18 @@
         default_factory=dict
     )
 
-    def observe(self, kind: str, value_ms: float) -> None:
-        """Record the latency of one request."""
+    def record_latency(self, kind: str, value_ms: float) -> None:
+        """Record the latency of a request."""
         histogram = self.latencies.setdefault(kind, build_histogram())
         histogram.record_value(max(1, int(value_ms * US_PER_MS)))
 
     def replica_share(self) -> float:
-        """Return the share of reads with an accepted age on replicas."""
+        """Return the share of stale reads that replicas served."""
         total = self.sources['replica'] + self.sources['primary']
         return self.sources['replica'] / total if total else 0.0
 
     def summary(self) -> dict[str, Any]:
-        """Return plain figures."""
+        """Return the results as plain values for JSON."""
         return {
             'outcomes': dict(sorted(self.outcomes.items())),
             'replica_share': round(self.replica_share(), 4),
@@ -114,18 +125,22 @@
 
 @dataclass(slots=True)
 class LoadPlan:
-    """One load phase.
+    """Parameters of one load phase.
 
     Parameters
     ----------
     rate : float
-        Intended requests a second.
+        Scheduled requests per second.
     duration_s : float
-        Length in seconds.
+        Duration in seconds.
     sessions : int
-        Sessions; each has one request in flight at most.
+        Number of sessions, each with at most one request in flight.
     deadline_ms : int
-        Deadline of each request in milliseconds.
+        Deadline of each request, in milliseconds.
+    roam : bool
+        True if sessions change to another proxy at random.
+    prefix : str
+        Start of the session names.
     """
 
     addresses: list[ProxyAddress]
@@ -141,30 +156,30 @@
 
 
 def route_of(group: str) -> str:
-    """Return the route that the experiments use for a group."""
+    """Return the name of the route to a group that the load uses."""
     return f'bench-{group}'
 
 
 async def create_tables(
     addresses: list[ProxyAddress], groups: list[str]
 ) -> None:
-    """Create the ledger table in each group."""
+    """Create the ledger table and its index in each group."""
     async with open_session(addresses) as session:
         for group in groups:
             for sql in (CREATE_TABLE, CREATE_INDEX):
                 route = route_of(group)
                 await session.write(route, sql, deadline_ms=5_000)
-    # Reads that accept an age may otherwise miss the new tables.
-    await trio.sleep(TABLE_SETTLE_S)
+    # Stale reads may reach a replica that has not applied the statements yet.
+    await trio.sleep(TABLE_REPLICATION_TIME_S)
 
 
 class LoadGenerator:
-    """Runs one load plan.
+    """Sends the requests of one load phase.
 
     Parameters
     ----------
     plan : LoadPlan
-        What to send.
+        Parameters of the phase.
     """
 
     def __init__(self, plan: LoadPlan) -> None:
@@ -174,42 +189,44 @@
         self._start_s = 0.0
 
     async def run(self) -> LoadResult:
-        """Send the load and wait until every request has ended."""
+        """Send all requests and wait for the end of the last one."""
         plan = self.plan
         send, receive = trio.open_memory_channel[float](1 << 20)
         self._start_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             for number in range(plan.sessions):
-                nursery.start_soon(self._serve, number, receive.clone())
+                nursery.start_soon(self._run_session, number, receive.clone())
             receive.close()
             async with send:
-                await self._schedule(send)
+                await self._schedule_arrivals(send)
         self.result.elapsed_s = trio.current_time() - self._start_s
         return self.result
 
-    async def _schedule(self, send: trio.MemorySendChannel[float]) -> None:
+    async def _schedule_arrivals(
+        self, send: trio.MemorySendChannel[float]
+    ) -> None:
         due_s = self._start_s
         while due_s < self._start_s + self.plan.duration_s:
             await trio.sleep_until(due_s)
             await send.send(due_s)
             due_s += self._rng.expovariate(self.plan.rate)
 
-    async def _serve(
+    async def _run_session(
         self, number: int, arrivals: trio.MemoryReceiveChannel[float]
     ) -> None:
         rng = random.Random(f'{self.plan.seed}-{number}')
         addresses = list(self.plan.addresses)
         rng.shuffle(addresses)
-        worker = _Worker(self, f'{self.plan.prefix}{number}', rng)
+        worker = _SessionWorker(self, f'{self.plan.prefix}{number}', rng)
         async with arrivals, open_session(addresses) as session:
             async for due_s in arrivals:
-                await worker.send_one(session, due_s)
+                await worker.send_request(session, due_s)
                 if self.plan.roam and rng.random() < 0.05:
                     session.roam()
 
 
-class _Worker:
-    """One session of the load and its numbering of writes."""
+class _SessionWorker:
+    """Sends the requests of one session and numbers its writes."""
 
     def __init__(
         self, load: LoadGenerator, name: str, rng: random.Random
@@ -220,8 +237,8 @@
         self._seq: Counter[str] = Counter()
         self._nonce = 0
 
-    async def send_one(self, session: Session, due_s: float) -> None:
-        """Send one request of a random kind and record its outcome."""
+    async def send_request(self, session: Session, due_s: float) -> None:
+        """Send a request of a random kind and record its outcome."""
         mix = self._load.plan.mix
         draw = self._rng.random()
         group = self._rng.choice(self._load.plan.groups)
@@ -241,7 +258,7 @@
         result.outcomes[f'{kind}:{outcome}'] += 1
         if outcome == 'done':
             elapsed_s = trio.current_time() - due_s
-            result.observe(kind, elapsed_s * MS_PER_SECOND)
+            result.record_latency(kind, elapsed_s * MS_PER_SECOND)
 
     async def _write(self, session: Session, group: str, parts: int) -> str:
         self._seq[group] += 1
@@ -264,7 +281,7 @@
         except OutcomeUnknownError as exc:
             record.code = exc.code
         record.ended_ms = _now_ms()
-        return self._describe(record.outcome, record.code)
+        return self._format_outcome(record.outcome, record.code)
 
     async def _send_write(self, session: Session, record: WriteRecord) -> None:
         deadline_ms = self._load.plan.deadline_ms
@@ -293,33 +310,33 @@
         nonce = f'{self._name}-{self._nonce}'
         started_ms = _now_ms()
         try:
-            found = await session.read(
+            reply = await session.read(
                 route_of(group),
-                SELECT_SEEN,
+                SELECT_LAST_WRITES,
                 [nonce],
                 max_age_ms=max_age_ms,
                 deadline_ms=self._load.plan.deadline_ms,
             )
         except RequestError as exc:
-            return self._describe(exc.outcome, exc.code)
+            return self._format_outcome(exc.outcome, exc.code)
         record = ReadRecord(
             group=group,
             session=self._name,
-            seen={row[1]: row[2] for row in found.rows},
+            seen={row[1]: row[2] for row in reply.rows},
             started_ms=started_ms,
             ended_ms=_now_ms(),
             max_age_ms=max_age_ms,
-            age_ms=found.age_ms,
-            source=found.source or '',
+            age_ms=reply.age_ms,
+            source=reply.source or '',
             nonce_sent=nonce,
-            nonce_received=found.rows[0][0] if found.rows else nonce,
+            nonce_received=reply.rows[0][0] if reply.rows else nonce,
         )
         self._load.result.history.reads.append(record)
         if max_age_ms is not None:
-            self._load.result.sources[found.source or ''] += 1
+            self._load.result.sources[reply.source or ''] += 1
         return 'done'
 
-    def _describe(self, outcome: str, code: str) -> str:
+    def _format_outcome(self, outcome: str, code: str) -> str:
         return outcome if outcome == 'done' else f'{outcome}/{code}'
 
 
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -1,4 +1,8 @@
-"""Partitions on loopback: relays that go silent and the stand-ins' faults."""
+"""Simulates network partitions between processes on loopback.
+
+Relays hold back the traffic between a proxy and control; databases drop
+traffic on request through their fault interface.
+"""
 
 from __future__ import annotations
 
@@ -26,38 +30,39 @@
 
 
 class PartitionRelay:
-    """Forwards TCP connections until told to fall silent.
+    """TCP relay that can hold back all bytes to simulate a partition.
 
-    While silent it accepts connections and holds their bytes back. They
-    arrive late when it forwards again, as TCP retransmits them after a
-    partition.
+    During a partition it still accepts connections. After the partition it
+    delivers the held bytes, as TCP would retransmit them.
     """
 
     def __init__(self, port: int, target_port: int) -> None:
         self.port = port
         self.target_port = target_port
-        self._forwards = trio.Event()
-        self._forwards.set()
+        self._forwarding = trio.Event()
+        self._forwarding.set()
 
-    def set_partitioned(self, silent: bool) -> None:
-        """Hold all bytes back, or forward them again."""
-        if silent:
-            self._forwards = trio.Event()
+    def set_partitioned(self, partitioned: bool) -> None:
+        """Start or end a partition."""
+        if partitioned:
+            self._forwarding = trio.Event()
         else:
-            self._forwards.set()
+            self._forwarding.set()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Forward connections until cancelled."""
         await trio.serve_tcp(self._serve, self.port, host=LOOPBACK)
 
-    async def _serve(self, near: trio.SocketStream) -> None:
+    async def _serve(self, client: trio.SocketStream) -> None:
         try:
             async with (
-                await trio.open_tcp_stream(LOOPBACK, self.target_port) as far,
+                await trio.open_tcp_stream(
+                    LOOPBACK, self.target_port
+                ) as target,
                 trio.open_nursery() as nursery,
             ):
-                nursery.start_soon(self._copy, near, far)
-                await self._copy(far, near)
+                nursery.start_soon(self._copy, client, target)
+                await self._copy(target, client)
                 nursery.cancel_scope.cancel()
         except (OSError, trio.BrokenResourceError):
             return
@@ -67,7 +72,7 @@
     ) -> None:
         try:
             async for data in source:
-                await self._forwards.wait()
+                await self._forwarding.wait()
                 await sink.send_all(data)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -75,12 +80,12 @@
 
 
 def relay_control_links(folder: Path, proxy: str) -> list[PartitionRelay]:
-    """Put a relay between a proxy and each control process.
+    """Configure a proxy to reach each control process through a relay.
 
     Parameters
     ----------
     folder : Path
-        Folder with the settings files; that of the proxy is changed.
+        Folder with the settings files. The file of the proxy is changed.
     proxy : str
         Name of the proxy.
     """
@@ -97,22 +102,22 @@
 async def isolate_database(
     cluster: Cluster, name: str, peers: list[str]
 ) -> None:
-    """Drop the traffic of a database with the named peers only."""
+    """Make a database drop all traffic with the given peers only."""
     state = FaultState(isolated=peers)
-    await send_fault(cluster, name, SetFaults(id=1, state=state))
+    await send_fault_request(cluster, name, SetFaults(id=1, state=state))
 
 
 async def silence_peer(
     cluster: Cluster, name: str, peer: str, purpose: str
 ) -> int:
-    """Silence open connections of a peer; return how many there were."""
+    """Silence the open connections of a peer and return their number."""
     request = SilenceConnections(id=1, peer=peer, purpose=purpose)
-    done = await send_fault(cluster, name, request)
+    done = await send_fault_request(cluster, name, request)
     return int(done.affected)
 
 
-async def send_fault(cluster: Cluster, name: str, request: Any) -> Any:
-    """Send a fault request to a database and return the answer."""
+async def send_fault_request(cluster: Cluster, name: str, request: Any) -> Any:
+    """Send a request to the fault interface of a database."""
     port = cluster.programs[name].port
     async with open_link(LOOPBACK, port, FAULTS_PATH) as link:
         link.post(encode_cbor([request]))
--- a/bench/proxy_reducer_cost.py
+++ b/bench/proxy_reducer_cost.py
@@ -1,4 +1,6 @@
-"""Cost of the proxy's reducer per statement, without any transport.
+"""Measures the processor time of the proxy's reducer per statement.
+
+The reducer runs in this process without network connections.
 
 Run ``python -m bench.proxy_reducer_cost [STATEMENTS] [CALLERS]``.
 """
@@ -18,24 +20,24 @@
 
 POSITION = LogPosition(1, 10)
 IN_FLIGHT = 4
-KINDS: dict[str, dict[str, Any]] = {
+STATEMENT_KINDS: dict[str, dict[str, Any]] = {
     'write': {'access': 'write'},
     'fresh read': {'access': 'read'},
     'stale read': {'access': 'read', 'max_age_ms': 5_000},
 }
 
 
-class Stopwatch:
-    """Adds up processor time in the reducer, control traffic included."""
+class ReducerTimer:
+    """Sums the processor time in the reducer, including control traffic."""
 
     def __init__(self) -> None:
-        self.spent_s = 0.0
+        self.processor_time_s = 0.0
 
     def reduce(self, state: ProxyState, event: Event) -> list[Effect]:
-        """Apply an event and count its time."""
-        started = time.thread_time()
+        """Apply an event and add its processor time."""
+        started_s = time.thread_time()
         effects = reduce_proxy(state, event)
-        self.spent_s += time.thread_time() - started
+        self.processor_time_s += time.thread_time() - started_s
         return effects
 
 
@@ -44,18 +46,18 @@
 ) -> None:
     """Print the processor time of one kind of statement.
 
-    Each millisecond the next few callers send one statement each, and the
-    upstream answers until nothing is left.
+    In each simulated millisecond the next `IN_FLIGHT` callers send one
+    statement each, and the upstream answers all of them.
     """
-    fields = dict(KINDS[name])
-    ask = sim.write if fields.pop('access') == 'write' else sim.read
-    watch = Stopwatch()
-    sim.reduce = watch.reduce
+    fields = dict(STATEMENT_KINDS[name])
+    send_statement = sim.write if fields.pop('access') == 'write' else sim.read
+    timer = ReducerTimer()
+    sim.reduce = timer.reduce
     answered = 0
-    for at in range(statements):
-        conn = callers[at % len(callers)]
-        ask(conn, at + 1, **fields)
-        if at % IN_FLIGHT != IN_FLIGHT - 1:
+    for number in range(statements):
+        conn = callers[number % len(callers)]
+        send_statement(conn, number + 1, **fields)
+        if number % IN_FLIGHT != IN_FLIGHT - 1:
             continue
         while sim.statements:
             upstream_conn, message = sim.statements.pop(0)
@@ -65,7 +67,8 @@
         answered += sum(m.outcome == 'done' for m in messages)
         messages.clear()
     print(
-        f'{name}: {watch.spent_s / statements * 1e6:.1f} us per statement, '
+        f'{name}: '
+        f'{timer.processor_time_s / statements * 1e6:.1f} us per statement, '
         f'{answered} of {statements} done'
     )
 
@@ -73,11 +76,11 @@
 def main() -> None:
     """Measure writes, fresh reads and stale reads."""
     statements = int(sys.argv[1]) if len(sys.argv) > 1 else 20_000
-    count = int(sys.argv[2]) if len(sys.argv) > 2 else 5_300
+    caller_count = int(sys.argv[2]) if len(sys.argv) > 2 else 5_300
     sim = ProxySimulation()
     sim.start()
-    callers = [sim.connect_caller() for _ in range(count)]
-    for name in KINDS:
+    callers = [sim.connect_caller() for _ in range(caller_count)]
+    for name in STATEMENT_KINDS:
         measure(name, statements, sim, callers)
 
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,8 +1,8 @@
-"""A bare relay as a baseline: no decisions, one frame a statement.
+"""Minimal relay between callers and a database, as a throughput baseline.
 
-Turns each caller's statement into an `execute` on one of a few upstream
-connections and each result into an answer, without routing, tokens, leases,
-limits, validation or checks.
+It forwards each statement of a caller as an `execute` message on one of a few
+upstream connections, and each result as an answer. It has no routing, tokens,
+leases, limits, validation or checks.
 """
 
 from __future__ import annotations
@@ -32,11 +32,11 @@
     def __init__(self, term: int) -> None:
         self._term = term
         self._upstreams: list[FrameStream] = []
-        self._next = itertools.count(1)
-        self._waiting: dict[int, tuple[FrameStream, int]] = {}
+        self._request_ids = itertools.count(1)
+        self._pending: dict[int, tuple[FrameStream, int]] = {}
 
     async def run_upstream(self, host: str, port: int) -> None:
-        """Open one upstream connection and forward its results."""
+        """Open an upstream connection and forward its results."""
         async with open_link(host, port, '/v1/upstream') as stream:
             stream.post(
                 cbor2.dumps(
@@ -60,12 +60,12 @@
             return
 
     def _forward(self, caller: FrameStream, request: dict[str, Any]) -> None:
-        number = next(self._next)
-        self._waiting[number] = (caller, request['id'])
-        upstream = self._upstreams[number % len(self._upstreams)]
+        upstream_request_id = next(self._request_ids)
+        self._pending[upstream_request_id] = (caller, request['id'])
+        upstream = self._upstreams[upstream_request_id % len(self._upstreams)]
         message = {
             'kind': 'execute',
-            'id': number,
+            'id': upstream_request_id,
             'sql': request['sql'],
             'params': request['params'],
             'access': request['access'],
@@ -78,10 +78,10 @@
         upstream.post(cbor2.dumps(message))
 
     def _answer(self, result: dict[str, Any]) -> None:
-        caller, request_id = self._waiting.pop(result['id'])
+        caller, caller_request_id = self._pending.pop(result['id'])
         answer = {
             'kind': 'answer',
-            'id': request_id,
+            'id': caller_request_id,
             'outcome': result['status'],
             'rows': result.get('rows'),
             'row_count': result.get('row_count'),
@@ -90,7 +90,7 @@
 
 
 async def run_relay(args: argparse.Namespace) -> None:
-    """Relay until the process is ended."""
+    """Run the relay until the process is killed."""
     relay = Relay(args.term)
     endpoints = Endpoints({'/v1/session': relay.serve_caller}, {})
     async with trio.open_nursery() as nursery:
--- a/bench/run.py
+++ b/bench/run.py
@@ -1,4 +1,4 @@
-"""Runs one experiment on real processes and writes its figures.
+"""Runs one experiment on real processes and prints the results as JSON.
 
 Example: ``python -m bench.run failover --runs 20 --output failover.json``
 """
@@ -35,11 +35,11 @@
 
 Experiment = Callable[[Deployment, argparse.Namespace], dict[str, Any]]
 
-CHANGES = 'changes.json'
+CHANGES_FILE = 'changes.json'
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run an experiment, print its figures, and return 0."""
+    """Run an experiment, print the results and return 0."""
     parser = argparse.ArgumentParser(
         prog='python -m bench.run',
         description=__doc__,
@@ -54,15 +54,19 @@
     parser.add_argument(
         '--scenario',
         choices=sorted(SCENARIOS),
-        help='one scenario of faults, default all',
+        help='scenario of the faults experiment, all by default',
+    )
+    parser.add_argument(
+        '--output',
+        type=Path,
+        help='file to which the results are also written',
     )
-    parser.add_argument('--output', type=Path, help='JSON file to write')
     parser.add_argument(
         '--proxy-setting',
         action='append',
         default=[],
         metavar='KEY=VALUE',
-        help='setting of the proxies, JSON value',
+        help='setting of the proxies with a JSON value, repeatable',
     )
     args = parser.parse_args(argv)
     args.proxy_settings = parse_settings(args.proxy_setting)
@@ -76,7 +80,7 @@
 
 
 def parse_settings(items: list[str]) -> dict[str, Any]:
-    """Return ``KEY=VALUE`` arguments as settings."""
+    """Parse ``KEY=VALUE`` arguments with JSON values."""
     settings = {}
     for item in items:
         key, _, value = item.partition('=')
@@ -84,40 +88,44 @@
     return settings
 
 
-def _failover(
+def _run_failover(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    delays = {'service_ms': 5, 'apply_lag_ms': 50}
-    with _run_prepared(deployment, args, delays) as cluster:
+    database_settings = {'service_ms': 5, 'apply_lag_ms': 50}
+    with _run_prepared_cluster(deployment, args, database_settings) as cluster:
         return trio.run(run_failover, cluster, args.runs)
 
 
-def _healthy(
+def _run_healthy(
     deployment: Deployment, args: argparse.Namespace
 ) -> dict[str, Any]:
-    delays = {'service_ms': 100, 'apply_lag_ms': 200}
-    with _run_prepared(deployment, args, delays) as cluster:
+    database_settings = {'service_ms': 100, 'apply_lag_ms': 200}
+    with _run_prepared_cluster(deployment, args, database_settings) as cluster:
         return trio.run(run_healthy, cluster, args.seconds)
 
 
 @contextmanager
-def _run_prepared(
-    deployment: Deployment, args: argparse.Namespace, delays: dict[str, Any]
+def _run_prepared_cluster(
+    deployment: Deployment,
+    args: argparse.Namespace,
+    database_settings: dict[str, Any],
 ) -> Iterator[Cluster]:
     with run_cluster(
         deployment,
-        database_settings=delays,
+        database_settings=database_settings,
         proxy_settings=args.proxy_settings,
     ) as cluster:
-        prepare_cluster(cluster, Path('examples') / deployment.name / CHANGES)
+        prepare_cluster(
+            cluster, Path('examples') / deployment.name / CHANGES_FILE
+        )
         yield cluster
 
 
 EXPERIMENTS: dict[str, Experiment] = {
     'config': run_config,
     'cost': run_cost,
-    'failover': _failover,
-    'healthy': _healthy,
+    'failover': _run_failover,
+    'healthy': _run_healthy,
     'faults': run_faults,
     'latency': run_latency,
     'overload': run_overload,
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -1,6 +1,6 @@
 """Writes the settings files of a deployment.
 
-``python -m bench.settings`` writes those under ``examples/`` anew.
+``python -m bench.settings`` rewrites the files under ``examples/``.
 """
 
 from __future__ import annotations
@@ -22,26 +22,26 @@
     deployment: Deployment,
     folder: Path,
     allocate_port: Callable[[], int],
-    data: Path,
+    data_folder: Path,
     *,
     database_settings: dict[str, Any] | None = None,
     proxy_settings: dict[str, Any] | None = None,
     control_settings: dict[str, Any] | None = None,
 ) -> None:
-    """Write one settings file for each process, and ``ctl.json``.
+    """Write a settings file for each process, and ``ctl.json``.
 
     Parameters
     ----------
     deployment : Deployment
-        Sizes and names.
+        Names of the groups and numbers of processes.
     folder : Path
         Folder for the files.
     take_port : callable
-        Returns a port for the next process.
-    data : Path
-        Folder under which processes with a disk keep their data.
+        Return a port for the next process.
+    data_folder : Path
+        Folder for the data folders of control processes and databases.
     database_settings, proxy_settings, control_settings : dict, optional
-        Settings in addition or in place of the usual ones.
+        Settings that extend or override the default ones.
     """
     peers = [
         {'name': f'control-{n}', 'host': LOOPBACK, 'port': allocate_port()}
@@ -49,58 +49,58 @@
     ]
     for number, peer in enumerate(peers):
         settings = {
-            **_common(deployment, peer['name'], peer['port'], number),
+            **_common_settings(deployment, peer['name'], peer['port'], number),
             'peers': peers,
-            'data_dir': str(data / str(peer['name'])),
+            'data_dir': str(data_folder / str(peer['name'])),
             **(control_settings or {}),
         }
-        _write(folder, settings)
+        _write_file(folder, settings)
     for number in range(deployment.proxies):
         name = f'proxy-{number}'
         settings = {
-            **_common(deployment, name, allocate_port(), number),
+            **_common_settings(deployment, name, allocate_port(), number),
             'control': peers,
             'proxy_id': f'id-{name}',
             **(proxy_settings or {}),
         }
-        _write(folder, settings)
+        _write_file(folder, settings)
     for group in list(deployment.groups):
         for number in range(deployment.databases_per_group):
             name = f'{group}-db-{number}'
             settings = {
-                **_common(deployment, name, allocate_port(), number),
+                **_common_settings(deployment, name, allocate_port(), number),
                 'group': group,
                 'control': peers,
                 'slots': deployment.slots,
                 'connections': deployment.connections,
                 'opening_ms': deployment.opening_ms,
                 'latency_ms': deployment.latency_ms,
-                'data_dir': str(data / name),
+                'data_dir': str(data_folder / name),
                 **(database_settings or {}),
             }
-            _write(folder, settings)
+            _write_file(folder, settings)
     ctl = {'operator': 'operator-1', 'control': peers}
-    (folder / 'ctl.json').write_text(_format(ctl))
+    (folder / 'ctl.json').write_text(_format_json(ctl))
 
 
-def _common(
+def _common_settings(
     deployment: Deployment, name: str, port: int, number: int
 ) -> dict[str, Any]:
-    centres = deployment.data_centres
+    data_centres = deployment.data_centres
     return {
         'name': name,
-        'data_centre': centres[number % len(centres)],
+        'data_centre': data_centres[number % len(data_centres)],
         'listen': {'host': LOOPBACK, 'port': port},
         'seed': number,
     }
 
 
-def _write(folder: Path, settings: dict[str, Any]) -> None:
+def _write_file(folder: Path, settings: dict[str, Any]) -> None:
     path = folder / f'{settings["name"]}.json'
-    path.write_text(_format(settings))
+    path.write_text(_format_json(settings))
 
 
-def _format(settings: dict[str, Any]) -> str:
+def _format_json(settings: dict[str, Any]) -> str:
     return json.dumps(settings, indent=2) + '\n'
 
 
--- a/bench/tests/test_faults.py
+++ b/bench/tests/test_faults.py
@@ -10,7 +10,9 @@
 from bench.experiment_faults import SCENARIOS
 from bench.fault_run import run_fault
 
-SMALL = replace(HANDFANG, proxies=2, control=1, groups=('orders', 'stock'))
+SMALL_DEPLOYMENT = replace(
+    HANDFANG, proxies=2, control=1, groups=('orders', 'stock')
+)
 
 
 @pytest.mark.process
@@ -18,7 +20,7 @@
     # Guards against a draining proxy that loses its leases and therefore the
     # answers to writes and open transactions.
     scenario = replace(SCENARIOS['proxy-stopped'], load_s=4.0)
-    figures = run_fault(SMALL, scenario)
+    figures = run_fault(SMALL_DEPLOYMENT, scenario)
     assert figures['violations'] == []
     assert figures['transaction'] == ['done']
     assert figures['stopped']['proxy-1']['exit_code'] == 0
--- a/bench/tests/test_partition.py
+++ b/bench/tests/test_partition.py
@@ -1,4 +1,4 @@
-"""The relay that stands for a silent partition."""
+"""Tests of the relay that simulates a network partition."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from bench.cluster import LOOPBACK
 from bench.partition import PartitionRelay
 
-SILENT_S = 0.1
-LIMIT_S = 5.0
+NO_DATA_TIME_S = 0.1
+TIMEOUT_S = 5.0
 
 
 async def echo(stream: trio.SocketStream) -> None:
@@ -19,7 +19,7 @@
 
 
 async def connect(port: int) -> trio.SocketStream:
-    with trio.fail_after(LIMIT_S):
+    with trio.fail_after(TIMEOUT_S):
         while True:
             try:
                 return await trio.open_tcp_stream(LOOPBACK, port)
@@ -27,11 +27,11 @@
                 await trio.sleep(0.01)
 
 
-async def test_silent_relay_holds_bytes_back_and_delivers_them_later(
+async def test_partitioned_relay_delivers_held_bytes_after_the_partition(
     nursery: trio.Nursery,
 ) -> None:
-    # Guards against a partition that the processes notice as a closed
-    # connection, or that loses what TCP would retransmit.
+    # Guards against a partition that closes connections, or that loses bytes
+    # which TCP would retransmit.
     relay = PartitionRelay(allocate_port(), allocate_port())
     nursery.start_soon(trio.serve_tcp, echo, relay.target_port)
     nursery.start_soon(relay.run)
@@ -40,28 +40,30 @@
     assert await stream.receive_some() == b'one'
     relay.set_partitioned(True)
     await stream.send_all(b'two')
-    fresh = await connect(relay.port)
-    await fresh.send_all(b'three')
-    with pytest.raises(trio.TooSlowError), trio.fail_after(SILENT_S):
+    second_stream = await connect(relay.port)
+    await second_stream.send_all(b'three')
+    with pytest.raises(trio.TooSlowError), trio.fail_after(NO_DATA_TIME_S):
         await stream.receive_some()
     relay.set_partitioned(False)
-    with trio.fail_after(LIMIT_S):
+    with trio.fail_after(TIMEOUT_S):
         assert await stream.receive_some() == b'two'
-        assert await fresh.receive_some() == b'three'
+        assert await second_stream.receive_some() == b'three'
 
 
-async def test_relay_passes_the_end_of_a_connection_on(
+async def test_relay_closes_connection_when_target_closes_it(
     nursery: trio.Nursery,
 ) -> None:
-    # Guards against connections that outlive the process behind the relay.
+    # Guards against connections that stay open after the target has ended.
     relay = PartitionRelay(allocate_port(), allocate_port())
 
-    async def hang_up(stream: trio.SocketStream) -> None:
+    async def close_after_first_bytes(stream: trio.SocketStream) -> None:
         await stream.receive_some()
 
-    nursery.start_soon(trio.serve_tcp, hang_up, relay.target_port)
+    nursery.start_soon(
+        trio.serve_tcp, close_after_first_bytes, relay.target_port
+    )
     nursery.start_soon(relay.run)
-    with trio.fail_after(LIMIT_S):
+    with trio.fail_after(TIMEOUT_S):
         while True:
             stream = await connect(relay.port)
             await stream.send_all(b'bye')
