Correct docstrings of frames, links and TLS names to the code

Cause: a reader stumbled over what a frame is, over a size limit that was said to hold for unauthenticated clients only, over a refused link that did not mention an invalid address or a connection closed in the handshake, and over the empty name in peer_has_role. The codec tests had lost what they guard against: invalid input that reaches the reducers.

Change: say these things as the code does them; 'unknown kind' says 'expected one of'.

Ruled out: new statements, arguments or values; names that other folders import; log events, log fields, codes, options and texts that tests match.

--- a/jackdawpost/tests/wire/test_codec.py
+++ b/jackdawpost/tests/wire/test_codec.py
@@ -1,4 +1,7 @@
-"""Tests of encoding, decoding and validation of frames."""
+"""Tests of encoding, decoding and validation of frames.
+
+Guards against invalid input that reaches the reducers.
+"""
 
 from __future__ import annotations
 
--- a/jackdawpost/tests/wire/test_stream.py
+++ b/jackdawpost/tests/wire/test_stream.py
@@ -33,7 +33,7 @@
 
 async def test_post_after_the_peer_has_closed_is_dropped(nursery):
     # Guards against an error if another task posts after the peer has closed
-    # the connection.
+    # the connection and before `receive` reports it.
     async def close(stream, peer):
         return
 
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -108,7 +108,8 @@
         )
         if validator is None:
             raise FrameError(
-                f'unknown kind {_quote(kind)}, expected {self._valid_kinds}',
+                f'unknown kind {_quote(kind)}, expected one of '
+                f'{self._valid_kinds}',
                 request_id,
             )
         try:
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -20,13 +20,17 @@
 from jackdawpost.wire.tls import read_peer_name
 
 MS_PER_SECOND = 1_000
-# Answers and state updates can be larger than the frames that a server accepts
-# from unauthenticated clients.
+# Answers and state updates can exceed the limit of servers, which is lower
+# because their clients may be unauthenticated.
 MAX_INBOUND_FRAME_BYTES = 16 << 20
 
 
 class LinkRefusedError(ProtocolError):
-    """The other end refused the connection or closed it while opening."""
+    """The connection could not be opened.
+
+    The address is invalid, or the other end refused the connection or closed
+    it during the handshake.
+    """
 
 
 class PeerIdentityError(LinkRefusedError):
@@ -125,8 +129,8 @@
     return ClientProtocol(
         parse_uri(f'ws://{authority}:{port}{path}'),
         max_size=max_frame_bytes,
-        # With an empty list the client sends an empty header, which servers
-        # reject.
+        # With an empty list the client sends an empty
+        # Sec-WebSocket-Extensions header, which servers reject.
         extensions=None,
     )
 
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -67,7 +67,7 @@
         Maximum number of open connections; further ones are closed
         immediately.
     max_frame_bytes : int
-        Maximum size of a received frame; a longer one closes the connection.
+        Maximum size of a received frame; a larger one closes the connection.
     keepalive_timeout_ms : int
         The kernel closes a connection whose other end acknowledges nothing
         for this time, in milliseconds; 0 disables TCP keepalive.
--- a/jackdawpost/wire/stream.py
+++ b/jackdawpost/wire/stream.py
@@ -33,6 +33,8 @@
 class FrameStream:
     """WebSocket connection that sends and receives complete frames.
 
+    A frame is a whole WebSocket message, whose fragments are joined.
+
     Parameters
     ----------
     stream : trio.SocketStream or trio.SSLStream
--- a/jackdawpost/wire/tls.py
+++ b/jackdawpost/wire/tls.py
@@ -130,5 +130,5 @@
 
 
 def peer_has_role(peer: str, role: str, name: str) -> bool:
-    """Return whether a certificate name has this role and nonempty name."""
+    """Return whether `peer` is ``ROLE.NAME``; False if `name` is empty."""
     return bool(name) and PeerIdentity(role, name).matches(peer)
