Name the parameter of ProxyLink.request in its docstring

Cause: the docstring named wait_ms, the parameter is timeout_ms. usable also becomes False after a lost answer. The head of session.py left open which writes carry a request key. One error text used another form for the accepted value than the rest.

Change: docstrings and comments follow the code; the text says 'expected'.

Ruled out: new statements, arguments or values; names that other folders import; log events, log fields, codes, options and texts that tests match.

--- a/jackdawpost/client/link.py
+++ b/jackdawpost/client/link.py
@@ -25,14 +25,14 @@
 
 
 class ProxyAddress(NamedTuple):
-    """IP address and port of a proxy, or of a load balancer before proxies."""
+    """IP address and port of a proxy, or of a load balancer for proxies."""
 
     host: str
     port: int
 
 
 class AnswerLostError(ProtocolError):
-    """The connection ended or the wait timed out before the answer."""
+    """The connection ended or the wait timed out without an answer."""
 
 
 class ProxyLink:
@@ -46,8 +46,8 @@
     Attributes
     ----------
     usable : bool
-        False once the proxy is going away or the connection has ended; new
-        requests then need another connection.
+        False once the proxy is going away, an answer was lost or the
+        connection has ended. New requests then need another connection.
     """
 
     def __init__(self, stream: FrameStream) -> None:
@@ -72,8 +72,8 @@
         ----------
         message : Statement, Begin, Commit or Rollback
             Request with an id from `allocate_request_id`.
-        wait_ms : float
-            Longest wait for the answer, in milliseconds.
+        timeout_ms : float
+            Time limit for the answer, in milliseconds.
 
         Raises
         ------
--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -1,7 +1,7 @@
 """Session of a caller, with read-your-writes through any proxy.
 
-Reads, and writes with a request key, are resent after a lost connection or a
-temporary error until their deadline.
+Reads, and writes outside transactions, which carry a request key, are resent
+after a lost connection or a temporary error until their deadline.
 """
 
 from __future__ import annotations
@@ -37,8 +37,8 @@
 
 MS_PER_SECOND = 1_000
 CONNECT_TIMEOUT_MS = 1_000
-# Least remaining time for another attempt. The client also waits this much
-# longer than the deadline for an answer, as it may arrive shortly after.
+# Minimum remaining time for another attempt. The client also waits this much
+# longer than the deadline for an answer, because it may arrive shortly after.
 MIN_ATTEMPT_MS = 50
 RETRY_DELAY_MS = 20
 RETRYABLE_CODES = frozenset(
@@ -99,7 +99,7 @@
     ) -> None:
         if not addresses:
             raise ValueError(
-                'addresses is empty: valid is at least one ProxyAddress'
+                'addresses is empty, expected at least one ProxyAddress'
             )
         self.token: str | None = None
         self._addresses = list(addresses)
