Correct docstrings of the runtime to the code and name units of timers

Cause: the kind of a link was described as the kind of the other end, which is wrong for a link from a proxy to control; a certificate name was said to be required without TLS too; serve_link no longer said which connections it serves; due times had no unit; Open was called hello beside the message Hello.

Change: correct these docstrings, name the unit, and call the message request.

Ruled out: new statements, arguments or values; names that other folders import; log events, log fields, codes, options and texts that tests match.

--- a/jackdawpost/runtime/control_codec.py
+++ b/jackdawpost/runtime/control_codec.py
@@ -1,4 +1,4 @@
-"""Codec for messages that proxies and poolers receive from control."""
+"""Codec of messages from control processes to proxies and poolers."""
 
 from __future__ import annotations
 
--- a/jackdawpost/runtime/logs.py
+++ b/jackdawpost/runtime/logs.py
@@ -20,8 +20,8 @@
 class BoundedHandler(logging.Handler):
     """Writes log lines to a file descriptor without blocking.
 
-    Lines are dropped if they exceed the rate limit or do not fit into a pipe.
-    The next line that is written contains the number of dropped lines.
+    Lines are dropped if they exceed the rate limit or do not fit into the
+    pipe. The next line that is written contains the number of dropped lines.
 
     Parameters
     ----------
--- a/jackdawpost/runtime/peer_links.py
+++ b/jackdawpost/runtime/peer_links.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     link : str
-        Kind of the other end as the reducer sees it.
+        Kind of the links, as in `ConnOpened`.
     port : int
         Port of the control processes.
     path : str
--- a/jackdawpost/runtime/process.py
+++ b/jackdawpost/runtime/process.py
@@ -1,4 +1,4 @@
-"""Startup code of all daemons: file limit, TLS contexts and tasks."""
+"""Startup code that all daemons share: file limit, TLS contexts, tasks."""
 
 from __future__ import annotations
 
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -1,8 +1,8 @@
 """Runs the reducer of a process: feeds it events and performs its effects.
 
-A reducer is a function without I/O that receives an event and returns effects.
-The shell owns the connections, timers, metrics and trace recorder of the
-process. It makes no decisions itself.
+A reducer is a function without I/O that applies an event to the state of the
+process and returns effects. The shell owns the connections, timers, metrics
+and trace recorder of the process. It makes no decisions itself.
 """
 
 from __future__ import annotations
@@ -104,7 +104,8 @@
     Parameters
     ----------
     answer_as_text : bool
-        Encode messages as JSON: the latest received frame was a text frame.
+        True if the latest received frame was a text frame. Messages are then
+        sent as JSON, otherwise as CBOR, unless the link has its own encoder.
     """
 
     stream: MessageStream
@@ -119,9 +120,10 @@
     Parameters
     ----------
     link : str
-        Kind of the other end as the reducer sees it.
+        Kind of the link, as in `ConnOpened`.
     peer : str
-        Name of the control process, required in its certificate.
+        Name of the control process. With TLS, its certificate must have this
+        name.
     hello : object, optional
         First message to send on each connection.
     timeout_ms : float
@@ -158,7 +160,7 @@
         State of the reducer, which changes it in place.
     reduce : callable
         ``reduce(state, event) -> list of effects``.
-    codecs : mapping of str to FrameCodec
+    codecs : mapping of str to MessageCodec
         Decoder of received messages by kind of link.
     encoders : mapping of str to callable, optional
         Encoder of sent messages by kind of link, for links that use neither
@@ -266,7 +268,9 @@
         peer: str,
         first_frame_timeout_s: float = math.inf,
     ) -> None:
-        """Serve a connection with a new id until it is closed.
+        """Assign an id to a connection and serve it until it is closed.
+
+        Used for accepted connections and for links to control processes.
 
         Parameters
         ----------
@@ -311,7 +315,7 @@
     async def serve_connection(
         self, link: Link, stream: MessageStream, opened: ConnOpened
     ) -> None:
-        """Serve a connection opened for `Connect` until it is closed."""
+        """Serve a connection opened for a `Connect` effect until closed."""
         await self._run_connection(OpenConnection(stream, link), opened)
 
     async def _run_connection(
--- a/jackdawpost/runtime/timers.py
+++ b/jackdawpost/runtime/timers.py
@@ -37,28 +37,28 @@
 
     def __init__(self, on_due: Callable[[str], None]) -> None:
         self._on_due = on_due
-        self._due_by_key: dict[str, float] = {}
+        self._due_ms_by_key: dict[str, float] = {}
         self._heap: list[tuple[float, str]] = []
         self._sleep_scope: trio.CancelScope | None = None
-        self._next_due = math.inf
+        self._next_due_ms = math.inf
 
     def set_timer(self, key: str, due_ms: float) -> None:
         """Set a timer to `due_ms`, replacing a timer with the same key."""
-        self._due_by_key[key] = due_ms
+        self._due_ms_by_key[key] = due_ms
         heapq.heappush(self._heap, (due_ms, key))
-        if due_ms < self._next_due and self._sleep_scope is not None:
+        if due_ms < self._next_due_ms and self._sleep_scope is not None:
             self._sleep_scope.cancel()
 
     def cancel_timer(self, key: str) -> None:
         """Cancel the timer with `key`, if there is one."""
-        self._due_by_key.pop(key, None)
+        self._due_ms_by_key.pop(key, None)
 
     async def run(self) -> None:
         """Fire due timers until cancelled."""
         while True:
             self._fire_due()
             due_ms = self._heap[0][0] if self._heap else math.inf
-            self._next_due = due_ms
+            self._next_due_ms = due_ms
             with trio.CancelScope() as scope:
                 self._sleep_scope = scope
                 await _sleep_until_ms(due_ms)
@@ -68,8 +68,8 @@
         now_ms = read_now_ms()
         while self._heap and self._heap[0][0] <= now_ms:
             due_ms, key = heapq.heappop(self._heap)
-            if self._due_by_key.get(key) == due_ms:
-                del self._due_by_key[key]
+            if self._due_ms_by_key.get(key) == due_ms:
+                del self._due_ms_by_key[key]
                 self._on_due(key)
 
 
--- a/jackdawpost/runtime/upstream_link.py
+++ b/jackdawpost/runtime/upstream_link.py
@@ -28,6 +28,7 @@
 UPSTREAM_PATH = '/v1/upstream'
 MS_PER_SECOND = 1_000
 
+# Errors raised when a connection to an upstream cannot be opened.
 OPEN_ERRORS = (
     LinkRefusedError,
     LinkTimeoutError,
@@ -80,8 +81,8 @@
         expected=PeerIdentity('upstream', effect.peer),
         timeout_ms=effect.timeout_ms,
     ) as stream:
-        hello = Open(peer=name, purpose=cast(Purpose, effect.purpose))
-        stream.post(encode_cbor([hello]))
+        request = Open(peer=name, purpose=cast(Purpose, effect.purpose))
+        stream.post(encode_cbor([request]))
         with trio.fail_after(effect.timeout_ms / MS_PER_SECOND):
             reply = codec.decode(await stream.receive())[0]
         if not isinstance(reply, Opened):
--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -77,7 +77,7 @@
 
 
 def find_free_port():
-    """Return a TCP port that is currently free."""
+    """Return a TCP port that was free when it was checked."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
--- a/jackdawpost/tests/runtime/test_tls.py
+++ b/jackdawpost/tests/runtime/test_tls.py
@@ -226,7 +226,9 @@
                 assert not served
 
 
-async def test_a_caller_refuses_a_server_that_is_no_proxy(authority, tmp_path):
+async def test_a_caller_refuses_a_server_that_is_not_a_proxy(
+    authority, tmp_path
+):
     # Guards against sending statements to a process that is not a proxy.
     tls = issue_tls(authority, tmp_path, 'upstream.db-1')
     async with daemons() as nursery:
