Use one form for accepted values in the texts of the programs

Cause: refusals of jackdawpost-ctl said 'valid are', the rest of these folders says 'expected'. COMMON_FIELDS was said to hold fields of every line, but 'request' stands only in some. FakeControl was said to answer only as c1, but others handle requests if c1 refuses connections. The help of the proxy was a list without a verb.

Change: reword these texts, comments and docstrings.

Ruled out: new statements, arguments or values; names that other folders import; log events, log fields, codes, options and texts that tests match.

--- a/jackdawpost/cli/common.py
+++ b/jackdawpost/cli/common.py
@@ -125,9 +125,10 @@
     settings : ProcessSettings
         Settings of the process.
     record_path : str, optional
-        File to which the events are recorded.
+        File to which a trace of all events is written.
     start : callable
-        Runs the daemon with the settings and the path, returns an exit code.
+        Receives the settings and `record_path`, runs the daemon and returns
+        the exit code.
     """
     log = configure_logging(settings.name, settings.log_level)
     try:
--- a/jackdawpost/cli/ctl_commands.py
+++ b/jackdawpost/cli/ctl_commands.py
@@ -147,14 +147,14 @@
     if not known_ids:
         return _build_refusal(
             answer,
-            f'member {args.name!r} is not known: valid are the names that '
+            f'member {args.name!r} is not known, expected a name that '
             '"members" prints',
         )
     if member_id not in known_ids:
         return _build_refusal(
             answer,
-            f'member {args.name!r}: --id must select one identity, valid are '
-            f'{", ".join(known_ids)}',
+            f'member {args.name!r}: --id must select one identity, expected '
+            f'one of {", ".join(known_ids)}',
         )
     return await send(
         Members(
@@ -183,7 +183,7 @@
     if term is None:
         return _build_refusal(
             answer,
-            f'group {args.group!r} is not known: valid are the groups that '
+            f'group {args.group!r} is not known, expected a group that '
             '"status" prints',
         )
     return await send(
--- a/jackdawpost/cli/explain.py
+++ b/jackdawpost/cli/explain.py
@@ -23,7 +23,8 @@
 
 TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
 DEFAULT_BEFORE_S = 5.0
-# Fields of every line; the others are the inputs of the logged decision.
+# Fields that do not depend on the event; the others are the inputs of the
+# logged decision.
 COMMON_FIELDS = ('time', 'level', 'logger', 'event', 'process', 'request')
 # Prefixes of events that change the view a process has of the cluster: its
 # leader, members, primaries, upstreams and configuration.
--- a/jackdawpost/cli/operator_link.py
+++ b/jackdawpost/cli/operator_link.py
@@ -75,9 +75,9 @@
     Attributes
     ----------
     sent : int
-        Attempts that may have taken effect.
+        Number of attempts that may have taken effect.
     last_error : str
-        Why the latest attempt got no answer.
+        Why the latest failed attempt got no answer from the leader.
     """
 
     sent: int = 0
--- a/jackdawpost/cli/proxy.py
+++ b/jackdawpost/cli/proxy.py
@@ -16,8 +16,8 @@
     """Run the program and return its exit code."""
     parser = build_parser(
         'jackdawpost-proxy',
-        'Run a proxy, which serves callers: sessions, routing, limits, '
-        'retries.',
+        'Run a proxy, which serves callers and manages sessions, routing,\n'
+        'limits and retries.',
         'jackdawpost-proxy --config proxy-0.json',
     )
     add_record_argument(parser)
--- a/jackdawpost/cli/tables.py
+++ b/jackdawpost/cli/tables.py
@@ -22,7 +22,7 @@
     Returns
     -------
     str
-        Lines without trailing blanks; a single line if there are no rows.
+        Lines without trailing spaces; a single line if there are no rows.
     """
     if not table.rows:
         return f'{table.name}: none'
--- a/jackdawpost/tests/cli/test_ctl.py
+++ b/jackdawpost/tests/cli/test_ctl.py
@@ -40,7 +40,8 @@
 class FakeControl:
     """Three simulated control processes with one replicated state.
 
-    The leader is ``c1``; the others answer with its name.
+    The leader is ``c1``. The others answer with its name, or handle the
+    request themselves if ``c1`` refuses connections.
 
     Attributes
     ----------
@@ -49,7 +50,7 @@
         never answers, ``'lose_answer'`` loses one connection after the
         request has taken effect.
     requests : list
-        Requests that the leader handled, in order.
+        Requests that were handled, in order.
     """
 
     def __init__(self):
