Correct texts of the simulated database to its code

A second reading found docstrings that say more than the code does, and error texts that name the accepted value in several forms. `SqliteDatabase.run` claimed that a refused statement changes nothing, but a RETURNING result that is too large is refused after the rows have changed. `incarnation` also changes after a disk wipe, the record of a transaction without writes has no statements, and the line database returns the value from the last applied commit that wrote a key.

Error texts now use "expected ...". `_ENGINE_SQL` becomes `_INTERNAL_STATEMENTS`, after `execute_internal`, which runs them. Where it was unclear which clock a time is on, the docstring names `trio.current_time()`. The rollback that follows a lost write lock, and the limit after which a leaving database aborts statements, are stated again or newly stated. The SQL texts of the internal statements stay, as they are keys of a cache.

--- a/jackdawpost_standin/announcer.py
+++ b/jackdawpost_standin/announcer.py
@@ -1,6 +1,6 @@
 """Announcements to control processes, and approvals of newcomers.
 
-The database sends its state to each control process. It answers the requests
+The database sends its state to each control process, and answers the requests
 of control processes to approve newcomers.
 """
 
--- a/jackdawpost_standin/database.py
+++ b/jackdawpost_standin/database.py
@@ -53,7 +53,7 @@
         self.metrics = Metrics()
         self.rows = RowStore()
         self.log = ReplicatedLog()
-        # Log index of the record of each request key.
+        # Log index of the record with each request key.
         self.request_keys: dict[str, int] = {}
         self.applied_index = 0
         self.leaving = False
@@ -125,8 +125,8 @@
             return
         if self.role.term == term and self.role.primary:
             raise RoleError(
-                f'database follows {self.role.primary!r} in term {term}: a '
-                'higher term is needed to promote it'
+                f'database follows {self.role.primary!r} in term {term}: '
+                'expected a higher term to promote it'
             )
         if term > self.role.term:
             self._stop_leading()
@@ -166,13 +166,13 @@
         if term == role.term:
             if role.leads:
                 raise RoleError(
-                    f'this database is the primary in term {term}: a higher '
-                    'term is needed to follow another one'
+                    f'database is the primary in term {term}: expected a '
+                    'higher term to follow another one'
                 )
             if role.primary not in ('', primary):
                 raise RoleError(
-                    f'database follows {role.primary!r} in term {term}: a '
-                    'higher term is needed to follow another primary'
+                    f'database follows {role.primary!r} in term {term}: '
+                    'expected a higher term to follow another primary'
                 )
             if (role.primary, role.host, role.port) == (primary, host, port):
                 return
@@ -251,14 +251,14 @@
     def append_received(
         self, records: Sequence[bytes], apply_at_s: float
     ) -> None:
-        """Append encoded records from the primary and schedule their apply.
+        """Append encoded records of the primary, to be applied later.
 
         Parameters
         ----------
         records : sequence of bytes
             Encoded records in log order.
         apply_at_s : float
-            Time on the clock of trio at which the records are applied.
+            Time of ``trio.current_time()`` at which the records are applied.
 
         Raises
         ------
@@ -340,8 +340,8 @@
             await trio.lowlevel.checkpoint()
             if self.role.term != term or self.role.primary:
                 raise RoleError(
-                    'promotion superseded: the database is now in term '
-                    f'{self.role.term} or follows a primary'
+                    'promotion superseded by a higher term or by a primary to '
+                    f'follow: the term is now {self.role.term}'
                 )
         self.apply_schedule.clear()
 
--- a/jackdawpost_standin/disk.py
+++ b/jackdawpost_standin/disk.py
@@ -15,6 +15,7 @@
 from jackdawpost.errors import FolderLockedError
 from jackdawpost.errors import StorageCorruptError
 
+# Length and CRC-32 of the encoded record that follows.
 _HEADER = struct.Struct('>II')
 
 
--- a/jackdawpost_standin/faults.py
+++ b/jackdawpost_standin/faults.py
@@ -19,7 +19,7 @@
     isolated : list of str
         Peers whose frames are dropped in both directions; ``'*'`` for all.
     hold_apply : bool
-        Received records are not applied, which makes the lag unbounded.
+        Whether received records are not applied; the lag grows without end.
     slow_ms : float
         Time added to the service time of each statement.
     answer_delay_ms : float
@@ -102,7 +102,7 @@
 
 
 class FaultInjector:
-    """Applies the injected faults to frames and answers.
+    """Decides which frames are dropped and how long answers are delayed.
 
     Parameters
     ----------
--- a/jackdawpost_standin/limits.py
+++ b/jackdawpost_standin/limits.py
@@ -41,11 +41,11 @@
     """Session that can hold the write lock."""
 
     def on_txn_revoked(self) -> None:
-        """Handle the loss of the write lock; the transaction is gone."""
+        """Handle the loss of the write lock and the rollback that follows."""
 
 
 class WriteLock:
-    """Lock that one write or transaction holds at a time, in FIFO order."""
+    """Exclusive lock of a write or transaction, granted in FIFO order."""
 
     def __init__(self) -> None:
         self.owner: TxnOwner | None = None
@@ -62,9 +62,9 @@
         Parameters
         ----------
         owner : TxnOwner
-            Session that asks for the lock.
+            Session that requests the lock.
         deadline_s : float
-            Time on the clock of trio after which the wait ends.
+            Time of ``trio.current_time()`` at which the wait ends.
         """
         if self.owner is None:
             self.owner = owner
@@ -88,7 +88,7 @@
         return self.owner is owner
 
     def release(self, owner: TxnOwner) -> None:
-        """Pass the lock to the next waiting owner, if `owner` holds it."""
+        """Pass the lock to the next waiting session, if `owner` holds it."""
         if self.owner is not owner:
             return
         self.owner = None
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -2,8 +2,9 @@
 
 `LineGroup` stores which database is the primary. Each `LineDatabase` has its
 own copy of the log, receives and applies commits with a delay, and serves
-connections over TCP. There are no tables: a read returns the last value that
-was written to a key. All commits and reads are recorded for checks.
+connections over TCP. There are no tables: a read returns the value of a key
+in the last applied commit that wrote it. All commits and reads are recorded
+for checks.
 """
 
 from __future__ import annotations
@@ -15,8 +16,8 @@
 import trio
 
 LINE_END = b'\r\n'
-INITIAL_INDEX = 10  # position of a log without commits
-POLL_INTERVAL_S = 0.005  # of a statement that waits
+INITIAL_INDEX = 10  # index of a log without commits
+POLL_INTERVAL_S = 0.005  # between two checks of a waiting statement
 # First words of statements that change only the session.
 _SESSION_WORDS = frozenset({'SET', 'PREPARE', 'DEALLOC', 'RESET'})
 
@@ -174,8 +175,8 @@
     applied_count : int
         Number of commits in the log that reads can see.
     paused_term : int
-        Term of the last PAUSE statement. A paused replica receives no
-        commits; 0 if it is not paused.
+        Term of the last accepted PAUSE statement; 0 if it is not paused. A
+        paused replica receives no commits.
     executed : list of str
         Request id and text of each executed statement.
     """
@@ -209,7 +210,7 @@
             await trio.aclose_forcefully(stream)
 
     def catch_up(self) -> None:
-        """Receive all commits of the primary that are older than the delay."""
+        """Receive the primary's commits that are at least the delay old."""
         primary = self.group.databases[self.group.primary]
         if self.leads or self.paused_term or not self.is_running:
             return
@@ -373,9 +374,9 @@
         return [done]
 
     def _commit(self, session: LineSession) -> Commit:
-        number = self.received()[1] + 1
+        index = self.received()[1] + 1
         commit = Commit(
-            (self.group.term, number),
+            (self.group.term, index),
             time.monotonic(),
             tuple(session.writes),
         )
--- a/jackdawpost_standin/log.py
+++ b/jackdawpost_standin/log.py
@@ -35,7 +35,7 @@
         Term and index in the log.
     statements : list of (str, list or None)
         Texts and parameters in execution order; empty for the record that
-        opens a term.
+        opens a term and for a transaction without writes.
     request_key : str, optional
         Idempotency key of the transaction; `result` is the answer to a
         resend with the same key.
--- a/jackdawpost_standin/process.py
+++ b/jackdawpost_standin/process.py
@@ -120,7 +120,10 @@
         self._scope.cancel()
 
     async def leave(self) -> None:
-        """Announce the departure, finish running statements, then stop."""
+        """Announce the departure, finish running statements, then stop.
+
+        Statements that are still running after `leave_limit_ms` are aborted.
+        """
         LOG.info('leaving')
         db = self.database
         db.leaving = True
--- a/jackdawpost_standin/replication.py
+++ b/jackdawpost_standin/replication.py
@@ -42,7 +42,8 @@
 RECONNECT_DELAY_MS = 50
 OPEN_TIMEOUT_MS = 1_000
 MAX_BATCH_RECORDS = 512
-# Size of a part; a batch also ends with the record that reaches it.
+# Maximum size of a part of a batch. The record with which the batch reaches
+# this size is the last one in it.
 MAX_PART_BYTES = 500_000
 # No batch is sent while this much is unacknowledged. The limit in bytes is
 # far below the unsent bytes at which a stream closes the connection.
@@ -57,7 +58,7 @@
     Parameters
     ----------
     term : int
-        Term of the role in which the follower replicates.
+        Term in which the follower follows the primary.
     history : list of TermEnd
         Last index of each term in the follower's log.
     """
@@ -72,7 +73,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplicateStart:
-    """Answer to `ReplicateOpen`: records after `common_index` are sent."""
+    """Answer to `ReplicateOpen`: the records after `common_index` follow."""
 
     term: int
     common_index: int
@@ -81,7 +82,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplicateRefused:
-    """Answer to `ReplicateOpen`: not the primary of the follower's term."""
+    """Answer to `ReplicateOpen`: not the primary of this group and term."""
 
     term: int
     message: str
@@ -130,8 +131,8 @@
 class _LogSender:
     """Sends the log to one follower within a window of unacknowledged records.
 
-    It stops when the database is no longer the primary in the term in which
-    the follower connected.
+    `is_current` becomes false when the database is no longer the primary in
+    the term in which the follower connected.
     """
 
     def __init__(self, database: Database, link: PeerLink) -> None:
@@ -141,6 +142,7 @@
         self.data_id = database.role.data_id
         self.sent_index = 0
         self.acked_index = 0
+        # Bytes sent since the follower last acknowledged all sent records.
         self.unacked_bytes = 0
 
     @property
@@ -209,7 +211,8 @@
     Raises
     ------
     FrameError
-        The first frame is invalid or the certificate names another peer.
+        The first frame is invalid, or the certificate does not allow the
+        name of the peer.
     """
     req = _PRIMARY_CODEC.decode(await link.receive())[0]
     if not isinstance(req, ReplicateOpen):
@@ -219,16 +222,16 @@
     if certificate and not peer_has_role(certificate, 'upstream', req.peer):
         raise FrameError(
             f'certificate {certificate!r} does not allow the follower name '
-            f'{req.peer!r}; its common name must be upstream.PEER'
+            f'{req.peer!r}: expected the common name upstream.PEER'
         )
     link.peer = req.peer
     role = database.role
     if not role.leads or role.term != req.term or group != req.group:
         refusal = ReplicateRefused(
             term=role.term,
-            message=f'replicate_open refused: this database has group {group} '
-            f'and leads {role.leads}; expected the primary of the requested '
-            'group and term',
+            message=f'replicate_open refused with group {group} and leads '
+            f'{role.leads}: expected the primary of the requested group and '
+            'term',
         )
         link.post(encode_cbor([refusal]))
         return
@@ -282,7 +285,7 @@
 
 
 class Follower:
-    """Replicates the log of the primary that the role of the database names.
+    """Replicates the log of the primary named in the role of the database.
 
     Parameters
     ----------
@@ -424,7 +427,7 @@
         if message.term != self._db.role.term:
             raise ReplicationError(
                 f'primary started replication in term {message.term}: '
-                'expected the term of the role'
+                'expected the term of the follower'
             )
         self._db.discard_after(message.common_index)
         self._db.confirmed = True
--- a/jackdawpost_standin/rows.py
+++ b/jackdawpost_standin/rows.py
@@ -59,16 +59,16 @@
         sqlite3.SQLITE_RECURSIVE,
     }
 )
-# SQLite does not call the authorizer for a statement in its cache. The comment
-# keeps the transaction statements of this module apart from equal statements
-# of callers in the cache. `run` refuses the exact texts.
+# The authorizer is not called for a statement in the statement cache. The
+# comment keeps the transaction statements of this module apart from equal
+# statements of callers in the cache. `run` refuses the exact texts.
 _BEGIN = 'BEGIN /* engine */'
 _COMMIT = 'COMMIT /* engine */'
 _ROLLBACK = 'ROLLBACK /* engine */'
 _SAVEPOINT = 'SAVEPOINT engine_statement'
 _ROLLBACK_TO = 'ROLLBACK TO engine_statement'
 _RELEASE = 'RELEASE engine_statement'
-_ENGINE_SQL = frozenset(
+_INTERNAL_STATEMENTS = frozenset(
     {_BEGIN, _COMMIT, _ROLLBACK, _SAVEPOINT, _ROLLBACK_TO, _RELEASE}
 )
 _PARAM_TYPES = frozenset({str, int, float, bytes, bool, type(None)})
@@ -159,11 +159,13 @@
         Raises
         ------
         StatementError
-            The statement failed without any change.
+            The statement failed without any change, except that a RETURNING
+            result that is too large is refused after the rows have changed.
         """
-        if sql in _ENGINE_SQL:
+        if sql in _INTERNAL_STATEMENTS:
             raise StatementError(
-                'not authorized: transactions are opened with txn_begin'
+                'statement is not authorized: expected txn_begin, txn_commit '
+                'or txn_rollback to control a transaction'
             )
         if params:
             _check_params(params)
@@ -197,8 +199,8 @@
             return True
         read_only = self._read_only.get(sql)
         if read_only is None:
-            # The number makes the text new, so that it is not in the statement
-            # cache and SQLite calls the authorizer for its actions.
+            # The number makes the text new. The authorizer is called for the
+            # actions of a text that is not in the statement cache.
             self._actions.clear()
             number = len(self._read_only)
             self.run(f'EXPLAIN /* {number} */ {sql}', params)
@@ -271,7 +273,7 @@
         self.apply_failures = 0
 
     def clear(self) -> None:
-        """Remove all rows; the log can be applied from its start."""
+        """Remove all rows, so that the log can be applied from its start."""
         self.stop_leading()
         self._committed.close()
         self._committed = SqliteDatabase(deterministic=False)
--- a/jackdawpost_standin/session.py
+++ b/jackdawpost_standin/session.py
@@ -43,7 +43,7 @@
     slots : Limit
         Limit of statements that run at the same time.
     faults : FaultInjector
-        Source of the injected delay of statements.
+        Provides the injected delay of statements.
     service_ms : float
         Simulated execution time of a statement, in milliseconds.
 
@@ -53,7 +53,7 @@
         Whether new statements and transactions are refused, because the
         database is leaving.
     last_finished_s : float
-        Time on the clock of trio at which the last frame was finished.
+        Time of ``trio.current_time()`` at which the last frame finished.
     """
 
     def __init__(
@@ -163,14 +163,14 @@
         return [self._build_no_slot_answer(req) for req in requests]
 
     def close(self) -> None:
-        """Roll back the transaction and release the slot at the end."""
+        """Roll back and release the slot; the connection has ended."""
         self._end_txn()
         if self._holds_slot:
             self._holds_slot = False
             self._context.slots.release()
 
     def on_txn_revoked(self) -> None:
-        """Drop the transaction because the database is no longer primary."""
+        """Drop the transaction; the database is no longer the primary."""
         self._in_txn = False
         self._statements = []
         # A running frame keeps the slot; `end_frame` releases it.
@@ -188,7 +188,8 @@
         elif self._in_txn:
             refusal = (
                 'malformed',
-                'a transaction is open on this connection: expected in_txn',
+                'a transaction is open on this connection: expected a '
+                'statement with in_txn',
             )
         else:
             refusal = await self._wait_for_position(req)
@@ -263,7 +264,7 @@
             return self._build_refusal(
                 req_id,
                 'malformed',
-                'request_key is not Unicode: it has a lone surrogate',
+                'request_key has a lone surrogate: expected valid Unicode',
             )
         index = self._db.request_keys.get(key)
         if index is None:
@@ -411,7 +412,10 @@
             )
         if not self._db.confirmed:
             # The log may end with records that the primary does not have.
-            return 'behind', 'log is not yet compared with that of the primary'
+            return (
+                'behind',
+                'log was not compared with that of the primary yet',
+            )
         return None
 
     def _check_positions(
@@ -470,7 +474,7 @@
 
 
 def _is_encodable(text: str) -> bool:
-    """Return whether a text has no lone surrogate, which JSON allows."""
+    """Return whether UTF-8 can encode a text; JSON allows lone surrogates."""
     if text.isascii():
         return True
     try:
--- a/jackdawpost_standin/upstream_server.py
+++ b/jackdawpost_standin/upstream_server.py
@@ -79,7 +79,8 @@
     faults : FaultInjector
         Injects faults into frames and answers.
     incarnation : str
-        Identity of this process, sent in `Opened`; new at each start.
+        Identity of this process, sent in `Opened`; new at each start and
+        after a disk wipe.
     """
 
     def __init__(
@@ -303,7 +304,7 @@
         return len(matching[: count or None])
 
     async def abort_all(self) -> int:
-        """Close all connections without delay; return their number."""
+        """Abort all connections and return their number."""
         links = list(self.links)
         for link in links:
             await link.abort()
@@ -317,8 +318,8 @@
     if name != req.peer or role not in _ROLES[req.purpose]:
         raise FrameError(
             f'certificate {certificate!r} does not allow the peer '
-            f'{req.peer!r} to open purpose {req.purpose}; its common name '
-            'must be ROLE.PEER with a role allowed for the purpose'
+            f'{req.peer!r} to open purpose {req.purpose}: expected the common '
+            'name ROLE.PEER with a role allowed for the purpose'
         )
 
 
