Name what tests of the simulated database hold and guard

`switches` was an old term for injected faults.

The heads state the rule. Every test, assertion, number and case is as before; names of tests stay.

--- a/jackdawpost_standin/tests/test_announcer.py
+++ b/jackdawpost_standin/tests/test_announcer.py
@@ -1,4 +1,4 @@
-"""Announcements to control processes and approvals of newcomers."""
+"""Control processes get every role change; listed newcomers are approved."""
 
 from __future__ import annotations
 
@@ -87,8 +87,8 @@
     await wait_for(lambda: len(control.announces) >= 3)
     await control.streams[0].abort()
     await wait_for(lambda: len(control.streams) == 2)
-    seen = len(control.announces)
-    await wait_for(lambda: len(control.announces) > seen)
+    announce_count = len(control.announces)
+    await wait_for(lambda: len(control.announces) > announce_count)
 
 
 async def test_approval_names_member_and_newcomer(nursery):
@@ -121,9 +121,12 @@
     await wait_for(lambda: control.announces)
     standin.faults.state = FaultState(isolated=[peer['name']])
     await trio.sleep(0.05)
-    seen = len(control.announces)
+    announce_count = len(control.announces)
     control.request_approval('proxy-1')
     await trio.sleep(0.05)
-    assert (len(control.announces), control.approvals) == (seen, [])
+    assert (len(control.announces), control.approvals) == (
+        announce_count,
+        [],
+    )
     standin.faults.state = FaultState()
-    await wait_for(lambda: len(control.announces) > seen)
+    await wait_for(lambda: len(control.announces) > announce_count)
--- a/jackdawpost_standin/tests/test_faults.py
+++ b/jackdawpost_standin/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""Injected faults."""
+"""Injected faults take effect only where they are requested."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
         return codec.decode(await stream.receive())[0]
 
 
-async def _set_faults(standin, **switches):
+async def _set_faults(standin, **faults):
     return await _send_fault_request(
-        standin, SetFaults, state=FaultState(**switches)
+        standin, SetFaults, state=FaultState(**faults)
     )
 
 
-def _read(number):
+def _build_read(number):
     return Execute(
         id=number,
         sql='SELECT 1',
@@ -63,7 +63,7 @@
     await wait_for(lambda: replica.follower.connected)
     async with connect(primary) as client:
         await _set_faults(primary, isolated=['*'])
-        client.post(_read(1))
+        client.post(_build_read(1))
         assert await _is_silent(client)
         async with open_link(HOST, primary.port, '/v1/upstream') as stream:
             stream.post('{"kind": "open", "peer": "p", "purpose": "admin"}')
@@ -71,7 +71,7 @@
                 pytest.fail(f'answered {await stream.receive()!r}')
         assert primary.database.role.leads
         await _set_faults(primary)
-        client.post(_read(2))
+        client.post(_build_read(2))
         assert (await client.receive()).id == 2
     await wait_for(lambda: replica.follower.connected)
 
@@ -127,7 +127,7 @@
             standin, SilenceConnections, purpose='statements'
         )
         assert done.affected == 1
-        old.post(_read(1))
+        old.post(_build_read(1))
         assert await _is_silent(old)
         async with connect(standin) as new:
             assert (await new.execute(CREATE)).status == 'done'
@@ -140,7 +140,7 @@
 
     async def request(number):
         async with connect(standin) as client:
-            client.post(_read(number))
+            client.post(_build_read(number))
             order.append((await client.receive()).id)
 
     await _set_faults(standin, answer_jitter_ms=100)
@@ -157,10 +157,10 @@
     await promote(standin)
     async with connect(standin) as client:
         await _set_faults(standin, late_share=1.0, late_ms=150)
-        client.post(_read(1))
+        client.post(_build_read(1))
         assert await _is_silent(client)
         await _set_faults(standin)
-        client.post(_read(2))
+        client.post(_build_read(2))
         assert [(await client.receive()).id for _ in range(2)] == [1, 2]
 
 
@@ -183,8 +183,8 @@
         with pytest.raises(LinkClosedError):
             while True:
                 await monitor.receive()
-    async with connect(replica, 'monitor') as again:
-        assert again.opened.data_id != monitor.opened.data_id
+    async with connect(replica, 'monitor') as reconnected:
+        assert reconnected.opened.data_id != monitor.opened.data_id
     assert replica.database.received == (0, 0)
     await promote(primary, replica)
     await wait_for(lambda: replica.database.received.index == 1)
--- a/jackdawpost_standin/tests/test_leaving.py
+++ b/jackdawpost_standin/tests/test_leaving.py
@@ -148,11 +148,11 @@
     path = tmp_path / 'db.jsonc'
     settings = json.loads(build_settings().model_dump_json())
     path.write_text(json.dumps(settings))
-    with pytest.raises(SystemExit) as done:
+    with pytest.raises(SystemExit) as exit_info:
         main(['--config', str(path), '--check'])
-    assert done.value.code == 0
+    assert exit_info.value.code == 0
     path.write_text(json.dumps({**settings, 'slots': 0}))
-    with pytest.raises(SystemExit) as done:
+    with pytest.raises(SystemExit) as exit_info:
         main(['--config', str(path), '--check'])
-    assert done.value.code == 2
+    assert exit_info.value.code == 2
     assert 'slots: 0' in capsys.readouterr().err
--- a/jackdawpost_standin/tests/test_line_database.py
+++ b/jackdawpost_standin/tests/test_line_database.py
@@ -1,4 +1,4 @@
-"""Simulated databases of the line protocol."""
+"""Lag, promotion and refusals of databases of the line protocol."""
 
 from __future__ import annotations
 
--- a/jackdawpost_standin/tests/test_replication.py
+++ b/jackdawpost_standin/tests/test_replication.py
@@ -23,7 +23,7 @@
 SELECT = 'SELECT k, v FROM t ORDER BY k'
 
 
-async def _rows(standin, term, **fields):
+async def _read_rows(standin, term, **fields):
     async with connect(standin) as client:
         answer = await client.execute(
             SELECT, access='read', term=term, wait_ms=2_000, **fields
@@ -40,7 +40,7 @@
         await client.execute(CREATE)
         written = await client.execute(INSERT, ['a', 1])
     assert written.position == (1, 3)
-    rows = await _rows(replica, 1, after=written.position)
+    rows = await _read_rows(replica, 1, after=written.position)
     assert rows == [['a', 1]]
 
 
@@ -61,7 +61,7 @@
     assert (resent.status, resent.duplicate) == ('done', True)
     assert resent.position == written.position
     assert resent.row_count == 1
-    assert await _rows(first, 2) == [['a', 1]]
+    assert await _read_rows(first, 2) == [['a', 1]]
 
 
 async def test_diverged_tail_is_discarded_and_rows_rebuilt(nursery):
@@ -79,7 +79,7 @@
         await client.execute(INSERT, ['new', 2], term=2)
     await wait_for(lambda: old.database.received == new.database.received)
     await wait_for(lambda: old.database.applied == old.database.received)
-    assert await _rows(old, 2) == [['new', 2]]
+    assert await _read_rows(old, 2) == [['new', 2]]
     counters = old.read_metrics()['counters']
     assert counters['discarded_records'] == 1
     async with connect(old) as client:
--- a/jackdawpost_standin/tests/test_statements.py
+++ b/jackdawpost_standin/tests/test_statements.py
@@ -124,8 +124,8 @@
         await txn.request(TxnBegin, **BEGIN)
         refused = await txn.execute(INSERT, ['a', 1])
         assert (refused.status, refused.code) == ('not_run', 'malformed')
-        again = await txn.request(TxnBegin, **BEGIN)
-        assert again.code == 'malformed'
+        second_begin = await txn.request(TxnBegin, **BEGIN)
+        assert second_begin.code == 'malformed'
         await txn.request(TxnCommit, **BEGIN)
         assert await _count(txn) == 0
 
@@ -140,17 +140,17 @@
     write_lock = WriteLock()
     first, second = Owner(), Owner()
     assert await write_lock.acquire(first, float('inf'))
-    got = []
+    acquired = []
 
     async def wait():
-        got.append(await write_lock.acquire(second, float('inf')))
+        acquired.append(await write_lock.acquire(second, float('inf')))
 
     nursery.start_soon(wait)
     await trio.testing.wait_all_tasks_blocked()
     write_lock.release(first)
     write_lock.revoke()
-    await wait_for(lambda: got)
-    assert (got, write_lock.is_free) == ([False], True)
+    await wait_for(lambda: acquired)
+    assert (acquired, write_lock.is_free) == ([False], True)
 
 
 async def test_closed_connection_rolls_back_and_releases_the_slot(nursery):
--- a/jackdawpost_standin/tests/test_tls.py
+++ b/jackdawpost_standin/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""Connections with TLS certificates."""
+"""Admin requests need a control certificate; replication uses TLS."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from jackdawpost_standin.tests.helpers import wait_for
 
 
-def _issue(authority, folder, name):
+def _issue_certificate(authority, folder, name):
     cert = authority.issue_cert(HOST, common_name=name)
     paths = {
         'certificate': str(folder / f'{name}.pem'),
@@ -47,13 +47,13 @@
     nursery, tmp_path
 ):
     authority = trustme.CA()
-    control = _issue(authority, tmp_path, 'control.c-1')
-    proxy = _issue(authority, tmp_path, 'proxy.c-1')
+    control = _issue_certificate(authority, tmp_path, 'control.c-1')
+    proxy = _issue_certificate(authority, tmp_path, 'proxy.c-1')
     primary, replica = [
         await start(
             nursery,
             name,
-            tls=_issue(authority, tmp_path, f'upstream.{name}'),
+            tls=_issue_certificate(authority, tmp_path, f'upstream.{name}'),
         )
         for name in ('db-1', 'db-2')
     ]
@@ -61,8 +61,10 @@
         await _send_admin_request(primary, proxy, Promote, term=1)
     assert not primary.database.role.leads
     assert (await _send_admin_request(primary, control, Promote, term=1)).ok
-    place = {'primary': 'db-1', 'host': HOST, 'port': primary.port}
+    primary_address = {'primary': 'db-1', 'host': HOST, 'port': primary.port}
     assert (
-        await _send_admin_request(replica, control, Follow, term=1, **place)
+        await _send_admin_request(
+            replica, control, Follow, term=1, **primary_address
+        )
     ).ok
     await wait_for(lambda: replica.database.received == (1, 1))
