Restore the close reasons of admin connections in recorded traces

Cause: the trace control-promotion replays to effects with the close reasons 'done' (14 times) and 'no answer' (2 times). Both had been reworded in core/control/admin.py, so the replay no longer gave the effects that were recorded.

Ruled out: new reasons with changed expectations, since recorded traces stay as they are; other reasons of admin.py, since no recorded trace contains them.

--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -125,7 +125,7 @@
     if link.conn is None:
         return []
     admin.conns.pop(link.conn, None)
-    return [Close(conn=link.conn, reason='connection no longer needed')]
+    return [Close(conn=link.conn, reason='done')]
 
 
 def _advance_link(
@@ -159,9 +159,7 @@
 ) -> list[Effect]:
     assert link.conn is not None
     admin.conns.pop(link.conn, None)
-    effect = Close(
-        conn=link.conn, reason='admin request timed out', abort=True
-    )
+    effect = Close(conn=link.conn, reason='no answer', abort=True)
     _schedule_reconnect(link, now_ms)
     return [effect]
 
