Use one word for one thing in pooler, proxy and control

Cause: a reader of the three folders met two words for one thing. Closing a connection to a checked newcomer, to a removed upstream, above the connection limit or without an answer had another reason in each folder; the platform was an 'external system' in core/effects.py; a newcomer was also a 'new member' or 'new upstream'. 'Suspension' meant two things: a process that did not run, and a stalled upstream that gets no statements.

Ruled out: renaming evidence and reachability to one word, since evidence is a field of messages and of the replica interface that embedders use, and reachability a field of Pool; its docstrings now say that evidence is the reported reachability. The error texts for callers stay.

Change: * close reasons: 'newcomer checked' again in the pooler, 'upstream removed', 'connection limit exceeded' and 'no answer' in both * cool-down for a stalled upstream; cooldown in all identifiers * APPROVAL_RETRY_INTERVAL_MS, MAX_OPENING_CONNECTIONS, drain_started_ms, _check_new_proxy and _send_approval in pooler and proxy; _complete_event in proxy and control; _on_conn_opened, _on_conn_closed, _on_frame_rejected and _on_drain_requested in control too * docstrings: newcomer, platform, statement connection, reachability, control leader, id, timeout; the purpose 'check' of a connection

--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -39,7 +39,7 @@
     is_open : bool
         The connection has been established.
     request_id : int, optional
-        Identifier of the request in flight.
+        Id of the request in flight.
     answer_due_ms : float
         Time at which the request in flight times out.
     retry_at_ms : float
@@ -61,10 +61,9 @@
     Parameters
     ----------
     next_conn : int
-        Identifier of the next connection. Identifiers are negative and
-        decrease.
+        Id of the next connection; ids are negative and decrease.
     next_request : int
-        Identifier of the next request.
+        Id of the next request.
     links : dict of str to AdminLink
         Links by upstream.
     conns : dict of int to str
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -61,7 +61,7 @@
 def record_observations(
     state: ControlState, leader: LeaderState, report: ProxyReport
 ) -> None:
-    """Record what a proxy reports about the upstreams."""
+    """Record the roles and positions of upstreams that a proxy reports."""
     for name, upstream in (report.upstreams or {}).items():
         leader.upstream_observations.setdefault(name, {})[report.proxy] = (
             UpstreamObservation(report=upstream, last_contact_ms=state.now_ms)
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -53,7 +53,7 @@
 
 
 def dump_control(state: ControlState) -> dict[str, Any]:
-    """Return the state as nested dicts and lists of simple values."""
+    """Return a snapshot of the state as plain data."""
     core = state.consensus
     return {
         'name': state.cfg.name,
--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -1,8 +1,8 @@
 """Failure detector for upstreams, based on a majority of the proxies.
 
-Proxies regularly report the state in which they see each upstream. An
-upstream has failed if most live proxies have reported it as refused, silent
-or stalled for long enough.
+Proxies regularly report the reachability of each upstream. An upstream has
+failed if most live proxies have reported it as refused, silent or stalled for
+long enough.
 """
 
 from __future__ import annotations
@@ -16,12 +16,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Observation:
-    """State of one upstream as reported by one proxy.
+    """Reachability of one upstream as reported by one proxy.
 
     Parameters
     ----------
     state : Evidence
-        Last reported state.
+        Last reported reachability.
     bad_since_ms : float
         Time since which the proxy has not reported ``'up'``.
     state_since_ms : float
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Reporter:
-    """A proxy that reports the states of upstreams.
+    """A proxy that reports the reachability of upstreams.
 
     Parameters
     ----------
@@ -90,7 +90,7 @@
     Parameters
     ----------
     evidence : mapping of str to Evidence
-        Reported state of each upstream.
+        Reported reachability of each upstream.
     """
     reporter = detector.reporters.get(proxy)
     if reporter is None or reporter.live_until_ms <= now_ms:
@@ -135,7 +135,7 @@
 def is_suspected(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
-    """Return whether any live proxy reports a state other than 'up'."""
+    """Return whether any live proxy reports an upstream as not 'up'."""
     for reporter in detector.reporters.values():
         observation = reporter.observations.get(upstream)
         if now_ms < reporter.live_until_ms and observation is not None:
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -199,7 +199,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamObservation:
-    """Latest state of an upstream as reported by one proxy."""
+    """Latest role and position of an upstream as reported by one proxy."""
 
     report: UpstreamReport
     last_contact_ms: float
@@ -313,7 +313,7 @@
     next_sweep_ms : float
         Time of the next sweep over the registered upstreams.
     upstream_observations : dict
-        Latest observations by upstream and proxy.
+        Latest roles and positions reported, by upstream and proxy.
     orders : dict of str to PromotionOrder
         Latest promotion order of each group.
     own_tokens : set of int
@@ -402,7 +402,7 @@
     notified_leader : str, optional
         Leader last named to connected proxies and upstreams.
     next_conn : int
-        Number of the next admin connection; these are negative.
+        Id of the next admin connection; ids are negative and decrease.
     timer_ms : float, optional
         Time at which the timer fires; None if it is not set.
     transfer_deadline_ms : float
--- a/jackdawpost/core/control/reducer.py
+++ b/jackdawpost/core/control/reducer.py
@@ -145,15 +145,15 @@
             consensus.tick(state.consensus, state.now_ms)
         )
     elif isinstance(event, ConnOpened):
-        _on_opened(state, event)
+        _on_conn_opened(state, event)
     elif isinstance(event, ConnClosed):
-        _on_closed(state, event)
+        _on_conn_closed(state, event)
     elif isinstance(event, Received):
         _on_received(state, event)
     elif isinstance(event, FrameRejected):
-        _on_rejected(state, event)
+        _on_frame_rejected(state, event)
     elif isinstance(event, DrainRequested):
-        _on_drain(state)
+        _on_drain_requested(state)
     elif isinstance(event, RequestReceived):
         receive_request(state, event)
     elif isinstance(event, SeedsChanged):
@@ -166,7 +166,7 @@
     return _complete_event(state, is_tick)
 
 
-def _on_opened(state: ControlState, event: ConnOpened) -> None:
+def _on_conn_opened(state: ControlState, event: ConnOpened) -> None:
     leader = state.leader
     if event.link == 'upstream':
         if leader is None or not on_admin_opened(state, leader, event.conn):
@@ -194,7 +194,7 @@
     state.notified_group = None
 
 
-def _on_closed(state: ControlState, event: ConnClosed) -> None:
+def _on_conn_closed(state: ControlState, event: ConnClosed) -> None:
     leader = state.leader
     if leader is not None and event.conn in leader.admin.conns:
         on_admin_closed(state, leader, event.conn, event.reason)
@@ -255,7 +255,7 @@
         refuse(state, link, f'no message is accepted on a {link.link} link')
 
 
-def _on_rejected(state: ControlState, event: FrameRejected) -> None:
+def _on_frame_rejected(state: ControlState, event: FrameRejected) -> None:
     link = state.links.get(event.conn)
     if link is None:
         log(state, 'warning', 'frame_rejected', detail=event.detail)
@@ -266,7 +266,7 @@
     refuse(state, link, event.detail)
 
 
-def _on_drain(state: ControlState) -> None:
+def _on_drain_requested(state: ControlState) -> None:
     if state.draining:
         return
     state.draining = True
--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -160,7 +160,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class OrderPromotion:
-    """Request a promotion from an external system; `PromotionEnded` follows.
+    """Order a promotion from the deployment's platform.
+
+    `PromotionEnded` follows.
 
     Parameters
     ----------
@@ -193,7 +195,7 @@
     document : bytes
         Requested document.
     leader : str
-        IP address of the leading control process.
+        IP address of the control leader.
     """
 
     request_id: int
--- a/jackdawpost/core/events.py
+++ b/jackdawpost/core/events.py
@@ -33,8 +33,8 @@
         Name of the remote end if known: upstream, control process or
         certificate name; empty for callers.
     purpose : str
-        ``'statements'``, ``'monitor'`` or ``'admin'`` for upstream links;
-        empty for other links.
+        ``'statements'``, ``'monitor'``, ``'check'`` or ``'admin'`` for
+        upstream links; empty for other links.
     data_id : str
         Identity of the upstream's data for upstream links; empty for other
         links.
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ApprovalRequest:
-    """Ask a member to approve a proxy or upstream that wants to join."""
+    """Ask a member to approve a newcomer: a proxy or an upstream."""
 
     newcomer: str
     newcomer_id: str
--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -17,7 +17,7 @@
 from jackdawpost.core.published import UpstreamView
 
 # Connections per upstream that are not shared out among the proxies. They
-# remain for control, for checks of new members, and for joining members.
+# remain for control, for checks of newcomers, and for joining members.
 RESERVED_CONNECTIONS = 3
 DEFAULT_MAX_CONNECTIONS = 20
 # Longer than any network partition after which a proxy is expected to
@@ -44,7 +44,7 @@
 
 
 def connection_limit(state: PoolerState, pool: Pool) -> int:
-    """Return how many connections to an upstream this process may have.
+    """Return how many connections to an upstream this pooler may open.
 
     Each proxy gets an equal share of the connections that are not reserved,
     and at least `MIN_CONNECTIONS`.
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -1,7 +1,7 @@
 """Links to control processes.
 
 Sends reports to the control leader, applies the published state, and checks
-new members that control asks this pooler to approve.
+newcomers that control asks this pooler to approve.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 
 
 def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
-    """Record a control connection; send a report if no leader is known."""
+    """Record the connection; report at once if no leader is known."""
     state.control_conns[conn] = peer
     log(state, 'info', 'control_connected', peer=peer)
     if not state.leader_conn:
@@ -48,7 +48,7 @@
 
 
 def on_control_closed(state: PoolerState, conn: int) -> None:
-    """Search for the leader if this was the connection to it."""
+    """Search for the leader if the connection to it has closed."""
     peer = state.control_conns.pop(conn)
     log(
         state,
@@ -70,7 +70,7 @@
 
 
 def on_report_due(state: PoolerState) -> None:
-    """Send the periodic report, or drop a leader that no longer answers."""
+    """Send the regular report, or drop a leader that does not answer."""
     unanswered_report_ms = state.unanswered_report_ms
     if state.leader_conn and unanswered_report_ms is not None:
         if state.now_ms - unanswered_report_ms >= LEADER_ANSWER_TIMEOUT_MS:
@@ -110,7 +110,7 @@
         port=cfg.port,
         data_centre=cfg.data_centre,
         version=state.published.version,
-        draining=state.drain_ms is not None,
+        draining=state.drain_started_ms is not None,
         evidence={
             name: pool.reachability
             for name, pool in state.pools.items()
@@ -225,7 +225,7 @@
 def _check_newcomer(
     state: PoolerState, conn: int, message: ApprovalRequest
 ) -> None:
-    """Check a new member that control asks this pooler to approve.
+    """Check a newcomer that control asks this pooler to approve.
 
     An upstream must answer at its address with its own identity. A proxy
     cannot be checked by connecting, since proxies do not connect to each
@@ -296,8 +296,8 @@
 
 
 def on_newcomer_opened(state: PoolerState, conn: UpstreamConn) -> None:
-    """Approve a new upstream that answered with its own identity."""
-    close_upstream_conn(state, conn, 'new upstream checked')
+    """Approve a newcomer that answered with its own identity."""
+    close_upstream_conn(state, conn, 'newcomer checked')
     newcomer = state.newcomers.pop(conn.upstream, None)
     if newcomer is not None:
         _send_approval(
@@ -310,7 +310,7 @@
 
 
 def on_newcomer_failed(state: PoolerState, conn: UpstreamConn) -> None:
-    """Schedule another check of a new upstream, or refuse to approve it."""
+    """Schedule another check of a newcomer, or refuse to approve it."""
     newcomer = state.newcomers.get(conn.upstream)
     if newcomer is None:
         return
@@ -330,7 +330,7 @@
 
 
 def on_newcomer_due(state: PoolerState, name: str) -> None:
-    """Connect to a new upstream for another check."""
+    """Connect to a newcomer for another check."""
     newcomer = state.newcomers.get(name)
     if newcomer is not None and not newcomer.conn:
         _connect_to_newcomer(state, newcomer)
--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -34,7 +34,7 @@
 
 
 def count_running(state: PoolerState, pool: Pool) -> int:
-    """Return the number of connections that are busy outside transactions.
+    """Return how many statement connections are busy outside transactions.
 
     A connection that is being opened or probed is busy, too.
     """
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -41,8 +41,8 @@
 READ_ATTEMPT_TIMEOUT_LATENCIES = 3.0
 # Additional latency of a read in another region.
 CROSS_REGION_PENALTY_MS = 30.0
-# Connections to one upstream that may be opening at the same time.
-MAX_CONCURRENT_OPENS = 2
+# Statement connections to an upstream that may be opening at the same time.
+MAX_OPENING_CONNECTIONS = 2
 # Latency that a read must save to justify opening another connection.
 MIN_OPEN_GAIN_MS = 20.0
 # Time for which a replica that reported a lower position than required is
@@ -112,7 +112,7 @@
     state: PoolerState, pool: Pool, connections_needed: int
 ) -> None:
     opening = sum(1 for number in pool.conns if not state.conns[number].opened)
-    for _ in range(min(connections_needed, MAX_CONCURRENT_OPENS) - opening):
+    for _ in range(min(connections_needed, MAX_OPENING_CONNECTIONS) - opening):
         if not can_open_connection(state, pool) or not is_below_limit(
             state, pool
         ):
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -47,4 +47,4 @@
             and not conn.txn_session
             and not conn.pending_requests
         ):
-            close_upstream_conn(state, conn, 'upstream has been removed')
+            close_upstream_conn(state, conn, 'upstream removed')
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -128,7 +128,11 @@
     has_upstream = any(
         pool.reachability in ('up', 'stalled') for pool in state.pools.values()
     )
-    return state.drain_ms is None and bool(state.endpoints) and has_upstream
+    return (
+        state.drain_started_ms is None
+        and bool(state.endpoints)
+        and has_upstream
+    )
 
 
 def dump_pooler(state: PoolerState) -> dict[str, Any]:
@@ -141,7 +145,7 @@
         'leader': state.control_conns.get(state.leader_conn),
         'controls': sorted(state.control_conns.values()),
         'granted_age_ms': state.now_ms - state.last_grant_ms,
-        'draining': state.drain_ms is not None,
+        'draining': state.drain_started_ms is not None,
         'sessions': len(state.sessions),
         'endpoints': sorted(state.endpoints),
         'statements': [
@@ -369,9 +373,9 @@
 
 
 def _on_drain_requested(state: PoolerState) -> None:
-    if state.drain_ms is not None:
+    if state.drain_started_ms is not None:
         return
-    state.drain_ms = state.now_ms
+    state.drain_started_ms = state.now_ms
     log(
         state,
         'info',
@@ -385,8 +389,8 @@
 
 def _advance_drain(state: PoolerState) -> None:
     """Close idle sessions, and stop when no session is left."""
-    assert state.drain_ms is not None
-    elapsed_ms = state.now_ms - state.drain_ms
+    assert state.drain_started_ms is not None
+    elapsed_ms = state.now_ms - state.drain_started_ms
     cfg = state.cfg
     if elapsed_ms >= cfg.drain_notice_ms:
         for session in list(state.sessions.values()):
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -1,4 +1,4 @@
-"""Outcomes of statements: results, refusals, lost connections, time-outs.
+"""Outcomes of statements: results, refusals, lost connections, timeouts.
 
 A statement that has not run at all is queued again when its upstream
 refuses it or the connection is lost. A statement that may have run is
@@ -97,7 +97,7 @@
         return
     pool = state.pools.get(conn.upstream)
     if pool is None:
-        close_upstream_conn(state, conn, 'upstream has been removed')
+        close_upstream_conn(state, conn, 'upstream removed')
     elif count_connections(pool) > connection_limit(state, pool):
         close_upstream_conn(state, conn, 'connection limit exceeded')
     else:
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -24,15 +24,15 @@
 MIN_STALL_STATEMENTS = 3
 # Failures of statements that were sent longer ago are discarded.
 FAILURE_RETENTION_MS = 3_000.0
-# Time for which a stalled upstream receives no statements, doubled with each
-# further stall. It leaves control enough time to collect the reports of most
-# proxies and to replace a primary.
-INITIAL_SUSPENSION_MS = 2_000.0
-MAX_SUSPENSION_MS = 8_000.0
+# Cool-down in which a stalled upstream receives no statements, doubled with
+# each further stall. It leaves control enough time to collect the reports of
+# most proxies and to replace a primary.
+INITIAL_COOLDOWN_MS = 2_000.0
+MAX_COOLDOWN_MS = 8_000.0
 
 
 def record_success(state: PoolerState, pool: Pool) -> None:
-    """Record a successful statement and end a suspension."""
+    """Record a successful statement and end a cool-down."""
     pool.last_success_ms = state.now_ms
     pool.failed_sent_ms.clear()
     pool.stalls = 0
@@ -54,7 +54,7 @@
 
 
 def detect_stall(state: PoolerState, pool: Pool) -> None:
-    """Suspend an upstream that leaves statements unanswered for too long."""
+    """Detect a stall of an upstream that leaves statements unanswered."""
     outstanding = _outstanding_sent_ms(state, pool)
     if pool.reachability == 'up' and outstanding:
         _mark_if_stalled(state, pool, min(outstanding))
@@ -77,11 +77,9 @@
     if statements < MIN_STALL_STATEMENTS:
         return
     pool.failed_sent_ms.clear()
-    suspension_ms = min(
-        MAX_SUSPENSION_MS, INITIAL_SUSPENSION_MS * 2**pool.stalls
-    )
+    cooldown_ms = min(MAX_COOLDOWN_MS, INITIAL_COOLDOWN_MS * 2**pool.stalls)
     pool.stalls += 1
-    pool.stalled_until_ms = state.now_ms + suspension_ms
+    pool.stalled_until_ms = state.now_ms + cooldown_ms
     log(
         state,
         'warning',
@@ -90,7 +88,7 @@
         statements=statements,
         without_success_ms=round(without_success_ms),
         limit_ms=round(timeout_ms),
-        hold_ms=round(suspension_ms),
+        hold_ms=round(cooldown_ms),
     )
     set_reachability(state, pool, 'stalled')
 
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -245,16 +245,16 @@
     ----------
     purpose : {'statements', 'monitor', 'check'}
         ``'statements'``: statements of callers; ``'monitor'``: probes;
-        ``'check'``: check of a new upstream before it is approved.
+        ``'check'``: check of a newcomer before it is approved.
     refusal_code : str
         Error code with which the upstream refused the connection.
     replayed_session : int
         Session whose values and prepared statements were replayed on the
-        connection; 0 for none.
+        connection; 0 if none.
     replayed_epoch : int
         Epoch of that session at the time of the replay.
     txn_session : int
-        Session whose open transaction occupies the connection; 0 for none.
+        Session whose open transaction occupies the connection; 0 if none.
     pending_requests : deque of UpstreamRequest
         Unanswered requests in the order in which they were sent.
     answer : Answer
@@ -289,12 +289,13 @@
     Parameters
     ----------
     conns : set of int
-        Connections for statements.
+        Statement connections, open or opening.
     monitor : int
-        Monitor connection, which was opened for probes; 0 for none.
+        Monitor connection, which was opened for probes; 0 if none.
     reachability : str
-        Result of the latest probe, or ``'stalled'`` while statements are
-        suspended; empty before the first probe.
+        Observed reachability: the result of the latest probe, or
+        ``'stalled'`` during the cool-down after a stall; empty before the
+        first probe.
     leads : bool
         True if the upstream has proved that it is the primary; False after
         it refused to lead or its reachability is no longer ``'up'``.
@@ -333,7 +334,8 @@
     stalls : int
         Number of stalls detected since the last success.
     stalled_until_ms : float
-        Time up to which a stalled upstream receives no statements.
+        End of the cool-down of a stalled upstream, in which it receives no
+        statements.
     """
 
     view: UpstreamView
@@ -400,16 +402,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class Newcomer:
-    """New upstream that a control process has asked this pooler to check.
+    """Newcomer that this pooler checks; always an upstream.
+
+    A new proxy is checked without a connection, so nothing is kept of it.
 
     Parameters
     ----------
     control_conn : int
         Control connection on which to send the approval.
     conn : int
-        Connection to the new upstream; 0 between attempts.
+        Connection of the running attempt; 0 if none.
     attempts : int
-        Number of connection attempts so far.
+        Connection attempts made so far.
     """
 
     name: str
@@ -436,19 +440,19 @@
     proxies_last_seen_ms : dict of str to float
         Time at which each proxy was last in the published state.
     next_conn : int
-        Identifier of the next upstream connection; these are negative.
+        Id of the next upstream connection; ids are negative and decrease.
     control_conns : dict of int to str
-        Peer address by connection to a control process.
+        Control process of each connection to control.
     connected_peers : set of str
         Control processes to stay connected to.
     leader_conn : int
-        Connection to the control leader; 0 if it is not known.
+        Connection to the control leader; 0 while it is unknown.
     last_grant_seq, last_grant_ms : int, float
         Sequence number and arrival time of the leader's latest answer to a
         report.
     unanswered_report_ms : float, optional
         Send time of the first report since the leader's latest answer.
-    drain_ms : float, optional
+    drain_started_ms : float, optional
         Time of the drain request.
     dirty : set of str
         What to process before the event ends: ``group/NAME``,
@@ -481,7 +485,7 @@
     last_grant_ms: float = 0.0
     unanswered_report_ms: float | None = None
     # Shutdown.
-    drain_ms: float | None = None
+    drain_started_ms: float | None = None
     stopped: bool = False
     dirty: set[str] = field(default_factory=set)
     outbox: list[Effect] = field(default_factory=list)
--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -60,7 +60,7 @@
 
     Zero during a cool-down; limited after a recovery (slow start).
     """
-    if up.cool_down_until_ms > state.now_ms:
+    if up.cooldown_until_ms > state.now_ms:
         return 0
     account = state.permits.account(up.name)
     free = min(len(up.idle), account.idle)
@@ -116,7 +116,7 @@
     """Close idle connections above the limit, which falls as proxies join."""
     limit = connection_limit(state, up)
     while len(up.conns) > limit and up.idle:
-        drop_conn(state, state.conns[up.idle[-1]], 'limit lowered')
+        drop_conn(state, state.conns[up.idle[-1]], 'connection limit exceeded')
 
 
 def on_conn_opened(state: ProxyState, event: ConnOpened) -> None:
@@ -210,7 +210,7 @@
         schedule(state, conn.answer_due_ms, 'frame', conn_id)
         return
     count(state, 'silent_connections')
-    drop_conn(state, conn, 'silent')
+    drop_conn(state, conn, 'no answer')
 
 
 def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
--- a/jackdawpost/core/proxy/control.py
+++ b/jackdawpost/core/proxy/control.py
@@ -1,4 +1,4 @@
-"""Connections to control: reports, leases, permits, approvals.
+"""Links to control processes: reports, leases, permits, approvals.
 
 The proxy sends a report to the control leader at regular intervals and on
 changes. The answer renews its leases (the right to acknowledge writes of a
@@ -37,19 +37,19 @@
 from jackdawpost.core.proxy.state import SERVING_STATES
 
 LEADER_SEARCH_INTERVAL_MS = 100
-APPROVAL_RETRY_MS = 500
+APPROVAL_RETRY_INTERVAL_MS = 500
 MAX_APPROVAL_ATTEMPTS = 60
 
 
 def on_control_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Register the connection; report at once if no leader is known."""
+    """Record the connection; report at once if no leader is known."""
     state.control_conns[event.conn] = event.peer
     if not state.leader_conn:
         send_report(state)
 
 
 def on_control_closed(state: ProxyState, conn: int) -> None:
-    """Search for another leader if the leader's connection closed."""
+    """Search for the leader if the connection to it has closed."""
     del state.control_conns[conn]
     if conn == state.leader_conn:
         _on_leader_lost(state)
@@ -254,7 +254,7 @@
 def on_approval_request(
     state: ProxyState, conn: int, message: ApprovalRequest
 ) -> None:
-    """Check a newcomer and approve it if the check succeeds.
+    """Check a newcomer that control asks this proxy to approve.
 
     An upstream must be reachable and hold the announced data. For a proxy,
     the name and address must not belong to another member; no connection is
@@ -271,13 +271,13 @@
         role=message.role,
     )
     if message.role == 'proxy':
-        _approve_proxy(state, approval)
+        _check_new_proxy(state, approval)
         return
     state.approvals[message.newcomer_id] = approval
     _connect_to_newcomer(state, approval)
 
 
-def _approve_proxy(state: ProxyState, approval: Approval) -> None:
+def _check_new_proxy(state: ProxyState, approval: Approval) -> None:
     for member in state.published.members.values():
         same_id = member.member_id == approval.newcomer_id
         same_address = (
@@ -295,7 +295,9 @@
                 member=member.name,
             )
             return
-    _approve(state, approval, 'name and address are not in use by others')
+    _send_approval(
+        state, approval, 'name and address are not in use by others'
+    )
 
 
 def _connect_to_newcomer(state: ProxyState, approval: Approval) -> None:
@@ -322,7 +324,9 @@
     approval.conn = 0
     if event.data_id == newcomer_id and event.peer == approval.newcomer:
         del state.approvals[newcomer_id]
-        _approve(state, approval, 'monitor connection opened; same data_id')
+        _send_approval(
+            state, approval, 'monitor connection opened; same data_id'
+        )
         return
     log(
         state,
@@ -346,7 +350,7 @@
     if approval.attempts >= MAX_APPROVAL_ATTEMPTS:
         del state.approvals[approval.newcomer_id]
         return
-    due_ms = state.now_ms + APPROVAL_RETRY_MS
+    due_ms = state.now_ms + APPROVAL_RETRY_INTERVAL_MS
     schedule(state, due_ms, 'approval', approval.newcomer_id)
 
 
@@ -357,7 +361,9 @@
         _connect_to_newcomer(state, approval)
 
 
-def _approve(state: ProxyState, approval: Approval, checked: str) -> None:
+def _send_approval(
+    state: ProxyState, approval: Approval, checked: str
+) -> None:
     message = ApprovalMessage(
         member=state.cfg.name,
         member_id=state.cfg.proxy_id,
--- a/jackdawpost/core/proxy/reducer.py
+++ b/jackdawpost/core/proxy/reducer.py
@@ -93,7 +93,7 @@
 def new_proxy(
     cfg: ProxyConfig, rng: Random, now_ms: float
 ) -> tuple[ProxyState, list[Effect]]:
-    """Create the state of a starting proxy, with its first effects.
+    """Return the initial state of a proxy and its first effects.
 
     Parameters
     ----------
@@ -106,11 +106,11 @@
     """
     state = ProxyState(cfg=cfg, rng=rng, now_ms=now_ms)
     schedule_report(state)
-    return state, _end_event(state)
+    return state, _complete_event(state)
 
 
 def reduce_proxy(state: ProxyState, event: Event) -> list[Effect]:
-    """Apply one event and return its effects.
+    """Handle one event: update the state in place and return the effects.
 
     Actions that are due run first, even if their timer has not fired yet: a
     process that was suspended must not handle events as if its deadlines
@@ -136,7 +136,7 @@
         _on_frame_rejected(state, event)
     elif isinstance(event, DrainRequested):
         on_drain_requested(state)
-    return _end_event(state)
+    return _complete_event(state)
 
 
 def is_healthy(state: ProxyState) -> bool:
@@ -158,7 +158,7 @@
         state.timer_due_ms = math.inf
 
 
-def _end_event(state: ProxyState) -> list[Effect]:
+def _complete_event(state: ProxyState) -> list[Effect]:
     rounds = 0
     while state.groups_to_dispatch and rounds < MAX_DISPATCH_ROUNDS:
         rounds += 1
--- a/jackdawpost/core/proxy/requests.py
+++ b/jackdawpost/core/proxy/requests.py
@@ -40,7 +40,7 @@
 from jackdawpost.core.proxy.transactions import on_txn_executed
 from jackdawpost.core.proxy.transactions import send_begin
 
-UPSTREAM_COOL_DOWN_MS = 10.0
+UPSTREAM_COOLDOWN_MS = 10.0
 SERVICE_TIME_WEIGHT = 0.05  # of the moving average
 
 
@@ -177,7 +177,7 @@
     if code == 'leaving':
         up.leaving = True
     if code in ('no_slot', 'stale_term', 'not_primary'):
-        start_cool_down(state, up)
+        start_cooldown(state, up)
     if req.priority == STALE_READ:
         _on_replica_refused(state, up, req, executed)
     elif code == 'history_lost' and holds_lease(state, group, req.term):
@@ -202,10 +202,10 @@
     enqueue(state, req, at_front=True)
 
 
-def start_cool_down(state: ProxyState, up: Upstream) -> None:
+def start_cooldown(state: ProxyState, up: Upstream) -> None:
     """Send no statements to an upstream during a cool-down."""
-    up.cool_down_until_ms = state.now_ms + UPSTREAM_COOL_DOWN_MS
-    schedule_dispatch(state, up.view.group, up.cool_down_until_ms)
+    up.cooldown_until_ms = state.now_ms + UPSTREAM_COOLDOWN_MS
+    schedule_dispatch(state, up.view.group, up.cooldown_until_ms)
 
 
 def expire_request(state: ProxyState, serial: int) -> None:
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -169,7 +169,7 @@
     idle_due_ms : float
         Time at which an idle transaction is rolled back.
     idle_check_scheduled : bool
-        The agenda has a check for the idle time-out.
+        The agenda has a check for the idle timeout.
     """
 
     handle: int
@@ -279,8 +279,8 @@
         Consecutive failures to open a statement connection.
     next_open_ms : float
         Back-off: no connection is opened before this time.
-    cool_down_until_ms : float
-        No statement is sent before this time.
+    cooldown_until_ms : float
+        End of a cool-down, in which no statement is sent.
     recovered_ms : float
         When the upstream became reachable again; starts its slow start.
     was_down : bool
@@ -309,7 +309,7 @@
     opening: int = 0
     open_failures: int = 0
     next_open_ms: float = -math.inf
-    cool_down_until_ms: float = -math.inf
+    cooldown_until_ms: float = -math.inf
     recovered_ms: float = -math.inf
     was_down: bool = False
     permit_check_scheduled: bool = False
@@ -362,7 +362,7 @@
 
 @dataclass(slots=True)
 class Approval:
-    """Upstream or proxy that asks to join and that this proxy checks.
+    """Newcomer that this proxy checks: an upstream or a proxy.
 
     Parameters
     ----------
@@ -413,7 +413,7 @@
     last_conn_id, last_id : int
         Ids issued last.
     drain_started_ms : float, optional
-        When graceful shutdown started.
+        Time of the drain request.
     proxy_count : int
         Number of proxies in the published state, at least 1.
     outbox : list of Effect
