Name the voter sets and the leadership fields of consensus

Cause: ConsensusState.configs held voter sets under a word that means settings everywhere else; won did not say what was won; Progress.ack_ms did not say that it is the time of the last answer.

Ruled out: newcomer_id, which is the field of the answers that carry it; ack_round, which counts heartbeat rounds; the keys of describe, which are written to state dumps.

Change: voter_sets, leadership_won and last_answer_ms, with the locals voter_set_index and later_voter_sets. core/control/voters.py, testing/consensus_group.py and one assertion in tests/core/control/test_voters.py read the new names and check as before.

--- a/jackdawpost/core/consensus/leader.py
+++ b/jackdawpost/core/consensus/leader.py
@@ -38,7 +38,7 @@
     """
     state.role = 'leader'
     state.leader = state.name
-    state.won = False
+    state.leadership_won = False
     state.confirm_round = 0
     state.progress.clear()
     sync_progress(state, now_ms)
@@ -65,7 +65,7 @@
     active = {
         peer
         for peer, progress in state.progress.items()
-        if progress.ack_ms >= oldest_ms
+        if progress.last_answer_ms >= oldest_ms
     }
     return is_quorum(state, active | {state.name})
 
@@ -150,7 +150,7 @@
         progress.snapshot_transfer = None
     progress.newcomer_id = message.newcomer_id
     if not message.newcomer_id:
-        progress.ack_ms = now_ms
+        progress.last_answer_ms = now_ms
         progress.ack_round = max(progress.ack_round, message.round)
     return progress
 
@@ -184,11 +184,11 @@
     if term_at(state, index) != state.term:
         return
     advance_commit(state, index)
-    if not state.won:
-        state.won = True
+    if not state.leadership_won:
+        state.leadership_won = True
         state.outbox.append(LeadershipWon(term=state.term))
-    config_index, voter_set = state.configs[-1]
-    if state.name not in voter_set.voters and config_index <= index:
+    voter_set_index, voter_set = state.voter_sets[-1]
+    if state.name not in voter_set.voters and voter_set_index <= index:
         _trigger_successor_election(state)
         become_follower(state, now_ms, state.term, None)
 
@@ -214,7 +214,7 @@
 
 def report_confirmations(state: ConsensusState, now_ms: float) -> None:
     """Emit `LeadershipConfirmed` once a quorum has answered the round."""
-    if not state.won:
+    if not state.leadership_won:
         return
     if state.confirm_tokens:
         answered = {
@@ -243,14 +243,14 @@
 
 def promote_learner(state: ConsensusState, now_ms: float) -> None:
     """Promote the first learner that has caught up to a voter."""
-    config_index, current = state.configs[-1]
-    if not state.won or config_index > state.commit_index:
+    voter_set_index, current = state.voter_sets[-1]
+    if not state.leadership_won or voter_set_index > state.commit_index:
         return
     if state.transfer_target is not None:
         return
     for name in current.learners:
         progress = state.progress[name]
-        if progress.match_index < max(config_index, state.commit_index):
+        if progress.match_index < max(voter_set_index, state.commit_index):
             continue
         node_ids = dict(current.node_ids)
         if progress.newcomer_id:
--- a/jackdawpost/core/consensus/process.py
+++ b/jackdawpost/core/consensus/process.py
@@ -164,7 +164,7 @@
         rng=rng,
         node_id=restored.node_id,
         hard=hard,
-        configs=[(0, first_voters)],
+        voter_sets=[(0, first_voters)],
     )
     _restore_log(state, restored)
     is_single_voter = first_voters.voters == [cfg.name]
@@ -186,7 +186,7 @@
         state.snapshot = restored.snapshot
         state.snapshot_index = record.index
         state.snapshot_term = record.term
-        state.configs = [(record.index, record.voter_set)]
+        state.voter_sets = [(record.index, record.voter_set)]
         state.commit_index = record.index
         state.applied_index = record.index
         state.outbox.append(
@@ -394,7 +394,7 @@
     A process that joins later then reads it from the log and does not need
     the first voters in its settings.
     """
-    if state.role == 'leader' and state.won:
+    if state.role == 'leader' and state.leadership_won:
         append_voter_set(state, now_ms, state.voter_set)
     return _pop_effects(state, now_ms)
 
@@ -403,13 +403,13 @@
     state: ConsensusState, add: str | None, remove: str | None
 ) -> str:
     """Return why a voter change is refused, or an empty string."""
-    if state.role != 'leader' or not state.won:
+    if state.role != 'leader' or not state.leadership_won:
         return 'this process is not the leader'
     if state.transfer_target is not None:
         return 'a leadership transfer is in progress'
     if (add is None) == (remove is None):
         return 'expected exactly one process to add or to remove'
-    if state.configs[-1][0] > state.commit_index:
+    if state.voter_sets[-1][0] > state.commit_index:
         return 'an earlier voter change is not committed yet'
     members = [*state.voters, *state.learners]
     if add is not None and add in members:
@@ -467,7 +467,7 @@
             peer: {
                 'match': progress.match_index,
                 'next': progress.next_index,
-                'ack_ms': progress.ack_ms,
+                'ack_ms': progress.last_answer_ms,
                 'newcomer_id': progress.newcomer_id,
                 'gets_snapshot': progress.snapshot_transfer is not None,
             }
--- a/jackdawpost/core/consensus/roles.py
+++ b/jackdawpost/core/consensus/roles.py
@@ -13,7 +13,7 @@
     state: ConsensusState, now_ms: float, term: int, leader: str | None
 ) -> None:
     """Become a follower in `term`, ending any candidacy or leadership."""
-    if state.won:
+    if state.leadership_won:
         state.outbox.append(LeadershipLost(term=state.term))
     if term > state.term:
         state.hard.term = term
@@ -23,7 +23,7 @@
     was_leader = state.role == 'leader'
     state.role = 'follower'
     state.leader = leader
-    state.won = False
+    state.leadership_won = False
     state.pre_vote_term = 0
     state.votes.clear()
     state.progress.clear()
--- a/jackdawpost/core/consensus/sending.py
+++ b/jackdawpost/core/consensus/sending.py
@@ -27,7 +27,9 @@
     for peer in sorted(members):
         if peer not in state.progress:
             state.progress[peer] = Progress(
-                next_index=state.last_index + 1, ack_ms=now_ms, probing=True
+                next_index=state.last_index + 1,
+                last_answer_ms=now_ms,
+                probing=True,
             )
 
 
--- a/jackdawpost/core/consensus/state.py
+++ b/jackdawpost/core/consensus/state.py
@@ -101,7 +101,7 @@
         Highest index known to be durable at the peer.
     next_index : int
         Index of the next entry to send.
-    ack_ms : float
+    last_answer_ms : float
         Time of the peer's last answer in this term, or of the start of
         tracking. Answers of a peer that may not vote are not included.
     ack_round : int
@@ -119,7 +119,7 @@
     """
 
     next_index: int
-    ack_ms: float
+    last_answer_ms: float
     match_index: int = 0
     ack_round: int = 0
     in_flight: int = 0
@@ -185,7 +185,7 @@
     hard: HardState
     # Voter sets, each with the index of its log entry; the last one is in
     # force. The first comes from the settings (index 0) or the snapshot.
-    configs: list[tuple[int, VoterSet]]
+    voter_sets: list[tuple[int, VoterSet]]
     role: Literal['follower', 'candidate', 'leader'] = 'follower'
     leader: str | None = None
     commit_index: int = 0
@@ -225,12 +225,12 @@
     votes: set[str] = field(default_factory=set)
     bootstrap_ids: dict[str, str] = field(default_factory=dict)
 
-    # Leadership. `won` is set once an entry of the current term is committed.
-    # `confirm_tokens` are the confirmations that wait for answers to
-    # `confirm_round`; `next_confirm_tokens` wait for the round after it.
+    # Leadership. `leadership_won` is set once an entry of the current term is
+    # committed. `confirm_tokens` are the confirmations that wait for answers
+    # to `confirm_round`; `next_confirm_tokens` wait for the round after it.
     progress: dict[str, Progress] = field(default_factory=dict)
     heartbeat_due_ms: float = math.inf
-    won: bool = False
+    leadership_won: bool = False
     heartbeat_round: int = 0
     confirm_round: int = 0
     confirm_tokens: list[int] = field(default_factory=list)
@@ -252,7 +252,7 @@
     @property
     def voter_set(self) -> VoterSet:
         """Voter set in force: the last one in the log, committed or not."""
-        return self.configs[-1][1]
+        return self.voter_sets[-1][1]
 
     @property
     def voters(self) -> list[str]:
@@ -305,7 +305,7 @@
     """Append an entry to the log; a voter set is in force at once."""
     state.log.append(entry)
     if entry.entry_type == VOTERS_ENTRY:
-        state.configs.append((entry.index, decode_voter_set(entry.payload)))
+        state.voter_sets.append((entry.index, decode_voter_set(entry.payload)))
         admit_by_voter_set(state)
 
 
@@ -327,8 +327,8 @@
             f'{state.commit_index} are committed, but the leader sent others'
         )
     del state.log[index - state.snapshot_index - 1 :]
-    while state.configs[-1][0] >= index:
-        state.configs.pop()
+    while state.voter_sets[-1][0] >= index:
+        state.voter_sets.pop()
     state.dirty_from = min(state.dirty_from, index)
     state.durable_index = min(state.durable_index, index - 1)
 
@@ -341,14 +341,14 @@
     keep_from = record.index - state.snapshot_index
     if term_at(state, record.index) == record.term:
         del state.log[:keep_from]
-        later_configs = [
-            item for item in state.configs if item[0] > record.index
+        later_voter_sets = [
+            item for item in state.voter_sets if item[0] > record.index
         ]
     else:
         state.log.clear()
-        later_configs = []
+        later_voter_sets = []
         state.durable_index = min(state.durable_index, state.commit_index)
-    state.configs = [(record.index, record.voter_set), *later_configs]
+    state.voter_sets = [(record.index, record.voter_set), *later_voter_sets]
     state.snapshot_index = record.index
     state.snapshot_term = record.term
     state.dirty_from = max(state.dirty_from, record.index + 1)
@@ -366,9 +366,9 @@
 
 def voter_set_at(state: ConsensusState, index: int) -> VoterSet:
     """Return the voter set that was in force at `index`."""
-    found = state.configs[0][1]
-    for config_index, voter_set in state.configs:
-        if config_index <= index:
+    found = state.voter_sets[0][1]
+    for voter_set_index, voter_set in state.voter_sets:
+        if voter_set_index <= index:
             found = voter_set
     return found
 
--- a/jackdawpost/core/control/voters.py
+++ b/jackdawpost/core/control/voters.py
@@ -31,14 +31,14 @@
 def advance_voters(state: ControlState) -> None:
     """Propose one change of the voter set if it is needed."""
     core = state.consensus
-    if not state.cfg.voter_target or not core.won:
+    if not state.cfg.voter_target or not core.leadership_won:
         return
     if state.now_ms < state.voters_due_ms:
         return
     state.voters_due_ms = state.now_ms + CHANGE_INTERVAL_MS
-    if core.configs[-1][0] > core.commit_index:
+    if core.voter_sets[-1][0] > core.commit_index:
         return
-    if core.configs[-1][0] == 0:
+    if core.voter_sets[-1][0] == 0:
         # The settings give only the initial voters; from the first leader on,
         # the log records them.
         state.consensus_effects.extend(
@@ -107,7 +107,7 @@
     progress = state.consensus.progress.get(name)
     if progress is None or name == state.cfg.name:
         return False
-    return state.now_ms >= progress.ack_ms + VOTER_TIMEOUT_MS
+    return state.now_ms >= progress.last_answer_ms + VOTER_TIMEOUT_MS
 
 
 def known_peers(state: ControlState) -> list[str]:
--- a/jackdawpost/testing/consensus_group.py
+++ b/jackdawpost/testing/consensus_group.py
@@ -269,7 +269,7 @@
             for name, member in self.members.items()
             if member.state is not None
             and member.state.role == 'leader'
-            and member.state.won
+            and member.state.leadership_won
         ]
         return max(leaders)[1] if leaders else None
 
--- a/jackdawpost/tests/core/control/test_voters.py
+++ b/jackdawpost/tests/core/control/test_voters.py
@@ -42,7 +42,7 @@
     # the settings.
     cluster = _start()
     for state in cluster.controls.values():
-        assert state.consensus.configs[-1][0] > 0
+        assert state.consensus.voter_sets[-1][0] > 0
 
 
 def test_voter_that_lost_its_disk_votes_again():
