--- a/jackdawpost/core/control/admin.py
+++ b/jackdawpost/core/control/admin.py
@@ -39,7 +39,7 @@
     is_open : bool
         The connection has been established.
     request_id : int, optional
-        Identifier of the request in flight.
+        Id of the request in flight.
     answer_due_ms : float
         Time at which the request in flight times out.
     retry_at_ms : float
@@ -61,10 +61,9 @@
     Parameters
     ----------
     next_conn : int
-        Identifier of the next connection. Identifiers are negative and
-        decrease.
+        Id of the next connection; ids are negative and decrease.
     next_request : int
-        Identifier of the next request.
+        Id of the next request.
     links : dict of str to AdminLink
         Links by upstream.
     conns : dict of int to str
@@ -125,7 +124,7 @@
     if link.conn is None:
         return []
     admin.conns.pop(link.conn, None)
-    return [Close(conn=link.conn, reason='connection no longer needed')]
+    return [Close(conn=link.conn, reason='done')]
 
 
 def _advance_link(
@@ -159,9 +158,7 @@
 ) -> list[Effect]:
     assert link.conn is not None
     admin.conns.pop(link.conn, None)
-    effect = Close(
-        conn=link.conn, reason='admin request timed out', abort=True
-    )
+    effect = Close(conn=link.conn, reason='no answer', abort=True)
     _schedule_reconnect(link, now_ms)
     return [effect]
 
