Reword comments and error texts of the platform adapter after a second reading

A new reader stumbled over comments that claimed more than the code does: the bounds of the first election were said to cover two trips between regions, the HTTP time limit was said to bound how long a slow peer holds memory although it bounds each wait for data, and the reload was said to dispatch the settings although it dispatches the seeds only. The comment on a database's report number no longer said that `born` identifies the incarnation; this is restored. Error texts named the accepted value in several forms; they now say "expected ...". A reset connection is reported as 'connection reset', as in wire/stream.py.

The fields of a STATUS row keep the name "term held": the stand-in sends 0 there, so that the code does not show what it means.

REQUEST_TIMEOUT_S becomes READ_TIMEOUT_S, START_S and TEXT in the tests START_TIMEOUT_S and SETTINGS_TOML.

--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -43,20 +43,22 @@
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 500
 ELECTION_MAX_MS = 900
-# Covers a pre-vote and a vote: two trips between regions and a disk write.
+# Bounds of the election timeout until the first contact with a leader. A
+# pre-vote and a vote take two trips between regions and a disk write.
 FIRST_ELECTION_MIN_MS = 40
 FIRST_ELECTION_MAX_MS = 150
 LEASE_MS = 2_000
-# Longest time for which a proxy that is suspended or disconnected can delay
-# an operation that needs the approval of all members.
+# A silent member is removed after this time. It limits how long a suspended or
+# disconnected proxy can delay an operation that needs the approval of all
+# members.
 MEMBER_EXPIRY_MS = 2_500
 # Databases report every one or two seconds. A crashed one may restart before
 # it is removed.
 UPSTREAM_EXPIRY_MS = 60_000
 # Time for which reports of a failed upstream must persist. Proxies report an
-# upstream as silent after 450 ms without an answer, and as refusing right
-# after a failed connection attempt; this adds the time in which the reports
-# of most proxies arrive.
+# upstream as silent after 450 ms without an answer, and as refused right after
+# a failed connection attempt; this adds the time in which the reports of most
+# proxies arrive.
 REFUSED_MS = 150
 SILENT_MS = 150
 SNAPSHOT_ENTRIES = 500
--- a/jackdawpost/platform/control_api.py
+++ b/jackdawpost/platform/control_api.py
@@ -34,7 +34,7 @@
 CONFIG_PATH = '/config'
 INSTANCES_PATH = '/instances/'
 PROMOTE_PATH = '/promote'
-# Clients try another control process after 1 s, well before this time-out.
+# Clients try another control process after 1 s, well before this timeout.
 REPLY_TIMEOUT_S = 5.0
 # The platform answers after the promotion, which takes up to a second.
 PROMOTION_TIMEOUT_S = 2.5
@@ -73,7 +73,11 @@
         except ProtocolError as exc:
             return _error_response(HTTPStatus.BAD_REQUEST, [str(exc)])
         if decoded_request is None:
-            text = f'{request.method} {request.path!r:.80} is not served'
+            text = (
+                f'{request.method} {request.path!r:.80} is not served, '
+                'expected GET or PUT of /config, or PUT or DELETE of '
+                '/instances/NAME'
+            )
             return _error_response(HTTPStatus.NOT_FOUND, [text])
         reply = await self._dispatch(decoded_request)
         return self._encode(request, reply)
--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -74,8 +74,8 @@
     slots: int = Field(default=0, ge=0)
     state: Literal['ready', 'draining']
     role: Literal['primary', 'replica'] = Field(alias='dbRole')
-    # Number of the report, counted from the start of the database. `born` is
-    # the time of that start.
+    # Number of the report within one incarnation of the database. `born`, the
+    # Unix time of its start in ms, identifies the incarnation.
     sequence: int = Field(ge=0)
     born: int = Field(default=0, ge=0)
 
@@ -173,9 +173,9 @@
 
 
 def decode_departure(body: bytes) -> int | None:
-    """Return which incarnation of a database ends, as its start time in ms.
+    """Return the start time in ms of the incarnation of a database that ends.
 
-    None if the body does not name one: the present incarnation ends then.
+    None if the body does not name one; the current incarnation ends then.
     """
     if not body:
         return None
--- a/jackdawpost/platform/edge.py
+++ b/jackdawpost/platform/edge.py
@@ -51,7 +51,7 @@
 BALANCER_REMOVAL_MS = 2_300
 # Reserve at the end of the grace period, in which answers in transit reach
 # the callers. It is at most the last sixth of the period, because the platform
-# expects statements to be answered until then.
+# expects statements to be answered until that sixth begins.
 EXIT_MARGIN_MS = 700
 EXIT_MARGIN_SHARE = 1 / 6
 # Share of the time limit `drainMs` for which a leaving primary still receives
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -27,8 +27,9 @@
 READ_BYTES = 65_536
 # The platform's largest configuration fits, with room for growth.
 MAX_BODY_BYTES = 2 << 20
-# Limits how long a slow peer holds memory; it blocks no other connection.
-REQUEST_TIMEOUT_S = 10.0
+# Longest wait for more data from a peer. A slow peer blocks no other
+# connection, but holds memory.
+READ_TIMEOUT_S = 10.0
 
 
 class HttpError(ProtocolError):
@@ -63,7 +64,7 @@
 async def serve_http(host: str, port: int, handler: RequestHandler) -> None:
     """Serve HTTP requests until cancelled.
 
-    A network or protocol error ends only its own connection.
+    A network or protocol error ends only the connection on which it occurs.
 
     Raises
     ------
@@ -125,7 +126,7 @@
     while True:
         event = conn.next_event()
         if event is h11.NEED_DATA:
-            with trio.fail_after(REQUEST_TIMEOUT_S):
+            with trio.fail_after(READ_TIMEOUT_S):
                 conn.receive_data(await stream.receive_some(READ_BYTES))
         elif isinstance(event, h11.Request):
             request_head = event
@@ -133,7 +134,7 @@
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 raise h11.RemoteProtocolError(
-                    'request body is longer than 2 MiB',
+                    'request body is too long, expected at most 2 MiB',
                     error_status_hint=413,
                 )
         elif isinstance(event, h11.EndOfMessage) and request_head is not None:
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -41,7 +41,7 @@
 READ_BYTES = 65_536
 MS_PER_SECOND = 1_000
 LINE_END = b'\r\n'
-NO_ID = '-'
+NO_ID = '-'  # of statements that this process sends on its own behalf
 NO_POSITION = '-'
 # Error handler of str codecs that passes on invalid UTF-8 unchanged.
 _UTF8_ERRORS = 'surrogateescape'
@@ -55,7 +55,7 @@
 }
 _STATE_KEYWORDS = {state: keyword for keyword, state in _STATES.items()}
 
-# Failure codes of `Failed` by the error codes of the line protocol.
+# Codes of `Failed` by the error keywords of the line protocol.
 _ERROR_CODES = {
     'BUSY': 'overloaded',
     'ABORTED': 'aborted',
@@ -72,6 +72,7 @@
 }
 _ERROR_KEYWORDS = {code: keyword for keyword, code in _ERROR_CODES.items()}
 
+# Statements of the internal actions that have neither a name nor an argument.
 _INTERNAL_STATEMENTS: dict[str, str] = {
     'begin': 'BEGIN',
     'begin_read': 'BEGIN READ',
@@ -160,7 +161,9 @@
 
     def _decode_line(self, line: str) -> Any:
         if '\n' in line or '\r' in line:
-            raise FrameError(f'line break inside {line!r:.80}')
+            raise FrameError(
+                f'malformed line {line!r:.80}, expected CR LF only at its end'
+            )
         keyword, _, rest = line.partition(' ')
         decoder = self._decoders.get(keyword)
         if decoder is None:
@@ -273,8 +276,9 @@
 def decode_status(row: str) -> UpstreamStatus:
     """Decode the row that a database returns for ``STATUS``.
 
-    Its fields are role, term, position received, term held, replication lag
-    in ms, slots in use and open connections. Only the first three are read.
+    Its fields are role, term, last position received, term held, replication
+    lag in ms, number of slots in use and number of open connections. Only the
+    first three are read.
 
     Raises
     ------
@@ -326,9 +330,9 @@
         self._buffer = bytearray()
 
     async def receive(self) -> bytes:
-        """Wait for a complete line and return all that have arrived.
+        """Wait for a complete line and return all complete lines received.
 
-        The line ends are included.
+        The lines are returned with their line ends.
 
         Raises
         ------
@@ -344,7 +348,7 @@
                 del self._buffer[: end + len(LINE_END)]
                 return lines
             if len(self._buffer) > MAX_MESSAGE_BYTES:
-                raise FrameError('line is longer than 1 MiB')
+                raise FrameError('line is too long, expected at most 1 MiB')
             if self._writer.closed:
                 raise LinkClosedError('connection closed')
             try:
@@ -353,7 +357,7 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ) as exc:
-                raise LinkClosedError(str(exc) or 'reset') from exc
+                raise LinkClosedError(str(exc) or 'connection reset') from exc
             if not data:
                 raise LinkClosedError('connection closed by peer')
             self._buffer += data
--- a/jackdawpost/platform/program.py
+++ b/jackdawpost/platform/program.py
@@ -30,8 +30,8 @@
     Returns
     -------
     int
-        Exit code: `EXIT_USAGE` for invalid settings, `EXIT_FAILED` if the
-        daemon failed.
+        Exit code of the daemon; `EXIT_USAGE` if the settings are invalid,
+        `EXIT_FAILED` if the daemon failed.
     """
     try:
         settings = load()
--- a/jackdawpost/platform/reload.py
+++ b/jackdawpost/platform/reload.py
@@ -35,7 +35,7 @@
 def watch_settings(shell: ReducerShell) -> Callable[[], object]:
     """Return a coroutine function that reloads the settings until cancelled.
 
-    It dispatches the new settings to the shell of the process.
+    After each reload it dispatches the seeds to the shell of the process.
     """
     path = settings_path()
 
--- a/jackdawpost/platform/settings.py
+++ b/jackdawpost/platform/settings.py
@@ -30,7 +30,7 @@
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(':')
     if not host or not port.isdecimal():
-        raise ValueError('address must have the form IP:PORT')
+        raise ValueError('expected IP:PORT')
     return value
 
 
--- a/jackdawpost/tests/platform/test_http.py
+++ b/jackdawpost/tests/platform/test_http.py
@@ -85,10 +85,10 @@
 
 
 async def test_truncated_request_is_not_handled(nursery):
-    seen = []
+    handled = []
 
     async def serve(request):
-        seen.append(request)
+        handled.append(request)
         return HttpResponse(200)
 
     port = await _start_server(nursery, serve)
@@ -98,7 +98,7 @@
     )
     await stream.aclose()
     await trio.sleep(0.1)
-    assert not seen
+    assert not handled
 
 
 async def test_request_without_response_times_out(nursery):
--- a/jackdawpost/tests/platform/test_programs.py
+++ b/jackdawpost/tests/platform/test_programs.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).parents[3]
 HOST = '127.0.0.1'
-START_S = 20.0
+START_TIMEOUT_S = 20.0
 
 
 def _find_free_ports(count):
@@ -98,7 +98,7 @@
 
 async def _retry_until_ok(send):
     """Repeat an HTTP request until the response has status 200."""
-    deadline = time.monotonic() + START_S
+    deadline = time.monotonic() + START_TIMEOUT_S
     while True:
         try:
             response = await send()
--- a/jackdawpost/tests/platform/test_settings.py
+++ b/jackdawpost/tests/platform/test_settings.py
@@ -15,7 +15,7 @@
 
 ROOT = Path(__file__).parents[3]
 
-TEXT = """
+SETTINGS_TOML = """
 nodeName = "core-rvk-a-1"
 role = "control"
 ip = "10.1.0.10"
@@ -48,7 +48,7 @@
 
 
 def test_settings_are_decoded(tmp_path):
-    settings = _load(tmp_path, TEXT.format(bootstrap='true'))
+    settings = _load(tmp_path, SETTINGS_TOML.format(bootstrap='true'))
     assert seed_hosts(settings) == ('10.1.0.10', '10.2.0.7', '10.3.0.8')
     cfg = build_config(settings)
     assert (cfg.host, cfg.port) == ('10.1.0.10', 8784)
@@ -59,7 +59,7 @@
 def test_statements_in_flight_have_five_sixths_of_the_grace_period(
     tmp_path, grace_s
 ):
-    text = TEXT.format(bootstrap='true').replace(
+    text = SETTINGS_TOML.format(bootstrap='true').replace(
         'graceS = 6', f'graceS = {grace_s}'
     )
     cfg = build_config(_load(tmp_path, text))
@@ -68,7 +68,7 @@
 
 
 def test_error_names_every_invalid_value(tmp_path):
-    text = TEXT.format(bootstrap='true')
+    text = SETTINGS_TOML.format(bootstrap='true')
     text = text.replace('"10.1.0.10:8784"', '"nowhere"')
     text = text.replace('nodeName = "core-rvk-a-1"', '')
     with pytest.raises(ConfigError) as caught:
@@ -80,8 +80,8 @@
 def test_empty_disk_bootstraps_the_group_only_at_the_first_start(tmp_path):
     # Guards against a process that lost its disk and then forms a second
     # group, or votes without knowing its earlier votes.
-    first = _load(tmp_path, TEXT.format(bootstrap='true'))
-    later = _load(tmp_path, TEXT.format(bootstrap='false'))
+    first = _load(tmp_path, SETTINGS_TOML.format(bootstrap='true'))
+    later = _load(tmp_path, SETTINGS_TOML.format(bootstrap='false'))
     empty_disk, used_disk = tmp_path / 'empty', tmp_path / 'kept'
     used_disk.mkdir()
     (used_disk / 'node_id').write_text('x')
