State what the settings models accept in one form

They now say "expected", too. The docstring of TlsSettings said that the process identifies itself with all three files; the authority is not one of them. No description= changes, so that the settings page stays as it is.

Measured: tests of settings, cli and runtime and test_pages pass.

--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -45,7 +45,7 @@
 
 
 class TlsSettings(SettingsModel):
-    """Paths of the PEM files with which this process identifies itself.
+    """Paths of PEM files: certificate and key of this process, and authority.
 
     The common name of the certificate is ``ROLE.NAME``, for example
     ``proxy.proxy-1``. The authority signs the certificates of all roles.
@@ -150,24 +150,24 @@
     def _check_relations(self) -> ControlSettings:
         if self.name not in {peer.name for peer in self.peers}:
             raise ValueError(
-                f'peers must include this process, named {self.name!r}'
+                f'expected peers to include this process, named {self.name!r}'
             )
         if len(self.peers) % 2 == 0:
-            raise ValueError('peers must list 1, 3, 5 or 7 processes')
+            raise ValueError('expected 1, 3, 5 or 7 peers')
         if (
             self.lease_ms
             < MIN_LEASE_REPORT_INTERVALS * self.report_interval_ms
         ):
             raise ValueError(
-                'lease_ms must be at least '
+                'expected lease_ms of at least '
                 f'{MIN_LEASE_REPORT_INTERVALS} times report_interval_ms'
             )
         if self.election_min_ms < 4 * self.heartbeat_ms:
             raise ValueError(
-                'election_min_ms must be at least 4 times heartbeat_ms'
+                'expected election_min_ms of at least 4 times heartbeat_ms'
             )
         if self.election_max_ms <= self.election_min_ms:
-            raise ValueError('election_max_ms must exceed election_min_ms')
+            raise ValueError('expected election_max_ms above election_min_ms')
         return self
 
 
