Call an incomplete last record the same everywhere in the storage

`may_be_torn` was the only place that said "torn"; it becomes `last_may_be_incomplete`, after the term in the docstrings. The comment on a failed write now says what is remembered until its rollback succeeds. The test of a missing file says again that a part of the stored state would be lost. Locals `last` and `hard` of the tests get the names of what they hold.

--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -72,8 +72,8 @@
         self._log_length = 0
         self._sequence = 0
         self._content = _LogContent()
-        # Files and log data of a write that did not succeed. They are kept
-        # until its rollback succeeds.
+        # Files and log data that a failed write may have left in the folder.
+        # They are remembered here until the rollback of the write succeeds.
         self._unfinished_files: list[str] = []
         self._has_unfinished_append = False
 
@@ -119,7 +119,7 @@
         self._lock_fd = -1
 
     def write(self, effect: Persist) -> None:
-        """Write and sync atomically.
+        """Write and sync an effect atomically.
 
         Raises
         ------
@@ -174,7 +174,9 @@
     def _load_log(self) -> None:
         path = self._log_path(self._sequence)
         content = _read_file(path)
-        payloads, length = read_records(path, content, may_be_torn=True)
+        payloads, length = read_records(
+            path, content, last_may_be_incomplete=True
+        )
         if not payloads:
             raise StorageCorruptError(
                 path, len(FILE_HEADER), 'expected at least one record'
@@ -223,7 +225,7 @@
                 raw = _read_file(path)
             except FileNotFoundError as exc:
                 raise StorageError(f'{path}: file is missing') from exc
-            payloads, _ = read_records(path, raw, may_be_torn=False)
+            payloads, _ = read_records(path, raw, last_may_be_incomplete=False)
             if len(payloads) != 1:
                 raise StorageCorruptError(
                     path, 0, 'expected exactly one snapshot record'
--- a/jackdawpost/storage/records.py
+++ b/jackdawpost/storage/records.py
@@ -54,7 +54,7 @@
 
 
 def read_records(
-    path: str, content: bytes, may_be_torn: bool
+    path: str, content: bytes, last_may_be_incomplete: bool
 ) -> tuple[list[bytes], int]:
     """Return the payloads of all records of a file.
 
@@ -64,7 +64,7 @@
         Path of the file, for error messages.
     content : bytes
         Whole content of the file.
-    may_be_torn : bool
+    last_may_be_incomplete : bool
         Accept and ignore an incomplete last record, which a crash during a
         write leaves.
 
@@ -85,7 +85,9 @@
     while offset < len(content):
         payload = _read_record(content, offset)
         if payload is None:
-            if may_be_torn and not _has_record_after(content, offset):
+            if last_may_be_incomplete and not _has_record_after(
+                content, offset
+            ):
                 break
             raise StorageCorruptError(path, offset, 'checksum mismatch')
         payloads.append(payload)
--- a/jackdawpost/tests/storage/test_durable_store.py
+++ b/jackdawpost/tests/storage/test_durable_store.py
@@ -229,8 +229,8 @@
     log = _log_file(tmp_path / 'a')
     content = log.read_bytes()
     _write_to_new_store(tmp_path / 'b', WRITES[:2])
-    last = _log_file(tmp_path / 'b').stat().st_size
-    for offset in range(last):
+    last_record_offset = _log_file(tmp_path / 'b').stat().st_size
+    for offset in range(last_record_offset):
         damaged = bytearray(content)
         damaged[offset] ^= 0xFF
         log.write_bytes(damaged)
@@ -409,7 +409,7 @@
 
 @pytest.mark.parametrize('missing', ['log-', 'node_id', 'snapshot-'])
 def test_missing_file_is_rejected(tmp_path, missing):
-    """Guards against the use of a folder from which files were removed."""
+    """Guards against a start with only a part of the stored state."""
     _write_to_new_store(tmp_path, WRITES)
     for name in os.listdir(tmp_path):
         if name.startswith(missing):
@@ -470,8 +470,8 @@
 
 def test_long_log_is_restored_in_time(tmp_path):
     """Guards against a restart that takes longer than 2 s."""
-    hard = encode_hard_state(HardState(1, None, 'a'))
-    writes = [Persist(token=1, hard_state=hard)]
+    hard_state = encode_hard_state(HardState(1, None, 'a'))
+    writes = [Persist(token=1, hard_state=hard_state)]
     for index in range(1, 1_001):
         entry = _entry(index, payload=bytes(500))
         writes.append(Persist(token=index + 1, entries=[entry]))
