Reword the history checker, the fuzzer and the trace comparison

The docstring of _check_read read as if sessions acknowledged writes; the form of the index of acknowledged writes was not explained; the fuzzer's docstring did not mention the fixed edge cases. Two texts say "expected" in place of "valid is". The texts for an unknown format or role of a trace stay, because test_traces.py matches them.

The check prints NAME valid: the word leaves these two texts.

--- a/jackdawpost/testing/caller_fuzz.py
+++ b/jackdawpost/testing/caller_fuzz.py
@@ -1,7 +1,8 @@
 """Fuzzing of the caller connections of a proxy.
 
 `frames` is a Hypothesis strategy for lists of valid, malformed and truncated
-frames; `check_frames` sends them to a proxy and checks its answers.
+frames and of the fixed `EDGE_CASE_FRAMES`. `check_frames` sends such a list to
+a proxy and checks its answers.
 """
 
 from __future__ import annotations
--- a/jackdawpost/testing/history.py
+++ b/jackdawpost/testing/history.py
@@ -189,6 +189,7 @@
     return violations
 
 
+# End time in ms and number of each acknowledged write, by group and session.
 Acknowledged = Mapping[tuple[str, str], list[tuple[float, int]]]
 
 
@@ -206,9 +207,9 @@
 ) -> list[Violation]:
     """Check an answer, its age, and the acknowledged writes that it includes.
 
-    A read must include the writes that its own session had acknowledged
-    before it started. Of another session it may lack those acknowledged within
-    the accepted age before its start.
+    A read must include the writes of its own session that were acknowledged
+    before it started. It may lack writes of another session that were
+    acknowledged within the accepted age before its start.
     """
     label = f'{read.group} {read.session} at {read.started_ms:.1f} ms'
     violations = []
@@ -220,7 +221,7 @@
         violations.append(
             Violation(
                 'age_not_kept',
-                f'{label}: age_ms {read.age_ms}, valid is up to '
+                f'{label}: age_ms {read.age_ms}, expected at most '
                 f'{read.max_age_ms}',
             )
         )
--- a/jackdawpost/testing/traces.py
+++ b/jackdawpost/testing/traces.py
@@ -168,7 +168,7 @@
         }
         lines = _find_matching_lines(candidates, answer_effect)
         if len(lines) != 1:
-            return f'answer {pattern}: matches lines {lines}, valid is one'
+            return f'answer {pattern}: matches lines {lines}, expected one'
     for pattern in outcome.must:
         if not _find_matching_lines(candidates, pattern):
             return f'must: no effect matches {pattern}'
