Mend the wording of the soak test on a second reading

A reader stumbled over a module docstring that a rename had turned into "SoakRun one fault plan", over classes described in the imperative where the rest of the code uses the third person, and over "guarantees" and "invariants" for the same thing. Some texts did not say what the code does: a fault starts after the start of the traffic, an answer can also be malformed, and a report that an incarnation has ended goes to one control process.

Error texts now name what is expected. The kinds before the colon, the names of kept files, seeds, lengths, draws and weights are unchanged.

PROMOTION_S is now PROMOTION_DURATION_S.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the soak test."""
+"""Runs the fault-injection soak test with the given seeds."""
 
 from __future__ import annotations
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -53,7 +53,8 @@
         if the connection ended, ``'silent'`` after a timeout, a text that
         starts with ``'malformed'``, or empty while the operation is running.
     answered : list of str
-        Signatures (database and request id) of the successful statements.
+        Signatures ``DATABASE.REQUEST`` of the successful statements, with the
+        database that executed the statement and the request id.
     """
 
     database: str
@@ -70,7 +71,7 @@
 
 @dataclass
 class Recorder:
-    """Record the operations of all callers and assign request ids.
+    """Records the operations of all callers and assigns request ids.
 
     Parameters
     ----------
@@ -222,11 +223,11 @@
 
 
 def _record_answer(lines: list[str], operation: Operation) -> str:
-    """Return ``'done'`` or the error code; record the answer's signature."""
+    """Return the outcome and record the signature of a successful answer."""
     result = lines[-2] if len(lines) > 1 else ''
     if result.startswith('ERROR '):
         return result.split(' ')[1]
     if result.startswith('COMPLETE'):
         operation.answered.append(result.partition(' ')[2])
         return 'done'
-    return f'malformed answer {lines}'
+    return f'malformed answer {lines}, expected COMPLETE or ERROR before READY'
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -84,7 +84,7 @@
 
 
 class Cluster:
-    """Start, signal and kill the processes of one deployment, and no others.
+    """Starts, signals and kills the processes of one deployment only.
 
     Parameters
     ----------
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -46,7 +46,7 @@
 
 
 def find_violations(evidence: Evidence) -> list[str]:
-    """Return a description of each violation of the guarantees."""
+    """Return a description of each violation of an invariant."""
     return [
         *_find_duplicate_commits(evidence),
         *_find_mixed_commits(evidence),
@@ -99,7 +99,7 @@
 def _find_committed_failures(evidence: Evidence) -> list[str]:
     committed = set(_request_ids([*evidence.log, *evidence.rolled_back]))
     return [
-        f'committed: after an error or a rollback: {operation}'
+        f'committed: writes of a failed or rolled back operation: {operation}'
         for operation in evidence.operations
         if operation.outcome in NO_COMMIT_CODES | {'rolled back'}
         and committed.intersection(operation.writes)
@@ -139,8 +139,8 @@
             needed = _needed_position(operation, acknowledged)
             if seen < needed:
                 violations.append(
-                    f'stale: {signature} was executed at {seen}, '
-                    f'needed {needed}: {operation}'
+                    f'stale: {signature} was executed at position {seen}, '
+                    f'expected at least {needed}: {operation}'
                 )
     return violations
 
@@ -192,7 +192,7 @@
     executed = {read.request for read in evidence.reads}
     executed |= set(_request_ids([*evidence.log, *evidence.rolled_back]))
     return [
-        f'unanswered: interrupted by the shutdown of {op.edge}: {op}'
+        f'unanswered: statement interrupted by the shutdown of {op.edge}: {op}'
         for op in evidence.operations
         if op.outcome == 'lost' and op.kind == 'single'
         for stop_s, exit_s in shutdowns.get(op.edge, [])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -73,10 +73,12 @@
     ----------
     kind : str
         Kind of the fault. ``stop``, ``kill``, ``pause`` and ``reload`` affect
-        edge processes, the ``order`` kinds promotions ordered from the
-        platform; the others start with the name of their target.
+        edge processes. The ``order`` kinds affect promotions that control
+        requests from the platform. The others start with the name of their
+        target.
     at_s, for_s : float
-        Start, in seconds after the start of the plan, and duration in seconds.
+        Start, in seconds after the start of the traffic, and duration in
+        seconds.
     target : int
         Index of the process, database or link, modulo their number.
     share : float
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's API, database reports and the operator."""
+"""Stand-ins for the platform's API, reports of databases and the operator."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 CONTROL_CALL_TIMEOUT_S = 1.0
 REPORT_INTERVAL_S = 0.4
-PROMOTION_S = 0.2
+PROMOTION_DURATION_S = 0.2
 LATE_PROMOTION_DELAY_S = 2.0  # the call itself gets no answer
 MAX_REDIRECTS = 2
 MEAN_CONFIG_INTERVAL_S = 1.0  # between two versions of the configuration
@@ -102,7 +102,7 @@
                 self._promote_after_delay, body['id'], token
             )
             await trio.sleep_forever()
-        await trio.sleep(PROMOTION_S)
+        await trio.sleep(PROMOTION_DURATION_S)
         promoted = self.group.promote(body['id'], token)
         if self.drops_answers:
             await trio.sleep_forever()
@@ -117,7 +117,7 @@
 
 @dataclass
 class DatabaseReporter:
-    """Send the status reports of one database to the control processes.
+    """Sends the status reports of one database to the control processes.
 
     Parameters
     ----------
@@ -130,7 +130,7 @@
     sequence : int
         Number of the last report of this incarnation.
     started_ms : int
-        Start of the incarnation in Unix time.
+        Start of the incarnation in Unix time, in milliseconds.
     """
 
     database: LineDatabase
@@ -156,7 +156,7 @@
             await trio.sleep(REPORT_INTERVAL_S)
 
     async def deregister(self) -> None:
-        """Notify the control processes that this incarnation has stopped."""
+        """Report to a control process that this incarnation has ended."""
         hosts = self.rng.sample(self.hosts, len(self.hosts))
         body = json.dumps({'born': self.started_ms}).encode()
         await call_control(hosts, 'DELETE', self._instance_path(), body)
@@ -192,7 +192,7 @@
 
 @dataclass
 class Operator:
-    """Send a sequence of configuration versions to the control processes.
+    """Sends a sequence of configuration versions to the control processes.
 
     Each version adds a route with a database name that no other version
     serves. A session started with that name shows that the version is in
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -26,8 +26,8 @@
     (
         2,
         15.0,
-        'not a fault of the product: a stand-in database reverted commits '
-        'that it had applied when its apply delay was increased, which made '
+        'not a fault of the product: when its apply delay was increased, a '
+        'stand-in database reverted commits that it had applied, which made '
         'reads look stale',
     ),
 )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -28,7 +28,7 @@
 
 @dataclass
 class Relay:
-    """Forward connections to a port, with the fault set by `mode`.
+    """Forwards connections to a port, with the fault set by `mode`.
 
     Blocked data is forwarded once the fault ends, like data that TCP
     retransmits after a network partition.
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,4 +1,4 @@
-"""SoakRun one fault plan against a deployment and check the invariants."""
+"""Runs one fault plan against a deployment and checks the invariants."""
 
 from __future__ import annotations
 
@@ -69,7 +69,7 @@
     seed : int
         Seed of the run's random generators.
     length_s : float
-        Length of the traffic with faults, in seconds.
+        Duration of the traffic with faults, in seconds.
     folder : Path
         Folder for the list of faults and the files of the processes.
     plan : list of Fault
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -1,4 +1,4 @@
-"""Tests of the checks of invariants: each must find its violation."""
+"""Tests that each check of an invariant finds its violation."""
 
 from __future__ import annotations
 
