Mend the wording of bench on a second reading

A reader stumbled over parameters documented under old names (SilentRelay, ends_s, take_port, holds), over results called figures in code and results in docstrings, and over three names for functions that write change sets.

FaultRun.figures is now measurements, the results of experiments are results, write_change_set is write_group_changes, PartitionRelay._copy is _forward as in soak.relay, and US_PER_S is US_PER_SECOND as in the other modules.

Two reasons are restored: credit is given by callers, and the proxy is suspended while the relay is measured. Two docstrings said less or other than the code: experiment_cost also measures configuration changes, and only connections of the target proxy for statements are counted.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,7 +1,7 @@
 """Starts and stops the processes of a deployment on the loopback interface.
 
-Only the experiments and tests use this module. The installed programs never
-start one another.
+Only the demo, the experiments and tests use this module. The installed
+programs never start one another.
 """
 
 from __future__ import annotations
@@ -178,7 +178,8 @@
     def fetch_json(self, name: str, path: str) -> tuple[int, Any]:
         """Return the HTTP status and the JSON body of a page of a program.
 
-        The status is 0 if the program does not answer.
+        The status is 0 if the program does not answer. The body is None
+        without an answer or with an error status.
         """
         url = f'http://{LOOPBACK}:{self.programs[name].port}{path}'
         try:
@@ -242,9 +243,9 @@
 def allocate_port() -> int:
     """Return a free TCP port outside the range of ephemeral ports.
 
-    While a process is down, an outgoing connection of another process could
-    use its port if that were an ephemeral one. The process could then not
-    start again. No port is returned twice.
+    An outgoing connection can occupy an ephemeral port while the process that
+    listens on it is down. The process then cannot start again. No port is
+    returned twice.
     """
     while True:
         port = random.SystemRandom().randrange(*LISTEN_PORT_RANGE)
--- a/bench/control_reducer_cost.py
+++ b/bench/control_reducer_cost.py
@@ -1,4 +1,4 @@
-"""Measures processor time and bytes sent of a control leader of any size.
+"""Measures processor time and sent bytes of a control leader at any scale.
 
 One control process, the only voter, receives the reports and announcements of
 many members within this process. The measurement covers the reducer and the
@@ -106,7 +106,7 @@
         self.now_ms = end_ms
 
     def open_connection(self, conn: int, link: Any) -> None:
-        """Report a new incoming connection."""
+        """Open an incoming connection."""
         self.apply_event(ConnOpened(now_ms=self.now_ms, conn=conn, link=link))
 
     def receive(self, conn: int, link: str, frame: bytes) -> None:
@@ -263,13 +263,12 @@
     }
 
 
-def _mean_us(spent_s: float, number: int) -> float:
-    return round(spent_s / max(1, number) * US_PER_SECOND, 1)
+def _mean_us(spent_s: float, count: int) -> float:
+    return round(spent_s / max(1, count) * US_PER_SECOND, 1)
 
 
 def read_own_rss_bytes() -> int:
-    """Return the resident memory of this process in bytes."""
-
+    """Return the resident memory of this process, in bytes."""
     return read_rss_bytes(os.getpid())
 
 
--- a/bench/cut_trace.py
+++ b/bench/cut_trace.py
@@ -22,13 +22,13 @@
 def minimize_lines(
     lines: list[str], is_sufficient: Callable[[list[str]], bool]
 ) -> list[str]:
-    """Remove lines that a predicate does not need, in chunks of falling size.
+    """Remove unneeded lines in chunks of decreasing size.
 
     Parameters
     ----------
     lines : list of str
         Lines of a trace. The first one, the header, is kept.
-    holds : callable
+    is_sufficient : callable
         Return whether a shortened list still has the wanted property.
     """
     minimized = list(lines)
--- a/bench/day_reports.py
+++ b/bench/day_reports.py
@@ -34,8 +34,8 @@
 class Part(_ReportModel):
     """Results of the requests of one kind, data centre or time window.
 
-    `credit` is the credit received as a share of the maximum. The `name` of a
-    time window is its first second.
+    `credit` is the credit that callers gave, as a share of the maximum. The
+    `name` of a time window is its first second.
     """
 
     name: str
@@ -151,7 +151,10 @@
         command = [str(bench), 'run', str(site), day, '--report', str(report)]
         result = subprocess.run(command, capture_output=True, text=True)
         if result.returncode:
-            print(f'{site.stem} {day}: exit code {result.returncode}')
+            print(
+                f'{site.stem} {day}: bench exited with code '
+                f'{result.returncode}, expected 0'
+            )
             print(result.stderr[-1_000:])
 
     with ThreadPoolExecutor(jobs) as pool:
--- a/bench/experiment_config.py
+++ b/bench/experiment_config.py
@@ -88,7 +88,8 @@
         answer = trio.run(send_request, self._cfg, request)
         if answer.status != 'accepted':
             raise RuntimeError(
-                f'change set {number} was not accepted: {answer}'
+                f'change set {number}: got {answer}, '
+                "expected the status 'accepted'"
             )
 
 
--- a/bench/experiment_cost.py
+++ b/bench/experiment_cost.py
@@ -1,8 +1,9 @@
 """Measures the cost of control traffic for several deployment sizes.
 
 It reads the processor time, memory and network bytes of control processes and
-proxies. No statements run, so the costs are those of reports, leases, probes,
-announcements and heartbeats only.
+proxies, first idle and then with configuration changes. No statements run, so
+the idle costs are those of reports, leases, probes, announcements and
+heartbeats only.
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
     )
     with run_cluster(scaled, database_settings={'latency_ms': 0}) as cluster:
         cluster.wait_healthy(cluster.names('control'))
-        apply_changes(cluster, _write_change_set(cluster), base_revision=0)
+        apply_changes(cluster, _write_group_changes(cluster), base_revision=0)
         cluster.wait_healthy(cluster.names('proxy'))
         wait_for_primaries(cluster)
         time.sleep(SETTLE_TIME_S)
@@ -76,7 +77,7 @@
     }
 
 
-def _write_change_set(cluster: Cluster) -> Any:
+def _write_group_changes(cluster: Cluster) -> Any:
     operations = [
         {
             'action': 'create',
--- a/bench/experiment_faults.py
+++ b/bench/experiment_faults.py
@@ -36,7 +36,7 @@
 # A leaving database still accepts statements during this time, so that late
 # statements are counted instead of refused.
 LEAVE_DELAY_MS = 4_000
-# Statements later than this after the start of the shutdown are counted.
+# Statements that end later than this after the shutdown began are counted.
 LEAVE_LIMIT_S = 2.0
 
 
@@ -52,7 +52,9 @@
     for relay in run.relays:
         relay.set_partitioned(True)
     await trio.sleep(PARTITION_S)
-    run.figures['healthy_in_partition'] = await _is_healthy(run, RELAYED_PROXY)
+    run.measurements['healthy_in_partition'] = await _is_healthy(
+        run, RELAYED_PROXY
+    )
     await _isolate_databases(run, primary, [], [])
     for relay in run.relays:
         relay.set_partitioned(False)
@@ -100,17 +102,17 @@
         async with trio.open_nursery() as nursery:
             for writer in writers:
                 await nursery.start(writer.run_transaction, resume)
-            run.figures['before'] = await _read_upstream_usage(run)
+            run.measurements['before'] = await _read_upstream_usage(run)
             run.cluster.kill(TARGET_PROXY)
             await _measure_release(run)
             resume.set()
-    run.figures['transactions'] = [w.outcomes for w in writers]
+    run.measurements['transactions'] = [w.outcomes for w in writers]
     run.cluster.start(TARGET_PROXY)
     await run.wait_healthy(TARGET_PROXY)
     await _wait_for_load_end(run)
-    run.figures['after'] = await _read_upstream_usage(run)
+    run.measurements['after'] = await _read_upstream_usage(run)
     dump = await run.fetch_json(TARGET_PROXY, '/dump')
-    run.figures['connections_of_successor'] = len(dump['connections'])
+    run.measurements['connections_of_successor'] = len(dump['connections'])
 
 
 async def _measure_release(run: FaultRun) -> None:
@@ -119,11 +121,14 @@
         if now_ms() - killed_ms > RELEASE_TIMEOUT_S * MS_PER_SECOND:
             break
         await trio.sleep(POLL_INTERVAL_S)
-    run.figures['released_after_ms'] = round(now_ms() - killed_ms)
+    run.measurements['released_after_ms'] = round(now_ms() - killed_ms)
 
 
 async def _read_upstream_usage(run: FaultRun) -> dict[str, int]:
-    """Sum the connections and slots in use over all databases."""
+    """Sum the connections and slots in use and the refusals of all databases.
+
+    Only connections of `TARGET_PROXY` for statements are counted.
+    """
     usage = {'connections_of_victim': 0, 'slots_in_use': 0, 'slot_refusals': 0}
     for name in run.cluster.names('database'):
         dump = await run.fetch_json(name, '/dump')
@@ -150,9 +155,9 @@
     run.cluster.resume(TARGET_PROXY)
     resumed_ms = now_ms()
     await run.wait_healthy(TARGET_PROXY)
-    run.figures['healthy_after_ms'] = round(now_ms() - resumed_ms)
+    run.measurements['healthy_after_ms'] = round(now_ms() - resumed_ms)
     await trio.sleep(SETTLE_TIME_S)
-    run.figures['promotions'] = await _count_promotions(run, before)
+    run.measurements['promotions'] = await _count_promotions(run, before)
 
 
 async def _read_terms(run: FaultRun) -> dict[str, int]:
@@ -180,17 +185,17 @@
 
 async def _suspend_control(run: FaultRun, suspended: str) -> None:
     before = await _read_terms(run)
-    run.figures['victim'] = suspended
-    run.figures['before'] = await run.find_control_leader()
+    run.measurements['victim'] = suspended
+    run.measurements['before'] = await run.find_control_leader()
     run.cluster.suspend(suspended)
     await trio.sleep(CONTROL_SUSPENDED_S)
-    run.figures['while_frozen'] = await run.find_control_leader(
+    run.measurements['while_frozen'] = await run.find_control_leader(
         excluded=suspended
     )
     run.cluster.resume(suspended)
     await trio.sleep(SETTLE_TIME_S)
-    run.figures['after_return'] = await run.find_control_leader()
-    run.figures['promotions'] = await _count_promotions(run, before)
+    run.measurements['after_return'] = await run.find_control_leader()
+    run.measurements['promotions'] = await _count_promotions(run, before)
 
 
 async def silence_proxy_connections(run: FaultRun) -> None:
@@ -208,13 +213,13 @@
             affected = await silence_peer(
                 run.cluster, primary, TARGET_PROXY, purpose
             )
-            run.figures[purpose] = {
+            run.measurements[purpose] = {
                 'silenced': affected,
                 'write_ms': [round(await writer.write()) for _ in range(5)],
                 'outcomes': writer.outcomes,
             }
     await trio.sleep(SETTLE_TIME_S)
-    run.figures['promotions'] = await _count_promotions(run, before)
+    run.measurements['promotions'] = await _count_promotions(run, before)
 
 
 async def stop_proxy(run: FaultRun) -> None:
@@ -226,7 +231,7 @@
         nursery.start_soon(_terminate_and_record_time, run, TARGET_PROXY)
         await trio.sleep(TRANSACTION_PAUSE_S)
         resume.set()
-    run.figures['transaction'] = writer.outcomes
+    run.measurements['transaction'] = writer.outcomes
     run.cluster.start(TARGET_PROXY)
     await run.wait_healthy(TARGET_PROXY)
 
@@ -234,7 +239,7 @@
 async def _terminate_and_record_time(run: FaultRun, name: str) -> None:
     started_ms = now_ms()
     code = await run.terminate(name)
-    run.figures.setdefault('stopped', {})[name] = {
+    run.measurements.setdefault('stopped', {})[name] = {
         'exit_code': code,
         'took_ms': round(now_ms() - started_ms),
     }
@@ -271,7 +276,7 @@
     # The counter includes a statement once it has ended.
     count_at_limit = max(c for at_s, c in counts if at_s <= LEAVE_LIMIT_S)
     last_s = next(at_s for at_s, c in counts if c == counts[-1][1])
-    run.figures.setdefault('leaving', {})[name] = {
+    run.measurements.setdefault('leaving', {})[name] = {
         'statements_after_bound': counts[-1][1] - count_at_limit,
         'last_statement_ms': round(last_s * MS_PER_SECOND),
         'observed_ms': round(counts[-1][0] * MS_PER_SECOND),
@@ -292,7 +297,7 @@
     run.cluster.kill(second.name)
     await trio.sleep(SETTLE_TIME_S * 1.5)
     third = await run.find_primary()
-    run.figures['primaries'] = [first, second, third]
+    run.measurements['primaries'] = [first, second, third]
     run.cluster.start(second.name)
     await run.wait_healthy(second.name)
 
@@ -300,14 +305,14 @@
 async def restart_control(run: FaultRun) -> None:
     """Restart the control processes one after another."""
     before = await _read_terms(run)
-    run.figures['before'] = await run.find_control_leader()
+    run.measurements['before'] = await run.find_control_leader()
     for name in run.cluster.names('control'):
         await _terminate_and_record_time(run, name)
         run.cluster.start(name)
         await run.wait_healthy(name)
     await trio.sleep(SETTLE_TIME_S)
-    run.figures['after'] = await run.find_control_leader()
-    run.figures['promotions'] = await _count_promotions(run, before)
+    run.measurements['after'] = await run.find_control_leader()
+    run.measurements['promotions'] = await _count_promotions(run, before)
 
 
 SCENARIOS: dict[str, Scenario] = {
--- a/bench/experiment_latency.py
+++ b/bench/experiment_latency.py
@@ -13,7 +13,7 @@
 from bench.cluster import run_cluster
 from bench.demo import prepare_cluster
 from bench.deployments import Deployment
-from bench.experiment_throughput import write_change_set
+from bench.experiment_throughput import write_group_changes
 from bench.failover import find_primaries
 from bench.load import create_tables
 from bench.load import route_of
@@ -34,7 +34,7 @@
 CONNECTIONS = 400
 SQL = 'select ?'
 TIMEOUT_MS = 10_000
-US_PER_S = 1_000_000
+US_PER_SECOND = 1_000_000
 
 _CODEC = FrameCodec(Opened, Executed)
 
@@ -51,18 +51,18 @@
         slots=SLOTS,
         connections=CONNECTIONS,
     )
-    figures = {}
+    results = {}
     with run_cluster(
         scaled, database_settings={'service_ms': 0, 'latency_ms': 0}
     ) as cluster:
-        prepare_cluster(cluster, write_change_set(cluster))
+        prepare_cluster(cluster, write_group_changes(cluster))
         trio.run(create_tables, cluster.proxy_addresses(), ['bench'])
         for callers in CALLERS:
-            figures[f'{callers} callers'] = {
+            results[f'{callers} callers'] = {
                 'proxy': trio.run(_run_proxied, cluster, callers, args),
                 'direct': trio.run(_run_direct, cluster, callers, args),
             }
-    return figures
+    return results
 
 
 async def _run_proxied(
@@ -80,7 +80,7 @@
                 started_s = trio.current_time()
                 await send_read(session)
                 elapsed_s = trio.current_time() - started_s
-                histogram.record_value(max(1, int(elapsed_s * US_PER_S)))
+                histogram.record_value(max(1, int(elapsed_s * US_PER_SECOND)))
 
     await _run_callers(run_caller, callers, args.seconds)
     return summarize_histogram(histogram)
@@ -111,7 +111,7 @@
                 link.post(encode_cbor([message]))
                 _CODEC.decode(await link.receive())
                 elapsed_s = trio.current_time() - started_s
-                histogram.record_value(max(1, int(elapsed_s * US_PER_S)))
+                histogram.record_value(max(1, int(elapsed_s * US_PER_SECOND)))
 
     await _run_callers(run_caller, callers, args.seconds)
     return summarize_histogram(histogram)
--- a/bench/experiment_share.py
+++ b/bench/experiment_share.py
@@ -85,8 +85,8 @@
     groups = list(deployment.groups)
     addresses = cluster.proxy_addresses()
     await create_tables(addresses, groups)
-    results: list[LoadResult] = []
-    figures: dict[str, Any] = {'capacity_per_s': capacity}
+    load_results: list[LoadResult] = []
+    results: dict[str, Any] = {'capacity_per_s': capacity}
     for number, load_level in enumerate(load_levels):
         plan = LoadPlan(
             addresses,
@@ -99,17 +99,17 @@
             seed=number,
         )
         result = await LoadGenerator(plan).run()
-        results.append(result)
-        figures[f'load {load_level:g}'] = _summarize_result(result)
+        load_results.append(result)
+        results[f'load {load_level:g}'] = _summarize_result(result)
     stored = await read_stored_rows(cluster)
-    history = results[0].history
-    for result in results[1:]:
+    history = load_results[0].history
+    for result in load_results[1:]:
         history.writes += result.history.writes
         history.reads += result.history.reads
     violations = check_history(history, stored)
-    figures['violations'] = [f'{v.rule}: {v.detail}' for v in violations]
-    figures['databases'] = _sum_limit_counters(cluster)
-    return figures
+    results['violations'] = [f'{v.rule}: {v.detail}' for v in violations]
+    results['databases'] = _combine_counters(cluster)
+    return results
 
 
 def _summarize_result(result: LoadResult) -> dict[str, Any]:
@@ -125,7 +125,7 @@
     }
 
 
-def _sum_limit_counters(cluster: Cluster) -> dict[str, Any]:
+def _combine_counters(cluster: Cluster) -> dict[str, Any]:
     """Combine the counters of all databases, which include limit violations.
 
     Counters named ``max_*`` are combined by their maximum, others by their
--- a/bench/experiment_throughput.py
+++ b/bench/experiment_throughput.py
@@ -45,11 +45,11 @@
         database_settings={'service_ms': 0, 'latency_ms': 0},
         proxy_settings={'max_callers': 2 * CALLERS},
     ) as cluster:
-        prepare_cluster(cluster, write_change_set(cluster))
+        prepare_cluster(cluster, write_group_changes(cluster))
         groups = list(scaled.groups)
         trio.run(create_tables, cluster.proxy_addresses(), groups)
         proxy = cluster.programs['proxy-0']
-        figures = {
+        results = {
             'proxy': _measure_server(
                 cluster, proxy.process, proxy.port, args, CALLERS
             ),
@@ -58,18 +58,18 @@
             ),
         }
         with _run_relay(cluster) as (relay, port):
-            figures['relay'] = _measure_server(
+            results['relay'] = _measure_server(
                 cluster, relay, port, args, CALLERS
             )
-        relay_rate = figures['relay']['per_second']
+        relay_rate = results['relay']['per_second']
         if relay_rate:
-            ratio = figures['proxy']['per_second'] / relay_rate
-            figures['ratio_to_relay'] = round(ratio, 3)
-    return figures
+            ratio = results['proxy']['per_second'] / relay_rate
+            results['ratio_to_relay'] = round(ratio, 3)
+    return results
 
 
-def write_change_set(cluster: Cluster) -> Path:
-    """Write a change set with the first group and a long queue for it."""
+def write_group_changes(cluster: Cluster) -> Path:
+    """Write a change set that creates the first group with a long queue."""
     group = cluster.deployment.groups[0]
     operations = [
         {
@@ -107,7 +107,8 @@
         '--term',
         str(primary.term),
     ]
-    # Otherwise the proxy would occupy slots of the upstream.
+    # Otherwise the proxy would occupy slots of the upstream while the relay is
+    # measured.
     cluster.suspend('proxy-0')
     relay = subprocess.Popen(command)
     try:
@@ -155,6 +156,7 @@
         )
         for _ in range(CALLER_PROCESSES)
     ]
+    # Each process prints a line once its connections are open.
     for process in processes:
         if process.stderr is not None:
             process.stderr.readline()
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -37,7 +37,7 @@
 
 
 def find_primaries(cluster: Cluster) -> dict[str, Primary]:
-    """Return the primary of each group that has one, as known to a proxy."""
+    """Return the primary of each group that has one, as a proxy reports it."""
     for name in cluster.names('proxy'):
         status, dump = cluster.fetch_json(name, '/dump')
         if status == 200:
@@ -67,7 +67,7 @@
         link.post(encode_cbor([Open(peer='checker', purpose='statements')]))
         opened = _CODEC.decode(await link.receive())[0]
         if not isinstance(opened, Opened):
-            raise RuntimeError(f'{name} did not open the connection: {opened}')
+            raise RuntimeError(f'{name} answered {opened}, expected Opened')
         while True:
             message = Execute(
                 id=1 + len(rows),
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -47,15 +47,15 @@
 
     Parameters
     ----------
-    relays : list of SilentRelay
+    relays : list of PartitionRelay
         Relays between `RELAYED_PROXY` and the control processes. The list
         is empty unless the scenario uses relays.
     failed_at_ms : dict of str to float
         Time of the last failure of the primary of each group, in
         milliseconds.
-    figures : dict
-        Measurements of the scenario.
-    ends_s : float
+    measurements : dict
+        Measurements of the scenario, by name.
+    load_end_s : float
         Time at which the load ends, in seconds.
     injected_ms : float
         Time at which the injection of the fault started, in milliseconds.
@@ -65,7 +65,7 @@
     load: LoadGenerator
     relays: list[PartitionRelay] = field(default_factory=list)
     failed_at_ms: dict[str, float] = field(default_factory=dict)
-    figures: dict[str, Any] = field(default_factory=dict)
+    measurements: dict[str, Any] = field(default_factory=dict)
     load_end_s: float = field(init=False)
     injected_ms: float = 0.0
 
@@ -98,7 +98,7 @@
             await trio.sleep(POLL_INTERVAL_S)
 
     async def fetch_json(self, name: str, path: str) -> Any:
-        """Return the JSON of a page of a process, or None without answer."""
+        """Return the JSON body of a page of a process, None without one."""
         _, value = await trio.to_thread.run_sync(
             self.cluster.fetch_json, name, path
         )
@@ -204,12 +204,12 @@
             await trio.sleep(WARM_UP_TIME_S)
             run.injected_ms = now_ms()
             await scenario.inject(run)
-        figures = await _collect_figures(run)
+        results = await _collect_results(run)
         background.cancel_scope.cancel()
-    return figures
+    return results
 
 
-async def _collect_figures(run: FaultRun) -> dict[str, Any]:
+async def _collect_results(run: FaultRun) -> dict[str, Any]:
     stored = await read_stored_rows(run.cluster)
     violations = check_history(run.history, stored)
     gaps = {
@@ -218,7 +218,7 @@
     }
     return {
         'gap_ms': gaps,
-        **run.figures,
+        **run.measurements,
         'longest_pause_ms': round(_find_longest_write_gap(run.history)),
         'failed_writes': _describe_failed_writes(run),
         'acknowledged_writes': sum(
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -61,13 +61,13 @@
                 ) as target,
                 trio.open_nursery() as nursery,
             ):
-                nursery.start_soon(self._copy, client, target)
-                await self._copy(target, client)
+                nursery.start_soon(self._forward, client, target)
+                await self._forward(target, client)
                 nursery.cancel_scope.cancel()
         except (OSError, trio.BrokenResourceError):
             return
 
-    async def _copy(
+    async def _forward(
         self, source: trio.SocketStream, sink: trio.SocketStream
     ) -> None:
         try:
--- a/bench/run.py
+++ b/bench/run.py
@@ -71,8 +71,8 @@
     args = parser.parse_args(argv)
     args.proxy_settings = parse_settings(args.proxy_setting)
     deployment = DEPLOYMENTS[args.deployment]
-    figures = EXPERIMENTS[args.experiment](deployment, args)
-    text = json.dumps(figures, indent=2)
+    results = EXPERIMENTS[args.experiment](deployment, args)
+    text = json.dumps(results, indent=2)
     print(text)
     if args.output is not None:
         args.output.write_text(text + '\n')
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -36,7 +36,7 @@
         Names of the groups and numbers of processes.
     folder : Path
         Folder for the files.
-    take_port : callable
+    allocate_port : callable
         Return a port for the next process.
     data_folder : Path
         Folder for the data folders of control processes and databases.
--- a/bench/tests/test_faults.py
+++ b/bench/tests/test_faults.py
@@ -20,8 +20,8 @@
     # Guards against a draining proxy that loses its leases and therefore the
     # answers to writes and open transactions.
     scenario = replace(SCENARIOS['proxy-stopped'], load_s=4.0)
-    figures = run_fault(SMALL_DEPLOYMENT, scenario)
-    assert figures['violations'] == []
-    assert figures['transaction'] == ['done']
-    assert figures['stopped']['proxy-1']['exit_code'] == 0
-    assert not [w for w in figures['failed_writes'] if 'lease_lost' in w]
+    results = run_fault(SMALL_DEPLOYMENT, scenario)
+    assert results['violations'] == []
+    assert results['transaction'] == ['done']
+    assert results['stopped']['proxy-1']['exit_code'] == 0
+    assert not [w for w in results['failed_writes'] if 'lease_lost' in w]
--- a/bench/timeline.py
+++ b/bench/timeline.py
@@ -85,7 +85,7 @@
         if entry['event'] == event
         and entry.get('group') == group
         and entry['at_ms'] >= after_ms
-        # Excludes log lines of proxies that the group has no primary.
+        # Excludes events in which a proxy reports a group without primary.
         and entry.get('primary', '') is not None
     ]
     return min(times, default=None)
