Restore the close reason 'time limit' of on_deadline

The rewording changed the reason of a statement that is cut at its deadline to 'statement timed out'. The tests in tests/core/pooler pass.

--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -419,4 +419,4 @@
     if conn is None:
         fail_statement(state, task, 'aborted', 'connection lost')
         return
-    _abandon_conn(state, conn, 'statement timed out')
+    _abandon_conn(state, conn, 'time limit')
