Reword what a newcomer stumbles over in the pooler core

Read by somebody who had not seen the code. Mended: docstrings that restate the name or leave out what the function also does (fail_statement fails the open transaction, _advance_drain has a notice period and two limits), an expiry described as 'before it is sent' for a statement that may have been sent before, 'its time' for a statement's timeout, the stall timeout stated back to front, a default without its meaning, comments at the head of tests that told the story before the fault.

Every number and reason stays. The tests in tests/core/pooler pass.

--- a/jackdawpost/core/pooler/answers.py
+++ b/jackdawpost/core/pooler/answers.py
@@ -1,4 +1,4 @@
-"""Sends the final answers of statements to callers, and logs failures."""
+"""Final answers of statements to callers, and log lines of failures."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 def fail_statement(
     state: PoolerState, task: StatementTask, code: str, text: str
 ) -> None:
-    """Answer a statement with an error."""
+    """Answer a statement with an error; its open transaction fails, too."""
     session = task.session
     if session is not None and task.in_txn and session.txn is not None:
         session.state = 'failed_txn'
@@ -29,11 +29,11 @@
 
 
 def expiry_code(task: StatementTask) -> str:
-    """Return the error code for a statement that expires before it is sent.
+    """Return the error code for a statement that expires while it is unsent.
 
     ``'overloaded'`` guarantees to the caller that nothing has run. A
     statement of a transaction, or one that may have run in an earlier
-    attempt, gets ``'aborted'``.
+    attempt whose answer was lost, gets ``'aborted'``.
     """
     if task.in_txn or task.may_have_run:
         return 'aborted'
--- a/jackdawpost/core/pooler/connections.py
+++ b/jackdawpost/core/pooler/connections.py
@@ -19,6 +19,7 @@
 # Connections per upstream that are not shared out among the proxies. They
 # remain for control, for checks of newcomers, and for joining members.
 RESERVED_CONNECTIONS = 3
+# Assumed per upstream if no endpoint of its group declares a limit.
 DEFAULT_MAX_CONNECTIONS = 20
 # Longer than any network partition after which a proxy is expected to
 # return.
--- a/jackdawpost/core/pooler/limits.py
+++ b/jackdawpost/core/pooler/limits.py
@@ -3,7 +3,7 @@
 Upstreams are shared with other proxies whose load is unknown. Each refusal
 for lack of a slot lowers the number of concurrent statements on an upstream,
 and each success raises it a little (additive increase, multiplicative
-decrease). Statements that would spend too much of their time in the queue
+decrease). Statements that would spend too much of their timeout in the queue
 are refused early.
 """
 
@@ -25,10 +25,10 @@
 # Longer intervals come from idle callers, not from slow upstreams.
 MAX_ANSWER_INTERVAL_MS = 500.0
 # A statement is refused if it is expected to spend more than this share of
-# its time in the queue. The rest is needed to run it, and for a retry by the
-# caller.
+# its timeout in the queue. The rest is needed to run it, and for a retry by
+# the caller.
 MAX_QUEUE_TIME_SHARE = 0.5
-# A statement is not started after this share of its time has passed, since
+# A statement is not started after this share of its timeout has passed, since
 # it needs the rest to run.
 LATEST_START_SHARE = 0.6
 
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -1,4 +1,4 @@
-"""Creates and removes connection pools as the published upstreams change."""
+"""Creation and removal of connection pools as published upstreams change."""
 
 from __future__ import annotations
 
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -72,7 +72,7 @@
 from jackdawpost.core.pooler.upstreams import suspect
 
 DRAIN_CHECK_INTERVAL_MS = 100.0
-# Names in the dump that differ from the names of the fields of `Pool`.
+# Keys in the dump of the fields of `Pool` that are dumped under another name.
 _DUMP_NAMES = {
     'reachability': 'reach',
     'concurrency_limit': 'limit',
@@ -122,8 +122,8 @@
     """Return whether the load balancer should route new sessions here.
 
     A pooler that loses its control connections stays healthy. Its view of
-    the primary may be outdated then, but upstreams that do not lead refuse
-    statements that need the primary.
+    the primary may be outdated then, but an upstream that is not the primary
+    refuses statements that need the primary.
     """
     has_upstream = any(
         pool.reachability in ('up', 'stalled') for pool in state.pools.values()
@@ -341,7 +341,7 @@
             else:
                 handle_probe_answer(state, pool, conn, request, answer)
             if conn.is_idle:
-                # Statements may have no other connection than this one.
+                # This may be the only connection that statements can use.
                 state.dirty.add(f'group/{pool.view.group}')
         return
     handle_answer(state, conn, request, answer)
@@ -388,7 +388,11 @@
 
 
 def _advance_drain(state: PoolerState) -> None:
-    """Close idle sessions, and stop when no session is left."""
+    """Close idle sessions after the notice period, then stop.
+
+    Idle transactions are aborted after `drain_txn_ms`. The process stops
+    when no session is left, at the latest after `drain_limit_ms`.
+    """
     assert state.drain_started_ms is not None
     elapsed_ms = state.now_ms - state.drain_started_ms
     cfg = state.cfg
--- a/jackdawpost/core/pooler/stalls.py
+++ b/jackdawpost/core/pooler/stalls.py
@@ -1,9 +1,10 @@
 """Stall detection: circuit breaker for upstreams that complete no statements.
 
-A health check and a begin need no slot. They succeed even on a database
-whose executors hang or that fails every statement. Only the results of
-statements reveal such a stall. Refusals for lack of a slot do not count,
-since a database that is merely full still completes other statements.
+A health check and a begin need no execution slot. They succeed even on a
+database whose executors hang or that fails every statement. Only the results
+of statements reveal such a stall. Refusals for lack of a slot do not count
+as failures, since a database that is merely full still completes other
+statements.
 """
 
 from __future__ import annotations
@@ -13,14 +14,14 @@
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.upstreams import set_reachability
 
-# An upstream is stalled after the longer of this time and a multiple of its
-# mean latency without a success. This time is longer than a statement takes
-# on a full database of the deployed size, which is about 500 ms (48 queued,
-# 6 slots, 55 ms per statement).
+# An upstream is stalled if no statement succeeds on it for this time, or for
+# `STALL_TIMEOUT_LATENCIES` times its mean latency if that is longer. A
+# statement on a full database of the deployed size takes about 500 ms (48
+# queued, 6 slots, 55 ms per statement), which must not count as a stall.
 MIN_STALL_TIMEOUT_MS = 800.0
 STALL_TIMEOUT_LATENCIES = 3.0
-# Minimum number of failed or unanswered statements. A single failure may be
-# caused by the statement itself.
+# Minimum number of failed or unanswered statements for a stall. A single
+# failure may be caused by the statement itself.
 MIN_STALL_STATEMENTS = 3
 # Failures of statements that were sent longer ago are discarded.
 FAILURE_RETENTION_MS = 3_000.0
@@ -54,7 +55,7 @@
 
 
 def detect_stall(state: PoolerState, pool: Pool) -> None:
-    """Detect a stall of an upstream that leaves statements unanswered."""
+    """Mark an upstream as stalled if it leaves statements unanswered."""
     outstanding = _outstanding_sent_ms(state, pool)
     if pool.reachability == 'up' and outstanding:
         _mark_if_stalled(state, pool, min(outstanding))
--- a/jackdawpost/tests/core/pooler/test_serving.py
+++ b/jackdawpost/tests/core/pooler/test_serving.py
@@ -253,7 +253,7 @@
 
 
 def test_reads_are_retried_when_an_upstream_becomes_silent():
-    # Guards against reads that wait until their timeout.
+    # Guards against reads that wait for a silent upstream until their timeout.
     sim = PoolerSimulation()
     conns = [sim.open('reports') for _ in range(12)]
     for conn in conns:
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -1,4 +1,4 @@
-"""Tests of the pooler's sessions: values, transactions, drain and end."""
+"""Tests of the pooler's sessions: session values, transactions, drain, end."""
 
 from __future__ import annotations
 
@@ -117,9 +117,8 @@
 
 
 def test_running_statement_keeps_a_transaction_from_being_idle():
-    # Guards against a timer that was rescheduled as already due while a
-    # statement of an old transaction ran. The process was in a busy loop for
-    # seconds.
+    # Guards against a busy loop of several seconds: while a statement of an
+    # old transaction ran, the idle timer was set again to a time already past.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.call(conn, 'BEGIN')
@@ -215,9 +214,9 @@
 
 
 def test_statement_of_a_disconnected_caller_is_not_retried():
-    # A begin was outstanding when the caller disconnected and the upstream
-    # connection was reset. The process crashed on the statement without a
-    # session.
+    # Guards against a crash: a begin was outstanding when the caller
+    # disconnected and the upstream connection was reset, and the statement was
+    # queued again although it had no session any more.
     sim = PoolerSimulation()
     conn = sim.open('orders')
     sim.send_request(conn, 'READ 1')
--- a/jackdawpost/tests/core/pooler/test_stalls.py
+++ b/jackdawpost/tests/core/pooler/test_stalls.py
@@ -11,7 +11,7 @@
     sim.databases[name].slots = 0
 
 
-def _send_some(sim, database, text, number=6):
+def _send_on_new_sessions(sim, database, text, number=6):
     conns = [sim.open(database) for _ in range(number)]
     for conn in conns:
         sim.send_request(conn, text)
@@ -23,11 +23,11 @@
 
 
 def test_primary_that_answers_only_probes_is_reported_as_stalled():
-    # It passes its health check and accepts every begin, and would never be
-    # replaced without stall detection.
+    # Guards against a hung primary that is never replaced because it passes
+    # its health check and accepts every begin.
     sim = PoolerSimulation()
     _hang(sim, 'db-1')
-    _send_some(sim, 'orders', 'WRITE 1 a')
+    _send_on_new_sessions(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_200)
     assert _evidence(sim, 'db-1') == 'stalled'
     assert _evidence(sim, 'db-2') == 'up'
@@ -38,7 +38,7 @@
 def test_statements_are_queued_until_a_stalled_primary_is_replaced():
     sim = PoolerSimulation()
     _hang(sim, 'db-1')
-    _send_some(sim, 'orders', 'WRITE 1 a')
+    _send_on_new_sessions(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_100)
     conn = sim.open('orders')
     sim.send_request(conn, 'WRITE 2 b')
@@ -53,7 +53,7 @@
     _hang(sim, 'db-2')
     _hang(sim, 'db-3')
     for _ in range(20):
-        _send_some(sim, 'reports', 'READ 1', number=1)
+        _send_on_new_sessions(sim, 'reports', 'READ 1', number=1)
         sim.advance(60)
     sim.advance(500)
     sent_ms = sim.now_ms
@@ -66,7 +66,7 @@
     sim = PoolerSimulation()
     sim.databases['db-1'].fails_all = True
     for _ in range(12):
-        _send_some(sim, 'orders', 'WRITE 1 a', number=1)
+        _send_on_new_sessions(sim, 'orders', 'WRITE 1 a', number=1)
         sim.advance(100)
     assert _evidence(sim, 'db-1') == 'stalled'
 
@@ -76,7 +76,7 @@
     database = sim.databases['db-1']
     for _ in range(10):
         database.fails_all = True
-        _send_some(sim, 'orders', 'WRITE 1 a', number=4)
+        _send_on_new_sessions(sim, 'orders', 'WRITE 1 a', number=4)
         sim.advance(100)
         database.fails_all = False
         assert isinstance(sim.call(sim.open('orders'), 'WRITE 1 a'), Done)
@@ -95,24 +95,25 @@
 
 
 def test_full_primary_is_not_reported_as_stalled():
-    # Replacing it would only move the load to the next primary, repeatedly.
+    # Guards against repeated promotions that only move the load from one
+    # primary to the next.
     sim = PoolerSimulation()
     database = sim.databases['db-1']
     database.slots = 1
     database.queue = 8
     database.statement_ms = 55.0
     for _ in range(60):
-        _send_some(sim, 'orders', 'WRITE 1 a', number=10)
+        _send_on_new_sessions(sim, 'orders', 'WRITE 1 a', number=10)
         sim.advance(50)
     assert database.overload_refusals
     assert not [log for log in sim.logs if log.event == 'upstream_stalled']
 
 
-def test_stalled_upstream_is_retried_after_its_suspension():
+def test_stalled_upstream_is_retried_after_its_cooldown():
     sim = PoolerSimulation()
     database = sim.databases['db-1']
     _hang(sim, 'db-1')
-    _send_some(sim, 'orders', 'WRITE 1 a')
+    _send_on_new_sessions(sim, 'orders', 'WRITE 1 a')
     sim.advance(1_200)
     assert _evidence(sim, 'db-1') == 'stalled'
     database.slots = 3
