Reword what a newcomer stumbles over in the control core

Mended: the head of database_sets, which had to be turned round; sealing and term 0, which needed another file; registered upstreams, whose exception had no reason at the place; the electorate and the result of failed_at_ms; docstrings that restate the name of a handler; in the tests, two heads that did not say what is tested, and keys described as 'X to Y'.

No code changes; no assertion changes.

--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -1,7 +1,7 @@
 """Database set of a group: the databases its quorum is counted over.
 
-Every acknowledged write is stored on so many databases of the set that any
-quorum of them includes one that holds it.
+Each acknowledged write is stored on enough databases of the set that every
+quorum includes at least one of them.
 """
 
 from __future__ import annotations
@@ -32,8 +32,8 @@
 def add_to_new_groups(machine: ControlMachine, member: Member) -> None:
     """Add a joined upstream to the set of its group if the term is 0.
 
-    No write can have been acknowledged before the first term, so the
-    upstream does not have to catch up first.
+    The term is 0 until the first promotion has finished. No write can have
+    been acknowledged before, so the upstream does not have to catch up first.
     """
     group = machine.groups.get(member.group)
     if member.role == 'upstream' and group is not None and group.term == 0:
@@ -43,7 +43,7 @@
 def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
     """Add an upstream to the set of its group after it has caught up.
 
-    It replaces an older data identity of the same name.
+    An older data identity of the same name in the set is replaced.
     """
     refusal = _check_admission(machine, command)
     if refusal is not None:
@@ -121,8 +121,9 @@
             message=f'{command.name!r} is in the database set already',
         )
     if group.promotion is not None:
-        # The set must not grow between sealing and the choice of a primary,
-        # since the quorum of the promotion is counted over it.
+        # A promotion seals a quorum of the set, so that these databases
+        # refuse earlier terms, and chooses the primary among them. The set
+        # must not grow in between, since the quorum is counted over it.
         return CommandRefused(
             code='promotion_running',
             message=f'a promotion of group {command.group!r} is running; '
--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -59,8 +59,8 @@
     refused_ms : float
         Timeout for an upstream that is reported as refused.
     silent_ms : float
-        Timeout for an upstream that is reported as silent or stalled, or
-        in changing states other than ``'up'``.
+        Timeout for an upstream that is reported as silent or stalled, or as
+        alternating between states other than ``'up'``.
     live_ms : float
         Time for which a proxy is considered live after a report.
     reporters : dict of str to Reporter
@@ -155,14 +155,16 @@
     Parameters
     ----------
     electorate : int
-        Lower bound for the number of proxies that the majority is taken of.
+        Minimum number of proxies over which the majority is counted. With
+        more live proxies, it is counted over these.
 
     Returns
     -------
     float or None
-        A time up to `now_ms` if the upstream has failed; a later time if it
-        fails then unless another report changes that; None if no majority
-        reports it as other than ``'up'``.
+        Time at which the timeouts of a majority expire: up to `now_ms` if
+        the upstream has failed already, later if it will fail unless further
+        reports change that. None if no majority reports it as other than
+        ``'up'``.
     """
     live_reporters = [
         reporter
@@ -209,7 +211,7 @@
 def is_refused(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
-    """Return whether connections are refused to most of the live proxies."""
+    """Return whether most live proxies report an upstream as refused."""
     live_reporters = [
         reporter
         for reporter in detector.reporters.values()
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -1,9 +1,10 @@
 """Membership of proxies and upstreams: announce, approve, join, leave.
 
-A newcomer joins once all present members, except the registered upstreams,
-have approved it. The functions that change the state run only while a command
-of the replicated log is applied, so the members whose approval is needed are
-those at that position in the log, the same in every control process.
+A newcomer joins once all present members have approved it, except upstreams
+that registered themselves by HTTP requests: they have no link on which to be
+asked. The functions that change the state run only while a command of the
+replicated log is applied. Hence the members whose approval is needed are those
+at that position in the log, the same in every control process.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 from jackdawpost.core.control.state import MemberApproval
 from jackdawpost.core.control.state import Newcomer
 
-# Identities of departed upstreams that are retained to ignore late reports.
+# Departed upstreams whose identities are retained to ignore late reports.
 MAX_DEPARTED = 1_000
 
 
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -399,7 +399,7 @@
 
 
 def on_proxy_closed(state: ControlState, link: LinkState) -> None:
-    """Handle the end of a connection of a proxy."""
+    """Stop serving a proxy whose connection has closed."""
     stop_serving(state, link)
     if state.proxies.get(link.name) == link.conn:
         del state.proxies[link.name]
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -1,4 +1,4 @@
-"""Requests that arrive over HTTP, not over a link.
+"""Requests that reach a control process over HTTP, not over a control link.
 
 Operators declare and read complete configurations. Upstreams register, report
 their state and depart.
--- a/jackdawpost/core/control/upstreams.py
+++ b/jackdawpost/core/control/upstreams.py
@@ -334,7 +334,7 @@
 def on_admin_closed(
     state: ControlState, leader: LeaderState, conn: int, reason: Any
 ) -> None:
-    """Handle the end of an admin connection."""
+    """Retry later; a refused connection counts against a chosen database."""
     request = control_admin.on_closed(leader.admin, state.now_ms, conn, reason)
     if request is None:
         return
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -203,17 +203,17 @@
     stopped : set of str
         Control processes that have been stopped.
     remote_ends : dict of tuple to tuple
-        Process and connection to its remote end: kind of link, the fake or
-        the name of the other process, and the connection there.
+        Remote end of each connection, by process and connection id: kind of
+        link, fake or name of the other process, and connection id there.
     fake_conns : dict of tuple to int
-        Fake and process to the connection between them.
+        Connection id by name of the fake and name of the process.
     cut_links : set of frozenset
         Pairs of names that do not receive each other's messages.
     scheduled : list
         Heap of actions with their time.
     effects : list of tuple
-        Time, process and effect of everything that is not simulated, such
-        as log lines and orders.
+        Time, process and effect for each effect that is not simulated, such
+        as a log line or the order of a promotion.
     grants : list of tuple
         Time, process and message of every lease grant that was delivered.
     operator_answers : list
--- a/jackdawpost/tests/core/control/machine_driver.py
+++ b/jackdawpost/tests/core/control/machine_driver.py
@@ -38,7 +38,7 @@
 
 
 class MachineDriver:
-    """Applies commands to a machine, encoded and decoded as in the log."""
+    """Replicated state, to which commands are applied as read from the log."""
 
     def __init__(self):
         self.machine = new_machine()
--- a/jackdawpost/tests/core/control/test_failure_detector.py
+++ b/jackdawpost/tests/core/control/test_failure_detector.py
@@ -1,4 +1,4 @@
-"""Majority and timeouts by which the failure detector decides."""
+"""Failure detector: majority of the proxies, timeouts, ignored reports."""
 
 from __future__ import annotations
 
@@ -82,7 +82,8 @@
 
 
 def test_returning_proxy_starts_without_old_observations():
-    # Guards against observations made before the proxy stopped reporting.
+    # Guards against a timeout that includes the time in which the proxy did
+    # not report.
     detector = make_detector()
     record_states(detector, 0, p1='silent')
     record_states(detector, 1_600, p1='silent')
--- a/jackdawpost/tests/core/control/test_lease_ledger.py
+++ b/jackdawpost/tests/core/control/test_lease_ledger.py
@@ -1,4 +1,4 @@
-"""Lease records that keep two primaries from acknowledging writes."""
+"""Lease ledger: writes are not acknowledged on two primaries at once."""
 
 from __future__ import annotations
 
--- a/jackdawpost/tests/core/control/test_machine.py
+++ b/jackdawpost/tests/core/control/test_machine.py
@@ -170,7 +170,7 @@
 def test_any_commands_produce_equal_states_and_correct_deltas(
     steps, restart_at
 ):
-    """Guard against diverging replicas and proxies with a wrong state.
+    """Guards against diverging replicas and proxies with a wrong state.
 
     One replica restarts from a snapshot after step `restart_at`. One proxy
     receives every delta, another a single delta since that step. Both must
@@ -206,7 +206,7 @@
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(STEPS)
 def test_terms_never_decrease_and_only_members_are_published(steps):
-    """Guard against two primaries in a term and unapproved members."""
+    """Guards against two primaries in a term and unapproved members."""
     driver = _driver_with_group()
     terms = {}
     for step in steps:
