--- a/jackdawpost/core/proxy/conns.py
+++ b/jackdawpost/core/proxy/conns.py
@@ -138,7 +138,7 @@
 
 
 def on_conn_closed(state: ProxyState, event: ConnClosed) -> None:
-    """Handle the end of a statement connection."""
+    """Retry or fail the requests on a statement connection that has closed."""
     conn = state.conns.get(event.conn)
     if conn is None:
         return
@@ -214,7 +214,11 @@
 
 
 def attempt_timeout_ms(state: ProxyState, req: Request) -> int:
-    """Return how long an attempt may run, in milliseconds."""
+    """Return how long an attempt may run, in milliseconds.
+
+    An attempt outside a transaction, other than a begin, leaves
+    `RETRY_RESERVE_MS` of a sufficiently long deadline for another attempt.
+    """
     remaining_ms = req.due_ms - state.now_ms
     if remaining_ms >= MIN_DEADLINE_FOR_RETRY_MS and req.txn is None:
         if not isinstance(req.message, Begin):
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -15,9 +15,10 @@
 
 
 def on_drain_requested(state: ProxyState) -> None:
-    """Start the shutdown; new requests are accepted for a while longer.
+    """Start the drain, and notify all callers to use another proxy.
 
-    All callers are notified to use another proxy.
+    New requests are accepted for another `drain_serve_ms` (the drain window).
+    Transactions that are still open after `drain_limit_ms` are rolled back.
     """
     if state.drain_started_ms is not None:
         return
@@ -40,7 +41,10 @@
 
 
 def stop_when_drained(state: ProxyState) -> None:
-    """Stop once the window, all requests and all transactions have ended."""
+    """Stop after the drain window, once no request or transaction is left.
+
+    All permits are returned first if the control leader is known.
+    """
     if state.drain_started_ms is None or state.stopped:
         return
     if state.requests or state.txns or remaining_serve_ms(state):
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -1,4 +1,4 @@
-"""Applies updates of the published state: groups, upstreams, terms."""
+"""Updates of the published state, applied to groups, upstreams and terms."""
 
 from __future__ import annotations
 
--- a/jackdawpost/core/proxy/sending.py
+++ b/jackdawpost/core/proxy/sending.py
@@ -1,4 +1,4 @@
-"""Helpers for sending queued requests to primaries and replicas."""
+"""Deadline check, batch size and message of queued requests to be sent."""
 
 from __future__ import annotations
 
@@ -54,7 +54,15 @@
     must_lead: bool,
     fresh_after: LogPosition | None = None,
 ) -> Execute:
-    """Build the message of a new attempt; sets its id and its term."""
+    """Build the message of a new attempt; set `exec_id` and `term` of `req`.
+
+    Parameters
+    ----------
+    must_lead : bool
+        The upstream must be the primary.
+    fresh_after : LogPosition, optional
+        Position that a replica must have applied for the accepted age.
+    """
     message = req.message
     assert isinstance(message, Statement)
     req.exec_id = new_id(state)
--- a/jackdawpost/core/proxy/state.py
+++ b/jackdawpost/core/proxy/state.py
@@ -471,7 +471,7 @@
 def close(
     state: ProxyState, conn: int, reason: str, abort: bool = False
 ) -> None:
-    """Close a connection after the messages sent on it; `abort`: at once."""
+    """Close a connection after sending queued data; at once if `abort`."""
     state.open_frames.pop(conn, None)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
