Reword what a newcomer stumbles over in the consensus core

Mended: last_refusal without a meaning, decoders that did not name the error they raise, 'the round' without saying which, 'Advance the leader's work', the heads of test_faults.

No code changes; no assertion changes. The tests in tests/core/consensus pass.

--- a/jackdawpost/core/consensus/leader.py
+++ b/jackdawpost/core/consensus/leader.py
@@ -156,7 +156,7 @@
 
 
 def advance_leader(state: ConsensusState, now_ms: float) -> None:
-    """Advance the leader's work after an answer or a durable write.
+    """Act on an answer of a peer or on a write that has become durable.
 
     Commits entries, reports confirmations, promotes a learner, replicates
     further entries and completes a leadership transfer, where possible.
@@ -213,7 +213,10 @@
 
 
 def report_confirmations(state: ConsensusState, now_ms: float) -> None:
-    """Emit `LeadershipConfirmed` once a quorum has answered the round."""
+    """Emit `LeadershipConfirmed` once a quorum has answered `confirm_round`.
+
+    A new round is then started for confirmations requested in the meantime.
+    """
     if not state.leadership_won:
         return
     if state.confirm_tokens:
--- a/jackdawpost/core/consensus/records.py
+++ b/jackdawpost/core/consensus/records.py
@@ -136,20 +136,32 @@
 
 
 def decode_voter_set(payload: bytes) -> VoterSet:
-    """Decode the payload of a `VOTERS_ENTRY`."""
+    """Decode the payload of a `VOTERS_ENTRY`.
+
+    Raises
+    ------
+    ProtocolError
+        The bytes are not a valid voter set.
+    """
     voters, learners, node_ids = _decode_list(payload, 3, 'voter set')
     return VoterSet(voters, learners, node_ids)
 
 
 def encode_hard_state(hard: HardState) -> bytes:
-    """Encode a hard state."""
+    """Encode a hard state as the CBOR array that is stored on disk."""
     return cbor2.dumps(
         [hard.term, hard.voted_for, hard.admitted_as, hard.known_ids]
     )
 
 
 def decode_hard_state(raw: bytes) -> HardState:
-    """Decode a hard state."""
+    """Decode a hard state as stored on disk.
+
+    Raises
+    ------
+    ProtocolError
+        The bytes are not a valid hard state.
+    """
     term, voted_for, admitted_as, known_ids = _decode_list(
         raw, 4, 'hard state'
     )
--- a/jackdawpost/core/consensus/state.py
+++ b/jackdawpost/core/consensus/state.py
@@ -177,6 +177,9 @@
     Embedders may read `role`, `leader`, `term`, `commit_index`,
     `applied_index`, `voters`, `learners` and `last_refusal`. Only the
     functions of `jackdawpost.core.consensus.process` change the state.
+
+    `last_refusal` is the reason for the latest refusal of a voter change or
+    leadership transfer; an accepted voter change clears it.
     """
 
     cfg: ConsensusConfig
--- a/jackdawpost/core/consensus/writes.py
+++ b/jackdawpost/core/consensus/writes.py
@@ -1,4 +1,4 @@
-"""Durable writes of the consensus core, and the actions deferred until then.
+"""Durable writes of the consensus core, and the actions that wait for them.
 
 One write is outstanding at a time; later changes are collected for the next
 one. This batches proposals under load, and after a disk failure only one
--- a/jackdawpost/tests/core/consensus/test_faults.py
+++ b/jackdawpost/tests/core/consensus/test_faults.py
@@ -1,4 +1,4 @@
-"""Random sequences of faults against the safety of the consensus core.
+"""Safety and recovery of the consensus core under random faults.
 
 `Group` checks election safety, log matching, leader completeness,
 state-machine safety and leadership confirmations after every step.
@@ -35,8 +35,8 @@
     'add',
     'remove',
 ]
-# A wiped voter is the one loss that a quorum of three survives, so the voter
-# set does not change in these runs.
+# Three voters tolerate the loss of one. The wiped voter is that one, so the
+# voter set must not change in these runs.
 ACTIONS_WITH_WIPE = sorted({*ACTIONS, 'wipe'} - {'add', 'remove'})
 
 
@@ -60,7 +60,7 @@
 
 
 class Scenario:
-    """Performs actions on a group and counts the proposed commands."""
+    """Actions on a group, and the number of commands proposed so far."""
 
     def __init__(self, names, seed):
         self.group = Group(names, seed, loss=0.05, duplication=0.1)
