State accepted values of parameters and session tokens as 'expected'

The faults of statement parameters and session tokens said 'must be', other texts of the core 'expected'. They now say 'expected', and that of an integer or a text says what is wrong with it. The number of values in each text is unchanged.

--- a/jackdawpost/core/messages/caller.py
+++ b/jackdawpost/core/messages/caller.py
@@ -23,25 +23,32 @@
 
 def _check_params(params: list[Any]) -> None:
     if len(params) > MAX_PARAMS:
-        raise ValueError(f'{len(params)} params: must be at most {MAX_PARAMS}')
+        raise ValueError(
+            f'{len(params)} params: expected at most {MAX_PARAMS}'
+        )
     for index, value in enumerate(params):
         param_type = type(value)
         if param_type not in _PARAM_TYPES:
             raise ValueError(
-                f'params.{index} is of type {param_type.__name__}: must be '
+                f'params.{index} is of type {param_type.__name__}: expected '
                 'text, integer, float, boolean, bytes or null'
             )
         if param_type is int and not MIN_INT <= value <= MAX_INT:
-            raise ValueError(f'params.{index}: integer must fit in 64 bits')
+            raise ValueError(
+                f'params.{index} is out of range: expected a signed 64-bit '
+                'integer'
+            )
         if param_type is str and not _is_unicode(value):
-            raise ValueError(f'params.{index}: text must be valid Unicode')
+            raise ValueError(
+                f'params.{index} has a lone surrogate: expected valid Unicode'
+            )
 
 
 def _is_unicode(text: str) -> bool:
     if text.isascii():
         return True
     try:
-        # JSON text can contain an unpaired surrogate, CBOR text cannot.
+        # JSON text can contain a lone surrogate, CBOR text cannot.
         text.encode()
     except UnicodeEncodeError:
         return False
@@ -102,8 +109,8 @@
     def __post_init__(self) -> None:
         """Raise `ValueError` for parameters that cannot be encoded.
 
-        The check is made here because traces and frames to upstreams encode
-        the values later.
+        The check is made on arrival, since such values would later fail to
+        be encoded in traces and in frames to upstreams.
         """
         if self.params:
             _check_params(self.params)
--- a/jackdawpost/core/tokens.py
+++ b/jackdawpost/core/tokens.py
@@ -80,11 +80,12 @@
     version, count = _HEADER.unpack_from(body)
     if version != TOKEN_VERSION:
         raise TokenError(
-            f'session token has version {version}: must be {TOKEN_VERSION}'
+            f'session token has version {version}: expected {TOKEN_VERSION}'
         )
     if count > MAX_ENTRIES:
         raise TokenError(
-            f'session token has {count} entries: must be at most {MAX_ENTRIES}'
+            f'session token has {count} entries: expected at most '
+            f'{MAX_ENTRIES}'
         )
     return _decode_entries(body, count)
 
@@ -152,7 +153,7 @@
 def _decode_base64(text: str) -> bytes:
     if len(text) > MAX_TOKEN_CHARS:
         raise TokenError(
-            f'session token of {len(text)} characters: must be at most '
+            f'session token of {len(text)} characters: expected at most '
             f'{MAX_TOKEN_CHARS}'
         )
     padded = text + '=' * (-len(text) % 4)
@@ -190,6 +191,6 @@
     if offset != len(body):
         raise TokenError(
             f'session token has {len(body) - offset} bytes after the last '
-            'entry: must be 0'
+            'entry: expected 0'
         )
     return SessionToken(tuple(entries))
