Reword what a newcomer stumbles over in messages, objects and effects

Mended: states of reachability and membership without their values, permits without a meaning, limits and endpoints described only by a reference, a description of ControlGroup that contradicts the sender (voters get it too), a Stop effect that claimed more than it knows, the case of a declared configuration that changes nothing and is also answered as a duplicate.

No code changes; texts of faults are stored and stay. The tests in tests/core and tests/testing pass.

--- a/jackdawpost/core/effects.py
+++ b/jackdawpost/core/effects.py
@@ -208,7 +208,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Stop:
-    """Stop the process; all pending messages have been sent."""
+    """Stop the process; the reducer has nothing left to send."""
 
     exit_code: int = 0
     kind: Literal['stop'] = 'stop'
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -9,7 +9,9 @@
 
 from jackdawpost.core.positions import LogPosition
 
-# 'stalled': the upstream answers probes but completes no statements.
+# Reachability of an upstream. 'silent': probes or connection attempts time
+# out; 'refused': connections are refused or lost; 'stalled': the upstream
+# answers probes but completes no statements.
 Evidence = Literal['up', 'silent', 'refused', 'stalled']
 
 
@@ -90,7 +92,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class AnnounceAck:
-    """Answer to `Announce`: the upstream's membership state."""
+    """Answer to `Announce`.
+
+    Parameters
+    ----------
+    state : str
+        Membership state of the upstream: ``'announced'``, ``'joined'`` or
+        ``'leaving'``.
+    leader : str, optional
+        Name of the control leader, if known.
+    """
 
     state: str
     leader: str | None = None
@@ -184,7 +195,8 @@
         Version of the published state at the leader. A proxy with a lower
         version must not treat the grant as confirmation of its configuration.
     member_state : str
-        Membership state of the proxy.
+        Membership state of the proxy: ``'announced'``, ``'joined'`` or
+        ``'leaving'``.
     peers : list of str, optional
         Addresses of the control processes; None if they are fixed by the
         settings.
@@ -267,7 +279,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class PermitDemand:
-    """Total number of permits for an upstream that the proxy could use now."""
+    """Total number of permits for an upstream that the proxy could use now.
+
+    A permit is the right to use one statement slot of the upstream.
+    """
 
     upstream: str
     wanted: int
--- a/jackdawpost/core/messages/peer.py
+++ b/jackdawpost/core/messages/peer.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ControlGroup:
-    """Send the members of the control group to a process outside it.
+    """Leader and voters of the control group, sent to all connected processes.
 
     Parameters
     ----------
--- a/jackdawpost/core/messages/registry.py
+++ b/jackdawpost/core/messages/registry.py
@@ -1,6 +1,6 @@
-"""Requests that reach the control process over HTTP, not over a link.
+"""Requests that reach a control process over HTTP, not over a control link.
 
-Operators declare a complete configuration under a version, and upstreams that
+Operators declare a complete configuration under a version. Upstreams that
 support only the statement protocol register themselves.
 """
 
--- a/jackdawpost/core/objects/declared.py
+++ b/jackdawpost/core/objects/declared.py
@@ -33,7 +33,8 @@
 
     A valid configuration whose version is not higher than the active one is
     accepted without effect and answered as a duplicate: it is a resend, or a
-    higher version has been declared in the meantime.
+    higher version has been declared in the meantime. A configuration that
+    changes nothing in the published state is answered as a duplicate, too.
     """
     candidate, faults = check_declared(machine, command.objects)
     change_id = f'declared-{command.version}'
@@ -100,6 +101,7 @@
     candidate: Candidate,
     change_id: str,
 ) -> bool:
+    """Replace all objects; return whether the published state changed."""
     before = all_keys(machine)
     machine.objects = candidate.objects
     machine.revision += 1
--- a/jackdawpost/core/objects/model.py
+++ b/jackdawpost/core/objects/model.py
@@ -98,7 +98,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class LimitObject:
-    """Request limits of one group; see `LimitView`."""
+    """Request limits of one group.
+
+    Parameters
+    ----------
+    queue_length : int
+        Maximum number of queued requests in each proxy.
+    max_deadline_ms : int
+        Longest deadline that a request may specify, in milliseconds.
+    retry_ratio : float
+        Retries allowed per request, from 0 to 1.
+    """
 
     name: str
     group: str
@@ -116,8 +126,8 @@
     database : str
         Database name that callers give when they open a session.
     path : str
-        Part of the database's namespace. No two endpoints have the same
-        database and path.
+        Path prefix in the database's namespace. No two endpoints have the
+        same database and path.
     consistency : {'primary', 'bounded_staleness', 'read_your_writes'}
         Consistency level of reads.
     allowance : str, optional
@@ -126,7 +136,8 @@
     timeout_ms : int
         Maximum run time of one statement, in milliseconds.
     objective_ms : int
-        Latency objective of a whole operation, in milliseconds.
+        Latency objective of a whole operation, in milliseconds. A statement
+        that succeeds but takes longer, from arrival to answer, is logged.
     priority : int
         Priority of requests; 0 is the highest.
     idle_txn_ms : int
--- a/jackdawpost/core/published.py
+++ b/jackdawpost/core/published.py
@@ -102,7 +102,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndpointView:
-    """Database of the session pooler; see `EndpointObject`.
+    """Endpoint of the session pooler: a database that callers connect to.
+
+    The other fields are those of `EndpointObject`.
 
     Parameters
     ----------
