Reword what a newcomer stumbles over in the simulations

Mended: docstrings that restate the name or do not say what is returned and when, fields of FakeConn without a meaning, module heads in the third person, two words for a lone surrogate.

No code changes. The tests in tests/core and tests/testing pass.

--- a/jackdawpost/testing/caller_fuzz.py
+++ b/jackdawpost/testing/caller_fuzz.py
@@ -188,7 +188,7 @@
     b'\x5b\x7f\xff\xff\xff\xff\xff\xff\xff',
     # A map whose key is an array.
     b'\xa1\x80\x01',
-    # Half a surrogate pair as a parameter, as the kind and as a field name.
+    # A lone surrogate as a parameter, as the kind and as a field name.
     '{"kind":"statement","id":1,"route":"orders","sql":"select ?",'
     f'"access":"read","params":[{_LONE_SURROGATE_JSON}]}}',
     f'{{"kind":{_LONE_SURROGATE_JSON}}}',
--- a/jackdawpost/testing/history.py
+++ b/jackdawpost/testing/history.py
@@ -1,4 +1,4 @@
-"""Checks the history of a workload for violations of consistency.
+"""Check of a workload's history for violations of consistency.
 
 It compares the outcomes that callers received with the rows that the databases
 hold after the run. The workload writes rows ``(request_key, session, seq,
--- a/jackdawpost/testing/pooler_simulation.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -107,7 +107,20 @@
 
 @dataclass
 class FakeConn:
-    """Connection of the pooler to a database, as the database sees it."""
+    """Connection of the pooler to a database, as the database sees it.
+
+    Parameters
+    ----------
+    txn : str
+        Kind of the open transaction, ``'write'`` or ``'read'``; empty if none
+        is open.
+    failed : bool
+        The open transaction has failed.
+    queue : deque
+        Messages that wait for the one in progress.
+    busy : bool
+        A message is in progress.
+    """
 
     number: int
     database: FakeDatabase
@@ -280,7 +293,7 @@
     # Callers.
 
     def open(self, database: str) -> int:
-        """Open a session."""
+        """Open a session to a database; return the caller's connection."""
         conn = next(self._conn_numbers)
         self.caller_messages[conn] = []
         self.dispatch(
@@ -302,7 +315,11 @@
         return messages
 
     def call(self, conn: int, text: str, within_ms: float = 5_000) -> Any:
-        """Send a statement, await the answer, return `Done` or `Failed`."""
+        """Send a statement and return its answer, `Done` or `Failed`.
+
+        Simulated time advances until the answer arrives. The result is None
+        if there is no answer after `within_ms`.
+        """
         self.pop_messages(conn)
         self.send_request(conn, text)
         end_ms = self.now_ms + within_ms
@@ -616,7 +633,7 @@
 
 
 def default_endpoints() -> list[dict[str, Any]]:
-    """Return one endpoint of each consistency."""
+    """Return one endpoint for each consistency level."""
     return [
         endpoint('orders', 'primary', 0),
         endpoint('reports', 'bounded_staleness', 1_500),
--- a/jackdawpost/testing/traces.py
+++ b/jackdawpost/testing/traces.py
@@ -1,4 +1,4 @@
-"""Replays recorded traces and compares the effects with an outcome file."""
+"""Replay of recorded traces, and comparison of the effects with a file."""
 
 from __future__ import annotations
 
