Explain three places of the core that need another file

The first pending request of a new pooler connection, the return of permits by a recall at the end of a drain (permits of lost connections may stay in use, so not all are returned), and the time at which an observation of the failure detector counts. Comments and docstrings only.

--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -194,6 +194,10 @@
     upstream: str,
     primary_since_ms: float,
 ) -> float | None:
+    """Return when a proxy's observation reaches its timeout.
+
+    None if the proxy reports the upstream as ``'up'`` or not at all.
+    """
     observation = reporter.observations.get(upstream)
     if observation is None or observation.state == 'up':
         return None
--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -199,6 +199,7 @@
         if conn is None:
             close(state, event.conn, 'connection no longer needed', abort=True)
             return
+        # The first pending request is the opening of the connection.
         conn.pending_requests[0].sent_ms = state.now_ms
         open_message = OpenUpstream(
             group=_group_name(state, conn),
--- a/jackdawpost/core/proxy/drain.py
+++ b/jackdawpost/core/proxy/drain.py
@@ -43,13 +43,15 @@
 def stop_when_drained(state: ProxyState) -> None:
     """Stop after the drain window, once no request or transaction is left.
 
-    All permits are returned first if the control leader is known.
+    Unused permits are returned first, if the control leader is known. A
+    permit of a lost connection may still be in use.
     """
     if state.drain_started_ms is None or state.stopped:
         return
     if state.requests or state.txns or remaining_serve_ms(state):
         return
     state.stopped = True
+    # Marks all permits for return; those not in use are returned at once.
     for name in state.permits.holdings():
         state.permits.recall(name, state.permits.account(name).held)
         return_recalled_permits(state, name)
