Restore the close reason 'reset' of line connections

Operators' pages quote 'reset', so the text goes back letter for letter. The rest of the file stays.

--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -357,7 +357,7 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ) as exc:
-                raise LinkClosedError(str(exc) or 'connection reset') from exc
+                raise LinkClosedError(str(exc) or 'reset') from exc
             if not data:
                 raise LinkClosedError('connection closed by peer')
             self._buffer += data
