Say what the seed of a process decides

Cause: a reader stumbled over 'jitter and choices': choices of what. Ruled out: describing the keys that have no description, which would add arguments.

--- a/jackdawpost/settings/models.py
+++ b/jackdawpost/settings/models.py
@@ -67,7 +67,8 @@
     seed: int = Field(
         default=0,
         ge=0,
-        description='Seed of the random generator for jitter and choices.',
+        description='Seed of the random generator for jitter and random '
+        'choices.',
     )
 
 
