Correct docstrings of the runtime to what the code does

Cause: a reader of files drawn at random stumbled over docstrings that say more, less or other than the code. ByteWriter.closed is not set by the writer when the peer closes, and write() does not drop bytes after abort(). ListenError and StorageCorruptError are raised in more cases than they named. Transaction.commit does not refuse a repeated transaction but reports success without committing again. The head of client.session, the words 'control' and 'seeds', and delegated, seed and is_known_peer in platform.control needed a look into other files. Ruled out: changing 'log file is missing' (it names the node_id file) and the TLS texts with 'must be', which operators' pages may quote. Change: comments and docstrings only.

--- a/jackdawpost/client/session.py
+++ b/jackdawpost/client/session.py
@@ -1,7 +1,8 @@
 """Session of a caller, with read-your-writes through any proxy.
 
-Reads, and writes outside transactions, which carry a request key, are resent
-after a lost connection or a temporary error until their deadline.
+After a lost connection or a temporary error, reads are resent until their
+deadline. So are writes outside transactions, because their request key
+prevents a second execution.
 """
 
 from __future__ import annotations
@@ -131,12 +132,13 @@
         params : sequence
             Positional parameters.
         key : str, optional
-            Selects the group among those of the rule.
+            Routing key that selects one of the groups of the rule.
         max_age_ms : int, optional
             Accepted age of the rows, in milliseconds. Rows are current if
             neither this nor `allowance` is given.
         allowance : str, optional
-            Name of a staleness allowance.
+            Name of a staleness allowance of the configuration, in place of
+            `max_age_ms`.
         deadline_ms : int
             Time limit for the answer, in milliseconds.
 
@@ -220,6 +222,16 @@
 
         The transaction commits when the block ends and rolls back when the
         block raises an exception.
+
+        Parameters
+        ----------
+        request_key : str, optional
+            Identifies the transaction if it is repeated; a new key if not
+            given.
+
+        See Also
+        --------
+        read : The other parameters.
         """
         link = await self._connect(deadline_ms)
         begin = Begin(
@@ -342,7 +354,11 @@
         return _build_result(await self._send_request(message))
 
     async def commit(self, request_key: str) -> None:
-        """Commit; a transaction repeated under `request_key` is refused."""
+        """Commit, at most once under the same `request_key`.
+
+        If a transaction was committed under the key before, this one is
+        rolled back and the call succeeds.
+        """
         message = Commit(
             id=0,
             txn=self._handle,
--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -1,10 +1,10 @@
-"""Exceptions that jackdawpost raises on purpose, under one base class."""
+"""Exception classes of jackdawpost, under one base class."""
 
 from __future__ import annotations
 
 
 class JackdawpostError(Exception):
-    """Base class of the errors that jackdawpost raises on purpose."""
+    """Base class of all exceptions of jackdawpost."""
 
 
 class ConfigError(JackdawpostError):
@@ -56,7 +56,7 @@
 
 
 class StorageCorruptError(StorageError):
-    """A stored record other than the last one has a wrong checksum.
+    """A storage file is damaged, other than by an incomplete last record.
 
     Parameters
     ----------
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -88,7 +88,7 @@
         member_expiry_ms=MEMBER_EXPIRY_MS,
         refused_ms=REFUSED_MS,
         silent_ms=SILENT_MS,
-        delegated=True,
+        delegated=True,  # the platform carries out promotions
         holder=settings.node,
         voter_target=2 * settings.tolerates.machines + 1,
         seeds=tuple(seeds),
@@ -99,8 +99,10 @@
         name=settings.node,
         listen=Address(host=settings.ip, port=settings.internal_ports[0]),
         data_dir=data_dir,
-        seed=crc32(settings.ip.encode()),
+        seed=crc32(settings.ip.encode()),  # of the random generator
         header_settings={},
+        # Accepts each peer that sends a name. Without TLS there is no
+        # certificate to check.
         is_known_peer=lambda name, peer: bool(name),
         keepalive_timeout_ms=PEER_KEEPALIVE_TIMEOUT_MS,
     )
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -25,7 +25,8 @@
 LOG = logging.getLogger(__name__)
 
 READ_BYTES = 65_536
-# The platform's largest configuration fits, with room for growth.
+# Limit of a request body. The platform's largest configuration fits, with room
+# for growth.
 MAX_BODY_BYTES = 2 << 20
 # Longest wait for more data from a peer. A slow peer blocks no other
 # connection, but holds memory.
--- a/jackdawpost/platform/reload.py
+++ b/jackdawpost/platform/reload.py
@@ -1,7 +1,7 @@
 """Reload of the settings file, on SIGHUP or when the file has changed.
 
-Only the seeds are taken from the reloaded file. The process receives them as
-`SeedsChanged`.
+Only the seeds, the addresses of the control processes to connect to first, are
+taken from the reloaded file. The process receives them as `SeedsChanged`.
 """
 
 from __future__ import annotations
--- a/jackdawpost/runtime/logs.py
+++ b/jackdawpost/runtime/logs.py
@@ -66,7 +66,13 @@
         return True
 
     def _write(self, line: bytes) -> bool:
-        """Write the rest of a partial line, then this line."""
+        """Write the rest of a partial line, then this line.
+
+        Returns
+        -------
+        bool
+            False if the line was dropped.
+        """
         try:
             if self._unwritten:
                 written = os.write(self._fd, self._unwritten)
@@ -75,7 +81,7 @@
                 return False
             written = os.write(self._fd, line)
         except OSError:
-            # The pipe is full or has no reader. The line counts as dropped.
+            # The pipe is full or has no reader.
             return False
         self._unwritten = line[written:]
         return True
@@ -84,7 +90,7 @@
 def configure_logging(
     process: str, level: str, stream: TextIO | None = None
 ) -> logging.Logger:
-    """Write the logs of this process as JSON lines.
+    """Configure all loggers of this process to write JSON lines.
 
     Parameters
     ----------
--- a/jackdawpost/runtime/pooler_shell.py
+++ b/jackdawpost/runtime/pooler_shell.py
@@ -1,4 +1,4 @@
-"""Runs a session pooler: its reducer, links to control and HTTP pages.
+"""Runs a session pooler: reducer, control links and HTTP pages.
 
 An adapter, passed as `SessionProtocol`, implements the protocol of callers and
 upstreams. It accepts the connections of callers and opens connections to
@@ -77,6 +77,8 @@
         Listening address of the pages for health, metrics and state.
     control_port : int
         TCP port of all control processes.
+    seed : int
+        Seed of the random generator of the reducer.
     *task_factories : callable
         Called with the shell before it runs. Each may return a coroutine
         function to run concurrently.
@@ -117,7 +119,13 @@
 
 
 class UpstreamOpener:
-    """Performs `Connect` effects with the protocol of an adapter."""
+    """Opens connections to upstreams for `Connect` effects.
+
+    Parameters
+    ----------
+    open_stream : callable
+        `SessionProtocol.open_stream` of the adapter.
+    """
 
     def __init__(self, open_stream: OpenStream) -> None:
         self.shell: ReducerShell | None = None
--- a/jackdawpost/runtime/timers.py
+++ b/jackdawpost/runtime/timers.py
@@ -11,7 +11,6 @@
 
 MS_PER_SECOND = 1_000
 
-
 # The event loop's clock stops while the machine is suspended. Without this
 # limit a timer that became due during a suspension would fire late.
 MAX_SLEEP_S = 0.25
@@ -38,6 +37,8 @@
     def __init__(self, on_due: Callable[[str], None]) -> None:
         self._on_due = on_due
         self._due_ms_by_key: dict[str, float] = {}
+        # Also contains entries of cancelled and replaced timers, which are
+        # skipped when they become due.
         self._heap: list[tuple[float, str]] = []
         self._sleep_scope: trio.CancelScope | None = None
         self._next_due_ms = math.inf
--- a/jackdawpost/storage/durable_store.py
+++ b/jackdawpost/storage/durable_store.py
@@ -73,7 +73,7 @@
         self._sequence = 0
         self._content = _LogContent()
         # Files and log data that a failed write may have left in the folder.
-        # They are remembered here until the rollback of the write succeeds.
+        # These attributes are reset when the rollback of the write succeeds.
         self._unfinished_files: list[str] = []
         self._has_unfinished_append = False
 
--- a/jackdawpost/storage/records.py
+++ b/jackdawpost/storage/records.py
@@ -22,7 +22,7 @@
 
 
 def encode_record(payload: bytes) -> bytes:
-    """Return a record that holds the payload."""
+    """Return `payload` with the record header in front of it."""
     length_and_checksum = _LENGTH_AND_CHECKSUM.pack(
         len(payload), zlib.crc32(payload)
     )
@@ -39,7 +39,8 @@
     Raises
     ------
     StorageCorruptError
-        The file does not start with the magic number.
+        The file does not start with the magic number, or ends within the
+        file header.
     StorageError
         The file has another format version.
     """
--- a/jackdawpost/wire/byte_writer.py
+++ b/jackdawpost/wire/byte_writer.py
@@ -27,7 +27,9 @@
     Attributes
     ----------
     closed : bool
-        True after the transport was closed by either side or failed.
+        True once this process closes the transport. The owner of the writer
+        sets it if the peer has closed the transport or reading from it has
+        failed.
     """
 
     def __init__(
@@ -44,7 +46,11 @@
         )
 
     def write(self, data: bytes) -> None:
-        """Send bytes, or drop them if the transport is closed."""
+        """Send bytes; they are dropped if the transport has failed.
+
+        Must not be called after `abort`: the file descriptor may already
+        belong to another connection.
+        """
         self._unsent += data
         if not self._unsent or self._flushing:
             self._abort_if_over_limit()
--- a/jackdawpost/wire/server.py
+++ b/jackdawpost/wire/server.py
@@ -25,12 +25,13 @@
 
 LOG = logging.getLogger(__name__)
 
+# For the TLS handshake and the HTTP request with its response.
 HANDSHAKE_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1_024
 
 
 class ListenError(JackdawpostError):
-    """The listening address is in use or does not belong to this machine."""
+    """The process cannot listen on the address, which may be in use."""
 
 
 @dataclass(slots=True)
@@ -181,6 +182,7 @@
         if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
             return
     frame_stream = FrameStream(stream, protocol, peer)
+    # Not kept in memory while the connection is open.
     del request, response
     try:
         await handler(frame_stream, peer)
