Explain rules, records and newcomers in the test tools

Cause: the consistency rules of testing.history stood without a meaning; 'newcomers', the edge processes of the soak callers, the fields of the START and STATUS lines and the retried reads of soak.invariants needed a look into other files; 'control' stood for control processes; the stand-in of the line protocol said 'word' where platform.lines says 'keyword'. Change: docstrings and comments; word becomes keyword, _SESSION_WORDS becomes _SESSION_KEYWORDS, ends becomes acknowledged_ms.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -99,11 +99,15 @@
     write to the group that was started after the failure. It is infinite if
     there is no such write.
     """
-    ends = [
+    acknowledged_ms = [
         write.ended_ms
         for write in history.writes
         if write.group == group
         and write.outcome == 'done'
         and write.started_ms > failed_at_ms
     ]
-    return min(ends) - failed_at_ms if ends else float('inf')
+    return (
+        min(acknowledged_ms) - failed_at_ms
+        if acknowledged_ms
+        else float('inf')
+    )
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -143,7 +143,8 @@
     load_s : float
         Duration of the load, in seconds.
     uses_relays : bool
-        True if `RELAYED_PROXY` connects to control through relays.
+        True if `RELAYED_PROXY` connects to the control processes through
+        relays.
     database_settings : dict
         Settings of the databases that override the default ones.
     """
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -1,7 +1,7 @@
 """Simulates network partitions between processes on loopback.
 
-Relays hold back the traffic between a proxy and control; databases drop
-traffic on request through their fault interface.
+Relays hold back the traffic between a proxy and the control processes.
+Databases drop traffic on request through their fault interface.
 """
 
 from __future__ import annotations
@@ -88,6 +88,11 @@
         Folder with the settings files. The file of the proxy is changed.
     proxy : str
         Name of the proxy.
+
+    Returns
+    -------
+    list of PartitionRelay
+        One relay for each control process; the caller has to run them.
     """
     path = folder / f'{proxy}.json'
     settings = json.loads(path.read_text())
@@ -102,7 +107,7 @@
 async def isolate_database(
     cluster: Cluster, name: str, peers: list[str]
 ) -> None:
-    """Make a database drop all traffic with the given peers only."""
+    """Make a database drop all traffic with the given peers and no others."""
     state = FaultState(isolated=peers)
     await send_fault_request(cluster, name, SetFaults(id=1, state=state))
 
@@ -110,7 +115,13 @@
 async def silence_peer(
     cluster: Cluster, name: str, peer: str, purpose: str
 ) -> int:
-    """Silence the open connections of a peer and return their number."""
+    """Silence the open connections of a peer for one purpose.
+
+    Returns
+    -------
+    int
+        Number of silenced connections.
+    """
     request = SilenceConnections(id=1, peer=peer, purpose=purpose)
     done = await send_fault_request(cluster, name, request)
     return int(done.affected)
--- a/bench/record_traces.py
+++ b/bench/record_traces.py
@@ -86,7 +86,10 @@
 async def isolate_proxy_during_write(
     cluster: Cluster, relays: list[PartitionRelay], session: Session
 ) -> None:
-    """Partition a proxy from control while the answer of a write is late."""
+    """Partition a proxy from all control processes during a write.
+
+    The answer to the write arrives late.
+    """
     await write(session, 'before')
     state = FaultState(answer_delay_ms=LATE_ANSWER_MS)
     primary = find_primaries(cluster)[GROUP].name
--- a/jackdawpost/testing/consensus_group.py
+++ b/jackdawpost/testing/consensus_group.py
@@ -101,7 +101,8 @@
     state : ConsensusState, optional
         State of the core; None while the process is down.
     incarnation : int
-        Number of starts; ticks and writes of an earlier one are discarded.
+        Number of starts; ticks and writes from before the last start are
+        discarded.
     frozen : bool
         The process is suspended; its events are kept in `delayed_events`.
     applied : list of bytes
--- a/jackdawpost/testing/history.py
+++ b/jackdawpost/testing/history.py
@@ -117,9 +117,27 @@
     Returns
     -------
     list of Violation
-        Rules: ``lost_write``, ``doubled_write``, ``not_run_but_ran``,
-        ``partial_transaction``, ``foreign_row``, ``read_your_writes``,
-        ``too_old``, ``age_not_kept``, ``foreign_answer``.
+        One for each violation of these rules.
+
+        ``lost_write``
+            A row of an acknowledged write is missing.
+        ``doubled_write``
+            A row of a write is stored more than once.
+        ``not_run_but_ran``
+            A row of a write with the outcome ``'not_run'`` is stored.
+        ``partial_transaction``
+            Only some rows of a write are stored.
+        ``foreign_row``
+            A stored row does not belong to a write of its session.
+        ``read_your_writes``
+            A read misses an acknowledged write of its own session.
+        ``too_old``
+            A read misses a write of another session that was acknowledged
+            longer than the accepted age before the read started.
+        ``age_not_kept``
+            The reported age is missing or exceeds the accepted age.
+        ``foreign_answer``
+            The answer belongs to another request.
     """
     violations: list[Violation] = []
     rows_by_group = {group: list(rows) for group, rows in stored.items()}
--- a/jackdawpost/testing/pooler_simulation.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -1,6 +1,7 @@
-"""Deterministic simulation of callers, control and databases for a pooler.
+"""Deterministic simulation of a pooler with its environment.
 
-The simulation runs the reducer of the session pooler in simulated time.
+The simulation runs the reducer of the session pooler in simulated time, with
+simulated callers, control leader and databases.
 Events are processed in the order of their due times, and every run with the
 same calls gives the same result.
 """
@@ -52,7 +53,7 @@
 CONTROL_CONN = 1
 GROUP = 'spares'
 DATABASES = ('db-1', 'db-2', 'db-3')
-ROUND_TRIP_MS = 0.5  # to a database or to control
+ROUND_TRIP_MS = 0.5  # to a database or a control process
 SLOTLESS_MS = 0.5  # duration of statements that need no slot
 VERBS: dict[str, Verb] = {
     'BEGIN': 'begin',
@@ -79,8 +80,8 @@
 
 def build_request(request_id: str, text: str) -> Request:
     """Parse a caller's text into a request."""
-    word, _, rest = text.partition(' ')
-    verb: Verb = VERBS.get(word, 'unknown')
+    keyword, _, rest = text.partition(' ')
+    verb: Verb = VERBS.get(keyword, 'unknown')
     if verb == 'begin' and rest == 'READ':
         verb = 'begin_read'
     if verb not in ('set', 'prepare', 'execute', 'deallocate'):
@@ -189,9 +190,9 @@
     executed : list of ExecutedStatement
         Statements of callers in the order of execution.
     reports : list of ProxyReport
-        Reports that the pooler has sent to control.
+        Reports that the pooler has sent to control processes.
     action_answers : list of UpstreamActionAnswer
-        Answers to forwarded requests of control.
+        Answers to forwarded requests of control processes.
     lag_refusals : list of str
         Databases that refused a read because they lag behind, one per read.
     caller_messages : dict of int to list
--- a/jackdawpost/testing/proxy_simulation.py
+++ b/jackdawpost/testing/proxy_simulation.py
@@ -1,4 +1,4 @@
-"""Simulated control, upstreams and callers around a proxy's reducer.
+"""Simulated control processes, upstreams and callers of a proxy's reducer.
 
 Time is simulated as well; nothing is sent over a network.
 """
@@ -71,7 +71,7 @@
 
 
 class ProxySimulation:
-    """Proxy with simulated control and upstreams.
+    """Proxy with simulated control processes and upstreams.
 
     Control and monitor connections are answered at once, unless configured
     otherwise. Statements are answered by the test.
@@ -95,13 +95,13 @@
     answers : dict of int to list
         Messages received by each caller.
     control_sent : list
-        Messages received by control, in order.
+        Messages received by control processes, in order.
     control_conn : int
         Connection to the control process that was opened last.
     control_answers : bool
-        Control answers reports.
+        Whether control processes answer reports.
     grants_permits : bool
-        Control grants requested permits.
+        Whether control processes grant requested permits.
     database_set : sequence of str
         Databases in the published database set of the group.
     reduce : callable
@@ -221,7 +221,10 @@
             self.publish(primary=name)
 
     def deliver_from_control(self, message: Any, conn: int = 0) -> None:
-        """Deliver a message from control, by default on the newest link."""
+        """Deliver a message of a control process.
+
+        The default connection is the one that was opened last.
+        """
         sender = conn or self.control_conn
         self.feed(
             Received(now_ms=self.now_ms, conn=sender, messages=[message])
--- a/jackdawpost_standin/announcer.py
+++ b/jackdawpost_standin/announcer.py
@@ -1,7 +1,8 @@
 """Announcements to control processes, and approvals of newcomers.
 
-The database sends its state to each control process, and answers the requests
-of control processes to approve newcomers.
+The database sends its state to each control process. Control processes request
+its approval of newcomers, which are processes that are not yet members; the
+settings decide which ones it approves.
 """
 
 from __future__ import annotations
--- a/jackdawpost_standin/faults.py
+++ b/jackdawpost_standin/faults.py
@@ -19,7 +19,8 @@
     isolated : list of str
         Peers whose frames are dropped in both directions; ``'*'`` for all.
     hold_apply : bool
-        Whether received records are not applied; the lag grows without end.
+        Whether to stop applying received records; the lag then grows without
+        limit.
     slow_ms : float
         Time added to the service time of each statement.
     answer_delay_ms : float
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -18,8 +18,8 @@
 LINE_END = b'\r\n'
 INITIAL_INDEX = 10  # index of a log without commits
 POLL_INTERVAL_S = 0.005  # between two checks of a waiting statement
-# First words of statements that change only the session.
-_SESSION_WORDS = frozenset({'SET', 'PREPARE', 'DEALLOC', 'RESET'})
+# Keywords of statements that change only the session.
+_SESSION_KEYWORDS = frozenset({'SET', 'PREPARE', 'DEALLOC', 'RESET'})
 
 
 @dataclass(frozen=True)
@@ -171,7 +171,8 @@
         Maximum number of statements that wait for a slot; 0 refuses all
         statements that need a slot.
     hangs : bool
-        Whether statements that need a slot get no answer; the others do.
+        Whether statements that need a slot remain without an answer. The
+        other statements are answered.
     applied_count : int
         Number of commits in the log that reads can see.
     paused_term : int
@@ -210,7 +211,7 @@
             await trio.aclose_forcefully(stream)
 
     def catch_up(self) -> None:
-        """Receive the primary's commits that are at least the delay old."""
+        """Receive commits of the primary that are `receive_delay_s` old."""
         primary = self.group.databases[self.group.primary]
         if self.leads or self.paused_term or not self.is_running:
             return
@@ -270,8 +271,10 @@
 
     async def handle_line(self, session: LineSession, line: str) -> list[str]:
         """Handle one received line and return the lines of the answer."""
-        word, _, rest = line.partition(' ')
-        if word == 'START':
+        keyword, _, rest = line.partition(' ')
+        if keyword == 'START':
+            # Group, name of the client, and optionally the database that must
+            # serve the session.
             fields = rest.split(' ')
             if fields[0] != self.group.name or fields[2:] not in (
                 [],
@@ -298,16 +301,16 @@
             _, position, text = text.split(' ', 2)
             term, _, index = position.partition('.')
             after = (int(term), int(index))
-        word = text.partition(' ')[0]
-        if word in _SESSION_WORDS:
+        keyword = text.partition(' ')[0]
+        if keyword in _SESSION_KEYWORDS:
             return _change_session(session, text)
         if after is not None and after > self.applied():
             return [f'ERROR LAGGING {self.name}']
-        if word == 'ROLLBACK':
+        if keyword == 'ROLLBACK':
             session.in_txn = session.has_failed = False
             session.writes.clear()
             return ['COMPLETE -']
-        if word == 'BEGIN':
+        if keyword == 'BEGIN':
             return self._begin(session, text)
         if not await self._acquire_slot():
             return [f'ERROR BUSY {self.name}']
@@ -341,31 +344,31 @@
     async def _execute(
         self, session: LineSession, request_id: str, text: str
     ) -> list[str]:
-        word, _, fields = text.partition(' ')
-        if word in ('STATUS', 'PAUSE', 'RESUME'):
-            return self._run_admin_statement(word, fields)
+        keyword, _, fields = text.partition(' ')
+        if keyword in ('STATUS', 'PAUSE', 'RESUME'):
+            return self._run_admin_statement(keyword, fields)
         name, _, argument = fields.partition(' ')
-        if word == 'EXECUTE':
+        if keyword == 'EXECUTE':
             statement = session.prepared.get(name)
             if statement is None:
                 return [f'ERROR NOSTMT {name}']
-            word = statement.split(' ')[0]
+            keyword = statement.split(' ')[0]
             name, _, argument = argument.partition(' ')
         if session.in_txn and session.is_read_write and not self.leads:
             session.has_failed = True
-            if word != 'COMMIT' or session.writes:
+            if keyword != 'COMMIT' or session.writes:
                 return [f'ERROR READONLY {self.name}']
-        if word == 'WRITE' and not self.leads:
+        if keyword == 'WRITE' and not self.leads:
             return [f'ERROR READONLY {self.name}']
         self.executed.append(f'{request_id} {text}')
         done = f'COMPLETE {self.name}.{request_id}'
-        if word == 'READ':
+        if keyword == 'READ':
             read = ExecutedRead(request_id, self.name, self.applied())
             self.group.reads.append(read)
             return [f'DATAROW {self._read_value(name)}', done]
-        if word == 'WRITE':
+        if keyword == 'WRITE':
             session.writes.append((request_id, name, argument))
-        if word == 'COMMIT':
+        if keyword == 'COMMIT':
             session.in_txn = session.has_failed = False
         if not session.in_txn and session.writes:
             commit = self._commit(session)
@@ -413,26 +416,27 @@
                     return value
         return 'none'
 
-    def _run_admin_statement(self, word: str, fields: str) -> list[str]:
-        if word == 'PAUSE' and int(fields) > self.group.term:
+    def _run_admin_statement(self, keyword: str, fields: str) -> list[str]:
+        if keyword == 'PAUSE' and int(fields) > self.group.term:
             self.catch_up()
             self.paused_term = int(fields)
-        elif word == 'RESUME':
+        elif keyword == 'RESUME':
             self.paused_term = 0
         role = 'primary' if self.leads else 'replica'
         term, index = self.received()
+        # The proxy does not read the last four fields.
         row = f'{role} {self.group.term} {term}.{index} 0 0 0 1'
         return [f'DATAROW {row}', 'COMPLETE -']
 
 
 def _change_session(session: LineSession, text: str) -> list[str]:
-    word, _, fields = text.partition(' ')
+    keyword, _, fields = text.partition(' ')
     name, _, argument = fields.partition(' ')
-    if word == 'SET':
+    if keyword == 'SET':
         session.variables[name] = argument
-    elif word == 'PREPARE':
+    elif keyword == 'PREPARE':
         session.prepared[name] = argument
-    elif word == 'DEALLOC':
+    elif keyword == 'DEALLOC':
         session.prepared.pop(name, None)
     else:
         session.variables.clear()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,7 @@
-"""Callers that run random operations in sessions and record the outcomes."""
+"""Callers that run random operations in sessions and record the outcomes.
+
+They connect to edge processes, as the platform calls its session poolers.
+"""
 
 from __future__ import annotations
 
@@ -84,7 +87,7 @@
     last_session: int = 0
 
     def new_request_id(self) -> str:
-        """Return a new unique request id."""
+        """Return a request id that no other request of the run has."""
         self.last_request += 1
         return f'q{self.last_request:x}'
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -135,6 +135,7 @@
             reads = reads_by_signature.get(signature)
             if not reads:
                 continue
+            # A read that was retried may have been executed several times.
             seen = max(execution.position for execution in reads)
             needed = _needed_position(operation, acknowledged)
             if seen < needed:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -73,9 +73,9 @@
     ----------
     kind : str
         Kind of the fault. ``stop``, ``kill``, ``pause`` and ``reload`` affect
-        edge processes. The ``order`` kinds affect promotions that control
-        requests from the platform. The others start with the name of their
-        target.
+        edge processes. The ``order`` kinds affect promotions that the
+        control leader requests from the platform. The others start with the
+        name of their target.
     at_s, for_s : float
         Start, in seconds after the start of the traffic, and duration in
         seconds.
