--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -25,8 +25,8 @@
 from jackdawpost.testing.caller_fuzz import Frame
 from jackdawpost.testing.caller_fuzz import frames
 from jackdawpost.tests.runtime.helpers import daemons
-from jackdawpost.tests.runtime.helpers import serve_first_write
 from jackdawpost.tests.runtime.helpers import start_system
+from jackdawpost.tests.runtime.helpers import wait_for_first_write
 
 DEFAULT_EXAMPLES = 500
 
@@ -58,7 +58,7 @@
     with tempfile.TemporaryDirectory(prefix='jackdawpost-') as folder:
         async with daemons() as nursery:
             port, _ = await start_system(nursery, Path(folder))
-            await serve_first_write(port)
+            await wait_for_first_write(port)
 
             @seed(seed_value)
             @settings(
--- a/jackdawpost/tests/cli/test_operator_link.py
+++ b/jackdawpost/tests/cli/test_operator_link.py
@@ -64,7 +64,9 @@
     ('handler', 'error'),
     [(_close, LinkError), (_send_nonsense, ProtocolError)],
 )
-async def test_broken_exchange_is_a_typed_error(nursery, handler, error):
+async def test_broken_exchange_raises_a_link_or_protocol_error(
+    nursery, handler, error
+):
     # Guards against a traceback or an exception group in place of an error
     # after which the request is resent.
     peer = await _listen(nursery, handler)
--- a/jackdawpost/tests/cli/test_programs.py
+++ b/jackdawpost/tests/cli/test_programs.py
@@ -136,7 +136,7 @@
 
 
 def wait_for_exit(process):
-    """Return exit code and standard error; kill the process on time-out."""
+    """Return exit code and standard error; kill the process on timeout."""
     try:
         _, errors = process.communicate(timeout=TIMEOUT_S)
     finally:
--- a/jackdawpost/tests/platform/test_documents.py
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -166,7 +166,9 @@
             )
 
 
-def test_malformed_departure_names_no_incarnation():
+def test_malformed_departure_identifies_no_incarnation():
+    # `born`, the start time of a database, identifies its incarnation: the run
+    # of the process from one start to the next.
     assert decode_departure(b'') is None
     assert decode_departure(b'\xff{') is None
     assert decode_departure(b'{"born": "x"}') is None
--- a/jackdawpost/tests/platform/test_http.py
+++ b/jackdawpost/tests/platform/test_http.py
@@ -1,4 +1,4 @@
-"""HTTP server and client, with well-behaved and hostile peers."""
+"""HTTP server and client, with correct, malformed and missing messages."""
 
 from __future__ import annotations
 
--- a/jackdawpost/tests/platform/test_lines.py
+++ b/jackdawpost/tests/platform/test_lines.py
@@ -1,4 +1,4 @@
-"""Line protocol: encoding and decoding, and hostile input."""
+"""Line protocol: encoding and decoding, and malformed input."""
 
 from __future__ import annotations
 
--- a/jackdawpost/tests/runtime/helpers.py
+++ b/jackdawpost/tests/runtime/helpers.py
@@ -167,7 +167,7 @@
                 await trio.sleep(0.05)
 
 
-async def serve_first_write(port):
+async def wait_for_first_write(port):
     """Wait until the system behind a proxy can serve a write."""
     async with open_session([ProxyAddress(HOST, port)]) as session:
         await create_table(session)
--- a/jackdawpost/tests/runtime/test_bounded_logs.py
+++ b/jackdawpost/tests/runtime/test_bounded_logs.py
@@ -52,7 +52,7 @@
 def test_lines_beyond_the_rate_limit_are_dropped(piped_log, monkeypatch):
     log, reader = piped_log
     handler = logging.getLogger().handlers[0]
-    handler._tokens = 3.0
+    handler._tokens = 3.0  # and no refill
     monkeypatch.setattr(logs, 'LINES_PER_S', 0.0)
     for _ in range(10):
         log.info('line')
--- a/jackdawpost/tests/runtime/test_caller_fuzz.py
+++ b/jackdawpost/tests/runtime/test_caller_fuzz.py
@@ -18,9 +18,9 @@
 from jackdawpost.tests.runtime.helpers import create_table
 from jackdawpost.tests.runtime.helpers import daemons
 from jackdawpost.tests.runtime.helpers import HOST
-from jackdawpost.tests.runtime.helpers import serve_first_write
 from jackdawpost.tests.runtime.helpers import start_proxy
 from jackdawpost.tests.runtime.helpers import start_system
+from jackdawpost.tests.runtime.helpers import wait_for_first_write
 from jackdawpost.wire.codec import MAX_FRAME_BYTES
 from jackdawpost.wire.link import open_link
 
@@ -40,7 +40,7 @@
     assert len(frame) == MAX_FRAME_BYTES
     async with daemons() as nursery:
         port, _ = await start_system(nursery, tmp_path)
-        await serve_first_write(port)
+        await wait_for_first_write(port)
         async with open_link(HOST, port, '/v1/session') as stream:
             stream.post(frame)
             with trio.fail_after(5):
@@ -68,7 +68,7 @@
         port, _ = await start_system(
             nursery, tmp_path, record=str(tmp_path / 'trace')
         )
-        await serve_first_write(port)
+        await wait_for_first_write(port)
         for frame in EDGE_CASE_FRAMES:
             await check_frames(port, [frame])
 
--- a/jackdawpost/tests/test_pages.py
+++ b/jackdawpost/tests/test_pages.py
@@ -10,8 +10,8 @@
 from jackdawpost import ProxyAddress
 from jackdawpost.tests.runtime.helpers import daemons
 from jackdawpost.tests.runtime.helpers import HOST
-from jackdawpost.tests.runtime.helpers import serve_first_write
 from jackdawpost.tests.runtime.helpers import start_system
+from jackdawpost.tests.runtime.helpers import wait_for_first_write
 
 ROOT = Path(__file__).parents[2]
 DOCUMENTED_LEVELS = ('warning', 'error')
@@ -43,7 +43,7 @@
     exec(compile(_read_examples()[0], 'client', 'exec'), namespace)
     async with daemons() as nursery:
         port, _ = await start_system(nursery, tmp_path)
-        await serve_first_write(port)
+        await wait_for_first_write(port)
         namespace['PROXIES'][:] = [ProxyAddress(HOST, port)]
         await namespace['main']()
     assert capsys.readouterr().out == "['T-40']\n"
