Name accepted values as "expected" in the last refusals

A reader met two forms of the same refusal: "... valid is/are ..." and "... expected ...". The texts of the operator requests and of the caller requests now have the latter. Texts of core/objects are stored and those of testing/traces.py are matched by tests, so both stay.

Each f-string keeps its number of values.

--- a/jackdawpost/core/control/operator_queries.py
+++ b/jackdawpost/core/control/operator_queries.py
@@ -256,7 +256,8 @@
 ) -> None:
     if query.type and query.type not in OBJECT_TYPES:
         _refuse(
-            answer, f'type {query.type!r}: valid are {", ".join(OBJECT_TYPES)}'
+            answer,
+            f'type {query.type!r}: expected one of {", ".join(OBJECT_TYPES)}',
         )
         return
     types = [query.type] if query.type else OBJECT_TYPES
--- a/jackdawpost/core/control/operator_requests.py
+++ b/jackdawpost/core/control/operator_requests.py
@@ -91,7 +91,7 @@
         return answer_refusal(
             machine,
             request.id,
-            f'member_id is empty: valid is the identity of {request.name!r}',
+            f'member_id is empty: expected the identity of {request.name!r}',
         )
     return RemoveMember(
         name=request.name, member_id=request.member_id, reason='operator'
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -47,7 +47,7 @@
     """Handle one message from an operator; only the leader answers."""
     declared = getattr(message, 'operator', link.peer)
     if link.peer and declared != link.peer:
-        reason = f'operator {declared!r}: valid is {link.peer!r}'
+        reason = f'operator {declared!r}: expected {link.peer!r}'
         answer = answer_refusal(state.machine, message.id, reason)
         send(state, link.conn, answer)
         refuse(state, link, reason)
@@ -166,7 +166,7 @@
     group = state.machine.groups[message.group]
     running = group.promotion
     if message.from_term != group.term:
-        text = f'from_term of {message.group!r}: valid is {group.term}'
+        text = f'from_term of {message.group!r}: expected {group.term}'
         send(state, link.conn, answer_refusal(state.machine, message.id, text))
         return
     if running is not None and (
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -126,7 +126,7 @@
         if not 1 <= message.deadline_ms <= MAX_DEADLINE_MS:
             raise _RequestRefused(
                 'malformed',
-                f'deadline_ms {message.deadline_ms}: valid are 1 to '
+                f'deadline_ms {message.deadline_ms}: expected 1 to '
                 f'{MAX_DEADLINE_MS}',
             )
         if isinstance(message, (Statement, Commit)):
@@ -143,7 +143,7 @@
     if key is not None and not 1 <= len(key) <= MAX_REQUEST_KEY_CHARS:
         raise _RequestRefused(
             'malformed',
-            f'request_key of {len(key)} characters: valid are 1 to '
+            f'request_key of {len(key)} characters: expected 1 to '
             f'{MAX_REQUEST_KEY_CHARS}',
         )
 
@@ -263,7 +263,7 @@
         if message.max_age_ms < 0:
             raise _RequestRefused(
                 'malformed',
-                f'max_age_ms {message.max_age_ms}: valid are 0 and above',
+                f'max_age_ms {message.max_age_ms}: expected at least 0',
             )
         return message.max_age_ms
     name = message.allowance or rule.allowance
