Explain placement, probes and control links of the pooler

A fresh reader had to open other files for: what a newcomer is, which answer shows the leader, what the pooler does about a gap in the updates, which begin a statement needs, what an answer without a signature means, and why a pool is replaced. Two docstrings claimed other than the code: a newcomer that fails is given up without a refusal, and a removed connection is not only searched for. The close text 'time limit' now says what timed out; no test matches it.

Adding the limits to the refusals of a full queue was ruled out: it would add values to the texts.

--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -1,7 +1,8 @@
 """Links to control processes.
 
 Sends reports to the control leader, applies the published state, and checks
-newcomers that control asks this pooler to approve.
+newcomers that control asks this pooler to approve. A newcomer is an upstream
+or a proxy that asks to join the deployment.
 """
 
 from __future__ import annotations
@@ -31,16 +32,18 @@
 from jackdawpost.core.published import apply_update
 from jackdawpost.core.published import UpstreamView
 
-# About one round trip between regions.
+# Interval of reports while the leader is unknown: about one round trip between
+# regions.
 LEADER_SEARCH_INTERVAL_MS = 150.0
-# Longer than an election in progress delays the answer to a report.
+# A leader that leaves a report unanswered for this time is dropped. An
+# election in progress delays an answer for less time.
 LEADER_ANSWER_TIMEOUT_MS = 1_000.0
 APPROVAL_RETRY_INTERVAL_MS = 300.0
 MAX_APPROVAL_ATTEMPTS = 20
 
 
 def on_control_opened(state: PoolerState, conn: int, peer: str) -> None:
-    """Record the connection; report at once if no leader is known."""
+    """Record a new connection; report at once if no leader is known."""
     state.control_conns[conn] = peer
     log(state, 'info', 'control_connected', peer=peer)
     if not state.leader_conn:
@@ -48,7 +51,7 @@
 
 
 def on_control_closed(state: PoolerState, conn: int) -> None:
-    """Search for the leader if the connection to it has closed."""
+    """Remove a closed connection; if it was the leader's, search for one."""
     peer = state.control_conns.pop(conn)
     log(
         state,
@@ -62,7 +65,7 @@
 
 
 def search_leader(state: PoolerState) -> None:
-    """Report to every control process, to find the leader."""
+    """Report to all control processes; only a leader sends a `LeaseGrant`."""
     state.leader_conn = 0
     state.unanswered_report_ms = None
     send_report(state)
@@ -159,7 +162,12 @@
 
 
 def _handle_grant(state: PoolerState, conn: int, message: LeaseGrant) -> None:
-    """Handle the leader's answer to a report."""
+    """Record what the leader's answer to a report shows.
+
+    This is the leader's connection, the membership of this proxy and the
+    control processes to stay connected to. An answer that arrives after the
+    answer to a later report is ignored.
+    """
     if message.seq <= state.last_grant_seq:
         return
     state.last_grant_seq = message.seq
@@ -190,6 +198,12 @@
 def _handle_update(
     state: PoolerState, conn: int, message: StateUpdate
 ) -> None:
+    """Apply an update of the published state and report the new version.
+
+    An update that does not follow the current version is dropped. The
+    following reports contain that version, from which the leader sends what
+    is missing.
+    """
     before = state.published.version
     if not apply_update(state.published, message):
         log(
@@ -227,9 +241,10 @@
 ) -> None:
     """Check a newcomer that control asks this pooler to approve.
 
-    An upstream must answer at its address with its own identity. A proxy
-    cannot be checked by connecting, since proxies do not connect to each
-    other. Its address must not belong to a joined proxy of another name.
+    An upstream must answer at its address with its own identity; if it is
+    being checked already, only the connection for the approval is updated.
+    A proxy cannot be checked by connecting, since proxies do not connect to
+    each other. Its address must not belong to a joined proxy of another name.
     """
     if message.role == 'proxy':
         _check_new_proxy(state, conn, message)
@@ -310,7 +325,7 @@
 
 
 def on_newcomer_failed(state: PoolerState, conn: UpstreamConn) -> None:
-    """Schedule another check of a newcomer, or refuse to approve it."""
+    """Schedule another check; give up after `MAX_APPROVAL_ATTEMPTS`."""
     newcomer = state.newcomers.get(conn.upstream)
     if newcomer is None:
         return
--- a/jackdawpost/core/pooler/placement.py
+++ b/jackdawpost/core/pooler/placement.py
@@ -1,4 +1,4 @@
-"""Statement placement: queues statements, chooses an upstream and sends.
+"""Placement of statements: the queue, and the choice of an upstream.
 
 Writes and strongly consistent reads go to the primary. Reads that accept a
 replica go to the eligible upstream with the lowest expected latency.
@@ -51,7 +51,11 @@
 
 
 def submit(state: PoolerState, task: StatementTask) -> None:
-    """Queue a new statement, or refuse it if the queue is too long."""
+    """Queue a new statement, or refuse it.
+
+    It is refused if the queue is full or the expected wait is too long, see
+    `would_wait_too_long`.
+    """
     state.tasks[task.number] = task
     schedule(state, f'work/{task.number}', task.deadline_ms)
     group = get_group(state, task.endpoint.group)
@@ -78,7 +82,11 @@
 
 
 def dispatch_group(state: PoolerState, name: str) -> None:
-    """Start the queued statements of a group in order of priority and age."""
+    """Start the queued statements of a group in order of priority and age.
+
+    Statements that can no longer finish in time fail. Those for which no
+    suitable connection is idle stay queued.
+    """
     group = get_group(state, name)
     if not group.waiting:
         return
@@ -126,7 +134,10 @@
     task: StatementTask,
     connections_needed: dict[str, int],
 ) -> bool:
-    """Start a statement if a suitable upstream has a free connection."""
+    """Start a statement if a suitable upstream has an idle connection.
+
+    If no connection is idle, count one to open on the preferred upstream.
+    """
     if task.not_before_ms > state.now_ms:
         return False
     required_position = None
@@ -164,7 +175,7 @@
 
 
 def _is_much_faster(state: PoolerState, best: Pool, used: Pool) -> bool:
-    """Return whether `best` saves enough latency to justify a connection."""
+    """Return whether `best` saves enough latency for a new connection."""
     gain_ms = _expected_latency_ms(state, used) - _expected_latency_ms(
         state, best
     )
@@ -174,9 +185,10 @@
 def _required_position(
     group: PoolGroup, task: StatementTask
 ) -> LogPosition | None:
-    """Return the log position that a read requires.
+    """Return the log position that an upstream must have to serve a read.
 
-    None means that no replica can serve it, only the primary.
+    None if the primary alone can serve it, since no known position of the
+    primary is recent enough for the accepted staleness.
     """
     sample = group.samples.oldest_within(
         task.arrived_ms, task.endpoint.max_age_ms
@@ -223,9 +235,8 @@
 ) -> bool:
     """Return whether a replica has recently reported a lower position.
 
-    An older report is ignored, since the replica may have caught up. A read
-    that is tried there shows it, and if the replica still lags, the read
-    costs only a round trip.
+    An older report is ignored, since the replica may have caught up. If it
+    has not, it refuses the read, which costs only a round trip.
     """
     if pool.applied is None or pool.applied >= required_position:
         return False
@@ -246,7 +257,11 @@
 def _pick_connection(
     state: PoolerState, pool: Pool, session: Session | None
 ) -> UpstreamConn | None:
-    """Return an idle connection, preferably with the session's values."""
+    """Return an idle connection, if the concurrency limit allows to use one.
+
+    A connection on which the session's values have been replayed is
+    preferred, then one without values of any session, which needs no reset.
+    """
     found = None
     if not is_below_limit(state, pool):
         return None
@@ -268,7 +283,12 @@
     task: StatementTask,
     required_position: LogPosition | None,
 ) -> None:
-    """Send a statement, preceded by a begin if it needs one."""
+    """Send a statement, preceded by a begin if it needs one.
+
+    The begin opens the caller's transaction or, for a read on the primary,
+    proves that the upstream leads. The statement is then sent when the begin
+    has succeeded.
+    """
     session = task.session
     assert session is not None
     task.attempts += 1
@@ -332,11 +352,12 @@
     )
     send(state, conn.conn, execute)
     if _needs_leadership_check(task):
+        # Ends the transaction that was begun for the check.
         send_rollback(state, conn)
 
 
 def _needs_leadership_check(task: StatementTask) -> bool:
-    """Return whether a read must run in a transaction on the primary.
+    """Return whether a read must follow a begin that proves leadership.
 
     A begin succeeds only on an upstream that proves that it leads. A plain
     read would also succeed on a primary that has been replaced.
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -11,7 +11,11 @@
 
 
 def sync_pools(state: PoolerState) -> None:
-    """Update the pools to match the published upstreams."""
+    """Update the pools to match the published upstreams.
+
+    A pool is replaced if the data identity of its upstream has changed, since
+    that is another database under the same name.
+    """
     update_known_proxies(state)
     published = state.published.upstreams
     for name in [name for name in state.pools if name not in published]:
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -1,4 +1,4 @@
-"""Probes of upstreams, and requests of control that are forwarded to them.
+"""Probes of upstreams, and requests of control forwarded to upstreams.
 
 A probe shows whether an upstream is reachable and whether it is the primary.
 An upstream is probed only when answers to statements do not show this.
@@ -38,6 +38,7 @@
 # After this time without an answer, a probe may open a connection beyond the
 # connection limit.
 EXTRA_CONNECTION_SILENCE_MS = 400.0
+# Kinds of the requests that belong to a probe.
 PROBE_KINDS = frozenset({'open', 'status', 'probe_begin', 'probe_rollback'})
 # The primary is probed when its latest position sample reaches this age.
 MAX_SAMPLE_AGE_MS = 200.0
@@ -63,15 +64,15 @@
 ) -> None:
     """Forward a request of control to an upstream.
 
-    Without an idle connection the request is dropped. Control repeats a
-    request that is not answered.
+    Without an idle connection the request is dropped and a probe started,
+    which opens one. Control repeats a request that is not answered.
     """
     pool = state.pools.get(action.upstream)
     if pool is None:
         return
     conn = find_idle_connection(state, pool)
     if conn is None:
-        suspect(state, pool)  # the probe opens a connection
+        suspect(state, pool)
         return
     request = UpstreamRequest(
         kind='control_action',
@@ -87,7 +88,10 @@
 def handle_action_answer(
     state: PoolerState, pool: Pool, request: UpstreamRequest, answer: Answer
 ) -> None:
-    """Return an upstream's answer to the control process that asked."""
+    """Return an upstream's answer to the control process that asked.
+
+    A failed request, whose answer has no signature, is only logged.
+    """
     action = request.control_action
     if action is None or not answer.signature or not answer.rows:
         log(
@@ -133,6 +137,7 @@
 
 
 def _is_probe_outstanding(conn: UpstreamConn) -> bool:
+    """Return whether the next answer on a connection is to a probe."""
     return (
         bool(conn.pending_requests)
         and conn.pending_requests[0].kind in PROBE_KINDS
@@ -185,7 +190,10 @@
 
 
 def _is_probe_needed(state: PoolerState, pool: Pool) -> bool:
-    """Return whether recent answers leave the upstream's state unclear."""
+    """Return whether recent answers leave the upstream's state unclear.
+
+    The state consists of its reachability, its role and its log position.
+    """
     if pool.reachability != 'up' or pool.suspected:
         return True
     group = get_group(state, pool.view.group)
@@ -216,7 +224,7 @@
 
 
 def _is_lagging(state: PoolerState, pool: Pool) -> bool:
-    """Return whether an upstream's last position is too old for any read."""
+    """Return whether an upstream's known position is too old for any read."""
     required = get_group(state, pool.view.group).samples.oldest_position()
     return pool.applied is None or (
         required is not None and pool.applied < required
@@ -256,7 +264,7 @@
     request: UpstreamRequest,
     answer: Answer,
 ) -> None:
-    """Handle the answer to one request of a probe."""
+    """Record the reachability, position and role that a probe has shown."""
     set_reachability(state, pool, 'up')
     if answer.position is not None:
         record_applied(state, pool, answer.position)
@@ -296,7 +304,10 @@
 def on_monitor_closed(
     state: PoolerState, pool: Pool, conn: UpstreamConn, reason: str
 ) -> None:
-    """Update reachability after the monitor connection was closed."""
+    """Update reachability after the monitor connection was closed.
+
+    A connection that was never opened was refused or timed out.
+    """
     pool.monitor = 0
     name = pool.view.name
     if conn.opened:
--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -415,8 +415,9 @@
         if conn is not None and conn.pending_requests:
             _abandon_conn(state, conn, 'begin timed out')
         return
+    # A read is not tried again after its deadline.
     task.attempts = MAX_READ_ATTEMPTS
     if conn is None:
         fail_statement(state, task, 'aborted', 'connection lost')
         return
-    _abandon_conn(state, conn, 'time limit')
+    _abandon_conn(state, conn, 'statement timed out')
