Explain permit recalls, sealing and the dump names of control

A fresh reader stumbled over the rule for the proxy that loses a permit, the silent cancellation of a recall by a grant, the sealed databases that are explained after their first use, a local 'leaving' that means a planned change of the primary, and the second names in the dump. Refusals of commands name what is accepted with 'expected', as elsewhere; no test matches the old texts, and each keeps its number of values.

--- a/jackdawpost/core/control/delegated_steps.py
+++ b/jackdawpost/core/control/delegated_steps.py
@@ -49,8 +49,8 @@
         return Applied(
             answer=CommandRefused(
                 code='stale_term',
-                message=f'token {command.token} is too low; it must be above '
-                f'{group.last_term}, the highest term or token used so far',
+                message=f'token {command.token} is too low: expected more '
+                f'than {group.last_term}, the highest term or token used',
             )
         )
     group.last_term = command.token
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -7,7 +7,9 @@
 
 from jackdawpost.core.control.process import ControlState
 
-# Fields that are written to the dump under another name.
+# Names in the dump of the fields that have another name there. Readers of
+# dumps rely on these names. Two fields may share one unless they belong to the
+# same class.
 _DUMP_NAMES = {
     'accounts': 'borrowers',
     'announce_conn': 'session',
@@ -78,6 +80,7 @@
 
 
 def _plain(value: Any) -> Any:
+    """Return a value as plain data, with sets sorted and bytes in hex."""
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {
             _DUMP_NAMES.get(item.name, item.name): _plain(
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -157,13 +157,13 @@
     if not command.name or not command.member_id:
         return CommandRefused(
             code='malformed',
-            message='name or member_id is empty; both are required',
+            message='name or member_id is empty: expected both',
         )
     if (command.role == 'upstream') != bool(command.group):
         return CommandRefused(
             code='malformed',
             message=f'role {command.role!r} with group {command.group!r}: '
-            'an upstream must have a group, a proxy must not',
+            'expected a group for an upstream, none for a proxy',
         )
     settings = machine.objects.upstreams.get(command.name)
     if command.role == 'upstream' and settings and settings.group:
--- a/jackdawpost/core/control/permit_ledger.py
+++ b/jackdawpost/core/control/permit_ledger.py
@@ -3,8 +3,8 @@
 A permit allows a proxy to run one statement at a time on an upstream. The
 permits granted for an upstream, including those of disconnected proxies
 whose statements may still run, never exceed its slots. When permits are
-scarce, the leader recalls unused ones, then some of the proxies that hold the
-most.
+scarce, the leader first recalls unused ones, then permits of the proxies that
+hold the most.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 from dataclasses import field
 from typing import Literal
 
-# Minimum time for which a proxy keeps a permit that it can use. With a shorter
-# one, recalls take more time than statements.
+# Minimum time for which a proxy keeps a permit that it can use. If it were
+# shorter, the recalls of a permit would take longer than its use.
 MIN_HOLD_MS = 20.0
 
 
@@ -97,7 +97,7 @@
         Proxies that may hold permits granted by an earlier leader. No permit
         is granted until all of them have reported or `ready_ms` has passed.
     incarnations : dict of str to str
-        Identity of the process of each connected proxy.
+        Incarnation of each connected proxy, which identifies its process.
     """
 
     ready_ms: float
@@ -282,6 +282,7 @@
     while free > 0 and (waiting := _waiting_proxies(permits)):
         proxy, account = waiting[0]
         account.held += 1
+        # The proxy cancels a pending recall, too, when it gets the grant.
         account.recalled = max(0, account.recalled - 1)
         account.granted_ms = now_ms
         account.waiting_since_ms = now_ms
@@ -298,6 +299,7 @@
 def _recall_permits(
     permits: UpstreamPermits, now_ms: float, upstream: str
 ) -> list[PermitDecision]:
+    """Recall a permit for each waiting proxy that no pending recall serves."""
     recalls: dict[str, int] = {}
     pending_recalls = sum(
         account.recalled for account in permits.accounts.values()
@@ -324,9 +326,10 @@
 ) -> str | None:
     """Return the proxy from which to recall a permit for another proxy.
 
-    A proxy with unused permits is preferred. Otherwise the holder must not
-    be left with fewer permits than the requester then has, except that a
-    requester without permits takes turns with holders of one.
+    A proxy with unused permits is preferred. Otherwise the proxy must keep at
+    least as many permits as the requester has after the transfer. The
+    exception is a requester without permits, which also gets the only permit
+    of a proxy, so that both use it in turn.
 
     Parameters
     ----------
--- a/jackdawpost/core/control/promotion_choice.py
+++ b/jackdawpost/core/control/promotion_choice.py
@@ -1,4 +1,7 @@
-"""Choice of the new primary among the sealed databases of a group."""
+"""Choice of the new primary among the sealed databases of a group.
+
+A sealed database accepts no more records from the old primary.
+"""
 
 from __future__ import annotations
 
@@ -26,9 +29,8 @@
     """Return the command that chooses the new primary once that is safe.
 
     All leases of the old term must have ended and a quorum of databases must
-    be sealed; one database is enough if loss is accepted. A sealed database
-    accepts no more records from the old primary, and any quorum includes a
-    database that holds each acknowledged write.
+    be sealed; one database is enough if loss is accepted. For each
+    acknowledged write, any quorum includes a database that holds it.
     """
     if facts.lease_holders:
         return None
@@ -59,7 +61,7 @@
 def counted_sealed(
     progress: GroupProgress, facts: GroupFacts
 ) -> dict[str, SealedDatabase]:
-    """Return the sealed databases of the set that still hold their data."""
+    """Return the sealed databases of the set without those wiped since."""
     usable = {}
     for name, sealed in progress.sealed.items():
         database = facts.databases.get(name)
@@ -73,7 +75,7 @@
 def _is_least_preferred(name: str, facts: GroupFacts) -> bool:
     """Return whether a database is chosen only if the others are no quorum.
 
-    These are the old primary, unannounced databases and leaving ones.
+    Such databases are the old primary, unannounced databases and leaving ones.
     """
     database = facts.databases.get(name)
     return name == facts.primary or database is None or database.leaving
@@ -88,15 +90,15 @@
 ) -> bool:
     """Return whether to wait for more databases, which may hold more writes.
 
-    There is a wait only if loss is accepted or if the primary is leaving and
-    has not failed. Otherwise a wait would prolong the outage, and the quorum
-    already holds every acknowledged write.
+    Waiting is worthwhile only if loss is accepted or if the primary is
+    leaving and has not failed. Otherwise it would prolong the outage, and the
+    quorum already holds every acknowledged write.
     """
     primary = facts.databases.get(facts.primary or '')
-    leaving = (
+    is_planned = (
         primary is not None and primary.leaving and not facts.failure_reason
     )
-    if not leaving and not promotion.accept_loss:
+    if not is_planned and not promotion.accept_loss:
         return False
     missing = [
         name
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -46,14 +46,14 @@
     if command.from_term != group.term:
         return _refuse(
             'stale_term',
-            f'from_term {command.from_term} does not match: the term of '
-            f'group {command.group!r} is {group.term}',
+            f'from_term {command.from_term}: expected the term of group '
+            f'{command.group!r}, {group.term}',
         )
     if command.to_term <= group.last_term:
         return _refuse(
             'stale_term',
-            f'to_term {command.to_term} is too low; it must be above '
-            f'{group.last_term}, the highest term used so far',
+            f'to_term {command.to_term} is too low: expected more than '
+            f'{group.last_term}, the highest term used',
         )
     group.last_term = command.to_term
     group.promotion = Promotion(
@@ -160,8 +160,8 @@
     if group.promotion.to_term != to_term:
         return _refuse(
             'stale_term',
-            f'to_term {to_term}: the running promotion of group '
-            f'{group_name!r} has term {group.promotion.to_term}',
+            f'to_term {to_term}: expected that of the running promotion of '
+            f'group {group_name!r}, {group.promotion.to_term}',
         )
     return group, group.promotion
 
