Explain admission, monitors and new terms of the proxy

A fresh reader stumbled over the weights 'of the moving average', the rule for compaction, which intervals count for the rate of the queue, the accepted age and its allowance, the limits of a group without published ones, and the grace period of a new term, which another file explained. Refusals name what is accepted with 'expected'. Two close texts of one word, 'replaced' and 'failed', say what they concern; aborted connections do not send them, and no test matches them.

'too many requests in flight' stays without its limit, as the text would get a new value.

--- a/jackdawpost/core/proxy/admission.py
+++ b/jackdawpost/core/proxy/admission.py
@@ -24,9 +24,11 @@
 # A request that would wait for longer than this share of its deadline has no
 # time left to run; queueing it would only make others miss theirs.
 USABLE_DEADLINE_SHARE = 0.8
-# Compact a lane at this number of entries for each queued request.
+# A lane is compacted when the entries of removed requests make it longer than
+# this multiple of its queued requests, plus 64.
 MAX_LANE_RATIO = 4
-_INTERVAL_WEIGHT = 0.05  # of the moving average
+# Weight of the latest interval in the moving average.
+_INTERVAL_WEIGHT = 0.05
 
 
 class QueueItem(Protocol):
@@ -86,7 +88,7 @@
         return self._counts[priority]
 
     def retry_delay_ms(self, item: Q, now_ms: float) -> int | None:
-        """Return the retry delay if a new request must be rejected.
+        """Return when to retry a new request if it must be rejected.
 
         Returns
         -------
@@ -157,7 +159,7 @@
         return item
 
     def remove(self, item: Q) -> None:
-        """Remove any request from the queue, such as an expired one."""
+        """Remove a request, such as an expired one, wherever it is queued."""
         if item.queued:
             item.queued = False
             self._counts[item.priority] -= 1
@@ -172,7 +174,11 @@
         return items
 
     def reset_rate(self) -> None:
-        """Drop the estimated rate, as after a time without a primary."""
+        """Drop the estimated rate at which requests leave the queue.
+
+        While there is no primary, intervals between requests show nothing
+        about the rate.
+        """
         self._mean_pop_interval_ms = 0.0
         self._last_pop_ms = -math.inf
 
@@ -184,6 +190,11 @@
         lane.extend(kept)
 
     def _record_pop(self, now_ms: float) -> None:
+        """Update the mean interval between pops.
+
+        Only intervals in which other requests were waiting are used, since
+        the others show how fast requests arrive. Long ones are ignored.
+        """
         if len(self):
             gap_ms = now_ms - self._last_pop_ms
             if gap_ms < MAX_RETRY_AFTER_MS:
--- a/jackdawpost/core/proxy/callers.py
+++ b/jackdawpost/core/proxy/callers.py
@@ -39,6 +39,7 @@
 from jackdawpost.core.tokens import SessionToken
 from jackdawpost.errors import TokenError
 
+# Sent with refusals for which no better estimate is known.
 RETRY_AFTER_HINT_MS = 50
 MAX_REQUEST_KEY_CHARS = 128
 
@@ -115,7 +116,8 @@
     try:
         if message.id in caller.requests:
             raise _RequestRefused(
-                'duplicate_id', f'id {message.id} is already in flight'
+                'duplicate_id',
+                f'id {message.id} is already in flight: expected an unused id',
             )
         if len(caller.requests) >= state.cfg.max_in_flight_per_caller:
             raise _RequestRefused(
@@ -170,8 +172,8 @@
     message: Statement | Commit | Rollback,
     handle: int,
 ) -> None:
-    # Only handles of this caller are accepted: the handle of another caller
-    # is refused like one that never existed.
+    # A handle is valid only on the connection on which it was opened; that of
+    # another caller is refused like an unknown one.
     txn = caller.txns.get(handle)
     if txn is None:
         raise _RequestRefused(
@@ -200,8 +202,8 @@
     if message.deadline_ms > group.max_deadline_ms:
         raise _RequestRefused(
             'malformed',
-            f'deadline_ms {message.deadline_ms}: the limit of group '
-            f'{group.name!r} is {group.max_deadline_ms}',
+            f'deadline_ms {message.deadline_ms}: expected at most '
+            f'{group.max_deadline_ms} for group {group.name!r}',
         )
     token = _decode_session_token(message.session)
     max_age_ms = None
@@ -231,6 +233,7 @@
 
 
 def _pick_group(state: ProxyState, rule: RuleView, key: str | None) -> Group:
+    """Return the group that a rule assigns to a key, or its first group."""
     group_index = 0
     if key is not None:
         group_index = zlib.crc32(key.encode()) % len(rule.groups)
@@ -255,10 +258,15 @@
 def _accepted_age(
     state: ProxyState, rule: RuleView, message: Statement
 ) -> int | None:
+    """Return the age of data that a read accepts, in milliseconds.
+
+    It is given by the read itself or by an allowance, which is a published
+    age with a name. None or 0 requires a fresh read.
+    """
     if message.max_age_ms is not None:
         if message.allowance is not None:
             raise _RequestRefused(
-                'malformed', 'max_age_ms and allowance cannot be combined'
+                'malformed', 'expected at most one of max_age_ms and allowance'
             )
         if message.max_age_ms < 0:
             raise _RequestRefused(
--- a/jackdawpost/core/proxy/monitors.py
+++ b/jackdawpost/core/proxy/monitors.py
@@ -32,7 +32,7 @@
     """Open a monitor connection, replacing any earlier one."""
     if up.monitor:
         state.monitor_conns.pop(up.monitor, None)
-        close(state, up.monitor, 'replaced', abort=True)
+        close(state, up.monitor, 'monitor connection replaced', abort=True)
     up.monitor = new_conn_id(state)
     up.monitor_open = False
     up.probes.clear()
@@ -50,7 +50,11 @@
 
 
 def on_monitor_opened(state: ProxyState, event: ConnOpened) -> None:
-    """Start probing on a new monitor connection."""
+    """Start probing on a new monitor connection.
+
+    An upstream with another data identity than the published one counts as
+    refused.
+    """
     up = _monitored_upstream(state, event.conn)
     if up is None:
         close(state, event.conn, 'connection no longer needed')
@@ -64,7 +68,7 @@
 
 
 def on_monitor_closed(state: ProxyState, event: ConnClosed) -> None:
-    """Reconnect; report the upstream if the second connection fails too."""
+    """Count a failure for a monitor connection that closed or never opened."""
     up = _monitored_upstream(state, event.conn)
     if up is None:
         return
@@ -82,13 +86,18 @@
 def _on_monitor_failure(
     state: ProxyState, up: Upstream, evidence: str
 ) -> None:
+    """Reconnect at once, or report the upstream and back off.
+
+    It is reported once `FAILURES_BEFORE_EVIDENCE` connections have failed in
+    succession.
+    """
     up.failures += 1
     up.monitor_open = False
     if up.failures >= FAILURES_BEFORE_EVIDENCE:
         set_evidence(state, up, evidence)
         if up.monitor:
             state.monitor_conns.pop(up.monitor)
-            close(state, up.monitor, 'failed', abort=True)
+            close(state, up.monitor, 'monitor connection failed', abort=True)
             up.monitor = 0
         delay_ms = state.cfg.probe_interval_ms / 2
         delay_ms += backoff_ms(1, state.rng)
@@ -105,7 +114,7 @@
 
 
 def on_probe_due(state: ProxyState, name: str) -> None:
-    """Send the next probe, or drop a silent connection."""
+    """Send the next probe, or drop a connection that does not answer."""
     up = state.upstreams.get(name)
     if up is None:
         return
@@ -139,7 +148,7 @@
 def on_monitor_message(
     state: ProxyState, conn: int, message: Probed | Progress
 ) -> None:
-    """Record what an upstream reports about itself."""
+    """Record the term, role and positions that an upstream reports."""
     up = _monitored_upstream(state, conn)
     if up is None or not up.monitor_open:
         return
@@ -177,8 +186,8 @@
 def _record_sample(
     state: ProxyState, group: Group, up: Upstream, sent_ms: float
 ) -> None:
-    # A replaced primary may still answer. The lease proves that no other one
-    # could commit before this answer arrived.
+    # A replaced primary may still answer. The lease proves that no other
+    # primary could commit before this answer arrived.
     if holds_lease(state, group, up.term):
         position = max(up.received, up.applied)
         group.freshness.record_sample(sent_ms, up.term, position)
@@ -202,7 +211,7 @@
 def set_evidence(state: ProxyState, up: Upstream, evidence: str) -> None:
     """Record the reachability of an upstream; report a change at once.
 
-    A change to 'up' starts the slow start of a recovered upstream.
+    An upstream that was down and is up again begins its slow start.
     """
     if up.evidence == evidence:
         return
--- a/jackdawpost/core/proxy/published.py
+++ b/jackdawpost/core/proxy/published.py
@@ -26,20 +26,23 @@
 from jackdawpost.core.published import UpstreamView
 from jackdawpost.core.retry import RetryBudget
 
+# Limits of a group for which none are published.
 DEFAULT_QUEUE_LENGTH = 1_000
 DEFAULT_RETRY_RATIO = 0.1
 DEFAULT_MAX_DEADLINE_MS = 60_000
 # Spreads the connections that all proxies open to a new primary.
 OPEN_JITTER_MS = 20.0
+# Time for which reads with an accepted age wait for the first reports of a new
+# term. Without it they would all go to the new primary.
 NEW_TERM_GRACE_MS = 150.0
 
 
 def on_state_update(state: ProxyState, message: StateUpdate) -> None:
     """Apply an update of the published state and act on the changes.
 
-    The resulting version is reported at once. After an update that does not
-    follow the current version, the report makes the leader send what is
-    missing.
+    The resulting version is reported at once. An update that does not follow
+    the current version is dropped; the report of that version makes the
+    leader send what is missing.
     """
     before = state.published.version
     if not apply_update(state.published, message):
@@ -113,6 +116,10 @@
 
 
 def _on_new_term(state: ProxyState, group: Group, old: GroupView) -> None:
+    """Act on a new term or primary of a group.
+
+    The new primary gets no slow start.
+    """
     log(
         state,
         'info',
@@ -135,8 +142,8 @@
 
 
 def _drop_frames_of_earlier_terms(state: ProxyState, group: Group) -> None:
-    # Their answers could not be used. Dropping the connections at once lets
-    # the requests be retried on the new primary without waiting for them.
+    # The answers to these frames could not be used. Once their connections are
+    # dropped, the requests are retried on the new primary at once.
     for conn in list(state.conns.values()):
         up = state.upstreams[conn.upstream]
         if up.view.group != group.name:
--- a/jackdawpost/core/proxy/requests.py
+++ b/jackdawpost/core/proxy/requests.py
@@ -41,7 +41,8 @@
 from jackdawpost.core.proxy.transactions import send_begin
 
 UPSTREAM_COOLDOWN_MS = 10.0
-SERVICE_TIME_WEIGHT = 0.05  # of the moving average
+# Weight of the latest answer in the moving average.
+SERVICE_TIME_WEIGHT = 0.05
 
 
 def dispatch(state: ProxyState, group: Group) -> None:
