Explain admission of voters and durable answers of consensus

'LeadershipWon' says what is committed and in which order effects come, since the embedder and not this code applies entries.

--- a/jackdawpost/core/consensus/effects.py
+++ b/jackdawpost/core/consensus/effects.py
@@ -60,7 +60,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class InstallSnapshot:
-    """Replace the application state by a snapshot as of entry `index`."""
+    """Replace the application state by a snapshot as of log entry `index`."""
 
     index: int
     snapshot: bytes
@@ -68,9 +68,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeadershipWon:
-    """This process became leader and applied all earlier committed entries.
+    """This process became leader; all entries of earlier terms are committed.
 
-    Emitted when the first entry of the new term commits.
+    Emitted when the first entry of the new term commits, after the
+    `ApplyEntry` effects up to that entry.
     """
 
     term: int
--- a/jackdawpost/core/consensus/election.py
+++ b/jackdawpost/core/consensus/election.py
@@ -1,12 +1,13 @@
 """Leader election, and admission of a data folder as a voter.
 
 Elections use Raft with pre-vote. A process votes only if its data folder has
-been admitted. A new data folder is not admitted, since it may replace a
-wiped one that had already voted or acknowledged entries. It is admitted in
-one of two ways:
+been admitted. A data folder is identified by its node id. A new one is not
+admitted, since it may replace a wiped one that had already voted or
+acknowledged entries. It is admitted in one of two ways:
 
-* Bootstrap of the group: each of the other first voters answers that it is
-  not admitted either, or that it bootstrapped the group with this node id.
+* Bootstrap of the group: each of the other first voters, as listed in the
+  settings, answers that it is not admitted either, or that it bootstrapped
+  the group with this node id.
 * A voter set in the log, committed or not, lists its node id.
 """
 
@@ -86,6 +87,7 @@
         True if the leader asked for this election, so voters need not wait
         until they have lost contact with it.
     """
+    # Enters the new term and clears the state of the previous role.
     become_follower(state, now_ms, state.term + 1, None)
     state.role = 'candidate'
     state.hard.voted_for = state.name
@@ -239,5 +241,6 @@
 
 
 def _is_up_to_date(state: ConsensusState, message: PreVote | Vote) -> bool:
+    """Return whether the candidate's log is at least as new as this one."""
     candidate_last = (message.last_term, message.last_index)
     return candidate_last >= (state.last_term, state.last_index)
--- a/jackdawpost/core/consensus/follower.py
+++ b/jackdawpost/core/consensus/follower.py
@@ -32,7 +32,8 @@
     """Append entries from the leader of this term and raise the commit index.
 
     An append from an earlier term, or one whose previous entry is not in
-    the log, is rejected. One with a malformed entry is ignored.
+    the log, is rejected. One with a malformed entry is ignored. A higher
+    term has been adopted before this call.
     """
     if message.term < state.term:
         _answer_append(state, peer, message, ok=False, index=0)
@@ -58,7 +59,9 @@
     """Store a chunk of a snapshot; install the snapshot once complete.
 
     The answer reports the number of bytes received in order; the leader
-    continues from there.
+    continues from there. A snapshot of committed entries is reported as
+    complete, since it contains nothing new. A malformed one is discarded
+    without an answer.
     """
     if message.term < state.term:
         _answer_chunk(state, peer, message, 0, done=False)
@@ -133,6 +136,7 @@
 def _answer_append(
     state: ConsensusState, peer: str, message: Append, ok: bool, index: int
 ) -> None:
+    """Send the answer to an append once what it acknowledges is durable."""
     answer = AppendAnswer(
         term=state.term,
         ok=ok,
@@ -146,7 +150,8 @@
         send(state, peer, answer)
     else:
         if not message.entries:
-            # A slow disk must not delay the answer to a heartbeat.
+            # Also answer a heartbeat at once, as far as the log is durable: a
+            # slow disk must not delay that.
             durable_answer = AppendAnswer(
                 term=state.term,
                 ok=True,
--- a/jackdawpost/core/consensus/writes.py
+++ b/jackdawpost/core/consensus/writes.py
@@ -25,6 +25,7 @@
     """Start the next write and perform deferred actions that need no write.
 
     The other deferred actions are attached to the write that they wait for.
+    Nothing is done until a failed write is due to be retried.
     """
     while state.write_retry_due_ms is None:
         if _is_dirty(state):
@@ -47,7 +48,7 @@
     token: int,
     count_own_vote: OwnVoteHandler,
 ) -> bool:
-    """Record that a write is durable and perform the actions deferred to it.
+    """Record that a write is durable; perform the actions that wait for it.
 
     Returns
     -------
@@ -96,6 +97,10 @@
 
 
 def _is_dirty(state: ConsensusState) -> bool:
+    """Return whether there are changes that no write contains yet.
+
+    A log that has only become shorter must be truncated on disk, too.
+    """
     return (
         state.hard_dirty
         or state.snapshot_dirty
