Restore the close reason 'time limit' and mark searched log texts

docs/OPERATIONS.md quotes 'connection lost: time limit' as the detail of a log line, and 'reset' and 'connection closed' as reasons in it. The reason of on_deadline was reworded to 'statement timed out' twice, as no test matches it and nothing at the code said that operators depend on it.

The other two texts were compared with and had not changed. Updating the page instead was ruled out: searches that operators already have would find nothing.

'time limit' is back letter for letter, and a comment there and at 'reset' says that operators search the logs for the text.

--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -420,4 +420,5 @@
     if conn is None:
         fail_statement(state, task, 'aborted', 'connection lost')
         return
-    _abandon_conn(state, conn, 'statement timed out')
+    # Operators search the logs for this text.
+    _abandon_conn(state, conn, 'time limit')
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -357,6 +357,7 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ) as exc:
+                # Operators search the logs for the text 'reset'.
                 raise LinkClosedError(str(exc) or 'reset') from exc
             if not data:
                 raise LinkClosedError('connection closed by peer')
