--- a/jackdawpost/core/pooler/serving.py
+++ b/jackdawpost/core/pooler/serving.py
@@ -415,8 +415,10 @@
         if conn is not None and conn.pending_requests:
             _abandon_conn(state, conn, 'begin timed out')
         return
+    # A read is not tried again after its deadline.
     task.attempts = MAX_READ_ATTEMPTS
     if conn is None:
         fail_statement(state, task, 'aborted', 'connection lost')
         return
+    # Operators search the logs for this text.
     _abandon_conn(state, conn, 'time limit')
