--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Test cases of the review; see REPORT.md."""
