Report an invalid address as a failed connection, and refuse it in a report

Cause: the address of the report held U+FFFD. `open_database_stream` expected OSError only, but the resolver raises UnicodeError for a host that it cannot encode. The error left the task of the connection and cancelled the program. The newcomer outlived it, so that the next start ended the same way. Evidence: the traceback in each proxy's log, from `getaddrinfo` through `open_database_stream`.

Ruled out: the unknown service and the missing `born`.

Change: `open_tcp_stream` reports each invalid address as OSError, and all three clients use it. A report needs an IP address and a port of 1 to 65535, any other is answered with 400. A newcomer that is recorded already fails its check, so the first part works without the second.

--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import json
+import re
+from ipaddress import ip_address
 from typing import Any
 from typing import Literal
 
@@ -20,8 +22,10 @@
 from jackdawpost.core.messages.registry import DeclareConfig
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.errors import ProtocolError
+from jackdawpost.wire.sockets import MAX_PORT
 
 MAX_REPORTED_ERRORS = 5
+_PORT_PATTERN = re.compile('[1-9][0-9]{0,4}')
 
 
 class _RequestBody(BaseModel):
@@ -153,16 +157,12 @@
         The body is not valid JSON, or a value is missing or invalid.
     """
     report = _parse_body(_Instance, body)
-    host, _, port = report.address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise ProtocolError(
-            f'malformed address {report.address!r:.80}, expected IP:PORT'
-        )
+    host, port = _parse_address(report.address)
     return Registration(
         name=name,
         group=report.group,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=report.zone,
         slots=report.slots,
         state=report.state,
@@ -172,6 +172,20 @@
     )
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    """Split IP:PORT; host names are rejected, since nothing resolves them."""
+    host, _, port = text.rpartition(':')
+    try:
+        ip_address(host)
+        if not _PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
+            raise ValueError(f'expected a port from 1 to {MAX_PORT}')
+    except ValueError as exc:
+        raise ProtocolError(
+            f'malformed address {text!r:.80}, expected IP:PORT'
+        ) from exc
+    return host, int(port)
+
+
 def decode_departure(body: bytes) -> int | None:
     """Return the start time in ms of the incarnation of a database that ends.
 
--- a/jackdawpost/platform/http.py
+++ b/jackdawpost/platform/http.py
@@ -21,6 +21,7 @@
 from jackdawpost.wire.server import ListenError
 from jackdawpost.wire.sockets import CALLER_KEEPALIVE_TIMEOUT_MS
 from jackdawpost.wire.sockets import enable_keepalive
+from jackdawpost.wire.sockets import open_tcp_stream
 
 LOG = logging.getLogger(__name__)
 
@@ -185,7 +186,7 @@
     request_line = f'{method} {address[0]}:{address[1]}{path}'
     try:
         with trio.fail_after(timeout_s):
-            stream = await trio.open_tcp_stream(*address)
+            stream = await open_tcp_stream(*address)
             async with stream:
                 return await _exchange(
                     stream, address, method, path, headers, body
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -34,6 +34,7 @@
 from jackdawpost.wire.link import LinkRefusedError
 from jackdawpost.wire.link import LinkTimeoutError
 from jackdawpost.wire.sockets import enable_keepalive
+from jackdawpost.wire.sockets import open_tcp_stream
 from jackdawpost.wire.sockets import PEER_KEEPALIVE_TIMEOUT_MS
 from jackdawpost.wire.sockets import receive_bytes
 from jackdawpost.wire.stream import LinkClosedError
@@ -396,7 +397,7 @@
     address = f'{effect.host}:{effect.port}'
     try:
         with trio.fail_after(effect.timeout_ms / MS_PER_SECOND):
-            stream = await trio.open_tcp_stream(effect.host, effect.port)
+            stream = await open_tcp_stream(effect.host, effect.port)
     except trio.TooSlowError as exc:
         raise LinkTimeoutError(
             f'{address}: no answer within {effect.timeout_ms} ms'
--- a/jackdawpost/tests/platform/test_documents.py
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -173,3 +173,34 @@
     assert decode_departure(b'\xff{') is None
     assert decode_departure(b'{"born": "x"}') is None
     assert decode_departure(b'{"born": 5}') == 5
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1\ufffd:5432',
+        'localhost:5432',
+        'a..b:5432',
+        '10.1.0.9',
+        '10.1.0.9:',
+        '10.1.0.9:0',
+        '10.1.0.9:65536',
+        '10.1.0.9:-1',
+        '10.1.0.9:\u0665\u0664\u0663\u0662',
+        '10.1.0.9:' + 5_000 * '1',
+        '10.1.0.9 :5432',
+    ],
+)
+def test_report_without_a_usable_address_is_rejected(address):
+    # Proxies connect to a reported address, so an invalid one would reach the
+    # resolver of each of them.
+    body = {
+        'service': 'pool',
+        'address': address,
+        'zone': 'rvk-a',
+        'state': 'ready',
+        'dbRole': 'replica',
+        'sequence': 1,
+    }
+    with pytest.raises(ProtocolError, match='expected IP:PORT'):
+        decode_instance('i-1', json.dumps(body).encode())
--- a/jackdawpost/tests/wire/test_sockets.py
+++ b/jackdawpost/tests/wire/test_sockets.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from jackdawpost.wire.sockets import open_tcp_stream
 from jackdawpost.wire.sockets import receive_bytes
 
 
@@ -80,3 +81,20 @@
     results = {await _replace_woken_connection() for _ in range(30)}
     # Both orders have occurred.
     assert results == {b'own', b'closed'}
+
+
+@pytest.mark.parametrize(
+    ('host', 'port'),
+    [
+        ('127.0.0.1\ufffd', 5432),
+        ('a..b', 5432),
+        (64 * 'a', 5432),
+        ('127.0.0.1', 1 << 70),
+        ('127.0.0.1', -1),
+    ],
+)
+async def test_invalid_address_is_a_failed_connection(host, port):
+    # An instance announces its own address. An error other than OSError would
+    # end the process that connects to it.
+    with pytest.raises(OSError, match='invalid address'):
+        await open_tcp_stream(host, port)
--- a/jackdawpost/wire/link.py
+++ b/jackdawpost/wire/link.py
@@ -15,6 +15,7 @@
 
 from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.sockets import enable_keepalive
+from jackdawpost.wire.sockets import open_tcp_stream
 from jackdawpost.wire.stream import FrameStream
 from jackdawpost.wire.tls import PeerIdentity
 from jackdawpost.wire.tls import read_peer_name
@@ -143,7 +144,7 @@
     expected: PeerIdentity | None,
     keepalive_timeout_ms: int,
 ) -> FrameStream:
-    socket_stream = await trio.open_tcp_stream(host, port)
+    socket_stream = await open_tcp_stream(host, port)
     if keepalive_timeout_ms:
         enable_keepalive(socket_stream, keepalive_timeout_ms)
     stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]
--- a/jackdawpost/wire/sockets.py
+++ b/jackdawpost/wire/sockets.py
@@ -1,4 +1,4 @@
-"""Reading from sockets, and their TCP keepalive options."""
+"""Opening and reading from sockets, and their TCP keepalive options."""
 
 from __future__ import annotations
 
@@ -13,6 +13,26 @@
 # Callers may be suspended for seconds and resume afterwards.
 CALLER_KEEPALIVE_TIMEOUT_MS = 15_000
 KEEPALIVE_PROBES = 2
+MAX_PORT = 65_535
+
+
+async def open_tcp_stream(host: str, port: int) -> trio.SocketStream:
+    """Connect to an address, which may have been received from a peer.
+
+    Raises
+    ------
+    OSError
+        The connection failed, or the address is invalid. The resolver raises
+        other errors for a host that it cannot encode.
+    """
+    if not 0 < port <= MAX_PORT:
+        raise OSError(
+            f'invalid address: port {str(port)[:20]}, expected 1 to {MAX_PORT}'
+        )
+    try:
+        return await trio.open_tcp_stream(host, port)
+    except ValueError as exc:
+        raise OSError(f'invalid address: host {host!r:.80}, {exc}') from exc
 
 
 def enable_keepalive(
