Count newcomers among the databases that may hold a commit

No database had failed.

Cause: a promotion counted the answers that it needs over the members. A newcomer becomes one once every proxy has approved it, but the primary counts its copy of a commit from its start. With i-4 unapproved, two answers of three members sufficed, and i-4 went on to acknowledge commits that the chosen upstream had not received. Evidence, from the leader's log: `upstream_report` of i-4, `promotion_started` 1.0 s later, `upstream_told` of i-3 (position 2786) and i-2 (2954), then `promotion_ordered`; `member_expired` of the frozen proxy only 1.2 s after.

Ruled out: the pause itself; without the freeze i-4 joins in time, is paused, and nothing is lost.

Change: `find_commit_holders` includes the newcomers of the group, for both uses of the count. The promotion of a group with copies waits until such a newcomer has joined and answered, or is gone; `promotion_waits` names it.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -13,6 +13,7 @@
 from jackdawpost.core.control.commands import AdoptPrimary
 from jackdawpost.core.control.commands import DelegatePromotion
 from jackdawpost.core.control.commands import FinishPromotion
+from jackdawpost.core.control.commit_holders import find_commit_holders
 from jackdawpost.core.control.demotion import advance_demotion
 from jackdawpost.core.control.demotion import needs_demotion
 from jackdawpost.core.control.leases import end_leases
@@ -25,6 +26,7 @@
 from jackdawpost.core.control.replica_pause import advance_pause
 from jackdawpost.core.control.replica_pause import find_newer_replica
 from jackdawpost.core.control.replica_pause import has_all_commits
+from jackdawpost.core.control.replica_pause import log_missing_answers
 from jackdawpost.core.control.replica_pause import needs_pause
 from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
@@ -466,10 +468,12 @@
         return is_safe
     upstreams = _possible_commit_holders(state, leader, name, upstreams)
     pause = advance_pause(state, leader, name, promotion, upstreams, term)
-    if has_all_commits(state, name, promotion, pause, upstreams):
+    holders = find_commit_holders(state, name, upstreams)
+    if has_all_commits(state, name, promotion, pause, holders):
         return is_safe
+    log_missing_answers(state, name, pause, holders)
     primary = state.machine.groups[name].primary
-    newer = find_newer_replica(state, name, promotion, pause, upstreams)
+    newer = find_newer_replica(state, name, promotion, pause, holders)
     if newer is not None and _has_failed(state, leader, primary or ''):
         # While the primary runs, the chosen upstream can still catch up.
         reason = f'{newer} has received more than the chosen upstream'
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -265,9 +265,12 @@
     positions : dict of str to LogPosition
         Last position received by each replica that has answered, including
         the chosen upstream.
+    logged_missing : list of str, optional
+        Databases without an answer, as last logged.
     """
 
     positions: dict[str, LogPosition] = field(default_factory=dict)
+    logged_missing: list[str] | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -11,6 +11,7 @@
 
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import ReplicaPause
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
@@ -70,12 +71,18 @@
     group: str,
     promotion: Promotion,
     pause: ReplicaPause,
-    upstreams: dict[str, Member],
+    holders: set[MemberKey],
 ) -> bool:
-    """Return whether the chosen upstream holds every acknowledged commit."""
+    """Return whether the chosen upstream holds every acknowledged commit.
+
+    Parameters
+    ----------
+    holders : set of tuple
+        Result of `find_commit_holders`.
+    """
     chosen_position = pause.positions.get(promotion.chosen or '')
     if chosen_position is None or not _has_read_quorum(
-        state, group, pause, upstreams
+        state, group, pause, holders
     ):
         return False
     return chosen_position >= max(pause.positions.values())
@@ -86,13 +93,13 @@
     group: str,
     promotion: Promotion,
     pause: ReplicaPause,
-    upstreams: dict[str, Member],
+    holders: set[MemberKey],
 ) -> str | None:
     """Return the replica with the highest position of those that answered.
 
     None if that is the chosen upstream, or if too few have answered.
     """
-    if not _has_read_quorum(state, group, pause, upstreams):
+    if not _has_read_quorum(state, group, pause, holders):
         return None
     best = max(pause.positions, key=lambda name: pause.positions[name])
     return None if best == promotion.chosen else best
@@ -102,15 +109,40 @@
     state: ControlState,
     group: str,
     pause: ReplicaPause,
-    upstreams: dict[str, Member],
+    holders: set[MemberKey],
 ) -> bool:
     """Return whether some upstream that answered holds each commit.
 
-    Each acknowledged commit is on `write_copies` upstreams, so any
-    ``len(upstreams) - write_copies + 1`` of them include a holder.
+    Each acknowledged commit is on `write_copies` of the holders, so any
+    ``len(holders) - write_copies + 1`` of them include one that has it.
     """
     copies = state.machine.objects.groups[group].write_copies
-    return len(pause.positions) >= len(upstreams) - copies + 1
+    return len(pause.positions) >= len(holders) - copies + 1
+
+
+def log_missing_answers(
+    state: ControlState,
+    group: str,
+    pause: ReplicaPause,
+    holders: set[MemberKey],
+) -> None:
+    """Log which databases have not told their position, when that changes."""
+    missing = sorted(
+        name for name, _ in holders if name not in pause.positions
+    )
+    if missing == pause.logged_missing:
+        return
+    pause.logged_missing = missing
+    log(
+        state,
+        'info',
+        'promotion_waits',
+        group=group,
+        token=pause.token,
+        missing=missing,
+        answered=sorted(pause.positions),
+        copies=state.machine.objects.groups[group].write_copies,
+    )
 
 
 def record_position(
