Do without an absent replica only if its commits are known to be held

Cause: `_possible_commit_holders` left out a replica that had refused connections for 2 s when the primary began to. It concluded from the time that the other replica had received what this one had helped to acknowledge. Evidence, from the leader's log: `promotion_started` with `received` 485, one `upstream_told` of the deaf replica at 485, then `promotion_ordered`; nobody else was asked.

Ruled out: a position reported too high; the order has the position that the promoted database told itself.

Change: the time is gone. When a replica is seen to refuse connections, control asks the primary for its position, above which the replica holds nothing. A promotion does without the replica only if the databases that answered have received up to there. A replica that was back in between, or whose limit the primary no longer told, is waited for.

test_replica_lost_before_does_not_delay_replacing_a_leaving_primary keeps its assertion and its bound of 1.5 s. Its primary now answers STATUS, as one that drains does; before, the fake primary answered nothing while it served.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -14,6 +14,7 @@
 from jackdawpost.core.control.commands import DelegatePromotion
 from jackdawpost.core.control.commands import FinishPromotion
 from jackdawpost.core.control.commit_holders import find_commit_holders
+from jackdawpost.core.control.commit_holders import track_absent_replicas
 from jackdawpost.core.control.demotion import advance_demotion
 from jackdawpost.core.control.demotion import needs_demotion
 from jackdawpost.core.control.leases import end_leases
@@ -27,11 +28,11 @@
 from jackdawpost.core.control.replica_pause import find_newer_replica
 from jackdawpost.core.control.replica_pause import has_all_commits
 from jackdawpost.core.control.replica_pause import log_missing_answers
-from jackdawpost.core.control.replica_pause import needs_pause
 from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
+from jackdawpost.core.control.upstream_actions import needs_replica_copies
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import PromotionEnded
 from jackdawpost.core.messages.control import ProxyReport
@@ -61,10 +62,6 @@
 # Interval at which all groups are reconsidered. Groups with a running
 # promotion or a suspected upstream do not wait for it.
 GROUP_SWEEP_INTERVAL_MS = 500.0
-# Time for which a replica must have refused connections before the primary
-# did, for the promotion not to wait for its answer. It is longer than the
-# other replicas need to receive the commits that this one acknowledged.
-UNREACHABLE_REPLICA_MS = 2_000.0
 # Cool-down before an upstream is a candidate again after it failed, an order
 # for it was refused, or another replica had received more.
 CANDIDATE_COOLDOWN_MS = 3_000.0
@@ -119,7 +116,6 @@
     names = leader.dirty_groups
     leader.dirty_groups = set()
     if is_tick:
-        _update_refused_since(state, leader)
         names |= leader.suspect_groups | _unsettled_groups(state)
     if state.now_ms >= leader.next_group_sweep_ms:
         leader.next_group_sweep_ms = state.now_ms + GROUP_SWEEP_INTERVAL_MS
@@ -130,6 +126,7 @@
         upstreams = _joined_upstreams(state, leader, name)
         if not upstreams:
             continue
+        track_absent_replicas(state, leader, name, upstreams)
         if group.promotion is not None:
             _advance_promotion(state, leader, name, group, upstreams)
             continue
@@ -464,11 +461,10 @@
                 state, leader, name, promotion, 'chosen upstream failed'
             )
             return False
-    if not needs_pause(state, name):
+    if not needs_replica_copies(state, name):
         return is_safe
-    upstreams = _possible_commit_holders(state, leader, name, upstreams)
     pause = advance_pause(state, leader, name, promotion, upstreams, term)
-    holders = find_commit_holders(state, name, upstreams)
+    holders = find_commit_holders(state, leader, name, upstreams, pause)
     if has_all_commits(state, name, promotion, pause, holders):
         return is_safe
     log_missing_answers(state, name, pause, holders)
@@ -495,40 +491,6 @@
     _abandon_promotion(state, leader, name, promotion, reason)
 
 
-def _possible_commit_holders(
-    state: ControlState,
-    leader: LeaderState,
-    name: str,
-    upstreams: dict[str, Member],
-) -> dict[str, Member]:
-    """Return the upstreams that may be the only holder of a commit.
-
-    Leaves out replicas that refused connections well before the primary did:
-    the other replicas have received since then every commit that these helped
-    to acknowledge. A replica that is only silent may still receive commits.
-    """
-    primary = state.machine.groups[name].primary or ''
-    end_ms = leader.refused_since_ms.get(primary, state.now_ms)
-    return {
-        upstream: member
-        for upstream, member in upstreams.items()
-        if upstream == primary
-        or leader.refused_since_ms.get(upstream, end_ms)
-        + UNREACHABLE_REPLICA_MS
-        > end_ms
-    }
-
-
-def _update_refused_since(state: ControlState, leader: LeaderState) -> None:
-    """Record since when connections to each upstream are refused."""
-    suspecting = leader.detector.suspecting
-    for name in {*suspecting, *leader.refused_since_ms}:
-        if failure_detector.is_refused(leader.detector, state.now_ms, name):
-            leader.refused_since_ms.setdefault(name, state.now_ms)
-        else:
-            leader.refused_since_ms.pop(name, None)
-
-
 def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
     failed_ms = failure_detector.failed_at_ms(
         leader.detector,
--- a/jackdawpost/core/control/dump.py
+++ b/jackdawpost/core/control/dump.py
@@ -30,7 +30,6 @@
     'pending_reads': 'reads',
     'pending_requests': 'asked',
     'primary_since_ms': 'watched_since_ms',
-    'refused_since_ms': 'refused_ms',
     'replica_pauses': 'freezes',
     'reporters': 'witnesses',
     'request': 'want',
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -238,7 +238,7 @@
     Parameters
     ----------
     token : int
-        Fencing token of the promotion.
+        Fencing token of the promotion; negative for requests outside of one.
     term : int
         Term sent with the requests.
     attempts : int
@@ -273,6 +273,21 @@
     logged_missing: list[str] | None = None
 
 
+@dataclass(slots=True, kw_only=True)
+class AbsentReplica(ForwardedRequests):
+    """Replica that does not run, and the request that limits what it holds.
+
+    Parameters
+    ----------
+    limit : LogPosition, optional
+        Position of the primary, requested after the replica was seen to be
+        absent. The replica holds no later commit. None until the primary has
+        answered.
+    """
+
+    limit: LogPosition | None = None
+
+
 @dataclass(slots=True, kw_only=True)
 class LeaderState:
     """State of the services that only the leader runs.
@@ -355,9 +370,12 @@
         Pause of the replicas for the promotion of each group.
     demotions : dict of str to ForwardedRequests
         Demotion of the chosen upstream for the promotion of each group.
-    refused_since_ms : dict of str to float
-        Time since which most proxies report that connections to an upstream
-        are refused.
+    next_absence_token : int
+        Token of the next request about an absent replica. Tokens of
+        promotions are positive.
+    absent_replicas : dict of tuple to AbsentReplica
+        Replicas, by name and identity, to which most proxies see connections
+        refused.
     electorate_ms : dict of str to float
         Time at which each proxy was last a member.
     electorate_due_ms : float
@@ -424,7 +442,10 @@
     electorate_due_ms: float = 0.0
     replica_pauses: dict[str, ReplicaPause] = field(default_factory=dict)
     demotions: dict[str, ForwardedRequests] = field(default_factory=dict)
-    refused_since_ms: dict[str, float] = field(default_factory=dict)
+    next_absence_token: int = -1
+    absent_replicas: dict[MemberKey, AbsentReplica] = field(
+        default_factory=dict
+    )
     superseded_terms: dict[str, int] = field(default_factory=dict)
     confirming_since_ms: float = 0.0
     confirmed_ms: float = 0.0
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -7,6 +7,7 @@
 from jackdawpost.core.control import failure_detector
 from jackdawpost.core.control import permit_ledger
 from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commit_holders import record_primary_position
 from jackdawpost.core.control.delegation import record_observations
 from jackdawpost.core.control.demotion import record_demotion
 from jackdawpost.core.control.members import handle_approval
@@ -90,6 +91,7 @@
     if isinstance(message, UpstreamActionAnswer):
         record_position(state, leader, message)
         record_demotion(state, leader, message)
+        record_primary_position(state, leader, message)
         upstream = state.machine.members.get(message.upstream)
         if upstream is not None:
             leader.dirty_groups.add(upstream.group)
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -22,12 +22,6 @@
 from jackdawpost.core.positions import LogPosition
 
 
-def needs_pause(state: ControlState, group: str) -> bool:
-    """Return whether each commit of a group needs a copy on a replica."""
-    settings = state.machine.objects.groups.get(group)
-    return settings is not None and settings.write_copies > 1
-
-
 def advance_pause(
     state: ControlState,
     leader: LeaderState,
@@ -117,7 +111,8 @@
     ``len(holders) - write_copies + 1`` of them include one that has it.
     """
     copies = state.machine.objects.groups[group].write_copies
-    return len(pause.positions) >= len(holders) - copies + 1
+    answered = sum(name in pause.positions for name, _ in holders)
+    return answered >= len(holders) - copies + 1
 
 
 def log_missing_answers(
--- a/jackdawpost/core/control/upstream_actions.py
+++ b/jackdawpost/core/control/upstream_actions.py
@@ -17,6 +17,12 @@
 REQUEST_INTERVAL_MS = 200.0
 
 
+def needs_replica_copies(state: ControlState, group: str) -> bool:
+    """Return whether each commit of a group needs a copy on a replica."""
+    settings = state.machine.objects.groups.get(group)
+    return settings is not None and settings.write_copies > 1
+
+
 def send_action(
     state: ControlState,
     requests: ForwardedRequests,
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -100,7 +100,7 @@
                 action=message.action,
                 token=message.token,
                 received=self.received_positions[message.upstream],
-                leads=self.action_leads,
+                leads=self.action_leads or self.sees_lead(message),
             )
             return [answer]
         if isinstance(message, StateUpdate):
@@ -120,6 +120,11 @@
             return [approve(self.name, f'id-{self.name}', message)]
         return []
 
+    def sees_lead(self, message: UpstreamAction) -> bool:
+        reported = (self.upstream_reports or {}).get(message.upstream)
+        is_status = message.action == 'status'
+        return is_status and reported is not None and reported.leads
+
     def holds_lease(self, now_ms: float, group: str, term: int) -> bool:
         return now_ms < self.lease_until_ms.get((group, term), 0)
 
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -70,3 +70,80 @@
     _drain(sim, 'u1')
     sim.cluster.run(500)
     assert sim.orders()[0].upstream == 'u2'
+
+
+def _report(sim, **evidence):
+    for proxy in sim.proxies:
+        proxy.evidence = {'u1': 'up', 'u2': 'up', 'u3': 'up', **evidence}
+
+
+def _lose_replica(sim, **positions):
+    """Let u3 refuse connections for longer than any database needs."""
+    sim.set_observations('u1', u2=12, u3=12)
+    _set_positions(sim, **positions)
+    _report(sim, u3='refused')
+    sim.cluster.run(3_000)
+
+
+def _lose_primary(sim, **positions):
+    sim.set_observations('', u2=12)
+    _set_positions(sim, **positions)
+    _report(sim, u1='refused', u3='refused')
+
+
+def test_replica_lost_earlier_may_hold_what_the_other_did_not_receive(sim):
+    # Guards against the promotion of a replica that has received nothing for
+    # a while: u3 helped to acknowledge commits before it crashed.
+    _lose_replica(sim, u1=20, u2=12)
+    _lose_primary(sim, u2=12)
+    sim.cluster.run(6_000)
+    assert not sim.orders()
+    _report(sim, u1='refused')
+    _set_positions(sim, u2=12, u3=18)
+    sim.set_observations('', u2=12, u3=18)
+    sim.cluster.run(5_000)
+    assert {order.upstream for order in sim.orders()} == {'u3'}
+
+
+def test_replica_lost_earlier_is_not_needed_by_one_that_has_received_all(sim):
+    _lose_replica(sim, u1=12, u2=12)
+    _lose_primary(sim, u2=13)
+    sim.cluster.run(1_500)
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def test_replica_lost_together_with_the_primary_is_waited_for(sim):
+    # The primary no longer answers what the replica may hold.
+    sim.set_observations('u1', u2=12, u3=12)
+    _lose_primary(sim, u2=12)
+    sim.cluster.run(6_000)
+    assert not sim.orders()
+
+
+def test_replica_that_was_back_meanwhile_is_waited_for_again(sim):
+    # What it may hold was limited before it received further commits.
+    _lose_replica(sim, u1=12, u2=12)
+    _report(sim)
+    sim.cluster.run(1_000)
+    _lose_primary(sim, u2=13)
+    sim.cluster.run(6_000)
+    assert not sim.orders()
+
+
+def test_position_of_a_database_that_does_not_lead_limits_nothing(sim):
+    sim.set_observations('', u2=12, u3=12)
+    _set_positions(sim, u1=12, u2=12)
+    _report(sim, u3='refused')
+    sim.cluster.run(1_000)
+    _lose_primary(sim, u2=13)
+    sim.cluster.run(6_000)
+    assert not sim.orders()
+
+
+def test_new_leader_learns_what_an_absent_replica_may_hold(sim):
+    _lose_replica(sim, u1=12, u2=12)
+    sim.cluster.stop_process(sim.cluster.leader().cfg.name)
+    sim.cluster.run(4_000)
+    _lose_primary(sim, u2=13)
+    sim.cluster.run(2_500)
+    assert sim.orders()[0].upstream == 'u2'
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -343,9 +343,9 @@
     # primary must receive no statements after some seconds.
     sim = DelegatedSimulation(copies=2)
     sim.set_observations('u1', u2=12, u3=12)
+    _set_positions(sim, u1=12, u2=12)
     sim.report_evidence('u3', evidence='refused')
     sim.cluster.run(3_000)
-    _set_positions(sim, u2=12)
     sim.send_request(registration('u1', state='draining', sequence=2))
     sim.cluster.run(1_500)
     assert sim.orders()[0].upstream == 'u2'
