Keep counting a removed database among those that may hold a commit

Cause: the report of a later incarnation removes the earlier one from the members in a log entry of its own, and the count of databases over which the answers are needed fell from 3 to 2. Once the new incarnation has joined, its answer stood for what the earlier one held, even without a log. Evidence, from the leader's log: `promotion_waits` for i-1 and i-3 over 4 s, then `promotion_ordered` for i-2 30 ms after the start of i-3, without an answer of any other database.

Ruled out: a position told by i-3; there is no `upstream_told` for it.

Change: `former_holders` in the replicated state keeps each removed database of a group with copies until a promotion ends, an operator removes it, or it announces itself again. Answers belong to an identity. The position that the primary told after the removal limits what the database holds and is recorded, so that a later leader has it. A new incarnation of the primary is asked like any replica; a promotion changes to the database with the highest position also if the primary is no member; replicas paused for a promotion that was given up resume.

--- a/jackdawpost/core/control/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -205,6 +205,17 @@
     kind: Literal['admit_database'] = 'admit_database'
 
 
+@dataclass(slots=True, kw_only=True)
+class LimitFormerHolder:
+    """Record the position above which a removed database holds nothing."""
+
+    group: str
+    name: str
+    member_id: str
+    limit: LogPosition
+    kind: Literal['limit_former_holder'] = 'limit_former_holder'
+
+
 @dataclass(slots=True, kw_only=True)
 class DeclareObject:
     """One object of a complete declared configuration."""
@@ -286,6 +297,7 @@
     | DeclareObjects
     | AdoptPrimary
     | DelegatePromotion
+    | LimitFormerHolder
 )
 
 COMMAND_TYPES: dict[str, type[Any]] = {
@@ -303,6 +315,7 @@
     'declare_objects': DeclareObjects,
     'adopt_primary': AdoptPrimary,
     'delegate_promotion': DelegatePromotion,
+    'limit_former_holder': LimitFormerHolder,
 }
 
 
--- a/jackdawpost/core/control/commit_holders.py
+++ b/jackdawpost/core/control/commit_holders.py
@@ -2,17 +2,19 @@
 
 A promotion counts the answers that it needs over these databases. Leaving out
 one that holds a commit would let a database be promoted without it. A replica
-that does not run is left out only if the databases that answered are known to
-have received all that it may hold.
+that does not run, or has been removed, is left out only if the databases that
+answered are known to have received all that it may hold.
 """
 
 from __future__ import annotations
 
 from jackdawpost.core.control import failure_detector
+from jackdawpost.core.control.commands import LimitFormerHolder
 from jackdawpost.core.control.process import AbsentReplica
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import MemberKey
+from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import ReplicaPause
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.upstream_actions import needs_replica_copies
@@ -23,6 +25,9 @@
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
 
+# A database that departs sends its departure shortly before it ends.
+DEPARTURE_MS = 500.0
+
 
 def find_commit_holders(
     state: ControlState,
@@ -34,8 +39,9 @@
     """Return the databases of which one may be needed to find each commit.
 
     Newcomers are included: the primary counts a replica that has received a
-    commit, and does not wait for the approvals that make it a member. Absent
-    replicas are left out if a database that answered has received all that
+    commit, and does not wait for the approvals that make it a member. Removed
+    databases are included, also those whose name is used by a new incarnation.
+    Absent ones are left out if a database that answered has received all that
     they may hold.
 
     Parameters
@@ -51,21 +57,26 @@
         Names and identities.
     """
     newcomers = [item.member for item in state.machine.newcomers.values()]
-    covered = max(pause.positions.values(), default=ZERO_POSITION)
-    return {
+    holders = {
         (member.name, member.member_id)
         for member in (*upstreams.values(), *newcomers)
-        if member.group == group and not _is_covered(leader, member, covered)
+        if member.group == group
+    }
+    limits = {
+        key: absence.limit
+        for key, absence in leader.absent_replicas.items()
+        if absence.group == group
+    }
+    for former in state.machine.groups[group].former_holders:
+        key = (former.name, former.member_id)
+        holders.add(key)
+        limits[key] = former.limit or limits.get(key)
+    received = max(pause.positions.values(), default=ZERO_POSITION)
+    return {
+        key
+        for key in holders
+        if (limit := limits.get(key)) is None or limit > received
     }
-
-
-def _is_covered(
-    leader: LeaderState, member: Member, position: LogPosition
-) -> bool:
-    absence = leader.absent_replicas.get((member.name, member.member_id))
-    if absence is None or absence.limit is None:
-        return False
-    return absence.limit <= position
 
 
 def track_absent_replicas(
@@ -82,24 +93,76 @@
     """
     if not needs_replica_copies(state, group):
         return
-    primary = state.machine.groups[group].primary
-    for name, member in upstreams.items():
-        key = (name, member.member_id)
-        if name == primary or not failure_detector.is_refused(
-            leader.detector, state.now_ms, name
-        ):
-            leader.absent_replicas.pop(key, None)
-            continue
-        absence = leader.absent_replicas.get(key)
-        if absence is None:
-            absence = AbsentReplica(token=leader.next_absence_token, term=0)
+    absences = leader.absent_replicas
+    formers = state.machine.groups[group].former_holders
+    due_ms = dict.fromkeys(
+        _refusing_replicas(state, leader, group, upstreams), state.now_ms
+    )
+    for former in formers:
+        if former.limit is None:
+            key = (former.name, former.member_id)
+            due_ms[key] = state.now_ms + DEPARTURE_MS
+    for key, absence in list(absences.items()):
+        if absence.group == group and key not in due_ms:
+            del absences[key]
+    for key, request_ms in due_ms.items():
+        if key not in absences:
+            absences[key] = AbsentReplica(
+                token=leader.next_absence_token,
+                term=0,
+                group=group,
+                next_request_ms=request_ms,
+            )
             leader.next_absence_token -= 1
-            leader.absent_replicas[key] = absence
-        if absence.limit is not None or primary is None:
+        _request_limit(state, absences[key])
+    _propose_limits(state, leader, group)
+
+
+def _refusing_replicas(
+    state: ControlState,
+    leader: LeaderState,
+    group: str,
+    upstreams: dict[str, Member],
+) -> list[MemberKey]:
+    recorded = state.machine.groups[group]
+    primary = (recorded.primary, recorded.primary_id)
+    return [
+        (name, member.member_id)
+        for name, member in upstreams.items()
+        if (name, member.member_id) != primary
+        and failure_detector.is_refused(leader.detector, state.now_ms, name)
+    ]
+
+
+def _request_limit(state: ControlState, absence: AbsentReplica) -> None:
+    primary = state.machine.groups[absence.group].primary
+    if absence.limit is not None or primary is None:
+        return
+    if state.now_ms >= absence.next_request_ms:
+        absence.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
+        send_action(state, absence, primary, 'status')
+
+
+def _propose_limits(
+    state: ControlState, leader: LeaderState, group: str
+) -> None:
+    """Propose to record the limits of removed databases.
+
+    A later leader can't ask a primary that has failed meanwhile.
+    """
+    for former in state.machine.groups[group].former_holders:
+        absence = leader.absent_replicas.get((former.name, former.member_id))
+        if former.limit is not None or absence is None:
             continue
-        if state.now_ms >= absence.next_request_ms:
-            absence.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
-            send_action(state, absence, primary, 'status')
+        if absence.limit is not None:
+            command = LimitFormerHolder(
+                group=group,
+                name=former.name,
+                member_id=former.member_id,
+                limit=absence.limit,
+            )
+            key = f'limit/{group}/{former.name}/{former.member_id}'
+            propose(state, key, command)
 
 
 def record_primary_position(
--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -7,14 +7,20 @@
 from __future__ import annotations
 
 from jackdawpost.core.control.commands import AdmitDatabase
+from jackdawpost.core.control.commands import LimitFormerHolder
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import CommandRefused
 from jackdawpost.core.control.state import ControlMachine
+from jackdawpost.core.control.state import FormerHolder
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.objects.model import object_key
 
+# Bounds the state while replicas of a group are replaced without a promotion,
+# which clears the list.
+MAX_FORMER_HOLDERS = 100
+
 
 def is_joined_upstream(
     machine: ControlMachine, group: str, name: str, data_id: str
@@ -40,6 +46,49 @@
         group.database_set[member.name] = member.member_id
 
 
+def record_former_holder(machine: ControlMachine, member: Member) -> None:
+    """Record a removed database that may hold a commit.
+
+    Its removal does not change what the other databases have received. Only
+    databases that registered themselves are recorded: commits of the others
+    are counted over the database set.
+    """
+    settings = machine.objects.groups.get(member.group)
+    group = machine.groups.get(member.group)
+    if not member.registered or settings is None or group is None:
+        return
+    if settings.write_copies == 1:
+        return
+    forget_former_holder(group, member.name, member.member_id)
+    group.former_holders.append(
+        FormerHolder(name=member.name, member_id=member.member_id)
+    )
+    del group.former_holders[:-MAX_FORMER_HOLDERS]
+
+
+def forget_former_holder(group: GroupState, name: str, member_id: str) -> None:
+    """Drop the record of a removed database, if there is one."""
+    group.former_holders = [
+        holder
+        for holder in group.former_holders
+        if (holder.name, holder.member_id) != (name, member_id)
+    ]
+
+
+def limit_former_holder(
+    machine: ControlMachine, command: LimitFormerHolder
+) -> Applied:
+    """Record what a removed database may hold at most."""
+    group = machine.groups.get(command.group)
+    for holder in group.former_holders if group is not None else []:
+        if (holder.name, holder.member_id) == (
+            command.name,
+            command.member_id,
+        ):
+            holder.limit = command.limit
+    return Applied()
+
+
 def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
     """Add an upstream to the set of its group after it has caught up.
 
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -28,6 +28,7 @@
 from jackdawpost.core.control.replica_pause import find_newer_replica
 from jackdawpost.core.control.replica_pause import has_all_commits
 from jackdawpost.core.control.replica_pause import log_missing_answers
+from jackdawpost.core.control.replica_pause import repeat_resume
 from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
@@ -117,6 +118,7 @@
     leader.dirty_groups = set()
     if is_tick:
         names |= leader.suspect_groups | _unsettled_groups(state)
+        names |= leader.replica_pauses.keys()
     if state.now_ms >= leader.next_group_sweep_ms:
         leader.next_group_sweep_ms = state.now_ms + GROUP_SWEEP_INTERVAL_MS
         names |= state.machine.groups.keys()
@@ -135,16 +137,19 @@
         reason = _replacement_reason(state, leader, name, group, upstreams)
         if reason:
             _propose_promotion(state, leader, name, group, upstreams, reason)
+        else:
+            repeat_resume(state, leader, name)
 
 
 def _unsettled_groups(state: ControlState) -> set[str]:
-    """Return the groups whose promotion depends on the time."""
+    """Return the groups that wait for a time or for the next request."""
     return {
         name
         for name, group in state.machine.groups.items()
         if group.promotion is not None
         or group.primary is None
         or is_leaving(state, group.primary)
+        or any(former.limit is None for former in group.former_holders)
     }
 
 
@@ -468,10 +473,11 @@
     if has_all_commits(state, name, promotion, pause, holders):
         return is_safe
     log_missing_answers(state, name, pause, holders)
-    primary = state.machine.groups[name].primary
     newer = find_newer_replica(state, name, promotion, pause, holders)
-    if newer is not None and _has_failed(state, leader, primary or ''):
-        # While the primary runs, the chosen upstream can still catch up.
+    if newer is not None and not _is_primary_running(
+        state, leader, state.machine.groups[name], upstreams
+    ):
+        # From a running primary the chosen upstream can still catch up.
         reason = f'{newer} has received more than the chosen upstream'
         _abandon_for_other(state, leader, name, promotion, reason)
     return False
@@ -501,6 +507,19 @@
     return failed_ms is not None and failed_ms <= state.now_ms
 
 
+def _is_primary_running(
+    state: ControlState,
+    leader: LeaderState,
+    group: GroupState,
+    upstreams: dict[str, Member],
+) -> bool:
+    """Return whether the recorded incarnation of the primary may run."""
+    member = upstreams.get(group.primary or '')
+    if member is None or member.member_id != group.primary_id:
+        return False
+    return not _has_failed(state, leader, member.name)
+
+
 def _update_electorate(state: ControlState, leader: LeaderState) -> None:
     """Update the proxies whose majority decides that an upstream failed.
 
--- a/jackdawpost/core/control/machine.py
+++ b/jackdawpost/core/control/machine.py
@@ -16,6 +16,7 @@
 
 from jackdawpost.core.control.commands import Command
 from jackdawpost.core.control.database_sets import admit_database
+from jackdawpost.core.control.database_sets import limit_former_holder
 from jackdawpost.core.control.delegated_steps import adopt_primary
 from jackdawpost.core.control.delegated_steps import delegate_promotion
 from jackdawpost.core.control.membership import announce_member
@@ -44,7 +45,9 @@
     'update_since',
 ]
 
-SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 2
+# The first format has no `former_holders` in the state of a group.
+FIRST_SNAPSHOT_FORMAT = 1
 
 _APPLY_FUNCTIONS: dict[str, Callable[[ControlMachine, Any], Applied]] = {
     'apply_change_set': apply_change_set,
@@ -61,6 +64,7 @@
     'declare_objects': declare_objects,
     'adopt_primary': adopt_primary,
     'delegate_promotion': delegate_promotion,
+    'limit_former_holder': limit_former_holder,
 }
 
 
@@ -117,13 +121,24 @@
     """
     try:
         format_number, value = cbor2.loads(data)
+        if format_number == FIRST_SNAPSHOT_FORMAT:
+            _add_former_holders(value)
+            format_number = SNAPSHOT_FORMAT
+            data = cbor2.dumps([SNAPSHOT_FORMAT, value])
         if format_number != SNAPSHOT_FORMAT:
             raise ValueError(
                 f'format {format_number!r} is not supported; the accepted '
-                f'format is {SNAPSHOT_FORMAT}'
+                f'formats are {FIRST_SNAPSHOT_FORMAT} and {SNAPSHOT_FORMAT}'
             )
         machine = _snapshot_adapter().validate_python(value)
-    except (ValueError, TypeError, cbor2.CBORError, ValidationError) as exc:
+    except (
+        ValueError,
+        TypeError,
+        LookupError,
+        AttributeError,
+        cbor2.CBORError,
+        ValidationError,
+    ) as exc:
         raise StorageError(
             f'snapshot of {len(data)} bytes cannot be decoded: {exc}'
         ) from exc
@@ -135,3 +150,10 @@
             'it must have been written by a release with the same fields'
         )
     return machine
+
+
+def _add_former_holders(value: Any) -> None:
+    """Convert the value of a snapshot in the first format."""
+    for groups in (value['groups'], value['retired_groups']):
+        for group in groups.values():
+            group['former_holders'] = []
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -17,6 +17,8 @@
 from jackdawpost.core.control.commands import RemoveMember
 from jackdawpost.core.control.database_sets import add_to_new_groups
 from jackdawpost.core.control.database_sets import check_set_removal
+from jackdawpost.core.control.database_sets import forget_former_holder
+from jackdawpost.core.control.database_sets import record_former_holder
 from jackdawpost.core.control.database_sets import remove_from_sets
 from jackdawpost.core.control.publication import member_keys
 from jackdawpost.core.control.publication import publish_changes
@@ -43,6 +45,11 @@
         return _update_member(machine, member, command)
     newcomer = machine.newcomers.get(command.name)
     if newcomer is None or newcomer.member.member_id != command.member_id:
+        if newcomer is not None:
+            record_former_holder(machine, newcomer.member)
+        group = machine.groups.get(command.group)
+        if group is not None:
+            forget_former_holder(group, command.name, command.member_id)
         machine.newcomers.pop(command.name, None)
         machine.newcomers[command.name] = Newcomer(
             member=_build_member(command)
@@ -130,13 +137,13 @@
         found = bool(changed_groups)
     newcomer = machine.newcomers.get(name)
     if newcomer is not None and newcomer.member.member_id == command.member_id:
-        _record_departure(machine, newcomer.member, command.reason)
+        _record_removal(machine, newcomer.member, command.reason)
         del machine.newcomers[name]
         _drop_approvals(machine, name)
         found = True
     member = machine.members.get(name)
     if member is not None and member.member_id == command.member_id:
-        _record_departure(machine, member, command.reason)
+        _record_removal(machine, member, command.reason)
         _drop_member(machine, name)
         found = True
     if not found:
@@ -146,9 +153,11 @@
     return _join_approved_newcomers(machine, keys)
 
 
-def _record_departure(
+def _record_removal(
     machine: ControlMachine, member: Member, reason: RemovalReason
 ) -> None:
+    if reason != 'operator':
+        record_former_holder(machine, member)
     if not member.registered or reason != 'left':
         return
     machine.departed.pop(member.name, None)
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -262,14 +262,14 @@
 
     Parameters
     ----------
-    positions : dict of str to LogPosition
-        Last position received by each replica that has answered, including
-        the chosen upstream.
+    positions : dict of tuple to LogPosition
+        Last position received by each replica that has answered, by name and
+        identity, including the chosen upstream.
     logged_missing : list of str, optional
         Databases without an answer, as last logged.
     """
 
-    positions: dict[str, LogPosition] = field(default_factory=dict)
+    positions: dict[MemberKey, LogPosition] = field(default_factory=dict)
     logged_missing: list[str] | None = None
 
 
@@ -279,12 +279,15 @@
 
     Parameters
     ----------
+    group : str
+        Group of the replica.
     limit : LogPosition, optional
         Position of the primary, requested after the replica was seen to be
         absent. The replica holds no later commit. None until the primary has
         answered.
     """
 
+    group: str
     limit: LogPosition | None = None
 
 
@@ -374,8 +377,8 @@
         Token of the next request about an absent replica. Tokens of
         promotions are positive.
     absent_replicas : dict of tuple to AbsentReplica
-        Replicas, by name and identity, to which most proxies see connections
-        refused.
+        Replicas, by name and identity, that have been removed or to which most
+        proxies see connections refused.
     electorate_ms : dict of str to float
         Time at which each proxy was last a member.
     electorate_due_ms : float
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -122,6 +122,8 @@
     group.primary_id = data_id
     group.database_set[name] = data_id
     group.promotion = None
+    # The new primary holds every acknowledged commit.
+    group.former_holders.clear()
     return _publish_group(machine, command.group)
 
 
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -51,9 +51,13 @@
     if state.now_ms < pause.next_request_ms:
         return pause
     pause.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
-    primary = state.machine.groups[group].primary
+    recorded = state.machine.groups[group]
+    primary = (recorded.primary, recorded.primary_id)
     for name in sorted(upstreams):
-        if name in (primary, promotion.chosen) or name in pause.positions:
+        key = (name, upstreams[name].member_id)
+        if key == primary or name == promotion.chosen:
+            continue
+        if key in pause.positions:
             continue
         send_action(state, pause, name, 'pause')
     send_action(state, pause, promotion.chosen or '', 'status')
@@ -74,7 +78,8 @@
     holders : set of tuple
         Result of `find_commit_holders`.
     """
-    chosen_position = pause.positions.get(promotion.chosen or '')
+    chosen = (promotion.chosen or '', promotion.data_id)
+    chosen_position = pause.positions.get(chosen)
     if chosen_position is None or not _has_read_quorum(
         state, group, pause, holders
     ):
@@ -95,8 +100,8 @@
     """
     if not _has_read_quorum(state, group, pause, holders):
         return None
-    best = max(pause.positions, key=lambda name: pause.positions[name])
-    return None if best == promotion.chosen else best
+    best = max(pause.positions, key=lambda key: pause.positions[key])
+    return None if best[0] == promotion.chosen else best[0]
 
 
 def _has_read_quorum(
@@ -111,7 +116,7 @@
     ``len(holders) - write_copies + 1`` of them include one that has it.
     """
     copies = state.machine.objects.groups[group].write_copies
-    answered = sum(name in pause.positions for name, _ in holders)
+    answered = len(holders & pause.positions.keys())
     return answered >= len(holders) - copies + 1
 
 
@@ -122,9 +127,7 @@
     holders: set[MemberKey],
 ) -> None:
     """Log which databases have not told their position, when that changes."""
-    missing = sorted(
-        name for name, _ in holders if name not in pause.positions
-    )
+    missing = sorted({name for name, _ in holders - pause.positions.keys()})
     if missing == pause.logged_missing:
         return
     pause.logged_missing = missing
@@ -135,7 +138,7 @@
         group=group,
         token=pause.token,
         missing=missing,
-        answered=sorted(pause.positions),
+        answered=sorted(name for name, _ in pause.positions),
         copies=state.machine.objects.groups[group].write_copies,
     )
 
@@ -154,14 +157,20 @@
         member = state.machine.members.get(message.upstream)
         if member is None or member.group != group:
             continue
+        key = (message.upstream, member.member_id)
         promotion = state.machine.groups[group].promotion
+        if promotion is None and message.action == 'resume':
+            pause.positions.pop(key, None)
+            continue
         is_chosen = promotion is not None and (
             promotion.chosen == message.upstream
         )
         if message.action != ('status' if is_chosen else 'pause'):
             continue
         received = LogPosition(*message.received)
-        pause.positions[message.upstream] = received
+        if pause.positions.get(key) == received:
+            continue
+        pause.positions[key] = received
         log(
             state,
             'info',
@@ -181,5 +190,29 @@
     pause = leader.replica_pauses.pop(group, None)
     if pause is None:
         return
-    for name in sorted(pause.positions):
+    for name in sorted({name for name, _ in pause.positions}):
+        send_action(state, pause, name, 'resume')
+
+
+def repeat_resume(
+    state: ControlState, leader: LeaderState, group: str
+) -> None:
+    """Request that replicas resume after an abandoned promotion.
+
+    No other promotion follows if the primary has returned. A replica that
+    stays paused could not acknowledge any commit, so the request is repeated
+    until it answers.
+    """
+    pause = leader.replica_pauses.get(group)
+    if pause is None or state.now_ms < pause.next_request_ms:
+        return
+    members = state.machine.members
+    for name, member_id in list(pause.positions):
+        if name not in members or members[name].member_id != member_id:
+            del pause.positions[name, member_id]
+    if not pause.positions:
+        del leader.replica_pauses[group]
+        return
+    pause.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
+    for name, _ in sorted(pause.positions):
         send_action(state, pause, name, 'resume')
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -130,6 +130,22 @@
     replaces_other: bool = False
 
 
+@dataclass(slots=True, kw_only=True)
+class FormerHolder:
+    """Removed database of a group whose commits need copies.
+
+    Parameters
+    ----------
+    limit : LogPosition, optional
+        Position of the primary, read after the removal. The database holds no
+        later commit. None until it has been recorded.
+    """
+
+    name: str
+    member_id: str
+    limit: LogPosition | None = None
+
+
 @dataclass(slots=True, kw_only=True)
 class GroupState:
     """Terms, primary and database set of a group.
@@ -152,6 +168,9 @@
     superseded_term : int
         Term of the databases, not of the group, above which the upstream of
         the latest delegated promotion leads.
+    former_holders : list of FormerHolder
+        Removed databases that may hold a commit which no other database has,
+        oldest first. Empty for a group without copies.
     """
 
     term: int = 0
@@ -161,6 +180,7 @@
     primary_id: str = ''
     database_set: dict[str, str] = field(default_factory=dict)
     promotion: Promotion | None = None
+    former_holders: list[FormerHolder] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -5,11 +5,19 @@
 
 from __future__ import annotations
 
+import cbor2
 import pytest
 
+from jackdawpost.core.control.commands import AnnounceMember
+from jackdawpost.core.control.commands import RemoveMember
+from jackdawpost.core.control.machine import apply_command
+from jackdawpost.core.control.machine import decode_snapshot
+from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.tests.core.control.delegated import DelegatedSimulation
 from jackdawpost.tests.core.control.delegated import registration
+from jackdawpost.tests.core.control.delegated import STARTED_MS
 
 
 @pytest.fixture
@@ -147,3 +155,163 @@
     _lose_primary(sim, u2=13)
     sim.cluster.run(2_500)
     assert sim.orders()[0].upstream == 'u2'
+
+
+def _restart(sim, name, **fields):
+    """Let a database report itself as a new incarnation."""
+    sim.send_request(registration(name, started_ms=STARTED_MS + 1, **fields))
+
+
+def test_empty_incarnation_does_not_stand_for_what_the_earlier_one_held(sim):
+    # Guards against a promotion once a crashed replica is back without its
+    # log: its earlier incarnation and the primary hold the last commits.
+    sim.set_observations('u1', u2=12, u3=14)
+    _lose_primary(sim, u2=12)
+    sim.cluster.run(2_000)
+    _report(sim, u1='refused')
+    _restart(sim, 'u3')
+    _set_positions(sim, u2=12, u3=0)
+    sim.cluster.run(4_000)
+    assert sim.machine.members['u3'].member_id == str(STARTED_MS + 1)
+    assert not sim.orders()
+    _restart(sim, 'u1')
+    _report(sim)
+    sim.set_observations('u1', u1=14, u2=12)
+    _set_positions(sim, u1=14, u2=12, u3=0)
+    sim.cluster.run(2_000)
+    # The primary has returned with all commits, so none is needed any more.
+    assert not sim.orders()
+    group = sim.machine.groups['g']
+    assert group.promotion is None
+    assert (group.primary, group.primary_id) == ('u1', str(STARTED_MS + 1))
+
+
+def _resumed(sim):
+    return [
+        action.upstream
+        for proxy in sim.proxies
+        for action in proxy.actions
+        if action.action == 'resume'
+    ]
+
+
+def test_replicas_resume_when_the_primary_returns_before_the_promotion(sim):
+    # Guards against replicas that stay paused: with copies, the primary could
+    # not acknowledge any commit once the chosen upstream fails.
+    sim.set_observations('', u2=12, u3=12)
+    _report(sim, u1='refused')
+    _set_positions(sim, u3=12)
+    assert sim.cluster.run(
+        2_000, lambda: sim.machine.groups['g'].promotion is not None
+    )
+    sim.cluster.run(500)
+    _report(sim)
+    _restart(sim, 'u1')
+    sim.set_observations('u1', u1=14, u2=12, u3=12)
+    _set_positions(sim, u1=14, u2=12)
+    sim.cluster.run(2_000)
+    assert sim.machine.groups['g'].primary_id == str(STARTED_MS + 1)
+    assert sim.machine.groups['g'].promotion is None
+    assert _resumed(sim).count('u3') > 3
+    _set_positions(sim, u1=14, u2=12, u3=14)
+    sim.cluster.run(500)
+    count = len(_resumed(sim))
+    sim.cluster.run(2_000)
+    assert len(_resumed(sim)) == count
+
+
+def test_no_promotion_in_the_moment_of_a_restart_of_a_replica(sim):
+    # Guards against a count over the members between the removal of the
+    # earlier incarnation and the announcement of the next one.
+    _lose_primary(sim, u2=12)
+    sim.cluster.run(2_000)
+    for proxy in sim.proxies:
+        proxy.approves = False
+    _restart(sim, 'u3')
+    sim.cluster.run(2_000)
+    assert 'u3' not in sim.machine.members
+    assert not sim.orders()
+
+
+def test_replica_that_departed_with_the_primary_is_waited_for(sim):
+    sim.set_observations('u1', u2=12, u3=12)
+    _set_positions(sim, u2=12)
+    sim.send_request(Departure(name='u3'))
+    _report(sim, u1='refused')
+    sim.set_observations('', u2=12)
+    sim.cluster.run(6_000)
+    assert not sim.orders()
+
+
+def test_replica_that_departed_earlier_is_not_needed(sim):
+    sim.set_observations('u1', u2=12, u3=12)
+    _set_positions(sim, u1=12, u2=12)
+    sim.send_request(Departure(name='u3'))
+    sim.cluster.run(1_500)
+    [former] = sim.machine.groups['g'].former_holders
+    assert (former.name, former.limit) == ('u3', LogPosition(1, 12))
+    # A later leader can't ask the primary any more.
+    sim.cluster.stop_process(sim.cluster.leader().cfg.name)
+    _lose_primary(sim, u2=13)
+    assert sim.cluster.run(6_000, lambda: bool(sim.orders()))
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def test_removed_databases_of_a_group_without_copies_are_not_recorded():
+    sim = DelegatedSimulation(copies=1)
+    sim.send_request(Departure(name='u3'))
+    _restart(sim, 'u2')
+    assert sim.machine.groups['g'].former_holders == []
+
+
+def test_database_that_returns_after_its_removal_is_a_member_again(sim):
+    sim.set_observations('u1', u2=12, u3=12)
+    machine = sim.machine
+    member_id = machine.members['u3'].member_id
+    remove = RemoveMember(name='u3', member_id=member_id, reason='expired')
+    apply_command(machine, machine.applied_index + 1, remove)
+    [former] = machine.groups['g'].former_holders
+    assert (former.name, former.member_id) == ('u3', member_id)
+    announce = AnnounceMember(
+        role='upstream',
+        name='u3',
+        member_id=member_id,
+        host='10.0.1.3',
+        port=5432,
+        data_centre='dc',
+        group='g',
+        registered=True,
+    )
+    apply_command(machine, machine.applied_index + 1, announce)
+    assert machine.groups['g'].former_holders == []
+
+
+def test_removal_by_an_operator_accepts_the_loss(sim):
+    machine = sim.machine
+    member_id = machine.members['u3'].member_id
+    remove = RemoveMember(name='u3', member_id=member_id, reason='operator')
+    apply_command(machine, machine.applied_index + 1, remove)
+    assert machine.groups['g'].former_holders == []
+
+
+def test_snapshot_of_the_first_format_is_read(sim):
+    machine = sim.machine
+    number, value = cbor2.loads(encode_snapshot(machine))
+    for group in value['groups'].values():
+        del group['former_holders']
+    restored = decode_snapshot(cbor2.dumps([number - 1, value]))
+    assert encode_snapshot(restored) == encode_snapshot(machine)
+
+
+def test_primary_that_restarts_without_its_log_is_replaced(sim):
+    # Guards against a wait for the new incarnation of the primary: it is a
+    # replica, and was not asked because the primary had its name.
+    _set_positions(sim, u1=0, u2=12, u3=14)
+    sim.set_observations('', u1=0, u2=12, u3=14)
+    _restart(sim, 'u1')
+    sim.cluster.run(3_000)
+    assert sim.orders()[0].upstream == 'u3'
+    sim.answer_order(sim.orders()[0], 'done')
+    sim.cluster.run(1_000)
+    # The new primary holds every commit.
+    assert sim.machine.groups['g'].former_holders == []
