--- a/jackdawpost/core/control/commit_holders.py
+++ b/jackdawpost/core/control/commit_holders.py
@@ -79,6 +79,22 @@
     }
 
 
+def is_known_to_run(leader: LeaderState, member: Member) -> bool:
+    """Return whether answers under a name come from a member's incarnation.
+
+    Answers of a database do not tell its incarnation, but its reports do.
+    After it has refused connections, or before its first report to this
+    leader, another incarnation may run that has not been reported yet.
+    """
+    registered = leader.registered.get(member.name)
+    if registered is None:
+        return not member.registered
+    if str(registered.report.started_ms) != member.member_id:
+        return False
+    refused_ms = leader.refused_ms.get(member.name)
+    return refused_ms is None or registered.last_contact_ms > refused_ms
+
+
 def track_absent_replicas(
     state: ControlState,
     leader: LeaderState,
@@ -93,6 +109,11 @@
     """
     if not needs_replica_copies(state, group):
         return
+    for name in upstreams:
+        if failure_detector.is_refused_by_any(
+            leader.detector, state.now_ms, name
+        ):
+            leader.refused_ms[name] = state.now_ms
     absences = leader.absent_replicas
     formers = state.machine.groups[group].former_holders
     due_ms = dict.fromkeys(
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -25,11 +25,11 @@
 from jackdawpost.core.control.process import PromotionOrder
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.replica_pause import advance_pause
+from jackdawpost.core.control.replica_pause import begin_resume
 from jackdawpost.core.control.replica_pause import find_newer_replica
 from jackdawpost.core.control.replica_pause import has_all_commits
 from jackdawpost.core.control.replica_pause import log_missing_answers
 from jackdawpost.core.control.replica_pause import repeat_resume
-from jackdawpost.core.control.replica_pause import resume_replicas
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.control.state import Promotion
@@ -39,6 +39,7 @@
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import ReportChange
 from jackdawpost.core.messages.control import UpstreamReport
+from jackdawpost.core.objects.model import object_key
 from jackdawpost.core.outbox import log
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.positions import ZERO_POSITION
@@ -129,6 +130,10 @@
         if not upstreams:
             continue
         track_absent_replicas(state, leader, name, upstreams)
+        if _group_key(name) in leader.proposed:
+            # The promotion may have been given up: no order may follow.
+            leader.dirty_groups.add(name)
+            continue
         if group.promotion is not None:
             _advance_promotion(state, leader, name, group, upstreams)
             continue
@@ -141,6 +146,11 @@
             repeat_resume(state, leader, name)
 
 
+def _group_key(group: str) -> str:
+    """Return the key of all proposals that change the state of a group."""
+    return f'group/{group}'
+
+
 def _unsettled_groups(state: ControlState) -> set[str]:
     """Return the groups that wait for a time or for the next request."""
     return {
@@ -218,7 +228,7 @@
         return False
     index = propose(
         state,
-        f'group/{name}',
+        _group_key(name),
         AdoptPrimary(group=name, upstream=upstream, data_id=member_id),
     )
     if index is not None:
@@ -253,9 +263,8 @@
     Repeating it would be unsafe without fencing: the repeated order could be
     carried out after that of the next promotion.
     """
-    return state.cfg.write_leases and any(
-        observation.leads and not _is_superseded(state, group, observation)
-        for observation in _fresh_observations(state, leader, upstream)
+    return state.cfg.write_leases and _is_seen_leading(
+        state, leader, group, upstream
     )
 
 
@@ -304,7 +313,7 @@
         reason=reason,
         superseded_term=_highest_term(state, leader, upstreams),
     )
-    if propose(state, f'group/{name}', command) is not None:
+    if propose(state, _group_key(name), command) is not None:
         log(
             state,
             'warning',
@@ -346,7 +355,7 @@
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return the candidate with the highest received position.
+    """Return a candidate that leads, else that with the highest position.
 
     Candidates are all upstreams except the recorded primary, leaving ones,
     those without recent observations, and those that have failed or are
@@ -371,6 +380,7 @@
     return max(
         candidates,
         key=lambda name: (
+            _is_seen_leading(state, leader, group, name),
             _received_position(state, leader, name),
             proxy_counts.get(upstreams[name].data_centre, 0),
         ),
@@ -468,14 +478,29 @@
             return False
     if not needs_replica_copies(state, name):
         return is_safe
+    group = state.machine.groups[name]
+    returned = _find_returned_primary(state, leader, group, upstreams)
+    if returned is not None and not promotion.replaces_other:
+        reason = f'{returned} leads again'
+        _abandon_promotion(state, leader, name, promotion, reason)
+        return False
+    if returned not in (None, promotion.chosen):
+        # An earlier order may be carried out late. A new one fences it off.
+        reason = f'{returned} leads again'
+        _propose_promotion(state, leader, name, group, upstreams, reason)
+        return False
     pause = advance_pause(state, leader, name, promotion, upstreams, term)
     holders = find_commit_holders(state, leader, name, upstreams, pause)
     if has_all_commits(state, name, promotion, pause, holders):
         return is_safe
+    if _is_seen_leading(state, leader, group, promotion.chosen or ''):
+        # The order changes nothing. The others may never answer: they are
+        # paused, so that the primary cannot acknowledge any commit.
+        return is_safe
     log_missing_answers(state, name, pause, holders)
     newer = find_newer_replica(state, name, promotion, pause, holders)
     if newer is not None and not _is_primary_running(
-        state, leader, state.machine.groups[name], upstreams
+        state, leader, group, upstreams
     ):
         # From a running primary the chosen upstream can still catch up.
         reason = f'{newer} has received more than the chosen upstream'
@@ -507,13 +532,57 @@
     return failed_ms is not None and failed_ms <= state.now_ms
 
 
+def _is_seen_leading(
+    state: ControlState, leader: LeaderState, group: GroupState, upstream: str
+) -> bool:
+    """Return whether a proxy has seen an upstream lead in the newest term.
+
+    A proxy that does not have the present incarnation in force may have seen
+    an earlier one.
+    """
+    published = state.machine.published.get(object_key('upstream', upstream))
+    if published is None:
+        return False
+    oldest_ms = state.now_ms - OBSERVATION_TTL_MS
+    by_proxy = leader.upstream_observations.get(upstream, {})
+    return any(
+        observation.leads
+        and not _is_superseded(state, group, observation)
+        and leader.reported_ms.get(proxy, 0) > oldest_ms
+        and leader.versions_in_force.get(proxy, 0) >= published.version
+        for proxy, observation in by_proxy.items()
+    )
+
+
+def _find_returned_primary(
+    state: ControlState,
+    leader: LeaderState,
+    group: GroupState,
+    upstreams: dict[str, Member],
+) -> str | None:
+    """Return a new incarnation of the primary that leads again.
+
+    It has every commit, so no other upstream needs to be promoted.
+    """
+    for name, member in upstreams.items():
+        if (name, member.member_id) == (group.primary, group.primary_id):
+            continue
+        if is_leaving(state, name):
+            continue
+        if _is_seen_leading(state, leader, group, name):
+            return name
+    return None
+
+
 def _is_primary_running(
     state: ControlState,
     leader: LeaderState,
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> bool:
-    """Return whether the recorded incarnation of the primary may run."""
+    """Return whether a primary may run, recorded or not."""
+    if any(_is_seen_leading(state, leader, group, name) for name in upstreams):
+        return True
     member = upstreams.get(group.primary or '')
     if member is None or member.member_id != group.primary_id:
         return False
@@ -575,10 +644,10 @@
 def _finish_promotion(
     state: ControlState, leader: LeaderState, name: str, token: int
 ) -> None:
-    resume_replicas(state, leader, name)
+    _resume_all(state, leader, name, token)
     replaced = state.machine.groups[name].primary
     command = FinishPromotion(group=name, to_term=token)
-    if propose(state, f'group/{name}', command) is not None and replaced:
+    if propose(state, _group_key(name), command) is not None and replaced:
         leader.not_adopted_until_ms[replaced] = (
             state.now_ms + READOPTION_COOLDOWN_MS
         )
@@ -603,7 +672,8 @@
     command = AbandonPromotion(
         group=name, to_term=token, reason=reason, may_lead=may_lead
     )
-    if propose(state, f'group/{name}', command) is not None:
+    if propose(state, _group_key(name), command) is not None:
+        _resume_all(state, leader, name, token)
         log(
             state,
             'warning',
@@ -615,6 +685,14 @@
         )
 
 
+def _resume_all(
+    state: ControlState, leader: LeaderState, name: str, token: int
+) -> None:
+    if needs_replica_copies(state, name):
+        upstreams = _joined_upstreams(state, leader, name)
+        begin_resume(leader, name, upstreams, token)
+
+
 def on_promotion_ended(
     state: ControlState, leader: LeaderState, event: PromotionEnded
 ) -> None:
--- a/jackdawpost/core/control/failure_detector.py
+++ b/jackdawpost/core/control/failure_detector.py
@@ -282,6 +282,17 @@
     return _most_watchers_see(detector, now_ms, upstream, ('refused',))
 
 
+def is_refused_by_any(
+    detector: FailureDetector, now_ms: float, upstream: str
+) -> bool:
+    """Return whether any live proxy sees an upstream refuse connections."""
+    return any(
+        is_live(detector, now_ms, proxy)
+        and detector.reporters[proxy].observations[upstream].state == 'refused'
+        for proxy in detector.suspecting.get(upstream, ())
+    )
+
+
 def is_doubted(
     detector: FailureDetector, now_ms: float, upstream: str
 ) -> bool:
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -265,11 +265,14 @@
     positions : dict of tuple to LogPosition
         Last position received by each replica that has answered, by name and
         identity, including the chosen upstream.
+    to_resume : set of tuple
+        Replicas to tell to resume after the promotion, by name and identity.
     logged_missing : list of str, optional
         Databases without an answer, as last logged.
     """
 
     positions: dict[MemberKey, LogPosition] = field(default_factory=dict)
+    to_resume: set[MemberKey] = field(default_factory=set)
     logged_missing: list[str] | None = None
 
 
@@ -373,6 +376,9 @@
         Pause of the replicas for the promotion of each group.
     demotions : dict of str to ForwardedRequests
         Demotion of the chosen upstream for the promotion of each group.
+    refused_ms : dict of str to float
+        Time at which a proxy last saw an upstream of a group with copies
+        refuse connections.
     next_absence_token : int
         Token of the next request about an absent replica. Tokens of
         promotions are positive.
@@ -445,6 +451,7 @@
     electorate_due_ms: float = 0.0
     replica_pauses: dict[str, ReplicaPause] = field(default_factory=dict)
     demotions: dict[str, ForwardedRequests] = field(default_factory=dict)
+    refused_ms: dict[str, float] = field(default_factory=dict)
     next_absence_token: int = -1
     absent_replicas: dict[MemberKey, AbsentReplica] = field(
         default_factory=dict
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.control.commit_holders import is_known_to_run
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import MemberKey
@@ -32,7 +33,7 @@
 ) -> ReplicaPause:
     """Request the pause of the replicas that have not answered yet.
 
-    The chosen upstream is not paused; only its position is requested.
+    The chosen upstream is told to receive, and then asked for its position.
 
     Parameters
     ----------
@@ -60,7 +61,14 @@
         if key in pause.positions:
             continue
         send_action(state, pause, name, 'pause')
-    send_action(state, pause, promotion.chosen or '', 'status')
+    chosen = (promotion.chosen or '', promotion.data_id)
+    # An earlier promotion, perhaps of another leader, may have paused it. If
+    # all replicas stayed paused, a primary that returns could not acknowledge
+    # any commit, nor could the chosen upstream catch up with it.
+    if chosen in pause.positions:
+        send_action(state, pause, chosen[0], 'status')
+    else:
+        send_action(state, pause, chosen[0], 'resume')
     return pause
 
 
@@ -149,7 +157,9 @@
     """Record the position that an upstream answered.
 
     Only the answers to ``'pause'`` of the other replicas and to ``'status'``
-    of the chosen upstream count.
+    or ``'resume'`` of the chosen upstream count. A pause does not stop a
+    primary, which goes on to acknowledge commits with the copies of databases
+    that have not answered.
     """
     for group, pause in leader.replica_pauses.items():
         if pause.token != message.token:
@@ -159,13 +169,18 @@
             continue
         key = (message.upstream, member.member_id)
         promotion = state.machine.groups[group].promotion
-        if promotion is None and message.action == 'resume':
-            pause.positions.pop(key, None)
+        if promotion is None:
+            if message.action == 'resume':
+                pause.to_resume.discard(key)
             continue
         is_chosen = promotion is not None and (
             promotion.chosen == message.upstream
         )
-        if message.action != ('status' if is_chosen else 'pause'):
+        if (message.action == 'pause') == is_chosen:
+            continue
+        if message.leads and not is_chosen:
+            continue
+        if not is_known_to_run(leader, member):
             continue
         received = LogPosition(*message.received)
         if pause.positions.get(key) == received:
@@ -183,36 +198,43 @@
         )
 
 
-def resume_replicas(
-    state: ControlState, leader: LeaderState, group: str
+def begin_resume(
+    leader: LeaderState, group: str, upstreams: dict[str, Member], token: int
 ) -> None:
-    """Request that the replicas which have answered resume replication."""
-    pause = leader.replica_pauses.pop(group, None)
-    if pause is None:
-        return
-    for name in sorted({name for name, _ in pause.positions}):
-        send_action(state, pause, name, 'resume')
+    """Note that all replicas must resume after a promotion has ended.
+
+    Another leader, or a request whose answer was lost, may have paused any of
+    them. The platform resumes them only if it has changed the primary.
+    """
+    pause = leader.replica_pauses.setdefault(
+        group, ReplicaPause(token=token, term=0)
+    )
+    pause.next_request_ms = 0.0
+    pause.to_resume = {
+        (name, member.member_id) for name, member in upstreams.items()
+    }
 
 
 def repeat_resume(
     state: ControlState, leader: LeaderState, group: str
 ) -> None:
-    """Request that replicas resume after an abandoned promotion.
+    """Request that replicas resume, until each has answered.
 
-    No other promotion follows if the primary has returned. A replica that
-    stays paused could not acknowledge any commit, so the request is repeated
-    until it answers.
+    A primary with copies cannot acknowledge any commit while all of its
+    replicas are paused.
     """
     pause = leader.replica_pauses.get(group)
     if pause is None or state.now_ms < pause.next_request_ms:
         return
     members = state.machine.members
-    for name, member_id in list(pause.positions):
-        if name not in members or members[name].member_id != member_id:
-            del pause.positions[name, member_id]
-    if not pause.positions:
+    pause.to_resume = {
+        (name, member_id)
+        for name, member_id in pause.to_resume
+        if name in members and members[name].member_id == member_id
+    }
+    if not pause.to_resume:
         del leader.replica_pauses[group]
         return
     pause.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
-    for name, _ in sorted(pause.positions):
+    for name, _ in sorted(pause.to_resume):
         send_action(state, pause, name, 'resume')
