--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -375,6 +375,9 @@
         Last position that the upstream has received.
     leads : bool
         Whether the upstream still considers itself the primary.
+    term : int
+        Newest term known to the upstream, which ignores a pause of that term
+        or a lower one.
     """
 
     upstream: str
@@ -382,6 +385,7 @@
     token: int
     received: LogPosition
     leads: bool = False
+    term: int = 0
     kind: Literal['upstream_told'] = 'upstream_told'
 
 
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -138,6 +138,7 @@
         token=action.token,
         received=status.received,
         leads=status.leads,
+        term=status.term,
     )
     send(state, request.control_conn, action_answer)
 
--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -219,6 +219,7 @@
             token=action.token,
             received=database.received,
             leads=leads,
+            term=self.group.term,
         )
         return [answer]
 
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -65,6 +65,7 @@
         self.received_positions: dict[str, LogPosition] = {}
         self.actions: list[UpstreamAction] = []
         self.action_leads = False
+        self.answered_term = 0
         self.holdings: dict[str, int] = {}
         self.published = PublishedState()
         self.received: list[Any] = []
@@ -101,6 +102,7 @@
                 token=message.token,
                 received=self.received_positions[message.upstream],
                 leads=self.action_leads or self.sees_lead(message),
+                term=self.answered_term,
             )
             return [answer]
         if isinstance(message, StateUpdate):
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -310,6 +310,25 @@
     assert machine.groups['g'].former_holders == []
 
 
+def test_pause_that_a_replica_ignores_is_repeated_in_a_higher_term(sim):
+    # Guards against a replica that goes on to receive: the proxies report the
+    # term of a promotion later than the next one begins.
+    for proxy in sim.proxies:
+        proxy.answered_term = 4
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    _set_positions(sim, u2=14, u3=12)
+    sim.cluster.run(1_500)
+    assert sim.orders()[0].upstream == 'u2'
+    pauses = [
+        action.term
+        for proxy in sim.proxies
+        for action in proxy.actions
+        if (action.upstream, action.action) == ('u3', 'pause')
+    ]
+    assert sorted(pauses) == [2, 5]
+
+
 def test_snapshot_of_the_first_format_is_read(sim):
     machine = sim.machine
     number, value = cbor2.loads(encode_snapshot(machine))
