Look for a newer replica only among databases that have answered

What callers would see: the leading control process ends, and each leader after it, while a promotion runs in a group with fewer databases than copies.

Cause: `len(holders) - write_copies + 1` answers are needed. With fewer databases than copies that is none, and `find_newer_replica` took the highest of no answers.

--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -106,7 +106,9 @@
 
     None if that is the chosen upstream, or if too few have answered.
     """
-    if not _has_read_quorum(state, group, pause, holders):
+    if not pause.positions or not _has_read_quorum(
+        state, group, pause, holders
+    ):
         return None
     best = max(pause.positions, key=lambda key: pause.positions[key])
     return None if best[0] == promotion.chosen else best[0]
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -329,6 +329,19 @@
     assert sorted(pauses) == [2, 5]
 
 
+def test_promotion_in_a_group_with_a_single_database_ends_no_process():
+    # With fewer databases than copies no answer is needed, and there may be
+    # none.
+    sim = DelegatedSimulation(copies=3)
+    for name in ('u1', 'u2'):
+        sim.machine.members.pop(name)
+    sim.cluster.leader().leader.group_upstreams['g'] = ['u3']
+    sim.set_observations('', u3=12)
+    sim.cluster.run(2_000)
+    assert sim.machine.groups['g'].promotion.chosen == 'u3'
+    assert not sim.orders()
+
+
 def test_snapshot_of_the_first_format_is_read(sim):
     machine = sim.machine
     number, value = cbor2.loads(encode_snapshot(machine))
