Take only a database that would be adopted for a returned primary

What callers would see, in groups with copies: no promotion for up to 5 s after a second primary failed, while control writes 400 entries a second to its log. A replaced primary could also be ordered without a check of its commits, if an earlier order was under way.

Cause: a proxy that was suspended reports what it saw before. A replaced primary that it had seen lead was taken for a returned one and preferred as a candidate; its promotion was given up in its favour, but it is not adopted within 5 s of its replacement, so that the next promotion began.

Change: the returned primary is the one that `_adopt_primary` would adopt, in the highest term that is reported. Only decisions in groups with copies change.

Failed before the fix: test_replaced_primary_is_not_promoted_for_what_a_proxy_ saw_before ("assert 2 > 2": no further order).

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -210,16 +210,7 @@
     bool
         Whether the recorded primary differs from the one that leads.
     """
-    leading: tuple[int, str] | None = None
-    for upstream in upstreams:
-        if state.now_ms < leader.not_adopted_until_ms.get(upstream, 0):
-            continue
-        for observation in _fresh_observations(state, leader, upstream):
-            if observation.leads and not _is_superseded(
-                state, group, observation
-            ):
-                found = (observation.term, upstream)
-                leading = max(leading or found, found)
+    leading = _find_leading_upstream(state, leader, group, upstreams)
     if leading is None:
         return False
     upstream = leading[1]
@@ -244,6 +235,29 @@
     return True
 
 
+def _find_leading_upstream(
+    state: ControlState,
+    leader: LeaderState,
+    group: GroupState,
+    upstreams: dict[str, Member],
+) -> tuple[int, str] | None:
+    """Return the term and name of the upstream seen to lead, if any.
+
+    Of several that are seen to lead, the one in the highest term does.
+    """
+    leading: tuple[int, str] | None = None
+    for upstream in upstreams:
+        if state.now_ms < leader.not_adopted_until_ms.get(upstream, 0):
+            continue
+        for observation in _fresh_observations(state, leader, upstream):
+            if observation.leads and not _is_superseded(
+                state, group, observation
+            ):
+                found = (observation.term, upstream)
+                leading = max(leading or found, found)
+    return leading
+
+
 def _is_superseded(
     state: ControlState, group: GroupState, observation: UpstreamReport
 ) -> bool:
@@ -263,8 +277,9 @@
     Repeating it would be unsafe without fencing: the repeated order could be
     carried out after that of the next promotion.
     """
-    return state.cfg.write_leases and _is_seen_leading(
-        state, leader, group, upstream
+    return state.cfg.write_leases and any(
+        observation.leads and not _is_superseded(state, group, observation)
+        for observation in _fresh_observations(state, leader, upstream)
     )
 
 
@@ -298,9 +313,16 @@
     group: GroupState,
     upstreams: dict[str, Member],
     reason: str,
+    chosen: str | None = None,
 ) -> None:
-    """Choose an upstream and propose its promotion under a new token."""
-    chosen = _choose_candidate(state, leader, group, upstreams)
+    """Propose the promotion of an upstream under a new token.
+
+    Parameters
+    ----------
+    chosen : str, optional
+        Upstream to promote; by default the best candidate.
+    """
+    chosen = chosen or _choose_candidate(state, leader, group, upstreams)
     if chosen is None:
         return
     token = group.last_term + 1
@@ -355,7 +377,7 @@
     group: GroupState,
     upstreams: dict[str, Member],
 ) -> str | None:
-    """Return a candidate that leads, else that with the highest position.
+    """Return the candidate with the highest received position.
 
     Candidates are all upstreams except the recorded primary, leaving ones,
     those without recent observations, and those that have failed or are
@@ -380,7 +402,6 @@
     return max(
         candidates,
         key=lambda name: (
-            _is_seen_leading(state, leader, group, name),
             _received_position(state, leader, name),
             proxy_counts.get(upstreams[name].data_centre, 0),
         ),
@@ -487,15 +508,17 @@
     if returned not in (None, promotion.chosen):
         # An earlier order may be carried out late. A new one fences it off.
         reason = f'{returned} leads again'
-        _propose_promotion(state, leader, name, group, upstreams, reason)
+        _propose_promotion(
+            state, leader, name, group, upstreams, reason, returned
+        )
         return False
     pause = advance_pause(state, leader, name, promotion, upstreams, term)
     holders = find_commit_holders(state, leader, name, upstreams, pause)
     if has_all_commits(state, name, promotion, pause, holders):
         return is_safe
-    if _is_seen_leading(state, leader, group, promotion.chosen or ''):
-        # The order changes nothing. The others may never answer: they are
-        # paused, so that the primary cannot acknowledge any commit.
+    if returned is not None:
+        # It is chosen, so the order changes nothing. The others are
+        # paused and may never answer: the primary cannot commit anything.
         return is_safe
     log_missing_answers(state, name, pause, holders)
     newer = find_newer_replica(state, name, promotion, pause, holders)
@@ -562,16 +585,23 @@
 ) -> str | None:
     """Return a new incarnation of the primary that leads again.
 
-    It has every commit, so no other upstream needs to be promoted.
+    It has every commit, so no other upstream needs to be promoted. It is one
+    that would be adopted: a proxy that was suspended may report a primary that
+    has been replaced.
     """
-    for name, member in upstreams.items():
-        if (name, member.member_id) == (group.primary, group.primary_id):
-            continue
-        if is_leaving(state, name):
-            continue
-        if _is_seen_leading(state, leader, group, name):
-            return name
-    return None
+    leading = _find_leading_upstream(state, leader, group, upstreams)
+    if leading is None:
+        return None
+    term, name = leading
+    identity = (name, upstreams[name].member_id)
+    if identity == (group.primary, group.primary_id):
+        return None
+    if is_leaving(state, name) or term < _highest_term(
+        state, leader, upstreams
+    ):
+        return None
+    is_seen = _is_seen_leading(state, leader, group, name)
+    return name if is_seen else None
 
 
 def _is_primary_running(
--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -31,6 +31,7 @@
 REPORT_INTERVAL_MS = 600.0
 PROMOTION_MS = 300.0
 DRAIN_MS = 3_000.0
+PAST_MS = 400.0
 # Statements that wait for a copy hold a slot; STATUS needs one, too.
 SLOTS = 6
 
@@ -170,8 +171,14 @@
     def __init__(self, name: str, group: ModelGroup) -> None:
         super().__init__(name)
         self.group = group
+        self.sees_past = False
 
     def report(self, now_ms):
+        if not self.sees_past:
+            self._look()
+        return super().report(now_ms)
+
+    def _look(self):
         known = {
             name: database
             for name, database in self.group.databases.items()
@@ -190,7 +197,6 @@
             for name, database in known.items()
             if database.is_up
         }
-        return super().report(now_ms)
 
     def answer(self, message):
         if isinstance(message, ApprovalRequest) and message.role == 'upstream':
@@ -436,7 +442,13 @@
         proxy.is_up = False
 
         def thaw() -> None:
+            # The first reports of a frozen process tell what it saw before.
             proxy.is_up = True
+            proxy.sees_past = True
+            self.cluster.schedule(PAST_MS, look)
+
+        def look() -> None:
+            proxy.sees_past = False
 
         self.cluster.schedule(self.rng.choice([700, 3_000]), thaw)
 
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -329,6 +329,36 @@
     assert sorted(pauses) == [2, 5]
 
 
+def test_replaced_primary_is_not_promoted_for_what_a_proxy_saw_before(sim):
+    # Guards against the promotion of a database without the last commits: a
+    # proxy that was suspended reports that it leads.
+    sim.set_observations('', u2=14, u3=14)
+    _report(sim, u1='refused')
+    _set_positions(sim, u2=14, u3=14)
+    sim.cluster.run(1_500)
+    [new, other] = sorted({'u2', 'u3'}, key=sim.orders()[0].upstream.__ne__)
+    sim.answer_order(sim.orders()[0], 'done')
+    sim.cluster.run(300)
+    assert sim.machine.groups['g'].primary == new
+    for proxy in sim.proxies:
+        for name in ('u1', 'u2', 'u3'):
+            proxy.upstream_reports[name].term = 2
+            proxy.upstream_reports[name].leads = name == new
+    _report(sim)
+    sim.cluster.run(500)
+    _repeat_reports(sim, 'u1')
+    suspended = sim.proxies[0]
+    suspended.upstream_reports['u1'].term = 1
+    suspended.upstream_reports['u1'].leads = True
+    for proxy in sim.proxies:
+        proxy.upstream_reports[new].leads = False
+    _report(sim, **{new: 'refused'})
+    _set_positions(sim, **{'u1': 10, other: 30})
+    sim.cluster.run(4_000)
+    assert sim.orders()[-1].token > sim.orders()[0].token
+    assert {order.upstream for order in sim.orders()} == {new, other}
+
+
 def test_promotion_in_a_group_with_a_single_database_ends_no_process():
     # With fewer databases than copies no answer is needed, and there may be
     # none.
