--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -172,18 +172,33 @@
         super().__init__(name)
         self.group = group
         self.sees_past = False
+        self.seen = {}
 
     def report(self, now_ms):
-        if not self.sees_past:
+        if self.sees_past:
+            self._forget_replaced()
+        else:
             self._look()
         return super().report(now_ms)
 
+    def _forget_replaced(self):
+        # A proxy drops what it knows of an upstream when it applies an update
+        # with another incarnation of it.
+        for name, member_id in self.seen.items():
+            member = self.published.members.get(name)
+            if member is None or member.member_id != member_id:
+                self.evidence.pop(name, None)
+                self.upstream_reports.pop(name, None)
+
     def _look(self):
         known = {
             name: database
             for name, database in self.group.databases.items()
             if name in self.published.members
         }
+        self.seen = {
+            name: self.published.members[name].member_id for name in known
+        }
         self.evidence = {
             name: 'up' if database.is_up else 'refused'
             for name, database in known.items()
