Compare the answer to a pause with the term that was asked for

What callers would see, in groups with copies: acknowledged commits lost when one promotion follows another before the proxies have reported the new term.

Cause: a pause in a term that is no longer new is ignored, and its answer shows the newer term. The first such answer raised the term of the pause; the next ones were compared with the raised term and counted.

Ruled out: a late RESUME; there was none between the two promotions.

Change: an answer carries the term of its request and is compared with it.

--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -182,9 +182,12 @@
             continue
         if message.leads and not is_chosen:
             continue
-        if message.action == 'pause' and message.term >= pause.term:
-            # The proxies have not reported the newest term yet.
-            pause.term = message.term + 1
+        if message.action == 'pause' and (
+            message.term >= message.requested_term
+        ):
+            # The upstream has ignored the pause: the proxies have not
+            # reported the newest term yet.
+            pause.term = max(pause.term, message.term + 1)
             continue
         if not is_known_to_run(leader, member):
             continue
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -378,6 +378,8 @@
     term : int
         Newest term known to the upstream, which ignores a pause of that term
         or a lower one.
+    requested_term : int
+        Term of the request that this answers.
     """
 
     upstream: str
@@ -386,6 +388,7 @@
     received: LogPosition
     leads: bool = False
     term: int = 0
+    requested_term: int = 0
     kind: Literal['upstream_told'] = 'upstream_told'
 
 
--- a/jackdawpost/core/pooler/probes.py
+++ b/jackdawpost/core/pooler/probes.py
@@ -139,6 +139,7 @@
         received=status.received,
         leads=status.leads,
         term=status.term,
+        requested_term=action.term,
     )
     send(state, request.control_conn, action_answer)
 
--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -241,6 +241,7 @@
             received=database.received,
             leads=leads,
             term=self.group.term,
+            requested_term=action.term,
         )
         return [answer]
 
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -103,6 +103,7 @@
                 received=self.received_positions[message.upstream],
                 leads=self.action_leads or self.sees_lead(message),
                 term=self.answered_term,
+                requested_term=message.term,
             )
             return [answer]
         if isinstance(message, StateUpdate):
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -329,6 +329,27 @@
     assert sorted(pauses) == [2, 5]
 
 
+def test_pause_that_two_replicas_ignore_is_repeated_at_both(sim):
+    # Guards against a replica that goes on to receive: the answer of another
+    # one has raised the term of the pause before its own answer arrives.
+    sim.send_request(registration('u4'))
+    for proxy in sim.proxies:
+        proxy.answered_term = 4
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused', u4='up')
+    _set_positions(sim, u2=14, u3=12, u4=12)
+    sim.cluster.run(1_500)
+    assert sim.orders()[0].upstream == 'u2'
+    for name in ('u3', 'u4'):
+        pauses = [
+            action.term
+            for proxy in sim.proxies
+            for action in proxy.actions
+            if (action.upstream, action.action) == (name, 'pause')
+        ]
+        assert sorted(pauses) == [2, 5]
+
+
 def test_replaced_primary_is_not_promoted_for_what_a_proxy_saw_before(sim):
     # Guards against the promotion of a database without the last commits: a
     # proxy that was suspended reports that it leads.
