Move what proxies report of upstreams out of delegation.py

What it derives from the proxies' reports (who leads, in which term, up to which position, who has failed) is a module of its own now, so that the demotion of a primary can use it.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -19,6 +19,14 @@
 from jackdawpost.core.control.demotion import needs_demotion
 from jackdawpost.core.control.leases import end_leases
 from jackdawpost.core.control.leases import is_leadership_recent
+from jackdawpost.core.control.observations import find_leading_upstream
+from jackdawpost.core.control.observations import find_returned_primary
+from jackdawpost.core.control.observations import fresh_observations
+from jackdawpost.core.control.observations import has_failed
+from jackdawpost.core.control.observations import highest_term
+from jackdawpost.core.control.observations import is_seen_leading
+from jackdawpost.core.control.observations import leads_in_new_term
+from jackdawpost.core.control.observations import received_position
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import LeaderState
@@ -36,16 +44,8 @@
 from jackdawpost.core.control.upstream_actions import needs_replica_copies
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import PromotionEnded
-from jackdawpost.core.messages.control import ProxyReport
-from jackdawpost.core.messages.control import ReportChange
-from jackdawpost.core.messages.control import UpstreamReport
-from jackdawpost.core.objects.model import object_key
 from jackdawpost.core.outbox import log
-from jackdawpost.core.positions import LogPosition
-from jackdawpost.core.positions import ZERO_POSITION
 
-# Time-to-live of the observations of proxies: three report intervals.
-OBSERVATION_TTL_MS = 1_500.0
 # Grace period before a group without a primary gets one by promotion: the
 # primary may be running, with no report of it received yet.
 NO_PRIMARY_GRACE_MS = 3_000.0
@@ -69,43 +69,6 @@
 CANDIDATE_COOLDOWN_MS = 3_000.0
 
 
-def record_observations(
-    state: ControlState,
-    leader: LeaderState,
-    report: ProxyReport,
-    change: ReportChange | None,
-) -> None:
-    """Record the roles and positions of upstreams that a proxy reports.
-
-    Parameters
-    ----------
-    change : ReportChange, optional
-        What differs from the previous report; None to record all of `report`.
-    """
-    proxy = report.proxy
-    leader.reported_ms[proxy] = state.now_ms
-    if change is None:
-        upstreams = report.upstreams or {}
-        gone = [
-            name
-            for name, by_proxy in leader.upstream_observations.items()
-            if proxy in by_proxy and name not in upstreams
-        ]
-    else:
-        upstreams = change.upstreams or {}
-        gone = change.gone
-    for name in gone:
-        leader.upstream_observations.get(name, {}).pop(proxy, None)
-    for name, upstream in upstreams.items():
-        by_proxy = leader.upstream_observations.setdefault(name, {})
-        previous = by_proxy.get(proxy)
-        by_proxy[proxy] = upstream
-        if previous is None or previous.leads != upstream.leads:
-            member = state.machine.members.get(name)
-            if member is not None:
-                leader.dirty_groups.add(member.group)
-
-
 def advance_delegated_groups(
     state: ControlState, leader: LeaderState, is_tick: bool
 ) -> None:
@@ -182,20 +145,6 @@
     }
 
 
-def _fresh_observations(
-    state: ControlState, leader: LeaderState, name: str
-) -> list[UpstreamReport]:
-    oldest_ms = state.now_ms - OBSERVATION_TTL_MS
-    reported_ms = leader.reported_ms
-    return [
-        observation
-        for proxy, observation in leader.upstream_observations.get(
-            name, {}
-        ).items()
-        if reported_ms.get(proxy, 0) > oldest_ms
-    ]
-
-
 def _adopt_primary(
     state: ControlState,
     leader: LeaderState,
@@ -210,7 +159,7 @@
     bool
         Whether the recorded primary differs from the one that leads.
     """
-    leading = _find_leading_upstream(state, leader, group, upstreams)
+    leading = find_leading_upstream(state, leader, group, upstreams)
     if leading is None:
         return False
     upstream = leading[1]
@@ -235,54 +184,6 @@
     return True
 
 
-def _find_leading_upstream(
-    state: ControlState,
-    leader: LeaderState,
-    group: GroupState,
-    upstreams: dict[str, Member],
-) -> tuple[int, str] | None:
-    """Return the term and name of the upstream seen to lead, if any.
-
-    Of several that are seen to lead, the one in the highest term does.
-    """
-    leading: tuple[int, str] | None = None
-    for upstream in upstreams:
-        if state.now_ms < leader.not_adopted_until_ms.get(upstream, 0):
-            continue
-        for observation in _fresh_observations(state, leader, upstream):
-            if observation.leads and not _is_superseded(
-                state, group, observation
-            ):
-                found = (observation.term, upstream)
-                leading = max(leading or found, found)
-    return leading
-
-
-def _is_superseded(
-    state: ControlState, group: GroupState, observation: UpstreamReport
-) -> bool:
-    """Return whether an upstream leads in a term that has ended.
-
-    Without fencing, a replaced primary that is cut off from the new one goes
-    on to lead.
-    """
-    return state.cfg.write_leases and observation.term <= group.superseded_term
-
-
-def _leads_in_new_term(
-    state: ControlState, leader: LeaderState, group: GroupState, upstream: str
-) -> bool:
-    """Return whether an unanswered order has been carried out.
-
-    Repeating it would be unsafe without fencing: the repeated order could be
-    carried out after that of the next promotion.
-    """
-    return state.cfg.write_leases and any(
-        observation.leads and not _is_superseded(state, group, observation)
-        for observation in _fresh_observations(state, leader, upstream)
-    )
-
-
 def _replacement_reason(
     state: ControlState,
     leader: LeaderState,
@@ -299,7 +200,7 @@
     member = upstreams.get(group.primary)
     if member is None or member.member_id != group.primary_id:
         return 'primary is not a member'
-    if _has_failed(state, leader, group.primary):
+    if has_failed(state, leader, group.primary):
         return 'primary failed'
     if is_leaving(state, group.primary):
         return 'primary leaving'
@@ -333,7 +234,7 @@
         upstream=chosen,
         data_id=upstreams[chosen].member_id,
         reason=reason,
-        superseded_term=_highest_term(state, leader, upstreams),
+        superseded_term=highest_term(state, leader, upstreams),
     )
     if propose(state, _group_key(name), command) is not None:
         log(
@@ -345,32 +246,10 @@
             upstream=chosen,
             token=token,
             reason=reason,
-            received=list(_received_position(state, leader, chosen)),
+            received=list(received_position(state, leader, chosen)),
         )
 
 
-def _highest_term(
-    state: ControlState, leader: LeaderState, upstreams: dict[str, Member]
-) -> int:
-    """Return the highest term that the proxies report of the upstreams."""
-    terms = [
-        observation.term
-        for upstream in upstreams
-        for observation in _fresh_observations(state, leader, upstream)
-    ]
-    return max(terms, default=0)
-
-
-def _received_position(
-    state: ControlState, leader: LeaderState, name: str
-) -> LogPosition:
-    positions = [
-        observation.received
-        for observation in _fresh_observations(state, leader, name)
-    ]
-    return max(positions, default=ZERO_POSITION)
-
-
 def _choose_candidate(
     state: ControlState,
     leader: LeaderState,
@@ -389,7 +268,7 @@
         identity = (name, upstreams[name].member_id)
         if identity == (group.primary, group.primary_id):
             continue
-        if is_leaving(state, name) or not _fresh_observations(
+        if is_leaving(state, name) or not fresh_observations(
             state, leader, name
         ):
             continue
@@ -402,7 +281,7 @@
     return max(
         candidates,
         key=lambda name: (
-            _received_position(state, leader, name),
+            received_position(state, leader, name),
             proxy_counts.get(upstreams[name].data_centre, 0),
         ),
         default=None,
@@ -435,7 +314,7 @@
     order = _current_order(leader, name, promotion)
     if order is not None and (
         order.outcome == 'done'
-        or _leads_in_new_term(state, leader, group, chosen)
+        or leads_in_new_term(state, leader, group, chosen)
     ):
         _finish_promotion(state, leader, name, promotion.to_term)
     elif promotion.holder != state.cfg.holder or (
@@ -455,7 +334,7 @@
     elif not is_leadership_recent(state, leader):
         return
     elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
-        if order is not None and _has_failed(state, leader, chosen):
+        if order is not None and has_failed(state, leader, chosen):
             reason = 'chosen upstream failed'
             _abandon_for_other(state, leader, name, promotion, reason)
             return
@@ -487,12 +366,12 @@
     primary has failed and another replica has received more.
     """
     is_safe = end_leases(state, leader, name)
-    term = _highest_term(state, leader, upstreams) + 1
+    term = highest_term(state, leader, upstreams) + 1
     if needs_demotion(state, promotion) and not advance_demotion(
         state, leader, name, promotion, term
     ):
         is_safe = False
-        if _has_failed(state, leader, promotion.chosen or ''):
+        if has_failed(state, leader, promotion.chosen or ''):
             _abandon_for_other(
                 state, leader, name, promotion, 'chosen upstream failed'
             )
@@ -500,7 +379,7 @@
     if not needs_replica_copies(state, name):
         return is_safe
     group = state.machine.groups[name]
-    returned = _find_returned_primary(state, leader, group, upstreams)
+    returned = find_returned_primary(state, leader, group, upstreams)
     if returned is not None and not promotion.replaces_other:
         reason = f'{returned} leads again'
         _abandon_promotion(state, leader, name, promotion, reason)
@@ -545,65 +424,6 @@
     _abandon_promotion(state, leader, name, promotion, reason)
 
 
-def _has_failed(state: ControlState, leader: LeaderState, name: str) -> bool:
-    failed_ms = failure_detector.failed_at_ms(
-        leader.detector,
-        state.now_ms,
-        name,
-        electorate=len(leader.electorate_ms),
-    )
-    return failed_ms is not None and failed_ms <= state.now_ms
-
-
-def _is_seen_leading(
-    state: ControlState, leader: LeaderState, group: GroupState, upstream: str
-) -> bool:
-    """Return whether a proxy has seen an upstream lead in the newest term.
-
-    A proxy that does not have the present incarnation in force may have seen
-    an earlier one.
-    """
-    published = state.machine.published.get(object_key('upstream', upstream))
-    if published is None:
-        return False
-    oldest_ms = state.now_ms - OBSERVATION_TTL_MS
-    by_proxy = leader.upstream_observations.get(upstream, {})
-    return any(
-        observation.leads
-        and not _is_superseded(state, group, observation)
-        and leader.reported_ms.get(proxy, 0) > oldest_ms
-        and leader.versions_in_force.get(proxy, 0) >= published.version
-        for proxy, observation in by_proxy.items()
-    )
-
-
-def _find_returned_primary(
-    state: ControlState,
-    leader: LeaderState,
-    group: GroupState,
-    upstreams: dict[str, Member],
-) -> str | None:
-    """Return a new incarnation of the primary that leads again.
-
-    It has every commit, so no other upstream needs to be promoted. It is one
-    that would be adopted: a proxy that was suspended may report a primary that
-    has been replaced.
-    """
-    leading = _find_leading_upstream(state, leader, group, upstreams)
-    if leading is None:
-        return None
-    term, name = leading
-    identity = (name, upstreams[name].member_id)
-    if identity == (group.primary, group.primary_id):
-        return None
-    if is_leaving(state, name) or term < _highest_term(
-        state, leader, upstreams
-    ):
-        return None
-    is_seen = _is_seen_leading(state, leader, group, name)
-    return name if is_seen else None
-
-
 def _is_primary_running(
     state: ControlState,
     leader: LeaderState,
@@ -611,12 +431,12 @@
     upstreams: dict[str, Member],
 ) -> bool:
     """Return whether a primary may run, recorded or not."""
-    if any(_is_seen_leading(state, leader, group, name) for name in upstreams):
+    if any(is_seen_leading(state, leader, group, name) for name in upstreams):
         return True
     member = upstreams.get(group.primary or '')
     if member is None or member.member_id != group.primary_id:
         return False
-    return not _has_failed(state, leader, member.name)
+    return not has_failed(state, leader, member.name)
 
 
 def _update_electorate(state: ControlState, leader: LeaderState) -> None:
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -8,12 +8,12 @@
 from jackdawpost.core.control import permit_ledger
 from jackdawpost.core.control.commands import AnnounceMember
 from jackdawpost.core.control.commit_holders import record_primary_position
-from jackdawpost.core.control.delegation import record_observations
 from jackdawpost.core.control.demotion import record_demotion
 from jackdawpost.core.control.members import handle_approval
 from jackdawpost.core.control.members import propose_leaving
 from jackdawpost.core.control.members import record_announcement
 from jackdawpost.core.control.members import request_approvals
+from jackdawpost.core.control.observations import record_observations
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import is_member
