Demote the primary of a group with copies before its replacement is ordered

Cause: an order can't be called back, and takes some hundred milliseconds. The pause stops the replicas that are known and run when it is requested. One that starts later receives at once, and the primary acknowledges with its copy what the chosen database has not received.

Change: once the chosen upstream has all commits, each other upstream that may lead is demoted, and the order waits for the answers of those that have not failed. One that returns while an order is under way is demoted then. If the promotion is given up after that, a recorded primary that nobody sees lead for 3 s is replaced. Groups without copies, and those with write leases, are as before. The stand-in database of the line protocol knows DEMOTE. FakeProxy answers 'demote' for a primary that runs, as databases do; no assertion of an earlier test has changed.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -16,13 +16,16 @@
 from jackdawpost.core.control.commit_holders import find_commit_holders
 from jackdawpost.core.control.commit_holders import track_absent_replicas
 from jackdawpost.core.control.demotion import advance_demotion
+from jackdawpost.core.control.demotion import demote_primaries
 from jackdawpost.core.control.demotion import needs_demotion
 from jackdawpost.core.control.leases import end_leases
 from jackdawpost.core.control.leases import is_leadership_recent
 from jackdawpost.core.control.observations import find_leading_upstream
+from jackdawpost.core.control.observations import find_possible_primaries
 from jackdawpost.core.control.observations import find_returned_primary
 from jackdawpost.core.control.observations import fresh_observations
 from jackdawpost.core.control.observations import has_failed
+from jackdawpost.core.control.observations import has_stopped_leading
 from jackdawpost.core.control.observations import highest_term
 from jackdawpost.core.control.observations import is_seen_leading
 from jackdawpost.core.control.observations import leads_in_new_term
@@ -193,10 +196,17 @@
 ) -> str:
     """Return why the primary must be replaced; empty if it need not be."""
     now_ms = state.now_ms
-    if group.primary is None:
+    is_demoted = needs_replica_copies(state, name) and has_stopped_leading(
+        state, leader, group.primary or ''
+    )
+    if group.primary is None or is_demoted:
         since_ms = leader.without_primary_since_ms.setdefault(name, now_ms)
-        return 'no primary' if now_ms >= since_ms + NO_PRIMARY_GRACE_MS else ''
-    leader.without_primary_since_ms.pop(name, None)
+        if now_ms >= since_ms + NO_PRIMARY_GRACE_MS:
+            return 'no primary'
+    else:
+        leader.without_primary_since_ms.pop(name, None)
+    if group.primary is None:
+        return ''
     member = upstreams.get(group.primary)
     if member is None or member.member_id != group.primary_id:
         return 'primary is not a member'
@@ -312,6 +322,9 @@
         _abandon_promotion(state, leader, name, promotion, reason)
         return
     order = _current_order(leader, name, promotion)
+    if order is not None and not order.outcome:
+        # A primary may return while the order is under way.
+        _are_primaries_demoted(state, leader, name, promotion, upstreams)
     if order is not None and (
         order.outcome == 'done'
         or leads_in_new_term(state, leader, group, chosen)
@@ -361,7 +374,8 @@
     """Return whether the order cannot lose an acknowledged commit.
 
     No write lease may be in force, and the chosen upstream must not lead in
-    an old term. Advances the pause of the replicas too. Abandons the promotion
+    an old term. In a group with copies no other upstream may lead. Advances
+    the pause of the replicas too. Abandons the promotion
     if the chosen upstream cannot be demoted because it has failed, or if the
     primary has failed and another replica has received more.
     """
@@ -394,7 +408,9 @@
     pause = advance_pause(state, leader, name, promotion, upstreams, term)
     holders = find_commit_holders(state, leader, name, upstreams, pause)
     if has_all_commits(state, name, promotion, pause, holders):
-        return is_safe
+        return is_safe and _are_primaries_demoted(
+            state, leader, name, promotion, upstreams
+        )
     if returned is not None:
         # It is chosen, so the order changes nothing. The others are
         # paused and may never answer: the primary cannot commit anything.
@@ -410,6 +426,38 @@
     return False
 
 
+def _are_primaries_demoted(
+    state: ControlState,
+    leader: LeaderState,
+    name: str,
+    promotion: Promotion,
+    upstreams: dict[str, Member],
+) -> bool:
+    """Demote the upstreams that may lead; return whether none that runs does.
+
+    The answer of one that has failed is not waited for. With write leases the
+    proxies acknowledge nothing of a primary once its leases have ended.
+    """
+    if state.cfg.write_leases or not needs_replica_copies(state, name):
+        return True
+    primaries = find_possible_primaries(
+        state,
+        leader,
+        state.machine.groups[name],
+        upstreams,
+        promotion.chosen,
+    )
+    term = highest_term(state, leader, upstreams) + 1
+    demotion = demote_primaries(
+        state, leader, name, promotion, primaries, term
+    )
+    return all(
+        (primary, upstreams[primary].member_id) in demotion.demoted
+        or has_failed(state, leader, primary)
+        for primary in primaries
+    )
+
+
 def _abandon_for_other(
     state: ControlState,
     leader: LeaderState,
--- a/jackdawpost/core/control/demotion.py
+++ b/jackdawpost/core/control/demotion.py
@@ -1,17 +1,24 @@
-"""Demotion of an upstream that is about to be promoted again.
+"""Demotion of upstreams before a promotion is ordered.
 
 Without fencing, a primary that was replaced while it was cut off goes on to
 lead in its old term. If it is promoted again, it would answer as primary as
 soon as control publishes it, before the platform has carried out the order:
 its commits would be lost with the old term. Before the order it is therefore
 demoted, so that it leads again only in the new term.
+
+In a group with copies the primary that is to be replaced is demoted as well.
+An order can't be called back, and takes some time. Until it takes effect, a
+replica that returns, or one that nobody knows yet, would let a primary that
+runs acknowledge commits that the chosen upstream has not received.
 """
 
 from __future__ import annotations
 
+from jackdawpost.core.control.commit_holders import is_known_to_run
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import ForwardedRequests
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import PrimaryDemotion
 from jackdawpost.core.control.state import Promotion
 from jackdawpost.core.control.upstream_actions import REQUEST_INTERVAL_MS
 from jackdawpost.core.control.upstream_actions import send_action
@@ -77,3 +84,67 @@
         leads=message.leads,
     )
     demotion.is_confirmed = not message.leads
+
+
+def demote_primaries(
+    state: ControlState,
+    leader: LeaderState,
+    group: str,
+    promotion: Promotion,
+    primaries: list[str],
+    term: int,
+) -> PrimaryDemotion:
+    """Request the demotion of the upstreams that may lead.
+
+    Parameters
+    ----------
+    primaries : list of str
+        Joined upstreams other than the chosen one.
+    term : int
+        Term above every term that the databases are known to have.
+
+    Returns
+    -------
+    PrimaryDemotion
+        The answers received so far.
+    """
+    demotion = leader.primary_demotions.get(group)
+    if demotion is None or demotion.token != promotion.to_term:
+        demotion = PrimaryDemotion(token=promotion.to_term, term=term)
+        leader.primary_demotions[group] = demotion
+    demotion.term = max(demotion.term, term)
+    if state.now_ms < demotion.next_request_ms:
+        return demotion
+    members = state.machine.members
+    for name in primaries:
+        if (name, members[name].member_id) not in demotion.demoted:
+            demotion.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
+            send_action(state, demotion, name, 'demote')
+    return demotion
+
+
+def record_primary_demotion(
+    state: ControlState, leader: LeaderState, message: UpstreamActionAnswer
+) -> None:
+    """Record that a primary that is to be replaced does not lead any more."""
+    member = state.machine.members.get(message.upstream)
+    if member is None or message.action != 'demote':
+        return
+    demotion = leader.primary_demotions.get(member.group)
+    if demotion is None or demotion.token != message.token:
+        return
+    if message.leads:
+        demotion.term = max(demotion.term, message.term + 1)
+        return
+    if not is_known_to_run(leader, member):
+        return
+    demotion.demoted.add((member.name, member.member_id))
+    log(
+        state,
+        'info',
+        'primary_demoted',
+        group=member.group,
+        upstream=member.name,
+        token=message.token,
+        received=list(message.received),
+    )
--- a/jackdawpost/core/control/observations.py
+++ b/jackdawpost/core/control/observations.py
@@ -140,28 +140,67 @@
     return max(positions, default=ZERO_POSITION)
 
 
-def is_seen_leading(
-    state: ControlState, leader: LeaderState, group: GroupState, upstream: str
-) -> bool:
-    """Return whether a proxy has seen an upstream lead in the newest term.
+def _sightings(
+    state: ControlState, leader: LeaderState, upstream: str
+) -> list[UpstreamReport]:
+    """Return the recent observations of an upstream's present incarnation.
 
     A proxy that does not have the present incarnation in force may have seen
     an earlier one.
     """
     published = state.machine.published.get(object_key('upstream', upstream))
     if published is None:
-        return False
+        return []
     oldest_ms = state.now_ms - OBSERVATION_TTL_MS
     by_proxy = leader.upstream_observations.get(upstream, {})
-    return any(
-        observation.leads
-        and not is_superseded(state, group, observation)
-        and leader.reported_ms.get(proxy, 0) > oldest_ms
-        and leader.versions_in_force.get(proxy, 0) >= published.version
+    return [
+        observation
         for proxy, observation in by_proxy.items()
+        if leader.reported_ms.get(proxy, 0) > oldest_ms
+        and leader.versions_in_force.get(proxy, 0) >= published.version
+    ]
+
+
+def is_seen_leading(
+    state: ControlState, leader: LeaderState, group: GroupState, upstream: str
+) -> bool:
+    """Return whether a proxy has seen an upstream lead in the newest term."""
+    return any(
+        observation.leads and not is_superseded(state, group, observation)
+        for observation in _sightings(state, leader, upstream)
     )
 
 
+def has_stopped_leading(
+    state: ControlState, leader: LeaderState, upstream: str
+) -> bool:
+    """Return whether proxies see an upstream, but none sees it lead."""
+    sightings = _sightings(state, leader, upstream)
+    return bool(sightings) and not any(s.leads for s in sightings)
+
+
+def find_possible_primaries(
+    state: ControlState,
+    leader: LeaderState,
+    group: GroupState,
+    upstreams: dict[str, Member],
+    chosen: str | None,
+) -> list[str]:
+    """Return the upstreams other than the chosen one that may lead."""
+    names = []
+    for name, member in upstreams.items():
+        identity = (name, member.member_id)
+        registered = leader.registered.get(name)
+        reports_lead = registered is not None and registered.report.leads
+        if name != chosen and (
+            identity == (group.primary, group.primary_id)
+            or reports_lead
+            or is_seen_leading(state, leader, group, name)
+        ):
+            names.append(name)
+    return names
+
+
 def find_returned_primary(
     state: ControlState,
     leader: LeaderState,
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -276,6 +276,20 @@
     logged_missing: list[str] | None = None
 
 
+@dataclass(slots=True, kw_only=True)
+class PrimaryDemotion(ForwardedRequests):
+    """Demotion of the primary of a group with copies before its replacement.
+
+    Parameters
+    ----------
+    demoted : set of tuple
+        Upstreams, by name and identity, that have answered that they do not
+        lead.
+    """
+
+    demoted: set[MemberKey] = field(default_factory=set)
+
+
 @dataclass(slots=True, kw_only=True)
 class AbsentReplica(ForwardedRequests):
     """Replica that does not run, and the request that limits what it holds.
@@ -376,6 +390,8 @@
         Pause of the replicas for the promotion of each group.
     demotions : dict of str to ForwardedRequests
         Demotion of the chosen upstream for the promotion of each group.
+    primary_demotions : dict of str to PrimaryDemotion
+        Demotion of the primary that the promotion of each group replaces.
     refused_ms : dict of str to float
         Time at which a proxy last saw an upstream of a group with copies
         refuse connections.
@@ -451,6 +467,7 @@
     electorate_due_ms: float = 0.0
     replica_pauses: dict[str, ReplicaPause] = field(default_factory=dict)
     demotions: dict[str, ForwardedRequests] = field(default_factory=dict)
+    primary_demotions: dict[str, PrimaryDemotion] = field(default_factory=dict)
     refused_ms: dict[str, float] = field(default_factory=dict)
     next_absence_token: int = -1
     absent_replicas: dict[MemberKey, AbsentReplica] = field(
--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -134,6 +134,12 @@
             if name == self.primary:
                 self.primary = ''
 
+    def demote(self, name: str) -> None:
+        """Make the primary a replica; the group has none until a promotion."""
+        if name == self.primary:
+            self.primary = ''
+            self.waiting.clear()
+
     def promote(self, name: str, token: int) -> bool:
         """Promote a database; record the acknowledged commits it lacks."""
         database = self.databases.get(name)
@@ -234,6 +240,9 @@
             database.is_paused = action.term > self.group.term
         elif action.action == 'resume':
             database.is_paused = False
+        elif action.action == 'demote' and action.term > self.group.term:
+            self.group.demote(action.upstream)
+            leads = False
         answer = UpstreamActionAnswer(
             upstream=action.upstream,
             action=action.action,
--- a/jackdawpost/tests/core/control/delegated.py
+++ b/jackdawpost/tests/core/control/delegated.py
@@ -69,6 +69,8 @@
         self.proxies = [
             self.cluster.add(FakeProxy(f'p{n}')) for n in range(1, proxies + 1)
         ]
+        for proxy in self.proxies:
+            proxy.demotes_primaries = copies > 1
         self.cluster.run(500)
         assert self.send_request(declare(1, copies=copies)).outcome == 'done'
         for name in ('u1', 'u2', 'u3'):
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -66,6 +66,7 @@
         self.actions: list[UpstreamAction] = []
         self.action_leads = False
         self.answered_term = 0
+        self.demotes_primaries = False
         self.holdings: dict[str, int] = {}
         self.published = PublishedState()
         self.received: list[Any] = []
@@ -94,13 +95,16 @@
         self.received.append(message)
         if isinstance(message, UpstreamAction):
             self.actions.append(message)
-            if message.upstream not in self.received_positions:
+            received = self.received_positions.get(message.upstream)
+            if message.action == 'demote' and self.can_demote(message):
+                received = received or LogPosition(1, 0)
+            if received is None:
                 return []
             answer = UpstreamActionAnswer(
                 upstream=message.upstream,
                 action=message.action,
                 token=message.token,
-                received=self.received_positions[message.upstream],
+                received=received,
                 leads=self.action_leads or self.sees_lead(message),
                 term=self.answered_term,
                 requested_term=message.term,
@@ -123,6 +127,10 @@
             return [approve(self.name, f'id-{self.name}', message)]
         return []
 
+    def can_demote(self, message: UpstreamAction) -> bool:
+        is_up = self.evidence.get(message.upstream, 'up') == 'up'
+        return self.demotes_primaries and is_up
+
     def sees_lead(self, message: UpstreamAction) -> bool:
         reported = (self.upstream_reports or {}).get(message.upstream)
         is_demoted = message.action == 'demote'
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -59,6 +59,77 @@
     assert sim.orders()[0].upstream == 'u2'
 
 
+def _demotions(sim):
+    return [
+        (action.upstream, action.term)
+        for proxy in sim.proxies
+        for action in proxy.actions
+        if action.action == 'demote'
+    ]
+
+
+def test_running_primary_is_demoted_before_its_replacement_is_ordered(sim):
+    # Guards against commits that a primary acknowledges while the platform
+    # carries out the order, with the copy of a replica that has just returned.
+    for proxy in sim.proxies:
+        proxy.demotes_primaries = False
+    sim.set_observations('u1', u2=14, u3=12)
+    _set_positions(sim, u2=14, u3=12)
+    _drain(sim, 'u1')
+    sim.cluster.run(2_000)
+    assert not sim.orders()
+    assert set(_demotions(sim)) == {('u1', 2)}
+    for proxy in sim.proxies:
+        proxy.demotes_primaries = True
+    sim.cluster.run(500)
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def test_demotion_of_a_primary_that_has_failed_is_not_waited_for(sim):
+    for proxy in sim.proxies:
+        proxy.demotes_primaries = False
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    _set_positions(sim, u2=14, u3=12)
+    sim.cluster.run(1_000)
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def test_primary_that_returns_while_an_order_is_under_way_is_demoted(sim):
+    # Its log may lack nothing, but the order can't be called back.
+    _set_positions(sim, u2=14, u3=12)
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    sim.cluster.run(1_000)
+    assert sim.orders()
+    demotion_count = len(_demotions(sim))
+    _report(sim)
+    _restart(sim, 'u1')
+    sim.cluster.run(500)
+    assert ('u1', 2) in _demotions(sim)[demotion_count:]
+
+
+def test_group_whose_primary_was_demoted_for_nothing_gets_a_new_one(sim):
+    # Guards against a group that no database leads: the promotion was given
+    # up after the demotion, and the recorded primary runs.
+    sim.set_observations('u1', u2=14, u3=12)
+    _set_positions(sim, u2=14, u3=12)
+    sim.cluster.run(500)
+    sim.set_observations('', u2=14, u3=12)
+    sim.cluster.run(2_500)
+    assert not sim.orders()
+    sim.cluster.run(3_000)
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def test_primary_of_a_group_without_copies_is_not_demoted():
+    sim = DelegatedSimulation(copies=1)
+    _drain(sim, 'u1')
+    sim.cluster.run(500)
+    assert sim.orders()
+    assert not _demotions(sim)
+
+
 def test_newcomer_of_another_group_delays_no_promotion(sim):
     sim.set_observations('u1', u2=14, u3=12)
     sim.proxies[2].approves = False
--- a/jackdawpost/tests/core/control/test_commit_model.py
+++ b/jackdawpost/tests/core/control/test_commit_model.py
@@ -13,7 +13,23 @@
 
 FAULTS = 14
 # Each has failed on an earlier version.
-SEEDS = [103, 105, 107, 114, 117, 158, 169, 189, 252, 278, 329, 336, 5041]
+SEEDS = [
+    103,
+    105,
+    107,
+    114,
+    117,
+    158,
+    169,
+    189,
+    252,
+    278,
+    329,
+    336,
+    1230,
+    1480,
+    5041,
+]
 
 
 def _seeds():
--- a/jackdawpost_standin/line_database.py
+++ b/jackdawpost_standin/line_database.py
@@ -85,6 +85,9 @@
     sync_replicas : int
         Number of replicas that must have received a commit before it is
         acknowledged.
+    is_demoted : bool
+        Whether the primary was demoted, so that no database leads until a
+        promotion.
     fencing_token : int
         Highest fencing token of a promotion.
     rolled_back : list of Commit
@@ -97,6 +100,7 @@
     sync_replicas: int = 0
     term: int = 1
     primary: str = ''
+    is_demoted: bool = False
     fencing_token: int = 0
     databases: dict[str, LineDatabase] = field(default_factory=dict)
     rolled_back: list[Commit] = field(default_factory=list)
@@ -134,7 +138,7 @@
         ):
             return False
         self.fencing_token = fencing_token
-        if name == self.primary:
+        if name == self.primary and not self.is_demoted:
             return True
         for database in self.databases.values():
             database.catch_up()
@@ -151,6 +155,7 @@
             database.applied_count = min(database.applied_count, common_count)
             database.paused_term = 0
         self.primary = name
+        self.is_demoted = False
         self.term += 1
         return True
 
@@ -202,7 +207,7 @@
     @property
     def leads(self) -> bool:
         """Whether this database is the primary."""
-        return self.group.primary == self.name
+        return self.group.primary == self.name and not self.group.is_demoted
 
     async def crash(self) -> None:
         """Stop running: close all connections and refuse new ones."""
@@ -215,7 +220,7 @@
         primary = self.group.databases[self.group.primary]
         if self.leads or self.paused_term or not self.is_running:
             return
-        if not primary.is_running:
+        if not primary.is_running or not primary.leads:
             return
         max_commit_s = time.monotonic() - self.receive_delay_s
         for commit in primary.log[len(self.log) :]:
@@ -345,7 +350,7 @@
         self, session: LineSession, request_id: str, text: str
     ) -> list[str]:
         keyword, _, fields = text.partition(' ')
-        if keyword in ('STATUS', 'PAUSE', 'RESUME'):
+        if keyword in ('STATUS', 'PAUSE', 'RESUME', 'DEMOTE'):
             return self._run_admin_statement(keyword, fields)
         name, _, argument = fields.partition(' ')
         if keyword == 'EXECUTE':
@@ -422,6 +427,8 @@
             self.paused_term = int(fields)
         elif keyword == 'RESUME':
             self.paused_term = 0
+        elif keyword == 'DEMOTE' and self.leads:
+            self.group.is_demoted = int(fields) > self.group.term
         role = 'primary' if self.leads else 'replica'
         term, index = self.received()
         # The proxy does not read the last four fields.
--- a/jackdawpost_standin/tests/test_line_database.py
+++ b/jackdawpost_standin/tests/test_line_database.py
@@ -56,6 +56,19 @@
     assert group.primary == 'i-2'
 
 
+async def test_demoted_primary_acknowledges_nothing_until_a_promotion():
+    group, first, second = _build_group()
+    await first.handle_line(LineSession(), 'QUERY - DEMOTE 1')
+    assert first.leads
+    answer = await first.handle_line(LineSession(), 'QUERY - DEMOTE 2')
+    assert answer[0].startswith('DATAROW replica 1 ')
+    answer = await first.handle_line(LineSession(), 'QUERY a WRITE 1 x')
+    assert answer[0] == 'ERROR READONLY i-1'
+    assert group.promote('i-1', 1)
+    assert first.leads
+    assert not second.leads
+
+
 async def test_commit_waits_for_the_synchronous_replica(autojump_clock):
     _, first, second = _build_group(sync_replicas=1)
     second.paused_term = 9
