Tell the caller of an aborted idle transaction with the answer to its next request

A proxy that drains sent an error of its own to a caller in a transaction and closed the session, while the caller was sending its next statement. That statement got a second error: `request received before the session was started`.

Cause: a message without a request can't be told from the answer to a request that crosses it.

Change: the transaction is rolled back, and the answer to the next request says so; the session ends once the caller has ended the transaction, or with the process. What arrives on a connection that is being closed is not answered, and logged as `messages_after_close`.

--- a/jackdawpost/core/pooler/reducer.py
+++ b/jackdawpost/core/pooler/reducer.py
@@ -28,6 +28,7 @@
 from jackdawpost.core.messages.session import Request
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
+from jackdawpost.core.outbox import count
 from jackdawpost.core.outbox import log
 from jackdawpost.core.outbox import pop_effects
 from jackdawpost.core.outbox import send
@@ -60,6 +61,7 @@
 from jackdawpost.core.pooler.serving import on_retry_due
 from jackdawpost.core.pooler.serving import release_if_idle
 from jackdawpost.core.pooler.serving import retry_reads_elsewhere
+from jackdawpost.core.pooler.sessions import abort_idle_txn
 from jackdawpost.core.pooler.sessions import end_session
 from jackdawpost.core.pooler.sessions import on_config_wait_expired
 from jackdawpost.core.pooler.sessions import on_request
@@ -76,6 +78,7 @@
 from jackdawpost.core.pooler.upstreams import suspect
 
 DRAIN_CHECK_INTERVAL_MS = 100.0
+MAX_LOGGED_REQUESTS = 3
 # Keys in the dump of the fields of `Pool` that are dumped under another name.
 _DUMP_NAMES = {
     'reachability': 'reach',
@@ -234,6 +237,7 @@
         return
     conn = state.conns.pop(event.conn, None)
     if conn is None:
+        state.closing.discard(event.conn)
         end_session(state, event.conn)
         return
     reason = event.reason
@@ -257,6 +261,8 @@
 
 def _on_frame_rejected(state: PoolerState, event: FrameRejected) -> None:
     """Refuse a malformed request and close only the session that sent it."""
+    if event.conn in state.closing:
+        return
     log(state, 'info', 'request_malformed', detail=event.detail)
     failed = Failed(code='malformed', text=event.detail)
     send(state, event.conn, failed)
@@ -270,7 +276,10 @@
             on_control_message(state, event.conn, message)
         return
     conn = state.conns.get(event.conn)
-    for message in event.messages:
+    for number, message in enumerate(event.messages):
+        if event.conn in state.closing:
+            _ignore_messages(state, event.conn, event.messages[number:])
+            return
         if conn is not None:
             _on_upstream_message(state, conn, message)
         elif isinstance(message, StartSession):
@@ -282,6 +291,21 @@
             end_session(state, event.conn)
 
 
+def _ignore_messages(
+    state: PoolerState, session: int, messages: list[Any]
+) -> None:
+    """Log what crosses the end of its session, and do not answer it."""
+    requests = [m.id for m in messages if isinstance(m, Request)]
+    count(state, 'messages_after_close', len(messages))
+    log(
+        state,
+        'info',
+        'messages_after_close',
+        session=session,
+        requests=requests[:MAX_LOGGED_REQUESTS],
+    )
+
+
 def _on_start_session(
     state: PoolerState, conn: int, message: StartSession
 ) -> None:
@@ -403,7 +427,8 @@
 def _advance_drain(state: PoolerState) -> None:
     """Close idle sessions after the notice period, then stop.
 
-    Idle transactions are aborted after `drain_txn_ms`. The process stops
+    Idle transactions are aborted after `drain_txn_ms`; their sessions are
+    closed once the caller has been told and has ended them. The process stops
     when no session is left, at the latest after `drain_limit_ms`.
     """
     assert state.drain_started_ms is not None
@@ -414,12 +439,12 @@
             is_idle = session.task is None and not session.backlog
             if is_idle and session.state == 'idle':
                 _close_session(state, session, 'draining')
-            elif is_idle and elapsed_ms >= cfg.drain_txn_ms:
-                failed = Failed(code='aborted', text='the proxy is stopping')
-                send(state, session.conn, failed)
-                _close_session(
-                    state, session, 'draining with an open transaction'
-                )
+            elif (
+                is_idle
+                and session.state == 'in_txn'
+                and elapsed_ms >= cfg.drain_txn_ms
+            ):
+                abort_idle_txn(state, session, 'the proxy is stopping')
     if elapsed_ms >= cfg.drain_limit_ms or (
         elapsed_ms >= cfg.drain_notice_ms and not state.sessions
     ):
--- a/jackdawpost/core/pooler/sessions.py
+++ b/jackdawpost/core/pooler/sessions.py
@@ -112,8 +112,13 @@
         'rollback',
         'commit',
     ):
-        text = 'transaction has failed; only commit and rollback are accepted'
-        refuse_request(state, session, req, 'failed_txn', text)
+        if session.abort_reason:
+            # The caller does not know yet; nothing of it has been kept.
+            code, text = 'aborted', session.abort_reason
+        else:
+            code = 'failed_txn'
+            text = 'transaction failed; only commit and rollback are accepted'
+        refuse_request(state, session, req, code, text)
     elif req.verb in ('set', 'prepare', 'deallocate'):
         _update_session_values(state, session, req)
     elif req.verb in ('begin', 'begin_read'):
@@ -246,6 +251,25 @@
     session.state = 'failed_txn'
 
 
+def abort_idle_txn(state: PoolerState, session: Session, reason: str) -> None:
+    """Roll back a transaction between two requests of its caller.
+
+    A message without a request would reach the caller as the answer to the
+    request that it is just sending. The answer to that one tells the reason.
+    """
+    log(
+        state,
+        'info',
+        'transaction_aborted',
+        session=session.conn,
+        database=session.database,
+        reason=reason,
+    )
+    release_txn_conn(state, session)
+    session.state = 'failed_txn'
+    session.abort_reason = reason
+
+
 def release_txn_conn(state: PoolerState, session: Session) -> None:
     """Roll back on the upstream and release the connection."""
     txn = session.txn
@@ -266,6 +290,7 @@
     release_txn_conn(state, session)
     session.txn = None
     session.state = 'idle'
+    session.abort_reason = ''
 
 
 def _commit(state: PoolerState, session: Session, req: Request) -> None:
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -138,6 +138,9 @@
         Pipelined requests that wait for the one in progress.
     task : StatementTask, optional
         Statement in progress.
+    abort_reason : str
+        Why the pooler has rolled back the open transaction, for the answer
+        to the next request; empty if it has not.
     """
 
     conn: int
@@ -150,6 +153,7 @@
     backlog: deque[Request] = field(default_factory=deque)
     task: StatementTask | None = None
     txn: Transaction | None = None
+    abort_reason: str = ''
 
 
 @dataclass(slots=True, kw_only=True)
@@ -483,6 +487,9 @@
     ----------
     unidentified : set of int
         Caller connections that have not sent `StartSession` yet.
+    closing : set of int
+        Connections of callers that are being closed. A message that crosses
+        the end of its session gets no answer: it would be out of turn.
     waiting_sessions : dict of int to str
         Database by caller connection, for sessions that arrived before the
         first configuration.
@@ -529,6 +536,7 @@
     endpoints: dict[str, EndpointView] = field(default_factory=dict)
     sessions: dict[int, Session] = field(default_factory=dict)
     unidentified: set[int] = field(default_factory=set)
+    closing: set[int] = field(default_factory=set)
     waiting_sessions: dict[int, str] = field(default_factory=dict)
     tasks: dict[int, StatementTask] = field(default_factory=dict)
     conns: dict[int, UpstreamConn] = field(default_factory=dict)
@@ -562,7 +570,10 @@
 
 
 def close(state: PoolerState, conn: int, reason: str, abort: bool) -> None:
-    """Close a connection."""
+    """Close a connection; what still arrives from a caller is ignored."""
+    is_accepted = conn > 0
+    if is_accepted:
+        state.closing.add(conn)
     state.outbox.append(Close(conn=conn, reason=reason, abort=abort))
 
 
--- a/jackdawpost/tests/core/pooler/test_sessions.py
+++ b/jackdawpost/tests/core/pooler/test_sessions.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from jackdawpost.core.messages.session import Done
+from jackdawpost.core.messages.session import EndSession
 from jackdawpost.core.messages.session import Failed
 from jackdawpost.core.messages.session import Ready
+from jackdawpost.testing.pooler_simulation import build_request
 from jackdawpost.testing.pooler_simulation import endpoint
 from jackdawpost.testing.pooler_simulation import PoolerSimulation
 
@@ -225,6 +227,64 @@
     assert sim.stopped
 
 
+def _drain_idle_transaction():
+    sim = PoolerSimulation()
+    conn = sim.open('orders')
+    sim.call(conn, 'BEGIN')
+    sim.call(conn, 'WRITE 1 a')
+    sim.pop_messages(conn)
+    sim.drain()
+    sim.advance(3_500)
+    return sim, conn
+
+
+def test_transaction_aborted_by_a_drain_sends_nothing_out_of_turn():
+    # Guards against an error that crosses the caller's next request and is
+    # taken for the answer to it.
+    sim, conn = _drain_idle_transaction()
+    assert sim.pop_messages(conn) == []
+    assert conn not in sim.closed
+    sim.send_request(conn, 'WRITE 1 b')
+    [failed, ready] = sim.pop_messages(conn)
+    assert (failed.code, ready.state) == ('aborted', 'failed_txn')
+    assert isinstance(sim.call(conn, 'ROLLBACK'), Done)
+    sim.advance(200)
+    assert conn in sim.closed
+    assert sim.stopped
+    assert 'WRITE 1 b' not in [e.text for e in sim.executed]
+
+
+def test_commit_after_an_abort_by_a_drain_is_refused():
+    sim, conn = _drain_idle_transaction()
+    assert sim.call(conn, 'COMMIT').code == 'aborted'
+    assert 'COMMIT' not in [executed.text for executed in sim.executed]
+
+
+def test_request_that_crosses_the_end_of_its_session_gets_no_answer():
+    # Guards against an answer out of turn on a connection that is closing.
+    sim = PoolerSimulation()
+    conn, busy = sim.open('orders'), sim.open('orders')
+    sim.call(busy, 'BEGIN')
+    sim.drain()
+    sim.advance(2_400)
+    assert conn in sim.closed
+    assert not sim.stopped
+    sim.pop_messages(conn)
+    sim.send_request(conn, 'READ 1')
+    sim.receive(conn, EndSession())
+    assert sim.pop_messages(conn) == []
+    sim.disconnect(conn)
+    assert not sim.state.closing
+
+
+def test_requests_after_the_end_in_one_frame_get_no_answer():
+    sim = PoolerSimulation()
+    conn = sim.open('orders')
+    sim.pop_messages(conn)
+    sim.receive(conn, EndSession(), build_request('late', 'READ 1'))
+    assert sim.pop_messages(conn) == []
+
+
 def test_statement_of_a_disconnected_caller_is_not_retried():
     # Guards against a crash: a begin was outstanding when the caller
     # disconnected and the upstream connection was reset, and the statement was
