Demote a primary that returns during an order before it has joined

What callers would see, in groups with copies: the last commits are lost if the primary returns with its log while the platform carries out an order.

Ruled out: a missing pause; all members had answered before the order.

Change: an incarnation that reports itself as leading is asked to stop at once, without waiting for the next round of requests.

The commit model draws deployments of other shapes (orders of 20 ms to 2 s, three to five databases, two or three copies, one, three or five control processes), and a proxy of it forwards requests only to upstreams that are published, as real ones do.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -441,20 +441,17 @@
     if state.cfg.write_leases or not needs_replica_copies(state, name):
         return True
     primaries = find_possible_primaries(
-        state,
-        leader,
-        state.machine.groups[name],
-        upstreams,
-        promotion.chosen,
+        state, leader, name, upstreams, promotion.chosen
     )
     term = highest_term(state, leader, upstreams) + 1
     demotion = demote_primaries(
         state, leader, name, promotion, primaries, term
     )
     return all(
-        (primary, upstreams[primary].member_id) in demotion.demoted
+        (primary, member.member_id) in demotion.demoted
         or has_failed(state, leader, primary)
-        for primary in primaries
+        for primary, member in upstreams.items()
+        if (primary, member.member_id) in primaries
     )
 
 
--- a/jackdawpost/core/control/demotion.py
+++ b/jackdawpost/core/control/demotion.py
@@ -18,6 +18,7 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import ForwardedRequests
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import PrimaryDemotion
 from jackdawpost.core.control.state import Promotion
 from jackdawpost.core.control.upstream_actions import REQUEST_INTERVAL_MS
@@ -91,15 +92,17 @@
     leader: LeaderState,
     group: str,
     promotion: Promotion,
-    primaries: list[str],
+    primaries: set[MemberKey],
     term: int,
 ) -> PrimaryDemotion:
     """Request the demotion of the upstreams that may lead.
 
+    An incarnation that has not been asked before is asked at once.
+
     Parameters
     ----------
-    primaries : list of str
-        Joined upstreams other than the chosen one.
+    primaries : set of tuple
+        Upstreams other than the chosen one, by name and identity.
     term : int
         Term above every term that the databases are known to have.
 
@@ -113,13 +116,14 @@
         demotion = PrimaryDemotion(token=promotion.to_term, term=term)
         leader.primary_demotions[group] = demotion
     demotion.term = max(demotion.term, term)
+    due = primaries - demotion.demoted
     if state.now_ms < demotion.next_request_ms:
-        return demotion
-    members = state.machine.members
-    for name in primaries:
-        if (name, members[name].member_id) not in demotion.demoted:
-            demotion.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
-            send_action(state, demotion, name, 'demote')
+        due -= demotion.requested
+    else:
+        demotion.next_request_ms = state.now_ms + REQUEST_INTERVAL_MS
+    demotion.requested |= due
+    for name, _ in sorted(due):
+        send_action(state, demotion, name, 'demote')
     return demotion
 
 
--- a/jackdawpost/core/control/observations.py
+++ b/jackdawpost/core/control/observations.py
@@ -6,6 +6,7 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import is_leaving
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.state import GroupState
 from jackdawpost.core.control.state import Member
 from jackdawpost.core.messages.control import ProxyReport
@@ -182,23 +183,28 @@
 def find_possible_primaries(
     state: ControlState,
     leader: LeaderState,
-    group: GroupState,
+    group: str,
     upstreams: dict[str, Member],
     chosen: str | None,
-) -> list[str]:
-    """Return the upstreams other than the chosen one that may lead."""
-    names = []
+) -> set[MemberKey]:
+    """Return the upstreams other than the chosen one that may lead.
+
+    An incarnation that reports itself as leading is included before it has
+    joined: proxies reach it at the address of the earlier one.
+    """
+    recorded = state.machine.groups[group]
+    found = {
+        (report.name, str(report.started_ms))
+        for report in (known.report for known in leader.registered.values())
+        if report.group == group and report.leads
+    }
     for name, member in upstreams.items():
         identity = (name, member.member_id)
-        registered = leader.registered.get(name)
-        reports_lead = registered is not None and registered.report.leads
-        if name != chosen and (
-            identity == (group.primary, group.primary_id)
-            or reports_lead
-            or is_seen_leading(state, leader, group, name)
+        if identity == (recorded.primary, recorded.primary_id) or (
+            is_seen_leading(state, leader, recorded, name)
         ):
-            names.append(name)
-    return names
+            found.add(identity)
+    return {identity for identity in found if identity[0] != chosen}
 
 
 def find_returned_primary(
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -282,11 +282,13 @@
 
     Parameters
     ----------
+    requested : set of tuple
+        Upstreams, by name and identity, that have been asked.
     demoted : set of tuple
-        Upstreams, by name and identity, that have answered that they do not
-        lead.
+        Those that have answered that they do not lead.
     """
 
+    requested: set[MemberKey] = field(default_factory=set)
     demoted: set[MemberKey] = field(default_factory=set)
 
 
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -197,6 +197,9 @@
     leader.registered[report.name] = RegisteredUpstream(
         report=report, last_contact_ms=state.now_ms
     )
+    if previous is None or previous.report.started_ms != report.started_ms:
+        # It may be a primary that returns while an order is under way.
+        leader.dirty_groups.add(report.group)
     record_announcement(state, _announce_command(report))
     if report.state != 'draining':
         reply(state, request_id, 'done')
--- a/jackdawpost/tests/core/control/commit_model.py
+++ b/jackdawpost/tests/core/control/commit_model.py
@@ -106,7 +106,8 @@
         `_is_unavoidable`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, copies: int = 2) -> None:
+        self.copies = copies
         self.databases: dict[str, ModelDatabase] = {}
         self.primary = ''
         self.term = 1
@@ -135,7 +136,7 @@
                     break
                 database.log.append(entry)
         for entry in list(self.waiting):
-            if self._has_copy(entry):
+            if self._has_copies(entry):
                 self.waiting.remove(entry)
                 entry.acknowledged_ms = now_ms
                 self.acknowledged.append(entry)
@@ -144,13 +145,14 @@
             primary.log.append(entry)
             self.waiting.append(entry)
 
-    def _has_copy(self, entry: Entry) -> bool:
-        return any(
+    def _has_copies(self, entry: Entry) -> bool:
+        copies = sum(
             database.is_up
             and database.name != self.primary
             and entry in database.log[-100:]
             for database in self.databases.values()
         )
+        return copies >= self.copies - 1
 
     def crash(self, name: str, wipes: bool, now_ms: float) -> None:
         database = self.databases[name]
@@ -296,6 +298,8 @@
         database = self.group.databases.get(action.upstream)
         if database is None or not database.is_up:
             return []
+        if action.upstream not in self.published.members:
+            return []
         leads = self.group.leads(action.upstream)
         if leads and len(self.group.waiting) >= SLOTS:
             return []
@@ -322,6 +326,7 @@
     """Control processes whose orders a `ModelGroup` carries out."""
 
     group: ModelGroup
+    promotion_ms = PROMOTION_MS
 
     def perform(self, name, effects):
         super().perform(name, effects)
@@ -329,7 +334,7 @@
             if isinstance(effect, OrderPromotion):
                 sent = self._describe(name)
                 self.schedule(
-                    PROMOTION_MS,
+                    self.promotion_ms,
                     lambda e=effect, s=sent: self.carry_out(name, e, s),
                 )
 
@@ -364,8 +369,30 @@
         self.feed(name, ended)
 
 
+@dataclass
+class Deployment:
+    """Size of a deployment and duration of a promotion."""
+
+    controls: int = 3
+    databases: int = 3
+    copies: int = 2
+    promotion_ms: float = PROMOTION_MS
+
+
+def draw_deployment(seed: int) -> Deployment:
+    """Return a deployment of another shape than the usual one."""
+    rng = random.Random(f'deployment {seed}')
+    databases = rng.choice([3, 4, 5])
+    return Deployment(
+        controls=rng.choice([1, 3, 5]),
+        databases=databases,
+        copies=rng.choice([2, 3] if databases > 3 else [2]),
+        promotion_ms=rng.choice([20.0, 300.0, 1_000.0, 2_000.0]),
+    )
+
+
 class CommitModel:
-    """A group of three databases under faults drawn from a seed.
+    """A group of databases under faults drawn from a seed.
 
     Parameters
     ----------
@@ -373,21 +400,25 @@
         Whether databases may return without their log.
     """
 
-    def __init__(self, seed: int, wipes: bool) -> None:
+    def __init__(
+        self, seed: int, wipes: bool, deployment: Deployment | None = None
+    ) -> None:
+        deployment = deployment or Deployment()
         self.rng = random.Random(seed)
         self.wipes = wipes
         self.history: list[str] = []
         self.request_count = 0
         self.database_count = 0
-        self.group = ModelGroup()
+        self.group = ModelGroup(deployment.copies)
         self.cluster = ModelCluster(
-            ['c1', 'c2', 'c3'],
+            [f'c{n}' for n in range(1, deployment.controls + 1)],
             seed,
             delegated=True,
             holder='holder',
             member_expiry_ms=2_500,
         )
         self.cluster.group = self.group
+        self.cluster.promotion_ms = deployment.promotion_ms
         assert self.cluster.run(
             3_000, lambda: self.cluster.leader() is not None
         )
@@ -396,9 +427,9 @@
             for n in range(1, 4)
         ]
         self.cluster.run(500)
-        self.send(declare(1, copies=2))
+        self.send(declare(1, copies=deployment.copies))
         self.cluster.run(200)
-        for _ in range(3):
+        for _ in range(deployment.databases):
             self.add_database()
         self.group.primary = 'u1'
         self.cluster.run(1_500)
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -109,6 +109,22 @@
     assert ('u1', 2) in _demotions(sim)[demotion_count:]
 
 
+def test_returned_primary_is_demoted_before_it_has_joined(sim):
+    # Proxies reach it at the address of its earlier incarnation.
+    _set_positions(sim, u2=14, u3=12)
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    sim.cluster.run(1_000)
+    assert sim.orders()
+    for proxy in sim.proxies:
+        proxy.approves = False
+        proxy.actions.clear()
+    _restart(sim, 'u1')
+    sim.cluster.run(50)
+    assert 'u1' not in sim.machine.members
+    assert ('u1', 2) in _demotions(sim)
+
+
 def test_group_whose_primary_was_demoted_for_nothing_gets_a_new_one(sim):
     # Guards against a group that no database leads: the promotion was given
     # up after the demotion, and the recorded primary runs.
--- a/jackdawpost/tests/core/control/test_commit_model.py
+++ b/jackdawpost/tests/core/control/test_commit_model.py
@@ -10,6 +10,7 @@
 import pytest
 
 from jackdawpost.tests.core.control.commit_model import CommitModel
+from jackdawpost.tests.core.control.commit_model import draw_deployment
 from jackdawpost.tests.core.control.commit_model import Entry
 from jackdawpost.tests.core.control.commit_model import ModelDatabase
 from jackdawpost.tests.core.control.commit_model import ModelGroup
@@ -38,10 +39,14 @@
 ]
 
 
-def _seeds():
+# Seeds of deployments of another shape, see `draw_deployment`.
+DRAWN_SEEDS = [7053]
+
+
+def _seeds(known=SEEDS):
     text = os.environ.get('COMMIT_MODEL_SEEDS')
     if not text:
-        return SEEDS
+        return known
     first, _, last = text.partition('-')
     return range(int(first), int(last or first) + 1)
 
@@ -97,3 +102,13 @@
     model.run(FAULTS)
     assert not model.group.lost, _describe(model)
     assert model.serves(), _describe(model)
+
+
+@pytest.mark.parametrize('seed', _seeds(DRAWN_SEEDS))
+@pytest.mark.parametrize('wipes', [False, True])
+def test_no_commit_is_lost_in_deployments_of_other_shapes(seed, wipes):
+    # Slow orders, more databases and copies, one or five control processes.
+    model = CommitModel(seed, wipes, draw_deployment(seed))
+    model.run(FAULTS)
+    assert not model.group.lost, _describe(model)
+    assert wipes or model.serves(), _describe(model)
