Order a promotion with copies only as a recently confirmed leader

What callers would see, in groups with copies: commits that a database has acknowledged after a late order are rolled back by the order of a later leader.

Cause: a leader that has lost its quorum repeats an unanswered order until it steps down. A token fences off older orders only once the platform has seen it; the repeated one is carried out before the next leader's.

Change: is_leadership_recent holds for groups with copies, too.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -344,7 +344,7 @@
         state, leader, name, promotion, upstreams
     ):
         return
-    elif not is_leadership_recent(state, leader):
+    elif not is_leadership_recent(state, leader, name):
         return
     elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
         if order is not None and has_failed(state, leader, chosen):
--- a/jackdawpost/core/control/leases.py
+++ b/jackdawpost/core/control/leases.py
@@ -9,6 +9,7 @@
 from jackdawpost.core.consensus import process as consensus
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.upstream_actions import needs_replica_copies
 from jackdawpost.core.control.voters import known_peers
 from jackdawpost.core.leases import ledger as lease_ledger
 from jackdawpost.core.messages.control import LeaseGrant
@@ -119,13 +120,17 @@
     return False
 
 
-def is_leadership_recent(state: ControlState, leader: LeaderState) -> bool:
+def is_leadership_recent(
+    state: ControlState, leader: LeaderState, group: str
+) -> bool:
     """Return whether a quorum has confirmed this leader recently.
 
     A platform that does not check fencing tokens would carry out the order
-    of a deposed leader. No other process can be elected within the election
+    of a deposed leader. One that does may carry it out before it has seen the
+    token of the next leader, which counts on the commits of its own primary in
+    a group with copies. No other process can be elected within the election
     timeout after a confirmation.
     """
-    if not state.cfg.write_leases:
+    if not state.cfg.write_leases and not needs_replica_copies(state, group):
         return True
     return state.now_ms < leader.confirmed_ms + state.cfg.election_min_ms
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -13,6 +13,7 @@
 from jackdawpost.core.control.machine import apply_command
 from jackdawpost.core.control.machine import decode_snapshot
 from jackdawpost.core.control.machine import encode_snapshot
+from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.tests.core.control.delegated import DelegatedSimulation
@@ -416,6 +417,29 @@
     assert sorted(pauses) == [2, 5]
 
 
+def test_isolated_leader_repeats_no_order(sim):
+    # Guards against an order that is carried out after the next leader has
+    # let another upstream lead, and commits depend on its copies.
+    _set_positions(sim, u2=14, u3=12)
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    assert sim.cluster.run(2_000, lambda: bool(sim.orders()))
+    # The order is due again 300 ms later, before the leader steps down.
+    sim.cluster.run(600)
+    isolated = sim.cluster.leader().cfg.name
+    sim.cluster.isolate(isolated)
+    since_ms = sim.cluster.now_ms
+    sim.cluster.run(3_000)
+    late = [
+        effect
+        for at_ms, name, effect in sim.cluster.effects
+        if name == isolated
+        and at_ms > since_ms
+        and isinstance(effect, OrderPromotion)
+    ]
+    assert not late
+
+
 def test_pause_that_two_replicas_ignore_is_repeated_at_both(sim):
     # Guards against a replica that goes on to receive: the answer of another
     # one has raised the term of the pause before its own answer arrives.
