Let a group recover whose promotion fails after the demotion

What callers would see, in groups with copies: no commit is acknowledged any more although all databases are back.

Cause: a primary that returned with its log used to end each wait for missing answers by leading again; a demoted one does not. Its commits may block the slot that the demotion needs, and a leaving database with the last commits was no candidate.

Ruled out: replicas that stay paused; they had resumed.

A database that has received up to it needs no other answer. The demoted primary is asked like a replica and is a candidate, and without a primary so are databases that leave. The demotion is waited for 2 s. test_snapshot_of_the_first_format_is_read is replaced by one that reads formats 1 and 2 and checks the number of the present one.

--- a/jackdawpost/core/control/commands.py
+++ b/jackdawpost/core/control/commands.py
@@ -216,6 +216,15 @@
     kind: Literal['limit_former_holder'] = 'limit_former_holder'
 
 
+@dataclass(slots=True, kw_only=True)
+class RecordFinalPosition:
+    """Record where the log of a group ends after its primary was demoted."""
+
+    group: str
+    position: LogPosition
+    kind: Literal['record_final_position'] = 'record_final_position'
+
+
 @dataclass(slots=True, kw_only=True)
 class DeclareObject:
     """One object of a complete declared configuration."""
@@ -298,6 +307,7 @@
     | AdoptPrimary
     | DelegatePromotion
     | LimitFormerHolder
+    | RecordFinalPosition
 )
 
 COMMAND_TYPES: dict[str, type[Any]] = {
@@ -316,6 +326,7 @@
     'adopt_primary': AdoptPrimary,
     'delegate_promotion': DelegatePromotion,
     'limit_former_holder': LimitFormerHolder,
+    'record_final_position': RecordFinalPosition,
 }
 
 
--- a/jackdawpost/core/control/commit_holders.py
+++ b/jackdawpost/core/control/commit_holders.py
@@ -42,7 +42,8 @@
     commit, and does not wait for the approvals that make it a member. Removed
     databases are included, also those whose name is used by a new incarnation.
     Absent ones are left out if a database that answered has received all that
-    they may hold.
+    they may hold, as are all without an answer if it has received up to the
+    end of the log of a demoted primary.
 
     Parameters
     ----------
@@ -72,6 +73,9 @@
         holders.add(key)
         limits[key] = former.limit or limits.get(key)
     received = max(pause.positions.values(), default=ZERO_POSITION)
+    final = state.machine.groups[group].final_position
+    if final is not None and final <= received:
+        return holders & pause.positions.keys()
     return {
         key
         for key in holders
--- a/jackdawpost/core/control/database_sets.py
+++ b/jackdawpost/core/control/database_sets.py
@@ -8,6 +8,7 @@
 
 from jackdawpost.core.control.commands import AdmitDatabase
 from jackdawpost.core.control.commands import LimitFormerHolder
+from jackdawpost.core.control.commands import RecordFinalPosition
 from jackdawpost.core.control.publication import publish_changes
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import CommandRefused
@@ -89,6 +90,16 @@
     return Applied()
 
 
+def record_final_position(
+    machine: ControlMachine, command: RecordFinalPosition
+) -> Applied:
+    """Record the end of the log of a group that no upstream leads."""
+    group = machine.groups.get(command.group)
+    if group is not None and group.promotion is not None:
+        group.final_position = command.position
+    return Applied()
+
+
 def admit_database(machine: ControlMachine, command: AdmitDatabase) -> Applied:
     """Add an upstream to the set of its group after it has caught up.
 
--- a/jackdawpost/core/control/delegated_steps.py
+++ b/jackdawpost/core/control/delegated_steps.py
@@ -31,6 +31,7 @@
     group = machine.groups[command.group]
     group.primary = command.upstream
     group.primary_id = command.data_id
+    group.final_position = None
     if group.promotion is None:
         group.last_term += 1
         group.term = group.last_term
--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -17,6 +17,7 @@
 from jackdawpost.core.control.commit_holders import track_absent_replicas
 from jackdawpost.core.control.demotion import advance_demotion
 from jackdawpost.core.control.demotion import demote_primaries
+from jackdawpost.core.control.demotion import has_waited_for_demotion
 from jackdawpost.core.control.demotion import needs_demotion
 from jackdawpost.core.control.leases import end_leases
 from jackdawpost.core.control.leases import is_leadership_recent
@@ -233,7 +234,7 @@
     chosen : str, optional
         Upstream to promote; by default the best candidate.
     """
-    chosen = chosen or _choose_candidate(state, leader, group, upstreams)
+    chosen = chosen or _choose_candidate(state, leader, name, upstreams)
     if chosen is None:
         return
     token = group.last_term + 1
@@ -263,24 +264,33 @@
 def _choose_candidate(
     state: ControlState,
     leader: LeaderState,
-    group: GroupState,
+    group_name: str,
     upstreams: dict[str, Member],
 ) -> str | None:
     """Return the candidate with the highest received position.
 
     Candidates are all upstreams except the recorded primary, leaving ones,
     those without recent observations, and those that have failed or are
-    excluded. At equal positions the upstream in the data centre with most
-    proxies is preferred, which keeps the latency of their writes low.
+    excluded. In a group with copies the primary is one if it was demoted for a
+    promotion that was given up, and leaving ones are if no primary runs: the
+    others may lack commits. At equal positions the upstream in the data centre
+    with most proxies is preferred, which keeps the latency of their writes
+    low.
     """
     candidates = []
+    group = state.machine.groups[group_name]
+    # Without a primary, no other upstream can catch up with one that leaves.
+    accepts_leaving = needs_replica_copies(
+        state, group_name
+    ) and not _is_primary_running(state, leader, group, upstreams)
     for name in sorted(upstreams):
         identity = (name, upstreams[name].member_id)
-        if identity == (group.primary, group.primary_id):
+        is_primary = identity == (group.primary, group.primary_id)
+        if is_primary and group.final_position is None:
+            continue
+        if is_leaving(state, name) and not accepts_leaving:
             continue
-        if is_leaving(state, name) or not fresh_observations(
-            state, leader, name
-        ):
+        if not fresh_observations(state, leader, name):
             continue
         if state.now_ms < leader.excluded_until_ms.get(name, 0):
             continue
@@ -292,6 +302,7 @@
         candidates,
         key=lambda name: (
             received_position(state, leader, name),
+            not is_leaving(state, name),
             proxy_counts.get(upstreams[name].data_centre, 0),
         ),
         default=None,
@@ -435,7 +446,9 @@
 ) -> bool:
     """Demote the upstreams that may lead; return whether none that runs does.
 
-    The answer of one that has failed is not waited for. With write leases the
+    The answer of one that has failed is not waited for, and that of another
+    not for ever: a primary may have no slot for it while its commits wait for
+    copies. With write leases the
     proxies acknowledge nothing of a primary once its leases have ended.
     """
     if state.cfg.write_leases or not needs_replica_copies(state, name):
@@ -447,11 +460,14 @@
     demotion = demote_primaries(
         state, leader, name, promotion, primaries, term
     )
-    return all(
-        (primary, member.member_id) in demotion.demoted
-        or has_failed(state, leader, primary)
+    running = [
+        primary
         for primary, member in upstreams.items()
-        if (primary, member.member_id) in primaries
+        if (primary, member.member_id) in primaries - demotion.demoted.keys()
+        and not has_failed(state, leader, primary)
+    ]
+    return not running or has_waited_for_demotion(
+        state, name, demotion, running
     )
 
 
@@ -478,6 +494,8 @@
     """Return whether a primary may run, recorded or not."""
     if any(is_seen_leading(state, leader, group, name) for name in upstreams):
         return True
+    if group.final_position is not None:
+        return False
     member = upstreams.get(group.primary or '')
     if member is None or member.member_id != group.primary_id:
         return False
--- a/jackdawpost/core/control/demotion.py
+++ b/jackdawpost/core/control/demotion.py
@@ -14,17 +14,24 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.control.commands import RecordFinalPosition
 from jackdawpost.core.control.commit_holders import is_known_to_run
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import ForwardedRequests
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import PrimaryDemotion
+from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.state import Promotion
 from jackdawpost.core.control.upstream_actions import REQUEST_INTERVAL_MS
 from jackdawpost.core.control.upstream_actions import send_action
 from jackdawpost.core.messages.control import UpstreamActionAnswer
 from jackdawpost.core.outbox import log
+from jackdawpost.core.positions import LogPosition
+
+# A primary that answers probes but not this is not waited for any longer. The
+# replicas are paused, so that only one that has just started could help it.
+DEMOTION_TIMEOUT_MS = 2_000.0
 
 
 def needs_demotion(state: ControlState, promotion: Promotion) -> bool:
@@ -113,10 +120,12 @@
     """
     demotion = leader.primary_demotions.get(group)
     if demotion is None or demotion.token != promotion.to_term:
-        demotion = PrimaryDemotion(token=promotion.to_term, term=term)
+        demotion = PrimaryDemotion(
+            token=promotion.to_term, term=term, since_ms=state.now_ms
+        )
         leader.primary_demotions[group] = demotion
     demotion.term = max(demotion.term, term)
-    due = primaries - demotion.demoted
+    due = primaries - demotion.demoted.keys()
     if state.now_ms < demotion.next_request_ms:
         due -= demotion.requested
     else:
@@ -124,9 +133,52 @@
     demotion.requested |= due
     for name, _ in sorted(due):
         send_action(state, demotion, name, 'demote')
+    _propose_final_position(state, group, primaries, demotion)
     return demotion
 
 
+def has_waited_for_demotion(
+    state: ControlState,
+    group: str,
+    demotion: PrimaryDemotion,
+    running: list[str],
+) -> bool:
+    """Return whether upstreams have left the requests unanswered for long."""
+    if state.now_ms < demotion.since_ms + DEMOTION_TIMEOUT_MS:
+        return False
+    if not demotion.is_overdue:
+        demotion.is_overdue = True
+        log(
+            state,
+            'warning',
+            'primary_not_demoted',
+            group=group,
+            token=demotion.token,
+            upstreams=running,
+            waited_ms=round(state.now_ms - demotion.since_ms),
+        )
+    return True
+
+
+def _propose_final_position(
+    state: ControlState,
+    group: str,
+    primaries: set[MemberKey],
+    demotion: PrimaryDemotion,
+) -> None:
+    """Record where the log ends once nobody can acknowledge a commit.
+
+    If the promotion is given up, the copies of databases that do not return
+    would be waited for otherwise, and there is no primary that could return.
+    """
+    if not primaries or not primaries <= demotion.demoted.keys():
+        return
+    position = max(demotion.demoted[key] for key in primaries)
+    if state.machine.groups[group].final_position != position:
+        command = RecordFinalPosition(group=group, position=position)
+        propose(state, f'final/{group}', command)
+
+
 def record_primary_demotion(
     state: ControlState, leader: LeaderState, message: UpstreamActionAnswer
 ) -> None:
@@ -142,7 +194,8 @@
         return
     if not is_known_to_run(leader, member):
         return
-    demotion.demoted.add((member.name, member.member_id))
+    key = (member.name, member.member_id)
+    demotion.demoted[key] = LogPosition(*message.received)
     log(
         state,
         'info',
--- a/jackdawpost/core/control/machine.py
+++ b/jackdawpost/core/control/machine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 import functools
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +18,7 @@
 from jackdawpost.core.control.commands import Command
 from jackdawpost.core.control.database_sets import admit_database
 from jackdawpost.core.control.database_sets import limit_former_holder
+from jackdawpost.core.control.database_sets import record_final_position
 from jackdawpost.core.control.delegated_steps import adopt_primary
 from jackdawpost.core.control.delegated_steps import delegate_promotion
 from jackdawpost.core.control.membership import announce_member
@@ -45,9 +47,12 @@
     'update_since',
 ]
 
-SNAPSHOT_FORMAT = 2
-# The first format has no `former_holders` in the state of a group.
-FIRST_SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 3
+# Fields of the state of a group that each earlier format lacks.
+_MISSING_GROUP_FIELDS: dict[int, dict[str, Any]] = {
+    1: {'former_holders': [], 'final_position': None},
+    2: {'final_position': None},
+}
 
 _APPLY_FUNCTIONS: dict[str, Callable[[ControlMachine, Any], Applied]] = {
     'apply_change_set': apply_change_set,
@@ -65,6 +70,7 @@
     'adopt_primary': adopt_primary,
     'delegate_promotion': delegate_promotion,
     'limit_former_holder': limit_former_holder,
+    'record_final_position': record_final_position,
 }
 
 
@@ -121,14 +127,14 @@
     """
     try:
         format_number, value = cbor2.loads(data)
-        if format_number == FIRST_SNAPSHOT_FORMAT:
-            _add_former_holders(value)
+        if format_number in _MISSING_GROUP_FIELDS:
+            _add_group_fields(value, _MISSING_GROUP_FIELDS[format_number])
             format_number = SNAPSHOT_FORMAT
             data = cbor2.dumps([SNAPSHOT_FORMAT, value])
         if format_number != SNAPSHOT_FORMAT:
             raise ValueError(
                 f'format {format_number!r} is not supported; the accepted '
-                f'formats are {FIRST_SNAPSHOT_FORMAT} and {SNAPSHOT_FORMAT}'
+                f'formats are 1 to {SNAPSHOT_FORMAT}'
             )
         machine = _snapshot_adapter().validate_python(value)
     except (
@@ -152,8 +158,8 @@
     return machine
 
 
-def _add_former_holders(value: Any) -> None:
-    """Convert the value of a snapshot in the first format."""
+def _add_group_fields(value: Any, fields: dict[str, Any]) -> None:
+    """Convert the value of a snapshot in an earlier format."""
     for groups in (value['groups'], value['retired_groups']):
         for group in groups.values():
-            group['former_holders'] = []
+            group.update(copy.deepcopy(fields))
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -282,14 +282,21 @@
 
     Parameters
     ----------
+    since_ms : float
+        Time of the first request.
+    is_overdue : bool
+        Whether the answers are not waited for any longer.
     requested : set of tuple
         Upstreams, by name and identity, that have been asked.
-    demoted : set of tuple
-        Those that have answered that they do not lead.
+    demoted : dict of tuple to LogPosition
+        Those that have answered that they do not lead, and the end of their
+        log.
     """
 
+    since_ms: float = 0.0
+    is_overdue: bool = False
     requested: set[MemberKey] = field(default_factory=set)
-    demoted: set[MemberKey] = field(default_factory=set)
+    demoted: dict[MemberKey, LogPosition] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/core/control/promotion_steps.py
+++ b/jackdawpost/core/control/promotion_steps.py
@@ -124,6 +124,7 @@
     group.promotion = None
     # The new primary holds every acknowledged commit.
     group.former_holders.clear()
+    group.final_position = None
     return _publish_group(machine, command.group)
 
 
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -33,7 +33,8 @@
 ) -> ReplicaPause:
     """Request the pause of the replicas that have not answered yet.
 
-    The chosen upstream is told to receive, and then asked for its position.
+    The chosen upstream is told to receive, and then asked for its position. A
+    primary that was demoted for an earlier promotion is paused like a replica.
 
     Parameters
     ----------
@@ -56,7 +57,8 @@
     primary = (recorded.primary, recorded.primary_id)
     for name in sorted(upstreams):
         key = (name, upstreams[name].member_id)
-        if key == primary or name == promotion.chosen:
+        is_primary = key == primary and recorded.final_position is None
+        if is_primary or name == promotion.chosen:
             continue
         if key in pause.positions:
             continue
--- a/jackdawpost/core/control/state.py
+++ b/jackdawpost/core/control/state.py
@@ -171,6 +171,9 @@
     former_holders : list of FormerHolder
         Removed databases that may hold a commit which no other database has,
         oldest first. Empty for a group without copies.
+    final_position : LogPosition, optional
+        End of the log of a demoted primary, while no upstream has led since.
+        No commit after it was acknowledged.
     """
 
     term: int = 0
@@ -181,6 +184,7 @@
     database_set: dict[str, str] = field(default_factory=dict)
     promotion: Promotion | None = None
     former_holders: list[FormerHolder] = field(default_factory=list)
+    final_position: LogPosition | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -139,6 +139,77 @@
     assert sim.orders()[0].upstream == 'u2'
 
 
+def test_demotion_that_a_running_primary_leaves_unanswered_ends(sim):
+    # Guards against a release that never ends: all slots of the primary are
+    # taken by commits that wait for copies.
+    for proxy in sim.proxies:
+        proxy.demotes_primaries = False
+    sim.set_observations('u1', u2=14, u3=12)
+    _set_positions(sim, u2=14, u3=12)
+    _drain(sim, 'u1')
+    sim.cluster.run(4_000)
+    assert sim.orders()[0].upstream == 'u2'
+
+
+def _refuse_after_demotion(sim, **positions):
+    """Let the order for u2 be refused after u1 has been demoted."""
+    sim.set_observations('u1', u1=14, u2=14, u3=12)
+    _set_positions(sim, **positions)
+    _drain(sim, 'u1')
+    assert sim.cluster.run(2_000, lambda: bool(sim.orders()))
+    assert sim.orders()[0].upstream == 'u2'
+    sim.set_observations('', u1=14, u3=12)
+
+
+def test_demoted_primary_leads_again_if_the_promotion_fails(sim):
+    # Guards against a group that waits for a database that does not return,
+    # while the demoted primary has every commit.
+    _refuse_after_demotion(sim, u1=14, u2=14, u3=12)
+    _report(sim, u2='refused')
+    sim.answer_order(sim.orders()[0], 'refused')
+    _set_positions(sim, u1=14, u3=12)
+    sim.cluster.run(3_000)
+    assert sim.orders()[-1].upstream == 'u1'
+
+
+def test_end_of_the_log_of_a_demoted_primary_replaces_missing_answers(sim):
+    # Guards against a wait without end: the demoted primary was lost, too.
+    _refuse_after_demotion(sim, u1=14, u2=14, u3=12)
+    _report(sim, u1='refused', u2='refused')
+    sim.answer_order(sim.orders()[0], 'refused')
+    _set_positions(sim, u3=12)
+    sim.cluster.run(2_000)
+    count = len(sim.orders())
+    assert sim.machine.groups['g'].final_position == LogPosition(1, 14)
+    sim.cluster.run(3_000)
+    assert len(sim.orders()) == count
+    # A later leader knows it, too, and u1 does not return.
+    sim.cluster.stop_process(sim.cluster.leader().cfg.name)
+    sim.cluster.run(1_500)
+    sim.set_observations('', u2=14, u3=12)
+    _report(sim, u1='refused')
+    _set_positions(sim, u2=14, u3=12)
+    sim.cluster.run(1_000)
+    _repeat_reports(sim, 'u2', 'u3')
+    sim.cluster.run(4_000)
+    assert len(sim.orders()) > count
+    assert sim.orders()[-1].upstream == 'u2'
+    sim.answer_order(sim.orders()[-1], 'done')
+    sim.cluster.run(500)
+    assert sim.machine.groups['g'].final_position is None
+
+
+def test_leaving_replica_with_the_last_commits_is_promoted(sim):
+    # Guards against promotions that are given up in turn: the others lack
+    # commits, and the primary does not return.
+    sim.set_observations('', u2=14, u3=12)
+    _set_positions(sim, u2=14, u3=12)
+    _drain(sim, 'u2')
+    _report(sim, u1='refused')
+    sim.cluster.run(3_000)
+    assert sim.orders()[0].upstream == 'u2'
+
+
 def test_primary_of_a_group_without_copies_is_not_demoted():
     sim = DelegatedSimulation(copies=1)
     _drain(sim, 'u1')
@@ -504,12 +575,18 @@
     assert not sim.orders()
 
 
-def test_snapshot_of_the_first_format_is_read(sim):
+@pytest.mark.parametrize(
+    ('number', 'missing'),
+    [(1, ['former_holders', 'final_position']), (2, ['final_position'])],
+)
+def test_snapshot_of_an_earlier_format_is_read(sim, number, missing):
     machine = sim.machine
-    number, value = cbor2.loads(encode_snapshot(machine))
+    current, value = cbor2.loads(encode_snapshot(machine))
+    assert current == 3
     for group in value['groups'].values():
-        del group['former_holders']
-    restored = decode_snapshot(cbor2.dumps([number - 1, value]))
+        for field in missing:
+            del group[field]
+    restored = decode_snapshot(cbor2.dumps([number, value]))
     assert encode_snapshot(restored) == encode_snapshot(machine)
 
 
