Give the chosen upstream time to answer before another counts as newer

What callers would see, in groups with copies: after a demotion whose promotion was refused, promotions of two databases are given up in turn.

Cause: with the end of the log known, one answer is enough. The first database to answer counted as having received more than the chosen upstream, whose own answer was on its way.

Ruled out: positions that differ; both had 14.

Change: while the chosen upstream has not answered, no other counts as newer for 1 s from the first request.

--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -241,6 +241,8 @@
         Fencing token of the promotion; negative for requests outside of one.
     term : int
         Term sent with the requests.
+    since_ms : float
+        Time of the first request.
     attempts : int
         Number of requests sent; each goes through the next proxy.
     next_request_ms : float
@@ -251,6 +253,7 @@
 
     token: int
     term: int
+    since_ms: float = 0.0
     attempts: int = 0
     next_request_ms: float = 0.0
     is_confirmed: bool = False
@@ -282,8 +285,6 @@
 
     Parameters
     ----------
-    since_ms : float
-        Time of the first request.
     is_overdue : bool
         Whether the answers are not waited for any longer.
     requested : set of tuple
@@ -293,7 +294,6 @@
         log.
     """
 
-    since_ms: float = 0.0
     is_overdue: bool = False
     requested: set[MemberKey] = field(default_factory=set)
     demoted: dict[MemberKey, LogPosition] = field(default_factory=dict)
--- a/jackdawpost/core/control/replica_pause.py
+++ b/jackdawpost/core/control/replica_pause.py
@@ -22,6 +22,10 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.positions import LogPosition
 
+# Time in which the chosen upstream can answer through another proxy if one
+# does not forward the request.
+CHOSEN_ANSWER_MS = 1_000.0
+
 
 def advance_pause(
     state: ControlState,
@@ -48,7 +52,9 @@
     """
     pause = leader.replica_pauses.get(group)
     if pause is None or pause.token != promotion.to_term:
-        pause = ReplicaPause(token=promotion.to_term, term=term)
+        pause = ReplicaPause(
+            token=promotion.to_term, term=term, since_ms=state.now_ms
+        )
         leader.replica_pauses[group] = pause
     if state.now_ms < pause.next_request_ms:
         return pause
@@ -106,8 +112,13 @@
 ) -> str | None:
     """Return the replica with the highest position of those that answered.
 
-    None if that is the chosen upstream, or if too few have answered.
+    None if that is the chosen upstream, if too few have answered, or if the
+    chosen upstream may still answer.
     """
+    chosen = (promotion.chosen or '', promotion.data_id)
+    is_early = state.now_ms < pause.since_ms + CHOSEN_ANSWER_MS
+    if chosen not in pause.positions and is_early:
+        return None
     if not pause.positions or not _has_read_quorum(
         state, group, pause, holders
     ):
