Send no order of a group with copies while another is under way

What callers would see, in groups with copies on a slow platform: acknowledged commits are rolled back by the second of two orders.

Cause: an unanswered order was repeated after 1 s, or given up and followed by one for another database. The platform carries out both. The first one lets its upstream lead, which acknowledges commits, and the second one rolls them back.

Ruled out: fencing; the token of the repeated order is the highest seen then.

Groups without copies repeat an order after 1 s as before. test_isolated_leader_repeats_no_order answers its first order as 'unknown', so that it is due again after 1 s; it fails without the check of leadership as before.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -55,6 +55,8 @@
 NO_PRIMARY_GRACE_MS = 3_000.0
 # Interval at which an order without a known outcome is repeated.
 ORDER_RETRY_MS = 1_000.0
+# Time after which an order has its outcome, known or not.
+ORDER_TIMEOUT_MS = 3_000.0
 # Cool-down before a replaced primary may be adopted again. The new primary
 # takes up to 1 s to lead, and a proxy that was suspended for seconds then
 # reports what it saw before.
@@ -357,14 +359,29 @@
         return
     elif not is_leadership_recent(state, leader, name):
         return
-    elif order is None or state.now_ms >= order.sent_ms + ORDER_RETRY_MS:
-        if order is not None and has_failed(state, leader, chosen):
-            reason = 'chosen upstream failed'
-            _abandon_for_other(state, leader, name, promotion, reason)
-            return
+    elif order is not None and (state.now_ms < order.sent_ms + ORDER_RETRY_MS):
+        return
+    elif order is not None and has_failed(state, leader, chosen):
+        reason = 'chosen upstream failed'
+        _abandon_for_other(state, leader, name, promotion, reason)
+    elif not _is_order_under_way(state, leader, name):
         _send_order(state, leader, name, chosen, promotion.to_term)
 
 
+def _is_order_under_way(
+    state: ControlState, leader: LeaderState, name: str
+) -> bool:
+    """Return whether an order of a group with copies has no outcome yet.
+
+    Carried out late, it would let its upstream lead again while the next
+    order is under way, which then loses what that has acknowledged.
+    """
+    if not needs_replica_copies(state, name):
+        return False
+    sent_ms = leader.unanswered_order_ms.get(name)
+    return sent_ms is not None and state.now_ms < sent_ms + ORDER_TIMEOUT_MS
+
+
 def _current_order(
     leader: LeaderState, group: str, promotion: Promotion
 ) -> PromotionOrder | None:
@@ -527,6 +544,7 @@
     token: int,
 ) -> None:
     previous = leader.orders.get(name)
+    leader.unanswered_order_ms[name] = state.now_ms
     leader.orders[name] = PromotionOrder(
         token=token,
         sent_ms=state.now_ms,
@@ -620,6 +638,7 @@
         detail=event.detail,
     )
     leader.dirty_groups.add(event.group)
+    leader.unanswered_order_ms.pop(event.group, None)
     order = leader.orders.get(event.group)
     if order is not None and order.token == event.token:
         order.outcome = event.outcome
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -389,6 +389,9 @@
         not changed since its earlier ones.
     orders : dict of str to PromotionOrder
         Latest promotion order of each group.
+    unanswered_order_ms : dict of str to float
+        Time at which the latest order of each group was sent, while it has no
+        outcome.
     own_tokens : set of int
         Fencing tokens recorded during this leadership; no others are used.
     excluded_until_ms : dict of str to float
@@ -468,6 +471,7 @@
     )
     reported_ms: dict[str, float] = field(default_factory=dict)
     orders: dict[str, PromotionOrder] = field(default_factory=dict)
+    unanswered_order_ms: dict[str, float] = field(default_factory=dict)
     own_tokens: set[int] = field(default_factory=set)
     excluded_until_ms: dict[str, float] = field(default_factory=dict)
     without_primary_since_ms: dict[str, float] = field(default_factory=dict)
--- a/jackdawpost/tests/core/control/test_commit_holders.py
+++ b/jackdawpost/tests/core/control/test_commit_holders.py
@@ -488,6 +488,23 @@
     assert sorted(pauses) == [2, 5]
 
 
+def test_no_order_is_sent_while_another_is_under_way(sim):
+    # Guards against an order that is carried out late: its upstream leads
+    # again and acknowledges commits, which the next order rolls back.
+    sim.set_observations('u1', u1=14, u2=14, u3=14)
+    _set_positions(sim, u1=14, u2=14, u3=14)
+    _drain(sim, 'u1')
+    assert sim.cluster.run(2_000, lambda: bool(sim.orders()))
+    [first] = sim.orders()
+    sim.set_observations('', u1=14, u2=14, u3=14)
+    _report(sim, **{first.upstream: 'refused'})
+    sim.cluster.run(2_500)
+    assert sim.orders() == [first]
+    sim.answer_order(first, 'refused')
+    sim.cluster.run(2_000)
+    assert sim.orders()[-1].token > first.token
+
+
 def test_isolated_leader_repeats_no_order(sim):
     # Guards against an order that is carried out after the next leader has
     # let another upstream lead, and commits depend on its copies.
@@ -495,6 +512,7 @@
     sim.set_observations('', u2=14, u3=12)
     _report(sim, u1='refused')
     assert sim.cluster.run(2_000, lambda: bool(sim.orders()))
+    sim.answer_order(sim.orders()[0], 'unknown')
     # The order is due again 300 ms later, before the leader steps down.
     sim.cluster.run(600)
     isolated = sim.cluster.leader().cfg.name
--- a/jackdawpost/tests/core/control/test_commit_model.py
+++ b/jackdawpost/tests/core/control/test_commit_model.py
@@ -40,7 +40,7 @@
 
 
 # Seeds of deployments of another shape, see `draw_deployment`.
-DRAWN_SEEDS = [7053, 7122, 8045, 8201, 8218]
+DRAWN_SEEDS = [7053, 7122, 8011, 8027, 8045, 8201, 8218]
 
 
 def _seeds(known=SEEDS):
