Count the time without a primary anew after each promotion

What callers would see, in groups with copies: one promotion follows another, and no commit is acknowledged in between.

Cause: the time since which no upstream led was kept while a promotion ran. Until proxies had seen the new primary lead, it counted as demoted, and the 3 s of before had passed, so that it was replaced at once.

--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -104,6 +104,7 @@
             leader.dirty_groups.add(name)
             continue
         if group.promotion is not None:
+            leader.without_primary_since_ms.pop(name, None)
             _advance_promotion(state, leader, name, group, upstreams)
             continue
         if _adopt_primary(state, leader, name, group, upstreams):
