--- a/jackdawpost/core/control/delegation.py
+++ b/jackdawpost/core/control/delegation.py
@@ -404,9 +404,9 @@
 
     No write lease may be in force, and the chosen upstream must not lead in
     an old term. In a group with copies no other upstream may lead. Advances
-    the pause of the replicas too. Abandons the promotion
-    if the chosen upstream cannot be demoted because it has failed, or if the
-    primary has failed and another replica has received more.
+    the pause of the replicas too. Abandons the promotion if the chosen
+    upstream cannot be demoted because it has failed, or if the primary has
+    failed and another replica has received more.
     """
     is_safe = end_leases(state, leader, name)
     term = highest_term(state, leader, upstreams) + 1
