Send no text that ends its line or field early

Callers saw: between their own write and the next read, data that they had not written.

Cause: the encoder of START wrote the group of a report into a line without a check.

Ruled out: the undeclared service as such.

Change: no line is encoded with CR or LF inside, and no word that is empty or has a blank. A message that cannot be encoded closes its connection and ends no process. Names and groups in reports and configurations are words of at most 255 characters; zones are at most 255 characters long.

Related paths: peer and upstream of START had the fault as well (name of a tenant, id in the path of a report). SET, PREPARE and QUERY carry texts that the decoder has split at line ends; they are checked now, too. ERROR replaces line ends as before. DATAROW and COMPLETE carry texts of databases, split at line ends. The scope of an IPv6 address could be any text and is refused. CBOR: a text that is not UTF-8 ended the process and now closes the connection.

--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -50,6 +50,10 @@
     """A frame or message violates the protocol of its link."""
 
 
+class EncodingError(JackdawpostError):
+    """A message cannot be encoded for the protocol of its link."""
+
+
 class DocumentError(ProtocolError):
     """A configuration document has missing or invalid values.
 
--- a/jackdawpost/platform/documents.py
+++ b/jackdawpost/platform/documents.py
@@ -25,6 +25,9 @@
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.json_bodies import parse_json_body
+from jackdawpost.wire.json_bodies import Text
+from jackdawpost.wire.json_bodies import validate_word
+from jackdawpost.wire.json_bodies import Word
 from jackdawpost.wire.sockets import MAX_PORT
 
 _PORT_PATTERN = re.compile('[1-9][0-9]{0,4}')
@@ -54,7 +57,7 @@
 
 
 class _Service(_RequestBody):
-    name: str
+    name: Word
     # Limit for each database of the group, over all callers.
     max_connections: int = Field(default=0, alias='maxConnections', ge=0)
     # Number of replicas that must hold a commit before it is acknowledged.
@@ -67,7 +70,7 @@
 
 
 class _Tenant(_RequestBody):
-    name: str = Field(min_length=1)
+    name: Word
     keys: list[str] = Field(default_factory=list, alias='apiKeys')
     # The core checks the numbers; its faults name the tenant.
     rate_per_s: JsonValue = Field(default=None, alias='ratePerS')
@@ -83,10 +86,10 @@
 
 
 class _Instance(_RequestBody):
-    group: str = Field(alias='service', min_length=1)
+    group: Word = Field(alias='service')
     address: str
     # Name of the data centre.
-    zone: str = Field(min_length=1)
+    zone: Text
     slots: int = Field(default=0, ge=0, le=2**62)
     state: Literal['ready', 'draining']
     role: Literal['primary', 'replica'] = Field(alias='dbRole')
@@ -182,8 +185,10 @@
     Raises
     ------
     ProtocolError
-        The body is not valid JSON, or a value is missing or invalid.
+        The body is not valid JSON, or the name or a value is missing or
+        invalid.
     """
+    validate_word('name', name)
     report = parse_json_body(_Instance, body)
     host, port = _parse_address(report.address)
     return Registration(
@@ -204,7 +209,9 @@
     """Split IP:PORT; host names are rejected, since nothing resolves them."""
     host, _, port = text.rpartition(':')
     try:
-        ip_address(host)
+        # The scope of an IPv6 address may be any text.
+        if '%' in str(ip_address(host)):
+            raise ValueError('expected an address without a scope')
         if not _PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
             raise ValueError(f'expected a port from 1 to {MAX_PORT}')
     except ValueError as exc:
--- a/jackdawpost/platform/lines.py
+++ b/jackdawpost/platform/lines.py
@@ -28,7 +28,8 @@
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.errors import ProtocolError
 from jackdawpost.wire.codec import FrameError
-from jackdawpost.wire.line_stream import LINE_END
+from jackdawpost.wire.line_stream import check_word
+from jackdawpost.wire.line_stream import encode_line
 from jackdawpost.wire.line_stream import LineStream
 from jackdawpost.wire.line_stream import open_line_stream
 
@@ -81,23 +82,30 @@
 
 
 def encode_messages(messages: list[Any]) -> bytes:
-    """Encode messages as lines."""
+    """Encode messages as lines.
+
+    Raises
+    ------
+    EncodingError
+        A text would end its line, or its field, before its own end.
+    """
     lines = [_ENCODERS[type(message)](message) for message in messages]
-    return b''.join(
-        line.encode(errors=_UTF8_ERRORS) + LINE_END for line in lines
-    )
+    return b''.join(encode_line(line, _UTF8_ERRORS) for line in lines)
 
 
 def _encode_execute(message: Execute) -> str:
-    return f'QUERY {message.id} {_encode_after(message.after)}{message.text}'
+    after = _encode_after(message.after)
+    return f'QUERY {check_word(message.id)} {after}{message.text}'
 
 
 def _encode_internal(message: Internal) -> str:
     text = _INTERNAL_STATEMENTS.get(message.action)
     if text is None:
-        keyword = message.action.upper()
-        fields = (keyword, message.name, message.argument)
-        text = ' '.join(field for field in fields if field)
+        text = message.action.upper()
+        if message.name:
+            text += f' {check_word(message.name)}'
+        if message.argument:
+            text += f' {message.argument}'
     return f'QUERY {NO_ID} {_encode_after(message.after)}{text}'
 
 
@@ -121,10 +129,15 @@
     return f'ERROR {keyword} {message.text.translate(_LINE_BREAKS_TO_SPACES)}'
 
 
+def _encode_open(message: OpenUpstream) -> str:
+    fields = (message.group, message.peer, message.upstream)
+    return ' '.join(['START', *map(check_word, fields)])
+
+
 _ENCODERS: dict[type[Any], Callable[[Any], str]] = {
     Execute: _encode_execute,
     Internal: _encode_internal,
-    OpenUpstream: lambda m: f'START {m.group} {m.peer} {m.upstream}',
+    OpenUpstream: _encode_open,
     Row: lambda m: f'DATAROW {m.text}',
     Done: lambda m: f'COMPLETE {m.signature}',
     Failed: _encode_failed,
--- a/jackdawpost/runtime/shell.py
+++ b/jackdawpost/runtime/shell.py
@@ -41,6 +41,7 @@
 from jackdawpost.core.events import Received
 from jackdawpost.core.events import TimerFired
 from jackdawpost.core.intake import IntakeLimits
+from jackdawpost.errors import EncodingError
 from jackdawpost.runtime.metrics import Metrics
 from jackdawpost.runtime.timers import read_now_ms
 from jackdawpost.runtime.timers import TimerService
@@ -470,11 +471,33 @@
             encode = encode_json if connection.answer_as_text else encode_cbor
         frames = self._unsent_frames.setdefault(effect.conn, [])
         for start in range(0, len(messages), MAX_MESSAGES_PER_FRAME):
-            frame = encode(messages[start : start + MAX_MESSAGES_PER_FRAME])
+            try:
+                frame = encode(
+                    messages[start : start + MAX_MESSAGES_PER_FRAME]
+                )
+            except EncodingError as exc:
+                self._drop_connection(effect.conn, connection, str(exc))
+                return
             frames.append(frame)
             if connection.link != 'caller':
                 self.metrics.count(f'sent_bytes_{connection.link}', len(frame))
 
+    def _drop_connection(
+        self, conn: int, connection: OpenConnection, detail: str
+    ) -> None:
+        """Close a connection on which a message cannot be sent.
+
+        The other end must not receive the messages after it without it.
+        """
+        del self._conns[conn]
+        self._unsent_frames.pop(conn, None)
+        self.metrics.count('messages_unencodable')
+        self._log.warning(
+            'message_unencodable',
+            extra={'conn': conn, 'link': connection.link, 'detail': detail},
+        )
+        self.spawn(connection.stream.abort)
+
     def _connect(self, effect: Connect) -> None:
         self.spawn(self._open_upstream, effect)
 
--- a/jackdawpost/tests/platform/test_documents.py
+++ b/jackdawpost/tests/platform/test_documents.py
@@ -272,21 +272,55 @@
         '10.1.0.9:\u0665\u0664\u0663\u0662',
         '10.1.0.9:' + 5_000 * '1',
         '10.1.0.9 :5432',
+        'fe80::1%any text:5432',
     ],
 )
 def test_report_without_a_usable_address_is_rejected(address):
     # Proxies connect to a reported address, so an invalid one would reach the
     # resolver of each of them.
+    with pytest.raises(ProtocolError, match='expected IP:PORT'):
+        _decode_report(address=address)
+
+
+def _decode_report(name='i-1', **changed_fields):
     body = {
         'service': 'pool',
-        'address': address,
+        'address': '10.1.0.9:5432',
         'zone': 'rvk-a',
         'state': 'ready',
         'dbRole': 'replica',
         'sequence': 1,
+        **changed_fields,
     }
-    with pytest.raises(ProtocolError, match='expected IP:PORT'):
-        decode_instance('i-1', json.dumps(body).encode())
+    return decode_instance(name, json.dumps(body).encode())
+
+
+UNUSABLE_WORDS = [
+    '',
+    'a b',
+    'a\r\nQUERY 1 WRITE b c',
+    'a\n',
+    '\x85',
+    'x' * 256,
+]
+
+
+@pytest.mark.parametrize('text', UNUSABLE_WORDS)
+def test_text_that_is_not_one_field_of_a_line_is_rejected(text):
+    # Guards against a name or group whose rest becomes a statement, and
+    # against texts that are too long for the control log.
+    assert _decode_report(name='i-2', service='g', zone='a b')
+    for fields in ({'name': text}, {'service': text}):
+        with pytest.raises(ProtocolError):
+            _decode_report(**fields)
+    for config in (
+        _config(services=[{'name': text}], routes=[_route(service=text)]),
+        _config(tenants=[_tenant(name=text)]),
+    ):
+        with pytest.raises(ProtocolError):
+            decode_config(json.dumps(config).encode())
+    with pytest.raises(ProtocolError):
+        _decode_report(zone='x' * 256)
 
 
 def test_departure_nested_too_deeply_names_no_incarnation():
--- a/jackdawpost/tests/platform/test_lines.py
+++ b/jackdawpost/tests/platform/test_lines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 from hypothesis import given
 from hypothesis import settings
@@ -18,7 +20,9 @@
 from jackdawpost.core.messages.session import Row
 from jackdawpost.core.messages.session import StartSession
 from jackdawpost.core.positions import LogPosition
+from jackdawpost.errors import EncodingError
 from jackdawpost.errors import ProtocolError
+from jackdawpost.platform import lines
 from jackdawpost.platform.lines import CALLER_CODEC
 from jackdawpost.platform.lines import DATABASE_CODEC
 from jackdawpost.platform.lines import decode_status
@@ -63,6 +67,67 @@
     assert encode_messages([message]) == line
 
 
+ENCODED_MESSAGES = [
+    OpenUpstream(group='pool', peer='edge-1', upstream='i-1'),
+    Execute(id='a1', text='READ 7', after=LogPosition(3, 12)),
+    Internal(action='set', name='zone', argument='a'),
+    Internal(action='pause', argument='7'),
+    Row(text='a'),
+    Done(signature='7.1'),
+    Failed(code='overloaded', text='full'),
+    Ready(state='idle', position=LogPosition(2, 5)),
+]
+FIXED_TEXTS = {'kind', 'action', 'code', 'state'}
+ENCODED_TEXTS = [
+    (message, field.name)
+    for message in ENCODED_MESSAGES
+    for field in dataclasses.fields(message)
+    if field.name not in FIXED_TEXTS
+    and isinstance(getattr(message, field.name), str)
+]
+
+
+def _encode_with(message, field, text):
+    return encode_messages([dataclasses.replace(message, **{field: text})])
+
+
+def test_every_encoder_is_checked_for_texts_that_end_a_line():
+    assert {type(m) for m in ENCODED_MESSAGES} == set(lines._ENCODERS)
+
+
+@pytest.mark.parametrize('message, field', ENCODED_TEXTS)
+@pytest.mark.parametrize('line_end', ['\r\n', '\n', '\r'])
+def test_text_with_a_line_end_is_not_sent_as_two_lines(
+    message, field, line_end
+):
+    # Guards against a statement inside a text: a database ran the rest of an
+    # unknown group's name.
+    text = f'x{line_end}QUERY a2 WRITE 1 foreign'
+    if isinstance(message, Failed):
+        # Error texts of this process may quote anything.
+        sent = _encode_with(message, field, text)
+        assert sent.count(b'\r') == sent.count(b'\n') == 1
+        return
+    with pytest.raises(EncodingError):
+        _encode_with(message, field, text)
+
+
+@pytest.mark.parametrize(
+    'message, field',
+    [
+        (ENCODED_MESSAGES[0], 'group'),
+        (ENCODED_MESSAGES[0], 'peer'),
+        (ENCODED_MESSAGES[0], 'upstream'),
+        (ENCODED_MESSAGES[1], 'id'),
+        (ENCODED_MESSAGES[2], 'name'),
+    ],
+)
+def test_text_with_a_blank_is_not_sent_as_two_fields(message, field):
+    # Guards against a group's name that chooses the identity to be checked.
+    with pytest.raises(EncodingError):
+        _encode_with(message, field, 'pool i-2')
+
+
 def test_answers_of_a_database_are_decoded_in_order():
     data = b'DATAROW a b\r\nCOMPLETE 7.1\r\nREADY T 3.9\r\nERROR LAGGING x\r\n'
     assert DATABASE_CODEC.decode(data) == [
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -14,6 +14,7 @@
 from pydantic import ValidationError
 from pydantic_core import SchemaValidator
 
+from jackdawpost.errors import EncodingError
 from jackdawpost.errors import ProtocolError
 
 MAX_MESSAGES_PER_FRAME = 64
@@ -144,10 +145,18 @@
 
 
 def encode_cbor(messages: list[Any]) -> bytes:
-    """Encode messages as one binary frame."""
-    if len(messages) == 1:
-        return cbor2.dumps(to_plain(messages[0]))
-    return cbor2.dumps([to_plain(message) for message in messages])
+    """Encode messages as one binary frame.
+
+    Raises
+    ------
+    EncodingError
+        A text is not valid UTF-8.
+    """
+    plain = [to_plain(message) for message in messages]
+    try:
+        return cbor2.dumps(plain[0] if len(plain) == 1 else plain)
+    except (UnicodeEncodeError, cbor2.CBOREncodeError) as exc:
+        raise EncodingError(f'message cannot be encoded: {exc}') from exc
 
 
 def encode_compressed(messages: list[Any]) -> bytes:
--- a/jackdawpost/wire/json_bodies.py
+++ b/jackdawpost/wire/json_bodies.py
@@ -3,17 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from typing import Annotated
 from typing import TypeVar
 
 from pydantic import BaseModel
+from pydantic import Field
+from pydantic import TypeAdapter
 from pydantic import ValidationError
 
 from jackdawpost.errors import DocumentError
 
 MAX_QUOTED_CHARS = 80
+MAX_NAME_CHARS = 255
+
+Text = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARS)]
+Word = Annotated[Text, Field(pattern=r'^[^\s\p{Cc}]+$')]
+"""Text that is a field of a line: without blanks and line ends."""
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
+_WORD_ADAPTER = TypeAdapter(Word)
+
 
 def parse_json_body(
     model: type[ModelT], body: bytes, secret_fields: Collection[str] = ()
@@ -48,6 +58,28 @@
         raise DocumentError(problems) from None
 
 
+def validate_word(path: str, text: str) -> None:
+    """Validate a word that is not part of a body.
+
+    Parameters
+    ----------
+    path : str
+        Name of the value, for the error.
+
+    Raises
+    ------
+    DocumentError
+        The text is empty, too long, or contains a blank or a line end.
+    """
+    try:
+        _WORD_ADAPTER.validate_python(text)
+    except ValidationError as exc:
+        message = exc.errors(include_url=False)[0]['msg']
+        raise DocumentError(
+            [_describe_error((path,), text, message)]
+        ) from None
+
+
 def _describe_error(
     path: tuple[int | str, ...], value: object, message: str
 ) -> tuple[str, str]:
--- a/jackdawpost/wire/line_stream.py
+++ b/jackdawpost/wire/line_stream.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from jackdawpost.errors import EncodingError
 from jackdawpost.wire.byte_writer import ByteWriter
 from jackdawpost.wire.codec import FrameError
 from jackdawpost.wire.intake_guard import GuardedConnection
@@ -22,6 +23,46 @@
 MAX_LINE_BYTES = 1 << 20
 MS_PER_SECOND = 1_000
 LINE_END = b'\r\n'
+MAX_QUOTED_CHARS = 80
+
+
+def check_word(text: str) -> str:
+    """Return a text that may be any field of a line, or raise.
+
+    Raises
+    ------
+    EncodingError
+        The text is empty or contains a blank.
+    """
+    if not text or ' ' in text:
+        raise EncodingError(
+            f'malformed field {text[:MAX_QUOTED_CHARS]!r}, expected one word'
+        )
+    return text
+
+
+def encode_line(text: str, errors: str) -> bytes:
+    """Encode one line and its line end.
+
+    Parameters
+    ----------
+    errors : str
+        Error handler of the UTF-8 codec.
+
+    Raises
+    ------
+    EncodingError
+        The text contains a CR or LF, so that the rest of it would be read as
+        another line, or it is not valid UTF-8.
+    """
+    if '\r' in text or '\n' in text:
+        raise EncodingError(
+            f'malformed line {text[:MAX_QUOTED_CHARS]!r}, expected no CR or LF'
+        )
+    try:
+        return text.encode(errors=errors) + LINE_END
+    except UnicodeEncodeError as exc:
+        raise EncodingError(f'malformed line: {exc}') from exc
 
 
 class LineStream:
