Replace members only by upstreams that proxies have verified

One report with the primary's address under another id, of a declared service or not, was followed by a promotion.

Cause: two, of which each suffices. A report of a group that nobody has declared was taken for that of an upstream. And the word of a report was believed before any proxy had verified it: the members with its name or address were removed and recorded as departed, and the newcomer that it named spoke against the reports of members (log: report_ignored, "the address is now used by", then "this incarnation has departed").

Ruled out: the proxies' checks. They approved none of the foreign ids.

Change: reports of undeclared groups are held in the leader's memory, up to 2,000, until the group is declared. A member is replaced by an upstream at its address once that has joined, and by one under its name at another address once only the removal is missing. Only members speak against reports. A registered upstream joins after at least one proxy has found it. Replaced incarnations are not recorded as departed.

Related paths: the same identity with another address or group moved the member, now ignored; a later start under the same name and address is believed at once as before, since answers do not tell the start, but no longer for good: 15 s of silence later the reports of the running incarnation count again; leader.registered was overwritten by foreign reports and kept entries of removed members; a departure of an earlier start dropped the report of the running one; find_possible_primaries waits only for members; announcements on links of the own protocol are bound to their link. Open: the promotion after a later start under the primary's own id and address, and DELETE by anyone.

Before the change 33 of the new test cases failed: test_report_that_no_proxy_verifies_takes_no_member_out (28 of 42), test_verified_upstream_takes_the_place_of_the_earlier_one, test_upstream_of_an_undeclared_group_joins_once_that_is_declared, test_upstream_joins_only_after_a_proxy_has_found_it and test_upstream_that_goes_on_reporting_outlives_a_false_restart.

--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -35,6 +35,8 @@
 from jackdawpost.core.control.rates import new_rate_ledger
 from jackdawpost.core.control.registry import abort_pending_requests
 from jackdawpost.core.control.registry import answer_pending_requests
+from jackdawpost.core.control.registry import forget_report
+from jackdawpost.core.control.registry import remove_superseded
 from jackdawpost.core.control.registry import sweep_registrations
 from jackdawpost.core.control.sampling import request_positions
 from jackdawpost.core.control.state import Applied
@@ -197,6 +199,7 @@
         leader.removal_reasons.pop(key, None)
         leader.last_contact_ms.pop(key, None)
         leader.next_announce_ms.pop(key, None)
+        forget_report(leader, key)
         discard_approval_requests(state, key)
         if not is_member(state, *key):
             state.upstreams.pop(key, None)
@@ -208,6 +211,8 @@
         if link is not None and is_member(state, link.name, link.member_id):
             process_report(state, leader, link)
     request_approvals(state)
+    if state.cfg.delegated:
+        remove_superseded(state)
 
 
 def run_services(
--- a/jackdawpost/core/control/membership.py
+++ b/jackdawpost/core/control/membership.py
@@ -2,9 +2,12 @@
 
 A newcomer joins once all present members have approved it, except upstreams
 that registered themselves by HTTP requests: they have no link on which to be
-asked. The functions that change the state run only while a command of the
-replicated log is applied. Hence the members whose approval is needed are those
-at that position in the log, the same in every control process.
+asked. Such an upstream itself joins only if at least one proxy has found it at
+its address, since anyone can send its report.
+
+The functions that change the state run only while a command of the replicated
+log is applied. Hence the members whose approval is needed are those at that
+position in the log, the same in every control process.
 """
 
 from __future__ import annotations
@@ -288,6 +291,8 @@
         # approvals are missing.
         if len(newcomer.approvals) < approvers:
             continue
+        if newcomer.member.registered and not newcomer.approvals:
+            continue
         if missing_approvals(machine, name):
             continue
         del machine.newcomers[name]
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -414,6 +414,8 @@
         Request by token of the leadership confirmation that it waits for.
     registered : dict of str to RegisteredUpstream
         Latest reports of registered upstreams.
+    undeclared : dict of str to RegisteredUpstream
+        Latest reports of upstreams whose group is not declared, oldest first.
     next_sweep_ms : float
         Time of the next sweep over the registered upstreams.
     next_group_sweep_ms : float
@@ -516,6 +518,7 @@
     pending_requests: dict[int, list[int]] = field(default_factory=dict)
     pending_reads: dict[int, int] = field(default_factory=dict)
     registered: dict[str, RegisteredUpstream] = field(default_factory=dict)
+    undeclared: dict[str, RegisteredUpstream] = field(default_factory=dict)
     next_sweep_ms: float = 0.0
     next_group_sweep_ms: float = 0.0
     waiting_approvals: list[ApproveMember] = field(default_factory=list)
--- a/jackdawpost/tests/core/control/fakes.py
+++ b/jackdawpost/tests/core/control/fakes.py
@@ -59,6 +59,7 @@
         self.seq = 0
         self.is_up = True
         self.approves = True
+        self.unverified: set[str] = set()
         self.answers_revocations = True
         self.evidence: dict[str, str] = {}
         self.upstream_reports: dict[str, UpstreamReport] | None = None
@@ -124,6 +125,8 @@
                     del self.lease_until_ms[key]
             return [LeaseRevoked(group=message.group, term=message.term)]
         elif isinstance(message, ApprovalRequest) and self.approves:
+            if f'{message.newcomer} at {message.host}' in self.unverified:
+                return []
             return [approve(self.name, f'id-{self.name}', message)]
         return []
 
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jackdawpost.core.control.commands import DeclareObject
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import DrainRequested
 from jackdawpost.core.messages.registry import Departure
@@ -13,6 +14,7 @@
 from jackdawpost.tests.core.control.delegated import DelegatedSimulation
 from jackdawpost.tests.core.control.delegated import registration
 from jackdawpost.tests.core.control.delegated import STARTED_MS
+from jackdawpost.tests.core.control.fakes import FakeProxy
 
 
 def test_upstreams_join_once_every_proxy_has_approved():
@@ -145,6 +147,114 @@
     assert 'u3' not in sim.machine.members
 
 
+def _report_for(sim, duration_ms):
+    """Let the upstreams report themselves in their usual interval."""
+    for number in range(2, 2 + int(duration_ms / 1_200)):
+        for name in ('u1', 'u2', 'u3'):
+            reply = sim.send_request(registration(name, sequence=number))
+            assert reply.outcome == 'done'
+        sim.cluster.run(1_200)
+
+
+FOREIGN_REPORTS = [
+    {'group': 'g', 'name': 'u9', 'host': '10.0.1.1'},
+    {'group': 'elsewhere', 'name': 'u9', 'host': '10.0.1.1'},
+    {'group': 'g', 'name': 'u1', 'host': '10.0.1.9'},
+    {'group': 'elsewhere', 'name': 'u1', 'host': '10.0.1.9'},
+    {'group': 'elsewhere', 'name': 'u1', 'host': '10.0.1.1'},
+    {'group': 'g', 'name': 'u1', 'host': '10.0.1.1', 'port': 7},
+    {'group': 'g', 'name': 'u9', 'host': '10.0.1.1', 'state': 'draining'},
+]
+
+
+@pytest.mark.parametrize('is_repeated', [False, True])
+@pytest.mark.parametrize(
+    'started_ms', [STARTED_MS, STARTED_MS + 60_000, 2**62]
+)
+@pytest.mark.parametrize('fields', FOREIGN_REPORTS)
+def test_report_that_no_proxy_verifies_takes_no_member_out(
+    fields, started_ms, is_repeated
+):
+    # Guards against reports of another writer that name the address or the
+    # name of a healthy primary: it was removed at once and for good.
+    sim = DelegatedSimulation()
+    for proxy in sim.proxies:
+        proxy.unverified = {'u9 at 10.0.1.1', 'u1 at 10.0.1.9'}
+        if 'port' in fields:
+            proxy.unverified.add('u1 at 10.0.1.1')
+    before = dict(sim.machine.members)
+    for _ in range(6 if is_repeated else 1):
+        foreign = registration(**fields, started_ms=started_ms, leads=False)
+        assert sim.send_request(foreign).outcome == 'done'
+        _report_for(sim, 1_200 if is_repeated else 36_000)
+    assert dict(sim.machine.members) == before
+    assert sim.machine.groups['g'].primary == 'u1'
+    assert not sim.orders()
+
+
+def test_upstream_that_goes_on_reporting_outlives_a_false_restart():
+    # Guards against a report with a later start time after which those of the
+    # running upstream are ignored for good.
+    sim = DelegatedSimulation()
+    false_start = registration('u2', started_ms=STARTED_MS + 60_000)
+    sim.send_request(false_start)
+    _report_for(sim, 12_000)
+    assert sim.machine.members['u2'].member_id == str(STARTED_MS)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [{'name': 'u2', 'host': '10.0.1.9'}, {'name': 'u9', 'host': '10.0.1.2'}],
+)
+def test_verified_upstream_takes_the_place_of_the_earlier_one(fields):
+    sim = DelegatedSimulation()
+    report = registration(**fields, started_ms=STARTED_MS + 9)
+    sim.proxies[1].approves = False
+    sim.send_request(report)
+    sim.cluster.run(1_000)
+    assert sim.machine.members['u2'].member_id == str(STARTED_MS)
+    sim.proxies[1].approves = True
+    sim.cluster.run(1_500)
+    taken = [
+        (member.name, member.member_id)
+        for member in sim.machine.members.values()
+        if member.name == 'u2' or member.host == '10.0.1.2'
+    ]
+    assert taken == [(fields['name'], str(STARTED_MS + 9))]
+
+
+def test_upstream_of_an_undeclared_group_joins_once_that_is_declared():
+    # Guards against newcomers that other writers name: each costs checks by
+    # all proxies.
+    sim = DelegatedSimulation()
+    report = registration('u9', group='later')
+    assert sim.send_request(report).outcome == 'done'
+    sim.cluster.run(1_000)
+    assert 'u9' not in {*sim.machine.members, *sim.machine.newcomers}
+    config = declare(2)
+    config.objects.append(
+        DeclareObject(
+            type='group',
+            name='later',
+            body={'databases': 1, 'write_copies': 1},
+        )
+    )
+    assert sim.send_request(config).outcome == 'done'
+    sim.cluster.run(500)
+    assert 'u9' in sim.machine.members
+
+
+def test_upstream_joins_only_after_a_proxy_has_found_it():
+    # Guards against reports that are taken at their word while no proxy is a
+    # member.
+    sim = DelegatedSimulation(proxies=0)
+    sim.cluster.run(1_000)
+    assert not sim.machine.members
+    sim.cluster.add(FakeProxy('p9'))
+    sim.cluster.run(1_500)
+    assert {'u1', 'u2', 'u3'} <= set(sim.machine.members)
+
+
 def test_primary_reported_by_proxies_is_adopted():
     sim = DelegatedSimulation()
     assert sim.machine.groups['g'].primary == 'u1'
