End no process for a command that the log cannot hold

One HEAD request ended a control process at /config, a pooler at its metrics.

Cause: an error that nobody catches. consensus.propose refuses a command above 768 KiB with ValueError, which 2 of 15 callers expected (traceback: record_announcement, propose). The HTTP server sent a body in response to HEAD and caught the peer's errors only, not those of its own messages (traceback: h11.LocalProtocolError).

Ruled out: the size of the request, which is within its limit, and memory.

Change: propose logs what the log cannot hold as command_unrecordable and proposes nothing; submit raises CommandError for the two callers who can tell the sender. Texts of members in reports, announcements and approvals are at most 255 characters long. HEAD has no body, and a response that does not fit its request closes its connection.

--- a/jackdawpost/core/control/members.py
+++ b/jackdawpost/core/control/members.py
@@ -26,8 +26,10 @@
 ANNOUNCE_BACKOFF_MS = 1_000.0
 # Key of the proposal that records approvals.
 APPROVALS_KEY = 'approvals'
-# Keeps an entry well below the largest message between control processes.
-MAX_APPROVALS_PER_ENTRY = 2_000
+# Bounds an entry well below the longest command.
+MAX_APPROVAL_CHARS_PER_ENTRY = 128 * 1024
+# Encoded size of an approval besides its texts.
+FIXED_APPROVAL_CHARS = 80
 
 
 def record_announcement(state: ControlState, command: AnnounceMember) -> None:
@@ -46,8 +48,8 @@
     if state.now_ms < leader.next_announce_ms.get(key, 0):
         return
     proposal = f'announce/{command.name}/{command.member_id}'
-    if propose(state, proposal, command) is not None:
-        leader.next_announce_ms[key] = state.now_ms + ANNOUNCE_BACKOFF_MS
+    propose(state, proposal, command)
+    leader.next_announce_ms[key] = state.now_ms + ANNOUNCE_BACKOFF_MS
 
 
 def _is_recorded(state: ControlState, command: AnnounceMember) -> bool:
@@ -136,10 +138,29 @@
     waiting = leader.waiting_approvals
     if not waiting or APPROVALS_KEY in leader.proposed:
         return
-    batch = waiting[:MAX_APPROVALS_PER_ENTRY]
-    command = ApproveMembers(approvals=batch)
+    size = _count_approvals(waiting, MAX_APPROVAL_CHARS_PER_ENTRY)
+    command = ApproveMembers(approvals=waiting[:size])
     if propose(state, APPROVALS_KEY, command) is not None:
-        leader.waiting_approvals = waiting[MAX_APPROVALS_PER_ENTRY:]
+        leader.waiting_approvals = waiting[size:]
+
+
+def _count_approvals(approvals: list[ApproveMember], max_chars: int) -> int:
+    """Return how many approvals fit into one entry, at least one."""
+    chars = 0
+    for count, approval in enumerate(approvals):
+        chars += FIXED_APPROVAL_CHARS + sum(
+            len(value)
+            for value in (
+                approval.member,
+                approval.member_id,
+                approval.newcomer,
+                approval.newcomer_id,
+                approval.checked,
+            )
+        )
+        if count and chars > max_chars:
+            return count
+    return len(approvals)
 
 
 def request_approvals(state: ControlState) -> None:
--- a/jackdawpost/core/control/operators.py
+++ b/jackdawpost/core/control/operators.py
@@ -23,8 +23,8 @@
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
 from jackdawpost.core.control.process import LinkState
-from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import refuse
+from jackdawpost.core.control.process import submit
 from jackdawpost.core.control.process import WaitingOperator
 from jackdawpost.core.control.promotion_choice import missing_databases
 from jackdawpost.core.control.state import Applied
@@ -41,6 +41,7 @@
 from jackdawpost.core.messages.operator import Query
 from jackdawpost.core.messages.operator import Table
 from jackdawpost.core.outbox import send
+from jackdawpost.errors import CommandError
 
 
 def receive_from_operator(
@@ -93,8 +94,8 @@
         send(state, link.conn, command_or_answer)
         return
     try:
-        index = propose(state, '', command_or_answer)
-    except ValueError as exc:
+        index = submit(state, '', command_or_answer)
+    except CommandError as exc:
         answer = answer_refusal(state.machine, message.id, str(exc))
         send(state, link.conn, answer)
         return
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -30,6 +30,7 @@
 from jackdawpost.core.outbox import log
 from jackdawpost.core.positions import LogPosition
 from jackdawpost.core.rates.ledger import RateLedger
+from jackdawpost.errors import CommandError
 
 if TYPE_CHECKING:
     from jackdawpost.settings.models import ControlSettings
@@ -660,6 +661,9 @@
 def propose(state: ControlState, key: str, command: Command) -> int | None:
     """Propose a command unless a proposal with the same key is pending.
 
+    A command that the log cannot hold is logged and not proposed. Its texts
+    may come from anyone, so it must not end the process.
+
     Parameters
     ----------
     key : str
@@ -671,12 +675,34 @@
     int or None
         Index of the log entry; None if nothing was proposed.
     """
+    try:
+        return submit(state, key, command)
+    except CommandError as exc:
+        count(state, 'commands_unrecordable')
+        log(state, 'warning', 'command_unrecordable', detail=str(exc))
+        return None
+
+
+def submit(state: ControlState, key: str, command: Command) -> int | None:
+    """Propose a command for a sender who is told why it cannot be recorded.
+
+    Parameters and returned value are those of `propose`.
+
+    Raises
+    ------
+    CommandError
+        The command is too long for the log, or contains a text that is not
+        valid UTF-8.
+    """
     leader = state.leader
     if leader is None or (key and key in leader.proposed):
         return None
-    index, effects = consensus.propose(
-        state.consensus, state.now_ms, encode_command(command)
-    )
+    try:
+        index, effects = consensus.propose(
+            state.consensus, state.now_ms, encode_command(command)
+        )
+    except ValueError as exc:
+        raise CommandError(f'{command.kind}: {exc}') from exc
     state.consensus_effects.extend(effects)
     if index is not None and key:
         leader.proposed[key] = index
--- a/jackdawpost/core/control/registry.py
+++ b/jackdawpost/core/control/registry.py
@@ -25,6 +25,7 @@
 from jackdawpost.core.control.process import MemberKey
 from jackdawpost.core.control.process import propose
 from jackdawpost.core.control.process import RegisteredUpstream
+from jackdawpost.core.control.process import submit
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import ChangeAnswer
 from jackdawpost.core.control.state import Member
@@ -37,6 +38,7 @@
 from jackdawpost.core.messages.registry import Registration
 from jackdawpost.core.objects.declared import check_declared
 from jackdawpost.core.outbox import log
+from jackdawpost.errors import CommandError
 
 MAX_REPORTED_FAULTS = 20
 # Interval at which the missing steps of a join or a departure are repeated.
@@ -121,8 +123,8 @@
             objects=request.objects,
         )
         try:
-            index = propose(state, key, command)
-        except ValueError as exc:
+            index = submit(state, key, command)
+        except CommandError as exc:
             fault = Fault(object='', field='document', message=str(exc))
             _refuse_declared(state, request_id, request.version, [fault])
             return
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -4,9 +4,12 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Annotated
 from typing import Any
 from typing import Literal
 
+from pydantic import Field
+
 from jackdawpost.core.positions import LogPosition
 
 # Reachability of an upstream. 'silent': probes or connection attempts time
@@ -14,6 +17,9 @@
 # answers probes but completes no statements.
 Evidence = Literal['up', 'silent', 'refused', 'stalled']
 
+ShortText = Annotated[str, Field(max_length=255)]
+"""Name, identity or address of a member, which commands of the log repeat."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Announce:
@@ -37,12 +43,12 @@
         The upstream is shutting down.
     """
 
-    name: str
-    group: str
-    data_id: str
-    host: str
+    name: ShortText
+    group: ShortText
+    data_id: ShortText
+    host: ShortText
     port: int
-    data_centre: str
+    data_centre: ShortText
     slots: int
     connections: int
     term: int
@@ -81,11 +87,11 @@
         Version of the published state that the member had applied.
     """
 
-    member: str
-    member_id: str
-    newcomer: str
-    newcomer_id: str
-    checked: str
+    member: ShortText
+    member_id: ShortText
+    newcomer: ShortText
+    newcomer_id: ShortText
+    checked: ShortText
     version: int = 0
     kind: Literal['approval'] = 'approval'
 
@@ -149,13 +155,13 @@
         States of the upstreams, reported by session poolers only.
     """
 
-    proxy: str
-    proxy_id: str
-    incarnation: str
+    proxy: ShortText
+    proxy_id: ShortText
+    incarnation: ShortText
     seq: int
-    host: str
+    host: ShortText
     port: int
-    data_centre: str
+    data_centre: ShortText
     version: int
     draining: bool = False
     holdings: dict[str, int] = field(default_factory=dict)
--- a/jackdawpost/errors.py
+++ b/jackdawpost/errors.py
@@ -54,6 +54,10 @@
     """A message cannot be encoded for the protocol of its link."""
 
 
+class CommandError(JackdawpostError):
+    """A command cannot be recorded in the control log."""
+
+
 class DocumentError(ProtocolError):
     """A configuration document has missing or invalid values.
 
--- a/jackdawpost/tests/wire/test_codec.py
+++ b/jackdawpost/tests/wire/test_codec.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import zlib
 
 import cbor2
@@ -85,6 +86,16 @@
         CALLER_CODEC.decode(frame)
 
 
+def test_text_that_cannot_be_passed_on_is_rejected():
+    # Guards against a caller's half of a surrogate pair that ends the proxy
+    # when it forwards the statement.
+    with pytest.raises(FrameError, match='surrogates not allowed'):
+        CALLER_CODEC.decode(json.dumps(_statement(sql='\ud83d')))
+    for text in ('\U0001f600', '\\ud83d', '\u20ac'):
+        frame = json.dumps(_statement(sql=text))
+        assert CALLER_CODEC.decode(frame)[0].sql == text
+
+
 def test_unknown_fields_of_nested_data_are_rejected():
     codec = FrameCodec(LeaseGrant)
     lease = {'group': 'g', 'term': 1, 'unknown_field': 1}
--- a/jackdawpost/tests/wire/test_http.py
+++ b/jackdawpost/tests/wire/test_http.py
@@ -30,12 +30,12 @@
     return port
 
 
-async def _send_raw(port, data):
+async def _send_raw(port, data, wait_s=1):
     stream = await trio.open_tcp_stream(HOST, port)
     async with stream:
         await stream.send_all(data)
         answer = b''
-        with trio.move_on_after(1):
+        with trio.move_on_after(wait_s):
             while chunk := await stream.receive_some(65_536):
                 answer += chunk
         return answer
@@ -76,6 +76,61 @@
     assert response.status == 200
 
 
+@pytest.mark.parametrize('path', ['/config', '/metrics'])
+async def test_head_request_is_answered_without_a_body(nursery, path):
+    # Guards against one HEAD request that ends the process.
+    port = await _start_server(nursery)
+    head = f'HEAD {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode()
+    answer = await _send_raw(port, head + head, 0.3)
+    length = len(f'HEAD {path} 0')
+    responses = answer.split(b'\r\n\r\n')
+    assert [r[:15] for r in responses] == 2 * [b'HTTP/1.1 200 \r\n'] + [b'']
+    assert all(f'{length}'.encode() in r for r in responses[:2])
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n',
+        b'OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n',
+        b'GET / HTTP/1.0\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2\r\n'
+        b'\r\nmore',
+        b'PUT / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n'
+        b'Content-Length: 1\r\n\r\nx',
+        b'HEAD / HTTP/1.0\r\n\r\nmore',
+    ],
+)
+@pytest.mark.parametrize(
+    'response',
+    [
+        HttpResponse(200, b'{}'),
+        HttpResponse(204, b'{}'),
+        HttpResponse(304, b'{}'),
+        HttpResponse(200, b'{}', [('Location', 'a\r\nb: c')]),
+    ],
+)
+async def test_unusual_request_ends_at_most_its_connection(
+    nursery, data, response
+):
+    # Guards against a response that does not fit its request and ends the
+    # process with an error that nobody catches.
+    async def serve(request):
+        return HttpResponse(200) if request.path == '/next' else response
+
+    port = await _start_server(nursery, serve)
+    await _send_raw(port, data, 0.1)
+    answer = await send_request((HOST, port), 'GET', '/next', [], b'', 2)
+    assert answer.status == 200
+
+
+async def test_request_that_cannot_be_sent_fails(nursery):
+    port = await _start_server(nursery)
+    with pytest.raises(HttpError):
+        headers = [('X-Lease-Holder', 'a\r\nb: c')]
+        await send_request((HOST, port), 'GET', '/', headers, b'', 0.5)
+
+
 async def test_body_above_the_limit_is_rejected(nursery, monkeypatch):
     monkeypatch.setattr(http, 'MAX_BODY_BYTES', 1_000)
     port = await _start_server(nursery)
--- a/jackdawpost/wire/codec.py
+++ b/jackdawpost/wire/codec.py
@@ -279,9 +279,14 @@
 
 def _parse_frame(frame: bytes | str) -> Any:
     try:
-        if isinstance(frame, str):
-            return json.loads(frame)
-        return cbor2.loads(frame)
+        if not isinstance(frame, str):
+            return cbor2.loads(frame)
+        value = json.loads(frame)
+        if '\\u' in frame:
+            # An escape may stand for half of a surrogate pair, which cannot
+            # be passed on.
+            json.dumps(value, ensure_ascii=False).encode()
+        return value
     except (ValueError, cbor2.CBORError, RecursionError) as exc:
         raise FrameError(f'malformed frame: {exc}') from exc
 
--- a/jackdawpost/wire/http.py
+++ b/jackdawpost/wire/http.py
@@ -119,6 +119,8 @@
             HttpError,
         ) as exc:
             LOG.debug('http connection ended', extra={'detail': str(exc)})
+        except h11.LocalProtocolError as exc:
+            LOG.warning('http_response_invalid', extra={'detail': str(exc)})
         finally:
             await trio.aclose_forcefully(stream)
 
@@ -148,7 +150,7 @@
         if request.body:
             guarded.set_pending(0)
         guarded.set_unsent(len(response.body))
-        await _send_response(stream, conn, response)
+        await _send_response(stream, conn, response, request.method)
         guarded.set_unsent(0)
         if conn.our_state is not h11.DONE:
             return
@@ -196,7 +198,10 @@
 
 
 async def _send_response(
-    stream: trio.SocketStream, conn: h11.Connection, response: HttpResponse
+    stream: trio.SocketStream,
+    conn: h11.Connection,
+    response: HttpResponse,
+    method: str = '',
 ) -> None:
     if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
@@ -207,7 +212,8 @@
     ]
     response_head = h11.Response(status_code=response.status, headers=headers)
     data = conn.send(response_head) or b''
-    data += conn.send(h11.Data(data=response.body)) or b''
+    if method != 'HEAD':
+        data += conn.send(h11.Data(data=response.body)) or b''
     data += conn.send(h11.EndOfMessage()) or b''
     await stream.send_all(data)
 
@@ -243,7 +249,7 @@
     except (
         OSError,
         trio.BrokenResourceError,
-        h11.RemoteProtocolError,
+        h11.ProtocolError,
     ) as exc:
         raise HttpError(f'{request_line}: {exc}') from exc
 
