Count the time of a leaving primary from the record of its departure

Such a primary may end at any moment.

Cause: sync_pools counted from the moment at which the process first saw the upstream leave.

Ruled out: late delivery, statements arrive within 10 ms; the promotion, which is ordered at once and each second.

Change: the leader of control keeps the time at which it recorded each departure and tells it each pooler once per link, with the answer to a report. The pooler takes the latest time at which the upstream was certainly not leaving yet: the sending of that report less the time told, or the sending of the last report whose answer showed no newer state. Without either it sends nothing. The log line upstream_leaving has the inputs. Both are lower bounds, whatever delays an update.

Related paths: a pooler cut off from control, or whose update is held up on its way, had the fault and has the same bound now; a new leader tells no time that it does not know; suspended processes have a clock that counts the suspension; upstreams drained by operators use the same record; leaving replicas get no statements at all once known; removal of an upstream that is gone needs no time. Each link carries one more entry of some 40 bytes per departure.

--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -27,6 +27,7 @@
 from jackdawpost.core.control.promotion_facts import PromotionDriver
 from jackdawpost.core.control.proxies import close_silent_proxies
 from jackdawpost.core.control.proxies import drop_removed_proxies
+from jackdawpost.core.control.proxies import note_leaving_upstreams
 from jackdawpost.core.control.proxies import process_held_reports
 from jackdawpost.core.control.proxies import process_report
 from jackdawpost.core.control.proxies import push_updates
@@ -99,6 +100,7 @@
     leader.dirty_groups.update(state.machine.groups)
     state.leader = leader
     refresh_upstreams(state, leader)
+    note_leaving_upstreams(state, leader, None)
     log(state, 'info', 'leadership_won', term=term)
     process_held_reports(state)
 
@@ -126,6 +128,7 @@
         link.sent_version = None
         link.approvals_requested = set()
         link.revoked = set()
+        link.told_leaving = set()
         # A proxy sends its demand again to the next leader.
         link.demands = {}
     log(state, 'info', 'leadership_lost', term=term)
@@ -205,6 +208,7 @@
             state.upstreams.pop(key, None)
         drop_removed_proxies(state, leader)
     refresh_upstreams(state, leader)
+    note_leaving_upstreams(state, leader, state.now_ms)
     leader.dirty_groups.update(state.machine.groups)
     for name in applied.joined:
         link = state.links.get(state.proxies.get(name, 0))
--- a/jackdawpost/core/control/leases.py
+++ b/jackdawpost/core/control/leases.py
@@ -6,15 +6,19 @@
 
 from __future__ import annotations
 
+import math
+
 from jackdawpost.core.consensus import process as consensus
 from jackdawpost.core.control.process import ControlState
 from jackdawpost.core.control.process import LeaderState
+from jackdawpost.core.control.process import LinkState
 from jackdawpost.core.control.sampling import read_positions
 from jackdawpost.core.control.upstream_actions import needs_replica_copies
 from jackdawpost.core.control.voters import known_peers
 from jackdawpost.core.leases import ledger as lease_ledger
 from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.control import LeaseRevoke
+from jackdawpost.core.messages.control import LeavingUpstream
 from jackdawpost.core.outbox import send
 
 
@@ -50,11 +54,28 @@
             member_state='joined',
             peers=peers,
             positions=read_positions(leader, link) or None,
+            leaving=_untold_leaving(state, leader, link) or None,
         )
         send(state, link.conn, grant)
     start_confirmation(state, leader)
 
 
+def _untold_leaving(
+    state: ControlState, leader: LeaderState, link: LinkState
+) -> list[LeavingUpstream]:
+    """Return the leaving upstreams that a proxy has not been told of."""
+    untold = []
+    for key, since_ms in leader.leaving_since_ms.items():
+        if since_ms is None or key in link.told_leaving:
+            continue
+        link.told_leaving.add(key)
+        age_ms = math.ceil(state.now_ms - since_ms)
+        untold.append(
+            LeavingUpstream(upstream=key[0], data_id=key[1], age_ms=age_ms)
+        )
+    return untold
+
+
 def _grantable_terms(
     state: ControlState, leader: LeaderState
 ) -> dict[str, int]:
--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -164,6 +164,8 @@
         Group and term of the lease revocations sent on this link.
     arrivals_ms : dict of int to float
         Time of arrival of the latest reports of a proxy, by number.
+    told_leaving : set
+        Leaving upstreams whose time has been sent on this link.
     """
 
     conn: int
@@ -181,6 +183,7 @@
     approvals_requested: set[MemberKey] = field(default_factory=set)
     revoked: set[tuple[str, int]] = field(default_factory=set)
     arrivals_ms: dict[int, float] = field(default_factory=dict)
+    told_leaving: set[MemberKey] = field(default_factory=set)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -421,6 +424,9 @@
         Time of the next sweep over the registered upstreams.
     next_group_sweep_ms : float
         Time at which all groups are reconsidered, also the unchanged ones.
+    leaving_since_ms : dict of tuple to float, optional
+        Time at which the departure of each leaving upstream was recorded;
+        None if that was before the election.
     waiting_approvals : list of ApproveMember
         Approvals to propose once the running proposal of others is applied.
     upstream_observations : dict
@@ -522,6 +528,9 @@
     undeclared: dict[str, RegisteredUpstream] = field(default_factory=dict)
     next_sweep_ms: float = 0.0
     next_group_sweep_ms: float = 0.0
+    leaving_since_ms: dict[MemberKey, float | None] = field(
+        default_factory=dict
+    )
     waiting_approvals: list[ApproveMember] = field(default_factory=list)
     upstream_observations: dict[str, dict[str, UpstreamReport]] = field(
         default_factory=dict
--- a/jackdawpost/core/control/proxies.py
+++ b/jackdawpost/core/control/proxies.py
@@ -419,6 +419,28 @@
     leader.dirty_permits.update(slots)
 
 
+def note_leaving_upstreams(
+    state: ControlState, leader: LeaderState, now_ms: float | None
+) -> None:
+    """Record since when the upstreams that are leaving now have been.
+
+    Parameters
+    ----------
+    now_ms : float, optional
+        Time for those that were not known to leave; None at an election,
+        since how long ago the earlier leader recorded them is not known.
+    """
+    since_ms = leader.leaving_since_ms
+    leader.leaving_since_ms = {
+        key: since_ms.get(key, now_ms)
+        for key in (
+            (name, member.member_id)
+            for name, member in state.machine.members.items()
+            if member.role == 'upstream' and is_leaving(state, name)
+        )
+    }
+
+
 def stop_serving(state: ControlState, link: LinkState) -> None:
     """Stop serving a proxy that is lost or no longer a member."""
     if state.proxies.get(link.name) == link.conn and state.leader is not None:
--- a/jackdawpost/core/messages/control.py
+++ b/jackdawpost/core/messages/control.py
@@ -250,6 +250,21 @@
     kind: Literal['position_answer'] = 'position_answer'
 
 
+@dataclass(slots=True, kw_only=True)
+class LeavingUpstream:
+    """Time since which an upstream has been leaving.
+
+    Parameters
+    ----------
+    age_ms : int
+        Milliseconds from the record of its departure to this message.
+    """
+
+    upstream: str
+    data_id: str
+    age_ms: int
+
+
 @dataclass(slots=True, kw_only=True)
 class LeaseGrant:
     """Answer to the `ProxyReport` numbered `seq`.
@@ -273,6 +288,9 @@
     positions : list of ReadPosition
         Positions of primaries that accept too few connections for all
         poolers to ask them.
+    leaving : list of LeavingUpstream
+        Leaving upstreams that the proxy has not been told of on this link.
+        Those are left out that were leaving before the leader was elected.
     """
 
     seq: int
@@ -282,6 +300,7 @@
     member_state: str = 'joined'
     peers: list[str] | None = None
     positions: list[ReadPosition] | None = None
+    leaving: list[LeavingUpstream] | None = None
     kind: Literal['lease_grant'] = 'lease_grant'
 
 
--- a/jackdawpost/core/pooler/control_links.py
+++ b/jackdawpost/core/pooler/control_links.py
@@ -169,6 +169,8 @@
     proxy, and the control processes to stay connected to. An answer that
     arrives after the answer to a later report is ignored.
     """
+    # Each departure is told once, maybe in a second answer to a report.
+    _record_departures(state, message)
     if message.seq <= state.last_grant_seq:
         return
     state.last_grant_seq = message.seq
@@ -200,6 +202,29 @@
         _set_control_peers(state, set(message.peers))
 
 
+def _record_departures(state: PoolerState, message: LeaseGrant) -> None:
+    """Record since when upstreams may have been leaving.
+
+    Only a lower bound is safe: the answer may have been delayed on its way,
+    but not before its report was sent.
+    """
+    sent_ms = state.reports_sent_ms.get(message.seq)
+    if sent_ms is None:
+        return
+    if 0 < message.version <= state.published.version:
+        state.confirmed_ms = max(state.confirmed_ms, sent_ms)
+    for leaving in message.leaving or ():
+        since_ms = sent_ms - leaving.age_ms
+        pool = state.pools.get(leaving.upstream)
+        if pool is None or pool.view.data_id != leaving.data_id:
+            state.leaving_ms[leaving.upstream, leaving.data_id] = since_ms
+        elif pool.leaving_since_ms is None:
+            state.leaving_ms[leaving.upstream, leaving.data_id] = since_ms
+        elif since_ms > pool.leaving_since_ms:
+            pool.leaving_since_ms = since_ms
+            state.dirty.add(f'group/{pool.view.group}')
+
+
 def _record_positions(state: PoolerState, message: LeaseGrant) -> None:
     """Record the positions of primaries that control has asked others for."""
     for read_position in message.positions or ():
--- a/jackdawpost/core/pooler/pools.py
+++ b/jackdawpost/core/pooler/pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from jackdawpost.core.outbox import log
 from jackdawpost.core.pooler.connections import close_upstream_conn
 from jackdawpost.core.pooler.connections import has_scarce_connections
 from jackdawpost.core.pooler.connections import update_known_proxies
@@ -9,6 +10,7 @@
 from jackdawpost.core.pooler.probes import on_probe_due
 from jackdawpost.core.pooler.state import DEFAULT_MAX_CONNECTIONS
 from jackdawpost.core.pooler.state import get_group
+from jackdawpost.core.pooler.state import LONG_AGO_MS
 from jackdawpost.core.pooler.state import Pool
 from jackdawpost.core.pooler.state import PoolerState
 from jackdawpost.core.pooler.state import schedule_probe
@@ -41,8 +43,23 @@
         if not view.leaving:
             pool.leaving_since_ms = None
         elif pool.leaving_since_ms is None:
-            pool.leaving_since_ms = state.now_ms
+            told_ms = state.leaving_ms.get((name, view.data_id), LONG_AGO_MS)
+            pool.leaving_since_ms = max(told_ms, state.confirmed_ms)
+            log(
+                state,
+                'info',
+                'upstream_leaving',
+                upstream=name,
+                at_most_ms=round(state.now_ms - pool.leaving_since_ms),
+                told=told_ms > LONG_AGO_MS,
+                confirmed_ms=round(state.now_ms - state.confirmed_ms),
+            )
         state.dirty.add(f'group/{view.group}')
+    state.leaving_ms = {
+        key: since_ms
+        for key, since_ms in state.leaving_ms.items()
+        if key[0] in state.pools and not published[key[0]].leaving
+    }
     update_watched_upstreams(state)
     for name in state.watched_upstreams - known:
         schedule_probe(state, state.pools[name], state.now_ms)
--- a/jackdawpost/core/pooler/state.py
+++ b/jackdawpost/core/pooler/state.py
@@ -51,6 +51,8 @@
 EXPECTED_PRIMARY_MS = 400.0
 # Reads that may be repeated on another upstream, as a share of all reads.
 REPEATED_READ_SHARE = 0.1
+# Earlier than every event; finite, so that it can be dumped as JSON.
+LONG_AGO_MS = -1e15
 # Assumed until an upstream has answered a statement.
 INITIAL_LATENCY_MS = 20.0
 
@@ -437,8 +439,8 @@
         Slot time that may be spent on connections for other tenants, see
         `jackdawpost.core.pooler.tenant_changes`.
     leaving_since_ms : float, optional
-        Time at which the published state first showed the upstream as
-        leaving.
+        Earliest time at which the upstream may have begun to leave; None if
+        it is not leaving.
     probe_conn : int
         Connection on which the latest probe was sent.
     probe_due_ms : float
@@ -645,6 +647,12 @@
         Control processes to stay connected to.
     leader_conn : int
         Connection to the control leader; 0 while it is unknown.
+    confirmed_ms : float
+        Send time of the latest report whose answer shows that no later
+        version than the one in force was published then.
+    leaving_ms : dict of tuple to float
+        Earliest time, by name and data identity, at which upstreams may have
+        begun to leave that are not shown as leaving yet.
     last_grant_seq, last_grant_ms : int, float
         Sequence number and arrival time of the leader's latest answer to a
         report.
@@ -705,6 +713,8 @@
     leader_conn: int = 0
     member_state: str = 'announced'
     report_seq: int = 0
+    confirmed_ms: float = LONG_AGO_MS
+    leaving_ms: dict[tuple[str, str], float] = field(default_factory=dict)
     last_grant_seq: int = 0
     last_grant_ms: float = 0.0
     unsent_approvals: dict[int, list[Approval]] = field(default_factory=dict)
--- a/jackdawpost/testing/pooler_simulation.py
+++ b/jackdawpost/testing/pooler_simulation.py
@@ -33,6 +33,7 @@
 from jackdawpost.core.keys import digest_caller_key
 from jackdawpost.core.messages.control import GroupLease
 from jackdawpost.core.messages.control import LeaseGrant
+from jackdawpost.core.messages.control import LeavingUpstream
 from jackdawpost.core.messages.control import ProxyReport
 from jackdawpost.core.messages.control import PublishedObject
 from jackdawpost.core.messages.control import ReportChange
@@ -230,6 +231,9 @@
         Bodies of the endpoints to publish. The default is ``orders``
         (primary), ``reports`` (bounded staleness) and ``returns`` (read your
         writes).
+    leaving : dict of str to int or None
+        Time in ms since which databases have been leaving when the pooler
+        starts; None if the control leader does not know it.
     needs_leases : bool
         Whether the databases do not fence themselves, so that the pooler
         serves the primary under write leases only.
@@ -238,6 +242,8 @@
     ----------
     grants_leases : bool
         Whether the control leader answers reports.
+    untold_leaving_ms : dict of str to int
+        Times of leaving databases to send with the next answer to a report.
     lease_term : int
         Term of the leases that the control leader grants; 0 for none.
     control_answers : list
@@ -262,15 +268,21 @@
         proxies: int = 1,
         far: tuple[str, ...] = (),
         leads: str = 'db-1',
+        leaving: dict[str, int | None] | None = None,
     ) -> None:
         self.now_ms = 1_000.0
         self.grants_leases = True
         self.lease_term = 1
         self.control_answers: list[Any] = []
+        self.untold_leaving_ms: dict[str, int] = {}
         self.databases = {name: FakeDatabase(name) for name in DATABASES}
         self.databases[leads].leads = True
         for name in far:
             self.databases[name].data_centre = 'aey'
+        for name, age_ms in (leaving or {}).items():
+            self.databases[name].leaving = True
+            if age_ms is not None:
+                self.untold_leaving_ms[name] = age_ms
         self.executed: list[ExecutedStatement] = []
         self.logs: list[LogLine] = []
         self.reports: list[ProxyReport] = []
@@ -318,11 +330,16 @@
         """Answer the latest report as the control leader."""
         if not self.grants_leases:
             return
+        ages_ms, self.untold_leaving_ms = self.untold_leaving_ms, {}
         grant = LeaseGrant(
             seq=self.state.report_seq,
             leases=[GroupLease(group=GROUP, term=self.lease_term)],
             duration_ms=LEASE_MS,
             version=self.state.published.version,
+            leaving=[
+                LeavingUpstream(upstream=name, data_id='1', age_ms=age_ms)
+                for name, age_ms in ages_ms.items()
+            ],
         )
         self.receive(CONTROL_CONN, grant)
 
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -7,6 +7,7 @@
 from jackdawpost.core.control.commands import DeclareObject
 from jackdawpost.core.effects import OrderPromotion
 from jackdawpost.core.events import DrainRequested
+from jackdawpost.core.messages.control import LeaseGrant
 from jackdawpost.core.messages.registry import Departure
 from jackdawpost.core.messages.registry import ReadConfig
 from jackdawpost.core.positions import LogPosition
@@ -111,6 +112,41 @@
     assert sim.machine.members['u2'].leaving
 
 
+def _told_leaving(proxy):
+    return [
+        (leaving.upstream, leaving.age_ms)
+        for message in proxy.received
+        if isinstance(message, LeaseGrant)
+        for leaving in message.leaving or ()
+    ]
+
+
+def test_proxy_is_told_how_long_ago_a_departure_was_recorded():
+    # Guards against a proxy that starts later and takes the departure for a
+    # new one.
+    sim = DelegatedSimulation()
+    sim.send_request(registration('u2', state='draining', sequence=2))
+    sim.cluster.run(3_000)
+    late = sim.cluster.add(FakeProxy('p9'))
+    sim.cluster.run(1_000)
+    [(name, age_ms)] = _told_leaving(sim.proxies[0])
+    assert name == 'u2' and age_ms < 500
+    [(name, age_ms)] = _told_leaving(late)
+    assert name == 'u2' and 3_000 <= age_ms < 4_000
+
+
+def test_new_leader_does_not_tell_a_time_that_it_does_not_know():
+    sim = DelegatedSimulation()
+    old = sim.cluster.leader().cfg.name
+    sim.send_request(registration('u2', state='draining', sequence=2))
+    sim.cluster.stop_process(old)
+    sim.cluster.run(5_000, lambda: _is_led_by_other(sim, old))
+    late = sim.cluster.add(FakeProxy('p9'))
+    sim.cluster.run(1_000)
+    assert sim.machine.members['u2'].leaving
+    assert 'p9' in sim.machine.members and not _told_leaving(late)
+
+
 def test_late_report_of_an_earlier_incarnation_changes_nothing():
     sim = DelegatedSimulation()
     newer = registration('u2', started_ms=STARTED_MS + 5_000)
