--- a/jackdawpost/core/control/leadership.py
+++ b/jackdawpost/core/control/leadership.py
@@ -34,11 +34,11 @@
 from jackdawpost.core.control.proxies import refresh_upstreams
 from jackdawpost.core.control.proxies import update_permits
 from jackdawpost.core.control.rates import new_rate_ledger
+from jackdawpost.core.control.registrations import forget_report
+from jackdawpost.core.control.registrations import remove_superseded
+from jackdawpost.core.control.registrations import sweep_registrations
 from jackdawpost.core.control.registry import abort_pending_requests
 from jackdawpost.core.control.registry import answer_pending_requests
-from jackdawpost.core.control.registry import forget_report
-from jackdawpost.core.control.registry import remove_superseded
-from jackdawpost.core.control.registry import sweep_registrations
 from jackdawpost.core.control.sampling import request_positions
 from jackdawpost.core.control.state import Applied
 from jackdawpost.core.control.state import CommandRefused
