Hold reports under the name or address of a running upstream

A newcomer counts as a holder of commits before it is verified, so that none is lost with it. The foreign report named one at the address of a running database, and the promotion waited for its answer (log: promotion_waits, missing e-1; replica_absent for e-1 five times, each time under another start).

Ruled out: load.

Change: a report with the name or address of another member is held until that has not reported for 3 s. Reports of undeclared groups are held in the same way. A database that takes over an address after a crash waits for the rest of these 3 s.

Without the change test_foreign_report_does_not_delay_replacing_a_leaving_primary fails in both cases.

--- a/jackdawpost/core/control/process.py
+++ b/jackdawpost/core/control/process.py
@@ -80,6 +80,9 @@
         Addresses at which other control processes may be found.
     upstream_expiry_ms : float
         Time after which a silent registered upstream is removed.
+    upstream_silence_ms : float
+        Time without a report of a registered upstream after which another
+        one may take its name or its address.
     rate_window_ms, rate_overage, rate_slack : float
         Rate limits of tenants, see `jackdawpost.core.rates.limits`.
     """
@@ -105,6 +108,7 @@
     voter_target: int = 0
     seeds: tuple[str, ...] = ()
     upstream_expiry_ms: float = 30_000
+    upstream_silence_ms: float = 1_500
     rate_window_ms: float = 5_000
     rate_overage: float = 0.1
     rate_slack: float = 20
@@ -418,8 +422,9 @@
         Request by token of the leadership confirmation that it waits for.
     registered : dict of str to RegisteredUpstream
         Latest reports of registered upstreams.
-    undeclared : dict of str to RegisteredUpstream
-        Latest reports of upstreams whose group is not declared, oldest first.
+    held : dict of str to RegisteredUpstream
+        Latest reports by name, oldest first, that count once their group is
+        declared and no other upstream reports under their name or address.
     next_sweep_ms : float
         Time of the next sweep over the registered upstreams.
     next_group_sweep_ms : float
@@ -525,7 +530,7 @@
     pending_requests: dict[int, list[int]] = field(default_factory=dict)
     pending_reads: dict[int, int] = field(default_factory=dict)
     registered: dict[str, RegisteredUpstream] = field(default_factory=dict)
-    undeclared: dict[str, RegisteredUpstream] = field(default_factory=dict)
+    held: dict[str, RegisteredUpstream] = field(default_factory=dict)
     next_sweep_ms: float = 0.0
     next_group_sweep_ms: float = 0.0
     leaving_since_ms: dict[MemberKey, float | None] = field(
--- a/jackdawpost/core/control/registrations.py
+++ b/jackdawpost/core/control/registrations.py
@@ -27,11 +27,13 @@
 
 # Interval at which the missing steps of a join or a departure are repeated.
 SWEEP_INTERVAL_MS = 500.0
-# Share of the expiry time after which a registered upstream counts as silent,
-# so that reports of another incarnation at its address are accepted.
-SILENT_SHARE = 0.25
-# Upstreams of undeclared groups whose latest report is kept.
-MAX_UNDECLARED = 2_000
+# Share of the expiry time after which reports of an earlier incarnation are
+# accepted again. They may have been delayed on their way.
+RESTART_SILENCE_SHARE = 0.25
+MAX_HELD_REPORTS = 2_000
+# Time for which a report is held, as a multiple of the time after which an
+# upstream counts as silent. A running one has sent another report by then.
+HELD_SHARE = 2.0
 
 
 def record_report(
@@ -57,8 +59,9 @@
             reason=reason,
         )
         return None
-    if not _is_admissible(state, report):
-        _hold_report(state, leader, report)
+    reason = _holding_reason(state, leader, report)
+    if reason:
+        _hold_report(state, leader, report, reason)
         return None
     return _accept_report(state, leader, report)
 
@@ -94,47 +97,66 @@
     return _propose_leaving(state, leader, report)
 
 
-def _is_admissible(state: ControlState, report: Registration) -> bool:
-    """Return whether a report is of a member or of a declared group.
+def _holding_reason(
+    state: ControlState, leader: LeaderState, report: Registration
+) -> str:
+    """Return why a report does not count yet; empty if it does.
 
-    A member may outlive its group in the configuration until it departs.
+    A newcomer counts as a holder of commits before it is verified, so a
+    report must not make one where another upstream is known to run. A member
+    may outlive its group in the configuration until it departs.
     """
-    member = state.machine.members.get(report.name)
-    is_of_member = member is not None and member.member_id == str(
-        report.started_ms
-    )
-    return is_of_member or report.group in state.machine.objects.groups
+    members = state.machine.members
+    member = members.get(report.name)
+    if member is not None and _is_same_upstream(member, report):
+        if member.member_id == str(report.started_ms):
+            return ''
+    if report.group not in state.machine.objects.groups:
+        return f'no group {report.group!r:.80} is declared'
+    for member in members.values():
+        if not member.registered or _is_same_upstream(member, report):
+            continue
+        has_same_address = (member.host, member.port) == (
+            report.host,
+            report.port,
+        )
+        if has_same_address or member.name == report.name:
+            silence_ms = state.cfg.upstream_silence_ms
+            if not _is_silent(state, leader, member, silence_ms):
+                return f'{member.name!r} reports from {member.host}'
+    return ''
 
 
 def _hold_report(
-    state: ControlState, leader: LeaderState, report: Registration
+    state: ControlState, leader: LeaderState, report: Registration, reason: str
 ) -> None:
-    """Keep a report of an undeclared group, in case that is declared later."""
-    previous = leader.undeclared.pop(report.name, None)
-    if previous is None or previous.report.group != report.group:
+    """Keep a report until it counts, or its sender reports no more."""
+    previous = leader.held.pop(report.name, None)
+    if previous is None or previous.report.started_ms != report.started_ms:
         log(
             state,
             'info',
             'report_held',
             upstream=report.name,
             group=report.group,
-            reason='no such group is declared',
+            started_ms=report.started_ms,
+            reason=reason,
         )
-    leader.undeclared[report.name] = RegisteredUpstream(
+    leader.held[report.name] = RegisteredUpstream(
         report=report, last_contact_ms=state.now_ms
     )
-    if len(leader.undeclared) > MAX_UNDECLARED:
-        del leader.undeclared[next(iter(leader.undeclared))]
+    if len(leader.held) > MAX_HELD_REPORTS:
+        del leader.held[next(iter(leader.held))]
 
 
 def _accept_held_reports(state: ControlState, leader: LeaderState) -> None:
-    """Accept the held reports whose group has been declared."""
-    oldest_ms = state.now_ms - state.cfg.upstream_expiry_ms
-    for name, held in list(leader.undeclared.items()):
+    """Accept the held reports that count now."""
+    oldest_ms = state.now_ms - HELD_SHARE * state.cfg.upstream_silence_ms
+    for name, held in list(leader.held.items()):
         if held.last_contact_ms <= oldest_ms:
-            del leader.undeclared[name]
-        elif _is_admissible(state, held.report):
-            del leader.undeclared[name]
+            del leader.held[name]
+        elif not _holding_reason(state, leader, held.report):
+            del leader.held[name]
             if not _rejection_reason(state, leader, held.report):
                 _accept_report(state, leader, held.report)
 
@@ -173,6 +195,7 @@
     if departed is not None and report.started_ms <= int(departed):
         return 'this incarnation has departed'
     address = (report.host, report.port)
+    restart_silence_ms = state.cfg.upstream_expiry_ms * RESTART_SILENCE_SHARE
     for known, is_member in _known_upstreams(state):
         has_same_address = (known.host, known.port) == address
         if known.name != report.name:
@@ -181,7 +204,9 @@
             if int(known.member_id) > report.started_ms:
                 return f'the address is now used by {known.name!r}'
         elif int(known.member_id) > report.started_ms:
-            if has_same_address and _is_silent(state, leader, known):
+            if has_same_address and _is_silent(
+                state, leader, known, restart_silence_ms
+            ):
                 # It was never there, or has ended: this one goes on reporting.
                 continue
             if is_member or has_same_address:
@@ -239,14 +264,16 @@
 
 
 def _is_silent(
-    state: ControlState, leader: LeaderState, upstream: Member
+    state: ControlState,
+    leader: LeaderState,
+    upstream: Member,
+    silence_ms: float,
 ) -> bool:
-    """Return whether an upstream has missed several of its reports."""
+    """Return whether an upstream has not reported for a time."""
     key = (upstream.name, upstream.member_id)
     last_contact_ms = max(
         leader.last_contact_ms.get(key, 0), leader.contact_floor_ms
     )
-    silence_ms = state.cfg.upstream_expiry_ms * SILENT_SHARE
     return state.now_ms >= last_contact_ms + silence_ms
 
 
--- a/jackdawpost/platform/control.py
+++ b/jackdawpost/platform/control.py
@@ -59,6 +59,7 @@
 # Databases report every one or two seconds. A crashed one may restart before
 # it is removed.
 UPSTREAM_EXPIRY_MS = 60_000
+UPSTREAM_SILENCE_MS = 3_000
 # Time for which reports of a failed upstream must persist. Proxies report an
 # upstream as silent after 450 ms without an answer, and as refused right after
 # a failed connection attempt; this adds the time in which the reports of most
@@ -101,6 +102,7 @@
         voter_target=2 * settings.tolerates.machines + 1,
         seeds=tuple(seeds),
         upstream_expiry_ms=UPSTREAM_EXPIRY_MS,
+        upstream_silence_ms=UPSTREAM_SILENCE_MS,
         rate_window_ms=settings.bounds.quota_window_s * MS_PER_SECOND,
         rate_overage=settings.bounds.quota_overage,
         rate_slack=settings.bounds.quota_slack,
--- a/jackdawpost/tests/core/control/test_registry.py
+++ b/jackdawpost/tests/core/control/test_registry.py
@@ -508,6 +508,28 @@
     assert not sim.orders()
 
 
+@pytest.mark.parametrize('host', ['10.0.1.1', '10.0.1.2'])
+def test_foreign_report_does_not_delay_replacing_a_leaving_primary(host):
+    # Guards against an upstream that only a report has named, and that counts
+    # as a holder of commits: a promotion waited for its answer.
+    sim = DelegatedSimulation(copies=2)
+    for proxy in sim.proxies:
+        proxy.unverified = {f'u9 at {host}'}
+    sim.set_observations('u1', u2=12, u3=12)
+    _set_positions(sim, u1=12, u2=12, u3=12)
+    for number in range(1, 6):
+        for name in ('u1', 'u2', 'u3'):
+            sim.send_request(registration(name, sequence=1 + number))
+        foreign = registration(
+            'u9', host=host, started_ms=STARTED_MS + number, leads=True
+        )
+        sim.send_request(foreign)
+        sim.cluster.run(800)
+    sim.send_request(registration('u1', state='draining', sequence=9))
+    sim.cluster.run(1_500)
+    assert [order.upstream for order in sim.orders()][:1] in (['u2'], ['u3'])
+
+
 def test_new_leader_answers_the_reports_received_before_its_election():
     # A restart of all processes lasts longer for callers if proxies get the
     # configuration only after their next report.
