Send foreign status reports in the soak

A writer of its own sends reports that name no database to use, and HEAD requests, during the whole run; a write that one of them smuggles to a database is a violation. It is not part of the drawn plans, which stay as they are.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -12,6 +12,7 @@
 from jackdawpost_standin.line_database import ExecutedRead
 from soak.callers import NO_COMMIT_CODES
 from soak.callers import Operation
+from soak.foreign_reports import FOREIGN_REQUEST
 from soak.platform_standin import MAX_STALENESS_MS
 
 # A request sent less than this before its connection ends may not have been
@@ -50,6 +51,7 @@
     return [
         *_find_duplicate_commits(evidence),
         *_find_mixed_commits(evidence),
+        *_find_foreign_commits(evidence),
         *_find_lost_writes(evidence),
         *_find_committed_failures(evidence),
         *_find_malformed_answers(evidence),
@@ -85,6 +87,15 @@
     ]
 
 
+def _find_foreign_commits(evidence: Evidence) -> list[str]:
+    """Find writes that a status report has smuggled to a database."""
+    return [
+        f'unasked: commit {commit.position} contains {commit.writes}'
+        for commit in [*evidence.log, *evidence.rolled_back]
+        if any(write[0] == FOREIGN_REQUEST for write in commit.writes)
+    ]
+
+
 def _find_lost_writes(evidence: Evidence) -> list[str]:
     committed = set(_request_ids(evidence.log))
     if evidence.is_async:
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from http import HTTPStatus
+from typing import Any
 from typing import Literal
 
 import trio
@@ -174,9 +175,9 @@
     def _instance_path(self) -> str:
         return f'/instances/{self.database.name}'
 
-    async def _send_report(self) -> bool:
-        self.sequence += 1
-        body = {
+    def build_report(self) -> dict[str, Any]:
+        """Return the body of a report of the present state."""
+        return {
             'service': self.database.group.name,
             'address': self.address,
             'zone': self.zone,
@@ -186,8 +187,11 @@
             'sequence': self.sequence,
             'born': self.started_ms,
         }
+
+    async def _send_report(self) -> bool:
+        self.sequence += 1
         hosts = self.rng.sample(self.hosts, len(self.hosts))
-        text = json.dumps(body).encode()
+        text = json.dumps(self.build_report()).encode()
         return (
             await call_control(hosts, 'PUT', self._instance_path(), text)
             is not None
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,7 @@
 from soak.cluster import Node
 from soak.cluster import SHUTDOWN_GRACE_S
 from soak.cluster import ZONES
+from soak.foreign_reports import send_foreign_reports
 from soak.invariants import Evidence
 from soak.invariants import find_failures_after_recovery
 from soak.invariants import find_unanswered_statements
@@ -250,6 +251,8 @@
         _start_callers(
             run, nursery, tenant, count, tuple(CONSISTENCY_BY_DATABASE)
         )
+    foreign_rng = random.Random(f'{run.seed}/foreign')
+    nursery.start_soon(send_foreign_reports, run.reporters, foreign_rng)
     async with trio.open_nursery() as faults:
         config_changes = trio.CancelScope()
         faults.start_soon(_change_config, run, config_changes)
