Show that a stopping edge cuts the answers that it is sending

Clients whose link takes 1.7 s for an answer of 3 MiB ask 1.9 s after the SIGTERM of their edge. The edge exits 0.9 s after the request in the middle of the answers, with half of graceS left.

--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -309,7 +309,8 @@
             return [f'ERROR READONLY {self.name}']
         done = f'COMPLETE {self.name}.{request}'
         if keyword == 'READ':
-            return [f'DATAROW {self._read(item)}', done]
+            rows = self.group.rows_by_item.get(item) or [self._read(item)]
+            return [*(f'DATAROW {row}' for row in rows), done]
         if keyword == 'WRITE':
             session.writes.append((request, item, data))
         elif keyword != 'COMMIT':
@@ -432,6 +433,8 @@
         self.fence = 0
         self.calls: list[tuple[float, str, str, int, int]] = []
         self.rolled_back: list[Commit] = []
+        # Rows of the items that have more than one.
+        self.rows_by_item: dict[str, list[str]] = {}
         self.databases = [
             Database(self, f'i-{letter}', f'{network}.{21 + number}', zone)
             for number, (letter, zone) in enumerate(
@@ -907,7 +910,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 client = cls(
-                    *await asyncio.open_connection(node.host, FRONTEND_PORT)
+                    *await asyncio.open_connection(
+                        node.host, FRONTEND_PORT, limit=1 << 21
+                    )
                 )
                 answer = await client._ask(f'START {database}')
         except (OSError, TimeoutError) as exc:
